--- /dev/null
+++ b/chestnutvale/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and the dump of a process's state."""
--- /dev/null
+++ b/chestnutvale/programs/__init__.py
@@ -0,0 +1,1 @@
+"""The programs: entry, control and the operators' client."""
--- /dev/null
+++ b/chestnutvale/programs/client/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command-line client."""
--- /dev/null
+++ b/chestnutvale/programs/control/__init__.py
@@ -0,0 +1,1 @@
+"""The control: keeps the replicated log and decides on groups."""
--- /dev/null
+++ b/chestnutvale/programs/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry: takes calls and announcements, routes and streams."""
--- /dev/null
+++ b/chestnutvale/schema/__init__.py
@@ -0,0 +1,1 @@
+"""Generated message classes; the schema folder at the root is their source."""
--- /dev/null
+++ b/chestnutvale/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings files: JSON with comments, checked against the schema."""
--- /dev/null
+++ b/chestnutvale/transport/__init__.py
@@ -0,0 +1,1 @@
+"""One-way messages between the processes of the system, over pynng."""
--- /dev/null
+++ b/chestnutvale/transport/const.py
@@ -0,0 +1,24 @@
+"""Constants of the transport."""
+
+from typing import Final
+
+# Messages read from an inbox before other tasks get a turn.
+RECEIVE_BATCH: Final = 32
+# Messages a peer socket holds while its peer is unreachable.
+SEND_BUFFER_MESSAGES: Final = 128
+# Largest message in bytes; larger ones are refused by the socket.
+MAX_MESSAGE_BYTES: Final = 8 * 1024 * 1024
+RECONNECT_MIN_MS: Final = 50
+RECONNECT_MAX_MS: Final = 1_000
+# Time in milliseconds after which an undelivered message is worthless.
+DEFAULT_EXPIRY_MS: Final = 2_000
+# Messages that wait for their task; the oldest is dropped beyond this.
+MAX_QUEUED_MESSAGES: Final = 4_096
+
+DROP_MALFORMED: Final = "malformed"
+DROP_FOREIGN_CLUSTER: Final = "foreign_cluster"
+DROP_WRONG_RECIPIENT: Final = "wrong_recipient"
+DROP_EXPIRED: Final = "expired"
+DROP_OLD_INCARNATION: Final = "old_incarnation"
+DROP_NO_BODY: Final = "no_body"
+DROP_QUEUE_FULL: Final = "queue_full"
--- /dev/null
+++ b/script/generate.py
@@ -0,0 +1,85 @@
+"""Generate the protobuf modules from the schema, or check that they are current."""
+
+import argparse
+import sys
+import tempfile
+from pathlib import Path
+
+from grpc_tools import protoc
+
+ROOT = Path(__file__).resolve().parent.parent
+SCHEMA_FOLDER = ROOT / "schema"
+PACKAGE_FOLDER = Path("chestnutvale") / "schema"
+
+
+def generate(out_folder: Path) -> None:
+    """Write the generated modules below a folder.
+
+    Parameters
+    ----------
+    out_folder : Path
+        The folder that holds the top-level package.
+
+    Raises
+    ------
+    SystemExit
+        If the compiler refuses a schema file.
+    """
+    files = sorted(str(path) for path in SCHEMA_FOLDER.rglob("*.proto"))
+    arguments = [
+        "protoc",
+        f"-I{SCHEMA_FOLDER}",
+        f"--python_out={out_folder}",
+        f"--pyi_out={out_folder}",
+        *files,
+    ]
+    if protoc.main(arguments) != 0:
+        raise SystemExit("the schema compiler failed")
+
+
+def read_generated(folder: Path) -> dict[str, str]:
+    """Read the generated modules below a folder.
+
+    Parameters
+    ----------
+    folder : Path
+        The folder that holds the top-level package.
+
+    Returns
+    -------
+    dict of str to str
+        Text of each module by its file name.
+    """
+    found = sorted((folder / PACKAGE_FOLDER).glob("*_pb2.py*"))
+    return {path.name: path.read_text() for path in found}
+
+
+def main() -> int:
+    """Run the generator.
+
+    Returns
+    -------
+    int
+        Exit code; 1 if ``--check`` finds stale modules.
+    """
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--check", action="store_true")
+    if not parser.parse_args().check:
+        generate(ROOT)
+        return 0
+    with tempfile.TemporaryDirectory() as folder:
+        generate(Path(folder))
+        fresh = read_generated(Path(folder))
+    committed = read_generated(ROOT)
+    stale = sorted(
+        name
+        for name in fresh.keys() | committed.keys()
+        if fresh.get(name) != committed.get(name)
+    )
+    for name in stale:
+        print(f"stale generated module: {name}; run script/generate.py")
+    return 1 if stale else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/transport/test_gate.py
@@ -0,0 +1,89 @@
+"""Which received messages a process acts on."""
+
+import pytest
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+
+from chestnutvale.schema.peer_pb2 import EntryReport, Envelope
+from chestnutvale.transport.const import (
+    DROP_EXPIRED,
+    DROP_FOREIGN_CLUSTER,
+    DROP_MALFORMED,
+    DROP_NO_BODY,
+    DROP_OLD_INCARNATION,
+    DROP_WRONG_RECIPIENT,
+)
+from chestnutvale.transport.exceptions import MessageDroppedError
+from chestnutvale.transport.gate import MessageGate, make_incarnation
+
+NOW_UNIX_MS = 1_000_000
+
+
+def make_envelope(**changes):
+    fields = {
+        "cluster_id": "c1",
+        "sender_id": "entry-1",
+        "sender_incarnation": make_incarnation(5, 1),
+        "recipient_id": "control-1",
+        "expires_at_unix_ms": NOW_UNIX_MS + 10,
+        "entry_report": EntryReport(nonce=3),
+    }
+    fields.update(changes)
+    return Envelope(**{k: v for k, v in fields.items() if v is not None})
+
+
+@pytest.mark.parametrize(
+    ("changes", "reason"),
+    [
+        ({"cluster_id": "other"}, DROP_FOREIGN_CLUSTER),
+        ({"recipient_id": "control-2"}, DROP_WRONG_RECIPIENT),
+        ({"expires_at_unix_ms": NOW_UNIX_MS - 1}, DROP_EXPIRED),
+        ({"entry_report": None}, DROP_NO_BODY),
+        ({"sender_id": ""}, DROP_NO_BODY),
+    ],
+)
+def test_message_is_dropped(changes, reason):
+    gate = MessageGate("c1", "control-1")
+    with pytest.raises(MessageDroppedError) as caught:
+        gate.open(make_envelope(**changes).SerializeToString(), NOW_UNIX_MS)
+    assert caught.value.reason == reason
+
+
+def test_message_of_an_earlier_life_is_dropped():
+    gate = MessageGate("c1", "control-1")
+    late = make_envelope().SerializeToString()
+    newer = make_envelope(sender_incarnation=make_incarnation(6, 0))
+    gate.open(newer.SerializeToString(), NOW_UNIX_MS)
+    with pytest.raises(MessageDroppedError) as caught:
+        gate.open(late, NOW_UNIX_MS)
+    assert caught.value.reason == DROP_OLD_INCARNATION
+
+
+def test_valid_message_is_opened():
+    gate = MessageGate("c1", "control-1")
+    envelope = gate.open(make_envelope().SerializeToString(), NOW_UNIX_MS)
+    assert envelope.entry_report.nonce == 3
+
+
+@seed(1)
+@settings(max_examples=200, database=None, deadline=None)
+@given(st.binary(max_size=200))
+def test_foreign_bytes_only_ever_raise_the_typed_error(data):
+    gate = MessageGate("c1", "control-1")
+    with pytest.raises(MessageDroppedError):
+        gate.open(data, NOW_UNIX_MS)
+
+
+def test_truncated_message_never_passes_as_another_one():
+    data = make_envelope().SerializeToString()
+    for length in range(len(data)):
+        gate = MessageGate("c1", "control-1")
+        with pytest.raises(MessageDroppedError) as caught:
+            gate.open(data[:length], NOW_UNIX_MS)
+        assert caught.value.reason in {
+            DROP_MALFORMED,
+            DROP_NO_BODY,
+            DROP_WRONG_RECIPIENT,
+            DROP_FOREIGN_CLUSTER,
+            DROP_EXPIRED,
+        }
--- /dev/null
+++ b/tests/transport/test_node.py
@@ -0,0 +1,56 @@
+"""Messages between two transport nodes over loopback."""
+
+import eventlet
+import pynng
+import pytest
+
+from chestnutvale.clock import SystemClock
+from chestnutvale.schema.peer_pb2 import EntryReport
+from chestnutvale.transport.const import DROP_MALFORMED
+from chestnutvale.transport.exceptions import TransportError
+from chestnutvale.transport.gate import make_incarnation
+from chestnutvale.transport.node import TransportNode
+
+
+def make_node(name, address):
+    incarnation = make_incarnation(1, 1)
+    return TransportNode("c1", name, incarnation, address, SystemClock())
+
+
+def wait_until(condition, timeout_s=5.0):
+    with eventlet.Timeout(timeout_s):
+        while not condition():
+            eventlet.sleep(0.01)
+
+
+def test_message_arrives_and_a_failing_handler_stops_nothing(free_address):
+    received = []
+
+    def handle(envelope):
+        received.append(envelope.entry_report.nonce)
+        if envelope.entry_report.nonce == 1:
+            raise ValueError("first message fails")
+
+    with (
+        make_node("a", free_address()) as sender,
+        make_node("b", free_address()) as receiver,
+    ):
+        receiver.on("entry_report", handle)
+        for nonce in (1, 2):
+            sender.send("b", receiver.address, "entry_report", EntryReport(nonce=nonce))
+        wait_until(lambda: received == [1, 2])
+        assert receiver.drops["handler_failed"] == 1
+
+
+def test_foreign_bytes_are_counted_and_dropped(free_address):
+    with make_node("b", free_address()) as receiver, pynng.Push0() as foreign:
+        foreign.dial(f"tcp://{receiver.address}", block=True)
+        foreign.send(b"\xff\xff not ours")
+        wait_until(lambda: receiver.drops[DROP_MALFORMED] == 1)
+
+
+def test_taken_address_is_a_typed_error(free_address):
+    address = free_address()
+    with make_node("a", address), pytest.raises(TransportError) as caught:
+        make_node("b", address).__enter__()
+    assert caught.value.peer == address
