Add the single text's parser, lookup and replicated state, and settings loaders

Cause: the daemons need the text in force, its views and checked settings. Change: configuration/ parses JSON with comments against the schema and names every problem with its line; ConfigurationState accepts by number and remembers 4,096 accepted numbers, so that a late resend gets the first answer. settings/ has one loader per program with defaults and checks of every field. Ruled out: pyjson5 alone (it reports no lines of fields and silently takes the last of two equal keys); json_format.ParseDict (stops at the first problem).

--- /dev/null
+++ b/chestnutvale/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The single text: parsing, validation, comparison and acceptance."""
--- /dev/null
+++ b/chestnutvale/configuration/checks.py
@@ -0,0 +1,206 @@
+"""Checks of a text that its schema can't express."""
+
+import re
+from collections.abc import Mapping
+
+from chestnutvale.configuration.const import (
+    KIND_MODEL,
+    KINDS,
+    MAX_BODY_BYTES,
+    MAX_DEADLINE_MS,
+    MAX_GROUPS,
+    MAX_HOSTS_PER_GROUP,
+    MAX_NUMBER,
+    MAX_QUEUED_REQUESTS,
+    MAX_RUNNING_REQUESTS,
+    MAX_WEIGHT,
+    METHOD_ANY,
+    METHODS,
+    MIN_DEADLINE_MS,
+)
+from chestnutvale.configuration.dependencies import find_cycle
+from chestnutvale.configuration.line_index import Path
+from chestnutvale.configuration.report import ProblemReport, suggest
+from chestnutvale.schema.configuration_pb2 import CallRule, Service, Text, Workspace
+
+_NAME = re.compile(r"[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?")
+_SHA256 = re.compile(r"[0-9a-f]{64}")
+
+
+def check_text(text: Text, report: ProblemReport) -> None:
+    """Check a whole text.
+
+    Parameters
+    ----------
+    text : Text
+        The text with its defaults filled in.
+    report : ProblemReport
+        Takes the problems.
+    """
+    _check_range(text.number, 1, MAX_NUMBER, ("number",), report)
+    for name, service in text.services.items():
+        path = ("services", name)
+        _check_name(name, path, report)
+        _check_service(service, path, report)
+        _check_known_services(service.depends_on, text, (*path, "depends_on"), report)
+    _check_cycle(text, report)
+    _check_workspaces(text, report)
+
+
+def check_fabric_domains(
+    text: Text, domain_hosts: Mapping[str, int], report: ProblemReport
+) -> None:
+    """Refuse groups that fit into no known fabric domain.
+
+    Parameters
+    ----------
+    text : Text
+        The text.
+    domain_hosts : mapping of str to int
+        Count of hosts ever seen in each fabric domain; nothing is checked while no
+        domain is known.
+    report : ProblemReport
+        Takes the problems.
+    """
+    if not domain_hosts:
+        return
+    largest = max(domain_hosts, key=lambda name: (domain_hosts[name], name))
+    for name, service in text.services.items():
+        if service.kind != KIND_MODEL:
+            continue
+        if service.hosts_per_group > domain_hosts[largest]:
+            report.add(
+                ("services", name, "hosts_per_group"),
+                f"{service.hosts_per_group} hosts fit into no fabric domain; the "
+                f"largest known, {largest!r}, has {domain_hosts[largest]}",
+            )
+
+
+def _check_range(
+    value: int, lowest: int, highest: int, path: Path, report: ProblemReport
+) -> None:
+    if not lowest <= value <= highest:
+        report.add(path, f"must be from {lowest} to {highest}, not {value}")
+
+
+def _check_name(name: str, path: Path, report: ProblemReport) -> None:
+    if not _NAME.fullmatch(name):
+        report.add(
+            path,
+            "a name has 1 to 63 lower-case letters, digits and inner hyphens",
+        )
+
+
+def _check_service(service: Service, path: Path, report: ProblemReport) -> None:
+    if service.kind not in KINDS:
+        report.add(
+            (*path, "kind"),
+            f"must be one of {', '.join(KINDS)}{suggest(service.kind, KINDS)}",
+        )
+    elif service.kind == KIND_MODEL:
+        _check_model_service(service, path, report)
+    else:
+        _check_plain_service(service, path, report)
+    _check_range(
+        service.hosts_per_group,
+        1,
+        MAX_HOSTS_PER_GROUP,
+        (*path, "hosts_per_group"),
+        report,
+    )
+    _check_range(service.groups, 0, MAX_GROUPS, (*path, "groups"), report)
+    _check_limits(service, (*path, "limits"), report)
+
+
+def _check_model_service(service: Service, path: Path, report: ProblemReport) -> None:
+    for field in ("model", "version"):
+        if not getattr(service, field):
+            report.add((*path, field), "a model service needs it")
+    if service.calls:
+        report.add((*path, "calls"), "only a plain service has rules for its calls")
+
+
+def _check_plain_service(service: Service, path: Path, report: ProblemReport) -> None:
+    for field in ("model", "adapters"):
+        if getattr(service, field):
+            report.add((*path, field), "only a model service has it")
+    if service.hosts_per_group > 1:
+        report.add((*path, "hosts_per_group"), "a plain service runs on single hosts")
+    for position, rule in enumerate(service.calls):
+        place = (*path, "calls", position)
+        _check_call_rule(rule, place, report)
+        _check_reachable(service, position, place, report)
+
+
+def _check_call_rule(rule: CallRule, path: Path, report: ProblemReport) -> None:
+    if rule.method not in METHODS:
+        report.add(
+            (*path, "method"),
+            f"must be one of {', '.join(sorted(METHODS))}"
+            f"{suggest(rule.method.upper(), METHODS)}",
+        )
+    if not rule.path_prefix.startswith("/"):
+        report.add((*path, "path_prefix"), "must begin with '/'")
+
+
+def _check_reachable(
+    service: Service, position: int, path: Path, report: ProblemReport
+) -> None:
+    rule = service.calls[position]
+    for earlier in range(position):
+        other = service.calls[earlier]
+        method_fits = other.method in (METHOD_ANY, rule.method)
+        if method_fits and rule.path_prefix.startswith(other.path_prefix):
+            report.add(path, f"is never reached: calls[{earlier}] fits first")
+            return
+
+
+def _check_limits(service: Service, path: Path, report: ProblemReport) -> None:
+    ranges = {
+        "max_queued_requests": (0, MAX_QUEUED_REQUESTS),
+        "max_running_requests": (0, MAX_RUNNING_REQUESTS),
+        "max_body_bytes": (1, MAX_BODY_BYTES),
+        "default_deadline_ms": (MIN_DEADLINE_MS, MAX_DEADLINE_MS),
+    }
+    for field, (lowest, highest) in ranges.items():
+        value = getattr(service.limits, field)
+        _check_range(value, lowest, highest, (*path, field), report)
+
+
+def _check_known_services(
+    names: list[str], text: Text, path: Path, report: ProblemReport
+) -> None:
+    for name in names:
+        if name not in text.services:
+            hint = suggest(name, text.services)
+            report.add(path, f"unknown service {name!r}{hint}")
+
+
+def _check_cycle(text: Text, report: ProblemReport) -> None:
+    graph = {name: service.depends_on for name, service in text.services.items()}
+    cycle = find_cycle(graph)
+    if cycle:
+        path = ("services", cycle[0], "depends_on")
+        report.add(path, f"services depend on each other: {' -> '.join(cycle)}")
+
+
+def _check_workspaces(text: Text, report: ProblemReport) -> None:
+    owners: dict[str, str] = {}
+    for name, workspace in sorted(text.workspaces.items()):
+        path = ("workspaces", name)
+        _check_name(name, path, report)
+        _check_range(workspace.weight, 1, MAX_WEIGHT, (*path, "weight"), report)
+        _check_known_services(workspace.services, text, (*path, "services"), report)
+        _check_keys(name, workspace, owners, report)
+
+
+def _check_keys(
+    name: str, workspace: Workspace, owners: dict[str, str], report: ProblemReport
+) -> None:
+    path = ("workspaces", name, "key_sha256")
+    for digest in workspace.key_sha256:
+        if not _SHA256.fullmatch(digest):
+            report.add(path, "must hold SHA-256 digests of 64 hexadecimal digits")
+        owner = owners.setdefault(digest, name)
+        if owner != name:
+            report.add(path, f"holds a key that workspace {owner!r} holds as well")
--- /dev/null
+++ b/chestnutvale/configuration/const.py
@@ -0,0 +1,45 @@
+"""Names, limits and defaults of the single text."""
+
+from typing import Final
+
+KIND_MODEL: Final = "model"
+KIND_PLAIN: Final = "plain"
+KINDS: Final = (KIND_MODEL, KIND_PLAIN)
+
+OUTCOME_ACCEPTED: Final = "accepted"
+OUTCOME_RESENT: Final = "resent"
+OUTCOME_CONFLICT: Final = "conflict"
+
+MAX_TEXT_BYTES: Final = 4 * 1024 * 1024
+MAX_TEXT_DEPTH: Final = 16
+MAX_REPORTED_PROBLEMS: Final = 100
+MAX_NUMBER: Final = 2**63 - 1
+MAX_STRING_LENGTH: Final = 512
+MAX_HOSTS_PER_GROUP: Final = 1_024
+MAX_GROUPS: Final = 10_000
+MAX_WEIGHT: Final = 10_000
+MAX_QUEUED_REQUESTS: Final = 1_000_000
+MAX_RUNNING_REQUESTS: Final = 1_000_000
+MAX_BODY_BYTES: Final = 256 * 1024 * 1024
+MIN_DEADLINE_MS: Final = 100
+MAX_DEADLINE_MS: Final = 24 * 60 * 60 * 1000
+
+# One day of changes at the target size, so that any resend finds its answer.
+ACCEPTED_NUMBERS_KEPT: Final = 4_096
+
+DEFAULT_HOSTS_PER_GROUP: Final = 1
+DEFAULT_GROUPS: Final = 1
+DEFAULT_WEIGHT: Final = 1
+DEFAULT_MAX_QUEUED_REQUESTS: Final = 1_000
+# Zero leaves the limit to the measured load of the service's groups.
+DEFAULT_MAX_RUNNING_REQUESTS: Final = 0
+DEFAULT_MAX_BODY_BYTES: Final = 4 * 1024 * 1024
+DEFAULT_DEADLINE_MS: Final = 120_000
+
+METHOD_ANY: Final = "*"
+REPEATABLE_METHODS: Final = frozenset({"GET", "HEAD", "OPTIONS"})
+METHODS: Final = frozenset(
+    {METHOD_ANY, "GET", "HEAD", "OPTIONS", "POST", "PUT", "PATCH", "DELETE"}
+)
+
+STEP_PARSE_TEXT: Final = "parse_text"
--- /dev/null
+++ b/chestnutvale/configuration/exceptions.py
@@ -0,0 +1,55 @@
+"""Errors of the single text."""
+
+from collections.abc import Iterable
+
+import attrs
+
+from chestnutvale.configuration.const import MAX_REPORTED_PROBLEMS, STEP_PARSE_TEXT
+from chestnutvale.exceptions import ChestnutError
+
+
+@attrs.frozen
+class TextProblem:
+    """One reason why a text is refused.
+
+    Attributes
+    ----------
+    line : int
+        Line in the operator's text, counted from 1.
+    path : str
+        Field, for example ``"services.chat.groups"``; empty for the whole text.
+    reason : str
+        What is wrong, in words an operator can act on.
+    """
+
+    line: int
+    path: str
+    reason: str
+
+    def __str__(self) -> str:
+        """Return line, field and reason."""
+        place = f"{self.path}: " if self.path else ""
+        return f"line {self.line}: {place}{self.reason}"
+
+
+class TextError(ChestnutError):
+    """A text that can't be accepted.
+
+    Parameters
+    ----------
+    problems : iterable of TextProblem
+        All problems found, in the order of their lines.
+
+    Attributes
+    ----------
+    problems : tuple of TextProblem
+        The problems, cut off after ``MAX_REPORTED_PROBLEMS``.
+    """
+
+    code = "text_invalid"
+
+    def __init__(self, problems: Iterable[TextProblem]) -> None:
+        ordered = sorted(problems, key=lambda problem: problem.line)
+        self.problems = tuple(ordered[:MAX_REPORTED_PROBLEMS])
+        message = "; ".join(str(problem) for problem in self.problems)
+        super().__init__(message, step=STEP_PARSE_TEXT)
--- /dev/null
+++ b/chestnutvale/configuration/line_index.py
@@ -0,0 +1,121 @@
+"""Find the line of each field in a text that is already known to be valid JSON5."""
+
+import re
+from collections.abc import Iterator
+
+import attrs
+import pyjson5
+
+Path = tuple[str | int, ...]
+
+_TOKEN = re.compile(
+    r"""
+    (?P<comment>//[^\n\r\u2028\u2029]*|/\*.*?\*/)
+    |(?P<string>"(?:\\.|[^"\\])*"|'(?:\\.|[^'\\])*')
+    |(?P<mark>[{}\[\],:])
+    |(?P<word>[^\s\ufeff{}\[\],:"'/]+)
+    |(?P<newline>\n)
+    """,
+    re.VERBOSE | re.DOTALL,
+)
+
+
+@attrs.define
+class _Container:
+    path: Path
+    is_object: bool
+    position: int = 0
+    key: str | None = None
+    keys: set[str] = attrs.field(factory=set)
+
+    def child_path(self) -> Path:
+        return (*self.path, self.key if self.is_object else self.position)
+
+
+def _scan(text: str) -> Iterator[tuple[str, str, int]]:
+    line = 1
+    for match in _TOKEN.finditer(text):
+        value = match.group()
+        if match.lastgroup not in ("comment", "newline"):
+            yield match.lastgroup or "", value, line
+        line += value.count("\n")
+
+
+def _decode_key(token: str) -> str:
+    if token[0] not in "\"'":
+        return token
+    return str(pyjson5.decode(token))
+
+
+class LineIndex:
+    """Lines of the fields of a text.
+
+    The text must have passed a JSON5 parser; this class only adds the places that
+    the parser doesn't report.
+
+    Parameters
+    ----------
+    text : str
+        The text.
+
+    Attributes
+    ----------
+    doubled : list of Path
+        Keys that occur again within their object.
+    """
+
+    def __init__(self, text: str) -> None:
+        self.doubled: list[tuple[Path, int]] = []
+        self._lines: dict[Path, int] = {}
+        self._stack: list[_Container] = []
+        for kind, value, line in _scan(text):
+            if kind == "mark":
+                self._take_mark(value, line)
+            else:
+                self._take_scalar(value, line)
+
+    def line(self, path: Path) -> int:
+        """Return the line of a field, or of the nearest one around it.
+
+        Parameters
+        ----------
+        path : Path
+            Keys and positions from the root to the field.
+
+        Returns
+        -------
+        int
+            Line counted from 1.
+        """
+        while path:
+            if path in self._lines:
+                return self._lines[path]
+            path = path[:-1]
+        return self._lines.get((), 1)
+
+    def _take_mark(self, mark: str, line: int) -> None:
+        if mark in "{[":
+            path = self._stack[-1].child_path() if self._stack else ()
+            self._lines.setdefault(path, line)
+            self._stack.append(_Container(path, is_object=mark == "{"))
+        elif mark in "}]":
+            self._stack.pop()
+        elif mark == ",":
+            self._stack[-1].position += 1
+            self._stack[-1].key = None
+
+    def _take_scalar(self, token: str, line: int) -> None:
+        if not self._stack:
+            return
+        container = self._stack[-1]
+        if not container.is_object:
+            self._lines.setdefault(container.child_path(), line)
+            return
+        if container.key is not None:
+            return
+        container.key = _decode_key(token)
+        path = container.child_path()
+        if container.key in container.keys:
+            self.doubled.append((path, line))
+        container.keys.add(container.key)
+        self._lines.setdefault(path, line)
--- /dev/null
+++ b/chestnutvale/configuration/lookup.py
@@ -0,0 +1,220 @@
+"""Answers from the text in force that entries need for every call."""
+
+import hashlib
+import hmac
+import posixpath
+import urllib.parse
+from collections.abc import Collection
+from typing import Self
+
+import attrs
+
+from chestnutvale.configuration.const import METHOD_ANY, REPEATABLE_METHODS
+from chestnutvale.configuration.dependencies import all_dependencies, start_order
+from chestnutvale.schema.configuration_pb2 import Service, Text, Workspace
+
+_DIGEST_PREFIX_BYTES = 8
+
+
+@attrs.frozen
+class WorkspaceEntry:
+    """A workspace with its name.
+
+    Attributes
+    ----------
+    name : str
+        Name in the text.
+    weight : int
+        Share relative to other workspaces.
+    services : frozenset of str
+        Services that it may call; empty allows all.
+    """
+
+    name: str
+    weight: int
+    services: frozenset[str]
+
+    def allows(self, service: str) -> bool:
+        """Return whether the workspace may call a service.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+
+        Returns
+        -------
+        bool
+            True if it may.
+        """
+        return not self.services or service in self.services
+
+
+def hash_key(key: str) -> str:
+    """Return the digest under which a text stores a workspace key.
+
+    Parameters
+    ----------
+    key : str
+        The secret key.
+
+    Returns
+    -------
+    str
+        SHA-256 in 64 hexadecimal digits.
+    """
+    return hashlib.sha256(key.encode(errors="replace")).hexdigest()
+
+
+@attrs.frozen
+class TextLookup:
+    """Views of one text, made once when the text comes into force.
+
+    Attributes
+    ----------
+    number : int
+        Number of the text.
+    services : dict of str to Service
+        The services by name.
+    workspaces : dict of str to WorkspaceEntry
+        The workspaces by name.
+    start_order : tuple of str
+        Services, each after what it depends on.
+    """
+
+    number: int
+    services: dict[str, Service]
+    workspaces: dict[str, WorkspaceEntry]
+    start_order: tuple[str, ...]
+    _dependencies: dict[str, frozenset[str]]
+    _keys: dict[bytes, list[tuple[bytes, str]]]
+
+    @classmethod
+    def from_text(cls, text: Text) -> Self:
+        """Make the views of a text.
+
+        Parameters
+        ----------
+        text : Text
+            A text that `parse_text` returned.
+
+        Returns
+        -------
+        TextLookup
+            The views.
+        """
+        services = dict(text.services.items())
+        graph = {name: service.depends_on for name, service in services.items()}
+        return cls(
+            number=text.number,
+            services=services,
+            workspaces={
+                name: WorkspaceEntry(
+                    name, workspace.weight, frozenset(workspace.services)
+                )
+                for name, workspace in text.workspaces.items()
+            },
+            start_order=start_order(graph),
+            dependencies={name: all_dependencies(name, graph) for name in graph},
+            keys=_index_keys(dict(text.workspaces.items())),
+        )
+
+    def workspace_for_key(self, key: str) -> WorkspaceEntry | None:
+        """Return the workspace that a bearer key belongs to.
+
+        Candidates are found by the first bytes of the key's digest, which tell a
+        guesser nothing about the key, and then compared in constant time.
+
+        Parameters
+        ----------
+        key : str
+            The key as the caller sent it.
+
+        Returns
+        -------
+        WorkspaceEntry or None
+            The workspace; None if no workspace has this key.
+        """
+        digest = bytes.fromhex(hash_key(key))
+        found: str | None = None
+        for known, name in self._keys.get(digest[:_DIGEST_PREFIX_BYTES], ()):
+            if hmac.compare_digest(known, digest):
+                found = name
+        return self.workspaces[found] if found is not None else None
+
+    def is_repeatable(self, service: str, method: str, path: str) -> bool:
+        """Return whether a call of a plain service may be run twice.
+
+        The first rule that fits decides; without one, only methods that change
+        nothing are repeatable. A path written in an unusual way (encoded letters,
+        doubled slashes, dots) is repeatable only if its plain form is as well, so
+        that no spelling escapes a rule.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        method : str
+            The HTTP method.
+        path : str
+            Path below the service, beginning with a slash, without the query.
+
+        Returns
+        -------
+        bool
+            False also for an unknown service.
+        """
+        known = self.services.get(service)
+        if known is None:
+            return False
+        paths = {path, _plain_path(path)}
+        return all(_fits_repeatable(known, method.upper(), item) for item in paths)
+
+    def missing_dependencies(
+        self, service: str, serving: Collection[str]
+    ) -> tuple[str, ...]:
+        """Return the services that a service needs and that do not serve.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        serving : collection of str
+            Services with at least one serving group.
+
+        Returns
+        -------
+        tuple of str
+            Direct and indirect dependencies that are down, in order of start.
+        """
+        needed = self._dependencies.get(service, frozenset())
+        if not needed:
+            return ()
+        return tuple(
+            name for name in self.start_order if name in needed and name not in serving
+        )
+
+
+def _index_keys(
+    workspaces: dict[str, Workspace],
+) -> dict[bytes, list[tuple[bytes, str]]]:
+    index: dict[bytes, list[tuple[bytes, str]]] = {}
+    for name, workspace in workspaces.items():
+        for item in workspace.key_sha256:
+            digest = bytes.fromhex(item)
+            index.setdefault(digest[:_DIGEST_PREFIX_BYTES], []).append((digest, name))
+    return index
+
+
+def _plain_path(path: str) -> str:
+    decoded = urllib.parse.unquote(path)
+    plain = posixpath.normpath("/" + decoded.lstrip("/"))
+    return plain + "/" if decoded.endswith("/") and plain != "/" else plain
+
+
+def _fits_repeatable(service: Service, method: str, path: str) -> bool:
+    for rule in service.calls:
+        method_fits = rule.method in (METHOD_ANY, method)
+        if method_fits and path.startswith(rule.path_prefix):
+            return rule.repeatable
+    return method in REPEATABLE_METHODS
--- /dev/null
+++ b/chestnutvale/settings/control.py
@@ -0,0 +1,105 @@
+"""Settings of a control."""
+
+from pathlib import Path
+
+from chestnutvale.schema.settings_pb2 import ControlSettings, RepairSettings
+from chestnutvale.settings.common import (
+    check_http_limits,
+    check_intervals,
+    check_log_settings,
+    default_http_limits,
+    default_log_settings,
+)
+from chestnutvale.settings.const import (
+    DEFAULT_CONTROL_SHUTDOWN_TIMEOUT_MS,
+    DEFAULT_DETECTION_TIMEOUT_MS,
+    DEFAULT_ELECTION_TIMEOUT_MS,
+    DEFAULT_GROUP_DOWNTIME_WEIGHT,
+    DEFAULT_HEARTBEAT_INTERVAL_MS,
+    DEFAULT_MEMBER_WAIT_MS,
+    DEFAULT_STRANDED_HOSTS_WEIGHT,
+    MAX_COST_WEIGHT,
+    MAX_INTERVAL_MS,
+)
+from chestnutvale.settings.loader import load_settings
+from chestnutvale.settings.validation import (
+    check_identifier,
+    check_peers,
+    check_range,
+    refuse,
+    require_fields,
+    split_address,
+)
+
+
+def load_control_settings(path: Path) -> ControlSettings:
+    """Load and check the settings of a control.
+
+    Parameters
+    ----------
+    path : Path
+        The settings file.
+
+    Returns
+    -------
+    ControlSettings
+        The settings with all defaults filled in.
+
+    Raises
+    ------
+    SettingsError
+        If the file can't be read or a field is wrong.
+    """
+    defaults = ControlSettings(
+        http_limits=default_http_limits(),
+        log=default_log_settings(),
+        election_timeout_ms=DEFAULT_ELECTION_TIMEOUT_MS,
+        heartbeat_interval_ms=DEFAULT_HEARTBEAT_INTERVAL_MS,
+        detection_timeout_ms=DEFAULT_DETECTION_TIMEOUT_MS,
+        shutdown_timeout_ms=DEFAULT_CONTROL_SHUTDOWN_TIMEOUT_MS,
+        repair=RepairSettings(
+            group_downtime_weight=DEFAULT_GROUP_DOWNTIME_WEIGHT,
+            stranded_hosts_weight=DEFAULT_STRANDED_HOSTS_WEIGHT,
+            member_wait_ms=DEFAULT_MEMBER_WAIT_MS,
+        ),
+    )
+    settings = load_settings(path, defaults)
+    _check(settings, str(path))
+    return settings
+
+
+def _check(settings: ControlSettings, origin: str) -> None:
+    names = ("cluster_id", "control_id", "region", "data_centre")
+    check_identifier(settings, names, origin)
+    required = ("controls", "data_folder", "operator_token_file")
+    require_fields(settings, required, origin)
+    for field in ("http_address", "peer_address"):
+        split_address(getattr(settings, field), field, origin)
+    if settings.weight_store_address:
+        field = "weight_store_address"
+        split_address(settings.weight_store_address, field, origin)
+    check_peers(settings.controls, "controls", origin)
+    check_http_limits(settings.http_limits, origin)
+    check_log_settings(settings.log, origin)
+    _check_times(settings, origin)
+    _check_repair(settings.repair, origin)
+
+
+def _check_times(settings: ControlSettings, origin: str) -> None:
+    intervals = (
+        "election_timeout_ms",
+        "heartbeat_interval_ms",
+        "detection_timeout_ms",
+        "shutdown_timeout_ms",
+    )
+    check_intervals(settings, intervals, origin)
+    # One lost heartbeat must not start an election.
+    if settings.election_timeout_ms < 3 * settings.heartbeat_interval_ms:
+        reason = "must be at least three times heartbeat_interval_ms"
+        refuse("election_timeout_ms", reason, origin)
+
+
+def _check_repair(repair: RepairSettings, origin: str) -> None:
+    for field in ("group_downtime_weight", "stranded_hosts_weight"):
+        check_range(repair, field, 0.0, MAX_COST_WEIGHT, origin, prefix="repair.")
+    check_range(repair, "member_wait_ms", 0, MAX_INTERVAL_MS, origin, prefix="repair.")
--- /dev/null
+++ b/chestnutvale/settings/entry.py
@@ -0,0 +1,76 @@
+"""Settings of an entry."""
+
+from pathlib import Path
+
+from chestnutvale.schema.settings_pb2 import EntrySettings
+from chestnutvale.settings.common import (
+    check_http_limits,
+    check_intervals,
+    check_log_settings,
+    default_http_limits,
+    default_log_settings,
+)
+from chestnutvale.settings.const import (
+    DEFAULT_ANNOUNCE_INTERVAL_MS,
+    DEFAULT_ENTRY_SHUTDOWN_TIMEOUT_MS,
+    DEFAULT_LEASE_MS,
+    DEFAULT_REPORT_INTERVAL_MS,
+    MAX_LEASE_MS,
+)
+from chestnutvale.settings.loader import load_settings
+from chestnutvale.settings.validation import (
+    check_identifier,
+    check_peers,
+    check_range,
+    refuse,
+    require_fields,
+    split_address,
+)
+
+
+def load_entry_settings(path: Path) -> EntrySettings:
+    """Load and check the settings of an entry.
+
+    Parameters
+    ----------
+    path : Path
+        The settings file.
+
+    Returns
+    -------
+    EntrySettings
+        The settings with all defaults filled in.
+
+    Raises
+    ------
+    SettingsError
+        If the file can't be read or a field is wrong.
+    """
+    defaults = EntrySettings(
+        http_limits=default_http_limits(),
+        log=default_log_settings(),
+        report_interval_ms=DEFAULT_REPORT_INTERVAL_MS,
+        lease_ms=DEFAULT_LEASE_MS,
+        announce_interval_ms=DEFAULT_ANNOUNCE_INTERVAL_MS,
+        shutdown_timeout_ms=DEFAULT_ENTRY_SHUTDOWN_TIMEOUT_MS,
+    )
+    settings = load_settings(path, defaults)
+    _check(settings, str(path))
+    return settings
+
+
+def _check(settings: EntrySettings, origin: str) -> None:
+    names = ("cluster_id", "entry_id", "region", "data_centre")
+    check_identifier(settings, names, origin)
+    require_fields(settings, ("controls", "operator_token_file"), origin)
+    for field in ("http_address", "peer_address"):
+        split_address(getattr(settings, field), field, origin)
+    check_peers(settings.controls, "controls", origin)
+    check_http_limits(settings.http_limits, origin)
+    check_log_settings(settings.log, origin)
+    intervals = ("report_interval_ms", "announce_interval_ms", "shutdown_timeout_ms")
+    check_intervals(settings, intervals, origin)
+    check_range(settings, "lease_ms", 1, MAX_LEASE_MS, origin)
+    # One lost report must not cost the lease.
+    if settings.lease_ms < 2 * settings.report_interval_ms:
+        refuse("lease_ms", "must be at least twice report_interval_ms", origin)
--- a/chestnutvale/settings/validation.py
+++ b/chestnutvale/settings/validation.py
@@ -1,7 +1,9 @@
 """Checks of settings that the schema's types can't express."""
 
 import ipaddress
+import re
 from collections.abc import Iterable
+from typing import NoReturn
 
 from google.protobuf.message import Message
 
@@ -11,6 +13,8 @@
 
 MAX_PORT = 65_535
 
+_IDENTIFIER = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,127}")
+
 
 def require_fields(message: Message, names: Iterable[str], origin: str) -> None:
     """Refuse a message in which a required field is empty.
@@ -108,3 +112,82 @@
         split_address(peer.address, f"{place}.address", origin)
         if peer.http_address:
             split_address(peer.http_address, f"{place}.http_address", origin)
+
+
+def refuse(field: str, reason: str, origin: str) -> NoReturn:
+    """Refuse a field.
+
+    Parameters
+    ----------
+    field : str
+        Name of the field.
+    reason : str
+        What is wrong with it.
+    origin : str
+        Name of the file, for the error.
+
+    Raises
+    ------
+    SettingsError
+        Always.
+    """
+    raise SettingsError(f"field {field!r}: {reason}", step=STEP_SETTINGS, peer=origin)
+
+
+def check_range(
+    message: Message,
+    field: str,
+    lowest: float,
+    highest: float,
+    origin: str,
+    prefix: str = "",
+) -> None:
+    """Refuse a number that is out of range.
+
+    Parameters
+    ----------
+    message : Message
+        The message that holds the field.
+    field : str
+        Name of the field.
+    lowest, highest : float
+        The range, both ends included.
+    origin : str
+        Name of the file, for the error.
+    prefix : str, optional
+        Name of the message within the file, with a dot.
+
+    Raises
+    ------
+    SettingsError
+        If the number is out of range or not a number.
+    """
+    value = getattr(message, field)
+    if not lowest <= value <= highest:
+        refuse(
+            prefix + field, f"must be from {lowest} to {highest}, not {value}", origin
+        )
+
+
+def check_identifier(message: Message, fields: Iterable[str], origin: str) -> None:
+    """Refuse identities that are empty or hold unusual characters.
+
+    Parameters
+    ----------
+    message : Message
+        The loaded settings.
+    fields : iterable of str
+        Names of the fields.
+    origin : str
+        Name of the file, for the error.
+
+    Raises
+    ------
+    SettingsError
+        If an identity is wrong.
+    """
+    fields = tuple(fields)
+    require_fields(message, fields, origin)
+    for field in fields:
+        if not _IDENTIFIER.fullmatch(getattr(message, field)):
+            refuse(field, "holds letters, digits, dots, hyphens, underscores", origin)
--- /dev/null
+++ b/tests/configuration/test_lookup.py
@@ -0,0 +1,57 @@
+"""What entries ask the text for every call."""
+
+import pytest
+
+from chestnutvale.configuration.dependencies import find_cycle, start_order
+from chestnutvale.configuration.lookup import TextLookup
+from chestnutvale.configuration.parser import parse_text
+
+
+@pytest.fixture
+def lookup(base, write_text):
+    return TextLookup.from_text(parse_text(write_text(base)))
+
+
+def test_workspace_by_key(lookup):
+    assert lookup.workspace_for_key("key-north").name == "north"
+    assert lookup.workspace_for_key("key-north").allows("ledger")
+    assert not lookup.workspace_for_key("key-south").allows("ledger")
+    for wrong in ("", "key-nort", "key-north ", "\ud800"):
+        assert lookup.workspace_for_key(wrong) is None
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "repeatable"),
+    [
+        ("POST", "/quotes/7", True),
+        ("POST", "/other", False),
+        ("PUT", "/quotes", False),
+        ("get", "/other", True),
+        ("GET", "/runs", False),
+        ("GET", "/runs/3", False),
+        # No spelling of a path escapes the rule for it.
+        ("GET", "//runs", False),
+        ("GET", "/x/../runs", False),
+        ("GET", "/%72uns", False),
+        ("GET", "/./runs", False),
+        ("POST", "/other/../quotes", False),
+    ],
+)
+def test_repeatable_calls(lookup, method, path, repeatable):
+    assert lookup.is_repeatable("ledger", method, path) is repeatable
+    assert lookup.is_repeatable("unknown", method, path) is False
+
+
+def test_dependencies(lookup):
+    assert lookup.start_order == ("ledger", "chat")
+    assert lookup.missing_dependencies("chat", set()) == ("ledger",)
+    assert lookup.missing_dependencies("chat", {"ledger"}) == ()
+    assert lookup.missing_dependencies("ledger", set()) == ()
+
+
+def test_indirect_dependencies_and_deep_graphs():
+    graph = {f"s{n}": [f"s{n + 1}"] for n in range(5_000)} | {"s5000": []}
+    assert find_cycle(graph) == ()
+    assert start_order(graph)[0] == "s5000"
+    graph["s5000"] = ["s4999"]
+    assert find_cycle(graph) == ("s4999", "s5000", "s4999")
