Add admission controller and group selector

Cause: the entry daemon needs both decisions before they are tuned. Change: AdmissionController (reservations in predicted tokens, fair queueing between workspaces, bounded queues, refusals with Retry-After, demand shared between entries) and Selector (two choices, own sends, prefixes, stragglers), both pure.

--- /dev/null
+++ b/chestnutvale/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Decides which requests may run now, which wait and which are refused."""
--- /dev/null
+++ b/chestnutvale/admission/const.py
@@ -0,0 +1,42 @@
+"""Constants of admission."""
+
+from typing import Final
+
+PRIORITY_URGENT: Final = "urgent"
+PRIORITY_NORMAL: Final = "normal"
+PRIORITY_BATCH: Final = "batch"
+# In the order in which classes are served.
+PRIORITIES: Final = (PRIORITY_URGENT, PRIORITY_NORMAL, PRIORITY_BATCH)
+
+CODE_NO_CAPACITY: Final = "no_capacity"
+CODE_QUEUE_FULL: Final = "queue_full"
+CODE_DEADLINE: Final = "deadline_unreachable"
+CODE_EXPIRED: Final = "deadline_exceeded"
+CODE_TOO_LARGE: Final = "request_too_large"
+CODE_DUPLICATE: Final = "duplicate_request"
+
+DEFAULT_WEIGHT: Final = 1.0
+DEFAULT_URGENT_SHARE: Final = 0.7
+DEFAULT_NORMAL_SHARE: Final = 0.9
+DEFAULT_QUEUE_REQUESTS: Final = 512
+DEFAULT_WORKSPACE_QUEUE_REQUESTS: Final = 256
+DEFAULT_SLOTS_PER_GROUP: Final = 32
+
+DEFAULT_OUTPUT_TOKENS: Final = 256
+PREDICTION_QUANTILE: Final = 0.7
+PREDICTION_DECAY: Final = 0.99
+PREDICTION_BUCKET_GROWTH: Final = 1.25
+PREDICTION_MIN_WEIGHT: Final = 5.0
+
+# Part of a service's capacity that is divided evenly, whatever the demand.
+EVEN_SHARE: Final = 0.15
+
+DEFAULT_HOLD_S: Final = 5.0
+HOLD_GAIN: Final = 0.05
+
+TICK_INTERVAL_S: Final = 0.25
+RETRY_AFTER_MIN_S: Final = 1.0
+RETRY_AFTER_MAX_S: Final = 60.0
+# A Retry-After lies between the estimate and the estimate times this factor.
+RETRY_AFTER_JITTER: Final = 1.5
+NO_CAPACITY_RETRY_S: Final = 5.0
--- /dev/null
+++ b/chestnutvale/admission/service.py
@@ -0,0 +1,303 @@
+"""Admission to one service at one entry."""
+
+import random
+from collections.abc import Mapping
+
+import attrs
+
+from chestnutvale.admission.const import (
+    CODE_DEADLINE,
+    CODE_EXPIRED,
+    CODE_NO_CAPACITY,
+    CODE_QUEUE_FULL,
+    CODE_TOO_LARGE,
+    NO_CAPACITY_RETRY_S,
+    PRIORITIES,
+    PRIORITY_NORMAL,
+    PRIORITY_URGENT,
+)
+from chestnutvale.admission.messages import (
+    AdmissionRequest,
+    Admit,
+    Effect,
+    Queue,
+    Refuse,
+    ServiceCapacity,
+    ServiceLimits,
+)
+from chestnutvale.admission.pacing import HoldTime, RetryPacer
+from chestnutvale.admission.prediction import TokenPredictor
+from chestnutvale.admission.sharing import divide_between_entries
+from chestnutvale.admission.waiting import FairQueue, Waiter
+
+
+@attrs.define
+class Running:
+    """A request that holds a reservation.
+
+    Attributes
+    ----------
+    request : AdmissionRequest
+        The request.
+    reserved : int
+        Tokens held.
+    admitted_s : float
+        Monotonic time of the admission.
+    """
+
+    request: AdmissionRequest
+    reserved: int
+    admitted_s: float
+
+
+@attrs.define
+class ServiceAdmission:
+    """Reservations and waiting requests of one service.
+
+    Parameters
+    ----------
+    limits : ServiceLimits
+        Bounds of the service.
+    rng : random.Random
+        Seeded source of jitter.
+    """
+
+    limits: ServiceLimits
+    rng: random.Random
+    weights: Mapping[str, float] = attrs.field(factory=dict)
+    capacity: ServiceCapacity = ServiceCapacity(0, 0)
+    entry_count: int = 1
+    own_demand: dict[str, int] = attrs.field(factory=dict)
+    total_demand: dict[str, int] = attrs.field(factory=dict)
+    predictor: TokenPredictor = attrs.field(factory=TokenPredictor)
+    queue: FairQueue = attrs.field(factory=FairQueue)
+    running: dict[str, Running] = attrs.field(factory=dict)
+    reserved: int = 0
+    limit: float = 0.0
+    _class_reserved: dict[str, int] = attrs.field(
+        factory=lambda: dict.fromkeys(PRIORITIES, 0)
+    )
+    _waiting: dict[str, Waiter] = attrs.field(factory=dict)
+    _hold: HoldTime = attrs.field(factory=HoldTime)
+    _pacer: RetryPacer = attrs.field(
+        default=attrs.Factory(lambda self: RetryPacer(self.rng), takes_self=True)
+    )
+
+    def update_shares(self) -> None:
+        """Compute this entry's part of the capacity anew."""
+        parts = divide_between_entries(
+            self._capacity_units(),
+            self.own_demand,
+            self.total_demand,
+            self.weights,
+            self.entry_count,
+        )
+        self.limit = sum(parts.values())
+        self.queue.weights = {name: max(part, 1e-6) for name, part in parts.items()}
+
+    def offer(self, request: AdmissionRequest, now_s: float) -> list[Effect]:
+        """Admit, queue or refuse a new request."""
+        cost = self._cost(request)
+        if self.capacity.groups == 0:
+            retry_s = self._pacer.jitter(NO_CAPACITY_RETRY_S)
+            return [Refuse(request.request_id, CODE_NO_CAPACITY, retry_s)]
+        if self._is_too_large(request):
+            return [Refuse(request.request_id, CODE_TOO_LARGE, 0.0)]
+        if request.deadline_s <= now_s:
+            return [self._refuse(request, CODE_EXPIRED, cost, now_s)]
+        if now_s + self._wait_s(request, cost) > request.deadline_s:
+            return [self._refuse(request, CODE_DEADLINE, cost, now_s)]
+        effects = self._make_room(request, cost, now_s)
+        if effects and effects[-1].request_id == request.request_id:
+            return effects
+        waiter = Waiter(request, cost)
+        self._waiting[request.request_id] = waiter
+        self.queue.push(waiter)
+        effects += self.admit_waiting(now_s)
+        if request.request_id in self._waiting:
+            effects.append(Queue(request.request_id))
+        return effects
+
+    def release(self, request_id: str, used_tokens: int, now_s: float) -> list[Effect]:
+        """End a request's reservation and admit waiting requests."""
+        entry = self.running.pop(request_id, None)
+        if entry is None:
+            return []
+        request = entry.request
+        self._reserve(request.priority, -entry.reserved)
+        self._hold.observe(now_s - entry.admitted_s)
+        self.predictor.observe(request.workspace, request.priority, used_tokens)
+        if not self._is_plain():
+            used = request.prompt_tokens + used_tokens
+            self.queue.charge(request.workspace, used - entry.reserved)
+        return self.admit_waiting(now_s)
+
+    def progress(self, request_id: str, output_tokens: int) -> None:
+        """Raise the reservation of a request that outgrew its prediction."""
+        entry = self.running.get(request_id)
+        if entry is None or self._is_plain():
+            return
+        held = entry.request.prompt_tokens + output_tokens
+        if held > entry.reserved:
+            self._reserve(entry.request.priority, held - entry.reserved)
+            self.queue.charge(entry.request.workspace, held - entry.reserved)
+            entry.reserved = held
+
+    def withdraw(self, request_id: str, now_s: float) -> list[Effect]:
+        """Forget a request whose caller is gone, waiting or running."""
+        waiter = self._waiting.pop(request_id, None)
+        if waiter is not None:
+            self.queue.remove(waiter)
+            return self.admit_waiting(now_s)
+        entry = self.running.pop(request_id, None)
+        if entry is None:
+            return []
+        self._reserve(entry.request.priority, -entry.reserved)
+        return self.admit_waiting(now_s)
+
+    def tick(self, now_s: float) -> list[Effect]:
+        """Refuse waiting requests that can't be met any more; admit others."""
+        effects = self.admit_waiting(now_s)
+        if self.capacity.groups == 0:
+            return effects + self._refuse_all(now_s)
+        for waiter in list(self.queue):
+            if waiter.request.deadline_s <= now_s:
+                effects.append(self._drop(waiter, CODE_EXPIRED, now_s))
+        return effects + self.admit_waiting(now_s)
+
+    def admit_waiting(self, now_s: float) -> list[Effect]:
+        """Admit waiting requests while the limit allows it."""
+        effects: list[Effect] = []
+        while True:
+            waiter = self._next()
+            if waiter is None or not self._fits(waiter.cost):
+                return effects
+            self.queue.pop(waiter)
+            request = waiter.request
+            del self._waiting[request.request_id]
+            self.running[request.request_id] = Running(request, waiter.cost, now_s)
+            self._reserve(request.priority, waiter.cost)
+            effects.append(Admit(request.request_id, waiter.cost))
+
+    def demand(self) -> dict[str, int]:
+        """Return reserved and queued tokens per workspace."""
+        tokens: dict[str, int] = {}
+        for entry in self.running.values():
+            name = entry.request.workspace
+            tokens[name] = tokens.get(name, 0) + entry.reserved
+        for waiter in self.queue:
+            name = waiter.request.workspace
+            tokens[name] = tokens.get(name, 0) + waiter.cost
+        return tokens
+
+    def _capacity_units(self) -> float:
+        if self._is_plain():
+            return float(self.capacity.groups * self.limits.slots_per_group)
+        return float(self.capacity.kv_capacity_tokens)
+
+    def _is_plain(self) -> bool:
+        return self.capacity.kv_capacity_tokens == 0
+
+    def _cost(self, request: AdmissionRequest) -> int:
+        if self._is_plain():
+            return 1
+        output = self.predictor.predict(
+            request.workspace, request.priority, request.max_tokens
+        )
+        return request.prompt_tokens + output
+
+    def _is_too_large(self, request: AdmissionRequest) -> bool:
+        if self._is_plain() or self.capacity.groups == 0:
+            return False
+        per_group = self.capacity.kv_capacity_tokens / self.capacity.groups
+        return request.prompt_tokens > per_group
+
+    def _fits(self, cost: int) -> bool:
+        # A request larger than the whole limit runs alone rather than never.
+        return self.reserved + cost <= self.limit or self.reserved == 0
+
+    def _next(self) -> Waiter | None:
+        heads = [self.queue.head(priority) for priority in PRIORITIES]
+        urgent, normal, batch = heads
+        before_batch = (
+            self._class_reserved[PRIORITY_URGENT]
+            + self._class_reserved[PRIORITY_NORMAL]
+        )
+        urgent_cap = self.limits.urgent_share * self.limit
+        if urgent and self._class_reserved[PRIORITY_URGENT] < urgent_cap:
+            return urgent
+        if normal and before_batch < self.limits.normal_share * self.limit:
+            return normal
+        return batch or normal or urgent
+
+    def _wait_s(self, request: AdmissionRequest, cost: int) -> float:
+        ahead = self._tokens_ahead(request)
+        free = self.limit - self.reserved
+        if ahead + cost <= free:
+            return 0.0
+        return max(0.0, ahead + cost - free) / self._drain_rate()
+
+    def _tokens_ahead(self, request: AdmissionRequest) -> float:
+        ahead = 0.0
+        for priority in PRIORITIES:
+            if priority == request.priority:
+                return ahead + self._own_class_ahead(request)
+            ahead += self.queue.class_tokens(priority)
+        return ahead
+
+    def _own_class_ahead(self, request: AdmissionRequest) -> float:
+        priority = request.priority
+        own = self.queue.tokens(priority, request.workspace)
+        names = set(self.queue.waiting_workspaces(priority)) | {request.workspace}
+        weight = self.queue.weights.get(request.workspace, 1.0)
+        weight_sum = sum(self.queue.weights.get(name, 1.0) for name in names)
+        return min(own * weight_sum / weight, self.queue.class_tokens(priority))
+
+    def _drain_rate(self) -> float:
+        return self._hold.drain_rate(self.limit)
+
+    def _make_room(
+        self, request: AdmissionRequest, cost: int, now_s: float
+    ) -> list[Effect]:
+        waiting = self.queue.workspace_count(request.workspace)
+        if waiting >= self.limits.workspace_queue_requests:
+            return [self._refuse(request, CODE_QUEUE_FULL, cost, now_s)]
+        if self.queue.count < self.limits.queue_requests:
+            return []
+        index = PRIORITIES.index(request.priority)
+        lower = tuple(reversed(PRIORITIES[index:]))
+        victim = self.queue.last_of_longest(lower)
+        if victim is None or self._is_same_line(victim.request, request):
+            return [self._refuse(request, CODE_QUEUE_FULL, cost, now_s)]
+        return [self._drop(victim, CODE_QUEUE_FULL, now_s)]
+
+    def _is_same_line(self, one: AdmissionRequest, other: AdmissionRequest) -> bool:
+        return (one.workspace, one.priority) == (other.workspace, other.priority)
+
+    def _drop(self, waiter: Waiter, code: str, now_s: float) -> Refuse:
+        self.queue.remove(waiter)
+        del self._waiting[waiter.request.request_id]
+        return self._refuse(waiter.request, code, waiter.cost, now_s)
+
+    def _refuse(
+        self, request: AdmissionRequest, code: str, cost: int, now_s: float
+    ) -> Refuse:
+        backlog = self._tokens_ahead(request) + cost - (self.limit - self.reserved)
+        retry_s = self._pacer.retry_after_s(
+            now_s, max(0.0, backlog), cost, self._drain_rate()
+        )
+        return Refuse(request.request_id, code, retry_s)
+
+    def _refuse_all(self, now_s: float) -> list[Effect]:
+        effects: list[Effect] = []
+        for waiter in list(self.queue):
+            self.queue.remove(waiter)
+            request_id = waiter.request.request_id
+            del self._waiting[request_id]
+            retry_s = self._pacer.jitter(NO_CAPACITY_RETRY_S)
+            effects.append(Refuse(request_id, CODE_NO_CAPACITY, retry_s))
+        return effects
+
+    def _reserve(self, priority: str, tokens: int) -> None:
+        self.reserved += tokens
+        self._class_reserved[priority] += tokens
--- /dev/null
+++ b/chestnutvale/admission/waiting.py
@@ -0,0 +1,138 @@
+"""Waiting requests of one service, in weighted fair order."""
+
+from collections import deque
+from collections.abc import Iterator, Mapping
+
+import attrs
+
+from chestnutvale.admission.const import DEFAULT_WEIGHT, PRIORITIES
+from chestnutvale.admission.messages import AdmissionRequest
+
+
+@attrs.define(eq=False)
+class Waiter:
+    """A request that waits.
+
+    Attributes
+    ----------
+    request : AdmissionRequest
+        The request.
+    cost : int
+        Tokens that it will reserve.
+    """
+
+    request: AdmissionRequest
+    cost: int
+
+
+@attrs.define
+class FairQueue:
+    """Start-time fair queueing between workspaces within each class.
+
+    A workspace's virtual time grows by cost over weight with all that it is
+    served. The workspace that lags most goes next. One that was idle starts at
+    the virtual time of the queue, so it gets no credit for its absence.
+    """
+
+    weights: Mapping[str, float] = attrs.field(factory=dict)
+    count: int = 0
+    _lines: dict[str, dict[str, deque[Waiter]]] = attrs.field(
+        factory=lambda: {priority: {} for priority in PRIORITIES}
+    )
+    _tokens: dict[tuple[str, str], int] = attrs.field(factory=dict)
+    _counts: dict[str, int] = attrs.field(factory=dict)
+    _virtual_times: dict[str, float] = attrs.field(factory=dict)
+    _virtual_now: float = 0.0
+
+    def push(self, waiter: Waiter) -> None:
+        """Append a request to the line of its workspace and priority."""
+        request = waiter.request
+        workspace = request.workspace
+        if not self._counts.get(workspace):
+            started = self._virtual_times.get(workspace, 0.0)
+            self._virtual_times[workspace] = max(started, self._virtual_now)
+        lines = self._lines[request.priority]
+        lines.setdefault(workspace, deque()).append(waiter)
+        self._account(waiter, 1)
+
+    def head(self, priority: str) -> Waiter | None:
+        """Return the request of this class that goes next, or None."""
+        lines = self._lines[priority]
+        if not lines:
+            return None
+        workspace = min(lines, key=lambda name: (self._virtual_times[name], name))
+        return lines[workspace][0]
+
+    def pop(self, waiter: Waiter) -> None:
+        """Take the head out to be served, and charge its workspace."""
+        workspace = waiter.request.workspace
+        self._virtual_now = max(self._virtual_now, self._virtual_times[workspace])
+        self.remove(waiter)
+        self.charge(workspace, waiter.cost)
+
+    def charge(self, workspace: str, tokens: int) -> None:
+        """Count tokens served to a workspace; negative gives some back."""
+        started = self._virtual_times.get(workspace, self._virtual_now)
+        weight = self.weights.get(workspace, DEFAULT_WEIGHT)
+        self._virtual_times[workspace] = started + tokens / weight
+
+    def remove(self, waiter: Waiter) -> None:
+        """Take a request out without serving it."""
+        request = waiter.request
+        lines = self._lines[request.priority]
+        line = lines[request.workspace]
+        line.remove(waiter)
+        if not line:
+            del lines[request.workspace]
+        self._account(waiter, -1)
+
+    def tokens(self, priority: str, workspace: str) -> int:
+        """Return the tokens that a workspace waits for in a class."""
+        return self._tokens.get((priority, workspace), 0)
+
+    def class_tokens(self, priority: str) -> int:
+        """Return the tokens that are waited for in a class."""
+        return sum(self.tokens(priority, name) for name in self._lines[priority])
+
+    def waiting_workspaces(self, priority: str) -> list[str]:
+        """Return the workspaces that wait in a class."""
+        return list(self._lines[priority])
+
+    def workspace_count(self, workspace: str) -> int:
+        """Return how many requests of a workspace wait."""
+        return self._counts.get(workspace, 0)
+
+    def line(self, priority: str, workspace: str) -> Iterator[Waiter]:
+        """Return the requests of one line, the oldest first."""
+        return iter(self._lines[priority].get(workspace, ()))
+
+    def last_of_longest(self, priorities: tuple[str, ...]) -> Waiter | None:
+        """Return the newest request of the workspace that waits for most.
+
+        Tokens count by the workspace's weight; classes are tried in the order
+        given.
+        """
+        for priority in priorities:
+            lines = self._lines[priority]
+            if lines:
+                longest = max(lines, key=lambda w: (self._relative(priority, w), w))
+                return lines[longest][-1]
+        return None
+
+    def __iter__(self) -> Iterator[Waiter]:
+        """Iterate over all requests, by class."""
+        for priority in PRIORITIES:
+            for line in self._lines[priority].values():
+                yield from line
+
+    def _relative(self, priority: str, workspace: str) -> float:
+        weight = self.weights.get(workspace, DEFAULT_WEIGHT)
+        return self.tokens(priority, workspace) / weight
+
+    def _account(self, waiter: Waiter, sign: int) -> None:
+        request = waiter.request
+        key = (request.priority, request.workspace)
+        self._tokens[key] = self._tokens.get(key, 0) + sign * waiter.cost
+        counted = self._counts.get(request.workspace, 0) + sign
+        self._counts[request.workspace] = counted
+        self.count += sign
--- /dev/null
+++ b/chestnutvale/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Decides which group runs a request."""
--- /dev/null
+++ b/chestnutvale/routing/const.py
@@ -0,0 +1,21 @@
+"""Constants of routing."""
+
+from typing import Final
+
+# Age that a load report is taken to have when the reporter gives none.
+DEFAULT_REPORT_AGE_S: Final = 1.0
+
+# Prefixes remembered for one group.
+MAX_PREFIXES_PER_GROUP: Final = 4096
+# Cost that a full prefix hit takes off, in seconds of queueing.
+PREFIX_GAIN: Final = 0.3
+
+# Lowest share of its normal traffic that a straggler still gets as a probe.
+PROBE_SHARE: Final = 0.05
+LATENCY_GAIN: Final = 0.1
+# A group this many times slower than the median begins to lose traffic.
+STRAGGLER_RATIO: Final = 1.5
+# Latency samples of a straggler fade, so that it is tried again.
+STRAGGLER_FADE_S: Final = 30.0
+
+CANDIDATES: Final = 2
--- /dev/null
+++ b/chestnutvale/routing/load.py
@@ -0,0 +1,76 @@
+"""Load of one group: what it reported, and what was sent to it since."""
+
+from collections import deque
+
+import attrs
+
+from chestnutvale.schema.membership_pb2 import Load
+
+
+@attrs.define
+class Sent:
+    """A request that this entry gave to the group.
+
+    Attributes
+    ----------
+    tokens : int
+        Predicted tokens.
+    urgent : bool
+        Whether it is urgent.
+    sent_s : float
+        Monotonic time of sending.
+    first_token_s : float or None
+        Monotonic time of the first token, once it came.
+    """
+
+    tokens: int
+    urgent: bool
+    sent_s: float
+    first_token_s: float | None = None
+
+
+@attrs.define
+class GroupLoad:
+    """Reported load corrected by this entry's own sends since the report."""
+
+    reported: Load = attrs.field(factory=Load)
+    measured_s: float = float("-inf")
+    in_flight: dict[str, Sent] = attrs.field(factory=dict)
+    _since: deque[Sent] = attrs.field(factory=deque)
+    _since_tokens: int = 0
+
+    def report(self, load: Load, measured_s: float) -> None:
+        """Take a report of the load at the monotonic time `measured_s`."""
+        if measured_s < self.measured_s:
+            return
+        self.reported = load
+        self.measured_s = measured_s
+        while self._since and self._since[0].sent_s <= measured_s:
+            self._since_tokens -= self._since.popleft().tokens
+
+    def sent(self, request_id: str, sent: Sent) -> None:
+        """Count a request that was sent now."""
+        self.in_flight[request_id] = sent
+        self._since.append(sent)
+        self._since_tokens += sent.tokens
+
+    def finished(self, request_id: str) -> Sent | None:
+        """Forget a request that ended."""
+        return self.in_flight.pop(request_id, None)
+
+    def pressure(self, extra_tokens: int, mean_tokens: float) -> float:
+        """Return the expected use of KV memory as a share of what there is.
+
+        Parameters
+        ----------
+        extra_tokens : int
+            Tokens of the request to place.
+        mean_tokens : float
+            Mean tokens of a request; waiting requests count this much.
+        """
+        used = self.reported.kv_used_tokens + self.reported.waiting * mean_tokens
+        capacity = self.reported.kv_capacity_tokens
+        if not capacity:
+            queued = self.reported.running + self.reported.waiting
+            return float(queued + len(self._since))
+        return (used + self._since_tokens + extra_tokens) / capacity
--- /dev/null
+++ b/chestnutvale/routing/selector.py
@@ -0,0 +1,152 @@
+"""Chooses the group that runs a request."""
+
+import random
+from collections.abc import Iterable
+
+import attrs
+
+from chestnutvale.routing.const import (
+    CANDIDATES,
+    DEFAULT_REPORT_AGE_S,
+    PREFIX_GAIN,
+)
+from chestnutvale.routing.load import GroupLoad, Sent
+from chestnutvale.routing.messages import RoutableGroup, RoutingRequest
+from chestnutvale.routing.prefixes import PrefixIndex
+from chestnutvale.routing.stragglers import StragglerWatch
+from chestnutvale.schema.membership_pb2 import CacheEvents, Load
+
+DEFAULT_MEAN_TOKENS = 512.0
+MEAN_GAIN = 0.02
+
+
+@attrs.define
+class Selector:
+    """Chooses between two random groups and those that hold the prefix.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Seeded source of the candidates; differs between entries, so that their
+        choices don't fall on one group.
+    """
+
+    rng: random.Random
+    prefixes: PrefixIndex = attrs.field(factory=PrefixIndex)
+    stragglers: StragglerWatch = attrs.field(factory=StragglerWatch)
+    _groups: dict[str, RoutableGroup] = attrs.field(factory=dict)
+    _by_service: dict[str, list[str]] = attrs.field(factory=dict)
+    _loads: dict[str, GroupLoad] = attrs.field(factory=dict)
+    _placed: dict[str, str] = attrs.field(factory=dict)
+    _mean_tokens: float = DEFAULT_MEAN_TOKENS
+
+    def update_groups(self, groups: Iterable[RoutableGroup]) -> None:
+        """Install the groups that serve; the others get no new requests."""
+        new = {group.group_id: group for group in groups}
+        for group_id, group in self._groups.items():
+            if group_id not in new or new[group_id].epoch != group.epoch:
+                self._forget(group_id)
+        self._groups = new
+        self._by_service = {}
+        for group in new.values():
+            self._by_service.setdefault(group.service, []).append(group.group_id)
+            self._loads.setdefault(group.group_id, GroupLoad())
+
+    def update_load(
+        self,
+        group_id: str,
+        load: Load,
+        now_s: float,
+        age_s: float = DEFAULT_REPORT_AGE_S,
+    ) -> None:
+        """Take a load report that was measured `age_s` seconds ago."""
+        known = self._loads.get(group_id)
+        if known is not None:
+            known.report(load, now_s - age_s)
+
+    def note_cache_events(
+        self, group_id: str, events: CacheEvents, now_s: float
+    ) -> None:
+        """Take cache events of a group."""
+        if group_id in self._groups:
+            self.prefixes.note(
+                group_id,
+                events.first_sequence,
+                events.last_sequence,
+                events.added,
+                events.removed,
+            )
+
+    def choose(self, request: RoutingRequest, now_s: float) -> str | None:
+        """Return the group that should run the request, or None if none may."""
+        names = self._by_service.get(request.service, [])
+        if request.excluded_groups:
+            names = [name for name in names if name not in request.excluded_groups]
+        if not names:
+            return None
+        candidates = self._draw(names, now_s)
+        _, holders = self.prefixes.longest(request.prefixes)
+        holding = [name for name in names if name in holders]
+        if holding:
+            candidates += self._draw(holding, now_s)
+        return min(candidates, key=lambda name: self._cost(name, request))
+
+    def sent(self, request: RoutingRequest, group_id: str, now_s: float) -> None:
+        """Count a request that was sent to a group."""
+        known = self._loads.get(group_id)
+        if known is None:
+            return
+        self._placed[request.request_id] = group_id
+        urgent = request.priority == "urgent"
+        known.sent(request.request_id, Sent(request.predicted_tokens, urgent, now_s))
+        difference = request.predicted_tokens - self._mean_tokens
+        self._mean_tokens += MEAN_GAIN * difference
+
+    def first_token(self, request_id: str, now_s: float) -> None:
+        """Learn that the first token of a request came."""
+        group_id = self._placed.get(request_id)
+        if group_id is None:
+            return
+        sent = self._loads[group_id].in_flight.get(request_id)
+        if sent is None or sent.first_token_s is not None:
+            return
+        sent.first_token_s = now_s
+        self.stragglers.observe(group_id, now_s - sent.sent_s, now_s)
+
+    def finished(self, request_id: str, now_s: float) -> None:
+        """Forget a request that ended, whole or not."""
+        group_id = self._placed.pop(request_id, None)
+        if group_id is not None:
+            self._loads[group_id].finished(request_id)
+
+    def _draw(self, names: list[str], now_s: float) -> list[str]:
+        if len(names) <= CANDIDATES:
+            drawn = list(names)
+        else:
+            drawn = self.rng.sample(names, CANDIDATES)
+        median_s = self.stragglers.median_s(names)
+        kept = [
+            name
+            for name in drawn
+            if self.rng.random() < self.stragglers.share(name, median_s, now_s)
+        ]
+        if kept:
+            return kept
+        return [self.rng.choice(names)]
+
+    def _cost(self, name: str, request: RoutingRequest) -> float:
+        pressure = self._loads[name].pressure(
+            request.predicted_tokens, self._mean_tokens
+        )
+        if not request.prefixes:
+            return pressure
+        held = self.prefixes.held(name, request.prefixes)
+        return pressure - PREFIX_GAIN * held / len(request.prefixes)
+
+    def _forget(self, group_id: str) -> None:
+        self.prefixes.forget(group_id)
+        self.stragglers.forget(group_id)
+        known = self._loads.pop(group_id, None)
+        if known is not None:
+            for request_id in known.in_flight:
+                self._placed.pop(request_id, None)
--- /dev/null
+++ b/tests/admission/test_controller.py
@@ -0,0 +1,71 @@
+"""Tests of the admission controller."""
+
+from chestnutvale.admission.messages import (
+    Admit,
+    Queue,
+    Refuse,
+    ServiceCapacity,
+    ServiceLimits,
+)
+
+
+def test_admits_up_to_the_capacity_and_queues_the_rest(make_controller, make_request):
+    controller = make_controller(capacity=1000)
+    effects = [controller.offer(make_request(str(n)), 0.0) for n in range(6)]
+    assert [type(e[-1]) for e in effects] == [Admit] * 5 + [Queue]
+    assert controller.release("0", 100, 1.0) == [Admit("5", 200)]
+
+
+def test_urgent_goes_first(make_controller, make_request):
+    controller = make_controller(capacity=200)
+    controller.offer(make_request("running"), 0.0)
+    controller.offer(make_request("normal"), 0.0)
+    controller.offer(make_request("urgent", priority="urgent"), 0.0)
+    assert controller.release("running", 100, 1.0) == [Admit("urgent", 200)]
+
+
+def test_queue_is_bounded_and_the_longest_line_gives_way(make_controller, make_request):
+    limits = ServiceLimits(queue_requests=4)
+    controller = make_controller(capacity=200, limits=limits)
+    for n in range(5):
+        controller.offer(make_request(f"a{n}"), 0.0)
+    effects = controller.offer(make_request("b", workspace="b"), 0.0)
+    assert effects[0].request_id == "a4"
+    assert effects[0].code == "queue_full"
+    assert effects[1] == Queue("b")
+
+
+def test_withdrawn_request_frees_its_share(make_controller, make_request):
+    controller = make_controller(capacity=200)
+    controller.offer(make_request("one"), 0.0)
+    controller.offer(make_request("two"), 0.0)
+    assert controller.withdraw("one", 1.0) == [Admit("two", 200)]
+    assert controller.withdraw("two", 1.0) == []
+    assert controller.demand() == []
+
+
+def test_no_group_refuses_waiting_and_new_requests(make_controller, make_request):
+    controller = make_controller(capacity=200)
+    controller.offer(make_request("one"), 0.0)
+    controller.offer(make_request("two"), 0.0)
+    controller.set_capacity("llm", ServiceCapacity(0, 0), 1.0)
+    (refusal,) = controller.tick(1.0)
+    assert isinstance(refusal, Refuse)
+    assert refusal.request_id == "two"
+    assert controller.offer(make_request("three"), 1.0)[0].code == "no_capacity"
+
+
+def test_second_request_under_one_id_is_refused(make_controller, make_request):
+    controller = make_controller()
+    controller.offer(make_request("one"), 0.0)
+    assert controller.offer(make_request("one"), 0.0)[0].code == "duplicate_request"
+    assert controller.release("one", 10, 1.0) == []
+
+
+def test_predicts_from_what_was_used(make_controller, make_request):
+    controller = make_controller(capacity=100_000)
+    for n in range(40):
+        controller.offer(make_request(str(n), max_tokens=8000), 0.0)
+        controller.release(str(n), 50, 1.0)
+    (effect,) = controller.offer(make_request("last", max_tokens=8000), 2.0)
+    assert 150 <= effect.predicted_tokens <= 165
--- /dev/null
+++ b/tests/routing/test_selector.py
@@ -0,0 +1,58 @@
+"""Tests of the selector."""
+
+import random
+
+import pytest
+
+from chestnutvale.routing.messages import RoutableGroup, RoutingRequest
+from chestnutvale.routing.selector import Selector
+from chestnutvale.schema.membership_pb2 import CacheEvents, Load
+
+
+@pytest.fixture
+def selector():
+    """Return a selector of four idle groups."""
+    made = Selector(random.Random(1))
+    made.update_groups(RoutableGroup(f"g{n}", "llm", 1) for n in range(4))
+    for n in range(4):
+        made.update_load(f"g{n}", Load(kv_capacity_tokens=10_000), 0.0)
+    return made
+
+
+def make_request(request_id="r", **more):
+    values = {"priority": "normal", "predicted_tokens": 500} | more
+    return RoutingRequest(request_id, "llm", **values)
+
+
+def test_own_sends_count_until_a_report_covers_them(selector):
+    for n in range(40):
+        request = make_request(str(n))
+        group = selector.choose(request, 1.0)
+        selector.sent(request, group, 1.0)
+    counts = [len(selector._loads[f"g{n}"].in_flight) for n in range(4)]
+    assert max(counts) - min(counts) <= 4
+
+
+def test_excluded_groups_are_not_chosen(selector):
+    request = make_request(excluded_groups=frozenset({"g0", "g1", "g2"}))
+    assert {selector.choose(request, 0.0) for _ in range(20)} == {"g3"}
+    request = make_request(excluded_groups=frozenset({"g0", "g1", "g2", "g3"}))
+    assert selector.choose(request, 0.0) is None
+
+
+def test_a_gap_in_cache_events_forgets(selector):
+    def note(first, last, added):
+        events = CacheEvents(first_sequence=first, last_sequence=last, added=added)
+        selector.note_cache_events("g2", events, 0.0)
+
+    request = make_request(prefixes=(7, 8))
+    note(1, 2, [7, 8])
+    assert {selector.choose(request, 0.0) for _ in range(20)} == {"g2"}
+    note(5, 5, [9])
+    assert selector.prefixes.held("g2", (7, 8)) == 0
+    assert len({selector.choose(request, 0.0) for _ in range(20)}) > 1
+
+
+def test_group_gone_is_not_chosen(selector):
+    selector.update_groups([RoutableGroup("g1", "llm", 2)])
+    assert selector.choose(make_request(), 0.0) == "g1"
