--- /dev/null
+++ b/chestnutvale/groups/__init__.py
@@ -0,0 +1,1 @@
+"""Groups of hosts: replicated state, assembly, repair and orders."""
--- /dev/null
+++ b/chestnutvale/groups/assembly.py
@@ -0,0 +1,89 @@
+"""Forms new groups inside one fabric domain."""
+
+from collections.abc import Iterable
+
+import attrs
+
+from chestnutvale.groups.const import PHASE_FORMING
+from chestnutvale.groups.fleet import Fleet, to_member
+from chestnutvale.schema.configuration_pb2 import Service
+from chestnutvale.schema.groups_pb2 import Group, PutGroup
+
+
+@attrs.define
+class Assembler:
+    """Chooses domains and hosts for new groups of one round.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        Hosts of this round; taken ones leave it.
+    smallest_group : int
+        Hosts in the smallest group of any service.
+    first_number : int
+        Number for the identity of the next group.
+    domains_of_service : dict of str to list of str
+        Fabric domain of each group that a service has.
+    """
+
+    fleet: Fleet
+    smallest_group: int
+    first_number: int
+    domains_of_service: dict[str, list[str]]
+
+    def assemble(
+        self, name: str, service: Service, avoid: Iterable[str] = ()
+    ) -> PutGroup | None:
+        """Form one group of a service if a domain has the hosts.
+
+        Parameters
+        ----------
+        name : str
+            Name of the service.
+        service : Service
+            The service.
+        avoid : iterable of str
+            Domains that must not be used.
+
+        Returns
+        -------
+        PutGroup or None
+            The new group; None if no domain has enough free hosts.
+        """
+        domain = self._choose_domain(name, service.hosts_per_group, set(avoid))
+        if domain is None:
+            return None
+        hosts = self.fleet.take(domain, service.hosts_per_group)
+        group = Group(
+            group_id=f"{name}-{self.first_number}",
+            service=name,
+            members=[to_member(host, rank) for rank, host in enumerate(hosts)],
+            version=service.version,
+            adapters=service.adapters,
+            phase=PHASE_FORMING,
+            fabric_domain=domain,
+        )
+        self.first_number += 1
+        self.domains_of_service.setdefault(name, []).append(domain)
+        return PutGroup(group=group)
+
+    def _choose_domain(self, name: str, size: int, avoid: set[str]) -> str | None:
+        if size < 1:
+            return None
+        fitting = [
+            domain
+            for domain in self.fleet.free_by_domain
+            if domain not in avoid and self.fleet.free_count(domain) >= size
+        ]
+        used = self.domains_of_service.get(name, [])
+        return min(
+            fitting,
+            key=lambda domain: self._cost_of(domain, size, used),
+            default=None,
+        )
+
+    def _cost_of(
+        self, domain: str, size: int, used: list[str]
+    ) -> tuple[int, int, int, str]:
+        left = self.fleet.free_count(domain) - size
+        return (used.count(domain), left % self.smallest_group, left, domain)
--- /dev/null
+++ b/chestnutvale/groups/const.py
@@ -0,0 +1,40 @@
+"""Constants of the groups package."""
+
+from typing import Final
+
+PHASE_FORMING: Final = "forming"
+PHASE_SERVING: Final = "serving"
+PHASE_DRAINING: Final = "draining"
+PHASE_RELEASING: Final = "releasing"
+
+OUTCOME_DONE: Final = "done"
+OUTCOME_CONFLICT: Final = "conflict"
+
+ORDER_ASSIGN: Final = "assign"
+ORDER_RELEASE: Final = "release"
+
+SERVICE_MODEL: Final = "model"
+SERVICE_PLAIN: Final = "plain"
+
+REPAIR_WAIT: Final = "wait"
+REPAIR_SPARE: Final = "spare"
+REPAIR_MERGE: Final = "merge"
+REPAIR_MOVE: Final = "move"
+
+# Time for which an order is worth carrying out, and its answer is waited for.
+ORDER_LIFETIME_S: Final = 5.0
+ORDER_TIMEOUT_S: Final = 2.0
+ORDER_RETRY_MIN_S: Final = 0.25
+ORDER_RETRY_MAX_S: Final = 5.0
+# A host that accepted an order but does not announce it is told again.
+ORDER_RECHECK_S: Final = 5.0
+
+# Longest time a leader lease may run; a new leader waits it out.
+DEFAULT_LEADER_LEASE_S: Final = 2.0
+# Time for which running requests of a draining group are waited for.
+DEFAULT_DRAIN_TIMEOUT_S: Final = 120.0
+# Time after which the record of a host that never came back is dropped.
+RELEASE_RETENTION_MS: Final = 86_400_000
+
+# Commands proposed in one round; the rest follows in the next.
+MAX_COMMANDS_PER_ROUND: Final = 32
--- /dev/null
+++ b/chestnutvale/groups/coordinator.py
@@ -0,0 +1,154 @@
+"""Turns what is known and committed into commands and orders."""
+
+from typing import TypeAlias
+
+import attrs
+
+from chestnutvale.groups.orders import OrderBook, OrderOutcome, SendOrder
+from chestnutvale.groups.planner import GroupCommand, GroupPlanner, PlanInputs
+from chestnutvale.groups.state import GroupsState
+from chestnutvale.membership.table import MembershipTable
+from chestnutvale.schema.command_pb2 import Command
+from chestnutvale.schema.configuration_pb2 import Text
+from chestnutvale.schema.groups_pb2 import (
+    EndRepair,
+    FreeHost,
+    PutGroup,
+    PutRepair,
+    ReleaseHost,
+    RemoveGroup,
+)
+
+
+@attrs.frozen
+class ProposeCommand:
+    """A command to propose; the next round sees whether it was committed.
+
+    Attributes
+    ----------
+    command : Command
+        The command.
+    """
+
+    command: Command
+
+
+Effect: TypeAlias = ProposeCommand | SendOrder
+
+
+@attrs.define
+class GroupCoordinator:
+    """Owns the planner and the order book of one control.
+
+    Parameters
+    ----------
+    planner : GroupPlanner
+        Decides about groups.
+    orders : OrderBook
+        Decides about orders.
+    """
+
+    planner: GroupPlanner
+    orders: OrderBook
+    _is_leader: bool = False
+    _plan_from_s: float = float("inf")
+
+    def became_leader(self, now_s: float) -> None:
+        """Start deciding.
+
+        Hosts are not judged before every entry had time to report them.
+
+        Parameters
+        ----------
+        now_s : float
+            Monotonic time.
+        """
+        self._is_leader = True
+        self._plan_from_s = now_s + self.planner.policy.detection_timeout_s
+        self.planner.became_leader(now_s)
+        self.orders.became_leader(now_s)
+
+    def lost_leadership(self) -> None:
+        """Stop deciding."""
+        self._is_leader = False
+        self.orders.lost_leadership()
+
+    def tick(
+        self,
+        now_s: float,
+        state: GroupsState,
+        table: MembershipTable,
+        text: Text | None,
+        lease_confirmed: bool,
+        now_unix_ms: int,
+    ) -> list[Effect]:
+        """Decide what to do now.
+
+        Parameters
+        ----------
+        now_s : float
+            Monotonic time.
+        state : GroupsState
+            The replicated groups, as far as applied here.
+        table : MembershipTable
+            What is known of hosts.
+        text : Text or None
+            The text in force.
+        lease_confirmed : bool
+            Whether a quorum confirmed the leader lease just before.
+        now_unix_ms : int
+            Wall-clock time, for records and the expiry of orders.
+
+        Returns
+        -------
+        list of Effect
+            Do them in this order.
+        """
+        if not self._is_leader or text is None:
+            return []
+        sends = self.orders.due(state, table, text, lease_confirmed, now_s, now_unix_ms)
+        if now_s < self._plan_from_s:
+            return list(sends)
+        inputs = PlanInputs(state, table, text, now_unix_ms)
+        commands = [
+            *self.orders.finished_releases(state, table, now_s, now_unix_ms),
+            *self.planner.plan(inputs, now_s),
+        ]
+        proposals = [_to_proposal(command, now_unix_ms) for command in commands]
+        return [*sends, *proposals]
+
+    def order_answered(
+        self, host_id: str, order_id: str, outcome: OrderOutcome, now_s: float
+    ) -> None:
+        """Take the answer of a host to an order.
+
+        Parameters
+        ----------
+        host_id : str
+            The host.
+        order_id : str
+            The order.
+        outcome : OrderOutcome
+            How it was answered.
+        now_s : float
+            Monotonic time.
+        """
+        self.orders.answered(host_id, order_id, outcome, now_s)
+
+
+def _to_proposal(command: GroupCommand | FreeHost, now_unix_ms: int) -> ProposeCommand:
+    wrapped = Command(proposed_at_unix_ms=now_unix_ms)
+    match command:
+        case PutGroup():
+            wrapped.put_group.CopyFrom(command)
+        case RemoveGroup():
+            wrapped.remove_group.CopyFrom(command)
+        case ReleaseHost():
+            wrapped.release_host.CopyFrom(command)
+        case FreeHost():
+            wrapped.free_host.CopyFrom(command)
+        case PutRepair():
+            wrapped.put_repair.CopyFrom(command)
+        case EndRepair():
+            wrapped.end_repair.CopyFrom(command)
+    return ProposeCommand(wrapped)
--- /dev/null
+++ b/chestnutvale/groups/orders.py
@@ -0,0 +1,345 @@
+"""Which orders are sent to which host, and when again."""
+
+import enum
+from collections.abc import Iterator
+
+import attrs
+
+from chestnutvale.groups.const import (
+    ORDER_ASSIGN,
+    ORDER_LIFETIME_S,
+    ORDER_RECHECK_S,
+    ORDER_RELEASE,
+    ORDER_RETRY_MAX_S,
+    ORDER_RETRY_MIN_S,
+    ORDER_TIMEOUT_S,
+    PHASE_DRAINING,
+    RELEASE_RETENTION_MS,
+)
+from chestnutvale.groups.serving import holds_epoch
+from chestnutvale.groups.settings import GroupsPolicy
+from chestnutvale.groups.state import GroupsState
+from chestnutvale.membership.table import HostRecord, MembershipTable
+from chestnutvale.schema.configuration_pb2 import Text
+from chestnutvale.schema.groups_pb2 import FreeHost, Group, HostRelease, Order
+
+
+class OrderOutcome(enum.Enum):
+    """How a host answered an order."""
+
+    ACCEPTED = "accepted"
+    STALE_FENCE = "stale_fence"
+    # No answer, or one that doesn't tell; the host may have carried it out.
+    UNREACHABLE = "unreachable"
+
+
+@attrs.frozen
+class SendOrder:
+    """An order to send now.
+
+    Attributes
+    ----------
+    host_id : str
+        The host.
+    address : str
+        Its address.
+    order : Order
+        The order.
+    send_before_s : float
+        Monotonic time before which the first byte must be sent; check it after
+        anything that may have taken time.
+    """
+
+    host_id: str
+    address: str
+    order: Order
+    send_before_s: float
+
+
+@attrs.define
+class _SentOrder:
+    """What became of the last order to a host."""
+
+    order_id: str
+    boot_id: str
+    retry_at_s: float
+    backoff_s: float
+    # Expiry of this order while it is unanswered.
+    pending_until_s: float
+    # Time until which an earlier unanswered order may still be carried out.
+    loose_until_s: float
+    accepted_at_s: float | None = None
+
+
+@attrs.define
+class OrderBook:
+    """Tells hosts what the committed groups ask of them, until they announce it.
+
+    Hosts that ignore fencing numbers get orders only while the leader lease was
+    confirmed by a quorum just before, and not before the lease of an earlier leader
+    has run out.
+
+    Parameters
+    ----------
+    policy : GroupsPolicy
+        Weights and times.
+    weight_store_address : str
+        Address that hosts load weights from.
+    """
+
+    policy: GroupsPolicy = attrs.field(factory=GroupsPolicy)
+    weight_store_address: str = ""
+    _sent: dict[str, _SentOrder] = attrs.field(factory=dict)
+    _old_lease_ends_s: float = float("inf")
+    _old_orders_end_s: float = float("inf")
+
+    def became_leader(self, now_s: float) -> None:
+        """Start with an empty book and wait out the lease of an earlier leader.
+
+        Parameters
+        ----------
+        now_s : float
+            Monotonic time.
+        """
+        self._sent.clear()
+        self._old_lease_ends_s = now_s + self.policy.leader_lease_s
+        self._old_orders_end_s = self._old_lease_ends_s + ORDER_LIFETIME_S
+
+    def lost_leadership(self) -> None:
+        """Send nothing more."""
+        self._sent.clear()
+        self._old_lease_ends_s = float("inf")
+        self._old_orders_end_s = float("inf")
+
+    def due(
+        self,
+        state: GroupsState,
+        table: MembershipTable,
+        text: Text,
+        lease_confirmed: bool,
+        now_s: float,
+        now_unix_ms: int,
+    ) -> list[SendOrder]:
+        """Return the orders to send now, the most valuable loads first.
+
+        Parameters
+        ----------
+        state : GroupsState
+            The replicated groups; only committed ones give orders.
+        table : MembershipTable
+            What is known of hosts.
+        text : Text
+            The text in force.
+        lease_confirmed : bool
+            Whether a quorum confirmed the leader lease just before.
+        now_s : float
+            Monotonic time.
+        now_unix_ms : int
+            Wall-clock time, for the expiry of orders.
+
+        Returns
+        -------
+        list of SendOrder
+            The orders.
+        """
+        expires_at_unix_ms = now_unix_ms + round(ORDER_LIFETIME_S * 1_000)
+        sends = []
+        for record, address, order in self._wanted(state, table, text, now_s):
+            if not self._is_allowed(record, lease_confirmed, now_s):
+                continue
+            if not self._is_due(record, order, now_s):
+                continue
+            order.expires_at_unix_ms = expires_at_unix_ms
+            self._note_sent(record, order, now_s)
+            sends.append(
+                SendOrder(record.host_id, address, order, now_s + ORDER_TIMEOUT_S)
+            )
+        return sends
+
+    def answered(
+        self, host_id: str, order_id: str, outcome: OrderOutcome, now_s: float
+    ) -> None:
+        """Take the answer of a host, or the lack of one.
+
+        Parameters
+        ----------
+        host_id : str
+            The host.
+        order_id : str
+            The order.
+        outcome : OrderOutcome
+            How it was answered.
+        now_s : float
+            Monotonic time.
+        """
+        sent = self._sent.get(host_id)
+        if sent is None or sent.order_id != order_id:
+            return
+        if outcome is OrderOutcome.ACCEPTED:
+            sent.accepted_at_s = now_s
+            sent.pending_until_s = float("-inf")
+            sent.retry_at_s = now_s + ORDER_RECHECK_S
+            return
+        if outcome is OrderOutcome.STALE_FENCE:
+            sent.pending_until_s = float("-inf")
+            sent.backoff_s = ORDER_RETRY_MAX_S
+        sent.retry_at_s = now_s + sent.backoff_s
+        sent.backoff_s = min(2 * sent.backoff_s, ORDER_RETRY_MAX_S)
+
+    def finished_releases(
+        self,
+        state: GroupsState,
+        table: MembershipTable,
+        now_s: float,
+        now_unix_ms: int,
+    ) -> list[FreeHost]:
+        """Return the hosts that have let go for certain.
+
+        Parameters
+        ----------
+        state : GroupsState
+            The replicated groups.
+        table : MembershipTable
+            What is known of hosts.
+        now_s : float
+            Monotonic time.
+        now_unix_ms : int
+            Wall-clock time.
+
+        Returns
+        -------
+        list of FreeHost
+            Commands that end the releases.
+        """
+        return [
+            FreeHost(host_id=release.host_id, fence=release.fence)
+            for release in state.releases.values()
+            if self._has_let_go(release, table, now_s)
+            or self._is_forgotten(release, table, now_s, now_unix_ms)
+        ]
+
+    def _wanted(
+        self,
+        state: GroupsState,
+        table: MembershipTable,
+        text: Text,
+        now_s: float,
+    ) -> Iterator[tuple[HostRecord, str, Order]]:
+        for release in state.releases.values():
+            record = _known_host(table, release.host_id, now_s)
+            if record is None or self._has_let_go(release, table, now_s):
+                continue
+            yield record, record.announcement.address, _release_order(release)
+        for group in state.groups.values():
+            if group.plain or group.phase == PHASE_DRAINING:
+                continue
+            for member in group.members:
+                record = _known_host(table, member.host_id, now_s)
+                if record is None or record.boot_id != member.boot_id:
+                    continue
+                if not holds_epoch(record, group):
+                    order = self._assign_order(group, member.rank, text)
+                    yield record, member.address, order
+
+    def _assign_order(self, group: Group, rank: int, text: Text) -> Order:
+        service = text.services.get(group.service)
+        return Order(
+            order_id=f"{group.fence}-{rank}",
+            kind=ORDER_ASSIGN,
+            group_id=group.group_id,
+            epoch=group.epoch,
+            fence=group.fence,
+            rank=rank,
+            members=group.members,
+            service=group.service,
+            model=service.model if service is not None else "",
+            version=group.version,
+            adapters=group.adapters,
+            weight_store_address=self.weight_store_address,
+        )
+
+    def _is_allowed(
+        self, record: HostRecord, lease_confirmed: bool, now_s: float
+    ) -> bool:
+        if record.announcement.fencing:
+            return True
+        return lease_confirmed and now_s >= self._old_lease_ends_s
+
+    def _is_due(self, record: HostRecord, order: Order, now_s: float) -> bool:
+        sent = self._sent.get(record.host_id)
+        if sent is None:
+            return True
+        if (sent.order_id, sent.boot_id) != (order.order_id, record.boot_id):
+            return True
+        return now_s >= sent.retry_at_s
+
+    def _note_sent(self, record: HostRecord, order: Order, now_s: float) -> None:
+        before = self._sent.get(record.host_id)
+        backoff_s = ORDER_RETRY_MIN_S
+        loose_until_s = float("-inf")
+        if before is not None:
+            loose_until_s = max(before.loose_until_s, before.pending_until_s)
+            if before.order_id == order.order_id:
+                backoff_s = before.backoff_s
+        self._sent[record.host_id] = _SentOrder(
+            order_id=order.order_id,
+            boot_id=record.boot_id,
+            retry_at_s=now_s + ORDER_TIMEOUT_S + backoff_s,
+            backoff_s=backoff_s,
+            pending_until_s=now_s + ORDER_LIFETIME_S,
+            loose_until_s=loose_until_s,
+        )
+
+    def _has_let_go(
+        self, release: HostRelease, table: MembershipTable, now_s: float
+    ) -> bool:
+        record = _known_host(table, release.host_id, now_s)
+        if record is None or record.announcement.HasField("holding"):
+            return False
+        if record.announcement.fencing:
+            is_fenced = record.announcement.fence >= release.fence
+            return is_fenced or record.boot_id != release.boot_id
+        sent = self._sent.get(release.host_id)
+        if now_s < self._old_orders_end_s:
+            return False
+        if sent is None:
+            return record.boot_id != release.boot_id
+        if now_s < max(sent.loose_until_s, sent.pending_until_s):
+            return False
+        if sent.order_id != _release_order_id(release):
+            return record.boot_id != release.boot_id
+        is_accepted = sent.accepted_at_s is not None
+        return is_accepted and record.heard_at_s > sent.accepted_at_s
+
+    def _is_forgotten(
+        self,
+        release: HostRelease,
+        table: MembershipTable,
+        now_s: float,
+        now_unix_ms: int,
+    ) -> bool:
+        if table.is_fresh(release.host_id, now_s):
+            return False
+        return now_unix_ms - release.released_at_unix_ms > RELEASE_RETENTION_MS
+
+
+def _known_host(
+    table: MembershipTable, host_id: str, now_s: float
+) -> HostRecord | None:
+    record = table.host(host_id)
+    if record is None or not record.is_content_current:
+        return None
+    return record if table.is_fresh(host_id, now_s) else None
+
+
+def _release_order_id(release: HostRelease) -> str:
+    return f"{release.fence}-release"
+
+
+def _release_order(release: HostRelease) -> Order:
+    return Order(
+        order_id=_release_order_id(release),
+        kind=ORDER_RELEASE,
+        group_id=release.group_id,
+        fence=release.fence,
+    )
--- /dev/null
+++ b/chestnutvale/groups/services.py
@@ -0,0 +1,35 @@
+"""Order in which services are provided for."""
+
+from chestnutvale.groups.const import SERVICE_PLAIN
+from chestnutvale.schema.configuration_pb2 import Service, Text
+
+
+def model_services_in_order(text: Text) -> list[tuple[str, Service]]:
+    """Return the model services, dependencies first.
+
+    Among services whose dependencies are met, the ones with larger groups come
+    first, since they are harder to place.
+
+    Parameters
+    ----------
+    text : Text
+        The text in force.
+
+    Returns
+    -------
+    list of tuple of str and Service
+        Name and service; a service in a circle of dependencies is left out.
+    """
+    left = dict(text.services)
+    ordered = []
+    while left:
+        ready = [name for name, item in left.items() if _is_ready(item, left)]
+        if not ready:
+            break
+        ready.sort(key=lambda name: (-left[name].hosts_per_group, name))
+        ordered.extend((name, left.pop(name)) for name in ready)
+    return [(name, item) for name, item in ordered if item.kind != SERVICE_PLAIN]
+
+
+def _is_ready(service: Service, left: dict[str, Service]) -> bool:
+    return not any(dependency in left for dependency in service.depends_on)
--- /dev/null
+++ b/chestnutvale/groups/serving.py
@@ -0,0 +1,153 @@
+"""Whether a group may serve, from what its members announce."""
+
+from collections.abc import Collection
+
+from chestnutvale.groups.const import PHASE_SERVING
+from chestnutvale.membership.const import HOLDING_READY
+from chestnutvale.membership.table import HostRecord, MembershipTable
+from chestnutvale.schema.groups_pb2 import Group, GroupMember
+
+
+def find_member_fault(
+    group: Group,
+    member: GroupMember,
+    table: MembershipTable,
+    now_s: float,
+    draining_hosts: Collection[str] = (),
+) -> str:
+    """Find why a member keeps its group from serving.
+
+    Parameters
+    ----------
+    group : Group
+        The group.
+    member : GroupMember
+        One of its members.
+    table : MembershipTable
+        What is known of hosts.
+    now_s : float
+        Monotonic time.
+    draining_hosts : collection of str
+        Hosts that get no new work.
+
+    Returns
+    -------
+    str
+        The reason; empty if the member is ready.
+    """
+    if not table.is_fresh(member.host_id, now_s):
+        return f"member {member.host_id} is missing"
+    record = table.host(member.host_id)
+    if record.boot_id != member.boot_id:
+        return f"member {member.host_id} was restarted"
+    if not record.is_content_current:
+        return f"member {member.host_id} is not known yet"
+    if record.announcement.leaving:
+        return f"member {member.host_id} is leaving"
+    if member.host_id in draining_hosts:
+        return f"member {member.host_id} is drained"
+    if not group.plain and not holds_epoch(record, group, HOLDING_READY):
+        return f"member {member.host_id} is not ready"
+    return ""
+
+
+def find_serving_fault(
+    group: Group,
+    table: MembershipTable,
+    now_s: float,
+    draining_hosts: Collection[str] = (),
+) -> str:
+    """Find why a group does not serve.
+
+    Parameters
+    ----------
+    group : Group
+        The group.
+    table : MembershipTable
+        What is known of hosts.
+    now_s : float
+        Monotonic time.
+    draining_hosts : collection of str
+        Hosts that get no new work.
+
+    Returns
+    -------
+    str
+        The reason; empty if the group serves.
+    """
+    if group.phase != PHASE_SERVING:
+        return f"the group is {group.phase}"
+    return find_readiness_fault(group, table, now_s, draining_hosts)
+
+
+def find_readiness_fault(
+    group: Group,
+    table: MembershipTable,
+    now_s: float,
+    draining_hosts: Collection[str] = (),
+) -> str:
+    """Find why the members of a group are not all ready, whatever its phase.
+
+    Parameters
+    ----------
+    group : Group
+        The group.
+    table : MembershipTable
+        What is known of hosts.
+    now_s : float
+        Monotonic time.
+    draining_hosts : collection of str
+        Hosts that get no new work.
+
+    Returns
+    -------
+    str
+        The reason; empty if all are ready.
+    """
+    for member in group.members:
+        fault = find_member_fault(group, member, table, now_s, draining_hosts)
+        if fault:
+            return fault
+    return ""
+
+
+def holds_epoch(record: HostRecord, group: Group, phase: str = "") -> bool:
+    """Tell whether a host announces that it holds its part of a group.
+
+    Parameters
+    ----------
+    record : HostRecord
+        What is known of the host.
+    group : Group
+        The group.
+    phase : str
+        Phase that the holding must be in; empty for any.
+
+    Returns
+    -------
+    bool
+        Whether group and epoch agree, and the phase if one is given.
+    """
+    announcement = record.announcement
+    if announcement is None or not announcement.HasField("holding"):
+        return False
+    holding = announcement.holding
+    if (holding.group_id, holding.epoch) != (group.group_id, group.epoch):
+        return False
+    return not phase or holding.phase == phase
+
+
+def group_head(group: Group) -> GroupMember:
+    """Return the member that takes the calls of a group.
+
+    Parameters
+    ----------
+    group : Group
+        The group.
+
+    Returns
+    -------
+    GroupMember
+        The member with rank 0.
+    """
+    return next(member for member in group.members if member.rank == 0)
--- /dev/null
+++ b/chestnutvale/groups/settings.py
@@ -0,0 +1,74 @@
+"""How repairs and loads are weighed; one value per deployment."""
+
+import attrs
+
+from chestnutvale.groups.const import (
+    DEFAULT_DRAIN_TIMEOUT_S,
+    DEFAULT_LEADER_LEASE_S,
+)
+from chestnutvale.membership.const import (
+    DEFAULT_DETECTION_TIMEOUT_S,
+    DEFAULT_LEASE_S,
+)
+from chestnutvale.schema.settings_pb2 import ControlSettings
+
+
+@attrs.frozen
+class GroupsPolicy:
+    """Weights and times that the decisions about groups use.
+
+    Attributes
+    ----------
+    group_downtime_weight : float
+        Cost of one second in which one group does not serve.
+    stranded_hosts_weight : float
+        Cost of one second in which one healthy host is unusable.
+    member_wait_s : float
+        Shortest time in seconds for which a missing member is waited for.
+    detection_timeout_s : float
+        Silence in seconds after which a host counts as missing.
+    serving_lease_s : float
+        Serving lease of entries in seconds.
+    leader_lease_s : float
+        Longest leader lease in seconds.
+    drain_timeout_s : float
+        Time in seconds for which running requests are waited for.
+    max_loading_hosts : int
+        Hosts that may load weights at once.
+    """
+
+    group_downtime_weight: float = 1.0
+    stranded_hosts_weight: float = 1.0
+    member_wait_s: float = 10.0
+    detection_timeout_s: float = DEFAULT_DETECTION_TIMEOUT_S
+    serving_lease_s: float = DEFAULT_LEASE_S
+    leader_lease_s: float = DEFAULT_LEADER_LEASE_S
+    drain_timeout_s: float = DEFAULT_DRAIN_TIMEOUT_S
+    max_loading_hosts: int = 16
+
+    @classmethod
+    def from_settings(cls, settings: ControlSettings) -> "GroupsPolicy":
+        """Take the policy from the settings of a control.
+
+        Parameters
+        ----------
+        settings : ControlSettings
+            The settings; a field that is 0 gives the default.
+
+        Returns
+        -------
+        GroupsPolicy
+            The policy.
+        """
+        default = cls()
+        repair = settings.repair
+        return cls(
+            group_downtime_weight=repair.group_downtime_weight
+            or default.group_downtime_weight,
+            stranded_hosts_weight=repair.stranded_hosts_weight
+            or default.stranded_hosts_weight,
+            member_wait_s=repair.member_wait_ms / 1_000 or default.member_wait_s,
+            detection_timeout_s=settings.detection_timeout_ms / 1_000
+            or default.detection_timeout_s,
+            max_loading_hosts=settings.max_loading_hosts or default.max_loading_hosts,
+        )
--- /dev/null
+++ b/chestnutvale/membership/__init__.py
@@ -0,0 +1,1 @@
+"""What is known of hosts: announcements, freshness, views and leases."""
--- /dev/null
+++ b/chestnutvale/membership/boots.py
@@ -0,0 +1,89 @@
+"""Order of the announcements of one host over its boots."""
+
+import enum
+
+import attrs
+
+from chestnutvale.membership.const import MAX_SUPERSEDED_BOOTS
+
+
+class BootVerdict(enum.Enum):
+    """What an announcement is relative to those already known."""
+
+    NEWER = "newer"
+    NEW_BOOT = "new_boot"
+    OLD_SEQUENCE = "old_sequence"
+    OLD_BOOT = "old_boot"
+
+
+@attrs.define
+class BootOrder:
+    """Tells newer announcements of a host from older ones without clocks.
+
+    Boot ids carry no order, since the clock of a restarted host may be wrong. A
+    boot id that was never seen is the newest; one that was superseded is old. A
+    superseded boot is taken back only if its successor has been silent for the
+    detection timeout and the sequence goes on beyond the last one seen, so that a
+    single late message can't shut out a living host for longer than that.
+
+    Parameters
+    ----------
+    boot_id : str
+        Boot of the first announcement.
+    sequence : int
+        Sequence of the first announcement.
+    heard_at_s : float
+        Time of the first announcement.
+    """
+
+    boot_id: str
+    sequence: int
+    heard_at_s: float
+    _superseded: dict[str, int] = attrs.field(factory=dict)
+
+    def offer(
+        self, boot_id: str, sequence: int, heard_at_s: float, timeout_s: float
+    ) -> BootVerdict:
+        """Judge an announcement and remember it if it is newer.
+
+        Parameters
+        ----------
+        boot_id : str
+            Boot of the announcement.
+        sequence : int
+            Sequence of the announcement.
+        heard_at_s : float
+            Time at which it was heard.
+        timeout_s : float
+            Detection timeout in seconds.
+
+        Returns
+        -------
+        BootVerdict
+            What the announcement is.
+        """
+        if boot_id == self.boot_id:
+            return self._offer_same_boot(sequence, heard_at_s)
+        if boot_id in self._superseded:
+            successor_silent = heard_at_s - self.heard_at_s > timeout_s
+            goes_on = sequence > self._superseded[boot_id]
+            if not (successor_silent and goes_on):
+                return BootVerdict.OLD_BOOT
+            del self._superseded[boot_id]
+        self._supersede(boot_id, sequence, heard_at_s)
+        return BootVerdict.NEW_BOOT
+
+    def _offer_same_boot(self, sequence: int, heard_at_s: float) -> BootVerdict:
+        if sequence <= self.sequence:
+            return BootVerdict.OLD_SEQUENCE
+        self.sequence = sequence
+        self.heard_at_s = max(self.heard_at_s, heard_at_s)
+        return BootVerdict.NEWER
+
+    def _supersede(self, boot_id: str, sequence: int, heard_at_s: float) -> None:
+        self._superseded[self.boot_id] = self.sequence
+        if len(self._superseded) > MAX_SUPERSEDED_BOOTS:
+            del self._superseded[next(iter(self._superseded))]
+        self.boot_id = boot_id
+        self.sequence = sequence
+        self.heard_at_s = heard_at_s
--- /dev/null
+++ b/chestnutvale/membership/const.py
@@ -0,0 +1,54 @@
+"""Constants of the membership package."""
+
+from typing import Final
+
+DEFAULT_DETECTION_TIMEOUT_S: Final = 3.0
+DEFAULT_LEASE_S: Final = 2.0
+DEFAULT_ANNOUNCE_INTERVAL_S: Final = 1.0
+DEFAULT_REPORT_INTERVAL_S: Final = 0.5
+
+# Time without a report after which an entry no longer counts as live.
+ENTRY_TIMEOUT_S: Final = 3.0
+# Time after which an entry or a host that stays silent is forgotten.
+FORGET_ENTRY_AFTER_S: Final = 60.0
+FORGET_HOST_AFTER_S: Final = 3_600.0
+
+# Earlier lives of one host that are remembered.
+MAX_SUPERSEDED_BOOTS: Final = 8
+# Group changes of which a control keeps the version for views of changes only.
+MAX_REMOVED_GROUPS: Final = 1_024
+# Reports whose answer an entry still waits for.
+MAX_OUTSTANDING_REPORTS: Final = 64
+
+MAX_NAME_LENGTH: Final = 128
+MAX_ACCELERATORS: Final = 1_024
+MAX_ADAPTERS: Final = 256
+MAX_CACHE_EVENTS: Final = 65_536
+MAX_LOAD_COUNT: Final = 1_000_000
+MAX_SEQUENCE: Final = 2**63
+
+KIND_ENGINE: Final = "engine"
+KIND_SERVICE: Final = "service"
+
+HOLDING_LOADING: Final = "loading"
+HOLDING_READY: Final = "ready"
+HOLDING_RELEASING: Final = "releasing"
+HOLDING_PHASES: Final = frozenset({HOLDING_LOADING, HOLDING_READY, HOLDING_RELEASING})
+
+
+def detection_bound_s(detection_timeout_s: float, lease_s: float) -> float:
+    """Return how long a group may keep new work after it lost a member.
+
+    Parameters
+    ----------
+    detection_timeout_s : float
+        Silence in seconds after which a host counts as missing.
+    lease_s : float
+        Serving lease of an entry in seconds.
+
+    Returns
+    -------
+    float
+        The bound in seconds, counted from the last announcement.
+    """
+    return detection_timeout_s + lease_s
--- /dev/null
+++ b/chestnutvale/membership/entry_view.py
@@ -0,0 +1,226 @@
+"""What an entry may serve, and until when."""
+
+import enum
+from collections import deque
+
+import attrs
+
+from chestnutvale.membership.const import DEFAULT_LEASE_S, MAX_OUTSTANDING_REPORTS
+from chestnutvale.schema.configuration_pb2 import Text
+from chestnutvale.schema.membership_pb2 import Load
+from chestnutvale.schema.peer_pb2 import ControlView, GroupView
+
+
+class InstallVerdict(enum.Enum):
+    """What became of a view."""
+
+    INSTALLED = "installed"
+    OLD_TERM = "old_term"
+    OLD_VERSION = "old_version"
+    GAP = "gap"
+
+
+@attrs.define
+class EntryView:
+    """Groups, text and serving lease of one entry.
+
+    The lease runs from the time at which the report was sent that a view answers,
+    so a late or doubled view extends nothing beyond that. A view is older than
+    another if its term is lower, or if its version is lower in the same term; only
+    one control leads in a term.
+
+    Parameters
+    ----------
+    lease_s : float
+        Length of the serving lease in seconds.
+    """
+
+    lease_s: float = DEFAULT_LEASE_S
+    _term: int = 0
+    _source: str = ""
+    _version: int = 0
+    _text: Text | None = None
+    _lease_until_s: float = float("-inf")
+    _sent_at_s: dict[int, float] = attrs.field(factory=dict)
+    _sent_order: deque[int] = attrs.field(factory=deque)
+    _groups: dict[str, GroupView] = attrs.field(factory=dict)
+    _loads: dict[str, Load] = attrs.field(factory=dict)
+    _entry_count: int = 1
+
+    def report_sent(self, nonce: int, now_s: float) -> None:
+        """Note a report; call it before the report is handed to the socket.
+
+        Parameters
+        ----------
+        nonce : int
+            Nonce of the report, drawn at random so that a view that answers an
+            earlier life of this entry matches none.
+        now_s : float
+            Monotonic time.
+        """
+        self._sent_at_s[nonce] = now_s
+        self._sent_order.append(nonce)
+        while len(self._sent_order) > MAX_OUTSTANDING_REPORTS:
+            self._sent_at_s.pop(self._sent_order.popleft(), None)
+
+    def install(self, view: ControlView, now_s: float) -> InstallVerdict:
+        """Take a view from the leading control.
+
+        Parameters
+        ----------
+        view : ControlView
+            The view, answered or pushed.
+        now_s : float
+            Monotonic time.
+
+        Returns
+        -------
+        InstallVerdict
+            What became of it.
+        """
+        if view.term < self._term:
+            return InstallVerdict.OLD_TERM
+        self._install_text(view)
+        verdict = self._install_groups(view)
+        if verdict is not InstallVerdict.GAP:
+            self._extend_lease(view)
+        return verdict
+
+    def has_lease(self, now_s: float) -> bool:
+        """Tell whether new calls may be taken.
+
+        Parameters
+        ----------
+        now_s : float
+            Monotonic time.
+
+        Returns
+        -------
+        bool
+            Whether the serving lease still runs.
+        """
+        return now_s < self._lease_until_s
+
+    def serving_groups(self, service: str, now_s: float) -> list[GroupView]:
+        """Return the groups that may get new work.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        now_s : float
+            Monotonic time.
+
+        Returns
+        -------
+        list of GroupView
+            Empty without a lease.
+        """
+        if not self.has_lease(now_s):
+            return []
+        return [
+            view
+            for view in self._groups.values()
+            if view.serving and view.group.service == service
+        ]
+
+    def group(self, group_id: str) -> GroupView | None:
+        """Return a group, serving or not.
+
+        Parameters
+        ----------
+        group_id : str
+            Identity of the group.
+
+        Returns
+        -------
+        GroupView or None
+            None if the newest view has no such group.
+        """
+        return self._groups.get(group_id)
+
+    def groups(self) -> list[GroupView]:
+        """Return all groups of the newest view, serving or not."""
+        return list(self._groups.values())
+
+    def load(self, group_id: str) -> Load | None:
+        """Return the newest load of a group's head.
+
+        Parameters
+        ----------
+        group_id : str
+            Identity of the group.
+
+        Returns
+        -------
+        Load or None
+            None if no load is known.
+        """
+        return self._loads.get(group_id)
+
+    @property
+    def text(self) -> Text | None:
+        """Text in force here; None before the first one."""
+        return self._text
+
+    @property
+    def number(self) -> int:
+        """Number of the text; it never falls."""
+        return self._text.number if self._text is not None else 0
+
+    @property
+    def version(self) -> int:
+        """Version of the newest view, for the next report."""
+        return self._version
+
+    @property
+    def source(self) -> str:
+        """Incarnation of the control whose version it is, for the next report."""
+        return self._source
+
+    @property
+    def entry_count(self) -> int:
+        """Live entries, at least 1."""
+        return self._entry_count
+
+    @property
+    def lease_until_s(self) -> float:
+        """Monotonic time at which the lease ends."""
+        return self._lease_until_s
+
+    def _install_text(self, view: ControlView) -> None:
+        if view.HasField("text") and view.text.number > self.number:
+            self._text = view.text
+
+    def _install_groups(self, view: ControlView) -> InstallVerdict:
+        self._term = view.term
+        if view.source == self._source and view.view_version < self._version:
+            return InstallVerdict.OLD_VERSION
+        if not view.whole and not self._fits(view):
+            return InstallVerdict.GAP
+        if view.whole:
+            self._groups.clear()
+            self._loads.clear()
+        for group in view.groups:
+            self._groups[group.group.group_id] = group
+        for group_id in view.removed_group_ids:
+            self._groups.pop(group_id, None)
+            self._loads.pop(group_id, None)
+        for load in view.loads:
+            self._loads[load.group_id] = load.load
+        self._source = view.source
+        self._version = view.view_version
+        if view.entry_count:
+            self._entry_count = view.entry_count
+        return InstallVerdict.INSTALLED
+
+    def _fits(self, view: ControlView) -> bool:
+        return view.source == self._source and view.base_version <= self._version
+
+    def _extend_lease(self, view: ControlView) -> None:
+        sent_at_s = self._sent_at_s.get(view.nonce)
+        if view.nonce == 0 or sent_at_s is None:
+            return
+        if view.configuration_number > self.number:
+            return
+        self._lease_until_s = max(self._lease_until_s, sent_at_s + self.lease_s)
--- /dev/null
+++ b/chestnutvale/membership/hearing.py
@@ -0,0 +1,188 @@
+"""What an entry hears of hosts and passes on to the controls."""
+
+from collections.abc import Iterable
+
+import attrs
+
+from chestnutvale.membership.boots import BootOrder, BootVerdict
+from chestnutvale.membership.const import (
+    DEFAULT_DETECTION_TIMEOUT_S,
+    FORGET_HOST_AFTER_S,
+)
+from chestnutvale.membership.content import content_digest, strip_announcement
+from chestnutvale.membership.exceptions import OldBootError, OldSequenceError
+from chestnutvale.membership.validation import validate_announcement
+from chestnutvale.schema.membership_pb2 import Announcement, Heard
+
+
+@attrs.frozen
+class Accepted:
+    """An announcement that was taken.
+
+    Attributes
+    ----------
+    urgent : bool
+        Whether the controls must hear of it at once.
+    """
+
+    urgent: bool
+
+
+@attrs.define
+class _HeardHost:
+    """What this entry knows of one host."""
+
+    order: BootOrder
+    announcement: Announcement
+    digest: int
+    passed_on_digest: int = 0
+    passed_on_load: bytes = b""
+
+
+@attrs.define
+class Hearing:
+    """Collects announcements for the next report.
+
+    A report carries an announcement whole only if more than its sequence and load
+    changed since it was last passed on, or if a control asked for it.
+
+    Parameters
+    ----------
+    detection_timeout_s : float
+        Silence in seconds after which a host counts as missing.
+    """
+
+    detection_timeout_s: float = DEFAULT_DETECTION_TIMEOUT_S
+    _hosts: dict[str, _HeardHost] = attrs.field(factory=dict)
+    _pending: dict[str, None] = attrs.field(factory=dict)
+
+    def announce(self, announcement: Announcement, now_s: float) -> Accepted:
+        """Take the announcement of a host.
+
+        Parameters
+        ----------
+        announcement : Announcement
+            The announcement as received.
+        now_s : float
+            Monotonic time.
+
+        Returns
+        -------
+        Accepted
+            Whether the next report is urgent.
+
+        Raises
+        ------
+        AnnouncementRefusedError
+            If a field is invalid or the announcement is an old one.
+        """
+        validate_announcement(announcement)
+        content = strip_announcement(announcement)
+        known = self._hosts.get(announcement.host_id)
+        if known is None:
+            order = BootOrder(content.boot_id, content.sequence, now_s)
+            known = _HeardHost(order, content, content_digest(content))
+            self._hosts[content.host_id] = known
+            self._pending[content.host_id] = None
+            return Accepted(urgent=True)
+        self._check_order(known, content, now_s)
+        urgent = _is_urgent(known.announcement, content)
+        known.announcement = content
+        known.digest = content_digest(content)
+        self._pending[content.host_id] = None
+        return Accepted(urgent)
+
+    def mark_wanted(self, host_ids: Iterable[str]) -> None:
+        """Pass hosts on whole in the next report.
+
+        Parameters
+        ----------
+        host_ids : iterable of str
+            Hosts that a control asked for.
+        """
+        for host_id in host_ids:
+            known = self._hosts.get(host_id)
+            if known is None:
+                continue
+            known.passed_on_digest = 0
+            self._pending[host_id] = None
+
+    def drain_report(self, now_s: float) -> list[Heard]:
+        """Return what was heard since the last report.
+
+        Parameters
+        ----------
+        now_s : float
+            Monotonic time.
+
+        Returns
+        -------
+        list of Heard
+            One for each host that was heard or asked for.
+        """
+        pending = self._pending
+        self._pending = {}
+        heard = [self._pass_on(self._hosts[host_id], now_s) for host_id in pending]
+        self._forget_silent_hosts(now_s)
+        return heard
+
+    @property
+    def host_count(self) -> int:
+        """Number of hosts that this entry remembers."""
+        return len(self._hosts)
+
+    def _check_order(
+        self, known: _HeardHost, content: Announcement, now_s: float
+    ) -> None:
+        verdict = known.order.offer(
+            content.boot_id, content.sequence, now_s, self.detection_timeout_s
+        )
+        if verdict is BootVerdict.OLD_SEQUENCE:
+            raise OldSequenceError(
+                f"sequence {content.sequence} is not above {known.order.sequence}",
+                peer=content.host_id,
+            )
+        if verdict is BootVerdict.OLD_BOOT:
+            raise OldBootError(
+                f"boot {content.boot_id} was followed by {known.order.boot_id}",
+                peer=content.host_id,
+            )
+
+    def _pass_on(self, known: _HeardHost, now_s: float) -> Heard:
+        announcement = known.announcement
+        age_s = max(0.0, now_s - known.order.heard_at_s)
+        heard = Heard(
+            host_id=announcement.host_id,
+            boot_id=announcement.boot_id,
+            sequence=announcement.sequence,
+            age_ms=round(age_s * 1_000),
+            content_digest=known.digest,
+        )
+        load = announcement.load.SerializeToString(deterministic=True)
+        if known.passed_on_digest != known.digest:
+            heard.changed.CopyFrom(announcement)
+        elif known.passed_on_load != load:
+            heard.load.CopyFrom(announcement.load)
+        known.passed_on_digest = known.digest
+        known.passed_on_load = load
+        return heard
+
+    def _forget_silent_hosts(self, now_s: float) -> None:
+        silent = [
+            host_id
+            for host_id, known in self._hosts.items()
+            if now_s - known.order.heard_at_s > FORGET_HOST_AFTER_S
+        ]
+        for host_id in silent:
+            del self._hosts[host_id]
+
+
+def _is_urgent(before: Announcement, after: Announcement) -> bool:
+    if after.boot_id != before.boot_id:
+        return True
+    if after.leaving != before.leaving:
+        return True
+    if after.HasField("holding") != before.HasField("holding"):
+        return True
+    was, now = before.holding, after.holding
+    return (was.group_id, was.epoch, was.phase) != (now.group_id, now.epoch, now.phase)
--- /dev/null
+++ b/chestnutvale/membership/table.py
@@ -0,0 +1,274 @@
+"""The table of hosts that each control builds from the reports of entries."""
+
+import math
+from collections.abc import Iterable
+
+import attrs
+
+from chestnutvale.membership.boots import BootOrder, BootVerdict
+from chestnutvale.membership.const import (
+    DEFAULT_DETECTION_TIMEOUT_S,
+    ENTRY_TIMEOUT_S,
+    FORGET_ENTRY_AFTER_S,
+    FORGET_HOST_AFTER_S,
+)
+from chestnutvale.membership.content import content_digest
+from chestnutvale.schema.membership_pb2 import Announcement, Heard, Load
+
+
+@attrs.define
+class HostRecord:
+    """What a control knows of one host.
+
+    Attributes
+    ----------
+    host_id : str
+        Identity of the host.
+    order : BootOrder
+        Newest boot and sequence, and when it was heard.
+    entry_id : str
+        Entry that heard it last.
+    announcement : Announcement or None
+        Newest whole announcement; None before the first one.
+    digest : int
+        Digest of what the host announced last.
+    is_content_current : bool
+        Whether ``announcement`` is what the host announced last.
+    load : Load or None
+        Newest load; None before the first one.
+    """
+
+    host_id: str
+    order: BootOrder
+    entry_id: str
+    announcement: Announcement | None = None
+    digest: int = 0
+    is_content_current: bool = False
+    load: Load | None = None
+
+    @property
+    def boot_id(self) -> str:
+        """Newest boot of the host."""
+        return self.order.boot_id
+
+    @property
+    def heard_at_s(self) -> float:
+        """Time at which the host was last heard, on the control's clock."""
+        return self.order.heard_at_s
+
+
+@attrs.define
+class MembershipTable:
+    """Merges what entries hear; each control keeps one.
+
+    Parameters
+    ----------
+    detection_timeout_s : float
+        Silence in seconds after which a host counts as missing.
+    """
+
+    detection_timeout_s: float = DEFAULT_DETECTION_TIMEOUT_S
+    _hosts: dict[str, HostRecord] = attrs.field(factory=dict)
+    _entries: dict[str, float] = attrs.field(factory=dict)
+
+    def merge(self, entry_id: str, heard: Iterable[Heard], now_s: float) -> list[str]:
+        """Merge the report of an entry, also an empty one.
+
+        Parameters
+        ----------
+        entry_id : str
+            The entry that sent the report.
+        heard : iterable of Heard
+            What it heard.
+        now_s : float
+            Monotonic time, less any known delay of the report.
+
+        Returns
+        -------
+        list of str
+            Hosts that are new, or whose boot or content changed.
+        """
+        self._entries[entry_id] = max(now_s, self._entries.get(entry_id, now_s))
+        return [item.host_id for item in heard if self._take(entry_id, item, now_s)]
+
+    def host(self, host_id: str) -> HostRecord | None:
+        """Return what is known of a host.
+
+        Parameters
+        ----------
+        host_id : str
+            Identity of the host.
+
+        Returns
+        -------
+        HostRecord or None
+            None if the host was never heard, or forgotten.
+        """
+        return self._hosts.get(host_id)
+
+    def is_fresh(self, host_id: str, now_s: float) -> bool:
+        """Tell whether a host was heard within the detection timeout.
+
+        Parameters
+        ----------
+        host_id : str
+            Identity of the host.
+        now_s : float
+            Monotonic time.
+
+        Returns
+        -------
+        bool
+            Whether the host counts as alive.
+        """
+        record = self._hosts.get(host_id)
+        if record is None:
+            return False
+        return now_s - record.heard_at_s <= self.detection_timeout_s
+
+    def fresh_hosts(self, now_s: float) -> list[HostRecord]:
+        """Return the living hosts whose announcement is known, by identity.
+
+        Parameters
+        ----------
+        now_s : float
+            Monotonic time.
+
+        Returns
+        -------
+        list of HostRecord
+            Sorted by host id.
+        """
+        oldest_s = now_s - self.detection_timeout_s
+        fresh = [
+            record
+            for record in self._hosts.values()
+            if record.is_content_current and record.order.heard_at_s >= oldest_s
+        ]
+        fresh.sort(key=lambda record: record.host_id)
+        return fresh
+
+    def next_deadline(self, now_s: float) -> float:
+        """Return when the next living host would count as missing.
+
+        Parameters
+        ----------
+        now_s : float
+            Monotonic time.
+
+        Returns
+        -------
+        float
+            Monotonic time in seconds; infinite if no host is alive.
+        """
+        deadlines = (
+            record.order.heard_at_s + self.detection_timeout_s
+            for record in self._hosts.values()
+        )
+        return min((due for due in deadlines if due >= now_s), default=math.inf)
+
+    def wanted_hosts(self, entry_id: str) -> list[str]:
+        """Return the hosts whose announcement this entry should pass on whole.
+
+        Parameters
+        ----------
+        entry_id : str
+            The entry that is answered.
+
+        Returns
+        -------
+        list of str
+            Hosts that it heard last, of which the content is not known.
+        """
+        return [
+            record.host_id
+            for record in self._hosts.values()
+            if not record.is_content_current and record.entry_id == entry_id
+        ]
+
+    def live_entries(self, now_s: float) -> list[str]:
+        """Return the entries that reported lately.
+
+        Parameters
+        ----------
+        now_s : float
+            Monotonic time.
+
+        Returns
+        -------
+        list of str
+            Sorted identities.
+        """
+        return sorted(
+            entry_id
+            for entry_id, seen_at_s in self._entries.items()
+            if now_s - seen_at_s <= ENTRY_TIMEOUT_S
+        )
+
+    def known_entries(self) -> list[str]:
+        """Return the entries that are remembered, live or silent."""
+        return sorted(self._entries)
+
+    def forget_silent(self, now_s: float) -> None:
+        """Drop hosts and entries that have been silent for long.
+
+        Parameters
+        ----------
+        now_s : float
+            Monotonic time.
+        """
+        self._entries = {
+            entry_id: seen_at_s
+            for entry_id, seen_at_s in self._entries.items()
+            if now_s - seen_at_s <= FORGET_ENTRY_AFTER_S
+        }
+        self._hosts = {
+            host_id: record
+            for host_id, record in self._hosts.items()
+            if now_s - record.heard_at_s <= FORGET_HOST_AFTER_S
+        }
+
+    def _take(self, entry_id: str, heard: Heard, now_s: float) -> bool:
+        heard_at_s = now_s - heard.age_ms / 1_000
+        record = self._hosts.get(heard.host_id)
+        if record is None:
+            order = BootOrder(heard.boot_id, heard.sequence, heard_at_s)
+            record = HostRecord(heard.host_id, order, entry_id)
+            self._hosts[heard.host_id] = record
+            self._take_content(record, heard)
+            return True
+        verdict = record.order.offer(
+            heard.boot_id, heard.sequence, heard_at_s, self.detection_timeout_s
+        )
+        if verdict is BootVerdict.OLD_SEQUENCE:
+            return self._complete_content(record, heard)
+        if verdict is BootVerdict.OLD_BOOT:
+            return False
+        record.entry_id = entry_id
+        changed = self._take_content(record, heard)
+        return changed or verdict is BootVerdict.NEW_BOOT
+
+    def _take_content(self, record: HostRecord, heard: Heard) -> bool:
+        before = record.digest, record.is_content_current
+        if heard.HasField("changed"):
+            record.announcement = heard.changed
+            record.is_content_current = True
+            record.load = heard.changed.load
+        elif heard.content_digest != record.digest:
+            record.is_content_current = False
+        if heard.HasField("load"):
+            record.load = heard.load
+        record.digest = heard.content_digest
+        return before != (record.digest, record.is_content_current)
+
+    def _complete_content(self, record: HostRecord, heard: Heard) -> bool:
+        if record.is_content_current or not heard.HasField("changed"):
+            return False
+        if heard.boot_id != record.boot_id:
+            return False
+        if content_digest(heard.changed) != record.digest:
+            return False
+        record.announcement = heard.changed
+        record.is_content_current = True
+        record.load = heard.changed.load
+        return True
--- /dev/null
+++ b/chestnutvale/membership/validation.py
@@ -0,0 +1,119 @@
+"""Checks of the fields of an announcement."""
+
+import ipaddress
+import re
+from typing import Final
+
+from chestnutvale.membership.const import (
+    HOLDING_PHASES,
+    KIND_ENGINE,
+    KIND_SERVICE,
+    MAX_ACCELERATORS,
+    MAX_ADAPTERS,
+    MAX_CACHE_EVENTS,
+    MAX_LOAD_COUNT,
+    MAX_NAME_LENGTH,
+    MAX_SEQUENCE,
+)
+from chestnutvale.membership.exceptions import InvalidAnnouncementError
+from chestnutvale.schema.membership_pb2 import Announcement, Holding
+
+_NAME: Final = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:/-]*")
+_MAX_PORT: Final = 65_535
+
+
+def validate_announcement(announcement: Announcement) -> None:
+    """Check every field of an announcement.
+
+    Parameters
+    ----------
+    announcement : Announcement
+        The announcement as received.
+
+    Raises
+    ------
+    InvalidAnnouncementError
+        If a field is missing or out of its range.
+    """
+    reason = _find_fault(announcement)
+    if reason:
+        peer = announcement.host_id[:MAX_NAME_LENGTH]
+        raise InvalidAnnouncementError(reason, peer=peer)
+
+
+def is_ip_address(address: str) -> bool:
+    """Tell whether a text is an IP number and a port.
+
+    Parameters
+    ----------
+    address : str
+        For example ``"10.0.0.1:8000"`` or ``"[::1]:8000"``.
+
+    Returns
+    -------
+    bool
+        Whether the address can be called without a name server.
+    """
+    number, _, port = address.rpartition(":")
+    if not (port.isascii() and port.isdigit() and 0 < int(port) <= _MAX_PORT):
+        return False
+    try:
+        ipaddress.ip_address(number.removeprefix("[").removesuffix("]"))
+    except ValueError:
+        return False
+    return True
+
+
+def _is_name(text: str) -> bool:
+    return len(text) <= MAX_NAME_LENGTH and _NAME.fullmatch(text) is not None
+
+
+def _find_fault(announcement: Announcement) -> str:
+    for field in ("host_id", "boot_id", "data_centre", "fabric_domain"):
+        if not _is_name(getattr(announcement, field)):
+            return f"{field} is missing, too long or has a character not allowed"
+    if not 0 < announcement.sequence < MAX_SEQUENCE:
+        return "sequence must be at least 1"
+    if len(announcement.address) > MAX_NAME_LENGTH:
+        return "address is too long"
+    if not is_ip_address(announcement.address):
+        return "address must be an IP number and a port"
+    if announcement.accelerators > MAX_ACCELERATORS:
+        return f"accelerators must not exceed {MAX_ACCELERATORS}"
+    if announcement.kind not in (KIND_ENGINE, KIND_SERVICE):
+        return "kind must be engine or service"
+    if announcement.kind == KIND_SERVICE and not _is_name(announcement.service):
+        return "service is missing, too long or has a character not allowed"
+    if announcement.kind == KIND_ENGINE and announcement.service:
+        return "service must be empty for an engine"
+    if announcement.HasField("holding"):
+        fault = _find_holding_fault(announcement.holding)
+        if fault:
+            return fault
+    return _find_load_fault(announcement)
+
+
+def _find_holding_fault(holding: Holding) -> str:
+    if not _is_name(holding.group_id) or not _is_name(holding.service):
+        return "holding needs a group_id and a service"
+    if holding.phase not in HOLDING_PHASES:
+        return "holding.phase must be loading, ready or releasing"
+    if len(holding.version) > MAX_NAME_LENGTH:
+        return "holding.version is too long"
+    if len(holding.adapters) > MAX_ADAPTERS:
+        return f"holding.adapters must not exceed {MAX_ADAPTERS}"
+    if any(len(adapter) > MAX_NAME_LENGTH for adapter in holding.adapters):
+        return "holding.adapters has a name that is too long"
+    return ""
+
+
+def _find_load_fault(announcement: Announcement) -> str:
+    load = announcement.load
+    if max(load.running, load.waiting) > MAX_LOAD_COUNT:
+        return f"load.running and load.waiting must not exceed {MAX_LOAD_COUNT}"
+    events = announcement.cache_events
+    if len(events.added) + len(events.removed) > MAX_CACHE_EVENTS:
+        return f"cache_events must not exceed {MAX_CACHE_EVENTS}"
+    if events.first_sequence > events.last_sequence:
+        return "cache_events.first_sequence must not exceed last_sequence"
+    return ""
--- /dev/null
+++ b/chestnutvale/membership/views.py
@@ -0,0 +1,325 @@
+"""What the leading control tells entries of groups, loads and the text."""
+
+from collections import deque
+from typing import Protocol
+
+import attrs
+
+from chestnutvale.groups.serving import find_serving_fault, group_head
+from chestnutvale.groups.state import GroupsState
+from chestnutvale.membership.const import MAX_REMOVED_GROUPS
+from chestnutvale.membership.table import MembershipTable
+from chestnutvale.schema.configuration_pb2 import Text
+from chestnutvale.schema.groups_pb2 import Group
+from chestnutvale.schema.membership_pb2 import Load
+from chestnutvale.schema.peer_pb2 import (
+    ControlView,
+    EntryReport,
+    GroupLoad,
+    GroupView,
+)
+
+
+class TextSource(Protocol):
+    """The part of the configuration state that views need."""
+
+    @property
+    def text(self) -> Text | None:
+        """Text in force; None before the first one."""
+
+
+@attrs.define
+class _PublishedGroup:
+    """A group as entries see it, with the versions of its last changes."""
+
+    group: Group
+    reason: str
+    version: int
+    load: Load | None = None
+    load_version: int = 0
+
+
+@attrs.define
+class _KnownEntry:
+    """What an entry is believed to hold."""
+
+    reply_address: str
+    view_source: str
+    view_version: int
+    load_version: int = 0
+
+
+@attrs.frozen
+class Push:
+    """A view that an entry should get without having asked.
+
+    Attributes
+    ----------
+    entry_id : str
+        The entry.
+    reply_address : str
+        Its peer address.
+    view : ControlView
+        The view; it extends no lease.
+    """
+
+    entry_id: str
+    reply_address: str
+    view: ControlView
+
+
+@attrs.define
+class ViewPublisher:
+    """Builds views and tells which entries need one at a change.
+
+    Parameters
+    ----------
+    source : str
+        Incarnation of this control; versions count within it.
+    """
+
+    source: str
+    _version: int = 0
+    _load_version: int = 0
+    _published: dict[str, _PublishedGroup] = attrs.field(factory=dict)
+    _removed: deque[tuple[int, str]] = attrs.field(factory=deque)
+    _oldest_base: int = 0
+    _entries: dict[str, _KnownEntry] = attrs.field(factory=dict)
+
+    @property
+    def version(self) -> int:
+        """Version of the newest view."""
+        return self._version
+
+    def refresh(
+        self, state: GroupsState, table: MembershipTable, now_s: float
+    ) -> list[str]:
+        """Take up what changed; call it before building views.
+
+        Parameters
+        ----------
+        state : GroupsState
+            The replicated groups.
+        table : MembershipTable
+            What is known of hosts.
+        now_s : float
+            Monotonic time.
+
+        Returns
+        -------
+        list of str
+            Groups that changed, appeared or vanished; push if there are any.
+        """
+        changed = [
+            group_id
+            for group_id in sorted(state.groups)
+            if self._refresh_group(state, group_id, table, now_s)
+        ]
+        gone = sorted(self._published.keys() - state.groups.keys())
+        for group_id in gone:
+            self._version += 1
+            del self._published[group_id]
+            self._removed.append((self._version, group_id))
+        while len(self._removed) > MAX_REMOVED_GROUPS:
+            self._oldest_base, _ = self._removed.popleft()
+        return changed + gone
+
+    def answer(
+        self,
+        entry_id: str,
+        report: EntryReport,
+        configuration: TextSource,
+        table: MembershipTable,
+        term: int,
+        now_s: float,
+    ) -> ControlView:
+        """Answer a report, once the leader lease has shown that it still leads.
+
+        Parameters
+        ----------
+        entry_id : str
+            The entry that sent the report.
+        report : EntryReport
+            The report; it was merged into the table before.
+        configuration : TextSource
+            The text in force.
+        table : MembershipTable
+            What is known of hosts.
+        term : int
+            Term in which this control leads.
+        now_s : float
+            Monotonic time.
+
+        Returns
+        -------
+        ControlView
+            The view, with the nonce of the report.
+        """
+        known = self._entries.get(entry_id)
+        load_version = 0
+        if known is not None and report.view_source == self.source:
+            load_version = known.load_version
+        self._entries[entry_id] = _KnownEntry(
+            report.reply_address, report.view_source, report.view_version, load_version
+        )
+        view = self._build(entry_id, configuration, term)
+        view.nonce = report.nonce
+        view.want_hosts.extend(table.wanted_hosts(entry_id))
+        view.entry_count = len(table.live_entries(now_s))
+        text = configuration.text
+        if text is not None and report.configuration_number < text.number:
+            view.text.CopyFrom(text)
+        return view
+
+    def pushes(
+        self,
+        configuration: TextSource,
+        table: MembershipTable,
+        term: int,
+        now_s: float,
+    ) -> list[Push]:
+        """Build the views that live entries should get at once after a change.
+
+        Parameters
+        ----------
+        configuration : TextSource
+            The text in force; it is always put into a push of a new number.
+        table : MembershipTable
+            What is known of entries.
+        term : int
+            Term in which this control leads.
+        now_s : float
+            Monotonic time.
+
+        Returns
+        -------
+        list of Push
+            One for each live entry that lags behind.
+        """
+        live = table.live_entries(now_s)
+        self._entries = {
+            key: self._entries[key] for key in live if key in self._entries
+        }
+        pushes = []
+        for entry_id, known in self._entries.items():
+            is_current = known.view_version == self._version
+            if known.view_source == self.source and is_current:
+                continue
+            view = self._build(entry_id, configuration, term)
+            view.entry_count = len(live)
+            pushes.append(Push(entry_id, known.reply_address, view))
+        return pushes
+
+    def push_text(
+        self,
+        configuration: TextSource,
+        table: MembershipTable,
+        term: int,
+        now_s: float,
+    ) -> list[Push]:
+        """Build views with the text for all live entries, after a new number.
+
+        Parameters
+        ----------
+        configuration : TextSource
+            The text in force.
+        table : MembershipTable
+            What is known of entries.
+        term : int
+            Term in which this control leads.
+        now_s : float
+            Monotonic time.
+
+        Returns
+        -------
+        list of Push
+            One for each live entry.
+        """
+        pushes = []
+        for entry_id in table.live_entries(now_s):
+            known = self._entries.get(entry_id)
+            if known is None or configuration.text is None:
+                continue
+            view = self._build(entry_id, configuration, term)
+            view.text.CopyFrom(configuration.text)
+            pushes.append(Push(entry_id, known.reply_address, view))
+        return pushes
+
+    def group_views(self) -> list[GroupView]:
+        """Return all groups as entries see them, for the status and the dump."""
+        return [_to_view(self._published[key]) for key in sorted(self._published)]
+
+    def _refresh_group(
+        self,
+        state: GroupsState,
+        group_id: str,
+        table: MembershipTable,
+        now_s: float,
+    ) -> bool:
+        group = state.groups[group_id]
+        reason = find_serving_fault(group, table, now_s, state.draining_hosts)
+        published = self._published.get(group_id)
+        is_changed = (
+            published is None or published.group != group or published.reason != reason
+        )
+        if is_changed:
+            self._version += 1
+            load = published.load if published else None
+            load_version = published.load_version if published else 0
+            published = _PublishedGroup(
+                group, reason, self._version, load, load_version
+            )
+            self._published[group_id] = published
+        self._refresh_load(published, table)
+        return is_changed
+
+    def _refresh_load(self, published: _PublishedGroup, table: MembershipTable) -> None:
+        record = table.host(group_head(published.group).host_id)
+        if record is None or record.load is None:
+            return
+        if published.load is not None and published.load == record.load:
+            return
+        self._load_version += 1
+        published.load = record.load
+        published.load_version = self._load_version
+
+    def _build(
+        self, entry_id: str, configuration: TextSource, term: int
+    ) -> ControlView:
+        known = self._entries[entry_id]
+        text = configuration.text
+        base = known.view_version
+        is_whole = known.view_source != self.source or not (
+            self._oldest_base <= base <= self._version
+        )
+        view = ControlView(
+            source=self.source,
+            view_version=self._version,
+            whole=is_whole,
+            configuration_number=text.number if text is not None else 0,
+            term=term,
+            base_version=0 if is_whole else base,
+        )
+        for group_id, published in self._published.items():
+            if is_whole or published.version > base:
+                view.groups.append(_to_view(published))
+            if published.load is None:
+                continue
+            if is_whole or published.load_version > known.load_version:
+                view.loads.append(GroupLoad(group_id=group_id, load=published.load))
+        if not is_whole:
+            view.removed_group_ids.extend(
+                group_id
+                for version, group_id in self._removed
+                if version > base and group_id not in self._published
+            )
+        known.load_version = self._load_version
+        return view
+
+
+def _to_view(published: _PublishedGroup) -> GroupView:
+    return GroupView(
+        group=published.group,
+        serving=not published.reason,
+        reason=published.reason,
+    )
--- /dev/null
+++ b/tests/membership/test_table.py
@@ -0,0 +1,79 @@
+"""The host table of a control."""
+
+import math
+
+import pytest
+
+from chestnutvale.membership.hearing import Hearing
+from chestnutvale.membership.table import MembershipTable
+
+
+@pytest.fixture
+def pair():
+    return Hearing(), MembershipTable(detection_timeout_s=3.0)
+
+
+def test_freshness_counts_from_the_time_of_hearing(pair, announcement):
+    hearing, table = pair
+    hearing.announce(announcement(), 10.0)
+    table.merge("e1", hearing.drain_report(10.5), 110.5)
+    assert table.is_fresh("a", 113.0)
+    assert not table.is_fresh("a", 113.1)
+    assert table.next_deadline(111.0) == pytest.approx(113.0)
+    assert table.next_deadline(114.0) == math.inf
+
+
+def test_announcements_through_two_entries_out_of_order(pair, announcement):
+    first, table = pair
+    second = Hearing()
+    first.announce(announcement(sequence=1, leaving=False), 0.0)
+    second.announce(announcement(sequence=2, leaving=True), 0.1)
+    table.merge("e2", second.drain_report(0.2), 0.2)
+    assert table.merge("e1", first.drain_report(0.3), 0.3) == []
+    assert table.host("a").announcement.leaving
+    assert table.host("a").entry_id == "e2"
+
+
+def test_a_late_report_of_an_earlier_boot_changes_nothing(pair, announcement):
+    hearing, table = pair
+    hearing.announce(announcement(boot_id="one", sequence=7), 0.0)
+    late = hearing.drain_report(0.0)
+    table.merge("e1", late, 0.0)
+    hearing.announce(announcement(boot_id="two", sequence=1), 0.5)
+    table.merge("e1", hearing.drain_report(0.5), 0.5)
+    table.merge("e2", late, 0.6)
+    assert table.host("a").boot_id == "two"
+
+
+def test_a_lost_change_is_asked_for_and_completed(pair, announcement):
+    hearing, table = pair
+    hearing.announce(announcement(sequence=1), 0.0)
+    table.merge("e1", hearing.drain_report(0.0), 0.0)
+    hearing.announce(announcement(sequence=2, leaving=True), 1.0)
+    hearing.drain_report(1.0)
+    hearing.announce(announcement(sequence=3, leaving=True), 2.0)
+    table.merge("e1", hearing.drain_report(2.0), 2.0)
+    assert table.fresh_hosts(2.0) == []
+    assert table.wanted_hosts("e2") == []
+    hearing.mark_wanted(table.wanted_hosts("e1"))
+    assert table.merge("e1", hearing.drain_report(2.1), 2.1) == ["a"]
+    assert table.host("a").announcement.leaving
+    assert table.wanted_hosts("e1") == []
+
+
+def test_loss_of_an_entry_is_not_loss_of_its_hosts(announcement):
+    table = MembershipTable(detection_timeout_s=3.0)
+    entries = {name: Hearing() for name in ("e1", "e2", "e3")}
+    for second in range(20):
+        live = ["e1", "e2", "e3"] if second < 8 else ["e1", "e2"]
+        for host in range(6):
+            # The host gets no answer from a dead entry and calls again.
+            wish = ["e1", "e2", "e3"][(second + host) % 3]
+            name = wish if wish in live else live[host % 2]
+            said = announcement(host_id=f"h{host}", sequence=second + 1)
+            entries[name].announce(said, second)
+        for name in live:
+            table.merge(name, entries[name].drain_report(second), second)
+        assert len(table.fresh_hosts(second)) == 6
+    assert table.live_entries(19) == ["e1", "e2"]
+    assert table.known_entries() == ["e1", "e2", "e3"]
--- /dev/null
+++ b/tests/membership/test_views.py
@@ -0,0 +1,149 @@
+"""Views that a control publishes and an entry installs."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from chestnutvale.groups.state import GroupsState
+from chestnutvale.membership.entry_view import EntryView, InstallVerdict
+from chestnutvale.membership.hearing import Hearing
+from chestnutvale.membership.table import MembershipTable
+from chestnutvale.membership.views import ViewPublisher
+from chestnutvale.schema.configuration_pb2 import Text
+from chestnutvale.schema.groups_pb2 import Group, GroupMember, PutGroup
+from chestnutvale.schema.membership_pb2 import Holding, Load
+from chestnutvale.schema.peer_pb2 import EntryReport
+
+
+class Fixture:
+    """One control, one entry and a serving group of one host."""
+
+    def __init__(self, announcement):
+        self.make = announcement
+        self.hearing = Hearing()
+        self.table = MembershipTable(detection_timeout_s=3.0)
+        self.state = GroupsState()
+        self.publisher = ViewPublisher("life-1")
+        self.entry = EntryView(lease_s=2.0)
+        self.text = SimpleNamespace(text=Text(number=4))
+        self.sequence = 0
+        member = GroupMember(host_id="a", boot_id="boot-1", address="10.0.0.1:8000")
+        group = Group(group_id="g", service="s", members=[member], phase="forming")
+        self.epoch = self.state.put_group(PutGroup(group=group), 0).epoch
+        group.phase = "serving"
+        self.state.put_group(PutGroup(group=group, expected_epoch=self.epoch), 0)
+
+    def hear(self, now_s, **fields):
+        self.sequence += 1
+        holding = Holding(group_id="g", service="s", epoch=self.epoch, phase="ready")
+        fields = {"holding": holding, **fields}
+        self.hearing.announce(self.make(sequence=self.sequence, **fields), now_s)
+
+    def ask(self, nonce, now_s, term=1, publisher=None):
+        report = EntryReport(
+            reply_address="10.1.0.1:1",
+            nonce=nonce,
+            configuration_number=self.entry.number,
+            view_version=self.entry.version,
+            view_source=self.entry.source,
+            heard=self.hearing.drain_report(now_s),
+        )
+        self.entry.report_sent(nonce, now_s)
+        self.table.merge("e1", report.heard, now_s)
+        publisher = publisher or self.publisher
+        publisher.refresh(self.state, self.table, now_s)
+        return publisher.answer("e1", report, self.text, self.table, term, now_s)
+
+
+@pytest.fixture
+def fixture(announcement):
+    return Fixture(announcement)
+
+
+def test_the_lease_runs_from_the_sending_of_the_report(fixture):
+    fixture.hear(0.0)
+    view = fixture.ask(7, 0.0)
+    assert view.whole
+    assert fixture.entry.install(view, 1.9) is InstallVerdict.INSTALLED
+    assert [item.group.group_id for item in fixture.entry.serving_groups("s", 1.9)]
+    assert not fixture.entry.has_lease(2.0)
+    fixture.entry.install(view, 5.0)
+    assert not fixture.entry.has_lease(5.0)
+    view.nonce = 99
+    fixture.entry.install(view, 5.0)
+    assert not fixture.entry.has_lease(5.0)
+    assert fixture.entry.number == 4
+
+
+def test_a_push_withdraws_the_serving_right_but_extends_no_lease(fixture):
+    fixture.hear(0.0)
+    fixture.entry.install(fixture.ask(1, 0.0), 0.0)
+    fixture.entry.install(fixture.ask(2, 0.5), 0.5)
+    assert fixture.publisher.refresh(fixture.state, fixture.table, 3.1) == ["g"]
+    fixture.table.merge("e1", [], 3.1)
+    pushes = fixture.publisher.pushes(fixture.text, fixture.table, 1, 3.1)
+    assert [push.entry_id for push in pushes] == ["e1"]
+    fixture.entry.install(pushes[0].view, 3.1)
+    assert not fixture.entry.has_lease(3.1)
+    assert fixture.entry.group("g").reason == "member a is missing"
+
+
+def test_a_lower_version_installs_no_groups(fixture):
+    fixture.hear(0.0)
+    late = fixture.ask(1, 0.0)
+    fixture.hear(0.5, leaving=True)
+    fixture.entry.install(fixture.ask(2, 0.5), 0.5)
+    assert fixture.entry.install(late, 0.6) is InstallVerdict.OLD_VERSION
+    assert fixture.entry.serving_groups("s", 0.6) == []
+
+
+def test_a_deposed_leader_takes_nothing_back(fixture):
+    fixture.hear(0.0)
+    late = fixture.ask(1, 0.0)
+    fixture.hear(0.5, leaving=True)
+    successor = ViewPublisher("life-2")
+    fixture.entry.install(fixture.ask(2, 0.5, term=2, publisher=successor), 0.5)
+    assert fixture.entry.install(late, 0.6) is InstallVerdict.OLD_TERM
+    assert fixture.entry.serving_groups("s", 0.6) == []
+
+
+def test_changes_on_a_base_that_the_entry_lacks_are_refused(fixture):
+    fixture.hear(0.0)
+    fixture.entry.install(fixture.ask(1, 0.0), 0.0)
+    fixture.hear(0.5, leaving=True)
+    changes = fixture.ask(2, 0.5)
+    assert not changes.whole
+    restarted = EntryView(lease_s=2.0)
+    restarted.report_sent(2, 0.5)
+    assert restarted.install(changes, 0.6) is InstallVerdict.GAP
+    assert not restarted.has_lease(0.6)
+
+
+def test_no_lease_without_the_text_in_force(fixture):
+    fixture.hear(0.0)
+    view = fixture.ask(1, 0.0)
+    view.ClearField("text")
+    fixture.entry.install(view, 0.1)
+    assert not fixture.entry.has_lease(0.1)
+
+
+def test_a_view_holds_changes_and_changed_loads_only(fixture):
+    fixture.hear(0.0, load=Load(running=1))
+    fixture.entry.install(fixture.ask(1, 0.0), 0.0)
+    assert fixture.entry.load("g").running == 1
+    fixture.hear(0.5, load=Load(running=1))
+    view = fixture.ask(2, 0.5)
+    assert not view.groups and not view.loads and not view.HasField("text")
+    fixture.hear(1.0, load=Load(running=2))
+    fixture.entry.install(fixture.ask(3, 1.0), 1.0)
+    assert fixture.entry.load("g").running == 2
+
+
+def test_a_removed_group_vanishes(fixture):
+    fixture.hear(0.0)
+    fixture.entry.install(fixture.ask(1, 0.0), 0.0)
+    fixture.state.groups.clear()
+    view = fixture.ask(2, 0.5)
+    assert list(view.removed_group_ids) == ["g"]
+    fixture.entry.install(view, 0.5)
+    assert fixture.entry.groups() == []
