--- /dev/null
+++ b/chestnutvale/programs/control/const.py
@@ -0,0 +1,24 @@
+"""Constants of the control."""
+
+from typing import Final
+
+# Time in seconds between two rounds of decisions about groups.
+GROUP_ROUND_S: Final = 0.1
+# Time in seconds between two rounds of housekeeping.
+HOUSEKEEPING_ROUND_S: Final = 1.0
+# Longest time in seconds that a proposal of the control itself may take.
+PROPOSAL_TIMEOUT_S: Final = 3.0
+# Longest time in seconds that an entry's commit request is worked on.
+COMMIT_REQUEST_TIMEOUT_S: Final = 2.0
+# Commit requests worked on at once; more are not taken and are asked again.
+MAX_COMMIT_REQUESTS: Final = 2_000
+# Longest time in seconds that a host may take to answer an order.
+ORDER_CONNECT_TIMEOUT_S: Final = 1.0
+ORDER_READ_TIMEOUT_S: Final = 2.0
+MAX_ORDERS_AT_ONCE: Final = 64
+# Time in seconds after which the claims of a silent entry become unknown.
+ENTRY_LOST_AFTER_S: Final = 10.0
+# Time in seconds between two removals of expired claims.
+EXPIRY_ROUND_S: Final = 30.0
+
+PATH_ORDERS: Final = "/v1/orders"
--- /dev/null
+++ b/chestnutvale/programs/control/entry_desk.py
@@ -0,0 +1,189 @@
+"""Answer what entries report and commit what they ask for."""
+
+import attrs
+import eventlet
+import logbook
+
+from chestnutvale.clock import Clock
+from chestnutvale.consensus.exceptions import NotLeaderError, OutcomeUnknownError
+from chestnutvale.consensus.task import ConsensusTask
+from chestnutvale.membership.table import MembershipTable
+from chestnutvale.membership.views import Push, ViewPublisher
+from chestnutvale.programs.control.const import (
+    COMMIT_REQUEST_TIMEOUT_S,
+    MAX_COMMIT_REQUESTS,
+)
+from chestnutvale.programs.control.state import ControlState
+from chestnutvale.schema.peer_pb2 import (
+    CommitReply,
+    CommitRequest,
+    ControlView,
+    EntryReport,
+    Envelope,
+)
+from chestnutvale.transport.node import TransportNode
+
+_LOGGER = logbook.Logger(__name__)
+
+OUTCOME_COMMITTED = "committed"
+OUTCOME_NOT_LEADER = "not_leader"
+OUTCOME_UNKNOWN = "unknown"
+
+
+@attrs.define
+class KnownEntry:
+    """What the last report of an entry said.
+
+    Attributes
+    ----------
+    incarnation : str
+        Life of the entry that sent it.
+    number : int
+        Number of the text in force there.
+    seen_at_s : float
+        Monotonic time of the report.
+    draining : bool
+        Whether the entry is about to stop.
+    """
+
+    incarnation: str
+    number: int
+    seen_at_s: float
+    draining: bool = False
+
+
+class EntryDesk:
+    """Owns the host table and the views that entries get.
+
+    Parameters
+    ----------
+    transport : TransportNode
+        The process's peer sockets.
+    log : ConsensusTask
+        The replicated log.
+    state : ControlState
+        The replicated state.
+    table : MembershipTable
+        What entries heard of hosts.
+    publisher : ViewPublisher
+        Builds views.
+    clock : Clock
+        Source of time.
+
+    Attributes
+    ----------
+    entries : dict of str to KnownEntry
+        Last report of each entry.
+    """
+
+    def __init__(
+        self,
+        transport: TransportNode,
+        log: ConsensusTask,
+        state: ControlState,
+        table: MembershipTable,
+        publisher: ViewPublisher,
+        clock: Clock,
+    ) -> None:
+        self.entries: dict[str, KnownEntry] = {}
+        self._transport = transport
+        self._log = log
+        self._state = state
+        self._table = table
+        self._publisher = publisher
+        self._clock = clock
+        self._pushed_number = 0
+        self._commits = eventlet.GreenPool(MAX_COMMIT_REQUESTS)
+        transport.on("entry_report", self._receive_report)
+        transport.on("commit_request", self._receive_commit)
+
+    def publish_changes(self) -> None:
+        """Push views to the entries that lag behind a change."""
+        now_s = self._clock.now_s()
+        changed = self._publisher.refresh(self._state.groups, self._table, now_s)
+        if not self._log.has_lease(now_s):
+            return
+        number = self._state.configuration.number
+        source = self._state.configuration
+        if number != self._pushed_number:
+            self._pushed_number = number
+            pushes = self._publisher.push_text(
+                source, self._table, self._log.term, now_s
+            )
+            self._send_pushes(pushes)
+            return
+        if changed:
+            pushes = self._publisher.pushes(source, self._table, self._log.term, now_s)
+            self._send_pushes(pushes)
+
+    def _receive_report(self, envelope: Envelope) -> None:
+        report = envelope.entry_report
+        now_s = self._clock.now_s()
+        entry_id = envelope.sender_id
+        self._table.merge(entry_id, report.heard, now_s)
+        self.entries[entry_id] = KnownEntry(
+            incarnation=envelope.sender_incarnation,
+            number=report.configuration_number,
+            seen_at_s=now_s,
+            draining=report.draining,
+        )
+        if not self._log.is_leader or not self._log.has_lease(now_s):
+            return
+        self._answer(entry_id, report, now_s)
+
+    def _answer(self, entry_id: str, report: EntryReport, now_s: float) -> None:
+        self._publisher.refresh(self._state.groups, self._table, now_s)
+        view = self._publisher.answer(
+            entry_id,
+            report,
+            self._state.configuration,
+            self._table,
+            self._log.term,
+            now_s,
+        )
+        self._send_view(entry_id, report.reply_address, view)
+
+    def _send_pushes(self, pushes: list[Push]) -> None:
+        for push in pushes:
+            self._send_view(push.entry_id, push.reply_address, push.view)
+
+    def _send_view(self, entry_id: str, address: str, view: ControlView) -> None:
+        self._transport.send(entry_id, address, "control_view", view)
+
+    def _receive_commit(self, envelope: Envelope) -> None:
+        request = envelope.commit_request
+        if not self._log.is_leader:
+            self._reply(
+                envelope,
+                CommitReply(
+                    request_id=request.request_id,
+                    outcome=OUTCOME_NOT_LEADER,
+                    leader_id=self._log.leader_id,
+                ),
+            )
+            return
+        if self._commits.free() <= 0:
+            # The entry asks again; queueing more here would only add delay.
+            return
+        self._commits.spawn_n(self._commit, envelope)
+
+    def _commit(self, envelope: Envelope) -> None:
+        request: CommitRequest = envelope.commit_request
+        reply = CommitReply(request_id=request.request_id)
+        request.command.proposed_at_unix_ms = self._clock.unix_ms()
+        deadline_s = self._clock.now_s() + COMMIT_REQUEST_TIMEOUT_S
+        try:
+            result = self._log.propose(request.command, deadline_s)
+        except NotLeaderError as error:
+            reply.outcome = OUTCOME_NOT_LEADER
+            reply.leader_id = error.leader_id
+        except OutcomeUnknownError:
+            reply.outcome = OUTCOME_UNKNOWN
+        else:
+            reply.outcome = OUTCOME_COMMITTED
+            reply.result.CopyFrom(result)
+        self._reply(envelope, reply)
+
+    def _reply(self, envelope: Envelope, reply: CommitReply) -> None:
+        address = envelope.commit_request.reply_address
+        self._transport.send(envelope.sender_id, address, "commit_reply", reply)
--- /dev/null
+++ b/chestnutvale/programs/control/group_task.py
@@ -0,0 +1,118 @@
+"""The task that carries out what the group coordinator decides."""
+
+import eventlet
+import logbook
+
+from chestnutvale.clock import Clock
+from chestnutvale.consensus.exceptions import NotLeaderError, OutcomeUnknownError
+from chestnutvale.consensus.task import ConsensusTask
+from chestnutvale.groups.coordinator import GroupCoordinator, ProposeCommand
+from chestnutvale.groups.orders import SendOrder
+from chestnutvale.membership.table import MembershipTable
+from chestnutvale.programs.control.const import (
+    GROUP_ROUND_S,
+    MAX_ORDERS_AT_ONCE,
+    PROPOSAL_TIMEOUT_S,
+)
+from chestnutvale.programs.control.entry_desk import EntryDesk
+from chestnutvale.programs.control.order_sender import OrderSender
+from chestnutvale.programs.control.state import ControlState
+
+_LOGGER = logbook.Logger(__name__)
+
+
+class GroupTask:
+    """Runs one round of decisions after another; owns the coordinator.
+
+    Parameters
+    ----------
+    log : ConsensusTask
+        The replicated log.
+    state : ControlState
+        The replicated state.
+    table : MembershipTable
+        What entries heard of hosts.
+    coordinator : GroupCoordinator
+        The decisions.
+    desk : EntryDesk
+        Publishes what changed.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(
+        self,
+        log: ConsensusTask,
+        state: ControlState,
+        table: MembershipTable,
+        coordinator: GroupCoordinator,
+        desk: EntryDesk,
+        clock: Clock,
+    ) -> None:
+        self._log = log
+        self._state = state
+        self._table = table
+        self._coordinator = coordinator
+        self._desk = desk
+        self._clock = clock
+        self._sender = OrderSender(clock)
+        self._orders = eventlet.GreenPool(MAX_ORDERS_AT_ONCE)
+        self._led_term = 0
+
+    def run(self) -> None:
+        """Decide for ever; ended by killing the task."""
+        while True:
+            try:
+                self._run_round()
+            except Exception:
+                # The next round starts from the state again, so one failure must not
+                # end all decisions about groups.
+                _LOGGER.exception("A round of decisions about groups failed")
+            eventlet.sleep(GROUP_ROUND_S)
+
+    def _run_round(self) -> None:
+        now_s = self._clock.now_s()
+        self._table.forget_silent(now_s)
+        self._desk.publish_changes()
+        self._follow_leadership(now_s)
+        if not self._log.is_leader:
+            return
+        effects = self._coordinator.tick(
+            now_s,
+            self._state.groups,
+            self._table,
+            self._state.configuration.text,
+            self._log.has_lease(now_s),
+            self._clock.unix_ms(),
+        )
+        proposals = []
+        for effect in effects:
+            if isinstance(effect, SendOrder):
+                self._orders.spawn_n(self._send_order, effect)
+            else:
+                proposals.append(eventlet.spawn(self._propose, effect))
+        for proposal in proposals:
+            # The next round decides on a state that includes this one's commands.
+            proposal.wait()
+
+    def _follow_leadership(self, now_s: float) -> None:
+        term = self._log.term if self._log.is_leader else 0
+        if term == self._led_term:
+            return
+        if self._led_term:
+            self._coordinator.lost_leadership()
+        if term:
+            self._coordinator.became_leader(now_s)
+        self._led_term = term
+
+    def _propose(self, effect: ProposeCommand) -> None:
+        try:
+            self._log.propose(effect.command, self._clock.now_s() + PROPOSAL_TIMEOUT_S)
+        except (NotLeaderError, OutcomeUnknownError) as error:
+            _LOGGER.info("A command about groups was not confirmed: {}", error)
+
+    def _send_order(self, effect: SendOrder) -> None:
+        outcome = self._sender.send(effect)
+        self._coordinator.order_answered(
+            effect.host_id, effect.order.order_id, outcome, self._clock.now_s()
+        )
--- /dev/null
+++ b/chestnutvale/programs/control/state.py
@@ -0,0 +1,92 @@
+"""The replicated state machine that every control builds from the log."""
+
+from chestnutvale.configuration.state import ConfigurationState
+from chestnutvale.groups.state import GroupsState
+from chestnutvale.ledger.state import LedgerState
+from chestnutvale.schema.command_pb2 import Command, CommandResult, StateSnapshot
+
+
+class ControlState:
+    """Configuration, groups and ledger, changed only by committed commands.
+
+    Attributes
+    ----------
+    configuration : ConfigurationState
+        The text in force.
+    groups : GroupsState
+        Groups, their members and epochs.
+    ledger : LedgerState
+        Claims and outcomes of calls that may not be repeated.
+    applied_index : int
+        Index of the last command applied.
+    """
+
+    def __init__(self) -> None:
+        self.configuration = ConfigurationState()
+        self.groups = GroupsState()
+        self.ledger = LedgerState()
+        self.applied_index = 0
+
+    def apply(self, index: int, command: Command) -> CommandResult:
+        """Apply one committed command.
+
+        Parameters
+        ----------
+        index : int
+            Its index in the log.
+        command : Command
+            The command.
+
+        Returns
+        -------
+        CommandResult
+            What the command's room answers; empty for an unknown command.
+        """
+        self.applied_index = index
+        at_unix_ms = command.proposed_at_unix_ms
+        body = command.WhichOneof("body")
+        result = CommandResult()
+        match body:
+            case "apply_text":
+                answer = self.configuration.apply_text(command.apply_text, at_unix_ms)
+                result.apply_text.CopyFrom(answer)
+            case "put_group" | "remove_group" | "drain_host":
+                apply = getattr(self.groups, body)
+                result.group.CopyFrom(apply(getattr(command, body), at_unix_ms))
+            case (
+                "claim"
+                | "record_outcome"
+                | "release_claim"
+                | "abandon_claims"
+                | "expire_claims"
+            ):
+                apply = getattr(self.ledger, body)
+                result.claim.CopyFrom(apply(getattr(command, body), at_unix_ms))
+        return result
+
+    def snapshot(self) -> bytes:
+        """Return the whole state.
+
+        Returns
+        -------
+        bytes
+            A serialized ``StateSnapshot``.
+        """
+        return StateSnapshot(
+            configuration=self.configuration.to_snapshot(),
+            groups=self.groups.to_snapshot(),
+            ledger=self.ledger.to_snapshot(),
+        ).SerializeToString(deterministic=True)
+
+    def restore(self, data: bytes) -> None:
+        """Replace the whole state.
+
+        Parameters
+        ----------
+        data : bytes
+            A serialized ``StateSnapshot``.
+        """
+        snapshot = StateSnapshot.FromString(data)
+        self.configuration = ConfigurationState.from_snapshot(snapshot.configuration)
+        self.groups = GroupsState.from_snapshot(snapshot.groups)
+        self.ledger = LedgerState.from_snapshot(snapshot.ledger)
--- /dev/null
+++ b/chestnutvale/programs/entry/commits.py
@@ -0,0 +1,154 @@
+"""Ask the leading control to commit a command, from an entry."""
+
+import itertools
+
+import attrs
+import eventlet
+from eventlet.event import Event
+
+from chestnutvale.clock import Clock
+from chestnutvale.consensus.exceptions import OutcomeUnknownError
+from chestnutvale.programs.entry.const import COMMIT_RESEND_MS
+from chestnutvale.schema.command_pb2 import Command, CommandResult
+from chestnutvale.schema.peer_pb2 import CommitReply, CommitRequest, Envelope
+from chestnutvale.schema.settings_pb2 import PeerAddress
+from chestnutvale.transport.node import TransportNode
+
+OUTCOME_COMMITTED = "committed"
+
+
+@attrs.define
+class PendingCommit:
+    """A command that waits for its answer.
+
+    Attributes
+    ----------
+    request : CommitRequest
+        What was asked.
+    answered : Event
+        Fires with the committed result.
+    target_index : int
+        Position in the list of controls that is asked next.
+    """
+
+    request: CommitRequest
+    answered: Event = attrs.field(factory=Event)
+    target_index: int = 0
+
+
+class CommitClient:
+    """Sends commands to the leading control until one is answered.
+
+    Every command of an entry is idempotent (claims carry their own identity), so a
+    command whose answer is late is simply sent again, to the next control if the
+    known leader is silent.
+
+    Parameters
+    ----------
+    transport : TransportNode
+        The process's peer sockets.
+    controls : list of PeerAddress
+        All controls of the region.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(
+        self, transport: TransportNode, controls: list[PeerAddress], clock: Clock
+    ) -> None:
+        self._transport = transport
+        self._controls = controls
+        self._clock = clock
+        self._ids = itertools.count(1)
+        self._pending: dict[int, PendingCommit] = {}
+        self._leader_index = 0
+        transport.on("commit_reply", self._receive_reply)
+
+    def set_leader(self, control_id: str) -> None:
+        """Remember which control answers as the leader.
+
+        Parameters
+        ----------
+        control_id : str
+            Identity of the control; an unknown one is ignored.
+        """
+        for index, control in enumerate(self._controls):
+            if control.id == control_id:
+                self._leader_index = index
+
+    def commit(self, command: Command, deadline_s: float) -> CommandResult:
+        """Have a command committed; blocks the calling task.
+
+        Parameters
+        ----------
+        command : Command
+            An idempotent command.
+        deadline_s : float
+            Monotonic time in seconds after which the caller gives up.
+
+        Returns
+        -------
+        CommandResult
+            The answer of the replicated state.
+
+        Raises
+        ------
+        OutcomeUnknownError
+            If no control answered in time; the command may still be committed.
+        """
+        request = CommitRequest(
+            request_id=next(self._ids),
+            reply_address=self._transport.address,
+            command=command,
+        )
+        pending = PendingCommit(request, target_index=self._leader_index)
+        self._pending[request.request_id] = pending
+        try:
+            return self._send_until_answered(pending, deadline_s)
+        finally:
+            del self._pending[request.request_id]
+
+    def _send_until_answered(
+        self, pending: PendingCommit, deadline_s: float
+    ) -> CommandResult:
+        while True:
+            wait_s = min(COMMIT_RESEND_MS / 1_000, deadline_s - self._clock.now_s())
+            if wait_s <= 0:
+                raise OutcomeUnknownError(
+                    "no control answered in time", step="commit", peer="control"
+                )
+            self._send(pending)
+            with eventlet.Timeout(wait_s, False):
+                return pending.answered.wait()
+            pending.target_index = (pending.target_index + 1) % len(self._controls)
+
+    def _send(self, pending: PendingCommit) -> None:
+        control = self._controls[pending.target_index]
+        self._transport.send(
+            control.id,
+            control.address,
+            "commit_request",
+            pending.request,
+            expiry_ms=COMMIT_RESEND_MS,
+        )
+
+    def _receive_reply(self, envelope: Envelope) -> None:
+        reply: CommitReply = envelope.commit_reply
+        pending = self._pending.get(reply.request_id)
+        if pending is None or pending.answered.ready():
+            return
+        if reply.outcome == OUTCOME_COMMITTED:
+            self.set_leader(envelope.sender_id)
+            pending.answered.send(reply.result)
+            return
+        self._follow_leader(pending, reply.leader_id)
+
+    def _follow_leader(self, pending: PendingCommit, leader_id: str) -> None:
+        # Without a known leader the resend timer tries the next control; asking at
+        # once would turn an election into a storm of requests.
+        for index, control in enumerate(self._controls):
+            if control.id == leader_id and index != pending.target_index:
+                pending.target_index = index
+                self._leader_index = index
+                self._send(pending)
+                return
--- /dev/null
+++ b/chestnutvale/programs/entry/const.py
@@ -0,0 +1,15 @@
+"""Constants of the entry."""
+
+from typing import Final
+
+# Waits in milliseconds before a commit request is sent again.
+COMMIT_RESEND_MS: Final = 400
+# Shortest time in milliseconds between two reports that news brings forward.
+MIN_REPORT_INTERVAL_MS: Final = 20
+# Time in milliseconds for which a report is worth delivering.
+REPORT_EXPIRY_MS: Final = 1_500
+
+PATH_ANNOUNCEMENTS: Final = "/endpoint/v1/announcements"
+PATH_CHAT: Final = "/v1/chat/completions"
+PATH_COMPLETIONS: Final = "/v1/completions"
+PREFIX_SERVICES: Final = "/services/"
