Add the HTTP server with limits and a graceful stop

Cause: eventlet.wsgi bounds neither bodies, connections nor slow clients. Change: http_server/HttpServer wraps it: bodies (length and chunked), header bytes, connections, one deadline for a whole request head and one for a body, stop with a deadline that reports what it cut. Problem is the one form of application/problem+json answers. Found on the way: eventlet.listen shares a port silently (reuse_port), its size line of a chunk is read without bound, an unread endless body is read for ever, and a lingering close bounded by time alone reads for ever when data is always there. Each has a test. Not covered: two clients' pipelining past a refusal; negative chunk sizes.

--- /dev/null
+++ b/chestnutvale/http_server/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP server of both daemons: limits, problem answers, graceful shutdown."""
--- /dev/null
+++ b/chestnutvale/http_server/body.py
@@ -0,0 +1,170 @@
+"""Reading request bodies within limits."""
+
+from typing import Any
+
+import eventlet
+
+from chestnutvale.clock import Clock
+from chestnutvale.http_server.const import (
+    MAX_CHUNK_LINE_BYTES,
+    REFUSED_BAD_BODY,
+    REFUSED_BODY,
+    REFUSED_SLOW_BODY,
+)
+from chestnutvale.http_server.exceptions import HttpRequestError
+
+
+class BoundedLineReader:
+    """A binary reader whose lines are bounded.
+
+    eventlet reads the size line of a chunk without a limit.
+
+    Parameters
+    ----------
+    reader : binary file
+        The reader.
+    """
+
+    def __init__(self, reader: Any) -> None:
+        self._reader = reader
+
+    def read(self, size: int = -1) -> bytes:
+        """Read up to a number of bytes.
+
+        Parameters
+        ----------
+        size : int, optional
+            The number of bytes.
+
+        Returns
+        -------
+        bytes
+            What was read.
+        """
+        return self._reader.read(size)
+
+    def readline(self, size: int = -1) -> bytes:
+        """Read a line.
+
+        Parameters
+        ----------
+        size : int, optional
+            Largest number of bytes; the bound applies if it is negative.
+
+        Returns
+        -------
+        bytes
+            The line.
+
+        Raises
+        ------
+        HttpRequestError
+            If the line is too long.
+        """
+        if size >= 0:
+            return self._reader.readline(size)
+        line = self._reader.readline(MAX_CHUNK_LINE_BYTES)
+        if len(line) >= MAX_CHUNK_LINE_BYTES:
+            raise HttpRequestError(400, REFUSED_BAD_BODY, "a chunk's line is too long")
+        return line
+
+
+class LimitedInput:
+    """The body of one request, with a limit on its size and a deadline.
+
+    Parameters
+    ----------
+    source : object
+        ``wsgi.input`` of the request.
+    max_bytes : int
+        Largest body in bytes.
+    deadline_s : float
+        Monotonic time by which the whole body must have arrived.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(
+        self, source: Any, max_bytes: int, deadline_s: float, clock: Clock
+    ) -> None:
+        self._source = source
+        self._max_bytes = max_bytes
+        self._deadline_s = deadline_s
+        self._clock = clock
+        self._read_bytes = 0
+
+    def read(self, size: int | None = None) -> bytes:
+        """Read from the body.
+
+        Parameters
+        ----------
+        size : int, optional
+            Largest number of bytes; everything if left out or negative.
+
+        Returns
+        -------
+        bytes
+            What was read; empty at the end.
+
+        Raises
+        ------
+        HttpRequestError
+            If the body is too large, too slow or malformed.
+        """
+        return self._limited(self._source.read, size)
+
+    def readline(self, size: int | None = None) -> bytes:
+        """Read a line of the body.
+
+        Parameters
+        ----------
+        size : int, optional
+            Largest number of bytes.
+
+        Returns
+        -------
+        bytes
+            The line.
+
+        Raises
+        ------
+        HttpRequestError
+            If the body is too large, too slow or malformed.
+        """
+        return self._limited(self._source.readline, size)
+
+    def __iter__(self) -> "LimitedInput":
+        """Return itself; iteration gives lines."""
+        return self
+
+    def __next__(self) -> bytes:
+        """Return the next line."""
+        line = self.readline()
+        if not line:
+            raise StopIteration
+        return line
+
+    def _limited(self, reader: Any, size: int | None) -> bytes:
+        # One byte more than allowed is enough to tell that there are too many.
+        allowed = self._max_bytes - self._read_bytes + 1
+        wanted = allowed if size is None or size < 0 else min(size, allowed)
+        data = self._read_in_time(reader, wanted)
+        self._read_bytes += len(data)
+        if self._read_bytes > self._max_bytes:
+            raise HttpRequestError(
+                413, REFUSED_BODY, f"the body is larger than {self._max_bytes} bytes"
+            )
+        return data
+
+    def _read_in_time(self, reader: Any, size: int) -> bytes:
+        remaining_s = max(self._deadline_s - self._clock.now_s(), 0)
+        too_slow = HttpRequestError(
+            408, REFUSED_SLOW_BODY, "the body did not arrive in time"
+        )
+        try:
+            with eventlet.Timeout(remaining_s, too_slow):
+                return reader(size)
+        except TimeoutError as error:
+            raise too_slow from error
+        except (OSError, ValueError) as error:
+            raise HttpRequestError(400, REFUSED_BAD_BODY, str(error)) from error
--- /dev/null
+++ b/chestnutvale/http_server/connections.py
@@ -0,0 +1,120 @@
+"""The tasks of a server's connections, with a limit on their count."""
+
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+import eventlet
+import logbook
+from eventlet.greenthread import GreenThread
+
+from chestnutvale.http_server.const import (
+    MAX_LINGERING_CONNECTIONS,
+    OUTCOME_NOT_RUN,
+    OVERLOAD_RETRY_AFTER_S,
+    REFUSED_CONNECTION,
+    STEP_RECEIVE,
+)
+from chestnutvale.http_server.problem import Problem
+from chestnutvale.http_server.protocol import linger
+
+_LOGGER = logbook.Logger(__name__)
+
+_OVERLOADED = Problem(
+    status=503,
+    code=REFUSED_CONNECTION,
+    detail="too many connections are open",
+    outcome=OUTCOME_NOT_RUN,
+    step=STEP_RECEIVE,
+    retry_after_s=OVERLOAD_RETRY_AFTER_S,
+)
+
+
+def _make_answer(problem: Problem) -> bytes:
+    body = problem.body()
+    headers = [
+        *problem.headers(),
+        ("Content-Length", str(len(body))),
+        ("Connection", "close"),
+    ]
+    lines = [f"HTTP/1.1 {problem.status_line}"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+
+class ConnectionTasks:
+    """Starts a task a connection and refuses connections beyond the limit.
+
+    It has the methods that `eventlet.wsgi.server` asks of a pool.
+
+    Parameters
+    ----------
+    max_connections : int
+        Largest count of connections at a time.
+
+    Attributes
+    ----------
+    refused : Counter
+        Refused connections by reason.
+    """
+
+    def __init__(self, max_connections: int) -> None:
+        self.refused: Counter[str] = Counter()
+        self._max_connections = max_connections
+        self._tasks: set[GreenThread] = set()
+        self._lingering = 0
+        self._answer = _make_answer(_OVERLOADED)
+
+    def __len__(self) -> int:
+        """Return the count of open connections."""
+        return len(self._tasks)
+
+    def spawn(self, serve: Callable[[Any], None], connection: Any) -> GreenThread:
+        """Start the task of a connection.
+
+        Parameters
+        ----------
+        serve : callable
+            Serves the connection until it closes.
+        connection : list
+            eventlet's record of it: address, socket and state.
+
+        Returns
+        -------
+        GreenThread
+            The task.
+        """
+        if len(self._tasks) >= self._max_connections:
+            self.refused[REFUSED_CONNECTION] += 1
+            return eventlet.spawn(self._refuse, connection[1])
+        task = eventlet.spawn(self._serve, serve, connection)
+        self._tasks.add(task)
+        task.link(self._tasks.discard)
+        return task
+
+    def waitall(self) -> None:
+        """Return at once; `HttpServer.stop` waits with a deadline."""
+
+    def kill_all(self) -> None:
+        """End the tasks that are left."""
+        for task in tuple(self._tasks):
+            task.kill()
+
+    def _serve(self, serve: Callable[[Any], None], connection: Any) -> None:
+        try:
+            serve(connection)
+        except Exception as error:
+            # A client's broken connection must not end anything else.
+            _LOGGER.debug("Connection of {} failed: {!r}", connection[0], error)
+
+    def _refuse(self, client: Any) -> None:
+        if self._lingering >= MAX_LINGERING_CONNECTIONS:
+            return
+        self._lingering += 1
+        try:
+            client.sendall(self._answer)
+            linger(client)
+        except OSError as error:
+            _LOGGER.debug("Refused client has gone: {!r}", error)
+        finally:
+            self._lingering -= 1
--- /dev/null
+++ b/chestnutvale/http_server/limits.py
@@ -0,0 +1,107 @@
+"""The WSGI layer that refuses requests beyond the limits."""
+
+from collections import Counter
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from chestnutvale.clock import Clock
+from chestnutvale.http_server.body import LimitedInput
+from chestnutvale.http_server.const import (
+    ENVIRON_CLOSE,
+    OUTCOME_NOT_RUN,
+    REFUSED_BODY,
+    REFUSED_HEADERS,
+)
+from chestnutvale.http_server.exceptions import HttpRequestError
+from chestnutvale.http_server.problem import Problem
+from chestnutvale.schema.settings_pb2 import HttpLimits
+
+WsgiApp = Callable[[dict[str, Any], Any], Iterable[bytes]]
+
+
+class LimitedApp:
+    """A WSGI application behind limits on headers and bodies.
+
+    Parameters
+    ----------
+    app : WSGI application
+        The application.
+    limits : HttpLimits
+        The limits.
+    clock : Clock
+        Source of time.
+
+    Attributes
+    ----------
+    draining : bool
+        True tells clients to open no further request on their connection.
+    running_requests : int
+        Requests whose answer is not finished.
+    refused : Counter
+        Refused requests by reason.
+    """
+
+    def __init__(self, app: WsgiApp, limits: HttpLimits, clock: Clock) -> None:
+        self.draining = False
+        self.running_requests = 0
+        self.refused: Counter[str] = Counter()
+        self._app = app
+        self._limits = limits
+        self._clock = clock
+
+    def __call__(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
+        """Answer one request."""
+        if self.draining:
+            environ[ENVIRON_CLOSE]()
+        self.running_requests += 1
+        environ["eventlet.posthooks"].append((self._finish, (), {}))
+        try:
+            self._check_head(environ)
+            environ["wsgi.input"] = self._limit_body(environ)
+            return self._app(environ, start_response)
+        except HttpRequestError as error:
+            return self._refuse(error, environ, start_response)
+
+    def _finish(self, environ: dict[str, Any]) -> None:
+        self.running_requests -= 1
+
+    def _check_head(self, environ: dict[str, Any]) -> None:
+        headers = environ["headers_raw"]
+        size = sum(len(name) + len(value) for name, value in headers)
+        if size > self._limits.max_header_bytes:
+            raise HttpRequestError(
+                431,
+                REFUSED_HEADERS,
+                f"the headers are larger than {self._limits.max_header_bytes} bytes",
+            )
+        if int(environ.get("CONTENT_LENGTH") or 0) > self._limits.max_body_bytes:
+            raise HttpRequestError(
+                413,
+                REFUSED_BODY,
+                f"the body is larger than {self._limits.max_body_bytes} bytes",
+            )
+
+    def _limit_body(self, environ: dict[str, Any]) -> LimitedInput:
+        deadline_s = self._clock.now_s() + self._limits.idle_timeout_ms / 1000
+        return LimitedInput(
+            environ["wsgi.input"],
+            self._limits.max_body_bytes,
+            deadline_s,
+            self._clock,
+        )
+
+    def _refuse(
+        self, error: HttpRequestError, environ: dict[str, Any], start_response: Any
+    ) -> list[bytes]:
+        self.refused[error.reason] += 1
+        # What is left of the body can't be told from a next request.
+        environ[ENVIRON_CLOSE]()
+        problem = Problem(
+            status=error.status,
+            code=error.reason,
+            detail=error.message,
+            outcome=OUTCOME_NOT_RUN,
+            step=error.step,
+            peer=environ.get("REMOTE_ADDR", ""),
+        )
+        return problem.respond(start_response)
--- /dev/null
+++ b/chestnutvale/http_server/problem.py
@@ -0,0 +1,99 @@
+"""Failures as ``application/problem+json`` (RFC 9457)."""
+
+import json
+import math
+from http import HTTPStatus
+from typing import Any
+
+import attrs
+
+from chestnutvale.http_server.const import CONTENT_TYPE_PROBLEM
+
+
+@attrs.frozen
+class Problem:
+    """The answer to a request that failed.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status.
+    code : str
+        Stable code of the failure.
+    detail : str
+        What went wrong, in a sentence.
+    outcome : str
+        ``"not_run"``, ``"unknown"`` or ``"failed"``; empty where it doesn't apply.
+    step : str
+        The step that failed.
+    peer : str
+        The other side of that step.
+    retry_after_s : float or None
+        Seconds after which trying again makes sense; None if it does not.
+    extra : dict
+        Further members of the answer.
+    """
+
+    status: int
+    code: str
+    detail: str
+    outcome: str = ""
+    step: str = ""
+    peer: str = ""
+    retry_after_s: float | None = None
+    extra: dict[str, Any] = attrs.field(factory=dict)
+
+    @property
+    def status_line(self) -> str:
+        """Status and phrase as WSGI wants them."""
+        return f"{self.status} {HTTPStatus(self.status).phrase}"
+
+    def headers(self) -> list[tuple[str, str]]:
+        """Return the headers of the answer.
+
+        Returns
+        -------
+        list of tuple of (str, str)
+            Names and values.
+        """
+        headers = [("Content-Type", CONTENT_TYPE_PROBLEM)]
+        if self.retry_after_s is not None:
+            seconds = max(1, math.ceil(self.retry_after_s))
+            headers.append(("Retry-After", str(seconds)))
+        return headers
+
+    def body(self) -> bytes:
+        """Return the body of the answer.
+
+        Returns
+        -------
+        bytes
+            One JSON object.
+        """
+        members = {
+            "type": "about:blank",
+            "title": HTTPStatus(self.status).phrase,
+            "status": self.status,
+            "code": self.code,
+            "detail": self.detail,
+            "outcome": self.outcome,
+            "step": self.step,
+            "peer": self.peer,
+        }
+        return json.dumps({**members, **self.extra}).encode()
+
+    def respond(self, start_response: Any) -> list[bytes]:
+        """Answer a WSGI request.
+
+        Parameters
+        ----------
+        start_response : callable
+            As WSGI defines it.
+
+        Returns
+        -------
+        list of bytes
+            The body.
+        """
+        start_response(self.status_line, self.headers())
+        return [self.body()]
--- /dev/null
+++ b/chestnutvale/http_server/protocol.py
@@ -0,0 +1,102 @@
+"""One HTTP connection: eventlet's protocol with a deadline on request heads."""
+
+from typing import Any
+
+import eventlet
+from eventlet import wsgi
+
+from chestnutvale.http_server.body import BoundedLineReader
+from chestnutvale.http_server.const import (
+    ENVIRON_CLOSE,
+    LINGER_READ_BYTES,
+    LINGER_S,
+    MAX_DISCARDED_BYTES,
+    MAX_LINGER_BYTES,
+)
+
+
+def linger(connection: Any) -> None:
+    """End the answer and read what still comes, so that the client sees it whole.
+
+    Closing a socket that holds unread data resets it, and the client may lose an
+    answer that it has not read yet.
+
+    Parameters
+    ----------
+    connection : GreenSocket
+        The connection.
+    """
+    with eventlet.Timeout(LINGER_S, False):
+        try:
+            connection.shutdown(eventlet.green.socket.SHUT_WR)
+            _read_and_forget(connection)
+        except OSError:
+            return
+
+
+def _read_and_forget(connection: Any) -> None:
+    remaining = MAX_LINGER_BYTES
+    while remaining > 0:
+        data = connection.recv(LINGER_READ_BYTES)
+        if not data:
+            return
+        remaining -= len(data)
+
+
+class LimitedProtocol(wsgi.HttpProtocol):
+    """Reads the requests of one connection.
+
+    The whole head of a request must arrive within ``server.socket_timeout`` seconds
+    of the last answer, however slowly its bytes come.
+    """
+
+    def setup(self) -> None:
+        """Prepare the connection."""
+        self._head_timer: eventlet.Timeout | None = None
+        self._linger = False
+        super().setup()
+
+    def handle_one_request(self) -> None:
+        """Read one request and answer it."""
+        self._head_timer = eventlet.Timeout(
+            self.server.socket_timeout, TimeoutError("the request's head is too slow")
+        )
+        try:
+            super().handle_one_request()
+        finally:
+            self._head_timer.cancel()
+
+    def get_environ(self) -> dict[str, Any]:
+        """Return the WSGI environment of a request whose head has arrived.
+
+        Returns
+        -------
+        dict
+            The environment.
+        """
+        self._head_timer.cancel()
+        environ = super().get_environ()
+        source = environ["eventlet.input"]
+        source.rfile = BoundedLineReader(source.rfile)
+        source.discard = lambda: self._discard(source)
+        environ[ENVIRON_CLOSE] = self._close_after_answer
+        return environ
+
+    def finish(self) -> None:
+        """End the connection."""
+        if self._linger:
+            linger(self.connection)
+        super().finish()
+
+    def _close_after_answer(self) -> None:
+        self.close_connection = True
+        self._linger = True
+
+    def _discard(self, source: wsgi.Input) -> None:
+        remaining = MAX_DISCARDED_BYTES
+        while remaining > 0:
+            data = source.read(min(remaining, LINGER_READ_BYTES))
+            if not data:
+                return
+            remaining -= len(data)
+        self._close_after_answer()
--- /dev/null
+++ b/chestnutvale/http_server/server.py
@@ -0,0 +1,162 @@
+"""The HTTP server of a daemon."""
+
+from collections import Counter
+from types import TracebackType
+from typing import Any, Self
+
+import eventlet
+import logbook
+from eventlet import wsgi
+
+from chestnutvale.clock import Clock, SystemClock
+from chestnutvale.http_server.connections import ConnectionTasks
+from chestnutvale.http_server.const import (
+    BACKLOG_CONNECTIONS,
+    MINIMUM_CHUNK_BYTES,
+    STOP_POLL_S,
+)
+from chestnutvale.http_server.exceptions import HttpListenError
+from chestnutvale.http_server.limits import LimitedApp, WsgiApp
+from chestnutvale.http_server.protocol import LimitedProtocol
+from chestnutvale.schema.settings_pb2 import HttpLimits
+
+_LOGGER = logbook.Logger(__name__)
+
+
+class _ServerLog:
+    """Takes eventlet's lines; its access lines are empty and dropped."""
+
+    def info(self, message: str, *arguments: Any) -> None:
+        if message.startswith("Traceback"):
+            _LOGGER.error("Request failed: {}", message)
+
+    def debug(self, message: str, *arguments: Any) -> None:
+        _LOGGER.debug("{}", message)
+
+    def error(self, message: str, *arguments: Any) -> None:
+        _LOGGER.debug("{}", message)
+
+
+class HttpServer:
+    """Serves a WSGI application on one address; a context manager.
+
+    Leaving the context stops it at once. For a graceful shutdown, call
+    `begin_drain` while the balancer still sends calls, then `stop` with a deadline.
+
+    Parameters
+    ----------
+    app : WSGI application
+        The application.
+    address : str
+        IP number and port.
+    limits : HttpLimits
+        Limits on bodies, headers, connections and slow clients.
+    clock : Clock, optional
+        Source of time.
+    """
+
+    def __init__(
+        self,
+        app: WsgiApp,
+        address: str,
+        limits: HttpLimits,
+        clock: Clock | None = None,
+    ) -> None:
+        self.address = address
+        self._limits = limits
+        self._clock = clock or SystemClock()
+        self._app = LimitedApp(app, limits, self._clock)
+        self._connections = ConnectionTasks(limits.max_connections)
+        self._socket: Any = None
+        self._task: eventlet.greenthread.GreenThread | None = None
+
+    @property
+    def running_requests(self) -> int:
+        """Requests whose answer is not finished."""
+        return self._app.running_requests
+
+    @property
+    def open_connections(self) -> int:
+        """Connections that are open."""
+        return len(self._connections)
+
+    @property
+    def refused(self) -> Counter[str]:
+        """Refused requests and connections by reason."""
+        return self._app.refused + self._connections.refused
+
+    def __enter__(self) -> Self:
+        """Listen and start to accept connections."""
+        host, _, port = self.address.rpartition(":")
+        host = host.strip("[]")
+        family = (
+            eventlet.green.socket.AF_INET6
+            if ":" in host
+            else eventlet.green.socket.AF_INET
+        )
+        try:
+            # A shared port would hide a second process with the same settings.
+            self._socket = eventlet.listen(
+                (host, int(port)),
+                family=family,
+                backlog=BACKLOG_CONNECTIONS,
+                reuse_port=False,
+            )
+        except OSError as error:
+            raise HttpListenError(
+                f"cannot listen: {error}", step="listen", peer=self.address
+            ) from error
+        self._task = eventlet.spawn(self._accept)
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Stop at once, if `stop` was not called before."""
+        self.stop(self._clock.now_s())
+
+    def begin_drain(self) -> None:
+        """Ask each client to close its connection after the next answer."""
+        self._app.draining = True
+
+    def stop(self, deadline_s: float) -> int:
+        """Stop to accept, wait for running requests and close everything.
+
+        Parameters
+        ----------
+        deadline_s : float
+            Monotonic time at which requests still running are cut.
+
+        Returns
+        -------
+        int
+            Requests that were cut.
+        """
+        self.begin_drain()
+        if self._task is not None:
+            self._task.kill()
+            self._task = None
+        while self.running_requests and self._clock.now_s() < deadline_s:
+            eventlet.sleep(STOP_POLL_S)
+        cut = self.running_requests
+        if cut:
+            _LOGGER.warning("Cut {} running requests at {}", cut, self.address)
+        self._connections.kill_all()
+        return cut
+
+    def _accept(self) -> None:
+        wsgi.server(
+            self._socket,
+            self._app,
+            log=_ServerLog(),
+            log_format="",
+            protocol=LimitedProtocol,
+            custom_pool=self._connections,
+            minimum_chunk_size=MINIMUM_CHUNK_BYTES,
+            socket_timeout=self._limits.idle_timeout_ms / 1000,
+            keepalive=True,
+            debug=False,
+        )
--- /dev/null
+++ b/tests/http_server/test_server.py
@@ -0,0 +1,276 @@
+"""Limits of the HTTP server against clients that break them, and its shutdown."""
+
+import json
+import time
+
+import eventlet
+import pytest
+from eventlet.green import socket
+
+from chestnutvale.http_server.exceptions import HttpListenError
+from chestnutvale.http_server.server import HttpServer
+from chestnutvale.schema.settings_pb2 import HttpLimits
+
+GUARD_S = 15.0
+
+
+class App:
+    """Echoes bodies; ``/stream`` waits for the test between its two chunks."""
+
+    def __init__(self):
+        self.calls = []
+        self.go_on = eventlet.Event()
+
+    def __call__(self, environ, start_response):
+        self.calls.append(environ["PATH_INFO"])
+        if environ["PATH_INFO"] == "/stream":
+            start_response("200 OK", [])
+            return self.stream()
+        body = b"" if environ["PATH_INFO"] == "/deaf" else environ["wsgi.input"].read()
+        if environ["PATH_INFO"] == "/fail":
+            raise ValueError("secret detail")
+        start_response("200 OK", [])
+        return [b"%d bytes" % len(body)]
+
+    def stream(self):
+        yield b"first"
+        self.go_on.wait()
+        yield b"last"
+
+
+@pytest.fixture(autouse=True)
+def guard():
+    with eventlet.Timeout(GUARD_S):
+        yield
+
+
+@pytest.fixture
+def app():
+    return App()
+
+
+@pytest.fixture
+def serve(app, free_address):
+    """Return a function that starts a server and gives a raw client for it."""
+    servers = []
+
+    def start(**limits):
+        defaults = {
+            "max_body_bytes": 1_000,
+            "max_header_bytes": 2_000,
+            "max_connections": 10,
+            "idle_timeout_ms": 5_000,
+        }
+        server = HttpServer(app, free_address(), HttpLimits(**defaults | limits))
+        server.__enter__()
+        servers.append(server)
+        return server
+
+    yield start
+    for server in servers:
+        server.__exit__(None, None, None)
+
+
+def connect(server):
+    host, _, port = server.address.rpartition(":")
+    return socket.create_connection((host, int(port)))
+
+
+def read_all(client):
+    data = b""
+    while part := client.recv(4_096):
+        data += part
+    return data
+
+
+def ask(server, head, body=b""):
+    client = connect(server)
+    client.sendall(head.replace("\n", "\r\n").encode() + b"\r\n\r\n" + body)
+    return read_all(client)
+
+
+def problem_of(answer):
+    head, _, body = answer.partition(b"\r\n\r\n")
+    assert b"application/problem+json" in head
+    assert b"connection: close" in head.lower()
+    return json.loads(body)
+
+
+def test_answers_and_reuses_a_connection(serve):
+    client = connect(serve())
+    client.sendall(b"POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc" * 2)
+    eventlet.sleep(0.1)
+    assert client.recv(4_096).count(b"3 bytes") == 2
+
+
+def test_body_beyond_the_limit_is_refused_unread(serve, app):
+    server = serve()
+    answer = ask(server, "POST / HTTP/1.1\nContent-Length: 99999999999")
+    assert problem_of(answer)["code"] == "body_too_large"
+    assert problem_of(answer)["outcome"] == "not_run"
+    assert answer.startswith(b"HTTP/1.1 413 ")
+    assert app.calls == []
+    assert server.refused["body_too_large"] == 1
+
+
+@pytest.mark.parametrize("size", [1_001, 50_000, 3_000_000])
+def test_client_that_sends_on_still_reads_the_refusal(serve, size):
+    head = f"POST / HTTP/1.1\nContent-Length: {size}"
+    assert ask(serve(), head, b"x" * size).startswith(b"HTTP/1.1 413 ")
+
+
+def test_chunked_body_beyond_the_limit(serve):
+    chunks = b"64\r\n" + b"x" * 100 + b"\r\n"
+    head = "POST / HTTP/1.1\nTransfer-Encoding: chunked"
+    answer = ask(serve(), head, chunks * 11)
+    assert problem_of(answer)["code"] == "body_too_large"
+
+
+@pytest.mark.parametrize("line", [b"5" * 100_000, b"what\r\n", b"5\r\nab"])
+def test_malformed_chunks(serve, line):
+    server = serve(idle_timeout_ms=300)
+    answer = ask(server, "POST / HTTP/1.1\nTransfer-Encoding: chunked", line)
+    assert problem_of(answer)["code"] in ("body_malformed", "body_too_slow")
+    assert server.running_requests == 0
+
+
+def test_an_endless_unread_body_closes_the_connection(serve):
+    client = connect(serve())
+    client.sendall(b"POST /deaf HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n")
+    sent = 0
+    try:
+        while sent < 50_000_000:
+            client.sendall(b"1000\r\n" + b"x" * 4_096 + b"\r\n")
+            sent += 4_096
+            eventlet.sleep(0)
+    except OSError:
+        pass
+    assert sent < 50_000_000
+
+
+@pytest.mark.parametrize(
+    ("headers", "status"),
+    [
+        ("X-A: " + "a" * 3_000, b"431"),
+        ("X-A: " + "a" * 20_000, b"400"),
+        ("\n".join(f"X-{n}: {'a' * 900}" for n in range(90)), b"400"),
+        ("\n".join(f"X-{n}: a" for n in range(200)), b"431"),
+        ("Content-Length: -1", b"400"),
+        ("Content-Length: 1\nTransfer-Encoding: chunked", b"400"),
+    ],
+)
+def test_wrong_heads(serve, app, headers, status):
+    answer = ask(serve(), f"GET / HTTP/1.1\n{headers}")
+    assert status in answer.split(b"\r\n")[0]
+    assert app.calls == []
+
+
+def test_long_address(serve):
+    assert b"414" in ask(serve(), f"GET /{'a' * 9_000} HTTP/1.1")
+
+
+@pytest.mark.parametrize("head", ["", "GET / HTTP/1.1\r\n"])
+def test_a_head_that_trickles_in_is_cut(serve, app, head):
+    # Each byte comes within the socket's timeout, but the whole head does not.
+    server = serve(idle_timeout_ms=400)
+    client = connect(server)
+    client.sendall(head.encode())
+    started_s = time.monotonic()
+    with pytest.raises(OSError):
+        while time.monotonic() < started_s + GUARD_S:
+            client.sendall(b"a")
+            eventlet.sleep(0.05)
+    assert app.calls == []
+    assert server.open_connections == 0
+
+
+def test_a_body_that_trickles_in_is_refused(serve):
+    server = serve(idle_timeout_ms=400)
+    client = connect(server)
+    client.sendall(b"POST / HTTP/1.1\r\nContent-Length: 900\r\n\r\n")
+    reader = eventlet.spawn(read_all, client)
+    for _ in range(60):
+        if reader.dead:
+            break
+        client.sendall(b"a")
+        eventlet.sleep(0.05)
+    # The answer came while the bytes still trickled.
+    assert reader.dead
+    assert problem_of(reader.wait())["code"] == "body_too_slow"
+
+
+def test_connections_beyond_the_limit_are_refused_at_once(serve):
+    server = serve(max_connections=2)
+    held = [connect(server) for _ in range(2)]
+    eventlet.sleep(0.05)
+    answer = ask(server, "GET / HTTP/1.1")
+    assert answer.startswith(b"HTTP/1.1 503 ")
+    assert b"Retry-After: 1" in answer
+    assert problem_of(answer)["outcome"] == "not_run"
+    held[0].close()
+    eventlet.sleep(0.1)
+    assert b"200 OK" in ask(server, "GET / HTTP/1.1\nConnection: close")
+
+
+def test_an_idle_client_is_let_go(serve):
+    server = serve(idle_timeout_ms=300)
+    client = connect(server)
+    assert client.recv(1) == b""
+    eventlet.sleep(0.05)
+    assert server.open_connections == 0
+
+
+def test_a_failure_shows_no_detail(serve):
+    answer = ask(serve(), "GET /fail HTTP/1.1")
+    assert answer.startswith(b"HTTP/1.1 500 ")
+    assert b"secret" not in answer
+
+
+def start_stream(server):
+    client = connect(server)
+    client.sendall(b"GET /stream HTTP/1.1\r\n\r\n")
+    data = b""
+    while b"first" not in data:
+        data += client.recv(4_096)
+    return client
+
+
+def test_stop_waits_for_a_running_answer(serve, app):
+    server = serve()
+    client = start_stream(server)
+    idle = connect(server)
+    stopping = eventlet.spawn(server.stop, time.monotonic() + GUARD_S)
+    eventlet.sleep(0.1)
+    with pytest.raises(OSError):
+        connect(server)
+    assert idle.recv(1) == b""
+    app.go_on.send()
+    assert b"last" in read_all(client)
+    assert stopping.wait() == 0
+
+
+def test_stop_reports_what_it_cut(serve):
+    server = serve()
+    client = start_stream(server)
+    assert server.stop(time.monotonic() + 0.05) == 1
+    assert b"last" not in read_all(client)
+
+
+def test_drain_tells_clients_to_close(serve):
+    server = serve()
+    server.begin_drain()
+    client = connect(server)
+    client.sendall(b"GET / HTTP/1.1\r\n\r\n")
+    answer = read_all(client)
+    assert b"connection: close" in answer.lower()
+    assert b"0 bytes" in answer
+
+
+def test_taken_address(serve, app):
+    server = serve()
+    with pytest.raises(HttpListenError, match=server.address), server_of(server, app):
+        pass
+
+
+def server_of(server, app):
+    return HttpServer(app, server.address, HttpLimits())
