--- /dev/null
+++ b/chestnutvale/programs/entry/admission_gate.py
@@ -0,0 +1,204 @@
+"""Holds callers' tasks until the admission controller lets them run."""
+
+from collections.abc import Iterable
+
+import eventlet
+from eventlet.event import Event
+
+from chestnutvale.admission.controller import AdmissionController
+from chestnutvale.admission.messages import (
+    AdmissionRequest,
+    Admit,
+    Effect,
+    Refuse,
+)
+from chestnutvale.clock import Clock
+from chestnutvale.programs.entry.context import AdmissionRefusal, CallRequest
+
+ADMISSION_TICK_S = 0.05
+# Bytes of English text that make a token, for the length of a prompt.
+BYTES_PER_TOKEN = 4
+
+
+class GateTicket:
+    """A call's place in admission.
+
+    Parameters
+    ----------
+    gate : AdmissionGate
+        The gate that gave it.
+    request : AdmissionRequest
+        The call.
+    """
+
+    def __init__(self, gate: "AdmissionGate", request: AdmissionRequest) -> None:
+        self.request = request
+        self.decided = Event()
+        self._gate = gate
+        self._is_admitted = False
+        self._is_over = False
+
+    def wait(self) -> AdmissionRefusal | None:
+        """Block the calling task until the call is admitted or refused.
+
+        Returns
+        -------
+        AdmissionRefusal or None
+            None if the call may run.
+        """
+        return self.decided.wait()
+
+    def cancel(self) -> None:
+        """Give the place up; `wait` returns at once."""
+        if self.decided.ready():
+            return
+        self._is_over = True
+        self._gate.withdraw(self.request.request_id)
+        self.decided.send(AdmissionRefusal("caller_gone", "the caller hung up", 0.0))
+
+    def release(self, used_tokens: int) -> None:
+        """Say that the call is over.
+
+        Parameters
+        ----------
+        used_tokens : int
+            Tokens that the answer had.
+        """
+        if self._is_over:
+            return
+        self._is_over = True
+        if self._is_admitted:
+            self._gate.release(self.request.request_id, used_tokens)
+            return
+        self._gate.withdraw(self.request.request_id)
+
+    def settle(self, effect: Effect) -> None:
+        """Take the controller's decision.
+
+        Parameters
+        ----------
+        effect : Effect
+            Admitted or refused.
+        """
+        if self.decided.ready():
+            return
+        if isinstance(effect, Admit):
+            self._is_admitted = True
+            self.decided.send(None)
+            return
+        if isinstance(effect, Refuse):
+            self._is_over = True
+            message = f"service {self.request.service} takes no more calls now"
+            self.decided.send(
+                AdmissionRefusal(effect.code, message, effect.retry_after_s)
+            )
+
+
+class AdmissionGate:
+    """Owns the admission controller of the entry.
+
+    Parameters
+    ----------
+    controller : AdmissionController
+        Decides who may run.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(self, controller: AdmissionController, clock: Clock) -> None:
+        self.controller = controller
+        self._clock = clock
+        self._tickets: dict[str, GateTicket] = {}
+        self._predicted_tokens: dict[str, int] = {}
+
+    def offer(self, request: CallRequest) -> GateTicket:
+        """Ask for admission.
+
+        Parameters
+        ----------
+        request : CallRequest
+            The call.
+
+        Returns
+        -------
+        GateTicket
+            The call's place.
+        """
+        wanted = AdmissionRequest(
+            request_id=request.request_id,
+            service=request.service,
+            workspace=request.workspace,
+            priority=request.priority,
+            prompt_tokens=len(request.prompt) // BYTES_PER_TOKEN,
+            max_tokens=request.max_tokens,
+            deadline_s=request.deadline_s,
+        )
+        ticket = GateTicket(self, wanted)
+        self._tickets[request.request_id] = ticket
+        self._settle(self.controller.offer(wanted, self._clock.now_s()))
+        return ticket
+
+    def predicted_tokens(self, request_id: str) -> int:
+        """Return the tokens reserved for an admitted call.
+
+        Parameters
+        ----------
+        request_id : str
+            The call.
+
+        Returns
+        -------
+        int
+            Prompt and predicted answer; 0 for a call that is not admitted.
+        """
+        return self._predicted_tokens.get(request_id, 0)
+
+    def release(self, request_id: str, used_tokens: int) -> None:
+        """End an admitted call.
+
+        Parameters
+        ----------
+        request_id : str
+            The call.
+        used_tokens : int
+            Tokens that the answer had.
+        """
+        self._forget(request_id)
+        now_s = self._clock.now_s()
+        self._settle(self.controller.release(request_id, used_tokens, now_s))
+
+    def withdraw(self, request_id: str) -> None:
+        """Forget a call that was not admitted.
+
+        Parameters
+        ----------
+        request_id : str
+            The call.
+        """
+        self._forget(request_id)
+        self._settle(self.controller.withdraw(request_id, self._clock.now_s()))
+
+    def run(self) -> None:
+        """Tick for ever; ended by killing the task."""
+        while True:
+            eventlet.sleep(ADMISSION_TICK_S)
+            self.settle_waiting()
+
+    def settle_waiting(self) -> None:
+        """Decide about waiting calls again, after time or capacity changed."""
+        self._settle(self.controller.tick(self._clock.now_s()))
+
+    def _forget(self, request_id: str) -> None:
+        self._tickets.pop(request_id, None)
+        self._predicted_tokens.pop(request_id, None)
+
+    def _settle(self, effects: Iterable[Effect]) -> None:
+        for effect in effects:
+            ticket = self._tickets.get(effect.request_id)
+            if ticket is None:
+                continue
+            if isinstance(effect, Admit):
+                self._predicted_tokens[effect.request_id] = effect.predicted_tokens
+            if isinstance(effect, Refuse):
+                self._forget(effect.request_id)
+            ticket.settle(effect)
--- /dev/null
+++ b/chestnutvale/programs/entry/announcements.py
@@ -0,0 +1,107 @@
+"""The door where endpoints announce themselves."""
+
+import json
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from google.protobuf import json_format
+
+from chestnutvale.clock import Clock
+from chestnutvale.exceptions import ChestnutError
+from chestnutvale.http_server.problem import Problem
+from chestnutvale.membership.exceptions import AnnouncementRefusedError
+from chestnutvale.membership.hearing import Hearing
+from chestnutvale.schema.membership_pb2 import Announcement
+
+MAX_ANNOUNCEMENT_BYTES = 64 * 1024
+STATUS_OK = "200 OK"
+STATUS_BAD_REQUEST = 400
+STATUS_TOO_LARGE = 413
+STEP_ANNOUNCEMENT = "announcement"
+
+
+class AnnouncementDoor:
+    """WSGI application for announcements.
+
+    Parameters
+    ----------
+    hearing : Hearing
+        Takes what is announced.
+    clock : Clock
+        Source of time.
+    interval_ms : int
+        Time in milliseconds after which a host should announce itself again.
+    on_urgent : callable
+        Called when the controls must hear of an announcement at once.
+    """
+
+    def __init__(
+        self,
+        hearing: Hearing,
+        clock: Clock,
+        interval_ms: int,
+        on_urgent: Callable[[], None],
+    ) -> None:
+        self._hearing = hearing
+        self._clock = clock
+        self._answer = json.dumps({"next_announcement_ms": interval_ms}).encode()
+        self._on_urgent = on_urgent
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        """Take one announcement.
+
+        Parameters
+        ----------
+        environ : dict
+            The WSGI environment.
+        start_response : callable
+            Takes status and headers.
+
+        Returns
+        -------
+        iterable of bytes
+            The body of the answer.
+        """
+        body = environ["wsgi.input"].read(MAX_ANNOUNCEMENT_BYTES + 1)
+        if len(body) > MAX_ANNOUNCEMENT_BYTES:
+            return _refuse(start_response, STATUS_TOO_LARGE, "too_large", "too large")
+        try:
+            announcement = json_format.Parse(body, Announcement())
+        except (json_format.ParseError, UnicodeDecodeError) as error:
+            return _refuse(
+                start_response, STATUS_BAD_REQUEST, "bad_announcement", str(error)
+            )
+        try:
+            accepted = self._hearing.announce(announcement, self._clock.now_s())
+        except AnnouncementRefusedError as error:
+            return _refuse_error(start_response, error)
+        if accepted.urgent:
+            self._on_urgent()
+        headers = [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(self._answer))),
+        ]
+        start_response(STATUS_OK, headers)
+        return [self._answer]
+
+
+def _refuse(
+    start_response: Callable[..., Any], status: int, code: str, detail: str
+) -> Iterable[bytes]:
+    problem = Problem(status, code, detail, step=STEP_ANNOUNCEMENT)
+    return problem.respond(start_response)
+
+
+def _refuse_error(
+    start_response: Callable[..., Any], error: ChestnutError
+) -> Iterable[bytes]:
+    problem = Problem(
+        STATUS_BAD_REQUEST,
+        error.code,
+        error.message,
+        step=error.step or STEP_ANNOUNCEMENT,
+        peer=error.peer,
+    )
+    return problem.respond(start_response)
--- /dev/null
+++ b/chestnutvale/programs/entry/call_context.py
@@ -0,0 +1,242 @@
+"""The entry as the handlers of callers' requests see it."""
+
+import random
+from typing import Any
+
+from chestnutvale.admission.messages import ServiceLimits
+from chestnutvale.attempts.retry_budget import AttemptBudgets
+from chestnutvale.attempts.suspicion import SuspicionTracker
+from chestnutvale.clock import Clock
+from chestnutvale.configuration.lookup import TextLookup
+from chestnutvale.membership.entry_view import EntryView
+from chestnutvale.programs.entry.admission_gate import AdmissionGate
+from chestnutvale.programs.entry.commits import CommitClient
+from chestnutvale.programs.entry.context import AttemptReport, CallRequest
+from chestnutvale.programs.entry.group_router import GroupRouter
+from chestnutvale.programs.entry.running_attempts import RunningAttempts
+from chestnutvale.schema.command_pb2 import Command, CommandResult
+from chestnutvale.schema.configuration_pb2 import Service, Text
+from chestnutvale.schema.peer_pb2 import ControlView, GroupView
+
+BEARER = "bearer "
+
+
+class EntryContext:
+    """Joins view, admission, routing and commits; see `CallContext`.
+
+    Parameters
+    ----------
+    entry_id : str
+        Identity of the entry.
+    incarnation : str
+        This life of the entry.
+    view : EntryView
+        What the entry may serve.
+    gate : AdmissionGate
+        Admission.
+    router : GroupRouter
+        Routing.
+    commits : CommitClient
+        Asks the leading control to commit.
+    clock : Clock
+        Source of time.
+    rng : random.Random
+        Source of random numbers.
+    """
+
+    def __init__(
+        self,
+        entry_id: str,
+        incarnation: str,
+        view: EntryView,
+        gate: AdmissionGate,
+        router: GroupRouter,
+        commits: CommitClient,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self.entry_id = entry_id
+        self.incarnation = incarnation
+        self.clock = clock
+        self.rng = rng
+        self.admission = gate
+        self.budgets = AttemptBudgets()
+        self.suspicions = SuspicionTracker()
+        self.running = RunningAttempts()
+        self.lookup = TextLookup.from_text(Text())
+        self._view = view
+        self._gate = gate
+        self._router = router
+        self._commits = commits
+
+    @property
+    def text(self) -> Text:
+        """The text in force; empty with number 0 before the first one."""
+        return self._view.text or Text()
+
+    def install(self, view: ControlView, control_id: str) -> None:
+        """Take up what a view that was just installed changed.
+
+        Parameters
+        ----------
+        view : ControlView
+            The view.
+        control_id : str
+            The control that sent it.
+        """
+        self._commits.set_leader(control_id)
+        if self._view.number != self.lookup.number:
+            self._install_text()
+        self._router.install(view)
+        self._abort_lost_groups(view)
+        self._install_capacities()
+
+    def authenticate(self, environ: dict[str, Any]) -> str | None:
+        """Find the workspace that a request's key belongs to.
+
+        Parameters
+        ----------
+        environ : dict
+            The WSGI environment.
+
+        Returns
+        -------
+        str or None
+            Name of the workspace; None if the key is missing or unknown.
+        """
+        value = environ.get("HTTP_AUTHORIZATION", "")
+        if value[: len(BEARER)].lower() != BEARER:
+            return None
+        workspace = self.lookup.workspace_for_key(value[len(BEARER) :].strip())
+        return workspace.name if workspace is not None else None
+
+    def has_lease(self, now_s: float) -> bool:
+        """Tell whether the entry may take calls.
+
+        Parameters
+        ----------
+        now_s : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        bool
+            Whether the serving lease holds.
+        """
+        return self._view.has_lease(now_s)
+
+    def serving_groups(self, service: str, version: str) -> list[str]:
+        """Return the ids of all groups that serve a service now.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        version : str
+            Version that the groups must serve; empty allows any.
+
+        Returns
+        -------
+        list of str
+            Group ids.
+        """
+        return self._router.serving_groups(service, version)
+
+    def choose_group(
+        self, request: CallRequest, excluded: frozenset[str], version: str
+    ) -> GroupView | None:
+        """Choose the serving group for an attempt.
+
+        Parameters
+        ----------
+        request : CallRequest
+            The call.
+        excluded : frozenset of str
+            Group ids that must not be chosen.
+        version : str
+            Version that the group must serve; empty allows any.
+
+        Returns
+        -------
+        GroupView or None
+            None if no group can take the call.
+        """
+        return self._router.choose(request, excluded, version)
+
+    def report_attempt(self, report: AttemptReport) -> None:
+        """Take note of how an attempt went.
+
+        Parameters
+        ----------
+        report : AttemptReport
+            The attempt.
+        """
+        self._router.report(report)
+
+    def commit(self, command: Command, deadline_s: float) -> CommandResult:
+        """Commit a command in the replicated log; blocks the calling task.
+
+        Parameters
+        ----------
+        command : Command
+            An idempotent command.
+        deadline_s : float
+            Monotonic time in seconds at which to give up.
+
+        Returns
+        -------
+        CommandResult
+            Result of the command.
+
+        Raises
+        ------
+        CommitRefusedError
+            If it was certainly not proposed.
+        CommitUnknownError
+            If it may be committed, now or later.
+        """
+        return self._commits.commit(command, deadline_s)
+
+    def _install_text(self) -> None:
+        self.lookup = TextLookup.from_text(self.text)
+        weights = {
+            name: float(workspace.weight or 1)
+            for name, workspace in self.lookup.workspaces.items()
+        }
+        limits = {
+            name: _make_limits(service)
+            for name, service in self.lookup.services.items()
+        }
+        self._gate.controller.configure(weights, limits)
+
+    def _install_capacities(self) -> None:
+        now_s = self.clock.now_s()
+        capacities = self._router.capacities()
+        for service in self.lookup.services:
+            capacity = capacities.get(service)
+            if capacity is not None:
+                self._gate.controller.set_capacity(service, capacity, now_s)
+        self._gate.controller.set_entry_count(self._view.entry_count)
+        self._gate.settle_waiting()
+
+    def _abort_lost_groups(self, view: ControlView) -> None:
+        for item in view.groups:
+            if not item.serving and item.reason:
+                self._abort_if_broken(item)
+        for group_id in view.removed_group_ids:
+            self.running.abort_group(group_id, 2**63)
+
+    def _abort_if_broken(self, item: GroupView) -> None:
+        # A group that only drains finishes what it runs; one that lost a member
+        # can't, and a silent host would hold its streams until they time out.
+        if "missing" in item.reason or "restarted" in item.reason:
+            self.running.abort_group(item.group.group_id, item.group.epoch)
+
+
+def _make_limits(service: Service) -> ServiceLimits:
+    default = ServiceLimits()
+    limits = service.limits
+    return ServiceLimits(
+        queue_requests=limits.max_queued_requests or default.queue_requests,
+        slots_per_group=limits.max_running_requests or default.slots_per_group,
+    )
--- a/chestnutvale/programs/entry/commits.py
+++ b/chestnutvale/programs/entry/commits.py
@@ -7,14 +7,19 @@
 from eventlet.event import Event
 
 from chestnutvale.clock import Clock
-from chestnutvale.consensus.exceptions import OutcomeUnknownError
 from chestnutvale.programs.entry.const import COMMIT_RESEND_MS
+from chestnutvale.programs.entry.exceptions import (
+    CommitRefusedError,
+    CommitUnknownError,
+)
 from chestnutvale.schema.command_pb2 import Command, CommandResult
 from chestnutvale.schema.peer_pb2 import CommitReply, CommitRequest, Envelope
 from chestnutvale.schema.settings_pb2 import PeerAddress
 from chestnutvale.transport.node import TransportNode
 
 OUTCOME_COMMITTED = "committed"
+OUTCOME_NOT_LEADER = "not_leader"
+STEP_COMMIT = "commit"
 
 
 @attrs.define
@@ -29,11 +34,14 @@
         Fires with the committed result.
     target_index : int
         Position in the list of controls that is asked next.
+    open_sends : int
+        Requests sent that no control has said it did not propose.
     """
 
     request: CommitRequest
     answered: Event = attrs.field(factory=Event)
     target_index: int = 0
+    open_sends: int = 0
 
 
 class CommitClient:
@@ -93,8 +101,10 @@
 
         Raises
         ------
-        OutcomeUnknownError
-            If no control answered in time; the command may still be committed.
+        CommitRefusedError
+            If every control that was asked said that it did not propose it.
+        CommitUnknownError
+            If a control gave no answer in time; the command may be committed.
         """
         request = CommitRequest(
             request_id=next(self._ids),
@@ -114,16 +124,22 @@
         while True:
             wait_s = min(COMMIT_RESEND_MS / 1_000, deadline_s - self._clock.now_s())
             if wait_s <= 0:
-                raise OutcomeUnknownError(
-                    "no control answered in time", step="commit", peer="control"
-                )
+                raise self._make_error(pending)
             self._send(pending)
             with eventlet.Timeout(wait_s, False):
                 return pending.answered.wait()
             pending.target_index = (pending.target_index + 1) % len(self._controls)
 
+    def _make_error(
+        self, pending: PendingCommit
+    ) -> CommitRefusedError | CommitUnknownError:
+        if pending.open_sends > 0:
+            return CommitUnknownError("no control answered in time", step=STEP_COMMIT)
+        return CommitRefusedError("no control leads", step=STEP_COMMIT)
+
     def _send(self, pending: PendingCommit) -> None:
         control = self._controls[pending.target_index]
+        pending.open_sends += 1
         self._transport.send(
             control.id,
             control.address,
@@ -141,7 +157,9 @@
             self.set_leader(envelope.sender_id)
             pending.answered.send(reply.result)
             return
-        self._follow_leader(pending, reply.leader_id)
+        if reply.outcome == OUTCOME_NOT_LEADER:
+            pending.open_sends -= 1
+            self._follow_leader(pending, reply.leader_id)
 
     def _follow_leader(self, pending: PendingCommit, leader_id: str) -> None:
         # Without a known leader the resend timer tries the next control; asking at
--- /dev/null
+++ b/chestnutvale/programs/entry/control_link.py
@@ -0,0 +1,140 @@
+"""The task that reports to the controls and installs their views."""
+
+import random
+from collections.abc import Callable
+
+import eventlet
+import logbook
+from eventlet.event import Event
+
+from chestnutvale.attempts.suspicion import SuspicionTracker
+from chestnutvale.clock import Clock
+from chestnutvale.membership.entry_view import EntryView, InstallVerdict
+from chestnutvale.membership.hearing import Hearing
+from chestnutvale.programs.entry.const import MIN_REPORT_INTERVAL_MS, REPORT_EXPIRY_MS
+from chestnutvale.schema.peer_pb2 import ControlView, EntryReport, Envelope
+from chestnutvale.schema.settings_pb2 import EntrySettings
+from chestnutvale.transport.node import TransportNode
+
+_LOGGER = logbook.Logger(__name__)
+
+NONCE_BITS = 63
+
+
+class ControlLink:
+    """Sends reports to every control; owns the entry's view and hearing.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+        Settings of the entry.
+    transport : TransportNode
+        The process's peer sockets.
+    view : EntryView
+        What the entry may serve.
+    hearing : Hearing
+        What the entry heard of hosts.
+    suspicions : SuspicionTracker
+        Evidence about requests that crash groups.
+    clock : Clock
+        Source of time.
+    rng : random.Random
+        Source of nonces.
+
+    Attributes
+    ----------
+    draining : bool
+        Whether the entry is about to stop.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        transport: TransportNode,
+        view: EntryView,
+        hearing: Hearing,
+        suspicions: SuspicionTracker,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self.draining = False
+        self._settings = settings
+        self._transport = transport
+        self._view = view
+        self._hearing = hearing
+        self._suspicions = suspicions
+        self._clock = clock
+        self._rng = rng
+        self._listeners: list[Callable[[ControlView, str], None]] = []
+        self._news = Event()
+        transport.on("control_view", self._receive_view)
+
+    def on_view(self, listener: Callable[[ControlView, str], None]) -> None:
+        """Register a function for each installed view.
+
+        Parameters
+        ----------
+        listener : callable
+            Takes the view and the identity of the control; must not block.
+        """
+        self._listeners.append(listener)
+
+    def hurry(self) -> None:
+        """Send the next report at once."""
+        if not self._news.ready():
+            self._news.send()
+
+    def run(self) -> None:
+        """Report for ever; ended by killing the task."""
+        interval_s = self._settings.report_interval_ms / 1_000
+        while True:
+            self._send_report()
+            # News that come in a burst share one report.
+            eventlet.sleep(MIN_REPORT_INTERVAL_MS / 1_000)
+            with eventlet.Timeout(interval_s, False):
+                self._news.wait()
+            self._news = Event()
+
+    def _send_report(self) -> None:
+        nonce = self._rng.getrandbits(NONCE_BITS) + 1
+        now_s = self._clock.now_s()
+        report = EntryReport(
+            reply_address=self._settings.peer_address,
+            data_centre=self._settings.data_centre,
+            nonce=nonce,
+            configuration_number=self._view.number,
+            view_version=self._view.version,
+            view_source=self._view.source,
+            heard=self._hearing.drain_report(now_s),
+            suspicions=self._suspicions.drain_reports(),
+            draining=self.draining,
+            sent_at_ms=round(now_s * 1_000),
+        )
+        self._view.report_sent(nonce, now_s)
+        for control in self._settings.controls:
+            self._transport.send(
+                control.id,
+                control.address,
+                "entry_report",
+                report,
+                expiry_ms=REPORT_EXPIRY_MS,
+            )
+
+    def _receive_view(self, envelope: Envelope) -> None:
+        view = envelope.control_view
+        number_before = self._view.number
+        verdict = self._view.install(view, self._clock.now_s())
+        if verdict is InstallVerdict.OLD_TERM:
+            return
+        if self._view.number != number_before:
+            _LOGGER.info("Text {} is in force", self._view.number)
+            # The operators' status shows the number that reports carry.
+            self.hurry()
+        if view.want_hosts:
+            self._hearing.mark_wanted(view.want_hosts)
+            self.hurry()
+        if verdict is InstallVerdict.GAP:
+            self.hurry()
+            return
+        for listener in self._listeners:
+            listener(view, envelope.sender_id)
--- /dev/null
+++ b/chestnutvale/programs/entry/group_router.py
@@ -0,0 +1,223 @@
+"""Chooses groups for attempts from the view and the selector."""
+
+from collections.abc import Callable
+
+import xxhash
+
+from chestnutvale.admission.messages import ServiceCapacity
+from chestnutvale.clock import Clock
+from chestnutvale.membership.entry_view import EntryView
+from chestnutvale.programs.entry.context import AttemptReport, CallRequest
+from chestnutvale.routing.messages import RoutableGroup, RoutingRequest
+from chestnutvale.routing.selector import Selector
+from chestnutvale.schema.peer_pb2 import ControlView, GroupView
+
+PREFIX_BLOCK_BYTES = 64
+MAX_PREFIX_BLOCKS = 64
+# Time in seconds for which a group that broke an attempt is tried last.
+BROKEN_GROUP_S = 1.0
+RESULT_BROKEN = "broken"
+
+
+class GroupRouter:
+    """Owns the selector of the entry.
+
+    Parameters
+    ----------
+    view : EntryView
+        What the entry may serve.
+    selector : Selector
+        Chooses between groups.
+    predicted_tokens : callable
+        Gives the predicted tokens of a request by its id.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(
+        self,
+        view: EntryView,
+        selector: Selector,
+        predicted_tokens: Callable[[str], int],
+        clock: Clock,
+    ) -> None:
+        self._view = view
+        self._selector = selector
+        self._predicted_tokens = predicted_tokens
+        self._clock = clock
+        self._broken_until_s: dict[str, float] = {}
+        self._sent_at_s: dict[str, float] = {}
+
+    def install(self, view: ControlView) -> None:
+        """Take up groups and loads of a view that was just installed.
+
+        Parameters
+        ----------
+        view : ControlView
+            The view; only its loads are read, groups come from the entry's view.
+        """
+        now_s = self._clock.now_s()
+        if view.whole or view.groups or view.removed_group_ids:
+            self._selector.update_groups(
+                RoutableGroup(
+                    item.group.group_id, item.group.service, item.group.epoch
+                )
+                for item in self._view.groups()
+                if item.serving
+            )
+        for load in view.loads:
+            self._selector.update_load(load.group_id, load.load, now_s)
+
+    def capacities(self) -> dict[str, ServiceCapacity]:
+        """Return what the serving groups of each service have.
+
+        Returns
+        -------
+        dict of str to ServiceCapacity
+            By service; a service without a serving group is absent.
+        """
+        sums: dict[str, list[int]] = {}
+        for item in self._view.groups():
+            if not item.serving:
+                continue
+            total = sums.setdefault(item.group.service, [0, 0, 0, 0, 0])
+            load = self._view.load(item.group.group_id)
+            total[0] += 1
+            if load is None:
+                continue
+            total[1] += load.kv_capacity_tokens
+            total[2] += load.kv_used_tokens
+            total[3] += load.running
+            total[4] += load.waiting
+        return {service: ServiceCapacity(*total) for service, total in sums.items()}
+
+    def serving_groups(self, service: str, version: str) -> list[str]:
+        """Return the ids of all groups that serve a service now.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        version : str
+            Version that the groups must serve; empty allows any.
+
+        Returns
+        -------
+        list of str
+            Group ids.
+        """
+        return [
+            item.group.group_id
+            for item in self._view.serving_groups(service, self._clock.now_s())
+            if not version or item.group.version == version
+        ]
+
+    def choose(
+        self, request: CallRequest, excluded: frozenset[str], version: str
+    ) -> GroupView | None:
+        """Choose the serving group for an attempt and count the attempt to it.
+
+        Parameters
+        ----------
+        request : CallRequest
+            The call.
+        excluded : frozenset of str
+            Group ids that must not be chosen.
+        version : str
+            Version that the group must serve; empty allows any.
+
+        Returns
+        -------
+        GroupView or None
+            None if no group can take the call.
+        """
+        now_s = self._clock.now_s()
+        unfit = frozenset(
+            item.group.group_id
+            for item in self._view.serving_groups(request.service, now_s)
+            if not _fits(item, request, version)
+        )
+        broken = frozenset(
+            group_id
+            for group_id, until_s in self._broken_until_s.items()
+            if until_s > now_s
+        )
+        for avoided in (unfit | excluded | broken, unfit | excluded):
+            chosen = self._try_choose(request, avoided, now_s)
+            if chosen is not None:
+                return chosen
+        return None
+
+    def report(self, report: AttemptReport) -> None:
+        """Take note of how an attempt went.
+
+        Parameters
+        ----------
+        report : AttemptReport
+            The attempt.
+        """
+        request_id = report.request.request_id
+        now_s = self._clock.now_s()
+        sent_at_s = self._sent_at_s.pop(request_id, now_s)
+        if report.first_byte_ms is not None:
+            first_byte_s = sent_at_s + report.first_byte_ms / 1_000
+            self._selector.first_token(request_id, first_byte_s)
+        self._selector.finished(request_id, now_s)
+        if report.result == RESULT_BROKEN:
+            self._forget_mended(now_s)
+            self._broken_until_s[report.group_id] = now_s + BROKEN_GROUP_S
+
+    def _try_choose(
+        self, request: CallRequest, avoided: frozenset[str], now_s: float
+    ) -> GroupView | None:
+        wanted = RoutingRequest(
+            request_id=request.request_id,
+            service=request.service,
+            priority=request.priority,
+            predicted_tokens=self._predicted_tokens(request.request_id),
+            prefixes=hash_prefixes(request.prompt),
+            excluded_groups=avoided,
+        )
+        group_id = self._selector.choose(wanted, now_s)
+        view = self._view.group(group_id) if group_id is not None else None
+        if view is None or not view.serving or not self._view.has_lease(now_s):
+            return None
+        self._selector.sent(wanted, group_id, now_s)
+        self._sent_at_s[request.request_id] = now_s
+        return view
+
+    def _forget_mended(self, now_s: float) -> None:
+        self._broken_until_s = {
+            group_id: until_s
+            for group_id, until_s in self._broken_until_s.items()
+            if until_s > now_s
+        }
+
+
+def hash_prefixes(prompt: bytes) -> tuple[int, ...]:
+    """Hash ever longer prefixes of a prompt as the endpoint protocol defines.
+
+    Parameters
+    ----------
+    prompt : bytes
+        The prompt.
+
+    Returns
+    -------
+    tuple of int
+        One hash for each whole block, at most `MAX_PREFIX_BLOCKS`.
+    """
+    hashes = []
+    previous = 0
+    end = min(len(prompt), MAX_PREFIX_BLOCKS * PREFIX_BLOCK_BYTES)
+    for start in range(0, end - PREFIX_BLOCK_BYTES + 1, PREFIX_BLOCK_BYTES):
+        block = prompt[start : start + PREFIX_BLOCK_BYTES]
+        previous = xxhash.xxh64_intdigest(block, seed=previous)
+        hashes.append(previous)
+    return tuple(hashes)
+
+
+def _fits(item: GroupView, request: CallRequest, version: str) -> bool:
+    if version and item.group.version != version:
+        return False
+    return not request.adapter or request.adapter in item.group.adapters
