--- /dev/null
+++ b/chestnutvale/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated log: Raft as a pure object and the task that drives it."""
--- /dev/null
+++ b/chestnutvale/consensus/leader.py
@@ -0,0 +1,169 @@
+"""What a leader keeps for its term: rounds, lease, replication, reads."""
+
+import math
+from collections import OrderedDict
+
+import attrs
+
+from chestnutvale.consensus.const import (
+    MAX_APPEND_BYTES,
+    MAX_APPEND_ENTRIES,
+    MAX_IN_FLIGHT,
+    MAX_REPLAY_ENTRIES,
+    SNAPSHOT_CHUNK_BYTES,
+)
+from chestnutvale.consensus.log import RaftLog
+from chestnutvale.consensus.members import quorum_size
+from chestnutvale.consensus.progress import Mode, Progress
+from chestnutvale.schema.raft_pb2 import AppendRequest, Members, SnapshotRequest
+
+# Rounds whose sending time is remembered.
+MAX_ROUNDS = 256
+
+
+@attrs.frozen
+class PendingRead:
+    """A read that waits until a quorum has answered a round."""
+
+    request_id: int
+    index: int
+    round: int
+
+
+@attrs.define
+class Leader:
+    """State of a leader for one term.
+
+    Parameters
+    ----------
+    own_id : str
+        Identity of the leader.
+    log : RaftLog
+        The leader's log.
+    started_s : float
+        Time at which it was elected.
+    first_index : int
+        Index of its first entry; no change of members before it is committed.
+    """
+
+    own_id: str
+    log: RaftLog
+    started_s: float
+    first_index: int
+    progress: dict[str, Progress] = attrs.field(factory=dict)
+    reads: list[PendingRead] = attrs.field(factory=list)
+    round: int = 0
+    heartbeat_due_s: float = 0.0
+    transfer_target: str = ""
+    transfer_deadline_s: float = math.inf
+    is_transfer_sent: bool = False
+    is_snapshot_wanted: bool = False
+    _round_sent_s: OrderedDict[int, float] = attrs.field(factory=OrderedDict)
+
+    def sync_members(self, members: Members) -> None:
+        """Follow exactly the members other than this one."""
+        others = {*members.voters, *members.learners} - {self.own_id}
+        for gone in self.progress.keys() - others:
+            del self.progress[gone]
+        for member_id in others - self.progress.keys():
+            self.progress[member_id] = Progress(next_index=self.log.last_index + 1)
+
+    def begin_round(self, now_s: float) -> None:
+        """Begin a round of messages; answers to it count from now."""
+        self.round += 1
+        self._round_sent_s[self.round] = now_s
+        if len(self._round_sent_s) > MAX_ROUNDS:
+            self._round_sent_s.popitem(last=False)
+
+    def note_ack(self, member_id: str, acked_round: int) -> None:
+        """Note that a member answered a round."""
+        progress = self.progress[member_id]
+        sent_s = self._round_sent_s.get(acked_round, -math.inf)
+        progress.acked_s = max(progress.acked_s, sent_s)
+        progress.acked_round = max(progress.acked_round, acked_round)
+
+    def quorum_acked_s(self, members: Members, now_s: float) -> float:
+        """Return the sending time of the newest round that a quorum answered."""
+        times = [
+            now_s if voter == self.own_id else self.progress[voter].acked_s
+            for voter in members.voters
+        ]
+        times.sort(reverse=True)
+        return times[quorum_size(members) - 1]
+
+    def quorum_acked_round(self, members: Members) -> int:
+        """Return the newest round that a quorum answered."""
+        rounds = [
+            self.round if voter == self.own_id else self.progress[voter].acked_round
+            for voter in members.voters
+        ]
+        rounds.sort(reverse=True)
+        return rounds[quorum_size(members) - 1]
+
+    def quorum_match(self, members: Members, own_durable_index: int) -> int:
+        """Return the highest index that a quorum holds on disk."""
+        matches = [
+            own_durable_index
+            if voter == self.own_id
+            else self.progress[voter].match_index
+            for voter in members.voters
+        ]
+        matches.sort(reverse=True)
+        return matches[quorum_size(members) - 1]
+
+    def needs_snapshot(self, progress: Progress, commit_index: int) -> bool:
+        """Tell whether a probed follower is too far behind for a replay."""
+        held_index = progress.next_index - 1
+        is_far = commit_index - held_index > MAX_REPLAY_ENTRIES
+        return is_far or not self.log.holds_after(held_index)
+
+    def is_snapshot_fresh(self, commit_index: int) -> bool:
+        """Tell whether the stored snapshot leaves only a short replay."""
+        index = self.log.snapshot.index
+        return index > 0 and commit_index - index <= MAX_REPLAY_ENTRIES
+
+    def next_append(self, progress: Progress, commit_index: int) -> AppendRequest:
+        """Return the next append for a follower; empty if nothing may be sent."""
+        previous = progress.next_index - 1
+        if progress.mode is Mode.SNAPSHOT:
+            # Only keeps the contact; every log holds the empty prefix.
+            return AppendRequest(previous_index=0, commit_index=0, round=self.round)
+        request = AppendRequest(
+            previous_index=previous,
+            previous_term=self.log.term_at(previous),
+            commit_index=commit_index,
+            round=self.round,
+        )
+        if not self.may_send_entries(progress):
+            return request
+        last = min(self.log.last_index, previous + MAX_APPEND_ENTRIES)
+        request.entries.extend(
+            self.log.slice(progress.next_index, last, MAX_APPEND_BYTES)
+        )
+        self._note_sent(progress, previous + len(request.entries))
+        return request
+
+    def may_send_entries(self, progress: Progress) -> bool:
+        """Tell whether a follower lacks entries and has room for more."""
+        if progress.mode is not Mode.REPLICATE:
+            return False
+        is_behind = progress.next_index <= self.log.last_index
+        return is_behind and len(progress.in_flight) < MAX_IN_FLIGHT
+
+    def _note_sent(self, progress: Progress, last_index: int) -> None:
+        progress.in_flight.append(last_index)
+        progress.next_index = last_index + 1
+
+    def next_chunk(self, progress: Progress) -> tuple[SnapshotRequest, int]:
+        """Return the next snapshot chunk without its data, and its length."""
+        if progress.snapshot_index != self.log.snapshot.index:
+            progress.start_snapshot(self.log.snapshot.index)
+        remaining = self.log.snapshot_size_bytes - progress.snapshot_offset
+        length = min(SNAPSHOT_CHUNK_BYTES, remaining)
+        request = SnapshotRequest(
+            metadata=self.log.snapshot,
+            offset=progress.snapshot_offset,
+            done=length == remaining,
+            round=self.round,
+        )
+        return request, length
--- /dev/null
+++ b/chestnutvale/consensus/members.py
@@ -0,0 +1,107 @@
+"""Who votes: identities, quorums and changes of one member at a time."""
+
+from chestnutvale.consensus.const import IDENTITY_SEPARATOR, STEP_MEMBERS
+from chestnutvale.consensus.events import ChangeKind, MembersChange
+from chestnutvale.consensus.exceptions import MembersChangeError
+from chestnutvale.schema.raft_pb2 import Members
+
+
+def control_of(member_id: str) -> str:
+    """Return the control that a member identity belongs to.
+
+    Parameters
+    ----------
+    member_id : str
+        For example ``"control-1#5f3a9c01"``.
+
+    Returns
+    -------
+    str
+        For example ``"control-1"``.
+    """
+    return member_id.partition(IDENTITY_SEPARATOR)[0]
+
+
+def quorum_size(members: Members) -> int:
+    """Return the number of voters that decide."""
+    return len(members.voters) // 2 + 1
+
+
+def has_quorum(members: Members, ids: set[str]) -> bool:
+    """Tell whether some identities include a quorum of the voters."""
+    return len(ids.intersection(members.voters)) >= quorum_size(members)
+
+
+def change_members(members: Members, change: MembersChange) -> Members:
+    """Return the members after a change of one of them.
+
+    Parameters
+    ----------
+    members : Members
+        The members before.
+    change : MembersChange
+        The change.
+
+    Returns
+    -------
+    Members
+        The members after.
+
+    Raises
+    ------
+    MembersChangeError
+        If the change makes no sense for these members.
+    """
+    changed = Members()
+    changed.CopyFrom(members)
+    if change.kind is ChangeKind.ADD_LEARNER:
+        _add_learner(changed, change)
+    elif change.kind is ChangeKind.PROMOTE:
+        _promote(changed, change)
+    else:
+        _remove(changed, change)
+    return changed
+
+
+def _refuse(reason: str, member_id: str) -> MembersChangeError:
+    return MembersChangeError(reason, step=STEP_MEMBERS, peer=member_id)
+
+
+def _add_learner(members: Members, change: MembersChange) -> None:
+    member_id = change.member_id
+    control_id = control_of(member_id)
+    if member_id in members.voters or member_id in members.learners:
+        raise _refuse("is a member already", member_id)
+    if control_id in members.barred_controls:
+        if not change.by_operator:
+            raise _refuse("was removed by an operator", member_id)
+        members.barred_controls.remove(control_id)
+    members.learners.append(member_id)
+    members.addresses[member_id] = change.address
+
+
+def _promote(members: Members, change: MembersChange) -> None:
+    if change.member_id not in members.learners:
+        raise _refuse("is no learner", change.member_id)
+    members.learners.remove(change.member_id)
+    members.voters.append(change.member_id)
+    members.wanted_voters = max(members.wanted_voters, 1)
+    if change.by_operator:
+        members.wanted_voters = max(members.wanted_voters, len(members.voters))
+
+
+def _remove(members: Members, change: MembersChange) -> None:
+    member_id = change.member_id
+    if member_id in members.learners:
+        members.learners.remove(member_id)
+    elif member_id in members.voters:
+        if len(members.voters) == 1:
+            raise _refuse("is the only voter", member_id)
+        members.voters.remove(member_id)
+        if change.by_operator:
+            members.wanted_voters = len(members.voters)
+    else:
+        raise _refuse("is no member", member_id)
+    members.addresses.pop(member_id, None)
+    if change.by_operator:
+        members.barred_controls.append(control_of(member_id))
--- /dev/null
+++ b/chestnutvale/consensus/progress.py
@@ -0,0 +1,70 @@
+"""What a leader knows of one follower."""
+
+import enum
+import math
+from collections import deque
+
+import attrs
+
+
+class Mode(enum.Enum):
+    """How a follower is sent the log."""
+
+    PROBE = "probe"
+    REPLICATE = "replicate"
+    SNAPSHOT = "snapshot"
+
+
+@attrs.define
+class Progress:
+    """Replication to one follower.
+
+    Parameters
+    ----------
+    next_index : int
+        Index of the next entry to send.
+    """
+
+    next_index: int
+    match_index: int = 0
+    mode: Mode = Mode.PROBE
+    # Time at which the newest answered round was sent.
+    acked_s: float = -math.inf
+    acked_round: int = 0
+    # Last index of each append that is unanswered.
+    in_flight: deque[int] = attrs.field(factory=deque)
+    snapshot_index: int = 0
+    snapshot_offset: int = 0
+    chunk_retry_at_s: float = 0.0
+
+    def accept(self, match_index: int) -> None:
+        """Note that the follower holds the log up to an index."""
+        self.match_index = max(self.match_index, match_index)
+        while self.in_flight and self.in_flight[0] <= self.match_index:
+            self.in_flight.popleft()
+        if self.mode is Mode.SNAPSHOT and self.match_index < self.snapshot_index:
+            return
+        if self.mode is not Mode.REPLICATE:
+            self.mode = Mode.REPLICATE
+            self.next_index = self.match_index + 1
+        self.next_index = max(self.next_index, self.match_index + 1)
+
+    def probe(self, hint_index: int) -> None:
+        """Search for the place from which the follower lacks entries."""
+        self.mode = Mode.PROBE
+        self.in_flight.clear()
+        self.next_index = max(hint_index, self.match_index) + 1
+
+    def is_stale_rejection(self, rejected_index: int) -> bool:
+        """Tell whether a refusal is of an append that no longer matters."""
+        if rejected_index <= self.match_index or self.mode is Mode.SNAPSHOT:
+            return True
+        return self.mode is Mode.PROBE and rejected_index != self.next_index - 1
+
+    def start_snapshot(self, index: int) -> None:
+        """Begin to send a snapshot."""
+        self.mode = Mode.SNAPSHOT
+        self.in_flight.clear()
+        self.snapshot_index = index
+        self.snapshot_offset = 0
+        self.chunk_retry_at_s = 0.0
--- /dev/null
+++ b/chestnutvale/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Durable state of a control under one data folder."""
--- /dev/null
+++ b/chestnutvale/storage/frames.py
@@ -0,0 +1,136 @@
+"""Checksummed frames: what one write adds to a file."""
+
+import struct
+from collections.abc import Iterator
+
+import attrs
+import xxhash
+
+from chestnutvale.storage.const import FRAME_MAGIC
+from chestnutvale.storage.exceptions import StorageCorruptError
+
+# Magic, payload length, sequence number, payload checksum.
+_HEADER = struct.Struct("<4sIQQ")
+_HEADER_CHECKSUM = struct.Struct("<Q")
+HEADER_BYTES = _HEADER.size + _HEADER_CHECKSUM.size
+
+
+@attrs.frozen
+class Frame:
+    """A frame that was read back whole.
+
+    Parameters
+    ----------
+    offset_bytes, end_bytes : int
+        Where it begins and ends in its file.
+    sequence : int
+        Its number; frames of a log are numbered without a gap.
+    payload : bytes
+        What it holds.
+    """
+
+    offset_bytes: int
+    end_bytes: int
+    sequence: int
+    payload: bytes
+
+
+def encode_frame(sequence: int, payload: bytes) -> bytes:
+    """Return a frame as it is written.
+
+    Parameters
+    ----------
+    sequence : int
+        Number of the frame.
+    payload : bytes
+        What it holds.
+
+    Returns
+    -------
+    bytes
+        Header and payload.
+    """
+    checksum = xxhash.xxh3_64_intdigest(payload, seed=sequence)
+    header = _HEADER.pack(FRAME_MAGIC, len(payload), sequence, checksum)
+    return header + _HEADER_CHECKSUM.pack(xxhash.xxh3_64_intdigest(header)) + payload
+
+
+def read_frame(data: bytes, offset_bytes: int) -> Frame | None:
+    """Read one frame.
+
+    Parameters
+    ----------
+    data : bytes
+        The file's data.
+    offset_bytes : int
+        Where the frame begins.
+
+    Returns
+    -------
+    Frame or None
+        None if there is no whole and undamaged frame.
+    """
+    start = offset_bytes + HEADER_BYTES
+    if start > len(data):
+        return None
+    header = data[offset_bytes : offset_bytes + _HEADER.size]
+    (header_checksum,) = _HEADER_CHECKSUM.unpack_from(data, offset_bytes + _HEADER.size)
+    if xxhash.xxh3_64_intdigest(header) != header_checksum:
+        return None
+    magic, length, sequence, checksum = _HEADER.unpack(header)
+    payload = data[start : start + length]
+    if magic != FRAME_MAGIC or len(payload) != length:
+        return None
+    if xxhash.xxh3_64_intdigest(payload, seed=sequence) != checksum:
+        return None
+    return Frame(offset_bytes, start + length, sequence, payload)
+
+
+def read_frames(data: bytes, file: str, *, may_be_torn: bool) -> Iterator[Frame]:
+    """Read all frames of a file up to its end or a torn tail.
+
+    Each write is synced before the next begins, so only the last one can be
+    torn. A damaged frame before an undamaged one was lost after its sync.
+
+    Parameters
+    ----------
+    data : bytes
+        The file's data.
+    file : str
+        Name of the file, for the error.
+    may_be_torn : bool
+        Whether the end of this file may be the end of the log.
+
+    Yields
+    ------
+    Frame
+        The frames in order.
+
+    Raises
+    ------
+    StorageCorruptError
+        If a frame that was synced is damaged.
+    """
+    offset = 0
+    sequence = None
+    while offset < len(data):
+        frame = read_frame(data, offset)
+        if frame is None or (sequence is not None and frame.sequence != sequence):
+            if not may_be_torn or _has_later_frame(data, offset + 1, sequence):
+                raise StorageCorruptError(
+                    "damaged record", file=file, offset_bytes=offset
+                )
+            return
+        yield frame
+        sequence = frame.sequence + 1
+        offset = frame.end_bytes
+
+
+def _has_later_frame(data: bytes, offset: int, sequence: int | None) -> bool:
+    place = data.find(FRAME_MAGIC, offset)
+    while place >= 0:
+        frame = read_frame(data, place)
+        if frame is not None and (sequence is None or frame.sequence > sequence):
+            return True
+        place = data.find(FRAME_MAGIC, place + 1)
+    return False
--- /dev/null
+++ b/chestnutvale/storage/segments.py
@@ -0,0 +1,236 @@
+"""The log on disk: numbered segments of checksummed batches."""
+
+from collections.abc import Sequence
+from pathlib import Path
+
+import attrs
+
+from chestnutvale.schema.raft_pb2 import HardState, LogBatch, LogEntry, LogPosition
+from chestnutvale.storage.const import SEGMENT_BYTES, SEGMENT_PATTERN
+from chestnutvale.storage.exceptions import StorageCorruptError
+from chestnutvale.storage.files import Files
+from chestnutvale.storage.frames import Frame, encode_frame, read_frames
+
+
+@attrs.define
+class LogContent:
+    """What the segments hold, rebuilt batch by batch.
+
+    Parameters
+    ----------
+    hard_state : HardState
+        Newest term and vote.
+    base : LogPosition
+        Entry before the first one.
+    entries : list of LogEntry
+        Entries after the base, without a gap.
+    """
+
+    hard_state: HardState = attrs.field(factory=HardState)
+    base: LogPosition = attrs.field(factory=LogPosition)
+    entries: list[LogEntry] = attrs.field(factory=list)
+
+    @property
+    def last(self) -> LogPosition:
+        """Index and term of the last entry."""
+        if not self.entries:
+            return self.base
+        newest = self.entries[-1]
+        return LogPosition(index=newest.index, term=newest.term)
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of an entry; None if it is not held."""
+        if index == self.base.index:
+            return self.base.term
+        if not self.base.index < index <= self.last.index:
+            return None
+        return self.entries[index - self.base.index - 1].term
+
+    def add(self, batch: LogBatch) -> bool:
+        """Add a batch; tell whether it fits what came before."""
+        if batch.HasField("hard_state"):
+            self.hard_state = batch.hard_state
+        if batch.HasField("reset"):
+            self.base = batch.reset
+            self.entries = []
+        for entry in batch.entries:
+            if not 0 < entry.index <= self.last.index + 1:
+                return False
+            if entry.index <= self.base.index:
+                # An older segment that held the replaced entries is gone.
+                self.base = LogPosition(index=entry.index - 1)
+                self.entries = []
+            del self.entries[entry.index - self.base.index - 1 :]
+            self.entries.append(entry)
+        return True
+
+
+@attrs.define
+class Segment:
+    """One file of the log.
+
+    Parameters
+    ----------
+    path : Path
+        The file.
+    last_index : int
+        Highest index of an entry in it or before it.
+    """
+
+    path: Path
+    last_index: int = 0
+
+
+class SegmentLog:
+    """Appends batches to segments, each synced before it counts.
+
+    Parameters
+    ----------
+    folder : Path
+        The data folder.
+    files : Files
+        Calls to the operating system.
+    segment_bytes : int, optional
+        Size at which a new segment is begun.
+    """
+
+    def __init__(
+        self, folder: Path, files: Files, segment_bytes: int = SEGMENT_BYTES
+    ) -> None:
+        self.content = LogContent()
+        self.segments: list[Segment] = []
+        self._folder = folder
+        self._files = files
+        self._segment_bytes = segment_bytes
+        self._sequence = 0
+        self._descriptor = -1
+        self._size_bytes = 0
+
+    def load(self) -> None:
+        """Read all segments and open the last one for appending.
+
+        Raises
+        ------
+        StorageCorruptError
+            If data that was synced is damaged or missing.
+        """
+        paths = sorted(self._folder.glob(SEGMENT_PATTERN))
+        for position, path in enumerate(paths):
+            self._load_segment(path, is_last=position == len(paths) - 1)
+        if self.segments:
+            self._open_last()
+
+    def _load_segment(self, path: Path, *, is_last: bool) -> None:
+        data = path.read_bytes()
+        end = 0
+        for frame in read_frames(data, str(path), may_be_torn=is_last):
+            self._add_frame(path, frame, is_first=end == 0)
+            end = frame.end_bytes
+        if end == 0 and not is_last:
+            raise StorageCorruptError("empty segment", file=str(path), offset_bytes=0)
+        if end == 0:
+            # The process ended before the first batch was synced.
+            self._files.remove(path)
+            self._files.sync_folder(self._folder)
+            return
+        if end < len(data):
+            self._files.truncate(path, end)
+        self.segments.append(Segment(path, self.content.last.index))
+        self._size_bytes = end
+
+    def _add_frame(self, path: Path, frame: Frame, *, is_first: bool) -> None:
+        batch = LogBatch.FromString(frame.payload)
+        offset = frame.offset_bytes
+        if is_first and not self.segments:
+            self.content.base = batch.start
+        elif frame.sequence != self._sequence:
+            raise StorageCorruptError(
+                "missing segment", file=str(path), offset_bytes=offset
+            )
+        if not self.content.add(batch):
+            raise StorageCorruptError(
+                "entry out of order", file=str(path), offset_bytes=offset
+            )
+        self._sequence = frame.sequence + 1
+
+    def _open_last(self) -> None:
+        self._descriptor = self._files.open_append(self.segments[-1].path)
+
+    def forget_entries(self) -> None:
+        """Keep only the position; the entries live in the Raft object."""
+        self.content.base = self.content.last
+        self.content.entries = []
+
+    def start(self) -> None:
+        """Begin the log of an empty folder."""
+        self._begin_segment()
+
+    def append(
+        self,
+        hard_state: HardState | None,
+        entries: Sequence[LogEntry],
+        reset: LogPosition | None = None,
+    ) -> None:
+        """Write a batch and sync it.
+
+        Parameters
+        ----------
+        hard_state : HardState or None
+            New term and vote.
+        entries : sequence of LogEntry
+            New entries; each replaces its index and all that follow.
+        reset : LogPosition, optional
+            Where the log goes on after a leader's snapshot.
+        """
+        if self._size_bytes >= self._segment_bytes:
+            self._begin_segment()
+        batch = LogBatch(hard_state=hard_state, entries=entries, reset=reset)
+        self._write(batch)
+
+    def _write(self, batch: LogBatch) -> None:
+        data = encode_frame(self._sequence, batch.SerializeToString())
+        self._files.write(self._descriptor, data)
+        self._files.sync(self._descriptor)
+        self._sequence += 1
+        self._size_bytes += len(data)
+        self._note(batch)
+
+    def _note(self, batch: LogBatch) -> None:
+        if batch.HasField("hard_state"):
+            self.content.hard_state = batch.hard_state
+        if batch.HasField("reset"):
+            self.content.base = batch.reset
+            self.content.entries = []
+        if batch.entries:
+            newest = batch.entries[-1]
+            self.content.base = LogPosition(index=newest.index, term=newest.term)
+            self.content.entries = []
+        segment = self.segments[-1]
+        segment.last_index = max(segment.last_index, self.content.last.index)
+
+    def _begin_segment(self) -> None:
+        if self._descriptor >= 0:
+            self._files.close(self._descriptor)
+            self._descriptor = -1
+        path = self._folder / f"log-{self._sequence:016x}.segment"
+        self._descriptor = self._files.open_append(path)
+        self._files.sync_folder(self._folder)
+        self.segments.append(Segment(path, self.content.last.index))
+        self._size_bytes = 0
+        start = LogBatch(hard_state=self.content.hard_state, start=self.content.last)
+        self._write(start)
+
+    def drop_before(self, index: int) -> None:
+        """Remove segments all of whose entries a snapshot covers."""
+        removed = False
+        while len(self.segments) > 1 and self.segments[0].last_index <= index:
+            self._files.remove(self.segments.pop(0).path)
+            removed = True
+        if removed:
+            self._files.sync_folder(self._folder)
+
+    def close(self) -> None:
+        """Close the last segment."""
+        if self._descriptor >= 0:
+            self._files.close(self._descriptor)
+            self._descriptor = -1
--- /dev/null
+++ b/chestnutvale/storage/store.py
@@ -0,0 +1,298 @@
+"""The data folder of a control: identity, log and snapshot."""
+
+import fcntl
+import os
+import secrets
+from collections.abc import Callable, Iterator, Sequence
+from contextlib import contextmanager
+from pathlib import Path
+from types import TracebackType
+from typing import Self
+
+from chestnutvale.consensus.const import IDENTITY_SEPARATOR
+from chestnutvale.schema.raft_pb2 import (
+    HardState,
+    Identity,
+    LogEntry,
+    LogPosition,
+    SnapshotMetadata,
+)
+from chestnutvale.schema.settings_pb2 import ControlSettings
+from chestnutvale.storage.const import (
+    IDENTITY_FILE,
+    IDENTITY_SUFFIX_BYTES,
+    LOCK_FILE,
+    SEGMENT_BYTES,
+    STEP_OPEN,
+    STEP_WRITE,
+    TEMPORARY_SUFFIX,
+)
+from chestnutvale.storage.exceptions import (
+    StorageCorruptError,
+    StorageError,
+    StorageLockedError,
+    from_os_error,
+)
+from chestnutvale.storage.files import Files
+from chestnutvale.storage.frames import encode_frame, read_frame
+from chestnutvale.storage.segments import LogContent, SegmentLog
+from chestnutvale.storage.snapshots import SnapshotFolder
+from chestnutvale.storage.state import StoredState
+
+
+def make_suffix() -> str:
+    """Return a random suffix that no earlier disk of this control had."""
+    return secrets.token_hex(IDENTITY_SUFFIX_BYTES)
+
+
+class DataStore:
+    """Owns the data folder of a control; a context manager.
+
+    All methods that write block until the disk has the data; a task calls them
+    in another thread, one at a time. After a failed write nothing is written
+    again, since nobody knows which pages the disk holds.
+
+    Parameters
+    ----------
+    settings : ControlSettings
+        Names the folder, the cluster and the control.
+    files : Files, optional
+        Calls to the operating system.
+    suffix : callable, optional
+        Makes the random part of a new identity.
+    segment_bytes : int, optional
+        Size at which a new log segment is begun.
+
+    Attributes
+    ----------
+    member_id : str
+        Identity of this disk in the log.
+    state : StoredState
+        What the folder held when it was opened.
+    failure : StorageError or None
+        The first failed write.
+    """
+
+    def __init__(
+        self,
+        settings: ControlSettings,
+        files: Files | None = None,
+        suffix: Callable[[], str] = make_suffix,
+        segment_bytes: int = SEGMENT_BYTES,
+    ) -> None:
+        self.member_id = ""
+        self.state = StoredState()
+        self.failure: StorageError | None = None
+        self._settings = settings
+        self._folder = Path(settings.data_folder)
+        self._files = files or Files()
+        self._suffix = suffix
+        self._log = SegmentLog(self._folder, self._files, segment_bytes)
+        self._snapshots = SnapshotFolder(self._folder, self._files)
+        self._lock = -1
+
+    def __enter__(self) -> Self:
+        """Lock the folder and read it, or set up an empty one."""
+        try:
+            self._folder.mkdir(parents=True, exist_ok=True)
+            self._take_lock()
+            self._load()
+        except OSError as error:
+            self._release()
+            raise from_os_error(error, STEP_OPEN, str(self._folder)) from error
+        except StorageError:
+            self._release()
+            raise
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Close the log and release the folder."""
+        self._release()
+
+    def _release(self) -> None:
+        self._log.close()
+        if self._lock >= 0:
+            os.close(self._lock)
+            self._lock = -1
+
+    def _take_lock(self) -> None:
+        self._lock = os.open(self._folder / LOCK_FILE, os.O_RDWR | os.O_CREAT, 0o600)
+        try:
+            fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError as error:
+            raise StorageLockedError(
+                "another process owns the data folder",
+                step=STEP_OPEN,
+                peer=str(self._folder),
+            ) from error
+
+    # Reading the folder.
+
+    def _load(self) -> None:
+        self._snapshots.load()
+        self._log.load()
+        path = self._folder / IDENTITY_FILE
+        if path.exists():
+            self._load_identity(path)
+        else:
+            self._initialise(path)
+        self.state = self._make_state(self._log.content)
+        self._log.forget_entries()
+
+    def _load_identity(self, path: Path) -> None:
+        frame = read_frame(path.read_bytes(), 0)
+        if frame is None:
+            raise StorageCorruptError(
+                "damaged identity", file=str(path), offset_bytes=0
+            )
+        identity = Identity.FromString(frame.payload)
+        prefix = self._settings.control_id + IDENTITY_SEPARATOR
+        is_own = identity.member_id.startswith(prefix)
+        if identity.cluster_id != self._settings.cluster_id or not is_own:
+            raise StorageError(
+                f"the folder belongs to {identity.member_id!r} of cluster "
+                f"{identity.cluster_id!r}",
+                step=STEP_OPEN,
+                peer=str(path),
+            )
+        if not self._log.segments:
+            raise StorageCorruptError("missing log", file=str(path), offset_bytes=0)
+        self.member_id = identity.member_id
+
+    def _initialise(self, path: Path) -> None:
+        """Make a new identity; refuse if another one's data is here."""
+        content = self._log.content
+        if content.last.index or content.hard_state.term or self._snapshots.size_bytes:
+            raise StorageCorruptError(
+                "missing identity", file=str(path), offset_bytes=0
+            )
+        if not self._log.segments:
+            self._log.start()
+        member_id = self._settings.control_id + IDENTITY_SEPARATOR + self._suffix()
+        identity = Identity(cluster_id=self._settings.cluster_id, member_id=member_id)
+        frame = encode_frame(0, identity.SerializeToString())
+        self._files.replace_whole(path, [frame], TEMPORARY_SUFFIX)
+        self._files.sync_folder(self._folder.parent)
+        self.member_id = member_id
+
+    def _make_state(self, content: LogContent) -> StoredState:
+        """Join the snapshot and the entries that follow it."""
+        metadata = self._snapshots.metadata
+        index = metadata.index
+        if content.base.index > index:
+            raise StorageCorruptError(
+                f"no snapshot up to entry {content.base.index}",
+                file=str(self._folder),
+                offset_bytes=0,
+            )
+        entries = []
+        if content.term_at(index) == metadata.term:
+            entries = content.entries[index - content.base.index :]
+        else:
+            # The process ended after the snapshot and before the log followed it.
+            position = LogPosition(index=index, term=metadata.term)
+            self._log.append(None, [], position)
+        return StoredState(
+            hard_state=content.hard_state,
+            snapshot=metadata,
+            snapshot_size_bytes=self._snapshots.size_bytes,
+            entries=entries,
+        )
+
+    # Writing.
+
+    @contextmanager
+    def _writing(self) -> Iterator[None]:
+        if self.failure is not None:
+            raise self.failure
+        try:
+            yield
+        except OSError as error:
+            self.failure = from_os_error(error, STEP_WRITE, str(self._folder))
+            raise self.failure from error
+
+    def write(self, hard_state: HardState | None, entries: Sequence[LogEntry]) -> None:
+        """Write a batch to the log and sync it.
+
+        Parameters
+        ----------
+        hard_state : HardState or None
+            New term and vote.
+        entries : sequence of LogEntry
+            New entries; each replaces its index and all that follow.
+
+        Raises
+        ------
+        StorageError
+            If the disk failed, now or before.
+        """
+        with self._writing():
+            self._log.append(hard_state, entries)
+
+    def save_snapshot(self, metadata: SnapshotMetadata, data: bytes) -> None:
+        """Save a snapshot of the own state and drop the log it covers.
+
+        Parameters
+        ----------
+        metadata : SnapshotMetadata
+            Place of the snapshot in the log.
+        data : bytes
+            The state.
+
+        Raises
+        ------
+        StorageError
+            If the disk failed, now or before.
+        """
+        with self._writing():
+            if metadata.index <= self._snapshots.metadata.index:
+                return
+            self._snapshots.save(metadata, data)
+            self._log.drop_before(metadata.index)
+
+    def install_snapshot(self, metadata: SnapshotMetadata, data: bytes) -> None:
+        """Save a leader's snapshot and go on after it with an empty log.
+
+        Parameters
+        ----------
+        metadata : SnapshotMetadata
+            Place of the snapshot in the log.
+        data : bytes
+            The state.
+
+        Raises
+        ------
+        StorageError
+            If the disk failed, now or before.
+        """
+        with self._writing():
+            self._snapshots.save(metadata, data)
+            position = LogPosition(index=metadata.index, term=metadata.term)
+            self._log.append(None, [], position)
+            self._log.drop_before(metadata.index)
+
+    def read_snapshot(self, index: int, offset_bytes: int, length: int) -> bytes | None:
+        """Read a part of the snapshot.
+
+        Parameters
+        ----------
+        index : int
+            Index of the snapshot that is meant.
+        offset_bytes, length : int
+            The part.
+
+        Returns
+        -------
+        bytes or None
+            None if a newer snapshot has replaced it.
+        """
+        return self._snapshots.read(index, offset_bytes, length)
+
+    def load_snapshot(self) -> bytes:
+        """Return the newest snapshot's data; empty if there is none."""
+        return self._snapshots.read_whole()
