Wire the entry daemon and the ledger's housekeeping

Cause: the entry's parts need one owner that starts and stops them in order. Change: the entry daemon with its dump and graceful shutdown, shared health and JSON views, the control's round that ends the claims of lost entries. Ruled out: nothing yet.

--- /dev/null
+++ b/chestnutvale/programs/control/ledger_task.py
@@ -0,0 +1,95 @@
+"""Housekeeping of the call ledger on the leading control."""
+
+import eventlet
+import logbook
+
+from chestnutvale.clock import Clock
+from chestnutvale.consensus.exceptions import NotLeaderError, OutcomeUnknownError
+from chestnutvale.consensus.task import ConsensusTask
+from chestnutvale.programs.control.const import (
+    ENTRY_LOST_AFTER_S,
+    EXPIRY_ROUND_S,
+    HOUSEKEEPING_ROUND_S,
+    PROPOSAL_TIMEOUT_S,
+)
+from chestnutvale.programs.control.entry_desk import EntryDesk
+from chestnutvale.programs.control.state import ControlState
+from chestnutvale.schema.command_pb2 import Command
+from chestnutvale.schema.ledger_pb2 import AbandonClaims, ExpireClaims
+
+_LOGGER = logbook.Logger(__name__)
+
+
+class LedgerTask:
+    """Ends the claims of lost entries and removes expired ones.
+
+    Parameters
+    ----------
+    log : ConsensusTask
+        The replicated log.
+    state : ControlState
+        The replicated state.
+    desk : EntryDesk
+        Knows which entries are alive.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(
+        self, log: ConsensusTask, state: ControlState, desk: EntryDesk, clock: Clock
+    ) -> None:
+        self._log = log
+        self._state = state
+        self._desk = desk
+        self._clock = clock
+        self._led_from_s = float("inf")
+        self._expiry_due_s = 0.0
+
+    def run(self) -> None:
+        """Keep house for ever; ended by killing the task."""
+        while True:
+            eventlet.sleep(HOUSEKEEPING_ROUND_S)
+            try:
+                self._run_round()
+            except (NotLeaderError, OutcomeUnknownError) as error:
+                _LOGGER.info("Housekeeping of the ledger waits: {}", error)
+            except Exception:
+                # The next round starts from the state again.
+                _LOGGER.exception("Housekeeping of the ledger failed")
+
+    def _run_round(self) -> None:
+        now_s = self._clock.now_s()
+        if not self._log.is_leader:
+            self._led_from_s = float("inf")
+            return
+        self._led_from_s = min(self._led_from_s, now_s)
+        for command in self._find_abandoned(now_s):
+            self._propose(Command(abandon_claims=command))
+        if now_s < self._expiry_due_s:
+            return
+        self._expiry_due_s = now_s + EXPIRY_ROUND_S
+        self._propose(
+            Command(expire_claims=ExpireClaims(now_unix_ms=self._clock.unix_ms()))
+        )
+
+    def _find_abandoned(self, now_s: float) -> list[AbandonClaims]:
+        found = []
+        for entry_id, incarnation in sorted(self._state.ledger.running_entries()):
+            known = self._desk.entries.get(entry_id)
+            if known is not None and known.incarnation > incarnation:
+                found.append(
+                    AbandonClaims(
+                        entry_id=entry_id, live_incarnation=known.incarnation
+                    )
+                )
+                continue
+            # A new leader has not heard the entries yet, so it waits first.
+            seen_at_s = known.seen_at_s if known is not None else 0.0
+            quiet_since_s = max(seen_at_s, self._led_from_s)
+            if now_s - quiet_since_s > ENTRY_LOST_AFTER_S:
+                found.append(AbandonClaims(entry_id=entry_id))
+        return found
+
+    def _propose(self, command: Command) -> None:
+        command.proposed_at_unix_ms = self._clock.unix_ms()
+        self._log.propose(command, self._clock.now_s() + PROPOSAL_TIMEOUT_S)
--- a/chestnutvale/programs/entry/app.py
+++ b/chestnutvale/programs/entry/app.py
@@ -1,10 +1,10 @@
 """Routes HTTP requests of callers, endpoints and operators."""
 
-import json
 from collections.abc import Callable, Iterable
 from typing import Any
 
 from chestnutvale.http_server.problem import Problem
+from chestnutvale.http_server.views import WsgiApp
 from chestnutvale.programs.entry.const import (
     PATH_ANNOUNCEMENTS,
     PATH_CHAT,
@@ -12,11 +12,8 @@
     PREFIX_SERVICES,
 )
 
-WsgiApp = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
 METHOD_GET = "GET"
 METHOD_POST = "POST"
-STATUS_OK = "200 OK"
-STATUS_UNAVAILABLE = "503 Service Unavailable"
 STATUS_NOT_FOUND = 404
 STATUS_METHOD_NOT_ALLOWED = 405
 
@@ -76,60 +73,6 @@
         return _refuse(start_response, STATUS_NOT_FOUND, "not_found")
 
 
-def make_check(is_good: Callable[[], bool]) -> WsgiApp:
-    """Make the handler of a health check.
-
-    Parameters
-    ----------
-    is_good : callable
-        Tells whether the check passes.
-
-    Returns
-    -------
-    WSGI application
-        Answers 200 or 503.
-    """
-
-    def check(
-        environ: dict[str, Any], start_response: Callable[..., Any]
-    ) -> Iterable[bytes]:
-        good = is_good()
-        body = b"ok\n" if good else b"not ready\n"
-        headers = [("Content-Type", "text/plain"), ("Content-Length", str(len(body)))]
-        start_response(STATUS_OK if good else STATUS_UNAVAILABLE, headers)
-        return [body]
-
-    return check
-
-
-def make_json_view(read: Callable[[], Any]) -> WsgiApp:
-    """Make a handler that answers with a JSON document.
-
-    Parameters
-    ----------
-    read : callable
-        Gives the document.
-
-    Returns
-    -------
-    WSGI application
-        Answers 200.
-    """
-
-    def view(
-        environ: dict[str, Any], start_response: Callable[..., Any]
-    ) -> Iterable[bytes]:
-        body = json.dumps(read(), indent=1, default=str).encode()
-        headers = [
-            ("Content-Type", "application/json"),
-            ("Content-Length", str(len(body))),
-        ]
-        start_response(STATUS_OK, headers)
-        return [body]
-
-    return view
-
-
 def _refuse(
     start_response: Callable[..., Any], status: int, code: str
 ) -> Iterable[bytes]:
--- a/chestnutvale/programs/entry/const.py
+++ b/chestnutvale/programs/entry/const.py
@@ -13,3 +13,7 @@
 PATH_CHAT: Final = "/v1/chat/completions"
 PATH_COMPLETIONS: Final = "/v1/completions"
 PREFIX_SERVICES: Final = "/services/"
+
+# Time in seconds that the balancer gets to see that an entry is not ready.
+DRAIN_NOTICE_S: Final = 1.0
+SALT_BITS: Final = 32
--- /dev/null
+++ b/chestnutvale/programs/entry/daemon.py
@@ -0,0 +1,221 @@
+"""Wires the parts of an entry together and stops them in order."""
+
+import contextlib
+import random
+from collections.abc import Callable
+from types import TracebackType
+from typing import Any, Self
+
+import eventlet
+import logbook
+
+from chestnutvale.admission.controller import AdmissionController
+from chestnutvale.clock import Clock
+from chestnutvale.http_server.server import HttpServer
+from chestnutvale.http_server.views import make_check, make_json_view
+from chestnutvale.membership.entry_view import EntryView
+from chestnutvale.membership.hearing import Hearing
+from chestnutvale.programs.entry.admission_gate import AdmissionGate
+from chestnutvale.programs.entry.announcements import AnnouncementDoor
+from chestnutvale.programs.entry.app import EntryApp
+from chestnutvale.programs.entry.call_context import EntryContext
+from chestnutvale.programs.entry.commits import CommitClient
+from chestnutvale.programs.entry.const import DRAIN_NOTICE_S, SALT_BITS
+from chestnutvale.programs.entry.control_link import ControlLink
+from chestnutvale.programs.entry.group_router import GroupRouter
+from chestnutvale.programs.entry.ledger_writer import LedgerWriter
+from chestnutvale.programs.entry.model_calls import ModelCallHandler
+from chestnutvale.programs.entry.service_calls import ServiceCallHandler
+from chestnutvale.routing.selector import Selector
+from chestnutvale.schema.settings_pb2 import EntrySettings
+from chestnutvale.transport.gate import make_incarnation
+from chestnutvale.transport.node import TransportNode
+
+_LOGGER = logbook.Logger(__name__)
+
+FORM_CHAT = "chat"
+FORM_COMPLETION = "completion"
+
+
+class EntryDaemon:
+    """One entry; a context manager.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+        Checked settings.
+    clock : Clock
+        Source of time.
+    rng : random.Random
+        Source of random numbers.
+    """
+
+    def __init__(
+        self, settings: EntrySettings, clock: Clock, rng: random.Random
+    ) -> None:
+        self.settings = settings
+        self._clock = clock
+        self._exits = contextlib.ExitStack()
+        self.incarnation = make_incarnation(
+            clock.unix_ms(), rng.getrandbits(SALT_BITS)
+        )
+        self.transport = TransportNode(
+            settings.cluster_id,
+            settings.entry_id,
+            self.incarnation,
+            settings.peer_address,
+            clock,
+        )
+        self.view = EntryView(settings.lease_ms / 1_000)
+        self.hearing = Hearing()
+        self._gate = AdmissionGate(AdmissionController(rng), clock)
+        router = GroupRouter(
+            self.view, Selector(rng), self._gate.predicted_tokens, clock
+        )
+        commits = CommitClient(self.transport, list(settings.controls), clock)
+        self.context = EntryContext(
+            settings.entry_id,
+            self.incarnation,
+            self.view,
+            self._gate,
+            router,
+            commits,
+            clock,
+            rng,
+        )
+        self.link = ControlLink(
+            settings,
+            self.transport,
+            self.view,
+            self.hearing,
+            self.context.suspicions,
+            clock,
+            rng,
+        )
+        self.link.on_view(self.context.install)
+        self._writer = LedgerWriter(self.context)
+        self._services = ServiceCallHandler(self.context, self._writer)
+        self.server = HttpServer(
+            self._make_app(), settings.http_address, settings.http_limits, clock
+        )
+
+    def __enter__(self) -> Self:
+        """Open the sockets and start the tasks."""
+        with contextlib.ExitStack() as exits:
+            exits.enter_context(self.transport)
+            for run in (self.link.run, self._gate.run):
+                exits.callback(eventlet.spawn(run).kill)
+            exits.enter_context(self.server)
+            self._exits = exits.pop_all()
+        _LOGGER.info("Entry {} serves", self.settings.entry_id)
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Stop the tasks and close the sockets."""
+        self._exits.close()
+
+    def shut_down(self) -> int:
+        """Stop gracefully: leave the balancer, then finish what runs.
+
+        Returns
+        -------
+        int
+            Calls that were cut at the deadline.
+        """
+        deadline_s = self._clock.now_s() + self.settings.shutdown_timeout_ms / 1_000
+        self.link.draining = True
+        self.link.hurry()
+        self.server.begin_drain()
+        # The balancer needs time to see that the entry is not ready any more.
+        eventlet.sleep(DRAIN_NOTICE_S)
+        cut = self.server.stop(deadline_s)
+        while self._services.running_calls and self._clock.now_s() < deadline_s:
+            eventlet.sleep(0.05)
+        _LOGGER.info("Entry {} stops; {} calls cut", self.settings.entry_id, cut)
+        return cut
+
+    def is_ready(self) -> bool:
+        """Tell whether the balancer should send calls here."""
+        return not self.link.draining and self.view.has_lease(self._clock.now_s())
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state of the process, without secrets."""
+        now_s = self._clock.now_s()
+        return {
+            "entry_id": self.settings.entry_id,
+            "incarnation": self.incarnation,
+            "draining": self.link.draining,
+            "configuration_number": self.view.number,
+            "lease_left_s": round(self.view.lease_until_s - now_s, 3),
+            "view_version": self.view.version,
+            "view_source": self.view.source,
+            "entry_count": self.view.entry_count,
+            "hosts_heard": self.hearing.host_count,
+            "groups": [
+                {
+                    "group_id": item.group.group_id,
+                    "service": item.group.service,
+                    "epoch": item.group.epoch,
+                    "serving": item.serving,
+                    "reason": item.reason,
+                }
+                for item in self.view.groups()
+            ],
+            "running_attempts": len(self.context.running),
+            "running_requests": self.server.running_requests,
+            "refused_requests": dict(self.server.refused),
+            "transport": self.transport.counters(),
+        }
+
+    def _make_app(self) -> EntryApp:
+        return EntryApp(
+            chat=ModelCallHandler(self.context, FORM_CHAT),
+            completions=ModelCallHandler(self.context, FORM_COMPLETION),
+            services=self._services,
+            announcements=AnnouncementDoor(
+                self.hearing,
+                self._clock,
+                self.settings.announce_interval_ms,
+                self.link.hurry,
+            ),
+            operations={
+                "/healthz": make_check(_is_alive),
+                "/readyz": make_check(self.is_ready),
+                "/debug/state": make_json_view(self.dump),
+            },
+        )
+
+
+def _is_alive() -> bool:
+    return True
+
+
+def run_until_stopped(
+    settings: EntrySettings, clock: Clock, rng: random.Random, wait: Callable[[], None]
+) -> int:
+    """Run an entry until a stop is asked for.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+        Checked settings.
+    clock : Clock
+        Source of time.
+    rng : random.Random
+        Source of random numbers.
+    wait : callable
+        Blocks until a stop is asked for.
+
+    Returns
+    -------
+    int
+        Calls that were cut.
+    """
+    with EntryDaemon(settings, clock, rng) as daemon:
+        wait()
+        return daemon.shut_down()
--- a/chestnutvale/transport/node.py
+++ b/chestnutvale/transport/node.py
@@ -160,6 +160,22 @@
         self.sent_bytes += len(data)
         return True
 
+    def counters(self) -> dict[str, object]:
+        """Return what was sent, received and dropped, for the dump.
+
+        Returns
+        -------
+        dict
+            Messages, bytes and drops by reason.
+        """
+        return {
+            "sent_messages": self.sent_messages,
+            "sent_bytes": self.sent_bytes,
+            "received_messages": self.received_messages,
+            "received_bytes": self.received_bytes,
+            "drops": dict(self.drops),
+        }
+
     def _outbox(self, address: str) -> pynng.Push0:
         outbox = self._outboxes.get(address)
         if outbox is not None:
