--- /dev/null
+++ b/chestnutvale/attempts/answer_stream.py
@@ -0,0 +1,149 @@
+"""Put an answer together from the events of several attempts."""
+
+from chestnutvale.attempts.const import MAX_HELD_EVENTS, MAX_RESUME_BYTES
+from chestnutvale.attempts.sse import StreamEvent
+
+
+class AnswerStream:
+    """Takes each token of an answer exactly once and in order.
+
+    Events of another attempt and events that repeat tokens are dropped. An
+    event that leaves a gap is held until the gap is filled.
+
+    Parameters
+    ----------
+    max_resume_bytes : int, optional
+        Delivered bytes that are kept for a resume.
+
+    Attributes
+    ----------
+    next_offset : int
+        Tokens that were delivered.
+    is_whole : bool
+        Whether the end of the answer was delivered.
+    dropped_events : int
+        Events that were late, doubled or foreign.
+    """
+
+    def __init__(self, max_resume_bytes: int = MAX_RESUME_BYTES) -> None:
+        self.next_offset = 0
+        self.is_whole = False
+        self.dropped_events = 0
+        self._attempt_id = b""
+        self._held: dict[int, StreamEvent] = {}
+        self._last_data = b""
+        self._parts: list[bytes] = []
+        self._kept_bytes = 0
+        self._max_resume_bytes = max_resume_bytes
+
+    @property
+    def has_delivered(self) -> bool:
+        """Whether any byte was delivered."""
+        return self._kept_bytes > 0
+
+    @property
+    def can_resume(self) -> bool:
+        """Whether all delivered bytes were kept."""
+        return self._kept_bytes <= self._max_resume_bytes
+
+    def delivered(self) -> bytes:
+        """Return all delivered events, if they were kept."""
+        return b"".join(self._parts)
+
+    def begin_attempt(self, attempt_id: str) -> None:
+        """Take events of this attempt only from here on.
+
+        Parameters
+        ----------
+        attempt_id : str
+            Identity of the attempt.
+        """
+        self._attempt_id = attempt_id.encode()
+        self._held.clear()
+        self._last_data = b""
+
+    def take(self, events: list[StreamEvent]) -> tuple[bytes, str]:
+        """Take in events that arrived together.
+
+        Parameters
+        ----------
+        events : list of StreamEvent
+            The events in their order of arrival.
+
+        Returns
+        -------
+        data : bytes
+            What to deliver.
+        fault : str
+            Why the attempt can't go on; empty if it can.
+        """
+        ready: list[bytes] = []
+        fault = ""
+        for event in events:
+            fault = self._take_one(event, ready)
+            if fault or self.is_whole:
+                break
+        data = b"".join(ready)
+        self._keep(data)
+        return data, fault
+
+    def _take_one(self, event: StreamEvent, ready: list[bytes]) -> str:
+        if event.is_done:
+            return self._finish(event, ready)
+        if event.attempt_id != self._attempt_id:
+            self.dropped_events += 1
+            return ""
+        if event.first == self.next_offset:
+            self._accept(event, ready)
+            return self._accept_held(ready) if self._held else ""
+        if event.first > self.next_offset:
+            return self._hold(event)
+        if event.next > self.next_offset:
+            return "an event overlaps the answer"
+        self.dropped_events += 1
+        return ""
+
+    def _accept(self, event: StreamEvent, ready: list[bytes]) -> None:
+        # An event without a token can be told from its copy only by its bytes.
+        if event.first == event.next and event.data == self._last_data:
+            self.dropped_events += 1
+            return
+        self._last_data = event.data
+        self.next_offset = event.next
+        ready.append(event.data)
+
+    def _hold(self, event: StreamEvent) -> str:
+        if len(self._held) >= MAX_HELD_EVENTS:
+            return "events are missing"
+        held = self._held.get(event.first)
+        if held is not None and held.next >= event.next:
+            self.dropped_events += 1
+            return ""
+        self._held[event.first] = event
+        return ""
+
+    def _accept_held(self, ready: list[bytes]) -> str:
+        while (event := self._held.pop(self.next_offset, None)) is not None:
+            self._accept(event, ready)
+        late = [first for first in self._held if first < self.next_offset]
+        for first in late:
+            if self._held.pop(first).next > self.next_offset:
+                return "an event overlaps the answer"
+            self.dropped_events += 1
+        return ""
+
+    def _finish(self, event: StreamEvent, ready: list[bytes]) -> str:
+        if self._held:
+            return "events are missing"
+        if not (ready or self.has_delivered):
+            return "the answer is empty"
+        ready.append(event.data)
+        self.is_whole = True
+        return ""
+
+    def _keep(self, data: bytes) -> None:
+        self._kept_bytes += len(data)
+        if self.can_resume:
+            self._parts.append(data)
+        else:
+            self._parts.clear()
--- /dev/null
+++ b/chestnutvale/attempts/crash_evidence.py
@@ -0,0 +1,237 @@
+"""Tell a request that crashes groups from those that ran beside it."""
+
+import attrs
+
+from chestnutvale.attempts.const import (
+    BAN_CRASHES,
+    BAN_CRASHES_AMBIGUOUS,
+    BAN_MS,
+    DOMAIN_FAULT_MS,
+    EVIDENCE_RETENTION_MS,
+    EVIDENCE_SETTLE_MS,
+    MAX_CRASHES,
+    MAX_SUSPECTS,
+)
+from chestnutvale.schema.peer_pb2 import CrashSuspicion
+
+
+@attrs.frozen
+class CrashId:
+    """Which crash it was; a group that is repaired has a new epoch.
+
+    Attributes
+    ----------
+    group_id : str
+        The group.
+    epoch : int
+        Its epoch.
+    """
+
+    group_id: str
+    epoch: int
+
+
+@attrs.define
+class Crash:
+    """One group that broke, and what it was running.
+
+    Attributes
+    ----------
+    crash_id : CrashId
+        Identity of the crash.
+    fabric_domain : str
+        Domain of the group.
+    at_unix_ms : int
+        First time at which it was seen.
+    suspects : set of int
+        Fingerprints of the requests that it was running.
+    """
+
+    crash_id: CrashId
+    fabric_domain: str
+    at_unix_ms: int
+    suspects: set[int] = attrs.field(factory=set)
+
+
+class CrashEvidence:
+    """Crashes with their suspects, merged from all entries.
+
+    A request is guilty after crashes on two different groups if no other
+    suspect ran in both. A crash counts against nobody else once a guilty
+    request was found in it, and against nobody at all if another group of its
+    fabric domain broke at the same time without running the suspect.
+    """
+
+    def __init__(self) -> None:
+        self._crashes: dict[CrashId, Crash] = {}
+        # Time of the last whole answer in Unix milliseconds by fingerprint.
+        self._cleared: dict[int, int] = {}
+
+    def crashes(self) -> list[Crash]:
+        """Return all remembered crashes, oldest first."""
+        return list(self._crashes.values())
+
+    def cleared(self) -> dict[int, int]:
+        """Return the time of the last whole answer by fingerprint."""
+        return dict(self._cleared)
+
+    def add(self, suspicion: CrashSuspicion) -> bool:
+        """Take in a piece of evidence; the same piece again changes nothing.
+
+        Parameters
+        ----------
+        suspicion : CrashSuspicion
+            The evidence.
+
+        Returns
+        -------
+        bool
+            Whether it was new.
+        """
+        if suspicion.cleared:
+            return self._clear(suspicion.fingerprint, suspicion.crashed_at_unix_ms)
+        fingerprint = suspicion.fingerprint
+        if self._cleared.get(fingerprint, 0) >= suspicion.crashed_at_unix_ms:
+            return False
+        crash_id = CrashId(suspicion.group_id, suspicion.epoch)
+        crash = self._crashes.get(crash_id)
+        if crash is None:
+            crash = Crash(
+                crash_id, suspicion.fabric_domain, suspicion.crashed_at_unix_ms
+            )
+            self._crashes[crash_id] = crash
+            self._forget_oldest()
+        if fingerprint in crash.suspects or len(crash.suspects) >= MAX_SUSPECTS:
+            return False
+        crash.suspects.add(fingerprint)
+        return True
+
+    def expire(self, now_unix_ms: int) -> None:
+        """Forget old evidence.
+
+        Parameters
+        ----------
+        now_unix_ms : int
+            Wall-clock time in milliseconds.
+        """
+        oldest = now_unix_ms - EVIDENCE_RETENTION_MS
+        self._crashes = {
+            crash_id: crash
+            for crash_id, crash in self._crashes.items()
+            if crash.at_unix_ms > oldest
+        }
+        self._cleared = {
+            fingerprint: at_unix_ms
+            for fingerprint, at_unix_ms in self._cleared.items()
+            if at_unix_ms > oldest
+        }
+
+    def crashes_of(self, fingerprint: int) -> list[Crash]:
+        """Return the crashes that a request was running in.
+
+        Parameters
+        ----------
+        fingerprint : int
+            The request.
+
+        Returns
+        -------
+        list of Crash
+            The crashes, oldest first.
+        """
+        return [c for c in self._crashes.values() if fingerprint in c.suspects]
+
+    def banned_until_unix_ms(self, fingerprint: int, now_unix_ms: int) -> int:
+        """Return the end of a request's ban.
+
+        Parameters
+        ----------
+        fingerprint : int
+            The request.
+        now_unix_ms : int
+            Wall-clock time in milliseconds.
+
+        Returns
+        -------
+        int
+            Unix milliseconds; 0 if the request is not banned.
+        """
+        settled = now_unix_ms - EVIDENCE_SETTLE_MS
+        crashes = self._one_per_group(
+            crash
+            for crash in self.crashes_of(fingerprint)
+            if crash.at_unix_ms <= settled
+        )
+        if not self._is_guilty(fingerprint, crashes):
+            return 0
+        end_unix_ms = max(crash.at_unix_ms for crash in crashes) + BAN_MS
+        return end_unix_ms if end_unix_ms > now_unix_ms else 0
+
+    def open_crashes_of(self, fingerprint: int, now_unix_ms: int) -> list[Crash]:
+        """Return the crashes for which a request is still a suspect.
+
+        Parameters
+        ----------
+        fingerprint : int
+            The request.
+        now_unix_ms : int
+            Wall-clock time in milliseconds.
+
+        Returns
+        -------
+        list of Crash
+            Crashes in which no other request was found guilty.
+        """
+        return [
+            crash
+            for crash in self.crashes_of(fingerprint)
+            if not self._is_explained(crash, fingerprint)
+            and not self._is_solved(crash, fingerprint, now_unix_ms)
+        ]
+
+    def _is_guilty(self, fingerprint: int, crashes: list[Crash]) -> bool:
+        if len(crashes) >= BAN_CRASHES_AMBIGUOUS:
+            return True
+        counted = [c for c in crashes if not self._is_explained(c, fingerprint)]
+        if len(counted) < BAN_CRASHES:
+            return False
+        common = set.intersection(*(crash.suspects for crash in counted))
+        return common == {fingerprint}
+
+    def _is_solved(self, crash: Crash, fingerprint: int, now_unix_ms: int) -> bool:
+        others = crash.suspects - {fingerprint}
+        return any(
+            len(self.crashes_of(other)) >= BAN_CRASHES
+            and self.banned_until_unix_ms(other, now_unix_ms)
+            for other in others
+        )
+
+    def _is_explained(self, crash: Crash, fingerprint: int) -> bool:
+        return any(
+            other.crash_id.group_id != crash.crash_id.group_id
+            and crash.fabric_domain
+            and other.fabric_domain == crash.fabric_domain
+            and abs(other.at_unix_ms - crash.at_unix_ms) <= DOMAIN_FAULT_MS
+            and fingerprint not in other.suspects
+            for other in self._crashes.values()
+        )
+
+    @staticmethod
+    def _one_per_group(crashes: "list[Crash]") -> list[Crash]:
+        by_group = {crash.crash_id.group_id: crash for crash in crashes}
+        return list(by_group.values())
+
+    def _clear(self, fingerprint: int, at_unix_ms: int) -> bool:
+        if self._cleared.get(fingerprint, 0) >= at_unix_ms:
+            return False
+        self._cleared[fingerprint] = at_unix_ms
+        if len(self._cleared) > MAX_SUSPECTS:
+            del self._cleared[next(iter(self._cleared))]
+        for crash in self._crashes.values():
+            if crash.at_unix_ms <= at_unix_ms:
+                crash.suspects.discard(fingerprint)
+        return True
+
+    def _forget_oldest(self) -> None:
+        if len(self._crashes) > MAX_CRASHES:
+            del self._crashes[next(iter(self._crashes))]
--- /dev/null
+++ b/chestnutvale/attempts/model_call.py
@@ -0,0 +1,289 @@
+"""One caller's call to a model, over as many attempts as it may take."""
+
+from collections.abc import Callable
+from typing import Any
+
+from chestnutvale.attempts.answer_stream import AnswerStream
+from chestnutvale.attempts.const import (
+    CODE_ATTEMPTS,
+    CODE_BROKEN,
+    CODE_CALLER_GONE,
+    CODE_CRASHING,
+    CODE_DEADLINE,
+    CODE_NONE_AVAILABLE,
+    CODE_REFUSED,
+    CODE_RETRY_BUDGET,
+    DEFAULT_RETRY_AFTER_S,
+    MAX_ATTEMPTS,
+    OUTCOME_FAILED,
+    OUTCOME_NOT_RUN,
+    OUTCOME_UNKNOWN,
+    RETRIED_REFUSALS,
+    STREAM_IDLE_TIMEOUT_S,
+)
+from chestnutvale.attempts.events import (
+    AttemptBroken,
+    AttemptRefused,
+    CallBanned,
+    CallEffect,
+    CallerGone,
+    CallEvent,
+    CancelAttempt,
+    ChooseGroup,
+    Deliver,
+    EventsArrived,
+    Failure,
+    Finish,
+    GroupChosen,
+    NoneAvailable,
+    StartAttempt,
+    Started,
+    Tick,
+)
+from chestnutvale.attempts.retry_budget import AttemptBudgets, RetryBudget
+
+STEP_CHOOSE = "choose"
+STEP_GENERATE = "generate"
+
+
+class ModelCall:
+    """State machine of one call; gives the whole answer or one true failure.
+
+    Parameters
+    ----------
+    request_id : str
+        Identity of the call; attempts are named after it.
+    deadline_s : float
+        Monotonic time in seconds at which the call ends.
+    budgets : AttemptBudgets
+        Retry budgets that the entry's calls share.
+    max_attempts : int, optional
+        Attempts that the call may make.
+
+    Attributes
+    ----------
+    answer : AnswerStream
+        What was delivered so far.
+    attempts : int
+        Attempts that were started.
+    is_finished : bool
+        Whether `Finish` was given.
+    """
+
+    def __init__(
+        self,
+        request_id: str,
+        deadline_s: float,
+        budgets: AttemptBudgets,
+        max_attempts: int = MAX_ATTEMPTS,
+    ) -> None:
+        self.answer = AnswerStream()
+        self.attempts = 0
+        self.is_finished = False
+        self._request_id = request_id
+        self._deadline_s = deadline_s
+        self._budgets = budgets
+        self._max_attempts = max_attempts
+        self._attempt_id = ""
+        self._group_id = ""
+        self._version = ""
+        self._excluded: set[str] = set()
+        self._outcome = OUTCOME_NOT_RUN
+        self._idle_deadline_s = deadline_s
+        self._handlers: dict[type, Callable[[Any, float], list[CallEffect]]] = {
+            EventsArrived: self._on_events,
+            Started: self._on_started,
+            GroupChosen: self._on_group_chosen,
+            NoneAvailable: self._on_none_available,
+            CallBanned: self._on_banned,
+            AttemptRefused: self._on_refused,
+            AttemptBroken: self._on_broken,
+            CallerGone: self._on_caller_gone,
+            Tick: self._on_tick,
+        }
+
+    @property
+    def group_id(self) -> str:
+        """Group of the running attempt; empty between attempts."""
+        return self._group_id if self._attempt_id else ""
+
+    @property
+    def next_tick_s(self) -> float:
+        """Monotonic time in seconds at which `Tick` is due."""
+        return min(self._deadline_s, self._idle_deadline_s)
+
+    def handle(self, event: CallEvent, now_s: float) -> list[CallEffect]:
+        """Take in an event.
+
+        Parameters
+        ----------
+        event : CallEvent
+            What happened.
+        now_s : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        list of CallEffect
+            What to do, in this order.
+        """
+        if self.is_finished:
+            return []
+        return self._handlers[type(event)](event, now_s)
+
+    def _on_started(self, event: Started, now_s: float) -> list[CallEffect]:
+        self._budgets.count_call()
+        return self._choose(now_s)
+
+    def _choose(self, now_s: float) -> list[CallEffect]:
+        if now_s >= self._deadline_s:
+            return self._fail_deadline()
+        return [ChooseGroup(frozenset(self._excluded), self._version)]
+
+    def _on_group_chosen(self, event: GroupChosen, now_s: float) -> list[CallEffect]:
+        if self._attempt_id:
+            return []
+        if now_s >= self._deadline_s:
+            return self._fail_deadline()
+        self.attempts += 1
+        self._attempt_id = f"{self._request_id}.{self.attempts}"
+        self._group_id = event.group_id
+        if not self.answer.has_delivered:
+            self._version = event.version
+        self._idle_deadline_s = now_s + STREAM_IDLE_TIMEOUT_S
+        self.answer.begin_attempt(self._attempt_id)
+        return [
+            StartAttempt(
+                self._attempt_id,
+                event.group_id,
+                event.epoch,
+                self.answer.next_offset,
+            )
+        ]
+
+    def _on_none_available(
+        self, event: NoneAvailable, now_s: float
+    ) -> list[CallEffect]:
+        return self._fail(
+            CODE_NONE_AVAILABLE,
+            "no group of the service can take the call",
+            step=STEP_CHOOSE,
+            retry_after_s=event.retry_after_s,
+        )
+
+    def _on_banned(self, event: CallBanned, now_s: float) -> list[CallEffect]:
+        self._outcome = OUTCOME_FAILED
+        return self._fail(
+            CODE_CRASHING,
+            "this request broke the groups that ran it",
+            step=STEP_CHOOSE,
+            retry_after_s=event.retry_after_s,
+        )
+
+    def _on_events(self, event: EventsArrived, now_s: float) -> list[CallEffect]:
+        if event.attempt_id != self._attempt_id:
+            self.answer.dropped_events += len(event.events)
+            return []
+        self._outcome = OUTCOME_FAILED
+        self._idle_deadline_s = now_s + STREAM_IDLE_TIMEOUT_S
+        data, fault = self.answer.take(event.events)
+        effects: list[CallEffect] = [Deliver(data)] if data else []
+        if self.answer.is_whole:
+            self.is_finished = True
+            effects.append(Finish())
+        elif now_s >= self._deadline_s:
+            effects += self._fail_deadline()
+        elif fault:
+            effects += self._break_attempt(fault, now_s)
+        return effects
+
+    def _on_refused(self, event: AttemptRefused, now_s: float) -> list[CallEffect]:
+        if event.attempt_id != self._attempt_id:
+            return []
+        self._end_attempt()
+        retry_after_s = event.retry_after_s or DEFAULT_RETRY_AFTER_S
+        if event.code not in RETRIED_REFUSALS:
+            return self._fail(event.code, event.message, retry_after_s=None)
+        return self._try_again(
+            self._budgets.retries, CODE_REFUSED, event.code, now_s, retry_after_s
+        )
+
+    def _on_broken(self, event: AttemptBroken, now_s: float) -> list[CallEffect]:
+        if event.attempt_id != self._attempt_id:
+            return []
+        return self._break_attempt(event.reason, now_s)
+
+    def _break_attempt(self, reason: str, now_s: float) -> list[CallEffect]:
+        effects = self._cancel()
+        # The request reached an engine, which may have worked on it.
+        if self._outcome == OUTCOME_NOT_RUN:
+            self._outcome = OUTCOME_UNKNOWN
+        if not self.answer.can_resume:
+            return effects + self._fail(CODE_BROKEN, reason)
+        return effects + self._try_again(
+            self._budgets.resumes, CODE_BROKEN, reason, now_s, DEFAULT_RETRY_AFTER_S
+        )
+
+    def _try_again(
+        self,
+        budget: RetryBudget,
+        code: str,
+        reason: str,
+        now_s: float,
+        retry_after_s: float,
+    ) -> list[CallEffect]:
+        if self.attempts >= self._max_attempts:
+            return self._fail(CODE_ATTEMPTS, reason, retry_after_s=retry_after_s)
+        if not budget.try_retry():
+            return self._fail(CODE_RETRY_BUDGET, reason, retry_after_s=retry_after_s)
+        return self._choose(now_s)
+
+    def _on_caller_gone(self, event: CallerGone, now_s: float) -> list[CallEffect]:
+        effects = self._cancel()
+        if effects and self._outcome == OUTCOME_NOT_RUN:
+            self._outcome = OUTCOME_UNKNOWN
+        return effects + self._fail(
+            CODE_CALLER_GONE, "the caller closed the connection", retry_after_s=None
+        )
+
+    def _on_tick(self, event: Tick, now_s: float) -> list[CallEffect]:
+        if now_s >= self._deadline_s:
+            return self._fail_deadline()
+        if self._attempt_id and now_s >= self._idle_deadline_s:
+            return self._break_attempt("the stream fell silent", now_s)
+        return []
+
+    def _fail_deadline(self) -> list[CallEffect]:
+        is_running = bool(self._attempt_id)
+        effects = self._cancel()
+        if is_running and self._outcome == OUTCOME_NOT_RUN:
+            self._outcome = OUTCOME_UNKNOWN
+        return effects + self._fail(
+            CODE_DEADLINE, "the deadline passed", retry_after_s=DEFAULT_RETRY_AFTER_S
+        )
+
+    def _cancel(self) -> list[CallEffect]:
+        if not self._attempt_id:
+            return []
+        cancel = CancelAttempt(self._attempt_id, self._group_id)
+        self._end_attempt()
+        return [cancel]
+
+    def _end_attempt(self) -> None:
+        self._excluded.add(self._group_id)
+        self._attempt_id = ""
+        self._idle_deadline_s = self._deadline_s
+
+    def _fail(
+        self,
+        code: str,
+        message: str,
+        *,
+        step: str = STEP_GENERATE,
+        retry_after_s: float | None = DEFAULT_RETRY_AFTER_S,
+    ) -> list[CallEffect]:
+        self.is_finished = True
+        failure = Failure(
+            code, self._outcome, message, step, self._group_id, retry_after_s
+        )
+        return [Finish(failure)]
--- /dev/null
+++ b/chestnutvale/attempts/service_call.py
@@ -0,0 +1,382 @@
+"""One caller's call to a plain service, run at most once if it must be."""
+
+from collections.abc import Callable
+from typing import Any
+
+from chestnutvale.attempts.const import (
+    CODE_ATTEMPTS,
+    CODE_CALLER_GONE,
+    CODE_DEADLINE,
+    CODE_NONE_AVAILABLE,
+    CODE_REFUSED,
+    CODE_RETRY_BUDGET,
+    DEFAULT_RETRY_AFTER_S,
+    MAX_ATTEMPTS,
+    OUTCOME_FAILED,
+    OUTCOME_NOT_RUN,
+    OUTCOME_UNKNOWN,
+    RUNNING_RETRY_AFTER_S,
+    SERVICE_LINGER_S,
+)
+from chestnutvale.attempts.events import (
+    AttemptBroken,
+    AttemptRefused,
+    CallerGone,
+    CancelAttempt,
+    ChooseGroup,
+    Failure,
+    Finish,
+    GroupChosen,
+    NoneAvailable,
+    StartAttempt,
+    Started,
+    Tick,
+)
+from chestnutvale.attempts.retry_budget import AttemptBudgets
+from chestnutvale.attempts.service_events import (
+    AnswerTooLarge,
+    ClaimAnswered,
+    ClaimNotProposed,
+    ClaimUnknown,
+    Connected,
+    EndpointAnswered,
+    Reply,
+    SendRequest,
+    ServiceEffect,
+    ServiceEvent,
+    SubmitClaim,
+    SubmitOutcome,
+    SubmitRelease,
+)
+from chestnutvale.ledger.const import (
+    CLAIM_CLAIMED,
+    CLAIM_FULL,
+    CLAIM_MISMATCH,
+    CLAIM_RECORDED,
+    CLAIM_RUNNING,
+)
+from chestnutvale.schema.ledger_pb2 import RecordedAnswer
+
+STEP_CLAIM = "claim"
+STEP_CHOOSE = "choose"
+STEP_CALL = "call"
+
+Effects = list[ServiceEffect]
+
+
+class ServiceCall:
+    """State machine of one call to a plain service.
+
+    A call that may not be repeated is sent once. If it has a key it is sent
+    only while its claim is held, and goes on after the caller has left or its
+    deadline has passed, so that its answer can still be recorded.
+
+    Parameters
+    ----------
+    request_id : str
+        Identity of the call; attempts are named after it.
+    deadline_s : float
+        Monotonic time in seconds at which the call ends for the caller.
+    budgets : AttemptBudgets
+        Retry budgets that the entry's calls share.
+    repeatable : bool
+        Whether the call may run more than once.
+    has_key : bool
+        Whether the call needs a claim; only for one that may not be repeated.
+
+    Attributes
+    ----------
+    is_answered : bool
+        Whether `Reply` or `Finish` was given.
+    is_over : bool
+        Whether no further event is of interest.
+    """
+
+    def __init__(
+        self,
+        request_id: str,
+        deadline_s: float,
+        budgets: AttemptBudgets,
+        *,
+        repeatable: bool,
+        has_key: bool,
+    ) -> None:
+        self.is_answered = False
+        self.is_over = False
+        self._request_id = request_id
+        self._deadline_s = deadline_s
+        self._budgets = budgets
+        self._repeatable = repeatable
+        self._needs_claim = has_key and not repeatable
+        self._holds_claim = False
+        self._may_hold_claim = False
+        self._is_sent = False
+        # What a failure says of the run as far as this entry knows. Before the
+        # ledger was asked, an earlier call with the key may have run.
+        self._outcome = OUTCOME_UNKNOWN if self._needs_claim else OUTCOME_NOT_RUN
+        self._attempts = 0
+        self._attempt_id = ""
+        self._group_id = ""
+        self._excluded: set[str] = set()
+        self._handlers: dict[type, Callable[[Any, float], Effects]] = {
+            Started: self._on_started,
+            ClaimAnswered: self._on_claim_answered,
+            ClaimNotProposed: self._on_claim_not_proposed,
+            ClaimUnknown: self._on_claim_unknown,
+            GroupChosen: self._on_group_chosen,
+            NoneAvailable: self._on_none_available,
+            Connected: self._on_connected,
+            AttemptRefused: self._on_refused,
+            EndpointAnswered: self._on_answered,
+            AnswerTooLarge: self._on_too_large,
+            AttemptBroken: self._on_broken,
+            CallerGone: self._on_caller_gone,
+            Tick: self._on_tick,
+        }
+
+    @property
+    def lingers(self) -> bool:
+        """Whether a sent call goes on after its caller was answered."""
+        return self._is_sent and not self._repeatable
+
+    @property
+    def linger_s(self) -> float:
+        """Time in seconds for which the call goes on after its deadline."""
+        return SERVICE_LINGER_S if self.lingers else 0.0
+
+    @property
+    def next_tick_s(self) -> float:
+        """Monotonic time in seconds at which `Tick` is due."""
+        return self._deadline_s + (self.linger_s if self.is_answered else 0.0)
+
+    def handle(self, event: ServiceEvent, now_s: float) -> Effects:
+        """Take in an event.
+
+        Parameters
+        ----------
+        event : ServiceEvent
+            What happened.
+        now_s : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        list of ServiceEffect
+            What to do, in this order.
+        """
+        if self.is_over:
+            return []
+        return self._handlers[type(event)](event, now_s)
+
+    def _on_started(self, event: Started, now_s: float) -> Effects:
+        self._budgets.count_call()
+        if self._needs_claim:
+            return self._submit_claim(now_s)
+        return self._choose(now_s)
+
+    def _submit_claim(self, now_s: float) -> Effects:
+        if now_s >= self._deadline_s:
+            return self._fail_deadline()
+        return [SubmitClaim()]
+
+    def _on_claim_answered(self, event: ClaimAnswered, now_s: float) -> Effects:
+        if self._holds_claim:
+            return []
+        if event.outcome == CLAIM_CLAIMED:
+            self._holds_claim = True
+            self._may_hold_claim = True
+            self._outcome = OUTCOME_NOT_RUN
+            return self._choose(now_s)
+        if event.outcome == CLAIM_RECORDED:
+            return self._reply_recorded(event.answer)
+        return self._refuse_claim(event.outcome)
+
+    def _reply_recorded(self, answer: RecordedAnswer) -> Effects:
+        if not answer.body_dropped:
+            return self._reply(answer, replayed=True)
+        return self._fail(
+            "answer_not_recorded",
+            f"the call ran and was answered with {answer.status}, "
+            "but its answer was too large to record",
+            step=STEP_CLAIM,
+        )
+
+    def _refuse_claim(self, outcome: str) -> Effects:
+        if outcome == CLAIM_RUNNING:
+            return self._fail(
+                "call_running",
+                "a call with this key is running",
+                step=STEP_CLAIM,
+                retry_after_s=RUNNING_RETRY_AFTER_S,
+            )
+        if outcome == CLAIM_MISMATCH:
+            self._outcome = OUTCOME_NOT_RUN
+            return self._fail(
+                "key_mismatch", "the key was used with another body", step=STEP_CLAIM
+            )
+        if outcome == CLAIM_FULL:
+            self._outcome = OUTCOME_NOT_RUN
+            return self._fail(
+                "ledger_full",
+                "no further key can be recorded now",
+                step=STEP_CLAIM,
+                retry_after_s=DEFAULT_RETRY_AFTER_S,
+            )
+        return self._fail(
+            "outcome_unknown",
+            "a call with this key was made, and nobody can tell how it ended",
+            step=STEP_CLAIM,
+        )
+
+    def _on_claim_not_proposed(self, event: ClaimNotProposed, now_s: float) -> Effects:
+        return self._fail(
+            "no_leader",
+            "the ledger can't be reached",
+            step=STEP_CLAIM,
+            retry_after_s=DEFAULT_RETRY_AFTER_S,
+        )
+
+    def _on_claim_unknown(self, event: ClaimUnknown, now_s: float) -> Effects:
+        # The claim may be committed, now or later; asking again is idempotent.
+        self._may_hold_claim = True
+        return self._submit_claim(now_s)
+
+    def _choose(self, now_s: float) -> Effects:
+        if now_s >= self._deadline_s:
+            return self._fail_deadline()
+        return [ChooseGroup(frozenset(self._excluded), "")]
+
+    def _on_group_chosen(self, event: GroupChosen, now_s: float) -> Effects:
+        if now_s >= self._deadline_s:
+            return self._fail_deadline()
+        self._attempts += 1
+        self._attempt_id = f"{self._request_id}.{self._attempts}"
+        self._group_id = event.group_id
+        return [StartAttempt(self._attempt_id, event.group_id, event.epoch, 0)]
+
+    def _on_none_available(self, event: NoneAvailable, now_s: float) -> Effects:
+        return self._fail(
+            CODE_NONE_AVAILABLE,
+            "no endpoint of the service can take the call",
+            step=STEP_CHOOSE,
+            retry_after_s=event.retry_after_s,
+        )
+
+    def _on_connected(self, event: Connected, now_s: float) -> Effects:
+        if event.attempt_id != self._attempt_id or self._is_sent:
+            return []
+        # A process that was frozen until now must not send any more.
+        if now_s >= self._deadline_s:
+            return self._fail_deadline()
+        if not event.has_lease:
+            return self._cancel() + self._fail(
+                "no_lease",
+                "this entry has lost touch with the controls",
+                retry_after_s=DEFAULT_RETRY_AFTER_S,
+            )
+        self._is_sent = True
+        self._outcome = OUTCOME_UNKNOWN
+        return [SendRequest(self._attempt_id)]
+
+    def _on_refused(self, event: AttemptRefused, now_s: float) -> Effects:
+        if event.attempt_id != self._attempt_id or self._is_sent:
+            return []
+        return self._try_again(CODE_REFUSED, event.code, now_s)
+
+    def _on_answered(self, event: EndpointAnswered, now_s: float) -> Effects:
+        if event.attempt_id != self._attempt_id:
+            return []
+        effects = self._submit_outcome(event.answer)
+        if not self.is_answered:
+            effects += self._reply(event.answer)
+        self.is_over = True
+        return effects
+
+    def _on_too_large(self, event: AnswerTooLarge, now_s: float) -> Effects:
+        if event.attempt_id != self._attempt_id:
+            return []
+        dropped = RecordedAnswer(status=event.status, body_dropped=True)
+        effects = self._submit_outcome(dropped)
+        self._outcome = OUTCOME_FAILED
+        self._is_sent = False
+        self._may_hold_claim = False
+        return effects + self._fail(
+            "answer_too_large", "the endpoint's answer is too large to pass on"
+        )
+
+    def _on_broken(self, event: AttemptBroken, now_s: float) -> Effects:
+        if event.attempt_id != self._attempt_id:
+            return []
+        if self._repeatable:
+            self._is_sent = False
+            return self._try_again("endpoint_broken", event.reason, now_s)
+        effects = self._submit_outcome(None)
+        if not self.is_answered:
+            effects += self._fail("endpoint_broken", event.reason)
+        self.is_over = True
+        return effects
+
+    def _on_caller_gone(self, event: CallerGone, now_s: float) -> Effects:
+        if self.lingers or self.is_answered:
+            return []
+        return self._cancel() + self._fail(
+            CODE_CALLER_GONE, "the caller closed the connection"
+        )
+
+    def _on_tick(self, event: Tick, now_s: float) -> Effects:
+        if now_s < self.next_tick_s:
+            return []
+        if not self.is_answered:
+            return self._fail_deadline()
+        self.is_over = True
+        return self._submit_outcome(None) + self._cancel()
+
+    def _fail_deadline(self) -> Effects:
+        effects = [] if self.lingers else self._cancel()
+        return effects + self._fail(
+            CODE_DEADLINE, "the deadline passed", retry_after_s=DEFAULT_RETRY_AFTER_S
+        )
+
+    def _try_again(self, code: str, reason: str, now_s: float) -> Effects:
+        self._excluded.add(self._group_id)
+        self._attempt_id = ""
+        if self._attempts >= MAX_ATTEMPTS:
+            code = CODE_ATTEMPTS
+        elif self._budgets.retries.try_retry():
+            return self._choose(now_s)
+        else:
+            code = CODE_RETRY_BUDGET
+        return self._fail(code, reason, retry_after_s=DEFAULT_RETRY_AFTER_S)
+
+    def _cancel(self) -> Effects:
+        if not self._attempt_id:
+            return []
+        cancel = CancelAttempt(self._attempt_id, self._group_id)
+        self._attempt_id = ""
+        return [cancel]
+
+    def _submit_outcome(self, answer: RecordedAnswer | None) -> Effects:
+        return [SubmitOutcome(answer)] if self._holds_claim else []
+
+    def _reply(self, answer: RecordedAnswer, replayed: bool = False) -> Effects:
+        self.is_answered = True
+        self.is_over = True
+        return [Reply(answer, replayed)]
+
+    def _fail(
+        self,
+        code: str,
+        message: str,
+        *,
+        step: str = STEP_CALL,
+        retry_after_s: float | None = None,
+    ) -> Effects:
+        self.is_answered = True
+        self.is_over = not self.lingers
+        effects: Effects = []
+        if self.is_over and self._may_hold_claim:
+            effects.append(SubmitRelease())
+        failure = Failure(
+            code, self._outcome, message, step, self._group_id, retry_after_s
+        )
+        return [*effects, Finish(failure)]
--- /dev/null
+++ b/chestnutvale/attempts/suspicion.py
@@ -0,0 +1,258 @@
+"""What an entry knows of requests that may crash groups."""
+
+import json
+from typing import Any
+
+import attrs
+import xxhash
+
+from chestnutvale.attempts.const import (
+    EVIDENCE_REPEAT_MS,
+    EVIDENCE_SETTLE_MS,
+    MAX_SUSPECT_ROUNDS,
+    SUSPECT_ROUND_MS,
+)
+from chestnutvale.attempts.crash_evidence import Crash, CrashEvidence
+from chestnutvale.schema.peer_pb2 import CrashSuspicion
+
+# Members of a body that do not change what an engine computes.
+_IGNORED_MEMBERS = frozenset({"stream", "stream_options", "user"})
+
+
+def fingerprint_of(service: str, body: dict[str, Any]) -> int:
+    """Return the fingerprint of a request; equal for the same work.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    body : dict
+        The caller's parsed body.
+
+    Returns
+    -------
+    int
+        64-bit fingerprint.
+    """
+    work = {name: body[name] for name in body if name not in _IGNORED_MEMBERS}
+    text = json.dumps([service, work], sort_keys=True, separators=(",", ":"))
+    return xxhash.xxh64_intdigest(text.encode())
+
+
+@attrs.frozen
+class Clear:
+    """The request is not suspected."""
+
+
+@attrs.frozen
+class Suspected:
+    """The request runs at one group only, apart from other suspects.
+
+    Attributes
+    ----------
+    group_id : str
+        The group; empty if none is left to try.
+    not_before_unix_ms : int
+        Wall-clock time in milliseconds before which it must not start.
+    """
+
+    group_id: str
+    not_before_unix_ms: int
+
+
+@attrs.frozen
+class Banned:
+    """The request is refused.
+
+    Attributes
+    ----------
+    until_unix_ms : int
+        End of the ban in Unix milliseconds.
+    """
+
+    until_unix_ms: int
+
+
+Verdict = Clear | Suspected | Banned
+
+
+@attrs.frozen
+class _Running:
+    fingerprint: int
+    group_id: str
+    epoch: int
+    fabric_domain: str
+
+
+class SuspicionTracker:
+    """Keeps an entry's evidence and places its suspects.
+
+    All entries compute the same place for a suspect from the same evidence,
+    so that copies of one request at several entries run at one group, and
+    different suspects of one crash run apart.
+    """
+
+    def __init__(self) -> None:
+        self.evidence = CrashEvidence()
+        self._running: dict[str, _Running] = {}
+        self._reports: list[CrashSuspicion] = []
+
+    def attempt_started(
+        self,
+        attempt_id: str,
+        fingerprint: int,
+        group_id: str,
+        epoch: int,
+        fabric_domain: str,
+    ) -> None:
+        """Note that a group runs a request.
+
+        Parameters
+        ----------
+        attempt_id : str
+            Identity of the attempt.
+        fingerprint : int
+            The request.
+        group_id : str
+            The group.
+        epoch : int
+            Epoch of the group.
+        fabric_domain : str
+            Domain of the group.
+        """
+        self._running[attempt_id] = _Running(
+            fingerprint, group_id, epoch, fabric_domain
+        )
+
+    def attempt_ended(self, attempt_id: str) -> None:
+        """Note that an attempt ended without a crash and without an answer.
+
+        Parameters
+        ----------
+        attempt_id : str
+            Identity of the attempt.
+        """
+        self._running.pop(attempt_id, None)
+
+    def answer_whole(self, attempt_id: str, now_unix_ms: int) -> None:
+        """Note that an attempt gave a whole answer, which clears its request.
+
+        Parameters
+        ----------
+        attempt_id : str
+            Identity of the attempt.
+        now_unix_ms : int
+            Wall-clock time in milliseconds.
+        """
+        running = self._running.pop(attempt_id, None)
+        if running is None or not self.evidence.crashes_of(running.fingerprint):
+            return
+        self._add(
+            CrashSuspicion(
+                fingerprint=running.fingerprint,
+                crashed_at_unix_ms=now_unix_ms,
+                cleared=True,
+            )
+        )
+
+    def group_crashed(self, attempt_id: str, now_unix_ms: int) -> None:
+        """Note that the group that ran an attempt crashed.
+
+        Parameters
+        ----------
+        attempt_id : str
+            Identity of the attempt.
+        now_unix_ms : int
+            Wall-clock time in milliseconds.
+        """
+        running = self._running.pop(attempt_id, None)
+        if running is None:
+            return
+        self._add(
+            CrashSuspicion(
+                fingerprint=running.fingerprint,
+                group_id=running.group_id,
+                epoch=running.epoch,
+                fabric_domain=running.fabric_domain,
+                crashed_at_unix_ms=now_unix_ms,
+            )
+        )
+
+    def merge(self, suspicions: list[CrashSuspicion], now_unix_ms: int) -> None:
+        """Take in what other entries found.
+
+        Parameters
+        ----------
+        suspicions : list of CrashSuspicion
+            Evidence from a view.
+        now_unix_ms : int
+            Wall-clock time in milliseconds.
+        """
+        for suspicion in suspicions:
+            self.evidence.add(suspicion)
+        self.evidence.expire(now_unix_ms)
+
+    def reports(self, now_unix_ms: int) -> list[CrashSuspicion]:
+        """Return the evidence to put into a report; recent pieces are repeated.
+
+        Parameters
+        ----------
+        now_unix_ms : int
+            Wall-clock time in milliseconds.
+
+        Returns
+        -------
+        list of CrashSuspicion
+            The evidence.
+        """
+        oldest = now_unix_ms - EVIDENCE_REPEAT_MS
+        self._reports = [r for r in self._reports if r.crashed_at_unix_ms > oldest]
+        return list(self._reports)
+
+    def judge(self, fingerprint: int, groups: list[str], now_unix_ms: int) -> Verdict:
+        """Decide whether and where a request may run.
+
+        Parameters
+        ----------
+        fingerprint : int
+            The request.
+        groups : list of str
+            Groups that serve its service now.
+        now_unix_ms : int
+            Wall-clock time in milliseconds.
+
+        Returns
+        -------
+        Verdict
+            ``Clear``, ``Suspected`` or ``Banned``.
+        """
+        if not self.evidence.crashes_of(fingerprint):
+            return Clear()
+        until_unix_ms = self.evidence.banned_until_unix_ms(fingerprint, now_unix_ms)
+        if until_unix_ms:
+            return Banned(until_unix_ms)
+        crashes = self.evidence.open_crashes_of(fingerprint, now_unix_ms)
+        if not crashes:
+            return Clear()
+        return self._place(fingerprint, crashes, groups)
+
+    def _place(
+        self, fingerprint: int, crashes: list[Crash], groups: list[str]
+    ) -> Suspected:
+        latest = max(crashes, key=lambda crash: crash.at_unix_ms)
+        not_before_unix_ms = latest.at_unix_ms + EVIDENCE_SETTLE_MS
+        crashed = {crash.crash_id.group_id for crash in crashes}
+        slots = sorted(set(groups) - {latest.crash_id.group_id})
+        if not set(slots) - crashed:
+            return Suspected("", not_before_unix_ms)
+        turn = sorted(latest.suspects).index(fingerprint)
+        rounds = min(turn // len(slots), MAX_SUSPECT_ROUNDS - 1)
+        while slots[turn % len(slots)] in crashed:
+            turn += 1
+        return Suspected(
+            slots[turn % len(slots)], not_before_unix_ms + rounds * SUSPECT_ROUND_MS
+        )
+
+    def _add(self, suspicion: CrashSuspicion) -> None:
+        if self.evidence.add(suspicion):
+            self._reports.append(suspicion)
--- /dev/null
+++ b/chestnutvale/ledger/__init__.py
@@ -0,0 +1,1 @@
+"""Claims and recorded answers of calls that may not be repeated."""
--- /dev/null
+++ b/chestnutvale/ledger/state.py
@@ -0,0 +1,361 @@
+"""The replicated state of the call ledger."""
+
+from typing import Self
+
+from chestnutvale.ledger.const import (
+    CLAIM_CLAIMED,
+    CLAIM_DONE,
+    CLAIM_FULL,
+    CLAIM_GRACE_MS,
+    CLAIM_INVALID,
+    CLAIM_MISMATCH,
+    CLAIM_RECORDED,
+    CLAIM_RELEASED,
+    CLAIM_RUNNING,
+    CLAIM_UNKNOWN,
+    KEY_RETENTION_MS,
+    MAX_ANSWER_BYTES,
+    MAX_ANSWER_HEADERS_BYTES,
+    MAX_CLAIM_MS,
+    MAX_KEY_BYTES,
+    MAX_RELEASED,
+    PHASE_RECORDED,
+    PHASE_RUNNING,
+    PHASE_UNKNOWN,
+    RELEASED_RETENTION_MS,
+)
+from chestnutvale.ledger.records import (
+    LedgerBounds,
+    RecordTable,
+    key_of,
+    size_of,
+)
+from chestnutvale.schema.ledger_pb2 import (
+    AbandonClaims,
+    Claim,
+    ClaimRecord,
+    ClaimResult,
+    ExpireClaims,
+    LedgerSnapshot,
+    RecordedAnswer,
+    RecordOutcome,
+    ReleaseClaim,
+    ReleasedClaim,
+)
+
+
+def fit_answer(answer: RecordedAnswer) -> RecordedAnswer:
+    """Cut an answer to what may be recorded.
+
+    A body above the limit is dropped as a whole, never cut; headers above
+    their limit are dropped too.
+
+    Parameters
+    ----------
+    answer : RecordedAnswer
+        The answer of the endpoint.
+
+    Returns
+    -------
+    RecordedAnswer
+        The answer to record.
+    """
+    fitted = RecordedAnswer()
+    fitted.CopyFrom(answer)
+    headers = (*answer.header_names, *answer.header_values)
+    if sum(map(len, headers)) > MAX_ANSWER_HEADERS_BYTES:
+        del fitted.header_names[:]
+        del fitted.header_values[:]
+    if len(answer.body) > MAX_ANSWER_BYTES:
+        fitted.body = b""
+        fitted.body_dropped = True
+    return fitted
+
+
+class LedgerState:
+    """Who may run a call that may not be repeated, and how it ended.
+
+    A key is claimed once. Only the claim that holds it may run the call; the
+    key is free again if that claim is released, or `KEY_RETENTION_MS` after
+    the claim was taken. Every replica applies the same commands with the same
+    times, so all of them hold the same records.
+
+    Parameters
+    ----------
+    bounds : LedgerBounds, optional
+        Largest size; the same on all replicas.
+    """
+
+    def __init__(self, bounds: LedgerBounds | None = None) -> None:
+        self._table = RecordTable(bounds or LedgerBounds())
+        # Released claim ids with their expiry in Unix milliseconds, oldest first.
+        self._released: dict[str, int] = {}
+
+    @classmethod
+    def from_snapshot(
+        cls, message: LedgerSnapshot, bounds: LedgerBounds | None = None
+    ) -> Self:
+        """Build the state from a snapshot.
+
+        Parameters
+        ----------
+        message : LedgerSnapshot
+            The snapshot.
+        bounds : LedgerBounds, optional
+            Largest size.
+
+        Returns
+        -------
+        LedgerState
+            The state.
+        """
+        state = cls(bounds)
+        for record in message.records:
+            copy = ClaimRecord()
+            copy.CopyFrom(record)
+            state._table.add(copy)
+        for released in message.released:
+            state._released[released.claim_id] = released.expires_at_unix_ms
+        return state
+
+    def to_snapshot(self) -> LedgerSnapshot:
+        """Return all records as a snapshot."""
+        released = [
+            ReleasedClaim(claim_id=claim_id, expires_at_unix_ms=expiry)
+            for claim_id, expiry in self._released.items()
+        ]
+        return LedgerSnapshot(records=self._table.records(), released=released)
+
+    @property
+    def record_count(self) -> int:
+        """Number of records."""
+        return len(self._table)
+
+    @property
+    def size_bytes(self) -> int:
+        """Bytes that all records count for."""
+        return self._table.total_bytes
+
+    def running_entries(self) -> set[tuple[str, str]]:
+        """Return entry id and incarnation of all holders of running claims."""
+        return {
+            (record.claim.entry_id, record.claim.entry_incarnation)
+            for record in self._table.records()
+            if record.phase == PHASE_RUNNING
+        }
+
+    def needs_expiry(self, now_unix_ms: int) -> bool:
+        """Tell whether `ExpireClaims` would change anything.
+
+        Parameters
+        ----------
+        now_unix_ms : int
+            Wall-clock time in milliseconds.
+
+        Returns
+        -------
+        bool
+            Whether a record is due, so that the command is worth proposing.
+        """
+        return any(expiry <= now_unix_ms for expiry in self._released.values()) or any(
+            record.expires_at_unix_ms <= now_unix_ms or _is_overdue(record, now_unix_ms)
+            for record in self._table.records()
+        )
+
+    def apply_claim(self, message: Claim, at_unix_ms: int) -> ClaimResult:
+        """Take a key for a claim, or tell what became of the key.
+
+        The same claim again gets the same result, so that a lost answer can be
+        asked for again.
+
+        Parameters
+        ----------
+        message : Claim
+            The claim.
+        at_unix_ms : int
+            Time of the command in Unix milliseconds.
+
+        Returns
+        -------
+        ClaimResult
+            ``claimed`` only if this claim may run the call.
+        """
+        if not _is_valid(message):
+            return ClaimResult(outcome=CLAIM_INVALID)
+        if message.claim_id in self._released:
+            return ClaimResult(outcome=CLAIM_RELEASED)
+        record = self._table.find(key_of(message))
+        if record is not None and record.expires_at_unix_ms <= at_unix_ms:
+            self._table.remove(record)
+            record = None
+        if record is not None:
+            return _describe(record, message)
+        if self._table.find_claim(message.claim_id) is not None:
+            return ClaimResult(outcome=CLAIM_INVALID)
+        return self._add(message, at_unix_ms)
+
+    def apply_record_outcome(
+        self, message: RecordOutcome, at_unix_ms: int
+    ) -> ClaimResult:
+        """Record the answer of a claim's call; the first answer stays.
+
+        Without an answer the claim's call counts as unknown at once.
+
+        Parameters
+        ----------
+        message : RecordOutcome
+            Claim and answer.
+        at_unix_ms : int
+            Time of the command in Unix milliseconds.
+
+        Returns
+        -------
+        ClaimResult
+            ``done``, or ``invalid`` if no record is held by the claim.
+        """
+        record = self._table.find_claim(message.claim_id)
+        if record is None:
+            return ClaimResult(outcome=CLAIM_INVALID)
+        if record.phase == PHASE_RECORDED:
+            return ClaimResult(outcome=CLAIM_DONE)
+        if not message.HasField("answer"):
+            record.phase = PHASE_UNKNOWN
+            return ClaimResult(outcome=CLAIM_DONE)
+        answer = fit_answer(message.answer)
+        if not self._table.has_room(record.claim.workspace, answer.ByteSize(), 0):
+            answer = RecordedAnswer(status=answer.status, body_dropped=True)
+        self._table.set_answer(record, answer)
+        record.phase = PHASE_RECORDED
+        return ClaimResult(outcome=CLAIM_DONE)
+
+    def apply_release_claim(
+        self, message: ReleaseClaim, at_unix_ms: int
+    ) -> ClaimResult:
+        """Give a key back that was provably not sent.
+
+        The claim id is refused from here on, because a copy of the claim may
+        still be under way.
+
+        Parameters
+        ----------
+        message : ReleaseClaim
+            The claim.
+        at_unix_ms : int
+            Time of the command in Unix milliseconds.
+
+        Returns
+        -------
+        ClaimResult
+            ``done``, or ``invalid`` if the call has a recorded answer.
+        """
+        record = self._table.find_claim(message.claim_id)
+        if record is not None and record.phase == PHASE_RECORDED:
+            return ClaimResult(outcome=CLAIM_INVALID)
+        if record is not None:
+            self._table.remove(record)
+        if message.claim_id:
+            self._remember_release(message.claim_id, at_unix_ms)
+        return ClaimResult(outcome=CLAIM_DONE)
+
+    def apply_abandon_claims(
+        self, message: AbandonClaims, at_unix_ms: int
+    ) -> ClaimResult:
+        """Mark the running claims of an entry's lost lives as unknown.
+
+        Parameters
+        ----------
+        message : AbandonClaims
+            The entry and the life that still runs.
+        at_unix_ms : int
+            Time of the command in Unix milliseconds.
+
+        Returns
+        -------
+        ClaimResult
+            ``done``.
+        """
+        for record in self._table.records():
+            claim = record.claim
+            if (
+                record.phase == PHASE_RUNNING
+                and claim.entry_id == message.entry_id
+                and claim.entry_incarnation != message.live_incarnation
+            ):
+                record.phase = PHASE_UNKNOWN
+        return ClaimResult(outcome=CLAIM_DONE)
+
+    def apply_expire_claims(
+        self, message: ExpireClaims, at_unix_ms: int
+    ) -> ClaimResult:
+        """Forget old keys and mark overdue claims as unknown.
+
+        Parameters
+        ----------
+        message : ExpireClaims
+            Time up to which to expire.
+        at_unix_ms : int
+            Time of the command in Unix milliseconds.
+
+        Returns
+        -------
+        ClaimResult
+            ``done``.
+        """
+        now_unix_ms = message.now_unix_ms
+        for record in self._table.records():
+            if record.expires_at_unix_ms <= now_unix_ms:
+                self._table.remove(record)
+            elif _is_overdue(record, now_unix_ms):
+                record.phase = PHASE_UNKNOWN
+        self._released = {
+            claim_id: expiry
+            for claim_id, expiry in self._released.items()
+            if expiry > now_unix_ms
+        }
+        return ClaimResult(outcome=CLAIM_DONE)
+
+    def _add(self, claim: Claim, at_unix_ms: int) -> ClaimResult:
+        record = ClaimRecord(
+            claim=claim,
+            phase=PHASE_RUNNING,
+            expires_at_unix_ms=at_unix_ms + KEY_RETENTION_MS,
+        )
+        latest = at_unix_ms + MAX_CLAIM_MS
+        record.claim.deadline_unix_ms = min(claim.deadline_unix_ms or latest, latest)
+        if not self._table.has_room(claim.workspace, size_of(record), 1):
+            return ClaimResult(outcome=CLAIM_FULL)
+        self._table.add(record)
+        return ClaimResult(outcome=CLAIM_CLAIMED)
+
+    def _remember_release(self, claim_id: str, at_unix_ms: int) -> None:
+        self._released.pop(claim_id, None)
+        self._released[claim_id] = at_unix_ms + RELEASED_RETENTION_MS
+        if len(self._released) > MAX_RELEASED:
+            del self._released[next(iter(self._released))]
+
+
+def _is_valid(claim: Claim) -> bool:
+    return bool(
+        claim.workspace
+        and claim.service
+        and claim.key
+        and claim.claim_id
+        and len(claim.key.encode()) <= MAX_KEY_BYTES
+    )
+
+
+def _is_overdue(record: ClaimRecord, now_unix_ms: int) -> bool:
+    latest = record.claim.deadline_unix_ms + CLAIM_GRACE_MS
+    return record.phase == PHASE_RUNNING and latest <= now_unix_ms
+
+
+def _describe(record: ClaimRecord, claim: Claim) -> ClaimResult:
+    if record.claim.body_sha256 != claim.body_sha256:
+        return ClaimResult(outcome=CLAIM_MISMATCH)
+    if record.phase == PHASE_RECORDED:
+        return ClaimResult(outcome=CLAIM_RECORDED, answer=record.answer)
+    if record.phase == PHASE_UNKNOWN:
+        return ClaimResult(outcome=CLAIM_UNKNOWN)
+    if record.claim.claim_id == claim.claim_id:
+        return ClaimResult(outcome=CLAIM_CLAIMED)
+    return ClaimResult(outcome=CLAIM_RUNNING)
--- /dev/null
+++ b/chestnutvale/programs/entry/caller_watch.py
@@ -0,0 +1,106 @@
+"""Notice that a caller closed its connection while its call runs."""
+
+import contextlib
+import socket
+from collections.abc import Callable
+from types import TracebackType
+from typing import Any, Self
+
+import eventlet
+from eventlet.event import Event
+
+
+class CallerWatch:
+    """Watches a caller's socket; a context manager.
+
+    The watch ends before the server reads the next request. A caller that
+    sends more bytes at once is not watched any further, as they can't be told
+    from those of its next request; its end shows when it is written to.
+
+    Parameters
+    ----------
+    environ : dict
+        The WSGI environment; its body must have been read.
+
+    Attributes
+    ----------
+    is_gone : bool
+        Whether the caller closed its connection.
+    """
+
+    def __init__(self, environ: dict[str, Any]) -> None:
+        self.is_gone = False
+        self._sock = _socket_of(environ)
+        self._event = Event()
+        self._on_gone: Callable[[], None] | None = None
+        self._greenlet: eventlet.greenthread.GreenThread | None = None
+
+    def __enter__(self) -> Self:
+        """Start watching."""
+        if self._sock is not None:
+            self._greenlet = eventlet.spawn(self._watch)
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Stop watching."""
+        self._on_gone = None
+        if self._greenlet is not None:
+            self._greenlet.kill()
+
+    def call_when_gone(self, callback: Callable[[], None] | None) -> None:
+        """Set what interrupts the step that the call waits for.
+
+        Parameters
+        ----------
+        callback : callable or None
+            Called once when the caller goes, at once if it is gone already.
+        """
+        self._on_gone = callback
+        if self.is_gone and callback is not None:
+            callback()
+
+    def wait(self, timeout_s: float) -> bool:
+        """Sleep, but not longer than the caller stays.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Time in seconds.
+
+        Returns
+        -------
+        bool
+            Whether the caller is gone.
+        """
+        if not self.is_gone:
+            self._event.wait(timeout=max(0.0, timeout_s))
+        return self.is_gone
+
+    def _watch(self) -> None:
+        data = b""
+        with contextlib.suppress(OSError):
+            data = self._peek()
+        if data:
+            return
+        self.is_gone = True
+        self._event.send(True)
+        if self._on_gone is not None:
+            self._on_gone()
+
+    def _peek(self) -> bytes:
+        while True:
+            try:
+                return self._sock.recv(1, socket.MSG_PEEK)
+            except TimeoutError:
+                # The server's timeout of idle connections does not end a call.
+                continue
+
+
+def _socket_of(environ: dict[str, Any]) -> Any:
+    get_socket = getattr(environ.get("eventlet.input"), "get_socket", None)
+    return get_socket() if get_socket else None
--- /dev/null
+++ b/chestnutvale/programs/entry/context.py
@@ -0,0 +1,332 @@
+"""What the handlers of callers' requests need from the rest of the entry."""
+
+import random
+from typing import Any, Protocol
+
+import attrs
+
+from chestnutvale.attempts.retry_budget import AttemptBudgets
+from chestnutvale.attempts.suspicion import SuspicionTracker
+from chestnutvale.clock import Clock
+from chestnutvale.programs.entry.running_attempts import RunningAttempts
+from chestnutvale.schema.command_pb2 import Command, CommandResult
+from chestnutvale.schema.configuration_pb2 import Text
+from chestnutvale.schema.peer_pb2 import GroupView
+
+PRIORITY_URGENT = "urgent"
+PRIORITY_NORMAL = "normal"
+PRIORITY_BATCH = "batch"
+PRIORITIES = (PRIORITY_URGENT, PRIORITY_NORMAL, PRIORITY_BATCH)
+
+
+@attrs.frozen
+class CallRequest:
+    """What admission and routing know of a call.
+
+    Attributes
+    ----------
+    request_id : str
+        Identity of the call.
+    workspace : str
+        The caller's workspace.
+    service : str
+        The service that is called.
+    priority : str
+        ``urgent``, ``normal`` or ``batch``.
+    prompt : bytes
+        Text of the prompt, as prefix hashes are made of; empty for plain calls.
+    max_tokens : int
+        Most tokens that the answer may have; 0 for plain calls.
+    adapter : str
+        Adapter that the call needs; empty for none.
+    deadline_s : float
+        Monotonic time in seconds at which the call ends.
+    """
+
+    request_id: str
+    workspace: str
+    service: str
+    priority: str
+    prompt: bytes
+    max_tokens: int
+    adapter: str
+    deadline_s: float
+
+
+@attrs.frozen
+class AdmissionRefusal:
+    """Why a call is not admitted.
+
+    Attributes
+    ----------
+    code : str
+        Stable code.
+    message : str
+        Reason for the caller.
+    retry_after_s : float
+        When trying again makes sense, in seconds.
+    """
+
+    code: str
+    message: str
+    retry_after_s: float
+
+
+class AdmissionTicket(Protocol):
+    """A call's place in admission."""
+
+    def wait(self) -> AdmissionRefusal | None:
+        """Block the calling greenlet until the call is admitted or refused.
+
+        Returns
+        -------
+        AdmissionRefusal or None
+            None if the call may run.
+        """
+
+    def cancel(self) -> None:
+        """Give the place up; `wait` returns at once."""
+
+    def release(self, used_tokens: int) -> None:
+        """Say that the call is over; done once, also after a refusal.
+
+        Parameters
+        ----------
+        used_tokens : int
+            Tokens that the answer had.
+        """
+
+
+class Admission(Protocol):
+    """Decides who may run now."""
+
+    def offer(self, request: CallRequest) -> AdmissionTicket:
+        """Ask for admission; does not block.
+
+        Parameters
+        ----------
+        request : CallRequest
+            The call.
+
+        Returns
+        -------
+        AdmissionTicket
+            The call's place.
+        """
+
+
+class _AcceptedTicket:
+    """A ticket that is always admitted."""
+
+    def wait(self) -> AdmissionRefusal | None:
+        """Admit at once."""
+        return None
+
+    def cancel(self) -> None:
+        """Do nothing."""
+
+    def release(self, used_tokens: int) -> None:
+        """Do nothing."""
+
+
+class AcceptAll:
+    """Admission without any limit."""
+
+    def offer(self, request: CallRequest) -> AdmissionTicket:
+        """Return a ticket that is always admitted.
+
+        Parameters
+        ----------
+        request : CallRequest
+            The call.
+
+        Returns
+        -------
+        AdmissionTicket
+            The ticket.
+        """
+        return _AcceptedTicket()
+
+
+@attrs.frozen
+class AttemptReport:
+    """How an attempt at a group went, for routing and for failure detection.
+
+    Attributes
+    ----------
+    request : CallRequest
+        The call.
+    group_id : str
+        The group.
+    epoch : int
+        Epoch under which the attempt was made.
+    result : str
+        ``whole``, ``refused``, ``broken`` or ``cancelled``.
+    code : str
+        Code of a refusal or reason of a break; empty otherwise.
+    first_byte_ms : float or None
+        Time from the send to the first byte of the answer in milliseconds.
+    tokens : int
+        Tokens that the attempt gave.
+    """
+
+    request: CallRequest
+    group_id: str
+    epoch: int
+    result: str
+    code: str
+    first_byte_ms: float | None
+    tokens: int
+
+
+class CallContext(Protocol):
+    """The entry as the handlers of calls see it; the daemon implements it.
+
+    Attributes
+    ----------
+    entry_id : str
+        Identity of the entry.
+    incarnation : str
+        This life of the entry.
+    clock : Clock
+        Source of time.
+    rng : random.Random
+        Source of random numbers.
+    admission : Admission
+        Who may run now.
+    budgets : AttemptBudgets
+        Retry budgets of the entry.
+    suspicions : SuspicionTracker
+        Requests that may crash groups.
+    running : RunningAttempts
+        Attempts that run now; the daemon breaks those of a lost group.
+    """
+
+    entry_id: str
+    incarnation: str
+    clock: Clock
+    rng: random.Random
+    admission: Admission
+    budgets: AttemptBudgets
+    suspicions: SuspicionTracker
+    running: RunningAttempts
+
+    @property
+    def text(self) -> Text:
+        """The text in force."""
+
+    def authenticate(self, environ: dict[str, Any]) -> str | None:
+        """Find the workspace that a request's key belongs to.
+
+        Parameters
+        ----------
+        environ : dict
+            The WSGI environment.
+
+        Returns
+        -------
+        str or None
+            Name of the workspace; None if the key is missing or unknown.
+        """
+
+    def has_lease(self, now_s: float) -> bool:
+        """Tell whether the entry may take calls.
+
+        Parameters
+        ----------
+        now_s : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        bool
+            Whether the serving lease holds.
+        """
+
+    def serving_groups(self, service: str, version: str) -> list[str]:
+        """Return the ids of all groups that serve a service now.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        version : str
+            Version that the groups must serve; empty allows any.
+
+        Returns
+        -------
+        list of str
+            Group ids.
+        """
+
+    def choose_group(
+        self, request: CallRequest, excluded: frozenset[str], version: str
+    ) -> GroupView | None:
+        """Choose the serving group for an attempt.
+
+        Parameters
+        ----------
+        request : CallRequest
+            The call.
+        excluded : frozenset of str
+            Group ids that must not be chosen.
+        version : str
+            Version that the group must serve; empty allows any.
+
+        Returns
+        -------
+        GroupView or None
+            The group; its member with rank 0 takes the call. None if no
+            group can take it.
+        """
+
+    def report_attempt(self, report: AttemptReport) -> None:
+        """Take note of how an attempt went.
+
+        Parameters
+        ----------
+        report : AttemptReport
+            The attempt.
+        """
+
+    def commit(self, command: Command, deadline_s: float) -> CommandResult:
+        """Commit a command in the replicated log; blocks the greenlet.
+
+        Parameters
+        ----------
+        command : Command
+            The command; its body is set, the time is the leader's to set.
+        deadline_s : float
+            Monotonic time in seconds at which to give up.
+
+        Returns
+        -------
+        CommandResult
+            Result of the command.
+
+        Raises
+        ------
+        CommitRefusedError
+            If it was certainly not proposed.
+        CommitUnknownError
+            If it may be committed, now or later.
+        """
+
+
+def head_address(view: GroupView) -> str:
+    """Return the address that takes a group's calls.
+
+    Parameters
+    ----------
+    view : GroupView
+        The group.
+
+    Returns
+    -------
+    str
+        IP number and port of the member with rank 0; empty if there is none.
+    """
+    for member in view.group.members:
+        if member.rank == 0:
+            return member.address
+    return ""
--- /dev/null
+++ b/chestnutvale/programs/entry/crash_probe.py
@@ -0,0 +1,50 @@
+"""Find out whether a group broke or only one of its streams."""
+
+import json
+
+from chestnutvale.programs.entry.endpoint_exchange import EndpointExchange
+from chestnutvale.programs.entry.exceptions import (
+    AnswerTooLargeError,
+    EndpointBrokenError,
+    EndpointSilentError,
+    EndpointUnreachableError,
+)
+from chestnutvale.schema.groups_pb2 import Group, GroupMember
+
+MEMBERSHIP_PATH = "/v1/membership"
+PROBE_TIMEOUT_S = 0.3
+MAX_MEMBERSHIP_BYTES = 64 * 1024
+
+
+def has_crashed(group: Group) -> bool:
+    """Ask each member of a group whether it still holds the group.
+
+    Parameters
+    ----------
+    group : Group
+        The group as it was when the stream began.
+
+    Returns
+    -------
+    bool
+        Whether a member is down, was restarted, or left the group.
+    """
+    return not all(_still_holds(member, group) for member in group.members)
+
+
+def _still_holds(member: GroupMember, group: Group) -> bool:
+    try:
+        with EndpointExchange(member.address) as exchange:
+            exchange.connect(PROBE_TIMEOUT_S)
+            exchange.send("GET", MEMBERSHIP_PATH, {}, b"", PROBE_TIMEOUT_S)
+            answer = json.loads(exchange.read_all(MAX_MEMBERSHIP_BYTES))
+        holding = answer["holding"] or {}
+        return (
+            answer["boot_id"] == member.boot_id
+            and holding.get("group_id") == group.group_id
+            and int(holding.get("epoch", 0)) == group.epoch
+        )
+    except (EndpointUnreachableError, EndpointBrokenError, EndpointSilentError):
+        return False
+    except (ValueError, KeyError, TypeError, AttributeError, AnswerTooLargeError):
+        return False
--- /dev/null
+++ b/chestnutvale/programs/entry/endpoint_exchange.py
@@ -0,0 +1,242 @@
+"""One HTTP exchange with an endpoint, in steps that tell what was sent."""
+
+import contextlib
+from http.client import HTTPException
+from types import TracebackType
+from typing import Self
+
+import urllib3
+from eventlet.green import socket
+from urllib3.connection import HTTPConnection
+from urllib3.exceptions import HTTPError
+
+from chestnutvale.programs.entry.exceptions import (
+    AnswerTooLargeError,
+    EndpointBrokenError,
+    EndpointSilentError,
+    EndpointUnreachableError,
+)
+
+STEP_CONNECT = "connect"
+STEP_SEND = "send"
+STEP_RECEIVE = "receive"
+CONNECT_TIMEOUT_S = 2.0
+
+
+class _GreenConnection(HTTPConnection):
+    """A connection that yields to other greenlets without global patching."""
+
+    def _new_conn(self) -> socket.socket:
+        sock = socket.create_connection((self.host, self.port), self.timeout)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return sock
+
+
+class EndpointExchange:
+    """Owns the connection of one attempt; a context manager.
+
+    Connecting, sending and receiving are separate steps, because a failure to
+    connect proves that the endpoint did not run the call. There is no retry,
+    no redirect and no reuse of a connection, whose silent end would leave
+    open whether the call ran.
+
+    Parameters
+    ----------
+    address : str
+        IP number and port of the endpoint.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status of the answer.
+    headers : list of tuple of str
+        Headers of the answer.
+    """
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.status = 0
+        self.headers: list[tuple[str, str]] = []
+        self._connection: HTTPConnection | None = None
+        # The library forgets its socket once the answer's end closes it.
+        self._sock: socket.socket | None = None
+        self._response: urllib3.BaseHTTPResponse | None = None
+        self._is_aborted = False
+
+    def __enter__(self) -> Self:
+        """Return the exchange; `connect` opens the connection."""
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Close the connection, which cancels the endpoint's work."""
+        if self._response is not None:
+            self._response.close()
+        if self._connection is not None:
+            self._connection.close()
+
+    def connect(self, timeout_s: float) -> None:
+        """Open the connection.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Time to wait in seconds; at most `CONNECT_TIMEOUT_S` is used.
+
+        Raises
+        ------
+        EndpointUnreachableError
+            If no connection was made; no byte was sent.
+        """
+        host, _, port = self.address.rpartition(":")
+        timeout_s = max(0.001, min(timeout_s, CONNECT_TIMEOUT_S))
+        try:
+            self._connection = _GreenConnection(host, int(port), timeout=timeout_s)
+            self._connection.connect()
+            self._sock = self._connection.sock
+        except (HTTPError, OSError, ValueError) as error:
+            raise EndpointUnreachableError(
+                str(error), step=STEP_CONNECT, peer=self.address
+            ) from error
+        if self._is_aborted:
+            raise EndpointUnreachableError(
+                "given up", step=STEP_CONNECT, peer=self.address
+            )
+
+    def send(
+        self,
+        method: str,
+        target: str,
+        headers: dict[str, str],
+        body: bytes,
+        timeout_s: float,
+    ) -> None:
+        """Send the request and wait for the head of the answer.
+
+        Parameters
+        ----------
+        method : str
+            HTTP method.
+        target : str
+            Path and query.
+        headers : dict of str to str
+            Request headers.
+        body : bytes
+            Request body.
+        timeout_s : float
+            Time to wait for each byte in seconds.
+
+        Raises
+        ------
+        EndpointBrokenError
+            If the connection broke; bytes may have been sent.
+        EndpointSilentError
+            If no answer began in time.
+        """
+        connection = self._connection
+        connection.timeout = max(0.001, timeout_s)
+        self.set_timeout(timeout_s)
+        try:
+            connection.request(
+                method,
+                target,
+                body=body,
+                headers=headers,
+                preload_content=False,
+                decode_content=False,
+                enforce_content_length=True,
+            )
+            self._response = connection.getresponse()
+        except TimeoutError as error:
+            raise EndpointSilentError(
+                "no answer in time", step=STEP_SEND, peer=self.address
+            ) from error
+        except (HTTPError, HTTPException, OSError, ValueError) as error:
+            raise EndpointBrokenError(
+                str(error) or type(error).__name__, step=STEP_SEND, peer=self.address
+            ) from error
+        self.status = self._response.status
+        self.headers = list(self._response.headers.items())
+
+    def set_timeout(self, timeout_s: float) -> None:
+        """Set the time to wait for the next byte.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Time in seconds.
+        """
+        with contextlib.suppress(OSError):
+            self._sock.settimeout(max(0.001, timeout_s))
+
+    def read(self) -> bytes:
+        """Read what has arrived, or wait for it.
+
+        Returns
+        -------
+        bytes
+            Bytes of the body; empty at its end.
+
+        Raises
+        ------
+        EndpointBrokenError
+            If the connection broke before the end of the body.
+        EndpointSilentError
+            If nothing arrived in time.
+        """
+        try:
+            return self._response.read1()
+        except (urllib3.exceptions.ReadTimeoutError, TimeoutError) as error:
+            raise EndpointSilentError(
+                "the stream fell silent", step=STEP_RECEIVE, peer=self.address
+            ) from error
+        except (HTTPError, HTTPException, OSError, ValueError) as error:
+            raise EndpointBrokenError(
+                str(error) or type(error).__name__,
+                step=STEP_RECEIVE,
+                peer=self.address,
+            ) from error
+
+    def read_all(self, max_bytes: int) -> bytes:
+        """Read the rest of the body.
+
+        Parameters
+        ----------
+        max_bytes : int
+            Most bytes to take.
+
+        Returns
+        -------
+        bytes
+            The body.
+
+        Raises
+        ------
+        AnswerTooLargeError
+            If the body is larger.
+        EndpointBrokenError
+            If the connection broke.
+        EndpointSilentError
+            If nothing arrived in time.
+        """
+        parts: list[bytes] = []
+        total_bytes = 0
+        while data := self.read():
+            total_bytes += len(data)
+            if total_bytes > max_bytes:
+                raise AnswerTooLargeError(
+                    "the answer is too large", step=STEP_RECEIVE, peer=self.address
+                )
+            parts.append(data)
+        return b"".join(parts)
+
+    def abort(self) -> None:
+        """Break the connection from another greenlet; the reader gets an error."""
+        self._is_aborted = True
+        if self._sock is not None:
+            with contextlib.suppress(OSError):
+                self._sock.shutdown(socket.SHUT_RDWR)
--- /dev/null
+++ b/chestnutvale/programs/entry/intake.py
@@ -0,0 +1,267 @@
+"""The checks that every call passes before it is admitted."""
+
+from typing import Any
+
+import attrs
+
+from chestnutvale.attempts.const import (
+    DEFAULT_RETRY_AFTER_S,
+    OUTCOME_NOT_RUN,
+)
+from chestnutvale.attempts.events import Failure
+from chestnutvale.programs.entry.context import (
+    PRIORITIES,
+    PRIORITY_NORMAL,
+    CallContext,
+)
+from chestnutvale.programs.entry.exceptions import BadCallError
+from chestnutvale.schema.configuration_pb2 import Service
+
+STEP_INTAKE = "intake"
+DEFAULT_DEADLINE_MS = 60_000
+MAX_DEADLINE_MS = 3_600_000
+DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024
+
+
+class CallRefusedError(Exception):
+    """A call that ends before it was admitted.
+
+    Parameters
+    ----------
+    failure : Failure
+        The answer.
+    """
+
+    def __init__(self, failure: Failure) -> None:
+        super().__init__(failure.message)
+        self.failure = failure
+
+
+@attrs.frozen
+class Intake:
+    """What the headers of a call say.
+
+    Attributes
+    ----------
+    request_id : str
+        Identity of the call, given by this entry.
+    workspace : str
+        The caller's workspace.
+    priority : str
+        ``urgent``, ``normal`` or ``batch``.
+    received_s : float
+        Monotonic time in seconds at which the call arrived.
+    deadline_ms : int or None
+        Time in milliseconds that the caller gives; None if it gives none.
+    """
+
+    request_id: str
+    workspace: str
+    priority: str
+    received_s: float
+    deadline_ms: int | None
+
+    def deadline_s(self, service: Service) -> float:
+        """Return the end of the call.
+
+        Parameters
+        ----------
+        service : Service
+            The service that is called, whose default is used.
+
+        Returns
+        -------
+        float
+            Monotonic time in seconds.
+        """
+        default_ms = service.limits.default_deadline_ms or DEFAULT_DEADLINE_MS
+        chosen_ms = default_ms if self.deadline_ms is None else self.deadline_ms
+        return self.received_s + min(chosen_ms, MAX_DEADLINE_MS) / 1_000
+
+
+def refuse(
+    code: str,
+    message: str,
+    *,
+    outcome: str = OUTCOME_NOT_RUN,
+    retry_after_s: float | None = None,
+) -> CallRefusedError:
+    """Make the error of a refused call.
+
+    Parameters
+    ----------
+    code : str
+        Stable code.
+    message : str
+        Reason for the caller.
+    outcome : str, optional
+        Outcome of the call.
+    retry_after_s : float or None, optional
+        When trying again makes sense, in seconds.
+
+    Returns
+    -------
+    CallRefusedError
+        The error, to be raised.
+    """
+    failure = Failure(code, outcome, message, STEP_INTAKE, "", retry_after_s)
+    return CallRefusedError(failure)
+
+
+def refuse_bad_call(error: BadCallError) -> CallRefusedError:
+    """Make the error of a call that is wrong in itself.
+
+    Parameters
+    ----------
+    error : BadCallError
+        What is wrong.
+
+    Returns
+    -------
+    CallRefusedError
+        The error, to be raised.
+    """
+    return refuse(error.problem_code, error.message)
+
+
+def read_intake(
+    context: CallContext, environ: dict[str, Any], request_id: str
+) -> Intake:
+    """Check who calls and read the headers of the call.
+
+    Parameters
+    ----------
+    context : CallContext
+        The entry.
+    environ : dict
+        The WSGI environment.
+    request_id : str
+        Identity of the call.
+
+    Returns
+    -------
+    Intake
+        The headers.
+
+    Raises
+    ------
+    CallRefusedError
+        If the key or a header is wrong.
+    """
+    workspace = context.authenticate(environ)
+    if workspace is None:
+        raise refuse("unauthorized", "the key is missing or unknown")
+    priority = environ.get("HTTP_X_PRIORITY", PRIORITY_NORMAL).strip().lower()
+    if priority not in PRIORITIES:
+        raise refuse("bad_request", "X-Priority must be urgent, normal or batch")
+    return Intake(
+        request_id=request_id,
+        workspace=workspace,
+        priority=priority,
+        received_s=context.clock.now_s(),
+        deadline_ms=_read_deadline_ms(environ),
+    )
+
+
+def find_service(context: CallContext, intake: Intake, name: str, kind: str) -> Service:
+    """Find the service that a call names.
+
+    Parameters
+    ----------
+    context : CallContext
+        The entry.
+    intake : Intake
+        The call.
+    name : str
+        Name of the service.
+    kind : str
+        ``model`` or ``plain``.
+
+    Returns
+    -------
+    Service
+        The service.
+
+    Raises
+    ------
+    CallRefusedError
+        If the workspace can't call such a service.
+    """
+    text = context.text
+    workspace = text.workspaces.get(intake.workspace)
+    allowed = workspace is not None and (
+        not workspace.services or name in workspace.services
+    )
+    if not allowed:
+        raise refuse("forbidden", f"the workspace may not call {name!r}")
+    service = text.services.get(name)
+    if service is None or service.kind != kind:
+        raise refuse("not_found", f"there is no {kind} service {name!r}")
+    return service
+
+
+def read_body(environ: dict[str, Any], max_bytes: int) -> bytes:
+    """Read the body of a call.
+
+    Parameters
+    ----------
+    environ : dict
+        The WSGI environment.
+    max_bytes : int
+        Largest body.
+
+    Returns
+    -------
+    bytes
+        The body.
+
+    Raises
+    ------
+    CallRefusedError
+        If the body is too large or not whole.
+    """
+    length_text = environ.get("CONTENT_LENGTH") or ""
+    length = int(length_text) if length_text.isdigit() else None
+    if length is not None and length > max_bytes:
+        raise refuse("too_large", f"the body is larger than {max_bytes} bytes")
+    if length is None and "HTTP_TRANSFER_ENCODING" not in environ:
+        return b""
+    body = environ["wsgi.input"].read(max_bytes + 1 if length is None else length)
+    if len(body) > max_bytes:
+        raise refuse("too_large", f"the body is larger than {max_bytes} bytes")
+    if length is not None and len(body) < length:
+        raise refuse("bad_request", "the body is not whole")
+    return body
+
+
+def check_lease(context: CallContext, outcome: str = OUTCOME_NOT_RUN) -> None:
+    """Check that the entry may take calls.
+
+    Parameters
+    ----------
+    context : CallContext
+        The entry.
+    outcome : str, optional
+        Outcome to tell if it may not.
+
+    Raises
+    ------
+    CallRefusedError
+        If the entry holds no serving lease.
+    """
+    if not context.has_lease(context.clock.now_s()):
+        raise refuse(
+            "no_lease",
+            "this entry has lost touch with the controls",
+            outcome=outcome,
+            retry_after_s=DEFAULT_RETRY_AFTER_S,
+        )
+
+
+def _read_deadline_ms(environ: dict[str, Any]) -> int | None:
+    text = environ.get("HTTP_X_DEADLINE_MS", "").strip()
+    if not text:
+        return None
+    if not text.isdigit() or len(text) > 12 or int(text) == 0:
+        raise refuse("bad_request", "X-Deadline-Ms must be a positive whole number")
+    return int(text)
--- /dev/null
+++ b/chestnutvale/programs/entry/ledger_writer.py
@@ -0,0 +1,113 @@
+"""Writes ends of claims to the ledger until they are committed."""
+
+from types import TracebackType
+from typing import Self
+
+import eventlet
+import logbook
+
+from chestnutvale.ledger.const import CLAIM_GRACE_MS
+from chestnutvale.programs.entry.context import CallContext
+from chestnutvale.programs.entry.exceptions import (
+    CommitRefusedError,
+    CommitUnknownError,
+)
+from chestnutvale.schema.command_pb2 import Command
+
+_LOGGER = logbook.Logger(__name__)
+
+# Time in seconds that a caller waits for its answer to be recorded.
+FIRST_COMMIT_TIMEOUT_S = 1.0
+COMMIT_TIMEOUT_S = 5.0
+RETRY_PAUSE_S = 0.2
+# Time in seconds after which a write is given up; the claim is overdue by then.
+GIVE_UP_S = 10 * CLAIM_GRACE_MS / 1_000
+MAX_PENDING_WRITES = 1_000
+
+
+class LedgerWriter:
+    """Commits outcomes and releases; a context manager.
+
+    Each command is idempotent, so one whose result is unknown is sent again.
+    One that can't be written is dropped: its claim then becomes unknown, which
+    never lets the call run twice.
+
+    Parameters
+    ----------
+    context : CallContext
+        The entry.
+
+    Attributes
+    ----------
+    dropped_writes : int
+        Commands that were not written.
+    """
+
+    def __init__(self, context: CallContext) -> None:
+        self.dropped_writes = 0
+        self._context = context
+        self._tasks: set[eventlet.greenthread.GreenThread] = set()
+
+    def __enter__(self) -> Self:
+        """Return the writer."""
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Stop all writes."""
+        for task in list(self._tasks):
+            task.kill()
+
+    @property
+    def pending_writes(self) -> int:
+        """Commands that are not written yet; a graceful shutdown waits for them."""
+        return len(self._tasks)
+
+    def write(self, command: Command) -> None:
+        """Commit a command; go on in the background if it takes long.
+
+        Parameters
+        ----------
+        command : Command
+            The command.
+        """
+        if not self._try_commit(command, FIRST_COMMIT_TIMEOUT_S):
+            self.write_later(command)
+
+    def write_later(self, command: Command) -> None:
+        """Commit a command in the background.
+
+        Parameters
+        ----------
+        command : Command
+            The command.
+        """
+        if len(self._tasks) >= MAX_PENDING_WRITES:
+            self._drop(command)
+            return
+        task = eventlet.spawn(self._write_until_done, command)
+        self._tasks.add(task)
+        task.link(lambda done: self._tasks.discard(done))
+
+    def _write_until_done(self, command: Command) -> None:
+        give_up_s = self._context.clock.now_s() + GIVE_UP_S
+        while not self._try_commit(command, COMMIT_TIMEOUT_S):
+            if self._context.clock.now_s() >= give_up_s:
+                self._drop(command)
+                return
+            eventlet.sleep(RETRY_PAUSE_S * (1.0 + self._context.rng.random()))
+
+    def _try_commit(self, command: Command, timeout_s: float) -> bool:
+        try:
+            self._context.commit(command, self._context.clock.now_s() + timeout_s)
+        except (CommitRefusedError, CommitUnknownError):
+            return False
+        return True
+
+    def _drop(self, command: Command) -> None:
+        self.dropped_writes += 1
+        _LOGGER.error("Gave up writing {} to the ledger", command.WhichOneof("body"))
--- /dev/null
+++ b/chestnutvale/programs/entry/model_attempt.py
@@ -0,0 +1,175 @@
+"""One attempt of a model call over HTTP, told as events."""
+
+import json
+from types import TracebackType
+from typing import Any, Self
+
+from chestnutvale.attempts.const import (
+    CODE_BAD_REQUEST,
+    REFUSAL_MEMBER_MISSING,
+    REFUSAL_OVERLOADED,
+    REFUSAL_UNREACHABLE,
+    REFUSAL_WRONG_EPOCH,
+)
+from chestnutvale.attempts.events import (
+    AttemptBroken,
+    AttemptRefused,
+    CallEvent,
+    EventsArrived,
+    Tick,
+)
+from chestnutvale.attempts.exceptions import StreamFormatError
+from chestnutvale.attempts.sse import EventSplitter
+from chestnutvale.programs.entry.endpoint_exchange import EndpointExchange
+from chestnutvale.programs.entry.exceptions import (
+    AnswerTooLargeError,
+    EndpointBrokenError,
+    EndpointSilentError,
+    EndpointUnreachableError,
+)
+from chestnutvale.schema.peer_pb2 import GroupView
+
+GENERATE_PATH = "/v1/generate"
+MAX_REFUSAL_BYTES = 64 * 1024
+STATUS_OK = 200
+
+# Statuses by which an engine says that it did not run the request.
+_REFUSALS = {
+    (409, REFUSAL_WRONG_EPOCH),
+    (429, REFUSAL_OVERLOADED),
+    (503, REFUSAL_MEMBER_MISSING),
+    (400, "bad_request"),
+    (400, "resume_mismatch"),
+    (404, "not_found"),
+    (413, "too_large"),
+}
+
+
+class ModelAttempt:
+    """Owns the connection of one attempt; a context manager.
+
+    Parameters
+    ----------
+    attempt_id : str
+        Identity of the attempt.
+    view : GroupView
+        The group that runs it.
+    address : str
+        IP number and port of the group's head.
+
+    Attributes
+    ----------
+    is_open : bool
+        Whether a stream is being read.
+    first_byte_s : float or None
+        Monotonic time in seconds of the first byte of the stream.
+    """
+
+    def __init__(self, attempt_id: str, view: GroupView, address: str) -> None:
+        self.attempt_id = attempt_id
+        self.view = view
+        self.is_open = False
+        self._exchange = EndpointExchange(address)
+        self._splitter = EventSplitter()
+
+    def __enter__(self) -> Self:
+        """Return the attempt."""
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Close the connection, which cancels what still runs."""
+        self.close()
+
+    def close(self) -> None:
+        """Close the connection, which cancels what still runs."""
+        self.is_open = False
+        self._exchange.__exit__(None, None, None)
+
+    def abort(self) -> None:
+        """Interrupt the greenlet that waits for the endpoint."""
+        self._exchange.abort()
+
+    def start(self, body: dict[str, Any], timeout_s: float) -> CallEvent | None:
+        """Send the request.
+
+        Parameters
+        ----------
+        body : dict
+            The request.
+        timeout_s : float
+            Time to wait for the head of the answer in seconds.
+
+        Returns
+        -------
+        CallEvent or None
+            Why the attempt is over; None if its stream has begun.
+        """
+        data = json.dumps(body).encode()
+        headers = {"Content-Type": "application/json"}
+        try:
+            self._exchange.connect(timeout_s)
+            self._exchange.send("POST", GENERATE_PATH, headers, data, timeout_s)
+            if self._exchange.status != STATUS_OK:
+                return self._read_refusal()
+        except EndpointUnreachableError as error:
+            return AttemptRefused(self.attempt_id, REFUSAL_UNREACHABLE, error.message)
+        except EndpointSilentError:
+            return Tick()
+        except (EndpointBrokenError, AnswerTooLargeError) as error:
+            return AttemptBroken(self.attempt_id, error.message)
+        self.is_open = True
+        return None
+
+    def read(self, timeout_s: float) -> CallEvent:
+        """Wait for the next events of the stream.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Time to wait in seconds.
+
+        Returns
+        -------
+        CallEvent
+            Events, a break, or `Tick` if nothing arrived in time.
+        """
+        self._exchange.set_timeout(timeout_s)
+        try:
+            data = self._exchange.read()
+            if not data:
+                return AttemptBroken(self.attempt_id, "the stream ended early")
+            return EventsArrived(self.attempt_id, self._splitter.feed(data))
+        except EndpointSilentError:
+            return Tick()
+        except (EndpointBrokenError, StreamFormatError) as error:
+            return AttemptBroken(self.attempt_id, error.message)
+
+    def _read_refusal(self) -> CallEvent:
+        status = self._exchange.status
+        data = self._exchange.read_all(MAX_REFUSAL_BYTES)
+        try:
+            document = json.loads(data)
+            code = str(document["code"])
+        except (ValueError, KeyError, TypeError):
+            code = ""
+        if (status, code) not in _REFUSALS:
+            return AttemptBroken(self.attempt_id, f"unexpected status {status}")
+        message = str(document.get("message", ""))
+        return AttemptRefused(
+            self.attempt_id,
+            code or CODE_BAD_REQUEST,
+            message,
+            _read_retry_after_s(self._exchange.headers),
+        )
+
+
+def _read_retry_after_s(headers: list[tuple[str, str]]) -> float | None:
+    for name, value in headers:
+        if name.lower() == "retry-after" and value.isdigit():
+            return float(value)
+    return None
--- /dev/null
+++ b/chestnutvale/programs/entry/model_calls.py
@@ -0,0 +1,427 @@
+"""Callers' model calls over HTTP: admission, attempts, streams."""
+
+import contextlib
+from collections import deque
+from collections.abc import Callable, Iterable, Iterator
+from typing import Any
+
+from chestnutvale.attempts.const import DEFAULT_RETRY_AFTER_S, OUTCOME_NOT_RUN
+from chestnutvale.attempts.events import (
+    AttemptBroken,
+    AttemptRefused,
+    CallBanned,
+    CallEffect,
+    CallerGone,
+    CallEvent,
+    CancelAttempt,
+    ChooseGroup,
+    Deliver,
+    EventsArrived,
+    Failure,
+    Finish,
+    GroupChosen,
+    NoneAvailable,
+    StartAttempt,
+    Started,
+    Tick,
+)
+from chestnutvale.attempts.model_call import ModelCall
+from chestnutvale.attempts.suspicion import Banned, Clear
+from chestnutvale.programs.entry.caller_watch import CallerWatch
+from chestnutvale.programs.entry.context import (
+    AttemptReport,
+    CallContext,
+    CallRequest,
+    head_address,
+)
+from chestnutvale.programs.entry.crash_probe import has_crashed
+from chestnutvale.programs.entry.exceptions import BadCallError
+from chestnutvale.programs.entry.intake import (
+    DEFAULT_MAX_BODY_BYTES,
+    CallRefusedError,
+    check_lease,
+    find_service,
+    read_body,
+    read_intake,
+    refuse_bad_call,
+)
+from chestnutvale.programs.entry.model_attempt import ModelAttempt
+from chestnutvale.programs.entry.openai_api import (
+    GenerationRequest,
+    build_answer,
+    parse_generation,
+    read_text,
+)
+from chestnutvale.programs.entry.problems import make_problem
+from chestnutvale.schema.peer_pb2 import GroupView
+
+StartResponse = Callable[..., Any]
+KIND_MODEL = "model"
+RESULT_WHOLE = "whole"
+RESULT_REFUSED = "refused"
+RESULT_BROKEN = "broken"
+RESULT_CANCELLED = "cancelled"
+REQUEST_ID_BITS = 96
+
+
+def make_request_id(context: CallContext) -> str:
+    """Name a call.
+
+    Parameters
+    ----------
+    context : CallContext
+        The entry.
+
+    Returns
+    -------
+    str
+        An identity that no other call has.
+    """
+    return f"{context.entry_id}-{context.rng.getrandbits(REQUEST_ID_BITS):024x}"
+
+
+class ModelCallHandler:
+    """WSGI application for one form of model calls.
+
+    Parameters
+    ----------
+    context : CallContext
+        The entry.
+    form : str
+        ``chat`` or ``completion``.
+    max_body_bytes : int, optional
+        Largest body of a call.
+    """
+
+    def __init__(
+        self,
+        context: CallContext,
+        form: str,
+        max_body_bytes: int = DEFAULT_MAX_BODY_BYTES,
+    ) -> None:
+        self._context = context
+        self._form = form
+        self._max_body_bytes = max_body_bytes
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answer a call.
+
+        Parameters
+        ----------
+        environ : dict
+            The WSGI environment.
+        start_response : callable
+            Takes status and headers.
+
+        Returns
+        -------
+        iterable of bytes
+            The body of the answer.
+        """
+        request_id = make_request_id(self._context)
+        try:
+            generation, request = self._accept(environ, request_id)
+        except CallRefusedError as error:
+            return _answer_problem(
+                self._context, error.failure, request_id, start_response
+            )
+        run = ModelCallRun(self._context, generation, request, environ)
+        if generation.stream:
+            return _answer_stream(self._context, run, start_response)
+        return _answer_whole(self._context, run, start_response)
+
+    def _accept(
+        self, environ: dict[str, Any], request_id: str
+    ) -> tuple[GenerationRequest, CallRequest]:
+        intake = read_intake(self._context, environ, request_id)
+        check_lease(self._context)
+        body = read_body(environ, self._max_body_bytes)
+        try:
+            generation = parse_generation(self._form, body)
+        except BadCallError as error:
+            raise refuse_bad_call(error) from error
+        service = find_service(self._context, intake, generation.service, KIND_MODEL)
+        request = CallRequest(
+            request_id=request_id,
+            workspace=intake.workspace,
+            service=generation.service,
+            priority=intake.priority,
+            prompt=generation.prompt_bytes(),
+            max_tokens=generation.max_tokens,
+            adapter=generation.adapter,
+            deadline_s=intake.deadline_s(service),
+        )
+        return generation, request
+
+
+class ModelCallRun:
+    """Runs one admitted or refused call in the greenlet that iterates over it.
+
+    Iterating gives the bytes to deliver; afterwards `failure` says whether
+    the answer is whole. Closing the iterator cancels the call.
+
+    Parameters
+    ----------
+    context : CallContext
+        The entry.
+    generation : GenerationRequest
+        The caller's body.
+    request : CallRequest
+        The call as admission and routing know it.
+    environ : dict
+        The WSGI environment.
+
+    Attributes
+    ----------
+    failure : Failure or None
+        Why the answer is not whole.
+    """
+
+    def __init__(
+        self,
+        context: CallContext,
+        generation: GenerationRequest,
+        request: CallRequest,
+        environ: dict[str, Any],
+    ) -> None:
+        self.failure: Failure | None = None
+        self.generation = generation
+        self.request = request
+        self._context = context
+        self._watch = CallerWatch(environ)
+        self._call = ModelCall(request.request_id, request.deadline_s, context.budgets)
+        self._attempt: ModelAttempt | None = None
+        self._view: GroupView | None = None
+        self._sent_s = 0.0
+        self._first_byte_s: float | None = None
+        self._first_offset = 0
+
+    def iterate(self) -> Iterator[bytes]:
+        """Run the call.
+
+        Yields
+        ------
+        bytes
+            Whole events, to be passed on at once.
+        """
+        ticket = self._context.admission.offer(self.request)
+        try:
+            with self._watch:
+                self._watch.call_when_gone(ticket.cancel)
+                refusal = ticket.wait()
+                if refusal is not None:
+                    self.failure = Failure(
+                        refusal.code,
+                        OUTCOME_NOT_RUN,
+                        refusal.message,
+                        "admission",
+                        "",
+                        refusal.retry_after_s,
+                    )
+                    return
+                yield from self._drive()
+        finally:
+            self._close_attempt(RESULT_CANCELLED)
+            ticket.release(self._call.answer.next_offset)
+
+    def _drive(self) -> Iterator[bytes]:
+        effects: deque[CallEffect] = deque(self._handle(Started()))
+        while effects:
+            effect = effects.popleft()
+            if isinstance(effect, Deliver):
+                yield effect.data
+            elif isinstance(effect, Finish):
+                self._finish(effect)
+            elif isinstance(effect, CancelAttempt):
+                self._close_attempt(RESULT_CANCELLED)
+            elif isinstance(effect, ChooseGroup):
+                effects.extend(self._handle(self._choose(effect)))
+            elif isinstance(effect, StartAttempt):
+                effects.extend(self._handle(self._start(effect)))
+            while not effects and not self._call.is_finished:
+                effects.extend(self._handle(self._read()))
+
+    def _handle(self, event: CallEvent) -> list[CallEffect]:
+        if self._watch.is_gone:
+            event = CallerGone()
+        elif isinstance(event, AttemptBroken):
+            self._note_break(event.reason)
+        elif isinstance(event, AttemptRefused):
+            self._close_attempt(RESULT_REFUSED, event.code)
+        return self._call.handle(event, self._context.clock.now_s())
+
+    def _finish(self, effect: Finish) -> None:
+        self.failure = effect.failure
+        if effect.failure is None:
+            self._context.suspicions.answer_whole(
+                self._attempt.attempt_id, self._context.clock.unix_ms()
+            )
+            self._close_attempt(RESULT_WHOLE)
+
+    def _choose(self, effect: ChooseGroup) -> CallEvent:
+        while True:
+            groups = self._context.serving_groups(self.request.service, effect.version)
+            now_unix_ms = self._context.clock.unix_ms()
+            verdict = self._context.suspicions.judge(
+                self.generation.fingerprint, groups, now_unix_ms
+            )
+            if isinstance(verdict, Clear):
+                return self._choose_from(effect.excluded, effect.version)
+            if isinstance(verdict, Banned):
+                return CallBanned((verdict.until_unix_ms - now_unix_ms) / 1_000)
+            wait_s = (verdict.not_before_unix_ms - now_unix_ms) / 1_000
+            if wait_s <= 0.0:
+                others = effect.excluded | (set(groups) - {verdict.group_id})
+                return self._choose_from(frozenset(others), effect.version)
+            left_s = self.request.deadline_s - self._context.clock.now_s()
+            if left_s <= 0.0 or self._watch.wait(min(wait_s, left_s)):
+                return Tick()
+
+    def _choose_from(self, excluded: frozenset[str], version: str) -> CallEvent:
+        view = None
+        if self._context.has_lease(self._context.clock.now_s()):
+            view = self._context.choose_group(self.request, excluded, version)
+        if view is None or not head_address(view):
+            return NoneAvailable(DEFAULT_RETRY_AFTER_S)
+        self._view = view
+        group = view.group
+        return GroupChosen(group.group_id, group.epoch, group.version)
+
+    def _start(self, effect: StartAttempt) -> CallEvent:
+        view = self._view
+        attempt = ModelAttempt(effect.attempt_id, view, head_address(view))
+        self._attempt = attempt
+        self._watch.call_when_gone(attempt.abort)
+        self._context.running.add(effect.group_id, effect.epoch, attempt)
+        self._context.suspicions.attempt_started(
+            effect.attempt_id,
+            self.generation.fingerprint,
+            effect.group_id,
+            effect.epoch,
+            view.group.fabric_domain,
+        )
+        self._first_byte_s = None
+        self._first_offset = effect.resume_offset
+        self._sent_s = self._context.clock.now_s()
+        body = self._make_body(effect)
+        event = attempt.start(body, self._call.next_tick_s - self._sent_s)
+        return event or EventsArrived(effect.attempt_id, [])
+
+    def _make_body(self, effect: StartAttempt) -> dict[str, Any]:
+        resume_text = ""
+        if effect.resume_offset:
+            delivered = self._call.answer.delivered()
+            resume_text = read_text(self.generation.form, delivered)
+        return {
+            "request_id": self.request.request_id,
+            "attempt_id": effect.attempt_id,
+            "group_id": effect.group_id,
+            "epoch": effect.epoch,
+            "service": self.request.service,
+            "form": self.generation.form,
+            "prompt": self.generation.prompt,
+            "max_tokens": self.generation.max_tokens,
+            "priority": self.request.priority,
+            "adapter": self.generation.adapter,
+            "resume_offset": effect.resume_offset,
+            "resume_text": resume_text,
+        }
+
+    def _read(self) -> CallEvent:
+        left_s = self._call.next_tick_s - self._context.clock.now_s()
+        event = self._attempt.read(left_s)
+        if self._first_byte_s is None and isinstance(event, EventsArrived):
+            self._first_byte_s = self._context.clock.now_s()
+        return event
+
+    def _note_break(self, reason: str) -> None:
+        attempt = self._attempt
+        if attempt is None:
+            return
+        if has_crashed(attempt.view.group):
+            self._context.suspicions.group_crashed(
+                attempt.attempt_id, self._context.clock.unix_ms()
+            )
+        self._close_attempt(RESULT_BROKEN, reason)
+
+    def _close_attempt(self, result: str, code: str = "") -> None:
+        attempt, self._attempt = self._attempt, None
+        if attempt is None:
+            return
+        self._watch.call_when_gone(None)
+        self._context.running.remove(attempt)
+        self._context.suspicions.attempt_ended(attempt.attempt_id)
+        attempt.close()
+        first_byte_ms = None
+        if self._first_byte_s is not None:
+            first_byte_ms = (self._first_byte_s - self._sent_s) * 1_000
+        self._context.report_attempt(
+            AttemptReport(
+                request=self.request,
+                group_id=attempt.view.group.group_id,
+                epoch=attempt.view.group.epoch,
+                result=result,
+                code=code,
+                first_byte_ms=first_byte_ms,
+                tokens=self._call.answer.next_offset - self._first_offset,
+            )
+        )
+
+
+def _answer_stream(
+    context: CallContext, run: ModelCallRun, start_response: StartResponse
+) -> Iterable[bytes]:
+    pieces = run.iterate()
+    first = next(pieces, None)
+    if first is None:
+        return _answer_problem(
+            context, run.failure, run.request.request_id, start_response
+        )
+    headers = [
+        ("Content-Type", "text/event-stream; charset=utf-8"),
+        ("Cache-Control", "no-cache"),
+        ("X-Request-Id", run.request.request_id),
+    ]
+    start_response("200 OK", headers)
+    return _stream(context, run, first, pieces)
+
+
+def _stream(
+    context: CallContext, run: ModelCallRun, first: bytes, pieces: Iterator[bytes]
+) -> Iterator[bytes]:
+    with contextlib.closing(pieces):
+        yield first
+        yield from pieces
+    if run.failure is not None:
+        problem = make_problem(run.failure, run.request.request_id, context.rng)
+        yield b"event: error\ndata: " + problem.body + b"\n\n"
+
+
+def _answer_whole(
+    context: CallContext, run: ModelCallRun, start_response: StartResponse
+) -> Iterable[bytes]:
+    request_id = run.request.request_id
+    events = b"".join(run.iterate())
+    if run.failure is not None:
+        return _answer_problem(context, run.failure, request_id, start_response)
+    body = build_answer(run.generation.form, events)
+    headers = [
+        ("Content-Type", "application/json"),
+        ("Content-Length", str(len(body))),
+        ("X-Request-Id", request_id),
+    ]
+    start_response("200 OK", headers)
+    return [body]
+
+
+def _answer_problem(
+    context: CallContext,
+    failure: Failure,
+    request_id: str,
+    start_response: StartResponse,
+) -> Iterable[bytes]:
+    problem = make_problem(failure, request_id, context.rng)
+    start_response(problem.status_line, problem.headers)
+    return [problem.body]
--- /dev/null
+++ b/chestnutvale/programs/entry/openai_api.py
@@ -0,0 +1,228 @@
+"""Callers' model calls in the OpenAI form, and the answers to them."""
+
+import json
+from collections.abc import Iterator
+from typing import Any
+
+import attrs
+
+from chestnutvale.attempts.suspicion import fingerprint_of
+from chestnutvale.programs.entry.exceptions import BadCallError
+
+FORM_CHAT = "chat"
+FORM_COMPLETION = "completion"
+DEFAULT_MAX_TOKENS = 1_024
+MAX_MAX_TOKENS = 1_048_576
+# Parts the name of a service from that of an adapter in ``model``.
+ADAPTER_SEPARATOR = ":"
+
+_DATA_PREFIX = b"data: "
+_DONE = b"[DONE]"
+
+
+@attrs.frozen
+class GenerationRequest:
+    """A caller's model call.
+
+    Attributes
+    ----------
+    form : str
+        ``chat`` or ``completion``.
+    service : str
+        Name of the service, from ``model``.
+    adapter : str
+        Name of the adapter, from ``model``; empty for none.
+    prompt : str or list
+        The prompt, or the messages of a chat.
+    max_tokens : int
+        Most tokens of the answer.
+    stream : bool
+        Whether the caller wants a stream.
+    fingerprint : int
+        64-bit fingerprint of the work asked for.
+    """
+
+    form: str
+    service: str
+    adapter: str
+    prompt: str | list[dict[str, str]]
+    max_tokens: int
+    stream: bool
+    fingerprint: int
+
+    def prompt_bytes(self) -> bytes:
+        """Return the text that prefix hashes are made of."""
+        if isinstance(self.prompt, str):
+            return self.prompt.encode()
+        parts = [f"{m['role']}\n{m['content']}\n" for m in self.prompt]
+        return "".join(parts).encode()
+
+
+def parse_generation(form: str, data: bytes) -> GenerationRequest:
+    """Parse the body of a model call.
+
+    Parameters
+    ----------
+    form : str
+        ``chat`` or ``completion``.
+    data : bytes
+        The body.
+
+    Returns
+    -------
+    GenerationRequest
+        The call.
+
+    Raises
+    ------
+    BadCallError
+        If the body is not a valid call.
+    """
+    body = _parse_object(data)
+    model = body.get("model")
+    if not isinstance(model, str) or not model:
+        raise BadCallError("model must be a string")
+    if body.get("n", 1) not in (1, None):
+        raise BadCallError("n must be 1")
+    stream = body.get("stream") or False
+    if not isinstance(stream, bool):
+        raise BadCallError("stream must be true or false")
+    service, _, adapter = model.partition(ADAPTER_SEPARATOR)
+    return GenerationRequest(
+        form=form,
+        service=service,
+        adapter=adapter,
+        prompt=_parse_prompt(form, body),
+        max_tokens=_parse_max_tokens(body),
+        stream=stream,
+        fingerprint=fingerprint_of(f"{form} {service}", body),
+    )
+
+
+def read_text(form: str, events: bytes) -> str:
+    """Return the text of delivered events, for a resume.
+
+    Parameters
+    ----------
+    form : str
+        ``chat`` or ``completion``.
+    events : bytes
+        Events as they were delivered.
+
+    Returns
+    -------
+    str
+        The text of the answer so far.
+    """
+    return "".join(_chunk_text(form, chunk) for chunk in _chunks(events))
+
+
+def build_answer(form: str, events: bytes) -> bytes:
+    """Build the answer of a call without a stream from the events of a whole one.
+
+    Parameters
+    ----------
+    form : str
+        ``chat`` or ``completion``.
+    events : bytes
+        All events of the answer.
+
+    Returns
+    -------
+    bytes
+        The JSON answer.
+    """
+    chunks = list(_chunks(events))
+    text = "".join(_chunk_text(form, chunk) for chunk in chunks)
+    last = chunks[-1]
+    finish_reason = _choice(last).get("finish_reason")
+    choice: dict[str, Any] = {"index": 0, "finish_reason": finish_reason}
+    if form == FORM_CHAT:
+        choice["message"] = {"role": "assistant", "content": text}
+    else:
+        choice["text"] = text
+    answer = {
+        "id": last.get("id"),
+        "object": "chat.completion" if form == FORM_CHAT else "text_completion",
+        "created": chunks[0].get("created"),
+        "model": last.get("model"),
+        "choices": [choice],
+        "usage": last.get("usage"),
+    }
+    return json.dumps(answer).encode()
+
+
+def _parse_object(data: bytes) -> dict[str, Any]:
+    try:
+        body = json.loads(data)
+    except (ValueError, RecursionError) as error:
+        raise BadCallError(f"the body is not JSON: {error}") from error
+    if not isinstance(body, dict):
+        raise BadCallError("the body must be an object")
+    return body
+
+
+def _parse_max_tokens(body: dict[str, Any]) -> int:
+    value = body.get("max_completion_tokens") or body.get("max_tokens")
+    if value is None:
+        return DEFAULT_MAX_TOKENS
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise BadCallError("max_tokens must be a whole number")
+    if not 0 < value <= MAX_MAX_TOKENS:
+        raise BadCallError(f"max_tokens must be from 1 to {MAX_MAX_TOKENS}")
+    return value
+
+
+def _parse_prompt(form: str, body: dict[str, Any]) -> str | list[dict[str, str]]:
+    if form == FORM_COMPLETION:
+        prompt = body.get("prompt")
+        if not isinstance(prompt, str):
+            raise BadCallError("prompt must be a string")
+        return prompt
+    messages = body.get("messages")
+    if not isinstance(messages, list) or not messages:
+        raise BadCallError("messages must be a list that is not empty")
+    return [_parse_message(message) for message in messages]
+
+
+def _parse_message(message: Any) -> dict[str, str]:
+    if not isinstance(message, dict):
+        raise BadCallError("a message must be an object")
+    role = message.get("role")
+    content = message.get("content")
+    if isinstance(content, list):
+        content = "".join(_parse_part(part) for part in content)
+    if not isinstance(role, str) or not isinstance(content, str):
+        raise BadCallError("a message must have a role and a text as content")
+    return {"role": role, "content": content}
+
+
+def _parse_part(part: Any) -> str:
+    text = part.get("text") if isinstance(part, dict) else None
+    if not isinstance(text, str):
+        raise BadCallError("only parts of text are taken")
+    return text
+
+
+def _chunks(events: bytes) -> Iterator[dict[str, Any]]:
+    for block in events.split(b"\n\n"):
+        lines = [
+            line.removeprefix(_DATA_PREFIX)
+            for line in block.split(b"\n")
+            if line.startswith(_DATA_PREFIX)
+        ]
+        data = b"\n".join(lines)
+        if data and data != _DONE:
+            yield json.loads(data)
+
+
+def _choice(chunk: dict[str, Any]) -> dict[str, Any]:
+    choices = chunk.get("choices") or [{}]
+    return choices[0]
+
+
+def _chunk_text(form: str, chunk: dict[str, Any]) -> str:
+    choice = _choice(chunk)
+    if form == FORM_CHAT:
+        return (choice.get("delta") or {}).get("content") or ""
+    return choice.get("text") or ""
--- /dev/null
+++ b/chestnutvale/programs/entry/running_attempts.py
@@ -0,0 +1,74 @@
+"""The attempts that run at each group, so that those of a lost group can end."""
+
+from typing import Protocol
+
+
+class Abortable(Protocol):
+    """Something that waits for an endpoint and can be interrupted."""
+
+    def abort(self) -> None:
+        """Interrupt the greenlet that waits for the endpoint."""
+
+
+class RunningAttempts:
+    """Attempts by group and epoch.
+
+    A host that froze or went dark closes no connection. The daemon calls
+    `abort_group` once the membership calls its group lost, so that the calls
+    go on elsewhere instead of waiting for the silence to be noticed.
+    """
+
+    def __init__(self) -> None:
+        self._groups: dict[Abortable, tuple[str, int]] = {}
+
+    def __len__(self) -> int:
+        """Return the number of running attempts."""
+        return len(self._groups)
+
+    def add(self, group_id: str, epoch: int, attempt: Abortable) -> None:
+        """Note that an attempt runs.
+
+        Parameters
+        ----------
+        group_id : str
+            Its group.
+        epoch : int
+            Epoch of the group.
+        attempt : Abortable
+            The attempt.
+        """
+        self._groups[attempt] = (group_id, epoch)
+
+    def remove(self, attempt: Abortable) -> None:
+        """Note that an attempt is over.
+
+        Parameters
+        ----------
+        attempt : Abortable
+            The attempt.
+        """
+        self._groups.pop(attempt, None)
+
+    def abort_group(self, group_id: str, epoch: int) -> int:
+        """Interrupt all attempts at a lost group.
+
+        Parameters
+        ----------
+        group_id : str
+            The group.
+        epoch : int
+            Last epoch that is lost; attempts of a later one go on.
+
+        Returns
+        -------
+        int
+            Number of attempts that were interrupted.
+        """
+        lost = [
+            attempt
+            for attempt, (running_id, running_epoch) in self._groups.items()
+            if running_id == group_id and running_epoch <= epoch
+        ]
+        for attempt in lost:
+            attempt.abort()
+        return len(lost)
--- /dev/null
+++ b/chestnutvale/programs/entry/service_calls.py
@@ -0,0 +1,197 @@
+"""Callers' calls to plain services over HTTP."""
+
+import contextlib
+from collections.abc import Iterable
+from http import HTTPStatus
+from typing import Any
+
+import eventlet
+
+from chestnutvale.attempts.const import (
+    DEFAULT_RETRY_AFTER_S,
+    OUTCOME_NOT_RUN,
+    OUTCOME_UNKNOWN,
+)
+from chestnutvale.attempts.events import Failure
+from chestnutvale.attempts.service_events import Reply
+from chestnutvale.programs.entry.caller_watch import CallerWatch
+from chestnutvale.programs.entry.context import CallContext, CallRequest
+from chestnutvale.programs.entry.intake import (
+    DEFAULT_MAX_BODY_BYTES,
+    CallRefusedError,
+    Intake,
+    check_lease,
+    find_service,
+    read_body,
+    read_intake,
+)
+from chestnutvale.programs.entry.ledger_writer import LedgerWriter
+from chestnutvale.programs.entry.model_calls import StartResponse, make_request_id
+from chestnutvale.programs.entry.problems import make_problem
+from chestnutvale.programs.entry.service_request import (
+    ServiceRequest,
+    digest_of,
+    forwarded_headers,
+    is_repeatable,
+    read_service_request,
+)
+from chestnutvale.programs.entry.service_run import ServiceRun
+from chestnutvale.schema.ledger_pb2 import Claim
+
+KIND_PLAIN = "plain"
+STEP_ADMISSION = "admission"
+BODYLESS_STATUSES = frozenset({204, 304})
+HEADER_REPLAYED = "Idempotent-Replayed"
+
+
+class ServiceCallHandler:
+    """WSGI application for calls to plain services.
+
+    Parameters
+    ----------
+    context : CallContext
+        The entry.
+    writer : LedgerWriter
+        Writes the ends of claims.
+    """
+
+    def __init__(self, context: CallContext, writer: LedgerWriter) -> None:
+        self._context = context
+        self._writer = writer
+        self._runs: set[eventlet.greenthread.GreenThread] = set()
+
+    @property
+    def running_calls(self) -> int:
+        """Calls that run, also for callers that left; a shutdown waits for them."""
+        return len(self._runs)
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answer a call.
+
+        Parameters
+        ----------
+        environ : dict
+            The WSGI environment.
+        start_response : callable
+            Takes status and headers.
+
+        Returns
+        -------
+        iterable of bytes
+            The body of the answer.
+        """
+        request_id = make_request_id(self._context)
+        try:
+            answer = self._answer(environ, request_id)
+        except CallRefusedError as error:
+            answer = error.failure
+        if isinstance(answer, Reply):
+            return _send_reply(answer, request_id, start_response)
+        problem = make_problem(answer, request_id, self._context.rng)
+        start_response(problem.status_line, problem.headers)
+        return [problem.body]
+
+    def _answer(self, environ: dict[str, Any], request_id: str) -> Reply | Failure:
+        context = self._context
+        intake = read_intake(context, environ, request_id)
+        request = read_service_request(environ)
+        service = find_service(context, intake, request.service, KIND_PLAIN)
+        repeatable = is_repeatable(service, request)
+        # Until the ledger was asked, an earlier call with the key may have run.
+        has_claim = bool(request.key) and not repeatable
+        outcome = OUTCOME_UNKNOWN if has_claim else OUTCOME_NOT_RUN
+        check_lease(context, outcome)
+        limits = service.limits
+        body = read_body(environ, limits.max_body_bytes or DEFAULT_MAX_BODY_BYTES)
+        call_request = CallRequest(
+            request_id=request_id,
+            workspace=intake.workspace,
+            service=request.service,
+            priority=intake.priority,
+            prompt=b"",
+            max_tokens=0,
+            adapter="",
+            deadline_s=intake.deadline_s(service),
+        )
+        run = ServiceRun(
+            context,
+            self._writer,
+            call_request,
+            request,
+            forwarded_headers(environ, request_id, intake.workspace),
+            body,
+            repeatable=repeatable,
+            claim=self._make_claim(intake, request, body) if has_claim else None,
+        )
+        with CallerWatch(environ) as watch:
+            return self._admit_and_run(run, call_request, watch, outcome)
+
+    def _admit_and_run(
+        self,
+        run: ServiceRun,
+        request: CallRequest,
+        watch: CallerWatch,
+        outcome: str,
+    ) -> Reply | Failure:
+        ticket = self._context.admission.offer(request)
+        watch.call_when_gone(ticket.cancel)
+        with contextlib.ExitStack() as stack:
+            stack.callback(ticket.release, 0)
+            refusal = ticket.wait()
+            if refusal is None:
+                # The run gives the place back, perhaps after its caller left.
+                stack.pop_all()
+        if refusal is not None:
+            retry_after_s = refusal.retry_after_s or DEFAULT_RETRY_AFTER_S
+            return Failure(
+                refusal.code,
+                outcome,
+                refusal.message,
+                STEP_ADMISSION,
+                "",
+                retry_after_s,
+            )
+        watch.call_when_gone(run.caller_gone)
+        task = eventlet.spawn(self._run, run, ticket)
+        self._runs.add(task)
+        task.link(lambda done: self._runs.discard(done))
+        return run.wait_for_answer()
+
+    def _run(self, run: ServiceRun, ticket: Any) -> None:
+        try:
+            run.run()
+        finally:
+            ticket.release(0)
+
+    def _make_claim(
+        self, intake: Intake, request: ServiceRequest, body: bytes
+    ) -> Claim:
+        return Claim(
+            workspace=intake.workspace,
+            service=request.service,
+            key=request.key,
+            body_sha256=digest_of(request, body),
+            claim_id=intake.request_id,
+            entry_id=self._context.entry_id,
+            entry_incarnation=self._context.incarnation,
+        )
+
+
+def _send_reply(
+    reply: Reply, request_id: str, start_response: StartResponse
+) -> Iterable[bytes]:
+    answer = reply.answer
+    headers = list(zip(answer.header_names, answer.header_values, strict=True))
+    headers.append(("X-Request-Id", request_id))
+    if answer.status not in BODYLESS_STATUSES:
+        headers.append(("Content-Length", str(len(answer.body))))
+    if reply.replayed:
+        headers.append((HEADER_REPLAYED, "true"))
+    try:
+        reason = HTTPStatus(answer.status).phrase
+    except ValueError:
+        reason = "Unknown"
+    start_response(f"{answer.status} {reason}", headers)
+    return [answer.body]
--- /dev/null
+++ b/chestnutvale/programs/entry/service_request.py
@@ -0,0 +1,197 @@
+"""Callers' calls to plain services, and what is passed on of them."""
+
+import hashlib
+from typing import Any
+from urllib.parse import quote
+
+import attrs
+
+from chestnutvale.ledger.const import MAX_KEY_BYTES
+from chestnutvale.programs.entry.intake import refuse
+from chestnutvale.schema.configuration_pb2 import Service
+from chestnutvale.schema.ledger_pb2 import RecordedAnswer
+
+SERVICES_PREFIX = "/services/"
+# Methods that may be repeated where no rule says otherwise (RFC 9110, 9.2.1).
+SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
+ANY_METHOD = "*"
+
+# Headers that belong to one connection, or that the entry sets itself.
+_DROPPED_HEADERS = frozenset(
+    {
+        "authorization",
+        "connection",
+        "content-length",
+        "date",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "x-deadline-ms",
+        "x-request-id",
+        "x-workspace",
+    }
+)
+
+
+@attrs.frozen
+class ServiceRequest:
+    """A caller's call to a plain service.
+
+    Attributes
+    ----------
+    service : str
+        Name of the service.
+    method : str
+        HTTP method.
+    path : str
+        Decoded path below the service, as rules match it.
+    target : str
+        Path and query as they are passed on.
+    key : str
+        The caller's idempotency key; empty for none.
+    """
+
+    service: str
+    method: str
+    path: str
+    target: str
+    key: str
+
+
+def read_service_request(environ: dict[str, Any]) -> ServiceRequest:
+    """Read path, query and key of a call.
+
+    Parameters
+    ----------
+    environ : dict
+        The WSGI environment.
+
+    Returns
+    -------
+    ServiceRequest
+        The call.
+
+    Raises
+    ------
+    CallRefusedError
+        If the path or the key is wrong.
+    """
+    decoded = environ["PATH_INFO"].encode("latin-1", "replace").decode(errors="replace")
+    service, slash, rest = decoded.removeprefix(SERVICES_PREFIX).partition("/")
+    path = slash + rest or "/"
+    segments = path.split("/")[1:]
+    # A rule must see the path that the endpoint will see.
+    if any(s in (".", "..") for s in segments) or "" in segments[:-1] or "\\" in path:
+        raise refuse("bad_request", "the path must be in its normal form")
+    key = environ.get("HTTP_IDEMPOTENCY_KEY", "").strip()
+    if len(key.encode()) > MAX_KEY_BYTES:
+        raise refuse("bad_request", f"the key is longer than {MAX_KEY_BYTES} bytes")
+    query = environ.get("QUERY_STRING", "")
+    target = quote(path, safe="/:@!$&'()*+,;=~-._") + (f"?{query}" if query else "")
+    return ServiceRequest(service, environ["REQUEST_METHOD"], path, target, key)
+
+
+def is_repeatable(service: Service, request: ServiceRequest) -> bool:
+    """Tell whether a call may run more than once; the first rule that fits decides.
+
+    Parameters
+    ----------
+    service : Service
+        The service with its rules.
+    request : ServiceRequest
+        The call.
+
+    Returns
+    -------
+    bool
+        Whether the call may be repeated.
+    """
+    for rule in service.calls:
+        is_method = rule.method in ("", ANY_METHOD, request.method)
+        if is_method and request.path.startswith(rule.path_prefix):
+            return rule.repeatable
+    return request.method in SAFE_METHODS
+
+
+def digest_of(request: ServiceRequest, body: bytes) -> str:
+    """Return the digest that tells whether two calls with a key are the same.
+
+    Parameters
+    ----------
+    request : ServiceRequest
+        The call.
+    body : bytes
+        Its body.
+
+    Returns
+    -------
+    str
+        Hexadecimal SHA-256.
+    """
+    digest = hashlib.sha256(f"{request.method} {request.target}\n".encode())
+    digest.update(body)
+    return digest.hexdigest()
+
+
+def forwarded_headers(
+    environ: dict[str, Any], request_id: str, workspace: str
+) -> dict[str, str]:
+    """Return the headers to pass on to the endpoint.
+
+    Parameters
+    ----------
+    environ : dict
+        The WSGI environment.
+    request_id : str
+        Identity of the call.
+    workspace : str
+        The caller's workspace.
+
+    Returns
+    -------
+    dict of str to str
+        The headers.
+    """
+    headers = {
+        name: value
+        for name, value in environ.get("headers_raw", ())
+        if name.lower() not in _DROPPED_HEADERS
+    }
+    headers["X-Request-Id"] = request_id
+    headers["X-Workspace"] = workspace
+    return headers
+
+
+def make_answer(
+    status: int, headers: list[tuple[str, str]], body: bytes
+) -> RecordedAnswer:
+    """Keep of an endpoint's answer what callers get.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status.
+    headers : list of tuple of str
+        Headers of the answer.
+    body : bytes
+        Whole body.
+
+    Returns
+    -------
+    RecordedAnswer
+        The answer.
+    """
+    kept = [(n, v) for n, v in headers if n.lower() not in _DROPPED_HEADERS]
+    return RecordedAnswer(
+        status=status,
+        header_names=[name for name, _ in kept],
+        header_values=[value for _, value in kept],
+        body=body,
+    )
--- /dev/null
+++ b/chestnutvale/programs/entry/service_run.py
@@ -0,0 +1,283 @@
+"""Runs one admitted call to a plain service."""
+
+import contextlib
+from collections import deque
+
+import eventlet
+from eventlet.event import Event
+
+from chestnutvale.attempts.const import DEFAULT_RETRY_AFTER_S, REFUSAL_UNREACHABLE
+from chestnutvale.attempts.events import (
+    AttemptBroken,
+    AttemptRefused,
+    CallerGone,
+    CancelAttempt,
+    ChooseGroup,
+    Failure,
+    Finish,
+    GroupChosen,
+    NoneAvailable,
+    StartAttempt,
+    Started,
+    Tick,
+)
+from chestnutvale.attempts.service_call import ServiceCall
+from chestnutvale.attempts.service_events import (
+    AnswerTooLarge,
+    ClaimAnswered,
+    ClaimNotProposed,
+    ClaimUnknown,
+    Connected,
+    EndpointAnswered,
+    Reply,
+    SendRequest,
+    ServiceEffect,
+    ServiceEvent,
+    SubmitClaim,
+    SubmitOutcome,
+    SubmitRelease,
+)
+from chestnutvale.programs.entry.context import (
+    AttemptReport,
+    CallContext,
+    CallRequest,
+    head_address,
+)
+from chestnutvale.programs.entry.endpoint_exchange import EndpointExchange
+from chestnutvale.programs.entry.exceptions import (
+    AnswerTooLargeError,
+    CommitRefusedError,
+    CommitUnknownError,
+    EndpointBrokenError,
+    EndpointSilentError,
+    EndpointUnreachableError,
+)
+from chestnutvale.programs.entry.ledger_writer import LedgerWriter
+from chestnutvale.programs.entry.service_request import ServiceRequest, make_answer
+from chestnutvale.schema.command_pb2 import Command
+from chestnutvale.schema.ledger_pb2 import Claim, RecordOutcome, ReleaseClaim
+from chestnutvale.schema.peer_pb2 import GroupView
+
+# Time in seconds for one try to commit a claim; shorter than a leader change.
+CLAIM_TIMEOUT_S = 1.0
+# Time in seconds before a claim is sent again.
+CLAIM_RETRY_PAUSE_S = 0.05
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+
+
+class ServiceRun:
+    """Drives a `ServiceCall`; its own greenlet calls `run`.
+
+    The caller's greenlet waits for `answered` and ends the wait at the
+    deadline; a call that was sent and may not be repeated goes on.
+
+    Parameters
+    ----------
+    context : CallContext
+        The entry.
+    writer : LedgerWriter
+        Writes the ends of claims.
+    call_request : CallRequest
+        The call as routing knows it.
+    request : ServiceRequest
+        The call as the caller made it.
+    headers : dict of str to str
+        Headers to pass on.
+    body : bytes
+        Body to pass on.
+    repeatable : bool
+        Whether the call may run more than once.
+    claim : Claim or None
+        The claim to hold before the call is sent.
+
+    Attributes
+    ----------
+    answered : Event
+        Gets the answer for the caller.
+    """
+
+    def __init__(
+        self,
+        context: CallContext,
+        writer: LedgerWriter,
+        call_request: CallRequest,
+        request: ServiceRequest,
+        headers: dict[str, str],
+        body: bytes,
+        *,
+        repeatable: bool,
+        claim: Claim | None,
+    ) -> None:
+        self.answered: Event = Event()
+        self._context = context
+        self._writer = writer
+        self._call_request = call_request
+        self._request = request
+        self._headers = headers
+        self._body = body
+        self._claim = claim
+        self._call = ServiceCall(
+            call_request.request_id,
+            call_request.deadline_s,
+            context.budgets,
+            repeatable=repeatable,
+            has_key=claim is not None,
+        )
+        if claim is not None:
+            left_s = call_request.deadline_s - context.clock.now_s()
+            claim.deadline_unix_ms = context.clock.unix_ms() + int(left_s * 1_000)
+        self._exchange: EndpointExchange | None = None
+        self._view: GroupView | None = None
+
+    def wait_for_answer(self) -> Reply | Failure:
+        """Wait until the call is answered or its deadline has passed.
+
+        Returns
+        -------
+        Reply or Failure
+            The answer for the caller.
+        """
+        while not self.answered.ready():
+            left_s = self._call_request.deadline_s - self._context.clock.now_s()
+            if left_s <= 0.0:
+                self._handle_now(Tick())
+            else:
+                self.answered.wait(timeout=left_s)
+        return self.answered.wait()
+
+    def caller_gone(self) -> None:
+        """Take note that the caller closed its connection."""
+        self._handle_now(CallerGone())
+
+    def run(self) -> None:
+        """Run the call to its end."""
+        with contextlib.ExitStack() as stack:
+            stack.callback(self._close_exchange)
+            stack.callback(self._answer_crash)
+            effects = deque(self._handle(Started()))
+            while effects:
+                effects.extend(self._perform(effects.popleft()))
+
+    def _handle(self, event: ServiceEvent) -> list[ServiceEffect]:
+        return self._call.handle(event, self._context.clock.now_s())
+
+    def _handle_now(self, event: ServiceEvent) -> None:
+        # Only effects that end something follow here; they do not block.
+        for effect in self._handle(event):
+            self._end(effect)
+
+    def _perform(self, effect: ServiceEffect) -> list[ServiceEffect]:
+        if isinstance(effect, SubmitClaim):
+            return self._handle(self._submit_claim())
+        if isinstance(effect, ChooseGroup):
+            return self._handle(self._choose(effect))
+        if isinstance(effect, StartAttempt):
+            return self._handle(self._connect(effect))
+        if isinstance(effect, SendRequest):
+            return self._handle(self._send(effect))
+        if isinstance(effect, SubmitOutcome):
+            self._writer.write(self._outcome_command(effect))
+        else:
+            self._end(effect)
+        return []
+
+    def _end(self, effect: ServiceEffect) -> None:
+        if isinstance(effect, CancelAttempt) and self._exchange is not None:
+            self._exchange.abort()
+        elif isinstance(effect, SubmitRelease):
+            release = ReleaseClaim(claim_id=self._claim.claim_id)
+            self._writer.write_later(Command(release_claim=release))
+        elif isinstance(effect, SubmitOutcome):
+            self._writer.write_later(self._outcome_command(effect))
+        elif isinstance(effect, Reply):
+            self._answer(effect)
+        elif isinstance(effect, Finish):
+            self._answer(effect.failure)
+
+    def _answer(self, answer: Reply | Failure | None) -> None:
+        if not self.answered.ready():
+            self.answered.send(answer)
+
+    def _answer_crash(self) -> None:
+        # A fault of this program must not leave the caller waiting.
+        self._answer(Failure("internal", "unknown", "the entry failed", "call"))
+
+    def _submit_claim(self) -> ServiceEvent:
+        now_s = self._context.clock.now_s()
+        deadline_s = min(self._call_request.deadline_s, now_s + CLAIM_TIMEOUT_S)
+        try:
+            result = self._context.commit(Command(claim=self._claim), deadline_s)
+        except CommitRefusedError:
+            return ClaimNotProposed()
+        except CommitUnknownError:
+            eventlet.sleep(CLAIM_RETRY_PAUSE_S)
+            return ClaimUnknown()
+        return ClaimAnswered(result.claim.outcome, result.claim.answer)
+
+    def _choose(self, effect: ChooseGroup) -> ServiceEvent:
+        view = None
+        if self._context.has_lease(self._context.clock.now_s()):
+            view = self._context.choose_group(
+                self._call_request, effect.excluded, effect.version
+            )
+        if view is None or not head_address(view):
+            return NoneAvailable(DEFAULT_RETRY_AFTER_S)
+        self._view = view
+        return GroupChosen(view.group.group_id, view.group.epoch, view.group.version)
+
+    def _connect(self, effect: StartAttempt) -> ServiceEvent:
+        self._close_exchange()
+        self._exchange = EndpointExchange(head_address(self._view))
+        now_s = self._context.clock.now_s()
+        try:
+            self._exchange.connect(self._call.next_tick_s - now_s)
+        except EndpointUnreachableError as error:
+            self._report("refused", error.code)
+            return AttemptRefused(effect.attempt_id, REFUSAL_UNREACHABLE, error.message)
+        has_lease = self._context.has_lease(self._context.clock.now_s())
+        return Connected(effect.attempt_id, has_lease)
+
+    def _send(self, effect: SendRequest) -> ServiceEvent:
+        request = self._request
+        exchange = self._exchange
+        # The caller's greenlet minds the deadline; this one may go on after it.
+        end_s = self._call_request.deadline_s + self._call.linger_s
+        timeout_s = end_s - self._context.clock.now_s()
+        try:
+            exchange.send(
+                request.method, request.target, self._headers, self._body, timeout_s
+            )
+            body = exchange.read_all(MAX_ANSWER_BYTES)
+        except AnswerTooLargeError:
+            return AnswerTooLarge(effect.attempt_id, exchange.status)
+        except (EndpointBrokenError, EndpointSilentError) as error:
+            self._report("broken", error.code)
+            return AttemptBroken(effect.attempt_id, error.message)
+        self._report("whole", "")
+        answer = make_answer(exchange.status, exchange.headers, body)
+        return EndpointAnswered(effect.attempt_id, answer)
+
+    def _report(self, result: str, code: str) -> None:
+        group = self._view.group
+        self._context.report_attempt(
+            AttemptReport(
+                request=self._call_request,
+                group_id=group.group_id,
+                epoch=group.epoch,
+                result=result,
+                code=code,
+                first_byte_ms=None,
+                tokens=0,
+            )
+        )
+
+    def _outcome_command(self, effect: SubmitOutcome) -> Command:
+        outcome = RecordOutcome(claim_id=self._claim.claim_id)
+        if effect.answer is not None:
+            outcome.answer.CopyFrom(effect.answer)
+        return Command(record_outcome=outcome)
+
+    def _close_exchange(self) -> None:
+        exchange, self._exchange = self._exchange, None
+        if exchange is not None:
+            exchange.__exit__(None, None, None)
--- /dev/null
+++ b/tests/programs/entry/test_model_calls.py
@@ -0,0 +1,178 @@
+"""Model calls over HTTP: whole answers, honest refusals, cancelled work."""
+
+import json
+
+import eventlet
+import pytest
+
+from chestnutvale.programs.entry.model_calls import ModelCallHandler
+from tests.programs.entry.entry_fakes import (
+    ANSWER,
+    WORDS,
+    FakeContext,
+    FakeEngine,
+    open_post,
+    post,
+    serve,
+    wait_until,
+)
+
+CHAT = {"model": "llm", "messages": [{"role": "user", "content": "hello"}]}
+
+
+@pytest.fixture
+def context():
+    return FakeContext()
+
+
+@pytest.fixture
+def engines(context):
+    """Two engines, each the head of a group of its own."""
+    first = FakeEngine("g1")
+    second = FakeEngine("g2")
+    with serve(first) as address_1, serve(second) as address_2:
+        context.add_group("g1", "llm", address_1)
+        context.add_group("g2", "llm", address_2)
+        yield first, second
+
+
+@pytest.fixture
+def entry(context):
+    with serve(ModelCallHandler(context, "chat")) as address:
+        yield address
+
+
+def read_answer(body):
+    assert body.endswith(b"data: [DONE]\n\n")
+    chunks = [x.removeprefix(b"data: ") for x in body.split(b"\n\n")[:-2]]
+    texts = [json.loads(x)["choices"][0]["delta"]["content"] for x in chunks]
+    return "".join(texts)
+
+
+@pytest.mark.parametrize("break_after", range(len(WORDS) + 1))
+def test_broken_stream_is_resumed_byte_for_byte(context, engines, entry, break_after):
+    engines[0].break_after = break_after
+    status, _, body = post(entry, "/", {**CHAT, "stream": True})
+    assert status == 200
+    assert read_answer(body) == ANSWER
+    assert len(context.running) == 0
+
+
+def test_answer_without_stream_is_put_together(engines, entry):
+    engines[0].break_after = 5
+    status, _, body = post(entry, "/", CHAT)
+    answer = json.loads(body)
+    assert status == 200
+    assert answer["choices"][0]["message"]["content"] == ANSWER
+    assert answer["choices"][0]["finish_reason"] == "stop"
+    assert answer["usage"] == {"completion_tokens": len(WORDS)}
+
+
+def test_stream_that_can_not_be_resumed_ends_with_an_error_event(engines, entry):
+    for engine in engines:
+        engine.break_after = 3
+    _, _, body = post(entry, "/", {**CHAT, "stream": True})
+    event = body.split(b"\n\n")[-2]
+    problem = json.loads(event.partition(b"\ndata: ")[2])
+    assert event.startswith(b"event: error")
+    assert problem["outcome"] == "failed"
+    assert problem["retry_after_s"] >= 1
+    assert b"[DONE]" not in body
+
+
+@pytest.mark.parametrize(
+    "refusal", [(409, "wrong_epoch"), (429, "overloaded"), (503, "member_missing")]
+)
+def test_refused_call_goes_elsewhere_and_then_was_not_run(engines, entry, refusal):
+    engines[0].refusal = refusal
+    assert post(entry, "/", CHAT)[0] == 200
+    engines[1].refusal = refusal
+    status, headers, body = post(entry, "/", CHAT)
+    assert status == 503
+    assert headers["content-type"] == "application/problem+json"
+    assert int(headers["retry-after"]) >= 1
+    assert json.loads(body)["outcome"] == "not_run"
+
+
+def test_unreachable_group_is_passed_over(context, engines, entry, free_address):
+    context.groups["g1"].members[0].address = free_address()
+    assert post(entry, "/", CHAT)[0] == 200
+    assert context.reports == [("g1", "refused"), ("g2", "whole")]
+
+
+def test_unknown_status_of_an_engine_is_not_called_not_run(engines, entry):
+    for engine in engines:
+        engine.refusal = (500, "internal")
+    _, _, body = post(entry, "/", CHAT)
+    assert json.loads(body)["outcome"] == "unknown"
+
+
+@pytest.mark.parametrize("stream", [True, False])
+def test_caller_that_hangs_up_cancels_the_work(context, engines, entry, stream):
+    engines[0].pause_s = 0.05
+    sock = open_post(entry, "/", {**CHAT, "stream": stream})
+    wait_until(lambda: engines[0].requests)
+    sock.close()
+    wait_until(lambda: engines[0].cancelled)
+    assert context.reports == [("g1", "cancelled")]
+    assert not engines[1].requests
+
+
+def test_caller_that_hangs_up_before_the_first_byte_cancels(context, engines, entry):
+    engines[0].pause_s = 1.0
+    engines[0].break_after = None
+    sock = open_post(entry, "/", CHAT)
+    wait_until(lambda: engines[0].requests)
+    sock.close()
+    wait_until(lambda: context.reports, timeout_s=0.9)
+    assert context.reports == [("g1", "cancelled")]
+
+
+def test_deadline_ends_the_call_at_once(engines, entry):
+    engines[0].pause_s = 0.2
+    status, headers, body = post(entry, "/", CHAT, X_Deadline_Ms=100)
+    assert status == 504
+    assert json.loads(body)["code"] == "deadline_exceeded"
+    assert "retry-after" in headers
+    assert not engines[1].requests
+
+
+def test_lost_group_is_left_without_waiting_for_its_silence(context, engines, entry):
+    engines[0].pause_s = 3.0
+    call = eventlet.spawn(post, entry, "/", CHAT)
+    wait_until(lambda: len(context.running) == 1 and engines[0].requests)
+    eventlet.sleep(0.05)
+    assert context.running.abort_group("g1", 1) == 1
+    status, _, body = call.wait()
+    assert json.loads(body)["choices"][0]["message"]["content"] == ANSWER
+    assert engines[1].requests[0]["resume_offset"] == 1
+
+
+@pytest.mark.parametrize(
+    ("body", "headers", "status", "code"),
+    [
+        (b"{", {}, 400, "bad_request"),
+        (b"[" * 100_000, {}, 400, "bad_request"),
+        ({**CHAT, "n": 2}, {}, 400, "bad_request"),
+        ({**CHAT, "max_tokens": -1}, {}, 400, "bad_request"),
+        ({**CHAT, "messages": [{"role": 1}]}, {}, 400, "bad_request"),
+        ({**CHAT, "model": "other"}, {}, 404, "not_found"),
+        (CHAT, {"Authorization": "Bearer x"}, 401, "unauthorized"),
+        (CHAT, {"X_Priority": "x"}, 400, "bad_request"),
+        (CHAT, {"X_Deadline_Ms": "-1"}, 400, "bad_request"),
+    ],
+)
+def test_wrong_call_is_refused(engines, entry, body, headers, status, code):
+    answer_status, _, answer = post(entry, "/", body, **headers)
+    problem = json.loads(answer)
+    assert (answer_status, problem["code"]) == (status, code)
+    assert problem["outcome"] == "not_run"
+    assert not engines[0].requests
+
+
+def test_without_a_lease_nothing_is_sent(context, engines, entry):
+    context.lease = False
+    status, headers, body = post(entry, "/", CHAT)
+    assert (status, json.loads(body)["outcome"]) == (503, "not_run")
+    assert "retry-after" in headers
+    assert not engines[0].requests
--- /dev/null
+++ b/tests/programs/entry/test_service_calls.py
@@ -0,0 +1,244 @@
+"""Calls to plain services over HTTP: at most one run a key, true outcomes."""
+
+import json
+
+import eventlet
+import pytest
+
+from chestnutvale.attempts.const import OUTCOME_NOT_RUN, OUTCOME_UNKNOWN
+from chestnutvale.programs.entry.exceptions import (
+    CommitRefusedError,
+    CommitUnknownError,
+)
+from chestnutvale.programs.entry.ledger_writer import LedgerWriter
+from chestnutvale.programs.entry.service_calls import ServiceCallHandler
+from chestnutvale.schema.ledger_pb2 import AbandonClaims
+from tests.programs.entry.entry_fakes import (
+    FakeContext,
+    FakeLog,
+    FakeService,
+    open_post,
+    post,
+    serve,
+    wait_until,
+)
+
+POSTINGS = "/services/ledger-app/postings"
+NOTES = "/services/ledger-app/notes"
+KEY = {"Idempotency_Key": "key-1"}
+
+
+class Entry:
+    """One entry's context and address."""
+
+    def __init__(self, context, writer, handler, address):
+        self.context = context
+        self.writer = writer
+        self.handler = handler
+        self.address = address
+
+
+@pytest.fixture
+def service():
+    return FakeService()
+
+
+@pytest.fixture
+def entries(service):
+    """Two entries over one log and one service."""
+    log = FakeLog()
+    contexts = [FakeContext(log, "entry-1"), FakeContext(log, "entry-2")]
+    with serve(service) as endpoint:
+        for context in contexts:
+            context.add_group("s1", "ledger-app", endpoint)
+        with LedgerWriter(contexts[0]) as writer_1, LedgerWriter(contexts[1]) as other:
+            handlers = [
+                ServiceCallHandler(contexts[0], writer_1),
+                ServiceCallHandler(contexts[1], other),
+            ]
+            with serve(handlers[0]) as address_1, serve(handlers[1]) as address_2:
+                yield [
+                    Entry(contexts[0], writer_1, handlers[0], address_1),
+                    Entry(contexts[1], other, handlers[1], address_2),
+                ]
+
+
+def lose_answer(log, command):
+    log.apply(command)
+    raise CommitUnknownError("lost")
+
+
+def lose_command(log, command):
+    raise CommitUnknownError("lost")
+
+
+def refuse_command(log, command):
+    raise CommitRefusedError("no leader")
+
+
+def test_second_call_gets_the_recorded_answer_at_another_entry(entries, service):
+    first = post(entries[0].address, POSTINGS, b"10", **KEY)
+    second = post(entries[1].address, POSTINGS, b"10", **KEY)
+    assert first[0] == second[0] == 201
+    assert first[2] == second[2] == b"done10"
+    assert second[1]["idempotent-replayed"] == "true"
+    assert service.runs == {"key-1": 1}
+
+
+def test_same_key_with_another_body_or_path_is_refused(entries, service):
+    post(entries[0].address, POSTINGS, b"10", **KEY)
+    for path, body in ((POSTINGS, b"11"), (POSTINGS + "/x", b"10")):
+        status, _, answer = post(entries[1].address, path, body, **KEY)
+        problem = json.loads(answer)
+        assert (status, problem["code"]) == (422, "key_mismatch")
+        assert problem["outcome"] == OUTCOME_NOT_RUN
+    assert service.runs == {"key-1": 1}
+
+
+def test_workspaces_do_not_share_keys(entries, service):
+    post(entries[0].address, POSTINGS, b"10", **KEY)
+    headers = {**KEY, "Authorization": "Bearer ws-2"}
+    status, _, answer = post(entries[0].address, POSTINGS, b"11", **headers)
+    assert (status, answer) == (201, b"done11")
+
+
+def test_second_call_while_the_first_runs_is_told_to_come_back(entries, service):
+    service.pause_s = 0.3
+    first = eventlet.spawn(post, entries[0].address, POSTINGS, b"10", **KEY)
+    wait_until(lambda: service.runs)
+    status, headers, answer = post(entries[1].address, POSTINGS, b"10", **KEY)
+    assert (status, json.loads(answer)["outcome"]) == (409, OUTCOME_UNKNOWN)
+    assert int(headers["retry-after"]) >= 1
+    assert first.wait()[0] == 201
+    assert service.runs == {"key-1": 1}
+
+
+def test_caller_that_leaves_does_not_lose_its_answer(entries, service):
+    service.pause_s = 0.2
+    sock = open_post(entries[0].address, POSTINGS, b"10", **KEY)
+    wait_until(lambda: service.runs)
+    sock.close()
+    wait_until(lambda: not entries[0].handler.running_calls)
+    assert post(entries[1].address, POSTINGS, b"10", **KEY)[2] == b"done10"
+    assert service.runs == {"key-1": 1}
+
+
+def test_call_past_its_deadline_is_unknown_at_once_and_still_recorded(entries, service):
+    service.pause_s = 0.3
+    headers = {**KEY, "X_Deadline_Ms": 100}
+    status, headers, answer = post(entries[0].address, POSTINGS, b"10", **headers)
+    assert (status, json.loads(answer)["outcome"]) == (504, OUTCOME_UNKNOWN)
+    assert service.runs and entries[0].handler.running_calls == 1
+    wait_until(lambda: not entries[0].handler.running_calls)
+    assert post(entries[1].address, POSTINGS, b"10", **KEY)[2] == b"done10"
+
+
+@pytest.mark.parametrize("with_key", [True, False])
+def test_break_after_the_send_is_unknown_and_never_sent_again(
+    entries, service, with_key
+):
+    service.break_after_run = True
+    headers = KEY if with_key else {}
+    status, _, answer = post(entries[0].address, POSTINGS, b"10", **headers)
+    assert (status, json.loads(answer)["outcome"]) == (502, OUTCOME_UNKNOWN)
+    if with_key:
+        status, _, answer = post(entries[1].address, POSTINGS, b"10", **headers)
+        assert (status, json.loads(answer)["outcome"]) == (409, OUTCOME_UNKNOWN)
+    assert sum(service.runs.values()) == 1
+
+
+def test_unreachable_endpoint_releases_the_claim(entries, service, free_address):
+    address = entries[0].context.groups["s1"].members[0].address
+    entries[0].context.groups["s1"].members[0].address = free_address()
+    status, headers, answer = post(entries[0].address, POSTINGS, b"10", **KEY)
+    assert (status, json.loads(answer)["outcome"]) == (503, OUTCOME_NOT_RUN)
+    assert "retry-after" in headers
+    wait_until(lambda: not entries[0].writer.pending_writes)
+    assert address == entries[1].context.groups["s1"].members[0].address
+    assert post(entries[1].address, POSTINGS, b"10", **KEY)[0] == 201
+
+
+def test_lost_answers_of_commits_change_nothing(entries, service):
+    log = entries[0].context.log
+    log.faults.extend([lose_answer, lose_command, None, lose_answer, refuse_command])
+    assert post(entries[0].address, POSTINGS, b"10", **KEY)[0] == 201
+    wait_until(lambda: not entries[0].writer.pending_writes)
+    assert post(entries[1].address, POSTINGS, b"10", **KEY)[2] == b"done10"
+    assert service.runs == {"key-1": 1}
+
+
+@pytest.mark.parametrize("fault", [lose_answer, lose_command])
+def test_nothing_is_sent_while_the_claim_is_unknown(entries, service, fault):
+    log = entries[0].context.log
+    log.faults.extend([fault] * 100)
+    headers = {**KEY, "X_Deadline_Ms": 200}
+    status, _, answer = post(entries[0].address, POSTINGS, b"10", **headers)
+    assert (status, json.loads(answer)["outcome"]) == (504, OUTCOME_UNKNOWN)
+    assert not service.runs
+    log.faults.clear()
+    wait_until(lambda: not entries[0].writer.pending_writes)
+    assert post(entries[1].address, POSTINGS, b"10", **KEY)[0] == 201
+
+
+@pytest.mark.parametrize("lost", ["leader", "lease"])
+def test_keyed_call_is_not_called_not_run_without_the_ledger(entries, service, lost):
+    post(entries[0].address, POSTINGS, b"10", **KEY)
+    entries[1].context.lease = lost != "lease"
+    entries[1].context.log.faults.append(refuse_command)
+    status, headers, answer = post(entries[1].address, POSTINGS, b"10", **KEY)
+    assert (status, json.loads(answer)["outcome"]) == (503, OUTCOME_UNKNOWN)
+    assert "retry-after" in headers
+
+
+def test_abandoned_claim_is_unknown_until_its_answer_is_recorded(entries, service):
+    service.pause_s = 0.2
+    first = eventlet.spawn(post, entries[0].address, POSTINGS, b"10", **KEY)
+    wait_until(lambda: service.runs)
+    ledger = entries[0].context.log.ledger
+    ledger.apply_abandon_claims(AbandonClaims(entry_id="entry-1"), 0)
+    status, _, answer = post(entries[1].address, POSTINGS, b"10", **KEY)
+    assert (status, json.loads(answer)["code"]) == (409, "outcome_unknown")
+    first.wait()
+    assert post(entries[1].address, POSTINGS, b"10", **KEY)[2] == b"done10"
+    assert service.runs == {"key-1": 1}
+
+
+def test_answer_too_large_to_record_is_told_so(entries, service):
+    service.answer = b"x" * 20_000
+    assert len(post(entries[0].address, POSTINGS, b"10", **KEY)[2]) == 20_002
+    status, _, answer = post(entries[1].address, POSTINGS, b"10", **KEY)
+    assert (status, json.loads(answer)["code"]) == (410, "answer_not_recorded")
+    assert service.runs == {"key-1": 1}
+
+
+def test_repeatable_call_is_tried_again_and_needs_no_claim(entries, service):
+    with serve(FakeBreaking()) as broken:
+        context = entries[0].context
+        good = context.groups.pop("s1")
+        context.add_group("s0", "ledger-app", broken)
+        context.groups["s1"] = good
+        assert post(entries[0].address, NOTES, b"10", **KEY)[0] == 201
+    assert not context.log.applied
+    assert context.reports == [("s0", "broken"), ("s1", "whole")]
+
+
+class FakeBreaking:
+    """A plain service that breaks each connection."""
+
+    def __call__(self, environ, start_response):
+        raise ConnectionError("break")
+
+
+@pytest.mark.parametrize(
+    "path",
+    [
+        "/services/ledger-app/notes/../postings",
+        "/services/ledger-app/notes/%2e%2e/postings",
+        "/services/ledger-app//postings",
+        "/services/ledger-app/notes\\..\\postings",
+    ],
+)
+def test_path_that_hides_from_the_rules_is_refused(entries, service, path):
+    status, _, answer = post(entries[0].address, path, b"10")
+    assert (status, json.loads(answer)["outcome"]) == (400, OUTCOME_NOT_RUN)
+    assert not service.runs
