--- a/chestnutvale/configuration/digest.py
+++ b/chestnutvale/configuration/digest.py
@@ -3,9 +3,8 @@
 import hashlib
 import json
 
-from google.protobuf import json_format
-
 from chestnutvale.schema.configuration_pb2 import Text
+from chestnutvale.schema_json import message_to_data
 
 
 def text_to_json(text: Text) -> str:
@@ -19,12 +18,10 @@
     Returns
     -------
     str
-        The same for equal texts, whatever their comments and order of fields.
+        The same for equal texts, whatever their comments and order of fields; it
+        can be parsed as a text again.
     """
-    data = json_format.MessageToDict(text, preserving_proto_field_name=True)
-    # Protobuf's JSON form writes 64-bit numbers as strings.
-    data["number"] = text.number
-    return json.dumps(data, sort_keys=True, separators=(",", ":"))
+    return json.dumps(message_to_data(text), sort_keys=True, separators=(",", ":"))
 
 
 def text_digest(text: Text) -> str:
--- /dev/null
+++ b/chestnutvale/schema_json.py
@@ -0,0 +1,47 @@
+"""Schema messages as plain JSON data."""
+
+from typing import Any
+
+from google.protobuf.descriptor import FieldDescriptor
+from google.protobuf.message import Message
+
+
+def message_to_data(message: Message) -> dict[str, Any]:
+    """Return a message as JSON data with every field and whole numbers as numbers.
+
+    Protobuf's own JSON form writes 64-bit numbers as strings, which operators
+    neither write nor want to read.
+
+    Parameters
+    ----------
+    message : Message
+        The message; must hold no bytes fields.
+
+    Returns
+    -------
+    dict
+        Fields by name; messages that are not set are left out.
+    """
+    data: dict[str, Any] = {}
+    for field in message.DESCRIPTOR.fields:
+        if _is_message(field) and not message.HasField(field.name):
+            continue
+        data[field.name] = _value_to_data(field, getattr(message, field.name))
+    return data
+
+
+def _is_message(field: FieldDescriptor) -> bool:
+    return field.message_type is not None and not field.is_repeated
+
+
+def _value_to_data(field: FieldDescriptor, value: Any) -> Any:
+    entry = field.message_type
+    if entry is not None and entry.GetOptions().map_entry:
+        return {key: _item_to_data(value[key]) for key in sorted(value)}
+    if field.is_repeated:
+        return [_item_to_data(item) for item in value]
+    return _item_to_data(value)
+
+
+def _item_to_data(value: Any) -> Any:
+    return message_to_data(value) if isinstance(value, Message) else value
