--- a/chestnutvale/programs/client/__init__.py
+++ b/chestnutvale/programs/client/__init__.py
@@ -1,1 +1,1 @@
-"""The operators' command-line client."""
+"""The operators' client."""
--- /dev/null
+++ b/chestnutvale/programs/client/exceptions.py
@@ -0,0 +1,74 @@
+"""Errors of the operators' client, each with its exit code."""
+
+from typing import Any, ClassVar
+
+from chestnutvale.exceptions import ChestnutError
+from chestnutvale.programs.client.const import ExitCode
+
+
+class ClientError(ChestnutError):
+    """A command that failed.
+
+    Attributes
+    ----------
+    exit_code : ExitCode
+        Exit code of the process.
+    """
+
+    code = "client_failed"
+    exit_code: ClassVar[ExitCode] = ExitCode.FAILED
+
+
+class UnreachableError(ClientError):
+    """No control answered, and certainly none ran the command."""
+
+    code = "unreachable"
+    exit_code = ExitCode.UNREACHABLE
+
+
+class OutcomeUnknownError(ClientError):
+    """The command may have been run, or may yet be."""
+
+    code = "outcome_unknown"
+    exit_code = ExitCode.OUTCOME_UNKNOWN
+
+
+class RefusedError(ClientError):
+    """The leading control refused the command.
+
+    Parameters
+    ----------
+    answer : dict
+        The members of the problem.
+    peer : str
+        Address of the control.
+    """
+
+    code = "refused"
+    exit_code = ExitCode.REFUSED
+
+    def __init__(self, answer: dict[str, Any], *, peer: str) -> None:
+        detail = str(answer.get("detail", "no reason given"))
+        step = str(answer.get("step", ""))
+        super().__init__(detail, step=step, peer=peer)
+        self.answer = answer
+
+
+class InvalidTextError(RefusedError):
+    """The control refused the text itself."""
+
+    code = "text_invalid"
+    exit_code = ExitCode.INVALID_TEXT
+
+
+class ConflictError(RefusedError):
+    """Another text holds the number, or a later one is in force."""
+
+    code = "configuration_conflict"
+    exit_code = ExitCode.CONFLICT
+
+
+class FileExistsAlreadyError(ClientError):
+    """A file that would be overwritten."""
+
+    code = "file_exists"
--- /dev/null
+++ b/chestnutvale/programs/control/operator_api.py
@@ -0,0 +1,359 @@
+"""The operators' HTTP interface of a control, as a WSGI application.
+
+The control makes one `OperatorApi` with the digest of the operator token and its
+`OperatorNode`, and gives it the requests for which `handles` is true.
+"""
+
+import json
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+import logbook
+from google.protobuf import json_format
+from google.protobuf.message import Message
+
+from chestnutvale.clock import Clock
+from chestnutvale.configuration.const import MAX_TEXT_BYTES, OUTCOME_CONFLICT
+from chestnutvale.configuration.digest import text_digest
+from chestnutvale.configuration.exceptions import TextError
+from chestnutvale.configuration.parser import parse_text
+from chestnutvale.configuration.plan import plan_change
+from chestnutvale.exceptions import ChestnutError
+from chestnutvale.http_server.const import (
+    OUTCOME_FAILED,
+    OUTCOME_NOT_RUN,
+    OUTCOME_UNKNOWN,
+)
+from chestnutvale.http_server.exceptions import HttpRequestError
+from chestnutvale.http_server.problem import Problem
+from chestnutvale.programs.control.operator_const import (
+    CODE_BAD_REQUEST,
+    CODE_CONFLICT,
+    CODE_NO_LEADER,
+    CODE_NOT_FOUND,
+    CODE_NOT_LEADER,
+    CODE_OUTCOME_UNKNOWN,
+    CODE_REFUSED,
+    CODE_UNAUTHORISED,
+    DEFAULT_DEADLINE_MS,
+    MAX_DEADLINE_MS,
+    MAX_OPERATOR_LENGTH,
+    MAX_REQUEST_BYTES,
+    PATH_DRAIN,
+    PATH_DUMP,
+    PATH_PLAN,
+    PATH_PREFIX,
+    PATH_STATUS,
+    PATH_TEXT,
+    PATH_VOTERS,
+    QUERY_LOCAL,
+    RETRY_AFTER_S,
+    STEP_OPERATOR,
+    STEP_PROPOSE,
+)
+from chestnutvale.programs.control.operator_node import OperatorNode
+from chestnutvale.schema.configuration_pb2 import ApplyText, Text
+from chestnutvale.schema.operator_pb2 import (
+    ApplyAnswer,
+    DrainRequest,
+    OperatorResult,
+    VoterChange,
+)
+from chestnutvale.schema_json import message_to_data
+from chestnutvale.settings.token import is_operator
+
+_LOGGER = logbook.Logger(__name__)
+
+Environ = dict[str, Any]
+Answer = dict[str, Any]
+MessageT = TypeVar("MessageT", bound=Message)
+
+# Calls that any control answers from its own state, the second one if asked to.
+_LOCAL_CALLS = frozenset({("GET", PATH_DUMP)})
+_OPTIONALLY_LOCAL_CALLS = frozenset({("GET", PATH_STATUS)})
+
+
+class ProblemAnswer(Exception):
+    """Ends a request with a problem.
+
+    Parameters
+    ----------
+    problem : Problem
+        The answer.
+    """
+
+    def __init__(self, problem: Problem) -> None:
+        super().__init__(problem.detail)
+        self.problem = problem
+
+
+class OperatorApi:
+    """Answers operators; a WSGI application.
+
+    Parameters
+    ----------
+    token_digest : bytes
+        From `chestnutvale.settings.token.hash_token`.
+    node : OperatorNode
+        The control.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(self, token_digest: bytes, node: OperatorNode, clock: Clock) -> None:
+        self._token_digest = token_digest
+        self._node = node
+        self._clock = clock
+        self._calls: dict[tuple[str, str], Callable[[Environ, float], Answer]] = {
+            ("POST", PATH_TEXT): self._apply_text,
+            ("GET", PATH_TEXT): self._get_text,
+            ("POST", PATH_PLAN): self._plan,
+            ("GET", PATH_STATUS): self._status,
+            ("POST", PATH_DRAIN): self._drain,
+            ("POST", PATH_VOTERS): self._change_voter,
+            ("GET", PATH_DUMP): self._dump,
+        }
+
+    @staticmethod
+    def handles(path: str) -> bool:
+        """Return whether a request belongs to this interface.
+
+        Parameters
+        ----------
+        path : str
+            Path of the request.
+
+        Returns
+        -------
+        bool
+            True if it does.
+        """
+        return path.startswith(PATH_PREFIX)
+
+    def __call__(self, environ: Environ, start_response: Any) -> list[bytes]:
+        """Answer one request."""
+        try:
+            answer = self._answer(environ)
+        except ProblemAnswer as refused:
+            return refused.problem.respond(start_response)
+        except TextError as error:
+            return _text_problem(error).respond(start_response)
+        except HttpRequestError:
+            # The server answers for the limits that it keeps.
+            raise
+        except ChestnutError as error:
+            return self._error_problem(error).respond(start_response)
+        start_response("200 OK", [("Content-Type", "application/json")])
+        return [json.dumps(answer, default=str).encode()]
+
+    def _answer(self, environ: Environ) -> Answer:
+        call = (environ["REQUEST_METHOD"], environ["PATH_INFO"])
+        if not is_operator(environ.get("HTTP_AUTHORIZATION", ""), self._token_digest):
+            raise _refusal(401, CODE_UNAUTHORISED, "the operator token is wrong")
+        if call not in self._calls:
+            raise _refusal(404, CODE_NOT_FOUND, "there is no such call")
+        if not _is_local(call, environ) and not self._node.is_leader():
+            raise ProblemAnswer(self._redirect_problem())
+        deadline_s = self._clock.now_s() + _deadline_ms(environ) / 1000
+        return self._calls[call](environ, deadline_s)
+
+    def _apply_text(self, environ: Environ, deadline_s: float) -> Answer:
+        raw = _read_text(environ)
+        text = parse_text(raw)
+        digest = text_digest(text)
+        # A resend must get its first answer, also if hosts have gone since.
+        if not self._node.is_accepted(text.number, digest):
+            parse_text(raw, self._node.fabric_domain_hosts())
+        operator = _operator_name(environ)
+        command = ApplyText(text=text, digest=digest, operator=operator)
+        result = self._node.apply_text(command, deadline_s)
+        _LOGGER.info(
+            "Text {} of {!r}: {}, {} in force",
+            text.number,
+            operator,
+            result.outcome,
+            result.number_in_force,
+        )
+        answer = ApplyAnswer(
+            outcome=result.outcome,
+            number=text.number,
+            number_in_force=result.number_in_force,
+            digest_in_force=result.digest_in_force,
+            operator_in_force=result.operator_in_force,
+            accepted_at_unix_ms=result.accepted_at_unix_ms,
+        )
+        if result.outcome != OUTCOME_CONFLICT:
+            return message_to_data(answer)
+        self._add_difference(answer, text, deadline_s)
+        raise ProblemAnswer(_conflict_problem(answer))
+
+    def _add_difference(
+        self, answer: ApplyAnswer, text: Text, deadline_s: float
+    ) -> None:
+        try:
+            in_force = self._node.read_configuration(deadline_s)
+        except ChestnutError as error:
+            # The conflict is certain; its difference is only a help.
+            _LOGGER.warning("No difference for a conflict: {}", error)
+            return
+        answer.difference.CopyFrom(plan_change(in_force.text, text))
+
+    def _get_text(self, environ: Environ, deadline_s: float) -> Answer:
+        return message_to_data(self._node.read_configuration(deadline_s).text)
+
+    def _plan(self, environ: Environ, deadline_s: float) -> Answer:
+        text = parse_text(_read_text(environ), self._node.fabric_domain_hosts())
+        in_force = self._node.read_configuration(deadline_s)
+        accepted = self._node.is_accepted(text.number, text_digest(text))
+        return message_to_data(plan_change(in_force.text, text, accepted))
+
+    def _status(self, environ: Environ, deadline_s: float) -> Answer:
+        return message_to_data(self._node.status(deadline_s))
+
+    def _drain(self, environ: Environ, deadline_s: float) -> Answer:
+        request = _read_message(environ, DrainRequest())
+        if not request.host_id:
+            raise _refusal(400, CODE_BAD_REQUEST, "host_id is missing")
+        return _check_result(self._node.drain_host(request, deadline_s))
+
+    def _change_voter(self, environ: Environ, deadline_s: float) -> Answer:
+        change = _read_message(environ, VoterChange())
+        if change.action not in ("add", "remove") or not change.id:
+            raise _refusal(400, CODE_BAD_REQUEST, "action or id is wrong")
+        if change.action == "add" and not change.address:
+            raise _refusal(400, CODE_BAD_REQUEST, "address is missing")
+        return _check_result(self._node.change_voter(change, deadline_s))
+
+    def _dump(self, environ: Environ, deadline_s: float) -> Answer:
+        return self._node.dump()
+
+    def _redirect_problem(self) -> Problem:
+        address = self._node.leader_http_address()
+        if not address or self._node.is_leader():
+            return Problem(
+                status=503,
+                code=CODE_NO_LEADER,
+                detail="no control leads at the moment",
+                outcome=OUTCOME_NOT_RUN,
+                step=STEP_OPERATOR,
+                retry_after_s=RETRY_AFTER_S,
+            )
+        return Problem(
+            status=421,
+            code=CODE_NOT_LEADER,
+            detail="another control leads",
+            outcome=OUTCOME_NOT_RUN,
+            step=STEP_OPERATOR,
+            peer=address,
+            extra={"leader_http_address": address},
+        )
+
+    def _error_problem(self, error: ChestnutError) -> Problem:
+        if error.code == CODE_NOT_LEADER:
+            return self._redirect_problem()
+        unknown = error.code == CODE_OUTCOME_UNKNOWN
+        return Problem(
+            status=504 if unknown else 503,
+            code=error.code,
+            detail=error.message,
+            outcome=OUTCOME_UNKNOWN if unknown else OUTCOME_NOT_RUN,
+            step=error.step or STEP_PROPOSE,
+            peer=error.peer,
+            retry_after_s=RETRY_AFTER_S,
+        )
+
+
+def _is_local(call: tuple[str, str], environ: Environ) -> bool:
+    asked = environ.get("QUERY_STRING", "") == QUERY_LOCAL
+    return call in _LOCAL_CALLS or (asked and call in _OPTIONALLY_LOCAL_CALLS)
+
+
+def _refusal(status: int, code: str, detail: str) -> ProblemAnswer:
+    problem = Problem(
+        status=status,
+        code=code,
+        detail=detail,
+        outcome=OUTCOME_NOT_RUN,
+        step=STEP_OPERATOR,
+    )
+    return ProblemAnswer(problem)
+
+
+def _text_problem(error: TextError) -> Problem:
+    problems = [
+        {"line": item.line, "path": item.path, "reason": item.reason}
+        for item in error.problems
+    ]
+    return Problem(
+        status=400,
+        code=error.code,
+        detail=error.message,
+        outcome=OUTCOME_NOT_RUN,
+        step=error.step,
+        extra={"problems": problems},
+    )
+
+
+def _conflict_problem(answer: ApplyAnswer) -> Problem:
+    return Problem(
+        status=409,
+        code=CODE_CONFLICT,
+        detail=(
+            f"number {answer.number} is not free; {answer.number_in_force} by "
+            f"{answer.operator_in_force!r} is in force"
+        ),
+        outcome=OUTCOME_NOT_RUN,
+        step=STEP_OPERATOR,
+        extra=message_to_data(answer) | {"outcome": OUTCOME_NOT_RUN},
+    )
+
+
+def _check_result(result: OperatorResult) -> Answer:
+    if result.outcome == "done":
+        return message_to_data(result)
+    problem = Problem(
+        status=409,
+        code=CODE_REFUSED,
+        detail=result.reason,
+        outcome=OUTCOME_FAILED,
+        step=STEP_OPERATOR,
+    )
+    raise ProblemAnswer(problem)
+
+
+def _deadline_ms(environ: Environ) -> int:
+    raw = environ.get("HTTP_X_DEADLINE_MS", "")
+    if not raw:
+        return DEFAULT_DEADLINE_MS
+    if not raw.isascii() or not raw.isdigit() or len(raw) > 9:
+        raise _refusal(400, CODE_BAD_REQUEST, "X-Deadline-Ms is not a whole number")
+    return min(int(raw), MAX_DEADLINE_MS)
+
+
+def _operator_name(environ: Environ) -> str:
+    name = environ.get("HTTP_X_OPERATOR", "")[:MAX_OPERATOR_LENGTH]
+    return name if name.isprintable() else ""
+
+
+def _read_body(environ: Environ, max_bytes: int) -> bytes:
+    body = environ["wsgi.input"].read(max_bytes + 1)
+    if len(body) > max_bytes:
+        reason = f"the body is larger than {max_bytes} bytes"
+        raise _refusal(413, CODE_BAD_REQUEST, reason)
+    return body
+
+
+def _read_text(environ: Environ) -> str:
+    body = _read_body(environ, MAX_TEXT_BYTES)
+    try:
+        return body.decode()
+    except UnicodeDecodeError as error:
+        raise _refusal(400, CODE_BAD_REQUEST, "the text is not UTF-8") from error
+
+
+def _read_message(environ: Environ, message: MessageT) -> MessageT:
+    body = _read_body(environ, MAX_REQUEST_BYTES)
+    try:
+        return json_format.Parse(body, message)
+    except (json_format.ParseError, UnicodeDecodeError, RecursionError) as error:
+        raise _refusal(400, CODE_BAD_REQUEST, str(error)) from error
--- /dev/null
+++ b/chestnutvale/programs/control/operator_const.py
@@ -0,0 +1,34 @@
+"""Constants of the operators' HTTP interface, shared with the client."""
+
+from typing import Final
+
+PATH_PREFIX: Final = "/operator/v1/"
+PATH_TEXT: Final = "/operator/v1/text"
+PATH_PLAN: Final = "/operator/v1/plan"
+PATH_STATUS: Final = "/operator/v1/status"
+PATH_DRAIN: Final = "/operator/v1/drain"
+PATH_VOTERS: Final = "/operator/v1/voters"
+PATH_DUMP: Final = "/operator/v1/dump"
+# Asks for the status as this control knows it, also while nobody leads.
+QUERY_LOCAL: Final = "local=1"
+
+HEADER_OPERATOR: Final = "X-Operator"
+HEADER_DEADLINE: Final = "X-Deadline-Ms"
+MAX_OPERATOR_LENGTH: Final = 128
+DEFAULT_DEADLINE_MS: Final = 5_000
+MAX_DEADLINE_MS: Final = 60_000
+MAX_REQUEST_BYTES: Final = 16 * 1024
+
+CODE_UNAUTHORISED: Final = "unauthorised"
+CODE_NOT_FOUND: Final = "not_found"
+CODE_NOT_LEADER: Final = "not_leader"
+CODE_NO_LEADER: Final = "no_leader"
+CODE_OUTCOME_UNKNOWN: Final = "outcome_unknown"
+CODE_BAD_REQUEST: Final = "bad_request"
+CODE_CONFLICT: Final = "configuration_conflict"
+CODE_REFUSED: Final = "refused"
+
+STEP_OPERATOR: Final = "operator"
+STEP_PROPOSE: Final = "propose"
+
+RETRY_AFTER_S: Final = 1
--- /dev/null
+++ b/tests/programs/operator_fakes.py
@@ -0,0 +1,147 @@
+"""A control for operators that keeps its state in memory and can lose answers."""
+
+from chestnutvale.clock import SystemClock
+from chestnutvale.configuration.state import ConfigurationState
+from chestnutvale.exceptions import ChestnutError
+from chestnutvale.http_server.server import HttpServer
+from chestnutvale.programs.control.operator_api import OperatorApi
+from chestnutvale.schema.operator_pb2 import (
+    EntryStatus,
+    GroupStatus,
+    HostStatus,
+    OperatorResult,
+    ServiceStatus,
+    Status,
+    StatusMeasures,
+    VoterStatus,
+)
+from chestnutvale.schema.settings_pb2 import HttpLimits
+from chestnutvale.settings.token import hash_token
+
+TOKEN = "a-token-for-operators"
+LIMITS = HttpLimits(
+    max_body_bytes=8 * 1024 * 1024,
+    max_header_bytes=16_000,
+    max_connections=50,
+    idle_timeout_ms=5_000,
+)
+
+
+class FakeError(ChestnutError):
+    """An error with any code."""
+
+    def __init__(self, code):
+        super().__init__(f"made up: {code}", step="propose", peer="c2")
+        self.code = code
+
+
+class FakeCluster:
+    """What the fake controls share: the state and which of them leads."""
+
+    def __init__(self):
+        self.state = ConfigurationState()
+        self.leader = ""
+        self.addresses = {}
+        self.domain_hosts = {}
+        self.voters = {}
+        self.draining = {}
+        self.at_unix_ms = 0
+
+
+class FakeNode:
+    """An `OperatorNode`.
+
+    ``errors`` holds codes to raise, one a command: ``before:CODE`` raises without
+    running, ``after:CODE`` runs first, and an empty one lets the command pass.
+    """
+
+    def __init__(self, cluster, control_id):
+        self.cluster = cluster
+        self.control_id = control_id
+        self.errors = []
+
+    def is_leader(self):
+        return self.cluster.leader == self.control_id
+
+    def leader_http_address(self):
+        return self.cluster.addresses.get(self.cluster.leader, "")
+
+    def read_configuration(self, deadline_s):
+        return self.cluster.state.to_snapshot()
+
+    def is_accepted(self, number, digest):
+        return self.cluster.state.is_accepted(number, digest)
+
+    def fabric_domain_hosts(self):
+        return self.cluster.domain_hosts
+
+    def _run(self, command):
+        when, _, code = (self.errors.pop(0) if self.errors else "").partition(":")
+        if when == "before":
+            raise FakeError(code)
+        result = command()
+        if when == "after":
+            raise FakeError(code)
+        return result
+
+    def apply_text(self, command, deadline_s):
+        self.cluster.at_unix_ms += 1
+        at_unix_ms = self.cluster.at_unix_ms
+        return self._run(lambda: self.cluster.state.apply_text(command, at_unix_ms))
+
+    def drain_host(self, request, deadline_s):
+        if request.host_id == "nobody":
+            return OperatorResult(outcome="refused", reason="unknown host")
+        self.cluster.draining[request.host_id] = request.draining
+        return OperatorResult(outcome="done")
+
+    def change_voter(self, change, deadline_s):
+        def run():
+            if change.action == "add":
+                self.cluster.voters[change.id] = change.address
+            else:
+                self.cluster.voters.pop(change.id, None)
+            return OperatorResult(outcome="done")
+
+        return self._run(run)
+
+    def status(self, deadline_s):
+        return Status(
+            cluster_id="x",
+            control_id=self.control_id,
+            number=self.cluster.state.number,
+            confirmed=self.is_leader(),
+            services=[
+                ServiceStatus(name="chat", groups_wanted=2, reason="ledger is down")
+            ],
+            groups=[GroupStatus(group_id="g1", service="chat", reason="h2 is missing")],
+            hosts=[HostStatus(host_id="h1", state="stranded", reason="g1 is broken")],
+            voters=[VoterStatus(id="c1", role="leader", reachable=True)],
+            entries=[EntryStatus(id="e1", reason="silent for 9 s")],
+            measures=StatusMeasures(stranded_hosts=1, group_downtime_s=7.5),
+        )
+
+    def dump(self):
+        return {"control_id": self.control_id}
+
+
+class FakeControl:
+    """A fake node behind the real operator interface and HTTP server."""
+
+    def __init__(self, cluster, control_id, address):
+        self.node = FakeNode(cluster, control_id)
+        self.api = OperatorApi(hash_token(TOKEN), self.node, SystemClock())
+        self.address = address
+        self.lost_answers = 0
+        self.requests = 0
+        cluster.addresses[control_id] = address
+        self.server = HttpServer(self._app, address, LIMITS)
+
+    def _app(self, environ, start_response):
+        self.requests += 1
+        answer = self.api(environ, start_response)
+        if self.lost_answers:
+            self.lost_answers -= 1
+            # The command was run; the client sees its connection break.
+            environ["wsgi.input"]._source.get_socket().shutdown(2)
+        return answer
