Add the emulated engine, plain service and weight store with their protocol

Cause: the daemons and the tests need endpoints to serve. Before that the test of the killed member failed by its own fault: it read one response in two loops, and the first loop closes the connection; it now kills from inside one loop.

--- /dev/null
+++ b/chestnutvale/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Emulated endpoints: engines, a plain service, a weight store and a load tool."""
--- /dev/null
+++ b/chestnutvale/emulator/const.py
@@ -0,0 +1,67 @@
+"""Constants of the emulated endpoints."""
+
+from typing import Final
+
+# Bytes of prompt text that count as one token.
+PROMPT_BYTES_PER_TOKEN: Final = 4
+# Bytes of prompt text in one block of the prefix cache.
+PREFIX_BLOCK_BYTES: Final = 64
+PREFIX_BLOCK_TOKENS: Final = PREFIX_BLOCK_BYTES // PROMPT_BYTES_PER_TOKEN
+
+FORM_CHAT: Final = "chat"
+FORM_COMPLETION: Final = "completion"
+FORMS: Final = frozenset({FORM_CHAT, FORM_COMPLETION})
+
+PRIORITY_URGENT: Final = "urgent"
+PRIORITY_NORMAL: Final = "normal"
+PRIORITY_BATCH: Final = "batch"
+PRIORITY_RANKS: Final = {PRIORITY_URGENT: 0, PRIORITY_NORMAL: 1, PRIORITY_BATCH: 2}
+
+KIND_ENGINE: Final = "engine"
+KIND_SERVICE: Final = "service"
+
+ORDER_ASSIGN: Final = "assign"
+ORDER_RELEASE: Final = "release"
+
+PHASE_LOADING: Final = "loading"
+PHASE_READY: Final = "ready"
+PHASE_RELEASING: Final = "releasing"
+
+FINISH_LENGTH: Final = "length"
+FINISH_STOP: Final = "stop"
+
+CODE_BAD_REQUEST: Final = "bad_request"
+CODE_MEMBER_MISSING: Final = "member_missing"
+CODE_NOT_FOUND: Final = "not_found"
+CODE_ORDER_EXPIRED: Final = "order_expired"
+CODE_OVERLOADED: Final = "overloaded"
+CODE_RESUME_MISMATCH: Final = "resume_mismatch"
+CODE_STALE_FENCE: Final = "stale_fence"
+CODE_TOO_LARGE: Final = "too_large"
+CODE_WRONG_BOOT: Final = "wrong_boot"
+CODE_WRONG_EPOCH: Final = "wrong_epoch"
+
+# A prompt that holds this text makes the engine that runs it exit.
+CRASH_MARK: Final = "crash-me"
+# A prompt that holds this text ends after half of its tokens.
+STOP_EARLY_MARK: Final = "stop-early"
+
+ANNOUNCEMENTS_PATH: Final = "/endpoint/v1/announcements"
+DEFAULT_ANNOUNCE_INTERVAL_MS: Final = 1_000
+ANNOUNCE_TIMEOUT_S: Final = 1.0
+
+MAX_BODY_BYTES: Final = 8 * 1024 * 1024
+
+# Pings between a head and its members while requests run, and while idle.
+MEMBER_PING_BUSY_MS: Final = 50
+MEMBER_PING_IDLE_MS: Final = 500
+MEMBER_PING_TIMEOUT_S: Final = 0.5
+
+# Time for which a releasing host says so before it is free.
+RELEASE_MS: Final = 200
+
+# Cache events kept for one announcement; more are sent as a gap.
+MAX_CACHE_EVENTS: Final = 2_048
+
+# Exit code of an engine that a request has crashed.
+EXIT_CRASHED: Final = 70
--- /dev/null
+++ b/chestnutvale/emulator/faults.py
@@ -0,0 +1,86 @@
+"""Faults that an emulated host can be told to show."""
+
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+import eventlet
+
+from chestnutvale.emulator.const import CODE_BAD_REQUEST
+from chestnutvale.emulator.exceptions import RefusedError
+
+FAULT_PAUSE = "pause"
+FAULT_SLOW = "slow"
+FAULT_CRASH = "crash"
+FAULT_CUT = "cut"
+FAULT_DROP_CACHE_EVENTS = "drop_cache_events"
+FAULT_NONE = "none"
+
+PAUSE_CHECK_S = 0.02
+
+
+@attrs.define
+class Faults:
+    """The faults that are in force.
+
+    Attributes
+    ----------
+    is_paused : bool
+        The host does nothing and answers nothing.
+    is_cut : bool
+        Announcements are lost; everything else works.
+    drops_cache_events : bool
+        Cache events are lost, which leaves a gap.
+    slow_factor : float
+        By how much the host's steps take longer.
+    """
+
+    _on_crash: Callable[[], None]
+    is_paused: bool = False
+    is_cut: bool = False
+    drops_cache_events: bool = False
+    slow_factor: float = 1.0
+
+    def set(self, data: dict[str, Any]) -> None:
+        """Put a fault in force; ``none`` clears all.
+
+        Parameters
+        ----------
+        data : dict
+            ``kind``, and ``factor`` for ``slow``.
+
+        Raises
+        ------
+        RefusedError
+            If the kind is unknown or the factor wrong.
+        """
+        kind = data.get("kind")
+        if kind == FAULT_PAUSE:
+            self.is_paused = True
+        elif kind == FAULT_SLOW:
+            self.slow_factor = _read_factor(data)
+        elif kind == FAULT_CRASH:
+            self._on_crash()
+        elif kind == FAULT_CUT:
+            self.is_cut = True
+        elif kind == FAULT_DROP_CACHE_EVENTS:
+            self.drops_cache_events = True
+        elif kind == FAULT_NONE:
+            self.is_paused = False
+            self.is_cut = False
+            self.drops_cache_events = False
+            self.slow_factor = 1.0
+        else:
+            raise RefusedError(400, CODE_BAD_REQUEST, "field 'kind' is wrong")
+
+    def wait_while_paused(self) -> None:
+        """Block the calling task until the host goes on."""
+        while self.is_paused:
+            eventlet.sleep(PAUSE_CHECK_S)
+
+
+def _read_factor(data: dict[str, Any]) -> float:
+    factor = data.get("factor")
+    if not isinstance(factor, int | float) or factor < 1:
+        raise RefusedError(400, CODE_BAD_REQUEST, "field 'factor' is wrong")
+    return float(factor)
--- /dev/null
+++ b/chestnutvale/emulator/generate_request.py
@@ -0,0 +1,118 @@
+"""The request of a generation and the check of its fields."""
+
+from typing import Any, Self
+
+import attrs
+
+from chestnutvale.emulator.const import (
+    CODE_BAD_REQUEST,
+    FORM_CHAT,
+    FORMS,
+    PRIORITY_RANKS,
+)
+from chestnutvale.emulator.exceptions import RefusedError
+from chestnutvale.emulator.text import Prompt
+
+
+@attrs.frozen
+class GenerateRequest:
+    """The body of a call to ``/v1/generate``; see the protocol's table."""
+
+    request_id: str
+    attempt_id: str
+    group_id: str
+    epoch: int
+    service: str
+    form: str
+    prompt: Prompt
+    max_tokens: int
+    priority: str
+    adapter: str
+    resume_offset: int
+    resume_text: str
+
+    @classmethod
+    def parse(cls, data: dict[str, Any]) -> Self:
+        """Check the fields of a body.
+
+        Parameters
+        ----------
+        data : dict
+            The parsed body.
+
+        Returns
+        -------
+        GenerateRequest
+            The request.
+
+        Raises
+        ------
+        RefusedError
+            If a field is missing or wrong; the message names it.
+        """
+        prompt = data.get("prompt")
+        form = data.get("form", FORM_CHAT)
+        priority = data.get("priority") or "normal"
+        require(_is_prompt(prompt, form), "prompt")
+        require(form in FORMS, "form")
+        require(priority in PRIORITY_RANKS, "priority")
+        texts = {
+            name: data.get(name) or ""
+            for name in ("request_id", "attempt_id", "group_id", "service", "adapter")
+        }
+        for name, value in texts.items():
+            require(isinstance(value, str), name)
+        require(
+            texts["attempt_id"] != "" and "\n" not in texts["attempt_id"], "attempt_id"
+        )
+        max_tokens = _integer(data, "max_tokens", 16)
+        resume_offset = _integer(data, "resume_offset", 0)
+        resume_text = data.get("resume_text") or ""
+        require(max_tokens > 0, "max_tokens")
+        require(isinstance(resume_text, str), "resume_text")
+        return cls(
+            epoch=_integer(data, "epoch", 0),
+            form=form,
+            prompt=prompt,
+            max_tokens=max_tokens,
+            priority=priority,
+            resume_offset=resume_offset,
+            resume_text=resume_text,
+            **texts,
+        )
+
+
+def require(is_right: bool, field: str) -> None:
+    """Refuse the request if a field is wrong.
+
+    Parameters
+    ----------
+    is_right : bool
+        Whether the field is right.
+    field : str
+        Its name.
+
+    Raises
+    ------
+    RefusedError
+        If it is wrong.
+    """
+    if not is_right:
+        raise RefusedError(400, CODE_BAD_REQUEST, f"field {field!r} is wrong")
+
+
+def _integer(data: dict[str, Any], field: str, default: int) -> int:
+    value = data.get(field, default)
+    if isinstance(value, str) and value.isdigit():
+        value = int(value)
+    require(isinstance(value, int) and not isinstance(value, bool), field)
+    require(value >= 0, field)
+    return value
+
+
+def _is_prompt(prompt: Any, form: Any) -> bool:
+    if isinstance(prompt, str):
+        return True
+    if form != FORM_CHAT or not isinstance(prompt, list):
+        return False
+    return all(isinstance(message, dict) for message in prompt)
--- /dev/null
+++ b/chestnutvale/emulator/host.py
@@ -0,0 +1,380 @@
+"""One emulated engine host: its door, its group, its announcements."""
+
+import random
+import time
+from collections.abc import Callable
+from contextlib import ExitStack
+from types import TracebackType
+from typing import Any, Self
+
+import attrs
+import eventlet
+import logbook
+import urllib3
+from google.protobuf import json_format
+
+from chestnutvale.clock import SystemClock
+from chestnutvale.emulator.announcer import Announcer, CacheEventLog, LoadLag
+from chestnutvale.emulator.batch_engine import EngineModel
+from chestnutvale.emulator.const import (
+    CODE_BAD_REQUEST,
+    CODE_MEMBER_MISSING,
+    CODE_WRONG_EPOCH,
+    KIND_ENGINE,
+    PHASE_READY,
+    RELEASE_MS,
+)
+from chestnutvale.emulator.exceptions import RefusedError
+from chestnutvale.emulator.faults import Faults
+from chestnutvale.emulator.generate_request import GenerateRequest
+from chestnutvale.emulator.generation import GenerationService
+from chestnutvale.emulator.http import (
+    CONTENT_EVENTS,
+    HttpServer,
+    Request,
+    Response,
+    Router,
+    json_response,
+    to_dict,
+)
+from chestnutvale.emulator.members import MemberWatch
+from chestnutvale.emulator.orders import (
+    DropGroup,
+    FenceCheck,
+    HostState,
+    LoadWeights,
+    ObeyAll,
+)
+from chestnutvale.schema.groups_pb2 import Order
+from chestnutvale.schema.membership_pb2 import Announcement, Load
+
+_LOGGER = logbook.Logger(__name__)
+
+WEIGHTS_RETRY_S = 0.5
+WEIGHTS_TIMEOUT_S = 30.0
+ADAPTER_BYTES = 100_000
+
+
+@attrs.frozen
+class HostOptions:
+    """Identity and behaviour of an emulated host.
+
+    Attributes
+    ----------
+    host_id, data_centre, fabric_domain : str
+        Identity and place.
+    address : str
+        IP number and port; port 0 takes a free one.
+    entries : list of str
+        Addresses of the entries that hear the announcements.
+    accelerators : int
+        Count that is announced.
+    fencing : bool
+        Whether old orders are refused.
+    weights_bytes : int
+        Size of one rank's part of the weights.
+    load_lag_s, cache_lag_s : float
+        Age of reported load and cache events in seconds.
+    cache_gap_share : float
+        Share of cache events that are lost.
+    seed : int
+        Seed of all random choices.
+    model : EngineModel
+        Speed and size of the engine.
+    """
+
+    host_id: str
+    address: str
+    entries: list[str]
+    data_centre: str = "dc-1"
+    fabric_domain: str = "fabric-a"
+    accelerators: int = 4
+    fencing: bool = True
+    weights_bytes: int = 4_000_000
+    load_lag_s: float = 0.5
+    cache_lag_s: float = 1.0
+    cache_gap_share: float = 0.05
+    seed: int = 1
+    model: EngineModel = attrs.field(factory=EngineModel)
+
+
+class EmulatedHost:
+    """An engine host that announces itself, takes orders and generates.
+
+    Parameters
+    ----------
+    options : HostOptions
+        Identity and behaviour.
+    on_crash : callable
+        Ends the host the hard way; gets no argument.
+
+    Attributes
+    ----------
+    boot_id : str
+        This life of the host.
+    state : HostState
+        The group that it holds.
+    orders : list of dict
+        Every order with its time and what became of it, for history checks.
+    """
+
+    def __init__(self, options: HostOptions, on_crash: Callable[[], None]) -> None:
+        self.options = options
+        self.boot_id = f"{time.time_ns():016x}-{options.host_id}"
+        check = FenceCheck(options.host_id, self.boot_id)
+        self.state = HostState(check if options.fencing else ObeyAll())
+        self.orders: list[dict[str, Any]] = []
+        self.is_leaving = False
+        self.generation = GenerationService(options.model, on_crash)
+        self.faults = Faults(on_crash)
+        self._clock = SystemClock()
+        self._random = random.Random(f"{options.seed} {options.host_id}")
+        self._load_lag = LoadLag(options.load_lag_s)
+        self._cache_log = CacheEventLog(
+            options.cache_lag_s, options.cache_gap_share, self._random
+        )
+        self._announcer = Announcer(
+            options.entries, self._describe, self._sample, self._random
+        )
+        self._http = urllib3.PoolManager(retries=False, timeout=WEIGHTS_TIMEOUT_S)
+        self._watch: MemberWatch | None = None
+        self._loading: set[str] = set()
+        self._tasks: list[eventlet.greenthread.GreenThread] = []
+        self._stack = ExitStack()
+        routes = {
+            ("POST", "/v1/orders"): self._take_order,
+            ("POST", "/v1/generate"): self._generate,
+            ("POST", "/v1/cancel"): self._cancel,
+            ("GET", "/v1/membership"): self._membership,
+            ("GET", "/v1/history"): self._history,
+            ("POST", "/fault"): self._set_fault,
+        }
+        self._server = HttpServer(options.address, self._handle)
+        self._router = Router(routes)
+
+    @property
+    def address(self) -> str:
+        """IP number and port that are in use."""
+        return self._server.address
+
+    def __enter__(self) -> Self:
+        """Listen, start the engine and announce."""
+        with ExitStack() as stack:
+            stack.enter_context(self._server)
+            stack.enter_context(self.generation)
+            stack.enter_context(self._announcer)
+            self._stack = stack.pop_all()
+        self.generation.slow_factor = self._slow_factor
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Stop at once, as a killed host would."""
+        for task in self._tasks:
+            task.kill()
+        self._stop_watch()
+        self._stack.close()
+
+    def leave(self) -> None:
+        """Announce a graceful shutdown; running requests go on."""
+        self.is_leaving = True
+        self._announcer.announce_soon()
+
+    def _handle(self, request: Request) -> Response:
+        if request.path != "/fault":
+            self.faults.wait_while_paused()
+        return self._router(request)
+
+    def _describe(self) -> Announcement:
+        self.faults.wait_while_paused()
+        options = self.options
+        announcement = Announcement(
+            host_id=options.host_id,
+            boot_id=self.boot_id,
+            address=self.address,
+            data_centre=options.data_centre,
+            fabric_domain=options.fabric_domain,
+            accelerators=options.accelerators,
+            kind=KIND_ENGINE,
+            fencing=options.fencing,
+            leaving=self.is_leaving,
+            holding=self.state.holding,
+        )
+        if self.state.holding is not None and self.state.holding.rank == 0:
+            announcement.load.CopyFrom(self._load_lag.report() or Load())
+            events = self._cache_log.report(time.monotonic())
+            if events is not None:
+                announcement.cache_events.CopyFrom(events)
+        return announcement
+
+    def _sample(self) -> None:
+        now_s = time.monotonic()
+        engine = self.generation.engine
+        load = Load(
+            running=engine.running_count,
+            waiting=engine.waiting_count,
+            kv_used_tokens=engine.used_tokens,
+            kv_capacity_tokens=engine.model.kv_capacity_tokens,
+            measured_at_unix_ms=self._clock.unix_ms(),
+        )
+        self._load_lag.record(load, now_s)
+        self._cache_log.record(*engine.cache.take_changes(), now_s)
+
+    def _slow_factor(self) -> float:
+        members = self._watch.slow_factor if self._watch is not None else 1.0
+        return max(members, self.faults.slow_factor)
+
+    def _take_order(self, request: Request) -> Response:
+        try:
+            order = json_format.ParseDict(
+                request.json(), Order(), ignore_unknown_fields=True
+            )
+        except json_format.ParseError as error:
+            raise RefusedError(400, CODE_BAD_REQUEST, str(error)) from error
+        record = {
+            "at_unix_ms": self._clock.unix_ms(),
+            "kind": order.kind,
+            "group_id": order.group_id,
+            "epoch": order.epoch,
+            "fence": order.fence,
+            "code": "accepted",
+        }
+        self.orders.append(record)
+        try:
+            effect = self.state.obey(order, self._clock.unix_ms())
+        except RefusedError as error:
+            record["code"] = error.code
+            raise
+        self._follow(effect)
+        self._announcer.announce_soon()
+        return json_response({"accepted": True})
+
+    def _follow(self, effect: LoadWeights | DropGroup | None) -> None:
+        self._restart_watch()
+        if isinstance(effect, LoadWeights):
+            self._tasks.append(eventlet.spawn(self._load_weights, effect))
+        if isinstance(effect, DropGroup):
+            self._tasks.append(eventlet.spawn(self._drop_group, effect.group_id))
+        self._tasks = [task for task in self._tasks if not task.dead]
+
+    def _load_weights(self, effect: LoadWeights) -> None:
+        order = effect.order
+        part = f"{order.model}/{order.version}/{order.rank}-of-{len(order.members)}"
+        size_bytes = self.options.weights_bytes
+        if effect.adapters_only:
+            part = f"{order.model}/{order.version}/adapters"
+            size_bytes = ADAPTER_BYTES
+        if part in self._loading:
+            return
+        self._loading.add(part)
+        try:
+            while not self._fetch(order.weight_store_address, part, size_bytes):
+                eventlet.sleep(WEIGHTS_RETRY_S)
+        finally:
+            self._loading.discard(part)
+        self.faults.wait_while_paused()
+        if self.state.weights_loaded(order):
+            self._restart_watch()
+            self._announcer.announce_soon()
+
+    def _fetch(self, store_address: str, part: str, size_bytes: int) -> bool:
+        url = f"http://{store_address}/v1/weights/{part}?bytes={size_bytes}"
+        try:
+            response = self._http.request("GET", url)
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            _LOGGER.warning("Loading {} failed: {}", part, type(error).__name__)
+            return False
+        return response.status == 200 and len(response.data) == size_bytes
+
+    def _drop_group(self, group_id: str) -> None:
+        eventlet.sleep(RELEASE_MS / 1e3)
+        if not self.state.released(group_id):
+            return
+        self.generation.break_all("the group was released")
+        self.generation.engine.cache.clear()
+        self._announcer.announce_soon()
+
+    def _restart_watch(self) -> None:
+        """Watch the members of the group that is held now, if this is its head."""
+        self._stop_watch()
+        holding = self.state.holding
+        if holding is None or holding.rank != 0:
+            self.generation.break_all("the host is no head")
+            return
+        others = [m for m in self.state.members if m.rank != 0]
+        watch = MemberWatch(
+            holding, others, lambda: self.generation.is_busy, self._lose_member
+        )
+        self._watch = watch.__enter__()
+
+    def _stop_watch(self) -> None:
+        if self._watch is not None:
+            self._watch.__exit__(None, None, None)
+            self._watch = None
+
+    def _lose_member(self) -> None:
+        self.generation.break_all("a member is missing")
+
+    def _generate(self, request: Request) -> Response:
+        wanted = GenerateRequest.parse(request.json())
+        self._check_group(wanted)
+        stream = self.generation.open(wanted, request.socket)
+        return Response(stream, 200, CONTENT_EVENTS)
+
+    def _check_group(self, wanted: GenerateRequest) -> None:
+        holding = self.state.holding
+        held = (holding.group_id, holding.epoch, holding.rank) if holding else None
+        if held != (wanted.group_id, wanted.epoch, 0) or holding.phase != PHASE_READY:
+            raise RefusedError(409, CODE_WRONG_EPOCH, f"this host holds {held}")
+        if wanted.adapter and wanted.adapter not in holding.adapters:
+            raise RefusedError(400, CODE_BAD_REQUEST, "field 'adapter' is wrong")
+        if self._watch is None or not self._watch.check_now():
+            missing = self._watch.missing if self._watch else {}
+            raise RefusedError(503, CODE_MEMBER_MISSING, f"missing: {missing}")
+
+    def _cancel(self, request: Request) -> Response:
+        attempt_id = request.json().get("attempt_id")
+        return json_response({"cancelled": self.generation.cancel(str(attempt_id))})
+
+    def _membership(self, request: Request) -> Response:
+        holding = self.state.holding
+        return json_response(
+            {
+                "host_id": self.options.host_id,
+                "boot_id": self.boot_id,
+                "holding": to_dict(holding) if holding is not None else None,
+                "slow_factor": self.faults.slow_factor,
+            }
+        )
+
+    def _history(self, request: Request) -> Response:
+        engine = self.generation.engine
+        return json_response(
+            {
+                "orders": self.orders,
+                "attempts": list(self.generation.outcomes),
+                "tokens_count": self.generation.tokens_count,
+                "preempted_count": engine.preempted_count,
+                "running": engine.running_count,
+                "waiting": engine.waiting_count,
+            }
+        )
+
+    def _set_fault(self, request: Request) -> Response:
+        data = request.json()
+        if data.get("kind") == "leave":
+            self.leave()
+        else:
+            self.faults.set(data)
+        self.generation.is_paused = self.faults.is_paused
+        self._announcer.is_cut = self.faults.is_cut
+        self._cache_log.drop_all = self.faults.drops_cache_events
+        return json_response(attrs.asdict(self.faults, filter=_is_public))
+
+
+def _is_public(attribute: attrs.Attribute, value: Any) -> bool:
+    return not attribute.name.startswith("_")
--- /dev/null
+++ b/chestnutvale/emulator/members.py
@@ -0,0 +1,132 @@
+"""The head's watch over the other members of its group."""
+
+from collections.abc import Callable
+from types import TracebackType
+from typing import Any, Self
+
+import eventlet
+import logbook
+import urllib3
+
+from chestnutvale.emulator.const import (
+    MEMBER_PING_BUSY_MS,
+    MEMBER_PING_IDLE_MS,
+    MEMBER_PING_TIMEOUT_S,
+    PHASE_READY,
+)
+from chestnutvale.schema.groups_pb2 import GroupMember
+from chestnutvale.schema.membership_pb2 import Holding
+
+_LOGGER = logbook.Logger(__name__)
+
+
+class MemberWatch:
+    """Pings the members of one group under one epoch; a context manager.
+
+    Parameters
+    ----------
+    holding : Holding
+        What the head holds; every member must hold the same.
+    members : list of GroupMember
+        The other members.
+    is_busy : callable
+        Says whether requests run, so that pings come faster.
+    on_missing : callable
+        Called each time that a member is found missing.
+
+    Attributes
+    ----------
+    missing : dict of str to str
+        Reason for each member that is missing; empty if all are there.
+    slow_factor : float
+        Slowness of the slowest member; 1 if none is slow.
+    """
+
+    def __init__(
+        self,
+        holding: Holding,
+        members: list[GroupMember],
+        is_busy: Callable[[], bool],
+        on_missing: Callable[[], None],
+    ) -> None:
+        self.missing = {m.host_id: "not asked yet" for m in members}
+        self._slow_factors: dict[str, float] = {}
+        self._holding = holding
+        self._members = members
+        self._is_busy = is_busy
+        self._on_missing = on_missing
+        self._tasks: list[eventlet.greenthread.GreenThread] = []
+        self._http = urllib3.PoolManager(
+            maxsize=1, retries=False, timeout=MEMBER_PING_TIMEOUT_S
+        )
+
+    @property
+    def slow_factor(self) -> float:
+        """Slowness of the slowest member."""
+        return max(self._slow_factors.values(), default=1.0)
+
+    def __enter__(self) -> Self:
+        """Start one task for each member."""
+        self._tasks = [eventlet.spawn(self._watch, m) for m in self._members]
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Stop the tasks."""
+        for task in self._tasks:
+            task.kill()
+        self._http.clear()
+
+    def check_now(self) -> bool:
+        """Ping members that were missing and say whether all are there."""
+        for member in self._members:
+            if member.host_id in self.missing:
+                self._record(member, self._ping(member))
+        return not self.missing
+
+    def _watch(self, member: GroupMember) -> None:
+        while True:
+            self._record(member, self._ping(member))
+            interval_ms = (
+                MEMBER_PING_BUSY_MS if self._is_busy() else MEMBER_PING_IDLE_MS
+            )
+            eventlet.sleep(interval_ms / 1e3)
+
+    def _record(self, member: GroupMember, problem: str) -> None:
+        if not problem:
+            self.missing.pop(member.host_id, None)
+            return
+        if self.missing.get(member.host_id) != problem:
+            _LOGGER.info("Member {} is missing: {}", member.host_id, problem)
+        self.missing[member.host_id] = problem
+        self._on_missing()
+
+    def _ping(self, member: GroupMember) -> str:
+        """Return why a member is missing, empty if it is there."""
+        try:
+            response = self._http.request(
+                "GET", f"http://{member.address}/v1/membership"
+            )
+            answer = response.json()
+        except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
+            return type(error).__name__
+        if not isinstance(answer, dict) or response.status != 200:
+            return "no answer"
+        self._slow_factors[member.host_id] = float(answer.get("slow_factor", 1.0))
+        return self._compare(member, answer)
+
+    def _compare(self, member: GroupMember, answer: dict[str, Any]) -> str:
+        if answer.get("boot_id") != member.boot_id:
+            return "rebooted"
+        held = answer.get("holding") or {}
+        if held.get("group_id") != self._holding.group_id:
+            return "holds another group"
+        if int(held.get("epoch", 0)) != self._holding.epoch:
+            return "holds another epoch"
+        if held.get("phase") != PHASE_READY:
+            return "not ready"
+        return ""
--- /dev/null
+++ b/chestnutvale/emulator/weight_store.py
@@ -0,0 +1,106 @@
+"""The weight store: a rate that all its readers share."""
+
+import time
+from collections.abc import Iterator
+from urllib.parse import parse_qs
+
+import defopt
+import eventlet
+
+from chestnutvale.emulator.const import CODE_BAD_REQUEST, CODE_NOT_FOUND
+from chestnutvale.emulator.exceptions import RefusedError
+from chestnutvale.emulator.http import HttpServer, Request, Response, json_response
+from chestnutvale.emulator.runtime import run_until_stopped, setup_eventlet
+
+WEIGHTS_PATH = "/v1/weights/"
+CHUNK_BYTES = 65_536
+DEFAULT_PART_BYTES = 4_000_000
+CONTENT_BYTES = "application/octet-stream"
+
+
+class RateLimit:
+    """Hands out bytes at a fixed rate, in order of asking.
+
+    Parameters
+    ----------
+    bytes_per_s : float
+        The rate.
+    """
+
+    def __init__(self, bytes_per_s: float) -> None:
+        self._bytes_per_s = bytes_per_s
+        self._free_at_s = 0.0
+
+    def reserve(self, size_bytes: int, now_s: float) -> float:
+        """Return the time at which some bytes may have been sent.
+
+        Parameters
+        ----------
+        size_bytes : int
+            The bytes.
+        now_s : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        float
+            Monotonic time in seconds.
+        """
+        self._free_at_s = max(self._free_at_s, now_s) + size_bytes / self._bytes_per_s
+        return self._free_at_s
+
+
+class WeightStore:
+    """Answers reads of weights and counts them.
+
+    Parameters
+    ----------
+    bytes_per_s : float
+        Rate that all readers share.
+    """
+
+    def __init__(self, bytes_per_s: float) -> None:
+        self._limit = RateLimit(bytes_per_s)
+        self._reads: dict[str, int] = {}
+
+    def handle(self, request: Request) -> Response:
+        """Answer a request."""
+        if request.path == "/v1/reads":
+            return json_response(self._reads)
+        if request.method != "GET" or not request.path.startswith(WEIGHTS_PATH):
+            raise RefusedError(404, CODE_NOT_FOUND, f"no {request.path} here")
+        part = request.path[len(WEIGHTS_PATH) :]
+        asked = parse_qs(request.query).get("bytes", [str(DEFAULT_PART_BYTES)])[0]
+        if not asked.isdigit():
+            raise RefusedError(400, CODE_BAD_REQUEST, "field 'bytes' is wrong")
+        self._reads[part] = self._reads.get(part, 0) + 1
+        headers = [("Content-Length", asked)]
+        return Response(self._stream(int(asked)), 200, CONTENT_BYTES, headers)
+
+    def _stream(self, size_bytes: int) -> Iterator[bytes]:
+        while size_bytes > 0:
+            chunk_bytes = min(CHUNK_BYTES, size_bytes)
+            due_s = self._limit.reserve(chunk_bytes, time.monotonic())
+            eventlet.sleep(max(0.0, due_s - time.monotonic()))
+            size_bytes -= chunk_bytes
+            yield bytes(chunk_bytes)
+
+
+def run(*, address: str = "127.0.0.1:0", bytes_per_s: float = 50e6) -> None:
+    """Run an emulated weight store until SIGTERM.
+
+    Parameters
+    ----------
+    address : str
+        IP number and port.
+    bytes_per_s : float
+        Rate that all readers share.
+    """
+    setup_eventlet()
+    with HttpServer(address, WeightStore(bytes_per_s).handle) as server:
+        run_until_stopped({"address": server.address})
+
+
+def main() -> None:
+    """Run the console script."""
+    defopt.run(run)
--- /dev/null
+++ b/tests/emulator/test_engine_process.py
@@ -0,0 +1,151 @@
+"""Emulated engine hosts as real processes."""
+
+import json
+
+import pytest
+import urllib3
+
+from chestnutvale.emulator.processes import wait_until
+from chestnutvale.emulator.text import expected_text
+
+
+def read_events(response, stop_after=None, then=None):
+    """Return the text, the offsets after each event and whether it was whole.
+
+    After some tokens it either stops, or calls a function once and reads on.
+    """
+    buffered = b""
+    text, offsets, is_done = "", [], False
+    try:
+        for data in response.stream(amt=None):
+            buffered += data
+            while b"\n\n" in buffered:
+                event, _, buffered = buffered.partition(b"\n\n")
+                lines = dict(line.split(": ", 1) for line in event.decode().split("\n"))
+                if lines["data"] == "[DONE]":
+                    is_done = True
+                    continue
+                attempt, first, following = lines["id"].rsplit(":", 2)
+                assert int(first) == (offsets[-1] if offsets else int(first))
+                offsets.append(int(following))
+                text += json.loads(lines["data"])["choices"][0]["text"]
+            if stop_after is not None and offsets and offsets[-1] >= stop_after:
+                if then is None:
+                    break
+                then()
+                stop_after = None
+    except urllib3.exceptions.HTTPError:
+        return text, offsets, False
+    return text, offsets, is_done
+
+
+def history(cluster, name):
+    url = f"http://{cluster.address(name)}/v1/history"
+    return cluster.http.request("GET", url).json()
+
+
+def test_answer_is_whole_and_resumes_by_offset(shared_cluster):
+    whole = expected_text("hello", 30)
+    first = shared_cluster.generate("h1", "hello", 30)
+    text, offsets, is_done = read_events(first)
+    assert (text, offsets[-1], is_done) == (whole, 30, True)
+    rest = shared_cluster.generate(
+        "h1", "hello", 30, resume_offset=10, resume_text=expected_text("hello", 10)
+    )
+    text, offsets, is_done = read_events(rest)
+    assert expected_text("hello", 10) + text == whole
+    assert is_done
+    wrong = shared_cluster.generate(
+        "h1", "hello", 30, resume_offset=10, resume_text="other"
+    )
+    assert (wrong.status, wrong.json()["code"]) == (400, "resume_mismatch")
+
+
+@pytest.mark.parametrize(
+    ("head", "changes", "status", "code"),
+    [
+        ("h1", {"epoch": 99}, 409, "wrong_epoch"),
+        ("h2", {}, 409, "wrong_epoch"),
+        ("h1", {"prompt": 7}, 400, "bad_request"),
+        ("h1", {"max_tokens": "many"}, 400, "bad_request"),
+        ("h1", {"adapter": "none"}, 400, "bad_request"),
+        ("h1", {"max_tokens": 10**9}, 429, "overloaded"),
+    ],
+)
+def test_refused_request_has_not_run(shared_cluster, head, changes, status, code):
+    changes = {"prompt": "x", "max_tokens": 5, **changes}
+    before = history(shared_cluster, head)
+    answer = shared_cluster.generate(head, **changes)
+    assert (answer.status, answer.json()["code"]) == (status, code)
+    assert history(shared_cluster, head) == before
+
+
+@pytest.mark.parametrize("way", ["close", "call"])
+def test_cancelled_work_stops(shared_cluster, way):
+    response = shared_cluster.generate("h1", "long", 10_000)
+    read_events(response, stop_after=3)
+    if way == "close":
+        response.close()
+    else:
+        address = shared_cluster.address("h1")
+        answer = shared_cluster.post(address, "/v1/cancel", {"attempt_id": "a"})
+        assert answer.json() == {"cancelled": True}
+    wait_until(lambda: history(shared_cluster, "h1")["running"] == 0, 20, "cancelled")
+
+
+def test_killed_member_breaks_the_stream_and_the_group_refuses(cluster):
+    cluster.start_host("h1")
+    member = cluster.start_host("h2")
+    cluster.assign(["h1", "h2"])
+    response = cluster.generate("h1", "hello", 10_000)
+    text, offsets, is_done = read_events(response, 3, member.kill)
+    assert not is_done
+    assert expected_text("hello", 10_000).startswith(text)
+    assert 10_000 not in offsets
+    refused = cluster.generate("h1", "hello", 10)
+    assert (refused.status, refused.json()["code"]) == (503, "member_missing")
+    # The member's next life is not the one that the group was made of.
+    member.start()
+    member.wait_ready()
+    assert cluster.generate("h1", "hello", 10).status == 503
+
+
+def test_marked_request_crashes_the_engine(cluster):
+    head = cluster.start_host("h1")
+    cluster.assign(["h1"])
+    with pytest.raises(urllib3.exceptions.HTTPError):
+        cluster.generate("h1", "please crash-me", 10).read()
+    assert head.wait_end() == 70
+
+
+def test_faults_and_leaving_show_in_announcements(cluster):
+    cluster.start_host("h", "--hosts", "2", "--cache-lag-ms", "0")
+    wait_until(lambda: {"h-1", "h-2"} <= set(cluster.announced), 20, "two hosts")
+    addresses = cluster.hosts["h"].description["hosts"]
+    cluster.post(addresses["h-1"], "/fault", {"kind": "leave"})
+    wait_until(lambda: cluster.last("h-1").get("leaving"), 20, "leaving")
+    cluster.post(addresses["h-2"], "/fault", {"kind": "cut"})
+    first = cluster.last("h-1")["sequence"]
+    cut = cluster.last("h-2")["sequence"]
+    later = int(first) + 5
+    wait_until(lambda: int(cluster.last("h-1")["sequence"]) > later, 20, "alive")
+    # One announcement may have been on its way when the cut began.
+    assert int(cluster.last("h-2")["sequence"]) <= int(cut) + 1
+    bad = cluster.post(addresses["h-1"], "/fault", {"kind": "dance"})
+    assert bad.status == 400
+
+
+def test_plain_service_counts_runs_by_key(cluster):
+    arguments = ["--host-id", "p1", "--entries", cluster.entry, "--service", "ledger"]
+    plain = cluster.start("plain", "chestnut-emulated-service", *arguments)
+    address = plain.description["address"]
+    for _ in range(2):
+        headers = {"Idempotency-Key": "k1"}
+        answer = cluster.post(address, "/postings", {}, headers=headers)
+        assert answer.status == 201
+    lost = {"note": "drop-answer"}
+    with pytest.raises(urllib3.exceptions.HTTPError):
+        cluster.post(address, "/postings", lost, headers={"Idempotency-Key": "k2"})
+    runs = cluster.http.request("GET", f"http://{address}/runs").json()["runs"]
+    assert runs == {"k1": 2, "k2": 1}
+    wait_until(lambda: cluster.last("p1").get("service") == "ledger", 20, "announced")
