--- /dev/null
+++ b/chestnutvale/emulator/caller.py
@@ -0,0 +1,223 @@
+"""A caller of the entries: streams answers and notes when they came."""
+
+import json
+import time
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import attrs
+import urllib3
+
+PATHS = {"chat": "/v1/chat/completions", "completion": "/v1/completions"}
+STATUS_OK = 200
+PROBLEM_TYPE = "application/problem+json"
+DONE_DATA = "[DONE]"
+
+
+@attrs.define
+class Answer:
+    """What a caller got for one request.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status; 0 if the connection failed.
+    text : str
+        The text so far.
+    is_whole : bool
+        Whether the stream said that it is complete.
+    finish_reason : str
+        From the last chunk.
+    problem : dict
+        The problem answer or the error event; empty if there was none.
+    failure : str
+        Why the connection failed; empty if it did not.
+    begun_s, first_s, ended_s : float
+        Monotonic times of sending, of the first token and of the end in seconds.
+    gaps_s : list of float
+        Times between tokens' events in seconds.
+    chunk_ids : set of str
+        The ``id`` of the chunks; one for a correct answer.
+    """
+
+    status: int = 0
+    text: str = ""
+    is_whole: bool = False
+    finish_reason: str = ""
+    problem: dict[str, Any] = attrs.field(factory=dict)
+    failure: str = ""
+    begun_s: float = 0.0
+    first_s: float = 0.0
+    ended_s: float = 0.0
+    gaps_s: list[float] = attrs.field(factory=list)
+    chunk_ids: set[str] = attrs.field(factory=set)
+
+    @property
+    def outcome(self) -> str:
+        """The problem's outcome, or whether the answer was whole."""
+        if self.problem:
+            return str(self.problem.get("outcome", "unknown"))
+        return "whole" if self.is_whole else "broken"
+
+
+def read_events(response: urllib3.BaseHTTPResponse) -> Iterator[tuple[str, str]]:
+    """Yield the server-sent events of a response.
+
+    Parameters
+    ----------
+    response : urllib3.BaseHTTPResponse
+        A response whose content has not been read.
+
+    Yields
+    ------
+    tuple of (str, str)
+        Name and data of an event; the name is empty for ordinary ones.
+    """
+    buffered = b""
+    for data in response.stream(amt=None):
+        buffered += data.replace(b"\r\n", b"\n")
+        *events, buffered = buffered.split(b"\n\n")
+        for event in events:
+            fields = dict(
+                line.split(": ", 1)
+                for line in event.decode().split("\n")
+                if ": " in line and not line.startswith(":")
+            )
+            if "data" in fields:
+                yield fields.get("event", ""), fields["data"]
+
+
+@attrs.frozen
+class Caller:
+    """Calls one entry with one workspace's key.
+
+    Attributes
+    ----------
+    address : str
+        IP number and port of the entry.
+    key : str
+        The workspace's key.
+    http : urllib3.PoolManager
+        The connections.
+    """
+
+    address: str
+    key: str
+    http: urllib3.PoolManager
+
+    def headers(self, **more: str) -> dict[str, str]:
+        """Return the headers of a call; underscores in names become hyphens."""
+        own = {
+            "Authorization": f"Bearer {self.key}",
+            "Content-Type": "application/json",
+        }
+        return own | {name.replace("_", "-"): value for name, value in more.items()}
+
+    def generate(
+        self,
+        model: str,
+        prompt: str,
+        max_tokens: int,
+        *,
+        form: str = "completion",
+        headers: dict[str, str] | None = None,
+        on_token: Callable[[Answer], bool] | None = None,
+    ) -> Answer:
+        """Stream one answer.
+
+        Parameters
+        ----------
+        model : str
+            The service.
+        prompt : str
+            The prompt, in a chat the only message.
+        max_tokens : int
+            Length of the answer.
+        form : str, optional
+            ``"chat"`` or ``"completion"``.
+        headers : dict, optional
+            More headers.
+        on_token : callable, optional
+            Called after each chunk with text; False hangs up.
+
+        Returns
+        -------
+        Answer
+            What came, also if it was a refusal or the connection failed.
+        """
+        body: dict[str, Any] = {"model": model, "max_tokens": max_tokens}
+        body["stream"] = True
+        if form == "chat":
+            body["messages"] = [{"role": "user", "content": prompt}]
+        else:
+            body["prompt"] = prompt
+        answer = Answer(begun_s=time.monotonic())
+        try:
+            response = self.http.request(
+                "POST",
+                f"http://{self.address}{PATHS[form]}",
+                body=json.dumps(body).encode(),
+                headers=self.headers() | (headers or {}),
+                preload_content=False,
+            )
+            answer.status = response.status
+            if response.status == STATUS_OK:
+                self._follow(response, answer, on_token)
+            else:
+                answer.problem = parse_object(response.data)
+            if answer.is_whole or answer.problem:
+                response.drain_conn()
+                response.release_conn()
+            else:
+                response.close()
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            answer.failure = type(error).__name__
+        answer.ended_s = time.monotonic()
+        return answer
+
+    def _follow(
+        self,
+        response: urllib3.BaseHTTPResponse,
+        answer: Answer,
+        on_token: Callable[[Answer], bool] | None,
+    ) -> None:
+        last_s = 0.0
+        for name, data in read_events(response):
+            if data == DONE_DATA:
+                answer.is_whole = True
+                return
+            chunk = parse_object(data)
+            if name == "error" or "error" in chunk or "outcome" in chunk:
+                answer.problem = chunk.get("error", chunk)
+                continue
+            text = take_text(chunk, answer)
+            if not text:
+                continue
+            now_s = time.monotonic()
+            if last_s:
+                answer.gaps_s.append(now_s - last_s)
+            else:
+                answer.first_s = now_s
+            last_s = now_s
+            if on_token is not None and not on_token(answer):
+                return
+
+
+def take_text(chunk: dict[str, Any], answer: Answer) -> str:
+    """Add the text of one chunk to an answer and return it."""
+    answer.chunk_ids.add(str(chunk.get("id")))
+    text = ""
+    for choice in chunk.get("choices", []):
+        text += choice.get("text") or choice.get("delta", {}).get("content") or ""
+        answer.finish_reason = choice.get("finish_reason") or answer.finish_reason
+    answer.text += text
+    return text
+
+
+def parse_object(data: bytes | str) -> dict[str, Any]:
+    """Return a JSON object, empty if the text is none."""
+    try:
+        parsed = json.loads(data)
+    except ValueError:
+        return {}
+    return parsed if isinstance(parsed, dict) else {}
--- /dev/null
+++ b/chestnutvale/emulator/deployment.py
@@ -0,0 +1,444 @@
+"""A whole deployment of real processes on loopback, for scripts and tests.
+
+The system itself starts no process; only this tool does.
+"""
+
+import json
+import os
+import shutil
+import subprocess
+import threading
+from contextlib import ExitStack
+from pathlib import Path
+from types import TracebackType
+from typing import Any, Self
+
+import attrs
+import urllib3
+
+from chestnutvale.emulator.caller import Caller
+from chestnutvale.emulator.exceptions import EmulatorError
+from chestnutvale.emulator.processes import (
+    ManagedProcess,
+    find_free_addresses,
+    program_path,
+    wait_until,
+)
+
+ROOT = Path(__file__).resolve().parent.parent.parent
+DEMO_TEXT = ROOT / "examples" / "demo" / "text.json"
+CLUSTER_ID = "demo"
+REGION = "region-1"
+DATA_CENTRES = ("dc-1", "dc-2", "dc-3")
+OPERATOR_TOKEN = "demo-operator-token"
+WORKSPACE_KEYS = {"accounts": "demo-key-accounts", "treasury": "demo-key-treasury"}
+MODEL_SERVICE = "chestnut-llm"
+PLAIN_SERVICE = "ledger-app"
+CALL_TIMEOUT_S = 30.0
+START_TIMEOUT_S = 60.0
+CLIENT_TIMEOUT_S = 30.0
+
+
+@attrs.frozen
+class DeploymentOptions:
+    """What a deployment consists of.
+
+    Attributes
+    ----------
+    folder : Path
+        Settings, data and logs; emptied at the start.
+    text_path : Path
+        The operators' text.
+    controls, entries : int
+        Processes of each kind.
+    fabric_domains : dict of str to int
+        Engine hosts in each fabric domain.
+    services : int
+        Hosts of the plain service.
+    fencing : bool
+        Whether engines refuse old orders.
+    engine_arguments : list of str
+        More arguments of each engine.
+    entry_settings, control_settings : dict
+        Settings that differ from the defaults.
+    """
+
+    folder: Path
+    text_path: Path = DEMO_TEXT
+    controls: int = 3
+    entries: int = 3
+    fabric_domains: dict[str, int] = attrs.field(
+        factory=lambda: {"fabric-a": 4, "fabric-b": 4}
+    )
+    services: int = 1
+    fencing: bool = True
+    engine_arguments: list[str] = attrs.field(factory=list)
+    entry_settings: dict[str, Any] = attrs.field(factory=dict)
+    control_settings: dict[str, Any] = attrs.field(factory=dict)
+
+
+class Deployment:
+    """Starts all processes of a deployment and ends them; a context manager.
+
+    Parameters
+    ----------
+    options : DeploymentOptions
+        What it consists of.
+
+    Attributes
+    ----------
+    controls, entries, engines, services : dict of str to ManagedProcess
+        The processes by name.
+    addresses : dict of str to str
+        IP number and port of each process's HTTP door, by name.
+    http : urllib3.PoolManager
+        Connections for calls.
+    """
+
+    def __init__(self, options: DeploymentOptions) -> None:
+        self.options = options
+        self.folder = options.folder
+        self.controls: dict[str, ManagedProcess] = {}
+        self.entries: dict[str, ManagedProcess] = {}
+        self.engines: dict[str, ManagedProcess] = {}
+        self.services: dict[str, ManagedProcess] = {}
+        self.addresses: dict[str, str] = {}
+        self.fabric_domains: dict[str, str] = {}
+        self.http = urllib3.PoolManager(
+            maxsize=64, retries=False, timeout=CALL_TIMEOUT_S
+        )
+        self._peers: dict[str, str] = {}
+        self._free = find_free_addresses(os.getpid())
+        self._stack = ExitStack()
+        self._store_address = ""
+
+    def __enter__(self) -> Self:
+        """Start everything and wait until each door answers."""
+        shutil.rmtree(self.folder, ignore_errors=True)
+        self.folder.mkdir(parents=True)
+        (self.folder / "operator-token").write_text(f"{OPERATOR_TOKEN}\n")
+        (self.folder / "operator-token").chmod(0o600)
+        with self._stack:
+            self._reserve_addresses()
+            self._start_endpoints()
+            self._start_daemons()
+            self._write_client_settings()
+            self._wait_for_doors()
+            self._stack = self._stack.pop_all()
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """End all processes."""
+        self._stack.close()
+        self.http.clear()
+
+    def _reserve_addresses(self) -> None:
+        for number in range(1, self.options.controls + 1):
+            self._reserve(f"control-{number}")
+        for number in range(1, self.options.entries + 1):
+            self._reserve(f"entry-{number}")
+
+    def _reserve(self, name: str) -> None:
+        self.addresses[name] = next(self._free)
+        self._peers[name] = next(self._free)
+
+    def _start(self, name: str, program: str, arguments: list[str]) -> ManagedProcess:
+        command = [program_path(program), *arguments]
+        process = ManagedProcess(name, command, self.folder)
+        return self._stack.enter_context(process)
+
+    def _start_endpoints(self) -> None:
+        store = self._start("weights", "chestnut-emulated-weights", [])
+        self._store_address = store.wait_ready()["address"]
+        number = 0
+        for domain, count in self.options.fabric_domains.items():
+            for _ in range(count):
+                number += 1
+                self.start_engine(f"host-{number}", domain)
+        for number in range(1, self.options.services + 1):
+            self._start_service(f"app-{number}")
+        for process in (self.engines | self.services).values():
+            process.wait_ready()
+
+    def start_engine(self, name: str, domain: str) -> ManagedProcess:
+        """Start an engine host that announces itself to all entries."""
+        self.addresses[name] = next(self._free)
+        arguments = [*self._endpoint_arguments(name, domain)]
+        arguments += ["--fencing" if self.options.fencing else "--no-fencing"]
+        arguments += self.options.engine_arguments
+        process = self._start(name, "chestnut-emulated-engine", arguments)
+        self.engines[name] = process
+        self.fabric_domains[name] = domain
+        return process
+
+    def _start_service(self, name: str) -> None:
+        domain = next(iter(self.options.fabric_domains), "fabric-a")
+        self.addresses[name] = next(self._free)
+        arguments = [*self._endpoint_arguments(name, domain), "--service"]
+        arguments += [PLAIN_SERVICE]
+        process = self._start(name, "chestnut-emulated-service", arguments)
+        self.services[name] = process
+
+    def _endpoint_arguments(self, name: str, domain: str) -> list[str]:
+        entries = [a for n, a in self.addresses.items() if n.startswith("entry-")]
+        place = ["--fabric-domain", domain, "--data-centre", DATA_CENTRES[0]]
+        own = ["--host-id", name, "--address", self.addresses[name]]
+        return [*own, "--entries", *entries, *place]
+
+    def _start_daemons(self) -> None:
+        for number in range(1, self.options.controls + 1):
+            name = f"control-{number}"
+            settings = self._control_settings(name, number)
+            self.controls[name] = self._start_daemon(
+                name, "chestnut-control", settings | self.options.control_settings
+            )
+        for number in range(1, self.options.entries + 1):
+            name = f"entry-{number}"
+            settings = self._common_settings(name, number) | {"entry_id": name}
+            self.entries[name] = self._start_daemon(
+                name, "chestnut-entry", settings | self.options.entry_settings
+            )
+
+    def _start_daemon(
+        self, name: str, program: str, settings: dict[str, Any]
+    ) -> ManagedProcess:
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(settings, indent=2))
+        return self._start(name, program, [str(path)])
+
+    def _common_settings(self, name: str, number: int) -> dict[str, Any]:
+        return {
+            "cluster_id": CLUSTER_ID,
+            "region": REGION,
+            "data_centre": DATA_CENTRES[(number - 1) % len(DATA_CENTRES)],
+            "http_address": self.addresses[name],
+            "peer_address": self._peers[name],
+            "controls": self._control_peers(),
+            "operator_token_file": str(self.folder / "operator-token"),
+        }
+
+    def _control_settings(self, name: str, number: int) -> dict[str, Any]:
+        return self._common_settings(name, number) | {
+            "control_id": name,
+            "data_folder": str(self.folder / f"{name}-data"),
+            "weight_store_address": self._store_address,
+        }
+
+    def _control_peers(self) -> list[dict[str, str]]:
+        return [
+            {
+                "id": name,
+                "address": self._peers[name],
+                "http_address": self.addresses[name],
+                "data_centre": DATA_CENTRES[index % len(DATA_CENTRES)],
+            }
+            for index, name in enumerate(
+                name for name in self.addresses if name.startswith("control-")
+            )
+        ]
+
+    def _write_client_settings(self) -> None:
+        settings = {
+            "cluster_id": CLUSTER_ID,
+            "controls": self._control_peers(),
+            "operator_token_file": str(self.folder / "operator-token"),
+        }
+        path = self.folder / "client.json"
+        path.write_text(json.dumps(settings, indent=2))
+
+    def _wait_for_doors(self) -> None:
+        for name, process in (self.controls | self.entries).items():
+            self.wait_healthy(name, process)
+
+    def wait_healthy(self, name: str, process: ManagedProcess) -> None:
+        """Wait until a daemon's door answers."""
+
+        def is_healthy() -> bool:
+            if not process.is_running:
+                raise EmulatorError(
+                    f"ended: {process.log_tail()}", step="start", peer=name
+                )
+            return self.get_status(name, "/healthz") == 200
+
+        wait_until(is_healthy, START_TIMEOUT_S, f"{name} healthy")
+
+    def get_status(self, name: str, path: str) -> int:
+        """Return the status of a GET, 0 if nobody answers."""
+        try:
+            url = f"http://{self.addresses[name]}{path}"
+            return self.http.request("GET", url, timeout=2.0).status
+        except urllib3.exceptions.HTTPError:
+            return 0
+
+    def get(self, name: str, path: str, **headers: str) -> Any:
+        """Return the JSON answer to a GET at one process's door."""
+        url = f"http://{self.addresses[name]}{path}"
+        return self.http.request("GET", url, headers=headers).json()
+
+    def post(self, name: str, path: str, data: Any) -> urllib3.BaseHTTPResponse:
+        """Post a JSON value to one process's door."""
+        url = f"http://{self.addresses[name]}{path}"
+        return self.http.request("POST", url, body=json.dumps(data).encode())
+
+    @property
+    def chestnut_command(self) -> list[str]:
+        """Command line of the operators' client for this deployment."""
+        settings = str(self.folder / "client.json")
+        return [program_path("chestnut"), "--settings", settings]
+
+    def chestnut(self, *arguments: str) -> subprocess.CompletedProcess[str]:
+        """Run the operators' client."""
+        return subprocess.run(
+            [*self.chestnut_command, *arguments],
+            stdin=subprocess.DEVNULL,
+            capture_output=True,
+            text=True,
+            timeout=CLIENT_TIMEOUT_S,
+            check=False,
+        )
+
+    def apply(self, text_path: Path) -> None:
+        """Apply a text and insist on its acceptance."""
+        run = self.chestnut("apply", str(text_path))
+        if run.returncode != 0:
+            raise EmulatorError(
+                f"apply gave {run.returncode}: {run.stdout}{run.stderr}", step="apply"
+            )
+
+    def caller(self, entry: str, workspace: str = "accounts") -> Caller:
+        """Return a caller of one entry."""
+        return Caller(self.addresses[entry], WORKSPACE_KEYS[workspace], self.http)
+
+    def holdings(self) -> dict[str, dict[str, Any]]:
+        """Return what each engine that answers holds, by host."""
+        found: dict[str, dict[str, Any]] = {}
+        for name, process in self.engines.items():
+            if not process.is_running:
+                continue
+            try:
+                holding = self.get(name, "/v1/membership")["holding"]
+            except urllib3.exceptions.HTTPError:
+                continue
+            if holding:
+                found[name] = holding
+        return found
+
+    def groups(self) -> dict[str, list[str]]:
+        """Return the hosts of each group of engines, the head first."""
+        held = self.holdings()
+        members: dict[str, list[str]] = {}
+        for name in sorted(held, key=lambda n: int(held[n].get("rank", 0))):
+            members.setdefault(held[name]["group_id"], []).append(name)
+        return members
+
+    def wait_serving(self, groups: int, timeout_s: float = START_TIMEOUT_S) -> None:
+        """Wait until all hosts of some groups are ready and each entry serves."""
+
+        def are_ready() -> bool:
+            phases = [h.get("phase") for h in self.holdings().values()]
+            return len(self.groups()) >= groups and set(phases) == {"ready"}
+
+        wait_until(are_ready, timeout_s, f"{groups} groups ready", 0.2)
+        for entry in self.entries:
+            self.wait_answering(entry, timeout_s)
+
+    def wait_answering(self, entry: str, timeout_s: float = START_TIMEOUT_S) -> None:
+        """Wait until an entry gives a whole answer."""
+        caller = self.caller(entry)
+        wait_until(
+            lambda: caller.generate(MODEL_SERVICE, "probe", 1).is_whole,
+            timeout_s,
+            f"{entry} serves",
+            0.2,
+        )
+
+    def busy_head(self) -> str:
+        """Return the host whose engine runs a request, empty if none does."""
+        for members in self.groups().values():
+            if self.get(members[0], "/v1/history")["running"]:
+                return members[0]
+        return ""
+
+    def in_background(self, action: Any, *arguments: Any) -> "Background":
+        """Run an action in a thread of its own."""
+        return Background(action, arguments)
+
+    def write_addresses(self, path: Path) -> None:
+        """Write what a tool needs to drive this deployment."""
+        held = self.holdings()
+        engines = [
+            {
+                "host": name,
+                "process_id": process.pid,
+                "group": held.get(name, {}).get("group_id", ""),
+                "fabric_domain": self.fabric_domains[name],
+                "address": self.addresses[name],
+            }
+            for name, process in self.engines.items()
+        ]
+        processes = self.controls | self.entries | self.services
+        data = {
+            "entries": [self.addresses[name] for name in self.entries],
+            "controls": [self.addresses[name] for name in self.controls],
+            "engines": engines,
+            "services": {
+                PLAIN_SERVICE: [self.addresses[name] for name in self.services]
+            },
+            "operator_token": OPERATOR_TOKEN,
+            "workspaces": {n: {"key": key} for n, key in WORKSPACE_KEYS.items()},
+            "chestnut": " ".join(self.chestnut_command),
+            "text": str(self.options.text_path),
+            "process_ids": {name: p.pid for name, p in processes.items()},
+        }
+        path.write_text(json.dumps(data, indent=2) + "\n")
+
+
+class Background:
+    """An action in a thread of its own, with its result.
+
+    Parameters
+    ----------
+    action : callable
+        The action.
+    arguments : tuple
+        Its arguments.
+    """
+
+    def __init__(self, action: Any, arguments: tuple[Any, ...]) -> None:
+        self._result: Any = None
+        self._error: BaseException | None = None
+        self._thread = threading.Thread(
+            target=self._run, args=(action, arguments), daemon=True
+        )
+        self._thread.start()
+
+    def _run(self, action: Any, arguments: tuple[Any, ...]) -> None:
+        try:
+            self._result = action(*arguments)
+        except BaseException as error:  # noqa: BLE001
+            self._error = error
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the action has not ended."""
+        return self._thread.is_alive()
+
+    def result(self, timeout_s: float = CALL_TIMEOUT_S) -> Any:
+        """Wait for the action and return its result.
+
+        Raises
+        ------
+        EmulatorError
+            If it does not end in time.
+        """
+        self._thread.join(timeout_s)
+        if self._thread.is_alive():
+            raise EmulatorError(f"not within {timeout_s} s", step="background")
+        if self._error is not None:
+            raise self._error
+        return self._result
--- /dev/null
+++ b/tests/emulator/test_load.py
@@ -0,0 +1,55 @@
+"""The load tool's plan and its judgement of answers."""
+
+import itertools
+
+import pytest
+
+from chestnutvale.emulator.caller import Answer
+from chestnutvale.emulator.exceptions import EmulatorError
+from chestnutvale.emulator.load import (
+    LoadPlan,
+    LoadResult,
+    PlannedRequest,
+    judge,
+    parse_keys,
+    plan_requests,
+)
+from chestnutvale.emulator.text import expected_text
+
+PLAN = LoadPlan(
+    ["e1", "e2"], {"a": "k"}, "s", 50.0, 10.0, 20, 4.0, 0.2, 0.3, 0.2, 0, 50, seed=3
+)
+WHOLE = expected_text("p", 8)
+
+
+def test_plan_is_the_same_for_a_seed_and_has_the_rate():
+    first, second = list(plan_requests(PLAN)), list(plan_requests(PLAN))
+    assert first == second
+    assert 400 < len(first) < 600
+    assert all(a.at_s <= b.at_s for a, b in itertools.pairwise(first))
+    assert {r.priority for r in first} == {"urgent", "normal", "batch"}
+
+
+@pytest.mark.parametrize(
+    ("answer", "hang_up", "verdict"),
+    [
+        (Answer(text=WHOLE, is_whole=True), 0, "whole"),
+        (Answer(text=WHOLE[:-5], is_whole=True), 0, "wrong"),
+        (Answer(text=WHOLE + WHOLE[:5]), 0, "wrong"),
+        (Answer(text=WHOLE[:10]), 0, "broken"),
+        (Answer(text=WHOLE[:10]), 2, "hung up"),
+        (Answer(problem={"code": "busy", "outcome": "not_run"}), 0, "busy (not_run)"),
+    ],
+)
+def test_judgement(answer, hang_up, verdict):
+    request = PlannedRequest(0.0, "e1", "a", "normal", "p", 8, hang_up)
+    assert judge(request, answer) == verdict
+    result = LoadResult()
+    result.record(request, answer)
+    assert result.to_dict()["outcomes"] == {verdict: 1}
+
+
+def test_malformed_key_is_refused():
+    assert parse_keys(["a=b=c"]) == {"a": "b=c"}
+    with pytest.raises(EmulatorError):
+        parse_keys(["a"])
