--- a/tests/emulator/test_engine_process.py
+++ b/tests/emulator/test_engine_process.py
@@ -9,8 +9,11 @@
 from chestnutvale.emulator.text import expected_text
 
 
-def read_events(response, stop_after=None):
-    """Return the text, the offsets after each event and whether it was whole."""
+def read_events(response, stop_after=None, then=None):
+    """Return the text, the offsets after each event and whether it was whole.
+
+    After some tokens it either stops, or calls a function once and reads on.
+    """
     buffered = b""
     text, offsets, is_done = "", [], False
     try:
@@ -27,7 +30,10 @@
                 offsets.append(int(following))
                 text += json.loads(lines["data"])["choices"][0]["text"]
             if stop_after is not None and offsets and offsets[-1] >= stop_after:
-                break
+                if then is None:
+                    break
+                then()
+                stop_after = None
     except urllib3.exceptions.HTTPError:
         return text, offsets, False
     return text, offsets, is_done
@@ -92,10 +98,9 @@
     member = cluster.start_host("h2")
     cluster.assign(["h1", "h2"])
     response = cluster.generate("h1", "hello", 10_000)
-    read_events(response, stop_after=3)
-    member.kill()
-    text, offsets, is_done = read_events(response)
+    text, offsets, is_done = read_events(response, 3, member.kill)
     assert not is_done
+    assert expected_text("hello", 10_000).startswith(text)
     assert 10_000 not in offsets
     refused = cluster.generate("h1", "hello", 10)
     assert (refused.status, refused.json()["code"]) == (503, "member_missing")
