--- a/chestnutvale/membership/table.py
+++ b/chestnutvale/membership/table.py
@@ -148,6 +148,10 @@
         fresh.sort(key=lambda record: record.host_id)
         return fresh
 
+    def known_hosts(self) -> list[HostRecord]:
+        """Return all hosts that are remembered, alive or silent, by identity."""
+        return [self._hosts[host_id] for host_id in sorted(self._hosts)]
+
     def next_deadline(self, now_s: float) -> float:
         """Return when the next living host would count as missing.
 
--- a/chestnutvale/programs/control/const.py
+++ b/chestnutvale/programs/control/const.py
@@ -22,3 +22,6 @@
 EXPIRY_ROUND_S: Final = 30.0
 
 PATH_ORDERS: Final = "/v1/orders"
+# Time in seconds after which an entry that does not report counts as silent.
+ENTRY_REPORT_TIMEOUT_S: Final = 3.0
+SALT_BITS: Final = 32
--- /dev/null
+++ b/chestnutvale/programs/control/daemon.py
@@ -0,0 +1,210 @@
+"""Wires the parts of a control together and stops them in order."""
+
+import contextlib
+import random
+from collections.abc import Callable, Iterable
+from types import TracebackType
+from typing import Any, Self
+
+import eventlet
+import logbook
+
+from chestnutvale.clock import Clock
+from chestnutvale.consensus.task import ConsensusTask
+from chestnutvale.groups.coordinator import GroupCoordinator
+from chestnutvale.groups.orders import OrderBook
+from chestnutvale.groups.planner import GroupPlanner
+from chestnutvale.groups.settings import GroupsPolicy
+from chestnutvale.http_server.problem import Problem
+from chestnutvale.http_server.server import HttpServer
+from chestnutvale.http_server.views import WsgiApp, make_check, make_json_view
+from chestnutvale.membership.table import MembershipTable
+from chestnutvale.membership.views import ViewPublisher
+from chestnutvale.programs.control.const import SALT_BITS
+from chestnutvale.programs.control.entry_desk import EntryDesk
+from chestnutvale.programs.control.group_task import GroupTask
+from chestnutvale.programs.control.ledger_task import LedgerTask
+from chestnutvale.programs.control.measures import MeasureTracker
+from chestnutvale.programs.control.operations import ControlOperations
+from chestnutvale.programs.control.operator_api import OperatorApi
+from chestnutvale.programs.control.state import ControlState
+from chestnutvale.programs.control.status import StatusBuilder
+from chestnutvale.schema.settings_pb2 import ControlSettings
+from chestnutvale.storage.store import DataStore
+from chestnutvale.transport.gate import make_incarnation
+from chestnutvale.transport.node import TransportNode
+
+_LOGGER = logbook.Logger(__name__)
+
+
+class ControlDaemon:
+    """One control; a context manager.
+
+    Parameters
+    ----------
+    settings : ControlSettings
+        Checked settings.
+    token_digest : bytes
+        Digest of the operator token.
+    clock : Clock
+        Source of time.
+    rng : random.Random
+        Source of random numbers.
+    """
+
+    def __init__(
+        self,
+        settings: ControlSettings,
+        token_digest: bytes,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self.settings = settings
+        self._token_digest = token_digest
+        self._clock = clock
+        self._rng = rng
+        self._exits = contextlib.ExitStack()
+        self.incarnation = make_incarnation(clock.unix_ms(), rng.getrandbits(SALT_BITS))
+        self.state = ControlState()
+        self.table = MembershipTable(settings.detection_timeout_ms / 1_000)
+        self.publisher = ViewPublisher(self.incarnation)
+        self.measures = MeasureTracker()
+        self.transport = TransportNode(
+            settings.cluster_id,
+            settings.control_id,
+            self.incarnation,
+            settings.peer_address,
+            clock,
+        )
+        self._log: ConsensusTask | None = None
+        self._draining = False
+
+    def __enter__(self) -> Self:
+        """Open storage and sockets and start the tasks."""
+        with contextlib.ExitStack() as exits:
+            storage = exits.enter_context(DataStore(self.settings))
+            exits.enter_context(self.transport)
+            self._log = ConsensusTask(
+                self.settings,
+                self.transport,
+                storage,
+                self.state,
+                self._clock,
+                self._rng,
+            )
+            exits.enter_context(self._log)
+            self._start_tasks(exits)
+            self._exits = exits.pop_all()
+        _LOGGER.info("Control {} runs", self.settings.control_id)
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Hand leadership over, stop the tasks and close the files."""
+        self._draining = True
+        self._exits.close()
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state of the process, without secrets."""
+        ledger = self.state.ledger
+        return {
+            "control_id": self.settings.control_id,
+            "incarnation": self.incarnation,
+            "consensus": self._log.status(),
+            "configuration_number": self.state.configuration.number,
+            "groups": len(self.state.groups.groups),
+            "repairs": sorted(self.state.groups.repairs),
+            "ledger_records": ledger.record_count,
+            "ledger_bytes": ledger.size_bytes,
+            "hosts": len(self.table.known_hosts()),
+            "entries": sorted(self._desk.entries),
+            "view_version": self.publisher.version,
+            "transport": self.transport.counters(),
+        }
+
+    def _start_tasks(self, exits: contextlib.ExitStack) -> None:
+        policy = GroupsPolicy.from_settings(self.settings)
+        coordinator = GroupCoordinator(
+            GroupPlanner(policy), OrderBook(policy, self.settings.weight_store_address)
+        )
+        self._desk = EntryDesk(
+            self.transport,
+            self._log,
+            self.state,
+            self.table,
+            self.publisher,
+            self._clock,
+        )
+        groups = GroupTask(
+            self._log,
+            self.state,
+            self.table,
+            coordinator,
+            self._desk,
+            self.measures,
+            self._clock,
+        )
+        ledger = LedgerTask(self._log, self.state, self._desk, self._clock)
+        server = HttpServer(
+            self._make_app(),
+            self.settings.http_address,
+            self.settings.http_limits,
+            self._clock,
+        )
+        exits.enter_context(server)
+        for run in (groups.run, ledger.run):
+            exits.callback(eventlet.spawn(run).kill)
+
+    def _make_app(self) -> WsgiApp:
+        builder = StatusBuilder(
+            self.settings,
+            self._log,
+            self.state,
+            self.table,
+            self.publisher,
+            self._desk,
+            self.measures,
+        )
+        node = ControlOperations(
+            self.settings,
+            self._log,
+            self.state,
+            self.table,
+            builder,
+            self.dump,
+            self._clock,
+        )
+        operators = OperatorApi(self._token_digest, node, self._clock)
+        views = {
+            "/healthz": make_check(self._is_alive),
+            "/readyz": make_check(self._is_ready),
+            "/debug/state": make_json_view(self.dump),
+        }
+        return _join_apps(operators, views)
+
+    def _is_alive(self) -> bool:
+        return self._log.failure is None
+
+    def _is_ready(self) -> bool:
+        return not self._draining and bool(self._log.leader_id)
+
+
+def _join_apps(operators: OperatorApi, views: dict[str, WsgiApp]) -> WsgiApp:
+    def app(
+        environ: dict[str, Any], start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        path = environ["PATH_INFO"]
+        if operators.handles(path):
+            return operators(environ, start_response)
+        view = views.get(path)
+        if view is not None:
+            return view(environ, start_response)
+        return Problem(404, "not_found", "no such call", step="route").respond(
+            start_response
+        )
+
+    return app
--- a/chestnutvale/programs/control/entry_desk.py
+++ b/chestnutvale/programs/control/entry_desk.py
@@ -20,6 +20,7 @@
     ControlView,
     EntryReport,
     Envelope,
+    GroupView,
 )
 from chestnutvale.transport.node import TransportNode
 
@@ -44,12 +45,15 @@
         Monotonic time of the report.
     draining : bool
         Whether the entry is about to stop.
+    data_centre : str
+        Where the entry runs.
     """
 
     incarnation: str
     number: int
     seen_at_s: float
     draining: bool = False
+    data_centre: str = ""
 
 
 class EntryDesk:
@@ -97,6 +101,10 @@
         transport.on("entry_report", self._receive_report)
         transport.on("commit_request", self._receive_commit)
 
+    def group_views(self) -> list[GroupView]:
+        """Return all groups as entries see them."""
+        return self._publisher.group_views()
+
     def publish_changes(self) -> None:
         """Push views to the entries that lag behind a change."""
         now_s = self._clock.now_s()
@@ -126,6 +134,7 @@
             number=report.configuration_number,
             seen_at_s=now_s,
             draining=report.draining,
+            data_centre=report.data_centre,
         )
         if not self._log.is_leader or not self._log.has_lease(now_s):
             return
--- a/chestnutvale/programs/control/group_task.py
+++ b/chestnutvale/programs/control/group_task.py
@@ -15,6 +15,7 @@
     PROPOSAL_TIMEOUT_S,
 )
 from chestnutvale.programs.control.entry_desk import EntryDesk
+from chestnutvale.programs.control.measures import MeasureTracker
 from chestnutvale.programs.control.order_sender import OrderSender
 from chestnutvale.programs.control.state import ControlState
 
@@ -36,6 +37,8 @@
         The decisions.
     desk : EntryDesk
         Publishes what changed.
+    measures : MeasureTracker
+        Sums up downtime and stranded accelerators.
     clock : Clock
         Source of time.
     """
@@ -47,6 +50,7 @@
         table: MembershipTable,
         coordinator: GroupCoordinator,
         desk: EntryDesk,
+        measures: MeasureTracker,
         clock: Clock,
     ) -> None:
         self._log = log
@@ -54,6 +58,7 @@
         self._table = table
         self._coordinator = coordinator
         self._desk = desk
+        self._measures = measures
         self._clock = clock
         self._sender = OrderSender(clock)
         self._orders = eventlet.GreenPool(MAX_ORDERS_AT_ONCE)
@@ -76,7 +81,15 @@
         self._desk.publish_changes()
         self._follow_leadership(now_s)
         if not self._log.is_leader:
+            self._measures.pause()
             return
+        self._measures.update(
+            now_s,
+            self._state.configuration.text,
+            self._desk.group_views(),
+            self._state.groups,
+            self._table,
+        )
         effects = self._coordinator.tick(
             now_s,
             self._state.groups,
--- a/chestnutvale/programs/control/ledger_task.py
+++ b/chestnutvale/programs/control/ledger_task.py
@@ -78,9 +78,7 @@
             known = self._desk.entries.get(entry_id)
             if known is not None and known.incarnation > incarnation:
                 found.append(
-                    AbandonClaims(
-                        entry_id=entry_id, live_incarnation=known.incarnation
-                    )
+                    AbandonClaims(entry_id=entry_id, live_incarnation=known.incarnation)
                 )
                 continue
             # A new leader has not heard the entries yet, so it waits first.
--- /dev/null
+++ b/chestnutvale/programs/control/main.py
@@ -0,0 +1,48 @@
+"""Command line of ``chestnut-control``."""
+
+import sys
+from pathlib import Path
+
+import defopt
+import eventlet
+
+
+def run(settings_file: Path, *, check_settings: bool = False) -> int:
+    """Run a control until SIGTERM.
+
+    Parameters
+    ----------
+    settings_file : Path
+        JSON with comments; see docs/SETTINGS.md.
+    check_settings : bool
+        Only check the settings file.
+
+    Returns
+    -------
+    int
+        Exit code.
+    """
+    from chestnutvale.clock import SystemClock
+    from chestnutvale.programs.control.daemon import ControlDaemon
+    from chestnutvale.programs.runner import log_dump, make_rng, run_program
+    from chestnutvale.programs.signals import SignalWatch
+    from chestnutvale.schema.settings_pb2 import ControlSettings
+    from chestnutvale.settings.control import load_control_settings
+    from chestnutvale.settings.token import hash_token, load_operator_token
+
+    def serve(settings: ControlSettings) -> None:
+        token = load_operator_token(Path(settings.operator_token_file))
+        digest = hash_token(token)
+        with ControlDaemon(settings, digest, SystemClock(), make_rng()) as daemon:
+            watch = SignalWatch(lambda: log_dump(daemon.dump))
+            watch.setup()
+            watch.wait()
+
+    return run_program(settings_file, check_settings, load_control_settings, serve)
+
+
+def main() -> None:
+    """Run the program with the arguments of the command line."""
+    # The libraries must use eventlet's sockets, so this precedes their import.
+    eventlet.monkey_patch()
+    sys.exit(defopt.run(run))
--- /dev/null
+++ b/chestnutvale/programs/control/operations.py
@@ -0,0 +1,167 @@
+"""What operators may ask of a control; the daemon's `OperatorNode`."""
+
+from collections import Counter
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from chestnutvale.clock import Clock
+from chestnutvale.consensus.exceptions import MembersChangeError, NotLeaderError
+from chestnutvale.consensus.members import control_of
+from chestnutvale.consensus.task import ConsensusTask
+from chestnutvale.exceptions import ChestnutError
+from chestnutvale.membership.table import MembershipTable
+from chestnutvale.programs.control.state import ControlState
+from chestnutvale.programs.control.status import StatusBuilder
+from chestnutvale.schema.command_pb2 import Command, CommandResult
+from chestnutvale.schema.configuration_pb2 import (
+    ApplyText,
+    ApplyTextResult,
+    ConfigurationSnapshot,
+)
+from chestnutvale.schema.groups_pb2 import DrainHost
+from chestnutvale.schema.operator_pb2 import (
+    DrainRequest,
+    OperatorResult,
+    Status,
+    VoterChange,
+)
+from chestnutvale.schema.settings_pb2 import ControlSettings
+
+OUTCOME_DONE = "done"
+OUTCOME_REFUSED = "refused"
+ACTION_ADD = "add"
+KIND_ENGINE = "engine"
+
+
+class ControlOperations:
+    """Carries out operators' requests; see `OperatorNode`.
+
+    Parameters
+    ----------
+    settings : ControlSettings
+        Settings of the control.
+    log : ConsensusTask
+        The replicated log.
+    state : ControlState
+        The replicated state.
+    table : MembershipTable
+        What entries heard of hosts.
+    status_builder : StatusBuilder
+        Builds the status.
+    dump : callable
+        Gives the state of the process.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(
+        self,
+        settings: ControlSettings,
+        log: ConsensusTask,
+        state: ControlState,
+        table: MembershipTable,
+        status_builder: StatusBuilder,
+        dump: Callable[[], dict[str, Any]],
+        clock: Clock,
+    ) -> None:
+        self._settings = settings
+        self._log = log
+        self._state = state
+        self._table = table
+        self._status_builder = status_builder
+        self._dump = dump
+        self._clock = clock
+
+    def is_leader(self) -> bool:
+        """Return whether this control leads now."""
+        return self._log.is_leader
+
+    def leader_http_address(self) -> str:
+        """Return the leader's IP number and HTTP port; empty if unknown."""
+        for peer in self._settings.controls:
+            if peer.id == self._log.leader_id:
+                return peer.http_address
+        return ""
+
+    def read_configuration(self, deadline_s: float) -> ConfigurationSnapshot:
+        """Return what is in force, confirmed by a quorum."""
+        self._log.confirm_read(deadline_s)
+        return self._state.configuration.to_snapshot()
+
+    def is_accepted(self, number: int, digest: str) -> bool:
+        """Return whether this very text was accepted under this number."""
+        return self._state.configuration.is_accepted(number, digest)
+
+    def fabric_domain_hosts(self) -> Mapping[str, int]:
+        """Return the count of engine hosts known in each fabric domain."""
+        return Counter(
+            record.announcement.fabric_domain
+            for record in self._table.known_hosts()
+            if record.announcement is not None
+            and record.announcement.kind == KIND_ENGINE
+        )
+
+    def apply_text(self, command: ApplyText, deadline_s: float) -> ApplyTextResult:
+        """Commit a text that was checked."""
+        return self._propose(Command(apply_text=command), deadline_s).apply_text
+
+    def drain_host(self, request: DrainRequest, deadline_s: float) -> OperatorResult:
+        """Commit the mark that a host gets no new work, or its end."""
+        drain = DrainHost(host_id=request.host_id, draining=request.draining)
+        result = self._propose(Command(drain_host=drain), deadline_s).group
+        outcome = OUTCOME_DONE if result.outcome == OUTCOME_DONE else OUTCOME_REFUSED
+        return OperatorResult(outcome=outcome, reason=result.reason)
+
+    def change_voter(self, change: VoterChange, deadline_s: float) -> OperatorResult:
+        """Add or remove a voter; done again, it answers ``done`` again."""
+        try:
+            if change.action == ACTION_ADD:
+                self._add_voter(change.id, deadline_s)
+            else:
+                self._remove_voter(change.id, deadline_s)
+        except MembersChangeError as error:
+            return OperatorResult(outcome=OUTCOME_REFUSED, reason=error.message)
+        return OperatorResult(outcome=OUTCOME_DONE)
+
+    def status(self, deadline_s: float) -> Status:
+        """Return the view of the whole system; unconfirmed if this control trails."""
+        confirmed = self._is_confirmed(deadline_s)
+        return self._status_builder.build(self._clock.now_s(), confirmed)
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state of this process, without secrets."""
+        return self._dump()
+
+    def _propose(self, command: Command, deadline_s: float) -> CommandResult:
+        command.proposed_at_unix_ms = self._clock.unix_ms()
+        return self._log.propose(command, deadline_s)
+
+    def _is_confirmed(self, deadline_s: float) -> bool:
+        try:
+            self._log.confirm_read(deadline_s)
+        except ChestnutError:
+            return False
+        return True
+
+    def _add_voter(self, control_id: str, deadline_s: float) -> None:
+        if self._find_member(control_id, self._log.members.voters):
+            return
+        if not self._find_member(control_id, self._log.members.learners):
+            self._log.add_learner(control_id, deadline_s)
+        self._log.promote(control_id, deadline_s)
+
+    def _remove_voter(self, control_id: str, deadline_s: float) -> None:
+        members = self._log.members
+        known = [*members.voters, *members.learners]
+        if not self._find_member(control_id, known):
+            return
+        if control_id == self._settings.control_id and self._log.transfer_leadership():
+            raise NotLeaderError(self._log.leader_id, step="members")
+        self._log.remove(control_id, deadline_s)
+
+    @staticmethod
+    def _find_member(control_id: str, member_ids: list[str]) -> str:
+        for member_id in member_ids:
+            if control_id in (member_id, control_of(member_id)):
+                return member_id
+        return ""
--- a/chestnutvale/programs/entry/daemon.py
+++ b/chestnutvale/programs/entry/daemon.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import random
-from collections.abc import Callable
 from types import TracebackType
 from typing import Any, Self
 
@@ -56,9 +55,7 @@
         self.settings = settings
         self._clock = clock
         self._exits = contextlib.ExitStack()
-        self.incarnation = make_incarnation(
-            clock.unix_ms(), rng.getrandbits(SALT_BITS)
-        )
+        self.incarnation = make_incarnation(clock.unix_ms(), rng.getrandbits(SALT_BITS))
         self.transport = TransportNode(
             settings.cluster_id,
             settings.entry_id,
@@ -193,29 +190,3 @@
 
 def _is_alive() -> bool:
     return True
-
-
-def run_until_stopped(
-    settings: EntrySettings, clock: Clock, rng: random.Random, wait: Callable[[], None]
-) -> int:
-    """Run an entry until a stop is asked for.
-
-    Parameters
-    ----------
-    settings : EntrySettings
-        Checked settings.
-    clock : Clock
-        Source of time.
-    rng : random.Random
-        Source of random numbers.
-    wait : callable
-        Blocks until a stop is asked for.
-
-    Returns
-    -------
-    int
-        Calls that were cut.
-    """
-    with EntryDaemon(settings, clock, rng) as daemon:
-        wait()
-        return daemon.shut_down()
--- /dev/null
+++ b/chestnutvale/programs/entry/main.py
@@ -0,0 +1,48 @@
+"""Command line of ``chestnut-entry``."""
+
+import sys
+from pathlib import Path
+
+import defopt
+import eventlet
+
+
+def run(settings_file: Path, *, check_settings: bool = False) -> int:
+    """Run an entry until SIGTERM.
+
+    Parameters
+    ----------
+    settings_file : Path
+        JSON with comments; see docs/SETTINGS.md.
+    check_settings : bool
+        Only check the settings file.
+
+    Returns
+    -------
+    int
+        Exit code.
+    """
+    from chestnutvale.clock import SystemClock
+    from chestnutvale.programs.entry.daemon import EntryDaemon
+    from chestnutvale.programs.runner import log_dump, make_rng, run_program
+    from chestnutvale.programs.signals import SignalWatch
+    from chestnutvale.schema.settings_pb2 import EntrySettings
+    from chestnutvale.settings.entry import load_entry_settings
+    from chestnutvale.settings.token import load_operator_token
+
+    def serve(settings: EntrySettings) -> None:
+        load_operator_token(Path(settings.operator_token_file))
+        with EntryDaemon(settings, SystemClock(), make_rng()) as daemon:
+            watch = SignalWatch(lambda: log_dump(daemon.dump))
+            watch.setup()
+            watch.wait()
+            daemon.shut_down()
+
+    return run_program(settings_file, check_settings, load_entry_settings, serve)
+
+
+def main() -> None:
+    """Run the program with the arguments of the command line."""
+    # The libraries must use eventlet's sockets, so this precedes their import.
+    eventlet.monkey_patch()
+    sys.exit(defopt.run(run))
--- /dev/null
+++ b/chestnutvale/programs/runner.py
@@ -0,0 +1,79 @@
+"""The common start of both daemons: options, settings, logs, signals."""
+
+import json
+import random
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, TypeVar
+
+import logbook
+from google.protobuf.message import Message
+
+from chestnutvale.exceptions import ChestnutError
+from chestnutvale.observability.logs import make_log_handler
+
+_LOGGER = logbook.Logger(__name__)
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_INVALID = 2
+
+SettingsT = TypeVar("SettingsT", bound=Message)
+
+
+def run_program(
+    settings_file: Path,
+    check_settings: bool,
+    load: Callable[[Path], SettingsT],
+    serve: Callable[[SettingsT], None],
+) -> int:
+    """Load the settings, then serve until a signal asks for a stop.
+
+    Parameters
+    ----------
+    settings_file : Path
+        The settings file.
+    check_settings : bool
+        Only check the settings.
+    load : callable
+        Loads and checks the settings.
+    serve : callable
+        Runs the daemon; returns after a graceful shutdown.
+
+    Returns
+    -------
+    int
+        Exit code: 0, 1 if the daemon failed, 2 if the settings are wrong.
+    """
+    try:
+        settings = load(settings_file)
+    except ChestnutError as error:
+        print(error, file=sys.stderr)
+        return EXIT_INVALID
+    if check_settings:
+        print(f"{settings_file}: ok")
+        return EXIT_OK
+    with make_log_handler(settings.log).applicationbound():
+        try:
+            serve(settings)
+        except ChestnutError as error:
+            _LOGGER.error("Stopped: {}", error)
+            return EXIT_FAILED
+    return EXIT_OK
+
+
+def log_dump(dump: Callable[[], dict[str, Any]]) -> None:
+    """Write the state of the process to the log.
+
+    Parameters
+    ----------
+    dump : callable
+        Gives the state.
+    """
+    _LOGGER.info("State: {}", json.dumps(dump(), default=str))
+
+
+def make_rng() -> random.Random:
+    """Return a generator seeded by the operating system."""
+    return random.Random(random.SystemRandom().getrandbits(64))
