Run periodic rounds in one place and carry suspicions both ways

Cause: first runs as processes ended the reporting task and the replicated log on names that two packages spelled differently. Change: run_rounds logs a failed round and goes on; the replicated state calls the ledger and the groups by their names; suspicions ride on reports and views. Ruled out: ending the process at a failed round, since a bad input that comes again would then take every entry down in turn.

--- a/chestnutvale/programs/control/group_task.py
+++ b/chestnutvale/programs/control/group_task.py
@@ -18,6 +18,7 @@
 from chestnutvale.programs.control.measures import MeasureTracker
 from chestnutvale.programs.control.order_sender import OrderSender
 from chestnutvale.programs.control.state import ControlState
+from chestnutvale.programs.periodic import run_rounds
 
 _LOGGER = logbook.Logger(__name__)
 
@@ -66,14 +67,7 @@
 
     def run(self) -> None:
         """Decide for ever; ended by killing the task."""
-        while True:
-            try:
-                self._run_round()
-            except Exception:
-                # The next round starts from the state again, so one failure must not
-                # end all decisions about groups.
-                _LOGGER.exception("A round of decisions about groups failed")
-            eventlet.sleep(GROUP_ROUND_S)
+        run_rounds("the group decisions", self._run_round, GROUP_ROUND_S)
 
     def _run_round(self) -> None:
         now_s = self._clock.now_s()
--- a/chestnutvale/programs/control/ledger_task.py
+++ b/chestnutvale/programs/control/ledger_task.py
@@ -1,6 +1,5 @@
 """Housekeeping of the call ledger on the leading control."""
 
-import eventlet
 import logbook
 
 from chestnutvale.clock import Clock
@@ -14,6 +13,7 @@
 )
 from chestnutvale.programs.control.entry_desk import EntryDesk
 from chestnutvale.programs.control.state import ControlState
+from chestnutvale.programs.periodic import run_rounds
 from chestnutvale.schema.command_pb2 import Command
 from chestnutvale.schema.ledger_pb2 import AbandonClaims, ExpireClaims
 
@@ -47,18 +47,15 @@
 
     def run(self) -> None:
         """Keep house for ever; ended by killing the task."""
-        while True:
-            eventlet.sleep(HOUSEKEEPING_ROUND_S)
-            try:
-                self._run_round()
-            except (NotLeaderError, OutcomeUnknownError) as error:
-                _LOGGER.info("Housekeeping of the ledger waits: {}", error)
-            except Exception:
-                # The next round starts from the state again.
-                _LOGGER.exception("Housekeeping of the ledger failed")
+        run_rounds("the ledger's housekeeping", self._run_round, HOUSEKEEPING_ROUND_S)
 
     def _run_round(self) -> None:
-        now_s = self._clock.now_s()
+        try:
+            self._keep_house(self._clock.now_s())
+        except (NotLeaderError, OutcomeUnknownError) as error:
+            _LOGGER.info("Housekeeping of the ledger waits: {}", error)
+
+    def _keep_house(self, now_s: float) -> None:
         if not self._log.is_leader:
             self._led_from_s = float("inf")
             return
@@ -67,6 +64,8 @@
             self._propose(Command(abandon_claims=command))
         if now_s < self._expiry_due_s:
             return
+        if not self._state.ledger.needs_expiry(self._clock.unix_ms()):
+            return
         self._expiry_due_s = now_s + EXPIRY_ROUND_S
         self._propose(
             Command(expire_claims=ExpireClaims(now_unix_ms=self._clock.unix_ms()))
--- a/chestnutvale/programs/control/state.py
+++ b/chestnutvale/programs/control/state.py
@@ -50,7 +50,15 @@
             case "apply_text":
                 answer = self.configuration.apply_text(command.apply_text, at_unix_ms)
                 result.apply_text.CopyFrom(answer)
-            case "put_group" | "remove_group" | "drain_host":
+            case (
+                "put_group"
+                | "remove_group"
+                | "drain_host"
+                | "put_repair"
+                | "end_repair"
+                | "release_host"
+                | "free_host"
+            ):
                 apply = getattr(self.groups, body)
                 result.group.CopyFrom(apply(getattr(command, body), at_unix_ms))
             case (
@@ -60,7 +68,7 @@
                 | "abandon_claims"
                 | "expire_claims"
             ):
-                apply = getattr(self.ledger, body)
+                apply = getattr(self.ledger, f"apply_{body}")
                 result.claim.CopyFrom(apply(getattr(command, body), at_unix_ms))
         return result
 
--- a/chestnutvale/programs/entry/admission_gate.py
+++ b/chestnutvale/programs/entry/admission_gate.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Iterable
 
-import eventlet
 from eventlet.event import Event
 
 from chestnutvale.admission.controller import AdmissionController
@@ -14,6 +13,7 @@
 )
 from chestnutvale.clock import Clock
 from chestnutvale.programs.entry.context import AdmissionRefusal, CallRequest
+from chestnutvale.programs.periodic import run_rounds
 
 ADMISSION_TICK_S = 0.05
 # Bytes of English text that make a token, for the length of a prompt.
@@ -180,9 +180,7 @@
 
     def run(self) -> None:
         """Tick for ever; ended by killing the task."""
-        while True:
-            eventlet.sleep(ADMISSION_TICK_S)
-            self.settle_waiting()
+        run_rounds("admission", self.settle_waiting, ADMISSION_TICK_S)
 
     def settle_waiting(self) -> None:
         """Decide about waiting calls again, after time or capacity changed."""
--- a/chestnutvale/programs/entry/control_link.py
+++ b/chestnutvale/programs/entry/control_link.py
@@ -12,6 +12,7 @@
 from chestnutvale.membership.entry_view import EntryView, InstallVerdict
 from chestnutvale.membership.hearing import Hearing
 from chestnutvale.programs.entry.const import MIN_REPORT_INTERVAL_MS, REPORT_EXPIRY_MS
+from chestnutvale.programs.periodic import run_rounds
 from chestnutvale.schema.peer_pb2 import ControlView, EntryReport, Envelope
 from chestnutvale.schema.settings_pb2 import EntrySettings
 from chestnutvale.transport.node import TransportNode
@@ -86,14 +87,14 @@
 
     def run(self) -> None:
         """Report for ever; ended by killing the task."""
-        interval_s = self._settings.report_interval_ms / 1_000
-        while True:
-            self._send_report()
-            # News that come in a burst share one report.
-            eventlet.sleep(MIN_REPORT_INTERVAL_MS / 1_000)
-            with eventlet.Timeout(interval_s, False):
-                self._news.wait()
-            self._news = Event()
+        # News that come in a burst share one report.
+        run_rounds("reporting", self._run_round, MIN_REPORT_INTERVAL_MS / 1_000)
+
+    def _run_round(self) -> None:
+        with eventlet.Timeout(self._settings.report_interval_ms / 1_000, False):
+            self._news.wait()
+        self._news = Event()
+        self._send_report()
 
     def _send_report(self) -> None:
         nonce = self._rng.getrandbits(NONCE_BITS) + 1
@@ -106,7 +107,7 @@
             view_version=self._view.version,
             view_source=self._view.source,
             heard=self._hearing.drain_report(now_s),
-            suspicions=self._suspicions.drain_reports(),
+            suspicions=self._suspicions.reports(self._clock.unix_ms()),
             draining=self.draining,
             sent_at_ms=round(now_s * 1_000),
         )
@@ -136,5 +137,6 @@
         if verdict is InstallVerdict.GAP:
             self.hurry()
             return
+        self._suspicions.merge(list(view.suspicions), self._clock.unix_ms())
         for listener in self._listeners:
             listener(view, envelope.sender_id)
