--- /dev/null
+++ b/benchmarks/groups_driver.py
@@ -0,0 +1,429 @@
+"""Drives the real decisions about groups over fake hosts in simulated time."""
+
+import heapq
+import itertools
+from collections.abc import Callable
+from types import SimpleNamespace
+
+import attrs
+
+from benchmarks.groups_fakes import FakeHost, FakeWeightStore, HostStatus
+from chestnutvale.groups.coordinator import GroupCoordinator, ProposeCommand
+from chestnutvale.groups.cost import RepairChooser
+from chestnutvale.groups.orders import OrderBook, OrderOutcome, SendOrder
+from chestnutvale.groups.planner import GroupPlanner
+from chestnutvale.groups.settings import GroupsPolicy
+from chestnutvale.groups.state import GroupsState
+from chestnutvale.membership.entry_view import EntryView
+from chestnutvale.membership.hearing import Hearing
+from chestnutvale.membership.table import MembershipTable
+from chestnutvale.membership.views import ViewPublisher
+from chestnutvale.schema.command_pb2 import Command
+from chestnutvale.schema.configuration_pb2 import Text
+from chestnutvale.schema.peer_pb2 import ControlView, EntryReport
+
+ANNOUNCE_INTERVAL_S = 1.0
+REPORT_INTERVAL_S = 0.5
+UNIX_MS_AT_START = 1_700_000_000_000
+
+
+@attrs.define
+class SimulatedEntry:
+    """An entry: what it hears and what it may serve."""
+
+    name: str
+    hearing: Hearing
+    view: EntryView
+    is_running: bool = True
+
+
+@attrs.define
+class SimulatedControl:
+    """A control with its own copy of the replicated state."""
+
+    name: str
+    table: MembershipTable
+    publisher: ViewPublisher
+    coordinator: GroupCoordinator
+    state: GroupsState = attrs.field(factory=GroupsState)
+    applied: int = 0
+    term: int = 0
+    is_leader: bool = False
+    is_running: bool = True
+    lease_until_s: float = float("-inf")
+
+
+@attrs.define
+class SimulatedNetwork:
+    """Loses, delays and doubles messages between processes.
+
+    Parameters
+    ----------
+    random : Random
+        Seeded source.
+    """
+
+    random: object
+    loss: float = 0.0
+    duplication: float = 0.0
+    max_delay_s: float = 0.0
+    cuts: set[tuple[str, str]] = attrs.field(factory=set)
+    _queue: list[tuple[float, int, Callable[[], None]]] = attrs.field(factory=list)
+    _counter: itertools.count = attrs.field(factory=itertools.count)
+
+    def is_cut(self, source: str, target: str) -> bool:
+        """Tell whether nothing gets from one process to another."""
+        return (source, target) in self.cuts
+
+    def send(
+        self, source: str, target: str, now_s: float, deliver: Callable[[], None]
+    ) -> None:
+        """Send a message; it may arrive late, twice or never."""
+        if self.is_cut(source, target) or self.random.random() < self.loss:
+            return
+        copies = 2 if self.random.random() < self.duplication else 1
+        for _ in range(copies):
+            due_s = now_s + self.random.random() * self.max_delay_s
+            heapq.heappush(self._queue, (due_s, next(self._counter), deliver))
+
+    def deliver_due(self, now_s: float) -> None:
+        """Deliver all that is due."""
+        while self._queue and self._queue[0][0] <= now_s:
+            heapq.heappop(self._queue)[2]()
+
+
+@attrs.define
+class GroupsWorld:
+    """Hosts, entries and controls under one clock.
+
+    Parameters
+    ----------
+    random : Random
+        Seeded source of the network and of the balancer.
+    text : Text
+        The text in force.
+    hosts : dict of str to FakeHost
+        All hosts.
+    policy : GroupsPolicy
+        Weights and times.
+    store : FakeWeightStore
+        Where hosts load from.
+    load_s : float
+        Time in seconds to load a share of the weights at full rate.
+    chooser : RepairChooser, optional
+        Repair policy; the cost function by default.
+    entry_count, control_count : int
+        Number of entries and of controls.
+    tick_s : float
+        Time step in seconds.
+    make_orders : callable
+        Makes the order book; tests switch mechanisms off with it.
+    make_state : callable
+        Makes the replicated state of a control.
+    """
+
+    random: object
+    text: Text
+    hosts: dict[str, FakeHost]
+    policy: GroupsPolicy = attrs.field(factory=GroupsPolicy)
+    store: FakeWeightStore = attrs.field(factory=lambda: FakeWeightStore(16))
+    load_s: float = 20.0
+    chooser: RepairChooser | None = None
+    entry_count: int = 3
+    control_count: int = 1
+    tick_s: float = 0.5
+    make_orders: Callable[[GroupsPolicy], OrderBook] = OrderBook
+    make_state: Callable[[], GroupsState] = GroupsState
+    make_view: Callable[[float], EntryView] = EntryView
+    now_s: float = 0.0
+    has_quorum: bool = True
+    conflicts: int = 0
+    log: list[Command] = attrs.field(factory=list)
+    entries: dict[str, SimulatedEntry] = attrs.field(init=False)
+    controls: dict[str, SimulatedControl] = attrs.field(init=False)
+    network: SimulatedNetwork = attrs.field(init=False)
+    _elected: str = ""
+    _nonce: itertools.count = attrs.field(factory=lambda: itertools.count(1))
+
+    def __attrs_post_init__(self) -> None:
+        """Make entries and controls and let the first control lead."""
+        self.network = SimulatedNetwork(self.random)
+        self.entries = {
+            name: SimulatedEntry(
+                name,
+                Hearing(self.policy.detection_timeout_s),
+                self.make_view(self.policy.serving_lease_s),
+            )
+            for name in (f"e{index}" for index in range(self.entry_count))
+        }
+        self.controls = {
+            name: self._make_control(name)
+            for name in (f"c{index}" for index in range(self.control_count))
+        }
+        self.elect("c0")
+
+    @property
+    def leader(self) -> SimulatedControl:
+        """The control that the voters elected last."""
+        return self.controls[self._elected]
+
+    @property
+    def state(self) -> GroupsState:
+        """State of the elected leader."""
+        return self.leader.state
+
+    def elect(self, name: str) -> None:
+        """Make a control the leader of the next term; the old one isn't told."""
+        term = max(control.term for control in self.controls.values()) + 1
+        control = self.controls[name]
+        self._elected = name
+        control.term = term
+        control.is_leader = True
+        self._apply_log(control)
+        control.coordinator.became_leader(self.now_s)
+
+    def submit(self, field: str, message: object) -> None:
+        """Commit a command of an operator."""
+        command = Command(proposed_at_unix_ms=self._unix_ms())
+        getattr(command, field).CopyFrom(message)
+        self.log.append(command)
+
+    def run_until(self, end_s: float, each: Callable[[], None] | None = None) -> None:
+        """Step until a time; call a function after each step."""
+        while self.now_s < end_s:
+            self.step()
+            if each is not None:
+                each()
+
+    def step(self) -> None:
+        """Advance by one tick."""
+        self.now_s += self.tick_s
+        self._work()
+        self._announce()
+        for entry in self.entries.values():
+            if entry.is_running and self._is_due(REPORT_INTERVAL_S, entry.name):
+                self._report(entry)
+        self.network.deliver_due(self.now_s)
+        for control in self.controls.values():
+            if control.is_running:
+                self._run_control(control)
+        self.network.deliver_due(self.now_s)
+
+    def serving_at(self, entry: SimulatedEntry) -> list:
+        """Return the groups that an entry would give new work to."""
+        return [
+            view
+            for name in self.text.services
+            for view in entry.view.serving_groups(name, self.now_s)
+        ]
+
+    def _make_control(self, name: str) -> SimulatedControl:
+        planner = GroupPlanner(self.policy)
+        if self.chooser is not None:
+            planner.chooser = self.chooser
+        return SimulatedControl(
+            name=name,
+            table=MembershipTable(self.policy.detection_timeout_s),
+            publisher=ViewPublisher(f"life-{name}"),
+            coordinator=GroupCoordinator(planner, self.make_orders(self.policy)),
+            state=self.make_state(),
+        )
+
+    def _unix_ms(self) -> int:
+        return UNIX_MS_AT_START + round(self.now_s * 1_000)
+
+    def _is_due(self, interval_s: float, name: str) -> bool:
+        ticks = max(1, round(interval_s / self.tick_s))
+        offset = sum(name.encode())
+        return (round(self.now_s / self.tick_s) + offset) % ticks == 0
+
+    def _work(self) -> None:
+        loading = [
+            host
+            for host in self.hosts.values()
+            if host.is_running
+            and host.holding is not None
+            and host.holding.phase == "loading"
+        ]
+        share = self.store.share(len(loading))
+        for host in loading:
+            host.work(share, self.tick_s)
+
+    def _announce(self) -> None:
+        names = [entry.name for entry in self.entries.values() if entry.is_running]
+        for host in self.hosts.values():
+            if not host.is_running or not names:
+                continue
+            if not self._is_due(ANNOUNCE_INTERVAL_S, host.host_id):
+                continue
+            reachable = [
+                name for name in names if not self.network.is_cut(host.host_id, name)
+            ]
+            if not reachable or self.random.random() < self.network.loss:
+                continue
+            said = host.announce(self.now_s)
+            entry = self.entries[self.random.choice(reachable)]
+            accepted = entry.hearing.announce(said, self.now_s)
+            if accepted.urgent:
+                self._report(entry)
+
+    def _report(self, entry: SimulatedEntry) -> None:
+        nonce = next(self._nonce)
+        report = EntryReport(
+            reply_address=entry.name,
+            nonce=nonce,
+            configuration_number=entry.view.number,
+            view_version=entry.view.version,
+            view_source=entry.view.source,
+            heard=entry.hearing.drain_report(self.now_s),
+            sent_at_ms=round(self.now_s * 1_000),
+        )
+        entry.view.report_sent(nonce, self.now_s)
+        for control in self.controls.values():
+            self.network.send(
+                entry.name,
+                control.name,
+                self.now_s,
+                lambda control=control: self._take_report(control, entry, report),
+            )
+
+    def _take_report(
+        self, control: SimulatedControl, entry: SimulatedEntry, report: EntryReport
+    ) -> None:
+        if not control.is_running:
+            return
+        control.table.merge(entry.name, report.heard, self.now_s, report.sent_at_ms)
+        if not self._has_lease(control):
+            return
+        control.publisher.refresh(control.state, control.table, self.now_s)
+        source = SimpleNamespace(text=self.text)
+        view = control.publisher.answer(
+            entry.name, report, source, control.table, control.term, self.now_s
+        )
+        self._send_view(control, entry, view)
+
+    def _send_view(
+        self, control: SimulatedControl, entry: SimulatedEntry, view: ControlView
+    ) -> None:
+        def deliver() -> None:
+            if entry.is_running:
+                entry.view.install(view, self.now_s)
+                entry.hearing.mark_wanted(view.want_hosts)
+
+        self.network.send(control.name, entry.name, self.now_s, deliver)
+
+    def _has_lease(self, control: SimulatedControl) -> bool:
+        return control.is_leader and self.now_s < control.lease_until_s
+
+    def _run_control(self, control: SimulatedControl) -> None:
+        is_elected = control is self.leader
+        if is_elected and self.has_quorum:
+            control.lease_until_s = self.now_s + self.policy.leader_lease_s
+            self._apply_log(control)
+        if control.is_leader:
+            self._tick(control)
+        if control.is_leader and not is_elected:
+            control.is_leader = False
+            control.coordinator.lost_leadership()
+
+    def _tick(self, control: SimulatedControl) -> None:
+        effects = control.coordinator.tick(
+            self.now_s,
+            control.state,
+            control.table,
+            self.text,
+            self._has_lease(control),
+            self._unix_ms(),
+        )
+        for effect in effects:
+            if isinstance(effect, SendOrder):
+                self._send_order(control, effect)
+            elif isinstance(effect, ProposeCommand):
+                self._propose(control, effect.command)
+        if self._has_lease(control):
+            self._push(control)
+
+    def _push(self, control: SimulatedControl) -> None:
+        if not control.publisher.refresh(control.state, control.table, self.now_s):
+            return
+        source = SimpleNamespace(text=self.text)
+        pushes = control.publisher.pushes(
+            source, control.table, control.term, self.now_s
+        )
+        for push in pushes:
+            self._send_view(control, self.entries[push.entry_id], push.view)
+
+    def _propose(self, control: SimulatedControl, command: Command) -> None:
+        if control is self.leader and self.has_quorum:
+            self.log.append(command)
+            self._apply_log(control)
+
+    def _apply_log(self, control: SimulatedControl) -> None:
+        while control.applied < len(self.log):
+            command = self.log[control.applied]
+            field = command.WhichOneof("body")
+            apply = getattr(control.state, field)
+            result = apply(getattr(command, field), command.proposed_at_unix_ms)
+            self.conflicts += result.outcome != "done"
+            control.applied += 1
+
+    def _send_order(self, control: SimulatedControl, effect: SendOrder) -> None:
+        host = self.hosts[effect.host_id]
+        order = effect.order
+
+        def answer(outcome: OrderOutcome) -> None:
+            if control.is_running:
+                control.coordinator.order_answered(
+                    host.host_id, order.order_id, outcome, self.now_s
+                )
+
+        def deliver() -> None:
+            outcome = host.receive(order, self.load_s)
+            self.network.send(
+                host.host_id, control.name, self.now_s, lambda: answer(outcome)
+            )
+
+        self.network.send(control.name, host.host_id, self.now_s, deliver)
+
+
+def make_hosts(
+    domains: int, hosts_per_domain: int, data_centres: int = 3, fencing: bool = True
+) -> dict[str, FakeHost]:
+    """Make hosts spread evenly over fabric domains and data centres.
+
+    Parameters
+    ----------
+    domains : int
+        Number of fabric domains.
+    hosts_per_domain : int
+        Hosts in each.
+    data_centres : int
+        Number of data centres.
+    fencing : bool
+        Whether the hosts check fencing numbers.
+
+    Returns
+    -------
+    dict of str to FakeHost
+        The hosts by identity.
+    """
+    hosts = {}
+    for domain in range(domains):
+        for index in range(hosts_per_domain):
+            host_id = f"h{domain:03d}-{index:03d}"
+            centre = f"dc{domain % data_centres}"
+            hosts[host_id] = FakeHost(host_id, f"f{domain:03d}", centre, fencing)
+    return hosts
+
+
+def stop_host(host: FakeHost, status: HostStatus) -> None:
+    """Pause or kill a host.
+
+    Parameters
+    ----------
+    host : FakeHost
+        The host.
+    status : HostStatus
+        What it becomes.
+    """
+    host.status = status
--- /dev/null
+++ b/benchmarks/groups_fakes.py
@@ -0,0 +1,207 @@
+"""Fake hosts and a rate-limited weight store in simulated time."""
+
+import enum
+
+import attrs
+
+from chestnutvale.groups.const import ORDER_ASSIGN
+from chestnutvale.groups.orders import OrderOutcome
+from chestnutvale.schema.groups_pb2 import Order
+from chestnutvale.schema.membership_pb2 import Announcement, Holding, Load
+
+
+class HostStatus(enum.Enum):
+    """Whether a fake host runs."""
+
+    RUNNING = "running"
+    PAUSED = "paused"
+    DEAD = "dead"
+
+
+@attrs.define
+class FakeHost:
+    """An engine that announces itself, loads weights and takes orders.
+
+    Parameters
+    ----------
+    host_id : str
+        Identity of the host.
+    fabric_domain, data_centre : str
+        Where it is.
+    fencing : bool
+        Whether it refuses orders with an old fencing number.
+    """
+
+    host_id: str
+    fabric_domain: str
+    data_centre: str
+    fencing: bool = True
+    status: HostStatus = HostStatus.RUNNING
+    boot: int = 1
+    sequence: int = 0
+    fence: int = 0
+    holding: Holding | None = None
+    load_left_s: float = 0.0
+    leaving: bool = False
+    running: int = 0
+    announced_at_s: float = float("-inf")
+    acted_fences: list[int] = attrs.field(factory=list)
+    late_orders: list[Order] = attrs.field(factory=list)
+
+    @property
+    def boot_id(self) -> str:
+        """Boot of the host."""
+        return f"{self.host_id}.{self.boot}"
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the host does anything now."""
+        return self.status is HostStatus.RUNNING
+
+    def announce(self, now_s: float) -> Announcement:
+        """Return the next announcement.
+
+        Parameters
+        ----------
+        now_s : float
+            Simulated time.
+
+        Returns
+        -------
+        Announcement
+            What the host says of itself.
+        """
+        self.sequence += 1
+        self.announced_at_s = now_s
+        return Announcement(
+            host_id=self.host_id,
+            boot_id=self.boot_id,
+            sequence=self.sequence,
+            address="10.0.0.1:8000",
+            data_centre=self.data_centre,
+            fabric_domain=self.fabric_domain,
+            kind="engine",
+            fencing=self.fencing,
+            fence=self.fence if self.fencing else 0,
+            leaving=self.leaving,
+            holding=self.holding,
+            load=Load(running=self.running),
+        )
+
+    def receive(self, order: Order, load_s: float) -> OrderOutcome:
+        """Take an order; a paused host carries it out when it wakes.
+
+        Parameters
+        ----------
+        order : Order
+            The order.
+        load_s : float
+            Time in seconds to load a share of the weights at full rate.
+
+        Returns
+        -------
+        OrderOutcome
+            The answer as the sender sees it.
+        """
+        if self.status is HostStatus.PAUSED:
+            self.late_orders.append(order)
+        if not self.is_running:
+            return OrderOutcome.UNREACHABLE
+        if self.fencing and order.fence < self.fence:
+            return OrderOutcome.STALE_FENCE
+        self._carry_out(order, load_s)
+        return OrderOutcome.ACCEPTED
+
+    def work(self, share: float, dt_s: float) -> None:
+        """Go on loading.
+
+        Parameters
+        ----------
+        share : float
+            Share of the full load rate that the weight store gives.
+        dt_s : float
+            Time step in seconds.
+        """
+        if self.holding is None or self.holding.phase != "loading":
+            return
+        self.load_left_s -= dt_s * share
+        if self.load_left_s <= 1e-9:
+            self.holding.phase = "ready"
+
+    def restart(self) -> None:
+        """Come back with another boot and empty memory."""
+        self.boot += 1
+        self.sequence = 0
+        self.fence = 0
+        self.holding = None
+        self.running = 0
+        self.late_orders.clear()
+        self.status = HostStatus.RUNNING
+
+    def wake(self, load_s: float) -> None:
+        """Go on after a pause, with the orders that came meanwhile.
+
+        Parameters
+        ----------
+        load_s : float
+            Time in seconds to load a share of the weights at full rate.
+        """
+        self.status = HostStatus.RUNNING
+        late, self.late_orders = self.late_orders, []
+        for order in late:
+            self.receive(order, load_s)
+
+    def _carry_out(self, order: Order, load_s: float) -> None:
+        self.acted_fences.append(order.fence)
+        self.fence = max(self.fence, order.fence)
+        if order.kind != ORDER_ASSIGN:
+            self.holding = None
+            return
+        before = self.holding
+        holding = Holding(
+            group_id=order.group_id,
+            epoch=order.epoch,
+            fence=order.fence,
+            rank=order.rank,
+            service=order.service,
+            version=order.version,
+            adapters=order.adapters,
+            phase="loading",
+        )
+        if before is None or _share_of(before) != _share_of(holding):
+            self.load_left_s = load_s
+        elif before.phase == "ready":
+            holding.phase = "ready"
+        self.holding = holding
+
+
+@attrs.define
+class FakeWeightStore:
+    """Shares a fixed rate among all hosts that load.
+
+    Parameters
+    ----------
+    full_rate_hosts : int
+        Hosts that can load at their full rate at once.
+    """
+
+    full_rate_hosts: int
+
+    def share(self, loading: int) -> float:
+        """Return the share of its full rate that each host gets.
+
+        Parameters
+        ----------
+        loading : int
+            Hosts that load now.
+
+        Returns
+        -------
+        float
+            Between 0 and 1.
+        """
+        return min(1.0, self.full_rate_hosts / max(1, loading))
+
+
+def _share_of(holding: Holding) -> tuple[str, str, int]:
+    return (holding.service, holding.version, holding.rank)
--- /dev/null
+++ b/chestnutvale/groups/breakage.py
@@ -0,0 +1,264 @@
+"""Which groups lack which members, and since when."""
+
+import enum
+from collections import Counter, deque
+
+import attrs
+
+from chestnutvale.groups.const import (
+    DARK_MIN_HOSTS,
+    DARK_SHARE,
+    LOAD_TIMEOUT_S,
+    MIN_LIVE_ENTRY_SHARE,
+    ORDER_UNREACHABLE_S,
+    PHASE_FORMING,
+    UNSTEADY_LOSSES,
+    UNSTEADY_WINDOW_S,
+)
+from chestnutvale.groups.serving import holds_epoch
+from chestnutvale.groups.state import GroupsState
+from chestnutvale.membership.const import HOLDING_READY
+from chestnutvale.membership.table import MembershipTable
+from chestnutvale.schema.groups_pb2 import Group, GroupMember
+
+
+class LossCause(enum.Enum):
+    """Why a member is no use to its group."""
+
+    MISSING = "missing"
+    LEAVING = "leaving"
+    # Alive, but it never took its order or never finished loading.
+    STUCK = "stuck"
+
+
+@attrs.frozen
+class LostMember:
+    """A member that its group lacks.
+
+    Attributes
+    ----------
+    member : GroupMember
+        The member.
+    cause : LossCause
+        Why it is lacking.
+    away_s : float
+        Time in seconds for which it has been lacking.
+    """
+
+    member: GroupMember
+    cause: LossCause
+    away_s: float
+
+
+@attrs.frozen
+class BrokenGroup:
+    """A group that can't serve for lack of members.
+
+    Attributes
+    ----------
+    group : Group
+        The group.
+    lost : tuple of LostMember
+        Members that it lacks.
+    is_dark : bool
+        Whether most of its fabric domain is missing.
+    """
+
+    group: Group
+    lost: tuple[LostMember, ...]
+    is_dark: bool
+
+    @property
+    def healthy_count(self) -> int:
+        """Members that are alive and of no use meanwhile."""
+        return len(self.group.members) - len(self.lost)
+
+    @property
+    def has_leaving(self) -> bool:
+        """Whether a member was asked to go or asked to."""
+        return any(item.cause is LossCause.LEAVING for item in self.lost)
+
+
+@attrs.define
+class BreakageWatch:
+    """Finds broken groups; remembers what only time can tell.
+
+    Parameters
+    ----------
+    unreachable_s : float
+        Time in seconds after which a living member without its order is stuck.
+    load_timeout_s : float
+        Time in seconds after which a member that still loads is stuck.
+    """
+
+    unreachable_s: float = ORDER_UNREACHABLE_S
+    load_timeout_s: float = LOAD_TIMEOUT_S
+    _watch_from_s: float = 0.0
+    _not_ready_from_s: dict[tuple[str, int], float] = attrs.field(factory=dict)
+    _losses_s: dict[str, deque[float]] = attrs.field(factory=dict)
+    _lost_hosts: set[str] = attrs.field(factory=set)
+
+    def reset(self, now_s: float) -> None:
+        """Forget what was seen under an earlier leadership.
+
+        Parameters
+        ----------
+        now_s : float
+            Monotonic time.
+        """
+        self._watch_from_s = now_s
+        self._not_ready_from_s.clear()
+        self._losses_s.clear()
+        self._lost_hosts.clear()
+
+    def find_broken(
+        self, state: GroupsState, table: MembershipTable, now_s: float
+    ) -> list[BrokenGroup]:
+        """Find the groups that lack members.
+
+        Parameters
+        ----------
+        state : GroupsState
+            The replicated groups.
+        table : MembershipTable
+            What is known of hosts.
+        now_s : float
+            Monotonic time.
+
+        Returns
+        -------
+        list of BrokenGroup
+            None if so few entries report that silence says nothing of hosts.
+        """
+        if is_blind(table, now_s):
+            return []
+        lost_of = {
+            group.group_id: self._find_lost(group, state, table, now_s)
+            for group in state.groups.values()
+            if not group.plain
+        }
+        self._note_losses(lost_of, now_s)
+        self._forget_done(state)
+        dark = _find_dark_domains(state, lost_of)
+        return [
+            BrokenGroup(group, lost, group.fabric_domain in dark)
+            for group in state.groups.values()
+            if (lost := lost_of.get(group.group_id))
+        ]
+
+    def is_unsteady(self, host_id: str, now_s: float) -> bool:
+        """Tell whether a host was lost so often that others are better.
+
+        Parameters
+        ----------
+        host_id : str
+            The host.
+        now_s : float
+            Monotonic time.
+
+        Returns
+        -------
+        bool
+            Whether it was lost several times within the window.
+        """
+        losses = self._losses_s.get(host_id, ())
+        recent = [at_s for at_s in losses if now_s - at_s <= UNSTEADY_WINDOW_S]
+        return len(recent) >= UNSTEADY_LOSSES
+
+    def _find_lost(
+        self,
+        group: Group,
+        state: GroupsState,
+        table: MembershipTable,
+        now_s: float,
+    ) -> tuple[LostMember, ...]:
+        found = (
+            self._judge(group, member, state, table, now_s) for member in group.members
+        )
+        return tuple(lost for lost in found if lost is not None)
+
+    def _judge(
+        self,
+        group: Group,
+        member: GroupMember,
+        state: GroupsState,
+        table: MembershipTable,
+        now_s: float,
+    ) -> LostMember | None:
+        record = table.host(member.host_id)
+        is_drained = member.host_id in state.draining_hosts
+        if record is None:
+            cause = LossCause.LEAVING if is_drained else LossCause.MISSING
+            return LostMember(member, cause, now_s - self._watch_from_s)
+        away_s = now_s - record.heard_at_s
+        announcement = record.announcement
+        if is_drained or (announcement is not None and announcement.leaving):
+            return LostMember(member, LossCause.LEAVING, away_s)
+        if away_s > table.detection_timeout_s:
+            return LostMember(member, LossCause.MISSING, away_s)
+        if group.phase != PHASE_FORMING or record.boot_id != member.boot_id:
+            return None
+        key = (member.host_id, group.epoch)
+        if holds_epoch(record, group, HOLDING_READY):
+            self._not_ready_from_s.pop(key, None)
+            return None
+        waited_s = now_s - self._not_ready_from_s.setdefault(key, now_s)
+        has_order = holds_epoch(record, group)
+        limit_s = self.load_timeout_s if has_order else self.unreachable_s
+        if waited_s <= limit_s:
+            return None
+        return LostMember(member, LossCause.STUCK, waited_s)
+
+    def _note_losses(
+        self, lost_of: dict[str, tuple[LostMember, ...]], now_s: float
+    ) -> None:
+        lost = {item.member.host_id for items in lost_of.values() for item in items}
+        for host_id in lost - self._lost_hosts:
+            losses = self._losses_s.setdefault(host_id, deque(maxlen=UNSTEADY_LOSSES))
+            losses.append(now_s)
+        self._lost_hosts = lost
+
+    def _forget_done(self, state: GroupsState) -> None:
+        epochs = {group.epoch for group in state.groups.values()}
+        self._not_ready_from_s = {
+            key: since_s
+            for key, since_s in self._not_ready_from_s.items()
+            if key[1] in epochs
+        }
+
+
+def is_blind(table: MembershipTable, now_s: float) -> bool:
+    """Tell whether too few entries report to judge hosts by their silence.
+
+    Parameters
+    ----------
+    table : MembershipTable
+        What is known of entries.
+    now_s : float
+        Monotonic time.
+
+    Returns
+    -------
+    bool
+        Whether the silence may well be that of the entries.
+    """
+    known = len(table.known_entries())
+    return len(table.live_entries(now_s)) < max(1, MIN_LIVE_ENTRY_SHARE * known)
+
+
+def _find_dark_domains(
+    state: GroupsState, lost_of: dict[str, tuple[LostMember, ...]]
+) -> set[str]:
+    owned = Counter()
+    missing = Counter()
+    for group in state.groups.values():
+        lost = lost_of.get(group.group_id, ())
+        owned[group.fabric_domain] += len(group.members)
+        missing[group.fabric_domain] += sum(
+            item.cause is LossCause.MISSING for item in lost
+        )
+    return {
+        domain
+        for domain, count in missing.items()
+        if count >= max(DARK_MIN_HOSTS, DARK_SHARE * owned[domain])
+    }
--- /dev/null
+++ b/chestnutvale/groups/budget.py
@@ -0,0 +1,109 @@
+"""The budget of weight loads, which all groups share."""
+
+import attrs
+
+from chestnutvale.groups.const import PHASE_FORMING
+from chestnutvale.groups.serving import holds_epoch
+from chestnutvale.groups.settings import GroupsPolicy
+from chestnutvale.groups.state import GroupsState
+from chestnutvale.membership.const import HOLDING_LOADING, HOLDING_READY
+from chestnutvale.membership.table import HostRecord, MembershipTable
+from chestnutvale.schema.groups_pb2 import Group
+
+
+def has_weights(record: HostRecord, group: Group, rank: int) -> bool:
+    """Tell whether a host holds the share of the weights that a rank needs.
+
+    Parameters
+    ----------
+    record : HostRecord
+        What is known of the host.
+    group : Group
+        The group.
+    rank : int
+        The rank in the group.
+
+    Returns
+    -------
+    bool
+        Whether it announces that it is ready with that share.
+    """
+    announcement = record.announcement
+    if announcement is None or not announcement.HasField("holding"):
+        return False
+    holding = announcement.holding
+    if holding.phase != HOLDING_READY or holding.service != group.service:
+        return False
+    return (holding.rank, holding.version) == (rank, group.version)
+
+
+@attrs.define
+class LoadBudget:
+    """Counts the hosts that load weights and orders the groups that wait.
+
+    Parameters
+    ----------
+    policy : GroupsPolicy
+        Weights and times.
+    state : GroupsState
+        The replicated groups.
+    table : MembershipTable
+        What is known of hosts.
+    """
+
+    policy: GroupsPolicy
+    state: GroupsState
+    table: MembershipTable
+    _left: int = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Count the loads under way."""
+        loading = sum(
+            self._is_loading(group, member.host_id)
+            for group in self.state.groups.values()
+            if group.phase == PHASE_FORMING
+            for member in group.members
+        )
+        self._left = self.policy.max_loading_hosts - loading
+
+    def take(self) -> bool:
+        """Take the right to load on one more host.
+
+        Returns
+        -------
+        bool
+            Whether the budget allows it.
+        """
+        if self._left <= 0:
+            return False
+        self._left -= 1
+        return True
+
+    def most_valuable_first(self) -> list[Group]:
+        """Return the groups in the order in which their loads are worth most.
+
+        Returns
+        -------
+        list of Group
+            Highest cost that is ended for each host that loads, first.
+        """
+        return sorted(
+            self.state.groups.values(),
+            key=lambda group: (-self._value(group), group.group_id),
+        )
+
+    def _value(self, group: Group) -> float:
+        if group.phase != PHASE_FORMING:
+            return float("inf")
+        value = self.policy.group_downtime_weight
+        value += self.policy.stranded_hosts_weight * len(group.members)
+        to_load = sum(
+            record is None or not has_weights(record, group, member.rank)
+            for member in group.members
+            for record in (self.table.host(member.host_id),)
+        )
+        return value / max(1, to_load)
+
+    def _is_loading(self, group: Group, host_id: str) -> bool:
+        record = self.table.host(host_id)
+        return record is not None and holds_epoch(record, group, HOLDING_LOADING)
--- a/chestnutvale/groups/const.py
+++ b/chestnutvale/groups/const.py
@@ -36,5 +36,24 @@
 # Time after which the record of a host that never came back is dropped.
 RELEASE_RETENTION_MS: Final = 86_400_000
 
+# Time in seconds after which a living member that never took its order, or never
+# finished loading, is replaced.
+ORDER_UNREACHABLE_S: Final = 30.0
+LOAD_TIMEOUT_S: Final = 600.0
+# Time after which a plain host that went silent is dropped.
+PLAIN_FORGET_S: Final = 60.0
+
+# A domain is dark if at least this many of its owned hosts, and this share of
+# them, are missing.
+DARK_MIN_HOSTS: Final = 3
+DARK_SHARE: Final = 0.75
+# Share of the known entries that must report before hosts are judged missing.
+MIN_LIVE_ENTRY_SHARE: Final = 0.5
+# Losses of a host within the window that make it unsteady.
+UNSTEADY_LOSSES: Final = 3
+UNSTEADY_WINDOW_S: Final = 900.0
+# Time in seconds that a change of members costs when no weights are loaded.
+REFORM_S: Final = 2.0
+
 # Commands proposed in one round; the rest follows in the next.
 MAX_COMMANDS_PER_ROUND: Final = 32
--- /dev/null
+++ b/chestnutvale/groups/draining.py
@@ -0,0 +1,119 @@
+"""When nothing runs any more on a group that gets no new work."""
+
+import attrs
+
+from chestnutvale.groups.serving import find_serving_fault, group_head
+from chestnutvale.groups.settings import GroupsPolicy
+from chestnutvale.groups.state import GroupsState
+from chestnutvale.membership.table import HostRecord, MembershipTable
+from chestnutvale.schema.groups_pb2 import Group
+
+
+@attrs.define
+class IdleWatch:
+    """Remembers since when each group has had no serving right.
+
+    A group is idle once every entry's lease on its serving right has run out and its
+    head then reported that nothing runs or waits, or once the drain timeout passed.
+
+    Parameters
+    ----------
+    policy : GroupsPolicy
+        Weights and times.
+    """
+
+    policy: GroupsPolicy
+    _stopped_at_s: dict[str, float] = attrs.field(factory=dict)
+
+    def reset(self) -> None:
+        """Forget what was seen under an earlier leadership."""
+        self._stopped_at_s.clear()
+
+    def observe(self, state: GroupsState, table: MembershipTable, now_s: float) -> None:
+        """Note which groups serve.
+
+        Parameters
+        ----------
+        state : GroupsState
+            The replicated groups.
+        table : MembershipTable
+            What is known of hosts.
+        now_s : float
+            Monotonic time.
+        """
+        stopped = {}
+        for group in state.groups.values():
+            if find_serving_fault(group, table, now_s, state.draining_hosts):
+                group_id = group.group_id
+                stopped[group_id] = self._stopped_at_s.get(group_id, now_s)
+        self._stopped_at_s = stopped
+
+    def is_serving(self, group: Group) -> bool:
+        """Tell whether a group served when last observed.
+
+        Parameters
+        ----------
+        group : Group
+            The group.
+
+        Returns
+        -------
+        bool
+            Whether it had the serving right.
+        """
+        return group.group_id not in self._stopped_at_s
+
+    def stopped_at_s(self, group_id: str) -> float | None:
+        """Return since when a group has had no serving right.
+
+        Parameters
+        ----------
+        group_id : str
+            The group.
+
+        Returns
+        -------
+        float or None
+            Monotonic time; None while it serves.
+        """
+        return self._stopped_at_s.get(group_id)
+
+    def is_idle(self, group: Group, table: MembershipTable, now_s: float) -> bool:
+        """Tell whether nothing runs on a group.
+
+        Parameters
+        ----------
+        group : Group
+            The group.
+        table : MembershipTable
+            What is known of hosts.
+        now_s : float
+            Monotonic time.
+
+        Returns
+        -------
+        bool
+            Whether its members may be told to let go.
+        """
+        stopped_at_s = self._stopped_at_s.get(group.group_id)
+        if stopped_at_s is None:
+            return False
+        quiet_from_s = stopped_at_s + self.policy.serving_lease_s
+        if now_s <= quiet_from_s:
+            return False
+        if now_s > stopped_at_s + self.policy.drain_timeout_s:
+            return True
+        head = table.host(group_head(group).host_id)
+        if head is None or not table.is_fresh(head.host_id, now_s):
+            return True
+        if not group.plain and not _holds_group(head, group):
+            return True
+        if head.load is None or head.heard_at_s <= quiet_from_s:
+            return False
+        return head.load.running == 0 and head.load.waiting == 0
+
+
+def _holds_group(record: HostRecord, group: Group) -> bool:
+    """Tell whether a host holds a group, also under an earlier epoch."""
+    announcement = record.announcement
+    return announcement is None or announcement.holding.group_id == group.group_id
--- a/chestnutvale/groups/fleet.py
+++ b/chestnutvale/groups/fleet.py
@@ -26,6 +26,8 @@
         Engines that hold something although no group owns them.
     plain : list of HostRecord
         Hosts of plain services.
+    releasing_by_domain : dict of str to list of HostRecord
+        Engines that will be free soon, by fabric domain.
     """
 
     fresh: dict[str, HostRecord]
@@ -33,6 +35,7 @@
     reserved: dict[str, str]
     unclaimed: list[HostRecord]
     plain: list[HostRecord]
+    releasing_by_domain: dict[str, list[HostRecord]]
 
     @classmethod
     def survey(
@@ -61,6 +64,7 @@
             reserved=state.reserved_hosts(),
             unclaimed=[],
             plain=[],
+            releasing_by_domain=defaultdict(list),
         )
         for record in fresh:
             fleet._sort_in(record, state)
@@ -86,6 +90,24 @@
         self.free_by_domain[domain] = free[count:]
         return taken
 
+    def reserve(self, host_id: str, group_id: str) -> None:
+        """Keep a host for a group, so that no other takes it this round.
+
+        Parameters
+        ----------
+        host_id : str
+            The host, free or not.
+        group_id : str
+            The group that it is kept for.
+        """
+        self.reserved[host_id] = group_id
+        domain = self.fresh[host_id].announcement.fabric_domain
+        self.free_by_domain[domain] = [
+            record
+            for record in self.free_by_domain[domain]
+            if record.host_id != host_id
+        ]
+
     def free_count(self, domain: str) -> int:
         """Return the number of free hosts in a domain.
 
@@ -108,13 +130,15 @@
             return
         if announcement.kind != KIND_ENGINE or record.host_id in state.owners:
             return
-        if record.host_id in state.releases:
-            return
-        if announcement.HasField("holding"):
+        is_releasing = record.host_id in state.releases
+        if announcement.HasField("holding") and not is_releasing:
             self.unclaimed.append(record)
             return
         if announcement.leaving or record.host_id in state.draining_hosts:
             return
+        if is_releasing:
+            self.releasing_by_domain[announcement.fabric_domain].append(record)
+            return
         if record.host_id not in self.reserved:
             self.free_by_domain[announcement.fabric_domain].append(record)
 
--- a/chestnutvale/groups/orders.py
+++ b/chestnutvale/groups/orders.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from chestnutvale.groups.budget import LoadBudget, has_weights
 from chestnutvale.groups.const import (
     ORDER_ASSIGN,
     ORDER_LIFETIME_S,
@@ -14,6 +15,7 @@
     ORDER_RETRY_MIN_S,
     ORDER_TIMEOUT_S,
     PHASE_DRAINING,
+    PHASE_FORMING,
     RELEASE_RETENTION_MS,
 )
 from chestnutvale.groups.serving import holds_epoch
@@ -62,6 +64,7 @@
 
     order_id: str
     boot_id: str
+    is_load: bool
     retry_at_s: float
     backoff_s: float
     # Expiry of this order while it is unanswered.
@@ -90,6 +93,7 @@
     policy: GroupsPolicy = attrs.field(factory=GroupsPolicy)
     weight_store_address: str = ""
     _sent: dict[str, _SentOrder] = attrs.field(factory=dict)
+    _release_seen_s: dict[int, float] = attrs.field(factory=dict)
     _old_lease_ends_s: float = float("inf")
     _old_orders_end_s: float = float("inf")
 
@@ -102,6 +106,7 @@
             Monotonic time.
         """
         self._sent.clear()
+        self._release_seen_s.clear()
         self._old_lease_ends_s = now_s + self.policy.leader_lease_s
         self._old_orders_end_s = self._old_lease_ends_s + ORDER_LIFETIME_S
 
@@ -144,13 +149,20 @@
         """
         expires_at_unix_ms = now_unix_ms + round(ORDER_LIFETIME_S * 1_000)
         sends = []
-        for record, address, order in self._wanted(state, table, text, now_s):
+        budget = LoadBudget(self.policy, state, table)
+        self._take_unannounced(state, table, budget)
+        for record, address, order in self._wanted(state, table, text, budget, now_s):
             if not self._is_allowed(record, lease_confirmed, now_s):
                 continue
             if not self._is_due(record, order, now_s):
                 continue
+            if self._is_over_budget(record, order, state, budget):
+                continue
             order.expires_at_unix_ms = expires_at_unix_ms
-            self._note_sent(record, order, now_s)
+            is_load = order.kind == ORDER_ASSIGN and not has_weights(
+                record, state.groups[order.group_id], order.rank
+            )
+            self._note_sent(record, order, is_load, now_s)
             sends.append(
                 SendOrder(record.host_id, address, order, now_s + ORDER_TIMEOUT_S)
             )
@@ -211,10 +223,20 @@
         list of FreeHost
             Commands that end the releases.
         """
+        seen_s = {
+            release.fence: self._release_seen_s.get(release.fence, now_s)
+            for release in state.releases.values()
+        }
+        self._release_seen_s = seen_s
+        # Until then an entry may still hold a serving right on the group left.
+        quiet_s = now_s - self.policy.serving_lease_s
         return [
             FreeHost(host_id=release.host_id, fence=release.fence)
             for release in state.releases.values()
-            if self._has_let_go(release, table, now_s)
+            if (
+                seen_s[release.fence] < quiet_s
+                and self._has_let_go(release, table, now_s)
+            )
             or self._is_forgotten(release, table, now_s, now_unix_ms)
         ]
 
@@ -223,14 +245,17 @@
         state: GroupsState,
         table: MembershipTable,
         text: Text,
+        budget: LoadBudget,
         now_s: float,
     ) -> Iterator[tuple[HostRecord, str, Order]]:
         for release in state.releases.values():
             record = _known_host(table, release.host_id, now_s)
             if record is None or self._has_let_go(release, table, now_s):
                 continue
+            if _may_be_taken_back(release, record, state):
+                continue
             yield record, record.announcement.address, _release_order(release)
-        for group in state.groups.values():
+        for group in budget.most_valuable_first():
             if group.plain or group.phase == PHASE_DRAINING:
                 continue
             for member in group.members:
@@ -258,6 +283,32 @@
             weight_store_address=self.weight_store_address,
         )
 
+    def _take_unannounced(
+        self, state: GroupsState, table: MembershipTable, budget: LoadBudget
+    ) -> None:
+        """Count hosts that accepted a load but have not announced it yet."""
+        for host_id, sent in self._sent.items():
+            group = state.groups.get(state.owners.get(host_id, ""))
+            record = table.host(host_id)
+            if group is None or record is None or not sent.is_load:
+                continue
+            is_current = sent.order_id.startswith(f"{group.fence}-")
+            if is_current and not holds_epoch(record, group):
+                budget.take()
+
+    def _is_over_budget(
+        self, record: HostRecord, order: Order, state: GroupsState, budget: LoadBudget
+    ) -> bool:
+        if order.kind != ORDER_ASSIGN or self._is_resend(record, order):
+            return False
+        if has_weights(record, state.groups[order.group_id], order.rank):
+            return False
+        return not budget.take()
+
+    def _is_resend(self, record: HostRecord, order: Order) -> bool:
+        sent = self._sent.get(record.host_id)
+        return sent is not None and sent.order_id == order.order_id
+
     def _is_allowed(
         self, record: HostRecord, lease_confirmed: bool, now_s: float
     ) -> bool:
@@ -269,11 +320,16 @@
         sent = self._sent.get(record.host_id)
         if sent is None:
             return True
+        if sent.order_id != order.order_id and not record.announcement.fencing:
+            # Without fencing an earlier order could be carried out after this one.
+            return now_s >= max(sent.loose_until_s, sent.pending_until_s)
         if (sent.order_id, sent.boot_id) != (order.order_id, record.boot_id):
             return True
         return now_s >= sent.retry_at_s
 
-    def _note_sent(self, record: HostRecord, order: Order, now_s: float) -> None:
+    def _note_sent(
+        self, record: HostRecord, order: Order, is_load: bool, now_s: float
+    ) -> None:
         before = self._sent.get(record.host_id)
         backoff_s = ORDER_RETRY_MIN_S
         loose_until_s = float("-inf")
@@ -284,6 +340,7 @@
         self._sent[record.host_id] = _SentOrder(
             order_id=order.order_id,
             boot_id=record.boot_id,
+            is_load=is_load,
             retry_at_s=now_s + ORDER_TIMEOUT_S + backoff_s,
             backoff_s=backoff_s,
             pending_until_s=now_s + ORDER_LIFETIME_S,
@@ -332,6 +389,22 @@
     return record if table.is_fresh(host_id, now_s) else None
 
 
+def _may_be_taken_back(
+    release: HostRelease, record: HostRecord, state: GroupsState
+) -> bool:
+    """Tell whether the group that a host left may still want it back.
+
+    A member that returns while its group still forms with a spare keeps its weights
+    until the planner had its say.
+    """
+    group = state.groups.get(release.group_id)
+    if group is None or group.phase != PHASE_FORMING:
+        return False
+    if record.boot_id != release.boot_id or not record.announcement.HasField("holding"):
+        return False
+    return has_weights(record, group, record.announcement.holding.rank)
+
+
 def _release_order_id(release: HostRelease) -> str:
     return f"{release.fence}-release"
 
--- /dev/null
+++ b/chestnutvale/groups/plain.py
@@ -0,0 +1,96 @@
+"""Plain services: each announced host is a group of its own."""
+
+from collections.abc import Iterator
+
+from chestnutvale.groups.breakage import is_blind
+from chestnutvale.groups.const import PHASE_FORMING, PLAIN_FORGET_S, SERVICE_PLAIN
+from chestnutvale.groups.draining import IdleWatch
+from chestnutvale.groups.fleet import Fleet, to_member
+from chestnutvale.groups.state import GroupsState
+from chestnutvale.membership.table import HostRecord, MembershipTable
+from chestnutvale.schema.configuration_pb2 import Text
+from chestnutvale.schema.groups_pb2 import Group, PutGroup, RemoveGroup
+
+
+def plan_plain_groups(
+    state: GroupsState,
+    table: MembershipTable,
+    text: Text,
+    fleet: Fleet,
+    idle: IdleWatch,
+    now_s: float,
+) -> Iterator[PutGroup | RemoveGroup]:
+    """Plan the groups of plain services.
+
+    Parameters
+    ----------
+    state : GroupsState
+        The replicated groups.
+    table : MembershipTable
+        What is known of hosts.
+    text : Text
+        The text in force.
+    fleet : Fleet
+        Hosts of this round.
+    idle : IdleWatch
+        Which groups run nothing.
+    now_s : float
+        Monotonic time.
+
+    Yields
+    ------
+    PutGroup or RemoveGroup
+        Groups to add and to drop.
+    """
+    for record in fleet.plain:
+        is_new = record.host_id not in state.owners
+        if is_new and _is_wanted(text, record.announcement.service):
+            if record.announcement.leaving or record.host_id in state.releases:
+                continue
+            yield PutGroup(group=_plain_group(record))
+    for group in state.groups.values():
+        if group.plain and _is_over(group, table, text, idle, now_s):
+            yield RemoveGroup(group_id=group.group_id, expected_epoch=group.epoch)
+
+
+def _is_wanted(text: Text, name: str) -> bool:
+    return name in text.services and text.services[name].kind == SERVICE_PLAIN
+
+
+def _plain_group(record: HostRecord) -> Group:
+    service = record.announcement.service
+    return Group(
+        group_id=f"{service}@{record.host_id}",
+        service=service,
+        members=[to_member(record, 0)],
+        phase=PHASE_FORMING,
+        fabric_domain=record.announcement.fabric_domain,
+        plain=True,
+    )
+
+
+def _is_over(
+    group: Group,
+    table: MembershipTable,
+    text: Text,
+    idle: IdleWatch,
+    now_s: float,
+) -> bool:
+    record = table.host(group.members[0].host_id)
+    if record is None:
+        # A control that just started has not heard of all hosts; the watch over
+        # entries and the wait of a new leader cover that.
+        return not is_blind(table, now_s) and _is_long_idle(group, idle, now_s)
+    if is_blind(table, now_s):
+        return False
+    if now_s - record.heard_at_s > PLAIN_FORGET_S:
+        return True
+    is_ending = not _is_wanted(text, group.service)
+    if record.announcement is not None:
+        is_ending = is_ending or record.announcement.leaving
+    return is_ending and idle.is_idle(group, table, now_s)
+
+
+def _is_long_idle(group: Group, idle: IdleWatch, now_s: float) -> bool:
+    stopped_at_s = idle.stopped_at_s(group.group_id)
+    return stopped_at_s is not None and now_s - stopped_at_s > PLAIN_FORGET_S
--- a/chestnutvale/groups/planner.py
+++ b/chestnutvale/groups/planner.py
@@ -1,21 +1,27 @@
-"""Decides which groups to form, change and dissolve."""
+"""Decides which groups to form, change, repair and dissolve."""
 
 from collections import defaultdict
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from typing import TypeAlias
 
 import attrs
 
 from chestnutvale.groups.assembly import Assembler
+from chestnutvale.groups.breakage import BreakageWatch, BrokenGroup
 from chestnutvale.groups.const import (
     MAX_COMMANDS_PER_ROUND,
     PHASE_DRAINING,
     PHASE_FORMING,
     PHASE_SERVING,
 )
+from chestnutvale.groups.cost import CostChooser, RepairChooser
+from chestnutvale.groups.draining import IdleWatch
 from chestnutvale.groups.fleet import Fleet, to_member
+from chestnutvale.groups.plain import plan_plain_groups
+from chestnutvale.groups.repair import RepairInputs, RepairPlanner
+from chestnutvale.groups.rollout import ServicePlanner
 from chestnutvale.groups.services import model_services_in_order
-from chestnutvale.groups.serving import find_readiness_fault, find_serving_fault
+from chestnutvale.groups.serving import find_readiness_fault
 from chestnutvale.groups.settings import GroupsPolicy
 from chestnutvale.groups.state import GroupsState
 from chestnutvale.membership.table import MembershipTable
@@ -62,9 +68,19 @@
     ----------
     policy : GroupsPolicy
         Weights and times.
+    chooser : RepairChooser, optional
+        Chooses how to repair; the cost function of the policy by default.
     """
 
     policy: GroupsPolicy = attrs.field(factory=GroupsPolicy)
+    chooser: RepairChooser = attrs.field(
+        default=attrs.Factory(lambda self: CostChooser(self.policy), takes_self=True)
+    )
+    watch: BreakageWatch = attrs.field(factory=BreakageWatch, init=False)
+    idle: IdleWatch = attrs.field(
+        default=attrs.Factory(lambda self: IdleWatch(self.policy), takes_self=True),
+        init=False,
+    )
 
     def became_leader(self, now_s: float) -> None:
         """Forget what an earlier leadership saw.
@@ -74,6 +90,8 @@
         now_s : float
             Monotonic time.
         """
+        self.watch.reset(now_s)
+        self.idle.reset()
 
     def plan(self, inputs: PlanInputs, now_s: float) -> list[GroupCommand]:
         """Plan one round.
@@ -89,72 +107,132 @@
         -------
         list of GroupCommand
             Commands to propose in this order; none names a host that another one
-            of the list or a group in force has.
+            of the list or a group in force has, and none changes a group twice.
         """
-        fleet = Fleet.survey(inputs.state, inputs.table, now_s)
+        state, table = inputs.state, inputs.table
+        fleet = Fleet.survey(state, table, now_s)
+        self.idle.observe(state, table, now_s)
+        broken = self.watch.find_broken(state, table, now_s)
+        repairs = RepairPlanner(self.policy, self.chooser, self.watch)
+        repair_inputs = RepairInputs(
+            state, table, fleet, self.idle, now_s, inputs.now_unix_ms
+        )
         commands = [
-            *self._release_unclaimed(fleet),
-            *self._promote(inputs, now_s),
-            *self._rejoin(inputs, fleet),
-            *self._assemble(inputs, fleet, now_s),
+            *_release_unclaimed(fleet),
+            *_promote(inputs, now_s),
+            *_rejoin(inputs, fleet),
+            *repairs.plan(broken, repair_inputs),
+            *plan_plain_groups(state, table, inputs.text, fleet, self.idle, now_s),
+            *self._plan_services(inputs, fleet, broken, now_s),
         ]
-        return commands[:MAX_COMMANDS_PER_ROUND]
-
-    def _release_unclaimed(self, fleet: Fleet) -> Iterator[ReleaseHost]:
-        for record in fleet.unclaimed:
-            yield ReleaseHost(
-                host_id=record.host_id,
-                boot_id=record.boot_id,
-                address=record.announcement.address,
+        return _keep_first_of_each_group(commands)[:MAX_COMMANDS_PER_ROUND]
+
+    def _plan_services(
+        self,
+        inputs: PlanInputs,
+        fleet: Fleet,
+        broken: Sequence[BrokenGroup],
+        now_s: float,
+    ) -> Iterator[PutGroup | RemoveGroup]:
+        services = dict(model_services_in_order(inputs.text))
+        groups_of = _groups_by_service(inputs.state)
+        broken_ids = {item.group.group_id for item in broken}
+        planners = {
+            name: ServicePlanner(
+                name=name,
+                service=services.get(name, Service()),
+                groups=groups_of[name],
+                state=inputs.state,
+                table=inputs.table,
+                idle=self.idle,
+                broken_ids=broken_ids,
+                now_s=now_s,
             )
+            for name in [*services, *sorted(groups_of.keys() - services.keys())]
+        }
+        assembler = _make_assembler(inputs, fleet, services, groups_of)
+        for name, planner in planners.items():
+            may_form = name in services and all(
+                _is_available(dependency, planners, inputs, self.idle)
+                for dependency in services[name].depends_on
+            )
+            yield from planner.plan(assembler, may_form)
 
-    def _promote(self, inputs: PlanInputs, now_s: float) -> Iterator[PutGroup]:
-        for group in inputs.state.groups.values():
-            if group.phase != PHASE_FORMING:
-                continue
-            if not find_readiness_fault(group, inputs.table, now_s):
-                yield _with_phase(group, PHASE_SERVING)
 
-    def _rejoin(self, inputs: PlanInputs, fleet: Fleet) -> Iterator[PutGroup]:
-        """Take up members that came back under another boot."""
-        for group in inputs.state.groups.values():
-            if group.phase == PHASE_DRAINING:
-                continue
-            changed = Group()
-            changed.CopyFrom(group)
-            for member in changed.members:
-                record = fleet.fresh.get(member.host_id)
-                if record is not None and not record.announcement.leaving:
-                    member.CopyFrom(to_member(record, member.rank))
-            if changed.members != group.members:
-                changed.phase = PHASE_FORMING
-                yield PutGroup(group=changed, expected_epoch=group.epoch)
-
-    def _assemble(
-        self, inputs: PlanInputs, fleet: Fleet, now_s: float
-    ) -> Iterator[PutGroup]:
-        services = model_services_in_order(inputs.text)
-        groups_of = _groups_by_service(inputs.state)
-        assembler = Assembler(
-            fleet=fleet,
-            smallest_group=min(
-                (item.hosts_per_group for _, item in services if item.hosts_per_group),
-                default=1,
-            ),
-            first_number=inputs.state.last_fence + 1,
-            domains_of_service={
-                name: [group.fabric_domain for group in groups]
-                for name, groups in groups_of.items()
-            },
+def _is_available(
+    name: str,
+    planners: dict[str, ServicePlanner],
+    inputs: PlanInputs,
+    idle: IdleWatch,
+) -> bool:
+    """Tell whether a service is there for those that depend on it."""
+    if name in planners:
+        return planners[name].is_rolled_out()
+    return any(
+        group.service == name and idle.is_serving(group)
+        for group in inputs.state.groups.values()
+    )
+
+
+def _release_unclaimed(fleet: Fleet) -> Iterator[ReleaseHost]:
+    for record in fleet.unclaimed:
+        yield ReleaseHost(
+            host_id=record.host_id,
+            boot_id=record.boot_id,
+            address=record.announcement.address,
         )
-        for name, service in services:
-            if not _are_dependencies_met(inputs, service, groups_of, now_s):
+
+
+def _promote(inputs: PlanInputs, now_s: float) -> Iterator[PutGroup]:
+    for group in inputs.state.groups.values():
+        if group.phase != PHASE_FORMING:
+            continue
+        if not find_readiness_fault(group, inputs.table, now_s):
+            yield _with_phase(group, PHASE_SERVING)
+
+
+def _rejoin(inputs: PlanInputs, fleet: Fleet) -> Iterator[PutGroup]:
+    """Take up members that came back under another boot."""
+    for group in inputs.state.groups.values():
+        if group.phase == PHASE_DRAINING:
+            continue
+        changed = Group()
+        changed.CopyFrom(group)
+        for member in changed.members:
+            record = fleet.fresh.get(member.host_id)
+            if record is None or record.boot_id == member.boot_id:
                 continue
-            for _ in range(service.groups - len(groups_of[name])):
-                command = assembler.assemble(name, service)
-                if command is None:
-                    break
-                yield command
+            if not record.announcement.leaving:
+                member.CopyFrom(to_member(record, member.rank))
+        if changed.members != group.members:
+            changed.phase = PHASE_FORMING
+            yield PutGroup(group=changed, expected_epoch=group.epoch)
+
+
+def _make_assembler(
+    inputs: PlanInputs,
+    fleet: Fleet,
+    services: dict[str, Service],
+    groups_of: dict[str, list[Group]],
+) -> Assembler:
+    sizes = [item.hosts_per_group for item in services.values()]
+    return Assembler(
+        fleet=fleet,
+        smallest_group=min((size for size in sizes if size), default=1),
+        first_number=inputs.state.last_fence + 1,
+        domains_of_service={
+            name: [group.fabric_domain for group in groups]
+            for name, groups in groups_of.items()
+        },
+    )
+
+
+def _groups_by_service(state: GroupsState) -> defaultdict[str, list[Group]]:
+    groups_of = defaultdict(list)
+    for group in state.groups.values():
+        if not group.plain:
+            groups_of[group.service].append(group)
+    return groups_of
 
 
 def _with_phase(group: Group, phase: str) -> PutGroup:
@@ -164,23 +242,27 @@
     return PutGroup(group=changed, expected_epoch=group.epoch)
 
 
-def _groups_by_service(state: GroupsState) -> defaultdict[str, list[Group]]:
-    groups_of = defaultdict(list)
-    for group in state.groups.values():
-        groups_of[group.service].append(group)
-    return groups_of
+def _keep_first_of_each_group(commands: list[GroupCommand]) -> list[GroupCommand]:
+    """Drop commands on a group that an earlier one of the round changes."""
+    kept = []
+    named = set()
+    for command in commands:
+        group_id = _group_of(command)
+        if group_id in named:
+            continue
+        if group_id:
+            named.add(group_id)
+        kept.append(command)
+    return kept
 
 
-def _are_dependencies_met(
-    inputs: PlanInputs,
-    service: Service,
-    groups_of: dict[str, list[Group]],
-    now_s: float,
-) -> bool:
-    return all(
-        any(
-            not find_serving_fault(group, inputs.table, now_s)
-            for group in groups_of.get(name, ())
-        )
-        for name in service.depends_on
-    )
+def _group_of(command: GroupCommand) -> str:
+    match command:
+        case PutGroup():
+            return command.group.group_id
+        case PutRepair():
+            return command.repair.group_id
+        case ReleaseHost():
+            return ""
+        case _:
+            return command.group_id
--- /dev/null
+++ b/chestnutvale/groups/repair.py
@@ -0,0 +1,358 @@
+"""Repairs broken groups; each repair of several steps is committed first."""
+
+from collections.abc import Iterator, Sequence
+from typing import TypeAlias
+
+import attrs
+
+from chestnutvale.groups.breakage import BreakageWatch, BrokenGroup
+from chestnutvale.groups.budget import has_weights
+from chestnutvale.groups.const import (
+    PHASE_DRAINING,
+    PHASE_FORMING,
+    REPAIR_MERGE,
+    REPAIR_MOVE,
+    REPAIR_SPARE,
+)
+from chestnutvale.groups.cost import RepairChooser, RepairOption
+from chestnutvale.groups.draining import IdleWatch
+from chestnutvale.groups.fleet import Fleet, to_member
+from chestnutvale.groups.settings import GroupsPolicy
+from chestnutvale.groups.state import GroupsState
+from chestnutvale.membership.table import HostRecord, MembershipTable
+from chestnutvale.schema.groups_pb2 import (
+    EndRepair,
+    Group,
+    GroupMember,
+    PutGroup,
+    PutRepair,
+    RemoveGroup,
+    Repair,
+)
+
+RepairCommand: TypeAlias = PutGroup | RemoveGroup | PutRepair | EndRepair
+
+
+@attrs.frozen
+class RepairInputs:
+    """What one round of repairs looks at.
+
+    Attributes
+    ----------
+    state : GroupsState
+        The replicated groups.
+    table : MembershipTable
+        What is known of hosts.
+    fleet : Fleet
+        Hosts of this round; taken ones leave it.
+    idle : IdleWatch
+        Which groups run nothing.
+    now_s : float
+        Monotonic time.
+    now_unix_ms : int
+        Wall-clock time, for records.
+    """
+
+    state: GroupsState
+    table: MembershipTable
+    fleet: Fleet
+    idle: IdleWatch
+    now_s: float
+    now_unix_ms: int
+
+
+@attrs.define
+class RepairPlanner:
+    """Plans the repairs of one round.
+
+    A spare takes the place of a lost member in one committed change. Giving up a
+    donor, or forming the group elsewhere, takes several; there the intention is
+    committed first, with the hosts that it reserves, so that another leader goes on
+    with it and a group has one repair at a time.
+
+    Parameters
+    ----------
+    policy : GroupsPolicy
+        Weights and times.
+    chooser : RepairChooser
+        Chooses among the ways.
+    watch : BreakageWatch
+        Which groups are broken.
+    """
+
+    policy: GroupsPolicy
+    chooser: RepairChooser
+    watch: BreakageWatch
+
+    def plan(
+        self, broken_groups: Sequence[BrokenGroup], inputs: RepairInputs
+    ) -> list[RepairCommand]:
+        """Plan repairs, the most valuable group first.
+
+        Parameters
+        ----------
+        broken_groups : sequence of BrokenGroup
+            Groups that lack members.
+        inputs : RepairInputs
+            What is known now.
+
+        Returns
+        -------
+        list of RepairCommand
+            Commands to propose in this order.
+        """
+        broken_by_id = {item.group.group_id: item for item in broken_groups}
+        commands = list(self._take_back(broken_by_id, inputs))
+        changed = _named_groups(commands)
+        for repair in list(inputs.state.repairs.values()):
+            if repair.group_id not in changed:
+                commands.extend(self._continue(repair, broken_by_id, inputs))
+        changed |= _named_groups(commands)
+        busy = changed | _groups_in_repair(inputs.state)
+        for broken in sorted(broken_groups, key=self._by_value):
+            if broken.group.group_id in busy:
+                continue
+            new = list(self._start(broken, broken_groups, busy, inputs))
+            commands.extend(new)
+            busy |= _named_groups(new)
+        return commands
+
+    def _by_value(self, broken: BrokenGroup) -> tuple[float, str]:
+        value = self.policy.group_downtime_weight
+        value += self.policy.stranded_hosts_weight * broken.healthy_count
+        return (-value / len(broken.lost), broken.group.group_id)
+
+    def _take_back(
+        self, broken_by_id: dict[str, BrokenGroup], inputs: RepairInputs
+    ) -> Iterator[PutGroup]:
+        """Put back members that returned while their spares are still loading."""
+        for group in inputs.state.groups.values():
+            if group.phase != PHASE_FORMING or group.plain:
+                continue
+            changed = Group()
+            changed.CopyFrom(group)
+            for member in changed.members:
+                record = self._find_returned(group, member, inputs)
+                if record is not None:
+                    member.CopyFrom(to_member(record, member.rank))
+            if changed.members != group.members:
+                yield PutGroup(group=changed, expected_epoch=group.epoch)
+
+    def _find_returned(
+        self, group: Group, member: GroupMember, inputs: RepairInputs
+    ) -> HostRecord | None:
+        """Find the earlier holder of a rank, if it still has the weights."""
+        present = inputs.fleet.fresh.get(member.host_id)
+        if present is not None and has_weights(present, group, member.rank):
+            return None
+        for release in inputs.state.releases.values():
+            if release.group_id != group.group_id:
+                continue
+            record = inputs.fleet.fresh.get(release.host_id)
+            if record is None or record.boot_id != release.boot_id:
+                continue
+            if record.announcement.leaving:
+                continue
+            if release.host_id in inputs.state.draining_hosts:
+                continue
+            if self.watch.is_unsteady(release.host_id, inputs.now_s):
+                continue
+            if has_weights(record, group, member.rank):
+                return record
+        return None
+
+    def _continue(
+        self,
+        repair: Repair,
+        broken_by_id: dict[str, BrokenGroup],
+        inputs: RepairInputs,
+    ) -> Iterator[RepairCommand]:
+        broken = broken_by_id.get(repair.group_id)
+        if repair.action == REPAIR_MOVE:
+            group = inputs.state.groups[repair.group_id]
+            if broken is None and inputs.idle.is_serving(group):
+                yield _end(repair)
+            return
+        if broken is None or not self._are_reserved_usable(repair, broken, inputs):
+            yield _end(repair)
+            return
+        donor = inputs.state.groups.get(repair.donor_group_id)
+        if donor is not None:
+            if repair.donor_group_id not in broken_by_id:
+                yield _end(repair)
+                return
+            yield RemoveGroup(group_id=donor.group_id, expected_epoch=donor.epoch)
+            return
+        if any(
+            host_id in inputs.state.releases for host_id in repair.reserved_host_ids
+        ):
+            return
+        hosts = [inputs.fleet.fresh[host_id] for host_id in repair.reserved_host_ids]
+        yield _substitute(broken, hosts)
+
+    def _are_reserved_usable(
+        self, repair: Repair, broken: BrokenGroup, inputs: RepairInputs
+    ) -> bool:
+        if len(repair.reserved_host_ids) != len(broken.lost):
+            return False
+        for host_id in repair.reserved_host_ids:
+            record = inputs.fleet.fresh.get(host_id)
+            if record is None or record.announcement.leaving:
+                return False
+            if host_id in inputs.state.draining_hosts:
+                return False
+            owner = inputs.state.owners.get(host_id, repair.donor_group_id)
+            if owner != repair.donor_group_id:
+                return False
+        return True
+
+    def _start(
+        self,
+        broken: BrokenGroup,
+        broken_groups: Sequence[BrokenGroup],
+        busy: set[str],
+        inputs: RepairInputs,
+    ) -> Iterator[RepairCommand]:
+        group = broken.group
+        if group.phase == PHASE_DRAINING:
+            return
+        if broken.has_leaving and not inputs.idle.is_idle(
+            group, inputs.table, inputs.now_s
+        ):
+            return
+        options = list(self._list_options(broken, broken_groups, busy, inputs))
+        option = self.chooser.choose(broken, options)
+        if option is not None:
+            yield self._act(broken, option, inputs)
+            return
+        if broken.has_leaving and not self._is_help_near(broken, inputs):
+            yield RemoveGroup(group_id=group.group_id, expected_epoch=group.epoch)
+
+    def _is_help_near(self, broken: BrokenGroup, inputs: RepairInputs) -> bool:
+        """Tell whether hosts of the domain will soon be free to complete a group."""
+        soon = inputs.fleet.releasing_by_domain.get(broken.group.fabric_domain, ())
+        return len(soon) >= len(broken.lost)
+
+    def _list_options(
+        self,
+        broken: BrokenGroup,
+        broken_groups: Sequence[BrokenGroup],
+        busy: set[str],
+        inputs: RepairInputs,
+    ) -> Iterator[RepairOption]:
+        domain = broken.group.fabric_domain
+        need = len(broken.lost)
+        spares = self._steady_first(inputs.fleet.free_by_domain[domain], inputs.now_s)
+        if len(spares) >= need:
+            chosen = tuple(record.host_id for record in spares[:need])
+            yield RepairOption(REPAIR_SPARE, domain, chosen)
+            return
+        if not self._is_help_near(broken, inputs):
+            yield from self._list_merges(broken, broken_groups, busy, spares, inputs)
+        size = len(broken.group.members)
+        for other in sorted(inputs.fleet.free_by_domain):
+            if other != domain and inputs.fleet.free_count(other) >= size:
+                yield RepairOption(REPAIR_MOVE, other)
+
+    def _list_merges(
+        self,
+        broken: BrokenGroup,
+        broken_groups: Sequence[BrokenGroup],
+        busy: set[str],
+        spares: Sequence[HostRecord],
+        inputs: RepairInputs,
+    ) -> Iterator[RepairOption]:
+        need = len(broken.lost)
+        for donor in broken_groups:
+            if donor is broken or donor.group.group_id in busy:
+                continue
+            if donor.group.fabric_domain != broken.group.fabric_domain:
+                continue
+            if donor.group.plain or donor.has_leaving:
+                continue
+            if self._by_value(donor) < self._by_value(broken):
+                continue
+            lost = {item.member.host_id for item in donor.lost}
+            usable = [
+                member.host_id
+                for member in donor.group.members
+                if member.host_id not in lost and member.host_id in inputs.fleet.fresh
+            ]
+            chosen = [record.host_id for record in spares] + usable
+            if len(chosen) >= need:
+                yield RepairOption(
+                    REPAIR_MERGE,
+                    broken.group.fabric_domain,
+                    tuple(chosen[:need]),
+                    donor,
+                )
+
+    def _steady_first(
+        self, hosts: Sequence[HostRecord], now_s: float
+    ) -> list[HostRecord]:
+        return sorted(
+            hosts,
+            key=lambda record: (
+                self.watch.is_unsteady(record.host_id, now_s),
+                record.host_id,
+            ),
+        )
+
+    def _act(
+        self, broken: BrokenGroup, option: RepairOption, inputs: RepairInputs
+    ) -> RepairCommand:
+        if option.action == REPAIR_SPARE:
+            free = inputs.fleet.free_by_domain[option.domain]
+            inputs.fleet.free_by_domain[option.domain] = [
+                record for record in free if record.host_id not in option.host_ids
+            ]
+            hosts = [inputs.fleet.fresh[host_id] for host_id in option.host_ids]
+            return _substitute(broken, hosts)
+        group = broken.group
+        repair = Repair(
+            repair_id=f"{group.group_id}/{group.epoch}/{inputs.now_unix_ms}",
+            group_id=group.group_id,
+            epoch=group.epoch,
+            action=option.action,
+            lost_host_ids=[item.member.host_id for item in broken.lost],
+            reserved_host_ids=option.host_ids,
+            donor_group_id=option.donor.group.group_id if option.donor else "",
+            fabric_domain=option.domain,
+            decided_at_unix_ms=inputs.now_unix_ms,
+        )
+        for host_id in option.host_ids:
+            inputs.fleet.reserve(host_id, group.group_id)
+        return PutRepair(repair=repair)
+
+
+def _substitute(broken: BrokenGroup, hosts: Sequence[HostRecord]) -> PutGroup:
+    changed = Group()
+    changed.CopyFrom(broken.group)
+    changed.phase = PHASE_FORMING
+    members = {member.rank: member for member in changed.members}
+    for lost, record in zip(broken.lost, hosts, strict=True):
+        rank = lost.member.rank
+        members[rank].CopyFrom(to_member(record, rank))
+    return PutGroup(group=changed, expected_epoch=broken.group.epoch)
+
+
+def _end(repair: Repair) -> EndRepair:
+    return EndRepair(group_id=repair.group_id, repair_id=repair.repair_id)
+
+
+def _named_groups(commands: Sequence[RepairCommand]) -> set[str]:
+    named = set()
+    for command in commands:
+        if isinstance(command, PutGroup):
+            named.add(command.group.group_id)
+        elif isinstance(command, PutRepair):
+            named |= {command.repair.group_id, command.repair.donor_group_id}
+        else:
+            named.add(command.group_id)
+    return named - {""}
+
+
+def _groups_in_repair(state: GroupsState) -> set[str]:
+    busy = set(state.repairs)
+    busy |= {repair.donor_group_id for repair in state.repairs.values()}
+    return busy - {""}
--- /dev/null
+++ b/chestnutvale/groups/rollout.py
@@ -0,0 +1,216 @@
+"""How many groups a service has too few or too many, and roll-out of changes."""
+
+from collections.abc import Iterator, Sequence
+
+import attrs
+
+from chestnutvale.groups.assembly import Assembler
+from chestnutvale.groups.const import (
+    PHASE_DRAINING,
+    PHASE_FORMING,
+    REPAIR_MOVE,
+)
+from chestnutvale.groups.draining import IdleWatch
+from chestnutvale.groups.state import GroupsState
+from chestnutvale.membership.table import MembershipTable
+from chestnutvale.schema.configuration_pb2 import Service
+from chestnutvale.schema.groups_pb2 import Group, PutGroup, RemoveGroup
+
+
+@attrs.define
+class ServicePlanner:
+    """Plans the groups of one model service.
+
+    A change of version or adapters is rolled out one group at a time: with an extra
+    group formed first where a domain has free hosts, else in place.
+
+    Parameters
+    ----------
+    name : str
+        Name of the service.
+    service : Service
+        What the text says of it.
+    groups : sequence of Group
+        Its groups in force.
+    state : GroupsState
+        The replicated groups.
+    table : MembershipTable
+        What is known of hosts.
+    idle : IdleWatch
+        Which groups serve and which run nothing.
+    broken_ids : set of str
+        Groups that lack members.
+    now_s : float
+        Monotonic time.
+    """
+
+    name: str
+    service: Service
+    groups: Sequence[Group]
+    state: GroupsState
+    table: MembershipTable
+    idle: IdleWatch
+    broken_ids: set[str]
+    now_s: float
+
+    def is_rolled_out(self) -> bool:
+        """Tell whether all groups serve what the text says."""
+        return len(self._serving(self._current())) >= self.service.groups
+
+    def has_serving(self) -> bool:
+        """Tell whether any group serves."""
+        return bool(self._serving(self.groups))
+
+    def plan(
+        self, assembler: Assembler, may_form: bool
+    ) -> Iterator[PutGroup | RemoveGroup]:
+        """Plan the groups of the service.
+
+        Parameters
+        ----------
+        assembler : Assembler
+            Forms new groups of this round.
+        may_form : bool
+            Whether the dependencies allow new groups and roll-out.
+
+        Yields
+        ------
+        PutGroup or RemoveGroup
+            Groups to add, to change and to drop.
+        """
+        yield from self._end_draining()
+        extra = len(self._active()) - self._allowed()
+        if extra > 0:
+            yield from self._drop(extra)
+            return
+        if not may_form:
+            return
+        missing = self.service.groups + len(self._given_up()) - len(self._active())
+        missing -= len(self._reforming())
+        formed = self._form(assembler, missing)
+        yield from formed
+        if missing <= 0:
+            yield from self._roll_out(assembler)
+
+    def _form(self, assembler: Assembler, count: int) -> list[PutGroup]:
+        avoid = {group.fabric_domain for group in self._given_up()}
+        formed = []
+        for _ in range(count):
+            command = assembler.assemble(self.name, self.service, avoid)
+            if command is None:
+                break
+            formed.append(command)
+        return formed
+
+    def _roll_out(self, assembler: Assembler) -> Iterator[PutGroup]:
+        outdated = [group for group in self._active() if self._is_outdated(group)]
+        if not outdated or len(self._active()) > self.service.groups:
+            return
+        broken = [group for group in outdated if not self.idle.is_serving(group)]
+        if not broken and len(self._serving(self._active())) < self.service.groups:
+            return
+        if not broken:
+            extra = assembler.assemble(self.name, self.service)
+            if extra is not None:
+                yield extra
+                return
+        if any(group.phase == PHASE_DRAINING for group in self.groups):
+            return
+        chosen = min(broken or outdated, key=_oldest_first)
+        if chosen.group_id not in self.broken_ids:
+            yield _with_phase(chosen, PHASE_DRAINING)
+
+    def _end_draining(self) -> Iterator[PutGroup | RemoveGroup]:
+        reforming = {group.group_id for group in self._reforming()}
+        for group in self.groups:
+            if group.phase != PHASE_DRAINING:
+                continue
+            if not self.idle.is_idle(group, self.table, self.now_s):
+                continue
+            if group.group_id in reforming:
+                yield self._reform(group)
+            else:
+                yield RemoveGroup(group_id=group.group_id, expected_epoch=group.epoch)
+
+    def _reform(self, group: Group) -> PutGroup:
+        changed = Group()
+        changed.CopyFrom(group)
+        changed.version = self.service.version
+        del changed.adapters[:]
+        changed.adapters.extend(self.service.adapters)
+        changed.phase = PHASE_FORMING
+        return PutGroup(group=changed, expected_epoch=group.epoch)
+
+    def _reforming(self) -> list[Group]:
+        """Return the draining groups whose hosts are wanted for the new version."""
+        room = self.service.groups + len(self._given_up()) - len(self._active())
+        fitting = [
+            group
+            for group in self.groups
+            if group.phase == PHASE_DRAINING
+            and self._is_outdated(group)
+            and len(group.members) == self.service.hosts_per_group
+            and group.group_id not in self.broken_ids
+        ]
+        return sorted(fitting, key=_oldest_first)[: max(0, room)]
+
+    def _drop(self, count: int) -> Iterator[PutGroup | RemoveGroup]:
+        for group in sorted(self._active(), key=self._least_useful_first)[:count]:
+            if self.idle.is_serving(group):
+                yield _with_phase(group, PHASE_DRAINING)
+            elif self.idle.is_idle(group, self.table, self.now_s):
+                yield RemoveGroup(group_id=group.group_id, expected_epoch=group.epoch)
+
+    def _least_useful_first(self, group: Group) -> tuple[bool, bool, bool, int]:
+        is_kept = group.group_id not in self.broken_ids
+        is_current = not self._is_outdated(group)
+        return (self.idle.is_serving(group), is_current, is_kept, -group.epoch)
+
+    def _allowed(self) -> int:
+        """Return how many groups there may be, extra ones of a change included."""
+        wanted = self.service.groups
+        if wanted == 0:
+            return 0
+        if len(self._serving(self._current())) >= wanted:
+            return wanted
+        given_up = self._given_up()
+        if len(self._serving(self._active())) >= wanted and given_up:
+            return wanted
+        is_surge = any(self._is_outdated(group) for group in self._active())
+        return wanted + len(given_up) + (1 if is_surge and not given_up else 0)
+
+    def _active(self) -> list[Group]:
+        return [group for group in self.groups if group.phase != PHASE_DRAINING]
+
+    def _current(self) -> list[Group]:
+        return [group for group in self._active() if not self._is_outdated(group)]
+
+    def _serving(self, groups: Sequence[Group]) -> list[Group]:
+        return [group for group in groups if self.idle.is_serving(group)]
+
+    def _given_up(self) -> list[Group]:
+        repairs = self.state.repairs
+        return [
+            group
+            for group in self._active()
+            if group.group_id in repairs
+            and repairs[group.group_id].action == REPAIR_MOVE
+        ]
+
+    def _is_outdated(self, group: Group) -> bool:
+        return (
+            group.version != self.service.version
+            or list(group.adapters) != list(self.service.adapters)
+            or len(group.members) != self.service.hosts_per_group
+        )
+
+
+def _with_phase(group: Group, phase: str) -> PutGroup:
+    changed = Group()
+    changed.CopyFrom(group)
+    changed.phase = phase
+    return PutGroup(group=changed, expected_epoch=group.epoch)
+
+
+def _oldest_first(group: Group) -> tuple[int, str]:
+    return (group.epoch, group.group_id)
--- a/chestnutvale/groups/settings.py
+++ b/chestnutvale/groups/settings.py
@@ -35,16 +35,19 @@
         Time in seconds for which running requests are waited for.
     max_loading_hosts : int
         Hosts that may load weights at once.
+    shard_load_s : float
+        Time in seconds that a host takes to load its share of the weights.
     """
 
     group_downtime_weight: float = 1.0
     stranded_hosts_weight: float = 1.0
-    member_wait_s: float = 10.0
+    member_wait_s: float = 2.0
     detection_timeout_s: float = DEFAULT_DETECTION_TIMEOUT_S
     serving_lease_s: float = DEFAULT_LEASE_S
     leader_lease_s: float = DEFAULT_LEADER_LEASE_S
     drain_timeout_s: float = DEFAULT_DRAIN_TIMEOUT_S
     max_loading_hosts: int = 16
+    shard_load_s: float = 60.0
 
     @classmethod
     def from_settings(cls, settings: ControlSettings) -> "GroupsPolicy":
--- a/chestnutvale/groups/state.py
+++ b/chestnutvale/groups/state.py
@@ -24,7 +24,9 @@
 class GroupsState:
     """Groups, hosts that still have to let go, and repairs under way.
 
-    A host is owned by at most one group, or by a release record. Each change of the
+    A host is owned by at most one group, or by a release record. Only the group that
+    it left may take it back before it has let go; the higher fence number of that
+    order supersedes the release. Each change of the
     members, the version or the adapters of a group gets a fence number above all
     earlier ones, which is also the epoch of the group from then on.
 
@@ -294,7 +296,8 @@
             return f"host {host_id} belongs to group {owner}"
         if owner == group_id:
             return ""
-        if host_id in self.releases:
+        release = self.releases.get(host_id)
+        if release is not None and release.group_id != group_id:
             return f"host {host_id} has not let go yet"
         if self._reserved_by(host_id) not in ("", group_id):
             return f"host {host_id} is reserved"
@@ -310,6 +313,7 @@
         self.groups[group.group_id] = group
         for member in group.members:
             self.owners[member.host_id] = group.group_id
+            self.releases.pop(member.host_id, None)
 
     def _disown_missing(
         self, before: Group, after: Group | None, at_unix_ms: int
--- a/chestnutvale/membership/const.py
+++ b/chestnutvale/membership/const.py
@@ -13,6 +13,9 @@
 FORGET_ENTRY_AFTER_S: Final = 60.0
 FORGET_HOST_AFTER_S: Final = 3_600.0
 
+# Window in seconds over which the shortest way of reports is measured.
+DELAY_WINDOW_S: Final = 30.0
+
 # Earlier lives of one host that are remembered.
 MAX_SUPERSEDED_BOOTS: Final = 8
 # Group changes of which a control keeps the version for views of changes only.
--- a/chestnutvale/membership/table.py
+++ b/chestnutvale/membership/table.py
@@ -13,6 +13,7 @@
     FORGET_HOST_AFTER_S,
 )
 from chestnutvale.membership.content import content_digest
+from chestnutvale.membership.delay import ReportDelays
 from chestnutvale.schema.membership_pb2 import Announcement, Heard, Load
 
 
@@ -70,8 +71,16 @@
     detection_timeout_s: float = DEFAULT_DETECTION_TIMEOUT_S
     _hosts: dict[str, HostRecord] = attrs.field(factory=dict)
     _entries: dict[str, float] = attrs.field(factory=dict)
-
-    def merge(self, entry_id: str, heard: Iterable[Heard], now_s: float) -> list[str]:
+    _delays: ReportDelays = attrs.field(factory=ReportDelays)
+
+    def merge(
+        self,
+        entry_id: str,
+        heard: Iterable[Heard],
+        now_s: float,
+        sent_at_ms: int = 0,
+        incarnation: str = "",
+    ) -> list[str]:
         """Merge the report of an entry, also an empty one.
 
         Parameters
@@ -81,7 +90,11 @@
         heard : iterable of Heard
             What it heard.
         now_s : float
-            Monotonic time, less any known delay of the report.
+            Monotonic time.
+        sent_at_ms : int
+            Time of sending on the clock of the entry; 0 if it is not known.
+        incarnation : str
+            Life of the entry.
 
         Returns
         -------
@@ -89,6 +102,9 @@
             Hosts that are new, or whose boot or content changed.
         """
         self._entries[entry_id] = max(now_s, self._entries.get(entry_id, now_s))
+        if sent_at_ms:
+            delay_s = self._delays.excess_s(entry_id, incarnation, sent_at_ms, now_s)
+            now_s -= delay_s
         return [item.host_id for item in heard if self._take(entry_id, item, now_s)]
 
     def host(self, host_id: str) -> HostRecord | None:
@@ -217,6 +233,9 @@
         now_s : float
             Monotonic time.
         """
+        for entry_id, seen_at_s in self._entries.items():
+            if now_s - seen_at_s > FORGET_ENTRY_AFTER_S:
+                self._delays.forget(entry_id)
         self._entries = {
             entry_id: seen_at_s
             for entry_id, seen_at_s in self._entries.items()
