Order reads after applying; keep a live quorum at each change of members

A read that became ready by the same event that commits was answered before the entries were applied, and removing a voter while another was dead left voters without a live quorum. Change: ready reads follow Apply; a change of members whose voters have no live quorum is refused; followers are visited in a fixed order.

--- a/chestnutvale/consensus/leader.py
+++ b/chestnutvale/consensus/leader.py
@@ -62,11 +62,13 @@
 
     def sync_members(self, members: Members) -> None:
         """Follow exactly the members other than this one."""
-        others = {*members.voters, *members.learners} - {self.own_id}
-        for gone in self.progress.keys() - others:
-            del self.progress[gone]
-        for member_id in others - self.progress.keys():
-            self.progress[member_id] = Progress(next_index=self.log.last_index + 1)
+        others = [*members.voters, *members.learners]
+        self.progress = {
+            member_id: self.progress.get(member_id)
+            or Progress(next_index=self.log.last_index + 1)
+            for member_id in others
+            if member_id != self.own_id
+        }
 
     def begin_round(self, now_s: float) -> None:
         """Begin a round of messages; answers to it count from now."""
--- a/chestnutvale/consensus/raft.py
+++ b/chestnutvale/consensus/raft.py
@@ -15,6 +15,7 @@
     DEFAULT_SNAPSHOT_ENTRIES,
     LEASE_SHARE,
     MAX_PROMOTE_LAG_ENTRIES,
+    STEP_MEMBERS,
 )
 from chestnutvale.consensus.events import (
     Accepted,
@@ -24,6 +25,7 @@
     Event,
     InstallSnapshot,
     LeadershipChanged,
+    MembersChange,
     Persist,
     Persisted,
     Propose,
@@ -53,6 +55,7 @@
     AppendRequest,
     HardState,
     LogEntry,
+    Members,
     RaftMessage,
     SnapshotMetadata,
     SnapshotReply,
@@ -151,6 +154,7 @@
         self._is_hard_state_new = False
         self._durable_sends: list[RaftMessage] = []
         self._applied_index = self.commit_index
+        self._ready_reads: list[ReadReady] = []
         self._last_reported = (self.role, self.term, self.leader_id)
 
     # What a caller may ask at any time.
@@ -245,6 +249,9 @@
             first, last = self._applied_index + 1, self.commit_index
             self._effects.append(Apply(self.log.slice(first, last, 1 << 62)))
             self._applied_index = self.commit_index
+        # A read may only be served once what it must see is applied.
+        self._effects.extend(self._ready_reads)
+        self._ready_reads.clear()
         self._consider_snapshot()
         self._report_leadership()
         effects, self._effects = self._effects, []
@@ -670,33 +677,48 @@
         if self._leader is None or not self._check_quorum(now_s):
             self._effects.append(Refused(event.request_id, self.leader_id))
             return
-        reason = self._find_members_obstacle(event)
-        if not reason:
-            try:
-                members = change_members(self.log.members, event.change)
-            except MembersChangeError as error:
-                reason = error.message
-        if reason:
-            self._effects.append(Refused(event.request_id, self.leader_id, reason))
+        try:
+            self._check_change_allowed(event.change)
+            members = change_members(self.log.members, event.change)
+            self._check_alive(members, event.change.member_id, now_s)
+        except MembersChangeError as error:
+            refusal = Refused(event.request_id, self.leader_id, error.message)
+            self._effects.append(refusal)
             return
         entry = self._append_own(ENTRY_KIND_MEMBERS, members.SerializeToString())
         self._effects.append(Accepted(event.request_id, entry.index, entry.term))
         self._leader.sync_members(members)
         self._send_entries(now_s)
 
-    def _find_members_obstacle(self, event: ProposeMembers) -> str:
-        """Return why no change of members may begin now; empty if it may."""
+    def _check_change_allowed(self, change: MembersChange) -> None:
+        """Refuse a change of members that may not begin now."""
+        reason = ""
         if self.commit_index < self._leader.first_index:
-            return "the leader has not committed in its term yet"
-        if self.log.members_index > self.commit_index:
-            return "another change of members is pending"
-        if self._leader.transfer_target:
-            return "leadership is being transferred"
-        if event.change.kind is ChangeKind.PROMOTE:
-            match_index = self.match_index(event.change.member_id)
+            reason = "the leader has not committed in its term yet"
+        elif self.log.members_index > self.commit_index:
+            reason = "another change of members is pending"
+        elif self._leader.transfer_target:
+            reason = "leadership is being transferred"
+        elif change.kind is ChangeKind.PROMOTE:
+            match_index = self.match_index(change.member_id)
             if match_index + MAX_PROMOTE_LAG_ENTRIES < self.log.last_index:
-                return "the learner has not caught up"
-        return ""
+                reason = "the learner has not caught up"
+        if reason:
+            raise MembersChangeError(reason, step=STEP_MEMBERS, peer=change.member_id)
+
+    def _check_alive(self, members: Members, changed_id: str, now_s: float) -> None:
+        """Refuse members of which no quorum is alive, since they can't decide."""
+        limit_s = now_s - self._config.election_timeout_s
+        alive = {v for v in members.voters if self.last_heard_s(v) > limit_s}
+        if self.is_voter:
+            alive.add(self.own_id)
+        is_new_voter = changed_id in members.voters
+        if not has_quorum(members, alive) or (is_new_voter and changed_id not in alive):
+            raise MembersChangeError(
+                "too few of the voters would be alive",
+                step=STEP_MEMBERS,
+                peer=changed_id,
+            )
 
     def _receive_append_reply(
         self, message: RaftMessage, reply: AppendReply, now_s: float
@@ -814,7 +836,7 @@
             self._effects.append(Refused(request_id, self.leader_id))
             return
         if self.has_lease(now_s):
-            self._effects.append(ReadReady(request_id, self.commit_index))
+            self._ready_reads.append(ReadReady(request_id, self.commit_index))
             return
         # Only a round that begins after the question can confirm it.
         self._broadcast(now_s)
@@ -832,7 +854,7 @@
         for read in leader.reads:
             is_confirmed = acked_round >= read.round
             if is_confirmed and self.commit_index >= read.index:
-                self._effects.append(ReadReady(read.request_id, read.index))
+                self._ready_reads.append(ReadReady(read.request_id, read.index))
             else:
                 waiting.append(read)
         leader.reads = waiting
