--- a/chestnutvale/consensus/task.py
+++ b/chestnutvale/consensus/task.py
@@ -13,6 +13,7 @@
 
 from chestnutvale.clock import Clock
 from chestnutvale.consensus.bootstrap import Bootstrap
+from chestnutvale.consensus.config import RaftConfig
 from chestnutvale.consensus.const import (
     BODY_RAFT,
     DEFAULT_ELECTION_TIMEOUT_S,
@@ -56,7 +57,7 @@
 )
 from chestnutvale.consensus.machine import StateMachine
 from chestnutvale.consensus.members import control_of
-from chestnutvale.consensus.raft import Raft, RaftConfig
+from chestnutvale.consensus.raft import Raft
 from chestnutvale.consensus.replacement import (
     Joiner,
     MemberContact,
--- /dev/null
+++ b/tests/consensus/driver.py
@@ -0,0 +1,487 @@
+"""A deterministic driver of Raft objects, disks that forget, and bad links."""
+
+import heapq
+import itertools
+import json
+import random
+
+import attrs
+
+from chestnutvale.consensus.config import RaftConfig
+from chestnutvale.consensus.events import (
+    Accepted,
+    Apply,
+    InstallSnapshot,
+    Persist,
+    Persisted,
+    Proposal,
+    Propose,
+    ProposeMembers,
+    Read,
+    ReadReady,
+    Received,
+    Refused,
+    Role,
+    Send,
+    SendSnapshotChunk,
+    SnapshotSaved,
+    TakeSnapshot,
+    Tick,
+)
+from chestnutvale.consensus.members import control_of
+from chestnutvale.consensus.raft import Raft
+from chestnutvale.consensus.replacement import (
+    Joiner,
+    MemberContact,
+    ReplacementPolicy,
+)
+from chestnutvale.schema.raft_pb2 import (
+    ENTRY_KIND_COMMAND,
+    ENTRY_KIND_MEMBERS,
+    HardState,
+    JoinRequest,
+    LogEntry,
+    Members,
+    RaftMessage,
+)
+from chestnutvale.storage.state import StoredState
+from tests.history import Operation
+
+DELAY_S = 0.002
+OPERATION_TIMEOUT_S = 1.5
+
+
+class Disk:
+    """What survives a crash; `write` is called once a sync would be done."""
+
+    def __init__(self, members):
+        data = members.SerializeToString()
+        self.log = [LogEntry(index=1, term=1, kind=ENTRY_KIND_MEMBERS, data=data)]
+        self.hard_state = HardState(term=1)
+        self.snapshot = StoredState().snapshot
+        self.data = b""
+
+    def write(self, order):
+        if isinstance(order, Persist):
+            self.hard_state = order.hard_state or self.hard_state
+            for entry in order.entries:
+                self.log = [e for e in self.log if e.index < entry.index]
+                self.log.append(entry)
+            return
+        if isinstance(order, InstallSnapshot):
+            self.log = []
+        elif order.metadata.index <= self.snapshot.index:
+            return
+        self.snapshot = order.metadata
+        self.data = order.data
+        self.log = [e for e in self.log if e.index > order.metadata.index]
+
+    def read(self):
+        size = len(self.data)
+        return StoredState(self.hard_state, self.snapshot, size, list(self.log))
+
+
+@attrs.define
+class SaveOrder:
+    metadata: object
+    data: bytes
+
+
+class Register:
+    """State machine: one value with compare-and-set; counts what it applied."""
+
+    def __init__(self):
+        self.value = None
+        self.applied = 0
+
+    def apply(self, data):
+        self.applied += 1
+        kind, argument = json.loads(data)
+        if kind == "write":
+            self.value = argument
+            return None
+        is_equal = self.value == argument[0]
+        self.value = argument[1] if is_equal else self.value
+        return is_equal
+
+
+class Node:
+    """A control: a disk and, while it is alive, a Raft object."""
+
+    def __init__(self, member_id, disk):
+        self.member_id = member_id
+        self.disk = disk
+        self.life = 0
+        self.raft = None
+        self.is_frozen = False
+        self.backlog = []
+
+
+class Cluster:
+    """Nodes, links and clients under one simulated clock."""
+
+    def __init__(self, size=3, seed=0, raft=Raft, policy=None, spares=0, **config):
+        self.rng = random.Random(seed)
+        self.now_s = 0.0
+        self.raft_class = raft
+        self.config = RaftConfig(**config)
+        self.policy = policy
+        self.nodes = {}
+        self.history = []
+        self.sent = []
+        self.cuts = set()
+        self.loss = self.doubling = self.reordering = 0.0
+        self.sync_delay_s = 0.001
+        self.writes = 0
+        self.crash_at_write = None
+        self._queue = []
+        self._leader_by_term = {}
+        self._applied = {}
+        self._sequence = itertools.count()
+        self._requests = {}
+        self._request_ids = itertools.count(1)
+        self._values = itertools.count(1)
+        self._disks = itertools.count(1)
+        voters = [f"c{i}#0" for i in range(size)]
+        self.members = Members(voters=voters, wanted_voters=size)
+        for voter in voters:
+            self.start_new(control_of(voter), voter)
+        for i in range(size, size + spares):
+            self.start_new(f"c{i}")
+        if policy:
+            self.at(1.0, self._maintain)
+
+    # Time.
+
+    def at(self, delay_s, action, *arguments):
+        due_s = self.now_s + delay_s
+        heapq.heappush(self._queue, (due_s, next(self._sequence), action, arguments))
+
+    def run(self, duration_s):
+        end_s = self.now_s + duration_s
+        while self._queue and self._queue[0][0] <= end_s:
+            self.now_s, _, action, arguments = heapq.heappop(self._queue)
+            action(*arguments)
+        self.now_s = end_s
+
+    def run_until(self, condition, limit_s=20.0):
+        end_s = self.now_s + limit_s
+        while not condition() and self.now_s < end_s:
+            self.run(0.05)
+        assert condition(), "not reached in time"
+
+    # Faults.
+
+    def start_new(self, control, member_id=None):
+        """Start a control with an empty disk under a new identity."""
+        is_first = member_id is not None
+        member_id = member_id or f"{control}#{next(self._disks)}"
+        disk = Disk(self.members)
+        if not is_first:
+            disk.log, disk.hard_state = [], HardState()
+        self.nodes[control] = Node(member_id, disk)
+        self.start(control)
+
+    def start(self, control):
+        node = self.nodes[control]
+        node.life += 1
+        node.is_frozen = False
+        node.backlog = []
+        node.joiners = {}
+        stored = node.disk.read()
+        rng = random.Random(self.rng.random())
+        node.raft = self.raft_class(
+            node.member_id, stored, self.config, rng, self.now_s
+        )
+        node.machine = Register()
+        if stored.snapshot.index:
+            node.machine.value = json.loads(node.disk.data)
+        node.orders = []
+        node.timer_s = -1.0
+        self._set_timer(node)
+
+    def crash(self, control):
+        """Lose all that is not on the disk."""
+        node = self.nodes[control]
+        node.raft = None
+        node.life += 1
+
+    def lose_disk(self, control):
+        self.crash(control)
+        self.start_new(control)
+
+    def freeze(self, control):
+        self.nodes[control].is_frozen = True
+
+    def wake(self, control):
+        node = self.nodes[control]
+        node.is_frozen = False
+        backlog, node.backlog = node.backlog, []
+        for event in backlog:
+            self._handle(node, event)
+        self._handle(node, Tick())
+
+    def cut(self, source, target):
+        self.cuts.add((source, target))
+
+    def isolate(self, control):
+        for other in self.nodes:
+            self.cuts |= {(control, other), (other, control)}
+
+    def heal(self):
+        self.cuts.clear()
+        self.loss = self.doubling = self.reordering = 0.0
+        for control, node in self.nodes.items():
+            if node.raft is None:
+                self.start(control)
+            elif node.is_frozen:
+                self.wake(control)
+
+    # What tests ask.
+
+    def leaders(self):
+        return [
+            control
+            for control, node in self.nodes.items()
+            if node.raft and not node.is_frozen and node.raft.role is Role.LEADER
+        ]
+
+    def wait_for_leader(self, besides=()):
+        found = lambda: [
+            c
+            for c in self.leaders()
+            if c not in besides and self.raft(c).has_lease(self.now_s)
+        ]
+        self.run_until(found)
+        return found()[0]
+
+    def raft(self, control):
+        return self.nodes[control].raft
+
+    # Clients.
+
+    def ask(self, control, kind, argument=None):
+        """Begin an operation; the history holds it unless it was not run."""
+        operation = Operation(kind, self.now_s, argument)
+        node = self.nodes[control]
+        if node.raft is None:
+            return operation
+        request_id = next(self._request_ids)
+        self._requests[request_id] = operation
+        self.history.append(operation)
+        if kind == "read":
+            self._handle(node, Read(request_id))
+        else:
+            data = json.dumps([kind, argument]).encode()
+            self._handle(node, Propose([Proposal(request_id, data)]))
+        return operation
+
+    def commit(self, control, value):
+        operation = self.ask(control, "write", value)
+        self.run_until(lambda: operation.returned_s <= self.now_s)
+
+    def change(self, control, change):
+        self._handle(self.nodes[control], ProposeMembers(0, change))
+
+    def run_clients(self, count, until_s):
+        """Let clients ask one operation after another for some time."""
+        for _ in range(count):
+            self.at(self.rng.random(), self._act_as_client, None, until_s)
+
+    def _act_as_client(self, last, until_s):
+        is_waiting = last is not None and last.returned_s > self.now_s
+        if is_waiting and self.now_s < last.called_s + OPERATION_TIMEOUT_S:
+            self.at(0.01, self._act_as_client, last, until_s)
+            return
+        if self.now_s >= until_s:
+            return
+        controls = self.leaders() or list(self.nodes)
+        frozen = [c for c, n in self.nodes.items() if n.is_frozen]
+        control = self.rng.choice(controls * 4 + frozen)
+        kind = self.rng.choice(["read", "write", "cas"])
+        argument = next(self._values)
+        if kind == "cas":
+            argument = (self.nodes[control].machine.value, argument)
+        operation = self.ask(control, kind, None if kind == "read" else argument)
+        self.at(0.1 * self.rng.random(), self._act_as_client, operation, until_s)
+
+    # Events and effects.
+
+    def _set_timer(self, node):
+        due_s = node.raft.next_deadline_s()
+        if due_s < 1e9 and due_s != node.timer_s:
+            node.timer_s = due_s
+            delay_s = max(0.0, due_s - self.now_s)
+            self.at(delay_s, self._fire, node, node.life, due_s)
+
+    def _fire(self, node, life, due_s):
+        if node.life == life and node.timer_s == due_s and not node.is_frozen:
+            node.timer_s = -1.0
+            self._handle(node, Tick())
+
+    def _handle(self, node, event):
+        if node.raft is None:
+            return
+        if node.is_frozen:
+            node.backlog.append(event)
+            return
+        life = node.life
+        for effect in node.raft.handle(event, self.now_s):
+            if node.life != life:
+                return
+            self._act(node, effect)
+        if node.life == life:
+            self._set_timer(node)
+        self._check(node)
+
+    def _check(self, node):
+        """Check what must hold at every moment."""
+        raft = node.raft
+        if raft is not None and raft.role is Role.LEADER:
+            leader = self._leader_by_term.setdefault(raft.term, node.member_id)
+            assert leader == node.member_id, f"two leaders in term {raft.term}"
+        # A frozen node may act at its waking, so its lease counts too.
+        nodes = [n for n in self.nodes.values() if n.raft]
+        holders = [n.member_id for n in nodes if n.raft.has_lease(self.now_s)]
+        assert len(holders) <= 1, f"two leases: {holders}"
+
+    def _act(self, node, effect):
+        match effect:
+            case Send(message):
+                self._send(message)
+            case SendSnapshotChunk(message, length):
+                if node.disk.snapshot == message.snapshot_request.metadata:
+                    start = message.snapshot_request.offset
+                    message.snapshot_request.data = node.disk.data[
+                        start : start + length
+                    ]
+                    self._send(message)
+            case Persist() | InstallSnapshot():
+                if isinstance(effect, InstallSnapshot):
+                    node.machine.value = json.loads(effect.data)
+                self._order(node, effect)
+            case TakeSnapshot(metadata):
+                data = json.dumps(node.machine.value).encode()
+                self._order(node, SaveOrder(metadata, data))
+            case Apply(entries):
+                for entry in entries:
+                    self._apply(node, entry)
+            case Accepted(request_id, index, term):
+                self._requests[node.member_id, index, term] = self._requests.get(
+                    request_id
+                )
+            case Refused(request_id):
+                operation = self._requests.pop(request_id, None)
+                if operation in self.history:
+                    self.history.remove(operation)
+                    operation.returned_s = self.now_s
+            case ReadReady(request_id):
+                operation = self._requests.pop(request_id)
+                operation.finish(self.now_s, node.machine.value)
+
+    def _apply(self, node, entry):
+        place = (entry.term, entry.data)
+        known = self._applied.setdefault(entry.index, place)
+        assert known == place, f"two entries at {entry.index}"
+        if entry.kind != ENTRY_KIND_COMMAND:
+            return
+        result = node.machine.apply(entry.data)
+        key = (node.member_id, entry.index, entry.term)
+        operation = self._requests.pop(key, None)
+        if operation is not None:
+            operation.finish(self.now_s, result)
+
+    def _order(self, node, order):
+        node.orders.append(order)
+        if len(node.orders) == 1:
+            self.at(self.sync_delay_s, self._sync, node, node.life)
+
+    def _sync(self, node, life):
+        if node.life != life:
+            return
+        self.writes += 1
+        if self.crash_at_write == (self.writes, "before"):
+            self.crash(control_of(node.member_id))
+            return
+        order = node.orders.pop(0)
+        node.disk.write(order)
+        if self.crash_at_write == (self.writes, "after"):
+            self.crash(control_of(node.member_id))
+            return
+        if node.orders:
+            self.at(self.sync_delay_s, self._sync, node, node.life)
+        if isinstance(order, SaveOrder):
+            self._handle(node, SnapshotSaved(order.metadata, len(order.data)))
+        else:
+            self._handle(node, Persisted(order.ticket))
+
+    # Links.
+
+    def _send(self, message):
+        source, target = control_of(message.from_id), control_of(message.to_id)
+        self.sent.append(message)
+        if target not in self.nodes or self.rng.random() < self.loss:
+            return
+        copies = 2 if self.rng.random() < self.doubling else 1
+        for _ in range(copies):
+            delay_s = DELAY_S * (1 + self.rng.random())
+            if self.rng.random() < self.reordering:
+                delay_s += 0.3 * self.rng.random()
+            data = message.SerializeToString()
+            self.at(delay_s, self._deliver, source, target, data)
+
+    def _deliver(self, source, target, data):
+        if (source, target) in self.cuts:
+            return
+        node = self.nodes[target]
+        message = RaftMessage.FromString(data)
+        if message.HasField("join_request"):
+            joiner = Joiner(message.from_id, "", self.now_s)
+            node.joiners[message.from_id] = joiner
+            return
+        self._handle(node, Received(message))
+
+    # Joining and replacement.
+
+    def _maintain(self):
+        for node in self.nodes.values():
+            if node.raft is None or node.is_frozen:
+                continue
+            if node.raft.role is Role.LEADER:
+                self._consider_members(node)
+            elif not node.raft.leader_id:
+                for control in self.nodes:
+                    request = JoinRequest()
+                    self._send(
+                        RaftMessage(
+                            from_id=node.member_id,
+                            to_id=control,
+                            join_request=request,
+                        )
+                    )
+        self.at(1.0, self._maintain)
+
+    def _consider_members(self, node):
+        raft = node.raft
+        members = raft.log.members
+        others = {*members.voters, *members.learners} - {node.member_id}
+        if raft.log.members_index > raft.commit_index:
+            return
+        contacts = {
+            other: MemberContact(raft.silent_since_s(other), raft.match_index(other))
+            for other in others
+        }
+        change = self.policy.decide(
+            node.member_id,
+            members,
+            contacts,
+            list(node.joiners.values()),
+            raft.log.last_index,
+            self.now_s,
+        )
+        if change:
+            self._handle(node, ProposeMembers(0, change))
+
+
+def make_policy():
+    return ReplacementPolicy(voter_lost_s=5.0, voter_reborn_s=2.0)
