Add the operators' client with its tests against fake controls

Cause: operators need init, key, plan, apply, status, drain, dump and voter with exit codes that scripts can rely on. Any error of a control of which nobody has shown that nothing was proposed is reported as unknown. Tests: fake nodes behind the real OperatorApi and HttpServer on loopback; four operators race under equal numbers with lost answers, unknown commits and a moving leader, and the history is checked against the numbers accepted. The same check fails when the state forgets accepted numbers and when it accepts any number (both are tests). The first form of the race met a resend only by luck of timing and was made certain. Not done: shell completion, defopt brings none without argcomplete.

--- /dev/null
+++ b/chestnutvale/programs/client/commands.py
@@ -0,0 +1,347 @@
+"""The commands of the client; their docstrings are its help."""
+
+import getpass
+import json
+import os
+import sys
+from pathlib import Path
+from typing import Any, Literal
+
+from google.protobuf import json_format
+
+from chestnutvale.configuration.digest import text_digest
+from chestnutvale.configuration.lookup import hash_key
+from chestnutvale.configuration.parser import parse_text
+from chestnutvale.exceptions import ChestnutError
+from chestnutvale.programs.client.const import (
+    DEFAULT_SETTINGS_FILE,
+    ENVIRONMENT_SETTINGS,
+    FORMAT_JSON,
+    ExitCode,
+)
+from chestnutvale.programs.client.controls import ControlsClient
+from chestnutvale.programs.client.exceptions import (
+    ClientError,
+    ConflictError,
+    OutcomeUnknownError,
+    UnreachableError,
+)
+from chestnutvale.programs.client.initialise import make_key, write_first_files
+from chestnutvale.programs.client.tables import (
+    format_apply,
+    format_plan,
+    format_status,
+)
+from chestnutvale.programs.control.operator_const import (
+    PATH_DRAIN,
+    PATH_DUMP,
+    PATH_PLAN,
+    PATH_STATUS,
+    PATH_TEXT,
+    PATH_VOTERS,
+    QUERY_LOCAL,
+)
+from chestnutvale.schema.operator_pb2 import ApplyAnswer, Status, TextPlan
+from chestnutvale.schema.settings_pb2 import ClientSettings
+from chestnutvale.settings.client import load_client_settings
+from chestnutvale.settings.token import load_operator_token
+
+Format = Literal["table", "json"]
+
+DEFAULT_WORKSPACE = "workspace-1"
+_DEBUG_PATH = "/debug/state"
+
+
+def _settings_path(given: Path | None) -> Path:
+    default = os.environ.get(ENVIRONMENT_SETTINGS, DEFAULT_SETTINGS_FILE)
+    return given or Path(default)
+
+
+def _operator_name() -> str:
+    try:
+        return getpass.getuser()
+    except (OSError, KeyError):
+        return ""
+
+
+def _connect(settings: Path | None) -> ControlsClient:
+    loaded: ClientSettings = load_client_settings(_settings_path(settings))
+    token = load_operator_token(Path(loaded.operator_token_file))
+    return ControlsClient(loaded, token, operator=_operator_name())
+
+
+def _print_json(data: Any) -> None:
+    print(json.dumps(data, indent=2))
+
+
+def _read_text_file(file: Path) -> str:
+    try:
+        return file.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise ClientError(str(error), step="read", peer=str(file)) from error
+
+
+def init(
+    folder: Path,
+    *,
+    cluster_id: str = "cluster-1",
+    workspaces: list[str] | None = None,
+) -> ExitCode:
+    """Write commented settings, a first text and an operator token.
+
+    The keys of the workspaces are printed once; the text holds their digests only.
+
+    Example: chestnut init ./chestnut --workspaces north south
+
+    Parameters
+    ----------
+    folder : Path
+        Folder for the files; existing files are never overwritten.
+    cluster_id : str
+        Identity of the cluster; processes of another one are refused.
+    workspaces : list[str] | None
+        Names of the first workspaces.
+    """
+    keys = {name: make_key() for name in workspaces or [DEFAULT_WORKSPACE]}
+    for path in write_first_files(folder, cluster_id, keys):
+        print(f"wrote {path}")
+    for name, workspace_key in keys.items():
+        print(f"key of {name}, shown only now: {workspace_key}")
+    return ExitCode.DONE
+
+
+def key() -> ExitCode:
+    """Make a workspace key and print it with its digest for the text.
+
+    Example: chestnut key
+    """
+    made = make_key()
+    print(f"key, shown only now: {made}")
+    print(f"key_sha256 for the text: {hash_key(made)}")
+    return ExitCode.DONE
+
+
+def plan(
+    file: Path, *, settings: Path | None = None, format: Format = "table"
+) -> ExitCode:
+    """Show what a text would change and what it would stop.
+
+    Example: chestnut plan text.json
+
+    Parameters
+    ----------
+    file : Path
+        The text.
+    settings : Path | None
+        Settings of the client; else $CHESTNUT_SETTINGS, else client.json.
+    format : Format
+        Form of the answer.
+    """
+    raw = _read_text_file(file)
+    parse_text(raw)
+    with _connect(settings) as controls:
+        data = controls.call("POST", PATH_PLAN, raw.encode())
+    if format == FORMAT_JSON:
+        _print_json(data)
+    else:
+        message = json_format.ParseDict(data, TextPlan(), ignore_unknown_fields=True)
+        print(format_plan(message))
+    return ExitCode.DONE
+
+
+def apply(
+    file: Path, *, settings: Path | None = None, format: Format = "table"
+) -> ExitCode:
+    """Apply a text; safe to run again if its answer was lost.
+
+    Exit code 0: accepted, also if it had been accepted before. 2: the text is
+    invalid. 3: its number is taken by another text or old. 6: nobody knows yet, run
+    the command again.
+
+    Example: chestnut apply text.json
+
+    Parameters
+    ----------
+    file : Path
+        The text.
+    settings : Path | None
+        Settings of the client; else $CHESTNUT_SETTINGS, else client.json.
+    format : Format
+        Form of the answer.
+    """
+    raw = _read_text_file(file)
+    # A wrong text is refused also while no control can be reached.
+    text_digest(parse_text(raw))
+    with _connect(settings) as controls:
+        try:
+            data = controls.call("POST", PATH_TEXT, raw.encode(), changes=True)
+        except ConflictError as error:
+            data = error.answer | {"outcome": "conflict"}
+    answer = json_format.ParseDict(data, ApplyAnswer(), ignore_unknown_fields=True)
+    if format == FORMAT_JSON:
+        _print_json(data)
+    else:
+        print(format_apply(answer))
+    return ExitCode.CONFLICT if answer.outcome == "conflict" else ExitCode.DONE
+
+
+def status(
+    *, settings: Path | None = None, format: Format = "table", all: bool = False
+) -> ExitCode:
+    """Show services, groups, stranded hosts, downtime, voters and entries.
+
+    While no control leads, it shows what one control knows by itself and says so.
+
+    Example: chestnut status --all
+
+    Parameters
+    ----------
+    settings : Path | None
+        Settings of the client; else $CHESTNUT_SETTINGS, else client.json.
+    format : Format
+        Form of the answer.
+    all : bool
+        List also what serves.
+    """
+    with _connect(settings) as controls:
+        try:
+            data = controls.call("GET", PATH_STATUS)
+        except UnreachableError:
+            # Without a quorum, one control's own view is better than none.
+            data = controls.call("GET", f"{PATH_STATUS}?{QUERY_LOCAL}")
+    if format == FORMAT_JSON:
+        _print_json(data)
+        return ExitCode.DONE
+    message = json_format.ParseDict(data, Status(), ignore_unknown_fields=True)
+    print(format_status(message, show_all=all))
+    return ExitCode.DONE
+
+
+def drain(
+    host_id: str,
+    *,
+    undo: bool = False,
+    settings: Path | None = None,
+    format: Format = "table",
+) -> ExitCode:
+    """Mark a host so that it gets no new work, or take the mark away.
+
+    Example: chestnut drain host-17
+
+    Parameters
+    ----------
+    host_id : str
+        Identity of the host.
+    undo : bool
+        Take the mark away.
+    settings : Path | None
+        Settings of the client; else $CHESTNUT_SETTINGS, else client.json.
+    format : Format
+        Form of the answer.
+    """
+    request = {"host_id": host_id, "draining": not undo}
+    return _change(PATH_DRAIN, request, settings, format)
+
+
+def voter_add(
+    id: str,
+    address: str,
+    *,
+    http_address: str = "",
+    settings: Path | None = None,
+    format: Format = "table",
+) -> ExitCode:
+    """Make a running control a voter; it learns the log first.
+
+    Example: chestnut voter add control-4 10.0.3.9:7101
+
+    Parameters
+    ----------
+    id : str
+        Identity of the control.
+    address : str
+        IP number and port of its peer inbox.
+    http_address : str
+        IP number and port of its HTTP door.
+    settings : Path | None
+        Settings of the client; else $CHESTNUT_SETTINGS, else client.json.
+    format : Format
+        Form of the answer.
+    """
+    request = {
+        "action": "add",
+        "id": id,
+        "address": address,
+        "http_address": http_address,
+    }
+    return _change(PATH_VOTERS, request, settings, format)
+
+
+def voter_remove(
+    id: str, *, settings: Path | None = None, format: Format = "table"
+) -> ExitCode:
+    """Take a control out of the voters.
+
+    Example: chestnut voter remove control-2
+
+    Parameters
+    ----------
+    id : str
+        Identity of the control.
+    settings : Path | None
+        Settings of the client; else $CHESTNUT_SETTINGS, else client.json.
+    format : Format
+        Form of the answer.
+    """
+    return _change(PATH_VOTERS, {"action": "remove", "id": id}, settings, format)
+
+
+def _change(
+    path: str, request: dict[str, Any], settings: Path | None, format: Format
+) -> ExitCode:
+    body = json.dumps(request).encode()
+    with _connect(settings) as controls:
+        data = controls.call("POST", path, body, changes=True)
+    if format == FORMAT_JSON:
+        _print_json(data)
+    else:
+        print(data.get("outcome", ""))
+    return ExitCode.DONE
+
+
+def dump(
+    *,
+    address: str = "",
+    settings: Path | None = None,
+    format: Format = "json",
+) -> ExitCode:
+    """Print the state of every control, or of one process.
+
+    Example: chestnut dump --address 10.0.1.7:8001
+
+    Parameters
+    ----------
+    address : str
+        IP number and HTTP port of one control or entry.
+    settings : Path | None
+        Settings of the client; else $CHESTNUT_SETTINGS, else client.json.
+    format : Format
+        Form of the answer; a dump has no other form than JSON.
+    """
+    path = _settings_path(settings)
+    with _connect(settings) as controls:
+        if address:
+            _print_json(controls.ask_one(address, _DEBUG_PATH))
+            return ExitCode.DONE
+        dumps: dict[str, Any] = {}
+        failures: list[ChestnutError] = []
+        for control in load_client_settings(path).controls:
+            try:
+                dumps[control.id] = controls.ask_one(control.http_address, PATH_DUMP)
+            except (UnreachableError, OutcomeUnknownError) as error:
+                failures.append(error)
+                dumps[control.id] = {"error": str(error)}
+    _print_json(dumps)
+    for failure in failures:
+        print(failure, file=sys.stderr)
+    return ExitCode.UNREACHABLE if len(failures) == len(dumps) else ExitCode.DONE
--- /dev/null
+++ b/chestnutvale/programs/client/initialise.py
@@ -0,0 +1,108 @@
+"""Write a first set of settings, a text and an operator token."""
+
+import json
+import os
+import secrets
+from collections.abc import Mapping
+from pathlib import Path
+
+from chestnutvale.configuration.lookup import hash_key
+from chestnutvale.configuration.parser import parse_text
+from chestnutvale.programs.client.const import (
+    KEY_BYTES,
+    KEY_PREFIX,
+    STEP_WRITE,
+    TOKEN_BYTES,
+)
+from chestnutvale.programs.client.exceptions import ClientError, FileExistsAlreadyError
+from chestnutvale.programs.client.templates import (
+    CLIENT_TEMPLATE,
+    CONTROL_TEMPLATE,
+    ENTRY_TEMPLATE,
+    TEXT_TEMPLATE,
+    WORKSPACE_TEMPLATE,
+)
+from chestnutvale.settings.token import TOKEN_FILE_MODE
+
+SETTINGS_FILE_MODE = 0o644
+FILE_TOKEN = "operator-token"
+
+
+def make_key() -> str:
+    """Return a new random workspace key.
+
+    Returns
+    -------
+    str
+        The key.
+    """
+    return KEY_PREFIX + secrets.token_urlsafe(KEY_BYTES)
+
+
+def write_first_files(
+    folder: Path, cluster_id: str, workspace_keys: Mapping[str, str]
+) -> list[Path]:
+    """Write settings, text and token into a folder.
+
+    Parameters
+    ----------
+    folder : Path
+        The folder; made if it is missing.
+    cluster_id : str
+        Identity of the cluster.
+    workspace_keys : mapping of str to str
+        Key of each workspace; only the digests are written.
+
+    Returns
+    -------
+    list of Path
+        The files.
+
+    Raises
+    ------
+    ClientError
+        If a file can't be written.
+    FileExistsAlreadyError
+        If one of the files is there; none is written then.
+    TextError
+        If the name of a workspace is wrong.
+    """
+    values = {
+        "cluster_id": json.dumps(cluster_id)[1:-1],
+        "folder": json.dumps(str(folder.absolute()))[1:-1],
+        "workspaces": "\n".join(
+            WORKSPACE_TEMPLATE % {"name": name, "digest": hash_key(key)}
+            for name, key in workspace_keys.items()
+        ),
+    }
+    contents = {
+        FILE_TOKEN: secrets.token_urlsafe(TOKEN_BYTES) + "\n",
+        "client.json": CLIENT_TEMPLATE % values,
+        "entry.json": ENTRY_TEMPLATE % values,
+        "control.json": CONTROL_TEMPLATE % values,
+        "text.json": TEXT_TEMPLATE % values,
+    }
+    # A wrong name of a workspace is refused before anything is written.
+    parse_text(contents["text.json"])
+    paths = [folder / name for name in contents]
+    for path in paths:
+        if path.exists():
+            raise FileExistsAlreadyError(
+                "is there already; nothing was written", step=STEP_WRITE, peer=str(path)
+            )
+    try:
+        folder.mkdir(parents=True, exist_ok=True)
+        for name, content in contents.items():
+            mode = TOKEN_FILE_MODE if name == FILE_TOKEN else SETTINGS_FILE_MODE
+            _write_new(folder / name, content, mode)
+    except OSError as error:
+        reason = f"cannot write: {error.strerror}"
+        raise ClientError(reason, step=STEP_WRITE, peer=str(folder)) from error
+    return paths
+
+
+def _write_new(path: Path, content: str, mode: int) -> None:
+    # The mode is set when the file is made, so that a secret is never open.
+    descriptor = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_EXCL, mode)
+    with os.fdopen(descriptor, "w", encoding="utf-8") as file:
+        file.write(content)
--- /dev/null
+++ b/chestnutvale/programs/client/main.py
@@ -0,0 +1,80 @@
+"""The operators' client: parse the command line, run a command, map its errors."""
+
+import sys
+from collections.abc import Sequence
+
+import defopt
+
+from chestnutvale.configuration.exceptions import TextError
+from chestnutvale.exceptions import ChestnutError
+from chestnutvale.programs.client import commands
+from chestnutvale.programs.client.const import ExitCode
+from chestnutvale.programs.client.exceptions import ClientError, InvalidTextError
+from chestnutvale.settings.exceptions import SettingsError
+
+COMMANDS = {
+    "init": commands.init,
+    "key": commands.key,
+    "plan": commands.plan,
+    "apply": commands.apply,
+    "status": commands.status,
+    "drain": commands.drain,
+    "dump": commands.dump,
+    "voter": {"add": commands.voter_add, "remove": commands.voter_remove},
+}
+
+
+def _print_error(message: object) -> None:
+    print(message, file=sys.stderr)
+
+
+def _report(error: ChestnutError) -> ExitCode:
+    """Print an error with code, step and peer, and return its exit code."""
+    if isinstance(error, TextError):
+        for problem in error.problems:
+            _print_error(f"{error.code}: {problem}")
+        return ExitCode.INVALID_TEXT
+    if isinstance(error, InvalidTextError):
+        for item in error.answer.get("problems", ()):
+            line, path, reason = item["line"], item["path"], item["reason"]
+            _print_error(f"{error.code}: line {line}: {path}: {reason}")
+        return ExitCode.INVALID_TEXT
+    _print_error(error)
+    if isinstance(error, ClientError):
+        return error.exit_code
+    if isinstance(error, SettingsError):
+        return ExitCode.INVALID_SETTINGS
+    return ExitCode.FAILED
+
+
+def run(arguments: Sequence[str]) -> ExitCode:
+    """Run one command.
+
+    Parameters
+    ----------
+    arguments : sequence of str
+        The command line without the program's name.
+
+    Returns
+    -------
+    ExitCode
+        The exit code.
+    """
+    try:
+        call = defopt.bind(COMMANDS, argv=list(arguments), short={})
+    except SystemExit as error:
+        # The parser's own code 2 would read as an invalid text.
+        return ExitCode.USAGE if error.code else ExitCode.DONE
+    try:
+        return call()
+    except ChestnutError as error:
+        return _report(error)
+
+
+def main() -> None:
+    """Run the command of the process's command line and exit."""
+    sys.exit(run(sys.argv[1:]))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/chestnutvale/programs/client/tables.py
@@ -0,0 +1,231 @@
+"""Answers of the controls as tables that operators read."""
+
+from collections.abc import Iterable, Sequence
+
+from tabulate import tabulate
+
+from chestnutvale.schema.operator_pb2 import (
+    ApplyAnswer,
+    EntryStatus,
+    GroupStatus,
+    HostStatus,
+    ServiceStatus,
+    Status,
+    TextPlan,
+    VoterStatus,
+)
+
+STATE_FREE = "free"
+STATE_STRANDED = "stranded"
+MAX_VALUE_WIDTH = 48
+
+_YES = "yes"
+_NO = "no"
+
+
+def _table(title: str, headers: Sequence[str], rows: Iterable[Sequence[object]]) -> str:
+    listed = list(rows)
+    if not listed:
+        return f"{title}: none"
+    # Identities that look like numbers must not be written in another way.
+    body = tabulate(listed, headers=headers, tablefmt="simple", disable_numparse=True)
+    return f"{title}\n{body}"
+
+
+def _yes(value: bool) -> str:
+    return _YES if value else _NO
+
+
+def _shorten(value: str) -> str:
+    if len(value) <= MAX_VALUE_WIDTH:
+        return value
+    return value[: MAX_VALUE_WIDTH - 3] + "..."
+
+
+def format_status(status: Status, show_all: bool = False) -> str:
+    """Return the status as tables.
+
+    Parameters
+    ----------
+    status : Status
+        The status.
+    show_all : bool, optional
+        Also list serving groups and hosts that work or are free.
+
+    Returns
+    -------
+    str
+        The tables, what doesn't serve with its reason.
+    """
+    parts = [_format_head(status), _format_services(status.services)]
+    groups = [group for group in status.groups if show_all or not group.serving]
+    title = "Groups" if show_all else "Groups that do not serve"
+    parts.append(_format_groups(title, groups))
+    hosts = [host for host in status.hosts if show_all or _needs_look(host)]
+    title = "Hosts" if show_all else "Hosts that are stranded, leaving or missing"
+    parts.append(_format_hosts(title, hosts))
+    parts.append(_format_voters(status.voters))
+    parts.append(_format_entries(status.entries))
+    return "\n\n".join(parts)
+
+
+def _needs_look(host: HostStatus) -> bool:
+    return bool(host.reason) or host.state == STATE_STRANDED
+
+
+def _format_head(status: Status) -> str:
+    measures = status.measures
+    origin = f"control {status.control_id}"
+    if not status.confirmed:
+        origin += ", NOT CONFIRMED by a quorum"
+    return "\n".join(
+        [
+            f"Cluster {status.cluster_id}, seen by {origin}",
+            f"Number in force: {status.number}, applied by {status.operator or '-'}",
+            f"Group downtime: {measures.group_downtime_s:.1f} s",
+            f"Stranded: {measures.stranded_hosts} hosts, "
+            f"{measures.stranded_accelerators} accelerators, "
+            f"{measures.stranded_accelerator_s:.1f} accelerator-seconds so far",
+        ]
+    )
+
+
+def _format_services(services: Iterable[ServiceStatus]) -> str:
+    headers = ("service", "kind", "version", "groups", "serves", "downtime s", "reason")
+    rows = [
+        (
+            item.name,
+            item.kind,
+            item.version,
+            f"{item.groups_serving}/{item.groups_wanted}",
+            _yes(item.serving),
+            f"{item.group_downtime_s:.1f}",
+            item.reason,
+        )
+        for item in services
+    ]
+    return _table("Services", headers, rows)
+
+
+def _format_groups(title: str, groups: Iterable[GroupStatus]) -> str:
+    headers = ("group", "service", "epoch", "phase", "serves", "hosts", "reason")
+    rows = [
+        (
+            item.group_id,
+            item.service,
+            item.epoch,
+            item.phase,
+            _yes(item.serving),
+            " ".join(item.host_ids),
+            item.reason,
+        )
+        for item in groups
+    ]
+    return _table(title, headers, rows)
+
+
+def _format_hosts(title: str, hosts: Iterable[HostStatus]) -> str:
+    headers = ("host", "data centre", "fabric domain", "state", "group", "reason")
+    rows = [
+        (
+            item.host_id,
+            item.data_centre,
+            item.fabric_domain,
+            item.state,
+            item.group_id,
+            item.reason,
+        )
+        for item in hosts
+    ]
+    return _table(title, headers, rows)
+
+
+def _format_voters(voters: Iterable[VoterStatus]) -> str:
+    headers = ("voter", "address", "role", "reachable", "reason")
+    rows = [
+        (item.id, item.address, item.role, _yes(item.reachable), item.reason)
+        for item in voters
+    ]
+    return _table("Voters", headers, rows)
+
+
+def _format_entries(entries: Iterable[EntryStatus]) -> str:
+    headers = ("entry", "data centre", "number in force", "serves", "reason")
+    rows = [
+        (
+            item.id,
+            item.data_centre,
+            item.configuration_number,
+            _yes(item.serving),
+            item.reason,
+        )
+        for item in entries
+    ]
+    return _table("Entries", headers, rows)
+
+
+def format_plan(plan: TextPlan) -> str:
+    """Return what a text would change and stop.
+
+    Parameters
+    ----------
+    plan : TextPlan
+        The plan.
+
+    Returns
+    -------
+    str
+        The tables.
+    """
+    head = f"Number in force: {plan.number_in_force}; this text: {plan.number}"
+    if plan.would_conflict:
+        head += f"\nIt would be refused: use a number above {plan.number_in_force}."
+    changes = [
+        (
+            item.action,
+            item.subject,
+            item.name,
+            item.field,
+            _shorten(item.before),
+            _shorten(item.after),
+        )
+        for item in plan.changes
+    ]
+    headers = ("action", "what", "name", "field", "before", "after")
+    stops = [(item.kind, item.name, item.reason) for item in plan.stops]
+    return "\n\n".join(
+        [
+            head,
+            _table("Changes", headers, changes),
+            _table("It stops", ("what", "name", "reason"), stops),
+        ]
+    )
+
+
+def format_apply(answer: ApplyAnswer) -> str:
+    """Return the outcome of an apply.
+
+    Parameters
+    ----------
+    answer : ApplyAnswer
+        The answer.
+
+    Returns
+    -------
+    str
+        One or two sentences, with the difference after a conflict.
+    """
+    if answer.outcome == "accepted":
+        return f"Accepted: number {answer.number} is in force."
+    if answer.outcome == "resent":
+        text = f"Accepted before under number {answer.number}."
+        if answer.number_in_force != answer.number:
+            text += f" Number {answer.number_in_force} is in force by now."
+        return text
+    head = (
+        f"Conflict: number {answer.number} is taken or old; "
+        f"{answer.number_in_force} by {answer.operator_in_force or '-'} is in force."
+    )
+    if not answer.HasField("difference"):
+        return head
+    return f"{head}\n\n{format_plan(answer.difference)}"
--- a/chestnutvale/programs/control/operator_api.py
+++ b/chestnutvale/programs/control/operator_api.py
@@ -29,6 +29,7 @@
 from chestnutvale.programs.control.operator_const import (
     CODE_BAD_REQUEST,
     CODE_CONFLICT,
+    CODE_MEMBERS_REFUSED,
     CODE_NO_LEADER,
     CODE_NOT_FOUND,
     CODE_NOT_LEADER,
@@ -251,12 +252,21 @@
     def _error_problem(self, error: ChestnutError) -> Problem:
         if error.code == CODE_NOT_LEADER:
             return self._redirect_problem()
-        unknown = error.code == CODE_OUTCOME_UNKNOWN
+        if error.code == CODE_MEMBERS_REFUSED:
+            return Problem(
+                status=409,
+                code=CODE_REFUSED,
+                detail=error.message,
+                outcome=OUTCOME_NOT_RUN,
+                step=error.step,
+                peer=error.peer,
+            )
+        # Of any other error nobody has shown that nothing was proposed before it.
         return Problem(
-            status=504 if unknown else 503,
+            status=504 if error.code == CODE_OUTCOME_UNKNOWN else 503,
             code=error.code,
             detail=error.message,
-            outcome=OUTCOME_UNKNOWN if unknown else OUTCOME_NOT_RUN,
+            outcome=OUTCOME_UNKNOWN,
             step=error.step or STEP_PROPOSE,
             peer=error.peer,
             retry_after_s=RETRY_AFTER_S,
--- a/chestnutvale/programs/control/operator_node.py
+++ b/chestnutvale/programs/control/operator_node.py
@@ -23,8 +23,8 @@
     seconds. One that can't answer raises a `ChestnutError` whose ``code`` is
 
     - ``not_leader``: nothing was proposed; the caller is sent to the leader;
-    - ``outcome_unknown``: it may have been proposed and may still be committed;
-    - anything else: it was refused and not run.
+    - ``members_change_refused``: a change of voters was refused and not proposed;
+    - anything else: it may have been proposed and may still be committed.
     """
 
     def is_leader(self) -> bool:
--- /dev/null
+++ b/tests/programs/client/test_races.py
@@ -0,0 +1,162 @@
+"""Histories of operators that race under equal numbers and resend lost edits."""
+
+import random
+
+import attrs
+import eventlet
+import pytest
+from eventlet import tpool
+
+from chestnutvale.configuration.digest import text_digest
+from chestnutvale.configuration.parser import parse_text
+from chestnutvale.configuration.state import ConfigurationState
+from chestnutvale.programs.client.controls import ControlsClient
+from chestnutvale.programs.client.exceptions import ClientError
+from chestnutvale.programs.control.operator_const import PATH_TEXT
+from chestnutvale.settings.client import load_client_settings
+from tests.programs.operator_fakes import TOKEN, FakeError
+
+OPERATORS = 4
+ROUNDS = 5
+
+
+@attrs.define
+class Record:
+    """One apply: what was sent, between which events, and what was answered."""
+
+    number: int
+    digest: str
+    started: int
+    ended: int = 0
+    outcome: str = ""
+    number_in_force: int = 0
+
+
+class History:
+    """Applies of all operators in one order of events."""
+
+    def __init__(self):
+        self.records = []
+        self.events = 0
+
+    def tick(self):
+        self.events += 1
+        return self.events
+
+
+def send_all(name, settings, history, operator_random):
+    for number in range(1, ROUNDS + 1):
+        raw = f'{{"number": {number}, "workspaces": {{"of-{name}": {{}}}}}}'
+        record = Record(number, text_digest(parse_text(raw)), history.tick())
+        history.records.append(record)
+        with ControlsClient(settings, TOKEN, operator=name) as client:
+            try:
+                answer = tpool.execute(
+                    client.call, "POST", PATH_TEXT, raw.encode(), changes=True
+                )
+                record.outcome = answer["outcome"]
+                record.number_in_force = answer["number_in_force"]
+            except ClientError as error:
+                record.outcome = error.code
+                if error.code == "configuration_conflict":
+                    record.number_in_force = error.answer["number_in_force"]
+        record.ended = history.tick()
+        eventlet.sleep(operator_random.random() * 0.01)
+
+
+class TroubledState:
+    """Hands out the troubles of the controls as their state takes texts.
+
+    The answer to each text that is accepted under an even number is lost, so its
+    operator has to send it again; the others meet seeded troubles.
+    """
+
+    def __init__(self, cluster, controls, seed):
+        self.state = cluster.state
+        self.cluster = cluster
+        self.controls = controls
+        self.random = random.Random(seed)
+
+    def __getattr__(self, name):
+        return getattr(self.state, name)
+
+    def apply_text(self, command, at_unix_ms):
+        result = self.state.apply_text(command, at_unix_ms)
+        if result.outcome == "accepted" and command.text.number % 2 == 0:
+            raise FakeError("outcome_unknown")
+        control = self.random.choice(self.controls)
+        match self.random.randrange(6):
+            case 0:
+                control.lost_answers += 1
+            case 1:
+                control.node.errors.append("after:outcome_unknown")
+            case 2:
+                control.node.errors.append("before:outcome_unknown")
+            case 3:
+                self.cluster.leader = control.node.control_id
+        return result
+
+
+def find_violations(history, accepted):
+    """Check a history against the numbers that the log accepted."""
+    wrong = []
+    for record in history.records:
+        won = accepted.get(record.number) == record.digest
+        if record.outcome in ("accepted", "resent") and not won:
+            wrong.append(("told accepted, but was not", record))
+        if record.outcome == "configuration_conflict" and won:
+            wrong.append(("told conflict, but was accepted", record))
+        for other in history.records:
+            later = record.ended < other.started and other.number_in_force
+            if later and other.number_in_force < record.number_in_force:
+                wrong.append(("the number in force went back", other))
+    return wrong
+
+
+def run_race(cluster, controls, settings, seed):
+    history = History()
+    cluster.state = TroubledState(cluster, controls, seed)
+    operators = [
+        eventlet.spawn(send_all, f"op{n}", settings, history, random.Random(seed + n))
+        for n in range(OPERATORS)
+    ]
+    for operator in operators:
+        operator.wait()
+    snapshot = cluster.state.to_snapshot()
+    return history, {item.number: item.digest for item in snapshot.accepted}
+
+
+@pytest.mark.parametrize("seed", [11, 12, 13])
+def test_race_with_lost_answers(cluster, controls, write_settings, seed):
+    settings = load_client_settings(write_settings(timeout_ms=8_000))
+    history, accepted = run_race(cluster, controls, settings, seed)
+    assert find_violations(history, accepted) == []
+    assert sorted(accepted) == list(range(1, ROUNDS + 1))
+    outcomes = [record.outcome for record in history.records]
+    assert set(outcomes) <= {"accepted", "resent", "configuration_conflict"}
+    assert "resent" in outcomes and "configuration_conflict" in outcomes
+
+
+class ForgetfulState(ConfigurationState):
+    """Remembers no accepted numbers, so that a resend looks like a conflict."""
+
+    def is_accepted(self, number, digest):
+        return False
+
+
+class LastWriterState(ConfigurationState):
+    """Accepts any number, as without compare-and-set."""
+
+    def apply_text(self, command, at_unix_ms):
+        self.text.number = 0
+        return super().apply_text(command, at_unix_ms)
+
+
+@pytest.mark.parametrize("state", [ForgetfulState, LastWriterState])
+def test_the_check_sees_what_the_state_prevents(
+    cluster, controls, write_settings, state
+):
+    cluster.state = state()
+    settings = load_client_settings(write_settings(timeout_ms=8_000))
+    history, accepted = run_race(cluster, controls, settings, 11)
+    assert find_violations(history, accepted) != []
--- /dev/null
+++ b/tests/programs/control/test_operator_api.py
@@ -0,0 +1,130 @@
+"""Doors of the operators' interface: tokens, bodies, unknown calls."""
+
+import io
+import json
+
+import pytest
+
+from chestnutvale.clock import SystemClock
+from chestnutvale.programs.control.operator_api import OperatorApi
+from chestnutvale.settings.token import hash_token
+from tests.programs.operator_fakes import TOKEN, FakeCluster, FakeNode
+
+
+@pytest.fixture
+def node():
+    cluster = FakeCluster()
+    cluster.leader = "c1"
+    return FakeNode(cluster, "c1")
+
+
+@pytest.fixture
+def ask(node):
+    """Return a function that sends a request and gives status and answer."""
+    api = OperatorApi(hash_token(TOKEN), node, SystemClock())
+
+    def send(method, path, body=b"", authorization=f"Bearer {TOKEN}", **headers):
+        seen = []
+        environ = {
+            "REQUEST_METHOD": method,
+            "PATH_INFO": path,
+            "QUERY_STRING": "",
+            "HTTP_AUTHORIZATION": authorization,
+            "wsgi.input": io.BytesIO(body),
+            **headers,
+        }
+        answer = api(environ, lambda status, headers: seen.append(status))
+        return int(seen[0].split()[0]), json.loads(b"".join(answer))
+
+    return send
+
+
+CALLS = [
+    ("POST", "/operator/v1/text"),
+    ("GET", "/operator/v1/text"),
+    ("POST", "/operator/v1/plan"),
+    ("GET", "/operator/v1/status"),
+    ("POST", "/operator/v1/drain"),
+    ("POST", "/operator/v1/voters"),
+    ("GET", "/operator/v1/dump"),
+    ("GET", "/operator/v1/none"),
+]
+
+
+@pytest.mark.parametrize("call", CALLS)
+@pytest.mark.parametrize(
+    "authorization",
+    [
+        "",
+        TOKEN,
+        f"Basic {TOKEN}",
+        f"Bearer {TOKEN}x",
+        f"Bearer {TOKEN[:-1]}",
+        "Bearer ",
+    ],
+)
+def test_no_call_without_the_token(ask, node, call, authorization):
+    status, answer = ask(*call, b'{"number": 1}', authorization)
+    assert (status, answer["outcome"]) == (401, "not_run")
+    assert TOKEN not in json.dumps(answer)
+    assert node.cluster.state.number == 0
+
+
+@pytest.mark.parametrize(
+    ("path", "body", "status"),
+    [
+        ("text", b"\xff\xfe", 400),
+        ("text", b'{"number": 0}', 400),
+        ("text", b" " * (4 * 1024 * 1024 + 1), 413),
+        ("drain", b"{", 400),
+        ("drain", b'{"host_id": ""}', 400),
+        ("drain", b'{"host": "h"}', 400),
+        ("drain", b'{"a":' * 3_000, 400),
+        ("drain", b" " * 20_000, 413),
+        ("voters", b'{"action": "mend", "id": "c4"}', 400),
+        ("voters", b'{"action": "add", "id": "c4"}', 400),
+        ("none", b"", 404),
+    ],
+)
+def test_wrong_bodies(ask, path, body, status):
+    seen, answer = ask("POST", f"/operator/v1/{path}", body)
+    assert (seen, answer["outcome"]) == (status, "not_run")
+
+
+def test_text_in_force_can_be_applied_again(ask):
+    assert ask("POST", "/operator/v1/text", b'{"number": 3}')[0] == 200
+    _, text = ask("GET", "/operator/v1/text")
+    assert text["number"] == 3
+    status, answer = ask("POST", "/operator/v1/text", json.dumps(text).encode())
+    assert (status, answer["outcome"]) == (200, "resent")
+
+
+@pytest.mark.parametrize(
+    ("error", "status", "outcome"),
+    [
+        ("before:members_change_refused", 409, "not_run"),
+        ("before:outcome_unknown", 504, "unknown"),
+        ("after:outcome_unknown", 504, "unknown"),
+        ("before:consensus_failed", 503, "unknown"),
+        ("before:not_leader", 503, "not_run"),
+    ],
+)
+def test_errors_of_the_control(ask, node, error, status, outcome):
+    node.errors = [error]
+    seen, answer = ask("POST", "/operator/v1/text", b'{"number": 1}')
+    assert (seen, answer["outcome"]) == (status, outcome)
+    assert answer["step"]
+
+
+def test_a_follower_names_the_leader(ask, node):
+    node.cluster.leader = "c2"
+    node.cluster.addresses["c2"] = "127.0.0.1:5"
+    status, answer = ask("GET", "/operator/v1/status")
+    assert (status, answer["leader_http_address"]) == (421, "127.0.0.1:5")
+    status, answer = ask("GET", "/operator/v1/status", QUERY_STRING="local=1")
+    assert (status, answer["confirmed"]) == (200, False)
+
+
+@pytest.mark.parametrize("deadline", ["-1", "soon", "9" * 30, "\u0664"])
+def test_wrong_deadline(ask, deadline):
+    assert ask("GET", "/operator/v1/status", HTTP_X_DEADLINE_MS=deadline)[0] == 400
