--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of decisions; run with ``python -m benchmarks.NAME``."""
--- /dev/null
+++ b/benchmarks/admission_overload.py
@@ -0,0 +1,65 @@
+"""Measures admission below and above capacity, with baselines in the same run.
+
+Run with ``python -m benchmarks.admission_overload``.
+"""
+
+from multiprocessing import Pool
+
+import defopt
+
+from benchmarks.models.baselines import FirstComeFirstServed
+from benchmarks.models.bench import Bench, Policy
+from benchmarks.models.figures import Figures, measure, table
+from benchmarks.models.load import BOOKINGS, OVERNIGHT, make_calls
+from chestnutvale.admission.controller import AdmissionController
+from chestnutvale.routing.selector import Selector
+
+# Calls a second that the 15 model engines can answer.
+CAPACITY_RATE = 46.0
+START_S = 30.0
+STOP_S = 150.0
+DEPLOYMENTS = {"overnight": OVERNIGHT, "bookings": BOOKINGS}
+POLICIES = {
+    "chosen": Policy("chosen", AdmissionController, Selector),
+    "fcfs": Policy("fcfs", lambda rng: FirstComeFirstServed("predicted"), Selector),
+    "max_tokens": Policy(
+        "max_tokens", lambda rng: FirstComeFirstServed("max_tokens"), Selector
+    ),
+    "no_limit": Policy(
+        "no_limit", lambda rng: FirstComeFirstServed("nothing"), Selector
+    ),
+}
+
+
+def run(case: tuple[str, str, float, int]) -> tuple[str, Figures]:
+    """Run one case: deployment, policy, multiple of capacity, seed."""
+    deployment, policy, multiple, seed = case
+    rate = CAPACITY_RATE * multiple
+    calls = make_calls(DEPLOYMENTS[deployment], rate, STOP_S + 10, seed)
+    bench = Bench(POLICIES[policy], calls, STOP_S + 90, seed).run()
+    figures = measure(bench, START_S, STOP_S)
+    return f"{deployment} {policy} {multiple}x seed {seed}", figures
+
+
+def main(
+    *,
+    policies: str = "chosen,fcfs,max_tokens,no_limit",
+    multiples: str = "0.5,1,2,4",
+    deployments: str = "overnight,bookings",
+    seeds: str = "1",
+    processes: int = 3,
+) -> None:
+    """Print a table of figures; lists are separated by commas."""
+    cases = [
+        (deployment, policy, float(multiple), int(seed))
+        for deployment in deployments.split(",")
+        for multiple in multiples.split(",")
+        for policy in policies.split(",")
+        for seed in seeds.split(",")
+    ]
+    with Pool(processes) as pool:
+        print(table(pool.map(run, cases, chunksize=1)))
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- /dev/null
+++ b/benchmarks/models/__init__.py
@@ -0,0 +1,1 @@
+"""Seeded stand-ins that drive the real decision objects."""
--- /dev/null
+++ b/benchmarks/models/baselines.py
@@ -0,0 +1,175 @@
+"""Plain policies that the decisions are compared with."""
+
+import itertools
+import random
+from collections import deque
+from collections.abc import Iterable
+
+import attrs
+
+from chestnutvale.admission.const import DEFAULT_QUEUE_REQUESTS
+from chestnutvale.admission.messages import (
+    AdmissionRequest,
+    Admit,
+    Effect,
+    Queue,
+    Refuse,
+    ServiceCapacity,
+)
+from chestnutvale.admission.prediction import TokenPredictor
+from chestnutvale.routing.messages import RoutableGroup, RoutingRequest
+
+
+@attrs.define
+class FirstComeFirstServed:
+    """One bounded line for all, with an equal part of the capacity.
+
+    Parameters
+    ----------
+    reserve : str
+        ``"predicted"``, ``"max_tokens"`` or ``"nothing"`` (no limit).
+    """
+
+    reserve: str
+    limit: float = 0.0
+    reserved: int = 0
+    entry_count: int = 1
+    predictor: TokenPredictor = attrs.field(factory=TokenPredictor)
+    _line: deque = attrs.field(factory=deque)
+    _running: dict = attrs.field(factory=dict)
+    _capacity: int = 0
+
+    def configure(self, weights: dict, limits: dict) -> None:
+        """Take no notice of weights."""
+
+    def set_entry_count(self, count: int) -> None:
+        """Tell over how many entries the capacity is shared."""
+        self.entry_count = count
+
+    def set_capacity(
+        self, service: str, capacity: ServiceCapacity, now_s: float
+    ) -> None:
+        """Take an equal part of the capacity."""
+        self.limit = capacity.kv_capacity_tokens / self.entry_count
+
+    def set_demand(self, service: str, own: dict, total: dict) -> None:
+        """Take no notice of demand."""
+
+    def demand(self) -> list:
+        """Report nothing."""
+        return []
+
+    def reserved_tokens(self, service: str) -> int:
+        """Return the tokens reserved."""
+        return self.reserved
+
+    def offer(self, request: AdmissionRequest, now_s: float) -> list[Effect]:
+        """Append the request to the line."""
+        if len(self._line) >= DEFAULT_QUEUE_REQUESTS:
+            return [Refuse(request.request_id, "queue_full", 1.0)]
+        self._line.append(request)
+        effects = self._admit()
+        if self._line and self._line[-1] is request:
+            effects.append(Queue(request.request_id))
+        return effects
+
+    def progress(self, request_id: str, output_tokens: int) -> None:
+        """Take no notice of progress."""
+
+    def release(self, request_id: str, used_tokens: int, now_s: float) -> list[Effect]:
+        """Give a reservation back."""
+        held = self._running.pop(request_id, None)
+        if held is None:
+            return []
+        request, cost = held
+        self.reserved -= cost
+        self.predictor.observe(request.workspace, request.priority, used_tokens)
+        return self._admit()
+
+    def withdraw(self, request_id: str, now_s: float) -> list[Effect]:
+        """Forget a request."""
+        held = self._running.pop(request_id, None)
+        if held is not None:
+            self.reserved -= held[1]
+            return self._admit()
+        self._line = deque(r for r in self._line if r.request_id != request_id)
+        return []
+
+    def tick(self, now_s: float) -> list[Effect]:
+        """Admit what fits."""
+        return self._admit()
+
+    def _admit(self) -> list[Effect]:
+        effects: list[Effect] = []
+        while self._line:
+            cost = self._cost(self._line[0])
+            if self.reserved and self.reserved + cost > self.limit:
+                break
+            request = self._line.popleft()
+            self._running[request.request_id] = (request, cost)
+            self.reserved += cost
+            effects.append(Admit(request.request_id, max(cost, 1)))
+        return effects
+
+    def _cost(self, request: AdmissionRequest) -> int:
+        if self.reserve == "nothing":
+            return 0
+        if self.reserve == "max_tokens":
+            return request.prompt_tokens + request.max_tokens
+        output = self.predictor.predict(
+            request.workspace, request.priority, request.max_tokens
+        )
+        return request.prompt_tokens + output
+
+
+@attrs.define
+class RoundRobin:
+    """Gives each group its turn."""
+
+    rng: random.Random
+    _names: list[str] = attrs.field(factory=list)
+    _turns: Iterable = attrs.field(factory=itertools.count)
+
+    def __attrs_post_init__(self) -> None:
+        """Start at a random turn."""
+        self._turns = itertools.count(self.rng.randrange(1000))
+
+    def update_groups(self, groups: Iterable[RoutableGroup]) -> None:
+        """Install the groups."""
+        self._names = [group.group_id for group in groups]
+
+    def update_load(self, *args: object, **more: object) -> None:
+        """Take no notice of load."""
+
+    def note_cache_events(self, *args: object) -> None:
+        """Take no notice of caches."""
+
+    def choose(self, request: RoutingRequest, now_s: float) -> str | None:
+        """Return the next group."""
+        names = [n for n in self._names if n not in request.excluded_groups]
+        return names[next(self._turns) % len(names)] if names else None
+
+    def sent(self, *args: object) -> None:
+        """Take no notice of sends."""
+
+    def first_token(self, *args: object) -> None:
+        """Take no notice of latency."""
+
+    def finished(self, *args: object) -> None:
+        """Take no notice of ends."""
+
+
+@attrs.define
+class LeastReported(RoundRobin):
+    """Gives each request to the group with the least reported load."""
+
+    _loads: dict = attrs.field(factory=dict)
+
+    def update_load(self, group_id: str, load: object, *args: object) -> None:
+        """Remember the load."""
+        self._loads[group_id] = load.kv_used_tokens + 1000 * load.waiting
+
+    def choose(self, request: RoutingRequest, now_s: float) -> str | None:
+        """Return the group with the least load."""
+        names = [n for n in self._names if n not in request.excluded_groups]
+        return min(names, key=lambda n: self._loads.get(n, 0), default=None)
--- a/chestnutvale/admission/controller.py
+++ b/chestnutvale/admission/controller.py
@@ -170,6 +170,11 @@
             for workspace, tokens in service.demand().items()
         ]
 
+    def reserved_tokens(self, service: str) -> int:
+        """Return the tokens that running requests of a service hold."""
+        admission = self._services.get(service)
+        return admission.reserved if admission else 0
+
     def _service(self, request_id: str) -> ServiceAdmission | None:
         return self._services.get(self._service_of.get(request_id, ""))
 
