Let urgent requests evict lower classes, learn the commitment of KV memory

Change: a full line gives up its newest request of the lowest class; urgent may overdraw the limit by 15%; the limit follows reported KV use (Commitment); early refusal counts the time of the answer, on tick as well.

--- a/chestnutvale/admission/const.py
+++ b/chestnutvale/admission/const.py
@@ -32,7 +32,25 @@
 EVEN_SHARE: Final = 0.15
 
 DEFAULT_HOLD_S: Final = 5.0
-HOLD_GAIN: Final = 0.05
+DEFAULT_TOKEN_S: Final = 0.02
+PACE_GAIN: Final = 0.02
+# Estimates are taken this much shorter before a request is refused by them.
+ESTIMATE_OPTIMISM: Final = 0.8
+
+# Urgent requests may go this share above the limit, into the KV headroom.
+URGENT_OVERDRAFT: Final = 0.15
+
+# Share of KV memory that the limit steers for.
+KV_TARGET: Final = 0.85
+KV_HIGH: Final = 0.92
+# Share of requests that wait inside the engines above which the limit falls.
+ENGINE_WAITING_HIGH: Final = 0.1
+COMMITMENT_MIN: Final = 0.3
+COMMITMENT_MAX: Final = 2.5
+# Change of the commitment in a second.
+COMMITMENT_RISE_PER_S: Final = 0.03
+COMMITMENT_FALL_PER_S: Final = 0.1
+COMMITMENT_MAX_STEP_S: Final = 2.0
 
 TICK_INTERVAL_S: Final = 0.25
 RETRY_AFTER_MIN_S: Final = 1.0
--- a/chestnutvale/admission/controller.py
+++ b/chestnutvale/admission/controller.py
@@ -83,8 +83,7 @@
         admission = self._services.get(service)
         if admission is None:
             return
-        admission.capacity = capacity
-        admission.update_shares()
+        admission.set_capacity(capacity, now_s)
 
     def set_demand(
         self, service: str, own: Mapping[str, int], total: Mapping[str, int]
--- a/chestnutvale/admission/pacing.py
+++ b/chestnutvale/admission/pacing.py
@@ -6,7 +6,8 @@
 
 from chestnutvale.admission.const import (
     DEFAULT_HOLD_S,
-    HOLD_GAIN,
+    DEFAULT_TOKEN_S,
+    PACE_GAIN,
     RETRY_AFTER_JITTER,
     RETRY_AFTER_MAX_S,
     RETRY_AFTER_MIN_S,
@@ -14,23 +15,40 @@
 
 
 @attrs.define
-class HoldTime:
-    """Mean seconds that a reserved token is held; gives the drain rate.
+class Pace:
+    """How long reserved tokens are held and answers take.
 
     By Little's law the tokens released a second are the tokens reserved divided
-    by the time that each is held, so the estimate follows a changed limit at
+    by the time that each is held, so the drain rate follows a changed limit at
     once.
+
+    Attributes
+    ----------
+    hold_s : float
+        Mean seconds that a reserved token is held.
+    token_s : float
+        Mean seconds of an output token, with its part of prefill.
     """
 
     hold_s: float = DEFAULT_HOLD_S
-    gain: float = HOLD_GAIN
-    _samples: int = 0
-
-    def observe(self, held_s: float) -> None:
-        """Learn from a request that was released after `held_s` seconds."""
-        self._samples += 1
-        gain = max(self.gain, 1 / self._samples)
-        self.hold_s += gain * (held_s - self.hold_s)
+    token_s: float = DEFAULT_TOKEN_S
+    gain: float = PACE_GAIN
+    _cost: float = 0.0
+    _cost_seconds: float = 0.0
+    _output: float = 0.0
+    _seconds: float = 0.0
+
+    def observe(self, cost: int, output_tokens: int, held_s: float) -> None:
+        """Learn from a request of `cost` that was held for `held_s` seconds."""
+        keep = 1 - self.gain
+        self._cost = self._cost * keep + cost
+        self._cost_seconds = self._cost_seconds * keep + cost * held_s
+        self._output = self._output * keep + output_tokens
+        self._seconds = self._seconds * keep + held_s
+        if self._cost:
+            self.hold_s = self._cost_seconds / self._cost
+        if self._output:
+            self.token_s = self._seconds / self._output
 
     def drain_rate(self, limit_tokens: float) -> float:
         """Return tokens released a second while the limit is fully used."""
--- a/chestnutvale/admission/service.py
+++ b/chestnutvale/admission/service.py
@@ -5,16 +5,19 @@
 
 import attrs
 
+from chestnutvale.admission.commitment import Commitment
 from chestnutvale.admission.const import (
     CODE_DEADLINE,
     CODE_EXPIRED,
     CODE_NO_CAPACITY,
     CODE_QUEUE_FULL,
     CODE_TOO_LARGE,
+    ESTIMATE_OPTIMISM,
     NO_CAPACITY_RETRY_S,
     PRIORITIES,
     PRIORITY_NORMAL,
     PRIORITY_URGENT,
+    URGENT_OVERDRAFT,
 )
 from chestnutvale.admission.messages import (
     AdmissionRequest,
@@ -25,7 +28,7 @@
     ServiceCapacity,
     ServiceLimits,
 )
-from chestnutvale.admission.pacing import HoldTime, RetryPacer
+from chestnutvale.admission.pacing import Pace, RetryPacer
 from chestnutvale.admission.prediction import TokenPredictor
 from chestnutvale.admission.sharing import divide_between_entries
 from chestnutvale.admission.waiting import FairQueue, Waiter
@@ -43,11 +46,14 @@
         Tokens held.
     admitted_s : float
         Monotonic time of the admission.
+    output_tokens : int
+        Length of the answer so far.
     """
 
     request: AdmissionRequest
     reserved: int
     admitted_s: float
+    output_tokens: int = 0
 
 
 @attrs.define
@@ -78,11 +84,19 @@
         factory=lambda: dict.fromkeys(PRIORITIES, 0)
     )
     _waiting: dict[str, Waiter] = attrs.field(factory=dict)
-    _hold: HoldTime = attrs.field(factory=HoldTime)
+    pace: Pace = attrs.field(factory=Pace)
+    commitment: Commitment = attrs.field(factory=Commitment)
     _pacer: RetryPacer = attrs.field(
         default=attrs.Factory(lambda self: RetryPacer(self.rng), takes_self=True)
     )
 
+    def set_capacity(self, capacity: ServiceCapacity, now_s: float) -> None:
+        """Take a report of what the serving groups have and use."""
+        self.capacity = capacity
+        total = sum(self.total_demand.values())
+        self.commitment.update(capacity, total, now_s)
+        self.update_shares()
+
     def update_shares(self) -> None:
         """Compute this entry's part of the capacity anew."""
         parts = divide_between_entries(
@@ -105,7 +119,7 @@
             return [Refuse(request.request_id, CODE_TOO_LARGE, 0.0)]
         if request.deadline_s <= now_s:
             return [self._refuse(request, CODE_EXPIRED, cost, now_s)]
-        if now_s + self._wait_s(request, cost) > request.deadline_s:
+        if not self._can_finish(request, cost, now_s):
             return [self._refuse(request, CODE_DEADLINE, cost, now_s)]
         effects = self._make_room(request, cost, now_s)
         if effects and effects[-1].request_id == request.request_id:
@@ -125,7 +139,7 @@
             return []
         request = entry.request
         self._reserve(request.priority, -entry.reserved)
-        self._hold.observe(now_s - entry.admitted_s)
+        self.pace.observe(entry.reserved, used_tokens, now_s - entry.admitted_s)
         self.predictor.observe(request.workspace, request.priority, used_tokens)
         if not self._is_plain():
             used = request.prompt_tokens + used_tokens
@@ -137,6 +151,7 @@
         entry = self.running.get(request_id)
         if entry is None or self._is_plain():
             return
+        entry.output_tokens = max(entry.output_tokens, output_tokens)
         held = entry.request.prompt_tokens + output_tokens
         if held > entry.reserved:
             self._reserve(entry.request.priority, held - entry.reserved)
@@ -152,7 +167,13 @@
         entry = self.running.pop(request_id, None)
         if entry is None:
             return []
-        self._reserve(entry.request.priority, -entry.reserved)
+        request = entry.request
+        self._reserve(request.priority, -entry.reserved)
+        if entry.output_tokens:
+            # A caller that cuts its answer short shows what it really uses.
+            self.predictor.observe(
+                request.workspace, request.priority, entry.output_tokens
+            )
         return self.admit_waiting(now_s)
 
     def tick(self, now_s: float) -> list[Effect]:
@@ -161,8 +182,11 @@
         if self.capacity.groups == 0:
             return effects + self._refuse_all(now_s)
         for waiter in list(self.queue):
-            if waiter.request.deadline_s <= now_s:
+            request = waiter.request
+            if request.deadline_s <= now_s:
                 effects.append(self._drop(waiter, CODE_EXPIRED, now_s))
+            elif now_s + self._answer_s(request, waiter.cost) > request.deadline_s:
+                effects.append(self._drop(waiter, CODE_DEADLINE, now_s))
         return effects + self.admit_waiting(now_s)
 
     def admit_waiting(self, now_s: float) -> list[Effect]:
@@ -170,7 +194,7 @@
         effects: list[Effect] = []
         while True:
             waiter = self._next()
-            if waiter is None or not self._fits(waiter.cost):
+            if waiter is None or not self._fits(waiter):
                 return effects
             self.queue.pop(waiter)
             request = waiter.request
@@ -193,7 +217,7 @@
     def _capacity_units(self) -> float:
         if self._is_plain():
             return float(self.capacity.groups * self.limits.slots_per_group)
-        return float(self.capacity.kv_capacity_tokens)
+        return self.commitment.factor * self.capacity.kv_capacity_tokens
 
     def _is_plain(self) -> bool:
         return self.capacity.kv_capacity_tokens == 0
@@ -212,9 +236,16 @@
         per_group = self.capacity.kv_capacity_tokens / self.capacity.groups
         return request.prompt_tokens > per_group
 
-    def _fits(self, cost: int) -> bool:
+    def _fits(self, waiter: Waiter) -> bool:
         # A request larger than the whole limit runs alone rather than never.
-        return self.reserved + cost <= self.limit or self.reserved == 0
+        if self.reserved == 0:
+            return True
+        return self.reserved + waiter.cost <= self._limit_of(waiter.request.priority)
+
+    def _limit_of(self, priority: str) -> float:
+        if priority == PRIORITY_URGENT and not self._is_plain():
+            return self.limit * (1 + URGENT_OVERDRAFT)
+        return self.limit
 
     def _next(self) -> Waiter | None:
         heads = [self.queue.head(priority) for priority in PRIORITIES]
@@ -230,12 +261,24 @@
             return normal
         return batch or normal or urgent
 
-    def _wait_s(self, request: AdmissionRequest, cost: int) -> float:
-        ahead = self._tokens_ahead(request)
-        free = self.limit - self.reserved
-        if ahead + cost <= free:
+    def _can_finish(self, request: AdmissionRequest, cost: int, now_s: float) -> bool:
+        wait_s = self._wait_s(request, cost)
+        if wait_s == 0.0 and self.reserved < self.limit / 2:
+            # With room to spare, a stale estimate must not keep callers out.
+            return True
+        needed_s = ESTIMATE_OPTIMISM * wait_s + self._answer_s(request, cost)
+        return now_s + needed_s <= request.deadline_s
+
+    def _answer_s(self, request: AdmissionRequest, cost: int) -> float:
+        if self._is_plain():
             return 0.0
-        return max(0.0, ahead + cost - free) / self._drain_rate()
+        output = cost - request.prompt_tokens
+        return ESTIMATE_OPTIMISM * output * self.pace.token_s
+
+    def _wait_s(self, request: AdmissionRequest, cost: int) -> float:
+        free = self._limit_of(request.priority) - self.reserved
+        missing = self._tokens_ahead(request) + cost - free
+        return max(0.0, missing) / self._drain_rate()
 
     def _tokens_ahead(self, request: AdmissionRequest) -> float:
         ahead = 0.0
@@ -254,19 +297,18 @@
         return min(own * weight_sum / weight, self.queue.class_tokens(priority))
 
     def _drain_rate(self) -> float:
-        return self._hold.drain_rate(self.limit)
+        return self.pace.drain_rate(self.limit)
 
     def _make_room(
         self, request: AdmissionRequest, cost: int, now_s: float
     ) -> list[Effect]:
         waiting = self.queue.workspace_count(request.workspace)
         if waiting >= self.limits.workspace_queue_requests:
-            return [self._refuse(request, CODE_QUEUE_FULL, cost, now_s)]
-        if self.queue.count < self.limits.queue_requests:
+            victim = self.queue.last_below(request.priority, request.workspace)
+        elif self.queue.count >= self.limits.queue_requests:
+            victim = self.queue.last_of_longest(request.priority)
+        else:
             return []
-        index = PRIORITIES.index(request.priority)
-        lower = tuple(reversed(PRIORITIES[index:]))
-        victim = self.queue.last_of_longest(lower)
         if victim is None or self._is_same_line(victim.request, request):
             return [self._refuse(request, CODE_QUEUE_FULL, cost, now_s)]
         return [self._drop(victim, CODE_QUEUE_FULL, now_s)]
--- a/chestnutvale/admission/waiting.py
+++ b/chestnutvale/admission/waiting.py
@@ -106,19 +106,27 @@
         """Return the requests of one line, the oldest first."""
         return iter(self._lines[priority].get(workspace, ()))
 
-    def last_of_longest(self, priorities: tuple[str, ...]) -> Waiter | None:
-        """Return the newest request of the workspace that waits for most.
+    def last_of_longest(self, priority: str) -> Waiter | None:
+        """Return the newest request of the line that waits for most.
 
-        Tokens count by the workspace's weight; classes are tried in the order
-        given.
+        Tokens count by the workspace's weight. The lowest class that waits is
+        taken, down to `priority`; None if only higher classes wait.
         """
-        for priority in priorities:
-            lines = self._lines[priority]
+        for lower in _from_lowest(priority):
+            lines = self._lines[lower]
             if lines:
-                longest = max(lines, key=lambda w: (self._relative(priority, w), w))
+                longest = max(lines, key=lambda w: (self._relative(lower, w), w))
                 return lines[longest][-1]
         return None
 
+    def last_below(self, priority: str, workspace: str) -> Waiter | None:
+        """Return a workspace's newest request of its lowest class."""
+        for lower in _from_lowest(priority):
+            line = self._lines[lower].get(workspace)
+            if line:
+                return line[-1]
+        return None
+
     def __iter__(self) -> Iterator[Waiter]:
         """Iterate over all requests, by class."""
         for priority in PRIORITIES:
@@ -136,3 +144,7 @@
         counted = self._counts.get(request.workspace, 0) + sign
         self._counts[request.workspace] = counted
         self.count += sign
+
+
+def _from_lowest(priority: str) -> list[str]:
+    return list(reversed(PRIORITIES[PRIORITIES.index(priority) :]))
