--- a/benchmarks/models/figures.py
+++ b/benchmarks/models/figures.py
@@ -17,6 +17,8 @@
     ----------
     goodput : float
         Calls answered whole and in time, a second.
+    good_tokens : float
+        Prompt and output tokens of those calls, in thousands a second.
     urgent_good, normal_good, batch_good : float
         Share of each class that was answered in time.
     first_p50_s, first_p95_s, first_p99_s : float
@@ -36,6 +38,7 @@
     """
 
     goodput: float
+    good_tokens: float
     urgent_good: float
     normal_good: float
     batch_good: float
@@ -67,6 +70,7 @@
     asks = sum(engine.prefix_asks for engine in engines)
     return Figures(
         goodput=len(done) / (stop_s - start_s),
+        good_tokens=sum(map(_tokens, done)) / (stop_s - start_s) / 1000,
         urgent_good=_good_share(calls, "urgent"),
         normal_good=_good_share(calls, "normal"),
         batch_good=_good_share(calls, "batch"),
@@ -87,10 +91,10 @@
 def table(rows: list[tuple[str, Figures]]) -> str:
     """Return the figures as lines of text, a row a run."""
     names = [field.name for field in attrs.fields(Figures)]
-    lines = ["run".ljust(34) + " ".join(name[:11].rjust(11) for name in names)]
+    lines = ["run".ljust(44) + " ".join(name[:11].rjust(11) for name in names)]
     for name, figures in rows:
         values = (f"{getattr(figures, n):.3f}".rjust(11) for n in names)
-        lines.append(name.ljust(34) + " ".join(values))
+        lines.append(name.ljust(44) + " ".join(values))
     return "\n".join(lines)
 
 
--- /dev/null
+++ b/benchmarks/routing_choice.py
@@ -0,0 +1,66 @@
+"""Measures selection near capacity, with baselines in the same run.
+
+Run with ``python -m benchmarks.routing_choice``.
+"""
+
+from multiprocessing import Pool
+
+import defopt
+
+from benchmarks.admission_overload import CAPACITY_RATE, DEPLOYMENTS
+from benchmarks.models.baselines import LeastReported, RoundRobin
+from benchmarks.models.bench import Bench, Faults, Policy
+from benchmarks.models.figures import Figures, measure, table
+from benchmarks.models.load import make_calls
+from chestnutvale.admission.controller import AdmissionController
+from chestnutvale.routing.selector import Selector
+
+START_S = 30.0
+STOP_S = 120.0
+POLICIES = {
+    "chosen": Selector,
+    "round_robin": RoundRobin,
+    "least_reported": LeastReported,
+}
+FAULTS = {
+    "healthy": Faults(),
+    "two slow": Faults(slow=(3, 7), start_s=20.0),
+    "third fails": Faults(failed=(0, 3, 6, 9, 12), start_s=60.0),
+}
+
+
+def run(case: tuple[str, str, str, float, int]) -> tuple[str, Figures]:
+    """Run one case: deployment, faults, policy, multiple of capacity, seed."""
+    deployment, faults, name, multiple, seed = case
+    rate = CAPACITY_RATE * multiple
+    calls = make_calls(DEPLOYMENTS[deployment], rate, STOP_S + 10, seed)
+    policy = Policy(name, AdmissionController, POLICIES[name])
+    bench = Bench(policy, calls, STOP_S + 60, seed, faults=FAULTS[faults]).run()
+    row = f"{deployment} {multiple}x {faults} {name} {seed}"
+    return row, measure(bench, START_S, STOP_S)
+
+
+def main(
+    *,
+    policies: str = "chosen,round_robin,least_reported",
+    multiples: str = "0.6,1",
+    deployments: str = "overnight,bookings",
+    faults: str = "healthy,two slow,third fails",
+    seeds: str = "1",
+    processes: int = 3,
+) -> None:
+    """Print a table of figures; lists are separated by commas."""
+    cases = [
+        (deployment, fault, policy, float(multiple), int(seed))
+        for deployment in deployments.split(",")
+        for fault in faults.split(",")
+        for multiple in multiples.split(",")
+        for policy in policies.split(",")
+        for seed in seeds.split(",")
+    ]
+    with Pool(processes) as pool:
+        print(table(pool.map(run, cases, chunksize=1)))
+
+
+if __name__ == "__main__":
+    defopt.run(main)
