--- a/chestnutvale/admission/controller.py
+++ b/chestnutvale/admission/controller.py
@@ -83,8 +83,7 @@
         admission = self._services.get(service)
         if admission is None:
             return
-        admission.capacity = capacity
-        admission.update_shares()
+        admission.set_capacity(capacity, now_s)
 
     def set_demand(
         self, service: str, own: Mapping[str, int], total: Mapping[str, int]
@@ -170,6 +169,11 @@
             for workspace, tokens in service.demand().items()
         ]
 
+    def reserved_tokens(self, service: str) -> int:
+        """Return the tokens that running requests of a service hold."""
+        admission = self._services.get(service)
+        return admission.reserved if admission else 0
+
     def _service(self, request_id: str) -> ServiceAdmission | None:
         return self._services.get(self._service_of.get(request_id, ""))
 
--- a/chestnutvale/admission/waiting.py
+++ b/chestnutvale/admission/waiting.py
@@ -55,13 +55,21 @@
         lines.setdefault(workspace, deque()).append(waiter)
         self._account(waiter, 1)
 
-    def head(self, priority: str) -> Waiter | None:
-        """Return the request of this class that goes next, or None."""
-        lines = self._lines[priority]
-        if not lines:
+    def head(self, *priorities: str) -> Waiter | None:
+        """Return the request that goes next, or None.
+
+        Among all workspaces that wait in one of the classes the one that lags
+        most goes next; its own requests go in the order of the classes.
+        """
+        names = {name for priority in priorities for name in self._lines[priority]}
+        if not names:
             return None
-        workspace = min(lines, key=lambda name: (self._virtual_times[name], name))
-        return lines[workspace][0]
+        workspace = min(names, key=lambda name: (self._virtual_times[name], name))
+        for priority in priorities:
+            line = self._lines[priority].get(workspace)
+            if line:
+                return line[0]
+        return None
 
     def pop(self, waiter: Waiter) -> None:
         """Take the head out to be served, and charge its workspace."""
@@ -106,19 +114,27 @@
         """Return the requests of one line, the oldest first."""
         return iter(self._lines[priority].get(workspace, ()))
 
-    def last_of_longest(self, priorities: tuple[str, ...]) -> Waiter | None:
-        """Return the newest request of the workspace that waits for most.
+    def last_of_longest(self, priority: str) -> Waiter | None:
+        """Return the newest request of the line that waits for most.
 
-        Tokens count by the workspace's weight; classes are tried in the order
-        given.
+        Tokens count by the workspace's weight. The lowest class that waits is
+        taken, down to `priority`; None if only higher classes wait.
         """
-        for priority in priorities:
-            lines = self._lines[priority]
+        for lower in _from_lowest(priority):
+            lines = self._lines[lower]
             if lines:
-                longest = max(lines, key=lambda w: (self._relative(priority, w), w))
+                longest = max(lines, key=lambda w: (self._relative(lower, w), w))
                 return lines[longest][-1]
         return None
 
+    def last_below(self, priority: str, workspace: str) -> Waiter | None:
+        """Return a workspace's newest request of its lowest class."""
+        for lower in _from_lowest(priority):
+            line = self._lines[lower].get(workspace)
+            if line:
+                return line[-1]
+        return None
+
     def __iter__(self) -> Iterator[Waiter]:
         """Iterate over all requests, by class."""
         for priority in PRIORITIES:
@@ -136,3 +152,7 @@
         counted = self._counts.get(request.workspace, 0) + sign
         self._counts[request.workspace] = counted
         self.count += sign
+
+
+def _from_lowest(priority: str) -> list[str]:
+    return list(reversed(PRIORITIES[PRIORITIES.index(priority) :]))
