--- /dev/null
+++ b/benchmarks/entry_overhead.py
@@ -0,0 +1,442 @@
+"""Compare emulated engines alone with the same engines behind one entry.
+
+Both sides get the same seeded arrivals in the same run, one after the other, so that
+only the difference between them counts. Reports requests/s, first-token and
+between-token times, and the entry's processor time for each token.
+"""
+
+import contextlib
+import json
+import random
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import attrs
+import defopt
+import eventlet
+from hdrh.histogram import HdrHistogram
+from tabulate import tabulate
+
+from chestnutvale.emulator.deployment import (
+    MODEL_SERVICE,
+    WORKSPACE_KEYS,
+    Deployment,
+    DeploymentOptions,
+)
+from chestnutvale.emulator.processes import wait_until
+
+ROOT = Path(__file__).resolve().parent.parent
+FOLDER = ROOT / "build" / "entry_overhead"
+LOWEST_US, HIGHEST_US, DIGITS = 1, 600_000_000, 3
+PERCENTILES = (50.0, 95.0, 99.0)
+SIDES = ("engine", "entry")
+PROMPT_BYTES = 400
+READ_BYTES = 65_536
+EVENT_MARK = b"data: {"
+END_MARK = b"data: [DONE]"
+REQUEST_HEAD = (
+    "POST {path} HTTP/1.1\r\nHost: {host}\r\nConnection: close\r\n"
+    f"Authorization: Bearer {WORKSPACE_KEYS['accounts']}\r\n"
+    "Content-Type: application/json\r\nContent-Length: {length}\r\n\r\n"
+)
+# Time between the decision to run and the first request, for the workers' start.
+START_DELAY_S = 4.0
+
+
+@attrs.frozen
+class WorkerPlan:
+    """The part of the load that one worker process offers.
+
+    Attributes
+    ----------
+    side : str
+        ``"engine"`` calls heads directly, ``"entry"`` calls the entry.
+    targets : list of dict
+        For ``"engine"`` address, group and epoch of each head; for ``"entry"``
+        its address.
+    rate_per_s, duration_s : float
+        Arrivals of this worker and how long they go on, in seconds.
+    tokens : int
+        Length of each answer.
+    seed : int
+        Seed of the arrivals.
+    begin_s : float
+        Monotonic time of the first arrival's origin in seconds.
+    """
+
+    side: str
+    targets: list[dict[str, Any]]
+    rate_per_s: float
+    duration_s: float
+    tokens: int
+    seed: int
+    begin_s: float
+
+
+class Worker:
+    """Offers requests and measures, with no more work for each event than needed.
+
+    Parameters
+    ----------
+    plan : WorkerPlan
+        What to offer.
+    """
+
+    def __init__(self, plan: WorkerPlan) -> None:
+        self._plan = plan
+        self._first = HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+        self._gaps = HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+        self._whole_count = 0
+        self._failures: dict[str, int] = {}
+        self._events_count = 0
+        self._late_s = 0.0
+
+    def run(self) -> dict[str, Any]:
+        """Offer the load and return the measurements."""
+        source = random.Random(self._plan.seed)
+        pool = eventlet.GreenPool(100_000)
+        at_s = 0.0
+        number = 0
+        while True:
+            at_s += source.expovariate(self._plan.rate_per_s)
+            if at_s > self._plan.duration_s:
+                break
+            number += 1
+            due_s = self._plan.begin_s + at_s
+            eventlet.sleep(max(0.0, due_s - time.monotonic()))
+            self._late_s = max(self._late_s, time.monotonic() - due_s)
+            target = source.choice(self._plan.targets)
+            pool.spawn_n(self._send, number, target)
+        pool.waitall()
+        return {
+            "first": self._first.encode().decode(),
+            "gaps": self._gaps.encode().decode(),
+            "whole": self._whole_count,
+            "failures": self._failures,
+            "events": self._events_count,
+            "late_s": self._late_s,
+            "ended_s": time.monotonic(),
+        }
+
+    def _send(self, number: int, target: dict[str, Any]) -> None:
+        name = f"{self._plan.seed}-{number}"
+        prompt = f"{name} ".ljust(PROMPT_BYTES, "x")
+        body: dict[str, Any] = {"prompt": prompt, "max_tokens": self._plan.tokens}
+        if self._plan.side == "engine":
+            path = "/v1/generate"
+            body |= {"request_id": name, "attempt_id": name, "form": "completion"}
+            body |= {"group_id": target["group_id"], "epoch": target["epoch"]}
+            body |= {"service": MODEL_SERVICE}
+        else:
+            path = "/v1/completions"
+            body |= {"model": MODEL_SERVICE, "stream": True}
+        try:
+            verdict = self._stream(target["address"], path, json.dumps(body).encode())
+        except OSError as error:
+            verdict = type(error).__name__
+        if verdict:
+            self._failures[verdict] = self._failures.get(verdict, 0) + 1
+        else:
+            self._whole_count += 1
+
+    def _stream(self, address: str, path: str, body: bytes) -> str:
+        """Send one request over a socket of its own and count what comes.
+
+        A client library's work for each event would be larger than the entry's, so
+        the bytes are only searched for the start of events.
+        """
+        host, _, port = address.rpartition(":")
+        head = REQUEST_HEAD.format(path=path, host=address, length=len(body))
+        begun_s = time.monotonic()
+        last_s = 0.0
+        tail = b""
+        with contextlib.closing(eventlet.connect((host, int(port)))) as connection:
+            connection.sendall(head.encode() + body)
+            while END_MARK not in tail:
+                data = connection.recv(READ_BYTES)
+                if not data:
+                    return f"closed after {tail[:80]!r}"
+                tail = tail[-len(END_MARK) :] + data
+                now_s = time.monotonic()
+                events = data.count(EVENT_MARK)
+                if not events:
+                    continue
+                if last_s:
+                    self._gaps.record_value(max(1, round((now_s - last_s) * 1e6)))
+                else:
+                    self._first.record_value(max(1, round((now_s - begun_s) * 1e6)))
+                self._events_count += events
+                last_s = now_s
+        return ""
+
+
+def work(plan_text: str) -> None:
+    """Run as a worker process; prints one JSON line.
+
+    Parameters
+    ----------
+    plan_text : str
+        The plan as JSON.
+    """
+    eventlet.monkey_patch()
+    print(json.dumps(Worker(WorkerPlan(**json.loads(plan_text))).run()))
+
+
+@attrs.frozen
+class SideResult:
+    """Measurements of one side."""
+
+    side: str
+    elapsed_s: float
+    whole: int
+    failures: dict[str, int]
+    first: HdrHistogram
+    gaps: HdrHistogram
+    tokens: int
+    late_s: float
+    cpu_s: float
+    resident_bytes: int
+
+    def to_dict(self) -> dict[str, Any]:
+        """Return the figures; times in milliseconds."""
+        figures: dict[str, Any] = {
+            "side": self.side,
+            "whole": self.whole,
+            "failures": self.failures,
+            "requests_per_s": self.whole / self.elapsed_s,
+            "tokens_per_s": self.tokens / self.elapsed_s,
+            "tool_late_ms": self.late_s * 1e3,
+        }
+        for name, histogram in (("first", self.first), ("between", self.gaps)):
+            for percentile in PERCENTILES:
+                value_us = histogram.get_value_at_percentile(percentile)
+                figures[f"{name}_p{percentile:g}_ms"] = value_us / 1e3
+        if self.cpu_s:
+            figures["entry_core_share"] = self.cpu_s / self.elapsed_s
+            figures["entry_us_per_token"] = self.cpu_s / max(1, self.tokens) * 1e6
+            figures["tokens_per_core_s"] = self.tokens / self.cpu_s
+            figures["entry_resident_mb"] = self.resident_bytes / 1e6
+        return figures
+
+
+class Comparison:
+    """Runs both sides over one deployment.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        One entry and groups of one host.
+    rate_per_s, duration_s : float
+        Arrivals and how long they go on.
+    tokens : int
+        Length of each answer.
+    workers : int
+        Worker processes.
+    seed : int
+        Seed of the arrivals.
+    """
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        rate_per_s: float,
+        duration_s: float,
+        tokens: int,
+        workers: int,
+        seed: int,
+    ) -> None:
+        self._deployment = deployment
+        self._rate_per_s = rate_per_s
+        self._duration_s = duration_s
+        self._tokens = tokens
+        self._workers = workers
+        self._seed = seed
+
+    def run(self, side: str) -> SideResult:
+        """Measure one side."""
+        entry = self._deployment.entries["entry-1"]
+        begin_s = time.monotonic() + START_DELAY_S
+        plans = [
+            WorkerPlan(
+                side=side,
+                targets=self._targets(side),
+                rate_per_s=self._rate_per_s / self._workers,
+                duration_s=self._duration_s,
+                tokens=self._tokens,
+                seed=self._seed * 1_000 + number,
+                begin_s=begin_s,
+            )
+            for number in range(self._workers)
+        ]
+        command = [sys.executable, __file__, "--worker"]
+        started = [
+            subprocess.Popen(
+                [*command, json.dumps(attrs.asdict(plan))], stdout=subprocess.PIPE
+            )
+            for plan in plans
+        ]
+        time.sleep(max(0.0, begin_s - time.monotonic()))
+        before_s = entry.cpu_s()
+        results = [json.loads(p.communicate(timeout=300)[0]) for p in started]
+        cpu_s = entry.cpu_s() - before_s
+        return self._merge(side, results, begin_s, cpu_s, entry.resident_bytes())
+
+    def _targets(self, side: str) -> list[dict[str, Any]]:
+        if side == "entry":
+            return [{"address": self._deployment.addresses["entry-1"]}]
+        return [
+            {
+                "address": self._deployment.addresses[name],
+                "group_id": holding["group_id"],
+                "epoch": int(holding["epoch"]),
+            }
+            for name, holding in self._deployment.holdings().items()
+        ]
+
+    def _merge(
+        self,
+        side: str,
+        results: list[dict[str, Any]],
+        begin_s: float,
+        cpu_s: float,
+        resident_bytes: int,
+    ) -> SideResult:
+        first = HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+        gaps = HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+        failures: dict[str, int] = {}
+        for result in results:
+            first.decode_and_add(result["first"].encode())
+            gaps.decode_and_add(result["gaps"].encode())
+            for name, count in result["failures"].items():
+                failures[name] = failures.get(name, 0) + count
+        whole = sum(result["whole"] for result in results)
+        return SideResult(
+            side=side,
+            elapsed_s=max(result["ended_s"] for result in results) - begin_s,
+            whole=whole,
+            failures=failures,
+            first=first,
+            gaps=gaps,
+            tokens=whole * self._tokens,
+            late_s=max(result["late_s"] for result in results),
+            cpu_s=cpu_s if side == "entry" else 0.0,
+            resident_bytes=resident_bytes,
+        )
+
+
+def write_text(path: Path, groups: int) -> None:
+    """Write a text with groups of one host."""
+    demo = json.loads("{}")
+    demo["number"] = 1
+    demo["services"] = {
+        MODEL_SERVICE: {
+            "kind": "model",
+            "model": "chestnut",
+            "version": "1",
+            "hosts_per_group": 1,
+            "groups": groups,
+        }
+    }
+    demo["workspaces"] = {
+        name: {"key_sha256": [hash_key(key)]} for name, key in WORKSPACE_KEYS.items()
+    }
+    path.write_text(json.dumps(demo, indent=2))
+
+
+def hash_key(key: str) -> str:
+    """Return the digest under which a text holds a key."""
+    from hashlib import sha256
+
+    return sha256(key.encode()).hexdigest()
+
+
+def run(
+    *,
+    rate_per_s: float = 45.0,
+    duration_s: float = 20.0,
+    tokens: int = 346,
+    step_ms: float = 28.0,
+    heads: int = 4,
+    workers: int = 2,
+    rounds: int = 1,
+    seed: int = 1,
+    format: str = "table",
+) -> None:
+    """Compare engines alone with the same engines behind one entry.
+
+    Parameters
+    ----------
+    rate_per_s : float
+        Requests offered each second.
+    duration_s : float
+        Time for which new requests are offered on each side.
+    tokens : int
+        Length of each answer.
+    step_ms : float
+        Time between two tokens of an engine.
+    heads : int
+        Engine processes, each a group of one host.
+    workers : int
+        Worker processes that offer the load.
+    rounds : int
+        How often both sides are measured in turn.
+    seed : int
+        Seed of the arrivals.
+    format : str
+        ``table`` or ``json``.
+    """
+    FOLDER.parent.mkdir(exist_ok=True)
+    text_path = FOLDER.parent / "entry_overhead_text.json"
+    write_text(text_path, heads)
+    engine = ["--step-ms", str(step_ms), "--step-us-per-request", "0"]
+    engine += ["--max-running-requests", "1000", "--kv-capacity-tokens", "1000000"]
+    options = DeploymentOptions(
+        folder=FOLDER,
+        text_path=text_path,
+        controls=1,
+        entries=1,
+        fabric_domains={"fabric-a": heads},
+        services=0,
+        engine_arguments=engine,
+    )
+    results: list[dict[str, Any]] = []
+    with Deployment(options) as deployment:
+        deployment.apply(text_path)
+        deployment.wait_serving(heads)
+        for number in range(rounds):
+            comparison = Comparison(
+                deployment, rate_per_s, duration_s, tokens, workers, seed + number
+            )
+            for side in SIDES:
+                results.append(comparison.run(side).to_dict())
+                wait_until(lambda: not deployment.busy_head(), 60, "idle engines")
+    report(results, format)
+
+
+def report(results: list[dict[str, Any]], format: str) -> None:
+    """Print the figures of all rounds and what the entry added."""
+    for engine, entry in zip(results[::2], results[1::2], strict=True):
+        for name in [name for name in engine if name.endswith("_ms")]:
+            entry[f"added_{name}"] = entry[name] - engine[name]
+    if format == "json":
+        print(json.dumps(results, indent=2))
+        return
+    names = list(dict.fromkeys(name for result in results for name in result))
+    rows = [
+        [name, *(_format(result.get(name, "")) for result in results)] for name in names
+    ]
+    print(tabulate(rows, tablefmt="plain"))
+
+
+def _format(value: Any) -> str:
+    return f"{value:.2f}" if isinstance(value, float) else str(value)
+
+
+if __name__ == "__main__":
+    if sys.argv[1:2] == ["--worker"]:
+        work(sys.argv[2])
+    else:
+        defopt.run(run)
--- a/chestnutvale/emulator/generation.py
+++ b/chestnutvale/emulator/generation.py
@@ -45,6 +45,7 @@
     request: GenerateRequest
     answer: AnswerText
     generation: Generation
+    connection: Any
     written_token: int
     ready_token: int
     broken: str = ""
@@ -56,6 +57,13 @@
         if not self.changed.ready():
             self.changed.send()
 
+    def wait_for_news(self) -> None:
+        """Block the writing task until there is something to do."""
+        if self.has_news:
+            return
+        self.changed = Event()
+        self.changed.wait()
+
     @property
     def has_news(self) -> bool:
         """Whether the writer has something to do."""
@@ -97,11 +105,11 @@
         self._on_crash = on_crash
         self._streams: dict[str, Stream] = {}
         self._work = Event()
-        self._task: eventlet.greenthread.GreenThread | None = None
+        self._tasks: list[eventlet.greenthread.GreenThread] = []
 
     def __enter__(self) -> Self:
-        """Start the engine's task."""
-        self._task = eventlet.spawn(self._run)
+        """Start the engine's task and the watch over callers."""
+        self._tasks = [eventlet.spawn(self._run), eventlet.spawn(self._watch_callers)]
         return self
 
     def __exit__(
@@ -112,8 +120,8 @@
     ) -> None:
         """Break all streams and stop the task."""
         self.break_all("the engine stops")
-        if self._task is not None:
-            self._task.kill()
+        for task in self._tasks:
+            task.kill()
 
     @property
     def is_busy(self) -> bool:
@@ -158,14 +166,14 @@
         if not self.engine.can_take(generation):
             raise RefusedError(429, CODE_OVERLOADED, "the engine's queue is full")
         offset = request.resume_offset
-        stream = Stream(request, answer, generation, offset, offset)
+        stream = Stream(request, answer, generation, connection, offset, offset)
         self._streams[request.attempt_id] = stream
         if offset == answer.length_tokens:
             stream.finished = True
         else:
             self.engine.submit(generation)
             self._wake()
-        return self._write(stream, connection)
+        return self._write(stream)
 
     def cancel(self, attempt_id: str) -> bool:
         """Break one stream and drop its work.
@@ -229,12 +237,12 @@
             stream.finished = generation.is_finished
             stream.wake()
 
-    def _write(self, stream: Stream, connection: Any) -> Iterator[bytes]:
+    def _write(self, stream: Stream) -> Iterator[bytes]:
         writer = EventWriter(stream.request, stream.generation.prompt_tokens)
         outcome = "hung up"
         try:
             while True:
-                self._wait_for_news(stream, connection)
+                stream.wait_for_news()
                 if stream.broken:
                     outcome = stream.broken
                     raise EmulatorError(stream.broken, step="stream")
@@ -253,13 +261,13 @@
             self._streams.pop(stream.request.attempt_id, None)
             self.outcomes.append((stream.request.attempt_id, outcome))
 
-    def _wait_for_news(self, stream: Stream, connection: Any) -> None:
-        while not stream.has_news:
-            with eventlet.Timeout(HANG_UP_CHECK_S, False):
-                stream.changed.wait()
-            if not stream.has_news and _has_hung_up(connection):
-                stream.broken = "hung up"
-        stream.changed = Event()
+    def _watch_callers(self) -> None:
+        while True:
+            eventlet.sleep(HANG_UP_CHECK_S)
+            for stream in list(self._streams.values()):
+                if not stream.has_news and _has_hung_up(stream.connection):
+                    stream.broken = "hung up"
+                    stream.wake()
 
 
 def _has_hung_up(connection: Any) -> bool:
