--- a/chestnutvale/programs/client/main.py
+++ b/chestnutvale/programs/client/main.py
@@ -23,6 +23,8 @@
     "voter": {"add": commands.voter_add, "remove": commands.voter_remove},
 }
 
+OPTION_SETTINGS = "--settings"
+
 
 def _print_error(message: object) -> None:
     print(message, file=sys.stderr)
@@ -47,6 +49,13 @@
     return ExitCode.FAILED
 
 
+def _move_settings_last(arguments: Sequence[str]) -> list[str]:
+    """Let ``--settings FILE`` stand before the command, as in a shell alias."""
+    if len(arguments) > 2 and arguments[0] == OPTION_SETTINGS:
+        return [*arguments[2:], *arguments[:2]]
+    return list(arguments)
+
+
 def run(arguments: Sequence[str]) -> ExitCode:
     """Run one command.
 
@@ -61,7 +70,7 @@
         The exit code.
     """
     try:
-        call = defopt.bind(COMMANDS, argv=list(arguments), short={})
+        call = defopt.bind(COMMANDS, argv=_move_settings_last(arguments), short={})
     except SystemExit as error:
         # The parser's own code 2 would read as an invalid text.
         return ExitCode.USAGE if error.code else ExitCode.DONE
--- a/tests/programs/client/test_commands.py
+++ b/tests/programs/client/test_commands.py
@@ -4,6 +4,7 @@
 
 import eventlet
 import pytest
+from eventlet import tpool
 
 from chestnutvale.programs.client.main import run
 from chestnutvale.settings.client import load_client_settings
@@ -202,3 +203,9 @@
     assert run(["key"]) == 0
     key, digest = (line.split()[-1] for line in capsys.readouterr().out.splitlines())
     assert len(digest) == 64 and digest not in key
+
+
+def test_settings_may_stand_before_the_command(chestnut, write_settings):
+    settings = str(write_settings())
+    arguments = ["--settings", settings, "status"]
+    assert tpool.execute(run, arguments) == chestnut("status")[0] == 0
