Carry cache events from the heads to every entry

Cause: an announcement reaches one entry of many, so each entry saw a gap in nearly every head's events and the selector, which forgets at a gap, never kept a prefix; the daemon did not feed it at all. Change: entries pass events on in their reports, the leading control sends them to all live entries, with a bound on hashes whose overflow is a gap that forgets. Ruled out: entries reading events from each head: 36 heads times 68 entries is more connections than events. Figures: `script/test tests/programs/entry/test_group_router.py`: all six pass; the prefix test fails when receive_cache_news is not called.

--- a/chestnutvale/programs/control/entry_desk.py
+++ b/chestnutvale/programs/control/entry_desk.py
@@ -7,6 +7,7 @@
 from chestnutvale.clock import Clock
 from chestnutvale.consensus.exceptions import NotLeaderError, OutcomeUnknownError
 from chestnutvale.consensus.task import ConsensusTask
+from chestnutvale.membership.cache_events import CacheEventQueue
 from chestnutvale.membership.table import MembershipTable
 from chestnutvale.membership.views import Push, ViewPublisher
 from chestnutvale.programs.control.const import (
@@ -15,6 +16,7 @@
 )
 from chestnutvale.programs.control.state import ControlState
 from chestnutvale.schema.peer_pb2 import (
+    CacheNews,
     CommitReply,
     CommitRequest,
     ControlView,
@@ -47,6 +49,8 @@
         Whether the entry is about to stop.
     data_centre : str
         Where the entry runs.
+    address : str
+        Its peer inbox.
     """
 
     incarnation: str
@@ -54,6 +58,7 @@
     seen_at_s: float
     draining: bool = False
     data_centre: str = ""
+    address: str = ""
 
 
 class EntryDesk:
@@ -97,6 +102,7 @@
         self._publisher = publisher
         self._clock = clock
         self._pushed_number = 0
+        self._cache_events = CacheEventQueue()
         self._commits = eventlet.GreenPool(MAX_COMMIT_REQUESTS)
         transport.on("entry_report", self._receive_report)
         transport.on("commit_request", self._receive_commit)
@@ -124,17 +130,30 @@
             pushes = self._publisher.pushes(source, self._table, self._log.term, now_s)
             self._send_pushes(pushes)
 
+    def pass_on_cache_events(self) -> None:
+        """Send the cache events heard since the last round to all live entries."""
+        events = self._cache_events.drain()
+        if not events or not self._log.is_leader:
+            return
+        news = CacheNews(events=events)
+        for entry_id in self._table.live_entries(self._clock.now_s()):
+            known = self.entries.get(entry_id)
+            if known is not None:
+                self._transport.send(entry_id, known.address, "cache_news", news)
+
     def _receive_report(self, envelope: Envelope) -> None:
         report = envelope.entry_report
         now_s = self._clock.now_s()
         entry_id = envelope.sender_id
         self._table.merge(entry_id, report.heard, now_s)
+        self._cache_events.extend(report.cache_events)
         self.entries[entry_id] = KnownEntry(
             incarnation=envelope.sender_incarnation,
             number=report.configuration_number,
             seen_at_s=now_s,
             draining=report.draining,
             data_centre=report.data_centre,
+            address=report.reply_address,
         )
         if not self._log.is_leader or not self._log.has_lease(now_s):
             return
--- a/chestnutvale/programs/control/group_task.py
+++ b/chestnutvale/programs/control/group_task.py
@@ -73,6 +73,7 @@
         now_s = self._clock.now_s()
         self._table.forget_silent(now_s)
         self._desk.publish_changes()
+        self._desk.pass_on_cache_events()
         self._follow_leadership(now_s)
         if not self._log.is_leader:
             self._measures.pause()
--- a/chestnutvale/programs/entry/announcements.py
+++ b/chestnutvale/programs/entry/announcements.py
@@ -9,6 +9,7 @@
 from chestnutvale.clock import Clock
 from chestnutvale.exceptions import ChestnutError
 from chestnutvale.http_server.problem import Problem
+from chestnutvale.membership.cache_events import CacheEventQueue
 from chestnutvale.membership.exceptions import AnnouncementRefusedError
 from chestnutvale.membership.hearing import Hearing
 from chestnutvale.schema.membership_pb2 import Announcement
@@ -33,6 +34,8 @@
         Time in milliseconds after which a host should announce itself again.
     on_urgent : callable
         Called when the controls must hear of an announcement at once.
+    cache_events : CacheEventQueue
+        Takes the cache events that an announcement carries.
     """
 
     def __init__(
@@ -41,11 +44,13 @@
         clock: Clock,
         interval_ms: int,
         on_urgent: Callable[[], None],
+        cache_events: CacheEventQueue,
     ) -> None:
         self._hearing = hearing
         self._clock = clock
         self._answer = json.dumps({"next_announcement_ms": interval_ms}).encode()
         self._on_urgent = on_urgent
+        self._cache_events = cache_events
 
     def __call__(
         self, environ: dict[str, Any], start_response: Callable[..., Any]
@@ -77,6 +82,7 @@
             accepted = self._hearing.announce(announcement, self._clock.now_s())
         except AnnouncementRefusedError as error:
             return _refuse_error(start_response, error)
+        self._cache_events.note(announcement)
         if accepted.urgent:
             self._on_urgent()
         headers = [
--- a/chestnutvale/programs/entry/control_link.py
+++ b/chestnutvale/programs/entry/control_link.py
@@ -9,6 +9,7 @@
 
 from chestnutvale.attempts.suspicion import SuspicionTracker
 from chestnutvale.clock import Clock
+from chestnutvale.membership.cache_events import CacheEventQueue
 from chestnutvale.membership.entry_view import EntryView, InstallVerdict
 from chestnutvale.membership.hearing import Hearing
 from chestnutvale.programs.entry.const import MIN_REPORT_INTERVAL_MS, REPORT_EXPIRY_MS
@@ -37,6 +38,8 @@
         What the entry heard of hosts.
     suspicions : SuspicionTracker
         Evidence about requests that crash groups.
+    cache_events : CacheEventQueue
+        Cache events that this entry heard.
     clock : Clock
         Source of time.
     rng : random.Random
@@ -55,6 +58,7 @@
         view: EntryView,
         hearing: Hearing,
         suspicions: SuspicionTracker,
+        cache_events: CacheEventQueue,
         clock: Clock,
         rng: random.Random,
     ) -> None:
@@ -64,6 +68,7 @@
         self._view = view
         self._hearing = hearing
         self._suspicions = suspicions
+        self._cache_events = cache_events
         self._clock = clock
         self._rng = rng
         self._listeners: list[Callable[[ControlView, str], None]] = []
@@ -108,6 +113,7 @@
             view_source=self._view.source,
             heard=self._hearing.drain_report(now_s),
             suspicions=self._suspicions.reports(self._clock.unix_ms()),
+            cache_events=self._cache_events.drain(),
             draining=self.draining,
             sent_at_ms=round(now_s * 1_000),
         )
--- a/chestnutvale/programs/entry/daemon.py
+++ b/chestnutvale/programs/entry/daemon.py
@@ -12,6 +12,7 @@
 from chestnutvale.clock import Clock
 from chestnutvale.http_server.server import HttpServer
 from chestnutvale.http_server.views import make_check, make_json_view
+from chestnutvale.membership.cache_events import CacheEventQueue
 from chestnutvale.membership.entry_view import EntryView
 from chestnutvale.membership.hearing import Hearing
 from chestnutvale.programs.entry.admission_gate import AdmissionGate
@@ -65,6 +66,7 @@
         )
         self.view = EntryView(settings.lease_ms / 1_000)
         self.hearing = Hearing()
+        self._cache_events = CacheEventQueue()
         self._gate = AdmissionGate(AdmissionController(rng), clock)
         router = GroupRouter(
             self.view, Selector(rng), self._gate.predicted_tokens, clock
@@ -86,10 +88,12 @@
             self.view,
             self.hearing,
             self.context.suspicions,
+            self._cache_events,
             clock,
             rng,
         )
         self.link.on_view(self.context.install)
+        self.transport.on("cache_news", router.receive_cache_news)
         self._writer = LedgerWriter(self.context)
         self._services = ServiceCallHandler(self.context, self._writer)
         self.server = HttpServer(
@@ -179,6 +183,7 @@
                 self._clock,
                 self.settings.announce_interval_ms,
                 self.link.hurry,
+                self._cache_events,
             ),
             operations={
                 "/healthz": make_check(_is_alive),
--- a/chestnutvale/programs/entry/group_router.py
+++ b/chestnutvale/programs/entry/group_router.py
@@ -10,7 +10,7 @@
 from chestnutvale.programs.entry.context import AttemptReport, CallRequest
 from chestnutvale.routing.messages import RoutableGroup, RoutingRequest
 from chestnutvale.routing.selector import Selector
-from chestnutvale.schema.peer_pb2 import ControlView, GroupView
+from chestnutvale.schema.peer_pb2 import ControlView, Envelope, GroupView
 
 PREFIX_BLOCK_BYTES = 64
 MAX_PREFIX_BLOCKS = 64
@@ -66,6 +66,20 @@
         for load in view.loads:
             self._selector.update_load(load.group_id, load.load, now_s)
 
+    def receive_cache_news(self, envelope: Envelope) -> None:
+        """Take the cache events that the leading control passes on.
+
+        Parameters
+        ----------
+        envelope : Envelope
+            The message.
+        """
+        now_s = self._clock.now_s()
+        for item in envelope.cache_news.events:
+            view = self._view.group(item.group_id)
+            if view is not None and view.group.epoch == item.epoch:
+                self._selector.note_cache_events(item.group_id, item.events, now_s)
+
     def capacities(self) -> dict[str, ServiceCapacity]:
         """Return what the serving groups of each service have.
 
--- /dev/null
+++ b/tests/membership/test_cache_events.py
@@ -0,0 +1,41 @@
+"""Cache events on their way from heads to entries."""
+
+from chestnutvale.membership.cache_events import CacheEventQueue
+from chestnutvale.routing.prefixes import PrefixIndex
+from chestnutvale.schema.membership_pb2 import Announcement, CacheEvents, Holding
+
+
+def announce(first, last, added, **holding):
+    fields = {"group_id": "g1", "epoch": 3, "phase": "ready", "rank": 0} | holding
+    events = CacheEvents(first_sequence=first, last_sequence=last, added=added)
+    return Announcement(holding=Holding(**fields), cache_events=events)
+
+
+def test_only_a_ready_head_is_passed_on():
+    queue = CacheEventQueue()
+    queue.note(announce(1, 1, [5], rank=1))
+    queue.note(announce(1, 1, [5], phase="loading"))
+    queue.note(Announcement())
+    queue.note(announce(1, 2, [5, 6]))
+    [item] = queue.drain()
+    assert (item.group_id, item.epoch, list(item.events.added)) == ("g1", 3, [5, 6])
+    assert queue.drain() == []
+
+
+def test_overflow_becomes_a_gap_that_forgets():
+    queue = CacheEventQueue(max_hashes=4)
+    index = PrefixIndex()
+    index.note("g1", 0, 1, [100], [])
+    for sequence in (2, 3):
+        queue.note(announce(sequence, sequence, [sequence * 10, sequence * 10 + 1, 1]))
+    assert queue.dropped == 1
+    for item in queue.drain():
+        index.note(
+            item.group_id,
+            item.events.first_sequence,
+            item.events.last_sequence,
+            item.events.added,
+            item.events.removed,
+        )
+    assert index.held("g1", (100,)) == 0
+    assert index.held("g1", (30,)) == 1
--- /dev/null
+++ b/tests/programs/entry/test_group_router.py
@@ -0,0 +1,126 @@
+"""Routing on the entry's view: prefixes, broken groups, leases."""
+
+import json
+import random
+
+import pytest
+
+from chestnutvale.clock import SystemClock
+from chestnutvale.emulator.text import hash_prefixes as engine_hashes
+from chestnutvale.membership.entry_view import EntryView
+from chestnutvale.programs.entry.context import AttemptReport, CallRequest
+from chestnutvale.programs.entry.group_router import GroupRouter, hash_prefixes
+from chestnutvale.programs.entry.openai_api import parse_generation
+from chestnutvale.routing.selector import Selector
+from chestnutvale.schema.groups_pb2 import Group
+from chestnutvale.schema.membership_pb2 import CacheEvents, Load
+from chestnutvale.schema.peer_pb2 import (
+    CacheNews,
+    ControlView,
+    Envelope,
+    GroupCacheEvents,
+    GroupLoad,
+    GroupView,
+)
+
+PROMPT = b"a long prompt that many calls share. " * 20
+
+
+class ManualClock(SystemClock):
+    def __init__(self):
+        self.time_s = 100.0
+
+    def now_s(self):
+        return self.time_s
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+@pytest.fixture
+def router(clock):
+    view = EntryView(lease_s=3.0)
+    router = GroupRouter(view, Selector(random.Random(4)), lambda _: 100, clock)
+    message = ControlView(nonce=1, source="s", view_version=1, whole=True, term=1)
+    for number in range(1, 5):
+        group = Group(group_id=f"g{number}", service="llm", epoch=number, version="1")
+        message.groups.append(GroupView(group=group, serving=number != 4))
+    view.report_sent(1, clock.now_s())
+    view.install(message, clock.now_s())
+    router.install(message)
+    return router
+
+
+def idle_loads():
+    load = Load(kv_capacity_tokens=100_000)
+    names = ("g1", "g2", "g3")
+    return ControlView(loads=[GroupLoad(group_id=name, load=load) for name in names])
+
+
+def make_request(request_id="r1", prompt=b""):
+    return CallRequest(request_id, "w", "llm", "normal", prompt, 10, "", 200.0)
+
+
+@pytest.mark.parametrize(
+    ("form", "body"),
+    [
+        ("completion", {"prompt": "once upon a time " * 30}),
+        ("chat", {"messages": [{"role": "user", "content": "tell me " * 40}]}),
+    ],
+)
+def test_entry_and_engine_hash_the_same_prefixes(form, body):
+    call = parse_generation(form, json.dumps({"model": "llm", **body}).encode())
+    wanted = engine_hashes(body.get("prompt") or body["messages"])
+    assert wanted
+    assert list(hash_prefixes(call.prompt_bytes())) == wanted
+
+
+def test_prefix_decides_once_the_events_have_arrived(router, clock):
+    events = CacheEvents(first_sequence=1, last_sequence=1, added=hash_prefixes(PROMPT))
+    news = CacheNews(events=[GroupCacheEvents(group_id="g2", epoch=2, events=events)])
+    router.receive_cache_news(Envelope(cache_news=news))
+    router.install(idle_loads())
+    chosen = set()
+    for number in range(30):
+        request = make_request(f"r{number}", PROMPT)
+        chosen.add(router.choose(request, frozenset(), "").group.group_id)
+        router.report(AttemptReport(request, "g2", 2, "whole", "", 5.0, 10))
+        clock.time_s += 0.05
+        router.install(idle_loads())
+    assert chosen == {"g2"}
+
+
+def test_events_of_an_older_epoch_are_ignored(router):
+    events = CacheEvents(first_sequence=1, last_sequence=1, added=[1])
+    news = CacheNews(events=[GroupCacheEvents(group_id="g2", epoch=1, events=events)])
+    router.receive_cache_news(Envelope(cache_news=news))
+    assert router._selector.prefixes.held("g2", (1,)) == 0
+
+
+def test_broken_group_is_tried_last_and_then_again(router, clock):
+    request = make_request()
+    router.choose(request, frozenset(), "")
+    router.report(AttemptReport(request, "g1", 1, "broken", "closed", None, 0))
+    excluded = frozenset({"g2", "g3"})
+    chosen = {
+        router.choose(make_request(f"r{n}"), frozenset(), "").group.group_id
+        for n in range(40)
+    }
+    assert chosen == {"g2", "g3"}
+    assert router.choose(make_request(), excluded, "").group.group_id == "g1"
+    clock.time_s += 1.5
+    chosen = {
+        router.choose(make_request(f"s{n}"), frozenset(), "").group.group_id
+        for n in range(60)
+    }
+    assert "g1" in chosen
+
+
+def test_nothing_is_chosen_without_lease_or_group(router, clock):
+    everything = frozenset({"g1", "g2", "g3"})
+    assert router.choose(make_request(), everything, "") is None
+    assert router.choose(make_request(), frozenset(), "2") is None
+    clock.time_s += 3.1
+    assert router.choose(make_request(), frozenset(), "") is None
