--- a/chestnutvale/consensus/replication.py
+++ b/chestnutvale/consensus/replication.py
@@ -194,7 +194,7 @@
         leader = self._core.leader
         if leader is None or not leader.transfer_target or leader.is_transfer_sent:
             return
-        if self.match_index(leader.transfer_target) < self._core.log.last_index:
+        if self._core.match_index(leader.transfer_target) < self._core.log.last_index:
             return
         # From here on another leader may arise within the lease.
         leader.is_transfer_sent = True
--- a/tests/consensus/driver.py
+++ b/tests/consensus/driver.py
@@ -132,6 +132,7 @@
         self.cuts = set()
         self.loss = self.doubling = self.reordering = 0.0
         self.sync_delay_s = 0.001
+        self.tamper = lambda message: None
         self.writes = 0
         self.crash_at_write = None
         self._queue = []
@@ -164,10 +165,10 @@
             action(*arguments)
         self.now_s = end_s
 
-    def run_until(self, condition, limit_s=20.0):
+    def run_until(self, condition, limit_s=20.0, step_s=0.05):
         end_s = self.now_s + limit_s
         while not condition() and self.now_s < end_s:
-            self.run(0.05)
+            self.run(step_s)
         assert condition(), "not reached in time"
 
     # Faults.
@@ -419,6 +420,7 @@
 
     def _send(self, message):
         source, target = control_of(message.from_id), control_of(message.to_id)
+        self.tamper(message)
         self.sent.append(message)
         if target not in self.nodes or self.rng.random() < self.loss:
             return
--- /dev/null
+++ b/tests/consensus/test_histories.py
@@ -0,0 +1,55 @@
+"""Histories of clients under drawn schedules of faults."""
+
+import random
+
+import pytest
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+
+from tests.consensus.driver import Cluster
+from tests.consensus.schedules import ACTIONS, Step, check_schedule, draw_steps
+from tests.history import is_linearizable
+
+WORKLOAD_WRITES = 40
+
+steps = st.lists(
+    st.builds(
+        Step,
+        gap_s=st.sampled_from([0.05, 0.3, 1.5]),
+        action=st.sampled_from(ACTIONS),
+        choice=st.integers(0, 999),
+    ),
+    min_size=3,
+    max_size=20,
+)
+
+
+@pytest.mark.parametrize("number", range(40))
+def test_random_schedule(number):
+    rng = random.Random(number)
+    drawn = draw_steps(rng, 25)
+    cluster = check_schedule(drawn, number, size=rng.choice([3, 3, 5]))
+    assert cluster.history
+
+
+@seed(4)
+@settings(database=None, deadline=None, max_examples=60)
+@given(steps=steps, number=st.integers(0, 999))
+def test_schedule_by_hypothesis(steps, number):
+    check_schedule(steps, number)
+
+
+@pytest.mark.parametrize("moment", ["before", "after"])
+@pytest.mark.parametrize("sync_delay_s", [0.001, 0.02])
+def test_crash_at_every_write(moment, sync_delay_s):
+    for write in range(1, WORKLOAD_WRITES):
+        cluster = Cluster(seed=write, snapshot_entries=8)
+        cluster.sync_delay_s = sync_delay_s
+        cluster.crash_at_write = (write, moment)
+        cluster.run_clients(2, until_s=7.0)
+        cluster.run(8.0)
+        cluster.heal()
+        cluster.ask(cluster.wait_for_leader(), "read")
+        cluster.run(1.0)
+        assert cluster.writes > WORKLOAD_WRITES
+        assert is_linearizable(cluster.history)
