--- a/chestnutvale/storage/segments.py
+++ b/chestnutvale/storage/segments.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 
 import attrs
+from google.protobuf.message import DecodeError
 
 from chestnutvale.schema.raft_pb2 import HardState, LogBatch, LogEntry, LogPosition
 from chestnutvale.storage.const import SEGMENT_BYTES, SEGMENT_PATTERN
@@ -139,8 +140,13 @@
         self._size_bytes = end
 
     def _add_frame(self, path: Path, frame: Frame, *, is_first: bool) -> None:
-        batch = LogBatch.FromString(frame.payload)
         offset = frame.offset_bytes
+        try:
+            batch = LogBatch.FromString(frame.payload)
+        except DecodeError as error:
+            raise StorageCorruptError(
+                "unreadable record", file=str(path), offset_bytes=offset
+            ) from error
         if is_first and not self.segments:
             self.content.base = batch.start
         elif frame.sequence != self._sequence:
--- a/chestnutvale/storage/store.py
+++ b/chestnutvale/storage/store.py
@@ -100,7 +100,7 @@
         except OSError as error:
             self._release()
             raise from_os_error(error, STEP_OPEN, str(self._folder)) from error
-        except StorageError:
+        except BaseException:
             self._release()
             raise
         return self
