Prove first start, replacement and voter changes

Cause: a lost disk must come back as another voter, a spare must take a lost voter's place, and neither may begin a second cluster. Change: tests of the pure rules and of whole tasks over loopback with real data folders: handover, lost disk, spare and second loss, removal and return by an operator, a disk whose syncs fail.

--- /dev/null
+++ b/tests/consensus/test_members.py
@@ -0,0 +1,115 @@
+"""First start and replacement: the pure rules."""
+
+import pytest
+
+from chestnutvale.consensus.bootstrap import Bootstrap
+from chestnutvale.consensus.events import ChangeKind, MembersChange
+from chestnutvale.consensus.exceptions import MembersChangeError
+from chestnutvale.consensus.members import change_members
+from chestnutvale.consensus.replacement import (
+    Joiner,
+    MemberContact,
+    ReplacementPolicy,
+)
+from chestnutvale.schema.raft_pb2 import JoinRequest, Members, RaftMessage
+
+CONTROLS = ["c0", "c1", "c2"]
+NOW_S = 100.0
+
+
+def make_join(member_id, to_id="c0#1", controls=CONTROLS, **fields):
+    request = JoinRequest(initial_controls=controls, **{"empty": True, **fields})
+    return RaftMessage(from_id=member_id, to_id=to_id, join_request=request)
+
+
+def decide_bootstrap(*joins, own_id="c0#1", is_spare=False):
+    bootstrap = Bootstrap(own_id, "a:1", CONTROLS, is_spare)
+    for join in joins:
+        bootstrap.note(join, NOW_S)
+    return bootstrap.decide(NOW_S + 1)
+
+
+def test_cluster_begins_when_all_disks_are_empty():
+    members = decide_bootstrap(make_join("c1#1"), make_join("c2#1"))
+    assert list(members.voters) == ["c0#1", "c1#1", "c2#1"]
+    members = decide_bootstrap(make_join("c1#1"), make_join("c2#1", spare=True))
+    assert list(members.voters) == ["c0#1", "c1#1"]
+
+
+@pytest.mark.parametrize(
+    "join",
+    [
+        make_join("c2#1", empty=False),
+        make_join("c2#1", to_id="c0#0"),
+        make_join("c2#1", to_id=""),
+        make_join("c2#1", controls=["c0", "c2"]),
+    ],
+)
+def test_cluster_does_not_begin_beside_data_or_doubt(join):
+    assert decide_bootstrap(make_join("c1#1"), join) is None
+
+
+def test_only_the_first_control_begins_and_no_spare():
+    joins = [make_join(f"{c}#1", to_id="c1#1") for c in ("c0", "c2")]
+    assert decide_bootstrap(*joins, own_id="c1#1") is None
+    joins = [make_join(f"{c}#1") for c in ("c1", "c2")]
+    assert decide_bootstrap(*joins, is_spare=True) is None
+    assert decide_bootstrap(make_join("c1#1")) is None
+
+
+def decide(members, silent=(), joiners=(), behind=()):
+    others = {*members.voters, *members.learners} - {"c0#1"}
+    contacts = {
+        other: MemberContact(
+            silent_since_s=NOW_S - (60.0 if other in silent else 0.1),
+            match_index=10 if other in behind else 1_000,
+        )
+        for other in others
+    }
+    asking = [Joiner(joiner, "a:1", NOW_S) for joiner in joiners]
+    return ReplacementPolicy().decide("c0#1", members, contacts, asking, 1_000, NOW_S)
+
+
+def make_members(voters, learners=(), wanted=3):
+    return Members(voters=voters, learners=learners, wanted_voters=wanted)
+
+
+VOTERS = ["c0#1", "c1#1", "c2#1"]
+
+
+def test_lost_voter_goes_only_for_a_ready_learner():
+    assert decide(make_members(VOTERS), silent=["c1#1"]) is None
+    members = make_members(VOTERS, ["c3#1"])
+    assert decide(members) is None
+    assert decide(members, silent=["c1#1"], behind=["c3#1"]) is None
+    assert decide(members, silent=["c1#1", "c3#1"]) is None
+    change = decide(members, silent=["c1#1"])
+    assert change == MembersChange(ChangeKind.REMOVE, "c1#1")
+    change = decide(change_members(members, change))
+    assert change == MembersChange(ChangeKind.PROMOTE, "c3#1")
+
+
+def test_joiners_become_learners_and_replace_their_older_selves():
+    change = decide(make_members(VOTERS), joiners=["c3#1"])
+    assert change == MembersChange(ChangeKind.ADD_LEARNER, "c3#1", "a:1")
+    members = make_members(VOTERS, ["c3#0"])
+    change = decide(members, joiners=["c3#1"])
+    assert change == MembersChange(ChangeKind.REMOVE, "c3#0")
+    members.barred_controls.append("c3")
+    assert decide(members, joiners=["c3#1"]) is None
+
+
+def test_operator_removal_bars_a_control_until_it_is_added_again():
+    members = make_members(VOTERS)
+    remove = MembersChange(ChangeKind.REMOVE, "c2#1", by_operator=True)
+    members = change_members(members, remove)
+    assert (members.wanted_voters, list(members.barred_controls)) == (2, ["c2"])
+    join = MembersChange(ChangeKind.ADD_LEARNER, "c2#1", "a:1")
+    with pytest.raises(MembersChangeError):
+        change_members(members, join)
+    add = MembersChange(ChangeKind.ADD_LEARNER, "c2#1", "a:1", by_operator=True)
+    members = change_members(members, add)
+    promote = MembersChange(ChangeKind.PROMOTE, "c2#1", by_operator=True)
+    members = change_members(members, promote)
+    assert members.wanted_voters == 3
+    assert not members.barred_controls
--- a/tests/consensus/test_task.py
+++ b/tests/consensus/test_task.py
@@ -1,16 +1,23 @@
 """Consensus tasks over loopback and real data folders."""
 
+import errno
 import random
+import shutil
 from contextlib import ExitStack
 
 import eventlet
 import pytest
 
 from chestnutvale.clock import SystemClock
-from chestnutvale.consensus.exceptions import NotLeaderError
+from chestnutvale.consensus.exceptions import (
+    MembersChangeError,
+    NotLeaderError,
+    OutcomeUnknownError,
+)
 from chestnutvale.consensus.task import ConsensusTask
 from chestnutvale.schema.command_pb2 import Command, CommandResult
 from chestnutvale.schema.settings_pb2 import ControlSettings, PeerAddress
+from chestnutvale.storage.files import Files
 from chestnutvale.storage.store import DataStore
 from chestnutvale.transport.gate import make_incarnation
 from chestnutvale.transport.node import TransportNode
@@ -53,10 +60,10 @@
         self.position = position
         self.life = None
 
-    def start(self):
+    def start(self, files=None):
         settings = self.settings
         self.life = ExitStack()
-        storage = self.life.enter_context(DataStore(settings))
+        storage = self.life.enter_context(DataStore(settings, files))
         incarnation = make_incarnation(CLOCK.unix_ms(), self.position)
         transport = self.life.enter_context(
             TransportNode(
@@ -150,3 +157,115 @@
     control.start()
     wait_for_leader([control])
     wait_until(lambda: control.machine.hosts == ["a"])
+
+
+def start_all(controls):
+    for control in controls:
+        control.start()
+    return wait_for_leader(controls)
+
+
+def voters_of(control):
+    return {member.split("#")[0] for member in control.task.members.voters}
+
+
+def test_leadership_is_handed_over_without_an_election_timeout(make_controls):
+    controls = make_controls(3)
+    leader = start_all(controls)
+    propose(leader, "a")
+    # It would still lead if the others had to wait for a silence.
+    assert leader.task.transfer_leadership()
+    wait_until(lambda: leader.task.leader_id not in ("", leader.settings.control_id))
+    propose(wait_for_leader(controls), "b")
+
+
+def test_lost_disk_comes_back_as_another_voter(make_controls):
+    controls = make_controls(3)
+    leader = start_all(controls)
+    propose(leader, "a")
+    lost = next(c for c in controls if c is not leader)
+    old_id = lost.task.member_id
+    lost.stop()
+    shutil.rmtree(lost.settings.data_folder)
+    lost.start()
+    assert lost.task.member_id != old_id
+    wait_until(lambda: lost.task.member_id in leader.task.members.voters)
+    assert old_id not in leader.task.members.voters
+    assert len(leader.task.members.voters) == 3
+    wait_until(lambda: lost.machine.hosts == ["a"])
+
+
+def test_spare_takes_the_place_of_a_lost_voter(make_controls):
+    controls = make_controls(3, spares=1)
+    leader = start_all(controls)
+    propose(leader, "a")
+    wait_until(lambda: leader.task.members.learners)
+    first, second = [c for c in controls[:3] if c is not leader]
+    first.stop()
+    survivors = {leader.settings.control_id, second.settings.control_id, "c3"}
+    wait_until(lambda: voters_of(leader) == survivors)
+    wait_until(lambda: leader.task.status()["learners"] == [])
+    second.stop()
+    propose(wait_for_leader([leader, controls[3]]), "b")
+    wait_until(lambda: controls[3].machine.hosts == ["a", "b"])
+
+
+def test_operator_removes_and_adds_a_voter(make_controls):
+    controls = make_controls(3)
+    leader = start_all(controls)
+    other = next(c for c in controls if c is not leader)
+    control_id = other.settings.control_id
+    deadline_s = CLOCK.now_s() + 20
+    leader.task.remove(control_id, deadline_s)
+    assert control_id not in voters_of(leader)
+    with pytest.raises(MembersChangeError):
+        leader.task.remove(control_id, deadline_s)
+    wait_until(lambda: not other.task.leader_id)
+    wait_until(lambda: can_add(leader, control_id, deadline_s))
+    wait_until(lambda: can_promote(leader, control_id, deadline_s))
+    assert voters_of(leader) == {"c0", "c1", "c2"}
+
+
+def can_add(leader, control_id, deadline_s):
+    try:
+        leader.task.add_learner(control_id, deadline_s)
+    except MembersChangeError:
+        return False
+    return True
+
+
+def can_promote(leader, control_id, deadline_s):
+    try:
+        leader.task.promote(control_id, deadline_s)
+    except MembersChangeError:
+        return False
+    return True
+
+
+class BrokenSync(Files):
+    """A disk whose syncs fail from some moment on."""
+
+    def __init__(self):
+        self.is_broken = False
+
+    def sync(self, descriptor):
+        if self.is_broken:
+            raise OSError(errno.EIO, "broken")
+        super().sync(descriptor)
+
+
+def test_failed_sync_ends_the_vote_and_acknowledges_nothing(make_controls):
+    control = make_controls(1)[0]
+    files = BrokenSync()
+    control.start(files)
+    wait_for_leader([control])
+    propose(control, "a")
+    files.is_broken = True
+    with pytest.raises(OutcomeUnknownError):
+        propose(control, "b")
+    assert control.task.failure.code == "storage_failed"
+    assert not control.task.has_lease(CLOCK.now_s())
+    files.is_broken = False
+    with pytest.raises(NotLeaderError):
+        propose(control, "c")
+    assert control.machine.hosts == ["a"]
