Add metrics, dumps and log context without secrets

Ruled out: logbook's bindings (they know threads and gevent, not eventlet's tasks); instruments on hot paths (most values are read when they are asked for).

--- /dev/null
+++ b/chestnutvale/observability/catalog.py
@@ -0,0 +1,168 @@
+"""Every metric of the daemons, with its unit and its labels."""
+
+from typing import Final
+
+import attrs
+
+UNIT_SECONDS: Final = "s"
+UNIT_BYTES: Final = "By"
+UNIT_NONE: Final = "1"
+
+LABEL_SERVICE: Final = "service"
+LABEL_REASON: Final = "reason"
+LABEL_ROUTE: Final = "route"
+LABEL_STATUS: Final = "status"
+LABEL_DIRECTION: Final = "direction"
+LABEL_ENTRY: Final = "entry"
+
+DEFAULT_MAX_SERIES: Final = 200
+
+DURATION_BOUNDARIES_S: Final = (
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.37,
+    0.5,
+    1.0,
+    2.5,
+    5.0,
+    10.0,
+    30.0,
+    60.0,
+    120.0,
+)
+
+
+@attrs.frozen
+class Metric:
+    """What a metric measures.
+
+    Attributes
+    ----------
+    name : str
+        Name with dots; Prometheus gets underscores and the unit added.
+    unit : str
+        Unit by the Unified Code for Units of Measure.
+    description : str
+        One sentence.
+    labels : tuple of str
+        The only labels that its values may have.
+    max_series : int
+        Largest count of label sets; further ones are counted together as ``other``.
+    """
+
+    name: str
+    unit: str
+    description: str
+    labels: tuple[str, ...] = ()
+    max_series: int = DEFAULT_MAX_SERIES
+
+
+GROUP_DOWNTIME: Final = Metric(
+    "chestnutvale.group.downtime",
+    UNIT_SECONDS,
+    "Time for which a wanted group did not serve, summed over groups.",
+    (LABEL_SERVICE,),
+)
+STRANDED_ACCELERATORS: Final = Metric(
+    "chestnutvale.stranded.accelerators",
+    "{accelerator}",
+    "Accelerators of healthy hosts whose group does not serve.",
+)
+STRANDED_HOSTS: Final = Metric(
+    "chestnutvale.stranded.hosts",
+    "{host}",
+    "Healthy hosts whose group does not serve.",
+)
+STRANDED_TIME: Final = Metric(
+    "chestnutvale.stranded.accelerator.time",
+    UNIT_SECONDS,
+    "Time for which accelerators were stranded, summed over accelerators.",
+)
+GROUPS_WANTED: Final = Metric(
+    "chestnutvale.service.groups.wanted",
+    "{group}",
+    "Groups that the text in force wants.",
+    (LABEL_SERVICE,),
+)
+GROUPS_SERVING: Final = Metric(
+    "chestnutvale.service.groups.serving",
+    "{group}",
+    "Groups that serve.",
+    (LABEL_SERVICE,),
+)
+HOSTS_KNOWN: Final = Metric("chestnutvale.hosts", "{host}", "Hosts known.")
+CONFIGURATION_NUMBER: Final = Metric(
+    "chestnutvale.configuration.number", UNIT_NONE, "Number of the text in force."
+)
+ENTRY_NUMBER: Final = Metric(
+    "chestnutvale.entry.configuration.number",
+    UNIT_NONE,
+    "Number of the text in force at an entry, as it last reported.",
+    (LABEL_ENTRY,),
+    max_series=1_000,
+)
+LEASE_LEFT: Final = Metric(
+    "chestnutvale.entry.lease.left",
+    UNIT_SECONDS,
+    "Time for which the entry may still take calls; zero if it may not.",
+)
+READY: Final = Metric("chestnutvale.ready", UNIT_NONE, "1 if the process is ready.")
+LEADER: Final = Metric(
+    "chestnutvale.consensus.leader", UNIT_NONE, "1 if this control leads."
+)
+TERM: Final = Metric("chestnutvale.consensus.term", UNIT_NONE, "Current term.")
+APPLIED_INDEX: Final = Metric(
+    "chestnutvale.consensus.applied", "{record}", "Log records applied."
+)
+LEDGER_RECORDS: Final = Metric(
+    "chestnutvale.ledger.records", "{record}", "Claims and outcomes kept."
+)
+LEDGER_SIZE: Final = Metric(
+    "chestnutvale.ledger.size", UNIT_BYTES, "Size of the claims and outcomes kept."
+)
+PEER_MESSAGES: Final = Metric(
+    "chestnutvale.peer.messages",
+    "{message}",
+    "Messages between processes.",
+    (LABEL_DIRECTION,),
+)
+PEER_IO: Final = Metric(
+    "chestnutvale.peer.io",
+    UNIT_BYTES,
+    "Bytes of messages between processes.",
+    (LABEL_DIRECTION,),
+)
+PEER_DROPS: Final = Metric(
+    "chestnutvale.peer.drops",
+    "{message}",
+    "Messages between processes that were dropped.",
+    (LABEL_REASON,),
+)
+REQUESTS_RUNNING: Final = Metric(
+    "chestnutvale.http.requests.running", "{request}", "Requests being answered."
+)
+CONNECTIONS: Final = Metric(
+    "chestnutvale.http.connections", "{connection}", "Open HTTP connections."
+)
+REQUESTS_REFUSED: Final = Metric(
+    "chestnutvale.http.requests.refused",
+    "{request}",
+    "Requests and connections beyond a limit of the HTTP server.",
+    (LABEL_REASON,),
+)
+REQUEST_DURATION: Final = Metric(
+    "chestnutvale.http.request.duration",
+    UNIT_SECONDS,
+    "Time from a request's head to the end of its answer.",
+    (LABEL_ROUTE, LABEL_STATUS),
+)
+FIRST_BYTE: Final = Metric(
+    "chestnutvale.http.first.byte",
+    UNIT_SECONDS,
+    "Time from a request's head to the first byte of its answer's body.",
+    (LABEL_ROUTE, LABEL_STATUS),
+)
--- /dev/null
+++ b/chestnutvale/observability/dump.py
@@ -0,0 +1,47 @@
+"""The dump of a process's state, put together from its parts."""
+
+from collections.abc import Callable
+from typing import Any
+
+import logbook
+
+from chestnutvale.observability.secrets import remove_secrets
+
+_LOGGER = logbook.Logger(__name__)
+
+
+class DumpRegistry:
+    """The sources of a process's dump."""
+
+    def __init__(self) -> None:
+        self._sources: dict[str, Callable[[], Any]] = {}
+
+    def register(self, name: str, read: Callable[[], Any]) -> None:
+        """Add a source.
+
+        Parameters
+        ----------
+        name : str
+            Member of the dump that it fills.
+        read : callable
+            Gives the state as JSON data or messages.
+        """
+        self._sources[name] = read
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state of all sources.
+
+        Returns
+        -------
+        dict
+            State by name, without secrets; a source that fails says so.
+        """
+        return {name: self._read(name) for name in self._sources}
+
+    def _read(self, name: str) -> Any:
+        try:
+            return remove_secrets(self._sources[name]())
+        except Exception as error:
+            # The other sources are wanted all the more then.
+            _LOGGER.exception("Dumping {} failed", name)
+            return {"error": f"{type(error).__name__}: {error}"}
--- a/chestnutvale/observability/logs.py
+++ b/chestnutvale/observability/logs.py
@@ -6,13 +6,11 @@
 
 import logbook
 
+from chestnutvale.observability.log_context import get_log_context
+from chestnutvale.observability.secrets import remove_secrets, remove_secrets_from_text
 from chestnutvale.schema.settings_pb2 import LogSettings
 
 FORMAT_JSON = "json"
-TEXT_FORMAT = (
-    "{record.time:%Y-%m-%dT%H:%M:%S.%f}Z {record.level_name} "
-    "{record.channel}: {record.message}"
-)
 
 
 def format_json(record: logbook.LogRecord, handler: Any) -> str:
@@ -34,14 +32,40 @@
         "time": record.time.isoformat() + "Z",
         "level": record.level_name.lower(),
         "logger": record.channel,
-        "message": record.message,
-        **record.extra,
+        "message": remove_secrets_from_text(record.message),
+        **get_log_context(),
+        **remove_secrets(dict(record.extra)),
     }
     if record.formatted_exception:
-        line["exception"] = record.formatted_exception
+        line["exception"] = remove_secrets_from_text(record.formatted_exception)
     return json.dumps(line, default=str)
 
 
+def format_text(record: logbook.LogRecord, handler: Any) -> str:
+    """Format a log record as text.
+
+    Parameters
+    ----------
+    record : logbook.LogRecord
+        The record.
+    handler : logbook.Handler
+        The handler that writes it; not used.
+
+    Returns
+    -------
+    str
+        One line, and the lines of an exception if there is one.
+    """
+    fields = "".join(f" {name}={value}" for name, value in get_log_context().items())
+    time = record.time.isoformat()
+    # A message from outside must not look like a second line of the log.
+    message = record.message.replace("\n", "\\n").replace("\r", "\\r")
+    text = f"{time}Z {record.level_name} {record.channel}: {message}{fields}"
+    if record.formatted_exception:
+        text += f"\n{record.formatted_exception}"
+    return remove_secrets_from_text(text)
+
+
 def make_log_handler(settings: LogSettings) -> logbook.Handler:
     """Make the handler that a program pushes for its whole life.
 
@@ -60,8 +84,6 @@
         handler: logbook.Handler = logbook.FileHandler(settings.file, level=level)
     else:
         handler = logbook.StreamHandler(sys.stderr, level=level)
-    if settings.format == FORMAT_JSON:
-        handler.formatter = format_json
-    else:
-        handler.format_string = TEXT_FORMAT
+    is_json = settings.format == FORMAT_JSON
+    handler.formatter = format_json if is_json else format_text
     return handler
--- /dev/null
+++ b/chestnutvale/observability/secrets.py
@@ -0,0 +1,85 @@
+"""Take secrets out of what logs and dumps show."""
+
+import re
+from collections.abc import Mapping
+from typing import Any
+
+from google.protobuf.message import Message
+
+from chestnutvale.schema_json import message_to_data
+
+REMOVED = "(removed)"
+MAX_DEPTH = 20
+MAX_ITEMS = 1_000
+
+_SECRET_NAME = re.compile(
+    r"token|secret|password|authorization|api_?key|^key$|^keys$|key_sha256", re.I
+)
+# Names that contain such a word but count or locate something.
+_HARMLESS_NAME = re.compile(r"tokens|token_file", re.I)
+_SECRET_TEXT = re.compile(
+    r"(?P<scheme>\bbearer\s+)[^\s\"',]+|\bcv-[A-Za-z0-9_-]{16,}", re.I
+)
+
+
+def remove_secrets_from_text(text: str) -> str:
+    """Return a text without bearer tokens and workspace keys.
+
+    Parameters
+    ----------
+    text : str
+        The text.
+
+    Returns
+    -------
+    str
+        The text with each of them replaced.
+    """
+    return _SECRET_TEXT.sub(lambda found: (found["scheme"] or "") + REMOVED, text)
+
+
+def remove_secrets(data: Any, depth: int = 0) -> Any:
+    """Return data for a dump: plain JSON, bounded, without secrets.
+
+    Parameters
+    ----------
+    data : object
+        Mappings, lists, messages and scalars.
+    depth : int, optional
+        Depth of the data in the whole dump.
+
+    Returns
+    -------
+    object
+        The data; fields with the name of a secret are replaced, long lists are cut
+        and say so.
+    """
+    if depth > MAX_DEPTH:
+        return "(too deep)"
+    if isinstance(data, Message):
+        data = message_to_data(data)
+    if isinstance(data, Mapping):
+        return {
+            str(key): REMOVED
+            if _is_secret(str(key))
+            else remove_secrets(value, depth + 1)
+            for key, value in data.items()
+        }
+    if isinstance(data, list | tuple | set | frozenset):
+        return _clean_items(list(data), depth)
+    if data is None or isinstance(data, bool | int | float):
+        return data
+    if isinstance(data, bytes):
+        return f"({len(data)} bytes)"
+    return remove_secrets_from_text(str(data))
+
+
+def _is_secret(name: str) -> bool:
+    return bool(_SECRET_NAME.search(name)) and not _HARMLESS_NAME.search(name)
+
+
+def _clean_items(items: list[Any], depth: int) -> list[Any]:
+    cleaned = [remove_secrets(item, depth + 1) for item in items[:MAX_ITEMS]]
+    if len(items) > MAX_ITEMS:
+        cleaned.append(f"({len(items) - MAX_ITEMS} more)")
+    return cleaned
