Find requests that crash groups and keep their suspects apart

Cause: a request that crashes each group that runs it costs a group at every try, and a plain count of crashes blames those that ran beside it. Change: evidence by crash (who ran, for how long, in which fabric domain), merged at the leading control by SuspicionBoard and shared through views; suspects are placed at one group each, newest first, at the same place by all entries; a ban needs two crashes on different groups with no other suspect in both; a probe of the members tells a crashed group from one broken stream; a whole answer clears a request at all entries. Schema, appended only: CrashSuspicion.ran_ms. Found by a test and mended: two suspects of the same two crashes got the same place.

--- /dev/null
+++ b/benchmarks/attempts_crashes.py
@@ -0,0 +1,430 @@
+"""What a request that crashes groups costs, with and without protection.
+
+Twelve entries send calls to groups of one service. A few requests crash each
+group that runs them, and their callers send them again and again, while innocent
+calls run beside them and some groups break for other reasons.
+"""
+
+import heapq
+import itertools
+import random
+import statistics
+from collections import Counter
+from collections.abc import Callable
+from typing import Any, Protocol
+
+import attrs
+import defopt
+
+from chestnutvale.attempts.const import BAN_MS, MAX_ATTEMPTS
+from chestnutvale.attempts.suspicion import (
+    Banned,
+    Clear,
+    Suspected,
+    SuspicionTracker,
+    Verdict,
+)
+from chestnutvale.attempts.suspicion_board import SuspicionBoard
+
+ENTRIES = 12
+GROUPS = 15
+DOMAINS = 5
+# Calls that each group runs on average, and their mean length in milliseconds.
+CALLS_PER_GROUP = 20
+CALL_MS = 10_000
+REPAIR_MS = 30_000
+RESEND_MS = 2_000
+CRASH_MIN_MS = 100
+# Spread in milliseconds with which entries notice a crash.
+NOTICE_MS = 50
+# Time in milliseconds from an entry to the control, and on to the others.
+RELAY_MS = 30
+DURATION_MS = 600_000
+GUILTY_REQUESTS = 5
+# Fingerprint of the first crashing request; innocent ones are counted from 1.
+FIRST_GUILTY = 1 << 40
+
+
+@attrs.define(eq=False)
+class Call:
+    """One call of a caller.
+
+    Attributes
+    ----------
+    fingerprint : int
+        The request.
+    entry : int
+        Entry that handles the call.
+    left_ms : float
+        Work that is left in milliseconds.
+    is_guilty : bool
+        Whether it crashes each group that runs it.
+    attempts : int
+        Attempts that were made.
+    group : str
+        Group that runs it; empty for none.
+    started_ms : float
+        Start of the attempt in milliseconds.
+    """
+
+    fingerprint: int
+    entry: int
+    left_ms: float
+    is_guilty: bool
+    attempts: int = 0
+    group: str = ""
+    started_ms: float = 0.0
+    excluded: set[str] = attrs.field(factory=set)
+
+    @property
+    def attempt_id(self) -> str:
+        """Identity of the running attempt."""
+        return f"{id(self)}.{self.attempts}"
+
+
+class Policy(Protocol):
+    """What decides whether and where a call may run."""
+
+    def judge(self, call: Call, groups: list[str], now_ms: int) -> Verdict:
+        """Decide on a call."""
+
+    def started(self, call: Call, epoch: int, domain: str) -> None:
+        """Note that an attempt started."""
+
+    def crashed(self, call: Call, now_ms: int) -> None:
+        """Note that the group of a call crashed."""
+
+    def whole(self, call: Call, now_ms: int) -> None:
+        """Note that a call gave its answer."""
+
+
+class Unprotected:
+    """No protection but the bound on attempts."""
+
+    def judge(self, call: Call, groups: list[str], now_ms: int) -> Verdict:
+        """Let each call run anywhere."""
+        return Clear()
+
+    def started(self, call: Call, epoch: int, domain: str) -> None:
+        """Do nothing."""
+
+    def crashed(self, call: Call, now_ms: int) -> None:
+        """Do nothing."""
+
+    def whole(self, call: Call, now_ms: int) -> None:
+        """Do nothing."""
+
+
+class CountCrashes(Unprotected):
+    """Bans what ran in a number of crashed groups; all entries know at once.
+
+    Parameters
+    ----------
+    crashes : int
+        Crashes of different groups after which a request is banned.
+    """
+
+    def __init__(self, crashes: int) -> None:
+        self._crashes = crashes
+        self._groups: dict[int, dict[str, int]] = {}
+
+    def judge(self, call: Call, groups: list[str], now_ms: int) -> Verdict:
+        """Refuse what ran in enough crashes."""
+        seen = self._groups.get(call.fingerprint, {})
+        recent = [at_ms for at_ms in seen.values() if at_ms + BAN_MS > now_ms]
+        if len(recent) >= self._crashes:
+            return Banned(max(recent) + BAN_MS)
+        return Clear()
+
+    def crashed(self, call: Call, now_ms: int) -> None:
+        """Count the crash against all that ran."""
+        self._groups.setdefault(call.fingerprint, {})[call.group] = now_ms
+
+    def whole(self, call: Call, now_ms: int) -> None:
+        """Forget the crashes of a request that gave its answer."""
+        self._groups.pop(call.fingerprint, None)
+
+
+class Suspicion:
+    """The project's trackers and board, with messages that take their time.
+
+    Parameters
+    ----------
+    schedule : callable
+        Takes a delay in milliseconds and a function of the time.
+    keep_apart : bool
+        Whether suspects are placed; otherwise they run anywhere.
+    """
+
+    def __init__(self, schedule: Callable[..., None], keep_apart: bool = True) -> None:
+        self._schedule = schedule
+        self._keep_apart = keep_apart
+        self._trackers = [SuspicionTracker() for _ in range(ENTRIES)]
+        self._board = SuspicionBoard()
+
+    def judge(self, call: Call, groups: list[str], now_ms: int) -> Verdict:
+        """Ask the entry's tracker."""
+        tracker = self._trackers[call.entry]
+        verdict = tracker.judge(call.fingerprint, groups, now_ms)
+        if isinstance(verdict, Suspected) and not self._keep_apart:
+            return Clear()
+        return verdict
+
+    def started(self, call: Call, epoch: int, domain: str) -> None:
+        """Tell the entry's tracker."""
+        self._trackers[call.entry].attempt_started(
+            call.attempt_id,
+            call.fingerprint,
+            call.group,
+            epoch,
+            domain,
+            int(call.started_ms),
+        )
+
+    def crashed(self, call: Call, now_ms: int) -> None:
+        """Tell the entry's tracker, which reports at once."""
+        self._trackers[call.entry].group_crashed(call.attempt_id, now_ms)
+        self._report(call.entry, now_ms)
+
+    def whole(self, call: Call, now_ms: int) -> None:
+        """Tell the entry's tracker."""
+        self._trackers[call.entry].answer_whole(call.attempt_id, now_ms)
+        self._report(call.entry, now_ms)
+
+    def _report(self, entry: int, now_ms: int) -> None:
+        reports = self._trackers[entry].reports(now_ms)
+        if reports:
+            self._schedule(RELAY_MS, lambda at_ms: self._relay(reports, at_ms))
+
+    def _relay(self, reports: list[Any], now_ms: int) -> None:
+        if not self._board.merge(reports, now_ms):
+            return
+        recent = self._board.recent(now_ms)
+        self._schedule(RELAY_MS, lambda at_ms: self._receive(recent, at_ms))
+
+    def _receive(self, recent: list[Any], now_ms: int) -> None:
+        for tracker in self._trackers:
+            tracker.merge(recent, now_ms)
+
+
+class Trial:
+    """One seeded run of one policy.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the load and of the faults.
+    faults_per_minute : float
+        Groups that break for other reasons; each tenth takes its domain along.
+    crash_max_ms : float
+        Longest time that a crashing request runs before the crash.
+    """
+
+    def __init__(
+        self, seed: int, faults_per_minute: float, crash_max_ms: float
+    ) -> None:
+        self._crash_max_ms = crash_max_ms
+        self._rng = random.Random(seed)
+        self._faults_per_minute = faults_per_minute
+        self._queue: list[tuple[float, int, Callable[[int], None]]] = []
+        self._sequence = itertools.count()
+        self._now_ms = 0
+        self._epochs = {f"g{i:02}": 1 for i in range(GROUPS)}
+        self._down_until_ms = dict.fromkeys(self._epochs, 0)
+        self._running: dict[str, set[Call]] = {g: set() for g in self._epochs}
+        self.policy: Policy = Unprotected()
+        self.counts: Counter[str] = Counter()
+        self.held_ms: list[float] = []
+
+    def schedule(self, delay_ms: float, action: Callable[[int], None]) -> None:
+        """Do something later.
+
+        Parameters
+        ----------
+        delay_ms : float
+            Delay in milliseconds.
+        action : callable
+            Takes the time in milliseconds.
+        """
+        at_ms = self._now_ms + delay_ms
+        heapq.heappush(self._queue, (at_ms, next(self._sequence), action))
+
+    def run(self) -> None:
+        """Run to the end."""
+        self._schedule_innocent()
+        for number in range(GUILTY_REQUESTS):
+            start_ms = 20_000 + number * 60_000
+            self.schedule(
+                start_ms, lambda _, n=number: self._send_guilty(FIRST_GUILTY + n)
+            )
+        if self._faults_per_minute:
+            self._schedule_fault()
+        while self._queue and self._queue[0][0] < DURATION_MS:
+            at_ms, _, action = heapq.heappop(self._queue)
+            self._now_ms = int(at_ms)
+            action(self._now_ms)
+
+    def _schedule_innocent(self) -> None:
+        rate = GROUPS * CALLS_PER_GROUP / CALL_MS
+        self.schedule(self._rng.expovariate(rate), lambda _: self._send_innocent())
+
+    def _send_innocent(self) -> None:
+        self.counts["innocent"] += 1
+        left_ms = self._rng.expovariate(1 / CALL_MS)
+        entry = self._rng.randrange(ENTRIES)
+        self._route(Call(self.counts["innocent"], entry, left_ms, False))
+        self._schedule_innocent()
+
+    def _send_guilty(self, fingerprint: int) -> None:
+        self.counts["guilty sends"] += 1
+        self._route(Call(fingerprint, self._rng.randrange(ENTRIES), CALL_MS, True))
+
+    def _schedule_fault(self) -> None:
+        delay_ms = self._rng.expovariate(self._faults_per_minute / 60_000)
+        self.schedule(delay_ms, lambda _: self._break_for_other_reasons())
+
+    def _break_for_other_reasons(self) -> None:
+        group = self._rng.choice(list(self._epochs))
+        broken = [group]
+        if self._rng.random() < 0.1:
+            domain = self._domain(group)
+            broken = [g for g in self._epochs if self._domain(g) == domain]
+        for name in broken:
+            delay_ms = self._rng.uniform(0, 1_000)
+            self.schedule(delay_ms, lambda _, g=name: self._crash(g, "other crashes"))
+        self._schedule_fault()
+
+    def _domain(self, group: str) -> str:
+        return f"d{int(group[1:]) % DOMAINS}"
+
+    def _up(self) -> list[str]:
+        return [g for g, until in self._down_until_ms.items() if until <= self._now_ms]
+
+    def _route(self, call: Call, held_ms: float = 0.0) -> None:
+        up = self._up()
+        verdict = self.policy.judge(call, up, self._now_ms)
+        if isinstance(verdict, Banned):
+            self._end(call, "refused")
+            return
+        groups = [g for g in up if g not in call.excluded]
+        if isinstance(verdict, Suspected):
+            wait_ms = verdict.not_before_unix_ms - self._now_ms
+            if wait_ms > 0:
+                held_ms += wait_ms
+                self.schedule(wait_ms, lambda _: self._route(call, held_ms))
+                return
+            groups = [verdict.group_id] if verdict.group_id in groups else []
+        if not groups or call.attempts >= MAX_ATTEMPTS:
+            self._end(call, "failed")
+            return
+        if held_ms and not call.is_guilty:
+            self.held_ms.append(held_ms)
+        self._start(call, self._rng.choice(groups))
+
+    def _start(self, call: Call, group: str) -> None:
+        call.attempts += 1
+        call.group = group
+        call.started_ms = self._now_ms
+        self._running[group].add(call)
+        attempt = call.attempts
+        self.policy.started(call, self._epochs[group], self._domain(group))
+        if call.is_guilty:
+            delay_ms = self._rng.uniform(CRASH_MIN_MS, self._crash_max_ms)
+            self.schedule(delay_ms, lambda _: self._crash_by(call, attempt))
+        else:
+            self.schedule(call.left_ms, lambda _: self._finish(call, attempt))
+
+    def _crash_by(self, call: Call, attempt: int) -> None:
+        if call in self._running[call.group] and call.attempts == attempt:
+            self._crash(call.group, "crashes")
+
+    def _crash(self, group: str, kind: str) -> None:
+        if self._down_until_ms[group] > self._now_ms:
+            return
+        self.counts[kind] += 1
+        self._down_until_ms[group] = self._now_ms + REPAIR_MS
+        self._epochs[group] += 1
+        broken, self._running[group] = self._running[group], set()
+        for call in sorted(broken, key=lambda c: (c.fingerprint, c.entry)):
+            call.left_ms -= self._now_ms - call.started_ms
+            call.excluded.add(group)
+            if not call.is_guilty:
+                self.counts["innocent breaks"] += 1
+            delay_ms = self._rng.uniform(0, NOTICE_MS)
+            self.schedule(delay_ms, lambda _, c=call: self._notice(c))
+
+    def _notice(self, call: Call) -> None:
+        self.policy.crashed(call, self._now_ms)
+        self._route(call)
+
+    def _finish(self, call: Call, attempt: int) -> None:
+        if call in self._running[call.group] and call.attempts == attempt:
+            self._running[call.group].discard(call)
+            self.policy.whole(call, self._now_ms)
+            self.counts["innocent whole"] += 1
+
+    def _end(self, call: Call, result: str) -> None:
+        if call.is_guilty:
+            self.counts[f"guilty {result}"] += 1
+            self.schedule(RESEND_MS, lambda _: self._send_guilty(call.fingerprint))
+        else:
+            self.counts[f"innocent {result}"] += 1
+
+
+def make_policies() -> dict[str, Callable[[Trial], Policy]]:
+    """Return how to make each policy for a trial."""
+    return {
+        "no protection": lambda trial: Unprotected(),
+        "ban all that ran in 1 crash": lambda trial: CountCrashes(1),
+        "ban after 2 crashes": lambda trial: CountCrashes(2),
+        "evidence, not kept apart": lambda trial: Suspicion(trial.schedule, False),
+        "evidence, kept apart": lambda trial: Suspicion(trial.schedule),
+    }
+
+
+def main(
+    *,
+    seeds: int = 10,
+    faults_per_minute: float = 0.0,
+    crash_max_ms: float = 1_500.0,
+) -> None:
+    """Print what each policy costs.
+
+    Parameters
+    ----------
+    seeds : int
+        Runs of each policy.
+    faults_per_minute : float
+        Groups that break for other reasons.
+    crash_max_ms : float
+        Longest time in milliseconds that a crashing request runs before the crash.
+    """
+    print(
+        f"{seeds} seeds, {GUILTY_REQUESTS} crashing requests each, crashes within "
+        f"{crash_max_ms:.0f} ms, {faults_per_minute} other faults a minute"
+    )
+    for name, make_policy in make_policies().items():
+        total: Counter[str] = Counter()
+        held_ms: list[float] = []
+        worst = 0
+        for seed in range(seeds):
+            trial = Trial(seed, faults_per_minute, crash_max_ms)
+            trial.policy = make_policy(trial)
+            trial.run()
+            total += trial.counts
+            held_ms += trial.held_ms
+            worst = max(worst, trial.counts["crashes"])
+        guilty = seeds * GUILTY_REQUESTS
+        median_ms = statistics.median(held_ms) if held_ms else 0.0
+        print(
+            f"{name:28} crashes per crashing request {total['crashes'] / guilty:6.2f} "
+            f"(worst run {worst / GUILTY_REQUESTS:.1f}), innocents: "
+            f"{total['innocent breaks'] / seeds:8.1f} breaks a run, "
+            f"{total['innocent refused']} refused, {total['innocent failed']} failed "
+            f"of {total['innocent']}, held {len(held_ms)} "
+            f"(median {median_ms:.0f} ms, most {max(held_ms, default=0):.0f} ms)"
+        )
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- a/chestnutvale/attempts/const.py
+++ b/chestnutvale/attempts/const.py
@@ -48,13 +48,17 @@
 # Time in milliseconds after a crash in which other entries' evidence may arrive.
 EVIDENCE_SETTLE_MS: Final = 300
 # Time in milliseconds between two suspects of one crash on the same group.
-SUSPECT_ROUND_MS: Final = 1_000
+SUSPECT_ROUND_MS: Final = 1_500
 # Rounds over which the suspects of one crash are spread.
 MAX_SUSPECT_ROUNDS: Final = 3
 # Time in milliseconds for which a request that crashes groups is refused.
 BAN_MS: Final = 10 * 60 * 1_000
 # Crashes on different groups after which a request is refused.
 BAN_CRASHES: Final = 2
+# Time in milliseconds within which a request that crashes groups does so.
+QUICK_CRASH_MS: Final = 5_000
+# Crashes on different groups after which a request that ran for longer is refused.
+BAN_CRASHES_SLOW: Final = 3
 # Crashes on different groups after which evidence need not be unambiguous.
 BAN_CRASHES_AMBIGUOUS: Final = 4
 # Time in milliseconds between crashes in a fabric domain that count as one fault.
--- a/chestnutvale/attempts/crash_evidence.py
+++ b/chestnutvale/attempts/crash_evidence.py
@@ -5,12 +5,14 @@
 from chestnutvale.attempts.const import (
     BAN_CRASHES,
     BAN_CRASHES_AMBIGUOUS,
+    BAN_CRASHES_SLOW,
     BAN_MS,
     DOMAIN_FAULT_MS,
     EVIDENCE_RETENTION_MS,
     EVIDENCE_SETTLE_MS,
     MAX_CRASHES,
     MAX_SUSPECTS,
+    QUICK_CRASH_MS,
 )
 from chestnutvale.schema.peer_pb2 import CrashSuspicion
 
@@ -43,23 +45,24 @@
         Domain of the group.
     at_unix_ms : int
         First time at which it was seen.
-    suspects : set of int
-        Fingerprints of the requests that it was running.
+    suspects : dict of int to int
+        Fingerprints of the requests that it was running, and for how many
+        milliseconds.
     """
 
     crash_id: CrashId
     fabric_domain: str
     at_unix_ms: int
-    suspects: set[int] = attrs.field(factory=set)
+    suspects: dict[int, int] = attrs.field(factory=dict)
 
 
 class CrashEvidence:
     """Crashes with their suspects, merged from all entries.
 
-    A request is guilty after crashes on two different groups if no other
-    suspect ran in both. A crash counts against nobody else once a guilty
-    request was found in it, and against nobody at all if another group of its
-    fabric domain broke at the same time without running the suspect.
+    A request is guilty after crashes on two different groups, soon after it
+    began, if no other suspect ran in both. A crash counts against nobody else
+    once a guilty request was found in it, and against nobody at all if another
+    group of its fabric domain broke at the same time without running the suspect.
     """
 
     def __init__(self) -> None:
@@ -101,9 +104,11 @@
             )
             self._crashes[crash_id] = crash
             self._forget_oldest()
+        # Entries see a crash at slightly different times; all settle on the first.
+        crash.at_unix_ms = min(crash.at_unix_ms, suspicion.crashed_at_unix_ms)
         if fingerprint in crash.suspects or len(crash.suspects) >= MAX_SUSPECTS:
             return False
-        crash.suspects.add(fingerprint)
+        crash.suspects[fingerprint] = suspicion.ran_ms
         return True
 
     def expire(self, now_unix_ms: int) -> None:
@@ -193,17 +198,19 @@
         if len(crashes) >= BAN_CRASHES_AMBIGUOUS:
             return True
         counted = [c for c in crashes if not self._is_explained(c, fingerprint)]
-        if len(counted) < BAN_CRASHES:
+        # Two crashes may be a coincidence for a request that ran well for a while.
+        is_quick = all(c.suspects[fingerprint] <= QUICK_CRASH_MS for c in counted)
+        if len(counted) < (BAN_CRASHES if is_quick else BAN_CRASHES_SLOW):
             return False
-        common = set.intersection(*(crash.suspects for crash in counted))
+        common = set.intersection(*(set(crash.suspects) for crash in counted))
         return common == {fingerprint}
 
     def _is_solved(self, crash: Crash, fingerprint: int, now_unix_ms: int) -> bool:
-        others = crash.suspects - {fingerprint}
         return any(
-            len(self.crashes_of(other)) >= BAN_CRASHES
+            other != fingerprint
+            and len(self.crashes_of(other)) >= BAN_CRASHES
             and self.banned_until_unix_ms(other, now_unix_ms)
-            for other in others
+            for other in crash.suspects
         )
 
     def _is_explained(self, crash: Crash, fingerprint: int) -> bool:
@@ -229,7 +236,7 @@
             del self._cleared[next(iter(self._cleared))]
         for crash in self._crashes.values():
             if crash.at_unix_ms <= at_unix_ms:
-                crash.suspects.discard(fingerprint)
+                crash.suspects.pop(fingerprint, None)
         return True
 
     def _forget_oldest(self) -> None:
--- a/chestnutvale/attempts/suspicion.py
+++ b/chestnutvale/attempts/suspicion.py
@@ -82,6 +82,7 @@
     group_id: str
     epoch: int
     fabric_domain: str
+    started_unix_ms: int
 
 
 class SuspicionTracker:
@@ -104,6 +105,7 @@
         group_id: str,
         epoch: int,
         fabric_domain: str,
+        now_unix_ms: int,
     ) -> None:
         """Note that a group runs a request.
 
@@ -119,9 +121,11 @@
             Epoch of the group.
         fabric_domain : str
             Domain of the group.
+        now_unix_ms : int
+            Wall-clock time in milliseconds.
         """
         self._running[attempt_id] = _Running(
-            fingerprint, group_id, epoch, fabric_domain
+            fingerprint, group_id, epoch, fabric_domain, now_unix_ms
         )
 
     def attempt_ended(self, attempt_id: str) -> None:
@@ -175,6 +179,7 @@
                 epoch=running.epoch,
                 fabric_domain=running.fabric_domain,
                 crashed_at_unix_ms=now_unix_ms,
+                ran_ms=max(0, now_unix_ms - running.started_unix_ms),
             )
         )
 
@@ -240,18 +245,28 @@
         self, fingerprint: int, crashes: list[Crash], groups: list[str]
     ) -> Suspected:
         latest = max(crashes, key=lambda crash: crash.at_unix_ms)
-        not_before_unix_ms = latest.at_unix_ms + EVIDENCE_SETTLE_MS
-        crashed = {crash.crash_id.group_id for crash in crashes}
         slots = sorted(set(groups) - {latest.crash_id.group_id})
-        if not set(slots) - crashed:
-            return Suspected("", not_before_unix_ms)
-        turn = sorted(latest.suspects).index(fingerprint)
-        rounds = min(turn // len(slots), MAX_SUSPECT_ROUNDS - 1)
-        while slots[turn % len(slots)] in crashed:
-            turn += 1
-        return Suspected(
-            slots[turn % len(slots)], not_before_unix_ms + rounds * SUSPECT_ROUND_MS
-        )
+        # Those that had just begun are the likeliest and get places of their own.
+        order = sorted(latest.suspects, key=lambda f: (latest.suspects[f], f))
+        free = list(slots)
+        rounds = 0
+        group_id = ""
+        for suspect in order[: order.index(fingerprint) + 1]:
+            group_id = self._first_untried(suspect, free)
+            if not group_id:
+                rounds += 1
+                free = list(slots)
+                group_id = self._first_untried(suspect, free)
+            if group_id:
+                free.remove(group_id)
+        rounds = min(rounds, MAX_SUSPECT_ROUNDS - 1)
+        delay_ms = EVIDENCE_SETTLE_MS + rounds * SUSPECT_ROUND_MS
+        return Suspected(group_id, latest.at_unix_ms + delay_ms)
+
+    def _first_untried(self, suspect: int, groups: list[str]) -> str:
+        crashes = self.evidence.crashes_of(suspect)
+        tried = {crash.crash_id.group_id for crash in crashes}
+        return next((group for group in groups if group not in tried), "")
 
     def _add(self, suspicion: CrashSuspicion) -> None:
         if self.evidence.add(suspicion):
--- a/chestnutvale/programs/entry/model_calls.py
+++ b/chestnutvale/programs/entry/model_calls.py
@@ -301,6 +301,7 @@
             effect.group_id,
             effect.epoch,
             view.group.fabric_domain,
+            self._context.clock.unix_ms(),
         )
         self._first_byte_s = None
         self._first_offset = effect.resume_offset
--- a/tests/programs/entry/test_model_calls.py
+++ b/tests/programs/entry/test_model_calls.py
@@ -1,5 +1,6 @@
 """Model calls over HTTP: whole answers, honest refusals, cancelled work."""
 
+import contextlib
 import json
 
 import eventlet
@@ -176,3 +177,38 @@
     assert (status, json.loads(body)["outcome"]) == (503, "not_run")
     assert "retry-after" in headers
     assert not engines[0].requests
+
+
+@pytest.fixture
+def crashing(context):
+    """Four engines that crash on a poisoned prompt."""
+    engines = [FakeEngine(f"c{i}") for i in range(4)]
+    with contextlib.ExitStack() as stack:
+        for engine in engines:
+            engine.crashes_on = "poison"
+            address = stack.enter_context(serve(engine))
+            context.add_group(engine.group_id, "llm", address)
+        yield engines
+
+
+def crash_count(engines):
+    return sum(engine.boot_id != "boot" for engine in engines)
+
+
+def test_crashing_request_is_refused_after_two_groups(context, crashing, entry):
+    poison = {"model": "llm", "messages": [{"role": "user", "content": "poison"}]}
+    for _ in range(3):
+        status, headers, body = post(entry, "/", poison)
+        problem = json.loads(body)
+        assert (status, problem["code"]) == (422, "crashing_request")
+        assert problem["outcome"] == "failed"
+        assert int(headers["retry-after"]) > 500
+        assert crash_count(crashing) == 2
+    assert post(entry, "/", CHAT)[0] == 200
+
+
+def test_one_broken_stream_of_a_sound_group_is_no_evidence(context, engines, entry):
+    engines[0].break_after = 3
+    for _ in range(3):
+        assert post(entry, "/", CHAT)[0] == 200
+    assert context.suspicions.evidence.crashes() == []
