Cut streams at every byte in a test and check the resume offset

Cause: a resume from 0 survived the tests, since the repeated tokens were dropped. Change: the resume offset is asserted, and a raw stream is cut at each of its bytes.

--- a/tests/attempts/test_model_call.py
+++ b/tests/attempts/test_model_call.py
@@ -24,7 +24,7 @@
 )
 from chestnutvale.attempts.model_call import ModelCall
 from chestnutvale.attempts.retry_budget import AttemptBudgets, RetryBudget
-from chestnutvale.attempts.sse import StreamEvent
+from chestnutvale.attempts.sse import EventSplitter, StreamEvent
 
 TOKENS = 8
 DEADLINE_S = 100.0
@@ -126,6 +126,29 @@
         assert call.attempts == MAX_ATTEMPTS
 
 
+def encode(event):
+    if event.is_done:
+        return event.data
+    head = f"id: {event.attempt_id.decode()}:{event.first}:{event.next}\n"
+    return head.encode() + event.data
+
+
+def test_stream_cut_at_any_byte_is_resumed_byte_for_byte():
+    raw = b"".join(encode(e) for e in spoil(StartAttempt("r.1", "g", 1, 0), [], []))
+    for cut in range(len(raw)):
+        call = ModelCall("r", DEADLINE_S, AttemptBudgets())
+        attempt_id = start(call)
+        events = EventSplitter().feed(raw[:cut])
+        effects = call.handle(EventsArrived(attempt_id, events), 0.0)
+        effects += call.handle(AttemptBroken(attempt_id, "cut"), 0.0)
+        (resume,) = call.handle(GroupChosen("g2", 1, "v1"), 0.0)
+        events = spoil(resume, [], [])
+        effects += call.handle(EventsArrived(resume.attempt_id, events), 0.0)
+        delivered = b"".join(e.data for e in effects if isinstance(e, Deliver))
+        assert delivered == WHOLE + DONE.data
+        assert effects[-1] == Finish()
+
+
 def test_event_that_overlaps_the_answer_breaks_the_attempt(call):
     attempt_id = start(call)
     call.handle(EventsArrived(attempt_id, [token(attempt_id, 0, 2)]), 0.0)
--- a/tests/programs/entry/entry_fakes.py
+++ b/tests/programs/entry/entry_fakes.py
@@ -145,6 +145,8 @@
                     raise ConnectionError("break")
                 yield make_event(body, offset, offset + 1, WORDS[offset])
                 eventlet.sleep(self.pause_s)
+            if self.break_after == len(WORDS):
+                raise ConnectionError("break")
             yield make_event(body, len(WORDS), len(WORDS), "", "stop")
             yield b"data: [DONE]\n\n"
         except GeneratorExit:
--- a/tests/programs/entry/test_model_calls.py
+++ b/tests/programs/entry/test_model_calls.py
@@ -56,6 +56,7 @@
     status, _, body = post(entry, "/", {**CHAT, "stream": True})
     assert status == 200
     assert read_answer(body) == ANSWER
+    assert engines[1].requests[0]["resume_offset"] == break_after
     assert len(context.running) == 0
 
 
