--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements of the decision objects; run each module with ``python -m``."""
+"""Measurements of decisions; run with ``python -m benchmarks.NAME``."""
--- /dev/null
+++ b/chestnutvale/groups/const.py
@@ -0,0 +1,59 @@
+"""Constants of the groups package."""
+
+from typing import Final
+
+PHASE_FORMING: Final = "forming"
+PHASE_SERVING: Final = "serving"
+PHASE_DRAINING: Final = "draining"
+PHASE_RELEASING: Final = "releasing"
+
+OUTCOME_DONE: Final = "done"
+OUTCOME_CONFLICT: Final = "conflict"
+
+ORDER_ASSIGN: Final = "assign"
+ORDER_RELEASE: Final = "release"
+
+SERVICE_MODEL: Final = "model"
+SERVICE_PLAIN: Final = "plain"
+
+REPAIR_WAIT: Final = "wait"
+REPAIR_SPARE: Final = "spare"
+REPAIR_MERGE: Final = "merge"
+REPAIR_MOVE: Final = "move"
+
+# Time for which an order is worth carrying out, and its answer is waited for.
+ORDER_LIFETIME_S: Final = 5.0
+ORDER_TIMEOUT_S: Final = 2.0
+ORDER_RETRY_MIN_S: Final = 0.25
+ORDER_RETRY_MAX_S: Final = 5.0
+# A host that accepted an order but does not announce it is told again.
+ORDER_RECHECK_S: Final = 5.0
+
+# Longest time a leader lease may run; a new leader waits it out.
+DEFAULT_LEADER_LEASE_S: Final = 2.0
+# Time for which running requests of a draining group are waited for.
+DEFAULT_DRAIN_TIMEOUT_S: Final = 120.0
+# Time after which the record of a host that never came back is dropped.
+RELEASE_RETENTION_MS: Final = 86_400_000
+
+# Time in seconds after which a living member that never took its order, or never
+# finished loading, is replaced.
+ORDER_UNREACHABLE_S: Final = 30.0
+LOAD_TIMEOUT_S: Final = 600.0
+# Time after which a plain host that went silent is dropped.
+PLAIN_FORGET_S: Final = 60.0
+
+# A domain is dark if at least this many of its owned hosts, and this share of
+# them, are missing.
+DARK_MIN_HOSTS: Final = 3
+DARK_SHARE: Final = 0.75
+# Share of the known entries that must report before hosts are judged missing.
+MIN_LIVE_ENTRY_SHARE: Final = 0.5
+# Losses of a host within the window that make it unsteady.
+UNSTEADY_LOSSES: Final = 3
+UNSTEADY_WINDOW_S: Final = 900.0
+# Time in seconds that a change of members costs when no weights are loaded.
+REFORM_S: Final = 2.0
+
+# Commands proposed in one round; the rest follows in the next.
+MAX_COMMANDS_PER_ROUND: Final = 32
