--- a/chestnutvale/emulator/deployment.py
+++ b/chestnutvale/emulator/deployment.py
@@ -3,11 +3,13 @@
 The system itself starts no process; only this tool does.
 """
 
+import contextlib
 import json
 import os
 import shutil
 import subprocess
 import threading
+from collections import Counter
 from contextlib import ExitStack
 from pathlib import Path
 from types import TracebackType
@@ -57,8 +59,8 @@
         Hosts of the plain service.
     fencing : bool
         Whether engines refuse old orders.
-    engine_arguments : list of str
-        More arguments of each engine.
+    engine_arguments, service_arguments : list of str
+        More arguments of each engine and of each plain service.
     entry_settings, control_settings : dict
         Settings that differ from the defaults.
     """
@@ -73,6 +75,7 @@
     services: int = 1
     fencing: bool = True
     engine_arguments: list[str] = attrs.field(factory=list)
+    service_arguments: list[str] = attrs.field(factory=list)
     entry_settings: dict[str, Any] = attrs.field(factory=dict)
     control_settings: dict[str, Any] = attrs.field(factory=dict)
 
@@ -180,7 +183,7 @@
         domain = next(iter(self.options.fabric_domains), "fabric-a")
         self.addresses[name] = next(self._free)
         arguments = [*self._endpoint_arguments(name, domain), "--service"]
-        arguments += [PLAIN_SERVICE]
+        arguments += [PLAIN_SERVICE, *self.options.service_arguments]
         process = self._start(name, "chestnut-emulated-service", arguments)
         self.services[name] = process
 
@@ -288,8 +291,8 @@
     @property
     def chestnut_command(self) -> list[str]:
         """Command line of the operators' client for this deployment."""
-        settings = str(self.folder / "client.json")
-        return [program_path("chestnut"), "--settings", settings]
+        settings = f"CHESTNUT_SETTINGS={self.folder / 'client.json'}"
+        return ["env", settings, program_path("chestnut")]
 
     def chestnut(self, *arguments: str) -> subprocess.CompletedProcess[str]:
         """Run the operators' client."""
@@ -357,6 +360,51 @@
             0.2,
         )
 
+    def operator_get(self, name: str, path: str) -> urllib3.BaseHTTPResponse:
+        """Get an operators' page at one control."""
+        return self.http.request(
+            "GET",
+            f"http://{self.addresses[name]}/operator/v1/{path}",
+            headers={"Authorization": f"Bearer {OPERATOR_TOKEN}"},
+            timeout=2.0,
+        )
+
+    def leader(self, timeout_s: float = START_TIMEOUT_S) -> str:
+        """Wait until a control says that a quorum follows it, and name it."""
+
+        def find() -> str:
+            for name, process in self.controls.items():
+                if not process.is_running:
+                    continue
+                with contextlib.suppress(urllib3.exceptions.HTTPError):
+                    answer = self.operator_get(name, "status")
+                    if answer.status == 200 and answer.json().get("confirmed"):
+                        return name
+            return ""
+
+        return wait_until(find, timeout_s, "a leader", 0.1)
+
+    def restart(self, name: str) -> None:
+        """Start a daemon again that has ended, and wait for its door."""
+        process = (self.controls | self.entries)[name]
+        process.start()
+        self.wait_healthy(name, process)
+
+    def runs(self) -> dict[str, int]:
+        """Return how often each key ran at all hosts of the plain service."""
+        total: Counter[str] = Counter()
+        for name in self.services:
+            total.update(self.get(name, "/runs")["runs"])
+        return dict(total)
+
+    def attempts(self) -> dict[str, int]:
+        """Return how many attempts each engine that answers has ended."""
+        return {
+            name: len(self.get(name, "/v1/history")["attempts"])
+            for name, process in self.engines.items()
+            if process.is_running
+        }
+
     def busy_head(self) -> str:
         """Return the host whose engine runs a request, empty if none does."""
         for members in self.groups().values():
--- a/script/demo.py
+++ b/script/demo.py
@@ -28,6 +28,8 @@
 ANSWER_TOKENS = 200
 # Tokens that have arrived when the host is killed.
 KILL_AFTER_TOKENS = 40
+# Hosts of the demo do not come back by themselves, so the wait for them is short.
+DEMO_CONTROL_SETTINGS = {"repair": {"member_wait_ms": 3_000}}
 EXIT_BROKEN = 1
 EXIT_STOPPED = 143
 
@@ -174,7 +176,9 @@
     # A stop in the middle must still end the processes that were started.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_STOPPED))
     text_path = DEMO_FOLDER / "text.json"
-    options = DeploymentOptions(DEMO_FOLDER, text_path)
+    options = DeploymentOptions(
+        DEMO_FOLDER, text_path, control_settings=DEMO_CONTROL_SETTINGS
+    )
     with Deployment(options) as deployment:
         shutil.copy(DEMO_TEXT, text_path)
         story = DemoStory(deployment)
--- /dev/null
+++ b/tests/processes/conftest.py
@@ -0,0 +1,38 @@
+"""Deployments of real processes; all tests here share one worker."""
+
+import shutil
+
+import pytest
+
+from chestnutvale.emulator.deployment import (
+    DEMO_TEXT,
+    Deployment,
+    DeploymentOptions,
+)
+
+GROUPS = 2
+
+
+def pytest_collection_modifyitems(items):
+    """Keep all deployments in one worker, so that one at a time is up."""
+    for item in items:
+        if "tests/processes" in str(item.path):
+            item.add_marker(pytest.mark.xdist_group("processes"))
+
+
+@pytest.fixture(scope="module")
+def deployment(tmp_path_factory):
+    folder = tmp_path_factory.mktemp("deployment")
+    text_path = folder / "text.json"
+    shutil.copy(DEMO_TEXT, text_path)
+    options = DeploymentOptions(
+        folder=folder / "run",
+        text_path=text_path,
+        service_arguments=["--work-ms", "1000"],
+        engine_arguments=["--weights-bytes", "200000", "--step-ms", "10"],
+        control_settings={"repair": {"member_wait_ms": 500}},
+    )
+    with Deployment(options) as running:
+        running.apply(text_path)
+        running.wait_serving(GROUPS)
+        yield running
--- /dev/null
+++ b/tests/processes/test_losses.py
@@ -0,0 +1,194 @@
+"""Daemons and hosts that die, freeze, leave and come back under load."""
+
+import json
+import subprocess
+import time
+
+import pytest
+
+from chestnutvale.emulator.deployment import (
+    MODEL_SERVICE,
+    PLAIN_SERVICE,
+    WORKSPACE_KEYS,
+)
+from chestnutvale.emulator.processes import program_path, wait_until
+from chestnutvale.emulator.text import expected_text
+from tests.processes.conftest import GROUPS
+
+LONG = 300
+POSTINGS = f"/services/{PLAIN_SERVICE}/postings"
+
+
+class Trigger:
+    """Calls an action once when a stream has some tokens."""
+
+    def __init__(self, action, after_tokens=30):
+        self.fired = False
+        self._action = action
+        self._after_tokens = after_tokens
+
+    def __call__(self, answer):
+        if not self.fired and len(answer.text.split()) >= self._after_tokens:
+            self.fired = True
+            self._action()
+        return True
+
+
+@pytest.fixture(autouse=True)
+def whole_deployment(deployment):
+    """Bring back whatever a test has ended."""
+    yield
+    for process in (deployment.controls | deployment.entries).values():
+        if process.is_running:
+            process.thaw()
+        else:
+            deployment.restart(process.name)
+    for process in deployment.engines.values():
+        if not process.is_running:
+            process.start()
+            process.wait_ready()
+    deployment.wait_serving(GROUPS)
+
+
+def stream(deployment, entry, prompt, on_token=None, length=LONG):
+    caller = deployment.caller(entry)
+    return caller.generate(MODEL_SERVICE, prompt, length, on_token=on_token)
+
+
+def assert_whole(answer, prompt, length=LONG):
+    assert (answer.problem, answer.failure) == ({}, "")
+    assert answer.is_whole
+    assert answer.text == expected_text(prompt, length)
+
+
+def apply_next(deployment, tmp_path):
+    """Apply the text again under the next number and return the number."""
+    status = deployment.operator_get(deployment.leader(), "status").json()
+    number = int(status["number"]) + 1
+    text = deployment.options.text_path.read_text()
+    path = tmp_path / f"text-{number}.json"
+    path.write_text(text.replace('"number": 1', f'"number": {number}'))
+    deployment.apply(path)
+    return number
+
+
+def number_at(deployment, control):
+    answer = deployment.operator_get(control, "text")
+    return int(answer.json()["number"]) if answer.status == 200 else None
+
+
+@pytest.mark.parametrize("rank", [0, -1])
+def test_lost_member_does_not_break_the_answer(deployment, rank):
+    killed = []
+
+    def kill():
+        head = deployment.busy_head()
+        for members in deployment.groups().values():
+            if members[0] == head:
+                killed.append(members[rank])
+                deployment.engines[members[rank]].kill()
+
+    answer = stream(deployment, "entry-1", "lost member", Trigger(kill))
+    assert killed
+    assert_whole(answer, "lost member")
+
+
+def test_killed_entry_breaks_its_streams_only(deployment):
+    trigger = Trigger(deployment.entries["entry-1"].kill)
+    other = deployment.in_background(stream, deployment, "entry-2", "other")
+    broken = stream(deployment, "entry-1", "mine", trigger)
+    assert not broken.is_whole
+    assert expected_text("mine", LONG).startswith(broken.text)
+    assert_whole(other.result(), "other")
+    wait_until(lambda: not deployment.busy_head(), 20, "the orphan was cancelled")
+
+
+def test_stopped_entry_finishes_its_streams(deployment):
+    entry = deployment.entries["entry-3"]
+    answer = stream(deployment, "entry-3", "stop", Trigger(entry.request_stop))
+    assert_whole(answer, "stop")
+    assert entry.wait_end() == 0
+
+
+def test_killed_leader_stops_no_answer_and_no_change(deployment, tmp_path):
+    leader = deployment.leader()
+    trigger = Trigger(deployment.controls[leader].kill)
+    answer = stream(deployment, "entry-2", "leader", trigger)
+    assert_whole(answer, "leader")
+    assert deployment.leader() != leader
+    number = apply_next(deployment, tmp_path)
+    deployment.restart(leader)
+    wait_until(
+        lambda: json.dumps(deployment.get(leader, "/debug/state")).count(str(number)),
+        20,
+        "the restarted control caught up",
+    )
+
+
+def test_frozen_leader_wakes_to_the_new_text(deployment, tmp_path):
+    leader = deployment.leader()
+    deployment.controls[leader].freeze()
+    wait_until(lambda: deployment.leader() != leader, 30, "another leader")
+    number = apply_next(deployment, tmp_path)
+    assert_whole(stream(deployment, "entry-1", "frozen"), "frozen")
+    deployment.controls[leader].thaw()
+    seen = {number_at(deployment, leader) for _ in range(20)}
+    # It may refuse or give the new number; the old one is never in force again.
+    assert seen <= {None, number}
+
+
+def test_resent_posting_runs_once_when_its_entry_dies(deployment):
+    def post(entry):
+        caller = deployment.caller(entry)
+        headers = caller.headers(Idempotency_Key="resent")
+        url = f"http://{caller.address}{POSTINGS}"
+        return caller.http.request("POST", url, body='{"a": 1}', headers=headers)
+
+    first = deployment.in_background(post, "entry-1")
+    wait_until(lambda: deployment.runs().get("resent"), 20, "the run began")
+    deployment.entries["entry-1"].kill()
+    with pytest.raises(Exception, match=r"aborted|closed|reset|broken"):
+        first.result()
+    statuses = set()
+    deadline_s = time.monotonic() + 5
+    while time.monotonic() < deadline_s:
+        again = post("entry-2")
+        assert again.status == 409, again.data
+        statuses.add(again.json()["outcome"])
+        time.sleep(0.2)
+    assert statuses <= {"unknown", "not_run"}
+    assert deployment.runs()["resent"] == 1
+
+
+def test_drained_host_gets_no_new_work(deployment):
+    head = next(iter(deployment.groups().values()))[0]
+    assert deployment.chestnut("drain", head).returncode == 0
+    time.sleep(3)
+    before = deployment.attempts()[head]
+    for number in range(20):
+        entry = f"entry-{number % 3 + 1}"
+        assert_whole(stream(deployment, entry, f"d{number}", length=3), f"d{number}", 3)
+    assert deployment.attempts()[head] == before
+    assert deployment.chestnut("drain", head, "--undo").returncode == 0
+
+
+def test_load_through_losses_gets_only_whole_answers(deployment):
+    entries = [deployment.addresses[name] for name in ("entry-2", "entry-3")]
+    keys = [f"{name}={key}" for name, key in WORKSPACE_KEYS.items()]
+    command = [program_path("chestnut-load"), "--format", "json", "--seed", "7"]
+    command += ["--entries", *entries, "--keys", *keys]
+    command += ["--rate-per-s", "10", "--duration-s", "8", "--mean-tokens", "40"]
+    load = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
+    try:
+        time.sleep(2)
+        victim = next(iter(deployment.groups().values()))[-1]
+        deployment.engines[victim].kill()
+        time.sleep(2)
+        deployment.controls[deployment.leader()].kill()
+        output, _ = load.communicate(timeout=120)
+    finally:
+        load.kill()
+    outcomes = json.loads(output)["outcomes"]
+    refused = {name for name in outcomes if "(not_run)" in name}
+    assert set(outcomes) - refused <= {"whole", "hung up"}, outcomes
+    assert outcomes["whole"] > 40
