Keep receiving after an empty peer message; say not_run at the announcement door

Cause: tests/processes/test_doors.py found two faults. A message without any byte made pynng's recv raise RuntimeError (it unpacks a null pointer), which ended the receiving task: the process went deaf, its leases ran out and commits hung for 30 s. And a refused announcement gave no outcome. Change: an empty message is consumed and dropped as a foreign one; /healthz fails if the receiving task has ended; refused announcements say not_run. Ruled out: the HTTP server, the caller's watch and admission, which a bisection of the tests showed to be innocent (only the foreign-message test made the next one hang). Conclusion: foreign bytes at the peer door change nothing.

--- a/chestnutvale/programs/control/daemon.py
+++ b/chestnutvale/programs/control/daemon.py
@@ -187,7 +187,7 @@
         return _join_apps(operators, views)
 
     def _is_alive(self) -> bool:
-        return self._log.failure is None
+        return self._log.failure is None and self.transport.is_receiving
 
     def _is_ready(self) -> bool:
         return not self._draining and bool(self._log.leader_id)
--- a/chestnutvale/programs/entry/announcements.py
+++ b/chestnutvale/programs/entry/announcements.py
@@ -8,6 +8,7 @@
 
 from chestnutvale.clock import Clock
 from chestnutvale.exceptions import ChestnutError
+from chestnutvale.http_server.const import OUTCOME_NOT_RUN
 from chestnutvale.http_server.problem import Problem
 from chestnutvale.membership.cache_events import CacheEventQueue
 from chestnutvale.membership.exceptions import AnnouncementRefusedError
@@ -96,7 +97,9 @@
 def _refuse(
     start_response: Callable[..., Any], status: int, code: str, detail: str
 ) -> Iterable[bytes]:
-    problem = Problem(status, code, detail, step=STEP_ANNOUNCEMENT)
+    problem = Problem(
+        status, code, detail, outcome=OUTCOME_NOT_RUN, step=STEP_ANNOUNCEMENT
+    )
     return problem.respond(start_response)
 
 
@@ -107,6 +110,7 @@
         STATUS_BAD_REQUEST,
         error.code,
         error.message,
+        outcome=OUTCOME_NOT_RUN,
         step=error.step or STEP_ANNOUNCEMENT,
         peer=error.peer,
     )
--- a/chestnutvale/programs/entry/daemon.py
+++ b/chestnutvale/programs/entry/daemon.py
@@ -173,6 +173,9 @@
             "transport": self.transport.counters(),
         }
 
+    def _is_alive(self) -> bool:
+        return self.transport.is_receiving
+
     def _make_app(self) -> EntryApp:
         return EntryApp(
             chat=ModelCallHandler(self.context, FORM_CHAT),
@@ -186,12 +189,8 @@
                 self._cache_events,
             ),
             operations={
-                "/healthz": make_check(_is_alive),
+                "/healthz": make_check(self._is_alive),
                 "/readyz": make_check(self.is_ready),
                 "/debug/state": make_json_view(self.dump),
             },
         )
-
-
-def _is_alive() -> bool:
-    return True
--- a/chestnutvale/transport/node.py
+++ b/chestnutvale/transport/node.py
@@ -99,6 +99,11 @@
             outbox.close()
         self._outboxes.clear()
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether the receiving task runs; without it the process is deaf."""
+        return self._task is not None and not self._task.dead
+
     def on(self, body: str, handler: Handler) -> None:
         """Register the handler of one kind of message.
 
@@ -204,6 +209,9 @@
         except pynng.TryAgain:
             hubs.trampoline(self._inbox.recv_fd, read=True)
             return None
+        except RuntimeError:
+            # The library can't unpack a message without any byte; it is consumed.
+            return b""
 
     def _dispatch(self, data: bytes) -> None:
         self.received_messages += 1
