--- /dev/null
+++ b/benchmarks/control_cost.py
@@ -0,0 +1,254 @@
+"""Measure what control costs each role when no calls run.
+
+Starts deployments of real processes, one after the other, that differ in entries,
+hosts or groups, and reads processor time, resident memory and the counters of the
+peer sockets of each daemon over a window. Prints one row for each deployment and the
+slopes along each axis. Hosts are emulated ones that announce each second.
+"""
+
+import json
+import time
+from collections.abc import Sequence
+from typing import Any
+
+import attrs
+import defopt
+from tabulate import tabulate
+
+from benchmarks.control_common import (
+    BUILD,
+    ROLE_ENTRY,
+    ROLE_FOLLOWER,
+    ROLE_LEADER,
+    find_leader,
+    fit_line,
+    make_text,
+    read_state,
+    wait_ready_entries,
+)
+from chestnutvale.emulator.deployment import Deployment, DeploymentOptions
+from chestnutvale.emulator.exceptions import EmulatorError
+from chestnutvale.emulator.processes import ManagedProcess, wait_until
+
+FOLDER = BUILD / "control_cost"
+HOSTS_PER_PROCESS = 60
+HOSTS_PER_GROUP = 4
+BASE_ENTRIES = 6
+ROLES = (ROLE_LEADER, ROLE_FOLLOWER, ROLE_ENTRY)
+MEASURES = ("cpu_percent", "resident_mb", "sent_kb_s", "received_kb_s", "messages_s")
+GROUPS_TIMEOUT_S = 90.0
+
+
+@attrs.frozen
+class Shape:
+    """Size of one deployment."""
+
+    entries: int
+    hosts: int = 0
+    groups: int = 0
+
+
+@attrs.frozen
+class Sample:
+    """Counters of one daemon at one moment."""
+
+    at_s: float
+    cpu_s: float
+    sent_bytes: int
+    received_bytes: int
+    messages: int
+    resident_bytes: int
+
+
+AXES: dict[str, list[Shape]] = {
+    "entries": [Shape(entries) for entries in (3, 6, 12, 24)],
+    "hosts": [Shape(BASE_ENTRIES, hosts) for hosts in (0, 60, 240, 600)],
+    "groups": [Shape(BASE_ENTRIES, 240, groups) for groups in (0, 15, 30, 60)],
+    "entries_with_groups": [Shape(entries, 240, 30) for entries in (3, 6, 12)],
+}
+
+
+class CostRun:
+    """Measures one deployment.
+
+    Parameters
+    ----------
+    shape : Shape
+        Its size.
+    settle_s, window_s : float
+        Time before the measurement and length of each window, in seconds.
+    windows : int
+        Number of windows; their spread tells the noise.
+    """
+
+    def __init__(
+        self, shape: Shape, settle_s: float, window_s: float, windows: int
+    ) -> None:
+        self._shape = shape
+        self._settle_s = settle_s
+        self._window_s = window_s
+        self._windows = windows
+
+    def run(self) -> list[dict[str, Any]]:
+        """Return one row for each window and role."""
+        shape = self._shape
+        FOLDER.mkdir(parents=True, exist_ok=True)
+        text_path = BUILD / "control_cost_text.json"
+        size = HOSTS_PER_GROUP if shape.groups else 0
+        text_path.write_text(make_text(1, size, shape.groups))
+        processes = -(-shape.hosts // HOSTS_PER_PROCESS)
+        hosts = ["--hosts", str(HOSTS_PER_PROCESS), "--weights-bytes", "1000"]
+        options = DeploymentOptions(
+            folder=FOLDER,
+            text_path=text_path,
+            entries=shape.entries,
+            fabric_domains={f"fabric-{n}": 1 for n in range(processes)},
+            services=0,
+            engine_arguments=hosts,
+        )
+        with Deployment(options) as deployment:
+            wait_ready_entries(deployment)
+            deployment.apply(text_path)
+            self._wait_complete(deployment)
+            time.sleep(self._settle_s)
+            return self._measure(deployment)
+
+    def _wait_complete(self, deployment: Deployment) -> None:
+        shape = self._shape
+
+        def is_complete() -> bool:
+            state = read_state(deployment, next(iter(deployment.entries)))
+            serving = [group for group in state.get("groups", ()) if group["serving"]]
+            leader = read_state(deployment, find_leader(deployment))
+            hosts = leader.get("hosts", -1)
+            return hosts >= shape.hosts and len(serving) >= shape.groups
+
+        wait_until(is_complete, GROUPS_TIMEOUT_S, f"{shape} complete", 0.5)
+
+    def _measure(self, deployment: Deployment) -> list[dict[str, Any]]:
+        leader = find_leader(deployment)
+        daemons = deployment.controls | deployment.entries
+        rows: list[dict[str, Any]] = []
+        before = self._sample(deployment, daemons)
+        for _ in range(self._windows):
+            time.sleep(self._window_s)
+            after = self._sample(deployment, daemons)
+            rows += [
+                self._row(role, names, before, after)
+                for role, names in self._roles(deployment, leader).items()
+            ]
+            before = after
+        if find_leader(deployment) != leader:
+            raise EmulatorError("the leader changed during the run", step="measure")
+        return rows
+
+    @staticmethod
+    def _roles(deployment: Deployment, leader: str) -> dict[str, list[str]]:
+        followers = [name for name in deployment.controls if name != leader]
+        return {
+            ROLE_LEADER: [leader],
+            ROLE_FOLLOWER: followers,
+            ROLE_ENTRY: list(deployment.entries),
+        }
+
+    @staticmethod
+    def _sample(
+        deployment: Deployment, daemons: dict[str, ManagedProcess]
+    ) -> dict[str, Sample]:
+        samples = {}
+        for name, process in daemons.items():
+            counters = read_state(deployment, name)["transport"]
+            samples[name] = Sample(
+                time.monotonic(),
+                process.cpu_s(),
+                counters["sent_bytes"],
+                counters["received_bytes"],
+                counters["sent_messages"] + counters["received_messages"],
+                process.resident_bytes(),
+            )
+        return samples
+
+    def _row(
+        self,
+        role: str,
+        names: list[str],
+        before: dict[str, Sample],
+        after: dict[str, Sample],
+    ) -> dict[str, Any]:
+        row: dict[str, Any] = attrs.asdict(self._shape) | {"role": role}
+        costs = [_cost(before[name], after[name]) for name in names]
+        for measure in MEASURES:
+            row[measure] = sum(cost[measure] for cost in costs) / len(costs)
+        return row
+
+
+def _cost(before: Sample, after: Sample) -> dict[str, float]:
+    elapsed_s = after.at_s - before.at_s
+    return {
+        "cpu_percent": 100 * (after.cpu_s - before.cpu_s) / elapsed_s,
+        "resident_mb": after.resident_bytes / 1e6,
+        "sent_kb_s": (after.sent_bytes - before.sent_bytes) / 1e3 / elapsed_s,
+        "received_kb_s": (after.received_bytes - before.received_bytes)
+        / 1e3
+        / elapsed_s,
+        "messages_s": (after.messages - before.messages) / elapsed_s,
+    }
+
+
+def run(
+    *,
+    axes: Sequence[str] = tuple(AXES),
+    settle_s: float = 4.0,
+    window_s: float = 8.0,
+    windows: int = 2,
+    format: str = "table",
+) -> None:
+    """Measure what control costs each role when no calls run.
+
+    Parameters
+    ----------
+    axes : Sequence[str]
+        What to vary: ``entries``, ``hosts``, ``groups``, ``entries_with_groups``;
+        all by default.
+    settle_s : float
+        Time between the last change and the first window.
+    window_s : float
+        Length of a window.
+    windows : int
+        Windows of each deployment.
+    format : str
+        ``table`` or ``json``.
+    """
+    rows: list[dict[str, Any]] = []
+    done: set[Shape] = set()
+    wanted = list(axes)
+    for shape in (shape for axis in wanted for shape in AXES[axis]):
+        if shape not in done:
+            done.add(shape)
+            rows += CostRun(shape, settle_s, window_s, windows).run()
+    slopes = [_slope_row(axis, role, rows) for axis in wanted for role in ROLES]
+    if format == "json":
+        print(json.dumps({"rows": rows, "slopes": slopes}, indent=2))
+        return
+    print(tabulate(rows, headers="keys", floatfmt=".2f"))
+    print("\nbase + slope for each one more of the axis")
+    print(tabulate(slopes, headers="keys"))
+
+
+def _slope_row(axis: str, role: str, rows: list[dict[str, Any]]) -> dict[str, Any]:
+    field = axis.partition("_")[0]
+    shapes = [attrs.asdict(shape) for shape in AXES[axis]]
+    mine = [
+        row
+        for row in rows
+        if row["role"] == role and {k: row[k] for k in shapes[0]} in shapes
+    ]
+    result: dict[str, Any] = {"axis": axis, "role": role}
+    for measure in MEASURES:
+        base, slope = fit_line([(row[field], row[measure]) for row in mine])
+        result[measure] = f"{base:.2f} + {slope:.4f}"
+    return result
+
+
+if __name__ == "__main__":
+    defopt.run(run)
