--- /dev/null
+++ b/benchmarks/control_in_force.py
@@ -0,0 +1,347 @@
+"""Measure the time from the acceptance of a text to its being in force everywhere.
+
+Runs real processes on loopback. Acceptance is the moment at which the operators'
+client gets its answer; an entry's moment is the one in its log. All run on one
+machine, so both are read from one clock. A negative time means that an entry had the
+text before the operator had the answer.
+"""
+
+import contextlib
+import json
+import random
+import re
+import threading
+import time
+from collections.abc import Callable, Sequence
+from datetime import UTC, datetime
+from typing import Any
+
+import attrs
+import defopt
+from tabulate import tabulate
+
+from benchmarks.control_common import (
+    BUILD,
+    find_leader,
+    make_text,
+    percentile,
+    read_state,
+    wait_ready_entries,
+)
+from benchmarks.control_relay import Relay
+from chestnutvale.emulator.deployment import (
+    OPERATOR_TOKEN,
+    PLAIN_SERVICE,
+    WORKSPACE_KEYS,
+    Deployment,
+    DeploymentOptions,
+)
+from chestnutvale.emulator.processes import find_free_addresses, wait_until
+from chestnutvale.exceptions import ChestnutError
+from chestnutvale.programs.client.controls import ControlsClient
+from chestnutvale.programs.control.operator_const import PATH_TEXT
+from chestnutvale.settings.client import load_client_settings
+
+FOLDER = BUILD / "control_in_force"
+IN_FORCE_LINE = re.compile(r"^(\S+)Z info \S+: Text (\d+) is in force", re.I | re.M)
+BOUND_S = 5.0
+WAIT_S = 30.0
+# Ten times 3,800 changes a day.
+TENFOLD_INTERVAL_S = 86_400 / 38_000
+FREEZE_S = 6.0
+CUT_CALL_INTERVAL_S = 0.02
+CODE_NO_LEASE = "no_lease"
+
+
+@attrs.frozen
+class Change:
+    """One accepted text.
+
+    Attributes
+    ----------
+    number : int
+        Its number.
+    asked_s, accepted_s : float
+        Wall-clock times of the call and of its answer in seconds.
+    """
+
+    number: int
+    asked_s: float
+    accepted_s: float
+
+
+class InForceRun:
+    """The scenarios, against one deployment.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        The running deployment.
+    rng : random.Random
+        Decides when faults happen.
+    """
+
+    def __init__(self, deployment: Deployment, rng: random.Random) -> None:
+        self._deployment = deployment
+        self._rng = rng
+        self._number = 0
+        settings = load_client_settings(deployment.folder / "client.json")
+        self._client = ControlsClient(settings, OPERATOR_TOKEN)
+
+    def run(self, name: str, rounds: int) -> dict[str, Any]:
+        """Run one scenario and return its figures."""
+        scenarios: dict[str, Callable[[], Change]] = {
+            "quiet": self._change_quietly,
+            "leader_killed": self._change_while_killing,
+            "leader_frozen": self._change_while_freezing,
+            "tenfold": self._change_at_the_tenfold_rate,
+            "burst": self._change,
+        }
+        changes = [scenarios[name]() for _ in range(rounds)]
+        self.wait_in_force(changes[-1].number)
+        return self._summarise(name, changes)
+
+    def run_cut(self, rounds: int, relay: Relay, entry: str) -> dict[str, Any]:
+        """Cut one entry off from the leader around each change."""
+        results = [self._change_while_cut(relay, entry) for _ in range(rounds)]
+        stopped_s = [result[1] for result in results]
+        changes = [result[0] for result in results]
+        others = [name for name in self._deployment.entries if name != entry]
+        summary = self._summarise("entry_cut_off (the others)", changes, others)
+        summary["entry_stops_worst_s"] = max(stopped_s)
+        summary["calls_taken_after_stop"] = sum(result[2] for result in results)
+        return summary
+
+    def _change(self) -> Change:
+        self._number += 1
+        body = make_text(self._number).encode()
+        asked_s = time.time()
+        while True:
+            try:
+                self._client.call("POST", PATH_TEXT, body, changes=True)
+            except ChestnutError as error:
+                # A resend gets the first answer, so asking again is safe.
+                print(f"asking again for {self._number}: {error}", flush=True)
+                continue
+            return Change(self._number, asked_s, time.time())
+
+    def _change_quietly(self) -> Change:
+        time.sleep(self._rng.uniform(0.1, 0.6))
+        return self._change()
+
+    def _change_at_the_tenfold_rate(self) -> Change:
+        time.sleep(TENFOLD_INTERVAL_S)
+        return self._change()
+
+    def _change_while_killing(self) -> Change:
+        process = self._deployment.controls[find_leader(self._deployment)]
+        change = self._change_around(process.kill)
+        self.wait_in_force(change.number)
+        process.start()
+        self._deployment.wait_healthy(process.name, process)
+        self._settle()
+        return change
+
+    def _change_while_freezing(self) -> Change:
+        process = self._deployment.controls[find_leader(self._deployment)]
+        thaw = threading.Timer(FREEZE_S, process.thaw)
+        thaw.start()
+        change = self._change_around(process.freeze)
+        thaw.join()
+        self.wait_in_force(change.number)
+        self._settle()
+        return change
+
+    def _change_around(self, fault: Callable[[], None]) -> Change:
+        timer = threading.Timer(self._rng.uniform(0.0, 0.3), fault)
+        timer.start()
+        time.sleep(self._rng.uniform(0.0, 0.3))
+        change = self._change()
+        timer.join()
+        return change
+
+    def _change_while_cut(self, relay: Relay, entry: str) -> tuple[Change, float, int]:
+        leader = find_leader(self._deployment)
+        caller = CallProbe(self._deployment, entry)
+        relay.set_cut(leader, True)
+        cut_s = time.time()
+        time.sleep(self._rng.uniform(0.0, 0.3))
+        change = self._change()
+        caller.probe_until(cut_s + 2 * BOUND_S)
+        relay.set_cut(leader, False)
+        self.wait_in_force(change.number)
+        self._settle()
+        has_taken_up = self._in_force_at(entry).get(change.number, change.accepted_s)
+        if has_taken_up < cut_s + 2 * BOUND_S:
+            return change, has_taken_up - change.accepted_s, 0
+        return change, caller.last_taken_s - change.accepted_s, caller.taken_late
+
+    def _settle(self) -> None:
+        wait_ready_entries(self._deployment)
+        find_leader(self._deployment)
+        time.sleep(1.0)
+
+    def wait_in_force(self, number: int) -> None:
+        """Wait until every entry has a text or a later one."""
+
+        def is_in_force() -> bool:
+            return all(
+                read_state(self._deployment, entry).get("configuration_number", 0)
+                >= number
+                for entry in self._deployment.entries
+            )
+
+        wait_until(is_in_force, WAIT_S, f"text {number} in force", 0.1)
+
+    def _in_force_at(self, entry: str) -> dict[int, float]:
+        log = self._deployment.entries[entry].log_path.read_text()
+        return {
+            int(number): datetime.fromisoformat(at).replace(tzinfo=UTC).timestamp()
+            for at, number in IN_FORCE_LINE.findall(log)
+        }
+
+    def _summarise(
+        self, name: str, changes: Sequence[Change], entries: Sequence[str] = ()
+    ) -> dict[str, Any]:
+        delays, worst_of_each = [], []
+        seen = {e: self._in_force_at(e) for e in entries or self._deployment.entries}
+        for change in changes:
+            # An entry that skipped a number has it in force with the next one.
+            mine = [
+                min(at for number, at in times.items() if number >= change.number)
+                - change.accepted_s
+                for times in seen.values()
+            ]
+            delays += mine
+            worst_of_each.append(max(mine))
+        accepts = [change.accepted_s - change.asked_s for change in changes]
+        return {
+            "scenario": name,
+            "changes": len(changes),
+            "p50_ms": 1e3 * percentile(delays, 0.5),
+            "p99_ms": 1e3 * percentile(delays, 0.99),
+            "worst_ms": 1e3 * max(delays),
+            "everywhere_p50_ms": 1e3 * percentile(worst_of_each, 0.5),
+            "over_bound": sum(worst > BOUND_S for worst in worst_of_each),
+            "answer_p50_ms": 1e3 * percentile(accepts, 0.5),
+            "answer_worst_ms": 1e3 * max(accepts),
+        }
+
+
+class CallProbe:
+    """Calls one entry again and again to see whether it takes calls.
+
+    Attributes
+    ----------
+    last_taken_s : float
+        Wall-clock time of the last call that was not refused for want of a lease.
+    taken_late : int
+        Calls that were taken after the first such refusal.
+    """
+
+    def __init__(self, deployment: Deployment, entry: str) -> None:
+        self.last_taken_s = time.time()
+        self.taken_late = 0
+        self._caller = deployment.caller(entry, next(iter(WORKSPACE_KEYS)))
+
+    def probe_until(self, end_s: float) -> None:
+        """Call until some wall-clock time."""
+        has_refused = False
+        while time.time() < end_s:
+            sent_s = time.time()
+            if self._is_refused():
+                has_refused = True
+            else:
+                self.last_taken_s = sent_s
+                self.taken_late += has_refused
+            time.sleep(CUT_CALL_INTERVAL_S)
+
+    def _is_refused(self) -> bool:
+        url = f"http://{self._caller.address}/services/{PLAIN_SERVICE}/probe"
+        answer = self._caller.http.request("GET", url, headers=self._caller.headers())
+        return json.loads(answer.data).get("code") == CODE_NO_LEASE
+
+
+def connect_through_relay(deployment: Deployment, entry: str) -> Relay:
+    """Start an entry again whose way to the controls leads through a relay."""
+    process = deployment.entries[entry]
+    path = deployment.folder / f"{entry}.json"
+    settings = json.loads(path.read_text())
+    controls = {peer["id"]: peer["address"] for peer in settings["controls"]}
+    free = find_free_addresses(process.pid)
+    relay = Relay(controls, settings["peer_address"], free)
+    for peer in settings["controls"]:
+        peer["address"] = relay.to_control[peer["id"]].listen
+    path.write_text(json.dumps(settings))
+    process.kill()
+    process.start()
+    return relay
+
+
+def run(
+    *,
+    entries: int = 12,
+    controls: int = 3,
+    quiet: int = 60,
+    killed: int = 8,
+    frozen: int = 8,
+    cut: int = 4,
+    tenfold: int = 30,
+    burst: int = 60,
+    seed: int = 1,
+    format: str = "table",
+) -> None:
+    """Measure the time from acceptance of a text to in force at every entry.
+
+    Parameters
+    ----------
+    entries, controls : int
+        Processes of each kind.
+    quiet, killed, frozen, cut, tenfold, burst : int
+        Changes with nothing else going on, with the leader killed around them, with
+        it frozen, with one entry cut off from it, at ten times the target's rate,
+        and one after the other without a pause; 0 leaves a scenario out.
+    seed : int
+        Seed of the times of faults.
+    format : str
+        ``table`` or ``json``.
+    """
+    options = DeploymentOptions(
+        folder=FOLDER,
+        entries=entries,
+        controls=controls,
+        fabric_domains={},
+        services=0,
+    )
+    plan = {
+        "quiet": quiet,
+        "burst": burst,
+        "tenfold": tenfold,
+        "leader_killed": killed,
+        "leader_frozen": frozen,
+    }
+    FOLDER.parent.mkdir(parents=True, exist_ok=True)
+    results = []
+    with contextlib.ExitStack() as stack:
+        deployment = stack.enter_context(Deployment(options))
+        wait_ready_entries(deployment)
+        measured = InForceRun(deployment, random.Random(seed))
+        results = [measured.run(name, count) for name, count in plan.items() if count]
+        if cut:
+            entry = list(deployment.entries)[-1]
+            relay = stack.enter_context(connect_through_relay(deployment, entry))
+            wait_ready_entries(deployment)
+            results.append(measured.run_cut(cut, relay, entry))
+    if format == "json":
+        print(json.dumps(results, indent=2))
+        return
+    rows = [[key, *(row.get(key, "") for row in results)] for key in _keys(results)]
+    print(tabulate(rows, tablefmt="plain", floatfmt=".1f"))
+
+
+def _keys(results: Sequence[dict[str, Any]]) -> list[str]:
+    return list(dict.fromkeys(key for row in results for key in row))
+
+
+if __name__ == "__main__":
+    defopt.run(run)
--- /dev/null
+++ b/benchmarks/control_relay.py
@@ -0,0 +1,156 @@
+"""A relay between one entry and the controls that can be cut without a sound.
+
+A cut holds the bytes back as a network does that loses all packets: neither side
+sees a closed connection, and what was held arrives late once the cut ends. The relay
+reads the length-prefixed frames of the scalability protocols' TCP mapping, so that it
+can put its own return address in the place of the entry's, which is as long.
+"""
+
+import socket
+import threading
+import time
+from collections.abc import Iterator
+from types import TracebackType
+from typing import Self
+
+HANDSHAKE_BYTES = 8
+LENGTH_BYTES = 8
+POLL_S = 0.005
+
+
+class Link:
+    """One direction of the relay: a listener that forwards to a target.
+
+    Parameters
+    ----------
+    listen, target : str
+        IP number and port.
+    replacement : tuple of bytes
+        Address to look for in each message and the one that takes its place.
+    """
+
+    def __init__(
+        self, listen: str, target: str, replacement: tuple[bytes, bytes] = (b"", b"")
+    ) -> None:
+        self.listen = listen
+        self.is_cut = False
+        self._target = target
+        self._replacement = replacement
+        self._listener = socket.create_server(_split(listen))
+        self._open: list[socket.socket] = [self._listener]
+
+    def start(self) -> None:
+        """Begin to accept connections."""
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def close(self) -> None:
+        """Close all connections."""
+        for item in self._open:
+            item.close()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                near, _ = self._listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._serve, args=(near,), daemon=True).start()
+
+    def _serve(self, near: socket.socket) -> None:
+        try:
+            self._wait_while_cut()
+            far = socket.create_connection(_split(self._target))
+        except OSError:
+            near.close()
+            return
+        self._open += [near, far]
+        for source, sink in ((near, far), (far, near)):
+            threading.Thread(
+                target=self._pump, args=(source, sink), daemon=True
+            ).start()
+
+    def _pump(self, source: socket.socket, sink: socket.socket) -> None:
+        try:
+            with source, sink:
+                sink.sendall(_read(source, HANDSHAKE_BYTES))
+                while True:
+                    frame = self._read_frame(source)
+                    self._wait_while_cut()
+                    sink.sendall(frame)
+        except OSError:
+            return
+
+    def _read_frame(self, source: socket.socket) -> bytes:
+        length = _read(source, LENGTH_BYTES)
+        body = _read(source, int.from_bytes(length))
+        old, new = self._replacement
+        return length + (body.replace(old, new) if old else body)
+
+    def _wait_while_cut(self) -> None:
+        while self.is_cut:
+            time.sleep(POLL_S)
+
+
+class Relay:
+    """All links between one entry and the controls; a context manager.
+
+    Parameters
+    ----------
+    controls : dict of str to str
+        Peer address of each control.
+    entry : str
+        Peer address of the entry.
+    free : iterator of str
+        Addresses to listen on.
+    """
+
+    def __init__(
+        self, controls: dict[str, str], entry: str, free: Iterator[str]
+    ) -> None:
+        self.to_control: dict[str, Link] = {}
+        self._to_entry: dict[str, Link] = {}
+        for name, address in controls.items():
+            back = Link(next(free), entry)
+            replacement = (entry.encode(), back.listen.encode())
+            self._to_entry[name] = back
+            self.to_control[name] = Link(next(free), address, replacement)
+
+    def __enter__(self) -> Self:
+        """Begin to forward."""
+        for link in self._links():
+            link.start()
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Close all links."""
+        for link in self._links():
+            link.is_cut = False
+            link.close()
+
+    def set_cut(self, control: str, is_cut: bool) -> None:
+        """Cut or mend both ways between the entry and one control."""
+        self.to_control[control].is_cut = is_cut
+        self._to_entry[control].is_cut = is_cut
+
+    def _links(self) -> list[Link]:
+        return [*self.to_control.values(), *self._to_entry.values()]
+
+
+def _split(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+def _read(source: socket.socket, count: int) -> bytes:
+    data = b""
+    while len(data) < count:
+        piece = source.recv(count - len(data))
+        if not piece:
+            raise ConnectionResetError
+        data += piece
+    return data
