Answer reports without refreshing the views when nothing broke

Cause: each of 120 reports a second refreshed all groups, for their loads, before the answer; and a change that an answer saw first was pushed to nobody, so the other entries learnt of it only with their next report.

A push is due whenever the version is not the one pushed last.

--- a/chestnutvale/membership/views.py
+++ b/chestnutvale/membership/views.py
@@ -97,6 +97,18 @@
         """Version of the newest view."""
         return self._version
 
+    @property
+    def settled_until_s(self) -> float:
+        """Earliest time at which silence alone can stop a group from serving."""
+        return min(
+            (
+                item.settled_until_s
+                for item in self._published.values()
+                if not item.reason
+            ),
+            default=float("inf"),
+        )
+
     def refresh(
         self, state: GroupsState, table: MembershipTable, now_s: float
     ) -> list[str]:
--- a/chestnutvale/programs/control/entry_desk.py
+++ b/chestnutvale/programs/control/entry_desk.py
@@ -102,6 +102,9 @@
         self._publisher = publisher
         self._clock = clock
         self._pushed_number = 0
+        self._pushed_version = 0
+        self._refreshed_inputs = (-1, -1)
+        self._settled_until_s = float("-inf")
         self._cache_events = CacheEventQueue()
         self._commits = eventlet.GreenPool(MAX_COMMIT_REQUESTS)
         transport.on("entry_report", self._receive_report)
@@ -119,7 +122,7 @@
     def publish_changes(self) -> None:
         """Push views to the entries that lag behind a change."""
         now_s = self._clock.now_s()
-        changed = self._publisher.refresh(self._state.groups, self._table, now_s)
+        self._refresh(now_s)
         if not self._log.has_lease(now_s):
             return
         number = self._state.configuration.number
@@ -131,7 +134,9 @@
             )
             self._send_pushes(pushes)
             return
-        if changed:
+        # An answer may have seen the change first; the others must hear of it too.
+        if self._publisher.version != self._pushed_version:
+            self._pushed_version = self._publisher.version
             pushes = self._publisher.pushes(source, self._table, self._log.term, now_s)
             self._send_pushes(pushes)
 
@@ -165,7 +170,8 @@
         self._answer(entry_id, report, now_s)
 
     def _answer(self, entry_id: str, report: EntryReport, now_s: float) -> None:
-        self._publisher.refresh(self._state.groups, self._table, now_s)
+        if self._may_have_broken(now_s):
+            self._refresh(now_s)
         view = self._publisher.answer(
             entry_id,
             report,
@@ -176,6 +182,16 @@
         )
         self._send_view(entry_id, report.reply_address, view)
 
+    def _refresh(self, now_s: float) -> None:
+        self._refreshed_inputs = (self._log.applied_index, self._table.revision)
+        self._publisher.refresh(self._state.groups, self._table, now_s)
+        self._settled_until_s = self._publisher.settled_until_s
+
+    def _may_have_broken(self, now_s: float) -> bool:
+        """Tell whether a group that is published as serving may not serve any more."""
+        inputs = (self._log.applied_index, self._table.revision)
+        return inputs != self._refreshed_inputs or now_s >= self._settled_until_s
+
     def _send_pushes(self, pushes: list[Push]) -> None:
         for push in pushes:
             self._send_view(push.entry_id, push.reply_address, push.view)
