Let admission sleep while no call waits; measure time in force

Cause: the admission gate of every entry ticked 20 times a second with nothing queued, and the controller said itself that no tick was wanted.

Change: the gate waits until an offered call stays queued. Seen failing: with the gate told that somebody always waits, tests/programs/entry/test_admission_gate.py counts ticks before the first call.

--- a/benchmarks/control_cost.py
+++ b/benchmarks/control_cost.py
@@ -198,9 +198,9 @@
 def run(
     *,
     axes: Sequence[str] = tuple(AXES),
-    settle_s: float = 4.0,
-    window_s: float = 8.0,
-    windows: int = 2,
+    settle_s: float = 25.0,
+    window_s: float = 10.0,
+    windows: int = 1,
     format: str = "table",
 ) -> None:
     """Measure what control costs each role when no calls run.
@@ -211,7 +211,8 @@
         What to vary: ``entries``, ``hosts``, ``groups``, ``entries_with_groups``;
         all by default.
     settle_s : float
-        Time between the last change and the first window.
+        Time between the last change and the first window; by then most entries have
+        heard each host once, which is when they pass on its whole announcement.
     window_s : float
         Length of a window.
     windows : int
--- a/benchmarks/control_in_force.py
+++ b/benchmarks/control_in_force.py
@@ -295,12 +295,22 @@
 
     Parameters
     ----------
-    entries, controls : int
-        Processes of each kind.
-    quiet, killed, frozen, cut, tenfold, burst : int
-        Changes with nothing else going on, with the leader killed around them, with
-        it frozen, with one entry cut off from it, at ten times the target's rate,
-        and one after the other without a pause; 0 leaves a scenario out.
+    entries : int
+        Entry processes.
+    controls : int
+        Control processes.
+    quiet : int
+        Changes with nothing else going on; 0 leaves a scenario out.
+    killed : int
+        Changes with the leader killed around them.
+    frozen : int
+        Changes with the leader frozen around them.
+    cut : int
+        Changes with one entry cut off from the leader.
+    tenfold : int
+        Changes at ten times the target's rate.
+    burst : int
+        Changes one after the other without a pause.
     seed : int
         Seed of the times of faults.
     format : str
@@ -335,8 +345,14 @@
     if format == "json":
         print(json.dumps(results, indent=2))
         return
-    rows = [[key, *(row.get(key, "") for row in results)] for key in _keys(results)]
-    print(tabulate(rows, tablefmt="plain", floatfmt=".1f"))
+    rows = [
+        [key, *(_format(row.get(key, "")) for row in results)] for key in _keys(results)
+    ]
+    print(tabulate(rows, tablefmt="plain"))
+
+
+def _format(value: Any) -> str:
+    return f"{value:.1f}" if isinstance(value, float) else str(value)
 
 
 def _keys(results: Sequence[dict[str, Any]]) -> list[str]:
--- a/benchmarks/control_rounds.py
+++ b/benchmarks/control_rounds.py
@@ -333,7 +333,10 @@
     }
     for kind, count in messages.items():
         rows.append(
-            {"work": f"bytes of a {kind}", "bytes_each": cell.bytes[kind] / count}
+            {
+                "work": f"bytes of a {kind}",
+                "bytes_each": cell.bytes[kind] / max(1, count),
+            }
         )
     return rows
 
--- a/chestnutvale/programs/entry/admission_gate.py
+++ b/chestnutvale/programs/entry/admission_gate.py
@@ -110,6 +110,7 @@
         self._clock = clock
         self._tickets: dict[str, GateTicket] = {}
         self._predicted_tokens: dict[str, int] = {}
+        self._has_waiting = Event()
 
     def offer(self, request: CallRequest) -> GateTicket:
         """Ask for admission.
@@ -136,6 +137,8 @@
         ticket = GateTicket(self, wanted)
         self._tickets[request.request_id] = ticket
         self._settle(self.controller.offer(wanted, self._clock.now_s()))
+        if self._is_any_waiting() and not self._has_waiting.ready():
+            self._has_waiting.send()
         return ticket
 
     def predicted_tokens(self, request_id: str) -> int:
@@ -179,8 +182,17 @@
         self._settle(self.controller.withdraw(request_id, self._clock.now_s()))
 
     def run(self) -> None:
-        """Tick for ever; ended by killing the task."""
-        run_rounds("admission", self.settle_waiting, ADMISSION_TICK_S)
+        """Tick while calls wait, for ever; ended by killing the task."""
+        run_rounds("admission", self._run_round, ADMISSION_TICK_S)
+
+    def _run_round(self) -> None:
+        if not self._is_any_waiting():
+            self._has_waiting = Event()
+            self._has_waiting.wait()
+        self.settle_waiting()
+
+    def _is_any_waiting(self) -> bool:
+        return self.controller.next_deadline_s is not None
 
     def settle_waiting(self) -> None:
         """Decide about waiting calls again, after time or capacity changed."""
