--- a/chestnutvale/http_server/views.py
+++ b/chestnutvale/http_server/views.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
+from chestnutvale.observability.secrets import remove_secrets
+
 WsgiApp = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
 STATUS_OK = "200 OK"
 STATUS_UNAVAILABLE = "503 Service Unavailable"
@@ -80,7 +82,7 @@
     def view(
         environ: dict[str, Any], start_response: Callable[..., Any]
     ) -> Iterable[bytes]:
-        body = json.dumps(read(), indent=1, default=str).encode()
+        body = json.dumps(remove_secrets(read()), indent=1).encode()
         return respond(start_response, STATUS_OK, CONTENT_TYPE_JSON, body)
 
     return view
--- a/chestnutvale/programs/client/main.py
+++ b/chestnutvale/programs/client/main.py
@@ -22,6 +22,9 @@
     "dump": commands.dump,
     "voter": {"add": commands.voter_add, "remove": commands.voter_remove},
 }
+OPTION_SETTINGS = "--settings"
+# These ask no control and so take no settings.
+OFFLINE_COMMANDS = ("init", "key")
 
 
 def _print_error(message: object) -> None:
@@ -47,6 +50,14 @@
     return ExitCode.FAILED
 
 
+def _move_settings(arguments: Sequence[str]) -> list[str]:
+    """Let ``--settings FILE`` stand before the command as well as after it."""
+    if len(arguments) < 3 or arguments[0] != OPTION_SETTINGS:
+        return list(arguments)
+    option, file, *rest = arguments
+    return rest if rest[0] in OFFLINE_COMMANDS else [*rest, option, file]
+
+
 def run(arguments: Sequence[str]) -> ExitCode:
     """Run one command.
 
@@ -61,7 +72,7 @@
         The exit code.
     """
     try:
-        call = defopt.bind(COMMANDS, argv=list(arguments), short={})
+        call = defopt.bind(COMMANDS, argv=_move_settings(arguments), short={})
     except SystemExit as error:
         # The parser's own code 2 would read as an invalid text.
         return ExitCode.USAGE if error.code else ExitCode.DONE
--- a/chestnutvale/programs/control/daemon.py
+++ b/chestnutvale/programs/control/daemon.py
@@ -20,15 +20,21 @@
 from chestnutvale.http_server.views import WsgiApp, make_check, make_json_view
 from chestnutvale.membership.table import MembershipTable
 from chestnutvale.membership.views import ViewPublisher
+from chestnutvale.observability.metrics import Metrics
 from chestnutvale.programs.control.const import SALT_BITS
 from chestnutvale.programs.control.entry_desk import EntryDesk
 from chestnutvale.programs.control.group_task import GroupTask
 from chestnutvale.programs.control.ledger_task import LedgerTask
 from chestnutvale.programs.control.measures import MeasureTracker
+from chestnutvale.programs.control.metrics import (
+    ControlSources,
+    register_control_metrics,
+)
 from chestnutvale.programs.control.operations import ControlOperations
 from chestnutvale.programs.control.operator_api import OperatorApi
 from chestnutvale.programs.control.state import ControlState
 from chestnutvale.programs.control.status import StatusBuilder
+from chestnutvale.programs.process_metrics import register_process_metrics
 from chestnutvale.schema.settings_pb2 import ControlSettings
 from chestnutvale.storage.store import DataStore
 from chestnutvale.transport.gate import make_incarnation
@@ -36,6 +42,8 @@
 
 _LOGGER = logbook.Logger(__name__)
 
+PROGRAM_NAME = "chestnut-control"
+
 
 class ControlDaemon:
     """One control; a context manager.
@@ -69,6 +77,7 @@
         self.table = MembershipTable(settings.detection_timeout_ms / 1_000)
         self.publisher = ViewPublisher(self.incarnation)
         self.measures = MeasureTracker()
+        self.metrics = Metrics(PROGRAM_NAME)
         self.transport = TransportNode(
             settings.cluster_id,
             settings.control_id,
@@ -155,6 +164,8 @@
             self.settings.http_limits,
             self._clock,
         )
+        self._register_metrics(server)
+        exits.enter_context(self.metrics)
         exits.enter_context(server)
         for run in (groups.run, ledger.run):
             exits.callback(eventlet.spawn(run).kill)
@@ -183,9 +194,22 @@
             "/healthz": make_check(self._is_alive),
             "/readyz": make_check(self._is_ready),
             "/debug/state": make_json_view(self.dump),
+            "/metrics": self.metrics.view,
         }
         return _join_apps(operators, views)
 
+    def _register_metrics(self, server: HttpServer) -> None:
+        register_process_metrics(self.metrics, server, self.transport)
+        sources = ControlSources(
+            self._log,
+            self.state,
+            self.table,
+            self.publisher,
+            self._desk,
+            self.measures,
+        )
+        register_control_metrics(self.metrics, sources)
+
     def _is_alive(self) -> bool:
         return self._log.failure is None
 
--- /dev/null
+++ b/chestnutvale/programs/control/metrics.py
@@ -0,0 +1,126 @@
+"""Metrics of a control; those of the whole system only while it leads."""
+
+from collections import Counter
+from collections.abc import Callable, Mapping
+
+import attrs
+
+from chestnutvale.consensus.task import ConsensusTask
+from chestnutvale.membership.table import MembershipTable
+from chestnutvale.membership.views import ViewPublisher
+from chestnutvale.observability import catalog
+from chestnutvale.observability.catalog import LABEL_ENTRY, LABEL_SERVICE
+from chestnutvale.observability.metrics import Metrics, Read, by_label, single
+from chestnutvale.programs.control.entry_desk import EntryDesk
+from chestnutvale.programs.control.measures import MeasureTracker
+from chestnutvale.programs.control.state import ControlState
+
+
+@attrs.frozen
+class ControlSources:
+    """Where a control's metrics are read from.
+
+    Attributes
+    ----------
+    log : ConsensusTask
+        The replicated log.
+    state : ControlState
+        The replicated state.
+    table : MembershipTable
+        What entries heard of hosts.
+    publisher : ViewPublisher
+        Groups as entries see them.
+    desk : EntryDesk
+        Last reports of entries.
+    measures : MeasureTracker
+        Downtime and stranded accelerators.
+    """
+
+    log: ConsensusTask
+    state: ControlState
+    table: MembershipTable
+    publisher: ViewPublisher
+    desk: EntryDesk
+    measures: MeasureTracker
+
+
+def register_control_metrics(metrics: Metrics, sources: ControlSources) -> None:
+    """Publish the metrics of a control.
+
+    Parameters
+    ----------
+    metrics : Metrics
+        The metrics of the process.
+    sources : ControlSources
+        Where they are read from.
+    """
+    _register_own(metrics, sources)
+    _register_measures(metrics, sources)
+    _register_services(metrics, sources)
+
+
+def _register_own(metrics: Metrics, sources: ControlSources) -> None:
+    log, state = sources.log, sources.state
+    metrics.gauge(catalog.LEADER, single(lambda: float(log.is_leader)))
+    metrics.gauge(catalog.TERM, single(lambda: log.term))
+    metrics.counter(catalog.APPLIED_INDEX, single(lambda: log.applied_index))
+    metrics.gauge(
+        catalog.CONFIGURATION_NUMBER, single(lambda: state.configuration.number)
+    )
+    metrics.gauge(catalog.LEDGER_RECORDS, single(lambda: state.ledger.record_count))
+    metrics.gauge(catalog.LEDGER_SIZE, single(lambda: state.ledger.size_bytes))
+    metrics.gauge(catalog.HOSTS_KNOWN, single(lambda: len(sources.table.known_hosts())))
+
+
+def _register_measures(metrics: Metrics, sources: ControlSources) -> None:
+    measures = sources.measures
+    leading = _while_leading(sources.log)
+    metrics.counter(
+        catalog.GROUP_DOWNTIME,
+        leading(by_label(LABEL_SERVICE, lambda: measures.group_downtime_s)),
+    )
+    metrics.gauge(
+        catalog.STRANDED_HOSTS,
+        leading(single(lambda: len(measures.stranded_host_ids))),
+    )
+    metrics.gauge(
+        catalog.STRANDED_ACCELERATORS,
+        leading(single(lambda: measures.stranded_accelerators)),
+    )
+    metrics.counter(
+        catalog.STRANDED_TIME,
+        leading(single(lambda: measures.stranded_accelerator_s)),
+    )
+
+
+def _register_services(metrics: Metrics, sources: ControlSources) -> None:
+    leading = _while_leading(sources.log)
+
+    def count_serving() -> Mapping[str, float]:
+        views = sources.publisher.group_views()
+        counts = Counter(item.group.service for item in views if item.serving)
+        return {
+            name: counts[name] for name in sources.state.configuration.text.services
+        }
+
+    def count_wanted() -> Mapping[str, float]:
+        services = sources.state.configuration.text.services
+        return {name: service.groups for name, service in services.items()}
+
+    def read_numbers() -> Mapping[str, float]:
+        return {name: known.number for name, known in sources.desk.entries.items()}
+
+    metrics.gauge(
+        catalog.GROUPS_SERVING, leading(by_label(LABEL_SERVICE, count_serving))
+    )
+    metrics.gauge(catalog.GROUPS_WANTED, leading(by_label(LABEL_SERVICE, count_wanted)))
+    metrics.gauge(catalog.ENTRY_NUMBER, leading(by_label(LABEL_ENTRY, read_numbers)))
+
+
+def _while_leading(log: ConsensusTask) -> Callable[[Read], Read]:
+    """Make sources that are silent on followers, whose values stand still."""
+
+    def wrap(read: Read) -> Read:
+        return lambda: read() if log.is_leader else []
+
+    return wrap
--- a/chestnutvale/programs/control/operator_api.py
+++ b/chestnutvale/programs/control/operator_api.py
@@ -26,6 +26,7 @@
 )
 from chestnutvale.http_server.exceptions import HttpRequestError
 from chestnutvale.http_server.problem import Problem
+from chestnutvale.observability.secrets import remove_secrets
 from chestnutvale.programs.control.operator_const import (
     CODE_BAD_REQUEST,
     CODE_CONFLICT,
@@ -226,7 +227,7 @@
         return _check_result(self._node.change_voter(change, deadline_s))
 
     def _dump(self, environ: Environ, deadline_s: float) -> Answer:
-        return self._node.dump()
+        return remove_secrets(self._node.dump())
 
     def _redirect_problem(self) -> Problem:
         address = self._node.leader_http_address()
--- a/chestnutvale/programs/entry/daemon.py
+++ b/chestnutvale/programs/entry/daemon.py
@@ -14,6 +14,8 @@
 from chestnutvale.http_server.views import make_check, make_json_view
 from chestnutvale.membership.entry_view import EntryView
 from chestnutvale.membership.hearing import Hearing
+from chestnutvale.observability.metrics import Metrics
+from chestnutvale.observability.request_meter import RequestMeter
 from chestnutvale.programs.entry.admission_gate import AdmissionGate
 from chestnutvale.programs.entry.announcements import AnnouncementDoor
 from chestnutvale.programs.entry.app import EntryApp
@@ -23,8 +25,13 @@
 from chestnutvale.programs.entry.control_link import ControlLink
 from chestnutvale.programs.entry.group_router import GroupRouter
 from chestnutvale.programs.entry.ledger_writer import LedgerWriter
+from chestnutvale.programs.entry.metrics import (
+    MEASURED_ROUTES,
+    register_entry_metrics,
+)
 from chestnutvale.programs.entry.model_calls import ModelCallHandler
 from chestnutvale.programs.entry.service_calls import ServiceCallHandler
+from chestnutvale.programs.process_metrics import register_process_metrics
 from chestnutvale.routing.selector import Selector
 from chestnutvale.schema.settings_pb2 import EntrySettings
 from chestnutvale.transport.gate import make_incarnation
@@ -32,6 +39,7 @@
 
 _LOGGER = logbook.Logger(__name__)
 
+PROGRAM_NAME = "chestnut-entry"
 FORM_CHAT = "chat"
 FORM_COMPLETION = "completion"
 
@@ -92,13 +100,18 @@
         self.link.on_view(self.context.install)
         self._writer = LedgerWriter(self.context)
         self._services = ServiceCallHandler(self.context, self._writer)
+        self.metrics = Metrics(PROGRAM_NAME)
+        app = RequestMeter(self._make_app(), self.metrics, MEASURED_ROUTES, clock)
         self.server = HttpServer(
-            self._make_app(), settings.http_address, settings.http_limits, clock
+            app, settings.http_address, settings.http_limits, clock
         )
+        register_process_metrics(self.metrics, self.server, self.transport)
+        register_entry_metrics(self.metrics, self.view, self.is_ready, clock)
 
     def __enter__(self) -> Self:
         """Open the sockets and start the tasks."""
         with contextlib.ExitStack() as exits:
+            exits.enter_context(self.metrics)
             exits.enter_context(self.transport)
             for run in (self.link.run, self._gate.run):
                 exits.callback(eventlet.spawn(run).kill)
@@ -184,6 +197,7 @@
                 "/healthz": make_check(_is_alive),
                 "/readyz": make_check(self.is_ready),
                 "/debug/state": make_json_view(self.dump),
+                "/metrics": self.metrics.view,
             },
         )
 
--- a/chestnutvale/programs/runner.py
+++ b/chestnutvale/programs/runner.py
@@ -12,6 +12,7 @@
 
 from chestnutvale.exceptions import ChestnutError
 from chestnutvale.observability.logs import make_log_handler
+from chestnutvale.observability.secrets import remove_secrets
 
 _LOGGER = logbook.Logger(__name__)
 
@@ -71,7 +72,7 @@
     dump : callable
         Gives the state.
     """
-    _LOGGER.info("State: {}", json.dumps(dump(), default=str))
+    _LOGGER.info("State: {}", json.dumps(remove_secrets(dump())))
 
 
 def make_rng() -> random.Random:
--- a/tests/programs/client/test_commands.py
+++ b/tests/programs/client/test_commands.py
@@ -177,6 +177,15 @@
     assert run(arguments) == code
 
 
+def test_settings_before_the_command(tmp_path, capsys):
+    path = str(tmp_path / "none.json")
+    assert run(["--settings", path, "status", "--format", "json"]) == 7
+    assert run(["--settings", path, "voter", "remove", "c1"]) == 7
+    assert capsys.readouterr().err.count("settings_invalid:") == 2
+    assert run(["--settings", path, "key"]) == 0
+    assert run(["--settings", path]) == 64
+
+
 def test_missing_settings(tmp_path, capsys, monkeypatch):
     monkeypatch.setenv("CHESTNUT_SETTINGS", str(tmp_path / "none.json"))
     assert run(["status"]) == 7
