--- a/chestnutvale/programs/client/initialise.py
+++ b/chestnutvale/programs/client/initialise.py
@@ -69,7 +69,6 @@
     """
     values = {
         "cluster_id": json.dumps(cluster_id)[1:-1],
-        "folder": json.dumps(str(folder.absolute()))[1:-1],
         "workspaces": "\n".join(
             WORKSPACE_TEMPLATE % {"name": name, "digest": hash_key(key)}
             for name, key in workspace_keys.items()
--- a/chestnutvale/programs/client/templates.py
+++ b/chestnutvale/programs/client/templates.py
@@ -14,8 +14,8 @@
       "http_address": "127.0.0.1:8101",
     },
   ],
-  // Only its owner may read this file.
-  "operator_token_file": "%(folder)s/operator-token",
+  // Only its owner may read this file. A path starts at the folder of this file.
+  "operator_token_file": "operator-token",
   // Time in milliseconds after which a command gives up.
   "timeout_ms": 10000,
 }
@@ -35,7 +35,7 @@
   "controls": [
     {"id": "control-1", "address": "127.0.0.1:7101", "data_centre": "dc-1"},
   ],
-  "operator_token_file": "%(folder)s/operator-token",
+  "operator_token_file": "operator-token",
   "log": {"format": "text", "level": "info"},
 }
 """
@@ -50,7 +50,7 @@
   "http_address": "127.0.0.1:8101",
   "peer_address": "127.0.0.1:7101",
   // Everything that must survive lies below this folder.
-  "data_folder": "%(folder)s/control-1",
+  "data_folder": "control-1",
   "controls": [
     {
       "id": "control-1",
@@ -59,7 +59,7 @@
       "data_centre": "dc-1",
     },
   ],
-  "operator_token_file": "%(folder)s/operator-token",
+  "operator_token_file": "operator-token",
   "log": {"format": "text", "level": "info"},
   "repair": {"group_downtime_weight": 1, "stranded_hosts_weight": 1},
 }
--- a/chestnutvale/settings/client.py
+++ b/chestnutvale/settings/client.py
@@ -5,7 +5,7 @@
 from chestnutvale.schema.settings_pb2 import ClientSettings
 from chestnutvale.settings.common import check_intervals
 from chestnutvale.settings.const import DEFAULT_CLIENT_TIMEOUT_MS
-from chestnutvale.settings.loader import load_settings
+from chestnutvale.settings.loader import load_settings, resolve_paths
 from chestnutvale.settings.validation import (
     check_identifier,
     check_peers,
@@ -32,11 +32,23 @@
     SettingsError
         If the file can't be read or a field is wrong.
     """
-    settings = load_settings(path, ClientSettings(timeout_ms=DEFAULT_CLIENT_TIMEOUT_MS))
+    settings = load_settings(path, default_client_settings())
+    resolve_paths(settings, ("operator_token_file",), path)
     _check(settings, str(path))
     return settings
 
 
+def default_client_settings() -> ClientSettings:
+    """Return the settings that apply where the file says nothing.
+
+    Returns
+    -------
+    ClientSettings
+        The defaults.
+    """
+    return ClientSettings(timeout_ms=DEFAULT_CLIENT_TIMEOUT_MS)
+
+
 def _check(settings: ClientSettings, origin: str) -> None:
     check_identifier(settings, ("cluster_id",), origin)
     require_fields(settings, ("controls", "operator_token_file"), origin)
--- a/chestnutvale/settings/const.py
+++ b/chestnutvale/settings/const.py
@@ -2,6 +2,11 @@
 
 from typing import Final
 
+from chestnutvale.groups.const import DEFAULT_LEADER_LEASE_S
+from chestnutvale.membership.const import DEFAULT_DETECTION_TIMEOUT_S, DEFAULT_LEASE_S
+
+MS_PER_S: Final = 1_000
+
 DEFAULT_LOG_FORMAT: Final = "text"
 DEFAULT_LOG_LEVEL: Final = "info"
 LOG_FORMATS: Final = ("text", "json")
@@ -13,22 +18,28 @@
 DEFAULT_IDLE_TIMEOUT_MS: Final = 30_000
 
 DEFAULT_REPORT_INTERVAL_MS: Final = 500
-DEFAULT_LEASE_MS: Final = 3_000
+DEFAULT_LEASE_MS: Final = round(DEFAULT_LEASE_S * MS_PER_S)
 DEFAULT_ANNOUNCE_INTERVAL_MS: Final = 1_000
 DEFAULT_ENTRY_SHUTDOWN_TIMEOUT_MS: Final = 300_000
 
 DEFAULT_ELECTION_TIMEOUT_MS: Final = 1_000
 DEFAULT_HEARTBEAT_INTERVAL_MS: Final = 200
-DEFAULT_DETECTION_TIMEOUT_MS: Final = 3_000
+DEFAULT_DETECTION_TIMEOUT_MS: Final = round(DEFAULT_DETECTION_TIMEOUT_S * MS_PER_S)
 DEFAULT_CONTROL_SHUTDOWN_TIMEOUT_MS: Final = 10_000
 DEFAULT_GROUP_DOWNTIME_WEIGHT: Final = 1.0
 DEFAULT_STRANDED_HOSTS_WEIGHT: Final = 1.0
-DEFAULT_MEMBER_WAIT_MS: Final = 20_000
+DEFAULT_MEMBER_WAIT_MS: Final = 2_000
+DEFAULT_MAX_LOADING_HOSTS: Final = 16
+DEFAULT_VOTER_LOST_MS: Final = 30_000
 
 DEFAULT_CLIENT_TIMEOUT_MS: Final = 10_000
 
-# An accepted text has to be in force everywhere within 5 s.
-MAX_LEASE_MS: Final = 5_000
+# Controls wait for so long until no entry can serve by an old view any more, so an
+# entry may hold a shorter lease but never a longer one.
+MAX_LEASE_MS: Final = DEFAULT_LEASE_MS
+# A new leader waits for so long until its predecessor's lease has certainly ended.
+MAX_ELECTION_TIMEOUT_MS: Final = round(DEFAULT_LEADER_LEASE_S * MS_PER_S)
+MAX_LOADING_HOSTS: Final = 100_000
 MAX_INTERVAL_MS: Final = 60 * 60 * 1000
 MAX_BODY_BYTES: Final = 1024 * 1024 * 1024
 MAX_HEADER_BYTES: Final = 1024 * 1024
--- a/chestnutvale/settings/control.py
+++ b/chestnutvale/settings/control.py
@@ -16,12 +16,16 @@
     DEFAULT_ELECTION_TIMEOUT_MS,
     DEFAULT_GROUP_DOWNTIME_WEIGHT,
     DEFAULT_HEARTBEAT_INTERVAL_MS,
+    DEFAULT_MAX_LOADING_HOSTS,
     DEFAULT_MEMBER_WAIT_MS,
     DEFAULT_STRANDED_HOSTS_WEIGHT,
+    DEFAULT_VOTER_LOST_MS,
     MAX_COST_WEIGHT,
+    MAX_ELECTION_TIMEOUT_MS,
     MAX_INTERVAL_MS,
+    MAX_LOADING_HOSTS,
 )
-from chestnutvale.settings.loader import load_settings
+from chestnutvale.settings.loader import load_settings, resolve_paths
 from chestnutvale.settings.validation import (
     check_identifier,
     check_peers,
@@ -50,7 +54,22 @@
     SettingsError
         If the file can't be read or a field is wrong.
     """
-    defaults = ControlSettings(
+    settings = load_settings(path, default_control_settings())
+    resolve_paths(settings, ("operator_token_file", "data_folder"), path)
+    resolve_paths(settings.log, ("file",), path)
+    _check(settings, str(path))
+    return settings
+
+
+def default_control_settings() -> ControlSettings:
+    """Return the settings that apply where the file says nothing.
+
+    Returns
+    -------
+    ControlSettings
+        The defaults.
+    """
+    return ControlSettings(
         http_limits=default_http_limits(),
         log=default_log_settings(),
         election_timeout_ms=DEFAULT_ELECTION_TIMEOUT_MS,
@@ -62,10 +81,9 @@
             stranded_hosts_weight=DEFAULT_STRANDED_HOSTS_WEIGHT,
             member_wait_ms=DEFAULT_MEMBER_WAIT_MS,
         ),
+        max_loading_hosts=DEFAULT_MAX_LOADING_HOSTS,
+        voter_lost_ms=DEFAULT_VOTER_LOST_MS,
     )
-    settings = load_settings(path, defaults)
-    _check(settings, str(path))
-    return settings
 
 
 def _check(settings: ControlSettings, origin: str) -> None:
@@ -91,8 +109,12 @@
         "heartbeat_interval_ms",
         "detection_timeout_ms",
         "shutdown_timeout_ms",
+        "voter_lost_ms",
     )
     check_intervals(settings, intervals, origin)
+    field = "election_timeout_ms"
+    check_range(settings, field, 1, MAX_ELECTION_TIMEOUT_MS, origin)
+    check_range(settings, "max_loading_hosts", 1, MAX_LOADING_HOSTS, origin)
     # One lost heartbeat must not start an election.
     if settings.election_timeout_ms < 3 * settings.heartbeat_interval_ms:
         reason = "must be at least three times heartbeat_interval_ms"
--- a/chestnutvale/settings/entry.py
+++ b/chestnutvale/settings/entry.py
@@ -17,7 +17,7 @@
     DEFAULT_REPORT_INTERVAL_MS,
     MAX_LEASE_MS,
 )
-from chestnutvale.settings.loader import load_settings
+from chestnutvale.settings.loader import load_settings, resolve_paths
 from chestnutvale.settings.validation import (
     check_identifier,
     check_peers,
@@ -46,7 +46,22 @@
     SettingsError
         If the file can't be read or a field is wrong.
     """
-    defaults = EntrySettings(
+    settings = load_settings(path, default_entry_settings())
+    resolve_paths(settings, ("operator_token_file",), path)
+    resolve_paths(settings.log, ("file",), path)
+    _check(settings, str(path))
+    return settings
+
+
+def default_entry_settings() -> EntrySettings:
+    """Return the settings that apply where the file says nothing.
+
+    Returns
+    -------
+    EntrySettings
+        The defaults.
+    """
+    return EntrySettings(
         http_limits=default_http_limits(),
         log=default_log_settings(),
         report_interval_ms=DEFAULT_REPORT_INTERVAL_MS,
@@ -54,9 +69,6 @@
         announce_interval_ms=DEFAULT_ANNOUNCE_INTERVAL_MS,
         shutdown_timeout_ms=DEFAULT_ENTRY_SHUTDOWN_TIMEOUT_MS,
     )
-    settings = load_settings(path, defaults)
-    _check(settings, str(path))
-    return settings
 
 
 def _check(settings: EntrySettings, origin: str) -> None:
--- a/chestnutvale/settings/loader.py
+++ b/chestnutvale/settings/loader.py
@@ -1,5 +1,6 @@
 """Read a settings file into its schema message."""
 
+from collections.abc import Iterable
 from pathlib import Path
 from typing import Any, TypeVar
 
@@ -97,3 +98,21 @@
     except (OSError, UnicodeDecodeError) as error:
         raise SettingsError(str(error), step=STEP_SETTINGS, peer=str(path)) from error
     return merge_message(message, parse_json_with_comments(text, str(path)), str(path))
+
+
+def resolve_paths(message: Message, fields: Iterable[str], origin: Path) -> None:
+    """Let relative paths start at the folder of the settings file.
+
+    Parameters
+    ----------
+    message : Message
+        The message that holds the paths; changed in place.
+    fields : iterable of str
+        Names of the fields.
+    origin : Path
+        The settings file.
+    """
+    for field in fields:
+        value = getattr(message, field)
+        if value:
+            setattr(message, field, str(origin.parent / value))
--- a/tests/settings/test_programs.py
+++ b/tests/settings/test_programs.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from chestnutvale.groups.settings import GroupsPolicy
 from chestnutvale.settings.client import load_client_settings
 from chestnutvale.settings.control import load_control_settings
 from chestnutvale.settings.entry import load_entry_settings
@@ -33,8 +34,23 @@
     return loader(path)
 
 
+def test_no_entry_holds_a_longer_lease_than_controls_wait_for(tmp_path):
+    waited_s = GroupsPolicy.from_settings(load(tmp_path, "control")).serving_lease_s
+    lease_ms = load(tmp_path, "entry").lease_ms
+    assert lease_ms <= waited_s * 1_000
+    with pytest.raises(SettingsError, match="lease_ms"):
+        load(tmp_path, "entry", lease_ms=lease_ms + 1)
+
+
+def test_paths_start_at_the_folder_of_the_file(tmp_path):
+    control = load(tmp_path, "control", log={"file": "/var/log/x"})
+    assert control.data_folder == str(tmp_path / "data")
+    assert control.operator_token_file == str(tmp_path / "token")
+    assert control.log.file == "/var/log/x"
+
+
 def test_defaults(tmp_path):
-    assert load(tmp_path, "entry").lease_ms == 3_000
+    assert load(tmp_path, "entry").lease_ms == 2_000
     assert load(tmp_path, "entry", http_limits={}).http_limits.max_header_bytes > 0
     control = load(tmp_path, "control", repair={"member_wait_ms": 0})
     assert control.repair.member_wait_ms == 0
@@ -51,13 +67,16 @@
         ("entry", "controls", [PEER, PEER], "controls[1]"),
         ("entry", "http_address", "", "http_address"),
         ("entry", "lease_ms", 999, "lease_ms"),
-        ("entry", "lease_ms", 5_001, "lease_ms"),
+        ("entry", "lease_ms", 2_001, "lease_ms"),
         ("entry", "report_interval_ms", 0, "report_interval_ms"),
         ("entry", "log", {"level": "loud"}, "log.level"),
         ("entry", "log", {"format": "xml"}, "log.format"),
         ("entry", "http_limits", {"max_connections": 0}, "http_limits.max_conn"),
         ("control", "data_folder", "", "data_folder"),
         ("control", "election_timeout_ms", 599, "election_timeout_ms"),
+        ("control", "election_timeout_ms", 2_001, "election_timeout_ms"),
+        ("control", "max_loading_hosts", 0, "max_loading_hosts"),
+        ("control", "voter_lost_ms", 0, "voter_lost_ms"),
         ("control", "weight_store_address", "store:1", "weight_store_address"),
         ("control", "repair", {"group_downtime_weight": -1}, "repair.group_down"),
         ("control", "repair", {"stranded_hosts_weight": "NaN"}, "repair.stranded"),
