--- a/chestnutvale/programs/client/main.py
+++ b/chestnutvale/programs/client/main.py
@@ -1,5 +1,6 @@
 """The operators' client: parse the command line, run a command, map its errors."""
 
+import os
 import sys
 from collections.abc import Sequence
 
@@ -84,7 +85,14 @@
 
 def main() -> None:
     """Run the command of the process's command line and exit."""
-    sys.exit(run(sys.argv[1:]))
+    try:
+        code = run(sys.argv[1:])
+        sys.stdout.flush()
+    except BrokenPipeError:
+        # The reader, for example a pager, has gone; nobody wants the rest.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        code = ExitCode.FAILED
+    sys.exit(code)
 
 
 if __name__ == "__main__":
