Refuse requests whose body's end is not clear

Cause: eventlet takes Content-Length +5, a second Content-Length, any Transfer-Encoding but exactly chunked as no body, and chunk sizes such as -5 or 0x1; behind a balancer the rest of such a body would be read as another caller's request. Change: heads with an unclear length and wrong sizes of chunks are refused with 400 and their connection is closed.

--- a/chestnutvale/http_server/body.py
+++ b/chestnutvale/http_server/body.py
@@ -1,5 +1,6 @@
 """Reading request bodies within limits."""
 
+import re
 from typing import Any
 
 import eventlet
@@ -13,11 +14,14 @@
 )
 from chestnutvale.http_server.exceptions import HttpRequestError
 
+_CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(;[^\r\n]*)?\r?\n")
+
 
 class BoundedLineReader:
-    """A binary reader whose lines are bounded.
+    """A binary reader that checks the lines between the chunks of a body.
 
-    eventlet reads the size line of a chunk without a limit.
+    eventlet reads them without a limit and takes any number that Python does, such
+    as ``-5`` or ``0x1``, which a balancer may read in another way.
 
     Parameters
     ----------
@@ -27,6 +31,7 @@
 
     def __init__(self, reader: Any) -> None:
         self._reader = reader
+        self._has_last_chunk = False
 
     def read(self, size: int = -1) -> bytes:
         """Read up to a number of bytes.
@@ -59,15 +64,25 @@
         Raises
         ------
         HttpRequestError
-            If the line is too long.
+            If the line is too long or no size of a chunk.
         """
         if size >= 0:
             return self._reader.readline(size)
         line = self._reader.readline(MAX_CHUNK_LINE_BYTES)
         if len(line) >= MAX_CHUNK_LINE_BYTES:
             raise HttpRequestError(400, REFUSED_BAD_BODY, "a chunk's line is too long")
+        self._check_size(line)
         return line
 
+    def _check_size(self, line: bytes) -> None:
+        # An empty line ends each chunk, and trailers follow the last one.
+        if self._has_last_chunk or not line.strip():
+            return
+        size = _CHUNK_SIZE.fullmatch(line)
+        if size is None:
+            raise HttpRequestError(400, REFUSED_BAD_BODY, "a chunk's size is wrong")
+        self._has_last_chunk = int(size.group(1), 16) == 0
+
 
 class LimitedInput:
     """The body of one request, with a limit on its size and a deadline.
--- a/chestnutvale/http_server/limits.py
+++ b/chestnutvale/http_server/limits.py
@@ -9,6 +9,7 @@
 from chestnutvale.http_server.const import (
     ENVIRON_CLOSE,
     OUTCOME_NOT_RUN,
+    REFUSED_BAD_BODY,
     REFUSED_BODY,
     REFUSED_HEADERS,
 )
@@ -16,9 +17,28 @@
 from chestnutvale.http_server.problem import Problem
 from chestnutvale.schema.settings_pb2 import HttpLimits
 
+CHUNKED = "chunked"
+
 WsgiApp = Callable[[dict[str, Any], Any], Iterable[bytes]]
 
 
+def _check_framing(environ: dict[str, Any]) -> None:
+    """Refuse a head whose body a balancer might end at another place."""
+    names = [name.lower() for name, _ in environ["headers_raw"]]
+    length = environ.get("CONTENT_LENGTH", "0")
+    encoding = environ.get("HTTP_TRANSFER_ENCODING", CHUNKED)
+    clear = (
+        names.count("content-length") <= 1
+        and length.isascii()
+        and length.isdigit()
+        and encoding.lower() == CHUNKED
+    )
+    if not clear:
+        raise HttpRequestError(
+            400, REFUSED_BAD_BODY, "the length of the body is not clear"
+        )
+
+
 class LimitedApp:
     """A WSGI application behind limits on headers and bodies.
 
@@ -66,6 +86,7 @@
         self.running_requests -= 1
 
     def _check_head(self, environ: dict[str, Any]) -> None:
+        _check_framing(environ)
         headers = environ["headers_raw"]
         size = sum(len(name) + len(value) for name, value in headers)
         if size > self._limits.max_header_bytes:
--- a/tests/http_server/test_server.py
+++ b/tests/http_server/test_server.py
@@ -126,7 +126,18 @@
     assert problem_of(answer)["code"] == "body_too_large"
 
 
-@pytest.mark.parametrize("line", [b"5" * 100_000, b"what\r\n", b"5\r\nab"])
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"5" * 100_000,
+        b"what\r\n",
+        b"5\r\nab",
+        b"-5\r\nabcde\r\n0\r\n\r\n",
+        b"0x5\r\nabcde\r\n0\r\n\r\n",
+        b"+5\r\nabcde\r\n0\r\n\r\n",
+        b"1_0\r\n" + b"a" * 16 + b"\r\n0\r\n\r\n",
+    ],
+)
 def test_malformed_chunks(serve, line):
     server = serve(idle_timeout_ms=300)
     answer = ask(server, "POST / HTTP/1.1\nTransfer-Encoding: chunked", line)
@@ -134,6 +145,30 @@
     assert server.running_requests == 0
 
 
+@pytest.mark.parametrize(
+    "headers",
+    [
+        "Content-Length: 5\nContent-Length: 0",
+        "Content-Length: +5",
+        "Content-Length: 0_5",
+        "Transfer-Encoding: chunked, identity",
+        "Transfer-Encoding: xchunked",
+        "Transfer-Encoding: chunked\nTransfer-Encoding: chunked",
+    ],
+)
+def test_unclear_length_of_a_body_hides_no_second_request(serve, app, headers):
+    hidden = b"GET /hidden HTTP/1.1\r\n\r\n"
+    answer = ask(serve(), f"POST / HTTP/1.1\n{headers}", hidden)
+    assert answer.startswith(b"HTTP/1.1 400 ")
+    assert app.calls == []
+
+
+def test_chunks_with_extensions_and_trailers(serve):
+    body = b"5;a=b\r\nabcde\r\n3\r\nfgh\r\n0\r\nX-Sum: 1\r\n\r\n"
+    head = "POST / HTTP/1.1\nTransfer-Encoding: chunked\nConnection: close"
+    assert b"8 bytes" in ask(serve(), head, body)
+
+
 def test_an_endless_unread_body_closes_the_connection(serve):
     client = connect(serve())
     client.sendall(b"POST /deaf HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n")
