Refuse calls whose service's dependencies are down, and say which

Cause: no entry looked at depends_on; only the status did. The rule which calls may be repeated stood twice. Change: intake.check_dependencies refuses with dependency_down, Retry-After and the names (unknown instead of not_run for a call with a claim, which may have run before); the entry uses TextLookup.is_repeatable. A broken attempt is logged with its request id and group, a plain call's task binds its request id. Without check_dependencies in the handlers tests/programs/entry/test_dependencies.py fails (there is nothing else that gives the code).

--- a/chestnutvale/configuration/lookup.py
+++ b/chestnutvale/configuration/lookup.py
@@ -4,7 +4,7 @@
 import hmac
 import posixpath
 import urllib.parse
-from collections.abc import Collection
+from collections.abc import Container
 from typing import Self
 
 import attrs
@@ -171,7 +171,7 @@
         return all(_fits_repeatable(known, method.upper(), item) for item in paths)
 
     def missing_dependencies(
-        self, service: str, serving: Collection[str]
+        self, service: str, serving: Container[str]
     ) -> tuple[str, ...]:
         """Return the services that a service needs and that do not serve.
 
@@ -179,7 +179,7 @@
         ----------
         service : str
             Name of the service.
-        serving : collection of str
+        serving : container of str
             Services with at least one serving group.
 
         Returns
--- a/chestnutvale/programs/entry/context.py
+++ b/chestnutvale/programs/entry/context.py
@@ -8,6 +8,7 @@
 from chestnutvale.attempts.retry_budget import AttemptBudgets
 from chestnutvale.attempts.suspicion import SuspicionTracker
 from chestnutvale.clock import Clock
+from chestnutvale.configuration.lookup import TextLookup
 from chestnutvale.programs.entry.running_attempts import RunningAttempts
 from chestnutvale.schema.command_pb2 import Command, CommandResult
 from chestnutvale.schema.configuration_pb2 import Text
@@ -215,6 +216,10 @@
     def text(self) -> Text:
         """The text in force."""
 
+    @property
+    def lookup(self) -> TextLookup:
+        """Views of the text in force."""
+
     def authenticate(self, environ: dict[str, Any]) -> str | None:
         """Find the workspace that a request's key belongs to.
 
--- a/chestnutvale/programs/entry/intake.py
+++ b/chestnutvale/programs/entry/intake.py
@@ -258,6 +258,45 @@
         )
 
 
+class _ServingServices:
+    """The services with at least one serving group, looked up only if asked for."""
+
+    def __init__(self, context: CallContext) -> None:
+        self._context = context
+
+    def __contains__(self, name: object) -> bool:
+        return bool(self._context.serving_groups(str(name), ""))
+
+
+def check_dependencies(
+    context: CallContext, name: str, outcome: str = OUTCOME_NOT_RUN
+) -> None:
+    """Check that everything serves that a service depends on.
+
+    Parameters
+    ----------
+    context : CallContext
+        The entry.
+    name : str
+        Name of the service.
+    outcome : str, optional
+        Outcome to tell if something does not.
+
+    Raises
+    ------
+    CallRefusedError
+        If a dependency does not serve; names all of them.
+    """
+    missing = context.lookup.missing_dependencies(name, _ServingServices(context))
+    if missing:
+        raise refuse(
+            "dependency_down",
+            f"{name!r} needs {', '.join(missing)}, which does not serve",
+            outcome=outcome,
+            retry_after_s=DEFAULT_RETRY_AFTER_S,
+        )
+
+
 def _read_deadline_ms(environ: dict[str, Any]) -> int | None:
     text = environ.get("HTTP_X_DEADLINE_MS", "").strip()
     if not text:
--- a/chestnutvale/programs/entry/model_calls.py
+++ b/chestnutvale/programs/entry/model_calls.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable, Iterable, Iterator
 from typing import Any
 
+import logbook
+
 from chestnutvale.attempts.const import DEFAULT_RETRY_AFTER_S, OUTCOME_NOT_RUN
 from chestnutvale.attempts.events import (
     AttemptBroken,
@@ -27,6 +29,7 @@
 )
 from chestnutvale.attempts.model_call import ModelCall
 from chestnutvale.attempts.suspicion import Banned, Clear
+from chestnutvale.observability.log_context import bind_log_context
 from chestnutvale.programs.entry.caller_watch import CallerWatch
 from chestnutvale.programs.entry.context import (
     AttemptReport,
@@ -39,6 +42,7 @@
 from chestnutvale.programs.entry.intake import (
     DEFAULT_MAX_BODY_BYTES,
     CallRefusedError,
+    check_dependencies,
     check_lease,
     find_service,
     read_body,
@@ -55,6 +59,8 @@
 from chestnutvale.programs.entry.problems import make_problem
 from chestnutvale.schema.peer_pb2 import GroupView
 
+_LOGGER = logbook.Logger(__name__)
+
 StartResponse = Callable[..., Any]
 KIND_MODEL = "model"
 RESULT_WHOLE = "whole"
@@ -143,6 +149,7 @@
         except BadCallError as error:
             raise refuse_bad_call(error) from error
         service = find_service(self._context, intake, generation.service, KIND_MODEL)
+        check_dependencies(self._context, generation.service)
         request = CallRequest(
             request_id=request_id,
             workspace=intake.workspace,
@@ -341,6 +348,9 @@
         attempt = self._attempt
         if attempt is None:
             return
+        group_id = attempt.view.group.group_id
+        with bind_log_context(request_id=self.request.request_id, group_id=group_id):
+            _LOGGER.warning("Attempt {} broke: {}", attempt.attempt_id, reason)
         if has_crashed(attempt.view.group):
             self._context.suspicions.group_crashed(
                 attempt.attempt_id, self._context.clock.unix_ms()
--- a/chestnutvale/programs/entry/service_calls.py
+++ b/chestnutvale/programs/entry/service_calls.py
@@ -14,12 +14,14 @@
 )
 from chestnutvale.attempts.events import Failure
 from chestnutvale.attempts.service_events import Reply
+from chestnutvale.observability.log_context import bind_log_context
 from chestnutvale.programs.entry.caller_watch import CallerWatch
 from chestnutvale.programs.entry.context import CallContext, CallRequest
 from chestnutvale.programs.entry.intake import (
     DEFAULT_MAX_BODY_BYTES,
     CallRefusedError,
     Intake,
+    check_dependencies,
     check_lease,
     find_service,
     read_body,
@@ -32,7 +34,6 @@
     ServiceRequest,
     digest_of,
     forwarded_headers,
-    is_repeatable,
     read_service_request,
 )
 from chestnutvale.programs.entry.service_run import ServiceRun
@@ -98,11 +99,14 @@
         intake = read_intake(context, environ, request_id)
         request = read_service_request(environ)
         service = find_service(context, intake, request.service, KIND_PLAIN)
-        repeatable = is_repeatable(service, request)
+        repeatable = context.lookup.is_repeatable(
+            request.service, request.method, request.path
+        )
         # Until the ledger was asked, an earlier call with the key may have run.
         has_claim = bool(request.key) and not repeatable
         outcome = OUTCOME_UNKNOWN if has_claim else OUTCOME_NOT_RUN
         check_lease(context, outcome)
+        check_dependencies(context, request.service, outcome)
         limits = service.limits
         body = read_body(environ, limits.max_body_bytes or DEFAULT_MAX_BODY_BYTES)
         call_request = CallRequest(
@@ -154,14 +158,15 @@
                 retry_after_s,
             )
         watch.call_when_gone(run.caller_gone)
-        task = eventlet.spawn(self._run, run, ticket)
+        task = eventlet.spawn(self._run, run, ticket, request.request_id)
         self._runs.add(task)
         task.link(lambda done: self._runs.discard(done))
         return run.wait_for_answer()
 
-    def _run(self, run: ServiceRun, ticket: Any) -> None:
+    def _run(self, run: ServiceRun, ticket: Any, request_id: str) -> None:
         try:
-            run.run()
+            with bind_log_context(request_id=request_id):
+                run.run()
         finally:
             ticket.release(0)
 
--- a/chestnutvale/programs/entry/service_request.py
+++ b/chestnutvale/programs/entry/service_request.py
@@ -8,13 +8,10 @@
 
 from chestnutvale.ledger.const import MAX_KEY_BYTES
 from chestnutvale.programs.entry.intake import refuse
-from chestnutvale.schema.configuration_pb2 import Service
 from chestnutvale.schema.ledger_pb2 import RecordedAnswer
 
 SERVICES_PREFIX = "/services/"
 # Methods that may be repeated where no rule says otherwise (RFC 9110, 9.2.1).
-SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
-ANY_METHOD = "*"
 
 # Headers that belong to one connection, or that the entry sets itself.
 _DROPPED_HEADERS = frozenset(
@@ -98,28 +95,6 @@
     return ServiceRequest(service, environ["REQUEST_METHOD"], path, target, key)
 
 
-def is_repeatable(service: Service, request: ServiceRequest) -> bool:
-    """Tell whether a call may run more than once; the first rule that fits decides.
-
-    Parameters
-    ----------
-    service : Service
-        The service with its rules.
-    request : ServiceRequest
-        The call.
-
-    Returns
-    -------
-    bool
-        Whether the call may be repeated.
-    """
-    for rule in service.calls:
-        is_method = rule.method in ("", ANY_METHOD, request.method)
-        if is_method and request.path.startswith(rule.path_prefix):
-            return rule.repeatable
-    return request.method in SAFE_METHODS
-
-
 def digest_of(request: ServiceRequest, body: bytes) -> str:
     """Return the digest that tells whether two calls with a key are the same.
 
--- a/tests/programs/entry/entry_fakes.py
+++ b/tests/programs/entry/entry_fakes.py
@@ -12,6 +12,7 @@
 from chestnutvale.attempts.retry_budget import AttemptBudgets
 from chestnutvale.attempts.suspicion import SuspicionTracker
 from chestnutvale.clock import SystemClock
+from chestnutvale.configuration.lookup import TextLookup
 from chestnutvale.ledger.state import LedgerState
 from chestnutvale.programs.entry.context import AcceptAll
 from chestnutvale.programs.entry.running_attempts import RunningAttempts
@@ -65,6 +66,10 @@
         self.text.workspaces["ws-1"].weight = 1
         self.text.workspaces["ws-2"].weight = 1
 
+    @property
+    def lookup(self):
+        return TextLookup.from_text(self.text)
+
     def add_group(self, group_id, service, address, boot_id="boot"):
         group = Group(group_id=group_id, service=service, epoch=1, version="v1")
         group.fabric_domain = f"fabric-{group_id}"
--- /dev/null
+++ b/tests/programs/entry/test_dependencies.py
@@ -0,0 +1,50 @@
+"""Calls of services whose dependencies do not serve."""
+
+import pytest
+
+from chestnutvale.programs.entry.intake import CallRefusedError, check_dependencies
+from chestnutvale.programs.entry.model_calls import ModelCallHandler
+from chestnutvale.programs.entry.service_calls import ServiceCallHandler
+from tests.programs.entry.entry_fakes import FakeContext, post, serve
+
+CHAT = {"model": "llm", "messages": [{"role": "user", "content": "hello"}]}
+
+
+@pytest.fixture
+def context():
+    """Return an entry at which llm needs ledger-app, and that needs store."""
+    made = FakeContext()
+    made.text.services["store"].kind = "plain"
+    made.text.services["ledger-app"].depends_on.append("store")
+    made.text.services["llm"].depends_on.append("ledger-app")
+    made.add_group("s1", "ledger-app", "127.0.0.1:1")
+    return made
+
+
+def test_a_model_call_names_what_is_down(context):
+    with serve(ModelCallHandler(context, "chat")) as address:
+        status, headers, body = post(address, "/", CHAT)
+    assert status == 503
+    assert b"dependency_down" in body and b"needs store" in body
+    assert b'"not_run"' in body
+    assert "retry-after" in headers
+
+
+@pytest.mark.parametrize(
+    ("key", "outcome"), [({}, b'"not_run"'), ({"Idempotency_Key": "k"}, b'"unknown"')]
+)
+def test_a_plain_call_with_a_key_may_have_run_before(context, key, outcome):
+    with serve(ServiceCallHandler(context, None)) as address:
+        status, _, body = post(address, "/services/ledger-app/postings", {}, **key)
+    assert status == 503
+    assert b"dependency_down" in body and outcome in body
+    assert context.reports == []
+
+
+def test_calls_go_on_once_everything_serves(context):
+    context.add_group("s2", "store", "127.0.0.1:2")
+    check_dependencies(context, "llm")
+    context.groups.clear()
+    with pytest.raises(CallRefusedError) as caught:
+        check_dependencies(context, "llm")
+    assert "store, ledger-app" in caught.value.failure.message
