--- /dev/null
+++ b/benchmarks/configuration_in_force.py
@@ -0,0 +1,223 @@
+"""Measure the time from an operator's apply until every entry holds the text.
+
+Starts real controls and entries on loopback. The times at which a text comes into
+force are read from the entries' logs, on the same wall clock as the applies. Changes
+are made in quiet, at ten times the changes of the target (3,800 a day), and with the
+leading control killed just before each change.
+"""
+
+import json
+import statistics
+import time
+from collections.abc import Callable
+from datetime import UTC, datetime
+from pathlib import Path
+
+import attrs
+import defopt
+from tabulate import tabulate
+
+from chestnutvale.emulator.deployment import Deployment, DeploymentOptions
+from chestnutvale.emulator.processes import wait_until
+from chestnutvale.programs.client.controls import ControlsClient
+from chestnutvale.programs.control.operator_const import PATH_TEXT
+from chestnutvale.settings.client import load_client_settings
+from chestnutvale.settings.token import load_operator_token
+
+TARGET_CHANGES_A_DAY = 3_800
+DAY_S = 86_400.0
+BOUND_S = 5.0
+IN_FORCE_TIMEOUT_S = 30.0
+QUIET_PAUSE_S = 3.0
+FAST_PAUSE_S = DAY_S / (10 * TARGET_CHANGES_A_DAY)
+RECOVERY_PAUSE_S = 4.0
+
+
+@attrs.define
+class Times:
+    """Times of one scenario in seconds.
+
+    Attributes
+    ----------
+    answered : list of float
+        From sending an apply to its answer.
+    from_sending, from_answer : list of float
+        From sending, and from the answer, until an entry held the text; one value a
+        change and entry.
+    """
+
+    answered: list[float] = attrs.field(factory=list)
+    from_sending: list[float] = attrs.field(factory=list)
+    from_answer: list[float] = attrs.field(factory=list)
+
+
+class Bench:
+    """Applies texts to a running deployment.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        The deployment.
+    """
+
+    def __init__(self, deployment: Deployment) -> None:
+        self._deployment = deployment
+        self._number = 0
+        settings = load_client_settings(deployment.folder / "client.json")
+        settings.timeout_ms = round(IN_FORCE_TIMEOUT_S * 1_000)
+        token = load_operator_token(Path(settings.operator_token_file))
+        self._client = ControlsClient(settings, token, operator="bench")
+
+    def run(
+        self,
+        changes: int,
+        pause_s: float,
+        before: Callable[[], None] | None = None,
+    ) -> Times:
+        """Make changes and measure each one.
+
+        Parameters
+        ----------
+        changes : int
+            Count of changes.
+        pause_s : float
+            Time in seconds between two changes.
+        before : callable, optional
+            Called just before each change.
+
+        Returns
+        -------
+        Times
+            The times.
+        """
+        times = Times()
+        for _ in range(changes):
+            started_s = time.monotonic()
+            if before is not None:
+                before()
+            self._change(times)
+            time.sleep(max(0.0, started_s + pause_s - time.monotonic()))
+        return times
+
+    def kill_leader(self) -> None:
+        """Kill the leading control."""
+        for name in self._deployment.controls:
+            if self._is_leader(name):
+                self._deployment.controls[name].kill()
+                return
+        raise RuntimeError("no control leads")
+
+    def restart_controls(self) -> None:
+        """Start the controls again that were killed."""
+        for name, process in self._deployment.controls.items():
+            if not process.is_running:
+                self._deployment.restart(name)
+        time.sleep(RECOVERY_PAUSE_S)
+
+    def _is_leader(self, name: str) -> bool:
+        state = self._deployment.get(name, "/debug/state")
+        return state["consensus"]["role"] == "leader"
+
+    def _change(self, times: Times) -> None:
+        self._number += 1
+        text = {"number": self._number, "workspaces": {f"w-{self._number}": {}}}
+        sent_s = time.time()
+        body = json.dumps(text).encode()
+        self._client.call("POST", PATH_TEXT, body, changes=True)
+        answered_s = time.time()
+        times.answered.append(answered_s - sent_s)
+        wait_until(self._is_everywhere, IN_FORCE_TIMEOUT_S, "in force everywhere")
+        for name in self._deployment.entries:
+            in_force_s = self._read_in_force(name)
+            times.from_sending.append(in_force_s - sent_s)
+            times.from_answer.append(max(0.0, in_force_s - answered_s))
+
+    def _is_everywhere(self) -> bool:
+        return all(self._read_in_force(name) for name in self._deployment.entries)
+
+    def _read_in_force(self, name: str) -> float:
+        """Return the wall time at which an entry took the newest text, or 0."""
+        wanted = f"Text {self._number} is in force"
+        for line in self._deployment.entries[name].log_path.read_text().splitlines():
+            record = json.loads(line) if line.startswith("{") else {}
+            if record.get("message") == wanted:
+                moment = datetime.fromisoformat(record["time"].removesuffix("Z"))
+                return moment.replace(tzinfo=UTC).timestamp()
+        return 0.0
+
+
+def summarize(name: str, values: list[float]) -> list[object]:
+    """Return one row of the report.
+
+    Parameters
+    ----------
+    name : str
+        What was measured.
+    values : list of float
+        Times in seconds.
+
+    Returns
+    -------
+    list
+        Name, count, and p50, p99 and worst in milliseconds.
+    """
+    ranked = sorted(values)
+    p99 = ranked[min(len(ranked) - 1, int(0.99 * len(ranked)))]
+    shown = (statistics.median(ranked), p99, ranked[-1])
+    return [name, len(ranked), *(round(value * 1_000, 1) for value in shown)]
+
+
+def main(
+    *,
+    folder: Path = Path("build/in-force"),
+    entries: int = 12,
+    quiet_changes: int = 8,
+    fast_changes: int = 25,
+    kills: int = 5,
+) -> None:
+    """Run all scenarios and print their times.
+
+    Parameters
+    ----------
+    folder : Path
+        Folder for settings, data and logs.
+    entries : int
+        Count of entries.
+    quiet_changes, fast_changes, kills : int
+        Count of changes of each scenario.
+    """
+    log = {"log": {"format": "json", "level": "info"}}
+    options = DeploymentOptions(
+        folder.absolute(),
+        entries=entries,
+        fabric_domains={},
+        services=0,
+        entry_settings=log,
+    )
+    results: dict[str, Times] = {}
+    with Deployment(options) as deployment:
+        bench = Bench(deployment)
+        time.sleep(RECOVERY_PAUSE_S)
+        results["quiet"] = bench.run(quiet_changes, QUIET_PAUSE_S)
+        results["ten times the changes"] = bench.run(fast_changes, FAST_PAUSE_S)
+        killed = Times()
+        for _ in range(kills):
+            one = bench.run(1, 0.0, bench.kill_leader)
+            killed.answered += one.answered
+            killed.from_sending += one.from_sending
+            killed.from_answer += one.from_answer
+            bench.restart_controls()
+        results["leader killed"] = killed
+    rows = []
+    for name, times in results.items():
+        rows.append(summarize(f"{name}: sent to answered", times.answered))
+        rows.append(summarize(f"{name}: sent to in force", times.from_sending))
+        rows.append(summarize(f"{name}: answered to in force", times.from_answer))
+    headers = ("times in ms", "count", "p50", "p99", "worst")
+    print(tabulate(rows, headers=headers))
+    worst_s = max(max(times.from_sending) for times in results.values())
+    print(f"worst {worst_s:.2f} s against a bound of {BOUND_S} s")
+
+
+if __name__ == "__main__":
+    defopt.run(main)
