--- /dev/null
+++ b/chestnutvale/consensus/joining.py
@@ -0,0 +1,141 @@
+"""How a control finds its place: join requests, first start, replacements."""
+
+from collections.abc import Iterator
+
+from chestnutvale.consensus.bootstrap import Bootstrap
+from chestnutvale.consensus.const import DEFAULT_VOTER_LOST_S
+from chestnutvale.consensus.events import MembersChange
+from chestnutvale.consensus.members import control_of
+from chestnutvale.consensus.raft import Raft
+from chestnutvale.consensus.replacement import (
+    Joiner,
+    MemberContact,
+    ReplacementPolicy,
+)
+from chestnutvale.schema.raft_pb2 import JoinRequest, Members, RaftMessage
+from chestnutvale.schema.settings_pb2 import ControlSettings
+
+MS_PER_S = 1000
+
+
+class Joining:
+    """Knows the controls around this one; holds no socket.
+
+    Parameters
+    ----------
+    settings : ControlSettings
+        Names this control and the first voters.
+    own_id : str
+        Identity of this member.
+    """
+
+    def __init__(self, settings: ControlSettings, own_id: str) -> None:
+        self._settings = settings
+        self._own_id = own_id
+        self._initial_controls = [peer.id for peer in settings.controls]
+        self._joiners: dict[str, Joiner] = {}
+        self._greeted: set[tuple[str, bool]] = set()
+        self._bootstrap = Bootstrap(
+            own_id, settings.peer_address, self._initial_controls, settings.spare
+        )
+        voter_lost_s = settings.voter_lost_ms / MS_PER_S or DEFAULT_VOTER_LOST_S
+        self._replacement = ReplacementPolicy(voter_lost_s=voter_lost_s)
+
+    def note(self, message: RaftMessage, now_s: float) -> bool:
+        """Note a join request.
+
+        Parameters
+        ----------
+        message : RaftMessage
+            The message that holds the request.
+        now_s : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        bool
+            Whether the sender is new, so that it should be answered at once.
+        """
+        address = message.join_request.address
+        # A later identity of a control goes behind its earlier ones.
+        self._joiners.pop(message.from_id, None)
+        self._joiners[message.from_id] = Joiner(message.from_id, address, now_s)
+        self._bootstrap.note(message, now_s)
+        greeting = (message.from_id, message.to_id == self._own_id)
+        is_new = greeting not in self._greeted
+        self._greeted.add(greeting)
+        return is_new
+
+    def find_joiner(self, control_id: str) -> Joiner | None:
+        """Return the newest identity under which a control asked to join."""
+        found = [
+            joiner
+            for joiner in self._joiners.values()
+            if control_of(joiner.member_id) == control_id
+        ]
+        return found[-1] if found else None
+
+    def find_address(self, member_id: str, members: Members) -> str:
+        """Return a member's peer inbox; empty if unknown."""
+        address = members.addresses.get(member_id, "")
+        if address:
+            return address
+        if member_id in self._joiners:
+            return self._joiners[member_id].address
+        control_id = control_of(member_id)
+        peers = self._settings.controls
+        return next((peer.address for peer in peers if peer.id == control_id), "")
+
+    def make_requests(self, raft: Raft) -> Iterator[tuple[str, RaftMessage]]:
+        """Yield an address and a join request for each other control.
+
+        Parameters
+        ----------
+        raft : Raft
+            This member.
+
+        Yields
+        ------
+        tuple of (str, RaftMessage)
+            Address of the peer inbox, and the message.
+        """
+        request = JoinRequest(
+            address=self._settings.peer_address,
+            spare=self._settings.spare,
+            empty=raft.is_empty,
+            initial_controls=self._initial_controls,
+        )
+        addresses = {peer.id: peer.address for peer in self._settings.controls}
+        for member_id, address in raft.log.members.addresses.items():
+            addresses[control_of(member_id)] = address
+        addresses.pop(self._settings.control_id, None)
+        for control_id, address in addresses.items():
+            joiner = self.find_joiner(control_id)
+            to_id = joiner.member_id if joiner else control_id
+            yield (
+                address,
+                RaftMessage(from_id=self._own_id, to_id=to_id, join_request=request),
+            )
+
+    def decide_first_members(self, now_s: float) -> Members | None:
+        """Return the members of a new cluster, or None if none may begin."""
+        return self._bootstrap.decide(now_s)
+
+    def decide_change(self, raft: Raft, now_s: float) -> MembersChange | None:
+        """Return the change of members that this leader should make next."""
+        members = raft.log.members
+        if raft.log.members_index > raft.commit_index:
+            return None
+        contacts = {
+            member: MemberContact(raft.silent_since_s(member), raft.match_index(member))
+            for member in [*members.voters, *members.learners]
+            if member != self._own_id
+        }
+        return self._replacement.decide(
+            self._own_id,
+            members,
+            contacts,
+            list(self._joiners.values()),
+            raft.log.last_index,
+            now_s,
+        )
--- a/chestnutvale/consensus/task.py
+++ b/chestnutvale/consensus/task.py
@@ -5,20 +5,16 @@
 from types import TracebackType
 from typing import Any, Self
 
-import attrs
 import eventlet
 import logbook
 from eventlet import queue
-from eventlet.event import Event as Signal
 
 from chestnutvale.clock import Clock
-from chestnutvale.consensus.bootstrap import Bootstrap
 from chestnutvale.consensus.config import RaftConfig
 from chestnutvale.consensus.const import (
     BODY_RAFT,
     DEFAULT_ELECTION_TIMEOUT_S,
     DEFAULT_HEARTBEAT_INTERVAL_S,
-    DEFAULT_VOTER_LOST_S,
     JOIN_INTERVAL_S,
     REPLACEMENT_INTERVAL_S,
     STEP_MEMBERS,
@@ -53,16 +49,12 @@
     ConsensusFailedError,
     MembersChangeError,
     NotLeaderError,
-    OutcomeUnknownError,
 )
+from chestnutvale.consensus.joining import Joining
 from chestnutvale.consensus.machine import StateMachine
 from chestnutvale.consensus.members import control_of
 from chestnutvale.consensus.raft import Raft
-from chestnutvale.consensus.replacement import (
-    Joiner,
-    MemberContact,
-    ReplacementPolicy,
-)
+from chestnutvale.consensus.waiters import Waiters
 from chestnutvale.consensus.writer import SaveSnapshot, Writer
 from chestnutvale.exceptions import ChestnutError
 from chestnutvale.schema.command_pb2 import Command, CommandResult
@@ -71,7 +63,6 @@
     ENTRY_KIND_COMMAND,
     ENTRY_KIND_MEMBERS,
     HardState,
-    JoinRequest,
     LogEntry,
     Members,
     RaftMessage,
@@ -87,37 +78,12 @@
 # Events handled before other tasks get a turn.
 EVENT_BATCH = 256
 MS_PER_S = 1000
+# Request number of what no caller waits for.
+NO_REQUEST = 0
 
 LeadershipCallback = Callable[[bool, str, int], None]
 
 
-@attrs.define(eq=False)
-class _Waiter:
-    """A caller that waits for a request.
-
-    Parameters
-    ----------
-    signal : Signal
-        Wakes the caller with its result or error.
-    index, term : int
-        Where the request was appended; 0 before that.
-    """
-
-    signal: Signal = attrs.field(factory=Signal)
-    index: int = 0
-    term: int = 0
-
-    def finish(self, result: object) -> None:
-        """Wake the caller with a result."""
-        if not self.signal.ready():
-            self.signal.send(result)
-
-    def fail(self, error: Exception) -> None:
-        """Wake the caller with an error."""
-        if not self.signal.ready():
-            self.signal.send_exception(error)
-
-
 def make_config(settings: ControlSettings) -> RaftConfig:
     """Return times from the settings; zero means the default.
 
@@ -188,20 +154,9 @@
         self._applied_index = storage.state.snapshot.index
         self._events: queue.LightQueue = queue.LightQueue()
         self._writer = Writer(storage, self._events.put, self._fail)
-        self._waiters: dict[int, _Waiter] = {}
-        self._waiters_by_index: dict[int, list[_Waiter]] = {}
-        self._next_request_id = 0
+        self._waiters = Waiters()
         self._callbacks: list[LeadershipCallback] = []
-        self._joiners: dict[str, Joiner] = {}
-        self._greeted: set[tuple[str, bool]] = set()
-        self._bootstrap = Bootstrap(
-            self._own_id,
-            settings.peer_address,
-            [peer.id for peer in settings.controls],
-            settings.spare,
-        )
-        voter_lost_s = settings.voter_lost_ms / MS_PER_S or DEFAULT_VOTER_LOST_S
-        self._replacement = ReplacementPolicy(voter_lost_s=voter_lost_s)
+        self._joining = Joining(settings, self._own_id)
         self._join_due_s = 0.0
         self._replacement_due_s = 0.0
         self._task: eventlet.greenthread.GreenThread | None = None
@@ -233,9 +188,7 @@
         if self._task is not None:
             self._task.kill()
         self._writer.stop()
-        for waiter in list(self._waiters.values()):
-            waiter.fail(OutcomeUnknownError("the control stops", step=STEP_PROPOSE))
-        self._waiters.clear()
+        self._waiters.fail_all("the control stops")
 
     def transfer_leadership(self) -> bool:
         """Hand leadership to another voter, as before a graceful shutdown.
@@ -407,18 +360,13 @@
         NotLeaderError, OutcomeUnknownError
             As for `propose`.
         """
-        joiners = [
-            joiner
-            for joiner in self._joiners.values()
-            if control_of(joiner.member_id) == control_id
-        ]
-        if not joiners:
+        joiner = self._joining.find_joiner(control_id)
+        if joiner is None:
             raise MembersChangeError(
                 "the control has not asked to join; start it first",
                 step=STEP_MEMBERS,
                 peer=control_id,
             )
-        joiner = max(joiners, key=lambda joiner: joiner.heard_s)
         self._change(
             ChangeKind.ADD_LEARNER, joiner.member_id, joiner.address, deadline_s
         )
@@ -455,32 +403,17 @@
     ) -> Any:
         if not self.is_leader:
             raise NotLeaderError(self.leader_id, step=step)
-        self._next_request_id += 1
-        request_id = self._next_request_id
-        waiter = _Waiter()
-        self._waiters[request_id] = waiter
-        self._events.put(make_event(request_id))
-        remaining_s = max(0.0, deadline_s - self._clock.now_s())
+        waiter = self._waiters.add()
+        self._events.put(make_event(waiter.request_id))
         try:
-            with eventlet.Timeout(remaining_s, False):
-                return waiter.signal.wait()
-            raise OutcomeUnknownError("no quorum answered in time", step=step)
+            return waiter.wait(max(0.0, deadline_s - self._clock.now_s()), step)
         finally:
-            self._forget(request_id, waiter)
-
-    def _forget(self, request_id: int, waiter: _Waiter) -> None:
-        self._waiters.pop(request_id, None)
-        waiters = self._waiters_by_index.get(waiter.index)
-        if waiters and waiter in waiters:
-            waiters.remove(waiter)
-        if not waiters:
-            self._waiters_by_index.pop(waiter.index, None)
+            self._waiters.forget(waiter)
 
     def _fail(self, error: ChestnutError) -> None:
         """Stop voting; nobody knows what the disk or this task holds."""
         self.failure = error
-        for waiter in list(self._waiters.values()):
-            waiter.fail(OutcomeUnknownError(str(error), step=STEP_PROPOSE))
+        self._waiters.fail_all(str(error))
         for callback in self._callbacks:
             callback(False, "", self.term)
         if self._task is not None:
@@ -550,11 +483,11 @@
                 case Apply(entries):
                     self._apply(entries)
                 case Accepted():
-                    self._note_accepted(effect)
+                    self._waiters.note_accepted(effect)
                 case Refused():
-                    self._note_refused(effect)
+                    self._waiters.refuse(effect)
                 case ReadReady(request_id, _):
-                    self._finish_request(request_id, self._applied_index)
+                    self._waiters.finish(request_id, self._applied_index)
                 case SendSnapshotChunk():
                     self._send_chunk(effect)
                 case TakeSnapshot(metadata):
@@ -569,10 +502,7 @@
             return
         self._machine.restore(effect.data)
         self._applied_index = effect.metadata.index
-        for index in [i for i in self._waiters_by_index if i <= self._applied_index]:
-            for waiter in self._waiters_by_index.pop(index):
-                error = OutcomeUnknownError("followed by snapshot", step=STEP_PROPOSE)
-                waiter.fail(error)
+        self._waiters.fail_up_to(self._applied_index)
 
     def _apply(self, entries: Sequence[LogEntry]) -> None:
         for entry in entries:
@@ -581,34 +511,7 @@
                 command = Command.FromString(entry.data)
                 result = self._machine.apply(entry.index, command)
             self._applied_index = entry.index
-            for waiter in self._waiters_by_index.pop(entry.index, ()):
-                if waiter.term == entry.term:
-                    waiter.finish(result)
-                else:
-                    # Another entry took the place, so this one never commits.
-                    waiter.fail(NotLeaderError(self.leader_id, step=STEP_PROPOSE))
-
-    def _note_accepted(self, effect: Accepted) -> None:
-        waiter = self._waiters.get(effect.request_id)
-        if waiter is None:
-            return
-        waiter.index = effect.index
-        waiter.term = effect.term
-        self._waiters_by_index.setdefault(effect.index, []).append(waiter)
-
-    def _note_refused(self, effect: Refused) -> None:
-        waiter = self._waiters.get(effect.request_id)
-        if waiter is None:
-            return
-        if effect.reason:
-            waiter.fail(MembersChangeError(effect.reason, step=STEP_MEMBERS))
-        else:
-            waiter.fail(NotLeaderError(control_of(effect.leader_id)))
-
-    def _finish_request(self, request_id: int, result: object) -> None:
-        waiter = self._waiters.get(request_id)
-        if waiter is not None:
-            waiter.finish(result)
+            self._waiters.finish_entry(entry, result, self.leader_id)
 
     def _report_leadership(self, effect: LeadershipChanged) -> None:
         _LOGGER.info(
@@ -624,22 +527,12 @@
     # Messages.
 
     def _send(self, message: RaftMessage) -> None:
-        address = self._find_address(message.to_id)
+        members = self._raft.log.members
+        address = self._joining.find_address(message.to_id, members)
         if address:
             control_id = control_of(message.to_id)
             self._transport.send(control_id, address, BODY_RAFT, message)
 
-    def _find_address(self, member_id: str) -> str:
-        address = self._raft.log.members.addresses.get(member_id, "")
-        if address:
-            return address
-        if member_id in self._joiners:
-            return self._joiners[member_id].address
-        control_id = control_of(member_id)
-        return next(
-            (p.address for p in self._settings.controls if p.id == control_id), ""
-        )
-
     def _send_chunk(self, effect: SendSnapshotChunk) -> None:
         request = effect.message.snapshot_request
         index = request.metadata.index
@@ -669,42 +562,19 @@
             self._consider_bootstrap(now_s)
 
     def _ask_to_join(self) -> None:
-        request = JoinRequest(
-            address=self._settings.peer_address,
-            spare=self._settings.spare,
-            empty=self._raft.is_empty,
-            initial_controls=[peer.id for peer in self._settings.controls],
-        )
-        addresses = {peer.id: peer.address for peer in self._settings.controls}
-        for member_id, address in self._raft.log.members.addresses.items():
-            addresses[control_of(member_id)] = address
-        newest = {control_of(member_id): member_id for member_id in self._joiners}
-        for control_id, address in addresses.items():
-            if control_id == self._settings.control_id:
-                continue
-            message = RaftMessage(
-                from_id=self._own_id,
-                to_id=newest.get(control_id, ""),
-                join_request=request,
-            )
+        for address, message in self._joining.make_requests(self._raft):
+            control_id = control_of(message.to_id)
             self._transport.send(control_id, address, BODY_RAFT, message)
 
     def _note_join(self, message: RaftMessage) -> None:
         now_s = self._clock.now_s()
-        address = message.join_request.address
-        # A later identity of a control goes behind its earlier ones.
-        self._joiners.pop(message.from_id, None)
-        self._joiners[message.from_id] = Joiner(message.from_id, address, now_s)
-        self._bootstrap.note(message, now_s)
-        greeting = (message.from_id, message.to_id == self._own_id)
-        if greeting not in self._greeted and not self._raft.leader_id:
-            # Answer a newcomer at once, but only once.
-            self._greeted.add(greeting)
+        is_new = self._joining.note(message, now_s)
+        if is_new and not self._raft.leader_id:
             self._join_due_s = now_s
             self._events.put(Tick())
 
     def _consider_bootstrap(self, now_s: float) -> None:
-        members = self._bootstrap.decide(now_s)
+        members = self._joining.decide_first_members(now_s)
         if members is None:
             return
         _LOGGER.info("Beginning a new cluster with {}", list(members.voters))
@@ -720,24 +590,8 @@
         self._raft = self._make_raft(StoredState(hard_state, entries=[entry]))
 
     def _consider_members(self, now_s: float) -> None:
-        raft = self._raft
-        members = raft.log.members
-        if raft.log.members_index > raft.commit_index:
-            return
-        contacts = {
-            member: MemberContact(raft.silent_since_s(member), raft.match_index(member))
-            for member in [*members.voters, *members.learners]
-            if member != self._own_id
-        }
-        change = self._replacement.decide(
-            self._own_id,
-            members,
-            contacts,
-            list(self._joiners.values()),
-            raft.log.last_index,
-            now_s,
-        )
+        change = self._joining.decide_change(self._raft, now_s)
         if change is None:
             return
         _LOGGER.info("Changing members: {} {}", change.kind.value, change.member_id)
-        self._act(raft.handle(ProposeMembers(0, change), now_s))
+        self._act(self._raft.handle(ProposeMembers(NO_REQUEST, change), now_s))
