Split the consensus task into its interface and its loop

Change: loop.py owns the Raft object and its effects, task.py is what others call. No change of behaviour.

--- a/chestnutvale/consensus/config.py
+++ b/chestnutvale/consensus/config.py
@@ -8,6 +8,9 @@
     DEFAULT_SNAPSHOT_BYTES,
     DEFAULT_SNAPSHOT_ENTRIES,
 )
+from chestnutvale.schema.settings_pb2 import ControlSettings
+
+MS_PER_S = 1000
 
 
 @attrs.frozen
@@ -28,3 +31,24 @@
     heartbeat_interval_s: float = DEFAULT_HEARTBEAT_INTERVAL_S
     snapshot_entries: int = DEFAULT_SNAPSHOT_ENTRIES
     snapshot_bytes: int = DEFAULT_SNAPSHOT_BYTES
+
+
+def make_config(settings: ControlSettings) -> RaftConfig:
+    """Return times from the settings; zero means the default.
+
+    Parameters
+    ----------
+    settings : ControlSettings
+        The settings.
+
+    Returns
+    -------
+    RaftConfig
+        The times and limits.
+    """
+    election_s = settings.election_timeout_ms / MS_PER_S
+    heartbeat_s = settings.heartbeat_interval_ms / MS_PER_S
+    return RaftConfig(
+        election_timeout_s=election_s or DEFAULT_ELECTION_TIMEOUT_S,
+        heartbeat_interval_s=heartbeat_s or DEFAULT_HEARTBEAT_INTERVAL_S,
+    )
--- a/chestnutvale/consensus/joining.py
+++ b/chestnutvale/consensus/joining.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 
 from chestnutvale.consensus.bootstrap import Bootstrap
+from chestnutvale.consensus.config import MS_PER_S
 from chestnutvale.consensus.const import DEFAULT_VOTER_LOST_S
 from chestnutvale.consensus.events import MembersChange
 from chestnutvale.consensus.members import control_of
@@ -15,8 +16,6 @@
 from chestnutvale.schema.raft_pb2 import JoinRequest, Members, RaftMessage
 from chestnutvale.schema.settings_pb2 import ControlSettings
 
-MS_PER_S = 1000
-
 
 class Joining:
     """Knows the controls around this one; holds no socket.
--- a/chestnutvale/consensus/task.py
+++ b/chestnutvale/consensus/task.py
@@ -1,109 +1,44 @@
 """The task that drives the replicated log over storage and transport."""
 
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from types import TracebackType
 from typing import Any, Self
 
 import eventlet
-import logbook
-from eventlet import queue
 
 from chestnutvale.clock import Clock
-from chestnutvale.consensus.config import RaftConfig
+from chestnutvale.consensus.config import RaftConfig, make_config
 from chestnutvale.consensus.const import (
-    BODY_RAFT,
-    DEFAULT_ELECTION_TIMEOUT_S,
-    DEFAULT_HEARTBEAT_INTERVAL_S,
-    JOIN_INTERVAL_S,
-    REPLACEMENT_INTERVAL_S,
     STEP_MEMBERS,
     STEP_PROPOSE,
     STEP_READ,
 )
 from chestnutvale.consensus.events import (
-    Accepted,
-    Apply,
     ChangeKind,
-    Effect,
-    Event,
-    InstallSnapshot,
-    LeadershipChanged,
     MembersChange,
-    Persist,
     Proposal,
     Propose,
     ProposeMembers,
     Read,
-    ReadReady,
-    Received,
-    Refused,
     Role,
-    Send,
-    SendSnapshotChunk,
-    TakeSnapshot,
-    Tick,
     TransferLeadership,
 )
 from chestnutvale.consensus.exceptions import (
-    ConsensusFailedError,
     MembersChangeError,
-    NotLeaderError,
 )
-from chestnutvale.consensus.joining import Joining
+from chestnutvale.consensus.loop import LeadershipCallback, RaftLoop
 from chestnutvale.consensus.machine import StateMachine
 from chestnutvale.consensus.members import control_of
-from chestnutvale.consensus.raft import Raft
-from chestnutvale.consensus.waiters import Waiters
-from chestnutvale.consensus.writer import SaveSnapshot, Writer
 from chestnutvale.exceptions import ChestnutError
 from chestnutvale.schema.command_pb2 import Command, CommandResult
-from chestnutvale.schema.peer_pb2 import Envelope
 from chestnutvale.schema.raft_pb2 import (
-    ENTRY_KIND_COMMAND,
-    ENTRY_KIND_MEMBERS,
-    HardState,
-    LogEntry,
     Members,
-    RaftMessage,
 )
 from chestnutvale.schema.settings_pb2 import ControlSettings
-from chestnutvale.storage.exceptions import StorageError
-from chestnutvale.storage.state import StoredState
 from chestnutvale.storage.store import DataStore
 from chestnutvale.transport.node import TransportNode
 
-_LOGGER = logbook.Logger(__name__)
-
-# Events handled before other tasks get a turn.
-EVENT_BATCH = 256
-MS_PER_S = 1000
-# Request number of what no caller waits for.
-NO_REQUEST = 0
-
-LeadershipCallback = Callable[[bool, str, int], None]
-
-
-def make_config(settings: ControlSettings) -> RaftConfig:
-    """Return times from the settings; zero means the default.
-
-    Parameters
-    ----------
-    settings : ControlSettings
-        The settings.
-
-    Returns
-    -------
-    RaftConfig
-        The times and limits.
-    """
-    election_s = settings.election_timeout_ms / MS_PER_S
-    heartbeat_s = settings.heartbeat_interval_ms / MS_PER_S
-    return RaftConfig(
-        election_timeout_s=election_s or DEFAULT_ELECTION_TIMEOUT_S,
-        heartbeat_interval_s=heartbeat_s or DEFAULT_HEARTBEAT_INTERVAL_S,
-    )
-
 
 class ConsensusTask:
     """Owns this control's part of the replicated log; a context manager.
@@ -124,11 +59,6 @@
         Source of the election timeouts.
     config : RaftConfig, optional
         Times and limits in place of those in the settings.
-
-    Attributes
-    ----------
-    failure : ChestnutError or None
-        Why this control has stopped voting.
     """
 
     def __init__(
@@ -141,39 +71,18 @@
         rng: random.Random,
         config: RaftConfig | None = None,
     ) -> None:
-        self.failure: ChestnutError | None = None
-        self._settings = settings
-        self._transport = transport
-        self._storage = storage
-        self._machine = machine
         self._clock = clock
-        self._rng = rng
         self._config = config or make_config(settings)
         self._own_id = storage.member_id
-        self._raft = self._make_raft(storage.state)
-        self._applied_index = storage.state.snapshot.index
-        self._events: queue.LightQueue = queue.LightQueue()
-        self._writer = Writer(storage, self._events.put, self._fail)
-        self._waiters = Waiters()
-        self._callbacks: list[LeadershipCallback] = []
-        self._joining = Joining(settings, self._own_id)
-        self._join_due_s = 0.0
-        self._replacement_due_s = 0.0
-        self._task: eventlet.greenthread.GreenThread | None = None
-
-    def _make_raft(self, state: StoredState) -> Raft:
-        now_s = self._clock.now_s()
-        return Raft(self._own_id, state, self._config, self._rng, now_s)
+        self._loop = RaftLoop(
+            settings, transport, storage, machine, clock, rng, self._config
+        )
 
     # Life.
 
     def __enter__(self) -> Self:
         """Restore the state machine and start the tasks."""
-        if self._storage.state.snapshot.index:
-            self._machine.restore(self._storage.load_snapshot())
-        self._transport.on(BODY_RAFT, self._receive)
-        self._writer.start()
-        self._task = eventlet.spawn(self._run)
+        self._loop.start()
         return self
 
     def __exit__(
@@ -185,10 +94,7 @@
         """Hand leadership over and stop the tasks."""
         if kind is None and self.failure is None:
             self.transfer_leadership()
-        if self._task is not None:
-            self._task.kill()
-        self._writer.stop()
-        self._waiters.fail_all("the control stops")
+        self._loop.stop()
 
     def transfer_leadership(self) -> bool:
         """Hand leadership to another voter, as before a graceful shutdown.
@@ -198,9 +104,9 @@
         bool
             Whether this control leads no more.
         """
-        if not self.is_leader or len(self._raft.log.members.voters) == 1:
+        if not self.is_leader or len(self._loop.raft.log.members.voters) == 1:
             return not self.is_leader
-        self._events.put(TransferLeadership())
+        self._loop.put(TransferLeadership())
         deadline_s = self._clock.now_s() + self._config.election_timeout_s
         while self.is_leader and self._clock.now_s() < deadline_s:
             eventlet.sleep(self._config.heartbeat_interval_s / 4)
@@ -208,25 +114,30 @@
 
     # What callers ask.
 
+    @property
+    def failure(self) -> ChestnutError | None:
+        """Why this control has stopped voting; None while it may."""
+        return self._loop.failure
+
     @property
     def is_leader(self) -> bool:
         """Whether this control leads as far as it knows; no proof of it."""
-        return self.failure is None and self._raft.role is Role.LEADER
+        return self._loop.is_leader
 
     @property
     def leader_id(self) -> str:
         """Control that leads as far as this one knows; empty if unknown."""
-        return "" if self.failure else control_of(self._raft.leader_id)
+        return self._loop.leader_id
 
     @property
     def term(self) -> int:
         """Current term."""
-        return self._raft.term
+        return self._loop.raft.term
 
     @property
     def applied_index(self) -> int:
         """Index of the newest entry that the state machine holds."""
-        return self._applied_index
+        return self._loop.applied_index
 
     @property
     def member_id(self) -> str:
@@ -236,7 +147,7 @@
     @property
     def members(self) -> Members:
         """Voters and learners as the newest entry sets them."""
-        return self._raft.log.members
+        return self._loop.raft.log.members
 
     def has_lease(self, now_s: float) -> bool:
         """Tell whether certainly no other control has led until now.
@@ -252,7 +163,7 @@
         bool
             Whether the leader lease holds.
         """
-        return self.failure is None and self._raft.has_lease(now_s)
+        return self.failure is None and self._loop.raft.has_lease(now_s)
 
     def on_leadership_change(self, callback: LeadershipCallback) -> None:
         """Register a callback for a new role, term or leader.
@@ -263,7 +174,7 @@
             Takes whether this control leads, the leader's control or an empty
             string, and the term. Runs in this task and must not block.
         """
-        self._callbacks.append(callback)
+        self._loop.on_leadership_change(callback)
 
     def propose(self, command: Command, deadline_s: float) -> CommandResult:
         """Commit a command and return what applying it gave.
@@ -289,7 +200,7 @@
         """
         data = command.SerializeToString()
         request = lambda request_id: Propose([Proposal(request_id, data)])
-        return self._ask(request, STEP_PROPOSE, deadline_s)
+        return self._loop.ask(request, STEP_PROPOSE, deadline_s)
 
     def confirm_read(self, deadline_s: float) -> int:
         """Make sure that the state holds all that was committed before the call.
@@ -311,11 +222,11 @@
         OutcomeUnknownError
             If no quorum answered in time.
         """
-        return self._ask(Read, STEP_READ, deadline_s)
+        return self._loop.ask(Read, STEP_READ, deadline_s)
 
     def status(self) -> dict[str, Any]:
         """Return the state for the dump."""
-        raft = self._raft
+        raft = self._loop.raft
         members = raft.log.members
         now_s = self._clock.now_s()
         return {
@@ -325,7 +236,7 @@
             "leader_id": raft.leader_id,
             "has_lease": self.has_lease(now_s),
             "commit_index": raft.commit_index,
-            "applied_index": self._applied_index,
+            "applied_index": self._loop.applied_index,
             "last_index": raft.log.last_index,
             "snapshot_index": raft.log.snapshot.index,
             "voters": list(members.voters),
@@ -337,7 +248,7 @@
                 for member in [*members.voters, *members.learners]
                 if member != self._own_id and raft.role is Role.LEADER
             },
-            "syncs": self._writer.syncs,
+            "syncs": self._loop.writer.syncs,
             "failure": str(self.failure) if self.failure else "",
         }
 
@@ -360,7 +271,7 @@
         NotLeaderError, OutcomeUnknownError
             As for `propose`.
         """
-        joiner = self._joining.find_joiner(control_id)
+        joiner = self._loop.joining.find_joiner(control_id)
         if joiner is None:
             raise MembersChangeError(
                 "the control has not asked to join; start it first",
@@ -394,204 +305,4 @@
     ) -> None:
         change = MembersChange(kind, member_id, address, by_operator=True)
         request = lambda request_id: ProposeMembers(request_id, change)
-        self._ask(request, STEP_MEMBERS, deadline_s)
-
-    # Requests and their answers.
-
-    def _ask(
-        self, make_event: Callable[[int], Event], step: str, deadline_s: float
-    ) -> Any:
-        if not self.is_leader:
-            raise NotLeaderError(self.leader_id, step=step)
-        waiter = self._waiters.add()
-        self._events.put(make_event(waiter.request_id))
-        try:
-            return waiter.wait(max(0.0, deadline_s - self._clock.now_s()), step)
-        finally:
-            self._waiters.forget(waiter)
-
-    def _fail(self, error: ChestnutError) -> None:
-        """Stop voting; nobody knows what the disk or this task holds."""
-        self.failure = error
-        self._waiters.fail_all(str(error))
-        for callback in self._callbacks:
-            callback(False, "", self.term)
-        if self._task is not None:
-            self._task.kill()
-
-    # The loop.
-
-    def _run(self) -> None:
-        try:
-            while True:
-                self._run_once()
-        except Exception as error:
-            # Half of an event's effects may be done, so nothing may follow them.
-            _LOGGER.exception("The replicated log's task failed")
-            self._fail(ConsensusFailedError(str(error)))
-
-    def _run_once(self) -> None:
-        events = self._wait_for_events()
-        now_s = self._clock.now_s()
-        for event in events:
-            self._act(self._raft.handle(event, now_s))
-        if now_s >= self._raft.next_deadline_s():
-            self._act(self._raft.handle(Tick(), now_s))
-        self._maintain(now_s)
-
-    def _wait_for_events(self) -> list[Event]:
-        due_s = min(self._raft.next_deadline_s(), self._maintenance_due_s())
-        wait_s = max(0.0, min(due_s - self._clock.now_s(), JOIN_INTERVAL_S))
-        try:
-            events = [self._events.get(timeout=wait_s)]
-        except queue.Empty:
-            return []
-        while len(events) < EVENT_BATCH and not self._events.empty():
-            events.append(self._events.get_nowait())
-        return self._join_proposals(events)
-
-    @staticmethod
-    def _join_proposals(events: Sequence[Event]) -> list[Event]:
-        """Join neighbouring proposals, so that they share messages and a sync."""
-        joined: list[Event] = []
-        for event in events:
-            previous = joined[-1] if joined else None
-            if isinstance(event, Propose) and isinstance(previous, Propose):
-                joined[-1] = Propose([*previous.proposals, *event.proposals])
-            else:
-                joined.append(event)
-        return joined
-
-    def _receive(self, envelope: Envelope) -> None:
-        message = envelope.raft
-        if self.failure is not None or message.from_id == self._own_id:
-            return
-        if message.WhichOneof("body") == "join_request":
-            self._note_join(message)
-        elif message.to_id == self._own_id:
-            self._events.put(Received(message))
-
-    # Effects.
-
-    def _act(self, effects: Sequence[Effect]) -> None:
-        for effect in effects:
-            match effect:
-                case Send(message):
-                    self._send(message)
-                case Persist() | InstallSnapshot():
-                    self._order_write(effect)
-                case Apply(entries):
-                    self._apply(entries)
-                case Accepted():
-                    self._waiters.note_accepted(effect)
-                case Refused():
-                    self._waiters.refuse(effect)
-                case ReadReady(request_id, _):
-                    self._waiters.finish(request_id, self._applied_index)
-                case SendSnapshotChunk():
-                    self._send_chunk(effect)
-                case TakeSnapshot(metadata):
-                    data = self._machine.snapshot()
-                    self._writer.order(SaveSnapshot(metadata, data))
-                case LeadershipChanged():
-                    self._report_leadership(effect)
-
-    def _order_write(self, effect: Persist | InstallSnapshot) -> None:
-        self._writer.order(effect)
-        if not isinstance(effect, InstallSnapshot):
-            return
-        self._machine.restore(effect.data)
-        self._applied_index = effect.metadata.index
-        self._waiters.fail_up_to(self._applied_index)
-
-    def _apply(self, entries: Sequence[LogEntry]) -> None:
-        for entry in entries:
-            result = CommandResult()
-            if entry.kind == ENTRY_KIND_COMMAND:
-                command = Command.FromString(entry.data)
-                result = self._machine.apply(entry.index, command)
-            self._applied_index = entry.index
-            self._waiters.finish_entry(entry, result, self.leader_id)
-
-    def _report_leadership(self, effect: LeadershipChanged) -> None:
-        _LOGGER.info(
-            "{} is {} in term {}; leader {!r}",
-            self._own_id,
-            effect.role.value,
-            effect.term,
-            effect.leader_id,
-        )
-        for callback in self._callbacks:
-            callback(self.is_leader, self.leader_id, effect.term)
-
-    # Messages.
-
-    def _send(self, message: RaftMessage) -> None:
-        members = self._raft.log.members
-        address = self._joining.find_address(message.to_id, members)
-        if address:
-            control_id = control_of(message.to_id)
-            self._transport.send(control_id, address, BODY_RAFT, message)
-
-    def _send_chunk(self, effect: SendSnapshotChunk) -> None:
-        request = effect.message.snapshot_request
-        index = request.metadata.index
-        data = self._storage.read_snapshot(index, request.offset, effect.length)
-        if data is None or len(data) != effect.length:
-            return
-        request.data = data
-        self._send(effect.message)
-
-    # Joining, the first start, replacements.
-
-    def _maintenance_due_s(self) -> float:
-        return self._replacement_due_s if self.is_leader else self._join_due_s
-
-    def _maintain(self, now_s: float) -> None:
-        if self.is_leader:
-            if now_s >= self._replacement_due_s:
-                self._replacement_due_s = now_s + REPLACEMENT_INTERVAL_S
-                self._consider_members(now_s)
-            return
-        if now_s < self._join_due_s:
-            return
-        self._join_due_s = now_s + JOIN_INTERVAL_S
-        if not self._raft.leader_id:
-            self._ask_to_join()
-        if self._raft.is_empty:
-            self._consider_bootstrap(now_s)
-
-    def _ask_to_join(self) -> None:
-        for address, message in self._joining.make_requests(self._raft):
-            control_id = control_of(message.to_id)
-            self._transport.send(control_id, address, BODY_RAFT, message)
-
-    def _note_join(self, message: RaftMessage) -> None:
-        now_s = self._clock.now_s()
-        is_new = self._joining.note(message, now_s)
-        if is_new and not self._raft.leader_id:
-            self._join_due_s = now_s
-            self._events.put(Tick())
-
-    def _consider_bootstrap(self, now_s: float) -> None:
-        members = self._joining.decide_first_members(now_s)
-        if members is None:
-            return
-        _LOGGER.info("Beginning a new cluster with {}", list(members.voters))
-        entry = LogEntry(
-            index=1, term=1, kind=ENTRY_KIND_MEMBERS, data=members.SerializeToString()
-        )
-        hard_state = HardState(term=1)
-        try:
-            self._storage.write(hard_state, [entry])
-        except StorageError as error:
-            self._fail(error)
-            return
-        self._raft = self._make_raft(StoredState(hard_state, entries=[entry]))
-
-    def _consider_members(self, now_s: float) -> None:
-        change = self._joining.decide_change(self._raft, now_s)
-        if change is None:
-            return
-        _LOGGER.info("Changing members: {} {}", change.kind.value, change.member_id)
-        self._act(self._raft.handle(ProposeMembers(NO_REQUEST, change), now_s))
+        self._loop.ask(request, STEP_MEMBERS, deadline_s)
