--- /dev/null
+++ b/benchmarks/consensus_idle.py
@@ -0,0 +1,62 @@
+"""Measures what idle controls cost, as slopes over the number of voters.
+
+Run with ``python -m benchmarks.consensus_idle``.
+"""
+
+import functools
+import time
+
+import defopt
+import eventlet
+from tabulate import tabulate
+
+from benchmarks.consensus_node import Control, measure_controls
+
+
+def measure_idle(control: Control, duration_s: float) -> dict[str, float]:
+    """Count messages, bytes and processor time of one idle control."""
+    transport = control.transport
+    before = (
+        transport.sent_messages,
+        transport.sent_bytes,
+        transport.received_messages,
+        transport.received_bytes,
+        time.process_time(),
+    )
+    is_leader = control.task.is_leader
+    eventlet.sleep(duration_s)
+    after = (
+        transport.sent_messages,
+        transport.sent_bytes,
+        transport.received_messages,
+        transport.received_bytes,
+        time.process_time(),
+    )
+    names = ("sent/s", "sent B/s", "received/s", "received B/s", "core %")
+    rates = [(b - a) / duration_s for a, b in zip(before, after, strict=True)]
+    rates[-1] *= 100
+    return {"leads": is_leader, **dict(zip(names, rates, strict=True))}
+
+
+def main(
+    *, folder: str = "build/bench", voters: str = "1,3,5", duration_s: float = 10.0
+) -> None:
+    """Print the idle cost of the leader and of a follower, and slopes."""
+    rows = []
+    for count in [int(text) for text in voters.split(",")]:
+        measurement = functools.partial(measure_idle, duration_s=duration_s)
+        results = measure_controls(count, folder, measurement)
+        results.sort(key=lambda result: not result["leads"])
+        rows.append({"voters": count, "role": "leader", **results[0]})
+        if count > 1:
+            rows.append({"voters": count, "role": "follower", **results[1]})
+    print(tabulate(rows, headers="keys", floatfmt=".2f"))
+    leaders = [row for row in rows if row["role"] == "leader"]
+    span = leaders[-1]["voters"] - leaders[0]["voters"]
+    for name in ("sent/s", "sent B/s", "received B/s", "core %"):
+        slope = (leaders[-1][name] - leaders[0][name]) / max(span, 1)
+        print(f"leader, a voter more: {slope:.2f} {name}")
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- /dev/null
+++ b/benchmarks/consensus_node.py
@@ -0,0 +1,128 @@
+"""Controls that only keep a log, each in its own process."""
+
+import multiprocessing
+import random
+import socket
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from multiprocessing.connection import Connection
+from pathlib import Path
+
+import attrs
+import eventlet
+
+from chestnutvale.clock import SystemClock
+from chestnutvale.consensus.task import ConsensusTask
+from chestnutvale.schema.command_pb2 import Command, CommandResult
+from chestnutvale.schema.settings_pb2 import ControlSettings, PeerAddress
+from chestnutvale.storage.store import DataStore
+from chestnutvale.transport.gate import make_incarnation
+from chestnutvale.transport.node import TransportNode
+
+CLUSTER_ID = "bench"
+POLL_S = 0.02
+
+
+class CountingMachine:
+    """State machine that only counts."""
+
+    def __init__(self) -> None:
+        self.applied = 0
+
+    def apply(self, index: int, command: Command) -> CommandResult:
+        """Count a command."""
+        self.applied += 1
+        return CommandResult()
+
+    def snapshot(self) -> bytes:
+        """Return the count."""
+        return str(self.applied).encode()
+
+    def restore(self, data: bytes) -> None:
+        """Take a count over."""
+        self.applied = int(data)
+
+
+@attrs.frozen
+class Control:
+    """What a measurement may use of a running control."""
+
+    task: ConsensusTask
+    transport: TransportNode
+
+
+Measurement = Callable[[Control], dict[str, float]]
+
+
+def free_address() -> str:
+    """Return an unused loopback address."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+def make_settings(position: int, peers: list[str], folder: str) -> ControlSettings:
+    """Return the settings of one control."""
+    controls = [PeerAddress(id=f"c{i}", address=a) for i, a in enumerate(peers)]
+    return ControlSettings(
+        cluster_id=CLUSTER_ID,
+        control_id=f"c{position}",
+        peer_address=peers[position],
+        data_folder=str(Path(folder) / f"c{position}"),
+        controls=controls,
+    )
+
+
+@contextmanager
+def open_control(settings: ControlSettings) -> Iterator[Control]:
+    """Run a control in this process."""
+    clock = SystemClock()
+    incarnation = make_incarnation(clock.unix_ms(), 0)
+    rng = random.Random(settings.control_id)
+    with (
+        DataStore(settings) as storage,
+        TransportNode(
+            CLUSTER_ID, settings.control_id, incarnation, settings.peer_address, clock
+        ) as transport,
+        ConsensusTask(
+            settings, transport, storage, CountingMachine(), clock, rng
+        ) as task,
+    ):
+        yield Control(task, transport)
+
+
+def run_control(
+    settings_data: bytes, measurement: Measurement, connection: Connection
+) -> None:
+    """Run a control, measure once the log has a leader, wait for the end."""
+    with open_control(ControlSettings.FromString(settings_data)) as control:
+        while not control.task.leader_id or not control.task.applied_index:
+            eventlet.sleep(POLL_S)
+        eventlet.sleep(1.0)
+        connection.send(measurement(control))
+        while not connection.poll():
+            eventlet.sleep(POLL_S)
+
+
+def measure_controls(
+    count: int, folder: str, measurement: Measurement
+) -> list[dict[str, float]]:
+    """Run some controls together and return what each of them measured."""
+    context = multiprocessing.get_context("spawn")
+    peers = [free_address() for _ in range(count)]
+    run_folder = str(Path(folder) / f"{count}-{time.time_ns()}")
+    running = []
+    for position in range(count):
+        ours, theirs = context.Pipe()
+        settings = make_settings(position, peers, run_folder).SerializeToString()
+        process = context.Process(
+            target=run_control, args=(settings, measurement, theirs)
+        )
+        process.start()
+        running.append((process, ours))
+    results = [connection.recv() for _, connection in running]
+    for process, connection in running:
+        connection.send("stop")
+        process.join(10)
+    return results
--- a/chestnutvale/storage/const.py
+++ b/chestnutvale/storage/const.py
@@ -9,6 +9,8 @@
 TEMPORARY_SUFFIX: Final = ".tmp"
 # Size in bytes at which a new segment is begun.
 SEGMENT_BYTES: Final = 4 * 1024 * 1024
+# Size in bytes from which a snapshot begins a new segment.
+MIN_SEGMENT_BYTES: Final = 64 * 1024
 
 FRAME_MAGIC: Final = b"CNF1"
 IDENTITY_SUFFIX_BYTES: Final = 4
--- a/chestnutvale/storage/segments.py
+++ b/chestnutvale/storage/segments.py
@@ -7,7 +7,7 @@
 from google.protobuf.message import DecodeError
 
 from chestnutvale.schema.raft_pb2 import HardState, LogBatch, LogEntry, LogPosition
-from chestnutvale.storage.const import SEGMENT_BYTES, SEGMENT_PATTERN
+from chestnutvale.storage.const import MIN_SEGMENT_BYTES, SEGMENT_BYTES, SEGMENT_PATTERN
 from chestnutvale.storage.exceptions import StorageCorruptError
 from chestnutvale.storage.files import Files
 from chestnutvale.storage.frames import Frame, encode_frame, read_frames
@@ -228,6 +228,9 @@
 
     def drop_before(self, index: int) -> None:
         """Remove segments all of whose entries a snapshot covers."""
+        if self._size_bytes >= MIN_SEGMENT_BYTES:
+            # What is written from now on no longer keeps the covered entries.
+            self._begin_segment()
         removed = False
         while len(self.segments) > 1 and self.segments[0].last_index <= index:
             self._files.remove(self.segments.pop(0).path)
