Check histories of real processes under SIGKILL and SIGSTOP

Change: three processes over loopback and real data folders, asked over pipes; kills with restart and freezes by a seeded schedule, and a leader woken past its lease with a read waiting. With lease and quorum check off the same read is answered from the old state and the history is refused.

--- /dev/null
+++ b/tests/consensus/process.py
@@ -0,0 +1,107 @@
+"""A control of a register in its own process, asked over a pipe."""
+
+import json
+import multiprocessing
+import os
+import random
+import signal
+
+import eventlet
+
+from chestnutvale.clock import SystemClock
+from chestnutvale.consensus.core import Core
+from chestnutvale.consensus.exceptions import NotLeaderError, OutcomeUnknownError
+from chestnutvale.consensus.requests import Requests
+from chestnutvale.consensus.task import ConsensusTask
+from chestnutvale.schema.command_pb2 import Command, CommandResult
+from chestnutvale.schema.settings_pb2 import ControlSettings
+from chestnutvale.storage.store import DataStore
+from chestnutvale.transport.gate import make_incarnation
+from chestnutvale.transport.node import TransportNode
+from tests.consensus.driver import Register
+
+POLL_S = 0.002
+OPERATION_TIMEOUT_S = 2.0
+
+
+class RegisterMachine(Register):
+    """The register behind real commands."""
+
+    def apply(self, index, command):
+        result = super().apply(command.drain_host.host_id)
+        answer = CommandResult()
+        answer.group.outcome = json.dumps(result)
+        return answer
+
+    def snapshot(self):
+        return json.dumps(self.value).encode()
+
+    def restore(self, data):
+        self.value = json.loads(data)
+
+
+def run(settings_data, is_weak, connection):
+    settings = ControlSettings.FromString(settings_data)
+    if is_weak:
+        Requests.check_quorum = lambda requests, now_s: True
+        Core.has_lease = lambda core, now_s: core.leader is not None
+    clock = SystemClock()
+    machine = RegisterMachine()
+    incarnation = make_incarnation(clock.unix_ms(), 0)
+    with (
+        DataStore(settings) as storage,
+        TransportNode(
+            "t", settings.control_id, incarnation, settings.peer_address, clock
+        ) as transport,
+        ConsensusTask(
+            settings, transport, storage, machine, clock, random.Random(os.getpid())
+        ) as task,
+    ):
+        while True:
+            while connection.poll():
+                eventlet.spawn(answer, task, machine, clock, connection)
+                eventlet.sleep(0)
+            eventlet.sleep(POLL_S)
+
+
+def answer(task, machine, clock, connection):
+    number, kind, argument = connection.recv()
+    deadline_s = clock.now_s() + OPERATION_TIMEOUT_S
+    try:
+        if kind == "read":
+            task.confirm_read(deadline_s)
+            result = machine.value
+        else:
+            command = Command()
+            command.drain_host.host_id = json.dumps([kind, argument])
+            result = json.loads(task.propose(command, deadline_s).group.outcome)
+    except NotLeaderError:
+        connection.send((number, "not_run", None))
+    except OutcomeUnknownError:
+        connection.send((number, "unknown", None))
+    else:
+        connection.send((number, "done", result))
+
+
+class Process:
+    """The test's side of such a process."""
+
+    def __init__(self, settings, is_weak=False):
+        self.settings = settings
+        self.is_weak = is_weak
+        self.start()
+
+    def start(self):
+        context = multiprocessing.get_context("spawn")
+        self.connection, theirs = context.Pipe()
+        self.process = context.Process(
+            target=run, args=(self.settings.SerializeToString(), self.is_weak, theirs)
+        )
+        self.process.start()
+        theirs.close()
+
+    def signal(self, number):
+        os.kill(self.process.pid, number)
+        if number == signal.SIGKILL:
+            self.process.join()
+            self.connection.close()
--- /dev/null
+++ b/tests/consensus/test_processes.py
@@ -0,0 +1,169 @@
+"""Real processes under SIGKILL and SIGSTOP."""
+
+import itertools
+import random
+import signal
+import time
+
+import pytest
+
+from chestnutvale.schema.settings_pb2 import ControlSettings, PeerAddress
+from tests.consensus.process import Process
+from tests.history import Operation, is_linearizable
+
+CLIENTS = 3
+RUN_S = 8.0
+FAULT_INTERVAL_S = 1.2
+GIVE_UP_S = 1.0
+WAIT_S = 20.0
+WEAK_ATTEMPTS = 8
+
+
+@pytest.fixture
+def make_processes(free_address, tmp_path):
+    """Return a function that starts three controls and ends them after the test."""
+    processes = []
+
+    def make(is_weak=False):
+        peers = [PeerAddress(id=f"c{i}", address=free_address()) for i in range(3)]
+        for peer in peers:
+            settings = ControlSettings(
+                cluster_id="t",
+                control_id=peer.id,
+                peer_address=peer.address,
+                data_folder=str(tmp_path / peer.id),
+                controls=peers,
+                election_timeout_ms=400,
+                heartbeat_interval_ms=50,
+            )
+            processes.append(Process(settings, is_weak))
+        return Clients(processes)
+
+    yield make
+    for process in processes:
+        process.signal(signal.SIGKILL)
+
+
+class Clients:
+    """Asks the processes and keeps the history."""
+
+    def __init__(self, processes):
+        self.processes = processes
+        self.history = []
+        self.waiting = {}
+        self.numbers = itertools.count()
+        self.values = itertools.count()
+        self.leader = 0
+
+    def ask(self, position, kind, argument=None):
+        operation = Operation(kind, time.monotonic(), argument)
+        number = next(self.numbers)
+        self.waiting[number] = (position, operation)
+        self.history.append(operation)
+        self.processes[position].connection.send((number, kind, argument))
+        return operation
+
+    def receive(self):
+        for process in self.processes:
+            while process.connection.poll():
+                self._note(*process.connection.recv())
+        time.sleep(0.001)
+
+    def _note(self, number, outcome, result):
+        position, operation = self.waiting.pop(number)
+        if outcome == "done":
+            operation.finish(time.monotonic(), result)
+            self.leader = position
+        elif outcome == "not_run":
+            self.history.remove(operation)
+            operation.kind = "not_run"
+
+    def is_waiting(self, operation):
+        return any(known is operation for _, known in self.waiting.values())
+
+    def wait_for(self, operation):
+        end_s = time.monotonic() + WAIT_S
+        while self.is_waiting(operation) and time.monotonic() < end_s:
+            self.receive()
+        return operation.returned_s < time.monotonic()
+
+    def write(self, value, positions=(0, 1, 2)):
+        """Write at whichever process leads and return its place."""
+        end_s = time.monotonic() + WAIT_S
+        places = itertools.cycle(positions)
+        position = next(places)
+        while not self.wait_for(self.ask(position, "write", value)):
+            assert time.monotonic() < end_s, "nobody leads"
+            position = next(places)
+        return position
+
+
+def wake_a_frozen_leader(clients):
+    leader = clients.write(next(clients.values))
+    clients.processes[leader].signal(signal.SIGSTOP)
+    try:
+        clients.write(next(clients.values), [p for p in range(3) if p != leader])
+        read = clients.ask(leader, "read")
+    finally:
+        clients.processes[leader].signal(signal.SIGCONT)
+    clients.wait_for(read)
+    assert is_linearizable(clients.history)
+
+
+def test_woken_leader_answers_no_old_state(make_processes):
+    wake_a_frozen_leader(make_processes())
+
+
+def test_woken_leader_without_lease_answers_old_state(make_processes):
+    clients = make_processes(is_weak=True)
+    with pytest.raises(AssertionError):
+        # The news of the other leader may reach it before the waiting read does.
+        for _ in range(WEAK_ATTEMPTS):
+            wake_a_frozen_leader(clients)
+
+
+def inject(clients, rng, frozen):
+    """Wake what is frozen, then kill and restart or freeze one process."""
+    for position in frozen:
+        clients.processes[position].signal(signal.SIGCONT)
+    frozen.clear()
+    position = rng.choice([clients.leader, rng.randrange(3)])
+    if rng.random() < 0.5:
+        clients.processes[position].signal(signal.SIGSTOP)
+        frozen.append(position)
+        return
+    clients.processes[position].signal(signal.SIGKILL)
+    clients.waiting = {n: w for n, w in clients.waiting.items() if w[0] != position}
+    clients.processes[position].start()
+
+
+def test_history_under_kill_and_freeze(make_processes):
+    clients = make_processes()
+    clients.write(next(clients.values))
+    rng = random.Random(1)
+    running = [None] * CLIENTS
+    frozen = []
+    end_s = time.monotonic() + RUN_S
+    fault_s = time.monotonic() + 0.5
+    while time.monotonic() < end_s:
+        clients.receive()
+        now_s = time.monotonic()
+        if now_s > fault_s:
+            fault_s = now_s + FAULT_INTERVAL_S
+            inject(clients, rng, frozen)
+        for place, operation in enumerate(running):
+            is_given_up = operation and now_s > operation.called_s + GIVE_UP_S
+            if operation and clients.is_waiting(operation) and not is_given_up:
+                continue
+            position = rng.choice([clients.leader, clients.leader, rng.randrange(3)])
+            if rng.random() < 0.5:
+                running[place] = clients.ask(position, "read")
+            else:
+                running[place] = clients.ask(position, "write", next(clients.values))
+            time.sleep(0.005)
+    for position in frozen:
+        clients.processes[position].signal(signal.SIGCONT)
+    clients.write(next(clients.values))
+    done = [o for o in clients.history if o.returned_s < time.monotonic()]
+    assert len(done) > 100
+    assert is_linearizable(clients.history)
