--- a/benchmarks/consensus_idle.py
+++ b/benchmarks/consensus_idle.py
@@ -39,17 +39,28 @@
 
 
 def main(
-    *, folder: str = "build/bench", voters: str = "1,3,5", duration_s: float = 10.0
+    *,
+    folder: str = "build/bench",
+    voters: str = "1,3,5",
+    heartbeats_ms: str = "100,250",
+    duration_s: float = 10.0,
 ) -> None:
     """Print the idle cost of the leader and of a follower, and slopes."""
-    rows = []
-    for count in [int(text) for text in voters.split(",")]:
-        measurement = functools.partial(measure_idle, duration_s=duration_s)
-        results = measure_controls(count, folder, measurement)
-        results.sort(key=lambda result: not result["leads"])
-        rows.append({"voters": count, "role": "leader", **results[0]})
-        if count > 1:
-            rows.append({"voters": count, "role": "follower", **results[1]})
+    for heartbeat_ms in [int(text) for text in heartbeats_ms.split(",")]:
+        print(f"a heartbeat each {heartbeat_ms} ms")
+        rows = []
+        for count in [int(text) for text in voters.split(",")]:
+            measurement = functools.partial(measure_idle, duration_s=duration_s)
+            results = measure_controls(count, folder, measurement, heartbeat_ms)
+            results.sort(key=lambda result: not result["leads"])
+            rows.append({"voters": count, "role": "leader", **results[0]})
+            if count > 1:
+                rows.append({"voters": count, "role": "follower", **results[1]})
+        print_slopes(rows)
+
+
+def print_slopes(rows: list[dict]) -> None:
+    """Print the rows and what one voter more costs the leader."""
     print(tabulate(rows, headers="keys", floatfmt=".2f"))
     leaders = [row for row in rows if row["role"] == "leader"]
     span = leaders[-1]["voters"] - leaders[0]["voters"]
--- a/benchmarks/consensus_node.py
+++ b/benchmarks/consensus_node.py
@@ -106,7 +106,7 @@
 
 
 def measure_controls(
-    count: int, folder: str, measurement: Measurement
+    count: int, folder: str, measurement: Measurement, heartbeat_ms: int = 0
 ) -> list[dict[str, float]]:
     """Run some controls together and return what each of them measured."""
     context = multiprocessing.get_context("spawn")
@@ -115,9 +115,10 @@
     running = []
     for position in range(count):
         ours, theirs = context.Pipe()
-        settings = make_settings(position, peers, run_folder).SerializeToString()
+        settings = make_settings(position, peers, run_folder)
+        settings.heartbeat_interval_ms = heartbeat_ms
         process = context.Process(
-            target=run_control, args=(settings, measurement, theirs)
+            target=run_control, args=(settings.SerializeToString(), measurement, theirs)
         )
         process.start()
         running.append((process, ours))
--- a/chestnutvale/consensus/const.py
+++ b/chestnutvale/consensus/const.py
@@ -29,6 +29,8 @@
 DEFAULT_VOTER_REBORN_S: Final = 3.0
 # Silence in seconds up to which a learner counts as alive.
 LEARNER_ALIVE_S: Final = 5.0
+# Silence in seconds after which a learner is forgotten.
+LEARNER_FORGET_S: Final = 3_600.0
 JOIN_INTERVAL_S: Final = 1.0
 # Age in seconds up to which a join request counts for the first start.
 JOIN_FRESH_S: Final = 5.0
--- a/chestnutvale/consensus/replacement.py
+++ b/chestnutvale/consensus/replacement.py
@@ -9,6 +9,7 @@
     DEFAULT_VOTER_REBORN_S,
     JOIN_FRESH_S,
     LEARNER_ALIVE_S,
+    LEARNER_FORGET_S,
     MAX_PROMOTE_LAG_ENTRIES,
 )
 from chestnutvale.consensus.events import ChangeKind, MembersChange
@@ -110,7 +111,9 @@
             lost = self._find_lost(own_id, members, contacts, fresh, ready, now_s)
             if lost:
                 return MembersChange(ChangeKind.REMOVE, lost)
-        return self._find_join(members, fresh)
+        return self._find_join(members, fresh) or self._find_forgotten(
+            members, contacts, now_s
+        )
 
     def _find_ready(
         self,
@@ -173,3 +176,13 @@
                 ChangeKind.ADD_LEARNER, joiner.member_id, joiner.address
             )
         return None
+
+    @staticmethod
+    def _find_forgotten(
+        members: Members, contacts: Mapping[str, MemberContact], now_s: float
+    ) -> MembersChange | None:
+        """Return the removal of a learner that has been gone for very long."""
+        for learner in members.learners:
+            if contacts[learner].silent_since_s + LEARNER_FORGET_S <= now_s:
+                return MembersChange(ChangeKind.REMOVE, learner)
+        return None
--- a/tests/consensus/test_members.py
+++ b/tests/consensus/test_members.py
@@ -57,11 +57,12 @@
     assert decide_bootstrap(make_join("c1#1")) is None
 
 
-def decide(members, silent=(), joiners=(), behind=()):
+def decide(members, silent=None, joiners=(), behind=()):
+    silent = silent or {}
     others = {*members.voters, *members.learners} - {"c0#1"}
     contacts = {
         other: MemberContact(
-            silent_since_s=NOW_S - (60.0 if other in silent else 0.1),
+            silent_since_s=NOW_S - silent.get(other, 0.1),
             match_index=10 if other in behind else 1_000,
         )
         for other in others
@@ -78,12 +79,12 @@
 
 
 def test_lost_voter_goes_only_for_a_ready_learner():
-    assert decide(make_members(VOTERS), silent=["c1#1"]) is None
+    assert decide(make_members(VOTERS), silent={"c1#1": 60.0}) is None
     members = make_members(VOTERS, ["c3#1"])
     assert decide(members) is None
-    assert decide(members, silent=["c1#1"], behind=["c3#1"]) is None
-    assert decide(members, silent=["c1#1", "c3#1"]) is None
-    change = decide(members, silent=["c1#1"])
+    assert decide(members, silent={"c1#1": 60.0}, behind=["c3#1"]) is None
+    assert decide(members, silent={"c1#1": 60.0, "c3#1": 60.0}) is None
+    change = decide(members, silent={"c1#1": 60.0})
     assert change == MembersChange(ChangeKind.REMOVE, "c1#1")
     change = decide(change_members(members, change))
     assert change == MembersChange(ChangeKind.PROMOTE, "c3#1")
@@ -99,6 +100,13 @@
     assert decide(members, joiners=["c3#1"]) is None
 
 
+def test_learner_that_is_gone_for_an_hour_is_forgotten():
+    members = make_members(VOTERS, ["c3#1"])
+    assert decide(members, silent={"c3#1": 3_000.0}) is None
+    change = decide(members, silent={"c3#1": 4_000.0})
+    assert change == MembersChange(ChangeKind.REMOVE, "c3#1")
+
+
 def test_operator_removal_bars_a_control_until_it_is_added_again():
     members = make_members(VOTERS)
     remove = MembersChange(ChangeKind.REMOVE, "c2#1", by_operator=True)
