Say why a control can't begin a cluster; end voting if the writer fails

Cause: a first start that is held back by one control with other settings was silent, and a fault in the writing task would have stopped it without a word.

--- a/chestnutvale/consensus/bootstrap.py
+++ b/chestnutvale/consensus/bootstrap.py
@@ -62,15 +62,12 @@
         Members or None
             The first members.
         """
-        own_control = control_of(self.own_id)
-        if self.is_spare or own_control != self.initial_controls[0]:
+        if self.find_obstacle(now_s):
             return None
         members = Members(voters=[self.own_id])
         members.addresses[self.own_id] = self.own_address
         for control_id in self.initial_controls[1:]:
-            message = self._find_empty(control_id, now_s)
-            if message is None:
-                return None
+            message = self._answers[control_id][1]
             if message.join_request.spare:
                 continue
             members.voters.append(message.from_id)
@@ -78,10 +75,33 @@
         members.wanted_voters = len(members.voters)
         return members
 
-    def _find_empty(self, control_id: str, now_s: float) -> RaftMessage | None:
+    def find_obstacle(self, now_s: float) -> str:
+        """Return why no cluster may begin here now; empty if one may.
+
+        Parameters
+        ----------
+        now_s : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        str
+            The reason for the operator.
+        """
+        if self.is_spare:
+            return "a spare waits for a leader"
+        first = self.initial_controls[0] if self.initial_controls else ""
+        if control_of(self.own_id) != first:
+            return f"only {first} may begin a cluster"
+        reasons = (self._find_doubt(c, now_s) for c in self.initial_controls[1:])
+        return next((reason for reason in reasons if reason), "")
+
+    def _find_doubt(self, control_id: str, now_s: float) -> str:
         heard_s, message = self._answers.get(control_id, (0.0, None))
         if message is None or heard_s + JOIN_FRESH_S < now_s:
-            return None
-        request = message.join_request
-        same = list(request.initial_controls) == list(self.initial_controls)
-        return message if request.empty and same else None
+            return f"{control_id} has not answered"
+        if not message.join_request.empty:
+            return f"{control_id} holds data of a cluster"
+        if list(message.join_request.initial_controls) != list(self.initial_controls):
+            return f"{control_id} names other controls in its settings"
+        return ""
--- a/chestnutvale/consensus/joining.py
+++ b/chestnutvale/consensus/joining.py
@@ -116,6 +116,10 @@
                 RaftMessage(from_id=self._own_id, to_id=to_id, join_request=request),
             )
 
+    def find_obstacle(self, now_s: float) -> str:
+        """Return why this control may not begin a cluster; empty if it may."""
+        return self._bootstrap.find_obstacle(now_s)
+
     def decide_first_members(self, now_s: float) -> Members | None:
         """Return the members of a new cluster, or None if none may begin."""
         return self._bootstrap.decide(now_s)
--- a/chestnutvale/consensus/loop.py
+++ b/chestnutvale/consensus/loop.py
@@ -125,6 +125,7 @@
         self.writer = Writer(storage, self._events.put, self._fail)
         self._waiters = Waiters()
         self._callbacks: list[LeadershipCallback] = []
+        self._last_obstacle = ""
         self._join_due_s = 0.0
         self._replacement_due_s = 0.0
         self._task: eventlet.greenthread.GreenThread | None = None
@@ -365,6 +366,7 @@
     def _consider_bootstrap(self, now_s: float) -> None:
         members = self.joining.decide_first_members(now_s)
         if members is None:
+            self._report_obstacle(self.joining.find_obstacle(now_s))
             return
         _LOGGER.info("Beginning a new cluster with {}", list(members.voters))
         entry = LogEntry(
@@ -378,6 +380,11 @@
             return
         self.raft = self._make_raft(StoredState(hard_state, entries=[entry]))
 
+    def _report_obstacle(self, obstacle: str) -> None:
+        if obstacle != self._last_obstacle:
+            self._last_obstacle = obstacle
+            _LOGGER.info("Waiting to join or to begin a cluster: {}", obstacle)
+
     def _consider_members(self, now_s: float) -> None:
         change = self.joining.decide_change(self.raft, now_s)
         if change is None:
--- a/chestnutvale/consensus/task.py
+++ b/chestnutvale/consensus/task.py
@@ -248,6 +248,9 @@
                 for member in [*members.voters, *members.learners]
                 if member != self._own_id and raft.role is Role.LEADER
             },
+            "waiting_for": (
+                self._loop.joining.find_obstacle(now_s) if raft.is_empty else ""
+            ),
             "syncs": self._loop.writer.syncs,
             "failure": str(self.failure) if self.failure else "",
         }
--- a/chestnutvale/consensus/writer.py
+++ b/chestnutvale/consensus/writer.py
@@ -13,6 +13,8 @@
     Persisted,
     SnapshotSaved,
 )
+from chestnutvale.consensus.exceptions import ConsensusFailedError
+from chestnutvale.exceptions import ChestnutError
 from chestnutvale.schema.raft_pb2 import HardState, LogEntry, SnapshotMetadata
 from chestnutvale.storage.exceptions import StorageError
 from chestnutvale.storage.store import DataStore
@@ -59,7 +61,7 @@
         self,
         storage: DataStore,
         report: Callable[[Event], None],
-        fail: Callable[[StorageError], None],
+        fail: Callable[[ChestnutError], None],
     ) -> None:
         self.syncs = 0
         self._storage = storage
@@ -98,6 +100,10 @@
                 _LOGGER.critical("The data folder failed; voting ends: {}", error)
                 self._fail(error)
                 return
+            except Exception as error:
+                _LOGGER.exception("The writing task failed")
+                self._fail(ConsensusFailedError(str(error)))
+                return
             if is_last:
                 return
 
--- a/tests/consensus/test_members.py
+++ b/tests/consensus/test_members.py
@@ -22,11 +22,15 @@
     return RaftMessage(from_id=member_id, to_id=to_id, join_request=request)
 
 
-def decide_bootstrap(*joins, own_id="c0#1", is_spare=False):
+def make_bootstrap(*joins, own_id="c0#1", is_spare=False):
     bootstrap = Bootstrap(own_id, "a:1", CONTROLS, is_spare)
     for join in joins:
         bootstrap.note(join, NOW_S)
-    return bootstrap.decide(NOW_S + 1)
+    return bootstrap
+
+
+def decide_bootstrap(*joins, **options):
+    return make_bootstrap(*joins, **options).decide(NOW_S + 1)
 
 
 def test_cluster_begins_when_all_disks_are_empty():
@@ -37,16 +41,18 @@
 
 
 @pytest.mark.parametrize(
-    "join",
+    ("join", "reason"),
     [
-        make_join("c2#1", empty=False),
-        make_join("c2#1", to_id="c0#0"),
-        make_join("c2#1", to_id=""),
-        make_join("c2#1", controls=["c0", "c2"]),
+        (make_join("c2#1", empty=False), "holds data"),
+        (make_join("c2#1", to_id="c0#0"), "has not answered"),
+        (make_join("c2#1", to_id=""), "has not answered"),
+        (make_join("c2#1", controls=["c0", "c2"]), "names other controls"),
     ],
 )
-def test_cluster_does_not_begin_beside_data_or_doubt(join):
-    assert decide_bootstrap(make_join("c1#1"), join) is None
+def test_cluster_does_not_begin_beside_data_or_doubt(join, reason):
+    bootstrap = make_bootstrap(make_join("c1#1"), join)
+    assert bootstrap.decide(NOW_S + 1) is None
+    assert reason in bootstrap.find_obstacle(NOW_S + 1)
 
 
 def test_only_the_first_control_begins_and_no_spare():
