Prove that a lost disk never begins a second cluster

Cause: the rule of the first start was only tested by itself. Change: 40 first starts under crashes, loss, doubling and reordering in which the first control loses its disk; the same with a first start that asks nobody. Ruled out: beginning anew beside voters that only voted, since the lost disk may turn up again.

--- a/tests/consensus/driver.py
+++ b/tests/consensus/driver.py
@@ -116,7 +116,9 @@
 class Cluster:
     """Nodes, links and clients under one simulated clock."""
 
-    def __init__(self, size=3, seed=0, raft=Raft, repairs=False, spares=0, **config):
+    def __init__(
+        self, size=3, seed=0, raft=Raft, repairs=False, spares=0, begun=True, **config
+    ):
         self.rng = random.Random(seed)
         self.now_s = 0.0
         self.raft_class = raft
@@ -142,7 +144,7 @@
         voters = [f"{control}#0" for control in self.controls[:size]]
         self.members = Members(voters=voters, wanted_voters=size)
         for voter in voters:
-            self.start_new(control_of(voter), voter)
+            self.start_new(control_of(voter), voter if begun else None)
         for spare in self.controls[size:]:
             self.start_new(spare)
         if repairs:
@@ -442,6 +444,12 @@
 
     # Joining and replacement.
 
+    def _consider_bootstrap(self, node):
+        members = node.joining.decide_first_members(self.now_s)
+        if members and node.raft.is_empty:
+            node.disk = Disk(members)
+            self.start(control_of(node.member_id))
+
     def _maintain(self):
         for node in self.nodes.values():
             if node.raft is None or node.is_frozen:
@@ -453,4 +461,5 @@
             elif not node.raft.leader_id:
                 for _, message in node.joining.make_requests(node.raft):
                     self._send(message)
+                self._consider_bootstrap(node)
         self.at(1.0, self._maintain)
--- a/tests/consensus/test_histories.py
+++ b/tests/consensus/test_histories.py
@@ -6,6 +6,8 @@
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
 
+from chestnutvale.consensus.bootstrap import Bootstrap
+from chestnutvale.schema.raft_pb2 import Members
 from tests.consensus.driver import Cluster
 from tests.consensus.schedules import ACTIONS, Step, check_schedule, draw_steps
 from tests.history import is_linearizable
@@ -53,3 +55,41 @@
         cluster.run(1.0)
         assert cluster.writes > WORKLOAD_WRITES
         assert is_linearizable(cluster.history)
+
+
+def begin_under_faults(number):
+    """Begin a cluster while controls crash and the first one's disk is lost."""
+    rng = random.Random(number)
+    cluster = Cluster(seed=number, begun=False, repairs=True)
+    cluster.loss = cluster.doubling = cluster.reordering = 0.2
+    loss_at = rng.randrange(8)
+    for step in range(8):
+        cluster.run(rng.choice([0.003, 0.1, 1.0, 2.0]))
+        if step == loss_at:
+            cluster.lose_disk("c0")
+            continue
+        control = rng.choice(list(cluster.nodes))
+        cluster.crash(control)
+        cluster.run(rng.choice([0.01, 1.0]))
+        cluster.start(control)
+    cluster.heal()
+    cluster.run(20.0)
+    for control in cluster.leaders():
+        cluster.commit(control, 1)
+    return len(cluster.leaders())
+
+
+def test_a_lost_disk_never_begins_a_second_cluster(monkeypatch):
+    leaders = [begin_under_faults(number) for number in range(40)]
+    assert max(leaders) == 1
+    assert sum(leaders) > 30
+    monkeypatch.setattr(Bootstrap, "decide", decide_at_once)
+    with pytest.raises(AssertionError):
+        assert max(begin_under_faults(number) for number in range(40)) == 1
+
+
+def decide_at_once(bootstrap, now_s):
+    """Do what a flag for the first start does that stays in the unit file."""
+    if not bootstrap.own_id.startswith("c0"):
+        return None
+    return Members(voters=[bootstrap.own_id], wanted_voters=3)
