--- a/tests/consensus/test_members.py
+++ b/tests/consensus/test_members.py
@@ -22,11 +22,15 @@
     return RaftMessage(from_id=member_id, to_id=to_id, join_request=request)
 
 
-def decide_bootstrap(*joins, own_id="c0#1", is_spare=False):
+def make_bootstrap(*joins, own_id="c0#1", is_spare=False):
     bootstrap = Bootstrap(own_id, "a:1", CONTROLS, is_spare)
     for join in joins:
         bootstrap.note(join, NOW_S)
-    return bootstrap.decide(NOW_S + 1)
+    return bootstrap
+
+
+def decide_bootstrap(*joins, **options):
+    return make_bootstrap(*joins, **options).decide(NOW_S + 1)
 
 
 def test_cluster_begins_when_all_disks_are_empty():
@@ -37,16 +41,18 @@
 
 
 @pytest.mark.parametrize(
-    "join",
+    ("join", "reason"),
     [
-        make_join("c2#1", empty=False),
-        make_join("c2#1", to_id="c0#0"),
-        make_join("c2#1", to_id=""),
-        make_join("c2#1", controls=["c0", "c2"]),
+        (make_join("c2#1", empty=False), "holds data"),
+        (make_join("c2#1", to_id="c0#0"), "has not answered"),
+        (make_join("c2#1", to_id=""), "has not answered"),
+        (make_join("c2#1", controls=["c0", "c2"]), "names other controls"),
     ],
 )
-def test_cluster_does_not_begin_beside_data_or_doubt(join):
-    assert decide_bootstrap(make_join("c1#1"), join) is None
+def test_cluster_does_not_begin_beside_data_or_doubt(join, reason):
+    bootstrap = make_bootstrap(make_join("c1#1"), join)
+    assert bootstrap.decide(NOW_S + 1) is None
+    assert reason in bootstrap.find_obstacle(NOW_S + 1)
 
 
 def test_only_the_first_control_begins_and_no_spare():
@@ -57,11 +63,12 @@
     assert decide_bootstrap(make_join("c1#1")) is None
 
 
-def decide(members, silent=(), joiners=(), behind=()):
+def decide(members, silent=None, joiners=(), behind=()):
+    silent = silent or {}
     others = {*members.voters, *members.learners} - {"c0#1"}
     contacts = {
         other: MemberContact(
-            silent_since_s=NOW_S - (60.0 if other in silent else 0.1),
+            silent_since_s=NOW_S - silent.get(other, 0.1),
             match_index=10 if other in behind else 1_000,
         )
         for other in others
@@ -78,12 +85,12 @@
 
 
 def test_lost_voter_goes_only_for_a_ready_learner():
-    assert decide(make_members(VOTERS), silent=["c1#1"]) is None
+    assert decide(make_members(VOTERS), silent={"c1#1": 60.0}) is None
     members = make_members(VOTERS, ["c3#1"])
     assert decide(members) is None
-    assert decide(members, silent=["c1#1"], behind=["c3#1"]) is None
-    assert decide(members, silent=["c1#1", "c3#1"]) is None
-    change = decide(members, silent=["c1#1"])
+    assert decide(members, silent={"c1#1": 60.0}, behind=["c3#1"]) is None
+    assert decide(members, silent={"c1#1": 60.0, "c3#1": 60.0}) is None
+    change = decide(members, silent={"c1#1": 60.0})
     assert change == MembersChange(ChangeKind.REMOVE, "c1#1")
     change = decide(change_members(members, change))
     assert change == MembersChange(ChangeKind.PROMOTE, "c3#1")
@@ -99,6 +106,13 @@
     assert decide(members, joiners=["c3#1"]) is None
 
 
+def test_learner_that_is_gone_for_an_hour_is_forgotten():
+    members = make_members(VOTERS, ["c3#1"])
+    assert decide(members, silent={"c3#1": 3_000.0}) is None
+    change = decide(members, silent={"c3#1": 4_000.0})
+    assert change == MembersChange(ChangeKind.REMOVE, "c3#1")
+
+
 def test_operator_removal_bars_a_control_until_it_is_added_again():
     members = make_members(VOTERS)
     remove = MembersChange(ChangeKind.REMOVE, "c2#1", by_operator=True)
