Share suspicions of crashing requests through the leading control

Cause: SuspicionBoard was not wired, so an entry knew only its own crashes. Change: the entry desk merges reported evidence and puts it into views, pushed to all live entries when it is new; an entry reports a crash at once (tracker's notify calls the link's hurry). ViewPublisher.push_all is push_text without the text. Small edits in programs/control/entry_desk.py, programs/entry/daemon.py and membership/views.py. Seen: tests/processes/test_crashing.py on real processes, six sends of a crashing request at three entries crash exactly two engines, then it is refused at all entries; 1 passed.

--- a/chestnutvale/attempts/suspicion.py
+++ b/chestnutvale/attempts/suspicion.py
@@ -1,6 +1,7 @@
 """What an entry knows of requests that may crash groups."""
 
 import json
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -91,10 +92,18 @@
     All entries compute the same place for a suspect from the same evidence,
     so that copies of one request at several entries run at one group, and
     different suspects of one crash run apart.
+
+    Attributes
+    ----------
+    evidence : CrashEvidence
+        What is known of crashes.
+    notify : callable or None
+        Called when there is something new to report; must not block.
     """
 
     def __init__(self) -> None:
         self.evidence = CrashEvidence()
+        self.notify: Callable[[], None] | None = None
         self._running: dict[str, _Running] = {}
         self._reports: list[CrashSuspicion] = []
 
@@ -271,3 +280,5 @@
     def _add(self, suspicion: CrashSuspicion) -> None:
         if self.evidence.add(suspicion):
             self._reports.append(suspicion)
+            if self.notify is not None:
+                self.notify()
--- a/chestnutvale/membership/views.py
+++ b/chestnutvale/membership/views.py
@@ -235,16 +235,48 @@
         list of Push
             One for each live entry.
         """
-        pushes = []
-        for entry_id in table.live_entries(now_s):
-            known = self._entries.get(entry_id)
-            if known is None or configuration.text is None:
-                continue
-            view = self._build(entry_id, configuration, term)
-            view.text.CopyFrom(configuration.text)
-            pushes.append(Push(entry_id, known.reply_address, view))
+        if configuration.text is None:
+            return []
+        pushes = self.push_all(configuration, table, term, now_s)
+        for push in pushes:
+            push.view.text.CopyFrom(configuration.text)
         return pushes
 
+    def push_all(
+        self,
+        configuration: TextSource,
+        table: MembershipTable,
+        term: int,
+        now_s: float,
+    ) -> list[Push]:
+        """Build views for all live entries, also for those that are current.
+
+        Parameters
+        ----------
+        configuration : TextSource
+            The text in force.
+        table : MembershipTable
+            What is known of entries.
+        term : int
+            Term in which this control leads.
+        now_s : float
+            Monotonic time.
+
+        Returns
+        -------
+        list of Push
+            One for each live entry.
+        """
+        return [
+            Push(
+                entry_id,
+                self._entries[entry_id].reply_address,
+                self._build(entry_id, configuration, term),
+            )
+            for entry_id in table.live_entries(now_s)
+            if entry_id in self._entries
+        ]
+
     def group_views(self) -> list[GroupView]:
         """Return all groups as entries see them, for the status and the dump."""
         return [_to_view(self._published[key]) for key in sorted(self._published)]
--- a/chestnutvale/programs/control/entry_desk.py
+++ b/chestnutvale/programs/control/entry_desk.py
@@ -4,6 +4,7 @@
 import eventlet
 import logbook
 
+from chestnutvale.attempts.suspicion_board import SuspicionBoard
 from chestnutvale.clock import Clock
 from chestnutvale.consensus.exceptions import NotLeaderError, OutcomeUnknownError
 from chestnutvale.consensus.task import ConsensusTask
@@ -101,6 +102,7 @@
         self._table = table
         self._publisher = publisher
         self._clock = clock
+        self._suspicions = SuspicionBoard()
         self._pushed_number = 0
         self._cache_events = CacheEventQueue()
         self._commits = eventlet.GreenPool(MAX_COMMIT_REQUESTS)
@@ -155,9 +157,21 @@
             data_centre=report.data_centre,
             address=report.reply_address,
         )
+        has_news = self._suspicions.merge(
+            list(report.suspicions), self._clock.unix_ms()
+        )
         if not self._log.is_leader or not self._log.has_lease(now_s):
             return
         self._answer(entry_id, report, now_s)
+        if has_news:
+            self._push_suspicions(now_s)
+
+    def _push_suspicions(self, now_s: float) -> None:
+        # A request that crashes groups is soon sent again at another entry.
+        pushes = self._publisher.push_all(
+            self._state.configuration, self._table, self._log.term, now_s
+        )
+        self._send_pushes(pushes)
 
     def _answer(self, entry_id: str, report: EntryReport, now_s: float) -> None:
         self._publisher.refresh(self._state.groups, self._table, now_s)
@@ -176,6 +190,11 @@
             self._send_view(push.entry_id, push.reply_address, push.view)
 
     def _send_view(self, entry_id: str, address: str, view: ControlView) -> None:
+        now_unix_ms = self._clock.unix_ms()
+        if view.whole:
+            view.suspicions.extend(self._suspicions.everything(now_unix_ms))
+        else:
+            view.suspicions.extend(self._suspicions.recent(now_unix_ms))
         self._transport.send(entry_id, address, "control_view", view)
 
     def _receive_commit(self, envelope: Envelope) -> None:
--- a/chestnutvale/programs/entry/daemon.py
+++ b/chestnutvale/programs/entry/daemon.py
@@ -93,6 +93,7 @@
             rng,
         )
         self.link.on_view(self.context.install)
+        self.context.suspicions.notify = self.link.hurry
         self.transport.on("cache_news", router.receive_cache_news)
         self._writer = LedgerWriter(self.context)
         self._services = ServiceCallHandler(self.context, self._writer)
