Index running claims and expiries; refuse a claim past its deadline

Seen failing on a scratch copy: the queue without the comparison of times (a claim that came back lost its key early), and the deadline check off.

--- /dev/null
+++ b/benchmarks/attempts_http.py
@@ -0,0 +1,213 @@
+"""Processor time of an entry's stream path over HTTP, per token.
+
+The entry's handler runs in this process; engine and callers run in two others.
+"""
+
+import json
+import random
+import subprocess
+import sys
+import time
+from typing import Any
+
+import defopt
+import eventlet
+from eventlet import wsgi
+from eventlet.green import socket
+
+from benchmarks.attempts_stream import make_stream
+from chestnutvale.attempts.retry_budget import AttemptBudgets
+from chestnutvale.attempts.suspicion import SuspicionTracker
+from chestnutvale.clock import SystemClock
+from chestnutvale.programs.entry.context import AcceptAll, AttemptReport, CallRequest
+from chestnutvale.programs.entry.model_calls import ModelCallHandler
+from chestnutvale.programs.entry.running_attempts import RunningAttempts
+from chestnutvale.schema.configuration_pb2 import Text
+from chestnutvale.schema.groups_pb2 import Group, GroupMember
+from chestnutvale.schema.peer_pb2 import GroupView
+
+ENGINE_ADDRESS = ("127.0.0.1", 39_471)
+ENTRY_ADDRESS = ("127.0.0.1", 39_472)
+TOKENS = 346
+TOKEN_S = 0.028
+BACKLOG = 1_024
+START_S = 1.0
+LONGEST_RUN_S = 120.0
+
+
+class _Quiet:
+    def write(self, text: str) -> None:
+        """Drop the line."""
+
+
+def serve(address: tuple[str, int], app: Any) -> None:
+    """Serve an application for ever.
+
+    Parameters
+    ----------
+    address : tuple of (str, int)
+        Where to listen.
+    app : WSGI application
+        The application.
+    """
+    wsgi.server(
+        eventlet.listen(address, backlog=BACKLOG),
+        app,
+        log=_Quiet(),
+        log_output=False,
+        minimum_chunk_size=1,
+        max_size=10_000,
+    )
+
+
+def answer_as_engine(environ: dict[str, Any], start_response: Any) -> Any:
+    """Stream one answer at the engine's pace.
+
+    Parameters
+    ----------
+    environ : dict
+        The WSGI environment.
+    start_response : callable
+        Takes status and headers.
+
+    Yields
+    ------
+    bytes
+        One event.
+    """
+    body = json.loads(environ["wsgi.input"].read())
+    start_response("200 OK", [("Content-Type", "text/event-stream")])
+    events = make_stream(body["attempt_id"], TOKENS)
+    end = events[-2].replace(b":345:346\n", b":346:346\n")
+    for event in [*events[:-1], end, events[-1]]:
+        yield event
+        eventlet.sleep(TOKEN_S)
+
+
+def call(results: list[bool], delay_s: float) -> None:
+    """Make one call and note whether its answer was whole.
+
+    Parameters
+    ----------
+    results : list of bool
+        Gets the result.
+    delay_s : float
+        Time in seconds before the call.
+    """
+    eventlet.sleep(delay_s)
+    message = {"role": "user", "content": "hello"}
+    data = json.dumps({"model": "llm", "messages": [message], "stream": True}).encode()
+    sock = socket.create_connection(ENTRY_ADDRESS)
+    head = "POST / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+    head += f"Content-Length: {len(data)}\r\n\r\n"
+    sock.sendall(head.encode() + data)
+    last = b""
+    while chunk := sock.recv(65_536):
+        last = (last + chunk)[-200:]
+    results.append(b"[DONE]" in last)
+
+
+def run_callers(streams: int) -> None:
+    """Make calls spread over the length of one answer.
+
+    Parameters
+    ----------
+    streams : int
+        Number of calls.
+    """
+    results: list[bool] = []
+    rng = random.Random(1)
+    spread_s = TOKENS * TOKEN_S / 4
+    pool = eventlet.GreenPool(streams)
+    for _ in range(streams):
+        pool.spawn_n(call, results, rng.uniform(0, spread_s))
+    pool.waitall()
+    print(sum(results), flush=True)
+
+
+class BenchContext:
+    """An entry with one group and no limits."""
+
+    def __init__(self) -> None:
+        self.entry_id = "entry-1"
+        self.incarnation = "life-1"
+        self.clock = SystemClock()
+        self.rng = random.Random(1)
+        self.admission = AcceptAll()
+        self.budgets = AttemptBudgets()
+        self.suspicions = SuspicionTracker()
+        self.running = RunningAttempts()
+        self.text = Text()
+        self.text.services["llm"].kind = "model"
+        self.text.workspaces["w"].weight = 1
+        group = Group(group_id="g", service="llm", epoch=1, version="1")
+        address = f"{ENGINE_ADDRESS[0]}:{ENGINE_ADDRESS[1]}"
+        group.members.append(GroupMember(host_id="h", address=address))
+        self._view = GroupView(group=group, serving=True)
+
+    def authenticate(self, environ: dict[str, Any]) -> str:
+        """Let everybody in."""
+        return "w"
+
+    def has_lease(self, now_s: float) -> bool:
+        """Hold the lease for ever."""
+        return True
+
+    def serving_groups(self, service: str, version: str) -> list[str]:
+        """Return the one group."""
+        return ["g"]
+
+    def choose_group(
+        self, request: CallRequest, excluded: frozenset[str], version: str
+    ) -> GroupView:
+        """Return the one group."""
+        return self._view
+
+    def report_attempt(self, report: AttemptReport) -> None:
+        """Do nothing."""
+
+
+def main(*, streams: int = 200, role: str = "entry") -> None:
+    """Print the entry's processor time a token.
+
+    Parameters
+    ----------
+    streams : int
+        Streams in all; about all of them run at once.
+    role : str
+        ``entry``; ``engine`` and ``callers`` are started by it.
+    """
+    if role == "engine":
+        serve(ENGINE_ADDRESS, answer_as_engine)
+        return
+    if role == "callers":
+        run_callers(streams)
+        return
+    command = [sys.executable, "-W", "ignore", "-m", "benchmarks.attempts_http"]
+    command += ["--streams", str(streams), "--role"]
+    engine = subprocess.Popen([*command, "engine"])
+    try:
+        eventlet.spawn(serve, ENTRY_ADDRESS, ModelCallHandler(BenchContext(), "chat"))
+        eventlet.sleep(START_S)
+        callers = subprocess.Popen(
+            [*command, "callers"], stdout=subprocess.PIPE, text=True
+        )
+        cpu_s, begun_s = time.process_time(), time.monotonic()
+        while callers.poll() is None and time.monotonic() < begun_s + LONGEST_RUN_S:
+            eventlet.sleep(0.2)
+        cpu_s = time.process_time() - cpu_s
+        wall_s = time.monotonic() - begun_s
+        callers.kill()
+        whole = int(callers.stdout.read() or 0)
+    finally:
+        engine.kill()
+    tokens = whole * TOKENS
+    print(
+        f"{whole} of {streams} answers whole, {tokens} tokens in {wall_s:.1f} s, "
+        f"{cpu_s:.2f} s of processor time, "
+        f"{1e6 * cpu_s / max(1, tokens):.0f} us a token"
+    )
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- /dev/null
+++ b/benchmarks/ledger_claims.py
@@ -0,0 +1,182 @@
+"""What a call that may not be repeated costs in the replicated ledger."""
+
+import time
+
+import attrs
+import defopt
+
+from chestnutvale.ledger.records import LedgerBounds
+from chestnutvale.ledger.state import LedgerState
+from chestnutvale.schema.command_pb2 import Command
+from chestnutvale.schema.ledger_pb2 import (
+    AbandonClaims,
+    Claim,
+    ExpireClaims,
+    LedgerSnapshot,
+    RecordedAnswer,
+    RecordOutcome,
+)
+
+NOW_UNIX_MS = 1_790_000_000_000
+RECORDS_PER_WORKSPACE = 10
+
+
+@attrs.frozen
+class Costs:
+    """Costs of one run.
+
+    Attributes
+    ----------
+    claim_us, outcome_us : float
+        Processor time to parse and apply one command in microseconds.
+    scan_ms : float
+        Processor time of `needs_expiry` over the full ledger in milliseconds.
+    expire_ms : float
+        Processor time of `ExpireClaims` over the full ledger in milliseconds.
+    abandon_ms : float
+        Processor time of `AbandonClaims` over the full ledger in milliseconds.
+    snapshot_ms, restore_ms : float
+        Processor time of a snapshot and of its restore in milliseconds.
+    snapshot_bytes : int
+        Size of the snapshot.
+    """
+
+    claim_us: float
+    outcome_us: float
+    scan_ms: float
+    expire_ms: float
+    abandon_ms: float
+    snapshot_ms: float
+    restore_ms: float
+    snapshot_bytes: int
+
+
+def make_claim(number: int) -> Command:
+    """Make the command of one claim.
+
+    Parameters
+    ----------
+    number : int
+        Number of the call.
+
+    Returns
+    -------
+    Command
+        The command.
+    """
+    claim = Claim(
+        workspace=f"workspace-{number % RECORDS_PER_WORKSPACE}",
+        service="ledger-app",
+        key=f"018f7f2e-0000-7000-8000-{number:012x}",
+        body_sha256="0" * 64,
+        claim_id=f"entry-1-{number:024x}",
+        entry_id="entry-1",
+        entry_incarnation="0000018f7f2e0000-00000001",
+        deadline_unix_ms=NOW_UNIX_MS + 60_000,
+    )
+    return Command(proposed_at_unix_ms=NOW_UNIX_MS, claim=claim)
+
+
+def make_outcome(number: int, body_bytes: int) -> Command:
+    """Make the command of one outcome.
+
+    Parameters
+    ----------
+    number : int
+        Number of the call.
+    body_bytes : int
+        Size of the answer's body.
+
+    Returns
+    -------
+    Command
+        The command.
+    """
+    answer = RecordedAnswer(
+        status=201,
+        header_names=["Content-Type"],
+        header_values=["application/json"],
+        body=b"x" * body_bytes,
+    )
+    outcome = RecordOutcome(claim_id=f"entry-1-{number:024x}", answer=answer)
+    return Command(proposed_at_unix_ms=NOW_UNIX_MS, record_outcome=outcome)
+
+
+def measure(records: int, body_bytes: int) -> Costs:
+    """Fill a ledger and measure it.
+
+    Parameters
+    ----------
+    records : int
+        Number of calls.
+    body_bytes : int
+        Size of each answer's body.
+
+    Returns
+    -------
+    Costs
+        The costs.
+    """
+    state = LedgerState(LedgerBounds(max_bytes=1 << 40, max_workspace_share=1.0))
+    claims = [make_claim(n).SerializeToString() for n in range(records)]
+    outcomes = [make_outcome(n, body_bytes).SerializeToString() for n in range(records)]
+    marks = [time.process_time()]
+
+    def mark() -> None:
+        marks.append(time.process_time())
+
+    for data in claims:
+        state.apply_claim(Command.FromString(data).claim, NOW_UNIX_MS)
+    mark()
+    for data in outcomes:
+        command = Command.FromString(data)
+        state.apply_record_outcome(command.record_outcome, NOW_UNIX_MS)
+    mark()
+    assert not state.needs_expiry(NOW_UNIX_MS)
+    mark()
+    state.apply_expire_claims(ExpireClaims(now_unix_ms=NOW_UNIX_MS), NOW_UNIX_MS)
+    mark()
+    state.apply_abandon_claims(AbandonClaims(entry_id="entry-2"), NOW_UNIX_MS)
+    mark()
+    snapshot = state.to_snapshot().SerializeToString()
+    mark()
+    copy = LedgerState.from_snapshot(LedgerSnapshot.FromString(snapshot))
+    mark()
+    assert copy.record_count == records
+    spent = [after - before for before, after in zip(marks, marks[1:], strict=False)]
+    return Costs(
+        1e6 * spent[0] / records,
+        1e6 * spent[1] / records,
+        *(1e3 * value for value in spent[2:]),
+        len(snapshot),
+    )
+
+
+def main(*, records: int = 50_000, body_bytes: int = 200, repeats: int = 3) -> None:
+    """Print the costs of several runs.
+
+    Parameters
+    ----------
+    records : int
+        Number of calls.
+    body_bytes : int
+        Size of each answer's body.
+    repeats : int
+        Number of runs.
+    """
+    claim_bytes = make_claim(1).ByteSize()
+    outcome_bytes = make_outcome(1, body_bytes).ByteSize()
+    print(f"log: claim {claim_bytes} bytes, outcome {outcome_bytes} bytes")
+    for _ in range(repeats):
+        costs = measure(records, body_bytes)
+        print(
+            f"claim {costs.claim_us:.1f} us, outcome {costs.outcome_us:.1f} us; "
+            f"with {records} records: scan {costs.scan_ms:.1f} ms, "
+            f"expire {costs.expire_ms:.1f} ms, abandon {costs.abandon_ms:.1f} ms, "
+            f"snapshot {costs.snapshot_ms:.0f} ms and {costs.snapshot_bytes} bytes, "
+            f"restore {costs.restore_ms:.0f} ms"
+        )
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- a/chestnutvale/ledger/records.py
+++ b/chestnutvale/ledger/records.py
@@ -1,5 +1,6 @@
 """The records of the ledger, indexed and kept within bounds."""
 
+import heapq
 from collections import Counter
 
 import attrs
@@ -8,6 +9,7 @@
     MAX_LEDGER_BYTES,
     MAX_RECORDS,
     MAX_WORKSPACE_SHARE,
+    PHASE_RUNNING,
     RECORD_OVERHEAD_BYTES,
 )
 from chestnutvale.schema.ledger_pb2 import Claim, ClaimRecord, RecordedAnswer
@@ -83,8 +85,12 @@
     return RECORD_OVERHEAD_BYTES + record.claim.ByteSize() + record.answer.ByteSize()
 
 
+# Removed records that may stay in the queue of expiries, beside as many as live.
+MAX_STALE_EXPIRIES = 1_000
+
+
 class RecordTable:
-    """Records by key and by claim id, with their sizes by workspace.
+    """Records by key, claim id and expiry, with their sizes by workspace.
 
     Parameters
     ----------
@@ -96,6 +102,9 @@
         self._bounds = bounds
         self._records: dict[RecordKey, ClaimRecord] = {}
         self._keys: dict[str, RecordKey] = {}
+        self._running: dict[str, ClaimRecord] = {}
+        # Expiry in Unix milliseconds and claim id; removed records stay for a while.
+        self._expiries: list[tuple[int, str]] = []
         self._counts: Counter[str] = Counter()
         self._bytes: Counter[str] = Counter()
         self.total_bytes = 0
@@ -108,6 +117,30 @@
         """Return all records in the order in which they were added."""
         return list(self._records.values())
 
+    def running(self) -> list[ClaimRecord]:
+        """Return the records whose call runs."""
+        return list(self._running.values())
+
+    def next_expiry_unix_ms(self) -> int | None:
+        """Return the time at which the next record expires; None without one."""
+        while self._expiries and not self._is_live(self._expiries[0]):
+            heapq.heappop(self._expiries)
+        return self._expiries[0][0] if self._expiries else None
+
+    def remove_expired(self, now_unix_ms: int) -> None:
+        """Remove the records whose time has come.
+
+        Parameters
+        ----------
+        now_unix_ms : int
+            Wall-clock time in milliseconds.
+        """
+        while (expiry := self.next_expiry_unix_ms()) is not None:
+            if expiry > now_unix_ms:
+                return
+            _, claim_id = heapq.heappop(self._expiries)
+            self.remove(self._records[self._keys[claim_id]])
+
     def find(self, key: RecordKey) -> ClaimRecord | None:
         """Return the record of a key.
 
@@ -176,9 +209,29 @@
         key = key_of(record.claim)
         self._records[key] = record
         self._keys[record.claim.claim_id] = key
+        heapq.heappush(
+            self._expiries, (record.expires_at_unix_ms, record.claim.claim_id)
+        )
+        self.set_phase(record, record.phase)
         self._counts[key.workspace] += 1
         self._count_bytes(key.workspace, size_of(record))
 
+    def set_phase(self, record: ClaimRecord, phase: str) -> None:
+        """Change the phase of a record.
+
+        Parameters
+        ----------
+        record : ClaimRecord
+            A record of this table.
+        phase : str
+            One of the ``PHASE_*`` constants.
+        """
+        record.phase = phase
+        if phase == PHASE_RUNNING:
+            self._running[record.claim.claim_id] = record
+        else:
+            self._running.pop(record.claim.claim_id, None)
+
     def set_answer(self, record: ClaimRecord, answer: RecordedAnswer) -> None:
         """Store the answer of a record.
 
@@ -204,8 +257,19 @@
         key = key_of(record.claim)
         del self._records[key]
         del self._keys[record.claim.claim_id]
+        self._running.pop(record.claim.claim_id, None)
         self._counts[key.workspace] -= 1
         self._count_bytes(key.workspace, -size_of(record))
+        if len(self._expiries) > 2 * len(self._records) + MAX_STALE_EXPIRIES:
+            self._drop_stale_expiries()
+
+    def _drop_stale_expiries(self) -> None:
+        self._expiries = [item for item in self._expiries if self._is_live(item)]
+        heapq.heapify(self._expiries)
+
+    def _is_live(self, item: tuple[int, str]) -> bool:
+        record = self.find_claim(item[1])
+        return record is not None and record.expires_at_unix_ms == item[0]
 
     def _count_bytes(self, workspace: str, change: int) -> None:
         self.total_bytes += change
--- a/chestnutvale/ledger/state.py
+++ b/chestnutvale/ledger/state.py
@@ -140,8 +140,7 @@
         """Return entry id and incarnation of all holders of running claims."""
         return {
             (record.claim.entry_id, record.claim.entry_incarnation)
-            for record in self._table.records()
-            if record.phase == PHASE_RUNNING
+            for record in self._table.running()
         }
 
     def needs_expiry(self, now_unix_ms: int) -> bool:
@@ -157,10 +156,13 @@
         bool
             Whether a record is due, so that the command is worth proposing.
         """
-        return any(expiry <= now_unix_ms for expiry in self._released.values()) or any(
-            record.expires_at_unix_ms <= now_unix_ms or _is_overdue(record, now_unix_ms)
-            for record in self._table.records()
-        )
+        next_expiry_unix_ms = self._table.next_expiry_unix_ms()
+        if next_expiry_unix_ms is not None and next_expiry_unix_ms <= now_unix_ms:
+            return True
+        oldest_release_unix_ms = next(iter(self._released.values()), None)
+        if oldest_release_unix_ms is not None and oldest_release_unix_ms <= now_unix_ms:
+            return True
+        return any(_is_overdue(r, now_unix_ms) for r in self._table.running())
 
     def apply_claim(self, message: Claim, at_unix_ms: int) -> ClaimResult:
         """Take a key for a claim, or tell what became of the key.
@@ -192,6 +194,9 @@
             return _describe(record, message)
         if self._table.find_claim(message.claim_id) is not None:
             return ClaimResult(outcome=CLAIM_INVALID)
+        if message.deadline_unix_ms and _is_overdue_at(message, at_unix_ms):
+            # Its holder sends nothing any more, so it must not hold the key.
+            return ClaimResult(outcome=CLAIM_RELEASED)
         return self._add(message, at_unix_ms)
 
     def apply_record_outcome(
@@ -219,13 +224,13 @@
         if record.phase == PHASE_RECORDED:
             return ClaimResult(outcome=CLAIM_DONE)
         if not message.HasField("answer"):
-            record.phase = PHASE_UNKNOWN
+            self._table.set_phase(record, PHASE_UNKNOWN)
             return ClaimResult(outcome=CLAIM_DONE)
         answer = fit_answer(message.answer)
         if not self._table.has_room(record.claim.workspace, answer.ByteSize(), 0):
             answer = RecordedAnswer(status=answer.status, body_dropped=True)
         self._table.set_answer(record, answer)
-        record.phase = PHASE_RECORDED
+        self._table.set_phase(record, PHASE_RECORDED)
         return ClaimResult(outcome=CLAIM_DONE)
 
     def apply_release_claim(
@@ -274,14 +279,13 @@
         ClaimResult
             ``done``.
         """
-        for record in self._table.records():
+        for record in self._table.running():
             claim = record.claim
             if (
-                record.phase == PHASE_RUNNING
-                and claim.entry_id == message.entry_id
+                claim.entry_id == message.entry_id
                 and claim.entry_incarnation != message.live_incarnation
             ):
-                record.phase = PHASE_UNKNOWN
+                self._table.set_phase(record, PHASE_UNKNOWN)
         return ClaimResult(outcome=CLAIM_DONE)
 
     def apply_expire_claims(
@@ -302,11 +306,10 @@
             ``done``.
         """
         now_unix_ms = message.now_unix_ms
-        for record in self._table.records():
-            if record.expires_at_unix_ms <= now_unix_ms:
-                self._table.remove(record)
-            elif _is_overdue(record, now_unix_ms):
-                record.phase = PHASE_UNKNOWN
+        self._table.remove_expired(now_unix_ms)
+        for record in self._table.running():
+            if _is_overdue(record, now_unix_ms):
+                self._table.set_phase(record, PHASE_UNKNOWN)
         self._released = {
             claim_id: expiry
             for claim_id, expiry in self._released.items()
@@ -345,8 +348,11 @@
 
 
 def _is_overdue(record: ClaimRecord, now_unix_ms: int) -> bool:
-    latest = record.claim.deadline_unix_ms + CLAIM_GRACE_MS
-    return record.phase == PHASE_RUNNING and latest <= now_unix_ms
+    return _is_overdue_at(record.claim, now_unix_ms)
+
+
+def _is_overdue_at(claim: Claim, now_unix_ms: int) -> bool:
+    return claim.deadline_unix_ms + CLAIM_GRACE_MS <= now_unix_ms
 
 
 def _describe(record: ClaimRecord, claim: Claim) -> ClaimResult:
--- a/chestnutvale/programs/entry/endpoint_exchange.py
+++ b/chestnutvale/programs/entry/endpoint_exchange.py
@@ -170,8 +170,12 @@
         timeout_s : float
             Time in seconds.
         """
-        with contextlib.suppress(OSError):
+        # No context manager here: this runs for each piece of a stream.
+        try:  # noqa: SIM105
             self._sock.settimeout(max(0.001, timeout_s))
+        except OSError:
+            # A socket that was closed meanwhile fails the next read.
+            pass
 
     def read(self) -> bytes:
         """Read what has arrived, or wait for it.
