Answer unreadable events and odd headers with a problem, not a fault

Cause: an engine's event that is no JSON raised inside the call's task when it was needed for a resume or for an answer in one piece; half a surrogate pair in a prompt, a superscript digit in X-Deadline-Ms and an endless Retry-After did likewise. Change: chunks are checked where they are read (unreadable_answer, outcome failed), the others are 400 or bounded. Seen: pytest tests/programs/entry: 75 passed; the new cases failed before with 500.

--- a/chestnutvale/programs/entry/crash_probe.py
+++ b/chestnutvale/programs/entry/crash_probe.py
@@ -44,7 +44,12 @@
             and holding.get("group_id") == group.group_id
             and int(holding.get("epoch", 0)) == group.epoch
         )
-    except (EndpointUnreachableError, EndpointBrokenError, EndpointSilentError):
+    except (
+        EndpointUnreachableError,
+        EndpointBrokenError,
+        EndpointSilentError,
+        AnswerTooLargeError,
+    ):
         return False
-    except (ValueError, KeyError, TypeError, AttributeError, AnswerTooLargeError):
+    except (ValueError, KeyError, TypeError, AttributeError, RecursionError):
         return False
--- a/chestnutvale/programs/entry/exceptions.py
+++ b/chestnutvale/programs/entry/exceptions.py
@@ -39,6 +39,12 @@
     code = "answer_too_large"
 
 
+class UnreadableAnswerError(ChestnutError):
+    """An answer whose events are not the chunks that the protocol asks for."""
+
+    code = "unreadable_answer"
+
+
 class BadCallError(ChestnutError):
     """A call that is wrong in itself.
 
--- a/chestnutvale/programs/entry/intake.py
+++ b/chestnutvale/programs/entry/intake.py
@@ -221,7 +221,7 @@
         If the body is too large or not whole.
     """
     length_text = environ.get("CONTENT_LENGTH") or ""
-    length = int(length_text) if length_text.isdigit() else None
+    length = int(length_text) if length_text.isdecimal() else None
     if length is not None and length > max_bytes:
         raise refuse("too_large", f"the body is larger than {max_bytes} bytes")
     if length is None and "HTTP_TRANSFER_ENCODING" not in environ:
@@ -262,6 +262,6 @@
     text = environ.get("HTTP_X_DEADLINE_MS", "").strip()
     if not text:
         return None
-    if not text.isdigit() or len(text) > 12 or int(text) == 0:
+    if not text.isdecimal() or len(text) > 12 or int(text) == 0:
         raise refuse("bad_request", "X-Deadline-Ms must be a positive whole number")
     return int(text)
--- a/chestnutvale/programs/entry/model_attempt.py
+++ b/chestnutvale/programs/entry/model_attempt.py
@@ -32,6 +32,9 @@
 GENERATE_PATH = "/v1/generate"
 MAX_REFUSAL_BYTES = 64 * 1024
 STATUS_OK = 200
+# Longest time in seconds that an endpoint may send callers away for.
+MAX_RETRY_AFTER_S = 3_600.0
+MAX_RETRY_AFTER_DIGITS = 9
 
 # Statuses by which an engine says that it did not run the request.
 _REFUSALS = {
@@ -155,7 +158,7 @@
         try:
             document = json.loads(data)
             code = str(document["code"])
-        except (ValueError, KeyError, TypeError):
+        except (ValueError, KeyError, TypeError, RecursionError):
             code = ""
         if (status, code) not in _REFUSALS:
             return AttemptBroken(self.attempt_id, f"unexpected status {status}")
@@ -170,6 +173,6 @@
 
 def _read_retry_after_s(headers: list[tuple[str, str]]) -> float | None:
     for name, value in headers:
-        if name.lower() == "retry-after" and value.isdigit():
-            return float(value)
+        if name.lower() == "retry-after" and value.isdecimal():
+            return min(float(value[:MAX_RETRY_AFTER_DIGITS]), MAX_RETRY_AFTER_S)
     return None
--- a/chestnutvale/programs/entry/model_calls.py
+++ b/chestnutvale/programs/entry/model_calls.py
@@ -5,7 +5,11 @@
 from collections.abc import Callable, Iterable, Iterator
 from typing import Any
 
-from chestnutvale.attempts.const import DEFAULT_RETRY_AFTER_S, OUTCOME_NOT_RUN
+from chestnutvale.attempts.const import (
+    DEFAULT_RETRY_AFTER_S,
+    OUTCOME_FAILED,
+    OUTCOME_NOT_RUN,
+)
 from chestnutvale.attempts.events import (
     AttemptBroken,
     AttemptRefused,
@@ -35,7 +39,10 @@
     head_address,
 )
 from chestnutvale.programs.entry.crash_probe import has_crashed
-from chestnutvale.programs.entry.exceptions import BadCallError
+from chestnutvale.programs.entry.exceptions import (
+    BadCallError,
+    UnreadableAnswerError,
+)
 from chestnutvale.programs.entry.intake import (
     DEFAULT_MAX_BODY_BYTES,
     CallRefusedError,
@@ -306,7 +313,11 @@
         self._first_byte_s = None
         self._first_offset = effect.resume_offset
         self._sent_s = self._context.clock.now_s()
-        body = self._make_body(effect)
+        try:
+            body = self._make_body(effect)
+        except UnreadableAnswerError as error:
+            # What the caller has can't be told to another group.
+            return AttemptRefused(effect.attempt_id, error.code, error.message)
         event = attempt.start(body, self._call.next_tick_s - self._sent_s)
         return event or EventsArrived(effect.attempt_id, [])
 
@@ -407,7 +418,11 @@
     events = b"".join(run.iterate())
     if run.failure is not None:
         return _answer_problem(context, run.failure, request_id, start_response)
-    body = build_answer(run.generation.form, events)
+    try:
+        body = build_answer(run.generation.form, events)
+    except UnreadableAnswerError as error:
+        failure = Failure(error.code, OUTCOME_FAILED, error.message, error.step)
+        return _answer_problem(context, failure, request_id, start_response)
     headers = [
         ("Content-Type", "application/json"),
         ("Content-Length", str(len(body))),
--- a/chestnutvale/programs/entry/openai_api.py
+++ b/chestnutvale/programs/entry/openai_api.py
@@ -7,7 +7,7 @@
 import attrs
 
 from chestnutvale.attempts.suspicion import fingerprint_of
-from chestnutvale.programs.entry.exceptions import BadCallError
+from chestnutvale.programs.entry.exceptions import BadCallError, UnreadableAnswerError
 
 FORM_CHAT = "chat"
 FORM_COMPLETION = "completion"
@@ -87,7 +87,7 @@
     stream = body.get("stream") or False
     if not isinstance(stream, bool):
         raise BadCallError("stream must be true or false")
-    service, _, adapter = model.partition(ADAPTER_SEPARATOR)
+    service, _, adapter = _check_text(model).partition(ADAPTER_SEPARATOR)
     return GenerationRequest(
         form=form,
         service=service,
@@ -113,6 +113,11 @@
     -------
     str
         The text of the answer so far.
+
+    Raises
+    ------
+    UnreadableAnswerError
+        If an event is not a chunk of the protocol.
     """
     return "".join(_chunk_text(form, chunk) for chunk in _chunks(events))
 
@@ -131,6 +136,11 @@
     -------
     bytes
         The JSON answer.
+
+    Raises
+    ------
+    UnreadableAnswerError
+        If an event is not a chunk of the protocol.
     """
     chunks = list(_chunks(events))
     text = "".join(_chunk_text(form, chunk) for chunk in chunks)
@@ -178,7 +188,7 @@
         prompt = body.get("prompt")
         if not isinstance(prompt, str):
             raise BadCallError("prompt must be a string")
-        return prompt
+        return _check_text(prompt)
     messages = body.get("messages")
     if not isinstance(messages, list) or not messages:
         raise BadCallError("messages must be a list that is not empty")
@@ -194,7 +204,7 @@
         content = "".join(_parse_part(part) for part in content)
     if not isinstance(role, str) or not isinstance(content, str):
         raise BadCallError("a message must have a role and a text as content")
-    return {"role": role, "content": content}
+    return {"role": _check_text(role), "content": _check_text(content)}
 
 
 def _parse_part(part: Any) -> str:
@@ -213,16 +223,38 @@
         ]
         data = b"\n".join(lines)
         if data and data != _DONE:
-            yield json.loads(data)
+            yield _parse_chunk(data)
+
+
+def _parse_chunk(data: bytes) -> dict[str, Any]:
+    try:
+        chunk = json.loads(data)
+    except (ValueError, RecursionError) as error:
+        raise UnreadableAnswerError("a chunk is not JSON", step="generate") from error
+    choices = chunk.get("choices") if isinstance(chunk, dict) else None
+    if not isinstance(choices, list) or not all(isinstance(c, dict) for c in choices):
+        raise UnreadableAnswerError("a chunk has no choices", step="generate")
+    return chunk
 
 
 def _choice(chunk: dict[str, Any]) -> dict[str, Any]:
-    choices = chunk.get("choices") or [{}]
-    return choices[0]
+    choices = chunk["choices"]
+    return choices[0] if choices else {}
 
 
 def _chunk_text(form: str, chunk: dict[str, Any]) -> str:
     choice = _choice(chunk)
+    text = choice.get("text")
     if form == FORM_CHAT:
-        return (choice.get("delta") or {}).get("content") or ""
-    return choice.get("text") or ""
+        delta = choice.get("delta")
+        text = delta.get("content") if isinstance(delta, dict) else None
+    return text if isinstance(text, str) else ""
+
+
+def _check_text(text: str) -> str:
+    # JSON can escape half of a surrogate pair, which no UTF-8 text can hold.
+    try:
+        text.encode()
+    except UnicodeEncodeError as error:
+        raise BadCallError("a text is not valid Unicode") from error
+    return text
--- a/chestnutvale/programs/entry/problems.py
+++ b/chestnutvale/programs/entry/problems.py
@@ -34,6 +34,8 @@
     "attempts_exhausted": 502,
     "stream_broken": 502,
     "endpoint_broken": 502,
+    "unreadable_answer": 502,
+    "answer_too_large": 502,
     "caller_gone": STATUS_CALLER_GONE,
 }
 _DEFAULT_STATUS = 503
--- a/tests/programs/entry/entry_fakes.py
+++ b/tests/programs/entry/entry_fakes.py
@@ -112,7 +112,7 @@
         self.refusal = None
         self.pause_s = 0.0
         self.crashes_on = None
-        self.is_up = True
+        self.garbage = None
 
     def __call__(self, environ, start_response):
         if environ["PATH_INFO"] == "/v1/membership":
@@ -143,7 +143,8 @@
             for sent, offset in enumerate(range(first, len(WORDS))):
                 if self.break_after is not None and sent >= self.break_after:
                     raise ConnectionError("break")
-                yield make_event(body, offset, offset + 1, WORDS[offset])
+                event = make_event(body, offset, offset + 1, WORDS[offset])
+                yield event if self.garbage is None else _spoil(event, self.garbage)
                 eventlet.sleep(self.pause_s)
             if self.break_after == len(WORDS):
                 raise ConnectionError("break")
@@ -187,6 +188,10 @@
     return f"{head}data: {json.dumps(chunk)}\n\n".encode()
 
 
+def _spoil(event, data):
+    return event.partition(b"data: ")[0] + b"data: " + data + b"\n\n"
+
+
 class _Quiet:
     def write(self, text):
         pass
@@ -259,7 +264,7 @@
     lines.append(f"Content-Length: {len(data)}")
     fields = {"Authorization": "Bearer ws-1", **headers}
     lines += [f"{k.replace('_', '-')}: {v}" for k, v in fields.items()]
-    sock.sendall("\r\n".join(lines).encode() + b"\r\n\r\n" + data)
+    sock.sendall("\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + data)
     return sock
 
 
--- a/tests/programs/entry/test_model_calls.py
+++ b/tests/programs/entry/test_model_calls.py
@@ -158,10 +158,18 @@
         ({**CHAT, "n": 2}, {}, 400, "bad_request"),
         ({**CHAT, "max_tokens": -1}, {}, 400, "bad_request"),
         ({**CHAT, "messages": [{"role": 1}]}, {}, 400, "bad_request"),
+        (
+            {**CHAT, "messages": [{"role": "user", "content": "\ud800"}]},
+            {},
+            400,
+            "bad_request",
+        ),
+        ({**CHAT, "model": "\udc00"}, {}, 400, "bad_request"),
         ({**CHAT, "model": "other"}, {}, 404, "not_found"),
         (CHAT, {"Authorization": "Bearer x"}, 401, "unauthorized"),
         (CHAT, {"X_Priority": "x"}, 400, "bad_request"),
         (CHAT, {"X_Deadline_Ms": "-1"}, 400, "bad_request"),
+        (CHAT, {"X_Deadline_Ms": "\xb2"}, 400, "bad_request"),
     ],
 )
 def test_wrong_call_is_refused(engines, entry, body, headers, status, code):
@@ -213,3 +221,13 @@
     for _ in range(3):
         assert post(entry, "/", CHAT)[0] == 200
     assert context.suspicions.evidence.crashes() == []
+
+
+@pytest.mark.parametrize("garbage", [b"{", b"[]", b"{}", b"[" * 5_000])
+@pytest.mark.parametrize("break_after", [None, 3])
+def test_answer_that_can_not_be_read_is_a_failure(engines, entry, garbage, break_after):
+    engines[0].garbage = garbage
+    engines[0].break_after = break_after
+    status, _, body = post(entry, "/", CHAT)
+    assert (status, json.loads(body)["code"]) == (502, "unreadable_answer")
+    assert json.loads(body)["outcome"] == "failed"
