Mind crash suspicion for calls to plain services too

Cause: a repeatable call that crashes its endpoint was tried at four hosts, more than a plain service of today has.

--- a/chestnutvale/attempts/service_call.py
+++ b/chestnutvale/attempts/service_call.py
@@ -6,6 +6,7 @@
 from chestnutvale.attempts.const import (
     CODE_ATTEMPTS,
     CODE_CALLER_GONE,
+    CODE_CRASHING,
     CODE_DEADLINE,
     CODE_NONE_AVAILABLE,
     CODE_REFUSED,
@@ -21,6 +22,7 @@
 from chestnutvale.attempts.events import (
     AttemptBroken,
     AttemptRefused,
+    CallBanned,
     CallerGone,
     CancelAttempt,
     ChooseGroup,
@@ -125,6 +127,7 @@
             ClaimUnknown: self._on_claim_unknown,
             GroupChosen: self._on_group_chosen,
             NoneAvailable: self._on_none_available,
+            CallBanned: self._on_banned,
             Connected: self._on_connected,
             AttemptRefused: self._on_refused,
             EndpointAnswered: self._on_answered,
@@ -262,6 +265,16 @@
             retry_after_s=event.retry_after_s,
         )
 
+    def _on_banned(self, event: CallBanned, now_s: float) -> Effects:
+        if self._outcome == OUTCOME_UNKNOWN:
+            self._outcome = OUTCOME_FAILED
+        return self._fail(
+            CODE_CRASHING,
+            "this request broke the endpoints that ran it",
+            step=STEP_CHOOSE,
+            retry_after_s=event.retry_after_s,
+        )
+
     def _on_connected(self, event: Connected, now_s: float) -> Effects:
         if event.attempt_id != self._attempt_id or self._is_sent:
             return []
--- a/chestnutvale/attempts/service_events.py
+++ b/chestnutvale/attempts/service_events.py
@@ -5,6 +5,7 @@
 from chestnutvale.attempts.events import (
     AttemptBroken,
     AttemptRefused,
+    CallBanned,
     CallerGone,
     CancelAttempt,
     ChooseGroup,
@@ -99,6 +100,7 @@
     | ClaimUnknown
     | GroupChosen
     | NoneAvailable
+    | CallBanned
     | Connected
     | AttemptRefused
     | EndpointAnswered
--- a/chestnutvale/programs/entry/crash_probe.py
+++ b/chestnutvale/programs/entry/crash_probe.py
@@ -16,22 +16,37 @@
 MAX_MEMBERSHIP_BYTES = 64 * 1024
 
 
-def has_crashed(group: Group) -> bool:
+def has_crashed(group: Group, *, is_engine: bool) -> bool:
     """Ask each member of a group whether it still holds the group.
 
+    Hosts of plain services hold nothing; they are only asked for a connection.
+
     Parameters
     ----------
     group : Group
-        The group as it was when the stream began.
+        The group as it was when the attempt began.
+    is_engine : bool
+        Whether its members are engines.
 
     Returns
     -------
     bool
         Whether a member is down, was restarted, or left the group.
     """
+    if not is_engine:
+        return not all(_takes_connections(member) for member in group.members)
     return not all(_still_holds(member, group) for member in group.members)
 
 
+def _takes_connections(member: GroupMember) -> bool:
+    try:
+        with EndpointExchange(member.address) as exchange:
+            exchange.connect(PROBE_TIMEOUT_S)
+    except EndpointUnreachableError:
+        return False
+    return True
+
+
 def _still_holds(member: GroupMember, group: Group) -> bool:
     try:
         with EndpointExchange(member.address) as exchange:
--- /dev/null
+++ b/chestnutvale/programs/entry/group_chooser.py
@@ -0,0 +1,130 @@
+"""Chooses the group of a call's next attempt, minding crash suspicion."""
+
+from collections.abc import Callable
+
+from chestnutvale.attempts.const import DEFAULT_RETRY_AFTER_S
+from chestnutvale.attempts.events import (
+    CallBanned,
+    ChooseGroup,
+    GroupChosen,
+    NoneAvailable,
+    Tick,
+)
+from chestnutvale.attempts.suspicion import Banned, Clear
+from chestnutvale.programs.entry.context import (
+    CallContext,
+    CallRequest,
+    head_address,
+)
+from chestnutvale.programs.entry.crash_probe import has_crashed
+from chestnutvale.schema.peer_pb2 import GroupView
+
+Chosen = GroupChosen | NoneAvailable | CallBanned | Tick
+
+
+class GroupChooser:
+    """Chooses groups for the attempts of one call.
+
+    Parameters
+    ----------
+    context : CallContext
+        The entry.
+    request : CallRequest
+        The call.
+    fingerprint : int
+        64-bit fingerprint of the work asked for.
+    wait : callable
+        Waits for a time in seconds; true if the call is given up meanwhile.
+
+    Attributes
+    ----------
+    view : GroupView or None
+        The group that was chosen last.
+    """
+
+    def __init__(
+        self,
+        context: CallContext,
+        request: CallRequest,
+        fingerprint: int,
+        wait: Callable[[float], bool],
+    ) -> None:
+        self.view: GroupView | None = None
+        self._context = context
+        self._request = request
+        self._fingerprint = fingerprint
+        self._wait = wait
+
+    def choose(self, effect: ChooseGroup) -> Chosen:
+        """Choose a group; a suspected request may have to wait for its turn.
+
+        Parameters
+        ----------
+        effect : ChooseGroup
+            What the call asks for.
+
+        Returns
+        -------
+        GroupChosen, NoneAvailable, CallBanned or Tick
+            `Tick` if the call was given up or its deadline passed.
+        """
+        context = self._context
+        while True:
+            groups = context.serving_groups(self._request.service, effect.version)
+            now_unix_ms = context.clock.unix_ms()
+            verdict = context.suspicions.judge(self._fingerprint, groups, now_unix_ms)
+            if isinstance(verdict, Clear):
+                return self._choose_from(effect.excluded, effect.version)
+            if isinstance(verdict, Banned):
+                return CallBanned((verdict.until_unix_ms - now_unix_ms) / 1_000)
+            wait_s = (verdict.not_before_unix_ms - now_unix_ms) / 1_000
+            if wait_s <= 0.0:
+                others = effect.excluded | (set(groups) - {verdict.group_id})
+                return self._choose_from(frozenset(others), effect.version)
+            left_s = self._request.deadline_s - context.clock.now_s()
+            if left_s <= 0.0 or self._wait(min(wait_s, left_s)):
+                return Tick()
+
+    def attempt_started(self, attempt_id: str) -> None:
+        """Note that the chosen group runs an attempt.
+
+        Parameters
+        ----------
+        attempt_id : str
+            Identity of the attempt.
+        """
+        group = self.view.group
+        self._context.suspicions.attempt_started(
+            attempt_id,
+            self._fingerprint,
+            group.group_id,
+            group.epoch,
+            group.fabric_domain,
+            self._context.clock.unix_ms(),
+        )
+
+    def attempt_broke(self, attempt_id: str) -> None:
+        """Find out whether the chosen group crashed, and note it if it did.
+
+        Parameters
+        ----------
+        attempt_id : str
+            Identity of the attempt.
+        """
+        suspicions = self._context.suspicions
+        if has_crashed(self.view.group, is_engine=self._request.max_tokens > 0):
+            suspicions.group_crashed(attempt_id, self._context.clock.unix_ms())
+        else:
+            suspicions.attempt_ended(attempt_id)
+
+    def _choose_from(
+        self, excluded: frozenset[str], version: str
+    ) -> GroupChosen | NoneAvailable:
+        view = None
+        if self._context.has_lease(self._context.clock.now_s()):
+            view = self._context.choose_group(self._request, excluded, version)
+        if view is None or not head_address(view):
+            return NoneAvailable(DEFAULT_RETRY_AFTER_S)
+        self.view = view
+        group = view.group
+        return GroupChosen(group.group_id, group.epoch, group.version)
--- a/chestnutvale/programs/entry/model_calls.py
+++ b/chestnutvale/programs/entry/model_calls.py
@@ -6,14 +6,12 @@
 from typing import Any
 
 from chestnutvale.attempts.const import (
-    DEFAULT_RETRY_AFTER_S,
     OUTCOME_FAILED,
     OUTCOME_NOT_RUN,
 )
 from chestnutvale.attempts.events import (
     AttemptBroken,
     AttemptRefused,
-    CallBanned,
     CallEffect,
     CallerGone,
     CallEvent,
@@ -23,14 +21,10 @@
     EventsArrived,
     Failure,
     Finish,
-    GroupChosen,
-    NoneAvailable,
     StartAttempt,
     Started,
-    Tick,
 )
 from chestnutvale.attempts.model_call import ModelCall
-from chestnutvale.attempts.suspicion import Banned, Clear
 from chestnutvale.programs.entry.caller_watch import CallerWatch
 from chestnutvale.programs.entry.context import (
     AttemptReport,
@@ -38,11 +32,11 @@
     CallRequest,
     head_address,
 )
-from chestnutvale.programs.entry.crash_probe import has_crashed
 from chestnutvale.programs.entry.exceptions import (
     BadCallError,
     UnreadableAnswerError,
 )
+from chestnutvale.programs.entry.group_chooser import GroupChooser
 from chestnutvale.programs.entry.intake import (
     DEFAULT_MAX_BODY_BYTES,
     CallRefusedError,
@@ -60,7 +54,6 @@
     read_text,
 )
 from chestnutvale.programs.entry.problems import make_problem
-from chestnutvale.schema.peer_pb2 import GroupView
 
 StartResponse = Callable[..., Any]
 KIND_MODEL = "model"
@@ -200,7 +193,9 @@
         self._watch = CallerWatch(environ)
         self._call = ModelCall(request.request_id, request.deadline_s, context.budgets)
         self._attempt: ModelAttempt | None = None
-        self._view: GroupView | None = None
+        self._chooser = GroupChooser(
+            context, request, generation.fingerprint, self._watch.wait
+        )
         self._sent_s = 0.0
         self._first_byte_s: float | None = None
         self._first_offset = 0
@@ -244,7 +239,7 @@
             elif isinstance(effect, CancelAttempt):
                 self._close_attempt(RESULT_CANCELLED)
             elif isinstance(effect, ChooseGroup):
-                effects.extend(self._handle(self._choose(effect)))
+                effects.extend(self._handle(self._chooser.choose(effect)))
             elif isinstance(effect, StartAttempt):
                 effects.extend(self._handle(self._start(effect)))
             while not effects and not self._call.is_finished:
@@ -267,49 +262,13 @@
             )
             self._close_attempt(RESULT_WHOLE)
 
-    def _choose(self, effect: ChooseGroup) -> CallEvent:
-        while True:
-            groups = self._context.serving_groups(self.request.service, effect.version)
-            now_unix_ms = self._context.clock.unix_ms()
-            verdict = self._context.suspicions.judge(
-                self.generation.fingerprint, groups, now_unix_ms
-            )
-            if isinstance(verdict, Clear):
-                return self._choose_from(effect.excluded, effect.version)
-            if isinstance(verdict, Banned):
-                return CallBanned((verdict.until_unix_ms - now_unix_ms) / 1_000)
-            wait_s = (verdict.not_before_unix_ms - now_unix_ms) / 1_000
-            if wait_s <= 0.0:
-                others = effect.excluded | (set(groups) - {verdict.group_id})
-                return self._choose_from(frozenset(others), effect.version)
-            left_s = self.request.deadline_s - self._context.clock.now_s()
-            if left_s <= 0.0 or self._watch.wait(min(wait_s, left_s)):
-                return Tick()
-
-    def _choose_from(self, excluded: frozenset[str], version: str) -> CallEvent:
-        view = None
-        if self._context.has_lease(self._context.clock.now_s()):
-            view = self._context.choose_group(self.request, excluded, version)
-        if view is None or not head_address(view):
-            return NoneAvailable(DEFAULT_RETRY_AFTER_S)
-        self._view = view
-        group = view.group
-        return GroupChosen(group.group_id, group.epoch, group.version)
-
     def _start(self, effect: StartAttempt) -> CallEvent:
-        view = self._view
+        view = self._chooser.view
         attempt = ModelAttempt(effect.attempt_id, view, head_address(view))
         self._attempt = attempt
         self._watch.call_when_gone(attempt.abort)
         self._context.running.add(effect.group_id, effect.epoch, attempt)
-        self._context.suspicions.attempt_started(
-            effect.attempt_id,
-            self.generation.fingerprint,
-            effect.group_id,
-            effect.epoch,
-            view.group.fabric_domain,
-            self._context.clock.unix_ms(),
-        )
+        self._chooser.attempt_started(effect.attempt_id)
         self._first_byte_s = None
         self._first_offset = effect.resume_offset
         self._sent_s = self._context.clock.now_s()
@@ -352,10 +311,7 @@
         attempt = self._attempt
         if attempt is None:
             return
-        if has_crashed(attempt.view.group):
-            self._context.suspicions.group_crashed(
-                attempt.attempt_id, self._context.clock.unix_ms()
-            )
+        self._chooser.attempt_broke(attempt.attempt_id)
         self._close_attempt(RESULT_BROKEN, reason)
 
     def _close_attempt(self, result: str, code: str = "") -> None:
--- a/chestnutvale/programs/entry/service_request.py
+++ b/chestnutvale/programs/entry/service_request.py
@@ -5,6 +5,7 @@
 from urllib.parse import quote
 
 import attrs
+import xxhash
 
 from chestnutvale.ledger.const import MAX_KEY_BYTES
 from chestnutvale.programs.entry.intake import refuse
@@ -140,6 +141,27 @@
     return digest.hexdigest()
 
 
+def fingerprint_of_call(request: ServiceRequest, body: bytes) -> int:
+    """Return the fingerprint by which a call that crashes endpoints is known.
+
+    Parameters
+    ----------
+    request : ServiceRequest
+        The call.
+    body : bytes
+        Its body.
+
+    Returns
+    -------
+    int
+        64-bit fingerprint; the key does not count.
+    """
+    head = f"{request.service} {request.method} {request.target}\n"
+    digest = xxhash.xxh64(head.encode())
+    digest.update(body)
+    return digest.intdigest()
+
+
 def forwarded_headers(
     environ: dict[str, Any], request_id: str, workspace: str
 ) -> dict[str, str]:
--- a/chestnutvale/programs/entry/service_run.py
+++ b/chestnutvale/programs/entry/service_run.py
@@ -6,7 +6,7 @@
 import eventlet
 from eventlet.event import Event
 
-from chestnutvale.attempts.const import DEFAULT_RETRY_AFTER_S, REFUSAL_UNREACHABLE
+from chestnutvale.attempts.const import REFUSAL_UNREACHABLE
 from chestnutvale.attempts.events import (
     AttemptBroken,
     AttemptRefused,
@@ -15,8 +15,6 @@
     ChooseGroup,
     Failure,
     Finish,
-    GroupChosen,
-    NoneAvailable,
     StartAttempt,
     Started,
     Tick,
@@ -52,11 +50,15 @@
     EndpointSilentError,
     EndpointUnreachableError,
 )
+from chestnutvale.programs.entry.group_chooser import GroupChooser
 from chestnutvale.programs.entry.ledger_writer import LedgerWriter
-from chestnutvale.programs.entry.service_request import ServiceRequest, make_answer
+from chestnutvale.programs.entry.service_request import (
+    ServiceRequest,
+    fingerprint_of_call,
+    make_answer,
+)
 from chestnutvale.schema.command_pb2 import Command
 from chestnutvale.schema.ledger_pb2 import Claim, RecordOutcome, ReleaseClaim
-from chestnutvale.schema.peer_pb2 import GroupView
 
 # Time in seconds for one try to commit a claim; shorter than a leader change.
 CLAIM_TIMEOUT_S = 1.0
@@ -127,7 +129,8 @@
             left_s = call_request.deadline_s - context.clock.now_s()
             claim.deadline_unix_ms = context.clock.unix_ms() + int(left_s * 1_000)
         self._exchange: EndpointExchange | None = None
-        self._view: GroupView | None = None
+        fingerprint = fingerprint_of_call(request, body)
+        self._chooser = GroupChooser(context, call_request, fingerprint, self._wait)
 
     def wait_for_answer(self) -> Reply | Failure:
         """Wait until the call is answered or its deadline has passed.
@@ -170,7 +173,7 @@
         if isinstance(effect, SubmitClaim):
             return self._handle(self._submit_claim())
         if isinstance(effect, ChooseGroup):
-            return self._handle(self._choose(effect))
+            return self._handle(self._chooser.choose(effect))
         if isinstance(effect, StartAttempt):
             return self._handle(self._connect(effect))
         if isinstance(effect, SendRequest):
@@ -214,20 +217,13 @@
             return ClaimUnknown()
         return ClaimAnswered(result.claim.outcome, result.claim.answer)
 
-    def _choose(self, effect: ChooseGroup) -> ServiceEvent:
-        view = None
-        if self._context.has_lease(self._context.clock.now_s()):
-            view = self._context.choose_group(
-                self._call_request, effect.excluded, effect.version
-            )
-        if view is None or not head_address(view):
-            return NoneAvailable(DEFAULT_RETRY_AFTER_S)
-        self._view = view
-        return GroupChosen(view.group.group_id, view.group.epoch, view.group.version)
+    def _wait(self, timeout_s: float) -> bool:
+        eventlet.sleep(timeout_s)
+        return self._call.is_answered
 
     def _connect(self, effect: StartAttempt) -> ServiceEvent:
         self._close_exchange()
-        self._exchange = EndpointExchange(head_address(self._view))
+        self._exchange = EndpointExchange(head_address(self._chooser.view))
         now_s = self._context.clock.now_s()
         try:
             self._exchange.connect(self._call.next_tick_s - now_s)
@@ -240,6 +236,7 @@
     def _send(self, effect: SendRequest) -> ServiceEvent:
         request = self._request
         exchange = self._exchange
+        self._chooser.attempt_started(effect.attempt_id)
         # The caller's greenlet minds the deadline; this one may go on after it.
         end_s = self._call_request.deadline_s + self._call.linger_s
         timeout_s = end_s - self._context.clock.now_s()
@@ -249,16 +246,22 @@
             )
             body = exchange.read_all(MAX_ANSWER_BYTES)
         except AnswerTooLargeError:
+            self._note_whole(effect.attempt_id)
             return AnswerTooLarge(effect.attempt_id, exchange.status)
         except (EndpointBrokenError, EndpointSilentError) as error:
+            self._chooser.attempt_broke(effect.attempt_id)
             self._report("broken", error.code)
             return AttemptBroken(effect.attempt_id, error.message)
-        self._report("whole", "")
+        self._note_whole(effect.attempt_id)
         answer = make_answer(exchange.status, exchange.headers, body)
         return EndpointAnswered(effect.attempt_id, answer)
 
+    def _note_whole(self, attempt_id: str) -> None:
+        self._context.suspicions.answer_whole(attempt_id, self._context.clock.unix_ms())
+        self._report("whole", "")
+
     def _report(self, result: str, code: str) -> None:
-        group = self._view.group
+        group = self._chooser.view.group
         self._context.report_attempt(
             AttemptReport(
                 request=self._call_request,
--- a/tests/attempts/test_service_call.py
+++ b/tests/attempts/test_service_call.py
@@ -4,6 +4,7 @@
 
 from chestnutvale.attempts.events import (
     AttemptRefused,
+    CallBanned,
     CallerGone,
     CancelAttempt,
     ChooseGroup,
@@ -54,7 +55,7 @@
     assert effects[-1].failure.outcome == "not_run"
 
 
-@pytest.mark.parametrize("event", [CallerGone(), Tick()])
+@pytest.mark.parametrize("event", [CallerGone(), Tick(), CallBanned(9.0)])
 def test_claim_is_released_if_its_call_ends_before_the_send(claimed, event):
     effects = claimed.handle(event, DEADLINE_S)
     assert [type(e) for e in effects] == [SubmitRelease, Finish]
--- a/tests/programs/entry/test_service_calls.py
+++ b/tests/programs/entry/test_service_calls.py
@@ -1,5 +1,6 @@
 """Calls to plain services over HTTP: at most one run a key, true outcomes."""
 
+import contextlib
 import json
 
 import eventlet
@@ -242,3 +243,39 @@
     status, _, answer = post(entries[0].address, path, b"10")
     assert (status, json.loads(answer)["outcome"]) == (400, OUTCOME_NOT_RUN)
     assert not service.runs
+
+
+class FakeCrashing:
+    """A plain service that a poisoned call takes down."""
+
+    def __init__(self):
+        self.close = None
+        self.crashes = 0
+
+    def __call__(self, environ, start_response):
+        if b"poison" not in environ["wsgi.input"].read():
+            start_response("200 OK", [])
+            return [b"ok"]
+        self.crashes += 1
+        self.close()
+        raise ConnectionError("crash")
+
+
+def test_call_that_crashes_plain_services_is_refused_after_two(entries):
+    context = entries[0].context
+    context.groups.clear()
+    with contextlib.ExitStack() as stack:
+        services = []
+        for number in range(4):
+            service = FakeCrashing()
+            server = contextlib.ExitStack()
+            address = server.enter_context(serve(service))
+            service.close = stack.enter_context(server).close
+            context.add_group(f"p{number}", "ledger-app", address)
+            services.append(service)
+        for _ in range(2):
+            status, headers, answer = post(entries[0].address, NOTES, b"poison")
+            assert (status, json.loads(answer)["code"]) == (422, "crashing_request")
+            assert int(headers["retry-after"]) > 500
+            assert sum(service.crashes for service in services) == 2
+        assert post(entries[0].address, NOTES, b"10")[0] == 200
