--- a/chestnutvale/transport/node.py
+++ b/chestnutvale/transport/node.py
@@ -204,6 +204,10 @@
         except pynng.TryAgain:
             hubs.trampoline(self._inbox.recv_fd, read=True)
             return None
+        except RuntimeError:
+            # The library fails on a message without any byte; it must not end the
+            # task that receives all others.
+            return b""
 
     def _dispatch(self, data: bytes) -> None:
         self.received_messages += 1
--- a/tests/transport/test_node.py
+++ b/tests/transport/test_node.py
@@ -6,7 +6,7 @@
 
 from chestnutvale.clock import SystemClock
 from chestnutvale.schema.peer_pb2 import EntryReport
-from chestnutvale.transport.const import DROP_MALFORMED
+from chestnutvale.transport.const import DROP_FOREIGN_CLUSTER, DROP_MALFORMED
 from chestnutvale.transport.exceptions import TransportError
 from chestnutvale.transport.gate import make_incarnation
 from chestnutvale.transport.node import TransportNode
@@ -49,6 +49,15 @@
         wait_until(lambda: receiver.drops[DROP_MALFORMED] == 1)
 
 
+def test_empty_message_does_not_end_the_receiving_task(free_address):
+    with make_node("b", free_address()) as receiver, pynng.Push0() as foreign:
+        foreign.dial(f"tcp://{receiver.address}", block=True)
+        foreign.send(b"")
+        foreign.send(b"\xff\xff not ours")
+        wait_until(lambda: receiver.drops[DROP_MALFORMED] == 1)
+        assert receiver.drops[DROP_FOREIGN_CLUSTER] == 1
+
+
 def test_taken_address_is_a_typed_error(free_address):
     address = free_address()
     with make_node("a", address), pytest.raises(TransportError) as caught:
