Read engine streams through a listener that stays registered

Cause: at 45 requests/s of 346 tokens one entry was a whole core's load and refused 142 of 841 calls; reading cost most: chunk frames, a failed read, two epoll calls and a timer for each token. Change: the entry asks engines in HTTP/1.0, so that the stream comes without frames; StreamReader keeps its listener and one timer, and hands over together what arrived together. A framed answer is still read by the library.

--- a/chestnutvale/programs/entry/endpoint_exchange.py
+++ b/chestnutvale/programs/entry/endpoint_exchange.py
@@ -16,6 +16,7 @@
     EndpointSilentError,
     EndpointUnreachableError,
 )
+from chestnutvale.programs.entry.stream_reader import StreamReader
 
 STEP_CONNECT = "connect"
 STEP_SEND = "send"
@@ -32,6 +33,17 @@
         return sock
 
 
+class _StreamConnection(_GreenConnection):
+    """Asks in HTTP/1.0, so that a stream comes without chunk frames.
+
+    The protocol's end mark tells a whole stream from a broken one, so frames would
+    only have to be taken off again.
+    """
+
+    _http_vsn = 10
+    _http_vsn_str = "HTTP/1.0"
+
+
 class EndpointExchange:
     """Owns the connection of one attempt; a context manager.
 
@@ -44,6 +56,8 @@
     ----------
     address : str
         IP number and port of the endpoint.
+    is_stream : bool, optional
+        Whether the answer is an event stream with an end mark of its own.
 
     Attributes
     ----------
@@ -53,8 +67,10 @@
         Headers of the answer.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, *, is_stream: bool = False) -> None:
         self.address = address
+        self._is_stream = is_stream
+        self._reader: StreamReader | None = None
         self.status = 0
         self.headers: list[tuple[str, str]] = []
         self._connection: HTTPConnection | None = None
@@ -74,6 +90,8 @@
         trace: TracebackType | None,
     ) -> None:
         """Close the connection, which cancels the endpoint's work."""
+        if self._reader is not None:
+            self._reader.close()
         if self._response is not None:
             self._response.close()
         if self._connection is not None:
@@ -95,7 +113,8 @@
         host, _, port = self.address.rpartition(":")
         timeout_s = max(0.001, min(timeout_s, CONNECT_TIMEOUT_S))
         try:
-            self._connection = _GreenConnection(host, int(port), timeout=timeout_s)
+            make = _StreamConnection if self._is_stream else _GreenConnection
+            self._connection = make(host, int(port), timeout=timeout_s)
             self._connection.connect()
             self._sock = self._connection.sock
         except (HTTPError, OSError, ValueError) as error:
@@ -162,6 +181,56 @@
         self.status = self._response.status
         self.headers = list(self._response.headers.items())
 
+    def begin_stream(self) -> None:
+        """Read the rest of the answer by `read_stream` from here on.
+
+        An answer that is framed all the same is left to the library.
+
+        Raises
+        ------
+        EndpointBrokenError
+            If the connection broke.
+        """
+        names = {name.lower() for name, _ in self.headers}
+        if not self._is_stream or names & {"transfer-encoding", "content-length"}:
+            return
+        self._sock.settimeout(0.0)
+        # What the library has read beyond the head belongs to the stream.
+        try:
+            held = self._response._fp.fp.peek()
+            self._reader = StreamReader(self._sock, bytes(held), self.address)
+        except OSError as error:
+            raise EndpointBrokenError(
+                str(error) or type(error).__name__,
+                step=STEP_RECEIVE,
+                peer=self.address,
+            ) from error
+
+    def read_stream(self, timeout_s: float) -> bytes:
+        """Read what has arrived of a stream, or wait for it.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Time to wait in seconds.
+
+        Returns
+        -------
+        bytes
+            Bytes of the stream; empty at its end.
+
+        Raises
+        ------
+        EndpointBrokenError
+            If the connection broke.
+        EndpointSilentError
+            If nothing arrived in time.
+        """
+        if self._reader is not None:
+            return self._reader.read(timeout_s)
+        self.set_timeout(timeout_s)
+        return self.read()
+
     def set_timeout(self, timeout_s: float) -> None:
         """Set the time to wait for the next byte.
 
--- a/chestnutvale/programs/entry/model_attempt.py
+++ b/chestnutvale/programs/entry/model_attempt.py
@@ -69,7 +69,7 @@
         self.attempt_id = attempt_id
         self.view = view
         self.is_open = False
-        self._exchange = EndpointExchange(address)
+        self._exchange = EndpointExchange(address, is_stream=True)
         self._splitter = EventSplitter()
 
     def __enter__(self) -> Self:
@@ -110,12 +110,13 @@
             Why the attempt is over; None if its stream has begun.
         """
         data = json.dumps(body).encode()
-        headers = {"Content-Type": "application/json"}
+        headers = {"Content-Type": "application/json", "Host": self._exchange.address}
         try:
             self._exchange.connect(timeout_s)
             self._exchange.send("POST", GENERATE_PATH, headers, data, timeout_s)
             if self._exchange.status != STATUS_OK:
                 return self._read_refusal()
+            self._exchange.begin_stream()
         except EndpointUnreachableError as error:
             return AttemptRefused(self.attempt_id, REFUSAL_UNREACHABLE, error.message)
         except EndpointSilentError:
@@ -138,9 +139,8 @@
         CallEvent
             Events, a break, or `Tick` if nothing arrived in time.
         """
-        self._exchange.set_timeout(timeout_s)
         try:
-            data = self._exchange.read()
+            data = self._exchange.read_stream(timeout_s)
             if not data:
                 return AttemptBroken(self.attempt_id, "the stream ended early")
             return EventsArrived(self.attempt_id, self._splitter.feed(data))
--- /dev/null
+++ b/chestnutvale/programs/entry/stream_reader.py
@@ -0,0 +1,175 @@
+"""Reads a stream through a listener that stays registered with the hub."""
+
+import time
+from typing import Any
+
+import greenlet
+from eventlet import hubs
+
+from chestnutvale.programs.entry.exceptions import (
+    EndpointBrokenError,
+    EndpointSilentError,
+)
+
+STEP_RECEIVE = "receive"
+# Bytes asked for at once.
+READ_BYTES = 65_536
+# Bytes held for a reader that is busy; the sender waits beyond this.
+MAX_HELD_BYTES = 262_144
+
+
+class StreamReader:
+    """Collects what arrives on a socket while its one reader is busy.
+
+    Waiting through the socket itself costs two system calls to register for each
+    read, a failed read before it, and a timer. Here the listener is registered once,
+    the bytes that arrive together are handed over together, and one timer is moved
+    on instead of being made anew.
+
+    Parameters
+    ----------
+    sock : GreenSocket
+        The connection; stays the caller's to close, after `close`.
+    held : bytes
+        Bytes of the stream that have been read from the socket before.
+    peer : str
+        Address of the endpoint, for errors.
+    """
+
+    def __init__(self, sock: Any, held: bytes, peer: str) -> None:
+        self._sock = sock.fd
+        self._peer = peer
+        self._parts = [held] if held else []
+        self._held_bytes = len(held)
+        self._has_ended = False
+        self._error = ""
+        self._hub = hubs.get_hub()
+        self._listener: Any = None
+        self._timer: Any = None
+        self._deadline_s = 0.0
+        self._waiter: greenlet.greenlet | None = None
+        self._listen()
+
+    def close(self) -> None:
+        """Stop listening; must come before the socket is closed."""
+        self._stop_listening()
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def read(self, timeout_s: float) -> bytes:
+        """Return all that has arrived, or wait for more.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Time to wait in seconds.
+
+        Returns
+        -------
+        bytes
+            The bytes; empty at the end of the stream.
+
+        Raises
+        ------
+        EndpointBrokenError
+            If the connection broke.
+        EndpointSilentError
+            If nothing arrived in time.
+        """
+        if not self._parts and not self._has_ended:
+            self._wait(timeout_s)
+        if self._parts:
+            return self._take()
+        if self._error:
+            raise EndpointBrokenError(self._error, step=STEP_RECEIVE, peer=self._peer)
+        if self._has_ended:
+            return b""
+        raise EndpointSilentError(
+            "the stream fell silent", step=STEP_RECEIVE, peer=self._peer
+        )
+
+    def _take(self) -> bytes:
+        data = self._parts[0] if len(self._parts) == 1 else b"".join(self._parts)
+        self._parts.clear()
+        self._held_bytes = 0
+        if self._listener is None and not self._has_ended:
+            self._listen()
+        return data
+
+    def _wait(self, timeout_s: float) -> None:
+        self._deadline_s = time.monotonic() + timeout_s
+        if self._timer is None or self._timer.called:
+            self._set_timer(timeout_s)
+        elif timeout_s < self._timer_s - time.monotonic():
+            self._timer.cancel()
+            self._set_timer(timeout_s)
+        self._waiter = greenlet.getcurrent()
+        try:
+            self._hub.switch()
+        finally:
+            self._waiter = None
+
+    def _set_timer(self, timeout_s: float) -> None:
+        timeout_s = max(0.0, timeout_s)
+        self._timer_s = time.monotonic() + timeout_s
+        self._timer = self._hub.schedule_call_global(timeout_s, self._check_deadline)
+
+    def _check_deadline(self) -> None:
+        self._timer = None
+        if self._waiter is None:
+            return
+        left_s = self._deadline_s - time.monotonic()
+        if left_s > 0.0:
+            self._set_timer(left_s)
+            return
+        self._wake()
+
+    def _listen(self) -> None:
+        self._listener = self._hub.add(
+            self._hub.READ,
+            self._sock.fileno(),
+            self._receive,
+            self._fail,
+            self._mark_closed,
+        )
+
+    def _stop_listening(self) -> None:
+        if self._listener is not None:
+            self._hub.remove(self._listener)
+            self._listener = None
+
+    def _receive(self, descriptor: int) -> None:
+        try:
+            data = self._sock.recv(READ_BYTES)
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError as error:
+            self._end(str(error) or type(error).__name__)
+            return
+        if not data:
+            self._end("")
+            return
+        self._parts.append(data)
+        self._held_bytes += len(data)
+        if self._held_bytes >= MAX_HELD_BYTES:
+            self._stop_listening()
+        self._wake()
+
+    def _end(self, error: str) -> None:
+        self._has_ended = True
+        self._error = error
+        self._stop_listening()
+        self._wake()
+
+    def _fail(self, *arguments: Any) -> None:
+        self._end("the connection was closed")
+
+    def _mark_closed(self) -> None:
+        self._has_ended = True
+        self._error = "the connection was closed"
+
+    def _wake(self) -> None:
+        waiter, self._waiter = self._waiter, None
+        if waiter is not None:
+            waiter.switch()
