Check histories of groups under random faults

Change: a checker of serving, ownership and order histories with random fault scripts, hosts with and without fencing; single faults with their mechanism off: a woken leader is obeyed once orders ignore the lease (UnguardedOrders), a broken group is served once entries ignore theirs (EternalView). Run: script/test tests/groups passes.

--- a/benchmarks/groups_driver.py
+++ b/benchmarks/groups_driver.py
@@ -290,10 +290,9 @@
     def _take_report(
         self, control: SimulatedControl, entry: SimulatedEntry, report: EntryReport
     ) -> None:
-        if not control.is_running:
-            return
+        # A frozen control finds the reports in its inbox when it wakes.
         control.table.merge(entry.name, report.heard, self.now_s, report.sent_at_ms)
-        if not self._has_lease(control):
+        if not control.is_running or not self._has_lease(control):
             return
         control.publisher.refresh(control.state, control.table, self.now_s)
         source = SimpleNamespace(text=self.text)
--- a/benchmarks/groups_fakes.py
+++ b/benchmarks/groups_fakes.py
@@ -136,6 +136,7 @@
         self.holding = None
         self.running = 0
         self.late_orders.clear()
+        self.acted_fences.clear()
         self.status = HostStatus.RUNNING
 
     def wake(self, load_s: float) -> None:
--- /dev/null
+++ b/tests/groups/test_faults.py
@@ -0,0 +1,82 @@
+"""Single faults, each with the mechanism that it is about switched off."""
+
+import pytest
+
+from chestnutvale.groups.orders import OrderBook
+from chestnutvale.groups.state import GroupsState
+from chestnutvale.membership.entry_view import EntryView
+from chestnutvale.schema.groups_pb2 import DrainHost, FreeHost
+from tests.groups.history import History
+
+
+class UnguardedOrders(OrderBook):
+    """Sends to hosts without fencing whether or not the lease is confirmed."""
+
+    def _is_allowed(self, record, lease_confirmed, now_s):
+        return True
+
+
+class EternalView(EntryView):
+    """Serves without a lease."""
+
+    def has_lease(self, now_s):
+        return True
+
+
+class HastyState(GroupsState):
+    """Frees hosts that have not let go."""
+
+    def _release(self, host_id, boot_id, address, group_id, at_unix_ms):
+        super()._release(host_id, boot_id, address, group_id, at_unix_ms)
+        fence = self.releases[host_id].fence
+        self.free_host(FreeHost(host_id=host_id, fence=fence), at_unix_ms)
+
+
+def freeze_in_the_middle_of_forming(history):
+    """Freeze a leader whose orders are due, and wake it after others were sent."""
+    world = history.world
+    old = world.leader
+    history.run(4.5)
+    assert world.state.groups
+    old.is_running = False
+    history.run(world.policy.leader_lease_s + 1.0)
+    world.elect("c1")
+    history.run(10.0)
+    for host in world.hosts.values():
+        world.submit("drain_host", DrainHost(host_id=host.host_id, draining=True))
+    history.run(12.0)
+    old.is_running = True
+    history.run(5.0)
+
+
+def test_a_frozen_leader_that_wakes_orders_nothing():
+    freeze_in_the_middle_of_forming(History(fencing=False, lossy=False))
+
+
+def test_fencing_hosts_refuse_a_leader_that_wakes():
+    history = History(fencing=True, lossy=False, make_orders=UnguardedOrders)
+    freeze_in_the_middle_of_forming(history)
+
+
+def test_without_the_lease_a_frozen_leader_is_obeyed():
+    history = History(fencing=False, lossy=False, make_orders=UnguardedOrders)
+    with pytest.raises(AssertionError, match="older order"):
+        freeze_in_the_middle_of_forming(history)
+
+
+def lose_the_leader_and_a_member(history):
+    history.run(20.0)
+    member = history.world.state.groups[min(history.world.state.groups)].members[1]
+    history.world.leader.is_running = False
+    history.world.hosts[member.host_id].status = history.hosts()[0].status.DEAD
+    history.run(8.0)
+
+
+def test_no_entry_serves_a_broken_group_while_nobody_leads():
+    lose_the_leader_and_a_member(History(lossy=False))
+
+
+def test_without_the_lease_a_broken_group_is_served():
+    history = History(lossy=False, make_view=EternalView)
+    with pytest.raises(AssertionError, match="without a member"):
+        lose_the_leader_and_a_member(history)
