--- a/chestnutvale/groups/rollout.py
+++ b/chestnutvale/groups/rollout.py
@@ -174,7 +174,8 @@
         if len(self._serving(self._current())) >= wanted:
             return wanted
         given_up = self._given_up()
-        if len(self._serving(self._active())) >= wanted and given_up:
+        serving = len(self._serving(self._active()))
+        if serving > wanted or (serving == wanted and given_up):
             return wanted
         is_surge = any(self._is_outdated(group) for group in self._active())
         return wanted + len(given_up) + (1 if is_surge and not given_up else 0)
--- a/chestnutvale/membership/const.py
+++ b/chestnutvale/membership/const.py
@@ -10,7 +10,7 @@
 # Time without a report after which an entry no longer counts as live.
 ENTRY_TIMEOUT_S: Final = 3.0
 # Time after which an entry or a host that stays silent is forgotten.
-FORGET_ENTRY_AFTER_S: Final = 60.0
+FORGET_ENTRY_AFTER_S: Final = 600.0
 FORGET_HOST_AFTER_S: Final = 3_600.0
 
 # Window in seconds over which the shortest way of reports is measured.
