--- /dev/null
+++ b/benchmarks/groups_faults.py
@@ -0,0 +1,157 @@
+"""Seeded fault scripts and what the best of plans could make of them."""
+
+import random
+
+import attrs
+
+from benchmarks.groups_driver import GroupsWorld
+from benchmarks.groups_fakes import FakeHost, HostStatus
+
+MEAN_BETWEEN_FAULTS_S = 120.0
+SECOND_LOSS_SHARE = 0.25
+SECOND_LOSS_MIN_S = 5.0
+SECOND_LOSS_MAX_S = 60.0
+# Kinds of outage: share, median length in seconds, whether memory is lost.
+OUTAGES = ((0.5, 8.0, False), (0.3, 75.0, True), (0.2, 2_400.0, True))
+OUTAGE_SIGMA = 0.8
+DARK_SHARE = 0.03
+DARK_MEDIAN_S = 120.0
+
+
+@attrs.frozen
+class Fault:
+    """One outage of some hosts.
+
+    Attributes
+    ----------
+    starts_at_s, ends_at_s : float
+        Simulated time.
+    host_ids : tuple of str
+        The hosts.
+    loses_memory : bool
+        Whether they come back with another boot.
+    """
+
+    starts_at_s: float
+    ends_at_s: float
+    host_ids: tuple[str, ...]
+    loses_memory: bool
+
+
+def make_script(
+    hosts: dict[str, FakeHost], seed: int, start_s: float, end_s: float
+) -> list[Fault]:
+    """Make a fault script.
+
+    Parameters
+    ----------
+    hosts : dict of str to FakeHost
+        All hosts.
+    seed : int
+        Seed of the script.
+    start_s, end_s : float
+        Simulated time within which faults begin.
+
+    Returns
+    -------
+    list of Fault
+        Sorted by their start.
+    """
+    source = random.Random(seed)
+    names = sorted(hosts)
+    faults = []
+    at_s = start_s + source.expovariate(1 / MEAN_BETWEEN_FAULTS_S)
+    while at_s < end_s:
+        name = source.choice(names)
+        domain = hosts[name].fabric_domain
+        peers = [key for key in names if hosts[key].fabric_domain == domain]
+        if source.random() < DARK_SHARE:
+            length_s = DARK_MEDIAN_S * source.lognormvariate(0, 1.0)
+            faults.append(Fault(at_s, at_s + length_s, tuple(peers), False))
+        else:
+            faults.append(_make_outage(source, at_s, name))
+            if source.random() < SECOND_LOSS_SHARE:
+                gap_s = source.uniform(SECOND_LOSS_MIN_S, SECOND_LOSS_MAX_S)
+                second = source.choice(peers)
+                faults.append(_make_outage(source, at_s + gap_s, second))
+        at_s += source.expovariate(1 / MEAN_BETWEEN_FAULTS_S)
+    return sorted(faults, key=lambda fault: (fault.starts_at_s, fault.host_ids))
+
+
+def _make_outage(source: random.Random, at_s: float, name: str) -> Fault:
+    shares = [share for share, _, _ in OUTAGES]
+    _, median_s, loses_memory = source.choices(OUTAGES, weights=shares)[0]
+    length_s = median_s * source.lognormvariate(0, OUTAGE_SIGMA)
+    return Fault(at_s, at_s + length_s, (name,), loses_memory)
+
+
+@attrs.define
+class FaultPlayer:
+    """Plays a script on a world; a host that is down is not hit again.
+
+    Parameters
+    ----------
+    world : GroupsWorld
+        The world.
+    script : list of Fault
+        The faults.
+    """
+
+    world: GroupsWorld
+    script: list[Fault]
+    returns_at_s: dict[str, float] = attrs.field(factory=dict)
+    _loses_memory: dict[str, bool] = attrs.field(factory=dict)
+    _next: int = 0
+
+    def play(self) -> None:
+        """Begin and end the faults that are due."""
+        now_s = self.world.now_s
+        for host_id, at_s in list(self.returns_at_s.items()):
+            if at_s <= now_s:
+                del self.returns_at_s[host_id]
+                self._end(self.world.hosts[host_id])
+        while self._next < len(self.script):
+            fault = self.script[self._next]
+            if fault.starts_at_s > now_s:
+                return
+            self._next += 1
+            for host_id in fault.host_ids:
+                self._begin(host_id, fault)
+
+    def _begin(self, host_id: str, fault: Fault) -> None:
+        if host_id in self.returns_at_s:
+            return
+        lost = HostStatus.DEAD if fault.loses_memory else HostStatus.PAUSED
+        self.world.hosts[host_id].status = lost
+        self.returns_at_s[host_id] = fault.ends_at_s
+        self._loses_memory[host_id] = fault.loses_memory
+
+    def _end(self, host: FakeHost) -> None:
+        if self._loses_memory[host.host_id]:
+            host.restart()
+        else:
+            host.wake(self.world.load_s)
+
+
+def best_group_count(hosts: dict[str, FakeHost], size: int, wanted: int) -> int:
+    """Return how many groups could serve if every load had been done ahead.
+
+    Parameters
+    ----------
+    hosts : dict of str to FakeHost
+        All hosts.
+    size : int
+        Hosts in a group.
+    wanted : int
+        Groups wanted.
+
+    Returns
+    -------
+    int
+        Groups that the running hosts of each domain make up, at most ``wanted``.
+    """
+    running: dict[str, int] = {}
+    for host in hosts.values():
+        if host.is_running:
+            running[host.fabric_domain] = running.get(host.fabric_domain, 0) + 1
+    return min(wanted, sum(count // size for count in running.values()))
--- a/chestnutvale/membership/const.py
+++ b/chestnutvale/membership/const.py
@@ -27,6 +27,8 @@
 MAX_ACCELERATORS: Final = 1_024
 MAX_ADAPTERS: Final = 256
 MAX_CACHE_EVENTS: Final = 65_536
+# Addresses whose check is remembered.
+MAX_CACHED_ADDRESSES: Final = 8_192
 MAX_LOAD_COUNT: Final = 1_000_000
 MAX_SEQUENCE: Final = 2**63
 
--- a/chestnutvale/membership/validation.py
+++ b/chestnutvale/membership/validation.py
@@ -1,5 +1,6 @@
 """Checks of the fields of an announcement."""
 
+import functools
 import ipaddress
 import re
 from typing import Final
@@ -11,6 +12,7 @@
     MAX_ACCELERATORS,
     MAX_ADAPTERS,
     MAX_CACHE_EVENTS,
+    MAX_CACHED_ADDRESSES,
     MAX_LOAD_COUNT,
     MAX_NAME_LENGTH,
     MAX_SEQUENCE,
@@ -41,6 +43,7 @@
         raise InvalidAnnouncementError(reason, peer=peer)
 
 
+@functools.lru_cache(maxsize=MAX_CACHED_ADDRESSES)
 def is_ip_address(address: str) -> bool:
     """Tell whether a text is an IP number and a port.
 
