Time a member's wait from its first order, not from the plan

Change: the watch starts the timer when an order is sent or held. Test fails without the change (seen).

--- a/chestnutvale/groups/breakage.py
+++ b/chestnutvale/groups/breakage.py
@@ -111,6 +111,20 @@
         self._losses_s.clear()
         self._lost_hosts.clear()
 
+    def note_order(self, host_id: str, epoch: int, now_s: float) -> None:
+        """Note that a member was told of its group, from when it can be stuck.
+
+        Parameters
+        ----------
+        host_id : str
+            The host.
+        epoch : int
+            Epoch of its group.
+        now_s : float
+            Monotonic time.
+        """
+        self._not_ready_from_s.setdefault((host_id, epoch), now_s)
+
     def find_broken(
         self, state: GroupsState, table: MembershipTable, now_s: float
     ) -> list[BrokenGroup]:
@@ -202,8 +216,11 @@
         if holds_epoch(record, group, HOLDING_READY):
             self._not_ready_from_s.pop(key, None)
             return None
-        waited_s = now_s - self._not_ready_from_s.setdefault(key, now_s)
         has_order = holds_epoch(record, group)
+        if has_order:
+            self._not_ready_from_s.setdefault(key, now_s)
+        # A member that waits for the load budget was not told anything yet.
+        waited_s = now_s - self._not_ready_from_s.get(key, now_s)
         limit_s = self.load_timeout_s if has_order else self.unreachable_s
         if waited_s <= limit_s:
             return None
--- a/chestnutvale/groups/coordinator.py
+++ b/chestnutvale/groups/coordinator.py
@@ -107,6 +107,9 @@
         if not self._is_leader or text is None:
             return []
         sends = self.orders.due(state, table, text, lease_confirmed, now_s, now_unix_ms)
+        for send in sends:
+            epoch = send.order.epoch
+            self.planner.watch.note_order(send.host_id, epoch, now_s)
         if now_s < self._plan_from_s:
             return list(sends)
         inputs = PlanInputs(state, table, text, now_unix_ms)
--- a/tests/groups/test_repair.py
+++ b/tests/groups/test_repair.py
@@ -4,6 +4,7 @@
 
 from benchmarks.groups_fakes import HostStatus
 from chestnutvale.groups import breakage
+from chestnutvale.groups.settings import GroupsPolicy
 from chestnutvale.groups.state import GroupsState
 from chestnutvale.schema.configuration_pb2 import Service, Text
 from chestnutvale.schema.groups_pb2 import DrainHost, GroupResult
@@ -284,6 +285,21 @@
     assert history.hosts()[0].host_id not in history.world.state.owners
 
 
+def test_a_member_that_waits_for_the_load_budget_is_not_stuck():
+    history = History(lossy=False)
+    history.world.load_s = 50.0
+    planner = history.world.leader.coordinator.planner
+    orders = history.world.leader.coordinator.orders
+    planner.policy = orders.policy = GroupsPolicy(max_loading_hosts=2)
+    history.run(130.0)
+    changed = [
+        item.put_group.group.group_id
+        for item in history.world.log
+        if item.put_group.group.phase == "forming"
+    ]
+    assert len(changed) == len(set(changed))
+
+
 def test_drained_hosts_are_used_again_after_the_drain(history):
     for host in history.hosts():
         history.world.submit(
