--- /dev/null
+++ b/benchmarks/admission_recovery.py
@@ -0,0 +1,118 @@
+"""Measures recovery after a burst of four times the capacity, with retries.
+
+Run with ``python -m benchmarks.admission_recovery``.
+"""
+
+import random
+from multiprocessing import Pool
+
+import attrs
+import defopt
+
+from benchmarks.admission_overload import CAPACITY_RATE, DEPLOYMENTS, POLICIES
+from benchmarks.models.bench import Bench, Policy
+from benchmarks.models.load import Call, make_calls
+from chestnutvale.admission.controller import AdmissionController
+from chestnutvale.admission.pacing import RetryPacer
+from chestnutvale.routing.selector import Selector
+
+BASE = 0.7
+BURST = (40.0, 60.0, 4.0 / BASE)
+END_S = 200.0
+WINDOW_S = 5.0
+RECOVERED = 0.95
+
+
+@attrs.define
+class FixedPacer(RetryPacer):
+    """Tells every refused caller the same time."""
+
+    fixed_s: float = 1.0
+
+    def retry_after_s(self, *args: float) -> float:
+        """Return the fixed time."""
+        return self.fixed_s
+
+
+@attrs.define
+class UnbookedPacer(RetryPacer):
+    """Tells each refused caller when the present backlog is drained."""
+
+    def retry_after_s(
+        self, now_s: float, backlog_tokens: float, cost: int, drain_rate: float
+    ) -> float:
+        """Return the estimate with jitter, whatever others were told."""
+        return self.jitter(backlog_tokens / drain_rate)
+
+
+def with_pacer(make: type[RetryPacer]) -> Policy:
+    """Return the chosen policy with another pacer."""
+
+    def make_admission(rng: random.Random) -> AdmissionController:
+        return AdmissionController(rng, make_pacer=make)
+
+    return Policy(make.__name__, make_admission, Selector)
+
+
+VARIANTS = POLICIES | {
+    "fixed_1s": with_pacer(FixedPacer),
+    "unbooked": with_pacer(UnbookedPacer),
+}
+
+
+def run(case: tuple[str, str, int]) -> str:
+    """Run one case and return its line."""
+    deployment, policy, seed = case
+    rate = CAPACITY_RATE * BASE
+    calls = make_calls(DEPLOYMENTS[deployment], rate, END_S, seed, burst=BURST)
+    bench = Bench(VARIANTS[policy], calls, END_S, seed).run()
+    counts = bench.counts
+    burst = [c for c in calls if BURST[0] <= c.arrival_s < BURST[1]]
+    good = sum(call.outcome == "good" for call in burst) / len(burst)
+    offered = counts.offered_by_second
+    peak = max(offered[s] for s in range(int(BURST[1]), int(END_S) - 20))
+    after = sum(offered[s] for s in range(60, 120)) / sum(
+        60 <= call.arrival_s < 120 for call in calls
+    )
+    return (
+        f"{deployment:10} {policy:12} {seed:4} recovered after "
+        f"{_recovery_s(calls):6.1f} s  burst in time {good:.3f}  "
+        f"offers/s at most after burst {peak:4}  "
+        f"offers per new call in the minute after {after:.2f}  "
+        f"tries per burst call {sum(c.tries for c in burst) / len(burst):.2f}"
+    )
+
+
+def main(
+    *,
+    policies: str = "chosen,unbooked,fixed_1s,fcfs,no_limit",
+    deployments: str = "overnight,bookings",
+    seeds: str = "1,2,3",
+    processes: int = 3,
+) -> None:
+    """Print a line a run; lists are separated by commas."""
+    cases = [
+        (deployment, policy, int(seed))
+        for deployment in deployments.split(",")
+        for policy in policies.split(",")
+        for seed in seeds.split(",")
+    ]
+    with Pool(processes) as pool:
+        print("\n".join(pool.map(run, cases, chunksize=1)))
+
+
+def _recovery_s(calls: list[Call]) -> float:
+    # The last window in which fewer calls than usual were answered in time.
+    end_s = BURST[1]
+    last_s = end_s
+    while end_s < END_S - 90.0:
+        window = [c for c in calls if end_s <= c.arrival_s < end_s + WINDOW_S]
+        good = sum(call.outcome == "good" for call in window)
+        end_s += WINDOW_S
+        if window and good < RECOVERED * len(window):
+            last_s = end_s
+    return last_s - BURST[1]
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- a/benchmarks/models/engine.py
+++ b/benchmarks/models/engine.py
@@ -67,6 +67,7 @@
     running: list[Task] = attrs.field(factory=list)
     kv_used: float = 0.0
     preemptions: int = 0
+    evictions: int = 0
     lost_tokens: float = 0.0
     prefix_hits: int = 0
     prefix_asks: int = 0
@@ -159,6 +160,7 @@
                 victim = self._victim(RANKS[task.priority])
                 if victim is None:
                     return
+                self.evictions += 1
                 self._preempt(victim)
                 continue
             self.waiting.pop(0)
--- a/benchmarks/models/figures.py
+++ b/benchmarks/models/figures.py
@@ -29,6 +29,8 @@
         Mean share of KV memory.
     preemptions : int
         Requests that engines threw out for lack of KV memory.
+    evictions : int
+        Those of them that gave way to a higher class.
     prefix_hits : float
         Share of starts that found their prefix cached.
     wasted : float
@@ -49,6 +51,7 @@
     kv_used: float
     kv_reserved: float
     preemptions: int
+    evictions: int
     prefix_hits: float
     wasted: float
     attempts: float
@@ -81,6 +84,7 @@
         kv_used=counts.kv_used / counts.kv_samples,
         kv_reserved=counts.kv_reserved / counts.kv_samples,
         preemptions=sum(engine.preemptions for engine in engines),
+        evictions=sum(engine.evictions for engine in engines),
         prefix_hits=sum(engine.prefix_hits for engine in engines) / max(1, asks),
         wasted=lost / max(1.0, lost + counts.useful_tokens),
         attempts=counts.attempts / max(1, counts.admitted),
--- a/benchmarks/models/load.py
+++ b/benchmarks/models/load.py
@@ -6,6 +6,7 @@
 import attrs
 
 ENTRIES = 12
+MEAN_OF_MEDIANS = 150.0
 
 
 @attrs.define(eq=False)
@@ -125,7 +126,7 @@
     """
     rng = random.Random(seed)
     names = [f"w{number}" for number in range(len(deployment.sizes))]
-    medians = {name: rng.uniform(60, 260) for name in names}
+    medians = _output_medians(rng, deployment, names)
     homes = {name: _entry_weights(rng) for name in names}
     calls: list[Call] = []
     now_s = 0.0
@@ -165,6 +166,17 @@
     return int(name[1:]) * 100 + number
 
 
+def _output_medians(
+    rng: random.Random, deployment: Deployment, names: list[str]
+) -> dict[str, float]:
+    # Every seed asks for the same work: the mean over calls is fixed.
+    drawn = [rng.uniform(60, 260) for _ in names]
+    sizes = deployment.sizes
+    mean = sum(map(math.prod, zip(sizes, drawn, strict=True))) / sum(sizes)
+    scale = MEAN_OF_MEDIANS / mean
+    return {name: scale * value for name, value in zip(names, drawn, strict=True)}
+
+
 def _entry_weights(rng: random.Random) -> list[float]:
     # Long-lived connections leave some callers on a few entries only.
     return [rng.paretovariate(0.9) for _ in range(ENTRIES)]
--- a/chestnutvale/admission/const.py
+++ b/chestnutvale/admission/const.py
@@ -18,8 +18,8 @@
 DEFAULT_WEIGHT: Final = 1.0
 DEFAULT_URGENT_SHARE: Final = 0.7
 DEFAULT_NORMAL_SHARE: Final = 0.9
-DEFAULT_QUEUE_REQUESTS: Final = 512
-DEFAULT_WORKSPACE_QUEUE_REQUESTS: Final = 256
+DEFAULT_QUEUE_REQUESTS: Final = 2048
+DEFAULT_WORKSPACE_QUEUE_REQUESTS: Final = 1024
 DEFAULT_SLOTS_PER_GROUP: Final = 32
 
 DEFAULT_OUTPUT_TOKENS: Final = 256
@@ -34,8 +34,6 @@
 DEFAULT_HOLD_S: Final = 5.0
 DEFAULT_TOKEN_S: Final = 0.02
 PACE_GAIN: Final = 0.02
-# Estimates are taken this much shorter before a request is refused by them.
-ESTIMATE_OPTIMISM: Final = 0.8
 
 # Urgent requests may go this share above the limit, into the KV headroom.
 URGENT_OVERDRAFT: Final = 0.15
--- a/chestnutvale/admission/controller.py
+++ b/chestnutvale/admission/controller.py
@@ -1,7 +1,7 @@
 """Admission at one entry, over all services."""
 
 import random
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 import attrs
 
@@ -19,6 +19,7 @@
     ServiceCapacity,
     ServiceLimits,
 )
+from chestnutvale.admission.pacing import RetryPacer
 from chestnutvale.admission.service import ServiceAdmission
 
 
@@ -33,9 +34,12 @@
     ----------
     rng : random.Random
         Seeded source of jitter.
+    make_pacer : callable
+        Makes the pacer of a service from `rng`.
     """
 
     rng: random.Random
+    make_pacer: Callable[[random.Random], RetryPacer] = RetryPacer
     _weights: dict[str, float] = attrs.field(factory=dict)
     _services: dict[str, ServiceAdmission] = attrs.field(factory=dict)
     _service_of: dict[str, str] = attrs.field(factory=dict)
@@ -58,7 +62,7 @@
         for name, service_limits in limits.items():
             service = self._services.get(name)
             if service is None:
-                service = ServiceAdmission(service_limits, self.rng)
+                service = ServiceAdmission(service_limits, self.make_pacer(self.rng))
                 service.entry_count = self._entry_count
                 self._services[name] = service
             service.limits = service_limits
--- a/chestnutvale/admission/service.py
+++ b/chestnutvale/admission/service.py
@@ -1,6 +1,5 @@
 """Admission to one service at one entry."""
 
-import random
 from collections.abc import Mapping
 
 import attrs
@@ -12,7 +11,6 @@
     CODE_NO_CAPACITY,
     CODE_QUEUE_FULL,
     CODE_TOO_LARGE,
-    ESTIMATE_OPTIMISM,
     NO_CAPACITY_RETRY_S,
     PRIORITIES,
     PRIORITY_BATCH,
@@ -65,12 +63,12 @@
     ----------
     limits : ServiceLimits
         Bounds of the service.
-    rng : random.Random
-        Seeded source of jitter.
+    pacer : RetryPacer
+        Tells refused callers when to come back.
     """
 
     limits: ServiceLimits
-    rng: random.Random
+    pacer: RetryPacer
     weights: Mapping[str, float] = attrs.field(factory=dict)
     capacity: ServiceCapacity = ServiceCapacity(0, 0)
     entry_count: int = 1
@@ -87,9 +85,6 @@
     _waiting: dict[str, Waiter] = attrs.field(factory=dict)
     pace: Pace = attrs.field(factory=Pace)
     commitment: Commitment = attrs.field(factory=Commitment)
-    _pacer: RetryPacer = attrs.field(
-        default=attrs.Factory(lambda self: RetryPacer(self.rng), takes_self=True)
-    )
 
     def set_capacity(self, capacity: ServiceCapacity, now_s: float) -> None:
         """Take a report of what the serving groups have and use."""
@@ -114,7 +109,7 @@
         """Admit, queue or refuse a new request."""
         cost = self._cost(request)
         if self.capacity.groups == 0:
-            retry_s = self._pacer.jitter(NO_CAPACITY_RETRY_S)
+            retry_s = self.pacer.jitter(NO_CAPACITY_RETRY_S)
             return [Refuse(request.request_id, CODE_NO_CAPACITY, retry_s)]
         if self._is_too_large(request):
             return [Refuse(request.request_id, CODE_TOO_LARGE, 0.0)]
@@ -261,14 +256,14 @@
         if wait_s == 0.0 and self.reserved < self.limit / 2:
             # With room to spare, a stale estimate must not keep callers out.
             return True
-        needed_s = ESTIMATE_OPTIMISM * wait_s + self._answer_s(request, cost)
+        needed_s = wait_s + self._answer_s(request, cost)
         return now_s + needed_s <= request.deadline_s
 
     def _answer_s(self, request: AdmissionRequest, cost: int) -> float:
         if self._is_plain():
             return 0.0
         output = cost - request.prompt_tokens
-        return ESTIMATE_OPTIMISM * output * self.pace.token_s
+        return output * self.pace.token_s
 
     def _wait_s(self, request: AdmissionRequest, cost: int) -> float:
         free = self._limit_of(request.priority) - self.reserved
@@ -320,7 +315,7 @@
         self, request: AdmissionRequest, code: str, cost: int, now_s: float
     ) -> Refuse:
         backlog = self._tokens_ahead(request) + cost - (self.limit - self.reserved)
-        retry_s = self._pacer.retry_after_s(
+        retry_s = self.pacer.retry_after_s(
             now_s, max(0.0, backlog), cost, self._drain_rate()
         )
         return Refuse(request.request_id, code, retry_s)
@@ -331,7 +326,7 @@
             self.queue.remove(waiter)
             request_id = waiter.request.request_id
             del self._waiting[request_id]
-            retry_s = self._pacer.jitter(NO_CAPACITY_RETRY_S)
+            retry_s = self.pacer.jitter(NO_CAPACITY_RETRY_S)
             effects.append(Refuse(request_id, CODE_NO_CAPACITY, retry_s))
         return effects
 
