Exchange demand between entries through the control

Cause: with equal parts of the capacity the balancer's uneven spread of callers decides who is served. Not yet wired into the daemons; without totals an entry takes an equal part.

--- a/benchmarks/models/baselines.py
+++ b/benchmarks/models/baselines.py
@@ -52,7 +52,7 @@
         """Take an equal part of the capacity."""
         self.limit = capacity.kv_capacity_tokens / self.entry_count
 
-    def set_demand(self, service: str, own: dict, total: dict) -> None:
+    def set_demand(self, own: list, total: list) -> None:
         """Take no notice of demand."""
 
     def demand(self) -> list:
--- a/benchmarks/models/bench.py
+++ b/benchmarks/models/bench.py
@@ -9,9 +9,11 @@
 
 from benchmarks.models.engine import Engine, EngineSettings, Task
 from benchmarks.models.load import ENTRIES, Call
+from chestnutvale.admission.demand import DemandTable
 from chestnutvale.admission.messages import (
     AdmissionRequest,
     Admit,
+    Demand,
     Refuse,
     ServiceCapacity,
     ServiceLimits,
@@ -340,14 +342,12 @@
 
     def _exchange(self) -> None:
         self._at(self.now_s + REPORT_S, self._exchange)
-        reports = [
-            {demand.workspace: demand.tokens for demand in admission.demand()}
-            for admission, _, _ in self.entries
-        ]
-        total: Counter = Counter()
-        for report in reports:
-            total.update(report)
-        self._at(self.now_s + REPORT_S, self._share, reports, dict(total))
+        reports = [admission.demand() for admission, _, _ in self.entries]
+        table = DemandTable()
+        for number, report in enumerate(reports):
+            table.note(f"e{number}", report, self.now_s)
+        total = table.totals(self.now_s)
+        self._at(self.now_s + REPORT_S, self._share, reports, total)
         self._tell_capacity()
         reserved = sum(a.reserved_tokens(SERVICE) for a, _, _ in self.entries)
         if not LOADED_FROM_S <= self.now_s < self.calls[-1].arrival_s:
@@ -359,9 +359,9 @@
         self.counts.kv_reserved += reserved / capacity
         self.counts.most_reserved = max(self.counts.most_reserved, reserved / capacity)
 
-    def _share(self, reports: list[dict], total: dict) -> None:
+    def _share(self, reports: list[list[Demand]], total: list[Demand]) -> None:
         for (admission, _, _), own in zip(self.entries, reports, strict=True):
-            admission.set_demand(SERVICE, own, total)
+            admission.set_demand(own, total)
         for entry, (admission, _, placed) in enumerate(self.entries):
             for held in placed.values():
                 if held.task is not None:
--- a/chestnutvale/admission/const.py
+++ b/chestnutvale/admission/const.py
@@ -31,6 +31,9 @@
 # Part of a service's capacity that is divided evenly, whatever the demand.
 EVEN_SHARE: Final = 0.15
 
+DEMAND_EXPIRY_S: Final = 3.0
+MAX_REPORTED_DEMANDS: Final = 64
+
 DEFAULT_HOLD_S: Final = 5.0
 DEFAULT_TOKEN_S: Final = 0.02
 PACE_GAIN: Final = 0.02
--- a/chestnutvale/admission/controller.py
+++ b/chestnutvale/admission/controller.py
@@ -1,7 +1,7 @@
 """Admission at one entry, over all services."""
 
 import random
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 import attrs
 
@@ -11,6 +11,7 @@
     DEFAULT_WEIGHT,
     TICK_INTERVAL_S,
 )
+from chestnutvale.admission.demand import largest_demands
 from chestnutvale.admission.messages import (
     AdmissionRequest,
     Demand,
@@ -89,16 +90,22 @@
             return
         admission.set_capacity(capacity, now_s)
 
-    def set_demand(
-        self, service: str, own: Mapping[str, int], total: Mapping[str, int]
-    ) -> None:
-        """Tell the demand in tokens per workspace: own report and all entries'."""
-        admission = self._services.get(service)
-        if admission is None:
-            return
-        admission.own_demand = dict(own)
-        admission.total_demand = dict(total)
-        admission.update_shares()
+    def set_demand(self, own: Iterable[Demand], total: Iterable[Demand]) -> None:
+        """Take the demand of all entries from the control.
+
+        Parameters
+        ----------
+        own : iterable of Demand
+            This entry's demand as it stood in the report that is answered.
+        total : iterable of Demand
+            Demand summed over all entries.
+        """
+        own_by_service = _by_service(own)
+        total_by_service = _by_service(total)
+        for name, admission in self._services.items():
+            admission.own_demand = own_by_service.get(name, {})
+            admission.total_demand = total_by_service.get(name, {})
+            admission.update_shares()
 
     def offer(self, request: AdmissionRequest, now_s: float) -> list[Effect]:
         """Take a new request; its own effect is the last one returned for it."""
@@ -167,11 +174,11 @@
 
     def demand(self) -> list[Demand]:
         """Return reserved and queued tokens per service and workspace."""
-        return [
+        return largest_demands(
             Demand(name, workspace, tokens)
             for name, service in self._services.items()
             for workspace, tokens in service.demand().items()
-        ]
+        )
 
     def reserved_tokens(self, service: str) -> int:
         """Return the tokens that running requests of a service hold."""
@@ -186,3 +193,10 @@
             if isinstance(effect, Refuse):
                 self._service_of.pop(effect.request_id, None)
         return list(effects)
+
+
+def _by_service(demands: Iterable[Demand]) -> dict[str, dict[str, int]]:
+    sorted_out: dict[str, dict[str, int]] = {}
+    for demand in demands:
+        sorted_out.setdefault(demand.service, {})[demand.workspace] = demand.tokens
+    return sorted_out
