--- a/benchmarks/routing_choice.py
+++ b/benchmarks/routing_choice.py
@@ -25,6 +25,7 @@
 FAULTS = {
     "healthy": Faults(),
     "two slow": Faults(slow=(3, 7), start_s=20.0),
+    "two frozen": Faults(slow=(3, 7), slow_speed=0.0, start_s=40.0, back_s=80.0),
     "third fails": Faults(failed=(0, 3, 6, 9, 12), start_s=60.0),
 }
 
@@ -45,7 +46,7 @@
     policies: str = "chosen,round_robin,least_reported",
     multiples: str = "0.6,1",
     deployments: str = "overnight,bookings",
-    faults: str = "healthy,two slow,third fails",
+    faults: str = "healthy,two slow,two frozen,third fails",
     seeds: str = "1",
     processes: int = 3,
 ) -> None:
--- a/chestnutvale/routing/const.py
+++ b/chestnutvale/routing/const.py
@@ -15,6 +15,10 @@
 LATENCY_GAIN: Final = 0.1
 # A group this many times slower than the median begins to lose traffic.
 STRAGGLER_RATIO: Final = 1.5
+# No group is a straggler while it answers within this time.
+STRAGGLER_MIN_S: Final = 0.3
+# Age at which the shares of groups are computed anew.
+SHARES_EXPIRY_S: Final = 0.1
 # Latency samples of a straggler fade, so that it is tried again.
 STRAGGLER_FADE_S: Final = 30.0
 
--- a/chestnutvale/routing/load.py
+++ b/chestnutvale/routing/load.py
@@ -19,14 +19,11 @@
         Whether it is urgent.
     sent_s : float
         Monotonic time of sending.
-    first_token_s : float or None
-        Monotonic time of the first token, once it came.
     """
 
     tokens: int
     urgent: bool
     sent_s: float
-    first_token_s: float | None = None
 
 
 @attrs.define
@@ -36,6 +33,7 @@
     reported: Load = attrs.field(factory=Load)
     measured_s: float = float("-inf")
     in_flight: dict[str, Sent] = attrs.field(factory=dict)
+    _unanswered: dict[str, Sent] = attrs.field(factory=dict)
     _since: deque[Sent] = attrs.field(factory=deque)
     _since_tokens: int = 0
 
@@ -51,11 +49,23 @@
     def sent(self, request_id: str, sent: Sent) -> None:
         """Count a request that was sent now."""
         self.in_flight[request_id] = sent
+        self._unanswered[request_id] = sent
         self._since.append(sent)
         self._since_tokens += sent.tokens
 
+    def answered(self, request_id: str, now_s: float) -> float | None:
+        """Return the seconds to the first token, or None if it came before."""
+        sent = self._unanswered.pop(request_id, None)
+        return None if sent is None else now_s - sent.sent_s
+
+    def oldest_unanswered_s(self, now_s: float) -> float:
+        """Return how long the oldest request has waited for its first token."""
+        oldest = next(iter(self._unanswered.values()), None)
+        return 0.0 if oldest is None else now_s - oldest.sent_s
+
     def finished(self, request_id: str) -> Sent | None:
         """Forget a request that ended."""
+        self._unanswered.pop(request_id, None)
         return self.in_flight.pop(request_id, None)
 
     def pressure(self, extra_tokens: int, mean_tokens: float) -> float:
--- a/chestnutvale/routing/selector.py
+++ b/chestnutvale/routing/selector.py
@@ -1,7 +1,7 @@
 """Chooses the group that runs a request."""
 
 import random
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 import attrs
 
@@ -9,6 +9,7 @@
     CANDIDATES,
     DEFAULT_REPORT_AGE_S,
     PREFIX_GAIN,
+    SHARES_EXPIRY_S,
 )
 from chestnutvale.routing.load import GroupLoad, Sent
 from chestnutvale.routing.messages import RoutableGroup, RoutingRequest
@@ -20,6 +21,22 @@
 MEAN_GAIN = 0.02
 
 
+@attrs.frozen
+class TrafficShares:
+    """Share of its normal traffic that each group of a service should get.
+
+    Attributes
+    ----------
+    shares : dict of str to float
+        Share of each group.
+    expires_s : float
+        Monotonic time at which they are computed anew.
+    """
+
+    shares: dict[str, float]
+    expires_s: float
+
+
 @attrs.define
 class Selector:
     """Chooses between two random groups and those that hold the prefix.
@@ -38,6 +55,7 @@
     _by_service: dict[str, list[str]] = attrs.field(factory=dict)
     _loads: dict[str, GroupLoad] = attrs.field(factory=dict)
     _placed: dict[str, str] = attrs.field(factory=dict)
+    _shares: dict[str, TrafficShares] = attrs.field(factory=dict)
     _mean_tokens: float = DEFAULT_MEAN_TOKENS
 
     def update_groups(self, groups: Iterable[RoutableGroup]) -> None:
@@ -48,6 +66,7 @@
                 self._forget(group_id)
         self._groups = new
         self._by_service = {}
+        self._shares = {}
         for group in new.values():
             self._by_service.setdefault(group.service, []).append(group.group_id)
             self._loads.setdefault(group.group_id, GroupLoad())
@@ -84,11 +103,12 @@
             names = [name for name in names if name not in request.excluded_groups]
         if not names:
             return None
-        candidates = self._draw(names, now_s)
+        shares = self._service_shares(request.service, now_s)
+        candidates = self._draw(names, shares)
         _, holders = self.prefixes.longest(request.prefixes)
         holding = [name for name in names if name in holders]
         if holding:
-            candidates += self._draw(holding, now_s)
+            candidates += self._draw(holding, shares)
         return min(candidates, key=lambda name: self._cost(name, request))
 
     def sent(self, request: RoutingRequest, group_id: str, now_s: float) -> None:
@@ -107,11 +127,9 @@
         group_id = self._placed.get(request_id)
         if group_id is None:
             return
-        sent = self._loads[group_id].in_flight.get(request_id)
-        if sent is None or sent.first_token_s is not None:
-            return
-        sent.first_token_s = now_s
-        self.stragglers.observe(group_id, now_s - sent.sent_s, now_s)
+        latency_s = self._loads[group_id].answered(request_id, now_s)
+        if latency_s is not None:
+            self.stragglers.observe(group_id, latency_s, now_s)
 
     def finished(self, request_id: str, now_s: float) -> None:
         """Forget a request that ended, whole or not."""
@@ -119,20 +137,25 @@
         if group_id is not None:
             self._loads[group_id].finished(request_id)
 
-    def _draw(self, names: list[str], now_s: float) -> list[str]:
+    def _draw(self, names: list[str], shares: Mapping[str, float]) -> list[str]:
         if len(names) <= CANDIDATES:
             drawn = list(names)
         else:
             drawn = self.rng.sample(names, CANDIDATES)
-        median_s = self.stragglers.median_s(names)
-        kept = [
-            name
-            for name in drawn
-            if self.rng.random() < self.stragglers.share(name, median_s, now_s)
-        ]
-        if kept:
-            return kept
-        return [self.rng.choice(names)]
+        kept = [name for name in drawn if self.rng.random() < shares[name]]
+        return kept or [self.rng.choice(names)]
+
+    def _service_shares(self, service: str, now_s: float) -> dict[str, float]:
+        known = self._shares.get(service)
+        if known is None or known.expires_s <= now_s:
+            waits_s = {
+                name: self._loads[name].oldest_unanswered_s(now_s)
+                for name in self._by_service[service]
+            }
+            shares = self.stragglers.shares(waits_s, now_s)
+            known = TrafficShares(shares, now_s + SHARES_EXPIRY_S)
+            self._shares[service] = known
+        return known.shares
 
     def _cost(self, name: str, request: RoutingRequest) -> float:
         pressure = self._loads[name].pressure(
--- a/chestnutvale/routing/stragglers.py
+++ b/chestnutvale/routing/stragglers.py
@@ -1,6 +1,6 @@
 """Finds groups that answer slower than their peers and eases them out."""
 
-from collections.abc import Iterable
+from collections.abc import Mapping
 from statistics import median
 
 import attrs
@@ -9,6 +9,7 @@
     LATENCY_GAIN,
     PROBE_SHARE,
     STRAGGLER_FADE_S,
+    STRAGGLER_MIN_S,
     STRAGGLER_RATIO,
 )
 
@@ -55,18 +56,38 @@
         """Forget a group."""
         self._latencies.pop(group_id, None)
 
-    def median_s(self, group_ids: Iterable[str]) -> float:
-        """Return the median latency of the groups, 0 if none is known."""
-        known = [self._latencies[g].mean_s for g in group_ids if g in self._latencies]
-        return median(known) if known else 0.0
+    def shares(self, waits_s: Mapping[str, float], now_s: float) -> dict[str, float]:
+        """Return the share of its normal traffic that each group should get.
 
-    def share(self, group_id: str, median_s: float, now_s: float) -> float:
-        """Return the share of its normal traffic that a group should get."""
+        Parameters
+        ----------
+        waits_s : mapping of str to float
+            Groups that are compared, and how long the oldest request of each
+            has waited for its first token. A group that has stopped answering
+            is known by this alone.
+        now_s : float
+            Monotonic time in seconds.
+        """
+        expected = {
+            group_id: max(self._mean_s(group_id), wait_s)
+            for group_id, wait_s in waits_s.items()
+        }
+        known = [value for value in expected.values() if value]
+        usual_s = median(known) if known else 0.0
+        bound_s = max(usual_s * STRAGGLER_RATIO, STRAGGLER_MIN_S)
+        return {
+            group_id: self._share(group_id, value / bound_s, now_s)
+            for group_id, value in expected.items()
+        }
+
+    def _mean_s(self, group_id: str) -> float:
         known = self._latencies.get(group_id)
-        if known is None or not median_s:
-            return 1.0
-        ratio = known.mean_s / (median_s * STRAGGLER_RATIO)
+        return known.mean_s if known else 0.0
+
+    def _share(self, group_id: str, ratio: float, now_s: float) -> float:
         if ratio <= 1.0:
             return 1.0
-        fade = max(0.0, now_s - known.updated_s) / STRAGGLER_FADE_S
-        return min(1.0, max(self.probe_share, 1 / ratio**2) + fade * self.probe_share)
+        known = self._latencies.get(group_id)
+        idle_s = max(0.0, now_s - known.updated_s) if known else 0.0
+        regained = self.probe_share * idle_s / STRAGGLER_FADE_S
+        return min(1.0, max(self.probe_share, 1 / ratio**2) + regained)
