--- /dev/null
+++ b/tests/admission/test_sharing.py
@@ -0,0 +1,67 @@
+"""Tests of how capacity is divided."""
+
+import pytest
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+
+from chestnutvale.admission.demand import DemandTable, largest_demands
+from chestnutvale.admission.messages import Demand
+from chestnutvale.admission.sharing import divide_between_entries, divide_capacity
+
+NAMES = ("a", "b", "c", "d")
+weights_of = st.fixed_dictionaries({name: st.floats(0.1, 10.0) for name in NAMES})
+demands_of = st.fixed_dictionaries({name: st.integers(0, 10**6) for name in NAMES})
+
+
+@seed(63)
+@settings(database=None, deadline=None, max_examples=200)
+@given(st.floats(1.0, 1e6), demands_of, weights_of)
+def test_division_is_max_min_fair(capacity, demands, weights):
+    shares = divide_capacity(capacity, demands, weights)
+    total = sum(shares.values())
+    assert total == pytest.approx(min(capacity, sum(demands.values())))
+    for name in NAMES:
+        assert shares[name] <= demands[name] + 1e-6
+        if shares[name] < demands[name] * (1 - 1e-9) - 1e-6:
+            level = shares[name] / weights[name]
+            for other in NAMES:
+                assert shares[other] / weights[other] <= level * (1 + 1e-6) + 1e-6
+
+
+@seed(64)
+@settings(database=None, deadline=None, max_examples=200)
+@given(st.floats(1.0, 1e6), st.lists(demands_of, min_size=1, max_size=12), weights_of)
+def test_parts_of_all_entries_fit_the_capacity(capacity, reports, weights):
+    total = {name: sum(report[name] for report in reports) for name in NAMES}
+    parts = [
+        divide_between_entries(capacity, own, total, weights, len(reports))
+        for own in reports
+    ]
+    given_out = sum(sum(part.values()) for part in parts)
+    assert given_out == pytest.approx(capacity)
+    for part in parts:
+        assert sum(part.values()) >= 0.1 * capacity / len(reports)
+
+
+def test_part_follows_the_demand_of_the_entry():
+    total = {"a": 100_000, "b": 1000}
+    weights = {"a": 1.0, "b": 1.0}
+    busy = divide_between_entries(10_000, {"a": 90_000}, total, weights, 2)
+    idle = divide_between_entries(10_000, {"a": 10_000, "b": 1000}, total, weights, 2)
+    # 15% of the capacity is divided evenly, the rest by demand.
+    assert busy == pytest.approx({"a": 0.85 * 9000 * 0.9 + 375, "b": 375})
+    assert idle == pytest.approx({"a": 0.85 * 9000 * 0.1 + 375, "b": 850 + 375})
+
+
+def test_demand_table_sums_live_entries():
+    table = DemandTable(expiry_s=3.0)
+    table.note("e1", [Demand("llm", "a", 10)], 0.0)
+    table.note("e2", [Demand("llm", "a", 5), Demand("app", "a", 1)], 2.0)
+    table.note("e1", [Demand("llm", "a", 7)], 1.0)
+    assert set(table.totals(2.5)) == {Demand("llm", "a", 12), Demand("app", "a", 1)}
+    assert set(table.totals(4.5)) == {Demand("llm", "a", 5), Demand("app", "a", 1)}
+
+
+def test_report_holds_the_largest_demands():
+    demands = [Demand("llm", f"w{n}", n) for n in range(100)]
+    assert largest_demands(demands, most=2) == [demands[99], demands[98]]
