Wire demand between entries and the growth of running answers into admission

Cause: the selector's and admission's objects had demand totals and progress, and the daemons fed them neither, so each entry held an equal part of the capacity and an answer that outgrew its prediction kept its first reservation. Change: reports carry this entry's demand, answers carry the totals, paired by nonce; each delivered piece of an answer tells admission how long it is. Ruled out: sending totals with pushes; an entry pairs them with its own report. Here `script/test tests/programs/entry tests/admission`: 114 passed; with take() doing nothing test_entry_with_all_callers_gets_most_of_the_capacity fails. `script/demo` passes.

--- /dev/null
+++ b/chestnutvale/admission/wire.py
@@ -0,0 +1,43 @@
+"""Demand as it stands in the messages between entries and controls."""
+
+from collections.abc import Iterable
+
+from chestnutvale.admission.messages import Demand
+from chestnutvale.schema.peer_pb2 import WorkspaceDemand
+
+
+def to_messages(demands: Iterable[Demand]) -> list[WorkspaceDemand]:
+    """Convert demands for a message.
+
+    Parameters
+    ----------
+    demands : iterable of Demand
+        The demands.
+
+    Returns
+    -------
+    list of WorkspaceDemand
+        The same as messages.
+    """
+    return [
+        WorkspaceDemand(
+            service=item.service, workspace=item.workspace, tokens=item.tokens
+        )
+        for item in demands
+    ]
+
+
+def from_messages(messages: Iterable[WorkspaceDemand]) -> list[Demand]:
+    """Convert demands from a message.
+
+    Parameters
+    ----------
+    messages : iterable of WorkspaceDemand
+        The messages.
+
+    Returns
+    -------
+    list of Demand
+        The demands.
+    """
+    return [Demand(item.service, item.workspace, item.tokens) for item in messages]
--- a/chestnutvale/programs/control/entry_desk.py
+++ b/chestnutvale/programs/control/entry_desk.py
@@ -4,6 +4,8 @@
 import eventlet
 import logbook
 
+from chestnutvale.admission.demand import DemandTable
+from chestnutvale.admission.wire import from_messages, to_messages
 from chestnutvale.attempts.suspicion_board import SuspicionBoard
 from chestnutvale.clock import Clock
 from chestnutvale.consensus.exceptions import NotLeaderError, OutcomeUnknownError
@@ -108,6 +110,7 @@
         self._refreshed_inputs = (-1, -1)
         self._settled_until_s = float("-inf")
         self._cache_events = CacheEventQueue()
+        self._demands = DemandTable()
         self._commits = eventlet.GreenPool(MAX_COMMIT_REQUESTS)
         transport.on("entry_report", self._receive_report)
         transport.on("commit_request", self._receive_commit)
@@ -159,6 +162,7 @@
         entry_id = envelope.sender_id
         self._table.merge(entry_id, report.heard, now_s)
         self._cache_events.extend(report.cache_events)
+        self._demands.note(entry_id, from_messages(report.demands), now_s)
         self.entries[entry_id] = KnownEntry(
             incarnation=envelope.sender_incarnation,
             number=report.configuration_number,
@@ -194,6 +198,7 @@
             self._log.term,
             now_s,
         )
+        view.demands.extend(to_messages(self._demands.totals(now_s)))
         self._send_view(entry_id, report.reply_address, view)
 
     def _refresh(self, now_s: float) -> None:
--- a/chestnutvale/programs/entry/admission_gate.py
+++ b/chestnutvale/programs/entry/admission_gate.py
@@ -56,6 +56,16 @@
         self._gate.withdraw(self.request.request_id)
         self.decided.send(AdmissionRefusal("caller_gone", "the caller hung up", 0.0))
 
+    def progress(self, used_tokens: int) -> None:
+        """Say how long the answer is by now.
+
+        Parameters
+        ----------
+        used_tokens : int
+            Tokens that the answer has so far.
+        """
+        self._gate.controller.progress(self.request.request_id, used_tokens)
+
     def release(self, used_tokens: int) -> None:
         """Say that the call is over.
 
--- a/chestnutvale/programs/entry/context.py
+++ b/chestnutvale/programs/entry/context.py
@@ -88,6 +88,15 @@
     def cancel(self) -> None:
         """Give the place up; `wait` returns at once."""
 
+    def progress(self, used_tokens: int) -> None:
+        """Say how long the answer is by now.
+
+        Parameters
+        ----------
+        used_tokens : int
+            Tokens that the answer has so far.
+        """
+
     def release(self, used_tokens: int) -> None:
         """Say that the call is over; done once, also after a refusal.
 
@@ -126,6 +135,9 @@
     def cancel(self) -> None:
         """Do nothing."""
 
+    def progress(self, used_tokens: int) -> None:
+        """Do nothing."""
+
     def release(self, used_tokens: int) -> None:
         """Do nothing."""
 
--- a/chestnutvale/programs/entry/control_link.py
+++ b/chestnutvale/programs/entry/control_link.py
@@ -13,6 +13,7 @@
 from chestnutvale.membership.entry_view import EntryView, InstallVerdict
 from chestnutvale.membership.hearing import Hearing
 from chestnutvale.programs.entry.const import MIN_REPORT_INTERVAL_MS, REPORT_EXPIRY_MS
+from chestnutvale.programs.entry.demand_exchange import DemandExchange
 from chestnutvale.programs.periodic import run_rounds
 from chestnutvale.schema.peer_pb2 import ControlView, EntryReport, Envelope
 from chestnutvale.schema.settings_pb2 import EntrySettings
@@ -40,6 +41,8 @@
         Evidence about requests that crash groups.
     cache_events : CacheEventQueue
         Cache events that this entry heard.
+    demand : DemandExchange
+        Demand of this entry and of all entries.
     clock : Clock
         Source of time.
     rng : random.Random
@@ -59,6 +62,7 @@
         hearing: Hearing,
         suspicions: SuspicionTracker,
         cache_events: CacheEventQueue,
+        demand: DemandExchange,
         clock: Clock,
         rng: random.Random,
     ) -> None:
@@ -69,6 +73,7 @@
         self._hearing = hearing
         self._suspicions = suspicions
         self._cache_events = cache_events
+        self._demand = demand
         self._clock = clock
         self._rng = rng
         self._listeners: list[Callable[[ControlView, str], None]] = []
@@ -117,6 +122,7 @@
             draining=self.draining,
             sent_at_ms=round(now_s * 1_000),
         )
+        self._demand.fill(report)
         self._view.report_sent(nonce, now_s)
         for control in self._settings.controls:
             self._transport.send(
@@ -144,5 +150,6 @@
             self.hurry()
             return
         self._suspicions.merge(list(view.suspicions), self._clock.unix_ms())
+        self._demand.take(view)
         for listener in self._listeners:
             listener(view, envelope.sender_id)
--- a/chestnutvale/programs/entry/daemon.py
+++ b/chestnutvale/programs/entry/daemon.py
@@ -24,6 +24,7 @@
 from chestnutvale.programs.entry.commits import CommitClient
 from chestnutvale.programs.entry.const import DRAIN_NOTICE_S, SALT_BITS
 from chestnutvale.programs.entry.control_link import ControlLink
+from chestnutvale.programs.entry.demand_exchange import DemandExchange
 from chestnutvale.programs.entry.group_router import GroupRouter
 from chestnutvale.programs.entry.ledger_writer import LedgerWriter
 from chestnutvale.programs.entry.metrics import (
@@ -97,6 +98,7 @@
             self.hearing,
             self.context.suspicions,
             self._cache_events,
+            DemandExchange(self._gate.controller),
             clock,
             rng,
         )
--- a/chestnutvale/programs/entry/model_calls.py
+++ b/chestnutvale/programs/entry/model_calls.py
@@ -30,6 +30,7 @@
 from chestnutvale.observability.log_context import bind_log_context
 from chestnutvale.programs.entry.caller_watch import CallerWatch
 from chestnutvale.programs.entry.context import (
+    AdmissionTicket,
     AttemptReport,
     CallContext,
     CallRequest,
@@ -230,16 +231,17 @@
                         refusal.retry_after_s,
                     )
                     return
-                yield from self._drive()
+                yield from self._drive(ticket)
         finally:
             self._close_attempt(RESULT_CANCELLED)
             ticket.release(self._call.answer.next_offset)
 
-    def _drive(self) -> Iterator[bytes]:
+    def _drive(self, ticket: AdmissionTicket) -> Iterator[bytes]:
         effects: deque[CallEffect] = deque(self._handle(Started()))
         while effects:
             effect = effects.popleft()
             if isinstance(effect, Deliver):
+                ticket.progress(self._call.answer.next_offset)
                 yield effect.data
             elif isinstance(effect, Finish):
                 self._finish(effect)
--- /dev/null
+++ b/tests/programs/entry/test_demand_exchange.py
@@ -0,0 +1,66 @@
+"""Demand of all entries, from reports to shares."""
+
+import random
+
+from chestnutvale.admission.controller import AdmissionController
+from chestnutvale.admission.demand import DemandTable
+from chestnutvale.admission.messages import (
+    AdmissionRequest,
+    Admit,
+    ServiceCapacity,
+    ServiceLimits,
+)
+from chestnutvale.admission.wire import from_messages, to_messages
+from chestnutvale.programs.entry.demand_exchange import DemandExchange
+from chestnutvale.schema.peer_pb2 import ControlView, EntryReport
+
+
+def make_entry(seed):
+    controller = AdmissionController(random.Random(seed))
+    controller.configure({"w": 1.0}, {"llm": ServiceLimits()})
+    controller.set_entry_count(2)
+    controller.set_capacity("llm", ServiceCapacity(2, 20_000), 0.0)
+    return controller
+
+
+def offer(controller, prefix, count, now_s):
+    admitted = 0
+    for number in range(count):
+        request = AdmissionRequest(
+            f"{prefix}{number}", "llm", "w", "normal", 500, 500, now_s + 600.0
+        )
+        effects = controller.offer(request, now_s)
+        admitted += sum(isinstance(effect, Admit) for effect in effects)
+    return admitted
+
+
+def exchange(entries, now_s):
+    table = DemandTable()
+    reports = []
+    for name, (_, link) in entries.items():
+        report = EntryReport(nonce=len(reports) + 1)
+        link.fill(report)
+        table.note(name, from_messages(report.demands), now_s)
+        reports.append((link, report.nonce))
+    totals = to_messages(table.totals(now_s))
+    for link, nonce in reports:
+        link.take(ControlView(nonce=nonce, demands=totals))
+
+
+def test_entry_with_all_callers_gets_most_of_the_capacity():
+    busy, idle = make_entry(1), make_entry(2)
+    entries = {"a": (busy, DemandExchange(busy)), "b": (idle, DemandExchange(idle))}
+    alone = offer(busy, "x", 60, 0.0)
+    exchange(entries, 1.0)
+    more = sum(isinstance(effect, Admit) for effect in busy.tick(1.0))
+    assert alone > 0
+    assert more > alone / 2
+
+
+def test_view_that_answers_nothing_changes_no_share():
+    controller = make_entry(1)
+    link = DemandExchange(controller)
+    link.fill(EntryReport(nonce=5))
+    link.take(ControlView(nonce=6, demands=[]))
+    link.take(ControlView(nonce=0, demands=[]))
+    assert list(link._reported) == [5]
