Plan and refresh at changes; measure sizes, detection and bytes

Cause: a round each 100 ms would cost the leader more than its share at 2,900 workers. Change: a round when state, hosts, text or lease changed, else each second; views look at groups at a change, at the next deadline of a host, else each 0.5 s.

--- /dev/null
+++ b/benchmarks/groups_planner.py
@@ -0,0 +1,147 @@
+"""Time and memory of planning, orders and views at several sizes.
+
+Run ``python -m benchmarks.groups_planner``.
+"""
+
+import gc
+import random
+import resource
+import statistics
+import time
+import tracemalloc
+from collections.abc import Callable
+from pathlib import Path
+from types import SimpleNamespace
+
+from benchmarks.groups_driver import GroupsWorld, make_hosts
+from benchmarks.groups_fakes import FakeWeightStore, HostStatus
+from chestnutvale.groups.planner import PlanInputs
+from chestnutvale.groups.settings import GroupsPolicy
+from chestnutvale.membership.hearing import Hearing
+from chestnutvale.membership.table import MembershipTable
+from chestnutvale.schema.configuration_pb2 import Service, Text
+from chestnutvale.schema.peer_pb2 import EntryReport
+
+SIZES = ((60, 4, 12), (600, 16, 30), (2_900, 16, 145))
+HOSTS_PER_DOMAIN = 20
+ROUNDS = 9
+TABLE_COPIES = 10
+
+
+def make_world(workers: int, size: int, groups: int) -> GroupsWorld:
+    """Return a world whose groups all serve."""
+    service = Service(
+        kind="model", groups=groups, hosts_per_group=size, model="m", version="1"
+    )
+    world = GroupsWorld(
+        random=random.Random(1),
+        text=Text(number=1, services={"model": service}),
+        hosts=make_hosts(-(-workers // HOSTS_PER_DOMAIN), HOSTS_PER_DOMAIN),
+        policy=GroupsPolicy(max_loading_hosts=10_000),
+        store=FakeWeightStore(10_000),
+        load_s=1.0,
+        tick_s=1.0,
+    )
+    for _ in range(30):
+        world.step()
+        views = world.leader.publisher.group_views()
+        if sum(view.serving for view in views) >= min(groups, len(world.hosts) // 20):
+            break
+    return world
+
+
+def time_ms(call: Callable[[], object]) -> float:
+    """Return the median time of a call in milliseconds."""
+    times = []
+    for _ in range(ROUNDS):
+        began_s = time.perf_counter()
+        call()
+        times.append(1_000 * (time.perf_counter() - began_s))
+    return statistics.median(times)
+
+
+def measure(workers: int, size: int, groups: int) -> None:
+    """Print one row."""
+    world = make_world(workers, size, groups)
+    control = world.leader
+    now_s = world.now_s
+    inputs = PlanInputs(world.state, control.table, world.text, 1)
+    planner = control.coordinator.planner
+    steady_ms = time_ms(lambda: planner.plan(inputs, now_s))
+    orders_ms = time_ms(
+        lambda: control.coordinator.orders.due(
+            world.state, control.table, world.text, True, now_s, 1
+        )
+    )
+    refresh_ms = time_ms(
+        lambda: control.publisher.refresh(world.state, control.table, now_s)
+    )
+    source = SimpleNamespace(text=world.text)
+    report = EntryReport(
+        view_source=control.publisher.source, view_version=control.publisher.version
+    )
+    answer_ms = time_ms(
+        lambda: control.publisher.answer("e0", report, source, control.table, 1, now_s)
+    )
+    serving = sum(view.serving for view in control.publisher.group_views())
+    plan_bytes = peak_bytes(lambda: planner.plan(inputs, now_s))
+    for index, host in enumerate(world.hosts.values()):
+        if index % 50 == 0:
+            host.status = HostStatus.DEAD
+    for _ in range(3):
+        world.step()
+    now_s = world.now_s + 1.5
+    broken_ms = time_ms(lambda: planner.plan(inputs, now_s))
+    print(
+        f"{workers} | {len(world.state.groups)} | {serving} | {steady_ms:.1f} | "
+        f"{broken_ms:.1f} | {orders_ms:.1f} | {refresh_ms:.1f} | {answer_ms:.3f} | "
+        f"{plan_bytes // 1_000} | {table_bytes(world) // 1_000}",
+        flush=True,
+    )
+
+
+def peak_bytes(call: Callable[[], object]) -> int:
+    """Return the most memory that Python objects of a call took at once."""
+    gc.collect()
+    tracemalloc.start()
+    call()
+    _, peak = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return peak
+
+
+def table_bytes(world: GroupsWorld) -> int:
+    """Return the resident memory of one host table."""
+    hearing = Hearing()
+    for host in world.hosts.values():
+        hearing.announce(host.announce(world.now_s), world.now_s)
+    report = EntryReport(heard=hearing.drain_report(world.now_s)).SerializeToString()
+    tables = []
+    gc.collect()
+    before = resident_bytes()
+    for _ in range(TABLE_COPIES):
+        table = MembershipTable()
+        table.merge("e0", EntryReport.FromString(report).heard, world.now_s)
+        tables.append(table)
+    return (resident_bytes() - before) // len(tables)
+
+
+def resident_bytes() -> int:
+    """Return the resident memory of this process."""
+    pages = int(Path("/proc/self/statm").read_text().split()[1])
+    return pages * resource.getpagesize()
+
+
+def main() -> None:
+    """Print the table."""
+    print("median ms; broken: 1 host in 50 has died")
+    print(
+        "workers | groups | serving | plan | plan broken | orders | refresh | answer | "
+        "plan peak kB | table kB"
+    )
+    for size in SIZES:
+        measure(*size)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/membership_bytes.py
@@ -0,0 +1,141 @@
+"""Bytes of reports and views, as slopes per host, group and entry.
+
+Run ``python -m benchmarks.membership_bytes``.
+"""
+
+from types import SimpleNamespace
+
+from benchmarks.groups_driver import make_hosts
+from chestnutvale.groups.state import GroupsState
+from chestnutvale.membership.hearing import Hearing
+from chestnutvale.membership.table import MembershipTable
+from chestnutvale.membership.views import ViewPublisher
+from chestnutvale.schema.configuration_pb2 import Text
+from chestnutvale.schema.groups_pb2 import Group, GroupMember, PutGroup
+from chestnutvale.schema.membership_pb2 import Holding, Load
+from chestnutvale.schema.peer_pb2 import ControlView, EntryReport
+
+REPORT_BASE = EntryReport(
+    reply_address="10.0.0.1:7001",
+    data_centre="dc1",
+    nonce=2**60,
+    configuration_number=3_000,
+    view_version=3_000,
+    view_source="0000019f00000000-00000000",
+    sent_at_ms=10**9,
+)
+SIZE = 16
+
+
+def report_bytes(hosts: int, change: str) -> int:
+    """Return the bytes of a report on hosts of which ``change`` changed."""
+    hearing = Hearing()
+    fakes = list(make_hosts(-(-hosts // 20), 20).values())[:hosts]
+    for fake in fakes:
+        fake.holding = Holding(
+            group_id="chestnut-llm-12",
+            epoch=1_000,
+            fence=1_000,
+            rank=3,
+            service="chestnut-llm",
+            version="2026-11-30",
+            phase="ready",
+        )
+        hearing.announce(fake.announce(0.0), 0.0)
+    if change != "whole":
+        hearing.drain_report(0.0)
+        for fake in fakes:
+            fake.running = 12 if change == "load" else 0
+            hearing.announce(fake.announce(1.0), 1.0)
+    report = EntryReport()
+    report.CopyFrom(REPORT_BASE)
+    report.heard.extend(hearing.drain_report(1.2))
+    return report.ByteSize()
+
+
+def make_control(groups: int) -> tuple[ViewPublisher, GroupsState, MembershipTable]:
+    """Return a publisher, the state and the table with serving groups."""
+    state, table, hearing = GroupsState(), MembershipTable(), Hearing()
+    fakes = list(make_hosts(groups, SIZE).values())
+    for number in range(groups):
+        own = fakes[number * SIZE : (number + 1) * SIZE]
+        members = [
+            GroupMember(
+                host_id=fake.host_id,
+                boot_id=fake.boot_id,
+                address="10.0.0.1:8000",
+                rank=rank,
+            )
+            for rank, fake in enumerate(own)
+        ]
+        group = Group(
+            group_id=f"chestnut-llm-{number}",
+            service="chestnut-llm",
+            members=members,
+            version="2026-11-30",
+            phase="forming",
+            fabric_domain=own[0].fabric_domain,
+        )
+        epoch = state.put_group(PutGroup(group=group), 0).epoch
+        group.phase = "serving"
+        state.put_group(PutGroup(group=group, expected_epoch=epoch), 0)
+        for fake in own:
+            fake.holding = Holding(
+                group_id=group.group_id, epoch=epoch, service="s", phase="ready"
+            )
+            fake.running = number % 20
+            hearing.announce(fake.announce(0.0), 0.0)
+    table.merge("e0", hearing.drain_report(0.0), 0.0)
+    publisher = ViewPublisher("0000019f00000000-00000000")
+    publisher.refresh(state, table, 0.1)
+    return publisher, state, table
+
+
+def view_bytes(groups: int) -> tuple[int, int, int, int]:
+    """Return the bytes of a whole view, no change, one change, and all loads."""
+    publisher, state, table = make_control(groups)
+    source = SimpleNamespace(text=Text(number=3_000))
+    report = EntryReport()
+    report.CopyFrom(REPORT_BASE)
+    report.configuration_number = 3_000
+
+    def answer(version: int) -> ControlView:
+        report.view_version = version
+        report.view_source = publisher.source if version else ""
+        return publisher.answer("e0", report, source, table, 7, 0.1)
+
+    whole = answer(0).ByteSize()
+    answer(publisher.version)
+    quiet = answer(publisher.version).ByteSize()
+    before = publisher.version
+    first = next(iter(state.groups.values()))
+    state.draining_hosts.add(first.members[0].host_id)
+    publisher.refresh(state, table, 0.1)
+    one = answer(before).ByteSize()
+    for group in state.groups.values():
+        record = table.host(group.members[0].host_id)
+        record.load = Load(
+            running=31, waiting=3, kv_used_tokens=200_000, kv_capacity_tokens=400_000
+        )
+    publisher.refresh(state, table, 0.1)
+    loads = answer(publisher.version).ByteSize()
+    return whole, quiet, one, loads
+
+
+def main() -> None:
+    """Print the slopes."""
+    for change in ("compact", "load", "whole"):
+        small, large = report_bytes(20, change), report_bytes(200, change)
+        slope = (large - small) / 180
+        print(
+            f"report, {change}: {slope:.1f} B a host, {small - 20 * slope:.0f} B base"
+        )
+    small, large = view_bytes(20), view_bytes(200)
+    names = ("whole", "no change", "one group changed", "all loads changed")
+    for name, few, many in zip(names, small, large, strict=True):
+        slope = (many - few) / 180
+        print(f"view, {name}: {slope:.1f} B a group, {few - 20 * slope:.0f} B base")
+
+
+if __name__ == "__main__":
+    main()
--- a/chestnutvale/groups/const.py
+++ b/chestnutvale/groups/const.py
@@ -55,5 +55,8 @@
 # Time in seconds that a change of members costs when no weights are loaded.
 REFORM_S: Final = 2.0
 
+# Time in seconds after which a round is planned although nothing changed.
+PLAN_INTERVAL_S: Final = 1.0
+
 # Commands proposed in one round; the rest follows in the next.
 MAX_COMMANDS_PER_ROUND: Final = 32
--- a/chestnutvale/groups/coordinator.py
+++ b/chestnutvale/groups/coordinator.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from chestnutvale.groups.const import PLAN_INTERVAL_S
 from chestnutvale.groups.orders import OrderBook, OrderOutcome, SendOrder
 from chestnutvale.groups.planner import GroupCommand, GroupPlanner, PlanInputs
 from chestnutvale.groups.state import GroupsState
@@ -52,6 +53,8 @@
     orders: OrderBook
     _is_leader: bool = False
     _plan_from_s: float = float("inf")
+    _next_round_s: float = float("-inf")
+    _seen: tuple[int, int, int, bool] | None = None
 
     def became_leader(self, now_s: float) -> None:
         """Start deciding.
@@ -64,6 +67,7 @@
             Monotonic time.
         """
         self._is_leader = True
+        self._seen = None
         self._plan_from_s = now_s + self.planner.policy.detection_timeout_s
         self.planner.became_leader(now_s)
         self.orders.became_leader(now_s)
@@ -84,6 +88,9 @@
     ) -> list[Effect]:
         """Decide what to do now.
 
+        A round is planned when something changed, else once in a while for what
+        only time changes, so that it may be called often.
+
         Parameters
         ----------
         now_s : float
@@ -106,6 +113,11 @@
         """
         if not self._is_leader or text is None:
             return []
+        seen = (state.change_count, table.change_count, text.number, lease_confirmed)
+        if seen == self._seen and now_s < self._next_round_s:
+            return []
+        self._seen = seen
+        self._next_round_s = now_s + PLAN_INTERVAL_S
         sends = self.orders.due(state, table, text, lease_confirmed, now_s, now_unix_ms)
         for send in sends:
             epoch = send.order.epoch
--- a/chestnutvale/membership/const.py
+++ b/chestnutvale/membership/const.py
@@ -20,6 +20,12 @@
 MAX_SUPERSEDED_BOOTS: Final = 8
 # Group changes of which a control keeps the version for views of changes only.
 MAX_REMOVED_GROUPS: Final = 1_024
+# Times in seconds between two looks at all groups: at a change of hosts, and without.
+REFRESH_MIN_S: Final = 0.05
+REFRESH_MAX_S: Final = 0.5
+# Time in seconds by which a look comes after a deadline, to find it passed.
+SILENCE_MARGIN_S: Final = 0.001
+
 # Reports whose answer an entry still waits for.
 MAX_OUTSTANDING_REPORTS: Final = 64
 
--- a/chestnutvale/membership/table.py
+++ b/chestnutvale/membership/table.py
@@ -66,9 +66,15 @@
     ----------
     detection_timeout_s : float
         Silence in seconds after which a host counts as missing.
+
+    Attributes
+    ----------
+    change_count : int
+        Grows with each new host, boot or content.
     """
 
     detection_timeout_s: float = DEFAULT_DETECTION_TIMEOUT_S
+    change_count: int = attrs.field(default=0, init=False)
     _hosts: dict[str, HostRecord] = attrs.field(factory=dict)
     _entries: dict[str, float] = attrs.field(factory=dict)
     _delays: ReportDelays = attrs.field(factory=ReportDelays)
@@ -105,7 +111,9 @@
         if sent_at_ms:
             delay_s = self._delays.excess_s(entry_id, incarnation, sent_at_ms, now_s)
             now_s -= delay_s
-        return [item.host_id for item in heard if self._take(entry_id, item, now_s)]
+        changed = [item.host_id for item in heard if self._take(entry_id, item, now_s)]
+        self.change_count += len(changed)
+        return changed
 
     def host(self, host_id: str) -> HostRecord | None:
         """Return what is known of a host.
--- a/chestnutvale/membership/views.py
+++ b/chestnutvale/membership/views.py
@@ -7,7 +7,12 @@
 
 from chestnutvale.groups.serving import find_serving_fault, group_head
 from chestnutvale.groups.state import GroupsState
-from chestnutvale.membership.const import MAX_REMOVED_GROUPS
+from chestnutvale.membership.const import (
+    MAX_REMOVED_GROUPS,
+    REFRESH_MAX_S,
+    REFRESH_MIN_S,
+    SILENCE_MARGIN_S,
+)
 from chestnutvale.membership.table import MembershipTable
 from chestnutvale.schema.configuration_pb2 import Text
 from chestnutvale.schema.groups_pb2 import Group
@@ -84,6 +89,9 @@
     _published: dict[str, _PublishedGroup] = attrs.field(factory=dict)
     _removed: deque[tuple[int, str]] = attrs.field(factory=deque)
     _oldest_base: int = 0
+    _seen: tuple[int, int] = (-1, -1)
+    _refreshed_at_s: float = float("-inf")
+    _next_refresh_s: float = float("-inf")
     _entries: dict[str, _KnownEntry] = attrs.field(factory=dict)
 
     @property
@@ -94,7 +102,10 @@
     def refresh(
         self, state: GroupsState, table: MembershipTable, now_s: float
     ) -> list[str]:
-        """Take up what changed; call it before building views.
+        """Take up what changed; call it before building views and at each tick.
+
+        Groups are looked at when the replicated state changed, soon after hosts
+        changed, when a host may have gone silent, and once in a while for loads.
 
         Parameters
         ----------
@@ -110,6 +121,8 @@
         list of str
             Groups that changed, appeared or vanished; push if there are any.
         """
+        if not self._is_refresh_due(state, table, now_s):
+            return []
         changed = [
             group_id
             for group_id in sorted(state.groups)
@@ -249,6 +262,22 @@
         """Return all groups as entries see them, for the status and the dump."""
         return [_to_view(self._published[key]) for key in sorted(self._published)]
 
+    def _is_refresh_due(
+        self, state: GroupsState, table: MembershipTable, now_s: float
+    ) -> bool:
+        seen = (state.change_count, table.change_count)
+        if seen == self._seen and now_s < self._next_refresh_s:
+            return False
+        is_state_same = seen[0] == self._seen[0]
+        if is_state_same and now_s < self._refreshed_at_s + REFRESH_MIN_S:
+            return False
+        self._seen = seen
+        self._refreshed_at_s = now_s
+        # A host is silent beyond the timeout only after that moment.
+        silent_at_s = table.next_deadline(now_s) + SILENCE_MARGIN_S
+        self._next_refresh_s = min(silent_at_s, now_s + REFRESH_MAX_S)
+        return True
+
     def _refresh_group(
         self,
         state: GroupsState,
