Test single rounds, plain services, delayed reports and design notes

A plain host that leaves right after it began to serve was dropped at once: the idle watch carried the stop of its forming phase over. It now starts anew with each phase and epoch; found by test_planner.

--- a/benchmarks/groups_planner.py
+++ b/benchmarks/groups_planner.py
@@ -19,6 +19,7 @@
 from chestnutvale.groups.settings import GroupsPolicy
 from chestnutvale.membership.hearing import Hearing
 from chestnutvale.membership.table import MembershipTable
+from chestnutvale.membership.views import ViewPublisher
 from chestnutvale.schema.configuration_pb2 import Service, Text
 from chestnutvale.schema.peer_pb2 import EntryReport
 
@@ -74,7 +75,7 @@
         )
     )
     refresh_ms = time_ms(
-        lambda: control.publisher.refresh(world.state, control.table, now_s)
+        lambda: ViewPublisher("x").refresh(world.state, control.table, now_s)
     )
     source = SimpleNamespace(text=world.text)
     report = EntryReport(
--- a/chestnutvale/groups/draining.py
+++ b/chestnutvale/groups/draining.py
@@ -24,10 +24,12 @@
 
     policy: GroupsPolicy
     _stopped_at_s: dict[str, float] = attrs.field(factory=dict)
+    _lives: dict[str, tuple[int, str]] = attrs.field(factory=dict)
 
     def reset(self) -> None:
         """Forget what was seen under an earlier leadership."""
         self._stopped_at_s.clear()
+        self._lives.clear()
 
     def observe(self, state: GroupsState, table: MembershipTable, now_s: float) -> None:
         """Note which groups serve.
@@ -42,11 +44,17 @@
             Monotonic time.
         """
         stopped = {}
+        lives = {}
         for group in state.groups.values():
-            if find_serving_fault(group, table, now_s, state.draining_hosts):
-                group_id = group.group_id
-                stopped[group_id] = self._stopped_at_s.get(group_id, now_s)
+            if not find_serving_fault(group, table, now_s, state.draining_hosts):
+                continue
+            # A group that served in between two looks has another phase or epoch.
+            group_id = group.group_id
+            lives[group_id] = (group.epoch, group.phase)
+            is_same = self._lives.get(group_id) == lives[group_id]
+            stopped[group_id] = self._stopped_at_s[group_id] if is_same else now_s
         self._stopped_at_s = stopped
+        self._lives = lives
 
     def is_serving(self, group: Group) -> bool:
         """Tell whether a group served when last observed.
--- /dev/null
+++ b/tests/groups/test_planner.py
@@ -0,0 +1,134 @@
+"""Single rounds of the planner, and plain services."""
+
+import random
+
+import pytest
+
+from benchmarks.groups_driver import make_hosts
+from chestnutvale.groups.breakage import BrokenGroup, LossCause, LostMember
+from chestnutvale.groups.cost import CostChooser, RepairOption
+from chestnutvale.groups.outage import MEMBER_OUTAGE
+from chestnutvale.groups.planner import GroupPlanner, PlanInputs
+from chestnutvale.groups.settings import GroupsPolicy
+from chestnutvale.groups.state import GroupsState
+from chestnutvale.membership.hearing import Hearing
+from chestnutvale.membership.table import MembershipTable
+from chestnutvale.schema.configuration_pb2 import Service, Text
+from chestnutvale.schema.groups_pb2 import Group, GroupMember
+from chestnutvale.schema.membership_pb2 import Announcement
+
+
+def table_of(announcements, now_s=0.0):
+    hearing, table = Hearing(), MembershipTable()
+    for item in announcements:
+        hearing.announce(item, now_s)
+    table.merge("e", hearing.drain_report(now_s), now_s)
+    return table
+
+
+def model(groups, size, **fields):
+    return Service(kind="model", groups=groups, hosts_per_group=size, **fields)
+
+
+def plan(text, table, state=None, now_s=0.0):
+    inputs = PlanInputs(state or GroupsState(), table, text, 0)
+    return GroupPlanner().plan(inputs, now_s)
+
+
+def test_equal_input_gives_an_equal_plan_in_any_order_of_hearing():
+    text = Text(number=1, services={"a": model(2, 4), "b": model(3, 2)})
+    said = [host.announce(0.0) for host in make_hosts(3, 7).values()]
+    first = plan(text, table_of(said))
+    random.Random(5).shuffle(said)
+    assert plan(text, table_of(said)) == first
+    assert len(first) == 5
+
+
+def test_groups_stay_in_one_domain_and_strand_the_fewest_hosts():
+    text = Text(number=1, services={"big": model(2, 5), "small": model(2, 2)})
+    said = [host.announce(0.0) for host in make_hosts(2, 7).values()]
+    groups = [command.group for command in plan(text, table_of(said))]
+    assert len(groups) == 4
+    for group in groups:
+        domains = {member.host_id.split("-")[0] for member in group.members}
+        assert len(domains) == 1
+    assert len({group.fabric_domain for group in groups if group.service == "big"}) == 2
+
+
+def plain_host(sequence=1, boot_id="b", **fields):
+    return Announcement(
+        host_id="p1",
+        boot_id=boot_id,
+        sequence=sequence,
+        address="10.0.0.9:80",
+        data_centre="d",
+        fabric_domain="f",
+        kind="service",
+        service="ledger-app",
+        **fields,
+    )
+
+
+def test_a_plain_host_is_a_group_by_its_announcement():
+    text = Text(number=1, services={"ledger-app": Service(kind="plain")})
+    state, planner = GroupsState(), GroupPlanner()
+    hearing, table = Hearing(), MembershipTable()
+
+    def step(now_s, said=None):
+        if said is not None:
+            hearing.announce(said, now_s)
+        table.merge("e", hearing.drain_report(now_s), now_s)
+        for command in planner.plan(PlanInputs(state, table, text, 0), now_s):
+            apply = {"PutGroup": state.put_group, "RemoveGroup": state.remove_group}
+            assert apply[type(command).__name__](command, 0).outcome == "done"
+        return [group.phase for group in state.groups.values()]
+
+    assert step(0.0, plain_host()) == ["forming"]
+    assert step(0.1) == ["serving"]
+    assert step(1.0, plain_host(boot_id="c")) == ["forming"]
+    assert step(1.1) == ["serving"]
+    assert step(5.0, plain_host(boot_id="c", sequence=2, leaving=True)) == ["serving"]
+    assert step(8.0, plain_host(boot_id="c", sequence=3, leaving=True)) == []
+    assert step(9.0, plain_host(boot_id="d")) == ["forming"]
+    assert step(80.0) == []
+    assert state.releases == {}
+
+
+def broken(size, lost, away_s, cause=LossCause.MISSING, group_id="g"):
+    members = [
+        GroupMember(host_id=f"{group_id}{rank}", rank=rank) for rank in range(size)
+    ]
+    group = Group(group_id=group_id, members=members, fabric_domain="f")
+    gone = tuple(LostMember(member, cause, away_s) for member in members[:lost])
+    return BrokenGroup(group, gone, is_dark=False)
+
+
+def test_the_return_rate_falls_with_time():
+    rates = [MEMBER_OUTAGE.return_rate(away_s) for away_s in (0, 10, 100, 1e3, 1e5)]
+    assert rates == sorted(rates, reverse=True)
+
+
+@pytest.mark.parametrize("size", [4, 16])
+def test_a_move_is_decided_earlier_the_more_downtime_weighs(size):
+    move = RepairOption("move", "other")
+
+    def first_s(downtime, stranded):
+        chooser = CostChooser(
+            GroupsPolicy(group_downtime_weight=downtime, stranded_hosts_weight=stranded)
+        )
+        times = range(3, 5_000)
+        return next(
+            (at for at in times if chooser.choose(broken(size, 1, at), [move])), 5_000
+        )
+
+    assert first_s(10.0, 0.1) < first_s(1.0, 1.0) <= first_s(0.1, 1.0)
+
+
+def test_a_spare_is_preferred_and_a_leaving_member_is_not_waited_for():
+    chooser = CostChooser(GroupsPolicy(member_wait_s=5.0))
+    spare = RepairOption("spare", "f", ("x",))
+    move = RepairOption("move", "other")
+    assert chooser.choose(broken(4, 1, 4.0), [spare, move]) is None
+    assert chooser.choose(broken(4, 1, 60.0), [move, spare]) is spare
+    leaving = broken(4, 1, 0.0, LossCause.LEAVING)
+    assert chooser.choose(leaving, [spare]) is spare
--- a/tests/membership/test_table.py
+++ b/tests/membership/test_table.py
@@ -77,3 +77,23 @@
         assert len(table.fresh_hosts(second)) == 6
     assert table.live_entries(19) == ["e1", "e2"]
     assert table.known_entries() == ["e1", "e2", "e3"]
+
+
+def test_a_delayed_report_does_not_freshen_a_host(pair, announcement):
+    hearing, table = pair
+    hearing.announce(announcement(sequence=1), 10.0)
+    table.merge("e1", hearing.drain_report(10.0), 110.1, 10_000, "life")
+    hearing.announce(announcement(sequence=2), 11.0)
+    late = hearing.drain_report(11.0)
+    table.merge("e1", late, 116.1, 11_000, "life")
+    assert table.host("a").heard_at_s == pytest.approx(111.1)
+    assert not table.is_fresh("a", 116.1)
+
+
+def test_an_entry_that_restarts_starts_a_new_clock(pair, announcement):
+    hearing, table = pair
+    hearing.announce(announcement(sequence=1), 900.0)
+    table.merge("e1", hearing.drain_report(900.0), 110.0, 900_000, "one")
+    hearing.announce(announcement(sequence=2), 901.0)
+    table.merge("e1", hearing.drain_report(901.0), 112.0, 1_000, "two")
+    assert table.is_fresh("a", 113.0)
