Measure the gap in commits when a leader ends

Cause: a change must be in force within 5 s also with the leader killed. Change: benchmarks/consensus_failover.py.

--- /dev/null
+++ b/benchmarks/consensus_failover.py
@@ -0,0 +1,127 @@
+"""Measures how long commits stop when the leader is killed or shut down.
+
+Run with ``python -m benchmarks.consensus_failover``.
+"""
+
+import itertools
+import multiprocessing
+import time
+from multiprocessing.connection import Connection
+from pathlib import Path
+
+import attrs
+import defopt
+import eventlet
+from tabulate import tabulate
+
+from benchmarks.consensus_node import POLL_S, free_address, make_settings, open_control
+from chestnutvale.exceptions import ChestnutError
+from chestnutvale.schema.command_pb2 import Command
+from chestnutvale.schema.settings_pb2 import ControlSettings
+
+VOTERS = 3
+LIMIT_S = 20.0
+
+
+def run_control(settings_data: bytes, connection: Connection) -> None:
+    """Commit a command for each request; "stop" shuts down gracefully."""
+    with open_control(ControlSettings.FromString(settings_data)) as control:
+        while True:
+            while not connection.poll():
+                eventlet.sleep(POLL_S / 10)
+            if connection.recv() == "stop":
+                return
+            command = Command()
+            command.drain_host.host_id = "h"
+            try:
+                control.task.propose(command, time.monotonic() + 0.5)
+            except ChestnutError:
+                connection.send(False)
+            else:
+                connection.send(True)
+
+
+@attrs.define
+class Running:
+    """A control process and the pipe to it."""
+
+    settings: ControlSettings
+    process: multiprocessing.Process | None = None
+    connection: Connection | None = None
+
+    def start(self) -> None:
+        """Start the process."""
+        context = multiprocessing.get_context("spawn")
+        self.connection, theirs = context.Pipe()
+        arguments = (self.settings.SerializeToString(), theirs)
+        self.process = context.Process(target=run_control, args=arguments)
+        self.process.start()
+
+    def commit(self) -> bool:
+        """Tell whether a command was committed here."""
+        self.connection.send("commit")
+        return self.connection.recv()
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self.process.kill()
+        self.process.join()
+
+    def stop(self) -> None:
+        """Shut the process down gracefully."""
+        self.connection.send("stop")
+
+
+def find_leader(controls: list[Running]) -> Running:
+    """Return the first control that commits."""
+    end_s = time.monotonic() + LIMIT_S
+    for control in itertools.cycle(controls):
+        if control.commit():
+            return control
+        if time.monotonic() > end_s:
+            raise TimeoutError("no control commits")
+        time.sleep(0.005)
+    raise AssertionError
+
+
+def measure_gaps(controls: list[Running], end: str, count: int) -> list[float]:
+    """Return how long commits stopped, in seconds, for each leader that ended."""
+    gaps_s = []
+    for _ in range(count):
+        leader = find_leader(controls)
+        others = [control for control in controls if control is not leader]
+        start_s = time.monotonic()
+        getattr(leader, end)()
+        find_leader(others)
+        gaps_s.append(time.monotonic() - start_s)
+        leader.process.join()
+        leader.start()
+        time.sleep(2.0)
+    return sorted(gaps_s)
+
+
+def main(*, folder: str = "build/bench", count: int = 10) -> None:
+    """Print the gaps of kills and of graceful shutdowns."""
+    peers = [free_address() for _ in range(VOTERS)]
+    run_folder = str(Path(folder) / f"failover-{time.time_ns()}")
+    controls = [Running(make_settings(p, peers, run_folder)) for p in range(VOTERS)]
+    for control in controls:
+        control.start()
+    rows = []
+    for end in ("kill", "stop"):
+        gaps_s = measure_gaps(controls, end, count)
+        rows.append(
+            {
+                "leader": end,
+                "count": count,
+                "p50 ms": gaps_s[count // 2] * 1000,
+                "worst ms": gaps_s[-1] * 1000,
+            }
+        )
+    for control in controls:
+        control.kill()
+    print(tabulate(rows, headers="keys", floatfmt=".0f"))
+
+
+if __name__ == "__main__":
+    defopt.run(main)
