--- a/chestnutvale/programs/client/main.py
+++ b/chestnutvale/programs/client/main.py
@@ -1,5 +1,6 @@
 """The operators' client: parse the command line, run a command, map its errors."""
 
+import os
 import sys
 from collections.abc import Sequence
 
@@ -22,8 +23,9 @@
     "dump": commands.dump,
     "voter": {"add": commands.voter_add, "remove": commands.voter_remove},
 }
-
 OPTION_SETTINGS = "--settings"
+# These ask no control and so take no settings.
+OFFLINE_COMMANDS = ("init", "key")
 
 
 def _print_error(message: object) -> None:
@@ -49,11 +51,12 @@
     return ExitCode.FAILED
 
 
-def _move_settings_last(arguments: Sequence[str]) -> list[str]:
-    """Let ``--settings FILE`` stand before the command, as in a shell alias."""
-    if len(arguments) > 2 and arguments[0] == OPTION_SETTINGS:
-        return [*arguments[2:], *arguments[:2]]
-    return list(arguments)
+def _move_settings(arguments: Sequence[str]) -> list[str]:
+    """Let ``--settings FILE`` stand before the command as well as after it."""
+    if len(arguments) < 3 or arguments[0] != OPTION_SETTINGS:
+        return list(arguments)
+    option, file, *rest = arguments
+    return rest if rest[0] in OFFLINE_COMMANDS else [*rest, option, file]
 
 
 def run(arguments: Sequence[str]) -> ExitCode:
@@ -70,7 +73,7 @@
         The exit code.
     """
     try:
-        call = defopt.bind(COMMANDS, argv=_move_settings_last(arguments), short={})
+        call = defopt.bind(COMMANDS, argv=_move_settings(arguments), short={})
     except SystemExit as error:
         # The parser's own code 2 would read as an invalid text.
         return ExitCode.USAGE if error.code else ExitCode.DONE
@@ -82,7 +85,14 @@
 
 def main() -> None:
     """Run the command of the process's command line and exit."""
-    sys.exit(run(sys.argv[1:]))
+    try:
+        code = run(sys.argv[1:])
+        sys.stdout.flush()
+    except BrokenPipeError:
+        # The reader, for example a pager, has gone; nobody wants the rest.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        code = ExitCode.FAILED
+    sys.exit(code)
 
 
 if __name__ == "__main__":
--- a/chestnutvale/programs/entry/intake.py
+++ b/chestnutvale/programs/entry/intake.py
@@ -221,7 +221,7 @@
         If the body is too large or not whole.
     """
     length_text = environ.get("CONTENT_LENGTH") or ""
-    length = int(length_text) if length_text.isdigit() else None
+    length = int(length_text) if length_text.isdecimal() else None
     if length is not None and length > max_bytes:
         raise refuse("too_large", f"the body is larger than {max_bytes} bytes")
     if length is None and "HTTP_TRANSFER_ENCODING" not in environ:
@@ -258,10 +258,49 @@
         )
 
 
+class _ServingServices:
+    """The services with at least one serving group, looked up only if asked for."""
+
+    def __init__(self, context: CallContext) -> None:
+        self._context = context
+
+    def __contains__(self, name: object) -> bool:
+        return bool(self._context.serving_groups(str(name), ""))
+
+
+def check_dependencies(
+    context: CallContext, name: str, outcome: str = OUTCOME_NOT_RUN
+) -> None:
+    """Check that everything serves that a service depends on.
+
+    Parameters
+    ----------
+    context : CallContext
+        The entry.
+    name : str
+        Name of the service.
+    outcome : str, optional
+        Outcome to tell if something does not.
+
+    Raises
+    ------
+    CallRefusedError
+        If a dependency does not serve; names all of them.
+    """
+    missing = context.lookup.missing_dependencies(name, _ServingServices(context))
+    if missing:
+        raise refuse(
+            "dependency_down",
+            f"{name!r} needs {', '.join(missing)}, which does not serve",
+            outcome=outcome,
+            retry_after_s=DEFAULT_RETRY_AFTER_S,
+        )
+
+
 def _read_deadline_ms(environ: dict[str, Any]) -> int | None:
     text = environ.get("HTTP_X_DEADLINE_MS", "").strip()
     if not text:
         return None
-    if not text.isdigit() or len(text) > 12 or int(text) == 0:
+    if not text.isdecimal() or len(text) > 12 or int(text) == 0:
         raise refuse("bad_request", "X-Deadline-Ms must be a positive whole number")
     return int(text)
--- a/chestnutvale/programs/entry/model_attempt.py
+++ b/chestnutvale/programs/entry/model_attempt.py
@@ -32,6 +32,9 @@
 GENERATE_PATH = "/v1/generate"
 MAX_REFUSAL_BYTES = 64 * 1024
 STATUS_OK = 200
+# Longest time in seconds that an endpoint may send callers away for.
+MAX_RETRY_AFTER_S = 3_600.0
+MAX_RETRY_AFTER_DIGITS = 9
 
 # Statuses by which an engine says that it did not run the request.
 _REFUSALS = {
@@ -69,7 +72,7 @@
         self.attempt_id = attempt_id
         self.view = view
         self.is_open = False
-        self._exchange = EndpointExchange(address)
+        self._exchange = EndpointExchange(address, is_stream=True)
         self._splitter = EventSplitter()
 
     def __enter__(self) -> Self:
@@ -110,12 +113,13 @@
             Why the attempt is over; None if its stream has begun.
         """
         data = json.dumps(body).encode()
-        headers = {"Content-Type": "application/json"}
+        headers = {"Content-Type": "application/json", "Host": self._exchange.address}
         try:
             self._exchange.connect(timeout_s)
             self._exchange.send("POST", GENERATE_PATH, headers, data, timeout_s)
             if self._exchange.status != STATUS_OK:
                 return self._read_refusal()
+            self._exchange.begin_stream()
         except EndpointUnreachableError as error:
             return AttemptRefused(self.attempt_id, REFUSAL_UNREACHABLE, error.message)
         except EndpointSilentError:
@@ -138,9 +142,8 @@
         CallEvent
             Events, a break, or `Tick` if nothing arrived in time.
         """
-        self._exchange.set_timeout(timeout_s)
         try:
-            data = self._exchange.read()
+            data = self._exchange.read_stream(timeout_s)
             if not data:
                 return AttemptBroken(self.attempt_id, "the stream ended early")
             return EventsArrived(self.attempt_id, self._splitter.feed(data))
@@ -155,7 +158,7 @@
         try:
             document = json.loads(data)
             code = str(document["code"])
-        except (ValueError, KeyError, TypeError):
+        except (ValueError, KeyError, TypeError, RecursionError):
             code = ""
         if (status, code) not in _REFUSALS:
             return AttemptBroken(self.attempt_id, f"unexpected status {status}")
@@ -170,6 +173,6 @@
 
 def _read_retry_after_s(headers: list[tuple[str, str]]) -> float | None:
     for name, value in headers:
-        if name.lower() == "retry-after" and value.isdigit():
-            return float(value)
+        if name.lower() == "retry-after" and value.isdecimal():
+            return min(float(value[:MAX_RETRY_AFTER_DIGITS]), MAX_RETRY_AFTER_S)
     return None
--- a/chestnutvale/programs/entry/model_calls.py
+++ b/chestnutvale/programs/entry/model_calls.py
@@ -5,11 +5,15 @@
 from collections.abc import Callable, Iterable, Iterator
 from typing import Any
 
-from chestnutvale.attempts.const import DEFAULT_RETRY_AFTER_S, OUTCOME_NOT_RUN
+import logbook
+
+from chestnutvale.attempts.const import (
+    OUTCOME_FAILED,
+    OUTCOME_NOT_RUN,
+)
 from chestnutvale.attempts.events import (
     AttemptBroken,
     AttemptRefused,
-    CallBanned,
     CallEffect,
     CallerGone,
     CallEvent,
@@ -19,14 +23,11 @@
     EventsArrived,
     Failure,
     Finish,
-    GroupChosen,
-    NoneAvailable,
     StartAttempt,
     Started,
-    Tick,
 )
 from chestnutvale.attempts.model_call import ModelCall
-from chestnutvale.attempts.suspicion import Banned, Clear
+from chestnutvale.observability.log_context import bind_log_context
 from chestnutvale.programs.entry.caller_watch import CallerWatch
 from chestnutvale.programs.entry.context import (
     AttemptReport,
@@ -34,11 +35,15 @@
     CallRequest,
     head_address,
 )
-from chestnutvale.programs.entry.crash_probe import has_crashed
-from chestnutvale.programs.entry.exceptions import BadCallError
+from chestnutvale.programs.entry.exceptions import (
+    BadCallError,
+    UnreadableAnswerError,
+)
+from chestnutvale.programs.entry.group_chooser import GroupChooser
 from chestnutvale.programs.entry.intake import (
     DEFAULT_MAX_BODY_BYTES,
     CallRefusedError,
+    check_dependencies,
     check_lease,
     find_service,
     read_body,
@@ -53,7 +58,8 @@
     read_text,
 )
 from chestnutvale.programs.entry.problems import make_problem
-from chestnutvale.schema.peer_pb2 import GroupView
+
+_LOGGER = logbook.Logger(__name__)
 
 StartResponse = Callable[..., Any]
 KIND_MODEL = "model"
@@ -143,6 +149,7 @@
         except BadCallError as error:
             raise refuse_bad_call(error) from error
         service = find_service(self._context, intake, generation.service, KIND_MODEL)
+        check_dependencies(self._context, generation.service)
         request = CallRequest(
             request_id=request_id,
             workspace=intake.workspace,
@@ -193,7 +200,9 @@
         self._watch = CallerWatch(environ)
         self._call = ModelCall(request.request_id, request.deadline_s, context.budgets)
         self._attempt: ModelAttempt | None = None
-        self._view: GroupView | None = None
+        self._chooser = GroupChooser(
+            context, request, generation.fingerprint, self._watch.wait
+        )
         self._sent_s = 0.0
         self._first_byte_s: float | None = None
         self._first_offset = 0
@@ -237,7 +246,7 @@
             elif isinstance(effect, CancelAttempt):
                 self._close_attempt(RESULT_CANCELLED)
             elif isinstance(effect, ChooseGroup):
-                effects.extend(self._handle(self._choose(effect)))
+                effects.extend(self._handle(self._chooser.choose(effect)))
             elif isinstance(effect, StartAttempt):
                 effects.extend(self._handle(self._start(effect)))
             while not effects and not self._call.is_finished:
@@ -260,53 +269,21 @@
             )
             self._close_attempt(RESULT_WHOLE)
 
-    def _choose(self, effect: ChooseGroup) -> CallEvent:
-        while True:
-            groups = self._context.serving_groups(self.request.service, effect.version)
-            now_unix_ms = self._context.clock.unix_ms()
-            verdict = self._context.suspicions.judge(
-                self.generation.fingerprint, groups, now_unix_ms
-            )
-            if isinstance(verdict, Clear):
-                return self._choose_from(effect.excluded, effect.version)
-            if isinstance(verdict, Banned):
-                return CallBanned((verdict.until_unix_ms - now_unix_ms) / 1_000)
-            wait_s = (verdict.not_before_unix_ms - now_unix_ms) / 1_000
-            if wait_s <= 0.0:
-                others = effect.excluded | (set(groups) - {verdict.group_id})
-                return self._choose_from(frozenset(others), effect.version)
-            left_s = self.request.deadline_s - self._context.clock.now_s()
-            if left_s <= 0.0 or self._watch.wait(min(wait_s, left_s)):
-                return Tick()
-
-    def _choose_from(self, excluded: frozenset[str], version: str) -> CallEvent:
-        view = None
-        if self._context.has_lease(self._context.clock.now_s()):
-            view = self._context.choose_group(self.request, excluded, version)
-        if view is None or not head_address(view):
-            return NoneAvailable(DEFAULT_RETRY_AFTER_S)
-        self._view = view
-        group = view.group
-        return GroupChosen(group.group_id, group.epoch, group.version)
-
     def _start(self, effect: StartAttempt) -> CallEvent:
-        view = self._view
+        view = self._chooser.view
         attempt = ModelAttempt(effect.attempt_id, view, head_address(view))
         self._attempt = attempt
         self._watch.call_when_gone(attempt.abort)
         self._context.running.add(effect.group_id, effect.epoch, attempt)
-        self._context.suspicions.attempt_started(
-            effect.attempt_id,
-            self.generation.fingerprint,
-            effect.group_id,
-            effect.epoch,
-            view.group.fabric_domain,
-            self._context.clock.unix_ms(),
-        )
+        self._chooser.attempt_started(effect.attempt_id)
         self._first_byte_s = None
         self._first_offset = effect.resume_offset
         self._sent_s = self._context.clock.now_s()
-        body = self._make_body(effect)
+        try:
+            body = self._make_body(effect)
+        except UnreadableAnswerError as error:
+            # What the caller has can't be told to another group.
+            return AttemptRefused(effect.attempt_id, error.code, error.message)
         event = attempt.start(body, self._call.next_tick_s - self._sent_s)
         return event or EventsArrived(effect.attempt_id, [])
 
@@ -341,10 +318,10 @@
         attempt = self._attempt
         if attempt is None:
             return
-        if has_crashed(attempt.view.group):
-            self._context.suspicions.group_crashed(
-                attempt.attempt_id, self._context.clock.unix_ms()
-            )
+        group_id = attempt.view.group.group_id
+        with bind_log_context(request_id=self.request.request_id, group_id=group_id):
+            _LOGGER.warning("Attempt {} broke: {}", attempt.attempt_id, reason)
+        self._chooser.attempt_broke(attempt.attempt_id)
         self._close_attempt(RESULT_BROKEN, reason)
 
     def _close_attempt(self, result: str, code: str = "") -> None:
@@ -407,7 +384,11 @@
     events = b"".join(run.iterate())
     if run.failure is not None:
         return _answer_problem(context, run.failure, request_id, start_response)
-    body = build_answer(run.generation.form, events)
+    try:
+        body = build_answer(run.generation.form, events)
+    except UnreadableAnswerError as error:
+        failure = Failure(error.code, OUTCOME_FAILED, error.message, error.step)
+        return _answer_problem(context, failure, request_id, start_response)
     headers = [
         ("Content-Type", "application/json"),
         ("Content-Length", str(len(body))),
