--- a/chestnutvale/observability/dump.py
+++ b/chestnutvale/observability/dump.py
@@ -1,6 +1,6 @@
 """The dump of a process's state, put together from its parts."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import logbook
@@ -11,22 +11,16 @@
 
 
 class DumpRegistry:
-    """The sources of a process's dump."""
+    """The sources of a process's dump.
 
-    def __init__(self) -> None:
-        self._sources: dict[str, Callable[[], Any]] = {}
+    Parameters
+    ----------
+    sources : mapping of str to callable
+        For each member of the dump, what gives it as JSON data or messages.
+    """
 
-    def register(self, name: str, read: Callable[[], Any]) -> None:
-        """Add a source.
-
-        Parameters
-        ----------
-        name : str
-            Member of the dump that it fills.
-        read : callable
-            Gives the state as JSON data or messages.
-        """
-        self._sources[name] = read
+    def __init__(self, sources: Mapping[str, Callable[[], Any]]) -> None:
+        self._sources = sources
 
     def dump(self) -> dict[str, Any]:
         """Return the state of all sources.
--- a/chestnutvale/observability/secrets.py
+++ b/chestnutvale/observability/secrets.py
@@ -1,5 +1,6 @@
 """Take secrets out of what logs and dumps show."""
 
+import math
 import re
 from collections.abc import Mapping
 from typing import Any
@@ -67,8 +68,11 @@
         }
     if isinstance(data, list | tuple | set | frozenset):
         return _clean_items(list(data), depth)
-    if data is None or isinstance(data, bool | int | float):
+    if data is None or isinstance(data, bool | int):
         return data
+    if isinstance(data, float):
+        # JSON has no infinity.
+        return data if math.isfinite(data) else str(data)
     if isinstance(data, bytes):
         return f"({len(data)} bytes)"
     return remove_secrets_from_text(str(data))
--- a/chestnutvale/programs/control/daemon.py
+++ b/chestnutvale/programs/control/daemon.py
@@ -20,6 +20,7 @@
 from chestnutvale.http_server.views import WsgiApp, make_check, make_json_view
 from chestnutvale.membership.table import MembershipTable
 from chestnutvale.membership.views import ViewPublisher
+from chestnutvale.observability.dump import DumpRegistry
 from chestnutvale.observability.metrics import Metrics
 from chestnutvale.programs.control.const import SALT_BITS
 from chestnutvale.programs.control.entry_desk import EntryDesk
@@ -119,20 +120,22 @@
 
     def dump(self) -> dict[str, Any]:
         """Return the state of the process, without secrets."""
-        ledger = self.state.ledger
+        return DumpRegistry(self._dump_sources()).dump()
+
+    def _dump_sources(self) -> dict[str, Callable[[], Any]]:
         return {
-            "control_id": self.settings.control_id,
-            "incarnation": self.incarnation,
-            "consensus": self._log.status(),
-            "configuration_number": self.state.configuration.number,
-            "groups": len(self.state.groups.groups),
-            "repairs": sorted(self.state.groups.repairs),
-            "ledger_records": ledger.record_count,
-            "ledger_bytes": ledger.size_bytes,
-            "hosts": len(self.table.known_hosts()),
-            "entries": sorted(self._desk.entries),
-            "view_version": self.publisher.version,
-            "transport": self.transport.counters(),
+            "control_id": lambda: self.settings.control_id,
+            "incarnation": lambda: self.incarnation,
+            "consensus": lambda: self._log.status(),
+            "configuration_number": lambda: self.state.configuration.number,
+            "groups": lambda: len(self.state.groups.groups),
+            "repairs": lambda: sorted(self.state.groups.repairs),
+            "ledger_records": lambda: self.state.ledger.record_count,
+            "ledger_bytes": lambda: self.state.ledger.size_bytes,
+            "hosts": lambda: len(self.table.known_hosts()),
+            "entries": lambda: sorted(self._desk.entries),
+            "view_version": lambda: self.publisher.version,
+            "transport": lambda: self.transport.counters(),
         }
 
     def _start_tasks(self, exits: contextlib.ExitStack) -> None:
--- a/chestnutvale/programs/entry/daemon.py
+++ b/chestnutvale/programs/entry/daemon.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import random
+from collections.abc import Callable
 from types import TracebackType
 from typing import Any, Self
 
@@ -15,6 +16,7 @@
 from chestnutvale.membership.cache_events import CacheEventQueue
 from chestnutvale.membership.entry_view import EntryView
 from chestnutvale.membership.hearing import Hearing
+from chestnutvale.observability.dump import DumpRegistry
 from chestnutvale.observability.metrics import Metrics
 from chestnutvale.observability.request_meter import RequestMeter
 from chestnutvale.programs.entry.admission_gate import AdmissionGate
@@ -159,18 +161,20 @@
 
     def dump(self) -> dict[str, Any]:
         """Return the state of the process, without secrets."""
-        now_s = self._clock.now_s()
+        return DumpRegistry(self._dump_sources()).dump()
+
+    def _dump_sources(self) -> dict[str, Callable[[], Any]]:
         return {
-            "entry_id": self.settings.entry_id,
-            "incarnation": self.incarnation,
-            "draining": self.link.draining,
-            "configuration_number": self.view.number,
-            "lease_left_s": round(self.view.lease_until_s - now_s, 3),
-            "view_version": self.view.version,
-            "view_source": self.view.source,
-            "entry_count": self.view.entry_count,
-            "hosts_heard": self.hearing.host_count,
-            "groups": [
+            "entry_id": lambda: self.settings.entry_id,
+            "incarnation": lambda: self.incarnation,
+            "draining": lambda: self.link.draining,
+            "configuration_number": lambda: self.view.number,
+            "lease_left_s": lambda: self.view.lease_until_s - self._clock.now_s(),
+            "view_version": lambda: self.view.version,
+            "view_source": lambda: self.view.source,
+            "entry_count": lambda: self.view.entry_count,
+            "hosts_heard": lambda: self.hearing.host_count,
+            "groups": lambda: [
                 {
                     "group_id": item.group.group_id,
                     "service": item.group.service,
@@ -180,10 +184,10 @@
                 }
                 for item in self.view.groups()
             ],
-            "running_attempts": len(self.context.running),
-            "running_requests": self.server.running_requests,
-            "refused_requests": dict(self.server.refused),
-            "transport": self.transport.counters(),
+            "running_attempts": lambda: len(self.context.running),
+            "running_requests": lambda: self.server.running_requests,
+            "refused_requests": lambda: dict(self.server.refused),
+            "transport": lambda: self.transport.counters(),
         }
 
     def _is_alive(self) -> bool:
--- a/tests/observability/test_secrets.py
+++ b/tests/observability/test_secrets.py
@@ -103,20 +103,18 @@
     key = make_key()
     text = Text(number=7)
     text.workspaces["north"].key_sha256.append("ab" * 32)
-    registry = DumpRegistry()
-    registry.register("text", lambda: text)
-    registry.register("broken", lambda: 1 / 0)
-    registry.register(
-        "state",
-        lambda: {
+    sources = {
+        "text": lambda: text,
+        "broken": lambda: 1 / 0,
+        "state": lambda: {
             "operator_token": TOKEN,
             "headers": {"Authorization": f"Bearer {TOKEN}"},
             "note": f"key {key}",
             "predicted_tokens": 5,
             "many": list(range(MAX_ITEMS + 3)),
         },
-    )
-    dump = registry.dump()
+    }
+    dump = DumpRegistry(sources).dump()
     shown = json.dumps(dump)
     assert TOKEN not in shown and key not in shown and "abab" not in shown
     assert dump["text"]["number"] == 7
@@ -130,3 +128,4 @@
     endless.append(endless)
     assert "too deep" in json.dumps(remove_secrets(endless))
     assert remove_secrets({1: {b"x"}}) == {"1": ["(1 bytes)"]}
+    assert remove_secrets([float("-inf"), 0.5]) == ["-inf", 0.5]
