--- a/chestnutvale/programs/control/entry_desk.py
+++ b/chestnutvale/programs/control/entry_desk.py
@@ -4,6 +4,9 @@
 import eventlet
 import logbook
 
+from chestnutvale.admission.demand import DemandTable
+from chestnutvale.admission.wire import from_messages, to_messages
+from chestnutvale.attempts.suspicion_board import SuspicionBoard
 from chestnutvale.clock import Clock
 from chestnutvale.consensus.exceptions import NotLeaderError, OutcomeUnknownError
 from chestnutvale.consensus.task import ConsensusTask
@@ -101,8 +104,13 @@
         self._table = table
         self._publisher = publisher
         self._clock = clock
+        self._suspicions = SuspicionBoard()
         self._pushed_number = 0
+        self._pushed_version = 0
+        self._refreshed_inputs = (-1, -1)
+        self._settled_until_s = float("-inf")
         self._cache_events = CacheEventQueue()
+        self._demands = DemandTable()
         self._commits = eventlet.GreenPool(MAX_COMMIT_REQUESTS)
         transport.on("entry_report", self._receive_report)
         transport.on("commit_request", self._receive_commit)
@@ -111,10 +119,15 @@
         """Return all groups as entries see them."""
         return self._publisher.group_views()
 
+    @property
+    def view_version(self) -> int:
+        """Version of the newest view; grows when a group changes or stops serving."""
+        return self._publisher.version
+
     def publish_changes(self) -> None:
         """Push views to the entries that lag behind a change."""
         now_s = self._clock.now_s()
-        changed = self._publisher.refresh(self._state.groups, self._table, now_s)
+        self._refresh(now_s)
         if not self._log.has_lease(now_s):
             return
         number = self._state.configuration.number
@@ -126,7 +139,9 @@
             )
             self._send_pushes(pushes)
             return
-        if changed:
+        # An answer may have seen the change first; the others must hear of it too.
+        if self._publisher.version != self._pushed_version:
+            self._pushed_version = self._publisher.version
             pushes = self._publisher.pushes(source, self._table, self._log.term, now_s)
             self._send_pushes(pushes)
 
@@ -147,6 +162,7 @@
         entry_id = envelope.sender_id
         self._table.merge(entry_id, report.heard, now_s)
         self._cache_events.extend(report.cache_events)
+        self._demands.note(entry_id, from_messages(report.demands), now_s)
         self.entries[entry_id] = KnownEntry(
             incarnation=envelope.sender_incarnation,
             number=report.configuration_number,
@@ -155,12 +171,25 @@
             data_centre=report.data_centre,
             address=report.reply_address,
         )
+        has_news = self._suspicions.merge(
+            list(report.suspicions), self._clock.unix_ms()
+        )
         if not self._log.is_leader or not self._log.has_lease(now_s):
             return
         self._answer(entry_id, report, now_s)
+        if has_news:
+            self._push_suspicions(now_s)
+
+    def _push_suspicions(self, now_s: float) -> None:
+        # A request that crashes groups is soon sent again at another entry.
+        pushes = self._publisher.push_all(
+            self._state.configuration, self._table, self._log.term, now_s
+        )
+        self._send_pushes(pushes)
 
     def _answer(self, entry_id: str, report: EntryReport, now_s: float) -> None:
-        self._publisher.refresh(self._state.groups, self._table, now_s)
+        if self._may_have_broken(now_s):
+            self._refresh(now_s)
         view = self._publisher.answer(
             entry_id,
             report,
@@ -169,13 +198,29 @@
             self._log.term,
             now_s,
         )
+        view.demands.extend(to_messages(self._demands.totals(now_s)))
         self._send_view(entry_id, report.reply_address, view)
 
+    def _refresh(self, now_s: float) -> None:
+        self._refreshed_inputs = (self._log.applied_index, self._table.revision)
+        self._publisher.refresh(self._state.groups, self._table, now_s)
+        self._settled_until_s = self._publisher.settled_until_s
+
+    def _may_have_broken(self, now_s: float) -> bool:
+        """Tell whether a group that is published as serving may not serve any more."""
+        inputs = (self._log.applied_index, self._table.revision)
+        return inputs != self._refreshed_inputs or now_s >= self._settled_until_s
+
     def _send_pushes(self, pushes: list[Push]) -> None:
         for push in pushes:
             self._send_view(push.entry_id, push.reply_address, push.view)
 
     def _send_view(self, entry_id: str, address: str, view: ControlView) -> None:
+        now_unix_ms = self._clock.unix_ms()
+        if view.whole:
+            view.suspicions.extend(self._suspicions.everything(now_unix_ms))
+        else:
+            view.suspicions.extend(self._suspicions.recent(now_unix_ms))
         self._transport.send(entry_id, address, "control_view", view)
 
     def _receive_commit(self, envelope: Envelope) -> None:
