--- a/tests/admission/test_controller.py
+++ b/tests/admission/test_controller.py
@@ -69,3 +69,25 @@
         controller.release(str(n), 50, 1.0)
     (effect,) = controller.offer(make_request("last", max_tokens=8000), 2.0)
     assert 150 <= effect.predicted_tokens <= 165
+
+
+def test_urgent_is_not_stuck_behind_batch(make_controller, make_request):
+    controller = make_controller(capacity=2000)
+    for n in range(20):
+        controller.offer(make_request(f"batch{n}", priority="batch"), 0.0)
+    urgent = make_request("urgent", priority="urgent")
+    assert controller.offer(urgent, 1.0) == [Admit("urgent", 200)]
+    second = make_request("second", priority="urgent")
+    assert controller.offer(second, 1.0) == [Queue("second")]
+    assert controller.release("batch0", 100, 2.0) == [Admit("second", 200)]
+
+
+def test_urgent_takes_the_place_of_its_workspace_batch(make_controller, make_request):
+    limits = ServiceLimits(workspace_queue_requests=2)
+    controller = make_controller(capacity=200, limits=limits)
+    for n in range(3):
+        controller.offer(make_request(f"batch{n}", priority="batch"), 0.0)
+    urgent = make_request("urgent", priority="urgent")
+    refusal, queued = controller.offer(urgent, 1.0)
+    assert (refusal.request_id, refusal.code) == ("batch2", "queue_full")
+    assert queued == Queue("urgent")
--- a/tests/routing/test_selector.py
+++ b/tests/routing/test_selector.py
@@ -25,7 +25,7 @@
 
 
 def test_own_sends_count_until_a_report_covers_them(selector):
-    for n in range(40):
+    for n in range(400):
         request = make_request(str(n))
         group = selector.choose(request, 1.0)
         selector.sent(request, group, 1.0)
