--- a/chestnutvale/membership/views.py
+++ b/chestnutvale/membership/views.py
@@ -37,6 +37,9 @@
     version: int
     load: Load | None = None
     load_version: int = 0
+    # Until then nothing but a change of its inputs can stop it from serving.
+    settled_until_s: float = float("-inf")
+    head_id: str = ""
 
 
 @attrs.define
@@ -85,12 +88,27 @@
     _removed: deque[tuple[int, str]] = attrs.field(factory=deque)
     _oldest_base: int = 0
     _entries: dict[str, _KnownEntry] = attrs.field(factory=dict)
+    _inputs: tuple[int, frozenset[str]] = (0, frozenset())
+    _group_views: list[GroupView] = attrs.field(factory=list)
+    _group_views_version: int = -1
 
     @property
     def version(self) -> int:
         """Version of the newest view."""
         return self._version
 
+    @property
+    def settled_until_s(self) -> float:
+        """Earliest time at which silence alone can stop a group from serving."""
+        return min(
+            (
+                item.settled_until_s
+                for item in self._published.values()
+                if not item.reason
+            ),
+            default=float("inf"),
+        )
+
     def refresh(
         self, state: GroupsState, table: MembershipTable, now_s: float
     ) -> list[str]:
@@ -110,6 +128,7 @@
         list of str
             Groups that changed, appeared or vanished; push if there are any.
         """
+        self._unsettle_if_changed(state, table)
         changed = [
             group_id
             for group_id in sorted(state.groups)
@@ -235,19 +254,64 @@
         list of Push
             One for each live entry.
         """
-        pushes = []
-        for entry_id in table.live_entries(now_s):
-            known = self._entries.get(entry_id)
-            if known is None or configuration.text is None:
-                continue
-            view = self._build(entry_id, configuration, term)
-            view.text.CopyFrom(configuration.text)
-            pushes.append(Push(entry_id, known.reply_address, view))
+        if configuration.text is None:
+            return []
+        pushes = self.push_all(configuration, table, term, now_s)
+        for push in pushes:
+            push.view.text.CopyFrom(configuration.text)
         return pushes
 
+    def push_all(
+        self,
+        configuration: TextSource,
+        table: MembershipTable,
+        term: int,
+        now_s: float,
+    ) -> list[Push]:
+        """Build views for all live entries, also for those that are current.
+
+        Parameters
+        ----------
+        configuration : TextSource
+            The text in force.
+        table : MembershipTable
+            What is known of entries.
+        term : int
+            Term in which this control leads.
+        now_s : float
+            Monotonic time.
+
+        Returns
+        -------
+        list of Push
+            One for each live entry.
+        """
+        return [
+            Push(
+                entry_id,
+                self._entries[entry_id].reply_address,
+                self._build(entry_id, configuration, term),
+            )
+            for entry_id in table.live_entries(now_s)
+            if entry_id in self._entries
+        ]
+
     def group_views(self) -> list[GroupView]:
-        """Return all groups as entries see them, for the status and the dump."""
-        return [_to_view(self._published[key]) for key in sorted(self._published)]
+        """Return all groups as entries see them; they must not be changed."""
+        if self._group_views_version != self._version:
+            self._group_views_version = self._version
+            self._group_views = [
+                _to_view(self._published[key]) for key in sorted(self._published)
+            ]
+        return self._group_views
+
+    def _unsettle_if_changed(self, state: GroupsState, table: MembershipTable) -> None:
+        inputs = (table.revision, frozenset(state.draining_hosts))
+        if inputs == self._inputs:
+            return
+        self._inputs = inputs
+        for published in self._published.values():
+            published.settled_until_s = float("-inf")
 
     def _refresh_group(
         self,
@@ -257,8 +321,15 @@
         now_s: float,
     ) -> bool:
         group = state.groups[group_id]
-        reason = find_serving_fault(group, table, now_s, state.draining_hosts)
         published = self._published.get(group_id)
+        if (
+            published is not None
+            and published.group is group
+            and now_s < published.settled_until_s
+        ):
+            self._refresh_load(published, table)
+            return False
+        reason = find_serving_fault(group, table, now_s, state.draining_hosts)
         is_changed = (
             published is None or published.group != group or published.reason != reason
         )
@@ -270,13 +341,18 @@
                 group, reason, self._version, load, load_version
             )
             self._published[group_id] = published
+        published.group = group
+        published.head_id = group_head(group).host_id
+        published.settled_until_s = _settled_until_s(group, reason, table)
         self._refresh_load(published, table)
         return is_changed
 
     def _refresh_load(self, published: _PublishedGroup, table: MembershipTable) -> None:
-        record = table.host(group_head(published.group).host_id)
+        record = table.host(published.head_id)
         if record is None or record.load is None:
             return
+        if published.load is record.load:
+            return
         if published.load is not None and published.load == record.load:
             return
         self._load_version += 1
@@ -323,3 +399,10 @@
         serving=not published.reason,
         reason=published.reason,
     )
+
+
+def _settled_until_s(group: Group, reason: str, table: MembershipTable) -> float:
+    if reason:
+        return float("-inf")
+    heard_at_s = min(table.host(member.host_id).heard_at_s for member in group.members)
+    return heard_at_s + table.detection_timeout_s
--- a/chestnutvale/programs/entry/service_request.py
+++ b/chestnutvale/programs/entry/service_request.py
@@ -5,16 +5,14 @@
 from urllib.parse import quote
 
 import attrs
+import xxhash
 
 from chestnutvale.ledger.const import MAX_KEY_BYTES
 from chestnutvale.programs.entry.intake import refuse
-from chestnutvale.schema.configuration_pb2 import Service
 from chestnutvale.schema.ledger_pb2 import RecordedAnswer
 
 SERVICES_PREFIX = "/services/"
 # Methods that may be repeated where no rule says otherwise (RFC 9110, 9.2.1).
-SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
-ANY_METHOD = "*"
 
 # Headers that belong to one connection, or that the entry sets itself.
 _DROPPED_HEADERS = frozenset(
@@ -98,30 +96,28 @@
     return ServiceRequest(service, environ["REQUEST_METHOD"], path, target, key)
 
 
-def is_repeatable(service: Service, request: ServiceRequest) -> bool:
-    """Tell whether a call may run more than once; the first rule that fits decides.
+def digest_of(request: ServiceRequest, body: bytes) -> str:
+    """Return the digest that tells whether two calls with a key are the same.
 
     Parameters
     ----------
-    service : Service
-        The service with its rules.
     request : ServiceRequest
         The call.
+    body : bytes
+        Its body.
 
     Returns
     -------
-    bool
-        Whether the call may be repeated.
+    str
+        Hexadecimal SHA-256.
     """
-    for rule in service.calls:
-        is_method = rule.method in ("", ANY_METHOD, request.method)
-        if is_method and request.path.startswith(rule.path_prefix):
-            return rule.repeatable
-    return request.method in SAFE_METHODS
+    digest = hashlib.sha256(f"{request.method} {request.target}\n".encode())
+    digest.update(body)
+    return digest.hexdigest()
 
 
-def digest_of(request: ServiceRequest, body: bytes) -> str:
-    """Return the digest that tells whether two calls with a key are the same.
+def fingerprint_of_call(request: ServiceRequest, body: bytes) -> int:
+    """Return the fingerprint by which a call that crashes endpoints is known.
 
     Parameters
     ----------
@@ -132,12 +128,13 @@
 
     Returns
     -------
-    str
-        Hexadecimal SHA-256.
+    int
+        64-bit fingerprint; the key does not count.
     """
-    digest = hashlib.sha256(f"{request.method} {request.target}\n".encode())
+    head = f"{request.service} {request.method} {request.target}\n"
+    digest = xxhash.xxh64(head.encode())
     digest.update(body)
-    return digest.hexdigest()
+    return digest.intdigest()
 
 
 def forwarded_headers(
