--- /dev/null
+++ b/chestnutvale/consensus/bootstrap.py
@@ -0,0 +1,107 @@
+"""The first start of a cluster, which must never happen a second time."""
+
+from collections.abc import Sequence
+
+import attrs
+
+from chestnutvale.consensus.const import JOIN_FRESH_S
+from chestnutvale.consensus.members import control_of
+from chestnutvale.schema.raft_pb2 import Members, RaftMessage
+
+
+@attrs.define
+class Bootstrap:
+    """Decides on the first control whether a new cluster may begin.
+
+    It may if every control in the settings has told this very disk that its own
+    disk is empty and that its settings name the same controls. One control that
+    still holds data, or is silent, forbids it, so a lost disk joins the old
+    cluster and never begins another.
+
+    Parameters
+    ----------
+    own_id : str
+        Identity of this member.
+    own_address : str
+        Peer inbox of this member.
+    initial_controls : sequence of str
+        Controls in the settings; only the first of them may begin.
+    is_spare : bool
+        A spare never begins a cluster.
+    """
+
+    own_id: str
+    own_address: str
+    initial_controls: Sequence[str]
+    is_spare: bool
+    _answers: dict[str, tuple[float, RaftMessage]] = attrs.field(factory=dict)
+
+    def note(self, message: RaftMessage, now_s: float) -> None:
+        """Note a join request; one that is meant for another disk is ignored.
+
+        Parameters
+        ----------
+        message : RaftMessage
+            The message that holds the request.
+        now_s : float
+            Monotonic time in seconds.
+        """
+        if message.to_id == self.own_id:
+            self._answers[control_of(message.from_id)] = (now_s, message)
+
+    def decide(self, now_s: float) -> Members | None:
+        """Return the first members, or None if the cluster may not begin now.
+
+        Parameters
+        ----------
+        now_s : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        Members or None
+            The first members.
+        """
+        if self.find_obstacle(now_s):
+            return None
+        members = Members(voters=[self.own_id])
+        members.addresses[self.own_id] = self.own_address
+        for control_id in self.initial_controls[1:]:
+            message = self._answers[control_id][1]
+            if message.join_request.spare:
+                continue
+            members.voters.append(message.from_id)
+            members.addresses[message.from_id] = message.join_request.address
+        members.wanted_voters = len(members.voters)
+        return members
+
+    def find_obstacle(self, now_s: float) -> str:
+        """Return why no cluster may begin here now; empty if one may.
+
+        Parameters
+        ----------
+        now_s : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        str
+            The reason for the operator.
+        """
+        if self.is_spare:
+            return "a spare waits for a leader"
+        first = self.initial_controls[0] if self.initial_controls else ""
+        if control_of(self.own_id) != first:
+            return f"only {first} may begin a cluster"
+        reasons = (self._find_doubt(c, now_s) for c in self.initial_controls[1:])
+        return next((reason for reason in reasons if reason), "")
+
+    def _find_doubt(self, control_id: str, now_s: float) -> str:
+        heard_s, message = self._answers.get(control_id, (0.0, None))
+        if message is None or heard_s + JOIN_FRESH_S < now_s:
+            return f"{control_id} has not answered"
+        if not message.join_request.empty:
+            return f"{control_id} holds data of a cluster"
+        if list(message.join_request.initial_controls) != list(self.initial_controls):
+            return f"{control_id} names other controls in its settings"
+        return ""
--- a/chestnutvale/groups/coordinator.py
+++ b/chestnutvale/groups/coordinator.py
@@ -113,7 +113,7 @@
         """
         if not self._is_leader or text is None:
             return []
-        seen = (state.change_count, table.change_count, text.number, lease_confirmed)
+        seen = (state.change_count, table.revision, text.number, lease_confirmed)
         if seen == self._seen and now_s < self._next_round_s:
             return []
         self._seen = seen
--- /dev/null
+++ b/chestnutvale/ledger/records.py
@@ -0,0 +1,276 @@
+"""The records of the ledger, indexed and kept within bounds."""
+
+import heapq
+from collections import Counter
+
+import attrs
+
+from chestnutvale.ledger.const import (
+    MAX_LEDGER_BYTES,
+    MAX_RECORDS,
+    MAX_WORKSPACE_SHARE,
+    PHASE_RUNNING,
+    RECORD_OVERHEAD_BYTES,
+)
+from chestnutvale.schema.ledger_pb2 import Claim, ClaimRecord, RecordedAnswer
+
+
+@attrs.frozen
+class LedgerBounds:
+    """Largest size of the ledger.
+
+    Attributes
+    ----------
+    max_records : int
+        Most records of all workspaces.
+    max_bytes : int
+        Most bytes of all records.
+    max_workspace_share : float
+        Share of both that one workspace may hold.
+    """
+
+    max_records: int = MAX_RECORDS
+    max_bytes: int = MAX_LEDGER_BYTES
+    max_workspace_share: float = MAX_WORKSPACE_SHARE
+
+
+@attrs.frozen
+class RecordKey:
+    """What makes a call the same call; a workspace sees only its own keys.
+
+    Attributes
+    ----------
+    workspace : str
+        The caller's workspace.
+    service : str
+        The service that is called.
+    key : str
+        The caller's idempotency key.
+    """
+
+    workspace: str
+    service: str
+    key: str
+
+
+def key_of(claim: Claim) -> RecordKey:
+    """Return the key of a claim.
+
+    Parameters
+    ----------
+    claim : Claim
+        The claim.
+
+    Returns
+    -------
+    RecordKey
+        Its key.
+    """
+    return RecordKey(claim.workspace, claim.service, claim.key)
+
+
+def size_of(record: ClaimRecord) -> int:
+    """Return the bytes that a record counts for; its phase does not matter.
+
+    Parameters
+    ----------
+    record : ClaimRecord
+        The record.
+
+    Returns
+    -------
+    int
+        Size in bytes.
+    """
+    return RECORD_OVERHEAD_BYTES + record.claim.ByteSize() + record.answer.ByteSize()
+
+
+# Removed records that may stay in the queue of expiries, beside as many as live.
+MAX_STALE_EXPIRIES = 1_000
+
+
+class RecordTable:
+    """Records by key, claim id and expiry, with their sizes by workspace.
+
+    Parameters
+    ----------
+    bounds : LedgerBounds
+        Largest size.
+    """
+
+    def __init__(self, bounds: LedgerBounds) -> None:
+        self._bounds = bounds
+        self._records: dict[RecordKey, ClaimRecord] = {}
+        self._keys: dict[str, RecordKey] = {}
+        self._running: dict[str, ClaimRecord] = {}
+        # Expiry in Unix milliseconds and claim id; removed records stay for a while.
+        self._expiries: list[tuple[int, str]] = []
+        self._counts: Counter[str] = Counter()
+        self._bytes: Counter[str] = Counter()
+        self.total_bytes = 0
+
+    def __len__(self) -> int:
+        """Return the number of records."""
+        return len(self._records)
+
+    def records(self) -> list[ClaimRecord]:
+        """Return all records in the order in which they were added."""
+        return list(self._records.values())
+
+    def running(self) -> list[ClaimRecord]:
+        """Return the records whose call runs."""
+        return list(self._running.values())
+
+    def next_expiry_unix_ms(self) -> int | None:
+        """Return the time at which the next record expires; None without one."""
+        while self._expiries and not self._is_live(self._expiries[0]):
+            heapq.heappop(self._expiries)
+        return self._expiries[0][0] if self._expiries else None
+
+    def remove_expired(self, now_unix_ms: int) -> None:
+        """Remove the records whose time has come.
+
+        Parameters
+        ----------
+        now_unix_ms : int
+            Wall-clock time in milliseconds.
+        """
+        while (expiry := self.next_expiry_unix_ms()) is not None:
+            if expiry > now_unix_ms:
+                return
+            _, claim_id = heapq.heappop(self._expiries)
+            self.remove(self._records[self._keys[claim_id]])
+
+    def find(self, key: RecordKey) -> ClaimRecord | None:
+        """Return the record of a key.
+
+        Parameters
+        ----------
+        key : RecordKey
+            The key.
+
+        Returns
+        -------
+        ClaimRecord or None
+            The record, if there is one.
+        """
+        return self._records.get(key)
+
+    def find_claim(self, claim_id: str) -> ClaimRecord | None:
+        """Return the record that a claim holds.
+
+        Parameters
+        ----------
+        claim_id : str
+            Identity of the claim.
+
+        Returns
+        -------
+        ClaimRecord or None
+            The record, if the claim holds one.
+        """
+        key = self._keys.get(claim_id)
+        return None if key is None else self._records[key]
+
+    def has_room(self, workspace: str, added_bytes: int, added_records: int) -> bool:
+        """Tell whether a workspace may add to the table.
+
+        Parameters
+        ----------
+        workspace : str
+            The workspace.
+        added_bytes : int
+            Bytes to add.
+        added_records : int
+            Records to add.
+
+        Returns
+        -------
+        bool
+            Whether all bounds still hold then.
+        """
+        bounds = self._bounds
+        share = bounds.max_workspace_share
+        return (
+            len(self._records) + added_records <= bounds.max_records
+            and self.total_bytes + added_bytes <= bounds.max_bytes
+            and self._counts[workspace] + added_records <= bounds.max_records * share
+            and self._bytes[workspace] + added_bytes <= bounds.max_bytes * share
+        )
+
+    def add(self, record: ClaimRecord) -> None:
+        """Add a record under a new key.
+
+        Parameters
+        ----------
+        record : ClaimRecord
+            The record; owned by the table from here on.
+        """
+        key = key_of(record.claim)
+        self._records[key] = record
+        self._keys[record.claim.claim_id] = key
+        heapq.heappush(
+            self._expiries, (record.expires_at_unix_ms, record.claim.claim_id)
+        )
+        self.set_phase(record, record.phase)
+        self._counts[key.workspace] += 1
+        self._count_bytes(key.workspace, size_of(record))
+
+    def set_phase(self, record: ClaimRecord, phase: str) -> None:
+        """Change the phase of a record.
+
+        Parameters
+        ----------
+        record : ClaimRecord
+            A record of this table.
+        phase : str
+            One of the ``PHASE_*`` constants.
+        """
+        record.phase = phase
+        if phase == PHASE_RUNNING:
+            self._running[record.claim.claim_id] = record
+        else:
+            self._running.pop(record.claim.claim_id, None)
+
+    def set_answer(self, record: ClaimRecord, answer: RecordedAnswer) -> None:
+        """Store the answer of a record.
+
+        Parameters
+        ----------
+        record : ClaimRecord
+            A record of this table.
+        answer : RecordedAnswer
+            The answer.
+        """
+        before = size_of(record)
+        record.answer.CopyFrom(answer)
+        self._count_bytes(record.claim.workspace, size_of(record) - before)
+
+    def remove(self, record: ClaimRecord) -> None:
+        """Remove a record.
+
+        Parameters
+        ----------
+        record : ClaimRecord
+            A record of this table.
+        """
+        key = key_of(record.claim)
+        del self._records[key]
+        del self._keys[record.claim.claim_id]
+        self._running.pop(record.claim.claim_id, None)
+        self._counts[key.workspace] -= 1
+        self._count_bytes(key.workspace, -size_of(record))
+        if len(self._expiries) > 2 * len(self._records) + MAX_STALE_EXPIRIES:
+            self._drop_stale_expiries()
+
+    def _drop_stale_expiries(self) -> None:
+        self._expiries = [item for item in self._expiries if self._is_live(item)]
+        heapq.heapify(self._expiries)
+
+    def _is_live(self, item: tuple[int, str]) -> bool:
+        record = self.find_claim(item[1])
+        return record is not None and record.expires_at_unix_ms == item[0]
+
+    def _count_bytes(self, workspace: str, change: int) -> None:
+        self.total_bytes += change
+        self._bytes[workspace] += change
--- /dev/null
+++ b/chestnutvale/programs/control/group_task.py
@@ -0,0 +1,155 @@
+"""The task that carries out what the group coordinator decides."""
+
+from collections.abc import Sequence
+
+import eventlet
+import logbook
+
+from chestnutvale.clock import Clock
+from chestnutvale.consensus.exceptions import NotLeaderError, OutcomeUnknownError
+from chestnutvale.consensus.task import ConsensusTask
+from chestnutvale.groups.coordinator import Effect, GroupCoordinator, ProposeCommand
+from chestnutvale.groups.orders import SendOrder
+from chestnutvale.membership.table import MembershipTable
+from chestnutvale.programs.control.const import (
+    GROUP_ROUND_S,
+    MAX_ORDERS_AT_ONCE,
+    PROPOSAL_TIMEOUT_S,
+    SETTLED_ROUND_S,
+)
+from chestnutvale.programs.control.entry_desk import EntryDesk
+from chestnutvale.programs.control.measures import MeasureTracker
+from chestnutvale.programs.control.order_sender import OrderSender
+from chestnutvale.programs.control.state import ControlState
+from chestnutvale.programs.periodic import run_rounds
+
+_LOGGER = logbook.Logger(__name__)
+
+
+class GroupTask:
+    """Runs one round of decisions after another; owns the coordinator.
+
+    Parameters
+    ----------
+    log : ConsensusTask
+        The replicated log.
+    state : ControlState
+        The replicated state.
+    table : MembershipTable
+        What entries heard of hosts.
+    coordinator : GroupCoordinator
+        The decisions.
+    desk : EntryDesk
+        Publishes what changed.
+    measures : MeasureTracker
+        Sums up downtime and stranded accelerators.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(
+        self,
+        log: ConsensusTask,
+        state: ControlState,
+        table: MembershipTable,
+        coordinator: GroupCoordinator,
+        desk: EntryDesk,
+        measures: MeasureTracker,
+        clock: Clock,
+    ) -> None:
+        self._log = log
+        self._state = state
+        self._table = table
+        self._coordinator = coordinator
+        self._desk = desk
+        self._measures = measures
+        self._clock = clock
+        self._sender = OrderSender(clock)
+        self._orders = eventlet.GreenPool(MAX_ORDERS_AT_ONCE)
+        self._led_term = 0
+        self._settled_inputs: tuple[int, ...] = ()
+        self._decide_at_s = float("-inf")
+
+    def run(self) -> None:
+        """Decide for ever; ended by killing the task."""
+        run_rounds("the group decisions", self._run_round, GROUP_ROUND_S)
+
+    def _run_round(self) -> None:
+        now_s = self._clock.now_s()
+        self._table.forget_silent(now_s)
+        self._desk.publish_changes()
+        self._desk.pass_on_cache_events()
+        self._follow_leadership(now_s)
+        if not self._log.is_leader:
+            self._measures.pause()
+            return
+        self._measures.update(
+            now_s,
+            self._state.configuration.text,
+            self._desk.group_views(),
+            self._state.groups,
+            self._table,
+        )
+        inputs = self._inputs()
+        if inputs == self._settled_inputs and now_s < self._decide_at_s:
+            return
+        effects = self._coordinator.tick(
+            now_s,
+            self._state.groups,
+            self._table,
+            self._state.configuration.text,
+            self._log.has_lease(now_s),
+            self._clock.unix_ms(),
+        )
+        self._settled_inputs = () if effects or not self._is_settled() else inputs
+        self._decide_at_s = now_s + SETTLED_ROUND_S
+        self._carry_out(effects)
+
+    def _inputs(self) -> tuple[int, ...]:
+        """Return what changes with everything that decisions are made of but time."""
+        return (
+            self._led_term,
+            self._log.applied_index,
+            self._table.revision,
+            self._desk.view_version,
+        )
+
+    def _is_settled(self) -> bool:
+        """Tell whether nothing is under way that waits for time to pass."""
+        groups = self._state.groups
+        if groups.releases or groups.repairs:
+            return False
+        return all(view.serving for view in self._desk.group_views())
+
+    def _carry_out(self, effects: Sequence[Effect]) -> None:
+        proposals = []
+        for effect in effects:
+            if isinstance(effect, SendOrder):
+                self._orders.spawn_n(self._send_order, effect)
+            else:
+                proposals.append(eventlet.spawn(self._propose, effect))
+        for proposal in proposals:
+            # The next round decides on a state that includes this one's commands.
+            proposal.wait()
+
+    def _follow_leadership(self, now_s: float) -> None:
+        term = self._log.term if self._log.is_leader else 0
+        if term == self._led_term:
+            return
+        if self._led_term:
+            self._coordinator.lost_leadership()
+        if term:
+            self._coordinator.became_leader(now_s)
+        self._led_term = term
+
+    def _propose(self, effect: ProposeCommand) -> None:
+        try:
+            self._log.propose(effect.command, self._clock.now_s() + PROPOSAL_TIMEOUT_S)
+        except (NotLeaderError, OutcomeUnknownError) as error:
+            _LOGGER.info("A command about groups was not confirmed: {}", error)
+
+    def _send_order(self, effect: SendOrder) -> None:
+        outcome = self._sender.send(effect)
+        self._coordinator.order_answered(
+            effect.host_id, effect.order.order_id, outcome, self._clock.now_s()
+        )
--- a/chestnutvale/transport/node.py
+++ b/chestnutvale/transport/node.py
@@ -99,6 +99,11 @@
             outbox.close()
         self._outboxes.clear()
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether the receiving task runs; without it the process is deaf."""
+        return self._task is not None and not self._task.dead
+
     def on(self, body: str, handler: Handler) -> None:
         """Register the handler of one kind of message.
 
@@ -160,6 +165,22 @@
         self.sent_bytes += len(data)
         return True
 
+    def counters(self) -> dict[str, object]:
+        """Return what was sent, received and dropped, for the dump.
+
+        Returns
+        -------
+        dict
+            Messages, bytes and drops by reason.
+        """
+        return {
+            "sent_messages": self.sent_messages,
+            "sent_bytes": self.sent_bytes,
+            "received_messages": self.received_messages,
+            "received_bytes": self.received_bytes,
+            "drops": dict(self.drops),
+        }
+
     def _outbox(self, address: str) -> pynng.Push0:
         outbox = self._outboxes.get(address)
         if outbox is not None:
@@ -188,6 +209,9 @@
         except pynng.TryAgain:
             hubs.trampoline(self._inbox.recv_fd, read=True)
             return None
+        except RuntimeError:
+            # The library can't unpack a message without any byte; it is consumed.
+            return b""
 
     def _dispatch(self, data: bytes) -> None:
         self.received_messages += 1
