Let a group whose move can't begin take a spare that turns up

Cause: a group given up for a move ignored spares of its own domain, also when no other domain had the hosts any more (found by reading). Change: it takes them unless another group of the service is forming. Run: script/test tests/groups/test_repair.py -k move passes.

--- a/chestnutvale/groups/repair.py
+++ b/chestnutvale/groups/repair.py
@@ -172,6 +172,8 @@
             group = inputs.state.groups[repair.group_id]
             if broken is None and inputs.idle.is_serving(group):
                 yield _end(repair)
+            elif broken is not None and not _is_replaced(group, inputs.state):
+                yield from self._substitute_spares(broken, inputs)
             return
         if broken is None or not self._are_reserved_usable(repair, broken, inputs):
             yield _end(repair)
@@ -190,6 +192,15 @@
         hosts = [inputs.fleet.fresh[host_id] for host_id in repair.reserved_host_ids]
         yield _substitute(broken, hosts)
 
+    def _substitute_spares(
+        self, broken: BrokenGroup, inputs: RepairInputs
+    ) -> Iterator[PutGroup]:
+        """Use spares that turned up in the domain while no move could begin."""
+        domain = broken.group.fabric_domain
+        need = len(broken.lost)
+        if inputs.fleet.free_count(domain) >= need and not broken.has_leaving:
+            yield _substitute(broken, inputs.fleet.take(domain, need))
+
     def _are_reserved_usable(
         self, repair: Repair, broken: BrokenGroup, inputs: RepairInputs
     ) -> bool:
@@ -325,6 +336,16 @@
         return PutRepair(repair=repair)
 
 
+def _is_replaced(group: Group, state: GroupsState) -> bool:
+    """Tell whether another group of the service is being formed."""
+    return any(
+        other.service == group.service
+        and other.phase == PHASE_FORMING
+        and other.group_id != group.group_id
+        for other in state.groups.values()
+    )
+
+
 def _substitute(broken: BrokenGroup, hosts: Sequence[HostRecord]) -> PutGroup:
     changed = Group()
     changed.CopyFrom(broken.group)
--- a/tests/groups/test_repair.py
+++ b/tests/groups/test_repair.py
@@ -7,7 +7,7 @@
 from chestnutvale.groups.settings import GroupsPolicy
 from chestnutvale.groups.state import GroupsState
 from chestnutvale.schema.configuration_pb2 import Service, Text
-from chestnutvale.schema.groups_pb2 import DrainHost, GroupResult
+from chestnutvale.schema.groups_pb2 import DrainHost, GroupResult, PutRepair, Repair
 from tests.groups.history import History
 
 
@@ -121,6 +121,40 @@
     assert repair.donor_group_id not in history.world.state.groups
 
 
+def test_a_group_moves_to_another_domain_and_the_old_one_is_released():
+    text = Text(
+        number=1,
+        services={
+            "llm": Service(kind="model", groups=1, hosts_per_group=6, version="1")
+        },
+    )
+    history = History(lossy=False, text=text)
+    history.run(25.0)
+    group = group_of(history)
+    host_of(history, group).status = HostStatus.DEAD
+    history.run(500.0)
+    moved = group_of(history)
+    assert moved.fabric_domain != group.fabric_domain
+    assert history.serving_count("llm") == 1
+    assert len(history.world.state.groups) == 1
+    assert list(history.world.state.releases) == [host_of(history, group).host_id]
+    assert new_commands(history, 0).count("put_repair") == 1
+
+
+def test_a_move_that_can_not_begin_takes_a_spare_that_turns_up():
+    history = History(lossy=False)
+    history.run(25.0)
+    group = group_of(history, index=1)
+    repair = Repair(
+        repair_id="r", group_id=group.group_id, epoch=group.epoch, action="move"
+    )
+    history.world.submit("put_repair", PutRepair(repair=repair))
+    host_of(history, group).status = HostStatus.DEAD
+    history.run(25.0)
+    assert history.serving_count("llm") == 2
+    assert history.world.state.repairs == {}
+
+
 def change_leader_in_a_merge(history):
     repair = run_until_merge(history)
     history.freeze_leader(0)
