--- a/chestnutvale/membership/const.py
+++ b/chestnutvale/membership/const.py
@@ -20,7 +20,6 @@
 MAX_SUPERSEDED_BOOTS: Final = 8
 # Group changes of which a control keeps the version for views of changes only.
 MAX_REMOVED_GROUPS: Final = 1_024
-
 # Reports whose answer an entry still waits for.
 MAX_OUTSTANDING_REPORTS: Final = 64
 
--- a/chestnutvale/membership/views.py
+++ b/chestnutvale/membership/views.py
@@ -7,9 +7,7 @@
 
 from chestnutvale.groups.serving import find_serving_fault, group_head
 from chestnutvale.groups.state import GroupsState
-from chestnutvale.membership.const import (
-    MAX_REMOVED_GROUPS,
-)
+from chestnutvale.membership.const import MAX_REMOVED_GROUPS
 from chestnutvale.membership.table import MembershipTable
 from chestnutvale.schema.configuration_pb2 import Text
 from chestnutvale.schema.groups_pb2 import Group
@@ -114,10 +112,7 @@
     def refresh(
         self, state: GroupsState, table: MembershipTable, now_s: float
     ) -> list[str]:
-        """Take up what changed; call it before building views and at each tick.
-
-        Groups are looked at when the replicated state changed, soon after hosts
-        changed, when a host may have gone silent, and once in a while for loads.
+        """Take up what changed; call it before building views.
 
         Parameters
         ----------
