--- /dev/null
+++ b/benchmarks/routing_cost.py
@@ -0,0 +1,98 @@
+"""Measures the processor time of one decision as groups and queues grow.
+
+Single timings depend on the machine; the ratios within a run are what counts.
+Run with ``python -m benchmarks.routing_cost``.
+"""
+
+import random
+import time
+from collections.abc import Callable
+
+import defopt
+
+from chestnutvale.admission.controller import AdmissionController
+from chestnutvale.admission.messages import (
+    AdmissionRequest,
+    ServiceCapacity,
+    ServiceLimits,
+)
+from chestnutvale.routing.messages import RoutableGroup, RoutingRequest
+from chestnutvale.routing.selector import Selector
+from chestnutvale.schema.membership_pb2 import Load
+
+CHOICES = 4_000
+ROUNDS = 5
+CALL_RATE = 40.0
+
+
+def choose_us(groups: int) -> float:
+    """Return microseconds of a choice, its send, first token and end."""
+    selector = Selector(random.Random(1))
+    selector.update_groups(RoutableGroup(f"g{n}", "llm", 1) for n in range(groups))
+    for n in range(groups):
+        selector.update_load(f"g{n}", Load(kv_capacity_tokens=10**6), 0.0)
+        selector.prefixes.note(f"g{n}", 1, 1, range(100), [])
+
+    def run() -> None:
+        for number in range(CHOICES):
+            now_s = number / CALL_RATE
+            request = RoutingRequest(str(number), "llm", "normal", 500, (5, 50, 500))
+            group = selector.choose(request, now_s)
+            selector.sent(request, group, now_s)
+            selector.first_token(request.request_id, now_s + 0.1)
+            selector.finished(request.request_id, now_s + 0.1)
+
+    return _best_us(run, CHOICES)
+
+
+def admit_us(waiting: int, workspaces: int) -> float:
+    """Return microseconds of an offer and a release beside waiting requests."""
+    controller = AdmissionController(random.Random(1))
+    limits = ServiceLimits(queue_requests=10_000, workspace_queue_requests=10_000)
+    weights = {f"w{n}": 1.0 for n in range(workspaces)}
+    controller.configure(weights, {"llm": limits})
+    controller.set_capacity("llm", ServiceCapacity(36, 300 * 50), 0.0)
+    running: list[str] = []
+    number = 0
+
+    def offer() -> None:
+        nonlocal number
+        number += 1
+        request = AdmissionRequest(
+            str(number), "llm", f"w{number % workspaces}", "normal", 200, 100, 1e9
+        )
+        effects = controller.offer(request, number / CALL_RATE)
+        running.extend(e.request_id for e in effects if hasattr(e, "predicted_tokens"))
+
+    def run() -> None:
+        for _ in range(CHOICES):
+            offer()
+            done = running.pop(0)
+            effects = controller.release(done, 100, number / CALL_RATE)
+            running.extend(e.request_id for e in effects)
+
+    for _ in range(50 + waiting):
+        offer()
+    return _best_us(run, CHOICES)
+
+
+def main() -> None:
+    """Print the time of each decision."""
+    for groups in (3, 15, 36, 144):
+        print(f"choose among {groups:4} groups: {choose_us(groups):7.1f} us")
+    for waiting, workspaces in ((0, 10), (1000, 10), (1000, 100)):
+        spent_us = admit_us(waiting, workspaces)
+        print(f"admit with {waiting:5} waiting of {workspaces:4}: {spent_us:7.1f} us")
+
+
+def _best_us(run: Callable[[], None], count: int) -> float:
+    times = []
+    for _ in range(ROUNDS):
+        started_s = time.process_time()
+        run()
+        times.append(time.process_time() - started_s)
+    return min(times) / count * 1e6
+
+
+if __name__ == "__main__":
+    defopt.run(main)
