Keep tokens and slots apart when load reports are lost; bound unreported sends

Cause, found by reading the wiring: a service whose groups report no load counts as plain, so tokens held would be compared with slots and nothing admitted; sends to a group without reports added up for ever; a prompt was refused for good by the mean memory of a group while some had not reported. Change: the memory last known of a group is kept; sends expire after 10 s, a plain service counts what runs; ServiceCapacity.largest_group_tokens (new, 0 by default) decides on too large prompts. Four tests, each fails without the change it names (the tests were written after; not run against the old code).

--- a/chestnutvale/admission/messages.py
+++ b/chestnutvale/admission/messages.py
@@ -75,6 +75,8 @@
         KV memory in tokens; zero capacity for a plain service.
     running, waiting : int
         Requests in the engines.
+    largest_group_tokens : int
+        KV memory of the largest group; a longer prompt is refused. 0 if unknown.
     """
 
     groups: int
@@ -82,6 +84,7 @@
     kv_used_tokens: int = 0
     running: int = 0
     waiting: int = 0
+    largest_group_tokens: int = 0
 
 
 @attrs.frozen
--- a/chestnutvale/admission/service.py
+++ b/chestnutvale/admission/service.py
@@ -82,15 +82,16 @@
     _class_reserved: dict[str, int] = attrs.field(
         factory=lambda: dict.fromkeys(PRIORITIES, 0)
     )
+    _group_tokens: int = 0
     _waiting: dict[str, Waiter] = attrs.field(factory=dict)
     pace: Pace = attrs.field(factory=Pace)
     commitment: Commitment = attrs.field(factory=Commitment)
 
     def set_capacity(self, capacity: ServiceCapacity, now_s: float) -> None:
         """Take a report of what the serving groups have and use."""
-        self.capacity = capacity
+        self.capacity = self._with_known_memory(capacity)
         total = sum(self.total_demand.values())
-        self.commitment.update(capacity, total, now_s)
+        self.commitment.update(self.capacity, total, now_s)
         self.update_shares()
 
     def update_shares(self) -> None:
@@ -226,11 +227,18 @@
         )
         return request.prompt_tokens + output
 
+    def _with_known_memory(self, capacity: ServiceCapacity) -> ServiceCapacity:
+        # Groups that report no load for a while still have their memory; taken
+        # for a plain service, their slots would be compared with tokens.
+        if capacity.kv_capacity_tokens:
+            self._group_tokens = capacity.kv_capacity_tokens // max(1, capacity.groups)
+            return capacity
+        known = self._group_tokens * capacity.groups
+        return attrs.evolve(capacity, kv_capacity_tokens=known)
+
     def _is_too_large(self, request: AdmissionRequest) -> bool:
-        if self._is_plain() or self.capacity.groups == 0:
-            return False
-        per_group = self.capacity.kv_capacity_tokens / self.capacity.groups
-        return request.prompt_tokens > per_group
+        largest = self.capacity.largest_group_tokens
+        return 0 < largest < request.prompt_tokens
 
     def _fits(self, waiter: Waiter) -> bool:
         # A request larger than the whole limit runs alone rather than never.
--- a/chestnutvale/routing/const.py
+++ b/chestnutvale/routing/const.py
@@ -4,6 +4,8 @@
 
 # Age that a load report is taken to have when the reporter gives none.
 DEFAULT_REPORT_AGE_S: Final = 1.0
+# Age at which a send is left out even if no report covers it.
+SENT_EXPIRY_S: Final = 10.0
 
 # Prefixes remembered for one group.
 MAX_PREFIXES_PER_GROUP: Final = 4096
--- a/chestnutvale/routing/load.py
+++ b/chestnutvale/routing/load.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from chestnutvale.routing.const import SENT_EXPIRY_S
 from chestnutvale.schema.membership_pb2 import Load
 
 
@@ -43,8 +44,7 @@
             return
         self.reported = load
         self.measured_s = measured_s
-        while self._since and self._since[0].sent_s <= measured_s:
-            self._since_tokens -= self._since.popleft().tokens
+        self._forget_sends(measured_s)
 
     def sent(self, request_id: str, sent: Sent) -> None:
         """Count a request that was sent now."""
@@ -52,6 +52,8 @@
         self._unanswered[request_id] = sent
         self._since.append(sent)
         self._since_tokens += sent.tokens
+        # Without reports the sends must not add up for ever.
+        self._forget_sends(sent.sent_s - SENT_EXPIRY_S)
 
     def answered(self, request_id: str, now_s: float) -> float | None:
         """Return the seconds to the first token, or None if it came before."""
@@ -82,5 +84,9 @@
         capacity = self.reported.kv_capacity_tokens
         if not capacity:
             queued = self.reported.running + self.reported.waiting
-            return float(queued + len(self._since))
+            return float(max(queued + len(self._since), len(self.in_flight)))
         return (used + self._since_tokens + extra_tokens) / capacity
+
+    def _forget_sends(self, until_s: float) -> None:
+        while self._since and self._since[0].sent_s <= until_s:
+            self._since_tokens -= self._since.popleft().tokens
--- a/tests/admission/test_controller.py
+++ b/tests/admission/test_controller.py
@@ -91,3 +91,21 @@
     refusal, queued = controller.offer(urgent, 1.0)
     assert (refusal.request_id, refusal.code) == ("batch2", "queue_full")
     assert queued == Queue("urgent")
+
+
+def test_lost_load_reports_do_not_turn_tokens_into_slots(make_controller, make_request):
+    controller = make_controller(capacity=10_000)
+    for n in range(20):
+        controller.offer(make_request(str(n)), 0.0)
+    controller.set_capacity("llm", ServiceCapacity(1, 0), 1.0)
+    assert controller.offer(make_request("next"), 1.0) == [Admit("next", 200)]
+
+
+def test_prompt_larger_than_any_group_is_refused_for_good(
+    make_controller, make_request
+):
+    controller = make_controller()
+    capacity = ServiceCapacity(2, 10_000, largest_group_tokens=5000)
+    controller.set_capacity("llm", capacity, 0.0)
+    (refusal,) = controller.offer(make_request("one", prompt_tokens=5001), 0.0)
+    assert (refusal.code, refusal.retry_after_s) == ("request_too_large", 0.0)
--- a/tests/routing/test_selector.py
+++ b/tests/routing/test_selector.py
@@ -56,3 +56,19 @@
 def test_group_gone_is_not_chosen(selector):
     selector.update_groups([RoutableGroup("g1", "llm", 2)])
     assert selector.choose(make_request(), 0.0) == "g1"
+
+
+def test_sends_without_reports_do_not_add_up(selector):
+    for n in range(200):
+        request = make_request(str(n))
+        selector.sent(request, "g0", float(n))
+        selector.finished(str(n), n + 0.5)
+    assert selector._loads["g0"].pressure(500, 512.0) < 1.0
+
+
+def test_plain_service_goes_where_fewest_calls_run():
+    selector = Selector(random.Random(1))
+    selector.update_groups(RoutableGroup(f"g{n}", "llm", 1) for n in range(2))
+    for n in range(6):
+        selector.sent(make_request(str(n)), "g0", 0.0)
+    assert {selector.choose(make_request("r"), 60.0) for _ in range(20)} == {"g1"}
