--- /dev/null
+++ b/benchmarks/attempts_retries.py
@@ -0,0 +1,156 @@
+"""Extra attempts and failed calls while groups fail, by retry policy."""
+
+import random
+from collections.abc import Callable
+
+import attrs
+import defopt
+
+from chestnutvale.attempts.events import (
+    AttemptBroken,
+    AttemptRefused,
+    CallEffect,
+    ChooseGroup,
+    EventsArrived,
+    Finish,
+    GroupChosen,
+    NoneAvailable,
+    StartAttempt,
+    Started,
+)
+from chestnutvale.attempts.model_call import ModelCall
+from chestnutvale.attempts.retry_budget import AttemptBudgets, RetryBudget
+from chestnutvale.attempts.sse import StreamEvent
+
+GROUPS = [f"g{number}" for number in range(15)]
+UNBOUNDED = 1e9
+
+# Tells how an attempt at a group ends: "whole", "broken" or the code of a refusal.
+World = Callable[[str], str]
+
+
+@attrs.define
+class Totals:
+    """Counts of one run.
+
+    Attributes
+    ----------
+    calls, attempts, whole : int
+        Calls, their attempts, and calls that gave a whole answer.
+    """
+
+    calls: int = 0
+    attempts: int = 0
+    whole: int = 0
+
+
+def run_call(
+    number: int,
+    budgets: AttemptBudgets,
+    max_attempts: int,
+    world: World,
+    rng: random.Random,
+) -> tuple[int, bool]:
+    """Run one call to its end.
+
+    Parameters
+    ----------
+    number : int
+        Number of the call.
+    budgets : AttemptBudgets
+        Budgets of the entry.
+    max_attempts : int
+        Attempts that the call may make.
+    world : callable
+        How an attempt at a group ends.
+    rng : random.Random
+        Chooses groups.
+
+    Returns
+    -------
+    attempts : int
+        Attempts that were made.
+    is_whole : bool
+        Whether the answer was whole.
+    """
+    call = ModelCall(f"r{number}", UNBOUNDED, budgets, max_attempts)
+    effects = call.handle(Started(), 0.0)
+    while True:
+        following: list[CallEffect] = []
+        for effect in effects:
+            if isinstance(effect, Finish):
+                return call.attempts, effect.failure is None
+            if isinstance(effect, ChooseGroup):
+                following += call.handle(_choose(effect, rng), 0.0)
+            elif isinstance(effect, StartAttempt):
+                following += call.handle(_end_attempt(effect, world), 0.0)
+        effects = following
+
+
+def _choose(effect: ChooseGroup, rng: random.Random) -> GroupChosen | NoneAvailable:
+    groups = [group for group in GROUPS if group not in effect.excluded]
+    return GroupChosen(rng.choice(groups), 1, "1") if groups else NoneAvailable(1.0)
+
+
+def _end_attempt(
+    effect: StartAttempt, world: World
+) -> EventsArrived | AttemptRefused | AttemptBroken:
+    result = world(effect.group_id)
+    if result == "broken":
+        return AttemptBroken(effect.attempt_id, "reset")
+    if result != "whole":
+        return AttemptRefused(effect.attempt_id, result)
+    attempt_id = effect.attempt_id.encode()
+    events = [
+        StreamEvent(attempt_id, 0, 1, b"data: x\n\n"),
+        StreamEvent(attempt_id, 1, 1, b"data: end\n\n"),
+        StreamEvent(b"", 0, 0, b"data: [DONE]\n\n", is_done=True),
+    ]
+    return EventsArrived(effect.attempt_id, events)
+
+
+def main(*, calls: int = 20_000, seed: int = 1) -> None:
+    """Print attempts a call and whole answers for each policy and fault.
+
+    Parameters
+    ----------
+    calls : int
+        Calls of each run.
+    seed : int
+        Seed of the choices.
+    """
+    lost = set(GROUPS[::3])
+    worlds: dict[str, World] = {
+        "a third unreachable": lambda g: "unreachable" if g in lost else "whole",
+        "a third breaks streams": lambda g: "broken" if g in lost else "whole",
+        "a third overloaded": lambda g: "overloaded" if g in lost else "whole",
+        "all unreachable": lambda g: "unreachable",
+        "all overloaded": lambda g: "overloaded",
+    }
+    policies: dict[str, Callable[[], tuple[AttemptBudgets, int]]] = {
+        "one attempt": lambda: (AttemptBudgets(), 1),
+        "four attempts, no budget": lambda: (
+            AttemptBudgets(RetryBudget(4.0, UNBOUNDED), RetryBudget(4.0, UNBOUNDED)),
+            4,
+        ),
+        "four attempts, budgets": lambda: (AttemptBudgets(), 4),
+    }
+    for world_name, world in worlds.items():
+        for policy_name, make_policy in policies.items():
+            budgets, max_attempts = make_policy()
+            rng = random.Random(seed)
+            totals = Totals()
+            for number in range(calls):
+                attempts, is_whole = run_call(number, budgets, max_attempts, world, rng)
+                totals.calls += 1
+                totals.attempts += attempts
+                totals.whole += is_whole
+            print(
+                f"{world_name:24} {policy_name:26} "
+                f"{totals.attempts / totals.calls:.3f} attempts a call, "
+                f"{100 * totals.whole / totals.calls:.2f}% whole"
+            )
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- a/chestnutvale/attempts/model_call.py
+++ b/chestnutvale/attempts/model_call.py
@@ -18,6 +18,7 @@
     OUTCOME_FAILED,
     OUTCOME_NOT_RUN,
     OUTCOME_UNKNOWN,
+    REFUSAL_OVERLOADED,
     RETRIED_REFUSALS,
     STREAM_IDLE_TIMEOUT_S,
 )
@@ -204,9 +205,9 @@
         retry_after_s = event.retry_after_s or DEFAULT_RETRY_AFTER_S
         if event.code not in RETRIED_REFUSALS:
             return self._fail(event.code, event.message, retry_after_s=None)
-        return self._try_again(
-            self._budgets.retries, CODE_REFUSED, event.code, now_s, retry_after_s
-        )
+        is_overload = event.code == REFUSAL_OVERLOADED
+        budget = self._budgets.retries if is_overload else self._budgets.reroutes
+        return self._try_again(budget, CODE_REFUSED, event.code, now_s, retry_after_s)
 
     def _on_broken(self, event: AttemptBroken, now_s: float) -> list[CallEffect]:
         if event.attempt_id != self._attempt_id:
@@ -221,7 +222,7 @@
         if not self.answer.can_resume:
             return effects + self._fail(CODE_BROKEN, reason)
         return effects + self._try_again(
-            self._budgets.resumes, CODE_BROKEN, reason, now_s, DEFAULT_RETRY_AFTER_S
+            self._budgets.reroutes, CODE_BROKEN, reason, now_s, DEFAULT_RETRY_AFTER_S
         )
 
     def _try_again(
--- a/chestnutvale/attempts/retry_budget.py
+++ b/chestnutvale/attempts/retry_budget.py
@@ -50,21 +50,22 @@
 class AttemptBudgets:
     """The budgets that all calls of an entry share.
 
-    A resume replaces work that was running a moment ago, so it adds no load
-    and has a larger budget than a retry of a refused attempt.
+    A call that goes elsewhere because its group is lost adds no load, as the
+    work does not run there any more. It has a larger budget than a call that was
+    refused for overload, whose retries would keep the overload up.
 
     Attributes
     ----------
     retries : RetryBudget
-        For attempts after a refusal.
-    resumes : RetryBudget
-        For attempts after a break.
+        For attempts after a refusal for overload.
+    reroutes : RetryBudget
+        For attempts after a break, or after any other refusal.
     """
 
     retries: RetryBudget = attrs.field(factory=lambda: RetryBudget(0.2, 50.0))
-    resumes: RetryBudget = attrs.field(factory=lambda: RetryBudget(1.0, 500.0))
+    reroutes: RetryBudget = attrs.field(factory=lambda: RetryBudget(1.0, 500.0))
 
     def count_call(self) -> None:
         """Note a fresh call in both budgets."""
         self.retries.count_call()
-        self.resumes.count_call()
+        self.reroutes.count_call()
--- a/chestnutvale/attempts/service_call.py
+++ b/chestnutvale/attempts/service_call.py
@@ -34,7 +34,7 @@
     Started,
     Tick,
 )
-from chestnutvale.attempts.retry_budget import AttemptBudgets
+from chestnutvale.attempts.retry_budget import AttemptBudgets, RetryBudget
 from chestnutvale.attempts.service_events import (
     AnswerTooLarge,
     ClaimAnswered,
@@ -294,7 +294,8 @@
     def _on_refused(self, event: AttemptRefused, now_s: float) -> Effects:
         if event.attempt_id != self._attempt_id or self._is_sent:
             return []
-        return self._try_again(CODE_REFUSED, event.code, now_s)
+        budget = self._budgets.reroutes
+        return self._try_again(budget, CODE_REFUSED, event.code, now_s)
 
     def _on_answered(self, event: EndpointAnswered, now_s: float) -> Effects:
         if event.attempt_id != self._attempt_id:
@@ -322,7 +323,8 @@
             return []
         if self._repeatable:
             self._is_sent = False
-            return self._try_again("endpoint_broken", event.reason, now_s)
+            budget = self._budgets.retries
+            return self._try_again(budget, "endpoint_broken", event.reason, now_s)
         effects = self._submit_outcome(None)
         if not self.is_answered:
             effects += self._fail("endpoint_broken", event.reason)
@@ -350,12 +352,14 @@
             CODE_DEADLINE, "the deadline passed", retry_after_s=DEFAULT_RETRY_AFTER_S
         )
 
-    def _try_again(self, code: str, reason: str, now_s: float) -> Effects:
+    def _try_again(
+        self, budget: RetryBudget, code: str, reason: str, now_s: float
+    ) -> Effects:
         self._excluded.add(self._group_id)
         self._attempt_id = ""
         if self._attempts >= MAX_ATTEMPTS:
             code = CODE_ATTEMPTS
-        elif self._budgets.retries.try_retry():
+        elif budget.try_retry():
             return self._choose(now_s)
         else:
             code = CODE_RETRY_BUDGET
--- a/tests/attempts/test_at_most_once.py
+++ b/tests/attempts/test_at_most_once.py
@@ -283,7 +283,8 @@
 
     def _on_broken(self, event, now_s):
         self._is_sent = False
-        return self._try_again("broken", event.reason, now_s)
+        budget = self._budgets.retries
+        return self._try_again(budget, "broken", event.reason, now_s)
 
 
 class ReleasesAfterTheSend(ServiceCall):
--- a/tests/attempts/test_model_call.py
+++ b/tests/attempts/test_model_call.py
@@ -218,13 +218,19 @@
     assert effect.failure.retry_after_s is None
 
 
-def test_spent_budget_ends_the_call_with_a_time_to_come_back(call):
-    budgets = AttemptBudgets(retries=RetryBudget(0.0, 0.0))
-    call = ModelCall("r", DEADLINE_S, budgets)
-    attempt_id = start(call)
-    (effect,) = call.handle(AttemptRefused(attempt_id, "overloaded", "", 7.0), 0.0)
-    assert effect.failure.outcome == "not_run"
-    assert effect.failure.retry_after_s == 7.0
+@pytest.mark.parametrize(
+    ("code", "spent"), [("overloaded", "retries"), ("wrong_epoch", "reroutes")]
+)
+def test_spent_budget_ends_the_call_with_a_time_to_come_back(code, spent):
+    for kind in ("retries", "reroutes"):
+        budgets = AttemptBudgets(**{kind: RetryBudget(0.0, 0.0)})
+        call = ModelCall("r", DEADLINE_S, budgets)
+        refused = AttemptRefused(start(call), code, "", 7.0)
+        (effect,) = call.handle(refused, 0.0)
+        assert isinstance(effect, Finish) == (kind == spent)
+        if kind == spent:
+            assert effect.failure.outcome == "not_run"
+            assert effect.failure.retry_after_s == 7.0
 
 
 def test_retries_stay_a_share_of_fresh_calls():
