--- a/chestnutvale/programs/entry/context.py
+++ b/chestnutvale/programs/entry/context.py
@@ -8,6 +8,7 @@
 from chestnutvale.attempts.retry_budget import AttemptBudgets
 from chestnutvale.attempts.suspicion import SuspicionTracker
 from chestnutvale.clock import Clock
+from chestnutvale.configuration.lookup import TextLookup
 from chestnutvale.programs.entry.running_attempts import RunningAttempts
 from chestnutvale.schema.command_pb2 import Command, CommandResult
 from chestnutvale.schema.configuration_pb2 import Text
@@ -87,6 +88,15 @@
     def cancel(self) -> None:
         """Give the place up; `wait` returns at once."""
 
+    def progress(self, used_tokens: int) -> None:
+        """Say how long the answer is by now.
+
+        Parameters
+        ----------
+        used_tokens : int
+            Tokens that the answer has so far.
+        """
+
     def release(self, used_tokens: int) -> None:
         """Say that the call is over; done once, also after a refusal.
 
@@ -125,6 +135,9 @@
     def cancel(self) -> None:
         """Do nothing."""
 
+    def progress(self, used_tokens: int) -> None:
+        """Do nothing."""
+
     def release(self, used_tokens: int) -> None:
         """Do nothing."""
 
@@ -215,6 +228,10 @@
     def text(self) -> Text:
         """The text in force."""
 
+    @property
+    def lookup(self) -> TextLookup:
+        """Views of the text in force."""
+
     def authenticate(self, environ: dict[str, Any]) -> str | None:
         """Find the workspace that a request's key belongs to.
 
--- a/chestnutvale/programs/entry/daemon.py
+++ b/chestnutvale/programs/entry/daemon.py
@@ -15,6 +15,8 @@
 from chestnutvale.membership.cache_events import CacheEventQueue
 from chestnutvale.membership.entry_view import EntryView
 from chestnutvale.membership.hearing import Hearing
+from chestnutvale.observability.metrics import Metrics
+from chestnutvale.observability.request_meter import RequestMeter
 from chestnutvale.programs.entry.admission_gate import AdmissionGate
 from chestnutvale.programs.entry.announcements import AnnouncementDoor
 from chestnutvale.programs.entry.app import EntryApp
@@ -22,10 +24,16 @@
 from chestnutvale.programs.entry.commits import CommitClient
 from chestnutvale.programs.entry.const import DRAIN_NOTICE_S, SALT_BITS
 from chestnutvale.programs.entry.control_link import ControlLink
+from chestnutvale.programs.entry.demand_exchange import DemandExchange
 from chestnutvale.programs.entry.group_router import GroupRouter
 from chestnutvale.programs.entry.ledger_writer import LedgerWriter
+from chestnutvale.programs.entry.metrics import (
+    MEASURED_ROUTES,
+    register_entry_metrics,
+)
 from chestnutvale.programs.entry.model_calls import ModelCallHandler
 from chestnutvale.programs.entry.service_calls import ServiceCallHandler
+from chestnutvale.programs.process_metrics import register_process_metrics
 from chestnutvale.routing.selector import Selector
 from chestnutvale.schema.settings_pb2 import EntrySettings
 from chestnutvale.transport.gate import make_incarnation
@@ -33,6 +41,7 @@
 
 _LOGGER = logbook.Logger(__name__)
 
+PROGRAM_NAME = "chestnut-entry"
 FORM_CHAT = "chat"
 FORM_COMPLETION = "completion"
 
@@ -89,20 +98,27 @@
             self.hearing,
             self.context.suspicions,
             self._cache_events,
+            DemandExchange(self._gate.controller),
             clock,
             rng,
         )
         self.link.on_view(self.context.install)
+        self.context.suspicions.notify = self.link.hurry
         self.transport.on("cache_news", router.receive_cache_news)
         self._writer = LedgerWriter(self.context)
         self._services = ServiceCallHandler(self.context, self._writer)
+        self.metrics = Metrics(PROGRAM_NAME)
+        app = RequestMeter(self._make_app(), self.metrics, MEASURED_ROUTES, clock)
         self.server = HttpServer(
-            self._make_app(), settings.http_address, settings.http_limits, clock
+            app, settings.http_address, settings.http_limits, clock
         )
+        register_process_metrics(self.metrics, self.server, self.transport)
+        register_entry_metrics(self.metrics, self.view, self.is_ready, clock)
 
     def __enter__(self) -> Self:
         """Open the sockets and start the tasks."""
         with contextlib.ExitStack() as exits:
+            exits.enter_context(self.metrics)
             exits.enter_context(self.transport)
             for run in (self.link.run, self._gate.run):
                 exits.callback(eventlet.spawn(run).kill)
@@ -173,6 +189,9 @@
             "transport": self.transport.counters(),
         }
 
+    def _is_alive(self) -> bool:
+        return self.transport.is_receiving
+
     def _make_app(self) -> EntryApp:
         return EntryApp(
             chat=ModelCallHandler(self.context, FORM_CHAT),
@@ -186,12 +205,9 @@
                 self._cache_events,
             ),
             operations={
-                "/healthz": make_check(_is_alive),
+                "/healthz": make_check(self._is_alive),
                 "/readyz": make_check(self.is_ready),
                 "/debug/state": make_json_view(self.dump),
+                "/metrics": self.metrics.view,
             },
         )
-
-
-def _is_alive() -> bool:
-    return True
