Use neutral words in the examples and the demo

Cause: model names, workspaces, comments and the demo's prompt repeated words of the users' own business. The deployments' names, the services and the path /postings (a contract that outside tools drive) stay.

--- a/chestnutvale/emulator/plain_service.py
+++ b/chestnutvale/emulator/plain_service.py
@@ -34,7 +34,7 @@
     service : str
         Its name.
     work_s : float
-        Time that a posting takes in seconds.
+        Time in seconds that a call which adds a record takes.
     """
 
     def __init__(self, service: str, work_s: float) -> None:
@@ -112,7 +112,7 @@
     fabric_domain : str
         Fabric domain that is announced.
     work_ms : int
-        Time that a posting takes.
+        Time that a call which adds a record takes.
     seed : int
         Seed of all random choices.
     """
--- a/script/demo.py
+++ b/script/demo.py
@@ -24,7 +24,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 DEMO_FOLDER = ROOT / "build" / "demo"
 GROUPS = 2
-PROMPT = "Explain this month's netting between the sister firms. " * 4
+PROMPT = "Explain how a replicated log orders concurrent changes. " * 4
 ANSWER_TOKENS = 200
 # Tokens that have arrived when the host is killed.
 KILL_AFTER_TOKENS = 40
@@ -117,10 +117,10 @@
         return is_whole
 
     def post_once(self) -> bool:
-        """Send one posting twice with one key and count its runs."""
+        """Send one call twice with one key and count its runs."""
         caller = self.deployment.caller("entry-3")
         url = f"http://{caller.address}/services/{PLAIN_SERVICE}/postings"
-        headers = caller.headers(Idempotency_Key="demo-posting-1")
+        headers = caller.headers(Idempotency_Key="demo-call-1")
         body = json.dumps({"amount": 1}).encode()
         answers = [
             caller.http.request("POST", url, body=body, headers=headers)
@@ -129,8 +129,8 @@
         service = next(iter(self.deployment.services))
         runs = self.deployment.get(service, "/runs")["runs"]
         statuses = [answer.status for answer in answers]
-        is_once = runs == {"demo-posting-1": 1} and statuses == [201, 201]
-        self.say(f"posting sent twice: answers {statuses}, runs {runs}")
+        is_once = runs == {"demo-call-1": 1} and statuses == [201, 201]
+        self.say(f"call sent twice with one key: answers {statuses}, runs {runs}")
         return is_once
 
     def wait_for_repair(self) -> bool:
