--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,17 +1,18 @@
 """Fixtures that all tests share."""
 
-import socket
+import os
 
 import pytest
 
+from chestnutvale.emulator.processes import find_free_addresses
+
+# One generator a worker, so that no address is given out twice. Its ports lie below
+# those that the system gives to outgoing connections, which would else take the
+# address of a process that a test has ended and starts again.
+_ADDRESSES = find_free_addresses(os.getpid())
+
 
 @pytest.fixture
 def free_address():
     """Return a function that gives an unused loopback address."""
-
-    def make() -> str:
-        with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            return f"127.0.0.1:{probe.getsockname()[1]}"
-
-    return make
+    return lambda: next(_ADDRESSES)
--- a/tests/processes/conftest.py
+++ b/tests/processes/conftest.py
@@ -10,6 +10,8 @@
     DeploymentOptions,
 )
 
+pytest.register_assert_rewrite("tests.processes.history")
+
 GROUPS = 2
 
 
@@ -36,3 +38,19 @@
         running.apply(text_path)
         running.wait_serving(GROUPS)
         yield running
+
+
+@pytest.fixture
+def whole_deployment(deployment):
+    """Bring back whatever a test has ended."""
+    yield
+    for process in (deployment.controls | deployment.entries).values():
+        if process.is_running:
+            process.thaw()
+        else:
+            deployment.restart(process.name)
+    for process in deployment.engines.values():
+        if not process.is_running:
+            process.start()
+            process.wait_ready()
+    deployment.wait_serving(GROUPS)
--- a/tests/processes/test_losses.py
+++ b/tests/processes/test_losses.py
@@ -13,11 +13,12 @@
 )
 from chestnutvale.emulator.processes import program_path, wait_until
 from chestnutvale.emulator.text import expected_text
-from tests.processes.conftest import GROUPS
 
 LONG = 150
 POSTINGS = f"/services/{PLAIN_SERVICE}/postings"
 
+pytestmark = pytest.mark.usefixtures("whole_deployment")
+
 
 class Trigger:
     """Calls an action once when a stream has some tokens."""
@@ -34,22 +35,6 @@
         return True
 
 
-@pytest.fixture(autouse=True)
-def whole_deployment(deployment):
-    """Bring back whatever a test has ended."""
-    yield
-    for process in (deployment.controls | deployment.entries).values():
-        if process.is_running:
-            process.thaw()
-        else:
-            deployment.restart(process.name)
-    for process in deployment.engines.values():
-        if not process.is_running:
-            process.start()
-            process.wait_ready()
-    deployment.wait_serving(GROUPS)
-
-
 def stream(deployment, entry, prompt, on_token=None, length=LONG):
     caller = deployment.caller(entry)
     return caller.generate(MODEL_SERVICE, prompt, length, on_token=on_token)
