--- a/benchmarks/groups_repair.py
+++ b/benchmarks/groups_repair.py
@@ -240,10 +240,11 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", type=int, default=3)
     parser.add_argument("--processes", type=int, default=3)
+    parser.add_argument("--deployments", type=int, nargs="*", default=range(4))
     arguments = parser.parse_args()
     jobs = [
         (deployment, name, seed)
-        for deployment in DEPLOYMENTS
+        for deployment in (DEPLOYMENTS[index] for index in arguments.deployments)
         for name in POLICIES
         for seed in range(1, arguments.seeds + 1)
     ]
--- /dev/null
+++ b/chestnutvale/groups/order_messages.py
@@ -0,0 +1,136 @@
+"""Orders as messages, and which hosts may get them."""
+
+from chestnutvale.groups.budget import has_weights
+from chestnutvale.groups.const import ORDER_ASSIGN, ORDER_RELEASE, PHASE_FORMING
+from chestnutvale.groups.state import GroupsState
+from chestnutvale.membership.table import HostRecord, MembershipTable
+from chestnutvale.schema.configuration_pb2 import Text
+from chestnutvale.schema.groups_pb2 import Group, HostRelease, Order
+
+
+def known_host(table: MembershipTable, host_id: str, now_s: float) -> HostRecord | None:
+    """Return a living host whose announcement is known.
+
+    Parameters
+    ----------
+    table : MembershipTable
+        What is known of hosts.
+    host_id : str
+        The host.
+    now_s : float
+        Monotonic time.
+
+    Returns
+    -------
+    HostRecord or None
+        None if the host is silent or its announcement is lacking.
+    """
+    record = table.host(host_id)
+    if record is None or not record.is_content_current:
+        return None
+    return record if table.is_fresh(host_id, now_s) else None
+
+
+def may_be_taken_back(
+    release: HostRelease, record: HostRecord, state: GroupsState
+) -> bool:
+    """Tell whether the group that a host left may still want it back.
+
+    A member that returns while its group still forms with a spare keeps its weights
+    until the planner had its say.
+
+    Parameters
+    ----------
+    release : HostRelease
+        The release of the host.
+    record : HostRecord
+        What is known of the host.
+    state : GroupsState
+        The replicated groups.
+
+    Returns
+    -------
+    bool
+        Whether its release order must wait.
+    """
+    group = state.groups.get(release.group_id)
+    if group is None or group.phase != PHASE_FORMING:
+        return False
+    if record.boot_id != release.boot_id or not record.announcement.HasField("holding"):
+        return False
+    return has_weights(record, group, record.announcement.holding.rank)
+
+
+def assign_order(
+    group: Group, rank: int, text: Text, weight_store_address: str
+) -> Order:
+    """Make the order by which a host takes its part of a group.
+
+    Parameters
+    ----------
+    group : Group
+        The group.
+    rank : int
+        Rank of the host.
+    text : Text
+        The text in force.
+    weight_store_address : str
+        Address that the host loads weights from.
+
+    Returns
+    -------
+    Order
+        The order, without its expiry.
+    """
+    service = text.services.get(group.service)
+    return Order(
+        order_id=f"{group.fence}-{rank}",
+        kind=ORDER_ASSIGN,
+        group_id=group.group_id,
+        epoch=group.epoch,
+        fence=group.fence,
+        rank=rank,
+        members=group.members,
+        service=group.service,
+        model=service.model if service is not None else "",
+        version=group.version,
+        adapters=group.adapters,
+        weight_store_address=weight_store_address,
+    )
+
+
+def release_order_id(release: HostRelease) -> str:
+    """Return the identity of the order by which a host lets go.
+
+    Parameters
+    ----------
+    release : HostRelease
+        The release.
+
+    Returns
+    -------
+    str
+        The same under every leader.
+    """
+    return f"{release.fence}-release"
+
+
+def release_order(release: HostRelease) -> Order:
+    """Make the order by which a host lets go.
+
+    Parameters
+    ----------
+    release : HostRelease
+        The release.
+
+    Returns
+    -------
+    Order
+        The order, without its expiry.
+    """
+    return Order(
+        order_id=release_order_id(release),
+        kind=ORDER_RELEASE,
+        group_id=release.group_id,
+        fence=release.fence,
+    )
--- a/chestnutvale/groups/orders.py
+++ b/chestnutvale/groups/orders.py
@@ -10,20 +10,25 @@
     ORDER_ASSIGN,
     ORDER_LIFETIME_S,
     ORDER_RECHECK_S,
-    ORDER_RELEASE,
     ORDER_RETRY_MAX_S,
     ORDER_RETRY_MIN_S,
     ORDER_TIMEOUT_S,
     PHASE_DRAINING,
-    PHASE_FORMING,
     RELEASE_RETENTION_MS,
 )
+from chestnutvale.groups.order_messages import (
+    assign_order,
+    known_host,
+    may_be_taken_back,
+    release_order,
+    release_order_id,
+)
 from chestnutvale.groups.serving import holds_epoch
 from chestnutvale.groups.settings import GroupsPolicy
 from chestnutvale.groups.state import GroupsState
 from chestnutvale.membership.table import HostRecord, MembershipTable
 from chestnutvale.schema.configuration_pb2 import Text
-from chestnutvale.schema.groups_pb2 import FreeHost, Group, HostRelease, Order
+from chestnutvale.schema.groups_pb2 import FreeHost, HostRelease, Order
 
 
 class OrderOutcome(enum.Enum):
@@ -249,40 +254,25 @@
         now_s: float,
     ) -> Iterator[tuple[HostRecord, str, Order]]:
         for release in state.releases.values():
-            record = _known_host(table, release.host_id, now_s)
+            record = known_host(table, release.host_id, now_s)
             if record is None or self._has_let_go(release, table, now_s):
                 continue
-            if _may_be_taken_back(release, record, state):
+            if may_be_taken_back(release, record, state):
                 continue
-            yield record, record.announcement.address, _release_order(release)
+            yield record, record.announcement.address, release_order(release)
         for group in budget.most_valuable_first():
             if group.plain or group.phase == PHASE_DRAINING:
                 continue
             for member in group.members:
-                record = _known_host(table, member.host_id, now_s)
+                record = known_host(table, member.host_id, now_s)
                 if record is None or record.boot_id != member.boot_id:
                     continue
                 if not holds_epoch(record, group):
-                    order = self._assign_order(group, member.rank, text)
+                    order = assign_order(
+                        group, member.rank, text, self.weight_store_address
+                    )
                     yield record, member.address, order
 
-    def _assign_order(self, group: Group, rank: int, text: Text) -> Order:
-        service = text.services.get(group.service)
-        return Order(
-            order_id=f"{group.fence}-{rank}",
-            kind=ORDER_ASSIGN,
-            group_id=group.group_id,
-            epoch=group.epoch,
-            fence=group.fence,
-            rank=rank,
-            members=group.members,
-            service=group.service,
-            model=service.model if service is not None else "",
-            version=group.version,
-            adapters=group.adapters,
-            weight_store_address=self.weight_store_address,
-        )
-
     def _take_unannounced(
         self, state: GroupsState, table: MembershipTable, budget: LoadBudget
     ) -> None:
@@ -350,7 +340,7 @@
     def _has_let_go(
         self, release: HostRelease, table: MembershipTable, now_s: float
     ) -> bool:
-        record = _known_host(table, release.host_id, now_s)
+        record = known_host(table, release.host_id, now_s)
         if record is None or record.announcement.HasField("holding"):
             return False
         if record.announcement.fencing:
@@ -363,7 +353,7 @@
             return record.boot_id != release.boot_id
         if now_s < max(sent.loose_until_s, sent.pending_until_s):
             return False
-        if sent.order_id != _release_order_id(release):
+        if sent.order_id != release_order_id(release):
             return record.boot_id != release.boot_id
         is_accepted = sent.accepted_at_s is not None
         return is_accepted and record.heard_at_s > sent.accepted_at_s
@@ -378,41 +368,3 @@
         if table.is_fresh(release.host_id, now_s):
             return False
         return now_unix_ms - release.released_at_unix_ms > RELEASE_RETENTION_MS
-
-
-def _known_host(
-    table: MembershipTable, host_id: str, now_s: float
-) -> HostRecord | None:
-    record = table.host(host_id)
-    if record is None or not record.is_content_current:
-        return None
-    return record if table.is_fresh(host_id, now_s) else None
-
-
-def _may_be_taken_back(
-    release: HostRelease, record: HostRecord, state: GroupsState
-) -> bool:
-    """Tell whether the group that a host left may still want it back.
-
-    A member that returns while its group still forms with a spare keeps its weights
-    until the planner had its say.
-    """
-    group = state.groups.get(release.group_id)
-    if group is None or group.phase != PHASE_FORMING:
-        return False
-    if record.boot_id != release.boot_id or not record.announcement.HasField("holding"):
-        return False
-    return has_weights(record, group, record.announcement.holding.rank)
-
-
-def _release_order_id(release: HostRelease) -> str:
-    return f"{release.fence}-release"
-
-
-def _release_order(release: HostRelease) -> Order:
-    return Order(
-        order_id=_release_order_id(release),
-        kind=ORDER_RELEASE,
-        group_id=release.group_id,
-        fence=release.fence,
-    )
