--- a/benchmarks/groups_repair.py
+++ b/benchmarks/groups_repair.py
@@ -43,6 +43,7 @@
     Deployment("groups of 4, no slack", 3, 20, 4, 15),
     Deployment("groups of 16, 4 spares a domain", 3, 20, 16, 3),
     Deployment("groups of 16, one domain free", 3, 20, 16, 2),
+    Deployment("groups of 16, domains of 16, one free", 3, 16, 16, 2),
 )
 
 
@@ -240,7 +241,7 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", type=int, default=3)
     parser.add_argument("--processes", type=int, default=3)
-    parser.add_argument("--deployments", type=int, nargs="*", default=range(4))
+    parser.add_argument("--deployments", type=int, nargs="*", default=range(5))
     arguments = parser.parse_args()
     jobs = [
         (deployment, name, seed)
