--- a/chestnutvale/consensus/log.py
+++ b/chestnutvale/consensus/log.py
@@ -25,15 +25,18 @@
     """
 
     def __init__(self, stored: StoredState) -> None:
-        self.snapshot = stored.snapshot
-        self.snapshot_size_bytes = stored.snapshot_size_bytes
+        self._begin_after(stored.snapshot, stored.snapshot_size_bytes)
+        self.append(stored.entries)
+
+    def _begin_after(self, snapshot: SnapshotMetadata, size_bytes: int) -> None:
+        self.snapshot = snapshot
+        self.snapshot_size_bytes = size_bytes
+        self.bytes_since_snapshot = 0
         # Index and term just before the first entry in memory.
-        self._base_index = stored.snapshot.index
-        self._base_term = stored.snapshot.term
+        self._base_index = snapshot.index
+        self._base_term = snapshot.term
         self._entries: list[LogEntry] = []
-        self._members = [(stored.snapshot.index, stored.snapshot.members)]
-        self.bytes_since_snapshot = 0
-        self.append(stored.entries)
+        self._members = [(snapshot.index, snapshot.members)]
 
     @property
     def last_index(self) -> int:
@@ -114,4 +117,4 @@
 
     def reset(self, metadata: SnapshotMetadata, size_bytes: int) -> None:
         """Drop all entries in favour of a leader's snapshot."""
-        self.__init__(StoredState(snapshot=metadata, snapshot_size_bytes=size_bytes))
+        self._begin_after(metadata, size_bytes)
