--- a/tests/consensus/driver.py
+++ b/tests/consensus/driver.py
@@ -131,6 +131,7 @@
         self.sync_delay_s = 0.001
         self.tamper = lambda message: None
         self.writes = 0
+        self.installs = 0
         self.crash_at_write = None
         self._queue = []
         self._leader_by_term = {}
@@ -359,6 +360,7 @@
                     self._send(message)
             case Persist() | InstallSnapshot():
                 if isinstance(effect, InstallSnapshot):
+                    self.installs += 1
                     node.machine.value = json.loads(effect.data)
                 self._order(node, effect)
             case TakeSnapshot(metadata):
--- a/tests/consensus/test_histories.py
+++ b/tests/consensus/test_histories.py
@@ -6,6 +6,7 @@
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
 
+from chestnutvale.consensus import leader, log
 from chestnutvale.consensus.bootstrap import Bootstrap
 from chestnutvale.schema.raft_pb2 import Members
 from tests.consensus.driver import Cluster
@@ -34,6 +35,17 @@
     assert cluster.history
 
 
+def test_schedules_with_snapshots_in_many_chunks(monkeypatch):
+    monkeypatch.setattr(leader, "MAX_REPLAY_ENTRIES", 8)
+    monkeypatch.setattr(log, "MAX_REPLAY_ENTRIES", 8)
+    monkeypatch.setattr(leader, "SNAPSHOT_CHUNK_BYTES", 1)
+    installs = 0
+    for number in range(20):
+        drawn = draw_steps(random.Random(number), 25)
+        installs += check_schedule(drawn, number).installs
+    assert installs > 20
+
+
 @seed(4)
 @settings(database=None, deadline=None, max_examples=60)
 @given(steps=steps, number=st.integers(0, 999))
