--- a/chestnutvale/consensus/replication.py
+++ b/chestnutvale/consensus/replication.py
@@ -78,6 +78,8 @@
     def _enter_snapshot(self, member_id: str, progress: Progress, now_s: float) -> None:
         progress.start_snapshot(self._core.log.snapshot.index)
         if not self._core.leader.is_snapshot_fresh(self._core.commit_index):
+            # The snapshot to come covers at least what is committed now.
+            progress.start_snapshot(self._core.commit_index)
             progress.chunk_retry_at_s = math.inf
             self._core.leader.is_snapshot_wanted = True
         elif self._is_alive(progress, now_s):
--- a/tests/consensus/test_mechanisms.py
+++ b/tests/consensus/test_mechanisms.py
@@ -382,7 +382,8 @@
         survive_a_second_loss(False, lose)
 
 
-def count_replayed(cluster):
+def count_replayed(doubling=0.0):
+    cluster = Cluster(seed=12)
     leader = cluster.wait_for_leader()
     late = others_of(cluster, leader)[0]
     cluster.crash(late)
@@ -390,6 +391,7 @@
         cluster.ask(leader, "write", value)
         cluster.run(0.01)
     cluster.sent.clear()
+    cluster.doubling = doubling
     cluster.start(late)
     cluster.run(3.0)
     assert cluster.nodes[late].machine.value == 499
@@ -399,11 +401,15 @@
     return len(snapshots), entries
 
 
+def test_doubled_answers_do_not_turn_a_snapshot_into_a_replay():
+    assert count_replayed(doubling=1.0)[1] < 10
+
+
 def test_500_missed_entries_are_one_snapshot(monkeypatch):
-    snapshots, entries = count_replayed(Cluster(seed=12))
+    snapshots, entries = count_replayed()
     assert snapshots == 1
     assert entries < 10
     monkeypatch.setattr(Leader, "needs_snapshot", lambda *arguments: False)
-    snapshots, entries = count_replayed(Cluster(seed=12))
+    snapshots, entries = count_replayed()
     assert snapshots == 0
     assert entries >= 500
--- a/tests/consensus/test_task.py
+++ b/tests/consensus/test_task.py
@@ -269,3 +269,23 @@
     with pytest.raises(NotLeaderError):
         propose(control, "c")
     assert control.machine.hosts == ["a"]
+
+
+def test_a_control_back_after_500_changes_restores_a_snapshot(make_controls):
+    controls = make_controls(3)
+    leader = start_all(controls)
+    late = next(c for c in controls if c is not leader)
+    late.stop()
+    # Until it counts as silent, entries for it wait in the socket.
+    eventlet.sleep(1.0)
+    # Names of 1 KB make the state larger than one chunk of the snapshot.
+    hosts = [f"{number}".rjust(1_000, "h") for number in range(500)]
+    pool = eventlet.GreenPool()
+    list(pool.starmap(propose, [(leader, host) for host in hosts]))
+    late.start()
+    wait_until(lambda: len(late.machine.hosts) == 500)
+    assert sorted(late.machine.hosts) == sorted(hosts)
+    assert late.task.status()["snapshot_index"] > 400
+    late.stop()
+    late.start()
+    assert len(late.machine.hosts) >= 400
