Bound the work that a hostile or huge text can cause

Cause: trials of large texts (process time): 3,000 unknown names 54 s, 15,000 rules of one service 182 s, a chain of 2,000 dependencies 3.7 s at each install on an entry, 4 MB of list 9.3 s; each would stop the leader's heartbeats or an entry's reports. Change: at most 10 hints and 200 rules a service, 1 MiB a text, dependencies worked out when first asked for, a set beside the trail of the cycle search, and texts beyond 10,000 characters are checked in a thread beside the hub. Tests count searches and graph walks, not time; both fail with the old code (more than 10 searches; every service asked).

--- a/chestnutvale/configuration/checks.py
+++ b/chestnutvale/configuration/checks.py
@@ -7,6 +7,7 @@
     KIND_MODEL,
     KINDS,
     MAX_BODY_BYTES,
+    MAX_CALL_RULES,
     MAX_DEADLINE_MS,
     MAX_GROUPS,
     MAX_HOSTS_PER_GROUP,
@@ -20,7 +21,7 @@
 )
 from chestnutvale.configuration.dependencies import find_cycle
 from chestnutvale.configuration.line_index import Path
-from chestnutvale.configuration.report import ProblemReport, suggest
+from chestnutvale.configuration.report import ProblemReport
 from chestnutvale.schema.configuration_pb2 import CallRule, Service, Text, Workspace
 
 _NAME = re.compile(r"[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?")
@@ -95,7 +96,7 @@
     if service.kind not in KINDS:
         report.add(
             (*path, "kind"),
-            f"must be one of {', '.join(KINDS)}{suggest(service.kind, KINDS)}",
+            f"must be one of {', '.join(KINDS)}{report.suggest(service.kind, KINDS)}",
         )
     elif service.kind == KIND_MODEL:
         _check_model_service(service, path, report)
@@ -126,6 +127,9 @@
             report.add((*path, field), "only a model service has it")
     if service.hosts_per_group > 1:
         report.add((*path, "hosts_per_group"), "a plain service runs on single hosts")
+    if len(service.calls) > MAX_CALL_RULES:
+        report.add((*path, "calls"), f"holds more than {MAX_CALL_RULES} rules")
+        return
     for position, rule in enumerate(service.calls):
         place = (*path, "calls", position)
         _check_call_rule(rule, place, report)
@@ -137,7 +141,7 @@
         report.add(
             (*path, "method"),
             f"must be one of {', '.join(sorted(METHODS))}"
-            f"{suggest(rule.method.upper(), METHODS)}",
+            f"{report.suggest(rule.method.upper(), METHODS)}",
         )
     if not rule.path_prefix.startswith("/"):
         report.add((*path, "path_prefix"), "must begin with '/'")
@@ -172,7 +176,7 @@
 ) -> None:
     for name in names:
         if name not in text.services:
-            hint = suggest(name, text.services)
+            hint = report.suggest(name, text.services)
             report.add(path, f"unknown service {name!r}{hint}")
 
 
--- a/chestnutvale/configuration/dependencies.py
+++ b/chestnutvale/configuration/dependencies.py
@@ -31,16 +31,20 @@
     if root in finished:
         return ()
     trail = [root]
+    on_trail = {root}
     pending = [iter(sorted(graph[root]))]
     while trail:
         name = next(pending[-1], None)
         if name is None:
-            finished.add(trail.pop())
+            done = trail.pop()
+            on_trail.remove(done)
+            finished.add(done)
             pending.pop()
-        elif name in trail:
+        elif name in on_trail:
             return (*trail[trail.index(name) :], name)
         elif name in graph and name not in finished:
             trail.append(name)
+            on_trail.add(name)
             pending.append(iter(sorted(graph[name])))
     return ()
 
--- a/chestnutvale/configuration/lookup.py
+++ b/chestnutvale/configuration/lookup.py
@@ -86,8 +86,9 @@
     services: dict[str, Service]
     workspaces: dict[str, WorkspaceEntry]
     start_order: tuple[str, ...]
-    _dependencies: dict[str, frozenset[str]]
+    _graph: dict[str, tuple[str, ...]]
     _keys: dict[bytes, list[tuple[bytes, str]]]
+    _known_needed: dict[str, frozenset[str]] = attrs.field(factory=dict)
 
     @classmethod
     def from_text(cls, text: Text) -> Self:
@@ -104,7 +105,7 @@
             The views.
         """
         services = dict(text.services.items())
-        graph = {name: service.depends_on for name, service in services.items()}
+        graph = {name: tuple(item.depends_on) for name, item in services.items()}
         return cls(
             number=text.number,
             services=services,
@@ -115,7 +116,7 @@
                 for name, workspace in text.workspaces.items()
             },
             start_order=start_order(graph),
-            dependencies={name: all_dependencies(name, graph) for name in graph},
+            graph=graph,
             keys=_index_keys(dict(text.workspaces.items())),
         )
 
@@ -187,13 +188,20 @@
         tuple of str
             Direct and indirect dependencies that are down, in order of start.
         """
-        needed = self._dependencies.get(service, frozenset())
-        if not needed:
+        if not self._graph.get(service):
             return ()
+        needed = self._needed(service)
         return tuple(
             name for name in self.start_order if name in needed and name not in serving
         )
 
+    def _needed(self, service: str) -> frozenset[str]:
+        # Worked out when first asked for: in a deep graph all of them together would
+        # take seconds.
+        if service not in self._known_needed:
+            self._known_needed[service] = all_dependencies(service, self._graph)
+        return self._known_needed[service]
+
 
 def _index_keys(
     workspaces: dict[str, Workspace],
--- a/chestnutvale/configuration/report.py
+++ b/chestnutvale/configuration/report.py
@@ -3,6 +3,7 @@
 import difflib
 from collections.abc import Iterable
 
+from chestnutvale.configuration.const import MAX_HINTS
 from chestnutvale.configuration.exceptions import TextError, TextProblem
 from chestnutvale.configuration.line_index import LineIndex, Path
 
@@ -29,25 +30,6 @@
     return text.removeprefix(".")
 
 
-def suggest(name: str, known: Iterable[str]) -> str:
-    """Return a hint with the nearest known name.
-
-    Parameters
-    ----------
-    name : str
-        The unknown name.
-    known : iterable of str
-        The names that would do.
-
-    Returns
-    -------
-    str
-        The hint, or an empty string if no name is near.
-    """
-    nearest = difflib.get_close_matches(name, list(known), n=1)
-    return f"; did you mean {nearest[0]!r}?" if nearest else ""
-
-
 class ProblemReport:
     """The problems of one text.
 
@@ -60,6 +42,7 @@
     def __init__(self, lines: LineIndex) -> None:
         self._lines = lines
         self._problems: list[TextProblem] = []
+        self._hints_left = MAX_HINTS
 
     def add(self, path: Path, reason: str, line: int | None = None) -> None:
         """Add a problem.
@@ -76,6 +59,27 @@
         place = self._lines.line(path) if line is None else line
         self._problems.append(TextProblem(place, format_path(path), reason))
 
+    def suggest(self, name: str, known: Iterable[str]) -> str:
+        """Return a hint with the nearest known name.
+
+        Parameters
+        ----------
+        name : str
+            The unknown name.
+        known : iterable of str
+            The names that would do.
+
+        Returns
+        -------
+        str
+            The hint; empty if no name is near or enough hints were given.
+        """
+        if self._hints_left <= 0:
+            return ""
+        self._hints_left -= 1
+        nearest = difflib.get_close_matches(name, list(known), n=1)
+        return f"; did you mean {nearest[0]!r}?" if nearest else ""
+
     def raise_if_any(self) -> None:
         """Raise the problems collected so far.
 
--- a/chestnutvale/configuration/schema_reader.py
+++ b/chestnutvale/configuration/schema_reader.py
@@ -7,7 +7,7 @@
 
 from chestnutvale.configuration.const import MAX_STRING_LENGTH
 from chestnutvale.configuration.line_index import Path
-from chestnutvale.configuration.report import ProblemReport, suggest
+from chestnutvale.configuration.report import ProblemReport
 
 _UNSIGNED_BITS = {
     FieldDescriptor.TYPE_UINT32: 32,
@@ -39,7 +39,7 @@
     for name, value in data.items():
         field = fields.get(name)
         if field is None:
-            report.add((*path, name), f"unknown field{suggest(name, fields)}")
+            report.add((*path, name), f"unknown field{report.suggest(name, fields)}")
         else:
             _read_field(value, message, field, (*path, name), report)
 
--- a/chestnutvale/programs/control/operator_api.py
+++ b/chestnutvale/programs/control/operator_api.py
@@ -5,10 +5,11 @@
 """
 
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any, TypeVar
 
 import logbook
+from eventlet import tpool
 from google.protobuf import json_format
 from google.protobuf.message import Message
 
@@ -50,6 +51,7 @@
     PATH_VOTERS,
     QUERY_LOCAL,
     RETRY_AFTER_S,
+    SMALL_TEXT_CHARACTERS,
     STEP_OPERATOR,
     STEP_PROPOSE,
 )
@@ -161,11 +163,11 @@
 
     def _apply_text(self, environ: Environ, deadline_s: float) -> Answer:
         raw = _read_text(environ)
-        text = parse_text(raw)
+        text = _parse(raw)
         digest = text_digest(text)
         # A resend must get its first answer, also if hosts have gone since.
         if not self._node.is_accepted(text.number, digest):
-            parse_text(raw, self._node.fabric_domain_hosts())
+            _parse(raw, self._node.fabric_domain_hosts())
         operator = _operator_name(environ)
         command = ApplyText(text=text, digest=digest, operator=operator)
         result = self._node.apply_text(command, deadline_s)
@@ -204,7 +206,7 @@
         return message_to_data(self._node.read_configuration(deadline_s).text)
 
     def _plan(self, environ: Environ, deadline_s: float) -> Answer:
-        text = parse_text(_read_text(environ), self._node.fabric_domain_hosts())
+        text = _parse(_read_text(environ), self._node.fabric_domain_hosts())
         in_force = self._node.read_configuration(deadline_s)
         accepted = self._node.is_accepted(text.number, text_digest(text))
         return message_to_data(plan_change(in_force.text, text, accepted))
@@ -362,6 +364,13 @@
         raise _refusal(400, CODE_BAD_REQUEST, "the text is not UTF-8") from error
 
 
+def _parse(raw: str, domain_hosts: Mapping[str, int] | None = None) -> Text:
+    if len(raw) <= SMALL_TEXT_CHARACTERS:
+        return parse_text(raw, domain_hosts)
+    # The leader's heartbeats go on while a large text is checked.
+    return tpool.execute(parse_text, raw, domain_hosts)
+
+
 def _read_message(environ: Environ, message: MessageT) -> MessageT:
     body = _read_body(environ, MAX_REQUEST_BYTES)
     try:
--- a/chestnutvale/programs/control/operator_const.py
+++ b/chestnutvale/programs/control/operator_const.py
@@ -17,6 +17,8 @@
 MAX_OPERATOR_LENGTH: Final = 128
 DEFAULT_DEADLINE_MS: Final = 5_000
 MAX_DEADLINE_MS: Final = 60_000
+# Longer texts are checked in a thread beside the hub.
+SMALL_TEXT_CHARACTERS: Final = 10_000
 MAX_REQUEST_BYTES: Final = 16 * 1024
 
 CODE_UNAUTHORISED: Final = "unauthorised"
--- a/tests/configuration/test_lookup.py
+++ b/tests/configuration/test_lookup.py
@@ -2,9 +2,11 @@
 
 import pytest
 
+from chestnutvale.configuration import lookup as lookup_module
 from chestnutvale.configuration.dependencies import find_cycle, start_order
 from chestnutvale.configuration.lookup import TextLookup
 from chestnutvale.configuration.parser import parse_text
+from chestnutvale.schema.configuration_pb2 import Text
 
 
 @pytest.fixture
@@ -49,6 +51,26 @@
     assert lookup.missing_dependencies("ledger", set()) == ()
 
 
+def test_a_deep_graph_is_not_worked_out_for_every_service(monkeypatch):
+    text = Text(number=1)
+    for number in range(300):
+        text.services[f"s{number}"].depends_on.append(f"s{number + 1}")
+    text.services["s300"].kind = "plain"
+    asked = []
+    original = lookup_module.all_dependencies
+
+    def count(name, graph):
+        asked.append(name)
+        return original(name, graph)
+
+    monkeypatch.setattr(lookup_module, "all_dependencies", count)
+    lookup = TextLookup.from_text(text)
+    assert lookup.missing_dependencies("s300", ()) == ()
+    for _ in range(3):
+        assert len(lookup.missing_dependencies("s0", {"s300"})) == 299
+    assert asked == ["s0"]
+
+
 def test_indirect_dependencies_and_deep_graphs():
     graph = {f"s{n}": [f"s{n + 1}"] for n in range(5_000)} | {"s5000": []}
     assert find_cycle(graph) == ()
--- a/tests/configuration/test_parser.py
+++ b/tests/configuration/test_parser.py
@@ -117,6 +117,13 @@
     assert "begin with '/'" in reasons[2]
 
 
+def test_too_many_rules(base, write_text):
+    rule = {"method": "GET", "path_prefix": "/"}
+    base["services"]["ledger"]["calls"] = [rule] * 201
+    (problem,) = refused(write_text(base))
+    assert problem.path == "services.ledger.calls"
+
+
 def test_a_key_belongs_to_one_workspace(base, write_text):
     keys = base["workspaces"]["south"]["key_sha256"]
     base["workspaces"]["north"]["key_sha256"] += keys
@@ -149,6 +156,17 @@
     assert reason in problem.reason
 
 
+def test_the_search_for_near_names_is_bounded(monkeypatch):
+    searches = []
+    monkeypatch.setattr(
+        "chestnutvale.configuration.report.difflib.get_close_matches",
+        lambda *arguments, n: searches.append(arguments) or [],
+    )
+    services = {f"s{n}": {"kind": "plian", "grups": n} for n in range(500)}
+    assert len(refused(json.dumps({"number": 1, "services": services}))) == 100
+    assert len(searches) == 10
+
+
 JSON_VALUES = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
     lambda inner: (
--- a/tests/programs/control/test_operator_api.py
+++ b/tests/programs/control/test_operator_api.py
@@ -75,7 +75,7 @@
     [
         ("text", b"\xff\xfe", 400),
         ("text", b'{"number": 0}', 400),
-        ("text", b" " * (4 * 1024 * 1024 + 1), 413),
+        ("text", b" " * (1024 * 1024 + 1), 413),
         ("drain", b"{", 400),
         ("drain", b'{"host_id": ""}', 400),
         ("drain", b'{"host": "h"}', 400),
