--- a/chestnutvale/programs/client/main.py
+++ b/chestnutvale/programs/client/main.py
@@ -81,6 +81,9 @@
         return call()
     except ChestnutError as error:
         return _report(error)
+    except KeyboardInterrupt:
+        _print_error("interrupted: a change may have been made; run it again")
+        return ExitCode.OUTCOME_UNKNOWN
 
 
 def main() -> None:
--- a/tests/programs/client/test_commands.py
+++ b/tests/programs/client/test_commands.py
@@ -6,6 +6,7 @@
 import pytest
 from eventlet import tpool
 
+from chestnutvale.programs.client.controls import ControlsClient
 from chestnutvale.programs.client.main import run
 from chestnutvale.settings.client import load_client_settings
 from chestnutvale.settings.control import load_control_settings
@@ -187,6 +188,17 @@
     assert run(["--settings", path]) == 64
 
 
+def test_an_interrupted_change_is_unknown(
+    chestnut, text_file, controls, cluster, monkeypatch, capsys
+):
+    def interrupt(self, *arguments, **keywords):
+        raise KeyboardInterrupt
+
+    monkeypatch.setattr(ControlsClient, "call", interrupt)
+    code, _, err = chestnut("apply", text_file(1))
+    assert (code, "run it again" in err) == (6, True)
+
+
 def test_missing_settings(tmp_path, capsys, monkeypatch):
     monkeypatch.setenv("CHESTNUT_SETTINGS", str(tmp_path / "none.json"))
     assert run(["status"]) == 7
