Divide the capacity by urgent demand first

Change: reports tell which tokens are urgent (WorkspaceDemand.urgent_tokens, new field); urgent demand is met first, fairly between workspaces and up to the urgent share, then the rest by max-min fairness above those floors.

--- a/chestnutvale/admission/controller.py
+++ b/chestnutvale/admission/controller.py
@@ -175,9 +175,9 @@
     def demand(self) -> list[Demand]:
         """Return reserved and queued tokens per service and workspace."""
         return largest_demands(
-            Demand(name, workspace, tokens)
+            demand
             for name, service in self._services.items()
-            for workspace, tokens in service.demand().items()
+            for demand in service.demand(name)
         )
 
     def reserved_tokens(self, service: str) -> int:
@@ -195,8 +195,8 @@
         return list(effects)
 
 
-def _by_service(demands: Iterable[Demand]) -> dict[str, dict[str, int]]:
-    sorted_out: dict[str, dict[str, int]] = {}
+def _by_service(demands: Iterable[Demand]) -> dict[str, dict[str, Demand]]:
+    sorted_out: dict[str, dict[str, Demand]] = {}
     for demand in demands:
-        sorted_out.setdefault(demand.service, {})[demand.workspace] = demand.tokens
+        sorted_out.setdefault(demand.service, {})[demand.workspace] = demand
     return sorted_out
--- a/chestnutvale/admission/demand.py
+++ b/chestnutvale/admission/demand.py
@@ -58,9 +58,19 @@
         """Return the demand per service and workspace over all live entries."""
         live = {k: r for k, r in self._reports.items() if r.expires_s > now_s}
         self._reports = live
-        sums: dict[tuple[str, str], int] = {}
+        sums: dict[tuple[str, str], Demand] = {}
         for report in live.values():
             for demand in report.demands:
                 key = (demand.service, demand.workspace)
-                sums[key] = sums.get(key, 0) + demand.tokens
-        return [Demand(service, name, n) for (service, name), n in sums.items()]
+                known = sums.get(key)
+                sums[key] = demand if known is None else _add(known, demand)
+        return list(sums.values())
+
+
+def _add(one: Demand, other: Demand) -> Demand:
+    return Demand(
+        one.service,
+        one.workspace,
+        one.tokens + other.tokens,
+        one.urgent_tokens + other.urgent_tokens,
+    )
--- a/chestnutvale/admission/messages.py
+++ b/chestnutvale/admission/messages.py
@@ -95,13 +95,14 @@
     ----------
     service, workspace : str
         Whose demand it is.
-    tokens : int
-        Reserved and queued tokens.
+    tokens, urgent_tokens : int
+        Reserved and queued tokens, and those of them that are urgent.
     """
 
     service: str
     workspace: str
     tokens: int
+    urgent_tokens: int = 0
 
 
 @attrs.frozen
--- a/chestnutvale/admission/service.py
+++ b/chestnutvale/admission/service.py
@@ -1,5 +1,6 @@
 """Admission to one service at one entry."""
 
+from collections import Counter
 from collections.abc import Mapping
 
 import attrs
@@ -21,6 +22,7 @@
 from chestnutvale.admission.messages import (
     AdmissionRequest,
     Admit,
+    Demand,
     Effect,
     Queue,
     Refuse,
@@ -29,7 +31,7 @@
 )
 from chestnutvale.admission.pacing import Pace, RetryPacer
 from chestnutvale.admission.prediction import TokenPredictor
-from chestnutvale.admission.sharing import divide_between_entries
+from chestnutvale.admission.sharing import Division, divide_between_entries
 from chestnutvale.admission.waiting import FairQueue, Waiter
 
 
@@ -72,8 +74,9 @@
     weights: Mapping[str, float] = attrs.field(factory=dict)
     capacity: ServiceCapacity = ServiceCapacity(0, 0)
     entry_count: int = 1
-    own_demand: dict[str, int] = attrs.field(factory=dict)
-    total_demand: dict[str, int] = attrs.field(factory=dict)
+    division: Division = Division()
+    own_demand: dict[str, Demand] = attrs.field(factory=dict)
+    total_demand: dict[str, Demand] = attrs.field(factory=dict)
     predictor: TokenPredictor = attrs.field(factory=TokenPredictor)
     queue: FairQueue = attrs.field(factory=FairQueue)
     running: dict[str, Running] = attrs.field(factory=dict)
@@ -90,7 +93,7 @@
     def set_capacity(self, capacity: ServiceCapacity, now_s: float) -> None:
         """Take a report of what the serving groups have and use."""
         self.capacity = self._with_known_memory(capacity)
-        total = sum(self.total_demand.values())
+        total = sum(demand.tokens for demand in self.total_demand.values())
         self.commitment.update(self.capacity, total, now_s)
         self.update_shares()
 
@@ -102,6 +105,7 @@
             self.total_demand,
             self.weights,
             self.entry_count,
+            attrs.evolve(self.division, urgent_share=self.limits.urgent_share),
         )
         self.limit = sum(parts.values())
         self.queue.weights = {name: max(part, 1e-6) for name, part in parts.items()}
@@ -200,16 +204,17 @@
             self._reserve(request.priority, waiter.cost)
             effects.append(Admit(request.request_id, waiter.cost))
 
-    def demand(self) -> dict[str, int]:
-        """Return reserved and queued tokens per workspace."""
-        tokens: dict[str, int] = {}
-        for entry in self.running.values():
-            name = entry.request.workspace
-            tokens[name] = tokens.get(name, 0) + entry.reserved
-        for waiter in self.queue:
-            name = waiter.request.workspace
-            tokens[name] = tokens.get(name, 0) + waiter.cost
-        return tokens
+    def demand(self, name: str) -> list[Demand]:
+        """Return reserved and queued tokens per workspace of service `name`."""
+        tokens: Counter[str] = Counter()
+        urgent: Counter[str] = Counter()
+        held = [(entry.request, entry.reserved) for entry in self.running.values()]
+        held += [(waiter.request, waiter.cost) for waiter in self.queue]
+        for request, cost in held:
+            tokens[request.workspace] += cost
+            if request.priority == PRIORITY_URGENT:
+                urgent[request.workspace] += cost
+        return [Demand(name, key, count, urgent[key]) for key, count in tokens.items()]
 
     def _capacity_units(self) -> float:
         if self._is_plain():
--- a/chestnutvale/admission/sharing.py
+++ b/chestnutvale/admission/sharing.py
@@ -2,7 +2,12 @@
 
 from collections.abc import Mapping
 
-from chestnutvale.admission.const import EVEN_SHARE
+import attrs
+
+from chestnutvale.admission.const import DEFAULT_URGENT_SHARE, EVEN_SHARE
+from chestnutvale.admission.messages import Demand
+
+NO_DEMAND = Demand("", "", 0)
 
 
 def divide_capacity(
@@ -24,25 +29,75 @@
     dict of str to float
         Share of each workspace; none is above its demand.
     """
-    shares: dict[str, float] = {}
-    left = capacity
-    weight_left = sum(weights[name] for name in demands)
-    by_need = sorted(demands, key=lambda name: (demands[name] / weights[name], name))
-    for name in by_need:
-        fair = left * weights[name] / weight_left
-        shares[name] = min(demands[name], fair)
-        left -= shares[name]
-        weight_left -= weights[name]
+    return divide_above(capacity, dict.fromkeys(demands, 0.0), demands, weights)
+
+
+def divide_above(
+    capacity: float,
+    floors: Mapping[str, float],
+    demands: Mapping[str, float],
+    weights: Mapping[str, float],
+) -> dict[str, float]:
+    """Divide a capacity by weighted max-min fairness above given floors.
+
+    Parameters
+    ----------
+    capacity : float
+        What there is to divide, in tokens; at least the sum of the floors.
+    floors, demands : mapping of str to float
+        Tokens that each workspace gets in any case, and that it asks for.
+    weights : mapping of str to float
+        Weight of each workspace, above zero.
+
+    Returns
+    -------
+    dict of str to float
+        Share of each workspace, between its floor and its demand.
+    """
+    # A workspace gains between two levels of share over weight.
+    starts = {name: floors[name] / weights[name] for name in demands}
+    ends = {name: demands[name] / weights[name] for name in demands}
+    levels = sorted({*starts.values(), *ends.values()})
+    left = capacity - sum(floors[name] for name in demands)
+    shares = {name: floors[name] for name in demands}
+    for low, high in zip(levels, levels[1:], strict=False):
+        gaining = [name for name in demands if starts[name] <= low < ends[name]]
+        weight_sum = sum(weights[name] for name in gaining)
+        if not weight_sum:
+            continue
+        rise = min(high - low, left / weight_sum)
+        for name in gaining:
+            grown = shares[name] + rise * weights[name]
+            shares[name] = min(grown, demands[name])
+        left -= rise * weight_sum
+        if left <= 0:
+            break
     return shares
 
 
+@attrs.frozen
+class Division:
+    """How a service's capacity is divided.
+
+    Attributes
+    ----------
+    urgent_share : float
+        Share of the capacity that urgent demand gets before the rest.
+    even_share : float
+        Share that is divided evenly between entries, whatever the demand.
+    """
+
+    urgent_share: float = DEFAULT_URGENT_SHARE
+    even_share: float = EVEN_SHARE
+
+
 def divide_between_entries(
     capacity: float,
-    own: Mapping[str, float],
-    total: Mapping[str, float],
+    own: Mapping[str, Demand],
+    total: Mapping[str, Demand],
     weights: Mapping[str, float],
     entry_count: int,
-    even_share: float = EVEN_SHARE,
+    division: Division,
 ) -> dict[str, float]:
     """Return this entry's part of the capacity per workspace.
 
@@ -54,30 +109,47 @@
     ----------
     capacity : float
         Capacity of the service in tokens.
-    own, total : mapping of str to float
-        Demand in tokens per workspace: as this entry last reported it, and as
-        summed over all entries.
+    own, total : mapping of str to Demand
+        Demand per workspace: as this entry last reported it, and as summed
+        over all entries.
     weights : mapping of str to float
         Weight of each workspace.
     entry_count : int
         Live entries.
-    even_share : float
-        Share of the capacity that is divided evenly between entries.
+    division : Division
+        How to divide.
 
     Returns
     -------
     dict of str to float
         Tokens per workspace, for each workspace in `weights`.
     """
-    active = {name: tokens for name, tokens in total.items() if name in weights}
-    fair = divide_capacity(capacity, active, weights)
+    active = {name: demand for name, demand in total.items() if name in weights}
+    urgent = {name: float(d.urgent_tokens) for name, d in active.items()}
+    wanted = {name: float(d.tokens) for name, d in active.items()}
+    floors = divide_capacity(division.urgent_share * capacity, urgent, weights)
+    fair = divide_above(capacity, floors, wanted, weights)
     spare = capacity - sum(fair.values())
+    even = division.even_share * capacity + (1 - division.even_share) * spare
     weight_sum = sum(weights.values())
     parts = {}
     for name, weight in weights.items():
-        even = (even_share * capacity + (1 - even_share) * spare) * weight / weight_sum
-        demand = total.get(name, 0.0)
-        asked = min(1.0, own.get(name, 0.0) / demand) if demand else 0.0
-        part = (1 - even_share) * fair.get(name, 0.0) * asked
-        parts[name] = part + even / entry_count
+        demand = total.get(name, NO_DEMAND)
+        mine = own.get(name, NO_DEMAND)
+        floor = floors.get(name, 0.0)
+        part = floor * _ratio(mine.urgent_tokens, demand.urgent_tokens)
+        part += (fair.get(name, 0.0) - floor) * _ratio_above(mine, demand)
+        parts[name] = (1 - division.even_share) * part
+        parts[name] += even * weight / weight_sum / entry_count
     return parts
+
+
+def _ratio(part: int, whole: int) -> float:
+    return min(1.0, part / whole) if whole > 0 else 0.0
+
+
+def _ratio_above(own: Demand, total: Demand) -> float:
+    """Return the entry's part of what a workspace gets above its floor."""
+    if total.tokens == total.urgent_tokens:
+        return _ratio(own.urgent_tokens, total.urgent_tokens)
+    return _ratio(own.tokens - own.urgent_tokens, total.tokens - total.urgent_tokens)
--- a/chestnutvale/admission/wire.py
+++ b/chestnutvale/admission/wire.py
@@ -21,7 +21,10 @@
     """
     return [
         WorkspaceDemand(
-            service=item.service, workspace=item.workspace, tokens=item.tokens
+            service=item.service,
+            workspace=item.workspace,
+            tokens=item.tokens,
+            urgent_tokens=item.urgent_tokens,
         )
         for item in demands
     ]
@@ -40,4 +43,7 @@
     list of Demand
         The demands.
     """
-    return [Demand(item.service, item.workspace, item.tokens) for item in messages]
+    return [
+        Demand(item.service, item.workspace, item.tokens, item.urgent_tokens)
+        for item in messages
+    ]
