--- a/chestnutvale/programs/entry/intake.py
+++ b/chestnutvale/programs/entry/intake.py
@@ -7,6 +7,7 @@
 from chestnutvale.attempts.const import (
     DEFAULT_RETRY_AFTER_S,
     OUTCOME_NOT_RUN,
+    OUTCOME_UNKNOWN,
 )
 from chestnutvale.attempts.events import Failure
 from chestnutvale.programs.entry.context import (
@@ -150,6 +151,8 @@
     """
     workspace = context.authenticate(environ)
     if workspace is None:
+        # An entry that has just started knows no keys yet.
+        check_lease(context, outcome_without_ledger(environ))
         raise refuse("unauthorized", "the key is missing or unknown")
     priority = environ.get("HTTP_X_PRIORITY", PRIORITY_NORMAL).strip().lower()
     if priority not in PRIORITIES:
@@ -234,6 +237,23 @@
     return body
 
 
+def outcome_without_ledger(environ: dict[str, Any]) -> str:
+    """Return what may be said of a call before the ledger was asked.
+
+    Parameters
+    ----------
+    environ : dict
+        The WSGI environment.
+
+    Returns
+    -------
+    str
+        ``unknown`` for a call with a key, which may have run before.
+    """
+    has_key = bool(environ.get("HTTP_IDEMPOTENCY_KEY", "").strip())
+    return OUTCOME_UNKNOWN if has_key else OUTCOME_NOT_RUN
+
+
 def check_lease(context: CallContext, outcome: str = OUTCOME_NOT_RUN) -> None:
     """Check that the entry may take calls.
 
--- a/chestnutvale/programs/entry/service_calls.py
+++ b/chestnutvale/programs/entry/service_calls.py
@@ -22,6 +22,7 @@
     Intake,
     check_lease,
     find_service,
+    outcome_without_ledger,
     read_body,
     read_intake,
 )
@@ -97,12 +98,12 @@
         context = self._context
         intake = read_intake(context, environ, request_id)
         request = read_service_request(environ)
+        check_lease(context, outcome_without_ledger(environ))
         service = find_service(context, intake, request.service, KIND_PLAIN)
         repeatable = is_repeatable(service, request)
         # Until the ledger was asked, an earlier call with the key may have run.
         has_claim = bool(request.key) and not repeatable
         outcome = OUTCOME_UNKNOWN if has_claim else OUTCOME_NOT_RUN
-        check_lease(context, outcome)
         limits = service.limits
         body = read_body(environ, limits.max_body_bytes or DEFAULT_MAX_BODY_BYTES)
         call_request = CallRequest(
--- a/tests/programs/entry/test_service_calls.py
+++ b/tests/programs/entry/test_service_calls.py
@@ -191,6 +191,16 @@
     assert "retry-after" in headers
 
 
+@pytest.mark.parametrize("key", [KEY, {}])
+def test_entry_that_has_just_started_sends_nobody_away_for_good(entries, key):
+    entries[0].context.lease = False
+    entries[0].context.text.Clear()
+    status, headers, answer = post(entries[0].address, POSTINGS, b"10", **key)
+    outcome = OUTCOME_UNKNOWN if key else OUTCOME_NOT_RUN
+    assert (status, json.loads(answer)["outcome"]) == (503, outcome)
+    assert "retry-after" in headers
+
+
 def test_abandoned_claim_is_unknown_until_its_answer_is_recorded(entries, service):
     service.pause_s = 0.2
     first = eventlet.spawn(post, entries[0].address, POSTINGS, b"10", **KEY)
