--- a/chestnutvale/attempts/const.py
+++ b/chestnutvale/attempts/const.py
@@ -73,6 +73,8 @@
 
 # Time in seconds after which to ask again about a call that runs.
 RUNNING_RETRY_AFTER_S: Final = 1.0
+# Time in seconds after which a full ledger may have forgotten old keys.
+LEDGER_FULL_RETRY_AFTER_S: Final = 60.0
 # Time in seconds after its deadline for which a sent call waits for its answer;
 # shorter than the ledger's grace for an overdue claim.
 SERVICE_LINGER_S: Final = 20.0
--- a/chestnutvale/attempts/service_call.py
+++ b/chestnutvale/attempts/service_call.py
@@ -12,6 +12,7 @@
     CODE_REFUSED,
     CODE_RETRY_BUDGET,
     DEFAULT_RETRY_AFTER_S,
+    LEDGER_FULL_RETRY_AFTER_S,
     MAX_ATTEMPTS,
     OUTCOME_FAILED,
     OUTCOME_NOT_RUN,
@@ -223,7 +224,7 @@
                 "ledger_full",
                 "no further key can be recorded now",
                 step=STEP_CLAIM,
-                retry_after_s=DEFAULT_RETRY_AFTER_S,
+                retry_after_s=LEDGER_FULL_RETRY_AFTER_S,
             )
         return self._fail(
             "outcome_unknown",
