--- a/benchmarks/models/figures.py
+++ b/benchmarks/models/figures.py
@@ -1,6 +1,7 @@
 """Turns the calls of a run into figures."""
 
 from collections import Counter
+from statistics import mean
 
 import attrs
 
@@ -29,6 +30,8 @@
         Mean share of KV memory.
     preemptions : int
         Requests that engines threw out for lack of KV memory.
+    evictions : int
+        Those of them that gave way to a higher class.
     prefix_hits : float
         Share of starts that found their prefix cached.
     wasted : float
@@ -49,6 +52,7 @@
     kv_used: float
     kv_reserved: float
     preemptions: int
+    evictions: int
     prefix_hits: float
     wasted: float
     attempts: float
@@ -81,6 +85,7 @@
         kv_used=counts.kv_used / counts.kv_samples,
         kv_reserved=counts.kv_reserved / counts.kv_samples,
         preemptions=sum(engine.preemptions for engine in engines),
+        evictions=sum(engine.evictions for engine in engines),
         prefix_hits=sum(engine.prefix_hits for engine in engines) / max(1, asks),
         wasted=lost / max(1.0, lost + counts.useful_tokens),
         attempts=counts.attempts / max(1, counts.admitted),
@@ -88,6 +93,18 @@
     )
 
 
+def average(rows: list[tuple[str, Figures]]) -> list[tuple[str, Figures]]:
+    """Return the mean of the rows that have the same name."""
+    by_name: dict[str, list[Figures]] = {}
+    for name, figures in rows:
+        by_name.setdefault(name, []).append(figures)
+    fields = [field.name for field in attrs.fields(Figures)]
+    return [
+        (name, Figures(*(mean(getattr(f, field) for f in several) for field in fields)))
+        for name, several in by_name.items()
+    ]
+
+
 def table(rows: list[tuple[str, Figures]]) -> str:
     """Return the figures as lines of text, a row a run."""
     names = [field.name for field in attrs.fields(Figures)]
--- a/chestnutvale/membership/const.py
+++ b/chestnutvale/membership/const.py
@@ -10,7 +10,7 @@
 # Time without a report after which an entry no longer counts as live.
 ENTRY_TIMEOUT_S: Final = 3.0
 # Time after which an entry or a host that stays silent is forgotten.
-FORGET_ENTRY_AFTER_S: Final = 60.0
+FORGET_ENTRY_AFTER_S: Final = 600.0
 FORGET_HOST_AFTER_S: Final = 3_600.0
 
 # Window in seconds over which the shortest way of reports is measured.
@@ -27,6 +27,8 @@
 MAX_ACCELERATORS: Final = 1_024
 MAX_ADAPTERS: Final = 256
 MAX_CACHE_EVENTS: Final = 65_536
+# Addresses whose check is remembered.
+MAX_CACHED_ADDRESSES: Final = 8_192
 MAX_LOAD_COUNT: Final = 1_000_000
 MAX_SEQUENCE: Final = 2**63
 
--- a/chestnutvale/programs/control/entry_desk.py
+++ b/chestnutvale/programs/control/entry_desk.py
@@ -4,6 +4,8 @@
 import eventlet
 import logbook
 
+from chestnutvale.admission.demand import DemandTable
+from chestnutvale.admission.wire import from_messages, to_messages
 from chestnutvale.attempts.suspicion_board import SuspicionBoard
 from chestnutvale.clock import Clock
 from chestnutvale.consensus.exceptions import NotLeaderError, OutcomeUnknownError
@@ -104,7 +106,11 @@
         self._clock = clock
         self._suspicions = SuspicionBoard()
         self._pushed_number = 0
+        self._pushed_version = 0
+        self._refreshed_inputs = (-1, -1)
+        self._settled_until_s = float("-inf")
         self._cache_events = CacheEventQueue()
+        self._demands = DemandTable()
         self._commits = eventlet.GreenPool(MAX_COMMIT_REQUESTS)
         transport.on("entry_report", self._receive_report)
         transport.on("commit_request", self._receive_commit)
@@ -113,10 +119,15 @@
         """Return all groups as entries see them."""
         return self._publisher.group_views()
 
+    @property
+    def view_version(self) -> int:
+        """Version of the newest view; grows when a group changes or stops serving."""
+        return self._publisher.version
+
     def publish_changes(self) -> None:
         """Push views to the entries that lag behind a change."""
         now_s = self._clock.now_s()
-        changed = self._publisher.refresh(self._state.groups, self._table, now_s)
+        self._refresh(now_s)
         if not self._log.has_lease(now_s):
             return
         number = self._state.configuration.number
@@ -128,7 +139,9 @@
             )
             self._send_pushes(pushes)
             return
-        if changed:
+        # An answer may have seen the change first; the others must hear of it too.
+        if self._publisher.version != self._pushed_version:
+            self._pushed_version = self._publisher.version
             pushes = self._publisher.pushes(source, self._table, self._log.term, now_s)
             self._send_pushes(pushes)
 
@@ -149,6 +162,7 @@
         entry_id = envelope.sender_id
         self._table.merge(entry_id, report.heard, now_s)
         self._cache_events.extend(report.cache_events)
+        self._demands.note(entry_id, from_messages(report.demands), now_s)
         self.entries[entry_id] = KnownEntry(
             incarnation=envelope.sender_incarnation,
             number=report.configuration_number,
@@ -174,7 +188,8 @@
         self._send_pushes(pushes)
 
     def _answer(self, entry_id: str, report: EntryReport, now_s: float) -> None:
-        self._publisher.refresh(self._state.groups, self._table, now_s)
+        if self._may_have_broken(now_s):
+            self._refresh(now_s)
         view = self._publisher.answer(
             entry_id,
             report,
@@ -183,8 +198,19 @@
             self._log.term,
             now_s,
         )
+        view.demands.extend(to_messages(self._demands.totals(now_s)))
         self._send_view(entry_id, report.reply_address, view)
 
+    def _refresh(self, now_s: float) -> None:
+        self._refreshed_inputs = (self._log.applied_index, self._table.revision)
+        self._publisher.refresh(self._state.groups, self._table, now_s)
+        self._settled_until_s = self._publisher.settled_until_s
+
+    def _may_have_broken(self, now_s: float) -> bool:
+        """Tell whether a group that is published as serving may not serve any more."""
+        inputs = (self._log.applied_index, self._table.revision)
+        return inputs != self._refreshed_inputs or now_s >= self._settled_until_s
+
     def _send_pushes(self, pushes: list[Push]) -> None:
         for push in pushes:
             self._send_view(push.entry_id, push.reply_address, push.view)
--- a/chestnutvale/programs/entry/model_calls.py
+++ b/chestnutvale/programs/entry/model_calls.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable, Iterable, Iterator
 from typing import Any
 
+import logbook
+
 from chestnutvale.attempts.const import (
     OUTCOME_FAILED,
     OUTCOME_NOT_RUN,
@@ -25,8 +27,10 @@
     Started,
 )
 from chestnutvale.attempts.model_call import ModelCall
+from chestnutvale.observability.log_context import bind_log_context
 from chestnutvale.programs.entry.caller_watch import CallerWatch
 from chestnutvale.programs.entry.context import (
+    AdmissionTicket,
     AttemptReport,
     CallContext,
     CallRequest,
@@ -40,6 +44,7 @@
 from chestnutvale.programs.entry.intake import (
     DEFAULT_MAX_BODY_BYTES,
     CallRefusedError,
+    check_dependencies,
     check_lease,
     find_service,
     read_body,
@@ -55,6 +60,8 @@
 )
 from chestnutvale.programs.entry.problems import make_problem
 
+_LOGGER = logbook.Logger(__name__)
+
 StartResponse = Callable[..., Any]
 KIND_MODEL = "model"
 RESULT_WHOLE = "whole"
@@ -143,6 +150,7 @@
         except BadCallError as error:
             raise refuse_bad_call(error) from error
         service = find_service(self._context, intake, generation.service, KIND_MODEL)
+        check_dependencies(self._context, generation.service)
         request = CallRequest(
             request_id=request_id,
             workspace=intake.workspace,
@@ -223,16 +231,17 @@
                         refusal.retry_after_s,
                     )
                     return
-                yield from self._drive()
+                yield from self._drive(ticket)
         finally:
             self._close_attempt(RESULT_CANCELLED)
             ticket.release(self._call.answer.next_offset)
 
-    def _drive(self) -> Iterator[bytes]:
+    def _drive(self, ticket: AdmissionTicket) -> Iterator[bytes]:
         effects: deque[CallEffect] = deque(self._handle(Started()))
         while effects:
             effect = effects.popleft()
             if isinstance(effect, Deliver):
+                ticket.progress(self._call.answer.next_offset)
                 yield effect.data
             elif isinstance(effect, Finish):
                 self._finish(effect)
@@ -311,6 +320,9 @@
         attempt = self._attempt
         if attempt is None:
             return
+        group_id = attempt.view.group.group_id
+        with bind_log_context(request_id=self.request.request_id, group_id=group_id):
+            _LOGGER.warning("Attempt {} broke: {}", attempt.attempt_id, reason)
         self._chooser.attempt_broke(attempt.attempt_id)
         self._close_attempt(RESULT_BROKEN, reason)
 
--- a/script/demo.py
+++ b/script/demo.py
@@ -5,7 +5,6 @@
 import shutil
 import signal
 import sys
-import threading
 import time
 from pathlib import Path
 
@@ -24,12 +23,14 @@
 ROOT = Path(__file__).resolve().parent.parent
 DEMO_FOLDER = ROOT / "build" / "demo"
 GROUPS = 2
-PROMPT = "Explain this month's netting between the sister firms. " * 4
+PROMPT = "Explain how a replicated log orders concurrent changes. " * 4
 ANSWER_TOKENS = 200
 # Tokens that have arrived when the host is killed.
 KILL_AFTER_TOKENS = 40
 # Hosts of the demo do not come back by themselves, so the wait for them is short.
 DEMO_CONTROL_SETTINGS = {"repair": {"member_wait_ms": 3_000}}
+# Time in seconds between two looks for a signal that asks for the end.
+STOP_POLL_S = 0.2
 EXIT_BROKEN = 1
 EXIT_STOPPED = 143
 
@@ -117,10 +118,10 @@
         return is_whole
 
     def post_once(self) -> bool:
-        """Send one posting twice with one key and count its runs."""
+        """Send one call twice with one key and count its runs."""
         caller = self.deployment.caller("entry-3")
         url = f"http://{caller.address}/services/{PLAIN_SERVICE}/postings"
-        headers = caller.headers(Idempotency_Key="demo-posting-1")
+        headers = caller.headers(Idempotency_Key="demo-call-1")
         body = json.dumps({"amount": 1}).encode()
         answers = [
             caller.http.request("POST", url, body=body, headers=headers)
@@ -129,8 +130,8 @@
         service = next(iter(self.deployment.services))
         runs = self.deployment.get(service, "/runs")["runs"]
         statuses = [answer.status for answer in answers]
-        is_once = runs == {"demo-posting-1": 1} and statuses == [201, 201]
-        self.say(f"posting sent twice: answers {statuses}, runs {runs}")
+        is_once = runs == {"demo-call-1": 1} and statuses == [201, 201]
+        self.say(f"call sent twice with one key: answers {statuses}, runs {runs}")
         return is_once
 
     def wait_for_repair(self) -> bool:
@@ -155,11 +156,14 @@
 
 def stay_up() -> None:
     """Wait until the operator asks for the end."""
-    stop = threading.Event()
+    # A second signal may interrupt the handler of the first one, and a handler that
+    # takes a lock, as that of an event does, would then wait for itself.
+    asked: list[int] = []
     for number in (signal.SIGINT, signal.SIGTERM):
-        signal.signal(number, lambda *_: stop.set())
+        signal.signal(number, lambda number, _: asked.append(number))
     print(f"staying up; see {DEMO_FOLDER / 'addresses.json'}", flush=True)
-    stop.wait()
+    while not asked:
+        time.sleep(STOP_POLL_S)
 
 
 def main() -> int:
--- a/tests/http_server/test_server.py
+++ b/tests/http_server/test_server.py
@@ -20,9 +20,12 @@
     def __init__(self):
         self.calls = []
         self.go_on = eventlet.Event()
+        self.no_delay = 0
 
     def __call__(self, environ, start_response):
         self.calls.append(environ["PATH_INFO"])
+        connection = environ["eventlet.input"].get_socket()
+        self.no_delay = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
         if environ["PATH_INFO"] == "/stream":
             start_response("200 OK", [])
             return self.stream()
@@ -96,11 +99,13 @@
     return json.loads(body)
 
 
-def test_answers_and_reuses_a_connection(serve):
+def test_answers_and_reuses_a_connection(serve, app):
     client = connect(serve())
     client.sendall(b"POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc" * 2)
     eventlet.sleep(0.1)
     assert client.recv(4_096).count(b"3 bytes") == 2
+    # Without this a token waits for the acknowledgement of the one before.
+    assert app.no_delay
 
 
 def test_body_beyond_the_limit_is_refused_unread(serve, app):
@@ -126,7 +131,18 @@
     assert problem_of(answer)["code"] == "body_too_large"
 
 
-@pytest.mark.parametrize("line", [b"5" * 100_000, b"what\r\n", b"5\r\nab"])
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"5" * 100_000,
+        b"what\r\n",
+        b"5\r\nab",
+        b"-5\r\nabcde\r\n0\r\n\r\n",
+        b"0x5\r\nabcde\r\n0\r\n\r\n",
+        b"+5\r\nabcde\r\n0\r\n\r\n",
+        b"1_0\r\n" + b"a" * 16 + b"\r\n0\r\n\r\n",
+    ],
+)
 def test_malformed_chunks(serve, line):
     server = serve(idle_timeout_ms=300)
     answer = ask(server, "POST / HTTP/1.1\nTransfer-Encoding: chunked", line)
@@ -134,6 +150,30 @@
     assert server.running_requests == 0
 
 
+@pytest.mark.parametrize(
+    "headers",
+    [
+        "Content-Length: 5\nContent-Length: 0",
+        "Content-Length: +5",
+        "Content-Length: 0_5",
+        "Transfer-Encoding: chunked, identity",
+        "Transfer-Encoding: xchunked",
+        "Transfer-Encoding: chunked\nTransfer-Encoding: chunked",
+    ],
+)
+def test_unclear_length_of_a_body_hides_no_second_request(serve, app, headers):
+    hidden = b"GET /hidden HTTP/1.1\r\n\r\n"
+    answer = ask(serve(), f"POST / HTTP/1.1\n{headers}", hidden)
+    assert answer.startswith(b"HTTP/1.1 400 ")
+    assert app.calls == []
+
+
+def test_chunks_with_extensions_and_trailers(serve):
+    body = b"5;a=b\r\nabcde\r\n3\r\nfgh\r\n0\r\nX-Sum: 1\r\n\r\n"
+    head = "POST / HTTP/1.1\nTransfer-Encoding: chunked\nConnection: close"
+    assert b"8 bytes" in ask(serve(), head, body)
+
+
 def test_an_endless_unread_body_closes_the_connection(serve):
     client = connect(serve())
     client.sendall(b"POST /deaf HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n")
