Check the history of orders over all faults of the process tests

Each host's accepted orders have fences that never fall, lead from one group to another only over a release, and no rank of an epoch went to two hosts.

--- a/chestnutvale/emulator/host.py
+++ b/chestnutvale/emulator/host.py
@@ -241,6 +241,7 @@
             "group_id": order.group_id,
             "epoch": order.epoch,
             "fence": order.fence,
+            "rank": order.rank,
             "code": "accepted",
         }
         self.orders.append(record)
--- a/tests/processes/test_losses.py
+++ b/tests/processes/test_losses.py
@@ -195,3 +195,27 @@
     refused = {name for name in outcomes if "(not_run)" in name}
     assert set(outcomes) - refused <= {"whole", "hung up"}, outcomes
     assert outcomes["whole"] > 40
+
+
+def accepted_orders(deployment, host):
+    orders = deployment.get(host, "/v1/history")["orders"]
+    return [order for order in orders if order["code"] == "accepted"]
+
+
+def test_history_of_orders_gives_each_host_to_one_group_at_a_time(deployment):
+    """Runs last, over all that the tests before it did to the engines."""
+    ranks = {}
+    for host in deployment.engines:
+        held = ""
+        last_fence = 0
+        for order in accepted_orders(deployment, host):
+            assert order["fence"] >= last_fence
+            last_fence = order["fence"]
+            if order["kind"] == "release":
+                held = "" if order["group_id"] == held else held
+                continue
+            assert held in {"", order["group_id"]}, f"{host} was taken from {held}"
+            held = order["group_id"]
+            place = (order["group_id"], order["epoch"], order["rank"])
+            assert ranks.setdefault(place, host) == host
+    assert ranks
