--- a/chestnutvale/attempts/service_call.py
+++ b/chestnutvale/attempts/service_call.py
@@ -6,6 +6,7 @@
 from chestnutvale.attempts.const import (
     CODE_ATTEMPTS,
     CODE_CALLER_GONE,
+    CODE_CRASHING,
     CODE_DEADLINE,
     CODE_NONE_AVAILABLE,
     CODE_REFUSED,
@@ -21,6 +22,7 @@
 from chestnutvale.attempts.events import (
     AttemptBroken,
     AttemptRefused,
+    CallBanned,
     CallerGone,
     CancelAttempt,
     ChooseGroup,
@@ -32,7 +34,7 @@
     Started,
     Tick,
 )
-from chestnutvale.attempts.retry_budget import AttemptBudgets
+from chestnutvale.attempts.retry_budget import AttemptBudgets, RetryBudget
 from chestnutvale.attempts.service_events import (
     AnswerTooLarge,
     ClaimAnswered,
@@ -125,6 +127,7 @@
             ClaimUnknown: self._on_claim_unknown,
             GroupChosen: self._on_group_chosen,
             NoneAvailable: self._on_none_available,
+            CallBanned: self._on_banned,
             Connected: self._on_connected,
             AttemptRefused: self._on_refused,
             EndpointAnswered: self._on_answered,
@@ -262,6 +265,16 @@
             retry_after_s=event.retry_after_s,
         )
 
+    def _on_banned(self, event: CallBanned, now_s: float) -> Effects:
+        if self._outcome == OUTCOME_UNKNOWN:
+            self._outcome = OUTCOME_FAILED
+        return self._fail(
+            CODE_CRASHING,
+            "this request broke the endpoints that ran it",
+            step=STEP_CHOOSE,
+            retry_after_s=event.retry_after_s,
+        )
+
     def _on_connected(self, event: Connected, now_s: float) -> Effects:
         if event.attempt_id != self._attempt_id or self._is_sent:
             return []
@@ -281,7 +294,8 @@
     def _on_refused(self, event: AttemptRefused, now_s: float) -> Effects:
         if event.attempt_id != self._attempt_id or self._is_sent:
             return []
-        return self._try_again(CODE_REFUSED, event.code, now_s)
+        budget = self._budgets.reroutes
+        return self._try_again(budget, CODE_REFUSED, event.code, now_s)
 
     def _on_answered(self, event: EndpointAnswered, now_s: float) -> Effects:
         if event.attempt_id != self._attempt_id:
@@ -309,7 +323,8 @@
             return []
         if self._repeatable:
             self._is_sent = False
-            return self._try_again("endpoint_broken", event.reason, now_s)
+            budget = self._budgets.retries
+            return self._try_again(budget, "endpoint_broken", event.reason, now_s)
         effects = self._submit_outcome(None)
         if not self.is_answered:
             effects += self._fail("endpoint_broken", event.reason)
@@ -337,12 +352,14 @@
             CODE_DEADLINE, "the deadline passed", retry_after_s=DEFAULT_RETRY_AFTER_S
         )
 
-    def _try_again(self, code: str, reason: str, now_s: float) -> Effects:
+    def _try_again(
+        self, budget: RetryBudget, code: str, reason: str, now_s: float
+    ) -> Effects:
         self._excluded.add(self._group_id)
         self._attempt_id = ""
         if self._attempts >= MAX_ATTEMPTS:
             code = CODE_ATTEMPTS
-        elif self._budgets.retries.try_retry():
+        elif budget.try_retry():
             return self._choose(now_s)
         else:
             code = CODE_RETRY_BUDGET
--- a/chestnutvale/programs/control/daemon.py
+++ b/chestnutvale/programs/control/daemon.py
@@ -20,15 +20,22 @@
 from chestnutvale.http_server.views import WsgiApp, make_check, make_json_view
 from chestnutvale.membership.table import MembershipTable
 from chestnutvale.membership.views import ViewPublisher
+from chestnutvale.observability.dump import DumpRegistry
+from chestnutvale.observability.metrics import Metrics
 from chestnutvale.programs.control.const import SALT_BITS
 from chestnutvale.programs.control.entry_desk import EntryDesk
 from chestnutvale.programs.control.group_task import GroupTask
 from chestnutvale.programs.control.ledger_task import LedgerTask
 from chestnutvale.programs.control.measures import MeasureTracker
+from chestnutvale.programs.control.metrics import (
+    ControlSources,
+    register_control_metrics,
+)
 from chestnutvale.programs.control.operations import ControlOperations
 from chestnutvale.programs.control.operator_api import OperatorApi
 from chestnutvale.programs.control.state import ControlState
 from chestnutvale.programs.control.status import StatusBuilder
+from chestnutvale.programs.process_metrics import register_process_metrics
 from chestnutvale.schema.settings_pb2 import ControlSettings
 from chestnutvale.storage.store import DataStore
 from chestnutvale.transport.gate import make_incarnation
@@ -36,6 +43,8 @@
 
 _LOGGER = logbook.Logger(__name__)
 
+PROGRAM_NAME = "chestnut-control"
+
 
 class ControlDaemon:
     """One control; a context manager.
@@ -69,6 +78,7 @@
         self.table = MembershipTable(settings.detection_timeout_ms / 1_000)
         self.publisher = ViewPublisher(self.incarnation)
         self.measures = MeasureTracker()
+        self.metrics = Metrics(PROGRAM_NAME)
         self.transport = TransportNode(
             settings.cluster_id,
             settings.control_id,
@@ -110,20 +120,22 @@
 
     def dump(self) -> dict[str, Any]:
         """Return the state of the process, without secrets."""
-        ledger = self.state.ledger
+        return DumpRegistry(self._dump_sources()).dump()
+
+    def _dump_sources(self) -> dict[str, Callable[[], Any]]:
         return {
-            "control_id": self.settings.control_id,
-            "incarnation": self.incarnation,
-            "consensus": self._log.status(),
-            "configuration_number": self.state.configuration.number,
-            "groups": len(self.state.groups.groups),
-            "repairs": sorted(self.state.groups.repairs),
-            "ledger_records": ledger.record_count,
-            "ledger_bytes": ledger.size_bytes,
-            "hosts": len(self.table.known_hosts()),
-            "entries": sorted(self._desk.entries),
-            "view_version": self.publisher.version,
-            "transport": self.transport.counters(),
+            "control_id": lambda: self.settings.control_id,
+            "incarnation": lambda: self.incarnation,
+            "consensus": lambda: self._log.status(),
+            "configuration_number": lambda: self.state.configuration.number,
+            "groups": lambda: len(self.state.groups.groups),
+            "repairs": lambda: sorted(self.state.groups.repairs),
+            "ledger_records": lambda: self.state.ledger.record_count,
+            "ledger_bytes": lambda: self.state.ledger.size_bytes,
+            "hosts": lambda: len(self.table.known_hosts()),
+            "entries": lambda: sorted(self._desk.entries),
+            "view_version": lambda: self.publisher.version,
+            "transport": lambda: self.transport.counters(),
         }
 
     def _start_tasks(self, exits: contextlib.ExitStack) -> None:
@@ -155,6 +167,8 @@
             self.settings.http_limits,
             self._clock,
         )
+        self._register_metrics(server)
+        exits.enter_context(self.metrics)
         exits.enter_context(server)
         for run in (groups.run, ledger.run):
             exits.callback(eventlet.spawn(run).kill)
@@ -183,11 +197,24 @@
             "/healthz": make_check(self._is_alive),
             "/readyz": make_check(self._is_ready),
             "/debug/state": make_json_view(self.dump),
+            "/metrics": self.metrics.view,
         }
         return _join_apps(operators, views)
 
+    def _register_metrics(self, server: HttpServer) -> None:
+        register_process_metrics(self.metrics, server, self.transport)
+        sources = ControlSources(
+            self._log,
+            self.state,
+            self.table,
+            self.publisher,
+            self._desk,
+            self.measures,
+        )
+        register_control_metrics(self.metrics, sources)
+
     def _is_alive(self) -> bool:
-        return self._log.failure is None
+        return self._log.failure is None and self.transport.is_receiving
 
     def _is_ready(self) -> bool:
         return not self._draining and bool(self._log.leader_id)
--- a/chestnutvale/programs/entry/daemon.py
+++ b/chestnutvale/programs/entry/daemon.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import random
+from collections.abc import Callable
 from types import TracebackType
 from typing import Any, Self
 
@@ -15,6 +16,9 @@
 from chestnutvale.membership.cache_events import CacheEventQueue
 from chestnutvale.membership.entry_view import EntryView
 from chestnutvale.membership.hearing import Hearing
+from chestnutvale.observability.dump import DumpRegistry
+from chestnutvale.observability.metrics import Metrics
+from chestnutvale.observability.request_meter import RequestMeter
 from chestnutvale.programs.entry.admission_gate import AdmissionGate
 from chestnutvale.programs.entry.announcements import AnnouncementDoor
 from chestnutvale.programs.entry.app import EntryApp
@@ -22,10 +26,16 @@
 from chestnutvale.programs.entry.commits import CommitClient
 from chestnutvale.programs.entry.const import DRAIN_NOTICE_S, SALT_BITS
 from chestnutvale.programs.entry.control_link import ControlLink
+from chestnutvale.programs.entry.demand_exchange import DemandExchange
 from chestnutvale.programs.entry.group_router import GroupRouter
 from chestnutvale.programs.entry.ledger_writer import LedgerWriter
+from chestnutvale.programs.entry.metrics import (
+    MEASURED_ROUTES,
+    register_entry_metrics,
+)
 from chestnutvale.programs.entry.model_calls import ModelCallHandler
 from chestnutvale.programs.entry.service_calls import ServiceCallHandler
+from chestnutvale.programs.process_metrics import register_process_metrics
 from chestnutvale.routing.selector import Selector
 from chestnutvale.schema.settings_pb2 import EntrySettings
 from chestnutvale.transport.gate import make_incarnation
@@ -33,6 +43,7 @@
 
 _LOGGER = logbook.Logger(__name__)
 
+PROGRAM_NAME = "chestnut-entry"
 FORM_CHAT = "chat"
 FORM_COMPLETION = "completion"
 
@@ -89,20 +100,27 @@
             self.hearing,
             self.context.suspicions,
             self._cache_events,
+            DemandExchange(self._gate.controller),
             clock,
             rng,
         )
         self.link.on_view(self.context.install)
+        self.context.suspicions.notify = self.link.hurry
         self.transport.on("cache_news", router.receive_cache_news)
         self._writer = LedgerWriter(self.context)
         self._services = ServiceCallHandler(self.context, self._writer)
+        self.metrics = Metrics(PROGRAM_NAME)
+        app = RequestMeter(self._make_app(), self.metrics, MEASURED_ROUTES, clock)
         self.server = HttpServer(
-            self._make_app(), settings.http_address, settings.http_limits, clock
+            app, settings.http_address, settings.http_limits, clock
         )
+        register_process_metrics(self.metrics, self.server, self.transport)
+        register_entry_metrics(self.metrics, self.view, self.is_ready, clock)
 
     def __enter__(self) -> Self:
         """Open the sockets and start the tasks."""
         with contextlib.ExitStack() as exits:
+            exits.enter_context(self.metrics)
             exits.enter_context(self.transport)
             for run in (self.link.run, self._gate.run):
                 exits.callback(eventlet.spawn(run).kill)
@@ -146,18 +164,20 @@
 
     def dump(self) -> dict[str, Any]:
         """Return the state of the process, without secrets."""
-        now_s = self._clock.now_s()
+        return DumpRegistry(self._dump_sources()).dump()
+
+    def _dump_sources(self) -> dict[str, Callable[[], Any]]:
         return {
-            "entry_id": self.settings.entry_id,
-            "incarnation": self.incarnation,
-            "draining": self.link.draining,
-            "configuration_number": self.view.number,
-            "lease_left_s": round(self.view.lease_until_s - now_s, 3),
-            "view_version": self.view.version,
-            "view_source": self.view.source,
-            "entry_count": self.view.entry_count,
-            "hosts_heard": self.hearing.host_count,
-            "groups": [
+            "entry_id": lambda: self.settings.entry_id,
+            "incarnation": lambda: self.incarnation,
+            "draining": lambda: self.link.draining,
+            "configuration_number": lambda: self.view.number,
+            "lease_left_s": lambda: self.view.lease_until_s - self._clock.now_s(),
+            "view_version": lambda: self.view.version,
+            "view_source": lambda: self.view.source,
+            "entry_count": lambda: self.view.entry_count,
+            "hosts_heard": lambda: self.hearing.host_count,
+            "groups": lambda: [
                 {
                     "group_id": item.group.group_id,
                     "service": item.group.service,
@@ -167,12 +187,15 @@
                 }
                 for item in self.view.groups()
             ],
-            "running_attempts": len(self.context.running),
-            "running_requests": self.server.running_requests,
-            "refused_requests": dict(self.server.refused),
-            "transport": self.transport.counters(),
+            "running_attempts": lambda: len(self.context.running),
+            "running_requests": lambda: self.server.running_requests,
+            "refused_requests": lambda: dict(self.server.refused),
+            "transport": lambda: self.transport.counters(),
         }
 
+    def _is_alive(self) -> bool:
+        return self.transport.is_receiving
+
     def _make_app(self) -> EntryApp:
         return EntryApp(
             chat=ModelCallHandler(self.context, FORM_CHAT),
@@ -186,12 +209,9 @@
                 self._cache_events,
             ),
             operations={
-                "/healthz": make_check(_is_alive),
+                "/healthz": make_check(self._is_alive),
                 "/readyz": make_check(self.is_ready),
                 "/debug/state": make_json_view(self.dump),
+                "/metrics": self.metrics.view,
             },
         )
-
-
-def _is_alive() -> bool:
-    return True
