Free a released host that does not announce its fencing number

Cause: a released host whose engine checks fencing numbers became free only when its announcement carried the release's number. Change: the leader also frees such a host once it has answered the release and was heard after that, as it does for engines without fencing; the emulated engine announces the number; the protocol page names it. Ruled out: dropping the announced number; it frees a host also if the answer was lost.

--- a/chestnutvale/emulator/host.py
+++ b/chestnutvale/emulator/host.py
@@ -203,6 +203,7 @@
             fencing=options.fencing,
             leaving=self.is_leaving,
             holding=self.state.holding,
+            fence=self.state.check.highest_fence,
         )
         if self.state.holding is not None and self.state.holding.rank == 0:
             announcement.load.CopyFrom(self._load_lag.report() or Load())
--- a/chestnutvale/emulator/orders.py
+++ b/chestnutvale/emulator/orders.py
@@ -42,7 +42,15 @@
 
 
 class OrderCheck(Protocol):
-    """Decides whether an engine obeys an order."""
+    """Decides whether an engine obeys an order.
+
+    Attributes
+    ----------
+    highest_fence : int
+        Highest fencing number of an order that was obeyed; 0 if not checked.
+    """
+
+    highest_fence: int
 
     def check(self, order: Order, now_unix_ms: int) -> None:
         """Raise `RefusedError` if the order must not be obeyed."""
@@ -51,6 +59,8 @@
 class ObeyAll:
     """An engine that ignores fencing numbers and obeys what comes last."""
 
+    highest_fence = 0
+
     def check(self, order: Order, now_unix_ms: int) -> None:
         """Accept every order."""
 
--- a/chestnutvale/groups/orders.py
+++ b/chestnutvale/groups/orders.py
@@ -355,7 +355,10 @@
             return False
         if record.announcement.fencing:
             is_fenced = record.announcement.fence >= release.fence
-            return is_fenced or record.boot_id != release.boot_id
+            if is_fenced or record.boot_id != release.boot_id:
+                return True
+            # An engine may check fence numbers without announcing them.
+            return self._is_release_carried_out(release, record)
         sent = self._sent.get(release.host_id)
         if now_s < self._old_orders_end_s:
             return False
@@ -365,6 +368,13 @@
             return False
         if sent.order_id != _release_order_id(release):
             return record.boot_id != release.boot_id
+        return self._is_release_carried_out(release, record)
+
+    def _is_release_carried_out(self, release: HostRelease, record: HostRecord) -> bool:
+        """Tell whether a host was heard after it accepted its release."""
+        sent = self._sent.get(release.host_id)
+        if sent is None or sent.order_id != _release_order_id(release):
+            return False
         is_accepted = sent.accepted_at_s is not None
         return is_accepted and record.heard_at_s > sent.accepted_at_s
 
--- a/tests/emulator/test_orders.py
+++ b/tests/emulator/test_orders.py
@@ -34,6 +34,14 @@
     assert state.holding.SerializeToString() == before
 
 
+def test_fence_of_the_newest_order_is_known_after_a_release():
+    state = HostState(FenceCheck("h1", "b1"))
+    state.obey(make_order(fence=5), 10)
+    state.obey(make_order("release", fence=6), 10)
+    assert state.released("g1")
+    assert state.check.highest_fence == 6
+
+
 def test_engine_without_fencing_obeys_an_old_order():
     state = HostState(ObeyAll())
     state.obey(make_order(fence=5, group_id="new"), 10)
--- a/tests/groups/test_coordinator.py
+++ b/tests/groups/test_coordinator.py
@@ -82,6 +82,29 @@
     assert rounds.tick(6.1) == []
 
 
+@pytest.mark.parametrize("fencing", [True, False])
+def test_a_host_is_free_after_its_release_without_an_announced_fence(fencing):
+    rounds = Rounds(fencing)
+    rounds.coordinator.became_leader(0.0)
+    unknown = Holding(group_id="old", epoch=9, service="s", phase="ready")
+    rounds.hear(10.0, unknown)
+    rounds.tick(10.0)
+    assert set(rounds.state.releases) == {"a", "b"}
+    sends = rounds.tick(10.1)
+    assert [send.order.kind for send in sends] == ["release", "release"]
+    rounds.hear(11.0)
+    rounds.hear(14.0)
+    rounds.tick(14.0)
+    assert set(rounds.state.releases) == {"a", "b"}
+    for send in sends:
+        rounds.coordinator.order_answered(
+            send.host_id, send.order.order_id, OrderOutcome.ACCEPTED, 14.1
+        )
+    rounds.hear(16.0)
+    rounds.tick(16.0)
+    assert not rounds.state.releases
+
+
 def test_hosts_without_fencing_wait_for_a_confirmed_lease_and_the_old_one():
     rounds = Rounds(fencing=False)
     rounds.coordinator.became_leader(0.0)
