Say in plain words what the programs' parts do

Comments and docstrings only: rounds that run until their task is killed, what a drain commits, what a status says, the status for a caller that has gone.

--- a/chestnutvale/programs/control/group_task.py
+++ b/chestnutvale/programs/control/group_task.py
@@ -71,7 +71,7 @@
         self._decide_at_s = float("-inf")
 
     def run(self) -> None:
-        """Decide for ever; ended by killing the task."""
+        """Run rounds of decisions until the task is killed."""
         run_rounds("the group decisions", self._run_round, GROUP_ROUND_S)
 
     def _run_round(self) -> None:
--- a/chestnutvale/programs/control/ledger_task.py
+++ b/chestnutvale/programs/control/ledger_task.py
@@ -46,7 +46,7 @@
         self._expiry_due_s = 0.0
 
     def run(self) -> None:
-        """Keep house for ever; ended by killing the task."""
+        """Run rounds of housekeeping until the task is killed."""
         run_rounds("the ledger's housekeeping", self._run_round, HOUSEKEEPING_ROUND_S)
 
     def _run_round(self) -> None:
--- a/chestnutvale/programs/control/operations.py
+++ b/chestnutvale/programs/control/operations.py
@@ -106,7 +106,7 @@
         return self._propose(Command(apply_text=command), deadline_s).apply_text
 
     def drain_host(self, request: DrainRequest, deadline_s: float) -> OperatorResult:
-        """Commit the mark that a host gets no new work, or its end."""
+        """Commit that a host gets no new work, or that it may get work again."""
         drain = DrainHost(host_id=request.host_id, draining=request.draining)
         result = self._propose(Command(drain_host=drain), deadline_s).group
         outcome = OUTCOME_DONE if result.outcome == OUTCOME_DONE else OUTCOME_REFUSED
@@ -124,7 +124,7 @@
         return OperatorResult(outcome=OUTCOME_DONE)
 
     def status(self, deadline_s: float) -> Status:
-        """Return the view of the whole system; unconfirmed if this control trails."""
+        """Return the status of the system, and whether a quorum confirmed it."""
         confirmed = self._is_confirmed(deadline_s)
         return self._status_builder.build(self._clock.now_s(), confirmed)
 
--- a/chestnutvale/programs/control/operator_node.py
+++ b/chestnutvale/programs/control/operator_node.py
@@ -46,13 +46,13 @@
         """Commit a text that was checked."""
 
     def drain_host(self, request: DrainRequest, deadline_s: float) -> OperatorResult:
-        """Commit the mark that a host gets no new work, or its end."""
+        """Commit that a host gets no new work, or that it may get work again."""
 
     def change_voter(self, change: VoterChange, deadline_s: float) -> OperatorResult:
         """Add or remove a voter; done again, it answers ``done`` again."""
 
     def status(self, deadline_s: float) -> Status:
-        """Return the view of the whole system; unconfirmed if this control trails."""
+        """Return the status of the system, and whether a quorum confirmed it."""
 
     def dump(self) -> dict[str, Any]:
         """Return the state of this process, without secrets."""
--- a/chestnutvale/programs/entry/admission_gate.py
+++ b/chestnutvale/programs/entry/admission_gate.py
@@ -83,7 +83,7 @@
         self._gate.withdraw(self.request.request_id)
 
     def settle(self, effect: Effect) -> None:
-        """Take the controller's decision.
+        """Wake the waiting call with the controller's decision.
 
         Parameters
         ----------
@@ -192,7 +192,7 @@
         self._settle(self.controller.withdraw(request_id, self._clock.now_s()))
 
     def run(self) -> None:
-        """Tick while calls wait, for ever; ended by killing the task."""
+        """Tick while calls wait, until the task is killed."""
         run_rounds("admission", self._run_round, ADMISSION_TICK_S)
 
     def _run_round(self) -> None:
--- a/chestnutvale/programs/entry/call_context.py
+++ b/chestnutvale/programs/entry/call_context.py
@@ -75,7 +75,7 @@
         return self._view.text or Text()
 
     def install(self, view: ControlView, control_id: str) -> None:
-        """Take up what a view that was just installed changed.
+        """Apply the changes of a view that was just installed.
 
         Parameters
         ----------
@@ -164,7 +164,7 @@
         return self._router.choose(request, excluded, version)
 
     def report_attempt(self, report: AttemptReport) -> None:
-        """Take note of how an attempt went.
+        """Record how an attempt went.
 
         Parameters
         ----------
--- a/chestnutvale/programs/entry/context.py
+++ b/chestnutvale/programs/entry/context.py
@@ -298,7 +298,7 @@
         """
 
     def report_attempt(self, report: AttemptReport) -> None:
-        """Take note of how an attempt went.
+        """Record how an attempt went.
 
         Parameters
         ----------
--- a/chestnutvale/programs/entry/control_link.py
+++ b/chestnutvale/programs/entry/control_link.py
@@ -96,7 +96,7 @@
             self._news.send()
 
     def run(self) -> None:
-        """Report for ever; ended by killing the task."""
+        """Send reports until the task is killed."""
         # News that come in a burst share one report.
         run_rounds("reporting", self._run_round, MIN_REPORT_INTERVAL_MS / 1_000)
 
--- a/chestnutvale/programs/entry/daemon.py
+++ b/chestnutvale/programs/entry/daemon.py
@@ -139,7 +139,7 @@
         self._exits.close()
 
     def shut_down(self) -> int:
-        """Stop gracefully: leave the balancer, then finish what runs.
+        """Stop gracefully: fail the readiness check, then finish what runs.
 
         Returns
         -------
--- a/chestnutvale/programs/entry/group_router.py
+++ b/chestnutvale/programs/entry/group_router.py
@@ -49,7 +49,7 @@
         self._sent_at_s: dict[str, float] = {}
 
     def install(self, view: ControlView) -> None:
-        """Take up groups and loads of a view that was just installed.
+        """Apply groups and loads of a view that was just installed.
 
         Parameters
         ----------
@@ -161,7 +161,7 @@
         return None
 
     def report(self, report: AttemptReport) -> None:
-        """Take note of how an attempt went.
+        """Record how an attempt went.
 
         Parameters
         ----------
--- a/chestnutvale/programs/entry/model_calls.py
+++ b/chestnutvale/programs/entry/model_calls.py
@@ -72,7 +72,7 @@
 
 
 def make_request_id(context: CallContext) -> str:
-    """Name a call.
+    """Return a new request id.
 
     Parameters
     ----------
--- a/chestnutvale/programs/entry/problems.py
+++ b/chestnutvale/programs/entry/problems.py
@@ -12,7 +12,7 @@
 CONTENT_TYPE_PROBLEM = "application/problem+json"
 # Share of a retry time by which it is spread, so that callers don't return at once.
 RETRY_SPREAD = 0.5
-# Title of a connection that the caller closed; the caller does not see it.
+# Status for metrics and logs when the caller closed the connection; never sent.
 STATUS_CALLER_GONE = 499
 
 _STATUS_BY_CODE = {
--- a/chestnutvale/programs/entry/service_run.py
+++ b/chestnutvale/programs/entry/service_run.py
@@ -149,7 +149,7 @@
         return self.answered.wait()
 
     def caller_gone(self) -> None:
-        """Take note that the caller closed its connection."""
+        """Record that the caller closed its connection."""
         self._handle_now(CallerGone())
 
     def run(self) -> None:
--- a/chestnutvale/programs/periodic.py
+++ b/chestnutvale/programs/periodic.py
@@ -9,7 +9,7 @@
 
 
 def run_rounds(name: str, run_round: Callable[[], None], pause_s: float) -> None:
-    """Run rounds for ever; ended by killing the task.
+    """Run rounds until the task is killed.
 
     A round that fails is logged and the next one starts from the state again, so
     that one bad input does not end a task for the rest of the process's life.
