--- /dev/null
+++ b/tests/docs/test_links.py
@@ -0,0 +1,123 @@
+"""What the pages name exists: links, files and commands of the client."""
+
+import re
+import shlex
+from pathlib import Path
+
+import defopt
+import pytest
+
+from chestnutvale.programs.client.main import COMMANDS
+
+ROOT = Path(__file__).resolve().parent.parent.parent
+PAGES = [ROOT / "README.md", *sorted((ROOT / "docs").rglob("*.md"))]
+# Places from which a page may name a file.
+BASES = (ROOT, ROOT / "chestnutvale", ROOT / "chestnutvale" / "programs")
+
+LINK = re.compile(r"\]\(([^)\s]+)\)")
+HEADING = re.compile(r"^#+ +(.*)$", re.MULTILINE)
+FENCE = re.compile(r"^```.*?^```", re.MULTILINE | re.DOTALL)
+CODE_SPAN = re.compile(r"`([^`]+)`")
+PYTHON_FILE = re.compile(r"[\w./-]+\.py\b")
+
+
+def by_page(function):
+    names = [str(page.relative_to(ROOT)) for page in PAGES]
+    return pytest.mark.parametrize("page", PAGES, ids=names)(function)
+
+
+def anchors_of(page):
+    """Return the anchors of a page's headings, as usual renderers make them."""
+    headings = HEADING.findall(FENCE.sub("", page.read_text()))
+    cleaned = (re.sub(r"[^\w\- ]", "", heading.lower()) for heading in headings)
+    return {heading.replace(" ", "-") for heading in cleaned}
+
+
+def commands_of(text):
+    """Return the command lines of the client that a text shows."""
+    for block in FENCE.findall(text):
+        for line in block.splitlines():
+            if line.strip().startswith("chestnut "):
+                yield line.strip()
+    for span in CODE_SPAN.findall(FENCE.sub("", text)):
+        line = " ".join(span.split())
+        if line.startswith("chestnut "):
+            yield line
+
+
+def parses(line):
+    """Return whether the client takes a command line.
+
+    A line without arguments names a command; its name alone has to be known.
+    """
+    arguments = shlex.split(line, comments=True)[1:]
+    words = list(arguments)
+    known = COMMANDS
+    while words and not callable(known):
+        known = known.get(words.pop(0), {})
+    if not known:
+        return False
+    if not words:
+        return True
+    try:
+        defopt.bind(COMMANDS, argv=arguments, short={})
+    except SystemExit:
+        return False
+    return True
+
+
+def file_exists(name):
+    if "/" not in name:
+        return any(
+            next(folder.rglob(name), None)
+            for folder in (ROOT / "chestnutvale", ROOT / "tests", ROOT / "script")
+        )
+    return any((base / name).is_file() for base in BASES)
+
+
+@by_page
+def test_links_lead_somewhere(page):
+    broken = []
+    for target in LINK.findall(FENCE.sub("", page.read_text())):
+        if target.startswith(("http://", "https://")):
+            continue
+        name, _, anchor = target.partition("#")
+        other = (page.parent / name).resolve() if name else page
+        if not other.exists() or (anchor and anchor not in anchors_of(other)):
+            broken.append(target)
+    assert not broken
+
+
+@by_page
+def test_named_python_files_exist(page):
+    names = set(PYTHON_FILE.findall(page.read_text()))
+    assert [name for name in sorted(names) if not file_exists(name)] == []
+
+
+@by_page
+def test_commands_of_the_client_parse(page):
+    lines = commands_of(page.read_text())
+    assert [line for line in lines if not parses(line)] == []
+
+
+@pytest.mark.parametrize(
+    "line, is_right",
+    [
+        ("chestnut status", True),
+        ("chestnut voter add", True),
+        ("chestnut voter", True),
+        ("chestnut drain host-1 --undo", True),
+        ("chestnut voter remove control-2  # a comment", True),
+        ("chestnut drain host-1 --back", False),
+        ("chestnut voter replace control-2", False),
+        ("chestnut reload", False),
+    ],
+)
+def test_wrong_commands_are_found(line, is_right):
+    assert parses(line) == is_right
+
+
+def test_wrong_names_are_found():
+    assert file_exists("consensus/raft.py")
+    assert not file_exists("consensus/rafts.py")
+    assert not file_exists("rafts.py")
