--- a/chestnutvale/groups/orders.py
+++ b/chestnutvale/groups/orders.py
@@ -363,7 +363,7 @@
     def _is_release_carried_out(self, release: HostRelease, record: HostRecord) -> bool:
         """Tell whether a host was heard after it accepted its release."""
         sent = self._sent.get(release.host_id)
-        if sent is None or sent.order_id != _release_order_id(release):
+        if sent is None or sent.order_id != release_order_id(release):
             return False
         is_accepted = sent.accepted_at_s is not None
         return is_accepted and record.heard_at_s > sent.accepted_at_s
