Wait for outcomes at a shutdown; try the loss of the quorum on real processes

Cause: an entry that stopped waited for running calls but not for the records of their answers, which left such keys unknown; the loss of a whole quorum had no process test. Change: shut_down waits for pending writes until its deadline and says how many are left; a process test kills two of three controls: entries refuse at once with not_run and a time to come back, no engine gets a call, and all serves again after the restart. Ruled out: nothing. Conclusion: a graceful shutdown leaves no outcome behind unless its deadline passes.

--- a/chestnutvale/programs/entry/const.py
+++ b/chestnutvale/programs/entry/const.py
@@ -16,4 +16,6 @@
 
 # Time in seconds that the balancer gets to see that an entry is not ready.
 DRAIN_NOTICE_S: Final = 1.0
+# Time in seconds between two looks at what still runs.
+DRAIN_POLL_S: Final = 0.05
 SALT_BITS: Final = 32
--- a/chestnutvale/programs/entry/daemon.py
+++ b/chestnutvale/programs/entry/daemon.py
@@ -24,7 +24,11 @@
 from chestnutvale.programs.entry.app import EntryApp
 from chestnutvale.programs.entry.call_context import EntryContext
 from chestnutvale.programs.entry.commits import CommitClient
-from chestnutvale.programs.entry.const import DRAIN_NOTICE_S, SALT_BITS
+from chestnutvale.programs.entry.const import (
+    DRAIN_NOTICE_S,
+    DRAIN_POLL_S,
+    SALT_BITS,
+)
 from chestnutvale.programs.entry.control_link import ControlLink
 from chestnutvale.programs.entry.demand_exchange import DemandExchange
 from chestnutvale.programs.entry.group_router import GroupRouter
@@ -153,11 +157,20 @@
         # The balancer needs time to see that the entry is not ready any more.
         eventlet.sleep(DRAIN_NOTICE_S)
         cut = self.server.stop(deadline_s)
-        while self._services.running_calls and self._clock.now_s() < deadline_s:
-            eventlet.sleep(0.05)
-        _LOGGER.info("Entry {} stops; {} calls cut", self.settings.entry_id, cut)
+        while self._has_work() and self._clock.now_s() < deadline_s:
+            eventlet.sleep(DRAIN_POLL_S)
+        _LOGGER.info(
+            "Entry {} stops; {} calls cut, {} outcomes not recorded",
+            self.settings.entry_id,
+            cut,
+            self._writer.pending_writes,
+        )
         return cut
 
+    def _has_work(self) -> bool:
+        # A caller may have left, and its call or the record of its answer still runs.
+        return bool(self._services.running_calls or self._writer.pending_writes)
+
     def is_ready(self) -> bool:
         """Tell whether the balancer should send calls here."""
         return not self.link.draining and self.view.has_lease(self._clock.now_s())
--- a/tests/processes/test_losses.py
+++ b/tests/processes/test_losses.py
@@ -13,6 +13,7 @@
 )
 from chestnutvale.emulator.processes import program_path, wait_until
 from chestnutvale.emulator.text import expected_text
+from tests.processes.conftest import GROUPS
 
 LONG = 150
 POSTINGS = f"/services/{PLAIN_SERVICE}/postings"
@@ -204,3 +205,23 @@
             place = (order["group_id"], order["epoch"], order["rank"])
             assert ranks.setdefault(place, host) == host
     assert ranks
+
+
+def test_lost_quorum_refuses_calls_at_once_and_comes_back(deployment):
+    lost = sorted(deployment.controls)[:2]
+    for name in lost:
+        deployment.controls[name].kill()
+    wait_until(
+        lambda: deployment.get_status("entry-1", "/readyz") == 503, 20, "the lease ends"
+    )
+    before = deployment.attempts()
+    asked_s = time.monotonic()
+    answer = stream(deployment, "entry-1", "no quorum")
+    assert time.monotonic() - asked_s < 5.0
+    assert (answer.status, answer.outcome) == (503, "not_run")
+    assert answer.problem["retry_after_s"] > 0
+    assert deployment.attempts() == before
+    for name in lost:
+        deployment.restart(name)
+    deployment.wait_serving(GROUPS)
+    assert_whole(stream(deployment, "entry-1", "quorum"), "quorum")
