--- a/chestnutvale/programs/control/group_task.py
+++ b/chestnutvale/programs/control/group_task.py
@@ -72,9 +72,10 @@
 
     def run(self) -> None:
         """Decide for ever; ended by killing the task."""
-        run_rounds("the group decisions", self._run_round, GROUP_ROUND_S)
+        run_rounds("the group decisions", self.run_round, GROUP_ROUND_S)
 
-    def _run_round(self) -> None:
+    def run_round(self) -> None:
+        """Publish what changed and, if there is cause, decide and act."""
         now_s = self._clock.now_s()
         self._table.forget_silent(now_s)
         self._desk.publish_changes()
--- /dev/null
+++ b/tests/programs/control/test_group_task.py
@@ -0,0 +1,107 @@
+"""Decisions about groups must follow each change at once and rest while all is well."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from chestnutvale.membership.table import MembershipTable
+from chestnutvale.programs.control.const import SETTLED_ROUND_S
+from chestnutvale.programs.control.group_task import GroupTask
+from chestnutvale.programs.control.state import ControlState
+from chestnutvale.schema.groups_pb2 import HostRelease
+from chestnutvale.schema.membership_pb2 import Heard
+from chestnutvale.schema.peer_pb2 import GroupView
+
+ROUND_S = 0.1
+
+
+class Coordinator:
+    """Counts the rounds of decisions."""
+
+    def __init__(self):
+        self.ticks = 0
+
+    def became_leader(self, now_s):
+        """Take note of nothing."""
+
+    def tick(self, *arguments):
+        """Decide nothing."""
+        self.ticks += 1
+        return []
+
+
+class Scene:
+    """A leading control's group task under a clock of its own."""
+
+    def __init__(self):
+        self.now_s = 100.0
+        self.log = SimpleNamespace(
+            is_leader=True, term=1, applied_index=5, has_lease=lambda now_s: True
+        )
+        self.state = ControlState()
+        self.table = MembershipTable()
+        self.views = [GroupView(serving=True)]
+        self.desk = SimpleNamespace(
+            publish_changes=lambda: None,
+            pass_on_cache_events=lambda: None,
+            group_views=lambda: self.views,
+            view_version=1,
+        )
+        self.coordinator = Coordinator()
+        clock = SimpleNamespace(now_s=lambda: self.now_s, unix_ms=lambda: 1)
+        measures = SimpleNamespace(update=lambda *arguments: None)
+        self.task = GroupTask(
+            self.log,
+            self.state,
+            self.table,
+            self.coordinator,
+            self.desk,
+            measures,
+            clock,
+        )
+
+    def rounds(self, count):
+        """Run some rounds and return in how many decisions were made."""
+        before = self.coordinator.ticks
+        for _ in range(count):
+            self.now_s += ROUND_S
+            self.task.run_round()
+        return self.coordinator.ticks - before
+
+
+@pytest.fixture
+def scene():
+    found = Scene()
+    found.rounds(1)
+    return found
+
+
+def test_settled_groups_are_decided_about_now_and_then(scene):
+    count = 5 * round(SETTLED_ROUND_S / ROUND_S)
+    assert 4 <= scene.rounds(count) <= 6
+
+
+@pytest.mark.parametrize("what", ["log", "host", "view", "term"])
+def test_a_change_is_decided_about_at_once(scene, what):
+    assert scene.rounds(1) == 0
+    match what:
+        case "log":
+            scene.log.applied_index += 1
+        case "host":
+            scene.table.merge("e", [Heard(host_id="h", boot_id="b")], scene.now_s)
+        case "view":
+            scene.desk.view_version += 1
+        case "term":
+            scene.log.term += 1
+            scene.coordinator.lost_leadership = lambda: None
+    assert scene.rounds(1) == 1
+
+
+@pytest.mark.parametrize("what", ["broken", "release"])
+def test_what_waits_for_time_is_decided_about_in_each_round(scene, what):
+    if what == "broken":
+        scene.views = [GroupView(serving=True), GroupView(serving=False)]
+    else:
+        scene.state.groups.releases["h"] = HostRelease(host_id="h")
+    scene.log.applied_index += 1
+    assert scene.rounds(8) == 8
