Show in the status which voters the leader has not heard

Change: the log's status carries each member's silence at the leader, and the operators' status calls a member unreachable after 3 s of it, with the reason; a control that does not lead says that it can't know. Seen failing: tests/processes/test_losses.py -k killed_leader with the reason always empty (1 failed).

--- a/chestnutvale/consensus/task.py
+++ b/chestnutvale/consensus/task.py
@@ -248,6 +248,11 @@
                 for member in [*members.voters, *members.learners]
                 if member != self._own_id and raft.role is Role.LEADER
             },
+            "silent_s": {
+                member: round(max(0.0, now_s - raft.silent_since_s(member)), 3)
+                for member in [*members.voters, *members.learners]
+                if member != self._own_id and raft.role is Role.LEADER
+            },
             "waiting_for": (
                 self._loop.joining.find_obstacle(now_s) if raft.is_empty else ""
             ),
--- a/chestnutvale/programs/control/const.py
+++ b/chestnutvale/programs/control/const.py
@@ -26,4 +26,6 @@
 PATH_ORDERS: Final = "/v1/orders"
 # Time in seconds after which an entry that does not report counts as silent.
 ENTRY_REPORT_TIMEOUT_S: Final = 3.0
+# Silence in seconds after which a voter or learner is shown as unreachable.
+VOTER_SILENT_S: Final = 3.0
 SALT_BITS: Final = 32
--- a/chestnutvale/programs/control/status.py
+++ b/chestnutvale/programs/control/status.py
@@ -1,5 +1,7 @@
 """The status that operators ask for, from what a control knows."""
 
+from typing import Any
+
 import attrs
 
 from chestnutvale.configuration.lookup import TextLookup
@@ -7,7 +9,7 @@
 from chestnutvale.consensus.task import ConsensusTask
 from chestnutvale.membership.table import HostRecord, MembershipTable
 from chestnutvale.membership.views import ViewPublisher
-from chestnutvale.programs.control.const import ENTRY_REPORT_TIMEOUT_S
+from chestnutvale.programs.control.const import ENTRY_REPORT_TIMEOUT_S, VOTER_SILENT_S
 from chestnutvale.programs.control.entry_desk import EntryDesk
 from chestnutvale.programs.control.measures import MeasureTracker
 from chestnutvale.programs.control.state import ControlState
@@ -171,13 +173,15 @@
         for member_id, role in members:
             control_id = control_of(member_id)
             peer = known.get(control_id)
+            reason = _find_voter_fault(member_id, status)
             voters.append(
                 VoterStatus(
                     id=member_id,
                     address=peer.address if peer else "",
                     http_address=peer.http_address if peer else "",
                     role="leader" if control_id == self.log.leader_id else role,
-                    reachable=True,
+                    reachable=not reason,
+                    reason=reason,
                     matched_index=status["match_index"].get(
                         member_id, status["last_index"]
                     ),
@@ -210,6 +214,31 @@
         return entries
 
 
+def _find_voter_fault(member_id: str, status: dict[str, Any]) -> str:
+    """Find why a member of the log counts as unreachable.
+
+    Parameters
+    ----------
+    member_id : str
+        Identity of the member.
+    status : dict
+        State of the replicated log at this control.
+
+    Returns
+    -------
+    str
+        The reason; empty if the member is reachable.
+    """
+    if member_id == status["member_id"]:
+        return ""
+    silent_s = status["silent_s"].get(member_id)
+    if silent_s is None:
+        return "only a control that leads knows"
+    if silent_s > VOTER_SILENT_S:
+        return f"it has not answered for {silent_s:.0f} s"
+    return ""
+
+
 def _find_service_reason(
     groups: list[GroupView], serving: int, wanted: int, missing: tuple[str, ...]
 ) -> str:
--- a/tests/processes/test_losses.py
+++ b/tests/processes/test_losses.py
@@ -77,6 +77,13 @@
     return int(answer.json()["number"]) if answer.status == 200 else None
 
 
+def unreachable(deployment):
+    """Return the controls that the leader's status calls unreachable."""
+    status = deployment.operator_get(deployment.leader(), "status").json()
+    voters = status["voters"]
+    return {voter["id"].split("#")[0] for voter in voters if not voter["reachable"]}
+
+
 @pytest.mark.parametrize("rank", [0, -1])
 def test_lost_member_does_not_break_the_answer(deployment, rank):
     killed = []
@@ -117,7 +124,9 @@
     assert_whole(answer, "leader")
     assert deployment.leader() != leader
     number = apply_next(deployment, tmp_path)
+    wait_until(lambda: unreachable(deployment) == {leader}, 20, "its status")
     deployment.restart(leader)
+    wait_until(lambda: not unreachable(deployment), 20, "its return")
     wait_until(
         lambda: json.dumps(deployment.get(leader, "/debug/state")).count(str(number)),
         20,
