--- a/tests/docs/test_links.py
+++ b/tests/docs/test_links.py
@@ -48,9 +48,11 @@
 def parses(line):
     """Return whether the client takes a command line.
 
-    A line without arguments names a command; its name alone has to be known.
+    A line without arguments names a command; its name alone has to be known. Square
+    brackets mark what may be left out; the line is read with it.
     """
-    arguments = shlex.split(line, comments=True)[1:]
+    whole = line.replace("[", " ").replace("]", " ")
+    arguments = shlex.split(whole, comments=True)[1:]
     words = list(arguments)
     known = COMMANDS
     while words and not callable(known):
@@ -108,6 +110,8 @@
         ("chestnut voter", True),
         ("chestnut drain host-1 --undo", True),
         ("chestnut voter remove control-2  # a comment", True),
+        ("chestnut drain HOST [--undo]", True),
+        ("chestnut drain HOST [--back]", False),
         ("chestnut drain host-1 --back", False),
         ("chestnut voter replace control-2", False),
         ("chestnut reload", False),
