Answer all failures with the one Problem class

Cause: the entry's calls had a problem class of their own beside the HTTP server's, with other phrases for the same status. Change: the server's class carries the request's identity, the retry time as a member and the length; the entry only maps codes to statuses and spreads the retry time. Ruled out: nothing; bodies keep their members. Conclusion: one document, one place.

--- a/chestnutvale/http_server/problem.py
+++ b/chestnutvale/http_server/problem.py
@@ -9,6 +9,9 @@
 
 from chestnutvale.http_server.const import CONTENT_TYPE_PROBLEM
 
+# Status for metrics and logs when the caller closed the connection; never sent.
+STATUS_CALLER_GONE = 499
+
 
 @attrs.frozen
 class Problem:
@@ -30,6 +33,8 @@
         The other side of that step.
     retry_after_s : float or None
         Seconds after which trying again makes sense; None if it does not.
+    request_id : str
+        Identity of the call; empty where there is none.
     extra : dict
         Further members of the answer.
     """
@@ -41,12 +46,20 @@
     step: str = ""
     peer: str = ""
     retry_after_s: float | None = None
+    request_id: str = ""
     extra: dict[str, Any] = attrs.field(factory=dict)
 
     @property
     def status_line(self) -> str:
         """Status and phrase as WSGI wants them."""
-        return f"{self.status} {HTTPStatus(self.status).phrase}"
+        return f"{self.status} {self.title}"
+
+    @property
+    def title(self) -> str:
+        """Phrase of the status."""
+        if self.status == STATUS_CALLER_GONE:
+            return "Client Closed Request"
+        return HTTPStatus(self.status).phrase
 
     def headers(self) -> list[tuple[str, str]]:
         """Return the headers of the answer.
@@ -60,6 +73,8 @@
         if self.retry_after_s is not None:
             seconds = max(1, math.ceil(self.retry_after_s))
             headers.append(("Retry-After", str(seconds)))
+        if self.request_id:
+            headers.append(("X-Request-Id", self.request_id))
         return headers
 
     def body(self) -> bytes:
@@ -72,7 +87,7 @@
         """
         members = {
             "type": "about:blank",
-            "title": HTTPStatus(self.status).phrase,
+            "title": self.title,
             "status": self.status,
             "code": self.code,
             "detail": self.detail,
@@ -80,6 +95,10 @@
             "step": self.step,
             "peer": self.peer,
         }
+        if self.retry_after_s is not None:
+            members["retry_after_s"] = max(1, math.ceil(self.retry_after_s))
+        if self.request_id:
+            members["request_id"] = self.request_id
         return json.dumps({**members, **self.extra}).encode()
 
     def respond(self, start_response: Any) -> list[bytes]:
@@ -95,5 +114,7 @@
         list of bytes
             The body.
         """
-        start_response(self.status_line, self.headers())
-        return [self.body()]
+        body = self.body()
+        headers = [*self.headers(), ("Content-Length", str(len(body)))]
+        start_response(self.status_line, headers)
+        return [body]
--- a/chestnutvale/programs/entry/model_calls.py
+++ b/chestnutvale/programs/entry/model_calls.py
@@ -376,7 +376,7 @@
         yield from pieces
     if run.failure is not None:
         problem = make_problem(run.failure, run.request.request_id, context.rng)
-        yield b"event: error\ndata: " + problem.body + b"\n\n"
+        yield b"event: error\ndata: " + problem.body() + b"\n\n"
 
 
 def _answer_whole(
@@ -407,5 +407,4 @@
     start_response: StartResponse,
 ) -> Iterable[bytes]:
     problem = make_problem(failure, request_id, context.rng)
-    start_response(problem.status_line, problem.headers)
-    return [problem.body]
+    return problem.respond(start_response)
--- a/chestnutvale/programs/entry/problems.py
+++ b/chestnutvale/programs/entry/problems.py
@@ -1,19 +1,13 @@
 """Failures as callers see them: problem documents of RFC 9457."""
 
-import json
 import math
 import random
-from typing import Any
-
-import attrs
 
 from chestnutvale.attempts.events import Failure
+from chestnutvale.http_server.problem import STATUS_CALLER_GONE, Problem
 
-CONTENT_TYPE_PROBLEM = "application/problem+json"
 # Share of a retry time by which it is spread, so that callers don't return at once.
 RETRY_SPREAD = 0.5
-# Status for metrics and logs when the caller closed the connection; never sent.
-STATUS_CALLER_GONE = 499
 
 _STATUS_BY_CODE = {
     "bad_request": 400,
@@ -39,48 +33,6 @@
     "caller_gone": STATUS_CALLER_GONE,
 }
 _DEFAULT_STATUS = 503
-_REASONS = {
-    400: "Bad Request",
-    401: "Unauthorized",
-    403: "Forbidden",
-    404: "Not Found",
-    409: "Conflict",
-    410: "Gone",
-    413: "Content Too Large",
-    422: "Unprocessable Content",
-    429: "Too Many Requests",
-    STATUS_CALLER_GONE: "Client Closed Request",
-    502: "Bad Gateway",
-    503: "Service Unavailable",
-    504: "Gateway Timeout",
-}
-
-
-@attrs.frozen
-class Problem:
-    """A failure ready to be sent.
-
-    Attributes
-    ----------
-    status : int
-        HTTP status.
-    reason : str
-        Reason phrase of the status line.
-    headers : list of tuple of str
-        Header names and values.
-    body : bytes
-        The JSON document.
-    """
-
-    status: int
-    reason: str
-    headers: list[tuple[str, str]]
-    body: bytes
-
-    @property
-    def status_line(self) -> str:
-        """Status and reason as WSGI takes them."""
-        return f"{self.status} {self.reason}"
 
 
 def spread_retry_after_s(retry_after_s: float, rng: random.Random) -> int:
@@ -102,9 +54,7 @@
     return max(1, math.ceil(spread))
 
 
-def make_problem(
-    failure: Failure, request_id: str, rng: random.Random, **extra: Any
-) -> Problem:
+def make_problem(failure: Failure, request_id: str, rng: random.Random) -> Problem:
     """Make the problem document of a failure.
 
     Parameters
@@ -115,33 +65,22 @@
         Identity of the call.
     rng : random.Random
         Source of random numbers, for the spread of ``Retry-After``.
-    **extra : object
-        Further members of the document.
 
     Returns
     -------
     Problem
         The problem.
     """
-    status = _STATUS_BY_CODE.get(failure.code, _DEFAULT_STATUS)
-    reason = _REASONS.get(status, "Error")
-    document: dict[str, Any] = {
-        "type": "about:blank",
-        "title": reason,
-        "status": status,
-        "detail": failure.message,
-        "code": failure.code,
-        "outcome": failure.outcome,
-        "step": failure.step,
-        "peer": failure.peer,
-        "request_id": request_id,
-        **extra,
-    }
-    headers = [("Content-Type", CONTENT_TYPE_PROBLEM), ("X-Request-Id", request_id)]
-    if failure.retry_after_s is not None:
-        seconds = spread_retry_after_s(failure.retry_after_s, rng)
-        headers.append(("Retry-After", str(seconds)))
-        document["retry_after_s"] = seconds
-    body = json.dumps(document).encode()
-    headers.append(("Content-Length", str(len(body))))
-    return Problem(status, reason, headers, body)
+    retry_after_s = failure.retry_after_s
+    if retry_after_s is not None:
+        retry_after_s = spread_retry_after_s(retry_after_s, rng)
+    return Problem(
+        status=_STATUS_BY_CODE.get(failure.code, _DEFAULT_STATUS),
+        code=failure.code,
+        detail=failure.message,
+        outcome=failure.outcome,
+        step=failure.step,
+        peer=failure.peer,
+        retry_after_s=retry_after_s,
+        request_id=request_id,
+    )
--- a/chestnutvale/programs/entry/service_calls.py
+++ b/chestnutvale/programs/entry/service_calls.py
@@ -92,8 +92,7 @@
         if isinstance(answer, Reply):
             return _send_reply(answer, request_id, start_response)
         problem = make_problem(answer, request_id, self._context.rng)
-        start_response(problem.status_line, problem.headers)
-        return [problem.body]
+        return problem.respond(start_response)
 
     def _answer(self, environ: dict[str, Any], request_id: str) -> Reply | Failure:
         context = self._context
