--- a/tests/processes/test_losses.py
+++ b/tests/processes/test_losses.py
@@ -18,6 +18,8 @@
 LONG = 150
 POSTINGS = f"/services/{PLAIN_SERVICE}/postings"
 
+pytestmark = pytest.mark.usefixtures("whole_deployment")
+
 
 class Trigger:
     """Calls an action once when a stream has some tokens."""
@@ -34,22 +36,6 @@
         return True
 
 
-@pytest.fixture(autouse=True)
-def whole_deployment(deployment):
-    """Bring back whatever a test has ended."""
-    yield
-    for process in (deployment.controls | deployment.entries).values():
-        if process.is_running:
-            process.thaw()
-        else:
-            deployment.restart(process.name)
-    for process in deployment.engines.values():
-        if not process.is_running:
-            process.start()
-            process.wait_ready()
-    deployment.wait_serving(GROUPS)
-
-
 def stream(deployment, entry, prompt, on_token=None, length=LONG):
     caller = deployment.caller(entry)
     return caller.generate(MODEL_SERVICE, prompt, length, on_token=on_token)
@@ -77,6 +63,13 @@
     return int(answer.json()["number"]) if answer.status == 200 else None
 
 
+def unreachable(deployment):
+    """Return the controls that the leader's status calls unreachable."""
+    status = deployment.operator_get(deployment.leader(), "status").json()
+    voters = status["voters"]
+    return {voter["id"].split("#")[0] for voter in voters if not voter["reachable"]}
+
+
 @pytest.mark.parametrize("rank", [0, -1])
 def test_lost_member_does_not_break_the_answer(deployment, rank):
     killed = []
@@ -88,9 +81,11 @@
                 killed.append(members[rank])
                 deployment.engines[members[rank]].kill()
 
-    answer = stream(deployment, "entry-1", "lost member", Trigger(kill))
+    # Another prompt each time, as one that loses two groups is taken for the cause.
+    prompt = f"lost member {rank}"
+    answer = stream(deployment, "entry-1", prompt, Trigger(kill))
     assert killed
-    assert_whole(answer, "lost member")
+    assert_whole(answer, prompt)
 
 
 def test_killed_entry_breaks_its_streams_only(deployment):
@@ -117,7 +112,9 @@
     assert_whole(answer, "leader")
     assert deployment.leader() != leader
     number = apply_next(deployment, tmp_path)
+    wait_until(lambda: unreachable(deployment) == {leader}, 20, "its status")
     deployment.restart(leader)
+    wait_until(lambda: not unreachable(deployment), 20, "its return")
     wait_until(
         lambda: json.dumps(deployment.get(leader, "/debug/state")).count(str(number)),
         20,
@@ -193,3 +190,47 @@
     refused = {name for name in outcomes if "(not_run)" in name}
     assert set(outcomes) - refused <= {"whole", "hung up"}, outcomes
     assert outcomes["whole"] > 40
+
+
+def accepted_orders(deployment, host):
+    orders = deployment.get(host, "/v1/history")["orders"]
+    return [order for order in orders if order["code"] == "accepted"]
+
+
+def test_history_of_orders_gives_each_host_to_one_group_at_a_time(deployment):
+    """Runs last, over all that the tests before it did to the engines."""
+    ranks = {}
+    for host in deployment.engines:
+        held = ""
+        last_fence = 0
+        for order in accepted_orders(deployment, host):
+            assert order["fence"] >= last_fence
+            last_fence = order["fence"]
+            if order["kind"] == "release":
+                held = "" if order["group_id"] == held else held
+                continue
+            assert held in {"", order["group_id"]}, f"{host} was taken from {held}"
+            held = order["group_id"]
+            place = (order["group_id"], order["epoch"], order["rank"])
+            assert ranks.setdefault(place, host) == host
+    assert ranks
+
+
+def test_lost_quorum_refuses_calls_at_once_and_comes_back(deployment):
+    lost = sorted(deployment.controls)[:2]
+    for name in lost:
+        deployment.controls[name].kill()
+    wait_until(
+        lambda: deployment.get_status("entry-1", "/readyz") == 503, 20, "the lease ends"
+    )
+    before = deployment.attempts()
+    asked_s = time.monotonic()
+    answer = stream(deployment, "entry-1", "no quorum")
+    assert time.monotonic() - asked_s < 5.0
+    assert (answer.status, answer.outcome) == (503, "not_run")
+    assert answer.problem["retry_after_s"] > 0
+    assert deployment.attempts() == before
+    for name in lost:
+        deployment.restart(name)
+    deployment.wait_serving(GROUPS)
+    assert_whole(stream(deployment, "entry-1", "quorum"), "quorum")
