Feed delays, ages and empty capacities to the decisions

Cause: the daemons left out what three decisions ask for. A control merged reports without their sending time, so one that was held back made its hosts look alive for longer than the detection time. An entry kept the old capacity of a service whose last group was gone, so waiting calls were not refused. Load reports counted as 1 s old whatever their age, and prompts larger than any group's memory were not refused. Ruled out: trusting the age beyond 3 s.

--- a/chestnutvale/programs/control/entry_desk.py
+++ b/chestnutvale/programs/control/entry_desk.py
@@ -160,7 +160,13 @@
         report = envelope.entry_report
         now_s = self._clock.now_s()
         entry_id = envelope.sender_id
-        self._table.merge(entry_id, report.heard, now_s)
+        self._table.merge(
+            entry_id,
+            report.heard,
+            now_s,
+            report.sent_at_ms,
+            envelope.sender_incarnation,
+        )
         self._cache_events.extend(report.cache_events)
         self._demands.note(entry_id, from_messages(report.demands), now_s)
         self.entries[entry_id] = KnownEntry(
--- a/chestnutvale/programs/entry/call_context.py
+++ b/chestnutvale/programs/entry/call_context.py
@@ -3,7 +3,7 @@
 import random
 from typing import Any
 
-from chestnutvale.admission.messages import ServiceLimits
+from chestnutvale.admission.messages import ServiceCapacity, ServiceLimits
 from chestnutvale.attempts.retry_budget import AttemptBudgets
 from chestnutvale.attempts.suspicion import SuspicionTracker
 from chestnutvale.clock import Clock
@@ -19,6 +19,7 @@
 from chestnutvale.schema.peer_pb2 import ControlView, GroupView
 
 BEARER = "bearer "
+NO_CAPACITY = ServiceCapacity(groups=0, kv_capacity_tokens=0)
 
 
 class EntryContext:
@@ -213,9 +214,9 @@
         now_s = self.clock.now_s()
         capacities = self._router.capacities()
         for service in self.lookup.services:
-            capacity = capacities.get(service)
-            if capacity is not None:
-                self._gate.controller.set_capacity(service, capacity, now_s)
+            # Without a serving group the calls that wait are refused at once.
+            capacity = capacities.get(service, NO_CAPACITY)
+            self._gate.controller.set_capacity(service, capacity, now_s)
         self._gate.controller.set_entry_count(self._view.entry_count)
         self._gate.settle_waiting()
 
--- a/chestnutvale/programs/entry/group_router.py
+++ b/chestnutvale/programs/entry/group_router.py
@@ -10,6 +10,7 @@
 from chestnutvale.programs.entry.context import AttemptReport, CallRequest
 from chestnutvale.routing.messages import RoutableGroup, RoutingRequest
 from chestnutvale.routing.selector import Selector
+from chestnutvale.schema.membership_pb2 import Load
 from chestnutvale.schema.peer_pb2 import ControlView, Envelope, GroupView
 
 PREFIX_BLOCK_BYTES = 64
@@ -17,6 +18,8 @@
 # Time in seconds for which a group that broke an attempt is tried last.
 BROKEN_GROUP_S = 1.0
 RESULT_BROKEN = "broken"
+# Age in seconds beyond which a load report is not believed to be.
+MAX_LOAD_AGE_S = 3.0
 
 
 class GroupRouter:
@@ -64,7 +67,8 @@
                 if item.serving
             )
         for load in view.loads:
-            self._selector.update_load(load.group_id, load.load, now_s)
+            age_s = self._find_age_s(load.load)
+            self._selector.update_load(load.group_id, load.load, now_s, age_s)
 
     def receive_cache_news(self, envelope: Envelope) -> None:
         """Take the cache events that the leading control passes on.
@@ -80,6 +84,11 @@
             if view is not None and view.group.epoch == item.epoch:
                 self._selector.note_cache_events(item.group_id, item.events, now_s)
 
+    def _find_age_s(self, load: Load) -> float:
+        # The clocks of two hosts may differ, so an age that can't be is cut.
+        age_s = (self._clock.unix_ms() - load.measured_at_unix_ms) / 1_000
+        return min(max(age_s, 0.0), MAX_LOAD_AGE_S)
+
     def capacities(self) -> dict[str, ServiceCapacity]:
         """Return what the serving groups of each service have.
 
@@ -88,20 +97,13 @@
         dict of str to ServiceCapacity
             By service; a service without a serving group is absent.
         """
-        sums: dict[str, list[int]] = {}
+        loads: dict[str, list[Load]] = {}
         for item in self._view.groups():
             if not item.serving:
                 continue
-            total = sums.setdefault(item.group.service, [0, 0, 0, 0, 0])
             load = self._view.load(item.group.group_id)
-            total[0] += 1
-            if load is None:
-                continue
-            total[1] += load.kv_capacity_tokens
-            total[2] += load.kv_used_tokens
-            total[3] += load.running
-            total[4] += load.waiting
-        return {service: ServiceCapacity(*total) for service, total in sums.items()}
+            loads.setdefault(item.group.service, []).append(load or Load())
+        return {service: _sum_loads(items) for service, items in loads.items()}
 
     def serving_groups(self, service: str, version: str) -> list[str]:
         """Return the ids of all groups that serve a service now.
@@ -206,6 +208,17 @@
         }
 
 
+def _sum_loads(loads: list[Load]) -> ServiceCapacity:
+    return ServiceCapacity(
+        groups=len(loads),
+        kv_capacity_tokens=sum(load.kv_capacity_tokens for load in loads),
+        kv_used_tokens=sum(load.kv_used_tokens for load in loads),
+        running=sum(load.running for load in loads),
+        waiting=sum(load.waiting for load in loads),
+        largest_group_tokens=max(load.kv_capacity_tokens for load in loads),
+    )
+
+
 def hash_prefixes(prompt: bytes) -> tuple[int, ...]:
     """Hash ever longer prefixes of a prompt as the endpoint protocol defines.
 
--- /dev/null
+++ b/tests/programs/control/test_entry_desk.py
@@ -0,0 +1,90 @@
+"""Reports of entries at a control: freshness, and who is answered."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from chestnutvale.membership.table import MembershipTable
+from chestnutvale.membership.views import ViewPublisher
+from chestnutvale.programs.control.entry_desk import EntryDesk
+from chestnutvale.programs.control.state import ControlState
+from chestnutvale.schema.membership_pb2 import Heard
+from chestnutvale.schema.peer_pb2 import EntryReport, Envelope
+
+
+class Transport:
+    """Keeps the handlers and what was sent."""
+
+    def __init__(self):
+        self.handlers = {}
+        self.sent = []
+
+    def on(self, body, handler):
+        self.handlers[body] = handler
+
+    def send(self, recipient_id, address, body, message, **options):
+        self.sent.append((recipient_id, body, message))
+        return True
+
+
+class Desk:
+    """A control's desk under a clock of its own."""
+
+    def __init__(self):
+        self.now_s = 100.0
+        self.has_lease = True
+        self.transport = Transport()
+        self.table = MembershipTable(detection_timeout_s=3.0)
+        log = SimpleNamespace(
+            is_leader=True,
+            term=1,
+            applied_index=1,
+            leader_id="c1",
+            has_lease=lambda now_s: self.has_lease,
+        )
+        clock = SimpleNamespace(now_s=lambda: self.now_s, unix_ms=lambda: 1)
+        self.desk = EntryDesk(
+            self.transport,
+            log,
+            ControlState(),
+            self.table,
+            ViewPublisher("life"),
+            clock,
+        )
+
+    def report(self, sent_at_s, heard=(), nonce=1):
+        report = EntryReport(
+            reply_address="10.0.0.1:1",
+            nonce=nonce,
+            sent_at_ms=round(sent_at_s * 1_000),
+            heard=heard,
+        )
+        envelope = Envelope(
+            sender_id="e1", sender_incarnation="i1", entry_report=report
+        )
+        self.transport.handlers["entry_report"](envelope)
+
+
+@pytest.fixture
+def desk():
+    return Desk()
+
+
+def test_report_that_was_held_back_does_not_freshen_a_host(desk):
+    desk.report(7.0)
+    desk.now_s += 8.0
+    # It left the entry half a second after the first one and came 7.5 s late.
+    desk.report(7.5, [Heard(host_id="a", boot_id="b", sequence=1, age_ms=100)])
+    assert not desk.table.is_fresh("a", desk.now_s)
+    desk.report(15.0, [Heard(host_id="a", boot_id="b", sequence=2, age_ms=100)])
+    assert desk.table.is_fresh("a", desk.now_s)
+
+
+def test_only_a_leader_with_its_lease_answers(desk):
+    desk.has_lease = False
+    desk.report(1.0, nonce=5)
+    assert desk.transport.sent == []
+    desk.has_lease = True
+    desk.report(1.5, nonce=6)
+    [(recipient, body, view)] = desk.transport.sent
+    assert (recipient, body, view.nonce) == ("e1", "control_view", 6)
--- /dev/null
+++ b/tests/programs/entry/test_call_context.py
@@ -0,0 +1,74 @@
+"""What the entry's context takes from a view."""
+
+import random
+
+from chestnutvale.admission.controller import AdmissionController
+from chestnutvale.membership.entry_view import EntryView
+from chestnutvale.programs.entry.admission_gate import AdmissionGate
+from chestnutvale.programs.entry.call_context import EntryContext
+from chestnutvale.programs.entry.context import CallRequest
+from chestnutvale.programs.entry.group_router import GroupRouter
+from chestnutvale.routing.selector import Selector
+from chestnutvale.schema.configuration_pb2 import Service, Text, Workspace
+from chestnutvale.schema.groups_pb2 import Group
+from chestnutvale.schema.membership_pb2 import Load
+from chestnutvale.schema.peer_pb2 import ControlView, GroupLoad, GroupView
+from tests.programs.entry.test_group_router import ManualClock
+
+
+class NoCommits:
+    """Stands in for the commit client, which these tests don't use."""
+
+    def set_leader(self, control_id):
+        self.leader = control_id
+
+
+def make_context(clock):
+    rng = random.Random(1)
+    view = EntryView(lease_s=100.0)
+    gate = AdmissionGate(AdmissionController(rng), clock)
+    router = GroupRouter(view, Selector(rng), gate.predicted_tokens, clock)
+    context = EntryContext("e1", "i1", view, gate, router, NoCommits(), clock, rng)
+    return context, view, gate
+
+
+def make_view(version, serving):
+    group = Group(group_id="g1", service="llm", epoch=1)
+    text = Text(number=1)
+    text.services["llm"].CopyFrom(Service(kind="model", groups=1, hosts_per_group=1))
+    text.workspaces["w"].CopyFrom(Workspace(weight=1))
+    return ControlView(
+        nonce=version,
+        source="s",
+        term=1,
+        view_version=version,
+        whole=True,
+        configuration_number=1,
+        text=text,
+        groups=[GroupView(group=group, serving=serving, reason="" if serving else "x")],
+        loads=[GroupLoad(group_id="g1", load=Load(kv_capacity_tokens=400))],
+    )
+
+
+def install(context, view, message, clock):
+    view.report_sent(message.nonce, clock.now_s())
+    view.install(message, clock.now_s())
+    context.install(message, "c1")
+
+
+def test_waiting_calls_are_refused_once_no_group_serves():
+    clock = ManualClock()
+    context, view, gate = make_context(clock)
+    install(context, view, make_view(1, serving=True), clock)
+    tickets = [
+        gate.offer(CallRequest(f"r{n}", "w", "llm", "normal", b"", 200, "", 500.0))
+        for n in range(6)
+    ]
+    assert any(ticket.decided.ready() for ticket in tickets)
+    waiting = [ticket for ticket in tickets if not ticket.decided.ready()]
+    assert waiting
+    install(context, view, make_view(2, serving=False), clock)
+    assert all(ticket.decided.ready() for ticket in waiting)
+    refusals = [ticket.wait() for ticket in waiting]
+    assert {refusal.code for refusal in refusals} == {"no_capacity"}
+    assert all(refusal.retry_after_s > 0 for refusal in refusals)
--- a/tests/programs/entry/test_group_router.py
+++ b/tests/programs/entry/test_group_router.py
@@ -124,3 +124,14 @@
     assert router.choose(make_request(), frozenset(), "2") is None
     clock.time_s += 3.1
     assert router.choose(make_request(), frozenset(), "") is None
+
+
+def test_capacity_sums_the_serving_groups(router):
+    view = router._view
+    view._loads["g1"] = Load(kv_capacity_tokens=100, running=1, waiting=2)
+    view._loads["g2"] = Load(kv_capacity_tokens=300, kv_used_tokens=50)
+    view._loads["g4"] = Load(kv_capacity_tokens=900)
+    capacity = router.capacities()["llm"]
+    assert (capacity.groups, capacity.kv_capacity_tokens) == (3, 400)
+    assert (capacity.largest_group_tokens, capacity.kv_used_tokens) == (300, 50)
+    assert (capacity.running, capacity.waiting) == (1, 2)
