Race the plans of two leaders on one state

Switched off (UncheckedState) four hosts end up in two groups; with the check none does. Run: script/test tests/groups/test_planner.py passes.

--- a/tests/groups/test_planner.py
+++ b/tests/groups/test_planner.py
@@ -132,3 +132,32 @@
     assert chooser.choose(broken(4, 1, 60.0), [move, spare]) is spare
     leaving = broken(4, 1, 0.0, LossCause.LEAVING)
     assert chooser.choose(leaving, [spare]) is spare
+
+
+class UncheckedState(GroupsState):
+    """Takes hosts that other groups own."""
+
+    def _find_member_fault(self, host_id, group_id):
+        return ""
+
+
+def race(state):
+    """Commit the plans that two leaders made of the same state."""
+    said = [host.announce(0.0) for host in make_hosts(1, 6).values()]
+    table = table_of(said)
+    texts = [Text(number=1, services={name: model(1, 4)}) for name in "ab"]
+    for commands in [plan(text, table) for text in texts]:
+        for command in commands:
+            state.put_group(command, 0)
+    members = [
+        item.host_id for group in state.groups.values() for item in group.members
+    ]
+    return len(members) - len(set(members))
+
+
+def test_plans_of_two_leaders_give_no_host_to_two_groups():
+    assert race(GroupsState()) == 0
+
+
+def test_without_the_check_of_owners_two_groups_share_hosts():
+    assert race(UncheckedState()) == 4
