--- a/benchmarks/entry_overhead.py
+++ b/benchmarks/entry_overhead.py
@@ -5,9 +5,7 @@
 between-token times, and the entry's processor time for each token.
 """
 
-import contextlib
 import json
-import random
 import subprocess
 import sys
 import time
@@ -16,10 +14,13 @@
 
 import attrs
 import defopt
-import eventlet
 from hdrh.histogram import HdrHistogram
 from tabulate import tabulate
 
+from benchmarks.entry_overhead_worker import (
+    WorkerPlan,
+    make_histogram,
+)
 from chestnutvale.emulator.deployment import (
     MODEL_SERVICE,
     WORKSPACE_KEYS,
@@ -29,162 +30,14 @@
 from chestnutvale.emulator.processes import wait_until
 
 ROOT = Path(__file__).resolve().parent.parent
+WORKER = Path(__file__).with_name("entry_overhead_worker.py")
 FOLDER = ROOT / "build" / "entry_overhead"
-LOWEST_US, HIGHEST_US, DIGITS = 1, 600_000_000, 3
 PERCENTILES = (50.0, 95.0, 99.0)
 SIDES = ("engine", "entry")
-PROMPT_BYTES = 400
-READ_BYTES = 65_536
-EVENT_MARK = b"data: {"
-END_MARK = b"data: [DONE]"
-REQUEST_HEAD = (
-    "POST {path} HTTP/1.1\r\nHost: {host}\r\nConnection: close\r\n"
-    f"Authorization: Bearer {WORKSPACE_KEYS['accounts']}\r\n"
-    "Content-Type: application/json\r\nContent-Length: {length}\r\n\r\n"
-)
 # Time between the decision to run and the first request, for the workers' start.
 START_DELAY_S = 4.0
 
 
-@attrs.frozen
-class WorkerPlan:
-    """The part of the load that one worker process offers.
-
-    Attributes
-    ----------
-    side : str
-        ``"engine"`` calls heads directly, ``"entry"`` calls the entry.
-    targets : list of dict
-        For ``"engine"`` address, group and epoch of each head; for ``"entry"``
-        its address.
-    rate_per_s, duration_s : float
-        Arrivals of this worker and how long they go on, in seconds.
-    tokens : int
-        Length of each answer.
-    seed : int
-        Seed of the arrivals.
-    begin_s : float
-        Monotonic time of the first arrival's origin in seconds.
-    """
-
-    side: str
-    targets: list[dict[str, Any]]
-    rate_per_s: float
-    duration_s: float
-    tokens: int
-    seed: int
-    begin_s: float
-
-
-class Worker:
-    """Offers requests and measures, with no more work for each event than needed.
-
-    Parameters
-    ----------
-    plan : WorkerPlan
-        What to offer.
-    """
-
-    def __init__(self, plan: WorkerPlan) -> None:
-        self._plan = plan
-        self._first = HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
-        self._gaps = HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
-        self._whole_count = 0
-        self._failures: dict[str, int] = {}
-        self._events_count = 0
-        self._late_s = 0.0
-
-    def run(self) -> dict[str, Any]:
-        """Offer the load and return the measurements."""
-        source = random.Random(self._plan.seed)
-        pool = eventlet.GreenPool(100_000)
-        at_s = 0.0
-        number = 0
-        while True:
-            at_s += source.expovariate(self._plan.rate_per_s)
-            if at_s > self._plan.duration_s:
-                break
-            number += 1
-            due_s = self._plan.begin_s + at_s
-            eventlet.sleep(max(0.0, due_s - time.monotonic()))
-            self._late_s = max(self._late_s, time.monotonic() - due_s)
-            target = source.choice(self._plan.targets)
-            pool.spawn_n(self._send, number, target)
-        pool.waitall()
-        return {
-            "first": self._first.encode().decode(),
-            "gaps": self._gaps.encode().decode(),
-            "whole": self._whole_count,
-            "failures": self._failures,
-            "events": self._events_count,
-            "late_s": self._late_s,
-            "ended_s": time.monotonic(),
-        }
-
-    def _send(self, number: int, target: dict[str, Any]) -> None:
-        name = f"{self._plan.seed}-{number}"
-        prompt = f"{name} ".ljust(PROMPT_BYTES, "x")
-        body: dict[str, Any] = {"prompt": prompt, "max_tokens": self._plan.tokens}
-        if self._plan.side == "engine":
-            path = "/v1/generate"
-            body |= {"request_id": name, "attempt_id": name, "form": "completion"}
-            body |= {"group_id": target["group_id"], "epoch": target["epoch"]}
-            body |= {"service": MODEL_SERVICE}
-        else:
-            path = "/v1/completions"
-            body |= {"model": MODEL_SERVICE, "stream": True}
-        try:
-            verdict = self._stream(target["address"], path, json.dumps(body).encode())
-        except OSError as error:
-            verdict = type(error).__name__
-        if verdict:
-            self._failures[verdict] = self._failures.get(verdict, 0) + 1
-        else:
-            self._whole_count += 1
-
-    def _stream(self, address: str, path: str, body: bytes) -> str:
-        """Send one request over a socket of its own and count what comes.
-
-        A client library's work for each event would be larger than the entry's, so
-        the bytes are only searched for the start of events.
-        """
-        host, _, port = address.rpartition(":")
-        head = REQUEST_HEAD.format(path=path, host=address, length=len(body))
-        begun_s = time.monotonic()
-        last_s = 0.0
-        tail = b""
-        with contextlib.closing(eventlet.connect((host, int(port)))) as connection:
-            connection.sendall(head.encode() + body)
-            while END_MARK not in tail:
-                data = connection.recv(READ_BYTES)
-                if not data:
-                    return f"closed after {tail[:80]!r}"
-                tail = tail[-len(END_MARK) :] + data
-                now_s = time.monotonic()
-                events = data.count(EVENT_MARK)
-                if not events:
-                    continue
-                if last_s:
-                    self._gaps.record_value(max(1, round((now_s - last_s) * 1e6)))
-                else:
-                    self._first.record_value(max(1, round((now_s - begun_s) * 1e6)))
-                self._events_count += events
-                last_s = now_s
-        return ""
-
-
-def work(plan_text: str) -> None:
-    """Run as a worker process; prints one JSON line.
-
-    Parameters
-    ----------
-    plan_text : str
-        The plan as JSON.
-    """
-    eventlet.monkey_patch()
-    print(json.dumps(Worker(WorkerPlan(**json.loads(plan_text))).run()))
-
-
 @attrs.frozen
 class SideResult:
     """Measurements of one side."""
@@ -271,7 +124,7 @@
             )
             for number in range(self._workers)
         ]
-        command = [sys.executable, __file__, "--worker"]
+        command = [sys.executable, str(WORKER)]
         started = [
             subprocess.Popen(
                 [*command, json.dumps(attrs.asdict(plan))], stdout=subprocess.PIPE
@@ -304,8 +157,8 @@
         cpu_s: float,
         resident_bytes: int,
     ) -> SideResult:
-        first = HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
-        gaps = HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+        first = make_histogram()
+        gaps = make_histogram()
         failures: dict[str, int] = {}
         for result in results:
             first.decode_and_add(result["first"].encode())
@@ -436,7 +289,4 @@
 
 
 if __name__ == "__main__":
-    if sys.argv[1:2] == ["--worker"]:
-        work(sys.argv[2])
-    else:
-        defopt.run(run)
+    defopt.run(run)
--- a/chestnutvale/emulator/deployment.py
+++ b/chestnutvale/emulator/deployment.py
@@ -8,7 +8,6 @@
 import os
 import shutil
 import subprocess
-import threading
 from collections import Counter
 from contextlib import ExitStack
 from pathlib import Path
@@ -18,7 +17,13 @@
 import attrs
 import urllib3
 
+from chestnutvale.emulator.background import Background
 from chestnutvale.emulator.caller import Caller
+from chestnutvale.emulator.deployment_settings import (
+    DATA_CENTRES,
+    OPERATOR_TOKEN,
+    SettingsFiles,
+)
 from chestnutvale.emulator.exceptions import EmulatorError
 from chestnutvale.emulator.processes import (
     ManagedProcess,
@@ -29,10 +34,6 @@
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 DEMO_TEXT = ROOT / "examples" / "demo" / "text.json"
-CLUSTER_ID = "demo"
-REGION = "region-1"
-DATA_CENTRES = ("dc-1", "dc-2", "dc-3")
-OPERATOR_TOKEN = "demo-operator-token"
 WORKSPACE_KEYS = {"accounts": "demo-key-accounts", "reports": "demo-key-reports"}
 MODEL_SERVICE = "chestnut-llm"
 PLAIN_SERVICE = "ledger-app"
@@ -111,6 +112,7 @@
             maxsize=64, retries=False, timeout=CALL_TIMEOUT_S
         )
         self._peers: dict[str, str] = {}
+        self._files = SettingsFiles(self.folder, self.addresses, self._peers)
         self._free = find_free_addresses(os.getpid())
         self._stack = ExitStack()
         self._store_address = ""
@@ -119,13 +121,12 @@
         """Start everything and wait until each door answers."""
         shutil.rmtree(self.folder, ignore_errors=True)
         self.folder.mkdir(parents=True)
-        (self.folder / "operator-token").write_text(f"{OPERATOR_TOKEN}\n")
-        (self.folder / "operator-token").chmod(0o600)
+        self._files.write_operator_token()
         with self._stack:
             self._reserve_addresses()
             self._start_endpoints()
             self._start_daemons()
-            self._write_client_settings()
+            self._files.write_client()
             self._wait_for_doors()
             self._stack = self._stack.pop_all()
         return self
@@ -194,65 +195,19 @@
         return [*own, "--entries", *entries, *place]
 
     def _start_daemons(self) -> None:
+        files = self._files
         for number in range(1, self.options.controls + 1):
             name = f"control-{number}"
-            settings = self._control_settings(name, number)
-            self.controls[name] = self._start_daemon(
-                name, "chestnut-control", settings | self.options.control_settings
-            )
+            more = self.options.control_settings
+            path = files.write_control(name, number, self._store_address, more)
+            self.controls[name] = self._start_daemon(name, "chestnut-control", path)
         for number in range(1, self.options.entries + 1):
             name = f"entry-{number}"
-            settings = self._common_settings(name, number) | {"entry_id": name}
-            self.entries[name] = self._start_daemon(
-                name, "chestnut-entry", settings | self.options.entry_settings
-            )
-
-    def _start_daemon(
-        self, name: str, program: str, settings: dict[str, Any]
-    ) -> ManagedProcess:
-        path = self.folder / f"{name}.json"
-        path.write_text(json.dumps(settings, indent=2))
-        return self._start(name, program, [str(path)])
-
-    def _common_settings(self, name: str, number: int) -> dict[str, Any]:
-        return {
-            "cluster_id": CLUSTER_ID,
-            "region": REGION,
-            "data_centre": DATA_CENTRES[(number - 1) % len(DATA_CENTRES)],
-            "http_address": self.addresses[name],
-            "peer_address": self._peers[name],
-            "controls": self._control_peers(),
-            "operator_token_file": str(self.folder / "operator-token"),
-        }
+            path = files.write_entry(name, number, self.options.entry_settings)
+            self.entries[name] = self._start_daemon(name, "chestnut-entry", path)
 
-    def _control_settings(self, name: str, number: int) -> dict[str, Any]:
-        return self._common_settings(name, number) | {
-            "control_id": name,
-            "data_folder": str(self.folder / f"{name}-data"),
-            "weight_store_address": self._store_address,
-        }
-
-    def _control_peers(self) -> list[dict[str, str]]:
-        return [
-            {
-                "id": name,
-                "address": self._peers[name],
-                "http_address": self.addresses[name],
-                "data_centre": DATA_CENTRES[index % len(DATA_CENTRES)],
-            }
-            for index, name in enumerate(
-                name for name in self.addresses if name.startswith("control-")
-            )
-        ]
-
-    def _write_client_settings(self) -> None:
-        settings = {
-            "cluster_id": CLUSTER_ID,
-            "controls": self._control_peers(),
-            "operator_token_file": str(self.folder / "operator-token"),
-        }
-        path = self.folder / "client.json"
-        path.write_text(json.dumps(settings, indent=2))
+    def _start_daemon(self, name: str, program: str, settings: Path) -> ManagedProcess:
+        return self._start(name, program, [str(settings)])
 
     def _wait_for_doors(self) -> None:
         for name, process in (self.controls | self.entries).items():
@@ -412,7 +367,7 @@
                 return members[0]
         return ""
 
-    def in_background(self, action: Any, *arguments: Any) -> "Background":
+    def in_background(self, action: Any, *arguments: Any) -> Background:
         """Run an action in a thread of its own."""
         return Background(action, arguments)
 
@@ -444,49 +399,3 @@
             "process_ids": {name: p.pid for name, p in processes.items()},
         }
         path.write_text(json.dumps(data, indent=2) + "\n")
-
-
-class Background:
-    """An action in a thread of its own, with its result.
-
-    Parameters
-    ----------
-    action : callable
-        The action.
-    arguments : tuple
-        Its arguments.
-    """
-
-    def __init__(self, action: Any, arguments: tuple[Any, ...]) -> None:
-        self._result: Any = None
-        self._error: BaseException | None = None
-        self._thread = threading.Thread(
-            target=self._run, args=(action, arguments), daemon=True
-        )
-        self._thread.start()
-
-    def _run(self, action: Any, arguments: tuple[Any, ...]) -> None:
-        try:
-            self._result = action(*arguments)
-        except BaseException as error:  # noqa: BLE001
-            self._error = error
-
-    @property
-    def is_running(self) -> bool:
-        """Whether the action has not ended."""
-        return self._thread.is_alive()
-
-    def result(self, timeout_s: float = CALL_TIMEOUT_S) -> Any:
-        """Wait for the action and return its result.
-
-        Raises
-        ------
-        EmulatorError
-            If it does not end in time.
-        """
-        self._thread.join(timeout_s)
-        if self._thread.is_alive():
-            raise EmulatorError(f"not within {timeout_s} s", step="background")
-        if self._error is not None:
-            raise self._error
-        return self._result
--- /dev/null
+++ b/chestnutvale/emulator/load_result.py
@@ -0,0 +1,146 @@
+"""What became of a load: outcomes, and times as histograms."""
+
+from collections import Counter
+from typing import Any
+
+import attrs
+from hdrh.histogram import HdrHistogram
+from tabulate import tabulate
+
+from chestnutvale.emulator.caller import Answer
+from chestnutvale.emulator.load_plan import PlannedRequest
+from chestnutvale.emulator.text import expected_text
+
+LOWEST_US = 1
+HIGHEST_US = 600 * 1_000_000
+SIGNIFICANT_DIGITS = 3
+PERCENTILES = (50.0, 95.0, 99.0)
+US_PER_S = 1_000_000
+US_PER_MS = 1_000
+
+
+def make_histogram() -> HdrHistogram:
+    """Return a histogram of microseconds."""
+    return HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+
+
+@attrs.define
+class LoadResult:
+    """What became of a load.
+
+    Attributes
+    ----------
+    outcomes : Counter
+        Requests by how they ended.
+    first_token, between_tokens, whole_answer : HdrHistogram
+        Times in microseconds.
+    tokens_count : int
+        Tokens that arrived.
+    late_s : float
+        Largest delay of the load tool itself in seconds.
+    """
+
+    outcomes: Counter[str] = attrs.field(factory=Counter)
+    by_priority: dict[str, HdrHistogram] = attrs.field(factory=dict)
+    first_token: HdrHistogram = attrs.field(factory=make_histogram)
+    between_tokens: HdrHistogram = attrs.field(factory=make_histogram)
+    whole_answer: HdrHistogram = attrs.field(factory=make_histogram)
+    tokens_count: int = 0
+    late_s: float = 0.0
+    elapsed_s: float = 0.0
+
+    def record(self, request: PlannedRequest, answer: Answer) -> None:
+        """Count one answer.
+
+        Parameters
+        ----------
+        request : PlannedRequest
+            What was asked.
+        answer : Answer
+            What came.
+        """
+        self.outcomes[judge(request, answer)] += 1
+        self.tokens_count += len(answer.text.split())
+        if not answer.first_s:
+            return
+        first_us = _to_us(answer.first_s - answer.begun_s)
+        self.first_token.record_value(first_us)
+        own = self.by_priority.setdefault(request.priority, make_histogram())
+        own.record_value(first_us)
+        for gap_s in answer.gaps_s:
+            self.between_tokens.record_value(_to_us(gap_s))
+        if answer.is_whole:
+            self.whole_answer.record_value(_to_us(answer.ended_s - answer.begun_s))
+
+    def to_dict(self) -> dict[str, Any]:
+        """Return the result as a JSON object; times in milliseconds."""
+        histograms = {
+            "first_token_ms": self.first_token,
+            "between_tokens_ms": self.between_tokens,
+            "whole_answer_ms": self.whole_answer,
+        }
+        for priority, histogram in sorted(self.by_priority.items()):
+            histograms[f"first_token_{priority}_ms"] = histogram
+        return {
+            "outcomes": dict(sorted(self.outcomes.items())),
+            "requests_per_s": self.outcomes.total() / max(self.elapsed_s, 1e-9),
+            "tokens_per_s": self.tokens_count / max(self.elapsed_s, 1e-9),
+            "tool_late_ms": self.late_s * 1e3,
+            **{name: summarise(h) for name, h in histograms.items()},
+        }
+
+
+def _to_us(duration_s: float) -> int:
+    return min(HIGHEST_US, max(LOWEST_US, round(duration_s * US_PER_S)))
+
+
+def summarise(histogram: HdrHistogram) -> dict[str, float]:
+    """Return count and percentiles of a histogram in milliseconds."""
+    found = {"count": float(histogram.get_total_count())}
+    for percentile in PERCENTILES:
+        value_us = histogram.get_value_at_percentile(percentile)
+        found[f"p{percentile:g}"] = value_us / US_PER_MS
+    return found
+
+
+def judge(request: PlannedRequest, answer: Answer) -> str:
+    """Say how a request ended, with the emulated engines' text as the measure.
+
+    Parameters
+    ----------
+    request : PlannedRequest
+        What was asked.
+    answer : Answer
+        What came.
+
+    Returns
+    -------
+    str
+        ``whole``, ``wrong``, ``hung up``, ``broken``, or the problem's code.
+    """
+    wanted = expected_text(request.prompt, request.max_tokens)
+    if not wanted.startswith(answer.text):
+        return "wrong"
+    if answer.is_whole:
+        return "whole" if answer.text == wanted else "wrong"
+    if answer.problem:
+        code = answer.problem.get("code", "problem")
+        return f"{code} ({answer.outcome})"
+    if request.hang_up_after_tokens and answer.text:
+        return "hung up"
+    return f"broken {answer.failure}".strip()
+
+
+def format_table(data: dict[str, Any]) -> str:
+    """Return the result as tables for a reader."""
+    outcomes = tabulate(data["outcomes"].items(), ["outcome", "requests"])
+    rows = [
+        [name.removesuffix("_ms"), *(round(v, 2) for v in value.values())]
+        for name, value in data.items()
+        if name.endswith("_ms") and isinstance(value, dict)
+    ]
+    times = tabulate(rows, ["time in ms", "count", "p50", "p95", "p99"])
+    rates = (
+        f"{data['requests_per_s']:.1f} requests/s, {data['tokens_per_s']:.0f} tokens/s"
+    )
+    return f"{outcomes}\n\n{times}\n\n{rates}"
--- a/tests/emulator/test_load.py
+++ b/tests/emulator/test_load.py
@@ -6,14 +6,9 @@
 
 from chestnutvale.emulator.caller import Answer
 from chestnutvale.emulator.exceptions import EmulatorError
-from chestnutvale.emulator.load import (
-    LoadPlan,
-    LoadResult,
-    PlannedRequest,
-    judge,
-    parse_keys,
-    plan_requests,
-)
+from chestnutvale.emulator.load import parse_keys
+from chestnutvale.emulator.load_plan import LoadPlan, PlannedRequest, plan_requests
+from chestnutvale.emulator.load_result import LoadResult, judge
 from chestnutvale.emulator.text import expected_text
 
 PLAN = LoadPlan(
