--- a/tests/processes/test_losses.py
+++ b/tests/processes/test_losses.py
@@ -18,6 +18,8 @@
 LONG = 150
 POSTINGS = f"/services/{PLAIN_SERVICE}/postings"
 
+pytestmark = pytest.mark.usefixtures("whole_deployment")
+
 
 class Trigger:
     """Calls an action once when a stream has some tokens."""
@@ -34,22 +36,6 @@
         return True
 
 
-@pytest.fixture(autouse=True)
-def whole_deployment(deployment):
-    """Bring back whatever a test has ended."""
-    yield
-    for process in (deployment.controls | deployment.entries).values():
-        if process.is_running:
-            process.thaw()
-        else:
-            deployment.restart(process.name)
-    for process in deployment.engines.values():
-        if not process.is_running:
-            process.start()
-            process.wait_ready()
-    deployment.wait_serving(GROUPS)
-
-
 def stream(deployment, entry, prompt, on_token=None, length=LONG):
     caller = deployment.caller(entry)
     return caller.generate(MODEL_SERVICE, prompt, length, on_token=on_token)
@@ -77,6 +63,13 @@
     return int(answer.json()["number"]) if answer.status == 200 else None
 
 
+def unreachable(deployment):
+    """Return the controls that the leader's status calls unreachable."""
+    status = deployment.operator_get(deployment.leader(), "status").json()
+    voters = status["voters"]
+    return {voter["id"].split("#")[0] for voter in voters if not voter["reachable"]}
+
+
 @pytest.mark.parametrize("rank", [0, -1])
 def test_lost_member_does_not_break_the_answer(deployment, rank):
     killed = []
@@ -119,7 +112,9 @@
     assert_whole(answer, "leader")
     assert deployment.leader() != leader
     number = apply_next(deployment, tmp_path)
+    wait_until(lambda: unreachable(deployment) == {leader}, 20, "its status")
     deployment.restart(leader)
+    wait_until(lambda: not unreachable(deployment), 20, "its return")
     wait_until(
         lambda: json.dumps(deployment.get(leader, "/debug/state")).count(str(number)),
         20,
@@ -219,3 +214,23 @@
             place = (order["group_id"], order["epoch"], order["rank"])
             assert ranks.setdefault(place, host) == host
     assert ranks
+
+
+def test_lost_quorum_refuses_calls_at_once_and_comes_back(deployment):
+    lost = sorted(deployment.controls)[:2]
+    for name in lost:
+        deployment.controls[name].kill()
+    wait_until(
+        lambda: deployment.get_status("entry-1", "/readyz") == 503, 20, "the lease ends"
+    )
+    before = deployment.attempts()
+    asked_s = time.monotonic()
+    answer = stream(deployment, "entry-1", "no quorum")
+    assert time.monotonic() - asked_s < 5.0
+    assert (answer.status, answer.outcome) == (503, "not_run")
+    assert answer.problem["retry_after_s"] > 0
+    assert deployment.attempts() == before
+    for name in lost:
+        deployment.restart(name)
+    deployment.wait_serving(GROUPS)
+    assert_whole(stream(deployment, "entry-1", "quorum"), "quorum")
