Log a client that leaves as such, not as a failure of the server

Change: writing to such a connection raises ClientGoneError, still an error of the operating system for the server library, and the server's log notes it at debug. Other failures stay errors. The emulated plain service names its count 'record'; its path stays.

--- a/chestnutvale/emulator/plain_service.py
+++ b/chestnutvale/emulator/plain_service.py
@@ -76,7 +76,7 @@
             request.socket.shutdown(2)
         answer: dict[str, Any] = {
             "service": self.service,
-            "posting": number,
+            "record": number,
             "key": key,
             "request_id": request.headers.get("x-request-id", ""),
             "workspace": request.headers.get("x-workspace", ""),
--- a/chestnutvale/http_server/exceptions.py
+++ b/chestnutvale/http_server/exceptions.py
@@ -10,6 +10,14 @@
     code = "http_listen_failed"
 
 
+class ClientGoneError(ConnectionError):
+    """A client that closed its connection before its answer ended.
+
+    The server library expects errors of the operating system here, so this one is
+    not a `ChestnutError`.
+    """
+
+
 class HttpRequestError(ChestnutError):
     """A request that breaks a limit of the server; it was not run.
 
--- a/chestnutvale/http_server/protocol.py
+++ b/chestnutvale/http_server/protocol.py
@@ -14,6 +14,7 @@
     MAX_DISCARDED_BYTES,
     MAX_LINGER_BYTES,
 )
+from chestnutvale.http_server.exceptions import ClientGoneError
 
 
 def linger(connection: Any) -> None:
@@ -62,12 +63,12 @@
 
     def write(self, data: bytes) -> int:
         """Send some bytes and return their number."""
-        self._connection.sendall(data)
+        self._send(data)
         return len(data)
 
     def writelines(self, parts: list[bytes]) -> None:
         """Send some byte strings together."""
-        self._connection.sendall(parts[0] if len(parts) == 1 else b"".join(parts))
+        self._send(parts[0] if len(parts) == 1 else b"".join(parts))
 
     def flush(self) -> None:
         """Do nothing, as nothing is held."""
@@ -76,6 +77,12 @@
         """Mark the writer as closed; the connection stays the server's to close."""
         self.closed = True
 
+    def _send(self, data: bytes) -> None:
+        try:
+            self._connection.sendall(data)
+        except (BrokenPipeError, ConnectionResetError) as error:
+            raise ClientGoneError(error.errno, error.strerror) from error
+
 
 class LimitedProtocol(wsgi.HttpProtocol):
     """Reads the requests of one connection.
--- a/chestnutvale/http_server/server.py
+++ b/chestnutvale/http_server/server.py
@@ -15,7 +15,7 @@
     MINIMUM_CHUNK_BYTES,
     STOP_POLL_S,
 )
-from chestnutvale.http_server.exceptions import HttpListenError
+from chestnutvale.http_server.exceptions import ClientGoneError, HttpListenError
 from chestnutvale.http_server.limits import LimitedApp, WsgiApp
 from chestnutvale.http_server.protocol import LimitedProtocol
 from chestnutvale.schema.settings_pb2 import HttpLimits
@@ -27,8 +27,12 @@
     """Takes eventlet's lines; its access lines are empty and dropped."""
 
     def info(self, message: str, *arguments: Any) -> None:
-        if message.startswith("Traceback"):
-            _LOGGER.error("Request failed: {}", message)
+        if not message.startswith("Traceback"):
+            return
+        if ClientGoneError.__name__ in message.rstrip().rpartition("\n")[2]:
+            _LOGGER.debug("A client closed its connection before its answer ended")
+            return
+        _LOGGER.error("Request failed: {}", message)
 
     def debug(self, message: str, *arguments: Any) -> None:
         _LOGGER.debug("{}", message)
--- a/tests/http_server/test_server.py
+++ b/tests/http_server/test_server.py
@@ -1,9 +1,11 @@
 """Limits of the HTTP server against clients that break them, and its shutdown."""
 
 import json
+import struct
 import time
 
 import eventlet
+import logbook
 import pytest
 from eventlet.green import socket
 
@@ -296,6 +298,29 @@
     assert b"last" not in read_all(client)
 
 
+def test_a_client_that_leaves_is_no_failure_of_the_server(serve, app):
+    server = serve()
+    client = start_stream(server)
+    log = logbook.TestHandler()
+    with log.applicationbound():
+        # Without a linger the close resets the connection at once.
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        client.close()
+        eventlet.sleep(0.1)
+        app.go_on.send()
+        while server.running_requests:
+            eventlet.sleep(0.01)
+    assert not log.has_errors
+    assert any("closed its connection" in line for line in log.formatted_records)
+
+
+def test_a_failure_is_logged_as_an_error(serve):
+    log = logbook.TestHandler()
+    with log.applicationbound():
+        ask(serve(), "GET /fail HTTP/1.1")
+    assert log.has_errors
+
+
 def test_drain_tells_clients_to_close(serve):
     server = serve()
     server.begin_drain()
