Wake the readers of streams in slices, so that new calls get their turn

Cause: at 45 requests/s the entry added 66 ms to the first token at p95. An engine sends the tokens of all its streams at the same moment; every reader ran at once when its bytes came, so each step of a new call waited behind some hundred tokens. Change: a reader with bytes is queued, and the queue wakes readers for 1 ms before the hub looks for other work; what arrives for a queued reader is read together with the rest. Ruled out: more processor time for a token as the cause: it is the same before and after.

--- a/chestnutvale/programs/entry/stream_reader.py
+++ b/chestnutvale/programs/entry/stream_reader.py
@@ -10,6 +10,7 @@
     EndpointBrokenError,
     EndpointSilentError,
 )
+from chestnutvale.programs.entry.wake_queue import wake_queue
 
 STEP_RECEIVE = "receive"
 # Bytes asked for at once.
@@ -48,6 +49,8 @@
         self._timer: Any = None
         self._deadline_s = 0.0
         self._waiter: greenlet.greenlet | None = None
+        self._queue = wake_queue()
+        self._is_queued = False
         self._listen()
 
     def close(self) -> None:
@@ -123,7 +126,7 @@
         if left_s > 0.0:
             self._set_timer(left_s)
             return
-        self._wake()
+        self.wake()
 
     def _listen(self) -> None:
         self._listener = self._hub.add(
@@ -154,13 +157,13 @@
         self._held_bytes += len(data)
         if self._held_bytes >= MAX_HELD_BYTES:
             self._stop_listening()
-        self._wake()
+        self._queue_wake()
 
     def _end(self, error: str) -> None:
         self._has_ended = True
         self._error = error
         self._stop_listening()
-        self._wake()
+        self._queue_wake()
 
     def _fail(self, *arguments: Any) -> None:
         self._end("the connection was closed")
@@ -169,7 +172,15 @@
         self._has_ended = True
         self._error = "the connection was closed"
 
-    def _wake(self) -> None:
+    def _queue_wake(self) -> None:
+        if self._waiter is None or self._is_queued:
+            return
+        self._is_queued = True
+        self._queue.add(self)
+
+    def wake(self) -> None:
+        """Let the reader's task run if it waits."""
+        self._is_queued = False
         waiter, self._waiter = self._waiter, None
         if waiter is not None:
             waiter.switch()
