--- a/chestnutvale/consensus/task.py
+++ b/chestnutvale/consensus/task.py
@@ -262,6 +262,22 @@
 
     # Voter changes by operators.
 
+    def joiner_address(self, control_id: str) -> str:
+        """Return the peer inbox that a control has named when it asked to join.
+
+        Parameters
+        ----------
+        control_id : str
+            The control.
+
+        Returns
+        -------
+        str
+            IP number and port; empty if it has not asked.
+        """
+        joiner = self._loop.joining.find_joiner(control_id)
+        return joiner.address if joiner is not None else ""
+
     def add_learner(self, control_id: str, deadline_s: float) -> None:
         """Let a control that has asked to join receive the log.
 
--- a/chestnutvale/programs/control/operations.py
+++ b/chestnutvale/programs/control/operations.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
+import eventlet
+
 from chestnutvale.clock import Clock
 from chestnutvale.consensus.exceptions import MembersChangeError, NotLeaderError
 from chestnutvale.consensus.members import control_of
@@ -31,6 +33,9 @@
 OUTCOME_REFUSED = "refused"
 ACTION_ADD = "add"
 KIND_ENGINE = "engine"
+STEP_MEMBERS = "members"
+# Time in seconds between two tries to promote a learner.
+PROMOTE_RETRY_S = 0.2
 
 
 class ControlOperations:
@@ -116,7 +121,7 @@
         """Add or remove a voter; done again, it answers ``done`` again."""
         try:
             if change.action == ACTION_ADD:
-                self._add_voter(change.id, deadline_s)
+                self._add_voter(change, deadline_s)
             else:
                 self._remove_voter(change.id, deadline_s)
         except MembersChangeError as error:
@@ -143,12 +148,31 @@
             return False
         return True
 
-    def _add_voter(self, control_id: str, deadline_s: float) -> None:
-        if self._find_member(control_id, self._log.members.voters):
+    def _add_voter(self, change: VoterChange, deadline_s: float) -> None:
+        if self._find_member(change.id, self._log.members.voters):
             return
-        if not self._find_member(control_id, self._log.members.learners):
-            self._log.add_learner(control_id, deadline_s)
-        self._log.promote(control_id, deadline_s)
+        named = self._log.joiner_address(change.id)
+        if named and named != change.address:
+            raise MembersChangeError(
+                f"its peer address is {named}, not {change.address}",
+                step=STEP_MEMBERS,
+                peer=change.id,
+            )
+        if not self._find_member(change.id, self._log.members.learners):
+            self._log.add_learner(change.id, deadline_s)
+        self._promote_when_ready(change.id, deadline_s)
+
+    def _promote_when_ready(self, control_id: str, deadline_s: float) -> None:
+        """Promote a learner that may first have to catch up or be heard."""
+        while True:
+            try:
+                self._log.promote(control_id, deadline_s)
+            except MembersChangeError:
+                if self._clock.now_s() + PROMOTE_RETRY_S >= deadline_s:
+                    raise
+            else:
+                return
+            eventlet.sleep(PROMOTE_RETRY_S)
 
     def _remove_voter(self, control_id: str, deadline_s: float) -> None:
         members = self._log.members
@@ -156,7 +180,7 @@
         if not self._find_member(control_id, known):
             return
         if control_id == self._settings.control_id and self._log.transfer_leadership():
-            raise NotLeaderError(self._log.leader_id, step="members")
+            raise NotLeaderError(self._log.leader_id, step=STEP_MEMBERS)
         self._log.remove(control_id, deadline_s)
 
     @staticmethod
--- a/tests/processes/test_losses.py
+++ b/tests/processes/test_losses.py
@@ -234,3 +234,16 @@
         deployment.restart(name)
     deployment.wait_serving(GROUPS)
     assert_whole(stream(deployment, "entry-1", "quorum"), "quorum")
+
+
+def test_removed_voter_is_added_again(deployment, tmp_path):
+    leader = deployment.leader()
+    name = next(name for name in sorted(deployment.controls) if name != leader)
+    settings = json.loads((deployment.folder / f"{name}.json").read_text())
+    assert deployment.chestnut("voter", "remove", name).returncode == 0
+    run = deployment.chestnut("voter", "add", name, settings["peer_address"])
+    assert run.returncode == 0, run.stdout + run.stderr
+    voters = deployment.operator_get(deployment.leader(), "status").json()["voters"]
+    roles = [voter["role"] for voter in voters]
+    assert (len(voters), roles.count("leader"), "learner" in roles) == (3, 1, False)
+    apply_next(deployment, tmp_path)
--- /dev/null
+++ b/tests/programs/control/test_operations.py
@@ -0,0 +1,62 @@
+"""Operators' changes of voters, carried out by a control."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from chestnutvale.clock import SystemClock
+from chestnutvale.consensus.exceptions import MembersChangeError
+from chestnutvale.programs.control.operations import ControlOperations
+from chestnutvale.schema.operator_pb2 import VoterChange
+from chestnutvale.schema.settings_pb2 import ControlSettings
+
+ADDRESS = "10.0.0.2:7101"
+
+
+class Log:
+    """A replicated log in which a new learner is heard only after some tries."""
+
+    def __init__(self, refusals):
+        self.refusals = refusals
+        self.members = SimpleNamespace(voters=["c1#1"], learners=[])
+
+    def joiner_address(self, control_id):
+        return ADDRESS
+
+    def add_learner(self, control_id, deadline_s):
+        self.members.learners.append(f"{control_id}#2")
+
+    def promote(self, control_id, deadline_s):
+        if self.refusals:
+            self.refusals -= 1
+            raise MembersChangeError("too few of the voters would be alive")
+        self.members.voters.append(self.members.learners.pop())
+
+
+def change(log, address=ADDRESS, limit_s=5.0):
+    clock = SystemClock()
+    settings = ControlSettings(control_id="c1")
+    node = ControlOperations(settings, log, None, None, None, None, clock)
+    wanted = VoterChange(action="add", id="c2", address=address)
+    return node.change_voter(wanted, clock.now_s() + limit_s)
+
+
+def test_learner_is_promoted_once_it_is_ready():
+    log = Log(refusals=2)
+    assert change(log).outcome == "done"
+    assert log.members.voters == ["c1#1", "c2#2"]
+    assert change(log).outcome == "done"
+
+
+def test_learner_that_never_gets_ready_is_refused_with_the_reason():
+    result = change(Log(refusals=1_000), limit_s=0.5)
+    assert result.outcome == "refused"
+    assert "too few" in result.reason
+
+
+@pytest.mark.parametrize("address", ["10.0.0.3:7101", "10.0.0.2:1"])
+def test_address_that_the_control_does_not_name_is_refused(address):
+    log = Log(refusals=0)
+    result = change(log, address=address)
+    assert (result.outcome, log.members.learners) == ("refused", [])
+    assert ADDRESS in result.reason
