Test the rule for dark domains by itself

Cause: with the rule switched off on a scratch copy all of tests/groups still passed. Change: a test that a domain is dark when most of its hosts are silent and not before, and one that a group of a dark domain is waited for longer than one whose hosts were lost singly, at weights where the two outage models part. Ruled out: a longer history; what the rule changes there is when a move begins.

--- a/tests/groups/test_planner.py
+++ b/tests/groups/test_planner.py
@@ -5,7 +5,12 @@
 import pytest
 
 from benchmarks.groups_driver import make_hosts
-from chestnutvale.groups.breakage import BrokenGroup, LossCause, LostMember
+from chestnutvale.groups.breakage import (
+    BreakageWatch,
+    BrokenGroup,
+    LossCause,
+    LostMember,
+)
 from chestnutvale.groups.cost import CostChooser, RepairOption
 from chestnutvale.groups.outage import MEMBER_OUTAGE
 from chestnutvale.groups.planner import GroupPlanner, PlanInputs
@@ -14,8 +19,8 @@
 from chestnutvale.membership.hearing import Hearing
 from chestnutvale.membership.table import MembershipTable
 from chestnutvale.schema.configuration_pb2 import Service, Text
-from chestnutvale.schema.groups_pb2 import Group, GroupMember
-from chestnutvale.schema.membership_pb2 import Announcement
+from chestnutvale.schema.groups_pb2 import Group, GroupMember, PutGroup
+from chestnutvale.schema.membership_pb2 import Announcement, Heard
 
 
 def table_of(announcements, now_s=0.0):
@@ -94,13 +99,13 @@
     assert state.releases == {}
 
 
-def broken(size, lost, away_s, cause=LossCause.MISSING, group_id="g"):
+def broken(size, lost, away_s, cause=LossCause.MISSING, group_id="g", is_dark=False):
     members = [
         GroupMember(host_id=f"{group_id}{rank}", rank=rank) for rank in range(size)
     ]
     group = Group(group_id=group_id, members=members, fabric_domain="f")
     gone = tuple(LostMember(member, cause, away_s) for member in members[:lost])
-    return BrokenGroup(group, gone, is_dark=False)
+    return BrokenGroup(group, gone, is_dark=is_dark)
 
 
 def test_the_return_rate_falls_with_time():
@@ -161,3 +166,45 @@
 
 def test_without_the_check_of_owners_two_groups_share_hosts():
     assert race(UncheckedState()) == 4
+
+
+def test_a_dark_domain_is_waited_for_longer_than_as_many_single_hosts():
+    policy = GroupsPolicy(group_downtime_weight=1.0, stranded_hosts_weight=3.0)
+    move = RepairOption("move", "other")
+
+    def first_s(is_dark):
+        chooser = CostChooser(policy)
+        times = range(3, 5_000)
+        groups = ((at, broken(4, 4, at, is_dark=is_dark)) for at in times)
+        return next(at for at, group in groups if chooser.choose(group, [move]))
+
+    assert first_s(is_dark=True) > 1.2 * first_s(is_dark=False)
+
+
+@pytest.mark.parametrize(
+    ("lost_by_group", "dark"), [((4, 4), True), ((4, 2), True), ((4, 1), False)]
+)
+def test_a_domain_is_dark_when_most_of_its_hosts_are_silent(lost_by_group, dark):
+    state = GroupsState()
+    watch = BreakageWatch()
+    hosts = []
+    for index, lost in enumerate(lost_by_group):
+        members = [
+            GroupMember(host_id=f"g{index}h{rank}", boot_id="b", rank=rank)
+            for rank in range(4)
+        ]
+        group = Group(
+            group_id=f"g{index}",
+            service="s",
+            members=members,
+            fabric_domain="f",
+            phase="forming",
+        )
+        assert state.put_group(PutGroup(group=group), 0).outcome == "done"
+        hosts += [member.host_id for member in members[lost:]]
+    table = MembershipTable()
+    heard = [Heard(host_id=name, boot_id="b", sequence=1) for name in hosts]
+    table.merge("e", heard, 100.0)
+    found = watch.find_broken(state, table, 100.0)
+    assert found
+    assert {item.is_dark for item in found} == {dark}
