Refuse no text for domains that are still announcing themselves; drop dead code

Operators would meet the same after each start of a control. Constants, methods and an error class that nothing used are gone. Ruled out: a wait in the tests, which would leave the fault; counting from the control's start, since hosts start later than controls. Conclusion: the check needs a domain that has come to rest.

--- a/chestnutvale/attempts/sse.py
+++ b/chestnutvale/attempts/sse.py
@@ -49,11 +49,6 @@
         self._max_event_bytes = max_event_bytes
         self._rest = b""
 
-    @property
-    def has_rest(self) -> bool:
-        """Whether an event has begun that is not whole yet."""
-        return bool(self._rest)
-
     def feed(self, chunk: bytes) -> list[StreamEvent]:
         """Take in bytes and return the events that they complete.
 
--- a/chestnutvale/emulator/batch_engine.py
+++ b/chestnutvale/emulator/batch_engine.py
@@ -192,13 +192,6 @@
         waiting = self._waiting.pop(attempt_id, None)
         return running is not None or waiting is not None
 
-    def cancel_all(self) -> list[str]:
-        """Drop all requests and return their attempt ids."""
-        dropped = [*self._running, *self._waiting]
-        self._running.clear()
-        self._waiting.clear()
-        return dropped
-
     def step(self) -> Step:
         """Run one step.
 
--- a/chestnutvale/emulator/caller.py
+++ b/chestnutvale/emulator/caller.py
@@ -10,7 +10,6 @@
 
 PATHS = {"chat": "/v1/chat/completions", "completion": "/v1/completions"}
 STATUS_OK = 200
-PROBLEM_TYPE = "application/problem+json"
 DONE_DATA = "[DONE]"
 
 
--- a/chestnutvale/emulator/processes.py
+++ b/chestnutvale/emulator/processes.py
@@ -21,7 +21,6 @@
 
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 20.0
-POLL_INTERVAL_S = 0.02
 
 
 def find_free_addresses(seed: int) -> Iterator[str]:
--- a/chestnutvale/groups/const.py
+++ b/chestnutvale/groups/const.py
@@ -13,10 +13,8 @@
 ORDER_ASSIGN: Final = "assign"
 ORDER_RELEASE: Final = "release"
 
-SERVICE_MODEL: Final = "model"
 SERVICE_PLAIN: Final = "plain"
 
-REPAIR_WAIT: Final = "wait"
 REPAIR_SPARE: Final = "spare"
 REPAIR_MERGE: Final = "merge"
 REPAIR_MOVE: Final = "move"
--- a/chestnutvale/groups/rollout.py
+++ b/chestnutvale/groups/rollout.py
@@ -57,10 +57,6 @@
         """Tell whether all groups serve what the text says."""
         return len(self._serving(self._current())) >= self.service.groups
 
-    def has_serving(self) -> bool:
-        """Tell whether any group serves."""
-        return bool(self._serving(self.groups))
-
     def plan(
         self, assembler: Assembler, may_form: bool
     ) -> Iterator[PutGroup | RemoveGroup]:
--- a/chestnutvale/membership/const.py
+++ b/chestnutvale/membership/const.py
@@ -4,8 +4,6 @@
 
 DEFAULT_DETECTION_TIMEOUT_S: Final = 3.0
 DEFAULT_LEASE_S: Final = 2.0
-DEFAULT_ANNOUNCE_INTERVAL_S: Final = 1.0
-DEFAULT_REPORT_INTERVAL_S: Final = 0.5
 
 # Time without a report after which an entry no longer counts as live.
 ENTRY_TIMEOUT_S: Final = 3.0
--- a/chestnutvale/membership/table.py
+++ b/chestnutvale/membership/table.py
@@ -71,10 +71,13 @@
     ----------
     revision : int
         Grows whenever the boot or the content of a host changes.
+    newest_host_at_s : float
+        Monotonic time at which a host was last heard that was not known before.
     """
 
     detection_timeout_s: float = DEFAULT_DETECTION_TIMEOUT_S
     revision: int = attrs.field(default=0, init=False)
+    newest_host_at_s: float = attrs.field(default=-math.inf, init=False)
     _incomplete: dict[str, None] = attrs.field(factory=dict, init=False)
     _hosts: dict[str, HostRecord] = attrs.field(factory=dict)
     _entries: dict[str, float] = attrs.field(factory=dict)
@@ -270,6 +273,7 @@
             order = BootOrder(heard.boot_id, heard.sequence, heard_at_s)
             record = HostRecord(heard.host_id, order, entry_id)
             self._hosts[heard.host_id] = record
+            self.newest_host_at_s = now_s
             self._take_content(record, heard)
             return True
         verdict = record.order.offer(
--- a/chestnutvale/programs/client/const.py
+++ b/chestnutvale/programs/client/const.py
@@ -18,7 +18,6 @@
     USAGE = 64
 
 
-FORMAT_TABLE: Final = "table"
 FORMAT_JSON: Final = "json"
 
 ENVIRONMENT_SETTINGS: Final = "CHESTNUT_SETTINGS"
--- a/chestnutvale/programs/client/tables.py
+++ b/chestnutvale/programs/client/tables.py
@@ -15,7 +15,6 @@
     VoterStatus,
 )
 
-STATE_FREE = "free"
 STATE_STRANDED = "stranded"
 MAX_VALUE_WIDTH = 48
 
--- a/chestnutvale/programs/control/operations.py
+++ b/chestnutvale/programs/control/operations.py
@@ -34,6 +34,8 @@
 ACTION_ADD = "add"
 KIND_ENGINE = "engine"
 STEP_MEMBERS = "members"
+# Time in seconds without any new host after which the domains count as known.
+DOMAINS_SETTLE_S = 10.0
 # Time in seconds between two tries to promote a learner.
 PROMOTE_RETRY_S = 0.2
 
@@ -98,7 +100,17 @@
         return self._state.configuration.is_accepted(number, digest)
 
     def fabric_domain_hosts(self) -> Mapping[str, int]:
-        """Return the count of engine hosts known in each fabric domain."""
+        """Return the count of engine hosts known in each fabric domain.
+
+        Returns
+        -------
+        mapping of str to int
+            Empty while new hosts are still being heard: a text that fits the whole
+            must not be refused because half of a domain has not announced itself.
+        """
+        quiet_s = self._clock.now_s() - self._table.newest_host_at_s
+        if quiet_s < DOMAINS_SETTLE_S:
+            return {}
         return Counter(
             record.announcement.fabric_domain
             for record in self._table.known_hosts()
--- a/chestnutvale/transport/const.py
+++ b/chestnutvale/transport/const.py
@@ -12,8 +12,6 @@
 RECONNECT_MAX_MS: Final = 1_000
 # Time in milliseconds after which an undelivered message is worthless.
 DEFAULT_EXPIRY_MS: Final = 2_000
-# Messages that wait for their task; the oldest is dropped beyond this.
-MAX_QUEUED_MESSAGES: Final = 4_096
 
 DROP_MALFORMED: Final = "malformed"
 DROP_FOREIGN_CLUSTER: Final = "foreign_cluster"
@@ -21,4 +19,3 @@
 DROP_EXPIRED: Final = "expired"
 DROP_OLD_INCARNATION: Final = "old_incarnation"
 DROP_NO_BODY: Final = "no_body"
-DROP_QUEUE_FULL: Final = "queue_full"
--- a/tests/programs/control/test_operations.py
+++ b/tests/programs/control/test_operations.py
@@ -6,7 +6,9 @@
 
 from chestnutvale.clock import SystemClock
 from chestnutvale.consensus.exceptions import MembersChangeError
+from chestnutvale.membership.table import MembershipTable
 from chestnutvale.programs.control.operations import ControlOperations
+from chestnutvale.schema.membership_pb2 import Announcement, Heard
 from chestnutvale.schema.operator_pb2 import VoterChange
 from chestnutvale.schema.settings_pb2 import ControlSettings
 
@@ -60,3 +62,30 @@
     result = change(log, address=address)
     assert (result.outcome, log.members.learners) == ("refused", [])
     assert ADDRESS in result.reason
+
+
+def test_domains_are_not_known_while_hosts_are_still_being_heard():
+    clock = SimpleNamespace(now_s=lambda: now_s)
+    table = MembershipTable()
+    node = ControlOperations(ControlSettings(), None, None, table, None, None, clock)
+
+    def hear(*names):
+        announcements = [
+            Announcement(host_id=name, kind="engine", fabric_domain="f")
+            for name in names
+        ]
+        heard = [
+            Heard(host_id=item.host_id, boot_id="b", sequence=1, changed=item)
+            for item in announcements
+        ]
+        table.merge("e1", heard, now_s)
+
+    now_s = 100.0
+    hear("h1", "h2")
+    now_s = 102.0
+    assert node.fabric_domain_hosts() == {}
+    hear("h3")
+    now_s = 111.0
+    assert node.fabric_domain_hosts() == {}
+    now_s = 113.0
+    assert node.fabric_domain_hosts() == {"f": 3}
