Interrupt running streams only for a member that is lost

Cause: the entry looked for the words "missing" and "restarted" anywhere in the reason, so a host named missing-1 that merely left would have had its group's streams broken. Change: both reasons end in a constant that groups/serving.py writes and the entry compares with the end; a test with such a name. Ruled out: a new field in the view; the reason is already sent and the end is fixed. Conclusion: a graceful leave cuts no stream whatever the host is called.

--- a/chestnutvale/groups/const.py
+++ b/chestnutvale/groups/const.py
@@ -58,3 +58,7 @@
 
 # Commands proposed in one round; the rest follows in the next.
 MAX_COMMANDS_PER_ROUND: Final = 32
+
+# Ends of the reasons for which what a group runs is lost.
+FAULT_MISSING: Final = "is missing"
+FAULT_RESTARTED: Final = "was restarted"
--- a/chestnutvale/groups/serving.py
+++ b/chestnutvale/groups/serving.py
@@ -2,7 +2,11 @@
 
 from collections.abc import Collection
 
-from chestnutvale.groups.const import PHASE_SERVING
+from chestnutvale.groups.const import (
+    FAULT_MISSING,
+    FAULT_RESTARTED,
+    PHASE_SERVING,
+)
 from chestnutvale.membership.const import HOLDING_READY
 from chestnutvale.membership.table import HostRecord, MembershipTable
 from chestnutvale.schema.groups_pb2 import Group, GroupMember
@@ -36,10 +40,10 @@
         The reason; empty if the member is ready.
     """
     if not table.is_fresh(member.host_id, now_s):
-        return f"member {member.host_id} is missing"
+        return f"member {member.host_id} {FAULT_MISSING}"
     record = table.host(member.host_id)
     if record.boot_id != member.boot_id:
-        return f"member {member.host_id} was restarted"
+        return f"member {member.host_id} {FAULT_RESTARTED}"
     if not record.is_content_current:
         return f"member {member.host_id} is not known yet"
     if record.announcement.leaving:
--- a/chestnutvale/programs/entry/call_context.py
+++ b/chestnutvale/programs/entry/call_context.py
@@ -8,6 +8,7 @@
 from chestnutvale.attempts.suspicion import SuspicionTracker
 from chestnutvale.clock import Clock
 from chestnutvale.configuration.lookup import TextLookup
+from chestnutvale.groups.const import FAULT_MISSING, FAULT_RESTARTED
 from chestnutvale.membership.entry_view import EntryView
 from chestnutvale.programs.entry.admission_gate import AdmissionGate
 from chestnutvale.programs.entry.commits import CommitClient
@@ -230,7 +231,7 @@
     def _abort_if_broken(self, item: GroupView) -> None:
         # A group that only drains finishes what it runs; one that lost a member
         # can't, and a silent host would hold its streams until they time out.
-        if "missing" in item.reason or "restarted" in item.reason:
+        if item.reason.endswith((FAULT_MISSING, FAULT_RESTARTED)):
             self.running.abort_group(item.group.group_id, item.group.epoch)
 
 
--- a/tests/programs/entry/test_call_context.py
+++ b/tests/programs/entry/test_call_context.py
@@ -2,6 +2,8 @@
 
 import random
 
+import pytest
+
 from chestnutvale.admission.controller import AdmissionController
 from chestnutvale.membership.entry_view import EntryView
 from chestnutvale.programs.entry.admission_gate import AdmissionGate
@@ -32,7 +34,7 @@
     return context, view, gate
 
 
-def make_view(version, serving):
+def make_view(version, serving, reason="x"):
     group = Group(group_id="g1", service="llm", epoch=1)
     text = Text(number=1)
     text.services["llm"].CopyFrom(Service(kind="model", groups=1, hosts_per_group=1))
@@ -45,7 +47,9 @@
         whole=True,
         configuration_number=1,
         text=text,
-        groups=[GroupView(group=group, serving=serving, reason="" if serving else "x")],
+        groups=[
+            GroupView(group=group, serving=serving, reason="" if serving else reason)
+        ],
         loads=[GroupLoad(group_id="g1", load=Load(kv_capacity_tokens=400))],
     )
 
@@ -72,3 +76,32 @@
     refusals = [ticket.wait() for ticket in waiting]
     assert {refusal.code for refusal in refusals} == {"no_capacity"}
     assert all(refusal.retry_after_s > 0 for refusal in refusals)
+
+
+class Attempt:
+    """An attempt that can be interrupted."""
+
+    def __init__(self):
+        self.is_aborted = False
+
+    def abort(self):
+        self.is_aborted = True
+
+
+@pytest.mark.parametrize(
+    ("reason", "is_aborted"),
+    [
+        ("member h1 is missing", True),
+        ("member h1 was restarted", True),
+        ("member missing-1 is leaving", False),
+        ("the group is draining", False),
+    ],
+)
+def test_only_a_lost_member_interrupts_what_runs(reason, is_aborted):
+    clock = ManualClock()
+    context, view, _ = make_context(clock)
+    install(context, view, make_view(1, serving=True), clock)
+    attempt = Attempt()
+    context.running.add("g1", 1, attempt)
+    install(context, view, make_view(2, serving=False, reason=reason), clock)
+    assert attempt.is_aborted is is_aborted
