Run the tests of whole deployments one after the other

Cause: the marks that were to keep deployments in one worker did nothing: the parallel runner writes the group behind a test's id, and the pytest in use ignores that, as a file of three marked tests shows. Change: script/run_tests.py runs the other tests in six workers and then the deployments' tests in one process; a known red is looked up in both. The marks and the hook are gone. Ruled out: grouping by file, which still starts one deployment a worker.

--- a/script/run_tests.py
+++ b/script/run_tests.py
@@ -8,6 +8,11 @@
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED_FILE = ROOT / "KNOWN-RED.txt"
 EXIT_TESTS_FAILED = 1
+# Tests that start whole deployments run one after the other, so that their verdict
+# does not hang on how many processes share the machine.
+DEPLOYMENT_TESTS = ["tests/processes", "tests/programs/test_doors.py"]
+PARALLEL_RUN = ["-n", "6", *(f"--ignore={path}" for path in DEPLOYMENT_TESTS), "tests"]
+SERIAL_RUN = DEPLOYMENT_TESTS
 
 
 def read_known_red() -> set[str]:
@@ -24,28 +29,45 @@
     return {line[6:].strip() for line in lines if line.startswith("test: ")}
 
 
-def main() -> int:
-    """Run the tests with the arguments of the command line.
+def run_pytest(arguments: list[str]) -> tuple[int, set[str]]:
+    """Run pytest once and show its output.
+
+    Parameters
+    ----------
+    arguments : list of str
+        Arguments of pytest.
 
     Returns
     -------
-    int
-        The exit code of pytest, or 0 if only known failures occurred.
+    tuple of (int, set of str)
+        Its exit code and the ids of the tests that failed.
     """
-    arguments = sys.argv[1:] or ["-n", "6", "--dist", "loadgroup"]
     command = [sys.executable, "-m", "pytest", "-rfE", *arguments]
     run = subprocess.run(command, cwd=ROOT, stdout=subprocess.PIPE, text=True)
     print(run.stdout, end="", flush=True)
-    if run.returncode != EXIT_TESTS_FAILED:
-        return run.returncode
-    failed = set(re.findall(r"^(?:FAILED|ERROR) (\S+)", run.stdout, re.MULTILINE))
+    failed = re.findall(r"^(?:FAILED|ERROR) (\S+)", run.stdout, re.MULTILINE)
+    return run.returncode, set(failed)
+
+
+def main() -> int:
+    """Run the tests with the arguments of the command line.
+
+    Returns
+    -------
+    int
+        0 if all tests passed or only known failures occurred, else the first
+        other exit code of pytest.
+    """
+    runs = [sys.argv[1:]] if sys.argv[1:] else [PARALLEL_RUN, SERIAL_RUN]
     known = read_known_red()
-    unknown = failed - known
-    for test_id in sorted(failed & known):
-        print(f"known red: {test_id}")
-    if failed and not unknown:
-        return 0
-    return run.returncode
+    for arguments in runs:
+        code, failed = run_pytest(arguments)
+        for test_id in sorted(failed & known):
+            print(f"known red: {test_id}")
+        is_known = code == EXIT_TESTS_FAILED and failed and failed <= known
+        if code != 0 and not is_known:
+            return code
+    return 0
 
 
 if __name__ == "__main__":
--- a/tests/processes/conftest.py
+++ b/tests/processes/conftest.py
@@ -1,4 +1,4 @@
-"""Deployments of real processes; all tests here share one worker."""
+"""One deployment of real processes that all tests here share."""
 
 import shutil
 
@@ -15,17 +15,6 @@
 GROUPS = 2
 
 
-@pytest.hookimpl(tryfirst=True)
-def pytest_collection_modifyitems(items):
-    """Keep all deployments in one worker, so that one at a time is up.
-
-    It must come before the runner's own hook, which reads the marks.
-    """
-    for item in items:
-        if "tests/processes" in str(item.path):
-            item.add_marker(pytest.mark.xdist_group("processes"))
-
-
 @pytest.fixture(scope="session")
 def deployment(tmp_path_factory):
     folder = tmp_path_factory.mktemp("deployment")
--- a/tests/programs/test_doors.py
+++ b/tests/programs/test_doors.py
@@ -17,9 +17,6 @@
 
 TIMEOUT_S = 20.0
 
-# One deployment at a time, as with the tests under tests/processes.
-pytestmark = pytest.mark.xdist_group("processes")
-
 
 @pytest.fixture(scope="module")
 def deployment(tmp_path_factory):
