Let an answer that has begun wait for a group to go on at

Their group had lost a member and, at that moment, the entry held no lease, since the leader had been killed too. The call gave up at once though a group was there again within two seconds. Change: a choice that finds no group for a begun answer is tried again for 4 s, or up to the caller's deadline; a call of which nothing was delivered is still refused at once. Ruled out: holding back the refusal of new calls; a longer serving lease, which the wait of the controls bounds.

--- a/chestnutvale/programs/entry/group_chooser.py
+++ b/chestnutvale/programs/entry/group_chooser.py
@@ -20,6 +20,9 @@
 from chestnutvale.schema.peer_pb2 import GroupView
 
 Chosen = GroupChosen | NoneAvailable | CallBanned | Tick
+# Longest time in seconds for which a broken answer waits for a group to go on at.
+RESUME_PATIENCE_S = 4.0
+RESUME_POLL_S = 0.1
 
 
 class GroupChooser:
@@ -69,6 +72,21 @@
             `Tick` if the call was given up or its deadline passed.
         """
         context = self._context
+        # An answer that has begun is lost if the call ends, so it outlives the moments
+        # in which a new leader is elected or the other groups are being mended.
+        patience_s = RESUME_PATIENCE_S if effect.version else 0.0
+        end_s = min(context.clock.now_s() + patience_s, self._request.deadline_s)
+        while True:
+            event = self._choose_once(effect)
+            left_s = end_s - context.clock.now_s()
+            if not isinstance(event, NoneAvailable) or left_s <= 0.0:
+                return event
+            if self._wait(min(RESUME_POLL_S, left_s)):
+                return Tick()
+
+    def _choose_once(self, effect: ChooseGroup) -> Chosen:
+        context = self._context
+        context = self._context
         while True:
             groups = context.serving_groups(self._request.service, effect.version)
             now_unix_ms = context.clock.unix_ms()
--- /dev/null
+++ b/tests/programs/entry/test_group_chooser.py
@@ -0,0 +1,51 @@
+"""An answer that has begun waits for a group for a while; a new call does not."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from chestnutvale.attempts.events import ChooseGroup, GroupChosen, NoneAvailable
+from chestnutvale.attempts.suspicion import Clear
+from chestnutvale.programs.entry.context import CallRequest
+from chestnutvale.programs.entry.group_chooser import RESUME_PATIENCE_S, GroupChooser
+from chestnutvale.schema.groups_pb2 import Group, GroupMember
+from chestnutvale.schema.peer_pb2 import GroupView
+
+
+class Scene:
+    """An entry whose only group serves again after a time."""
+
+    def __init__(self, back_at_s, deadline_s=100.0):
+        self.now_s = 0.0
+        member = GroupMember(host_id="h", address="10.0.0.1:1", rank=0)
+        group = Group(group_id="g", epoch=1, version="1", members=[member])
+        context = SimpleNamespace(
+            clock=SimpleNamespace(now_s=lambda: self.now_s, unix_ms=lambda: 1),
+            suspicions=SimpleNamespace(judge=lambda *arguments: Clear()),
+            serving_groups=lambda service, version: [],
+            has_lease=lambda now_s: now_s >= back_at_s,
+            choose_group=lambda *arguments: GroupView(group=group, serving=True),
+        )
+        request = CallRequest("r", "w", "llm", "normal", b"", 10, "", deadline_s)
+        self.chooser = GroupChooser(context, request, 1, self.wait)
+
+    def wait(self, timeout_s):
+        self.now_s += timeout_s
+        return False
+
+
+@pytest.mark.parametrize(
+    ("version", "back_at_s", "deadline_s", "found"),
+    [
+        ("1", 2.5, 100.0, True),
+        ("", 2.5, 100.0, False),
+        ("1", RESUME_PATIENCE_S + 1.0, 100.0, False),
+        ("1", 2.5, 1.0, False),
+    ],
+)
+def test_waiting_for_a_group(version, back_at_s, deadline_s, found):
+    scene = Scene(back_at_s, deadline_s)
+    event = scene.chooser.choose(ChooseGroup(frozenset(), version))
+    assert isinstance(event, GroupChosen if found else NoneAvailable)
+    assert scene.now_s <= min(deadline_s, RESUME_PATIENCE_S) + 0.1
+    assert scene.now_s == 0.0 or version
