--- a/chestnutvale/attempts/answer_stream.py
+++ b/chestnutvale/attempts/answer_stream.py
@@ -14,6 +14,10 @@
     ----------
     max_resume_bytes : int, optional
         Delivered bytes that are kept for a resume.
+    first_offset : int, optional
+        Offset up to which the caller has the answer from an earlier call.
+    has_closing_event : bool, optional
+        Whether an event without a token must come before the end.
 
     Attributes
     ----------
@@ -25,8 +29,15 @@
         Events that were late, doubled or foreign.
     """
 
-    def __init__(self, max_resume_bytes: int = MAX_RESUME_BYTES) -> None:
-        self.next_offset = 0
+    def __init__(
+        self,
+        max_resume_bytes: int = MAX_RESUME_BYTES,
+        first_offset: int = 0,
+        *,
+        has_closing_event: bool = True,
+    ) -> None:
+        self._has_closing_event = has_closing_event
+        self.next_offset = first_offset
         self.is_whole = False
         self.dropped_events = 0
         self._attempt_id = b""
@@ -134,7 +145,7 @@
         return ""
 
     def _finish(self, event: StreamEvent, ready: list[bytes]) -> str:
-        if self._held or not self._is_closed:
+        if self._held or (self._has_closing_event and not self._is_closed):
             return "events are missing"
         ready.append(event.data)
         self.is_whole = True
--- a/chestnutvale/attempts/events.py
+++ b/chestnutvale/attempts/events.py
@@ -85,12 +85,15 @@
         The endpoint's reason.
     retry_after_s : float or None
         When the endpoint says to come back, in seconds.
+    is_proven : bool
+        Whether the endpoint itself said so, after the request was sent.
     """
 
     attempt_id: str
     code: str
     message: str = ""
     retry_after_s: float | None = None
+    is_proven: bool = False
 
 
 @attrs.frozen
--- a/chestnutvale/attempts/model_call.py
+++ b/chestnutvale/attempts/model_call.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from chestnutvale.attempts.answer_stream import AnswerStream
+from chestnutvale.attempts.call_limits import DEFAULT_LIMITS, CallLimits
 from chestnutvale.attempts.const import (
     CODE_ATTEMPTS,
     CODE_BROKEN,
@@ -14,13 +15,11 @@
     CODE_REFUSED,
     CODE_RETRY_BUDGET,
     DEFAULT_RETRY_AFTER_S,
-    MAX_ATTEMPTS,
     OUTCOME_FAILED,
     OUTCOME_NOT_RUN,
     OUTCOME_UNKNOWN,
     REFUSAL_OVERLOADED,
     RETRIED_REFUSALS,
-    STREAM_IDLE_TIMEOUT_S,
 )
 from chestnutvale.attempts.events import (
     AttemptBroken,
@@ -58,8 +57,10 @@
         Monotonic time in seconds at which the call ends.
     budgets : AttemptBudgets
         Retry budgets that the entry's calls share.
-    max_attempts : int, optional
-        Attempts that the call may make.
+    limits : CallLimits, optional
+        What its attempts may do.
+    answer : AnswerStream, optional
+        Puts the answer together, in place of one that begins with its first token.
 
     Attributes
     ----------
@@ -76,15 +77,16 @@
         request_id: str,
         deadline_s: float,
         budgets: AttemptBudgets,
-        max_attempts: int = MAX_ATTEMPTS,
+        limits: CallLimits = DEFAULT_LIMITS,
+        answer: AnswerStream | None = None,
     ) -> None:
-        self.answer = AnswerStream()
+        self.answer = answer or AnswerStream()
         self.attempts = 0
         self.is_finished = False
         self._request_id = request_id
         self._deadline_s = deadline_s
         self._budgets = budgets
-        self._max_attempts = max_attempts
+        self._limits = limits
         self._attempt_id = ""
         self._group_id = ""
         self._version = ""
@@ -151,7 +153,7 @@
         self._group_id = event.group_id
         if not self.answer.has_delivered:
             self._version = event.version
-        self._idle_deadline_s = now_s + STREAM_IDLE_TIMEOUT_S
+        self._idle_deadline_s = now_s + self._limits.first_event_timeout_s
         self.answer.begin_attempt(self._attempt_id)
         return [
             StartAttempt(
@@ -186,7 +188,8 @@
             self.answer.dropped_events += len(event.events)
             return []
         self._outcome = OUTCOME_FAILED
-        self._idle_deadline_s = now_s + STREAM_IDLE_TIMEOUT_S
+        if event.events:
+            self._idle_deadline_s = now_s + self._limits.gap_timeout_s
         data, fault = self.answer.take(event.events)
         effects: list[CallEffect] = [Deliver(data)] if data else []
         if self.answer.is_whole:
@@ -219,7 +222,8 @@
         # The request reached an engine, which may have worked on it.
         if self._outcome == OUTCOME_NOT_RUN:
             self._outcome = OUTCOME_UNKNOWN
-        if not self.answer.can_resume:
+        is_repeatable = self._limits.is_resumable
+        if not self.answer.can_resume or not is_repeatable:
             return effects + self._fail(CODE_BROKEN, reason)
         return effects + self._try_again(
             self._budgets.reroutes, CODE_BROKEN, reason, now_s, DEFAULT_RETRY_AFTER_S
@@ -233,7 +237,7 @@
         now_s: float,
         retry_after_s: float,
     ) -> list[CallEffect]:
-        if self.attempts >= self._max_attempts:
+        if self.attempts >= self._limits.max_attempts:
             return self._fail(CODE_ATTEMPTS, reason, retry_after_s=retry_after_s)
         if not budget.try_retry():
             return self._fail(CODE_RETRY_BUDGET, reason, retry_after_s=retry_after_s)
--- a/chestnutvale/attempts/service_call.py
+++ b/chestnutvale/attempts/service_call.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from chestnutvale.attempts.call_limits import DEFAULT_POLICY, ServicePolicy
 from chestnutvale.attempts.const import (
     CODE_ATTEMPTS,
     CODE_CALLER_GONE,
@@ -13,7 +14,6 @@
     CODE_RETRY_BUDGET,
     DEFAULT_RETRY_AFTER_S,
     LEDGER_FULL_RETRY_AFTER_S,
-    MAX_ATTEMPTS,
     OUTCOME_FAILED,
     OUTCOME_NOT_RUN,
     OUTCOME_UNKNOWN,
@@ -60,6 +60,7 @@
 )
 from chestnutvale.schema.ledger_pb2 import RecordedAnswer
 
+FIRST_ERROR_STATUS = 500
 STEP_CLAIM = "claim"
 STEP_CHOOSE = "choose"
 STEP_CALL = "call"
@@ -86,6 +87,8 @@
         Whether the call may run more than once.
     has_key : bool
         Whether the call needs a claim; only for one that may not be repeated.
+    policy : ServicePolicy, optional
+        What its attempts may do.
 
     Attributes
     ----------
@@ -103,7 +106,10 @@
         *,
         repeatable: bool,
         has_key: bool,
+        policy: ServicePolicy = DEFAULT_POLICY,
     ) -> None:
+        self._policy = policy
+        self._fallback: RecordedAnswer | None = None
         self.is_answered = False
         self.is_over = False
         self._request_id = request_id
@@ -117,6 +123,8 @@
         # What a failure says of the run as far as this entry knows. Before the
         # ledger was asked, an earlier call with the key may have run.
         self._outcome = OUTCOME_UNKNOWN if self._needs_claim else OUTCOME_NOT_RUN
+        # What could be said before the attempt that runs was sent.
+        self._outcome_before = self._outcome
         self._attempts = 0
         self._attempt_id = ""
         self._group_id = ""
@@ -141,7 +149,8 @@
     @property
     def lingers(self) -> bool:
         """Whether a sent call goes on after its caller was answered."""
-        return self._is_sent and not self._repeatable
+        is_running = self._is_sent and not self._repeatable
+        return is_running and self._policy.lingers
 
     @property
     def linger_s(self) -> float:
@@ -289,24 +298,49 @@
                 retry_after_s=DEFAULT_RETRY_AFTER_S,
             )
         self._is_sent = True
+        self._outcome_before = self._outcome
         self._outcome = OUTCOME_UNKNOWN
         return [SendRequest(self._attempt_id)]
 
     def _on_refused(self, event: AttemptRefused, now_s: float) -> Effects:
-        if event.attempt_id != self._attempt_id or self._is_sent:
+        if event.attempt_id != self._attempt_id:
+            return []
+        if self._is_sent and not event.is_proven:
             return []
         budget = self._budgets.reroutes
-        return self._try_again(budget, CODE_REFUSED, event.code, now_s)
+        if self._is_sent:
+            self._is_sent = False
+            self._outcome = self._outcome_before
+            budget = self._budgets.retries
+        retry_after_s = event.retry_after_s or DEFAULT_RETRY_AFTER_S
+        return self._try_again(budget, CODE_REFUSED, event.code, now_s, retry_after_s)
 
     def _on_answered(self, event: EndpointAnswered, now_s: float) -> Effects:
         if event.attempt_id != self._attempt_id:
             return []
+        if self._may_replace(event.answer):
+            self._is_sent = False
+            self._outcome = OUTCOME_FAILED
+            self._fallback = event.answer
+            self._excluded.add(self._group_id)
+            self._attempt_id = ""
+            return self._choose(now_s)
         effects = self._submit_outcome(event.answer)
         if not self.is_answered:
             effects += self._reply(event.answer)
         self.is_over = True
         return effects
 
+    def _may_replace(self, answer: RecordedAnswer) -> bool:
+        """Tell whether another endpoint should be asked in place of a failed one."""
+        if not (self._repeatable and self._policy.retries_errors):
+            return False
+        if answer.status < FIRST_ERROR_STATUS or self.is_answered:
+            return False
+        if self._attempts >= self._policy.max_attempts:
+            return False
+        return self._budgets.retries.try_retry()
+
     def _on_too_large(self, event: AnswerTooLarge, now_s: float) -> Effects:
         if event.attempt_id != self._attempt_id:
             return []
@@ -354,17 +388,22 @@
         )
 
     def _try_again(
-        self, budget: RetryBudget, code: str, reason: str, now_s: float
+        self,
+        budget: RetryBudget,
+        code: str,
+        reason: str,
+        now_s: float,
+        retry_after_s: float = DEFAULT_RETRY_AFTER_S,
     ) -> Effects:
         self._excluded.add(self._group_id)
         self._attempt_id = ""
-        if self._attempts >= MAX_ATTEMPTS:
+        if self._attempts >= self._policy.max_attempts:
             code = CODE_ATTEMPTS
         elif budget.try_retry():
             return self._choose(now_s)
         else:
             code = CODE_RETRY_BUDGET
-        return self._fail(code, reason, retry_after_s=DEFAULT_RETRY_AFTER_S)
+        return self._fail(code, reason, retry_after_s=retry_after_s)
 
     def _cancel(self) -> Effects:
         if not self._attempt_id:
@@ -389,6 +428,9 @@
         step: str = STEP_CALL,
         retry_after_s: float | None = None,
     ) -> Effects:
+        if self._fallback is not None:
+            # An endpoint's own failure says more than that no other one could help.
+            return self._cancel() + self._reply(self._fallback)
         self.is_answered = True
         self.is_over = not self.lingers
         effects: Effects = []
--- a/chestnutvale/attempts/sse.py
+++ b/chestnutvale/attempts/sse.py
@@ -1,5 +1,7 @@
 """Split an engine's server-sent events without reading their data."""
 
+import re
+
 import attrs
 
 from chestnutvale.attempts.const import MAX_EVENT_BYTES
@@ -7,6 +9,8 @@
 
 STEP_STREAM = "stream"
 _ID_FIELD = b"id:"
+_EVENT_NUMBER = re.compile(rb"^id: ?([0-9]{1,18})\r?$", re.MULTILINE)
+_EVENT_END = re.compile(rb"\r?\n\r?\n")
 _DONE_FIELD = b"data: [DONE]"
 _DATA_FIELD = b"data:"
 
@@ -114,3 +118,94 @@
     if lines[0].startswith(_ID_FIELD):
         return _parse_numbered(b"\n".join(lines))
     raise StreamFormatError("an event has no id", step=STEP_STREAM)
+
+
+class NumberedSplitter:
+    """Cuts a stream whose events carry one rising number each.
+
+    An event is passed on byte for byte. The number of the event before it is the
+    offset at which it begins, so that an attempt which continues an answer must begin
+    behind what the caller has.
+
+    Parameters
+    ----------
+    attempt_id : str
+        The attempt whose stream it is.
+    last_number : int, optional
+        Number of the last event that the caller has.
+    max_event_bytes : int, optional
+        Largest event that is held in memory.
+    """
+
+    def __init__(
+        self,
+        attempt_id: str,
+        last_number: int = 0,
+        max_event_bytes: int = MAX_EVENT_BYTES,
+    ) -> None:
+        self._attempt_id = attempt_id.encode()
+        self._last_number = last_number
+        self._max_event_bytes = max_event_bytes
+        self._rest = b""
+
+    def feed(self, chunk: bytes) -> list[StreamEvent]:
+        """Take in bytes and return the events that they complete.
+
+        Parameters
+        ----------
+        chunk : bytes
+            Bytes as received.
+
+        Returns
+        -------
+        list of StreamEvent
+            Whole events in their order.
+
+        Raises
+        ------
+        StreamFormatError
+            If an event is too large, or its number is missing or does not rise.
+        """
+        buffer = self._rest + chunk if self._rest else chunk
+        *blocks, self._rest = _split_events(buffer)
+        if len(self._rest) > self._max_event_bytes:
+            raise StreamFormatError("an event is too large", step=STEP_STREAM)
+        return [self._number(block) for block in blocks]
+
+    def end(self) -> StreamEvent:
+        """Return the end of a stream whose last byte has arrived.
+
+        Returns
+        -------
+        StreamEvent
+            The end; it has no bytes of its own.
+
+        Raises
+        ------
+        StreamFormatError
+            If the stream ended within an event.
+        """
+        if self._rest:
+            raise StreamFormatError("the stream ended in an event", step=STEP_STREAM)
+        return StreamEvent(b"", 0, 0, b"", is_done=True)
+
+    def _number(self, block: bytes) -> StreamEvent:
+        match = _EVENT_NUMBER.search(block)
+        if match is None:
+            raise StreamFormatError("an event has no number", step=STEP_STREAM)
+        number = int(match.group(1))
+        if number <= self._last_number:
+            raise StreamFormatError("an event's number is low", step=STEP_STREAM)
+        event = StreamEvent(self._attempt_id, self._last_number, number, block)
+        self._last_number = number
+        return event
+
+
+def _split_events(buffer: bytes) -> list[bytes]:
+    """Return whole events with their empty line, and what follows the last one."""
+    parts = []
+    begin = 0
+    for match in _EVENT_END.finditer(buffer):
+        parts.append(buffer[begin : match.end()])
+        begin = match.end()
+    return [*parts, buffer[begin:]]
--- a/chestnutvale/attempts/suspicion.py
+++ b/chestnutvale/attempts/suspicion.py
@@ -8,6 +8,7 @@
 import xxhash
 
 from chestnutvale.attempts.const import (
+    BAN_MS,
     EVIDENCE_REPEAT_MS,
     EVIDENCE_SETTLE_MS,
     MAX_SUSPECT_ROUNDS,
@@ -93,6 +94,12 @@
     so that copies of one request at several entries run at one group, and
     different suspects of one crash run apart.
 
+    Parameters
+    ----------
+    ban_after : int, optional
+        Crashes on different groups after which a request is refused, where suspects
+        run like any other request until then; 0 places them apart.
+
     Attributes
     ----------
     evidence : CrashEvidence
@@ -101,7 +108,8 @@
         Called when there is something new to report; must not block.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, ban_after: int = 0) -> None:
+        self._ban_after = ban_after
         self.evidence = CrashEvidence()
         self.notify: Callable[[], None] | None = None
         self._running: dict[str, _Running] = {}
@@ -240,8 +248,12 @@
         Verdict
             ``Clear``, ``Suspected`` or ``Banned``.
         """
-        if not self.evidence.crashes_of(fingerprint):
+        crashed = self.evidence.crashes_of(fingerprint)
+        if not crashed:
             return Clear()
+        if self._ban_after:
+            is_banned = len(crashed) >= self._ban_after
+            return Banned(now_unix_ms + BAN_MS) if is_banned else Clear()
         until_unix_ms = self.evidence.banned_until_unix_ms(fingerprint, now_unix_ms)
         if until_unix_ms:
             return Banned(until_unix_ms)
--- a/chestnutvale/clock.py
+++ b/chestnutvale/clock.py
@@ -18,8 +18,9 @@
     """The clocks of the operating system."""
 
     def now_s(self) -> float:
-        """Return monotonic time in seconds."""
-        return time.monotonic()
+        """Return monotonic time in seconds, with the time that the host slept."""
+        # A lease must run out while its host is suspended, when CLOCK_MONOTONIC stands.
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
 
     def unix_ms(self) -> int:
         """Return wall-clock time in milliseconds since the epoch."""
--- a/chestnutvale/configuration/checks.py
+++ b/chestnutvale/configuration/checks.py
@@ -22,6 +22,7 @@
 from chestnutvale.configuration.dependencies import find_cycle
 from chestnutvale.configuration.line_index import Path
 from chestnutvale.configuration.report import ProblemReport
+from chestnutvale.configuration.routes import find_route_faults
 from chestnutvale.schema.configuration_pb2 import CallRule, Service, Text, Workspace
 
 _NAME = re.compile(r"[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?")
@@ -46,6 +47,8 @@
         _check_known_services(service.depends_on, text, (*path, "depends_on"), report)
     _check_cycle(text, report)
     _check_workspaces(text, report)
+    for path, reason in find_route_faults(text):
+        report.add(path, reason)
 
 
 def check_fabric_domains(
--- a/chestnutvale/configuration/const.py
+++ b/chestnutvale/configuration/const.py
@@ -9,6 +9,13 @@
 OUTCOME_ACCEPTED: Final = "accepted"
 OUTCOME_RESENT: Final = "resent"
 OUTCOME_CONFLICT: Final = "conflict"
+OUTCOME_OVERTAKEN: Final = "overtaken"
+
+ROUTE_STREAMING: Final = "streaming"
+ROUTE_REPEATABLE: Final = "repeatable"
+ROUTE_ONCE: Final = "once"
+ROUTE_KINDS: Final = (ROUTE_STREAMING, ROUTE_REPEATABLE, ROUTE_ONCE)
+MAX_ROUTES: Final = 20_000
 
 MAX_TEXT_BYTES: Final = 1024 * 1024
 MAX_TEXT_DEPTH: Final = 16
@@ -18,6 +25,7 @@
 MAX_CALL_RULES: Final = 200
 MAX_NUMBER: Final = 2**63 - 1
 MAX_STRING_LENGTH: Final = 512
+MAX_FRACTION: Final = 1e6
 MAX_HOSTS_PER_GROUP: Final = 1_024
 MAX_GROUPS: Final = 10_000
 MAX_WEIGHT: Final = 10_000
--- a/chestnutvale/configuration/schema_reader.py
+++ b/chestnutvale/configuration/schema_reader.py
@@ -5,7 +5,7 @@
 from google.protobuf.descriptor import FieldDescriptor
 from google.protobuf.message import Message
 
-from chestnutvale.configuration.const import MAX_STRING_LENGTH
+from chestnutvale.configuration.const import MAX_FRACTION, MAX_STRING_LENGTH
 from chestnutvale.configuration.line_index import Path
 from chestnutvale.configuration.report import ProblemReport
 
@@ -105,6 +105,8 @@
         return False
     if field.type == FieldDescriptor.TYPE_STRING:
         return _check_string(value, path, report)
+    if field.type == FieldDescriptor.TYPE_DOUBLE:
+        return _check_number(value, path, report)
     return _check_unsigned(value, _UNSIGNED_BITS[field.type], path, report)
 
 
@@ -118,6 +120,14 @@
     return True
 
 
+def _check_number(value: Any, path: Path, report: ProblemReport) -> bool:
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    if not is_number or not 0 <= value <= MAX_FRACTION:
+        report.add(path, f"must be a number from 0 to {MAX_FRACTION:g}")
+        return False
+    return True
+
+
 def _check_string(value: Any, path: Path, report: ProblemReport) -> bool:
     if not isinstance(value, str):
         report.add(path, "must be a string")
--- a/chestnutvale/configuration/state.py
+++ b/chestnutvale/configuration/state.py
@@ -7,6 +7,7 @@
     ACCEPTED_NUMBERS_KEPT,
     OUTCOME_ACCEPTED,
     OUTCOME_CONFLICT,
+    OUTCOME_OVERTAKEN,
     OUTCOME_RESENT,
 )
 from chestnutvale.schema.configuration_pb2 import (
@@ -23,7 +24,9 @@
 
     A command is accepted if its number is above the one in force. The same text
     under a number that was accepted before is a resend and gets the first answer
-    again, also if a later text is in force by then. Everything else is a conflict.
+    again, also if a later text is in force by then. Everything else is a conflict,
+    unless the command says that the highest number wins: then it is overtaken, which
+    changes nothing.
 
     Attributes
     ----------
@@ -35,6 +38,8 @@
         Who applied it.
     accepted_at_unix_ms : int
         When it was accepted, by the proposer's wall clock, in milliseconds.
+    document : bytes
+        The text as its operator sent it; empty if that is not kept.
     """
 
     def __init__(self) -> None:
@@ -42,6 +47,7 @@
         self.digest = ""
         self.operator = ""
         self.accepted_at_unix_ms = 0
+        self.document = b""
         self._accepted: OrderedDict[int, str] = OrderedDict()
 
     @property
@@ -84,12 +90,14 @@
         if self.is_accepted(command.text.number, command.digest):
             return self._make_result(OUTCOME_RESENT)
         if command.text.number <= self.number:
-            return self._make_result(OUTCOME_CONFLICT)
+            lost = OUTCOME_OVERTAKEN if command.highest_wins else OUTCOME_CONFLICT
+            return self._make_result(lost)
         self.text = Text()
         self.text.CopyFrom(command.text)
         self.digest = command.digest
         self.operator = command.operator
         self.accepted_at_unix_ms = at_unix_ms
+        self.document = command.document
         self._accepted[self.number] = self.digest
         if len(self._accepted) > ACCEPTED_NUMBERS_KEPT:
             self._accepted.popitem(last=False)
@@ -108,6 +116,7 @@
             digest=self.digest,
             operator=self.operator,
             accepted_at_unix_ms=self.accepted_at_unix_ms,
+            document=self.document,
             accepted=[
                 AcceptedNumber(number=number, digest=digest)
                 for number, digest in self._accepted.items()
@@ -133,6 +142,7 @@
         state.digest = snapshot.digest
         state.operator = snapshot.operator
         state.accepted_at_unix_ms = snapshot.accepted_at_unix_ms
+        state.document = snapshot.document
         for accepted in snapshot.accepted:
             state._accepted[accepted.number] = accepted.digest
         return state
--- a/chestnutvale/consensus/const.py
+++ b/chestnutvale/consensus/const.py
@@ -31,10 +31,10 @@
 LEARNER_ALIVE_S: Final = 5.0
 # Silence in seconds after which a learner is forgotten.
 LEARNER_FORGET_S: Final = 3_600.0
-JOIN_INTERVAL_S: Final = 1.0
+JOIN_INTERVAL_S: Final = 0.5
 # Age in seconds up to which a join request counts for the first start.
 JOIN_FRESH_S: Final = 5.0
-REPLACEMENT_INTERVAL_S: Final = 1.0
+REPLACEMENT_INTERVAL_S: Final = 0.25
 
 BODY_RAFT: Final = "raft"
 STEP_PROPOSE: Final = "propose"
--- a/chestnutvale/consensus/joining.py
+++ b/chestnutvale/consensus/joining.py
@@ -38,7 +38,9 @@
             own_id, settings.peer_address, self._initial_controls, settings.spare
         )
         voter_lost_s = settings.voter_lost_ms / MS_PER_S or DEFAULT_VOTER_LOST_S
-        self._replacement = ReplacementPolicy(voter_lost_s=voter_lost_s)
+        self._replacement = ReplacementPolicy(
+            voter_lost_s=voter_lost_s, wanted_voters=settings.wanted_voters
+        )
 
     def note(self, message: RaftMessage, now_s: float) -> bool:
         """Note a join request.
--- a/chestnutvale/consensus/replacement.py
+++ b/chestnutvale/consensus/replacement.py
@@ -66,10 +66,13 @@
         Silence in seconds after which a voter counts as lost.
     voter_reborn_s : float, optional
         The same for a voter whose control has come back with another disk.
+    wanted_voters : int, optional
+        Voters to grow to, if that is more than there were at the first start.
     """
 
     voter_lost_s: float = DEFAULT_VOTER_LOST_S
     voter_reborn_s: float = DEFAULT_VOTER_REBORN_S
+    wanted_voters: int = 0
 
     def decide(
         self,
@@ -104,7 +107,8 @@
         """
         fresh = [j for j in joiners if j.heard_s + JOIN_FRESH_S >= now_s]
         ready = self._find_ready(members, contacts, last_index, now_s)
-        if len(members.voters) < members.wanted_voters:
+        wanted_voters = max(members.wanted_voters, self.wanted_voters)
+        if len(members.voters) < wanted_voters:
             if ready:
                 return MembersChange(ChangeKind.PROMOTE, ready[0])
         elif ready:
--- a/chestnutvale/consensus/task.py
+++ b/chestnutvale/consensus/task.py
@@ -29,7 +29,7 @@
 )
 from chestnutvale.consensus.loop import LeadershipCallback, RaftLoop
 from chestnutvale.consensus.machine import StateMachine
-from chestnutvale.consensus.members import control_of
+from chestnutvale.consensus.members import control_of, quorum_size
 from chestnutvale.exceptions import ChestnutError
 from chestnutvale.schema.command_pb2 import Command, CommandResult
 from chestnutvale.schema.raft_pb2 import (
@@ -149,6 +149,18 @@
         """Voters and learners as the newest entry sets them."""
         return self._loop.raft.log.members
 
+    @property
+    def committed_copies(self) -> int:
+        """Disks that surely hold each committed entry.
+
+        A quorum of the members in force, if the entry that set them is committed
+        itself; 0 if it is not.
+        """
+        raft = self._loop.raft
+        if raft.log.members_index > raft.commit_index:
+            return 0
+        return quorum_size(raft.log.members)
+
     def has_lease(self, now_s: float) -> bool:
         """Tell whether certainly no other control has led until now.
 
--- a/chestnutvale/groups/budget.py
+++ b/chestnutvale/groups/budget.py
@@ -26,10 +26,14 @@
     Returns
     -------
     bool
-        Whether it announces that it is ready with that share.
+        Whether it announces that it is ready with that share, or has it at hand.
     """
     announcement = record.announcement
-    if announcement is None or not announcement.HasField("holding"):
+    if announcement is None:
+        return False
+    if group.service in announcement.staged:
+        return True
+    if not announcement.HasField("holding"):
         return False
     holding = announcement.holding
     if holding.phase != HOLDING_READY or holding.service != group.service:
--- a/chestnutvale/groups/const.py
+++ b/chestnutvale/groups/const.py
@@ -11,6 +11,8 @@
 OUTCOME_CONFLICT: Final = "conflict"
 
 ORDER_ASSIGN: Final = "assign"
+ORDER_OPEN: Final = "open"
+ORDER_STAGE: Final = "stage"
 ORDER_RELEASE: Final = "release"
 
 SERVICE_PLAIN: Final = "plain"
@@ -56,6 +58,17 @@
 # Time in seconds after which a round is planned although nothing changed.
 PLAN_INTERVAL_S: Final = 1.0
 
+# Time in seconds that is added to an engine's stall time, for late announcements.
+HEAD_STALL_MARGIN_S: Final = 1.0
+
+# Time in seconds after which a member of a pool's group that never took its order, or
+# never became ready, is given up: orders may be carried out 12 s late, and a load of
+# 16 s takes several times as long while many others run.
+POOL_ORDER_TIMEOUT_S: Final = 14.0
+POOL_READY_TIMEOUT_S: Final = 120.0
+# Weight of weights that have to be loaded against the shares of a pool's models.
+LOAD_PENALTY: Final = 0.5
+
 # Commands proposed in one round; the rest follows in the next.
 MAX_COMMANDS_PER_ROUND: Final = 32
 
--- a/chestnutvale/groups/order_messages.py
+++ b/chestnutvale/groups/order_messages.py
@@ -1,7 +1,12 @@
 """Orders as messages, and which hosts may get them."""
 
 from chestnutvale.groups.budget import has_weights
-from chestnutvale.groups.const import ORDER_ASSIGN, ORDER_RELEASE, PHASE_FORMING
+from chestnutvale.groups.const import (
+    ORDER_ASSIGN,
+    ORDER_OPEN,
+    ORDER_RELEASE,
+    PHASE_FORMING,
+)
 from chestnutvale.groups.state import GroupsState
 from chestnutvale.membership.table import HostRecord, MembershipTable
 from chestnutvale.schema.configuration_pb2 import Text
@@ -99,6 +104,29 @@
     )
 
 
+def open_order(group: Group) -> Order:
+    """Make the order by which the head of a group begins to take calls.
+
+    Parameters
+    ----------
+    group : Group
+        The group; all its members were seen ready.
+
+    Returns
+    -------
+    Order
+        The order, without its expiry.
+    """
+    return Order(
+        order_id=f"{group.fence}-open",
+        kind=ORDER_OPEN,
+        group_id=group.group_id,
+        epoch=group.epoch,
+        fence=group.fence,
+        service=group.service,
+    )
+
+
 def release_order_id(release: HostRelease) -> str:
     """Return the identity of the order by which a host lets go.
 
@@ -115,13 +143,15 @@
     return f"{release.fence}-release"
 
 
-def release_order(release: HostRelease) -> Order:
+def release_order(release: HostRelease, epoch: int) -> Order:
     """Make the order by which a host lets go.
 
     Parameters
     ----------
     release : HostRelease
         The release.
+    epoch : int
+        Epoch of the group that the host holds.
 
     Returns
     -------
@@ -132,5 +162,6 @@
         order_id=release_order_id(release),
         kind=ORDER_RELEASE,
         group_id=release.group_id,
+        epoch=epoch,
         fence=release.fence,
     )
--- a/chestnutvale/groups/orders.py
+++ b/chestnutvale/groups/orders.py
@@ -14,21 +14,29 @@
     ORDER_RETRY_MIN_S,
     ORDER_TIMEOUT_S,
     PHASE_DRAINING,
+    PHASE_SERVING,
     RELEASE_RETENTION_MS,
 )
+from chestnutvale.groups.heads import HeadWatch
 from chestnutvale.groups.order_messages import (
     assign_order,
     known_host,
     may_be_taken_back,
+    open_order,
     release_order,
     release_order_id,
 )
-from chestnutvale.groups.serving import holds_epoch
+from chestnutvale.groups.serving import (
+    find_readiness_fault,
+    group_head,
+    holds_epoch,
+    is_head_open,
+)
 from chestnutvale.groups.settings import GroupsPolicy
 from chestnutvale.groups.state import GroupsState
 from chestnutvale.membership.table import HostRecord, MembershipTable
 from chestnutvale.schema.configuration_pb2 import Text
-from chestnutvale.schema.groups_pb2 import FreeHost, HostRelease, Order
+from chestnutvale.schema.groups_pb2 import FreeHost, Group, HostRelease, Order
 
 
 class OrderOutcome(enum.Enum):
@@ -99,6 +107,7 @@
     weight_store_address: str = ""
     _sent: dict[str, _SentOrder] = attrs.field(factory=dict)
     _release_seen_s: dict[int, float] = attrs.field(factory=dict)
+    _let_go_s: dict[int, float] = attrs.field(factory=dict)
     _old_lease_ends_s: float = float("inf")
     _old_orders_end_s: float = float("inf")
 
@@ -112,6 +121,7 @@
         """
         self._sent.clear()
         self._release_seen_s.clear()
+        self._let_go_s.clear()
         self._old_lease_ends_s = now_s + self.policy.leader_lease_s
         self._old_orders_end_s = self._old_lease_ends_s + ORDER_LIFETIME_S
 
@@ -233,18 +243,30 @@
             for release in state.releases.values()
         }
         self._release_seen_s = seen_s
-        # Until then an entry may still hold a serving right on the group left.
-        quiet_s = now_s - self.policy.serving_lease_s
+        self._let_go_s = {
+            fence: at_s for fence, at_s in self._let_go_s.items() if fence in seen_s
+        }
+        # Until then an entry may still hold a serving right on the group left. Heads
+        # that stop by themselves refuse what they get by such a right.
+        lease_s = 0.0 if self.policy.engine_stall_s else self.policy.serving_lease_s
+        quiet_s = now_s - lease_s
+        heads = HeadWatch(self.policy, table)
         return [
             FreeHost(host_id=release.host_id, fence=release.fence)
             for release in state.releases.values()
             if (
-                seen_s[release.fence] < quiet_s
+                seen_s[release.fence] <= quiet_s
                 and self._has_let_go(release, table, now_s)
+                and heads.is_quiet(
+                    release.group_id, self._note_let_go(release, now_s), now_s
+                )
             )
             or self._is_forgotten(release, table, now_s, now_unix_ms)
         ]
 
+    def _note_let_go(self, release: HostRelease, now_s: float) -> float:
+        return self._let_go_s.setdefault(release.fence, now_s)
+
     def _wanted(
         self,
         state: GroupsState,
@@ -259,7 +281,8 @@
                 continue
             if may_be_taken_back(release, record, state):
                 continue
-            yield record, record.announcement.address, release_order(release)
+            epoch = record.announcement.holding.epoch
+            yield record, record.announcement.address, release_order(release, epoch)
         for group in budget.most_valuable_first():
             if group.plain or group.phase == PHASE_DRAINING:
                 continue
@@ -272,6 +295,16 @@
                         group, member.rank, text, self.weight_store_address
                     )
                     yield record, member.address, order
+            if self._may_open(group, table, now_s):
+                head = group_head(group)
+                yield table.host(head.host_id), head.address, open_order(group)
+
+    @staticmethod
+    def _may_open(group: Group, table: MembershipTable, now_s: float) -> bool:
+        """Tell whether a head should be told to open: all members are ready now."""
+        if group.phase != PHASE_SERVING or is_head_open(group, table):
+            return False
+        return not find_readiness_fault(group, table, now_s)
 
     def _take_unannounced(
         self, state: GroupsState, table: MembershipTable, budget: LoadBudget
--- a/chestnutvale/groups/planner.py
+++ b/chestnutvale/groups/planner.py
@@ -7,7 +7,7 @@
 import attrs
 
 from chestnutvale.groups.assembly import Assembler
-from chestnutvale.groups.breakage import BreakageWatch, BrokenGroup
+from chestnutvale.groups.breakage import BreakageWatch, BrokenGroup, is_blind
 from chestnutvale.groups.const import (
     MAX_COMMANDS_PER_ROUND,
     PHASE_DRAINING,
@@ -18,6 +18,7 @@
 from chestnutvale.groups.draining import IdleWatch
 from chestnutvale.groups.fleet import Fleet, to_member
 from chestnutvale.groups.plain import plan_plain_groups
+from chestnutvale.groups.pools import PoolPlanner, is_pooled, pooled_services
 from chestnutvale.groups.repair import RepairInputs, RepairPlanner
 from chestnutvale.groups.rollout import ServicePlanner
 from chestnutvale.groups.services import model_services_in_order
@@ -82,6 +83,11 @@
         init=False,
     )
 
+    pools: PoolPlanner = attrs.field(
+        default=attrs.Factory(lambda self: PoolPlanner(self.idle), takes_self=True),
+        init=False,
+    )
+
     def became_leader(self, now_s: float) -> None:
         """Forget what an earlier leadership saw.
 
@@ -112,7 +118,11 @@
         state, table = inputs.state, inputs.table
         fleet = Fleet.survey(state, table, now_s)
         self.idle.observe(state, table, now_s)
-        broken = self.watch.find_broken(state, table, now_s)
+        broken = [
+            item
+            for item in self.watch.find_broken(state, table, now_s)
+            if not is_pooled(item.group)
+        ]
         repairs = RepairPlanner(self.policy, self.chooser, self.watch)
         repair_inputs = RepairInputs(
             state, table, fleet, self.idle, now_s, inputs.now_unix_ms
@@ -122,11 +132,21 @@
             *_promote(inputs, now_s),
             *_rejoin(inputs, fleet),
             *repairs.plan(broken, repair_inputs),
+            *self._plan_pools(inputs, fleet, now_s),
             *plan_plain_groups(state, table, inputs.text, fleet, self.idle, now_s),
             *self._plan_services(inputs, fleet, broken, now_s),
         ]
         return _keep_first_of_each_group(commands)[:MAX_COMMANDS_PER_ROUND]
 
+    def _plan_pools(
+        self, inputs: PlanInputs, fleet: Fleet, now_s: float
+    ) -> Iterator[PutGroup | RemoveGroup]:
+        if is_blind(inputs.table, now_s) and inputs.state.groups:
+            return
+        yield from self.pools.plan(
+            inputs.state, inputs.table, inputs.text, fleet, now_s
+        )
+
     def _plan_services(
         self,
         inputs: PlanInputs,
@@ -134,7 +154,12 @@
         broken: Sequence[BrokenGroup],
         now_s: float,
     ) -> Iterator[PutGroup | RemoveGroup]:
-        services = dict(model_services_in_order(inputs.text))
+        pooled = pooled_services(inputs.text)
+        services = {
+            name: service
+            for name, service in model_services_in_order(inputs.text)
+            if name not in pooled
+        }
         groups_of = _groups_by_service(inputs.state)
         broken_ids = {item.group.group_id for item in broken}
         planners = {
@@ -194,7 +219,7 @@
 def _rejoin(inputs: PlanInputs, fleet: Fleet) -> Iterator[PutGroup]:
     """Take up members that came back under another boot."""
     for group in inputs.state.groups.values():
-        if group.phase == PHASE_DRAINING:
+        if group.phase == PHASE_DRAINING or is_pooled(group):
             continue
         changed = Group()
         changed.CopyFrom(group)
@@ -230,7 +255,7 @@
 def _groups_by_service(state: GroupsState) -> defaultdict[str, list[Group]]:
     groups_of = defaultdict(list)
     for group in state.groups.values():
-        if not group.plain:
+        if not group.plain and not is_pooled(group):
             groups_of[group.service].append(group)
     return groups_of
 
--- a/chestnutvale/groups/serving.py
+++ b/chestnutvale/groups/serving.py
@@ -7,7 +7,7 @@
     FAULT_RESTARTED,
     PHASE_SERVING,
 )
-from chestnutvale.membership.const import HOLDING_READY
+from chestnutvale.membership.const import HOLDING_OPEN, HOLDING_READY
 from chestnutvale.membership.table import HostRecord, MembershipTable
 from chestnutvale.schema.groups_pb2 import Group, GroupMember
 
@@ -81,7 +81,33 @@
     """
     if group.phase != PHASE_SERVING:
         return f"the group is {group.phase}"
-    return find_readiness_fault(group, table, now_s, draining_hosts)
+    fault = find_readiness_fault(group, table, now_s, draining_hosts)
+    if fault or group.plain or is_head_open(group, table):
+        return fault
+    return "the head is not open yet"
+
+
+def is_head_open(group: Group, table: MembershipTable) -> bool:
+    """Tell whether the head of a group takes calls as far as it announces that.
+
+    Parameters
+    ----------
+    group : Group
+        The group.
+    table : MembershipTable
+        What is known of hosts.
+
+    Returns
+    -------
+    bool
+        True also for an engine that needs no order to open.
+    """
+    record = table.host(group_head(group).host_id)
+    if record is None or record.announcement is None:
+        return False
+    if not record.announcement.opens:
+        return True
+    return holds_epoch(record, group, HOLDING_OPEN)
 
 
 def find_readiness_fault(
@@ -125,7 +151,7 @@
     group : Group
         The group.
     phase : str
-        Phase that the holding must be in; empty for any.
+        Phase that the holding must be in; empty for any. An open head is ready too.
 
     Returns
     -------
@@ -138,6 +164,8 @@
     holding = announcement.holding
     if (holding.group_id, holding.epoch) != (group.group_id, group.epoch):
         return False
+    if phase == HOLDING_READY:
+        return holding.phase in (HOLDING_READY, HOLDING_OPEN)
     return not phase or holding.phase == phase
 
 
--- a/chestnutvale/groups/settings.py
+++ b/chestnutvale/groups/settings.py
@@ -37,6 +37,9 @@
         Hosts that may load weights at once.
     shard_load_s : float
         Time in seconds that a host takes to load its share of the weights.
+    engine_stall_s : float
+        Time in seconds after which a head that lacks a member stops taking calls by
+        itself; 0 for engines of which the members watch each other.
     """
 
     group_downtime_weight: float = 1.0
@@ -48,6 +51,7 @@
     drain_timeout_s: float = DEFAULT_DRAIN_TIMEOUT_S
     max_loading_hosts: int = 16
     shard_load_s: float = 60.0
+    engine_stall_s: float = 0.0
 
     @classmethod
     def from_settings(cls, settings: ControlSettings) -> "GroupsPolicy":
@@ -74,4 +78,9 @@
             detection_timeout_s=settings.detection_timeout_ms / 1_000
             or default.detection_timeout_s,
             max_loading_hosts=settings.max_loading_hosts or default.max_loading_hosts,
+            serving_lease_s=settings.serving_lease_ms / 1_000
+            or default.serving_lease_s,
+            drain_timeout_s=settings.group_drain_timeout_ms / 1_000
+            or default.drain_timeout_s,
+            engine_stall_s=settings.engine_stall_ms / 1_000,
         )
--- a/chestnutvale/membership/const.py
+++ b/chestnutvale/membership/const.py
@@ -11,6 +11,9 @@
 FORGET_ENTRY_AFTER_S: Final = 600.0
 FORGET_HOST_AFTER_S: Final = 3_600.0
 
+# Silence in seconds of the leading control after which an entry asks all controls.
+LEADER_SILENT_S: Final = 0.9
+
 # Window in seconds over which the shortest way of reports is measured.
 DELAY_WINDOW_S: Final = 30.0
 
@@ -35,8 +38,19 @@
 
 HOLDING_LOADING: Final = "loading"
 HOLDING_READY: Final = "ready"
+# The head of a group takes calls; only engines that are told to open say so.
+HOLDING_OPEN: Final = "open"
 HOLDING_RELEASING: Final = "releasing"
-HOLDING_PHASES: Final = frozenset({HOLDING_LOADING, HOLDING_READY, HOLDING_RELEASING})
+HOLDING_BROKEN: Final = "broken"
+HOLDING_PHASES: Final = frozenset(
+    {
+        HOLDING_LOADING,
+        HOLDING_READY,
+        HOLDING_OPEN,
+        HOLDING_RELEASING,
+        HOLDING_BROKEN,
+    }
+)
 
 
 def detection_bound_s(detection_timeout_s: float, lease_s: float) -> float:
--- a/chestnutvale/membership/hearing.py
+++ b/chestnutvale/membership/hearing.py
@@ -126,6 +126,21 @@
         self._forget_silent_hosts(now_s)
         return heard
 
+    def digest_of(self, host_id: str) -> int:
+        """Return the digest of what a host announced last.
+
+        Parameters
+        ----------
+        host_id : str
+            The host; it must have announced itself here.
+
+        Returns
+        -------
+        int
+            The digest.
+        """
+        return self._hosts[host_id].digest
+
     @property
     def host_count(self) -> int:
         """Number of hosts that this entry remembers."""
--- a/chestnutvale/membership/table.py
+++ b/chestnutvale/membership/table.py
@@ -37,6 +37,10 @@
         Whether ``announcement`` is what the host announced last.
     load : Load or None
         Newest load; None before the first one.
+    is_superseded : bool
+        Whether a later life of another identity has its address.
+    is_load_counted : bool
+        Whether the load is what entries run there, as the host reports none.
     """
 
     host_id: str
@@ -46,6 +50,8 @@
     digest: int = 0
     is_content_current: bool = False
     load: Load | None = None
+    is_superseded: bool = False
+    is_load_counted: bool = False
 
     @property
     def boot_id(self) -> str:
@@ -81,6 +87,7 @@
     _incomplete: dict[str, None] = attrs.field(factory=dict, init=False)
     _hosts: dict[str, HostRecord] = attrs.field(factory=dict)
     _entries: dict[str, float] = attrs.field(factory=dict)
+    _by_address: dict[str, str] = attrs.field(factory=dict)
     _delays: ReportDelays = attrs.field(factory=ReportDelays)
 
     def merge(
@@ -115,7 +122,28 @@
         if sent_at_ms:
             delay_s = self._delays.excess_s(entry_id, incarnation, sent_at_ms, now_s)
             now_s -= delay_s
-        changed = [item.host_id for item in heard if self._take(entry_id, item, now_s)]
+        return self.take_heard(entry_id, heard, now_s)
+
+    def take_heard(
+        self, sender_id: str, heard: Iterable[Heard], now_s: float
+    ) -> list[str]:
+        """Take what another process heard of hosts.
+
+        Parameters
+        ----------
+        sender_id : str
+            Who heard it: an entry or a control.
+        heard : iterable of Heard
+            What it heard.
+        now_s : float
+            Monotonic time to which the ages refer.
+
+        Returns
+        -------
+        list of str
+            Hosts that are new, or whose boot or content changed.
+        """
+        changed = [item.host_id for item in heard if self._take(sender_id, item, now_s)]
         self.revision += len(changed)
         return changed
 
@@ -150,7 +178,7 @@
             Whether the host counts as alive.
         """
         record = self._hosts.get(host_id)
-        if record is None:
+        if record is None or record.is_superseded:
             return False
         return now_s - record.heard_at_s <= self.detection_timeout_s
 
@@ -171,7 +199,9 @@
         fresh = [
             record
             for record in self._hosts.values()
-            if record.is_content_current and record.order.heard_at_s >= oldest_s
+            if record.is_content_current
+            and record.order.heard_at_s >= oldest_s
+            and not record.is_superseded
         ]
         fresh.sort(key=lambda record: record.host_id)
         return fresh
@@ -241,6 +271,31 @@
         """Return the entries that are remembered, live or silent."""
         return sorted(self._entries)
 
+    def note_running(self, host_id: str, running: int) -> bool:
+        """Take the attempts that entries run at a host that reports no load itself.
+
+        Parameters
+        ----------
+        host_id : str
+            The host.
+        running : int
+            Attempts of all entries.
+
+        Returns
+        -------
+        bool
+            Whether they were taken as the load of the host.
+        """
+        record = self._hosts.get(host_id)
+        if record is None or record.announcement is None:
+            return False
+        if record.announcement.HasField("load"):
+            return False
+        record.is_load_counted = True
+        if record.load is None or record.load.running != running:
+            record.load = Load(running=running)
+        return True
+
     def forget_silent(self, now_s: float) -> None:
         """Drop hosts and entries that have been silent for long.
 
@@ -290,9 +345,7 @@
     def _take_content(self, record: HostRecord, heard: Heard) -> bool:
         before = record.digest, record.is_content_current
         if heard.HasField("changed"):
-            record.announcement = heard.changed
-            record.is_content_current = True
-            record.load = heard.changed.load
+            self._take_announcement(record, heard)
         elif heard.content_digest != record.digest:
             record.is_content_current = False
         if heard.HasField("load"):
@@ -308,12 +361,40 @@
             return False
         if content_digest(heard.changed) != record.digest:
             return False
-        record.announcement = heard.changed
-        record.is_content_current = True
-        record.load = heard.changed.load
+        self._take_announcement(record, heard)
         self._note_completeness(record)
         return True
 
+    def _take_announcement(self, record: HostRecord, heard: Heard) -> None:
+        announcement = heard.changed
+        record.announcement = announcement
+        record.is_content_current = True
+        if announcement.HasField("load") or not record.is_load_counted:
+            record.load = announcement.load
+        if announcement.born_unix_ms:
+            self._supersede_others(record)
+
+    def _supersede_others(self, record: HostRecord) -> None:
+        """Give up earlier lives at the address of a host.
+
+        An address serves one process at a time, so the life that began last has it,
+        also if a late announcement of an earlier one arrives after that.
+        """
+        address = record.announcement.address
+        other = self._hosts.get(self._by_address.get(address, ""))
+        if other is None or other is record or other.announcement is None:
+            self._by_address[address] = record.host_id
+            return
+        if other.announcement.address != address:
+            self._by_address[address] = record.host_id
+            return
+        born_unix_ms = record.announcement.born_unix_ms
+        if born_unix_ms < other.announcement.born_unix_ms:
+            record.is_superseded = True
+            return
+        other.is_superseded = True
+        self._by_address[address] = record.host_id
+
     def _note_completeness(self, record: HostRecord) -> None:
         if record.is_content_current:
             self._incomplete.pop(record.host_id, None)
--- a/chestnutvale/membership/validation.py
+++ b/chestnutvale/membership/validation.py
@@ -100,7 +100,7 @@
     if not _is_name(holding.group_id) or not _is_name(holding.service):
         return "holding needs a group_id and a service"
     if holding.phase not in HOLDING_PHASES:
-        return "holding.phase must be loading, ready or releasing"
+        return "holding.phase is unknown"
     if len(holding.version) > MAX_NAME_LENGTH:
         return "holding.version is too long"
     if len(holding.adapters) > MAX_ADAPTERS:
--- a/chestnutvale/programs/control/const.py
+++ b/chestnutvale/programs/control/const.py
@@ -29,3 +29,7 @@
 # Silence in seconds after which a voter or learner is shown as unreachable.
 VOTER_SILENT_S: Final = 3.0
 SALT_BITS: Final = 32
+# Time in seconds between two reports of a control on hosts that it heard, and the
+# shortest one if something changed.
+HOST_REPORT_INTERVAL_S: Final = 0.4
+MIN_HOST_REPORT_INTERVAL_S: Final = 0.02
--- a/chestnutvale/programs/control/daemon.py
+++ b/chestnutvale/programs/control/daemon.py
@@ -2,7 +2,7 @@
 
 import contextlib
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from types import TracebackType
 from typing import Any, Self
 
@@ -15,9 +15,8 @@
 from chestnutvale.groups.orders import OrderBook
 from chestnutvale.groups.planner import GroupPlanner
 from chestnutvale.groups.settings import GroupsPolicy
-from chestnutvale.http_server.problem import Problem
 from chestnutvale.http_server.server import HttpServer
-from chestnutvale.http_server.views import WsgiApp, make_check, make_json_view
+from chestnutvale.http_server.views import WsgiApp
 from chestnutvale.membership.table import MembershipTable
 from chestnutvale.membership.views import ViewPublisher
 from chestnutvale.observability.dump import DumpRegistry
@@ -25,6 +24,8 @@
 from chestnutvale.programs.control.const import SALT_BITS
 from chestnutvale.programs.control.entry_desk import EntryDesk
 from chestnutvale.programs.control.group_task import GroupTask
+from chestnutvale.programs.control.host_door import HostDoor
+from chestnutvale.programs.control.interface import ControlInterface, ControlParts
 from chestnutvale.programs.control.ledger_task import LedgerTask
 from chestnutvale.programs.control.measures import MeasureTracker
 from chestnutvale.programs.control.metrics import (
@@ -32,7 +33,6 @@
     register_control_metrics,
 )
 from chestnutvale.programs.control.operations import ControlOperations
-from chestnutvale.programs.control.operator_api import OperatorApi
 from chestnutvale.programs.control.state import ControlState
 from chestnutvale.programs.control.status import StatusBuilder
 from chestnutvale.programs.process_metrics import register_process_metrics
@@ -53,8 +53,8 @@
     ----------
     settings : ControlSettings
         Checked settings.
-    token_digest : bytes
-        Digest of the operator token.
+    interface : ControlInterface
+        What operators and endpoints speak.
     clock : Clock
         Source of time.
     rng : random.Random
@@ -64,12 +64,12 @@
     def __init__(
         self,
         settings: ControlSettings,
-        token_digest: bytes,
+        interface: ControlInterface,
         clock: Clock,
         rng: random.Random,
     ) -> None:
         self.settings = settings
-        self._token_digest = token_digest
+        self._interface = interface
         self._clock = clock
         self._rng = rng
         self._exits = contextlib.ExitStack()
@@ -85,6 +85,7 @@
             self.incarnation,
             settings.peer_address,
             clock,
+            clocks_may_step=settings.clocks_may_step,
         )
         self._log: ConsensusTask | None = None
         self._draining = False
@@ -151,6 +152,13 @@
             self.publisher,
             self._clock,
         )
+        self._hosts = HostDoor(
+            self.settings.control_id,
+            self.transport,
+            self._log,
+            self.table,
+            self._clock,
+        )
         groups = GroupTask(
             self._log,
             self.state,
@@ -159,6 +167,7 @@
             self._desk,
             self.measures,
             self._clock,
+            self._interface.make_order_transport(self._clock),
         )
         ledger = LedgerTask(self._log, self.state, self._desk, self._clock)
         server = HttpServer(
@@ -170,7 +179,7 @@
         self._register_metrics(server)
         exits.enter_context(self.metrics)
         exits.enter_context(server)
-        for run in (groups.run, ledger.run):
+        for run in (groups.run, ledger.run, self._hosts.run):
             exits.callback(eventlet.spawn(run).kill)
 
     def _make_app(self) -> WsgiApp:
@@ -192,14 +201,16 @@
             self.dump,
             self._clock,
         )
-        operators = OperatorApi(self._token_digest, node, self._clock)
-        views = {
-            "/healthz": make_check(self._is_alive),
-            "/readyz": make_check(self._is_ready),
-            "/debug/state": make_json_view(self.dump),
-            "/metrics": self.metrics.view,
-        }
-        return _join_apps(operators, views)
+        parts = ControlParts(
+            node,
+            self._hosts,
+            self.metrics,
+            self._is_ready,
+            self._is_alive,
+            self.dump,
+            self._clock,
+        )
+        return self._interface.make_app(parts)
 
     def _register_metrics(self, server: HttpServer) -> None:
         register_process_metrics(self.metrics, server, self.transport)
@@ -218,20 +229,3 @@
 
     def _is_ready(self) -> bool:
         return not self._draining and bool(self._log.leader_id)
-
-
-def _join_apps(operators: OperatorApi, views: dict[str, WsgiApp]) -> WsgiApp:
-    def app(
-        environ: dict[str, Any], start_response: Callable[..., Any]
-    ) -> Iterable[bytes]:
-        path = environ["PATH_INFO"]
-        if operators.handles(path):
-            return operators(environ, start_response)
-        view = views.get(path)
-        if view is not None:
-            return view(environ, start_response)
-        return Problem(404, "not_found", "no such call", step="route").respond(
-            start_response
-        )
-
-    return app
--- a/chestnutvale/programs/control/entry_desk.py
+++ b/chestnutvale/programs/control/entry_desk.py
@@ -9,8 +9,11 @@
 from chestnutvale.attempts.suspicion_board import SuspicionBoard
 from chestnutvale.clock import Clock
 from chestnutvale.consensus.exceptions import NotLeaderError, OutcomeUnknownError
+from chestnutvale.consensus.members import control_of
 from chestnutvale.consensus.task import ConsensusTask
+from chestnutvale.groups.serving import group_head
 from chestnutvale.membership.cache_events import CacheEventQueue
+from chestnutvale.membership.running import RunningTable
 from chestnutvale.membership.table import MembershipTable
 from chestnutvale.membership.views import Push, ViewPublisher
 from chestnutvale.programs.control.const import (
@@ -22,6 +25,7 @@
     CacheNews,
     CommitReply,
     CommitRequest,
+    ControlAddress,
     ControlView,
     EntryReport,
     Envelope,
@@ -111,6 +115,7 @@
         self._settled_until_s = float("-inf")
         self._cache_events = CacheEventQueue()
         self._demands = DemandTable()
+        self._running = RunningTable()
         self._commits = eventlet.GreenPool(MAX_COMMIT_REQUESTS)
         transport.on("entry_report", self._receive_report)
         transport.on("commit_request", self._receive_commit)
@@ -180,12 +185,39 @@
         has_news = self._suspicions.merge(
             list(report.suspicions), self._clock.unix_ms()
         )
+        self._running.note(entry_id, report.running, now_s)
         if not self._log.is_leader or not self._log.has_lease(now_s):
+            if report.wants_controls:
+                self._name_controls(entry_id, report.reply_address)
             return
+        self._note_running(now_s)
         self._answer(entry_id, report, now_s)
         if has_news:
             self._push_suspicions(now_s)
 
+    def _name_controls(self, entry_id: str, address: str) -> None:
+        # The entry asks everyone it knows; whom it knows may be long gone.
+        controls = ControlView(controls=self._controls())
+        self._transport.send(entry_id, address, "control_view", controls)
+
+    def _controls(self) -> list[ControlAddress]:
+        members = self._log.members
+        return [
+            ControlAddress(
+                control_id=control_of(member_id),
+                peer_address=members.addresses[member_id],
+            )
+            for member_id in [*members.voters, *members.learners]
+            if member_id in members.addresses
+        ]
+
+    def _note_running(self, now_s: float) -> None:
+        """Take what entries run at a group as the load of its head."""
+        totals = self._running.totals(now_s)
+        for group in self._state.groups.groups.values():
+            head = group_head(group)
+            self._table.note_running(head.host_id, totals.get(group.group_id, 0))
+
     def _push_suspicions(self, now_s: float) -> None:
         # A request that crashes groups is soon sent again at another entry.
         pushes = self._publisher.push_all(
@@ -205,6 +237,7 @@
             now_s,
         )
         view.demands.extend(to_messages(self._demands.totals(now_s)))
+        view.controls.extend(self._controls())
         self._send_view(entry_id, report.reply_address, view)
 
     def _refresh(self, now_s: float) -> None:
--- a/chestnutvale/programs/control/group_task.py
+++ b/chestnutvale/programs/control/group_task.py
@@ -1,6 +1,7 @@
 """The task that carries out what the group coordinator decides."""
 
 from collections.abc import Sequence
+from typing import Protocol
 
 import eventlet
 import logbook
@@ -9,7 +10,7 @@
 from chestnutvale.consensus.exceptions import NotLeaderError, OutcomeUnknownError
 from chestnutvale.consensus.task import ConsensusTask
 from chestnutvale.groups.coordinator import Effect, GroupCoordinator, ProposeCommand
-from chestnutvale.groups.orders import SendOrder
+from chestnutvale.groups.orders import OrderOutcome, SendOrder
 from chestnutvale.membership.table import MembershipTable
 from chestnutvale.programs.control.const import (
     GROUP_ROUND_S,
@@ -26,6 +27,13 @@
 _LOGGER = logbook.Logger(__name__)
 
 
+class OrderTransport(Protocol):
+    """Carries orders to hosts."""
+
+    def send(self, effect: SendOrder) -> OrderOutcome:
+        """Send one order; blocks the calling task."""
+
+
 class GroupTask:
     """Runs one round of decisions after another; owns the coordinator.
 
@@ -45,6 +53,8 @@
         Sums up downtime and stranded accelerators.
     clock : Clock
         Source of time.
+    sender : OrderTransport, optional
+        Carries orders to hosts; by the endpoint protocol by default.
     """
 
     def __init__(
@@ -56,6 +66,7 @@
         desk: EntryDesk,
         measures: MeasureTracker,
         clock: Clock,
+        sender: OrderTransport | None = None,
     ) -> None:
         self._log = log
         self._state = state
@@ -64,7 +75,7 @@
         self._desk = desk
         self._measures = measures
         self._clock = clock
-        self._sender = OrderSender(clock)
+        self._sender = sender or OrderSender(clock)
         self._orders = eventlet.GreenPool(MAX_ORDERS_AT_ONCE)
         self._led_term = 0
         self._settled_inputs: tuple[int, ...] = ()
--- /dev/null
+++ b/chestnutvale/programs/control/host_door.py
@@ -0,0 +1,192 @@
+"""Announcements that reach a control itself, shared with the other controls."""
+
+import eventlet
+import logbook
+from eventlet.event import Event
+
+from chestnutvale.clock import Clock
+from chestnutvale.consensus.members import control_of
+from chestnutvale.consensus.task import ConsensusTask
+from chestnutvale.membership.exceptions import AnnouncementRefusedError
+from chestnutvale.membership.hearing import Hearing
+from chestnutvale.membership.table import MembershipTable
+from chestnutvale.programs.control.const import (
+    HOST_REPORT_INTERVAL_S,
+    MIN_HOST_REPORT_INTERVAL_S,
+)
+from chestnutvale.programs.periodic import run_rounds
+from chestnutvale.schema.membership_pb2 import (
+    Announcement,
+    Heard,
+    HostReport,
+    HostWant,
+)
+from chestnutvale.schema.peer_pb2 import Envelope
+from chestnutvale.transport.node import TransportNode
+
+_LOGGER = logbook.Logger(__name__)
+
+
+class HostDoor:
+    """Takes announcements and tells the other controls of them.
+
+    Every control merges what all of them hear, so that a new leader knows the hosts.
+
+    Parameters
+    ----------
+    control_id : str
+        This control.
+    transport : TransportNode
+        The process's peer sockets.
+    log : ConsensusTask
+        Knows the other controls.
+    table : MembershipTable
+        What is known of hosts.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(
+        self,
+        control_id: str,
+        transport: TransportNode,
+        log: ConsensusTask,
+        table: MembershipTable,
+        clock: Clock,
+    ) -> None:
+        self._control_id = control_id
+        self._transport = transport
+        self._log = log
+        self._table = table
+        self._clock = clock
+        self._hearing = Hearing(table.detection_timeout_s)
+        self._news = Event()
+        transport.on("host_report", self._receive_report)
+        transport.on("host_want", self._receive_want)
+
+    def announce(self, announcement: Announcement) -> None:
+        """Take an announcement; the other controls hear of it soon.
+
+        Parameters
+        ----------
+        announcement : Announcement
+            What the host says.
+
+        Raises
+        ------
+        AnnouncementRefusedError
+            If a field is invalid or the announcement is an old one.
+        """
+        now_s = self._clock.now_s()
+        self._keep_leaving(announcement)
+        accepted = self._hearing.announce(announcement, now_s)
+        heard = Heard(
+            host_id=announcement.host_id,
+            boot_id=announcement.boot_id,
+            sequence=announcement.sequence,
+            changed=announcement,
+            content_digest=self._hearing.digest_of(announcement.host_id),
+        )
+        changed = self._table.take_heard(self._control_id, [heard], now_s)
+        if accepted.urgent:
+            self._hurry()
+        if changed:
+            _LOGGER.info(
+                "Host {} announces: leaving {}, holding {}",
+                announcement.host_id,
+                announcement.leaving,
+                _describe_holding(announcement),
+            )
+
+    def leave(self, host_id: str) -> bool:
+        """Note that a host is about to stop.
+
+        Parameters
+        ----------
+        host_id : str
+            The host.
+
+        Returns
+        -------
+        bool
+            False if the host is not known here.
+        """
+        record = self._table.host(host_id)
+        if record is None or record.announcement is None:
+            return False
+        announcement = Announcement()
+        announcement.CopyFrom(record.announcement)
+        announcement.leaving = True
+        announcement.sequence = record.order.sequence + 1
+        try:
+            self.announce(announcement)
+        except AnnouncementRefusedError as error:
+            # A newer announcement came in between; it is kept as leaving below.
+            _LOGGER.info("Host {} leaves: {}", host_id, error)
+            record.announcement.leaving = True
+        self._hurry()
+        return True
+
+    def run(self) -> None:
+        """Send reports to the other controls until the task is killed."""
+        run_rounds("host reports", self._run_round, MIN_HOST_REPORT_INTERVAL_S)
+
+    def _keep_leaving(self, announcement: Announcement) -> None:
+        # A host that said it leaves does not change its mind within one life, but
+        # what it said before may arrive late.
+        record = self._table.host(announcement.host_id)
+        if record is None or record.announcement is None:
+            return
+        if record.boot_id == announcement.boot_id and record.announcement.leaving:
+            announcement.leaving = True
+
+    def _hurry(self) -> None:
+        if not self._news.ready():
+            self._news.send()
+
+    def _run_round(self) -> None:
+        with eventlet.Timeout(HOST_REPORT_INTERVAL_S, False):
+            self._news.wait()
+        self._news = Event()
+        now_s = self._clock.now_s()
+        heard = self._hearing.drain_report(now_s)
+        if not heard:
+            return
+        report = HostReport(heard=heard, sent_at_ms=round(now_s * 1_000))
+        for control_id, address in self._others():
+            self._transport.send(control_id, address, "host_report", report)
+
+    def _others(self) -> list[tuple[str, str]]:
+        members = self._log.members
+        found = [
+            (control_of(member_id), members.addresses.get(member_id, ""))
+            for member_id in [*members.voters, *members.learners]
+        ]
+        return [
+            (control_id, address)
+            for control_id, address in found
+            if address and control_id != self._control_id
+        ]
+
+    def _receive_report(self, envelope: Envelope) -> None:
+        sender = envelope.sender_id
+        now_s = self._clock.now_s()
+        self._table.take_heard(sender, envelope.host_report.heard, now_s)
+        wanted = self._table.wanted_hosts(sender)
+        if not wanted:
+            return
+        for control_id, address in self._others():
+            if control_id == sender:
+                want = HostWant(host_ids=wanted)
+                self._transport.send(sender, address, "host_want", want)
+
+    def _receive_want(self, envelope: Envelope) -> None:
+        self._hearing.mark_wanted(envelope.host_want.host_ids)
+        self._hurry()
+
+
+def _describe_holding(announcement: Announcement) -> str:
+    if not announcement.HasField("holding"):
+        return "nothing"
+    holding = announcement.holding
+    return f"{holding.group_id} {holding.epoch} {holding.rank} {holding.phase}"
--- a/chestnutvale/programs/control/operations.py
+++ b/chestnutvale/programs/control/operations.py
@@ -7,7 +7,11 @@
 import eventlet
 
 from chestnutvale.clock import Clock
-from chestnutvale.consensus.exceptions import MembersChangeError, NotLeaderError
+from chestnutvale.consensus.exceptions import (
+    MembersChangeError,
+    NotLeaderError,
+    OutcomeUnknownError,
+)
 from chestnutvale.consensus.members import control_of
 from chestnutvale.consensus.task import ConsensusTask
 from chestnutvale.exceptions import ChestnutError
@@ -38,6 +42,8 @@
 DOMAINS_SETTLE_S = 10.0
 # Time in seconds between two tries to promote a learner.
 PROMOTE_RETRY_S = 0.2
+# Time in seconds between two looks at how many disks hold the log.
+DURABLE_POLL_S = 0.05
 
 
 class ControlOperations:
@@ -90,6 +96,10 @@
                 return peer.http_address
         return ""
 
+    def leader_id(self) -> str:
+        """Return the control that leads; empty if unknown."""
+        return self._log.leader_id
+
     def read_configuration(self, deadline_s: float) -> ConfigurationSnapshot:
         """Return what is in force, confirmed by a quorum."""
         self._log.confirm_read(deadline_s)
@@ -119,8 +129,26 @@
         )
 
     def apply_text(self, command: ApplyText, deadline_s: float) -> ApplyTextResult:
-        """Commit a text that was checked."""
-        return self._propose(Command(apply_text=command), deadline_s).apply_text
+        """Commit a text that was checked, on as many disks as the settings ask for."""
+        result = self._propose(Command(apply_text=command), deadline_s).apply_text
+        self._wait_until_durable(deadline_s)
+        return result
+
+    def _wait_until_durable(self, deadline_s: float) -> None:
+        """Wait until every committed entry is on enough disks.
+
+        The members grow one by one at the first start. What was committed by a small
+        quorum is on the disks of a larger one once a change to it is committed.
+        """
+        if not self._settings.durable_copies:
+            return
+        while self._log.committed_copies < self._settings.durable_copies:
+            if self._clock.now_s() >= deadline_s:
+                raise OutcomeUnknownError(
+                    f"only {self._log.committed_copies} disks surely hold it",
+                    step=STEP_MEMBERS,
+                )
+            eventlet.sleep(DURABLE_POLL_S)
 
     def drain_host(self, request: DrainRequest, deadline_s: float) -> OperatorResult:
         """Commit that a host gets no new work, or that it may get work again."""
--- a/chestnutvale/programs/entry/call_context.py
+++ b/chestnutvale/programs/entry/call_context.py
@@ -12,7 +12,8 @@
 from chestnutvale.membership.entry_view import EntryView
 from chestnutvale.programs.entry.admission_gate import AdmissionGate
 from chestnutvale.programs.entry.commits import CommitClient
-from chestnutvale.programs.entry.context import AttemptReport, CallRequest
+from chestnutvale.programs.entry.context import AttemptReport, CallRequest, CrashProbe
+from chestnutvale.programs.entry.crash_probe import has_crashed
 from chestnutvale.programs.entry.group_router import GroupRouter
 from chestnutvale.programs.entry.running_attempts import RunningAttempts
 from chestnutvale.schema.command_pb2 import Command, CommandResult
@@ -65,6 +66,7 @@
         self.budgets = AttemptBudgets()
         self.suspicions = SuspicionTracker()
         self.running = RunningAttempts()
+        self.has_crashed: CrashProbe = has_crashed
         self.lookup = TextLookup.from_text(Text())
         self._view = view
         self._gate = gate
--- a/chestnutvale/programs/entry/const.py
+++ b/chestnutvale/programs/entry/const.py
@@ -19,3 +19,5 @@
 # Time in seconds between two looks at what still runs.
 DRAIN_POLL_S: Final = 0.05
 SALT_BITS: Final = 32
+# Time in seconds between two rounds of housekeeping.
+HOUSEKEEPING_ROUND_S: Final = 0.5
--- a/chestnutvale/programs/entry/context.py
+++ b/chestnutvale/programs/entry/context.py
@@ -12,6 +12,7 @@
 from chestnutvale.programs.entry.running_attempts import RunningAttempts
 from chestnutvale.schema.command_pb2 import Command, CommandResult
 from chestnutvale.schema.configuration_pb2 import Text
+from chestnutvale.schema.groups_pb2 import Group
 from chestnutvale.schema.peer_pb2 import GroupView
 
 PRIORITY_URGENT = "urgent"
@@ -192,6 +193,13 @@
     tokens: int
 
 
+class CrashProbe(Protocol):
+    """Asks the members of a group whether it still stands."""
+
+    def __call__(self, group: Group, *, is_engine: bool) -> bool:
+        """Tell whether a member is down, was restarted, or left the group."""
+
+
 class CallContext(Protocol):
     """The entry as the handlers of calls see it; the daemon implements it.
 
@@ -213,6 +221,8 @@
         Requests that may crash groups.
     running : RunningAttempts
         Attempts that run now; the daemon breaks those of a lost group.
+    has_crashed : CrashProbe
+        Finds out whether a group broke or only one of its streams.
     """
 
     entry_id: str
@@ -223,6 +233,7 @@
     budgets: AttemptBudgets
     suspicions: SuspicionTracker
     running: RunningAttempts
+    has_crashed: CrashProbe
 
     @property
     def text(self) -> Text:
--- a/chestnutvale/programs/entry/control_link.py
+++ b/chestnutvale/programs/entry/control_link.py
@@ -12,10 +12,18 @@
 from chestnutvale.membership.cache_events import CacheEventQueue
 from chestnutvale.membership.entry_view import EntryView, InstallVerdict
 from chestnutvale.membership.hearing import Hearing
+from chestnutvale.membership.report_targets import ReportTargets
 from chestnutvale.programs.entry.const import MIN_REPORT_INTERVAL_MS, REPORT_EXPIRY_MS
 from chestnutvale.programs.entry.demand_exchange import DemandExchange
+from chestnutvale.programs.entry.running_attempts import RunningAttempts
 from chestnutvale.programs.periodic import run_rounds
-from chestnutvale.schema.peer_pb2 import ControlView, EntryReport, Envelope
+from chestnutvale.schema.membership_pb2 import Load
+from chestnutvale.schema.peer_pb2 import (
+    ControlView,
+    EntryReport,
+    Envelope,
+    GroupLoad,
+)
 from chestnutvale.schema.settings_pb2 import EntrySettings
 from chestnutvale.transport.node import TransportNode
 
@@ -25,7 +33,7 @@
 
 
 class ControlLink:
-    """Sends reports to every control; owns the entry's view and hearing.
+    """Sends reports to the controls; owns the entry's view and hearing.
 
     Parameters
     ----------
@@ -47,6 +55,8 @@
         Source of time.
     rng : random.Random
         Source of nonces.
+    running : RunningAttempts, optional
+        Attempts that run, for hosts that report no load themselves.
 
     Attributes
     ----------
@@ -65,6 +75,7 @@
         demand: DemandExchange,
         clock: Clock,
         rng: random.Random,
+        running: RunningAttempts | None = None,
     ) -> None:
         self.draining = False
         self._settings = settings
@@ -76,6 +87,10 @@
         self._demand = demand
         self._clock = clock
         self._rng = rng
+        self._targets = ReportTargets(
+            {control.id: control.address for control in settings.controls}
+        )
+        self._running = running
         self._listeners: list[Callable[[ControlView, str], None]] = []
         self._news = Event()
         transport.on("control_view", self._receive_view)
@@ -124,21 +139,30 @@
         )
         self._demand.fill(report)
         self._view.report_sent(nonce, now_s)
-        for control in self._settings.controls:
+        if self._running is not None:
+            report.running.extend(
+                GroupLoad(group_id=group_id, load=Load(running=count))
+                for group_id, count in self._running.counts().items()
+            )
+        targets = self._targets.choose(now_s)
+        report.wants_controls = len(targets) > 1
+        for control_id, address in targets:
             self._transport.send(
-                control.id,
-                control.address,
-                "entry_report",
-                report,
-                expiry_ms=REPORT_EXPIRY_MS,
+                control_id, address, "entry_report", report, REPORT_EXPIRY_MS
             )
 
     def _receive_view(self, envelope: Envelope) -> None:
         view = envelope.control_view
+        controls = {item.control_id: item.peer_address for item in view.controls}
+        if not view.source:
+            # A follower only tells which controls there are.
+            self._targets.note_controls(controls)
+            return
         number_before = self._view.number
         verdict = self._view.install(view, self._clock.now_s())
         if verdict is InstallVerdict.OLD_TERM:
             return
+        self._targets.note_view(envelope.sender_id, controls, self._clock.now_s())
         if self._view.number != number_before:
             _LOGGER.info("Text {} is in force", self._view.number)
             # The operators' status shows the number that reports carry.
--- a/chestnutvale/programs/entry/crash_probe.py
+++ b/chestnutvale/programs/entry/crash_probe.py
@@ -38,6 +38,27 @@
     return not all(_still_holds(member, group) for member in group.members)
 
 
+def head_is_down(group: Group, *, is_engine: bool) -> bool:
+    """Ask only the head of a group, and only for a connection.
+
+    For endpoints that tell nothing of their group; each connection costs them.
+
+    Parameters
+    ----------
+    group : Group
+        The group as it was when the attempt began.
+    is_engine : bool
+        Whether its members are engines.
+
+    Returns
+    -------
+    bool
+        Whether the head takes no connection.
+    """
+    heads = [member for member in group.members if member.rank == 0]
+    return not all(_takes_connections(member) for member in heads)
+
+
 def _takes_connections(member: GroupMember) -> bool:
     try:
         with EndpointExchange(member.address) as exchange:
--- a/chestnutvale/programs/entry/daemon.py
+++ b/chestnutvale/programs/entry/daemon.py
@@ -10,35 +10,34 @@
 import logbook
 
 from chestnutvale.admission.controller import AdmissionController
+from chestnutvale.attempts.retry_budget import SharedRetryBound
 from chestnutvale.clock import Clock
 from chestnutvale.http_server.server import HttpServer
-from chestnutvale.http_server.views import make_check, make_json_view
 from chestnutvale.membership.cache_events import CacheEventQueue
 from chestnutvale.membership.entry_view import EntryView
 from chestnutvale.membership.hearing import Hearing
 from chestnutvale.observability.dump import DumpRegistry
 from chestnutvale.observability.metrics import Metrics
-from chestnutvale.observability.request_meter import RequestMeter
 from chestnutvale.programs.entry.admission_gate import AdmissionGate
-from chestnutvale.programs.entry.announcements import AnnouncementDoor
-from chestnutvale.programs.entry.app import EntryApp
 from chestnutvale.programs.entry.call_context import EntryContext
 from chestnutvale.programs.entry.commits import CommitClient
 from chestnutvale.programs.entry.const import (
     DRAIN_NOTICE_S,
     DRAIN_POLL_S,
+    HOUSEKEEPING_ROUND_S,
     SALT_BITS,
 )
 from chestnutvale.programs.entry.control_link import ControlLink
 from chestnutvale.programs.entry.demand_exchange import DemandExchange
 from chestnutvale.programs.entry.group_router import GroupRouter
-from chestnutvale.programs.entry.ledger_writer import LedgerWriter
-from chestnutvale.programs.entry.metrics import (
-    MEASURED_ROUTES,
-    register_entry_metrics,
+from chestnutvale.programs.entry.interface import (
+    EntryInterface,
+    EntryParts,
+    OwnInterface,
 )
-from chestnutvale.programs.entry.model_calls import ModelCallHandler
-from chestnutvale.programs.entry.service_calls import ServiceCallHandler
+from chestnutvale.programs.entry.ledger_writer import LedgerWriter
+from chestnutvale.programs.entry.metrics import register_entry_metrics
+from chestnutvale.programs.periodic import run_rounds
 from chestnutvale.programs.process_metrics import register_process_metrics
 from chestnutvale.routing.selector import Selector
 from chestnutvale.schema.settings_pb2 import EntrySettings
@@ -48,8 +47,6 @@
 _LOGGER = logbook.Logger(__name__)
 
 PROGRAM_NAME = "chestnut-entry"
-FORM_CHAT = "chat"
-FORM_COMPLETION = "completion"
 
 
 class EntryDaemon:
@@ -63,13 +60,20 @@
         Source of time.
     rng : random.Random
         Source of random numbers.
+    interface : EntryInterface, optional
+        What callers and endpoints speak; the project's own interface by default.
     """
 
     def __init__(
-        self, settings: EntrySettings, clock: Clock, rng: random.Random
+        self,
+        settings: EntrySettings,
+        clock: Clock,
+        rng: random.Random,
+        interface: EntryInterface | None = None,
     ) -> None:
         self.settings = settings
         self._clock = clock
+        self._interface = interface or OwnInterface()
         self._exits = contextlib.ExitStack()
         self.incarnation = make_incarnation(clock.unix_ms(), rng.getrandbits(SALT_BITS))
         self.transport = TransportNode(
@@ -78,6 +82,7 @@
             self.incarnation,
             settings.peer_address,
             clock,
+            clocks_may_step=settings.clocks_may_step,
         )
         self.view = EntryView(settings.lease_ms / 1_000)
         self.hearing = Hearing()
@@ -107,17 +112,34 @@
             DemandExchange(self._gate.controller),
             clock,
             rng,
+            self.context.running,
         )
+        self._bound = self._read_retry_bound()
+        if self._bound is not None:
+            self.context.budgets = self._bound.make_budgets()
         self.link.on_view(self.context.install)
         self.context.suspicions.notify = self.link.hurry
         self.transport.on("cache_news", router.receive_cache_news)
         self._writer = LedgerWriter(self.context)
-        self._services = ServiceCallHandler(self.context, self._writer)
         self.metrics = Metrics(PROGRAM_NAME)
-        app = RequestMeter(self._make_app(), self.metrics, MEASURED_ROUTES, clock)
-        self.server = HttpServer(
-            app, settings.http_address, settings.http_limits, clock
+        self._parts = EntryParts(
+            settings,
+            clock,
+            self.context,
+            self.link,
+            self.hearing,
+            self._cache_events,
+            self._writer,
+            self.metrics,
+            self.is_ready,
+            self._is_alive,
+            self.dump,
         )
+        self._servers = [
+            HttpServer(door.app, door.address, door.limits, clock)
+            for door in self._interface.make_doors(self._parts)
+        ]
+        self.server = self._servers[0]
         register_process_metrics(self.metrics, self.server, self.transport)
         register_entry_metrics(self.metrics, self.view, self.is_ready, clock)
 
@@ -126,9 +148,10 @@
         with contextlib.ExitStack() as exits:
             exits.enter_context(self.metrics)
             exits.enter_context(self.transport)
-            for run in (self.link.run, self._gate.run):
+            for run in (self.link.run, self._gate.run, self._keep_house):
                 exits.callback(eventlet.spawn(run).kill)
-            exits.enter_context(self.server)
+            for server in self._servers:
+                exits.enter_context(server)
             self._exits = exits.pop_all()
         _LOGGER.info("Entry {} serves", self.settings.entry_id)
         return self
@@ -155,7 +178,7 @@
         self.link.hurry()
         self.server.begin_drain()
         # The balancer needs time to see that the entry is not ready any more.
-        eventlet.sleep(DRAIN_NOTICE_S)
+        eventlet.sleep(self.settings.drain_notice_ms / 1_000 or DRAIN_NOTICE_S)
         cut = self.server.stop(deadline_s)
         while self._has_work() and self._clock.now_s() < deadline_s:
             eventlet.sleep(DRAIN_POLL_S)
@@ -169,7 +192,7 @@
 
     def _has_work(self) -> bool:
         # A caller may have left, and its call or the record of its answer still runs.
-        return bool(self._services.running_calls or self._writer.pending_writes)
+        return bool(self._interface.running_calls or self._writer.pending_writes)
 
     def is_ready(self) -> bool:
         """Tell whether the balancer should send calls here."""
@@ -209,22 +232,17 @@
     def _is_alive(self) -> bool:
         return self.transport.is_receiving
 
-    def _make_app(self) -> EntryApp:
-        return EntryApp(
-            chat=ModelCallHandler(self.context, FORM_CHAT),
-            completions=ModelCallHandler(self.context, FORM_COMPLETION),
-            services=self._services,
-            announcements=AnnouncementDoor(
-                self.hearing,
-                self._clock,
-                self.settings.announce_interval_ms,
-                self.link.hurry,
-                self._cache_events,
-            ),
-            operations={
-                "/healthz": make_check(self._is_alive),
-                "/readyz": make_check(self.is_ready),
-                "/debug/state": make_json_view(self.dump),
-                "/metrics": self.metrics.view,
-            },
-        )
+    def _read_retry_bound(self) -> SharedRetryBound | None:
+        if not self.settings.HasField("retry_budget"):
+            return None
+        bound = self.settings.retry_budget
+        return SharedRetryBound(bound.share, bound.reserve, bound.window_ms / 1_000)
+
+    def _keep_house(self) -> None:
+        run_rounds("housekeeping", self._keep_house_once, HOUSEKEEPING_ROUND_S)
+
+    def _keep_house_once(self) -> None:
+        self._interface.keep_house()
+        if self._bound is not None:
+            self._bound.divide(self.context.budgets, self.view.entry_count)
+            self.context.budgets.retries.refill(HOUSEKEEPING_ROUND_S)
--- a/chestnutvale/programs/entry/exceptions.py
+++ b/chestnutvale/programs/entry/exceptions.py
@@ -21,6 +21,35 @@
     code = "unreachable"
 
 
+class EndpointRefusedError(ChestnutError):
+    """An endpoint that says that it did not run the call.
+
+    Parameters
+    ----------
+    message : str
+        What it said.
+    step : str, optional
+        The step at which it said so.
+    peer : str, optional
+        Address of the endpoint.
+    retry_after_s : float or None, optional
+        When it says to come back, in seconds.
+    """
+
+    code = "endpoint_refused"
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        step: str = "",
+        peer: str = "",
+        retry_after_s: float | None = None,
+    ) -> None:
+        super().__init__(message, step=step, peer=peer)
+        self.retry_after_s = retry_after_s
+
+
 class EndpointBrokenError(ChestnutError):
     """A connection to an endpoint that broke after bytes may have been sent."""
 
--- a/chestnutvale/programs/entry/group_chooser.py
+++ b/chestnutvale/programs/entry/group_chooser.py
@@ -16,7 +16,6 @@
     CallRequest,
     head_address,
 )
-from chestnutvale.programs.entry.crash_probe import has_crashed
 from chestnutvale.schema.peer_pb2 import GroupView
 
 Chosen = GroupChosen | NoneAvailable | CallBanned | Tick
@@ -130,7 +129,8 @@
             Identity of the attempt.
         """
         suspicions = self._context.suspicions
-        if has_crashed(self.view.group, is_engine=self._request.max_tokens > 0):
+        is_engine = self._request.max_tokens > 0
+        if self._context.has_crashed(self.view.group, is_engine=is_engine):
             suspicions.group_crashed(attempt_id, self._context.clock.unix_ms())
         else:
             suspicions.attempt_ended(attempt_id)
--- a/chestnutvale/programs/entry/group_router.py
+++ b/chestnutvale/programs/entry/group_router.py
@@ -8,6 +8,7 @@
 from chestnutvale.clock import Clock
 from chestnutvale.membership.entry_view import EntryView
 from chestnutvale.programs.entry.context import AttemptReport, CallRequest
+from chestnutvale.routing.const import DEFAULT_REPORT_AGE_S
 from chestnutvale.routing.messages import RoutableGroup, RoutingRequest
 from chestnutvale.routing.selector import Selector
 from chestnutvale.schema.membership_pb2 import Load
@@ -85,6 +86,8 @@
                 self._selector.note_cache_events(item.group_id, item.events, now_s)
 
     def _find_age_s(self, load: Load) -> float:
+        if not load.measured_at_unix_ms:
+            return DEFAULT_REPORT_AGE_S
         # The clocks of two hosts may differ, so an age that can't be is cut.
         age_s = (self._clock.unix_ms() - load.measured_at_unix_ms) / 1_000
         return min(max(age_s, 0.0), MAX_LOAD_AGE_S)
--- a/chestnutvale/programs/entry/model_attempt.py
+++ b/chestnutvale/programs/entry/model_attempt.py
@@ -59,6 +59,8 @@
         The group that runs it.
     address : str
         IP number and port of the group's head.
+    body : dict
+        The request.
 
     Attributes
     ----------
@@ -68,7 +70,10 @@
         Monotonic time in seconds of the first byte of the stream.
     """
 
-    def __init__(self, attempt_id: str, view: GroupView, address: str) -> None:
+    def __init__(
+        self, attempt_id: str, view: GroupView, address: str, body: dict[str, Any]
+    ) -> None:
+        self._body = body
         self.attempt_id = attempt_id
         self.view = view
         self.is_open = False
@@ -97,13 +102,11 @@
         """Interrupt the greenlet that waits for the endpoint."""
         self._exchange.abort()
 
-    def start(self, body: dict[str, Any], timeout_s: float) -> CallEvent | None:
+    def start(self, timeout_s: float) -> CallEvent | None:
         """Send the request.
 
         Parameters
         ----------
-        body : dict
-            The request.
         timeout_s : float
             Time to wait for the head of the answer in seconds.
 
@@ -112,7 +115,7 @@
         CallEvent or None
             Why the attempt is over; None if its stream has begun.
         """
-        data = json.dumps(body).encode()
+        data = json.dumps(self._body).encode()
         headers = {"Content-Type": "application/json", "Host": self._exchange.address}
         try:
             self._exchange.connect(timeout_s)
--- a/chestnutvale/programs/entry/model_calls.py
+++ b/chestnutvale/programs/entry/model_calls.py
@@ -3,10 +3,11 @@
 import contextlib
 from collections import deque
 from collections.abc import Callable, Iterable, Iterator
-from typing import Any
+from typing import Any, Protocol
 
 import logbook
 
+from chestnutvale.attempts.answer_stream import AnswerStream
 from chestnutvale.attempts.const import (
     OUTCOME_FAILED,
     OUTCOME_NOT_RUN,
@@ -59,6 +60,7 @@
     read_text,
 )
 from chestnutvale.programs.entry.problems import make_problem
+from chestnutvale.schema.peer_pb2 import GroupView
 
 _LOGGER = logbook.Logger(__name__)
 
@@ -71,6 +73,28 @@
 REQUEST_ID_BITS = 96
 
 
+class Attempt(Protocol):
+    """One try at a group, told as events."""
+
+    attempt_id: str
+    view: GroupView
+
+    def start(self, timeout_s: float) -> CallEvent | None:
+        """Send the request; None if a stream has begun."""
+
+    def read(self, timeout_s: float) -> CallEvent:
+        """Wait for the next events of the stream."""
+
+    def abort(self) -> None:
+        """Interrupt the greenlet that waits for the endpoint."""
+
+    def close(self) -> None:
+        """End the attempt, which cancels what still runs."""
+
+
+AttemptMaker = Callable[[StartAttempt, GroupView, AnswerStream], Attempt]
+
+
 def make_request_id(context: CallContext) -> str:
     """Return a new request id.
 
@@ -134,10 +158,19 @@
             return _answer_problem(
                 self._context, error.failure, request_id, start_response
             )
-        run = ModelCallRun(self._context, generation, request, environ)
+        call = ModelCall(request_id, request.deadline_s, self._context.budgets)
+        attempts = _GenerationAttempts(generation, request)
+        run = ModelCallRun(
+            self._context,
+            request,
+            generation.fingerprint,
+            call,
+            attempts.make,
+            environ,
+        )
         if generation.stream:
             return _answer_stream(self._context, run, start_response)
-        return _answer_whole(self._context, run, start_response)
+        return _answer_whole(self._context, run, generation.form, start_response)
 
     def _accept(
         self, environ: dict[str, Any], request_id: str
@@ -174,10 +207,15 @@
     ----------
     context : CallContext
         The entry.
-    generation : GenerationRequest
-        The caller's body.
     request : CallRequest
         The call as admission and routing know it.
+    fingerprint : int
+        64-bit fingerprint of the work asked for.
+    call : ModelCall
+        Decides about the attempts.
+    make_attempt : callable
+        Makes the attempt that a `StartAttempt` asks for at a group; may raise
+        `UnreadableAnswerError`.
     environ : dict
         The WSGI environment.
 
@@ -185,25 +223,27 @@
     ----------
     failure : Failure or None
         Why the answer is not whole.
+    attempt : Attempt or None
+        The attempt that runs.
     """
 
     def __init__(
         self,
         context: CallContext,
-        generation: GenerationRequest,
         request: CallRequest,
+        fingerprint: int,
+        call: ModelCall,
+        make_attempt: AttemptMaker,
         environ: dict[str, Any],
     ) -> None:
         self.failure: Failure | None = None
-        self.generation = generation
         self.request = request
         self._context = context
         self._watch = CallerWatch(environ)
-        self._call = ModelCall(request.request_id, request.deadline_s, context.budgets)
-        self._attempt: ModelAttempt | None = None
-        self._chooser = GroupChooser(
-            context, request, generation.fingerprint, self._watch.wait
-        )
+        self._call = call
+        self._make_attempt = make_attempt
+        self.attempt: Attempt | None = None
+        self._chooser = GroupChooser(context, request, fingerprint, self._watch.wait)
         self._sent_s = 0.0
         self._first_byte_s: float | None = None
         self._first_offset = 0
@@ -267,57 +307,36 @@
         self.failure = effect.failure
         if effect.failure is None:
             self._context.suspicions.answer_whole(
-                self._attempt.attempt_id, self._context.clock.unix_ms()
+                self.attempt.attempt_id, self._context.clock.unix_ms()
             )
             self._close_attempt(RESULT_WHOLE)
 
     def _start(self, effect: StartAttempt) -> CallEvent:
         view = self._chooser.view
-        attempt = ModelAttempt(effect.attempt_id, view, head_address(view))
-        self._attempt = attempt
-        self._watch.call_when_gone(attempt.abort)
-        self._context.running.add(effect.group_id, effect.epoch, attempt)
-        self._chooser.attempt_started(effect.attempt_id)
-        self._first_byte_s = None
-        self._first_offset = effect.resume_offset
         self._sent_s = self._context.clock.now_s()
         try:
-            body = self._make_body(effect)
+            attempt = self._make_attempt(effect, view, self._call.answer)
         except UnreadableAnswerError as error:
             # What the caller has can't be told to another group.
             return AttemptRefused(effect.attempt_id, error.code, error.message)
-        event = attempt.start(body, self._call.next_tick_s - self._sent_s)
+        self.attempt = attempt
+        self._watch.call_when_gone(attempt.abort)
+        self._context.running.add(effect.group_id, effect.epoch, attempt)
+        self._chooser.attempt_started(effect.attempt_id)
+        self._first_byte_s = None
+        self._first_offset = effect.resume_offset
+        event = attempt.start(self._call.next_tick_s - self._sent_s)
         return event or EventsArrived(effect.attempt_id, [])
 
-    def _make_body(self, effect: StartAttempt) -> dict[str, Any]:
-        resume_text = ""
-        if effect.resume_offset:
-            delivered = self._call.answer.delivered()
-            resume_text = read_text(self.generation.form, delivered)
-        return {
-            "request_id": self.request.request_id,
-            "attempt_id": effect.attempt_id,
-            "group_id": effect.group_id,
-            "epoch": effect.epoch,
-            "service": self.request.service,
-            "form": self.generation.form,
-            "prompt": self.generation.prompt,
-            "max_tokens": self.generation.max_tokens,
-            "priority": self.request.priority,
-            "adapter": self.generation.adapter,
-            "resume_offset": effect.resume_offset,
-            "resume_text": resume_text,
-        }
-
     def _read(self) -> CallEvent:
         left_s = self._call.next_tick_s - self._context.clock.now_s()
-        event = self._attempt.read(left_s)
+        event = self.attempt.read(left_s)
         if self._first_byte_s is None and isinstance(event, EventsArrived):
             self._first_byte_s = self._context.clock.now_s()
         return event
 
     def _note_break(self, reason: str) -> None:
-        attempt = self._attempt
+        attempt = self.attempt
         if attempt is None:
             return
         group_id = attempt.view.group.group_id
@@ -327,7 +346,7 @@
         self._close_attempt(RESULT_BROKEN, reason)
 
     def _close_attempt(self, result: str, code: str = "") -> None:
-        attempt, self._attempt = self._attempt, None
+        attempt, self.attempt = self.attempt, None
         if attempt is None:
             return
         self._watch.call_when_gone(None)
@@ -350,6 +369,39 @@
         )
 
 
+class _GenerationAttempts:
+    """Makes the attempts of a call in the OpenAI form."""
+
+    def __init__(self, generation: GenerationRequest, request: CallRequest) -> None:
+        self._generation = generation
+        self._request = request
+
+    def make(
+        self, effect: StartAttempt, view: GroupView, answer: AnswerStream
+    ) -> ModelAttempt:
+        body = self._make_body(effect, answer)
+        return ModelAttempt(effect.attempt_id, view, head_address(view), body)
+
+    def _make_body(self, effect: StartAttempt, answer: AnswerStream) -> dict[str, Any]:
+        resume_text = ""
+        if effect.resume_offset:
+            resume_text = read_text(self._generation.form, answer.delivered())
+        return {
+            "request_id": self._request.request_id,
+            "attempt_id": effect.attempt_id,
+            "group_id": effect.group_id,
+            "epoch": effect.epoch,
+            "service": self._request.service,
+            "form": self._generation.form,
+            "prompt": self._generation.prompt,
+            "max_tokens": self._generation.max_tokens,
+            "priority": self._request.priority,
+            "adapter": self._generation.adapter,
+            "resume_offset": effect.resume_offset,
+            "resume_text": resume_text,
+        }
+
+
 def _answer_stream(
     context: CallContext, run: ModelCallRun, start_response: StartResponse
 ) -> Iterable[bytes]:
@@ -380,14 +432,17 @@
 
 
 def _answer_whole(
-    context: CallContext, run: ModelCallRun, start_response: StartResponse
+    context: CallContext,
+    run: ModelCallRun,
+    form: str,
+    start_response: StartResponse,
 ) -> Iterable[bytes]:
     request_id = run.request.request_id
     events = b"".join(run.iterate())
     if run.failure is not None:
         return _answer_problem(context, run.failure, request_id, start_response)
     try:
-        body = build_answer(run.generation.form, events)
+        body = build_answer(form, events)
     except UnreadableAnswerError as error:
         failure = Failure(error.code, OUTCOME_FAILED, error.message, error.step)
         return _answer_problem(context, failure, request_id, start_response)
--- /dev/null
+++ b/chestnutvale/programs/entry/routed/__init__.py
@@ -0,0 +1,1 @@
+"""Calls that callers address by host name and path, passed on to endpoints."""
--- /dev/null
+++ b/chestnutvale/programs/entry/routed/attempt.py
@@ -0,0 +1,136 @@
+"""One attempt of a routed stream, told as events."""
+
+from chestnutvale.attempts.const import REFUSAL_OVERLOADED, REFUSAL_UNREACHABLE
+from chestnutvale.attempts.events import (
+    AttemptBroken,
+    AttemptRefused,
+    CallEvent,
+    EventsArrived,
+    Tick,
+)
+from chestnutvale.attempts.exceptions import StreamFormatError
+from chestnutvale.attempts.sse import NumberedSplitter
+from chestnutvale.programs.entry.exceptions import (
+    AnswerTooLargeError,
+    EndpointBrokenError,
+    EndpointRefusedError,
+    EndpointSilentError,
+    EndpointUnreachableError,
+)
+from chestnutvale.programs.entry.routed.caller_protocol import RoutedRequest
+from chestnutvale.programs.entry.routed.const import MAX_ANSWER_BYTES
+from chestnutvale.programs.entry.routed.exchange import RoutedExchange
+from chestnutvale.schema.peer_pb2 import GroupView
+
+STATUS_OK = 200
+
+
+class RoutedAttempt:
+    """Owns the exchange of one attempt.
+
+    Parameters
+    ----------
+    attempt_id : str
+        Identity of the attempt.
+    view : GroupView
+        The group that runs it.
+    exchange : RoutedExchange
+        The exchange with the head of the group.
+    request : RoutedRequest
+        The caller's request.
+    body : bytes
+        Its body.
+    last_event : int
+        Number of the last event that the caller has.
+
+    Attributes
+    ----------
+    failed_body : bytes or None
+        Body of the endpoint's own failed answer; None if there is none.
+    """
+
+    def __init__(
+        self,
+        attempt_id: str,
+        view: GroupView,
+        exchange: RoutedExchange,
+        request: RoutedRequest,
+        body: bytes,
+        last_event: int,
+    ) -> None:
+        self.attempt_id = attempt_id
+        self.view = view
+        self.exchange = exchange
+        self.failed_body: bytes | None = None
+        self._request = request
+        self._body = body
+        self._splitter = NumberedSplitter(attempt_id, last_event)
+
+    def start(self, timeout_s: float) -> CallEvent | None:
+        """Send the request.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Time to wait for the head of the answer in seconds.
+
+        Returns
+        -------
+        CallEvent or None
+            Why the attempt is over; None if its stream has begun.
+        """
+        request = self._request
+        try:
+            self.exchange.connect(timeout_s)
+            self.exchange.send(
+                request.method, request.target, {}, self._body, timeout_s
+            )
+            if self.exchange.status == STATUS_OK:
+                return None
+            self.failed_body = self.exchange.read_all(MAX_ANSWER_BYTES)
+        except EndpointUnreachableError as error:
+            return AttemptRefused(self.attempt_id, REFUSAL_UNREACHABLE, error.message)
+        except EndpointRefusedError as error:
+            return AttemptRefused(
+                self.attempt_id,
+                REFUSAL_OVERLOADED,
+                error.message,
+                error.retry_after_s,
+                is_proven=True,
+            )
+        except EndpointSilentError:
+            return Tick()
+        except (EndpointBrokenError, AnswerTooLargeError) as error:
+            return AttemptBroken(self.attempt_id, error.message)
+        reason = f"the endpoint failed with status {self.exchange.status}"
+        return AttemptBroken(self.attempt_id, reason)
+
+    def read(self, timeout_s: float) -> CallEvent:
+        """Wait for the next events of the stream.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Time to wait in seconds.
+
+        Returns
+        -------
+        CallEvent
+            Events, a break, or `Tick` if nothing arrived in time.
+        """
+        try:
+            data = self.exchange.read(timeout_s)
+            events = self._splitter.feed(data) if data else [self._splitter.end()]
+            return EventsArrived(self.attempt_id, events)
+        except EndpointSilentError:
+            return Tick()
+        except (EndpointBrokenError, StreamFormatError) as error:
+            return AttemptBroken(self.attempt_id, error.message)
+
+    def abort(self) -> None:
+        """Interrupt the greenlet that waits for the endpoint."""
+        self.exchange.abort()
+
+    def close(self) -> None:
+        """End the attempt, which cancels what still runs."""
+        self.exchange.__exit__(None, None, None)
--- /dev/null
+++ b/chestnutvale/programs/entry/routed/exchange.py
@@ -0,0 +1,344 @@
+"""One routed request to an endpoint over a kept connection."""
+
+import contextlib
+from http.client import HTTPException, HTTPResponse
+from types import TracebackType
+from typing import Any, Self
+
+from eventlet.green import socket
+
+from chestnutvale.clock import Clock
+from chestnutvale.programs.entry.exceptions import (
+    AnswerTooLargeError,
+    EndpointBrokenError,
+    EndpointRefusedError,
+    EndpointSilentError,
+    EndpointUnreachableError,
+)
+from chestnutvale.programs.entry.routed.caller_protocol import (
+    CallerProtocol,
+    Delivery,
+    Headers,
+    RoutedRequest,
+)
+from chestnutvale.programs.entry.routed.connections import (
+    ConnectionPool,
+    KeptConnection,
+)
+from chestnutvale.programs.entry.routed.const import (
+    DEFAULT_IDLE_S,
+    IDLE_MARGIN_S,
+    MAX_REFUSAL_BYTES,
+    MAX_SKIPPED_ANSWERS,
+    READ_BYTES,
+)
+
+STEP_SEND = "send"
+STEP_RECEIVE = "receive"
+STATUS_LAST_INFORMATIONAL = 199
+
+
+class RoutedExchange:
+    """Sends one request and reads its answer; a context manager.
+
+    Parameters
+    ----------
+    pool : ConnectionPool
+        Gives connections and takes them back.
+    protocol : CallerProtocol
+        Translates headers.
+    request : RoutedRequest
+        The caller's request.
+    address : str
+        IP number and port of the endpoint.
+    delivery : Delivery
+        What the endpoint is told; its time is what is left now.
+    deadline_s : float
+        Monotonic time at which the call ends.
+    clock : Clock
+        Source of time.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status of the answer.
+    headers : list of tuple of str
+        Headers of the answer.
+    """
+
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        protocol: CallerProtocol,
+        request: RoutedRequest,
+        address: str,
+        delivery: Delivery,
+        deadline_s: float,
+        clock: Clock,
+    ) -> None:
+        self.address = address
+        self.status = 0
+        self.headers: Headers = []
+        self.reason = ""
+        self._pool = pool
+        self._protocol = protocol
+        self._request = request
+        self._delivery = delivery
+        self._deadline_s = deadline_s
+        self._clock = clock
+        self._connection: KeptConnection | None = None
+        self._response: HTTPResponse | None = None
+        # Bytes of the body that have not been read; None if its end marks itself.
+        self._left_bytes: int | None = None
+        self._is_whole = False
+        self._is_aborted = False
+
+    def __enter__(self) -> Self:
+        """Return the exchange; `connect` takes a connection."""
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Give the connection back if the answer is whole, else close it."""
+        connection, self._connection = self._connection, None
+        if connection is None:
+            return
+        is_reusable = self._is_whole and not self._is_aborted and connection.is_quiet()
+        if is_reusable and not self._response.will_close:
+            self._pool.give_back(connection, self._idle_until_s())
+            return
+        connection.close()
+
+    def connect(self, timeout_s: float) -> None:
+        """Take a connection.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Time to wait in seconds.
+
+        Raises
+        ------
+        EndpointUnreachableError
+            If no connection was made; no byte was sent.
+        """
+        self._connection = self._pool.take(self.address, timeout_s)
+        if self._is_aborted:
+            raise EndpointUnreachableError(
+                "given up", step="connect", peer=self.address
+            )
+
+    def send(
+        self,
+        method: str,
+        target: str,
+        headers: dict[str, str],
+        body: bytes,
+        timeout_s: float,
+    ) -> None:
+        """Send the request and wait for the head of its answer.
+
+        Parameters
+        ----------
+        method : str
+            HTTP method.
+        target : str
+            Path and query.
+        headers : dict of str to str
+            Not used; the headers follow from the request and the time that is left.
+        body : bytes
+            Request body.
+        timeout_s : float
+            Time to wait for each byte in seconds.
+
+        Raises
+        ------
+        EndpointBrokenError
+            If the connection broke; the endpoint may have run the request.
+        EndpointRefusedError
+            If the endpoint says that it did not run the request.
+        EndpointSilentError
+            If no answer began in time.
+        """
+        connection = self._connection
+        connection.requests += 1
+        with self._errors(STEP_SEND):
+            connection.sock.settimeout(max(0.001, timeout_s))
+            connection.sock.sendall(self._encode_head(method, target, body) + body)
+            self._response = self._read_head(method)
+        self.status = self._response.status
+        self.reason = self._response.reason
+        self._left_bytes = self._response.length
+        self.headers = list(self._response.getheaders())
+        if self._protocol.is_refusal(self.status, self.headers):
+            self._raise_refusal()
+
+    def read(self, timeout_s: float) -> bytes:
+        """Read what has arrived of the body, or wait for it.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Time to wait in seconds.
+
+        Returns
+        -------
+        bytes
+            Bytes of the body; empty at its end.
+
+        Raises
+        ------
+        EndpointBrokenError
+            If the connection broke before the end of the body.
+        EndpointSilentError
+            If nothing arrived in time.
+        """
+        if self._left_bytes == 0:
+            self._is_whole = True
+            return b""
+        with self._errors(STEP_RECEIVE):
+            self._connection.sock.settimeout(max(0.001, timeout_s))
+            data = self._read_some()
+        if self._left_bytes:
+            if not data:
+                raise self._broken("the answer ended early", STEP_RECEIVE)
+            self._left_bytes -= len(data)
+        elif not data:
+            self._is_whole = True
+        return data
+
+    def _read_some(self) -> bytes:
+        if self._left_bytes is None:
+            return self._response.read1(READ_BYTES)
+        # The library does not count what `read1` takes of a body with a length.
+        return self._connection.reader.read1(min(READ_BYTES, self._left_bytes))
+
+    def read_all(self, max_bytes: int) -> bytes:
+        """Read the rest of the body.
+
+        Parameters
+        ----------
+        max_bytes : int
+            Most bytes to take.
+
+        Returns
+        -------
+        bytes
+            The body.
+
+        Raises
+        ------
+        AnswerTooLargeError
+            If the body is larger.
+        EndpointBrokenError
+            If the connection broke.
+        EndpointSilentError
+            If nothing arrived in time.
+        """
+        parts: list[bytes] = []
+        total_bytes = 0
+        while data := self.read(self._left_s()):
+            total_bytes += len(data)
+            if total_bytes > max_bytes:
+                raise AnswerTooLargeError(
+                    "the answer is too large", step=STEP_RECEIVE, peer=self.address
+                )
+            parts.append(data)
+        return b"".join(parts)
+
+    def abort(self) -> None:
+        """Break the connection from another greenlet; the reader gets an error."""
+        self._is_aborted = True
+        if self._connection is not None:
+            with contextlib.suppress(OSError):
+                self._connection.sock.shutdown(socket.SHUT_RDWR)
+
+    def _left_s(self) -> float:
+        return max(0.001, self._deadline_s - self._clock.now_s())
+
+    def _encode_head(self, method: str, target: str, body: bytes) -> bytes:
+        left_ms = round(self._left_s() * 1_000)
+        delivery = Delivery(
+            self._delivery.host_id,
+            self._delivery.workspace,
+            left_ms,
+            self._delivery.last_event,
+        )
+        headers = self._protocol.endpoint_headers(self._request, delivery)
+        lines = [f"{method} {target} HTTP/1.1"]
+        lines += [f"{name}: {value}" for name, value in headers]
+        if body or method not in ("GET", "HEAD", "OPTIONS", "DELETE"):
+            lines.append(f"Content-Length: {len(body)}")
+        return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+
+    def _read_head(self, method: str) -> HTTPResponse:
+        """Read the head of the answer to this request, past late ones of others."""
+        for _ in range(MAX_SKIPPED_ANSWERS + 1):
+            response = HTTPResponse(self._connection.reader, method=method)
+            response.begin()
+            answered = self._protocol.answered_request_id(response.getheaders())
+            if not answered or answered == self._request.request_id:
+                return response
+            response.read()
+            if response.will_close:
+                break
+        raise self._broken("only answers to other requests came", STEP_RECEIVE)
+
+    def _raise_refusal(self) -> None:
+        retry_after_s = _read_retry_after_s(self.headers)
+        try:
+            self.read_all(MAX_REFUSAL_BYTES)
+        except (AnswerTooLargeError, EndpointBrokenError, EndpointSilentError):
+            # The head alone says that the request did not run.
+            self._is_whole = False
+        raise EndpointRefusedError(
+            f"refused with status {self.status}",
+            step=STEP_SEND,
+            peer=self.address,
+            retry_after_s=retry_after_s,
+        )
+
+    def _idle_until_s(self) -> float:
+        idle_s = DEFAULT_IDLE_S
+        for name, value in self.headers:
+            if name.lower() == "keep-alive":
+                idle_s = _read_idle_s(value, idle_s)
+        return self._clock.now_s() + idle_s - IDLE_MARGIN_S
+
+    def _broken(self, reason: str, step: str) -> EndpointBrokenError:
+        return EndpointBrokenError(reason, step=step, peer=self.address)
+
+    @contextlib.contextmanager
+    def _errors(self, step: str) -> Any:
+        try:
+            yield
+        except TimeoutError as error:
+            raise EndpointSilentError(
+                "nothing arrived in time", step=step, peer=self.address
+            ) from error
+        except (HTTPException, OSError, ValueError) as error:
+            reason = str(error) or type(error).__name__
+            raise self._broken(reason, step) from error
+
+
+def _read_idle_s(value: str, default_s: float) -> float:
+    for part in value.split(","):
+        name, _, number = part.strip().partition("=")
+        if name.lower() == "timeout" and number.strip().isdecimal():
+            return float(number)
+    return default_s
+
+
+def _read_retry_after_s(headers: Headers) -> float | None:
+    for name, value in headers:
+        if name.lower() != "retry-after":
+            continue
+        try:
+            return max(0.0, min(float(value), DEFAULT_IDLE_S))
+        except ValueError:
+            return None
+    return None
--- /dev/null
+++ b/chestnutvale/programs/entry/routed/handler.py
@@ -0,0 +1,493 @@
+"""Routed calls over HTTP: route, key, admission, attempts, answer."""
+
+import contextlib
+from collections.abc import Callable, Iterable, Iterator
+from http import HTTPStatus
+from typing import Any
+
+import attrs
+import logbook
+import xxhash
+
+from chestnutvale.admission.const import (
+    PRIORITY_BATCH,
+    PRIORITY_NORMAL,
+    PRIORITY_URGENT,
+)
+from chestnutvale.attempts.answer_stream import AnswerStream
+from chestnutvale.attempts.call_limits import CallLimits, ServicePolicy
+from chestnutvale.attempts.const import OUTCOME_NOT_RUN
+from chestnutvale.attempts.events import Failure, StartAttempt
+from chestnutvale.attempts.model_call import ModelCall
+from chestnutvale.attempts.service_events import Reply
+from chestnutvale.configuration.const import ROUTE_REPEATABLE, ROUTE_STREAMING
+from chestnutvale.configuration.routes import RouteTable
+from chestnutvale.programs.entry.call_context import EntryContext
+from chestnutvale.programs.entry.context import CallRequest
+from chestnutvale.programs.entry.exceptions import BadCallError
+from chestnutvale.programs.entry.intake import (
+    DEFAULT_MAX_BODY_BYTES,
+    CallRefusedError,
+    read_body,
+    refuse,
+)
+from chestnutvale.programs.entry.ledger_writer import LedgerWriter
+from chestnutvale.programs.entry.model_calls import ModelCallRun
+from chestnutvale.programs.entry.problems import RETRY_SPREAD
+from chestnutvale.programs.entry.routed.attempt import RoutedAttempt
+from chestnutvale.programs.entry.routed.caller_protocol import (
+    CallerProtocol,
+    Delivery,
+    Headers,
+    RoutedRequest,
+)
+from chestnutvale.programs.entry.routed.connections import ConnectionPool
+from chestnutvale.programs.entry.routed.const import (
+    CONNECTION_HEADERS,
+    DEFAULT_DEADLINE_S,
+    FIRST_EVENT_TIMEOUT_FACTOR,
+    GAP_TIMEOUT_FACTOR,
+    MIN_FIRST_EVENT_TIMEOUT_S,
+    MIN_GAP_TIMEOUT_S,
+    NO_LEASE_RETRY_S,
+)
+from chestnutvale.programs.entry.routed.exchange import RoutedExchange
+from chestnutvale.programs.entry.service_calls import ServiceCallHandler
+from chestnutvale.programs.entry.service_request import ServiceRequest
+from chestnutvale.programs.entry.service_run import ServiceRun
+from chestnutvale.schema.configuration_pb2 import Route
+from chestnutvale.schema.groups_pb2 import GroupMember
+from chestnutvale.schema.peer_pb2 import GroupView
+
+_LOGGER = logbook.Logger(__name__)
+
+StartResponse = Callable[..., Any]
+_PRIORITY_OF_RANK = (PRIORITY_URGENT, PRIORITY_NORMAL)
+BODYLESS_STATUSES = frozenset({204, 304})
+
+
+@attrs.frozen
+class RoutedCall:
+    """A routed call that passed all checks.
+
+    Attributes
+    ----------
+    request : RoutedRequest
+        What the caller sent.
+    body : bytes
+        Its body.
+    route : Route
+        Its route.
+    call : CallRequest
+        The call as admission and routing know it.
+    fingerprint : int
+        64-bit fingerprint of the work asked for.
+    """
+
+    request: RoutedRequest
+    body: bytes
+    route: Route
+    call: CallRequest
+    fingerprint: int
+
+
+class StreamBrokenError(Exception):
+    """Ends an answer that has begun, so that the caller does not take it for whole."""
+
+
+class RoutedHandler:
+    """WSGI application for routed calls.
+
+    Parameters
+    ----------
+    context : EntryContext
+        The entry.
+    protocol : CallerProtocol
+        Translates requests and answers.
+    pool : ConnectionPool
+        Connections to endpoints.
+    writer : LedgerWriter
+        Writes the ends of claims; routed calls make none.
+    """
+
+    def __init__(
+        self,
+        context: EntryContext,
+        protocol: CallerProtocol,
+        pool: ConnectionPool,
+        writer: LedgerWriter,
+    ) -> None:
+        self._context = context
+        self._protocol = protocol
+        self._pool = pool
+        self._writer = writer
+        self._services = ServiceCallHandler(context, writer)
+        self._table = RouteTable({}, {})
+        self._table_number = 0
+
+    @property
+    def running_calls(self) -> int:
+        """Calls that run, also for callers that left."""
+        return self._services.running_calls
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answer a call.
+
+        Parameters
+        ----------
+        environ : dict
+            The WSGI environment.
+        start_response : callable
+            Takes status and headers.
+
+        Returns
+        -------
+        iterable of bytes
+            The body of the answer.
+        """
+        request_id = ""
+        try:
+            request = self._protocol.read_request(environ)
+            request_id = request.request_id
+            call = self._accept(request, environ)
+        except BadCallError as error:
+            failure = Failure(error.problem_code, OUTCOME_NOT_RUN, error.message)
+            return self._fail(failure, request_id, start_response)
+        except CallRefusedError as error:
+            return self._fail(error.failure, request_id, start_response)
+        if call.route.kind == ROUTE_STREAMING:
+            return self._answer_stream(call, environ, start_response)
+        return self._answer_whole(call, environ, start_response)
+
+    # Checks.
+
+    def _accept(self, request: RoutedRequest, environ: dict[str, Any]) -> RoutedCall:
+        context = self._context
+        now_s = context.clock.now_s()
+        if not context.has_lease(now_s):
+            raise refuse(
+                "no_lease",
+                "this entry has lost touch with the controls",
+                retry_after_s=NO_LEASE_RETRY_S,
+            )
+        self._install_routes()
+        route = self._table.find(request.host, request.path)
+        if route is None:
+            raise refuse("not_found", "no route fits the host and the path")
+        workspace = self._find_workspace(request, route)
+        service = self._table.choose_service(route, request.model, context.rng)
+        if service is None:
+            raise refuse(
+                "no_group_available",
+                f"no service of the route has model {request.model!r}",
+                retry_after_s=NO_LEASE_RETRY_S,
+            )
+        max_bytes = context.text.caller_limits.max_body_bytes
+        body = read_body(environ, max_bytes or DEFAULT_MAX_BODY_BYTES)
+        call = CallRequest(
+            request_id=request.request_id,
+            workspace=workspace,
+            service=service,
+            priority=self._find_priority(route, workspace),
+            prompt=b"",
+            max_tokens=request.max_tokens,
+            adapter="",
+            deadline_s=now_s + _find_time_s(request, route),
+        )
+        return RoutedCall(request, body, route, call, _fingerprint(request, body))
+
+    def _install_routes(self) -> None:
+        text = self._context.text
+        if text.number != self._table_number:
+            self._table = RouteTable.from_text(text)
+            self._table_number = text.number
+
+    def _find_workspace(self, request: RoutedRequest, route: Route) -> str:
+        lookup = self._context.lookup
+        if not lookup.workspaces:
+            return ""
+        found = lookup.workspace_for_key(request.key) if request.key else None
+        if found is not None:
+            return found.name
+        if not route.is_public:
+            raise refuse("unauthorized", "the key is missing or unknown")
+        return ""
+
+    def _find_priority(self, route: Route, workspace: str) -> str:
+        rank = route.rank
+        known = self._context.text.workspaces
+        if workspace in known and known[workspace].HasField("rank"):
+            rank = known[workspace].rank
+        if rank < len(_PRIORITY_OF_RANK):
+            return _PRIORITY_OF_RANK[rank]
+        return PRIORITY_BATCH
+
+    # Streams.
+
+    def _answer_stream(
+        self, call: RoutedCall, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        attempts = _StreamAttempts(self._context, self._protocol, self._pool, call)
+        answer = AnswerStream(
+            first_offset=call.request.last_event,
+            has_closing_event=False,
+        )
+        model_call = ModelCall(
+            call.call.request_id,
+            call.call.deadline_s,
+            self._context.budgets,
+            _make_limits(call.route),
+            answer,
+        )
+        run = ModelCallRun(
+            self._context,
+            call.call,
+            call.fingerprint,
+            model_call,
+            attempts.make,
+            environ,
+        )
+        pieces = run.iterate()
+        first = next(pieces, None)
+        if first is None and run.failure is not None:
+            return self._fail_stream(run, attempts, start_response)
+        # The head is the first endpoint's, also if another one goes on.
+        head = attempts.first_head
+        start_response(_status_line(head.status, head.reason), _kept(head.headers))
+        return self._stream(run, first, pieces)
+
+    def _stream(
+        self, run: ModelCallRun, first: bytes | None, pieces: Iterator[bytes]
+    ) -> Iterator[bytes]:
+        with contextlib.closing(pieces):
+            if first is not None:
+                yield first
+            yield from pieces
+        if run.failure is not None:
+            _LOGGER.info(
+                "Stream {} breaks off: {}", run.request.request_id, run.failure.message
+            )
+            raise StreamBrokenError(run.failure.message)
+
+    def _fail_stream(
+        self,
+        run: ModelCallRun,
+        attempts: "_StreamAttempts",
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
+        failed = attempts.find_failed()
+        if failed is not None and run.failure.outcome != OUTCOME_NOT_RUN:
+            exchange = failed.exchange
+            return _pass_on(
+                exchange.status,
+                exchange.reason,
+                exchange.headers,
+                failed.failed_body,
+                start_response,
+            )
+        return self._fail(run.failure, run.request.request_id, start_response)
+
+    # Whole answers.
+
+    def _answer_whole(
+        self, call: RoutedCall, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        request = call.request
+        run = ServiceRun(
+            self._context,
+            self._writer,
+            call.call,
+            ServiceRequest(
+                call.call.service, request.method, request.path, request.target, ""
+            ),
+            {},
+            call.body,
+            repeatable=call.route.kind == ROUTE_REPEATABLE,
+            claim=None,
+            policy=ServicePolicy(
+                max_attempts=max(1, call.route.max_attempts),
+                lingers=False,
+                retries_errors=True,
+            ),
+            make_exchange=lambda view: _make_exchange(
+                self._context, self._protocol, self._pool, call, view, 0
+            ),
+        )
+        answer = self._services.admit_and_run(run, call.call, environ)
+        if isinstance(answer, Reply):
+            recorded = answer.answer
+            headers = list(
+                zip(recorded.header_names, recorded.header_values, strict=True)
+            )
+            return _pass_on(recorded.status, "", headers, recorded.body, start_response)
+        return self._fail(answer, request.request_id, start_response)
+
+    def _fail(
+        self, failure: Failure, request_id: str, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        retry_after_s = failure.retry_after_s
+        if retry_after_s is not None:
+            retry_after_s *= 1.0 + RETRY_SPREAD * self._context.rng.random()
+        _LOGGER.info(
+            "Call {} fails: {} ({}), {}",
+            request_id,
+            failure.code,
+            failure.outcome,
+            failure.message,
+        )
+        status, headers, body = self._protocol.failure_answer(
+            failure, request_id, retry_after_s
+        )
+        start_response(status, [*headers, ("Content-Length", str(len(body)))])
+        return [body]
+
+
+@attrs.frozen
+class AnswerHead:
+    """Status and headers of an answer.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status.
+    reason : str
+        Its phrase.
+    headers : list of tuple of str
+        The headers.
+    """
+
+    status: int
+    reason: str
+    headers: Headers
+
+
+class _StreamAttempts:
+    """Makes the attempts of one stream."""
+
+    def __init__(
+        self,
+        context: EntryContext,
+        protocol: CallerProtocol,
+        pool: ConnectionPool,
+        call: RoutedCall,
+    ) -> None:
+        self._context = context
+        self._protocol = protocol
+        self._pool = pool
+        self._call = call
+        self._made: list[RoutedAttempt] = []
+
+    @property
+    def first_head(self) -> AnswerHead:
+        """Head of the first stream that began."""
+        for attempt in self._made:
+            exchange = attempt.exchange
+            if exchange.status and attempt.failed_body is None:
+                return AnswerHead(exchange.status, exchange.reason, exchange.headers)
+        raise StreamBrokenError("no stream has begun")
+
+    def make(
+        self, effect: StartAttempt, view: GroupView, answer: AnswerStream
+    ) -> RoutedAttempt:
+        exchange = _make_exchange(
+            self._context,
+            self._protocol,
+            self._pool,
+            self._call,
+            view,
+            answer.next_offset,
+        )
+        attempt = RoutedAttempt(
+            effect.attempt_id,
+            view,
+            exchange,
+            self._call.request,
+            self._call.body,
+            answer.next_offset,
+        )
+        self._made.append(attempt)
+        return attempt
+
+    def find_failed(self) -> RoutedAttempt | None:
+        """Return the last attempt that the endpoint itself answered with a failure."""
+        failed = [item for item in self._made if item.failed_body is not None]
+        return failed[-1] if failed else None
+
+
+def _make_exchange(
+    context: EntryContext,
+    protocol: CallerProtocol,
+    pool: ConnectionPool,
+    call: RoutedCall,
+    view: GroupView,
+    last_event: int,
+) -> RoutedExchange:
+    head = _head_of(view)
+    return RoutedExchange(
+        pool,
+        protocol,
+        call.request,
+        head.address,
+        Delivery(head.host_id, call.call.workspace, 0, last_event),
+        call.call.deadline_s,
+        context.clock,
+    )
+
+
+def _head_of(view: GroupView) -> GroupMember:
+    return next(member for member in view.group.members if member.rank == 0)
+
+
+def _find_time_s(request: RoutedRequest, route: Route) -> float:
+    times_s = [DEFAULT_DEADLINE_S]
+    if request.deadline_ms is not None:
+        times_s.append(request.deadline_ms / 1_000)
+    if route.timeout_ms:
+        times_s.append(route.timeout_ms / 1_000)
+    return min(times_s)
+
+
+def _make_limits(route: Route) -> CallLimits:
+    first_s = FIRST_EVENT_TIMEOUT_FACTOR * route.target_latency_ms / 1_000
+    gap_s = GAP_TIMEOUT_FACTOR * route.target_gap_ms / 1_000
+    return CallLimits(
+        max_attempts=max(1, route.max_attempts),
+        first_event_timeout_s=max(MIN_FIRST_EVENT_TIMEOUT_S, first_s),
+        gap_timeout_s=max(MIN_GAP_TIMEOUT_S, gap_s),
+        is_resumable=route.is_resumable,
+    )
+
+
+def _fingerprint(request: RoutedRequest, body: bytes) -> int:
+    digest = xxhash.xxh64(f"{request.key} {request.method} {request.target}\n".encode())
+    digest.update(body)
+    return digest.intdigest()
+
+
+def _kept(headers: Headers) -> Headers:
+    return [(n, v) for n, v in headers if n.lower() not in CONNECTION_HEADERS]
+
+
+def _status_line(status: int, reason: str) -> str:
+    if not reason:
+        try:
+            reason = HTTPStatus(status).phrase
+        except ValueError:
+            reason = "Unknown"
+    return f"{status} {reason}"
+
+
+def _pass_on(
+    status: int,
+    reason: str,
+    headers: Headers,
+    body: bytes,
+    start_response: StartResponse,
+) -> Iterable[bytes]:
+    kept = _kept(headers)
+    if status not in BODYLESS_STATUSES:
+        kept.append(("Content-Length", str(len(body))))
+    start_response(_status_line(status, reason), kept)
+    return [body]
--- a/chestnutvale/programs/entry/running_attempts.py
+++ b/chestnutvale/programs/entry/running_attempts.py
@@ -1,5 +1,6 @@
 """The attempts that run at each group, so that those of a lost group can end."""
 
+from collections import Counter
 from typing import Protocol
 
 
@@ -49,6 +50,10 @@
         """
         self._groups.pop(attempt, None)
 
+    def counts(self) -> dict[str, int]:
+        """Return the number of running attempts at each group."""
+        return dict(Counter(group_id for group_id, _ in self._groups.values()))
+
     def abort_group(self, group_id: str, epoch: int) -> int:
         """Interrupt all attempts at a lost group.
 
--- a/chestnutvale/programs/entry/service_calls.py
+++ b/chestnutvale/programs/entry/service_calls.py
@@ -129,8 +129,35 @@
             repeatable=repeatable,
             claim=self._make_claim(intake, request, body) if has_claim else None,
         )
+        return self.admit_and_run(run, call_request, environ, outcome)
+
+    def admit_and_run(
+        self,
+        run: ServiceRun,
+        request: CallRequest,
+        environ: dict[str, Any],
+        outcome: str = OUTCOME_NOT_RUN,
+    ) -> Reply | Failure:
+        """Run a call once admission lets it.
+
+        Parameters
+        ----------
+        run : ServiceRun
+            The call.
+        request : CallRequest
+            The call as admission knows it.
+        environ : dict
+            The WSGI environment.
+        outcome : str, optional
+            Outcome to tell if admission refuses it.
+
+        Returns
+        -------
+        Reply or Failure
+            The answer for the caller.
+        """
         with CallerWatch(environ) as watch:
-            return self._admit_and_run(run, call_request, watch, outcome)
+            return self._admit_and_run(run, request, watch, outcome)
 
     def _admit_and_run(
         self,
--- a/chestnutvale/programs/entry/service_run.py
+++ b/chestnutvale/programs/entry/service_run.py
@@ -2,10 +2,14 @@
 
 import contextlib
 from collections import deque
+from collections.abc import Callable
+from types import TracebackType
+from typing import Protocol
 
 import eventlet
 from eventlet.event import Event
 
+from chestnutvale.attempts.call_limits import DEFAULT_POLICY, ServicePolicy
 from chestnutvale.attempts.const import REFUSAL_UNREACHABLE
 from chestnutvale.attempts.events import (
     AttemptBroken,
@@ -47,6 +51,7 @@
     CommitRefusedError,
     CommitUnknownError,
     EndpointBrokenError,
+    EndpointRefusedError,
     EndpointSilentError,
     EndpointUnreachableError,
 )
@@ -59,6 +64,7 @@
 )
 from chestnutvale.schema.command_pb2 import Command
 from chestnutvale.schema.ledger_pb2 import Claim, RecordOutcome, ReleaseClaim
+from chestnutvale.schema.peer_pb2 import GroupView
 
 # Time in seconds for one try to commit a claim; shorter than a leader change.
 CLAIM_TIMEOUT_S = 1.0
@@ -67,6 +73,59 @@
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 
 
+class Exchange(Protocol):
+    """One request to an endpoint and its answer; see `EndpointExchange`."""
+
+    status: int
+    headers: list[tuple[str, str]]
+
+    def connect(self, timeout_s: float) -> None:
+        """Open the connection."""
+
+    def send(
+        self,
+        method: str,
+        target: str,
+        headers: dict[str, str],
+        body: bytes,
+        timeout_s: float,
+    ) -> None:
+        """Send the request and wait for the head of the answer."""
+
+    def read_all(self, max_bytes: int) -> bytes:
+        """Read the rest of the body."""
+
+    def abort(self) -> None:
+        """Break the connection from another greenlet."""
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """End the exchange."""
+
+
+ExchangeMaker = Callable[[GroupView], Exchange]
+
+
+def make_endpoint_exchange(view: GroupView) -> Exchange:
+    """Make an exchange of the endpoint protocol with the head of a group.
+
+    Parameters
+    ----------
+    view : GroupView
+        The group.
+
+    Returns
+    -------
+    Exchange
+        The exchange, not connected yet.
+    """
+    return EndpointExchange(head_address(view))
+
+
 class ServiceRun:
     """Drives a `ServiceCall`; its own greenlet calls `run`.
 
@@ -91,6 +150,10 @@
         Whether the call may run more than once.
     claim : Claim or None
         The claim to hold before the call is sent.
+    policy : ServicePolicy, optional
+        What the attempts may do.
+    make_exchange : callable, optional
+        Makes the exchange with the endpoint of a chosen group.
 
     Attributes
     ----------
@@ -109,7 +172,10 @@
         *,
         repeatable: bool,
         claim: Claim | None,
+        policy: ServicePolicy = DEFAULT_POLICY,
+        make_exchange: ExchangeMaker = make_endpoint_exchange,
     ) -> None:
+        self._make_exchange = make_exchange
         self.answered: Event = Event()
         self._context = context
         self._writer = writer
@@ -124,11 +190,12 @@
             context.budgets,
             repeatable=repeatable,
             has_key=claim is not None,
+            policy=policy,
         )
         if claim is not None:
             left_s = call_request.deadline_s - context.clock.now_s()
             claim.deadline_unix_ms = context.clock.unix_ms() + int(left_s * 1_000)
-        self._exchange: EndpointExchange | None = None
+        self._exchange: Exchange | None = None
         fingerprint = fingerprint_of_call(request, body)
         self._chooser = GroupChooser(context, call_request, fingerprint, self._wait)
 
@@ -223,7 +290,7 @@
 
     def _connect(self, effect: StartAttempt) -> ServiceEvent:
         self._close_exchange()
-        self._exchange = EndpointExchange(head_address(self._chooser.view))
+        self._exchange = self._make_exchange(self._chooser.view)
         now_s = self._context.clock.now_s()
         try:
             self._exchange.connect(self._call.next_tick_s - now_s)
@@ -248,6 +315,16 @@
         except AnswerTooLargeError:
             self._note_whole(effect.attempt_id)
             return AnswerTooLarge(effect.attempt_id, exchange.status)
+        except EndpointRefusedError as error:
+            self._context.suspicions.attempt_ended(effect.attempt_id)
+            self._report("refused", error.code)
+            return AttemptRefused(
+                effect.attempt_id,
+                error.code,
+                error.message,
+                error.retry_after_s,
+                is_proven=True,
+            )
         except (EndpointBrokenError, EndpointSilentError) as error:
             self._chooser.attempt_broke(effect.attempt_id)
             self._report("broken", error.code)
--- a/chestnutvale/schema_json.py
+++ b/chestnutvale/schema_json.py
@@ -20,20 +20,16 @@
     Returns
     -------
     dict
-        Fields by name; messages that are not set are left out.
+        Fields by name; fields that tell whether they are set are left out if not.
     """
     data: dict[str, Any] = {}
     for field in message.DESCRIPTOR.fields:
-        if _is_message(field) and not message.HasField(field.name):
+        if field.has_presence and not message.HasField(field.name):
             continue
         data[field.name] = _value_to_data(field, getattr(message, field.name))
     return data
 
 
-def _is_message(field: FieldDescriptor) -> bool:
-    return field.message_type is not None and not field.is_repeated
-
-
 def _value_to_data(field: FieldDescriptor, value: Any) -> Any:
     entry = field.message_type
     if entry is not None and entry.GetOptions().map_entry:
--- a/chestnutvale/transport/const.py
+++ b/chestnutvale/transport/const.py
@@ -19,3 +19,9 @@
 DROP_EXPIRED: Final = "expired"
 DROP_OLD_INCARNATION: Final = "old_incarnation"
 DROP_NO_BODY: Final = "no_body"
+
+# Earlier lives of one process that are remembered.
+MAX_SUPERSEDED_INCARNATIONS: Final = 8
+# Time in seconds for which a peer that is sent to may be silent before its connection
+# is made anew; a connection can go dead without any sign.
+SILENT_PEER_S: Final = 1.5
--- a/chestnutvale/transport/gate.py
+++ b/chestnutvale/transport/gate.py
@@ -1,5 +1,7 @@
 """Decide which received messages a process may act on."""
 
+from collections import deque
+
 import attrs
 from google.protobuf.message import DecodeError
 
@@ -11,6 +13,7 @@
     DROP_NO_BODY,
     DROP_OLD_INCARNATION,
     DROP_WRONG_RECIPIENT,
+    MAX_SUPERSEDED_INCARNATIONS,
 )
 from chestnutvale.transport.exceptions import MessageDroppedError
 
@@ -29,11 +32,16 @@
         Cluster of this process.
     own_id : str
         Identity of this process.
+    clocks_may_step : bool, optional
+        Whether the time of day may jump on hosts. Messages then don't expire, and an
+        incarnation is old if another one was heard after it.
     """
 
     cluster_id: str
     own_id: str
+    clocks_may_step: bool = False
     _incarnations: dict[str, str] = attrs.field(factory=dict)
+    _superseded: dict[str, deque[str]] = attrs.field(factory=dict)
 
     def open(self, data: bytes, now_unix_ms: int) -> Envelope:
         """Parse a message and check that it is for this process and current.
@@ -66,14 +74,30 @@
             raise MessageDroppedError(DROP_WRONG_RECIPIENT, peer=sender)
         if envelope.WhichOneof("body") is None or not sender:
             raise MessageDroppedError(DROP_NO_BODY, peer=sender)
-        if envelope.expires_at_unix_ms < now_unix_ms:
+        is_expired = envelope.expires_at_unix_ms < now_unix_ms
+        if is_expired and not self.clocks_may_step:
             raise MessageDroppedError(DROP_EXPIRED, peer=sender)
-        newest = self._incarnations.get(sender, "")
-        if envelope.sender_incarnation < newest:
+        if self._is_old(sender, envelope.sender_incarnation):
             raise MessageDroppedError(DROP_OLD_INCARNATION, peer=sender)
-        self._incarnations[sender] = envelope.sender_incarnation
+        self._note_incarnation(sender, envelope.sender_incarnation)
         return envelope
 
+    def _is_old(self, sender: str, incarnation: str) -> bool:
+        if self.clocks_may_step:
+            return incarnation in self._superseded.get(sender, ())
+        return incarnation < self._incarnations.get(sender, "")
+
+    def _note_incarnation(self, sender: str, incarnation: str) -> None:
+        newest = self._incarnations.get(sender)
+        if newest == incarnation:
+            return
+        if newest is not None:
+            superseded = self._superseded.setdefault(
+                sender, deque(maxlen=MAX_SUPERSEDED_INCARNATIONS)
+            )
+            superseded.append(newest)
+        self._incarnations[sender] = incarnation
+
 
 def make_incarnation(start_unix_ms: int, salt: int) -> str:
     """Name a process's life so that later lives sort after earlier ones.
--- a/chestnutvale/transport/node.py
+++ b/chestnutvale/transport/node.py
@@ -21,6 +21,7 @@
     RECONNECT_MIN_MS,
     SEND_BUFFER_MESSAGES,
 )
+from chestnutvale.transport.contacts import PeerContacts
 from chestnutvale.transport.exceptions import MessageDroppedError, TransportError
 from chestnutvale.transport.gate import MessageGate
 
@@ -44,6 +45,8 @@
         IP number and port of the inbox.
     clock : Clock
         Source of time.
+    clocks_may_step : bool, optional
+        See `MessageGate`.
 
     Attributes
     ----------
@@ -52,7 +55,14 @@
     """
 
     def __init__(
-        self, cluster_id: str, own_id: str, incarnation: str, address: str, clock: Clock
+        self,
+        cluster_id: str,
+        own_id: str,
+        incarnation: str,
+        address: str,
+        clock: Clock,
+        *,
+        clocks_may_step: bool = False,
     ) -> None:
         self.own_id = own_id
         self.incarnation = incarnation
@@ -64,7 +74,8 @@
         self.received_bytes = 0
         self._cluster_id = cluster_id
         self._clock = clock
-        self._gate = MessageGate(cluster_id, own_id)
+        self._gate = MessageGate(cluster_id, own_id, clocks_may_step)
+        self._contacts = PeerContacts()
         self._handlers: dict[str, Handler] = {}
         self._inbox: pynng.Pull0 | None = None
         self._outboxes: dict[str, pynng.Push0] = {}
@@ -153,6 +164,8 @@
         )
         getattr(envelope, body).CopyFrom(message)
         data = envelope.SerializeToString()
+        if self._contacts.note_sent(recipient_id, address, self._clock.now_s()):
+            self._drop_outbox(address)
         try:
             self._outbox(address).send(data, block=False)
         except pynng.TryAgain:
@@ -181,6 +194,14 @@
             "drops": dict(self.drops),
         }
 
+    def _drop_outbox(self, address: str) -> None:
+        outbox = self._outboxes.pop(address, None)
+        if outbox is None:
+            return
+        _LOGGER.info("Connecting to {} again: it is sent to and stays silent", address)
+        self.drops["silent_peer"] += 1
+        outbox.close()
+
     def _outbox(self, address: str) -> pynng.Push0:
         outbox = self._outboxes.get(address)
         if outbox is not None:
@@ -222,6 +243,7 @@
             self.drops[error.reason] += 1
             _LOGGER.debug("Dropped a message: {}", error)
             return
+        self._contacts.note_heard(envelope.sender_id, self._clock.now_s())
         handler = self._handlers.get(envelope.WhichOneof("body"))
         if handler is None:
             self.drops["no_handler"] += 1
--- a/tests/configuration/test_state.py
+++ b/tests/configuration/test_state.py
@@ -64,3 +64,19 @@
     state.apply_text(command, 0)
     command.text.number = 9
     assert state.number == 2
+
+
+def test_where_the_highest_number_wins_an_older_one_is_overtaken():
+    state = ConfigurationState()
+    for number, expected in ((5, "accepted"), (3, "overtaken"), (5, "overtaken")):
+        command = ApplyText(
+            text=Text(number=number),
+            digest=f"digest-{number}-{expected}",
+            highest_wins=True,
+            document=f"document {number} {expected}".encode(),
+        )
+        assert state.apply_text(command, 1).outcome == expected
+    assert state.number == 5
+    assert state.document == b"document 5 accepted"
+    restored = ConfigurationState.from_snapshot(state.to_snapshot())
+    assert restored.document == state.document
--- a/tests/programs/control/test_entry_desk.py
+++ b/tests/programs/control/test_entry_desk.py
@@ -10,6 +10,7 @@
 from chestnutvale.programs.control.state import ControlState
 from chestnutvale.schema.membership_pb2 import Heard
 from chestnutvale.schema.peer_pb2 import EntryReport, Envelope
+from chestnutvale.schema.raft_pb2 import Members
 
 
 class Transport:
@@ -40,6 +41,7 @@
             term=1,
             applied_index=1,
             leader_id="c1",
+            members=Members(voters=["c1#1"], addresses={"c1#1": "10.0.0.1:1"}),
             has_lease=lambda now_s: self.has_lease,
         )
         clock = SimpleNamespace(now_s=lambda: self.now_s, unix_ms=lambda: 1)
--- a/tests/programs/entry/entry_fakes.py
+++ b/tests/programs/entry/entry_fakes.py
@@ -15,6 +15,7 @@
 from chestnutvale.configuration.lookup import TextLookup
 from chestnutvale.ledger.state import LedgerState
 from chestnutvale.programs.entry.context import AcceptAll
+from chestnutvale.programs.entry.crash_probe import has_crashed
 from chestnutvale.programs.entry.running_attempts import RunningAttempts
 from chestnutvale.schema.command_pb2 import CommandResult
 from chestnutvale.schema.configuration_pb2 import Text
@@ -53,6 +54,7 @@
         self.budgets = AttemptBudgets()
         self.suspicions = SuspicionTracker()
         self.running = RunningAttempts()
+        self.has_crashed = has_crashed
         self.log = log or FakeLog()
         self.lease = True
         self.groups = {}
