--- a/chestnutvale/configuration/checks.py
+++ b/chestnutvale/configuration/checks.py
@@ -51,6 +51,35 @@
         report.add(path, reason)
 
 
+def find_document_faults(text: Text) -> list[tuple[str, str]]:
+    """Find the faults of a text that was translated from a document.
+
+    Its names and sizes are those of another system and are not judged here.
+
+    Parameters
+    ----------
+    text : Text
+        The text.
+
+    Returns
+    -------
+    list of tuple of (str, str)
+        Place and reason of each fault.
+    """
+    faults = [
+        (".".join(str(part) for part in path), reason)
+        for path, reason in find_route_faults(text)
+    ]
+    owners: dict[str, str] = {}
+    for name, workspace in sorted(text.workspaces.items()):
+        for digest in workspace.key_sha256:
+            owner = owners.setdefault(digest, name)
+            if owner != name:
+                reason = f"holds a key that workspace {owner!r} holds as well"
+                faults.append((f"workspaces.{name}", reason))
+    return faults
+
+
 def check_fabric_domains(
     text: Text, domain_hosts: Mapping[str, int], report: ProblemReport
 ) -> None:
--- a/chestnutvale/groups/budget.py
+++ b/chestnutvale/groups/budget.py
@@ -53,11 +53,15 @@
         The replicated groups.
     table : MembershipTable
         What is known of hosts.
+    loads_at_once : int, optional
+        Loads that the weight store serves at full speed, in place of the limit of the
+        policy; 0 if that is not known.
     """
 
     policy: GroupsPolicy
     state: GroupsState
     table: MembershipTable
+    loads_at_once: int = 0
     _left: int = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -68,7 +72,8 @@
             if group.phase == PHASE_FORMING
             for member in group.members
         )
-        self._left = self.policy.max_loading_hosts - loading
+        limit = self.loads_at_once or self.policy.max_loading_hosts
+        self._left = limit - loading
 
     def take(self) -> bool:
         """Take the right to load on one more host.
--- a/chestnutvale/groups/orders.py
+++ b/chestnutvale/groups/orders.py
@@ -164,7 +164,7 @@
         """
         expires_at_unix_ms = now_unix_ms + round(ORDER_LIFETIME_S * 1_000)
         sends = []
-        budget = LoadBudget(self.policy, state, table)
+        budget = LoadBudget(self.policy, state, table, text.weight_store.loads_at_once)
         self._take_unannounced(state, table, budget)
         for record, address, order in self._wanted(state, table, text, budget, now_s):
             if not self._is_allowed(record, lease_confirmed, now_s):
--- a/chestnutvale/observability/logs.py
+++ b/chestnutvale/observability/logs.py
@@ -11,6 +11,7 @@
 from chestnutvale.schema.settings_pb2 import LogSettings
 
 FORMAT_JSON = "json"
+STANDARD_OUTPUT = "-"
 
 
 def format_json(record: logbook.LogRecord, handler: Any) -> str:
@@ -80,8 +81,10 @@
         The handler.
     """
     level = (settings.level or "info").upper()
-    if settings.file:
-        handler: logbook.Handler = logbook.FileHandler(settings.file, level=level)
+    if settings.file == STANDARD_OUTPUT:
+        handler: logbook.Handler = logbook.StreamHandler(sys.stdout, level=level)
+    elif settings.file:
+        handler = logbook.FileHandler(settings.file, level=level)
     else:
         handler = logbook.StreamHandler(sys.stderr, level=level)
     is_json = settings.format == FORMAT_JSON
--- a/chestnutvale/programs/control/daemon.py
+++ b/chestnutvale/programs/control/daemon.py
@@ -119,6 +119,10 @@
         self._draining = True
         self._exits.close()
 
+    def reload(self) -> None:
+        """Note that the settings file has changed; it is read at the next start."""
+        _LOGGER.info("The settings file has changed; it is read at the next start")
+
     def dump(self) -> dict[str, Any]:
         """Return the state of the process, without secrets."""
         return DumpRegistry(self._dump_sources()).dump()
--- a/chestnutvale/programs/control/operations.py
+++ b/chestnutvale/programs/control/operations.py
@@ -105,6 +105,11 @@
         self._log.confirm_read(deadline_s)
         return self._state.configuration.to_snapshot()
 
+    def read_document(self, deadline_s: float) -> bytes:
+        """Return the document in force as it was sent, confirmed by a quorum."""
+        self._log.confirm_read(deadline_s)
+        return self._state.configuration.document
+
     def is_accepted(self, number: int, digest: str) -> bool:
         """Return whether this very text was accepted under this number."""
         return self._state.configuration.is_accepted(number, digest)
--- a/chestnutvale/programs/entry/control_link.py
+++ b/chestnutvale/programs/entry/control_link.py
@@ -105,6 +105,16 @@
         """
         self._listeners.append(listener)
 
+    def watch_suspicions(self, suspicions: SuspicionTracker) -> None:
+        """Report the evidence of another tracker from now on.
+
+        Parameters
+        ----------
+        suspicions : SuspicionTracker
+            Evidence about requests that crash groups.
+        """
+        self._suspicions = suspicions
+
     def hurry(self) -> None:
         """Send the next report at once."""
         if not self._news.ready():
--- a/chestnutvale/programs/entry/daemon.py
+++ b/chestnutvale/programs/entry/daemon.py
@@ -198,6 +198,10 @@
         """Tell whether the balancer should send calls here."""
         return not self.link.draining and self.view.has_lease(self._clock.now_s())
 
+    def reload(self) -> None:
+        """Note that the settings file has changed; it is read at the next start."""
+        _LOGGER.info("The settings file has changed; it is read at the next start")
+
     def dump(self) -> dict[str, Any]:
         """Return the state of the process, without secrets."""
         return DumpRegistry(self._dump_sources()).dump()
--- /dev/null
+++ b/chestnutvale/programs/entry/routed/doors.py
@@ -0,0 +1,61 @@
+"""The application that serves routed calls."""
+
+from chestnutvale.attempts.suspicion import SuspicionTracker
+from chestnutvale.http_server.views import WsgiApp
+from chestnutvale.observability.request_meter import RequestMeter
+from chestnutvale.programs.entry.crash_probe import head_is_down
+from chestnutvale.programs.entry.interface import EntryParts
+from chestnutvale.programs.entry.routed.caller_protocol import CallerProtocol
+from chestnutvale.programs.entry.routed.connections import ConnectionPool
+from chestnutvale.programs.entry.routed.const import BAN_AFTER_CRASHES
+from chestnutvale.programs.entry.routed.handler import RoutedHandler
+
+# Paths are the callers' own, so that all of them are measured together.
+MEASURED_ROUTES: tuple[str, ...] = ()
+
+
+class RoutedDoors:
+    """Builds the handler of routed calls and keeps its connections.
+
+    Parameters
+    ----------
+    protocol : CallerProtocol
+        Translates requests and answers.
+    """
+
+    def __init__(self, protocol: CallerProtocol) -> None:
+        self._protocol = protocol
+        self._pool: ConnectionPool | None = None
+        self._handler: RoutedHandler | None = None
+
+    @property
+    def running_calls(self) -> int:
+        """Calls that run, also for callers that left."""
+        return self._handler.running_calls if self._handler is not None else 0
+
+    def make_app(self, parts: EntryParts) -> WsgiApp:
+        """Build the application.
+
+        Parameters
+        ----------
+        parts : EntryParts
+            The entry.
+
+        Returns
+        -------
+        WSGI application
+            Answers routed calls.
+        """
+        context = parts.context
+        context.suspicions = SuspicionTracker(BAN_AFTER_CRASHES)
+        context.suspicions.notify = parts.link.hurry
+        parts.link.watch_suspicions(context.suspicions)
+        context.has_crashed = head_is_down
+        self._pool = ConnectionPool(parts.clock)
+        self._handler = RoutedHandler(context, self._protocol, self._pool, parts.writer)
+        return RequestMeter(self._handler, parts.metrics, MEASURED_ROUTES, parts.clock)
+
+    def keep_house(self) -> None:
+        """Close idle connections whose time is over."""
+        if self._pool is not None:
+            self._pool.drop_idle()
--- a/chestnutvale/programs/runner.py
+++ b/chestnutvale/programs/runner.py
@@ -60,6 +60,24 @@
     if check_settings:
         print(f"{settings_file}: ok")
         return EXIT_OK
+    return serve_until_stopped(settings, serve)
+
+
+def serve_until_stopped(settings: SettingsT, serve: Callable[[SettingsT], None]) -> int:
+    """Serve with logs set up until a signal asks for a stop.
+
+    Parameters
+    ----------
+    settings : Message
+        Checked settings of the program.
+    serve : callable
+        Runs the daemon; returns after a graceful shutdown.
+
+    Returns
+    -------
+    int
+        Exit code: 0, or 1 if the daemon failed.
+    """
     tune_garbage_collection()
     with make_log_handler(settings.log).applicationbound():
         try:
--- a/chestnutvale/programs/signals.py
+++ b/chestnutvale/programs/signals.py
@@ -12,16 +12,22 @@
 
 
 class SignalWatch:
-    """Waits for SIGTERM or SIGINT; calls a function on SIGUSR1.
+    """Waits for SIGTERM or SIGINT; calls functions on SIGUSR1 and SIGHUP.
 
     Parameters
     ----------
     dump : callable
         Called in a task of its own at each SIGUSR1.
+    reload : callable, optional
+        Called in a task of its own at each SIGHUP; without it, that signal ends the
+        process as usual.
     """
 
-    def __init__(self, dump: Callable[[], None]) -> None:
+    def __init__(
+        self, dump: Callable[[], None], reload: Callable[[], None] | None = None
+    ) -> None:
         self._dump = dump
+        self._reload = reload
         self._stop = Event()
 
     def setup(self) -> None:
@@ -29,6 +35,8 @@
         signal.signal(signal.SIGTERM, self._request_stop)
         signal.signal(signal.SIGINT, self._request_stop)
         signal.signal(signal.SIGUSR1, self._request_dump)
+        if self._reload is not None:
+            signal.signal(signal.SIGHUP, self._request_reload)
 
     def wait(self) -> None:
         """Block the calling task until a stop is asked for."""
@@ -44,5 +52,8 @@
         # from a task of the hub and not from here.
         eventlet.spawn_n(self.request_stop)
 
+    def _request_reload(self, number: int, frame: FrameType | None) -> None:
+        eventlet.spawn_n(self._reload)
+
     def _request_dump(self, number: int, frame: FrameType | None) -> None:
         eventlet.spawn_n(self._dump)
--- a/script/settings_reference.py
+++ b/script/settings_reference.py
@@ -32,7 +32,13 @@
     "ControlSettings": default_control_settings,
     "ClientSettings": default_client_settings,
 }
-SHARED = ("PeerAddress", "HttpLimits", "LogSettings", "RepairSettings", "RetryBudgetSettings")
+SHARED = (
+    "PeerAddress",
+    "HttpLimits",
+    "LogSettings",
+    "RepairSettings",
+    "RetryBudgetSettings",
+)
 INTRODUCTION = """\
 # Settings
 
