Refuse calls that would wait past use; divide a pool that fills up slowly

Change: a call may wait for as long as callers hope an answer takes, then it is refused with when to come back; until a pool is settled only the model that is worst covered gets a group, and none that takes the room of a larger one. Group commands, orders and views are logged.

Ruled out: waiting until the pool is settled before the first group, which costs four of the eight seconds in which loads are cheap.

--- a/chestnutvale/admission/messages.py
+++ b/chestnutvale/admission/messages.py
@@ -1,5 +1,6 @@
 """Events that admission takes and effects that it returns."""
 
+import math
 from typing import Protocol
 
 import attrs
@@ -28,6 +29,9 @@
         Tokens of the prompt, and the most that the caller takes as answer.
     deadline_s : float
         Monotonic time in seconds by which the answer must be whole.
+    start_by_s : float
+        Monotonic time in seconds by which the request must run: one that waits for
+        longer than its caller finds useful is refused while it can still come back.
     """
 
     request_id: str
@@ -37,6 +41,7 @@
     prompt_tokens: int
     max_tokens: int
     deadline_s: float
+    start_by_s: float = math.inf
 
 
 @attrs.frozen
--- a/chestnutvale/admission/service.py
+++ b/chestnutvale/admission/service.py
@@ -187,7 +187,10 @@
             request = waiter.request
             if request.deadline_s <= now_s:
                 effects.append(self._drop(waiter, CODE_EXPIRED, now_s))
-            elif now_s + self._answer_s(request, waiter.cost) > request.deadline_s:
+            elif (
+                request.start_by_s <= now_s
+                or now_s + self._answer_s(request, waiter.cost) > request.deadline_s
+            ):
                 effects.append(self._drop(waiter, CODE_DEADLINE, now_s))
         return effects + self.admit_waiting(now_s)
 
@@ -284,6 +287,8 @@
         if wait_s == 0.0 and self.reserved < self.limit / 2:
             # With room to spare, a stale estimate must not keep callers out.
             return True
+        if now_s + wait_s > request.start_by_s:
+            return False
         needed_s = wait_s + self._answer_s(request, cost)
         return now_s + needed_s <= request.deadline_s
 
--- a/chestnutvale/groups/const.py
+++ b/chestnutvale/groups/const.py
@@ -66,8 +66,12 @@
 # 16 s takes several times as long while many others run.
 POOL_ORDER_TIMEOUT_S: Final = 14.0
 POOL_READY_TIMEOUT_S: Final = 120.0
-# Weight of weights that have to be loaded against the shares of a pool's models.
-LOAD_PENALTY: Final = 0.5
+# Time in seconds without a new host after which a pool is taken to be complete: more
+# than an engine takes between two announcements.
+POOL_SETTLE_S: Final = 1.5
+# Groups for its whole share by which a model must be worse covered than another one
+# for its weights to be loaded where those of the other lie at hand.
+LOAD_PENALTY: Final = 4.0
 
 # Commands proposed in one round; the rest follows in the next.
 MAX_COMMANDS_PER_ROUND: Final = 32
--- a/chestnutvale/groups/coordinator.py
+++ b/chestnutvale/groups/coordinator.py
@@ -122,8 +122,10 @@
         for send in sends:
             epoch = send.order.epoch
             self.planner.watch.note_order(send.host_id, epoch, now_s)
-        # Before the first group there is nothing to judge, and assembly should begin.
-        if now_s < self._plan_from_s and state.groups:
+        if not state.last_fence:
+            # Before the first group there is nothing to judge by silence.
+            self._plan_from_s = now_s
+        if now_s < self._plan_from_s:
             return list(sends)
         inputs = PlanInputs(state, table, text, now_unix_ms)
         commands = [
--- a/chestnutvale/groups/pools.py
+++ b/chestnutvale/groups/pools.py
@@ -11,6 +11,7 @@
     PHASE_FORMING,
     POOL_ORDER_TIMEOUT_S,
     POOL_READY_TIMEOUT_S,
+    POOL_SETTLE_S,
 )
 from chestnutvale.groups.draining import IdleWatch
 from chestnutvale.groups.fleet import Fleet, to_member
@@ -122,7 +123,8 @@
             if group.phase != PHASE_DRAINING and not isinstance(command, RemoveGroup):
                 kept.append(group)
         if services:
-            yield from self._form(services, kept, state, fleet)
+            is_settled = now_s - table.newest_host_at_s >= POOL_SETTLE_S
+            yield from self._form(services, kept, state, fleet, is_settled)
 
     def _end(
         self,
@@ -186,6 +188,7 @@
         kept: Iterable[Group],
         state: GroupsState,
         fleet: Fleet,
+        is_settled: bool,
     ) -> Iterator[PutGroup]:
         counts = dict.fromkeys(services, 0)
         for group in kept:
@@ -193,7 +196,7 @@
                 counts[group.service] += 1
         shelves = _stock_shelves(fleet)
         number = state.last_fence + 1
-        while (choice := _choose(services, counts, shelves)) is not None:
+        while (choice := _choose(services, counts, shelves, is_settled)) is not None:
             name, shelf = choice
             hosts = shelf.take(name, services[name].hosts_per_group)
             counts[name] += 1
@@ -233,27 +236,53 @@
     services: Mapping[str, Service],
     counts: Mapping[str, int],
     shelves: Mapping[str, list[_Shelf]],
+    is_settled: bool,
 ) -> tuple[str, _Shelf] | None:
+    """Choose the next group to form.
+
+    Hosts of a starting pool turn up one by one. Until no new ones do, only the model
+    that is worst covered gets a group, and none that takes the room of a larger one;
+    else the smallest groups would take all hosts.
+    """
+    largest = max(service.hosts_per_group for service in services.values())
     options = [
-        (_cost(name, service, counts[name], shelf), name, shelf.domain, shelf)
+        (_cost(name, service, counts[name], shelf, largest), name, shelf.domain, shelf)
         for name, service in services.items()
         for shelf in shelves.get(service.pool, ())
         if len(shelf.hosts) >= service.hosts_per_group
     ]
+    if not is_settled:
+        neediest = _find_neediest(services, counts)
+        options = [
+            option for option in options if option[1] == neediest and not option[0][1]
+        ]
     if not options:
         return None
     _, name, _, shelf = min(options, key=lambda option: option[:3])
     return name, shelf
 
 
-def _cost(name: str, service: Service, groups: int, shelf: _Shelf) -> tuple[float, int]:
-    """Return the capacity that a model would have against its share of the work."""
+def _find_neediest(services: Mapping[str, Service], counts: Mapping[str, int]) -> str:
+    """Return the model that is worst covered."""
+    return min(services, key=lambda name: (_cover(services[name], counts[name]), name))
+
+
+def _cover(service: Service, groups: int) -> float:
+    """Return the capacity of groups against a model's share of the work."""
+    return groups / (service.pace or 1.0) / service.work_share
+
+
+def _cost(
+    name: str, service: Service, groups: int, shelf: _Shelf, largest: int
+) -> tuple[float, int, int]:
+    """Return how well a model is covered already, and what its weights cost."""
     size = service.hosts_per_group
-    capacity = (groups + 1) / (service.pace or 1.0)
     loads = max(0, size - shelf.count_staged(name))
-    covered = capacity / service.work_share
-    # Among equal shelves the fullest one, so that few hosts are left over in each.
-    return covered * (1.0 + LOAD_PENALTY * loads / size), -len(shelf.hosts)
+    cost = _cover(service, groups) + LOAD_PENALTY * loads / size
+    # Among equal shelves one that is left with room for whole large groups, and of
+    # those the emptiest, so that hosts are not left over in every domain.
+    left = len(shelf.hosts) - size
+    return cost, left % largest, left
 
 
 def _is_staged(host: HostRecord, service: str) -> bool:
--- a/chestnutvale/http_server/exceptions.py
+++ b/chestnutvale/http_server/exceptions.py
@@ -41,3 +41,7 @@
         super().__init__(message, step=STEP_RECEIVE, peer=peer)
         self.status = status
         self.reason = reason
+
+
+class AnswerBrokenError(Exception):
+    """Ends an answer that has begun, so that its client does not take it for whole."""
--- a/chestnutvale/http_server/server.py
+++ b/chestnutvale/http_server/server.py
@@ -15,7 +15,11 @@
     MINIMUM_CHUNK_BYTES,
     STOP_POLL_S,
 )
-from chestnutvale.http_server.exceptions import ClientGoneError, HttpListenError
+from chestnutvale.http_server.exceptions import (
+    AnswerBrokenError,
+    ClientGoneError,
+    HttpListenError,
+)
 from chestnutvale.http_server.limits import LimitedApp, WsgiApp
 from chestnutvale.http_server.protocol import LimitedProtocol
 from chestnutvale.schema.settings_pb2 import HttpLimits
@@ -29,9 +33,13 @@
     def info(self, message: str, *arguments: Any) -> None:
         if not message.startswith("Traceback"):
             return
-        if ClientGoneError.__name__ in message.rstrip().rpartition("\n")[2]:
+        last_line = message.rstrip().rpartition("\n")[2]
+        if ClientGoneError.__name__ in last_line:
             _LOGGER.debug("A client closed its connection before its answer ended")
             return
+        if AnswerBrokenError.__name__ in last_line:
+            _LOGGER.debug("An answer was broken off: {}", last_line)
+            return
         _LOGGER.error("Request failed: {}", message)
 
     def debug(self, message: str, *arguments: Any) -> None:
--- a/chestnutvale/programs/control/entry_desk.py
+++ b/chestnutvale/programs/control/entry_desk.py
@@ -242,9 +242,26 @@
 
     def _refresh(self, now_s: float) -> None:
         self._refreshed_inputs = (self._log.applied_index, self._table.revision)
-        self._publisher.refresh(self._state.groups, self._table, now_s)
+        changed = self._publisher.refresh(self._state.groups, self._table, now_s)
+        if changed and self._log.is_leader:
+            self._log_changes(changed)
         self._settled_until_s = self._publisher.settled_until_s
 
+    def _log_changes(self, changed: list[str]) -> None:
+        views = {view.group.group_id: view for view in self._publisher.group_views()}
+        for group_id in changed:
+            view = views.get(group_id)
+            _LOGGER.info(
+                "group_view",
+                extra={
+                    "group": group_id,
+                    "epoch": view.group.epoch if view else 0,
+                    "serving": bool(view and view.serving),
+                    "reason": view.reason if view else "dissolved",
+                    "view_version": self._publisher.version,
+                },
+            )
+
     def _may_have_broken(self, now_s: float) -> bool:
         """Tell whether a group that is published as serving may not serve any more."""
         inputs = (self._log.applied_index, self._table.revision)
--- a/chestnutvale/programs/control/group_task.py
+++ b/chestnutvale/programs/control/group_task.py
@@ -1,7 +1,7 @@
 """The task that carries out what the group coordinator decides."""
 
 from collections.abc import Sequence
-from typing import Protocol
+from typing import Any, Protocol
 
 import eventlet
 import logbook
@@ -23,6 +23,7 @@
 from chestnutvale.programs.control.order_sender import OrderSender
 from chestnutvale.programs.control.state import ControlState
 from chestnutvale.programs.periodic import run_rounds
+from chestnutvale.schema.command_pb2 import Command
 
 _LOGGER = logbook.Logger(__name__)
 
@@ -155,13 +156,63 @@
         self._led_term = term
 
     def _propose(self, effect: ProposeCommand) -> None:
+        fields = describe_command(effect.command)
         try:
-            self._log.propose(effect.command, self._clock.now_s() + PROPOSAL_TIMEOUT_S)
+            result = self._log.propose(
+                effect.command, self._clock.now_s() + PROPOSAL_TIMEOUT_S
+            )
+            _LOGGER.info(
+                "group_command",
+                extra=fields | {"outcome": result.group.outcome or "committed"},
+            )
         except (NotLeaderError, OutcomeUnknownError) as error:
-            _LOGGER.info("A command about groups was not confirmed: {}", error)
+            _LOGGER.info("group_command", extra=fields | {"outcome": str(error)})
 
     def _send_order(self, effect: SendOrder) -> None:
         outcome = self._sender.send(effect)
+        order = effect.order
+        _LOGGER.info(
+            "order",
+            extra={
+                "host": effect.host_id,
+                "kind": order.kind,
+                "group": order.group_id,
+                "epoch": order.epoch,
+                "fence": order.fence,
+                "outcome": outcome.value,
+            },
+        )
         self._coordinator.order_answered(
             effect.host_id, effect.order.order_id, outcome, self._clock.now_s()
         )
+
+
+def describe_command(command: Command) -> dict[str, Any]:
+    """Return what a command changes, for the log.
+
+    Parameters
+    ----------
+    command : Command
+        A command about groups.
+
+    Returns
+    -------
+    dict
+        Fields of a log line.
+    """
+    body = command.WhichOneof("body")
+    fields: dict[str, Any] = {"command": body}
+    change = getattr(command, body)
+    if body == "put_group":
+        group = change.group
+        fields |= {
+            "group": group.group_id,
+            "phase": group.phase,
+            "domain": group.fabric_domain,
+            "members": [member.host_id for member in group.members],
+        }
+    elif body in ("remove_group", "put_repair", "end_repair"):
+        fields["group"] = getattr(change, "group_id", "")
+    else:
+        fields["host"] = change.host_id
+    return fields
--- a/chestnutvale/programs/entry/admission_gate.py
+++ b/chestnutvale/programs/entry/admission_gate.py
@@ -15,7 +15,7 @@
 from chestnutvale.programs.entry.context import AdmissionRefusal, CallRequest
 from chestnutvale.programs.periodic import run_rounds
 
-ADMISSION_TICK_S = 0.05
+ADMISSION_TICK_S = 0.025
 # Bytes of English text that make a token, for the length of a prompt.
 BYTES_PER_TOKEN = 4
 
@@ -143,6 +143,7 @@
             prompt_tokens=len(request.prompt) // BYTES_PER_TOKEN,
             max_tokens=request.max_tokens,
             deadline_s=request.deadline_s,
+            start_by_s=request.start_by_s,
         )
         ticket = GateTicket(self, wanted)
         self._tickets[request.request_id] = ticket
--- a/chestnutvale/programs/entry/context.py
+++ b/chestnutvale/programs/entry/context.py
@@ -1,5 +1,6 @@
 """What the handlers of callers' requests need from the rest of the entry."""
 
+import math
 import random
 from typing import Any, Protocol
 
@@ -43,6 +44,8 @@
         Adapter that the call needs; empty for none.
     deadline_s : float
         Monotonic time in seconds at which the call ends.
+    start_by_s : float
+        Monotonic time in seconds by which the call must run or be refused.
     """
 
     request_id: str
@@ -53,6 +56,7 @@
     max_tokens: int
     adapter: str
     deadline_s: float
+    start_by_s: float = math.inf
 
 
 @attrs.frozen
--- a/chestnutvale/programs/entry/routed/handler.py
+++ b/chestnutvale/programs/entry/routed/handler.py
@@ -1,6 +1,7 @@
 """Routed calls over HTTP: route, key, admission, attempts, answer."""
 
 import contextlib
+import math
 from collections.abc import Callable, Iterable, Iterator
 from http import HTTPStatus
 from typing import Any
@@ -22,6 +23,7 @@
 from chestnutvale.attempts.service_events import Reply
 from chestnutvale.configuration.const import ROUTE_REPEATABLE, ROUTE_STREAMING
 from chestnutvale.configuration.routes import RouteTable
+from chestnutvale.http_server.exceptions import AnswerBrokenError
 from chestnutvale.programs.entry.call_context import EntryContext
 from chestnutvale.programs.entry.context import CallRequest
 from chestnutvale.programs.entry.exceptions import BadCallError
@@ -49,7 +51,9 @@
     GAP_TIMEOUT_FACTOR,
     MIN_FIRST_EVENT_TIMEOUT_S,
     MIN_GAP_TIMEOUT_S,
+    MIN_PATIENCE_S,
     NO_LEASE_RETRY_S,
+    PATIENCE_FACTOR,
 )
 from chestnutvale.programs.entry.routed.exchange import RoutedExchange
 from chestnutvale.programs.entry.service_calls import ServiceCallHandler
@@ -91,10 +95,6 @@
     fingerprint: int
 
 
-class StreamBrokenError(Exception):
-    """Ends an answer that has begun, so that the caller does not take it for whole."""
-
-
 class RoutedHandler:
     """WSGI application for routed calls.
 
@@ -195,6 +195,7 @@
             max_tokens=request.max_tokens,
             adapter="",
             deadline_s=now_s + _find_time_s(request, route),
+            start_by_s=now_s + _find_patience_s(route),
         )
         return RoutedCall(request, body, route, call, _fingerprint(request, body))
 
@@ -269,7 +270,7 @@
             _LOGGER.info(
                 "Stream {} breaks off: {}", run.request.request_id, run.failure.message
             )
-            raise StreamBrokenError(run.failure.message)
+            raise AnswerBrokenError(run.failure.message)
 
     def _fail_stream(
         self,
@@ -386,7 +387,7 @@
             exchange = attempt.exchange
             if exchange.status and attempt.failed_body is None:
                 return AnswerHead(exchange.status, exchange.reason, exchange.headers)
-        raise StreamBrokenError("no stream has begun")
+        raise AnswerBrokenError("no stream has begun")
 
     def make(
         self, effect: StartAttempt, view: GroupView, answer: AnswerStream
@@ -449,6 +450,13 @@
     return min(times_s)
 
 
+def _find_patience_s(route: Route) -> float:
+    """Return how long a call may wait for its turn."""
+    if not route.target_latency_ms:
+        return math.inf
+    return max(MIN_PATIENCE_S, PATIENCE_FACTOR * route.target_latency_ms / 1_000)
+
+
 def _make_limits(route: Route) -> CallLimits:
     first_s = FIRST_EVENT_TIMEOUT_FACTOR * route.target_latency_ms / 1_000
     gap_s = GAP_TIMEOUT_FACTOR * route.target_gap_ms / 1_000
--- /dev/null
+++ b/tests/groups/test_pools.py
@@ -0,0 +1,205 @@
+"""Groups of models that share a pool of hosts."""
+
+from collections import Counter
+
+from chestnutvale.groups.draining import IdleWatch
+from chestnutvale.groups.fleet import Fleet
+from chestnutvale.groups.pools import PoolPlanner
+from chestnutvale.groups.settings import GroupsPolicy
+from chestnutvale.groups.state import GroupsState
+from chestnutvale.membership.content import content_digest
+from chestnutvale.membership.table import MembershipTable
+from chestnutvale.schema.configuration_pb2 import Service, Text
+from chestnutvale.schema.groups_pb2 import PutGroup, RemoveGroup
+from chestnutvale.schema.membership_pb2 import Announcement, Heard, Holding
+
+BIG, SMALL = "gpu-big", "gpu-small"
+HOSTS_PER_DOMAIN = 10
+
+
+def make_text():
+    text = Text(number=1)
+    for name, size, pace in ((BIG, 4, 1.0), (SMALL, 2, 0.6)):
+        service = Service(
+            kind="model", hosts_per_group=size, pool="gpu", work_share=0.5, pace=pace
+        )
+        text.services[name].CopyFrom(service)
+    return text
+
+
+class Pool:
+    """A pool's hosts, and the groups that the planner forms of them."""
+
+    def __init__(self):
+        self.state = GroupsState()
+        self.table = MembershipTable(3.0)
+        self.policy = GroupsPolicy(engine_stall_s=5.0)
+        self.idle = IdleWatch(self.policy)
+        self.planner = PoolPlanner(self.idle)
+        self.sequence = 0
+        self.holdings = {}
+
+    def announce(self, host_id, now_s, staged=(), leaving=False):
+        self.sequence += 1
+        announcement = Announcement(
+            host_id=host_id,
+            boot_id="b",
+            sequence=self.sequence,
+            address=f"10.0.0.1:{1000 + int(host_id.partition('-')[2])}",
+            data_centre="a",
+            fabric_domain=f"gpu.{host_id.partition('-')[0]}",
+            kind="engine",
+            pool="gpu",
+            fencing=True,
+            opens=True,
+            leaving=leaving,
+            staged=staged,
+        )
+        if host_id in self.holdings:
+            announcement.holding.CopyFrom(self.holdings[host_id])
+        heard = Heard(
+            host_id=host_id,
+            boot_id="b",
+            sequence=self.sequence,
+            changed=announcement,
+            content_digest=content_digest(announcement),
+        )
+        self.table.take_heard("control-1", [heard], now_s)
+
+    def plan(self, now_s):
+        fleet = Fleet.survey(self.state, self.table, now_s)
+        self.idle.observe(self.state, self.table, now_s)
+        commands = list(
+            self.planner.plan(self.state, self.table, make_text(), fleet, now_s)
+        )
+        for command in commands:
+            if isinstance(command, PutGroup):
+                result = self.state.put_group(command, 1)
+            else:
+                result = self.state.remove_group(command, 1)
+            assert result.outcome == "done"
+        return commands
+
+    def counts(self):
+        return Counter(group.service for group in self.state.groups.values())
+
+    def obey(self):
+        """Let all hosts hold what the groups ask of them."""
+        self.holdings = {
+            member.host_id: Holding(
+                group_id=group.group_id,
+                epoch=group.epoch,
+                rank=member.rank,
+                service=group.service,
+                phase="open" if member.rank == 0 else "ready",
+            )
+            for group in self.state.groups.values()
+            for member in group.members
+        }
+
+    def serve(self):
+        for group in list(self.state.groups.values()):
+            changed = PutGroup(group=group, expected_epoch=group.epoch)
+            changed.group.phase = "serving"
+            self.state.put_group(changed, 1)
+
+
+def all_hosts(domains=6):
+    return [f"d{d}-{d * 10 + i}" for d in range(domains) for i in range(10)]
+
+
+def make_serving_pool():
+    pool = Pool()
+    for host_id in all_hosts():
+        pool.announce(host_id, 0.0)
+    pool.plan(2.0)
+    pool.obey()
+    pool.serve()
+    return pool
+
+
+def worst_cover(counts):
+    return min(counts[BIG] / 1.0, counts[SMALL] / 0.6)
+
+
+def test_hosts_that_turn_up_one_by_one_serve_nearly_as_much_as_all_at_once():
+    expected = make_serving_pool().counts()
+    pool = Pool()
+    now_s = 0.0
+    # In the order in which no domain is complete before the last hosts come.
+    for host_id in sorted(all_hosts(), key=lambda name: name[-1]):
+        now_s += 0.05
+        pool.announce(host_id, now_s)
+        pool.plan(now_s)
+    for host_id in all_hosts():
+        pool.announce(host_id, now_s)
+    pool.plan(now_s + 2.0)
+    counts = pool.counts()
+    assert 4 * counts[BIG] + 2 * counts[SMALL] == len(all_hosts())
+    assert worst_cover(counts) >= 0.85 * worst_cover(expected)
+
+
+def test_capacity_follows_the_shares_and_no_host_is_left_over():
+    pool = make_serving_pool()
+    counts = pool.counts()
+    assert 4 * counts[BIG] + 2 * counts[SMALL] == len(all_hosts())
+    big, small = counts[BIG] / 1.0, counts[SMALL] / 0.6
+    assert 0.75 < big / small < 1.35
+
+
+def test_groups_stay_in_one_domain_and_no_host_is_in_two():
+    pool = make_serving_pool()
+    seen = set()
+    for group in pool.state.groups.values():
+        hosts = {member.host_id for member in group.members}
+        assert {f"gpu.{name.partition('-')[0]}" for name in hosts} == {
+            group.fabric_domain
+        }
+        assert not hosts & seen
+        seen |= hosts
+
+
+def test_a_lost_member_dissolves_its_group_and_staged_hosts_form_the_next():
+    pool = make_serving_pool()
+    domain = next(
+        domain
+        for domain in (f"gpu.d{number}" for number in range(6))
+        if sum(
+            group.service == BIG and group.fabric_domain == domain
+            for group in pool.state.groups.values()
+        )
+        >= 2
+    )
+    broken = [
+        group
+        for group in pool.state.groups.values()
+        if group.service == BIG and group.fabric_domain == domain
+    ][:2]
+    lost = {group.members[1].host_id for group in broken}
+    for host_id in all_hosts():
+        if host_id not in lost:
+            pool.announce(host_id, 4.0, staged=[BIG])
+    commands = pool.plan(5.0)
+    removed = {c.group_id for c in commands if isinstance(c, RemoveGroup)}
+    assert removed == {group.group_id for group in broken}
+    # The hosts left over are unusable until they have let go.
+    assert not any(isinstance(c, PutGroup) for c in commands)
+    for release in list(pool.state.releases.values()):
+        pool.holdings.pop(release.host_id, None)
+        del pool.state.releases[release.host_id]
+    for host_id in all_hosts():
+        if host_id not in lost:
+            pool.announce(host_id, 5.5, staged=[BIG])
+    formed = [c.group for c in pool.plan(5.6) if isinstance(c, PutGroup)]
+    assert [g.service for g in formed if g.fabric_domain == domain][0] == BIG
+
+
+def test_a_leaving_member_drains_its_group_first():
+    pool = make_serving_pool()
+    group = next(iter(pool.state.groups.values()))
+    leaving = group.members[1].host_id
+    for host_id in all_hosts():
+        pool.announce(host_id, 2.5, leaving=host_id == leaving)
+    (command,) = pool.plan(2.6)
+    assert isinstance(command, PutGroup)
+    assert command.group.phase == "draining"
