--- a/chestnutvale/attempts/const.py
+++ b/chestnutvale/attempts/const.py
@@ -29,6 +29,9 @@
 CODE_BAD_REQUEST: Final = "bad_request"
 CODE_CALLER_GONE: Final = "caller_gone"
 
+# Why an attempt was given up although its connection stands.
+REASON_SILENT: Final = "the stream fell silent"
+
 # Answers of an engine that say that it did not run the request.
 REFUSAL_WRONG_EPOCH: Final = "wrong_epoch"
 REFUSAL_OVERLOADED: Final = "overloaded"
--- a/chestnutvale/attempts/events.py
+++ b/chestnutvale/attempts/events.py
@@ -183,10 +183,13 @@
         Identity of the attempt.
     group_id : str
         The group.
+    fault : str
+        Why the group is to blame; empty if it is not.
     """
 
     attempt_id: str
     group_id: str
+    fault: str = ""
 
 
 @attrs.frozen
--- a/chestnutvale/attempts/model_call.py
+++ b/chestnutvale/attempts/model_call.py
@@ -18,6 +18,7 @@
     OUTCOME_FAILED,
     OUTCOME_NOT_RUN,
     OUTCOME_UNKNOWN,
+    REASON_SILENT,
     REFUSAL_OVERLOADED,
     RETRIED_REFUSALS,
 )
@@ -218,7 +219,7 @@
         return self._break_attempt(event.reason, now_s)
 
     def _break_attempt(self, reason: str, now_s: float) -> list[CallEffect]:
-        effects = self._cancel()
+        effects = self._cancel(reason)
         # The request reached an engine, which may have worked on it.
         if self._outcome == OUTCOME_NOT_RUN:
             self._outcome = OUTCOME_UNKNOWN
@@ -255,7 +256,7 @@
         if now_s >= self._deadline_s:
             return self._fail_deadline()
         if self._attempt_id and now_s >= self._idle_deadline_s:
-            return self._break_attempt("the stream fell silent", now_s)
+            return self._break_attempt(REASON_SILENT, now_s)
         return []
 
     def _fail_deadline(self) -> list[CallEffect]:
@@ -267,10 +268,10 @@
             CODE_DEADLINE, "the deadline passed", retry_after_s=DEFAULT_RETRY_AFTER_S
         )
 
-    def _cancel(self) -> list[CallEffect]:
+    def _cancel(self, fault: str = "") -> list[CallEffect]:
         if not self._attempt_id:
             return []
-        cancel = CancelAttempt(self._attempt_id, self._group_id)
+        cancel = CancelAttempt(self._attempt_id, self._group_id, fault)
         self._end_attempt()
         return [cancel]
 
--- a/chestnutvale/groups/budget.py
+++ b/chestnutvale/groups/budget.py
@@ -1,8 +1,10 @@
 """The budget of weight loads, which all groups share."""
 
+import math
+
 import attrs
 
-from chestnutvale.groups.const import PHASE_FORMING
+from chestnutvale.groups.const import LOADS_IN_HAND, PHASE_FORMING
 from chestnutvale.groups.serving import holds_epoch
 from chestnutvale.groups.settings import GroupsPolicy
 from chestnutvale.groups.state import GroupsState
@@ -72,9 +74,15 @@
             if group.phase == PHASE_FORMING
             for member in group.members
         )
-        limit = self.loads_at_once or self.policy.max_loading_hosts
+        limit = math.ceil(LOADS_IN_HAND * self.loads_at_once)
+        limit = limit or self.policy.max_loading_hosts
         self._left = limit - loading
 
+    @property
+    def left(self) -> int:
+        """Loads that may begin now; 0 or less if none may."""
+        return self._left
+
     def take(self) -> bool:
         """Take the right to load on one more host.
 
--- a/chestnutvale/groups/const.py
+++ b/chestnutvale/groups/const.py
@@ -57,6 +57,8 @@
 
 # Time in seconds after which a round is planned although nothing changed.
 PLAN_INTERVAL_S: Final = 1.0
+# Time in seconds after a host's last moment to be heard at which it is looked at again.
+SILENCE_MARGIN_S: Final = 0.01
 
 # Time in seconds that is added to an engine's stall time, for late announcements.
 HEAD_STALL_MARGIN_S: Final = 1.0
@@ -69,9 +71,21 @@
 # Time in seconds without a new host after which a pool is taken to be complete: more
 # than an engine takes between two announcements.
 POOL_SETTLE_S: Final = 1.5
-# Groups for its whole share by which a model must be worse covered than another one
-# for its weights to be loaded where those of the other lie at hand.
-LOAD_PENALTY: Final = 4.0
+# Time in seconds over which the demand for a pool's models is smoothed: longer than a
+# burst of refusals, shorter than weights take to load.
+DEMAND_MEMORY_S: Final = 3.0
+# Time in seconds after which an order to stage weights that never showed is given up.
+STAGE_TIMEOUT_S: Final = 90.0
+# Fabric domains that a model with small groups has at least: one may go dark.
+HOME_DOMAINS: Final = 2
+# A model is pressed this much harder than another before free hosts that have the
+# other's weights at hand load its own, and at least this hard by itself.
+CONVERT_RATIO: Final = 2.0
+CONVERT_PRESSURE: Final = 0.6
+
+# Loads that are ordered at once, as a multiple of those that a weight store serves at
+# full speed: it should not wait for the next order when a load ends.
+LOADS_IN_HAND: Final = 1.25
 
 # Commands proposed in one round; the rest follows in the next.
 MAX_COMMANDS_PER_ROUND: Final = 32
--- a/chestnutvale/groups/coordinator.py
+++ b/chestnutvale/groups/coordinator.py
@@ -1,10 +1,12 @@
 """Turns what is known and committed into commands and orders."""
 
+from collections.abc import Mapping
 from typing import TypeAlias
 
 import attrs
 
-from chestnutvale.groups.const import PLAN_INTERVAL_S
+from chestnutvale.groups.const import PLAN_INTERVAL_S, SILENCE_MARGIN_S
+from chestnutvale.groups.order_messages import STAGE_SUFFIX
 from chestnutvale.groups.orders import OrderBook, OrderOutcome, SendOrder
 from chestnutvale.groups.planner import GroupCommand, GroupPlanner, PlanInputs
 from chestnutvale.groups.state import GroupsState
@@ -59,7 +61,7 @@
     def became_leader(self, now_s: float) -> None:
         """Start deciding.
 
-        Hosts are not judged before every entry had time to report them.
+        Hosts are not judged before all that hear them had time to report them.
 
         Parameters
         ----------
@@ -68,7 +70,7 @@
         """
         self._is_leader = True
         self._seen = None
-        self._plan_from_s = now_s + self.planner.policy.detection_timeout_s
+        self._plan_from_s = now_s + self.planner.policy.first_plan_s
         self.planner.became_leader(now_s)
         self.orders.became_leader(now_s)
 
@@ -85,6 +87,7 @@
         text: Text | None,
         lease_confirmed: bool,
         now_unix_ms: int,
+        demand: Mapping[str, float] | None = None,
     ) -> list[Effect]:
         """Decide what to do now.
 
@@ -105,6 +108,8 @@
             Whether a quorum confirmed the leader lease just before.
         now_unix_ms : int
             Wall-clock time, for records and the expiry of orders.
+        demand : mapping of str to float, optional
+            Requests that wait or run, by service.
 
         Returns
         -------
@@ -117,7 +122,8 @@
         if seen == self._seen and now_s < self._next_round_s:
             return []
         self._seen = seen
-        self._next_round_s = now_s + PLAN_INTERVAL_S
+        next_silent_s = table.next_deadline(now_s) + SILENCE_MARGIN_S
+        self._next_round_s = min(now_s + PLAN_INTERVAL_S, next_silent_s)
         sends = self.orders.due(state, table, text, lease_confirmed, now_s, now_unix_ms)
         for send in sends:
             epoch = send.order.epoch
@@ -127,13 +133,24 @@
             self._plan_from_s = now_s
         if now_s < self._plan_from_s:
             return list(sends)
-        inputs = PlanInputs(state, table, text, now_unix_ms)
+        inputs = PlanInputs(
+            state,
+            table,
+            text,
+            now_unix_ms,
+            demand or {},
+            self.orders.count_loads_left(state, table, text),
+        )
         commands = [
             *self.orders.finished_releases(state, table, now_s, now_unix_ms),
             *self.planner.plan(inputs, now_s),
         ]
         proposals = [_to_proposal(command, now_unix_ms) for command in commands]
-        return [*sends, *proposals]
+        staging = [
+            self.orders.stage(item, text, state, now_s, now_unix_ms)
+            for item in self.planner.take_staging()
+        ]
+        return [*sends, *proposals, *staging]
 
     def order_answered(
         self, host_id: str, order_id: str, outcome: OrderOutcome, now_s: float
@@ -151,7 +168,11 @@
         now_s : float
             Monotonic time.
         """
-        self.orders.answered(host_id, order_id, outcome, now_s)
+        is_staging = order_id.endswith(STAGE_SUFFIX)
+        if is_staging and outcome is not OrderOutcome.ACCEPTED:
+            self.planner.staging.failed(host_id, now_s)
+        if not is_staging:
+            self.orders.answered(host_id, order_id, outcome, now_s)
 
 
 def _to_proposal(command: GroupCommand | FreeHost, now_unix_ms: int) -> ProposeCommand:
--- a/chestnutvale/groups/fleet.py
+++ b/chestnutvale/groups/fleet.py
@@ -28,6 +28,8 @@
         Hosts of plain services.
     releasing_by_domain : dict of str to list of HostRecord
         Engines that will be free soon, by fabric domain.
+    pool_taken : set of str
+        Free engines that groups of this round took.
     """
 
     fresh: dict[str, HostRecord]
@@ -36,6 +38,7 @@
     unclaimed: list[HostRecord]
     plain: list[HostRecord]
     releasing_by_domain: dict[str, list[HostRecord]]
+    pool_taken: set[str] = attrs.field(factory=set)
 
     @classmethod
     def survey(
--- /dev/null
+++ b/chestnutvale/groups/homes.py
@@ -0,0 +1,123 @@
+"""In which fabric domains of a pool a model may have groups."""
+
+import math
+from collections.abc import Callable, Iterable, Mapping
+
+import attrs
+
+from chestnutvale.groups.const import CONVERT_RATIO, HOME_DOMAINS
+from chestnutvale.groups.need import PoolNeed
+from chestnutvale.schema.configuration_pb2 import Service
+from chestnutvale.schema.groups_pb2 import Group
+
+
+@attrs.define
+class PoolHomes:
+    """Keeps the models with small groups together in some domains.
+
+    Hosts that are left over beside large groups heal those at once when a member is
+    lost, if they have the same weights. Small groups would use such hosts up in every
+    domain, so they have domains of their own, as many as their share of the hosts asks
+    for: at least two, as a whole domain may go dark.
+
+    Parameters
+    ----------
+    services : mapping of str to Service
+        The services of one pool.
+    limits : mapping of str to int
+        Domains that each service may have to itself.
+    domains_of : dict of str to set of str
+        Domains in which each service has groups.
+    """
+
+    services: Mapping[str, Service]
+    limits: Mapping[str, int]
+    domains_of: dict[str, set[str]]
+
+    @classmethod
+    def survey(
+        cls,
+        services: Mapping[str, Service],
+        groups: Iterable[Group],
+        domain_count: int,
+        need: PoolNeed,
+    ) -> "PoolHomes":
+        """Find the domains of the groups in force.
+
+        Parameters
+        ----------
+        services : mapping of str to Service
+            The services of one pool.
+        groups : iterable of Group
+            Groups in force.
+        domain_count : int
+            Domains of the pool.
+        need : PoolNeed
+            Which share of the hosts each service should have.
+
+        Returns
+        -------
+        PoolHomes
+            The homes.
+        """
+        domains_of: dict[str, set[str]] = {name: set() for name in services}
+        for group in groups:
+            if group.service in domains_of:
+                domains_of[group.service].add(group.fabric_domain)
+        limits = {
+            name: max(
+                HOME_DOMAINS, round(domain_count * need.host_share(name, services))
+            )
+            for name in services
+        }
+        return cls(services, limits, domains_of)
+
+    def note(self, name: str, domain: str) -> None:
+        """Note a group that is about to be formed.
+
+        Parameters
+        ----------
+        name : str
+            Its service.
+        domain : str
+            Its domain.
+        """
+        self.domains_of[name].add(domain)
+
+    def may_use(self, name: str, domain: str, pressures: Mapping[str, float]) -> bool:
+        """Tell whether a service may have a group in a domain.
+
+        Parameters
+        ----------
+        name : str
+            The service.
+        domain : str
+            The fabric domain.
+        pressures : mapping of str to float
+            How hard each service is pressed.
+
+        Returns
+        -------
+        bool
+            Whether the domain is its own, or it is pressed so hard that this does not
+            matter.
+        """
+        if domain in self.domains_of[name]:
+            return True
+        size = self.services[name].hosts_per_group
+        larger = self._find(lambda other: other > size)
+        smaller = self._find(lambda other: other < size)
+        if larger and len(self.domains_of[name]) < self.limits[name]:
+            return True
+        rivals = larger or [item for item in smaller if domain in self.domains_of[item]]
+        if not rivals:
+            return True
+        highest = max(pressures[other] for other in rivals)
+        return math.isinf(pressures[name]) or pressures[name] > CONVERT_RATIO * highest
+
+    def _find(self, fits: Callable[[int], bool]) -> list[str]:
+        return [
+            name
+            for name, service in self.services.items()
+            if fits(service.hosts_per_group)
+        ]
--- a/chestnutvale/groups/order_messages.py
+++ b/chestnutvale/groups/order_messages.py
@@ -5,6 +5,7 @@
     ORDER_ASSIGN,
     ORDER_OPEN,
     ORDER_RELEASE,
+    ORDER_STAGE,
     PHASE_FORMING,
 )
 from chestnutvale.groups.state import GroupsState
@@ -104,6 +105,38 @@
     )
 
 
+# Ends the identity of each order to stage weights.
+STAGE_SUFFIX = "-stage"
+
+
+def stage_order(record: HostRecord, service: str, model: str, fence: int) -> Order:
+    """Make the order by which a free host stages weights.
+
+    Parameters
+    ----------
+    record : HostRecord
+        The host.
+    service : str
+        The service whose weights are staged.
+    model : str
+        Its model.
+    fence : int
+        Highest fence number given out, which no order to a free host is above.
+
+    Returns
+    -------
+    Order
+        The order, without its expiry.
+    """
+    return Order(
+        order_id=f"{record.boot_id}-{service}{STAGE_SUFFIX}",
+        kind=ORDER_STAGE,
+        fence=fence,
+        service=service,
+        model=model,
+    )
+
+
 def open_order(group: Group) -> Order:
     """Make the order by which the head of a group begins to take calls.
 
--- a/chestnutvale/groups/orders.py
+++ b/chestnutvale/groups/orders.py
@@ -25,6 +25,7 @@
     open_order,
     release_order,
     release_order_id,
+    stage_order,
 )
 from chestnutvale.groups.serving import (
     find_readiness_fault,
@@ -33,6 +34,7 @@
     is_head_open,
 )
 from chestnutvale.groups.settings import GroupsPolicy
+from chestnutvale.groups.staging import StageWeights
 from chestnutvale.groups.state import GroupsState
 from chestnutvale.membership.table import HostRecord, MembershipTable
 from chestnutvale.schema.configuration_pb2 import Text
@@ -84,6 +86,7 @@
     pending_until_s: float
     # Time until which an earlier unanswered order may still be carried out.
     loose_until_s: float
+    sent_at_s: float
     accepted_at_s: float | None = None
 
 
@@ -183,6 +186,63 @@
             )
         return sends
 
+    def count_loads_left(
+        self, state: GroupsState, table: MembershipTable, text: Text
+    ) -> int:
+        """Return the loads of weights that may begin now.
+
+        Parameters
+        ----------
+        state : GroupsState
+            The replicated groups.
+        table : MembershipTable
+            What is known of hosts.
+        text : Text
+            The text in force.
+
+        Returns
+        -------
+        int
+            0 or less if none may.
+        """
+        budget = LoadBudget(self.policy, state, table, text.weight_store.loads_at_once)
+        self._take_unannounced(state, table, budget)
+        return budget.left
+
+    def stage(
+        self,
+        item: StageWeights,
+        text: Text,
+        state: GroupsState,
+        now_s: float,
+        now_unix_ms: int,
+    ) -> SendOrder:
+        """Return the order to stage weights.
+
+        Parameters
+        ----------
+        item : StageWeights
+            Host and service.
+        text : Text
+            The text in force.
+        state : GroupsState
+            The replicated groups.
+        now_s : float
+            Monotonic time.
+        now_unix_ms : int
+            Wall-clock time, for the expiry of the order.
+
+        Returns
+        -------
+        SendOrder
+            The order; it is not repeated here.
+        """
+        model = text.services[item.service].model
+        order = stage_order(item.host, item.service, model, state.last_fence)
+        order.expires_at_unix_ms = now_unix_ms + round(ORDER_LIFETIME_S * 1_000)
+        address = item.host.announcement.address
+        return SendOrder(item.host.host_id, address, order, now_s + ORDER_TIMEOUT_S)
+
     def answered(
         self, host_id: str, order_id: str, outcome: OrderOutcome, now_s: float
     ) -> None:
@@ -368,6 +428,7 @@
             backoff_s=backoff_s,
             pending_until_s=now_s + ORDER_LIFETIME_S,
             loose_until_s=loose_until_s,
+            sent_at_s=now_s,
         )
 
     def _has_let_go(
@@ -398,8 +459,9 @@
         sent = self._sent.get(release.host_id)
         if sent is None or sent.order_id != release_order_id(release):
             return False
+        # The announcement may overtake the answer to the order on its way here.
         is_accepted = sent.accepted_at_s is not None
-        return is_accepted and record.heard_at_s > sent.accepted_at_s
+        return is_accepted and record.heard_at_s > sent.sent_at_s
 
     def _is_forgotten(
         self,
--- a/chestnutvale/groups/planner.py
+++ b/chestnutvale/groups/planner.py
@@ -1,7 +1,7 @@
 """Decides which groups to form, change, repair and dissolve."""
 
 from collections import defaultdict
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from typing import TypeAlias
 
 import attrs
@@ -18,12 +18,18 @@
 from chestnutvale.groups.draining import IdleWatch
 from chestnutvale.groups.fleet import Fleet, to_member
 from chestnutvale.groups.plain import plan_plain_groups
-from chestnutvale.groups.pools import PoolPlanner, is_pooled, pooled_services
+from chestnutvale.groups.pools import (
+    PoolPlanner,
+    is_pooled,
+    is_settled,
+    pooled_services,
+)
 from chestnutvale.groups.repair import RepairInputs, RepairPlanner
 from chestnutvale.groups.rollout import ServicePlanner
 from chestnutvale.groups.services import model_services_in_order
 from chestnutvale.groups.serving import find_readiness_fault
 from chestnutvale.groups.settings import GroupsPolicy
+from chestnutvale.groups.staging import StagePlanner, StageWeights
 from chestnutvale.groups.state import GroupsState
 from chestnutvale.membership.table import MembershipTable
 from chestnutvale.schema.configuration_pb2 import Service, Text
@@ -53,12 +59,18 @@
         The text in force.
     now_unix_ms : int
         Wall-clock time, for records.
+    demand : mapping of str to float
+        Requests that wait or run, by service.
+    loads_left : int
+        Loads of weights that may begin now.
     """
 
     state: GroupsState
     table: MembershipTable
     text: Text
     now_unix_ms: int
+    demand: Mapping[str, float] = attrs.field(factory=dict)
+    loads_left: int = 0
 
 
 @attrs.define
@@ -87,6 +99,13 @@
         default=attrs.Factory(lambda self: PoolPlanner(self.idle), takes_self=True),
         init=False,
     )
+    staging: StagePlanner = attrs.field(
+        default=attrs.Factory(
+            lambda self: StagePlanner(self.pools.need), takes_self=True
+        ),
+        init=False,
+    )
+    _staged_now: list[StageWeights] = attrs.field(factory=list, init=False)
 
     def became_leader(self, now_s: float) -> None:
         """Forget what an earlier leadership saw.
@@ -98,6 +117,18 @@
         """
         self.watch.reset(now_s)
         self.idle.reset()
+        self.staging.reset()
+
+    def take_staging(self) -> list[StageWeights]:
+        """Return the weights to stage that the last round planned, once.
+
+        Returns
+        -------
+        list of StageWeights
+            What to order.
+        """
+        chosen, self._staged_now = self._staged_now, []
+        return chosen
 
     def plan(self, inputs: PlanInputs, now_s: float) -> list[GroupCommand]:
         """Plan one round.
@@ -143,9 +174,18 @@
     ) -> Iterator[PutGroup | RemoveGroup]:
         if is_blind(inputs.table, now_s) and inputs.state.groups:
             return
+        self.pools.need.note(inputs.demand, now_s)
         yield from self.pools.plan(
             inputs.state, inputs.table, inputs.text, fleet, now_s
         )
+        self._staged_now = self.staging.plan(
+            pooled_services(inputs.text),
+            inputs.state.groups.values(),
+            fleet,
+            inputs.loads_left,
+            is_settled(inputs.table, now_s),
+            now_s,
+        )
 
     def _plan_services(
         self,
--- a/chestnutvale/groups/pools.py
+++ b/chestnutvale/groups/pools.py
@@ -1,12 +1,12 @@
 """Divides a pool of hosts between the models that share it."""
 
+from collections import Counter
 from collections.abc import Iterable, Iterator, Mapping
 from typing import TypeAlias
 
 import attrs
 
 from chestnutvale.groups.const import (
-    LOAD_PENALTY,
     PHASE_DRAINING,
     PHASE_FORMING,
     POOL_ORDER_TIMEOUT_S,
@@ -15,6 +15,8 @@
 )
 from chestnutvale.groups.draining import IdleWatch
 from chestnutvale.groups.fleet import Fleet, to_member
+from chestnutvale.groups.homes import PoolHomes
+from chestnutvale.groups.need import PoolNeed
 from chestnutvale.groups.serving import holds_epoch
 from chestnutvale.groups.state import GroupsState
 from chestnutvale.membership.const import HOLDING_BROKEN
@@ -46,18 +48,27 @@
 
 
 @attrs.define
-class _Shelf:
-    """Free hosts of one fabric domain and pool."""
+class Shelf:
+    """Free hosts of one fabric domain and pool.
+
+    Attributes
+    ----------
+    domain : str
+        The fabric domain.
+    hosts : list of HostRecord
+        The hosts that are left.
+    """
 
     domain: str
     hosts: list[HostRecord]
 
     def count_staged(self, service: str) -> int:
-        return sum(_is_staged(host, service) for host in self.hosts)
+        """Return the hosts that have the weights of a service at hand."""
+        return sum(is_staged(host, service) for host in self.hosts)
 
     def take(self, service: str, count: int) -> list[HostRecord]:
         """Take hosts out, those first that have the weights at hand."""
-        self.hosts.sort(key=lambda host: (not _is_staged(host, service), host.host_id))
+        self.hosts.sort(key=lambda host: (not is_staged(host, service), host.host_id))
         taken, self.hosts = self.hosts[:count], self.hosts[count:]
         return taken
 
@@ -70,18 +81,21 @@
     others that are free in their fabric domain. Members are never moved from a group
     to another one while their head may take calls; the order book sees to that.
 
-    Among the groups that could be formed, the model goes first whose capacity is
-    smallest against its share of the work, where weights that have to be loaded count
-    against a group: on a pool that loses hosts every few seconds a group that serves
-    at once is worth more than the exact shares.
+    Among the groups that could be formed, the model goes first that is pressed
+    hardest. Once there is demand, groups are formed only of hosts that have the
+    weights at hand: the others are free to heal a broken group until theirs are
+    staged, and a host that loads for a group serves nobody meanwhile.
 
     Parameters
     ----------
     idle : IdleWatch
         Which groups run nothing.
+    need : PoolNeed
+        How hard each model is pressed.
     """
 
     idle: IdleWatch
+    need: PoolNeed = attrs.field(factory=PoolNeed)
     _unready_from_s: dict[tuple[str, int], float] = attrs.field(factory=dict)
 
     def plan(
@@ -123,8 +137,8 @@
             if group.phase != PHASE_DRAINING and not isinstance(command, RemoveGroup):
                 kept.append(group)
         if services:
-            is_settled = now_s - table.newest_host_at_s >= POOL_SETTLE_S
-            yield from self._form(services, kept, state, fleet, is_settled)
+            has_settled = is_settled(table, now_s)
+            yield from self._form(services, kept, state, fleet, has_settled)
 
     def _end(
         self,
@@ -188,20 +202,114 @@
         kept: Iterable[Group],
         state: GroupsState,
         fleet: Fleet,
-        is_settled: bool,
+        has_settled: bool,
     ) -> Iterator[PutGroup]:
-        counts = dict.fromkeys(services, 0)
-        for group in kept:
-            if group.service in counts:
-                counts[group.service] += 1
-        shelves = _stock_shelves(fleet)
+        fleet.pool_taken.clear()
         number = state.last_fence + 1
-        while (choice := _choose(services, counts, shelves, is_settled)) is not None:
-            name, shelf = choice
-            hosts = shelf.take(name, services[name].hosts_per_group)
-            counts[name] += 1
-            yield PutGroup(group=_new_group(name, number, shelf.domain, hosts))
-            number += 1
+        for pool, shelves in stock_shelves(fleet).items():
+            round_ = _PoolRound(
+                {name: item for name, item in services.items() if item.pool == pool},
+                shelves,
+                kept,
+                self.need,
+                has_settled,
+                count_domains(fleet, pool),
+            )
+            while (choice := round_.choose()) is not None:
+                name, shelf = choice
+                hosts = round_.take(name, shelf)
+                fleet.pool_taken.update(host.host_id for host in hosts)
+                yield PutGroup(group=_new_group(name, number, shelf.domain, hosts))
+                number += 1
+
+
+class _PoolRound:
+    """One round of forming groups in one pool."""
+
+    def __init__(
+        self,
+        services: Mapping[str, Service],
+        shelves: list[Shelf],
+        groups: Iterable[Group],
+        need: PoolNeed,
+        has_settled: bool,
+        domain_count: int,
+    ) -> None:
+        groups = list(groups)
+        self._services = services
+        self._shelves = shelves
+        self._need = need
+        # Before there is demand, hosts of a starting pool turn up one by one.
+        self._is_filling = not has_settled and not need.has_demand
+        self._counts = Counter(group.service for group in groups)
+        self._homes = PoolHomes.survey(services, groups, domain_count, need)
+        sizes = [service.hosts_per_group for service in services.values()]
+        self._largest = max(sizes, default=1)
+
+    def choose(self) -> tuple[str, Shelf] | None:
+        """Choose the next group to form.
+
+        While the pool fills, only the model that is pressed hardest gets a group, and
+        none that takes the room of a larger one; else the smallest groups would take
+        all hosts.
+        """
+        pressures = {
+            name: self._need.pressure(name, service, self._counts[name])
+            for name, service in self._services.items()
+        }
+        options = [
+            (-pressures[name], *self._waste(name, shelf), name, shelf)
+            for name in self._services
+            for shelf in self._shelves
+            if self._may_form(name, shelf)
+            and self._homes.may_use(name, shelf.domain, pressures)
+        ]
+        if self._is_filling:
+            highest = max(pressures.values(), default=0.0)
+            options = [o for o in options if o[0] == -highest]
+        if not options:
+            return None
+        *_, name, shelf = min(options, key=lambda o: (*o[:4], o[4].domain))
+        return name, shelf
+
+    def take(self, name: str, shelf: Shelf) -> list[HostRecord]:
+        """Take the hosts of a chosen group."""
+        self._counts[name] += 1
+        self._homes.note(name, shelf.domain)
+        return shelf.take(name, self._services[name].hosts_per_group)
+
+    def _waste(self, name: str, shelf: Shelf) -> tuple[int, int]:
+        """Return how badly a group would fit a shelf.
+
+        Shelves are better that are left with room for whole large groups, and of those
+        the emptiest ones, so that hosts are not left over in every domain.
+        """
+        left = len(shelf.hosts) - self._services[name].hosts_per_group
+        return left % self._largest, left
+
+    def _may_form(self, name: str, shelf: Shelf) -> bool:
+        size = self._services[name].hosts_per_group
+        if self._need.has_demand:
+            return shelf.count_staged(name) >= size
+        return len(shelf.hosts) >= size
+
+
+def is_settled(table: MembershipTable, now_s: float) -> bool:
+    """Tell whether the hosts of the pools are known as far as they run.
+
+    Parameters
+    ----------
+    table : MembershipTable
+        What is known of hosts.
+    now_s : float
+        Monotonic time.
+
+    Returns
+    -------
+    bool
+        Whether no new host turned up lately.
+    """
+    return now_s - table.newest_host_at_s >= POOL_SETTLE_S
 
 
 def is_pooled(group: Group) -> bool:
@@ -220,72 +328,65 @@
     return group.pooled
 
 
-def _stock_shelves(fleet: Fleet) -> dict[str, list[_Shelf]]:
-    """Return the shelves of each pool."""
-    shelves: dict[str, list[_Shelf]] = {}
+def stock_shelves(fleet: Fleet) -> dict[str, list[Shelf]]:
+    """Return the shelves of each pool.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        Hosts of this round.
+
+    Returns
+    -------
+    dict of str to list of Shelf
+        By pool, in the order of domains.
+    """
+    shelves: dict[str, list[Shelf]] = {}
     for domain in sorted(fleet.free_by_domain):
         by_pool: dict[str, list[HostRecord]] = {}
         for host in fleet.free_by_domain[domain]:
+            if host.host_id in fleet.pool_taken:
+                continue
             by_pool.setdefault(host.announcement.pool, []).append(host)
         for pool, hosts in by_pool.items():
-            shelves.setdefault(pool, []).append(_Shelf(domain, hosts))
+            shelves.setdefault(pool, []).append(Shelf(domain, hosts))
     return shelves
 
 
-def _choose(
-    services: Mapping[str, Service],
-    counts: Mapping[str, int],
-    shelves: Mapping[str, list[_Shelf]],
-    is_settled: bool,
-) -> tuple[str, _Shelf] | None:
-    """Choose the next group to form.
-
-    Hosts of a starting pool turn up one by one. Until no new ones do, only the model
-    that is worst covered gets a group, and none that takes the room of a larger one;
-    else the smallest groups would take all hosts.
-    """
-    largest = max(service.hosts_per_group for service in services.values())
-    options = [
-        (_cost(name, service, counts[name], shelf, largest), name, shelf.domain, shelf)
-        for name, service in services.items()
-        for shelf in shelves.get(service.pool, ())
-        if len(shelf.hosts) >= service.hosts_per_group
-    ]
-    if not is_settled:
-        neediest = _find_neediest(services, counts)
-        options = [
-            option for option in options if option[1] == neediest and not option[0][1]
-        ]
-    if not options:
-        return None
-    _, name, _, shelf = min(options, key=lambda option: option[:3])
-    return name, shelf
-
-
-def _find_neediest(services: Mapping[str, Service], counts: Mapping[str, int]) -> str:
-    """Return the model that is worst covered."""
-    return min(services, key=lambda name: (_cover(services[name], counts[name]), name))
+def count_domains(fleet: Fleet, pool: str) -> int:
+    """Return the number of fabric domains in which a pool has living hosts.
 
+    Parameters
+    ----------
+    fleet : Fleet
+        Hosts of this round.
+    pool : str
+        The pool.
 
-def _cover(service: Service, groups: int) -> float:
-    """Return the capacity of groups against a model's share of the work."""
-    return groups / (service.pace or 1.0) / service.work_share
+    Returns
+    -------
+    int
+        Domains with free hosts or with hosts in groups.
+    """
+    hosts = (record.announcement for record in fleet.fresh.values())
+    return len({host.fabric_domain for host in hosts if host.pool == pool})
 
 
-def _cost(
-    name: str, service: Service, groups: int, shelf: _Shelf, largest: int
-) -> tuple[float, int, int]:
-    """Return how well a model is covered already, and what its weights cost."""
-    size = service.hosts_per_group
-    loads = max(0, size - shelf.count_staged(name))
-    cost = _cover(service, groups) + LOAD_PENALTY * loads / size
-    # Among equal shelves one that is left with room for whole large groups, and of
-    # those the emptiest, so that hosts are not left over in every domain.
-    left = len(shelf.hosts) - size
-    return cost, left % largest, left
+def is_staged(host: HostRecord, service: str) -> bool:
+    """Tell whether a host has the weights of a service at hand.
 
+    Parameters
+    ----------
+    host : HostRecord
+        The host.
+    service : str
+        The service.
 
-def _is_staged(host: HostRecord, service: str) -> bool:
+    Returns
+    -------
+    bool
+        Whether it need not load them.
+    """
     return service in host.announcement.staged
 
 
--- a/chestnutvale/groups/settings.py
+++ b/chestnutvale/groups/settings.py
@@ -40,6 +40,8 @@
     engine_stall_s : float
         Time in seconds after which a head that lacks a member stops taking calls by
         itself; 0 for engines of which the members watch each other.
+    first_plan_s : float
+        Time in seconds after which a new leader judges hosts.
     """
 
     group_downtime_weight: float = 1.0
@@ -52,6 +54,7 @@
     max_loading_hosts: int = 16
     shard_load_s: float = 60.0
     engine_stall_s: float = 0.0
+    first_plan_s: float = DEFAULT_DETECTION_TIMEOUT_S
 
     @classmethod
     def from_settings(cls, settings: ControlSettings) -> "GroupsPolicy":
@@ -83,4 +86,7 @@
             drain_timeout_s=settings.group_drain_timeout_ms / 1_000
             or default.drain_timeout_s,
             engine_stall_s=settings.engine_stall_ms / 1_000,
+            first_plan_s=settings.first_plan_ms / 1_000
+            or settings.detection_timeout_ms / 1_000
+            or default.first_plan_s,
         )
--- a/chestnutvale/membership/const.py
+++ b/chestnutvale/membership/const.py
@@ -11,6 +11,10 @@
 FORGET_ENTRY_AFTER_S: Final = 600.0
 FORGET_HOST_AFTER_S: Final = 3_600.0
 
+# Time in seconds that is added to the detection timeout while hosts that announced
+# themselves to a control that is gone look for another one.
+PATIENCE_S: Final = 1.2
+
 # Silence in seconds of the leading control after which an entry asks all controls.
 LEADER_SILENT_S: Final = 0.9
 
--- a/chestnutvale/membership/table.py
+++ b/chestnutvale/membership/table.py
@@ -11,6 +11,7 @@
     ENTRY_TIMEOUT_S,
     FORGET_ENTRY_AFTER_S,
     FORGET_HOST_AFTER_S,
+    PATIENCE_S,
 )
 from chestnutvale.membership.content import content_digest
 from chestnutvale.membership.delay import ReportDelays
@@ -87,6 +88,7 @@
     _incomplete: dict[str, None] = attrs.field(factory=dict, init=False)
     _hosts: dict[str, HostRecord] = attrs.field(factory=dict)
     _entries: dict[str, float] = attrs.field(factory=dict)
+    _patient_until_s: float = attrs.field(default=-math.inf, init=False)
     _by_address: dict[str, str] = attrs.field(factory=dict)
     _delays: ReportDelays = attrs.field(factory=ReportDelays)
 
@@ -180,7 +182,23 @@
         record = self._hosts.get(host_id)
         if record is None or record.is_superseded:
             return False
-        return now_s - record.heard_at_s <= self.detection_timeout_s
+        return now_s - record.heard_at_s <= self._timeout_s(now_s)
+
+    def be_patient(self, until_s: float) -> None:
+        """Wait longer for hosts for a while, as some announce themselves elsewhere.
+
+        Parameters
+        ----------
+        until_s : float
+            Monotonic time at which the usual timeout applies again.
+        """
+        self._patient_until_s = until_s
+        self.revision += 1
+
+    def _timeout_s(self, now_s: float) -> float:
+        if now_s < self._patient_until_s:
+            return self.detection_timeout_s + PATIENCE_S
+        return self.detection_timeout_s
 
     def fresh_hosts(self, now_s: float) -> list[HostRecord]:
         """Return the living hosts whose announcement is known, by identity.
@@ -195,7 +213,7 @@
         list of HostRecord
             Sorted by host id.
         """
-        oldest_s = now_s - self.detection_timeout_s
+        oldest_s = now_s - self._timeout_s(now_s)
         fresh = [
             record
             for record in self._hosts.values()
--- a/chestnutvale/programs/control/const.py
+++ b/chestnutvale/programs/control/const.py
@@ -3,7 +3,7 @@
 from typing import Final
 
 # Time in seconds between two rounds of decisions about groups.
-GROUP_ROUND_S: Final = 0.1
+GROUP_ROUND_S: Final = 0.05
 # While all groups serve and nothing changes, decisions are repeated this often.
 SETTLED_ROUND_S: Final = 1.0
 # Time in seconds between two rounds of housekeeping.
--- a/chestnutvale/programs/control/entry_desk.py
+++ b/chestnutvale/programs/control/entry_desk.py
@@ -1,5 +1,8 @@
 """Answer what entries report and commit what they ask for."""
 
+from collections import Counter
+from collections.abc import Mapping
+
 import attrs
 import eventlet
 import logbook
@@ -129,6 +132,24 @@
         """Version of the newest view; grows when a group changes or stops serving."""
         return self._publisher.version
 
+    def demand(self, now_s: float) -> Mapping[str, float]:
+        """Return the demand for each service, summed over entries and workspaces.
+
+        Parameters
+        ----------
+        now_s : float
+            Monotonic time.
+
+        Returns
+        -------
+        mapping of str to float
+            Requests that wait or run, or the tokens that they hold.
+        """
+        totals: Counter[str] = Counter()
+        for item in self._demands.totals(now_s):
+            totals[item.service] += item.tokens
+        return totals
+
     def publish_changes(self) -> None:
         """Push views to the entries that lag behind a change."""
         now_s = self._clock.now_s()
--- a/chestnutvale/programs/control/group_task.py
+++ b/chestnutvale/programs/control/group_task.py
@@ -113,6 +113,7 @@
             self._state.configuration.text,
             self._log.has_lease(now_s),
             self._clock.unix_ms(),
+            self._desk.demand(now_s),
         )
         self._settled_inputs = () if effects or not self._is_settled() else inputs
         self._decide_at_s = now_s + SETTLED_ROUND_S
@@ -152,6 +153,7 @@
         if self._led_term:
             self._coordinator.lost_leadership()
         if term:
+            self._table.be_patient(now_s + self._table.detection_timeout_s)
             self._coordinator.became_leader(now_s)
         self._led_term = term
 
--- a/chestnutvale/programs/control/host_door.py
+++ b/chestnutvale/programs/control/host_door.py
@@ -92,10 +92,14 @@
             self._hurry()
         if changed:
             _LOGGER.info(
-                "Host {} announces: leaving {}, holding {}",
-                announcement.host_id,
-                announcement.leaving,
-                _describe_holding(announcement),
+                "host",
+                extra={
+                    "host": announcement.host_id,
+                    "leaving": announcement.leaving,
+                    "holding": _describe_holding(announcement),
+                    "staged": list(announcement.staged),
+                    "domain": announcement.fabric_domain,
+                },
             )
 
     def leave(self, host_id: str) -> bool:
--- a/chestnutvale/programs/entry/group_router.py
+++ b/chestnutvale/programs/entry/group_router.py
@@ -5,6 +5,7 @@
 import xxhash
 
 from chestnutvale.admission.messages import ServiceCapacity
+from chestnutvale.attempts.const import REASON_SILENT, REFUSAL_UNREACHABLE
 from chestnutvale.clock import Clock
 from chestnutvale.membership.entry_view import EntryView
 from chestnutvale.programs.entry.context import AttemptReport, CallRequest
@@ -18,6 +19,9 @@
 MAX_PREFIX_BLOCKS = 64
 # Time in seconds for which a group that broke an attempt is tried last.
 BROKEN_GROUP_S = 1.0
+# The same for a group that fell silent or takes no connection: it stays so until the
+# controls miss its host.
+SILENT_GROUP_S = 3.0
 RESULT_BROKEN = "broken"
 # Age in seconds beyond which a load report is not believed to be.
 MAX_LOAD_AGE_S = 3.0
@@ -180,9 +184,10 @@
             first_byte_s = sent_at_s + report.first_byte_ms / 1_000
             self._selector.first_token(request_id, first_byte_s)
         self._selector.finished(request_id, now_s)
-        if report.result == RESULT_BROKEN:
+        avoided_s = _find_avoidance_s(report)
+        if avoided_s:
             self._forget_mended(now_s)
-            self._broken_until_s[report.group_id] = now_s + BROKEN_GROUP_S
+            self._broken_until_s[report.group_id] = now_s + avoided_s
 
     def _try_choose(
         self, request: CallRequest, avoided: frozenset[str], now_s: float
@@ -211,6 +216,12 @@
         }
 
 
+def _find_avoidance_s(report: AttemptReport) -> float:
+    if report.code in (REFUSAL_UNREACHABLE, REASON_SILENT):
+        return SILENT_GROUP_S
+    return BROKEN_GROUP_S if report.result == RESULT_BROKEN else 0.0
+
+
 def _sum_loads(loads: list[Load]) -> ServiceCapacity:
     return ServiceCapacity(
         groups=len(loads),
--- a/chestnutvale/programs/entry/model_calls.py
+++ b/chestnutvale/programs/entry/model_calls.py
@@ -286,7 +286,8 @@
             elif isinstance(effect, Finish):
                 self._finish(effect)
             elif isinstance(effect, CancelAttempt):
-                self._close_attempt(RESULT_CANCELLED)
+                result = RESULT_BROKEN if effect.fault else RESULT_CANCELLED
+                self._close_attempt(result, effect.fault)
             elif isinstance(effect, ChooseGroup):
                 effects.extend(self._handle(self._chooser.choose(effect)))
             elif isinstance(effect, StartAttempt):
--- /dev/null
+++ b/tests/groups/test_staging.py
@@ -0,0 +1,62 @@
+"""What free hosts of a pool stage, and what becomes of it."""
+
+from chestnutvale.groups.fleet import Fleet
+from chestnutvale.groups.need import PoolNeed
+from chestnutvale.groups.pools import pooled_services
+from chestnutvale.groups.staging import StagePlanner
+from chestnutvale.schema.configuration_pb2 import ServiceLimits
+from tests.groups.test_pools import BIG, SMALL, all_hosts, make_serving_pool, make_text
+
+
+def plan(pool, staging, now_s, loads_left=7):
+    fleet = Fleet.survey(pool.state, pool.table, now_s)
+    groups = pool.state.groups.values()
+    services = pooled_services(make_text())
+    return staging.plan(services, groups, fleet, loads_left, True, now_s)
+
+
+def free_hosts(pool):
+    return [name for name in all_hosts() if name not in pool.state.owners]
+
+
+def test_leftover_hosts_stage_what_the_groups_beside_them_need():
+    pool = make_serving_pool()
+    staging = StagePlanner(PoolNeed())
+    chosen = plan(pool, staging, 2.5, loads_left=20)
+    assert {item.host.host_id for item in chosen} == set(free_hosts(pool))
+    assert {item.service for item in chosen} == {BIG}
+    assert plan(pool, staging, 2.6, loads_left=20) == []
+
+
+def test_loads_are_bounded_and_go_on_when_some_are_done():
+    pool = make_serving_pool()
+    staging = StagePlanner(PoolNeed())
+    first = plan(pool, staging, 2.5, loads_left=3)
+    assert len(first) == 3
+    assert plan(pool, staging, 2.6, loads_left=3) == []
+    done = first[0].host.host_id
+    pool.announce(done, 2.7, staged=[BIG])
+    assert len(plan(pool, staging, 2.8, loads_left=3)) == 1
+
+
+def test_weights_that_nobody_needs_make_way_for_those_that_are_pressed():
+    pool = make_serving_pool()
+    for name in free_hosts(pool):
+        pool.announce(name, 2.4, staged=[BIG])
+    need = PoolNeed()
+    need.note({BIG: 10.0, SMALL: 10.0}, 0.0)
+    assert plan(pool, StagePlanner(need), 2.5) == []
+    need.note({BIG: 1.0, SMALL: 60.0}, 60.0)
+    chosen = plan(pool, StagePlanner(need), 2.5)
+    assert chosen
+    assert {item.service for item in chosen} == {SMALL}
+
+
+def test_pressure_is_requests_for_each_place():
+    need = PoolNeed()
+    service = make_text().services[BIG]
+    service.limits.CopyFrom(ServiceLimits(max_running_requests=9))
+    assert need.pressure(BIG, service, 2) == 0.5 / 8
+    need.note({BIG: 9.0}, 1.0)
+    assert need.pressure(BIG, service, 2) == 0.5
+    assert need.pressure(BIG, service, 0) == float("inf")
--- a/tests/programs/control/test_group_task.py
+++ b/tests/programs/control/test_group_task.py
@@ -46,6 +46,7 @@
             pass_on_cache_events=lambda: None,
             group_views=lambda: self.views,
             view_version=1,
+            demand=lambda now_s: {},
         )
         self.coordinator = Coordinator()
         clock = SimpleNamespace(now_s=lambda: self.now_s, unix_ms=lambda: 1)
