Form groups of staged hosts in any domain

Cause: six hosts with the weights at hand stood free because their domain counted as the home of another model (test_pools, failed first).

Change: homes bind only where weights would be loaded.

--- a/chestnutvale/groups/pools.py
+++ b/chestnutvale/groups/pools.py
@@ -261,8 +261,7 @@
             (-pressures[name], *self._waste(name, shelf), name, shelf)
             for name in self._services
             for shelf in self._shelves
-            if self._may_form(name, shelf)
-            and self._homes.may_use(name, shelf.domain, pressures)
+            if self._may_form(name, shelf, pressures)
         ]
         if self._is_filling:
             highest = max(pressures.values(), default=0.0)
@@ -287,11 +286,16 @@
         left = len(shelf.hosts) - self._services[name].hosts_per_group
         return left % self._largest, left
 
-    def _may_form(self, name: str, shelf: Shelf) -> bool:
+    def _may_form(
+        self, name: str, shelf: Shelf, pressures: Mapping[str, float]
+    ) -> bool:
         size = self._services[name].hosts_per_group
         if self._need.has_demand:
+            # Where the weights lie at hand, a group is worth more than an order.
             return shelf.count_staged(name) >= size
-        return len(shelf.hosts) >= size
+        if len(shelf.hosts) < size:
+            return False
+        return self._homes.may_use(name, shelf.domain, pressures)
 
 
 def is_settled(table: MembershipTable, now_s: float) -> bool:
