Test routed calls, the platform's translations and the new decisions

Found on the way: a forged header that names the workspace reached the endpoint through the test's own protocol only; the platform's drops it.

--- a/chestnutvale/attempts/retry_budget.py
+++ b/chestnutvale/attempts/retry_budget.py
@@ -119,7 +119,7 @@
     window_s: float
 
     def make_budgets(self) -> AttemptBudgets:
-        """Make the budgets of an entry, for now as if it were alone.
+        """Make the budgets of an entry, with nothing saved up yet.
 
         Returns
         -------
--- a/tests/attempts/test_sse.py
+++ b/tests/attempts/test_sse.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from chestnutvale.attempts.exceptions import StreamFormatError
-from chestnutvale.attempts.sse import EventSplitter
+from chestnutvale.attempts.sse import EventSplitter, NumberedSplitter
 
 STREAM = (
     b": hello\n\n"
@@ -65,3 +65,41 @@
         split(parts)
     except StreamFormatError as error:
         assert error.step == "stream"
+
+
+def numbered(number):
+    return f"id: {number}\ndata: t{number}\n\n".encode()
+
+
+@given(st.lists(st.integers(1, 12), max_size=20))
+def test_numbered_events_are_cut_whole_wherever_the_bytes_are_split(sizes):
+    data = b"".join(numbered(n) for n in range(3, 8))
+    splitter = NumberedSplitter("a", last_number=2)
+    events = []
+    for size in [*sizes, len(data)]:
+        events += splitter.feed(data[:size])
+        data = data[size:]
+    assert [(e.first, e.next) for e in events] == [(n - 1, n) for n in range(3, 8)]
+    assert b"".join(e.data for e in events) == b"".join(map(numbered, range(3, 8)))
+    assert splitter.end().is_done
+
+
+@pytest.mark.parametrize(
+    "data", [b"data: no number\n\n", numbered(2), b"id: x\ndata: a\n\n"]
+)
+def test_events_without_a_rising_number_are_refused(data):
+    with pytest.raises(StreamFormatError):
+        NumberedSplitter("a", last_number=2).feed(data)
+
+
+def test_a_stream_that_ends_in_an_event_is_not_whole():
+    splitter = NumberedSplitter("a")
+    splitter.feed(numbered(1) + b"id: 2\ndata")
+    with pytest.raises(StreamFormatError):
+        splitter.end()
+
+
+def test_a_line_before_the_number_is_passed_on():
+    data = b"chestnut-versions: 2\n" + numbered(1)
+    (event,) = NumberedSplitter("a").feed(data)
+    assert (event.next, event.data) == (1, data)
--- /dev/null
+++ b/tests/membership/test_running.py
@@ -0,0 +1,24 @@
+"""Attempts of all entries at each group."""
+
+from chestnutvale.membership.running import RunningTable
+from chestnutvale.schema.membership_pb2 import Load
+from chestnutvale.schema.peer_pb2 import GroupLoad
+
+
+def loads(**counts):
+    return [GroupLoad(group_id=k, load=Load(running=v)) for k, v in counts.items()]
+
+
+def test_counts_of_live_entries_add_up():
+    table = RunningTable(expiry_s=3.0)
+    table.note("e1", loads(g1=2, g2=1), 0.0)
+    table.note("e2", loads(g1=3), 1.0)
+    assert table.totals(2.0) == {"g1": 5, "g2": 1}
+    table.note("e1", loads(g2=4), 2.0)
+    assert table.totals(2.5) == {"g1": 3, "g2": 4}
+
+
+def test_an_entry_that_fell_silent_does_not_count():
+    table = RunningTable(expiry_s=3.0)
+    table.note("e1", loads(g1=2), 0.0)
+    assert table.totals(3.5) == {}
--- /dev/null
+++ b/tests/platform/test_callers.py
@@ -0,0 +1,118 @@
+"""Callers' requests and failures on the platform's wire."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from chestnutvale.attempts.events import Failure
+from chestnutvale.programs.entry.exceptions import BadCallError
+from chestnutvale.programs.entry.routed.caller_protocol import Delivery
+
+from adapter.callers import PlatformCallers  # isort: skip
+
+HEADERS = {
+    "Host": "shop.example",
+    "Accept": "text/event-stream",
+    "Connection": "keep-alive, X-Hop",
+    "X-Hop": "1",
+    "Content-Length": "3",
+    "Authorization": "Token key-1",
+    "Chestnutvale-Attempt-Id": "9c41",
+    "Chestnutvale-Deadline-Ms": "8002",
+    "Chestnutvale-Model": "big",
+    "Chestnutvale-Token-Usage": "1460,80",
+    "Chestnutvale-Prompt-Prefix": "5c1e:800",
+    "Chestnutvale-Tenant": "forged",
+    "Chestnutvale-Expected-Instance": "forged",
+    "Last-Event-Id": "12",
+}
+
+
+def environ(**changed):
+    headers = HEADERS | {name.replace("_", "-"): v for name, v in changed.items()}
+    found = {"HTTP_" + k.upper().replace("-", "_"): v for k, v in headers.items()}
+    found |= {
+        "RAW_PATH_INFO": "/gen/%2F",
+        "QUERY_STRING": "a=1",
+        "REQUEST_METHOD": "POST",
+        "headers_raw": tuple(headers.items()),
+    }
+    return found
+
+
+def test_a_request_is_read_whole():
+    request = PlatformCallers().read_request(environ())
+    assert request.request_id == "9c41"
+    assert request.key == "key-1"
+    assert (request.target, request.path) == ("/gen/%2F?a=1", "/gen/%2F")
+    assert (request.deadline_ms, request.last_event) == (8002, 12)
+    assert (request.model, request.max_tokens) == ("big", 80)
+
+
+def test_endpoints_get_the_caller_s_headers_but_for_the_system_s_own():
+    protocol = PlatformCallers()
+    request = protocol.read_request(environ())
+    headers = protocol.endpoint_headers(request, Delivery("i-1", "t1", 700, 14))
+    names = [name for name, _ in headers]
+    found = dict(headers)
+    assert len(names) == len(set(names))
+    assert found["Host"] == "shop.example"
+    assert found["Chestnutvale-Attempt-Id"] == "9c41"
+    assert found["Chestnutvale-Prompt-Prefix"] == "5c1e:800"
+    assert found["Chestnutvale-Tenant"] == "t1"
+    assert found["Chestnutvale-Expected-Instance"] == "i-1"
+    assert found["Chestnutvale-Deadline-Ms"] == "700"
+    assert found["Last-Event-Id"] == "14"
+    for dropped in ("Authorization", "Connection", "X-Hop", "Content-Length"):
+        assert dropped not in found
+
+
+def test_without_a_workspace_no_tenant_is_told():
+    protocol = PlatformCallers()
+    request = protocol.read_request(environ())
+    headers = protocol.endpoint_headers(request, Delivery("i-1", "", 700))
+    assert "Chestnutvale-Tenant" not in dict(headers)
+    assert "Last-Event-Id" not in dict(headers)
+
+
+@pytest.mark.parametrize(
+    "status, headers, expected",
+    [
+        (503, [("chestnutvale-not-executed", "1")], True),
+        (421, [], True),
+        (503, [], False),
+        (500, [("Chestnutvale-Server-Signature", "x")], False),
+    ],
+)
+def test_only_an_endpoint_s_word_says_not_run(status, headers, expected):
+    assert PlatformCallers().is_refusal(status, headers) == expected
+
+
+@pytest.mark.parametrize(
+    "code, outcome, status",
+    [
+        ("no_capacity", "not_run", "503"),
+        ("deadline_exceeded", "not_run", "503"),
+        ("deadline_exceeded", "unknown", "504"),
+        ("endpoint_broken", "unknown", "502"),
+        ("attempts_exhausted", "failed", "502"),
+        ("not_found", "not_run", "404"),
+        ("unauthorized", "not_run", "401"),
+        ("too_large", "not_run", "413"),
+        ("bad_request", "not_run", "400"),
+        ("overloaded", "unknown", "502"),
+    ],
+)
+def test_a_status_promises_no_more_than_the_outcome(code, outcome, status):
+    failure = Failure(code, outcome, "why")
+    line, headers, _ = PlatformCallers().failure_answer(failure, "9c41", 0.25)
+    assert line.startswith(status)
+    assert ("Retry-After" in dict(headers)) == (status == "503")
+
+
+@given(st.text(max_size=20), st.sampled_from(sorted(HEADERS)))
+def test_any_header_is_read_or_refused(value, name):
+    try:
+        PlatformCallers().read_request(environ(**{name.replace("-", "_"): value}))
+    except BadCallError as error:
+        assert error.status == 400
--- /dev/null
+++ b/tests/platform/test_configuration.py
@@ -0,0 +1,117 @@
+"""The platform's configuration as a text."""
+
+import json
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from chestnutvale.configuration.checks import find_document_faults
+from chestnutvale.configuration.lookup import TextLookup, hash_key
+from chestnutvale.configuration.routes import RouteTable
+from tests.platform.documents import CONFIGURATION, changed, paths_of
+
+from adapter.configuration import read_text  # isort: skip
+from adapter.wire import WireError  # isort: skip
+
+
+def read(document):
+    return read_text(json.dumps(document).encode())
+
+
+def test_a_configuration_is_translated_whole():
+    text = read(CONFIGURATION)
+    assert text.number == 7
+    assert set(text.services) == {"llm-big", "llm-small", "app"}
+    big = text.services["llm-big"]
+    assert (big.pool, big.model, big.hosts_per_group, big.work_share) == (
+        "llm",
+        "big",
+        4,
+        0.5,
+    )
+    assert big.limits.max_running_requests == 9
+    first, second = text.routes
+    assert (first.kind, first.is_resumable, first.target_gap_ms) == (
+        "streaming",
+        True,
+        300,
+    )
+    assert [(s.service, s.weight) for s in first.shares] == [("llm", 90), ("app", 10)]
+    assert (second.kind, second.is_public, second.max_attempts) == ("once", True, 1)
+    assert list(text.workspaces["t1"].key_sha256) == [
+        hash_key("key-1"),
+        hash_key("key-2"),
+    ]
+    assert text.workspaces["t1"].rank == 0
+    assert text.weight_store.loads_at_once == 7
+    assert text.caller_limits.idle_timeout_ms == 15000
+    assert not find_document_faults(text)
+
+
+def test_routes_and_keys_of_a_configuration_are_found():
+    text = read(CONFIGURATION)
+    assert RouteTable.from_text(text).find("shop.example", "/gen/1").name == "r-1"
+    assert TextLookup.from_text(text).workspace_for_key("key-2").name == "t1"
+
+
+@pytest.mark.parametrize(
+    "path, value",
+    [
+        (("routes", 1, "service"), "nobody"),
+        (("routes", 1, "pathPrefix"), "/gen/"),
+        (("routes", 0, "split"), [{"service": "llm", "weight": 0}]),
+        (("routes", 1, "timeoutMs"), 0),
+        (
+            ("tenants",),
+            [{"name": "t1", "apiKeys": ["k"]}, {"name": "t2", "apiKeys": ["k"]}],
+        ),
+    ],
+    ids=["unknown service", "same place", "no weight", "no time", "shared key"],
+)
+def test_each_kind_of_invalid_configuration_has_a_fault(path, value):
+    assert find_document_faults(read(changed(CONFIGURATION, path, value)))
+
+
+@pytest.mark.parametrize(
+    "body",
+    [b"", b"{", b"[]", b"\xff", b"[" * 100_000, b'{"version": true}', b'{"version":0}'],
+)
+def test_what_can_t_be_read_is_refused(body):
+    with pytest.raises(WireError):
+        read_text(body)
+
+
+def test_unknown_fields_are_ignored():
+    assert read(CONFIGURATION | {"novelty": [1]}) == read(CONFIGURATION)
+
+
+@settings(max_examples=300, deadline=None)
+@given(
+    st.sampled_from(sorted(paths_of(CONFIGURATION), key=str)),
+    st.recursive(
+        st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5),
+        lambda inner: (
+            st.lists(inner, max_size=2)
+            | st.dictionaries(st.text(max_size=5), inner, max_size=2)
+        ),
+        max_leaves=4,
+    ),
+)
+def test_any_value_anywhere_is_read_or_refused(path, value):
+    try:
+        text = read(changed(CONFIGURATION, path, value))
+    except WireError:
+        return
+    # What was read can be checked and looked up without a surprise.
+    if not find_document_faults(text):
+        RouteTable.from_text(text)
+        TextLookup.from_text(text)
+
+
+@given(st.binary(max_size=200))
+def test_any_bytes_are_read_or_refused(body):
+    try:
+        read_text(body)
+    except WireError:
+        return
--- /dev/null
+++ b/tests/platform/test_heartbeats.py
@@ -0,0 +1,103 @@
+"""Heartbeats as announcements."""
+
+import json
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from chestnutvale.membership.exceptions import AnnouncementRefusedError
+from chestnutvale.membership.validation import validate_announcement
+from tests.platform.documents import HEARTBEAT, changed, paths_of
+
+from adapter.heartbeats import read_heartbeat  # isort: skip
+from adapter.wire import WireError  # isort: skip
+
+
+def read(document, host_id="i-1"):
+    return read_heartbeat(host_id, json.dumps(document).encode())
+
+
+def test_a_heartbeat_of_an_engine_is_translated_whole():
+    found = read(HEARTBEAT)
+    validate_announcement(found)
+    assert (found.host_id, found.kind, found.pool) == ("i-1", "engine", "llm")
+    assert found.fabric_domain == "llm.a-d0"
+    assert (found.sequence, found.born_unix_ms) == (4, 1790991543082)
+    assert list(found.staged) == ["llm-big"]
+    holding = found.holding
+    assert (holding.group_id, holding.epoch, holding.rank) == ("llm-big-3", 3, 0)
+    assert (holding.phase, holding.service) == ("open", "llm-big")
+    assert found.opens
+    assert found.fencing
+    assert not found.leaving
+
+
+def test_a_heartbeat_of_a_plain_service_is_translated_whole():
+    plain = {
+        key: HEARTBEAT[key]
+        for key in ("service", "address", "zone", "state", "sequence", "born")
+    }
+    found = read(plain)
+    validate_announcement(found)
+    assert (found.kind, found.service) == ("service", "llm")
+    assert not found.HasField("holding")
+
+
+def test_a_new_life_under_the_same_id_has_another_boot():
+    later = changed(HEARTBEAT, ("born",), HEARTBEAT["born"] + 1)
+    assert read(HEARTBEAT).boot_id != read(later).boot_id
+
+
+@pytest.mark.parametrize(
+    "state, phase",
+    [
+        ("joining", "loading"),
+        ("ready", "ready"),
+        ("closing", "releasing"),
+        ("broken", "broken"),
+    ],
+)
+def test_states_of_a_group(state, phase):
+    found = read(changed(HEARTBEAT, ("group", "state"), state))
+    assert found.holding.phase == phase
+
+
+def test_draining_is_leaving():
+    assert read(changed(HEARTBEAT, ("state",), "draining")).leaving
+
+
+@pytest.mark.parametrize(
+    "path, value",
+    [
+        (("state",), "resting"),
+        (("service",), None),
+        (("sequence",), "4"),
+        (("group", "state"), "odd"),
+        (("group",), "g"),
+        (("staged",), [1]),
+        (("models",), {"name": "x"}),
+    ],
+)
+def test_foreign_heartbeats_are_refused(path, value):
+    with pytest.raises(WireError):
+        read(changed(HEARTBEAT, path, value))
+
+
+@settings(max_examples=300, deadline=None)
+@given(
+    st.sampled_from(sorted(paths_of(HEARTBEAT), key=str)),
+    st.recursive(
+        st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5),
+        lambda inner: (
+            st.lists(inner, max_size=2)
+            | st.dictionaries(st.text(max_size=5), inner, max_size=2)
+        ),
+        max_leaves=4,
+    ),
+)
+def test_any_value_anywhere_is_read_or_refused(path, value):
+    try:
+        validate_announcement(read(changed(HEARTBEAT, path, value)))
+    except (WireError, AnnouncementRefusedError):
+        return
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,99 @@
+"""The platform's settings file as settings of the programs."""
+
+import pytest
+
+from adapter.settings import (  # isort: skip
+    MachineSettings,
+    PlatformSettingsError,
+    make_control_settings,
+    make_entry_settings,
+)
+
+COMMON = """\
+nodeName=entry-a-1
+ipAddress=10.1.0.40
+zone=a
+region=r
+internalPortRange=7340,7355
+seedNodes=10.2.0.32:8229,10.1.0.43:8229,10.3.0.21:8229
+bootstrap=true
+limits.fileDescriptors=1570
+faultTolerance.machines=2
+heartbeatIntervalMs=1200
+bounds.gracePeriodS=8
+bounds.revokeMs=5000
+bounds.stallMs=5000
+bounds.retryBudgetRatio=0.2
+bounds.retryBudgetExtra=223
+bounds.budgetWindowS=10
+novelty=whatever
+"""
+ENTRY = COMMON + (
+    "listenAddresses.frontend=10.1.0.40:8227\n"
+    "listenAddresses.readiness=10.1.0.40:8220\n"
+)
+CONTROL = COMMON + (
+    "listenAddresses.controlPlane=10.1.0.40:8229\ndataDirectory=/data/c\n"
+)
+
+
+def load(tmp_path, content):
+    path = tmp_path / "node.conf"
+    path.write_text(content)
+    return MachineSettings.load(path)
+
+
+def test_settings_of_an_entry(tmp_path):
+    settings = make_entry_settings(load(tmp_path, ENTRY))
+    assert settings.entry_id == "entry-a-1"
+    assert settings.http_address == "10.1.0.40:8227"
+    assert settings.peer_address == "10.1.0.40:7340"
+    assert settings.clocks_may_step
+    assert settings.retry_budget.window_ms == 10_000
+    # An entry out of touch must not serve by a key that was taken away.
+    assert settings.lease_ms <= 0.6 * 5_000
+    assert settings.shutdown_timeout_ms < 8_000
+
+
+def test_settings_of_a_control(tmp_path):
+    settings = make_control_settings(load(tmp_path, CONTROL))
+    assert settings.control_id == "10.1.0.40"
+    assert settings.data_folder == "/data/c"
+    assert (settings.wanted_voters, settings.durable_copies) == (5, 3)
+    assert not settings.spare
+    assert settings.engine_stall_ms == 5_000
+
+
+def test_all_machines_see_the_controls_in_one_order(tmp_path):
+    shuffled = CONTROL.replace(
+        "10.2.0.32:8229,10.1.0.43:8229,10.3.0.21:8229",
+        "10.3.0.21:8229,10.2.0.32:8229,10.1.0.43:8229",
+    )
+    one = make_control_settings(load(tmp_path, CONTROL))
+    other = make_control_settings(load(tmp_path, shuffled))
+    assert list(one.controls) == list(other.controls)
+    assert one.controls[0].id == "10.1.0.43"
+    assert one.controls[0].address == "10.1.0.43:7340"
+
+
+def test_a_control_that_starts_later_never_begins_a_cluster(tmp_path):
+    later = CONTROL.replace("bootstrap=true", "bootstrap=false")
+    assert make_control_settings(load(tmp_path, later)).spare
+
+
+@pytest.mark.parametrize(
+    "content",
+    [
+        "",
+        ENTRY.replace("nodeName=entry-a-1\n", ""),
+        ENTRY.replace("bounds.revokeMs=5000", "bounds.revokeMs=soon"),
+    ],
+)
+def test_wrong_settings_are_refused(tmp_path, content):
+    with pytest.raises(PlatformSettingsError):
+        make_entry_settings(load(tmp_path, content))
+
+
+def test_a_file_that_is_not_there_is_refused(tmp_path):
+    with pytest.raises(PlatformSettingsError):
+        MachineSettings.load(tmp_path / "none")
--- /dev/null
+++ b/tests/programs/entry/routed/test_streams.py
@@ -0,0 +1,152 @@
+"""Routed streams: every event once and in order, or an answer that looks broken."""
+
+import eventlet
+import pytest
+
+from tests.programs.entry.entry_fakes import wait_until
+from tests.programs.entry.routed.routed_fakes import (
+    ScriptedEndpoint,
+    call,
+    chunk,
+    event,
+    open_call,
+    routed_entry,
+    stream_head,
+)
+
+LAST = 6
+WHOLE = b"".join(event(n) for n in range(1, LAST + 1))
+
+
+def stream(until=LAST, tail=b"0\r\n\r\n", pause_s=0.0, cut=0):
+    """Send events after the last one that the request names."""
+
+    def step(sock, request):
+        head = request.partition(b"\r\n\r\n")[0].decode().lower()
+        last = int(head.partition("x-last: ")[2].partition("\r\n")[0])
+        sock.sendall(stream_head())
+        for number in range(last + 1, until + 1):
+            sock.sendall(chunk(event(number)))
+            eventlet.sleep(pause_s)
+        if cut:
+            sock.sendall(chunk(event(until + 1)[:cut]))
+        if tail is None:
+            sock.close()
+            return
+        sock.sendall(tail)
+
+    return step
+
+
+@pytest.fixture
+def one():
+    return ScriptedEndpoint()
+
+
+@pytest.fixture
+def two():
+    return ScriptedEndpoint()
+
+
+def test_a_whole_stream_is_passed_on_and_its_connection_kept(one):
+    one.default = stream()
+    with routed_entry(one) as entry:
+        for _ in range(2):
+            status, headers, body, is_whole = call(
+                entry.address, "/gen/x", b"p", X_Model="m"
+            )
+            assert (status, body, is_whole) == (200, WHOLE, True)
+            assert headers["x-made-by"] == "e1"
+    assert one.connections == 1
+
+
+@pytest.mark.parametrize("cut", [0, 3, 9])
+def test_a_stream_that_breaks_goes_on_at_another_group(one, two, cut):
+    one.default = stream(until=3, tail=None, cut=cut)
+    two.default = stream()
+    with routed_entry(one, two) as entry:
+        _, _, body, is_whole = call(entry.address, "/gen/x", b"p", X_Model="m")
+    assert body == WHOLE
+    assert is_whole
+    assert two.header("x-last") == "3"
+
+
+def test_a_stream_that_falls_silent_goes_on_at_another_group(one, two):
+    def stand_still(sock, request):
+        sock.sendall(stream_head() + chunk(event(1)))
+        eventlet.sleep(5.0)
+
+    one.default = stand_still
+    two.default = stream()
+    with routed_entry(one, two) as entry:
+        _, _, body, is_whole = call(entry.address, "/gen/x", b"p", X_Model="m")
+        assert ("gpu1", "broken") in entry.context.reports
+    assert (body, is_whole) == (WHOLE, True)
+
+
+def test_a_caller_that_has_some_events_gets_the_rest(one):
+    one.default = stream()
+    with routed_entry(one) as entry:
+        _, _, body, is_whole = call(
+            entry.address, "/gen/x", b"p", X_Model="m", X_Last="4"
+        )
+    assert (body, is_whole) == (event(5) + event(6), True)
+
+
+@pytest.mark.parametrize("path", ["/gen/x", "/fixed/x"])
+def test_a_stream_that_can_t_go_on_looks_broken(one, path):
+    one.default = stream(until=3, tail=None)
+    with routed_entry(one) as entry:
+        status, _, body, is_whole = call(entry.address, path, b"p", X_Model="m")
+    assert (status, body) == (200, event(1) + event(2) + event(3))
+    assert not is_whole
+
+
+def test_a_stream_that_may_not_be_resumed_runs_once(one, two):
+    one.default = ScriptedEndpoint.CLOSE
+    two.default = stream()
+    with routed_entry(one, two) as entry:
+        assert call(entry.address, "/fixed/x", b"p", X_Model="m")[0] == 502
+    assert not two.requests
+
+
+def test_an_event_is_never_given_twice(one, two):
+    one.default = stream(until=3, tail=None)
+
+    def repeat(sock, request):
+        sock.sendall(stream_head() + chunk(event(2)) + chunk(event(3)))
+        sock.sendall(b"0\r\n\r\n")
+
+    two.default = repeat
+    with routed_entry(one, two) as entry:
+        _, _, body, is_whole = call(entry.address, "/gen/x", b"p", X_Model="m")
+    assert body == event(1) + event(2) + event(3)
+    assert not is_whole
+
+
+def test_an_endpoint_s_failure_is_passed_on(one):
+    answer = b"HTTP/1.1 500 Bad\r\nX-Call: c1\r\nContent-Length: 3\r\n\r\nbad"
+    one.default = answer
+    with routed_entry(one) as entry:
+        assert call(entry.address, "/fixed/x", b"p", X_Model="m")[::2] == (500, b"bad")
+
+
+def test_a_caller_that_leaves_ends_the_work_at_the_endpoint(one):
+    ended = []
+
+    def endless(sock, request):
+        sock.sendall(stream_head())
+        try:
+            for number in range(1, 400):
+                sock.sendall(chunk(event(number)))
+                eventlet.sleep(0.02)
+        except OSError:
+            ended.append(number)
+
+    one.default = endless
+    with routed_entry(one) as entry:
+        sock = open_call(entry.address, "/gen/x", b"p", X_Model="m")
+        assert sock.recv(100)
+        sock.close()
+        wait_until(lambda: ended, timeout_s=2.0)
+        assert ended[0] < 50
--- a/tests/transport/test_gate.py
+++ b/tests/transport/test_gate.py
@@ -87,3 +87,30 @@
             DROP_FOREIGN_CLUSTER,
             DROP_EXPIRED,
         }
+
+
+def step_envelope(incarnation, expires_at_unix_ms=0):
+    envelope = Envelope(
+        cluster_id="c1",
+        sender_id="entry-1",
+        sender_incarnation=incarnation,
+        recipient_id="control-1",
+        expires_at_unix_ms=expires_at_unix_ms,
+    )
+    envelope.entry_report.nonce = 1
+    return envelope.SerializeToString()
+
+
+def test_where_clocks_may_step_no_message_expires():
+    gate = MessageGate("c1", "control-1", clocks_may_step=True)
+    assert gate.open(step_envelope("a"), 10**15)
+
+
+def test_where_clocks_may_step_a_restart_under_an_earlier_time_is_heard():
+    gate = MessageGate("c1", "control-1", clocks_may_step=True)
+    gate.open(step_envelope("0009"), 0)
+    # The clock of the host stood 40 minutes back at the restart.
+    gate.open(step_envelope("0001"), 0)
+    with pytest.raises(MessageDroppedError):
+        gate.open(step_envelope("0009"), 0)
+    assert gate.open(step_envelope("0001"), 0)
