Leave groups whose streams fall silent before their hosts are missed

Change: entries note when each group last gave an event, report silences, and the leading control tells all entries of groups that nobody hears; their streams are resumed elsewhere at once and nothing new is sent there.

Ruled out: a shorter detection timeout, as announcements come every 1.2 s.

--- a/chestnutvale/membership/entry_view.py
+++ b/chestnutvale/membership/entry_view.py
@@ -33,6 +33,13 @@
     ----------
     lease_s : float
         Length of the serving lease in seconds.
+
+    Attributes
+    ----------
+    stalled : frozenset of str
+        Groups that give no events although streams run there.
+    newly_stalled : frozenset of str
+        Those of them that the view before did not name.
     """
 
     lease_s: float = DEFAULT_LEASE_S
@@ -46,6 +53,8 @@
     _groups: dict[str, GroupView] = attrs.field(factory=dict)
     _loads: dict[str, Load] = attrs.field(factory=dict)
     _entry_count: int = 1
+    stalled: frozenset[str] = frozenset()
+    newly_stalled: frozenset[str] = frozenset()
 
     def report_sent(self, nonce: int, now_s: float) -> None:
         """Note a report; call it before the report is handed to the socket.
@@ -194,6 +203,9 @@
 
     def _install_groups(self, view: ControlView) -> InstallVerdict:
         self._term = view.term
+        stalled = frozenset(view.stalled_group_ids)
+        self.newly_stalled = stalled - self.stalled
+        self.stalled = stalled
         if view.source == self._source and view.view_version < self._version:
             return InstallVerdict.OLD_VERSION
         if not view.whole and not self._fits(view):
--- a/chestnutvale/programs/control/entry_desk.py
+++ b/chestnutvale/programs/control/entry_desk.py
@@ -24,6 +24,7 @@
     MAX_COMMIT_REQUESTS,
 )
 from chestnutvale.programs.control.state import ControlState
+from chestnutvale.routing.pulse import StallBoard
 from chestnutvale.schema.peer_pb2 import (
     CacheNews,
     CommitReply,
@@ -119,6 +120,7 @@
         self._cache_events = CacheEventQueue()
         self._demands = DemandTable()
         self._running = RunningTable()
+        self._stalls = StallBoard()
         self._commits = eventlet.GreenPool(MAX_COMMIT_REQUESTS)
         transport.on("entry_report", self._receive_report)
         transport.on("commit_request", self._receive_commit)
@@ -212,10 +214,20 @@
                 self._name_controls(entry_id, report.reply_address)
             return
         self._note_running(now_s)
+        has_news |= self._note_stalls(entry_id, report, now_s)
         self._answer(entry_id, report, now_s)
         if has_news:
             self._push_suspicions(now_s)
 
+    def _note_stalls(self, entry_id: str, report: EntryReport, now_s: float) -> bool:
+        silences_s = {item.group_id: item.silence_ms / 1_000 for item in report.running}
+        stalled = frozenset(item.group_id for item in report.running if item.stalled)
+        is_new = self._stalls.note(entry_id, silences_s, stalled, now_s)
+        if is_new:
+            groups = sorted(self._stalls.stalled(now_s))
+            _LOGGER.info("stalled_groups", extra={"groups": groups, "by": entry_id})
+        return is_new
+
     def _name_controls(self, entry_id: str, address: str) -> None:
         # The entry asks everyone it knows; whom it knows may be long gone.
         controls = ControlView(controls=self._controls())
@@ -294,6 +306,7 @@
 
     def _send_view(self, entry_id: str, address: str, view: ControlView) -> None:
         now_unix_ms = self._clock.unix_ms()
+        view.stalled_group_ids.extend(sorted(self._stalls.stalled(self._clock.now_s())))
         if view.whole:
             view.suspicions.extend(self._suspicions.everything(now_unix_ms))
         else:
--- a/chestnutvale/programs/entry/call_context.py
+++ b/chestnutvale/programs/entry/call_context.py
@@ -16,6 +16,7 @@
 from chestnutvale.programs.entry.crash_probe import has_crashed
 from chestnutvale.programs.entry.group_router import GroupRouter
 from chestnutvale.programs.entry.running_attempts import RunningAttempts
+from chestnutvale.routing.pulse import GroupPulse
 from chestnutvale.schema.command_pb2 import Command, CommandResult
 from chestnutvale.schema.configuration_pb2 import Service, Text
 from chestnutvale.schema.peer_pb2 import ControlView, GroupView
@@ -66,6 +67,7 @@
         self.budgets = AttemptBudgets()
         self.suspicions = SuspicionTracker()
         self.running = RunningAttempts()
+        self.pulse = GroupPulse()
         self.has_crashed: CrashProbe = has_crashed
         self.lookup = TextLookup.from_text(Text())
         self._view = view
@@ -93,6 +95,8 @@
             self._install_text()
         self._router.install(view)
         self._abort_lost_groups(view)
+        for group_id in self._view.newly_stalled:
+            self.running.abort_group(group_id, 2**63)
         self._install_capacities()
 
     def authenticate(self, environ: dict[str, Any]) -> str | None:
@@ -165,7 +169,8 @@
         GroupView or None
             None if no group can take the call.
         """
-        return self._router.choose(request, excluded, version)
+        stalled = self.pulse.stalled(self.clock.now_s()) | self._view.stalled
+        return self._router.choose(request, excluded, version, stalled)
 
     def report_attempt(self, report: AttemptReport) -> None:
         """Record how an attempt went.
--- a/chestnutvale/programs/entry/const.py
+++ b/chestnutvale/programs/entry/const.py
@@ -21,3 +21,5 @@
 SALT_BITS: Final = 32
 # Time in seconds between two rounds of housekeeping.
 HOUSEKEEPING_ROUND_S: Final = 0.5
+# Time in seconds between two looks for groups whose streams fell silent.
+STALL_LOOK_S: Final = 0.05
--- a/chestnutvale/programs/entry/context.py
+++ b/chestnutvale/programs/entry/context.py
@@ -11,6 +11,7 @@
 from chestnutvale.clock import Clock
 from chestnutvale.configuration.lookup import TextLookup
 from chestnutvale.programs.entry.running_attempts import RunningAttempts
+from chestnutvale.routing.pulse import GroupPulse
 from chestnutvale.schema.command_pb2 import Command, CommandResult
 from chestnutvale.schema.configuration_pb2 import Text
 from chestnutvale.schema.groups_pb2 import Group
@@ -225,6 +226,8 @@
         Requests that may crash groups.
     running : RunningAttempts
         Attempts that run now; the daemon breaks those of a lost group.
+    pulse : GroupPulse
+        When each group was last heard.
     has_crashed : CrashProbe
         Finds out whether a group broke or only one of its streams.
     """
@@ -237,6 +240,7 @@
     budgets: AttemptBudgets
     suspicions: SuspicionTracker
     running: RunningAttempts
+    pulse: GroupPulse
     has_crashed: CrashProbe
 
     @property
--- a/chestnutvale/programs/entry/control_link.py
+++ b/chestnutvale/programs/entry/control_link.py
@@ -1,7 +1,7 @@
 """The task that reports to the controls and installs their views."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import eventlet
 import logbook
@@ -13,10 +13,15 @@
 from chestnutvale.membership.entry_view import EntryView, InstallVerdict
 from chestnutvale.membership.hearing import Hearing
 from chestnutvale.membership.report_targets import ReportTargets
-from chestnutvale.programs.entry.const import MIN_REPORT_INTERVAL_MS, REPORT_EXPIRY_MS
+from chestnutvale.programs.entry.const import (
+    MIN_REPORT_INTERVAL_MS,
+    REPORT_EXPIRY_MS,
+    STALL_LOOK_S,
+)
 from chestnutvale.programs.entry.demand_exchange import DemandExchange
 from chestnutvale.programs.entry.running_attempts import RunningAttempts
 from chestnutvale.programs.periodic import run_rounds
+from chestnutvale.routing.pulse import GroupPulse
 from chestnutvale.schema.membership_pb2 import Load
 from chestnutvale.schema.peer_pb2 import (
     ControlView,
@@ -57,6 +62,8 @@
         Source of nonces.
     running : RunningAttempts, optional
         Attempts that run, for hosts that report no load themselves.
+    pulse : GroupPulse, optional
+        When each group was last heard.
 
     Attributes
     ----------
@@ -76,6 +83,7 @@
         clock: Clock,
         rng: random.Random,
         running: RunningAttempts | None = None,
+        pulse: GroupPulse | None = None,
     ) -> None:
         self.draining = False
         self._settings = settings
@@ -91,6 +99,8 @@
             {control.id: control.address for control in settings.controls}
         )
         self._running = running
+        self._pulse = pulse or GroupPulse()
+        self._seen_stalled: frozenset[str] = frozenset()
         self._listeners: list[Callable[[ControlView, str], None]] = []
         self._news = Event()
         transport.on("control_view", self._receive_view)
@@ -150,10 +160,7 @@
         self._demand.fill(report)
         self._view.report_sent(nonce, now_s)
         if self._running is not None:
-            report.running.extend(
-                GroupLoad(group_id=group_id, load=Load(running=count))
-                for group_id, count in self._running.counts().items()
-            )
+            report.running.extend(self._describe_running(now_s))
         targets = self._targets.choose(now_s)
         report.wants_controls = len(targets) > 1
         for control_id, address in targets:
@@ -161,6 +168,28 @@
                 control_id, address, "entry_report", report, REPORT_EXPIRY_MS
             )
 
+    def _describe_running(self, now_s: float) -> Iterator[GroupLoad]:
+        silences_s = self._pulse.silences_s(now_s)
+        stalled = self._pulse.stalled(now_s)
+        for group_id, count in self._running.counts().items():
+            yield GroupLoad(
+                group_id=group_id,
+                load=Load(running=count),
+                silence_ms=round(1_000 * silences_s.get(group_id, 0.0)),
+                stalled=group_id in stalled,
+            )
+
+    def watch_stalls(self) -> None:
+        """Report at once when groups stall or go on, until the task is killed."""
+        run_rounds("watching streams", self._look_for_stalls, STALL_LOOK_S)
+
+    def _look_for_stalls(self) -> None:
+        stalled = self._pulse.stalled(self._clock.now_s())
+        if stalled != self._seen_stalled:
+            self._seen_stalled = stalled
+            _LOGGER.info("stalled_groups", extra={"groups": sorted(stalled)})
+            self.hurry()
+
     def _receive_view(self, envelope: Envelope) -> None:
         view = envelope.control_view
         controls = {item.control_id: item.peer_address for item in view.controls}
--- a/chestnutvale/programs/entry/daemon.py
+++ b/chestnutvale/programs/entry/daemon.py
@@ -113,6 +113,7 @@
             clock,
             rng,
             self.context.running,
+            self.context.pulse,
         )
         self._bound = self._read_retry_bound()
         if self._bound is not None:
@@ -148,7 +149,13 @@
         with contextlib.ExitStack() as exits:
             exits.enter_context(self.metrics)
             exits.enter_context(self.transport)
-            for run in (self.link.run, self._gate.run, self._keep_house):
+            tasks = (
+                self.link.run,
+                self.link.watch_stalls,
+                self._gate.run,
+                self._keep_house,
+            )
+            for run in tasks:
                 exits.callback(eventlet.spawn(run).kill)
             for server in self._servers:
                 exits.enter_context(server)
--- a/chestnutvale/programs/entry/group_router.py
+++ b/chestnutvale/programs/entry/group_router.py
@@ -134,7 +134,11 @@
         ]
 
     def choose(
-        self, request: CallRequest, excluded: frozenset[str], version: str
+        self,
+        request: CallRequest,
+        excluded: frozenset[str],
+        version: str,
+        stalled: frozenset[str] = frozenset(),
     ) -> GroupView | None:
         """Choose the serving group for an attempt and count the attempt to it.
 
@@ -146,6 +150,8 @@
             Group ids that must not be chosen.
         version : str
             Version that the group must serve; empty allows any.
+        stalled : frozenset of str, optional
+            Groups that are tried last, like those that broke lately.
 
         Returns
         -------
@@ -163,7 +169,7 @@
             for group_id, until_s in self._broken_until_s.items()
             if until_s > now_s
         )
-        for avoided in (unfit | excluded | broken, unfit | excluded):
+        for avoided in (unfit | excluded | broken | stalled, unfit | excluded):
             chosen = self._try_choose(request, avoided, now_s)
             if chosen is not None:
                 return chosen
--- a/chestnutvale/programs/entry/model_calls.py
+++ b/chestnutvale/programs/entry/model_calls.py
@@ -323,6 +323,7 @@
         self.attempt = attempt
         self._watch.call_when_gone(attempt.abort)
         self._context.running.add(effect.group_id, effect.epoch, attempt)
+        self._context.pulse.sent(effect.attempt_id, effect.group_id, self._sent_s)
         self._chooser.attempt_started(effect.attempt_id)
         self._first_byte_s = None
         self._first_offset = effect.resume_offset
@@ -332,6 +333,9 @@
     def _read(self) -> CallEvent:
         left_s = self._call.next_tick_s - self._context.clock.now_s()
         event = self.attempt.read(left_s)
+        if isinstance(event, EventsArrived) and event.events:
+            now_s = self._context.clock.now_s()
+            self._context.pulse.heard(event.attempt_id, now_s)
         if self._first_byte_s is None and isinstance(event, EventsArrived):
             self._first_byte_s = self._context.clock.now_s()
         return event
@@ -352,6 +356,7 @@
             return
         self._watch.call_when_gone(None)
         self._context.running.remove(attempt)
+        self._context.pulse.ended(attempt.attempt_id)
         self._context.suspicions.attempt_ended(attempt.attempt_id)
         attempt.close()
         first_byte_ms = None
--- a/chestnutvale/routing/const.py
+++ b/chestnutvale/routing/const.py
@@ -25,3 +25,12 @@
 STRAGGLER_FADE_S: Final = 30.0
 
 CANDIDATES: Final = 2
+
+# Silence in seconds of all streams of a group after which it has stalled: several
+# times what a pass takes, also one that reads a long prompt.
+STALL_GAP_S: Final = 0.4
+# The same while none of them has begun: prompts wait for their turn in the engine.
+STALL_FIRST_EVENT_S: Final = 0.9
+# Time in seconds for which a group that has stalled gets no new work: its hosts are
+# missed within it.
+STALL_HOLD_S: Final = 3.0
--- /dev/null
+++ b/chestnutvale/routing/pulse.py
@@ -0,0 +1,235 @@
+"""Which groups have stopped giving events, seen from the streams that run there."""
+
+from collections.abc import Mapping
+
+import attrs
+
+from chestnutvale.routing.const import (
+    STALL_FIRST_EVENT_S,
+    STALL_GAP_S,
+    STALL_HOLD_S,
+)
+
+
+@attrs.define
+class _Stream:
+    group_id: str
+    sent_s: float
+    has_begun: bool = False
+
+
+@attrs.define
+class GroupPulse:
+    """Notes the last event of each group, over all streams of one entry.
+
+    An engine gives an event of each stream with every pass, so that a group whose
+    streams all fall silent at once has most likely lost a member. It goes on taking
+    requests for seconds, and its hosts are missed later still.
+
+    Parameters
+    ----------
+    gap_s : float, optional
+        Silence in seconds of streams that have begun after which a group has stalled.
+    first_event_s : float, optional
+        The same if none of its streams has begun.
+    """
+
+    gap_s: float = STALL_GAP_S
+    first_event_s: float = STALL_FIRST_EVENT_S
+    _streams: dict[str, _Stream] = attrs.field(factory=dict)
+    _by_group: dict[str, set[str]] = attrs.field(factory=dict)
+    _heard_s: dict[str, float] = attrs.field(factory=dict)
+
+    def sent(self, attempt_id: str, group_id: str, now_s: float) -> None:
+        """Note an attempt that was sent.
+
+        Parameters
+        ----------
+        attempt_id : str
+            The attempt.
+        group_id : str
+            Its group.
+        now_s : float
+            Monotonic time.
+        """
+        self._streams[attempt_id] = _Stream(group_id, now_s)
+        self._by_group.setdefault(group_id, set()).add(attempt_id)
+
+    def heard(self, attempt_id: str, now_s: float) -> None:
+        """Note events of an attempt.
+
+        Parameters
+        ----------
+        attempt_id : str
+            The attempt.
+        now_s : float
+            Monotonic time.
+        """
+        stream = self._streams.get(attempt_id)
+        if stream is not None:
+            stream.has_begun = True
+            self._heard_s[stream.group_id] = now_s
+
+    def ended(self, attempt_id: str) -> None:
+        """Forget an attempt.
+
+        Parameters
+        ----------
+        attempt_id : str
+            The attempt.
+        """
+        stream = self._streams.pop(attempt_id, None)
+        if stream is None:
+            return
+        running = self._by_group[stream.group_id]
+        running.discard(attempt_id)
+        if not running:
+            del self._by_group[stream.group_id]
+            self._heard_s.pop(stream.group_id, None)
+
+    def silences_s(self, now_s: float) -> dict[str, float]:
+        """Return how long each group with running streams has been silent.
+
+        Parameters
+        ----------
+        now_s : float
+            Monotonic time.
+
+        Returns
+        -------
+        dict of str to float
+            Silence in seconds by group.
+        """
+        return {
+            group_id: self._silence_s(group_id, now_s) for group_id in self._by_group
+        }
+
+    def stalled(self, now_s: float) -> frozenset[str]:
+        """Return the groups that have stalled as far as this entry sees.
+
+        Parameters
+        ----------
+        now_s : float
+            Monotonic time.
+
+        Returns
+        -------
+        frozenset of str
+            Group ids.
+        """
+        return frozenset(
+            group_id
+            for group_id, attempt_ids in self._by_group.items()
+            if self._silence_s(group_id, now_s) > self._limit_s(attempt_ids)
+        )
+
+    def _limit_s(self, attempt_ids: set[str]) -> float:
+        has_begun = any(self._streams[item].has_begun for item in attempt_ids)
+        return self.gap_s if has_begun else self.first_event_s
+
+    def _silence_s(self, group_id: str, now_s: float) -> float:
+        sent_s = min(self._streams[item].sent_s for item in self._by_group[group_id])
+        return now_s - max(sent_s, self._heard_s.get(group_id, sent_s))
+
+
+@attrs.define
+class _Claim:
+    """What one entry said of a group."""
+
+    silence_s: float
+    is_stalled: bool
+    noted_s: float
+
+
+@attrs.define
+class StallBoard:
+    """Puts together what entries see of groups; kept by the leading control.
+
+    A group has stalled if an entry says so and none gets events from it. It stays so
+    for a while without any word, since nothing is sent there to tell.
+
+    Parameters
+    ----------
+    hold_s : float, optional
+        Time in seconds for which a group is held to have stalled.
+    """
+
+    hold_s: float = STALL_HOLD_S
+    _claims: dict[str, dict[str, _Claim]] = attrs.field(factory=dict)
+    _until_s: dict[str, float] = attrs.field(factory=dict)
+
+    def note(
+        self,
+        entry_id: str,
+        silences_s: Mapping[str, float],
+        stalled: frozenset[str],
+        now_s: float,
+    ) -> bool:
+        """Take what an entry sees.
+
+        Parameters
+        ----------
+        entry_id : str
+            The entry.
+        silences_s : mapping of str to float
+            Silence of each group at which it runs streams.
+        stalled : frozenset of str
+            Those that it holds to have stalled.
+        now_s : float
+            Monotonic time.
+
+        Returns
+        -------
+        bool
+            Whether the stalled groups are others than before.
+        """
+        before = self.stalled(now_s)
+        for group_id, silence_s in silences_s.items():
+            claims = self._claims.setdefault(group_id, {})
+            claims[entry_id] = _Claim(silence_s, group_id in stalled, now_s)
+            self._judge(group_id, claims, now_s)
+        return self.stalled(now_s) != before
+
+    def stalled(self, now_s: float) -> frozenset[str]:
+        """Return the groups that have stalled.
+
+        Parameters
+        ----------
+        now_s : float
+            Monotonic time.
+
+        Returns
+        -------
+        frozenset of str
+            Group ids.
+        """
+        self._until_s = {
+            group_id: until_s
+            for group_id, until_s in self._until_s.items()
+            if until_s > now_s
+        }
+        return frozenset(self._until_s)
+
+    def _judge(self, group_id: str, claims: dict[str, _Claim], now_s: float) -> None:
+        fresh = {
+            entry_id: claim
+            for entry_id, claim in claims.items()
+            if now_s - claim.noted_s <= self.hold_s
+        }
+        self._claims[group_id] = fresh
+        blamed = [claim for claim in fresh.values() if claim.is_stalled]
+        if not blamed:
+            # An entry that gets events again clears the group.
+            if any(claim.silence_s < STALL_GAP_S for claim in fresh.values()):
+                self._until_s.pop(group_id, None)
+            return
+        since_s = max(claim.noted_s - claim.silence_s for claim in blamed)
+        is_heard = any(
+            claim.noted_s - claim.silence_s > since_s
+            for claim in fresh.values()
+            if not claim.is_stalled
+        )
+        if is_heard:
+            self._until_s.pop(group_id, None)
+        else:
+            self._until_s[group_id] = now_s + self.hold_s
--- /dev/null
+++ b/tests/routing/test_pulse.py
@@ -0,0 +1,76 @@
+"""Groups whose streams all fall silent are noticed before their hosts are missed."""
+
+from chestnutvale.routing.pulse import GroupPulse, StallBoard
+
+
+def flow(pulse, until_s, *attempts, step_s=0.05, from_s=0.0):
+    now_s = from_s
+    while now_s < until_s:
+        now_s += step_s
+        for attempt in attempts:
+            pulse.heard(attempt, now_s)
+
+
+def test_a_group_that_gives_events_never_stalls():
+    pulse = GroupPulse()
+    pulse.sent("a1", "g", 0.0)
+    for tick in range(1, 200):
+        assert not pulse.stalled(tick * 0.05)
+        pulse.heard("a1", tick * 0.05)
+
+
+def test_one_slow_stream_beside_others_is_no_stall():
+    pulse = GroupPulse()
+    pulse.sent("a1", "g", 0.0)
+    pulse.sent("a2", "g", 0.0)
+    flow(pulse, 5.0, "a1")
+    assert not pulse.stalled(5.0)
+
+
+def test_a_group_whose_streams_fall_silent_together_has_stalled():
+    pulse = GroupPulse()
+    pulse.sent("a1", "g", 0.0)
+    pulse.sent("b1", "other", 0.0)
+    flow(pulse, 2.0, "a1", "b1")
+    flow(pulse, 3.0, "b1", from_s=2.0)
+    assert pulse.stalled(2.3) == frozenset()
+    assert pulse.stalled(2.5) == {"g"}
+
+
+def test_prompts_that_wait_for_their_turn_have_longer():
+    pulse = GroupPulse()
+    pulse.sent("a1", "g", 0.0)
+    assert not pulse.stalled(0.8)
+    assert pulse.stalled(1.0) == {"g"}
+
+
+def test_a_new_stream_at_an_idle_group_starts_with_nothing_known():
+    pulse = GroupPulse()
+    pulse.sent("a1", "g", 0.0)
+    flow(pulse, 1.0, "a1")
+    pulse.ended("a1")
+    pulse.sent("a2", "g", 50.0)
+    assert not pulse.stalled(50.5)
+    assert pulse.silences_s(50.5) == {"g": 0.5}
+
+
+def test_one_entry_s_word_is_enough_if_nobody_hears_the_group():
+    board = StallBoard()
+    board.note("e2", {"g": 0.0}, frozenset(), 10.0)
+    assert board.note("e1", {"g": 0.45}, frozenset({"g"}), 10.5)
+    assert board.stalled(10.6) == {"g"}
+    assert board.stalled(13.6) == frozenset()
+
+
+def test_a_group_that_another_entry_hears_has_not_stalled():
+    board = StallBoard()
+    assert not board.note("e2", {"g": 0.05}, frozenset(), 10.4)
+    assert not board.note("e1", {"g": 0.45}, frozenset({"g"}), 10.5)
+    assert board.stalled(10.6) == frozenset()
+
+
+def test_events_clear_a_group():
+    board = StallBoard()
+    board.note("e1", {"g": 0.45}, frozenset({"g"}), 10.5)
+    assert board.note("e1", {"g": 0.02}, frozenset(), 11.0)
+    assert board.stalled(11.0) == frozenset()
