Prefer groups in the entry's data centre; keep engines' queues from running dry

Change: a group elsewhere counts as one and a half requests more loaded, and near candidates are drawn as well; engines get 1.15 times the requests that they run.

--- a/chestnutvale/admission/messages.py
+++ b/chestnutvale/admission/messages.py
@@ -56,12 +56,16 @@
         Share of the limit up to which urgent requests go first.
     slots_per_group : int
         Requests that one group of a service without KV memory takes at once.
+    overcommit : float
+        Factor on those: a few requests that wait in an engine begin without the way
+        from here when a place there is free.
     """
 
     queue_requests: int = DEFAULT_QUEUE_REQUESTS
     workspace_queue_requests: int = DEFAULT_WORKSPACE_QUEUE_REQUESTS
     urgent_share: float = DEFAULT_URGENT_SHARE
     slots_per_group: int = DEFAULT_SLOTS_PER_GROUP
+    overcommit: float = 1.0
 
 
 @attrs.frozen
--- a/chestnutvale/admission/service.py
+++ b/chestnutvale/admission/service.py
@@ -223,7 +223,8 @@
 
     def _capacity_units(self) -> float:
         if self._is_plain():
-            return float(self.capacity.groups * self.limits.slots_per_group)
+            slots = self.capacity.groups * self.limits.slots_per_group
+            return self.limits.overcommit * slots
         return self.commitment.factor * self.capacity.kv_capacity_tokens
 
     def _is_plain(self) -> bool:
--- a/chestnutvale/groups/assembly.py
+++ b/chestnutvale/groups/assembly.py
@@ -62,6 +62,7 @@
             adapters=service.adapters,
             phase=PHASE_FORMING,
             fabric_domain=domain,
+            data_centre=hosts[0].announcement.data_centre,
         )
         self.first_number += 1
         self.domains_of_service.setdefault(name, []).append(domain)
--- a/chestnutvale/groups/plain.py
+++ b/chestnutvale/groups/plain.py
@@ -66,6 +66,7 @@
         phase=PHASE_FORMING,
         fabric_domain=record.announcement.fabric_domain,
         plain=True,
+        data_centre=record.announcement.data_centre,
     )
 
 
--- a/chestnutvale/groups/pools.py
+++ b/chestnutvale/groups/pools.py
@@ -397,11 +397,13 @@
 def _new_group(
     service: str, number: int, domain: str, hosts: Iterable[HostRecord]
 ) -> Group:
+    members = list(hosts)
     return Group(
         group_id=f"{service}-{number}",
         service=service,
-        members=[to_member(host, rank) for rank, host in enumerate(hosts)],
+        members=[to_member(host, rank) for rank, host in enumerate(members)],
         phase=PHASE_FORMING,
         fabric_domain=domain,
         pooled=True,
+        data_centre=members[0].announcement.data_centre,
     )
--- a/chestnutvale/programs/entry/call_context.py
+++ b/chestnutvale/programs/entry/call_context.py
@@ -7,6 +7,7 @@
 from chestnutvale.attempts.retry_budget import AttemptBudgets
 from chestnutvale.attempts.suspicion import SuspicionTracker
 from chestnutvale.clock import Clock
+from chestnutvale.configuration.const import KIND_MODEL
 from chestnutvale.configuration.lookup import TextLookup
 from chestnutvale.groups.const import FAULT_MISSING, FAULT_RESTARTED
 from chestnutvale.membership.entry_view import EntryView
@@ -22,6 +23,8 @@
 from chestnutvale.schema.peer_pb2 import ControlView, GroupView
 
 BEARER = "bearer "
+# Requests given to engines as a multiple of those that they run at once.
+ENGINE_OVERCOMMIT = 1.15
 NO_CAPACITY = ServiceCapacity(groups=0, kv_capacity_tokens=0)
 
 
@@ -248,4 +251,5 @@
     return ServiceLimits(
         queue_requests=limits.max_queued_requests or default.queue_requests,
         slots_per_group=limits.max_running_requests or default.slots_per_group,
+        overcommit=ENGINE_OVERCOMMIT if service.kind == KIND_MODEL else 1.0,
     )
--- a/chestnutvale/programs/entry/daemon.py
+++ b/chestnutvale/programs/entry/daemon.py
@@ -89,7 +89,10 @@
         self._cache_events = CacheEventQueue()
         self._gate = AdmissionGate(AdmissionController(rng), clock)
         router = GroupRouter(
-            self.view, Selector(rng), self._gate.predicted_tokens, clock
+            self.view,
+            Selector(rng, settings.data_centre),
+            self._gate.predicted_tokens,
+            clock,
         )
         commits = CommitClient(self.transport, list(settings.controls), clock)
         self.context = EntryContext(
--- a/chestnutvale/programs/entry/group_router.py
+++ b/chestnutvale/programs/entry/group_router.py
@@ -67,7 +67,12 @@
         now_s = self._clock.now_s()
         if view.whole or view.groups or view.removed_group_ids:
             self._selector.update_groups(
-                RoutableGroup(item.group.group_id, item.group.service, item.group.epoch)
+                RoutableGroup(
+                    item.group.group_id,
+                    item.group.service,
+                    item.group.epoch,
+                    item.group.data_centre,
+                )
                 for item in self._view.groups()
                 if item.serving
             )
--- a/chestnutvale/routing/const.py
+++ b/chestnutvale/routing/const.py
@@ -25,6 +25,10 @@
 STRAGGLER_FADE_S: Final = 30.0
 
 CANDIDATES: Final = 2
+# By how much a group in another data centre counts as more loaded: in requests, or as a
+# share of its memory. A place more or less does not change an answer's time by much.
+REMOTE_REQUESTS: Final = 1.5
+REMOTE_MEMORY: Final = 0.05
 
 # Silence in seconds of all streams of a group after which it has stalled: several
 # times what a pass takes, also one that reads a long prompt.
--- a/chestnutvale/routing/load.py
+++ b/chestnutvale/routing/load.py
@@ -70,6 +70,11 @@
         self._unanswered.pop(request_id, None)
         return self.in_flight.pop(request_id, None)
 
+    @property
+    def has_memory(self) -> bool:
+        """Whether the pressure is a share of memory and no number of requests."""
+        return bool(self.reported.kv_capacity_tokens)
+
     def pressure(self, extra_tokens: int, mean_tokens: float) -> float:
         """Return the expected use of KV memory as a share of what there is.
 
--- a/chestnutvale/routing/messages.py
+++ b/chestnutvale/routing/messages.py
@@ -13,11 +13,14 @@
         The group and the service that it runs.
     epoch : int
         Epoch of the group; a new one starts with nothing known.
+    data_centre : str
+        Where its head runs; empty if that is not known.
     """
 
     group_id: str
     service: str
     epoch: int
+    data_centre: str = ""
 
 
 @attrs.frozen
--- a/chestnutvale/routing/selector.py
+++ b/chestnutvale/routing/selector.py
@@ -9,6 +9,8 @@
     CANDIDATES,
     DEFAULT_REPORT_AGE_S,
     PREFIX_GAIN,
+    REMOTE_MEMORY,
+    REMOTE_REQUESTS,
     SHARES_EXPIRY_S,
 )
 from chestnutvale.routing.load import GroupLoad, Sent
@@ -46,9 +48,13 @@
     rng : random.Random
         Seeded source of the candidates; differs between entries, so that their
         choices don't fall on one group.
+    data_centre : str, optional
+        Where this entry runs; of equally loaded groups those are chosen that run there
+        too, as bytes between data centres are slower and dearer.
     """
 
     rng: random.Random
+    data_centre: str = ""
     prefixes: PrefixIndex = attrs.field(factory=PrefixIndex)
     stragglers: StragglerWatch = attrs.field(factory=StragglerWatch)
     _groups: dict[str, RoutableGroup] = attrs.field(factory=dict)
@@ -105,6 +111,9 @@
             return None
         shares = self._service_shares(request.service, now_s)
         candidates = self._draw(names, shares)
+        near = [name for name in names if self._is_near(name)]
+        if near and len(near) < len(names):
+            candidates += self._draw(near, shares)
         _, holders = self.prefixes.longest(request.prefixes)
         holding = [name for name in names if name in holders]
         if holding:
@@ -158,14 +167,18 @@
         return known.shares
 
     def _cost(self, name: str, request: RoutingRequest) -> float:
-        pressure = self._loads[name].pressure(
-            request.predicted_tokens, self._mean_tokens
-        )
+        load = self._loads[name]
+        pressure = load.pressure(request.predicted_tokens, self._mean_tokens)
+        if self.data_centre and not self._is_near(name):
+            pressure += REMOTE_MEMORY if load.has_memory else REMOTE_REQUESTS
         if not request.prefixes:
             return pressure
         held = self.prefixes.held(name, request.prefixes)
         return pressure - PREFIX_GAIN * held / len(request.prefixes)
 
+    def _is_near(self, name: str) -> bool:
+        return self._groups[name].data_centre == self.data_centre
+
     def _forget(self, group_id: str) -> None:
         self.prefixes.forget(group_id)
         self.stragglers.forget(group_id)
--- a/tests/routing/test_selector.py
+++ b/tests/routing/test_selector.py
@@ -1,6 +1,7 @@
 """Tests of the selector."""
 
 import random
+from collections import Counter
 
 import pytest
 
@@ -72,3 +73,37 @@
     for n in range(6):
         selector.sent(make_request(str(n)), "g0", 0.0)
     assert {selector.choose(make_request("r"), 60.0) for _ in range(20)} == {"g1"}
+
+
+def test_of_equally_loaded_groups_near_ones_are_chosen():
+    selector = Selector(random.Random(3), "here")
+    groups = [
+        RoutableGroup(f"g{n}", "s", 1, "here" if n < 2 else "there") for n in range(8)
+    ]
+    selector.update_groups(groups)
+    chosen = []
+    for number in range(200):
+        request = RoutingRequest(f"r{number}", "s", "normal", 1)
+        name = selector.choose(request, float(number))
+        selector.sent(request, name, float(number))
+        selector.finished(request.request_id, number + 0.5)
+        for group in groups:
+            selector.update_load(group.group_id, Load(), number + 0.9, 0.0)
+        chosen.append(name)
+    near = sum(name in ("g0", "g1") for name in chosen)
+    assert near > 150
+
+
+def test_near_groups_are_not_overloaded_for_the_sake_of_nearness():
+    selector = Selector(random.Random(3), "here")
+    groups = [RoutableGroup("near", "s", 1, "here")]
+    groups += [RoutableGroup(f"far{n}", "s", 1, "there") for n in range(3)]
+    selector.update_groups(groups)
+    counts = Counter()
+    for number in range(40):
+        request = RoutingRequest(f"r{number}", "s", "normal", 1)
+        name = selector.choose(request, 0.0)
+        selector.sent(request, name, 0.0)
+        counts[name] += 1
+    assert counts["near"] <= 14
+    assert min(counts.values()) >= 7
