--- /dev/null
+++ b/tests/programs/control/test_host_door.py
@@ -0,0 +1,113 @@
+"""Announcements that reach a control, and what the other controls hear of them."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from chestnutvale.membership.table import MembershipTable
+from chestnutvale.programs.control.host_door import HostDoor
+from chestnutvale.schema.membership_pb2 import Announcement
+from chestnutvale.schema.peer_pb2 import Envelope
+from chestnutvale.schema.raft_pb2 import Members
+
+MEMBERS = Members(
+    voters=["c1#a", "c2#b"],
+    addresses={"c1#a": "10.0.0.1:1", "c2#b": "10.0.0.2:1"},
+)
+
+
+class Network:
+    """Hands messages over between the doors of some controls."""
+
+    def __init__(self):
+        self.handlers = {}
+        self.now_s = 100.0
+
+    def add(self, control_id):
+        handlers = {}
+        self.handlers[control_id] = handlers
+
+        def send(recipient_id, address, body, message):
+            envelope = Envelope(sender_id=control_id)
+            getattr(envelope, body).CopyFrom(message)
+            self.handlers[recipient_id][body](envelope)
+
+        transport = SimpleNamespace(on=handlers.__setitem__, send=send)
+        log = SimpleNamespace(members=MEMBERS)
+        table = MembershipTable(3.0)
+        clock = SimpleNamespace(now_s=lambda: self.now_s)
+        return HostDoor(control_id, transport, log, table, clock), table
+
+
+def make(sequence, **fields):
+    return Announcement(
+        host_id="h1",
+        boot_id="b1",
+        sequence=sequence,
+        address="10.0.1.1:80",
+        data_centre="a",
+        fabric_domain="d",
+        kind="engine",
+        **fields,
+    )
+
+
+@pytest.fixture
+def network():
+    return Network()
+
+
+@pytest.fixture
+def doors(network):
+    return network.add("c1"), network.add("c2")
+
+
+def share(door):
+    door._hurry()
+    door._run_round()
+
+
+def test_all_controls_know_a_host_that_one_of_them_hears(doors):
+    (door, _), (_, other_table) = doors
+    door.announce(make(1))
+    share(door)
+    assert other_table.is_fresh("h1", 100.0)
+    assert other_table.host("h1").is_content_current
+
+
+def test_an_unchanged_host_stays_fresh_everywhere(doors, network):
+    (door, _), (_, other_table) = doors
+    for sequence in range(1, 6):
+        door.announce(make(sequence))
+        share(door)
+        network.now_s += 1.2
+    assert other_table.is_fresh("h1", network.now_s)
+
+
+def test_a_control_that_lacks_a_host_is_told_of_it_whole(doors, network):
+    (door, _), _ = doors
+    door.announce(make(1))
+    share(door)
+    # The other control starts anew, and hears of the host without its announcement.
+    _, table = network.add("c2")
+    network.now_s += 1.2
+    door.announce(make(2))
+    share(door)
+    assert not table.host("h1").is_content_current
+    share(door)
+    assert table.host("h1").is_content_current
+
+
+def test_a_host_that_leaves_does_not_come_back_by_a_late_word(doors):
+    (door, table), (_, other_table) = doors
+    door.announce(make(1))
+    assert door.leave("h1")
+    door.announce(make(7))
+    share(door)
+    assert table.host("h1").announcement.leaving
+    assert other_table.host("h1").announcement.leaving
+
+
+def test_a_host_that_nobody_knows_can_t_leave(doors):
+    (door, _), _ = doors
+    assert not door.leave("h9")
