--- a/chestnutvale/admission/controller.py
+++ b/chestnutvale/admission/controller.py
@@ -180,6 +180,30 @@
             for demand in service.demand(name)
         )
 
+    def describe(self, service: str) -> dict[str, float]:
+        """Return what decides about a service's requests now, for the log.
+
+        Parameters
+        ----------
+        service : str
+            The service.
+
+        Returns
+        -------
+        dict of str to float
+            Groups, this entry's limit, and what it holds and lets wait.
+        """
+        admission = self._services.get(service)
+        if admission is None:
+            return {}
+        return {
+            "groups": admission.capacity.groups,
+            "limit": round(admission.limit, 2),
+            "reserved": admission.reserved,
+            "queued": admission.queue.count,
+            "entries": admission.entry_count,
+        }
+
     def reserved_tokens(self, service: str) -> int:
         """Return the tokens that running requests of a service hold."""
         admission = self._services.get(service)
--- a/chestnutvale/observability/logs.py
+++ b/chestnutvale/observability/logs.py
@@ -2,10 +2,12 @@
 
 import json
 import sys
+import time
 from typing import Any
 
 import logbook
 
+from chestnutvale.observability.bounded_output import BoundedHandler
 from chestnutvale.observability.log_context import get_log_context
 from chestnutvale.observability.secrets import remove_secrets, remove_secrets_from_text
 from chestnutvale.schema.settings_pb2 import LogSettings
@@ -82,7 +84,9 @@
     """
     level = (settings.level or "info").upper()
     if settings.file == STANDARD_OUTPUT:
-        handler: logbook.Handler = logbook.StreamHandler(sys.stdout, level=level)
+        handler: logbook.Handler = BoundedHandler(
+            sys.stdout.fileno(), time.monotonic, level
+        )
     elif settings.file:
         handler = logbook.FileHandler(settings.file, level=level)
     else:
--- a/chestnutvale/programs/entry/admission_gate.py
+++ b/chestnutvale/programs/entry/admission_gate.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+import logbook
 from eventlet.event import Event
 
 from chestnutvale.admission.controller import AdmissionController
@@ -15,6 +16,8 @@
 from chestnutvale.programs.entry.context import AdmissionRefusal, CallRequest
 from chestnutvale.programs.periodic import run_rounds
 
+_LOGGER = logbook.Logger(__name__)
+
 ADMISSION_TICK_S = 0.025
 # Bytes of English text that make a token, for the length of a prompt.
 BYTES_PER_TOKEN = 4
@@ -29,10 +32,15 @@
         The gate that gave it.
     request : AdmissionRequest
         The call.
+    offered_s : float, optional
+        Monotonic time in seconds at which it asked.
     """
 
-    def __init__(self, gate: "AdmissionGate", request: AdmissionRequest) -> None:
+    def __init__(
+        self, gate: "AdmissionGate", request: AdmissionRequest, offered_s: float = 0.0
+    ) -> None:
         self.request = request
+        self.offered_s = offered_s
         self.decided = Event()
         self._gate = gate
         self._is_admitted = False
@@ -145,7 +153,7 @@
             deadline_s=request.deadline_s,
             start_by_s=request.start_by_s,
         )
-        ticket = GateTicket(self, wanted)
+        ticket = GateTicket(self, wanted, self._clock.now_s())
         self._tickets[request.request_id] = ticket
         self._settle(self.controller.offer(wanted, self._clock.now_s()))
         if self._is_any_waiting() and not self._has_waiting.ready():
@@ -218,8 +226,25 @@
             ticket = self._tickets.get(effect.request_id)
             if ticket is None:
                 continue
+            self._log(effect, ticket)
             if isinstance(effect, Admit):
                 self._predicted_tokens[effect.request_id] = effect.predicted_tokens
             if isinstance(effect, Refuse):
                 self._forget(effect.request_id)
             ticket.settle(effect)
+
+    def _log(self, effect: Effect, ticket: GateTicket) -> None:
+        if not isinstance(effect, Admit | Refuse):
+            return
+        waited_s = self._clock.now_s() - ticket.offered_s
+        state = self.controller.describe(ticket.request.service)
+        _LOGGER.info(
+            "admitted" if isinstance(effect, Admit) else "refused",
+            extra={
+                "request": effect.request_id,
+                "waited_ms": round(1_000 * waited_s),
+                "code": getattr(effect, "code", ""),
+                "retry_after_s": getattr(effect, "retry_after_s", None),
+                **state,
+            },
+        )
--- a/chestnutvale/programs/entry/call_context.py
+++ b/chestnutvale/programs/entry/call_context.py
@@ -3,6 +3,8 @@
 import random
 from typing import Any
 
+import logbook
+
 from chestnutvale.admission.messages import ServiceCapacity, ServiceLimits
 from chestnutvale.attempts.retry_budget import AttemptBudgets
 from chestnutvale.attempts.suspicion import SuspicionTracker
@@ -22,6 +24,8 @@
 from chestnutvale.schema.configuration_pb2 import Service, Text
 from chestnutvale.schema.peer_pb2 import ControlView, GroupView
 
+_LOGGER = logbook.Logger(__name__)
+
 BEARER = "bearer "
 # Requests given to engines as a multiple of those that they run at once.
 ENGINE_OVERCOMMIT = 1.15
@@ -172,8 +176,24 @@
         GroupView or None
             None if no group can take the call.
         """
-        stalled = self.pulse.stalled(self.clock.now_s()) | self._view.stalled
-        return self._router.choose(request, excluded, version, stalled)
+        now_s = self.clock.now_s()
+        stalled = self.pulse.stalled(now_s) | self._view.stalled
+        chosen = self._router.choose(request, excluded, version, stalled)
+        _LOGGER.info(
+            "group_chosen",
+            extra={
+                "request": request.request_id,
+                "service": request.service,
+                "group": chosen.group.group_id if chosen else None,
+                "epoch": chosen.group.epoch if chosen else None,
+                "head": chosen.group.members[0].host_id if chosen else None,
+                "excluded": sorted(excluded),
+                "stalled": sorted(stalled),
+                "view_version": self._view.version,
+                "lease_left_ms": round(1_000 * (self._view.lease_until_s - now_s)),
+            },
+        )
+        return chosen
 
     def report_attempt(self, report: AttemptReport) -> None:
         """Record how an attempt went.
@@ -183,6 +203,18 @@
         report : AttemptReport
             The attempt.
         """
+        _LOGGER.info(
+            "attempt_ended",
+            extra={
+                "request": report.request.request_id,
+                "group": report.group_id,
+                "epoch": report.epoch,
+                "result": report.result,
+                "code": report.code,
+                "first_byte_ms": report.first_byte_ms,
+                "tokens": report.tokens,
+            },
+        )
         self._router.report(report)
 
     def commit(self, command: Command, deadline_s: float) -> CommandResult:
--- a/chestnutvale/programs/entry/routed/handler.py
+++ b/chestnutvale/programs/entry/routed/handler.py
@@ -197,6 +197,22 @@
             deadline_s=now_s + _find_time_s(request, route),
             start_by_s=now_s + _find_patience_s(route),
         )
+        _LOGGER.info(
+            "call_accepted",
+            extra={
+                "request": request.request_id,
+                "route": route.name,
+                "kind": route.kind,
+                "service": service,
+                "workspace": workspace,
+                "configuration": context.text.number,
+                "left_ms": round(1_000 * (call.deadline_s - now_s)),
+                "patience_ms": round(1_000 * (call.start_by_s - now_s))
+                if math.isfinite(call.start_by_s)
+                else None,
+                "last_event": request.last_event,
+            },
+        )
         return RoutedCall(request, body, route, call, _fingerprint(request, body))
 
     def _install_routes(self) -> None:
@@ -268,7 +284,13 @@
             yield from pieces
         if run.failure is not None:
             _LOGGER.info(
-                "Stream {} breaks off: {}", run.request.request_id, run.failure.message
+                "stream_broken_off",
+                extra={
+                    "request": run.request.request_id,
+                    "code": run.failure.code,
+                    "reason": run.failure.message,
+                    "peer": run.failure.peer,
+                },
             )
             raise AnswerBrokenError(run.failure.message)
 
@@ -332,11 +354,16 @@
         if retry_after_s is not None:
             retry_after_s *= 1.0 + RETRY_SPREAD * self._context.rng.random()
         _LOGGER.info(
-            "Call {} fails: {} ({}), {}",
-            request_id,
-            failure.code,
-            failure.outcome,
-            failure.message,
+            "call_failed",
+            extra={
+                "request": request_id,
+                "code": failure.code,
+                "outcome": failure.outcome,
+                "reason": failure.message,
+                "step": failure.step,
+                "peer": failure.peer,
+                "retry_after_s": retry_after_s,
+            },
         )
         status, headers, body = self._protocol.failure_answer(
             failure, request_id, retry_after_s
