--- a/chestnutvale/programs/client/commands.py
+++ b/chestnutvale/programs/client/commands.py
@@ -4,6 +4,7 @@
 import json
 import os
 import sys
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Any, Literal
 
@@ -26,6 +27,7 @@
     OutcomeUnknownError,
     UnreachableError,
 )
+from chestnutvale.programs.client.explain import tell_story
 from chestnutvale.programs.client.initialise import make_key, write_first_files
 from chestnutvale.programs.client.tables import (
     format_apply,
@@ -121,6 +123,42 @@
     return ExitCode.DONE
 
 
+def explain(request_id: str, *files: Path) -> ExitCode:
+    """Tell what became of a request, from the logs of all processes.
+
+    Lines of other forms and cut lines are counted and left out.
+
+    Example: chestnut explain 9c41d07be2a35f68 entry-1.log control-1.log
+
+    Parameters
+    ----------
+    request_id : str
+        The request.
+    files : Path
+        Log files; without any, standard input is read.
+    """
+    story = tell_story(_read_logs(files), request_id)
+    for line in story.render():
+        print(line)
+    if story.unread:
+        print(f"{story.unread} lines could not be read", file=sys.stderr)
+    if not story.lines:
+        message = f"no log line names request {request_id!r}"
+        raise ClientError(message, step="explain")
+    return ExitCode.DONE
+
+
+def _read_logs(files: tuple[Path, ...]) -> Iterator[str]:
+    if not files:
+        yield from sys.stdin
+    for file in files:
+        try:
+            with file.open(encoding="utf-8", errors="replace") as lines:
+                yield from lines
+        except OSError as error:
+            raise ClientError(str(error), step="read", peer=str(file)) from error
+
+
 def plan(
     file: Path, *, settings: Path | None = None, format: Format = "table"
 ) -> ExitCode:
--- a/chestnutvale/programs/client/main.py
+++ b/chestnutvale/programs/client/main.py
@@ -21,11 +21,12 @@
     "status": commands.status,
     "drain": commands.drain,
     "dump": commands.dump,
+    "explain": commands.explain,
     "voter": {"add": commands.voter_add, "remove": commands.voter_remove},
 }
 OPTION_SETTINGS = "--settings"
 # These ask no control and so take no settings.
-OFFLINE_COMMANDS = ("init", "key")
+OFFLINE_COMMANDS = ("init", "key", "explain")
 
 
 def _print_error(message: object) -> None:
--- a/tests/docs/test_links.py
+++ b/tests/docs/test_links.py
@@ -12,7 +12,12 @@
 ROOT = Path(__file__).resolve().parent.parent.parent
 PAGES = [ROOT / "README.md", *sorted((ROOT / "docs").rglob("*.md"))]
 # Places from which a page may name a file.
-BASES = (ROOT, ROOT / "chestnutvale", ROOT / "chestnutvale" / "programs")
+BASES = (
+    ROOT,
+    ROOT / "chestnutvale",
+    ROOT / "chestnutvale" / "programs",
+    ROOT / "platform",
+)
 
 LINK = re.compile(r"\]\(([^)\s]+)\)")
 HEADING = re.compile(r"^#+ +(.*)$", re.MULTILINE)
--- /dev/null
+++ b/tests/programs/client/test_explain.py
@@ -0,0 +1,73 @@
+"""The story of a request, told from logs."""
+
+import json
+
+from chestnutvale.programs.client.const import ExitCode
+from chestnutvale.programs.client.explain import tell_story
+from chestnutvale.programs.client.main import run
+
+
+def line(time, message, source="", **fields):
+    body = json.dumps({"time": time, "level": "info", "message": message, **fields})
+    return f"  1.25 {source} {body}" if source else body
+
+
+LOGS = [
+    line(
+        "10:05", "attempt_ended", "entry-2", request="r1", group="g1", result="broken"
+    ),
+    line("10:01", "call_accepted", "entry-2", request="r1", route="r-7"),
+    line("10:02", "group_chosen", "entry-2", request="r1", group="g1", stalled=[]),
+    line("10:03", "group_view", "control-1", group="g1", serving=False, reason="gone"),
+    line("10:00", "group_view", "control-1", group="g1", serving=True),
+    line("09:00", "group_view", "control-1", group="g1", serving=False),
+    line("10:03", "group_view", "control-1", group="g9", serving=False),
+    line("10:04", "stalled_groups", "control-1", groups=["g1", "g2"]),
+    line("10:06", "call_failed", "entry-2", request="r1", outcome="unknown"),
+    line("10:02", "call_accepted", "entry-1", request="r2"),
+]
+
+
+def events(story):
+    return [(item.time, item.event) for item in story.lines]
+
+
+def test_a_story_stands_in_order_with_what_its_groups_were():
+    assert events(tell_story(LOGS, "r1")) == [
+        ("10:00", "group_view"),
+        ("10:01", "call_accepted"),
+        ("10:02", "group_chosen"),
+        ("10:03", "group_view"),
+        ("10:04", "stalled_groups"),
+        ("10:05", "attempt_ended"),
+        ("10:06", "call_failed"),
+    ]
+
+
+def test_each_line_names_its_process_and_the_state_that_decided():
+    rendered = list(tell_story(LOGS, "r1").render())
+    assert "entry-2" in rendered[1]
+    assert "route=r-7" in rendered[1]
+    assert "reason=gone" in rendered[3]
+
+
+def test_cut_and_foreign_lines_are_counted_and_left_out():
+    foreign = ["Traceback (most recent call last):", "{", LOGS[1][:40], "[1]", "\n"]
+    story = tell_story([*foreign, *LOGS], "r1")
+    assert story.unread == 4
+    assert len(story.lines) == 7
+
+
+def test_the_command_reads_files(tmp_path, capsys):
+    file = tmp_path / "all.log"
+    file.write_text("\n".join(LOGS))
+    assert run(["explain", "r1", str(file)]) == ExitCode.DONE
+    assert "call_failed" in capsys.readouterr().out
+
+
+def test_an_unknown_request_and_a_missing_file_are_errors(tmp_path, capsys):
+    file = tmp_path / "all.log"
+    file.write_text("\n".join(LOGS))
+    assert run(["explain", "r7", str(file)]) != ExitCode.DONE
+    assert "r7" in capsys.readouterr().err
+    assert run(["explain", "r1", str(tmp_path / "none")]) != ExitCode.DONE
