Take a reset for a break, not for the end of an answer

Change: the reader receives from the socket itself; an attempt that was given up does not end well either.

Ruled out: a truncated chunk (the library raises), a short Content-Length (it is counted).

Measured: the new test failed before and passes.

--- a/chestnutvale/programs/entry/routed/connections.py
+++ b/chestnutvale/programs/entry/routed/connections.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import attrs
+from eventlet import hubs
 from eventlet.green import socket
 
 from chestnutvale.clock import Clock
@@ -21,7 +22,12 @@
 
 
 class _SocketBytes(io.RawIOBase):
-    """The bytes of a socket; unlike the library's, readable after a timeout."""
+    """The bytes of a socket, where a reset is an error and no end.
+
+    eventlet's sockets give the end of the connection for a reset too, and an answer
+    that ends with its connection would look whole. The library's reader can't be used
+    after a timeout.
+    """
 
     def __init__(self, sock: Any) -> None:
         super().__init__()
@@ -31,10 +37,16 @@
         return True
 
     def readinto(self, buffer: Any) -> int | None:
-        try:
-            return self._sock.recv_into(buffer)
-        except (BlockingIOError, InterruptedError):
-            return None
+        while True:
+            try:
+                return self._sock.fd.recv_into(buffer)
+            except (BlockingIOError, InterruptedError):
+                timeout_s = self._sock.gettimeout()
+                if timeout_s == 0.0:
+                    return None
+            hubs.trampoline(
+                self._sock.fd, read=True, timeout=timeout_s, timeout_exc=TimeoutError
+            )
 
 
 class SharedReader:
--- a/chestnutvale/programs/entry/routed/exchange.py
+++ b/chestnutvale/programs/entry/routed/exchange.py
@@ -208,6 +208,8 @@
                 raise self._broken("the answer ended early", STEP_RECEIVE)
             self._left_bytes -= len(data)
         elif not data:
+            if self._is_aborted:
+                raise self._broken("given up", STEP_RECEIVE)
             self._is_whole = True
         return data
 
--- a/tests/programs/entry/routed/test_whole_answers.py
+++ b/tests/programs/entry/routed/test_whole_answers.py
@@ -1,6 +1,10 @@
 """Routed calls with one answer: what is passed on, and how often a call is sent."""
 
+import struct
+
+import eventlet
 import pytest
+from eventlet.green import socket
 
 from tests.programs.entry.routed.routed_fakes import (
     SECRET,
@@ -119,6 +123,31 @@
     assert not two.requests
 
 
+def send_without_length(body, *, reset):
+    def step(sock, request):
+        sock.sendall(b"HTTP/1.1 200 OK\r\nX-Call: c1\r\n\r\n" + body)
+        if reset:
+            eventlet.sleep(0.05)
+            option = struct.pack("ii", 1, 0)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
+        sock.close()
+
+    return step
+
+
+def test_an_answer_without_a_length_ends_with_its_connection(one):
+    one.default = send_without_length(b"all of it", reset=False)
+    with routed_entry(one) as entry:
+        status, _, body, is_whole = call(entry.address, "/once/x", b"pay")
+    assert (status, body, is_whole) == (200, b"all of it", True)
+
+
+def test_an_answer_without_a_length_that_is_reset_is_not_whole(one):
+    one.default = send_without_length(b"half of", reset=True)
+    with routed_entry(one) as entry:
+        assert call(entry.address, "/once/x", b"pay")[0] == 502
+
+
 def test_a_refusal_that_says_not_run_lets_the_call_go_elsewhere(one, two):
     one.default = NOT_RUN
     two.default = whole(b"ran")
