Keep a group that gives events though its members are not heard

Change: entries' reports of events vouch for a group; its members are missed only once nothing comes from it.

Ruled out: a longer detection timeout, which also holds on to dark hosts.

--- a/chestnutvale/groups/pools.py
+++ b/chestnutvale/groups/pools.py
@@ -17,7 +17,7 @@
 from chestnutvale.groups.fleet import Fleet, to_member
 from chestnutvale.groups.homes import PoolHomes
 from chestnutvale.groups.need import PoolNeed
-from chestnutvale.groups.serving import holds_epoch
+from chestnutvale.groups.serving import holds_epoch, is_vouched
 from chestnutvale.groups.state import GroupsState
 from chestnutvale.membership.const import HOLDING_BROKEN
 from chestnutvale.membership.table import HostRecord, MembershipTable
@@ -172,8 +172,10 @@
         now_s: float,
     ) -> bool:
         record = table.host(member.host_id)
-        if record is None or not table.is_fresh(member.host_id, now_s):
+        if record is None:
             return True
+        if not table.is_fresh(member.host_id, now_s):
+            return not is_vouched(group, table, now_s)
         if record.boot_id != member.boot_id or record.announcement is None:
             return True
         key = (member.host_id, group.epoch)
--- a/chestnutvale/groups/serving.py
+++ b/chestnutvale/groups/serving.py
@@ -39,9 +39,13 @@
     str
         The reason; empty if the member is ready.
     """
-    if not table.is_fresh(member.host_id, now_s):
+    if not table.is_fresh(member.host_id, now_s) and not is_vouched(
+        group, table, now_s
+    ):
         return f"member {member.host_id} {FAULT_MISSING}"
     record = table.host(member.host_id)
+    if record is None:
+        return f"member {member.host_id} {FAULT_MISSING}"
     if record.boot_id != member.boot_id:
         return f"member {member.host_id} {FAULT_RESTARTED}"
     if not record.is_content_current:
@@ -55,6 +59,29 @@
     return ""
 
 
+def is_vouched(group: Group, table: MembershipTable, now_s: float) -> bool:
+    """Tell whether a group works although members of it are not heard.
+
+    Only heads that stop by themselves when a member is lost can show it: as long as
+    they give events, their members are cut off from the controls at most.
+
+    Parameters
+    ----------
+    group : Group
+        The group.
+    table : MembershipTable
+        What is known of hosts and groups.
+    now_s : float
+        Monotonic time.
+
+    Returns
+    -------
+    bool
+        Whether entries got events from it lately.
+    """
+    return group.pooled and table.is_vouched(group.group_id, now_s)
+
+
 def find_serving_fault(
     group: Group,
     table: MembershipTable,
--- a/chestnutvale/membership/table.py
+++ b/chestnutvale/membership/table.py
@@ -90,6 +90,7 @@
     _entries: dict[str, float] = attrs.field(factory=dict)
     _patient_until_s: float = attrs.field(default=-math.inf, init=False)
     _by_address: dict[str, str] = attrs.field(factory=dict)
+    _vouched_s: dict[str, float] = attrs.field(factory=dict, init=False)
     _delays: ReportDelays = attrs.field(factory=ReportDelays)
 
     def merge(
@@ -314,6 +315,36 @@
             record.load = Load(running=running)
         return True
 
+    def vouch(self, group_ids: Iterable[str], until_s: float) -> None:
+        """Note groups that give events, whatever is heard of their members.
+
+        Parameters
+        ----------
+        group_ids : iterable of str
+            The groups.
+        until_s : float
+            Monotonic time up to which that is believed.
+        """
+        for group_id in group_ids:
+            self._vouched_s[group_id] = until_s
+
+    def is_vouched(self, group_id: str, now_s: float) -> bool:
+        """Tell whether a group was seen to give events lately.
+
+        Parameters
+        ----------
+        group_id : str
+            The group.
+        now_s : float
+            Monotonic time.
+
+        Returns
+        -------
+        bool
+            Whether its members may be cut off from the controls only.
+        """
+        return now_s < self._vouched_s.get(group_id, -math.inf)
+
     def forget_silent(self, now_s: float) -> None:
         """Drop hosts and entries that have been silent for long.
 
@@ -338,6 +369,11 @@
         self._incomplete = {
             host_id: None for host_id in self._incomplete if host_id in self._hosts
         }
+        self._vouched_s = {
+            group_id: until_s
+            for group_id, until_s in self._vouched_s.items()
+            if until_s > now_s
+        }
 
     def _take(self, entry_id: str, heard: Heard, now_s: float) -> bool:
         heard_at_s = now_s - heard.age_ms / 1_000
--- a/chestnutvale/programs/control/const.py
+++ b/chestnutvale/programs/control/const.py
@@ -33,3 +33,6 @@
 # shortest one if something changed.
 HOST_REPORT_INTERVAL_S: Final = 0.4
 MIN_HOST_REPORT_INTERVAL_S: Final = 0.02
+# Time in seconds for which the events of a group show that it works; entries report
+# twice within it.
+VOUCH_S: Final = 1.2
--- a/chestnutvale/programs/control/entry_desk.py
+++ b/chestnutvale/programs/control/entry_desk.py
@@ -22,6 +22,7 @@
 from chestnutvale.programs.control.const import (
     COMMIT_REQUEST_TIMEOUT_S,
     MAX_COMMIT_REQUESTS,
+    VOUCH_S,
 )
 from chestnutvale.programs.control.state import ControlState
 from chestnutvale.routing.pulse import StallBoard
@@ -223,6 +224,7 @@
         silences_s = {item.group_id: item.silence_ms / 1_000 for item in report.running}
         stalled = frozenset(item.group_id for item in report.running if item.stalled)
         is_new = self._stalls.note(entry_id, silences_s, stalled, now_s)
+        self._table.vouch(self._stalls.heard(now_s), now_s + VOUCH_S)
         if is_new:
             groups = sorted(self._stalls.stalled(now_s))
             _LOGGER.info("stalled_groups", extra={"groups": groups, "by": entry_id})
--- a/chestnutvale/routing/const.py
+++ b/chestnutvale/routing/const.py
@@ -38,3 +38,6 @@
 # Time in seconds for which a group that has stalled gets no new work: its hosts are
 # missed within it.
 STALL_HOLD_S: Final = 3.0
+# Age in seconds of an event up to which it shows that its group works: two reports of
+# entries and the way of one.
+HEARD_S: Final = 1.2
--- a/chestnutvale/routing/pulse.py
+++ b/chestnutvale/routing/pulse.py
@@ -5,6 +5,7 @@
 import attrs
 
 from chestnutvale.routing.const import (
+    HEARD_S,
     STALL_FIRST_EVENT_S,
     STALL_GAP_S,
     STALL_HOLD_S,
@@ -210,6 +211,30 @@
         }
         return frozenset(self._until_s)
 
+    def heard(self, now_s: float) -> frozenset[str]:
+        """Return the groups that gave events lately.
+
+        Parameters
+        ----------
+        now_s : float
+            Monotonic time.
+
+        Returns
+        -------
+        frozenset of str
+            Group ids.
+        """
+        return frozenset(
+            group_id
+            for group_id, claims in self._claims.items()
+            if group_id not in self._until_s
+            and any(
+                now_s - (claim.noted_s - claim.silence_s) <= HEARD_S
+                for claim in claims.values()
+                if not claim.is_stalled
+            )
+        )
+
     def _judge(self, group_id: str, claims: dict[str, _Claim], now_s: float) -> None:
         fresh = {
             entry_id: claim
--- a/tests/groups/test_pools.py
+++ b/tests/groups/test_pools.py
@@ -5,6 +5,7 @@
 from chestnutvale.groups.draining import IdleWatch
 from chestnutvale.groups.fleet import Fleet
 from chestnutvale.groups.pools import PoolPlanner
+from chestnutvale.groups.serving import find_serving_fault
 from chestnutvale.groups.settings import GroupsPolicy
 from chestnutvale.groups.state import GroupsState
 from chestnutvale.membership.content import content_digest
@@ -229,3 +230,31 @@
     (command,) = pool.plan(2.6)
     assert isinstance(command, PutGroup)
     assert command.group.phase == "draining"
+
+
+def test_a_group_that_gives_events_stays_though_its_members_are_not_heard():
+    pool = make_serving_pool()
+    group = next(iter(pool.state.groups.values()))
+    cut = {member.host_id for member in group.members}
+    for host_id in all_hosts():
+        pool.announce(host_id, 1.5)
+    for host_id in all_hosts():
+        if host_id not in cut:
+            pool.announce(host_id, 4.0)
+    pool.table.vouch([group.group_id], 6.0)
+    assert pool.plan(5.0) == []
+    assert not find_serving_fault(group, pool.table, 5.0)
+    for host_id in all_hosts():
+        if host_id not in cut:
+            pool.announce(host_id, 6.0)
+    assert find_serving_fault(group, pool.table, 6.5)
+    (command,) = [c for c in pool.plan(6.5) if isinstance(c, RemoveGroup)]
+    assert command.group_id == group.group_id
+
+
+def test_events_excuse_no_member_that_was_restarted():
+    pool = make_serving_pool()
+    group = next(iter(pool.state.groups.values()))
+    group.members[1].boot_id = "an earlier one"
+    pool.table.vouch([group.group_id], 6.0)
+    assert find_serving_fault(group, pool.table, 2.5)
--- a/tests/routing/test_pulse.py
+++ b/tests/routing/test_pulse.py
@@ -74,3 +74,16 @@
     board.note("e1", {"g": 0.45}, frozenset({"g"}), 10.5)
     assert board.note("e1", {"g": 0.02}, frozenset(), 11.0)
     assert board.stalled(11.0) == frozenset()
+
+
+def test_a_group_is_heard_while_any_entry_gets_events():
+    board = StallBoard()
+    board.note("e1", {"g": 0.05, "quiet": 2.0}, frozenset(), 10.0)
+    assert board.heard(10.5) == {"g"}
+    assert board.heard(12.0) == frozenset()
+
+
+def test_a_stalled_group_is_not_heard():
+    board = StallBoard()
+    board.note("e1", {"g": 0.5}, frozenset({"g"}), 10.0)
+    assert board.heard(10.0) == frozenset()
