Divide a pool's domains by share, and follow the demand afterwards

Change: each domain is the home of one model, by its share of the hosts; once there is demand, a model that stays far less pressed gives up a group at a time. Drained groups of engines that refuse foreign calls are dissolved without waiting for old serving rights.

Ruled out: moving hosts of a group under load at once; converting in one step.

--- a/chestnutvale/groups/const.py
+++ b/chestnutvale/groups/const.py
@@ -80,13 +80,23 @@
 HOME_DOMAINS: Final = 2
 # A model is pressed this much harder than another before free hosts that have the
 # other's weights at hand load its own, and at least this hard by itself.
-CONVERT_RATIO: Final = 2.0
-CONVERT_PRESSURE: Final = 0.6
+CONVERT_RATIO: Final = 1.6
+CONVERT_PRESSURE: Final = 0.5
+# Groups that a model keeps whatever others need, and the time in seconds between two
+# groups that are given up for another model: weights take longer to load.
+MIN_GROUPS: Final = 2
+REBALANCE_INTERVAL_S: Final = 5.0
+# Time in seconds for which a model must be pressed that hard: a lost group is healed
+# within it.
+REBALANCE_PATIENCE_S: Final = 2.0
 
 # Loads that are ordered at once, as a multiple of those that a weight store serves at
 # full speed: it should not wait for the next order when a load ends.
 LOADS_IN_HAND: Final = 1.25
 
+# Time in seconds within which entries hear of a changed view and report again.
+VIEW_SPREAD_S: Final = 0.7
+
 # Commands proposed in one round; the rest follows in the next.
 MAX_COMMANDS_PER_ROUND: Final = 32
 
--- a/chestnutvale/groups/draining.py
+++ b/chestnutvale/groups/draining.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from chestnutvale.groups.const import VIEW_SPREAD_S
 from chestnutvale.groups.serving import find_serving_fault, group_head
 from chestnutvale.groups.settings import GroupsPolicy
 from chestnutvale.groups.state import GroupsState
@@ -106,7 +107,10 @@
         stopped_at_s = self._stopped_at_s.get(group.group_id)
         if stopped_at_s is None:
             return False
-        quiet_from_s = stopped_at_s + self.policy.serving_lease_s
+        # Heads that stop by themselves refuse what comes by an old serving right.
+        is_refused = self.policy.engine_stall_s > 0.0
+        lease_s = VIEW_SPREAD_S if is_refused else self.policy.serving_lease_s
+        quiet_from_s = stopped_at_s + lease_s
         if now_s <= quiet_from_s:
             return False
         if now_s > stopped_at_s + self.policy.drain_timeout_s:
--- a/chestnutvale/groups/homes.py
+++ b/chestnutvale/groups/homes.py
@@ -1,7 +1,7 @@
 """In which fabric domains of a pool a model may have groups."""
 
 import math
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Iterable, Mapping
 
 import attrs
 
@@ -13,11 +13,11 @@
 
 @attrs.define
 class PoolHomes:
-    """Keeps the models with small groups together in some domains.
+    """Keeps the groups of each model together in some domains.
 
     Hosts that are left over beside large groups heal those at once when a member is
     lost, if they have the same weights. Small groups would use such hosts up in every
-    domain, so they have domains of their own, as many as their share of the hosts asks
+    domain, so each model has domains of its own, as many as its share of the hosts asks
     for: at least two, as a whole domain may go dark.
 
     Parameters
@@ -102,22 +102,39 @@
             Whether the domain is its own, or it is pressed so hard that this does not
             matter.
         """
-        if domain in self.domains_of[name]:
+        own = self.domains_of[name]
+        if domain in own:
             return True
-        size = self.services[name].hosts_per_group
-        larger = self._find(lambda other: other > size)
-        smaller = self._find(lambda other: other < size)
-        if larger and len(self.domains_of[name]) < self.limits[name]:
+        rivals = self._find_rivals(name, domain)
+        if not rivals and len(own) < self.limits[name]:
             return True
-        rivals = larger or [item for item in smaller if domain in self.domains_of[item]]
-        if not rivals:
-            return True
-        highest = max(pressures[other] for other in rivals)
+        highest = max(
+            (pressures[other] for other in rivals or self.services if other != name),
+            default=0.0,
+        )
         return math.isinf(pressures[name]) or pressures[name] > CONVERT_RATIO * highest
 
-    def _find(self, fits: Callable[[int], bool]) -> list[str]:
+    def is_foreign(self, name: str, domain: str) -> bool:
+        """Tell whether a domain is the home of other services only.
+
+        Parameters
+        ----------
+        name : str
+            The service.
+        domain : str
+            The fabric domain.
+
+        Returns
+        -------
+        bool
+            Whether any other domain is better for the service.
+        """
+        is_own = domain in self.domains_of[name]
+        return not is_own and bool(self._find_rivals(name, domain))
+
+    def _find_rivals(self, name: str, domain: str) -> list[str]:
         return [
-            name
-            for name, service in self.services.items()
-            if fits(service.hosts_per_group)
+            other
+            for other, domains in self.domains_of.items()
+            if other != name and domain in domains
         ]
--- a/chestnutvale/groups/pools.py
+++ b/chestnutvale/groups/pools.py
@@ -1,23 +1,29 @@
 """Divides a pool of hosts between the models that share it."""
 
+import math
 from collections import Counter
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from typing import TypeAlias
 
 import attrs
 
 from chestnutvale.groups.const import (
+    CONVERT_PRESSURE,
+    CONVERT_RATIO,
+    MIN_GROUPS,
     PHASE_DRAINING,
     PHASE_FORMING,
     POOL_ORDER_TIMEOUT_S,
     POOL_READY_TIMEOUT_S,
     POOL_SETTLE_S,
+    REBALANCE_INTERVAL_S,
+    REBALANCE_PATIENCE_S,
 )
 from chestnutvale.groups.draining import IdleWatch
 from chestnutvale.groups.fleet import Fleet, to_member
 from chestnutvale.groups.homes import PoolHomes
 from chestnutvale.groups.need import PoolNeed
-from chestnutvale.groups.serving import holds_epoch, is_vouched
+from chestnutvale.groups.serving import group_head, holds_epoch, is_vouched
 from chestnutvale.groups.state import GroupsState
 from chestnutvale.membership.const import HOLDING_BROKEN
 from chestnutvale.membership.table import HostRecord, MembershipTable
@@ -96,6 +102,8 @@
 
     idle: IdleWatch
     need: PoolNeed = attrs.field(factory=PoolNeed)
+    _rebalance_due_s: float = -math.inf
+    _donor_since_s: dict[str, float] = attrs.field(factory=dict)
     _unready_from_s: dict[tuple[str, int], float] = attrs.field(factory=dict)
 
     def plan(
@@ -137,9 +145,65 @@
             if group.phase != PHASE_DRAINING and not isinstance(command, RemoveGroup):
                 kept.append(group)
         if services:
+            yield from self._rebalance(services, kept, table, now_s)
             has_settled = is_settled(table, now_s)
             yield from self._form(services, kept, state, fleet, has_settled)
 
+    def _rebalance(
+        self,
+        services: Mapping[str, Service],
+        groups: Sequence[Group],
+        table: MembershipTable,
+        now_s: float,
+    ) -> Iterator[PutGroup]:
+        """Give up a group of a model that is far less pressed than another one.
+
+        Its hosts load the other weights meanwhile, so one group at a time, and only if
+        the model that gives it up stays well below the other.
+        """
+        if not self.need.has_demand or now_s < self._rebalance_due_s:
+            return
+        waiting = self._donor_since_s
+        self._donor_since_s = {}
+        counts = Counter(group.service for group in groups)
+        for pool in {service.pool for service in services.values()}:
+            own = {name: item for name, item in services.items() if item.pool == pool}
+            donor = self._find_donor(own, counts)
+            serving = [
+                group
+                for group in groups
+                if group.service == donor and self.idle.is_serving(group)
+            ]
+            if not donor or len(serving) < counts[donor]:
+                continue
+            since_s = self._donor_since_s.setdefault(pool, waiting.get(pool, now_s))
+            if now_s - since_s < REBALANCE_PATIENCE_S:
+                continue
+            chosen = min(
+                serving, key=lambda group: (_running(group, table), group.epoch)
+            )
+            self._rebalance_due_s = now_s + REBALANCE_INTERVAL_S
+            groups = [group for group in groups if group is not chosen]
+            yield _with_phase(chosen, PHASE_DRAINING)
+
+    def _find_donor(
+        self, services: Mapping[str, Service], counts: Mapping[str, int]
+    ) -> str:
+        pressures = {
+            name: self.need.pressure(name, service, counts[name])
+            for name, service in services.items()
+        }
+        highest = max(pressures.values())
+        if highest < CONVERT_PRESSURE:
+            return ""
+        after = {
+            name: self.need.pressure(name, service, counts[name] - 1)
+            for name, service in services.items()
+            if counts[name] > MIN_GROUPS
+        }
+        donor = min(after, key=lambda name: (after[name], name), default="")
+        return donor if donor and after[donor] * CONVERT_RATIO <= highest else ""
+
     def _end(
         self,
         group: Group,
@@ -159,10 +223,7 @@
             return None
         if group.phase == PHASE_FORMING:
             return remove
-        changed = Group()
-        changed.CopyFrom(group)
-        changed.phase = PHASE_DRAINING
-        return PutGroup(group=changed, expected_epoch=group.epoch)
+        return _with_phase(group, PHASE_DRAINING)
 
     def _is_lost(
         self,
@@ -270,7 +331,7 @@
             options = [o for o in options if o[0] == -highest]
         if not options:
             return None
-        *_, name, shelf = min(options, key=lambda o: (*o[:4], o[4].domain))
+        *_, name, shelf = min(options, key=lambda o: (*o[:5], o[5].domain))
         return name, shelf
 
     def take(self, name: str, shelf: Shelf) -> list[HostRecord]:
@@ -279,14 +340,15 @@
         self._homes.note(name, shelf.domain)
         return shelf.take(name, self._services[name].hosts_per_group)
 
-    def _waste(self, name: str, shelf: Shelf) -> tuple[int, int]:
+    def _waste(self, name: str, shelf: Shelf) -> tuple[bool, int, int]:
         """Return how badly a group would fit a shelf.
 
         Shelves are better that are left with room for whole large groups, and of those
         the emptiest ones, so that hosts are not left over in every domain.
         """
         left = len(shelf.hosts) - self._services[name].hosts_per_group
-        return left % self._largest, left
+        is_foreign = self._homes.is_foreign(name, shelf.domain)
+        return is_foreign, left % self._largest, left
 
     def _may_form(
         self, name: str, shelf: Shelf, pressures: Mapping[str, float]
@@ -300,6 +362,18 @@
         return self._homes.may_use(name, shelf.domain, pressures)
 
 
+def _with_phase(group: Group, phase: str) -> PutGroup:
+    changed = Group()
+    changed.CopyFrom(group)
+    changed.phase = phase
+    return PutGroup(group=changed, expected_epoch=group.epoch)
+
+
+def _running(group: Group, table: MembershipTable) -> int:
+    record = table.host(group_head(group).host_id)
+    return record.load.running if record is not None and record.load else 0
+
+
 def is_settled(table: MembershipTable, now_s: float) -> bool:
     """Tell whether the hosts of the pools are known as far as they run.
 
--- a/tests/groups/test_pools.py
+++ b/tests/groups/test_pools.py
@@ -187,7 +187,7 @@
 
 def test_a_lost_member_dissolves_its_group_and_staged_hosts_form_the_next():
     pool = make_serving_pool()
-    pool.planner.need.note({BIG: 10.0, SMALL: 10.0}, 2.0)
+    pool.planner.need.note({BIG: 4.0, SMALL: 10.0}, 2.0)
     domain = next(
         domain
         for domain in (f"gpu.d{number}" for number in range(6))
@@ -258,3 +258,40 @@
     group.members[1].boot_id = "an earlier one"
     pool.table.vouch([group.group_id], 6.0)
     assert find_serving_fault(group, pool.table, 2.5)
+
+
+def test_a_model_that_is_far_less_pressed_gives_up_one_group_at_a_time():
+    pool = make_serving_pool()
+    for host_id in all_hosts():
+        pool.announce(host_id, 2.2)
+    # Their counts stand for requests, as each group runs one at once here.
+    pool.planner.need.note({BIG: 1.0, SMALL: 20.0}, 2.2)
+    # A group that was just lost will be healed; this has to last.
+    assert not [c for c in pool.plan(2.3) if isinstance(c, PutGroup)]
+    drained = [c.group for c in pool.plan(4.6) if isinstance(c, PutGroup)]
+    assert [(g.service, g.phase) for g in drained] == [(BIG, "draining")]
+    assert not [c for c in pool.plan(4.8) if isinstance(c, PutGroup)]
+
+
+def test_models_that_are_pressed_alike_keep_their_groups():
+    pool = make_serving_pool()
+    for host_id in all_hosts():
+        pool.announce(host_id, 2.2)
+    counts = pool.counts()
+    pool.planner.need.note({BIG: counts[BIG] * 1.0, SMALL: counts[SMALL] * 1.3}, 2.2)
+    assert pool.plan(2.3) == []
+
+
+def test_a_model_keeps_its_last_groups():
+    pool = make_serving_pool()
+    pool.planner.need.note({BIG: 0.0, SMALL: 50.0}, 2.0)
+    now_s = 2.2
+    for _ in range(40):
+        for host_id in all_hosts():
+            pool.announce(host_id, now_s)
+        pool.plan(now_s)
+        now_s += 6.0
+        for group_id, group in list(pool.state.groups.items()):
+            if group.phase == "draining":
+                del pool.state.groups[group_id]
+    assert pool.counts()[BIG] == 2
