Have a new leader wait longer only for hosts that report to a control

A new leader waited out a whole detection timeout for a host that had been dead for 3.6 s, also where entries hear the hosts and a change of leader tells nothing about them; the four seconds for which a begun answer looks for a group ended first. Change: the longer wait applies to hosts that announce themselves to one control. Ruled out: the two groups left had room and leases all the time.

--- a/chestnutvale/membership/table.py
+++ b/chestnutvale/membership/table.py
@@ -42,6 +42,8 @@
         Whether a later life of another identity has its address.
     is_load_counted : bool
         Whether the load is what entries run there, as the host reports none.
+    reports_to_control : bool
+        Whether it announces itself to one control, and not to the entries.
     """
 
     host_id: str
@@ -53,6 +55,7 @@
     load: Load | None = None
     is_superseded: bool = False
     is_load_counted: bool = False
+    reports_to_control: bool = False
 
     @property
     def boot_id(self) -> str:
@@ -125,17 +128,17 @@
         if sent_at_ms:
             delay_s = self._delays.excess_s(entry_id, incarnation, sent_at_ms, now_s)
             now_s -= delay_s
-        return self.take_heard(entry_id, heard, now_s)
+        return self._take_all(entry_id, heard, now_s)
 
     def take_heard(
         self, sender_id: str, heard: Iterable[Heard], now_s: float
     ) -> list[str]:
-        """Take what another process heard of hosts.
+        """Take what a control heard from hosts.
 
         Parameters
         ----------
         sender_id : str
-            Who heard it: an entry or a control.
+            The control.
         heard : iterable of Heard
             What it heard.
         now_s : float
@@ -146,6 +149,17 @@
         list of str
             Hosts that are new, or whose boot or content changed.
         """
+        heard = list(heard)
+        changed = self._take_all(sender_id, heard, now_s)
+        for item in heard:
+            record = self._hosts.get(item.host_id)
+            if record is not None:
+                record.reports_to_control = True
+        return changed
+
+    def _take_all(
+        self, sender_id: str, heard: Iterable[Heard], now_s: float
+    ) -> list[str]:
         changed = [item.host_id for item in heard if self._take(sender_id, item, now_s)]
         self.revision += len(changed)
         return changed
@@ -183,10 +197,10 @@
         record = self._hosts.get(host_id)
         if record is None or record.is_superseded:
             return False
-        return now_s - record.heard_at_s <= self._timeout_s(now_s)
+        return now_s - record.heard_at_s <= self._timeout_s(record, now_s)
 
     def be_patient(self, until_s: float) -> None:
-        """Wait longer for hosts for a while, as some announce themselves elsewhere.
+        """Wait longer for hosts that report to a control, as some look for another one.
 
         Parameters
         ----------
@@ -196,8 +210,8 @@
         self._patient_until_s = until_s
         self.revision += 1
 
-    def _timeout_s(self, now_s: float) -> float:
-        if now_s < self._patient_until_s:
+    def _timeout_s(self, record: HostRecord, now_s: float) -> float:
+        if record.reports_to_control and now_s < self._patient_until_s:
             return self.detection_timeout_s + PATIENCE_S
         return self.detection_timeout_s
 
@@ -214,12 +228,11 @@
         list of HostRecord
             Sorted by host id.
         """
-        oldest_s = now_s - self._timeout_s(now_s)
         fresh = [
             record
             for record in self._hosts.values()
             if record.is_content_current
-            and record.order.heard_at_s >= oldest_s
+            and now_s - record.order.heard_at_s <= self._timeout_s(record, now_s)
             and not record.is_superseded
         ]
         fresh.sort(key=lambda record: record.host_id)
--- a/tests/membership/test_lives.py
+++ b/tests/membership/test_lives.py
@@ -66,3 +66,11 @@
     assert table.is_fresh("one", 3.5)
     assert table.fresh_hosts(3.5)
     assert not table.is_fresh("one", 6.1)
+
+
+def test_a_host_that_entries_hear_is_missed_at_its_time_by_a_new_leader():
+    table = MembershipTable(3.0)
+    table.merge("entry-1", [heard("one", 100)], 0.0)
+    table.be_patient(6.0)
+    assert not table.is_fresh("one", 3.5)
+    assert not table.fresh_hosts(3.5)
