Count refused requests in the demand by which a pool is divided

Refused calls counted nowhere, so the full model never looked pressed enough to be given hosts. Change: entries report what refused requests would hold on average, and the controls add it when they divide a pool. The division among entries is as before. The test of invariants looks for no demand left after the window of refusals. Ruled out: hosts without room (20 hosts unused), admission limits that are too low (the places of the two groups were all taken).

--- a/chestnutvale/admission/const.py
+++ b/chestnutvale/admission/const.py
@@ -31,6 +31,9 @@
 EVEN_SHARE: Final = 0.15
 
 DEMAND_EXPIRY_S: Final = 3.0
+# Window in seconds over which refusals are counted: several come even in a small
+# service, and a burst is forgotten before weights are loaded for it.
+REFUSED_WINDOW_S: Final = 2.0
 MAX_REPORTED_DEMANDS: Final = 64
 
 DEFAULT_HOLD_S: Final = 5.0
--- a/chestnutvale/admission/demand.py
+++ b/chestnutvale/admission/demand.py
@@ -16,7 +16,9 @@
     A workspace that is left out still gets its part of the capacity that is
     divided evenly.
     """
-    ordered = sorted(demands, key=lambda d: (-d.tokens, d.service, d.workspace))
+    ordered = sorted(
+        demands, key=lambda d: (-d.tokens - d.refused_tokens, d.service, d.workspace)
+    )
     return ordered[:most]
 
 
@@ -73,4 +75,5 @@
         one.workspace,
         one.tokens + other.tokens,
         one.urgent_tokens + other.urgent_tokens,
+        one.refused_tokens + other.refused_tokens,
     )
--- a/chestnutvale/admission/messages.py
+++ b/chestnutvale/admission/messages.py
@@ -102,12 +102,15 @@
         Whose demand it is.
     tokens, urgent_tokens : int
         Reserved and queued tokens, and those of them that are urgent.
+    refused_tokens : int
+        What the requests that were refused lately would hold on average.
     """
 
     service: str
     workspace: str
     tokens: int
     urgent_tokens: int = 0
+    refused_tokens: int = 0
 
 
 @attrs.frozen
--- a/chestnutvale/admission/service.py
+++ b/chestnutvale/admission/service.py
@@ -31,6 +31,7 @@
 )
 from chestnutvale.admission.pacing import Pace, RetryPacer
 from chestnutvale.admission.prediction import TokenPredictor
+from chestnutvale.admission.refused import RefusedDemand
 from chestnutvale.admission.sharing import Division, divide_between_entries
 from chestnutvale.admission.waiting import FairQueue, Waiter
 
@@ -89,6 +90,7 @@
     _group_tokens: int = 0
     _waiting: dict[str, Waiter] = attrs.field(factory=dict)
     pace: Pace = attrs.field(factory=Pace)
+    refused: RefusedDemand = attrs.field(factory=RefusedDemand)
     commitment: Commitment = attrs.field(factory=Commitment)
 
     def set_capacity(self, capacity: ServiceCapacity, now_s: float) -> None:
@@ -180,6 +182,7 @@
 
     def tick(self, now_s: float) -> list[Effect]:
         """Refuse waiting requests that can't be met any more; admit others."""
+        self.refused.forget_old(now_s)
         effects = self.admit_waiting(now_s)
         if self.capacity.groups == 0:
             return effects + self._refuse_all(now_s)
@@ -210,7 +213,7 @@
             effects.append(Admit(request.request_id, waiter.cost))
 
     def demand(self, name: str) -> list[Demand]:
-        """Return reserved and queued tokens per workspace of service `name`."""
+        """Return held, queued and refused tokens per workspace of service `name`."""
         tokens: Counter[str] = Counter()
         urgent: Counter[str] = Counter()
         held = [(entry.request, entry.reserved) for entry in self.running.values()]
@@ -219,7 +222,11 @@
             tokens[request.workspace] += cost
             if request.priority == PRIORITY_URGENT:
                 urgent[request.workspace] += cost
-        return [Demand(name, key, count, urgent[key]) for key, count in tokens.items()]
+        refused = self.refused.held(self.pace.hold_s)
+        return [
+            Demand(name, key, tokens[key], urgent[key], refused[key])
+            for key in {**tokens, **refused}
+        ]
 
     def _capacity_units(self) -> float:
         if self._is_plain():
@@ -348,6 +355,7 @@
     def _refuse(
         self, request: AdmissionRequest, code: str, cost: int, now_s: float
     ) -> Refuse:
+        self.refused.note(request.workspace, cost, now_s)
         backlog = self._tokens_ahead(request) + cost - (self.limit - self.reserved)
         retry_s = self.pacer.retry_after_s(
             now_s, max(0.0, backlog), cost, self._drain_rate()
--- a/chestnutvale/admission/wire.py
+++ b/chestnutvale/admission/wire.py
@@ -25,6 +25,7 @@
             workspace=item.workspace,
             tokens=item.tokens,
             urgent_tokens=item.urgent_tokens,
+            refused_tokens=item.refused_tokens,
         )
         for item in demands
     ]
@@ -44,6 +45,12 @@
         The demands.
     """
     return [
-        Demand(item.service, item.workspace, item.tokens, item.urgent_tokens)
+        Demand(
+            item.service,
+            item.workspace,
+            item.tokens,
+            item.urgent_tokens,
+            item.refused_tokens,
+        )
         for item in messages
     ]
--- a/chestnutvale/groups/need.py
+++ b/chestnutvale/groups/need.py
@@ -13,9 +13,9 @@
 class PoolNeed:
     """Demand of each service, smoothed, against what its groups can run.
 
-    Requests that wait or run are counted, so that a model with slow answers needs more
-    groups than one with the same rate of quick ones. Before there is any demand, the
-    shares of the text stand for it, as shares of the hosts.
+    Requests that wait, run or were refused lately are counted, so that a model with
+    slow answers needs more groups than one with the same rate of quick ones. Before
+    there is any demand, the shares of the text stand for it, as shares of the hosts.
 
     Parameters
     ----------
@@ -39,7 +39,7 @@
         Parameters
         ----------
         demand : mapping of str to float
-            Requests that wait or run, by service.
+            Requests that wait, run or were refused lately, by service.
         now_s : float
             Monotonic time.
         """
--- a/chestnutvale/programs/control/entry_desk.py
+++ b/chestnutvale/programs/control/entry_desk.py
@@ -146,11 +146,11 @@
         Returns
         -------
         mapping of str to float
-            Requests that wait or run, or the tokens that they hold.
+            Requests that wait or run or were refused lately, or the tokens of them.
         """
         totals: Counter[str] = Counter()
         for item in self._demands.totals(now_s):
-            totals[item.service] += item.tokens
+            totals[item.service] += item.tokens + item.refused_tokens
         return totals
 
     def publish_changes(self) -> None:
--- a/tests/admission/test_invariants.py
+++ b/tests/admission/test_invariants.py
@@ -8,6 +8,7 @@
 
 from chestnutvale.admission.const import (
     PRIORITIES,
+    REFUSED_WINDOW_S,
     RETRY_AFTER_JITTER,
     RETRY_AFTER_MAX_S,
     RETRY_AFTER_MIN_S,
@@ -155,6 +156,8 @@
     assert answered == set(driver.requests)
     assert driver.service.reserved == 0
     assert sum(driver.service._class_reserved.values()) == 0
+    # What was refused counts for a while after the last request.
+    driver.apply("tick", REFUSED_WINDOW_S)
     assert driver.controller.demand() == []
     assert driver.controller._service_of == {}
 
--- /dev/null
+++ b/tests/admission/test_refused.py
@@ -0,0 +1,77 @@
+"""What refused requests tell about the capacity that a service lacks."""
+
+import pytest
+
+from chestnutvale.admission.demand import DemandTable
+from chestnutvale.admission.messages import ServiceCapacity, ServiceLimits
+from chestnutvale.admission.refused import RefusedDemand
+from chestnutvale.admission.wire import from_messages, to_messages
+
+
+def offer_load(controller, make_request, rate_per_s, hold_s, until_s):
+    """Play a load of which each request wants a place at once or not at all."""
+    ends = []
+    for number in range(int(rate_per_s * until_s)):
+        now_s = number / rate_per_s
+        while ends and ends[0][0] <= now_s:
+            end_s, request_id = ends.pop(0)
+            controller.release(request_id, 0, end_s)
+        controller.tick(now_s)
+        name = f"r{number}"
+        request = make_request(name, start_by_s=now_s)
+        effects = controller.offer(request, now_s)
+        if any(type(e).__name__ == "Admit" for e in effects):
+            ends.append((now_s + hold_s, name))
+    return sum(d.tokens + d.refused_tokens for d in controller.demand())
+
+
+@pytest.fixture
+def make_plain(make_controller):
+    def make():
+        controller = make_controller(
+            capacity=0, limits=ServiceLimits(slots_per_group=4)
+        )
+        controller.set_capacity("llm", ServiceCapacity(1, 0), 0.0)
+        return controller
+
+    return make
+
+
+@pytest.mark.parametrize("factor", [2, 4])
+def test_demand_shows_how_far_a_load_is_above_the_capacity(
+    make_plain, make_request, factor
+):
+    controller = make_plain()
+    places, hold_s = 4, 1.0
+    controller._services["llm"].pace.hold_s = hold_s
+    demand = offer_load(controller, make_request, factor * places, hold_s, 10.0)
+    assert demand == pytest.approx(factor * places, rel=0.35)
+
+
+def test_refusals_are_forgotten_when_the_load_ends(make_plain, make_request):
+    controller = make_plain()
+    offer_load(controller, make_request, 16, 1.0, 4.0)
+    controller.tick(10.0)
+    assert sum(d.refused_tokens for d in controller.demand()) == 0
+
+
+def test_what_is_held_follows_the_time_an_answer_takes():
+    refused = RefusedDemand(window_s=2.0)
+    for number in range(8):
+        refused.note("a", 1, number * 0.2)
+    assert refused.held(hold_s=1.0)["a"] == 4
+    assert refused.held(hold_s=0.5)["a"] == 2
+    refused.forget_old(5.0)
+    assert not refused.held(1.0)
+
+
+def test_the_controls_add_up_what_all_entries_refused(make_plain, make_request):
+    table = DemandTable()
+    for entry in ("e1", "e2"):
+        controller = make_plain()
+        offer_load(controller, make_request, 16, 1.0, 4.0)
+        sent = to_messages(controller.demand())
+        table.note(entry, from_messages(sent), 4.0)
+        own = sum(d.refused_tokens for d in controller.demand())
+    assert own > 0
+    assert sum(d.refused_tokens for d in table.totals(4.0)) == 2 * own
