Take an answer whose head is cut for a broken one

Without a length the body then looked whole, and empty. Change: the reader notes the last line; a head has to end with an empty one. Measured: the four new tests fail before.

--- a/chestnutvale/programs/entry/routed/connections.py
+++ b/chestnutvale/programs/entry/routed/connections.py
@@ -66,8 +66,28 @@
         self.read = self._file.read
         self.read1 = self._file.read1
         self.readinto = self._file.readinto
-        self.readline = self._file.readline
         self.peek = self._file.peek
+        self._last_line = b""
+
+    def readline(self, limit_bytes: int = -1) -> bytes:
+        """Read a line and remember it.
+
+        Parameters
+        ----------
+        limit_bytes : int, optional
+            Most bytes to take.
+
+        Returns
+        -------
+        bytes
+            The line with its end; without one at the end of the connection.
+        """
+        self._last_line = self._file.readline(limit_bytes)
+        return self._last_line
+
+    def is_at_end_of_head(self) -> bool:
+        """Tell whether the last line ends a head; the library takes EOF for one."""
+        return self._last_line in (b"\r\n", b"\n")
 
     def flush(self) -> None:
         """Do nothing, as nothing is written."""
--- a/chestnutvale/programs/entry/routed/exchange.py
+++ b/chestnutvale/programs/entry/routed/exchange.py
@@ -282,6 +282,8 @@
         for _ in range(MAX_SKIPPED_ANSWERS + 1):
             response = HTTPResponse(self._connection.reader, method=method)
             response.begin()
+            if not self._connection.reader.is_at_end_of_head():
+                raise self._broken("the head of the answer ended early", STEP_RECEIVE)
             answered = self._protocol.answered_request_id(response.getheaders())
             if not answered or answered == self._request.request_id:
                 return response
--- a/tests/programs/entry/routed/test_whole_answers.py
+++ b/tests/programs/entry/routed/test_whole_answers.py
@@ -123,6 +123,28 @@
     assert not two.requests
 
 
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"HTTP/1.1 200 OK\r\n",
+        b"HTTP/1.1 200 OK\r\nX-Call: c1\r\n",
+        b"HTTP/1.1 200 OK\r\nX-Call: c1\r\nContent-Len",
+        b"HTTP/1.1 200 OK\r\nX-Call: c1\r\nContent-Length: 0\r\n",
+    ],
+    ids=["status only", "before the length", "within a name", "before the blank line"],
+)
+def test_a_head_that_is_cut_is_no_answer(one, head):
+    def step(sock, request):
+        sock.sendall(head)
+        sock.close()
+
+    one.default = step
+    with routed_entry(one) as entry:
+        status, _, body, _ = call(entry.address, "/once/x", b"pay")
+    assert status == 502
+    assert len(one.requests) == 1
+
+
 def send_without_length(body, *, reset):
     def step(sock, request):
         sock.sendall(b"HTTP/1.1 200 OK\r\nX-Call: c1\r\n\r\n" + body)
