Refuse numbers of a configuration that no field holds

Cause: test_any_value_anywhere_is_read_or_refused found as headerTimeoutMs and as loads_at_once: the message refused the value, and the error was none that the caller expects. A share beyond all floats did the same. Measured: the property failed before; its examples are a test of their own.

--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -82,6 +82,22 @@
         read_text(body)
 
 
+@pytest.mark.parametrize(
+    "path",
+    [
+        ("version",),
+        ("limits", "headerTimeoutMs"),
+        ("limits", "maxBodyBytes"),
+        ("services", 0, "inferenceEngine", "slots"),
+        ("services", 0, "inferenceEngine", "loads_at_once"),
+        ("services", 0, "inferenceEngine", "loadsPerS"),
+    ],
+)
+def test_a_number_that_no_field_holds_is_refused(path):
+    with pytest.raises(WireError):
+        read(changed(CONFIGURATION, path, 10**400))
+
+
 def test_unknown_fields_are_ignored():
     assert read(CONFIGURATION | {"novelty": [1]}) == read(CONFIGURATION)
 
