Write down when an entry wins or loses its lease; lead from a request to its cause

Cause: a call refused with no_lease could not be traced to the moment at which the entry lost touch with the controls.

--- a/chestnutvale/programs/entry/control_link.py
+++ b/chestnutvale/programs/entry/control_link.py
@@ -101,6 +101,7 @@
         self._running = running
         self._pulse = pulse or GroupPulse()
         self._seen_stalled: frozenset[str] = frozenset()
+        self._had_lease = False
         self._listeners: list[Callable[[ControlView, str], None]] = []
         self._news = Event()
         transport.on("control_view", self._receive_view)
@@ -139,8 +140,24 @@
         with eventlet.Timeout(self._settings.report_interval_ms / 1_000, False):
             self._news.wait()
         self._news = Event()
+        self._note_lease("")
         self._send_report()
 
+    def _note_lease(self, sender_id: str) -> None:
+        has_lease = self._view.has_lease(self._clock.now_s())
+        if has_lease == self._had_lease:
+            return
+        self._had_lease = has_lease
+        _LOGGER.info(
+            "serving_lease",
+            extra={
+                "held": has_lease,
+                "control": sender_id or self._view.source,
+                "view_version": self._view.version,
+                "configuration": self._view.number,
+            },
+        )
+
     def _send_report(self) -> None:
         nonce = self._rng.getrandbits(NONCE_BITS) + 1
         now_s = self._clock.now_s()
@@ -202,6 +219,7 @@
         if verdict is InstallVerdict.OLD_TERM:
             return
         self._targets.note_view(envelope.sender_id, controls, self._clock.now_s())
+        self._note_lease(envelope.sender_id)
         if self._view.number != number_before:
             _LOGGER.info("Text {} is in force", self._view.number)
             # The operators' status shows the number that reports carry.
