Tell a new leader of hosts that fell silent before it began to lead

Entries report to the leading control only, so a control that begins to lead knew of no host that had died before, and had to wait a whole detection timeout for it: 3.5 s from the election to the first command, longer than a begun answer looks for a group. Change: an entry passes on all hosts it knows, with their ages, when its views come from another control.

--- a/chestnutvale/membership/hearing.py
+++ b/chestnutvale/membership/hearing.py
@@ -107,6 +107,13 @@
             known.passed_on_digest = 0
             self._pending[host_id] = None
 
+    def pass_on_all(self) -> None:
+        """Pass on all hosts in the next report, the silent ones with their age.
+
+        A control that begins to lead knows of no host that fell silent before.
+        """
+        self.mark_wanted(list(self._hosts))
+
     def drain_report(self, now_s: float) -> list[Heard]:
         """Return what was heard since the last report.
 
--- a/chestnutvale/programs/entry/control_link.py
+++ b/chestnutvale/programs/entry/control_link.py
@@ -214,7 +214,7 @@
             # A follower only tells which controls there are.
             self._targets.note_controls(controls)
             return
-        number_before = self._view.number
+        number_before, source_before = self._view.number, self._view.source
         verdict = self._view.install(view, self._clock.now_s())
         if verdict is InstallVerdict.OLD_TERM:
             return
@@ -224,6 +224,9 @@
             _LOGGER.info("Text {} is in force", self._view.number)
             # The operators' status shows the number that reports carry.
             self.hurry()
+        if self._view.source != source_before:
+            self._hearing.pass_on_all()
+            self.hurry()
         if view.want_hosts:
             self._hearing.mark_wanted(view.want_hosts)
             self.hurry()
--- a/tests/programs/entry/test_control_link.py
+++ b/tests/programs/entry/test_control_link.py
@@ -11,8 +11,10 @@
 from chestnutvale.membership.cache_events import CacheEventQueue
 from chestnutvale.membership.entry_view import EntryView
 from chestnutvale.membership.hearing import Hearing
+from chestnutvale.membership.table import MembershipTable
 from chestnutvale.programs.entry.control_link import ControlLink
 from chestnutvale.programs.entry.demand_exchange import DemandExchange
+from chestnutvale.schema.membership_pb2 import Announcement
 from chestnutvale.schema.peer_pb2 import ControlView, Envelope
 from chestnutvale.schema.settings_pb2 import EntrySettings
 from tests.programs.entry.test_group_router import ManualClock
@@ -40,18 +42,29 @@
     settings.controls.add(id=CONTROL, address="127.0.0.1:1")
     clock, wire = ManualClock(), Wire()
     rng = random.Random(1)
+    hearing = Hearing()
     link = ControlLink(
         settings,
         wire,
         EntryView(),
-        Hearing(),
+        hearing,
         SuspicionTracker(),
         CacheEventQueue(),
         DemandExchange(AdmissionController(rng)),
         clock,
         rng,
     )
-    return SimpleNamespace(link=link, wire=wire, clock=clock)
+    return SimpleNamespace(link=link, wire=wire, clock=clock, hearing=hearing)
+
+
+def answer(entry, control_id, term):
+    """Answer the last report as a leader does."""
+    nonce = entry.wire.reports[-1].nonce
+    view = ControlView(
+        term=term, source=control_id, nonce=nonce, view_version=1, whole=True
+    )
+    envelope = Envelope(sender_id=control_id, control_view=view)
+    entry.wire.handlers["control_view"](envelope)
 
 
 def lease_lines(handler):
@@ -66,15 +79,37 @@
     with logbook.TestHandler() as handler:
         entry.link._run_round()
         assert lease_lines(handler) == []
-        nonce = entry.wire.reports[-1].nonce
-        view = ControlView(
-            term=1, source=CONTROL, nonce=nonce, view_version=1, whole=True
-        )
-        envelope = Envelope(sender_id=CONTROL, control_view=view)
-        entry.wire.handlers["control_view"](envelope)
+        answer(entry, CONTROL, term=1)
         entry.link._run_round()
         assert lease_lines(handler) == [(True, CONTROL)]
         entry.clock.time_s += 3.0
         for _ in range(3):
             entry.link._run_round()
     assert lease_lines(handler) == [(True, CONTROL), (False, CONTROL)]
+
+
+def test_a_new_leader_learns_of_hosts_that_fell_silent_before(entry):
+    announcement = Announcement(
+        host_id="h1",
+        boot_id="b1",
+        sequence=1,
+        address="10.0.0.1:80",
+        data_centre="a",
+        fabric_domain="f",
+        kind="engine",
+        accelerators=8,
+    )
+    entry.hearing.announce(announcement, entry.clock.now_s())
+    entry.link._run_round()
+    answer(entry, CONTROL, term=1)
+    entry.link._run_round()
+    entry.clock.time_s += 2.5
+    entry.link._run_round()
+    assert not entry.wire.reports[-1].heard
+    answer(entry, "control-2", term=2)
+    entry.link._run_round()
+    table = MembershipTable(detection_timeout_s=3.0)
+    table.merge("entry-1", entry.wire.reports[-1].heard, 10.0)
+    assert table.host("h1").announcement.fabric_domain == "f"
+    assert table.is_fresh("h1", 10.4)
+    assert not table.is_fresh("h1", 10.6)
