Count admissions, attempts, stalled groups and changes of the lease

Cause: what an entry decides showed in its logs only. Change: four counters on the metrics address; durations were there already. Measured: the new test reads them from the page of metrics.

--- a/chestnutvale/observability/catalog.py
+++ b/chestnutvale/observability/catalog.py
@@ -166,3 +166,26 @@
     "Time from a request's head to the first byte of its answer's body.",
     (LABEL_ROUTE, LABEL_STATUS),
 )
+ADMISSIONS: Final = Metric(
+    "chestnutvale.admission.decisions",
+    "{request}",
+    "Requests that were admitted, or refused with this code.",
+    (LABEL_REASON,),
+)
+ATTEMPTS: Final = Metric(
+    "chestnutvale.attempts",
+    "{attempt}",
+    "Attempts that ended with this result.",
+    (LABEL_REASON,),
+)
+STALLS: Final = Metric(
+    "chestnutvale.groups.stalled",
+    "{group}",
+    "Groups that the entry left because their streams fell silent.",
+)
+LEASE_CHANGES: Final = Metric(
+    "chestnutvale.entry.lease.changes",
+    UNIT_NONE,
+    "Serving leases that the entry won or lost.",
+    (LABEL_REASON,),
+)
--- a/chestnutvale/programs/entry/admission_gate.py
+++ b/chestnutvale/programs/entry/admission_gate.py
@@ -1,5 +1,6 @@
 """Holds callers' tasks until the admission controller lets them run."""
 
+from collections import Counter
 from collections.abc import Iterable
 
 import logbook
@@ -121,10 +122,16 @@
         Decides who may run.
     clock : Clock
         Source of time.
+
+    Attributes
+    ----------
+    decisions : Counter
+        Requests that were admitted, and those refused by code.
     """
 
     def __init__(self, controller: AdmissionController, clock: Clock) -> None:
         self.controller = controller
+        self.decisions: Counter[str] = Counter()
         self._clock = clock
         self._tickets: dict[str, GateTicket] = {}
         self._predicted_tokens: dict[str, int] = {}
@@ -236,6 +243,7 @@
     def _log(self, effect: Effect, ticket: GateTicket) -> None:
         if not isinstance(effect, Admit | Refuse):
             return
+        self.decisions[getattr(effect, "code", "admitted")] += 1
         waited_s = self._clock.now_s() - ticket.offered_s
         state = self.controller.describe(ticket.request.service)
         _LOGGER.info(
--- a/chestnutvale/programs/entry/call_context.py
+++ b/chestnutvale/programs/entry/call_context.py
@@ -1,6 +1,7 @@
 """The entry as the handlers of callers' requests see it."""
 
 import random
+from collections import Counter
 from typing import Any
 
 import logbook
@@ -75,6 +76,7 @@
         self.suspicions = SuspicionTracker()
         self.running = RunningAttempts()
         self.pulse = GroupPulse()
+        self.attempt_results: Counter[str] = Counter()
         self.has_crashed: CrashProbe = has_crashed
         self.lookup = TextLookup.from_text(Text())
         self._view = view
@@ -215,6 +217,7 @@
                 "tokens": report.tokens,
             },
         )
+        self.attempt_results[report.result] += 1
         self._router.report(report)
 
     def commit(self, command: Command, deadline_s: float) -> CommandResult:
--- a/chestnutvale/programs/entry/control_link.py
+++ b/chestnutvale/programs/entry/control_link.py
@@ -1,6 +1,7 @@
 """The task that reports to the controls and installs their views."""
 
 import random
+from collections import Counter
 from collections.abc import Callable, Iterator
 
 import eventlet
@@ -102,6 +103,8 @@
         self._pulse = pulse or GroupPulse()
         self._seen_stalled: frozenset[str] = frozenset()
         self._had_lease = False
+        self.lease_changes: Counter[str] = Counter()
+        self.stalls = 0
         self._listeners: list[Callable[[ControlView, str], None]] = []
         self._news = Event()
         transport.on("control_view", self._receive_view)
@@ -148,6 +151,7 @@
         if has_lease == self._had_lease:
             return
         self._had_lease = has_lease
+        self.lease_changes["won" if has_lease else "lost"] += 1
         _LOGGER.info(
             "serving_lease",
             extra={
@@ -203,6 +207,7 @@
     def _look_for_stalls(self) -> None:
         stalled = self._pulse.stalled(self._clock.now_s())
         if stalled != self._seen_stalled:
+            self.stalls += len(stalled - self._seen_stalled)
             self._seen_stalled = stalled
             _LOGGER.info("stalled_groups", extra={"groups": sorted(stalled)})
             self.hurry()
--- a/chestnutvale/programs/entry/daemon.py
+++ b/chestnutvale/programs/entry/daemon.py
@@ -36,7 +36,10 @@
     OwnInterface,
 )
 from chestnutvale.programs.entry.ledger_writer import LedgerWriter
-from chestnutvale.programs.entry.metrics import register_entry_metrics
+from chestnutvale.programs.entry.metrics import (
+    register_decision_metrics,
+    register_entry_metrics,
+)
 from chestnutvale.programs.periodic import run_rounds
 from chestnutvale.programs.process_metrics import register_process_metrics
 from chestnutvale.routing.selector import Selector
@@ -146,6 +149,7 @@
         self.server = self._servers[0]
         register_process_metrics(self.metrics, self.server, self.transport)
         register_entry_metrics(self.metrics, self.view, self.is_ready, clock)
+        register_decision_metrics(self.metrics, self.context, self.link)
 
     def __enter__(self) -> Self:
         """Open the sockets and start the tasks."""
--- a/chestnutvale/programs/entry/metrics.py
+++ b/chestnutvale/programs/entry/metrics.py
@@ -5,17 +5,44 @@
 from chestnutvale.clock import Clock
 from chestnutvale.membership.entry_view import EntryView
 from chestnutvale.observability import catalog
-from chestnutvale.observability.metrics import Metrics, single
+from chestnutvale.observability.catalog import LABEL_REASON
+from chestnutvale.observability.metrics import Metrics, by_label, single
+from chestnutvale.programs.entry.call_context import EntryContext
 from chestnutvale.programs.entry.const import (
     PATH_ANNOUNCEMENTS,
     PATH_CHAT,
     PATH_COMPLETIONS,
     PREFIX_SERVICES,
 )
+from chestnutvale.programs.entry.control_link import ControlLink
 
 MEASURED_ROUTES = (PATH_CHAT, PATH_COMPLETIONS, PREFIX_SERVICES, PATH_ANNOUNCEMENTS)
 
 
+def register_decision_metrics(
+    metrics: Metrics, context: EntryContext, link: ControlLink
+) -> None:
+    """Publish what an entry decided about requests and groups.
+
+    Parameters
+    ----------
+    metrics : Metrics
+        The metrics of the process.
+    context : EntryContext
+        Counts admissions and attempts.
+    link : ControlLink
+        Counts leases and stalled groups.
+    """
+    reasons = {
+        catalog.ADMISSIONS: lambda: context.admission.decisions,
+        catalog.ATTEMPTS: lambda: context.attempt_results,
+        catalog.LEASE_CHANGES: lambda: link.lease_changes,
+    }
+    for metric, read in reasons.items():
+        metrics.counter(metric, by_label(LABEL_REASON, read))
+    metrics.counter(catalog.STALLS, single(lambda: link.stalls))
+
+
 def register_entry_metrics(
     metrics: Metrics, view: EntryView, is_ready: Callable[[], bool], clock: Clock
 ) -> None:
--- /dev/null
+++ b/tests/programs/entry/test_metrics.py
@@ -0,0 +1,26 @@
+"""What an entry publishes of its decisions."""
+
+from collections import Counter
+from types import SimpleNamespace
+
+from chestnutvale.observability.metrics import Metrics
+from chestnutvale.programs.entry.metrics import register_decision_metrics
+
+
+def test_decisions_are_counted_by_their_reason():
+    decisions = Counter(admitted=7, deadline_unreachable=2)
+    context = SimpleNamespace(
+        admission=SimpleNamespace(decisions=decisions),
+        attempt_results=Counter(whole=6, broken=1),
+    )
+    link = SimpleNamespace(lease_changes=Counter(won=1), stalls=3)
+    with Metrics("test") as metrics:
+        register_decision_metrics(metrics, context, link)
+        decisions["admitted"] += 1
+        found = metrics.render().decode().splitlines()
+    prefix = "chestnutvale_admission_decisions_total"
+    assert f'{prefix}{{reason="admitted"}} 8.0' in found
+    assert f'{prefix}{{reason="deadline_unreachable"}} 2.0' in found
+    assert 'chestnutvale_attempts_total{reason="broken"} 1.0' in found
+    assert 'chestnutvale_entry_lease_changes_total{reason="won"} 1.0' in found
+    assert "chestnutvale_groups_stalled_total 3.0" in found
