Keep groups whose hosts a restarted control has not heard of yet

Change: a member that was never heard, or only by its digest, is lost once this control has listened for a detection timeout and the time in which hosts look for another control; until then its group does not serve, but keeps its hosts. Measured: the new test fails before. Ruled out: hosts that were really gone (they held their groups all the time).

--- a/chestnutvale/groups/pools.py
+++ b/chestnutvale/groups/pools.py
@@ -215,7 +215,7 @@
         if any(self._is_lost(group, item, table, now_s) for item in group.members):
             return remove
         is_ending = group.service not in services or any(
-            table.host(member.host_id).announcement.leaving for member in group.members
+            _is_leaving(member.host_id, table) for member in group.members
         )
         if group.phase == PHASE_DRAINING:
             return remove if self.idle.is_idle(group, table, now_s) else None
@@ -233,11 +233,12 @@
         now_s: float,
     ) -> bool:
         record = table.host(member.host_id)
-        if record is None:
-            return True
+        if record is None or record.announcement is None:
+            # After all controls were restarted, nobody has been heard yet.
+            return not table.may_turn_up(now_s)
         if not table.is_fresh(member.host_id, now_s):
             return not is_vouched(group, table, now_s)
-        if record.boot_id != member.boot_id or record.announcement is None:
+        if record.boot_id != member.boot_id:
             return True
         key = (member.host_id, group.epoch)
         if holds_epoch(record, group, HOLDING_BROKEN):
@@ -369,6 +370,13 @@
     return PutGroup(group=changed, expected_epoch=group.epoch)
 
 
+def _is_leaving(host_id: str, table: MembershipTable) -> bool:
+    record = table.host(host_id)
+    if record is None or record.announcement is None:
+        return False
+    return record.announcement.leaving
+
+
 def _running(group: Group, table: MembershipTable) -> int:
     record = table.host(group_head(group).host_id)
     return record.load.running if record is not None and record.load else 0
--- a/chestnutvale/membership/table.py
+++ b/chestnutvale/membership/table.py
@@ -210,6 +210,21 @@
         self._patient_until_s = until_s
         self.revision += 1
 
+    def may_turn_up(self, now_s: float) -> bool:
+        """Tell whether hosts that were never heard may still announce themselves.
+
+        Parameters
+        ----------
+        now_s : float
+            Monotonic time.
+
+        Returns
+        -------
+        bool
+            Whether this control has listened for too short a time to miss them.
+        """
+        return now_s < self._patient_until_s + PATIENCE_S
+
     def _timeout_s(self, record: HostRecord, now_s: float) -> float:
         if record.reports_to_control and now_s < self._patient_until_s:
             return self.detection_timeout_s + PATIENCE_S
--- a/tests/groups/test_pools.py
+++ b/tests/groups/test_pools.py
@@ -252,6 +252,30 @@
     assert command.group_id == group.group_id
 
 
+def test_groups_outlive_a_restart_of_all_controls():
+    pool = make_serving_pool()
+    counts = pool.counts()
+    # A control that begins to lead has heard of nobody.
+    pool.table = MembershipTable(3.0)
+    pool.table.be_patient(13.0)
+    hosts = list(all_hosts())
+    for host_id in hosts[: len(hosts) // 3]:
+        pool.announce(host_id, 10.2)
+    assert not [c for c in pool.plan(11.1) if isinstance(c, RemoveGroup)]
+    for host_id in hosts[:-1]:
+        pool.announce(host_id, 12.5)
+    assert not [c for c in pool.plan(13.0) if isinstance(c, RemoveGroup)]
+    assert pool.counts() == counts
+    # Who is not heard in all that time is lost.
+    for host_id in hosts[:-1]:
+        pool.announce(host_id, 14.5)
+    removed = [c for c in pool.plan(14.6) if isinstance(c, RemoveGroup)]
+    assert len(removed) <= 1
+    assert {m.host_id for g in pool.state.groups.values() for m in g.members} <= set(
+        hosts[:-1]
+    )
+
+
 def test_events_excuse_no_member_that_was_restarted():
     pool = make_serving_pool()
     group = next(iter(pool.state.groups.values()))
