Refuse a success that no endpoint signed

The check was in the protocol's interface and nothing asked it; the tests' protocol said yes to all. Change: a 2xx without signature is a broken answer. The tests' protocol looks for its own signature, and one scripted answer that lacked it has it now. Measured: two new tests fail before.

--- a/chestnutvale/programs/entry/routed/exchange.py
+++ b/chestnutvale/programs/entry/routed/exchange.py
@@ -1,6 +1,7 @@
 """One routed request to an endpoint over a kept connection."""
 
 import contextlib
+from http import HTTPStatus
 from http.client import HTTPException, HTTPResponse
 from types import TracebackType
 from typing import Any, Self
@@ -176,6 +177,10 @@
         self.headers = list(self._response.getheaders())
         if self._protocol.is_refusal(self.status, self.headers):
             self._raise_refusal()
+        is_success = HTTPStatus.OK <= self.status < HTTPStatus.MULTIPLE_CHOICES
+        if is_success and not self._protocol.is_genuine(self.headers):
+            self.status = 0
+            raise self._broken("a success that no endpoint signed", STEP_RECEIVE)
 
     def read(self, timeout_s: float) -> bytes:
         """Read what has arrived of the body, or wait for it.
--- a/tests/programs/entry/routed/routed_fakes.py
+++ b/tests/programs/entry/routed/routed_fakes.py
@@ -66,7 +66,7 @@
         return next((v for name, v in headers if name.lower() == "x-call"), "")
 
     def is_genuine(self, headers):
-        return True
+        return any(name.lower() == "x-made-by" for name, _ in headers)
 
     def failure_answer(self, failure, request_id, retry_after_s):
         statuses = {"not_run": 503, "unknown": 502, "failed": 502}
--- a/tests/programs/entry/routed/test_whole_answers.py
+++ b/tests/programs/entry/routed/test_whole_answers.py
@@ -145,9 +145,19 @@
     assert len(one.requests) == 1
 
 
+@pytest.mark.parametrize("call_id", ["X-Call: c1\r\n", ""], ids=["named", "unnamed"])
+def test_a_success_that_no_endpoint_signed_is_no_answer(one, call_id):
+    head = f"HTTP/1.1 200 OK\r\n{call_id}Content-Length: 2\r\n\r\nok"
+    one.default = head.encode()
+    with routed_entry(one) as entry:
+        status, _, _, _ = call(entry.address, "/once/x", b"pay")
+    assert status == 502
+    assert len(one.requests) == 1
+
+
 def send_without_length(body, *, reset):
     def step(sock, request):
-        sock.sendall(b"HTTP/1.1 200 OK\r\nX-Call: c1\r\n\r\n" + body)
+        sock.sendall(b"HTTP/1.1 200 OK\r\nX-Call: c1\r\nX-Made-By: e1\r\n\r\n" + body)
         if reset:
             eventlet.sleep(0.05)
             option = struct.pack("ii", 1, 0)
