Send orders of both wires with one sender

Cause: the platform's sender of orders was a copy of the product's but for the body and the statuses. Change: OrderSender takes an OrderProtocol; platform/ only translates. Measured: tests of orders on both wires pass.

--- a/chestnutvale/programs/control/order_sender.py
+++ b/chestnutvale/programs/control/order_sender.py
@@ -1,7 +1,9 @@
 """Send orders to hosts over HTTP."""
 
 import json
+from typing import Protocol
 
+import attrs
 import logbook
 import urllib3
 from google.protobuf import json_format
@@ -22,6 +24,83 @@
 CODE_STALE_FENCE = "stale_fence"
 
 
+@attrs.frozen
+class OrderMessage:
+    """An order as it is sent.
+
+    Attributes
+    ----------
+    path : str
+        Path at the host.
+    body : bytes
+        JSON.
+    headers : dict of str to str
+        Headers beside those of any order.
+    """
+
+    path: str
+    body: bytes
+    headers: dict[str, str] = attrs.field(factory=dict)
+
+
+class OrderProtocol(Protocol):
+    """How orders look on the wire."""
+
+    def encode(self, effect: SendOrder) -> OrderMessage:
+        """Translate an order."""
+
+    def judge(self, effect: SendOrder, status: int, data: bytes) -> OrderOutcome:
+        """Tell what the status and the body of an answer say."""
+
+
+class OwnOrders:
+    """Orders of the project's own endpoint protocol."""
+
+    def encode(self, effect: SendOrder) -> OrderMessage:
+        """Translate an order.
+
+        Parameters
+        ----------
+        effect : SendOrder
+            The order.
+
+        Returns
+        -------
+        OrderMessage
+            What is sent.
+        """
+        body = json_format.MessageToJson(
+            effect.order, preserving_proto_field_name=True, indent=None
+        )
+        return OrderMessage(PATH_ORDERS, body.encode())
+
+    def judge(self, effect: SendOrder, status: int, data: bytes) -> OrderOutcome:
+        """Tell what an answer says.
+
+        Parameters
+        ----------
+        effect : SendOrder
+            The order.
+        status : int
+            HTTP status.
+        data : bytes
+            Body of the answer.
+
+        Returns
+        -------
+        OrderOutcome
+            Unreachable if it may not have been taken.
+        """
+        if status == STATUS_OK:
+            return OrderOutcome.ACCEPTED
+        if status == STATUS_CONFLICT and _read_code(data) == CODE_STALE_FENCE:
+            return OrderOutcome.STALE_FENCE
+        _LOGGER.warning(
+            "Host {} answered an order with status {}", effect.host_id, status
+        )
+        return OrderOutcome.UNREACHABLE
+
+
 class OrderSender:
     """Owns the connections to hosts.
 
@@ -29,10 +108,13 @@
     ----------
     clock : Clock
         Source of time.
+    protocol : OrderProtocol, optional
+        How orders look on the wire; the endpoint protocol by default.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, protocol: OrderProtocol | None = None) -> None:
         self._clock = clock
+        self._protocol = protocol or OwnOrders()
         self._pool = urllib3.PoolManager(
             num_pools=MAX_ORDERS_AT_ONCE,
             retries=False,
@@ -58,40 +140,25 @@
         # order that outlived the leader's right to give it is not sent.
         if self._clock.now_s() >= effect.send_before_s:
             return OrderOutcome.UNREACHABLE
-        body = json_format.MessageToJson(
-            effect.order, preserving_proto_field_name=True, indent=None
-        )
+        message = self._protocol.encode(effect)
+        headers = {"Content-Type": "application/json", "Connection": "close"}
         try:
             response = self._pool.request(
                 "POST",
-                f"http://{effect.address}{PATH_ORDERS}",
-                body=body.encode(),
-                headers={"Content-Type": "application/json", "Connection": "close"},
+                f"http://{effect.address}{message.path}",
+                body=message.body,
+                headers=headers | message.headers,
                 redirect=False,
             )
         except urllib3.exceptions.HTTPError as error:
             _LOGGER.info("Order to {} was not answered: {}", effect.host_id, error)
             return OrderOutcome.UNREACHABLE
-        return self._judge(effect, response)
-
-    def _judge(
-        self, effect: SendOrder, response: urllib3.BaseHTTPResponse
-    ) -> OrderOutcome:
-        if response.status == STATUS_OK:
-            return OrderOutcome.ACCEPTED
-        if response.status == STATUS_CONFLICT and _read_code(response) == (
-            CODE_STALE_FENCE
-        ):
-            return OrderOutcome.STALE_FENCE
-        _LOGGER.warning(
-            "Host {} answered an order with status {}", effect.host_id, response.status
-        )
-        return OrderOutcome.UNREACHABLE
+        return self._protocol.judge(effect, response.status, response.data)
 
 
-def _read_code(response: urllib3.BaseHTTPResponse) -> str:
+def _read_code(data: bytes) -> str:
     try:
-        body = json.loads(response.data)
+        body = json.loads(data)
     except ValueError:
         return ""
     return str(body.get("code", "")) if isinstance(body, dict) else ""
--- a/tests/platform/test_orders.py
+++ b/tests/platform/test_orders.py
@@ -1,11 +1,14 @@
 """Orders on the platform's wire."""
 
+import json
+
 import pytest
 
 from chestnutvale.groups.orders import OrderOutcome, SendOrder
 from chestnutvale.schema.groups_pb2 import GroupMember, Order
 
-from adapter.orders import judge, make_order_body  # isort: skip
+from adapter.orders import PlatformOrders, make_order_body  # isort: skip
+from adapter.wire import EXPECTED_INSTANCE  # isort: skip
 
 MEMBERS = [
     GroupMember(host_id="i-2", rank=1),
@@ -59,4 +62,11 @@
 )
 def test_answers_to_orders(kind, status, outcome):
     send = SendOrder("i-1", "10.0.0.1:80", make(kind), 1.0)
-    assert judge(send, status) is outcome
+    assert PlatformOrders().judge(send, status, b"") is outcome
+
+
+def test_an_order_names_the_host_that_it_is_meant_for():
+    effect = SendOrder("h1", "10.0.0.1:80", Order(kind="release", fence=7), 9.0)
+    message = PlatformOrders().encode(effect)
+    assert message.headers[EXPECTED_INSTANCE] == "h1"
+    assert json.loads(message.body)["fencingToken"] == 7
