Go on elsewhere when a stream's head is cut or unsigned; test it

Cause: the checks of heads were tested with whole answers only. Change: tests for streams; reading without a head is a broken attempt. Measured: tests/programs/entry/routed passes.

--- a/chestnutvale/programs/entry/routed/exchange.py
+++ b/chestnutvale/programs/entry/routed/exchange.py
@@ -202,6 +202,8 @@
         EndpointSilentError
             If nothing arrived in time.
         """
+        if self._response is None:
+            raise self._broken("no answer has begun", STEP_RECEIVE)
         if self._left_bytes == 0:
             self._is_whole = True
             return b""
--- a/tests/programs/entry/routed/test_streams.py
+++ b/tests/programs/entry/routed/test_streams.py
@@ -150,3 +150,29 @@
         sock.close()
         wait_until(lambda: ended, timeout_s=2.0)
         assert ended[0] < 50
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"HTTP/1.1 200 OK\r\n",
+        b"HTTP/1.1 200 OK\r\nX-Call: c1\r\nX-Made-By: e1\r\n",
+        b"HTTP/1.1 200 OK\r\nX-Call: c1\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+    ],
+    ids=["status only", "before the blank line", "unsigned", "empty and unsigned"],
+)
+def test_a_stream_whose_head_is_not_the_endpoint_s_goes_on_elsewhere(one, two, head):
+    def step(sock, request):
+        sock.sendall(head)
+        sock.close()
+
+    one.default = step
+    two.default = stream()
+    with routed_entry(one, two) as entry:
+        for _ in range(4):
+            status, headers, body, is_whole = call(
+                entry.address, "/gen/x", b"p", X_Model="m"
+            )
+            assert (status, body, is_whole) == (200, WHOLE, True)
+            assert headers["x-made-by"] == "e1"
