--- a/chestnutvale/programs/entry/const.py
+++ b/chestnutvale/programs/entry/const.py
@@ -23,3 +23,6 @@
 HOUSEKEEPING_ROUND_S: Final = 0.5
 # Time in seconds between two looks for groups whose streams fell silent.
 STALL_LOOK_S: Final = 0.05
+# Time in seconds between two reports of an entry without a lease: an election takes a
+# second, and calls are refused until an answer comes.
+SEEK_INTERVAL_S: Final = 0.1
--- a/chestnutvale/programs/entry/control_link.py
+++ b/chestnutvale/programs/entry/control_link.py
@@ -17,6 +17,7 @@
 from chestnutvale.programs.entry.const import (
     MIN_REPORT_INTERVAL_MS,
     REPORT_EXPIRY_MS,
+    SEEK_INTERVAL_S,
     STALL_LOOK_S,
 )
 from chestnutvale.programs.entry.demand_exchange import DemandExchange
@@ -140,12 +141,25 @@
         run_rounds("reporting", self._run_round, MIN_REPORT_INTERVAL_MS / 1_000)
 
     def _run_round(self) -> None:
-        with eventlet.Timeout(self._settings.report_interval_ms / 1_000, False):
+        with eventlet.Timeout(self.report_interval_s(), False):
             self._news.wait()
         self._news = Event()
         self._note_lease("")
         self._send_report()
 
+    def report_interval_s(self) -> float:
+        """Return the time between two reports without news.
+
+        Returns
+        -------
+        float
+            Seconds; short while there is no lease, as a call can't be taken without.
+        """
+        usual_s = self._settings.report_interval_ms / 1_000
+        if self._view.has_lease(self._clock.now_s()):
+            return usual_s
+        return min(usual_s, SEEK_INTERVAL_S)
+
     def _note_lease(self, sender_id: str) -> None:
         has_lease = self._view.has_lease(self._clock.now_s())
         if has_lease == self._had_lease:
--- a/tests/programs/entry/test_control_link.py
+++ b/tests/programs/entry/test_control_link.py
@@ -113,3 +113,13 @@
     assert table.host("h1").announcement.fabric_domain == "f"
     assert table.is_fresh("h1", 10.4)
     assert not table.is_fresh("h1", 10.6)
+
+
+def test_an_entry_without_a_lease_asks_again_soon(entry):
+    entry.link._settings.report_interval_ms = 1_000
+    assert entry.link.report_interval_s() <= 0.2
+    entry.link._run_round()
+    answer(entry, CONTROL, term=1)
+    assert entry.link.report_interval_s() == 1.0
+    entry.clock.time_s += 3.0
+    assert entry.link.report_interval_s() <= 0.2
