Share what the routed calls had written again

Cause: read again as a whole, the change held second copies: the loop that puts a body together, the translation of an exchange's errors into events, the head of a group, the spread of retry times, the peer addresses of controls, the names of steps; a class that copied three fields of the exchange; two constants nobody used; a check of signatures that set the status and took it back. Change: bodies.py, exchange_events.py, groups/members.py, members.peer_addresses and problems.spread_s serve both sides. The signature is checked with the head, before a status is taken. Behaviour as before: no test was changed.

--- a/chestnutvale/consensus/members.py
+++ b/chestnutvale/consensus/members.py
@@ -22,6 +22,26 @@
     return member_id.partition(IDENTITY_SEPARATOR)[0]
 
 
+def peer_addresses(members: Members) -> dict[str, str]:
+    """Return where the controls of the voters and learners are reached.
+
+    Parameters
+    ----------
+    members : Members
+        The members.
+
+    Returns
+    -------
+    dict of str to str
+        Peer address by control; a member without an address is left out.
+    """
+    return {
+        control_of(member_id): members.addresses[member_id]
+        for member_id in (*members.voters, *members.learners)
+        if members.addresses.get(member_id)
+    }
+
+
 def quorum_size(members: Members) -> int:
     """Return the number of voters that decide."""
     return len(members.voters) // 2 + 1
--- a/chestnutvale/groups/draining.py
+++ b/chestnutvale/groups/draining.py
@@ -3,7 +3,8 @@
 import attrs
 
 from chestnutvale.groups.const import VIEW_SPREAD_S
-from chestnutvale.groups.serving import find_serving_fault, group_head
+from chestnutvale.groups.members import group_head
+from chestnutvale.groups.serving import find_serving_fault
 from chestnutvale.groups.settings import GroupsPolicy
 from chestnutvale.groups.state import GroupsState
 from chestnutvale.membership.table import HostRecord, MembershipTable
--- a/chestnutvale/groups/orders.py
+++ b/chestnutvale/groups/orders.py
@@ -18,6 +18,7 @@
     RELEASE_RETENTION_MS,
 )
 from chestnutvale.groups.heads import HeadWatch
+from chestnutvale.groups.members import group_head
 from chestnutvale.groups.order_messages import (
     assign_order,
     known_host,
@@ -29,7 +30,6 @@
 )
 from chestnutvale.groups.serving import (
     find_readiness_fault,
-    group_head,
     holds_epoch,
     is_head_open,
 )
--- a/chestnutvale/groups/pools.py
+++ b/chestnutvale/groups/pools.py
@@ -22,8 +22,9 @@
 from chestnutvale.groups.draining import IdleWatch
 from chestnutvale.groups.fleet import Fleet, to_member
 from chestnutvale.groups.homes import PoolHomes
+from chestnutvale.groups.members import group_head
 from chestnutvale.groups.need import PoolNeed
-from chestnutvale.groups.serving import group_head, holds_epoch, is_vouched
+from chestnutvale.groups.serving import holds_epoch, is_vouched
 from chestnutvale.groups.state import GroupsState
 from chestnutvale.membership.const import HOLDING_BROKEN
 from chestnutvale.membership.table import HostRecord, MembershipTable
--- a/chestnutvale/groups/serving.py
+++ b/chestnutvale/groups/serving.py
@@ -7,6 +7,7 @@
     FAULT_RESTARTED,
     PHASE_SERVING,
 )
+from chestnutvale.groups.members import group_head
 from chestnutvale.membership.const import HOLDING_OPEN, HOLDING_READY
 from chestnutvale.membership.table import HostRecord, MembershipTable
 from chestnutvale.schema.groups_pb2 import Group, GroupMember
@@ -194,19 +195,3 @@
     if phase == HOLDING_READY:
         return holding.phase in (HOLDING_READY, HOLDING_OPEN)
     return not phase or holding.phase == phase
-
-
-def group_head(group: Group) -> GroupMember:
-    """Return the member that takes the calls of a group.
-
-    Parameters
-    ----------
-    group : Group
-        The group.
-
-    Returns
-    -------
-    GroupMember
-        The member with rank 0.
-    """
-    return next(member for member in group.members if member.rank == 0)
--- a/chestnutvale/membership/views.py
+++ b/chestnutvale/membership/views.py
@@ -5,7 +5,8 @@
 
 import attrs
 
-from chestnutvale.groups.serving import find_serving_fault, group_head
+from chestnutvale.groups.members import group_head
+from chestnutvale.groups.serving import find_serving_fault
 from chestnutvale.groups.state import GroupsState
 from chestnutvale.membership.const import MAX_REMOVED_GROUPS
 from chestnutvale.membership.table import MembershipTable
--- a/chestnutvale/programs/control/entry_desk.py
+++ b/chestnutvale/programs/control/entry_desk.py
@@ -12,9 +12,9 @@
 from chestnutvale.attempts.suspicion_board import SuspicionBoard
 from chestnutvale.clock import Clock
 from chestnutvale.consensus.exceptions import NotLeaderError, OutcomeUnknownError
-from chestnutvale.consensus.members import control_of
+from chestnutvale.consensus.members import peer_addresses
 from chestnutvale.consensus.task import ConsensusTask
-from chestnutvale.groups.serving import group_head
+from chestnutvale.groups.members import group_head
 from chestnutvale.membership.cache_events import CacheEventQueue
 from chestnutvale.membership.running import RunningTable
 from chestnutvale.membership.table import MembershipTable
@@ -236,14 +236,9 @@
         self._transport.send(entry_id, address, "control_view", controls)
 
     def _controls(self) -> list[ControlAddress]:
-        members = self._log.members
         return [
-            ControlAddress(
-                control_id=control_of(member_id),
-                peer_address=members.addresses[member_id],
-            )
-            for member_id in [*members.voters, *members.learners]
-            if member_id in members.addresses
+            ControlAddress(control_id=control_id, peer_address=address)
+            for control_id, address in peer_addresses(self._log.members).items()
         ]
 
     def _note_running(self, now_s: float) -> None:
--- a/chestnutvale/programs/control/host_door.py
+++ b/chestnutvale/programs/control/host_door.py
@@ -5,7 +5,7 @@
 from eventlet.event import Event
 
 from chestnutvale.clock import Clock
-from chestnutvale.consensus.members import control_of
+from chestnutvale.consensus.members import peer_addresses
 from chestnutvale.consensus.task import ConsensusTask
 from chestnutvale.membership.exceptions import AnnouncementRefusedError
 from chestnutvale.membership.hearing import Hearing
@@ -157,32 +157,23 @@
         if not heard:
             return
         report = HostReport(heard=heard, sent_at_ms=round(now_s * 1_000))
-        for control_id, address in self._others():
+        for control_id, address in self._others().items():
             self._transport.send(control_id, address, "host_report", report)
 
-    def _others(self) -> list[tuple[str, str]]:
-        members = self._log.members
-        found = [
-            (control_of(member_id), members.addresses.get(member_id, ""))
-            for member_id in [*members.voters, *members.learners]
-        ]
-        return [
-            (control_id, address)
-            for control_id, address in found
-            if address and control_id != self._control_id
-        ]
+    def _others(self) -> dict[str, str]:
+        addresses = peer_addresses(self._log.members)
+        addresses.pop(self._control_id, None)
+        return addresses
 
     def _receive_report(self, envelope: Envelope) -> None:
         sender = envelope.sender_id
         now_s = self._clock.now_s()
         self._table.take_heard(sender, envelope.host_report.heard, now_s)
         wanted = self._table.wanted_hosts(sender)
-        if not wanted:
-            return
-        for control_id, address in self._others():
-            if control_id == sender:
-                want = HostWant(host_ids=wanted)
-                self._transport.send(sender, address, "host_want", want)
+        address = self._others().get(sender)
+        if wanted and address:
+            want = HostWant(host_ids=wanted)
+            self._transport.send(sender, address, "host_want", want)
 
     def _receive_want(self, envelope: Envelope) -> None:
         self._hearing.mark_wanted(envelope.host_want.host_ids)
--- /dev/null
+++ b/chestnutvale/programs/entry/bodies.py
@@ -0,0 +1,40 @@
+"""Bodies of endpoints' answers, put together up to a limit."""
+
+from collections.abc import Iterable
+
+from chestnutvale.programs.entry.const import STEP_RECEIVE
+from chestnutvale.programs.entry.exceptions import AnswerTooLargeError
+
+
+def join_body(pieces: Iterable[bytes], max_bytes: int, address: str) -> bytes:
+    """Put a body together.
+
+    Parameters
+    ----------
+    pieces : iterable of bytes
+        The body as it arrives.
+    max_bytes : int
+        Most bytes to take.
+    address : str
+        IP number and port of the endpoint, for the error.
+
+    Returns
+    -------
+    bytes
+        The body.
+
+    Raises
+    ------
+    AnswerTooLargeError
+        If the body is larger.
+    """
+    parts: list[bytes] = []
+    total_bytes = 0
+    for piece in pieces:
+        total_bytes += len(piece)
+        if total_bytes > max_bytes:
+            raise AnswerTooLargeError(
+                "the answer is too large", step=STEP_RECEIVE, peer=address
+            )
+        parts.append(piece)
+    return b"".join(parts)
--- a/chestnutvale/programs/entry/call_context.py
+++ b/chestnutvale/programs/entry/call_context.py
@@ -13,6 +13,7 @@
 from chestnutvale.configuration.const import KIND_MODEL
 from chestnutvale.configuration.lookup import TextLookup
 from chestnutvale.groups.const import FAULT_MISSING, FAULT_RESTARTED
+from chestnutvale.groups.members import group_head
 from chestnutvale.membership.entry_view import EntryView
 from chestnutvale.programs.entry.admission_gate import AdmissionGate
 from chestnutvale.programs.entry.commits import CommitClient
@@ -188,7 +189,7 @@
                 "service": request.service,
                 "group": chosen.group.group_id if chosen else None,
                 "epoch": chosen.group.epoch if chosen else None,
-                "head": chosen.group.members[0].host_id if chosen else None,
+                "head": group_head(chosen.group).host_id if chosen else None,
                 "excluded": sorted(excluded),
                 "stalled": sorted(stalled),
                 "view_version": self._view.version,
--- a/chestnutvale/programs/entry/const.py
+++ b/chestnutvale/programs/entry/const.py
@@ -26,3 +26,8 @@
 # Time in seconds between two reports of an entry without a lease: an election takes a
 # second, and calls are refused until an answer comes.
 SEEK_INTERVAL_S: Final = 0.1
+
+# Steps of an exchange with an endpoint, named in errors.
+STEP_CONNECT: Final = "connect"
+STEP_SEND: Final = "send"
+STEP_RECEIVE: Final = "receive"
--- a/chestnutvale/programs/entry/crash_probe.py
+++ b/chestnutvale/programs/entry/crash_probe.py
@@ -2,6 +2,7 @@
 
 import json
 
+from chestnutvale.groups.members import group_head
 from chestnutvale.programs.entry.endpoint_exchange import EndpointExchange
 from chestnutvale.programs.entry.exceptions import (
     AnswerTooLargeError,
@@ -55,8 +56,7 @@
     bool
         Whether the head takes no connection.
     """
-    heads = [member for member in group.members if member.rank == 0]
-    return not all(_takes_connections(member) for member in heads)
+    return not _takes_connections(group_head(group))
 
 
 def _takes_connections(member: GroupMember) -> bool:
--- a/chestnutvale/programs/entry/endpoint_exchange.py
+++ b/chestnutvale/programs/entry/endpoint_exchange.py
@@ -10,17 +10,15 @@
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 
+from chestnutvale.programs.entry.bodies import join_body
+from chestnutvale.programs.entry.const import STEP_CONNECT, STEP_RECEIVE, STEP_SEND
 from chestnutvale.programs.entry.exceptions import (
-    AnswerTooLargeError,
     EndpointBrokenError,
     EndpointSilentError,
     EndpointUnreachableError,
 )
 from chestnutvale.programs.entry.stream_reader import StreamReader
 
-STEP_CONNECT = "connect"
-STEP_SEND = "send"
-STEP_RECEIVE = "receive"
 CONNECT_TIMEOUT_S = 2.0
 
 
@@ -296,16 +294,7 @@
         EndpointSilentError
             If nothing arrived in time.
         """
-        parts: list[bytes] = []
-        total_bytes = 0
-        while data := self.read():
-            total_bytes += len(data)
-            if total_bytes > max_bytes:
-                raise AnswerTooLargeError(
-                    "the answer is too large", step=STEP_RECEIVE, peer=self.address
-                )
-            parts.append(data)
-        return b"".join(parts)
+        return join_body(iter(self.read, b""), max_bytes, self.address)
 
     def abort(self) -> None:
         """Break the connection from another greenlet; the reader gets an error."""
--- /dev/null
+++ b/chestnutvale/programs/entry/exchange_events.py
@@ -0,0 +1,59 @@
+"""Failures of an exchange with an endpoint, told as events of its attempt."""
+
+from chestnutvale.attempts.const import REFUSAL_OVERLOADED, REFUSAL_UNREACHABLE
+from chestnutvale.attempts.events import (
+    AttemptBroken,
+    AttemptRefused,
+    CallEvent,
+    Tick,
+)
+from chestnutvale.attempts.exceptions import StreamFormatError
+from chestnutvale.exceptions import ChestnutError
+from chestnutvale.programs.entry.exceptions import (
+    AnswerTooLargeError,
+    EndpointBrokenError,
+    EndpointRefusedError,
+    EndpointSilentError,
+    EndpointUnreachableError,
+)
+
+# What `tell_failure` tells apart.
+EXCHANGE_ERRORS = (
+    AnswerTooLargeError,
+    EndpointBrokenError,
+    EndpointRefusedError,
+    EndpointSilentError,
+    EndpointUnreachableError,
+    StreamFormatError,
+)
+
+
+def tell_failure(attempt_id: str, error: ChestnutError) -> CallEvent:
+    """Return what the failure of an exchange means for its attempt.
+
+    Parameters
+    ----------
+    attempt_id : str
+        The attempt.
+    error : ChestnutError
+        One of `EXCHANGE_ERRORS`.
+
+    Returns
+    -------
+    CallEvent
+        A refusal if the endpoint certainly did not run the request, `Tick` if nothing
+        arrived in time, else a break.
+    """
+    if isinstance(error, EndpointSilentError):
+        return Tick()
+    if isinstance(error, EndpointUnreachableError):
+        return AttemptRefused(attempt_id, REFUSAL_UNREACHABLE, error.message)
+    if isinstance(error, EndpointRefusedError):
+        return AttemptRefused(
+            attempt_id,
+            REFUSAL_OVERLOADED,
+            error.message,
+            error.retry_after_s,
+            is_proven=True,
+        )
+    return AttemptBroken(attempt_id, error.message)
--- a/chestnutvale/programs/entry/model_attempt.py
+++ b/chestnutvale/programs/entry/model_attempt.py
@@ -8,7 +8,6 @@
     CODE_BAD_REQUEST,
     REFUSAL_MEMBER_MISSING,
     REFUSAL_OVERLOADED,
-    REFUSAL_UNREACHABLE,
     REFUSAL_WRONG_EPOCH,
 )
 from chestnutvale.attempts.events import (
@@ -16,17 +15,10 @@
     AttemptRefused,
     CallEvent,
     EventsArrived,
-    Tick,
 )
-from chestnutvale.attempts.exceptions import StreamFormatError
 from chestnutvale.attempts.sse import EventSplitter
 from chestnutvale.programs.entry.endpoint_exchange import EndpointExchange
-from chestnutvale.programs.entry.exceptions import (
-    AnswerTooLargeError,
-    EndpointBrokenError,
-    EndpointSilentError,
-    EndpointUnreachableError,
-)
+from chestnutvale.programs.entry.exchange_events import EXCHANGE_ERRORS, tell_failure
 from chestnutvale.schema.peer_pb2 import GroupView
 
 GENERATE_PATH = "/v1/generate"
@@ -123,12 +115,8 @@
             if self._exchange.status != STATUS_OK:
                 return self._read_refusal()
             self._exchange.begin_stream()
-        except EndpointUnreachableError as error:
-            return AttemptRefused(self.attempt_id, REFUSAL_UNREACHABLE, error.message)
-        except EndpointSilentError:
-            return Tick()
-        except (EndpointBrokenError, AnswerTooLargeError) as error:
-            return AttemptBroken(self.attempt_id, error.message)
+        except EXCHANGE_ERRORS as error:
+            return tell_failure(self.attempt_id, error)
         self.is_open = True
         return None
 
@@ -150,10 +138,8 @@
             if not data:
                 return AttemptBroken(self.attempt_id, "the stream ended early")
             return EventsArrived(self.attempt_id, self._splitter.feed(data))
-        except EndpointSilentError:
-            return Tick()
-        except (EndpointBrokenError, StreamFormatError) as error:
-            return AttemptBroken(self.attempt_id, error.message)
+        except EXCHANGE_ERRORS as error:
+            return tell_failure(self.attempt_id, error)
 
     def _read_refusal(self) -> CallEvent:
         status = self._exchange.status
--- a/chestnutvale/programs/entry/problems.py
+++ b/chestnutvale/programs/entry/problems.py
@@ -38,6 +38,24 @@
 _DEFAULT_STATUS = 503
 
 
+def spread_s(retry_after_s: float, rng: random.Random) -> float:
+    """Spread a retry time, so that callers don't return at once.
+
+    Parameters
+    ----------
+    retry_after_s : float
+        Earliest time in seconds.
+    rng : random.Random
+        Source of random numbers.
+
+    Returns
+    -------
+    float
+        Seconds.
+    """
+    return retry_after_s * (1.0 + RETRY_SPREAD * rng.random())
+
+
 def spread_retry_after_s(retry_after_s: float, rng: random.Random) -> int:
     """Spread a retry time and round it up to whole seconds.
 
@@ -53,8 +71,7 @@
     int
         Seconds for ``Retry-After``; at least 1.
     """
-    spread = retry_after_s * (1.0 + RETRY_SPREAD * rng.random())
-    return max(1, math.ceil(spread))
+    return max(1, math.ceil(spread_s(retry_after_s, rng)))
 
 
 def make_problem(failure: Failure, request_id: str, rng: random.Random) -> Problem:
--- a/chestnutvale/programs/entry/routed/attempt.py
+++ b/chestnutvale/programs/entry/routed/attempt.py
@@ -1,22 +1,12 @@
 """One attempt of a routed stream, told as events."""
 
-from chestnutvale.attempts.const import REFUSAL_OVERLOADED, REFUSAL_UNREACHABLE
 from chestnutvale.attempts.events import (
     AttemptBroken,
-    AttemptRefused,
     CallEvent,
     EventsArrived,
-    Tick,
 )
-from chestnutvale.attempts.exceptions import StreamFormatError
 from chestnutvale.attempts.sse import NumberedSplitter
-from chestnutvale.programs.entry.exceptions import (
-    AnswerTooLargeError,
-    EndpointBrokenError,
-    EndpointRefusedError,
-    EndpointSilentError,
-    EndpointUnreachableError,
-)
+from chestnutvale.programs.entry.exchange_events import EXCHANGE_ERRORS, tell_failure
 from chestnutvale.programs.entry.routed.caller_protocol import RoutedRequest
 from chestnutvale.programs.entry.routed.const import MAX_ANSWER_BYTES
 from chestnutvale.programs.entry.routed.exchange import RoutedExchange
@@ -88,20 +78,8 @@
             if self.exchange.status == STATUS_OK:
                 return None
             self.failed_body = self.exchange.read_all(MAX_ANSWER_BYTES)
-        except EndpointUnreachableError as error:
-            return AttemptRefused(self.attempt_id, REFUSAL_UNREACHABLE, error.message)
-        except EndpointRefusedError as error:
-            return AttemptRefused(
-                self.attempt_id,
-                REFUSAL_OVERLOADED,
-                error.message,
-                error.retry_after_s,
-                is_proven=True,
-            )
-        except EndpointSilentError:
-            return Tick()
-        except (EndpointBrokenError, AnswerTooLargeError) as error:
-            return AttemptBroken(self.attempt_id, error.message)
+        except EXCHANGE_ERRORS as error:
+            return tell_failure(self.attempt_id, error)
         reason = f"the endpoint failed with status {self.exchange.status}"
         return AttemptBroken(self.attempt_id, reason)
 
@@ -122,10 +100,8 @@
             data = self.exchange.read(timeout_s)
             events = self._splitter.feed(data) if data else [self._splitter.end()]
             return EventsArrived(self.attempt_id, events)
-        except EndpointSilentError:
-            return Tick()
-        except (EndpointBrokenError, StreamFormatError) as error:
-            return AttemptBroken(self.attempt_id, error.message)
+        except EXCHANGE_ERRORS as error:
+            return tell_failure(self.attempt_id, error)
 
     def abort(self) -> None:
         """Interrupt the greenlet that waits for the endpoint."""
--- a/chestnutvale/programs/entry/routed/connections.py
+++ b/chestnutvale/programs/entry/routed/connections.py
@@ -10,6 +10,7 @@
 from eventlet.green import socket
 
 from chestnutvale.clock import Clock
+from chestnutvale.programs.entry.const import STEP_CONNECT
 from chestnutvale.programs.entry.exceptions import EndpointUnreachableError
 from chestnutvale.programs.entry.routed.const import (
     CONNECT_TIMEOUT_S,
@@ -18,8 +19,6 @@
     UNACKNOWLEDGED_MS,
 )
 
-STEP_CONNECT = "connect"
-
 
 class _SocketBytes(io.RawIOBase):
     """The bytes of a socket, where a reset is an error and no end.
--- a/chestnutvale/programs/entry/routed/exchange.py
+++ b/chestnutvale/programs/entry/routed/exchange.py
@@ -9,6 +9,8 @@
 from eventlet.green import socket
 
 from chestnutvale.clock import Clock
+from chestnutvale.programs.entry.bodies import join_body
+from chestnutvale.programs.entry.const import STEP_RECEIVE, STEP_SEND
 from chestnutvale.programs.entry.exceptions import (
     AnswerTooLargeError,
     EndpointBrokenError,
@@ -34,10 +36,6 @@
     READ_BYTES,
 )
 
-STEP_SEND = "send"
-STEP_RECEIVE = "receive"
-STATUS_LAST_INFORMATIONAL = 199
-
 
 class RoutedExchange:
     """Sends one request and reads its answer; a context manager.
@@ -177,10 +175,6 @@
         self.headers = list(self._response.getheaders())
         if self._protocol.is_refusal(self.status, self.headers):
             self._raise_refusal()
-        is_success = HTTPStatus.OK <= self.status < HTTPStatus.MULTIPLE_CHOICES
-        if is_success and not self._protocol.is_genuine(self.headers):
-            self.status = 0
-            raise self._broken("a success that no endpoint signed", STEP_RECEIVE)
 
     def read(self, timeout_s: float) -> bytes:
         """Read what has arrived of the body, or wait for it.
@@ -248,16 +242,8 @@
         EndpointSilentError
             If nothing arrived in time.
         """
-        parts: list[bytes] = []
-        total_bytes = 0
-        while data := self.read(self._left_s()):
-            total_bytes += len(data)
-            if total_bytes > max_bytes:
-                raise AnswerTooLargeError(
-                    "the answer is too large", step=STEP_RECEIVE, peer=self.address
-                )
-            parts.append(data)
-        return b"".join(parts)
+        pieces = iter(lambda: self.read(self._left_s()), b"")
+        return join_body(pieces, max_bytes, self.address)
 
     def abort(self) -> None:
         """Break the connection from another greenlet; the reader gets an error."""
@@ -291,14 +277,23 @@
             response.begin()
             if not self._connection.reader.is_at_end_of_head():
                 raise self._broken("the head of the answer ended early", STEP_RECEIVE)
-            answered = self._protocol.answered_request_id(response.getheaders())
+            headers = response.getheaders()
+            answered = self._protocol.answered_request_id(headers)
             if not answered or answered == self._request.request_id:
+                self._check_signature(response.status, headers)
                 return response
             response.read()
             if response.will_close:
                 break
         raise self._broken("only answers to other requests came", STEP_RECEIVE)
 
+    def _check_signature(self, status: int, headers: Headers) -> None:
+        is_success = HTTPStatus.OK <= status < HTTPStatus.MULTIPLE_CHOICES
+        if not is_success or self._protocol.is_refusal(status, headers):
+            return
+        if not self._protocol.is_genuine(headers):
+            raise self._broken("a success that no endpoint signed", STEP_RECEIVE)
+
     def _raise_refusal(self) -> None:
         retry_after_s = _read_retry_after_s(self.headers)
         try:
--- a/chestnutvale/programs/entry/routed/handler.py
+++ b/chestnutvale/programs/entry/routed/handler.py
@@ -6,7 +6,6 @@
 from http import HTTPStatus
 from typing import Any
 
-import attrs
 import logbook
 import xxhash
 
@@ -18,7 +17,7 @@
 from chestnutvale.attempts.answer_stream import AnswerStream
 from chestnutvale.attempts.call_limits import CallLimits, ServicePolicy
 from chestnutvale.attempts.const import OUTCOME_NOT_RUN
-from chestnutvale.attempts.events import Failure, StartAttempt
+from chestnutvale.attempts.events import Failure
 from chestnutvale.attempts.model_call import ModelCall
 from chestnutvale.attempts.service_events import Reply
 from chestnutvale.configuration.const import ROUTE_REPEATABLE, ROUTE_STREAMING
@@ -35,11 +34,9 @@
 )
 from chestnutvale.programs.entry.ledger_writer import LedgerWriter
 from chestnutvale.programs.entry.model_calls import ModelCallRun
-from chestnutvale.programs.entry.problems import RETRY_SPREAD
-from chestnutvale.programs.entry.routed.attempt import RoutedAttempt
+from chestnutvale.programs.entry.problems import spread_s
 from chestnutvale.programs.entry.routed.caller_protocol import (
     CallerProtocol,
-    Delivery,
     Headers,
     RoutedRequest,
 )
@@ -55,13 +52,15 @@
     NO_LEASE_RETRY_S,
     PATIENCE_FACTOR,
 )
-from chestnutvale.programs.entry.routed.exchange import RoutedExchange
+from chestnutvale.programs.entry.routed.stream_attempts import (
+    RoutedCall,
+    StreamAttempts,
+    make_exchange,
+)
 from chestnutvale.programs.entry.service_calls import ServiceCallHandler
 from chestnutvale.programs.entry.service_request import ServiceRequest
 from chestnutvale.programs.entry.service_run import ServiceRun
 from chestnutvale.schema.configuration_pb2 import Route
-from chestnutvale.schema.groups_pb2 import GroupMember
-from chestnutvale.schema.peer_pb2 import GroupView
 
 _LOGGER = logbook.Logger(__name__)
 
@@ -70,31 +69,6 @@
 BODYLESS_STATUSES = frozenset({204, 304})
 
 
-@attrs.frozen
-class RoutedCall:
-    """A routed call that passed all checks.
-
-    Attributes
-    ----------
-    request : RoutedRequest
-        What the caller sent.
-    body : bytes
-        Its body.
-    route : Route
-        Its route.
-    call : CallRequest
-        The call as admission and routing know it.
-    fingerprint : int
-        64-bit fingerprint of the work asked for.
-    """
-
-    request: RoutedRequest
-    body: bytes
-    route: Route
-    call: CallRequest
-    fingerprint: int
-
-
 class RoutedHandler:
     """WSGI application for routed calls.
 
@@ -246,7 +220,7 @@
     def _answer_stream(
         self, call: RoutedCall, environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
-        attempts = _StreamAttempts(self._context, self._protocol, self._pool, call)
+        attempts = StreamAttempts(self._context, self._protocol, self._pool, call)
         answer = AnswerStream(
             first_offset=call.request.last_event,
             has_closing_event=False,
@@ -271,7 +245,7 @@
         if first is None and run.failure is not None:
             return self._fail_stream(run, attempts, start_response)
         # The head is the first endpoint's, also if another one goes on.
-        head = attempts.first_head
+        head = attempts.first_begun
         start_response(_status_line(head.status, head.reason), _kept(head.headers))
         return self._stream(run, first, pieces)
 
@@ -297,7 +271,7 @@
     def _fail_stream(
         self,
         run: ModelCallRun,
-        attempts: "_StreamAttempts",
+        attempts: StreamAttempts,
         start_response: StartResponse,
     ) -> Iterable[bytes]:
         failed = attempts.find_failed()
@@ -334,7 +308,7 @@
                 lingers=False,
                 retries_errors=True,
             ),
-            make_exchange=lambda view: _make_exchange(
+            make_exchange=lambda view: make_exchange(
                 self._context, self._protocol, self._pool, call, view, 0
             ),
         )
@@ -352,7 +326,7 @@
     ) -> Iterable[bytes]:
         retry_after_s = failure.retry_after_s
         if retry_after_s is not None:
-            retry_after_s *= 1.0 + RETRY_SPREAD * self._context.rng.random()
+            retry_after_s = spread_s(retry_after_s, self._context.rng)
         _LOGGER.info(
             "call_failed",
             extra={
@@ -372,102 +346,6 @@
         return [body]
 
 
-@attrs.frozen
-class AnswerHead:
-    """Status and headers of an answer.
-
-    Attributes
-    ----------
-    status : int
-        HTTP status.
-    reason : str
-        Its phrase.
-    headers : list of tuple of str
-        The headers.
-    """
-
-    status: int
-    reason: str
-    headers: Headers
-
-
-class _StreamAttempts:
-    """Makes the attempts of one stream."""
-
-    def __init__(
-        self,
-        context: EntryContext,
-        protocol: CallerProtocol,
-        pool: ConnectionPool,
-        call: RoutedCall,
-    ) -> None:
-        self._context = context
-        self._protocol = protocol
-        self._pool = pool
-        self._call = call
-        self._made: list[RoutedAttempt] = []
-
-    @property
-    def first_head(self) -> AnswerHead:
-        """Head of the first stream that began."""
-        for attempt in self._made:
-            exchange = attempt.exchange
-            if exchange.status and attempt.failed_body is None:
-                return AnswerHead(exchange.status, exchange.reason, exchange.headers)
-        raise AnswerBrokenError("no stream has begun")
-
-    def make(
-        self, effect: StartAttempt, view: GroupView, answer: AnswerStream
-    ) -> RoutedAttempt:
-        exchange = _make_exchange(
-            self._context,
-            self._protocol,
-            self._pool,
-            self._call,
-            view,
-            answer.next_offset,
-        )
-        attempt = RoutedAttempt(
-            effect.attempt_id,
-            view,
-            exchange,
-            self._call.request,
-            self._call.body,
-            answer.next_offset,
-        )
-        self._made.append(attempt)
-        return attempt
-
-    def find_failed(self) -> RoutedAttempt | None:
-        """Return the last attempt that the endpoint itself answered with a failure."""
-        failed = [item for item in self._made if item.failed_body is not None]
-        return failed[-1] if failed else None
-
-
-def _make_exchange(
-    context: EntryContext,
-    protocol: CallerProtocol,
-    pool: ConnectionPool,
-    call: RoutedCall,
-    view: GroupView,
-    last_event: int,
-) -> RoutedExchange:
-    head = _head_of(view)
-    return RoutedExchange(
-        pool,
-        protocol,
-        call.request,
-        head.address,
-        Delivery(head.host_id, call.call.workspace, 0, last_event),
-        call.call.deadline_s,
-        context.clock,
-    )
-
-
-def _head_of(view: GroupView) -> GroupMember:
-    return next(member for member in view.group.members if member.rank == 0)
-
-
 def _find_time_s(request: RoutedRequest, route: Route) -> float:
     times_s = [DEFAULT_DEADLINE_S]
     if request.deadline_ms is not None:
