Let only events vouch for a group, not what was sent to it

Cause: an entry reported the silence of a group from the moment at which it sent a stream there, so each new attempt at a dead group looked like an event. The control vouched for the group, its lost head was never missed, and a stall was cleared by the next attempt.

Change: reports say for which groups no running stream has given an event; such a silence neither vouches for a group nor clears a stall.

Ruled out: a late detection timeout (the host was silent for 30 s), and a leader that did not hear the hosts (their other announcements came).

--- a/chestnutvale/programs/control/entry_desk.py
+++ b/chestnutvale/programs/control/entry_desk.py
@@ -223,7 +223,8 @@
     def _note_stalls(self, entry_id: str, report: EntryReport, now_s: float) -> bool:
         silences_s = {item.group_id: item.silence_ms / 1_000 for item in report.running}
         stalled = frozenset(item.group_id for item in report.running if item.stalled)
-        is_new = self._stalls.note(entry_id, silences_s, stalled, now_s)
+        unheard = frozenset(item.group_id for item in report.running if item.unheard)
+        is_new = self._stalls.note(entry_id, silences_s, stalled, now_s, unheard)
         self._table.vouch(self._stalls.heard(now_s), now_s + VOUCH_S)
         if is_new:
             groups = sorted(self._stalls.stalled(now_s))
--- a/chestnutvale/programs/entry/control_link.py
+++ b/chestnutvale/programs/entry/control_link.py
@@ -206,12 +206,14 @@
     def _describe_running(self, now_s: float) -> Iterator[GroupLoad]:
         silences_s = self._pulse.silences_s(now_s)
         stalled = self._pulse.stalled(now_s)
+        unheard = self._pulse.unheard()
         for group_id, count in self._running.counts().items():
             yield GroupLoad(
                 group_id=group_id,
                 load=Load(running=count),
                 silence_ms=round(1_000 * silences_s.get(group_id, 0.0)),
                 stalled=group_id in stalled,
+                unheard=group_id in unheard,
             )
 
     def watch_stalls(self) -> None:
--- a/chestnutvale/routing/pulse.py
+++ b/chestnutvale/routing/pulse.py
@@ -1,5 +1,6 @@
 """Which groups have stopped giving events, seen from the streams that run there."""
 
+import math
 from collections.abc import Mapping
 
 import attrs
@@ -105,6 +106,16 @@
             group_id: self._silence_s(group_id, now_s) for group_id in self._by_group
         }
 
+    def unheard(self) -> frozenset[str]:
+        """Return the groups whose running streams have given no event yet.
+
+        Returns
+        -------
+        frozenset of str
+            Group ids; that a stream was sent there says nothing of the group.
+        """
+        return frozenset(self._by_group.keys() - self._heard_s.keys())
+
     def stalled(self, now_s: float) -> frozenset[str]:
         """Return the groups that have stalled as far as this entry sees.
 
@@ -139,8 +150,14 @@
 
     silence_s: float
     is_stalled: bool
+    is_unheard: bool
     noted_s: float
 
+    @property
+    def event_s(self) -> float:
+        """Monotonic time of the newest event; before all times if there is none."""
+        return -math.inf if self.is_unheard else self.noted_s - self.silence_s
+
 
 @attrs.define
 class StallBoard:
@@ -165,6 +182,7 @@
         silences_s: Mapping[str, float],
         stalled: frozenset[str],
         now_s: float,
+        unheard: frozenset[str] = frozenset(),
     ) -> bool:
         """Take what an entry sees.
 
@@ -178,6 +196,9 @@
             Those that it holds to have stalled.
         now_s : float
             Monotonic time.
+        unheard : frozenset of str, optional
+            Groups whose streams have given it no event yet; their silence counts from
+            the first of them.
 
         Returns
         -------
@@ -187,7 +208,9 @@
         before = self.stalled(now_s)
         for group_id, silence_s in silences_s.items():
             claims = self._claims.setdefault(group_id, {})
-            claims[entry_id] = _Claim(silence_s, group_id in stalled, now_s)
+            claims[entry_id] = _Claim(
+                silence_s, group_id in stalled, group_id in unheard, now_s
+            )
             self._judge(group_id, claims, now_s)
         return self.stalled(now_s) != before
 
@@ -229,7 +252,7 @@
             for group_id, claims in self._claims.items()
             if group_id not in self._until_s
             and any(
-                now_s - (claim.noted_s - claim.silence_s) <= HEARD_S
+                now_s - claim.event_s <= HEARD_S
                 for claim in claims.values()
                 if not claim.is_stalled
             )
@@ -245,14 +268,12 @@
         blamed = [claim for claim in fresh.values() if claim.is_stalled]
         if not blamed:
             # An entry that gets events again clears the group.
-            if any(claim.silence_s < STALL_GAP_S for claim in fresh.values()):
+            if any(c.noted_s - c.event_s < STALL_GAP_S for c in fresh.values()):
                 self._until_s.pop(group_id, None)
             return
         since_s = max(claim.noted_s - claim.silence_s for claim in blamed)
         is_heard = any(
-            claim.noted_s - claim.silence_s > since_s
-            for claim in fresh.values()
-            if not claim.is_stalled
+            claim.event_s > since_s for claim in fresh.values() if not claim.is_stalled
         )
         if is_heard:
             self._until_s.pop(group_id, None)
--- a/tests/routing/test_pulse.py
+++ b/tests/routing/test_pulse.py
@@ -87,3 +87,26 @@
     board = StallBoard()
     board.note("e1", {"g": 0.5}, frozenset({"g"}), 10.0)
     assert board.heard(10.0) == frozenset()
+
+
+def test_a_stream_that_was_only_sent_says_nothing_of_its_group():
+    pulse = GroupPulse()
+    pulse.sent("a1", "g", 0.0)
+    assert pulse.unheard() == {"g"}
+    pulse.heard("a1", 0.1)
+    assert pulse.unheard() == frozenset()
+
+
+def test_sending_to_a_dead_group_does_not_vouch_for_it():
+    board = StallBoard()
+    board.note("e1", {"g": 0.0}, frozenset(), 10.0, unheard=frozenset({"g"}))
+    assert board.heard(10.0) == frozenset()
+
+
+def test_sending_to_a_stalled_group_does_not_clear_it():
+    board = StallBoard()
+    board.note("e1", {"g": 0.45}, frozenset({"g"}), 10.5)
+    board.note("e2", {"g": 0.0}, frozenset(), 10.6, unheard=frozenset({"g"}))
+    assert board.stalled(10.6) == {"g"}
+    board.note("e1", {"g": 0.1}, frozenset(), 10.7, unheard=frozenset({"g"}))
+    assert board.stalled(10.7) == {"g"}
