Tell a control that asks to join where the members are

Cause: a control that lost its disk asked the three seeds of its settings to join. If none of them led, nobody told the leader: it never joined, and what hosts announced to it reached nobody.

Change: members answer a join request with the addresses of all members. The control asks those too, answers the leader there, and tells them what it hears of hosts before it is a member again.

Ruled out: the controls' sockets (each was dialled again every 1.5 s without effect, since the asker had no address to answer at) and the repair of voters, which replaces a voter once its successor has joined.

--- a/chestnutvale/consensus/joining.py
+++ b/chestnutvale/consensus/joining.py
@@ -6,14 +6,19 @@
 from chestnutvale.consensus.config import MS_PER_S
 from chestnutvale.consensus.const import DEFAULT_VOTER_LOST_S
 from chestnutvale.consensus.events import MembersChange
-from chestnutvale.consensus.members import control_of
+from chestnutvale.consensus.members import control_of, peer_addresses
 from chestnutvale.consensus.raft import Raft
 from chestnutvale.consensus.replacement import (
     Joiner,
     MemberContact,
     ReplacementPolicy,
 )
-from chestnutvale.schema.raft_pb2 import JoinRequest, Members, RaftMessage
+from chestnutvale.schema.raft_pb2 import (
+    JoinReply,
+    JoinRequest,
+    Members,
+    RaftMessage,
+)
 from chestnutvale.schema.settings_pb2 import ControlSettings
 
 
@@ -34,6 +39,7 @@
         self._initial_controls = [peer.id for peer in settings.controls]
         self._joiners: dict[str, Joiner] = {}
         self._greeted: set[tuple[str, bool]] = set()
+        self._told_addresses: dict[str, str] = {}
         self._bootstrap = Bootstrap(
             own_id, settings.peer_address, self._initial_controls, settings.spare
         )
@@ -67,6 +73,69 @@
         self._greeted.add(greeting)
         return is_new
 
+    def make_reply(self, request: RaftMessage, members: Members) -> RaftMessage | None:
+        """Return the answer to a join request.
+
+        Parameters
+        ----------
+        request : RaftMessage
+            The request.
+        members : Members
+            The members as far as this one knows.
+
+        Returns
+        -------
+        RaftMessage or None
+            None if this control knows no members itself.
+        """
+        addresses = peer_addresses(members)
+        if not addresses:
+            return None
+        return RaftMessage(
+            from_id=self._own_id,
+            to_id=request.from_id,
+            join_reply=JoinReply(addresses=addresses),
+        )
+
+    def note_reply(self, message: RaftMessage) -> bool:
+        """Note where a member says that the members are.
+
+        Parameters
+        ----------
+        message : RaftMessage
+            The message that holds the answer.
+
+        Returns
+        -------
+        bool
+            Whether it names a control that was not known.
+        """
+        addresses = dict(message.join_reply.addresses)
+        addresses.pop(self._settings.control_id, None)
+        is_new = not addresses.items() <= self.known_addresses(Members()).items()
+        # The newest answer counts alone, so that controls of long ago are forgotten.
+        self._told_addresses = addresses
+        return is_new
+
+    def known_addresses(self, members: Members) -> dict[str, str]:
+        """Return where the other controls are reached, as far as this one knows.
+
+        Parameters
+        ----------
+        members : Members
+            The members in its own log.
+
+        Returns
+        -------
+        dict of str to str
+            Peer address by control.
+        """
+        addresses = {peer.id: peer.address for peer in self._settings.controls}
+        addresses |= self._told_addresses
+        addresses |= peer_addresses(members)
+        addresses.pop(self._settings.control_id, None)
+        return addresses
+
     def find_joiner(self, control_id: str) -> Joiner | None:
         """Return the newest identity under which a control asked to join."""
         found = [
@@ -83,9 +152,7 @@
             return address
         if member_id in self._joiners:
             return self._joiners[member_id].address
-        control_id = control_of(member_id)
-        peers = self._settings.controls
-        return next((peer.address for peer in peers if peer.id == control_id), "")
+        return self.known_addresses(members).get(control_of(member_id), "")
 
     def make_requests(self, raft: Raft) -> Iterator[tuple[str, RaftMessage]]:
         """Yield an address and a join request for each other control.
@@ -106,10 +173,7 @@
             empty=raft.is_empty,
             initial_controls=self._initial_controls,
         )
-        addresses = {peer.id: peer.address for peer in self._settings.controls}
-        for member_id, address in raft.log.members.addresses.items():
-            addresses[control_of(member_id)] = address
-        addresses.pop(self._settings.control_id, None)
+        addresses = self.known_addresses(raft.log.members)
         for control_id, address in addresses.items():
             joiner = self.find_joiner(control_id)
             to_id = joiner.member_id if joiner else control_id
--- a/chestnutvale/consensus/loop.py
+++ b/chestnutvale/consensus/loop.py
@@ -256,8 +256,11 @@
         message = envelope.raft
         if self.failure is not None or message.from_id == self._own_id:
             return
-        if message.WhichOneof("body") == "join_request":
+        body = message.WhichOneof("body")
+        if body == "join_request":
             self._note_join(message)
+        elif body == "join_reply":
+            self._note_join_reply(message)
         elif message.to_id == self._own_id:
             self._events.put(Received(message))
 
@@ -363,6 +366,24 @@
             self._join_due_s = now_s
             self._events.put(Tick())
 
+        reply = self.joining.make_reply(message, self.raft.log.members)
+        if reply is not None:
+            control_id = control_of(message.from_id)
+            address = message.join_request.address
+            self._transport.send(control_id, address, BODY_RAFT, reply)
+
+    def _note_join_reply(self, message: RaftMessage) -> None:
+        if message.to_id != self._own_id or not self.joining.note_reply(message):
+            return
+        _LOGGER.info(
+            "{} names controls that are new here: {}",
+            message.from_id,
+            sorted(message.join_reply.addresses),
+        )
+        if not self.raft.leader_id:
+            self._join_due_s = self._clock.now_s()
+            self._events.put(Tick())
+
     def _consider_bootstrap(self, now_s: float) -> None:
         members = self.joining.decide_first_members(now_s)
         if members is None:
--- a/chestnutvale/consensus/task.py
+++ b/chestnutvale/consensus/task.py
@@ -149,6 +149,17 @@
         """Voters and learners as the newest entry sets them."""
         return self._loop.raft.log.members
 
+    def known_addresses(self) -> dict[str, str]:
+        """Return where the other controls are reached, as far as this one knows.
+
+        Returns
+        -------
+        dict of str to str
+            Peer address by control, also of those that only other controls or the
+            settings name; they may be gone.
+        """
+        return self._loop.joining.known_addresses(self.members)
+
     @property
     def committed_copies(self) -> int:
         """Disks that surely hold each committed entry.
--- a/chestnutvale/programs/control/host_door.py
+++ b/chestnutvale/programs/control/host_door.py
@@ -162,6 +162,9 @@
 
     def _others(self) -> dict[str, str]:
         addresses = peer_addresses(self._log.members)
+        if not addresses:
+            # A control that lost its disk hears hosts before it is a member again.
+            addresses = self._log.known_addresses()
         addresses.pop(self._control_id, None)
         return addresses
 
--- a/tests/consensus/test_task.py
+++ b/tests/consensus/test_task.py
@@ -210,6 +210,24 @@
     wait_until(lambda: controls[3].machine.hosts == ["a", "b"])
 
 
+def test_a_control_whose_settings_name_no_leader_joins_by_a_follower(make_controls):
+    controls = make_controls(3)
+    leader = start_all(controls)
+    propose(leader, "a")
+    lost, follower = [c for c in controls if c is not leader]
+    lost.stop()
+    shutil.rmtree(lost.settings.data_folder)
+    known = {lost.settings.control_id, follower.settings.control_id}
+    seeds = [peer for peer in lost.settings.controls if peer.id in known]
+    del lost.settings.controls[:]
+    lost.settings.controls.extend(seeds)
+    lost.settings.spare = True
+    lost.start()
+    wait_until(lambda: lost.task.member_id in leader.task.members.voters)
+    assert leader.settings.control_id in lost.task.known_addresses()
+    wait_until(lambda: lost.machine.hosts == ["a"])
+
+
 def test_operator_removes_and_adds_a_voter(make_controls):
     controls = make_controls(3)
     leader = start_all(controls)
--- a/tests/programs/control/test_host_door.py
+++ b/tests/programs/control/test_host_door.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from chestnutvale.consensus.members import peer_addresses
 from chestnutvale.membership.table import MembershipTable
 from chestnutvale.programs.control.host_door import HostDoor
 from chestnutvale.schema.membership_pb2 import Announcement
@@ -23,7 +24,7 @@
         self.handlers = {}
         self.now_s = 100.0
 
-    def add(self, control_id):
+    def add(self, control_id, members=MEMBERS):
         handlers = {}
         self.handlers[control_id] = handlers
 
@@ -33,7 +34,9 @@
             self.handlers[recipient_id][body](envelope)
 
         transport = SimpleNamespace(on=handlers.__setitem__, send=send)
-        log = SimpleNamespace(members=MEMBERS)
+        log = SimpleNamespace(
+            members=members, known_addresses=lambda: peer_addresses(MEMBERS)
+        )
         table = MembershipTable(3.0)
         clock = SimpleNamespace(now_s=lambda: self.now_s)
         return HostDoor(control_id, transport, log, table, clock), table
@@ -111,3 +114,11 @@
 def test_a_host_that_nobody_knows_can_t_leave(doors):
     (door, _), _ = doors
     assert not door.leave("h9")
+
+
+def test_a_control_that_lost_its_disk_tells_the_others_what_it_hears(network):
+    door, _ = network.add("c1", members=Members())
+    _, other_table = network.add("c2")
+    door.announce(make(1))
+    share(door)
+    assert other_table.is_fresh("h1", 100.0)
