Count a group that was sent nothing as no attempt

Cause: a connection that could not be opened used up one of the two attempts of a call and its share of the retry budget, and took half a second, longer than callers hope to wait for the whole first event.

Change: an attempt at which no connection was made counts neither as an attempt nor as a retry; a call leaves four of them at most. Connections are given up after 0.2 s.

--- a/chestnutvale/attempts/const.py
+++ b/chestnutvale/attempts/const.py
@@ -8,6 +8,9 @@
 MAX_HELD_EVENTS: Final = 64
 # Attempts that one call may make, the first one included.
 MAX_ATTEMPTS: Final = 4
+# Groups that one call may find unreachable; nothing was sent to them, so they count
+# neither as attempts nor as retries.
+MAX_UNREACHABLE: Final = 4
 # Delivered bytes that are kept for a resume; a longer answer can't be resumed.
 MAX_RESUME_BYTES: Final = 4 * 1024 * 1024
 
--- a/chestnutvale/attempts/service_call.py
+++ b/chestnutvale/attempts/service_call.py
@@ -14,6 +14,7 @@
     CODE_RETRY_BUDGET,
     DEFAULT_RETRY_AFTER_S,
     LEDGER_FULL_RETRY_AFTER_S,
+    MAX_UNREACHABLE,
     OUTCOME_FAILED,
     OUTCOME_NOT_RUN,
     OUTCOME_UNKNOWN,
@@ -126,6 +127,7 @@
         # What could be said before the attempt that runs was sent.
         self._outcome_before = self._outcome
         self._attempts = 0
+        self._unreachable = 0
         self._attempt_id = ""
         self._group_id = ""
         self._excluded: set[str] = set()
@@ -307,13 +309,25 @@
             return []
         if self._is_sent and not event.is_proven:
             return []
-        budget = self._budgets.reroutes
-        if self._is_sent:
-            self._is_sent = False
-            self._outcome = self._outcome_before
-            budget = self._budgets.retries
         retry_after_s = event.retry_after_s or DEFAULT_RETRY_AFTER_S
-        return self._try_again(budget, CODE_REFUSED, event.code, now_s, retry_after_s)
+        if not self._is_sent:
+            return self._leave_unreachable(event.code, now_s, retry_after_s)
+        self._is_sent = False
+        self._outcome = self._outcome_before
+        return self._try_again(
+            self._budgets.retries, CODE_REFUSED, event.code, now_s, retry_after_s
+        )
+
+    def _leave_unreachable(
+        self, code: str, now_s: float, retry_after_s: float
+    ) -> Effects:
+        """Try another endpoint; this one was not sent anything, so it bears no load."""
+        self._unreachable += 1
+        self._excluded.add(self._group_id)
+        self._attempt_id = ""
+        if self._unreachable > MAX_UNREACHABLE:
+            return self._fail(CODE_ATTEMPTS, code, retry_after_s=retry_after_s)
+        return self._choose(now_s)
 
     def _on_answered(self, event: EndpointAnswered, now_s: float) -> Effects:
         if event.attempt_id != self._attempt_id:
@@ -337,7 +351,7 @@
             return False
         if answer.status < FIRST_ERROR_STATUS or self.is_answered:
             return False
-        if self._attempts >= self._policy.max_attempts:
+        if self._attempts - self._unreachable >= self._policy.max_attempts:
             return False
         return self._budgets.retries.try_retry()
 
@@ -397,7 +411,7 @@
     ) -> Effects:
         self._excluded.add(self._group_id)
         self._attempt_id = ""
-        if self._attempts >= self._policy.max_attempts:
+        if self._attempts - self._unreachable >= self._policy.max_attempts:
             code = CODE_ATTEMPTS
         elif budget.try_retry():
             return self._choose(now_s)
--- a/chestnutvale/programs/entry/group_chooser.py
+++ b/chestnutvale/programs/entry/group_chooser.py
@@ -19,8 +19,10 @@
 from chestnutvale.schema.peer_pb2 import GroupView
 
 Chosen = GroupChosen | NoneAvailable | CallBanned | Tick
-# Longest time in seconds for which a broken answer waits for a group to go on at.
-RESUME_PATIENCE_S = 4.0
+# Longest time in seconds for which a broken answer waits for a group to go on at: an
+# election, the time after which a new leader misses hosts, and a repair may follow one
+# another.
+RESUME_PATIENCE_S = 8.0
 RESUME_POLL_S = 0.1
 
 
@@ -84,7 +86,6 @@
                 return Tick()
 
     def _choose_once(self, effect: ChooseGroup) -> Chosen:
-        context = self._context
         context = self._context
         while True:
             groups = context.serving_groups(self._request.service, effect.version)
--- a/chestnutvale/programs/entry/routed/const.py
+++ b/chestnutvale/programs/entry/routed/const.py
@@ -20,8 +20,9 @@
     }
 )
 
-# Time in seconds to open a connection; a packet that was lost comes again after one.
-CONNECT_TIMEOUT_S: Final = 0.5
+# Time in seconds to open a connection: a hundred times the way to an endpoint of the
+# region. A packet that was lost comes again after a whole second only.
+CONNECT_TIMEOUT_S: Final = 0.2
 # Idle time in seconds of a kept connection, if the endpoint names no shorter one.
 DEFAULT_IDLE_S: Final = 10.0
 # Time in seconds before the end of an endpoint's idle time at which its connection is
--- a/tests/attempts/test_model_call.py
+++ b/tests/attempts/test_model_call.py
@@ -5,7 +5,12 @@
 from hypothesis import strategies as st
 
 from chestnutvale.attempts.answer_stream import AnswerStream
-from chestnutvale.attempts.const import MAX_ATTEMPTS, STREAM_IDLE_TIMEOUT_S
+from chestnutvale.attempts.call_limits import CallLimits
+from chestnutvale.attempts.const import (
+    MAX_ATTEMPTS,
+    MAX_UNREACHABLE,
+    STREAM_IDLE_TIMEOUT_S,
+)
 from chestnutvale.attempts.events import (
     AttemptBroken,
     AttemptRefused,
@@ -218,6 +223,18 @@
     assert effect.failure.retry_after_s is None
 
 
+def test_a_group_that_was_sent_nothing_uses_up_no_attempt():
+    budgets = AttemptBudgets(RetryBudget(0.0, 0.0), RetryBudget(0.0, 0.0))
+    call = ModelCall("r", DEADLINE_S, budgets, CallLimits(max_attempts=1))
+    attempt_id = start(call)
+    for number in range(MAX_UNREACHABLE):
+        (effect,) = call.handle(AttemptRefused(attempt_id, "unreachable"), 0.0)
+        assert isinstance(effect, ChooseGroup)
+        attempt_id = choose(call, f"other-{number}")
+    (effect,) = call.handle(AttemptRefused(attempt_id, "unreachable"), 0.0)
+    assert effect.failure.outcome == "not_run"
+
+
 @pytest.mark.parametrize(
     ("code", "spent"), [("overloaded", "retries"), ("wrong_epoch", "reroutes")]
 )
--- a/tests/attempts/test_service_call.py
+++ b/tests/attempts/test_service_call.py
@@ -2,6 +2,8 @@
 
 import pytest
 
+from chestnutvale.attempts.call_limits import ServicePolicy
+from chestnutvale.attempts.const import MAX_UNREACHABLE
 from chestnutvale.attempts.events import (
     AttemptRefused,
     CallBanned,
@@ -84,6 +86,26 @@
     assert effects[1].failure.outcome == "failed"
 
 
+def test_an_endpoint_that_was_sent_nothing_uses_up_no_attempt():
+    call = ServiceCall(
+        "r",
+        DEADLINE_S,
+        AttemptBudgets(),
+        repeatable=False,
+        has_key=False,
+        policy=ServicePolicy(max_attempts=1),
+    )
+    call.handle(Started(), 0.0)
+    for _ in range(MAX_UNREACHABLE):
+        refused = AttemptRefused(connect(call), "unreachable")
+        assert isinstance(call.handle(refused, 0.0)[0], ChooseGroup)
+    (effect,) = call.handle(AttemptRefused(connect(call), "unreachable"), 0.0)
+    assert (effect.failure.code, effect.failure.outcome) == (
+        "attempts_exhausted",
+        "not_run",
+    )
+
+
 def test_call_without_a_key_is_tried_elsewhere_only_if_it_was_not_sent():
     call = ServiceCall(
         "r", DEADLINE_S, AttemptBudgets(), repeatable=False, has_key=False
