--- a/chestnutvale/groups/const.py
+++ b/chestnutvale/groups/const.py
@@ -60,8 +60,9 @@
 # Time in seconds after a host's last moment to be heard at which it is looked at again.
 SILENCE_MARGIN_S: Final = 0.01
 
-# Time in seconds that is added to an engine's stall time, for late announcements.
-HEAD_STALL_MARGIN_S: Final = 1.0
+# Time in seconds that is added to an engine's stall time, for clocks and timers that
+# run at different rates: a member has let go before its announcement says so.
+HEAD_STALL_MARGIN_S: Final = 0.3
 
 # Time in seconds after which a member of a pool's group that never took its order, or
 # never became ready, is given up: orders may be carried out 12 s late, and a load of
@@ -76,12 +77,16 @@
 DEMAND_MEMORY_S: Final = 3.0
 # Time in seconds after which an order to stage weights that never showed is given up.
 STAGE_TIMEOUT_S: Final = 90.0
+# Time in seconds for which a host that can't stage now, as it loads other weights, is
+# left alone; a load takes several times as long.
+STAGE_BUSY_S: Final = 5.0
 # Fabric domains that a model with small groups has at least: one may go dark.
 HOME_DOMAINS: Final = 2
 # A model is pressed this much harder than another before free hosts that have the
-# other's weights at hand load its own, and at least this hard by itself.
+# other's weights at hand load its own, and at least this hard by itself: below it, its
+# groups have places left.
 CONVERT_RATIO: Final = 1.6
-CONVERT_PRESSURE: Final = 0.5
+CONVERT_PRESSURE: Final = 0.85
 # Groups that a model keeps whatever others need, and the time in seconds between two
 # groups that are given up for another model: weights take longer to load.
 MIN_GROUPS: Final = 2
--- a/chestnutvale/groups/coordinator.py
+++ b/chestnutvale/groups/coordinator.py
@@ -170,7 +170,8 @@
         """
         is_staging = order_id.endswith(STAGE_SUFFIX)
         if is_staging and outcome is not OrderOutcome.ACCEPTED:
-            self.planner.staging.failed(host_id, now_s)
+            is_busy = outcome is OrderOutcome.CONFLICT
+            self.planner.staging.failed(host_id, now_s, is_busy=is_busy)
         if not is_staging:
             self.orders.answered(host_id, order_id, outcome, now_s)
 
--- a/chestnutvale/groups/homes.py
+++ b/chestnutvale/groups/homes.py
@@ -99,14 +99,14 @@
         Returns
         -------
         bool
-            Whether the domain is its own, or it is pressed so hard that this does not
-            matter.
+            Whether the domain is its own or nobody's, or it is pressed so hard that
+            this does not matter.
         """
         own = self.domains_of[name]
         if domain in own:
             return True
         rivals = self._find_rivals(name, domain)
-        if not rivals and len(own) < self.limits[name]:
+        if not rivals and (len(own) < self.limits[name] or self._are_all_settled()):
             return True
         highest = max(
             (pressures[other] for other in rivals or self.services if other != name),
@@ -132,6 +132,16 @@
         is_own = domain in self.domains_of[name]
         return not is_own and bool(self._find_rivals(name, domain))
 
+    def _are_all_settled(self) -> bool:
+        """Tell whether no service wants a further domain for itself.
+
+        Domains that two services share count for both, so one may be left over.
+        """
+        return all(
+            len(domains) >= self.limits[name]
+            for name, domains in self.domains_of.items()
+        )
+
     def _find_rivals(self, name: str, domain: str) -> list[str]:
         return [
             other
--- a/chestnutvale/groups/orders.py
+++ b/chestnutvale/groups/orders.py
@@ -46,6 +46,8 @@
 
     ACCEPTED = "accepted"
     STALE_FENCE = "stale_fence"
+    # The host loads other weights, so that it did not carry the order out.
+    CONFLICT = "conflict"
     # No answer, or one that doesn't tell; the host may have carried it out.
     UNREACHABLE = "unreachable"
 
--- a/chestnutvale/groups/planner.py
+++ b/chestnutvale/groups/planner.py
@@ -183,7 +183,8 @@
             inputs.state.groups.values(),
             fleet,
             inputs.loads_left,
-            is_settled(inputs.table, now_s),
+            # Once there is demand, a new host is of use only with weights at hand.
+            self.pools.need.has_demand or is_settled(inputs.table, now_s),
             now_s,
         )
 
--- a/chestnutvale/groups/pools.py
+++ b/chestnutvale/groups/pools.py
@@ -146,7 +146,8 @@
             if group.phase != PHASE_DRAINING and not isinstance(command, RemoveGroup):
                 kept.append(group)
         if services:
-            yield from self._rebalance(services, kept, table, now_s)
+            prospects = count_prospects(services, kept, fleet)
+            yield from self._rebalance(services, kept, prospects, table, now_s)
             has_settled = is_settled(table, now_s)
             yield from self._form(services, kept, state, fleet, has_settled)
 
@@ -154,6 +155,7 @@
         self,
         services: Mapping[str, Service],
         groups: Sequence[Group],
+        prospects: Mapping[str, int],
         table: MembershipTable,
         now_s: float,
     ) -> Iterator[PutGroup]:
@@ -169,7 +171,7 @@
         counts = Counter(group.service for group in groups)
         for pool in {service.pool for service in services.values()}:
             own = {name: item for name, item in services.items() if item.pool == pool}
-            donor = self._find_donor(own, counts)
+            donor = self._find_donor(own, counts, prospects)
             serving = [
                 group
                 for group in groups
@@ -188,10 +190,13 @@
             yield _with_phase(chosen, PHASE_DRAINING)
 
     def _find_donor(
-        self, services: Mapping[str, Service], counts: Mapping[str, int]
+        self,
+        services: Mapping[str, Service],
+        counts: Mapping[str, int],
+        prospects: Mapping[str, int],
     ) -> str:
         pressures = {
-            name: self.need.pressure(name, service, counts[name])
+            name: self.need.pressure(name, service, prospects[name])
             for name, service in services.items()
         }
         highest = max(pressures.values())
@@ -239,6 +244,8 @@
             return not table.may_turn_up(now_s)
         if not table.is_fresh(member.host_id, now_s):
             return not is_vouched(group, table, now_s)
+        if table.has_fallen_silent(member.host_id, group.group_id, now_s):
+            return True
         if record.boot_id != member.boot_id:
             return True
         key = (member.host_id, group.epoch)
@@ -442,6 +449,45 @@
     return shelves
 
 
+def count_prospects(
+    services: Mapping[str, Service], groups: Iterable[Group], fleet: Fleet
+) -> Counter[str]:
+    """Return the groups that each service has or will soon have.
+
+    A model whose groups are being healed looks pressed for seconds. It needs no other
+    hosts for that, so the hosts that have its weights at hand count as groups.
+
+    Parameters
+    ----------
+    services : mapping of str to Service
+        Services that share pools.
+    groups : iterable of Group
+        Groups in force.
+    fleet : Fleet
+        Hosts of this round.
+
+    Returns
+    -------
+    Counter of str to int
+        Groups in force, and those that free hosts and hosts that let go can form
+        without a load.
+    """
+    prospects = Counter(group.service for group in groups)
+    for domain in {*fleet.free_by_domain, *fleet.releasing_by_domain}:
+        hosts = [
+            host
+            for host in (
+                *fleet.free_by_domain.get(domain, ()),
+                *fleet.releasing_by_domain.get(domain, ()),
+            )
+            if host.host_id not in fleet.pool_taken
+        ]
+        for name, service in services.items():
+            staged = sum(is_staged(host, name) for host in hosts)
+            prospects[name] += staged // max(1, service.hosts_per_group)
+    return prospects
+
+
 def count_domains(fleet: Fleet, pool: str) -> int:
     """Return the number of fabric domains in which a pool has living hosts.
 
--- a/chestnutvale/groups/staging.py
+++ b/chestnutvale/groups/staging.py
@@ -1,6 +1,5 @@
 """Stages weights on free hosts, so that a broken group is healed without a load."""
 
-from collections import Counter
 from collections.abc import Iterable, Iterator, Mapping
 
 import attrs
@@ -9,6 +8,7 @@
     CONVERT_PRESSURE,
     CONVERT_RATIO,
     ORDER_RETRY_MIN_S,
+    STAGE_BUSY_S,
     STAGE_TIMEOUT_S,
 )
 from chestnutvale.groups.fleet import Fleet
@@ -17,6 +17,7 @@
 from chestnutvale.groups.pools import (
     Shelf,
     count_domains,
+    count_prospects,
     is_staged,
     stock_shelves,
 )
@@ -107,7 +108,7 @@
         if not services or not is_settled:
             return []
         groups = list(groups)
-        counts = Counter(group.service for group in groups)
+        counts = count_prospects(services, groups, fleet)
         left = loads_left - len(self._under_way)
         chosen: list[StageWeights] = []
         for pool, shelves in stock_shelves(fleet).items():
@@ -124,7 +125,7 @@
                 )
         return chosen
 
-    def failed(self, host_id: str, now_s: float) -> None:
+    def failed(self, host_id: str, now_s: float, *, is_busy: bool = False) -> None:
         """Note that a host did not take its order.
 
         Parameters
@@ -133,11 +134,13 @@
             The host.
         now_s : float
             Monotonic time.
+        is_busy : bool, optional
+            Whether it said that it can't now; it loads what an earlier leader ordered.
         """
         staging = self._under_way.get(host_id)
         if staging is not None:
             # It is not asked again at once.
-            staging.give_up_s = now_s + ORDER_RETRY_MIN_S
+            staging.give_up_s = now_s + (STAGE_BUSY_S if is_busy else ORDER_RETRY_MIN_S)
 
     def _forget_done(self, fleet: Fleet, now_s: float) -> None:
         for host_id, staging in list(self._under_way.items()):
--- a/chestnutvale/membership/entry_view.py
+++ b/chestnutvale/membership/entry_view.py
@@ -1,6 +1,7 @@
 """What an entry may serve, and until when."""
 
 import enum
+import math
 from collections import deque
 
 import attrs
@@ -110,6 +111,11 @@
         """
         return now_s < self._lease_until_s
 
+    @property
+    def has_had_lease(self) -> bool:
+        """Whether there has been a lease in this life of the entry."""
+        return math.isfinite(self._lease_until_s)
+
     def serving_groups(self, service: str, now_s: float) -> list[GroupView]:
         """Return the groups that may get new work.
 
--- a/chestnutvale/membership/table.py
+++ b/chestnutvale/membership/table.py
@@ -12,6 +12,7 @@
     FORGET_ENTRY_AFTER_S,
     FORGET_HOST_AFTER_S,
     PATIENCE_S,
+    STALLED_DETECTION_SHARE,
 )
 from chestnutvale.membership.content import content_digest
 from chestnutvale.membership.delay import ReportDelays
@@ -94,6 +95,7 @@
     _patient_until_s: float = attrs.field(default=-math.inf, init=False)
     _by_address: dict[str, str] = attrs.field(factory=dict)
     _vouched_s: dict[str, float] = attrs.field(factory=dict, init=False)
+    _stalled: frozenset[str] = attrs.field(default=frozenset(), init=False)
     _delays: ReportDelays = attrs.field(factory=ReportDelays)
 
     def merge(
@@ -270,9 +272,13 @@
         float
             Monotonic time in seconds; infinite if no host is alive.
         """
+        timeouts_s = [self.detection_timeout_s]
+        if self._stalled:
+            timeouts_s.append(STALLED_DETECTION_SHARE * self.detection_timeout_s)
         deadlines = (
-            record.order.heard_at_s + self.detection_timeout_s
+            record.order.heard_at_s + timeout_s
             for record in self._hosts.values()
+            for timeout_s in timeouts_s
         )
         return min((due for due in deadlines if due >= now_s), default=math.inf)
 
@@ -373,6 +379,49 @@
         """
         return now_s < self._vouched_s.get(group_id, -math.inf)
 
+    def note_stalled(self, group_ids: frozenset[str]) -> None:
+        """Note the groups that give no events although streams run there.
+
+        Parameters
+        ----------
+        group_ids : frozenset of str
+            The groups; they replace those noted before.
+        """
+        if group_ids != self._stalled:
+            self._stalled = group_ids
+            self.revision += 1
+
+    @property
+    def has_stalled(self) -> bool:
+        """Whether any group has stalled."""
+        return bool(self._stalled)
+
+    def has_fallen_silent(self, host_id: str, group_id: str, now_s: float) -> bool:
+        """Tell whether a member's silence explains that its group has stalled.
+
+        Parameters
+        ----------
+        host_id : str
+            The member.
+        group_id : str
+            Its group.
+        now_s : float
+            Monotonic time.
+
+        Returns
+        -------
+        bool
+            False for a group that has not stalled, and while hosts may be looking for
+            another control.
+        """
+        record = self._hosts.get(host_id)
+        if record is None or group_id not in self._stalled:
+            return False
+        if now_s < self._patient_until_s:
+            return False
+        limit_s = STALLED_DETECTION_SHARE * self.detection_timeout_s
+        return now_s - record.heard_at_s > limit_s
+
     def forget_silent(self, now_s: float) -> None:
         """Drop hosts and entries that have been silent for long.
 
--- a/chestnutvale/programs/control/entry_desk.py
+++ b/chestnutvale/programs/control/entry_desk.py
@@ -95,6 +95,8 @@
     ----------
     entries : dict of str to KnownEntry
         Last report of each entry.
+    running : RunningTable
+        Attempts that entries run at each group.
     """
 
     def __init__(
@@ -120,7 +122,7 @@
         self._settled_until_s = float("-inf")
         self._cache_events = CacheEventQueue()
         self._demands = DemandTable()
-        self._running = RunningTable()
+        self.running = RunningTable()
         self._stalls = StallBoard()
         self._commits = eventlet.GreenPool(MAX_COMMIT_REQUESTS)
         transport.on("entry_report", self._receive_report)
@@ -209,7 +211,7 @@
         has_news = self._suspicions.merge(
             list(report.suspicions), self._clock.unix_ms()
         )
-        self._running.note(entry_id, report.running, now_s)
+        self.running.note(entry_id, report.running, now_s)
         if not self._log.is_leader or not self._log.has_lease(now_s):
             if report.wants_controls:
                 self._name_controls(entry_id, report.reply_address)
@@ -226,6 +228,7 @@
         unheard = frozenset(item.group_id for item in report.running if item.unheard)
         is_new = self._stalls.note(entry_id, silences_s, stalled, now_s, unheard)
         self._table.vouch(self._stalls.heard(now_s), now_s + VOUCH_S)
+        self._table.note_stalled(self._stalls.stalled(now_s))
         if is_new:
             groups = sorted(self._stalls.stalled(now_s))
             _LOGGER.info("stalled_groups", extra={"groups": groups, "by": entry_id})
@@ -244,7 +247,7 @@
 
     def _note_running(self, now_s: float) -> None:
         """Take what entries run at a group as the load of its head."""
-        totals = self._running.totals(now_s)
+        totals = self.running.totals(now_s)
         for group in self._state.groups.groups.values():
             head = group_head(group)
             self._table.note_running(head.host_id, totals.get(group.group_id, 0))
--- a/chestnutvale/programs/control/group_task.py
+++ b/chestnutvale/programs/control/group_task.py
@@ -131,7 +131,7 @@
     def _is_settled(self) -> bool:
         """Tell whether nothing is under way that waits for time to pass."""
         groups = self._state.groups
-        if groups.releases or groups.repairs:
+        if groups.releases or groups.repairs or self._table.has_stalled:
             return False
         return all(view.serving for view in self._desk.group_views())
 
--- a/chestnutvale/programs/entry/call_context.py
+++ b/chestnutvale/programs/entry/call_context.py
@@ -2,8 +2,10 @@
 
 import random
 from collections import Counter
+from collections.abc import Mapping
 from typing import Any
 
+import eventlet
 import logbook
 
 from chestnutvale.admission.messages import ServiceCapacity, ServiceLimits
@@ -31,6 +33,10 @@
 BEARER = "bearer "
 # Requests given to engines as a multiple of those that they run at once.
 ENGINE_OVERCOMMIT = 1.15
+# Time in seconds after the start for which calls wait for the first lease: an election
+# and the way of a report.
+FIRST_LEASE_S = 2.0
+LEASE_POLL_S = 0.02
 NO_CAPACITY = ServiceCapacity(groups=0, kv_capacity_tokens=0)
 
 
@@ -80,6 +86,7 @@
         self.attempt_results: Counter[str] = Counter()
         self.has_crashed: CrashProbe = has_crashed
         self.lookup = TextLookup.from_text(Text())
+        self._began_s = clock.now_s()
         self._view = view
         self._gate = gate
         self._router = router
@@ -109,6 +116,24 @@
             self.running.abort_group(group_id, 2**63)
         self._install_capacities()
 
+    def note_elsewhere(
+        self, by_group: Mapping[str, int], by_service: Mapping[str, int]
+    ) -> None:
+        """Take what the other entries run.
+
+        Parameters
+        ----------
+        by_group : mapping of str to int
+            Attempts at each serving group.
+        by_service : mapping of str to int
+            Attempts at the serving groups of each service.
+        """
+        now_s = self.clock.now_s()
+        self._router.note_elsewhere(by_group)
+        for service, running in by_service.items():
+            self._gate.controller.set_elsewhere(service, running, now_s)
+        self._gate.settle_waiting()
+
     def authenticate(self, environ: dict[str, Any]) -> str | None:
         """Find the workspace that a request's key belongs to.
 
@@ -143,6 +168,28 @@
         """
         return self._view.has_lease(now_s)
 
+    def wait_for_first_lease(self, deadline_s: float) -> bool:
+        """Wait for the lease of an entry that has just begun.
+
+        After a stop of all processes the balancer sends calls here before there is a
+        leader. It is there soon, and callers that were refused have one try less. An
+        entry that lost its lease is cut off, and others can serve.
+
+        Parameters
+        ----------
+        deadline_s : float
+            Monotonic time up to which the caller can wait.
+
+        Returns
+        -------
+        bool
+            Whether the entry has a lease now.
+        """
+        end_s = min(deadline_s, self._began_s + FIRST_LEASE_S)
+        while not self._view.has_had_lease and self.clock.now_s() < end_s:
+            eventlet.sleep(LEASE_POLL_S)
+        return self.has_lease(self.clock.now_s())
+
     def serving_groups(self, service: str, version: str) -> list[str]:
         """Return the ids of all groups that serve a service now.
 
--- a/chestnutvale/programs/entry/routed/const.py
+++ b/chestnutvale/programs/entry/routed/const.py
@@ -53,6 +53,8 @@
 BAN_AFTER_CRASHES: Final = 3
 # Time in seconds after which a caller should come back when an entry can't serve.
 NO_LEASE_RETRY_S: Final = 0.5
+# Share of a call's time for which it may wait for an entry that has just begun.
+LEASE_WAIT_SHARE: Final = 0.4
 # Time in seconds for which a call may wait for its turn, at least, and as a multiple of
 # the latency that callers hope for: later it is late anyhow, and holds up others that
 # could be in time.
--- a/chestnutvale/programs/entry/routed/handler.py
+++ b/chestnutvale/programs/entry/routed/handler.py
@@ -46,6 +46,7 @@
     DEFAULT_DEADLINE_S,
     FIRST_EVENT_TIMEOUT_FACTOR,
     GAP_TIMEOUT_FACTOR,
+    LEASE_WAIT_SHARE,
     MIN_FIRST_EVENT_TIMEOUT_S,
     MIN_GAP_TIMEOUT_S,
     MIN_PATIENCE_S,
@@ -139,13 +140,14 @@
 
     def _accept(self, request: RoutedRequest, environ: dict[str, Any]) -> RoutedCall:
         context = self._context
-        now_s = context.clock.now_s()
-        if not context.has_lease(now_s):
+        began_s = context.clock.now_s()
+        if not (context.has_lease(began_s) or self._has_got_lease(request, began_s)):
             raise refuse(
                 "no_lease",
                 "this entry has lost touch with the controls",
                 retry_after_s=NO_LEASE_RETRY_S,
             )
+        now_s = context.clock.now_s()
         self._install_routes()
         route = self._table.find(request.host, request.path)
         if route is None:
@@ -168,7 +170,7 @@
             prompt=b"",
             max_tokens=request.max_tokens,
             adapter="",
-            deadline_s=now_s + _find_time_s(request, route),
+            deadline_s=began_s + _find_time_s(request, route),
             start_by_s=now_s + _find_patience_s(route),
         )
         _LOGGER.info(
@@ -189,6 +191,13 @@
         )
         return RoutedCall(request, body, route, call, _fingerprint(request, body))
 
+    def _has_got_lease(self, request: RoutedRequest, now_s: float) -> bool:
+        time_s = DEFAULT_DEADLINE_S
+        if request.deadline_ms is not None:
+            time_s = request.deadline_ms / 1_000
+        # The rest of its time is left for the answer, or for another entry.
+        return self._context.wait_for_first_lease(now_s + LEASE_WAIT_SHARE * time_s)
+
     def _install_routes(self) -> None:
         text = self._context.text
         if text.number != self._table_number:
--- a/tests/groups/test_pools.py
+++ b/tests/groups/test_pools.py
@@ -4,14 +4,16 @@
 
 from chestnutvale.groups.draining import IdleWatch
 from chestnutvale.groups.fleet import Fleet
-from chestnutvale.groups.pools import PoolPlanner
+from chestnutvale.groups.homes import PoolHomes
+from chestnutvale.groups.need import PoolNeed
+from chestnutvale.groups.pools import PoolPlanner, count_prospects
 from chestnutvale.groups.serving import find_serving_fault
 from chestnutvale.groups.settings import GroupsPolicy
 from chestnutvale.groups.state import GroupsState
 from chestnutvale.membership.content import content_digest
 from chestnutvale.membership.table import MembershipTable
 from chestnutvale.schema.configuration_pb2 import Service, Text
-from chestnutvale.schema.groups_pb2 import PutGroup, RemoveGroup
+from chestnutvale.schema.groups_pb2 import Group, PutGroup, RemoveGroup
 from chestnutvale.schema.membership_pb2 import Announcement, Heard, Holding
 
 BIG, SMALL = "gpu-big", "gpu-small"
@@ -163,6 +165,64 @@
     assert abs(4 * counts[BIG] - 2 * counts[SMALL]) <= HOSTS_PER_DOMAIN
 
 
+def test_a_domain_that_both_models_leave_over_is_used():
+    services = {name: make_text().services[name] for name in (BIG, SMALL)}
+    groups = [
+        Group(service=service, fabric_domain=domain)
+        for service, domains in ((BIG, "abc"), (SMALL, "ade"))
+        for domain in domains
+    ]
+    homes = PoolHomes.survey(services, groups, 6, PoolNeed())
+    assert homes.may_use(BIG, "f", {BIG: 1.0, SMALL: 1.0})
+    # While one of them lacks a domain, the other can't take it.
+    homes = PoolHomes.survey(services, groups[:-1], 6, PoolNeed())
+    assert not homes.may_use(BIG, "f", {BIG: 1.0, SMALL: 1.0})
+    assert homes.may_use(SMALL, "f", {BIG: 1.0, SMALL: 1.0})
+
+
+def test_a_group_that_is_being_healed_still_counts():
+    pool = make_serving_pool()
+    services = dict(make_text().services)
+    before = count_prospects(
+        services,
+        pool.state.groups.values(),
+        Fleet.survey(pool.state, pool.table, 2.0),
+    )
+    broken = next(g for g in pool.state.groups.values() if g.service == BIG)
+    spare = [name for name in all_hosts() if name not in pool.state.owners]
+    for host_id in all_hosts():
+        if host_id != broken.members[1].host_id:
+            pool.announce(host_id, 4.0, staged=[BIG] if host_id in spare else [])
+    pool.plan(5.0)
+    for member in broken.members[2:]:
+        pool.announce(member.host_id, 5.0, staged=[BIG])
+    pool.announce(broken.members[0].host_id, 5.0, staged=[BIG])
+    after = count_prospects(
+        services,
+        pool.state.groups.values(),
+        Fleet.survey(pool.state, pool.table, 5.0),
+    )
+    assert pool.counts()[BIG] == before[BIG] - 1
+    assert after[BIG] == before[BIG]
+
+
+def test_a_silent_member_of_a_stalled_group_is_missed_sooner():
+    pool = make_serving_pool()
+    group = next(g for g in pool.state.groups.values() if g.service == BIG)
+    lost = group.members[2].host_id
+    for host_id in all_hosts():
+        pool.announce(host_id, 1.5)
+    for host_id in all_hosts():
+        if host_id != lost:
+            pool.announce(host_id, 2.7)
+    assert pool.plan(3.6) == []
+    pool.table.note_stalled(frozenset({group.group_id}))
+    assert pool.plan(3.4) == []
+    assert pool.table.next_deadline(3.4) < 3.5
+    (command,) = [c for c in pool.plan(3.6) if isinstance(c, RemoveGroup)]
+    assert command.group_id == group.group_id
+
+
 def test_small_groups_have_domains_of_their_own():
     pool = make_serving_pool()
     domains = {
--- a/tests/groups/test_staging.py
+++ b/tests/groups/test_staging.py
@@ -1,7 +1,9 @@
 """What free hosts of a pool stage, and what becomes of it."""
 
+from chestnutvale.groups.const import STAGE_BUSY_S
 from chestnutvale.groups.fleet import Fleet
 from chestnutvale.groups.need import PoolNeed
+from chestnutvale.groups.planner import GroupPlanner, PlanInputs
 from chestnutvale.groups.pools import pooled_services
 from chestnutvale.groups.staging import StagePlanner
 from chestnutvale.schema.configuration_pb2 import ServiceLimits
@@ -60,3 +62,29 @@
     need.note({BIG: 9.0}, 1.0)
     assert need.pressure(BIG, service, 2) == 0.5
     assert need.pressure(BIG, service, 0) == float("inf")
+
+
+def test_a_host_that_is_busy_is_left_alone_for_a_while():
+    pool = make_serving_pool()
+    staging = StagePlanner(PoolNeed())
+    (chosen,) = plan(pool, staging, 2.5, loads_left=1)
+    host_id = chosen.host.host_id
+    staging.failed(host_id, 2.5, is_busy=True)
+    # Its load takes a place of the store until then.
+    assert plan(pool, staging, 2.5 + STAGE_BUSY_S - 0.1, loads_left=1) == []
+    for name in all_hosts():
+        pool.announce(name, 7.0)
+    assert len(plan(pool, staging, 2.5 + STAGE_BUSY_S + 0.1, loads_left=1)) == 1
+
+
+def test_new_hosts_stage_at_once_when_there_is_demand():
+    pool = make_serving_pool()
+    planner = GroupPlanner(pool.policy)
+    planner.pools.need.note({BIG: 5.0, SMALL: 5.0}, 2.0)
+    pool.announce("d0-900", 2.6)
+    pool.table.merge("e1", [], 2.6)
+    inputs = PlanInputs(
+        pool.state, pool.table, make_text(), 0, {BIG: 5.0, SMALL: 5.0}, loads_left=20
+    )
+    planner.plan(inputs, 2.7)
+    assert "d0-900" in {item.host.host_id for item in planner.take_staging()}
--- a/tests/platform/test_orders.py
+++ b/tests/platform/test_orders.py
@@ -56,6 +56,7 @@
         ("assign", 409, OrderOutcome.UNREACHABLE),
         ("open", 409, OrderOutcome.UNREACHABLE),
         ("release", 409, OrderOutcome.ACCEPTED),
+        ("stage", 409, OrderOutcome.CONFLICT),
         ("release", 421, OrderOutcome.UNREACHABLE),
         ("release", 503, OrderOutcome.UNREACHABLE),
     ],
--- a/tests/programs/entry/entry_fakes.py
+++ b/tests/programs/entry/entry_fakes.py
@@ -89,6 +89,9 @@
     def has_lease(self, now_s):
         return self.lease
 
+    def wait_for_first_lease(self, deadline_s):
+        return self.lease
+
     def serving_groups(self, service, version):
         return [g.group_id for g in self.groups.values() if g.service == service]
 
--- a/tests/programs/entry/test_call_context.py
+++ b/tests/programs/entry/test_call_context.py
@@ -2,9 +2,11 @@
 
 import random
 
+import eventlet
 import pytest
 
 from chestnutvale.admission.controller import AdmissionController
+from chestnutvale.clock import SystemClock
 from chestnutvale.membership.entry_view import EntryView
 from chestnutvale.programs.entry.admission_gate import AdmissionGate
 from chestnutvale.programs.entry.call_context import EntryContext
@@ -105,3 +107,29 @@
     context.running.add("g1", 1, attempt)
     install(context, view, make_view(2, serving=False, reason=reason), clock)
     assert attempt.is_aborted is is_aborted
+
+
+def test_calls_wait_for_the_first_lease_of_an_entry_that_has_just_begun():
+    clock = SystemClock()
+    context, view, _ = make_context(clock)
+    message = make_view(1, serving=True)
+    eventlet.spawn_after(0.1, install, context, view, message, clock)
+    began_s = clock.now_s()
+    assert context.wait_for_first_lease(began_s + 1.0)
+    assert clock.now_s() - began_s < 0.5
+
+
+def test_a_call_waits_for_the_first_lease_no_longer_than_it_can():
+    clock = SystemClock()
+    context, _, _ = make_context(clock)
+    began_s = clock.now_s()
+    assert not context.wait_for_first_lease(began_s + 0.1)
+    assert clock.now_s() - began_s < 0.5
+
+
+def test_an_entry_that_lost_its_lease_lets_nobody_wait():
+    clock = ManualClock()
+    context, view, _ = make_context(clock)
+    install(context, view, make_view(1, serving=True), clock)
+    clock.time_s += 1_000.0
+    assert not context.wait_for_first_lease(clock.now_s() + 5.0)
