Go on at healed groups, and don't abort what unheard hosts run

Change: a host that nobody has reported to a new leader is not known yet, which stops new work but aborts nothing; a group counts as another one once its epoch has changed.

Ruled out: the patience of begun answers (8 s did not help, as no group was left), and the time until hosts are judged (the aborts came at 0.09 s).

--- a/chestnutvale/groups/serving.py
+++ b/chestnutvale/groups/serving.py
@@ -43,6 +43,9 @@
     if not table.is_fresh(member.host_id, now_s) and not is_vouched(
         group, table, now_s
     ):
+        # A new leader has not heard of hosts, and what they run must not be aborted.
+        if table.is_awaited(member.host_id, now_s):
+            return f"member {member.host_id} is not known yet"
         return f"member {member.host_id} {FAULT_MISSING}"
     record = table.host(member.host_id)
     if record is None:
--- a/chestnutvale/membership/table.py
+++ b/chestnutvale/membership/table.py
@@ -93,6 +93,7 @@
     _hosts: dict[str, HostRecord] = attrs.field(factory=dict)
     _entries: dict[str, float] = attrs.field(factory=dict)
     _patient_until_s: float = attrs.field(default=-math.inf, init=False)
+    _listening_from_s: float = attrs.field(default=-math.inf, init=False)
     _by_address: dict[str, str] = attrs.field(factory=dict)
     _vouched_s: dict[str, float] = attrs.field(factory=dict, init=False)
     _stalled: frozenset[str] = attrs.field(default=frozenset(), init=False)
@@ -201,15 +202,18 @@
             return False
         return now_s - record.heard_at_s <= self._timeout_s(record, now_s)
 
-    def be_patient(self, until_s: float) -> None:
+    def be_patient(self, until_s: float, from_s: float = -math.inf) -> None:
         """Wait longer for hosts that report to a control, as some look for another one.
 
         Parameters
         ----------
         until_s : float
             Monotonic time at which the usual timeout applies again.
+        from_s : float, optional
+            Monotonic time from which entries and controls report here.
         """
         self._patient_until_s = until_s
+        self._listening_from_s = from_s
         self.revision += 1
 
     def may_turn_up(self, now_s: float) -> bool:
@@ -227,6 +231,26 @@
         """
         return now_s < self._patient_until_s + PATIENCE_S
 
+    def is_awaited(self, host_id: str, now_s: float) -> bool:
+        """Tell whether nobody has yet reported a host that may well be alive.
+
+        Parameters
+        ----------
+        host_id : str
+            Identity of the host.
+        now_s : float
+            Monotonic time.
+
+        Returns
+        -------
+        bool
+            Whether it has not been heard since reports come here, and that is not long.
+        """
+        record = self._hosts.get(host_id)
+        if record is not None and record.heard_at_s >= self._listening_from_s:
+            return False
+        return now_s < self._patient_until_s
+
     def _timeout_s(self, record: HostRecord, now_s: float) -> float:
         if record.reports_to_control and now_s < self._patient_until_s:
             return self.detection_timeout_s + PATIENCE_S
--- a/chestnutvale/programs/control/group_task.py
+++ b/chestnutvale/programs/control/group_task.py
@@ -153,7 +153,7 @@
         if self._led_term:
             self._coordinator.lost_leadership()
         if term:
-            self._table.be_patient(now_s + self._table.detection_timeout_s)
+            self._table.be_patient(now_s + self._table.detection_timeout_s, now_s)
             self._coordinator.became_leader(now_s)
         self._led_term = term
 
--- a/chestnutvale/programs/entry/call_context.py
+++ b/chestnutvale/programs/entry/call_context.py
@@ -207,6 +207,22 @@
         """
         return self._router.serving_groups(service, version)
 
+    def group_epoch(self, group_id: str) -> int | None:
+        """Return the epoch of a group.
+
+        Parameters
+        ----------
+        group_id : str
+            The group.
+
+        Returns
+        -------
+        int or None
+            None if there is no such group.
+        """
+        view = self._view.group(group_id)
+        return view.group.epoch if view is not None else None
+
     def choose_group(
         self, request: CallRequest, excluded: frozenset[str], version: str
     ) -> GroupView | None:
--- a/chestnutvale/programs/entry/context.py
+++ b/chestnutvale/programs/entry/context.py
@@ -295,6 +295,20 @@
             Group ids.
         """
 
+    def group_epoch(self, group_id: str) -> int | None:
+        """Return the epoch of a group.
+
+        Parameters
+        ----------
+        group_id : str
+            The group.
+
+        Returns
+        -------
+        int or None
+            None if there is no such group.
+        """
+
     def choose_group(
         self, request: CallRequest, excluded: frozenset[str], version: str
     ) -> GroupView | None:
--- a/chestnutvale/programs/entry/group_chooser.py
+++ b/chestnutvale/programs/entry/group_chooser.py
@@ -54,6 +54,7 @@
         wait: Callable[[float], bool],
     ) -> None:
         self.view: GroupView | None = None
+        self._epochs: dict[str, int] = {}
         self._context = context
         self._request = request
         self._fingerprint = fingerprint
@@ -141,9 +142,18 @@
     ) -> GroupChosen | NoneAvailable:
         view = None
         if self._context.has_lease(self._context.clock.now_s()):
-            view = self._context.choose_group(self._request, excluded, version)
+            broken = frozenset(name for name in excluded if not self._is_healed(name))
+            view = self._context.choose_group(self._request, broken, version)
         if view is None or not head_address(view):
             return NoneAvailable(DEFAULT_RETRY_AFTER_S)
         self.view = view
         group = view.group
+        self._epochs[group.group_id] = group.epoch
         return GroupChosen(group.group_id, group.epoch, group.version)
+
+    def _is_healed(self, group_id: str) -> bool:
+        """Tell whether a group has got other members since the call used it."""
+        epoch = self._epochs.get(group_id)
+        if epoch is None:
+            return False
+        return self._context.group_epoch(group_id) not in (epoch, None)
--- a/tests/membership/test_lives.py
+++ b/tests/membership/test_lives.py
@@ -74,3 +74,15 @@
     table.be_patient(6.0)
     assert not table.is_fresh("one", 3.5)
     assert not table.fresh_hosts(3.5)
+
+
+def test_a_new_leader_awaits_hosts_that_nobody_has_reported_to_it():
+    table = MembershipTable(3.0)
+    table.merge("entry-1", [heard("one", 100)], 0.0)
+    table.merge("entry-1", [heard("two", 100)], 0.0)
+    table.be_patient(23.0, 20.0)
+    assert table.is_awaited("one", 20.5)
+    assert table.is_awaited("unknown", 20.5)
+    table.merge("entry-1", [heard("two", 100, sequence=2)], 20.2)
+    assert not table.is_awaited("two", 20.5)
+    assert not table.is_awaited("one", 23.0)
--- a/tests/programs/entry/entry_fakes.py
+++ b/tests/programs/entry/entry_fakes.py
@@ -89,6 +89,10 @@
     def has_lease(self, now_s):
         return self.lease
 
+    def group_epoch(self, group_id):
+        group = self.groups.get(group_id)
+        return group.epoch if group is not None else None
+
     def wait_for_first_lease(self, deadline_s):
         return self.lease
 
--- a/tests/programs/entry/test_group_chooser.py
+++ b/tests/programs/entry/test_group_chooser.py
@@ -17,6 +17,8 @@
 
     def __init__(self, back_at_s, deadline_s=100.0):
         self.now_s = 0.0
+        self.excluded = []
+        self.epoch = 1
         member = GroupMember(host_id="h", address="10.0.0.1:1", rank=0)
         group = Group(group_id="g", epoch=1, version="1", members=[member])
         context = SimpleNamespace(
@@ -24,11 +26,19 @@
             suspicions=SimpleNamespace(judge=lambda *arguments: Clear()),
             serving_groups=lambda service, version: [],
             has_lease=lambda now_s: now_s >= back_at_s,
-            choose_group=lambda *arguments: GroupView(group=group, serving=True),
+            choose_group=self.choose_group,
+            group_epoch=lambda group_id: self.epoch,
         )
+        self.group = group
         request = CallRequest("r", "w", "llm", "normal", b"", 10, "", deadline_s)
         self.chooser = GroupChooser(context, request, 1, self.wait)
 
+    def choose_group(self, request, excluded, version):
+        self.excluded.append(excluded)
+        self.group.epoch = self.epoch
+        found = self.group.group_id not in excluded
+        return GroupView(group=self.group, serving=True) if found else None
+
     def wait(self, timeout_s):
         self.now_s += timeout_s
         return False
@@ -49,3 +59,14 @@
     assert isinstance(event, GroupChosen if found else NoneAvailable)
     assert scene.now_s <= min(deadline_s, RESUME_PATIENCE_S) + 0.1
     assert scene.now_s == 0.0 or version
+
+
+def test_a_group_that_was_healed_may_go_on_with_what_it_broke():
+    scene = Scene(0.0)
+    assert isinstance(scene.chooser.choose(ChooseGroup(frozenset(), "")), GroupChosen)
+    again = ChooseGroup(frozenset({"g"}), "1")
+    assert isinstance(scene.chooser.choose(again), NoneAvailable)
+    scene.epoch = 2
+    assert isinstance(scene.chooser.choose(again), GroupChosen)
+    # Under the same epoch it may still be the broken one.
+    assert isinstance(scene.chooser.choose(again), NoneAvailable)
