Name the control that may have run a command, not the one that failed last

The client named the control that failed last. On a busy machine that was a follower's redirect after the attempt that got no answer, and the operator was sent to the wrong control.

Change: a later failure that ran nothing does not replace one that may have.

--- a/chestnutvale/programs/client/controls.py
+++ b/chestnutvale/programs/client/controls.py
@@ -62,7 +62,7 @@
     maybe_run : bool
         An attempt got no answer and may have been run.
     last_failure : str
-        Why the last attempt gave no answer.
+        Why the last attempt gave no answer, or the last one that may have been run.
     last_peer : str
         Which control that was.
     """
@@ -74,9 +74,13 @@
     last_peer: str = ""
 
     def fail(self, reason: str, peer: str, maybe_run: bool) -> None:
+        may_matter = maybe_run and self.changes
+        if self.maybe_run and not may_matter:
+            # The operator must learn of the control that may have run the command.
+            return
         self.last_failure = reason
         self.last_peer = peer
-        self.maybe_run = self.maybe_run or (maybe_run and self.changes)
+        self.maybe_run = may_matter
 
 
 class ControlsClient:
--- a/tests/programs/client/test_commands.py
+++ b/tests/programs/client/test_commands.py
@@ -6,7 +6,7 @@
 import pytest
 from eventlet import tpool
 
-from chestnutvale.programs.client.controls import ControlsClient
+from chestnutvale.programs.client.controls import ControlsClient, _Search
 from chestnutvale.programs.client.main import run
 from chestnutvale.settings.client import load_client_settings
 from chestnutvale.settings.control import load_control_settings
@@ -78,6 +78,14 @@
     assert controls[1].requests >= 3
 
 
+def test_the_control_that_lost_an_answer_is_named_whatever_fails_later():
+    search = _Search(changes=True, deadline_s=9.0)
+    search.fail("cannot connect", "first:1", maybe_run=False)
+    search.fail("no whole answer", "second:2", maybe_run=True)
+    search.fail("another control leads", "third:3", maybe_run=False)
+    assert (search.maybe_run, search.last_peer) == (True, "second:2")
+
+
 def test_no_answer_at_all_is_unknown(
     chestnut, text_file, cluster, controls, write_settings
 ):
