Tell entries of groups that serve, and of pooled ones the head alone

Some 700 changes of groups went to 141 entries each, four or five for one repair, with all eight members of a group; entries use the head only.

Change: a group that neither served nor serves changes no view; of a pooled group the head alone is told, as it answers for the others; both are made once a change.

--- a/chestnutvale/membership/views.py
+++ b/chestnutvale/membership/views.py
@@ -36,6 +36,7 @@
     group: Group
     reason: str
     version: int
+    entry_view: GroupView
     load: Load | None = None
     load_version: int = 0
     # Until then nothing but a change of its inputs can stop it from serving.
@@ -91,7 +92,8 @@
     _entries: dict[str, _KnownEntry] = attrs.field(factory=dict)
     _inputs: tuple[int, frozenset[str]] = (0, frozenset())
     _group_views: list[GroupView] = attrs.field(factory=list)
-    _group_views_version: int = -1
+    _group_views_count: int = -1
+    _content_count: int = 0
 
     @property
     def version(self) -> int:
@@ -137,9 +139,10 @@
         ]
         gone = sorted(self._published.keys() - state.groups.keys())
         for group_id in gone:
-            self._version += 1
-            del self._published[group_id]
-            self._removed.append((self._version, group_id))
+            self._content_count += 1
+            if self._published.pop(group_id).version:
+                self._version += 1
+                self._removed.append((self._version, group_id))
         while len(self._removed) > MAX_REMOVED_GROUPS:
             self._oldest_base, _ = self._removed.popleft()
         return changed + gone
@@ -299,8 +302,8 @@
 
     def group_views(self) -> list[GroupView]:
         """Return all groups as entries see them; they must not be changed."""
-        if self._group_views_version != self._version:
-            self._group_views_version = self._version
+        if self._group_views_count != self._content_count:
+            self._group_views_count = self._content_count
             self._group_views = [
                 _to_view(self._published[key]) for key in sorted(self._published)
             ]
@@ -335,11 +338,13 @@
             published is None or published.group != group or published.reason != reason
         )
         if is_changed:
-            self._version += 1
+            self._content_count += 1
             load = published.load if published else None
             load_version = published.load_version if published else 0
+            version = self._next_version(published, reason)
+            entry_view = _to_entry_view(group, reason)
             published = _PublishedGroup(
-                group, reason, self._version, load, load_version
+                group, reason, version, entry_view, load, load_version
             )
             self._published[group_id] = published
         published.group = group
@@ -348,6 +353,16 @@
         self._refresh_load(published, table)
         return is_changed
 
+    def _next_version(self, before: _PublishedGroup | None, reason: str) -> int:
+        """Return the version of a group that changed; 0 while it has never served.
+
+        What happens to a group that neither served nor serves is nothing to entries.
+        """
+        if reason and (before is None or before.reason):
+            return before.version if before is not None else 0
+        self._version += 1
+        return self._version
+
     def _refresh_load(self, published: _PublishedGroup, table: MembershipTable) -> None:
         record = table.host(published.head_id)
         if record is None or record.load is None or record.is_load_counted:
@@ -379,8 +394,8 @@
             base_version=0 if is_whole else base,
         )
         for group_id, published in self._published.items():
-            if is_whole or published.version > base:
-                view.groups.append(_to_view(published))
+            if published.version > (0 if is_whole else base):
+                view.groups.append(published.entry_view)
             if published.load is None:
                 continue
             if is_whole or published.load_version > known.load_version:
@@ -395,6 +410,15 @@
         return view
 
 
+def _to_entry_view(group: Group, reason: str) -> GroupView:
+    """Return what entries need of a group; a pool's groups answer by their heads."""
+    view = GroupView(group=group, serving=not reason, reason=reason)
+    if group.pooled:
+        del view.group.members[:]
+        view.group.members.append(group_head(group))
+    return view
+
+
 def _to_view(published: _PublishedGroup) -> GroupView:
     return GroupView(
         group=published.group,
--- a/tests/membership/test_views.py
+++ b/tests/membership/test_views.py
@@ -10,7 +10,12 @@
 from chestnutvale.membership.table import MembershipTable
 from chestnutvale.membership.views import ViewPublisher
 from chestnutvale.schema.configuration_pb2 import Text
-from chestnutvale.schema.groups_pb2 import Group, GroupMember, PutGroup
+from chestnutvale.schema.groups_pb2 import (
+    Group,
+    GroupMember,
+    PutGroup,
+    RemoveGroup,
+)
 from chestnutvale.schema.membership_pb2 import Holding, Load
 from chestnutvale.schema.peer_pb2 import EntryReport
 
@@ -154,3 +159,49 @@
     assert fixture.table.merge("e1", fixture.hearing.drain_report(0.0), 0.0)
     assert fixture.table.note_running("a", 7)
     assert not fixture.ask(1, 0.1).loads
+
+
+def put(fixture, phase, epoch=0, group_id="late", pooled=True):
+    members = [
+        GroupMember(host_id=name, boot_id="b", address="10.0.0.2:1", rank=rank)
+        for rank, name in enumerate("bcd")
+    ]
+    group = Group(group_id=group_id, service="s", members=members, phase=phase)
+    group.pooled = pooled
+    command = PutGroup(group=group, expected_epoch=epoch)
+    return fixture.state.put_group(command, 0).epoch
+
+
+def test_entries_hear_nothing_of_a_group_before_it_serves(fixture):
+    fixture.hear(0.0)
+    fixture.entry.install(fixture.ask(1, 0.0), 0.0)
+    version = fixture.publisher.version
+    epoch = put(fixture, "forming")
+    view = fixture.ask(2, 0.1)
+    assert (view.view_version, len(view.groups)) == (version, 0)
+    # The operators' status shows it all the same.
+    shown = {view.group.group_id for view in fixture.publisher.group_views()}
+    assert shown == {"g", "late"}
+    fixture.state.remove_group(RemoveGroup(group_id="late", expected_epoch=epoch), 0)
+    assert fixture.ask(3, 0.2).view_version == version
+    assert {v.group.group_id for v in fixture.publisher.group_views()} == {"g"}
+
+
+def test_entries_get_of_a_pooled_group_the_head_alone(fixture):
+    fixture.hear(0.0)
+    put(fixture, "serving", put(fixture, "forming"))
+    view = fixture.ask(1, 0.0)
+    assert [item.group.group_id for item in view.groups] == ["g"]
+    for name in "bcd":
+        said = fixture.make(
+            host_id=name,
+            boot_id="b",
+            holding=Holding(group_id="late", service="s", phase="ready"),
+        )
+        said.holding.epoch = fixture.state.groups["late"].epoch
+        fixture.hearing.announce(said, 0.1)
+    fixture.entry.install(fixture.ask(2, 0.1), 0.1)
+    late = fixture.entry.group("late")
+    assert late.serving
+    assert [member.host_id for member in late.group.members] == ["b"]
+    assert len(fixture.state.groups["late"].members) == 3
