--- a/chestnutvale/programs/entry/call_context.py
+++ b/chestnutvale/programs/entry/call_context.py
@@ -257,6 +257,7 @@
                 "stalled": sorted(stalled),
                 "view_version": self._view.version,
                 "lease_left_ms": round(1_000 * (self._view.lease_until_s - now_s)),
+                **(self._router.describe_load(chosen.group.group_id) if chosen else {}),
             },
         )
         return chosen
--- a/chestnutvale/programs/entry/group_router.py
+++ b/chestnutvale/programs/entry/group_router.py
@@ -93,6 +93,21 @@
         for group_id, count in running.items():
             self._selector.note_elsewhere(group_id, count, now_s)
 
+    def describe_load(self, group_id: str) -> dict[str, int | None]:
+        """Return what is known of a group's load, for the log.
+
+        Parameters
+        ----------
+        group_id : str
+            The group.
+
+        Returns
+        -------
+        dict of str to int or None
+            Attempts here and elsewhere, and the age of the latter in milliseconds.
+        """
+        return self._selector.describe(group_id, self._clock.now_s())
+
     def receive_cache_news(self, envelope: Envelope) -> None:
         """Take the cache events that the leading control passes on.
 
--- a/chestnutvale/routing/load.py
+++ b/chestnutvale/routing/load.py
@@ -54,6 +54,16 @@
         self.elsewhere = running
         self.elsewhere_until_s = now_s + LOAD_EXPIRY_S
 
+    def describe(self, now_s: float) -> dict[str, int | None]:
+        """Return what runs at the group and how old the word of it is, for the log."""
+        is_known = now_s < self.elsewhere_until_s
+        heard_s = self.elsewhere_until_s - LOAD_EXPIRY_S
+        return {
+            "running_here": len(self.in_flight),
+            "running_elsewhere": self.elsewhere if is_known else None,
+            "elsewhere_age_ms": round(1_000 * (now_s - heard_s)) if is_known else None,
+        }
+
     def sent(self, request_id: str, sent: Sent) -> None:
         """Count a request that was sent now."""
         self.in_flight[request_id] = sent
--- a/chestnutvale/routing/selector.py
+++ b/chestnutvale/routing/selector.py
@@ -96,6 +96,11 @@
         if known is not None:
             known.note_elsewhere(running, now_s)
 
+    def describe(self, group_id: str, now_s: float) -> dict[str, int | None]:
+        """Return what is known of a group's load, for the log."""
+        known = self._loads.get(group_id)
+        return known.describe(now_s) if known is not None else {}
+
     def note_cache_events(
         self, group_id: str, events: CacheEvents, now_s: float
     ) -> None:
--- a/tests/routing/test_placing.py
+++ b/tests/routing/test_placing.py
@@ -143,3 +143,17 @@
     request = RoutingRequest("r", "s", "normal", 1)
     assert {selector.choose(request, 10.5) for _ in range(20)} == {"g1"}
     assert selector.choose(request, 20.0) == "g0"
+
+
+def test_the_log_tells_what_ran_where_and_how_old_that_is():
+    selector = Selector(random.Random(1))
+    selector.update_groups([RoutableGroup("g", "s", 1, "", PLACES)])
+    request = RoutingRequest("r", "s", "normal", 1)
+    selector.sent(request, "g", 9.9)
+    selector.note_elsewhere("g", 4, 10.0)
+    assert selector.describe("g", 10.05) == {
+        "running_here": 1,
+        "running_elsewhere": 4,
+        "elsewhere_age_ms": 50,
+    }
+    assert selector.describe("g", 20.0)["running_elsewhere"] is None
