--- a/chestnutvale/groups/budget.py
+++ b/chestnutvale/groups/budget.py
@@ -9,7 +9,8 @@
 from chestnutvale.groups.settings import GroupsPolicy
 from chestnutvale.groups.state import GroupsState
 from chestnutvale.membership.const import HOLDING_LOADING, HOLDING_READY
-from chestnutvale.membership.table import HostRecord, MembershipTable
+from chestnutvale.membership.host_record import HostRecord
+from chestnutvale.membership.table import MembershipTable
 from chestnutvale.schema.groups_pb2 import Group
 
 
--- a/chestnutvale/groups/draining.py
+++ b/chestnutvale/groups/draining.py
@@ -7,7 +7,8 @@
 from chestnutvale.groups.serving import find_serving_fault
 from chestnutvale.groups.settings import GroupsPolicy
 from chestnutvale.groups.state import GroupsState
-from chestnutvale.membership.table import HostRecord, MembershipTable
+from chestnutvale.membership.host_record import HostRecord
+from chestnutvale.membership.table import MembershipTable
 from chestnutvale.schema.groups_pb2 import Group
 
 
--- a/chestnutvale/groups/fleet.py
+++ b/chestnutvale/groups/fleet.py
@@ -6,7 +6,8 @@
 
 from chestnutvale.groups.state import GroupsState
 from chestnutvale.membership.const import KIND_ENGINE, KIND_SERVICE
-from chestnutvale.membership.table import HostRecord, MembershipTable
+from chestnutvale.membership.host_record import HostRecord
+from chestnutvale.membership.table import MembershipTable
 from chestnutvale.schema.groups_pb2 import GroupMember
 
 
--- a/chestnutvale/groups/order_messages.py
+++ b/chestnutvale/groups/order_messages.py
@@ -9,7 +9,8 @@
     PHASE_FORMING,
 )
 from chestnutvale.groups.state import GroupsState
-from chestnutvale.membership.table import HostRecord, MembershipTable
+from chestnutvale.membership.host_record import HostRecord
+from chestnutvale.membership.table import MembershipTable
 from chestnutvale.schema.configuration_pb2 import Text
 from chestnutvale.schema.groups_pb2 import Group, HostRelease, Order
 
--- a/chestnutvale/groups/orders.py
+++ b/chestnutvale/groups/orders.py
@@ -36,7 +36,8 @@
 from chestnutvale.groups.settings import GroupsPolicy
 from chestnutvale.groups.staging import StageWeights
 from chestnutvale.groups.state import GroupsState
-from chestnutvale.membership.table import HostRecord, MembershipTable
+from chestnutvale.membership.host_record import HostRecord
+from chestnutvale.membership.table import MembershipTable
 from chestnutvale.schema.configuration_pb2 import Text
 from chestnutvale.schema.groups_pb2 import FreeHost, Group, HostRelease, Order
 
--- a/chestnutvale/groups/plain.py
+++ b/chestnutvale/groups/plain.py
@@ -7,7 +7,8 @@
 from chestnutvale.groups.draining import IdleWatch
 from chestnutvale.groups.fleet import Fleet, to_member
 from chestnutvale.groups.state import GroupsState
-from chestnutvale.membership.table import HostRecord, MembershipTable
+from chestnutvale.membership.host_record import HostRecord
+from chestnutvale.membership.table import MembershipTable
 from chestnutvale.schema.configuration_pb2 import Text
 from chestnutvale.schema.groups_pb2 import Group, PutGroup, RemoveGroup
 
--- a/chestnutvale/groups/repair.py
+++ b/chestnutvale/groups/repair.py
@@ -19,7 +19,8 @@
 from chestnutvale.groups.fleet import Fleet, to_member
 from chestnutvale.groups.settings import GroupsPolicy
 from chestnutvale.groups.state import GroupsState
-from chestnutvale.membership.table import HostRecord, MembershipTable
+from chestnutvale.membership.host_record import HostRecord
+from chestnutvale.membership.table import MembershipTable
 from chestnutvale.schema.groups_pb2 import (
     EndRepair,
     Group,
--- a/chestnutvale/groups/serving.py
+++ b/chestnutvale/groups/serving.py
@@ -9,7 +9,8 @@
 )
 from chestnutvale.groups.members import group_head
 from chestnutvale.membership.const import HOLDING_OPEN, HOLDING_READY
-from chestnutvale.membership.table import HostRecord, MembershipTable
+from chestnutvale.membership.host_record import HostRecord
+from chestnutvale.membership.table import MembershipTable
 from chestnutvale.schema.groups_pb2 import Group, GroupMember
 
 
--- /dev/null
+++ b/chestnutvale/groups/shelves.py
@@ -0,0 +1,138 @@
+"""Hosts of a pool that no group uses, by fabric domain."""
+
+from collections import Counter
+from collections.abc import Iterable, Mapping
+
+import attrs
+
+from chestnutvale.groups.fleet import Fleet
+from chestnutvale.membership.host_record import HostRecord
+from chestnutvale.schema.configuration_pb2 import Service
+from chestnutvale.schema.groups_pb2 import Group
+
+
+@attrs.define
+class Shelf:
+    """Free hosts of one fabric domain and pool.
+
+    Attributes
+    ----------
+    domain : str
+        The fabric domain.
+    hosts : list of HostRecord
+        The hosts that are left.
+    """
+
+    domain: str
+    hosts: list[HostRecord]
+
+    def count_staged(self, service: str) -> int:
+        """Return the hosts that have the weights of a service at hand."""
+        return sum(is_staged(host, service) for host in self.hosts)
+
+    def take(self, service: str, count: int) -> list[HostRecord]:
+        """Take hosts out, those first that have the weights at hand."""
+        self.hosts.sort(key=lambda host: (not is_staged(host, service), host.host_id))
+        taken, self.hosts = self.hosts[:count], self.hosts[count:]
+        return taken
+
+
+def stock_shelves(fleet: Fleet) -> dict[str, list[Shelf]]:
+    """Return the shelves of each pool.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        Hosts of this round.
+
+    Returns
+    -------
+    dict of str to list of Shelf
+        By pool, in the order of domains.
+    """
+    shelves: dict[str, list[Shelf]] = {}
+    for domain in sorted(fleet.free_by_domain):
+        by_pool: dict[str, list[HostRecord]] = {}
+        for host in fleet.free_by_domain[domain]:
+            if host.host_id in fleet.pool_taken:
+                continue
+            by_pool.setdefault(host.announcement.pool, []).append(host)
+        for pool, hosts in by_pool.items():
+            shelves.setdefault(pool, []).append(Shelf(domain, hosts))
+    return shelves
+
+
+def count_prospects(
+    services: Mapping[str, Service], groups: Iterable[Group], fleet: Fleet
+) -> Counter[str]:
+    """Return the groups that each service has or will soon have.
+
+    A model whose groups are being healed looks pressed for seconds. It needs no other
+    hosts for that, so the hosts that have its weights at hand count as groups.
+
+    Parameters
+    ----------
+    services : mapping of str to Service
+        Services that share pools.
+    groups : iterable of Group
+        Groups in force.
+    fleet : Fleet
+        Hosts of this round.
+
+    Returns
+    -------
+    Counter of str to int
+        Groups in force, and those that free hosts and hosts that let go can form
+        without a load.
+    """
+    prospects = Counter(group.service for group in groups)
+    for domain in {*fleet.free_by_domain, *fleet.releasing_by_domain}:
+        hosts = [
+            host
+            for host in (
+                *fleet.free_by_domain.get(domain, ()),
+                *fleet.releasing_by_domain.get(domain, ()),
+            )
+            if host.host_id not in fleet.pool_taken
+        ]
+        for name, service in services.items():
+            staged = sum(is_staged(host, name) for host in hosts)
+            prospects[name] += staged // max(1, service.hosts_per_group)
+    return prospects
+
+
+def count_domains(fleet: Fleet, pool: str) -> int:
+    """Return the number of fabric domains in which a pool has living hosts.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        Hosts of this round.
+    pool : str
+        The pool.
+
+    Returns
+    -------
+    int
+        Domains with free hosts or with hosts in groups.
+    """
+    hosts = (record.announcement for record in fleet.fresh.values())
+    return len({host.fabric_domain for host in hosts if host.pool == pool})
+
+
+def is_staged(host: HostRecord, service: str) -> bool:
+    """Tell whether a host has the weights of a service at hand.
+
+    Parameters
+    ----------
+    host : HostRecord
+        The host.
+    service : str
+        The service.
+
+    Returns
+    -------
+    bool
+        Whether it need not load them.
+    """
+    return service in host.announcement.staged
--- a/chestnutvale/groups/staging.py
+++ b/chestnutvale/groups/staging.py
@@ -14,14 +14,14 @@
 from chestnutvale.groups.fleet import Fleet
 from chestnutvale.groups.homes import PoolHomes
 from chestnutvale.groups.need import PoolNeed
-from chestnutvale.groups.pools import (
+from chestnutvale.groups.shelves import (
     Shelf,
     count_domains,
     count_prospects,
     is_staged,
     stock_shelves,
 )
-from chestnutvale.membership.table import HostRecord
+from chestnutvale.membership.host_record import HostRecord
 from chestnutvale.schema.configuration_pb2 import Service
 from chestnutvale.schema.groups_pb2 import Group
 
--- a/chestnutvale/programs/control/measures.py
+++ b/chestnutvale/programs/control/measures.py
@@ -5,7 +5,8 @@
 import attrs
 
 from chestnutvale.groups.state import GroupsState
-from chestnutvale.membership.table import HostRecord, MembershipTable
+from chestnutvale.membership.host_record import HostRecord
+from chestnutvale.membership.table import MembershipTable
 from chestnutvale.schema.configuration_pb2 import Text
 from chestnutvale.schema.peer_pb2 import GroupView
 
--- a/chestnutvale/programs/control/status.py
+++ b/chestnutvale/programs/control/status.py
@@ -7,7 +7,8 @@
 from chestnutvale.configuration.lookup import TextLookup
 from chestnutvale.consensus.members import control_of
 from chestnutvale.consensus.task import ConsensusTask
-from chestnutvale.membership.table import HostRecord, MembershipTable
+from chestnutvale.membership.host_record import HostRecord
+from chestnutvale.membership.table import MembershipTable
 from chestnutvale.membership.views import ViewPublisher
 from chestnutvale.programs.control.const import ENTRY_REPORT_TIMEOUT_S, VOTER_SILENT_S
 from chestnutvale.programs.control.entry_desk import EntryDesk
--- a/tests/groups/test_pools.py
+++ b/tests/groups/test_pools.py
@@ -6,9 +6,10 @@
 from chestnutvale.groups.fleet import Fleet
 from chestnutvale.groups.homes import PoolHomes
 from chestnutvale.groups.need import PoolNeed
-from chestnutvale.groups.pools import PoolPlanner, count_prospects
+from chestnutvale.groups.pools import PoolPlanner
 from chestnutvale.groups.serving import find_serving_fault
 from chestnutvale.groups.settings import GroupsPolicy
+from chestnutvale.groups.shelves import count_prospects
 from chestnutvale.groups.state import GroupsState
 from chestnutvale.membership.content import content_digest
 from chestnutvale.membership.table import MembershipTable
