--- a/chestnutvale/attempts/service_call.py
+++ b/chestnutvale/attempts/service_call.py
@@ -323,8 +323,7 @@
     ) -> Effects:
         """Try another endpoint; this one was not sent anything, so it bears no load."""
         self._unreachable += 1
-        self._excluded.add(self._group_id)
-        self._attempt_id = ""
+        self._leave_group()
         if self._unreachable > MAX_UNREACHABLE:
             return self._fail(CODE_ATTEMPTS, code, retry_after_s=retry_after_s)
         return self._choose(now_s)
@@ -336,8 +335,7 @@
             self._is_sent = False
             self._outcome = OUTCOME_FAILED
             self._fallback = event.answer
-            self._excluded.add(self._group_id)
-            self._attempt_id = ""
+            self._leave_group()
             return self._choose(now_s)
         effects = self._submit_outcome(event.answer)
         if not self.is_answered:
@@ -351,7 +349,7 @@
             return False
         if answer.status < FIRST_ERROR_STATUS or self.is_answered:
             return False
-        if self._attempts - self._unreachable >= self._policy.max_attempts:
+        if not self._has_attempts_left():
             return False
         return self._budgets.retries.try_retry()
 
@@ -409,9 +407,8 @@
         now_s: float,
         retry_after_s: float = DEFAULT_RETRY_AFTER_S,
     ) -> Effects:
-        self._excluded.add(self._group_id)
-        self._attempt_id = ""
-        if self._attempts - self._unreachable >= self._policy.max_attempts:
+        self._leave_group()
+        if not self._has_attempts_left():
             code = CODE_ATTEMPTS
         elif budget.try_retry():
             return self._choose(now_s)
@@ -419,6 +416,13 @@
             code = CODE_RETRY_BUDGET
         return self._fail(code, reason, retry_after_s=retry_after_s)
 
+    def _leave_group(self) -> None:
+        self._excluded.add(self._group_id)
+        self._attempt_id = ""
+
+    def _has_attempts_left(self) -> bool:
+        return self._attempts - self._unreachable < self._policy.max_attempts
+
     def _cancel(self) -> Effects:
         if not self._attempt_id:
             return []
--- a/chestnutvale/consensus/loop.py
+++ b/chestnutvale/consensus/loop.py
@@ -362,10 +362,8 @@
     def _note_join(self, message: RaftMessage) -> None:
         now_s = self._clock.now_s()
         is_new = self.joining.note(message, now_s)
-        if is_new and not self.raft.leader_id:
-            self._join_due_s = now_s
-            self._events.put(Tick())
-
+        if is_new:
+            self._hurry_to_join(now_s)
         reply = self.joining.make_reply(message, self.raft.log.members)
         if reply is not None:
             control_id = control_of(message.from_id)
@@ -380,8 +378,11 @@
             message.from_id,
             sorted(message.join_reply.addresses),
         )
+        self._hurry_to_join(self._clock.now_s())
+
+    def _hurry_to_join(self, now_s: float) -> None:
         if not self.raft.leader_id:
-            self._join_due_s = self._clock.now_s()
+            self._join_due_s = now_s
             self._events.put(Tick())
 
     def _consider_bootstrap(self, now_s: float) -> None:
--- a/chestnutvale/groups/pools.py
+++ b/chestnutvale/groups/pools.py
@@ -127,8 +127,7 @@
             if group.phase != PHASE_DRAINING and not isinstance(command, RemoveGroup):
                 kept.append(group)
         if services:
-            prospects = count_prospects(services, kept, fleet)
-            yield from self._rebalance(services, kept, prospects, table, now_s)
+            yield from self._rebalance(services, kept, fleet, table, now_s)
             has_settled = is_settled(table, now_s)
             yield from self._form(services, kept, state, fleet, has_settled)
 
@@ -136,7 +135,7 @@
         self,
         services: Mapping[str, Service],
         groups: Sequence[Group],
-        prospects: Mapping[str, int],
+        fleet: Fleet,
         table: MembershipTable,
         now_s: float,
     ) -> Iterator[PutGroup]:
@@ -150,6 +149,7 @@
         waiting = self._donor_since_s
         self._donor_since_s = {}
         counts = Counter(group.service for group in groups)
+        prospects = count_prospects(services, groups, fleet)
         for pool in {service.pool for service in services.values()}:
             own = {name: item for name, item in services.items() if item.pool == pool}
             donor = self._find_donor(own, counts, prospects)
--- a/chestnutvale/membership/table.py
+++ b/chestnutvale/membership/table.py
@@ -249,7 +249,7 @@
         """
         timeouts_s = [self.detection_timeout_s]
         if self._stalled:
-            timeouts_s.append(STALLED_DETECTION_SHARE * self.detection_timeout_s)
+            timeouts_s.append(self._stalled_timeout_s)
         deadlines = (
             record.order.heard_at_s + timeout_s
             for record in self._hosts.values()
@@ -371,6 +371,10 @@
         """Whether any group has stalled."""
         return bool(self._stalled)
 
+    @property
+    def _stalled_timeout_s(self) -> float:
+        return STALLED_DETECTION_SHARE * self.detection_timeout_s
+
     def has_fallen_silent(self, host_id: str, group_id: str, now_s: float) -> bool:
         """Tell whether a member's silence explains that its group has stalled.
 
@@ -394,8 +398,7 @@
             return False
         if now_s < self._patient_until_s:
             return False
-        limit_s = STALLED_DETECTION_SHARE * self.detection_timeout_s
-        return now_s - record.heard_at_s > limit_s
+        return now_s - record.heard_at_s > self._stalled_timeout_s
 
     def forget_silent(self, now_s: float) -> None:
         """Drop hosts and entries that have been silent for long.
--- a/chestnutvale/membership/views.py
+++ b/chestnutvale/membership/views.py
@@ -305,7 +305,8 @@
         if self._group_views_count != self._content_count:
             self._group_views_count = self._content_count
             self._group_views = [
-                _to_view(self._published[key]) for key in sorted(self._published)
+                _to_view(published.group, published.reason)
+                for _, published in sorted(self._published.items())
             ]
         return self._group_views
 
@@ -412,19 +413,15 @@
 
 def _to_entry_view(group: Group, reason: str) -> GroupView:
     """Return what entries need of a group; a pool's groups answer by their heads."""
-    view = GroupView(group=group, serving=not reason, reason=reason)
+    view = _to_view(group, reason)
     if group.pooled:
         del view.group.members[:]
         view.group.members.append(group_head(group))
     return view
 
 
-def _to_view(published: _PublishedGroup) -> GroupView:
-    return GroupView(
-        group=published.group,
-        serving=not published.reason,
-        reason=published.reason,
-    )
+def _to_view(group: Group, reason: str) -> GroupView:
+    return GroupView(group=group, serving=not reason, reason=reason)
 
 
 def _settled_until_s(group: Group, reason: str, table: MembershipTable) -> float:
--- a/chestnutvale/programs/control/entry_desk.py
+++ b/chestnutvale/programs/control/entry_desk.py
@@ -158,6 +158,25 @@
             totals[item.service] += item.tokens + item.refused_tokens
         return totals
 
+    def live_addresses(self, now_s: float) -> dict[str, str]:
+        """Return where the entries that reported lately are reached.
+
+        Parameters
+        ----------
+        now_s : float
+            Monotonic time.
+
+        Returns
+        -------
+        dict of str to str
+            Peer inbox by entry.
+        """
+        return {
+            entry_id: self.entries[entry_id].address
+            for entry_id in self._table.live_entries(now_s)
+            if entry_id in self.entries
+        }
+
     def publish_changes(self) -> None:
         """Push views to the entries that lag behind a change."""
         now_s = self._clock.now_s()
@@ -185,10 +204,8 @@
         if not events or not self._log.is_leader:
             return
         news = CacheNews(events=events)
-        for entry_id in self._table.live_entries(self._clock.now_s()):
-            known = self.entries.get(entry_id)
-            if known is not None:
-                self._transport.send(entry_id, known.address, "cache_news", news)
+        for entry_id, address in self.live_addresses(self._clock.now_s()).items():
+            self._transport.send(entry_id, address, "cache_news", news)
 
     def _receive_report(self, envelope: Envelope) -> None:
         report = envelope.entry_report
@@ -231,9 +248,10 @@
         unheard = frozenset(item.group_id for item in report.running if item.unheard)
         is_new = self._stalls.note(entry_id, silences_s, stalled, now_s, unheard)
         self._table.vouch(self._stalls.heard(now_s), now_s + VOUCH_S)
-        self._table.note_stalled(self._stalls.stalled(now_s))
+        all_stalled = self._stalls.stalled(now_s)
+        self._table.note_stalled(all_stalled)
         if is_new:
-            groups = sorted(self._stalls.stalled(now_s))
+            groups = sorted(all_stalled)
             _LOGGER.info("stalled_groups", extra={"groups": groups, "by": entry_id})
         return is_new
 
--- a/chestnutvale/programs/control/load_exchange.py
+++ b/chestnutvale/programs/control/load_exchange.py
@@ -7,7 +7,6 @@
 from chestnutvale.consensus.task import ConsensusTask
 from chestnutvale.membership.const import LOAD_EXCHANGE_S, LOAD_REPEAT_S
 from chestnutvale.membership.running import exchange_interval_s
-from chestnutvale.programs.control.const import ENTRY_REPORT_TIMEOUT_S
 from chestnutvale.programs.control.entry_desk import EntryDesk
 from chestnutvale.programs.control.state import ControlState
 from chestnutvale.programs.periodic import run_rounds
@@ -61,11 +60,7 @@
         now_s = self._clock.now_s()
         if not self._log.is_leader or not self._log.has_lease(now_s):
             return
-        entries = {
-            entry_id: known.address
-            for entry_id, known in self._desk.entries.items()
-            if now_s - known.seen_at_s <= ENTRY_REPORT_TIMEOUT_S
-        }
+        entries = self._desk.live_addresses(now_s)
         passed_s = now_s - self._told_s
         if passed_s < exchange_interval_s(len(entries)):
             return
--- a/tests/programs/control/test_load_exchange.py
+++ b/tests/programs/control/test_load_exchange.py
@@ -5,7 +5,6 @@
 import pytest
 
 from chestnutvale.membership.running import RunningTable
-from chestnutvale.programs.control.entry_desk import KnownEntry
 from chestnutvale.programs.control.load_exchange import LoadExchange
 from chestnutvale.schema.groups_pb2 import Group
 from chestnutvale.schema.peer_pb2 import Envelope, RunningCounts
@@ -22,10 +21,7 @@
         groups = {"g1": Group(epoch=7), "g2": Group(epoch=9)}
         self.desk = SimpleNamespace(
             running=RunningTable(),
-            entries={
-                name: KnownEntry("i", 1, self.now_s, address=f"{name}:1")
-                for name in ("e1", "e2")
-            },
+            live_addresses=lambda now_s: {"e1": "e1:1", "e2": "e2:1"},
         )
         transport = SimpleNamespace(
             on=self.handlers.__setitem__,
