Respect endpoints that leave or pause by their own answers

Cause: an endpoint's answer can say that it leaves (Server-Leaving on the platform) or wants no request for a time (Retry-After of a 503). The first was not read, the second lived only as long as the call that met it. Ruled out: keeping it in the connection pool, as admission and choice would not know of it. Change: EndpointNotices holds departures by incarnation and pauses by deadline; choice, admission and the last check before sending respect them. Entries report departures, and a departure at a control is not undone by a later or older announcement of that boot. If all endpoints of a service pause, callers are refused at once with the earliest return, spread by what the service drains.

--- a/chestnutvale/admission/messages.py
+++ b/chestnutvale/admission/messages.py
@@ -83,6 +83,9 @@
     largest_group_tokens : int
         KV cache memory of the largest group in tokens; a longer prompt is refused.
         0 if unknown.
+    returns_at_s : float
+        Monotonic time in seconds at which the first group that pauses takes requests
+        again; infinite if none pauses.
     """
 
     groups: int
@@ -91,6 +94,7 @@
     running: int = 0
     waiting: int = 0
     largest_group_tokens: int = 0
+    returns_at_s: float = math.inf
 
 
 @attrs.frozen
--- a/chestnutvale/admission/pacing.py
+++ b/chestnutvale/admission/pacing.py
@@ -90,8 +90,31 @@
             Tokens released per second.
         """
         drained_s = now_s + backlog_tokens / drain_rate
+        return self._book(drained_s, now_s, cost, drain_rate)
+
+    def retry_after_return_s(
+        self, now_s: float, returns_at_s: float, cost: int, drain_rate: float
+    ) -> float:
+        """Return the seconds after which a caller of a paused service should retry.
+
+        Parameters
+        ----------
+        now_s : float
+            Monotonic time in seconds.
+        returns_at_s : float
+            Monotonic time in seconds at which the service takes requests again.
+        cost : int
+            Tokens that the caller will reserve.
+        drain_rate : float
+            Tokens released per second once it does.
+        """
+        return self._book(returns_at_s, now_s, cost, drain_rate)
+
+    def _book(
+        self, earliest_s: float, now_s: float, cost: int, drain_rate: float
+    ) -> float:
         latest_s = now_s + RETRY_AFTER_MAX_S
-        start_s = max(drained_s, self._booked_until_s)
+        start_s = max(earliest_s, self._booked_until_s)
         self._booked_until_s = min(latest_s, start_s + cost / drain_rate)
         return self.add_jitter(start_s - now_s)
 
--- a/chestnutvale/admission/service.py
+++ b/chestnutvale/admission/service.py
@@ -87,6 +87,8 @@
     running: dict[str, RunningRequest] = attrs.field(factory=dict)
     reserved: int = 0
     limit: float = 0.0
+    # The limit while some group took requests, for the time after a pause of all.
+    _usual_limit: float = 1.0
     _peer_running: float | None = None
     _peer_running_until_s: float = -math.inf
     _class_reserved: dict[str, int] = attrs.field(
@@ -133,13 +135,15 @@
         self.limit = sum(parts.values())
         if self._is_slot_limited():
             self.limit = max(self._rounding.whole_slots(self.limit), self._free_slots())
+        if self.capacity.groups:
+            self._usual_limit = max(1.0, self.limit)
         self.queue.weights = {name: max(part, 1e-6) for name, part in parts.items()}
 
     def offer(self, request: AdmissionRequest, now_s: float) -> list[Effect]:
         """Admit, queue or refuse a new request."""
         cost = self._cost(request)
         if self.capacity.groups == 0:
-            retry_s = self.pacer.add_jitter(NO_CAPACITY_RETRY_S)
+            retry_s = self._retry_without_capacity_s(cost, now_s)
             return [Refuse(request.request_id, CODE_NO_CAPACITY, retry_s)]
         if self._is_too_large(request):
             return [Refuse(request.request_id, CODE_TOO_LARGE, 0.0)]
@@ -412,10 +416,18 @@
             self.queue.remove(waiter)
             request_id = waiter.request.request_id
             del self._waiting[request_id]
-            retry_s = self.pacer.add_jitter(NO_CAPACITY_RETRY_S)
+            retry_s = self._retry_without_capacity_s(waiter.cost, now_s)
             effects.append(Refuse(request_id, CODE_NO_CAPACITY, retry_s))
         return effects
 
+    def _retry_without_capacity_s(self, cost: int, now_s: float) -> float:
+        if not math.isfinite(self.capacity.returns_at_s):
+            return self.pacer.add_jitter(NO_CAPACITY_RETRY_S)
+        drain_rate = self.hold_times.drain_rate(self._usual_limit)
+        return self.pacer.retry_after_return_s(
+            now_s, self.capacity.returns_at_s, cost, drain_rate
+        )
+
     def _change_reserved(self, priority: str, tokens: int) -> None:
         self.reserved += tokens
         self._class_reserved[priority] += tokens
--- a/chestnutvale/attempts/const.py
+++ b/chestnutvale/attempts/const.py
@@ -8,8 +8,8 @@
 MAX_HELD_EVENTS: Final = 64
 # Attempts per call, including the first one.
 MAX_ATTEMPTS: Final = 4
-# Unreachable groups that one call may skip. Nothing was sent to them, so they count
-# neither as attempts nor as retries.
+# Unreachable or unavailable groups that one call may skip. Nothing was sent to them, so
+# they count neither as attempts nor as retries.
 MAX_UNREACHABLE_GROUPS: Final = 4
 # Delivered bytes kept for a resume; a longer answer can't be resumed.
 MAX_RESUME_BYTES: Final = 4 * 1024 * 1024
@@ -40,12 +40,18 @@
 REFUSAL_OVERLOADED: Final = "overloaded"
 REFUSAL_MEMBER_MISSING: Final = "member_missing"
 REFUSAL_UNREACHABLE: Final = "unreachable"
+# Nothing was sent, because the endpoint said in an earlier answer that it leaves, or
+# wants no request for a time.
+REFUSAL_UNAVAILABLE: Final = "unavailable"
+# Refusals before anything was sent.
+UNSENT_REFUSALS: Final = frozenset({REFUSAL_UNREACHABLE, REFUSAL_UNAVAILABLE})
 RETRIED_REFUSALS: Final = frozenset(
     {
         REFUSAL_WRONG_EPOCH,
         REFUSAL_OVERLOADED,
         REFUSAL_MEMBER_MISSING,
         REFUSAL_UNREACHABLE,
+        REFUSAL_UNAVAILABLE,
     }
 )
 
--- a/chestnutvale/consensus/const.py
+++ b/chestnutvale/consensus/const.py
@@ -23,6 +23,9 @@
 DEFAULT_SNAPSHOT_ENTRIES: Final = 4_096
 DEFAULT_SNAPSHOT_BYTES: Final = 8 * 1024 * 1024
 
+# Heartbeat intervals of silence that a leader counts at most between two checks.
+MAX_SILENCE_STEP_HEARTBEATS: Final = 2
+
 # Seconds without contact after which a voter is considered lost.
 DEFAULT_VOTER_LOST_S: Final = 30.0
 # The same for a voter whose control has returned with a new identity.
--- a/chestnutvale/consensus/leader.py
+++ b/chestnutvale/consensus/leader.py
@@ -58,6 +58,9 @@
     transfer_deadline_s: float = math.inf
     is_transfer_sent: bool = False
     is_snapshot_wanted: bool = False
+    _silence_s: float = 0.0
+    _silence_checked_s: float = -math.inf
+    _quorum_contact_s: float = -math.inf
     _round_sent_s: OrderedDict[int, float] = attrs.field(factory=OrderedDict)
 
     def update_followers(self, members: Members) -> None:
@@ -93,6 +96,35 @@
         times.sort(reverse=True)
         return times[quorum_size(members) - 1]
 
+    def measure_silence_s(
+        self, members: Members, now_s: float, max_step_s: float
+    ) -> float:
+        """Return for how long no quorum has replied, as far as this leader watched.
+
+        Parameters
+        ----------
+        members : Members
+            The voters.
+        now_s : float
+            Monotonic time in seconds.
+        max_step_s : float
+            Time in seconds that counts at most between two calls. While this process
+            did not run, replies could not be read, so their absence proves nothing.
+
+        Returns
+        -------
+        float
+            Silence in seconds.
+        """
+        contact_s = max(self.quorum_acked_s(members, now_s), self.started_s)
+        if contact_s > self._quorum_contact_s:
+            self._quorum_contact_s = contact_s
+            self._silence_s = 0.0
+        step_s = now_s - max(contact_s, self._silence_checked_s)
+        self._silence_s += min(max(0.0, step_s), max_step_s)
+        self._silence_checked_s = now_s
+        return self._silence_s
+
     def quorum_acked_round(self, members: Members) -> int:
         """Return the newest round that a quorum acknowledged."""
         rounds = [
--- a/chestnutvale/consensus/request_handler.py
+++ b/chestnutvale/consensus/request_handler.py
@@ -2,7 +2,11 @@
 
 from collections.abc import Sequence
 
-from chestnutvale.consensus.const import MAX_PROMOTE_LAG_ENTRIES, STEP_MEMBERS
+from chestnutvale.consensus.const import (
+    MAX_PROMOTE_LAG_ENTRIES,
+    MAX_SILENCE_STEP_HEARTBEATS,
+    STEP_MEMBERS,
+)
 from chestnutvale.consensus.events import (
     ChangeKind,
     MembersChange,
@@ -41,11 +45,15 @@
 
     def check_quorum(self, now_s: float) -> bool:
         """Step down if the quorum is silent; return whether still leading."""
-        contact_s = max(
-            self._member.quorum_acked_s(now_s), self._member.leader.started_s
+        config = self._member.config
+        leader = self._member.leader
+        silence_s = leader.measure_silence_s(
+            self._member.log.members,
+            now_s,
+            MAX_SILENCE_STEP_HEARTBEATS * config.heartbeat_interval_s,
         )
-        is_silent = now_s > contact_s + self._member.config.election_timeout_s
-        if is_silent or now_s >= self._member.leader.transfer_deadline_s:
+        is_silent = silence_s > config.election_timeout_s
+        if is_silent or now_s >= leader.transfer_deadline_s:
             self._member.become_follower(self._member.term, now_s)
             return False
         return True
--- a/chestnutvale/membership/const.py
+++ b/chestnutvale/membership/const.py
@@ -36,6 +36,12 @@
 # Window over which the minimum delay of reports is measured.
 DELAY_WINDOW_S: Final = 30.0
 
+# Upper limit of the pause that an endpoint asks for in an answer.
+MAX_PAUSE_S: Final = 300.0
+# Time for which an endpoint's departure is remembered after no view lists it any more;
+# longer than an entry takes to install the views of a new leader.
+DEPARTURE_RETENTION_S: Final = 30.0
+
 # Superseded boots remembered per host.
 MAX_SUPERSEDED_BOOTS: Final = 8
 # Group removals whose versions a control keeps to build incremental views.
--- a/chestnutvale/membership/host_record.py
+++ b/chestnutvale/membership/host_record.py
@@ -32,6 +32,8 @@
         Whether the load is the entries' attempt count, as the host reports none.
     announces_to_control : bool
         Whether it announces itself to a control instead of the entries.
+    departed_boot_id : str
+        Boot that is known to leave, whatever it announces later; empty if none.
     """
 
     host_id: str
@@ -44,6 +46,7 @@
     is_superseded: bool = False
     is_load_from_entries: bool = False
     announces_to_control: bool = False
+    departed_boot_id: str = ""
 
     @property
     def boot_id(self) -> str:
--- a/chestnutvale/membership/table.py
+++ b/chestnutvale/membership/table.py
@@ -17,7 +17,7 @@
 )
 from chestnutvale.membership.host_record import HostRecord
 from chestnutvale.membership.report_delay import ReportDelayEstimator
-from chestnutvale.schema.membership_pb2 import Heard, Load
+from chestnutvale.schema.membership_pb2 import Announcement, Heard, Load
 
 
 @attrs.define
@@ -337,6 +337,34 @@
             record.load = Load(running=running)
         return True
 
+    def mark_departed(self, host_id: str, boot_id: str) -> bool:
+        """Mark a boot of a host as leaving, as if it had announced that.
+
+        Parameters
+        ----------
+        host_id : str
+            The host.
+        boot_id : str
+            The boot that leaves.
+
+        Returns
+        -------
+        bool
+            Whether this was not known; False for an unknown host or another boot.
+        """
+        record = self._hosts.get(host_id)
+        if record is None or record.boot_id != boot_id:
+            return False
+        if record.departed_boot_id == boot_id:
+            return False
+        record.departed_boot_id = boot_id
+        if record.announcement is None:
+            return True
+        is_new = not record.announcement.leaving
+        record.announcement = _with_departure(record.announcement)
+        self.revision += is_new
+        return is_new
+
     def mark_responsive(self, group_ids: Iterable[str], until_s: float) -> None:
         """Mark groups that produce events, even if their members are not heard.
 
@@ -461,7 +489,10 @@
             heard.boot_id, heard.sequence, heard_at_s, self.detection_timeout_s
         )
         if verdict is BootVerdict.OLD_SEQUENCE:
-            return self._complete_content(record, heard)
+            # A departure is not undone by an announcement that was sent before it.
+            is_departure = heard.HasField("changed") and heard.changed.leaving
+            is_new = is_departure and self.mark_departed(heard.host_id, heard.boot_id)
+            return self._complete_content(record, heard) or is_new
         if verdict is BootVerdict.OLD_BOOT:
             return False
         record.sender_id = sender_id
@@ -493,6 +524,10 @@
 
     def _store_announcement(self, record: HostRecord, heard: Heard) -> None:
         announcement = heard.changed
+        if announcement.leaving:
+            record.departed_boot_id = announcement.boot_id
+        elif announcement.boot_id == record.departed_boot_id:
+            announcement = _with_departure(announcement)
         record.announcement = announcement
         record.is_content_current = True
         if announcement.HasField("load") or not record.is_load_from_entries:
@@ -526,3 +561,10 @@
             self._incomplete_host_ids.pop(record.host_id, None)
         else:
             self._incomplete_host_ids[record.host_id] = None
+
+
+def _with_departure(announcement: Announcement) -> Announcement:
+    changed = Announcement()
+    changed.CopyFrom(announcement)
+    changed.leaving = True
+    return changed
--- a/chestnutvale/observability/catalog.py
+++ b/chestnutvale/observability/catalog.py
@@ -184,6 +184,12 @@
     "{group}",
     "Groups that the entry left because their streams fell silent.",
 )
+ENDPOINT_NOTICES: Final = Metric(
+    "chestnutvale.entry.endpoint.notices",
+    "{endpoint}",
+    "Endpoints that said in an answer that they leave, or want no request for a time.",
+    (LABEL_REASON,),
+)
 LEASE_CHANGES: Final = Metric(
     "chestnutvale.entry.lease.changes",
     UNIT_NONE,
--- a/chestnutvale/programs/control/entry_report_handler.py
+++ b/chestnutvale/programs/control/entry_report_handler.py
@@ -221,6 +221,7 @@
             report.sent_at_ms,
             envelope.sender_incarnation,
         )
+        self._merge_departures(entry_id, report)
         self._cache_events.extend(report.cache_events)
         self._demands.record_report(entry_id, from_messages(report.demands), now_s)
         self.entries[entry_id] = EntryState(
@@ -245,6 +246,18 @@
         if has_new_suspicions:
             self._push_suspicions(now_s)
 
+    def _merge_departures(self, entry_id: str, report: EntryReport) -> None:
+        for departure in report.departures:
+            if self._table.mark_departed(departure.host_id, departure.boot_id):
+                _LOGGER.info(
+                    "host_departure",
+                    extra={
+                        "host": departure.host_id,
+                        "boot": departure.boot_id,
+                        "by": entry_id,
+                    },
+                )
+
     def _record_stalls(self, entry_id: str, report: EntryReport, now_s: float) -> bool:
         silences_s = {item.group_id: item.silence_ms / 1_000 for item in report.running}
         stalled_group_ids = frozenset(
--- a/chestnutvale/programs/entry/context.py
+++ b/chestnutvale/programs/entry/context.py
@@ -10,6 +10,7 @@
 from chestnutvale.attempts.suspicion import SuspicionTracker
 from chestnutvale.clock import Clock
 from chestnutvale.configuration.lookup import TextLookup
+from chestnutvale.membership.endpoint_notices import EndpointNotice, Incarnation
 from chestnutvale.programs.entry.running_attempts import RunningAttempts
 from chestnutvale.routing.stall_detection import StallDetector
 from chestnutvale.schema.command_pb2 import Command, CommandResult
@@ -330,6 +331,46 @@
             serve it.
         """
 
+    def may_send(self, endpoint: Incarnation) -> bool:
+        """Tell whether an endpoint takes requests of this entry now.
+
+        Parameters
+        ----------
+        endpoint : Incarnation
+            The endpoint.
+
+        Returns
+        -------
+        bool
+            False if it told this entry that it leaves, or that it pauses until later.
+        """
+
+    def record_notice(self, endpoint: Incarnation, notice: EndpointNotice) -> None:
+        """Record what an answer says about its endpoint.
+
+        Parameters
+        ----------
+        endpoint : Incarnation
+            The endpoint that answered.
+        notice : EndpointNotice
+            What its answer says.
+        """
+
+    def earliest_return_s(self, service: str) -> float | None:
+        """Return how long all endpoints of a service pause.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+
+        Returns
+        -------
+        float or None
+            Time in seconds until the first one takes requests again; None if one takes
+            requests now, or none of them pauses.
+        """
+
     def report_attempt(self, report: AttemptReport) -> None:
         """Record the result of an attempt.
 
--- a/chestnutvale/programs/entry/control_link.py
+++ b/chestnutvale/programs/entry/control_link.py
@@ -12,6 +12,7 @@
 from chestnutvale.clock import Clock
 from chestnutvale.membership.announcement_collector import AnnouncementCollector
 from chestnutvale.membership.cache_events import CacheEventQueue
+from chestnutvale.membership.endpoint_notices import EndpointNotices
 from chestnutvale.membership.entry_view import EntryView, InstallVerdict
 from chestnutvale.membership.report_targets import ReportTargets
 from chestnutvale.programs.entry.const import (
@@ -27,6 +28,7 @@
 from chestnutvale.schema.membership_pb2 import Load
 from chestnutvale.schema.peer_pb2 import (
     ControlView,
+    Departure,
     EntryReport,
     Envelope,
     GroupLoad,
@@ -66,6 +68,8 @@
         Running attempts, for hosts that do not report their load.
     stall_detector : StallDetector, optional
         Detects groups whose streams have stalled.
+    notices : EndpointNotices, optional
+        Endpoints that told this entry that they leave or pause.
 
     Attributes
     ----------
@@ -90,6 +94,7 @@
         rng: random.Random,
         running: RunningAttempts | None = None,
         stall_detector: StallDetector | None = None,
+        notices: EndpointNotices | None = None,
     ) -> None:
         self.draining = False
         self._settings = settings
@@ -106,6 +111,7 @@
         )
         self._running = running
         self._stall_detector = stall_detector or StallDetector()
+        self._notices = notices or EndpointNotices()
         self._reported_stalled: frozenset[str] = frozenset()
         self._had_lease = False
         self.lease_changes: Counter[str] = Counter()
@@ -211,6 +217,10 @@
         self._view.record_report_sent(nonce, now_s)
         if self._running is not None:
             report.running.extend(self._make_group_loads(now_s))
+        report.departures.extend(
+            Departure(host_id=endpoint.host_id, boot_id=endpoint.boot_id)
+            for endpoint in self._notices.departures()
+        )
         targets = self._targets.choose_controls(now_s)
         report.wants_controls = len(targets) > 1
         for control_id, address in targets:
--- a/chestnutvale/programs/entry/daemon.py
+++ b/chestnutvale/programs/entry/daemon.py
@@ -123,7 +123,9 @@
             rng,
             self.context.running,
             self.context.stall_detector,
+            router.notices,
         )
+        self.context.on_departure = self.link.trigger_report
         self._load_exchange = LoadExchange(
             self.transport, self.view, self.context, self.link.find_leader, clock
         )
@@ -248,6 +250,7 @@
                 }
                 for group_view in self.view.groups()
             ],
+            "endpoint_notices": self.context.describe_notices,
             "running_attempts": lambda: len(self.context.running),
             "running_requests": lambda: self.server.running_requests,
             "refused_requests": lambda: dict(self.server.refused),
--- a/chestnutvale/programs/entry/entry_context.py
+++ b/chestnutvale/programs/entry/entry_context.py
@@ -1,8 +1,9 @@
 """Implements the context that request handlers use to access the entry."""
 
+import math
 import random
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import eventlet
@@ -16,6 +17,7 @@
 from chestnutvale.configuration.lookup import TextLookup
 from chestnutvale.groups.const import FAULT_MISSING, FAULT_RESTARTED
 from chestnutvale.groups.members import group_head
+from chestnutvale.membership.endpoint_notices import EndpointNotice, Incarnation
 from chestnutvale.membership.entry_view import EntryView
 from chestnutvale.programs.entry.admission_gate import AdmissionGate
 from chestnutvale.programs.entry.commit_client import CommitClient
@@ -61,6 +63,13 @@
         Source of time.
     rng : random.Random
         Source of random numbers.
+
+    Attributes
+    ----------
+    on_departure : callable
+        Called when an endpoint told this entry that it leaves.
+    notice_counts : Counter
+        Number of endpoints that were ``leaving`` and ``paused`` by their own answers.
     """
 
     def __init__(
@@ -85,6 +94,8 @@
         self.stall_detector = StallDetector()
         self.attempt_results: Counter[str] = Counter()
         self.has_crashed: CrashProbe = has_crashed
+        self.on_departure: Callable[[], None] = _ignore_departure
+        self.notice_counts: Counter[str] = Counter()
         self.lookup = TextLookup.from_text(Text())
         self._started_at_s = clock.now_s()
         self._view = view
@@ -263,6 +274,74 @@
         )
         return chosen
 
+    def may_send(self, endpoint: Incarnation) -> bool:
+        """Tell whether an endpoint takes requests of this entry now.
+
+        Parameters
+        ----------
+        endpoint : Incarnation
+            The endpoint.
+
+        Returns
+        -------
+        bool
+            False if it told this entry that it leaves, or that it pauses until later.
+        """
+        return self._router.notices.may_send(endpoint, self.clock.now_s())
+
+    def record_notice(self, endpoint: Incarnation, notice: EndpointNotice) -> None:
+        """Record what an answer says about its endpoint.
+
+        Parameters
+        ----------
+        endpoint : Incarnation
+            The endpoint that answered.
+        notice : EndpointNotice
+            What its answer says.
+        """
+        if not self._router.notices.record(endpoint, notice, self.clock.now_s()):
+            return
+        kind = "leaving" if notice.is_leaving else "paused"
+        self.notice_counts[kind] += 1
+        _LOGGER.info(
+            "endpoint_notice",
+            extra={
+                "host": endpoint.host_id,
+                "boot": endpoint.boot_id,
+                "notice": kind,
+                "pause_s": notice.pause_s,
+            },
+        )
+        self._install_capacities()
+        if notice.is_leaving:
+            self.on_departure()
+        else:
+            # The capacity returns with the end of the pause, not with the next view.
+            eventlet.spawn_after(notice.pause_s, self._install_capacities)
+
+    def earliest_return_s(self, service: str) -> float | None:
+        """Return how long all endpoints of a service pause.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+
+        Returns
+        -------
+        float or None
+            Time in seconds until the first one takes requests again; None if one takes
+            requests now, or none of them pauses.
+        """
+        capacity = self._router.capacities().get(service, NO_CAPACITY)
+        if capacity.groups or not math.isfinite(capacity.returns_at_s):
+            return None
+        return capacity.returns_at_s - self.clock.now_s()
+
+    def describe_notices(self) -> list[dict[str, object]]:
+        """Return the departures and pauses of endpoints, for the state dump."""
+        return self._router.notices.describe(self.clock.now_s())
+
     def report_attempt(self, report: AttemptReport) -> None:
         """Record the result of an attempt.
 
@@ -346,6 +425,10 @@
             self.running.abort_group(group_view.group.group_id, group_view.group.epoch)
 
 
+def _ignore_departure() -> None:
+    """Do nothing; the default until the link to the controls is set."""
+
+
 def _make_service_limits(service: Service) -> ServiceLimits:
     default = ServiceLimits()
     limits = service.limits
--- a/chestnutvale/programs/entry/exceptions.py
+++ b/chestnutvale/programs/entry/exceptions.py
@@ -21,6 +21,12 @@
     code = "unreachable"
 
 
+class EndpointUnavailableError(ChestnutError):
+    """An endpoint said that it leaves or pauses, so no request was sent to it."""
+
+    code = "unavailable"
+
+
 class EndpointRefusedError(ChestnutError):
     """An endpoint answered that it did not run the call.
 
--- a/chestnutvale/programs/entry/exchange_failures.py
+++ b/chestnutvale/programs/entry/exchange_failures.py
@@ -1,6 +1,10 @@
 """Converts failures of an exchange with an endpoint to events of its attempt."""
 
-from chestnutvale.attempts.const import REFUSAL_OVERLOADED, REFUSAL_UNREACHABLE
+from chestnutvale.attempts.const import (
+    REFUSAL_OVERLOADED,
+    REFUSAL_UNAVAILABLE,
+    REFUSAL_UNREACHABLE,
+)
 from chestnutvale.attempts.events import (
     AttemptBroken,
     AttemptRefused,
@@ -14,6 +18,7 @@
     EndpointBrokenError,
     EndpointRefusedError,
     EndpointSilentError,
+    EndpointUnavailableError,
     EndpointUnreachableError,
 )
 
@@ -23,6 +28,7 @@
     EndpointBrokenError,
     EndpointRefusedError,
     EndpointSilentError,
+    EndpointUnavailableError,
     EndpointUnreachableError,
     StreamFormatError,
 )
@@ -48,6 +54,8 @@
         return Tick()
     if isinstance(error, EndpointUnreachableError):
         return AttemptRefused(attempt_id, REFUSAL_UNREACHABLE, error.message)
+    if isinstance(error, EndpointUnavailableError):
+        return AttemptRefused(attempt_id, REFUSAL_UNAVAILABLE, error.message)
     if isinstance(error, EndpointRefusedError):
         return AttemptRefused(
             attempt_id,
--- a/chestnutvale/programs/entry/group_chooser.py
+++ b/chestnutvale/programs/entry/group_chooser.py
@@ -148,7 +148,8 @@
             )
             view = self._context.choose_group(self._request, still_broken, version)
         if view is None or not head_address(view):
-            return NoGroupAvailable(DEFAULT_RETRY_AFTER_S)
+            return_s = self._context.earliest_return_s(self._request.service)
+            return NoGroupAvailable(return_s or DEFAULT_RETRY_AFTER_S)
         self.view = view
         group = view.group
         self._epochs[group.group_id] = group.epoch
--- a/chestnutvale/programs/entry/group_router.py
+++ b/chestnutvale/programs/entry/group_router.py
@@ -1,12 +1,15 @@
 """Chooses groups for attempts, based on the view and the selector."""
 
-from collections.abc import Callable, Mapping
+import math
+from collections.abc import Callable, Iterator, Mapping
 
 import xxhash
 
 from chestnutvale.admission.messages import ServiceCapacity
 from chestnutvale.attempts.const import REASON_SILENT, REFUSAL_UNREACHABLE
 from chestnutvale.clock import Clock
+from chestnutvale.groups.members import group_head
+from chestnutvale.membership.endpoint_notices import EndpointNotices, Incarnation
 from chestnutvale.membership.entry_view import EntryView
 from chestnutvale.programs.entry.context import AttemptReport, CallRequest
 from chestnutvale.routing.const import DEFAULT_REPORT_AGE_S
@@ -40,6 +43,11 @@
         Returns the predicted tokens of a request by its id.
     clock : Clock
         Source of time.
+
+    Attributes
+    ----------
+    notices : EndpointNotices
+        Endpoints that told this entry that they leave or pause.
     """
 
     def __init__(
@@ -53,6 +61,7 @@
         self._selector = selector
         self._predicted_tokens = predicted_tokens
         self._clock = clock
+        self.notices = EndpointNotices()
         self._avoid_until_s: dict[str, float] = {}
         self._sent_at_s: dict[str, float] = {}
 
@@ -65,6 +74,9 @@
             The view; only its loads are read, groups come from the entry's view.
         """
         now_s = self._clock.now_s()
+        self.notices.keep_listed(
+            (_head_of(group_view) for group_view in self._view.groups()), now_s
+        )
         if view.whole or view.groups or view.removed_group_ids:
             self._selector.update_groups(
                 RoutableGroup(
@@ -141,18 +153,38 @@
     def capacities(self) -> dict[str, ServiceCapacity]:
         """Return the total capacity of the serving groups of each service.
 
+        Groups whose head leaves or pauses are left out.
+
         Returns
         -------
         dict of str to ServiceCapacity
             By service; a service without a serving group is absent.
         """
+        now_s = self._clock.now_s()
         loads: dict[str, list[Load]] = {}
+        returns_at_s: dict[str, float] = {}
         for group_view in self._view.groups():
             if not group_view.serving:
                 continue
-            load = self._view.load(group_view.group.group_id)
-            loads.setdefault(group_view.group.service, []).append(load or Load())
-        return {service: _sum_loads(items) for service, items in loads.items()}
+            service = group_view.group.service
+            usable_loads = loads.setdefault(service, [])
+            if self.notices.may_send(_head_of(group_view), now_s):
+                load = self._view.load(group_view.group.group_id)
+                usable_loads.append(load or Load())
+                continue
+            pause_end_s = self.notices.pause_end_s(_head_of(group_view), now_s)
+            if pause_end_s is not None:
+                earliest_s = returns_at_s.get(service, math.inf)
+                returns_at_s[service] = min(earliest_s, pause_end_s)
+        return {
+            service: _sum_loads(items, returns_at_s.get(service, math.inf))
+            for service, items in loads.items()
+        }
+
+    def _unavailable_groups(self, service: str, now_s: float) -> Iterator[str]:
+        for group_view in self._view.serving_groups(service, now_s):
+            if not self.notices.may_send(_head_of(group_view), now_s):
+                yield group_view.group.group_id
 
     def serving_groups(self, service: str, version: str) -> list[str]:
         """Return the ids of all groups that serve a service now.
@@ -205,7 +237,7 @@
             group_view.group.group_id
             for group_view in self._view.serving_groups(request.service, now_s)
             if not _can_serve(group_view, request, version)
-        )
+        ).union(self._unavailable_groups(request.service, now_s))
         avoided_groups = frozenset(
             group_id
             for group_id, until_s in self._avoid_until_s.items()
@@ -273,14 +305,23 @@
     return BROKEN_GROUP_AVOIDANCE_S if report.result == RESULT_BROKEN else 0.0
 
 
-def _sum_loads(loads: list[Load]) -> ServiceCapacity:
+def _head_of(group_view: GroupView) -> Incarnation:
+    if not group_view.group.members:
+        return Incarnation("", "")
+    return Incarnation.of_member(group_head(group_view.group))
+
+
+def _sum_loads(loads: list[Load], returns_at_s: float) -> ServiceCapacity:
     return ServiceCapacity(
         groups=len(loads),
         kv_capacity_tokens=sum(load.kv_capacity_tokens for load in loads),
         kv_used_tokens=sum(load.kv_used_tokens for load in loads),
         running=sum(load.running for load in loads),
         waiting=sum(load.waiting for load in loads),
-        largest_group_tokens=max(load.kv_capacity_tokens for load in loads),
+        largest_group_tokens=max(
+            (load.kv_capacity_tokens for load in loads), default=0
+        ),
+        returns_at_s=returns_at_s,
     )
 
 
--- a/chestnutvale/programs/entry/metrics.py
+++ b/chestnutvale/programs/entry/metrics.py
@@ -41,6 +41,7 @@
         catalog.ADMISSIONS: lambda: context.admission.decisions,
         catalog.ATTEMPTS: lambda: context.attempt_results,
         catalog.LEASE_CHANGES: lambda: link.lease_changes,
+        catalog.ENDPOINT_NOTICES: lambda: context.notice_counts,
     }
     for metric, read_counts in counters_by_metric.items():
         metrics.register_counter(
--- a/chestnutvale/programs/entry/routed/caller_protocol.py
+++ b/chestnutvale/programs/entry/routed/caller_protocol.py
@@ -5,6 +5,7 @@
 import attrs
 
 from chestnutvale.attempts.events import Failure
+from chestnutvale.membership.endpoint_notices import EndpointNotice
 
 Headers = list[tuple[str, str]]
 
@@ -87,6 +88,9 @@
     def find_request_id(self, headers: Headers) -> str:
         """Return the request ID in an endpoint's answer; empty if there is none."""
 
+    def read_notice(self, status: int, headers: Headers) -> EndpointNotice:
+        """Return what an answer says about the endpoint that sent it."""
+
     def has_endpoint_signature(self, headers: Headers) -> bool:
         """Return whether an answer comes from an endpoint, not from an intermediary."""
 
--- a/chestnutvale/programs/entry/routed/const.py
+++ b/chestnutvale/programs/entry/routed/const.py
@@ -24,8 +24,10 @@
 # does not cover a retransmission: a lost packet is sent again only after a full second.
 CONNECT_TIMEOUT_S: Final = 0.2
 # Time for which an idle connection may be reused unless the endpoint's Keep-Alive
-# header gives another one; also the upper limit of an endpoint's Retry-After.
+# header gives another one.
 DEFAULT_IDLE_TIMEOUT_S: Final = 10.0
+# Upper limit of the Retry-After of an endpoint that is passed on to a caller.
+MAX_RETRY_AFTER_S: Final = 10.0
 # An idle connection is not reused in the last part of its idle timeout, because the
 # request could cross the endpoint's close.
 IDLE_MARGIN_S: Final = 1.0
--- a/chestnutvale/programs/entry/routed/exchange.py
+++ b/chestnutvale/programs/entry/routed/exchange.py
@@ -1,6 +1,7 @@
 """One HTTP request to an endpoint and its answer, over a pooled connection."""
 
 import contextlib
+from collections.abc import Callable
 from http import HTTPStatus
 from http.client import HTTPException, HTTPResponse
 from types import TracebackType
@@ -9,12 +10,14 @@
 from eventlet.green import socket
 
 from chestnutvale.clock import Clock
+from chestnutvale.membership.endpoint_notices import EndpointNotice
 from chestnutvale.programs.entry.const import STEP_RECEIVE, STEP_SEND
 from chestnutvale.programs.entry.exceptions import (
     AnswerTooLargeError,
     EndpointBrokenError,
     EndpointRefusedError,
     EndpointSilentError,
+    EndpointUnavailableError,
     EndpointUnreachableError,
 )
 from chestnutvale.programs.entry.response_body import join_body
@@ -32,6 +35,7 @@
     DEFAULT_IDLE_TIMEOUT_S,
     IDLE_MARGIN_S,
     MAX_REFUSAL_BYTES,
+    MAX_RETRY_AFTER_S,
     MAX_SKIPPED_ANSWERS,
     READ_BYTES,
 )
@@ -56,6 +60,10 @@
         Deadline of the call as monotonic time in seconds.
     clock : Clock
         Source of time.
+    may_send : callable
+        Tells whether the endpoint still takes requests; asked right before sending.
+    on_notice : callable
+        Gets what an answer says about the endpoint.
 
     Attributes
     ----------
@@ -76,6 +84,8 @@
         forwarding: ForwardingInfo,
         deadline_s: float,
         clock: Clock,
+        may_send: Callable[[], bool],
+        on_notice: Callable[[EndpointNotice], None],
     ) -> None:
         self.address = address
         self.status = 0
@@ -87,6 +97,8 @@
         self._forwarding = forwarding
         self._deadline_s = deadline_s
         self._clock = clock
+        self._may_send = may_send
+        self._on_notice = on_notice
         self._connection: PooledConnection | None = None
         self._response: HTTPResponse | None = None
         # Unread bytes of the body; None if the answer has no Content-Length.
@@ -126,11 +138,18 @@
 
         Raises
         ------
+        EndpointUnavailableError
+            If the endpoint leaves or pauses by now; nothing was sent.
         EndpointUnreachableError
             If the connection could not be opened or the exchange was aborted; nothing
             was sent.
         """
         self._connection = self._pool.acquire(self.address, timeout_s)
+        # The call may have waited for the connection since the endpoint was chosen.
+        if not self._may_send():
+            raise EndpointUnavailableError(
+                "the endpoint leaves or pauses", step="connect", peer=self.address
+            )
         if self._is_aborted:
             raise EndpointUnreachableError(
                 "the exchange was aborted", step="connect", peer=self.address
@@ -292,6 +311,7 @@
                     "the connection ended within the head of the answer", STEP_RECEIVE
                 )
             headers = response.getheaders()
+            self._report_notice(response.status, headers)
             answered = self._protocol.find_request_id(headers)
             if not answered or answered == self._request.request_id:
                 self._check_signature(response.status, headers)
@@ -303,6 +323,11 @@
             "received only answers to other requests", STEP_RECEIVE
         )
 
+    def _report_notice(self, status: int, headers: Headers) -> None:
+        notice = self._protocol.read_notice(status, headers)
+        if not notice.is_empty:
+            self._on_notice(notice)
+
     def _check_signature(self, status: int, headers: Headers) -> None:
         is_success = HTTPStatus.OK <= status < HTTPStatus.MULTIPLE_CHOICES
         if not is_success or self._protocol.is_refusal(status, headers):
@@ -313,7 +338,7 @@
             )
 
     def _raise_refusal(self) -> None:
-        retry_after_s = _parse_retry_after_s(self.headers)
+        retry_after_s = self._find_retry_after_s()
         try:
             self.read_all(MAX_REFUSAL_BYTES)
         except (AnswerTooLargeError, EndpointBrokenError, EndpointSilentError):
@@ -326,6 +351,10 @@
             retry_after_s=retry_after_s,
         )
 
+    def _find_retry_after_s(self) -> float | None:
+        pause_s = self._protocol.read_notice(self.status, self.headers).pause_s
+        return None if pause_s is None else min(pause_s, MAX_RETRY_AFTER_S)
+
     def _find_reusable_until_s(self) -> float:
         idle_s = DEFAULT_IDLE_TIMEOUT_S
         for name, value in self.headers:
@@ -355,14 +384,3 @@
         if name.lower() == "timeout" and number.strip().isdecimal():
             return float(number)
     return default_s
-
-
-def _parse_retry_after_s(headers: Headers) -> float | None:
-    for name, value in headers:
-        if name.lower() != "retry-after":
-            continue
-        try:
-            return max(0.0, min(float(value), DEFAULT_IDLE_TIMEOUT_S))
-        except ValueError:
-            return None
-    return None
--- a/chestnutvale/programs/entry/routed/stream_attempts.py
+++ b/chestnutvale/programs/entry/routed/stream_attempts.py
@@ -1,11 +1,14 @@
 """A validated routed call, and factories of its exchanges and stream attempts."""
 
+from functools import partial
+
 import attrs
 
 from chestnutvale.attempts.answer_stream import AnswerStream
 from chestnutvale.attempts.events import StartAttempt
 from chestnutvale.groups.members import group_head
 from chestnutvale.http_server.exceptions import AnswerBrokenError
+from chestnutvale.membership.endpoint_notices import Incarnation
 from chestnutvale.programs.entry.context import CallRequest
 from chestnutvale.programs.entry.entry_context import EntryContext
 from chestnutvale.programs.entry.routed.attempt import RoutedAttempt
@@ -156,6 +159,7 @@
         The exchange; not connected yet.
     """
     head = group_head(view.group)
+    endpoint = Incarnation.of_member(head)
     return RoutedExchange(
         pool,
         protocol,
@@ -164,4 +168,6 @@
         ForwardingInfo(head.host_id, call.call_request.workspace, 0, last_event),
         call.call_request.deadline_s,
         context.clock,
+        partial(context.may_send, endpoint),
+        partial(context.record_notice, endpoint),
     )
--- a/chestnutvale/programs/entry/service_run.py
+++ b/chestnutvale/programs/entry/service_run.py
@@ -10,7 +10,7 @@
 from eventlet.event import Event
 
 from chestnutvale.attempts.call_limits import DEFAULT_POLICY, ServicePolicy
-from chestnutvale.attempts.const import REFUSAL_UNREACHABLE
+from chestnutvale.attempts.const import REFUSAL_UNAVAILABLE, REFUSAL_UNREACHABLE
 from chestnutvale.attempts.events import (
     AttemptBroken,
     AttemptRefused,
@@ -53,6 +53,7 @@
     EndpointBrokenError,
     EndpointRefusedError,
     EndpointSilentError,
+    EndpointUnavailableError,
     EndpointUnreachableError,
 )
 from chestnutvale.programs.entry.group_chooser import GroupChooser
@@ -304,6 +305,9 @@
         except EndpointUnreachableError as error:
             self._report_attempt("refused", error.code)
             return AttemptRefused(effect.attempt_id, REFUSAL_UNREACHABLE, error.message)
+        except EndpointUnavailableError as error:
+            self._report_attempt("refused", error.code)
+            return AttemptRefused(effect.attempt_id, REFUSAL_UNAVAILABLE, error.message)
         has_lease = self._context.has_lease(self._context.clock.now_s())
         return Connected(effect.attempt_id, has_lease)
 
--- a/tests/membership/test_table.py
+++ b/tests/membership/test_table.py
@@ -6,6 +6,7 @@
 
 from chestnutvale.membership.announcement_collector import AnnouncementCollector
 from chestnutvale.membership.table import MembershipTable
+from chestnutvale.schema.membership_pb2 import Announcement, Heard
 
 
 @pytest.fixture
@@ -101,3 +102,41 @@
     collector.announce(announcement(sequence=2), 901.0)
     table.merge_entry_report("e1", collector.drain_report(901.0), 112.0, 1_000, "two")
     assert table.is_fresh("a", 113.0)
+
+
+def departing(host_id, sequence, leaving):
+    content = Announcement(host_id=host_id, boot_id="b1", leaving=leaving)
+    return Heard(
+        host_id=host_id,
+        boot_id="b1",
+        sequence=sequence,
+        changed=content,
+        content_digest=2 if leaving else 1,
+    )
+
+
+def test_a_later_ready_announcement_does_not_undo_a_departure():
+    table = MembershipTable()
+    table.merge_control_report("c1", [departing("h1", 1, False)], 10.0)
+    assert table.mark_departed("h1", "b1")
+    assert not table.mark_departed("h1", "b1")
+    table.merge_control_report("c2", [departing("h1", 2, False)], 11.0)
+    assert table.host("h1").announcement.leaving
+
+
+def test_a_departure_that_arrives_after_a_newer_announcement_holds():
+    table = MembershipTable()
+    table.merge_control_report("c1", [departing("h1", 3, False)], 10.0)
+    assert table.merge_control_report("c2", [departing("h1", 2, True)], 10.1) == ["h1"]
+    assert table.host("h1").announcement.leaving
+
+
+def test_another_boot_is_not_affected_by_a_departure():
+    table = MembershipTable()
+    table.merge_control_report("c1", [departing("h1", 1, False)], 10.0)
+    assert not table.mark_departed("h1", "b0")
+    table.mark_departed("h1", "b1")
+    restarted = departing("h1", 1, False)
+    restarted.boot_id = restarted.changed.boot_id = "b2"
+    table.merge_control_report("c1", [restarted], 11.0)
+    assert not table.host("h1").announcement.leaving
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies as st
 
 from chestnutvale.attempts.events import Failure
+from chestnutvale.membership.endpoint_notices import NO_NOTICE, EndpointNotice
 from chestnutvale.programs.entry.exceptions import BadCallError
 from chestnutvale.programs.entry.routed.caller_protocol import ForwardingInfo
 
@@ -92,6 +93,31 @@
     assert PlatformCallerProtocol().is_refusal(status, headers) == expected
 
 
+@pytest.mark.parametrize(
+    "status, headers, notice",
+    [
+        (200, [("Server-Leaving", "1")], EndpointNotice(is_leaving=True)),
+        (500, [("server-leaving", "1")], EndpointNotice(is_leaving=True)),
+        (200, [("Server-Leaving", "0")], NO_NOTICE),
+        (503, [("Retry-After", "1.5")], EndpointNotice(pause_s=1.5)),
+        (
+            503,
+            [("Retry-After", "2"), ("Server-Leaving", "1")],
+            EndpointNotice(is_leaving=True, pause_s=2.0),
+        ),
+        (500, [("Retry-After", "2")], NO_NOTICE),
+        (503, [("Retry-After", "Wed, 21 Oct 2026 07:28:00 GMT")], NO_NOTICE),
+        (503, [("Retry-After", "-1")], NO_NOTICE),
+        (503, [("Retry-After", "inf")], NO_NOTICE),
+        (503, [("Retry-After", "nan")], NO_NOTICE),
+        # Another worker has the address now.
+        (421, [("Server-Leaving", "1"), ("Retry-After", "2")], NO_NOTICE),
+    ],
+)
+def test_notice_of_a_worker_is_read(status, headers, notice):
+    assert PlatformCallerProtocol().read_notice(status, headers) == notice
+
+
 @pytest.mark.parametrize(
     "code, outcome, status",
     [
--- a/tests/programs/entry/entry_fakes.py
+++ b/tests/programs/entry/entry_fakes.py
@@ -14,6 +14,7 @@
 from chestnutvale.clock import SystemClock
 from chestnutvale.configuration.lookup import TextLookup
 from chestnutvale.ledger.state import LedgerState
+from chestnutvale.membership.endpoint_notices import EndpointNotices, Incarnation
 from chestnutvale.programs.entry.context import AdmitAll
 from chestnutvale.programs.entry.crash_probe import has_crashed
 from chestnutvale.programs.entry.running_attempts import RunningAttempts
@@ -63,6 +64,7 @@
         self.stall_detector = StallDetector()
         self.log = log or FakeLog()
         self.lease = True
+        self.notices = EndpointNotices()
         self.groups = {}
         self.reports = []
         self.text = Text(number=1)
@@ -105,10 +107,21 @@
 
     def choose_group(self, request, excluded, version):
         for group in self.groups.values():
+            if not self.may_send(Incarnation.of_member(group.members[0])):
+                continue
             if group.service == request.service and group.group_id not in excluded:
                 return GroupView(group=group, serving=True)
         return None
 
+    def may_send(self, endpoint):
+        return self.notices.may_send(endpoint, self.clock.now_s())
+
+    def record_notice(self, endpoint, notice):
+        self.notices.record(endpoint, notice, self.clock.now_s())
+
+    def earliest_return_s(self, service):
+        return None
+
     def report_attempt(self, report):
         self.reports.append((report.group_id, report.result))
 
--- a/tests/programs/entry/routed/routed_fakes.py
+++ b/tests/programs/entry/routed/routed_fakes.py
@@ -6,6 +6,7 @@
 from eventlet.green import socket
 
 from chestnutvale.configuration.lookup import hash_key
+from chestnutvale.membership.endpoint_notices import EndpointNotice
 from chestnutvale.programs.entry.routed.caller_protocol import RoutedRequest
 from chestnutvale.programs.entry.routed.connections import ConnectionPool
 from chestnutvale.programs.entry.routed.handler import RoutedHandler
@@ -65,6 +66,11 @@
     def find_request_id(self, headers):
         return next((v for name, v in headers if name.lower() == "x-call"), "")
 
+    def read_notice(self, status, headers):
+        fields = {name.lower(): value for name, value in headers}
+        pause = fields.get("x-pause")
+        return EndpointNotice("x-leaving" in fields, float(pause) if pause else None)
+
     def has_endpoint_signature(self, headers):
         return any(name.lower() == "x-made-by" for name, _ in headers)
 
--- a/tests/programs/entry/test_entry_context.py
+++ b/tests/programs/entry/test_entry_context.py
@@ -7,6 +7,7 @@
 
 from chestnutvale.admission.controller import AdmissionController
 from chestnutvale.clock import SystemClock
+from chestnutvale.membership.endpoint_notices import EndpointNotice, Incarnation
 from chestnutvale.membership.entry_view import EntryView
 from chestnutvale.programs.entry.admission_gate import AdmissionGate
 from chestnutvale.programs.entry.context import CallRequest
@@ -14,7 +15,7 @@
 from chestnutvale.programs.entry.group_router import GroupRouter
 from chestnutvale.routing.selector import Selector
 from chestnutvale.schema.configuration_pb2 import Service, Text, Workspace
-from chestnutvale.schema.groups_pb2 import Group
+from chestnutvale.schema.groups_pb2 import Group, GroupMember
 from chestnutvale.schema.membership_pb2 import Load
 from chestnutvale.schema.peer_pb2 import ControlView, GroupLoad, GroupView
 from tests.programs.entry.test_group_router import ManualClock
@@ -135,3 +136,87 @@
     receive_view(context, view, make_view(1, serving=True), clock)
     clock.time_s += 1_000.0
     assert not context.wait_for_first_lease(clock.now_s() + 5.0)
+
+
+def make_plain_view(count):
+    text = Text(number=1)
+    text.services["app"].CopyFrom(Service(kind="plain", hosts_per_group=1))
+    groups = [
+        Group(
+            group_id=f"app@h{number}",
+            service="app",
+            epoch=number,
+            plain=True,
+            members=[GroupMember(host_id=f"h{number}", boot_id="b1", address="a:1")],
+        )
+        for number in range(1, count + 1)
+    ]
+    return ControlView(
+        nonce=1,
+        source="s",
+        term=1,
+        view_version=1,
+        whole=True,
+        configuration_number=1,
+        text=text,
+        groups=[GroupView(group=group, serving=True) for group in groups],
+    )
+
+
+def make_plain_context(count):
+    clock = ManualClock()
+    context, view, gate = make_context(clock)
+    receive_view(context, view, make_plain_view(count), clock)
+    return context, gate, clock
+
+
+def make_plain_call(number):
+    return CallRequest(f"r{number}", "w", "app", "normal", b"", 0, "", 500.0)
+
+
+def test_a_departure_is_passed_on_once_and_never_chosen_again():
+    context, _, clock = make_plain_context(2)
+    passed_on = []
+    context.on_departure = lambda: passed_on.append(clock.now_s())
+    leaving = Incarnation("h1", "b1")
+    context.record_notice(leaving, EndpointNotice(is_leaving=True))
+    context.record_notice(leaving, EndpointNotice(is_leaving=True))
+    assert len(passed_on) == 1
+    chosen = {
+        context.choose_group(make_plain_call(n), frozenset(), "").group.group_id
+        for n in range(20)
+    }
+    assert chosen == {"app@h2"}
+
+
+def test_a_paused_endpoint_is_no_last_resort():
+    context, gate, _ = make_plain_context(1)
+    context.record_notice(Incarnation("h1", "b1"), EndpointNotice(pause_s=5.0))
+    assert context.choose_group(make_plain_call(1), frozenset(), "") is None
+    refusal = gate.offer(make_plain_call(2)).wait()
+    assert refusal.code == "no_capacity"
+    assert 5.0 <= refusal.retry_after_s <= 10.0
+    assert context.earliest_return_s("app") == pytest.approx(5.0)
+
+
+def test_waiting_calls_are_refused_when_the_last_endpoint_pauses():
+    context, gate, _ = make_plain_context(1)
+    tickets = [gate.offer(make_plain_call(n)) for n in range(100)]
+    waiting = [ticket for ticket in tickets if not ticket.decision_event.ready()]
+    assert waiting
+    context.record_notice(Incarnation("h1", "b1"), EndpointNotice(pause_s=5.0))
+    assert all(ticket.wait().code == "no_capacity" for ticket in waiting)
+
+
+def test_capacity_returns_with_the_end_of_a_pause():
+    context, gate, clock = make_plain_context(1)
+    context.record_notice(Incarnation("h1", "b1"), EndpointNotice(pause_s=0.05))
+    clock.time_s += 0.1
+    eventlet.sleep(0.1)
+    assert gate.offer(make_plain_call(1)).wait() is None
+
+
+def test_the_dump_lists_notices():
+    context, _, _ = make_plain_context(2)
+    context.record_notice(Incarnation("h1", "b1"), EndpointNotice(pause_s=5.0))
+    assert [item["host"] for item in context.describe_notices()] == ["h1"]
