Form groups sooner after hosts are lost, and elect sooner after a restart of all

Spares were converted to another model while three hosts of their own were about to be released beside them; a new leader waited the head's stall time anew; loads went to models without groups in the domain, and none began while the store was idle; a staged host needed 1.1 to 1.6 s more for its first group. After a power cut a voter waited half a second from its start although its previous run had ended long before. Ruled out: moving members before the stall time of a silent head, which no control can tell from one that is cut off. Change: staging ranks loads by the pressure that each relieves, counts hosts that are being released, keeps spares for the groups of their domain, and replaces unused weights when fewer loads make a group; hosts record when they released a group, so that the wait counts from the first member under any leader; free hosts warm up in a group of their own that never opens; votes are withheld from the end of the previous run.

--- a/chestnutvale/consensus/const.py
+++ b/chestnutvale/consensus/const.py
@@ -7,6 +7,9 @@
 # Fraction of the election timeout that a leader lease lasts; the remainder is a
 # margin for clock drift between controls.
 LEASE_TIMEOUT_FRACTION: Final = 0.9
+# Spread of the first campaigns of restarted members, as a fraction of the election
+# timeout; several round trips and disk syncs, so that they rarely split the votes.
+FIRST_ELECTION_SPREAD: Final = 0.4
 # A follower that lags by more entries than this receives a snapshot.
 MAX_REPLAY_ENTRIES: Final = 256
 # Largest lag at which a learner may still be promoted.
--- a/chestnutvale/consensus/loop.py
+++ b/chestnutvale/consensus/loop.py
@@ -89,6 +89,8 @@
         Source of randomness for election timeouts.
     config : RaftConfig
         Timeouts and limits.
+    process_started_s : float
+        Monotonic time in seconds at which this process started.
 
     Attributes
     ----------
@@ -109,6 +111,7 @@
         clock: Clock,
         rng: random.Random,
         config: RaftConfig,
+        process_started_s: float,
     ) -> None:
         self.failure: ChestnutError | None = None
         self.cluster_membership = ClusterMembership(settings, storage.member_id)
@@ -118,6 +121,7 @@
         self._clock = clock
         self._rng = rng
         self._config = config
+        self._process_started_s = process_started_s
         self._own_id = storage.member_id
         self.raft = self._make_raft(storage.state)
         self.applied_index = storage.state.snapshot.index
@@ -132,7 +136,14 @@
 
     def _make_raft(self, state: StoredState) -> Raft:
         now_s = self._clock.now_s()
-        return Raft(self._own_id, state, self._config, self._rng, now_s)
+        return Raft(
+            self._own_id,
+            state,
+            self._config,
+            self._rng,
+            now_s,
+            self._process_started_s,
+        )
 
     def start(self) -> None:
         """Restore the state machine and start the tasks."""
--- a/chestnutvale/consensus/member_state.py
+++ b/chestnutvale/consensus/member_state.py
@@ -4,7 +4,10 @@
 import random
 
 from chestnutvale.consensus.config import RaftConfig
-from chestnutvale.consensus.const import LEASE_TIMEOUT_FRACTION
+from chestnutvale.consensus.const import (
+    FIRST_ELECTION_SPREAD,
+    LEASE_TIMEOUT_FRACTION,
+)
 from chestnutvale.consensus.events import RequestRefused, Role, SendMessage
 from chestnutvale.consensus.leader import Leader
 from chestnutvale.consensus.log import RaftLog
@@ -28,6 +31,9 @@
         Source of randomness for election timeouts.
     now_s : float
         Monotonic time in seconds.
+    previous_run_ended_s : float, optional
+        Monotonic time in seconds by which the previous run of this member had certainly
+        ended; by default, now.
     """
 
     def __init__(
@@ -37,6 +43,7 @@
         config: RaftConfig,
         rng: random.Random,
         now_s: float,
+        previous_run_ended_s: float = math.inf,
     ) -> None:
         self.own_id = own_id
         self.config = config
@@ -51,12 +58,13 @@
         self.outbox = Outbox(self.log.last_index)
         self.is_hard_state_new = False
         self._rng = rng
-        # A restarted member may have acknowledged a leader before the restart, so
-        # it waits one election timeout before it votes.
-        self.leader_contact_s = -math.inf if self.is_empty else now_s
+        # A restarted member may have acknowledged a leader until its previous run
+        # ended, so it waits one election timeout from then before it votes.
+        ended_s = min(now_s, previous_run_ended_s)
+        self.leader_contact_s = -math.inf if self.is_empty else ended_s
         self.election_deadline_s = now_s
         if not self._may_campaign_immediately():
-            self.reset_election_timer(now_s)
+            self._set_first_election_deadline(ended_s, now_s)
 
     @property
     def is_empty(self) -> bool:
@@ -77,6 +85,16 @@
         is_first_start = self.term == 1 and self.log.last_index == 1
         return is_first_start or list(self.log.members.voters) == [self.own_id]
 
+    def _set_first_election_deadline(self, ended_s: float, now_s: float) -> None:
+        """Campaign soon after the first moment at which other members may vote.
+
+        If all members restart at once, none has a leader. If only this one did, the
+        leader's next heartbeat arrives first, or the others ignore its pre-vote.
+        """
+        timeout_s = self.config.election_timeout_s
+        spread_s = FIRST_ELECTION_SPREAD * timeout_s * self._rng.random()
+        self.election_deadline_s = max(now_s, ended_s + timeout_s) + spread_s
+
     def reset_election_timer(self, now_s: float) -> None:
         """Set a random deadline between one and two election timeouts."""
         base_s = self.config.election_timeout_s
--- a/chestnutvale/consensus/raft.py
+++ b/chestnutvale/consensus/raft.py
@@ -54,6 +54,9 @@
         Source of randomness for election timeouts.
     now_s : float
         Monotonic time in seconds.
+    previous_run_ended_s : float, optional
+        Monotonic time in seconds by which the previous run of this member had certainly
+        ended; by default, now.
     """
 
     def __init__(
@@ -63,8 +66,11 @@
         config: RaftConfig,
         rng: random.Random,
         now_s: float,
+        previous_run_ended_s: float = math.inf,
     ) -> None:
-        self.member = MemberState(own_id, stored, config, rng, now_s)
+        self.member = MemberState(
+            own_id, stored, config, rng, now_s, previous_run_ended_s
+        )
         self.replication = Replication(self.member)
         self.elections = Elections(self.member, self.replication.become_leader)
         self.follower = Follower(self.member)
--- a/chestnutvale/consensus/task.py
+++ b/chestnutvale/consensus/task.py
@@ -1,5 +1,6 @@
 """Runs the replicated log over storage and transport."""
 
+import math
 import random
 from collections.abc import Sequence
 from types import TracebackType
@@ -59,6 +60,9 @@
         Source of randomness for election timeouts.
     config : RaftConfig, optional
         Timeouts and limits that override those in the settings.
+    process_started_s : float, optional
+        Monotonic time in seconds at which this process started, if that is known to be
+        earlier than now.
     """
 
     def __init__(
@@ -70,12 +74,20 @@
         clock: Clock,
         rng: random.Random,
         config: RaftConfig | None = None,
+        process_started_s: float = math.inf,
     ) -> None:
         self._clock = clock
         self._config = config or make_raft_config(settings)
         self._own_id = storage.member_id
         self._loop = RaftLoop(
-            settings, transport, storage, state_machine, clock, rng, self._config
+            settings,
+            transport,
+            storage,
+            state_machine,
+            clock,
+            rng,
+            self._config,
+            process_started_s,
         )
 
     # Start and stop.
--- a/chestnutvale/groups/const.py
+++ b/chestnutvale/groups/const.py
@@ -77,6 +77,10 @@
 DEMAND_TIME_CONSTANT_S: Final = 3.0
 # A staging order is abandoned if the staged weights are not announced by then.
 STAGE_TIMEOUT_S: Final = 90.0
+# A warm-up is ordered again if the host does not announce it by then; an order may be
+# carried out 12 s late.
+WARM_UP_RETRY_S: Final = 14.0
+WARM_UP_GROUP_PREFIX: Final = "warm-up-"
 # Delay before retrying a host that rejected staging because it loads other weights; a
 # load takes several times as long.
 STAGE_BUSY_RETRY_S: Final = 5.0
@@ -87,6 +91,9 @@
 # groups have free capacity.
 REBALANCE_PRESSURE_RATIO: Final = 1.6
 REBALANCE_MIN_PRESSURE: Final = 0.85
+# The same for weights that no group of the host's domain uses: nothing is given up for
+# the load but the time of the weight store.
+UNUSED_MIN_PRESSURE: Final = 0.5
 # Groups that a model keeps whatever the demand for others, and the shortest time
 # between two groups given up for another model: weights take longer than that to load.
 MIN_GROUPS_PER_SERVICE: Final = 2
--- a/chestnutvale/groups/coordinator.py
+++ b/chestnutvale/groups/coordinator.py
@@ -157,7 +157,11 @@
             self.orders.make_staging_order(item, text, state, now_s, now_unix_ms)
             for item in self.planner.pop_staging_requests()
         ]
-        return [*sends, *proposals, *staging]
+        warm_ups = [
+            self.orders.make_warm_up_order(item, text, state, now_s, now_unix_ms)
+            for item in self.planner.pop_warm_up_requests()
+        ]
+        return [*sends, *proposals, *staging, *warm_ups]
 
     def order_answered(
         self, host_id: str, order_id: str, outcome: OrderOutcome, now_s: float
--- a/chestnutvale/groups/fleet.py
+++ b/chestnutvale/groups/fleet.py
@@ -4,11 +4,13 @@
 
 import attrs
 
+from chestnutvale.groups.const import WARM_UP_GROUP_PREFIX
 from chestnutvale.groups.state import GroupsState
 from chestnutvale.membership.const import KIND_ENGINE, KIND_SERVICE
 from chestnutvale.membership.host_record import HostRecord
 from chestnutvale.membership.table import MembershipTable
 from chestnutvale.schema.groups_pb2 import GroupMember
+from chestnutvale.schema.membership_pb2 import Holding
 
 
 @attrs.define
@@ -135,7 +137,8 @@
         if announcement.kind != KIND_ENGINE or record.host_id in state.owners:
             return
         is_releasing = record.host_id in state.releases
-        if announcement.HasField("holding") and not is_releasing:
+        is_holding = announcement.HasField("holding")
+        if is_holding and not is_releasing and not is_warm_up(announcement.holding):
             self.orphaned.append(record)
             return
         if announcement.leaving or record.host_id in state.draining_hosts:
@@ -147,6 +150,40 @@
             self.free_by_domain[announcement.fabric_domain].append(record)
 
 
+def make_warm_up_group_id(host_id: str, service: str) -> str:
+    """Return the id of the group that a host holds alone to warm up.
+
+    Parameters
+    ----------
+    host_id : str
+        The host.
+    service : str
+        The service for which it warms up.
+
+    Returns
+    -------
+    str
+        The id.
+    """
+    return f"{WARM_UP_GROUP_PREFIX}{service}-{host_id}"
+
+
+def is_warm_up(holding: Holding) -> bool:
+    """Tell whether a host holds a group only to warm up.
+
+    Parameters
+    ----------
+    holding : Holding
+        What the host announces.
+
+    Returns
+    -------
+    bool
+        If True, it serves nobody, and any group may take it.
+    """
+    return holding.group_id.startswith(WARM_UP_GROUP_PREFIX)
+
+
 def make_member(record: HostRecord, rank: int) -> GroupMember:
     """Create a group member from a live host.
 
--- a/chestnutvale/groups/free_hosts.py
+++ b/chestnutvale/groups/free_hosts.py
@@ -2,6 +2,8 @@
 
 from collections import Counter
 from collections.abc import Iterable, Mapping
+from types import MappingProxyType
+from typing import Final
 
 import attrs
 
@@ -10,6 +12,8 @@
 from chestnutvale.schema.configuration_pb2 import Service
 from chestnutvale.schema.groups_pb2 import Group
 
+NONE_PENDING: Final[Mapping[str, str]] = MappingProxyType({})
+
 
 @attrs.define
 class FreeHostSet:
@@ -21,15 +25,24 @@
         The fabric domain.
     hosts : list of HostRecord
         The hosts that are not allocated yet.
+    releasing : list of HostRecord
+        Hosts that will be free once their release is complete.
     """
 
     domain: str
     hosts: list[HostRecord]
+    releasing: list[HostRecord] = attrs.field(factory=list)
 
     def count_staged(self, service: str) -> int:
         """Return the number of hosts that have the weights of a service staged."""
         return sum(is_staged(host, service) for host in self.hosts)
 
+    def count_prospective(self, service: str) -> int:
+        """Return the same number, with the hosts that will soon be free."""
+        return self.count_staged(service) + sum(
+            is_staged(host, service) for host in self.releasing
+        )
+
     def allocate(self, service: str, count: int) -> list[HostRecord]:
         """Allocate hosts, preferring those with staged weights."""
         self.hosts.sort(key=lambda host: (not is_staged(host, service), host.host_id))
@@ -58,12 +71,20 @@
                 continue
             by_pool.setdefault(host.announcement.pool, []).append(host)
         for pool, hosts in by_pool.items():
-            host_sets.setdefault(pool, []).append(FreeHostSet(domain, hosts))
+            releasing = [
+                host
+                for host in fleet.releasing_by_domain.get(domain, ())
+                if host.announcement.pool == pool
+            ]
+            host_sets.setdefault(pool, []).append(FreeHostSet(domain, hosts, releasing))
     return host_sets
 
 
 def count_prospects(
-    services: Mapping[str, Service], groups: Iterable[Group], fleet: Fleet
+    services: Mapping[str, Service],
+    groups: Iterable[Group],
+    fleet: Fleet,
+    pending_services: Mapping[str, str] = NONE_PENDING,
 ) -> Counter[str]:
     """Return the number of groups that each service has or will soon have.
 
@@ -78,12 +99,14 @@
         Groups in force.
     fleet : Fleet
         Hosts available in this round.
+    pending_services : mapping of str to str, optional
+        Service whose weights a host is loading, by host.
 
     Returns
     -------
     Counter of str to int
         Groups in force, and those that free or soon released hosts can form without
-        a load.
+        a further load.
     """
     prospects = Counter(group.service for group in groups)
     for domain in {*fleet.free_by_domain, *fleet.releasing_by_domain}:
@@ -96,7 +119,11 @@
             if host.host_id not in fleet.pool_allocated
         ]
         for name, service in services.items():
-            staged = sum(is_staged(host, name) for host in hosts)
+            staged = sum(
+                pending_services.get(host.host_id, "") == name
+                or (host.host_id not in pending_services and is_staged(host, name))
+                for host in hosts
+            )
             prospects[name] += staged // max(1, service.hosts_per_group)
     return prospects
 
--- a/chestnutvale/groups/order_messages.py
+++ b/chestnutvale/groups/order_messages.py
@@ -8,6 +8,7 @@
     ORDER_STAGE,
     PHASE_FORMING,
 )
+from chestnutvale.groups.fleet import make_member, make_warm_up_group_id
 from chestnutvale.groups.state import GroupsState
 from chestnutvale.membership.host_record import HostRecord
 from chestnutvale.membership.table import MembershipTable
@@ -140,6 +141,44 @@
     )
 
 
+# Suffix of the order_id of warm-up orders, by which their answers are recognised.
+WARM_UP_SUFFIX = "-warm-up"
+
+
+def make_warm_up_order(
+    record: HostRecord, service: str, model: str, fence: int
+) -> Order:
+    """Build the order for a free host to warm up in a group of its own.
+
+    Parameters
+    ----------
+    record : HostRecord
+        The host.
+    service : str
+        The service, whose weights the host has staged.
+    model : str
+        Its model.
+    fence : int
+        Highest fencing number issued. It is also the epoch of the group, so any group
+        formed later replaces it.
+
+    Returns
+    -------
+    Order
+        The order; the caller sets its expiry.
+    """
+    return Order(
+        order_id=f"{record.boot_id}-{service}{WARM_UP_SUFFIX}",
+        kind=ORDER_ASSIGN,
+        group_id=make_warm_up_group_id(record.host_id, service),
+        epoch=fence,
+        fence=fence,
+        members=[make_member(record, 0)],
+        service=service,
+        model=model,
+    )
+
+
 def make_open_order(group: Group) -> Order:
     """Build the order for the head of a group to accept calls.
 
--- a/chestnutvale/groups/orders.py
+++ b/chestnutvale/groups/orders.py
@@ -26,6 +26,7 @@
     make_release_order,
     make_release_order_id,
     make_stage_order,
+    make_warm_up_order,
     may_rejoin_group,
 )
 from chestnutvale.groups.serving import (
@@ -36,6 +37,7 @@
 from chestnutvale.groups.settings import GroupsPolicy
 from chestnutvale.groups.staging import StagingRequest
 from chestnutvale.groups.state import GroupsState
+from chestnutvale.groups.warm_up import WarmUpRequest
 from chestnutvale.membership.host_record import HostRecord
 from chestnutvale.membership.table import MembershipTable
 from chestnutvale.schema.configuration_pb2 import Text
@@ -246,9 +248,39 @@
         """
         model = text.services[item.service].model
         order = make_stage_order(item.host, item.service, model, state.last_fence)
-        order.expires_at_unix_ms = now_unix_ms + round(ORDER_LIFETIME_S * 1_000)
-        address = item.host.announcement.address
-        return SendOrder(item.host.host_id, address, order, now_s + ORDER_TIMEOUT_S)
+        return _make_send(item.host, order, now_s, now_unix_ms)
+
+    def make_warm_up_order(
+        self,
+        item: WarmUpRequest,
+        text: Text,
+        state: GroupsState,
+        now_s: float,
+        now_unix_ms: int,
+    ) -> SendOrder:
+        """Return the order for a free host to warm up.
+
+        Parameters
+        ----------
+        item : WarmUpRequest
+            Host and service.
+        text : Text
+            Configuration in force.
+        state : GroupsState
+            Replicated state of the groups.
+        now_s : float
+            Monotonic time in seconds.
+        now_unix_ms : int
+            Wall-clock time in milliseconds, for the expiry of the order.
+
+        Returns
+        -------
+        SendOrder
+            The order; the scheduler does not retry it.
+        """
+        model = text.services[item.service].model
+        order = make_warm_up_order(item.host, item.service, model, state.last_fence)
+        return _make_send(item.host, order, now_s, now_unix_ms)
 
     def record_answer(
         self, host_id: str, order_id: str, outcome: OrderOutcome, now_s: float
@@ -320,6 +352,7 @@
         lease_s = 0.0 if self.policy.engine_stall_s else self.policy.serving_lease_s
         seen_before_s = now_s - lease_s
         head_check = HeadQuiescenceCheck(self.policy, table)
+        stalled_since_s = self._find_stall_starts(state, table, now_s)
         return [
             FreeHost(host_id=release.host_id, fence=release.fence)
             for release in state.releases.values()
@@ -327,13 +360,56 @@
                 first_seen_s[release.fence] <= seen_before_s
                 and self._has_released(release, table, now_s)
                 and head_check.is_quiesced(
-                    release.group_id, self._record_released(release, now_s), now_s
+                    release.group_id,
+                    stalled_since_s.get(release.group_id, now_s),
+                    now_s,
                 )
             )
             or self._is_release_expired(release, table, now_s, now_unix_ms)
         ]
 
-    def _record_released(self, release: HostRelease, now_s: float) -> float:
+    def _find_stall_starts(
+        self, state: GroupsState, table: MembershipTable, now_s: float
+    ) -> dict[str, float]:
+        """Return when the head of each dissolved group lost its first member.
+
+        Every control hears when a host releases its group, so a new leader need not
+        wait for the engine's stall time once more.
+
+        Parameters
+        ----------
+        state : GroupsState
+            Replicated state of the groups.
+        table : MembershipTable
+            Liveness and announcements of hosts.
+        now_s : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        dict of str to float
+            Monotonic time in seconds by group; absent while no member has released it.
+        """
+        starts_s: dict[str, float] = {}
+        for release in state.releases.values():
+            released_at_s = self._find_released_at_s(release, table, now_s)
+            if released_at_s is not None:
+                known_s = starts_s.get(release.group_id, released_at_s)
+                starts_s[release.group_id] = min(known_s, released_at_s)
+        return starts_s
+
+    def _find_released_at_s(
+        self, release: HostRelease, table: MembershipTable, now_s: float
+    ) -> float | None:
+        record = table.host(release.host_id)
+        if (
+            record is not None
+            and record.boot_id == release.boot_id
+            and record.released_group_id == release.group_id
+        ):
+            return record.released_at_s
+        if not self._has_released(release, table, now_s):
+            return None
         return self._released_at_s.setdefault(release.fence, now_s)
 
     def _iter_required_orders(
@@ -488,3 +564,11 @@
         if table.is_fresh(release.host_id, now_s):
             return False
         return now_unix_ms - release.released_at_unix_ms > RELEASE_RETENTION_MS
+
+
+def _make_send(
+    host: HostRecord, order: Order, now_s: float, now_unix_ms: int
+) -> SendOrder:
+    order.expires_at_unix_ms = now_unix_ms + round(ORDER_LIFETIME_S * 1_000)
+    address = host.announcement.address
+    return SendOrder(host.host_id, address, order, now_s + ORDER_TIMEOUT_S)
--- a/chestnutvale/groups/planner.py
+++ b/chestnutvale/groups/planner.py
@@ -35,6 +35,7 @@
 from chestnutvale.groups.settings import GroupsPolicy
 from chestnutvale.groups.staging import StagingPlanner, StagingRequest
 from chestnutvale.groups.state import GroupsState
+from chestnutvale.groups.warm_up import WarmUpPlanner, WarmUpRequest
 from chestnutvale.membership.table import MembershipTable
 from chestnutvale.schema.configuration_pb2 import Service, Text
 from chestnutvale.schema.groups_pb2 import (
@@ -113,7 +114,9 @@
         ),
         init=False,
     )
+    warm_up: WarmUpPlanner = attrs.field(factory=WarmUpPlanner, init=False)
     _staging_requests: list[StagingRequest] = attrs.field(factory=list, init=False)
+    _warm_up_requests: list[WarmUpRequest] = attrs.field(factory=list, init=False)
 
     def became_leader(self, now_s: float) -> None:
         """Discard observations from an earlier term as leader.
@@ -126,6 +129,7 @@
         self.failure_detector.reset(now_s)
         self.idle_tracker.reset()
         self.staging.reset()
+        self.warm_up.reset()
 
     def pop_staging_requests(self) -> list[StagingRequest]:
         """Return the staging requests of the last round and clear them.
@@ -138,6 +142,17 @@
         chosen, self._staging_requests = self._staging_requests, []
         return chosen
 
+    def pop_warm_up_requests(self) -> list[WarmUpRequest]:
+        """Return the warm-ups of the last round and clear them.
+
+        Returns
+        -------
+        list of WarmUpRequest
+            Hosts and the services for which they should warm up.
+        """
+        chosen, self._warm_up_requests = self._warm_up_requests, []
+        return chosen
+
     def plan(self, inputs: PlanInputs, now_s: float) -> list[GroupCommand]:
         """Plan one round.
 
@@ -197,6 +212,15 @@
             self.pools.pool_demand.has_demand or is_settled(inputs.table, now_s),
             now_s,
         )
+        if not inputs.state.last_fence:
+            # A warm-up needs an epoch, and before the first group no host is spare.
+            return
+        self._warm_up_requests = self.warm_up.plan(
+            select_pooled_services(inputs.text),
+            fleet,
+            self.staging.pending_host_ids,
+            now_s,
+        )
 
     def _plan_services(
         self,
--- a/chestnutvale/groups/staging.py
+++ b/chestnutvale/groups/staging.py
@@ -1,5 +1,6 @@
 """Stages weights on free hosts, so that lost groups are replaced without a load."""
 
+from collections import Counter
 from collections.abc import Iterable, Iterator, Mapping
 
 import attrs
@@ -10,6 +11,7 @@
     REBALANCE_PRESSURE_RATIO,
     STAGE_BUSY_RETRY_S,
     STAGE_TIMEOUT_S,
+    UNUSED_MIN_PRESSURE,
 )
 from chestnutvale.groups.fleet import Fleet
 from chestnutvale.groups.free_hosts import (
@@ -51,13 +53,44 @@
     service: str
 
 
+@attrs.frozen
+class _StagingOption:
+    """Loads that complete the next whole group of a model in a domain."""
+
+    service: str
+    domain: str
+    hosts: list[HostRecord]
+    missing_count: int
+    pressure: float
+    group_count: int
+
+    @property
+    def rank(self) -> tuple[bool, int, float, int, float, str, str]:
+        """Sort key that is lowest for the loads that help most.
+
+        The weight store bounds the loads per second, so what counts is the pressure
+        that each load relieves. Loads that complete no group come last; they make
+        spares for the groups of the domain.
+        """
+        is_whole = len(self.hosts) >= self.missing_count
+        return (
+            not is_whole,
+            0 if is_whole else -self.group_count,
+            -self.pressure / self.missing_count,
+            self.missing_count,
+            -self.pressure,
+            self.service,
+            self.domain,
+        )
+
+
 @attrs.define
 class StagingPlanner:
     """Chooses the weights that free hosts stage.
 
-    The model with the highest pressure comes first, in the domains where the fewest
-    hosts are missing for a whole group. Hosts whose staged weights no group can use
-    are converted to a model with much higher pressure.
+    First come the loads that relieve the most pressure each: those of a model with
+    high pressure, in a domain where few hosts are missing for a whole group. Hosts
+    whose staged weights no group can use load another model that can use them.
 
     Parameters
     ----------
@@ -105,11 +138,10 @@
             Staging to order now.
         """
         self._discard_finished(fleet, now_s)
-        if not services or not is_settled:
+        available_loads = remaining_loads - len(self._pending)
+        if not services or not is_settled or available_loads <= 0:
             return []
         groups = list(groups)
-        counts = count_prospects(services, groups, fleet)
-        available_loads = remaining_loads - len(self._pending)
         chosen: list[StagingRequest] = []
         for pool, host_sets in collect_free_hosts(fleet).items():
             pool_services = {
@@ -119,7 +151,9 @@
             placement = PoolPlacement.collect(
                 pool_services, groups, domain_count, self.pool_demand
             )
-            for choice in self._choose(pool_services, counts, placement, host_sets):
+            for choice in self._choose(
+                pool_services, groups, fleet, placement, host_sets
+            ):
                 if available_loads <= 0:
                     return chosen
                 available_loads -= 1
@@ -129,6 +163,11 @@
                 )
         return chosen
 
+    @property
+    def pending_host_ids(self) -> frozenset[str]:
+        """Hosts that were ordered to stage weights and have not announced them yet."""
+        return frozenset(self._pending)
+
     def record_failure(
         self, host_id: str, now_s: float, *, is_busy: bool = False
     ) -> None:
@@ -164,75 +203,113 @@
     def _choose(
         self,
         services: Mapping[str, Service],
-        counts: Mapping[str, int],
+        groups: Iterable[Group],
+        fleet: Fleet,
         placement: PoolPlacement,
         host_sets: list[FreeHostSet],
     ) -> Iterator[StagingRequest]:
-        pressures = {
-            name: self.pool_demand.pressure(name, service, counts[name])
-            for name, service in services.items()
-        }
-        for name in sorted(services, key=lambda name: (-pressures[name], name)):
-            usable = [
-                s for s in host_sets if placement.may_use(name, s.domain, pressures)
+        """Yield the loads of the best option until none is left.
+
+        The caller records each one as pending before it asks for the next.
+        """
+        group_counts = Counter((group.service, group.fabric_domain) for group in groups)
+        while True:
+            pending = {host: item.service for host, item in self._pending.items()}
+            counts = count_prospects(services, groups, fleet, pending)
+            pressures = {
+                name: self.pool_demand.pressure(name, service, counts[name])
+                for name, service in services.items()
+            }
+            options = [
+                option
+                for name in services
+                for host_set in host_sets
+                if placement.may_use(name, host_set.domain, pressures)
+                and (
+                    option := self._make_option(
+                        name, host_set, services, pressures, group_counts
+                    )
+                ).hosts
             ]
-            for host_set in sorted(
-                usable, key=lambda s: self._count_missing(s, name, services[name])
-            ):
-                yield from self._fill_next_group(host_set, name, services, counts)
+            if not options:
+                return
+            best = min(options, key=lambda option: option.rank)
+            for host in best.hosts:
+                yield StagingRequest(host, best.service)
 
-    def _fill_next_group(
+    def _make_option(
         self,
-        host_set: FreeHostSet,
         name: str,
+        host_set: FreeHostSet,
         services: Mapping[str, Service],
-        counts: Mapping[str, int],
-    ) -> Iterator[StagingRequest]:
-        """Stage a model on as many hosts as the domain's next whole group needs."""
+        pressures: Mapping[str, float],
+        group_counts: Mapping[tuple[str, str], int],
+    ) -> _StagingOption:
+        """Return the hosts that the domain's next whole group of a model lacks."""
         missing_count = self._count_missing(host_set, name, services[name])
-        usable = [
+        idle = [host for host in host_set.hosts if host.host_id not in self._pending]
+        unstaged = [
             host
-            for host in host_set.hosts
-            if host.host_id not in self._pending
-            and self._is_usable(host, host_set, name, services, counts)
+            for host in idle
+            if not any(is_staged(host, other) for other in services)
+        ]
+        replaceable = [
+            host
+            for host in idle
+            if self._is_replaceable(
+                host, host_set, name, services, pressures, group_counts
+            )
         ]
-        for host in usable[:missing_count]:
-            yield StagingRequest(host, name)
+        is_whole = len(unstaged) + len(replaceable) >= missing_count
+        # Staged weights are given up only for a whole group.
+        hosts = [*unstaged, *replaceable] if is_whole else unstaged
+        return _StagingOption(
+            service=name,
+            domain=host_set.domain,
+            hosts=hosts[:missing_count],
+            missing_count=missing_count,
+            pressure=pressures[name],
+            group_count=group_counts[name, host_set.domain],
+        )
 
     def _count_missing(self, host_set: FreeHostSet, name: str, service: Service) -> int:
         size = service.hosts_per_group
-        staged_count = host_set.count_staged(name)
+        staged_count = host_set.count_prospective(name)
         staged_count += sum(
             self._pending[host.host_id].service == name
             for host in host_set.hosts
-            if host.host_id in self._pending
+            if host.host_id in self._pending and not is_staged(host, name)
         )
         return size - staged_count % size
 
-    def _is_usable(
+    def _is_replaceable(
         self,
         host: HostRecord,
         host_set: FreeHostSet,
         name: str,
         services: Mapping[str, Service],
-        counts: Mapping[str, int],
+        pressures: Mapping[str, float],
+        group_counts: Mapping[tuple[str, str], int],
     ) -> bool:
-        staged_service = next(
-            (other for other in services if is_staged(host, other)), ""
-        )
-        if not staged_service:
-            return True
-        if (
-            staged_service == name
-            or host_set.count_staged(staged_service)
-            >= services[staged_service].hosts_per_group
+        """Tell whether a host may load a model instead of the one that it has staged.
+
+        This holds for a host whose weights no group of its domain can use now, if the
+        other model needs fewer loads for a whole group, or is under more pressure.
+        """
+        staged = next((other for other in services if is_staged(host, other)), "")
+        if staged in ("", name):
+            return False
+        size = services[staged].hosts_per_group
+        if host_set.count_prospective(staged) >= size:
+            return False
+        is_spare = group_counts[staged, host_set.domain] > 0
+        if pressures[name] < (
+            REBALANCE_MIN_PRESSURE if is_spare else UNUSED_MIN_PRESSURE
         ):
             return False
-        wanted_pressure = self.pool_demand.pressure(name, services[name], counts[name])
-        staged_pressure = self.pool_demand.pressure(
-            staged_service, services[staged_service], counts[staged_service]
-        )
+        missing_count = self._count_missing(host_set, name, services[name])
+        staged_missing_count = self._count_missing(host_set, staged, services[staged])
         return (
-            wanted_pressure >= REBALANCE_MIN_PRESSURE
-            and wanted_pressure >= REBALANCE_PRESSURE_RATIO * staged_pressure
+            missing_count < staged_missing_count
+            or pressures[name] >= REBALANCE_PRESSURE_RATIO * pressures[staged]
         )
--- a/chestnutvale/membership/host_record.py
+++ b/chestnutvale/membership/host_record.py
@@ -1,8 +1,11 @@
 """Record of one host in the host table."""
 
+import math
+
 import attrs
 
 from chestnutvale.membership.boot_order import BootOrder
+from chestnutvale.membership.const import HOLDING_OPEN, HOLDING_READY
 from chestnutvale.schema.membership_pb2 import Announcement, Load
 
 
@@ -34,6 +37,13 @@
         Whether it announces itself to a control instead of the entries.
     departed_boot_id : str
         Boot that is known to leave, whatever it announces later; empty if none.
+    released_group_id : str
+        Group that this boot held last and has released; empty if none.
+    released_at_s : float
+        Monotonic time in seconds by which it had released that group.
+    warm_service : str
+        Service of the group in which this boot was ready last; empty if none. The host
+        is ready sooner for another group of it.
     """
 
     host_id: str
@@ -47,6 +57,9 @@
     is_load_from_entries: bool = False
     announces_to_control: bool = False
     departed_boot_id: str = ""
+    released_group_id: str = ""
+    released_at_s: float = math.inf
+    warm_service: str = ""
 
     @property
     def boot_id(self) -> str:
@@ -57,3 +70,29 @@
     def heard_at_s(self) -> float:
         """Monotonic time in seconds of the host's latest announcement."""
         return self.boot_order.heard_at_s
+
+    def store_announcement(self, announcement: Announcement) -> None:
+        """Replace the announcement, and record a release that it shows.
+
+        Parameters
+        ----------
+        announcement : Announcement
+            The host's latest announcement.
+        """
+        before = self.announcement
+        self.announcement = announcement
+        self.is_content_current = True
+        if before is None or before.boot_id != announcement.boot_id:
+            self.released_group_id = ""
+            self.warm_service = ""
+        if announcement.holding.phase in (HOLDING_READY, HOLDING_OPEN):
+            self.warm_service = announcement.holding.service
+        if before is None or before.boot_id != announcement.boot_id:
+            return
+        held_group_id = before.holding.group_id
+        holds_group_id = announcement.holding.group_id
+        if held_group_id and held_group_id != holds_group_id:
+            self.released_group_id = held_group_id
+            self.released_at_s = self.heard_at_s
+        elif holds_group_id and holds_group_id == self.released_group_id:
+            self.released_group_id = ""
--- a/chestnutvale/membership/table.py
+++ b/chestnutvale/membership/table.py
@@ -528,8 +528,7 @@
             record.departed_boot_id = announcement.boot_id
         elif announcement.boot_id == record.departed_boot_id:
             announcement = _with_departure(announcement)
-        record.announcement = announcement
-        record.is_content_current = True
+        record.store_announcement(announcement)
         if announcement.HasField("load") or not record.is_load_from_entries:
             record.load = announcement.load
         if announcement.born_unix_ms:
--- a/chestnutvale/programs/control/daemon.py
+++ b/chestnutvale/programs/control/daemon.py
@@ -1,6 +1,7 @@
 """Builds the components of a control and starts and stops them in order."""
 
 import contextlib
+import math
 import random
 from collections.abc import Callable
 from types import TracebackType
@@ -62,6 +63,9 @@
         Source of time.
     rng : random.Random
         Source of random numbers.
+    process_started_s : float, optional
+        Monotonic time in seconds at which this process started, if that is known to be
+        earlier than now.
     """
 
     def __init__(
@@ -70,7 +74,9 @@
         interface: ControlInterface,
         clock: Clock,
         rng: random.Random,
+        process_started_s: float = math.inf,
     ) -> None:
+        self._process_started_s = process_started_s
         self.settings = settings
         self._interface = interface
         self._clock = clock
@@ -107,6 +113,7 @@
                 self.state,
                 self._clock,
                 self._rng,
+                process_started_s=self._process_started_s,
             )
             stack.enter_context(self._log)
             self._start_tasks(stack)
--- a/chestnutvale/programs/control/main.py
+++ b/chestnutvale/programs/control/main.py
@@ -23,6 +23,9 @@
         Exit code.
     """
     from chestnutvale.clock import SystemClock
+
+    clock = SystemClock()
+    process_started_s = clock.now_s()
     from chestnutvale.programs.control.daemon import ControlDaemon
     from chestnutvale.programs.control.interface import NativeInterface
     from chestnutvale.programs.runner import log_state_dump, make_rng, run_program
@@ -35,7 +38,9 @@
         token = load_operator_token(Path(settings.operator_token_file))
         digest = hash_token(token)
         interface = NativeInterface(digest)
-        with ControlDaemon(settings, interface, SystemClock(), make_rng()) as daemon:
+        with ControlDaemon(
+            settings, interface, clock, make_rng(), process_started_s
+        ) as daemon:
             signal_handler = SignalHandler(lambda: log_state_dump(daemon.dump))
             signal_handler.setup()
             signal_handler.wait()
