Let calls wait for the first group while a new leader discovers hosts

Change: a view says whether the leader still discovers hosts; until then calls to a service without a serving group wait as long as for a first lease.

--- a/chestnutvale/membership/entry_view.py
+++ b/chestnutvale/membership/entry_view.py
@@ -41,6 +41,8 @@
         Groups that produce no events although streams run there.
     newly_stalled : frozenset of str
         Stalled groups that were not listed in the previous view.
+    is_discovering : bool
+        Whether the leader may not have heard all hosts yet.
     """
 
     lease_s: float = DEFAULT_LEASE_S
@@ -56,6 +58,7 @@
     _entry_count: int = 1
     stalled: frozenset[str] = frozenset()
     newly_stalled: frozenset[str] = frozenset()
+    is_discovering: bool = False
 
     def record_report_sent(self, nonce: int, now_s: float) -> None:
         """Record the sending time of a report; call it before sending.
@@ -212,6 +215,7 @@
         stalled = frozenset(view.stalled_group_ids)
         self.newly_stalled = stalled - self.stalled
         self.stalled = stalled
+        self.is_discovering = view.discovering
         if view.source == self._source and view.view_version < self._version:
             return InstallVerdict.OLD_VERSION
         if not view.whole and not self._has_base_version(view):
--- a/chestnutvale/programs/control/entry_report_handler.py
+++ b/chestnutvale/programs/control/entry_report_handler.py
@@ -363,9 +363,9 @@
 
     def _send_view(self, entry_id: str, address: str, view: ControlView) -> None:
         now_unix_ms = self._clock.unix_ms()
-        view.stalled_group_ids.extend(
-            sorted(self._stalls.stalled_groups(self._clock.now_s()))
-        )
+        now_s = self._clock.now_s()
+        view.stalled_group_ids.extend(sorted(self._stalls.stalled_groups(now_s)))
+        view.discovering = self._table.may_discover_hosts(now_s)
         if view.whole:
             view.suspicions.extend(self._suspicions.all_evidence(now_unix_ms))
         else:
--- a/chestnutvale/programs/entry/context.py
+++ b/chestnutvale/programs/entry/context.py
@@ -280,6 +280,17 @@
             Whether the serving lease holds.
         """
 
+    def wait_for_groups(self, service: str, deadline_s: float) -> None:
+        """Wait for a group of a service while the leader still discovers hosts.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        deadline_s : float
+            Monotonic time in seconds until which the caller can wait.
+        """
+
     def serving_groups(self, service: str, version: str) -> list[str]:
         """Return the ids of all groups that serve a service now.
 
--- a/chestnutvale/programs/entry/entry_context.py
+++ b/chestnutvale/programs/entry/entry_context.py
@@ -36,7 +36,7 @@
 # Requests sent to engines, as a multiple of the requests that they run concurrently.
 ENGINE_OVERCOMMIT = 1.15
 # Time after the start for which calls wait for the first lease: one leader election
-# plus the transit of a report.
+# plus the transit of a report. They wait as long for the first group of a service.
 FIRST_LEASE_WAIT_S = 2.0
 LEASE_POLL_INTERVAL_S = 0.02
 NO_CAPACITY = ServiceCapacity(groups=0, kv_capacity_tokens=0)
@@ -202,6 +202,28 @@
             eventlet.sleep(LEASE_POLL_INTERVAL_S)
         return self.has_lease(self.clock.now_s())
 
+    def wait_for_groups(self, service: str, deadline_s: float) -> None:
+        """Wait for a group of a service while the leader still discovers hosts.
+
+        After a restart of all controls, the leader hears each host only with its next
+        announcement. That takes a second, and a refusal would use up one of the
+        caller's retries.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        deadline_s : float
+            Monotonic time in seconds until which the caller can wait.
+        """
+        wait_until_s = min(deadline_s, self.clock.now_s() + FIRST_LEASE_WAIT_S)
+        while (
+            self._view.is_discovering
+            and not self._router.serving_groups(service, "")
+            and self.clock.now_s() < wait_until_s
+        ):
+            eventlet.sleep(LEASE_POLL_INTERVAL_S)
+
     def serving_groups(self, service: str, version: str) -> list[str]:
         """Return the ids of all groups that serve a service now.
 
--- a/chestnutvale/programs/entry/routed/handler.py
+++ b/chestnutvale/programs/entry/routed/handler.py
@@ -164,6 +164,8 @@
                 f"no service of the route has model {request.model!r}",
                 retry_after_s=NO_LEASE_RETRY_AFTER_S,
             )
+        context.wait_for_groups(service, now_s + _find_wait_s(request))
+        now_s = context.clock.now_s()
         max_bytes = context.text.caller_limits.max_body_bytes
         body = read_body(environ, max_bytes or DEFAULT_MAX_BODY_BYTES)
         call = CallRequest(
@@ -198,12 +200,7 @@
         )
 
     def _wait_for_lease(self, request: RoutedRequest, now_s: float) -> bool:
-        time_s = DEFAULT_DEADLINE_S
-        if request.deadline_ms is not None:
-            time_s = request.deadline_ms / 1_000
-        # The rest of the call's time is kept for the answer, or for a retry at another
-        # entry.
-        return self._context.wait_for_first_lease(now_s + LEASE_WAIT_SHARE * time_s)
+        return self._context.wait_for_first_lease(now_s + _find_wait_s(request))
 
     def _refresh_route_table(self) -> None:
         text = self._context.text
@@ -372,6 +369,17 @@
         return [body]
 
 
+def _find_wait_s(request: RoutedRequest) -> float:
+    """Return how long a call may wait for a lease or a group after a restart.
+
+    The rest of its time is kept for the answer, or for a retry at another entry.
+    """
+    time_s = DEFAULT_DEADLINE_S
+    if request.deadline_ms is not None:
+        time_s = request.deadline_ms / 1_000
+    return LEASE_WAIT_SHARE * time_s
+
+
 def _find_time_limit_s(request: RoutedRequest, route: Route) -> float:
     times_s = [DEFAULT_DEADLINE_S]
     if request.deadline_ms is not None:
--- a/tests/programs/entry/entry_fakes.py
+++ b/tests/programs/entry/entry_fakes.py
@@ -102,6 +102,9 @@
     def wait_for_first_lease(self, deadline_s):
         return self.lease
 
+    def wait_for_groups(self, service, deadline_s):
+        pass
+
     def serving_groups(self, service, version):
         return [g.group_id for g in self.groups.values() if g.service == service]
 
--- a/tests/programs/entry/test_entry_context.py
+++ b/tests/programs/entry/test_entry_context.py
@@ -220,3 +220,30 @@
     context, _, _ = make_plain_context(2)
     context.record_notice(Incarnation("h1", "b1"), EndpointNotice(pause_s=5.0))
     assert [item["host"] for item in context.describe_notices()] == ["h1"]
+
+
+def test_call_waits_for_first_group_while_hosts_are_discovered():
+    clock = SystemClock()
+    context, view, _ = make_context(clock)
+    early = make_view(1, serving=False)
+    early.discovering = True
+    receive_view(context, view, early, clock)
+    late = make_view(2, serving=True)
+    eventlet.spawn_after(0.1, receive_view, context, view, late, clock)
+    started_at_s = clock.now_s()
+    context.wait_for_groups("llm", started_at_s + 1.0)
+    assert context.serving_groups("llm", "") == ["g1"]
+    assert clock.now_s() - started_at_s < 0.5
+
+
+@pytest.mark.parametrize("is_discovering", [True, False])
+def test_wait_for_groups_ends_with_discovery_or_deadline(is_discovering):
+    clock = SystemClock()
+    context, view, _ = make_context(clock)
+    message = make_view(1, serving=False)
+    message.discovering = is_discovering
+    receive_view(context, view, message, clock)
+    started_at_s = clock.now_s()
+    context.wait_for_groups("llm", started_at_s + 0.2)
+    waited_s = clock.now_s() - started_at_s
+    assert waited_s < 0.1 or (is_discovering and waited_s < 0.4)
