Start entries without metrics exporters, and let idle tasks wake up less

By -X importtime the exporters of metrics, which no platform entry serves, are a quarter of an entry's imports. The load exchange polled 20 times a second although 125 entries exchange loads three times a second, and streams were looked at 20 times a second without any stream. Ruled out: a slow protobuf implementation; upb is in use.

--- a/chestnutvale/programs/entry/control_link.py
+++ b/chestnutvale/programs/entry/control_link.py
@@ -16,6 +16,7 @@
 from chestnutvale.membership.entry_view import EntryView, InstallVerdict
 from chestnutvale.membership.report_targets import ReportTargets
 from chestnutvale.programs.entry.const import (
+    IDLE_STALL_CHECK_INTERVAL_S,
     MIN_REPORT_INTERVAL_MS,
     NO_LEASE_REPORT_INTERVAL_S,
     REPORT_EXPIRY_MS,
@@ -243,7 +244,15 @@
 
     def watch_stalls(self) -> None:
         """Trigger a report when groups stall or recover, until the task is killed."""
-        run_periodically("watching streams", self._check_stalls, STALL_CHECK_INTERVAL_S)
+        run_periodically(
+            "watching streams", self._check_stalls, self.find_stall_pause_s
+        )
+
+    def find_stall_pause_s(self) -> float:
+        """Return the pause until the next check for stalled groups, in seconds."""
+        if self._stall_detector.has_streams:
+            return STALL_CHECK_INTERVAL_S
+        return IDLE_STALL_CHECK_INTERVAL_S
 
     def _check_stalls(self) -> None:
         stalled = self._stall_detector.stalled_groups(self._clock.now_s())
--- a/chestnutvale/programs/entry/daemon.py
+++ b/chestnutvale/programs/entry/daemon.py
@@ -17,7 +17,6 @@
 from chestnutvale.membership.cache_events import CacheEventQueue
 from chestnutvale.membership.entry_view import EntryView
 from chestnutvale.observability.dump import DumpRegistry
-from chestnutvale.observability.metrics import Metrics
 from chestnutvale.programs.entry.admission_gate import AdmissionGate
 from chestnutvale.programs.entry.commit_client import CommitClient
 from chestnutvale.programs.entry.const import (
@@ -136,7 +135,7 @@
         self.context.suspicions.notify = self.link.trigger_report
         self.transport.register_handler("cache_news", router.receive_cache_events)
         self._writer = LedgerWriter(self.context)
-        self.metrics = Metrics(PROGRAM_NAME)
+        self.metrics = self._interface.make_metrics(PROGRAM_NAME)
         self._components = EntryComponents(
             settings,
             clock,
--- a/chestnutvale/programs/entry/entry_interface.py
+++ b/chestnutvale/programs/entry/entry_interface.py
@@ -1,7 +1,7 @@
 """The HTTP interface of an entry to callers and endpoints."""
 
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import TYPE_CHECKING, Any, Protocol
 
 import attrs
 
@@ -21,6 +21,9 @@
 from chestnutvale.programs.entry.service_calls import ServiceCallHandler
 from chestnutvale.schema.settings_pb2 import EntrySettings, HttpLimits
 
+if TYPE_CHECKING:
+    from chestnutvale.observability.otel_metrics import OtelMetrics
+
 FORM_CHAT = "chat"
 FORM_COMPLETION = "completion"
 
@@ -88,6 +91,9 @@
 class EntryInterface(Protocol):
     """Serves callers and endpoints with one set of protocols."""
 
+    def make_metrics(self, program: str) -> Metrics:
+        """Build the metrics of the process; called before `make_listeners`."""
+
     @property
     def running_calls(self) -> int:
         """Running calls, also of disconnected callers; awaited on shutdown."""
@@ -104,6 +110,26 @@
 
     def __init__(self) -> None:
         self._services: ServiceCallHandler | None = None
+        self._metrics: OtelMetrics | None = None
+
+    def make_metrics(self, program: str) -> Metrics:
+        """Build the metrics, which are served at ``/metrics``.
+
+        Parameters
+        ----------
+        program : str
+            Name of the program.
+
+        Returns
+        -------
+        Metrics
+            The metrics.
+        """
+        # Only a process that serves metrics needs the libraries that export them.
+        from chestnutvale.observability.otel_metrics import OtelMetrics
+
+        self._metrics = OtelMetrics(program)
+        return self._metrics
 
     @property
     def running_calls(self) -> int:
@@ -140,7 +166,7 @@
                 "/healthz": make_health_check(components.is_alive),
                 "/readyz": make_health_check(components.is_ready),
                 "/debug/state": make_json_view(components.dump),
-                "/metrics": components.metrics.view,
+                "/metrics": self._metrics.view,
             },
         )
         metered = RequestMeter(
--- a/chestnutvale/programs/entry/load_exchange.py
+++ b/chestnutvale/programs/entry/load_exchange.py
@@ -8,7 +8,6 @@
 from chestnutvale.membership.attempt_counts import load_exchange_interval_s
 from chestnutvale.membership.const import (
     LOAD_RESEND_INTERVAL_S,
-    MIN_LOAD_EXCHANGE_INTERVAL_S,
 )
 from chestnutvale.membership.entry_view import EntryView
 from chestnutvale.programs.entry.entry_context import EntryContext
@@ -55,9 +54,11 @@
 
     def run(self) -> None:
         """Run rounds until the task is killed."""
-        run_periodically(
-            "the load exchange", self.run_round, MIN_LOAD_EXCHANGE_INTERVAL_S / 2
-        )
+        run_periodically("the load exchange", self.run_round, self.find_pause_s)
+
+    def find_pause_s(self) -> float:
+        """Return the pause between two rounds: half of the exchange interval."""
+        return load_exchange_interval_s(self._view.entry_count) / 2
 
     def run_round(self) -> None:
         """Send the counts if they have changed or a repetition is due.
--- a/chestnutvale/programs/periodic.py
+++ b/chestnutvale/programs/periodic.py
@@ -8,7 +8,9 @@
 _LOGGER = logbook.Logger(__name__)
 
 
-def run_periodically(name: str, run_round: Callable[[], None], pause_s: float) -> None:
+def run_periodically(
+    name: str, run_round: Callable[[], None], pause_s: float | Callable[[], float]
+) -> None:
     """Run a function periodically until the task is killed.
 
     An exception is logged and the next round starts afresh from the current state,
@@ -20,8 +22,9 @@
         Name of the work, for the log.
     run_round : callable
         Function to run in each round.
-    pause_s : float
-        Pause in seconds between the end of a round and the start of the next.
+    pause_s : float or callable
+        Pause in seconds between the end of a round and the start of the next; a
+        callable is asked after each round.
     """
     while True:
         try:
@@ -31,4 +34,4 @@
                 "Unexpected error in a round of {}; continuing with the next round",
                 name,
             )
-        eventlet.sleep(pause_s)
+        eventlet.sleep(pause_s() if callable(pause_s) else pause_s)
--- a/chestnutvale/routing/stall_detection.py
+++ b/chestnutvale/routing/stall_detection.py
@@ -90,6 +90,11 @@
             del self._by_group[stream.group_id]
             self._last_event_s.pop(stream.group_id, None)
 
+    @property
+    def has_streams(self) -> bool:
+        """Whether any stream runs, so that a group can stall."""
+        return bool(self._streams)
+
     def silences_s(self, now_s: float) -> dict[str, float]:
         """Return the time since the last event of each group with running streams.
 
--- a/tests/observability/test_metrics.py
+++ b/tests/observability/test_metrics.py
@@ -6,16 +6,17 @@
 from chestnutvale.observability.catalog import Metric
 from chestnutvale.observability.exceptions import MetricLabelError
 from chestnutvale.observability.metrics import (
-    Metrics,
+    NoMetrics,
     make_labelled_reader,
     make_unlabelled_reader,
 )
+from chestnutvale.observability.otel_metrics import OtelMetrics
 from chestnutvale.observability.request_meter import RequestMeter
 
 
 @pytest.fixture
 def metrics():
-    with Metrics("test") as process_metrics:
+    with OtelMetrics("test") as process_metrics:
         yield process_metrics
 
 
@@ -130,3 +131,12 @@
     )
     environ = {"PATH_INFO": "/", "eventlet.posthooks": []}
     assert meter(environ, None) == [b"whole"]
+
+
+def test_a_process_without_metrics_can_register_and_record():
+    with NoMetrics() as metrics:
+        metrics.register_counter(
+            catalog.GROUP_DOWNTIME, make_unlabelled_reader(lambda: 1 / 0)
+        )
+        metrics.register_gauge(catalog.READY, make_unlabelled_reader(lambda: 1.0))
+        metrics.make_histogram(catalog.REQUEST_DURATION).record(0.5, {"any": "label"})
--- a/tests/programs/entry/test_load_exchange.py
+++ b/tests/programs/entry/test_load_exchange.py
@@ -35,9 +35,10 @@
             register_handler=self.handlers.__setitem__,
             send=lambda *arguments: self.sent.append(arguments),
         )
+        self.view = SimpleNamespace(entry_count=13, groups=lambda: groups)
         self.exchange = LoadExchange(
             transport,
-            SimpleNamespace(entry_count=13, groups=lambda: groups),
+            self.view,
             context,
             lambda: self.leader,
             SimpleNamespace(now_s=lambda: self.now_s),
@@ -82,3 +83,11 @@
     message = RunningCounts(epochs=[9, 11, 99], counts=[4, 5, 6])
     simulated_entry.handlers["running_counts"](Envelope(running_counts=message))
     assert simulated_entry.peer_updates == [({"g1": 0, "g2": 4}, {"s": 4})]
+
+
+@pytest.mark.parametrize(("entry_count", "pause_s"), [(13, 0.05), (400, 0.5)])
+def test_rounds_are_as_rare_as_the_exchange_needs(
+    simulated_entry, entry_count, pause_s
+):
+    simulated_entry.view.entry_count = entry_count
+    assert simulated_entry.exchange.find_pause_s() == pytest.approx(pause_s)
--- a/tests/programs/entry/test_metrics.py
+++ b/tests/programs/entry/test_metrics.py
@@ -3,7 +3,7 @@
 from collections import Counter
 from types import SimpleNamespace
 
-from chestnutvale.observability.metrics import Metrics
+from chestnutvale.observability.otel_metrics import OtelMetrics
 from chestnutvale.programs.entry.metrics import register_decision_metrics
 
 
@@ -14,7 +14,7 @@
         attempt_results=Counter(whole=6, broken=1),
     )
     link = SimpleNamespace(lease_changes=Counter(won=1), stalls=3)
-    with Metrics("test") as metrics:
+    with OtelMetrics("test") as metrics:
         register_decision_metrics(metrics, context, link)
         decisions["admitted"] += 1
         metric_lines = metrics.render().decode().splitlines()
--- a/tests/routing/test_stall_detection.py
+++ b/tests/routing/test_stall_detection.py
@@ -116,3 +116,12 @@
         "e1", {"g": 0.1}, frozenset(), 10.7, unheard=frozenset({"g"})
     )
     assert aggregator.stalled_groups(10.7) == {"g"}
+
+
+def test_no_group_can_stall_while_no_stream_runs():
+    detector = StallDetector()
+    assert not detector.has_streams
+    detector.record_sent("a1", "g1", 1.0)
+    assert detector.has_streams
+    detector.forget_attempt("a1")
+    assert not detector.has_streams
