Tell refused callers a time that they can use; end streams that complete no event

Cause: each refusal reserved drain time in the future, also for callers whose deadline passes before. A stream that sent bytes without completing an event was kept until the call's deadline, since each byte put off the look at the clock. Change: a caller that gives up before its turn reserves nothing; a stream ends at its idle deadline whatever bytes arrive. Result: the new tests fail without the changes. test_retries_are_spread_at_the_drain_rate passes its deadline, which is beyond all its turns; its bounds are unchanged.

--- a/chestnutvale/admission/pacing.py
+++ b/chestnutvale/admission/pacing.py
@@ -62,7 +62,8 @@
     """Spreads the retries of refused callers over time.
 
     Each refusal reserves the drain time that its caller will need on retry, so the
-    next refused caller gets a later Retry-After.
+    next refused caller gets a later Retry-After. A caller whose deadline passes before
+    its turn does not come back then, and reserves nothing.
 
     Parameters
     ----------
@@ -74,7 +75,12 @@
     _booked_until_s: float = 0.0
 
     def retry_after_s(
-        self, now_s: float, backlog_tokens: float, cost: int, drain_rate: float
+        self,
+        now_s: float,
+        backlog_tokens: float,
+        cost: int,
+        drain_rate: float,
+        deadline_s: float,
     ) -> float:
         """Return the seconds after which a refused caller should retry.
 
@@ -88,12 +94,19 @@
             Tokens that the caller will reserve.
         drain_rate : float
             Tokens released per second.
+        deadline_s : float
+            Monotonic time in seconds at which the caller gives up.
         """
         drained_s = now_s + backlog_tokens / drain_rate
-        return self._book(drained_s, now_s, cost, drain_rate)
+        return self._book(drained_s, now_s, cost, drain_rate, deadline_s)
 
     def retry_after_return_s(
-        self, now_s: float, returns_at_s: float, cost: int, drain_rate: float
+        self,
+        now_s: float,
+        returns_at_s: float,
+        cost: int,
+        drain_rate: float,
+        deadline_s: float,
     ) -> float:
         """Return the seconds after which a caller of a paused service should retry.
 
@@ -107,15 +120,23 @@
             Tokens that the caller will reserve.
         drain_rate : float
             Tokens released per second once it does.
+        deadline_s : float
+            Monotonic time in seconds at which the caller gives up.
         """
-        return self._book(returns_at_s, now_s, cost, drain_rate)
+        return self._book(returns_at_s, now_s, cost, drain_rate, deadline_s)
 
     def _book(
-        self, earliest_s: float, now_s: float, cost: int, drain_rate: float
+        self,
+        earliest_s: float,
+        now_s: float,
+        cost: int,
+        drain_rate: float,
+        deadline_s: float,
     ) -> float:
         latest_s = now_s + RETRY_AFTER_MAX_S
         start_s = max(earliest_s, self._booked_until_s)
-        self._booked_until_s = min(latest_s, start_s + cost / drain_rate)
+        if start_s < deadline_s:
+            self._booked_until_s = min(latest_s, start_s + cost / drain_rate)
         return self.add_jitter(start_s - now_s)
 
     def add_jitter(self, estimate_s: float) -> float:
--- a/chestnutvale/admission/service.py
+++ b/chestnutvale/admission/service.py
@@ -143,7 +143,7 @@
         """Admit, queue or refuse a new request."""
         cost = self._cost(request)
         if self.capacity.groups == 0:
-            retry_s = self._retry_without_capacity_s(cost, now_s)
+            retry_s = self._retry_without_capacity_s(request, cost, now_s)
             return [Refuse(request.request_id, CODE_NO_CAPACITY, retry_s)]
         if self._is_too_large(request):
             return [Refuse(request.request_id, CODE_TOO_LARGE, 0.0)]
@@ -406,7 +406,7 @@
         self.refused.record_refusal(request.workspace, cost, now_s)
         backlog = self._tokens_ahead(request) + cost - (self.limit - self.reserved)
         retry_s = self.pacer.retry_after_s(
-            now_s, max(0.0, backlog), cost, self._drain_rate()
+            now_s, max(0.0, backlog), cost, self._drain_rate(), request.deadline_s
         )
         return Refuse(request.request_id, code, retry_s)
 
@@ -416,16 +416,22 @@
             self.queue.remove(waiter)
             request_id = waiter.request.request_id
             del self._waiting[request_id]
-            retry_s = self._retry_without_capacity_s(waiter.cost, now_s)
+            retry_s = self._retry_without_capacity_s(waiter.request, waiter.cost, now_s)
             effects.append(Refuse(request_id, CODE_NO_CAPACITY, retry_s))
         return effects
 
-    def _retry_without_capacity_s(self, cost: int, now_s: float) -> float:
+    def _retry_without_capacity_s(
+        self, request: AdmissionRequest, cost: int, now_s: float
+    ) -> float:
         if not math.isfinite(self.capacity.returns_at_s):
             return self.pacer.add_jitter(NO_CAPACITY_RETRY_S)
         drain_rate = self.hold_times.drain_rate(self._usual_limit)
         return self.pacer.retry_after_return_s(
-            now_s, self.capacity.returns_at_s, cost, drain_rate
+            now_s,
+            self.capacity.returns_at_s,
+            cost,
+            drain_rate,
+            request.deadline_s,
         )
 
     def _change_reserved(self, priority: str, tokens: int) -> None:
--- a/chestnutvale/attempts/model_call.py
+++ b/chestnutvale/attempts/model_call.py
@@ -204,6 +204,9 @@
             effects += self._fail_deadline()
         elif fault:
             effects += self._break_attempt(fault, now_s)
+        elif now_s >= self._idle_deadline_s:
+            # Bytes arrive, but no event is completed.
+            effects += self._break_attempt(REASON_SILENT, now_s)
         return effects
 
     def _on_refused(self, event: AttemptRefused, now_s: float) -> list[CallEffect]:
--- a/tests/admission/test_learning.py
+++ b/tests/admission/test_learning.py
@@ -102,7 +102,7 @@
 
 def test_retries_are_spread_at_the_drain_rate():
     pacer = RetryPacer(random.Random(5))
-    returns = [pacer.retry_after_s(0.0, 1000, 100, 1000.0) for _ in range(300)]
+    returns = [pacer.retry_after_s(0.0, 1000, 100, 1000.0, 1e9) for _ in range(300)]
     per_second = [sum(s <= r < s + 1 for r in returns) for s in range(90)]
     # The drain rate admits ten such callers per second.
     assert max(per_second) <= 20
--- a/tests/attempts/test_model_call.py
+++ b/tests/attempts/test_model_call.py
@@ -274,6 +274,28 @@
     assert [type(e) for e in call.handle(Tick(), now_s)] == kinds
 
 
+def test_bytes_without_a_complete_event_do_not_keep_a_stalled_stream(call):
+    attempt_id = start(call)
+    call.handle(EventsArrived(attempt_id, [token(attempt_id, 0)]), 1.0)
+    step_s = STREAM_IDLE_TIMEOUT_S / 100
+    kinds = []
+    for number in range(1, 103):
+        # The endpoint sends a byte now and then, but no event is completed.
+        effects = call.handle(EventsArrived(attempt_id, []), 1.0 + number * step_s)
+        kinds += [type(effect) for effect in effects]
+    assert kinds == [CancelAttempt, ChooseGroup]
+
+
+def test_a_slow_stream_that_completes_events_goes_on(call):
+    attempt_id = start(call)
+    for number in range(4):
+        now_s = 0.9 * STREAM_IDLE_TIMEOUT_S * (number + 1)
+        effects = call.handle(
+            EventsArrived(attempt_id, [token(attempt_id, number)]), now_s
+        )
+        assert [type(effect) for effect in effects] == [Deliver]
+
+
 def test_stream_that_goes_on_is_ended_at_the_deadline(call):
     attempt_id = start(call)
     events = EventsArrived(attempt_id, [token(attempt_id, 0)])
