--- a/chestnutvale/groups/coordinator.py
+++ b/chestnutvale/groups/coordinator.py
@@ -9,6 +9,7 @@
 from chestnutvale.groups.order_messages import STAGE_SUFFIX
 from chestnutvale.groups.orders import OrderOutcome, OrderScheduler, SendOrder
 from chestnutvale.groups.planner import GroupCommand, GroupPlanner, PlanInputs
+from chestnutvale.groups.spare_orders import make_spare_order
 from chestnutvale.groups.state import GroupsState
 from chestnutvale.membership.table import MembershipTable
 from chestnutvale.schema.command_pb2 import Command
@@ -153,15 +154,11 @@
             *self.planner.plan(inputs, now_s),
         ]
         proposals = [_to_proposal(command, now_unix_ms) for command in commands]
-        staging = [
-            self.orders.make_staging_order(item, text, state, now_s, now_unix_ms)
-            for item in self.planner.pop_staging_requests()
+        spare_orders = [
+            make_spare_order(request, text, state, now_s, now_unix_ms)
+            for request in self.planner.pop_spare_requests()
         ]
-        warm_ups = [
-            self.orders.make_warm_up_order(item, text, state, now_s, now_unix_ms)
-            for item in self.planner.pop_warm_up_requests()
-        ]
-        return [*sends, *proposals, *staging, *warm_ups]
+        return [*sends, *proposals, *spare_orders]
 
     def order_answered(
         self, host_id: str, order_id: str, outcome: OrderOutcome, now_s: float
--- a/chestnutvale/groups/free_hosts.py
+++ b/chestnutvale/groups/free_hosts.py
@@ -15,6 +15,26 @@
 NONE_PENDING: Final[Mapping[str, str]] = MappingProxyType({})
 
 
+@attrs.frozen
+class SpareRequest:
+    """A free host that should prepare for the groups of a service now.
+
+    Attributes
+    ----------
+    host : HostRecord
+        The host; no group owns it.
+    service : str
+        The service.
+    is_warm_up : bool
+        Whether it should warm up, since it has the weights staged; else it should stage
+        them.
+    """
+
+    host: HostRecord
+    service: str
+    is_warm_up: bool = False
+
+
 @attrs.define
 class FreeHostSet:
     """Free hosts of one fabric domain and pool.
--- a/chestnutvale/groups/orders.py
+++ b/chestnutvale/groups/orders.py
@@ -25,8 +25,6 @@
     make_open_order,
     make_release_order,
     make_release_order_id,
-    make_stage_order,
-    make_warm_up_order,
     may_rejoin_group,
 )
 from chestnutvale.groups.serving import (
@@ -35,9 +33,7 @@
     is_head_open,
 )
 from chestnutvale.groups.settings import GroupsPolicy
-from chestnutvale.groups.staging import StagingRequest
 from chestnutvale.groups.state import GroupsState
-from chestnutvale.groups.warm_up import WarmUpRequest
 from chestnutvale.membership.host_record import HostRecord
 from chestnutvale.membership.table import MembershipTable
 from chestnutvale.schema.configuration_pb2 import Text
@@ -218,70 +214,6 @@
         self._reserve_unannounced_loads(state, table, budget)
         return budget.remaining_loads
 
-    def make_staging_order(
-        self,
-        item: StagingRequest,
-        text: Text,
-        state: GroupsState,
-        now_s: float,
-        now_unix_ms: int,
-    ) -> SendOrder:
-        """Return the order for a host to stage weights.
-
-        Parameters
-        ----------
-        item : StagingRequest
-            Host and service.
-        text : Text
-            Configuration in force.
-        state : GroupsState
-            Replicated state of the groups.
-        now_s : float
-            Monotonic time in seconds.
-        now_unix_ms : int
-            Wall-clock time in milliseconds, for the expiry of the order.
-
-        Returns
-        -------
-        SendOrder
-            The order; the scheduler does not retry it.
-        """
-        model = text.services[item.service].model
-        order = make_stage_order(item.host, item.service, model, state.last_fence)
-        return _make_send(item.host, order, now_s, now_unix_ms)
-
-    def make_warm_up_order(
-        self,
-        item: WarmUpRequest,
-        text: Text,
-        state: GroupsState,
-        now_s: float,
-        now_unix_ms: int,
-    ) -> SendOrder:
-        """Return the order for a free host to warm up.
-
-        Parameters
-        ----------
-        item : WarmUpRequest
-            Host and service.
-        text : Text
-            Configuration in force.
-        state : GroupsState
-            Replicated state of the groups.
-        now_s : float
-            Monotonic time in seconds.
-        now_unix_ms : int
-            Wall-clock time in milliseconds, for the expiry of the order.
-
-        Returns
-        -------
-        SendOrder
-            The order; the scheduler does not retry it.
-        """
-        model = text.services[item.service].model
-        order = make_warm_up_order(item.host, item.service, model, state.last_fence)
-        return _make_send(item.host, order, now_s, now_unix_ms)
-
     def record_answer(
         self, host_id: str, order_id: str, outcome: OrderOutcome, now_s: float
     ) -> None:
@@ -564,11 +496,3 @@
         if table.is_fresh(release.host_id, now_s):
             return False
         return now_unix_ms - release.released_at_unix_ms > RELEASE_RETENTION_MS
-
-
-def _make_send(
-    host: HostRecord, order: Order, now_s: float, now_unix_ms: int
-) -> SendOrder:
-    order.expires_at_unix_ms = now_unix_ms + round(ORDER_LIFETIME_S * 1_000)
-    address = host.announcement.address
-    return SendOrder(host.host_id, address, order, now_s + ORDER_TIMEOUT_S)
--- a/chestnutvale/groups/planner.py
+++ b/chestnutvale/groups/planner.py
@@ -19,6 +19,7 @@
     lacks_live_entries,
 )
 from chestnutvale.groups.fleet import Fleet, make_member
+from chestnutvale.groups.free_hosts import SpareRequest
 from chestnutvale.groups.idle_tracker import IdleTracker
 from chestnutvale.groups.plain_services import plan_plain_groups
 from chestnutvale.groups.pools import (
@@ -33,9 +34,9 @@
 from chestnutvale.groups.services import sort_model_services
 from chestnutvale.groups.serving import find_readiness_fault
 from chestnutvale.groups.settings import GroupsPolicy
-from chestnutvale.groups.staging import StagingPlanner, StagingRequest
+from chestnutvale.groups.staging import StagingPlanner
 from chestnutvale.groups.state import GroupsState
-from chestnutvale.groups.warm_up import WarmUpPlanner, WarmUpRequest
+from chestnutvale.groups.warm_up import WarmUpPlanner
 from chestnutvale.membership.table import MembershipTable
 from chestnutvale.schema.configuration_pb2 import Service, Text
 from chestnutvale.schema.groups_pb2 import (
@@ -115,8 +116,7 @@
         init=False,
     )
     warm_up: WarmUpPlanner = attrs.field(factory=WarmUpPlanner, init=False)
-    _staging_requests: list[StagingRequest] = attrs.field(factory=list, init=False)
-    _warm_up_requests: list[WarmUpRequest] = attrs.field(factory=list, init=False)
+    _spare_requests: list[SpareRequest] = attrs.field(factory=list, init=False)
 
     def became_leader(self, now_s: float) -> None:
         """Discard observations from an earlier term as leader.
@@ -131,26 +131,15 @@
         self.staging.reset()
         self.warm_up.reset()
 
-    def pop_staging_requests(self) -> list[StagingRequest]:
-        """Return the staging requests of the last round and clear them.
+    def pop_spare_requests(self) -> list[SpareRequest]:
+        """Return what free hosts should do after the last round, and clear it.
 
         Returns
         -------
-        list of StagingRequest
-            Hosts and the weights that they should stage.
+        list of SpareRequest
+            Hosts and the weights that they should stage or warm up for.
         """
-        chosen, self._staging_requests = self._staging_requests, []
-        return chosen
-
-    def pop_warm_up_requests(self) -> list[WarmUpRequest]:
-        """Return the warm-ups of the last round and clear them.
-
-        Returns
-        -------
-        list of WarmUpRequest
-            Hosts and the services for which they should warm up.
-        """
-        chosen, self._warm_up_requests = self._warm_up_requests, []
+        chosen, self._spare_requests = self._spare_requests, []
         return chosen
 
     def plan(self, inputs: PlanInputs, now_s: float) -> list[GroupCommand]:
@@ -203,7 +192,7 @@
         yield from self.pools.plan(
             inputs.state, inputs.table, inputs.text, fleet, now_s
         )
-        self._staging_requests = self.staging.plan(
+        self._spare_requests = self.staging.plan(
             select_pooled_services(inputs.text),
             inputs.state.groups.values(),
             fleet,
@@ -215,7 +204,7 @@
         if not inputs.state.last_fence:
             # A warm-up needs an epoch, and before the first group no host is spare.
             return
-        self._warm_up_requests = self.warm_up.plan(
+        self._spare_requests += self.warm_up.plan(
             select_pooled_services(inputs.text),
             fleet,
             self.staging.pending_host_ids,
--- a/chestnutvale/groups/staging.py
+++ b/chestnutvale/groups/staging.py
@@ -16,6 +16,7 @@
 from chestnutvale.groups.fleet import Fleet
 from chestnutvale.groups.free_hosts import (
     FreeHostSet,
+    SpareRequest,
     collect_free_hosts,
     count_domains,
     count_prospects,
@@ -37,22 +38,6 @@
     expires_at_s: float
 
 
-@attrs.frozen
-class StagingRequest:
-    """A host that should stage the weights of a service now.
-
-    Attributes
-    ----------
-    host : HostRecord
-        The host; no group owns it.
-    service : str
-        The service.
-    """
-
-    host: HostRecord
-    service: str
-
-
 @attrs.frozen
 class _StagingOption:
     """Loads that complete the next whole group of a model in a domain."""
@@ -113,7 +98,7 @@
         remaining_loads: int,
         is_settled: bool,
         now_s: float,
-    ) -> list[StagingRequest]:
+    ) -> list[SpareRequest]:
         """Plan one round.
 
         Parameters
@@ -134,7 +119,7 @@
 
         Returns
         -------
-        list of StagingRequest
+        list of SpareRequest
             Staging to order now.
         """
         self._discard_finished(fleet, now_s)
@@ -142,7 +127,7 @@
         if not services or not is_settled or available_loads <= 0:
             return []
         groups = list(groups)
-        chosen: list[StagingRequest] = []
+        chosen: list[SpareRequest] = []
         for pool, host_sets in collect_free_hosts(fleet).items():
             pool_services = {
                 name: item for name, item in services.items() if item.pool == pool
@@ -207,7 +192,7 @@
         fleet: Fleet,
         placement: PoolPlacement,
         host_sets: list[FreeHostSet],
-    ) -> Iterator[StagingRequest]:
+    ) -> Iterator[SpareRequest]:
         """Yield the loads of the best option until none is left.
 
         The caller records each one as pending before it asks for the next.
@@ -235,7 +220,7 @@
                 return
             best = min(options, key=lambda option: option.rank)
             for host in best.hosts:
-                yield StagingRequest(host, best.service)
+                yield SpareRequest(host, best.service)
 
     def _make_option(
         self,
--- a/chestnutvale/groups/warm_up.py
+++ b/chestnutvale/groups/warm_up.py
@@ -6,28 +6,12 @@
 
 from chestnutvale.groups.const import WARM_UP_RETRY_S
 from chestnutvale.groups.fleet import Fleet
-from chestnutvale.groups.free_hosts import is_staged
+from chestnutvale.groups.free_hosts import SpareRequest, is_staged
 from chestnutvale.membership.const import HOLDING_LOADING
 from chestnutvale.membership.host_record import HostRecord
 from chestnutvale.schema.configuration_pb2 import Service
 
 
-@attrs.frozen
-class WarmUpRequest:
-    """A free host that should warm up for a service now.
-
-    Attributes
-    ----------
-    host : HostRecord
-        The host; no group owns it.
-    service : str
-        The service, whose weights it has staged.
-    """
-
-    host: HostRecord
-    service: str
-
-
 @attrs.define
 class _PendingWarmUp:
     """Warm-up that a host was ordered to do."""
@@ -59,7 +43,7 @@
         fleet: Fleet,
         staging_host_ids: Iterable[str],
         now_s: float,
-    ) -> list[WarmUpRequest]:
+    ) -> list[SpareRequest]:
         """Plan one round.
 
         Parameters
@@ -75,7 +59,7 @@
 
         Returns
         -------
-        list of WarmUpRequest
+        list of SpareRequest
             Warm-ups to order now.
         """
         busy_ids = {*staging_host_ids, *fleet.pool_allocated}
@@ -99,16 +83,16 @@
     @staticmethod
     def _find_cold_hosts(
         services: Mapping[str, Service], fleet: Fleet
-    ) -> Iterator[WarmUpRequest]:
+    ) -> Iterator[SpareRequest]:
         for hosts in fleet.free_by_domain.values():
             for host in hosts:
                 if not host.announcement.opens or _is_warming_up(host):
                     continue
                 for service in services:
                     if is_staged(host, service) and host.warm_service != service:
-                        yield WarmUpRequest(host, service)
+                        yield SpareRequest(host, service, is_warm_up=True)
 
-    def _is_due(self, request: WarmUpRequest, now_s: float) -> bool:
+    def _is_due(self, request: SpareRequest, now_s: float) -> bool:
         pending = self._pending.get(request.host.host_id)
         if pending is None or pending.boot_id != request.host.boot_id:
             return True
--- a/tests/groups/test_staging.py
+++ b/tests/groups/test_staging.py
@@ -103,7 +103,7 @@
         remaining_loads=20,
     )
     planner.plan(inputs, 2.7)
-    assert "d0-900" in {item.host.host_id for item in planner.pop_staging_requests()}
+    assert "d0-900" in {item.host.host_id for item in planner.pop_spare_requests()}
 
 
 class FreePool:
