--- a/chestnutvale/groups/planner.py
+++ b/chestnutvale/groups/planner.py
@@ -190,7 +190,12 @@
             return
         self.pools.pool_demand.observe(inputs.demand, now_s)
         yield from self.pools.plan(
-            inputs.state, inputs.table, inputs.text, fleet, now_s
+            inputs.state,
+            inputs.table,
+            inputs.text,
+            fleet,
+            now_s,
+            may_load=inputs.remaining_loads > len(self.staging.pending_host_ids),
         )
         self._spare_requests = self.staging.plan(
             select_pooled_services(inputs.text),
--- a/chestnutvale/groups/pools.py
+++ b/chestnutvale/groups/pools.py
@@ -94,6 +94,8 @@
         text: Text,
         fleet: Fleet,
         now_s: float,
+        *,
+        may_load: bool = True,
     ) -> Iterator[PoolCommand]:
         """Plan one round.
 
@@ -109,6 +111,8 @@
             Hosts available in this round; allocated hosts are removed from it.
         now_s : float
             Monotonic time in seconds.
+        may_load : bool, optional
+            Whether further loads of weights may start now.
 
         Yields
         ------
@@ -125,8 +129,11 @@
                 yield command
             if group.phase != PHASE_DRAINING and not isinstance(command, RemoveGroup):
                 kept.append(group)
-        if services:
+        if services and may_load:
+            # Other hosts wait for weights already; those of a group that is given up
+            # would wait behind them.
             yield from self._rebalance(services, kept, fleet, table, now_s)
+        if services:
             has_settled = is_settled(table, now_s)
             yield from self._form_groups(services, kept, state, fleet, has_settled)
 
--- a/tests/groups/test_pools.py
+++ b/tests/groups/test_pools.py
@@ -70,11 +70,13 @@
         )
         self.table.merge_control_report("control-1", [heard], now_s)
 
-    def plan(self, now_s):
+    def plan(self, now_s, may_load=True):
         fleet = Fleet.collect(self.state, self.table, now_s)
         self.idle_tracker.observe(self.state, self.table, now_s)
         commands = list(
-            self.planner.plan(self.state, self.table, make_text(), fleet, now_s)
+            self.planner.plan(
+                self.state, self.table, make_text(), fleet, now_s, may_load=may_load
+            )
         )
         for command in commands:
             if isinstance(command, PutGroup):
@@ -358,6 +360,17 @@
     assert not [c for c in pool.plan(4.8) if isinstance(c, PutGroup)]
 
 
+def test_no_group_is_given_up_while_other_hosts_wait_for_loads():
+    pool = make_serving_pool()
+    for host_id in all_hosts():
+        pool.announce(host_id, 2.2)
+    pool.planner.pool_demand.observe({BIG: 1.0, SMALL: 20.0}, 2.2)
+    for now_s in (2.3, 4.6, 4.8):
+        assert pool.plan(now_s, may_load=False) == []
+    # The delay counts from the moment at which loads may start again.
+    assert pool.plan(4.9) == []
+
+
 def test_models_with_similar_pressure_keep_their_groups():
     pool = make_serving_pool()
     for host_id in all_hosts():
