--- a/chestnutvale/groups/order_messages.py
+++ b/chestnutvale/groups/order_messages.py
@@ -141,7 +141,7 @@
     )
 
 
-# Suffix of the order_id of warm-up orders, by which their answers are recognised.
+# Suffix of the order_id of warm-up orders, which no other order has.
 WARM_UP_SUFFIX = "-warm-up"
 
 
--- a/chestnutvale/groups/staging.py
+++ b/chestnutvale/groups/staging.py
@@ -193,7 +193,7 @@
         placement: PoolPlacement,
         host_sets: list[FreeHostSet],
     ) -> Iterator[SpareRequest]:
-        """Yield the loads of the best option until none is left.
+        """Yield the loads of the best options, one option after the other.
 
         The caller records each one as pending before it asks for the next.
         """
