--- a/tests/processes/test_history.py
+++ b/tests/processes/test_history.py
@@ -51,13 +51,17 @@
     recorder = HistoryRecorder(deployment, tmp_path, seed)
     injector = FaultInjector(deployment, seed)
     recorder.start_clients()
-    time.sleep(2.0)
-    for _ in range(FAULT_COUNT):
-        injector.inject_fault()
-        time.sleep(injector.rng.uniform(*PAUSE_RANGE_S))
-        if injector.rng.random() < 0.6:
-            injector.undo_faults()
-    injector.undo_faults()
-    deployment.wait_until_groups_serve(GROUP_COUNT)
-    recorder.stop_clients()
+    try:
+        time.sleep(2.0)
+        for _ in range(FAULT_COUNT):
+            injector.inject_fault()
+            time.sleep(injector.rng.uniform(*PAUSE_RANGE_S))
+            if injector.rng.random() < 0.6:
+                injector.undo_faults()
+        injector.undo_faults()
+        deployment.wait_until_groups_serve(GROUP_COUNT)
+    finally:
+        # A failure must leave neither faults nor clients to the tests that follow.
+        injector.undo_faults()
+        recorder.stop_clients()
     recorder.check_history(deployment.fetch_run_counts())
