Let any host leave in the refresh test again, and drop figures without a run

Cause: read of the whole change. Change: any host may leave at the rate of before, from 130 s on; bounds unchanged.

--- a/chestnutvale/observability/metrics.py
+++ b/chestnutvale/observability/metrics.py
@@ -51,8 +51,7 @@
 class NoMetrics:
     """Metrics of a process whose interface serves none.
 
-    It saves the start-up time and memory of the exporting libraries, which are a fifth
-    of those of an entry.
+    It saves the start-up time and memory of the exporting libraries.
     """
 
     def __enter__(self) -> Self:
--- a/tests/membership/test_incremental_refresh.py
+++ b/tests/membership/test_incremental_refresh.py
@@ -50,7 +50,7 @@
         content = Announcement(
             host_id=host,
             boot_id=f"{host}.{self.boots[host]}",
-            leaving=self.rng.random() < 0.01 and self.may_leave(host),
+            leaving=self.rng.random() < 0.01 and self.may_leave,
             holding=Holding(group_id=group_id, epoch=epoch, phase="ready"),
             load=Load(running=self.rng.randrange(3)),
         )
@@ -65,9 +65,10 @@
             heard.changed.CopyFrom(content)
         self.table.merge_entry_report("e", [heard], self.now_s)
 
-    def may_leave(self, host):
-        """Let only the last host of each group leave, as it does not come back."""
-        return int(host[1:]) % GROUP_SIZE == GROUP_SIZE - 1 and self.now_s > 130.0
+    @property
+    def may_leave(self):
+        """Whether hosts leave by now; a boot that has left does not come back."""
+        return self.now_s > 130.0
 
     def step(self):
         """Apply one random event and advance the time."""
