Add failing tests of streams that are cut because their endpoint is silent

What callers see: an endpoint pauses for 1.5 s and goes on, and the caller's answer ends with 502 or without its end.

Causes, as the tests show them on the current code: - ModelCall ends an attempt after the gap timeout even if the route is not resumable, or no attempt or retry is left, and then fails the call. - A view that lists a group as stalled aborts all attempts there, whether or not they can go on elsewhere.

--- a/tests/attempts/test_model_call.py
+++ b/tests/attempts/test_model_call.py
@@ -274,6 +274,31 @@
     assert [type(e) for e in call.handle(Tick(), now_s)] == kinds
 
 
+NO_RETRIES = AttemptBudgets(RetryBudget(0.0, 0.0), RetryBudget(0.0, 0.0))
+
+
+@pytest.mark.parametrize("has_begun", [False, True])
+@pytest.mark.parametrize(
+    ("budgets", "limits"),
+    [
+        (AttemptBudgets(), CallLimits(max_attempts=1)),
+        (AttemptBudgets(), CallLimits(is_resumable=False)),
+        (NO_RETRIES, CallLimits()),
+    ],
+    ids=["last-attempt", "not-resumable", "no-retry-budget"],
+)
+def test_silent_last_attempt_is_not_cut(budgets, limits, has_begun):
+    call = ModelCall("r", DEADLINE_S, budgets, limits)
+    attempt_id = start(call)
+    if has_begun:
+        call.handle(EventsArrived(attempt_id, [token(attempt_id, 0)]), 0.0)
+    assert call.handle(Tick(), STREAM_IDLE_TIMEOUT_S) == []
+    events = [token(attempt_id, i) for i in range(int(has_begun), TOKENS)]
+    events += [end(attempt_id), DONE]
+    effects = call.handle(EventsArrived(attempt_id, events), 2 * STREAM_IDLE_TIMEOUT_S)
+    assert effects[-1] == Finish()
+
+
 def test_bytes_without_a_complete_event_do_not_keep_a_stalled_stream(call):
     attempt_id = start(call)
     call.handle(EventsArrived(attempt_id, [token(attempt_id, 0)]), 1.0)
--- a/tests/programs/entry/routed/test_streams.py
+++ b/tests/programs/entry/routed/test_streams.py
@@ -96,6 +96,35 @@
     assert (body, is_complete) == (COMPLETE_STREAM, True)
 
 
+SILENCE_S = 1.5
+
+
+def pause_before(event_number):
+    """Make a step that is silent before one event; 0 stands for the head."""
+
+    def step(sock, request):
+        eventlet.sleep(0.0 if event_number else SILENCE_S)
+        sock.sendall(stream_head())
+        for number in range(1, LAST_EVENT + 1):
+            eventlet.sleep(SILENCE_S if number == event_number else 0.0)
+            sock.sendall(chunk(event(number)))
+        sock.sendall(b"0\r\n\r\n")
+
+    return step
+
+
+@pytest.mark.parametrize("event_number", [0, 1, 4])
+@pytest.mark.parametrize("path", ["/fixed/x", "/gen/x"])
+def test_silent_endpoint_without_alternative_answers_whole(
+    endpoint, path, event_number
+):
+    endpoint.default = pause_before(event_number)
+    with routed_entry(endpoint) as entry:
+        status, _, body, is_complete = call(entry.address, path, b"p", X_Model="m")
+    assert (status, body, is_complete) == (200, COMPLETE_STREAM, True)
+    assert len(endpoint.requests) == 1
+
+
 def test_caller_resumes_after_its_last_event(endpoint):
     endpoint.default = stream()
     with routed_entry(endpoint) as entry:
--- a/tests/programs/entry/test_entry_context.py
+++ b/tests/programs/entry/test_entry_context.py
@@ -112,6 +112,19 @@
     assert attempt.is_aborted is is_aborted
 
 
+def test_stalled_group_does_not_cut_streams_that_cannot_move():
+    clock = ManualClock()
+    context, view, _ = make_context(clock)
+    receive_view(context, view, make_view(1, serving=True), clock)
+    attempt = FakeAttempt()
+    context.running.add("g1", 1, attempt)
+    message = make_view(2, serving=True)
+    message.stalled_group_ids.append("g1")
+    receive_view(context, view, message, clock)
+    assert view.newly_stalled == {"g1"}
+    assert not attempt.is_aborted
+
+
 def test_call_waits_for_first_lease_after_start():
     clock = SystemClock()
     context, view, _ = make_context(clock)
