Keep a silent attempt that the call can't leave

What callers saw: a pause of its endpoint beyond the gap timeout (0.7 s, or 1.2 s before the first event) ended a stream with a broken connection or 502: the first pause if the route is not resumable, the second one if it is, and any pause while the retry budget was empty or no other group was left.

Cause: ModelCall cancelled the attempt on silence first and looked for a way to continue afterwards. The timeout also ended the exchange itself, as a read of a chunked body can't be repeated after it timed out.

Change: on a tick the call leaves a silent attempt only if the route and the answer allow a resume, an attempt and a retry are left, and a group of its version serves that is neither used, stalled nor recently failed. Otherwise it keeps the attempt and asks again after the same timeout. A call that can move does so at the same moment as before. Bytes that complete no event still end the attempt; their time counts from the first byte, and from the first one after a pause.

Observability: silence_tolerated (request, group, silence_ms, reason), once for each attempt, and the metric chestnutvale_attempts_kept_silent.

--- a/benchmarks/attempts_http.py
+++ b/benchmarks/attempts_http.py
@@ -161,6 +161,12 @@
         """Return the one group."""
         return self._view
 
+    def has_alternative(
+        self, request: CallRequest, excluded: frozenset[str], version: str
+    ) -> bool:
+        """Return that no other group is left."""
+        return False
+
     def report_attempt(self, report: AttemptReport) -> None:
         """Discard the report."""
 
--- a/chestnutvale/attempts/call_limits.py
+++ b/chestnutvale/attempts/call_limits.py
@@ -17,8 +17,9 @@
     max_attempts : int
         Endpoints that the call may be sent to.
     first_event_timeout_s, gap_timeout_s : float
-        Time in seconds without an event after which an attempt is abandoned: before
-        the first event, and between two events.
+        Time in seconds without an event after which an attempt is abandoned if the
+        call can continue at another group: before the first event, and between two
+        events.
     is_resumable : bool
         Whether another group may continue an answer whose stream broke.
     """
--- a/chestnutvale/attempts/const.py
+++ b/chestnutvale/attempts/const.py
@@ -31,6 +31,8 @@
 CODE_REFUSED: Final = "endpoint_refused"
 CODE_BAD_REQUEST: Final = "bad_request"
 CODE_CALLER_GONE: Final = "caller_gone"
+# Why a silent attempt is kept, besides the codes above.
+CODE_NOT_RESUMABLE: Final = "not_resumable"
 
 # Reason for abandoning an attempt whose connection is still open.
 REASON_SILENT: Final = "the stream fell silent"
--- a/chestnutvale/attempts/retry_budget.py
+++ b/chestnutvale/attempts/retry_budget.py
@@ -31,6 +31,11 @@
         """Number of retries in the budget."""
         return self._available
 
+    @property
+    def has_retry(self) -> bool:
+        """Whether `try_retry` would succeed."""
+        return self._available >= 1.0
+
     def count_call(self) -> None:
         """Add the share of a new call to the budget."""
         self._available = min(self.reserve, self._available + self.share)
@@ -68,7 +73,7 @@
         bool
             Whether the retry may be made.
         """
-        if self._available < 1.0:
+        if not self.has_retry:
             return False
         self._available -= 1.0
         return True
--- a/chestnutvale/observability/catalog.py
+++ b/chestnutvale/observability/catalog.py
@@ -179,6 +179,12 @@
     "Attempts that ended with this result.",
     (LABEL_REASON,),
 )
+KEPT_ATTEMPTS: Final = Metric(
+    "chestnutvale.attempts.kept.silent",
+    "{attempt}",
+    "Silent attempts that were kept because the call could not go on elsewhere.",
+    (LABEL_REASON,),
+)
 STALLS: Final = Metric(
     "chestnutvale.groups.stalled",
     "{group}",
--- a/chestnutvale/programs/entry/context.py
+++ b/chestnutvale/programs/entry/context.py
@@ -342,6 +342,28 @@
             serve it.
         """
 
+    def has_alternative(
+        self, request: CallRequest, excluded: frozenset[str], version: str
+    ) -> bool:
+        """Tell whether another group can take over a call now.
+
+        Groups that have stalled or recently failed do not count.
+
+        Parameters
+        ----------
+        request : CallRequest
+            The call.
+        excluded : frozenset of str
+            Group ids that the call must not use.
+        version : str
+            Version that the group must serve; empty allows any.
+
+        Returns
+        -------
+        bool
+            Whether there is such a group.
+        """
+
     def may_send(self, endpoint: Incarnation) -> bool:
         """Tell whether an endpoint takes requests of this entry now.
 
@@ -391,6 +413,23 @@
             The attempt.
         """
 
+    def report_kept_attempt(
+        self, request: CallRequest, group_id: str, reason: str, silence_s: float
+    ) -> None:
+        """Record that an attempt was kept although it is silent.
+
+        Parameters
+        ----------
+        request : CallRequest
+            The call.
+        group_id : str
+            The group that runs it.
+        reason : str
+            Code of why the call can't continue at another group.
+        silence_s : float
+            Time in seconds since the last bytes of the attempt.
+        """
+
     def commit(self, command: Command, deadline_s: float) -> CommandResult:
         """Commit a command in the replicated log; blocks the greenlet.
 
--- a/chestnutvale/programs/entry/entry_context.py
+++ b/chestnutvale/programs/entry/entry_context.py
@@ -70,6 +70,8 @@
         Called when an endpoint told this entry that it leaves.
     notice_counts : Counter
         Number of endpoints that were ``leaving`` and ``paused`` by their own answers.
+    kept_attempts : Counter
+        Number of attempts that were kept although silent, by the code of the reason.
     """
 
     def __init__(
@@ -96,6 +98,7 @@
         self.has_crashed: CrashProbe = has_crashed
         self.on_departure: Callable[[], None] = _ignore_departure
         self.notice_counts: Counter[str] = Counter()
+        self.kept_attempts: Counter[str] = Counter()
         self.lookup = TextLookup.from_text(Text())
         self._started_at_s = clock.now_s()
         self._view = view
@@ -277,7 +280,7 @@
             None if no group can serve the call.
         """
         now_s = self.clock.now_s()
-        stalled = self.stall_detector.stalled_groups(now_s) | self._view.stalled
+        stalled = self._find_stalled_groups(now_s)
         chosen = self._router.choose(request, excluded, version, stalled)
         _LOGGER.info(
             "group_chosen",
@@ -296,6 +299,36 @@
         )
         return chosen
 
+    def has_alternative(
+        self, request: CallRequest, excluded: frozenset[str], version: str
+    ) -> bool:
+        """Tell whether another group can take over a call now.
+
+        Groups that have stalled or recently failed do not count.
+
+        Parameters
+        ----------
+        request : CallRequest
+            The call.
+        excluded : frozenset of str
+            Group ids that the call must not use.
+        version : str
+            Version that the group must serve; empty allows any.
+
+        Returns
+        -------
+        bool
+            Whether there is such a group.
+        """
+        now_s = self.clock.now_s()
+        stalled = self._find_stalled_groups(now_s)
+        return self.has_lease(now_s) and self._router.has_alternative(
+            request, excluded, version, stalled
+        )
+
+    def _find_stalled_groups(self, now_s: float) -> frozenset[str]:
+        return self.stall_detector.stalled_groups(now_s) | self._view.stalled
+
     def may_send(self, endpoint: Incarnation) -> bool:
         """Tell whether an endpoint takes requests of this entry now.
 
@@ -387,6 +420,33 @@
         self.attempt_results[report.result] += 1
         self._router.report(report)
 
+    def report_kept_attempt(
+        self, request: CallRequest, group_id: str, reason: str, silence_s: float
+    ) -> None:
+        """Record that an attempt was kept although it is silent.
+
+        Parameters
+        ----------
+        request : CallRequest
+            The call.
+        group_id : str
+            The group that runs it.
+        reason : str
+            Code of why the call can't continue at another group.
+        silence_s : float
+            Time in seconds since the last bytes of the attempt.
+        """
+        _LOGGER.info(
+            "silence_tolerated",
+            extra={
+                "request": request.request_id,
+                "group": group_id,
+                "silence_ms": round(1_000 * silence_s),
+                "reason": reason,
+            },
+        )
+        self.kept_attempts[reason] += 1
+
     def commit(self, command: Command, deadline_s: float) -> CommandResult:
         """Commit a command in the replicated log; blocks the calling greenlet.
 
--- a/chestnutvale/programs/entry/group_router.py
+++ b/chestnutvale/programs/entry/group_router.py
@@ -233,24 +233,68 @@
             None if no group can serve the call.
         """
         now_s = self._clock.now_s()
-        unsuitable_groups = frozenset(
+        unsuitable = self._find_unsuitable_groups(request, version, now_s) | excluded
+        for avoided in (
+            unsuitable | self._find_avoided_groups(now_s) | stalled,
+            unsuitable,
+        ):
+            chosen = self._try_choose(request, avoided, now_s)
+            if chosen is not None:
+                return chosen
+        return None
+
+    def has_alternative(
+        self,
+        request: CallRequest,
+        excluded: frozenset[str],
+        version: str,
+        stalled: frozenset[str],
+    ) -> bool:
+        """Tell whether a group is left that is not a last resort for `choose`.
+
+        Parameters
+        ----------
+        request : CallRequest
+            The call.
+        excluded : frozenset of str
+            Group ids that must not be chosen.
+        version : str
+            Version that the group must serve; empty allows any.
+        stalled : frozenset of str
+            Stalled groups.
+
+        Returns
+        -------
+        bool
+            Whether there is such a group.
+        """
+        now_s = self._clock.now_s()
+        unusable = (
+            self._find_unsuitable_groups(request, version, now_s)
+            | self._find_avoided_groups(now_s)
+            | excluded
+            | stalled
+        )
+        return any(
+            group_view.group.group_id not in unusable
+            for group_view in self._view.serving_groups(request.service, now_s)
+        )
+
+    def _find_unsuitable_groups(
+        self, request: CallRequest, version: str, now_s: float
+    ) -> frozenset[str]:
+        return frozenset(
             group_view.group.group_id
             for group_view in self._view.serving_groups(request.service, now_s)
             if not _can_serve(group_view, request, version)
         ).union(self._unavailable_groups(request.service, now_s))
-        avoided_groups = frozenset(
+
+    def _find_avoided_groups(self, now_s: float) -> frozenset[str]:
+        return frozenset(
             group_id
             for group_id, until_s in self._avoid_until_s.items()
             if until_s > now_s
         )
-        for avoided in (
-            unsuitable_groups | excluded | avoided_groups | stalled,
-            unsuitable_groups | excluded,
-        ):
-            chosen = self._try_choose(request, avoided, now_s)
-            if chosen is not None:
-                return chosen
-        return None
 
     def report(self, report: AttemptReport) -> None:
         """Record the result of an attempt.
--- a/chestnutvale/programs/entry/metrics.py
+++ b/chestnutvale/programs/entry/metrics.py
@@ -40,6 +40,7 @@
     counters_by_metric = {
         catalog.ADMISSIONS: lambda: context.admission.decisions,
         catalog.ATTEMPTS: lambda: context.attempt_results,
+        catalog.KEPT_ATTEMPTS: lambda: context.kept_attempts,
         catalog.LEASE_CHANGES: lambda: link.lease_changes,
         catalog.ENDPOINT_NOTICES: lambda: context.notice_counts,
     }
--- a/chestnutvale/programs/entry/routed/handler.py
+++ b/chestnutvale/programs/entry/routed/handler.py
@@ -3,6 +3,7 @@
 import contextlib
 import math
 from collections.abc import Callable, Iterable, Iterator
+from functools import partial
 from http import HTTPStatus
 from typing import Any
 
@@ -244,6 +245,7 @@
             self._context.budgets,
             _make_call_limits(call.route),
             answer,
+            partial(self._context.has_alternative, call.call_request),
         )
         run = ModelCallRun(
             self._context,
--- a/tests/attempts/test_model_call.py
+++ b/tests/attempts/test_model_call.py
@@ -299,6 +299,37 @@
     assert effects[-1] == Finish()
 
 
+def test_silent_call_waits_for_a_sound_group_and_then_moves():
+    sound_groups = {"g1"}
+    call = ModelCall(
+        "r",
+        DEADLINE_S,
+        AttemptBudgets(),
+        has_alternative=lambda excluded, version: bool(sound_groups - excluded),
+    )
+    start(call)
+    assert call.handle(Tick(), STREAM_IDLE_TIMEOUT_S) == []
+    assert call.kept_because == "no_group_available"
+    assert call.next_tick_s == 2 * STREAM_IDLE_TIMEOUT_S
+    sound_groups.add("g2")
+    effects = call.handle(Tick(), call.next_tick_s)
+    assert [type(effect) for effect in effects] == [CancelAttempt, ChooseGroup]
+
+
+def test_pause_within_an_event_does_not_cut_the_last_attempt():
+    limits = CallLimits(max_attempts=1)
+    call = ModelCall("r", DEADLINE_S, AttemptBudgets(), limits)
+    attempt_id = start(call)
+    unfinished = EventsArrived(attempt_id, [])
+    assert call.handle(unfinished, 1.0) == []
+    assert call.handle(Tick(), STREAM_IDLE_TIMEOUT_S) == []
+    assert call.handle(unfinished, 1.5 * STREAM_IDLE_TIMEOUT_S) == []
+    effects = call.handle(
+        EventsArrived(attempt_id, [token(attempt_id, 0)]), 1.6 * STREAM_IDLE_TIMEOUT_S
+    )
+    assert [type(effect) for effect in effects] == [Deliver]
+
+
 def test_bytes_without_a_complete_event_do_not_keep_a_stalled_stream(call):
     attempt_id = start(call)
     call.handle(EventsArrived(attempt_id, [token(attempt_id, 0)]), 1.0)
--- a/tests/programs/entry/entry_fakes.py
+++ b/tests/programs/entry/entry_fakes.py
@@ -67,6 +67,7 @@
         self.notices = EndpointNotices()
         self.groups = {}
         self.reports = []
+        self.kept_attempts = []
         self.text = Text(number=1)
         self.text.services["llm"].kind = "model"
         ledger_app = self.text.services["ledger-app"]
@@ -116,6 +117,9 @@
                 return GroupView(group=group, serving=True)
         return None
 
+    def has_alternative(self, request, excluded, version):
+        return self.choose_group(request, excluded, version) is not None
+
     def may_send(self, endpoint):
         return self.notices.may_send(endpoint, self.clock.now_s())
 
@@ -128,6 +132,9 @@
     def report_attempt(self, report):
         self.reports.append((report.group_id, report.result))
 
+    def report_kept_attempt(self, request, group_id, reason, silence_s):
+        self.kept_attempts.append((group_id, reason))
+
     def commit(self, command, deadline_s):
         fault = self.log.faults.popleft() if self.log.faults else None
         if fault is not None:
--- a/tests/programs/entry/test_group_router.py
+++ b/tests/programs/entry/test_group_router.py
@@ -118,6 +118,18 @@
     assert "g1" in chosen
 
 
+def test_failed_or_stalled_group_is_a_last_resort_but_no_alternative(router, clock):
+    request = CallRequest("r0", "w", "llm", "normal", PROMPT, 10, "", 500.0)
+    excluded, stalled = frozenset({"g1"}), frozenset({"g2"})
+    assert router.has_alternative(request, excluded, "1", stalled)
+    assert not router.has_alternative(request, excluded, "2", frozenset())
+    router.report(AttemptReport(request, "g3", 3, "broken", "x", None, 0))
+    assert not router.has_alternative(request, excluded, "1", stalled)
+    assert router.choose(request, excluded, "1", stalled) is not None
+    clock.time_s += 1.5
+    assert router.has_alternative(request, excluded, "1", stalled)
+
+
 def test_no_group_is_chosen_without_lease_or_candidate(router, clock):
     all_groups = frozenset({"g1", "g2", "g3"})
     assert router.choose(make_request(), all_groups, "") is None
--- a/tests/programs/entry/test_metrics.py
+++ b/tests/programs/entry/test_metrics.py
@@ -12,6 +12,7 @@
     context = SimpleNamespace(
         admission=SimpleNamespace(decisions=decisions),
         attempt_results=Counter(whole=6, broken=1),
+        kept_attempts=Counter(not_resumable=2),
     )
     link = SimpleNamespace(lease_changes=Counter(won=1), stalls=3)
     with OtelMetrics("test") as metrics:
@@ -22,5 +23,7 @@
     assert f'{prefix}{{reason="admitted"}} 8.0' in metric_lines
     assert f'{prefix}{{reason="deadline_unreachable"}} 2.0' in metric_lines
     assert 'chestnutvale_attempts_total{reason="broken"} 1.0' in metric_lines
+    kept = 'chestnutvale_attempts_kept_silent_total{reason="not_resumable"} 2.0'
+    assert kept in metric_lines
     assert 'chestnutvale_entry_lease_changes_total{reason="won"} 1.0' in metric_lines
     assert "chestnutvale_groups_stalled_total 3.0" in metric_lines
