Leave a stalled group only with the calls that can continue elsewhere

What callers saw: when all streams of a group paused for 0.4 s, the answers of every entry at that group were cut, unless their calls could resume elsewhere: those on routes without resume, and those that had already moved.

Cause: a view that lists a group as newly stalled aborted all attempts there, as if the membership had reported the group as lost. A stall is only silence.

Change: the entry reports the stall to the calls, and each leaves the group only under the conditions that hold for a silent attempt. Lost and removed groups are still aborted at once. The probe for a crash runs as before for the attempts that leave.

A test over sockets shows that a resumable stream moves and that the other one is whole.

--- a/chestnutvale/attempts/const.py
+++ b/chestnutvale/attempts/const.py
@@ -34,8 +34,9 @@
 # Why a silent attempt is kept, besides the codes above.
 CODE_NOT_RESUMABLE: Final = "not_resumable"
 
-# Reason for abandoning an attempt whose connection is still open.
+# Reasons for abandoning an attempt whose connection is still open.
 REASON_SILENT: Final = "the stream fell silent"
+REASON_STALLED: Final = "the group stalled"
 
 # Refusal codes by which an engine states that it did not run the request.
 REFUSAL_WRONG_EPOCH: Final = "wrong_epoch"
--- a/chestnutvale/attempts/events.py
+++ b/chestnutvale/attempts/events.py
@@ -117,6 +117,11 @@
     """The caller closed its connection."""
 
 
+@attrs.frozen
+class GroupStalled:
+    """The group of the running attempt sends events on none of its streams."""
+
+
 @attrs.frozen
 class Tick:
     """The time in `next_tick_s` has been reached."""
@@ -131,6 +136,7 @@
     | AttemptRefused
     | AttemptBroken
     | CallerDisconnected
+    | GroupStalled
     | Tick
 )
 
--- a/chestnutvale/attempts/model_call.py
+++ b/chestnutvale/attempts/model_call.py
@@ -22,6 +22,7 @@
     OUTCOME_NOT_RUN,
     OUTCOME_UNKNOWN,
     REASON_SILENT,
+    REASON_STALLED,
     REFUSAL_OVERLOADED,
     REFUSAL_UNREACHABLE,
     RETRIED_REFUSALS,
@@ -41,6 +42,7 @@
     Failure,
     Finish,
     GroupChosen,
+    GroupStalled,
     NoGroupAvailable,
     StartAttempt,
     Started,
@@ -135,6 +137,7 @@
             AttemptRefused: self._on_refused,
             AttemptBroken: self._on_broken,
             CallerDisconnected: self._on_caller_disconnected,
+            GroupStalled: self._on_group_stalled,
             Tick: self._on_tick,
         }
 
@@ -333,6 +336,11 @@
             CODE_CALLER_GONE, "the caller closed the connection", retry_after_s=None
         )
 
+    def _on_group_stalled(self, event: GroupStalled, now_s: float) -> list[CallEffect]:
+        if not self._attempt_id or self._find_obstacle():
+            return []
+        return self._break_attempt(REASON_STALLED, now_s)
+
     def _on_tick(self, event: Tick, now_s: float) -> list[CallEffect]:
         if now_s >= self.deadline_s:
             return self._fail_deadline()
--- a/chestnutvale/observability/catalog.py
+++ b/chestnutvale/observability/catalog.py
@@ -188,7 +188,7 @@
 STALLS: Final = Metric(
     "chestnutvale.groups.stalled",
     "{group}",
-    "Groups that the entry left because their streams fell silent.",
+    "Groups whose streams at the entry all fell silent.",
 )
 ENDPOINT_NOTICES: Final = Metric(
     "chestnutvale.entry.endpoint.notices",
--- a/chestnutvale/programs/entry/context.py
+++ b/chestnutvale/programs/entry/context.py
@@ -226,7 +226,8 @@
     suspicions : SuspicionTracker
         Tracks requests that are suspected of crashing groups.
     running : RunningAttempts
-        Running attempts; those at a lost group are aborted.
+        Running attempts; those at a lost group are aborted, and those at a stalled
+        group are told.
     stall_detector : StallDetector
         Detects groups whose streams have stalled.
     has_crashed : CrashProbe
--- a/chestnutvale/programs/entry/entry_context.py
+++ b/chestnutvale/programs/entry/entry_context.py
@@ -127,7 +127,7 @@
         self._router.install(view)
         self._abort_lost_groups(view)
         for group_id in self._view.newly_stalled:
-            self.running.abort_group(group_id, 2**63)
+            self.running.report_stall(group_id)
         self._install_capacities()
 
     def update_peer_running(
--- a/chestnutvale/programs/entry/model_calls.py
+++ b/chestnutvale/programs/entry/model_calls.py
@@ -12,6 +12,7 @@
 from chestnutvale.attempts.const import (
     OUTCOME_FAILED,
     OUTCOME_NOT_RUN,
+    REASON_STALLED,
 )
 from chestnutvale.attempts.events import (
     AttemptBroken,
@@ -25,6 +26,7 @@
     EventsArrived,
     Failure,
     Finish,
+    GroupStalled,
     StartAttempt,
     Started,
     Tick,
@@ -261,7 +263,7 @@
         self._chooser = GroupChooser(context, request, fingerprint, self._watch.wait)
         self._tick_timer = TickTimer(context.clock, self._tick)
         self._is_waiting = False
-        self._tick_effects: list[CallEffect] = []
+        self._interrupt_effects: list[CallEffect] = []
         self._sent_at_s = 0.0
         self._first_byte_s: float | None = None
         self._first_offset = 0
@@ -305,31 +307,41 @@
             elif isinstance(effect, Finish):
                 self._finish_call(effect)
             elif isinstance(effect, CancelAttempt):
+                if effect.fault == REASON_STALLED:
+                    self._chooser.check_for_crash(effect.attempt_id)
                 result = RESULT_BROKEN if effect.fault else RESULT_CANCELLED
                 self._close_attempt(result, effect.fault)
             elif isinstance(effect, ChooseGroup):
                 effects.extend(self._handle(self._chooser.choose(effect)))
             elif isinstance(effect, StartAttempt):
                 event = self._start_attempt(effect)
-                effects.extend(self._take_tick_effects() or self._handle(event))
+                effects.extend(self._take_interrupt_effects() or self._handle(event))
             while not effects and not self._call.is_finished:
                 event = self._read_events()
-                effects.extend(self._take_tick_effects() or self._handle(event))
+                effects.extend(self._take_interrupt_effects() or self._handle(event))
 
-    def _take_tick_effects(self) -> list[CallEffect]:
-        effects, self._tick_effects = self._tick_effects, []
+    def _take_interrupt_effects(self) -> list[CallEffect]:
+        effects, self._interrupt_effects = self._interrupt_effects, []
         return effects
 
-    def _tick(self) -> None:
-        """Let the call leave a silent attempt; interrupts the greenlet that waits."""
-        if not self._is_waiting or self._tick_effects:
+    def _interrupt(self, event: CallEvent) -> None:
+        """Handle an event from another greenlet; ends the wait if it has effects."""
+        if not self._is_waiting or self._interrupt_effects:
             return
         now_s = self._context.clock.now_s()
-        was_kept = bool(self._call.kept_because)
-        self._tick_effects = self._call.handle(Tick(), now_s)
-        if self._tick_effects:
+        self._interrupt_effects = self._call.handle(event, now_s)
+        if self._interrupt_effects:
             self.attempt.abort()
+
+    def _handle_stall(self) -> None:
+        self._interrupt(GroupStalled())
+
+    def _tick(self) -> None:
+        was_kept = bool(self._call.kept_because)
+        self._interrupt(Tick())
+        if not self._is_waiting or self._interrupt_effects:
             return
+        now_s = self._context.clock.now_s()
         self._tick_timer.set_due(self._call.next_tick_s)
         if self._call.kept_because and not was_kept:
             self._context.report_kept_attempt(
@@ -377,7 +389,9 @@
             return AttemptRefused(effect.attempt_id, error.code, error.message)
         self.attempt = attempt
         self._watch.set_disconnect_callback(attempt.abort)
-        self._context.running.add(effect.group_id, effect.epoch, attempt)
+        self._context.running.add(
+            effect.group_id, effect.epoch, attempt, self._handle_stall
+        )
         self._context.stall_detector.record_sent(
             effect.attempt_id, effect.group_id, self._sent_at_s
         )
--- a/chestnutvale/programs/entry/running_attempts.py
+++ b/chestnutvale/programs/entry/running_attempts.py
@@ -1,8 +1,11 @@
-"""Tracks the running attempts of each group, so that a lost group's can be aborted."""
+"""Tracks the running attempts of each group, to act when it is lost or stalls."""
 
 from collections import Counter
+from collections.abc import Callable
 from typing import Protocol
 
+import attrs
+
 
 class Abortable(Protocol):
     """An attempt that waits for an endpoint and can be interrupted."""
@@ -11,22 +14,40 @@
         """Interrupt the greenlet that waits for the endpoint."""
 
 
+def _ignore_stall() -> None:
+    """Do nothing; for an attempt that its call can't leave."""
+
+
+@attrs.frozen
+class _RunningAttempt:
+    group_id: str
+    epoch: int
+    on_stall: Callable[[], None]
+
+
 class RunningAttempts:
     """Running attempts by group and epoch.
 
     A host that freezes or loses its network does not close its connections.
     `abort_group` is called once the membership reports its group as lost, so that
-    the calls continue at other groups before their streams time out.
+    the calls continue at other groups before their streams time out. A group that has
+    stalled may recover, so `report_stall` leaves the decision to the calls.
     """
 
     def __init__(self) -> None:
-        self._groups_by_attempt: dict[Abortable, tuple[str, int]] = {}
+        self._running: dict[Abortable, _RunningAttempt] = {}
 
     def __len__(self) -> int:
         """Return the number of running attempts."""
-        return len(self._groups_by_attempt)
-
-    def add(self, group_id: str, epoch: int, attempt: Abortable) -> None:
+        return len(self._running)
+
+    def add(
+        self,
+        group_id: str,
+        epoch: int,
+        attempt: Abortable,
+        on_stall: Callable[[], None] = _ignore_stall,
+    ) -> None:
         """Add an attempt that has started.
 
         Parameters
@@ -37,8 +58,10 @@
             Epoch of the group.
         attempt : Abortable
             The attempt.
+        on_stall : callable, optional
+            Called when the group has stalled; must not block.
         """
-        self._groups_by_attempt[attempt] = (group_id, epoch)
+        self._running[attempt] = _RunningAttempt(group_id, epoch, on_stall)
 
     def remove(self, attempt: Abortable) -> None:
         """Remove an attempt that has ended.
@@ -48,17 +71,15 @@
         attempt : Abortable
             The attempt; one that was not added is ignored.
         """
-        self._groups_by_attempt.pop(attempt, None)
+        self._running.pop(attempt, None)
 
     def counts_by_group(self) -> dict[str, int]:
         """Return the number of running attempts at each group."""
-        return dict(
-            Counter(group_id for group_id, _ in self._groups_by_attempt.values())
-        )
+        return dict(Counter(item.group_id for item in self._running.values()))
 
     def counts_by_epoch(self) -> dict[int, int]:
         """Return the number of running attempts by the epoch of their group."""
-        return dict(Counter(epoch for _, epoch in self._groups_by_attempt.values()))
+        return dict(Counter(item.epoch for item in self._running.values()))
 
     def abort_group(self, group_id: str, epoch: int) -> int:
         """Interrupt the attempts of a lost group.
@@ -77,9 +98,21 @@
         """
         attempts = [
             attempt
-            for attempt, (running_id, running_epoch) in self._groups_by_attempt.items()
-            if running_id == group_id and running_epoch <= epoch
+            for attempt, item in self._running.items()
+            if item.group_id == group_id and item.epoch <= epoch
         ]
         for attempt in attempts:
             attempt.abort()
         return len(attempts)
+
+    def report_stall(self, group_id: str) -> None:
+        """Report to the calls with attempts at a group that it has stalled.
+
+        Parameters
+        ----------
+        group_id : str
+            The group.
+        """
+        for item in list(self._running.values()):
+            if item.group_id == group_id:
+                item.on_stall()
--- a/tests/programs/entry/routed/test_streams.py
+++ b/tests/programs/entry/routed/test_streams.py
@@ -125,6 +125,20 @@
     assert len(endpoint.requests) == len(entry.context.kept_attempts) == 1
 
 
+@pytest.mark.parametrize(("path", "is_left"), [("/gen/x", True), ("/fixed/x", False)])
+def test_only_streams_that_can_move_leave_a_stalled_group(
+    endpoint, other_endpoint, path, is_left
+):
+    endpoint.default = pause_before(4)
+    other_endpoint.default = stream()
+    with routed_entry(endpoint, other_endpoint) as entry:
+        eventlet.spawn_after(0.2, entry.context.running.report_stall, "gpu1")
+        _, _, body, is_complete = call(entry.address, path, b"p", X_Model="m")
+        assert (("gpu1", "broken") in entry.context.reports) == is_left
+    assert (body, is_complete) == (COMPLETE_STREAM, True)
+    assert len(other_endpoint.requests) == is_left
+
+
 def test_caller_resumes_after_its_last_event(endpoint):
     endpoint.default = stream()
     with routed_entry(endpoint) as entry:
