--- a/chestnutvale/observability/catalog.py
+++ b/chestnutvale/observability/catalog.py
@@ -179,10 +179,16 @@
     "Attempts that ended with this result.",
     (LABEL_REASON,),
 )
+KEPT_ATTEMPTS: Final = Metric(
+    "chestnutvale.attempts.kept.silent",
+    "{attempt}",
+    "Silent attempts that were kept because the call could not go on elsewhere.",
+    (LABEL_REASON,),
+)
 STALLS: Final = Metric(
     "chestnutvale.groups.stalled",
     "{group}",
-    "Groups that the entry left because their streams fell silent.",
+    "Groups whose streams at the entry all fell silent.",
 )
 ENDPOINT_NOTICES: Final = Metric(
     "chestnutvale.entry.endpoint.notices",
