Apply the limits of the configuration to idle connections and heads

Callers saw a connection close, with neither an answer nor a refusal, for a request that they had sent in time.

Cause: the settings' idle timeout held whatever the configuration promised, and one timer ran from the previous answer to the end of the next head. A configuration with a longer idle timeout made callers use connections that the entry had closed or was about to close, and a head that began near the end of the idle time was read and dropped.

The idle timeout now ends with the first byte of a request and a timeout of its own starts for the head. Both are read from the configuration in force, also by a connection that is idle already, and are a margin longer than it states. Before an idle connection is closed, the bytes that have arrived are looked at; a head that is not complete in time is answered with 408. While a request is awaited there is no socket timeout, since one makes the buffered reader unusable.

--- a/chestnutvale/http_server/connections.py
+++ b/chestnutvale/http_server/connections.py
@@ -30,18 +30,6 @@
 )
 
 
-def _encode_response(problem: Problem) -> bytes:
-    body = problem.body()
-    headers = [
-        *problem.headers(),
-        ("Content-Length", str(len(body))),
-        ("Connection", "close"),
-    ]
-    lines = [f"HTTP/1.1 {problem.status_line}"]
-    lines += [f"{name}: {value}" for name, value in headers]
-    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
-
-
 class ConnectionPool:
     """Runs one green thread per connection and refuses connections over the limit.
 
@@ -63,7 +51,7 @@
         self._max_connections = max_connections
         self._tasks: set[GreenThread] = set()
         self._lingering_count = 0
-        self._overload_response = _encode_response(_OVERLOAD_PROBLEM)
+        self._overload_response = _OVERLOAD_PROBLEM.encode_response()
 
     def __len__(self) -> int:
         """Return the number of connections being served."""
--- a/chestnutvale/http_server/const.py
+++ b/chestnutvale/http_server/const.py
@@ -30,6 +30,7 @@
 STEP_RECEIVE: Final = "receive"
 
 REFUSED_TOO_MANY_CONNECTIONS: Final = "too_many_connections"
+REFUSED_HEAD_TOO_SLOW: Final = "head_too_slow"
 REFUSED_HEADERS_TOO_LARGE: Final = "headers_too_large"
 REFUSED_BODY_TOO_LARGE: Final = "body_too_large"
 REFUSED_BODY_TOO_SLOW: Final = "body_too_slow"
--- a/chestnutvale/http_server/problem.py
+++ b/chestnutvale/http_server/problem.py
@@ -102,6 +102,24 @@
             members["request_id"] = self.request_id
         return json.dumps({**members, **self.extra}).encode()
 
+    def encode_response(self) -> bytes:
+        """Encode the problem as a whole HTTP answer that ends its connection.
+
+        Returns
+        -------
+        bytes
+            Status line, headers and body.
+        """
+        body = self.body()
+        headers = [
+            *self.headers(),
+            ("Content-Length", str(len(body))),
+            ("Connection", "close"),
+        ]
+        lines = [f"HTTP/1.1 {self.status_line}"]
+        lines += [f"{name}: {value}" for name, value in headers]
+        return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
     def respond(self, start_response: Any) -> list[bytes]:
         """Send the problem as the answer to a WSGI request.
 
--- a/chestnutvale/http_server/protocol.py
+++ b/chestnutvale/http_server/protocol.py
@@ -1,11 +1,15 @@
-"""HTTP connection: eventlet's protocol with a deadline on request heads."""
+"""HTTP connection: eventlet's protocol with timeouts of its own."""
 
+import contextlib
+from collections import Counter
 from typing import Any
 
 import eventlet
+import logbook
 from eventlet import wsgi
 from eventlet.green import socket
 
+from chestnutvale.clock import Clock
 from chestnutvale.http_server.body import BoundedLineReader
 from chestnutvale.http_server.const import (
     ENVIRON_CLOSE_CONNECTION,
@@ -13,8 +17,23 @@
     LINGER_TIMEOUT_S,
     MAX_DISCARDED_BYTES,
     MAX_LINGER_BYTES,
+    OUTCOME_NOT_RUN,
+    REFUSED_HEAD_TOO_SLOW,
+    STEP_RECEIVE,
 )
 from chestnutvale.http_server.exceptions import ClientGoneError
+from chestnutvale.http_server.problem import Problem
+from chestnutvale.http_server.timeouts import ReadTimeouts
+
+_LOGGER = logbook.Logger(__name__)
+
+_SLOW_HEAD_PROBLEM = Problem(
+    status=408,
+    code=REFUSED_HEAD_TOO_SLOW,
+    detail="the request head did not arrive in time",
+    outcome=OUTCOME_NOT_RUN,
+    step=STEP_RECEIVE,
+)
 
 
 def linger_on_close(connection: Any) -> None:
@@ -93,14 +112,41 @@
 class LimitedProtocol(wsgi.HttpProtocol):
     """Reads the requests of one connection.
 
-    The complete head of a request must arrive within ``server.socket_timeout`` seconds
-    of the previous answer. The socket timeout alone restarts with every read.
+    A connection may be idle for one timeout; from the first byte of a request another
+    timeout applies to its head. The socket timeout alone restarts with every read.
+
+    Parameters
+    ----------
+    conn_state : list
+        The record that eventlet keeps of the connection: address, socket and state.
+    server : eventlet.wsgi.Server
+        The server.
+    read_timeouts : callable
+        Returns the timeouts in force.
+    clock : Clock
+        Source of time.
+    refused : Counter
+        Counts the refused requests by reason.
     """
 
-    def setup(self) -> None:
-        """Disable Nagle's algorithm and replace the buffered writer."""
+    def __init__(
+        self,
+        conn_state: list[Any],
+        server: Any,
+        read_timeouts: ReadTimeouts,
+        clock: Clock,
+        refused: Counter[str],
+    ) -> None:
+        self._read_timeouts = read_timeouts
+        self._clock = clock
+        self._refused = refused
         self._head_timer: eventlet.Timeout | None = None
         self._linger_before_close = False
+        # Serves the connection until it closes.
+        super().__init__(conn_state, server)
+
+    def setup(self) -> None:
+        """Disable Nagle's algorithm and replace the buffered writer."""
         super().setup()
         # Nagle's algorithm would hold back each token of a stream until the previous
         # one is acknowledged, and clients delay their acknowledgements.
@@ -108,16 +154,67 @@
         self.wfile = UnbufferedWriter(self.connection)
 
     def handle_one_request(self) -> None:
-        """Read one request and answer it, with a deadline on its head."""
-        self._head_timer = eventlet.Timeout(
-            self.server.socket_timeout,
-            TimeoutError("the request head did not arrive in time"),
-        )
+        """Wait for a request, read its head within its timeout and answer it."""
+        self._disable_socket_timeout()
+        if not self._wait_for_request():
+            self.close_connection = True
+            return
+        self._head_timer = eventlet.Timeout(self._read_timeouts().head_s)
         try:
             super().handle_one_request()
+        except eventlet.Timeout as timeout:
+            if timeout is not self._head_timer:
+                raise
+            self._refuse_slow_head()
         finally:
             self._head_timer.cancel()
 
+    def _wait_for_request(self) -> bool:
+        """Return whether bytes of a request have arrived before the idle timeout."""
+        idle_since_s = self._clock.now_s()
+        while not self.rfile.closed:
+            idle_until_s = idle_since_s + self._read_timeouts().idle_s
+            remaining_s = idle_until_s - self._clock.now_s()
+            if remaining_s <= 0:
+                return self._has_unread_bytes()
+            # The timeout may have been raised meanwhile, so it is read again.
+            with eventlet.Timeout(remaining_s, False):
+                return self._wait_for_bytes()
+        return False
+
+    def _wait_for_bytes(self) -> bool:
+        with contextlib.suppress(OSError):
+            return bool(self.rfile.peek(1))
+        return False
+
+    def _has_unread_bytes(self) -> bool:
+        with contextlib.suppress(OSError):
+            return bool(
+                self.connection.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+            )
+        return False
+
+    def _refuse_slow_head(self) -> None:
+        self._refused[REFUSED_HEAD_TOO_SLOW] += 1
+        _LOGGER.info("slow_head", extra={"client": self.client_address[0]})
+        self._close_after_answer()
+        self.wfile.write(_SLOW_HEAD_PROBLEM.encode_response())
+
+    def _disable_socket_timeout(self) -> None:
+        # A socket timeout within a read makes the buffered reader unusable.
+        self.connection.settimeout(None)
+
+    def parse_request(self) -> bool:
+        """Parse the head of a request; only the head timer limits its time.
+
+        Returns
+        -------
+        bool
+            Whether the head is valid; otherwise it has been answered.
+        """
+        self._disable_socket_timeout()
+        return super().parse_request()
+
     def get_environ(self) -> dict[str, Any]:
         """Stop the head timer and build the WSGI environment of the request.
 
@@ -128,6 +225,7 @@
             closes the connection after the answer.
         """
         self._head_timer.cancel()
+        self.connection.settimeout(self.server.socket_timeout)
         environ = super().get_environ()
         source = environ["eventlet.input"]
         source.rfile = BoundedLineReader(source.rfile)
--- a/chestnutvale/http_server/server.py
+++ b/chestnutvale/http_server/server.py
@@ -1,5 +1,6 @@
 """HTTP server of the daemons, built on eventlet's WSGI server."""
 
+import functools
 from collections import Counter
 from types import TracebackType
 from typing import Any, Self
@@ -22,6 +23,7 @@
 )
 from chestnutvale.http_server.limits import RequestLimitsMiddleware, WsgiApp
 from chestnutvale.http_server.protocol import LimitedProtocol
+from chestnutvale.http_server.timeouts import ConnectionTimeouts, ReadTimeouts
 from chestnutvale.schema.settings_pb2 import HttpLimits
 
 _LOGGER = logbook.Logger(__name__)
@@ -66,6 +68,9 @@
         Limits on body size, header size, connections and idle time.
     clock : Clock, optional
         Source of time.
+    read_timeouts : callable, optional
+        Returns the timeouts of idle connections and request heads in force; those of
+        `limits` by default.
     """
 
     def __init__(
@@ -74,10 +79,14 @@
         address: str,
         limits: HttpLimits,
         clock: Clock | None = None,
+        read_timeouts: ReadTimeouts | None = None,
     ) -> None:
         self.address = address
         self._limits = limits
         self._clock = clock or SystemClock()
+        settings_timeouts = ConnectionTimeouts.from_limits(limits)
+        self._read_timeouts = read_timeouts or (lambda: settings_timeouts)
+        self._refused_heads: Counter[str] = Counter()
         self._app = RequestLimitsMiddleware(app, limits, self._clock)
         self._connections = ConnectionPool(limits.max_connections)
         self._socket: Any = None
@@ -96,7 +105,7 @@
     @property
     def refused(self) -> Counter[str]:
         """Number of refused requests and connections by reason."""
-        return self._app.refused + self._connections.refused
+        return self._app.refused + self._connections.refused + self._refused_heads
 
     def __enter__(self) -> Self:
         """Listen and start accepting connections.
@@ -177,7 +186,12 @@
             self._app,
             log=_WsgiLogAdapter(),
             log_format="",
-            protocol=LimitedProtocol,
+            protocol=functools.partial(
+                LimitedProtocol,
+                read_timeouts=self._read_timeouts,
+                clock=self._clock,
+                refused=self._refused_heads,
+            ),
             custom_pool=self._connections,
             minimum_chunk_size=MINIMUM_CHUNK_BYTES,
             socket_timeout=self._limits.idle_timeout_ms / 1000,
--- a/chestnutvale/programs/entry/const.py
+++ b/chestnutvale/programs/entry/const.py
@@ -16,6 +16,9 @@
 
 # Default time for the load balancer to notice that an entry is not ready.
 DRAIN_NOTICE_S: Final = 1.0
+# Time by which the timeouts of callers' connections exceed those of the configuration.
+# A request that a caller sends at the last moment arrives and is read within it.
+CALLER_TIMEOUT_MARGIN_S: Final = 2.0
 # Interval of the checks for unfinished work during a shutdown.
 DRAIN_POLL_INTERVAL_S: Final = 0.05
 INCARNATION_SALT_BITS: Final = 32
--- a/chestnutvale/programs/entry/daemon.py
+++ b/chestnutvale/programs/entry/daemon.py
@@ -150,7 +150,13 @@
             self.dump,
         )
         self._servers = [
-            HttpServer(listener.app, listener.address, listener.limits, clock)
+            HttpServer(
+                listener.app,
+                listener.address,
+                listener.limits,
+                clock,
+                listener.read_timeouts,
+            )
             for listener in self._interface.make_listeners(self._components)
         ]
         self.server = self._servers[0]
--- a/chestnutvale/programs/entry/entry_interface.py
+++ b/chestnutvale/programs/entry/entry_interface.py
@@ -6,6 +6,7 @@
 import attrs
 
 from chestnutvale.clock import Clock
+from chestnutvale.http_server.timeouts import ReadTimeouts
 from chestnutvale.http_server.views import WsgiApp, make_health_check, make_json_view
 from chestnutvale.membership.announcement_collector import AnnouncementCollector
 from chestnutvale.membership.cache_events import CacheEventQueue
@@ -13,6 +14,7 @@
 from chestnutvale.observability.request_meter import RequestMeter
 from chestnutvale.programs.entry.announcement_handler import AnnouncementHandler
 from chestnutvale.programs.entry.app import EntryApp
+from chestnutvale.programs.entry.caller_timeouts import CallerTimeouts
 from chestnutvale.programs.entry.control_link import ControlLink
 from chestnutvale.programs.entry.entry_context import EntryContext
 from chestnutvale.programs.entry.ledger_writer import LedgerWriter
@@ -81,11 +83,14 @@
         The application.
     limits : HttpLimits
         Limits on the requests that it accepts.
+    read_timeouts : callable or None
+        Returns the timeouts of its connections in force; None for those of `limits`.
     """
 
     address: str
     app: WsgiApp
     limits: HttpLimits
+    read_timeouts: ReadTimeouts | None = None
 
 
 class EntryInterface(Protocol):
@@ -172,7 +177,9 @@
         metered = RequestMeter(
             app, components.metrics, MEASURED_ROUTES, components.clock
         )
-        return [HttpListener(settings.http_address, metered, settings.http_limits)]
+        limits = settings.http_limits
+        timeouts = CallerTimeouts(components.context, limits)
+        return [HttpListener(settings.http_address, metered, limits, timeouts.read)]
 
     def run_housekeeping(self) -> None:
         """Do nothing, because no connections are kept open."""
--- /dev/null
+++ b/tests/http_server/test_timeouts.py
@@ -0,0 +1,118 @@
+"""Timeouts of idle connections and of request heads."""
+
+import time
+
+import eventlet
+import pytest
+from eventlet.green import socket
+
+from chestnutvale.http_server.server import HttpServer
+from chestnutvale.http_server.timeouts import ConnectionTimeouts
+from chestnutvale.schema.settings_pb2 import HttpLimits
+
+TEST_TIMEOUT_S = 10.0
+REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+LIMITS = HttpLimits(
+    max_body_bytes=1_000,
+    max_header_bytes=2_000,
+    max_connections=10,
+    idle_timeout_ms=5_000,
+)
+
+
+class Server:
+    """A server whose timeouts change while it runs."""
+
+    def __init__(self, address):
+        self.timeouts = ConnectionTimeouts(idle_s=0.3, head_s=0.3)
+        self.calls = 0
+        self.http = HttpServer(
+            self.answer, address, LIMITS, read_timeouts=lambda: self.timeouts
+        )
+
+    def answer(self, environ, start_response):
+        self.calls += 1
+        start_response("200 OK", [])
+        return [b"ok"]
+
+    def connect(self):
+        host, _, port = self.http.address.rpartition(":")
+        return socket.create_connection((host, int(port)))
+
+
+@pytest.fixture(autouse=True)
+def limit_test_duration():
+    with eventlet.Timeout(TEST_TIMEOUT_S):
+        yield
+
+
+@pytest.fixture
+def server(free_address):
+    server = Server(free_address())
+    with server.http:
+        yield server
+
+
+def read_all(client):
+    data = b""
+    while part := client.recv(4_096):
+        data += part
+    return data
+
+
+def exchange(client, request=REQUEST):
+    client.sendall(request)
+    return client.recv(4_096)
+
+
+def test_raised_idle_timeout_applies_to_a_connection_that_is_idle_already(server):
+    client = server.connect()
+    exchange(client)
+    server.timeouts = ConnectionTimeouts(idle_s=5.0, head_s=0.3)
+    eventlet.sleep(0.6)
+    assert b"200 OK" in exchange(client)
+
+
+def test_lowered_idle_timeout_applies_to_the_next_wait(server):
+    server.timeouts = ConnectionTimeouts(idle_s=5.0, head_s=0.3)
+    client = server.connect()
+    exchange(client)
+    server.timeouts = ConnectionTimeouts(idle_s=0.1, head_s=0.3)
+    eventlet.sleep(0.3)
+    assert b"200 OK" in exchange(client)
+    assert client.recv(1) == b""
+
+
+def test_head_that_begins_at_the_end_of_the_idle_time_is_answered(server):
+    client = server.connect()
+    exchange(client)
+    eventlet.sleep(0.2)
+    client.sendall(REQUEST[:10])
+    eventlet.sleep(0.2)
+    assert b"200 OK" in exchange(client, REQUEST[10:])
+
+
+def test_request_that_arrives_before_the_idle_close_is_answered(server):
+    client = server.connect()
+    exchange(client)
+    # Blocks the server, so that the idle time ends and the request arrives together.
+    client.sendall(REQUEST)
+    time.sleep(0.4)
+    assert b"200 OK" in client.recv(4_096)
+
+
+def test_head_that_is_not_complete_in_time_is_answered_with_408(server):
+    client = server.connect()
+    client.sendall(REQUEST[:10])
+    answer = read_all(client)
+    assert answer.startswith(b"HTTP/1.1 408 ")
+    assert b"connection: close" in answer.lower()
+    assert server.calls == 0
+    assert server.http.refused["head_too_slow"] == 1
+
+
+def test_pipelined_requests_are_all_answered(server):
+    client = server.connect()
+    client.sendall(REQUEST * 3)
+    eventlet.sleep(0.1)
+    assert client.recv(4_096).count(b"200 OK") == 3
