Answer requests that arrive while a server stops

Callers of a daemon that was stopped got no answer to a request that had been read, and that had been sent on to an endpoint.

Cause: eventlet shuts down the sockets of idle connections when its server stops. A request that has arrived and is not read yet can still be read after that, so it runs, and its answer can't be sent. With no other request running, the connection was closed with the request unread; one whose head was arriving was closed too.

A stop now ends the waits of idle connections without touching their sockets. Each looks once for bytes that have arrived, and closes or serves them. The stop waits for heads that are arriving as it does for running requests, until its deadline.

--- a/chestnutvale/http_server/connections.py
+++ b/chestnutvale/http_server/connections.py
@@ -6,6 +6,7 @@
 
 import eventlet
 import logbook
+from eventlet import wsgi
 from eventlet.greenthread import GreenThread
 
 from chestnutvale.http_server.const import (
@@ -75,6 +76,8 @@
         if len(self._tasks) >= self._max_connections:
             self.refused[REFUSED_TOO_MANY_CONNECTIONS] += 1
             return eventlet.spawn(self._refuse, connection[1])
+        # eventlet shuts down the connections that are marked as idle when it stops.
+        connection[2] = wsgi.STATE_REQUEST
         task = eventlet.spawn(self._serve, serve, connection)
         self._tasks.add(task)
         task.link(self._tasks.discard)
--- a/chestnutvale/http_server/protocol.py
+++ b/chestnutvale/http_server/protocol.py
@@ -22,6 +22,7 @@
     STEP_RECEIVE,
 )
 from chestnutvale.http_server.exceptions import ClientGoneError
+from chestnutvale.http_server.idle_connections import IdleConnections
 from chestnutvale.http_server.problem import Problem
 from chestnutvale.http_server.timeouts import ReadTimeouts
 
@@ -127,6 +128,10 @@
         Source of time.
     refused : Counter
         Counts the refused requests by reason.
+    idle : IdleConnections
+        The connections of the server that wait for a request.
+    receiving : set of LimitedProtocol
+        The connections of the server on which a head is arriving.
     """
 
     def __init__(
@@ -136,10 +141,14 @@
         read_timeouts: ReadTimeouts,
         clock: Clock,
         refused: Counter[str],
+        idle: IdleConnections,
+        receiving: "set[LimitedProtocol]",
     ) -> None:
         self._read_timeouts = read_timeouts
         self._clock = clock
         self._refused = refused
+        self._idle = idle
+        self._receiving = receiving
         self._head_timer: eventlet.Timeout | None = None
         self._linger_before_close = False
         # Serves the connection until it closes.
@@ -155,11 +164,15 @@
 
     def handle_one_request(self) -> None:
         """Wait for a request, read its head within its timeout and answer it."""
+        if self.conn_state[2] == wsgi.STATE_IDLE:
+            # eventlet shuts down the connections that are marked as idle when it stops.
+            self.conn_state[2] = wsgi.STATE_REQUEST
         self._disable_socket_timeout()
         if not self._wait_for_request():
             self.close_connection = True
             return
         self._head_timer = eventlet.Timeout(self._read_timeouts().head_s)
+        self._receiving.add(self)
         try:
             super().handle_one_request()
         except eventlet.Timeout as timeout:
@@ -167,7 +180,11 @@
                 raise
             self._refuse_slow_head()
         finally:
-            self._head_timer.cancel()
+            self._end_receiving()
+
+    def _end_receiving(self) -> None:
+        self._head_timer.cancel()
+        self._receiving.discard(self)
 
     def _wait_for_request(self) -> bool:
         """Return whether bytes of a request have arrived before the idle timeout."""
@@ -175,10 +192,10 @@
         while not self.rfile.closed:
             idle_until_s = idle_since_s + self._read_timeouts().idle_s
             remaining_s = idle_until_s - self._clock.now_s()
-            if remaining_s <= 0:
+            if remaining_s <= 0 or self._idle.is_closing:
                 return self._has_unread_bytes()
             # The timeout may have been raised meanwhile, so it is read again.
-            with eventlet.Timeout(remaining_s, False):
+            with self._idle.waiting(), eventlet.Timeout(remaining_s, False):
                 return self._wait_for_bytes()
         return False
 
@@ -224,7 +241,7 @@
             The environment, with ``ENVIRON_CLOSE_CONNECTION`` set to a callable that
             closes the connection after the answer.
         """
-        self._head_timer.cancel()
+        self._end_receiving()
         self.connection.settimeout(self.server.socket_timeout)
         environ = super().get_environ()
         source = environ["eventlet.input"]
--- a/chestnutvale/http_server/server.py
+++ b/chestnutvale/http_server/server.py
@@ -21,6 +21,7 @@
     ClientGoneError,
     HttpListenError,
 )
+from chestnutvale.http_server.idle_connections import IdleConnections
 from chestnutvale.http_server.limits import RequestLimitsMiddleware, WsgiApp
 from chestnutvale.http_server.protocol import LimitedProtocol
 from chestnutvale.http_server.timeouts import ConnectionTimeouts, ReadTimeouts
@@ -87,6 +88,8 @@
         settings_timeouts = ConnectionTimeouts.from_limits(limits)
         self._read_timeouts = read_timeouts or (lambda: settings_timeouts)
         self._refused_heads: Counter[str] = Counter()
+        self._idle = IdleConnections()
+        self._receiving: set[LimitedProtocol] = set()
         self._app = RequestLimitsMiddleware(app, limits, self._clock)
         self._connections = ConnectionPool(limits.max_connections)
         self._socket: Any = None
@@ -168,7 +171,10 @@
         if self._task is not None:
             self._task.kill()
             self._task = None
-        while self.running_requests and self._clock.now_s() < deadline_s:
+        self._idle.close()
+        # The requests that have arrived on idle connections are read now.
+        eventlet.sleep(0)
+        while self._has_requests() and self._clock.now_s() < deadline_s:
             eventlet.sleep(STOP_POLL_INTERVAL_S)
         aborted_requests = self.running_requests
         if aborted_requests:
@@ -180,6 +186,9 @@
         self._connections.kill_all()
         return aborted_requests
 
+    def _has_requests(self) -> bool:
+        return bool(self._receiving or self.running_requests)
+
     def _serve_connections(self) -> None:
         wsgi.server(
             self._socket,
@@ -191,6 +200,8 @@
                 read_timeouts=self._read_timeouts,
                 clock=self._clock,
                 refused=self._refused_heads,
+                idle=self._idle,
+                receiving=self._receiving,
             ),
             custom_pool=self._connections,
             minimum_chunk_size=MINIMUM_CHUNK_BYTES,
--- a/tests/http_server/test_timeouts.py
+++ b/tests/http_server/test_timeouts.py
@@ -1,4 +1,4 @@
-"""Timeouts of idle connections and of request heads."""
+"""Timeouts of idle connections and of request heads, and connections at a stop."""
 
 import time
 
@@ -26,12 +26,15 @@
     def __init__(self, address):
         self.timeouts = ConnectionTimeouts(idle_s=0.3, head_s=0.3)
         self.calls = 0
+        self.resume = eventlet.Event()
         self.http = HttpServer(
             self.answer, address, LIMITS, read_timeouts=lambda: self.timeouts
         )
 
     def answer(self, environ, start_response):
         self.calls += 1
+        if environ["PATH_INFO"] == "/wait":
+            self.resume.wait()
         start_response("200 OK", [])
         return [b"ok"]
 
@@ -116,3 +119,52 @@
     client.sendall(REQUEST * 3)
     eventlet.sleep(0.1)
     assert client.recv(4_096).count(b"200 OK") == 3
+
+
+def test_request_that_arrived_before_the_stop_is_answered(server):
+    server.timeouts = ConnectionTimeouts(idle_s=5.0, head_s=0.3)
+    client = server.connect()
+    exchange(client)
+    client.sendall(REQUEST)
+    # The server has not read the request yet.
+    server.http.stop(time.monotonic() + 1.0)
+    answer = read_all(client)
+    assert b"200 OK" in answer
+    assert b"connection: close" in answer.lower()
+
+
+def test_request_that_arrived_before_a_long_stop_does_not_run_unanswered(server):
+    server.timeouts = ConnectionTimeouts(idle_s=5.0, head_s=0.3)
+    other = server.connect()
+    other.sendall(REQUEST.replace(b"/ ", b"/wait "))
+    client = server.connect()
+    exchange(client)
+    client.sendall(REQUEST)
+    stopping = eventlet.spawn(server.http.stop, time.monotonic() + 5.0)
+    assert b"200 OK" in read_all(client)
+    assert server.calls == 3
+    server.resume.send()
+    assert b"200 OK" in read_all(other)
+    assert stopping.wait() == 0
+
+
+def test_request_whose_head_is_arriving_at_the_stop_is_answered(server):
+    server.timeouts = ConnectionTimeouts(idle_s=5.0, head_s=2.0)
+    client = server.connect()
+    client.sendall(REQUEST[:10])
+    eventlet.sleep(0.05)
+    stopping = eventlet.spawn(server.http.stop, time.monotonic() + 2.0)
+    eventlet.sleep(0.1)
+    client.sendall(REQUEST[10:])
+    assert b"200 OK" in read_all(client)
+    assert stopping.wait() == 0
+
+
+def test_stop_does_not_wait_for_idle_connections(server):
+    server.timeouts = ConnectionTimeouts(idle_s=5.0, head_s=0.3)
+    client = server.connect()
+    exchange(client)
+    started_s = time.monotonic()
+    server.http.stop(started_s + 2.0)
+    assert client.recv(1) == b""
+    assert time.monotonic() < started_s + 1.0
