Keep the ticket of a waiting call when another call has its ID

A call that waited for admission got no answer, not even at its deadline, once another call with the same ID had come; callers choose the IDs of routed calls.

Cause: the gate put the ticket of the second call in the place of the first one's and forgot it with the refusal, so no decision reached the first call and its wait had no end.

The gate now refuses the second call without touching the first ticket.

Evidence: the test with the second call fails on the code before (the first call waits until the test's time limit). The tests of a service and of a workspace that leave the configuration pass on both; there were none.

--- a/chestnutvale/programs/entry/admission_gate.py
+++ b/chestnutvale/programs/entry/admission_gate.py
@@ -6,6 +6,7 @@
 import logbook
 from eventlet.event import Event
 
+from chestnutvale.admission.const import CODE_DUPLICATE
 from chestnutvale.admission.controller import AdmissionController
 from chestnutvale.admission.messages import (
     AdmissionRequest,
@@ -166,6 +167,12 @@
             start_by_s=request.start_by_s,
         )
         ticket = GateTicket(self, admission_request, self._clock.now_s())
+        if request.request_id in self._tickets:
+            # The decisions for this ID belong to the ticket of the first call.
+            refusal = Refuse(request.request_id, CODE_DUPLICATE, 0.0)
+            self._log_decision(refusal, ticket)
+            ticket.apply_decision(refusal)
+            return ticket
         self._tickets[request.request_id] = ticket
         self._apply_effects(
             self.controller.offer(admission_request, self._clock.now_s())
--- a/tests/programs/entry/test_admission_gate.py
+++ b/tests/programs/entry/test_admission_gate.py
@@ -1,7 +1,12 @@
-"""Tests that the admission gate ticks only while calls wait."""
+"""The admission gate: its ticks, and the decision of every call."""
+
+import random
 
 import eventlet
+import pytest
 
+from chestnutvale.admission.controller import AdmissionController
+from chestnutvale.admission.messages import ServiceCapacity, ServiceLimits
 from chestnutvale.clock import SystemClock
 from chestnutvale.programs.entry.admission_gate import AdmissionGate
 from chestnutvale.programs.entry.context import CallRequest
@@ -29,8 +34,25 @@
         return []
 
 
-def make_request(request_id):
-    return CallRequest(request_id, "w", "s", "normal", b"", 1, "", 10.0)
+def make_request(request_id, deadline_s=10.0):
+    return CallRequest(request_id, "w", "s", "normal", b"", 1, "", deadline_s)
+
+
+@pytest.fixture
+def full_gate():
+    """Return a gate of a service that runs its only call, ``running``."""
+    clock = SystemClock()
+    controller = AdmissionController(random.Random(1))
+    limits = ServiceLimits(slots_per_group=1, overcommit=1.0)
+    controller.configure({"w": 1.0}, {"s": limits})
+    controller.set_capacity("s", ServiceCapacity(1, 0), clock.now_s())
+    gate = AdmissionGate(controller, clock)
+    assert offer(gate, "running").wait() is None
+    return gate
+
+
+def offer(gate, request_id):
+    return gate.offer(make_request(request_id, SystemClock().now_s() + 60.0))
 
 
 def test_gate_ticks_only_while_call_waits():
@@ -48,3 +70,33 @@
             assert controller.ticks == expected
     finally:
         task.kill()
+
+
+def test_second_call_under_one_id_does_not_leave_the_first_one_waiting(full_gate):
+    first = offer(full_gate, "twice")
+    second = offer(full_gate, "twice")
+    assert second.wait().code == "duplicate_request"
+    second.release(0)
+    full_gate.release("running", 0)
+    with eventlet.Timeout(5):
+        assert first.wait() is None
+
+
+@pytest.mark.parametrize("workspace", ["w", "other"])
+def test_waiting_call_is_refused_once_its_service_leaves_the_configuration(
+    full_gate, workspace
+):
+    waiting = offer(full_gate, "waiting")
+    full_gate.controller.configure({workspace: 1.0}, {"another": ServiceLimits()})
+    full_gate.reevaluate_waiting()
+    with eventlet.Timeout(5):
+        assert waiting.wait().code == "no_capacity"
+
+
+def test_waiting_call_is_admitted_after_its_workspace_left_the_configuration(full_gate):
+    waiting = offer(full_gate, "waiting")
+    limits = ServiceLimits(slots_per_group=1, overcommit=1.0)
+    full_gate.controller.configure({"other": 1.0}, {"s": limits})
+    full_gate.release("running", 0)
+    with eventlet.Timeout(5):
+        assert waiting.wait() is None
