Run no request whose head broke off

A caller's request was run although its connection had ended within its head, without the headers that were missing.

Cause: the parser takes the end of the connection for the end of the head.

The server now notes whether the empty line has arrived, and closes the connection without running the request if it has not.

--- a/chestnutvale/http_server/protocol.py
+++ b/chestnutvale/http_server/protocol.py
@@ -110,6 +110,42 @@
             raise ClientGoneError(error.errno, error.strerror) from error
 
 
+class HeadReader:
+    """Reads the lines of a request head and notes whether its last line has arrived.
+
+    Parameters
+    ----------
+    reader : binary file
+        The underlying reader of the connection.
+
+    Attributes
+    ----------
+    has_ended : bool
+        Whether the empty line that ends the head was the last line read.
+    """
+
+    def __init__(self, reader: Any) -> None:
+        self.has_ended = False
+        self._reader = reader
+
+    def readline(self, size: int = -1) -> bytes:
+        """Read a line.
+
+        Parameters
+        ----------
+        size : int, optional
+            Largest number of bytes.
+
+        Returns
+        -------
+        bytes
+            The line; empty at the end of the connection.
+        """
+        line = self._reader.readline(size)
+        self.has_ended = line in (b"\r\n", b"\n")
+        return line
+
+
 class LimitedProtocol(wsgi.HttpProtocol):
     """Reads the requests of one connection.
 
@@ -227,10 +263,19 @@
         Returns
         -------
         bool
-            Whether the head is valid; otherwise it has been answered.
+            Whether the head is whole and valid.
         """
         self._disable_socket_timeout()
-        return super().parse_request()
+        reader = HeadReader(self.rfile)
+        self.rfile = reader
+        if not super().parse_request():
+            return False
+        if not reader.has_ended:
+            # The parser takes the end of the connection for the end of the head.
+            _LOGGER.debug("{} closed within a request head", self.client_address)
+            self.close_connection = True
+            return False
+        return True
 
     def get_environ(self) -> dict[str, Any]:
         """Stop the head timer and build the WSGI environment of the request.
--- a/tests/http_server/test_server.py
+++ b/tests/http_server/test_server.py
@@ -350,3 +350,21 @@
 
 def make_server_at(server, app):
     return HttpServer(app, server.address, HttpLimits())
+
+
+@pytest.mark.parametrize(
+    "sent",
+    [
+        b"GET / HTTP/1.1\r\nHost: a\r\n",
+        b"GET / HTTP/1.1\r\nHost: a\r\nX-Part",
+        b"GET /\r\n",
+        b"GET / HTTP/1.1",
+        b"GET /",
+    ],
+)
+def test_request_whose_head_breaks_off_is_not_run(serve, app, sent):
+    client = connect(serve())
+    client.sendall(sent)
+    client.shutdown(socket.SHUT_WR)
+    read_all(client)
+    assert app.calls == []
