--- a/chestnutvale/http_server/connections.py
+++ b/chestnutvale/http_server/connections.py
@@ -6,6 +6,7 @@
 
 import eventlet
 import logbook
+from eventlet import wsgi
 from eventlet.greenthread import GreenThread
 
 from chestnutvale.http_server.const import (
@@ -30,18 +31,6 @@
 )
 
 
-def _encode_response(problem: Problem) -> bytes:
-    body = problem.body()
-    headers = [
-        *problem.headers(),
-        ("Content-Length", str(len(body))),
-        ("Connection", "close"),
-    ]
-    lines = [f"HTTP/1.1 {problem.status_line}"]
-    lines += [f"{name}: {value}" for name, value in headers]
-    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
-
-
 class ConnectionPool:
     """Runs one green thread per connection and refuses connections over the limit.
 
@@ -63,7 +52,7 @@
         self._max_connections = max_connections
         self._tasks: set[GreenThread] = set()
         self._lingering_count = 0
-        self._overload_response = _encode_response(_OVERLOAD_PROBLEM)
+        self._overload_response = _OVERLOAD_PROBLEM.encode_response()
 
     def __len__(self) -> int:
         """Return the number of connections being served."""
@@ -87,6 +76,8 @@
         if len(self._tasks) >= self._max_connections:
             self.refused[REFUSED_TOO_MANY_CONNECTIONS] += 1
             return eventlet.spawn(self._refuse, connection[1])
+        # eventlet shuts down the connections that are marked as idle when it stops.
+        connection[2] = wsgi.STATE_REQUEST
         task = eventlet.spawn(self._serve, serve, connection)
         self._tasks.add(task)
         task.link(self._tasks.discard)
