Announce the close in answers that start after a drain began

A caller whose request ran when a daemon began to stop kept the connection after the answer, and the next request on it crossed the daemon's close.

Cause: whether a connection closes was decided when its request arrived. It is now decided when the answer starts.

Evidence: the new test fails on the code before, where the answer carried no Connection header.

--- a/chestnutvale/http_server/limits.py
+++ b/chestnutvale/http_server/limits.py
@@ -74,16 +74,20 @@
 
     def __call__(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
         """Answer one request, with a problem document if it exceeds a limit."""
-        if self.draining:
-            environ[ENVIRON_CLOSE_CONNECTION]()
+
+        def start_answer(*arguments: Any) -> Any:
+            if self.draining:
+                environ[ENVIRON_CLOSE_CONNECTION]()
+            return start_response(*arguments)
+
         self.running_requests += 1
         environ["eventlet.posthooks"].append((self._count_finished_request, (), {}))
         try:
             self._check_head(environ)
             environ["wsgi.input"] = self._limit_body(environ)
-            return self._app(environ, start_response)
+            return self._app(environ, start_answer)
         except HttpRequestError as error:
-            return self._refuse(error, environ, start_response)
+            return self._refuse(error, environ, start_answer)
 
     def _count_finished_request(self, environ: dict[str, Any]) -> None:
         self.running_requests -= 1
--- a/tests/http_server/test_timeouts.py
+++ b/tests/http_server/test_timeouts.py
@@ -148,6 +148,15 @@
     assert stopping.wait() == 0
 
 
+def test_answer_that_starts_after_the_drain_began_tells_to_close(server):
+    client = server.connect()
+    client.sendall(REQUEST.replace(b"/ ", b"/wait "))
+    eventlet.sleep(0.05)
+    server.http.begin_drain()
+    server.resume.send()
+    assert b"connection: close" in read_all(client).lower()
+
+
 def test_request_whose_head_is_arriving_at_the_stop_is_answered(server):
     server.timeouts = ConnectionTimeouts(idle_s=5.0, head_s=2.0)
     client = server.connect()
