Log the prompt parts of routed requests and of crash suspects

Requests whose prompts share one part crashed one endpoint after another. The logs named each crashed request only by a fingerprint of all of it, and these requests are never alike, so nothing told that they had a part in common.

The caller protocol now decodes the parts of the prompt (none if the header is malformed, 64 at most; the header is forwarded unchanged). Hashes of all parts but the last, which belongs to the request or its session, are in `call_accepted` and in the new line `crash_suspected`, with the group, its epoch and the run time. Nothing is decided by them yet.

--- a/chestnutvale/attempts/suspicion.py
+++ b/chestnutvale/attempts/suspicion.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import attrs
+import logbook
 import xxhash
 
 from chestnutvale.attempts.const import (
@@ -15,8 +16,11 @@
     SUSPECT_ROUND_MS,
 )
 from chestnutvale.attempts.crash_evidence import Crash, CrashEvidence
+from chestnutvale.attempts.prompt_parts import format_parts
 from chestnutvale.schema.peer_pb2 import CrashSuspicion
 
+_LOGGER = logbook.Logger(__name__)
+
 # Members of the request body that do not affect the computation of an engine.
 _IGNORED_MEMBERS = frozenset({"stream", "stream_options", "user"})
 
@@ -85,6 +89,7 @@
     epoch: int
     fabric_domain: str
     started_unix_ms: int
+    part_hashes: tuple[int, ...]
 
 
 class SuspicionTracker:
@@ -123,6 +128,7 @@
         epoch: int,
         fabric_domain: str,
         now_unix_ms: int,
+        part_hashes: tuple[int, ...] = (),
     ) -> None:
         """Record that a group runs a request.
 
@@ -140,9 +146,11 @@
             Fabric domain of the group.
         now_unix_ms : int
             Wall-clock time in milliseconds.
+        part_hashes : tuple of int, optional
+            Hashes of the parts of its prompt that other requests may share.
         """
         self._running[attempt_id] = _Running(
-            fingerprint, group_id, epoch, fabric_domain, now_unix_ms
+            fingerprint, group_id, epoch, fabric_domain, now_unix_ms, part_hashes
         )
 
     def attempt_ended(self, attempt_id: str) -> None:
@@ -189,6 +197,19 @@
         running = self._running.pop(attempt_id, None)
         if running is None:
             return
+        ran_ms = max(0, now_unix_ms - running.started_unix_ms)
+        _LOGGER.info(
+            "crash_suspected",
+            extra={
+                "request": attempt_id.rpartition(".")[0],
+                "attempt": attempt_id,
+                "group": running.group_id,
+                "epoch": running.epoch,
+                "ran_ms": ran_ms,
+                "fingerprint": f"{running.fingerprint:016x}",
+                "parts": format_parts(running.part_hashes),
+            },
+        )
         self._add(
             CrashSuspicion(
                 fingerprint=running.fingerprint,
@@ -196,7 +217,7 @@
                 epoch=running.epoch,
                 fabric_domain=running.fabric_domain,
                 crashed_at_unix_ms=now_unix_ms,
-                ran_ms=max(0, now_unix_ms - running.started_unix_ms),
+                ran_ms=ran_ms,
             )
         )
 
--- a/chestnutvale/programs/entry/group_chooser.py
+++ b/chestnutvale/programs/entry/group_chooser.py
@@ -38,6 +38,8 @@
         64-bit fingerprint of the request, for the detection of crashing requests.
     wait : callable
         Waits for a time in seconds; returns True if the call was abandoned meanwhile.
+    part_hashes : tuple of int, optional
+        Hashes of the parts of its prompt that other requests may share.
 
     Attributes
     ----------
@@ -51,12 +53,14 @@
         request: CallRequest,
         fingerprint: int,
         wait: Callable[[float], bool],
+        part_hashes: tuple[int, ...] = (),
     ) -> None:
         self.view: GroupView | None = None
         self._epochs: dict[str, int] = {}
         self._context = context
         self._request = request
         self._fingerprint = fingerprint
+        self._part_hashes = part_hashes
         self._wait = wait
 
     def choose(self, effect: ChooseGroup) -> ChoiceEvent:
@@ -121,6 +125,7 @@
             group.epoch,
             group.fabric_domain,
             self._context.clock.unix_ms(),
+            self._part_hashes,
         )
 
     def check_for_crash(self, attempt_id: str) -> None:
--- a/chestnutvale/programs/entry/model_calls.py
+++ b/chestnutvale/programs/entry/model_calls.py
@@ -222,6 +222,8 @@
         `UnreadableAnswerError` if the delivered part of the answer can't be resumed.
     environ : dict
         The WSGI environment.
+    part_hashes : tuple of int, optional
+        Hashes of the parts of its prompt that other requests may share.
 
     Attributes
     ----------
@@ -239,6 +241,7 @@
         call: ModelCall,
         make_attempt: AttemptFactory,
         environ: dict[str, Any],
+        part_hashes: tuple[int, ...] = (),
     ) -> None:
         self.failure: Failure | None = None
         self.request = request
@@ -247,7 +250,9 @@
         self._call = call
         self._make_attempt = make_attempt
         self.attempt: Attempt | None = None
-        self._chooser = GroupChooser(context, request, fingerprint, self._watch.wait)
+        self._chooser = GroupChooser(
+            context, request, fingerprint, self._watch.wait, part_hashes
+        )
         self._sent_at_s = 0.0
         self._first_byte_s: float | None = None
         self._first_offset = 0
--- a/chestnutvale/programs/entry/routed/caller_protocol.py
+++ b/chestnutvale/programs/entry/routed/caller_protocol.py
@@ -34,6 +34,9 @@
         Number of the last event that the caller has received; 0 for none.
     headers : list of tuple of str
         Headers to forward unchanged.
+    prompt_parts : tuple of str
+        IDs of the parts of the prompt in order; the last one belongs to the request or
+        its session, the others are shared with other requests. Empty if unknown.
     """
 
     request_id: str
@@ -47,6 +50,7 @@
     max_tokens: int
     last_event: int
     headers: Headers
+    prompt_parts: tuple[str, ...] = ()
 
 
 @attrs.frozen
--- a/chestnutvale/programs/entry/routed/handler.py
+++ b/chestnutvale/programs/entry/routed/handler.py
@@ -19,6 +19,7 @@
 from chestnutvale.attempts.const import OUTCOME_NOT_RUN
 from chestnutvale.attempts.events import Failure
 from chestnutvale.attempts.model_call import ModelCall
+from chestnutvale.attempts.prompt_parts import format_parts, hash_shared_parts
 from chestnutvale.attempts.service_events import Reply
 from chestnutvale.configuration.const import ROUTE_REPEATABLE, ROUTE_STREAMING
 from chestnutvale.configuration.routes import RouteTable
@@ -179,6 +180,7 @@
             deadline_s=received_s + _find_time_limit_s(request, route),
             start_by_s=now_s + _find_queue_timeout_s(route),
         )
+        part_hashes = hash_shared_parts(service, request.prompt_parts)
         _LOGGER.info(
             "call_accepted",
             extra={
@@ -193,10 +195,16 @@
                 if math.isfinite(call.start_by_s)
                 else None,
                 "last_event": request.last_event,
+                "parts": format_parts(part_hashes),
             },
         )
         return RoutedCall(
-            request, body, route, call, _compute_fingerprint(request, body)
+            request,
+            body,
+            route,
+            call,
+            _compute_fingerprint(request, body),
+            part_hashes,
         )
 
     def _wait_for_lease(self, request: RoutedRequest, now_s: float) -> bool:
@@ -252,6 +260,7 @@
             model_call,
             attempts.make_attempt,
             environ,
+            call.part_hashes,
         )
         pieces = run.iterate()
         first = next(pieces, None)
@@ -332,6 +341,7 @@
             make_exchange=lambda view: make_exchange(
                 self._context, self._protocol, self._pool, call, view, 0
             ),
+            part_hashes=call.part_hashes,
         )
         answer = self._service_handler.admit_and_run(run, call.call_request, environ)
         if isinstance(answer, Reply):
--- a/chestnutvale/programs/entry/routed/stream_attempts.py
+++ b/chestnutvale/programs/entry/routed/stream_attempts.py
@@ -39,6 +39,8 @@
         The call in the form that admission and group routing use.
     fingerprint : int
         64-bit hash of the request; identifies requests that crash endpoints.
+    part_hashes : tuple of int
+        Hashes of the parts of its prompt that other requests may share.
     """
 
     request: RoutedRequest
@@ -46,6 +48,7 @@
     route: Route
     call_request: CallRequest
     fingerprint: int
+    part_hashes: tuple[int, ...] = ()
 
 
 class StreamAttempts:
--- a/chestnutvale/programs/entry/service_run.py
+++ b/chestnutvale/programs/entry/service_run.py
@@ -156,6 +156,8 @@
         Limits of the attempts.
     make_exchange : callable, optional
         Makes the exchange with the endpoint of a chosen group.
+    part_hashes : tuple of int, optional
+        Hashes of the parts of its prompt that other requests may share.
 
     Attributes
     ----------
@@ -176,6 +178,7 @@
         claim: Claim | None,
         policy: ServicePolicy = DEFAULT_POLICY,
         make_exchange: ExchangeFactory = make_endpoint_exchange,
+        part_hashes: tuple[int, ...] = (),
     ) -> None:
         self._make_exchange = make_exchange
         self.answer_event: Event = Event()
@@ -199,7 +202,9 @@
             claim.deadline_unix_ms = context.clock.unix_ms() + int(remaining_s * 1_000)
         self._exchange: Exchange | None = None
         fingerprint = compute_request_fingerprint(request, body)
-        self._chooser = GroupChooser(context, call_request, fingerprint, self._sleep)
+        self._chooser = GroupChooser(
+            context, call_request, fingerprint, self._sleep, part_hashes
+        )
 
     def wait_for_answer(self) -> Reply | Failure:
         """Wait until the call is answered or its deadline has passed.
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -50,6 +50,23 @@
     assert (request.model, request.max_tokens) == ("big", 80)
 
 
+@pytest.mark.parametrize(
+    ("value", "parts"),
+    [
+        ("5C1e:800, 91bd:410,e440:250", ("5c1e", "91bd", "e440")),
+        ("", ()),
+        ("5c1e:800,xyz:1", ()),
+        ("5c1e", ()),
+        (",".join(f"{number:x}:1" for number in range(100)), 64),
+    ],
+)
+def test_prompt_parts_are_parsed_and_malformed_ones_ignored(value, parts):
+    fields = environ(Chestnutvale_Prompt_Prefix=value)
+    request = PlatformCallerProtocol().read_request(fields)
+    assert request.prompt_parts == parts or len(request.prompt_parts) == parts
+    assert ("Chestnutvale-Prompt-Prefix", value) in request.headers
+
+
 def test_endpoint_gets_caller_headers_except_replaced_and_hop_by_hop():
     protocol = PlatformCallerProtocol()
     request = protocol.read_request(environ())
