--- /dev/null
+++ b/tests/attempts/test_crash_parts.py
@@ -0,0 +1,234 @@
+"""Simulates entries whose requests share a prompt part that crashes endpoints."""
+
+import heapq
+import itertools
+import random
+from types import SimpleNamespace
+
+import attrs
+import pytest
+
+from chestnutvale.attempts.events import ChooseGroup, GroupChosen
+from chestnutvale.attempts.prompt_parts import hash_shared_parts
+from chestnutvale.attempts.suspicion import SuspicionTracker
+from chestnutvale.attempts.suspicion_aggregator import SuspicionAggregator
+from chestnutvale.programs.entry.context import CallRequest
+from chestnutvale.programs.entry.group_chooser import GroupChooser
+from chestnutvale.programs.entry.routed.const import BAN_AFTER_CRASHES
+from chestnutvale.schema.groups_pb2 import Group, GroupMember
+from chestnutvale.schema.peer_pb2 import GroupView
+
+START_UNIX_MS = 1_790_000_000_000
+ENTRIES = 12
+GROUPS = 20
+REQUESTS_PER_S = 33.0
+CRASHING_SHARE = 0.4
+MESSAGE_DELAY_MS = 100
+RESTART_MS = 3_000
+MAX_ATTEMPTS = 2
+DURATION_MS = 14_000
+# Delay after the fifth crash from which the limits apply.
+CONTACT_MS = 3_000
+MAX_LATE_SENDS = 3
+MIN_SOUND_SHARE = 0.5
+CRASHING_PART = "c4a5"
+FIRST_PART = "f1"
+OTHER_PARTS = [f"{number:02x}" for number in range(8)]
+
+
+@attrs.define(eq=False)
+class SimulatedCall:
+    """A call and its last attempt."""
+
+    number: int
+    entry: int
+    is_crashing: bool
+    chooser: GroupChooser
+    accepted_ms: int
+    attempts: int = 0
+    has_begun: bool = False
+    group_id: str = ""
+    epoch: int = 0
+    excluded: set = attrs.field(factory=set)
+
+    @property
+    def attempt_id(self):
+        return f"{self.number}.{self.attempts}"
+
+
+class Simulation:
+    """Entries, a control and groups with simulated time in milliseconds."""
+
+    def __init__(self, seed, leaderless_ms=0, other_parts=2):
+        self.rng = random.Random(seed)
+        self.now_ms = 0
+        self.calls = []
+        self.crashes_ms = []
+        self.crashing_sends_ms = []
+        self._leaderless_ms = leaderless_ms
+        self._other_parts = other_parts
+        self._queue = []
+        self._sequence = itertools.count()
+        self._epochs = {f"g{number:02}": 1 for number in range(GROUPS)}
+        self._up_at_ms = dict.fromkeys(self._epochs, 0)
+        self._running = {group_id: set() for group_id in self._epochs}
+        self._control = SuspicionAggregator()
+        self.trackers = [SuspicionTracker(BAN_AFTER_CRASHES) for _ in range(ENTRIES)]
+        self._contexts = [self._make_context(tracker) for tracker in self.trackers]
+        for number, tracker in enumerate(self.trackers):
+            tracker.notify = lambda number=number: self._schedule_report(number)
+
+    def _make_context(self, tracker):
+        clock = SimpleNamespace(now_s=lambda: self.now_ms / 1_000, unix_ms=self.unix_ms)
+        return SimpleNamespace(
+            clock=clock,
+            suspicions=tracker,
+            serving_groups=lambda service, version: sorted(self._epochs),
+            has_lease=lambda now_s: True,
+            has_crashed=lambda group, is_engine: True,
+            choose_group=self._choose_group,
+            earliest_return_s=lambda service: None,
+            group_epoch=self._epochs.get,
+        )
+
+    def unix_ms(self):
+        return START_UNIX_MS + self.now_ms
+
+    def schedule(self, delay_ms, action, *arguments):
+        at_ms = self.now_ms + round(delay_ms)
+        heapq.heappush(self._queue, (at_ms, next(self._sequence), action, arguments))
+
+    def run(self):
+        self._send_next_request()
+        while self._queue and self._queue[0][0] < DURATION_MS:
+            self.now_ms, _, action, arguments = heapq.heappop(self._queue)
+            action(*arguments)
+
+    def _send_next_request(self):
+        is_crashing = self.rng.random() < CRASHING_SHARE
+        parts = [FIRST_PART, *self.rng.sample(OTHER_PARTS, self._other_parts)]
+        if is_crashing:
+            parts.insert(self.rng.randrange(1, len(parts) + 1), CRASHING_PART)
+        number = len(self.calls) + 1
+        part_hashes = hash_shared_parts("llm", [*parts, f"{number:x}"])
+        entry = self.rng.randrange(ENTRIES)
+        request = CallRequest(f"{number}", "w", "llm", "normal", b"", 10, "", 1e9)
+        chooser = GroupChooser(
+            self._contexts[entry], request, number, lambda wait_s: True, part_hashes
+        )
+        call = SimulatedCall(number, entry, is_crashing, chooser, self.now_ms)
+        self.calls.append(call)
+        self._start_attempt(call)
+        interval_ms = self.rng.expovariate(REQUESTS_PER_S / 1_000)
+        self.schedule(interval_ms, self._send_next_request)
+
+    def _choose_group(self, request, excluded, version):
+        available = [
+            group_id
+            for group_id, up_at_ms in self._up_at_ms.items()
+            if up_at_ms <= self.now_ms and group_id not in excluded
+        ]
+        if not available:
+            return None
+        group_id = self.rng.choice(available)
+        member = GroupMember(host_id=group_id, address="10.0.0.1:1", rank=0)
+        epoch = self._epochs[group_id]
+        group = Group(group_id=group_id, epoch=epoch, version="1", members=[member])
+        return GroupView(group=group, serving=True)
+
+    def _start_attempt(self, call):
+        event = call.chooser.choose(ChooseGroup(frozenset(call.excluded), ""))
+        if not isinstance(event, GroupChosen):
+            return
+        call.attempts += 1
+        call.group_id, call.epoch = event.group_id, event.epoch
+        call.chooser.attempt_started(call.attempt_id)
+        self._running[call.group_id].add(call)
+        if call.is_crashing:
+            self.crashing_sends_ms.append(self.now_ms)
+        self.schedule(self.rng.uniform(100, 200), self._begin, call, call.attempts)
+
+    def _is_running(self, call, attempts):
+        return call.attempts == attempts and call in self._running[call.group_id]
+
+    def _begin(self, call, attempts):
+        if not self._is_running(call, attempts):
+            return
+        call.has_begun = call.has_begun or attempts == 1
+        if call.is_crashing:
+            self.schedule(self.rng.uniform(39, 110), self._crash, call, attempts)
+        else:
+            self.schedule(self.rng.uniform(300, 2_500), self._complete, call, attempts)
+
+    def _complete(self, call, attempts):
+        if not self._is_running(call, attempts):
+            return
+        self._running[call.group_id].remove(call)
+        tracker = self.trackers[call.entry]
+        tracker.answer_completed(call.attempt_id, self.unix_ms())
+
+    def _crash(self, call, attempts):
+        if self._is_running(call, attempts):
+            self.crashes_ms.append(self.now_ms)
+            self.crash_group(call.group_id)
+
+    def crash_group(self, group_id):
+        self._epochs[group_id] += 1
+        self._up_at_ms[group_id] = self.now_ms + RESTART_MS
+        broken, self._running[group_id] = self._running[group_id], set()
+        for call in sorted(broken, key=lambda call: call.number):
+            call.excluded.add(group_id)
+            call.chooser.check_for_crash(call.attempt_id)
+            if call.attempts < MAX_ATTEMPTS:
+                self._start_attempt(call)
+
+    def _schedule_report(self, entry):
+        leader_at_ms = self._find_leader_return_ms()
+        delay_ms = max(MESSAGE_DELAY_MS, leader_at_ms - self.now_ms)
+        self.schedule(delay_ms, self._deliver_report, entry)
+
+    def _find_leader_return_ms(self):
+        if not self.crashes_ms or not self._leaderless_ms:
+            return 0
+        return self.crashes_ms[0] + self._leaderless_ms
+
+    def _deliver_report(self, entry):
+        now_unix_ms = self.unix_ms()
+        reports = self.trackers[entry].reports(now_unix_ms)
+        if self._control.merge(reports, now_unix_ms):
+            evidence = self._control.recent_evidence(now_unix_ms)
+            self.schedule(MESSAGE_DELAY_MS, self._deliver_evidence, evidence)
+
+    def _deliver_evidence(self, evidence):
+        for tracker in self.trackers:
+            tracker.merge(evidence, self.unix_ms())
+
+    # Results.
+
+    def count_late_sends(self):
+        if len(self.crashes_ms) < 5:
+            return 0
+        limit_ms = self.crashes_ms[4] + CONTACT_MS
+        return sum(sent_ms > limit_ms for sent_ms in self.crashing_sends_ms)
+
+    def find_sound_share(self):
+        crashes_ms = self.crashes_ms
+        from_ms = (crashes_ms[4] if len(crashes_ms) >= 5 else 0) + 2 * CONTACT_MS
+        sound = [
+            call
+            for call in self.calls
+            if not call.is_crashing
+            and from_ms <= call.accepted_ms <= DURATION_MS - 1_000
+        ]
+        assert len(sound) > 20
+        return sum(call.has_begun for call in sound) / len(sound)
+
+
+@pytest.mark.parametrize("leaderless_ms", [0, 2_000])
+def test_part_that_crashed_five_groups_reaches_no_more_of_them(leaderless_ms):
+    for seed in range(5):
+        simulation = Simulation(seed, leaderless_ms)
+        simulation.run()
+        assert len(simulation.crashes_ms) >= BAN_AFTER_CRASHES
+        assert simulation.count_late_sends() <= MAX_LATE_SENDS
+        assert simulation.find_sound_share() >= MIN_SOUND_SHARE
