Refuse requests with a prompt part that crashes groups

Cause: crash evidence knew a request only by a fingerprint of all of it, so nothing was learned from the crashes of requests that share a part of their prompt.

Evidence of a crash now also names the parts of each attempt that broke in it, without the last part of the prompt, which is the request's own, and without attempts that had written soundly for 200 ms. Parts are cleared by sound answers, ordered by time. A part is banned after three successive crashes of two or more groups, and crashes are attributed to the part that explains most of them, so that the first part and other parts that sound requests share aren't blamed. Parts that ran in the same crashes are only refused together. Each attempt is judged, and each call before it waits in the queue; a call that did not run is told so (503, not_run). A ban ends by a sound answer only: after five minutes each entry tries one request at a random time, much sooner if the part was known to be sound before, as then many groups may have failed for another reason. Bans are logged (`suspect_banned`, `suspect_cleared`).

The simulation now also records sound writing and doesn't crash a group that is down; its limits are unchanged.

--- a/chestnutvale/attempts/const.py
+++ b/chestnutvale/attempts/const.py
@@ -73,6 +73,30 @@
 BAN_CRASHES_SLOW: Final = 3
 # `BAN_CRASHES` if the evidence is ambiguous: other requests ran in all crashes too.
 BAN_CRASHES_AMBIGUOUS: Final = 4
+# Successive crashes after which requests with a prompt part are refused.
+BAN_PART_CRASHES: Final = 3
+# The same if all crashes were of one group, which may have a fault of its own.
+BAN_CRASHES_ONE_GROUP: Final = 5
+# Time after which a further crash is not an effect of the same fault.
+SEPARATE_CRASH_MS: Final = 1_000
+# Time to wait after a crash for the evidence of other entries about prompt parts.
+PART_EVIDENCE_SETTLE_MS: Final = 150
+# Shortest time from the first to the last of these crashes. Groups that crash together
+# for another reason do so within less.
+MIN_CRASH_SPAN_MS: Final = 500
+# Time from the last crash for which requests with a prompt part are refused. Each entry
+# then tries one request at a random time.
+PART_BAN_MS: Final = 5 * 60 * 1_000
+# The same for a part whose answers were written soundly before: many groups may have
+# crashed for another reason.
+DOUBTFUL_PART_BAN_MS: Final = 1_000
+# Time over which the tries of the entries are spread, so that they seldom coincide.
+PART_TRIAL_SPREAD_MS: Final = 10_000
+# Time for which a crash counts as evidence against a prompt part.
+PART_EVIDENCE_RETENTION_MS: Final = 15 * 60 * 1_000
+# Time from the first event of an answer after which its prompt is not the cause of a
+# crash; parts that crash groups do so as the answer begins.
+SOUND_WRITING_MS: Final = 200
 # Maximum time between crashes in one fabric domain that count as a single fault.
 DOMAIN_FAULT_MS: Final = 3_000
 # Time for which evidence is repeated in reports, in case one is lost.
@@ -80,8 +104,15 @@
 # Crashes and requests kept in memory; the oldest are dropped first.
 MAX_CRASHES: Final = 256
 MAX_SUSPECTS: Final = 4_096
+# Suspected parts of one crash.
+MAX_PARTS_PER_CRASH: Final = 1_024
+# Parts whose last sound answer is remembered; the oldest are dropped first.
+MAX_CLEARED_PARTS: Final = 4_096
+# Pieces of evidence that are repeated; the oldest are dropped first.
+MAX_REPEATED_PIECES: Final = 2_048
 
 CODE_CRASHING: Final = "crashing_request"
+CODE_CRASHING_PART: Final = "crashing_prompt_part"
 
 # Retry-After for a key whose call is still running.
 RUNNING_RETRY_AFTER_S: Final = 1.0
--- a/chestnutvale/attempts/crash_evidence.py
+++ b/chestnutvale/attempts/crash_evidence.py
@@ -17,6 +17,23 @@
 from chestnutvale.schema.peer_pb2 import CrashSuspicion
 
 
+def limit_time(suspicion: CrashSuspicion, now_unix_ms: int) -> None:
+    """Limit the time of a received piece of evidence to that of the own clock.
+
+    Otherwise no answer could clear a request of a crash that was reported by a process
+    whose clock is ahead.
+
+    Parameters
+    ----------
+    suspicion : CrashSuspicion
+        The evidence; modified in place.
+    now_unix_ms : int
+        Wall-clock time in milliseconds.
+    """
+    if suspicion.crashed_at_unix_ms > now_unix_ms:
+        suspicion.crashed_at_unix_ms = now_unix_ms
+
+
 @attrs.frozen
 class CrashId:
     """Identity of a crash; a repaired group has a new epoch.
@@ -91,6 +108,8 @@
         bool
             Whether it was new.
         """
+        if not suspicion.fingerprint:
+            return False
         if suspicion.cleared:
             return self._clear(suspicion.fingerprint, suspicion.crashed_at_unix_ms)
         fingerprint = suspicion.fingerprint
--- a/chestnutvale/attempts/events.py
+++ b/chestnutvale/attempts/events.py
@@ -50,9 +50,12 @@
     ----------
     retry_after_s : float
         Time until the end of the ban in seconds.
+    part_hashes : tuple of int
+        Parts of the prompt that are banned; empty if the whole request is.
     """
 
     retry_after_s: float
+    part_hashes: tuple[int, ...] = ()
 
 
 @attrs.frozen
--- a/chestnutvale/attempts/model_call.py
+++ b/chestnutvale/attempts/model_call.py
@@ -10,6 +10,7 @@
     CODE_BROKEN,
     CODE_CALLER_GONE,
     CODE_CRASHING,
+    CODE_CRASHING_PART,
     CODE_DEADLINE,
     CODE_NONE_AVAILABLE,
     CODE_REFUSED,
@@ -44,6 +45,7 @@
     Started,
     Tick,
 )
+from chestnutvale.attempts.prompt_parts import describe_part_ban
 from chestnutvale.attempts.retry_budget import AttemptBudgets, RetryBudget
 
 STEP_CHOOSE = "choose"
@@ -180,6 +182,13 @@
         )
 
     def _on_banned(self, event: CallBanned, now_s: float) -> list[CallEffect]:
+        if event.part_hashes:
+            return self._fail(
+                CODE_CRASHING_PART,
+                describe_part_ban(event.part_hashes),
+                step=STEP_CHOOSE,
+                retry_after_s=event.retry_after_s,
+            )
         self._outcome = OUTCOME_FAILED
         return self._fail(
             CODE_CRASHING,
--- a/chestnutvale/attempts/prompt_parts.py
+++ b/chestnutvale/attempts/prompt_parts.py
@@ -43,3 +43,20 @@
         The hashes with 16 digits each.
     """
     return [f"{part_hash:016x}" for part_hash in part_hashes]
+
+
+def describe_part_ban(part_hashes: Sequence[int]) -> str:
+    """Return the reason for a refusal because of a prompt's parts.
+
+    Parameters
+    ----------
+    part_hashes : sequence of int
+        Hashes of the parts that are banned.
+
+    Returns
+    -------
+    str
+        The reason; `suspect_banned` log lines name the same parts.
+    """
+    parts = ", ".join(format_parts(part_hashes))
+    return f"groups crashed under other requests with the prompt parts {parts}"
--- a/chestnutvale/attempts/service_call.py
+++ b/chestnutvale/attempts/service_call.py
@@ -8,6 +8,7 @@
     CODE_ATTEMPTS,
     CODE_CALLER_GONE,
     CODE_CRASHING,
+    CODE_CRASHING_PART,
     CODE_DEADLINE,
     CODE_NONE_AVAILABLE,
     CODE_REFUSED,
@@ -36,6 +37,7 @@
     Started,
     Tick,
 )
+from chestnutvale.attempts.prompt_parts import describe_part_ban
 from chestnutvale.attempts.retry_budget import AttemptBudgets, RetryBudget
 from chestnutvale.attempts.service_events import (
     AnswerTooLarge,
@@ -280,6 +282,13 @@
         )
 
     def _on_banned(self, event: CallBanned, now_s: float) -> Effects:
+        if event.part_hashes:
+            return self._fail(
+                CODE_CRASHING_PART,
+                describe_part_ban(event.part_hashes),
+                step=STEP_CHOOSE,
+                retry_after_s=event.retry_after_s,
+            )
         if self._outcome == OUTCOME_UNKNOWN:
             self._outcome = OUTCOME_FAILED
         return self._fail(
--- a/chestnutvale/attempts/suspicion.py
+++ b/chestnutvale/attempts/suspicion.py
@@ -1,7 +1,9 @@
 """Tracks, at one entry, requests that are suspected of crashing groups."""
 
 import json
-from collections.abc import Callable
+import random
+from collections import deque
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import attrs
@@ -10,12 +12,18 @@
 
 from chestnutvale.attempts.const import (
     BAN_MS,
+    DOUBTFUL_PART_BAN_MS,
     EVIDENCE_REPEAT_MS,
     EVIDENCE_SETTLE_MS,
+    MAX_CLEARED_PARTS,
+    MAX_REPEATED_PIECES,
     MAX_SUSPECT_ROUNDS,
+    PART_BAN_MS,
+    PART_TRIAL_SPREAD_MS,
     SUSPECT_ROUND_MS,
 )
-from chestnutvale.attempts.crash_evidence import Crash, CrashEvidence
+from chestnutvale.attempts.crash_evidence import Crash, CrashEvidence, limit_time
+from chestnutvale.attempts.part_evidence import PartBan, PartEvidence
 from chestnutvale.attempts.prompt_parts import format_parts
 from chestnutvale.schema.peer_pb2 import CrashSuspicion
 
@@ -74,15 +82,18 @@
     ----------
     until_unix_ms : int
         End of the ban as Unix time in milliseconds.
+    part_hashes : tuple of int
+        Parts of the prompt that are banned; empty if the whole request is.
     """
 
     until_unix_ms: int
+    part_hashes: tuple[int, ...] = ()
 
 
 Verdict = Clear | Suspected | Banned
 
 
-@attrs.frozen
+@attrs.define
 class _Running:
     fingerprint: int
     group_id: str
@@ -90,6 +101,7 @@
     fabric_domain: str
     started_unix_ms: int
     part_hashes: tuple[int, ...]
+    is_sound: bool = False
 
 
 class SuspicionTracker:
@@ -104,21 +116,34 @@
     ban_after : int, optional
         Number of crashes after which a request is refused; until then suspects run like
         any other request. With 0, suspects are assigned to separate groups instead.
+    rng : random.Random, optional
+        Source of random numbers, which spread the tries of the entries.
 
     Attributes
     ----------
     evidence : CrashEvidence
         Evidence of this entry merged with that of others.
+    parts : PartEvidence
+        The same for prompt parts that requests share.
     notify : callable or None
         Called when there is new evidence to report; must not block.
     """
 
-    def __init__(self, ban_after: int = 0) -> None:
+    def __init__(self, ban_after: int = 0, rng: random.Random | None = None) -> None:
         self._ban_after = ban_after
+        self._rng = rng or random.Random()
         self.evidence = CrashEvidence()
+        self.parts = PartEvidence()
         self.notify: Callable[[], None] | None = None
         self._running: dict[str, _Running] = {}
-        self._reports: list[CrashSuspicion] = []
+        # Unix time in ms of the first report, and the evidence.
+        self._reports: deque[tuple[int, CrashSuspicion]] = deque(
+            maxlen=MAX_REPEATED_PIECES
+        )
+        # Unix time in ms at which an answer was last written soundly, by part.
+        self._sound_at_unix_ms: dict[int, int] = {}
+        self._known_bans: list[PartBan] = []
+        self._next_trial_unix_ms: dict[PartBan, int] = {}
 
     def attempt_started(
         self,
@@ -152,6 +177,8 @@
         self._running[attempt_id] = _Running(
             fingerprint, group_id, epoch, fabric_domain, now_unix_ms, part_hashes
         )
+        for ban in self._find_matching_bans(part_hashes, now_unix_ms):
+            self._next_trial_unix_ms[ban] = now_unix_ms + PART_TRIAL_SPREAD_MS
 
     def attempt_ended(self, attempt_id: str) -> None:
         """Record that an attempt ended without a crash and without an answer.
@@ -163,6 +190,24 @@
         """
         self._running.pop(attempt_id, None)
 
+    def writing_soundly(self, attempt_id: str, now_unix_ms: int) -> None:
+        """Record that an answer has been written for `SOUND_WRITING_MS`.
+
+        This clears the parts of its prompt of suspicion.
+
+        Parameters
+        ----------
+        attempt_id : str
+            Identity of the attempt.
+        now_unix_ms : int
+            Wall-clock time in milliseconds.
+        """
+        running = self._running.get(attempt_id)
+        if running is None or running.is_sound:
+            return
+        running.is_sound = True
+        self._record_sound(running, 0, attempt_id, now_unix_ms)
+
     def answer_completed(self, attempt_id: str, now_unix_ms: int) -> None:
         """Record a complete answer, which clears the request of suspicion.
 
@@ -174,15 +219,11 @@
             Wall-clock time in milliseconds.
         """
         running = self._running.pop(attempt_id, None)
-        if running is None or not self.evidence.crashes_of(running.fingerprint):
+        if running is None:
             return
-        self._add(
-            CrashSuspicion(
-                fingerprint=running.fingerprint,
-                crashed_at_unix_ms=now_unix_ms,
-                cleared=True,
-            )
-        )
+        is_suspected = bool(self.evidence.crashes_of(running.fingerprint))
+        fingerprint = running.fingerprint if is_suspected else 0
+        self._record_sound(running, fingerprint, attempt_id, now_unix_ms)
 
     def group_crashed(self, attempt_id: str, now_unix_ms: int) -> None:
         """Record that the group that ran an attempt crashed.
@@ -198,6 +239,7 @@
         if running is None:
             return
         ran_ms = max(0, now_unix_ms - running.started_unix_ms)
+        part_hashes = () if running.is_sound else running.part_hashes
         _LOGGER.info(
             "crash_suspected",
             extra={
@@ -207,7 +249,7 @@
                 "epoch": running.epoch,
                 "ran_ms": ran_ms,
                 "fingerprint": f"{running.fingerprint:016x}",
-                "parts": format_parts(running.part_hashes),
+                "parts": format_parts(part_hashes),
             },
         )
         self._add(
@@ -218,7 +260,9 @@
                 fabric_domain=running.fabric_domain,
                 crashed_at_unix_ms=now_unix_ms,
                 ran_ms=ran_ms,
-            )
+                part_hashes=part_hashes,
+            ),
+            now_unix_ms,
         )
 
     def merge(self, suspicions: list[CrashSuspicion], now_unix_ms: int) -> None:
@@ -232,8 +276,12 @@
             Wall-clock time in milliseconds.
         """
         for suspicion in suspicions:
+            limit_time(suspicion, now_unix_ms)
             self.evidence.add(suspicion)
+            if self.parts.add(suspicion) and not suspicion.cleared:
+                self._clear_sound_parts(suspicion.part_hashes, now_unix_ms)
         self.evidence.expire(now_unix_ms)
+        self.parts.expire(now_unix_ms)
 
     def reports(self, now_unix_ms: int) -> list[CrashSuspicion]:
         """Return the evidence for the next report, including recently sent pieces.
@@ -249,10 +297,17 @@
             The evidence.
         """
         oldest = now_unix_ms - EVIDENCE_REPEAT_MS
-        self._reports = [r for r in self._reports if r.crashed_at_unix_ms > oldest]
-        return list(self._reports)
+        while self._reports and self._reports[0][0] <= oldest:
+            self._reports.popleft()
+        return [suspicion for _, suspicion in self._reports]
 
-    def judge(self, fingerprint: int, groups: list[str], now_unix_ms: int) -> Verdict:
+    def judge(
+        self,
+        fingerprint: int,
+        groups: list[str],
+        now_unix_ms: int,
+        part_hashes: tuple[int, ...] = (),
+    ) -> Verdict:
         """Decide whether and where a request may run.
 
         Parameters
@@ -263,12 +318,17 @@
             Groups that currently serve its service.
         now_unix_ms : int
             Wall-clock time in milliseconds.
+        part_hashes : tuple of int, optional
+            Hashes of the parts of its prompt that other requests may share.
 
         Returns
         -------
         Verdict
             ``Clear``, ``Suspected`` or ``Banned``.
         """
+        part_ban = self.find_part_ban(part_hashes, now_unix_ms)
+        if part_ban is not None:
+            return part_ban
         crashed = self.evidence.crashes_of(fingerprint)
         if not crashed:
             return Clear()
@@ -283,6 +343,70 @@
             return Clear()
         return self._assign_group(fingerprint, crashes, groups)
 
+    def find_part_ban(
+        self, part_hashes: tuple[int, ...], now_unix_ms: int
+    ) -> Banned | None:
+        """Return the ban on a prompt because of its parts.
+
+        Parameters
+        ----------
+        part_hashes : tuple of int
+            Hashes of the parts that other requests may share.
+        now_unix_ms : int
+            Wall-clock time in milliseconds.
+
+        Returns
+        -------
+        Banned or None
+            None if the prompt may run.
+        """
+        for ban in self._find_matching_bans(part_hashes, now_unix_ms):
+            until_unix_ms = self._find_next_trial_unix_ms(ban)
+            if until_unix_ms > now_unix_ms:
+                return Banned(until_unix_ms, tuple(sorted(ban.part_hashes)))
+        return None
+
+    def _find_matching_bans(
+        self, part_hashes: tuple[int, ...], now_unix_ms: int
+    ) -> list[PartBan]:
+        if not part_hashes:
+            return []
+        bans = self.parts.bans(now_unix_ms)
+        if bans is not self._known_bans:
+            self._install_bans(bans)
+        return [ban for ban in bans if ban.part_hashes.issubset(part_hashes)]
+
+    def _install_bans(self, bans: list[PartBan]) -> None:
+        known_parts = {ban.part_hashes for ban in self._known_bans}
+        self._known_bans = bans
+        self._next_trial_unix_ms = {
+            ban: at_unix_ms
+            for ban, at_unix_ms in self._next_trial_unix_ms.items()
+            if ban in bans
+        }
+        for ban in bans:
+            if ban.part_hashes in known_parts:
+                continue
+            crashes = (f"{c.group_id}@{c.epoch}" for c in ban.crash_ids)
+            _LOGGER.warning(
+                "suspect_banned",
+                extra={
+                    "parts": format_parts(sorted(ban.part_hashes)),
+                    "crashes": sorted(crashes),
+                },
+            )
+
+    def _find_next_trial_unix_ms(self, ban: PartBan) -> int:
+        """Return when this entry may next try a request despite a ban."""
+        if ban not in self._next_trial_unix_ms:
+            is_doubtful = not ban.is_confirmed and all(
+                part in self._sound_at_unix_ms for part in ban.part_hashes
+            )
+            ban_ms = DOUBTFUL_PART_BAN_MS if is_doubtful else PART_BAN_MS
+            spread_ms = self._rng.randrange(PART_TRIAL_SPREAD_MS)
+            self._next_trial_unix_ms[ban] = ban.last_crash_unix_ms + ban_ms + spread_ms
+        return self._next_trial_unix_ms[ban]
+
     def _assign_group(
         self, fingerprint: int, crashes: list[Crash], groups: list[str]
     ) -> Suspected:
@@ -311,8 +435,52 @@
         tried = {crash.crash_id.group_id for crash in crashes}
         return next((group for group in groups if group not in tried), "")
 
-    def _add(self, suspicion: CrashSuspicion) -> None:
-        if self.evidence.add(suspicion):
-            self._reports.append(suspicion)
+    def _record_sound(
+        self, running: _Running, fingerprint: int, attempt_id: str, now_unix_ms: int
+    ) -> None:
+        for part in running.part_hashes:
+            self._sound_at_unix_ms.pop(part, None)
+            self._sound_at_unix_ms[part] = now_unix_ms
+        while len(self._sound_at_unix_ms) > MAX_CLEARED_PARTS:
+            del self._sound_at_unix_ms[next(iter(self._sound_at_unix_ms))]
+        parts = self.parts.suspected_parts(running.part_hashes)
+        if not fingerprint and not parts:
+            return
+        _LOGGER.info(
+            "suspect_cleared",
+            extra={
+                "request": attempt_id.rpartition(".")[0],
+                "group": running.group_id,
+                "epoch": running.epoch,
+                "fingerprint": f"{fingerprint:016x}" if fingerprint else "",
+                "parts": format_parts(parts),
+            },
+        )
+        self._add_clear(fingerprint, parts, now_unix_ms, now_unix_ms)
+
+    def _clear_sound_parts(self, part_hashes: Iterable[int], now_unix_ms: int) -> None:
+        """Clear parts whose answers were written soundly here after their crash."""
+        for part in part_hashes:
+            sound_at_unix_ms = self._sound_at_unix_ms.get(part, 0)
+            if 0 < self.parts.last_crash_unix_ms(part) <= sound_at_unix_ms:
+                self._add_clear(0, [part], sound_at_unix_ms, now_unix_ms)
+
+    def _add_clear(
+        self, fingerprint: int, parts: list[int], at_unix_ms: int, now_unix_ms: int
+    ) -> None:
+        self._add(
+            CrashSuspicion(
+                fingerprint=fingerprint,
+                crashed_at_unix_ms=at_unix_ms,
+                cleared=True,
+                part_hashes=parts,
+            ),
+            now_unix_ms,
+        )
+
+    def _add(self, suspicion: CrashSuspicion, now_unix_ms: int) -> None:
+        is_new = self.evidence.add(suspicion)
+        if self.parts.add(suspicion) or is_new:
+            self._reports.append((now_unix_ms, suspicion))
             if self.notify is not None:
                 self.notify()
--- a/chestnutvale/attempts/suspicion_aggregator.py
+++ b/chestnutvale/attempts/suspicion_aggregator.py
@@ -1,7 +1,10 @@
 """Merges the entries' evidence about crashing requests in the control plane."""
 
-from chestnutvale.attempts.const import EVIDENCE_REPEAT_MS
-from chestnutvale.attempts.crash_evidence import CrashEvidence
+from collections import deque
+
+from chestnutvale.attempts.const import EVIDENCE_REPEAT_MS, MAX_REPEATED_PIECES
+from chestnutvale.attempts.crash_evidence import CrashEvidence, limit_time
+from chestnutvale.attempts.part_evidence import PartEvidence
 from chestnutvale.schema.peer_pb2 import CrashSuspicion
 
 
@@ -14,8 +17,11 @@
 
     def __init__(self) -> None:
         self.evidence = CrashEvidence()
+        self.parts = PartEvidence()
         # Arrival time in Unix milliseconds and evidence, newest last.
-        self._recent: list[tuple[int, CrashSuspicion]] = []
+        self._recent: deque[tuple[int, CrashSuspicion]] = deque(
+            maxlen=MAX_REPEATED_PIECES
+        )
 
     def merge(self, suspicions: list[CrashSuspicion], now_unix_ms: int) -> bool:
         """Merge the evidence of a report.
@@ -32,7 +38,7 @@
         bool
             Whether any of it was new, so that a view should be pushed to the entries.
         """
-        new = [suspicion for suspicion in suspicions if self.evidence.add(suspicion)]
+        new = [piece for piece in suspicions if self._add(piece, now_unix_ms)]
         self._recent.extend((now_unix_ms, suspicion) for suspicion in new)
         self._forget_old(now_unix_ms)
         return bool(new)
@@ -85,9 +91,16 @@
             for crash in self.evidence.crashes()
             for fingerprint, ran_ms in crash.suspects.items()
         ]
-        return cleared + suspected
+        return cleared + suspected + self.parts.to_suspicions(min_crashes=1)
+
+    def _add(self, suspicion: CrashSuspicion, now_unix_ms: int) -> bool:
+        limit_time(suspicion, now_unix_ms)
+        is_new = self.evidence.add(suspicion)
+        return self.parts.add(suspicion) or is_new
 
     def _forget_old(self, now_unix_ms: int) -> None:
         self.evidence.expire(now_unix_ms)
+        self.parts.expire(now_unix_ms)
         oldest = now_unix_ms - EVIDENCE_REPEAT_MS
-        self._recent = [piece for piece in self._recent if piece[0] > oldest]
+        while self._recent and self._recent[0][0] <= oldest:
+            self._recent.popleft()
--- a/chestnutvale/programs/entry/group_chooser.py
+++ b/chestnutvale/programs/entry/group_chooser.py
@@ -61,6 +61,7 @@
         self._request = request
         self._fingerprint = fingerprint
         self._part_hashes = part_hashes
+        self._part_hashes_to_judge = part_hashes
         self._wait = wait
 
     def choose(self, effect: ChooseGroup) -> ChoiceEvent:
@@ -96,11 +97,15 @@
         while True:
             groups = context.serving_groups(self._request.service, effect.version)
             now_unix_ms = context.clock.unix_ms()
-            verdict = context.suspicions.judge(self._fingerprint, groups, now_unix_ms)
+            verdict = context.suspicions.judge(
+                self._fingerprint, groups, now_unix_ms, self._part_hashes_to_judge
+            )
             if isinstance(verdict, Clear):
                 return self._choose_from(effect.excluded, effect.version)
             if isinstance(verdict, Banned):
-                return CallBanned((verdict.until_unix_ms - now_unix_ms) / 1_000)
+                return CallBanned(
+                    (verdict.until_unix_ms - now_unix_ms) / 1_000, verdict.part_hashes
+                )
             wait_s = (verdict.not_before_unix_ms - now_unix_ms) / 1_000
             if wait_s <= 0.0:
                 excluded_groups = effect.excluded | (set(groups) - {verdict.group_id})
@@ -128,6 +133,20 @@
             self._part_hashes,
         )
 
+    def writing_soundly(self, attempt_id: str) -> None:
+        """Record that an attempt has written its answer for `SOUND_WRITING_MS`.
+
+        Parameters
+        ----------
+        attempt_id : str
+            Identity of the attempt.
+        """
+        # If the answer breaks off later, its prompt is not the cause.
+        self._part_hashes_to_judge = ()
+        self._context.suspicions.writing_soundly(
+            attempt_id, self._context.clock.unix_ms()
+        )
+
     def check_for_crash(self, attempt_id: str) -> None:
         """Probe whether the chosen group crashed, and record it as evidence if it did.
 
--- a/chestnutvale/programs/entry/model_calls.py
+++ b/chestnutvale/programs/entry/model_calls.py
@@ -11,6 +11,8 @@
 from chestnutvale.attempts.const import (
     OUTCOME_FAILED,
     OUTCOME_NOT_RUN,
+    REASON_SILENT,
+    SOUND_WRITING_MS,
 )
 from chestnutvale.attempts.events import (
     AttemptBroken,
@@ -255,6 +257,8 @@
         )
         self._sent_at_s = 0.0
         self._first_byte_s: float | None = None
+        # Whether the attempt has written its answer for `SOUND_WRITING_MS`.
+        self._is_sound = False
         self._first_offset = 0
 
     def iterate(self) -> Iterator[bytes]:
@@ -296,6 +300,8 @@
                 self._finish_call(effect)
             elif isinstance(effect, CancelAttempt):
                 result = RESULT_BROKEN if effect.fault else RESULT_CANCELLED
+                if effect.fault and effect.fault != REASON_SILENT:
+                    self._chooser.check_for_crash(effect.attempt_id)
                 self._close_attempt(result, effect.fault)
             elif isinstance(effect, ChooseGroup):
                 effects.extend(self._handle(self._chooser.choose(effect)))
@@ -337,6 +343,7 @@
         )
         self._chooser.attempt_started(effect.attempt_id)
         self._first_byte_s = None
+        self._is_sound = False
         self._first_offset = effect.resume_offset
         event = attempt.start(self._call.next_tick_s - self._sent_at_s)
         return event or EventsArrived(effect.attempt_id, [])
@@ -347,10 +354,19 @@
         if isinstance(event, EventsArrived) and event.events:
             now_s = self._context.clock.now_s()
             self._context.stall_detector.record_events(event.attempt_id, now_s)
-        if self._first_byte_s is None and isinstance(event, EventsArrived):
-            self._first_byte_s = self._context.clock.now_s()
+        if isinstance(event, EventsArrived):
+            self._record_writing(event.attempt_id)
         return event
 
+    def _record_writing(self, attempt_id: str) -> None:
+        now_s = self._context.clock.now_s()
+        if self._first_byte_s is None:
+            self._first_byte_s = now_s
+        if self._is_sound or now_s - self._first_byte_s < SOUND_WRITING_MS / 1_000:
+            return
+        self._is_sound = True
+        self._chooser.writing_soundly(attempt_id)
+
     def _handle_break(self, reason: str) -> None:
         attempt = self.attempt
         if attempt is None:
--- a/chestnutvale/programs/entry/routed/handler.py
+++ b/chestnutvale/programs/entry/routed/handler.py
@@ -16,10 +16,14 @@
 )
 from chestnutvale.attempts.answer_stream import AnswerStream
 from chestnutvale.attempts.call_limits import CallLimits, ServicePolicy
-from chestnutvale.attempts.const import OUTCOME_NOT_RUN
+from chestnutvale.attempts.const import CODE_CRASHING_PART, OUTCOME_NOT_RUN
 from chestnutvale.attempts.events import Failure
 from chestnutvale.attempts.model_call import ModelCall
-from chestnutvale.attempts.prompt_parts import format_parts, hash_shared_parts
+from chestnutvale.attempts.prompt_parts import (
+    describe_part_ban,
+    format_parts,
+    hash_shared_parts,
+)
 from chestnutvale.attempts.service_events import Reply
 from chestnutvale.configuration.const import ROUTE_REPEATABLE, ROUTE_STREAMING
 from chestnutvale.configuration.routes import RouteTable
@@ -165,6 +169,8 @@
                 f"no service of the route has model {request.model!r}",
                 retry_after_s=NO_LEASE_RETRY_AFTER_S,
             )
+        part_hashes = hash_shared_parts(service, request.prompt_parts)
+        self._check_part_ban(part_hashes)
         context.wait_for_groups(service, now_s + _find_wait_s(request))
         now_s = context.clock.now_s()
         max_bytes = context.text.caller_limits.max_body_bytes
@@ -180,7 +186,6 @@
             deadline_s=received_s + _find_time_limit_s(request, route),
             start_by_s=now_s + _find_queue_timeout_s(route),
         )
-        part_hashes = hash_shared_parts(service, request.prompt_parts)
         _LOGGER.info(
             "call_accepted",
             extra={
@@ -207,6 +212,17 @@
             part_hashes,
         )
 
+    def _check_part_ban(self, part_hashes: tuple[int, ...]) -> None:
+        now_unix_ms = self._context.clock.unix_ms()
+        ban = self._context.suspicions.find_part_ban(part_hashes, now_unix_ms)
+        if ban is None:
+            return
+        raise make_refusal(
+            CODE_CRASHING_PART,
+            describe_part_ban(ban.part_hashes),
+            retry_after_s=(ban.until_unix_ms - now_unix_ms) / 1_000,
+        )
+
     def _wait_for_lease(self, request: RoutedRequest, now_s: float) -> bool:
         return self._context.wait_for_first_lease(now_s + _find_wait_s(request))
 
--- a/chestnutvale/programs/entry/routed/interface.py
+++ b/chestnutvale/programs/entry/routed/interface.py
@@ -47,7 +47,7 @@
             The handler of routed calls with request metrics.
         """
         context = components.context
-        context.suspicions = SuspicionTracker(BAN_AFTER_CRASHES)
+        context.suspicions = SuspicionTracker(BAN_AFTER_CRASHES, context.rng)
         context.suspicions.notify = components.link.trigger_report
         components.link.set_suspicion_tracker(context.suspicions)
         context.has_crashed = is_head_down
--- a/tests/attempts/test_crash_parts.py
+++ b/tests/attempts/test_crash_parts.py
@@ -8,6 +8,7 @@
 import attrs
 import pytest
 
+from chestnutvale.attempts import const
 from chestnutvale.attempts.events import ChooseGroup, GroupChosen
 from chestnutvale.attempts.prompt_parts import hash_shared_parts
 from chestnutvale.attempts.suspicion import SuspicionTracker
@@ -59,7 +60,9 @@
 class Simulation:
     """Entries, a control and groups with simulated time in milliseconds."""
 
-    def __init__(self, seed, leaderless_ms=0, other_parts=2):
+    def __init__(
+        self, seed, leaderless_ms=0, other_parts=2, crashing_share=CRASHING_SHARE
+    ):
         self.rng = random.Random(seed)
         self.now_ms = 0
         self.calls = []
@@ -67,13 +70,16 @@
         self.crashing_sends_ms = []
         self._leaderless_ms = leaderless_ms
         self._other_parts = other_parts
+        self._crashing_share = crashing_share
         self._queue = []
         self._sequence = itertools.count()
         self._epochs = {f"g{number:02}": 1 for number in range(GROUPS)}
         self._up_at_ms = dict.fromkeys(self._epochs, 0)
         self._running = {group_id: set() for group_id in self._epochs}
         self._control = SuspicionAggregator()
-        self.trackers = [SuspicionTracker(BAN_AFTER_CRASHES) for _ in range(ENTRIES)]
+        self.trackers = [
+            SuspicionTracker(BAN_AFTER_CRASHES, self.rng) for _ in range(ENTRIES)
+        ]
         self._contexts = [self._make_context(tracker) for tracker in self.trackers]
         for number, tracker in enumerate(self.trackers):
             tracker.notify = lambda number=number: self._schedule_report(number)
@@ -105,7 +111,7 @@
             action(*arguments)
 
     def _send_next_request(self):
-        is_crashing = self.rng.random() < CRASHING_SHARE
+        is_crashing = self.rng.random() < self._crashing_share
         parts = [FIRST_PART, *self.rng.sample(OTHER_PARTS, self._other_parts)]
         if is_crashing:
             parts.insert(self.rng.randrange(1, len(parts) + 1), CRASHING_PART)
@@ -158,8 +164,13 @@
         if call.is_crashing:
             self.schedule(self.rng.uniform(39, 110), self._crash, call, attempts)
         else:
+            self.schedule(const.SOUND_WRITING_MS, self._record_sound, call, attempts)
             self.schedule(self.rng.uniform(300, 2_500), self._complete, call, attempts)
 
+    def _record_sound(self, call, attempts):
+        if self._is_running(call, attempts):
+            call.chooser.writing_soundly(call.attempt_id)
+
     def _complete(self, call, attempts):
         if not self._is_running(call, attempts):
             return
@@ -173,6 +184,8 @@
             self.crash_group(call.group_id)
 
     def crash_group(self, group_id):
+        if self._up_at_ms[group_id] > self.now_ms:
+            return
         self._epochs[group_id] += 1
         self._up_at_ms[group_id] = self.now_ms + RESTART_MS
         broken, self._running[group_id] = self._running[group_id], set()
@@ -232,3 +245,118 @@
         assert len(simulation.crashes_ms) >= BAN_AFTER_CRASHES
         assert simulation.count_late_sends() <= MAX_LATE_SENDS
         assert simulation.find_sound_share() >= MIN_SOUND_SHARE
+
+
+def test_groups_that_crash_together_twice_ban_no_shared_part():
+    for seed in range(5):
+        simulation = Simulation(seed, crashing_share=0.0)
+        for at_ms in (2_000, 6_000):
+            for group_id in [f"g{number:02}" for number in range(GROUPS)]:
+                delay_ms = simulation.rng.uniform(0, 300)
+                simulation.schedule(at_ms + delay_ms, simulation.crash_group, group_id)
+        simulation.run()
+        late = [c for c in simulation.calls if 9_500 <= c.accepted_ms <= 13_000]
+        assert len(late) > 50
+        assert all(call.has_begun for call in late)
+
+
+def crash(tracker, at_unix_ms, group_id, *part_hashes, started_unix_ms=None):
+    attempt_id = f"{at_unix_ms}.1"
+    started_unix_ms = started_unix_ms or at_unix_ms - 100
+    tracker.attempt_started(
+        attempt_id, at_unix_ms, group_id, 1, "", started_unix_ms, part_hashes
+    )
+    tracker.group_crashed(attempt_id, at_unix_ms)
+
+
+@pytest.fixture
+def tracker():
+    return SuspicionTracker(BAN_AFTER_CRASHES)
+
+
+def is_banned(tracker, at_unix_ms, *part_hashes):
+    return tracker.find_part_ban(part_hashes, at_unix_ms) is not None
+
+
+SETTLED = START_UNIX_MS + 2_000 + const.PART_EVIDENCE_SETTLE_MS
+
+
+def test_parts_that_ran_in_the_same_crashes_are_only_refused_together(tracker):
+    for number in range(3):
+        crash(tracker, START_UNIX_MS + number * 1_000, f"g{number}", 1, 2, 10 + number)
+    assert is_banned(tracker, SETTLED, 1, 2, 99)
+    assert not is_banned(tracker, SETTLED, 1, 99)
+    assert not is_banned(tracker, SETTLED, 2, 99)
+    crash(tracker, START_UNIX_MS + 2_100, "g4", 2, 77)
+    settled = SETTLED + 100
+    assert is_banned(tracker, settled, 2, 99)
+    assert not is_banned(tracker, settled, 1, 99)
+
+
+def test_sound_writing_clears_earlier_crashes_but_no_later_one(tracker):
+    for number in range(3):
+        at_unix_ms = START_UNIX_MS + number * 500
+        crash(tracker, at_unix_ms, f"g{number}", 1)
+        tracker.attempt_started("s.1", 9, "g9", 1, "", at_unix_ms, (1,))
+        tracker.writing_soundly("s.1", at_unix_ms + 200)
+    assert not is_banned(tracker, SETTLED, 1)
+    for number in range(3):
+        crash(tracker, START_UNIX_MS + 1_300 + number * 300, f"g{3 + number}", 1)
+    assert is_banned(tracker, SETTLED, 1)
+
+
+def test_part_written_soundly_after_a_crash_is_cleared_when_the_evidence_arrives(
+    tracker,
+):
+    other = SuspicionTracker(BAN_AFTER_CRASHES)
+    for number in range(3):
+        crash(other, START_UNIX_MS + number * 200, f"g{number}", 1)
+    tracker.attempt_started("s.1", 9, "g9", 1, "", START_UNIX_MS, (1,))
+    tracker.writing_soundly("s.1", START_UNIX_MS + 500)
+    tracker.merge(other.reports(START_UNIX_MS + 600), START_UNIX_MS + 600)
+    assert not is_banned(tracker, SETTLED, 1)
+    other.merge(tracker.reports(START_UNIX_MS + 700), START_UNIX_MS + 700)
+    assert not is_banned(other, SETTLED, 1)
+
+
+def test_attempt_that_wrote_soundly_is_no_suspect_of_a_later_crash(tracker):
+    for number in range(3):
+        at_unix_ms = START_UNIX_MS + number * 500
+        attempt_id = f"{number}.1"
+        tracker.attempt_started(
+            attempt_id, 9 + number, f"g{number}", 1, "", at_unix_ms - 400, (1,)
+        )
+        tracker.writing_soundly(attempt_id, at_unix_ms - 100)
+        tracker.group_crashed(attempt_id, at_unix_ms)
+    assert not is_banned(tracker, SETTLED, 1)
+
+
+def test_crashes_of_one_group_ban_later_than_those_of_several(tracker):
+    for number in range(const.BAN_CRASHES_ONE_GROUP):
+        at_unix_ms = START_UNIX_MS + number * 500
+        assert not is_banned(tracker, at_unix_ms, 1)
+        tracker.attempt_started("a.1", 1, "g", number, "", at_unix_ms - 100, (1,))
+        tracker.group_crashed("a.1", at_unix_ms)
+    assert is_banned(tracker, SETTLED, 1)
+
+
+def test_crash_reported_by_a_clock_ahead_can_be_cleared(tracker):
+    ahead = SuspicionTracker(BAN_AFTER_CRASHES)
+    for number in range(3):
+        crash(ahead, START_UNIX_MS + 3_600_000 + number, f"g{number}", 1)
+    tracker.merge(ahead.reports(START_UNIX_MS), START_UNIX_MS)
+    tracker.attempt_started("s.1", 9, "g9", 1, "", START_UNIX_MS, (1,))
+    tracker.writing_soundly("s.1", START_UNIX_MS + 200)
+    assert not tracker.parts.suspected_parts([1])
+
+
+def test_flood_of_other_crashes_does_not_end_a_ban(tracker):
+    for number in range(3):
+        crash(tracker, START_UNIX_MS + number * 1_000, f"g{number}", 1)
+    assert is_banned(tracker, SETTLED, 1)
+    for number in range(2 * const.MAX_CRASHES):
+        parts = range(1_000 + number * 50, 1_050 + number * 50)
+        crash(tracker, SETTLED + number, f"x{number}", *parts)
+    assert is_banned(tracker, SETTLED + 1_000, 1)
+    crashes = {p.group_id for p in tracker.parts.to_suspicions(min_crashes=1)}
+    assert len(crashes) == const.MAX_CRASHES
--- a/tests/programs/entry/routed/routed_fakes.py
+++ b/tests/programs/entry/routed/routed_fakes.py
@@ -47,6 +47,9 @@
                 for name, value in environ["headers_raw"]
                 if name.lower() not in NOT_FORWARDED_HEADERS
             ],
+            prompt_parts=tuple(
+                filter(None, environ.get("HTTP_X_PARTS", "").split(","))
+            ),
         )
 
     def make_endpoint_headers(self, request, forwarding):
