Tell requests of one caller apart by their prompts in crash evidence

What callers saw: beside requests that crash endpoints, sound requests of the same caller were ended as `crashing_request` after a single crash of their own, one with 17 tokens delivered.

Cause: the fingerprint of a routed call covered key, method, target and body. Calls whose prompt is named in a header have equal or empty bodies, so all calls of a caller had one fingerprint, and crashes of some of them counted against all. Calls that are not streamed used a fingerprint without the key, model and prompt.

The fingerprint now also covers the model, the token limit and the parts of the prompt, its own last part included, and is used for calls of all kinds. Of a prompt with more than 64 parts the last one is kept.

Test: test_crashes_of_another_prompt_of_the_caller_ban_no_request, which failed before (502 and 503 for the sound call).

--- a/chestnutvale/programs/entry/routed/handler.py
+++ b/chestnutvale/programs/entry/routed/handler.py
@@ -357,6 +357,7 @@
             make_exchange=lambda view: make_exchange(
                 self._context, self._protocol, self._pool, call, view, 0
             ),
+            fingerprint=call.fingerprint,
             part_hashes=call.part_hashes,
         )
         answer = self._service_handler.admit_and_run(run, call.call_request, environ)
@@ -436,7 +437,16 @@
 
 
 def _compute_fingerprint(request: RoutedRequest, body: bytes) -> int:
-    digest = xxhash.xxh64(f"{request.key} {request.method} {request.target}\n".encode())
+    # The body alone does not tell prompts apart: it may be empty.
+    work = (
+        request.key,
+        request.method,
+        request.target,
+        request.model,
+        str(request.max_tokens),
+        *request.prompt_parts,
+    )
+    digest = xxhash.xxh64(" ".join(work).encode() + b"\n")
     digest.update(body)
     return digest.intdigest()
 
--- a/chestnutvale/programs/entry/service_run.py
+++ b/chestnutvale/programs/entry/service_run.py
@@ -156,6 +156,9 @@
         Limits of the attempts.
     make_exchange : callable, optional
         Makes the exchange with the endpoint of a chosen group.
+    fingerprint : int or None, optional
+        64-bit fingerprint of the request, for the detection of crashing requests; by
+        default that of `request` and `body`.
     part_hashes : tuple of int, optional
         Hashes of the parts of its prompt that other requests may share.
 
@@ -178,6 +181,7 @@
         claim: Claim | None,
         policy: ServicePolicy = DEFAULT_POLICY,
         make_exchange: ExchangeFactory = make_endpoint_exchange,
+        fingerprint: int | None = None,
         part_hashes: tuple[int, ...] = (),
     ) -> None:
         self._make_exchange = make_exchange
@@ -201,7 +205,8 @@
             remaining_s = call_request.deadline_s - context.clock.now_s()
             claim.deadline_unix_ms = context.clock.unix_ms() + int(remaining_s * 1_000)
         self._exchange: Exchange | None = None
-        fingerprint = compute_request_fingerprint(request, body)
+        if fingerprint is None:
+            fingerprint = compute_request_fingerprint(request, body)
         self._chooser = GroupChooser(
             context, call_request, fingerprint, self._sleep, part_hashes
         )
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -57,13 +57,16 @@
         ("", ()),
         ("5c1e:800,xyz:1", ()),
         ("5c1e", ()),
-        (",".join(f"{number:x}:1" for number in range(100)), 64),
+        (
+            ",".join(f"{number:x}:1" for number in range(100)),
+            (*(f"{number:x}" for number in range(63)), "63"),
+        ),
     ],
 )
 def test_prompt_parts_are_parsed_and_malformed_ones_ignored(value, parts):
     fields = environ(Chestnutvale_Prompt_Prefix=value)
     request = PlatformCallerProtocol().read_request(fields)
-    assert request.prompt_parts == parts or len(request.prompt_parts) == parts
+    assert request.prompt_parts == parts
     assert ("Chestnutvale-Prompt-Prefix", value) in request.headers
 
 
--- a/tests/programs/entry/routed/test_crash_parts.py
+++ b/tests/programs/entry/routed/test_crash_parts.py
@@ -11,6 +11,7 @@
     ScriptedEndpoint,
     call,
     chunk,
+    complete_answer,
     event,
     routed_entry,
     stream_head,
@@ -80,6 +81,22 @@
     assert entry.other_endpoint.requests == []
 
 
+@pytest.mark.parametrize("path", ["/gen/x", "/safe/x"])
+def test_crashes_of_another_prompt_of_the_caller_ban_no_request(entry, endpoint, path):
+    entry.context.has_crashed = lambda group, is_engine: True
+    endpoint.default = entry.other_endpoint.default = ScriptedEndpoint.CLOSE
+    for _ in range(BAN_AFTER_CRASHES):
+        call(entry.address, path, b"", X_Model="m", X_Parts="own1")
+        for group in entry.context.groups.values():
+            group.epoch += 1
+    assert len(entry.context.suspicions.evidence.crashes()) >= BAN_AFTER_CRASHES
+    endpoint.default = entry.other_endpoint.default = (
+        WHOLE_STREAM if path == "/gen/x" else complete_answer(b"a")
+    )
+    status, *_ = call(entry.address, path, b"", X_Model="m", X_Parts="own2")
+    assert status == 200
+
+
 def test_sound_answer_goes_on_at_another_group_despite_a_ban(entry, endpoint):
     def write_soundly_then_ban(sock, request):
         sock.sendall(stream_head() + chunk(event(1)))
