Count a silent head of a routed group as paused, not as crashed

A routed answer that broke off was taken for a crash if the probe got no connection within 0.3 s. An endpoint that pauses for a second or is cut off answers none either, so its requests, and with them the parts of their prompts, became suspects of a crash that had not happened.

Only a refused or reset connection counts now; an endpoint that has crashed refuses connections until it is back.

Test: test_paused_head_whose_accept_queue_is_full_is_not_down, which failed before.

--- a/chestnutvale/programs/entry/crash_probe.py
+++ b/chestnutvale/programs/entry/crash_probe.py
@@ -40,10 +40,10 @@
 
 
 def is_head_down(group: Group, *, is_engine: bool) -> bool:
-    """Check only whether the head of a group accepts a connection.
+    """Check only whether the head of a group refuses a connection.
 
     For endpoints that do not report their group and for which each connection is
-    expensive.
+    expensive. A head that does not answer in time may be paused or cut off.
 
     Parameters
     ----------
@@ -55,9 +55,14 @@
     Returns
     -------
     bool
-        Whether the head accepts no connection.
+        Whether the head refuses or resets the connection.
     """
-    return not _accepts_connection(group_head(group))
+    try:
+        with EndpointExchange(group_head(group).address) as exchange:
+            exchange.connect(PROBE_TIMEOUT_S)
+    except EndpointUnreachableError as error:
+        return isinstance(error.__cause__, ConnectionError)
+    return False
 
 
 def _accepts_connection(member: GroupMember) -> bool:
