Spread evidence of crashes without a leader and after a change of leader

Evidence of requests and prompt parts that crash groups reached other entries through the leading control only, and was repeated for 3 s. Without a leader no entry learned from another one; a new leader, a new entry and an entry that returned after more than 3 s didn't know bans that were older, so that such requests ran again.

Controls that don't lead now add their recent evidence to the answer in which they list the controls. Entries report the evidence of all bans again when the source of their view changes. An entry without a lease asks for a whole view, which repeats all evidence, now with the parts and their clears.

--- a/chestnutvale/attempts/crash_evidence.py
+++ b/chestnutvale/attempts/crash_evidence.py
@@ -1,5 +1,7 @@
 """Identifies requests that crash groups among those that ran at the same time."""
 
+from collections import Counter
+
 import attrs
 
 from chestnutvale.attempts.const import (
@@ -166,6 +168,34 @@
         """
         return [c for c in self._crashes.values() if fingerprint in c.suspects]
 
+    def to_suspicions(self, min_crashes: int = 1) -> list[CrashSuspicion]:
+        """Return the evidence of crashes as messages.
+
+        Parameters
+        ----------
+        min_crashes : int, optional
+            Requests that are suspected of fewer crashes are left out.
+
+        Returns
+        -------
+        list of CrashSuspicion
+            One for each crash and suspected request.
+        """
+        counts = Counter(f for crash in self._crashes.values() for f in crash.suspects)
+        return [
+            CrashSuspicion(
+                fingerprint=fingerprint,
+                group_id=crash.crash_id.group_id,
+                epoch=crash.crash_id.epoch,
+                crashed_at_unix_ms=crash.at_unix_ms,
+                fabric_domain=crash.fabric_domain,
+                ran_ms=ran_ms,
+            )
+            for crash in self._crashes.values()
+            for fingerprint, ran_ms in crash.suspects.items()
+            if counts[fingerprint] >= min_crashes
+        ]
+
     def banned_until_unix_ms(self, fingerprint: int, now_unix_ms: int) -> int:
         """Return the end of a request's ban.
 
--- a/chestnutvale/attempts/part_evidence.py
+++ b/chestnutvale/attempts/part_evidence.py
@@ -244,13 +244,13 @@
             if at_unix_ms <= oldest:
                 del self._cleared[part]
 
-    def to_suspicions(self, min_crashes: int) -> list[CrashSuspicion]:
-        """Return the evidence as messages.
+    def to_suspicions(self, only: Set[int] | None = None) -> list[CrashSuspicion]:
+        """Return the evidence of crashes as messages.
 
         Parameters
         ----------
-        min_crashes : int
-            Parts that are suspected of fewer crashes are left out.
+        only : set of int, optional
+            Parts to include; by default all.
 
         Returns
         -------
@@ -259,7 +259,7 @@
         """
         parts: dict[tuple[CrashId, int], list[int]] = defaultdict(list)
         for part, starts in self._suspects.items():
-            if len(starts) >= min_crashes:
+            if only is None or part in only:
                 for item in starts.items():
                     parts[item].append(part)
         suspicions = []
@@ -276,6 +276,24 @@
             )
         return suspicions
 
+    def to_clears(self) -> list[CrashSuspicion]:
+        """Return the last sound answers as messages.
+
+        Returns
+        -------
+        list of CrashSuspicion
+            One for each time, with the parts.
+        """
+        parts: dict[int, list[int]] = defaultdict(list)
+        for part, at_unix_ms in self._cleared.items():
+            parts[at_unix_ms].append(part)
+        return [
+            CrashSuspicion(
+                crashed_at_unix_ms=at_unix_ms, cleared=True, part_hashes=part_hashes
+            )
+            for at_unix_ms, part_hashes in parts.items()
+        ]
+
     def _add_crash(self, suspicion: CrashSuspicion) -> bool:
         at_unix_ms = suspicion.crashed_at_unix_ms
         parts = [
--- a/chestnutvale/attempts/suspicion.py
+++ b/chestnutvale/attempts/suspicion.py
@@ -11,6 +11,7 @@
 import xxhash
 
 from chestnutvale.attempts.const import (
+    BAN_CRASHES,
     BAN_MS,
     DOUBTFUL_PART_BAN_MS,
     EVIDENCE_REPEAT_MS,
@@ -301,6 +302,21 @@
             self._reports.popleft()
         return [suspicion for _, suspicion in self._reports]
 
+    def repeat_bans(self, now_unix_ms: int) -> None:
+        """Report the evidence of all bans again, for a control that may not have it.
+
+        Parameters
+        ----------
+        now_unix_ms : int
+            Wall-clock time in milliseconds.
+        """
+        bans = self.parts.bans(now_unix_ms)
+        parts = frozenset(part for ban in bans for part in ban.part_hashes)
+        min_crashes = self._ban_after or BAN_CRASHES
+        evidence = self.evidence.to_suspicions(min_crashes)
+        evidence += self.parts.to_suspicions(parts)
+        self._reports.extend((now_unix_ms, suspicion) for suspicion in evidence)
+
     def judge(
         self,
         fingerprint: int,
--- a/chestnutvale/attempts/suspicion_aggregator.py
+++ b/chestnutvale/attempts/suspicion_aggregator.py
@@ -11,8 +11,8 @@
 class SuspicionAggregator:
     """Merges the evidence of all entries and distributes it to each of them.
 
-    The evidence is not replicated. Every control process merges every report and
-    entries repeat recent evidence, so a new leader soon has it too.
+    The evidence is not replicated. Every control process merges every report. Entries
+    repeat recent evidence, and that of their bans to a new leader, which soon has both.
     """
 
     def __init__(self) -> None:
@@ -79,19 +79,12 @@
             )
             for fingerprint, at_unix_ms in self.evidence.cleared().items()
         ]
-        suspected = [
-            CrashSuspicion(
-                fingerprint=fingerprint,
-                group_id=crash.crash_id.group_id,
-                epoch=crash.crash_id.epoch,
-                crashed_at_unix_ms=crash.at_unix_ms,
-                fabric_domain=crash.fabric_domain,
-                ran_ms=ran_ms,
-            )
-            for crash in self.evidence.crashes()
-            for fingerprint, ran_ms in crash.suspects.items()
+        return [
+            *cleared,
+            *self.parts.to_clears(),
+            *self.evidence.to_suspicions(),
+            *self.parts.to_suspicions(),
         ]
-        return cleared + suspected + self.parts.to_suspicions(min_crashes=1)
 
     def _add(self, suspicion: CrashSuspicion, now_unix_ms: int) -> bool:
         limit_time(suspicion, now_unix_ms)
--- a/chestnutvale/programs/control/entry_report_handler.py
+++ b/chestnutvale/programs/control/entry_report_handler.py
@@ -238,7 +238,7 @@
         self.attempt_counts.record_group_loads(entry_id, report.running, now_s)
         if not self._log.is_leader or not self._log.has_lease(now_s):
             if report.wants_controls:
-                self._send_control_addresses(entry_id, report.reply_address)
+                self._answer_as_follower(entry_id, report.reply_address)
             return
         self._update_group_loads(now_s)
         has_new_suspicions |= self._record_stalls(entry_id, report, now_s)
@@ -279,10 +279,12 @@
             _LOGGER.info("stalled_groups", extra={"groups": groups, "by": entry_id})
         return is_new
 
-    def _send_control_addresses(self, entry_id: str, address: str) -> None:
-        # The entry asks all controls it knows; its addresses may be out of date.
-        controls = ControlView(controls=self._control_addresses())
-        self._transport.send(entry_id, address, "control_view", controls)
+    def _answer_as_follower(self, entry_id: str, address: str) -> None:
+        # The entry asks all controls it knows; its addresses may be out of date. While
+        # none leads, only they can tell it which requests crash groups.
+        view = ControlView(controls=self._control_addresses())
+        view.suspicions.extend(self._suspicions.recent_evidence(self._clock.unix_ms()))
+        self._transport.send(entry_id, address, "control_view", view)
 
     def _control_addresses(self) -> list[ControlAddress]:
         return [
--- a/chestnutvale/programs/entry/control_link.py
+++ b/chestnutvale/programs/entry/control_link.py
@@ -207,7 +207,9 @@
             nonce=nonce,
             configuration_number=self._view.number,
             view_version=self._view.version,
-            view_source=self._view.source,
+            # Without a lease, this entry may have missed evidence about crashes, which
+            # a whole view repeats.
+            view_source=self._view.source if self._view.has_lease(now_s) else "",
             heard=self._collector.drain_report(now_s),
             suspicions=self._suspicions.reports(self._clock.unix_ms()),
             cache_events=self._cache_events.drain(),
@@ -268,8 +270,9 @@
             control.control_id: control.peer_address for control in view.controls
         }
         if not view.source:
-            # A view without a source comes from a follower and only lists the controls.
+            # A view without a source comes from a follower, without groups.
             self._targets.add_controls(controls)
+            self._suspicions.merge(list(view.suspicions), self._clock.unix_ms())
             return
         number_before, source_before = self._view.number, self._view.source
         verdict = self._view.install_view(view, self._clock.now_s())
@@ -285,6 +288,7 @@
             self.trigger_report()
         if self._view.source != source_before:
             self._collector.mark_all_for_full_report()
+            self._suspicions.repeat_bans(self._clock.unix_ms())
             self.trigger_report()
         if view.want_hosts:
             self._collector.mark_for_full_report(view.want_hosts)
--- a/tests/attempts/test_crash_parts.py
+++ b/tests/attempts/test_crash_parts.py
@@ -358,5 +358,35 @@
         parts = range(1_000 + number * 50, 1_050 + number * 50)
         crash(tracker, SETTLED + number, f"x{number}", *parts)
     assert is_banned(tracker, SETTLED + 1_000, 1)
-    crashes = {p.group_id for p in tracker.parts.to_suspicions(min_crashes=1)}
+    crashes = {p.group_id for p in tracker.parts.to_suspicions()}
     assert len(crashes) == const.MAX_CRASHES
+
+
+def test_new_leader_learns_a_ban_that_is_older_than_the_repeated_evidence(tracker):
+    for number in range(3):
+        crash(tracker, START_UNIX_MS + number * 1_000, f"g{number}", 1, 2 + number)
+    later_unix_ms = SETTLED + 60_000
+    assert tracker.reports(later_unix_ms) == []
+    tracker.repeat_bans(later_unix_ms)
+    leader = SuspicionAggregator()
+    leader.merge(tracker.reports(later_unix_ms), later_unix_ms)
+    assert leader.parts.suspected_parts([1, 2]) == [1]
+    new_entry = SuspicionTracker(BAN_AFTER_CRASHES)
+    new_entry.merge(leader.all_evidence(later_unix_ms), later_unix_ms)
+    assert is_banned(new_entry, later_unix_ms, 1)
+
+
+def test_entry_that_returns_learns_of_clears_that_it_missed(tracker):
+    leader = SuspicionAggregator()
+    other = SuspicionTracker(BAN_AFTER_CRASHES)
+    for number in range(3):
+        crash(tracker, START_UNIX_MS + number * 1_000, f"g{number}", 1)
+    leader.merge(tracker.reports(SETTLED), SETTLED)
+    other.merge(leader.recent_evidence(SETTLED), SETTLED)
+    other.attempt_started("s.1", 9, "g9", 1, "", SETTLED, (1,))
+    other.writing_soundly("s.1", SETTLED)
+    leader.merge(other.reports(SETTLED), SETTLED)
+    later_unix_ms = SETTLED + 60_000
+    assert is_banned(tracker, later_unix_ms, 1)
+    tracker.merge(leader.all_evidence(later_unix_ms), later_unix_ms)
+    assert not is_banned(tracker, later_unix_ms, 1)
--- a/tests/programs/control/test_entry_report_handler.py
+++ b/tests/programs/control/test_entry_report_handler.py
@@ -11,6 +11,7 @@
 from chestnutvale.programs.control.state import ControlState
 from chestnutvale.schema.membership_pb2 import Announcement, Heard
 from chestnutvale.schema.peer_pb2 import (
+    CrashSuspicion,
     Departure,
     EntryReport,
     Envelope,
@@ -115,6 +116,20 @@
     assert (recipient, body, view.nonce) == ("e1", "control_view", 6)
 
 
+def test_evidence_of_crashes_reaches_other_entries_without_a_leader(handler_fixture):
+    handler_fixture.has_lease = False
+    suspicion = CrashSuspicion(
+        fingerprint=1, group_id="g", crashed_at_unix_ms=1, part_hashes=[2, 3]
+    )
+    for entry_id, suspicions in (("e1", [suspicion]), ("e2", [])):
+        report = EntryReport(suspicions=suspicions, wants_controls=True)
+        envelope = Envelope(sender_id=entry_id, entry_report=report)
+        handler_fixture.transport.handlers["entry_report"](envelope)
+    recipient, _, view = handler_fixture.transport.sent[-1]
+    assert (recipient, view.source) == ("e2", "")
+    assert list(view.suspicions) == [suspicion]
+
+
 def test_demand_is_sent_less_often_to_each_of_many_entries(handler_fixture):
     demand = WorkspaceDemand(service="s", workspace="w", tokens=5)
     views = {f"e{number}": [] for number in range(141)}
--- a/tests/programs/entry/test_control_link.py
+++ b/tests/programs/entry/test_control_link.py
@@ -15,7 +15,7 @@
 from chestnutvale.programs.entry.control_link import ControlLink
 from chestnutvale.programs.entry.demand_exchange import DemandExchange
 from chestnutvale.schema.membership_pb2 import Announcement
-from chestnutvale.schema.peer_pb2 import ControlView, Envelope
+from chestnutvale.schema.peer_pb2 import ControlView, CrashSuspicion, Envelope
 from chestnutvale.schema.settings_pb2 import EntrySettings
 from tests.programs.entry.test_group_router import ManualClock
 
@@ -43,19 +43,24 @@
     clock, transport = ManualClock(), FakeTransport()
     rng = random.Random(1)
     collector = AnnouncementCollector()
+    suspicions = SuspicionTracker(ban_after=1)
     link = ControlLink(
         settings,
         transport,
         EntryView(),
         collector,
-        SuspicionTracker(),
+        suspicions,
         CacheEventQueue(),
         DemandExchange(AdmissionController(rng)),
         clock,
         rng,
     )
     return SimpleNamespace(
-        link=link, transport=transport, clock=clock, collector=collector
+        link=link,
+        transport=transport,
+        clock=clock,
+        collector=collector,
+        suspicions=suspicions,
     )
 
 
@@ -125,3 +130,39 @@
     assert entry.link.report_interval_s() == 1.0
     entry.clock.time_s += 3.0
     assert entry.link.report_interval_s() <= 0.2
+
+
+def make_suspicion(entry):
+    return CrashSuspicion(
+        fingerprint=1, group_id="g", crashed_at_unix_ms=entry.clock.unix_ms()
+    )
+
+
+def test_evidence_from_a_follower_is_merged(entry):
+    entry.link._report_once()
+    view = ControlView(suspicions=[make_suspicion(entry)])
+    envelope = Envelope(sender_id="control-2", control_view=view)
+    entry.transport.handlers["control_view"](envelope)
+    assert len(entry.suspicions.evidence.crashes_of(1)) == 1
+
+
+def test_new_leader_gets_the_evidence_of_older_bans(entry):
+    entry.link._report_once()
+    answer_last_report(entry, CONTROL, term=1)
+    entry.suspicions.merge([make_suspicion(entry)], entry.clock.unix_ms())
+    entry.clock.time_s += 60.0
+    entry.link._report_once()
+    assert not entry.transport.reports[-1].suspicions
+    answer_last_report(entry, "control-2", term=2)
+    entry.link._report_once()
+    assert [s.fingerprint for s in entry.transport.reports[-1].suspicions] == [1]
+
+
+def test_entry_that_lost_its_lease_asks_for_a_whole_view(entry):
+    entry.link._report_once()
+    answer_last_report(entry, CONTROL, term=1)
+    entry.link._report_once()
+    assert entry.transport.reports[-1].view_source == CONTROL
+    entry.clock.time_s += 3.0
+    entry.link._report_once()
+    assert entry.transport.reports[-1].view_source == ""
