--- a/chestnutvale/programs/entry/model_calls.py
+++ b/chestnutvale/programs/entry/model_calls.py
@@ -12,7 +12,8 @@
 from chestnutvale.attempts.const import (
     OUTCOME_FAILED,
     OUTCOME_NOT_RUN,
-    REASON_STALLED,
+    REASON_SILENT,
+    SOUND_WRITING_MS,
 )
 from chestnutvale.attempts.events import (
     AttemptBroken,
@@ -235,6 +236,8 @@
         `UnreadableAnswerError` if the delivered part of the answer can't be resumed.
     environ : dict
         The WSGI environment.
+    part_hashes : tuple of int, optional
+        Hashes of the parts of its prompt that other requests may share.
 
     Attributes
     ----------
@@ -252,6 +255,7 @@
         call: ModelCall,
         make_attempt: AttemptFactory,
         environ: dict[str, Any],
+        part_hashes: tuple[int, ...] = (),
     ) -> None:
         self.failure: Failure | None = None
         self.request = request
@@ -260,12 +264,16 @@
         self._call = call
         self._make_attempt = make_attempt
         self.attempt: Attempt | None = None
-        self._chooser = GroupChooser(context, request, fingerprint, self._watch.wait)
+        self._chooser = GroupChooser(
+            context, request, fingerprint, self._watch.wait, part_hashes
+        )
         self._tick_timer = TickTimer(context.clock, self._tick)
         self._is_waiting = False
         self._interrupt_effects: list[CallEffect] = []
         self._sent_at_s = 0.0
         self._first_byte_s: float | None = None
+        # Whether the attempt has written its answer for `SOUND_WRITING_MS`.
+        self._is_sound = False
         self._first_offset = 0
 
     def iterate(self) -> Iterator[bytes]:
@@ -307,9 +315,9 @@
             elif isinstance(effect, Finish):
                 self._finish_call(effect)
             elif isinstance(effect, CancelAttempt):
-                if effect.fault == REASON_STALLED:
-                    self._chooser.check_for_crash(effect.attempt_id)
                 result = RESULT_BROKEN if effect.fault else RESULT_CANCELLED
+                if effect.fault and effect.fault != REASON_SILENT:
+                    self._chooser.check_for_crash(effect.attempt_id)
                 self._close_attempt(result, effect.fault)
             elif isinstance(effect, ChooseGroup):
                 effects.extend(self._handle(self._chooser.choose(effect)))
@@ -397,6 +405,7 @@
         )
         self._chooser.attempt_started(effect.attempt_id)
         self._first_byte_s = None
+        self._is_sound = False
         self._first_offset = effect.resume_offset
         event = self._wait_for_endpoint(attempt.start)
         return event or EventsArrived(effect.attempt_id, [])
@@ -406,10 +415,19 @@
         if isinstance(event, EventsArrived) and event.events:
             now_s = self._context.clock.now_s()
             self._context.stall_detector.record_events(event.attempt_id, now_s)
-        if self._first_byte_s is None and isinstance(event, EventsArrived):
-            self._first_byte_s = self._context.clock.now_s()
+        if isinstance(event, EventsArrived):
+            self._record_writing(event.attempt_id)
         return event
 
+    def _record_writing(self, attempt_id: str) -> None:
+        now_s = self._context.clock.now_s()
+        if self._first_byte_s is None:
+            self._first_byte_s = now_s
+        if self._is_sound or now_s - self._first_byte_s < SOUND_WRITING_MS / 1_000:
+            return
+        self._is_sound = True
+        self._chooser.writing_soundly(attempt_id)
+
     def _handle_break(self, reason: str) -> None:
         attempt = self.attempt
         if attempt is None:
--- a/chestnutvale/programs/entry/routed/handler.py
+++ b/chestnutvale/programs/entry/routed/handler.py
@@ -17,9 +17,14 @@
 )
 from chestnutvale.attempts.answer_stream import AnswerStream
 from chestnutvale.attempts.call_limits import CallLimits, ServicePolicy
-from chestnutvale.attempts.const import OUTCOME_NOT_RUN
+from chestnutvale.attempts.const import CODE_CRASHING_PART, OUTCOME_NOT_RUN
 from chestnutvale.attempts.events import Failure
 from chestnutvale.attempts.model_call import ModelCall
+from chestnutvale.attempts.prompt_parts import (
+    describe_part_ban,
+    format_parts,
+    hash_shared_parts,
+)
 from chestnutvale.attempts.service_events import Reply
 from chestnutvale.configuration.const import ROUTE_REPEATABLE, ROUTE_STREAMING
 from chestnutvale.configuration.routes import RouteTable
@@ -165,6 +170,8 @@
                 f"no service of the route has model {request.model!r}",
                 retry_after_s=NO_LEASE_RETRY_AFTER_S,
             )
+        part_hashes = hash_shared_parts(service, request.prompt_parts)
+        self._check_part_ban(part_hashes)
         context.wait_for_groups(service, now_s + _find_wait_s(request))
         now_s = context.clock.now_s()
         max_bytes = context.text.caller_limits.max_body_bytes
@@ -194,10 +201,27 @@
                 if math.isfinite(call.start_by_s)
                 else None,
                 "last_event": request.last_event,
+                "parts": format_parts(part_hashes),
             },
         )
         return RoutedCall(
-            request, body, route, call, _compute_fingerprint(request, body)
+            request,
+            body,
+            route,
+            call,
+            _compute_fingerprint(request, body),
+            part_hashes,
+        )
+
+    def _check_part_ban(self, part_hashes: tuple[int, ...]) -> None:
+        now_unix_ms = self._context.clock.unix_ms()
+        ban = self._context.suspicions.find_part_ban(part_hashes, now_unix_ms)
+        if ban is None:
+            return
+        raise make_refusal(
+            CODE_CRASHING_PART,
+            describe_part_ban(ban.part_hashes),
+            retry_after_s=(ban.until_unix_ms - now_unix_ms) / 1_000,
         )
 
     def _wait_for_lease(self, request: RoutedRequest, now_s: float) -> bool:
@@ -254,6 +278,7 @@
             model_call,
             attempts.make_attempt,
             environ,
+            call.part_hashes,
         )
         pieces = run.iterate()
         first = next(pieces, None)
@@ -334,6 +359,8 @@
             make_exchange=lambda view: make_exchange(
                 self._context, self._protocol, self._pool, call, view, 0
             ),
+            fingerprint=call.fingerprint,
+            part_hashes=call.part_hashes,
         )
         answer = self._service_handler.admit_and_run(run, call.call_request, environ)
         if isinstance(answer, Reply):
@@ -412,7 +439,16 @@
 
 
 def _compute_fingerprint(request: RoutedRequest, body: bytes) -> int:
-    digest = xxhash.xxh64(f"{request.key} {request.method} {request.target}\n".encode())
+    # The body alone does not tell prompts apart: it may be empty.
+    work = (
+        request.key,
+        request.method,
+        request.target,
+        request.model,
+        str(request.max_tokens),
+        *request.prompt_parts,
+    )
+    digest = xxhash.xxh64(" ".join(work).encode() + b"\n")
     digest.update(body)
     return digest.intdigest()
 
