--- /dev/null
+++ b/chestnutvale/http_client/timed_socket.py
@@ -0,0 +1,157 @@
+"""A client's socket whose operations end by a deadline."""
+
+import contextlib
+
+import eventlet
+from eventlet import hubs
+from eventlet.green import socket
+
+from chestnutvale.clock import Clock
+from chestnutvale.http_client.const import MAX_UNYIELDED_BYTES, READ_BYTES
+
+
+class TimedSocket:
+    """Owns a green socket; a timeout of the socket itself would apply to each packet.
+
+    Parameters
+    ----------
+    sock : GreenSocket
+        The connected socket.
+    clock : Clock
+        Source of time.
+
+    Attributes
+    ----------
+    green_socket : GreenSocket
+        The socket.
+    """
+
+    def __init__(self, sock: socket.socket, clock: Clock) -> None:
+        self.green_socket = sock
+        self._clock = clock
+        self._unyielded_bytes = 0
+
+    @classmethod
+    def open(cls, address: str, timeout_s: float, clock: Clock) -> "TimedSocket":
+        """Connect to an address.
+
+        Parameters
+        ----------
+        address : str
+            IP address and port.
+        timeout_s : float
+            Connect timeout in seconds.
+        clock : Clock
+            Source of time.
+
+        Returns
+        -------
+        TimedSocket
+            The connected socket.
+
+        Raises
+        ------
+        OSError
+            If there is no connection; a `TimeoutError` if it took too long.
+        ValueError
+            If the address has no valid port.
+        """
+        host, _, port = address.rpartition(":")
+        sock = socket.create_connection((host, int(port)), timeout_s)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return cls(sock, clock)
+
+    def send_all(self, data: bytes, deadline_s: float) -> None:
+        """Send bytes.
+
+        Parameters
+        ----------
+        data : bytes
+            The bytes.
+        deadline_s : float
+            Deadline as monotonic time in seconds.
+
+        Raises
+        ------
+        OSError
+            If the connection broke; a `TimeoutError` if the deadline passed.
+        """
+        view = memoryview(data)
+        while view:
+            remaining_s = deadline_s - self._clock.now_s()
+            if remaining_s <= 0.0:
+                raise TimeoutError("the request was not sent in time")
+            self.green_socket.settimeout(remaining_s)
+            view = view[self.green_socket.send(view) :]
+
+    def receive(self, deadline_s: float) -> bytes:
+        """Return the available bytes, or wait for some.
+
+        eventlet's own receive reports a reset as the end of the connection, so a cut
+        answer without a length would look complete.
+
+        Parameters
+        ----------
+        deadline_s : float
+            Deadline as monotonic time in seconds; bytes that are available are also
+            returned after it.
+
+        Returns
+        -------
+        bytes
+            The bytes; empty at the end of the connection.
+
+        Raises
+        ------
+        OSError
+            If the connection was reset; a `TimeoutError` if the deadline passed.
+        """
+        if self._unyielded_bytes >= MAX_UNYIELDED_BYTES:
+            self._unyielded_bytes = 0
+            eventlet.sleep(0)
+        while True:
+            try:
+                data = self.green_socket.fd.recv(READ_BYTES)
+            except (BlockingIOError, InterruptedError):
+                self._wait_for_data(deadline_s)
+                continue
+            self._unyielded_bytes += len(data)
+            return data
+
+    def _wait_for_data(self, deadline_s: float) -> None:
+        remaining_s = deadline_s - self._clock.now_s()
+        if remaining_s <= 0.0:
+            raise TimeoutError("no bytes arrived before the deadline")
+        self._unyielded_bytes = 0
+        hubs.trampoline(
+            self.green_socket.fd,
+            read=True,
+            timeout=remaining_s,
+            timeout_exc=TimeoutError("no bytes arrived before the deadline"),
+        )
+
+    def is_quiet(self) -> bool:
+        """Return whether the connection is open and no bytes have arrived.
+
+        Returns
+        -------
+        bool
+            False if bytes are waiting or the connection has ended.
+        """
+        try:
+            self.green_socket.fd.recv(1, socket.MSG_PEEK)
+        except (BlockingIOError, InterruptedError):
+            return True
+        except OSError:
+            return False
+        return False
+
+    def shut_down(self) -> None:
+        """Shut the connection down; a greenlet that waits for it gets its end."""
+        with contextlib.suppress(OSError):
+            self.green_socket.shutdown(socket.SHUT_RDWR)
+
+    def close(self) -> None:
+        """Close the connection."""
+        with contextlib.suppress(OSError):
+            self.green_socket.close()
--- /dev/null
+++ b/tests/http_client/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the HTTP client."""
