Limit the answer to a routed call as a whole in bytes and in time

What callers saw: an endpoint that trickled a head, interim heads, a chunk line or trailers kept the caller waiting without an answer or a refusal, past the call's deadline, as long as the bytes came. Refusals waited for the rest of their bodies. Answers cut within a chunk size, or with an invalid Content-Length or an unknown transfer coding, were passed on as complete; an interim answer was passed on as the final one. Cause: the socket's timeout holds for one receive, not for the head or for a read, and http.client loops over interim heads, lines and trailers. Its framing checks are lenient. Change: one deadline for request and head, one for each read, both also checked when bytes arrive that yield none of the body; AnswerParser limits what is not body; answers to other requests may have 1 MiB, the body of a refusal 50 ms. A partly read line survives a timeout of a read.

--- a/chestnutvale/programs/entry/routed/connections.py
+++ b/chestnutvale/programs/entry/routed/connections.py
@@ -1,117 +1,21 @@
 """Pool of keep-alive connections to endpoints, each with one request at a time."""
 
-import contextlib
-import io
 from collections import deque
-from typing import Any
 
 import attrs
-from eventlet import hubs
 from eventlet.green import socket
 
 from chestnutvale.clock import Clock
+from chestnutvale.http_client.timed_socket import TimedSocket
 from chestnutvale.programs.entry.const import STEP_CONNECT
 from chestnutvale.programs.entry.exceptions import EndpointUnreachableError
 from chestnutvale.programs.entry.routed.const import (
     CONNECT_TIMEOUT_S,
     MAX_IDLE_PER_ENDPOINT,
-    READ_BYTES,
     TCP_USER_TIMEOUT_MS,
 )
 
 
-class _RawSocketReader(io.RawIOBase):
-    """Raw reader of a socket that raises an error on a connection reset.
-
-    eventlet's sockets report a reset as end of file, so a truncated answer without a
-    length would look complete. The reader of `socket.makefile` can't be used again
-    after a timeout.
-    """
-
-    def __init__(self, sock: Any) -> None:
-        super().__init__()
-        self._sock = sock
-
-    def readable(self) -> bool:
-        return True
-
-    def readinto(self, buffer: Any) -> int | None:
-        while True:
-            try:
-                return self._sock.fd.recv_into(buffer)
-            except (BlockingIOError, InterruptedError):
-                timeout_s = self._sock.gettimeout()
-                if timeout_s == 0.0:
-                    return None
-            hubs.trampoline(
-                self._sock.fd, read=True, timeout=timeout_s, timeout_exc=TimeoutError
-            )
-
-
-class SharedReader:
-    """A buffered reader that is shared by all answers on a connection.
-
-    `HTTPResponse` closes its reader at the end of the answer. A reader per answer would
-    lose the bytes that it had buffered beyond that end, and they would not be detected
-    as unexpected data.
-
-    Parameters
-    ----------
-    sock : GreenSocket
-        The connection.
-    """
-
-    def __init__(self, sock: Any) -> None:
-        self._file = io.BufferedReader(_RawSocketReader(sock), READ_BYTES)
-        self.read = self._file.read
-        self.read1 = self._file.read1
-        self.readinto = self._file.readinto
-        self.peek = self._file.peek
-        self._last_line = b""
-
-    def readline(self, limit_bytes: int = -1) -> bytes:
-        """Read a line and store it for `is_at_end_of_head`.
-
-        Parameters
-        ----------
-        limit_bytes : int, optional
-            Maximum number of bytes to read; -1 for no limit.
-
-        Returns
-        -------
-        bytes
-            The line with its line ending, which is missing at the end of the connection
-            or at the limit.
-        """
-        self._last_line = self._file.readline(limit_bytes)
-        return self._last_line
-
-    def is_at_end_of_head(self) -> bool:
-        """Return whether the last line was blank; `HTTPResponse` also accepts EOF."""
-        return self._last_line in (b"\r\n", b"\n")
-
-    def flush(self) -> None:
-        """Do nothing, because the reader writes no data."""
-
-    def close(self) -> None:
-        """Do nothing, because later answers use the reader too."""
-
-    def makefile(self, mode: str) -> "SharedReader":
-        """Return this reader; `HTTPResponse` calls `makefile` on its socket.
-
-        Parameters
-        ----------
-        mode : str
-            Ignored; the reader is always binary.
-
-        Returns
-        -------
-        SharedReader
-            The reader.
-        """
-        return self
-
-
 @attrs.define(eq=False)
 class PooledConnection:
     """A connection to an endpoint that can be kept for later requests.
@@ -120,10 +24,10 @@
     ----------
     address : str
         IP address and port of the endpoint.
-    sock : GreenSocket
+    sock : TimedSocket
         The socket.
-    reader : SharedReader
-        Buffered reader of the socket.
+    unread : bytes
+        Bytes that were received after the last answer.
     reusable_until_s : float
         Monotonic time in seconds until which the connection may be reused.
     requests : int
@@ -131,8 +35,8 @@
     """
 
     address: str
-    sock: Any
-    reader: SharedReader
+    sock: TimedSocket
+    unread: bytes = b""
     reusable_until_s: float = 0.0
     requests: int = 0
 
@@ -147,22 +51,11 @@
         bool
             False if data is waiting or the endpoint has closed the connection.
         """
-        self.sock.settimeout(0.0)
-        try:
-            if self.reader.peek(1):
-                return False
-            # An empty peek means either no data or the end of the connection.
-            self.sock.fd.recv(1, socket.MSG_PEEK)
-        except (BlockingIOError, InterruptedError):
-            return True
-        except (OSError, ValueError):
-            return False
-        return False
+        return not self.unread and self.sock.is_quiet()
 
     def close(self) -> None:
         """Close the connection, which cancels a request still running on it."""
-        with contextlib.suppress(OSError):
-            self.sock.close()
+        self.sock.close()
 
 
 class ConnectionPool:
@@ -256,17 +149,15 @@
                 del self._idle[address]
 
     def _open(self, address: str, timeout_s: float) -> PooledConnection:
-        host, _, port = address.rpartition(":")
         timeout_s = max(0.001, min(timeout_s, CONNECT_TIMEOUT_S))
         try:
-            sock = socket.create_connection((host, int(port)), timeout_s)
+            sock = TimedSocket.open(address, timeout_s, self._clock)
         except (OSError, ValueError) as error:
             raise EndpointUnreachableError(
                 str(error) or type(error).__name__, step=STEP_CONNECT, peer=address
             ) from error
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        sock.setsockopt(
+        sock.green_socket.setsockopt(
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
         )
         self.opened_connections += 1
-        return PooledConnection(address, sock, SharedReader(sock))
+        return PooledConnection(address, sock)
--- a/chestnutvale/programs/entry/routed/const.py
+++ b/chestnutvale/programs/entry/routed/const.py
@@ -36,9 +36,13 @@
 # Late answers to earlier requests that are skipped on a connection; one more of them
 # fails the request.
 MAX_SKIPPED_ANSWERS: Final = 4
+# Bytes of the bodies of all answers that are skipped for one request.
+MAX_SKIPPED_BYTES: Final = 1024 * 1024
 MAX_REFUSAL_BYTES: Final = 64 * 1024
+# Time for the rest of a refusal's body, which only decides whether the connection can
+# be reused.
+REFUSAL_BODY_TIMEOUT_S: Final = 0.05
 MAX_ANSWER_BYTES: Final = 8 * 1024 * 1024
-READ_BYTES: Final = 65_536
 # Linux closes a connection whose data stays unacknowledged for this time; in a network
 # partition neither an acknowledgement nor a reset arrives.
 TCP_USER_TIMEOUT_MS: Final = 3_000
--- a/chestnutvale/programs/entry/routed/exchange.py
+++ b/chestnutvale/programs/entry/routed/exchange.py
@@ -1,15 +1,14 @@
 """One HTTP request to an endpoint and its answer, over a pooled connection."""
 
 import contextlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from http import HTTPStatus
-from http.client import HTTPException, HTTPResponse
 from types import TracebackType
 from typing import Any, Self
 
-from eventlet.green import socket
-
 from chestnutvale.clock import Clock
+from chestnutvale.http_client.answer_parser import AnswerParser
+from chestnutvale.http_client.exceptions import AnswerFormatError
 from chestnutvale.membership.endpoint_notices import EndpointNotice
 from chestnutvale.programs.entry.const import STEP_RECEIVE, STEP_SEND
 from chestnutvale.programs.entry.exceptions import (
@@ -37,7 +36,8 @@
     MAX_REFUSAL_BYTES,
     MAX_RETRY_AFTER_S,
     MAX_SKIPPED_ANSWERS,
-    READ_BYTES,
+    MAX_SKIPPED_BYTES,
+    REFUSAL_BODY_TIMEOUT_S,
 )
 
 
@@ -100,10 +100,11 @@
         self._may_send = may_send
         self._on_notice = on_notice
         self._connection: PooledConnection | None = None
-        self._response: HTTPResponse | None = None
-        # Unread bytes of the body; None if the answer has no Content-Length.
-        self._remaining_bytes: int | None = None
-        self._is_complete = False
+        self._parser: AnswerParser | None = None
+        # Bytes of the body that arrived with the head.
+        self._unread_body = b""
+        # Monotonic time in seconds until which `read_all` may read.
+        self._answer_deadline_s = deadline_s
         self._is_aborted = False
 
     def __enter__(self) -> Self:
@@ -120,14 +121,18 @@
         connection, self._connection = self._connection, None
         if connection is None:
             return
-        can_reuse = (
-            self._is_complete and not self._is_aborted and connection.is_reusable()
-        )
-        if can_reuse and not self._response.will_close:
+        if self._can_reuse(connection):
             self._pool.release(connection, self._find_reusable_until_s())
             return
         connection.close()
 
+    def _can_reuse(self, connection: PooledConnection) -> bool:
+        parser = self._parser
+        if self._is_aborted or parser is None or not parser.is_complete:
+            return False
+        connection.unread = parser.take_rest()
+        return not parser.head.will_close and connection.is_reusable()
+
     def connect(self, timeout_s: float) -> None:
         """Acquire a connection from the pool.
 
@@ -177,7 +182,8 @@
         body : bytes
             Request body.
         timeout_s : float
-            Timeout in seconds of each send and receive.
+            Time in seconds for the whole request and the whole head of the answer. The
+            call's deadline applies too.
 
         Raises
         ------
@@ -187,18 +193,21 @@
         EndpointRefusedError
             If the answer says that the endpoint did not run the request.
         EndpointSilentError
-            If a send or receive timed out; the endpoint may have run the request.
+            If there was no complete head in time; the endpoint may have run the
+            request.
         """
         connection = self._connection
         connection.requests += 1
+        deadline_s = min(self._deadline_s, self._clock.now_s() + timeout_s)
+        self._answer_deadline_s = deadline_s
         with self._translate_errors(STEP_SEND):
-            connection.sock.settimeout(max(0.001, timeout_s))
-            connection.sock.sendall(self._encode_head(method, target, body) + body)
-            self._response = self._read_head(method)
-        self.status = self._response.status
-        self.reason = self._response.reason
-        self._remaining_bytes = self._response.length
-        self.headers = list(self._response.getheaders())
+            request = self._encode_head(method, target, body) + body
+            connection.sock.send_all(request, deadline_s)
+            self._parser = self._read_head(method, deadline_s)
+        head = self._parser.head
+        self.status = head.status
+        self.reason = head.reason
+        self.headers = list(head.headers)
         if self._protocol.is_refusal(self.status, self.headers):
             self._raise_refusal()
 
@@ -220,36 +229,17 @@
         EndpointBrokenError
             If the connection failed before the end of the body.
         EndpointSilentError
-            If nothing arrived in time.
+            If no bytes of the body arrived in time.
         """
-        if self._response is None:
+        if self._parser is None:
             raise self._make_broken_error(
                 "no head of an answer was received", STEP_RECEIVE
             )
-        if self._remaining_bytes == 0:
-            self._is_complete = True
-            return b""
+        data, self._unread_body = self._unread_body, b""
+        if data:
+            return data
         with self._translate_errors(STEP_RECEIVE):
-            self._connection.sock.settimeout(max(0.001, timeout_s))
-            data = self._read_chunk()
-        if self._remaining_bytes:
-            if not data:
-                raise self._make_broken_error(
-                    "the connection ended before the body was complete", STEP_RECEIVE
-                )
-            self._remaining_bytes -= len(data)
-        elif not data:
-            if self._is_aborted:
-                raise self._make_broken_error("the exchange was aborted", STEP_RECEIVE)
-            self._is_complete = True
-        return data
-
-    def _read_chunk(self) -> bytes:
-        if self._remaining_bytes is None:
-            return self._response.read1(READ_BYTES)
-        # `HTTPResponse.read1` does not decrease `length`, so it can't be used for a
-        # body with a Content-Length.
-        return self._connection.reader.read1(min(READ_BYTES, self._remaining_bytes))
+            return self._receive_body(self._parser, self._clock.now_s() + timeout_s)
 
     def read_all(self, max_bytes: int) -> bytes:
         """Read the rest of the body.
@@ -271,23 +261,29 @@
         EndpointBrokenError
             If the connection failed before the end of the body.
         EndpointSilentError
-            If nothing arrived before the call's deadline.
+            If the body did not end before the call's deadline or the timeout of `send`.
         """
-        pieces = iter(lambda: self.read(self._remaining_s()), b"")
-        return join_body(pieces, max_bytes, self.address)
+        return join_body(self._iterate_body(), max_bytes, self.address)
+
+    def _iterate_body(self) -> Iterator[bytes]:
+        while data := self.read(self._answer_deadline_s - self._clock.now_s()):
+            yield data
+            if self._clock.now_s() >= self._answer_deadline_s:
+                raise EndpointSilentError(
+                    "the body did not end in time",
+                    step=STEP_RECEIVE,
+                    peer=self.address,
+                )
 
     def abort(self) -> None:
         """Shut the connection down; a greenlet that waits for it gets an error."""
         self._is_aborted = True
         if self._connection is not None:
-            with contextlib.suppress(OSError):
-                self._connection.sock.shutdown(socket.SHUT_RDWR)
-
-    def _remaining_s(self) -> float:
-        return max(0.001, self._deadline_s - self._clock.now_s())
+            self._connection.sock.shut_down()
 
     def _encode_head(self, method: str, target: str, body: bytes) -> bytes:
-        remaining_ms = round(self._remaining_s() * 1_000)
+        remaining_s = max(0.001, self._deadline_s - self._clock.now_s())
+        remaining_ms = round(remaining_s * 1_000)
         forwarding = ForwardingInfo(
             self._forwarding.host_id,
             self._forwarding.workspace,
@@ -301,28 +297,69 @@
             lines.append(f"Content-Length: {len(body)}")
         return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
 
-    def _read_head(self, method: str) -> HTTPResponse:
+    def _read_head(self, method: str, deadline_s: float) -> AnswerParser:
         """Read the head of this request's answer; skip late answers to earlier ones."""
+        skipped_bytes = 0
         for _ in range(MAX_SKIPPED_ANSWERS + 1):
-            response = HTTPResponse(self._connection.reader, method=method)
-            response.begin()
-            if not self._connection.reader.is_at_end_of_head():
-                raise self._make_broken_error(
-                    "the connection ended within the head of the answer", STEP_RECEIVE
-                )
-            headers = response.getheaders()
-            self._report_notice(response.status, headers)
-            answered = self._protocol.find_request_id(headers)
+            parser = AnswerParser(method)
+            body = self._receive_head(parser, deadline_s)
+            head = parser.head
+            self._report_notice(head.status, head.headers)
+            answered = self._protocol.find_request_id(head.headers)
             if not answered or answered == self._request.request_id:
-                self._check_signature(response.status, headers)
-                return response
-            response.read()
-            if response.will_close:
+                self._check_signature(head.status, head.headers)
+                self._unread_body = body
+                return parser
+            if head.will_close:
                 break
+            while body:
+                skipped_bytes += len(body)
+                if skipped_bytes > MAX_SKIPPED_BYTES:
+                    raise self._make_broken_error(
+                        "an answer to another request exceeds the size limit",
+                        STEP_RECEIVE,
+                    )
+                self._check_time(deadline_s)
+                body = self._receive_body(parser, deadline_s)
+            self._connection.unread = parser.take_rest()
         raise self._make_broken_error(
             "received only answers to other requests", STEP_RECEIVE
         )
 
+    def _receive_head(self, parser: AnswerParser, deadline_s: float) -> bytes:
+        """Read a head; return the bytes of the body that arrived with it."""
+        data, self._connection.unread = self._connection.unread, b""
+        body = parser.feed(data)
+        while parser.head is None:
+            body = self._receive_piece(parser, deadline_s)
+            if parser.head is None:
+                self._check_time(deadline_s)
+        return body
+
+    def _receive_body(self, parser: AnswerParser, deadline_s: float) -> bytes:
+        """Wait for bytes of the body; return no bytes at its end."""
+        while not parser.is_complete:
+            body = self._receive_piece(parser, deadline_s)
+            if body:
+                return body
+            if not parser.is_complete:
+                self._check_time(deadline_s)
+        return b""
+
+    def _receive_piece(self, parser: AnswerParser, deadline_s: float) -> bytes:
+        data = self._connection.sock.receive(deadline_s)
+        if data:
+            return parser.feed(data)
+        # An abort ends the connection too, which must not complete an answer.
+        if self._is_aborted:
+            raise self._make_broken_error("the exchange was aborted", STEP_RECEIVE)
+        parser.end()
+        return b""
+
+    def _check_time(self, deadline_s: float) -> None:
+        if self._clock.now_s() >= deadline_s:
+            raise TimeoutError("the answer took too long")
+
     def _report_notice(self, status: int, headers: Headers) -> None:
         notice = self._protocol.read_notice(status, headers)
         if not notice.is_empty:
@@ -339,11 +376,14 @@
 
     def _raise_refusal(self) -> None:
         retry_after_s = self._find_retry_after_s()
-        try:
+        self._answer_deadline_s = min(
+            self._answer_deadline_s, self._clock.now_s() + REFUSAL_BODY_TIMEOUT_S
+        )
+        # The head alone proves that the request did not run.
+        with contextlib.suppress(
+            AnswerTooLargeError, EndpointBrokenError, EndpointSilentError
+        ):
             self.read_all(MAX_REFUSAL_BYTES)
-        except (AnswerTooLargeError, EndpointBrokenError, EndpointSilentError):
-            # The head alone proves that the request did not run.
-            self._is_complete = False
         raise EndpointRefusedError(
             f"the endpoint refused the request with status {self.status}",
             step=STEP_SEND,
@@ -373,7 +413,9 @@
             raise EndpointSilentError(
                 "the send or receive timed out", step=step, peer=self.address
             ) from error
-        except (HTTPException, OSError, ValueError) as error:
+        except AnswerFormatError as error:
+            raise self._make_broken_error(error.message, step) from error
+        except (OSError, ValueError) as error:
             reason = str(error) or type(error).__name__
             raise self._make_broken_error(reason, step) from error
 
