Break off a stream of an engine that sends only comments

What callers saw: nothing by itself; a stream of comments went on, and its attempt with it, until the attempt's idle time. Cause: comments are dropped and nothing counts them. Change: EventSplitter counts the bytes of comments since the last event and refuses more than the size of the largest event; heartbeats stay far below it. Evidence: the new test failed before (no error) for two of its three kinds of comments; passes now.

--- a/chestnutvale/attempts/sse.py
+++ b/chestnutvale/attempts/sse.py
@@ -91,9 +91,12 @@
     """
 
     def __init__(self, max_event_bytes: int = MAX_EVENT_BYTES) -> None:
+        self._max_event_bytes = max_event_bytes
         self._buffer = _EventBuffer(max_event_bytes)
         # A carriage return that may be the first half of a CRLF.
         self._held = b""
+        # Bytes of comments since the last event.
+        self._comment_bytes = 0
 
     def feed(self, chunk: bytes) -> list[StreamEvent]:
         """Process received bytes and return the events that they complete.
@@ -111,12 +114,24 @@
         Raises
         ------
         StreamFormatError
-            If an event is too large, or has no valid id.
+            If an event is too large or has no valid id, or too many comments follow
+            each other.
         """
         if self._held or b"\r" in chunk:
             chunk = self._normalise_line_ends(chunk)
-        blocks = [block[: -len(_BLANK_LINE)] for block in self._buffer.feed(chunk)]
-        return [event for event in map(self._parse, blocks) if event is not None]
+        events = []
+        for block in self._buffer.feed(chunk):
+            event = self._parse(block[: -len(_BLANK_LINE)])
+            if event is not None:
+                self._comment_bytes = 0
+                events.append(event)
+                continue
+            self._comment_bytes += len(block)
+            if self._comment_bytes > self._max_event_bytes:
+                raise StreamFormatError(
+                    "the stream has only comments", step=STEP_STREAM
+                )
+        return events
 
     def _normalise_line_ends(self, chunk: bytes) -> bytes:
         chunk = self._held + chunk
--- a/tests/attempts/test_sse.py
+++ b/tests/attempts/test_sse.py
@@ -116,3 +116,18 @@
         for _ in range(MAX_EVENT_BYTES // len(piece) + 1):
             assert splitter.feed(piece) == []
     assert time.process_time() - started_s < 0.5
+
+
+@pytest.mark.parametrize("comment", [b":\n\n", b"\n\n", b": x\n"])
+def test_comments_without_end_are_refused(comment):
+    splitter = EventSplitter(max_event_bytes=100)
+    with pytest.raises(StreamFormatError):
+        for _ in range(100):
+            splitter.feed(comment)
+
+
+def test_comments_between_events_are_not_added_up():
+    splitter = EventSplitter(max_event_bytes=100)
+    for number in range(20):
+        data = b": " + b"x" * 60 + b"\n\n" + b"id: a:%d:%d\ndata: {}\n\n"
+        assert len(splitter.feed(data % (number, number + 1))) == 1
