Read answers through one reader that other clients can use

Cause: the control's orders and the engines' protocol need the same limits. Change: AnswerReader owns the loop of receiving and parsing; the routed exchange keeps only the skipping of answers to other requests. A socket that was shut down reports an error instead of the end of the connection. Result: tests/http_client and tests/programs/entry/routed pass.

--- /dev/null
+++ b/chestnutvale/http_client/answer_reader.py
@@ -0,0 +1,125 @@
+"""Reads one answer from a socket."""
+
+from chestnutvale.clock import Clock
+from chestnutvale.http_client.answer_parser import AnswerHead, AnswerParser
+from chestnutvale.http_client.timed_socket import TimedSocket
+
+
+class AnswerReader:
+    """Reads the head and the body of one answer, each call with a deadline.
+
+    A call that timed out can be repeated; no bytes are lost.
+
+    Parameters
+    ----------
+    sock : TimedSocket
+        The connection.
+    method : str
+        Method of the request.
+    clock : Clock
+        Source of time.
+    received : bytes, optional
+        Bytes that were received before.
+    """
+
+    def __init__(
+        self, sock: TimedSocket, method: str, clock: Clock, received: bytes = b""
+    ) -> None:
+        self._sock = sock
+        self._clock = clock
+        self._parser = AnswerParser(method)
+        self._received = received
+        # Bytes of the body that arrived with the head.
+        self._unread_body = b""
+
+    @property
+    def head(self) -> AnswerHead | None:
+        """Head of the answer; None before `read_head` has returned."""
+        return self._parser.head
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether the end of the answer was received."""
+        return self._parser.is_complete
+
+    def read_head(self, deadline_s: float) -> AnswerHead:
+        """Read the head.
+
+        Parameters
+        ----------
+        deadline_s : float
+            Deadline of the whole head as monotonic time in seconds.
+
+        Returns
+        -------
+        AnswerHead
+            The head.
+
+        Raises
+        ------
+        AnswerFormatError
+            If the bytes are no valid answer.
+        OSError
+            If the connection broke; a `TimeoutError` if the deadline passed.
+        """
+        received, self._received = self._received, b""
+        self._unread_body = self._parser.feed(received)
+        while self.head is None:
+            self._unread_body = self._receive(deadline_s)
+            if self.head is None:
+                self._check_time(deadline_s)
+        return self.head
+
+    def read(self, deadline_s: float) -> bytes:
+        """Return the available bytes of the body, or wait for some.
+
+        Parameters
+        ----------
+        deadline_s : float
+            Deadline as monotonic time in seconds; bytes that are available are also
+            returned after it.
+
+        Returns
+        -------
+        bytes
+            Bytes of the body; empty at its end.
+
+        Raises
+        ------
+        AnswerFormatError
+            If the body is invalid or incomplete.
+        OSError
+            If the connection broke; a `TimeoutError` if the deadline passed.
+        """
+        body, self._unread_body = self._unread_body, b""
+        if body:
+            return body
+        while not self.is_complete:
+            body = self._receive(deadline_s)
+            if body:
+                return body
+            if not self.is_complete:
+                self._check_time(deadline_s)
+        return b""
+
+    def take_rest(self) -> bytes:
+        """Remove and return the bytes that were received after the answer.
+
+        Returns
+        -------
+        bytes
+            The bytes; empty for none.
+        """
+        return self._parser.take_rest()
+
+    def _receive(self, deadline_s: float) -> bytes:
+        data = self._sock.receive(deadline_s)
+        if data:
+            return self._parser.feed(data)
+        self._parser.end()
+        return b""
+
+    def _check_time(self, deadline_s: float) -> None:
+        # Bytes may arrive in time and yet complete nothing.
+        if self._clock.now_s() >= deadline_s:
+            raise TimeoutError("the answer took too long")
--- a/chestnutvale/http_client/timed_socket.py
+++ b/chestnutvale/http_client/timed_socket.py
@@ -30,6 +30,7 @@
         self.green_socket = sock
         self._clock = clock
         self._unyielded_bytes = 0
+        self._is_shut_down = False
 
     @classmethod
     def open(cls, address: str, timeout_s: float, clock: Clock) -> "TimedSocket":
@@ -104,7 +105,8 @@
         Raises
         ------
         OSError
-            If the connection was reset; a `TimeoutError` if the deadline passed.
+            If the connection was reset or `shut_down` was called; a `TimeoutError` if
+            the deadline passed.
         """
         if self._unyielded_bytes >= MAX_UNYIELDED_BYTES:
             self._unyielded_bytes = 0
@@ -115,6 +117,8 @@
             except (BlockingIOError, InterruptedError):
                 self._wait_for_data(deadline_s)
                 continue
+            if not data and self._is_shut_down:
+                raise ConnectionAbortedError("the connection was shut down")
             self._unyielded_bytes += len(data)
             return data
 
@@ -147,7 +151,8 @@
         return False
 
     def shut_down(self) -> None:
-        """Shut the connection down; a greenlet that waits for it gets its end."""
+        """Shut the connection down; a greenlet that waits for it gets an error."""
+        self._is_shut_down = True
         with contextlib.suppress(OSError):
             self.green_socket.shutdown(socket.SHUT_RDWR)
 
--- a/chestnutvale/programs/entry/routed/exchange.py
+++ b/chestnutvale/programs/entry/routed/exchange.py
@@ -7,7 +7,7 @@
 from typing import Any, Self
 
 from chestnutvale.clock import Clock
-from chestnutvale.http_client.answer_parser import AnswerParser
+from chestnutvale.http_client.answer_reader import AnswerReader
 from chestnutvale.http_client.exceptions import AnswerFormatError
 from chestnutvale.membership.endpoint_notices import EndpointNotice
 from chestnutvale.programs.entry.const import STEP_RECEIVE, STEP_SEND
@@ -100,9 +100,7 @@
         self._may_send = may_send
         self._on_notice = on_notice
         self._connection: PooledConnection | None = None
-        self._parser: AnswerParser | None = None
-        # Bytes of the body that arrived with the head.
-        self._unread_body = b""
+        self._answer: AnswerReader | None = None
         # Monotonic time in seconds until which `read_all` may read.
         self._answer_deadline_s = deadline_s
         self._is_aborted = False
@@ -127,11 +125,11 @@
         connection.close()
 
     def _can_reuse(self, connection: PooledConnection) -> bool:
-        parser = self._parser
-        if self._is_aborted or parser is None or not parser.is_complete:
+        answer = self._answer
+        if self._is_aborted or answer is None or not answer.is_complete:
             return False
-        connection.unread = parser.take_rest()
-        return not parser.head.will_close and connection.is_reusable()
+        connection.unread = answer.take_rest()
+        return not answer.head.will_close and connection.is_reusable()
 
     def connect(self, timeout_s: float) -> None:
         """Acquire a connection from the pool.
@@ -203,8 +201,8 @@
         with self._translate_errors(STEP_SEND):
             request = self._encode_head(method, target, body) + body
             connection.sock.send_all(request, deadline_s)
-            self._parser = self._read_head(method, deadline_s)
-        head = self._parser.head
+            self._answer = self._read_head(method, deadline_s)
+        head = self._answer.head
         self.status = head.status
         self.reason = head.reason
         self.headers = list(head.headers)
@@ -231,15 +229,12 @@
         EndpointSilentError
             If no bytes of the body arrived in time.
         """
-        if self._parser is None:
+        if self._answer is None:
             raise self._make_broken_error(
                 "no head of an answer was received", STEP_RECEIVE
             )
-        data, self._unread_body = self._unread_body, b""
-        if data:
-            return data
         with self._translate_errors(STEP_RECEIVE):
-            return self._receive_body(self._parser, self._clock.now_s() + timeout_s)
+            return self._answer.read(self._clock.now_s() + timeout_s)
 
     def read_all(self, max_bytes: int) -> bytes:
         """Read the rest of the body.
@@ -297,68 +292,43 @@
             lines.append(f"Content-Length: {len(body)}")
         return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
 
-    def _read_head(self, method: str, deadline_s: float) -> AnswerParser:
+    def _read_head(self, method: str, deadline_s: float) -> AnswerReader:
         """Read the head of this request's answer; skip late answers to earlier ones."""
+        connection = self._connection
         skipped_bytes = 0
         for _ in range(MAX_SKIPPED_ANSWERS + 1):
-            parser = AnswerParser(method)
-            body = self._receive_head(parser, deadline_s)
-            head = parser.head
+            answer = AnswerReader(
+                connection.sock, method, self._clock, connection.unread
+            )
+            connection.unread = b""
+            head = answer.read_head(deadline_s)
             self._report_notice(head.status, head.headers)
             answered = self._protocol.find_request_id(head.headers)
             if not answered or answered == self._request.request_id:
                 self._check_signature(head.status, head.headers)
-                self._unread_body = body
-                return parser
+                return answer
             if head.will_close:
                 break
-            while body:
-                skipped_bytes += len(body)
-                if skipped_bytes > MAX_SKIPPED_BYTES:
-                    raise self._make_broken_error(
-                        "an answer to another request exceeds the size limit",
-                        STEP_RECEIVE,
-                    )
-                self._check_time(deadline_s)
-                body = self._receive_body(parser, deadline_s)
-            self._connection.unread = parser.take_rest()
+            skipped_bytes += self._skip_body(
+                answer, MAX_SKIPPED_BYTES - skipped_bytes, deadline_s
+            )
+            connection.unread = answer.take_rest()
         raise self._make_broken_error(
             "received only answers to other requests", STEP_RECEIVE
         )
 
-    def _receive_head(self, parser: AnswerParser, deadline_s: float) -> bytes:
-        """Read a head; return the bytes of the body that arrived with it."""
-        data, self._connection.unread = self._connection.unread, b""
-        body = parser.feed(data)
-        while parser.head is None:
-            body = self._receive_piece(parser, deadline_s)
-            if parser.head is None:
-                self._check_time(deadline_s)
-        return body
-
-    def _receive_body(self, parser: AnswerParser, deadline_s: float) -> bytes:
-        """Wait for bytes of the body; return no bytes at its end."""
-        while not parser.is_complete:
-            body = self._receive_piece(parser, deadline_s)
-            if body:
-                return body
-            if not parser.is_complete:
-                self._check_time(deadline_s)
-        return b""
-
-    def _receive_piece(self, parser: AnswerParser, deadline_s: float) -> bytes:
-        data = self._connection.sock.receive(deadline_s)
-        if data:
-            return parser.feed(data)
-        # An abort ends the connection too, which must not complete an answer.
-        if self._is_aborted:
-            raise self._make_broken_error("the exchange was aborted", STEP_RECEIVE)
-        parser.end()
-        return b""
-
-    def _check_time(self, deadline_s: float) -> None:
-        if self._clock.now_s() >= deadline_s:
-            raise TimeoutError("the answer took too long")
+    def _skip_body(
+        self, answer: AnswerReader, max_bytes: int, deadline_s: float
+    ) -> int:
+        skipped_bytes = 0
+        while data := answer.read(deadline_s):
+            skipped_bytes += len(data)
+            if skipped_bytes > max_bytes or self._clock.now_s() >= deadline_s:
+                raise self._make_broken_error(
+                    "an answer to another request is too large or too slow",
+                    STEP_RECEIVE,
+                )
+        return skipped_bytes
 
     def _report_notice(self, status: int, headers: Headers) -> None:
         notice = self._protocol.read_notice(status, headers)
