Limit the answer to an order as a whole in bytes and in time

What callers saw: nothing by itself; a host that trickled its answer to an order, or sent a body without end, held one of the control's 64 order tasks for good and filled its memory. With all of them held, the leader would decide nothing about groups any more. Cause: the timeout was that of one receive, and the body was read without a limit. Change: the sender uses the HTTP client of the package: 2 s for the whole order and its answer, 64 KiB for its body. It also checks the leader's lease after the connection is open, not before.

--- a/chestnutvale/http_client/answer_reader.py
+++ b/chestnutvale/http_client/answer_reader.py
@@ -2,6 +2,7 @@
 
 from chestnutvale.clock import Clock
 from chestnutvale.http_client.answer_parser import AnswerHead, AnswerParser
+from chestnutvale.http_client.exceptions import BodyTooLargeError
 from chestnutvale.http_client.timed_socket import TimedSocket
 
 
@@ -102,6 +103,40 @@
                 self._check_time(deadline_s)
         return b""
 
+    def read_all(self, max_bytes: int, deadline_s: float) -> bytes:
+        """Read the rest of the body.
+
+        Parameters
+        ----------
+        max_bytes : int
+            Maximum size of the body in bytes.
+        deadline_s : float
+            Deadline of the whole body as monotonic time in seconds.
+
+        Returns
+        -------
+        bytes
+            The body.
+
+        Raises
+        ------
+        BodyTooLargeError
+            If the body is larger than `max_bytes`.
+        AnswerFormatError
+            If the body is invalid or incomplete.
+        OSError
+            If the connection broke; a `TimeoutError` if the deadline passed.
+        """
+        parts: list[bytes] = []
+        total_bytes = 0
+        while data := self.read(deadline_s):
+            total_bytes += len(data)
+            if total_bytes > max_bytes:
+                raise BodyTooLargeError("the answer exceeds the size limit")
+            parts.append(data)
+            self._check_time(deadline_s)
+        return b"".join(parts)
+
     def take_rest(self) -> bytes:
         """Remove and return the bytes that were received after the answer.
 
--- a/chestnutvale/http_client/exceptions.py
+++ b/chestnutvale/http_client/exceptions.py
@@ -7,3 +7,9 @@
     """Received bytes are no valid HTTP answer, or the answer is incomplete."""
 
     code = "invalid_answer"
+
+
+class BodyTooLargeError(AnswerFormatError):
+    """The body of an answer is larger than its reader allows."""
+
+    code = "answer_too_large"
--- a/chestnutvale/programs/control/const.py
+++ b/chestnutvale/programs/control/const.py
@@ -14,9 +14,10 @@
 COMMIT_REQUEST_TIMEOUT_S: Final = 2.0
 # Commit requests handled concurrently; excess ones are dropped and the entry retries.
 MAX_CONCURRENT_COMMIT_REQUESTS: Final = 2_000
-# Timeouts of an order to a host.
+# Timeouts of the connection to a host, and of the whole order and its answer.
 ORDER_CONNECT_TIMEOUT_S: Final = 1.0
 ORDER_READ_TIMEOUT_S: Final = 2.0
+MAX_ORDER_ANSWER_BYTES: Final = 64 * 1024
 MAX_CONCURRENT_ORDERS: Final = 64
 # Silence of an entry after which the outcomes of its claims become unknown.
 ENTRY_LOST_TIMEOUT_S: Final = 10.0
--- a/chestnutvale/programs/control/order_sender.py
+++ b/chestnutvale/programs/control/order_sender.py
@@ -1,17 +1,21 @@
 """Sending of orders to hosts over HTTP."""
 
+import contextlib
 import json
 from typing import Protocol
 
 import attrs
 import logbook
-import urllib3
 from google.protobuf import json_format
 
 from chestnutvale.clock import Clock
 from chestnutvale.groups.orders import OrderOutcome, SendOrder
+from chestnutvale.http_client.answer_reader import AnswerReader
+from chestnutvale.http_client.exceptions import AnswerFormatError
+from chestnutvale.http_client.request import encode_request
+from chestnutvale.http_client.timed_socket import TimedSocket
 from chestnutvale.programs.control.const import (
-    MAX_CONCURRENT_ORDERS,
+    MAX_ORDER_ANSWER_BYTES,
     ORDER_CONNECT_TIMEOUT_S,
     ORDER_READ_TIMEOUT_S,
     PATH_ORDERS,
@@ -108,7 +112,7 @@
 
 
 class OrderSender:
-    """Sends orders to hosts; owns the HTTP connection pool.
+    """Sends orders to hosts, each over a connection of its own.
 
     Parameters
     ----------
@@ -121,13 +125,6 @@
     def __init__(self, clock: Clock, protocol: OrderProtocol | None = None) -> None:
         self._clock = clock
         self._protocol = protocol or NativeOrderProtocol()
-        self._pool = urllib3.PoolManager(
-            num_pools=MAX_CONCURRENT_ORDERS,
-            retries=False,
-            timeout=urllib3.Timeout(
-                connect=ORDER_CONNECT_TIMEOUT_S, read=ORDER_READ_TIMEOUT_S
-            ),
-        )
 
     def send(self, effect: SendOrder) -> OrderOutcome:
         """Send one order; blocks the calling task.
@@ -142,24 +139,39 @@
         OrderOutcome
             Response of the host; ``UNREACHABLE`` if the order may not have arrived.
         """
-        # The process may have been suspended between the decision and this line; an
-        # order must not be sent once the leader's lease no longer covers it.
-        if self._clock.now_s() >= effect.send_before_s:
-            return OrderOutcome.UNREACHABLE
         message = self._protocol.encode(effect)
-        headers = {"Content-Type": "application/json", "Connection": "close"}
         try:
-            response = self._pool.request(
-                "POST",
-                f"http://{effect.address}{message.path}",
-                body=message.body,
-                headers=headers | message.headers,
-                redirect=False,
-            )
-        except urllib3.exceptions.HTTPError as error:
+            with contextlib.closing(self._connect(effect)) as sock:
+                # The process may have been suspended between the decision and this
+                # line; an order must not be sent once the leader's lease no longer
+                # covers it.
+                if self._clock.now_s() >= effect.send_before_s:
+                    return OrderOutcome.UNREACHABLE
+                status, data = self._exchange(sock, effect.address, message)
+        except (AnswerFormatError, OSError, ValueError) as error:
             _LOGGER.info("Order to host {} got no response: {}", effect.host_id, error)
             return OrderOutcome.UNREACHABLE
-        return self._protocol.parse_response(effect, response.status, response.data)
+        return self._protocol.parse_response(effect, status, data)
+
+    def _connect(self, effect: SendOrder) -> TimedSocket:
+        return TimedSocket.open(effect.address, ORDER_CONNECT_TIMEOUT_S, self._clock)
+
+    def _exchange(
+        self, sock: TimedSocket, address: str, message: OrderMessage
+    ) -> tuple[int, bytes]:
+        """Send the request; return status and body of the answer."""
+        deadline_s = self._clock.now_s() + ORDER_READ_TIMEOUT_S
+        headers = {
+            "Host": address,
+            "Content-Type": "application/json",
+            "Connection": "close",
+            **message.headers,
+        }
+        request = encode_request("POST", message.path, headers.items(), message.body)
+        sock.send_all(request, deadline_s)
+        answer = AnswerReader(sock, "POST", self._clock)
+        status = answer.read_head(deadline_s).status
+        return status, answer.read_all(MAX_ORDER_ANSWER_BYTES, deadline_s)
 
 
 def _read_code(data: bytes) -> str:
--- a/chestnutvale/programs/entry/routed/const.py
+++ b/chestnutvale/programs/entry/routed/const.py
@@ -36,7 +36,7 @@
 # Late answers to earlier requests that are skipped on a connection; one more of them
 # fails the request.
 MAX_SKIPPED_ANSWERS: Final = 4
-# Bytes of the bodies of all answers that are skipped for one request.
+# Bytes of the body of an answer that is skipped.
 MAX_SKIPPED_BYTES: Final = 1024 * 1024
 MAX_REFUSAL_BYTES: Final = 64 * 1024
 # Time for the rest of a refusal's body, which only decides whether the connection can
--- a/chestnutvale/programs/entry/routed/exchange.py
+++ b/chestnutvale/programs/entry/routed/exchange.py
@@ -1,14 +1,15 @@
 """One HTTP request to an endpoint and its answer, over a pooled connection."""
 
 import contextlib
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from http import HTTPStatus
 from types import TracebackType
 from typing import Any, Self
 
 from chestnutvale.clock import Clock
 from chestnutvale.http_client.answer_reader import AnswerReader
-from chestnutvale.http_client.exceptions import AnswerFormatError
+from chestnutvale.http_client.exceptions import AnswerFormatError, BodyTooLargeError
+from chestnutvale.http_client.request import encode_request
 from chestnutvale.membership.endpoint_notices import EndpointNotice
 from chestnutvale.programs.entry.const import STEP_RECEIVE, STEP_SEND
 from chestnutvale.programs.entry.exceptions import (
@@ -19,7 +20,6 @@
     EndpointUnavailableError,
     EndpointUnreachableError,
 )
-from chestnutvale.programs.entry.response_body import join_body
 from chestnutvale.programs.entry.routed.caller_protocol import (
     CallerProtocol,
     ForwardingInfo,
@@ -199,7 +199,7 @@
         deadline_s = min(self._deadline_s, self._clock.now_s() + timeout_s)
         self._answer_deadline_s = deadline_s
         with self._translate_errors(STEP_SEND):
-            request = self._encode_head(method, target, body) + body
+            request = self._encode_request(method, target, body)
             connection.sock.send_all(request, deadline_s)
             self._answer = self._read_head(method, deadline_s)
         head = self._answer.head
@@ -258,17 +258,8 @@
         EndpointSilentError
             If the body did not end before the call's deadline or the timeout of `send`.
         """
-        return join_body(self._iterate_body(), max_bytes, self.address)
-
-    def _iterate_body(self) -> Iterator[bytes]:
-        while data := self.read(self._answer_deadline_s - self._clock.now_s()):
-            yield data
-            if self._clock.now_s() >= self._answer_deadline_s:
-                raise EndpointSilentError(
-                    "the body did not end in time",
-                    step=STEP_RECEIVE,
-                    peer=self.address,
-                )
+        with self._translate_errors(STEP_RECEIVE):
+            return self._answer.read_all(max_bytes, self._answer_deadline_s)
 
     def abort(self) -> None:
         """Shut the connection down; a greenlet that waits for it gets an error."""
@@ -276,7 +267,7 @@
         if self._connection is not None:
             self._connection.sock.shut_down()
 
-    def _encode_head(self, method: str, target: str, body: bytes) -> bytes:
+    def _encode_request(self, method: str, target: str, body: bytes) -> bytes:
         remaining_s = max(0.001, self._deadline_s - self._clock.now_s())
         remaining_ms = round(remaining_s * 1_000)
         forwarding = ForwardingInfo(
@@ -286,16 +277,11 @@
             self._forwarding.last_event,
         )
         headers = self._protocol.make_endpoint_headers(self._request, forwarding)
-        lines = [f"{method} {target} HTTP/1.1"]
-        lines += [f"{name}: {value}" for name, value in headers]
-        if body or method not in ("GET", "HEAD", "OPTIONS", "DELETE"):
-            lines.append(f"Content-Length: {len(body)}")
-        return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+        return encode_request(method, target, headers, body)
 
     def _read_head(self, method: str, deadline_s: float) -> AnswerReader:
         """Read the head of this request's answer; skip late answers to earlier ones."""
         connection = self._connection
-        skipped_bytes = 0
         for _ in range(MAX_SKIPPED_ANSWERS + 1):
             answer = AnswerReader(
                 connection.sock, method, self._clock, connection.unread
@@ -309,27 +295,15 @@
                 return answer
             if head.will_close:
                 break
-            skipped_bytes += self._skip_body(
-                answer, MAX_SKIPPED_BYTES - skipped_bytes, deadline_s
-            )
+            try:
+                answer.read_all(MAX_SKIPPED_BYTES, deadline_s)
+            except BodyTooLargeError as error:
+                raise self._make_broken_error(error.message, STEP_RECEIVE) from error
             connection.unread = answer.take_rest()
         raise self._make_broken_error(
             "received only answers to other requests", STEP_RECEIVE
         )
 
-    def _skip_body(
-        self, answer: AnswerReader, max_bytes: int, deadline_s: float
-    ) -> int:
-        skipped_bytes = 0
-        while data := answer.read(deadline_s):
-            skipped_bytes += len(data)
-            if skipped_bytes > max_bytes or self._clock.now_s() >= deadline_s:
-                raise self._make_broken_error(
-                    "an answer to another request is too large or too slow",
-                    STEP_RECEIVE,
-                )
-        return skipped_bytes
-
     def _report_notice(self, status: int, headers: Headers) -> None:
         notice = self._protocol.read_notice(status, headers)
         if not notice.is_empty:
@@ -383,6 +357,10 @@
             raise EndpointSilentError(
                 "the send or receive timed out", step=step, peer=self.address
             ) from error
+        except BodyTooLargeError as error:
+            raise AnswerTooLargeError(
+                error.message, step=step, peer=self.address
+            ) from error
         except AnswerFormatError as error:
             raise self._make_broken_error(error.message, step) from error
         except (OSError, ValueError) as error:
--- a/tests/programs/entry/routed/test_faulty_answers.py
+++ b/tests/programs/entry/routed/test_faulty_answers.py
@@ -1,12 +1,11 @@
 """Answers without end, trickles and broken answers never keep a caller waiting."""
 
-import struct
 import time
 
 import eventlet
 import pytest
-from eventlet.green import socket
 
+from tests.http_client.answer_faults import cut, flood, trickle
 from tests.programs.entry.routed.routed_fakes import (
     ScriptedEndpoint,
     call,
@@ -20,7 +19,6 @@
 DEADLINE_S = 1.0
 # Time after the deadline within which the caller must have its answer.
 MARGIN_S = 1.0
-BLOCK_BYTES = 16_384
 PLAIN_PATHS = ("/once/x", "/safe/x")
 STREAM_PATHS = ("/fixed/x", "/gen/x")
 SIGNED_HEAD = b"HTTP/1.1 200 OK\r\nX-Call: c1\r\nX-Made-By: e1\r\n"
@@ -29,38 +27,6 @@
 FOREIGN_HEAD = b"HTTP/1.1 200 OK\r\nX-Call: c0\r\nX-Made-By: e1\r\n"
 
 
-def endless(start, block, pause_s=0.0):
-    """Make a step that sends `start`, and then `block` until the entry closes."""
-
-    def step(sock, request):
-        sock.sendall(start)
-        while True:
-            sock.sendall(block)
-            eventlet.sleep(pause_s)
-
-    return step
-
-
-def trickle(start, block):
-    return endless(start, block, pause_s=0.03)
-
-
-def flood(start, block):
-    return endless(start, block * (BLOCK_BYTES // len(block)))
-
-
-def cut(data, *, reset=False):
-    def step(sock, request):
-        sock.sendall(data)
-        if reset:
-            eventlet.sleep(0.05)
-            option = struct.pack("ii", 1, 0)
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
-        sock.close()
-
-    return step
-
-
 ANSWER_FAULTS = {
     "trickled status line": trickle(b"HTTP/1.1 200 ", b"x"),
     "trickled header": trickle(SIGNED_HEAD, b"x"),
@@ -71,6 +37,9 @@
     "endless interim heads": flood(b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
     "endless early hints": flood(b"", b"HTTP/1.1 103 Early\r\n\r\n"),
     "endless other answer": flood(FOREIGN_HEAD + b"\r\n", b"x"),
+    "large other answer": flood(
+        FOREIGN_HEAD + b"Transfer-Encoding: chunked\r\n\r\n", chunk(b"x" * 4_000)
+    ),
     "trickled other answer": trickle(
         FOREIGN_HEAD + b"Content-Length: 9999\r\n\r\n", b"x"
     ),
