--- a/chestnutvale/http_client/answer_reader.py
+++ b/chestnutvale/http_client/answer_reader.py
@@ -92,7 +92,7 @@
         OSError
             If the connection broke; a `TimeoutError` if the deadline passed.
         """
-        body, self._unread_body = self._unread_body, b""
+        body = self.take_unread_body()
         if body:
             return body
         while not self.is_complete:
@@ -137,6 +137,17 @@
             self._check_time(deadline_s)
         return b"".join(parts)
 
+    def take_unread_body(self) -> bytes:
+        """Remove and return the bytes of the body that arrived with the head.
+
+        Returns
+        -------
+        bytes
+            The bytes; empty for none.
+        """
+        body, self._unread_body = self._unread_body, b""
+        return body
+
     def take_rest(self) -> bytes:
         """Remove and return the bytes that were received after the answer.
 
--- a/chestnutvale/programs/entry/exchange_failures.py
+++ b/chestnutvale/programs/entry/exchange_failures.py
@@ -1,4 +1,7 @@
-"""Converts failures of an exchange with an endpoint to events of its attempt."""
+"""Converts errors of the HTTP client to those of an exchange, and to call events."""
+
+import contextlib
+from collections.abc import Iterator
 
 from chestnutvale.attempts.const import (
     REFUSAL_OVERLOADED,
@@ -13,6 +16,7 @@
 )
 from chestnutvale.attempts.exceptions import StreamFormatError
 from chestnutvale.exceptions import ChestnutError
+from chestnutvale.http_client.exceptions import AnswerFormatError, BodyTooLargeError
 from chestnutvale.programs.entry.exceptions import (
     AnswerTooLargeError,
     EndpointBrokenError,
@@ -65,3 +69,38 @@
             is_proven=True,
         )
     return AttemptBroken(attempt_id, error.message)
+
+
+@contextlib.contextmanager
+def translate_client_errors(step: str, peer: str) -> Iterator[None]:
+    """Raise the errors of the HTTP client as those of an exchange.
+
+    Parameters
+    ----------
+    step : str
+        Step of the exchange.
+    peer : str
+        IP address and port of the endpoint.
+
+    Raises
+    ------
+    AnswerTooLargeError
+        If the body is larger than allowed.
+    EndpointBrokenError
+        If the connection failed or the answer is invalid.
+    EndpointSilentError
+        If the deadline passed.
+    """
+    try:
+        yield
+    except TimeoutError as error:
+        raise EndpointSilentError(
+            "the send or receive timed out", step=step, peer=peer
+        ) from error
+    except BodyTooLargeError as error:
+        raise AnswerTooLargeError(error.message, step=step, peer=peer) from error
+    except AnswerFormatError as error:
+        raise EndpointBrokenError(error.message, step=step, peer=peer) from error
+    except (OSError, ValueError) as error:
+        reason = str(error) or type(error).__name__
+        raise EndpointBrokenError(reason, step=step, peer=peer) from error
--- a/chestnutvale/programs/entry/model_attempt.py
+++ b/chestnutvale/programs/entry/model_attempt.py
@@ -18,6 +18,7 @@
 )
 from chestnutvale.attempts.sse import EventSplitter
 from chestnutvale.programs.entry.endpoint_exchange import EndpointExchange
+from chestnutvale.programs.entry.exceptions import EndpointSilentError
 from chestnutvale.programs.entry.exchange_failures import (
     EXCHANGE_ERRORS,
     make_failure_event,
@@ -145,7 +146,10 @@
 
     def _read_refusal(self) -> CallEvent:
         status = self._exchange.status
-        data = self._exchange.read_all(MAX_REFUSAL_BYTES)
+        try:
+            data = self._exchange.read_all(MAX_REFUSAL_BYTES)
+        except EndpointSilentError as error:
+            return AttemptBroken(self.attempt_id, error.message)
         try:
             document = json.loads(data)
             code = str(document["code"])
--- a/chestnutvale/programs/entry/routed/exchange.py
+++ b/chestnutvale/programs/entry/routed/exchange.py
@@ -4,11 +4,11 @@
 from collections.abc import Callable
 from http import HTTPStatus
 from types import TracebackType
-from typing import Any, Self
+from typing import Self
 
 from chestnutvale.clock import Clock
 from chestnutvale.http_client.answer_reader import AnswerReader
-from chestnutvale.http_client.exceptions import AnswerFormatError, BodyTooLargeError
+from chestnutvale.http_client.exceptions import BodyTooLargeError
 from chestnutvale.http_client.request import encode_request
 from chestnutvale.membership.endpoint_notices import EndpointNotice
 from chestnutvale.programs.entry.const import STEP_RECEIVE, STEP_SEND
@@ -20,6 +20,7 @@
     EndpointUnavailableError,
     EndpointUnreachableError,
 )
+from chestnutvale.programs.entry.exchange_failures import translate_client_errors
 from chestnutvale.programs.entry.routed.caller_protocol import (
     CallerProtocol,
     ForwardingInfo,
@@ -198,7 +199,7 @@
         connection.requests += 1
         deadline_s = min(self._deadline_s, self._clock.now_s() + timeout_s)
         self._answer_deadline_s = deadline_s
-        with self._translate_errors(STEP_SEND):
+        with translate_client_errors(STEP_SEND, self.address):
             request = self._encode_request(method, target, body)
             connection.sock.send_all(request, deadline_s)
             self._answer = self._read_head(method, deadline_s)
@@ -233,7 +234,7 @@
             raise self._make_broken_error(
                 "no head of an answer was received", STEP_RECEIVE
             )
-        with self._translate_errors(STEP_RECEIVE):
+        with translate_client_errors(STEP_RECEIVE, self.address):
             return self._answer.read(self._clock.now_s() + timeout_s)
 
     def read_all(self, max_bytes: int) -> bytes:
@@ -258,7 +259,7 @@
         EndpointSilentError
             If the body did not end before the call's deadline or the timeout of `send`.
         """
-        with self._translate_errors(STEP_RECEIVE):
+        with translate_client_errors(STEP_RECEIVE, self.address):
             return self._answer.read_all(max_bytes, self._answer_deadline_s)
 
     def abort(self) -> None:
@@ -349,24 +350,6 @@
     def _make_broken_error(self, reason: str, step: str) -> EndpointBrokenError:
         return EndpointBrokenError(reason, step=step, peer=self.address)
 
-    @contextlib.contextmanager
-    def _translate_errors(self, step: str) -> Any:
-        try:
-            yield
-        except TimeoutError as error:
-            raise EndpointSilentError(
-                "the send or receive timed out", step=step, peer=self.address
-            ) from error
-        except BodyTooLargeError as error:
-            raise AnswerTooLargeError(
-                error.message, step=step, peer=self.address
-            ) from error
-        except AnswerFormatError as error:
-            raise self._make_broken_error(error.message, step) from error
-        except (OSError, ValueError) as error:
-            reason = str(error) or type(error).__name__
-            raise self._make_broken_error(reason, step) from error
-
 
 def _parse_keep_alive_timeout_s(value: str, default_s: float) -> float:
     for part in value.split(","):
