Run no Python code in the native threads of nng

Callers saw: a control or an entry that stopped receiving messages from peers that connected again, with `greenlet.error: Cannot switch to a different thread` in its output; the next close of any of its connections stopped the whole process.

Cause: pynng installs a callback for every connection that is opened or closed and takes a `threading.Lock` in it. nng calls it in several of its own native threads. The programs patch `threading`, so the lock is eventlet's semaphore, which parks the waiter in a hub of its own native thread; the release schedules the wake-up in the hub of another thread. The waiter never returns, everyone after it waits, too, and nng's listener goes on with no further connection. The writing of the log was suspected before; it takes part in none of this.

The callbacks only maintain `Socket.pipes`, which nothing here uses. They are removed before a socket listens or dials, so that nng's threads run no Python code at all.

--- a/chestnutvale/transport/node.py
+++ b/chestnutvale/transport/node.py
@@ -15,15 +15,12 @@
 from chestnutvale.schema.peer_pb2 import Envelope
 from chestnutvale.transport.const import (
     DEFAULT_EXPIRY_MS,
-    MAX_MESSAGE_BYTES,
     RECEIVE_BATCH_MESSAGES,
-    RECONNECT_MAX_MS,
-    RECONNECT_MIN_MS,
-    SEND_BUFFER_MESSAGES,
 )
 from chestnutvale.transport.exceptions import MessageDroppedError, TransportError
 from chestnutvale.transport.message_filter import MessageFilter
 from chestnutvale.transport.silent_peers import SilentPeerDetector
+from chestnutvale.transport.sockets import make_inbox, make_outbox
 
 _LOGGER = logbook.Logger(__name__)
 
@@ -90,7 +87,7 @@
         TransportError
             If the address can't be listened on.
         """
-        inbox = pynng.Pull0(recv_max_size=MAX_MESSAGE_BYTES)
+        inbox = make_inbox()
         try:
             inbox.listen(f"tcp://{self.address}")
         except pynng.NNGException as error:
@@ -214,11 +211,7 @@
         outbox = self._outboxes.get(address)
         if outbox is not None:
             return outbox
-        outbox = pynng.Push0(
-            send_buffer_size=SEND_BUFFER_MESSAGES,
-            reconnect_time_min=RECONNECT_MIN_MS,
-            reconnect_time_max=RECONNECT_MAX_MS,
-        )
+        outbox = make_outbox()
         outbox.dial(f"tcp://{address}", block=False)
         self._outboxes[address] = outbox
         return outbox
--- a/tests/transport/test_node.py
+++ b/tests/transport/test_node.py
@@ -1,5 +1,9 @@
 """Message exchange between two transport nodes over loopback."""
 
+import subprocess
+import sys
+from pathlib import Path
+
 import eventlet
 import pynng
 import pytest
@@ -11,6 +15,8 @@
 from chestnutvale.transport.message_filter import make_incarnation
 from chestnutvale.transport.node import TransportNode
 
+PROGRAM_TIMEOUT_S = 20
+
 
 def make_node(name, address):
     incarnation = make_incarnation(1, 1)
@@ -64,3 +70,16 @@
     with make_node("a", address), pytest.raises(TransportError) as caught:
         make_node("b", address).__enter__()
     assert caught.value.peer == address
+
+
+def test_many_reconnects_at_once_do_not_stop_the_inbox(free_address):
+    program = [sys.executable, "-m", "tests.transport.reconnects"]
+    run = subprocess.run(
+        [*program, free_address(), free_address()],
+        cwd=Path(__file__).parents[2],
+        capture_output=True,
+        text=True,
+        timeout=PROGRAM_TIMEOUT_S,
+    )
+    assert run.stdout == "received 1\nclosed\n", run.stderr
+    assert "Cannot switch to a different thread" not in run.stderr
