Give up leadership and fail the liveness check while a write hangs

Callers saw: nothing, which is the fault. A control whose disk stopped completing writes went on as leader and as a healthy process.

Cause: only failed writes were noticed; nothing measured how long a write takes.

Change: the Raft object watches its oldest pending write. After 5 s without progress a leader transfers leadership, or steps down if nobody can take over, and the member does not campaign before the write has finished. Time in which the process did not run does not count. The liveness check fails, a log line says so, and chestnutvale_consensus_write_wait_seconds shows the time. All of it ends with the write.

--- a/chestnutvale/consensus/config.py
+++ b/chestnutvale/consensus/config.py
@@ -7,6 +7,7 @@
     DEFAULT_HEARTBEAT_INTERVAL_S,
     DEFAULT_SNAPSHOT_BYTES,
     DEFAULT_SNAPSHOT_ENTRIES,
+    DEFAULT_WRITE_STALL_TIMEOUT_S,
 )
 from chestnutvale.schema.settings_pb2 import ControlSettings
 
@@ -26,12 +27,16 @@
         Time in seconds between two heartbeat rounds of a leader.
     snapshot_entries, snapshot_bytes : int
         Log size that triggers a snapshot.
+    write_stall_timeout_s : float
+        Time in seconds without progress after which a pending write counts as stalled;
+        a member with a stalled write does not lead.
     """
 
     election_timeout_s: float = DEFAULT_ELECTION_TIMEOUT_S
     heartbeat_interval_s: float = DEFAULT_HEARTBEAT_INTERVAL_S
     snapshot_entries: int = DEFAULT_SNAPSHOT_ENTRIES
     snapshot_bytes: int = DEFAULT_SNAPSHOT_BYTES
+    write_stall_timeout_s: float = DEFAULT_WRITE_STALL_TIMEOUT_S
 
 
 def make_raft_config(settings: ControlSettings) -> RaftConfig:
--- a/chestnutvale/consensus/const.py
+++ b/chestnutvale/consensus/const.py
@@ -26,8 +26,10 @@
 DEFAULT_SNAPSHOT_ENTRIES: Final = 4_096
 DEFAULT_SNAPSHOT_BYTES: Final = 8 * 1024 * 1024
 
-# Heartbeat intervals of silence that a leader counts at most between two checks.
+# Heartbeat intervals that count at most between two checks of a silence or of a write.
 MAX_SILENCE_STEP_HEARTBEATS: Final = 2
+# Seconds without progress after which a pending write counts as stalled.
+DEFAULT_WRITE_STALL_TIMEOUT_S: Final = 5.0
 
 # Seconds without contact after which a voter is considered lost.
 DEFAULT_VOTER_LOST_S: Final = 30.0
--- a/chestnutvale/consensus/loop.py
+++ b/chestnutvale/consensus/loop.py
@@ -130,6 +130,7 @@
         self._waiters = Waiters()
         self._callbacks: list[LeadershipCallback] = []
         self._last_bootstrap_obstacle = ""
+        self._was_write_stalled = False
         self._join_due_s = 0.0
         self._replacement_due_s = 0.0
         self._task: eventlet.greenthread.GreenThread | None = None
@@ -238,6 +239,7 @@
             self._execute_effects(self.raft.handle(event, now_s))
         if now_s >= self.raft.next_deadline_s():
             self._execute_effects(self.raft.handle(Tick(), now_s))
+        self._log_write_stall()
         self._run_maintenance(now_s)
 
     def _wait_for_events(self) -> list[Event]:
@@ -330,6 +332,20 @@
         for callback in self._callbacks:
             callback(self.is_leader, self.leader_id, effect.term)
 
+    def _log_write_stall(self) -> None:
+        is_stalled = self.raft.is_write_stalled
+        if is_stalled == self._was_write_stalled:
+            return
+        self._was_write_stalled = is_stalled
+        if is_stalled:
+            _LOGGER.error(
+                "A write to the data folder has not finished for {:.1f} s; this "
+                "control does not lead until it has",
+                self.raft.write_waited_s,
+            )
+        else:
+            _LOGGER.info("Writes to the data folder finish again")
+
     # Messages.
 
     def _send(self, message: RaftMessage) -> None:
--- a/chestnutvale/consensus/member_state.py
+++ b/chestnutvale/consensus/member_state.py
@@ -7,11 +7,13 @@
 from chestnutvale.consensus.const import (
     FIRST_ELECTION_SPREAD,
     LEASE_TIMEOUT_FRACTION,
+    MAX_SILENCE_STEP_HEARTBEATS,
 )
 from chestnutvale.consensus.events import RequestRefused, Role, SendMessage
 from chestnutvale.consensus.leader import Leader
 from chestnutvale.consensus.log import RaftLog
 from chestnutvale.consensus.outbox import Outbox
+from chestnutvale.consensus.write_watch import WriteWatch
 from chestnutvale.schema.raft_pb2 import HardState, LogEntry, RaftMessage
 from chestnutvale.storage.state import StoredState
 
@@ -56,6 +58,11 @@
         self.commit_index = stored.snapshot.index
         self.applied_index = self.commit_index
         self.outbox = Outbox(self.log.last_index)
+        self.write_watch = WriteWatch(
+            config.write_stall_timeout_s,
+            config.heartbeat_interval_s,
+            MAX_SILENCE_STEP_HEARTBEATS * config.heartbeat_interval_s,
+        )
         self.is_hard_state_new = False
         self._rng = rng
         # A restarted member may have acknowledged a leader until its previous run
--- a/chestnutvale/consensus/outbox.py
+++ b/chestnutvale/consensus/outbox.py
@@ -9,6 +9,7 @@
     PersistLog,
     ReadReady,
 )
+from chestnutvale.consensus.write_watch import NO_WRITE
 from chestnutvale.schema.raft_pb2 import (
     HardState,
     LogEntry,
@@ -100,6 +101,11 @@
         self._pending_writes.append((self._last_write_id, last_index))
         return self._last_write_id
 
+    @property
+    def oldest_write_id(self) -> int:
+        """Id of the oldest write that is not on disk; `NO_WRITE` if there is none."""
+        return self._pending_writes[0][0] if self._pending_writes else NO_WRITE
+
     def mark_persisted(self, write_id: int) -> None:
         """Record that all writes up to an id are on disk."""
         self._persisted_write_id = max(self._persisted_write_id, write_id)
--- a/chestnutvale/consensus/raft.py
+++ b/chestnutvale/consensus/raft.py
@@ -108,6 +108,16 @@
         """Whether this member holds neither a term nor log entries."""
         return self.member.is_empty
 
+    @property
+    def is_write_stalled(self) -> bool:
+        """Whether the disk has not completed a write within the timeout."""
+        return self.member.write_watch.is_stalled
+
+    @property
+    def write_waited_s(self) -> float:
+        """For how long the oldest pending write has waited, in seconds."""
+        return self.member.write_watch.waited_s
+
     def has_lease(self, now_s: float) -> bool:
         """Return whether it is certain that no other leader has been elected."""
         return self.member.has_lease(now_s)
@@ -123,9 +133,14 @@
     def next_deadline_s(self) -> float:
         """Return the time of the next `Tick`; infinite if none is needed."""
         leader = self.member.leader
+        write_check_s = self.member.write_watch.next_check_s
         if leader is not None:
-            return min(leader.heartbeat_due_s, leader.transfer_deadline_s)
-        return self.member.election_deadline_s if self.member.is_voter else math.inf
+            return min(
+                leader.heartbeat_due_s, leader.transfer_deadline_s, write_check_s
+            )
+        if self.member.is_voter:
+            return min(self.member.election_deadline_s, write_check_s)
+        return write_check_s
 
     # Events.
 
@@ -173,6 +188,7 @@
             # The candidate counts its own vote only once it is on disk.
             self._handle_message(message, now_s)
             self._assign_write_ids()
+        self.member.write_watch.check(self.member.outbox.oldest_write_id, now_s)
         self._apply_committed()
         self.member.outbox.flush_reads()
         self._request_snapshot_if_due()
@@ -205,13 +221,26 @@
             self.replication.advance_commit(now_s)
 
     def _tick(self, now_s: float) -> None:
-        leader = self.member.leader
-        if leader is not None:
-            is_leading = self.request_handler.check_quorum(now_s)
-            if is_leading and now_s >= leader.heartbeat_due_s:
-                self.replication.broadcast(now_s)
+        if self.member.leader is not None:
+            self._tick_leader(now_s)
         elif now_s >= self.member.election_deadline_s and self.member.is_voter:
+            self._campaign(now_s)
+
+    def _campaign(self, now_s: float) -> None:
+        if not self.is_write_stalled:
             self.elections.start_pre_vote(now_s)
+            return
+        self.member.become_follower(self.term, now_s)
+        self.member.reset_election_timer(now_s)
+
+    def _tick_leader(self, now_s: float) -> None:
+        if not self.request_handler.check_quorum(now_s):
+            return
+        if self.is_write_stalled:
+            self.request_handler.give_up_leadership(now_s)
+        leader = self.member.leader
+        if leader is not None and now_s >= leader.heartbeat_due_s:
+            self.replication.broadcast(now_s)
 
     # Messages.
 
@@ -252,7 +281,7 @@
                     message, message.snapshot_reply, now_s
                 )
             case "timeout_now":
-                if self.member.is_voter:
+                if self.member.is_voter and not self.is_write_stalled:
                     self.elections.start_election(now_s, is_transfer=True)
 
     def _is_from_removed_member(self, message: RaftMessage, kind: str | None) -> bool:
--- a/chestnutvale/consensus/request_handler.py
+++ b/chestnutvale/consensus/request_handler.py
@@ -58,6 +58,12 @@
             return False
         return True
 
+    def give_up_leadership(self, now_s: float) -> None:
+        """Transfer leadership, or step down if no other voter can take over."""
+        self.start_transfer(now_s)
+        if not self._member.leader.transfer_target:
+            self._member.become_follower(self._member.term, now_s)
+
     def propose(self, proposals: Sequence[Proposal], now_s: float) -> None:
         """Append commands to the log and replicate them."""
         if self._member.leader is None or not self.check_quorum(now_s):
--- a/chestnutvale/consensus/task.py
+++ b/chestnutvale/consensus/task.py
@@ -131,6 +131,16 @@
         """Why this control has stopped participating; None if it has not."""
         return self._loop.failure
 
+    @property
+    def is_write_stalled(self) -> bool:
+        """Whether a write to the data folder has not finished within the timeout."""
+        return self._loop.raft.is_write_stalled
+
+    @property
+    def write_waited_s(self) -> float:
+        """For how long the oldest unfinished write has waited, in seconds."""
+        return self._loop.raft.write_waited_s
+
     @property
     def is_leader(self) -> bool:
         """Whether this control believes it leads; a newer leader may exist."""
@@ -294,6 +304,7 @@
                 else ""
             ),
             "syncs": self._loop.writer.syncs,
+            "write_waited_s": round(self.write_waited_s, 3),
             "failure": str(self.failure) if self.failure else "",
         }
 
--- a/chestnutvale/observability/catalog.py
+++ b/chestnutvale/observability/catalog.py
@@ -119,6 +119,11 @@
 APPLIED_INDEX: Final = Metric(
     "chestnutvale.consensus.applied", "{record}", "Log records applied."
 )
+WRITE_WAIT: Final = Metric(
+    "chestnutvale.consensus.write.wait",
+    UNIT_SECONDS,
+    "Time for which the oldest unfinished write to the data folder has waited.",
+)
 LEDGER_RECORDS: Final = Metric(
     "chestnutvale.ledger.records", "{record}", "Claims and outcomes kept."
 )
--- a/chestnutvale/programs/control/daemon.py
+++ b/chestnutvale/programs/control/daemon.py
@@ -255,7 +255,11 @@
         register_control_metrics(self.metrics, sources)
 
     def _is_alive(self) -> bool:
-        return self._log.failure is None and self.transport.is_receiving
+        return (
+            self._log.failure is None
+            and not self._log.is_write_stalled
+            and self.transport.is_receiving
+        )
 
     def _is_ready(self) -> bool:
         return not self._draining and bool(self._log.leader_id)
--- a/tests/consensus/driver.py
+++ b/tests/consensus/driver.py
@@ -134,6 +134,7 @@
         self.history = []
         self.sent = []
         self.blocked_links = set()
+        self.hung_disks = set()
         self.loss = self.duplication = self.reordering = 0.0
         self.sync_delay_s = 0.001
         self.edit_message = lambda message: None
@@ -415,6 +416,9 @@
     def _sync(self, node, incarnation):
         if node.incarnation != incarnation:
             return
+        if control_of(node.member_id) in self.hung_disks:
+            self.schedule(self.sync_delay_s, self._sync, node, incarnation)
+            return
         self.writes += 1
         if self.crash_at_write == (self.writes, "before"):
             self.crash(control_of(node.member_id))
--- a/tests/consensus/test_task.py
+++ b/tests/consensus/test_task.py
@@ -3,12 +3,15 @@
 import errno
 import random
 import shutil
+import threading
 from contextlib import ExitStack
 
+import attrs
 import eventlet
 import pytest
 
 from chestnutvale.clock import SystemClock
+from chestnutvale.consensus.config import make_raft_config
 from chestnutvale.consensus.exceptions import (
     MembersChangeError,
     NotLeaderError,
@@ -23,6 +26,7 @@
 from chestnutvale.transport.node import TransportNode
 
 CLOCK = SystemClock()
+WRITE_STALL_TIMEOUT_S = 1.0
 
 
 class HostList:
@@ -79,6 +83,10 @@
                 self.state_machine,
                 CLOCK,
                 random.Random(self.position),
+                attrs.evolve(
+                    make_raft_config(settings),
+                    write_stall_timeout_s=WRITE_STALL_TIMEOUT_S,
+                ),
             )
         )
 
@@ -289,6 +297,39 @@
     assert control.state_machine.hosts == ["a"]
 
 
+class HangingSyncFileSystem(FileSystem):
+    """File system whose syncs wait while `works` is cleared."""
+
+    def __init__(self):
+        self.works = threading.Event()
+        self.works.set()
+
+    def sync(self, descriptor):
+        self.works.wait()
+        super().sync(descriptor)
+
+
+def test_control_whose_write_hangs_says_so_and_another_one_leads(make_controls):
+    controls = make_controls(3)
+    file_systems = [HangingSyncFileSystem() for _ in controls]
+    for control, file_system in zip(controls, file_systems, strict=True):
+        control.start(file_system)
+    leader = wait_for_leader(controls)
+    disk = file_systems[leader.position]
+    disk.works.clear()
+    try:
+        propose(leader, "a")
+        others = [control for control in controls if control is not leader]
+        propose(wait_for_leader(others), "b")
+        assert leader.task.is_write_stalled
+        assert not leader.task.is_leader
+        assert leader.task.write_waited_s > WRITE_STALL_TIMEOUT_S
+    finally:
+        disk.works.set()
+    wait_until(lambda: not leader.task.is_write_stalled)
+    wait_until(lambda: leader.state_machine.hosts == ["a", "b"])
+
+
 def test_a_control_back_after_500_changes_restores_a_snapshot(make_controls):
     controls = make_controls(3)
     leader = start_all(controls)
