Pass call limits in the benchmark of retries

Callers saw: benchmarks/attempts_retries.py ended with AttributeError: 'int' object has no attribute 'first_event_timeout_s'.

--- a/benchmarks/attempts_retries.py
+++ b/benchmarks/attempts_retries.py
@@ -6,6 +6,7 @@
 import attrs
 import defopt
 
+from chestnutvale.attempts.call_limits import CallLimits
 from chestnutvale.attempts.events import (
     AttemptBroken,
     AttemptRefused,
@@ -47,7 +48,7 @@
 def run_call(
     number: int,
     budgets: AttemptBudgets,
-    max_attempts: int,
+    limits: CallLimits,
     fault_model: FaultModel,
     rng: random.Random,
 ) -> tuple[int, bool]:
@@ -59,8 +60,8 @@
         Number of the call.
     budgets : AttemptBudgets
         Budgets of the entry.
-    max_attempts : int
-        Maximum number of attempts.
+    limits : CallLimits
+        Limits on the attempts of the call.
     fault_model : callable
         Returns how an attempt at a group ends.
     rng : random.Random
@@ -73,7 +74,7 @@
     is_complete : bool
         Whether the answer was complete.
     """
-    call = ModelCall(f"r{number}", UNBOUNDED, budgets, max_attempts)
+    call = ModelCall(f"r{number}", UNBOUNDED, budgets, limits)
     effects = call.handle(Started(), 0.0)
     while True:
         next_effects: list[CallEffect] = []
@@ -131,22 +132,25 @@
         "all unreachable": lambda g: "unreachable",
         "all overloaded": lambda g: "overloaded",
     }
-    policies: dict[str, Callable[[], tuple[AttemptBudgets, int]]] = {
-        "one attempt": lambda: (AttemptBudgets(), 1),
+    policies: dict[str, Callable[[], tuple[AttemptBudgets, CallLimits]]] = {
+        "one attempt": lambda: (AttemptBudgets(), CallLimits(max_attempts=1)),
         "four attempts, no budget": lambda: (
             AttemptBudgets(RetryBudget(4.0, UNBOUNDED), RetryBudget(4.0, UNBOUNDED)),
-            4,
+            CallLimits(max_attempts=4),
+        ),
+        "four attempts, budgets": lambda: (
+            AttemptBudgets(),
+            CallLimits(max_attempts=4),
         ),
-        "four attempts, budgets": lambda: (AttemptBudgets(), 4),
     }
     for fault_name, fault_model in fault_models.items():
         for policy_name, make_policy in policies.items():
-            budgets, max_attempts = make_policy()
+            budgets, limits = make_policy()
             rng = random.Random(seed)
             totals = Totals()
             for number in range(calls):
                 attempts, is_complete = run_call(
-                    number, budgets, max_attempts, fault_model, rng
+                    number, budgets, limits, fault_model, rng
                 )
                 totals.calls += 1
                 totals.attempts += attempts
