Give the HTTP benchmark's context all that the handler uses

Callers saw: benchmarks/attempts_http.py reported 0 of 200 whole answers.

Cause: its context of an entry lacked the stall detector, the index of the text and the methods that CallContext has gained, so each call ended with AttributeError.

--- a/benchmarks/attempts_http.py
+++ b/benchmarks/attempts_http.py
@@ -19,9 +19,12 @@
 from chestnutvale.attempts.retry_budget import AttemptBudgets
 from chestnutvale.attempts.suspicion import SuspicionTracker
 from chestnutvale.clock import SystemClock
+from chestnutvale.configuration.lookup import TextLookup
+from chestnutvale.membership.endpoint_notices import EndpointNotice, Incarnation
 from chestnutvale.programs.entry.context import AdmitAll, AttemptReport, CallRequest
 from chestnutvale.programs.entry.model_calls import ModelCallHandler
 from chestnutvale.programs.entry.running_attempts import RunningAttempts
+from chestnutvale.routing.stall_detection import StallDetector
 from chestnutvale.schema.configuration_pb2 import Text
 from chestnutvale.schema.groups_pb2 import Group, GroupMember
 from chestnutvale.schema.peer_pb2 import GroupView
@@ -135,22 +138,45 @@
         self.budgets = AttemptBudgets()
         self.suspicions = SuspicionTracker()
         self.running = RunningAttempts()
+        self.stall_detector = StallDetector()
         self.text = Text()
         self.text.services["llm"].kind = "model"
         self.text.workspaces["w"].weight = 1
         group = Group(group_id="g", service="llm", epoch=1, version="1")
         address = f"{ENGINE_ADDRESS[0]}:{ENGINE_ADDRESS[1]}"
         group.members.append(GroupMember(host_id="h", address=address))
+        self.lookup = TextLookup.from_text(self.text)
         self._view = GroupView(group=group, serving=True)
 
     def authenticate(self, environ: dict[str, Any]) -> str:
         """Accept every caller as the one workspace."""
         return "w"
 
+    def has_crashed(self, group: Group, *, is_engine: bool) -> bool:
+        """Return that the group is intact."""
+        return False
+
     def has_lease(self, now_s: float) -> bool:
         """Return that the lease is held."""
         return True
 
+    def wait_for_groups(self, service: str, deadline_s: float) -> None:
+        """Return immediately, since the one group is known."""
+
+    def group_epoch(self, group_id: str) -> int:
+        """Return the epoch of the one group."""
+        return self._view.group.epoch
+
+    def may_send(self, endpoint: Incarnation) -> bool:
+        """Return that the endpoint takes requests."""
+        return True
+
+    def record_notice(self, endpoint: Incarnation, notice: EndpointNotice) -> None:
+        """Discard the notice."""
+
+    def earliest_return_s(self, service: str) -> None:
+        """Return that no endpoint pauses."""
+
     def serving_groups(self, service: str, version: str) -> list[str]:
         """Return the one group."""
         return ["g"]
