Bound the wait for an admission decision by the call's deadline

A call whose decision never came waited without end, and its caller got no answer: the wait relied on the ticks of the controller alone.

The wait now ends shortly after the deadline. The call is withdrawn and refused as one that has not run, and the log names it.

Evidence: the new test, with a controller that never decides, runs into its time limit on the code before.

--- a/chestnutvale/programs/entry/admission_gate.py
+++ b/chestnutvale/programs/entry/admission_gate.py
@@ -6,7 +6,7 @@
 import logbook
 from eventlet.event import Event
 
-from chestnutvale.admission.const import CODE_DUPLICATE
+from chestnutvale.admission.const import CODE_DUPLICATE, CODE_EXPIRED
 from chestnutvale.admission.controller import AdmissionController
 from chestnutvale.admission.messages import (
     AdmissionRequest,
@@ -21,6 +21,8 @@
 _LOGGER = logbook.Logger(__name__)
 
 ADMISSION_TICK_S = 0.025
+# Time after a call's deadline within which a tick refuses it.
+DECISION_MARGIN_S = 4 * ADMISSION_TICK_S
 # Estimated bytes of English text per token, to derive prompt tokens from its length.
 BYTES_PER_TOKEN = 4
 
@@ -59,17 +61,25 @@
         AdmissionRefusal or None
             None if the call may run.
         """
+        self.decision_event.wait(timeout=self._gate.remaining_s(self.request))
+        if not self.decision_event.ready():
+            _LOGGER.warning(
+                "Admission made no decision on {} before its deadline",
+                self.request.request_id,
+            )
+            self._refuse(CODE_EXPIRED, "the deadline passed")
         return self.decision_event.wait()
 
     def cancel(self) -> None:
         """Withdraw the request for admission; `wait` returns immediately."""
         if self.decision_event.ready():
             return
+        self._refuse("caller_gone", "the caller closed its connection")
+
+    def _refuse(self, code: str, message: str) -> None:
         self._is_finished = True
         self._gate.withdraw(self.request.request_id)
-        self.decision_event.send(
-            AdmissionRefusal("caller_gone", "the caller closed its connection", 0.0)
-        )
+        self.decision_event.send(AdmissionRefusal(code, message, 0.0))
 
     def report_progress(self, used_tokens: int) -> None:
         """Report the current length of the answer.
@@ -181,6 +191,22 @@
             self._waiting_event.send()
         return ticket
 
+    def remaining_s(self, request: AdmissionRequest) -> float:
+        """Return how long a call may wait for its decision.
+
+        Parameters
+        ----------
+        request : AdmissionRequest
+            The request for admission.
+
+        Returns
+        -------
+        float
+            Time in seconds until the first tick after its deadline.
+        """
+        until_s = request.deadline_s + DECISION_MARGIN_S
+        return max(0.0, until_s - self._clock.now_s())
+
     def predicted_tokens(self, request_id: str) -> int:
         """Return the tokens reserved for an admitted call.
 
--- a/tests/programs/entry/test_admission_gate.py
+++ b/tests/programs/entry/test_admission_gate.py
@@ -18,6 +18,7 @@
     def __init__(self):
         self.ticks = 0
         self.waiting = []
+        self.withdrawn = []
 
     @property
     def next_deadline_s(self):
@@ -27,6 +28,13 @@
         self.waiting.append(request.request_id)
         return []
 
+    def withdraw(self, request_id, now_s):
+        self.withdrawn.append(request_id)
+        return []
+
+    def describe(self, service):
+        return {}
+
     def tick(self, now_s):
         self.ticks += 1
         if self.ticks % 3 == 0:
@@ -72,6 +80,15 @@
         task.kill()
 
 
+def test_call_without_a_decision_is_refused_at_its_deadline():
+    gate = AdmissionGate(FakeController(), SystemClock())
+    ticket = gate.offer(make_request("undecided", SystemClock().now_s() + 0.1))
+    with eventlet.Timeout(5):
+        assert ticket.wait().code == "deadline_exceeded"
+    ticket.release(0)
+    assert gate.controller.withdrawn == ["undecided"]
+
+
 def test_second_call_under_one_id_does_not_leave_the_first_one_waiting(full_gate):
     first = offer(full_gate, "twice")
     second = offer(full_gate, "twice")
