Serve a head that arrived in time and was read late

A caller whose whole head had arrived got 408 when the process had paused.

Cause: the hub may fire its timers before it reads the sockets, so after a pause the head's time was over before the bytes of the pause were seen.

The timer now looks for unread bytes before it interrupts the read, and waits for them to be read.

Evidence: the new test fails with 408 on the code before.

--- a/chestnutvale/http_server/const.py
+++ b/chestnutvale/http_server/const.py
@@ -18,6 +18,8 @@
 MAX_LINGERING_CONNECTIONS: Final = 64
 OVERLOAD_RETRY_AFTER_S: Final = 1
 
+# Interval between checks for unread bytes of a head whose time has passed.
+HEAD_RECHECK_INTERVAL_S: Final = 0.01
 STOP_POLL_INTERVAL_S: Final = 0.01
 
 ENVIRON_CLOSE_CONNECTION: Final = "chestnutvale.close_connection"
--- a/chestnutvale/http_server/protocol.py
+++ b/chestnutvale/http_server/protocol.py
@@ -5,14 +5,16 @@
 from typing import Any
 
 import eventlet
+import greenlet
 import logbook
-from eventlet import wsgi
+from eventlet import hubs, wsgi
 from eventlet.green import socket
 
 from chestnutvale.clock import Clock
 from chestnutvale.http_server.body import BoundedLineReader
 from chestnutvale.http_server.const import (
     ENVIRON_CLOSE_CONNECTION,
+    HEAD_RECHECK_INTERVAL_S,
     LINGER_READ_BYTES,
     LINGER_TIMEOUT_S,
     MAX_DISCARDED_BYTES,
@@ -110,6 +112,10 @@
             raise ClientGoneError(error.errno, error.strerror) from error
 
 
+class _HeadTimeoutError(BaseException):
+    """Interrupts the read of a head; not an `Exception`, which the parser may catch."""
+
+
 class HeadReader:
     """Reads the lines of a request head and notes whether its last line has arrived.
 
@@ -185,7 +191,7 @@
         self._refused = refused
         self._idle = idle
         self._receiving = receiving
-        self._head_timer: eventlet.Timeout | None = None
+        self._head_timer: Any = None
         self._linger_before_close = False
         # Serves the connection until it closes.
         super().__init__(conn_state, server)
@@ -207,17 +213,28 @@
         if not self._wait_for_request():
             self.close_connection = True
             return
-        self._head_timer = eventlet.Timeout(self._read_timeouts().head_s)
+        self._start_head_timer(self._read_timeouts().head_s, greenlet.getcurrent())
         self._receiving.add(self)
         try:
             super().handle_one_request()
-        except eventlet.Timeout as timeout:
-            if timeout is not self._head_timer:
-                raise
+        except _HeadTimeoutError:
             self._refuse_slow_head()
         finally:
             self._end_receiving()
 
+    def _start_head_timer(self, timeout_s: float, reader: greenlet.greenlet) -> None:
+        self._head_timer = hubs.get_hub().schedule_call_global(
+            timeout_s, self._check_head, reader
+        )
+
+    def _check_head(self, reader: greenlet.greenlet) -> None:
+        # After a pause of the process, timers fire before the bytes that arrived
+        # during the pause are read.
+        if self._has_unread_bytes():
+            self._start_head_timer(HEAD_RECHECK_INTERVAL_S, reader)
+            return
+        reader.throw(_HeadTimeoutError)
+
     def _end_receiving(self) -> None:
         self._head_timer.cancel()
         self._receiving.discard(self)
--- a/tests/http_server/test_timeouts.py
+++ b/tests/http_server/test_timeouts.py
@@ -114,6 +114,16 @@
     assert server.http.refused["head_too_slow"] == 1
 
 
+def test_head_that_arrived_in_time_is_answered_though_it_is_read_late(server):
+    client = server.connect()
+    client.sendall(REQUEST[:10])
+    # The hub is left in its I/O phase, after which it looks at its timers first.
+    exchange(server.connect())
+    client.sendall(REQUEST[10:])
+    time.sleep(0.4)
+    assert b"200 OK" in client.recv(4_096)
+
+
 def test_pipelined_requests_are_all_answered(server):
     client = server.connect()
     client.sendall(REQUEST * 3)
