Answer the running requests of a control that stops

Operators and endpoints whose request was running when a control got SIGTERM got no answer; an operator could not tell whether a change was accepted.

Cause: a control aborted its requests at once. Its setting shutdown_timeout_ms, "longest time that a graceful shutdown waits for running requests", was read and checked and used nowhere.

The server now stops first, within that time, while the replicated log still runs.

--- a/chestnutvale/programs/control/daemon.py
+++ b/chestnutvale/programs/control/daemon.py
@@ -99,6 +99,7 @@
             clocks_may_step=settings.clocks_may_step,
         )
         self._log: ConsensusTask | None = None
+        self._server: HttpServer | None = None
         self._draining = False
 
     def __enter__(self) -> Self:
@@ -132,8 +133,11 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        """Hand leadership over, stop the tasks and close the files."""
+        """Finish the running requests, hand leadership over and close the files."""
         self._draining = True
+        if kind is None:
+            timeout_s = self.settings.shutdown_timeout_ms / 1_000
+            self._server.stop(self._clock.now_s() + timeout_s)
         self._exit_stack.close()
 
     def reload(self) -> None:
@@ -192,15 +196,15 @@
             self._interface.make_order_transport(self._clock),
         )
         ledger = LedgerTask(self._log, self.state, self._entry_handler, self._clock)
-        server = HttpServer(
+        self._server = HttpServer(
             self._make_app(),
             self.settings.http_address,
             self.settings.http_limits,
             self._clock,
         )
-        self._register_metrics(server)
+        self._register_metrics(self._server)
         stack.enter_context(self.metrics)
-        stack.enter_context(server)
+        stack.enter_context(self._server)
         exchange = LoadExchange(
             self.transport, self._log, self.state, self._entry_handler, self._clock
         )
