--- a/tests/programs/entry/routed/test_streams.py
+++ b/tests/programs/entry/routed/test_streams.py
@@ -1,5 +1,7 @@
 """Routed streams: each event arrives once and in order, or the answer is cut off."""
 
+import contextlib
+
 import eventlet
 import pytest
 
@@ -125,6 +127,24 @@
     assert len(endpoint.requests) == len(entry.context.kept_attempts) == 1
 
 
+@pytest.mark.parametrize("sent", [b"", stream_head()[:30], stream_head()])
+def test_attempt_that_never_answers_is_kept_only_until_the_deadline(endpoint, sent):
+    def send_until_closed(sock, request):
+        sock.sendall(sent)
+        with contextlib.suppress(OSError):
+            while sent:
+                sock.sendall(b"1")
+                eventlet.sleep(0.1)
+        eventlet.sleep(5.0)
+
+    endpoint.default = send_until_closed
+    with routed_entry(endpoint) as entry, eventlet.Timeout(2.0):
+        _, _, body, _ = call(
+            entry.address, "/fixed/x", b"p", X_Model="m", X_Left="1000"
+        )
+    assert body == b""
+
+
 @pytest.mark.parametrize(("path", "is_left"), [("/gen/x", True), ("/fixed/x", False)])
 def test_only_streams_that_can_move_leave_a_stalled_group(
     endpoint, other_endpoint, path, is_left
