--- a/tests/programs/entry/routed/test_streams.py
+++ b/tests/programs/entry/routed/test_streams.py
@@ -139,6 +139,21 @@
     assert len(other_endpoint.requests) == is_left
 
 
+@pytest.mark.parametrize("path", ["/gen/x", "/fixed/x"])
+def test_caller_does_not_get_the_head_of_a_refusal(endpoint, other_endpoint, path):
+    endpoint.default = (
+        b"HTTP/1.1 503 Busy\r\nX-Call: c1\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+    )
+    other_endpoint.default = stream()
+    with routed_entry(endpoint, other_endpoint) as entry:
+        status, headers, body, is_complete = call(
+            entry.address, path, b"p", X_Model="m"
+        )
+    assert len(endpoint.requests) == 1
+    assert (status, body, is_complete) == (200, COMPLETE_STREAM, True)
+    assert (headers.get("x-made-by"), headers.get("x-not-run")) == ("e1", None)
+
+
 def test_caller_resumes_after_its_last_event(endpoint):
     endpoint.default = stream()
     with routed_entry(endpoint) as entry:
