Read data that has arrived before a stream counts as silent

After a delay of the entry's process, such as the installation of a large view, calls left streams whose endpoints had sent events all the time. Each used up an attempt and a retry, and the endpoint ran in vain.

Cause: the hub runs its timers before it looks for data, so that the tick of each call came before the events that had arrived meanwhile.

A due timer now lets the hub look for data once, and calls back only if the due time has not moved.

Evidence: the test with data that arrives while the process is blocked fails on the code before, three runs of three; the one without data passes on both.

--- a/chestnutvale/programs/entry/tick_timer.py
+++ b/chestnutvale/programs/entry/tick_timer.py
@@ -12,7 +12,8 @@
     """Calls back from the hub once its due time is reached.
 
     A due time that moves back does not replace the timer of the hub, so that a stream
-    needs no timer for each event.
+    needs no timer for each event. Data that has arrived by the due time is read first,
+    and may move it back.
 
     Parameters
     ----------
@@ -56,8 +57,16 @@
         self._timer = hubs.get_hub().schedule_call_global(remaining_s, self._fire)
 
     def _fire(self) -> None:
-        self._timer = None
         if self._clock.now_s() < self._due_s:
             self._schedule()
             return
+        # The hub runs its timers before it looks for data. After a delay of the
+        # process, that would make every stream look silent.
+        self._timer = hubs.get_hub().schedule_call_global(0, self._finish)
+
+    def _finish(self) -> None:
+        if self._clock.now_s() < self._due_s:
+            self._schedule()
+            return
+        self._timer = None
         self._on_due()
