Read data that has arrived before groups are reported as stalled

After a delay of 0.4 s of an entry's process, the entry reported the groups of all its streams as stalled. The controls pass that on where no other entry has streams there, and all entries then leave those groups.

Cause: the check and the report run from timers of the hub, which precede the events that have arrived meanwhile.

Both now let the hub look for data first.

Evidence: the cases with data that has arrived fail on the code before, for the check and for the report; those without data pass on both.

--- a/chestnutvale/programs/entry/control_link.py
+++ b/chestnutvale/programs/entry/control_link.py
@@ -156,6 +156,7 @@
             self._report_trigger.wait()
         self._report_trigger = Event()
         self._log_lease_change("")
+        _receive_pending_events()
         self._send_report()
 
     def report_interval_s(self) -> float:
@@ -255,6 +256,7 @@
         return IDLE_STALL_CHECK_INTERVAL_S
 
     def _check_stalls(self) -> None:
+        _receive_pending_events()
         stalled = self._stall_detector.stalled_groups(self._clock.now_s())
         if stalled != self._reported_stalled:
             self.stalls += len(stalled - self._reported_stalled)
@@ -296,3 +298,12 @@
         self._demand.apply_totals(view)
         for listener in self._listeners:
             listener(view, envelope.sender_id)
+
+
+def _receive_pending_events() -> None:
+    """Let the other greenlets read what has arrived.
+
+    The hub runs its timers before it looks for data, so that after a delay of the
+    process all streams would look silent.
+    """
+    eventlet.sleep(0)
--- a/tests/programs/entry/test_control_link.py
+++ b/tests/programs/entry/test_control_link.py
@@ -3,8 +3,10 @@
 import random
 from types import SimpleNamespace
 
+import eventlet
 import logbook
 import pytest
+from eventlet.green import socket
 
 from chestnutvale.admission.controller import AdmissionController
 from chestnutvale.attempts.suspicion import SuspicionTracker
@@ -14,6 +16,8 @@
 from chestnutvale.membership.table import MembershipTable
 from chestnutvale.programs.entry.control_link import ControlLink
 from chestnutvale.programs.entry.demand_exchange import DemandExchange
+from chestnutvale.programs.entry.running_attempts import RunningAttempts
+from chestnutvale.routing.stall_detection import StallDetector
 from chestnutvale.schema.membership_pb2 import Announcement
 from chestnutvale.schema.peer_pb2 import ControlView, Envelope
 from chestnutvale.schema.settings_pb2 import EntrySettings
@@ -43,6 +47,7 @@
     clock, transport = ManualClock(), FakeTransport()
     rng = random.Random(1)
     collector = AnnouncementCollector()
+    running, stall_detector = RunningAttempts(), StallDetector()
     link = ControlLink(
         settings,
         transport,
@@ -53,9 +58,16 @@
         DemandExchange(AdmissionController(rng)),
         clock,
         rng,
+        running,
+        stall_detector,
     )
     return SimpleNamespace(
-        link=link, transport=transport, clock=clock, collector=collector
+        link=link,
+        transport=transport,
+        clock=clock,
+        collector=collector,
+        running=running,
+        stall_detector=stall_detector,
     )
 
 
@@ -125,3 +137,32 @@
     assert entry.link.report_interval_s() == 1.0
     entry.clock.time_s += 3.0
     assert entry.link.report_interval_s() <= 0.2
+
+
+@pytest.mark.parametrize("has_arrived", [True, False])
+@pytest.mark.parametrize("step", ["report", "check"])
+def test_group_whose_events_wait_to_be_read_is_not_reported_as_stalled(
+    entry, step, has_arrived
+):
+    stream, endpoint = socket.socketpair()
+
+    def read_stream():
+        stream.recv(1)
+        entry.stall_detector.record_events("r.1", entry.clock.now_s())
+
+    entry.stall_detector.record_sent("r.1", "g1", entry.clock.now_s())
+    entry.running.add("g1", 1, object())
+    task = eventlet.spawn(read_stream)
+    eventlet.sleep(0)
+    entry.clock.time_s += 2.0
+    if has_arrived:
+        endpoint.sendall(b"x")
+    if step == "check":
+        entry.link._check_stalls()
+        is_stalled = entry.link.stalls == 1
+    else:
+        entry.link.trigger_report()
+        entry.link._report_once()
+        is_stalled = entry.transport.reports[-1].running[0].stalled
+    task.kill()
+    assert is_stalled is not has_arrived
