Notice callers that left before their call was watched

A stream whose caller had left while the call waited for its body, a lease or the first group was still sent to an endpoint, which began to work on it.

Cause: the watch of the caller's connection starts in a greenlet of its own, and a call that needs no wait is sent before that greenlet runs.

The watch now looks at the connection once when it starts.

Evidence: the cases of streams fail on the code before; those of other calls, which wait for a greenlet anyway, pass on both.

--- a/chestnutvale/programs/entry/caller_watch.py
+++ b/chestnutvale/programs/entry/caller_watch.py
@@ -36,8 +36,12 @@
         self._greenlet: eventlet.greenthread.GreenThread | None = None
 
     def __enter__(self) -> Self:
-        """Start watching."""
-        if self._sock is not None:
+        """Start watching; a caller that has left already is noticed at once."""
+        if self._sock is None:
+            return self
+        if self._has_left():
+            self._record_disconnect()
+        else:
             self._greenlet = eventlet.spawn(self._watch)
         return self
 
@@ -85,8 +89,18 @@
         data = b""
         with contextlib.suppress(OSError):
             data = self._peek()
-        if data:
-            return
+        if not data:
+            self._record_disconnect()
+
+    def _has_left(self) -> bool:
+        try:
+            return not self._sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
+    def _record_disconnect(self) -> None:
         self.is_disconnected = True
         self._disconnect_event.send(True)
         if self._disconnect_callback is not None:
--- a/tests/programs/entry/routed/test_streams.py
+++ b/tests/programs/entry/routed/test_streams.py
@@ -222,6 +222,17 @@
         assert ended[0] < 50
 
 
+@pytest.mark.parametrize("path", ["/gen/x", "/fixed/x", "/safe/x", "/once/x"])
+def test_call_of_a_caller_that_has_left_is_not_sent(endpoint, path):
+    endpoint.default = stream()
+    with routed_entry(endpoint) as entry:
+        call(entry.address, "/gen/x", b"p", X_Model="m")
+        entry.context.wait_for_groups = lambda *arguments: eventlet.sleep(0.1)
+        open_call(entry.address, path, b"p", X_Model="m").close()
+        eventlet.sleep(0.3)
+    assert len(endpoint.requests) == 1
+
+
 @pytest.mark.parametrize(
     "head",
     [
