Add a failing test of an answer that a refusal cuts after a pause

What callers would see: an endpoint pauses for a second, the call leaves it with its last attempt, the next endpoint refuses (503, not run), and the answer ends in the middle although the first endpoint would have gone on.

Cause: a silent attempt is cancelled before another endpoint has accepted the call. A refusal uses up an attempt, and the endpoint that was left is excluded.

--- a/tests/attempts/test_model_call.py
+++ b/tests/attempts/test_model_call.py
@@ -9,6 +9,7 @@
 from chestnutvale.attempts.const import (
     MAX_ATTEMPTS,
     MAX_UNREACHABLE_GROUPS,
+    REFUSAL_OVERLOADED,
     STREAM_IDLE_TIMEOUT_S,
 )
 from chestnutvale.attempts.events import (
@@ -330,6 +331,17 @@
     assert [type(effect) for effect in effects] == [Deliver]
 
 
+def test_refusal_after_leaving_a_silent_endpoint_does_not_end_the_answer():
+    call = ModelCall("r", DEADLINE_S, AttemptBudgets(), CallLimits(max_attempts=2))
+    attempt_id = start(call)
+    call.handle(EventsArrived(attempt_id, [token(attempt_id, 0)]), 0.0)
+    call.handle(Tick(), STREAM_IDLE_TIMEOUT_S)
+    attempt_id = choose(call, "g2")
+    refusal = AttemptRefused(attempt_id, REFUSAL_OVERLOADED, "full", is_proven=True)
+    call.handle(refusal, STREAM_IDLE_TIMEOUT_S)
+    assert not call.is_finished
+
+
 def test_bytes_without_a_complete_event_do_not_keep_a_stalled_stream(call):
     attempt_id = start(call)
     call.handle(EventsArrived(attempt_id, [token(attempt_id, 0)]), 1.0)
