Add a failing test of a banned call that leaves a silent endpoint

What callers would see: while their stream runs, requests of the same kind come under suspicion of crashing groups; the endpoint then pauses, the call leaves it and is refused a new group, and the answer ends in the middle.

Cause: the check whether a call can continue elsewhere asks the router, but not the crash suspicion that the choice of the next group asks first.

--- a/tests/programs/entry/routed/test_streams.py
+++ b/tests/programs/entry/routed/test_streams.py
@@ -3,6 +3,7 @@
 import eventlet
 import pytest
 
+from chestnutvale.attempts.suspicion import Banned, Clear
 from tests.programs.entry.entry_fakes import wait_until
 from tests.programs.entry.routed.routed_fakes import (
     ScriptedEndpoint,
@@ -154,6 +155,18 @@
     assert (headers.get("x-made-by"), headers.get("x-not-run")) == ("e1", None)
 
 
+def test_banned_call_does_not_leave_its_silent_endpoint(endpoint, other_endpoint):
+    endpoint.default = pause_before(4)
+    other_endpoint.default = stream()
+    with routed_entry(endpoint, other_endpoint) as entry:
+        verdicts = iter([Clear()])
+        entry.context.suspicions.judge = lambda *arguments: next(
+            verdicts, Banned(entry.context.clock.unix_ms() + 5_000)
+        )
+        _, _, body, is_complete = call(entry.address, "/gen/x", b"p", X_Model="m")
+    assert (body, is_complete) == (COMPLETE_STREAM, True)
+
+
 def test_caller_resumes_after_its_last_event(endpoint):
     endpoint.default = stream()
     with routed_entry(endpoint) as entry:
