--- a/tests/programs/entry/routed/test_streams.py
+++ b/tests/programs/entry/routed/test_streams.py
@@ -5,6 +5,7 @@
 import eventlet
 import pytest
 
+from chestnutvale.attempts.suspicion import Banned, Clear
 from tests.programs.entry.entry_fakes import wait_until
 from tests.programs.entry.routed.routed_fakes import (
     ScriptedEndpoint,
@@ -159,6 +160,33 @@
     assert len(other_endpoint.requests) == is_left
 
 
+@pytest.mark.parametrize("path", ["/gen/x", "/fixed/x"])
+def test_caller_does_not_get_the_head_of_a_refusal(endpoint, other_endpoint, path):
+    endpoint.default = (
+        b"HTTP/1.1 503 Busy\r\nX-Call: c1\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+    )
+    other_endpoint.default = stream()
+    with routed_entry(endpoint, other_endpoint) as entry:
+        status, headers, body, is_complete = call(
+            entry.address, path, b"p", X_Model="m"
+        )
+    assert len(endpoint.requests) == 1
+    assert (status, body, is_complete) == (200, COMPLETE_STREAM, True)
+    assert (headers.get("x-made-by"), headers.get("x-not-run")) == ("e1", None)
+
+
+def test_banned_call_does_not_leave_its_silent_endpoint(endpoint, other_endpoint):
+    endpoint.default = pause_before(4)
+    other_endpoint.default = stream()
+    with routed_entry(endpoint, other_endpoint) as entry:
+        verdicts = iter([Clear()])
+        entry.context.suspicions.judge = lambda *arguments: next(
+            verdicts, Banned(entry.context.clock.unix_ms() + 5_000)
+        )
+        _, _, body, is_complete = call(entry.address, "/gen/x", b"p", X_Model="m")
+    assert (body, is_complete) == (COMPLETE_STREAM, True)
+
+
 def test_caller_resumes_after_its_last_event(endpoint):
     endpoint.default = stream()
     with routed_entry(endpoint) as entry:
@@ -227,6 +255,17 @@
         assert ended[0] < 50
 
 
+@pytest.mark.parametrize("path", ["/gen/x", "/fixed/x", "/safe/x", "/once/x"])
+def test_call_of_a_caller_that_has_left_is_not_sent(endpoint, path):
+    endpoint.default = stream()
+    with routed_entry(endpoint) as entry:
+        call(entry.address, "/gen/x", b"p", X_Model="m")
+        entry.context.wait_for_groups = lambda *arguments: eventlet.sleep(0.1)
+        open_call(entry.address, path, b"p", X_Model="m").close()
+        eventlet.sleep(0.3)
+    assert len(endpoint.requests) == 1
+
+
 @pytest.mark.parametrize(
     "head",
     [
