Accept the connections that wait when a server stops

Callers whose connection was established but not accepted yet when the server stopped were reset, with their request.

Cause: the listener was closed with connections in its queue.

The hub now gets a turn to accept them before the listener closes.

Evidence: the new test was reset in three of three runs of the code before.

--- a/chestnutvale/http_server/server.py
+++ b/chestnutvale/http_server/server.py
@@ -169,6 +169,10 @@
         """
         self.begin_drain()
         if self._task is not None:
+            # Accepts the connections that wait for it; closing the listener would
+            # reset them. The hub reads its sockets between two timers.
+            eventlet.sleep(0)
+            eventlet.sleep(0)
             self._task.kill()
             self._task = None
         self._idle.close()
--- a/tests/http_server/test_timeouts.py
+++ b/tests/http_server/test_timeouts.py
@@ -167,6 +167,16 @@
     assert b"connection: close" in read_all(client).lower()
 
 
+def test_request_on_a_connection_that_is_not_accepted_at_the_stop_is_answered(server):
+    eventlet.sleep(0.05)
+    host, _, port = server.http.address.rpartition(":")
+    # A socket that blocks the process leaves the server no chance to accept it.
+    client = eventlet.patcher.original("socket").create_connection((host, int(port)))
+    client.sendall(REQUEST)
+    server.http.stop(time.monotonic() + 1.0)
+    assert b"200 OK" in client.recv(4_096)
+
+
 def test_request_whose_head_is_arriving_at_the_stop_is_answered(server):
     server.timeouts = ConnectionTimeouts(idle_s=5.0, head_s=2.0)
     client = server.connect()
