Retry a repeatable call after a body without end

What callers saw: 502 for a call that may be repeated while another endpoint would have answered it; the endpoint that sent the bytes counted as one that answers whole. Cause: a body above 8 MiB was taken for a large answer whether or not its head had a length, so bytes without end were no fault of the endpoint. With a length, the entry read 8 MiB before it refused the answer. Change: a body of unknown size above the limit breaks the attempt of a routed call; one whose Content-Length is above the limit is refused at once. The endpoint protocol keeps its rule for both, since its answers are recorded by key.

--- a/chestnutvale/http_client/answer_parser.py
+++ b/chestnutvale/http_client/answer_parser.py
@@ -38,12 +38,15 @@
         Names and values in order.
     will_close : bool
         Whether the connection can't be used after the answer.
+    body_bytes : int or None
+        Size of the body in bytes; None if only its end will show it.
     """
 
     status: int
     reason: str
     headers: list[tuple[str, str]]
     will_close: bool
+    body_bytes: int | None
 
 
 class AnswerParser:
@@ -203,19 +206,23 @@
         codings = _find_tokens(headers, "transfer-encoding")
         lengths = set(_find_tokens(headers, "content-length"))
         will_close = self._is_last_on_connection(headers)
+        body_bytes = None
         if self._method == "HEAD" or self._status in _BODYLESS_STATUSES:
             self.is_complete = True
+            body_bytes = 0
         elif codings:
             if codings != ["chunked"]:
                 raise AnswerFormatError("the answer has an unknown transfer coding")
             will_close = will_close or bool(lengths)
             self._begin_chunk()
         elif lengths:
-            self._begin_sized_body(lengths)
+            body_bytes = self._begin_sized_body(lengths)
         else:
             will_close = True
             self._parse_next = self._parse_unsized_body
-        self.head = AnswerHead(self._status, self._reason, headers, will_close)
+        self.head = AnswerHead(
+            self._status, self._reason, headers, will_close, body_bytes
+        )
 
     def _is_last_on_connection(self, headers: list[tuple[str, str]]) -> bool:
         options = _find_tokens(headers, "connection")
@@ -223,13 +230,14 @@
             return True
         return self._version == 0 and "keep-alive" not in options
 
-    def _begin_sized_body(self, lengths: set[str]) -> None:
+    def _begin_sized_body(self, lengths: set[str]) -> int:
         length = lengths.pop()
         if lengths or _LENGTH.fullmatch(length) is None:
             raise AnswerFormatError("the answer has no valid Content-Length")
         self._remaining_bytes = int(length)
         self.is_complete = self._remaining_bytes == 0
         self._parse_next = self._parse_sized_body
+        return self._remaining_bytes
 
     def _parse_sized_body(self) -> bytes | None:
         data = self._take(self._remaining_bytes)
--- a/chestnutvale/http_client/answer_reader.py
+++ b/chestnutvale/http_client/answer_reader.py
@@ -127,6 +127,8 @@
         OSError
             If the connection broke; a `TimeoutError` if the deadline passed.
         """
+        if (self.head.body_bytes or 0) > max_bytes:
+            raise BodyTooLargeError("the answer exceeds the size limit")
         parts: list[bytes] = []
         total_bytes = 0
         while data := self.read(deadline_s):
--- a/chestnutvale/programs/entry/routed/exchange.py
+++ b/chestnutvale/programs/entry/routed/exchange.py
@@ -8,7 +8,7 @@
 
 from chestnutvale.clock import Clock
 from chestnutvale.http_client.answer_reader import AnswerReader
-from chestnutvale.http_client.exceptions import BodyTooLargeError
+from chestnutvale.http_client.exceptions import AnswerFormatError, BodyTooLargeError
 from chestnutvale.http_client.request import encode_request
 from chestnutvale.membership.endpoint_notices import EndpointNotice
 from chestnutvale.programs.entry.const import STEP_RECEIVE, STEP_SEND
@@ -253,14 +253,22 @@
         Raises
         ------
         AnswerTooLargeError
-            If the body is larger than `max_bytes`.
+            If the body is larger than `max_bytes` and its head says so.
         EndpointBrokenError
-            If the connection failed before the end of the body.
+            If the connection failed before the end of the body, or a body of unknown
+            size exceeds `max_bytes`.
         EndpointSilentError
             If the body did not end before the call's deadline or the timeout of `send`.
         """
         with translate_client_errors(STEP_RECEIVE, self.address):
-            return self._answer.read_all(max_bytes, self._answer_deadline_s)
+            try:
+                return self._answer.read_all(max_bytes, self._answer_deadline_s)
+            except BodyTooLargeError as error:
+                if self._answer.head.body_bytes is not None:
+                    raise
+                # The body may have no end, so this is a fault of the endpoint and no
+                # property of the answer.
+                raise AnswerFormatError(error.message) from error
 
     def abort(self) -> None:
         """Shut the connection down; a greenlet that waits for it gets an error."""
--- a/tests/programs/entry/routed/test_faulty_answers.py
+++ b/tests/programs/entry/routed/test_faulty_answers.py
@@ -1,5 +1,6 @@
 """Answers without end, trickles and broken answers never keep a caller waiting."""
 
+import itertools
 import time
 
 import eventlet
@@ -27,6 +28,14 @@
 FOREIGN_HEAD = b"HTTP/1.1 200 OK\r\nX-Call: c0\r\nX-Made-By: e1\r\n"
 
 
+def send_events_without_end(sock, request):
+    sock.sendall(UNSIZED_HEAD)
+    for number in itertools.count(1):
+        sock.sendall(event(number))
+        if number % 100 == 0:
+            eventlet.sleep(0)
+
+
 ANSWER_FAULTS = {
     "trickled status line": trickle(b"HTTP/1.1 200 ", b"x"),
     "trickled header": trickle(SIGNED_HEAD, b"x"),
@@ -65,6 +74,7 @@
     "reset": cut(UNSIZED_HEAD + event(1), reset=True),
 }
 STREAM_FAULTS = {
+    "endless events": send_events_without_end,
     "endless comments": flood(UNSIZED_HEAD, b":\n"),
     "endless comment events": flood(UNSIZED_HEAD, b":\n\n"),
     "trickled comments": trickle(UNSIZED_HEAD + event(1), b":\n"),
@@ -106,3 +116,27 @@
         started_s = time.monotonic()
         assert call(entry.address, "/once/x", X_Left="2000")[2] == b"ran"
         assert time.monotonic() - started_s < 0.5
+
+
+@pytest.mark.parametrize(
+    "step",
+    [flood(UNSIZED_HEAD, b"x"), flood(stream_head(), chunk(b"x" * 4_000))],
+    ids=["no length", "chunks"],
+)
+def test_repeatable_call_is_retried_after_a_body_without_end(step):
+    endpoint, other = ScriptedEndpoint(), ScriptedEndpoint()
+    endpoint.default = step
+    other.default = complete_answer(b"ran")
+    with routed_entry(endpoint, other) as entry:
+        assert call(entry.address, "/safe/x")[2] == b"ran"
+        assert ("app1", "broken") in entry.context.reports
+
+
+def test_large_answer_is_refused_before_its_body_arrives():
+    endpoint = ScriptedEndpoint()
+    head = SIGNED_HEAD + b"Content-Length: 99999999\r\n\r\n"
+    endpoint.default = trickle(head, b"x")
+    with routed_entry(endpoint) as entry:
+        started_s = time.monotonic()
+        assert call(entry.address, "/safe/x", X_Left="3000")[0] == 502
+        assert time.monotonic() - started_s < 1.0
