Break off a stream that ends with its connection before its first event

What callers saw: 200 and an empty stream that looked complete, when a host crashed after it had sent the head of an answer with neither a length nor chunks. The crash was not looked for either, so the request went on to other hosts. Cause: such an answer is complete once its connection ends, whether or not an event came. Change: the attempt breaks if no event arrived, unless the stream was resumed, in which case none may be left, or the answer marks its own end. Evidence: the new test got 200 instead of 502 before; passes now. The other new tests hold what was right already: cut inside an event, resumed after the last event, empty with an end mark.

--- a/chestnutvale/http_client/answer_parser.py
+++ b/chestnutvale/http_client/answer_parser.py
@@ -40,6 +40,9 @@
         Whether the connection can't be used after the answer.
     body_bytes : int or None
         Size of the body in bytes; None if only its end will show it.
+    is_delimited : bool
+        Whether the answer itself marks its end, by a length or by chunks; otherwise it
+        ends with the connection.
     """
 
     status: int
@@ -47,6 +50,7 @@
     headers: list[tuple[str, str]]
     will_close: bool
     body_bytes: int | None
+    is_delimited: bool
 
 
 class AnswerParser:
@@ -221,7 +225,12 @@
             will_close = True
             self._parse_next = self._parse_unsized_body
         self.head = AnswerHead(
-            self._status, self._reason, headers, will_close, body_bytes
+            self._status,
+            self._reason,
+            headers,
+            will_close,
+            body_bytes,
+            is_delimited=self._parse_next != self._parse_unsized_body,
         )
 
     def _is_last_on_connection(self, headers: list[tuple[str, str]]) -> bool:
--- a/chestnutvale/programs/entry/routed/attempt.py
+++ b/chestnutvale/programs/entry/routed/attempt.py
@@ -59,6 +59,8 @@
         self._request = request
         self._body = body
         self._splitter = NumberedEventSplitter(attempt_id, last_event)
+        # A resumed answer may have no further events.
+        self._has_events = last_event > 0
 
     def start(self, timeout_s: float) -> CallEvent | None:
         """Send the request.
@@ -104,11 +106,22 @@
         """
         try:
             data = self.exchange.read(timeout_s)
-            events = self._splitter.feed(data) if data else [self._splitter.end()]
+            if not data:
+                return self._end_stream()
+            events = self._splitter.feed(data)
+            self._has_events = self._has_events or bool(events)
             return EventsArrived(self.attempt_id, events)
         except EXCHANGE_ERRORS as error:
             return make_failure_event(self.attempt_id, error)
 
+    def _end_stream(self) -> CallEvent:
+        end = self._splitter.end()
+        # A host that crashes before its first event ends its connection the same way.
+        if not (self.exchange.is_delimited or self._has_events):
+            reason = "the connection ended before the first event"
+            return AttemptBroken(self.attempt_id, reason)
+        return EventsArrived(self.attempt_id, [end])
+
     def abort(self) -> None:
         """Shut the connection down; a greenlet that waits for it gets an error."""
         self.exchange.abort()
--- a/chestnutvale/programs/entry/routed/exchange.py
+++ b/chestnutvale/programs/entry/routed/exchange.py
@@ -74,6 +74,8 @@
         Headers of the answer.
     reason : str
         Reason phrase of the answer's status line.
+    is_delimited : bool
+        Whether the answer itself marks its end.
     """
 
     def __init__(
@@ -92,6 +94,7 @@
         self.status = 0
         self.headers: Headers = []
         self.reason = ""
+        self.is_delimited = True
         self._pool = pool
         self._protocol = protocol
         self._request = request
@@ -206,6 +209,7 @@
         head = self._answer.head
         self.status = head.status
         self.reason = head.reason
+        self.is_delimited = head.is_delimited
         self.headers = list(head.headers)
         if self._protocol.is_refusal(self.status, self.headers):
             self._raise_refusal()
--- a/tests/programs/entry/routed/test_streams.py
+++ b/tests/programs/entry/routed/test_streams.py
@@ -3,6 +3,7 @@
 import eventlet
 import pytest
 
+from tests.http_client.answer_faults import cut as answer_and_close
 from tests.programs.entry.entry_fakes import wait_until
 from tests.programs.entry.routed.routed_fakes import (
     ScriptedEndpoint,
@@ -190,3 +191,42 @@
             )
             assert (status, body, is_complete) == (200, COMPLETE_STREAM, True)
             assert headers["x-made-by"] == "e1"
+
+
+UNSIZED_HEAD = b"HTTP/1.1 200 OK\r\nX-Call: c1\r\nX-Made-By: e1\r\n\r\n"
+
+
+@pytest.mark.parametrize("cut", [0, 1, 3, 9])
+def test_stream_without_length_is_complete_only_between_events(endpoint, cut):
+    endpoint.default = answer_and_close(UNSIZED_HEAD + event(1) + event(2)[:cut])
+    with routed_entry(endpoint) as entry:
+        status, _, body, is_complete = call(
+            entry.address, "/fixed/x", b"p", X_Model="m"
+        )
+    assert (status, body, is_complete) == (200, event(1), cut == 0)
+
+
+def test_stream_without_length_that_ends_before_its_first_event_is_broken(
+    endpoint, other_endpoint
+):
+    endpoint.default = answer_and_close(UNSIZED_HEAD)
+    other_endpoint.default = stream()
+    with routed_entry(endpoint, other_endpoint) as entry:
+        assert call(entry.address, "/fixed/x", b"p", X_Model="m")[0] == 502
+        assert ("gpu1", "broken") in entry.context.reports
+        _, _, body, is_complete = call(entry.address, "/gen/x", b"p", X_Model="m")
+    assert (body, is_complete) == (COMPLETE_STREAM, True)
+
+
+@pytest.mark.parametrize(
+    ("answer", "fields"),
+    [(UNSIZED_HEAD, {"X_Last": "6"}), (stream_head() + b"0\r\n\r\n", {})],
+    ids=["resumed after the last event", "with an end mark"],
+)
+def test_stream_without_events_may_be_complete(endpoint, answer, fields):
+    endpoint.default = answer_and_close(answer)
+    with routed_entry(endpoint) as entry:
+        status, _, body, is_complete = call(
+            entry.address, "/gen/x", b"p", X_Model="m", **fields
+        )
+    assert (status, body, is_complete) == (200, b"", True)
