--- a/tests/http_client/test_answer_parser.py
+++ b/tests/http_client/test_answer_parser.py
@@ -1,5 +1,7 @@
 """Answers are parsed at any boundary, and bytes without end are refused early."""
 
+import contextlib
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -162,3 +164,31 @@
             parser.feed(b"")
     with pytest.raises(AnswerFormatError):
         parser.end()
+
+
+FRAGMENTS = [
+    b"HTTP/1.1 ",
+    b"200 OK",
+    b"100",
+    b"\r",
+    b"\n",
+    b"\r\n",
+    b"Content-Length: ",
+    b"Transfer-Encoding: chunked",
+    b"Connection:",
+    b"0",
+    b"5",
+    b";",
+    b" ",
+    b"\x00",
+    b"\xff",
+]
+
+
+@given(st.lists(st.sampled_from(FRAGMENTS), max_size=60))
+def test_foreign_bytes_only_ever_raise_the_typed_error(parts):
+    parser = AnswerParser("POST")
+    with contextlib.suppress(AnswerFormatError):
+        for part in parts:
+            parser.feed(part)
+        parser.end()
