Write log lines without waiting for the pipe in patched processes

Callers saw: in the programs, a log line to a pipe let all other green threads run in its middle, and with a reader that stalls the task that logs stood still; two tasks that logged at the same time could lose a line to "Second simultaneous write on fileno".

Cause: the programs patch `os`, and eventlet's `os.write` waits in the hub until a pipe can be written to, also for a descriptor in non-blocking mode. The handler's own rule for a slow reader never applied. The tests run in a process that is not patched.

Change: the handler takes the original function.

Evidence: a patched program that logs 1,000 lines of 1 KB to a pipe without a reader. After it, all lines are logged without a switch.

--- a/chestnutvale/observability/nonblocking_handler.py
+++ b/chestnutvale/observability/nonblocking_handler.py
@@ -5,6 +5,10 @@
 from collections.abc import Callable
 
 import logbook
+from eventlet import patcher
+
+# The patched function waits until the pipe can be written to.
+_write_now = patcher.original("os").write
 
 # Most lines of one event that are written in a window, and most bytes that are buffered
 # for a slow reader; lines beyond either limit are dropped and counted.
@@ -127,7 +131,7 @@
         """Write as much of the buffer as the reader accepts without blocking."""
         while self._buffer:
             try:
-                written = os.write(self._file_descriptor, self._buffer)
+                written = _write_now(self._file_descriptor, self._buffer)
             except (BlockingIOError, InterruptedError):
                 return
             except OSError:
--- a/tests/observability/test_nonblocking_handler.py
+++ b/tests/observability/test_nonblocking_handler.py
@@ -2,7 +2,10 @@
 
 import json
 import os
+import subprocess
+import sys
 import time
+from pathlib import Path
 
 import logbook
 import pytest
@@ -15,6 +18,7 @@
 )
 
 LOGGER = logbook.Logger("test")
+PROGRAM_TIMEOUT_S = 20
 
 
 @pytest.fixture
@@ -78,6 +82,17 @@
     assert drop_reports[-1]["slow_reader"] > 0
 
 
+def test_stalled_reader_does_not_block_logging_of_a_patched_process():
+    run = subprocess.run(
+        [sys.executable, "-m", "tests.observability.patched_logging"],
+        cwd=Path(__file__).parents[2],
+        capture_output=True,
+        text=True,
+        timeout=PROGRAM_TIMEOUT_S,
+    )
+    assert run.stdout == "1000 lines, 0 switches\n", run.stderr
+
+
 def test_rate_limit_applies_per_event(pipe):
     reader, writer = pipe
     now = [0.0]
