Exit after a stop signal even if a write hangs

Callers saw: a control with a hung write did not end after SIGTERM; it had to be killed.

Cause: the writer gave up after 5 s, but eventlet's thread pool joins its threads when the process exits, without a limit.

Change: a writer that gives up says so in the log and takes that handler away. The threads are daemons, so the process ends.

--- a/chestnutvale/consensus/disk_writer.py
+++ b/chestnutvale/consensus/disk_writer.py
@@ -1,5 +1,6 @@
 """Task that writes to disk in order and batches writes into one sync."""
 
+import atexit
 from collections.abc import Callable, Sequence
 
 import eventlet
@@ -81,9 +82,21 @@
         self._requests.put(None)
         with eventlet.Timeout(STOP_TIMEOUT_S, False):
             self._task.wait()
+        if not self._task.dead:
+            self._abandon_write()
         self._task.kill()
         self._task = None
 
+    @staticmethod
+    def _abandon_write() -> None:
+        """Let the process exit without the thread whose write does not finish."""
+        _LOGGER.error(
+            "A write to the data folder did not finish within {} s; leaving it",
+            STOP_TIMEOUT_S,
+        )
+        # tpool waits for its threads when the process exits.
+        atexit.unregister(tpool.killall)
+
     def submit(self, request: WriteRequest) -> None:
         """Queue a write; never blocks."""
         self._requests.put(request)
