Answer a stream with the head of an attempt that started it

What callers saw: a stream that one host refused and another then answered came with the refusal's status and headers, such as 503 with the promise that the request did not run, and all events of the stream as its body. The same with 500 of a host whose error answer was cut or had no end. Cause: the head was that of the first attempt with any status and no error body; a refusal has a status too, and an error body that could not be read is missing. Change: an attempt records that its stream has started, and only such a head is used. Evidence: the new test with a refusal, an endless and a cut error answer failed for all three before, also on (503, 500 and 500 instead of 200); passes now.

--- a/chestnutvale/programs/entry/routed/attempt.py
+++ b/chestnutvale/programs/entry/routed/attempt.py
@@ -38,6 +38,8 @@
 
     Attributes
     ----------
+    has_started : bool
+        Whether the endpoint has started the stream.
     error_body : bytes or None
         Body of an answer with an error status from the endpoint; None if there is
         none.
@@ -55,6 +57,7 @@
         self.attempt_id = attempt_id
         self.view = view
         self.exchange = exchange
+        self.has_started = False
         self.error_body: bytes | None = None
         self._request = request
         self._body = body
@@ -84,6 +87,7 @@
                 request.method, request.target, {}, self._body, timeout_s
             )
             if self.exchange.status == STATUS_OK:
+                self.has_started = True
                 return None
             self.error_body = self.exchange.read_all(MAX_ANSWER_BYTES)
         except EXCHANGE_ERRORS as error:
--- a/chestnutvale/programs/entry/routed/stream_attempts.py
+++ b/chestnutvale/programs/entry/routed/stream_attempts.py
@@ -80,7 +80,7 @@
     def first_started_exchange(self) -> RoutedExchange:
         """Exchange of the first stream that started; the caller gets its head."""
         for attempt in self._attempts:
-            if attempt.exchange.status and attempt.error_body is None:
+            if attempt.has_started:
                 return attempt.exchange
         raise AnswerBrokenError("no endpoint has started the stream")
 
--- a/tests/programs/entry/routed/test_streams.py
+++ b/tests/programs/entry/routed/test_streams.py
@@ -4,11 +4,13 @@
 import pytest
 
 from tests.http_client.answer_faults import cut as answer_and_close
+from tests.http_client.answer_faults import flood
 from tests.programs.entry.entry_fakes import wait_until
 from tests.programs.entry.routed.routed_fakes import (
     ScriptedEndpoint,
     call,
     chunk,
+    complete_answer,
     event,
     open_call,
     routed_entry,
@@ -230,3 +232,27 @@
             entry.address, "/gen/x", b"p", X_Model="m", **fields
         )
     assert (status, body, is_complete) == (200, b"", True)
+
+
+@pytest.mark.parametrize(
+    "step",
+    [
+        complete_answer(b"full", status="503 Busy", extra="X-Not-Run: 1\r\n"),
+        flood(b"HTTP/1.1 500 Bad\r\nX-Call: c1\r\n\r\n", b"x"),
+        answer_and_close(
+            b"HTTP/1.1 500 Bad\r\nX-Call: c1\r\nContent-Length: 9\r\n\r\nx"
+        ),
+    ],
+    ids=["refusal", "error without end", "cut error"],
+)
+def test_stream_never_gets_the_head_of_an_earlier_refusal_or_error(
+    endpoint, other_endpoint, step
+):
+    endpoint.default = step
+    other_endpoint.default = stream()
+    with routed_entry(endpoint, other_endpoint) as entry:
+        status, headers, body, is_complete = call(
+            entry.address, "/gen/x", b"p", X_Model="m"
+        )
+    assert (status, body, is_complete) == (200, COMPLETE_STREAM, True)
+    assert "x-not-run" not in headers
