Probe the head of a group once for a broken answer

Since prompt parts are suspects, an answer with a fault in its events is checked for a crash too. An answer whose connection broke was then checked twice: by the break itself and by the cancellation that follows it. The second probe cost a connection and up to 0.3 s before the next attempt.

Test: test_broken_answer_is_probed_once, which counted two probes before.

--- a/chestnutvale/programs/entry/model_calls.py
+++ b/chestnutvale/programs/entry/model_calls.py
@@ -300,7 +300,7 @@
                 self._finish_call(effect)
             elif isinstance(effect, CancelAttempt):
                 result = RESULT_BROKEN if effect.fault else RESULT_CANCELLED
-                if effect.fault and effect.fault != REASON_SILENT:
+                if self.attempt is not None and effect.fault not in ("", REASON_SILENT):
                     self._chooser.check_for_crash(effect.attempt_id)
                 self._close_attempt(result, effect.fault)
             elif isinstance(effect, ChooseGroup):
--- a/tests/programs/entry/routed/test_crash_parts.py
+++ b/tests/programs/entry/routed/test_crash_parts.py
@@ -114,3 +114,17 @@
     )
     assert body == event(1) + event(2) + event(3)
     assert is_complete
+
+
+@pytest.mark.parametrize("tail", [b"5\r\nid: 1", chunk(b"id: x\ndata: 1\n\n")])
+def test_broken_answer_is_probed_once(entry, endpoint, tail):
+    def break_off(sock, request):
+        sock.sendall(stream_head() + chunk(event(1)) + tail)
+        sock.close()
+
+    probes = []
+    entry.context.has_crashed = lambda group, is_engine: bool(probes.append(group))
+    endpoint.steps = [break_off]
+    entry.other_endpoint.default = stream_head() + chunk(event(2)) + b"0\r\n\r\n"
+    call(entry.address, "/gen/x", b"p", X_Model="m", X_Parts="first,own")
+    assert len(probes) == 1
