Keep the ban of a prompt part in small fleets and beside late answers

- An answer that had begun before a part became harmful cleared it at its end of all crashes since.
Only the beginning of an answer clears now.
- Where few groups are left, the crashing part and a sound one ran in the same crashes, and each request with one of the two was let pass.
From the fifth crash on, these are trials at random times.
- Where all groups crash within 500 ms, the part was not banned.
The span is only asked for if the part was known to be sound.
- A part that was sound before, and had been cleared, gave way to a rarer one with fewer crashes.
It must have two more now.
- Parts with the same crashes were banned apart if only one of them had successive crashes, at worst the first part alone, for minutes.

Trials are spread over 20 s, and bans with at most four crashes are tried early. The decisions of an entry are in a module of their own.

--- a/chestnutvale/attempts/const.py
+++ b/chestnutvale/attempts/const.py
@@ -81,9 +81,15 @@
 SEPARATE_CRASH_MS: Final = 1_000
 # Time to wait after a crash for the evidence of other entries about prompt parts.
 PART_EVIDENCE_SETTLE_MS: Final = 150
-# Shortest time from the first to the last of these crashes. Groups that crash together
-# for another reason do so within less.
+# Shortest time from the first to the last of these crashes, if the part was known to be
+# sound. Groups that crash together for another reason do so within less.
 MIN_CRASH_SPAN_MS: Final = 500
+# Number of crashes by which a part that was known to be sound must exceed another one
+# to be the likelier cause.
+SOUND_PART_MARGIN: Final = 2
+# Crashes up to which requests with some of the parts that ran in all of them may run,
+# as they tell the parts apart.
+MAX_AMBIGUOUS_CRASHES: Final = 4
 # Time from the last crash for which requests with a prompt part are refused. Each entry
 # then tries one request at a random time.
 PART_BAN_MS: Final = 5 * 60 * 1_000
@@ -91,7 +97,7 @@
 # crashed for another reason.
 DOUBTFUL_PART_BAN_MS: Final = 1_000
 # Time over which the tries of the entries are spread, so that they seldom coincide.
-PART_TRIAL_SPREAD_MS: Final = 10_000
+PART_TRIAL_SPREAD_MS: Final = 20_000
 # Time for which a crash counts as evidence against a prompt part.
 PART_EVIDENCE_RETENTION_MS: Final = 15 * 60 * 1_000
 # Time from the first event of an answer after which its prompt is not the cause of a
--- a/chestnutvale/attempts/part_evidence.py
+++ b/chestnutvale/attempts/part_evidence.py
@@ -16,6 +16,7 @@
     PART_EVIDENCE_RETENTION_MS,
     PART_EVIDENCE_SETTLE_MS,
     SEPARATE_CRASH_MS,
+    SOUND_PART_MARGIN,
 )
 from chestnutvale.attempts.crash_evidence import CrashId
 from chestnutvale.schema.peer_pb2 import CrashSuspicion
@@ -50,7 +51,7 @@
 def find_part_bans(
     suspects: SuspectParts,
     crashed_at_unix_ms: Mapping[CrashId, int],
-    cleared: Set[int],
+    known_sound: Set[int],
 ) -> list[PartBan]:
     """Find the parts that explain the most crashes.
 
@@ -63,9 +64,9 @@
         For each part, its crashes and the start of its last request in each.
     crashed_at_unix_ms : mapping of CrashId to int
         Unix time of each crash in milliseconds; other crashes do not count.
-    cleared : set of int
-        Parts of which answers were written soundly before; other parts are likelier to
-        be the cause.
+    known_sound : set of int
+        Parts of which answers were written soundly before. They are less likely to be
+        the cause, so more evidence is needed.
 
     Returns
     -------
@@ -82,20 +83,23 @@
     bans: list[PartBan] = []
     while True:
         parts_by_crashes: dict[frozenset[CrashId], list[int]] = defaultdict(list)
+        guilty: set[frozenset[CrashId]] = set()
         for part, crashes in crashes_by_part.items():
+            parts_by_crashes[crashes].append(part)
             starts = {crash_id: suspects[part][crash_id] for crash_id in crashes}
-            if _causes_crashes(starts, crashed_at_unix_ms):
-                parts_by_crashes[crashes].append(part)
-        if not parts_by_crashes:
+            min_span_ms = MIN_CRASH_SPAN_MS if part in known_sound else 0
+            if _causes_crashes(starts, crashed_at_unix_ms, min_span_ms):
+                guilty.add(crashes)
+        if not guilty:
             return bans
         crashes, parts = max(
             (
-                (crashes, _select_likeliest(parts, cleared))
-                for crashes, parts in parts_by_crashes.items()
+                (crashes, _select_likeliest(parts_by_crashes[crashes], known_sound))
+                for crashes in guilty
             ),
             key=lambda item: (
-                cleared.isdisjoint(item[1]),
-                len(item[0]),
+                len(item[0])
+                - SOUND_PART_MARGIN * (not known_sound.isdisjoint(item[1])),
                 min(item[1]),
             ),
         )
@@ -111,13 +115,15 @@
         }
 
 
-def _select_likeliest(parts: list[int], cleared: Set[int]) -> list[int]:
-    """Return the parts that were never cleared, or all if each was."""
-    return [part for part in parts if part not in cleared] or parts
+def _select_likeliest(parts: list[int], known_sound: Set[int]) -> list[int]:
+    """Return the parts that were never known to be sound, or all if each was."""
+    return [part for part in parts if part not in known_sound] or parts
 
 
 def _causes_crashes(
-    starts: Mapping[CrashId, int], crashed_at_unix_ms: Mapping[CrashId, int]
+    starts: Mapping[CrashId, int],
+    crashed_at_unix_ms: Mapping[CrashId, int],
+    min_span_ms: int,
 ) -> bool:
     """Tell whether enough separate crashes followed each other.
 
@@ -138,7 +144,7 @@
     min_crashes = BAN_PART_CRASHES if has_many_groups else BAN_CRASHES_ONE_GROUP
     return (
         len(counted_unix_ms) >= min_crashes
-        and counted_unix_ms[-1] - counted_unix_ms[0] >= MIN_CRASH_SPAN_MS
+        and counted_unix_ms[-1] - counted_unix_ms[0] >= min_span_ms
     )
 
 
@@ -210,13 +216,18 @@
         crash_ids = self._suspects.get(part_hash, ())
         return max((self._crashed_at_unix_ms[c] for c in crash_ids), default=0)
 
-    def bans(self, now_unix_ms: int) -> list[PartBan]:
+    def bans(
+        self, now_unix_ms: int, known_sound: Set[int] = frozenset()
+    ) -> list[PartBan]:
         """Return the parts that are found to crash groups.
 
         Parameters
         ----------
         now_unix_ms : int
             Wall-clock time in milliseconds.
+        known_sound : set of int, optional
+            Parts of which answers were written soundly before, besides those that were
+            cleared.
 
         Returns
         -------
@@ -225,7 +236,7 @@
         """
         if self._is_changed or now_unix_ms >= self._next_settled_unix_ms:
             self._is_changed = False
-            self._find_bans(now_unix_ms)
+            self._find_bans(now_unix_ms, known_sound)
         return self._bans
 
     def expire(self, now_unix_ms: int) -> None:
@@ -336,7 +347,7 @@
             del self._cleared[next(iter(self._cleared))]
         return is_changed
 
-    def _find_bans(self, now_unix_ms: int) -> None:
+    def _find_bans(self, now_unix_ms: int, known_sound: Set[int]) -> None:
         settled_unix_ms = now_unix_ms - PART_EVIDENCE_SETTLE_MS
         settled: dict[CrashId, int] = {}
         unsettled: list[int] = []
@@ -345,7 +356,9 @@
                 settled[crash_id] = at_unix_ms
             else:
                 unsettled.append(at_unix_ms)
-        self._bans = find_part_bans(self._suspects, settled, self._cleared.keys())
+        self._bans = find_part_bans(
+            self._suspects, settled, self._cleared.keys() | known_sound
+        )
         self._next_settled_unix_ms = (
             min(unsettled) + PART_EVIDENCE_SETTLE_MS if unsettled else 2**63
         )
--- a/chestnutvale/attempts/suspicion.py
+++ b/chestnutvale/attempts/suspicion.py
@@ -3,7 +3,7 @@
 import json
 import random
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -13,18 +13,14 @@
 from chestnutvale.attempts.const import (
     BAN_CRASHES,
     BAN_MS,
-    DOUBTFUL_PART_BAN_MS,
     EVIDENCE_REPEAT_MS,
     EVIDENCE_SETTLE_MS,
-    MAX_CLEARED_PARTS,
     MAX_REPEATED_PIECES,
     MAX_SUSPECT_ROUNDS,
-    PART_BAN_MS,
-    PART_TRIAL_SPREAD_MS,
     SUSPECT_ROUND_MS,
 )
 from chestnutvale.attempts.crash_evidence import Crash, CrashEvidence, limit_time
-from chestnutvale.attempts.part_evidence import PartBan, PartEvidence
+from chestnutvale.attempts.part_bans import PartBans
 from chestnutvale.attempts.prompt_parts import format_parts
 from chestnutvale.schema.peer_pb2 import CrashSuspicion
 
@@ -124,7 +120,7 @@
     ----------
     evidence : CrashEvidence
         Evidence of this entry merged with that of others.
-    parts : PartEvidence
+    part_bans : PartBans
         The same for prompt parts that requests share.
     notify : callable or None
         Called when there is new evidence to report; must not block.
@@ -132,19 +128,14 @@
 
     def __init__(self, ban_after: int = 0, rng: random.Random | None = None) -> None:
         self._ban_after = ban_after
-        self._rng = rng or random.Random()
         self.evidence = CrashEvidence()
-        self.parts = PartEvidence()
+        self.part_bans = PartBans(rng or random.Random())
         self.notify: Callable[[], None] | None = None
         self._running: dict[str, _Running] = {}
         # Unix time in ms of the first report, and the evidence.
         self._reports: deque[tuple[int, CrashSuspicion]] = deque(
             maxlen=MAX_REPEATED_PIECES
         )
-        # Unix time in ms at which an answer was last written soundly, by part.
-        self._sound_at_unix_ms: dict[int, int] = {}
-        self._known_bans: list[PartBan] = []
-        self._next_trial_unix_ms: dict[PartBan, int] = {}
 
     def attempt_started(
         self,
@@ -178,8 +169,7 @@
         self._running[attempt_id] = _Running(
             fingerprint, group_id, epoch, fabric_domain, now_unix_ms, part_hashes
         )
-        for ban in self._find_matching_bans(part_hashes, now_unix_ms):
-            self._next_trial_unix_ms[ban] = now_unix_ms + PART_TRIAL_SPREAD_MS
+        self.part_bans.record_started(part_hashes, now_unix_ms)
 
     def attempt_ended(self, attempt_id: str) -> None:
         """Record that an attempt ended without a crash and without an answer.
@@ -207,7 +197,7 @@
         if running is None or running.is_sound:
             return
         running.is_sound = True
-        self._record_sound(running, 0, attempt_id, now_unix_ms)
+        self._record_sound(running, 0, running.part_hashes, attempt_id, now_unix_ms)
 
     def answer_completed(self, attempt_id: str, now_unix_ms: int) -> None:
         """Record a complete answer, which clears the request of suspicion.
@@ -224,7 +214,9 @@
             return
         is_suspected = bool(self.evidence.crashes_of(running.fingerprint))
         fingerprint = running.fingerprint if is_suspected else 0
-        self._record_sound(running, fingerprint, attempt_id, now_unix_ms)
+        # What began to be written earlier tells nothing about crashes since then.
+        part_hashes = () if running.is_sound else running.part_hashes
+        self._record_sound(running, fingerprint, part_hashes, attempt_id, now_unix_ms)
 
     def group_crashed(self, attempt_id: str, now_unix_ms: int) -> None:
         """Record that the group that ran an attempt crashed.
@@ -276,13 +268,16 @@
         now_unix_ms : int
             Wall-clock time in milliseconds.
         """
+        parts = self.part_bans.evidence
         for suspicion in suspicions:
             limit_time(suspicion, now_unix_ms)
             self.evidence.add(suspicion)
-            if self.parts.add(suspicion) and not suspicion.cleared:
-                self._clear_sound_parts(suspicion.part_hashes, now_unix_ms)
+            if parts.add(suspicion) and not suspicion.cleared:
+                sound = self.part_bans.find_sound_since_crash(suspicion.part_hashes)
+                for part, at_unix_ms in sound.items():
+                    self._add_clear(0, [part], at_unix_ms, now_unix_ms)
         self.evidence.expire(now_unix_ms)
-        self.parts.expire(now_unix_ms)
+        parts.expire(now_unix_ms)
 
     def reports(self, now_unix_ms: int) -> list[CrashSuspicion]:
         """Return the evidence for the next report, including recently sent pieces.
@@ -310,11 +305,11 @@
         now_unix_ms : int
             Wall-clock time in milliseconds.
         """
-        bans = self.parts.bans(now_unix_ms)
+        bans = self.part_bans.evidence.bans(now_unix_ms)
         parts = frozenset(part for ban in bans for part in ban.part_hashes)
         min_crashes = self._ban_after or BAN_CRASHES
         evidence = self.evidence.to_suspicions(min_crashes)
-        evidence += self.parts.to_suspicions(parts)
+        evidence += self.part_bans.evidence.to_suspicions(parts)
         self._reports.extend((now_unix_ms, suspicion) for suspicion in evidence)
 
     def judge(
@@ -342,9 +337,9 @@
         Verdict
             ``Clear``, ``Suspected`` or ``Banned``.
         """
-        part_ban = self.find_part_ban(part_hashes, now_unix_ms)
-        if part_ban is not None:
-            return part_ban
+        refusal = self.part_bans.find_refusal(part_hashes, now_unix_ms)
+        if refusal is not None:
+            return Banned(refusal.until_unix_ms, refusal.part_hashes)
         crashed = self.evidence.crashes_of(fingerprint)
         if not crashed:
             return Clear()
@@ -359,70 +354,6 @@
             return Clear()
         return self._assign_group(fingerprint, crashes, groups)
 
-    def find_part_ban(
-        self, part_hashes: tuple[int, ...], now_unix_ms: int
-    ) -> Banned | None:
-        """Return the ban on a prompt because of its parts.
-
-        Parameters
-        ----------
-        part_hashes : tuple of int
-            Hashes of the parts that other requests may share.
-        now_unix_ms : int
-            Wall-clock time in milliseconds.
-
-        Returns
-        -------
-        Banned or None
-            None if the prompt may run.
-        """
-        for ban in self._find_matching_bans(part_hashes, now_unix_ms):
-            until_unix_ms = self._find_next_trial_unix_ms(ban)
-            if until_unix_ms > now_unix_ms:
-                return Banned(until_unix_ms, tuple(sorted(ban.part_hashes)))
-        return None
-
-    def _find_matching_bans(
-        self, part_hashes: tuple[int, ...], now_unix_ms: int
-    ) -> list[PartBan]:
-        if not part_hashes:
-            return []
-        bans = self.parts.bans(now_unix_ms)
-        if bans is not self._known_bans:
-            self._install_bans(bans)
-        return [ban for ban in bans if ban.part_hashes.issubset(part_hashes)]
-
-    def _install_bans(self, bans: list[PartBan]) -> None:
-        known_parts = {ban.part_hashes for ban in self._known_bans}
-        self._known_bans = bans
-        self._next_trial_unix_ms = {
-            ban: at_unix_ms
-            for ban, at_unix_ms in self._next_trial_unix_ms.items()
-            if ban in bans
-        }
-        for ban in bans:
-            if ban.part_hashes in known_parts:
-                continue
-            crashes = (f"{c.group_id}@{c.epoch}" for c in ban.crash_ids)
-            _LOGGER.warning(
-                "suspect_banned",
-                extra={
-                    "parts": format_parts(sorted(ban.part_hashes)),
-                    "crashes": sorted(crashes),
-                },
-            )
-
-    def _find_next_trial_unix_ms(self, ban: PartBan) -> int:
-        """Return when this entry may next try a request despite a ban."""
-        if ban not in self._next_trial_unix_ms:
-            is_doubtful = not ban.is_confirmed and all(
-                part in self._sound_at_unix_ms for part in ban.part_hashes
-            )
-            ban_ms = DOUBTFUL_PART_BAN_MS if is_doubtful else PART_BAN_MS
-            spread_ms = self._rng.randrange(PART_TRIAL_SPREAD_MS)
-            self._next_trial_unix_ms[ban] = ban.last_crash_unix_ms + ban_ms + spread_ms
-        return self._next_trial_unix_ms[ban]
-
     def _assign_group(
         self, fingerprint: int, crashes: list[Crash], groups: list[str]
     ) -> Suspected:
@@ -452,14 +383,14 @@
         return next((group for group in groups if group not in tried), "")
 
     def _record_sound(
-        self, running: _Running, fingerprint: int, attempt_id: str, now_unix_ms: int
+        self,
+        running: _Running,
+        fingerprint: int,
+        part_hashes: tuple[int, ...],
+        attempt_id: str,
+        now_unix_ms: int,
     ) -> None:
-        for part in running.part_hashes:
-            self._sound_at_unix_ms.pop(part, None)
-            self._sound_at_unix_ms[part] = now_unix_ms
-        while len(self._sound_at_unix_ms) > MAX_CLEARED_PARTS:
-            del self._sound_at_unix_ms[next(iter(self._sound_at_unix_ms))]
-        parts = self.parts.suspected_parts(running.part_hashes)
+        parts = self.part_bans.record_sound(part_hashes, now_unix_ms)
         if not fingerprint and not parts:
             return
         _LOGGER.info(
@@ -474,13 +405,6 @@
         )
         self._add_clear(fingerprint, parts, now_unix_ms, now_unix_ms)
 
-    def _clear_sound_parts(self, part_hashes: Iterable[int], now_unix_ms: int) -> None:
-        """Clear parts whose answers were written soundly here after their crash."""
-        for part in part_hashes:
-            sound_at_unix_ms = self._sound_at_unix_ms.get(part, 0)
-            if 0 < self.parts.last_crash_unix_ms(part) <= sound_at_unix_ms:
-                self._add_clear(0, [part], sound_at_unix_ms, now_unix_ms)
-
     def _add_clear(
         self, fingerprint: int, parts: list[int], at_unix_ms: int, now_unix_ms: int
     ) -> None:
@@ -496,7 +420,7 @@
 
     def _add(self, suspicion: CrashSuspicion, now_unix_ms: int) -> None:
         is_new = self.evidence.add(suspicion)
-        if self.parts.add(suspicion) or is_new:
+        if self.part_bans.evidence.add(suspicion) or is_new:
             self._reports.append((now_unix_ms, suspicion))
             if self.notify is not None:
                 self.notify()
--- a/chestnutvale/programs/entry/routed/handler.py
+++ b/chestnutvale/programs/entry/routed/handler.py
@@ -214,13 +214,14 @@
 
     def _check_part_ban(self, part_hashes: tuple[int, ...]) -> None:
         now_unix_ms = self._context.clock.unix_ms()
-        ban = self._context.suspicions.find_part_ban(part_hashes, now_unix_ms)
-        if ban is None:
+        bans = self._context.suspicions.part_bans
+        refusal = bans.find_refusal(part_hashes, now_unix_ms)
+        if refusal is None:
             return
         raise make_refusal(
             CODE_CRASHING_PART,
-            describe_part_ban(ban.part_hashes),
-            retry_after_s=(ban.until_unix_ms - now_unix_ms) / 1_000,
+            describe_part_ban(refusal.part_hashes),
+            retry_after_s=(refusal.until_unix_ms - now_unix_ms) / 1_000,
         )
 
     def _wait_for_lease(self, request: RoutedRequest, now_s: float) -> bool:
--- a/tests/attempts/test_crash_parts.py
+++ b/tests/attempts/test_crash_parts.py
@@ -61,7 +61,15 @@
     """Entries, a control and groups with simulated time in milliseconds."""
 
     def __init__(
-        self, seed, leaderless_ms=0, other_parts=2, crashing_share=CRASHING_SHARE
+        self,
+        seed,
+        leaderless_ms=0,
+        other_parts=2,
+        crashing_share=CRASHING_SHARE,
+        groups=GROUPS,
+        requests_per_s=REQUESTS_PER_S,
+        sound_until_ms=0,
+        duration_ms=DURATION_MS,
     ):
         self.rng = random.Random(seed)
         self.now_ms = 0
@@ -71,9 +79,12 @@
         self._leaderless_ms = leaderless_ms
         self._other_parts = other_parts
         self._crashing_share = crashing_share
+        self._requests_per_s = requests_per_s
+        self._sound_until_ms = sound_until_ms
+        self._duration_ms = duration_ms
         self._queue = []
         self._sequence = itertools.count()
-        self._epochs = {f"g{number:02}": 1 for number in range(GROUPS)}
+        self._epochs = {f"g{number:02}": 1 for number in range(groups)}
         self._up_at_ms = dict.fromkeys(self._epochs, 0)
         self._running = {group_id: set() for group_id in self._epochs}
         self._control = SuspicionAggregator()
@@ -106,7 +117,7 @@
 
     def run(self):
         self._send_next_request()
-        while self._queue and self._queue[0][0] < DURATION_MS:
+        while self._queue and self._queue[0][0] < self._duration_ms:
             self.now_ms, _, action, arguments = heapq.heappop(self._queue)
             action(*arguments)
 
@@ -125,7 +136,7 @@
         call = SimulatedCall(number, entry, is_crashing, chooser, self.now_ms)
         self.calls.append(call)
         self._start_attempt(call)
-        interval_ms = self.rng.expovariate(REQUESTS_PER_S / 1_000)
+        interval_ms = self.rng.expovariate(self._requests_per_s / 1_000)
         self.schedule(interval_ms, self._send_next_request)
 
     def _choose_group(self, request, excluded, version):
@@ -161,7 +172,7 @@
         if not self._is_running(call, attempts):
             return
         call.has_begun = call.has_begun or attempts == 1
-        if call.is_crashing:
+        if call.is_crashing and self.now_ms >= self._sound_until_ms:
             self.schedule(self.rng.uniform(39, 110), self._crash, call, attempts)
         else:
             self.schedule(const.SOUND_WRITING_MS, self._record_sound, call, attempts)
@@ -231,7 +242,7 @@
             call
             for call in self.calls
             if not call.is_crashing
-            and from_ms <= call.accepted_ms <= DURATION_MS - 1_000
+            and from_ms <= call.accepted_ms <= self._duration_ms - 1_000
         ]
         assert len(sound) > 20
         return sum(call.has_begun for call in sound) / len(sound)
@@ -247,6 +258,25 @@
         assert simulation.find_sound_share() >= MIN_SOUND_SHARE
 
 
+@pytest.mark.parametrize(
+    "variant",
+    [
+        {"sound_until_ms": 2_000},
+        {"groups": 3, "requests_per_s": 9.0, "duration_ms": 30_000},
+        {"groups": 6, "requests_per_s": 15.0, "other_parts": 1},
+        {"requests_per_s": 8.0, "duration_ms": 30_000},
+        {"other_parts": 0},
+        {"other_parts": 6},
+    ],
+)
+def test_part_stays_banned_in_other_fleets_and_loads(variant):
+    for seed in range(5):
+        simulation = Simulation(seed, **variant)
+        simulation.run()
+        assert simulation.count_late_sends() <= MAX_LATE_SENDS
+        assert simulation.find_sound_share() >= MIN_SOUND_SHARE
+
+
 def test_groups_that_crash_together_twice_ban_no_shared_part():
     for seed in range(5):
         simulation = Simulation(seed, crashing_share=0.0)
@@ -275,7 +305,7 @@
 
 
 def is_banned(tracker, at_unix_ms, *part_hashes):
-    return tracker.find_part_ban(part_hashes, at_unix_ms) is not None
+    return tracker.part_bans.find_refusal(part_hashes, at_unix_ms) is not None
 
 
 SETTLED = START_UNIX_MS + 2_000 + const.PART_EVIDENCE_SETTLE_MS
@@ -347,7 +377,7 @@
     tracker.merge(ahead.reports(START_UNIX_MS), START_UNIX_MS)
     tracker.attempt_started("s.1", 9, "g9", 1, "", START_UNIX_MS, (1,))
     tracker.writing_soundly("s.1", START_UNIX_MS + 200)
-    assert not tracker.parts.suspected_parts([1])
+    assert not tracker.part_bans.evidence.suspected_parts([1])
 
 
 def test_flood_of_other_crashes_does_not_end_a_ban(tracker):
@@ -358,7 +388,7 @@
         parts = range(1_000 + number * 50, 1_050 + number * 50)
         crash(tracker, SETTLED + number, f"x{number}", *parts)
     assert is_banned(tracker, SETTLED + 1_000, 1)
-    crashes = {p.group_id for p in tracker.parts.to_suspicions()}
+    crashes = {p.group_id for p in tracker.part_bans.evidence.to_suspicions()}
     assert len(crashes) == const.MAX_CRASHES
 
 
@@ -390,3 +420,46 @@
     assert is_banned(tracker, later_unix_ms, 1)
     tracker.merge(leader.all_evidence(later_unix_ms), later_unix_ms)
     assert not is_banned(tracker, later_unix_ms, 1)
+
+
+def ban_part(tracker, part, count=3):
+    for number in range(count):
+        crash(tracker, START_UNIX_MS + number * 1_000, f"g{number}", part)
+    assert is_banned(tracker, SETTLED, part)
+    return START_UNIX_MS + (count - 1) * 1_000
+
+
+def find_trials(tracker, from_unix_ms, until_unix_ms, part):
+    trials = []
+    for at_unix_ms in range(from_unix_ms, until_unix_ms, 100):
+        if not is_banned(tracker, at_unix_ms, part):
+            trials.append(at_unix_ms)
+            tracker.attempt_started("t.1", 9, "g9", 1, "", at_unix_ms, (part,))
+    return trials
+
+
+def test_ban_ends_by_a_trial_that_is_sound(tracker):
+    last_unix_ms = ban_part(tracker, 1)
+    ban_end_unix_ms = last_unix_ms + const.PART_BAN_MS
+    trial_end_unix_ms = ban_end_unix_ms + const.PART_TRIAL_SPREAD_MS
+    [trial_unix_ms] = find_trials(tracker, SETTLED, trial_end_unix_ms, 1)
+    assert trial_unix_ms >= ban_end_unix_ms
+    tracker.writing_soundly("t.1", trial_unix_ms + 300)
+    assert not is_banned(tracker, trial_unix_ms + 301, 1)
+
+
+def test_crash_of_a_trial_renews_the_ban_at_once(tracker):
+    last_unix_ms = ban_part(tracker, 1)
+    until_unix_ms = last_unix_ms + const.PART_BAN_MS + const.PART_TRIAL_SPREAD_MS
+    [trial_unix_ms] = find_trials(tracker, SETTLED, until_unix_ms, 1)
+    tracker.group_crashed("t.1", trial_unix_ms + 200)
+    from_unix_ms = trial_unix_ms + 200
+    assert find_trials(tracker, from_unix_ms, from_unix_ms + const.PART_BAN_MS, 1) == []
+
+
+def test_answer_that_began_before_the_crashes_clears_nothing_at_its_end(tracker):
+    tracker.attempt_started("s.1", 9, "g9", 1, "", START_UNIX_MS - 900, (1,))
+    tracker.writing_soundly("s.1", START_UNIX_MS - 500)
+    ban_part(tracker, 1)
+    tracker.answer_completed("s.1", SETTLED)
+    assert is_banned(tracker, SETTLED, 1)
--- a/tests/programs/entry/routed/test_crash_parts.py
+++ b/tests/programs/entry/routed/test_crash_parts.py
@@ -71,8 +71,8 @@
     entry.context.has_crashed = lambda group, is_engine: True
     endpoint.default = stream_head() + chunk(b"id: 1")
     endpoint.steps = [lambda sock, request: sock.close()]
-    tracker = entry.context.suspicions
-    probe, tracker.parts.bans = tracker.parts.bans, lambda now: probe(now + 1_000)
+    evidence = entry.context.suspicions.part_bans.evidence
+    find, evidence.bans = evidence.bans, lambda now, sound: find(now + 1_000, sound)
     status, headers, _, _ = call(
         entry.address, "/gen/x", b"p", X_Model="m", X_Parts="first,bad,own"
     )
