--- a/tests/programs/entry/routed/test_crash_parts.py
+++ b/tests/programs/entry/routed/test_crash_parts.py
@@ -71,8 +71,8 @@
     entry.context.has_crashed = lambda group, is_engine: True
     endpoint.default = stream_head() + chunk(b"id: 1")
     endpoint.steps = [lambda sock, request: sock.close()]
-    tracker = entry.context.suspicions
-    probe, tracker.parts.bans = tracker.parts.bans, lambda now: probe(now + 1_000)
+    evidence = entry.context.suspicions.part_bans.evidence
+    find, evidence.bans = evidence.bans, lambda now, sound: find(now + 1_000, sound)
     status, headers, _, _ = call(
         entry.address, "/gen/x", b"p", X_Model="m", X_Parts="first,bad,own"
     )
@@ -114,3 +114,17 @@
     )
     assert body == event(1) + event(2) + event(3)
     assert is_complete
+
+
+@pytest.mark.parametrize("tail", [b"5\r\nid: 1", chunk(b"id: x\ndata: 1\n\n")])
+def test_broken_answer_is_probed_once(entry, endpoint, tail):
+    def break_off(sock, request):
+        sock.sendall(stream_head() + chunk(event(1)) + tail)
+        sock.close()
+
+    probes = []
+    entry.context.has_crashed = lambda group, is_engine: bool(probes.append(group))
+    endpoint.steps = [break_off]
+    entry.other_endpoint.default = stream_head() + chunk(event(2)) + b"0\r\n\r\n"
+    call(entry.address, "/gen/x", b"p", X_Model="m", X_Parts="first,own")
+    assert len(probes) == 1
