--- a/chestnutvale/attempts/crash_evidence.py
+++ b/chestnutvale/attempts/crash_evidence.py
@@ -1,5 +1,7 @@
 """Identifies requests that crash groups among those that ran at the same time."""
 
+from collections import Counter
+
 import attrs
 
 from chestnutvale.attempts.const import (
@@ -17,6 +19,23 @@
 from chestnutvale.schema.peer_pb2 import CrashSuspicion
 
 
+def limit_time(suspicion: CrashSuspicion, now_unix_ms: int) -> None:
+    """Limit the time of a received piece of evidence to that of the own clock.
+
+    Otherwise no answer could clear a request of a crash that was reported by a process
+    whose clock is ahead.
+
+    Parameters
+    ----------
+    suspicion : CrashSuspicion
+        The evidence; modified in place.
+    now_unix_ms : int
+        Wall-clock time in milliseconds.
+    """
+    if suspicion.crashed_at_unix_ms > now_unix_ms:
+        suspicion.crashed_at_unix_ms = now_unix_ms
+
+
 @attrs.frozen
 class CrashId:
     """Identity of a crash; a repaired group has a new epoch.
@@ -91,6 +110,8 @@
         bool
             Whether it was new.
         """
+        if not suspicion.fingerprint:
+            return False
         if suspicion.cleared:
             return self._clear(suspicion.fingerprint, suspicion.crashed_at_unix_ms)
         fingerprint = suspicion.fingerprint
@@ -147,6 +168,34 @@
         """
         return [c for c in self._crashes.values() if fingerprint in c.suspects]
 
+    def to_suspicions(self, min_crashes: int = 1) -> list[CrashSuspicion]:
+        """Return the evidence of crashes as messages.
+
+        Parameters
+        ----------
+        min_crashes : int, optional
+            Requests that are suspected of fewer crashes are left out.
+
+        Returns
+        -------
+        list of CrashSuspicion
+            One for each crash and suspected request.
+        """
+        counts = Counter(f for crash in self._crashes.values() for f in crash.suspects)
+        return [
+            CrashSuspicion(
+                fingerprint=fingerprint,
+                group_id=crash.crash_id.group_id,
+                epoch=crash.crash_id.epoch,
+                crashed_at_unix_ms=crash.at_unix_ms,
+                fabric_domain=crash.fabric_domain,
+                ran_ms=ran_ms,
+            )
+            for crash in self._crashes.values()
+            for fingerprint, ran_ms in crash.suspects.items()
+            if counts[fingerprint] >= min_crashes
+        ]
+
     def banned_until_unix_ms(self, fingerprint: int, now_unix_ms: int) -> int:
         """Return the end of a request's ban.
 
--- a/chestnutvale/attempts/suspicion_aggregator.py
+++ b/chestnutvale/attempts/suspicion_aggregator.py
@@ -1,21 +1,27 @@
 """Merges the entries' evidence about crashing requests in the control plane."""
 
-from chestnutvale.attempts.const import EVIDENCE_REPEAT_MS
-from chestnutvale.attempts.crash_evidence import CrashEvidence
+from collections import deque
+
+from chestnutvale.attempts.const import EVIDENCE_REPEAT_MS, MAX_REPEATED_PIECES
+from chestnutvale.attempts.crash_evidence import CrashEvidence, limit_time
+from chestnutvale.attempts.part_evidence import PartEvidence
 from chestnutvale.schema.peer_pb2 import CrashSuspicion
 
 
 class SuspicionAggregator:
     """Merges the evidence of all entries and distributes it to each of them.
 
-    The evidence is not replicated. Every control process merges every report and
-    entries repeat recent evidence, so a new leader soon has it too.
+    The evidence is not replicated. Every control process merges every report. Entries
+    repeat recent evidence, and that of their bans to a new leader, which soon has both.
     """
 
     def __init__(self) -> None:
         self.evidence = CrashEvidence()
+        self.parts = PartEvidence()
         # Arrival time in Unix milliseconds and evidence, newest last.
-        self._recent: list[tuple[int, CrashSuspicion]] = []
+        self._recent: deque[tuple[int, CrashSuspicion]] = deque(
+            maxlen=MAX_REPEATED_PIECES
+        )
 
     def merge(self, suspicions: list[CrashSuspicion], now_unix_ms: int) -> bool:
         """Merge the evidence of a report.
@@ -32,7 +38,7 @@
         bool
             Whether any of it was new, so that a view should be pushed to the entries.
         """
-        new = [suspicion for suspicion in suspicions if self.evidence.add(suspicion)]
+        new = [piece for piece in suspicions if self._add(piece, now_unix_ms)]
         self._recent.extend((now_unix_ms, suspicion) for suspicion in new)
         self._forget_old(now_unix_ms)
         return bool(new)
@@ -73,21 +79,21 @@
             )
             for fingerprint, at_unix_ms in self.evidence.cleared().items()
         ]
-        suspected = [
-            CrashSuspicion(
-                fingerprint=fingerprint,
-                group_id=crash.crash_id.group_id,
-                epoch=crash.crash_id.epoch,
-                crashed_at_unix_ms=crash.at_unix_ms,
-                fabric_domain=crash.fabric_domain,
-                ran_ms=ran_ms,
-            )
-            for crash in self.evidence.crashes()
-            for fingerprint, ran_ms in crash.suspects.items()
+        return [
+            *cleared,
+            *self.parts.to_clears(),
+            *self.evidence.to_suspicions(),
+            *self.parts.to_suspicions(),
         ]
-        return cleared + suspected
+
+    def _add(self, suspicion: CrashSuspicion, now_unix_ms: int) -> bool:
+        limit_time(suspicion, now_unix_ms)
+        is_new = self.evidence.add(suspicion)
+        return self.parts.add(suspicion) or is_new
 
     def _forget_old(self, now_unix_ms: int) -> None:
         self.evidence.expire(now_unix_ms)
+        self.parts.expire(now_unix_ms)
         oldest = now_unix_ms - EVIDENCE_REPEAT_MS
-        self._recent = [piece for piece in self._recent if piece[0] > oldest]
+        while self._recent and self._recent[0][0] <= oldest:
+            self._recent.popleft()
--- /dev/null
+++ b/chestnutvale/http_client/exceptions.py
@@ -0,0 +1,15 @@
+"""Errors of the HTTP client."""
+
+from chestnutvale.exceptions import ChestnutError
+
+
+class AnswerFormatError(ChestnutError):
+    """Received bytes are no valid HTTP answer, or the answer is incomplete."""
+
+    code = "invalid_answer"
+
+
+class BodyTooLargeError(AnswerFormatError):
+    """The body of an answer is larger than its reader allows."""
+
+    code = "answer_too_large"
--- a/tests/attempts/test_sse.py
+++ b/tests/attempts/test_sse.py
@@ -1,9 +1,12 @@
 """Tests of splitting event streams at arbitrary chunk boundaries."""
 
+import time
+
 import pytest
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
 
+from chestnutvale.attempts.const import MAX_EVENT_BYTES
 from chestnutvale.attempts.exceptions import StreamFormatError
 from chestnutvale.attempts.sse import EventSplitter, NumberedEventSplitter
 
@@ -103,3 +106,28 @@
     data = b"chestnut-versions: 2\n" + numbered(1)
     (event,) = NumberedEventSplitter("a").feed(data)
     assert (event.next, event.data) == (1, data)
+
+
+@pytest.mark.parametrize("splitter", [EventSplitter(), NumberedEventSplitter("a")])
+def test_event_without_end_is_refused_without_scanning_it_again(splitter):
+    piece = b"data: xxxxxxxx\n"
+    started_s = time.process_time()
+    with pytest.raises(StreamFormatError):
+        for _ in range(MAX_EVENT_BYTES // len(piece) + 1):
+            assert splitter.feed(piece) == []
+    assert time.process_time() - started_s < 0.5
+
+
+@pytest.mark.parametrize("comment", [b":\n\n", b"\n\n", b": x\n"])
+def test_comments_without_end_are_refused(comment):
+    splitter = EventSplitter(max_event_bytes=100)
+    with pytest.raises(StreamFormatError):
+        for _ in range(100):
+            splitter.feed(comment)
+
+
+def test_comments_between_events_are_not_added_up():
+    splitter = EventSplitter(max_event_bytes=100)
+    for number in range(20):
+        data = b": " + b"x" * 60 + b"\n\n" + b"id: a:%d:%d\ndata: {}\n\n"
+        assert len(splitter.feed(data % (number, number + 1))) == 1
--- a/tests/http_server/test_timeouts.py
+++ b/tests/http_server/test_timeouts.py
@@ -114,6 +114,16 @@
     assert server.http.refused["head_too_slow"] == 1
 
 
+def test_head_that_arrived_in_time_is_answered_though_it_is_read_late(server):
+    client = server.connect()
+    client.sendall(REQUEST[:10])
+    # The hub is left in its I/O phase, after which it looks at its timers first.
+    exchange(server.connect())
+    client.sendall(REQUEST[10:])
+    time.sleep(0.4)
+    assert b"200 OK" in client.recv(4_096)
+
+
 def test_pipelined_requests_are_all_answered(server):
     client = server.connect()
     client.sendall(REQUEST * 3)
@@ -148,6 +158,15 @@
     assert stopping.wait() == 0
 
 
+def test_answer_that_starts_after_the_drain_began_tells_to_close(server):
+    client = server.connect()
+    client.sendall(REQUEST.replace(b"/ ", b"/wait "))
+    eventlet.sleep(0.05)
+    server.http.begin_drain()
+    server.resume.send()
+    assert b"connection: close" in read_all(client).lower()
+
+
 def test_request_whose_head_is_arriving_at_the_stop_is_answered(server):
     server.timeouts = ConnectionTimeouts(idle_s=5.0, head_s=2.0)
     client = server.connect()
--- a/tests/programs/entry/test_control_link.py
+++ b/tests/programs/entry/test_control_link.py
@@ -19,7 +19,7 @@
 from chestnutvale.programs.entry.running_attempts import RunningAttempts
 from chestnutvale.routing.stall_detection import StallDetector
 from chestnutvale.schema.membership_pb2 import Announcement
-from chestnutvale.schema.peer_pb2 import ControlView, Envelope
+from chestnutvale.schema.peer_pb2 import ControlView, CrashSuspicion, Envelope
 from chestnutvale.schema.settings_pb2 import EntrySettings
 from tests.programs.entry.test_group_router import ManualClock
 
@@ -48,12 +48,13 @@
     rng = random.Random(1)
     collector = AnnouncementCollector()
     running, stall_detector = RunningAttempts(), StallDetector()
+    suspicions = SuspicionTracker(ban_after=1)
     link = ControlLink(
         settings,
         transport,
         EntryView(),
         collector,
-        SuspicionTracker(),
+        suspicions,
         CacheEventQueue(),
         DemandExchange(AdmissionController(rng)),
         clock,
@@ -68,6 +69,7 @@
         collector=collector,
         running=running,
         stall_detector=stall_detector,
+        suspicions=suspicions,
     )
 
 
@@ -166,3 +168,39 @@
         is_stalled = entry.transport.reports[-1].running[0].stalled
     task.kill()
     assert is_stalled is not has_arrived
+
+
+def make_suspicion(entry):
+    return CrashSuspicion(
+        fingerprint=1, group_id="g", crashed_at_unix_ms=entry.clock.unix_ms()
+    )
+
+
+def test_evidence_from_a_follower_is_merged(entry):
+    entry.link._report_once()
+    view = ControlView(suspicions=[make_suspicion(entry)])
+    envelope = Envelope(sender_id="control-2", control_view=view)
+    entry.transport.handlers["control_view"](envelope)
+    assert len(entry.suspicions.evidence.crashes_of(1)) == 1
+
+
+def test_new_leader_gets_the_evidence_of_older_bans(entry):
+    entry.link._report_once()
+    answer_last_report(entry, CONTROL, term=1)
+    entry.suspicions.merge([make_suspicion(entry)], entry.clock.unix_ms())
+    entry.clock.time_s += 60.0
+    entry.link._report_once()
+    assert not entry.transport.reports[-1].suspicions
+    answer_last_report(entry, "control-2", term=2)
+    entry.link._report_once()
+    assert [s.fingerprint for s in entry.transport.reports[-1].suspicions] == [1]
+
+
+def test_entry_that_lost_its_lease_asks_for_a_whole_view(entry):
+    entry.link._report_once()
+    answer_last_report(entry, CONTROL, term=1)
+    entry.link._report_once()
+    assert entry.transport.reports[-1].view_source == CONTROL
+    entry.clock.time_s += 3.0
+    entry.link._report_once()
+    assert entry.transport.reports[-1].view_source == ""
