Let an outcome be recorded when the deadline comes meanwhile

A call with a key whose deadline passed while its outcome was committed to the ledger, which may take a second, blocked its entry for good: no caller of the entry was answered any more.

Cause: the caller's greenlet asked the call again and again for its end, which had been decided already, and never let the commit go on.

It now asks once and then waits for the answer, which the greenlet of the call always delivers.

Evidence: the test, whose clock fails in a loop without end, fails on the code before and passes; the answer is the one of the endpoint. Routed calls have no keys and never came here.

--- a/chestnutvale/programs/entry/service_run.py
+++ b/chestnutvale/programs/entry/service_run.py
@@ -214,6 +214,8 @@
     def wait_for_answer(self) -> Reply | Failure:
         """Wait until the call is answered or its deadline has passed.
 
+        An outcome that is being recorded then is awaited.
+
         Returns
         -------
         Reply or Failure
@@ -223,8 +225,9 @@
             remaining_s = self._call_request.deadline_s - self._context.clock.now_s()
             if remaining_s <= 0.0:
                 self._handle_without_blocking(Tick())
-            else:
-                self.answer_event.wait(timeout=remaining_s)
+                break
+            self.answer_event.wait(timeout=remaining_s)
+        # If the outcome is being recorded at the deadline, `run` delivers the answer.
         return self.answer_event.wait()
 
     def handle_caller_disconnected(self) -> None:
--- a/tests/programs/entry/test_service_calls.py
+++ b/tests/programs/entry/test_service_calls.py
@@ -7,6 +7,7 @@
 import pytest
 
 from chestnutvale.attempts.const import OUTCOME_NOT_RUN, OUTCOME_UNKNOWN
+from chestnutvale.clock import SystemClock
 from chestnutvale.programs.entry.exceptions import (
     CommitRefusedError,
     CommitUnknownError,
@@ -117,6 +118,31 @@
     assert service.runs == {"key-1": 1}
 
 
+class BoundedClock(SystemClock):
+    """A clock that fails in a loop that never yields."""
+
+    reads_left = 10_000
+
+    def now_s(self):
+        self.reads_left -= 1
+        assert self.reads_left > 0
+        return super().now_s()
+
+
+def test_deadline_while_the_outcome_is_recorded_does_not_block_the_entry(entries):
+    def commit_slowly(log, command):
+        eventlet.sleep(0.4)
+        return log.apply(command)
+
+    context = entries[0].context
+    context.clock = BoundedClock()
+    context.log.faults.extend([None, commit_slowly])
+    status, _, answer = post(
+        entries[0].address, POSTINGS, b"10", X_Deadline_Ms="200", **KEY
+    )
+    assert (status, answer) == (201, b"done10")
+
+
 def test_answer_is_recorded_after_caller_disconnects(entries, service):
     service.pause_s = 0.2
     sock = open_post(entries[0].address, POSTINGS, b"10", **KEY)
