Skip an empty line before a request

A caller that ended a body with an additional line break lost its connection, and got no answer to the request that it sent next.

Cause: the line break was taken for the beginning of a request, and an empty request line ends the connection.

One empty line is now skipped while a request is awaited (RFC 9112, section 2.2); the idle timeout goes on.

Evidence: the first new test fails on the code before, with a closed connection.

--- a/chestnutvale/http_server/protocol.py
+++ b/chestnutvale/http_server/protocol.py
@@ -242,6 +242,7 @@
     def _wait_for_request(self) -> bool:
         """Return whether bytes of a request have arrived before the idle timeout."""
         idle_since_s = self._clock.now_s()
+        has_skipped_line = False
         while not self.rfile.closed:
             idle_until_s = idle_since_s + self._read_timeouts().idle_s
             remaining_s = idle_until_s - self._clock.now_s()
@@ -249,7 +250,11 @@
                 return self._has_unread_bytes()
             # The timeout may have been raised meanwhile, so it is read again.
             with self._idle.waiting(), eventlet.Timeout(remaining_s, False):
-                return self._wait_for_bytes()
+                if not self._wait_for_bytes():
+                    return False
+                if has_skipped_line or not self._skip_empty_line():
+                    return True
+                has_skipped_line = True
         return False
 
     def _wait_for_bytes(self) -> bool:
@@ -257,6 +262,13 @@
             return bool(self.rfile.peek(1))
         return False
 
+    def _skip_empty_line(self) -> bool:
+        # Some clients send one after a body (RFC 9112, section 2.2).
+        if not self.rfile.peek(1).startswith(b"\r\n"):
+            return False
+        self.rfile.read(2)
+        return True
+
     def _has_unread_bytes(self) -> bool:
         with contextlib.suppress(OSError):
             return bool(
--- a/tests/http_server/test_timeouts.py
+++ b/tests/http_server/test_timeouts.py
@@ -124,6 +124,23 @@
     assert b"200 OK" in client.recv(4_096)
 
 
+def test_empty_line_before_a_request_does_not_end_the_connection(server):
+    client = server.connect()
+    assert b"200 OK" in exchange(client, REQUEST + b"\r\n")
+    eventlet.sleep(0.1)
+    assert b"200 OK" in exchange(client)
+    assert b"200 OK" in exchange(client, b"\r\n" + REQUEST)
+
+
+def test_endless_empty_lines_end_the_connection(server):
+    client = server.connect()
+    with pytest.raises(OSError):
+        while True:
+            client.sendall(b"\r\n")
+            eventlet.sleep(0.02)
+    assert server.calls == 0
+
+
 def test_pipelined_requests_are_all_answered(server):
     client = server.connect()
     client.sendall(REQUEST * 3)
