Take a stall for a lost member only after it outlasts a pause

What callers see: an endpoint of a pool that pauses for 1 to 1.75 s with its streams and its announcements may lose its group; the controls remove it and the entries abort all answers there.

Cause: a member of a stalled group was missing after 0.65 of the detection timeout without an announcement. A stall is reported after 0.4 s, so at an announcement each 1.2 s a pause of 0.75 s could be enough.

Change: the leader passes a stall on to the membership once the group has had no event for 2 s. Routing and the entries get it as early as before.

--- a/chestnutvale/membership/table.py
+++ b/chestnutvale/membership/table.py
@@ -396,7 +396,7 @@
         return now_s < self._responsive_until_s.get(group_id, -math.inf)
 
     def set_stalled_groups(self, group_ids: frozenset[str]) -> None:
-        """Set the groups that produce no events although streams run there.
+        """Set the groups that have produced no events for longer than a pause.
 
         Parameters
         ----------
--- a/chestnutvale/programs/control/entry_report_handler.py
+++ b/chestnutvale/programs/control/entry_report_handler.py
@@ -273,7 +273,7 @@
             self._stalls.active_groups(now_s), now_s + RESPONSIVE_TTL_S
         )
         all_stalled = self._stalls.stalled_groups(now_s)
-        self._table.set_stalled_groups(all_stalled)
+        self._table.set_stalled_groups(self._stalls.confirmed_stalls(now_s))
         if is_new:
             groups = sorted(all_stalled)
             _LOGGER.info("stalled_groups", extra={"groups": groups, "by": entry_id})
--- a/chestnutvale/routing/const.py
+++ b/chestnutvale/routing/const.py
@@ -43,6 +43,9 @@
 # Time for which a stalled group gets no new requests. The failure detector finds lost
 # hosts within this time.
 STALL_HOLD_S: Final = 3.0
+# Time without an event after which a stall is evidence of a lost member. It is longer
+# than the pauses of sound endpoints.
+STALL_CONFIRMATION_S: Final = 2.0
 # Age of an event up to which it proves that its group works: two report intervals of an
 # entry plus the network delay of one report.
 MAX_EVENT_AGE_S: Final = 1.2
--- a/chestnutvale/routing/stall_detection.py
+++ b/chestnutvale/routing/stall_detection.py
@@ -7,6 +7,7 @@
 
 from chestnutvale.routing.const import (
     MAX_EVENT_AGE_S,
+    STALL_CONFIRMATION_S,
     STALL_FIRST_EVENT_S,
     STALL_GAP_S,
     STALL_HOLD_S,
@@ -166,6 +167,14 @@
         return -math.inf if self.is_unheard else self.received_s - self.silence_s
 
 
+@attrs.define
+class _Stall:
+    """A stalled group; it is without events since `since_s`."""
+
+    since_s: float
+    until_s: float
+
+
 @attrs.define
 class StallAggregator:
     """Merges the entries' observations of groups at the leader of the control plane.
@@ -182,7 +191,7 @@
 
     hold_s: float = STALL_HOLD_S
     _reports: dict[str, dict[str, _EntryReport]] = attrs.field(factory=dict)
-    _stalled_until_s: dict[str, float] = attrs.field(factory=dict)
+    _stalls: dict[str, _Stall] = attrs.field(factory=dict)
 
     def record_report(
         self,
@@ -235,12 +244,31 @@
         frozenset of str
             Group ids.
         """
-        self._stalled_until_s = {
-            group_id: until_s
-            for group_id, until_s in self._stalled_until_s.items()
-            if until_s > now_s
+        self._stalls = {
+            group_id: stall
+            for group_id, stall in self._stalls.items()
+            if stall.until_s > now_s
         }
-        return frozenset(self._stalled_until_s)
+        return frozenset(self._stalls)
+
+    def confirmed_stalls(self, now_s: float) -> frozenset[str]:
+        """Return the groups that have been stalled for longer than a pause.
+
+        Parameters
+        ----------
+        now_s : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        frozenset of str
+            Group ids.
+        """
+        return frozenset(
+            group_id
+            for group_id in self.stalled_groups(now_s)
+            if now_s - self._stalls[group_id].since_s >= STALL_CONFIRMATION_S
+        )
 
     def active_groups(self, now_s: float) -> frozenset[str]:
         """Return the groups that recently sent events and are not stalled.
@@ -258,7 +286,7 @@
         return frozenset(
             group_id
             for group_id, reports in self._reports.items()
-            if group_id not in self._stalled_until_s
+            if group_id not in self._stalls
             and any(
                 now_s - report.event_s <= MAX_EVENT_AGE_S
                 for report in reports.values()
@@ -282,7 +310,7 @@
                 report.received_s - report.event_s < STALL_GAP_S
                 for report in fresh.values()
             ):
-                self._stalled_until_s.pop(group_id, None)
+                self._stalls.pop(group_id, None)
             return
         since_s = max(
             report.received_s - report.silence_s for report in stalled_reports
@@ -293,6 +321,7 @@
             if not report.is_stalled
         )
         if is_heard:
-            self._stalled_until_s.pop(group_id, None)
-        else:
-            self._stalled_until_s[group_id] = now_s + self.hold_s
+            self._stalls.pop(group_id, None)
+            return
+        stall = self._stalls.setdefault(group_id, _Stall(since_s, now_s))
+        stall.until_s = now_s + self.hold_s
