Return to the silent group that a call left if the next one refuses

What callers saw: a stream whose endpoint paused was moved, the next endpoint refused it, and the answer was cut, although the first endpoint would have gone on. Routes usually allow two attempts, and all streams of a paused group move at the same moment, so that a full endpoint is likely.

Cause: a group that was left for its silence counted as used up, like one that broke.

Change: ModelCall remembers the groups that it left while they were silent. After a refusal or a break they may be chosen again; if no attempt is left, the next group must be one of them (ChooseGroup.allowed). The call is sent to no further endpoint, and the return uses the retry budget like any retry.

--- a/chestnutvale/attempts/events.py
+++ b/chestnutvale/attempts/events.py
@@ -154,10 +154,13 @@
         Groups that must not be chosen.
     version : str
         Version of the model that the group must serve; empty allows any.
+    allowed : frozenset of str
+        Groups of which one must be chosen; empty allows any.
     """
 
     excluded: frozenset[str]
     version: str
+    allowed: frozenset[str] = frozenset()
 
 
 @attrs.frozen
--- a/chestnutvale/attempts/model_call.py
+++ b/chestnutvale/attempts/model_call.py
@@ -123,6 +123,8 @@
         self._group_id = ""
         self._version = ""
         self._excluded: set[str] = set()
+        # Groups that were left while they were silent, and may have gone on since.
+        self._silent_groups: set[str] = set()
         self._outcome = OUTCOME_NOT_RUN
         # Time of the next event of the attempt, after which it counts as silent.
         self._idle_deadline_s = deadline_s
@@ -329,12 +331,22 @@
         now_s: float,
         retry_after_s: float,
     ) -> list[CallEffect]:
-        if not self._has_attempts_left:
+        self._excluded -= self._silent_groups
+        if not (self._has_attempts_left or self._silent_groups):
             return self._fail(CODE_ATTEMPTS, reason, retry_after_s=retry_after_s)
         if not budget.try_retry():
             return self._fail(CODE_RETRY_BUDGET, reason, retry_after_s=retry_after_s)
+        if not self._has_attempts_left:
+            return self._return_to_silent_group(now_s)
         return self._choose(now_s)
 
+    def _return_to_silent_group(self, now_s: float) -> list[CallEffect]:
+        """Choose a group that was left; the call is sent to no further endpoint."""
+        if now_s >= self.deadline_s:
+            return self._fail_deadline()
+        groups, self._silent_groups = frozenset(self._silent_groups), set()
+        return [ChooseGroup(frozenset(), self._version, groups)]
+
     def _on_caller_disconnected(
         self, event: CallerDisconnected, now_s: float
     ) -> list[CallEffect]:
@@ -348,7 +360,7 @@
     def _on_group_stalled(self, event: GroupStalled, now_s: float) -> list[CallEffect]:
         if not self._attempt_id or self._find_obstacle():
             return []
-        return self._break_attempt(REASON_STALLED, now_s)
+        return self._leave_group(REASON_STALLED, now_s)
 
     def _on_tick(self, event: Tick, now_s: float) -> list[CallEffect]:
         if now_s >= self.deadline_s:
@@ -361,11 +373,17 @@
         """Continue at another group if the call can, else keep the attempt."""
         obstacle = self._find_obstacle()
         if not obstacle:
-            return self._break_attempt(REASON_SILENT, now_s)
+            return self._leave_group(REASON_SILENT, now_s)
         self.kept_because = self.kept_because or obstacle
         self._idle_deadline_s = now_s + self._event_timeout_s
         return []
 
+    def _leave_group(self, reason: str, now_s: float) -> list[CallEffect]:
+        group_id = self._group_id
+        effects = self._break_attempt(reason, now_s)
+        self._silent_groups.add(group_id)
+        return effects
+
     def _find_obstacle(self) -> str:
         """Return the code of why the call can't continue at another group now."""
         if not (self._limits.is_resumable and self.answer.can_resume):
--- a/chestnutvale/programs/entry/group_chooser.py
+++ b/chestnutvale/programs/entry/group_chooser.py
@@ -100,16 +100,19 @@
             verdict = context.suspicions.judge(
                 self._fingerprint, groups, now_unix_ms, self._part_hashes_to_judge
             )
+            excluded = effect.excluded
+            if effect.allowed:
+                excluded |= set(groups) - effect.allowed
             if isinstance(verdict, Clear):
-                return self._choose_from(effect.excluded, effect.version)
+                return self._choose_from(excluded, effect.version)
             if isinstance(verdict, Banned):
                 return CallBanned(
                     (verdict.until_unix_ms - now_unix_ms) / 1_000, verdict.part_hashes
                 )
             wait_s = (verdict.not_before_unix_ms - now_unix_ms) / 1_000
             if wait_s <= 0.0:
-                excluded_groups = effect.excluded | (set(groups) - {verdict.group_id})
-                return self._choose_from(frozenset(excluded_groups), effect.version)
+                excluded |= set(groups) - {verdict.group_id}
+                return self._choose_from(excluded, effect.version)
             remaining_s = self._request.deadline_s - context.clock.now_s()
             if remaining_s <= 0.0 or self._wait(min(wait_s, remaining_s)):
                 return Tick()
--- a/tests/programs/entry/routed/test_streams.py
+++ b/tests/programs/entry/routed/test_streams.py
@@ -190,6 +190,21 @@
     assert (body, is_complete) == (COMPLETE_STREAM, True)
 
 
+def test_refused_call_returns_to_the_silent_endpoint_that_it_left(
+    endpoint, other_endpoint
+):
+    endpoint.steps = [pause_before(4)]
+    endpoint.default = stream()
+    other_endpoint.default = (
+        b"HTTP/1.1 503 Busy\r\nX-Call: c1\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+    )
+    with routed_entry(endpoint, other_endpoint) as entry:
+        _, _, body, is_complete = call(entry.address, "/gen/x", b"p", X_Model="m")
+    assert (body, is_complete) == (COMPLETE_STREAM, True)
+    assert (len(endpoint.requests), len(other_endpoint.requests)) == (2, 1)
+    assert endpoint.header("x-last") == "3"
+
+
 def test_caller_resumes_after_its_last_event(endpoint):
     endpoint.default = stream()
     with routed_entry(endpoint) as entry:
