Keep a silent attempt if the request is suspected of crashing groups

What callers saw: a call left its silent endpoint, and the answer was then cut with `crashing_request`, although the endpoint would have gone on. Any sound request that was beside a crash may be suspected for a while.

Cause: ModelCall asked only the router whether another group could take the call; the chooser asks the evidence of crashes first.

Change: GroupChooser.has_alternative asks the evidence as `choose` does, then the router. The run sets it as the finder of its ModelCall, in place of a parameter of the constructor.

The test that passed the finder to the constructor now sets the attribute; its checks are unchanged.

--- a/chestnutvale/attempts/model_call.py
+++ b/chestnutvale/attempts/model_call.py
@@ -81,9 +81,6 @@
         Limits on its attempts.
     answer : AnswerStream, optional
         Assembler of the answer; by default one that starts at the first token.
-    has_alternative : callable, optional
-        Tells whether a group outside a set, with a version, can take the call now; by
-        default there always is one.
 
     Attributes
     ----------
@@ -93,6 +90,9 @@
         Number of attempts started.
     deadline_s : float
         Monotonic time in seconds at which the call ends.
+    has_alternative : callable
+        Tells whether a group outside a set, with a version, can take the call now; by
+        default there always is one.
     is_finished : bool
         Whether `Finish` was returned.
     kept_because : str
@@ -107,15 +107,14 @@
         budgets: AttemptBudgets,
         limits: CallLimits = DEFAULT_LIMITS,
         answer: AnswerStream | None = None,
-        has_alternative: AlternativeFinder = _assume_alternative,
     ) -> None:
         self.answer = answer or AnswerStream()
         self.attempts = 0
         self.deadline_s = deadline_s
+        self.has_alternative: AlternativeFinder = _assume_alternative
         self.is_finished = False
         self.kept_because = ""
         self._request_id = request_id
-        self._has_alternative = has_alternative
         self._budgets = budgets
         self._limits = limits
         self._unreachable = 0
@@ -393,7 +392,7 @@
         if not self._budgets.reroutes.has_retry:
             return CODE_RETRY_BUDGET
         excluded = frozenset(self._excluded | {self._group_id})
-        if not self._has_alternative(excluded, self._version):
+        if not self.has_alternative(excluded, self._version):
             return CODE_NONE_AVAILABLE
         return ""
 
--- a/chestnutvale/programs/entry/group_chooser.py
+++ b/chestnutvale/programs/entry/group_chooser.py
@@ -117,6 +117,32 @@
             if remaining_s <= 0.0 or self._wait(min(wait_s, remaining_s)):
                 return Tick()
 
+    def has_alternative(self, excluded: frozenset[str], version: str) -> bool:
+        """Tell whether `choose` would find another group that can take the call now.
+
+        Parameters
+        ----------
+        excluded : frozenset of str
+            Groups that must not be chosen.
+        version : str
+            Version that the group must serve; empty allows any.
+
+        Returns
+        -------
+        bool
+            False also if the request is suspected of crashing groups.
+        """
+        context = self._context
+        verdict = context.suspicions.judge(
+            self._fingerprint,
+            context.serving_groups(self._request.service, version),
+            context.clock.unix_ms(),
+            self._part_hashes_to_judge,
+        )
+        if not isinstance(verdict, Clear):
+            return False
+        return context.has_alternative(self._request, excluded, version)
+
     def attempt_started(self, attempt_id: str) -> None:
         """Record that the chosen group runs an attempt.
 
--- a/chestnutvale/programs/entry/model_calls.py
+++ b/chestnutvale/programs/entry/model_calls.py
@@ -3,7 +3,6 @@
 import contextlib
 from collections import deque
 from collections.abc import Callable, Iterable, Iterator
-from functools import partial
 from typing import Any, Protocol
 
 import logbook
@@ -168,12 +167,7 @@
             return _respond_with_problem(
                 self._context, error.failure, request_id, start_response
             )
-        call = ModelCall(
-            request_id,
-            request.deadline_s,
-            self._context.budgets,
-            has_alternative=partial(self._context.has_alternative, request),
-        )
+        call = ModelCall(request_id, request.deadline_s, self._context.budgets)
         attempts = _GenerationAttempts(generation, request)
         run = ModelCallRun(
             self._context,
@@ -267,6 +261,7 @@
         self._chooser = GroupChooser(
             context, request, fingerprint, self._watch.wait, part_hashes
         )
+        call.has_alternative = self._chooser.has_alternative
         self._tick_timer = TickTimer(context.clock, self._tick)
         self._is_waiting = False
         self._interrupt_effects: list[CallEffect] = []
--- a/chestnutvale/programs/entry/routed/handler.py
+++ b/chestnutvale/programs/entry/routed/handler.py
@@ -3,7 +3,6 @@
 import contextlib
 import math
 from collections.abc import Callable, Iterable, Iterator
-from functools import partial
 from http import HTTPStatus
 from typing import Any
 
@@ -270,7 +269,6 @@
             self._context.budgets,
             _make_call_limits(call.route),
             answer,
-            partial(self._context.has_alternative, call.call_request),
         )
         run = ModelCallRun(
             self._context,
--- a/tests/attempts/test_model_call.py
+++ b/tests/attempts/test_model_call.py
@@ -302,12 +302,8 @@
 
 def test_silent_call_waits_for_a_sound_group_and_then_moves():
     sound_groups = {"g1"}
-    call = ModelCall(
-        "r",
-        DEADLINE_S,
-        AttemptBudgets(),
-        has_alternative=lambda excluded, version: bool(sound_groups - excluded),
-    )
+    call = ModelCall("r", DEADLINE_S, AttemptBudgets())
+    call.has_alternative = lambda excluded, version: bool(sound_groups - excluded)
     start(call)
     assert call.handle(Tick(), STREAM_IDLE_TIMEOUT_S) == []
     assert call.kept_because == "no_group_available"
