Give connections that are new at a stop time for their request

Callers that had just connected to an entry when it stopped lost their connection while their request was on its way.

Cause: a stop closed every connection without unread bytes, also those on which no request had arrived yet.

Such a connection may now send its first request for 0.1 s, and the stop waits for it.

Evidence: the new test fails on the code before.

--- a/chestnutvale/http_server/const.py
+++ b/chestnutvale/http_server/const.py
@@ -20,6 +20,9 @@
 
 # Interval between checks for unread bytes of a head whose time has passed.
 HEAD_RECHECK_INTERVAL_S: Final = 0.01
+# Time for which a connection that is new when the server stops may send a request: a
+# few times the latency to clients of the region.
+FIRST_REQUEST_GRACE_S: Final = 0.1
 STOP_POLL_INTERVAL_S: Final = 0.01
 
 ENVIRON_CLOSE_CONNECTION: Final = "chestnutvale.close_connection"
--- a/chestnutvale/http_server/protocol.py
+++ b/chestnutvale/http_server/protocol.py
@@ -14,6 +14,7 @@
 from chestnutvale.http_server.body import BoundedLineReader
 from chestnutvale.http_server.const import (
     ENVIRON_CLOSE_CONNECTION,
+    FIRST_REQUEST_GRACE_S,
     HEAD_RECHECK_INTERVAL_S,
     LINGER_READ_BYTES,
     LINGER_TIMEOUT_S,
@@ -193,6 +194,7 @@
         self._receiving = receiving
         self._head_timer: Any = None
         self._linger_before_close = False
+        self._has_served_request = False
         # Serves the connection until it closes.
         super().__init__(conn_state, server)
 
@@ -246,7 +248,9 @@
         while not self.rfile.closed:
             idle_until_s = idle_since_s + self._read_timeouts().idle_s
             remaining_s = idle_until_s - self._clock.now_s()
-            if remaining_s <= 0 or self._idle.is_closing:
+            if self._idle.is_closing:
+                return self._has_unread_bytes() or self._wait_for_first_request()
+            if remaining_s <= 0:
                 return self._has_unread_bytes()
             # The timeout may have been raised meanwhile, so it is read again.
             with self._idle.waiting(), eventlet.Timeout(remaining_s, False):
@@ -257,6 +261,18 @@
                 has_skipped_line = True
         return False
 
+    def _wait_for_first_request(self) -> bool:
+        """Return whether a client that has just connected sends a request at a stop."""
+        if self._has_served_request:
+            return False
+        self._receiving.add(self)
+        try:
+            with eventlet.Timeout(FIRST_REQUEST_GRACE_S, False):
+                return self._wait_for_bytes()
+        finally:
+            self._receiving.discard(self)
+        return False
+
     def _wait_for_bytes(self) -> bool:
         with contextlib.suppress(OSError):
             return bool(self.rfile.peek(1))
@@ -316,6 +332,7 @@
             closes the connection after the answer.
         """
         self._end_receiving()
+        self._has_served_request = True
         self.connection.settimeout(self.server.socket_timeout)
         environ = super().get_environ()
         source = environ["eventlet.input"]
--- a/tests/http_server/test_timeouts.py
+++ b/tests/http_server/test_timeouts.py
@@ -194,6 +194,17 @@
     assert b"200 OK" in client.recv(4_096)
 
 
+def test_first_request_on_a_connection_that_is_new_at_the_stop_is_answered(server):
+    server.timeouts = ConnectionTimeouts(idle_s=5.0, head_s=2.0)
+    client = server.connect()
+    eventlet.sleep(0.02)
+    stopping = eventlet.spawn(server.http.stop, time.monotonic() + 2.0)
+    eventlet.sleep(0.02)
+    client.sendall(REQUEST)
+    assert b"200 OK" in read_all(client)
+    assert stopping.wait() == 0
+
+
 def test_request_whose_head_is_arriving_at_the_stop_is_answered(server):
     server.timeouts = ConnectionTimeouts(idle_s=5.0, head_s=2.0)
     client = server.connect()
