Keep bans of prompt parts while the clock has stepped back

After the wall clock of an entry stepped back, crashes recorded before lay in its future and didn't count as settled, so the next piece of evidence ended all bans of prompt parts there until the clock had caught up.

Crashes in the future count as settled.

Test: test_ban_holds_while_the_clock_has_stepped_back, which failed before.

--- a/chestnutvale/attempts/part_evidence.py
+++ b/chestnutvale/attempts/part_evidence.py
@@ -352,7 +352,8 @@
         settled: dict[CrashId, int] = {}
         unsettled: list[int] = []
         for crash_id, at_unix_ms in self._crashed_at_unix_ms.items():
-            if at_unix_ms <= settled_unix_ms:
+            # A crash in the future was recorded before the clock stepped back.
+            if at_unix_ms <= settled_unix_ms or at_unix_ms > now_unix_ms:
                 settled[crash_id] = at_unix_ms
             else:
                 unsettled.append(at_unix_ms)
--- a/tests/attempts/test_crash_parts.py
+++ b/tests/attempts/test_crash_parts.py
@@ -463,3 +463,10 @@
     ban_part(tracker, 1)
     tracker.answer_completed("s.1", SETTLED)
     assert is_banned(tracker, SETTLED, 1)
+
+
+def test_ban_holds_while_the_clock_has_stepped_back(tracker):
+    ban_part(tracker, 1)
+    stepped_unix_ms = SETTLED - 10_000
+    crash(tracker, stepped_unix_ms, "g8", 2)
+    assert is_banned(tracker, stepped_unix_ms + 200, 1)
