Keep evidence of banned prompt parts at the control through other crashes

A control keeps 256 crashes. It dropped the oldest one although a ban rested on it, since only entries look for bans, so that an entry that came later did not learn of the ban. Crashes of bans are now found when one has to be dropped.

Test: test_flood_of_other_crashes_does_not_end_a_ban now also feeds a control, which failed before.

--- a/chestnutvale/attempts/part_bans.py
+++ b/chestnutvale/attempts/part_bans.py
@@ -140,11 +140,13 @@
         dict of int to int
             Unix time in ms of the sound answer by part.
         """
-        sound = {part: self._sound_at_unix_ms.get(part, 0) for part in part_hashes}
+        sound = [part for part in part_hashes if part in self._sound_at_unix_ms]
         return {
-            part: at_unix_ms
-            for part, at_unix_ms in sound.items()
-            if 0 < self.evidence.last_crash_unix_ms(part) <= at_unix_ms
+            part: self._sound_at_unix_ms[part]
+            for part in sound
+            if 0
+            < self.evidence.last_crash_unix_ms(part)
+            <= self._sound_at_unix_ms[part]
         }
 
     def _find_matches(
--- a/chestnutvale/attempts/part_evidence.py
+++ b/chestnutvale/attempts/part_evidence.py
@@ -368,7 +368,10 @@
         if len(self._crashed_at_unix_ms) <= MAX_CRASHES:
             return
         # Other crashes must not end a ban.
-        kept = {crash_id for ban in self._bans for crash_id in ban.crash_ids}
+        bans = find_part_bans(
+            self._suspects, self._crashed_at_unix_ms, self._cleared.keys()
+        )
+        kept = {crash_id for ban in bans for crash_id in ban.crash_ids}
         oldest = min(
             self._crashed_at_unix_ms,
             key=lambda crash_id: (crash_id in kept, self._crashed_at_unix_ms[crash_id]),
--- a/tests/attempts/test_crash_parts.py
+++ b/tests/attempts/test_crash_parts.py
@@ -384,10 +384,15 @@
     for number in range(3):
         crash(tracker, START_UNIX_MS + number * 1_000, f"g{number}", 1)
     assert is_banned(tracker, SETTLED, 1)
+    control = SuspicionAggregator()
+    control.merge(tracker.reports(SETTLED), SETTLED)
     for number in range(2 * const.MAX_CRASHES):
         parts = range(1_000 + number * 50, 1_050 + number * 50)
         crash(tracker, SETTLED + number, f"x{number}", *parts)
+        if number % 100 == 0:
+            control.merge(tracker.reports(SETTLED + number), SETTLED + number)
     assert is_banned(tracker, SETTLED + 1_000, 1)
+    assert control.parts.suspected_parts([1]) == [1]
     crashes = {p.group_id for p in tracker.part_bans.evidence.to_suspicions()}
     assert len(crashes) == const.MAX_CRASHES
 
