--- a/chestnutvale/attempts/part_bans.py
+++ b/chestnutvale/attempts/part_bans.py
@@ -1,6 +1,7 @@
 """Decides, at one entry, which prompts are refused because of their parts."""
 
 import random
+from collections import Counter
 from collections.abc import Iterable
 
 import attrs
@@ -59,10 +60,13 @@
     ----------
     evidence : PartEvidence
         Evidence of this entry merged with that of others.
+    counts : Counter
+        Number of parts ``banned``, prompts ``refused`` and ``trial`` runs.
     """
 
     def __init__(self, rng: random.Random) -> None:
         self.evidence = PartEvidence()
+        self.counts: Counter[str] = Counter()
         self._rng = rng
         # Unix time in ms at which an answer was last written soundly, by part.
         self._sound_at_unix_ms: dict[int, int] = {}
@@ -89,6 +93,7 @@
         for match in self._find_matches(part_hashes, now_unix_ms):
             until_unix_ms = self._find_next_trial_unix_ms(match)
             if until_unix_ms > now_unix_ms:
+                self.counts["refused"] += 1
                 return PartRefusal(tuple(sorted(match.part_hashes)), until_unix_ms)
         return None
 
@@ -103,6 +108,7 @@
             Wall-clock time in milliseconds.
         """
         for match in self._find_matches(part_hashes, now_unix_ms):
+            self.counts["trial"] += 1
             self._next_trial_unix_ms[match] = now_unix_ms + PART_TRIAL_SPREAD_MS
 
     def record_sound(self, part_hashes: tuple[int, ...], now_unix_ms: int) -> list[int]:
@@ -178,6 +184,7 @@
         for ban in bans:
             if ban.part_hashes in known_parts:
                 continue
+            self.counts["banned"] += len(ban.part_hashes)
             crashes = (f"{c.group_id}@{c.epoch}" for c in ban.crash_ids)
             _LOGGER.warning(
                 "suspect_banned",
--- a/chestnutvale/observability/catalog.py
+++ b/chestnutvale/observability/catalog.py
@@ -190,6 +190,12 @@
     "Endpoints that said in an answer that they leave, or want no request for a time.",
     (LABEL_REASON,),
 )
+PART_BANS: Final = Metric(
+    "chestnutvale.entry.part.bans",
+    UNIT_NONE,
+    "Prompt parts that were banned, requests refused for them, and trial requests.",
+    (LABEL_REASON,),
+)
 LEASE_CHANGES: Final = Metric(
     "chestnutvale.entry.lease.changes",
     UNIT_NONE,
--- a/chestnutvale/programs/entry/metrics.py
+++ b/chestnutvale/programs/entry/metrics.py
@@ -42,6 +42,7 @@
         catalog.ATTEMPTS: lambda: context.attempt_results,
         catalog.LEASE_CHANGES: lambda: link.lease_changes,
         catalog.ENDPOINT_NOTICES: lambda: context.notice_counts,
+        catalog.PART_BANS: lambda: context.suspicions.part_bans.counts,
     }
     for metric, read_counts in counters_by_metric.items():
         metrics.register_counter(
--- a/tests/attempts/test_crash_parts.py
+++ b/tests/attempts/test_crash_parts.py
@@ -460,6 +460,9 @@
     tracker.group_crashed("t.1", trial_unix_ms + 200)
     from_unix_ms = trial_unix_ms + 200
     assert find_trials(tracker, from_unix_ms, from_unix_ms + const.PART_BAN_MS, 1) == []
+    counts = tracker.part_bans.counts
+    assert (counts["banned"], counts["trial"]) == (1, 1)
+    assert counts["refused"] > 1_000
 
 
 def test_answer_that_began_before_the_crashes_clears_nothing_at_its_end(tracker):
