--- a/chestnutvale/attempts/events.py
+++ b/chestnutvale/attempts/events.py
@@ -120,6 +120,11 @@
     """The caller closed its connection."""
 
 
+@attrs.frozen
+class GroupStalled:
+    """The group of the running attempt sends events on none of its streams."""
+
+
 @attrs.frozen
 class Tick:
     """The time in `next_tick_s` has been reached."""
@@ -134,6 +139,7 @@
     | AttemptRefused
     | AttemptBroken
     | CallerDisconnected
+    | GroupStalled
     | Tick
 )
 
--- a/chestnutvale/http_server/server.py
+++ b/chestnutvale/http_server/server.py
@@ -1,5 +1,6 @@
 """HTTP server of the daemons, built on eventlet's WSGI server."""
 
+import functools
 from collections import Counter
 from types import TracebackType
 from typing import Any, Self
@@ -20,8 +21,10 @@
     ClientGoneError,
     HttpListenError,
 )
+from chestnutvale.http_server.idle_connections import IdleConnections
 from chestnutvale.http_server.limits import RequestLimitsMiddleware, WsgiApp
 from chestnutvale.http_server.protocol import LimitedProtocol
+from chestnutvale.http_server.timeouts import ConnectionTimeouts, ReadTimeouts
 from chestnutvale.schema.settings_pb2 import HttpLimits
 
 _LOGGER = logbook.Logger(__name__)
@@ -66,6 +69,9 @@
         Limits on body size, header size, connections and idle time.
     clock : Clock, optional
         Source of time.
+    read_timeouts : callable, optional
+        Returns the timeouts of idle connections and request heads in force; those of
+        `limits` by default.
     """
 
     def __init__(
@@ -74,10 +80,16 @@
         address: str,
         limits: HttpLimits,
         clock: Clock | None = None,
+        read_timeouts: ReadTimeouts | None = None,
     ) -> None:
         self.address = address
         self._limits = limits
         self._clock = clock or SystemClock()
+        settings_timeouts = ConnectionTimeouts.from_limits(limits)
+        self._read_timeouts = read_timeouts or (lambda: settings_timeouts)
+        self._refused_heads: Counter[str] = Counter()
+        self._idle = IdleConnections()
+        self._receiving: set[LimitedProtocol] = set()
         self._app = RequestLimitsMiddleware(app, limits, self._clock)
         self._connections = ConnectionPool(limits.max_connections)
         self._socket: Any = None
@@ -96,7 +108,7 @@
     @property
     def refused(self) -> Counter[str]:
         """Number of refused requests and connections by reason."""
-        return self._app.refused + self._connections.refused
+        return self._app.refused + self._connections.refused + self._refused_heads
 
     def __enter__(self) -> Self:
         """Listen and start accepting connections.
@@ -157,9 +169,16 @@
         """
         self.begin_drain()
         if self._task is not None:
+            # Accepts the connections that wait for it; closing the listener would
+            # reset them. The hub reads its sockets between two timers.
+            eventlet.sleep(0)
+            eventlet.sleep(0)
             self._task.kill()
             self._task = None
-        while self.running_requests and self._clock.now_s() < deadline_s:
+        self._idle.close()
+        # The requests that have arrived on idle connections are read now.
+        eventlet.sleep(0)
+        while self._has_requests() and self._clock.now_s() < deadline_s:
             eventlet.sleep(STOP_POLL_INTERVAL_S)
         aborted_requests = self.running_requests
         if aborted_requests:
@@ -171,13 +190,23 @@
         self._connections.kill_all()
         return aborted_requests
 
+    def _has_requests(self) -> bool:
+        return bool(self._receiving or self.running_requests)
+
     def _serve_connections(self) -> None:
         wsgi.server(
             self._socket,
             self._app,
             log=_WsgiLogAdapter(),
             log_format="",
-            protocol=LimitedProtocol,
+            protocol=functools.partial(
+                LimitedProtocol,
+                read_timeouts=self._read_timeouts,
+                clock=self._clock,
+                refused=self._refused_heads,
+                idle=self._idle,
+                receiving=self._receiving,
+            ),
             custom_pool=self._connections,
             minimum_chunk_size=MINIMUM_CHUNK_BYTES,
             socket_timeout=self._limits.idle_timeout_ms / 1000,
--- a/chestnutvale/observability/catalog.py
+++ b/chestnutvale/observability/catalog.py
@@ -119,6 +119,11 @@
 APPLIED_INDEX: Final = Metric(
     "chestnutvale.consensus.applied", "{record}", "Log records applied."
 )
+WRITE_WAIT: Final = Metric(
+    "chestnutvale.consensus.write.wait",
+    UNIT_SECONDS,
+    "Time for which the oldest unfinished write to the data folder has waited.",
+)
 LEDGER_RECORDS: Final = Metric(
     "chestnutvale.ledger.records", "{record}", "Claims and outcomes kept."
 )
@@ -179,10 +184,16 @@
     "Attempts that ended with this result.",
     (LABEL_REASON,),
 )
+KEPT_ATTEMPTS: Final = Metric(
+    "chestnutvale.attempts.kept.silent",
+    "{attempt}",
+    "Silent attempts that were kept because the call could not go on elsewhere.",
+    (LABEL_REASON,),
+)
 STALLS: Final = Metric(
     "chestnutvale.groups.stalled",
     "{group}",
-    "Groups that the entry left because their streams fell silent.",
+    "Groups whose streams at the entry all fell silent.",
 )
 ENDPOINT_NOTICES: Final = Metric(
     "chestnutvale.entry.endpoint.notices",
--- a/chestnutvale/programs/entry/model_calls.py
+++ b/chestnutvale/programs/entry/model_calls.py
@@ -3,6 +3,7 @@
 import contextlib
 from collections import deque
 from collections.abc import Callable, Iterable, Iterator
+from functools import partial
 from typing import Any, Protocol
 
 import logbook
@@ -26,8 +27,10 @@
     EventsArrived,
     Failure,
     Finish,
+    GroupStalled,
     StartAttempt,
     Started,
+    Tick,
 )
 from chestnutvale.attempts.model_call import ModelCall
 from chestnutvale.observability.log_context import bind_log_context
@@ -62,6 +65,7 @@
     read_text,
 )
 from chestnutvale.programs.entry.problems import make_problem
+from chestnutvale.programs.entry.tick_timer import TickTimer
 from chestnutvale.schema.peer_pb2 import GroupView
 
 _LOGGER = logbook.Logger(__name__)
@@ -73,6 +77,9 @@
 RESULT_BROKEN = "broken"
 RESULT_CANCELLED = "cancelled"
 REQUEST_ID_BITS = 96
+# Added to the time that an exchange may wait. A read that timed out can't be repeated,
+# so `TickTimer` ends it, but only if the call leaves the attempt.
+READ_TIMEOUT_MARGIN_S = 0.25
 
 
 class Attempt(Protocol):
@@ -161,7 +168,12 @@
             return _respond_with_problem(
                 self._context, error.failure, request_id, start_response
             )
-        call = ModelCall(request_id, request.deadline_s, self._context.budgets)
+        call = ModelCall(
+            request_id,
+            request.deadline_s,
+            self._context.budgets,
+            has_alternative=partial(self._context.has_alternative, request),
+        )
         attempts = _GenerationAttempts(generation, request)
         run = ModelCallRun(
             self._context,
@@ -255,6 +267,9 @@
         self._chooser = GroupChooser(
             context, request, fingerprint, self._watch.wait, part_hashes
         )
+        self._tick_timer = TickTimer(context.clock, self._tick)
+        self._is_waiting = False
+        self._interrupt_effects: list[CallEffect] = []
         self._sent_at_s = 0.0
         self._first_byte_s: float | None = None
         # Whether the attempt has written its answer for `SOUND_WRITING_MS`.
@@ -286,6 +301,7 @@
                     return
                 yield from self._run_effects(ticket)
         finally:
+            self._tick_timer.cancel()
             self._close_attempt(RESULT_CANCELLED)
             ticket.release(self._call.answer.next_offset)
 
@@ -306,9 +322,53 @@
             elif isinstance(effect, ChooseGroup):
                 effects.extend(self._handle(self._chooser.choose(effect)))
             elif isinstance(effect, StartAttempt):
-                effects.extend(self._handle(self._start_attempt(effect)))
+                event = self._start_attempt(effect)
+                effects.extend(self._take_interrupt_effects() or self._handle(event))
             while not effects and not self._call.is_finished:
-                effects.extend(self._handle(self._read_events()))
+                event = self._read_events()
+                effects.extend(self._take_interrupt_effects() or self._handle(event))
+
+    def _take_interrupt_effects(self) -> list[CallEffect]:
+        effects, self._interrupt_effects = self._interrupt_effects, []
+        return effects
+
+    def _interrupt(self, event: CallEvent) -> None:
+        """Handle an event from another greenlet; ends the wait if it has effects."""
+        if not self._is_waiting or self._interrupt_effects:
+            return
+        now_s = self._context.clock.now_s()
+        self._interrupt_effects = self._call.handle(event, now_s)
+        if self._interrupt_effects:
+            self.attempt.abort()
+
+    def _handle_stall(self) -> None:
+        self._interrupt(GroupStalled())
+
+    def _tick(self) -> None:
+        was_kept = bool(self._call.kept_because)
+        self._interrupt(Tick())
+        if not self._is_waiting or self._interrupt_effects:
+            return
+        now_s = self._context.clock.now_s()
+        self._tick_timer.set_due(self._call.next_tick_s)
+        if self._call.kept_because and not was_kept:
+            self._context.report_kept_attempt(
+                self.request,
+                self._call.group_id,
+                self._call.kept_because,
+                self._call.silence_s(now_s),
+            )
+
+    def _wait_for_endpoint(
+        self, wait: Callable[[float], CallEvent | None]
+    ) -> CallEvent | None:
+        now_s = self._context.clock.now_s()
+        self._tick_timer.set_due(self._call.next_tick_s)
+        self._is_waiting = True
+        try:
+            return wait(self._call.deadline_s - now_s + READ_TIMEOUT_MARGIN_S)
+        finally:
+            self._is_waiting = False
 
     def _handle(self, event: CallEvent) -> list[CallEffect]:
         if self._watch.is_disconnected:
@@ -337,7 +397,9 @@
             return AttemptRefused(effect.attempt_id, error.code, error.message)
         self.attempt = attempt
         self._watch.set_disconnect_callback(attempt.abort)
-        self._context.running.add(effect.group_id, effect.epoch, attempt)
+        self._context.running.add(
+            effect.group_id, effect.epoch, attempt, self._handle_stall
+        )
         self._context.stall_detector.record_sent(
             effect.attempt_id, effect.group_id, self._sent_at_s
         )
@@ -345,12 +407,11 @@
         self._first_byte_s = None
         self._is_sound = False
         self._first_offset = effect.resume_offset
-        event = attempt.start(self._call.next_tick_s - self._sent_at_s)
+        event = self._wait_for_endpoint(attempt.start)
         return event or EventsArrived(effect.attempt_id, [])
 
     def _read_events(self) -> CallEvent:
-        remaining_s = self._call.next_tick_s - self._context.clock.now_s()
-        event = self.attempt.read(remaining_s)
+        event = self._wait_for_endpoint(self.attempt.read)
         if isinstance(event, EventsArrived) and event.events:
             now_s = self._context.clock.now_s()
             self._context.stall_detector.record_events(event.attempt_id, now_s)
--- a/chestnutvale/programs/entry/routed/attempt.py
+++ b/chestnutvale/programs/entry/routed/attempt.py
@@ -38,6 +38,8 @@
 
     Attributes
     ----------
+    has_started : bool
+        Whether the endpoint has answered with the head of a stream.
     error_body : bytes or None
         Body of an answer with an error status from the endpoint; None if there is
         none.
@@ -55,10 +57,13 @@
         self.attempt_id = attempt_id
         self.view = view
         self.exchange = exchange
+        self.has_started = False
         self.error_body: bytes | None = None
         self._request = request
         self._body = body
         self._splitter = NumberedEventSplitter(attempt_id, last_event)
+        # A resumed answer may have no further events.
+        self._has_events = last_event > 0
 
     def start(self, timeout_s: float) -> CallEvent | None:
         """Send the request.
@@ -82,6 +87,7 @@
                 request.method, request.target, {}, self._body, timeout_s
             )
             if self.exchange.status == STATUS_OK:
+                self.has_started = True
                 return None
             self.error_body = self.exchange.read_all(MAX_ANSWER_BYTES)
         except EXCHANGE_ERRORS as error:
@@ -104,11 +110,22 @@
         """
         try:
             data = self.exchange.read(timeout_s)
-            events = self._splitter.feed(data) if data else [self._splitter.end()]
+            if not data:
+                return self._end_stream()
+            events = self._splitter.feed(data)
+            self._has_events = self._has_events or bool(events)
             return EventsArrived(self.attempt_id, events)
         except EXCHANGE_ERRORS as error:
             return make_failure_event(self.attempt_id, error)
 
+    def _end_stream(self) -> CallEvent:
+        end = self._splitter.end()
+        # A host that crashes before its first event ends its connection the same way.
+        if not (self.exchange.is_delimited or self._has_events):
+            reason = "the connection ended before the first event"
+            return AttemptBroken(self.attempt_id, reason)
+        return EventsArrived(self.attempt_id, [end])
+
     def abort(self) -> None:
         """Shut the connection down; a greenlet that waits for it gets an error."""
         self.exchange.abort()
--- a/tests/attempts/test_model_call.py
+++ b/tests/attempts/test_model_call.py
@@ -9,6 +9,7 @@
 from chestnutvale.attempts.const import (
     MAX_ATTEMPTS,
     MAX_UNREACHABLE_GROUPS,
+    REFUSAL_OVERLOADED,
     STREAM_IDLE_TIMEOUT_S,
 )
 from chestnutvale.attempts.events import (
@@ -274,6 +275,73 @@
     assert [type(e) for e in call.handle(Tick(), now_s)] == kinds
 
 
+NO_RETRIES = AttemptBudgets(RetryBudget(0.0, 0.0), RetryBudget(0.0, 0.0))
+
+
+@pytest.mark.parametrize("has_begun", [False, True])
+@pytest.mark.parametrize(
+    ("budgets", "limits"),
+    [
+        (AttemptBudgets(), CallLimits(max_attempts=1)),
+        (AttemptBudgets(), CallLimits(is_resumable=False)),
+        (NO_RETRIES, CallLimits()),
+    ],
+    ids=["last-attempt", "not-resumable", "no-retry-budget"],
+)
+def test_silent_last_attempt_is_not_cut(budgets, limits, has_begun):
+    call = ModelCall("r", DEADLINE_S, budgets, limits)
+    attempt_id = start(call)
+    if has_begun:
+        call.handle(EventsArrived(attempt_id, [token(attempt_id, 0)]), 0.0)
+    assert call.handle(Tick(), STREAM_IDLE_TIMEOUT_S) == []
+    events = [token(attempt_id, i) for i in range(int(has_begun), TOKENS)]
+    events += [end(attempt_id), DONE]
+    effects = call.handle(EventsArrived(attempt_id, events), 2 * STREAM_IDLE_TIMEOUT_S)
+    assert effects[-1] == Finish()
+
+
+def test_silent_call_waits_for_a_sound_group_and_then_moves():
+    sound_groups = {"g1"}
+    call = ModelCall(
+        "r",
+        DEADLINE_S,
+        AttemptBudgets(),
+        has_alternative=lambda excluded, version: bool(sound_groups - excluded),
+    )
+    start(call)
+    assert call.handle(Tick(), STREAM_IDLE_TIMEOUT_S) == []
+    assert call.kept_because == "no_group_available"
+    assert call.next_tick_s == 2 * STREAM_IDLE_TIMEOUT_S
+    sound_groups.add("g2")
+    effects = call.handle(Tick(), call.next_tick_s)
+    assert [type(effect) for effect in effects] == [CancelAttempt, ChooseGroup]
+
+
+def test_pause_within_an_event_does_not_cut_the_last_attempt():
+    limits = CallLimits(max_attempts=1)
+    call = ModelCall("r", DEADLINE_S, AttemptBudgets(), limits)
+    attempt_id = start(call)
+    unfinished = EventsArrived(attempt_id, [])
+    assert call.handle(unfinished, 1.0) == []
+    assert call.handle(Tick(), STREAM_IDLE_TIMEOUT_S) == []
+    assert call.handle(unfinished, 1.5 * STREAM_IDLE_TIMEOUT_S) == []
+    effects = call.handle(
+        EventsArrived(attempt_id, [token(attempt_id, 0)]), 1.6 * STREAM_IDLE_TIMEOUT_S
+    )
+    assert [type(effect) for effect in effects] == [Deliver]
+
+
+def test_refusal_after_leaving_a_silent_endpoint_does_not_end_the_answer():
+    call = ModelCall("r", DEADLINE_S, AttemptBudgets(), CallLimits(max_attempts=2))
+    attempt_id = start(call)
+    call.handle(EventsArrived(attempt_id, [token(attempt_id, 0)]), 0.0)
+    call.handle(Tick(), STREAM_IDLE_TIMEOUT_S)
+    attempt_id = choose(call, "g2")
+    refusal = AttemptRefused(attempt_id, REFUSAL_OVERLOADED, "full", is_proven=True)
+    call.handle(refusal, STREAM_IDLE_TIMEOUT_S)
+    assert not call.is_finished
+
+
 def test_bytes_without_a_complete_event_do_not_keep_a_stalled_stream(call):
     attempt_id = start(call)
     call.handle(EventsArrived(attempt_id, [token(attempt_id, 0)]), 1.0)
--- a/tests/programs/entry/routed/test_streams.py
+++ b/tests/programs/entry/routed/test_streams.py
@@ -1,13 +1,19 @@
 """Routed streams: each event arrives once and in order, or the answer is cut off."""
 
+import contextlib
+
 import eventlet
 import pytest
 
+from chestnutvale.attempts.suspicion import Banned, Clear
+from tests.http_client.answer_faults import cut as answer_and_close
+from tests.http_client.answer_faults import flood
 from tests.programs.entry.entry_fakes import wait_until
 from tests.programs.entry.routed.routed_fakes import (
     ScriptedEndpoint,
     call,
     chunk,
+    complete_answer,
     event,
     open_call,
     routed_entry,
@@ -96,6 +102,94 @@
     assert (body, is_complete) == (COMPLETE_STREAM, True)
 
 
+SILENCE_S = 1.5
+
+
+def pause_before(event_number):
+    """Make a step that is silent before one event; 0 stands for the head."""
+
+    def step(sock, request):
+        eventlet.sleep(0.0 if event_number else SILENCE_S)
+        sock.sendall(stream_head())
+        for number in range(1, LAST_EVENT + 1):
+            eventlet.sleep(SILENCE_S if number == event_number else 0.0)
+            sock.sendall(chunk(event(number)))
+        sock.sendall(b"0\r\n\r\n")
+
+    return step
+
+
+@pytest.mark.parametrize("event_number", [0, 1, 4])
+@pytest.mark.parametrize("path", ["/fixed/x", "/gen/x"])
+def test_silent_endpoint_without_alternative_answers_whole(
+    endpoint, path, event_number
+):
+    endpoint.default = pause_before(event_number)
+    with routed_entry(endpoint) as entry:
+        status, _, body, is_complete = call(entry.address, path, b"p", X_Model="m")
+    assert (status, body, is_complete) == (200, COMPLETE_STREAM, True)
+    assert len(endpoint.requests) == len(entry.context.kept_attempts) == 1
+
+
+@pytest.mark.parametrize("sent", [b"", stream_head()[:30], stream_head()])
+def test_attempt_that_never_answers_is_kept_only_until_the_deadline(endpoint, sent):
+    def send_until_closed(sock, request):
+        sock.sendall(sent)
+        with contextlib.suppress(OSError):
+            while sent:
+                sock.sendall(b"1")
+                eventlet.sleep(0.1)
+        eventlet.sleep(5.0)
+
+    endpoint.default = send_until_closed
+    with routed_entry(endpoint) as entry, eventlet.Timeout(2.0):
+        _, _, body, _ = call(
+            entry.address, "/fixed/x", b"p", X_Model="m", X_Left="1000"
+        )
+    assert body == b""
+
+
+@pytest.mark.parametrize(("path", "is_left"), [("/gen/x", True), ("/fixed/x", False)])
+def test_only_streams_that_can_move_leave_a_stalled_group(
+    endpoint, other_endpoint, path, is_left
+):
+    endpoint.default = pause_before(4)
+    other_endpoint.default = stream()
+    with routed_entry(endpoint, other_endpoint) as entry:
+        eventlet.spawn_after(0.2, entry.context.running.report_stall, "gpu1")
+        _, _, body, is_complete = call(entry.address, path, b"p", X_Model="m")
+        assert (("gpu1", "broken") in entry.context.reports) == is_left
+    assert (body, is_complete) == (COMPLETE_STREAM, True)
+    assert len(other_endpoint.requests) == is_left
+
+
+@pytest.mark.parametrize("path", ["/gen/x", "/fixed/x"])
+def test_caller_does_not_get_the_head_of_a_refusal(endpoint, other_endpoint, path):
+    endpoint.default = (
+        b"HTTP/1.1 503 Busy\r\nX-Call: c1\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+    )
+    other_endpoint.default = stream()
+    with routed_entry(endpoint, other_endpoint) as entry:
+        status, headers, body, is_complete = call(
+            entry.address, path, b"p", X_Model="m"
+        )
+    assert len(endpoint.requests) == 1
+    assert (status, body, is_complete) == (200, COMPLETE_STREAM, True)
+    assert (headers.get("x-made-by"), headers.get("x-not-run")) == ("e1", None)
+
+
+def test_banned_call_does_not_leave_its_silent_endpoint(endpoint, other_endpoint):
+    endpoint.default = pause_before(4)
+    other_endpoint.default = stream()
+    with routed_entry(endpoint, other_endpoint) as entry:
+        verdicts = iter([Clear()])
+        entry.context.suspicions.judge = lambda *arguments: next(
+            verdicts, Banned(entry.context.clock.unix_ms() + 5_000)
+        )
+        _, _, body, is_complete = call(entry.address, "/gen/x", b"p", X_Model="m")
+    assert (body, is_complete) == (COMPLETE_STREAM, True)
+
+
 def test_caller_resumes_after_its_last_event(endpoint):
     endpoint.default = stream()
     with routed_entry(endpoint) as entry:
@@ -164,6 +258,17 @@
         assert ended[0] < 50
 
 
+@pytest.mark.parametrize("path", ["/gen/x", "/fixed/x", "/safe/x", "/once/x"])
+def test_call_of_a_caller_that_has_left_is_not_sent(endpoint, path):
+    endpoint.default = stream()
+    with routed_entry(endpoint) as entry:
+        call(entry.address, "/gen/x", b"p", X_Model="m")
+        entry.context.wait_for_groups = lambda *arguments: eventlet.sleep(0.1)
+        open_call(entry.address, path, b"p", X_Model="m").close()
+        eventlet.sleep(0.3)
+    assert len(endpoint.requests) == 1
+
+
 @pytest.mark.parametrize(
     "head",
     [
@@ -190,3 +295,66 @@
             )
             assert (status, body, is_complete) == (200, COMPLETE_STREAM, True)
             assert headers["x-made-by"] == "e1"
+
+
+UNSIZED_HEAD = b"HTTP/1.1 200 OK\r\nX-Call: c1\r\nX-Made-By: e1\r\n\r\n"
+
+
+@pytest.mark.parametrize("cut", [0, 1, 3, 9])
+def test_stream_without_length_is_complete_only_between_events(endpoint, cut):
+    endpoint.default = answer_and_close(UNSIZED_HEAD + event(1) + event(2)[:cut])
+    with routed_entry(endpoint) as entry:
+        status, _, body, is_complete = call(
+            entry.address, "/fixed/x", b"p", X_Model="m"
+        )
+    assert (status, body, is_complete) == (200, event(1), cut == 0)
+
+
+def test_stream_without_length_that_ends_before_its_first_event_is_broken(
+    endpoint, other_endpoint
+):
+    endpoint.default = answer_and_close(UNSIZED_HEAD)
+    other_endpoint.default = stream()
+    with routed_entry(endpoint, other_endpoint) as entry:
+        assert call(entry.address, "/fixed/x", b"p", X_Model="m")[0] == 502
+        assert ("gpu1", "broken") in entry.context.reports
+        _, _, body, is_complete = call(entry.address, "/gen/x", b"p", X_Model="m")
+    assert (body, is_complete) == (COMPLETE_STREAM, True)
+
+
+@pytest.mark.parametrize(
+    ("answer", "fields"),
+    [(UNSIZED_HEAD, {"X_Last": "6"}), (stream_head() + b"0\r\n\r\n", {})],
+    ids=["resumed after the last event", "with an end mark"],
+)
+def test_stream_without_events_may_be_complete(endpoint, answer, fields):
+    endpoint.default = answer_and_close(answer)
+    with routed_entry(endpoint) as entry:
+        status, _, body, is_complete = call(
+            entry.address, "/gen/x", b"p", X_Model="m", **fields
+        )
+    assert (status, body, is_complete) == (200, b"", True)
+
+
+@pytest.mark.parametrize(
+    "step",
+    [
+        complete_answer(b"full", status="503 Busy", extra="X-Not-Run: 1\r\n"),
+        flood(b"HTTP/1.1 500 Bad\r\nX-Call: c1\r\n\r\n", b"x"),
+        answer_and_close(
+            b"HTTP/1.1 500 Bad\r\nX-Call: c1\r\nContent-Length: 9\r\n\r\nx"
+        ),
+    ],
+    ids=["refusal", "error without end", "cut error"],
+)
+def test_stream_never_gets_the_head_of_an_earlier_refusal_or_error(
+    endpoint, other_endpoint, step
+):
+    endpoint.default = step
+    other_endpoint.default = stream()
+    with routed_entry(endpoint, other_endpoint) as entry:
+        status, headers, body, is_complete = call(
+            entry.address, "/gen/x", b"p", X_Model="m"
+        )
+    assert (status, body, is_complete) == (200, COMPLETE_STREAM, True)
+    assert "x-not-run" not in headers
