--- a/tests/attempts/test_crash_parts.py
+++ b/tests/attempts/test_crash_parts.py
@@ -384,10 +384,15 @@
     for number in range(3):
         crash(tracker, START_UNIX_MS + number * 1_000, f"g{number}", 1)
     assert is_banned(tracker, SETTLED, 1)
+    control = SuspicionAggregator()
+    control.merge(tracker.reports(SETTLED), SETTLED)
     for number in range(2 * const.MAX_CRASHES):
         parts = range(1_000 + number * 50, 1_050 + number * 50)
         crash(tracker, SETTLED + number, f"x{number}", *parts)
+        if number % 100 == 0:
+            control.merge(tracker.reports(SETTLED + number), SETTLED + number)
     assert is_banned(tracker, SETTLED + 1_000, 1)
+    assert control.parts.suspected_parts([1]) == [1]
     crashes = {p.group_id for p in tracker.part_bans.evidence.to_suspicions()}
     assert len(crashes) == const.MAX_CRASHES
 
@@ -455,6 +460,9 @@
     tracker.group_crashed("t.1", trial_unix_ms + 200)
     from_unix_ms = trial_unix_ms + 200
     assert find_trials(tracker, from_unix_ms, from_unix_ms + const.PART_BAN_MS, 1) == []
+    counts = tracker.part_bans.counts
+    assert (counts["banned"], counts["trial"]) == (1, 1)
+    assert counts["refused"] > 1_000
 
 
 def test_answer_that_began_before_the_crashes_clears_nothing_at_its_end(tracker):
@@ -463,3 +471,10 @@
     ban_part(tracker, 1)
     tracker.answer_completed("s.1", SETTLED)
     assert is_banned(tracker, SETTLED, 1)
+
+
+def test_ban_holds_while_the_clock_has_stepped_back(tracker):
+    ban_part(tracker, 1)
+    stepped_unix_ms = SETTLED - 10_000
+    crash(tracker, stepped_unix_ms, "g8", 2)
+    assert is_banned(tracker, stepped_unix_ms + 200, 1)
