--- a/tests/programs/entry/test_endpoint_exchange.py
+++ b/tests/programs/entry/test_endpoint_exchange.py
@@ -13,19 +13,25 @@
     EndpointBrokenError,
     EndpointSilentError,
 )
+from chestnutvale.programs.entry.ledger_writer import LedgerWriter
 from chestnutvale.programs.entry.model_attempt import ModelAttempt
+from chestnutvale.programs.entry.model_calls import ModelCallHandler
+from chestnutvale.programs.entry.service_calls import ServiceCallHandler
 from chestnutvale.schema.groups_pb2 import Group, GroupMember
 from chestnutvale.schema.peer_pb2 import GroupView
 from tests.http_client.answer_faults import cut, flood, trickle
+from tests.programs.entry.entry_fakes import FakeContext, post, serve
 from tests.programs.entry.routed.routed_fakes import (
     ScriptedEndpoint,
     complete_answer,
 )
 
 TIMEOUT_S = 0.3
+TIMEOUT_MS = 300
 # Time after the timeout within which the exchange must end.
 MARGIN_S = 1.0
 MAX_BYTES = 100_000
+CHAT = {"model": "llm", "messages": [{"role": "user", "content": "hello"}]}
 OK_HEAD = b"HTTP/1.1 200 OK\r\n"
 CHUNKED_HEAD = OK_HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 HEAD_FAULTS = {
@@ -119,3 +125,29 @@
     assert endpoint.requests[0].endswith(b"\r\n\r\nin")
     assert endpoint.header("host") == address
     assert endpoint.requests[0].lower().count(b"accept-encoding") == 1
+
+
+@pytest.mark.parametrize("path", ["/postings", "/notes"])
+@pytest.mark.parametrize("name", FAULTS)
+def test_faulty_answer_of_a_service_never_outlives_the_deadline(endpoint, name, path):
+    endpoint.default = FAULTS[name]
+    context = FakeContext()
+    with endpoint.serve() as address, LedgerWriter(context) as writer:
+        context.add_group("s1", "ledger-app", address)
+        handler = ServiceCallHandler(context, writer)
+        with serve(handler) as entry:
+            target = f"/services/ledger-app{path}"
+            status, _, _ = post(entry, target, {}, X_Deadline_Ms=TIMEOUT_MS)
+    assert status in (502, 503, 504)
+
+
+@pytest.mark.parametrize("name", FAULTS)
+def test_faulty_answer_of_an_engine_never_outlives_the_deadline(endpoint, name):
+    endpoint.default = FAULTS[name]
+    context = FakeContext()
+    context.has_crashed = lambda group, is_engine: False
+    with endpoint.serve() as address:
+        context.add_group("g1", "llm", address)
+        with serve(ModelCallHandler(context, "chat")) as entry:
+            status, _, _ = post(entry, "/", CHAT, X_Deadline_Ms=TIMEOUT_MS)
+    assert status in (502, 503, 504)
