Test which answers leave a connection for reuse

Result: six cases over the real handler pass: no content, HEAD, HTTP/1.0 with and without keep-alive, close, and an answer without a length that claims keep-alive. They guard the new parser; they were not run against the code before it.

--- a/tests/programs/entry/routed/test_non_streaming_calls.py
+++ b/tests/programs/entry/routed/test_non_streaming_calls.py
@@ -228,3 +228,45 @@
     with routed_entry(endpoint, other_endpoint, third) as entry:
         assert call(entry.address, "/safe/x")[0] == 502
     assert not third.requests
+
+
+@pytest.mark.parametrize(
+    ("answer", "method", "connections"),
+    [
+        (b"HTTP/1.1 204 No\r\nX-Call: c1\r\nX-Made-By: e1\r\n\r\n", "POST", 1),
+        (complete_answer(b"ok"), "HEAD", 1),
+        (complete_answer(b"ok").replace(b"HTTP/1.1", b"HTTP/1.0"), "POST", 2),
+        (
+            complete_answer(b"ok", extra="Connection: keep-alive\r\n").replace(
+                b"HTTP/1.1", b"HTTP/1.0"
+            ),
+            "POST",
+            1,
+        ),
+        (complete_answer(b"ok", extra="Connection: Close\r\n"), "POST", 2),
+    ],
+    ids=["no content", "HEAD", "HTTP/1.0", "HTTP/1.0 kept", "close"],
+)
+def test_connection_is_reused_only_if_the_answer_allows_it(
+    endpoint, answer, method, connections
+):
+    if method == "HEAD":
+        answer = answer.partition(b"\r\n\r\n")[0] + b"\r\n\r\n"
+    endpoint.default = answer
+    with routed_entry(endpoint) as entry:
+        for _ in range(2):
+            assert call(entry.address, "/once/x", method=method)[0] in (200, 204)
+    assert endpoint.connections == connections
+
+
+def test_unsized_answer_ends_with_a_connection_that_is_said_to_be_kept(endpoint):
+    def step(sock, request):
+        head = b"HTTP/1.1 200 OK\r\nX-Call: c1\r\nX-Made-By: e1\r\n"
+        sock.sendall(head + b"Connection: keep-alive\r\n\r\nall")
+        sock.close()
+
+    endpoint.default = step
+    with routed_entry(endpoint) as entry:
+        for _ in range(2):
+            assert call(entry.address, "/once/x")[2] == b"all"
+    assert endpoint.connections == 2
