Don't probe the head of a group that a call leaves because it stalled

A call that left a stalled group first asked its head for a connection to find out whether it had crashed. A paused head doesn't answer, so each such stream waited 0.3 s longer for its next group.

The probe was meant for faults in the events of an answer. Silence and stall are no sign of a crash and aren't probed.

Test: test_endpoint_that_a_call_left_for_its_silence_is_not_probed, of which the case of a stall failed before.

--- a/chestnutvale/attempts/const.py
+++ b/chestnutvale/attempts/const.py
@@ -37,6 +37,8 @@
 # Reasons for abandoning an attempt whose connection is still open.
 REASON_SILENT: Final = "the stream fell silent"
 REASON_STALLED: Final = "the group stalled"
+# Reasons that are no sign of a crash.
+SILENCE_REASONS: Final = frozenset({REASON_SILENT, REASON_STALLED})
 
 # Refusal codes by which an engine states that it did not run the request.
 REFUSAL_WRONG_EPOCH: Final = "wrong_epoch"
--- a/chestnutvale/programs/entry/model_calls.py
+++ b/chestnutvale/programs/entry/model_calls.py
@@ -11,7 +11,7 @@
 from chestnutvale.attempts.const import (
     OUTCOME_FAILED,
     OUTCOME_NOT_RUN,
-    REASON_SILENT,
+    SILENCE_REASONS,
     SOUND_WRITING_MS,
 )
 from chestnutvale.attempts.events import (
@@ -311,7 +311,8 @@
                 self._finish_call(effect)
             elif isinstance(effect, CancelAttempt):
                 result = RESULT_BROKEN if effect.fault else RESULT_CANCELLED
-                if self.attempt is not None and effect.fault not in ("", REASON_SILENT):
+                is_fault = effect.fault and effect.fault not in SILENCE_REASONS
+                if self.attempt is not None and is_fault:
                     self._chooser.check_for_crash(effect.attempt_id)
                 self._close_attempt(result, effect.fault)
             elif isinstance(effect, ChooseGroup):
--- a/tests/programs/entry/routed/test_streams.py
+++ b/tests/programs/entry/routed/test_streams.py
@@ -178,6 +178,23 @@
     assert (headers.get("x-made-by"), headers.get("x-not-run")) == ("e1", None)
 
 
+@pytest.mark.parametrize("stalls", [False, True])
+def test_endpoint_that_a_call_left_for_its_silence_is_not_probed(
+    endpoint, other_endpoint, stalls
+):
+    endpoint.default = pause_before(4)
+    other_endpoint.default = stream()
+    probes = []
+    with routed_entry(endpoint, other_endpoint) as entry:
+        entry.context.has_crashed = lambda group, is_engine: bool(probes.append(group))
+        if stalls:
+            eventlet.spawn_after(0.2, entry.context.running.report_stall, "gpu1")
+        _, _, body, is_complete = call(entry.address, "/gen/x", b"p", X_Model="m")
+    assert (body, is_complete) == (COMPLETE_STREAM, True)
+    assert len(other_endpoint.requests) == 1
+    assert probes == []
+
+
 def test_banned_call_does_not_leave_its_silent_endpoint(endpoint, other_endpoint):
     endpoint.default = pause_before(4)
     other_endpoint.default = stream()
