--- a/chestnutvale/attempts/const.py
+++ b/chestnutvale/attempts/const.py
@@ -87,19 +87,19 @@
 # Time to wait after a crash for the evidence of other entries about prompt parts.
 PART_EVIDENCE_SETTLE_MS: Final = 150
 # Shortest time from the first to the last of these crashes, if the part was known to be
-# sound. Groups that crash together for another reason do so within less.
+# harmless. Groups that crash together for another reason do so within less.
 MIN_CRASH_SPAN_MS: Final = 500
-# Number of crashes by which a part that was known to be sound must exceed another one
-# to be the likelier cause.
-SOUND_PART_MARGIN: Final = 2
+# Number of crashes by which a part that was known to be harmless must exceed another
+# one to be the likelier cause.
+HARMLESS_PART_MARGIN: Final = 2
 # Crashes up to which requests with some of the parts that ran in all of them may run,
 # as they tell the parts apart.
 MAX_AMBIGUOUS_CRASHES: Final = 4
 # Time from the last crash for which requests with a prompt part are refused. Each entry
 # then tries one request at a random time.
 PART_BAN_MS: Final = 5 * 60 * 1_000
-# The same for a part whose answers were written soundly before: many groups may have
-# crashed for another reason.
+# The same for a ban that may be in error, as long as no crash came long after another:
+# it rests on few crashes, or answers to its parts were written without a crash before.
 DOUBTFUL_PART_BAN_MS: Final = 1_000
 # Time over which the tries of the entries are spread, so that they seldom coincide.
 PART_TRIAL_SPREAD_MS: Final = 20_000
@@ -107,7 +107,7 @@
 PART_EVIDENCE_RETENTION_MS: Final = 15 * 60 * 1_000
 # Time from the first event of an answer after which its prompt is not the cause of a
 # crash; parts that crash groups do so as the answer begins.
-SOUND_WRITING_MS: Final = 200
+HARMLESS_WRITING_MS: Final = 200
 # Maximum time between crashes in one fabric domain that count as a single fault.
 DOMAIN_FAULT_MS: Final = 3_000
 # Time for which evidence is repeated in reports, in case one is lost.
@@ -117,7 +117,7 @@
 MAX_SUSPECTS: Final = 4_096
 # Suspected parts of one crash.
 MAX_PARTS_PER_CRASH: Final = 1_024
-# Parts whose last sound answer is remembered; the oldest are dropped first.
+# Parts whose last harmless answer is remembered; the oldest are dropped first.
 MAX_CLEARED_PARTS: Final = 4_096
 # Pieces of evidence that are repeated; the oldest are dropped first.
 MAX_REPEATED_PIECES: Final = 2_048
--- a/chestnutvale/attempts/model_call.py
+++ b/chestnutvale/attempts/model_call.py
@@ -55,7 +55,7 @@
 STEP_CHOOSE = "choose"
 STEP_GENERATE = "generate"
 
-# Gets the excluded groups and the version; tells whether a sound group is left.
+# Gets the excluded groups and the version; tells whether a healthy group is left.
 AlternativeFinder = Callable[[frozenset[str], str], bool]
 
 
--- a/chestnutvale/attempts/part_bans.py
+++ b/chestnutvale/attempts/part_bans.py
@@ -68,8 +68,8 @@
         self.evidence = PartEvidence()
         self.counts: Counter[str] = Counter()
         self._rng = rng
-        # Unix time in ms at which an answer was last written soundly, by part.
-        self._sound_at_unix_ms: dict[int, int] = {}
+        # Unix time in ms at which an answer was last written without a crash, by part.
+        self._harmless_at_unix_ms: dict[int, int] = {}
         self._known_bans: list[PartBan] = []
         self._next_trial_unix_ms: dict[_Match, int] = {}
 
@@ -111,8 +111,10 @@
             self.counts["trial"] += 1
             self._next_trial_unix_ms[match] = now_unix_ms + PART_TRIAL_SPREAD_MS
 
-    def record_sound(self, part_hashes: tuple[int, ...], now_unix_ms: int) -> list[int]:
-        """Record that an answer was written soundly.
+    def record_harmless(
+        self, part_hashes: tuple[int, ...], now_unix_ms: int
+    ) -> list[int]:
+        """Record that an answer was written without a crash.
 
         Parameters
         ----------
@@ -127,14 +129,14 @@
             The parts that are suspected and should be cleared.
         """
         for part in part_hashes:
-            self._sound_at_unix_ms.pop(part, None)
-            self._sound_at_unix_ms[part] = now_unix_ms
-        while len(self._sound_at_unix_ms) > MAX_CLEARED_PARTS:
-            del self._sound_at_unix_ms[next(iter(self._sound_at_unix_ms))]
+            self._harmless_at_unix_ms.pop(part, None)
+            self._harmless_at_unix_ms[part] = now_unix_ms
+        while len(self._harmless_at_unix_ms) > MAX_CLEARED_PARTS:
+            del self._harmless_at_unix_ms[next(iter(self._harmless_at_unix_ms))]
         return self.evidence.suspected_parts(part_hashes)
 
-    def find_sound_since_crash(self, part_hashes: Iterable[int]) -> dict[int, int]:
-        """Find parts whose answers were written soundly here after their last crash.
+    def find_harmless_since_crash(self, part_hashes: Iterable[int]) -> dict[int, int]:
+        """Find parts with answers written without a crash here since their last one.
 
         Parameters
         ----------
@@ -144,15 +146,15 @@
         Returns
         -------
         dict of int to int
-            Unix time in ms of the sound answer by part.
+            Unix time in ms of the harmless answer by part.
         """
-        sound = [part for part in part_hashes if part in self._sound_at_unix_ms]
+        harmless = [part for part in part_hashes if part in self._harmless_at_unix_ms]
         return {
-            part: self._sound_at_unix_ms[part]
-            for part in sound
+            part: self._harmless_at_unix_ms[part]
+            for part in harmless
             if 0
             < self.evidence.last_crash_unix_ms(part)
-            <= self._sound_at_unix_ms[part]
+            <= self._harmless_at_unix_ms[part]
         }
 
     def _find_matches(
@@ -160,7 +162,7 @@
     ) -> list[_Match]:
         if not part_hashes:
             return []
-        bans = self.evidence.bans(now_unix_ms, self._sound_at_unix_ms.keys())
+        bans = self.evidence.bans(now_unix_ms, self._harmless_at_unix_ms.keys())
         if bans is not self._known_bans:
             self._install_bans(bans)
         matches = [
@@ -198,9 +200,9 @@
         if match not in self._next_trial_unix_ms:
             ban = match.ban
             has_few_crashes = len(ban.crash_ids) <= MAX_AMBIGUOUS_CRASHES
-            was_sound = self._sound_at_unix_ms.keys() >= ban.part_hashes
+            was_harmless = self._harmless_at_unix_ms.keys() >= ban.part_hashes
             is_doubtful = not match.is_complete or (
-                (has_few_crashes or was_sound) and not ban.is_confirmed
+                (has_few_crashes or was_harmless) and not ban.is_confirmed
             )
             ban_ms = DOUBTFUL_PART_BAN_MS if is_doubtful else PART_BAN_MS
             spread_ms = self._rng.randrange(PART_TRIAL_SPREAD_MS)
--- a/chestnutvale/attempts/part_evidence.py
+++ b/chestnutvale/attempts/part_evidence.py
@@ -9,6 +9,7 @@
 from chestnutvale.attempts.const import (
     BAN_CRASHES_ONE_GROUP,
     BAN_PART_CRASHES,
+    HARMLESS_PART_MARGIN,
     MAX_CLEARED_PARTS,
     MAX_CRASHES,
     MAX_PARTS_PER_CRASH,
@@ -16,7 +17,6 @@
     PART_EVIDENCE_RETENTION_MS,
     PART_EVIDENCE_SETTLE_MS,
     SEPARATE_CRASH_MS,
-    SOUND_PART_MARGIN,
 )
 from chestnutvale.attempts.crash_evidence import CrashId
 from chestnutvale.schema.peer_pb2 import CrashSuspicion
@@ -51,7 +51,7 @@
 def find_part_bans(
     suspects: SuspectParts,
     crashed_at_unix_ms: Mapping[CrashId, int],
-    known_sound: Set[int],
+    known_harmless: Set[int],
 ) -> list[PartBan]:
     """Find the parts that explain the most crashes.
 
@@ -64,9 +64,9 @@
         For each part, its crashes and the start of its last request in each.
     crashed_at_unix_ms : mapping of CrashId to int
         Unix time of each crash in milliseconds; other crashes do not count.
-    known_sound : set of int
-        Parts of which answers were written soundly before. They are less likely to be
-        the cause, so more evidence is needed.
+    known_harmless : set of int
+        Parts of which answers were written without a crash before. They are less likely
+        to be the cause, so more evidence is needed.
 
     Returns
     -------
@@ -83,23 +83,23 @@
     bans: list[PartBan] = []
     while True:
         parts_by_crashes: dict[frozenset[CrashId], list[int]] = defaultdict(list)
-        guilty: set[frozenset[CrashId]] = set()
+        causes: set[frozenset[CrashId]] = set()
         for part, crashes in crashes_by_part.items():
             parts_by_crashes[crashes].append(part)
             starts = {crash_id: suspects[part][crash_id] for crash_id in crashes}
-            min_span_ms = MIN_CRASH_SPAN_MS if part in known_sound else 0
+            min_span_ms = MIN_CRASH_SPAN_MS if part in known_harmless else 0
             if _causes_crashes(starts, crashed_at_unix_ms, min_span_ms):
-                guilty.add(crashes)
-        if not guilty:
+                causes.add(crashes)
+        if not causes:
             return bans
         crashes, parts = max(
             (
-                (crashes, _select_likeliest(parts_by_crashes[crashes], known_sound))
-                for crashes in guilty
+                (crashes, _select_likeliest(parts_by_crashes[crashes], known_harmless))
+                for crashes in causes
             ),
             key=lambda item: (
                 len(item[0])
-                - SOUND_PART_MARGIN * (not known_sound.isdisjoint(item[1])),
+                - HARMLESS_PART_MARGIN * (not known_harmless.isdisjoint(item[1])),
                 min(item[1]),
             ),
         )
@@ -115,9 +115,9 @@
         }
 
 
-def _select_likeliest(parts: list[int], known_sound: Set[int]) -> list[int]:
-    """Return the parts that were never known to be sound, or all if each was."""
-    return [part for part in parts if part not in known_sound] or parts
+def _select_likeliest(parts: list[int], known_harmless: Set[int]) -> list[int]:
+    """Return the parts that were never known to be harmless, or all if each was."""
+    return [part for part in parts if part not in known_harmless] or parts
 
 
 def _causes_crashes(
@@ -151,15 +151,15 @@
 class PartEvidence:
     """Crashes and the prompt parts that are suspected of them.
 
-    Merged from the evidence of all entries. An answer that is written soundly clears
-    its parts of the crashes before it.
+    Merged from the evidence of all entries. An answer that is written without a crash
+    clears its parts of the crashes before it.
     """
 
     def __init__(self) -> None:
         self._crashed_at_unix_ms: dict[CrashId, int] = {}
         self._suspects: dict[int, dict[CrashId, int]] = {}
         self._parts_by_crash: dict[CrashId, set[int]] = {}
-        # Unix time in ms of the last sound answer by part.
+        # Unix time in ms of the last harmless answer by part.
         self._cleared: dict[int, int] = {}
         self._bans: list[PartBan] = []
         self._is_changed = False
@@ -217,7 +217,7 @@
         return max((self._crashed_at_unix_ms[c] for c in crash_ids), default=0)
 
     def bans(
-        self, now_unix_ms: int, known_sound: Set[int] = frozenset()
+        self, now_unix_ms: int, known_harmless: Set[int] = frozenset()
     ) -> list[PartBan]:
         """Return the parts that are found to crash groups.
 
@@ -225,9 +225,9 @@
         ----------
         now_unix_ms : int
             Wall-clock time in milliseconds.
-        known_sound : set of int, optional
-            Parts of which answers were written soundly before, besides those that were
-            cleared.
+        known_harmless : set of int, optional
+            Parts of which answers were written without a crash before, besides those
+            that were cleared.
 
         Returns
         -------
@@ -236,7 +236,7 @@
         """
         if self._is_changed or now_unix_ms >= self._next_settled_unix_ms:
             self._is_changed = False
-            self._find_bans(now_unix_ms, known_sound)
+            self._find_bans(now_unix_ms, known_harmless)
         return self._bans
 
     def expire(self, now_unix_ms: int) -> None:
@@ -288,7 +288,7 @@
         return suspicions
 
     def to_clears(self) -> list[CrashSuspicion]:
-        """Return the last sound answers as messages.
+        """Return the last harmless answers as messages.
 
         Returns
         -------
@@ -347,7 +347,7 @@
             del self._cleared[next(iter(self._cleared))]
         return is_changed
 
-    def _find_bans(self, now_unix_ms: int, known_sound: Set[int]) -> None:
+    def _find_bans(self, now_unix_ms: int, known_harmless: Set[int]) -> None:
         settled_unix_ms = now_unix_ms - PART_EVIDENCE_SETTLE_MS
         settled: dict[CrashId, int] = {}
         unsettled: list[int] = []
@@ -358,7 +358,7 @@
             else:
                 unsettled.append(at_unix_ms)
         self._bans = find_part_bans(
-            self._suspects, settled, self._cleared.keys() | known_sound
+            self._suspects, settled, self._cleared.keys() | known_harmless
         )
         self._next_settled_unix_ms = (
             min(unsettled) + PART_EVIDENCE_SETTLE_MS if unsettled else 2**63
--- a/chestnutvale/attempts/suspicion.py
+++ b/chestnutvale/attempts/suspicion.py
@@ -98,7 +98,7 @@
     fabric_domain: str
     started_unix_ms: int
     part_hashes: tuple[int, ...]
-    is_sound: bool = False
+    is_harmless: bool = False
 
 
 class SuspicionTracker:
@@ -181,8 +181,8 @@
         """
         self._running.pop(attempt_id, None)
 
-    def writing_soundly(self, attempt_id: str, now_unix_ms: int) -> None:
-        """Record that an answer has been written for `SOUND_WRITING_MS`.
+    def answer_progressed(self, attempt_id: str, now_unix_ms: int) -> None:
+        """Record that an answer has been written for `HARMLESS_WRITING_MS`.
 
         This clears the parts of its prompt of suspicion.
 
@@ -194,10 +194,10 @@
             Wall-clock time in milliseconds.
         """
         running = self._running.get(attempt_id)
-        if running is None or running.is_sound:
+        if running is None or running.is_harmless:
             return
-        running.is_sound = True
-        self._record_sound(running, 0, running.part_hashes, attempt_id, now_unix_ms)
+        running.is_harmless = True
+        self._record_harmless(running, 0, running.part_hashes, attempt_id, now_unix_ms)
 
     def answer_completed(self, attempt_id: str, now_unix_ms: int) -> None:
         """Record a complete answer, which clears the request of suspicion.
@@ -215,8 +215,10 @@
         is_suspected = bool(self.evidence.crashes_of(running.fingerprint))
         fingerprint = running.fingerprint if is_suspected else 0
         # What began to be written earlier tells nothing about crashes since then.
-        part_hashes = () if running.is_sound else running.part_hashes
-        self._record_sound(running, fingerprint, part_hashes, attempt_id, now_unix_ms)
+        part_hashes = () if running.is_harmless else running.part_hashes
+        self._record_harmless(
+            running, fingerprint, part_hashes, attempt_id, now_unix_ms
+        )
 
     def group_crashed(self, attempt_id: str, now_unix_ms: int) -> None:
         """Record that the group that ran an attempt crashed.
@@ -232,7 +234,7 @@
         if running is None:
             return
         ran_ms = max(0, now_unix_ms - running.started_unix_ms)
-        part_hashes = () if running.is_sound else running.part_hashes
+        part_hashes = () if running.is_harmless else running.part_hashes
         _LOGGER.info(
             "crash_suspected",
             extra={
@@ -273,8 +275,10 @@
             limit_time(suspicion, now_unix_ms)
             self.evidence.add(suspicion)
             if parts.add(suspicion) and not suspicion.cleared:
-                sound = self.part_bans.find_sound_since_crash(suspicion.part_hashes)
-                for part, at_unix_ms in sound.items():
+                harmless = self.part_bans.find_harmless_since_crash(
+                    suspicion.part_hashes
+                )
+                for part, at_unix_ms in harmless.items():
                     self._add_clear(0, [part], at_unix_ms, now_unix_ms)
         self.evidence.expire(now_unix_ms)
         parts.expire(now_unix_ms)
@@ -382,7 +386,7 @@
         tried = {crash.crash_id.group_id for crash in crashes}
         return next((group for group in groups if group not in tried), "")
 
-    def _record_sound(
+    def _record_harmless(
         self,
         running: _Running,
         fingerprint: int,
@@ -390,7 +394,7 @@
         attempt_id: str,
         now_unix_ms: int,
     ) -> None:
-        parts = self.part_bans.record_sound(part_hashes, now_unix_ms)
+        parts = self.part_bans.record_harmless(part_hashes, now_unix_ms)
         if not fingerprint and not parts:
             return
         _LOGGER.info(
--- a/chestnutvale/programs/entry/group_chooser.py
+++ b/chestnutvale/programs/entry/group_chooser.py
@@ -162,8 +162,8 @@
             self._part_hashes,
         )
 
-    def writing_soundly(self, attempt_id: str) -> None:
-        """Record that an attempt has written its answer for `SOUND_WRITING_MS`.
+    def answer_progressed(self, attempt_id: str) -> None:
+        """Record that an attempt has written its answer for `HARMLESS_WRITING_MS`.
 
         Parameters
         ----------
@@ -172,7 +172,7 @@
         """
         # If the answer breaks off later, its prompt is not the cause.
         self._part_hashes_to_judge = ()
-        self._context.suspicions.writing_soundly(
+        self._context.suspicions.answer_progressed(
             attempt_id, self._context.clock.unix_ms()
         )
 
--- a/chestnutvale/programs/entry/model_calls.py
+++ b/chestnutvale/programs/entry/model_calls.py
@@ -9,10 +9,10 @@
 
 from chestnutvale.attempts.answer_stream import AnswerStream
 from chestnutvale.attempts.const import (
+    HARMLESS_WRITING_MS,
     OUTCOME_FAILED,
     OUTCOME_NOT_RUN,
     SILENCE_REASONS,
-    SOUND_WRITING_MS,
 )
 from chestnutvale.attempts.events import (
     AttemptBroken,
@@ -267,8 +267,8 @@
         self._interrupt_effects: list[CallEffect] = []
         self._sent_at_s = 0.0
         self._first_byte_s: float | None = None
-        # Whether the attempt has written its answer for `SOUND_WRITING_MS`.
-        self._is_sound = False
+        # Whether the attempt has written its answer for `HARMLESS_WRITING_MS`.
+        self._is_harmless = False
         self._first_offset = 0
 
     def iterate(self) -> Iterator[bytes]:
@@ -401,7 +401,7 @@
         )
         self._chooser.attempt_started(effect.attempt_id)
         self._first_byte_s = None
-        self._is_sound = False
+        self._is_harmless = False
         self._first_offset = effect.resume_offset
         event = self._wait_for_endpoint(attempt.start)
         return event or EventsArrived(effect.attempt_id, [])
@@ -419,10 +419,13 @@
         now_s = self._context.clock.now_s()
         if self._first_byte_s is None:
             self._first_byte_s = now_s
-        if self._is_sound or now_s - self._first_byte_s < SOUND_WRITING_MS / 1_000:
+        if (
+            self._is_harmless
+            or now_s - self._first_byte_s < HARMLESS_WRITING_MS / 1_000
+        ):
             return
-        self._is_sound = True
-        self._chooser.writing_soundly(attempt_id)
+        self._is_harmless = True
+        self._chooser.answer_progressed(attempt_id)
 
     def _handle_break(self, reason: str) -> None:
         attempt = self.attempt
--- a/chestnutvale/routing/const.py
+++ b/chestnutvale/routing/const.py
@@ -44,7 +44,7 @@
 # hosts within this time.
 STALL_HOLD_S: Final = 3.0
 # Time without an event after which a stall is evidence of a lost member. It is longer
-# than the pauses of sound endpoints.
+# than the pauses of healthy endpoints.
 STALL_CONFIRMATION_S: Final = 2.0
 # Age of an event up to which it proves that its group works: two report intervals of an
 # entry plus the network delay of one report.
--- a/tests/attempts/test_crash_parts.py
+++ b/tests/attempts/test_crash_parts.py
@@ -31,7 +31,7 @@
 # Delay after the fifth crash from which the limits apply.
 CONTACT_MS = 3_000
 MAX_LATE_SENDS = 3
-MIN_SOUND_SHARE = 0.5
+MIN_HARMLESS_SHARE = 0.5
 CRASHING_PART = "c4a5"
 FIRST_PART = "f1"
 OTHER_PARTS = [f"{number:02x}" for number in range(8)]
@@ -68,7 +68,7 @@
         crashing_share=CRASHING_SHARE,
         groups=GROUPS,
         requests_per_s=REQUESTS_PER_S,
-        sound_until_ms=0,
+        harmless_until_ms=0,
         duration_ms=DURATION_MS,
     ):
         self.rng = random.Random(seed)
@@ -80,7 +80,7 @@
         self._other_parts = other_parts
         self._crashing_share = crashing_share
         self._requests_per_s = requests_per_s
-        self._sound_until_ms = sound_until_ms
+        self._harmless_until_ms = harmless_until_ms
         self._duration_ms = duration_ms
         self._queue = []
         self._sequence = itertools.count()
@@ -172,15 +172,17 @@
         if not self._is_running(call, attempts):
             return
         call.has_begun = call.has_begun or attempts == 1
-        if call.is_crashing and self.now_ms >= self._sound_until_ms:
+        if call.is_crashing and self.now_ms >= self._harmless_until_ms:
             self.schedule(self.rng.uniform(39, 110), self._crash, call, attempts)
         else:
-            self.schedule(const.SOUND_WRITING_MS, self._record_sound, call, attempts)
+            self.schedule(
+                const.HARMLESS_WRITING_MS, self._record_harmless, call, attempts
+            )
             self.schedule(self.rng.uniform(300, 2_500), self._complete, call, attempts)
 
-    def _record_sound(self, call, attempts):
+    def _record_harmless(self, call, attempts):
         if self._is_running(call, attempts):
-            call.chooser.writing_soundly(call.attempt_id)
+            call.chooser.answer_progressed(call.attempt_id)
 
     def _complete(self, call, attempts):
         if not self._is_running(call, attempts):
@@ -235,17 +237,17 @@
         limit_ms = self.crashes_ms[4] + CONTACT_MS
         return sum(sent_ms > limit_ms for sent_ms in self.crashing_sends_ms)
 
-    def find_sound_share(self):
+    def find_harmless_share(self):
         crashes_ms = self.crashes_ms
         from_ms = (crashes_ms[4] if len(crashes_ms) >= 5 else 0) + 2 * CONTACT_MS
-        sound = [
+        harmless = [
             call
             for call in self.calls
             if not call.is_crashing
             and from_ms <= call.accepted_ms <= self._duration_ms - 1_000
         ]
-        assert len(sound) > 20
-        return sum(call.has_begun for call in sound) / len(sound)
+        assert len(harmless) > 20
+        return sum(call.has_begun for call in harmless) / len(harmless)
 
 
 @pytest.mark.parametrize("leaderless_ms", [0, 2_000])
@@ -255,13 +257,13 @@
         simulation.run()
         assert len(simulation.crashes_ms) >= BAN_AFTER_CRASHES
         assert simulation.count_late_sends() <= MAX_LATE_SENDS
-        assert simulation.find_sound_share() >= MIN_SOUND_SHARE
+        assert simulation.find_harmless_share() >= MIN_HARMLESS_SHARE
 
 
 @pytest.mark.parametrize(
     "variant",
     [
-        {"sound_until_ms": 2_000},
+        {"harmless_until_ms": 2_000},
         {"groups": 3, "requests_per_s": 9.0, "duration_ms": 30_000},
         {"groups": 6, "requests_per_s": 15.0, "other_parts": 1},
         {"requests_per_s": 8.0, "duration_ms": 30_000},
@@ -274,7 +276,7 @@
         simulation = Simulation(seed, **variant)
         simulation.run()
         assert simulation.count_late_sends() <= MAX_LATE_SENDS
-        assert simulation.find_sound_share() >= MIN_SOUND_SHARE
+        assert simulation.find_harmless_share() >= MIN_HARMLESS_SHARE
 
 
 def test_groups_that_crash_together_twice_ban_no_shared_part():
@@ -323,40 +325,40 @@
     assert not is_banned(tracker, settled, 1, 99)
 
 
-def test_sound_writing_clears_earlier_crashes_but_no_later_one(tracker):
+def test_harmless_writing_clears_earlier_crashes_but_no_later_one(tracker):
     for number in range(3):
         at_unix_ms = START_UNIX_MS + number * 500
         crash(tracker, at_unix_ms, f"g{number}", 1)
         tracker.attempt_started("s.1", 9, "g9", 1, "", at_unix_ms, (1,))
-        tracker.writing_soundly("s.1", at_unix_ms + 200)
+        tracker.answer_progressed("s.1", at_unix_ms + 200)
     assert not is_banned(tracker, SETTLED, 1)
     for number in range(3):
         crash(tracker, START_UNIX_MS + 1_300 + number * 300, f"g{3 + number}", 1)
     assert is_banned(tracker, SETTLED, 1)
 
 
-def test_part_written_soundly_after_a_crash_is_cleared_when_the_evidence_arrives(
+def test_part_written_harmlessly_after_a_crash_is_cleared_when_the_evidence_arrives(
     tracker,
 ):
     other = SuspicionTracker(BAN_AFTER_CRASHES)
     for number in range(3):
         crash(other, START_UNIX_MS + number * 200, f"g{number}", 1)
     tracker.attempt_started("s.1", 9, "g9", 1, "", START_UNIX_MS, (1,))
-    tracker.writing_soundly("s.1", START_UNIX_MS + 500)
+    tracker.answer_progressed("s.1", START_UNIX_MS + 500)
     tracker.merge(other.reports(START_UNIX_MS + 600), START_UNIX_MS + 600)
     assert not is_banned(tracker, SETTLED, 1)
     other.merge(tracker.reports(START_UNIX_MS + 700), START_UNIX_MS + 700)
     assert not is_banned(other, SETTLED, 1)
 
 
-def test_attempt_that_wrote_soundly_is_no_suspect_of_a_later_crash(tracker):
+def test_attempt_that_wrote_harmlessly_is_no_suspect_of_a_later_crash(tracker):
     for number in range(3):
         at_unix_ms = START_UNIX_MS + number * 500
         attempt_id = f"{number}.1"
         tracker.attempt_started(
             attempt_id, 9 + number, f"g{number}", 1, "", at_unix_ms - 400, (1,)
         )
-        tracker.writing_soundly(attempt_id, at_unix_ms - 100)
+        tracker.answer_progressed(attempt_id, at_unix_ms - 100)
         tracker.group_crashed(attempt_id, at_unix_ms)
     assert not is_banned(tracker, SETTLED, 1)
 
@@ -376,7 +378,7 @@
         crash(ahead, START_UNIX_MS + 3_600_000 + number, f"g{number}", 1)
     tracker.merge(ahead.reports(START_UNIX_MS), START_UNIX_MS)
     tracker.attempt_started("s.1", 9, "g9", 1, "", START_UNIX_MS, (1,))
-    tracker.writing_soundly("s.1", START_UNIX_MS + 200)
+    tracker.answer_progressed("s.1", START_UNIX_MS + 200)
     assert not tracker.part_bans.evidence.suspected_parts([1])
 
 
@@ -419,7 +421,7 @@
     leader.merge(tracker.reports(SETTLED), SETTLED)
     other.merge(leader.recent_evidence(SETTLED), SETTLED)
     other.attempt_started("s.1", 9, "g9", 1, "", SETTLED, (1,))
-    other.writing_soundly("s.1", SETTLED)
+    other.answer_progressed("s.1", SETTLED)
     leader.merge(other.reports(SETTLED), SETTLED)
     later_unix_ms = SETTLED + 60_000
     assert is_banned(tracker, later_unix_ms, 1)
@@ -443,13 +445,13 @@
     return trials
 
 
-def test_ban_ends_by_a_trial_that_is_sound(tracker):
+def test_ban_ends_by_a_trial_that_is_harmless(tracker):
     last_unix_ms = ban_part(tracker, 1)
     ban_end_unix_ms = last_unix_ms + const.PART_BAN_MS
     trial_end_unix_ms = ban_end_unix_ms + const.PART_TRIAL_SPREAD_MS
     [trial_unix_ms] = find_trials(tracker, SETTLED, trial_end_unix_ms, 1)
     assert trial_unix_ms >= ban_end_unix_ms
-    tracker.writing_soundly("t.1", trial_unix_ms + 300)
+    tracker.answer_progressed("t.1", trial_unix_ms + 300)
     assert not is_banned(tracker, trial_unix_ms + 301, 1)
 
 
@@ -467,7 +469,7 @@
 
 def test_answer_that_began_before_the_crashes_clears_nothing_at_its_end(tracker):
     tracker.attempt_started("s.1", 9, "g9", 1, "", START_UNIX_MS - 900, (1,))
-    tracker.writing_soundly("s.1", START_UNIX_MS - 500)
+    tracker.answer_progressed("s.1", START_UNIX_MS - 500)
     ban_part(tracker, 1)
     tracker.answer_completed("s.1", SETTLED)
     assert is_banned(tracker, SETTLED, 1)
--- a/tests/attempts/test_model_call.py
+++ b/tests/attempts/test_model_call.py
@@ -300,15 +300,15 @@
     assert effects[-1] == Finish()
 
 
-def test_silent_call_waits_for_a_sound_group_and_then_moves():
-    sound_groups = {"g1"}
+def test_silent_call_waits_for_a_healthy_group_and_then_moves():
+    healthy_groups = {"g1"}
     call = ModelCall("r", DEADLINE_S, AttemptBudgets())
-    call.has_alternative = lambda excluded, version: bool(sound_groups - excluded)
+    call.has_alternative = lambda excluded, version: bool(healthy_groups - excluded)
     start(call)
     assert call.handle(Tick(), STREAM_IDLE_TIMEOUT_S) == []
     assert call.kept_because == "no_group_available"
     assert call.next_tick_s == 2 * STREAM_IDLE_TIMEOUT_S
-    sound_groups.add("g2")
+    healthy_groups.add("g2")
     effects = call.handle(Tick(), call.next_tick_s)
     assert [type(effect) for effect in effects] == [CancelAttempt, ChooseGroup]
 
--- a/tests/programs/entry/routed/test_crash_parts.py
+++ b/tests/programs/entry/routed/test_crash_parts.py
@@ -72,7 +72,10 @@
     endpoint.default = stream_head() + chunk(b"id: 1")
     endpoint.steps = [lambda sock, request: sock.close()]
     evidence = entry.context.suspicions.part_bans.evidence
-    find, evidence.bans = evidence.bans, lambda now, sound: find(now + 1_000, sound)
+    find, evidence.bans = (
+        evidence.bans,
+        lambda now, harmless: find(now + 1_000, harmless),
+    )
     status, headers, _, _ = call(
         entry.address, "/gen/x", b"p", X_Model="m", X_Parts="first,bad,own"
     )
@@ -97,8 +100,8 @@
     assert status == 200
 
 
-def test_sound_answer_goes_on_at_another_group_despite_a_ban(entry, endpoint):
-    def write_soundly_then_ban(sock, request):
+def test_harmless_answer_goes_on_at_another_group_despite_a_ban(entry, endpoint):
+    def write_harmlessly_then_ban(sock, request):
         sock.sendall(stream_head() + chunk(event(1)))
         eventlet.sleep(0.3)
         sock.sendall(chunk(event(2)))
@@ -107,7 +110,7 @@
         eventlet.sleep(0.2)
         sock.close()
 
-    endpoint.steps = [write_soundly_then_ban]
+    endpoint.steps = [write_harmlessly_then_ban]
     entry.other_endpoint.default = stream_head() + chunk(event(3)) + b"0\r\n\r\n"
     _, _, body, is_complete = call(
         entry.address, "/gen/x", b"p", X_Model="m", X_Parts="first,bad,own"
