Return only to the group that a call left, and only if it was not rebuilt

What callers could see: a call that may be sent to two endpoints was sent to a third one, when it returned to the silent group that it had left and that group, or the one that had refused it, was rebuilt meanwhile.

Cause: the chooser dropped every rebuilt group from those left out, after `ChooseGroup.allowed` had been applied.

Change: the permitted groups are applied last, and a rebuilt group is none of them. The same holds for the one group at which a suspected request may run.

--- a/chestnutvale/programs/entry/group_chooser.py
+++ b/chestnutvale/programs/entry/group_chooser.py
@@ -1,6 +1,6 @@
 """Chooses the group for the next attempt of a call, respecting crash suspicion."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Set
 
 from chestnutvale.attempts.const import DEFAULT_RETRY_AFTER_S
 from chestnutvale.attempts.events import (
@@ -100,19 +100,15 @@
             verdict = context.suspicions.judge(
                 self._fingerprint, groups, now_unix_ms, self._part_hashes_to_judge
             )
-            excluded = effect.excluded
-            if effect.allowed:
-                excluded |= set(groups) - effect.allowed
             if isinstance(verdict, Clear):
-                return self._choose_from(excluded, effect.version)
+                return self._choose_from(effect, groups)
             if isinstance(verdict, Banned):
                 return CallBanned(
                     (verdict.until_unix_ms - now_unix_ms) / 1_000, verdict.part_hashes
                 )
             wait_s = (verdict.not_before_unix_ms - now_unix_ms) / 1_000
             if wait_s <= 0.0:
-                excluded |= set(groups) - {verdict.group_id}
-                return self._choose_from(excluded, effect.version)
+                return self._choose_from(effect, groups, {verdict.group_id})
             remaining_s = self._request.deadline_s - context.clock.now_s()
             if remaining_s <= 0.0 or self._wait(min(wait_s, remaining_s)):
                 return Tick()
@@ -192,14 +188,21 @@
             suspicions.attempt_ended(attempt_id)
 
     def _choose_from(
-        self, excluded: frozenset[str], version: str
+        self, effect: ChooseGroup, groups: list[str], only: Set[str] = frozenset()
     ) -> GroupChosen | NoGroupAvailable:
+        """Choose among the groups; `only` names the permitted ones unless empty."""
         view = None
         if self._context.has_lease(self._context.clock.now_s()):
-            still_broken = frozenset(
-                name for name in excluded if not self._has_new_epoch(name)
+            excluded = frozenset(
+                name for name in effect.excluded if not self._has_new_epoch(name)
             )
-            view = self._context.choose_group(self._request, still_broken, version)
+            if only:
+                excluded |= set(groups) - only
+            if effect.allowed:
+                # A rebuilt group may have another head, which is a further endpoint.
+                unchanged = {n for n in effect.allowed if not self._has_new_epoch(n)}
+                excluded |= set(groups) - unchanged
+            view = self._context.choose_group(self._request, excluded, effect.version)
         if view is None or not head_address(view):
             return_s = self._context.earliest_return_s(self._request.service)
             return NoGroupAvailable(return_s or DEFAULT_RETRY_AFTER_S)
--- a/tests/programs/entry/test_group_chooser.py
+++ b/tests/programs/entry/test_group_chooser.py
@@ -24,7 +24,7 @@
         context = SimpleNamespace(
             clock=SimpleNamespace(now_s=lambda: self.now_s, unix_ms=lambda: 1),
             suspicions=SimpleNamespace(judge=lambda *arguments: Clear()),
-            serving_groups=lambda service, version: [],
+            serving_groups=lambda service, version: ["g"],
             has_lease=lambda now_s: now_s >= serves_again_at_s,
             choose_group=self.choose_group,
             earliest_return_s=lambda service: None,
@@ -73,3 +73,20 @@
     assert isinstance(harness.chooser.choose(same_effect), GroupChosen)
     # Under an epoch that the call has used, the group may still be broken.
     assert isinstance(harness.chooser.choose(same_effect), NoGroupAvailable)
+
+
+def test_group_that_was_rebuilt_does_not_count_as_the_endpoint_to_return_to():
+    harness = ChooserHarness(0.0)
+    harness.chooser.choose(ChooseGroup(frozenset(), ""))
+    effect = ChooseGroup(frozenset(), "1", frozenset({"g"}))
+    assert isinstance(harness.chooser.choose(effect), GroupChosen)
+    harness.epoch = 2
+    assert isinstance(harness.chooser.choose(effect), NoGroupAvailable)
+
+
+def test_only_an_allowed_group_is_chosen_even_if_another_was_rebuilt():
+    harness = ChooserHarness(0.0)
+    harness.chooser.choose(ChooseGroup(frozenset(), ""))
+    harness.epoch = 2
+    effect = ChooseGroup(frozenset(), "1", frozenset({"other"}))
+    assert isinstance(harness.chooser.choose(effect), NoGroupAvailable)
