Read and log the request rates that endpoints name

Cause of the gap: no part read the header, so neither the hypothesis that limits are ignored nor those about bursts and restarts could be told apart.

A notice of another endpoint (misdirected) is now told from one that names nothing, since an answer without a limit ends it. Sending is unchanged.

--- a/chestnutvale/membership/endpoint_notices.py
+++ b/chestnutvale/membership/endpoint_notices.py
@@ -41,18 +41,20 @@
     pause_s : float or None
         Time in seconds for which it wants no request from this process; None for no
         such wish.
+    rate_limit_per_s : float or None
+        Requests per second that it takes from all entries together; None if it names
+        no limit.
+    is_misdirected : bool
+        Whether another endpoint answered, so that the answer says nothing.
     """
 
     is_leaving: bool = False
     pause_s: float | None = None
+    rate_limit_per_s: float | None = None
+    is_misdirected: bool = False
 
-    @property
-    def is_empty(self) -> bool:
-        """Whether the answer says neither."""
-        return not self.is_leaving and self.pause_s is None
 
-
-NO_NOTICE = EndpointNotice()
+MISDIRECTED = EndpointNotice(is_misdirected=True)
 
 
 @attrs.define
--- a/chestnutvale/observability/catalog.py
+++ b/chestnutvale/observability/catalog.py
@@ -198,7 +198,7 @@
 ENDPOINT_NOTICES: Final = Metric(
     "chestnutvale.entry.endpoint.notices",
     "{endpoint}",
-    "Endpoints that said in an answer that they leave, or want no request for a time.",
+    "Departures, pauses, and changes of rate limits that endpoints stated in answers.",
     (LABEL_REASON,),
 )
 PART_BANS: Final = Metric(
--- a/chestnutvale/programs/entry/entry_context.py
+++ b/chestnutvale/programs/entry/entry_context.py
@@ -25,6 +25,7 @@
 from chestnutvale.programs.entry.crash_probe import has_crashed
 from chestnutvale.programs.entry.group_router import GroupRouter
 from chestnutvale.programs.entry.running_attempts import RunningAttempts
+from chestnutvale.rate_limits.statements import RateStatement
 from chestnutvale.routing.stall_detection import StallDetector
 from chestnutvale.schema.command_pb2 import Command, CommandResult
 from chestnutvale.schema.configuration_pb2 import Service, Text
@@ -69,7 +70,8 @@
     on_departure : callable
         Called when an endpoint told this entry that it leaves.
     notice_counts : Counter
-        Number of endpoints that were ``leaving`` and ``paused`` by their own answers.
+        Number of endpoints that were ``leaving`` and ``paused`` by their own answers,
+        and of limits that they named (``limited``) and no longer named (``unlimited``).
     kept_attempts : Counter
         Number of attempts that were kept although silent, by the code of the reason.
     """
@@ -354,6 +356,7 @@
         notice : EndpointNotice
             What its answer says.
         """
+        self._record_rate_limit(endpoint, notice.rate_limit_per_s)
         if not self._router.notices.record(endpoint, notice, self.clock.now_s()):
             return
         kind = "leaving" if notice.is_leaving else "paused"
@@ -374,6 +377,24 @@
             # The capacity returns with the end of the pause, not with the next view.
             eventlet.spawn_after(notice.pause_s, self._install_capacities)
 
+    def _record_rate_limit(
+        self, endpoint: Incarnation, rate_per_s: float | None
+    ) -> None:
+        now_s = self.clock.now_s()
+        statement = RateStatement(endpoint, rate_per_s, now_s)
+        if not self._router.rate_statements.record(statement):
+            return
+        kind = "unlimited" if rate_per_s is None else "limited"
+        self.notice_counts[kind] += 1
+        _LOGGER.info(
+            "endpoint_limit",
+            extra={
+                "host": endpoint.host_id,
+                "boot": endpoint.boot_id,
+                "limit_per_s": rate_per_s,
+            },
+        )
+
     def earliest_return_s(self, service: str) -> float | None:
         """Return how long all endpoints of a service pause.
 
--- a/chestnutvale/programs/entry/group_router.py
+++ b/chestnutvale/programs/entry/group_router.py
@@ -12,6 +12,7 @@
 from chestnutvale.membership.endpoint_notices import EndpointNotices, Incarnation
 from chestnutvale.membership.entry_view import EntryView
 from chestnutvale.programs.entry.context import AttemptReport, CallRequest
+from chestnutvale.rate_limits.statements import RateStatements
 from chestnutvale.routing.const import DEFAULT_REPORT_AGE_S
 from chestnutvale.routing.messages import RoutableGroup, RoutingRequest
 from chestnutvale.routing.selector import Selector
@@ -48,6 +49,8 @@
     ----------
     notices : EndpointNotices
         Endpoints that told this entry that they leave or pause.
+    rate_statements : RateStatements
+        Limits that endpoints named in answers to this entry.
     """
 
     def __init__(
@@ -62,6 +65,7 @@
         self._predicted_tokens = predicted_tokens
         self._clock = clock
         self.notices = EndpointNotices()
+        self.rate_statements = RateStatements()
         self._avoid_until_s: dict[str, float] = {}
         self._sent_at_s: dict[str, float] = {}
 
@@ -74,9 +78,9 @@
             The view; only its loads are read, groups come from the entry's view.
         """
         now_s = self._clock.now_s()
-        self.notices.keep_listed(
-            (_head_of(group_view) for group_view in self._view.groups()), now_s
-        )
+        heads = [_head_of(group_view) for group_view in self._view.groups()]
+        self.notices.keep_listed(heads, now_s)
+        self.rate_statements.keep_listed(heads, now_s)
         if view.whole or view.groups or view.removed_group_ids:
             self._selector.update_groups(
                 RoutableGroup(
--- a/chestnutvale/programs/entry/routed/exchange.py
+++ b/chestnutvale/programs/entry/routed/exchange.py
@@ -319,7 +319,7 @@
 
     def _report_notice(self, status: int, headers: Headers) -> None:
         notice = self._protocol.read_notice(status, headers)
-        if not notice.is_empty:
+        if not notice.is_misdirected:
             self._on_notice(notice)
 
     def _check_signature(self, status: int, headers: Headers) -> None:
--- /dev/null
+++ b/chestnutvale/rate_limits/const.py
@@ -0,0 +1,20 @@
+"""Constants of the rate limits that endpoints name."""
+
+from typing import Final
+
+# Smallest share of a limit that an entry gets, in requests per second. Each entry may
+# send one request at once, so a limit is divided among few entries only.
+MIN_SHARE_PER_S: Final = 1.0
+# Requests that an entry may send at once, plus the requests of this time at its share.
+BURST_REQUESTS: Final = 1.0
+BURST_S: Final = 0.25
+# Rate at which an endpoint that wants no requests is still asked, since only its
+# answers tell when that ends.
+MIN_RATE_PER_S: Final = 0.2
+# Time for which the end of a limit is remembered; longer than an earlier statement can
+# be under way.
+ENDED_RETENTION_S: Final = 10.0
+# The same for a limit of an endpoint that no view lists any more.
+UNLISTED_RETENTION_S: Final = 30.0
+# Upper limit of a rate that an endpoint names.
+MAX_RATE_PER_S: Final = 1e6
--- /dev/null
+++ b/tests/rate_limits/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the rate limits that endpoints name."""
