Divide the limits that endpoints name among few entries

Cause: nothing read the limits.

Change: entries report limits to the leader, which gives equal shares to as many entries as there are whole requests a second and sends the list to all. An entry spends its share from a bucket that starts empty; resumed and second sends choose their group in the same place and count too. Admission counts shares by Little's law. A call that finds no token waits until it had to start, then is refused as not run with the time of the next token.

Tests of attempts, programs, admission, membership and rate_limits pass.

--- a/benchmarks/attempts_http.py
+++ b/benchmarks/attempts_http.py
@@ -174,6 +174,9 @@
     def record_notice(self, endpoint: Incarnation, notice: EndpointNotice) -> None:
         """Discard the notice."""
 
+    def next_send_s(self, service: str) -> None:
+        """No endpoint limits the rate of requests."""
+
     def earliest_return_s(self, service: str) -> None:
         """Return that no endpoint pauses."""
 
--- a/chestnutvale/admission/messages.py
+++ b/chestnutvale/admission/messages.py
@@ -68,6 +68,31 @@
     overcommit: float = 1.0
 
 
+@attrs.frozen
+class LimitedGroups:
+    """Serving groups of a service whose endpoints limit the rate of requests.
+
+    Attributes
+    ----------
+    count : int
+        Number of these groups in which this entry has a share.
+    share_per_s : float
+        Requests per second that this entry may send to them.
+    """
+
+    count: int = 0
+    share_per_s: float = 0.0
+
+    def with_group(self, share_per_s: float) -> "LimitedGroups":
+        """Return the sum with one more group; without a share, nothing is added."""
+        if share_per_s <= 0.0:
+            return self
+        return LimitedGroups(self.count + 1, self.share_per_s + share_per_s)
+
+
+NO_LIMITED_GROUPS = LimitedGroups()
+
+
 @attrs.frozen
 class ServiceCapacity:
     """Capacity and usage of a service, summed over its serving groups.
@@ -75,7 +100,7 @@
     Attributes
     ----------
     groups : int
-        Number of serving groups.
+        Number of serving groups without a rate limit.
     kv_capacity_tokens, kv_used_tokens : int
         KV cache memory in tokens; the capacity is 0 for a service without KV cache.
     running, waiting : int
@@ -86,6 +111,8 @@
     returns_at_s : float
         Monotonic time in seconds at which the first group that pauses takes requests
         again; infinite if none pauses.
+    limited : LimitedGroups
+        Serving groups with a rate limit, which are not part of the other sums.
     """
 
     groups: int
@@ -95,6 +122,12 @@
     waiting: int = 0
     largest_group_tokens: int = 0
     returns_at_s: float = math.inf
+    limited: LimitedGroups = NO_LIMITED_GROUPS
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether this entry can send a request to no group."""
+        return not (self.groups or self.limited.count)
 
 
 @attrs.frozen
--- a/chestnutvale/admission/pacing.py
+++ b/chestnutvale/admission/pacing.py
@@ -39,10 +39,12 @@
     _cost_seconds: float = 0.0
     _output: float = 0.0
     _seconds: float = 0.0
+    _count: float = 0.0
 
     def observe(self, cost: int, output_tokens: int, held_s: float) -> None:
         """Add a request that kept `cost` tokens reserved for `held_s` seconds."""
         keep = 1 - self.smoothing
+        self._count = self._count * keep + 1.0
         self._cost = self._cost * keep + cost
         self._cost_seconds = self._cost_seconds * keep + cost * held_s
         self._output = self._output * keep + output_tokens
@@ -52,6 +54,10 @@
         if self._output:
             self.output_token_s = self._seconds / self._output
 
+    def mean_cost(self) -> float:
+        """Return the mean of the tokens reserved for a request; 1 if unknown."""
+        return self._cost / self._count if self._count else 1.0
+
     def drain_rate(self, limit_tokens: float) -> float:
         """Return the tokens released per second while the limit is fully used."""
         return max(1e-6, limit_tokens / max(0.01, self.hold_s))
--- a/chestnutvale/admission/service.py
+++ b/chestnutvale/admission/service.py
@@ -132,17 +132,21 @@
             self.entry_count,
             attrs.evolve(self.division, urgent_share=self.limits.urgent_share),
         )
-        self.limit = sum(parts.values())
+        limited_units = self._limited_units()
+        self.limit = sum(parts.values()) + limited_units
         if self._is_slot_limited():
-            self.limit = max(self._rounding.whole_slots(self.limit), self._free_slots())
-        if self.capacity.groups:
+            self.limit = max(
+                self._rounding.whole_slots(self.limit),
+                self._free_slots() + math.floor(limited_units),
+            )
+        if not self.capacity.is_empty:
             self._usual_limit = max(1.0, self.limit)
         self.queue.weights = {name: max(part, 1e-6) for name, part in parts.items()}
 
     def offer(self, request: AdmissionRequest, now_s: float) -> list[Effect]:
         """Admit, queue or refuse a new request."""
         cost = self._cost(request)
-        if self.capacity.groups == 0:
+        if self.capacity.is_empty:
             retry_s = self._retry_without_capacity_s(request, cost, now_s)
             return [Refuse(request.request_id, CODE_NO_CAPACITY, retry_s)]
         if self._is_too_large(request):
@@ -211,7 +215,7 @@
         """Refuse waiting requests that can't meet their deadline; admit others."""
         self.refused.forget_old(now_s)
         effects = self.admit_waiting(now_s)
-        if self.capacity.groups == 0:
+        if self.capacity.is_empty:
             return effects + self._refuse_all(now_s)
         for waiter in list(self.queue):
             request = waiter.request
@@ -275,7 +279,21 @@
             return self.limits.overcommit * slots
         return self.kv_overcommit.factor * self.capacity.kv_capacity_tokens
 
+    def _limited_units(self) -> float:
+        """Return what this entry's shares in rate limits keep busy, by Little's law."""
+        limited = self.capacity.limited
+        busy = (
+            limited.share_per_s * self.hold_times.hold_s * self.hold_times.mean_cost()
+        )
+        if self._is_slot_limited():
+            places = self.limits.overcommit * self.limits.slots_per_group
+        else:
+            places = self.kv_overcommit.factor * self._known_tokens_per_group
+        return min(busy, limited.count * places)
+
     def _is_slot_limited(self) -> bool:
+        if self.capacity.limited.count and self._known_tokens_per_group:
+            return False
         return self.capacity.kv_capacity_tokens == 0
 
     def _cost(self, request: AdmissionRequest) -> int:
--- a/chestnutvale/programs/control/entry_report_handler.py
+++ b/chestnutvale/programs/control/entry_report_handler.py
@@ -18,6 +18,7 @@
 from chestnutvale.groups.members import group_head
 from chestnutvale.membership.attempt_counts import AttemptCounts
 from chestnutvale.membership.cache_events import CacheEventQueue
+from chestnutvale.membership.endpoint_notices import Incarnation
 from chestnutvale.membership.table import MembershipTable
 from chestnutvale.membership.view_publisher import ViewPublisher, ViewPush
 from chestnutvale.programs.control.const import (
@@ -27,6 +28,8 @@
     RESPONSIVE_TTL_S,
 )
 from chestnutvale.programs.control.state import ControlState
+from chestnutvale.rate_limits.coordinator import RateLimitCoordinator
+from chestnutvale.rate_limits.wire import from_message, to_message
 from chestnutvale.routing.stall_detection import StallAggregator
 from chestnutvale.schema.peer_pb2 import (
     CacheNews,
@@ -127,6 +130,11 @@
         self._demand_due_s: dict[str, float] = {}
         self.attempt_counts = AttemptCounts()
         self._stalls = StallAggregator()
+        self._rate_limits = RateLimitCoordinator()
+        self._limit_inputs: tuple[object, ...] = ()
+        self._pushed_limits = self._rate_limits.version
+        # Version of the list of limits that each entry is known to have.
+        self._limits_versions: dict[str, int] = {}
         self._commits = eventlet.GreenPool(MAX_CONCURRENT_COMMIT_REQUESTS)
         transport.register_handler("entry_report", self._receive_report)
         transport.register_handler("commit_request", self._receive_commit)
@@ -236,15 +244,19 @@
             list(report.suspicions), self._clock.unix_ms()
         )
         self.attempt_counts.record_group_loads(entry_id, report.running, now_s)
+        self._rate_limits.merge(from_message(item, now_s) for item in report.limits)
+        is_same_source = report.view_source == self._publisher.source
+        self._limits_versions[entry_id] = report.limits_version if is_same_source else 0
         if not self._log.is_leader or not self._log.has_lease(now_s):
             if report.wants_controls:
                 self._answer_as_follower(entry_id, report.reply_address)
             return
         self._update_group_loads(now_s)
         has_new_suspicions |= self._record_stalls(entry_id, report, now_s)
+        has_new_limits = self._divide_limits(now_s)
         self._answer(entry_id, report, now_s)
-        if has_new_suspicions:
-            self._push_suspicions(now_s)
+        if has_new_suspicions or has_new_limits:
+            self._push_to_all(now_s)
 
     def _merge_departures(self, entry_id: str, report: EntryReport) -> None:
         for departure in report.departures:
@@ -301,8 +313,44 @@
                 head.host_id, totals.get(group.group_id, 0)
             )
 
-    def _push_suspicions(self, now_s: float) -> None:
-        # A request that crashes groups is often retried soon at another entry.
+    def _divide_limits(self, now_s: float) -> bool:
+        """Divide the rate limits of endpoints again if something changed."""
+        entry_ids = [
+            entry_id
+            for entry_id in self._table.live_entries(now_s)
+            if entry_id in self.entries and not self.entries[entry_id].draining
+        ]
+        inputs = (self._rate_limits.version, self._publisher.version, entry_ids)
+        if inputs == self._limit_inputs:
+            return False
+        services = {
+            Incarnation.of_member(group_head(view.group)): view.group.service
+            for view in self._publisher.group_views()
+            if view.serving
+        }
+        self._rate_limits.refresh(entry_ids, services, now_s)
+        version, version_before = self._rate_limits.version, self._pushed_limits
+        self._limit_inputs = (version, self._publisher.version, entry_ids)
+        self._pushed_limits = version
+        return version != version_before
+
+    def _add_limits(self, entry_id: str, view: ControlView, now_s: float) -> None:
+        coordinator = self._rate_limits
+        if self._limits_versions.get(entry_id) == coordinator.version:
+            return
+        view.limits_version = coordinator.version
+        view.limits.extend(
+            to_message(
+                statement,
+                now_s,
+                coordinator.share_per_s(statement.endpoint, entry_id),
+            )
+            for statement in coordinator.statements()
+        )
+
+    def _push_to_all(self, now_s: float) -> None:
+        # A request that crashes groups is often retried soon at another entry, and
+        # the shares in a limit add up only once all entries have the new ones.
         pushes = self._publisher.build_pushes_to_all(
             self._state.configuration, self._table, self._log.term, now_s
         )
@@ -368,6 +416,7 @@
         now_s = self._clock.now_s()
         view.stalled_group_ids.extend(sorted(self._stalls.stalled_groups(now_s)))
         view.discovering = self._table.may_discover_hosts(now_s)
+        self._add_limits(entry_id, view, now_s)
         if view.whole:
             view.suspicions.extend(self._suspicions.all_evidence(now_unix_ms))
         else:
--- a/chestnutvale/programs/entry/context.py
+++ b/chestnutvale/programs/entry/context.py
@@ -390,6 +390,21 @@
             What its answer says.
         """
 
+    def next_send_s(self, service: str) -> float | None:
+        """Return when a rate limit lets this entry send a request to a service.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+
+        Returns
+        -------
+        float or None
+            Monotonic time in seconds; infinite if this entry has no share in any limit,
+            None if no group that serves now has a limit.
+        """
+
     def earliest_return_s(self, service: str) -> float | None:
         """Return how long all endpoints of a service pause.
 
--- a/chestnutvale/programs/entry/control_link.py
+++ b/chestnutvale/programs/entry/control_link.py
@@ -25,6 +25,8 @@
 from chestnutvale.programs.entry.demand_exchange import DemandExchange
 from chestnutvale.programs.entry.running_attempts import RunningAttempts
 from chestnutvale.programs.periodic import run_periodically
+from chestnutvale.rate_limits.send_budget import SendBudget
+from chestnutvale.rate_limits.wire import from_message, to_message
 from chestnutvale.routing.stall_detection import StallDetector
 from chestnutvale.schema.membership_pb2 import Load
 from chestnutvale.schema.peer_pb2 import (
@@ -71,6 +73,8 @@
         Detects groups whose streams have stalled.
     notices : EndpointNotices, optional
         Endpoints that told this entry that they leave or pause.
+    send_budget : SendBudget, optional
+        Limits that endpoints named, and the shares of this entry.
 
     Attributes
     ----------
@@ -96,6 +100,7 @@
         running: RunningAttempts | None = None,
         stall_detector: StallDetector | None = None,
         notices: EndpointNotices | None = None,
+        send_budget: SendBudget | None = None,
     ) -> None:
         self.draining = False
         self._settings = settings
@@ -113,6 +118,9 @@
         self._running = running
         self._stall_detector = stall_detector or StallDetector()
         self._notices = notices or EndpointNotices()
+        self._send_budget = send_budget or SendBudget()
+        # Source and version of the installed list of limits.
+        self._limits_installed = ("", 0)
         self._reported_stalled: frozenset[str] = frozenset()
         self._had_lease = False
         self.lease_changes: Counter[str] = Counter()
@@ -225,6 +233,7 @@
             Departure(host_id=endpoint.host_id, boot_id=endpoint.boot_id)
             for endpoint in self._notices.departures()
         )
+        self._add_limits(report, now_s)
         targets = self._targets.choose_controls(now_s)
         report.wants_controls = len(targets) > 1
         for control_id, address in targets:
@@ -232,6 +241,39 @@
                 control_id, address, "entry_report", report, REPORT_EXPIRY_MS
             )
 
+    def _add_limits(self, report: EntryReport, now_s: float) -> None:
+        report.limits.extend(
+            to_message(statement, now_s) for statement in self._send_budget.unreported()
+        )
+        source, version = self._limits_installed
+        if source == report.view_source:
+            report.limits_version = version
+
+    def _install_limits(self, view: ControlView) -> None:
+        installed = (view.source, view.limits_version)
+        if not view.limits_version or installed == self._limits_installed:
+            return
+        self._limits_installed = installed
+        now_s = self._clock.now_s()
+        statements = [from_message(message, now_s) for message in view.limits]
+        shares = {
+            statement.endpoint: message.share_per_s
+            for statement, message in zip(statements, view.limits, strict=True)
+        }
+        self._send_budget.install(statements, shares, now_s)
+        _LOGGER.info(
+            "rate_limits",
+            extra={
+                "version": view.limits_version,
+                "limits": len(statements),
+                "shares": {
+                    endpoint.host_id: round(share_per_s, 3)
+                    for endpoint, share_per_s in shares.items()
+                    if share_per_s
+                },
+            },
+        )
+
     def _make_group_loads(self, now_s: float) -> Iterator[GroupLoad]:
         silences_s = self._stall_detector.silences_s(now_s)
         stalled = self._stall_detector.stalled_groups(now_s)
@@ -300,6 +342,7 @@
             return
         self._suspicions.merge(list(view.suspicions), self._clock.unix_ms())
         self._demand.apply_totals(view)
+        self._install_limits(view)
         for listener in self._listeners:
             listener(view, envelope.sender_id)
 
--- a/chestnutvale/programs/entry/daemon.py
+++ b/chestnutvale/programs/entry/daemon.py
@@ -123,8 +123,10 @@
             self.context.running,
             self.context.stall_detector,
             router.notices,
+            router.send_budget,
         )
         self.context.on_departure = self.link.trigger_report
+        self.context.on_limit_change = self.link.trigger_report
         self._load_exchange = LoadExchange(
             self.transport, self.view, self.context, self.link.find_leader, clock
         )
@@ -256,6 +258,7 @@
                 for group_view in self.view.groups()
             ],
             "endpoint_notices": self.context.describe_notices,
+            "endpoint_limits": self.context.describe_limits,
             "running_attempts": lambda: len(self.context.running),
             "running_requests": lambda: self.server.running_requests,
             "refused_requests": lambda: dict(self.server.refused),
--- a/chestnutvale/programs/entry/entry_context.py
+++ b/chestnutvale/programs/entry/entry_context.py
@@ -69,6 +69,8 @@
     ----------
     on_departure : callable
         Called when an endpoint told this entry that it leaves.
+    on_limit_change : callable
+        Called when an endpoint told this entry another limit than before.
     notice_counts : Counter
         Number of endpoints that were ``leaving`` and ``paused`` by their own answers,
         and of limits that they named (``limited``) and no longer named (``unlimited``).
@@ -98,7 +100,8 @@
         self.stall_detector = StallDetector()
         self.attempt_results: Counter[str] = Counter()
         self.has_crashed: CrashProbe = has_crashed
-        self.on_departure: Callable[[], None] = _ignore_departure
+        self.on_departure: Callable[[], None] = _ignore_change
+        self.on_limit_change: Callable[[], None] = _ignore_change
         self.notice_counts: Counter[str] = Counter()
         self.kept_attempts: Counter[str] = Counter()
         self.lookup = TextLookup.from_text(Text())
@@ -146,7 +149,9 @@
         """
         now_s = self.clock.now_s()
         self._router.update_peer_running(by_group)
-        for service, running in by_service.items():
+        unlimited = self._router.unlimited_running(by_group)
+        for service in by_service:
+            running = unlimited[service]
             self._gate.controller.set_peer_running(service, running, now_s)
         self._gate.reevaluate_waiting()
 
@@ -382,7 +387,7 @@
     ) -> None:
         now_s = self.clock.now_s()
         statement = RateStatement(endpoint, rate_per_s, now_s)
-        if not self._router.rate_statements.record(statement):
+        if not self._router.send_budget.record(statement, now_s):
             return
         kind = "unlimited" if rate_per_s is None else "limited"
         self.notice_counts[kind] += 1
@@ -392,8 +397,29 @@
                 "host": endpoint.host_id,
                 "boot": endpoint.boot_id,
                 "limit_per_s": rate_per_s,
+                "share_per_s": self._router.send_budget.share_per_s(endpoint)
+                if rate_per_s is not None
+                else None,
             },
         )
+        self._install_capacities()
+        self.on_limit_change()
+
+    def next_send_s(self, service: str) -> float | None:
+        """Return when a rate limit lets this entry send a request to a service.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+
+        Returns
+        -------
+        float or None
+            Monotonic time in seconds; infinite if this entry has no share in any limit,
+            None if no group that serves now has a limit.
+        """
+        return self._router.next_send_s(service)
 
     def earliest_return_s(self, service: str) -> float | None:
         """Return how long all endpoints of a service pause.
@@ -410,10 +436,14 @@
             requests now, or none of them pauses.
         """
         capacity = self._router.capacities().get(service, NO_CAPACITY)
-        if capacity.groups or not math.isfinite(capacity.returns_at_s):
+        if not capacity.is_empty or not math.isfinite(capacity.returns_at_s):
             return None
         return capacity.returns_at_s - self.clock.now_s()
 
+    def describe_limits(self) -> list[dict[str, object]]:
+        """Return the rate limits and this entry's shares, for the state dump."""
+        return self._router.send_budget.describe(self.clock.now_s())
+
     def describe_notices(self) -> list[dict[str, object]]:
         """Return the departures and pauses of endpoints, for the state dump."""
         return self._router.notices.describe(self.clock.now_s())
@@ -528,7 +558,7 @@
             self.running.abort_group(group_view.group.group_id, group_view.group.epoch)
 
 
-def _ignore_departure() -> None:
+def _ignore_change() -> None:
     """Do nothing; the default until the link to the controls is set."""
 
 
--- a/chestnutvale/programs/entry/group_chooser.py
+++ b/chestnutvale/programs/entry/group_chooser.py
@@ -1,5 +1,6 @@
 """Chooses the group for the next attempt of a call, respecting crash suspicion."""
 
+import math
 from collections.abc import Callable, Set
 
 from chestnutvale.attempts.const import DEFAULT_RETRY_AFTER_S
@@ -23,6 +24,9 @@
 # a leader election, the new leader's detection of missing hosts and a repair in turn.
 RESUME_WAIT_S = 8.0
 RESUME_POLL_INTERVAL_S = 0.1
+# Retry-After of a call for which this entry has no share in the limit of any group;
+# another entry may have one.
+NO_SHARE_RETRY_AFTER_S = 0.2
 
 
 class GroupChooser:
@@ -86,12 +90,24 @@
         )
         while True:
             event = self._choose_once(effect)
-            remaining_s = wait_until_s - context.clock.now_s()
-            if not isinstance(event, NoGroupAvailable) or remaining_s <= 0.0:
+            if not isinstance(event, NoGroupAvailable):
                 return event
-            if self._wait(min(RESUME_POLL_INTERVAL_S, remaining_s)):
+            wait_s = self._find_wait_s(wait_until_s)
+            if wait_s <= 0.0:
+                return event
+            if self._wait(wait_s):
                 return Tick()
 
+    def _find_wait_s(self, resume_until_s: float) -> float:
+        """Return how long to wait before the next choice; 0 to give up."""
+        now_s = self._context.clock.now_s()
+        # Calls that wait for a limit start in time or not at all.
+        start_by_s = min(self._request.start_by_s, self._request.deadline_s)
+        next_send_s = self._context.next_send_s(self._request.service)
+        if next_send_s is not None and now_s < next_send_s <= start_by_s:
+            return next_send_s - now_s
+        return min(RESUME_POLL_INTERVAL_S, resume_until_s - now_s)
+
     def _choose_once(self, effect: ChooseGroup) -> ChoiceEvent:
         context = self._context
         while True:
@@ -204,13 +220,23 @@
                 excluded |= set(groups) - unchanged
             view = self._context.choose_group(self._request, excluded, effect.version)
         if view is None or not head_address(view):
-            return_s = self._context.earliest_return_s(self._request.service)
-            return NoGroupAvailable(return_s or DEFAULT_RETRY_AFTER_S)
+            return NoGroupAvailable(self._find_retry_after_s())
         self.view = view
         group = view.group
         self._epochs[group.group_id] = group.epoch
         return GroupChosen(group.group_id, group.epoch, group.version)
 
+    def _find_retry_after_s(self) -> float:
+        service = self._request.service
+        return_s = self._context.earliest_return_s(service)
+        if return_s:
+            return return_s
+        next_send_s = self._context.next_send_s(service)
+        if next_send_s is None:
+            return DEFAULT_RETRY_AFTER_S
+        wait_s = next_send_s - self._context.clock.now_s()
+        return max(0.0, wait_s) if math.isfinite(wait_s) else NO_SHARE_RETRY_AFTER_S
+
     def _has_new_epoch(self, group_id: str) -> bool:
         """Tell whether a group was rebuilt since the call used it."""
         epoch = self._epochs.get(group_id)
--- a/chestnutvale/programs/entry/group_router.py
+++ b/chestnutvale/programs/entry/group_router.py
@@ -1,18 +1,23 @@
 """Chooses groups for attempts, based on the view and the selector."""
 
 import math
+from collections import Counter
 from collections.abc import Callable, Iterator, Mapping
 
 import xxhash
 
-from chestnutvale.admission.messages import ServiceCapacity
+from chestnutvale.admission.messages import (
+    NO_LIMITED_GROUPS,
+    LimitedGroups,
+    ServiceCapacity,
+)
 from chestnutvale.attempts.const import REASON_SILENT, REFUSAL_UNREACHABLE
 from chestnutvale.clock import Clock
 from chestnutvale.groups.members import group_head
 from chestnutvale.membership.endpoint_notices import EndpointNotices, Incarnation
 from chestnutvale.membership.entry_view import EntryView
 from chestnutvale.programs.entry.context import AttemptReport, CallRequest
-from chestnutvale.rate_limits.statements import RateStatements
+from chestnutvale.rate_limits.send_budget import SendBudget
 from chestnutvale.routing.const import DEFAULT_REPORT_AGE_S
 from chestnutvale.routing.messages import RoutableGroup, RoutingRequest
 from chestnutvale.routing.selector import Selector
@@ -49,8 +54,8 @@
     ----------
     notices : EndpointNotices
         Endpoints that told this entry that they leave or pause.
-    rate_statements : RateStatements
-        Limits that endpoints named in answers to this entry.
+    send_budget : SendBudget
+        Shares of this entry in the limits that endpoints named.
     """
 
     def __init__(
@@ -65,7 +70,7 @@
         self._predicted_tokens = predicted_tokens
         self._clock = clock
         self.notices = EndpointNotices()
-        self.rate_statements = RateStatements()
+        self.send_budget = SendBudget()
         self._avoid_until_s: dict[str, float] = {}
         self._sent_at_s: dict[str, float] = {}
 
@@ -80,7 +85,8 @@
         now_s = self._clock.now_s()
         heads = [_head_of(group_view) for group_view in self._view.groups()]
         self.notices.keep_listed(heads, now_s)
-        self.rate_statements.keep_listed(heads, now_s)
+        self.send_budget.set_entry_count(self._view.entry_count)
+        self.send_budget.keep_listed(heads, now_s)
         if view.whole or view.groups or view.removed_group_ids:
             self._selector.update_groups(
                 RoutableGroup(
@@ -157,7 +163,8 @@
     def capacities(self) -> dict[str, ServiceCapacity]:
         """Return the total capacity of the serving groups of each service.
 
-        Groups whose head leaves or pauses are left out.
+        Groups whose head leaves or pauses are left out. Groups whose head names a limit
+        are counted apart, with the shares of this entry.
 
         Returns
         -------
@@ -166,30 +173,92 @@
         """
         now_s = self._clock.now_s()
         loads: dict[str, list[Load]] = {}
+        limited: dict[str, LimitedGroups] = {}
         returns_at_s: dict[str, float] = {}
         for group_view in self._view.groups():
             if not group_view.serving:
                 continue
             service = group_view.group.service
             usable_loads = loads.setdefault(service, [])
-            if self.notices.may_send(_head_of(group_view), now_s):
+            head = _head_of(group_view)
+            if self.notices.may_send(head, now_s):
+                if self.send_budget.is_limited(head):
+                    share_per_s = self.send_budget.share_per_s(head)
+                    sums = limited.get(service, NO_LIMITED_GROUPS)
+                    limited[service] = sums.with_group(share_per_s)
+                    continue
                 load = self._view.load(group_view.group.group_id)
                 usable_loads.append(load or Load())
                 continue
-            pause_end_s = self.notices.pause_end_s(_head_of(group_view), now_s)
+            pause_end_s = self.notices.pause_end_s(head, now_s)
             if pause_end_s is not None:
                 earliest_s = returns_at_s.get(service, math.inf)
                 returns_at_s[service] = min(earliest_s, pause_end_s)
         return {
-            service: _sum_loads(items, returns_at_s.get(service, math.inf))
+            service: _sum_loads(
+                items,
+                returns_at_s.get(service, math.inf),
+                limited.get(service, NO_LIMITED_GROUPS),
+            )
             for service, items in loads.items()
         }
 
     def _unavailable_groups(self, service: str, now_s: float) -> Iterator[str]:
         for group_view in self._view.serving_groups(service, now_s):
-            if not self.notices.may_send(_head_of(group_view), now_s):
+            head = _head_of(group_view)
+            if not (
+                self.notices.may_send(head, now_s)
+                and self.send_budget.may_send(head, now_s)
+            ):
                 yield group_view.group.group_id
 
+    def next_send_s(self, service: str) -> float | None:
+        """Return when the limit of a group lets this entry send a request.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+
+        Returns
+        -------
+        float or None
+            Monotonic time in seconds; infinite if this entry has no share in any limit,
+            None if no group that serves now has a limit.
+        """
+        now_s = self._clock.now_s()
+        heads = map(_head_of, self._view.serving_groups(service, now_s))
+        return min(
+            (
+                self.send_budget.next_send_s(head, now_s)
+                for head in heads
+                if self.send_budget.is_limited(head)
+                and self.notices.may_send(head, now_s)
+            ),
+            default=None,
+        )
+
+    def unlimited_running(self, running: Mapping[str, int]) -> Counter[str]:
+        """Sum running attempts by service, without those of groups with a limit.
+
+        Parameters
+        ----------
+        running : mapping of str to int
+            Attempts at each group.
+
+        Returns
+        -------
+        Counter of str
+            Attempts by service.
+        """
+        totals: Counter[str] = Counter()
+        for group_id, count in running.items():
+            group_view = self._view.group(group_id)
+            if group_view is None or self.send_budget.is_limited(_head_of(group_view)):
+                continue
+            totals[group_view.group.service] += count
+        return totals
+
     def serving_groups(self, service: str, version: str) -> list[str]:
         """Return the ids of all groups that serve a service now.
 
@@ -336,6 +405,7 @@
         if view is None or not view.serving or not self._view.has_lease(now_s):
             return None
         self._selector.record_sent(routing_request, group_id, now_s)
+        self.send_budget.record_sent(_head_of(view), now_s)
         self._sent_at_s[request.request_id] = now_s
         return view
 
@@ -359,7 +429,9 @@
     return Incarnation.of_member(group_head(group_view.group))
 
 
-def _sum_loads(loads: list[Load], returns_at_s: float) -> ServiceCapacity:
+def _sum_loads(
+    loads: list[Load], returns_at_s: float, limited: LimitedGroups
+) -> ServiceCapacity:
     return ServiceCapacity(
         groups=len(loads),
         kv_capacity_tokens=sum(load.kv_capacity_tokens for load in loads),
@@ -370,6 +442,7 @@
             (load.kv_capacity_tokens for load in loads), default=0
         ),
         returns_at_s=returns_at_s,
+        limited=limited,
     )
 
 
--- /dev/null
+++ b/chestnutvale/rate_limits/division.py
@@ -0,0 +1,86 @@
+"""Divides the limits of endpoints among the entries."""
+
+import math
+from collections import Counter
+from collections.abc import Mapping, Sequence
+
+import attrs
+import xxhash
+
+from chestnutvale.membership.endpoint_notices import Incarnation
+from chestnutvale.rate_limits.const import MIN_RATE_PER_S, MIN_SHARE_PER_S
+
+# Requests per second that an entry may send to an endpoint; an entry that is missing
+# may send none.
+Shares = Mapping[str, float]
+
+
+@attrs.frozen
+class LimitedEndpoint:
+    """An endpoint that names a limit.
+
+    Attributes
+    ----------
+    endpoint : Incarnation
+        The endpoint.
+    service : str
+        The service that it serves; empty if unknown.
+    rate_per_s : float
+        Requests per second that it takes from all entries together.
+    """
+
+    endpoint: Incarnation
+    service: str
+    rate_per_s: float
+
+
+def divide_limits(
+    limited: Sequence[LimitedEndpoint], entry_ids: Sequence[str]
+) -> dict[Incarnation, Shares]:
+    """Divide each limit evenly among few entries.
+
+    It answers a load that would exceed the limits, at any number of entries: the
+    shares of an endpoint add up to its limit, and no share is so small that the one
+    request that each entry may send at once outweighs it. Within a service the entries
+    get about equal sums. Equal inputs give equal shares, and a change of the inputs
+    moves few of them, so that a new leader repeats the division of the last one.
+
+    Parameters
+    ----------
+    limited : sequence of LimitedEndpoint
+        The endpoints.
+    entry_ids : sequence of str
+        Entries that serve calls.
+
+    Returns
+    -------
+    dict of Incarnation to mapping of str to float
+        Shares in requests per second.
+    """
+    divided: dict[Incarnation, Shares] = {}
+    sums: Counter[tuple[str, str]] = Counter()
+    for item in sorted(limited, key=_sort_key):
+        rate_per_s = max(item.rate_per_s, MIN_RATE_PER_S)
+        count = min(len(entry_ids), max(1, math.floor(rate_per_s / MIN_SHARE_PER_S)))
+        owners = sorted(
+            entry_ids,
+            key=lambda entry_id, item=item: (
+                sums[item.service, entry_id],
+                _rank(item.endpoint, entry_id),
+            ),
+        )[:count]
+        share_per_s = rate_per_s / max(1, count)
+        for entry_id in owners:
+            sums[item.service, entry_id] += share_per_s
+        divided[item.endpoint] = dict.fromkeys(owners, share_per_s)
+    return divided
+
+
+def _sort_key(item: LimitedEndpoint) -> tuple[str, str]:
+    return item.endpoint.host_id, item.endpoint.boot_id
+
+
+def _rank(endpoint: Incarnation, entry_id: str) -> int:
+    """Return the rendezvous hash of an entry for an endpoint."""
+    key = f"{endpoint.host_id} {endpoint.boot_id} {entry_id}"
+    return xxhash.xxh64_intdigest(key.encode())
--- /dev/null
+++ b/chestnutvale/rate_limits/send_budget.py
@@ -0,0 +1,207 @@
+"""Requests that one entry may send to endpoints that name a limit."""
+
+import math
+from collections.abc import Iterable, Mapping
+
+import attrs
+
+from chestnutvale.membership.endpoint_notices import Incarnation
+from chestnutvale.rate_limits.const import (
+    BURST_REQUESTS,
+    BURST_S,
+    MIN_RATE_PER_S,
+)
+from chestnutvale.rate_limits.statements import RateStatement, RateStatements
+
+
+@attrs.define
+class _TokenBucket:
+    """Token bucket that starts empty, so that a share that moves is not spent twice."""
+
+    rate_per_s: float
+    updated_at_s: float
+    tokens: float = 0.0
+
+    @property
+    def size(self) -> float:
+        return BURST_REQUESTS + BURST_S * self.rate_per_s if self.rate_per_s else 0.0
+
+    def refill(self, now_s: float) -> None:
+        gained = self.rate_per_s * max(0.0, now_s - self.updated_at_s)
+        self.tokens = min(self.size, self.tokens + gained)
+        self.updated_at_s = max(now_s, self.updated_at_s)
+
+    def set_rate(self, rate_per_s: float, now_s: float) -> None:
+        self.refill(now_s)
+        self.rate_per_s = rate_per_s
+        self.tokens = min(self.size, self.tokens)
+
+    def next_token_s(self) -> float:
+        if self.tokens >= 1.0:
+            return self.updated_at_s
+        if not self.rate_per_s:
+            return math.inf
+        return self.updated_at_s + (1.0 - self.tokens) / self.rate_per_s
+
+
+@attrs.define
+class SendBudget:
+    """Decides whether this entry may send a request to an endpoint now.
+
+    It answers a load beyond the limits: an entry spends its share only. Between the
+    first answer with a limit and the first share from the leader, it spends an equal
+    part of the limit.
+
+    Attributes
+    ----------
+    statements : RateStatements
+        Limits that this entry knows, from answers and from views.
+    """
+
+    statements: RateStatements = attrs.field(factory=RateStatements)
+    _buckets: dict[Incarnation, _TokenBucket] = attrs.field(factory=dict)
+    # Limits in the leader's newest list, with the shares of this entry.
+    _listed_rates: dict[Incarnation, float | None] = attrs.field(factory=dict)
+    _shares: dict[Incarnation, float] = attrs.field(factory=dict)
+    _entry_count: int = 1
+
+    def set_entry_count(self, count: int) -> None:
+        """Set the number of live entries."""
+        self._entry_count = max(1, count)
+
+    def record(self, statement: RateStatement, now_s: float) -> bool:
+        """Record what an answer to this entry says.
+
+        Parameters
+        ----------
+        statement : RateStatement
+            The statement.
+        now_s : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        bool
+            Whether the limit of the endpoint has changed.
+        """
+        is_changed = self.statements.record(statement)
+        if is_changed:
+            self._update_buckets(now_s)
+        return is_changed
+
+    def install(
+        self,
+        statements: Iterable[RateStatement],
+        shares: Mapping[Incarnation, float],
+        now_s: float,
+    ) -> None:
+        """Install the leader's list of limits.
+
+        Parameters
+        ----------
+        statements : iterable of RateStatement
+            Newest statement of each endpoint that the leader knows.
+        shares : mapping of Incarnation to float
+            Shares of this entry in requests per second; an endpoint that is missing
+            gets none.
+        now_s : float
+            Monotonic time in seconds.
+        """
+        self._listed_rates = {}
+        self._shares = dict(shares)
+        for statement in statements:
+            self.statements.record(statement)
+            self._listed_rates[statement.endpoint] = statement.rate_per_s
+        self._update_buckets(now_s)
+
+    def unreported(self) -> list[RateStatement]:
+        """Return the statements in which the leader's list differs or lacks a limit."""
+        return [
+            statement
+            for statement in self.statements.all()
+            if self._listed_rates.get(statement.endpoint) != statement.rate_per_s
+        ]
+
+    def keep_listed(self, listed: Iterable[Incarnation], now_s: float) -> None:
+        """Forget the limits of endpoints that are gone; see `RateStatements`."""
+        self.statements.keep_listed(listed, now_s)
+        self._update_buckets(now_s)
+
+    def is_limited(self, endpoint: Incarnation) -> bool:
+        """Tell whether an endpoint names a limit."""
+        return endpoint in self._buckets
+
+    def share_per_s(self, endpoint: Incarnation) -> float:
+        """Return the share of this entry in the limit of an endpoint."""
+        bucket = self._buckets.get(endpoint)
+        return bucket.rate_per_s if bucket is not None else math.inf
+
+    def may_send(self, endpoint: Incarnation, now_s: float) -> bool:
+        """Tell whether a request may be sent to an endpoint now."""
+        return self.next_send_s(endpoint, now_s) <= now_s
+
+    def next_send_s(self, endpoint: Incarnation, now_s: float) -> float:
+        """Return when a request may be sent to an endpoint.
+
+        Parameters
+        ----------
+        endpoint : Incarnation
+            The endpoint.
+        now_s : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        float
+            Monotonic time in seconds; infinite if this entry has no share.
+        """
+        bucket = self._buckets.get(endpoint)
+        if bucket is None:
+            return now_s
+        bucket.refill(now_s)
+        return bucket.next_token_s()
+
+    def record_sent(self, endpoint: Incarnation, now_s: float) -> None:
+        """Count a request that is about to be sent to an endpoint."""
+        bucket = self._buckets.get(endpoint)
+        if bucket is not None:
+            bucket.refill(now_s)
+            bucket.tokens -= 1.0
+
+    def describe(self, now_s: float) -> list[dict[str, object]]:
+        """Return the limits and shares for the state dump."""
+        return [
+            {
+                "host": endpoint.host_id,
+                "boot": endpoint.boot_id,
+                "limit_per_s": limit_per_s,
+                "share_per_s": round(self.share_per_s(endpoint), 3),
+                "wait_s": round(self.next_send_s(endpoint, now_s) - now_s, 3),
+            }
+            for endpoint, limit_per_s in self.statements.limits().items()
+        ]
+
+    def _update_buckets(self, now_s: float) -> None:
+        limits = self.statements.limits()
+        for endpoint in self._buckets.keys() - limits.keys():
+            del self._buckets[endpoint]
+        for endpoint, limit_per_s in limits.items():
+            rate_per_s = self._find_share_per_s(endpoint, limit_per_s)
+            bucket = self._buckets.get(endpoint)
+            if bucket is None:
+                self._buckets[endpoint] = _TokenBucket(rate_per_s, now_s)
+            elif bucket.rate_per_s != rate_per_s:
+                bucket.set_rate(rate_per_s, now_s)
+
+    def _find_share_per_s(self, endpoint: Incarnation, limit_per_s: float) -> float:
+        if self._listed_rates.get(endpoint) is not None:
+            # The leader divided the limit that it knew, which may have changed since.
+            share = self._shares.get(endpoint, 0.0) / max(
+                self._listed_rates[endpoint], MIN_RATE_PER_S
+            )
+            return share * max(limit_per_s, MIN_RATE_PER_S)
+        bucket = self._buckets.get(endpoint)
+        if bucket is not None:
+            # A new leader has not learned the limit yet; the last share holds on.
+            return bucket.rate_per_s
+        return max(limit_per_s, MIN_RATE_PER_S) / self._entry_count
--- a/tests/attempts/test_crash_parts.py
+++ b/tests/attempts/test_crash_parts.py
@@ -105,6 +105,7 @@
             has_crashed=lambda group, is_engine: True,
             choose_group=self._choose_group,
             earliest_return_s=lambda service: None,
+            next_send_s=lambda service: None,
             group_epoch=self._epochs.get,
         )
 
--- a/tests/programs/entry/entry_fakes.py
+++ b/tests/programs/entry/entry_fakes.py
@@ -18,6 +18,8 @@
 from chestnutvale.programs.entry.context import AdmitAll
 from chestnutvale.programs.entry.crash_probe import has_crashed
 from chestnutvale.programs.entry.running_attempts import RunningAttempts
+from chestnutvale.rate_limits.send_budget import SendBudget
+from chestnutvale.rate_limits.statements import RateStatement
 from chestnutvale.routing.stall_detection import StallDetector
 from chestnutvale.schema.command_pb2 import CommandResult
 from chestnutvale.schema.configuration_pb2 import Text
@@ -65,6 +67,7 @@
         self.log = log or FakeLog()
         self.lease = True
         self.notices = EndpointNotices()
+        self.send_budget = SendBudget()
         self.groups = {}
         self.reports = []
         self.kept_attempts = []
@@ -110,21 +113,48 @@
         return [g.group_id for g in self.groups.values() if g.service == service]
 
     def choose_group(self, request, excluded, version):
+        group = self._find_group(request, excluded)
+        if group is None:
+            return None
+        head = Incarnation.of_member(group.members[0])
+        self.send_budget.record_sent(head, self.clock.now_s())
+        return GroupView(group=group, serving=True)
+
+    def _find_group(self, request, excluded):
+        now_s = self.clock.now_s()
         for group in self.groups.values():
-            if not self.may_send(Incarnation.of_member(group.members[0])):
+            head = Incarnation.of_member(group.members[0])
+            if not (self.may_send(head) and self.send_budget.may_send(head, now_s)):
                 continue
             if group.service == request.service and group.group_id not in excluded:
-                return GroupView(group=group, serving=True)
+                return group
         return None
 
     def has_alternative(self, request, excluded, version):
-        return self.choose_group(request, excluded, version) is not None
+        return self._find_group(request, excluded) is not None
+
+    def next_send_s(self, service):
+        now_s = self.clock.now_s()
+        heads = [
+            Incarnation.of_member(group.members[0])
+            for group in self.groups.values()
+            if group.service == service
+        ]
+        times_s = [
+            self.send_budget.next_send_s(head, now_s)
+            for head in heads
+            if self.send_budget.is_limited(head)
+        ]
+        return min(times_s, default=None)
 
     def may_send(self, endpoint):
         return self.notices.may_send(endpoint, self.clock.now_s())
 
     def record_notice(self, endpoint, notice):
-        self.notices.record(endpoint, notice, self.clock.now_s())
+        now_s = self.clock.now_s()
+        statement = RateStatement(endpoint, notice.rate_limit_per_s, now_s)
+        self.send_budget.record(statement, now_s)
+        self.notices.record(endpoint, notice, now_s)
 
     def earliest_return_s(self, service):
         return None
--- a/tests/programs/entry/test_group_chooser.py
+++ b/tests/programs/entry/test_group_chooser.py
@@ -28,6 +28,7 @@
             has_lease=lambda now_s: now_s >= serves_again_at_s,
             choose_group=self.choose_group,
             earliest_return_s=lambda service: None,
+            next_send_s=lambda service: None,
             group_epoch=lambda group_id: self.epoch,
         )
         self.group = group
