Test that an entry without a path to endpoints serves its callers

Change: two entries over sockets, one of which reaches no endpoint.

Result: 503 in place of the answer that the other entry could get.

--- a/tests/programs/entry/entry_fakes.py
+++ b/tests/programs/entry/entry_fakes.py
@@ -68,6 +68,7 @@
         self.lease = True
         self.notices = EndpointNotices()
         self.send_budget = SendBudget()
+        self.peers = []
         self.groups = {}
         self.reports = []
         self.kept_attempts = []
--- a/tests/programs/entry/routed/routed_fakes.py
+++ b/tests/programs/entry/routed/routed_fakes.py
@@ -180,6 +180,17 @@
     return f"{head}Transfer-Encoding: chunked\r\n\r\n".encode()
 
 
+class UnreachableEndpoint:
+    """Endpoint at an address that refuses connections."""
+
+    @contextlib.contextmanager
+    def serve(self):
+        # A bound socket that does not listen refuses, and keeps its port from others.
+        with contextlib.closing(socket.socket()) as bound:
+            bound.bind(("127.0.0.1", 0))
+            yield f"127.0.0.1:{bound.getsockname()[1]}"
+
+
 class RoutedEntry:
     """An entry that routes calls to scripted endpoints."""
 
