Pass the calls of an entry that reaches no endpoint on to another entry

Cause: such an entry tried five groups, 0.2 s each, and refused. It had no way around, and its readiness does not depend on endpoints.

Change: routing/reachability.py finds by new connections that no endpoint can be reached; suspicion of silence is settled by probes. The entry reports it, the leader answers with relay addresses of others, and programs/entry/peers/ passes calls on, once, with the time that is left. A call that was sent before is not passed on. An isolated entry reports no stalls, and a refused probe counts as a crash only if another endpoint can be reached. Both listeners that serve calls drain at a stop.

The expected ChooseGroup of two tests has the new field; the interface test also checks the new listener.

--- a/chestnutvale/attempts/events.py
+++ b/chestnutvale/attempts/events.py
@@ -156,11 +156,14 @@
         Version of the model that the group must serve; empty allows any.
     allowed : frozenset of str
         Groups of which one must be chosen; empty allows any.
+    is_unsent : bool
+        Whether no endpoint has got the request, so that another entry can take it.
     """
 
     excluded: frozenset[str]
     version: str
     allowed: frozenset[str] = frozenset()
+    is_unsent: bool = False
 
 
 @attrs.frozen
--- a/chestnutvale/attempts/model_call.py
+++ b/chestnutvale/attempts/model_call.py
@@ -195,7 +195,10 @@
     def _choose(self, now_s: float) -> list[CallEffect]:
         if now_s >= self.deadline_s:
             return self._fail_deadline()
-        return [ChooseGroup(frozenset(self._excluded), self._version)]
+        is_unsent = self._outcome == OUTCOME_NOT_RUN
+        return [
+            ChooseGroup(frozenset(self._excluded), self._version, is_unsent=is_unsent)
+        ]
 
     def _on_group_chosen(self, event: GroupChosen, now_s: float) -> list[CallEffect]:
         if self._attempt_id:
--- a/chestnutvale/attempts/service_call.py
+++ b/chestnutvale/attempts/service_call.py
@@ -263,7 +263,8 @@
     def _choose(self, now_s: float) -> Effects:
         if now_s >= self._deadline_s:
             return self._fail_deadline()
-        return [ChooseGroup(frozenset(self._excluded), "")]
+        is_unsent = self._outcome == OUTCOME_NOT_RUN
+        return [ChooseGroup(frozenset(self._excluded), "", is_unsent=is_unsent)]
 
     def _on_group_chosen(self, event: GroupChosen, now_s: float) -> Effects:
         if now_s >= self._deadline_s:
--- a/chestnutvale/membership/const.py
+++ b/chestnutvale/membership/const.py
@@ -42,6 +42,9 @@
 # longer than an entry takes to install the views of a new leader.
 DEPARTURE_RETENTION_S: Final = 30.0
 
+# Addresses of other entries that an isolated entry gets.
+MAX_RELAY_PEERS: Final = 16
+
 # Superseded boots remembered per host.
 MAX_SUPERSEDED_BOOTS: Final = 8
 # Group removals whose versions a control keeps to build incremental views.
--- a/chestnutvale/observability/catalog.py
+++ b/chestnutvale/observability/catalog.py
@@ -201,6 +201,12 @@
     "Departures, pauses, and changes of rate limits that endpoints stated in answers.",
     (LABEL_REASON,),
 )
+ISOLATION_CHANGES: Final = Metric(
+    "chestnutvale.entry.isolation.changes",
+    UNIT_NONE,
+    "Times that the entry reached no endpoint any more, and reached one again.",
+    (LABEL_REASON,),
+)
 PART_BANS: Final = Metric(
     "chestnutvale.entry.part.bans",
     UNIT_NONE,
--- a/chestnutvale/programs/control/entry_report_handler.py
+++ b/chestnutvale/programs/control/entry_report_handler.py
@@ -19,6 +19,7 @@
 from chestnutvale.membership.attempt_counts import AttemptCounts
 from chestnutvale.membership.cache_events import CacheEventQueue
 from chestnutvale.membership.endpoint_notices import Incarnation
+from chestnutvale.membership.relay_peers import RelayPeer, choose_relay_peers
 from chestnutvale.membership.table import MembershipTable
 from chestnutvale.membership.view_publisher import ViewPublisher, ViewPush
 from chestnutvale.programs.control.const import (
@@ -68,6 +69,10 @@
         Data centre of the entry.
     address : str
         Its peer address.
+    relay_address : str
+        Address at which it takes calls of other entries; empty if it takes none.
+    is_isolated : bool
+        Whether it reaches no endpoint.
     """
 
     incarnation: str
@@ -76,6 +81,8 @@
     draining: bool = False
     data_centre: str = ""
     address: str = ""
+    relay_address: str = ""
+    is_isolated: bool = False
 
 
 class EntryReportHandler:
@@ -239,6 +246,8 @@
             draining=report.draining,
             data_centre=report.data_centre,
             address=report.reply_address,
+            relay_address=report.relay_address,
+            is_isolated=report.is_isolated,
         )
         has_new_suspicions = self._suspicions.merge(
             list(report.suspicions), self._clock.unix_ms()
@@ -370,8 +379,25 @@
         if self._is_demand_due(entry_id, now_s):
             view.demands.extend(to_messages(self._demands.totals(now_s)))
         view.controls.extend(self._control_addresses())
+        if report.is_isolated:
+            peers = self._relay_peers(now_s)
+            view.peers.extend(choose_relay_peers(peers, entry_id, report.data_centre))
         self._send_view(entry_id, report.reply_address, view)
 
+    def _relay_peers(self, now_s: float) -> list[RelayPeer]:
+        live = self._table.live_entries(now_s)
+        states = [
+            self.entries[entry_id] for entry_id in live if entry_id in self.entries
+        ]
+        return [
+            RelayPeer(
+                state.relay_address,
+                state.data_centre,
+                can_serve=not (state.is_isolated or state.draining),
+            )
+            for state in states
+        ]
+
     def _is_demand_due(self, entry_id: str, now_s: float) -> bool:
         due_s = self._demand_due_s.get(entry_id, -math.inf)
         if now_s < due_s:
--- a/chestnutvale/programs/entry/context.py
+++ b/chestnutvale/programs/entry/context.py
@@ -245,6 +245,10 @@
     stall_detector: StallDetector
     has_crashed: CrashProbe
 
+    @property
+    def is_isolated(self) -> bool:
+        """Whether this entry reaches no endpoint."""
+
     @property
     def text(self) -> Text:
         """The text in force."""
--- a/chestnutvale/programs/entry/control_link.py
+++ b/chestnutvale/programs/entry/control_link.py
@@ -80,6 +80,9 @@
     ----------
     draining : bool
         Whether the entry is about to stop.
+    is_isolated : callable
+        Tells whether this entry reaches no endpoint; what it sees then says nothing
+        about the endpoints.
     lease_changes : Counter
         Number of serving leases that were ``won`` and ``lost``.
     stalls : int
@@ -123,6 +126,7 @@
         self._limits_installed = ("", 0)
         self._reported_stalled: frozenset[str] = frozenset()
         self._had_lease = False
+        self.is_isolated: Callable[[], bool] = _is_never_isolated
         self.lease_changes: Counter[str] = Counter()
         self.stalls = 0
         self._listeners: list[Callable[[ControlView, str], None]] = []
@@ -224,6 +228,8 @@
             cache_events=self._cache_events.drain(),
             draining=self.draining,
             sent_at_ms=round(now_s * 1_000),
+            relay_address=self._settings.relay_address,
+            is_isolated=self.is_isolated(),
         )
         self._demand.add_demand(report)
         self._view.record_report_sent(nonce, now_s)
@@ -276,7 +282,7 @@
 
     def _make_group_loads(self, now_s: float) -> Iterator[GroupLoad]:
         silences_s = self._stall_detector.silences_s(now_s)
-        stalled = self._stall_detector.stalled_groups(now_s)
+        stalled = self._find_stalled_groups(now_s)
         unheard = self._stall_detector.groups_without_events()
         for group_id, count in self._running.counts_by_group().items():
             yield GroupLoad(
@@ -301,13 +307,18 @@
 
     def _check_stalls(self) -> None:
         _receive_pending_events()
-        stalled = self._stall_detector.stalled_groups(self._clock.now_s())
+        stalled = self._find_stalled_groups(self._clock.now_s())
         if stalled != self._reported_stalled:
             self.stalls += len(stalled - self._reported_stalled)
             self._reported_stalled = stalled
             _LOGGER.info("stalled_groups", extra={"groups": sorted(stalled)})
             self.trigger_report()
 
+    def _find_stalled_groups(self, now_s: float) -> frozenset[str]:
+        if self.is_isolated():
+            return frozenset()
+        return self._stall_detector.stalled_groups(now_s)
+
     def _receive_view(self, envelope: Envelope) -> None:
         view = envelope.control_view
         controls = {
@@ -347,6 +358,11 @@
             listener(view, envelope.sender_id)
 
 
+def _is_never_isolated() -> bool:
+    """Return False; the default until the context of the entry is set."""
+    return False
+
+
 def _receive_pending_events() -> None:
     """Let the other greenlets read what has arrived.
 
--- a/chestnutvale/programs/entry/daemon.py
+++ b/chestnutvale/programs/entry/daemon.py
@@ -40,6 +40,7 @@
     register_decision_metrics,
     register_entry_metrics,
 )
+from chestnutvale.programs.entry.peers.prober import ReachabilityProber
 from chestnutvale.programs.periodic import run_periodically
 from chestnutvale.programs.process_metrics import register_process_metrics
 from chestnutvale.routing.selector import Selector
@@ -125,6 +126,16 @@
             router.notices,
             router.send_budget,
         )
+        self._prober = ReachabilityProber(
+            self.context.endpoint_addresses,
+            self.context.record_connect,
+            lambda: self.context.is_isolated,
+            clock,
+            rng,
+        )
+        self.context.on_isolation_change = self._handle_isolation_change
+        self.context.on_silence = self._prober.check_suspicion
+        self.link.is_isolated = lambda: self.context.is_isolated
         self.context.on_departure = self.link.trigger_report
         self.context.on_limit_change = self.link.trigger_report
         self._load_exchange = LoadExchange(
@@ -143,6 +154,7 @@
             clock,
             self.context,
             self.link,
+            self._prober,
             self.collector,
             self._cache_events,
             self._writer,
@@ -151,6 +163,7 @@
             self._is_alive,
             self.dump,
         )
+        listeners = self._interface.make_listeners(self._components)
         self._servers = [
             HttpServer(
                 listener.app,
@@ -159,9 +172,14 @@
                 clock,
                 listener.read_timeouts,
             )
-            for listener in self._interface.make_listeners(self._components)
+            for listener in listeners
         ]
         self.server = self._servers[0]
+        self._call_servers = [
+            server
+            for server, listener in zip(self._servers, listeners, strict=True)
+            if listener.serves_calls
+        ]
         register_process_metrics(self.metrics, self.server, self.transport)
         register_entry_metrics(self.metrics, self.view, self.is_ready, clock)
         register_decision_metrics(self.metrics, self.context, self.link)
@@ -175,6 +193,7 @@
                 self.link.run,
                 self.link.watch_stalls,
                 self._load_exchange.run,
+                self._prober.run,
                 self._gate.run,
                 self._run_housekeeping,
             )
@@ -206,10 +225,14 @@
         deadline_s = self._clock.now_s() + self.settings.shutdown_timeout_ms / 1_000
         self.link.draining = True
         self.link.trigger_report()
-        self.server.begin_drain()
+        for server in self._call_servers:
+            server.begin_drain()
         # The load balancer needs time to notice that the entry is no longer ready.
         eventlet.sleep(self.settings.drain_notice_ms / 1_000 or DRAIN_NOTICE_S)
-        aborted_calls = self.server.stop(deadline_s)
+        stops = eventlet.GreenPile()
+        for server in self._call_servers:
+            stops.spawn(server.stop, deadline_s)
+        aborted_calls = sum(stops)
         while self._has_work() and self._clock.now_s() < deadline_s:
             eventlet.sleep(DRAIN_POLL_INTERVAL_S)
         _LOGGER.info(
@@ -220,6 +243,11 @@
         )
         return aborted_calls
 
+    def _handle_isolation_change(self) -> None:
+        # The answer to the report brings the addresses of other entries.
+        self.link.trigger_report()
+        self._prober.wake()
+
     def _has_work(self) -> bool:
         # After a caller has disconnected, its call or the ledger write may still run.
         return bool(self._interface.running_calls or self._writer.pending_writes)
@@ -258,6 +286,8 @@
                 for group_view in self.view.groups()
             ],
             "endpoint_notices": self.context.describe_notices,
+            "is_isolated": lambda: self.context.is_isolated,
+            "peers": lambda: self.context.peers,
             "endpoint_limits": self.context.describe_limits,
             "running_attempts": lambda: len(self.context.running),
             "running_requests": lambda: self.server.running_requests,
--- a/chestnutvale/programs/entry/entry_context.py
+++ b/chestnutvale/programs/entry/entry_context.py
@@ -23,9 +23,11 @@
 from chestnutvale.programs.entry.commit_client import CommitClient
 from chestnutvale.programs.entry.context import AttemptReport, CallRequest, CrashProbe
 from chestnutvale.programs.entry.crash_probe import has_crashed
-from chestnutvale.programs.entry.group_router import GroupRouter
+from chestnutvale.programs.entry.group_router import RESULT_BROKEN, GroupRouter
+from chestnutvale.programs.entry.peers.const import SUSPICION_SILENCE_S
 from chestnutvale.programs.entry.running_attempts import RunningAttempts
 from chestnutvale.rate_limits.statements import RateStatement
+from chestnutvale.routing.reachability import EndpointReachability
 from chestnutvale.routing.stall_detection import StallDetector
 from chestnutvale.schema.command_pb2 import Command, CommandResult
 from chestnutvale.schema.configuration_pb2 import Service, Text
@@ -76,6 +78,14 @@
         and of limits that they named (``limited``) and no longer named (``unlimited``).
     kept_attempts : Counter
         Number of attempts that were kept although silent, by the code of the reason.
+    on_isolation_change : callable
+        Called when the entry becomes isolated from all endpoints, or no longer is.
+    on_silence : callable
+        Called when an attempt fell silent or broke and no endpoint has answered lately.
+    isolation_changes : Counter
+        Number of times that the entry became ``isolated`` and ``reconnected``.
+    peers : list of str
+        Relay addresses of other entries, while this one is isolated.
     """
 
     def __init__(
@@ -104,6 +114,12 @@
         self.on_limit_change: Callable[[], None] = _ignore_change
         self.notice_counts: Counter[str] = Counter()
         self.kept_attempts: Counter[str] = Counter()
+        self.on_isolation_change: Callable[[], None] = _ignore_change
+        self.on_silence: Callable[[], None] = _ignore_change
+        self.isolation_changes: Counter[str] = Counter()
+        self.peers: list[str] = []
+        self._reachability = EndpointReachability()
+        self._answered_at_s = clock.now_s()
         self.lookup = TextLookup.from_text(Text())
         self._started_at_s = clock.now_s()
         self._view = view
@@ -127,6 +143,8 @@
             The control that sent it.
         """
         self._commits.set_leader(control_id)
+        if view.peers or not self.is_isolated:
+            self.peers = list(view.peers)
         if self._view.number != self.lookup.number:
             self._install_text()
         self._router.install(view)
@@ -361,6 +379,7 @@
         notice : EndpointNotice
             What its answer says.
         """
+        self._answered_at_s = self.clock.now_s()
         self._record_rate_limit(endpoint, notice.rate_limit_per_s)
         if not self._router.notices.record(endpoint, notice, self.clock.now_s()):
             return
@@ -382,6 +401,41 @@
             # The capacity returns with the end of the pause, not with the next view.
             eventlet.spawn_after(notice.pause_s, self._install_capacities)
 
+    @property
+    def is_isolated(self) -> bool:
+        """Whether this entry reaches no endpoint."""
+        return self._reachability.is_isolated
+
+    def endpoint_addresses(self) -> list[str]:
+        """Return the addresses of the endpoints that take requests."""
+        return self._router.head_addresses()
+
+    def record_connect(self, address: str, is_open: bool) -> None:
+        """Record the result of opening a connection to an endpoint.
+
+        Parameters
+        ----------
+        address : str
+            IP address and port.
+        is_open : bool
+            Whether the connection was opened.
+        """
+        if is_open:
+            is_changed = self._reachability.record_success()
+        else:
+            now_s = self.clock.now_s()
+            is_changed = self._reachability.record_failure(address, now_s)
+        if not is_changed:
+            return
+        kind = "isolated" if self.is_isolated else "reconnected"
+        self.isolation_changes[kind] += 1
+        _LOGGER.warning("entry_isolation", extra={"state": kind, "endpoint": address})
+        self.on_isolation_change()
+
+    def _check_silence(self) -> None:
+        if self.clock.now_s() - self._answered_at_s >= SUSPICION_SILENCE_S:
+            self.on_silence()
+
     def _record_rate_limit(
         self, endpoint: Incarnation, rate_per_s: float | None
     ) -> None:
@@ -470,6 +524,8 @@
         )
         self.attempt_results[report.result] += 1
         self._router.report(report)
+        if report.result == RESULT_BROKEN:
+            self._check_silence()
 
     def report_kept_attempt(
         self, request: CallRequest, group_id: str, reason: str, silence_s: float
@@ -497,6 +553,7 @@
             },
         )
         self.kept_attempts[reason] += 1
+        self._check_silence()
 
     def commit(self, command: Command, deadline_s: float) -> CommandResult:
         """Commit a command in the replicated log; blocks the calling greenlet.
--- a/chestnutvale/programs/entry/entry_interface.py
+++ b/chestnutvale/programs/entry/entry_interface.py
@@ -20,6 +20,7 @@
 from chestnutvale.programs.entry.ledger_writer import LedgerWriter
 from chestnutvale.programs.entry.metrics import MEASURED_ROUTES
 from chestnutvale.programs.entry.model_calls import ModelCallHandler
+from chestnutvale.programs.entry.peers.prober import ReachabilityProber
 from chestnutvale.programs.entry.service_calls import ServiceCallHandler
 from chestnutvale.schema.settings_pb2 import EntrySettings, HttpLimits
 
@@ -44,6 +45,8 @@
         Access to the entry for call handlers.
     link : ControlLink
         Reports to the controls.
+    prober : ReachabilityProber
+        Probes endpoints while the entry is isolated.
     collector : AnnouncementCollector
         Records the announcements of endpoints.
     cache_events : CacheEventQueue
@@ -62,6 +65,7 @@
     clock: Clock
     context: EntryContext
     link: ControlLink
+    prober: ReachabilityProber
     collector: AnnouncementCollector
     cache_events: CacheEventQueue
     writer: LedgerWriter
@@ -85,12 +89,15 @@
         Limits on the requests that it accepts.
     read_timeouts : callable or None
         Returns the timeouts of its connections in force; None for those of `limits`.
+    serves_calls : bool
+        Whether its requests are calls, for which a shutdown waits.
     """
 
     address: str
     app: WsgiApp
     limits: HttpLimits
     read_timeouts: ReadTimeouts | None = None
+    serves_calls: bool = False
 
 
 class EntryInterface(Protocol):
@@ -179,7 +186,9 @@
         )
         limits = settings.http_limits
         timeouts = CallerTimeouts(components.context, limits)
-        return [HttpListener(settings.http_address, metered, limits, timeouts.read)]
+        return [
+            HttpListener(settings.http_address, metered, limits, timeouts.read, True)
+        ]
 
     def run_housekeeping(self) -> None:
         """Do nothing, because no connections are kept open."""
--- a/chestnutvale/programs/entry/group_chooser.py
+++ b/chestnutvale/programs/entry/group_chooser.py
@@ -93,11 +93,15 @@
             if not isinstance(event, NoGroupAvailable):
                 return event
             wait_s = self._find_wait_s(wait_until_s)
-            if wait_s <= 0.0:
+            if wait_s <= 0.0 or self._is_movable(effect):
                 return event
             if self._wait(wait_s):
                 return Tick()
 
+    def _is_movable(self, effect: ChooseGroup) -> bool:
+        """Tell whether the call need not wait here, as another entry can take it."""
+        return self._context.is_isolated and effect.is_unsent
+
     def _find_wait_s(self, resume_until_s: float) -> float:
         """Return how long to wait before the next choice; 0 to give up."""
         now_s = self._context.clock.now_s()
@@ -208,7 +212,8 @@
     ) -> GroupChosen | NoGroupAvailable:
         """Choose among the groups; `only` names the permitted ones unless empty."""
         view = None
-        if self._context.has_lease(self._context.clock.now_s()):
+        is_movable = self._is_movable(effect)
+        if self._context.has_lease(self._context.clock.now_s()) and not is_movable:
             excluded = frozenset(
                 name for name in effect.excluded if not self._has_new_epoch(name)
             )
--- a/chestnutvale/programs/entry/group_router.py
+++ b/chestnutvale/programs/entry/group_router.py
@@ -212,6 +212,14 @@
             ):
                 yield group_view.group.group_id
 
+    def head_addresses(self) -> list[str]:
+        """Return the addresses of the heads of all serving groups."""
+        return [
+            group_head(group_view.group).address
+            for group_view in self._view.groups()
+            if group_view.serving and group_view.group.members
+        ]
+
     def next_send_s(self, service: str) -> float | None:
         """Return when the limit of a group lets this entry send a request.
 
--- a/chestnutvale/programs/entry/metrics.py
+++ b/chestnutvale/programs/entry/metrics.py
@@ -43,6 +43,7 @@
         catalog.KEPT_ATTEMPTS: lambda: context.kept_attempts,
         catalog.LEASE_CHANGES: lambda: link.lease_changes,
         catalog.ENDPOINT_NOTICES: lambda: context.notice_counts,
+        catalog.ISOLATION_CHANGES: lambda: context.isolation_changes,
         catalog.PART_BANS: lambda: context.suspicions.part_bans.counts,
     }
     for metric, read_counts in counters_by_metric.items():
--- a/chestnutvale/programs/entry/routed/caller_protocol.py
+++ b/chestnutvale/programs/entry/routed/caller_protocol.py
@@ -86,6 +86,12 @@
     ) -> Headers:
         """Return the headers of the request that is forwarded to an endpoint."""
 
+    def make_relay_headers(self, request: RoutedRequest, remaining_ms: int) -> Headers:
+        """Return the headers of the caller's request for another entry.
+
+        They are those of the caller, with the time that is left as its deadline.
+        """
+
     def is_refusal(self, status: int, headers: Headers) -> bool:
         """Return whether an answer proves that the endpoint did not run the request."""
 
--- a/chestnutvale/programs/entry/routed/connections.py
+++ b/chestnutvale/programs/entry/routed/connections.py
@@ -1,6 +1,7 @@
 """Pool of keep-alive connections to endpoints, each with one request at a time."""
 
 from collections import deque
+from collections.abc import Callable
 
 import attrs
 from eventlet.green import socket
@@ -58,6 +59,10 @@
         self.sock.close()
 
 
+def _ignore_connect(address: str, is_open: bool) -> None:
+    """Do nothing; for a pool whose owner does not judge its connections."""
+
+
 class ConnectionPool:
     """Holds the idle connections of an entry to its endpoints.
 
@@ -65,6 +70,8 @@
     ----------
     clock : Clock
         Source of time.
+    record_connect : callable, optional
+        Gets the address of each new connection and whether it could be opened.
 
     Attributes
     ----------
@@ -74,10 +81,15 @@
         Number of times that an idle connection was reused for a request.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        record_connect: Callable[[str, bool], None] = _ignore_connect,
+    ) -> None:
         self.opened_connections = 0
         self.reused_requests = 0
         self._clock = clock
+        self._record_connect = record_connect
         self._idle: dict[str, deque[PooledConnection]] = {}
 
     def acquire(self, address: str, timeout_s: float) -> PooledConnection:
@@ -153,6 +165,7 @@
         try:
             sock = TimedSocket.open(address, timeout_s, self._clock)
         except (OSError, ValueError) as error:
+            self._record_connect(address, False)
             raise EndpointUnreachableError(
                 str(error) or type(error).__name__, step=STEP_CONNECT, peer=address
             ) from error
@@ -160,4 +173,5 @@
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
         )
         self.opened_connections += 1
+        self._record_connect(address, True)
         return PooledConnection(address, sock)
--- a/chestnutvale/programs/entry/routed/handler.py
+++ b/chestnutvale/programs/entry/routed/handler.py
@@ -16,7 +16,11 @@
 )
 from chestnutvale.attempts.answer_stream import AnswerStream
 from chestnutvale.attempts.call_limits import CallLimits, ServicePolicy
-from chestnutvale.attempts.const import CODE_CRASHING_PART, OUTCOME_NOT_RUN
+from chestnutvale.attempts.const import (
+    CODE_CALLER_GONE,
+    CODE_CRASHING_PART,
+    OUTCOME_NOT_RUN,
+)
 from chestnutvale.attempts.events import Failure
 from chestnutvale.attempts.model_call import ModelCall
 from chestnutvale.attempts.prompt_parts import (
@@ -39,6 +43,7 @@
 from chestnutvale.programs.entry.exceptions import BadCallError
 from chestnutvale.programs.entry.ledger_writer import LedgerWriter
 from chestnutvale.programs.entry.model_calls import ModelCallRun
+from chestnutvale.programs.entry.peers.relay import PeerRelay
 from chestnutvale.programs.entry.problems import add_retry_jitter
 from chestnutvale.programs.entry.routed.caller_protocol import (
     CallerProtocol,
@@ -88,6 +93,9 @@
         Connections to endpoints.
     writer : LedgerWriter
         Records the outcomes of claims; routed calls have no claims.
+    relay : PeerRelay or None, optional
+        Passes calls on while the entry is isolated; None for calls that another entry
+        has passed on to this one, and for an entry without peers.
     """
 
     def __init__(
@@ -96,8 +104,10 @@
         protocol: CallerProtocol,
         pool: ConnectionPool,
         writer: LedgerWriter,
+        relay: PeerRelay | None = None,
     ) -> None:
         self._context = context
+        self._relay = relay
         self._protocol = protocol
         self._pool = pool
         self._writer = writer
@@ -137,6 +147,8 @@
             return self._answer_failure(failure, request_id, start_response)
         except CallRefusedError as error:
             return self._answer_failure(error.failure, request_id, start_response)
+        if self._relay is not None and self._context.is_isolated:
+            return self._answer_through_peer(call, environ, start_response)
         if call.route.kind == ROUTE_STREAMING:
             return self._answer_stream(call, environ, start_response)
         return self._answer_non_streaming(call, environ, start_response)
@@ -281,6 +293,8 @@
         )
         pieces = run.iterate()
         first = next(pieces, None)
+        if first is None and self._may_relay(run.failure):
+            return self._answer_through_peer(call, environ, start_response)
         if first is None and run.failure is not None:
             return self._answer_failed_stream(run, attempts, start_response)
         # The caller gets the head of the first endpoint, even if the stream is resumed
@@ -370,8 +384,36 @@
             return _forward_answer(
                 recorded.status, "", headers, recorded.body, start_response
             )
+        if self._may_relay(answer):
+            return self._answer_through_peer(call, environ, start_response)
         return self._answer_failure(answer, request.request_id, start_response)
 
+    # Calls that go on through another entry.
+
+    def _may_relay(self, failure: Failure | None) -> bool:
+        """Tell whether a call that failed here can go on through another entry."""
+        return (
+            self._relay is not None
+            and self._context.is_isolated
+            and failure is not None
+            and failure.outcome == OUTCOME_NOT_RUN
+            and failure.code != CODE_CALLER_GONE
+        )
+
+    def _answer_through_peer(
+        self, call: RoutedCall, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        answer = self._relay.relay(call, environ)
+        if isinstance(answer, Failure):
+            return self._answer_failure(answer, call.request.request_id, start_response)
+        headers = _drop_connection_headers(answer.head.headers)
+        if answer.head.body_bytes is not None:
+            headers.append(("Content-Length", str(answer.head.body_bytes)))
+        start_response(
+            _make_status_line(answer.head.status, answer.head.reason), headers
+        )
+        return answer.body
+
     def _answer_failure(
         self, failure: Failure, request_id: str, start_response: StartResponse
     ) -> Iterable[bytes]:
--- a/chestnutvale/routing/const.py
+++ b/chestnutvale/routing/const.py
@@ -49,3 +49,9 @@
 # Age of an event up to which it proves that its group works: two report intervals of an
 # entry plus the network delay of one report.
 MAX_EVENT_AGE_S: Final = 1.2
+
+# Different endpoints to which connections fail, without one that succeeds, before an
+# entry counts as isolated. Fewer may be down by themselves.
+ISOLATION_ENDPOINTS: Final = 3
+# Time for which a failed connection counts.
+UNREACHABLE_RETENTION_S: Final = 3.0
--- a/tests/attempts/test_crash_parts.py
+++ b/tests/attempts/test_crash_parts.py
@@ -106,6 +106,7 @@
             choose_group=self._choose_group,
             earliest_return_s=lambda service: None,
             next_send_s=lambda service: None,
+            is_isolated=False,
             group_epoch=self._epochs.get,
         )
 
--- a/tests/attempts/test_model_call.py
+++ b/tests/attempts/test_model_call.py
@@ -192,7 +192,7 @@
 def test_refusal_before_any_byte_leaves_the_version_open(call):
     attempt_id = start(call)
     (effect,) = call.handle(AttemptRefused(attempt_id, "wrong_epoch"), 0.0)
-    assert effect == ChooseGroup(frozenset({"g1"}), "v1")
+    assert effect == ChooseGroup(frozenset({"g1"}), "v1", is_unsent=True)
 
 
 @pytest.mark.parametrize(
--- a/tests/attempts/test_service_call.py
+++ b/tests/attempts/test_service_call.py
@@ -112,7 +112,8 @@
     )
     assert isinstance(call.handle(Started(), 0.0)[0], ChooseGroup)
     refused = AttemptRefused(connect(call), "unreachable")
-    assert call.handle(refused, 0.0) == [ChooseGroup(frozenset({"g"}), "")]
+    expected = ChooseGroup(frozenset({"g"}), "", is_unsent=True)
+    assert call.handle(refused, 0.0) == [expected]
     attempt_id = connect(call)
     call.handle(Connected(attempt_id, True), 0.0)
     assert call.handle(AttemptRefused(attempt_id, "unreachable"), 0.0) == []
--- a/tests/platform/test_entry_interface.py
+++ b/tests/platform/test_entry_interface.py
@@ -12,7 +12,8 @@
 def test_callers_connections_follow_the_limits_of_the_configuration():
     context = FakeContext()
     components = SimpleNamespace(
-        settings=EntrySettings(http_address="127.0.0.1:1"),
+        settings=EntrySettings(http_address="127.0.0.1:1", relay_address="127.0.0.1:3"),
+        prober=None,
         context=context,
         link=SimpleNamespace(
             trigger_report=None, set_suspicion_tracker=lambda tracker: None
@@ -23,7 +24,9 @@
         is_ready=lambda: True,
     )
     machine = SimpleNamespace(get_text=lambda name: "127.0.0.1:2")
-    callers, readiness = PlatformEntryInterface(machine).make_listeners(components)
+    interface = PlatformEntryInterface(machine)
+    callers, relay, readiness = interface.make_listeners(components)
     context.text.caller_limits.idle_timeout_ms = 40_000
     assert callers.read_timeouts().idle_s > 40.0
+    assert relay.read_timeouts().idle_s > 40.0
     assert readiness.read_timeouts is None
--- a/tests/programs/entry/entry_fakes.py
+++ b/tests/programs/entry/entry_fakes.py
@@ -20,6 +20,7 @@
 from chestnutvale.programs.entry.running_attempts import RunningAttempts
 from chestnutvale.rate_limits.send_budget import SendBudget
 from chestnutvale.rate_limits.statements import RateStatement
+from chestnutvale.routing.reachability import EndpointReachability
 from chestnutvale.routing.stall_detection import StallDetector
 from chestnutvale.schema.command_pb2 import CommandResult
 from chestnutvale.schema.configuration_pb2 import Text
@@ -69,6 +70,7 @@
         self.notices = EndpointNotices()
         self.send_budget = SendBudget()
         self.peers = []
+        self.reachability = EndpointReachability()
         self.groups = {}
         self.reports = []
         self.kept_attempts = []
@@ -100,6 +102,16 @@
     def has_lease(self, now_s):
         return self.lease
 
+    @property
+    def is_isolated(self):
+        return self.reachability.is_isolated
+
+    def record_connect(self, address, is_open):
+        if is_open:
+            self.reachability.record_success()
+        else:
+            self.reachability.record_failure(address, self.clock.now_s())
+
     def group_epoch(self, group_id):
         group = self.groups.get(group_id)
         return group.epoch if group is not None else None
--- a/tests/programs/entry/routed/routed_fakes.py
+++ b/tests/programs/entry/routed/routed_fakes.py
@@ -7,6 +7,7 @@
 
 from chestnutvale.configuration.lookup import hash_key
 from chestnutvale.membership.endpoint_notices import EndpointNotice
+from chestnutvale.programs.entry.peers.relay import PeerRelay
 from chestnutvale.programs.entry.routed.caller_protocol import RoutedRequest
 from chestnutvale.programs.entry.routed.connections import ConnectionPool
 from chestnutvale.programs.entry.routed.handler import RoutedHandler
@@ -63,6 +64,16 @@
             ("X-Workspace", forwarding.workspace),
         ]
 
+    def make_relay_headers(self, request, remaining_ms):
+        return [
+            *request.headers,
+            ("Host", request.host),
+            ("X-Call", request.request_id),
+            ("X-Left", str(remaining_ms)),
+            ("X-Key", request.key),
+            ("X-Last", str(request.last_event)),
+        ]
+
     def is_refusal(self, status, headers):
         return any(name.lower() == "x-not-run" for name, _ in headers)
 
@@ -209,8 +220,13 @@
             self.context.add_group(f"app{number}", "app", address)
             self.context.add_group(f"gpu{number}", "gpu-m", address)
         self.context.has_crashed = lambda group, is_engine: False
-        self.pool = ConnectionPool(self.context.clock)
-        self.handler = RoutedHandler(self.context, PlainProtocol(), self.pool, None)
+        self.pool = ConnectionPool(self.context.clock, self.context.record_connect)
+        protocol = PlainProtocol()
+        self.handler = RoutedHandler(
+            self.context, protocol, self.pool, None, PeerRelay(self.context, protocol)
+        )
+        # Serves the calls that other entries pass on.
+        self.relay_handler = RoutedHandler(self.context, protocol, self.pool, None)
 
     def add_route(self, prefix, kind, service, **fields):
         route = Route(
@@ -234,6 +250,7 @@
         addresses = [exits.enter_context(item.serve()) for item in endpoints]
         entry = RoutedEntry(addresses)
         entry.address = exits.enter_context(serve(entry.handler))
+        entry.relay_address = exits.enter_context(serve(entry.relay_handler))
         yield entry
 
 
--- a/tests/programs/entry/routed/test_isolated_entry.py
+++ b/tests/programs/entry/routed/test_isolated_entry.py
@@ -2,6 +2,9 @@
 
 import contextlib
 
+from eventlet.green import socket
+
+from tests.programs.entry.entry_fakes import wait_until
 from tests.programs.entry.routed.routed_fakes import (
     ScriptedEndpoint,
     UnreachableEndpoint,
@@ -9,6 +12,7 @@
     chunk,
     complete_answer,
     event,
+    open_call,
     routed_entry,
     stream_head,
 )
@@ -23,7 +27,7 @@
         routed_entry(endpoint) as peer,
         routed_entry(*(UnreachableEndpoint() for _ in range(4))) as entry,
     ):
-        entry.context.peers = [peer.address]
+        entry.context.peers = [peer.relay_address]
         yield entry
 
 
@@ -44,3 +48,71 @@
     with isolated_entry(endpoint) as entry:
         status, _, body, is_complete = call(entry.address, "/gen/x", X_Model="m")
     assert (status, body, is_complete) == (200, event(1) + event(2), True)
+
+
+def test_a_call_that_was_passed_on_is_not_passed_on_again():
+    with isolated_entry(UnreachableEndpoint()) as entry:
+        entry.context.peers = [entry.relay_address]
+        status, headers, _, _ = call(entry.address, "/once/x", b"a")
+    assert status == 503
+    assert "retry-after" in headers
+
+
+def test_a_peer_lost_after_the_request_was_sent_leaves_the_outcome_unknown():
+    peer = ScriptedEndpoint()
+    peer.default = ScriptedEndpoint.CLOSE
+    with isolated_entry(ScriptedEndpoint()) as entry, peer.serve() as address:
+        entry.context.peers = [address]
+        status, _, _, _ = call(entry.address, "/once/x", b"a")
+    assert status == 502
+    assert len(peer.requests) == 1
+
+
+def test_a_call_tries_another_peer_if_one_is_unreachable():
+    endpoint = ScriptedEndpoint()
+    endpoint.default = complete_answer(b"done")
+    gone = UnreachableEndpoint()
+    with isolated_entry(endpoint) as entry, gone.serve() as address:
+        entry.context.peers = [address, *entry.context.peers]
+        results = [call(entry.address, f"/once/{n}", b"a") for n in range(8)]
+    assert [result[0] for result in results] == [200] * 8
+    assert len(endpoint.requests) == 8
+
+
+def test_an_answer_that_breaks_off_at_the_peer_looks_broken():
+    endpoint = ScriptedEndpoint()
+
+    def break_off(sock, request):
+        sock.sendall(stream_head() + chunk(event(1)))
+        sock.shutdown(socket.SHUT_RDWR)
+
+    endpoint.default = break_off
+    with isolated_entry(endpoint) as entry:
+        status, _, body, is_complete = call(entry.address, "/fixed/x", X_Model="m")
+    assert (status, body, is_complete) == (200, event(1), False)
+
+
+def test_a_caller_that_leaves_ends_the_call_at_the_peer():
+    endpoint = ScriptedEndpoint()
+    left = []
+
+    def wait_for_close(sock, request):
+        left.append(sock.recv(1) == b"")
+
+    endpoint.default = wait_for_close
+    with isolated_entry(endpoint) as entry:
+        sock = open_call(entry.address, "/gen/x", X_Model="m")
+        wait_until(lambda: endpoint.requests)
+        sock.close()
+        wait_until(lambda: left, timeout_s=0.5)
+    assert left == [True]
+
+
+def test_the_peer_gets_the_time_that_is_left_and_the_key():
+    endpoint = ScriptedEndpoint()
+    endpoint.default = complete_answer(b"done")
+    with isolated_entry(endpoint) as entry:
+        status, _, _, _ = call(entry.address, "/once/x", b"a", X_Left="900")
+    assert status == 200
+    assert int(endpoint.header("x-left")) <= 900
+    assert endpoint.header("x-workspace") == "ws-1"
--- a/tests/programs/entry/test_group_chooser.py
+++ b/tests/programs/entry/test_group_chooser.py
@@ -29,6 +29,7 @@
             choose_group=self.choose_group,
             earliest_return_s=lambda service: None,
             next_send_s=lambda service: None,
+            is_isolated=False,
             group_epoch=lambda group_id: self.epoch,
         )
         self.group = group
