End the isolation of an entry only with successes at two endpoints

Cause: one success at the endpoint that was left ended the isolation, and a call judged it twice, with a change in between.

Change: two endpoints must be reached without a failure in between, or the only one that is left; a call that found no endpoint goes on through a peer until a second after the end.

--- a/chestnutvale/programs/entry/entry_context.py
+++ b/chestnutvale/programs/entry/entry_context.py
@@ -143,7 +143,7 @@
             The control that sent it.
         """
         self._commits.set_leader(control_id)
-        if view.peers or not self.is_isolated:
+        if view.peers or not self.was_isolated():
             self.peers = list(view.peers)
         if self._view.number != self.lookup.number:
             self._install_text()
@@ -406,6 +406,10 @@
         """Whether this entry reaches no endpoint."""
         return self._reachability.is_isolated
 
+    def was_isolated(self) -> bool:
+        """Tell whether this entry is isolated, or was so a moment ago."""
+        return self._reachability.was_isolated(self.clock.now_s())
+
     def endpoint_addresses(self) -> list[str]:
         """Return the addresses of the endpoints that take requests."""
         return self._router.head_addresses()
@@ -420,10 +424,11 @@
         is_open : bool
             Whether the connection was opened.
         """
+        now_s = self.clock.now_s()
         if is_open:
-            is_changed = self._reachability.record_success()
+            count = len(self.endpoint_addresses()) if self.is_isolated else 0
+            is_changed = self._reachability.record_success(address, now_s, count)
         else:
-            now_s = self.clock.now_s()
             is_changed = self._reachability.record_failure(address, now_s)
         if not is_changed:
             return
--- a/chestnutvale/programs/entry/routed/handler.py
+++ b/chestnutvale/programs/entry/routed/handler.py
@@ -394,7 +394,7 @@
         """Tell whether a call that failed here can go on through another entry."""
         return (
             self._relay is not None
-            and self._context.is_isolated
+            and self._context.was_isolated()
             and failure is not None
             and failure.outcome == OUTCOME_NOT_RUN
             and failure.code != CODE_CALLER_GONE
--- a/chestnutvale/routing/const.py
+++ b/chestnutvale/routing/const.py
@@ -53,5 +53,9 @@
 # Different endpoints to which connections fail, without one that succeeds, before an
 # entry counts as isolated. Fewer may be down by themselves.
 ISOLATION_ENDPOINTS: Final = 3
+# Different endpoints that must be reached before it no longer does.
+RECONNECTION_ENDPOINTS: Final = 2
+# Time after its end for which calls that found no endpoint go on through a peer.
+ISOLATION_MEMORY_S: Final = 1.0
 # Time for which a failed connection counts.
 UNREACHABLE_RETENTION_S: Final = 3.0
