Refuse for a short time where only other entries have a share in a limit

What callers would see: if all groups of a service name limits, an entry without a share refused with a Retry-After of 5 to 7.5 s, although another entry could take the call at once.

Cause: admission took the lack of a share for a service without any group.

Change: limited groups are counted whether or not the entry has a share; without one, the Retry-After is 0.2 to 0.3 s.

--- a/chestnutvale/admission/const.py
+++ b/chestnutvale/admission/const.py
@@ -68,3 +68,5 @@
 # Retry-After is drawn between the estimate and the estimate times this factor.
 RETRY_AFTER_JITTER: Final = 1.5
 NO_CAPACITY_RETRY_S: Final = 5.0
+# The same if only entries with a share in a rate limit may send requests.
+NO_SHARE_RETRY_S: Final = 0.2
--- a/chestnutvale/admission/messages.py
+++ b/chestnutvale/admission/messages.py
@@ -75,7 +75,7 @@
     Attributes
     ----------
     count : int
-        Number of these groups in which this entry has a share.
+        Number of these groups.
     share_per_s : float
         Requests per second that this entry may send to them.
     """
@@ -84,9 +84,7 @@
     share_per_s: float = 0.0
 
     def with_group(self, share_per_s: float) -> "LimitedGroups":
-        """Return the sum with one more group; without a share, nothing is added."""
-        if share_per_s <= 0.0:
-            return self
+        """Return the sum with one more group."""
         return LimitedGroups(self.count + 1, self.share_per_s + share_per_s)
 
 
@@ -127,7 +125,7 @@
     @property
     def is_empty(self) -> bool:
         """Whether this entry can send a request to no group."""
-        return not (self.groups or self.limited.count)
+        return not (self.groups or self.limited.share_per_s)
 
 
 @attrs.frozen
--- a/chestnutvale/admission/pacing.py
+++ b/chestnutvale/admission/pacing.py
@@ -147,6 +147,9 @@
 
     def add_jitter(self, estimate_s: float) -> float:
         """Return the estimate in seconds, clamped to its bounds and randomised."""
-        spread = self.rng.uniform(1.0, RETRY_AFTER_JITTER)
         bounded = min(max(estimate_s, RETRY_AFTER_MIN_S), RETRY_AFTER_MAX_S)
-        return bounded * spread
+        return self.spread(bounded)
+
+    def spread(self, retry_s: float) -> float:
+        """Return a time in seconds, made longer by a random share."""
+        return retry_s * self.rng.uniform(1.0, RETRY_AFTER_JITTER)
--- a/chestnutvale/admission/service.py
+++ b/chestnutvale/admission/service.py
@@ -13,6 +13,7 @@
     CODE_QUEUE_FULL,
     CODE_TOO_LARGE,
     NO_CAPACITY_RETRY_S,
+    NO_SHARE_RETRY_S,
     PRIORITIES,
     PRIORITY_BATCH,
     PRIORITY_NORMAL,
@@ -441,6 +442,9 @@
     def _retry_without_capacity_s(
         self, request: AdmissionRequest, cost: int, now_s: float
     ) -> float:
+        if self.capacity.limited.count:
+            # Other entries have the shares.
+            return self.pacer.spread(NO_SHARE_RETRY_S)
         if not math.isfinite(self.capacity.returns_at_s):
             return self.pacer.add_jitter(NO_CAPACITY_RETRY_S)
         drain_rate = self.hold_times.drain_rate(self._usual_limit)
--- a/chestnutvale/programs/entry/group_chooser.py
+++ b/chestnutvale/programs/entry/group_chooser.py
@@ -3,6 +3,7 @@
 import math
 from collections.abc import Callable, Set
 
+from chestnutvale.admission.const import NO_SHARE_RETRY_S
 from chestnutvale.attempts.const import DEFAULT_RETRY_AFTER_S
 from chestnutvale.attempts.events import (
     CallBanned,
@@ -24,9 +25,6 @@
 # a leader election, the new leader's detection of missing hosts and a repair in turn.
 RESUME_WAIT_S = 8.0
 RESUME_POLL_INTERVAL_S = 0.1
-# Retry-After of a call for which this entry has no share in the limit of any group;
-# another entry may have one.
-NO_SHARE_RETRY_AFTER_S = 0.2
 
 
 class GroupChooser:
@@ -240,7 +238,7 @@
         if next_send_s is None:
             return DEFAULT_RETRY_AFTER_S
         wait_s = next_send_s - self._context.clock.now_s()
-        return max(0.0, wait_s) if math.isfinite(wait_s) else NO_SHARE_RETRY_AFTER_S
+        return max(0.0, wait_s) if math.isfinite(wait_s) else NO_SHARE_RETRY_S
 
     def _has_new_epoch(self, group_id: str) -> bool:
         """Tell whether a group was rebuilt since the call used it."""
--- a/tests/programs/control/test_entry_report_handler.py
+++ b/tests/programs/control/test_entry_report_handler.py
@@ -13,6 +13,7 @@
 from chestnutvale.schema.peer_pb2 import (
     CrashSuspicion,
     Departure,
+    EndpointLimit,
     EntryReport,
     Envelope,
     GroupLoad,
@@ -62,17 +63,16 @@
             clock,
         )
 
-    def report(self, sent_at_s, heard=(), nonce=1, departures=(), running=()):
+    def report(self, sent_at_s, heard=(), nonce=1, entry_id="e1", **fields):
         report = EntryReport(
             reply_address="10.0.0.1:1",
             nonce=nonce,
             sent_at_ms=round(sent_at_s * 1_000),
             heard=heard,
-            departures=departures,
-            running=running,
+            **fields,
         )
         envelope = Envelope(
-            sender_id="e1", sender_incarnation="i1", entry_report=report
+            sender_id=entry_id, sender_incarnation="i1", entry_report=report
         )
         self.transport.handlers["entry_report"](envelope)
 
@@ -162,3 +162,43 @@
     sent_count = sum(sum(has_demand) for has_demand in views.values())
     assert sent_count <= 1.2 * DEMAND_VIEWS_PER_S * 20 * 0.5
     assert min(sum(has_demand) for has_demand in views.values()) >= 3
+
+
+def views_to(fixture, entry_id):
+    return [
+        view for recipient, _, view in fixture.transport.sent if recipient == entry_id
+    ]
+
+
+def test_a_limit_reaches_all_entries_once_with_shares_that_add_up(handler_fixture):
+    for number in range(3):
+        handler_fixture.report(1.0, entry_id=f"e{number}")
+    handler_fixture.transport.sent.clear()
+    limit = EndpointLimit(host_id="h", boot_id="b", limit_per_s=2.0, age_ms=10)
+    handler_fixture.report(1.5, entry_id="e0", limits=[limit])
+    lists = [views_to(handler_fixture, f"e{n}")[-1].limits for n in range(3)]
+    assert [item[0].limit_per_s for item in lists] == [2.0] * 3
+    assert sorted(item[0].share_per_s for item in lists) == [0.0, 1.0, 1.0]
+    version = views_to(handler_fixture, "e0")[-1].limits_version
+    handler_fixture.transport.sent.clear()
+    handler_fixture.report(
+        2.0, entry_id="e0", limits_version=version, view_source="life"
+    )
+    assert not views_to(handler_fixture, "e0")[-1].limits
+
+
+def test_an_isolated_entry_gets_the_addresses_of_entries_that_are_not(handler_fixture):
+    handler_fixture.report(1.0, entry_id="e0", relay_address="10.0.0.1:2")
+    handler_fixture.report(
+        1.0, entry_id="e1", relay_address="10.0.0.2:2", is_isolated=True
+    )
+    handler_fixture.report(
+        1.0, entry_id="e2", relay_address="10.0.0.3:2", draining=True
+    )
+    handler_fixture.transport.sent.clear()
+    handler_fixture.report(
+        1.5, entry_id="e1", relay_address="10.0.0.2:2", is_isolated=True
+    )
+    assert list(views_to(handler_fixture, "e1")[-1].peers) == ["10.0.0.1:2"]
+    handler_fixture.report(1.5, entry_id="e0", relay_address="10.0.0.1:2")
+    assert not views_to(handler_fixture, "e0")[-1].peers
