Bound how often the leader divides limits

What would be seen: at the target size 127 limits divided among 320 entries take 70 ms of the leader's processor time and 6.7 KB for each entry, once for each endpoint that begins to name a limit.

Cause: each change of a limit was divided and sent to all entries at once.

A call that finds no group although a token is there gets the usual Retry-After, not one of 0 s.

Evidence: tests of rate_limits, programs/control and programs/entry pass.

--- a/chestnutvale/programs/control/entry_report_handler.py
+++ b/chestnutvale/programs/control/entry_report_handler.py
@@ -30,6 +30,7 @@
 )
 from chestnutvale.programs.control.state import ControlState
 from chestnutvale.rate_limits.coordinator import RateLimitCoordinator
+from chestnutvale.rate_limits.division import division_interval_s
 from chestnutvale.rate_limits.wire import from_message, to_message
 from chestnutvale.routing.stall_detection import StallAggregator
 from chestnutvale.schema.peer_pb2 import (
@@ -140,6 +141,7 @@
         self._rate_limits = RateLimitCoordinator()
         self._limit_inputs: tuple[object, ...] = ()
         self._pushed_limits = self._rate_limits.version
+        self._limits_due_s = -math.inf
         # Version of the list of limits that each entry is known to have.
         self._limits_versions: dict[str, int] = {}
         self._commits = eventlet.GreenPool(MAX_CONCURRENT_COMMIT_REQUESTS)
@@ -330,8 +332,12 @@
             if entry_id in self.entries and not self.entries[entry_id].draining
         ]
         inputs = (self._rate_limits.version, self._publisher.version, entry_ids)
-        if inputs == self._limit_inputs:
+        if inputs == self._limit_inputs or now_s < self._limits_due_s:
             return False
+        limit_count = len(self._rate_limits.statements())
+        if limit_count:
+            interval_s = division_interval_s(limit_count, len(entry_ids))
+            self._limits_due_s = now_s + interval_s
         services = {
             Incarnation.of_member(group_head(view.group)): view.group.service
             for view in self._publisher.group_views()
--- a/chestnutvale/programs/entry/group_chooser.py
+++ b/chestnutvale/programs/entry/group_chooser.py
@@ -235,10 +235,12 @@
         if return_s:
             return return_s
         next_send_s = self._context.next_send_s(service)
-        if next_send_s is None:
+        now_s = self._context.clock.now_s()
+        if next_send_s is None or next_send_s <= now_s:
+            # No limit is in the way.
             return DEFAULT_RETRY_AFTER_S
-        wait_s = next_send_s - self._context.clock.now_s()
-        return max(0.0, wait_s) if math.isfinite(wait_s) else NO_SHARE_RETRY_S
+        wait_s = next_send_s - now_s
+        return wait_s if math.isfinite(wait_s) else NO_SHARE_RETRY_S
 
     def _has_new_epoch(self, group_id: str) -> bool:
         """Tell whether a group was rebuilt since the call used it."""
--- a/chestnutvale/rate_limits/const.py
+++ b/chestnutvale/rate_limits/const.py
@@ -2,6 +2,10 @@
 
 from typing import Final
 
+# Shortest time between two divisions of the limits, and the limits per second that the
+# leader sends to all entries together; with more of both, it divides less often.
+MIN_DIVISION_INTERVAL_S: Final = 0.1
+LIMITS_SENT_PER_S: Final = 50_000.0
 # Smallest share of a limit that an entry gets, in requests per second. Each entry may
 # send one request at once, so a limit is divided among few entries only.
 MIN_SHARE_PER_S: Final = 1.0
--- a/chestnutvale/rate_limits/division.py
+++ b/chestnutvale/rate_limits/division.py
@@ -8,7 +8,12 @@
 import xxhash
 
 from chestnutvale.membership.endpoint_notices import Incarnation
-from chestnutvale.rate_limits.const import MIN_RATE_PER_S, MIN_SHARE_PER_S
+from chestnutvale.rate_limits.const import (
+    LIMITS_SENT_PER_S,
+    MIN_DIVISION_INTERVAL_S,
+    MIN_RATE_PER_S,
+    MIN_SHARE_PER_S,
+)
 
 # Requests per second that an entry may send to an endpoint; an entry that is missing
 # may send none.
@@ -76,6 +81,27 @@
     return divided
 
 
+def division_interval_s(limit_count: int, entry_count: int) -> float:
+    """Return the shortest time between two divisions.
+
+    It answers the moment at which many endpoints name limits one after another, as each
+    division is sent to all entries.
+
+    Parameters
+    ----------
+    limit_count : int
+        Number of limits in the list.
+    entry_count : int
+        Number of entries that get it.
+
+    Returns
+    -------
+    float
+        Time in seconds.
+    """
+    return max(MIN_DIVISION_INTERVAL_S, limit_count * entry_count / LIMITS_SENT_PER_S)
+
+
 def _sort_key(item: LimitedEndpoint) -> tuple[str, str]:
     return item.endpoint.host_id, item.endpoint.boot_id
 
--- a/tests/rate_limits/test_division.py
+++ b/tests/rate_limits/test_division.py
@@ -6,8 +6,16 @@
 import pytest
 
 from chestnutvale.membership.endpoint_notices import Incarnation
-from chestnutvale.rate_limits.const import MIN_RATE_PER_S, MIN_SHARE_PER_S
-from chestnutvale.rate_limits.division import LimitedEndpoint, divide_limits
+from chestnutvale.rate_limits.const import (
+    MIN_DIVISION_INTERVAL_S,
+    MIN_RATE_PER_S,
+    MIN_SHARE_PER_S,
+)
+from chestnutvale.rate_limits.division import (
+    LimitedEndpoint,
+    divide_limits,
+    division_interval_s,
+)
 
 ENTRIES = [f"entry-{number}" for number in range(12)]
 
@@ -46,3 +54,8 @@
 
 def test_without_entries_there_are_no_shares():
     assert divide_limits(make_limited(1, 2.0), []) == {Incarnation("h0", "b"): {}}
+
+
+def test_many_limits_and_entries_are_divided_less_often():
+    assert division_interval_s(14, 12) == MIN_DIVISION_INTERVAL_S
+    assert 0.5 < division_interval_s(127, 340) < 1.0
