Use the shares in limits before other groups

Cause: the entry with the only share chose by load and data centre among all groups, while the other entries could not choose that group at all.

Change: a share whose bucket is full is used first; with equal sums, entries in the data centre of the endpoint get the shares.

--- a/chestnutvale/programs/control/entry_report_handler.py
+++ b/chestnutvale/programs/control/entry_report_handler.py
@@ -30,7 +30,7 @@
 )
 from chestnutvale.programs.control.state import ControlState
 from chestnutvale.rate_limits.coordinator import RateLimitCoordinator
-from chestnutvale.rate_limits.division import division_interval_s
+from chestnutvale.rate_limits.division import EndpointPlace, division_interval_s
 from chestnutvale.rate_limits.wire import from_message, to_message
 from chestnutvale.routing.stall_detection import StallAggregator
 from chestnutvale.schema.peer_pb2 import (
@@ -326,26 +326,28 @@
 
     def _divide_limits(self, now_s: float) -> bool:
         """Divide the rate limits of endpoints again if something changed."""
-        entry_ids = [
-            entry_id
+        entries = {
+            entry_id: self.entries[entry_id].data_centre
             for entry_id in self._table.live_entries(now_s)
             if entry_id in self.entries and not self.entries[entry_id].draining
-        ]
-        inputs = (self._rate_limits.version, self._publisher.version, entry_ids)
+        }
+        inputs = (self._rate_limits.version, self._publisher.version, entries)
         if inputs == self._limit_inputs or now_s < self._limits_due_s:
             return False
         limit_count = len(self._rate_limits.statements())
         if limit_count:
-            interval_s = division_interval_s(limit_count, len(entry_ids))
+            interval_s = division_interval_s(limit_count, len(entries))
             self._limits_due_s = now_s + interval_s
-        services = {
-            Incarnation.of_member(group_head(view.group)): view.group.service
+        places = {
+            Incarnation.of_member(group_head(view.group)): EndpointPlace(
+                view.group.service, view.group.data_centre
+            )
             for view in self._publisher.group_views()
             if view.serving
         }
-        self._rate_limits.refresh(entry_ids, services, now_s)
+        self._rate_limits.refresh(entries, places, now_s)
         version, version_before = self._rate_limits.version, self._pushed_limits
-        self._limit_inputs = (version, self._publisher.version, entry_ids)
+        self._limit_inputs = (version, self._publisher.version, entries)
         self._pushed_limits = version
         return version != version_before
 
--- a/chestnutvale/programs/entry/group_router.py
+++ b/chestnutvale/programs/entry/group_router.py
@@ -315,8 +315,12 @@
         """
         now_s = self._clock.now_s()
         unsuitable = self._find_unsuitable_groups(request, version, now_s) | excluded
+        last_resorts = self._find_avoided_groups(now_s) | stalled
         for avoided in (
-            unsuitable | self._find_avoided_groups(now_s) | stalled,
+            # No other entry can use this share, and only an answer tells when the limit
+            # ends.
+            unsuitable | last_resorts | self._find_others(request.service, now_s),
+            unsuitable | last_resorts,
             unsuitable,
         ):
             chosen = self._try_choose(request, avoided, now_s)
@@ -370,6 +374,14 @@
             if not _can_serve(group_view, request, version)
         ).union(self._unavailable_groups(request.service, now_s))
 
+    def _find_others(self, service: str, now_s: float) -> frozenset[str]:
+        """Return the groups besides those with an unused share in their limit."""
+        return frozenset(
+            group_view.group.group_id
+            for group_view in self._view.serving_groups(service, now_s)
+            if not self.send_budget.has_unused_share(_head_of(group_view), now_s)
+        )
+
     def _find_avoided_groups(self, now_s: float) -> frozenset[str]:
         return frozenset(
             group_id
--- a/chestnutvale/rate_limits/coordinator.py
+++ b/chestnutvale/rate_limits/coordinator.py
@@ -1,11 +1,17 @@
 """Limits of endpoints at the leading control, and their division among the entries."""
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Mapping
 
 import attrs
 
 from chestnutvale.membership.endpoint_notices import Incarnation
-from chestnutvale.rate_limits.division import LimitedEndpoint, Shares, divide_limits
+from chestnutvale.rate_limits.division import (
+    UNKNOWN_PLACE,
+    EndpointPlace,
+    LimitedEndpoint,
+    Shares,
+    divide_limits,
+)
 from chestnutvale.rate_limits.statements import RateStatement, RateStatements
 
 
@@ -37,29 +43,29 @@
 
     def refresh(
         self,
-        entry_ids: Sequence[str],
-        services: Mapping[Incarnation, str],
+        entries: Mapping[str, str],
+        places: Mapping[Incarnation, EndpointPlace],
         now_s: float,
     ) -> None:
         """Divide the limits again if the entries, endpoints or limits have changed.
 
         Parameters
         ----------
-        entry_ids : sequence of str
-            Entries that take calls.
-        services : mapping of Incarnation to str
-            Service of each endpoint that takes requests.
+        entries : mapping of str to str
+            Data centre of each entry that takes calls.
+        places : mapping of Incarnation to EndpointPlace
+            Service and data centre of each endpoint that takes requests.
         now_s : float
             Monotonic time in seconds.
         """
         if not self._statements.all():
             return
-        self._statements.keep_listed(services, now_s)
+        self._statements.keep_listed(places, now_s)
         limited = [
-            LimitedEndpoint(endpoint, services.get(endpoint, ""), rate_per_s)
+            LimitedEndpoint(endpoint, places.get(endpoint, UNKNOWN_PLACE), rate_per_s)
             for endpoint, rate_per_s in self._statements.limits().items()
         ]
-        shares = divide_limits(limited, entry_ids)
+        shares = divide_limits(limited, entries)
         if shares != self._shares:
             self._shares = shares
             self.version += 1
--- a/chestnutvale/rate_limits/division.py
+++ b/chestnutvale/rate_limits/division.py
@@ -20,6 +20,23 @@
 Shares = Mapping[str, float]
 
 
+@attrs.frozen
+class EndpointPlace:
+    """What an endpoint serves, and where; empty if unknown.
+
+    Attributes
+    ----------
+    service, data_centre : str
+        The service and the data centre.
+    """
+
+    service: str = ""
+    data_centre: str = ""
+
+
+UNKNOWN_PLACE = EndpointPlace()
+
+
 @attrs.frozen
 class LimitedEndpoint:
     """An endpoint that names a limit.
@@ -28,34 +45,35 @@
     ----------
     endpoint : Incarnation
         The endpoint.
-    service : str
-        The service that it serves; empty if unknown.
+    place : EndpointPlace
+        What it serves, and where.
     rate_per_s : float
         Requests per second that it takes from all entries together.
     """
 
     endpoint: Incarnation
-    service: str
+    place: EndpointPlace
     rate_per_s: float
 
 
 def divide_limits(
-    limited: Sequence[LimitedEndpoint], entry_ids: Sequence[str]
+    limited: Sequence[LimitedEndpoint], entries: Mapping[str, str]
 ) -> dict[Incarnation, Shares]:
     """Divide each limit evenly among few entries.
 
     It answers a load that would exceed the limits, at any number of entries: the
     shares of an endpoint add up to its limit, and no share is so small that the one
     request that each entry may send at once outweighs it. Within a service the entries
-    get about equal sums. Equal inputs give equal shares, and a change of the inputs
-    moves few of them, so that a new leader repeats the division of the last one.
+    get about equal sums; with equal sums, those in the data centre of the endpoint come
+    first. Equal inputs give equal shares, and a change of the inputs moves few of them,
+    so that a new leader repeats the division of the last one.
 
     Parameters
     ----------
     limited : sequence of LimitedEndpoint
         The endpoints.
-    entry_ids : sequence of str
-        Entries that serve calls.
+    entries : mapping of str to str
+        Data centre of each entry that serves calls.
 
     Returns
     -------
@@ -66,17 +84,18 @@
     sums: Counter[tuple[str, str]] = Counter()
     for item in sorted(limited, key=_sort_key):
         rate_per_s = max(item.rate_per_s, MIN_RATE_PER_S)
-        count = min(len(entry_ids), max(1, math.floor(rate_per_s / MIN_SHARE_PER_S)))
+        count = min(len(entries), max(1, math.floor(rate_per_s / MIN_SHARE_PER_S)))
         owners = sorted(
-            entry_ids,
+            entries,
             key=lambda entry_id, item=item: (
-                sums[item.service, entry_id],
+                sums[item.place.service, entry_id],
+                entries[entry_id] != item.place.data_centre,
                 _rank(item.endpoint, entry_id),
             ),
         )[:count]
         share_per_s = rate_per_s / max(1, count)
         for entry_id in owners:
-            sums[item.service, entry_id] += share_per_s
+            sums[item.place.service, entry_id] += share_per_s
         divided[item.endpoint] = dict.fromkeys(owners, share_per_s)
     return divided
 
--- a/chestnutvale/rate_limits/send_budget.py
+++ b/chestnutvale/rate_limits/send_budget.py
@@ -161,6 +161,27 @@
         bucket.refill(now_s)
         return bucket.next_token_s()
 
+    def has_unused_share(self, endpoint: Incarnation, now_s: float) -> bool:
+        """Tell whether the share in the limit of an endpoint was not spent lately.
+
+        Parameters
+        ----------
+        endpoint : Incarnation
+            The endpoint.
+        now_s : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        bool
+            Whether its bucket is full, so that what comes next would be lost.
+        """
+        bucket = self._buckets.get(endpoint)
+        if bucket is None or not bucket.rate_per_s:
+            return False
+        bucket.refill(now_s)
+        return bucket.tokens >= bucket.size
+
     def record_sent(self, endpoint: Incarnation, now_s: float) -> None:
         """Count a request that is about to be sent to an endpoint."""
         bucket = self._buckets.get(endpoint)
--- a/tests/rate_limits/fleet.py
+++ b/tests/rate_limits/fleet.py
@@ -7,6 +7,7 @@
 
 from chestnutvale.membership.endpoint_notices import Incarnation
 from chestnutvale.rate_limits.coordinator import RateLimitCoordinator
+from chestnutvale.rate_limits.division import EndpointPlace
 from chestnutvale.rate_limits.send_budget import SendBudget
 from chestnutvale.rate_limits.statements import RateStatement
 
@@ -95,14 +96,14 @@
             return
         self.coordinator.merge(statements)
         self.seen_at_s[entry.name] = self.now_s
-        live = sorted(
-            name
+        live = {
+            name: "dc-1"
             for name, seen_s in self.seen_at_s.items()
             if self.now_s - seen_s <= ENTRY_TIMEOUT_S
-        )
+        }
         version = self.coordinator.version
-        services = dict.fromkeys(self.endpoints, "llm")
-        self.coordinator.refresh(live, services, self.now_s)
+        places = dict.fromkeys(self.endpoints, EndpointPlace("llm", "dc-1"))
+        self.coordinator.refresh(live, places, self.now_s)
         changed = self.coordinator.version != version or statements
         for other in self.entries if changed else [entry]:
             if other.name in live:
--- a/tests/rate_limits/test_division.py
+++ b/tests/rate_limits/test_division.py
@@ -12,17 +12,20 @@
     MIN_SHARE_PER_S,
 )
 from chestnutvale.rate_limits.division import (
+    EndpointPlace,
     LimitedEndpoint,
     divide_limits,
     division_interval_s,
 )
 
-ENTRIES = [f"entry-{number}" for number in range(12)]
+ENTRIES = {f"entry-{number}": f"dc-{number % 3}" for number in range(12)}
 
 
 def make_limited(count, rate_per_s, service="llm"):
     return [
-        LimitedEndpoint(Incarnation(f"h{number}", "b"), service, rate_per_s)
+        LimitedEndpoint(
+            Incarnation(f"h{number}", "b"), EndpointPlace(service, "dc-1"), rate_per_s
+        )
         for number in range(count)
     ]
 
@@ -46,14 +49,19 @@
     limited = make_limited(9, 2.5)
     expected = divide_limits(limited, ENTRIES)
     rng = random.Random(1)
-    entries = list(ENTRIES)
+    entries = list(ENTRIES.items())
     rng.shuffle(limited)
     rng.shuffle(entries)
-    assert divide_limits(limited, entries) == expected
+    assert divide_limits(limited, dict(entries)) == expected
+
+
+def test_entries_of_the_same_data_centre_come_first():
+    for shares in divide_limits(make_limited(2, 2.0), ENTRIES).values():
+        assert {ENTRIES[entry_id] for entry_id in shares} == {"dc-1"}
 
 
 def test_without_entries_there_are_no_shares():
-    assert divide_limits(make_limited(1, 2.0), []) == {Incarnation("h0", "b"): {}}
+    assert divide_limits(make_limited(1, 2.0), {}) == {Incarnation("h0", "b"): {}}
 
 
 def test_many_limits_and_entries_are_divided_less_often():
