Isolate an entry only after probes of other endpoints, and if others can serve

What callers could see: all endpoints of a small service may refuse connections while those of the others are reached over open ones. Three refusals then isolated every entry at the same moment, and with no peer left each call was refused. A call whose deadline had passed was passed on with 1 ms.

Cause: isolation followed from the third failure at once, and did not ask whether any other entry could serve.

Change: the first failure has other endpoints probed, and isolation needs 0.1 s of failures without a success; if the leader names no peer, calls stay. An overdue call is refused as not run.

--- a/chestnutvale/programs/entry/daemon.py
+++ b/chestnutvale/programs/entry/daemon.py
@@ -129,13 +129,13 @@
         self._prober = ReachabilityProber(
             self.context.endpoint_addresses,
             self.context.record_connect,
-            lambda: self.context.is_isolated,
+            lambda: self.context.reaches_no_endpoint,
             clock,
             rng,
         )
         self.context.on_isolation_change = self._handle_isolation_change
         self.context.on_silence = self._prober.check_suspicion
-        self.link.is_isolated = lambda: self.context.is_isolated
+        self.link.is_isolated = lambda: self.context.reaches_no_endpoint
         self.context.on_departure = self.link.trigger_report
         self.context.on_limit_change = self.link.trigger_report
         self._load_exchange = LoadExchange(
--- a/chestnutvale/programs/entry/entry_context.py
+++ b/chestnutvale/programs/entry/entry_context.py
@@ -81,7 +81,8 @@
     on_isolation_change : callable
         Called when the entry becomes isolated from all endpoints, or no longer is.
     on_silence : callable
-        Called when an attempt fell silent or broke and no endpoint has answered lately.
+        Called when an attempt fell silent or broke and no endpoint has answered lately,
+        or when a connection could not be opened.
     isolation_changes : Counter
         Number of times that the entry became ``isolated`` and ``reconnected``.
     peers : list of str
@@ -118,6 +119,7 @@
         self.on_silence: Callable[[], None] = _ignore_change
         self.isolation_changes: Counter[str] = Counter()
         self.peers: list[str] = []
+        self._lacks_peers = False
         self._reachability = EndpointReachability()
         self._answered_at_s = clock.now_s()
         self.lookup = TextLookup.from_text(Text())
@@ -145,6 +147,9 @@
         self._commits.set_leader(control_id)
         if view.peers or not self.was_isolated():
             self.peers = list(view.peers)
+        if view.nonce:
+            # If all entries seem isolated, the endpoints are down, and calls stay here.
+            self._lacks_peers = not view.peers
         if self._view.number != self.lookup.number:
             self._install_text()
         self._router.install(view)
@@ -403,7 +408,12 @@
 
     @property
     def is_isolated(self) -> bool:
-        """Whether this entry reaches no endpoint."""
+        """Whether this entry reaches no endpoint, while others may."""
+        return self._reachability.is_isolated and not self._lacks_peers
+
+    @property
+    def reaches_no_endpoint(self) -> bool:
+        """Whether this entry reaches no endpoint, whatever the others do."""
         return self._reachability.is_isolated
 
     def was_isolated(self) -> bool:
@@ -426,13 +436,16 @@
         """
         now_s = self.clock.now_s()
         if is_open:
-            count = len(self.endpoint_addresses()) if self.is_isolated else 0
+            is_isolated = self._reachability.is_isolated
+            count = len(self.endpoint_addresses()) if is_isolated else 0
             is_changed = self._reachability.record_success(address, now_s, count)
         else:
             is_changed = self._reachability.record_failure(address, now_s)
+            # Probes of other endpoints tell a fault of this one from an isolation.
+            self.on_silence()
         if not is_changed:
             return
-        kind = "isolated" if self.is_isolated else "reconnected"
+        kind = "isolated" if self._reachability.is_isolated else "reconnected"
         self.isolation_changes[kind] += 1
         _LOGGER.warning("entry_isolation", extra={"state": kind, "endpoint": address})
         self.on_isolation_change()
--- a/chestnutvale/programs/entry/peers/relay.py
+++ b/chestnutvale/programs/entry/peers/relay.py
@@ -128,6 +128,8 @@
         RelayedAnswer or Failure
             The answer, which must be iterated or closed.
         """
+        if call.call_request.deadline_s <= self._context.clock.now_s():
+            return Failure(CODE_DEADLINE, OUTCOME_NOT_RUN, "the deadline passed")
         with contextlib.ExitStack() as resources:
             watch = resources.enter_context(CallerWatch(environ))
             exchange = self._connect(call, resources)
--- a/chestnutvale/routing/const.py
+++ b/chestnutvale/routing/const.py
@@ -53,6 +53,8 @@
 # Different endpoints to which connections fail, without one that succeeds, before an
 # entry counts as isolated. Fewer may be down by themselves.
 ISOLATION_ENDPOINTS: Final = 3
+# Shortest time from the first failure; several times what a probe of another one takes.
+ISOLATION_CONFIRMATION_S: Final = 0.1
 # Different endpoints that must be reached before it no longer does.
 RECONNECTION_ENDPOINTS: Final = 2
 # Time after its end for which calls that found no endpoint go on through a peer.
--- a/chestnutvale/routing/reachability.py
+++ b/chestnutvale/routing/reachability.py
@@ -5,6 +5,7 @@
 import attrs
 
 from chestnutvale.routing.const import (
+    ISOLATION_CONFIRMATION_S,
     ISOLATION_ENDPOINTS,
     ISOLATION_MEMORY_S,
     RECONNECTION_ENDPOINTS,
@@ -17,10 +18,12 @@
     """Judges by new connections whether this entry reaches any endpoint.
 
     It answers a partition of this entry from all endpoints, and no fault of a few of
-    them: connections to several endpoints fail, and none succeeds. Connections that
-    are kept open say nothing, since they may live on while new ones are refused. An
-    entry that reaches only one of many endpoints is better served by its peers, so that
-    isolation ends with successes at several, without a failure in between.
+    them: connections to several endpoints fail, and none succeeds for a moment in which
+    the owner probes others, since all endpoints of a small service may be down.
+    Connections that are kept open say nothing, since they may live on while new ones
+    are refused. An entry that reaches only one of many endpoints is better served by
+    its peers, so that isolation ends with successes at several, without a failure in
+    between.
 
     Attributes
     ----------
@@ -31,6 +34,8 @@
     is_isolated: bool = False
     _failed_at_s: dict[str, float] = attrs.field(factory=dict)
     _reached: set[str] = attrs.field(factory=set)
+    # Time of the first failure since the last success.
+    _failing_since_s: float = math.inf
     _ended_at_s: float = -math.inf
 
     def record_failure(self, address: str, now_s: float) -> bool:
@@ -55,8 +60,13 @@
             for key, failed_at_s in self._failed_at_s.items()
             if now_s - failed_at_s <= UNREACHABLE_RETENTION_S
         }
+        if len(self._failed_at_s) == 1:
+            self._failing_since_s = now_s
         was_isolated = self.is_isolated
-        if len(self._failed_at_s) >= ISOLATION_ENDPOINTS:
+        if (
+            len(self._failed_at_s) >= ISOLATION_ENDPOINTS
+            and now_s - self._failing_since_s >= ISOLATION_CONFIRMATION_S
+        ):
             self.is_isolated = True
         return self.is_isolated and not was_isolated
 
@@ -81,6 +91,7 @@
             Whether the entry was isolated until now.
         """
         self._failed_at_s.clear()
+        self._failing_since_s = math.inf
         if not self.is_isolated:
             return False
         self._reached.add(address)
--- a/tests/programs/entry/routed/test_isolated_entry.py
+++ b/tests/programs/entry/routed/test_isolated_entry.py
@@ -4,6 +4,7 @@
 
 from eventlet.green import socket
 
+from chestnutvale.routing.const import ISOLATION_CONFIRMATION_S
 from tests.programs.entry.entry_fakes import wait_until
 from tests.programs.entry.routed.routed_fakes import (
     ScriptedEndpoint,
@@ -28,6 +29,9 @@
         routed_entry(*(UnreachableEndpoint() for _ in range(4))) as entry,
     ):
         entry.context.peers = [peer.relay_address]
+        # The first failure lies back by the time that probes of others take.
+        since_s = entry.context.clock.now_s() - ISOLATION_CONFIRMATION_S
+        entry.context.reachability.record_failure("127.0.0.1:1", since_s)
         yield entry
 
 
--- a/tests/programs/entry/test_entry_context.py
+++ b/tests/programs/entry/test_entry_context.py
@@ -13,6 +13,10 @@
 from chestnutvale.programs.entry.context import CallRequest
 from chestnutvale.programs.entry.entry_context import EntryContext
 from chestnutvale.programs.entry.group_router import GroupRouter
+from chestnutvale.routing.const import (
+    ISOLATION_CONFIRMATION_S,
+    ISOLATION_ENDPOINTS,
+)
 from chestnutvale.routing.selector import Selector
 from chestnutvale.schema.configuration_pb2 import Service, Text, Workspace
 from chestnutvale.schema.groups_pb2 import Group, GroupMember
@@ -260,3 +264,20 @@
     context.wait_for_groups("llm", started_at_s + 0.2)
     waited_s = clock.now_s() - started_at_s
     assert waited_s < 0.1 or (is_discovering and waited_s < 0.4)
+
+
+def test_calls_stay_if_no_other_entry_reaches_the_endpoints():
+    clock = ManualClock()
+    context, view, _ = make_context(clock)
+    for number in range(ISOLATION_ENDPOINTS + 1):
+        context.record_connect(f"10.0.0.{number}:1", is_open=False)
+        clock.time_s += ISOLATION_CONFIRMATION_S
+    assert context.is_isolated
+    receive_view(context, view, make_view(1, serving=True), clock)
+    assert context.reaches_no_endpoint
+    assert not context.is_isolated
+    message = make_view(2, serving=True)
+    message.peers.append("10.0.0.9:2")
+    receive_view(context, view, message, clock)
+    assert context.is_isolated
+    assert context.peers == ["10.0.0.9:2"]
