Say precisely when a call may go on through another entry

Cause: comments said that nothing was sent, but a request that endpoints provably did not run may go on too; one comment was a figure of speech, and one named half of what starts a probe.

--- a/chestnutvale/attempts/events.py
+++ b/chestnutvale/attempts/events.py
@@ -157,7 +157,8 @@
     allowed : frozenset of str
         Groups of which one must be chosen; empty allows any.
     is_unsent : bool
-        Whether no endpoint has got the request, so that another entry can take it.
+        Whether the request was not sent, or endpoints proved that they did not run it,
+        so that another entry can take it.
     """
 
     excluded: frozenset[str]
--- a/chestnutvale/programs/entry/peers/prober.py
+++ b/chestnutvale/programs/entry/peers/prober.py
@@ -61,7 +61,7 @@
             self._isolated_event.send()
 
     def check_suspicion(self) -> None:
-        """Probe a few endpoints at once, because none has answered for a while."""
+        """Probe a few endpoints at once after a silence or a failed connection."""
         now_s = self._clock.now_s()
         if now_s < self._next_suspicion_s or self._is_isolated():
             return
--- a/chestnutvale/programs/entry/peers/relay.py
+++ b/chestnutvale/programs/entry/peers/relay.py
@@ -119,7 +119,7 @@
         Parameters
         ----------
         call : RoutedCall
-            The call; nothing was sent to an endpoint for it.
+            The call; no endpoint has run it.
         environ : dict
             The WSGI environment; its body must have been read.
 
--- a/chestnutvale/rate_limits/send_budget.py
+++ b/chestnutvale/rate_limits/send_budget.py
@@ -223,6 +223,6 @@
             return share * max(limit_per_s, MIN_RATE_PER_S)
         bucket = self._buckets.get(endpoint)
         if bucket is not None:
-            # A new leader has not learned the limit yet; the last share holds on.
+            # A new leader has not learned the limit yet; the last share stays valid.
             return bucket.rate_per_s
         return max(limit_per_s, MIN_RATE_PER_S) / self._entry_count
