Add the replicated order to evacuate a data centre

Cause: operators can't stop sending to a data centre without a new text.

Operators send it with POST /operator/v1/evacuation, and on the platform with POST /api/evacuations/ZONE/begin and /finish. An order is acknowledged once the required disks hold it, and a repeated one again. It is proposed only once all voters and learners can read it: members say so in their append replies, and a replicated record keeps it for members that are lost.

The order has no effect on entries and planner yet.

--- a/chestnutvale/consensus/const.py
+++ b/chestnutvale/consensus/const.py
@@ -48,4 +48,7 @@
 STEP_PROPOSE: Final = "propose"
 STEP_READ: Final = "read"
 STEP_MEMBERS: Final = "members"
+# Newest version of the commands that this build can read, and the first that has a
+# number. Raise it with every command that older builds would skip.
+COMMAND_VERSION: Final = 1
 IDENTITY_SEPARATOR: Final = "#"
--- a/chestnutvale/consensus/follower.py
+++ b/chestnutvale/consensus/follower.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 
+from chestnutvale.consensus.const import COMMAND_VERSION
 from chestnutvale.consensus.member_state import MemberState
 from chestnutvale.schema.raft_pb2 import (
     AppendReply,
@@ -32,7 +33,8 @@
     ) -> None:
         """Append entries if the log matches at the preceding index."""
         self._member.record_leader_contact(message.from_id, now_s)
-        reply = AppendReply(round=request.round)
+        self._member.leader_command_version = request.command_version
+        reply = AppendReply(round=request.round, command_version=COMMAND_VERSION)
         previous = request.previous_index
         if previous < self._member.commit_index:
             # Committed entries are identical in every leader's log.
--- a/chestnutvale/consensus/leader.py
+++ b/chestnutvale/consensus/leader.py
@@ -6,6 +6,7 @@
 import attrs
 
 from chestnutvale.consensus.const import (
+    COMMAND_VERSION,
     MAX_APPEND_BYTES,
     MAX_APPEND_ENTRIES,
     MAX_IN_FLIGHT_APPENDS,
@@ -161,12 +162,18 @@
         previous = progress.next_index - 1
         if progress.mode is Mode.SNAPSHOT:
             # Acts as a heartbeat; the empty prefix matches every log.
-            return AppendRequest(previous_index=0, commit_index=0, round=self.round)
+            return AppendRequest(
+                previous_index=0,
+                commit_index=0,
+                round=self.round,
+                command_version=COMMAND_VERSION,
+            )
         request = AppendRequest(
             previous_index=previous,
             previous_term=self.log.term_at(previous),
             commit_index=commit_index,
             round=self.round,
+            command_version=COMMAND_VERSION,
         )
         if not self.may_send_entries(progress):
             return request
--- a/chestnutvale/consensus/member_state.py
+++ b/chestnutvale/consensus/member_state.py
@@ -5,6 +5,7 @@
 
 from chestnutvale.consensus.config import RaftConfig
 from chestnutvale.consensus.const import (
+    COMMAND_VERSION,
     FIRST_ELECTION_SPREAD,
     LEASE_TIMEOUT_FRACTION,
     MAX_SILENCE_STEP_HEARTBEATS,
@@ -53,6 +54,8 @@
         self.term = stored.hard_state.term
         self.voted_for = stored.hard_state.voted_for
         self.leader_id = ""
+        # Newest version of the commands that the leader can read; 0 if unknown.
+        self.leader_command_version = 0
         self.leader: Leader | None = None
         self.log = RaftLog(stored)
         self.commit_index = stored.snapshot.index
@@ -117,6 +120,7 @@
             self.reset_election_timer(now_s)
         self.role = Role.FOLLOWER
         self.leader_id = ""
+        self.leader_command_version = 0
         if self.leader is not None:
             for read in self.leader.reads:
                 self.outbox.add_effect(RequestRefused(read.request_id, ""))
@@ -187,6 +191,21 @@
             return 0
         return self.leader.progress[member_id].match_index
 
+    def command_versions(self) -> dict[str, int | None]:
+        """Return the versions that the voters and learners last said they can read.
+
+        None stands for a member that has not replied to this member as leader.
+        """
+        members = self.log.members
+        progress = self.leader.progress if self.leader is not None else {}
+        versions: dict[str, int | None] = {}
+        for member_id in [*members.voters, *members.learners]:
+            follower = progress.get(member_id)
+            versions[member_id] = follower.command_version if follower else None
+        if self.own_id in versions:
+            versions[self.own_id] = COMMAND_VERSION
+        return versions
+
     def quorum_acked_s(self, now_s: float) -> float:
         """Return when the newest round that a quorum acknowledged was sent."""
         return self.leader.quorum_acked_s(self.log.members, now_s)
--- a/chestnutvale/consensus/progress.py
+++ b/chestnutvale/consensus/progress.py
@@ -27,6 +27,9 @@
 
     next_index: int
     match_index: int = 0
+    # Newest version of the commands that the follower can read, from its last reply;
+    # None before the first one.
+    command_version: int | None = None
     mode: Mode = Mode.PROBE
     # Monotonic time at which the newest acknowledged round was sent.
     acked_s: float = -math.inf
--- a/chestnutvale/consensus/raft.py
+++ b/chestnutvale/consensus/raft.py
@@ -4,6 +4,7 @@
 import random
 
 from chestnutvale.consensus.config import RaftConfig
+from chestnutvale.consensus.const import COMMAND_VERSION
 from chestnutvale.consensus.elections import Elections
 from chestnutvale.consensus.events import (
     ApplyEntries,
@@ -130,6 +131,10 @@
         """Return the highest index known to be replicated to a member."""
         return self.member.match_index(member_id)
 
+    def command_versions(self) -> dict[str, int | None]:
+        """Return the versions that the voters and learners last said they can read."""
+        return self.member.command_versions()
+
     def next_deadline_s(self) -> float:
         """Return the time of the next `Tick`; infinite if none is needed."""
         leader = self.member.leader
@@ -300,10 +305,11 @@
 
     def _reject_stale_message(self, message: RaftMessage, kind: str | None) -> None:
         if kind in ("append_request", "snapshot_request"):
-            self.member.send_after_sync(message.from_id, append_reply=AppendReply())
+            reply = AppendReply(command_version=COMMAND_VERSION)
+            self.member.send_after_sync(message.from_id, append_reply=reply)
         elif kind == "vote_request" and message.vote_request.pre_vote:
-            reply = VoteReply(pre_vote=True)
-            self.member.send_after_sync(message.from_id, vote_reply=reply)
+            refusal = VoteReply(pre_vote=True)
+            self.member.send_after_sync(message.from_id, vote_reply=refusal)
 
     # Snapshots of this member's state.
 
--- a/chestnutvale/consensus/replication.py
+++ b/chestnutvale/consensus/replication.py
@@ -99,6 +99,7 @@
             return
         member_id = message.from_id
         progress = self._member.leader.progress[member_id]
+        progress.command_version = reply.command_version
         self._member.leader.record_ack(member_id, reply.round)
         if reply.accepted:
             self._handle_accepted_append(member_id, progress, reply.match_index, now_s)
--- a/chestnutvale/consensus/task.py
+++ b/chestnutvale/consensus/task.py
@@ -194,6 +194,22 @@
             return 0
         return quorum_size(raft.log.members)
 
+    def command_versions(self) -> dict[str, int | None]:
+        """Return the versions of the commands that the members can read.
+
+        Returns
+        -------
+        dict of str to int or None
+            By voter and learner; None for one that has not replied to this control as
+            leader.
+        """
+        return self._loop.raft.command_versions()
+
+    @property
+    def leader_command_version(self) -> int:
+        """Version of the commands that the leader can read; 0 if unknown."""
+        return self._loop.raft.member.leader_command_version
+
     def has_lease(self, now_s: float) -> bool:
         """Return whether it is certain that no other control has led until now.
 
--- /dev/null
+++ b/chestnutvale/evacuations/__init__.py
@@ -0,0 +1,1 @@
+"""Evacuation of data centres on the order of an operator."""
--- a/chestnutvale/programs/control/const.py
+++ b/chestnutvale/programs/control/const.py
@@ -39,3 +39,6 @@
 DEMAND_VIEWS_PER_S: Final = 50.0
 # Time for which events of a group show that it works; entries report twice within it.
 RESPONSIVE_TTL_S: Final = 1.2
+# Time between checks of which commands the members of the log can read. Membership
+# changes every few minutes at most, and a check costs a few comparisons.
+READERS_CHECK_INTERVAL_S: Final = 0.5
--- a/chestnutvale/programs/control/daemon.py
+++ b/chestnutvale/programs/control/daemon.py
@@ -37,6 +37,7 @@
     register_control_metrics,
 )
 from chestnutvale.programs.control.operations import ControlOperations
+from chestnutvale.programs.control.readers_task import ReadersTask
 from chestnutvale.programs.control.state import ControlState
 from chestnutvale.programs.control.status import StatusBuilder
 from chestnutvale.programs.process_metrics import register_process_metrics
@@ -158,6 +159,7 @@
             "repairs": lambda: sorted(self.state.groups.repairs),
             "ledger_records": lambda: self.state.ledger.record_count,
             "ledger_bytes": lambda: self.state.ledger.size_bytes,
+            "evacuated_data_centres": lambda: sorted(self.state.evacuations.evacuated),
             "hosts": lambda: len(self.table.known_hosts()),
             "entries": lambda: sorted(self._entry_handler.entries),
             "view_version": lambda: self.publisher.version,
@@ -208,8 +210,10 @@
         exchange = LoadExchange(
             self.transport, self._log, self.state, self._entry_handler, self._clock
         )
+        readers = ReadersTask(self._log, self.state, self._clock)
         for run in (
             groups.run,
+            readers.run,
             ledger.run,
             self._announcement_handler.run,
             exchange.run,
@@ -234,6 +238,7 @@
             builder,
             self.dump,
             self._clock,
+            self._entry_handler.data_centres,
         )
         parts = ControlParts(
             operations,
--- a/chestnutvale/programs/control/entry_report_handler.py
+++ b/chestnutvale/programs/control/entry_report_handler.py
@@ -176,6 +176,10 @@
             totals[item.service] += item.tokens + item.refused_tokens
         return totals
 
+    def data_centres(self) -> set[str]:
+        """Return the data centres of the entries that have reported."""
+        return {entry.data_centre for entry in self.entries.values()}
+
     def live_addresses(self, now_s: float) -> dict[str, str]:
         """Return the addresses of the live entries.
 
--- a/chestnutvale/programs/control/operations.py
+++ b/chestnutvale/programs/control/operations.py
@@ -1,10 +1,11 @@
 """Operator requests of a control; implements `OperatorBackend`."""
 
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
 import eventlet
+import logbook
 
 from chestnutvale.clock import Clock
 from chestnutvale.consensus.exceptions import (
@@ -14,8 +15,11 @@
 )
 from chestnutvale.consensus.members import control_of
 from chestnutvale.consensus.task import ConsensusTask
+from chestnutvale.evacuations.const import STEP_EVACUATE
+from chestnutvale.evacuations.exceptions import EvacuationRefusedError
 from chestnutvale.exceptions import ChestnutError
 from chestnutvale.membership.table import MembershipTable
+from chestnutvale.programs.control.evacuation_orders import EvacuationOrders
 from chestnutvale.programs.control.state import ControlState
 from chestnutvale.programs.control.status import StatusBuilder
 from chestnutvale.schema.command_pb2 import Command, CommandResult
@@ -24,6 +28,7 @@
     ApplyTextResult,
     ConfigurationSnapshot,
 )
+from chestnutvale.schema.evacuations_pb2 import EvacuationResult, SetEvacuation
 from chestnutvale.schema.groups_pb2 import DrainHost
 from chestnutvale.schema.operator_pb2 import (
     DrainRequest,
@@ -33,6 +38,8 @@
 )
 from chestnutvale.schema.settings_pb2 import ControlSettings
 
+_LOGGER = logbook.Logger(__name__)
+
 OUTCOME_DONE = "done"
 OUTCOME_REFUSED = "refused"
 ACTION_ADD = "add"
@@ -65,6 +72,8 @@
         Returns the state of the process, without secrets.
     clock : Clock
         Source of time.
+    entry_data_centres : callable, optional
+        Returns the data centres of the known entries; by default there are none.
     """
 
     def __init__(
@@ -76,6 +85,7 @@
         status_builder: StatusBuilder,
         dump: Callable[[], dict[str, Any]],
         clock: Clock,
+        entry_data_centres: Callable[[], Iterable[str]] = tuple,
     ) -> None:
         self._settings = settings
         self._log = log
@@ -84,6 +94,9 @@
         self._status_builder = status_builder
         self._dump = dump
         self._clock = clock
+        self._evacuation_orders = EvacuationOrders(
+            settings, log, state, table, entry_data_centres
+        )
 
     def is_leader(self) -> bool:
         """Return whether this control leads now."""
@@ -157,6 +170,63 @@
                 )
             eventlet.sleep(DURABILITY_POLL_INTERVAL_S)
 
+    def set_evacuation(
+        self, command: SetEvacuation, deadline_s: float
+    ) -> EvacuationResult:
+        """Commit an order to begin or finish an evacuation.
+
+        Returns once ``durable_copies`` disks hold it. An order that is already in force
+        is committed again, so that it is acknowledged only in its place in the log.
+
+        Parameters
+        ----------
+        command : SetEvacuation
+            The order.
+        deadline_s : float
+            Monotonic time in seconds at which the call times out.
+
+        Returns
+        -------
+        EvacuationResult
+            The result.
+
+        Raises
+        ------
+        UnknownDataCentreError
+            If the deployment has no such data centre; nothing was proposed.
+        EvacuationNotReadyError
+            If that is not known yet, or if a control can't read the order; nothing was
+            proposed.
+        EvacuationRefusedError
+            If the order has no effect.
+        NotLeaderError
+            If this control does not lead; nothing was proposed.
+        OutcomeUnknownError
+            If the order may be in force or still come into force.
+        """
+        orders = self._evacuation_orders
+        orders.check_leader()
+        orders.check_data_centre(command.data_centre, self._clock.now_s())
+        orders.check_readers()
+        result = self._propose(Command(set_evacuation=command), deadline_s).evacuation
+        if result.outcome != OUTCOME_DONE:
+            raise EvacuationRefusedError(result.reason, step=STEP_EVACUATE)
+        self._wait_until_durable(deadline_s)
+        _LOGGER.info(
+            "evacuation_order",
+            extra={
+                "data_centre": command.data_centre,
+                "action": "finish" if command.finish else "begin",
+                "operator": command.operator,
+                "changed": result.changed,
+            },
+        )
+        return result
+
+    def evacuated_data_centres(self) -> list[str]:
+        """Return the evacuated data centres, as far as applied in this control."""
+        return sorted(self._state.evacuations.evacuated)
+
     def drain_host(self, request: DrainRequest, deadline_s: float) -> OperatorResult:
         """Commit whether a host is drained, that is, gets no new work."""
         drain = DrainHost(host_id=request.host_id, draining=request.draining)
--- a/chestnutvale/programs/control/operator_api.py
+++ b/chestnutvale/programs/control/operator_api.py
@@ -31,7 +31,6 @@
 from chestnutvale.programs.control.operator_backend import OperatorBackend
 from chestnutvale.programs.control.operator_const import (
     CODE_BAD_REQUEST,
-    CODE_CONFLICT,
     CODE_MEMBERS_REFUSED,
     CODE_NO_LEADER,
     CODE_NOT_FOUND,
@@ -45,6 +44,7 @@
     MAX_REQUEST_BYTES,
     PATH_DRAIN,
     PATH_DUMP,
+    PATH_EVACUATION,
     PATH_PLAN,
     PATH_PREFIX,
     PATH_STATUS,
@@ -56,10 +56,20 @@
     STEP_OPERATOR,
     STEP_PROPOSE,
 )
+from chestnutvale.programs.control.operator_problems import (
+    EVACUATION_STATUSES,
+    ProblemAnswer,
+    make_conflict_problem,
+    make_evacuation_problem,
+    make_refusal,
+    make_text_problem,
+)
 from chestnutvale.schema.configuration_pb2 import ApplyText, Text
+from chestnutvale.schema.evacuations_pb2 import SetEvacuation
 from chestnutvale.schema.operator_pb2 import (
     ApplyAnswer,
     DrainRequest,
+    EvacuationRequest,
     OperatorResult,
     VoterChange,
 )
@@ -77,20 +87,6 @@
 _OPTIONALLY_LOCAL_CALLS = frozenset({("GET", PATH_STATUS)})
 
 
-class ProblemAnswer(Exception):
-    """Aborts a request with a problem response.
-
-    Parameters
-    ----------
-    problem : Problem
-        The problem to send.
-    """
-
-    def __init__(self, problem: Problem) -> None:
-        super().__init__(problem.detail)
-        self.problem = problem
-
-
 class OperatorApi:
     """Serves the operator API; a WSGI application.
 
@@ -116,6 +112,7 @@
             ("POST", PATH_PLAN): self._plan,
             ("GET", PATH_STATUS): self._status,
             ("POST", PATH_DRAIN): self._drain,
+            ("POST", PATH_EVACUATION): self._set_evacuation,
             ("POST", PATH_VOTERS): self._change_voter,
             ("GET", PATH_DUMP): self._dump,
         }
@@ -143,7 +140,7 @@
         except ProblemAnswer as problem_answer:
             return problem_answer.problem.respond(start_response)
         except TextError as error:
-            return _text_problem(error).respond(start_response)
+            return make_text_problem(error).respond(start_response)
         except HttpRequestError:
             # The HTTP server answers errors of the limits that it enforces.
             raise
@@ -157,9 +154,9 @@
         if not has_operator_token(
             environ.get("HTTP_AUTHORIZATION", ""), self._token_digest
         ):
-            raise _make_refusal(401, CODE_UNAUTHORISED, "the operator token is wrong")
+            raise make_refusal(401, CODE_UNAUTHORISED, "the operator token is wrong")
         if call not in self._calls:
-            raise _make_refusal(
+            raise make_refusal(
                 404, CODE_NOT_FOUND, "the operator API has no such method and path"
             )
         if not _is_local(call, environ) and not self._backend.is_leader():
@@ -195,7 +192,7 @@
         if result.outcome != OUTCOME_CONFLICT:
             return message_to_data(answer)
         self._add_difference(answer, text, deadline_s)
-        raise ProblemAnswer(_conflict_problem(answer))
+        raise ProblemAnswer(make_conflict_problem(answer))
 
     def _add_difference(
         self, answer: ApplyAnswer, text: Text, deadline_s: float
@@ -217,7 +214,9 @@
         text = _parse(_read_text(environ), self._backend.fabric_domain_hosts())
         in_force = self._backend.read_configuration(deadline_s)
         accepted = self._backend.is_accepted(text.number, compute_text_digest(text))
-        return message_to_data(plan_change(in_force.text, text, accepted))
+        plan = plan_change(in_force.text, text, accepted)
+        plan.evacuated_data_centres.extend(self._backend.evacuated_data_centres())
+        return message_to_data(plan)
 
     def _status(self, environ: Environ, deadline_s: float) -> Answer:
         return message_to_data(self._backend.status(deadline_s))
@@ -225,19 +224,30 @@
     def _drain(self, environ: Environ, deadline_s: float) -> Answer:
         request = _read_message(environ, DrainRequest())
         if not request.host_id:
-            raise _make_refusal(400, CODE_BAD_REQUEST, "host_id is missing")
+            raise make_refusal(400, CODE_BAD_REQUEST, "host_id is missing")
         return _check_result(self._backend.drain_host(request, deadline_s))
 
+    def _set_evacuation(self, environ: Environ, deadline_s: float) -> Answer:
+        request = _read_message(environ, EvacuationRequest())
+        if not request.data_centre:
+            raise make_refusal(400, CODE_BAD_REQUEST, "data_centre is missing")
+        command = SetEvacuation(
+            data_centre=request.data_centre,
+            finish=request.finish,
+            operator=_parse_operator_name(environ),
+        )
+        return message_to_data(self._backend.set_evacuation(command, deadline_s))
+
     def _change_voter(self, environ: Environ, deadline_s: float) -> Answer:
         change = _read_message(environ, VoterChange())
         if change.action not in ("add", "remove") or not change.id:
-            raise _make_refusal(
+            raise make_refusal(
                 400,
                 CODE_BAD_REQUEST,
                 "action must be add or remove, and id must not be empty",
             )
         if change.action == "add" and not change.address:
-            raise _make_refusal(400, CODE_BAD_REQUEST, "address is missing")
+            raise make_refusal(400, CODE_BAD_REQUEST, "address is missing")
         return _check_result(self._backend.change_voter(change, deadline_s))
 
     def _dump(self, environ: Environ, deadline_s: float) -> Answer:
@@ -276,6 +286,8 @@
                 step=error.step,
                 peer=error.peer,
             )
+        if error.code in EVACUATION_STATUSES:
+            return make_evacuation_problem(error)
         # For any other error, a command may have been proposed before it.
         return Problem(
             status=504 if error.code == CODE_OUTCOME_UNKNOWN else 503,
@@ -293,46 +305,6 @@
     return call in _LOCAL_CALLS or (is_requested and call in _OPTIONALLY_LOCAL_CALLS)
 
 
-def _make_refusal(status: int, code: str, detail: str) -> ProblemAnswer:
-    problem = Problem(
-        status=status,
-        code=code,
-        detail=detail,
-        outcome=OUTCOME_NOT_RUN,
-        step=STEP_OPERATOR,
-    )
-    return ProblemAnswer(problem)
-
-
-def _text_problem(error: TextError) -> Problem:
-    problems = [
-        {"line": item.line, "path": item.path, "reason": item.reason}
-        for item in error.problems
-    ]
-    return Problem(
-        status=400,
-        code=error.code,
-        detail=error.message,
-        outcome=OUTCOME_NOT_RUN,
-        step=error.step,
-        extra={"problems": problems},
-    )
-
-
-def _conflict_problem(answer: ApplyAnswer) -> Problem:
-    return Problem(
-        status=409,
-        code=CODE_CONFLICT,
-        detail=(
-            f"number {answer.number} is not free; {answer.number_in_force} by "
-            f"{answer.operator_in_force!r} is in force"
-        ),
-        outcome=OUTCOME_NOT_RUN,
-        step=STEP_OPERATOR,
-        extra=message_to_data(answer) | {"outcome": OUTCOME_NOT_RUN},
-    )
-
-
 def _check_result(result: OperatorResult) -> Answer:
     if result.outcome == "done":
         return message_to_data(result)
@@ -351,7 +323,7 @@
     if not raw:
         return DEFAULT_DEADLINE_MS
     if not raw.isascii() or not raw.isdigit() or len(raw) > 9:
-        raise _make_refusal(
+        raise make_refusal(
             400,
             CODE_BAD_REQUEST,
             "X-Deadline-Ms must be a whole number of at most 9 digits",
@@ -368,7 +340,7 @@
     body = environ["wsgi.input"].read(max_bytes + 1)
     if len(body) > max_bytes:
         reason = f"the body is larger than {max_bytes} bytes"
-        raise _make_refusal(413, CODE_BAD_REQUEST, reason)
+        raise make_refusal(413, CODE_BAD_REQUEST, reason)
     return body
 
 
@@ -377,7 +349,7 @@
     try:
         return body.decode()
     except UnicodeDecodeError as error:
-        raise _make_refusal(400, CODE_BAD_REQUEST, "the text is not UTF-8") from error
+        raise make_refusal(400, CODE_BAD_REQUEST, "the text is not UTF-8") from error
 
 
 def _parse(raw: str, domain_hosts: Mapping[str, int] | None = None) -> Text:
@@ -392,4 +364,4 @@
     try:
         return json_format.Parse(body, message)
     except (json_format.ParseError, UnicodeDecodeError, RecursionError) as error:
-        raise _make_refusal(400, CODE_BAD_REQUEST, str(error)) from error
+        raise make_refusal(400, CODE_BAD_REQUEST, str(error)) from error
--- a/chestnutvale/programs/control/operator_backend.py
+++ b/chestnutvale/programs/control/operator_backend.py
@@ -8,6 +8,7 @@
     ApplyTextResult,
     ConfigurationSnapshot,
 )
+from chestnutvale.schema.evacuations_pb2 import EvacuationResult, SetEvacuation
 from chestnutvale.schema.operator_pb2 import (
     DrainRequest,
     OperatorResult,
@@ -24,6 +25,8 @@
 
     - ``not_leader``: nothing was proposed; the caller is redirected to the leader;
     - ``members_change_refused``: a voter change was refused and not proposed;
+    - ``unknown_data_centre``, ``evacuation_not_ready`` or ``evacuation_refused``: an
+      evacuation order has no effect;
     - any other code: a command may have been proposed and may still be committed.
     """
 
@@ -48,6 +51,14 @@
     def drain_host(self, request: DrainRequest, deadline_s: float) -> OperatorResult:
         """Commit whether a host is drained, that is, gets no new work."""
 
+    def set_evacuation(
+        self, command: SetEvacuation, deadline_s: float
+    ) -> EvacuationResult:
+        """Begin or finish an evacuation; a repeated order is acknowledged again."""
+
+    def evacuated_data_centres(self) -> list[str]:
+        """Return the evacuated data centres, as far as applied in this control."""
+
     def change_voter(self, change: VoterChange, deadline_s: float) -> OperatorResult:
         """Add or remove a voter; a repeated request also returns ``done``."""
 
--- a/chestnutvale/programs/control/state.py
+++ b/chestnutvale/programs/control/state.py
@@ -1,13 +1,15 @@
 """The replicated state machine that every control builds from the log."""
 
 from chestnutvale.configuration.state import ConfigurationState
+from chestnutvale.consensus.command_readers import CommandReaders
+from chestnutvale.evacuations.state import EvacuationState
 from chestnutvale.groups.state import GroupsState
 from chestnutvale.ledger.state import LedgerState
 from chestnutvale.schema.command_pb2 import Command, CommandResult, StateSnapshot
 
 
 class ControlState:
-    """Configuration, groups and ledger, changed only by committed commands.
+    """State of the cluster, changed only by committed commands.
 
     Attributes
     ----------
@@ -17,6 +19,10 @@
         Groups, their members and epochs.
     ledger : LedgerState
         Claims and outcomes of non-repeatable calls.
+    evacuations : EvacuationState
+        Evacuated data centres.
+    readers : CommandReaders
+        Members of the log that can read the newest commands.
     applied_index : int
         Index of the last command applied.
     """
@@ -25,6 +31,8 @@
         self.configuration = ConfigurationState()
         self.groups = GroupsState()
         self.ledger = LedgerState()
+        self.evacuations = EvacuationState()
+        self.readers = CommandReaders()
         self.applied_index = 0
 
     def apply(self, index: int, command: Command) -> CommandResult:
@@ -70,6 +78,11 @@
             ):
                 apply = getattr(self.ledger, f"apply_{body}")
                 result.claim.CopyFrom(apply(getattr(command, body), at_unix_ms))
+            case "set_evacuation":
+                outcome = self.evacuations.apply(command.set_evacuation, at_unix_ms)
+                result.evacuation.CopyFrom(outcome)
+            case "confirm_readers":
+                self.readers.apply(command.confirm_readers)
         return result
 
     def snapshot(self) -> bytes:
@@ -84,6 +97,8 @@
             configuration=self.configuration.to_snapshot(),
             groups=self.groups.to_snapshot(),
             ledger=self.ledger.to_snapshot(),
+            evacuations=self.evacuations.to_snapshot(),
+            readers=self.readers.to_snapshot(),
         ).SerializeToString(deterministic=True)
 
     def restore(self, data: bytes) -> None:
@@ -98,3 +113,5 @@
         self.configuration = ConfigurationState.from_snapshot(snapshot.configuration)
         self.groups = GroupsState.from_snapshot(snapshot.groups)
         self.ledger = LedgerState.from_snapshot(snapshot.ledger)
+        self.evacuations = EvacuationState.from_snapshot(snapshot.evacuations)
+        self.readers = CommandReaders.from_snapshot(snapshot.readers)
--- a/chestnutvale/settings/control.py
+++ b/chestnutvale/settings/control.py
@@ -2,6 +2,7 @@
 
 from pathlib import Path
 
+from chestnutvale.evacuations.const import MAX_NAME_CHARACTERS
 from chestnutvale.schema.settings_pb2 import ControlSettings, RepairSettings
 from chestnutvale.settings.common import (
     check_http_limits,
@@ -99,6 +100,10 @@
     check_peers(settings.controls, "controls", origin)
     check_http_limits(settings.http_limits, origin)
     check_log_settings(settings.log, origin)
+    for name in settings.data_centres:
+        if not name or len(name) > MAX_NAME_CHARACTERS or not name.isprintable():
+            reason = "must hold printable names of at most 128 characters"
+            raise_field_error("data_centres", reason, origin)
     _check_times(settings, origin)
     _check_repair(settings.repair, origin)
 
--- a/tests/consensus/test_task.py
+++ b/tests/consensus/test_task.py
@@ -49,6 +49,8 @@
 class Control:
     """A control under test with its settings, folder and open resources."""
 
+    make_state_machine = HostList
+
     def __init__(self, position, peers, folder, **fields):
         self.settings = ControlSettings(
             cluster_id="t",
@@ -74,7 +76,7 @@
                 "t", settings.control_id, incarnation, settings.peer_address, CLOCK
             )
         )
-        self.state_machine = HostList()
+        self.state_machine = self.make_state_machine()
         self.task = self.exit_stack.enter_context(
             ConsensusTask(
                 settings,
--- /dev/null
+++ b/tests/evacuations/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the evacuation of data centres."""
--- a/tests/platform/test_control_interface.py
+++ b/tests/platform/test_control_interface.py
@@ -7,6 +7,10 @@
 import pytest
 
 from chestnutvale.consensus.exceptions import NotLeaderError, OutcomeUnknownError
+from chestnutvale.evacuations.exceptions import (
+    EvacuationNotReadyError,
+    UnknownDataCentreError,
+)
 from chestnutvale.membership.exceptions import OldSequenceError
 from chestnutvale.schema.configuration_pb2 import ApplyTextResult
 from tests.platform.documents import CONFIGURATION, HEARTBEAT, replace_value
@@ -40,6 +44,11 @@
         self.applied.append(command)
         return ApplyTextResult(outcome="accepted", number_in_force=command.text.number)
 
+    def set_evacuation(self, command, deadline_s):
+        if self.error is not None:
+            raise self.error
+        self.applied.append(command)
+
     def read_document(self, deadline_s):
         if self.error is not None:
             raise self.error
@@ -143,6 +152,37 @@
     assert control.call("GET", READ_PATH)[::2] == (200, b'{"version": 7 }')
 
 
+@pytest.mark.parametrize("action", ["begin", "finish"])
+def test_evacuation_is_ordered_for_the_zone_of_the_path(control, action):
+    # Guards against the wrong zone or the opposite order.
+    path = f"/api/evacuations/z%C3%BCrich/{action}".replace("%C3%BC", "\u00c3\u00bc")
+    assert control.call("POST", path)[0] == 200
+    (command,) = control.operations.applied
+    assert command.data_centre == "zürich"
+    assert command.finish == (action == "finish")
+
+
+@pytest.mark.parametrize(
+    ("error", "status"),
+    [
+        (NotLeaderError("10.2.0.32"), 307),
+        (NotLeaderError(""), 503),
+        (OutcomeUnknownError("late"), 503),
+        (EvacuationNotReadyError("an old build"), 503),
+        (UnknownDataCentreError("unknown"), 422),
+    ],
+)
+def test_evacuation_that_is_not_done_is_answered_truthfully(control, error, status):
+    # Guards against a 4xx for a fault that passes: it would end the operator's order.
+    control.operations.error = error
+    path = "/api/evacuations/a%20b/begin"
+    found, headers, _ = control.call("POST", path.replace("%20", " "))
+    assert found == status
+    if status == 307:
+        assert headers["Location"] == f"http://10.2.0.32:8229{path}"
+    assert ("Retry-After" in headers) == (status == 503)
+
+
 def test_heartbeat_is_announced(control):
     status, _, body = control.call(
         "POST", HEARTBEAT_PATH, json.dumps(HEARTBEAT).encode()
@@ -171,6 +211,10 @@
         ("GET", REPLACE_PATH),
         ("POST", READ_PATH),
         ("POST", "/api/instances/i-1"),
+        ("GET", "/api/evacuations/a/begin"),
+        ("POST", "/api/evacuations/a/pause"),
+        ("POST", "/api/evacuations//begin"),
+        ("POST", "/api/evacuations/begin"),
         ("GET", "/"),
     ],
 )
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -65,6 +65,14 @@
     assert settings.engine_stall_ms == 5_000
 
 
+def test_zones_are_the_data_centres_of_a_control(tmp_path):
+    # Guards against an unknown zone that is refused although it is configured.
+    zones = "zones.b=10.2.0.0/16\nzones.a=10.1.0.0/16\nzones.=x\n"
+    settings = make_control_settings(load(tmp_path, CONTROL + zones))
+    assert list(settings.data_centres) == ["a", "b"]
+    assert not make_control_settings(load(tmp_path, CONTROL)).data_centres
+
+
 def test_order_of_controls_is_the_same_on_all_machines(tmp_path):
     shuffled = CONTROL.replace(
         "10.2.0.32:8229,10.1.0.43:8229,10.3.0.21:8229",
--- a/tests/programs/control/test_operator_api.py
+++ b/tests/programs/control/test_operator_api.py
@@ -45,6 +45,7 @@
     ("POST", "/operator/v1/plan"),
     ("GET", "/operator/v1/status"),
     ("POST", "/operator/v1/drain"),
+    ("POST", "/operator/v1/evacuation"),
     ("POST", "/operator/v1/voters"),
     ("GET", "/operator/v1/dump"),
     ("GET", "/operator/v1/none"),
@@ -135,3 +136,23 @@
         send_request("GET", "/operator/v1/status", HTTP_X_DEADLINE_MS=deadline)[0]
         == 400
     )
+
+
+def test_evacuation_orders_are_answered_truthfully(send_request, backend):
+    # Guards against a wrong status, by which a client gives up or repeats in vain.
+    path = "/operator/v1/evacuation"
+    body = json.dumps({"data_centre": "a"}).encode()
+    for changed in (True, False):
+        status, answer = send_request("POST", path, body, HTTP_X_OPERATOR="Ann")
+        assert (status, answer.get("changed", False)) == (200, changed)
+    assert backend.cluster.evacuations.in_force["a"].operator == "Ann"
+    status, answer = send_request("POST", path, b'{"data_centre": "nowhere"}')
+    assert (status, answer["code"]) == (422, "unknown_data_centre")
+    for wrong in (b"", b"{}", b'{"data_centre": 5}', b'{"zone": "a"}', b"\xff"):
+        assert send_request("POST", path, wrong)[0] == 400
+    backend.errors = ["before:evacuation_not_ready"]
+    assert send_request("POST", path, body)[0] == 503
+    finish = json.dumps({"data_centre": "a", "finish": True}).encode()
+    backend.errors = ["after:outcome_unknown"]
+    assert send_request("POST", path, finish)[0] == 504
+    assert not backend.cluster.evacuations.evacuated
--- a/tests/programs/operator_fakes.py
+++ b/tests/programs/operator_fakes.py
@@ -2,6 +2,8 @@
 
 from chestnutvale.clock import SystemClock
 from chestnutvale.configuration.state import ConfigurationState
+from chestnutvale.evacuations.exceptions import UnknownDataCentreError
+from chestnutvale.evacuations.state import EvacuationState
 from chestnutvale.exceptions import ChestnutError
 from chestnutvale.http_server.server import HttpServer
 from chestnutvale.programs.control.operator_api import OperatorApi
@@ -45,6 +47,7 @@
         self.domain_hosts = {}
         self.voters = {}
         self.draining = {}
+        self.evacuations = EvacuationState()
         self.at_unix_ms = 0
 
 
@@ -95,6 +98,19 @@
         self.cluster.draining[request.host_id] = request.draining
         return OperatorResult(outcome="done")
 
+    def set_evacuation(self, command, deadline_s):
+        def run():
+            if command.data_centre == "nowhere":
+                raise UnknownDataCentreError("the data centre nowhere is unknown")
+            self.cluster.at_unix_ms += 1
+            at_unix_ms = self.cluster.at_unix_ms
+            return self.cluster.evacuations.apply(command, at_unix_ms)
+
+        return self._run(run)
+
+    def evacuated_data_centres(self):
+        return sorted(self.cluster.evacuations.evacuated)
+
     def change_voter(self, change, deadline_s):
         def run():
             if change.action == "add":
