Stop sending to groups in an evacuated data centre

Cause: the order to evacuate a data centre had no effect on the entries.

Change: a group whose head is in an evacuated data centre does not serve; its view says so in the reason and in the new field GroupView.evacuated. Entries leave it out of choices and capacity, and ask again when a connection is ready, for streams and for plain calls. Running streams go on. A lost member of an evacuated group is published too, so that its streams are resumed. Crash probes of an evacuated group only open a connection.

--- a/chestnutvale/groups/serving.py
+++ b/chestnutvale/groups/serving.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Collection
 
+from chestnutvale.evacuations.state import make_fault
 from chestnutvale.groups.const import (
     FAULT_MISSING,
     FAULT_RESTARTED,
@@ -92,6 +93,7 @@
     table: MembershipTable,
     now_s: float,
     draining_hosts: Collection[str] = (),
+    evacuated: Collection[str] = (),
 ) -> str:
     """Return why a group does not serve.
 
@@ -105,18 +107,67 @@
         Monotonic time in seconds.
     draining_hosts : collection of str
         Hosts that are being drained.
+    evacuated : collection of str
+        Evacuated data centres.
 
     Returns
     -------
     str
-        The reason; empty if the group serves.
+        The reason; empty if the group serves. An evacuation is named last, so that
+        entries learn of a lost member, whose streams they abort.
     """
     if group.phase != PHASE_SERVING:
         return f"the group is {group.phase}"
     fault = find_readiness_fault(group, table, now_s, draining_hosts)
-    if fault or group.plain or is_head_open(group, table):
-        return fault
-    return "the head is not open yet"
+    if not fault and not group.plain and not is_head_open(group, table):
+        fault = "the head is not open yet"
+    if not fault and is_evacuated(group, table, evacuated):
+        return make_fault(find_data_centre(group, table))
+    return fault
+
+
+def find_data_centre(group: Group, table: MembershipTable) -> str:
+    """Return the data centre of a group's head.
+
+    Parameters
+    ----------
+    group : Group
+        The group.
+    table : MembershipTable
+        Announcements of hosts.
+
+    Returns
+    -------
+    str
+        As the head announces it, or as recorded when the group was formed. Groups of
+        older builds have no record.
+    """
+    record = table.host(group_head(group).host_id)
+    if record is None or record.announcement is None:
+        return group.data_centre
+    return record.announcement.data_centre or group.data_centre
+
+
+def is_evacuated(
+    group: Group, table: MembershipTable, evacuated: Collection[str]
+) -> bool:
+    """Tell whether the head of a group is in an evacuated data centre.
+
+    Parameters
+    ----------
+    group : Group
+        The group.
+    table : MembershipTable
+        Announcements of hosts.
+    evacuated : collection of str
+        Evacuated data centres.
+
+    Returns
+    -------
+    bool
+        Whether nothing new may be sent to it.
+    """
+    return bool(evacuated) and find_data_centre(group, table) in evacuated
 
 
 def is_head_open(group: Group, table: MembershipTable) -> bool:
--- a/chestnutvale/membership/view_publisher.py
+++ b/chestnutvale/membership/view_publisher.py
@@ -6,7 +6,7 @@
 import attrs
 
 from chestnutvale.groups.members import group_head
-from chestnutvale.groups.serving import find_serving_fault
+from chestnutvale.groups.serving import find_serving_fault, is_evacuated
 from chestnutvale.groups.state import GroupsState
 from chestnutvale.membership.const import MAX_REMOVED_GROUPS
 from chestnutvale.membership.table import MembershipTable
@@ -42,6 +42,7 @@
     # Until then only a change of its inputs can stop it from serving.
     valid_until_s: float = float("-inf")
     head_id: str = ""
+    is_evacuated: bool = False
 
 
 @attrs.define
@@ -90,7 +91,11 @@
     _removed_groups: deque[tuple[int, str]] = attrs.field(factory=deque)
     _oldest_base: int = 0
     _entries: dict[str, _EntryState] = attrs.field(factory=dict)
-    _last_inputs: tuple[int, frozenset[str]] = (0, frozenset())
+    _last_inputs: tuple[int, frozenset[str], frozenset[str]] = (
+        0,
+        frozenset(),
+        frozenset(),
+    )
     _group_views: list[GroupView] = attrs.field(factory=list)
     _group_views_count: int = -1
     _content_count: int = 0
@@ -113,7 +118,11 @@
         )
 
     def refresh(
-        self, state: GroupsState, table: MembershipTable, now_s: float
+        self,
+        state: GroupsState,
+        table: MembershipTable,
+        now_s: float,
+        evacuated: frozenset[str] = frozenset(),
     ) -> list[str]:
         """Re-evaluate changed groups; call it before building views.
 
@@ -125,17 +134,19 @@
             The host table.
         now_s : float
             Monotonic time in seconds.
+        evacuated : frozenset of str, optional
+            Evacuated data centres, whose groups don't serve.
 
         Returns
         -------
         list of str
             Groups that were changed, added or removed; push views if there are any.
         """
-        self._invalidate_if_changed(state, table)
+        self._invalidate_if_changed(state, table, evacuated)
         changed = [
             group_id
             for group_id in sorted(state.groups)
-            if self._refresh_group(state, group_id, table, now_s)
+            if self._refresh_group(state, group_id, table, now_s, evacuated)
         ]
         removed_ids = sorted(self._published_groups.keys() - state.groups.keys())
         for group_id in removed_ids:
@@ -305,15 +316,22 @@
         if self._group_views_count != self._content_count:
             self._group_views_count = self._content_count
             self._group_views = [
-                _to_view(published_group.group, published_group.reason)
+                _to_view(
+                    published_group.group,
+                    published_group.reason,
+                    published_group.is_evacuated,
+                )
                 for _, published_group in sorted(self._published_groups.items())
             ]
         return self._group_views
 
     def _invalidate_if_changed(
-        self, state: GroupsState, table: MembershipTable
+        self,
+        state: GroupsState,
+        table: MembershipTable,
+        evacuated: frozenset[str],
     ) -> None:
-        inputs = (table.revision, frozenset(state.draining_hosts))
+        inputs = (table.revision, frozenset(state.draining_hosts), evacuated)
         if inputs == self._last_inputs:
             return
         self._last_inputs = inputs
@@ -326,6 +344,7 @@
         group_id: str,
         table: MembershipTable,
         now_s: float,
+        evacuated: frozenset[str],
     ) -> bool:
         group = state.groups[group_id]
         published_group = self._published_groups.get(group_id)
@@ -336,20 +355,30 @@
         ):
             self._refresh_load(published_group, table)
             return False
-        reason = find_serving_fault(group, table, now_s, state.draining_hosts)
+        reason = find_serving_fault(
+            group, table, now_s, state.draining_hosts, evacuated
+        )
+        is_in_evacuation = is_evacuated(group, table, evacuated)
         is_changed = (
             published_group is None
             or published_group.group != group
             or published_group.reason != reason
+            or published_group.is_evacuated != is_in_evacuation
         )
         if is_changed:
             self._content_count += 1
             load = published_group.load if published_group else None
             load_version = published_group.load_version if published_group else 0
-            version = self._next_version(published_group, reason)
-            entry_view = _to_entry_view(group, reason)
+            version = self._next_version(published_group, reason, is_in_evacuation)
+            entry_view = _to_entry_view(group, reason, is_in_evacuation)
             published_group = _PublishedGroup(
-                group, reason, version, entry_view, load, load_version
+                group,
+                reason,
+                version,
+                entry_view,
+                load,
+                load_version,
+                is_evacuated=is_in_evacuation,
             )
             self._published_groups[group_id] = published_group
         published_group.group = group
@@ -358,13 +387,18 @@
         self._refresh_load(published_group, table)
         return is_changed
 
-    def _next_version(self, before: _PublishedGroup | None, reason: str) -> int:
+    def _next_version(
+        self, before: _PublishedGroup | None, reason: str, is_evacuated: bool
+    ) -> int:
         """Return the version of a group that changed; 0 while it has never served.
 
-        Entries need no change of a group that neither served before nor serves now.
+        Entries need no change of a group that neither served before nor serves now,
+        except in an evacuated data centre, where streams run on.
         """
-        if reason and (before is None or before.reason):
-            return before.version if before is not None else 0
+        if reason and (before is None or before.version == 0):
+            return 0
+        if reason and before.reason and not (before.is_evacuated or is_evacuated):
+            return before.version
         self._version += 1
         return self._version
 
@@ -419,17 +453,19 @@
         return view
 
 
-def _to_entry_view(group: Group, reason: str) -> GroupView:
+def _to_entry_view(group: Group, reason: str, is_evacuated: bool) -> GroupView:
     """Return a group's view; a pooled group lists its head only, which serves it."""
-    view = _to_view(group, reason)
+    view = _to_view(group, reason, is_evacuated)
     if group.pooled:
         del view.group.members[:]
         view.group.members.append(group_head(group))
     return view
 
 
-def _to_view(group: Group, reason: str) -> GroupView:
-    return GroupView(group=group, serving=not reason, reason=reason)
+def _to_view(group: Group, reason: str, is_evacuated: bool) -> GroupView:
+    return GroupView(
+        group=group, serving=not reason, reason=reason, evacuated=is_evacuated
+    )
 
 
 def _valid_until_s(group: Group, reason: str, table: MembershipTable) -> float:
--- a/chestnutvale/programs/control/entry_report_handler.py
+++ b/chestnutvale/programs/control/entry_report_handler.py
@@ -420,7 +420,10 @@
 
     def _refresh(self, now_s: float) -> None:
         self._refreshed_inputs = (self._log.applied_index, self._table.revision)
-        changed = self._publisher.refresh(self._state.groups, self._table, now_s)
+        evacuated = self._state.evacuations.evacuated
+        changed = self._publisher.refresh(
+            self._state.groups, self._table, now_s, evacuated
+        )
         if changed and self._log.is_leader:
             self._log_changes(changed)
         self._valid_until_s = self._publisher.valid_until_s
--- a/chestnutvale/programs/entry/context.py
+++ b/chestnutvale/programs/entry/context.py
@@ -380,7 +380,22 @@
         Returns
         -------
         bool
-            False if it told this entry that it leaves, or that it pauses until later.
+            False if it told this entry that it leaves, or that it pauses until later,
+            and if its data centre is evacuated.
+        """
+
+    def is_evacuated(self, endpoint: Incarnation) -> bool:
+        """Tell whether an endpoint is in an evacuated data centre.
+
+        Parameters
+        ----------
+        endpoint : Incarnation
+            The endpoint.
+
+        Returns
+        -------
+        bool
+            Whether nothing new may be sent to it.
         """
 
     def record_notice(self, endpoint: Incarnation, notice: EndpointNotice) -> None:
--- a/chestnutvale/programs/entry/entry_context.py
+++ b/chestnutvale/programs/entry/entry_context.py
@@ -152,7 +152,17 @@
             self._lacks_peers = not view.peers
         if self._view.number != self.lookup.number:
             self._install_text()
+        evacuated_count = self._router.evacuated_count
         self._router.install(view)
+        if self._router.evacuated_count != evacuated_count:
+            _LOGGER.info(
+                "evacuated_groups",
+                extra={
+                    "groups": self._router.evacuated_count,
+                    "groups_before": evacuated_count,
+                    "view_version": self._view.version,
+                },
+            )
         self._abort_lost_groups(view)
         for group_id in self._view.newly_stalled:
             self.running.report_stall(group_id)
@@ -370,10 +380,28 @@
         Returns
         -------
         bool
-            False if it told this entry that it leaves, or that it pauses until later.
+            False if it told this entry that it leaves, or that it pauses until later,
+            and if its data centre is evacuated.
         """
+        if self._router.is_evacuated(endpoint):
+            return False
         return self._router.notices.may_send(endpoint, self.clock.now_s())
 
+    def is_evacuated(self, endpoint: Incarnation) -> bool:
+        """Tell whether an endpoint is in an evacuated data centre.
+
+        Parameters
+        ----------
+        endpoint : Incarnation
+            The endpoint.
+
+        Returns
+        -------
+        bool
+            Whether nothing new may be sent to it.
+        """
+        return self._router.is_evacuated(endpoint)
+
     def record_notice(self, endpoint: Incarnation, notice: EndpointNotice) -> None:
         """Record what an answer says about its endpoint.
 
--- a/chestnutvale/programs/entry/group_chooser.py
+++ b/chestnutvale/programs/entry/group_chooser.py
@@ -13,11 +13,14 @@
     Tick,
 )
 from chestnutvale.attempts.suspicion import Banned, Clear
+from chestnutvale.groups.members import group_head
+from chestnutvale.membership.endpoint_notices import Incarnation
 from chestnutvale.programs.entry.context import (
     CallContext,
     CallRequest,
     head_address,
 )
+from chestnutvale.programs.entry.crash_probe import is_head_down
 from chestnutvale.schema.peer_pb2 import GroupView
 
 ChoiceEvent = GroupChosen | NoGroupAvailable | CallBanned | Tick
@@ -200,7 +203,13 @@
         """
         suspicions = self._context.suspicions
         is_engine = self._request.max_tokens > 0
-        if self._context.has_crashed(self.view.group, is_engine=is_engine):
+        group = self.view.group
+        # A connection is no request, which an evacuated data centre must not get.
+        is_evacuated = self._context.is_evacuated(
+            Incarnation.of_member(group_head(group))
+        )
+        has_crashed = is_head_down if is_evacuated else self._context.has_crashed
+        if has_crashed(group, is_engine=is_engine):
             suspicions.group_crashed(attempt_id, self._context.clock.unix_ms())
         else:
             suspicions.attempt_ended(attempt_id)
--- a/chestnutvale/programs/entry/group_router.py
+++ b/chestnutvale/programs/entry/group_router.py
@@ -73,6 +73,7 @@
         self.send_budget = SendBudget()
         self._avoid_until_s: dict[str, float] = {}
         self._sent_at_s: dict[str, float] = {}
+        self._evacuated_heads: frozenset[Incarnation] = frozenset()
 
     def install(self, view: ControlView) -> None:
         """Apply groups and loads of a view that was just installed.
@@ -88,6 +89,11 @@
         self.send_budget.set_entry_count(self._view.entry_count)
         self.send_budget.keep_listed(heads, now_s)
         if view.whole or view.groups or view.removed_group_ids:
+            self._evacuated_heads = frozenset(
+                _head_of(group_view)
+                for group_view in self._view.groups()
+                if group_view.evacuated
+            )
             self._selector.update_groups(
                 RoutableGroup(
                     group_view.group.group_id,
@@ -103,6 +109,26 @@
             age_s = self._get_load_age_s(load.load)
             self._selector.update_load(load.group_id, load.load, now_s, age_s)
 
+    @property
+    def evacuated_count(self) -> int:
+        """Number of groups whose head is in an evacuated data centre."""
+        return len(self._evacuated_heads)
+
+    def is_evacuated(self, endpoint: Incarnation) -> bool:
+        """Tell whether an endpoint is in an evacuated data centre.
+
+        Parameters
+        ----------
+        endpoint : Incarnation
+            The endpoint.
+
+        Returns
+        -------
+        bool
+            Whether nothing new may be sent to it.
+        """
+        return endpoint in self._evacuated_heads
+
     def update_peer_running(self, running: Mapping[str, int]) -> None:
         """Update the numbers of attempts that the other entries run.
 
--- a/chestnutvale/programs/entry/model_attempt.py
+++ b/chestnutvale/programs/entry/model_attempt.py
@@ -1,6 +1,7 @@
 """Runs one attempt of a model call over HTTP and reports it as events."""
 
 import json
+from collections.abc import Callable
 from types import TracebackType
 from typing import Any, Self
 
@@ -8,6 +9,7 @@
     CODE_BAD_REQUEST,
     REFUSAL_MEMBER_MISSING,
     REFUSAL_OVERLOADED,
+    REFUSAL_UNAVAILABLE,
     REFUSAL_WRONG_EPOCH,
 )
 from chestnutvale.attempts.events import (
@@ -58,6 +60,8 @@
         IP address and port of the group's head.
     body : dict
         JSON body of the request.
+    may_send : callable, optional
+        Tells whether the endpoint still takes requests; asked right before sending.
 
     Attributes
     ----------
@@ -66,8 +70,14 @@
     """
 
     def __init__(
-        self, attempt_id: str, view: GroupView, address: str, body: dict[str, Any]
+        self,
+        attempt_id: str,
+        view: GroupView,
+        address: str,
+        body: dict[str, Any],
+        may_send: Callable[[], bool] = lambda: True,
     ) -> None:
+        self._may_send = may_send
         self._body = body
         self.attempt_id = attempt_id
         self.view = view
@@ -114,6 +124,13 @@
         headers = {"Content-Type": "application/json", "Host": self._exchange.address}
         try:
             self._exchange.connect(timeout_s)
+            # The call may have waited for the connection since the group was chosen.
+            if not self._may_send():
+                return AttemptRefused(
+                    self.attempt_id,
+                    REFUSAL_UNAVAILABLE,
+                    "the endpoint leaves, pauses or is in an evacuated data centre",
+                )
             self._exchange.send("POST", GENERATE_PATH, headers, data, timeout_s)
             if self._exchange.status != STATUS_OK:
                 return self._read_refusal()
--- a/chestnutvale/programs/entry/model_calls.py
+++ b/chestnutvale/programs/entry/model_calls.py
@@ -3,6 +3,7 @@
 import contextlib
 from collections import deque
 from collections.abc import Callable, Iterable, Iterator
+from functools import partial
 from typing import Any, Protocol
 
 import logbook
@@ -32,6 +33,8 @@
     Tick,
 )
 from chestnutvale.attempts.model_call import ModelCall
+from chestnutvale.groups.members import group_head
+from chestnutvale.membership.endpoint_notices import Incarnation
 from chestnutvale.observability.log_context import bind_log_context
 from chestnutvale.programs.entry.call_validation import (
     DEFAULT_MAX_BODY_BYTES,
@@ -168,7 +171,7 @@
                 self._context, error.failure, request_id, start_response
             )
         call = ModelCall(request_id, request.deadline_s, self._context.budgets)
-        attempts = _GenerationAttempts(generation, request)
+        attempts = _GenerationAttempts(self._context, generation, request)
         run = ModelCallRun(
             self._context,
             request,
@@ -465,7 +468,13 @@
 class _GenerationAttempts:
     """Makes the attempts of a call of the OpenAI API."""
 
-    def __init__(self, generation: GenerationRequest, request: CallRequest) -> None:
+    def __init__(
+        self,
+        context: CallContext,
+        generation: GenerationRequest,
+        request: CallRequest,
+    ) -> None:
+        self._context = context
         self._generation = generation
         self._request = request
 
@@ -473,7 +482,14 @@
         self, effect: StartAttempt, view: GroupView, answer: AnswerStream
     ) -> ModelAttempt:
         body = self._make_body(effect, answer)
-        return ModelAttempt(effect.attempt_id, view, head_address(view), body)
+        endpoint = Incarnation.of_member(group_head(view.group))
+        return ModelAttempt(
+            effect.attempt_id,
+            view,
+            head_address(view),
+            body,
+            partial(self._context.may_send, endpoint),
+        )
 
     def _make_body(self, effect: StartAttempt, answer: AnswerStream) -> dict[str, Any]:
         resume_text = ""
--- a/chestnutvale/programs/entry/routed/exchange.py
+++ b/chestnutvale/programs/entry/routed/exchange.py
@@ -146,7 +146,7 @@
         Raises
         ------
         EndpointUnavailableError
-            If the endpoint leaves or pauses by now; nothing was sent.
+            If the endpoint leaves, pauses or is evacuated by now; nothing was sent.
         EndpointUnreachableError
             If the connection could not be opened or the exchange was aborted; nothing
             was sent.
@@ -155,7 +155,9 @@
         # The call may have waited for the connection since the endpoint was chosen.
         if not self._may_send():
             raise EndpointUnavailableError(
-                "the endpoint leaves or pauses", step="connect", peer=self.address
+                "the endpoint leaves, pauses or is in an evacuated data centre",
+                step="connect",
+                peer=self.address,
             )
         if self._is_aborted:
             raise EndpointUnreachableError(
--- a/chestnutvale/programs/entry/service_run.py
+++ b/chestnutvale/programs/entry/service_run.py
@@ -39,6 +39,8 @@
     SubmitOutcome,
     SubmitRelease,
 )
+from chestnutvale.groups.members import group_head
+from chestnutvale.membership.endpoint_notices import Incarnation
 from chestnutvale.programs.entry.context import (
     AttemptReport,
     CallContext,
@@ -321,6 +323,13 @@
         except EndpointUnavailableError as error:
             self._report_attempt("refused", error.code)
             return AttemptRefused(effect.attempt_id, REFUSAL_UNAVAILABLE, error.message)
+        # The call may have waited for the connection since the endpoint was chosen.
+        head = Incarnation.of_member(group_head(self._chooser.view.group))
+        if self._context.is_evacuated(head):
+            self._report_attempt("refused", REFUSAL_UNAVAILABLE)
+            return AttemptRefused(
+                effect.attempt_id, REFUSAL_UNAVAILABLE, "the data centre is evacuated"
+            )
         has_lease = self._context.has_lease(self._context.clock.now_s())
         return Connected(effect.attempt_id, has_lease)
 
--- a/tests/membership/test_incremental_refresh.py
+++ b/tests/membership/test_incremental_refresh.py
@@ -51,6 +51,7 @@
             host_id=host,
             boot_id=f"{host}.{self.boots[host]}",
             leaving=self.rng.random() < 0.01 and self.may_leave,
+            data_centre=f"d{int(group_id[1:]) % 2}",
             holding=Holding(group_id=group_id, epoch=epoch, phase="ready"),
             load=Load(running=self.rng.randrange(3)),
         )
@@ -92,12 +93,19 @@
 def test_incremental_refresh_equals_a_full_one(seed):
     simulation = HostSimulation(seed)
     publisher = ViewPublisher("c")
-    serving_count = 0
+    serving_count = evacuated_count = 0
+    orders = random.Random(seed)
+    evacuated = frozenset()
     for _ in range(1_500):
         simulation.step()
-        publisher.refresh(simulation.state, simulation.table, simulation.now_s)
+        if orders.random() < 0.02:
+            evacuated ^= {orders.choice(("d0", "d1"))}
+        inputs = (simulation.state, simulation.table, simulation.now_s, evacuated)
+        publisher.refresh(*inputs)
         full_publisher = ViewPublisher("c")
-        full_publisher.refresh(simulation.state, simulation.table, simulation.now_s)
+        full_publisher.refresh(*inputs)
         assert publisher.group_views() == full_publisher.group_views()
         serving_count += sum(view.serving for view in full_publisher.group_views())
+        evacuated_count += sum(view.evacuated for view in full_publisher.group_views())
     assert serving_count > 100
+    assert evacuated_count > 100
--- a/tests/membership/test_view_publisher.py
+++ b/tests/membership/test_view_publisher.py
@@ -32,6 +32,7 @@
         self.entry = EntryView(lease_s=2.0)
         self.text = SimpleNamespace(text=Text(number=4))
         self.sequence = 0
+        self.evacuated = frozenset()
         member = GroupMember(host_id="a", boot_id="boot-1", address="10.0.0.1:8000")
         group = Group(group_id="g", service="s", members=[member], phase="forming")
         self.epoch = self.state.put_group(PutGroup(group=group), 0).epoch
@@ -56,7 +57,7 @@
         self.entry.record_report_sent(nonce, now_s)
         self.table.merge_entry_report("e1", report.heard, now_s)
         publisher = publisher or self.publisher
-        publisher.refresh(self.state, self.table, now_s)
+        publisher.refresh(self.state, self.table, now_s, self.evacuated)
         return publisher.answer("e1", report, self.text, self.table, term, now_s)
 
 
@@ -209,3 +210,42 @@
     assert late_view.serving
     assert [member.host_id for member in late_view.group.members] == ["b"]
     assert len(fixture.state.groups["late"].members) == 3
+
+
+def test_a_group_in_an_evacuated_data_centre_does_not_serve(fixture):
+    # Guards against requests there, and against a finish that reaches no entry.
+    fixture.announce_host(0.0)
+    fixture.entry.install_view(fixture.send_report(1, 0.0), 0.0)
+    fixture.evacuated = frozenset({"d1"})
+    fixture.entry.install_view(fixture.send_report(2, 0.1), 0.1)
+    view = fixture.entry.group("g")
+    assert (view.serving, view.evacuated) == (False, True)
+    assert view.reason == "the data centre d1 is evacuated"
+    # Another control that takes over publishes the same.
+    successor = ViewPublisher("life-2")
+    whole = fixture.send_report(3, 0.2, term=2, publisher=successor)
+    assert not whole.groups
+    fixture.evacuated = frozenset({"dc-8"})
+    fixture.entry.install_view(fixture.send_report(4, 0.3), 0.3)
+    view = fixture.entry.group("g")
+    assert (view.serving, view.evacuated, view.reason) == (True, False, "")
+
+
+def test_a_lost_member_of_an_evacuated_group_is_published(fixture):
+    # Guards against streams that wait for a dead endpoint until they time out.
+    fixture.announce_host(0.0)
+    fixture.entry.install_view(fixture.send_report(1, 0.0), 0.0)
+    fixture.evacuated = frozenset({"d1"})
+    fixture.entry.install_view(fixture.send_report(2, 0.1), 0.1)
+    fixture.entry.install_view(fixture.send_report(3, 5.0), 5.0)
+    view = fixture.entry.group("g")
+    assert (view.evacuated, view.reason) == (True, "member a is missing")
+
+
+def test_an_evacuated_group_of_an_older_build_is_found_by_its_head(fixture):
+    # Guards against groups without a recorded data centre that keep serving.
+    fixture.announce_host(0.0)
+    assert not fixture.state.groups["g"].data_centre
+    fixture.evacuated = frozenset({"d1"})
+    fixture.send_report(1, 0.0)
+    assert fixture.publisher.group_views()[0].evacuated
--- a/tests/programs/entry/entry_fakes.py
+++ b/tests/programs/entry/entry_fakes.py
@@ -68,6 +68,7 @@
         self.log = log or FakeLog()
         self.lease = True
         self.notices = EndpointNotices()
+        self.evacuated_hosts = set()
         self.send_budget = SendBudget()
         self.peers = []
         self.reachability = EndpointReachability()
@@ -165,8 +166,13 @@
         return min(times_s, default=None)
 
     def may_send(self, endpoint):
+        if self.is_evacuated(endpoint):
+            return False
         return self.notices.may_send(endpoint, self.clock.now_s())
 
+    def is_evacuated(self, endpoint):
+        return endpoint.host_id in self.evacuated_hosts
+
     def record_notice(self, endpoint, notice):
         now_s = self.clock.now_s()
         statement = RateStatement(endpoint, notice.rate_limit_per_s, now_s)
--- a/tests/programs/entry/routed/test_endpoint_notices.py
+++ b/tests/programs/entry/routed/test_endpoint_notices.py
@@ -106,3 +106,23 @@
     assert status == 503
     assert float(headers["retry-after"]) > 0
     assert len(endpoint.requests) == 1
+
+
+@pytest.mark.parametrize("path", ["/once/x", "/gen/x"])
+def test_an_evacuation_while_connecting_stops_the_request(
+    endpoint, other_endpoint, path
+):
+    # Guards against calls that waited for a connection when the order came.
+    endpoint.default = other_endpoint.default = complete_answer(b"other")
+    with routed_entry(endpoint, other_endpoint) as entry:
+        acquire = entry.pool.acquire
+
+        def evacuate_while_connecting(address, timeout_s):
+            connection = acquire(address, timeout_s)
+            entry.context.evacuated_hosts.add("app1" if path == "/once/x" else "gpu1")
+            return connection
+
+        entry.pool.acquire = evacuate_while_connecting
+        call(entry.address, path, b"a", X_Model="m")
+    assert endpoint.requests == []
+    assert len(other_endpoint.requests) == 1
--- a/tests/programs/entry/test_entry_context.py
+++ b/tests/programs/entry/test_entry_context.py
@@ -63,6 +63,10 @@
     )
 
 
+def make_call(number):
+    return CallRequest(f"r{number}", "w", "llm", "normal", b"", 20, "", 500.0)
+
+
 def receive_view(context, view, message, clock):
     view.record_report_sent(message.nonce, clock.now_s())
     view.install_view(message, clock.now_s())
@@ -104,6 +108,7 @@
         ("member h1 was restarted", True),
         ("member missing-1 is leaving", False),
         ("the group is draining", False),
+        ("the data centre is missing is evacuated", False),
     ],
 )
 def test_only_lost_member_aborts_running_attempts(reason, is_aborted):
@@ -116,6 +121,34 @@
     assert attempt.is_aborted is is_aborted
 
 
+def test_evacuation_stops_sending_and_keeps_streams():
+    # Guards against requests at the moment of sending, and against cut streams.
+    clock = ManualClock()
+    context, view, gate = make_context(clock)
+    message = make_view(1, serving=True)
+    message.groups[0].group.members.add(host_id="h", boot_id="b", address="a:1")
+    receive_view(context, view, message, clock)
+    attempt = FakeAttempt()
+    context.running.add("g1", 1, attempt)
+    endpoint = Incarnation("h", "b")
+    assert context.may_send(endpoint)
+    stop = ControlView(nonce=2, source="s", term=1, view_version=2, base_version=1)
+    stop.groups.add(group=message.groups[0].group, evacuated=True, reason="evacuated")
+    receive_view(context, view, stop, clock)
+    assert not context.may_send(endpoint)
+    assert context.choose_group(make_call(1), frozenset(), "") is None
+    assert not attempt.is_aborted
+    # With all data centres evacuated, calls are refused at once.
+    refusal = gate.offer(make_call(2)).wait()
+    assert refusal.code == "no_capacity"
+    assert refusal.retry_after_s > 0
+    finish = ControlView(nonce=3, source="s", term=1, view_version=3, base_version=2)
+    finish.groups.add(group=message.groups[0].group, serving=True)
+    receive_view(context, view, finish, clock)
+    assert context.may_send(endpoint)
+    assert context.choose_group(make_call(3), frozenset(), "")
+
+
 def test_stalled_group_does_not_cut_streams_that_cannot_move():
     clock = ManualClock()
     context, view, _ = make_context(clock)
--- a/tests/programs/entry/test_model_calls.py
+++ b/tests/programs/entry/test_model_calls.py
@@ -6,6 +6,7 @@
 import eventlet
 import pytest
 
+from chestnutvale.programs.entry.endpoint_exchange import EndpointExchange
 from chestnutvale.programs.entry.model_calls import ModelCallHandler
 from tests.programs.entry.entry_fakes import (
     ANSWER,
@@ -231,3 +232,39 @@
     status, _, body = post(entry, "/", CHAT)
     assert (status, json.loads(body)["code"]) == (502, "unreadable_answer")
     assert json.loads(body)["outcome"] == "failed"
+
+
+def test_stream_that_waits_for_a_connection_moves_after_an_evacuation(
+    context, engines, entry, monkeypatch
+):
+    # Guards against requests in an evacuated data centre by calls chosen before.
+    connect = EndpointExchange.connect
+
+    def evacuate_while_connecting(exchange, timeout_s):
+        connect(exchange, timeout_s)
+        context.evacuated_hosts.add("g1")
+
+    monkeypatch.setattr(EndpointExchange, "connect", evacuate_while_connecting)
+    status, _, body = post(entry, "/", {**CHAT, "stream": True})
+    assert (status, read_answer(body)) == (200, ANSWER)
+    assert (len(engines[0].requests), len(engines[1].requests)) == (0, 1)
+
+
+def test_broken_stream_of_an_evacuated_group_is_probed_without_a_request(
+    context, engines, entry
+):
+    # Guards against a probe that asks an engine of an evacuated data centre.
+    asked = []
+    context.has_crashed = lambda group, is_engine: asked.append(group.group_id)
+    engines[0].break_after = 1
+    start = context.choose_group
+
+    def evacuate_after_choice(request, excluded, version):
+        view = start(request, excluded, version)
+        eventlet.spawn_after(0.05, context.evacuated_hosts.add, "g1")
+        return view
+
+    context.choose_group = evacuate_after_choice
+    engines[0].pause_s = 0.2
+    assert post(entry, "/", {**CHAT, "stream": True})[0] == 200
+    assert not asked
--- a/tests/programs/entry/test_service_calls.py
+++ b/tests/programs/entry/test_service_calls.py
@@ -8,6 +8,7 @@
 
 from chestnutvale.attempts.const import OUTCOME_NOT_RUN, OUTCOME_UNKNOWN
 from chestnutvale.clock import SystemClock
+from chestnutvale.programs.entry.endpoint_exchange import EndpointExchange
 from chestnutvale.programs.entry.exceptions import (
     CommitRefusedError,
     CommitUnknownError,
@@ -324,3 +325,22 @@
             assert int(headers["retry-after"]) > 500
             assert sum(service.crashes for service in services) == 2
         assert post(entries[0].address, NOTES, b"10")[0] == 200
+
+
+@pytest.mark.parametrize("path", [POSTINGS, NOTES])
+def test_call_that_waits_for_a_connection_is_not_sent_after_an_evacuation(
+    entries, service, monkeypatch, path
+):
+    # Guards against requests in an evacuated data centre by calls chosen before.
+    connect = EndpointExchange.connect
+    context = entries[0].context
+
+    def evacuate_while_connecting(exchange, timeout_s):
+        connect(exchange, timeout_s)
+        context.evacuated_hosts.add("s1")
+
+    monkeypatch.setattr(EndpointExchange, "connect", evacuate_while_connecting)
+    status, headers, body = post(entries[0].address, path, b"x", **KEY)
+    assert status == 503
+    assert json.loads(body)["outcome"] == OUTCOME_NOT_RUN
+    assert not service.runs
