Plan only outside evacuated data centres

Cause: the planner formed, staged and repaired groups in a data centre whose endpoints get no requests, and counted its groups as capacity.

Change: the fleet of a round leaves out the hosts of evacuated data centres and lists the groups there, which are kept and don't count for model shares, spares and dependencies. Forming groups there get no assign orders. Their hosts are not counted as stranded.

--- a/chestnutvale/groups/coordinator.py
+++ b/chestnutvale/groups/coordinator.py
@@ -57,7 +57,7 @@
     _is_leader: bool = False
     _plan_from_s: float = float("inf")
     _next_round_s: float = float("-inf")
-    _last_input_versions: tuple[int, int, int, bool] | None = None
+    _last_input_versions: tuple[int, int, int, bool, frozenset[str]] | None = None
 
     def became_leader(self, now_s: float) -> None:
         """Start planning as the leader.
@@ -89,6 +89,7 @@
         lease_confirmed: bool,
         now_unix_ms: int,
         demand: Mapping[str, float] | None = None,
+        evacuated: frozenset[str] = frozenset(),
     ) -> list[Effect]:
         """Return the commands and orders that are due.
 
@@ -111,6 +112,8 @@
             Wall-clock time in milliseconds, for records and the expiry of orders.
         demand : mapping of str to float, optional
             Number of requests that wait or run, by service.
+        evacuated : frozenset of str, optional
+            Evacuated data centres.
 
         Returns
         -------
@@ -124,6 +127,7 @@
             table.revision,
             text.number,
             lease_confirmed,
+            evacuated,
         )
         if input_versions == self._last_input_versions and now_s < self._next_round_s:
             return []
@@ -131,7 +135,7 @@
         next_silent_s = table.next_deadline(now_s) + SILENCE_MARGIN_S
         self._next_round_s = min(now_s + PLAN_INTERVAL_S, next_silent_s)
         sends = self.orders.collect_due_orders(
-            state, table, text, lease_confirmed, now_s, now_unix_ms
+            state, table, text, lease_confirmed, now_s, now_unix_ms, evacuated
         )
         for send in sends:
             epoch = send.order.epoch
@@ -148,6 +152,7 @@
             now_unix_ms,
             demand or {},
             self.orders.count_remaining_loads(state, table, text),
+            evacuated,
         )
         commands = [
             *self.orders.find_finished_releases(state, table, now_s, now_unix_ms),
--- a/chestnutvale/groups/fleet.py
+++ b/chestnutvale/groups/fleet.py
@@ -1,26 +1,28 @@
 """Classifies live hosts by how the planner may use them."""
 
 from collections import defaultdict
+from collections.abc import Iterable
 
 import attrs
 
 from chestnutvale.groups.const import WARM_UP_GROUP_PREFIX
+from chestnutvale.groups.serving import is_evacuated
 from chestnutvale.groups.state import GroupsState
 from chestnutvale.membership.const import KIND_ENGINE, KIND_SERVICE
 from chestnutvale.membership.host_record import HostRecord
 from chestnutvale.membership.table import MembershipTable
-from chestnutvale.schema.groups_pb2 import GroupMember
+from chestnutvale.schema.groups_pb2 import Group, GroupMember
 from chestnutvale.schema.membership_pb2 import Holding
 
 
 @attrs.define
 class Fleet:
-    """Live hosts, classified for one planning round.
+    """Live hosts outside evacuated data centres, classified for one planning round.
 
     Attributes
     ----------
     live_hosts : dict of str to HostRecord
-        All live hosts whose announcement is known, by identity.
+        All these hosts whose announcement is known, by identity.
     free_by_domain : dict of str to list of HostRecord
         Engines that any group may use, by fabric domain, each sorted by identity.
     reserved : dict of str to str
@@ -33,6 +35,8 @@
         Engines whose release is in progress, by fabric domain.
     pool_allocated : set of str
         Free engines allocated to pooled groups in this round.
+    evacuated_group_ids : frozenset of str
+        Groups in evacuated data centres, which are kept and don't count as capacity.
     """
 
     live_hosts: dict[str, HostRecord]
@@ -42,10 +46,15 @@
     plain: list[HostRecord]
     releasing_by_domain: dict[str, list[HostRecord]]
     pool_allocated: set[str] = attrs.field(factory=set)
+    evacuated_group_ids: frozenset[str] = frozenset()
 
     @classmethod
     def collect(
-        cls, state: GroupsState, table: MembershipTable, now_s: float
+        cls,
+        state: GroupsState,
+        table: MembershipTable,
+        now_s: float,
+        evacuated: frozenset[str] = frozenset(),
     ) -> "Fleet":
         """Classify the live hosts.
 
@@ -57,13 +66,19 @@
             Liveness and announcements of hosts.
         now_s : float
             Monotonic time in seconds.
+        evacuated : frozenset of str, optional
+            Evacuated data centres.
 
         Returns
         -------
         Fleet
             The hosts; valid for this round only.
         """
-        live_hosts = table.fresh_hosts(now_s)
+        live_hosts = [
+            record
+            for record in table.fresh_hosts(now_s)
+            if record.announcement.data_centre not in evacuated
+        ]
         fleet = cls(
             live_hosts={record.host_id: record for record in live_hosts},
             free_by_domain=defaultdict(list),
@@ -71,11 +86,33 @@
             orphaned=[],
             plain=[],
             releasing_by_domain=defaultdict(list),
+            evacuated_group_ids=frozenset(
+                group_id
+                for group_id, group in state.groups.items()
+                if is_evacuated(group, table, evacuated)
+            ),
         )
         for record in live_hosts:
             fleet._classify_host(record, state)
         return fleet
 
+    def select_counted(self, groups: Iterable[Group]) -> list[Group]:
+        """Return the groups that count as capacity.
+
+        Parameters
+        ----------
+        groups : iterable of Group
+            Groups in force.
+
+        Returns
+        -------
+        list of Group
+            Those outside evacuated data centres.
+        """
+        return [
+            group for group in groups if group.group_id not in self.evacuated_group_ids
+        ]
+
     def allocate(self, domain: str, count: int) -> list[HostRecord]:
         """Allocate free hosts of a domain.
 
--- a/chestnutvale/groups/orders.py
+++ b/chestnutvale/groups/orders.py
@@ -30,6 +30,7 @@
 from chestnutvale.groups.serving import (
     find_readiness_fault,
     holds_epoch,
+    is_evacuated,
     is_head_open,
 )
 from chestnutvale.groups.settings import GroupsPolicy
@@ -145,6 +146,7 @@
         lease_confirmed: bool,
         now_s: float,
         now_unix_ms: int,
+        evacuated: frozenset[str] = frozenset(),
     ) -> list[SendOrder]:
         """Return the orders to send now, the most valuable loads first.
 
@@ -162,6 +164,8 @@
             Monotonic time in seconds.
         now_unix_ms : int
             Wall-clock time in milliseconds, for the expiry of orders.
+        evacuated : frozenset of str, optional
+            Evacuated data centres, in which no group is formed.
 
         Returns
         -------
@@ -173,7 +177,7 @@
         budget = LoadBudget(self.policy, state, table, text.weight_store.loads_at_once)
         self._reserve_unannounced_loads(state, table, budget)
         for record, address, order in self._iter_required_orders(
-            state, table, text, budget, now_s
+            state, table, text, budget, now_s, evacuated
         ):
             if not self._is_allowed(record, lease_confirmed, now_s):
                 continue
@@ -351,6 +355,7 @@
         text: Text,
         budget: LoadBudget,
         now_s: float,
+        evacuated: frozenset[str],
     ) -> Iterator[tuple[HostRecord, str, Order]]:
         for release in state.releases.values():
             record = find_live_host(table, release.host_id, now_s)
@@ -367,7 +372,8 @@
         for group in budget.sort_groups_by_value():
             if group.plain or group.phase == PHASE_DRAINING:
                 continue
-            for member in group.members:
+            is_forming_allowed = not is_evacuated(group, table, evacuated)
+            for member in group.members if is_forming_allowed else ():
                 record = find_live_host(table, member.host_id, now_s)
                 if record is None or record.boot_id != member.boot_id:
                     continue
--- a/chestnutvale/groups/planner.py
+++ b/chestnutvale/groups/planner.py
@@ -1,7 +1,7 @@
 """Plans which groups to form, change, repair and dissolve."""
 
 from collections import defaultdict
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from typing import TypeAlias
 
 import attrs
@@ -69,6 +69,9 @@
         Number of requests that wait or run, by service.
     remaining_loads : int
         Number of weight loads that may start now.
+    evacuated : frozenset of str
+        Evacuated data centres: nothing is formed, staged or repaired there, and the
+        groups there are kept without counting as capacity.
     """
 
     state: GroupsState
@@ -77,6 +80,7 @@
     now_unix_ms: int
     demand: Mapping[str, float] = attrs.field(factory=dict)
     remaining_loads: int = 0
+    evacuated: frozenset[str] = frozenset()
 
 
 @attrs.define
@@ -159,12 +163,13 @@
             command and another group in force, and no group is changed twice.
         """
         state, table = inputs.state, inputs.table
-        fleet = Fleet.collect(state, table, now_s)
+        fleet = Fleet.collect(state, table, now_s, inputs.evacuated)
         self.idle_tracker.observe(state, table, now_s)
         broken = [
             item
             for item in self.failure_detector.find_broken_groups(state, table, now_s)
             if not is_pooled(item.group)
+            and item.group.group_id not in fleet.evacuated_group_ids
         ]
         repairs = RepairPlanner(self.policy, self.chooser, self.failure_detector)
         repair_inputs = RepairInputs(
@@ -199,7 +204,7 @@
         )
         self._spare_requests = self.staging.plan(
             select_pooled_services(inputs.text),
-            inputs.state.groups.values(),
+            fleet.select_counted(inputs.state.groups.values()),
             fleet,
             inputs.remaining_loads,
             # Once there is demand, a new host is only useful with staged weights.
@@ -229,7 +234,8 @@
             for name, service in sort_model_services(inputs.text)
             if name not in pooled
         }
-        groups_of = _groups_by_service(inputs.state)
+        counted = fleet.select_counted(inputs.state.groups.values())
+        groups_of = _groups_by_service(counted)
         broken_ids = {item.group.group_id for item in broken}
         planners = {
             name: ServicePlanner(
@@ -247,7 +253,7 @@
         assembler = _make_assembler(inputs, fleet, services, groups_of)
         for name, planner in planners.items():
             may_form = name in services and all(
-                _is_available(dependency, planners, inputs, self.idle_tracker)
+                _is_available(dependency, planners, counted, self.idle_tracker)
                 for dependency in services[name].depends_on
             )
             yield from planner.plan(assembler, may_form)
@@ -256,15 +262,14 @@
 def _is_available(
     name: str,
     planners: dict[str, ServicePlanner],
-    inputs: PlanInputs,
+    groups: Iterable[Group],
     idle_tracker: IdleTracker,
 ) -> bool:
     """Tell whether the services that depend on a service may be formed."""
     if name in planners:
         return planners[name].is_rolled_out()
     return any(
-        group.service == name and idle_tracker.is_serving(group)
-        for group in inputs.state.groups.values()
+        group.service == name and idle_tracker.is_serving(group) for group in groups
     )
 
 
@@ -321,9 +326,9 @@
     )
 
 
-def _groups_by_service(state: GroupsState) -> defaultdict[str, list[Group]]:
+def _groups_by_service(groups: Iterable[Group]) -> defaultdict[str, list[Group]]:
     groups_of = defaultdict(list)
-    for group in state.groups.values():
+    for group in groups:
         if not group.plain and not is_pooled(group):
             groups_of[group.service].append(group)
     return groups_of
--- a/chestnutvale/groups/pools.py
+++ b/chestnutvale/groups/pools.py
@@ -129,13 +129,14 @@
                 yield command
             if group.phase != PHASE_DRAINING and not isinstance(command, RemoveGroup):
                 kept.append(group)
+        counted = fleet.select_counted(kept)
         if services and may_load:
             # Other hosts wait for weights already; those of a group that is given up
             # would wait behind them.
-            yield from self._rebalance(services, kept, fleet, table, now_s)
+            yield from self._rebalance(services, counted, fleet, table, now_s)
         if services:
             has_settled = is_settled(table, now_s)
-            yield from self._form_groups(services, kept, state, fleet, has_settled)
+            yield from self._form_groups(services, counted, state, fleet, has_settled)
 
     def _rebalance(
         self,
--- a/chestnutvale/programs/control/group_task.py
+++ b/chestnutvale/programs/control/group_task.py
@@ -9,6 +9,7 @@
 from chestnutvale.clock import Clock
 from chestnutvale.consensus.exceptions import NotLeaderError, OutcomeUnknownError
 from chestnutvale.consensus.task import ConsensusTask
+from chestnutvale.groups.const import PHASE_SERVING
 from chestnutvale.groups.coordinator import Effect, GroupCoordinator, ProposeCommand
 from chestnutvale.groups.orders import OrderOutcome, SendOrder
 from chestnutvale.membership.table import MembershipTable
@@ -114,6 +115,7 @@
             self._log.has_lease(now_s),
             self._clock.unix_ms(),
             self._entry_handler.demand(now_s),
+            self._state.evacuations.evacuated,
         )
         self._idle_inputs = () if effects or not self._is_idle() else inputs
         self._next_decision_at_s = now_s + IDLE_DECISION_INTERVAL_S
@@ -133,7 +135,10 @@
         groups = self._state.groups
         if groups.releases or groups.repairs or self._table.has_stalled_groups:
             return False
-        return all(view.serving for view in self._entry_handler.group_views())
+        return all(
+            view.serving or (view.evacuated and view.group.phase == PHASE_SERVING)
+            for view in self._entry_handler.group_views()
+        )
 
     def _execute_effects(self, effects: Sequence[Effect]) -> None:
         proposals = []
