--- a/chestnutvale/programs/control/entry_report_handler.py
+++ b/chestnutvale/programs/control/entry_report_handler.py
@@ -176,6 +176,10 @@
             totals[item.service] += item.tokens + item.refused_tokens
         return totals
 
+    def data_centres(self) -> set[str]:
+        """Return the data centres of the entries that have reported."""
+        return {entry.data_centre for entry in self.entries.values()}
+
     def live_addresses(self, now_s: float) -> dict[str, str]:
         """Return the addresses of the live entries.
 
@@ -416,7 +420,10 @@
 
     def _refresh(self, now_s: float) -> None:
         self._refreshed_inputs = (self._log.applied_index, self._table.revision)
-        changed = self._publisher.refresh(self._state.groups, self._table, now_s)
+        evacuated = self._state.evacuations.evacuated
+        changed = self._publisher.refresh(
+            self._state.groups, self._table, now_s, evacuated
+        )
         if changed and self._log.is_leader:
             self._log_changes(changed)
         self._valid_until_s = self._publisher.valid_until_s
