--- a/chestnutvale/programs/control/daemon.py
+++ b/chestnutvale/programs/control/daemon.py
@@ -20,8 +20,8 @@
 from chestnutvale.http_server.views import WsgiApp
 from chestnutvale.membership.table import MembershipTable
 from chestnutvale.membership.view_publisher import ViewPublisher
+from chestnutvale.observability.deferred_metrics import DeferredMetrics
 from chestnutvale.observability.dump import DumpRegistry
-from chestnutvale.observability.otel_metrics import OtelMetrics
 from chestnutvale.programs.control.const import INCARNATION_RANDOM_BITS
 from chestnutvale.programs.control.entry_report_handler import EntryReportHandler
 from chestnutvale.programs.control.group_task import GroupTask
@@ -89,7 +89,7 @@
         self.table = MembershipTable(settings.detection_timeout_ms / 1_000)
         self.publisher = ViewPublisher(self.incarnation)
         self.measures = MeasureTracker()
-        self.metrics = OtelMetrics(PROGRAM_NAME)
+        self.metrics = DeferredMetrics(PROGRAM_NAME)
         self.transport = TransportNode(
             settings.cluster_id,
             settings.control_id,
--- a/chestnutvale/programs/control/interface.py
+++ b/chestnutvale/programs/control/interface.py
@@ -8,7 +8,7 @@
 from chestnutvale.clock import Clock
 from chestnutvale.http_server.problem import Problem
 from chestnutvale.http_server.views import WsgiApp, make_health_check, make_json_view
-from chestnutvale.observability.otel_metrics import OtelMetrics
+from chestnutvale.observability.deferred_metrics import DeferredMetrics
 from chestnutvale.programs.control.group_task import OrderTransport
 from chestnutvale.programs.control.host_announcement_handler import (
     HostAnnouncementHandler,
@@ -28,7 +28,7 @@
         Executes operator requests.
     announcement_handler : HostAnnouncementHandler
         Accepts announcements of hosts.
-    metrics : OtelMetrics
+    metrics : DeferredMetrics
         Metrics of the process.
     is_ready, is_alive : callable
         Readiness (a leader is known) and liveness of the process.
@@ -40,7 +40,7 @@
 
     operations: ControlOperations
     announcement_handler: HostAnnouncementHandler
-    metrics: OtelMetrics
+    metrics: DeferredMetrics
     is_ready: Callable[[], bool]
     is_alive: Callable[[], bool]
     dump: Callable[[], dict[str, Any]]
--- a/chestnutvale/programs/entry/daemon.py
+++ b/chestnutvale/programs/entry/daemon.py
@@ -31,7 +31,6 @@
 from chestnutvale.programs.entry.entry_interface import (
     EntryComponents,
     EntryInterface,
-    OwnInterface,
 )
 from chestnutvale.programs.entry.group_router import GroupRouter
 from chestnutvale.programs.entry.ledger_writer import LedgerWriter
@@ -77,7 +76,7 @@
     ) -> None:
         self.settings = settings
         self._clock = clock
-        self._interface = interface or OwnInterface()
+        self._interface = interface or _make_own_interface()
         self._exit_stack = contextlib.ExitStack()
         self.incarnation = make_incarnation(
             clock.unix_ms(), rng.getrandbits(INCARNATION_SALT_BITS)
@@ -314,3 +313,10 @@
         if self._retry_bound is not None:
             self._retry_bound.divide(self.context.budgets, self.view.entry_count)
             self.context.budgets.retries.refill(HOUSEKEEPING_INTERVAL_S)
+
+
+def _make_own_interface() -> EntryInterface:
+    """Build the default interface, whose modules and libraries others don't need."""
+    from chestnutvale.programs.entry.own_interface import OwnInterface
+
+    return OwnInterface()
--- a/chestnutvale/programs/entry/main.py
+++ b/chestnutvale/programs/entry/main.py
@@ -3,8 +3,7 @@
 import sys
 from pathlib import Path
 
-import defopt
-import eventlet
+from chestnutvale.programs.green_start import start_green
 
 
 def run(settings_file: Path, *, check_settings: bool = False) -> int:
@@ -44,5 +43,7 @@
 def main() -> None:
     """Parse the command line, run the entry and exit with its code."""
     # Must precede the imports in `run`, so that the libraries use eventlet's sockets.
-    eventlet.monkey_patch()
+    start_green()
+    import defopt
+
     sys.exit(defopt.run(run))
--- a/chestnutvale/programs/runner.py
+++ b/chestnutvale/programs/runner.py
@@ -97,6 +97,7 @@
     gc.collect()
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD_OBJECTS, *GC_THRESHOLD_GENERATIONS)
+    gc.enable()
 
 
 def log_state_dump(dump: Callable[[], dict[str, Any]]) -> None:
--- a/chestnutvale/settings/loader.py
+++ b/chestnutvale/settings/loader.py
@@ -4,8 +4,6 @@
 from pathlib import Path
 from typing import Any, TypeVar
 
-import pyjson5
-from google.protobuf import json_format
 from google.protobuf.message import Message
 
 from chestnutvale.settings.exceptions import SettingsError
@@ -35,6 +33,9 @@
     SettingsError
         If the text is not valid JSON5.
     """
+    # A program whose settings come from another source does without these libraries.
+    import pyjson5
+
     try:
         return pyjson5.decode(text)
     except (pyjson5.Json5Exception, ValueError, RecursionError) as error:
@@ -67,6 +68,8 @@
         raise SettingsError(
             "the file must hold one object", step=STEP_SETTINGS, peer=origin
         )
+    from google.protobuf import json_format
+
     try:
         return json_format.ParseDict(data, message)
     except json_format.ParseError as error:
