Check idle streams and loads only when something can have changed

Cause: an idle entry looked for stalled groups 5 times a second (20 times while a stream ran) and at its loads 6 times, and parsed the head of every group for each view and count.

--- a/benchmarks/process_cost.py
+++ b/benchmarks/process_cost.py
@@ -72,6 +72,15 @@
         ticks = int(fields[_USER_TICKS]) + int(fields[_SYSTEM_TICKS])
         return ticks / _TICKS_PER_S, int(fields[_RESIDENT_PAGES]) * _BYTES_PER_PAGE
 
+    def read_switches(self) -> int:
+        """Return the context switches of all threads; each is a wake-up or more."""
+        total = 0
+        for status in Path(f"/proc/{self.process.pid}/task").glob("*/status"):
+            for line in status.read_text().splitlines():
+                if "ctxt_switches" in line:
+                    total += int(line.rpartition(":")[2])
+        return total
+
     def wait_ready(self) -> None:
         """Wait until the process is ready and record the processor time."""
         deadline_s = time.monotonic() + READY_TIMEOUT_S
--- a/chestnutvale/programs/entry/const.py
+++ b/chestnutvale/programs/entry/const.py
@@ -23,10 +23,8 @@
 DRAIN_POLL_INTERVAL_S: Final = 0.05
 INCARNATION_SALT_BITS: Final = 32
 HOUSEKEEPING_INTERVAL_S: Final = 0.5
-# Interval of the checks for groups whose streams have stalled.
+# Shortest interval of the checks for groups whose streams have stalled.
 STALL_CHECK_INTERVAL_S: Final = 0.05
-# The same while no stream runs; half of the time in which a new one can stall.
-IDLE_STALL_CHECK_INTERVAL_S: Final = 0.2
 # Report interval of an entry without a lease. It is short because an election takes
 # about a second and calls are refused until a control answers.
 NO_LEASE_REPORT_INTERVAL_S: Final = 0.1
--- a/chestnutvale/programs/entry/control_link.py
+++ b/chestnutvale/programs/entry/control_link.py
@@ -16,7 +16,6 @@
 from chestnutvale.membership.entry_view import EntryView, InstallVerdict
 from chestnutvale.membership.report_targets import ReportTargets
 from chestnutvale.programs.entry.const import (
-    IDLE_STALL_CHECK_INTERVAL_S,
     MIN_REPORT_INTERVAL_MS,
     NO_LEASE_REPORT_INTERVAL_S,
     REPORT_EXPIRY_MS,
@@ -300,10 +299,20 @@
         )
 
     def find_stall_pause_s(self) -> float:
-        """Return the pause until the next check for stalled groups, in seconds."""
-        if self._stall_detector.has_streams:
+        """Return the pause until the next check for stalled groups.
+
+        Returns
+        -------
+        float
+            Seconds until a group can stall at the earliest, also one whose first stream
+            starts in the meantime; short while a group has stalled and may recover.
+        """
+        if self._reported_stalled:
             return STALL_CHECK_INTERVAL_S
-        return IDLE_STALL_CHECK_INTERVAL_S
+        detector = self._stall_detector
+        silences_s = detector.silences_s(self._clock.now_s()).values()
+        limit_s = min(detector.gap_s, detector.first_event_s)
+        return max(STALL_CHECK_INTERVAL_S, limit_s - max(silences_s, default=0.0))
 
     def _check_stalls(self) -> None:
         _receive_pending_events()
--- a/chestnutvale/programs/entry/group_router.py
+++ b/chestnutvale/programs/entry/group_router.py
@@ -71,6 +71,7 @@
         self._clock = clock
         self.notices = EndpointNotices()
         self.send_budget = SendBudget()
+        self._heads: dict[str, tuple[GroupView, Incarnation]] = {}
         self._avoid_until_s: dict[str, float] = {}
         self._sent_at_s: dict[str, float] = {}
 
@@ -83,7 +84,12 @@
             The view; only its loads are read, groups come from the entry's view.
         """
         now_s = self._clock.now_s()
-        heads = [_head_of(group_view) for group_view in self._view.groups()]
+        group_views = self._view.groups()
+        self._heads = {
+            group_view.group.group_id: (group_view, self._head_of(group_view))
+            for group_view in group_views
+        }
+        heads = [head for _, head in self._heads.values()]
         self.notices.keep_listed(heads, now_s)
         self.send_budget.set_entry_count(self._view.entry_count)
         self.send_budget.keep_listed(heads, now_s)
@@ -180,7 +186,7 @@
                 continue
             service = group_view.group.service
             usable_loads = loads.setdefault(service, [])
-            head = _head_of(group_view)
+            head = self._head_of(group_view)
             if self.notices.may_send(head, now_s):
                 if self.send_budget.is_limited(head):
                     share_per_s = self.send_budget.share_per_s(head)
@@ -205,7 +211,7 @@
 
     def _unavailable_groups(self, service: str, now_s: float) -> Iterator[str]:
         for group_view in self._view.serving_groups(service, now_s):
-            head = _head_of(group_view)
+            head = self._head_of(group_view)
             if not (
                 self.notices.may_send(head, now_s)
                 and self.send_budget.may_send(head, now_s)
@@ -235,7 +241,7 @@
             None if no group that serves now has a limit.
         """
         now_s = self._clock.now_s()
-        heads = map(_head_of, self._view.serving_groups(service, now_s))
+        heads = map(self._head_of, self._view.serving_groups(service, now_s))
         return min(
             (
                 self.send_budget.next_send_s(head, now_s)
@@ -262,7 +268,9 @@
         totals: Counter[str] = Counter()
         for group_id, count in running.items():
             group_view = self._view.group(group_id)
-            if group_view is None or self.send_budget.is_limited(_head_of(group_view)):
+            if group_view is None or self.send_budget.is_limited(
+                self._head_of(group_view)
+            ):
                 continue
             totals[group_view.group.service] += count
         return totals
@@ -379,7 +387,7 @@
         return frozenset(
             group_view.group.group_id
             for group_view in self._view.serving_groups(service, now_s)
-            if not self.send_budget.has_unused_share(_head_of(group_view), now_s)
+            if not self.send_budget.has_unused_share(self._head_of(group_view), now_s)
         )
 
     def _find_avoided_groups(self, now_s: float) -> frozenset[str]:
@@ -425,10 +433,17 @@
         if view is None or not view.serving or not self._view.has_lease(now_s):
             return None
         self._selector.record_sent(routing_request, group_id, now_s)
-        self.send_budget.record_sent(_head_of(view), now_s)
+        self.send_budget.record_sent(self._head_of(view), now_s)
         self._sent_at_s[request.request_id] = now_s
         return view
 
+    def _head_of(self, group_view: GroupView) -> Incarnation:
+        """Return the head of a group, which is parsed once per group and view."""
+        parsed = self._heads.get(group_view.group.group_id)
+        if parsed is not None and parsed[0] is group_view:
+            return parsed[1]
+        return _parse_head(group_view)
+
     def _remove_expired_avoidances(self, now_s: float) -> None:
         self._avoid_until_s = {
             group_id: until_s
@@ -443,7 +458,7 @@
     return BROKEN_GROUP_AVOIDANCE_S if report.result == RESULT_BROKEN else 0.0
 
 
-def _head_of(group_view: GroupView) -> Incarnation:
+def _parse_head(group_view: GroupView) -> Incarnation:
     if not group_view.group.members:
         return Incarnation("", "")
     return Incarnation.of_member(group_head(group_view.group))
--- a/chestnutvale/programs/entry/load_exchange.py
+++ b/chestnutvale/programs/entry/load_exchange.py
@@ -4,6 +4,8 @@
 from collections import Counter
 from collections.abc import Callable
 
+from eventlet.event import Event
+
 from chestnutvale.clock import Clock
 from chestnutvale.membership.attempt_counts import load_exchange_interval_s
 from chestnutvale.membership.const import (
@@ -50,11 +52,23 @@
         self._clock = clock
         self._last_sent_counts: dict[int, int] = {}
         self._last_sent_s = -math.inf
+        self._first_attempt = Event()
+        context.running.on_first = self._wake
         transport.register_handler("running_counts", self._receive_counts)
 
     def run(self) -> None:
-        """Run rounds until the task is killed."""
-        run_periodically("the load exchange", self.run_round, self.find_pause_s)
+        """Run rounds until the task is killed; none while there is nothing to send."""
+        run_periodically("the load exchange", self._wait_and_run, self.find_pause_s)
+
+    def _wait_and_run(self) -> None:
+        if not (len(self._context.running) or self._last_sent_counts):
+            self._first_attempt = Event()
+            self._first_attempt.wait()
+        self.run_round()
+
+    def _wake(self) -> None:
+        if not self._first_attempt.ready():
+            self._first_attempt.send()
 
     def find_pause_s(self) -> float:
         """Return the pause between two rounds: half of the exchange interval."""
--- a/chestnutvale/programs/entry/running_attempts.py
+++ b/chestnutvale/programs/entry/running_attempts.py
@@ -18,6 +18,10 @@
     """Do nothing; for an attempt that its call can't leave."""
 
 
+def _ignore_first() -> None:
+    """Do nothing; the default until the load exchange is set up."""
+
+
 @attrs.frozen
 class _RunningAttempt:
     group_id: str
@@ -32,9 +36,15 @@
     `abort_group` is called once the membership reports its group as lost, so that
     the calls continue at other groups before their streams time out. A group that has
     stalled may recover, so `report_stall` leaves the decision to the calls.
+
+    Attributes
+    ----------
+    on_first : callable
+        Called when an attempt is added while none runs; must not block.
     """
 
     def __init__(self) -> None:
+        self.on_first: Callable[[], None] = _ignore_first
         self._running: dict[Abortable, _RunningAttempt] = {}
 
     def __len__(self) -> int:
@@ -61,7 +71,10 @@
         on_stall : callable, optional
             Called when the group has stalled; must not block.
         """
+        is_first = not self._running
         self._running[attempt] = _RunningAttempt(group_id, epoch, on_stall)
+        if is_first:
+            self.on_first()
 
     def remove(self, attempt: Abortable) -> None:
         """Remove an attempt that has ended.
--- a/tests/programs/entry/test_control_link.py
+++ b/tests/programs/entry/test_control_link.py
@@ -1,5 +1,6 @@
 """Tests of the lease log, the reports and the report interval of an entry."""
 
+import math
 import random
 from types import SimpleNamespace
 
@@ -14,6 +15,7 @@
 from chestnutvale.membership.cache_events import CacheEventQueue
 from chestnutvale.membership.entry_view import EntryView
 from chestnutvale.membership.table import MembershipTable
+from chestnutvale.programs.entry.const import STALL_CHECK_INTERVAL_S
 from chestnutvale.programs.entry.control_link import ControlLink
 from chestnutvale.programs.entry.demand_exchange import DemandExchange
 from chestnutvale.programs.entry.running_attempts import RunningAttempts
@@ -204,3 +206,40 @@
         is_stalled = entry.transport.reports[-1].running[0].stalled
     task.kill()
     assert is_stalled is not has_arrived
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_stalls_are_detected_within_one_check_interval(entry, seed):
+    """Else a call stays at a stalled group for longer than the checks promise."""
+    rng = random.Random(seed)
+    detector, clock = entry.stall_detector, entry.clock
+    check_at_s, stalled_since_s = clock.now_s(), None
+    next_event_s, active = math.inf, False
+    for step in range(2_000):
+        clock.time_s += 0.005
+        now_s = clock.now_s()
+        if not active and rng.random() < 0.01:
+            detector.record_sent(f"r.{step}", "g1", now_s)
+            active, next_event_s = f"r.{step}", now_s + rng.uniform(0.0, 1.5)
+        elif active and now_s >= next_event_s:
+            detector.record_events(active, now_s)
+            next_event_s = now_s + rng.uniform(0.0, 0.6)
+            if rng.random() < 0.2:
+                detector.forget_attempt(active)
+                active = False
+        is_stalled = bool(detector.stalled_groups(now_s))
+        if not is_stalled:
+            stalled_since_s = None
+        elif stalled_since_s is None:
+            stalled_since_s = now_s
+        if now_s >= check_at_s:
+            entry.link._check_stalls()
+            check_at_s = now_s + entry.link.find_stall_pause_s()
+        if stalled_since_s is not None and not entry.link._reported_stalled:
+            assert now_s - stalled_since_s <= STALL_CHECK_INTERVAL_S + 0.006
+    assert entry.link.stalls
+
+
+def test_idle_entry_checks_for_stalls_less_often_than_four_times_a_second(entry):
+    """An idle entry must stay cheap, as there are more than a hundred of them."""
+    assert entry.link.find_stall_pause_s() > 0.25
--- a/tests/programs/entry/test_load_exchange.py
+++ b/tests/programs/entry/test_load_exchange.py
@@ -2,6 +2,7 @@
 
 from types import SimpleNamespace
 
+import eventlet
 import pytest
 
 from chestnutvale.programs.entry.load_exchange import LoadExchange
@@ -91,3 +92,25 @@
 ):
     simulated_entry.view.entry_count = entry_count
     assert simulated_entry.exchange.find_pause_s() == pytest.approx(pause_s)
+
+
+def test_idle_exchange_waits_for_an_attempt_and_sends_its_end(simulated_entry):
+    """Else the others count an attempt too late, or after it has ended."""
+    rounds = []
+    run_round = simulated_entry.exchange.run_round
+    simulated_entry.exchange.run_round = lambda: (rounds.append(1), run_round())
+    simulated_entry.exchange.find_pause_s = lambda: 0.001
+    task = eventlet.spawn(simulated_entry.exchange.run)
+    eventlet.sleep(0.02)
+    assert not rounds
+    simulated_entry.running.add("g1", 7, "a1")
+    eventlet.sleep(0.005)
+    assert [message.counts for *_, message in simulated_entry.sent] == [[1]]
+    simulated_entry.running.remove("a1")
+    simulated_entry.now_s += 0.11
+    eventlet.sleep(0.02)
+    assert not simulated_entry.sent[-1][-1].counts
+    ended = len(rounds)
+    eventlet.sleep(0.02)
+    assert len(rounds) == ended
+    task.kill()
