Add the client command evacuate and show evacuations in the status

Cause: operators could order an evacuation only by HTTP and saw it only in the reasons of groups.

Change: chestnut evacuate NAME [--finish]; status lists evacuated data centres with time, operator and groups, and shows their hosts as evacuated; plan names them. Each order is a log line with its outcome, and controls and entries export a gauge.

--- a/chestnutvale/observability/catalog.py
+++ b/chestnutvale/observability/catalog.py
@@ -95,6 +95,16 @@
     "Groups that serve.",
     (LABEL_SERVICE,),
 )
+EVACUATED_DATA_CENTRES: Final = Metric(
+    "chestnutvale.evacuated.data.centres",
+    "{data_centre}",
+    "Data centres that operators have evacuated, as far as this control has applied.",
+)
+EVACUATED_GROUPS: Final = Metric(
+    "chestnutvale.entry.evacuated.groups",
+    "{group}",
+    "Groups to which the entry sends nothing new because of an evacuation.",
+)
 HOSTS_KNOWN: Final = Metric("chestnutvale.hosts", "{host}", "Hosts known.")
 CONFIGURATION_NUMBER: Final = Metric(
     "chestnutvale.configuration.number", UNIT_NONE, "Number of the text in force."
--- a/chestnutvale/programs/client/commands.py
+++ b/chestnutvale/programs/client/commands.py
@@ -231,7 +231,7 @@
 def status(
     *, settings: Path | None = None, format: Format = "table", all: bool = False
 ) -> ExitCode:
-    """Show services, groups, stranded hosts, downtime, voters and entries.
+    """Show evacuations, services, groups, stranded hosts, voters and entries.
 
     Without a leader, shows the view of a single control, marked as not confirmed.
 
@@ -283,7 +283,7 @@
         Output format.
     """
     request = {"host_id": host_id, "draining": not undo}
-    return _send_change(PATH_DRAIN, request, settings, format)
+    return send_change(PATH_DRAIN, request, settings, format)
 
 
 def voter_add(
@@ -317,7 +317,7 @@
         "address": address,
         "http_address": http_address,
     }
-    return _send_change(PATH_VOTERS, request, settings, format)
+    return send_change(PATH_VOTERS, request, settings, format)
 
 
 def voter_remove(
@@ -336,12 +336,13 @@
     format : Format
         Output format.
     """
-    return _send_change(PATH_VOTERS, {"action": "remove", "id": id}, settings, format)
+    return send_change(PATH_VOTERS, {"action": "remove", "id": id}, settings, format)
 
 
-def _send_change(
+def send_change(
     path: str, request: dict[str, Any], settings: Path | None, format: Format
 ) -> ExitCode:
+    """Send a change to the leader and print its outcome."""
     body = json.dumps(request).encode()
     with _make_client(settings) as client:
         data = client.call("POST", path, body, is_mutation=True)
--- a/chestnutvale/programs/client/main.py
+++ b/chestnutvale/programs/client/main.py
@@ -10,6 +10,7 @@
 from chestnutvale.exceptions import ChestnutError
 from chestnutvale.programs.client import commands
 from chestnutvale.programs.client.const import ExitCode
+from chestnutvale.programs.client.evacuation import evacuate
 from chestnutvale.programs.client.exceptions import ClientError, InvalidTextError
 from chestnutvale.settings.exceptions import SettingsError
 
@@ -20,6 +21,7 @@
     "apply": commands.apply,
     "status": commands.status,
     "drain": commands.drain,
+    "evacuate": evacuate,
     "dump": commands.dump,
     "explain": commands.explain,
     "voter": {"add": commands.voter_add, "remove": commands.voter_remove},
--- a/chestnutvale/programs/client/tables.py
+++ b/chestnutvale/programs/client/tables.py
@@ -1,12 +1,14 @@
 """Format responses of the controls as tables for operators."""
 
 from collections.abc import Iterable, Sequence
+from datetime import UTC, datetime
 
 from tabulate import tabulate
 
 from chestnutvale.schema.operator_pb2 import (
     ApplyAnswer,
     EntryStatus,
+    EvacuationStatus,
     GroupStatus,
     HostStatus,
     ServiceStatus,
@@ -18,6 +20,8 @@
 STATE_STRANDED = "stranded"
 MAX_VALUE_WIDTH = 48
 
+MS_PER_S = 1_000
+
 _YES = "yes"
 _NO = "no"
 
@@ -58,7 +62,10 @@
     str
         Summary and tables; whatever does not serve is listed with its reason.
     """
-    parts = [_format_summary(status), _format_services(status.services)]
+    parts = [_format_summary(status)]
+    if status.evacuations:
+        parts.append(_format_evacuations(status.evacuations))
+    parts.append(_format_services(status.services))
     groups = [group for group in status.groups if show_all or not group.serving]
     title = "Groups" if show_all else "Groups that do not serve"
     parts.append(_format_groups(title, groups))
@@ -91,6 +98,25 @@
     )
 
 
+def _format_evacuations(evacuations: Iterable[EvacuationStatus]) -> str:
+    headers = ("data centre", "since", "by", "groups without requests")
+    rows = [
+        (
+            item.data_centre,
+            _format_time(item.begun_at_unix_ms),
+            item.operator or "-",
+            item.groups,
+        )
+        for item in evacuations
+    ]
+    return _format_table("Evacuated data centres", headers, rows)
+
+
+def _format_time(unix_ms: int) -> str:
+    time = datetime.fromtimestamp(unix_ms / MS_PER_S, UTC)
+    return time.isoformat(sep=" ", timespec="seconds")
+
+
 def _format_services(services: Iterable[ServiceStatus]) -> str:
     headers = ("service", "kind", "version", "groups", "serves", "downtime s", "reason")
     rows = [
@@ -181,6 +207,9 @@
     summary = f"Number in force: {plan.number_in_force}; this text: {plan.number}"
     if plan.would_conflict:
         summary += f"\nIt would be refused: use a number above {plan.number_in_force}."
+    if plan.evacuated_data_centres:
+        names = ", ".join(plan.evacuated_data_centres)
+        summary += f"\nEvacuated, so that groups there don't serve: {names}"
     change_rows = [
         (
             item.action,
--- a/chestnutvale/programs/control/metrics.py
+++ b/chestnutvale/programs/control/metrics.py
@@ -80,6 +80,10 @@
         catalog.CONFIGURATION_NUMBER,
         make_unlabelled_reader(lambda: state.configuration.number),
     )
+    metrics.register_gauge(
+        catalog.EVACUATED_DATA_CENTRES,
+        make_unlabelled_reader(lambda: len(state.evacuations.evacuated)),
+    )
     metrics.register_gauge(
         catalog.LEDGER_RECORDS,
         make_unlabelled_reader(lambda: state.ledger.record_count),
--- a/chestnutvale/programs/control/operations.py
+++ b/chestnutvale/programs/control/operations.py
@@ -204,6 +204,23 @@
         OutcomeUnknownError
             If the order may be in force or still come into force.
         """
+        fields = {
+            "data_centre": command.data_centre,
+            "action": "finish" if command.finish else "begin",
+            "operator": command.operator,
+        }
+        try:
+            result = self._commit_evacuation(command, deadline_s)
+        except ChestnutError as error:
+            _LOGGER.info("evacuation_order", extra=fields | {"outcome": str(error)})
+            raise
+        extra = fields | {"outcome": result.outcome, "changed": result.changed}
+        _LOGGER.info("evacuation_order", extra=extra)
+        return result
+
+    def _commit_evacuation(
+        self, command: SetEvacuation, deadline_s: float
+    ) -> EvacuationResult:
         orders = self._evacuation_orders
         orders.check_leader()
         orders.check_data_centre(command.data_centre, self._clock.now_s())
@@ -212,15 +229,6 @@
         if result.outcome != OUTCOME_DONE:
             raise EvacuationRefusedError(result.reason, step=STEP_EVACUATE)
         self._wait_until_durable(deadline_s)
-        _LOGGER.info(
-            "evacuation_order",
-            extra={
-                "data_centre": command.data_centre,
-                "action": "finish" if command.finish else "begin",
-                "operator": command.operator,
-                "changed": result.changed,
-            },
-        )
         return result
 
     def evacuated_data_centres(self) -> list[str]:
--- a/chestnutvale/programs/control/status.py
+++ b/chestnutvale/programs/control/status.py
@@ -1,5 +1,6 @@
 """Builds the operators' status from the state of a control."""
 
+from collections import Counter
 from typing import Any
 
 import attrs
@@ -7,6 +8,7 @@
 from chestnutvale.configuration.lookup import TextLookup
 from chestnutvale.consensus.members import control_of
 from chestnutvale.consensus.task import ConsensusTask
+from chestnutvale.groups.serving import find_data_centre
 from chestnutvale.membership.host_record import HostRecord
 from chestnutvale.membership.table import MembershipTable
 from chestnutvale.membership.view_publisher import ViewPublisher
@@ -19,6 +21,7 @@
 from chestnutvale.programs.control.state import ControlState
 from chestnutvale.schema.operator_pb2 import (
     EntryStatus,
+    EvacuationStatus,
     GroupStatus,
     HostStatus,
     ServiceStatus,
@@ -99,8 +102,25 @@
                 stranded_accelerator_s=self.measures.stranded_accelerator_s,
             ),
             confirmed=confirmed,
+            evacuations=self._evacuations(groups),
         )
 
+    def _evacuations(self, groups: list[GroupView]) -> list[EvacuationStatus]:
+        counts = Counter(
+            find_data_centre(item.group, self.table)
+            for item in groups
+            if item.evacuated
+        )
+        return [
+            EvacuationStatus(
+                data_centre=name,
+                begun_at_unix_ms=evacuation.changed_at_unix_ms,
+                operator=evacuation.operator,
+                groups=counts[name],
+            )
+            for name, evacuation in self.state.evacuations.in_force.items()
+        ]
+
     def _services(self, groups: list[GroupView]) -> list[ServiceStatus]:
         lookup = TextLookup.from_text(self.state.configuration.text)
         serving = {item.group.service for item in groups if item.serving}
@@ -164,6 +184,8 @@
             return "leaving", "it announced that it leaves"
         if host_id in self.state.groups.draining_hosts:
             return "draining", "an operator drains it"
+        if self.state.evacuations.is_evacuated(record.announcement.data_centre):
+            return "evacuated", ""
         if host_id in self.measures.stranded_host_ids:
             return "stranded", "its group does not serve"
         if host_id in self.state.groups.owners:
--- a/chestnutvale/programs/entry/metrics.py
+++ b/chestnutvale/programs/entry/metrics.py
@@ -81,3 +81,7 @@
         catalog.LEASE_LEFT,
         make_unlabelled_reader(lambda: max(0.0, view.lease_until_s - clock.now_s())),
     )
+    metrics.register_gauge(
+        catalog.EVACUATED_GROUPS,
+        make_unlabelled_reader(lambda: sum(item.evacuated for item in view.groups())),
+    )
--- a/tests/programs/client/test_commands.py
+++ b/tests/programs/client/test_commands.py
@@ -156,6 +156,7 @@
 
 def test_status_shows_every_reason(chestnut):
     code, out, _ = chestnut("status", "--all")
+    assert "2026-01-02 03:04:05+00:00" in out
     assert code == 0
     for reason in ("ledger is down", "h2 is missing", "g1 is broken", "silent for 9 s"):
         assert reason in out
@@ -176,6 +177,30 @@
     assert cluster.voters == {}
 
 
+def test_evacuate_and_finish(chestnut, cluster, controls, text_file):
+    # Guards against the opposite order, and against an order that is lost unnoticed.
+    controls[1].lost_answers = 1
+    assert chestnut("evacuate", "dc-2")[:2] == (0, "done\n")
+    assert cluster.evacuations.evacuated == {"dc-2"}
+    assert "Evacuated, so that" in chestnut("plan", text_file(2))[1]
+    assert chestnut("evacuate", "dc-2", "--finish")[0] == 0
+    assert not cluster.evacuations.evacuated
+    assert "Evacuated" not in chestnut("plan", text_file(2))[1]
+    code, _, err = chestnut("evacuate", "nowhere")
+    assert (code, "nowhere is unknown" in err) == (5, True)
+
+
+def test_order_before_all_controls_are_upgraded_is_not_run(
+    chestnut, controls, write_settings
+):
+    # Guards against an operator who believes that the order is in force.
+    controls[1].backend.errors = ["before:evacuation_not_ready"] * 1_000
+    settings = write_settings(timeout_ms=500)
+    assert chestnut("evacuate", "dc-2", settings=settings)[0] == 4
+    controls[1].backend.errors = ["before:evacuation_not_ready"]
+    assert chestnut("evacuate", "dc-2")[0] == 0
+
+
 def test_dump_of_every_control(chestnut, controls):
     code, out, _ = chestnut("dump")
     assert code == 0
--- a/tests/programs/operator_fakes.py
+++ b/tests/programs/operator_fakes.py
@@ -9,6 +9,7 @@
 from chestnutvale.programs.control.operator_api import OperatorApi
 from chestnutvale.schema.operator_pb2 import (
     EntryStatus,
+    EvacuationStatus,
     GroupStatus,
     HostStatus,
     OperatorResult,
@@ -134,6 +135,9 @@
             hosts=[HostStatus(host_id="h1", state="stranded", reason="g1 is broken")],
             voters=[VoterStatus(id="c1", role="leader", reachable=True)],
             entries=[EntryStatus(id="e1", reason="silent for 9 s")],
+            evacuations=[
+                EvacuationStatus(data_centre="dc-2", begun_at_unix_ms=1_767_323_045_000)
+            ],
             measures=StatusMeasures(stranded_hosts=1, group_downtime_s=7.5),
         )
 
