Publish evacuated groups also after a change of the leader

Cause: a new leader left groups that it had never seen serving out of its views. A call that chose such a group by the view of the earlier leader could still be sent after the bound, and calls waited up to 2 s for hosts to be discovered although all groups were evacuated.

Change: views always list evacuated groups, and a leader whose groups are all evacuated does not say that it discovers hosts.

--- a/chestnutvale/membership/view_publisher.py
+++ b/chestnutvale/membership/view_publisher.py
@@ -393,12 +393,14 @@
         """Return the version of a group that changed; 0 while it has never served.
 
         Entries need no change of a group that neither served before nor serves now,
-        except in an evacuated data centre, where streams run on.
+        except in an evacuated data centre: streams run on there, and calls that chose
+        the group by the view of an earlier leader may still wait for a connection.
         """
-        if reason and (before is None or before.version == 0):
-            return 0
-        if reason and before.reason and not (before.is_evacuated or is_evacuated):
-            return before.version
+        if reason and not is_evacuated:
+            if before is None or before.version == 0:
+                return 0
+            if before.reason and not before.is_evacuated:
+                return before.version
         self._version += 1
         return self._version
 
--- a/chestnutvale/programs/control/entry_report_handler.py
+++ b/chestnutvale/programs/control/entry_report_handler.py
@@ -16,6 +16,7 @@
 from chestnutvale.consensus.members import peer_addresses
 from chestnutvale.consensus.task import ConsensusTask
 from chestnutvale.groups.members import group_head
+from chestnutvale.groups.serving import is_evacuated
 from chestnutvale.membership.attempt_counts import AttemptCounts
 from chestnutvale.membership.cache_events import CacheEventQueue
 from chestnutvale.membership.endpoint_notices import Incarnation
@@ -456,7 +457,9 @@
         now_unix_ms = self._clock.unix_ms()
         now_s = self._clock.now_s()
         view.stalled_group_ids.extend(sorted(self._stalls.stalled_groups(now_s)))
-        view.discovering = self._table.may_discover_hosts(now_s)
+        view.discovering = (
+            self._table.may_discover_hosts(now_s) and not self._is_all_evacuated()
+        )
         self._add_limits(entry_id, view, now_s)
         if view.whole:
             view.suspicions.extend(self._suspicions.all_evidence(now_unix_ms))
@@ -464,6 +467,14 @@
             view.suspicions.extend(self._suspicions.recent_evidence(now_unix_ms))
         self._transport.send(entry_id, address, "control_view", view)
 
+    def _is_all_evacuated(self) -> bool:
+        """Tell whether no group may serve, so that calls need not wait for one."""
+        evacuated = self._state.evacuations.evacuated
+        groups = self._state.groups.groups.values()
+        return bool(evacuated and groups) and all(
+            is_evacuated(group, self._table, evacuated) for group in groups
+        )
+
     def _receive_commit(self, envelope: Envelope) -> None:
         request = envelope.commit_request
         if not self._log.is_leader:
