--- a/chestnutvale/programs/entry/group_router.py
+++ b/chestnutvale/programs/entry/group_router.py
@@ -96,7 +96,7 @@
         self.send_budget.keep_listed(heads, now_s)
         if view.whole or view.groups or view.removed_group_ids:
             self._evacuated_heads = frozenset(
-                _head_of(group_view)
+                self._head_of(group_view)
                 for group_view in self._view.groups()
                 if group_view.evacuated
             )
--- a/chestnutvale/programs/entry/routed/exchange.py
+++ b/chestnutvale/programs/entry/routed/exchange.py
@@ -129,7 +129,7 @@
         if connection is None:
             return
         if self._can_reuse(connection):
-            self._pool.release(connection, self._find_reusable_until_s())
+            self._pool.release(connection, self._find_reusable_until_s(connection))
             return
         connection.close()
 
@@ -362,7 +362,10 @@
         pause_s = self._protocol.read_notice(self.status, self.headers).pause_s
         return None if pause_s is None else min(pause_s, MAX_RETRY_AFTER_S)
 
-    def _find_reusable_until_s(self) -> float:
+    def _find_reusable_until_s(self, connection: PooledConnection) -> float:
+        if connection.requests and not self._is_sent:
+            # The idle time runs since the last answer, and not since this exchange.
+            return connection.reusable_until_s
         idle_s = DEFAULT_IDLE_TIMEOUT_S
         for name, value in self.headers:
             if name.lower() == "keep-alive":
--- a/tests/programs/entry/routed/test_connections.py
+++ b/tests/programs/entry/routed/test_connections.py
@@ -48,13 +48,13 @@
     return connection
 
 
-def test_an_endpoint_that_is_called_every_20_seconds_keeps_its_connection(
+def test_an_endpoint_that_is_called_within_the_idle_time_keeps_its_connection(
     pool, clock, endpoints
 ):
-    """One of 126 entries calls an endpoint about that often."""
+    """A connection for each call would cost the endpoint a handshake each time."""
     for _ in range(3):
         use(pool, clock, endpoints[0])
-        clock.time_s += 20.0
+        clock.time_s += 0.8 * DEFAULT_IDLE_TIMEOUT_S
         pool.close_expired()
     assert (pool.opened_connections, pool.reused_requests) == (1, 2)
 
@@ -85,6 +85,18 @@
     assert (pool.opened_connections, pool.reused_requests) == (1, 1)
 
 
+def test_an_unused_connection_keeps_the_end_of_its_idle_time(pool, clock, endpoints):
+    """The endpoint closes it by then, and a request on it would be lost."""
+    connection = use(pool, clock, endpoints[0], "b1")
+    connection.requests = 1
+    until_s = connection.reusable_until_s
+    clock.time_s += 5.0
+    exchange = make_exchange(pool, clock, endpoints[0], may_send=False)
+    with pytest.raises(EndpointUnavailableError), exchange:
+        exchange.connect(1.0)
+    assert (pool.reused_requests, connection.reusable_until_s) == (1, until_s)
+
+
 def test_an_aborted_connection_is_not_kept(pool, clock, endpoints):
     """The next call on it would fail."""
     with make_exchange(pool, clock, endpoints[0], may_send=True) as exchange:
--- a/tests/programs/entry/routed/test_endpoint_notices.py
+++ b/tests/programs/entry/routed/test_endpoint_notices.py
@@ -117,8 +117,8 @@
     with routed_entry(endpoint, other_endpoint) as entry:
         acquire = entry.pool.acquire
 
-        def evacuate_while_connecting(address, timeout_s):
-            connection = acquire(address, timeout_s)
+        def evacuate_while_connecting(address, timeout_s, boot_id):
+            connection = acquire(address, timeout_s, boot_id)
             entry.context.evacuated_hosts.add("app1" if path == "/once/x" else "gpu1")
             return connection
 
