Let streams of evacuated groups hold no places of other groups

Cause: the capacity of an entry fell with an evacuation at once, while its streams there still counted against it, so places elsewhere stayed empty until they had ended.

Change: where requests are counted, the limit of an entry is raised by its streams that run at evacuated groups, until each of them ends.

Services that are admitted by tokens are unchanged.

--- a/chestnutvale/admission/messages.py
+++ b/chestnutvale/admission/messages.py
@@ -111,6 +111,9 @@
         again; infinite if none pauses.
     limited : LimitedGroups
         Serving groups with a rate limit, which are not part of the other sums.
+    evacuated_running : int
+        Requests of this entry that still run at groups of evacuated data centres. They
+        hold admissions but no places of the groups that are counted here.
     """
 
     groups: int
@@ -121,6 +124,7 @@
     largest_group_tokens: int = 0
     returns_at_s: float = math.inf
     limited: LimitedGroups = NO_LIMITED_GROUPS
+    evacuated_running: int = 0
 
     @property
     def is_empty(self) -> bool:
--- a/chestnutvale/admission/service.py
+++ b/chestnutvale/admission/service.py
@@ -140,6 +140,8 @@
                 self._rounding.whole_slots(self.limit),
                 self._free_slots() + math.floor(limited_units),
             )
+            # Otherwise the places elsewhere would stay empty until these have ended.
+            self.limit += self.capacity.evacuated_running
         if not self.capacity.is_empty:
             self._usual_limit = max(1.0, self.limit)
         self.queue.weights = {name: max(part, 1e-6) for name, part in parts.items()}
--- a/chestnutvale/programs/entry/entry_context.py
+++ b/chestnutvale/programs/entry/entry_context.py
@@ -570,6 +570,10 @@
         )
         self.attempt_results[report.result] += 1
         self._router.report(report)
+        group_view = self._view.group(report.group_id)
+        if group_view is not None and group_view.evacuated:
+            # The admission of this call counts for the remaining groups from now on.
+            self._install_capacities()
         if report.result == RESULT_BROKEN:
             self._check_silence()
 
@@ -639,7 +643,7 @@
 
     def _install_capacities(self) -> None:
         now_s = self.clock.now_s()
-        capacities = self._router.capacities()
+        capacities = self._router.capacities(self.running.counts_by_group())
         for service in self.lookup.services:
             # Without a serving group, waiting calls are refused immediately.
             capacity = capacities.get(service, NO_CAPACITY)
--- a/chestnutvale/programs/entry/group_router.py
+++ b/chestnutvale/programs/entry/group_router.py
@@ -3,6 +3,8 @@
 import math
 from collections import Counter
 from collections.abc import Callable, Iterator, Mapping
+from types import MappingProxyType
+from typing import Final
 
 import xxhash
 
@@ -24,6 +26,7 @@
 from chestnutvale.schema.membership_pb2 import Load
 from chestnutvale.schema.peer_pb2 import ControlView, Envelope, GroupView
 
+NOTHING_RUNNING: Final[Mapping[str, int]] = MappingProxyType({})
 PREFIX_BLOCK_BYTES = 64
 MAX_PREFIX_BLOCKS = 64
 # Time for which a group is chosen only as a last resort after a broken attempt.
@@ -186,12 +189,20 @@
         age_s = (self._clock.unix_ms() - load.measured_at_unix_ms) / 1_000
         return min(max(age_s, 0.0), MAX_LOAD_AGE_S)
 
-    def capacities(self) -> dict[str, ServiceCapacity]:
+    def capacities(
+        self, running: Mapping[str, int] = NOTHING_RUNNING
+    ) -> dict[str, ServiceCapacity]:
         """Return the total capacity of the serving groups of each service.
 
         Groups whose head leaves or pauses are left out. Groups whose head names a limit
         are counted apart, with the shares of this entry.
 
+        Parameters
+        ----------
+        running : mapping of str to int, optional
+            Running attempts of this entry by group; only those at groups of evacuated
+            data centres are read.
+
         Returns
         -------
         dict of str to ServiceCapacity
@@ -201,10 +212,13 @@
         loads: dict[str, list[Load]] = {}
         limited: dict[str, LimitedGroups] = {}
         returns_at_s: dict[str, float] = {}
+        evacuated_running: Counter[str] = Counter()
         for group_view in self._view.groups():
+            service = group_view.group.service
+            if group_view.evacuated:
+                evacuated_running[service] += running.get(group_view.group.group_id, 0)
             if not group_view.serving:
                 continue
-            service = group_view.group.service
             usable_loads = loads.setdefault(service, [])
             head = _head_of(group_view)
             if self.notices.may_send(head, now_s):
@@ -225,6 +239,7 @@
                 items,
                 returns_at_s.get(service, math.inf),
                 limited.get(service, NO_LIMITED_GROUPS),
+                evacuated_running[service],
             )
             for service, items in loads.items()
         }
@@ -476,7 +491,10 @@
 
 
 def _sum_loads(
-    loads: list[Load], returns_at_s: float, limited: LimitedGroups
+    loads: list[Load],
+    returns_at_s: float,
+    limited: LimitedGroups,
+    evacuated_running: int,
 ) -> ServiceCapacity:
     return ServiceCapacity(
         groups=len(loads),
@@ -489,6 +507,7 @@
         ),
         returns_at_s=returns_at_s,
         limited=limited,
+        evacuated_running=evacuated_running,
     )
 
 
--- a/tests/programs/entry/test_entry_context.py
+++ b/tests/programs/entry/test_entry_context.py
@@ -10,7 +10,7 @@
 from chestnutvale.membership.endpoint_notices import EndpointNotice, Incarnation
 from chestnutvale.membership.entry_view import EntryView
 from chestnutvale.programs.entry.admission_gate import AdmissionGate
-from chestnutvale.programs.entry.context import CallRequest
+from chestnutvale.programs.entry.context import AttemptReport, CallRequest
 from chestnutvale.programs.entry.entry_context import EntryContext
 from chestnutvale.programs.entry.group_router import GroupRouter
 from chestnutvale.routing.const import (
@@ -149,6 +149,38 @@
     assert context.choose_group(make_call(3), frozenset(), "")
 
 
+def test_streams_of_an_evacuated_group_hold_no_places_elsewhere():
+    # Guards against places of the other data centres that stay empty meanwhile.
+    clock = ManualClock()
+    context, view, gate = make_context(clock)
+    message = make_view(1, serving=True)
+    del message.loads[:]
+    message.text.services["llm"].limits.max_running_requests = 20
+    message.groups.add(group=Group(group_id="g2", service="llm", epoch=2), serving=True)
+    receive_view(context, view, message, clock)
+    tickets = [gate.offer(make_call(number)) for number in range(60)]
+    admitted = [item for item in tickets if item.decision_event.ready()]
+    waiting = [item for item in tickets if item not in admitted]
+    assert len(admitted) > 40
+    assert waiting
+    attempts = [FakeAttempt() for _ in admitted]
+    for number, attempt in enumerate(attempts):
+        context.running.add(f"g{1 + number % 2}", 1 + number % 2, attempt)
+    stop = ControlView(nonce=2, source="s", term=1, view_version=2, base_version=1)
+    stop.groups.add(group=message.groups[0].group, evacuated=True, reason="evacuated")
+    receive_view(context, view, stop, clock)
+    assert not any(item.decision_event.ready() for item in waiting)
+    # A call that ends at g2 makes room there; one that ends at g1 does not.
+    for number, expected in ((0, 0), (1, 1), (2, 1), (3, 2)):
+        context.running.remove(attempts[number])
+        group_id = f"g{1 + number % 2}"
+        context.report_attempt(
+            AttemptReport(make_call(number), group_id, 1, "whole", "", None, 0)
+        )
+        admitted[number].release(0)
+        assert sum(item.decision_event.ready() for item in waiting) == expected
+
+
 def test_stalled_group_does_not_cut_streams_that_cannot_move():
     clock = ManualClock()
     context, view, _ = make_context(clock)
