Probe evacuated groups through the probe of the interface

Cause: the probe of an evacuated group bypassed the one of the interface, so an entry that is cut off could have taken its own isolation for a crash.

Change: the probe of the interface is told that the members of an evacuated group are no engines, and then only opens connections. The fake context answers is_evacuated. Two tests send arbitrary evacuation orders to both interfaces.

--- a/chestnutvale/programs/entry/group_chooser.py
+++ b/chestnutvale/programs/entry/group_chooser.py
@@ -20,7 +20,6 @@
     CallRequest,
     head_address,
 )
-from chestnutvale.programs.entry.crash_probe import is_head_down
 from chestnutvale.schema.peer_pb2 import GroupView
 
 ChoiceEvent = GroupChosen | NoGroupAvailable | CallBanned | Tick
@@ -202,14 +201,14 @@
             Identity of the attempt.
         """
         suspicions = self._context.suspicions
-        is_engine = self._request.max_tokens > 0
         group = self.view.group
-        # A connection is no request, which an evacuated data centre must not get.
+        # Members that are no engines are only asked for a connection, which is no
+        # request; an evacuated data centre must get none.
         is_evacuated = self._context.is_evacuated(
             Incarnation.of_member(group_head(group))
         )
-        has_crashed = is_head_down if is_evacuated else self._context.has_crashed
-        if has_crashed(group, is_engine=is_engine):
+        is_engine = self._request.max_tokens > 0 and not is_evacuated
+        if self._context.has_crashed(group, is_engine=is_engine):
             suspicions.group_crashed(attempt_id, self._context.clock.unix_ms())
         else:
             suspicions.attempt_ended(attempt_id)
--- a/tests/attempts/test_crash_parts.py
+++ b/tests/attempts/test_crash_parts.py
@@ -103,6 +103,7 @@
             serving_groups=lambda service, version: sorted(self._epochs),
             has_lease=lambda now_s: True,
             has_crashed=lambda group, is_engine: True,
+            is_evacuated=lambda endpoint: False,
             choose_group=self._choose_group,
             earliest_return_s=lambda service: None,
             next_send_s=lambda service: None,
--- a/tests/platform/test_control_interface.py
+++ b/tests/platform/test_control_interface.py
@@ -5,6 +5,8 @@
 from types import SimpleNamespace
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from chestnutvale.consensus.exceptions import NotLeaderError, OutcomeUnknownError
 from chestnutvale.evacuations.exceptions import (
@@ -183,6 +185,18 @@
     assert ("Retry-After" in headers) == (status == 503)
 
 
+@given(st.text(st.characters(max_codepoint=255), max_size=40))
+def test_no_path_of_an_evacuation_order_fails_the_control(name):
+    # Guards against a 500 for a path that a client or a scanner made up.
+    control = FakeControl()
+    control.operations.error = NotLeaderError("10.2.0.32")
+    status, headers, _ = control.call("POST", f"/api/evacuations/{name}/begin")
+    assert status == (307 if name else 404)
+    if name:
+        assert headers["Location"].isascii()
+        assert headers["Location"].isprintable()
+
+
 def test_heartbeat_is_announced(control):
     status, _, body = control.call(
         "POST", HEARTBEAT_PATH, json.dumps(HEARTBEAT).encode()
--- a/tests/programs/control/test_operator_api.py
+++ b/tests/programs/control/test_operator_api.py
@@ -4,6 +4,8 @@
 import json
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from chestnutvale.clock import SystemClock
 from chestnutvale.programs.control.operator_api import OperatorApi
@@ -156,3 +158,30 @@
     backend.errors = ["after:outcome_unknown"]
     assert send_request("POST", path, finish)[0] == 504
     assert not backend.cluster.evacuations.evacuated
+
+
+JSON_VALUES = st.none() | st.booleans() | st.integers() | st.text(max_size=20)
+
+
+@given(
+    st.binary(max_size=40)
+    | st.dictionaries(
+        st.sampled_from(["data_centre", "finish", "dataCentre", "x"]), JSON_VALUES
+    ).map(lambda data: json.dumps(data).encode())
+)
+def test_no_evacuation_order_fails_the_control(body):
+    # Guards against a 500, after which a client repeats an order that can't be read.
+    cluster = FakeCluster()
+    cluster.leader = "c1"
+    backend = FakeBackend(cluster, "c1")
+    api = OperatorApi(hash_token(TOKEN), backend, SystemClock())
+    statuses = []
+    environ = {
+        "REQUEST_METHOD": "POST",
+        "PATH_INFO": "/operator/v1/evacuation",
+        "HTTP_AUTHORIZATION": f"Bearer {TOKEN}",
+        "wsgi.input": io.BytesIO(body),
+    }
+    api(environ, lambda status, headers: statuses.append(int(status.split()[0])))
+    assert statuses[0] in (200, 400)
+    assert (statuses[0] == 200) or not cluster.evacuations.data_centres
