Bound the memory of calls and answers, and read past slow callers

Cause: an entry waited in the write to a caller who reads slowly and did not read the answer of the endpoint meanwhile, until that cut it off; the group also looked stalled. Nothing bounded what bodies and answers take together. Change: AnswerWriter sends what a caller accepts at once and the rest as it reads; a connection is reused or closed only after that, and a stop waits for it. MemoryBound counts bodies and unread answers of all listeners (setting max_buffered_bytes, 64 MiB). Beyond it the answer with the most unread bytes is cut and its connection reset, as is one that takes a quarter of the bound; a call whose body does not fit is refused as not run before the body is read. Metrics and state dump show it.

--- a/chestnutvale/http_server/const.py
+++ b/chestnutvale/http_server/const.py
@@ -26,6 +26,9 @@
 STOP_POLL_INTERVAL_S: Final = 0.01
 
 ENVIRON_CLOSE_CONNECTION: Final = "chestnutvale.close_connection"
+# Callable that reserves memory for a number of bytes of the request's body; returns
+# False if there is no room.
+ENVIRON_RESERVE_MEMORY: Final = "chestnutvale.reserve_memory"
 
 CONTENT_TYPE_PROBLEM: Final = "application/problem+json"
 OUTCOME_NOT_RUN: Final = "not_run"
--- a/chestnutvale/http_server/limits.py
+++ b/chestnutvale/http_server/limits.py
@@ -8,12 +8,14 @@
 from chestnutvale.http_server.body import LimitedInput
 from chestnutvale.http_server.const import (
     ENVIRON_CLOSE_CONNECTION,
+    ENVIRON_RESERVE_MEMORY,
     OUTCOME_NOT_RUN,
     REFUSED_BODY_MALFORMED,
     REFUSED_BODY_TOO_LARGE,
     REFUSED_HEADERS_TOO_LARGE,
 )
 from chestnutvale.http_server.exceptions import HttpRequestError
+from chestnutvale.http_server.memory import MemoryBound
 from chestnutvale.http_server.problem import Problem
 from chestnutvale.schema.settings_pb2 import HttpLimits
 
@@ -42,6 +44,26 @@
         )
 
 
+class _BodyMemory:
+    """The memory that is reserved for the body of one request."""
+
+    def __init__(self, bound: MemoryBound) -> None:
+        self._bound = bound
+        self._reserved_bytes = 0
+
+    def reserve(self, size_bytes: int) -> bool:
+        """Reserve memory for the body or its next part; False if there is no room."""
+        if not self._bound.reserve_body(size_bytes):
+            return False
+        self._reserved_bytes += size_bytes
+        return True
+
+    def release(self, environ: dict[str, Any]) -> None:
+        """Release the memory at the end of the request."""
+        self._bound.release_body(self._reserved_bytes)
+        self._reserved_bytes = 0
+
+
 class RequestLimitsMiddleware:
     """WSGI middleware that enforces limits on headers and bodies.
 
@@ -53,6 +75,8 @@
         Largest headers and body in bytes, and the time for a body to arrive.
     clock : Clock
         Source of time.
+    memory : MemoryBound
+        Bound on the memory of requests and answers.
 
     Attributes
     ----------
@@ -64,13 +88,16 @@
         Number of refused requests by reason.
     """
 
-    def __init__(self, app: WsgiApp, limits: HttpLimits, clock: Clock) -> None:
+    def __init__(
+        self, app: WsgiApp, limits: HttpLimits, clock: Clock, memory: MemoryBound
+    ) -> None:
         self.draining = False
         self.running_requests = 0
         self.refused: Counter[str] = Counter()
         self._app = app
         self._limits = limits
         self._clock = clock
+        self._memory = memory
 
     def __call__(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
         """Answer one request, with a problem document if it exceeds a limit."""
@@ -81,7 +108,11 @@
             return start_response(*arguments)
 
         self.running_requests += 1
-        environ["eventlet.posthooks"].append((self._count_finished_request, (), {}))
+        body = _BodyMemory(self._memory)
+        hooks = environ["eventlet.posthooks"]
+        hooks.append((self._count_finished_request, (), {}))
+        hooks.append((body.release, (), {}))
+        environ[ENVIRON_RESERVE_MEMORY] = body.reserve
         try:
             self._check_head(environ)
             environ["wsgi.input"] = self._limit_body(environ)
--- a/chestnutvale/http_server/protocol.py
+++ b/chestnutvale/http_server/protocol.py
@@ -11,6 +11,7 @@
 from eventlet.green import socket
 
 from chestnutvale.clock import Clock
+from chestnutvale.http_server.answer_writer import AnswerWriter
 from chestnutvale.http_server.body import BoundedLineReader
 from chestnutvale.http_server.const import (
     ENVIRON_CLOSE_CONNECTION,
@@ -24,8 +25,8 @@
     REFUSED_HEAD_TOO_SLOW,
     STEP_RECEIVE,
 )
-from chestnutvale.http_server.exceptions import ClientGoneError
 from chestnutvale.http_server.idle_connections import IdleConnections
+from chestnutvale.http_server.memory import MemoryBound
 from chestnutvale.http_server.problem import Problem
 from chestnutvale.http_server.timeouts import ReadTimeouts
 
@@ -68,51 +69,6 @@
         remaining -= len(data)
 
 
-class UnbufferedWriter:
-    """A writer that sends the data of each call immediately.
-
-    The server writes the head or a chunk in a single call and then flushes, so a
-    buffer would only add a copy.
-
-    Parameters
-    ----------
-    connection : GreenSocket
-        The connection to write to.
-    """
-
-    def __init__(self, connection: Any) -> None:
-        self._connection = connection
-        self.closed = False
-
-    def write(self, data: bytes) -> int:
-        """Send all of the data and return its length.
-
-        Raises
-        ------
-        ClientGoneError
-            If the client closed the connection.
-        """
-        self._send(data)
-        return len(data)
-
-    def writelines(self, parts: list[bytes]) -> None:
-        """Join the byte strings and send them in one call."""
-        self._send(parts[0] if len(parts) == 1 else b"".join(parts))
-
-    def flush(self) -> None:
-        """Do nothing, as no data is buffered."""
-
-    def close(self) -> None:
-        """Mark the writer as closed; the server closes the connection itself."""
-        self.closed = True
-
-    def _send(self, data: bytes) -> None:
-        try:
-            self._connection.sendall(data)
-        except (BrokenPipeError, ConnectionResetError) as error:
-            raise ClientGoneError(error.errno, error.strerror) from error
-
-
 class _HeadTimeoutError(BaseException):
     """Interrupts the read of a head; not an `Exception`, which the parser may catch."""
 
@@ -174,7 +130,10 @@
     idle : IdleConnections
         The connections of the server that wait for a request.
     receiving : set of LimitedProtocol
-        The connections of the server on which a head is arriving.
+        The connections of the server on which a head is arriving, or whose client has
+        not accepted the whole answer yet.
+    memory : MemoryBound
+        Counts the unread parts of answers.
     """
 
     def __init__(
@@ -186,12 +145,14 @@
         refused: Counter[str],
         idle: IdleConnections,
         receiving: "set[LimitedProtocol]",
+        memory: MemoryBound,
     ) -> None:
         self._read_timeouts = read_timeouts
         self._clock = clock
         self._refused = refused
         self._idle = idle
         self._receiving = receiving
+        self._memory = memory
         self._head_timer: Any = None
         self._linger_before_close = False
         self._has_served_request = False
@@ -204,7 +165,7 @@
         # Nagle's algorithm would hold back each token of a stream until the previous
         # one is acknowledged, and clients delay their acknowledgements.
         self.connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.wfile = UnbufferedWriter(self.connection)
+        self.wfile = AnswerWriter(self.connection, self._memory)
 
     def handle_one_request(self) -> None:
         """Wait for a request, read its head within its timeout and answer it."""
@@ -341,8 +302,26 @@
         environ[ENVIRON_CLOSE_CONNECTION] = self._close_after_answer
         return environ
 
+    def handle_one_response(self) -> None:
+        """Answer the request and wait until the client has accepted the answer."""
+        super().handle_one_response()
+        self._receiving.add(self)
+        try:
+            self.wfile.drain()
+        except OSError as error:
+            _LOGGER.debug("{} left its answer unread: {}", self.client_address, error)
+            self.close_connection = True
+        finally:
+            self._receiving.discard(self)
+
     def finish(self) -> None:
         """Close the connection, after a lingering read if one was requested."""
+        self.wfile.close()
+        if self.wfile.is_cut:
+            # The shutdown that follows would let the client take a part of an answer
+            # without a length for the whole; a closed socket resets instead.
+            self.rfile.close()
+            self.connection.close()
         if self._linger_before_close:
             linger_on_close(self.connection)
         super().finish()
--- a/chestnutvale/http_server/server.py
+++ b/chestnutvale/http_server/server.py
@@ -23,6 +23,7 @@
 )
 from chestnutvale.http_server.idle_connections import IdleConnections
 from chestnutvale.http_server.limits import RequestLimitsMiddleware, WsgiApp
+from chestnutvale.http_server.memory import MemoryBound
 from chestnutvale.http_server.protocol import LimitedProtocol
 from chestnutvale.http_server.timeouts import ConnectionTimeouts, ReadTimeouts
 from chestnutvale.schema.settings_pb2 import HttpLimits
@@ -72,6 +73,9 @@
     read_timeouts : callable, optional
         Returns the timeouts of idle connections and request heads in force; those of
         `limits` by default.
+    memory : MemoryBound, optional
+        Bound on the memory of requests and answers, shared by the servers of a process;
+        none by default.
     """
 
     def __init__(
@@ -81,6 +85,7 @@
         limits: HttpLimits,
         clock: Clock | None = None,
         read_timeouts: ReadTimeouts | None = None,
+        memory: MemoryBound | None = None,
     ) -> None:
         self.address = address
         self._limits = limits
@@ -90,7 +95,8 @@
         self._refused_heads: Counter[str] = Counter()
         self._idle = IdleConnections()
         self._receiving: set[LimitedProtocol] = set()
-        self._app = RequestLimitsMiddleware(app, limits, self._clock)
+        self._memory = memory or MemoryBound()
+        self._app = RequestLimitsMiddleware(app, limits, self._clock, self._memory)
         self._connections = ConnectionPool(limits.max_connections)
         self._socket: Any = None
         self._task: eventlet.greenthread.GreenThread | None = None
@@ -206,6 +212,7 @@
                 refused=self._refused_heads,
                 idle=self._idle,
                 receiving=self._receiving,
+                memory=self._memory,
             ),
             custom_pool=self._connections,
             minimum_chunk_size=MINIMUM_CHUNK_BYTES,
--- a/chestnutvale/observability/catalog.py
+++ b/chestnutvale/observability/catalog.py
@@ -219,3 +219,18 @@
     "Serving leases that the entry won or lost.",
     (LABEL_REASON,),
 )
+BUFFERED_BYTES: Final = Metric(
+    "chestnutvale.entry.buffered",
+    UNIT_BYTES,
+    "Memory of the bodies of running calls and of the unread parts of answers.",
+)
+CUT_ANSWERS: Final = Metric(
+    "chestnutvale.entry.answers.cut",
+    "{answer}",
+    "Answers that were broken off because their callers read too slowly.",
+)
+REFUSED_WITHOUT_MEMORY: Final = Metric(
+    "chestnutvale.entry.calls.refused.memory",
+    "{call}",
+    "Calls that were refused as not run because there was no memory for them.",
+)
--- a/chestnutvale/programs/entry/call_validation.py
+++ b/chestnutvale/programs/entry/call_validation.py
@@ -8,8 +8,10 @@
     DEFAULT_RETRY_AFTER_S,
     OUTCOME_NOT_RUN,
     OUTCOME_UNKNOWN,
+    REFUSAL_OVERLOADED,
 )
 from chestnutvale.attempts.events import Failure
+from chestnutvale.http_server.const import ENVIRON_RESERVE_MEMORY
 from chestnutvale.programs.entry.context import (
     PRIORITIES,
     PRIORITY_NORMAL,
@@ -22,6 +24,10 @@
 DEFAULT_DEADLINE_MS = 60_000
 MAX_DEADLINE_MS = 3_600_000
 DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024
+# Bytes of a body of unknown size that are reserved and read at once.
+CHUNKED_READ_BYTES = 64 * 1024
+# Retry-After of a call for whose body there is no memory; others end within that time.
+NO_MEMORY_RETRY_AFTER_S = 1.0
 
 
 class CallRefusedError(Exception):
@@ -224,7 +230,8 @@
     Raises
     ------
     CallRefusedError
-        If the body is too large or shorter than its Content-Length.
+        If the body is too large or shorter than its Content-Length, or if there is no
+        memory for it.
     """
     length_text = environ.get("CONTENT_LENGTH") or ""
     length = int(length_text) if length_text.isdecimal() else None
@@ -232,7 +239,11 @@
         raise make_refusal("too_large", f"the body is larger than {max_bytes} bytes")
     if length is None and "HTTP_TRANSFER_ENCODING" not in environ:
         return b""
-    body = environ["wsgi.input"].read(max_bytes + 1 if length is None else length)
+    if length is None:
+        body = _read_chunked(environ, max_bytes)
+    else:
+        _reserve_memory(environ, length)
+        body = environ["wsgi.input"].read(length)
     if len(body) > max_bytes:
         raise make_refusal("too_large", f"the body is larger than {max_bytes} bytes")
     if length is not None and len(body) < length:
@@ -240,6 +251,31 @@
     return body
 
 
+def _read_chunked(environ: dict[str, Any], max_bytes: int) -> bytes:
+    body = bytearray()
+    reserved_bytes = 0
+    while len(body) <= max_bytes:
+        part_bytes = min(max_bytes + 1 - len(body), CHUNKED_READ_BYTES)
+        missing_bytes = len(body) + part_bytes - reserved_bytes
+        _reserve_memory(environ, missing_bytes)
+        reserved_bytes += missing_bytes
+        part = environ["wsgi.input"].read(part_bytes)
+        if not part:
+            break
+        body += part
+    return bytes(body)
+
+
+def _reserve_memory(environ: dict[str, Any], size_bytes: int) -> None:
+    reserve = environ.get(ENVIRON_RESERVE_MEMORY)
+    if reserve is not None and not reserve(size_bytes):
+        raise make_refusal(
+            REFUSAL_OVERLOADED,
+            "the entry has no memory for the call",
+            retry_after_s=NO_MEMORY_RETRY_AFTER_S,
+        )
+
+
 def outcome_without_ledger(environ: dict[str, Any]) -> str:
     """Return the outcome to report for a call before the ledger was consulted.
 
--- a/chestnutvale/programs/entry/daemon.py
+++ b/chestnutvale/programs/entry/daemon.py
@@ -12,6 +12,7 @@
 from chestnutvale.admission.controller import AdmissionController
 from chestnutvale.attempts.retry_budget import SharedRetryBound
 from chestnutvale.clock import Clock
+from chestnutvale.http_server.memory import MemoryBound
 from chestnutvale.http_server.server import HttpServer
 from chestnutvale.membership.announcement_collector import AnnouncementCollector
 from chestnutvale.membership.cache_events import CacheEventQueue
@@ -38,6 +39,7 @@
 from chestnutvale.programs.entry.metrics import (
     register_decision_metrics,
     register_entry_metrics,
+    register_memory_metrics,
 )
 from chestnutvale.programs.entry.peers.prober import ReachabilityProber
 from chestnutvale.programs.periodic import run_periodically
@@ -162,6 +164,7 @@
             self._is_alive,
             self.dump,
         )
+        self._memory = MemoryBound(settings.max_buffered_bytes)
         listeners = self._interface.make_listeners(self._components)
         self._servers = [
             HttpServer(
@@ -170,6 +173,7 @@
                 listener.limits,
                 clock,
                 listener.read_timeouts,
+                self._memory,
             )
             for listener in listeners
         ]
@@ -181,6 +185,7 @@
         ]
         register_process_metrics(self.metrics, self.server, self.transport)
         register_entry_metrics(self.metrics, self.view, self.is_ready, clock)
+        register_memory_metrics(self.metrics, self._memory)
         register_decision_metrics(self.metrics, self.context, self.link)
 
     def __enter__(self) -> Self:
@@ -291,6 +296,9 @@
             "running_attempts": lambda: len(self.context.running),
             "running_requests": lambda: self.server.running_requests,
             "refused_requests": lambda: dict(self.server.refused),
+            "buffered_bytes": lambda: self._memory.used_bytes,
+            "cut_answers": lambda: self._memory.cut_answers,
+            "refused_without_memory": lambda: self._memory.refused_requests,
             "transport": lambda: self.transport.read_counters(),
         }
 
--- a/chestnutvale/programs/entry/metrics.py
+++ b/chestnutvale/programs/entry/metrics.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from chestnutvale.clock import Clock
+from chestnutvale.http_server.memory import MemoryBound
 from chestnutvale.membership.entry_view import EntryView
 from chestnutvale.observability import catalog
 from chestnutvale.observability.catalog import LABEL_REASON
@@ -55,6 +56,28 @@
     )
 
 
+def register_memory_metrics(metrics: Metrics, memory: MemoryBound) -> None:
+    """Register the memory of an entry's calls and answers.
+
+    Parameters
+    ----------
+    metrics : Metrics
+        Metrics of the process.
+    memory : MemoryBound
+        Counts the memory, and what was cut or refused for it.
+    """
+    metrics.register_gauge(
+        catalog.BUFFERED_BYTES, make_unlabelled_reader(lambda: memory.used_bytes)
+    )
+    metrics.register_counter(
+        catalog.CUT_ANSWERS, make_unlabelled_reader(lambda: memory.cut_answers)
+    )
+    metrics.register_counter(
+        catalog.REFUSED_WITHOUT_MEMORY,
+        make_unlabelled_reader(lambda: memory.refused_requests),
+    )
+
+
 def register_entry_metrics(
     metrics: Metrics, view: EntryView, is_ready: Callable[[], bool], clock: Clock
 ) -> None:
--- a/chestnutvale/settings/entry.py
+++ b/chestnutvale/settings/entry.py
@@ -14,6 +14,7 @@
     DEFAULT_ANNOUNCE_INTERVAL_MS,
     DEFAULT_ENTRY_SHUTDOWN_TIMEOUT_MS,
     DEFAULT_LEASE_MS,
+    DEFAULT_MAX_BUFFERED_BYTES,
     DEFAULT_REPORT_INTERVAL_MS,
     MAX_LEASE_MS,
 )
@@ -68,6 +69,7 @@
         lease_ms=DEFAULT_LEASE_MS,
         announce_interval_ms=DEFAULT_ANNOUNCE_INTERVAL_MS,
         shutdown_timeout_ms=DEFAULT_ENTRY_SHUTDOWN_TIMEOUT_MS,
+        max_buffered_bytes=DEFAULT_MAX_BUFFERED_BYTES,
     )
 
 
--- a/tests/programs/entry/test_metrics.py
+++ b/tests/programs/entry/test_metrics.py
@@ -3,8 +3,12 @@
 from collections import Counter
 from types import SimpleNamespace
 
+from chestnutvale.http_server.memory import MemoryBound
 from chestnutvale.observability.otel_metrics import OtelMetrics
-from chestnutvale.programs.entry.metrics import register_decision_metrics
+from chestnutvale.programs.entry.metrics import (
+    register_decision_metrics,
+    register_memory_metrics,
+)
 
 
 def test_decisions_are_counted_by_reason():
@@ -27,3 +31,16 @@
     assert kept in metric_lines
     assert 'chestnutvale_entry_lease_changes_total{reason="won"} 1.0' in metric_lines
     assert "chestnutvale_groups_stalled_total 3.0" in metric_lines
+
+
+def test_memory_of_calls_is_exported():
+    """Operators could not tell which bound refuses calls or breaks answers off."""
+    memory = MemoryBound(max_bytes=10)
+    with OtelMetrics("test") as metrics:
+        register_memory_metrics(metrics, memory)
+        assert memory.reserve_body(8)
+        assert not memory.reserve_body(8)
+        metric_lines = metrics.render().decode().splitlines()
+    assert "chestnutvale_entry_buffered_bytes 8.0" in metric_lines
+    assert "chestnutvale_entry_answers_cut_total 0.0" in metric_lines
+    assert "chestnutvale_entry_calls_refused_memory_total 1.0" in metric_lines
