Count running attempts only at the groups whose capacity is shared

Cause: the capacity of a service leaves out groups that pause or leave, but the running attempts of other entries there were still subtracted from it. While some of its groups paused, the others looked full, and an entry fell to a limit of one place.

Change: attempts at groups to which nothing may be sent are not counted.

Result: test_attempts_at_paused_groups_take_no_place_of_the_others failed before and passes now, with the other tests of its file.

--- a/chestnutvale/programs/entry/group_router.py
+++ b/chestnutvale/programs/entry/group_router.py
@@ -247,7 +247,10 @@
         )
 
     def unlimited_running(self, running: Mapping[str, int]) -> Counter[str]:
-        """Sum running attempts by service, without those of groups with a limit.
+        """Sum running attempts by service at the groups whose capacity is shared.
+
+        Leaves out the groups that `capacities` leaves out or counts apart: attempts at
+        groups that pause, leave or have a rate limit take no place of the others.
 
         Parameters
         ----------
@@ -259,10 +262,16 @@
         Counter of str
             Attempts by service.
         """
+        now_s = self._clock.now_s()
         totals: Counter[str] = Counter()
         for group_id, count in running.items():
             group_view = self._view.group(group_id)
-            if group_view is None or self.send_budget.is_limited(_head_of(group_view)):
+            if group_view is None:
+                continue
+            head = _head_of(group_view)
+            if self.send_budget.is_limited(head) or not self.notices.may_send(
+                head, now_s
+            ):
                 continue
             totals[group_view.group.service] += count
         return totals
--- a/tests/programs/entry/test_rate_limit_exchange.py
+++ b/tests/programs/entry/test_rate_limit_exchange.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from chestnutvale.membership.endpoint_notices import Incarnation
+from chestnutvale.membership.endpoint_notices import EndpointNotice, Incarnation
 from chestnutvale.rate_limits.statements import RateStatement
 from chestnutvale.rate_limits.wire import from_message, to_message
 from chestnutvale.schema.groups_pb2 import Group, GroupMember
@@ -92,3 +92,13 @@
         message = to_message(RateStatement(HEAD, rate_per_s, 10.0), 12.5)
         data = EndpointLimit.FromString(message.SerializeToString())
         assert from_message(data, 50.0) == RateStatement(HEAD, rate_per_s, 47.5)
+
+
+def test_attempts_at_paused_groups_take_no_place_of_the_others(limited_router, clock):  # noqa: F811
+    # Guards against counts of groups that the capacity leaves out: 9 attempts at a
+    # paused group made the other groups look full, and entries refused callers.
+    limited_router.notices.record(OTHER, EndpointNotice(pause_s=5.0), clock.now_s())
+    assert limited_router.capacities()["llm"].groups == 0
+    assert limited_router.unlimited_running({"g2": 9}) == {}
+    clock.time_s += 6.0
+    assert limited_router.unlimited_running({"g2": 9}) == {"llm": 9}
