Split the admission of a service into smaller modules

Running requests, the order of urgent and other requests, and the tokens ahead of a new request move to modules of their own; demands get a field for calls per second, which nothing sets yet. No behaviour changes.

Result: tests/admission passes.

--- a/chestnutvale/admission/fair_queue.py
+++ b/chestnutvale/admission/fair_queue.py
@@ -103,6 +103,27 @@
         """Return the queued tokens of a priority class over all workspaces."""
         return sum(self.tokens(priority, name) for name in self._queues[priority])
 
+    def tokens_ahead(self, request: AdmissionRequest) -> float:
+        """Return the queued tokens that are served before a new request.
+
+        These are all of higher classes, and of its own class as many as other
+        workspaces get by their weights until its workspace is served.
+        """
+        ahead = 0.0
+        for priority in PRIORITIES:
+            if priority == request.priority:
+                break
+            ahead += self.class_tokens(priority)
+        return ahead + self._own_class_ahead(request)
+
+    def _own_class_ahead(self, request: AdmissionRequest) -> float:
+        priority = request.priority
+        own = self.tokens(priority, request.workspace)
+        names = {*self._queues[priority], request.workspace}
+        weight = self.weights.get(request.workspace, 1.0)
+        weight_sum = sum(self.weights.get(name, 1.0) for name in names)
+        return min(own * weight_sum / weight, self.class_tokens(priority))
+
     def waiting_workspaces(self, priority: str) -> list[str]:
         """Return the workspaces with queued requests in a priority class."""
         return list(self._queues[priority])
--- a/chestnutvale/admission/messages.py
+++ b/chestnutvale/admission/messages.py
@@ -43,6 +43,11 @@
     deadline_s: float
     start_by_s: float = math.inf
 
+    def is_in_queue_of(self, other: "AdmissionRequest") -> bool:
+        """Tell whether both requests wait in the same queue."""
+        own_queue = (self.workspace, self.priority)
+        return own_queue == (other.workspace, other.priority)
+
 
 @attrs.frozen
 class ServiceLimits:
@@ -140,6 +145,9 @@
         Reserved and queued tokens, and how many of these are of urgent priority.
     refused_tokens : int
         Tokens that recently refused requests would have reserved on average.
+    calls_per_s : tuple of float
+        Calls that ask for a place by priority, the most urgent first; empty if they
+        are not measured.
     """
 
     service: str
@@ -147,6 +155,7 @@
     tokens: int
     urgent_tokens: int = 0
     refused_tokens: int = 0
+    calls_per_s: tuple[float, ...] = ()
 
 
 @attrs.frozen
--- a/chestnutvale/admission/service.py
+++ b/chestnutvale/admission/service.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from chestnutvale.admission.class_order import ClassOrder
 from chestnutvale.admission.const import (
     CODE_DEADLINE,
     CODE_EXPIRED,
@@ -15,8 +16,6 @@
     NO_CAPACITY_RETRY_S,
     NO_SHARE_RETRY_S,
     PRIORITIES,
-    PRIORITY_BATCH,
-    PRIORITY_NORMAL,
     PRIORITY_URGENT,
     SHARED_SLOTS_RATIO,
     URGENT_OVERDRAFT,
@@ -36,33 +35,12 @@
 from chestnutvale.admission.pacing import HoldTimeEstimator, RetryPacer
 from chestnutvale.admission.prediction import TokenPredictor
 from chestnutvale.admission.refused_demand import RefusedDemand
+from chestnutvale.admission.running_request import RunningRequest
 from chestnutvale.admission.sharing import DivisionPolicy, divide_between_entries
 from chestnutvale.admission.slot_rounding import SlotRounding
 from chestnutvale.membership.const import LOAD_EXPIRY_S
 
 
-@attrs.define
-class RunningRequest:
-    """An admitted request with its reservation.
-
-    Attributes
-    ----------
-    request : AdmissionRequest
-        The request.
-    reserved : int
-        Tokens reserved.
-    admitted_s : float
-        Monotonic time of the admission in seconds.
-    output_tokens : int
-        Output tokens generated so far.
-    """
-
-    request: AdmissionRequest
-    reserved: int
-    admitted_s: float
-    output_tokens: int = 0
-
-
 @attrs.define
 class ServiceAdmission:
     """Reservations and queued requests of one service at one entry.
@@ -95,7 +73,7 @@
     _class_reserved: dict[str, int] = attrs.field(
         factory=lambda: dict.fromkeys(PRIORITIES, 0)
     )
-    _credit: float = 0.0
+    _order: ClassOrder = attrs.field(factory=ClassOrder)
     _known_tokens_per_group: int = 0
     _waiting: dict[str, WaitingRequest] = attrs.field(factory=dict)
     hold_times: HoldTimeEstimator = attrs.field(factory=HoldTimeEstimator)
@@ -234,11 +212,11 @@
         """Admit waiting requests while the limit allows it."""
         effects: list[Effect] = []
         while True:
-            waiter = self._next_to_admit()
+            waiter = self._order.next_to_admit(self.queue, self._is_urgent_over())
             if waiter is None or not self._fits(waiter):
                 return effects
             self.queue.pop(waiter)
-            self._update_credit(waiter)
+            self._order.update_credit(waiter, self.queue, self.limits.urgent_share)
             request = waiter.request
             del self._waiting[request.request_id]
             self.running[request.request_id] = RunningRequest(
@@ -331,27 +309,9 @@
             return self.limit * (1 + URGENT_OVERDRAFT)
         return self.limit
 
-    def _next_to_admit(self) -> WaitingRequest | None:
-        urgent = self.queue.head(PRIORITY_URGENT)
-        other = self.queue.head(PRIORITY_NORMAL, PRIORITY_BATCH)
-        if urgent is None or other is None:
-            return urgent or other
+    def _is_urgent_over(self) -> bool:
         urgent_cap = self.limits.urgent_share * self.limit
-        is_over = self._class_reserved[PRIORITY_URGENT] >= urgent_cap
-        return other if is_over or self._credit >= other.cost else urgent
-
-    def _update_credit(self, waiter: WaitingRequest) -> None:
-        """Update the tokens owed to other requests for the urgent ones served first.
-
-        Capping the tokens held by urgent requests is not enough: if the remaining
-        capacity is smaller than one request, the others would starve. Once their
-        credit covers the cost of the next one, it is admitted first.
-        """
-        if waiter.request.priority != PRIORITY_URGENT:
-            self._credit = max(0.0, self._credit - waiter.cost)
-        elif self.queue.head(PRIORITY_NORMAL, PRIORITY_BATCH) is not None:
-            share = max(self.limits.urgent_share, 0.01)
-            self._credit += waiter.cost * (1 - share) / share
+        return self._class_reserved[PRIORITY_URGENT] >= urgent_cap
 
     def _can_finish(self, request: AdmissionRequest, cost: int, now_s: float) -> bool:
         wait_s = self._estimated_wait_s(request, cost)
@@ -371,25 +331,9 @@
 
     def _estimated_wait_s(self, request: AdmissionRequest, cost: int) -> float:
         free = self._limit_of(request.priority) - self.reserved
-        missing = self._tokens_ahead(request) + cost - free
+        missing = self.queue.tokens_ahead(request) + cost - free
         return max(0.0, missing) / self._drain_rate()
 
-    def _tokens_ahead(self, request: AdmissionRequest) -> float:
-        ahead = 0.0
-        for priority in PRIORITIES:
-            if priority == request.priority:
-                return ahead + self._own_class_ahead(request)
-            ahead += self.queue.class_tokens(priority)
-        return ahead
-
-    def _own_class_ahead(self, request: AdmissionRequest) -> float:
-        priority = request.priority
-        own = self.queue.tokens(priority, request.workspace)
-        names = set(self.queue.waiting_workspaces(priority)) | {request.workspace}
-        weight = self.queue.weights.get(request.workspace, 1.0)
-        weight_sum = sum(self.queue.weights.get(name, 1.0) for name in names)
-        return min(own * weight_sum / weight, self.queue.class_tokens(priority))
-
     def _drain_rate(self) -> float:
         return self.hold_times.drain_rate(self.limit)
 
@@ -405,13 +349,10 @@
             victim = self.queue.newest_of_longest_queue(request.priority)
         else:
             return []
-        if victim is None or self._is_same_queue(victim.request, request):
+        if victim is None or victim.request.is_in_queue_of(request):
             return [self._refuse(request, CODE_QUEUE_FULL, cost, now_s)]
         return [self._refuse_waiting(victim, CODE_QUEUE_FULL, now_s)]
 
-    def _is_same_queue(self, one: AdmissionRequest, other: AdmissionRequest) -> bool:
-        return (one.workspace, one.priority) == (other.workspace, other.priority)
-
     def _refuse_waiting(
         self, waiter: WaitingRequest, code: str, now_s: float
     ) -> Refuse:
@@ -423,7 +364,7 @@
         self, request: AdmissionRequest, code: str, cost: int, now_s: float
     ) -> Refuse:
         self.refused.record_refusal(request.workspace, cost, now_s)
-        backlog = self._tokens_ahead(request) + cost - (self.limit - self.reserved)
+        backlog = self.queue.tokens_ahead(request) + cost - (self.limit - self.reserved)
         retry_s = self.pacer.retry_after_s(
             now_s, max(0.0, backlog), cost, self._drain_rate(), request.deadline_s
         )
