Lend the places of a service to whichever entry has callers

Cause: with a limit of one place an entry refused callers as deadline_unreachable while places were free. Entries see counts of the last peak, up to 0.3 s old: each had filled all free places by itself, then all saw full groups at once. An entry then estimates the wait from its own single place, a whole call, and queues nobody.

Change: with the setting lend_places no entry owns a place. Entries exchange the calls per second that ask for places and get them along with the counts. All compute the rate at which the fleet may admit, divide it between workspaces and priorities, and admit each call with the chance of its class. Without counts for 1.2 s, or while one entry does not lend, the division between entries applies as before. The platform's adapter sets it if the deployment's contracts contain pressure.

--- a/benchmarks/admission_fleet.py
+++ b/benchmarks/admission_fleet.py
@@ -25,7 +25,17 @@
     "126x6-skewed": Fleet(126, 6, 15, skew=0.8),
 }
 LATE_VALUE = 0.25
-POLICIES: dict[str, MakeController] = {"present": AdmissionController}
+
+
+def make_lending_controller(rng: random.Random) -> AdmissionController:
+    """Return a controller that lends places."""
+    return AdmissionController(rng, lends_places=True)
+
+
+POLICIES: dict[str, MakeController] = {
+    "present": AdmissionController,
+    "lent": make_lending_controller,
+}
 CULPRIT = "w3"
 
 
@@ -49,6 +59,7 @@
     return (
         f"{fleet_name:17} {policy:10} {load:4.2f} {seed:2}  {ranks}  busy {busy:.2f} "
         f"over {counters.most_over:3} refusals {sum(counters.refusals.values()):5} "
+        f"late {counters.late_refusals:4} "
         f"free {counters.refused_while_free:5} at one {counters.refused_at_one:5} "
         f"free {counters.refused_at_one_while_free:5} returns {returns} "
         f"culprit {culprit:.3f} others {others:.3f}"
--- a/benchmarks/models/fleet.py
+++ b/benchmarks/models/fleet.py
@@ -20,6 +20,7 @@
     ServiceCapacity,
     ServiceLimits,
 )
+from chestnutvale.admission.service_flow import FlowTable, ServiceFlow
 from chestnutvale.membership.attempt_counts import (
     AttemptCounts,
     load_exchange_interval_s,
@@ -36,6 +37,7 @@
 TIMEOUT_S = 6.0
 MIN_QUEUE_TIMEOUT_S = 0.1
 EARLY_FACTOR = 0.5
+LATE_REFUSAL_S = 0.05
 
 MakeController = Callable[[random.Random], AdmissionController]
 
@@ -83,8 +85,12 @@
         Those of them while a place was free.
     most_over : int
         Most calls at the groups above their places.
+    late_refusals : int
+        Refusals of calls that had waited for more than `LATE_REFUSAL_S`.
     busy_s : float
         Time for which places were busy, summed over places.
+    retried : Counter
+        Second tries by whether the caller came back early, and result.
     """
 
     refusals: Counter[str] = attrs.field(factory=Counter)
@@ -92,6 +98,7 @@
     refused_at_one: int = 0
     refused_at_one_while_free: int = 0
     most_over: int = 0
+    late_refusals: int = 0
     busy_s: float = 0.0
     retried: Counter[tuple[bool, str]] = attrs.field(factory=Counter)
 
@@ -135,6 +142,7 @@
         self._pending: dict[str, FleetCall] = {}
         self._ticking: set[int] = set()
         self._counts = AttemptCounts()
+        self._flows = FlowTable()
         self._demands = DemandTable()
         self._interval_s = load_exchange_interval_s(fleet.entries)
         self._entry_weights = self._make_entry_weights()
@@ -196,26 +204,34 @@
         if not self._has_leader():
             return
         counts = {GROUP: self._own_running[entry]}
-        self._at(
-            self._now_s + LATENCY_S,
-            lambda: self._counts.record_counts(str(entry), counts, self._now_s),
-        )
+        flows = self._controllers[entry].flows(self._now_s)
+
+        def receive() -> None:
+            self._counts.record_counts(str(entry), counts, self._now_s)
+            self._flows.record_flows(str(entry), flows, self._now_s)
+
+        self._at(self._now_s + LATENCY_S, receive)
 
     def _send_totals(self) -> None:
         if not self._has_leader():
             return
         totals = self._counts.totals(self._now_s)
+        flows = self._flows.totals(self._now_s)
         for entry in range(self.fleet.entries):
             counts = self._counts.counts_excluding(str(entry), totals)
             running = counts.get(GROUP, 0)
             self._at(
                 self._now_s + LATENCY_S,
-                lambda e=entry, r=running: self._receive_totals(e, r),
+                lambda e=entry, r=running: self._receive_totals(e, r, flows),
             )
 
-    def _receive_totals(self, entry: int, running: int) -> None:
+    def _receive_totals(
+        self, entry: int, running: int, flows: list[ServiceFlow]
+    ) -> None:
         controller = self._controllers[entry]
         controller.set_peer_running(SERVICE, running, self._now_s)
+        for flow in flows:
+            controller.set_fleet_flow(flow, self._now_s)
         self._apply(entry, controller.tick(self._now_s))
 
     def _report(self, entry: int) -> None:
@@ -225,7 +241,7 @@
         self._apply(entry, controller.tick(self._now_s))
         if not self._has_leader():
             return
-        own = controller.demand()
+        own = controller.demand(self._now_s)
 
         def answer() -> None:
             self._demands.record_report(str(entry), own, self._now_s)
@@ -241,6 +257,7 @@
 
     def _offer(self, call: FleetCall) -> None:
         call.tries += 1
+        call.offered_s = self._now_s
         entry = self._rng.choices(range(self.fleet.entries), self._entry_weights)[0]
         request_id = f"{call.call_id}.{call.tries}"
         target_s = RANK_TARGETS_S[call.rank]
@@ -304,7 +321,7 @@
 
     def _refuse(self, entry: int, effect: Refuse) -> None:
         call = self._pending.pop(effect.request_id)
-        self._count_refusal(entry, effect)
+        self._count_refusal(entry, call, effect)
         if call.tries > 1:
             self.counters.retried[call.is_early, "refused"] += 1
             call.outcome = "refused"
@@ -312,9 +329,11 @@
         wait_s = effect.retry_after_s * (EARLY_FACTOR if call.is_early else 1.0)
         self._at(self._now_s + wait_s, lambda: self._offer(call))
 
-    def _count_refusal(self, entry: int, effect: Refuse) -> None:
+    def _count_refusal(self, entry: int, call: FleetCall, effect: Refuse) -> None:
         counters = self.counters
         counters.refusals[effect.code] += 1
+        waited_s = self._now_s - call.offered_s
+        counters.late_refusals += waited_s > LATE_REFUSAL_S
         is_free = self._in_groups < self.fleet.capacity
         counters.refused_while_free += is_free
         state = self._controllers[entry].describe(SERVICE)
--- a/benchmarks/models/fleet_load.py
+++ b/benchmarks/models/fleet_load.py
@@ -40,6 +40,8 @@
         Whether the caller comes back before the time that it was told.
     tries : int
         Tries so far.
+    offered_s : float
+        Time of the last try.
     outcome : str
         ``in_time``, ``late``, ``refused`` or ``given_up``; empty while undecided.
     """
@@ -51,6 +53,7 @@
     hold_s: float
     is_early: bool = False
     tries: int = 0
+    offered_s: float = 0.0
     outcome: str = ""
 
     @property
--- a/chestnutvale/admission/const.py
+++ b/chestnutvale/admission/const.py
@@ -41,6 +41,31 @@
 # in a small service; short enough that a burst expires before a new group starts to
 # load weights for it.
 REFUSED_WINDOW_S: Final = 2.0
+# Window over which the calls that ask for a place are counted. A second follows a burst
+# quickly, and holds some hundred calls of a fleet.
+ARRIVAL_WINDOW_S: Final = 1.0
+# Fraction of a service's slots, with its overcommit, that lending aims to fill.
+LENT_SLOTS_RATIO: Final = 0.95
+# Time over which lending fills free places or frees overfilled ones, as a multiple of
+# the interval of counts, and at least.
+LENDING_HORIZON_FACTOR: Final = 2.0
+LENDING_MIN_HORIZON_S: Final = 0.2
+# Time for which lending continues by the last counts, and the multiple of the interval
+# of counts after which new ones are overdue.
+LENDING_VALIDITY_S: Final = 1.2
+NEWS_OVERDUE_FACTOR: Final = 1.5
+# Chance from which a call that got no place waits for the next counts, if they arrive
+# by this margin before the call must start.
+MIN_WAIT_CHANCE: Final = 0.7
+LENDING_MARGIN_S: Final = 0.005
+# Window over which entries count the calls of a service, and the time for which the
+# leader counts them as current.
+FLOW_WINDOW_S: Final = 0.5
+FLOW_EXPIRY_S: Final = 1.2
+# Time constant of the estimated time for which calls of all entries take a place.
+FLEET_HOLD_SMOOTHING_S: Final = 5.0
+# Admissions per second below which that time is not estimated.
+MIN_MEASURED_FLOW_PER_S: Final = 2.0
 MAX_REPORTED_DEMANDS: Final = 64
 
 DEFAULT_HOLD_S: Final = 5.0
--- a/chestnutvale/admission/controller.py
+++ b/chestnutvale/admission/controller.py
@@ -12,6 +12,7 @@
     TICK_INTERVAL_S,
 )
 from chestnutvale.admission.demand import largest_demands
+from chestnutvale.admission.lent_places import LentPlaces
 from chestnutvale.admission.messages import (
     AdmissionRequest,
     Demand,
@@ -22,6 +23,7 @@
 )
 from chestnutvale.admission.pacing import RetryPacer
 from chestnutvale.admission.service import ServiceAdmission
+from chestnutvale.admission.service_flow import ServiceFlow
 
 
 @attrs.define
@@ -37,10 +39,14 @@
         Source of jitter; seeded, so that decisions can be reproduced.
     make_pacer : callable
         Factory that creates the retry pacer of a service from `rng`.
+    lends_places : bool
+        Whether the places of services without KV cache memory are lent to whichever
+        entry has callers, rather than divided between the entries.
     """
 
     rng: random.Random
     make_pacer: Callable[[random.Random], RetryPacer] = RetryPacer
+    lends_places: bool = False
     _weights: dict[str, float] = attrs.field(factory=dict)
     _services: dict[str, ServiceAdmission] = attrs.field(factory=dict)
     _service_of: dict[str, str] = attrs.field(factory=dict)
@@ -68,6 +74,8 @@
             if service is None:
                 service = ServiceAdmission(service_limits, self.make_pacer(self.rng))
                 service.entry_count = self._entry_count
+                if self.lends_places:
+                    service.lent = LentPlaces(self.rng)
                 self._services[name] = service
             service.limits = service_limits
             service.weights = self._weights
@@ -115,6 +123,27 @@
             admission.own_demand = own_by_service.get(name, {})
             admission.total_demand = total_by_service.get(name, {})
             admission.update_shares()
+            if admission.lent is not None:
+                totals = admission.total_demand.items()
+                rates = {name: d.calls_per_s for name, d in totals if d.calls_per_s}
+                admission.lent.lending.set_fleet_rates(rates)
+
+    def set_fleet_flow(self, flow: ServiceFlow, now_s: float) -> None:
+        """Update the calls per second of all entries for a service.
+
+        Must follow `set_peer_running` with the counts that were sent with it.
+        """
+        admission = self._services.get(flow.service)
+        if admission is not None:
+            admission.set_fleet_flow(flow, now_s)
+
+    def flows(self, now_s: float) -> list[ServiceFlow]:
+        """Return this entry's calls per second; empty if places are not lent."""
+        return [
+            admission.lent.flow(name, now_s)
+            for name, admission in self._services.items()
+            if admission.lent is not None
+        ]
 
     def offer(self, request: AdmissionRequest, now_s: float) -> list[Effect]:
         """Admit, queue or refuse a new request.
@@ -185,12 +214,15 @@
             return None
         return self._ticked_s + TICK_INTERVAL_S
 
-    def demand(self) -> list[Demand]:
-        """Return the largest demands per service and workspace, for a report."""
+    def demand(self, now_s: float = 0.0) -> list[Demand]:
+        """Return the largest demands per service and workspace, for a report.
+
+        `now_s` is the monotonic time in seconds; it matters only if places are lent.
+        """
         return largest_demands(
             demand
             for name, service in self._services.items()
-            for demand in service.demand(name)
+            for demand in service.demand(name, now_s)
         )
 
     def describe(self, service: str) -> dict[str, float]:
--- a/chestnutvale/admission/demand.py
+++ b/chestnutvale/admission/demand.py
@@ -1,5 +1,6 @@
 """Sums the demand reported by all entries in the control plane."""
 
+import itertools
 from collections.abc import Iterable
 
 import attrs
@@ -78,4 +79,9 @@
         one.tokens + other.tokens,
         one.urgent_tokens + other.urgent_tokens,
         one.refused_tokens + other.refused_tokens,
+        _add_rates(one.calls_per_s, other.calls_per_s),
     )
+
+
+def _add_rates(one: tuple[float, ...], other: tuple[float, ...]) -> tuple[float, ...]:
+    return tuple(a + b for a, b in itertools.zip_longest(one, other, fillvalue=0.0))
--- /dev/null
+++ b/chestnutvale/admission/lent_places.py
@@ -0,0 +1,84 @@
+"""Places that one entry borrows for a service, and what it reports of its calls."""
+
+import random
+
+import attrs
+
+from chestnutvale.admission.arrival_rates import ArrivalRates, RankRates
+from chestnutvale.admission.const import LENDING_MARGIN_S, MIN_WAIT_CHANCE
+from chestnutvale.admission.messages import AdmissionRequest
+from chestnutvale.admission.place_lending import PlaceLending
+from chestnutvale.admission.service_flow import RateWindow, ServiceFlow
+
+
+@attrs.define
+class LentPlaces:
+    """Draws for the calls of one service at one entry, and counts them for reports.
+
+    Designed for entries with up to some dozen calls per second; see `PlaceLending`.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Source of the draws; different for each entry.
+
+    Attributes
+    ----------
+    lending : PlaceLending
+        Chances of the calls.
+    """
+
+    rng: random.Random
+    lending: PlaceLending = attrs.field(
+        default=attrs.Factory(lambda self: PlaceLending(self.rng), takes_self=True)
+    )
+    _arrivals: ArrivalRates = attrs.field(factory=ArrivalRates)
+    _offered: RateWindow = attrs.field(factory=RateWindow)
+    _admitted: RateWindow = attrs.field(factory=RateWindow)
+    _drawn_epoch: int = 0
+
+    def is_active(self, now_s: float) -> bool:
+        """Tell whether places are lent now, by counts that are recent enough."""
+        if not self.lending.is_valid(now_s):
+            return False
+        self.lending.refresh(now_s)
+        return True
+
+    def draw(self, request: AdmissionRequest) -> bool:
+        """Decide whether a call may take a place now."""
+        return self.lending.draw(request.workspace, request.priority)
+
+    def is_worth_waiting(self, request: AdmissionRequest, now_s: float) -> bool:
+        """Tell whether a call that got no place should wait for the next counts.
+
+        A call that would probably be refused later is refused at once, so that its
+        caller has its time for another try.
+        """
+        chance = self.lending.chance(request.workspace, request.priority)
+        counts_s = self.lending.next_counts_s(now_s) + LENDING_MARGIN_S
+        last_s = min(request.start_by_s, request.deadline_s)
+        return chance >= MIN_WAIT_CHANCE and counts_s <= last_s
+
+    def start_draws(self) -> bool:
+        """Tell whether waiting calls have not been drawn in this epoch, and start."""
+        is_new = self._drawn_epoch != self.lending.epoch
+        self._drawn_epoch = self.lending.epoch
+        return is_new
+
+    def record_offer(self, request: AdmissionRequest, now_s: float) -> None:
+        """Count a call that asks for a place, also each time it is drawn again."""
+        self._arrivals.record_arrival(request.workspace, request.priority, now_s)
+        self._offered.record(now_s)
+
+    def record_admission(self, now_s: float) -> None:
+        """Count a call that was admitted."""
+        self._admitted.record(now_s)
+
+    def flow(self, service: str, now_s: float) -> ServiceFlow:
+        """Return the calls per second of this entry."""
+        offered, admitted = self._offered.per_s(now_s), self._admitted.per_s(now_s)
+        return ServiceFlow(service, offered, admitted)
+
+    def rates(self, now_s: float) -> dict[str, RankRates]:
+        """Return the calls per second by workspace and priority."""
+        return self._arrivals.rates(now_s)
--- a/chestnutvale/admission/service.py
+++ b/chestnutvale/admission/service.py
@@ -13,6 +13,7 @@
     CODE_NO_CAPACITY,
     CODE_QUEUE_FULL,
     CODE_TOO_LARGE,
+    LENT_SLOTS_RATIO,
     NO_CAPACITY_RETRY_S,
     NO_SHARE_RETRY_S,
     PRIORITIES,
@@ -22,6 +23,7 @@
 )
 from chestnutvale.admission.fair_queue import FairQueue, WaitingRequest
 from chestnutvale.admission.kv_overcommit import KvOvercommit
+from chestnutvale.admission.lent_places import LentPlaces
 from chestnutvale.admission.messages import (
     AdmissionRequest,
     Admit,
@@ -36,6 +38,7 @@
 from chestnutvale.admission.prediction import TokenPredictor
 from chestnutvale.admission.refused_demand import RefusedDemand
 from chestnutvale.admission.running_request import RunningRequest
+from chestnutvale.admission.service_flow import ServiceFlow
 from chestnutvale.admission.sharing import DivisionPolicy, divide_between_entries
 from chestnutvale.admission.slot_rounding import SlotRounding
 from chestnutvale.membership.const import LOAD_EXPIRY_S
@@ -84,6 +87,7 @@
         )
     )
     kv_overcommit: KvOvercommit = attrs.field(factory=KvOvercommit)
+    lent: LentPlaces | None = None
 
     def set_capacity(self, capacity: ServiceCapacity, now_s: float) -> None:
         """Update capacity and usage from a load report of the serving groups."""
@@ -101,6 +105,20 @@
         self._peer_running_until_s = now_s + LOAD_EXPIRY_S
         self.update_shares()
 
+    def set_fleet_flow(self, flow: ServiceFlow, now_s: float) -> None:
+        """Update the rates of calls of all entries, after `set_peer_running`."""
+        if self.lent is None or self._peer_running is None:
+            return
+        self.lent.lending.update(
+            LENT_SLOTS_RATIO * self._capacity_units(),
+            self._peer_running + len(self.running),
+            flow,
+            self.entry_count,
+            self.weights,
+            self.limits.urgent_share,
+            now_s,
+        )
+
     def update_shares(self) -> None:
         """Recompute this entry's limit and the weights of its queue."""
         parts = divide_between_entries(
@@ -132,6 +150,10 @@
             return [Refuse(request.request_id, CODE_TOO_LARGE, 0.0)]
         if request.deadline_s <= now_s:
             return [self._refuse(request, CODE_EXPIRED, cost, now_s)]
+        if self.lent is not None:
+            self.lent.record_offer(request, now_s)
+            if self._lends(now_s):
+                return self._offer_lent(self.lent, WaitingRequest(request, cost), now_s)
         if not self._can_finish(request, cost, now_s):
             return [self._refuse(request, CODE_DEADLINE, cost, now_s)]
         effects = self._evict_if_full(request, cost, now_s)
@@ -210,25 +232,66 @@
 
     def admit_waiting(self, now_s: float) -> list[Effect]:
         """Admit waiting requests while the limit allows it."""
+        if self.lent is not None and self._lends(now_s):
+            return self._draw_waiting(self.lent, now_s)
         effects: list[Effect] = []
         while True:
             waiter = self._order.next_to_admit(self.queue, self._is_urgent_over())
             if waiter is None or not self._fits(waiter):
                 return effects
-            self.queue.pop(waiter)
-            self._order.update_credit(waiter, self.queue, self.limits.urgent_share)
-            request = waiter.request
-            del self._waiting[request.request_id]
-            self.running[request.request_id] = RunningRequest(
-                request, waiter.cost, now_s
-            )
-            self._change_reserved(request.priority, waiter.cost)
-            effects.append(Admit(request.request_id, waiter.cost))
+            effects.append(self._admit(waiter, now_s))
+
+    def _admit(self, waiter: WaitingRequest, now_s: float) -> Admit:
+        self.queue.pop(waiter)
+        self._order.update_credit(waiter, self.queue, self.limits.urgent_share)
+        request = waiter.request
+        del self._waiting[request.request_id]
+        self.running[request.request_id] = RunningRequest(request, waiter.cost, now_s)
+        self._change_reserved(request.priority, waiter.cost)
+        if self.lent is not None:
+            self.lent.record_admission(now_s)
+        return Admit(request.request_id, waiter.cost)
+
+    def _lends(self, now_s: float) -> bool:
+        # Shares in rate limits belong to single entries and can't be lent.
+        if self.lent is None or self.capacity.limited.count:
+            return False
+        return self._is_slot_limited() and self.lent.is_active(now_s)
+
+    def _offer_lent(
+        self, lent: LentPlaces, waiter: WaitingRequest, now_s: float
+    ) -> list[Effect]:
+        request = waiter.request
+        is_drawn = lent.draw(request)
+        if not (is_drawn or lent.is_worth_waiting(request, now_s)):
+            return [self._refuse(request, CODE_DEADLINE, waiter.cost, now_s)]
+        effects = [] if is_drawn else self._evict_if_full(request, waiter.cost, now_s)
+        if effects and effects[-1].request_id == request.request_id:
+            return effects
+        self._waiting[request.request_id] = waiter
+        self.queue.push(waiter)
+        effects.append(
+            self._admit(waiter, now_s) if is_drawn else Queue(request.request_id)
+        )
+        return effects
+
+    def _draw_waiting(self, lent: LentPlaces, now_s: float) -> list[Effect]:
+        effects: list[Effect] = []
+        if not lent.start_draws():
+            return effects
+        for waiter in list(self.queue):
+            lent.record_offer(waiter.request, now_s)
+            if lent.draw(waiter.request):
+                effects.append(self._admit(waiter, now_s))
+            elif not lent.is_worth_waiting(waiter.request, now_s):
+                effects.append(self._refuse_waiting(waiter, CODE_DEADLINE, now_s))
+        return effects
 
-    def demand(self, name: str) -> list[Demand]:
+    def demand(self, name: str, now_s: float) -> list[Demand]:
         """Return reserved, queued and refused tokens per workspace.
 
-        `name` is the service name to put into the demands.
+        `name` is the service name to put into the demands, and `now_s` the monotonic
+        time in seconds.
         """
         tokens: Counter[str] = Counter()
         urgent: Counter[str] = Counter()
@@ -238,10 +301,13 @@
             tokens[request.workspace] += cost
             if request.priority == PRIORITY_URGENT:
                 urgent[request.workspace] += cost
+        rates = self.lent.rates(now_s) if self.lent is not None else {}
         refused = self.refused.mean_held_tokens(self.hold_times.hold_s)
         return [
-            Demand(name, key, tokens[key], urgent[key], refused[key])
-            for key in {**tokens, **refused}
+            Demand(
+                name, key, tokens[key], urgent[key], refused[key], rates.get(key, ())
+            )
+            for key in {**tokens, **refused, **rates}
         ]
 
     def _free_slots(self) -> float:
--- a/chestnutvale/programs/control/entry_report_handler.py
+++ b/chestnutvale/programs/control/entry_report_handler.py
@@ -74,6 +74,8 @@
         Address at which it takes calls of other entries; empty if it takes none.
     is_isolated : bool
         Whether it reaches no endpoint.
+    lends_places : bool
+        Whether it lends places.
     """
 
     incarnation: str
@@ -84,6 +86,7 @@
     address: str = ""
     relay_address: str = ""
     is_isolated: bool = False
+    lends_places: bool = False
 
 
 class EntryReportHandler:
@@ -195,6 +198,13 @@
             if entry_id in self.entries
         }
 
+    def all_lend_places(self, now_s: float) -> bool:
+        """Tell whether all live entries lend places, at a monotonic time in seconds."""
+        return all(
+            self.entries[entry_id].lends_places
+            for entry_id in self.live_addresses(now_s)
+        )
+
     def publish_changes(self) -> None:
         """Push views to the entries whose view is outdated."""
         now_s = self._clock.now_s()
@@ -250,6 +260,7 @@
             address=report.reply_address,
             relay_address=report.relay_address,
             is_isolated=report.is_isolated,
+            lends_places=report.lends_places,
         )
         has_new_suspicions = self._suspicions.merge(
             list(report.suspicions), self._clock.unix_ms()
--- a/chestnutvale/programs/control/load_exchange.py
+++ b/chestnutvale/programs/control/load_exchange.py
@@ -3,6 +3,8 @@
 import math
 from collections.abc import Mapping
 
+from chestnutvale.admission.service_flow import FlowTable, ServiceFlow
+from chestnutvale.admission.wire import from_flow_messages, to_flow_messages
 from chestnutvale.clock import Clock
 from chestnutvale.consensus.task import ConsensusTask
 from chestnutvale.membership.attempt_counts import load_exchange_interval_s
@@ -50,7 +52,8 @@
         self._state = state
         self._entry_handler = entry_handler
         self._clock = clock
-        self._last_totals: Mapping[str, int] = {}
+        self._flows = FlowTable()
+        self._last_totals: tuple[Mapping[str, int], list[ServiceFlow]] = ({}, [])
         self._last_sent_at_s = -math.inf
         transport.register_handler("running_counts", self._receive)
 
@@ -74,9 +77,12 @@
         if elapsed_s < load_exchange_interval_s(len(entries)):
             return
         totals = self._entry_handler.attempt_counts.totals(now_s)
-        if totals == self._last_totals and elapsed_s < LOAD_RESEND_INTERVAL_S:
+        flows = self._total_flows(now_s)
+        is_same = (totals, flows) == self._last_totals
+        if is_same and elapsed_s < LOAD_RESEND_INTERVAL_S:
             return
-        self._last_totals, self._last_sent_at_s = totals, now_s
+        self._last_totals, self._last_sent_at_s = (totals, flows), now_s
+        flow_messages = to_flow_messages(flows)
         groups = self._state.groups.groups
         epochs = {name: groups[name].epoch for name in totals if name in groups}
         for entry_id, address in entries.items():
@@ -89,9 +95,16 @@
             message = RunningCounts(
                 epochs=[epochs[name] for name in current_counts],
                 counts=current_counts.values(),
+                flows=flow_messages,
             )
             self._transport.send(entry_id, address, "running_counts", message)
 
+    def _total_flows(self, now_s: float) -> list[ServiceFlow]:
+        # The sums are wrong if an entry reports no flows.
+        if not self._entry_handler.all_lend_places(now_s):
+            return []
+        return self._flows.totals(now_s)
+
     def _receive(self, envelope: Envelope) -> None:
         message = envelope.running_counts
         names = {
@@ -107,3 +120,6 @@
         self._entry_handler.attempt_counts.record_counts(
             envelope.sender_id, counts, now_s
         )
+        self._flows.record_flows(
+            envelope.sender_id, from_flow_messages(message.flows), now_s
+        )
--- a/chestnutvale/programs/entry/control_link.py
+++ b/chestnutvale/programs/entry/control_link.py
@@ -231,7 +231,7 @@
             relay_address=self._settings.relay_address,
             is_isolated=self.is_isolated(),
         )
-        self._demand.add_demand(report)
+        self._demand.add_demand(report, now_s)
         self._view.record_report_sent(nonce, now_s)
         if self._running is not None:
             report.running.extend(self._make_group_loads(now_s))
--- a/chestnutvale/programs/entry/daemon.py
+++ b/chestnutvale/programs/entry/daemon.py
@@ -93,7 +93,8 @@
         self.view = EntryView(settings.lease_ms / 1_000)
         self.collector = AnnouncementCollector()
         self._cache_events = CacheEventQueue()
-        self._gate = AdmissionGate(AdmissionController(rng), clock)
+        controller = AdmissionController(rng, lends_places=settings.lend_places)
+        self._gate = AdmissionGate(controller, clock)
         router = GroupRouter(
             self.view,
             Selector(rng, settings.data_centre),
--- a/chestnutvale/programs/entry/demand_exchange.py
+++ b/chestnutvale/programs/entry/demand_exchange.py
@@ -24,15 +24,18 @@
         self._controller = controller
         self._reported_demands: OrderedDict[int, list[Demand]] = OrderedDict()
 
-    def add_demand(self, report: EntryReport) -> None:
+    def add_demand(self, report: EntryReport, now_s: float = 0.0) -> None:
         """Add the demand of this entry to a report.
 
         Parameters
         ----------
         report : EntryReport
             The report; its nonce must be set already.
+        now_s : float
+            Monotonic time in seconds.
         """
-        demands = self._controller.demand()
+        demands = self._controller.demand(now_s)
+        report.lends_places = self._controller.lends_places
         self._reported_demands[report.nonce] = demands
         if len(self._reported_demands) > MAX_OUTSTANDING_REPORTS:
             self._reported_demands.popitem(last=False)
--- a/chestnutvale/programs/entry/entry_context.py
+++ b/chestnutvale/programs/entry/entry_context.py
@@ -3,13 +3,14 @@
 import math
 import random
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
 import eventlet
 import logbook
 
 from chestnutvale.admission.messages import ServiceCapacity, ServiceLimits
+from chestnutvale.admission.service_flow import ServiceFlow
 from chestnutvale.attempts.retry_budget import AttemptBudgets
 from chestnutvale.attempts.suspicion import SuspicionTracker
 from chestnutvale.clock import Clock
@@ -158,8 +159,15 @@
             self.running.report_stall(group_id)
         self._install_capacities()
 
+    def flows(self, now_s: float) -> list[ServiceFlow]:
+        """Return this entry's calls per second by service, if it lends places."""
+        return self._gate.controller.flows(now_s)
+
     def update_peer_running(
-        self, by_group: Mapping[str, int], by_service: Mapping[str, int]
+        self,
+        by_group: Mapping[str, int],
+        by_service: Mapping[str, int],
+        flows: Iterable[ServiceFlow] = (),
     ) -> None:
         """Update the numbers of attempts that the other entries run.
 
@@ -169,6 +177,8 @@
             Attempts at each serving group.
         by_service : mapping of str to int
             Attempts at the serving groups of each service.
+        flows : iterable of ServiceFlow, optional
+            Calls per second of all entries, if all of them lend places.
         """
         now_s = self.clock.now_s()
         self._router.update_peer_running(by_group)
@@ -176,6 +186,8 @@
         for service in by_service:
             running = unlimited[service]
             self._gate.controller.set_peer_running(service, running, now_s)
+        for flow in flows:
+            self._gate.controller.set_fleet_flow(flow, now_s)
         self._gate.reevaluate_waiting()
 
     def authenticate(self, environ: dict[str, Any]) -> str | None:
--- a/chestnutvale/programs/entry/load_exchange.py
+++ b/chestnutvale/programs/entry/load_exchange.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from collections.abc import Callable
 
+from chestnutvale.admission.wire import from_flow_messages, to_flow_messages
 from chestnutvale.clock import Clock
 from chestnutvale.membership.attempt_counts import load_exchange_interval_s
 from chestnutvale.membership.const import (
@@ -12,7 +13,7 @@
 from chestnutvale.membership.entry_view import EntryView
 from chestnutvale.programs.entry.entry_context import EntryContext
 from chestnutvale.programs.periodic import run_periodically
-from chestnutvale.schema.peer_pb2 import Envelope, RunningCounts
+from chestnutvale.schema.peer_pb2 import Envelope, RunningCounts, ServiceFlow
 from chestnutvale.transport.node import TransportNode
 
 LeaderFinder = Callable[[], tuple[str, str] | None]
@@ -48,7 +49,7 @@
         self._context = context
         self._find_leader = find_leader
         self._clock = clock
-        self._last_sent_counts: dict[int, int] = {}
+        self._last_sent: tuple[dict[int, int], list[ServiceFlow]] = ({}, [])
         self._last_sent_s = -math.inf
         transport.register_handler("running_counts", self._receive_counts)
 
@@ -70,15 +71,18 @@
         if elapsed_s < load_exchange_interval_s(self._view.entry_count):
             return
         counts = self._context.running.counts_by_epoch()
-        if counts == self._last_sent_counts and (
-            not counts or elapsed_s < LOAD_RESEND_INTERVAL_S
+        flows = to_flow_messages(self._context.flows(now_s))
+        if (counts, flows) == self._last_sent and (
+            not (counts or flows) or elapsed_s < LOAD_RESEND_INTERVAL_S
         ):
             return
         leader = self._find_leader()
         if leader is None:
             return
-        self._last_sent_counts, self._last_sent_s = counts, now_s
-        message = RunningCounts(epochs=counts.keys(), counts=counts.values())
+        self._last_sent, self._last_sent_s = (counts, flows), now_s
+        message = RunningCounts(
+            epochs=counts.keys(), counts=counts.values(), flows=flows
+        )
         self._transport.send(*leader, "running_counts", message)
 
     def _receive_counts(self, envelope: Envelope) -> None:
@@ -92,4 +96,6 @@
             running = counts.get(group_view.group.epoch, 0)
             running_by_group[group_view.group.group_id] = running
             running_by_service[group_view.group.service] += running
-        self._context.update_peer_running(running_by_group, running_by_service)
+        self._context.update_peer_running(
+            running_by_group, running_by_service, from_flow_messages(message.flows)
+        )
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -56,6 +56,15 @@
     assert settings.shutdown_timeout_ms < 8_000
 
 
+@pytest.mark.parametrize(
+    ("contracts", "lends"),
+    [("", False), ("contracts=upgrade\n", False), ("contracts=a, pressure\n", True)],
+)
+def test_places_are_lent_under_the_pressure_contract_only(tmp_path, contracts, lends):
+    settings = make_entry_settings(load(tmp_path, ENTRY + contracts))
+    assert settings.lend_places == lends
+
+
 def test_control_settings(tmp_path):
     settings = make_control_settings(load(tmp_path, CONTROL))
     assert settings.control_id == "10.1.0.40"
--- a/tests/programs/control/test_load_exchange.py
+++ b/tests/programs/control/test_load_exchange.py
@@ -7,7 +7,7 @@
 from chestnutvale.membership.attempt_counts import AttemptCounts
 from chestnutvale.programs.control.load_exchange import LoadExchange
 from chestnutvale.schema.groups_pb2 import Group
-from chestnutvale.schema.peer_pb2 import Envelope, RunningCounts
+from chestnutvale.schema.peer_pb2 import Envelope, RunningCounts, ServiceFlow
 
 
 class LoadExchangeFixture:
@@ -17,11 +17,13 @@
         self.now_s = 100.0
         self.sent = []
         self.handlers = {}
+        self.all_lend_places = True
         self.log = SimpleNamespace(is_leader=True, has_lease=lambda now_s: True)
         groups = {"g1": Group(epoch=7), "g2": Group(epoch=9)}
         self.entry_handler = SimpleNamespace(
             attempt_counts=AttemptCounts(),
             live_addresses=lambda now_s: {"e1": "e1:1", "e2": "e2:1"},
+            all_lend_places=lambda now_s: self.all_lend_places,
         )
         transport = SimpleNamespace(
             register_handler=self.handlers.__setitem__,
@@ -92,3 +94,20 @@
     envelope = Envelope(sender_id="e1", running_counts=message)
     exchange_fixture.handlers["running_counts"](envelope)
     assert exchange_fixture.sent_counts()["e2"] == {7: 3}
+
+
+@pytest.mark.parametrize("all_lend_places", [True, False])
+def test_flows_are_summed_only_if_all_entries_lend(exchange_fixture, all_lend_places):
+    # Guards against sums without the calls of entries of an older build.
+    exchange_fixture.all_lend_places = all_lend_places
+    for entry_id, offered_per_s in (("e1", 4.0), ("e2", 2.0)):
+        flow = ServiceFlow(service="s", offered_per_s=offered_per_s, admitted_per_s=1.0)
+        message = RunningCounts(epochs=[7], counts=[1], flows=[flow])
+        envelope = Envelope(sender_id=entry_id, running_counts=message)
+        exchange_fixture.handlers["running_counts"](envelope)
+    exchange_fixture.exchange.run_round()
+    totals = [
+        [(f.service, f.offered_per_s, f.admitted_per_s) for f in message.flows]
+        for _, message in exchange_fixture.sent
+    ]
+    assert totals == [[("s", 6.0, 2.0)] if all_lend_places else []] * 2
--- a/tests/programs/entry/test_load_exchange.py
+++ b/tests/programs/entry/test_load_exchange.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from chestnutvale.admission.service_flow import ServiceFlow
 from chestnutvale.programs.entry.load_exchange import LoadExchange
 from chestnutvale.programs.entry.running_attempts import RunningAttempts
 from chestnutvale.schema.groups_pb2 import Group
@@ -18,6 +19,8 @@
         self.sent = []
         self.handlers = {}
         self.peer_updates = []
+        self.flows = []
+        self.fleet_flows = []
         self.leader = ("c1", "10.0.0.1:1")
         groups = [
             GroupView(group=Group(group_id="g1", service="s", epoch=7), serving=True),
@@ -27,9 +30,8 @@
         self.running = RunningAttempts()
         context = SimpleNamespace(
             running=self.running,
-            update_peer_running=lambda groups, services: self.peer_updates.append(
-                (groups, dict(services))
-            ),
+            flows=lambda now_s: self.flows,
+            update_peer_running=self.update_peer_running,
         )
         transport = SimpleNamespace(
             register_handler=self.handlers.__setitem__,
@@ -44,6 +46,10 @@
             SimpleNamespace(now_s=lambda: self.now_s),
         )
 
+    def update_peer_running(self, groups, services, flows):
+        self.peer_updates.append((groups, dict(services)))
+        self.fleet_flows = flows
+
     def run_and_get_counts(self):
         self.exchange.run_round()
         sent, self.sent = self.sent, []
@@ -91,3 +97,16 @@
 ):
     simulated_entry.view.entry_count = entry_count
     assert simulated_entry.exchange.find_pause_s() == pytest.approx(pause_s)
+
+
+def test_calls_that_are_all_refused_are_reported(simulated_entry):
+    # Guards against a fleet that lends no places because nothing runs yet.
+    simulated_entry.flows = [ServiceFlow("s", 4.0, 0.0)]
+    simulated_entry.exchange.run_round()
+    (*_, message) = simulated_entry.sent.pop()
+    assert [(f.service, f.offered_per_s) for f in message.flows] == [("s", 4.0)]
+    simulated_entry.now_s += 0.6
+    simulated_entry.exchange.run_round()
+    assert len(simulated_entry.sent) == 1
+    simulated_entry.handlers["running_counts"](Envelope(running_counts=message))
+    assert simulated_entry.fleet_flows == [ServiceFlow("s", 4.0, 0.0)]
