Merge the lending of places

Places of few groups were divided among many entries, and callers refused at one while places were free at others.

--- a/chestnutvale/admission/service.py
+++ b/chestnutvale/admission/service.py
@@ -6,23 +6,24 @@
 
 import attrs
 
+from chestnutvale.admission.class_order import ClassOrder
 from chestnutvale.admission.const import (
     CODE_DEADLINE,
     CODE_EXPIRED,
     CODE_NO_CAPACITY,
     CODE_QUEUE_FULL,
     CODE_TOO_LARGE,
+    LENT_SLOTS_RATIO,
     NO_CAPACITY_RETRY_S,
     NO_SHARE_RETRY_S,
     PRIORITIES,
-    PRIORITY_BATCH,
-    PRIORITY_NORMAL,
     PRIORITY_URGENT,
     SHARED_SLOTS_RATIO,
     URGENT_OVERDRAFT,
 )
 from chestnutvale.admission.fair_queue import FairQueue, WaitingRequest
 from chestnutvale.admission.kv_overcommit import KvOvercommit
+from chestnutvale.admission.lent_places import LentPlaces
 from chestnutvale.admission.messages import (
     AdmissionRequest,
     Admit,
@@ -36,33 +37,13 @@
 from chestnutvale.admission.pacing import HoldTimeEstimator, RetryPacer
 from chestnutvale.admission.prediction import TokenPredictor
 from chestnutvale.admission.refused_demand import RefusedDemand
+from chestnutvale.admission.running_request import RunningRequest
+from chestnutvale.admission.service_flow import ServiceFlow
 from chestnutvale.admission.sharing import DivisionPolicy, divide_between_entries
 from chestnutvale.admission.slot_rounding import SlotRounding
 from chestnutvale.membership.const import LOAD_EXPIRY_S
 
 
-@attrs.define
-class RunningRequest:
-    """An admitted request with its reservation.
-
-    Attributes
-    ----------
-    request : AdmissionRequest
-        The request.
-    reserved : int
-        Tokens reserved.
-    admitted_s : float
-        Monotonic time of the admission in seconds.
-    output_tokens : int
-        Output tokens generated so far.
-    """
-
-    request: AdmissionRequest
-    reserved: int
-    admitted_s: float
-    output_tokens: int = 0
-
-
 @attrs.define
 class ServiceAdmission:
     """Reservations and queued requests of one service at one entry.
@@ -95,7 +76,7 @@
     _class_reserved: dict[str, int] = attrs.field(
         factory=lambda: dict.fromkeys(PRIORITIES, 0)
     )
-    _credit: float = 0.0
+    _order: ClassOrder = attrs.field(factory=ClassOrder)
     _known_tokens_per_group: int = 0
     _waiting: dict[str, WaitingRequest] = attrs.field(factory=dict)
     hold_times: HoldTimeEstimator = attrs.field(factory=HoldTimeEstimator)
@@ -106,6 +87,7 @@
         )
     )
     kv_overcommit: KvOvercommit = attrs.field(factory=KvOvercommit)
+    lent: LentPlaces | None = None
 
     def set_capacity(self, capacity: ServiceCapacity, now_s: float) -> None:
         """Update capacity and usage from a load report of the serving groups."""
@@ -123,6 +105,20 @@
         self._peer_running_until_s = now_s + LOAD_EXPIRY_S
         self.update_shares()
 
+    def set_fleet_flow(self, flow: ServiceFlow, now_s: float) -> None:
+        """Update the rates of calls of all entries, after `set_peer_running`."""
+        if self.lent is None or self._peer_running is None:
+            return
+        self.lent.lending.update(
+            LENT_SLOTS_RATIO * self._capacity_units(),
+            self._peer_running + len(self.running),
+            flow,
+            self.entry_count,
+            self.weights,
+            self.limits.urgent_share,
+            now_s,
+        )
+
     def update_shares(self) -> None:
         """Recompute this entry's limit and the weights of its queue."""
         parts = divide_between_entries(
@@ -156,6 +152,10 @@
             return [Refuse(request.request_id, CODE_TOO_LARGE, 0.0)]
         if request.deadline_s <= now_s:
             return [self._refuse(request, CODE_EXPIRED, cost, now_s)]
+        if self.lent is not None:
+            self.lent.record_offer(request, now_s)
+            if self._lends(now_s):
+                return self._offer_lent(self.lent, WaitingRequest(request, cost), now_s)
         if not self._can_finish(request, cost, now_s):
             return [self._refuse(request, CODE_DEADLINE, cost, now_s)]
         effects = self._evict_if_full(request, cost, now_s)
@@ -234,25 +234,66 @@
 
     def admit_waiting(self, now_s: float) -> list[Effect]:
         """Admit waiting requests while the limit allows it."""
+        if self.lent is not None and self._lends(now_s):
+            return self._draw_waiting(self.lent, now_s)
         effects: list[Effect] = []
         while True:
-            waiter = self._next_to_admit()
+            waiter = self._order.next_to_admit(self.queue, self._is_urgent_over())
             if waiter is None or not self._fits(waiter):
                 return effects
-            self.queue.pop(waiter)
-            self._update_credit(waiter)
-            request = waiter.request
-            del self._waiting[request.request_id]
-            self.running[request.request_id] = RunningRequest(
-                request, waiter.cost, now_s
-            )
-            self._change_reserved(request.priority, waiter.cost)
-            effects.append(Admit(request.request_id, waiter.cost))
+            effects.append(self._admit(waiter, now_s))
+
+    def _admit(self, waiter: WaitingRequest, now_s: float) -> Admit:
+        self.queue.pop(waiter)
+        self._order.update_credit(waiter, self.queue, self.limits.urgent_share)
+        request = waiter.request
+        del self._waiting[request.request_id]
+        self.running[request.request_id] = RunningRequest(request, waiter.cost, now_s)
+        self._change_reserved(request.priority, waiter.cost)
+        if self.lent is not None:
+            self.lent.record_admission(now_s)
+        return Admit(request.request_id, waiter.cost)
+
+    def _lends(self, now_s: float) -> bool:
+        # Shares in rate limits belong to single entries and can't be lent.
+        if self.lent is None or self.capacity.limited.count:
+            return False
+        return self._is_slot_limited() and self.lent.is_active(now_s)
+
+    def _offer_lent(
+        self, lent: LentPlaces, waiter: WaitingRequest, now_s: float
+    ) -> list[Effect]:
+        request = waiter.request
+        is_drawn = lent.draw(request)
+        if not (is_drawn or lent.is_worth_waiting(request, now_s)):
+            return [self._refuse(request, CODE_DEADLINE, waiter.cost, now_s)]
+        effects = [] if is_drawn else self._evict_if_full(request, waiter.cost, now_s)
+        if effects and effects[-1].request_id == request.request_id:
+            return effects
+        self._waiting[request.request_id] = waiter
+        self.queue.push(waiter)
+        effects.append(
+            self._admit(waiter, now_s) if is_drawn else Queue(request.request_id)
+        )
+        return effects
+
+    def _draw_waiting(self, lent: LentPlaces, now_s: float) -> list[Effect]:
+        effects: list[Effect] = []
+        if not lent.start_draws():
+            return effects
+        for waiter in list(self.queue):
+            lent.record_offer(waiter.request, now_s)
+            if lent.draw(waiter.request):
+                effects.append(self._admit(waiter, now_s))
+            elif not lent.is_worth_waiting(waiter.request, now_s):
+                effects.append(self._refuse_waiting(waiter, CODE_DEADLINE, now_s))
+        return effects
 
-    def demand(self, name: str) -> list[Demand]:
+    def demand(self, name: str, now_s: float) -> list[Demand]:
         """Return reserved, queued and refused tokens per workspace.
 
-        `name` is the service name to put into the demands.
+        `name` is the service name to put into the demands, and `now_s` the monotonic
+        time in seconds.
         """
         tokens: Counter[str] = Counter()
         urgent: Counter[str] = Counter()
@@ -262,10 +303,13 @@
             tokens[request.workspace] += cost
             if request.priority == PRIORITY_URGENT:
                 urgent[request.workspace] += cost
+        rates = self.lent.rates(now_s) if self.lent is not None else {}
         refused = self.refused.mean_held_tokens(self.hold_times.hold_s)
         return [
-            Demand(name, key, tokens[key], urgent[key], refused[key])
-            for key in {**tokens, **refused}
+            Demand(
+                name, key, tokens[key], urgent[key], refused[key], rates.get(key, ())
+            )
+            for key in {**tokens, **refused, **rates}
         ]
 
     def _free_slots(self) -> float:
@@ -333,27 +377,9 @@
             return self.limit * (1 + URGENT_OVERDRAFT)
         return self.limit
 
-    def _next_to_admit(self) -> WaitingRequest | None:
-        urgent = self.queue.head(PRIORITY_URGENT)
-        other = self.queue.head(PRIORITY_NORMAL, PRIORITY_BATCH)
-        if urgent is None or other is None:
-            return urgent or other
+    def _is_urgent_over(self) -> bool:
         urgent_cap = self.limits.urgent_share * self.limit
-        is_over = self._class_reserved[PRIORITY_URGENT] >= urgent_cap
-        return other if is_over or self._credit >= other.cost else urgent
-
-    def _update_credit(self, waiter: WaitingRequest) -> None:
-        """Update the tokens owed to other requests for the urgent ones served first.
-
-        Capping the tokens held by urgent requests is not enough: if the remaining
-        capacity is smaller than one request, the others would starve. Once their
-        credit covers the cost of the next one, it is admitted first.
-        """
-        if waiter.request.priority != PRIORITY_URGENT:
-            self._credit = max(0.0, self._credit - waiter.cost)
-        elif self.queue.head(PRIORITY_NORMAL, PRIORITY_BATCH) is not None:
-            share = max(self.limits.urgent_share, 0.01)
-            self._credit += waiter.cost * (1 - share) / share
+        return self._class_reserved[PRIORITY_URGENT] >= urgent_cap
 
     def _can_finish(self, request: AdmissionRequest, cost: int, now_s: float) -> bool:
         wait_s = self._estimated_wait_s(request, cost)
@@ -373,25 +399,9 @@
 
     def _estimated_wait_s(self, request: AdmissionRequest, cost: int) -> float:
         free = self._limit_of(request.priority) - self.reserved
-        missing = self._tokens_ahead(request) + cost - free
+        missing = self.queue.tokens_ahead(request) + cost - free
         return max(0.0, missing) / self._drain_rate()
 
-    def _tokens_ahead(self, request: AdmissionRequest) -> float:
-        ahead = 0.0
-        for priority in PRIORITIES:
-            if priority == request.priority:
-                return ahead + self._own_class_ahead(request)
-            ahead += self.queue.class_tokens(priority)
-        return ahead
-
-    def _own_class_ahead(self, request: AdmissionRequest) -> float:
-        priority = request.priority
-        own = self.queue.tokens(priority, request.workspace)
-        names = set(self.queue.waiting_workspaces(priority)) | {request.workspace}
-        weight = self.queue.weights.get(request.workspace, 1.0)
-        weight_sum = sum(self.queue.weights.get(name, 1.0) for name in names)
-        return min(own * weight_sum / weight, self.queue.class_tokens(priority))
-
     def _drain_rate(self) -> float:
         return self.hold_times.drain_rate(self.limit)
 
@@ -407,13 +417,10 @@
             victim = self.queue.newest_of_longest_queue(request.priority)
         else:
             return []
-        if victim is None or self._is_same_queue(victim.request, request):
+        if victim is None or victim.request.is_in_queue_of(request):
             return [self._refuse(request, CODE_QUEUE_FULL, cost, now_s)]
         return [self._refuse_waiting(victim, CODE_QUEUE_FULL, now_s)]
 
-    def _is_same_queue(self, one: AdmissionRequest, other: AdmissionRequest) -> bool:
-        return (one.workspace, one.priority) == (other.workspace, other.priority)
-
     def _refuse_waiting(
         self, waiter: WaitingRequest, code: str, now_s: float
     ) -> Refuse:
@@ -425,7 +432,7 @@
         self, request: AdmissionRequest, code: str, cost: int, now_s: float
     ) -> Refuse:
         self.refused.record_refusal(request.workspace, cost, now_s)
-        backlog = self._tokens_ahead(request) + cost - (self.limit - self.reserved)
+        backlog = self.queue.tokens_ahead(request) + cost - (self.limit - self.reserved)
         retry_s = self.pacer.retry_after_s(
             now_s, max(0.0, backlog), cost, self._drain_rate(), request.deadline_s
         )
--- a/chestnutvale/programs/entry/load_exchange.py
+++ b/chestnutvale/programs/entry/load_exchange.py
@@ -6,6 +6,7 @@
 
 from eventlet.event import Event
 
+from chestnutvale.admission.wire import from_flow_messages, to_flow_messages
 from chestnutvale.clock import Clock
 from chestnutvale.membership.attempt_counts import load_exchange_interval_s
 from chestnutvale.membership.const import (
@@ -14,7 +15,7 @@
 from chestnutvale.membership.entry_view import EntryView
 from chestnutvale.programs.entry.entry_context import EntryContext
 from chestnutvale.programs.periodic import run_periodically
-from chestnutvale.schema.peer_pb2 import Envelope, RunningCounts
+from chestnutvale.schema.peer_pb2 import Envelope, RunningCounts, ServiceFlow
 from chestnutvale.transport.node import TransportNode
 
 LeaderFinder = Callable[[], tuple[str, str] | None]
@@ -50,7 +51,7 @@
         self._context = context
         self._find_leader = find_leader
         self._clock = clock
-        self._last_sent_counts: dict[int, int] = {}
+        self._last_sent: tuple[dict[int, int], list[ServiceFlow]] = ({}, [])
         self._last_sent_s = -math.inf
         self._first_attempt = Event()
         context.running.on_first = self._wake
@@ -61,9 +62,12 @@
         run_periodically("the load exchange", self._wait_and_run, self.find_pause_s)
 
     def _wait_and_run(self) -> None:
-        if not (len(self._context.running) or self._last_sent_counts):
+        if not (len(self._context.running) or any(self._last_sent)):
             self._first_attempt = Event()
-            self._first_attempt.wait()
+            # Calls that are all refused start no attempt, but count where places are
+            # lent.
+            lends = bool(self._context.flows(self._clock.now_s()))
+            self._first_attempt.wait(LOAD_RESEND_INTERVAL_S if lends else None)
         self.run_round()
 
     def _wake(self) -> None:
@@ -84,15 +88,18 @@
         if elapsed_s < load_exchange_interval_s(self._view.entry_count):
             return
         counts = self._context.running.counts_by_epoch()
-        if counts == self._last_sent_counts and (
-            not counts or elapsed_s < LOAD_RESEND_INTERVAL_S
+        flows = to_flow_messages(self._context.flows(now_s))
+        if (counts, flows) == self._last_sent and (
+            not (counts or flows) or elapsed_s < LOAD_RESEND_INTERVAL_S
         ):
             return
         leader = self._find_leader()
         if leader is None:
             return
-        self._last_sent_counts, self._last_sent_s = counts, now_s
-        message = RunningCounts(epochs=counts.keys(), counts=counts.values())
+        self._last_sent, self._last_sent_s = (counts, flows), now_s
+        message = RunningCounts(
+            epochs=counts.keys(), counts=counts.values(), flows=flows
+        )
         self._transport.send(*leader, "running_counts", message)
 
     def _receive_counts(self, envelope: Envelope) -> None:
@@ -106,4 +113,6 @@
             running = counts.get(group_view.group.epoch, 0)
             running_by_group[group_view.group.group_id] = running
             running_by_service[group_view.group.service] += running
-        self._context.update_peer_running(running_by_group, running_by_service)
+        self._context.update_peer_running(
+            running_by_group, running_by_service, from_flow_messages(message.flows)
+        )
--- a/tests/programs/entry/test_load_exchange.py
+++ b/tests/programs/entry/test_load_exchange.py
@@ -5,6 +5,7 @@
 import eventlet
 import pytest
 
+from chestnutvale.admission.service_flow import ServiceFlow
 from chestnutvale.programs.entry.load_exchange import LoadExchange
 from chestnutvale.programs.entry.running_attempts import RunningAttempts
 from chestnutvale.schema.groups_pb2 import Group
@@ -19,6 +20,8 @@
         self.sent = []
         self.handlers = {}
         self.peer_updates = []
+        self.flows = []
+        self.fleet_flows = []
         self.leader = ("c1", "10.0.0.1:1")
         groups = [
             GroupView(group=Group(group_id="g1", service="s", epoch=7), serving=True),
@@ -28,9 +31,8 @@
         self.running = RunningAttempts()
         context = SimpleNamespace(
             running=self.running,
-            update_peer_running=lambda groups, services: self.peer_updates.append(
-                (groups, dict(services))
-            ),
+            flows=lambda now_s: self.flows,
+            update_peer_running=self.update_peer_running,
         )
         transport = SimpleNamespace(
             register_handler=self.handlers.__setitem__,
@@ -45,6 +47,10 @@
             SimpleNamespace(now_s=lambda: self.now_s),
         )
 
+    def update_peer_running(self, groups, services, flows):
+        self.peer_updates.append((groups, dict(services)))
+        self.fleet_flows = flows
+
     def run_and_get_counts(self):
         self.exchange.run_round()
         sent, self.sent = self.sent, []
@@ -114,3 +120,16 @@
     eventlet.sleep(0.02)
     assert len(rounds) == ended
     task.kill()
+
+
+def test_calls_that_are_all_refused_are_reported(simulated_entry):
+    # Guards against a fleet that lends no places because nothing runs yet.
+    simulated_entry.flows = [ServiceFlow("s", 4.0, 0.0)]
+    simulated_entry.exchange.run_round()
+    (*_, message) = simulated_entry.sent.pop()
+    assert [(f.service, f.offered_per_s) for f in message.flows] == [("s", 4.0)]
+    simulated_entry.now_s += 0.6
+    simulated_entry.exchange.run_round()
+    assert len(simulated_entry.sent) == 1
+    simulated_entry.handlers["running_counts"](Envelope(running_counts=message))
+    assert simulated_entry.fleet_flows == [ServiceFlow("s", 4.0, 0.0)]
