Divide what cold endpoints take into slots of the entries

Cause: the shares of a limit allow a burst for each entry and may overlap while they move, so that a cold endpoint could get more than its bound in one second.

Change: ColdBound derives the number and rate of slots from the bound. SlotLedger grants a slot again only once its last holder acknowledged a list without it or its lease must have ended; a new leader takes over the slots that entries report. SendBudget spends nothing at a cold endpoint without a slot, and the lower share if the endpoint also names a limit.

Result: tests/rate_limits (86) and tests/programs/entry pass. The tests of cold shares did not import before.

--- a/chestnutvale/rate_limits/const.py
+++ b/chestnutvale/rate_limits/const.py
@@ -22,3 +22,12 @@
 UNLISTED_RETENTION_S: Final = 30.0
 # Upper limit of a rate that an endpoint names.
 MAX_RATE_PER_S: Final = 1e6
+# Window of tokens whose requests may arrive within the same second at a cold endpoint;
+# a request may be sent up to 0.1 s after its token is taken.
+COLD_WINDOW_S: Final = 1.1
+# Requests of the bound of a cold endpoint that are kept for entries that pause between
+# taking a token and sending the request.
+COLD_RESERVE_REQUESTS: Final = 2.0
+# Added to the serving lease of an entry before its slots are given to another one, for
+# clocks that run at different rates.
+SLOT_EXPIRY_MARGIN_S: Final = 0.1
--- a/chestnutvale/rate_limits/division.py
+++ b/chestnutvale/rate_limits/division.py
@@ -49,11 +49,14 @@
         What it serves, and where.
     rate_per_s : float
         Requests per second that it takes from all entries together.
+    owners : frozenset of str or None
+        Entries that may get a share; None for all.
     """
 
     endpoint: Incarnation
     place: EndpointPlace
     rate_per_s: float
+    owners: frozenset[str] | None = None
 
 
 def divide_limits(
@@ -84,13 +87,18 @@
     sums: Counter[tuple[str, str]] = Counter()
     for item in sorted(limited, key=_sort_key):
         rate_per_s = max(item.rate_per_s, MIN_RATE_PER_S)
-        count = min(len(entries), max(1, math.floor(rate_per_s / MIN_SHARE_PER_S)))
+        eligible = [
+            entry_id
+            for entry_id in entries
+            if item.owners is None or entry_id in item.owners
+        ]
+        count = min(len(eligible), max(1, math.floor(rate_per_s / MIN_SHARE_PER_S)))
         owners = sorted(
-            entries,
+            eligible,
             key=lambda entry_id, item=item: (
                 sums[item.place.service, entry_id],
                 entries[entry_id] != item.place.data_centre,
-                _rank(item.endpoint, entry_id),
+                rank_entry(item.endpoint, entry_id),
             ),
         )[:count]
         share_per_s = rate_per_s / max(1, count)
@@ -125,7 +133,20 @@
     return item.endpoint.host_id, item.endpoint.boot_id
 
 
-def _rank(endpoint: Incarnation, entry_id: str) -> int:
-    """Return the rendezvous hash of an entry for an endpoint."""
+def rank_entry(endpoint: Incarnation, entry_id: str) -> int:
+    """Return the rendezvous hash of an entry for an endpoint.
+
+    Parameters
+    ----------
+    endpoint : Incarnation
+        The endpoint.
+    entry_id : str
+        The entry.
+
+    Returns
+    -------
+    int
+        64-bit hash; the entries with the lowest ones come first.
+    """
     key = f"{endpoint.host_id} {endpoint.boot_id} {entry_id}"
     return xxhash.xxh64_intdigest(key.encode())
--- a/chestnutvale/rate_limits/send_budget.py
+++ b/chestnutvale/rate_limits/send_budget.py
@@ -1,11 +1,14 @@
-"""Requests that one entry may send to endpoints that name a limit."""
+"""Requests that one entry may send to endpoints that name a limit or are cold."""
 
 import math
 from collections.abc import Iterable, Mapping
+from types import MappingProxyType
+from typing import Final
 
 import attrs
 
 from chestnutvale.membership.endpoint_notices import Incarnation
+from chestnutvale.rate_limits.cold_bound import SlotPlan
 from chestnutvale.rate_limits.const import (
     BURST_REQUESTS,
     BURST_S,
@@ -13,27 +16,54 @@
 )
 from chestnutvale.rate_limits.statements import RateStatement, RateStatements
 
+NO_COLD_SHARES: Final[Mapping[Incarnation, SlotPlan]] = MappingProxyType({})
+NO_SLOTS: Final = SlotPlan(0, 0.0)
+
+
+@attrs.frozen
+class _Share:
+    """Rate and size of a token bucket."""
+
+    rate_per_s: float = 0.0
+    size: float = 0.0
+
+    @classmethod
+    def of_limit(cls, rate_per_s: float) -> "_Share":
+        size = BURST_REQUESTS + BURST_S * rate_per_s if rate_per_s else 0.0
+        return cls(rate_per_s, size)
+
+    def lower(self, other: "_Share") -> "_Share":
+        if not (self.rate_per_s and other.rate_per_s):
+            return _Share()
+        return _Share(
+            min(self.rate_per_s, other.rate_per_s), min(self.size, other.size)
+        )
+
 
 @attrs.define
 class _TokenBucket:
     """Token bucket that starts empty, so that a share that moves is not spent twice."""
 
-    rate_per_s: float
+    share: _Share
     updated_at_s: float
     tokens: float = 0.0
 
+    @property
+    def rate_per_s(self) -> float:
+        return self.share.rate_per_s
+
     @property
     def size(self) -> float:
-        return BURST_REQUESTS + BURST_S * self.rate_per_s if self.rate_per_s else 0.0
+        return self.share.size
 
     def refill(self, now_s: float) -> None:
         gained = self.rate_per_s * max(0.0, now_s - self.updated_at_s)
         self.tokens = min(self.size, self.tokens + gained)
         self.updated_at_s = max(now_s, self.updated_at_s)
 
-    def set_rate(self, rate_per_s: float, now_s: float) -> None:
+    def set_share(self, share: _Share, now_s: float) -> None:
         self.refill(now_s)
-        self.rate_per_s = rate_per_s
+        self.share = share
         self.tokens = min(self.size, self.tokens)
 
     def next_token_s(self) -> float:
@@ -50,7 +80,8 @@
 
     It answers a load beyond the limits: an entry spends its share only. Between the
     first answer with a limit and the first share from the leader, it spends an equal
-    part of the limit.
+    part of the limit. Of a cold endpoint with a bound it spends nothing but slots from
+    the leader's list. If an endpoint has both, the lower share counts.
 
     Attributes
     ----------
@@ -63,6 +94,8 @@
     # Limits in the leader's newest list, with the shares of this entry.
     _listed_rates: dict[Incarnation, float | None] = attrs.field(factory=dict)
     _shares: dict[Incarnation, float] = attrs.field(factory=dict)
+    _cold: frozenset[Incarnation] = frozenset()
+    _cold_shares: dict[Incarnation, SlotPlan] = attrs.field(factory=dict)
     _entry_count: int = 1
 
     def set_entry_count(self, count: int) -> None:
@@ -94,6 +127,7 @@
         statements: Iterable[RateStatement],
         shares: Mapping[Incarnation, float],
         now_s: float,
+        cold_shares: Mapping[Incarnation, SlotPlan] = NO_COLD_SHARES,
     ) -> None:
         """Install the leader's list of limits.
 
@@ -106,7 +140,10 @@
             gets none.
         now_s : float
             Monotonic time in seconds.
+        cold_shares : mapping of Incarnation to SlotPlan, optional
+            Slots of this entry at cold endpoints.
         """
+        self._cold_shares = dict(cold_shares)
         self._listed_rates = {}
         self._shares = dict(shares)
         for statement in statements:
@@ -114,6 +151,29 @@
             self._listed_rates[statement.endpoint] = statement.rate_per_s
         self._update_buckets(now_s)
 
+    def set_cold(self, endpoints: Iterable[Incarnation], now_s: float) -> None:
+        """Set the cold endpoints with a bound, to which only holders of slots send.
+
+        Parameters
+        ----------
+        endpoints : iterable of Incarnation
+            Those of the newest view.
+        now_s : float
+            Monotonic time in seconds.
+        """
+        cold = frozenset(endpoints)
+        if cold != self._cold:
+            self._cold = cold
+            self._update_buckets(now_s)
+
+    def is_cold(self, endpoint: Incarnation) -> bool:
+        """Tell whether an endpoint is cold and has a bound."""
+        return endpoint in self._cold
+
+    def held_slots(self) -> dict[Incarnation, int]:
+        """Return the slots of this entry at cold endpoints, for reports."""
+        return {endpoint: plan.count for endpoint, plan in self._cold_shares.items()}
+
     def unreported(self) -> list[RateStatement]:
         """Return the statements in which the leader's list differs or lacks a limit."""
         return [
@@ -128,7 +188,7 @@
         self._update_buckets(now_s)
 
     def is_limited(self, endpoint: Incarnation) -> bool:
-        """Tell whether an endpoint names a limit."""
+        """Tell whether an endpoint names a limit, or is cold and has a bound."""
         return endpoint in self._buckets
 
     def share_per_s(self, endpoint: Incarnation) -> float:
@@ -191,28 +251,41 @@
 
     def describe(self, now_s: float) -> list[dict[str, object]]:
         """Return the limits and shares for the state dump."""
+        limits = self.statements.limits()
         return [
             {
                 "host": endpoint.host_id,
                 "boot": endpoint.boot_id,
-                "limit_per_s": limit_per_s,
+                "limit_per_s": limits.get(endpoint),
+                "cold": endpoint in self._cold,
                 "share_per_s": round(self.share_per_s(endpoint), 3),
-                "wait_s": round(self.next_send_s(endpoint, now_s) - now_s, 3),
+                "wait_s": _describe_wait(self.next_send_s(endpoint, now_s) - now_s),
             }
-            for endpoint, limit_per_s in self.statements.limits().items()
+            for endpoint in self._buckets
         ]
 
     def _update_buckets(self, now_s: float) -> None:
         limits = self.statements.limits()
-        for endpoint in self._buckets.keys() - limits.keys():
+        limited = limits.keys() | self._cold
+        for endpoint in self._buckets.keys() - limited:
             del self._buckets[endpoint]
-        for endpoint, limit_per_s in limits.items():
-            rate_per_s = self._find_share_per_s(endpoint, limit_per_s)
+        for endpoint in limited:
+            share = self._find_share(endpoint, limits.get(endpoint))
             bucket = self._buckets.get(endpoint)
             if bucket is None:
-                self._buckets[endpoint] = _TokenBucket(rate_per_s, now_s)
-            elif bucket.rate_per_s != rate_per_s:
-                bucket.set_rate(rate_per_s, now_s)
+                self._buckets[endpoint] = _TokenBucket(share, now_s)
+            elif bucket.share != share:
+                bucket.set_share(share, now_s)
+
+    def _find_share(self, endpoint: Incarnation, limit_per_s: float | None) -> _Share:
+        if endpoint not in self._cold:
+            return _Share.of_limit(self._find_share_per_s(endpoint, limit_per_s))
+        plan = self._cold_shares.get(endpoint, NO_SLOTS)
+        share = _Share(plan.count * plan.rate_per_s, float(plan.count))
+        if limit_per_s is None:
+            return share
+        stated_per_s = self._find_share_per_s(endpoint, limit_per_s)
+        return share.lower(_Share.of_limit(stated_per_s))
 
     def _find_share_per_s(self, endpoint: Incarnation, limit_per_s: float) -> float:
         if self._listed_rates.get(endpoint) is not None:
@@ -222,7 +295,12 @@
             )
             return share * max(limit_per_s, MIN_RATE_PER_S)
         bucket = self._buckets.get(endpoint)
-        if bucket is not None:
+        if bucket is not None and endpoint not in self._cold:
             # A new leader has not learned the limit yet; the last share stays valid.
             return bucket.rate_per_s
         return max(limit_per_s, MIN_RATE_PER_S) / self._entry_count
+
+
+def _describe_wait(wait_s: float) -> float | None:
+    """Return a time for the state dump, which has no infinite numbers."""
+    return round(wait_s, 3) if math.isfinite(wait_s) else None
