Carry the cold state of hosts from announcements to the entries

Cause: controls and entries did not know that an endpoint is cold, so they sent it its ordinary load.

Change: announcements and heartbeats carry the remaining cold time, host records a deadline. A view names a serving group as cold in the same version; after the end of an evacuation a host counts as cold until an announcement sent after it says otherwise. The shares of cold endpoints travel with the list of limits, which an entry no longer replaces by an older one that arrives late. An answer that says cold makes that entry stop at once. The text has cold_requests_per_s and cold_start_ms of a service, the controls have cold_rate_factor and cold_burst_requests. The division moves into LimitDivider.

--- a/chestnutvale/emulator/engine.py
+++ b/chestnutvale/emulator/engine.py
@@ -87,6 +87,7 @@
     prefill_us_per_token: float = 20.0,
     step_ms: float = 10.0,
     step_us_per_request: float = 20.0,
+    cold_start_ms: int = 0,
     seed: int = 1,
 ) -> None:
     """Run emulated engine hosts until SIGTERM.
@@ -129,6 +130,8 @@
         Fixed duration of one decoding step in milliseconds.
     step_us_per_request : float
         Time in microseconds that each decoding request adds to a step.
+    cold_start_ms : int
+        Time in milliseconds after the start for which it announces that it is cold.
     seed : int
         Seed of the random choices.
     """
@@ -149,6 +152,7 @@
         fabric_domain=fabric_domain,
         accelerators=accelerators,
         fencing=fencing,
+        cold_start_ms=cold_start_ms,
         weights_bytes=weights_bytes,
         load_lag_s=load_lag_ms / 1e3,
         cache_lag_s=cache_lag_ms / 1e3,
--- a/chestnutvale/emulator/host.py
+++ b/chestnutvale/emulator/host.py
@@ -81,6 +81,8 @@
         Age of the reported load and delay of cache events in seconds.
     cache_gap_share : float
         Probability, from 0 to 1, that a report of cache events is lost.
+    cold_start_ms : int
+        Time in milliseconds after the start for which it announces that it is cold.
     seed : int
         Seed of the random choices, combined with the identifier of the host.
     model : EngineModel
@@ -98,6 +100,7 @@
     load_lag_s: float = 0.5
     cache_lag_s: float = 1.0
     cache_gap_share: float = 0.05
+    cold_start_ms: int = 0
     seed: int = 1
     model: EngineModel = attrs.field(factory=EngineModel)
 
@@ -126,6 +129,7 @@
         self.options = options
         self.boot_id = f"{time.time_ns():016x}-{options.host_id}"
         order_check = FencingTokenCheck(options.host_id, self.boot_id)
+        self._warm_at_s = time.monotonic() + options.cold_start_ms / 1e3
         self.state = HostState(order_check if options.fencing else AcceptAllOrders())
         self.orders: list[dict[str, Any]] = []
         self.is_leaving = False
@@ -211,6 +215,7 @@
             leaving=self.is_leaving,
             holding=self.state.holding,
             fence=self.state.order_check.highest_fence,
+            cold_remaining_ms=max(0, round(1e3 * (self._warm_at_s - time.monotonic()))),
         )
         if self.state.holding is not None and self.state.holding.rank == 0:
             announcement.load.CopyFrom(self._load_reports.find_due_sample() or Load())
--- a/chestnutvale/emulator/plain_service.py
+++ b/chestnutvale/emulator/plain_service.py
@@ -110,6 +110,7 @@
     data_centre: str = "dc-1",
     fabric_domain: str = "fabric-a",
     work_ms: int = 20,
+    cold_start_ms: int = 0,
     seed: int = 1,
 ) -> None:
     """Run an emulated plain service until SIGTERM.
@@ -130,11 +131,14 @@
         Fabric domain of the host.
     work_ms : int
         Duration in milliseconds of a call that adds a record.
+    cold_start_ms : int
+        Time in milliseconds after the start for which it announces that it is cold.
     seed : int
         Seed of the random choices.
     """
     setup_eventlet()
     plain_service = PlainService(service, work_ms / 1e3)
+    warm_at_s = time.monotonic() + cold_start_ms / 1e3
     boot_id = f"{time.time_ns():016x}-{host_id}"
     with ExitStack() as stack:
         server = stack.enter_context(HttpServer(address, plain_service.handle))
@@ -149,6 +153,7 @@
                 kind=KIND_SERVICE,
                 service=service,
                 leaving=plain_service.is_leaving,
+                cold_remaining_ms=max(0, round(1e3 * (warm_at_s - time.monotonic()))),
             )
 
         random_source = random.Random(f"{seed} {host_id}")
--- a/chestnutvale/membership/announcement_collector.py
+++ b/chestnutvale/membership/announcement_collector.py
@@ -187,6 +187,7 @@
             sequence=announcement.sequence,
             age_ms=round(age_s * 1_000),
             content_digest=host.digest,
+            cold_remaining_ms=announcement.cold_remaining_ms,
         )
         load = announcement.load.SerializeToString(deterministic=True)
         if host.reported_digest != host.digest:
@@ -212,6 +213,8 @@
         return True
     if after.leaving != before.leaving:
         return True
+    if bool(after.cold_remaining_ms) != bool(before.cold_remaining_ms):
+        return True
     if after.HasField("holding") != before.HasField("holding"):
         return True
     old, new = before.holding, after.holding
--- a/chestnutvale/membership/announcement_content.py
+++ b/chestnutvale/membership/announcement_content.py
@@ -25,7 +25,7 @@
 
 
 def content_digest(announcement: Announcement) -> int:
-    """Return a digest of an announcement without sequence, load and cache events.
+    """Return a digest of an announcement without what changes all the time.
 
     Parameters
     ----------
@@ -35,9 +35,11 @@
     Returns
     -------
     int
-        64-bit digest; equal if the announcements agree in all other fields.
+        64-bit digest; equal if the announcements agree in all fields but the sequence,
+        load, cache events and remaining cold time.
     """
     content = copy_without_cache_events(announcement)
     content.ClearField("sequence")
     content.ClearField("load")
+    content.ClearField("cold_remaining_ms")
     return xxhash.xxh64_intdigest(content.SerializeToString(deterministic=True))
--- a/chestnutvale/membership/const.py
+++ b/chestnutvale/membership/const.py
@@ -58,6 +58,13 @@
 MAX_CACHE_EVENTS: Final = 65_536
 # Addresses whose validation result is cached.
 MAX_CACHED_ADDRESSES: Final = 8_192
+MAX_COLD_REMAINING_MS: Final = 600_000
+# Changes of the deadline of a cold host below this come from the transit of its
+# announcements.
+COLD_DEADLINE_JITTER_S: Final = 0.2
+# Longest transit of an announcement. One that arrives later than this after the end of
+# an evacuation was sent after that end.
+ANNOUNCEMENT_TRANSIT_S: Final = 0.5
 MAX_LOAD_COUNT: Final = 1_000_000
 MAX_SEQUENCE: Final = 2**63
 
--- a/chestnutvale/membership/endpoint_notices.py
+++ b/chestnutvale/membership/endpoint_notices.py
@@ -46,12 +46,15 @@
         no limit.
     is_misdirected : bool
         Whether another endpoint answered, so that the answer says nothing.
+    cold_remaining_s : float
+        Time in seconds for which it stays cold; 0 if it does not say so.
     """
 
     is_leaving: bool = False
     pause_s: float | None = None
     rate_limit_per_s: float | None = None
     is_misdirected: bool = False
+    cold_remaining_s: float = 0.0
 
 
 MISDIRECTED = EndpointNotice(is_misdirected=True)
--- a/chestnutvale/membership/entry_view.py
+++ b/chestnutvale/membership/entry_view.py
@@ -6,7 +6,9 @@
 
 import attrs
 
+from chestnutvale.groups.members import group_head
 from chestnutvale.membership.const import DEFAULT_LEASE_S, MAX_OUTSTANDING_REPORTS
+from chestnutvale.membership.endpoint_notices import Incarnation
 from chestnutvale.schema.configuration_pb2 import Text
 from chestnutvale.schema.membership_pb2 import Load
 from chestnutvale.schema.peer_pb2 import ControlView, GroupView
@@ -142,6 +144,14 @@
             if view.serving and view.group.service == service
         ]
 
+    def bounded_cold_endpoints(self) -> list[Incarnation]:
+        """Return the heads of the cold groups to which only holders of slots send."""
+        return [
+            Incarnation.of_member(group_head(view.group))
+            for view in self._groups.values()
+            if view.needs_cold_share and view.group.members
+        ]
+
     def group(self, group_id: str) -> GroupView | None:
         """Return a group, serving or not.
 
--- a/chestnutvale/membership/host_record.py
+++ b/chestnutvale/membership/host_record.py
@@ -5,7 +5,11 @@
 import attrs
 
 from chestnutvale.membership.boot_order import BootOrder
-from chestnutvale.membership.const import HOLDING_OPEN, HOLDING_READY
+from chestnutvale.membership.const import (
+    COLD_DEADLINE_JITTER_S,
+    HOLDING_OPEN,
+    HOLDING_READY,
+)
 from chestnutvale.schema.membership_pb2 import Announcement, Load
 
 
@@ -44,6 +48,11 @@
     warm_service : str
         Service of the group in which this boot was ready last; empty if none. The host
         is ready sooner for another group of it.
+    cold_until_s : float
+        Monotonic time in seconds until which this boot is or was cold; minus infinity
+        if it was not.
+    cold_before_s : float
+        The same for the time before it last became cold.
     """
 
     host_id: str
@@ -60,6 +69,8 @@
     released_group_id: str = ""
     released_at_s: float = math.inf
     warm_service: str = ""
+    cold_until_s: float = -math.inf
+    cold_before_s: float = -math.inf
 
     @property
     def boot_id(self) -> str:
@@ -71,6 +82,35 @@
         """Monotonic time in seconds of the host's latest announcement."""
         return self.boot_order.heard_at_s
 
+    def record_cold(self, remaining_ms: int, is_new_boot: bool) -> bool:
+        """Record the remaining cold time of the latest announcement as a deadline.
+
+        Parameters
+        ----------
+        remaining_ms : int
+            Time in milliseconds for which the host stays cold; 0 if it is not.
+        is_new_boot : bool
+            Whether it is the first announcement of this boot.
+
+        Returns
+        -------
+        bool
+            Whether the deadline has changed by more than the transit of announcements.
+        """
+        if is_new_boot:
+            self.cold_until_s = self.cold_before_s = -math.inf
+        if not remaining_ms:
+            was_cold = self.cold_until_s > self.heard_at_s
+            self.cold_until_s = min(self.cold_until_s, self.heard_at_s)
+            return was_cold
+        until_s = self.heard_at_s + remaining_ms / 1_000
+        if abs(until_s - self.cold_until_s) <= COLD_DEADLINE_JITTER_S:
+            return False
+        if until_s > self.cold_until_s:
+            self.cold_before_s = self.cold_until_s
+        self.cold_until_s = until_s
+        return True
+
     def store_announcement(self, announcement: Announcement) -> None:
         """Replace the announcement, and record a release that it shows.
 
--- a/chestnutvale/membership/table.py
+++ b/chestnutvale/membership/table.py
@@ -484,6 +484,7 @@
             self._hosts[heard.host_id] = record
             self.last_new_host_at_s = now_s
             self._update_content(record, heard)
+            record.record_cold(_cold_remaining_ms(heard), is_new_boot=True)
             return True
         verdict = record.boot_order.observe(
             heard.boot_id, heard.sequence, heard_at_s, self.detection_timeout_s
@@ -497,7 +498,9 @@
             return False
         record.sender_id = sender_id
         changed = self._update_content(record, heard)
-        return changed or verdict is BootVerdict.NEW_BOOT
+        is_new_boot = verdict is BootVerdict.NEW_BOOT
+        changed |= record.record_cold(_cold_remaining_ms(heard), is_new_boot)
+        return changed or is_new_boot
 
     def _update_content(self, record: HostRecord, heard: Heard) -> bool:
         before = record.digest, record.is_content_current
@@ -562,6 +565,11 @@
             self._incomplete_host_ids[record.host_id] = None
 
 
+def _cold_remaining_ms(heard: Heard) -> int:
+    # An entry of an older build forwards it only as a part of the announcement.
+    return heard.cold_remaining_ms or heard.changed.cold_remaining_ms
+
+
 def _with_departure(announcement: Announcement) -> Announcement:
     changed = Announcement()
     changed.CopyFrom(announcement)
--- a/chestnutvale/membership/validation.py
+++ b/chestnutvale/membership/validation.py
@@ -13,6 +13,7 @@
     MAX_ADAPTERS,
     MAX_CACHE_EVENTS,
     MAX_CACHED_ADDRESSES,
+    MAX_COLD_REMAINING_MS,
     MAX_LOAD_COUNT,
     MAX_NAME_LENGTH,
     MAX_SEQUENCE,
@@ -83,6 +84,8 @@
         return "address must be an IP address and a port"
     if announcement.accelerators > MAX_ACCELERATORS:
         return f"accelerators must not exceed {MAX_ACCELERATORS}"
+    if announcement.cold_remaining_ms > MAX_COLD_REMAINING_MS:
+        return f"cold_remaining_ms must not exceed {MAX_COLD_REMAINING_MS}"
     if announcement.kind not in (KIND_ENGINE, KIND_SERVICE):
         return "kind must be engine or service"
     if announcement.kind == KIND_SERVICE and not _is_name(announcement.service):
--- a/chestnutvale/membership/view_publisher.py
+++ b/chestnutvale/membership/view_publisher.py
@@ -1,5 +1,6 @@
 """Views of groups, loads and configuration that the leader sends to entries."""
 
+import math
 from collections import deque
 from typing import Protocol
 
@@ -8,6 +9,7 @@
 from chestnutvale.groups.members import group_head
 from chestnutvale.groups.serving import find_serving_fault
 from chestnutvale.groups.state import GroupsState
+from chestnutvale.membership.cold_state import NO_COLD_RULE, ColdRule
 from chestnutvale.membership.const import MAX_REMOVED_GROUPS
 from chestnutvale.membership.table import MembershipTable
 from chestnutvale.schema.configuration_pb2 import Text
@@ -42,6 +44,8 @@
     # Until then only a change of its inputs can stop it from serving.
     valid_until_s: float = float("-inf")
     head_id: str = ""
+    is_cold: bool = False
+    needs_cold_share: bool = False
 
 
 @attrs.define
@@ -90,7 +94,7 @@
     _removed_groups: deque[tuple[int, str]] = attrs.field(factory=deque)
     _oldest_base: int = 0
     _entries: dict[str, _EntryState] = attrs.field(factory=dict)
-    _last_inputs: tuple[int, frozenset[str]] = (0, frozenset())
+    _last_inputs: tuple[object, ...] = ()
     _group_views: list[GroupView] = attrs.field(factory=list)
     _group_views_count: int = -1
     _content_count: int = 0
@@ -113,7 +117,11 @@
         )
 
     def refresh(
-        self, state: GroupsState, table: MembershipTable, now_s: float
+        self,
+        state: GroupsState,
+        table: MembershipTable,
+        now_s: float,
+        cold_rule: ColdRule = NO_COLD_RULE,
     ) -> list[str]:
         """Re-evaluate changed groups; call it before building views.
 
@@ -125,17 +133,19 @@
             The host table.
         now_s : float
             Monotonic time in seconds.
+        cold_rule : ColdRule, optional
+            Decides which groups are cold.
 
         Returns
         -------
         list of str
             Groups that were changed, added or removed; push views if there are any.
         """
-        self._invalidate_if_changed(state, table)
+        self._invalidate_if_changed(state, table, cold_rule)
         changed = [
             group_id
             for group_id in sorted(state.groups)
-            if self._refresh_group(state, group_id, table, now_s)
+            if self._refresh_group(state, group_id, table, now_s, cold_rule)
         ]
         removed_ids = sorted(self._published_groups.keys() - state.groups.keys())
         for group_id in removed_ids:
@@ -305,15 +315,20 @@
         if self._group_views_count != self._content_count:
             self._group_views_count = self._content_count
             self._group_views = [
-                _to_view(published_group.group, published_group.reason)
+                _to_view(
+                    published_group.group,
+                    published_group.reason,
+                    published_group.is_cold,
+                    published_group.needs_cold_share,
+                )
                 for _, published_group in sorted(self._published_groups.items())
             ]
         return self._group_views
 
     def _invalidate_if_changed(
-        self, state: GroupsState, table: MembershipTable
+        self, state: GroupsState, table: MembershipTable, cold_rule: ColdRule
     ) -> None:
-        inputs = (table.revision, frozenset(state.draining_hosts))
+        inputs = (table.revision, frozenset(state.draining_hosts), cold_rule)
         if inputs == self._last_inputs:
             return
         self._last_inputs = inputs
@@ -326,6 +341,7 @@
         group_id: str,
         table: MembershipTable,
         now_s: float,
+        cold_rule: ColdRule,
     ) -> bool:
         group = state.groups[group_id]
         published_group = self._published_groups.get(group_id)
@@ -337,24 +353,42 @@
             self._refresh_load(published_group, table)
             return False
         reason = find_serving_fault(group, table, now_s, state.draining_hosts)
+        head = table.host(group_head(group).host_id)
+        cold_until_s = cold_rule.cold_until_s(head)
+        is_cold = not reason and now_s < cold_until_s
+        needs_cold_share = is_cold and group.service in cold_rule.bounded_services
         is_changed = (
             published_group is None
             or published_group.group != group
             or published_group.reason != reason
+            or published_group.is_cold != is_cold
+            or published_group.needs_cold_share != needs_cold_share
         )
         if is_changed:
             self._content_count += 1
             load = published_group.load if published_group else None
             load_version = published_group.load_version if published_group else 0
             version = self._next_version(published_group, reason)
-            entry_view = _to_entry_view(group, reason)
+            entry_view = _to_entry_view(group, reason, is_cold, needs_cold_share)
             published_group = _PublishedGroup(
-                group, reason, version, entry_view, load, load_version
+                group,
+                reason,
+                version,
+                entry_view,
+                load,
+                load_version,
+                is_cold=is_cold,
+                needs_cold_share=needs_cold_share,
             )
             self._published_groups[group_id] = published_group
         published_group.group = group
         published_group.head_id = group_head(group).host_id
         published_group.valid_until_s = _valid_until_s(group, reason, table)
+        if is_cold:
+            # Without a deadline, the next announcement may tell that it is not cold.
+            is_known = math.isfinite(cold_until_s)
+            end_s = cold_until_s if is_known else -math.inf
+            published_group.valid_until_s = min(published_group.valid_until_s, end_s)
         self._refresh_load(published_group, table)
         return is_changed
 
@@ -419,17 +453,27 @@
         return view
 
 
-def _to_entry_view(group: Group, reason: str) -> GroupView:
+def _to_entry_view(
+    group: Group, reason: str, is_cold: bool, needs_cold_share: bool
+) -> GroupView:
     """Return a group's view; a pooled group lists its head only, which serves it."""
-    view = _to_view(group, reason)
+    view = _to_view(group, reason, is_cold, needs_cold_share)
     if group.pooled:
         del view.group.members[:]
         view.group.members.append(group_head(group))
     return view
 
 
-def _to_view(group: Group, reason: str) -> GroupView:
-    return GroupView(group=group, serving=not reason, reason=reason)
+def _to_view(
+    group: Group, reason: str, is_cold: bool, needs_cold_share: bool
+) -> GroupView:
+    return GroupView(
+        group=group,
+        serving=not reason,
+        reason=reason,
+        is_cold=is_cold,
+        needs_cold_share=needs_cold_share,
+    )
 
 
 def _valid_until_s(group: Group, reason: str, table: MembershipTable) -> float:
--- a/chestnutvale/programs/control/daemon.py
+++ b/chestnutvale/programs/control/daemon.py
@@ -30,6 +30,7 @@
 )
 from chestnutvale.programs.control.interface import ControlInterface, ControlParts
 from chestnutvale.programs.control.ledger_task import LedgerTask
+from chestnutvale.programs.control.limit_divider import LimitDivider
 from chestnutvale.programs.control.load_exchange import LoadExchange
 from chestnutvale.programs.control.measures import MeasureTracker
 from chestnutvale.programs.control.metrics import (
@@ -40,7 +41,9 @@
 from chestnutvale.programs.control.state import ControlState
 from chestnutvale.programs.control.status import StatusBuilder
 from chestnutvale.programs.process_metrics import register_process_metrics
+from chestnutvale.rate_limits.cold_bound import ColdBound
 from chestnutvale.schema.settings_pb2 import ControlSettings
+from chestnutvale.settings.const import DEFAULT_LEASE_MS, MS_PER_S
 from chestnutvale.storage.store import DataStore
 from chestnutvale.transport.message_filter import make_incarnation
 from chestnutvale.transport.node import TransportNode
@@ -160,6 +163,7 @@
             "ledger_bytes": lambda: self.state.ledger.size_bytes,
             "hosts": lambda: len(self.table.known_hosts()),
             "entries": lambda: sorted(self._entry_handler.entries),
+            "limits": lambda: self._entry_handler.limits.describe(),
             "view_version": lambda: self.publisher.version,
             "transport": lambda: self.transport.read_counters(),
         }
@@ -177,6 +181,7 @@
             self.table,
             self.publisher,
             self._clock,
+            self._make_limit_divider(),
         )
         self._announcement_handler = HostAnnouncementHandler(
             self.settings.control_id,
@@ -216,6 +221,19 @@
         ):
             stack.callback(eventlet.spawn(run).kill)
 
+    def _make_limit_divider(self) -> LimitDivider:
+        settings = self.settings
+        lease_ms = settings.serving_lease_ms or DEFAULT_LEASE_MS
+        return LimitDivider(
+            self._log,
+            self.state,
+            self.table,
+            self.publisher,
+            self._clock,
+            ColdBound(settings.cold_rate_factor, settings.cold_burst_requests),
+            lease_ms / MS_PER_S,
+        )
+
     def _make_app(self) -> WsgiApp:
         builder = StatusBuilder(
             self.settings,
--- a/chestnutvale/programs/control/entry_report_handler.py
+++ b/chestnutvale/programs/control/entry_report_handler.py
@@ -18,7 +18,6 @@
 from chestnutvale.groups.members import group_head
 from chestnutvale.membership.attempt_counts import AttemptCounts
 from chestnutvale.membership.cache_events import CacheEventQueue
-from chestnutvale.membership.endpoint_notices import Incarnation
 from chestnutvale.membership.relay_peers import RelayPeer, choose_relay_peers
 from chestnutvale.membership.table import MembershipTable
 from chestnutvale.membership.view_publisher import ViewPublisher, ViewPush
@@ -28,10 +27,8 @@
     MAX_CONCURRENT_COMMIT_REQUESTS,
     RESPONSIVE_TTL_S,
 )
+from chestnutvale.programs.control.limit_divider import LimitDivider
 from chestnutvale.programs.control.state import ControlState
-from chestnutvale.rate_limits.coordinator import RateLimitCoordinator
-from chestnutvale.rate_limits.division import EndpointPlace, division_interval_s
-from chestnutvale.rate_limits.wire import from_message, to_message
 from chestnutvale.routing.stall_detection import StallAggregator
 from chestnutvale.schema.peer_pb2 import (
     CacheNews,
@@ -74,6 +71,9 @@
         Address at which it takes calls of other entries; empty if it takes none.
     is_isolated : bool
         Whether it reaches no endpoint.
+    obeys_cold_shares : bool
+        Whether it sends to cold endpoints with a bound only by its shares; False for
+        older builds.
     """
 
     incarnation: str
@@ -84,6 +84,7 @@
     address: str = ""
     relay_address: str = ""
     is_isolated: bool = False
+    obeys_cold_shares: bool = False
 
 
 class EntryReportHandler:
@@ -103,9 +104,13 @@
         Builds views.
     clock : Clock
         Source of time.
+    limits : LimitDivider, optional
+        Divides what limited and cold endpoints take.
 
     Attributes
     ----------
+    limits : LimitDivider
+        Divides what limited and cold endpoints take.
     entries : dict of str to EntryState
         Last report of each entry.
     attempt_counts : AttemptCounts
@@ -120,6 +125,7 @@
         table: MembershipTable,
         publisher: ViewPublisher,
         clock: Clock,
+        limits: LimitDivider | None = None,
     ) -> None:
         self.entries: dict[str, EntryState] = {}
         self._transport = transport
@@ -138,12 +144,7 @@
         self._demand_due_s: dict[str, float] = {}
         self.attempt_counts = AttemptCounts()
         self._stalls = StallAggregator()
-        self._rate_limits = RateLimitCoordinator()
-        self._limit_inputs: tuple[object, ...] = ()
-        self._pushed_limits = self._rate_limits.version
-        self._limits_due_s = -math.inf
-        # Version of the list of limits that each entry is known to have.
-        self._limits_versions: dict[str, int] = {}
+        self.limits = limits or LimitDivider(log, state, table, publisher, clock)
         self._commits = eventlet.GreenPool(MAX_CONCURRENT_COMMIT_REQUESTS)
         transport.register_handler("entry_report", self._receive_report)
         transport.register_handler("commit_request", self._receive_commit)
@@ -250,15 +251,15 @@
             address=report.reply_address,
             relay_address=report.relay_address,
             is_isolated=report.is_isolated,
+            obeys_cold_shares=report.obeys_cold_shares,
         )
         has_new_suspicions = self._suspicions.merge(
             list(report.suspicions), self._clock.unix_ms()
         )
         self.attempt_counts.record_group_loads(entry_id, report.running, now_s)
-        self._rate_limits.merge(from_message(item, now_s) for item in report.limits)
-        is_same_source = report.view_source == self._publisher.source
-        self._limits_versions[entry_id] = report.limits_version if is_same_source else 0
-        if not self._log.is_leader or not self._log.has_lease(now_s):
+        is_leading = self._log.is_leader and self._log.has_lease(now_s)
+        self.limits.merge_report(entry_id, report, now_s, is_leading)
+        if not is_leading:
             if report.wants_controls:
                 self._answer_as_follower(entry_id, report.reply_address)
             return
@@ -327,42 +328,18 @@
     def _divide_limits(self, now_s: float) -> bool:
         """Divide the rate limits of endpoints again if something changed."""
         entries = {
-            entry_id: self.entries[entry_id].data_centre
+            entry_id: self.entries[entry_id]
             for entry_id in self._table.live_entries(now_s)
             if entry_id in self.entries and not self.entries[entry_id].draining
         }
-        inputs = (self._rate_limits.version, self._publisher.version, entries)
-        if inputs == self._limit_inputs or now_s < self._limits_due_s:
-            return False
-        limit_count = len(self._rate_limits.statements())
-        if limit_count:
-            interval_s = division_interval_s(limit_count, len(entries))
-            self._limits_due_s = now_s + interval_s
-        places = {
-            Incarnation.of_member(group_head(view.group)): EndpointPlace(
-                view.group.service, view.group.data_centre
-            )
-            for view in self._publisher.group_views()
-            if view.serving
-        }
-        self._rate_limits.refresh(entries, places, now_s)
-        version, version_before = self._rate_limits.version, self._pushed_limits
-        self._limit_inputs = (version, self._publisher.version, entries)
-        self._pushed_limits = version
-        return version != version_before
-
-    def _add_limits(self, entry_id: str, view: ControlView, now_s: float) -> None:
-        coordinator = self._rate_limits
-        if self._limits_versions.get(entry_id) == coordinator.version:
-            return
-        view.limits_version = coordinator.version
-        view.limits.extend(
-            to_message(
-                statement,
-                now_s,
-                coordinator.share_per_s(statement.endpoint, entry_id),
-            )
-            for statement in coordinator.statements()
+        return self.limits.divide(
+            {entry_id: entry.data_centre for entry_id, entry in entries.items()},
+            {
+                entry_id: entry.data_centre
+                for entry_id, entry in entries.items()
+                if entry.obeys_cold_shares
+            },
+            now_s,
         )
 
     def _push_to_all(self, now_s: float) -> None:
@@ -416,7 +393,12 @@
 
     def _refresh(self, now_s: float) -> None:
         self._refreshed_inputs = (self._log.applied_index, self._table.revision)
-        changed = self._publisher.refresh(self._state.groups, self._table, now_s)
+        changed = self._publisher.refresh(
+            self._state.groups,
+            self._table,
+            now_s,
+            self.limits.make_cold_rule(now_s),
+        )
         if changed and self._log.is_leader:
             self._log_changes(changed)
         self._valid_until_s = self._publisher.valid_until_s
@@ -432,6 +414,7 @@
                     "epoch": view.group.epoch if view else 0,
                     "serving": bool(view and view.serving),
                     "reason": view.reason if view else "dissolved",
+                    "cold": bool(view and view.is_cold),
                     "view_version": self._publisher.version,
                 },
             )
@@ -450,7 +433,7 @@
         now_s = self._clock.now_s()
         view.stalled_group_ids.extend(sorted(self._stalls.stalled_groups(now_s)))
         view.discovering = self._table.may_discover_hosts(now_s)
-        self._add_limits(entry_id, view, now_s)
+        self.limits.add_limits(entry_id, view, now_s)
         if view.whole:
             view.suspicions.extend(self._suspicions.all_evidence(now_unix_ms))
         else:
--- a/chestnutvale/programs/entry/control_link.py
+++ b/chestnutvale/programs/entry/control_link.py
@@ -26,7 +26,12 @@
 from chestnutvale.programs.entry.running_attempts import RunningAttempts
 from chestnutvale.programs.periodic import run_periodically
 from chestnutvale.rate_limits.send_budget import SendBudget
-from chestnutvale.rate_limits.wire import from_message, to_message
+from chestnutvale.rate_limits.wire import (
+    from_cold_messages,
+    from_message,
+    to_cold_messages,
+    to_message,
+)
 from chestnutvale.routing.stall_detection import StallDetector
 from chestnutvale.schema.membership_pb2 import Load
 from chestnutvale.schema.peer_pb2 import (
@@ -230,6 +235,8 @@
             sent_at_ms=round(now_s * 1_000),
             relay_address=self._settings.relay_address,
             is_isolated=self.is_isolated(),
+            obeys_cold_shares=True,
+            cold_shares=to_cold_messages(self._send_budget.held_slots()),
         )
         self._demand.add_demand(report)
         self._view.record_report_sent(nonce, now_s)
@@ -256,17 +263,20 @@
             report.limits_version = version
 
     def _install_limits(self, view: ControlView) -> None:
-        installed = (view.source, view.limits_version)
-        if not view.limits_version or installed == self._limits_installed:
+        source, version = self._limits_installed
+        # Of two views with the same groups, the older one may arrive later.
+        is_old = view.source == source and view.limits_version <= version
+        if not view.limits_version or is_old:
             return
-        self._limits_installed = installed
+        self._limits_installed = (view.source, view.limits_version)
         now_s = self._clock.now_s()
         statements = [from_message(message, now_s) for message in view.limits]
         shares = {
             statement.endpoint: message.share_per_s
             for statement, message in zip(statements, view.limits, strict=True)
         }
-        self._send_budget.install(statements, shares, now_s)
+        cold_shares = from_cold_messages(view.cold_shares)
+        self._send_budget.install(statements, shares, now_s, cold_shares)
         _LOGGER.info(
             "rate_limits",
             extra={
@@ -277,6 +287,10 @@
                     for endpoint, share_per_s in shares.items()
                     if share_per_s
                 },
+                "cold_slots": {
+                    endpoint.host_id: plan.count
+                    for endpoint, plan in cold_shares.items()
+                },
             },
         )
 
@@ -333,6 +347,10 @@
         verdict = self._view.install_view(view, self._clock.now_s())
         if verdict is InstallVerdict.OLD_TERM:
             return
+        # No call may see a cold group as ordinary, so nothing that could switch to
+        # another task comes before this.
+        cold = self._view.bounded_cold_endpoints()
+        self._send_budget.set_cold(cold, self._clock.now_s())
         self._targets.record_leader_view(
             envelope.sender_id, controls, self._clock.now_s()
         )
--- a/chestnutvale/programs/entry/entry_context.py
+++ b/chestnutvale/programs/entry/entry_context.py
@@ -75,7 +75,8 @@
         Called when an endpoint told this entry another limit than before.
     notice_counts : Counter
         Number of endpoints that were ``leaving`` and ``paused`` by their own answers,
-        and of limits that they named (``limited``) and no longer named (``unlimited``).
+        of limits that they named (``limited``) and no longer named (``unlimited``), and
+        of endpoints that said that they are ``cold``.
     kept_attempts : Counter
         Number of attempts that were kept although silent, by the code of the reason.
     on_isolation_change : callable
@@ -386,6 +387,7 @@
         """
         self._answered_at_s = self.clock.now_s()
         self._record_rate_limit(endpoint, notice.rate_limit_per_s)
+        self._record_cold(endpoint, notice.cold_remaining_s)
         if not self._router.notices.record(endpoint, notice, self.clock.now_s()):
             return
         kind = "leaving" if notice.is_leaving else "paused"
@@ -477,6 +479,22 @@
         self._install_capacities()
         self.on_limit_change()
 
+    def _record_cold(self, endpoint: Incarnation, remaining_s: float) -> None:
+        if not remaining_s:
+            return
+        if not self._router.record_cold(endpoint, self.clock.now_s() + remaining_s):
+            return
+        self.notice_counts["cold"] += 1
+        _LOGGER.info(
+            "endpoint_cold",
+            extra={
+                "host": endpoint.host_id,
+                "boot": endpoint.boot_id,
+                "remaining_s": remaining_s,
+            },
+        )
+        self._install_capacities()
+
     def next_send_s(self, service: str) -> float | None:
         """Return when a rate limit lets this entry send a request to a service.
 
--- a/chestnutvale/programs/entry/group_router.py
+++ b/chestnutvale/programs/entry/group_router.py
@@ -160,6 +160,37 @@
         age_s = (self._clock.unix_ms() - load.measured_at_unix_ms) / 1_000
         return min(max(age_s, 0.0), MAX_LOAD_AGE_S)
 
+    def record_cold(self, endpoint: Incarnation, until_s: float) -> bool:
+        """Record that an endpoint said in an answer that it is cold.
+
+        Parameters
+        ----------
+        endpoint : Incarnation
+            The endpoint.
+        until_s : float
+            Monotonic time in seconds at which it no longer is.
+
+        Returns
+        -------
+        bool
+            Whether this was not known and the endpoint has a bound while it is cold.
+        """
+        text = self._view.text
+        services = {
+            group_view.group.service
+            for group_view in self._view.groups()
+            if _head_of(group_view) == endpoint
+        }
+        is_bounded = text is not None and any(
+            text.services[service].cold_requests_per_s
+            for service in services
+            if service in text.services
+        )
+        if not is_bounded or self.send_budget.is_cold(endpoint):
+            return False
+        self.send_budget.record_cold(endpoint, until_s, self._clock.now_s())
+        return True
+
     def capacities(self) -> dict[str, ServiceCapacity]:
         """Return the total capacity of the serving groups of each service.
 
--- a/chestnutvale/rate_limits/cold_bound.py
+++ b/chestnutvale/rate_limits/cold_bound.py
@@ -7,6 +7,7 @@
 from chestnutvale.rate_limits.const import (
     COLD_RESERVE_REQUESTS,
     COLD_WINDOW_S,
+    MAX_SLOTS,
     MIN_SHARE_PER_S,
 )
 
@@ -74,7 +75,7 @@
         if allowed < 1.0:
             return SlotPlan(0, 0.0)
         spare = allowed - COLD_RESERVE_REQUESTS - cold_requests_per_s * COLD_WINDOW_S
-        most = math.floor(cold_requests_per_s / MIN_SHARE_PER_S)
+        most = min(MAX_SLOTS, math.floor(cold_requests_per_s / MIN_SHARE_PER_S))
         count = max(1, min(math.floor(spare), most))
         # A bucket whose rate is below this sends one request in a window, not two.
         lowest_per_s = min(cold_requests_per_s, 0.9 / COLD_WINDOW_S)
--- a/chestnutvale/rate_limits/const.py
+++ b/chestnutvale/rate_limits/const.py
@@ -28,6 +28,8 @@
 # Requests of the bound of a cold endpoint that are kept for entries that pause between
 # taking a token and sending the request.
 COLD_RESERVE_REQUESTS: Final = 2.0
+# Most slots of a cold endpoint, which bounds the work of a division.
+MAX_SLOTS: Final = 128
 # Added to the serving lease of an entry before its slots are given to another one, for
 # clocks that run at different rates.
 SLOT_EXPIRY_MARGIN_S: Final = 0.1
--- a/chestnutvale/rate_limits/send_budget.py
+++ b/chestnutvale/rate_limits/send_budget.py
@@ -94,6 +94,10 @@
     # Limits in the leader's newest list, with the shares of this entry.
     _listed_rates: dict[Incarnation, float | None] = attrs.field(factory=dict)
     _shares: dict[Incarnation, float] = attrs.field(factory=dict)
+    # Cold endpoints with a bound: those of the view, those of answers with the end of
+    # their time, and all of them.
+    _listed_cold: frozenset[Incarnation] = frozenset()
+    _stated_cold_until_s: dict[Incarnation, float] = attrs.field(factory=dict)
     _cold: frozenset[Incarnation] = frozenset()
     _cold_shares: dict[Incarnation, SlotPlan] = attrs.field(factory=dict)
     _entry_count: int = 1
@@ -161,18 +165,33 @@
         now_s : float
             Monotonic time in seconds.
         """
-        cold = frozenset(endpoints)
-        if cold != self._cold:
-            self._cold = cold
+        listed = frozenset(endpoints)
+        if listed != self._listed_cold:
+            self._listed_cold = listed
             self._update_buckets(now_s)
 
+    def record_cold(self, endpoint: Incarnation, until_s: float, now_s: float) -> None:
+        """Record that an endpoint with a bound said that it is cold.
+
+        Parameters
+        ----------
+        endpoint : Incarnation
+            The endpoint.
+        until_s : float
+            Monotonic time in seconds at which it no longer is.
+        now_s : float
+            Monotonic time in seconds.
+        """
+        self._stated_cold_until_s[endpoint] = until_s
+        self._update_buckets(now_s)
+
     def is_cold(self, endpoint: Incarnation) -> bool:
         """Tell whether an endpoint is cold and has a bound."""
         return endpoint in self._cold
 
-    def held_slots(self) -> dict[Incarnation, int]:
+    def held_slots(self) -> dict[Incarnation, SlotPlan]:
         """Return the slots of this entry at cold endpoints, for reports."""
-        return {endpoint: plan.count for endpoint, plan in self._cold_shares.items()}
+        return dict(self._cold_shares)
 
     def unreported(self) -> list[RateStatement]:
         """Return the statements in which the leader's list differs or lacks a limit."""
@@ -265,6 +284,12 @@
         ]
 
     def _update_buckets(self, now_s: float) -> None:
+        self._stated_cold_until_s = {
+            endpoint: until_s
+            for endpoint, until_s in self._stated_cold_until_s.items()
+            if until_s > now_s
+        }
+        self._cold = self._listed_cold.union(self._stated_cold_until_s)
         limits = self.statements.limits()
         limited = limits.keys() | self._cold
         for endpoint in self._buckets.keys() - limited:
--- a/chestnutvale/rate_limits/wire.py
+++ b/chestnutvale/rate_limits/wire.py
@@ -1,9 +1,12 @@
 """Converts statements about request rates to and from messages."""
 
+from collections.abc import Iterable, Mapping
+
 from chestnutvale.membership.endpoint_notices import Incarnation
+from chestnutvale.rate_limits.cold_bound import SlotPlan
 from chestnutvale.rate_limits.const import MAX_RATE_PER_S
 from chestnutvale.rate_limits.statements import RateStatement
-from chestnutvale.schema.peer_pb2 import EndpointLimit
+from chestnutvale.schema.peer_pb2 import ColdShare, EndpointLimit
 
 
 def to_message(
@@ -57,3 +60,48 @@
         rate_per_s,
         now_s - message.age_ms / 1_000,
     )
+
+
+def to_cold_messages(shares: Mapping[Incarnation, SlotPlan]) -> list[ColdShare]:
+    """Return the messages of the slots of an entry.
+
+    Parameters
+    ----------
+    shares : mapping of Incarnation to SlotPlan
+        Number and rate of its slots at each cold endpoint.
+
+    Returns
+    -------
+    list of ColdShare
+        One for each endpoint.
+    """
+    return [
+        ColdShare(
+            host_id=endpoint.host_id,
+            boot_id=endpoint.boot_id,
+            slots=plan.count,
+            rate_per_s=plan.rate_per_s,
+        )
+        for endpoint, plan in shares.items()
+    ]
+
+
+def from_cold_messages(messages: Iterable[ColdShare]) -> dict[Incarnation, SlotPlan]:
+    """Return the slots in messages.
+
+    Parameters
+    ----------
+    messages : iterable of ColdShare
+        The messages.
+
+    Returns
+    -------
+    dict of Incarnation to SlotPlan
+        Number and rate of the slots at each cold endpoint.
+    """
+    return {
+        Incarnation(message.host_id, message.boot_id): SlotPlan(
+            message.slots, min(max(message.rate_per_s, 0.0), MAX_RATE_PER_S)
+        )
+        for message in messages
+    }
--- a/chestnutvale/settings/const.py
+++ b/chestnutvale/settings/const.py
@@ -32,6 +32,12 @@
 DEFAULT_MAX_LOADING_HOSTS: Final = 16
 DEFAULT_VOTER_LOST_MS: Final = 30_000
 
+# The bound of a cold host is what its service takes, unless an operator knows better.
+DEFAULT_COLD_RATE_FACTOR: Final = 1.0
+DEFAULT_COLD_BURST_REQUESTS: Final = 0.0
+MAX_COLD_RATE_FACTOR: Final = 1_000.0
+MAX_COLD_BURST_REQUESTS: Final = 1_000_000.0
+
 DEFAULT_CLIENT_TIMEOUT_MS: Final = 10_000
 
 # Controls wait this long before they assume that no entry serves from an outdated view,
--- a/chestnutvale/settings/control.py
+++ b/chestnutvale/settings/control.py
@@ -11,6 +11,8 @@
     default_log_settings,
 )
 from chestnutvale.settings.const import (
+    DEFAULT_COLD_BURST_REQUESTS,
+    DEFAULT_COLD_RATE_FACTOR,
     DEFAULT_CONTROL_SHUTDOWN_TIMEOUT_MS,
     DEFAULT_DETECTION_TIMEOUT_MS,
     DEFAULT_ELECTION_TIMEOUT_MS,
@@ -20,6 +22,8 @@
     DEFAULT_MEMBER_WAIT_MS,
     DEFAULT_STRANDED_HOSTS_WEIGHT,
     DEFAULT_VOTER_LOST_MS,
+    MAX_COLD_BURST_REQUESTS,
+    MAX_COLD_RATE_FACTOR,
     MAX_COST_WEIGHT,
     MAX_ELECTION_TIMEOUT_MS,
     MAX_INTERVAL_MS,
@@ -83,6 +87,8 @@
         ),
         max_loading_hosts=DEFAULT_MAX_LOADING_HOSTS,
         voter_lost_ms=DEFAULT_VOTER_LOST_MS,
+        cold_rate_factor=DEFAULT_COLD_RATE_FACTOR,
+        cold_burst_requests=DEFAULT_COLD_BURST_REQUESTS,
     )
 
 
@@ -101,6 +107,8 @@
     check_log_settings(settings.log, origin)
     _check_times(settings, origin)
     _check_repair(settings.repair, origin)
+    check_range(settings, "cold_rate_factor", 0.0, MAX_COLD_RATE_FACTOR, origin)
+    check_range(settings, "cold_burst_requests", 0.0, MAX_COLD_BURST_REQUESTS, origin)
 
 
 def _check_times(settings: ControlSettings, origin: str) -> None:
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -49,6 +49,21 @@
     assert not find_document_faults(text)
 
 
+def test_cold_start_of_services_is_translated():
+    document = replace_value(CONFIGURATION, ("services", 0, "coldPerS"), 17)
+    document = replace_value(document, ("services", 0, "coldStartS"), 3)
+    document = replace_value(document, ("services", 1, "coldPerS"), 2.5)
+    services = read(document).services
+    for name in ("llm-big", "llm-small"):
+        found = services[name]
+        assert (found.cold_requests_per_s, found.cold_start_ms) == (17.0, 3_000)
+    found = services["app"]
+    assert (found.cold_requests_per_s, found.cold_start_ms) == (2.5, 0)
+    # A number that no field can hold must not break the parser.
+    document = replace_value(document, ("services", 1, "coldStartS"), 1e300)
+    assert read(document).services["app"].cold_start_ms == 600_000
+
+
 def test_routes_and_keys_of_configuration_are_found():
     text = read(CONFIGURATION)
     assert RouteTable.from_text(text).find_route("shop.example", "/gen/1").name == "r-1"
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -44,6 +44,17 @@
     assert not found.HasField("holding")
 
 
+def test_heartbeat_says_how_long_the_worker_stays_cold():
+    assert read(HEARTBEAT).cold_remaining_ms == 0
+    cold = HEARTBEAT | {"coldRemainingMs": 2_750}
+    assert read(cold).cold_remaining_ms == 2_750
+    # An absurd time must not make the table refuse the heartbeat.
+    absurd = read(HEARTBEAT | {"coldRemainingMs": 10**12})
+    validate_announcement(absurd)
+    with pytest.raises(WireError):
+        read(HEARTBEAT | {"coldRemainingMs": -1})
+
+
 def test_restart_under_same_id_changes_boot_id():
     later = replace_value(HEARTBEAT, ("born",), HEARTBEAT["born"] + 1)
     assert read(HEARTBEAT).boot_id != read(later).boot_id
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -56,6 +56,14 @@
     assert settings.shutdown_timeout_ms < 8_000
 
 
+def test_bound_of_cold_workers(tmp_path):
+    found = make_control_settings(load(tmp_path, CONTROL))
+    assert (found.cold_rate_factor, found.cold_burst_requests) == (1.5, 5.0)
+    bounds = "bounds.coldOverage=1.2\nbounds.coldTolerance=3\n"
+    found = make_control_settings(load(tmp_path, CONTROL + bounds))
+    assert (found.cold_rate_factor, found.cold_burst_requests) == (1.2, 3.0)
+
+
 def test_control_settings(tmp_path):
     settings = make_control_settings(load(tmp_path, CONTROL))
     assert settings.control_id == "10.1.0.40"
--- a/tests/rate_limits/cold_fleet.py
+++ b/tests/rate_limits/cold_fleet.py
@@ -208,6 +208,10 @@
                 if entry.name in leader.seen_at_s:
                     self._send_view(leader, entry, None)
 
+    def _held(self, entry):
+        held = entry.budget.held_slots()
+        return {name: plan.count for name, plan in held.items()}
+
     def _find_cold_since_s(self, leader, endpoint):
         if endpoint.known_before_s > leader.coordinator.ledger.started_at_s - LEASE_S:
             return -math.inf
@@ -218,7 +222,7 @@
         held = Counter()
         for entry in self.entries:
             if entry.is_up and self.now_s < entry.lease_until_s:
-                held.update(entry.budget.held_slots())
+                held.update(self._held(entry))
         return max(held.values(), default=0)
 
     def _send_view(self, leader, entry, answered_s):
@@ -275,7 +279,7 @@
         self.after(REPORT_INTERVAL_S, self._report, entry)
         if entry.is_up and not entry.is_cut and self.now_s >= entry.paused_until_s:
             versions = entry.source, entry.limits_version
-            held = entry.budget.held_slots()
+            held = self._held(entry)
             arguments = entry, versions, held, self.now_s
             self.after(self._delay_s(), self._merge, *arguments)
 
