Ramp the load of groups up after they were cold

Cause: a group that has just become warm is the least loaded of all, so that all entries choose it at once, and latencies of its cold time keep traffic away for long afterwards. The planner counted cold groups as able to take over the load of a group that is given up.

The planner leaves cold groups out when it looks for a group to give up. The metrics chestnutvale.service.groups.cold and chestnutvale.cold.slots are new.

Result: tests/routing, groups, observability, rate_limits, admission, programs/entry and programs/control pass.

--- a/chestnutvale/groups/pools.py
+++ b/chestnutvale/groups/pools.py
@@ -32,6 +32,7 @@
 from chestnutvale.groups.pool_demand import PoolDemand
 from chestnutvale.groups.serving import has_recent_events, holds_epoch
 from chestnutvale.groups.state import GroupsState
+from chestnutvale.membership.cold_state import find_cold_until_s
 from chestnutvale.membership.const import HOLDING_BROKEN
 from chestnutvale.membership.host_record import HostRecord
 from chestnutvale.membership.table import MembershipTable
@@ -155,12 +156,17 @@
         previous_since_s = self._donor_since_s
         self._donor_since_s = {}
         counts = Counter(group.service for group in groups)
+        # A cold group can't take over the load of one that is given up. For a service
+        # that needs more, it counts: it is warm before another group could be ready.
+        warm_counts = Counter(
+            group.service for group in groups if not _is_cold(group, table, now_s)
+        )
         prospects = count_prospects(services, groups, fleet)
         for pool in {service.pool for service in services.values()}:
             pool_services = {
                 name: item for name, item in services.items() if item.pool == pool
             }
-            donor = self._find_donor(pool_services, counts, prospects)
+            donor = self._find_donor(pool_services, warm_counts, prospects)
             serving = [
                 group
                 for group in groups
@@ -381,6 +387,11 @@
     return PutGroup(group=changed, expected_epoch=group.epoch)
 
 
+def _is_cold(group: Group, table: MembershipTable, now_s: float) -> bool:
+    record = table.host(group_head(group).host_id)
+    return record is not None and now_s < find_cold_until_s(record)
+
+
 def _is_leaving(host_id: str, table: MembershipTable) -> bool:
     record = table.host(host_id)
     if record is None or record.announcement is None:
--- a/chestnutvale/observability/catalog.py
+++ b/chestnutvale/observability/catalog.py
@@ -95,6 +95,17 @@
     "Groups that serve.",
     (LABEL_SERVICE,),
 )
+GROUPS_COLD: Final = Metric(
+    "chestnutvale.service.groups.cold",
+    "{group}",
+    "Groups that serve and whose head is cold.",
+    (LABEL_SERVICE,),
+)
+COLD_SLOTS: Final = Metric(
+    "chestnutvale.cold.slots",
+    "{slot}",
+    "Slots of cold hosts that entries hold.",
+)
 HOSTS_KNOWN: Final = Metric("chestnutvale.hosts", "{host}", "Hosts known.")
 CONFIGURATION_NUMBER: Final = Metric(
     "chestnutvale.configuration.number", UNIT_NONE, "Number of the text in force."
@@ -198,7 +209,7 @@
 ENDPOINT_NOTICES: Final = Metric(
     "chestnutvale.entry.endpoint.notices",
     "{endpoint}",
-    "Departures, pauses, and changes of rate limits that endpoints stated in answers.",
+    "Departures, pauses, cold states and limit changes that endpoints stated.",
     (LABEL_REASON,),
 )
 ISOLATION_CHANGES: Final = Metric(
--- a/chestnutvale/programs/control/metrics.py
+++ b/chestnutvale/programs/control/metrics.py
@@ -124,6 +124,13 @@
             name: counts[name] for name in sources.state.configuration.text.services
         }
 
+    def count_cold() -> Mapping[str, float]:
+        views = sources.publisher.group_views()
+        counts = Counter(item.group.service for item in views if item.is_cold)
+        return {
+            name: counts[name] for name in sources.state.configuration.text.services
+        }
+
     def count_wanted() -> Mapping[str, float]:
         services = sources.state.configuration.text.services
         return {name: service.groups for name, service in services.items()}
@@ -137,6 +144,15 @@
         catalog.GROUPS_SERVING,
         leading(make_labelled_reader(LABEL_SERVICE, count_serving)),
     )
+    metrics.register_gauge(
+        catalog.GROUPS_COLD, leading(make_labelled_reader(LABEL_SERVICE, count_cold))
+    )
+    metrics.register_gauge(
+        catalog.COLD_SLOTS,
+        leading(
+            make_unlabelled_reader(lambda: sources.entry_handler.limits.slot_count)
+        ),
+    )
     metrics.register_gauge(
         catalog.GROUPS_WANTED,
         leading(make_labelled_reader(LABEL_SERVICE, count_wanted)),
--- a/chestnutvale/programs/entry/group_router.py
+++ b/chestnutvale/programs/entry/group_router.py
@@ -99,6 +99,14 @@
                 for group_view in self._view.groups()
                 if group_view.serving
             )
+            self._selector.update_cold(
+                [
+                    group_view.group.group_id
+                    for group_view in self._view.groups()
+                    if group_view.is_cold
+                ],
+                now_s,
+            )
         for load in view.loads:
             age_s = self._get_load_age_s(load.load)
             self._selector.update_load(load.group_id, load.load, now_s, age_s)
--- a/chestnutvale/routing/const.py
+++ b/chestnutvale/routing/const.py
@@ -26,6 +26,12 @@
 # probe share, so that it is tried again.
 STRAGGLER_FADE_S: Final = 30.0
 
+# Share of its ordinary traffic with which a group begins that is or was cold, and the
+# time after which it gets all of it: a worker that has just started is slow for some
+# seconds.
+SLOW_START_SHARE: Final = 0.5
+SLOW_START_S: Final = 2.0
+
 CANDIDATE_COUNT: Final = 2
 # Penalty on the load of a group in another data centre: in requests, or as a fraction
 # of its KV cache. Small, because one request more or less hardly changes the latency.
--- a/chestnutvale/routing/selector.py
+++ b/chestnutvale/routing/selector.py
@@ -1,7 +1,7 @@
 """Chooses the group that runs a request."""
 
 import random
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 
 import attrs
 
@@ -17,6 +17,7 @@
 from chestnutvale.routing.load import GroupLoad, SentRequest
 from chestnutvale.routing.messages import RoutableGroup, RoutingRequest
 from chestnutvale.routing.prefixes import PrefixIndex
+from chestnutvale.routing.slow_start import SlowStart
 from chestnutvale.routing.stragglers import StragglerDetector
 from chestnutvale.schema.membership_pb2 import CacheEvents, Load
 
@@ -61,6 +62,7 @@
     data_centre: str = ""
     prefixes: PrefixIndex = attrs.field(factory=PrefixIndex)
     stragglers: StragglerDetector = attrs.field(factory=StragglerDetector)
+    slow_start: SlowStart = attrs.field(factory=SlowStart)
     _groups: dict[str, RoutableGroup] = attrs.field(factory=dict)
     _by_service: dict[str, list[str]] = attrs.field(factory=dict)
     _loads: dict[str, GroupLoad] = attrs.field(factory=dict)
@@ -81,6 +83,11 @@
             self._by_service.setdefault(group.service, []).append(group.group_id)
             self._loads.setdefault(group.group_id, GroupLoad())
 
+    def update_cold(self, cold: Collection[str], now_s: float) -> None:
+        """Set the groups whose endpoint is cold; their traffic ramps up afterwards."""
+        self.slow_start.update(cold, now_s)
+        self._shares = {}
+
     def update_load(
         self,
         group_id: str,
@@ -154,7 +161,9 @@
         if group_id is None:
             return
         latency_s = self._loads[group_id].pop_first_token_latency_s(request_id, now_s)
-        if latency_s is not None:
+        # What a worker takes that has just started tells nothing about a later time.
+        is_usual = not self.slow_start.is_starting(group_id, now_s)
+        if latency_s is not None and is_usual:
             self.stragglers.observe(group_id, latency_s, now_s)
 
     def record_finished(self, request_id: str, now_s: float) -> None:
@@ -180,7 +189,10 @@
                 name: self._loads[name].oldest_unanswered_s(now_s)
                 for name in self._by_service[service]
             }
-            shares = self.stragglers.shares(waits_s, now_s)
+            shares = {
+                name: share * self.slow_start.share(name, now_s)
+                for name, share in self.stragglers.shares(waits_s, now_s).items()
+            }
             known = TrafficShares(shares, now_s + SHARES_EXPIRY_S)
             self._shares[service] = known
         return known.shares
