--- a/chestnutvale/configuration/checks.py
+++ b/chestnutvale/configuration/checks.py
@@ -8,7 +8,6 @@
     KINDS,
     MAX_BODY_BYTES,
     MAX_CALL_RULES,
-    MAX_COLD_REQUESTS_PER_S,
     MAX_COLD_START_MS,
     MAX_DEADLINE_MS,
     MAX_GROUPS,
@@ -153,10 +152,6 @@
     _check_range(
         service.cold_start_ms, 0, MAX_COLD_START_MS, (*path, "cold_start_ms"), report
     )
-    # The schema reader rejects infinite numbers and those that are too large.
-    if not 0.0 <= service.cold_requests_per_s <= MAX_COLD_REQUESTS_PER_S:
-        path = (*path, "cold_requests_per_s")
-        report.add(path, f"must be from 0 to {MAX_COLD_REQUESTS_PER_S:.0f}")
 
 
 def _check_model_service(service: Service, path: Path, report: ProblemReport) -> None:
--- a/tests/configuration/test_parser.py
+++ b/tests/configuration/test_parser.py
@@ -39,6 +39,12 @@
     data[last] = value
 
 
+def test_cold_start_of_a_service_is_read(base, write_text):
+    base["services"]["chat"] |= {"cold_requests_per_s": 2.5, "cold_start_ms": 3_000}
+    found = parse_text(write_text(base)).services["chat"]
+    assert (found.cold_requests_per_s, found.cold_start_ms) == (2.5, 3_000)
+
+
 def test_defaults_and_equal_texts_have_one_digest(base, write_text):
     text = parse_text(write_text(base))
     assert text.services["chat"].limits.default_deadline_ms == 120_000
@@ -93,6 +99,9 @@
         ),
         ("services.ledger.depends_on", ["chatt"], None, "'chat'"),
         ("services.ledger.hosts_per_group", 2, None, "single hosts"),
+        ("services.chat.cold_start_ms", 600_001, None, "from 0"),
+        ("services.chat.cold_requests_per_s", -1.0, None, "from 0"),
+        ("services.chat.cold_requests_per_s", 1e7, None, "to 1e+06"),
         ("services.ledger.limits.default_deadline_ms", 1, None, "from 100"),
         ("services.ledger.limits", 5, None, "object"),
         ("services.Ledger", {"kind": "plain"}, None, "lower-case"),
