Report no slots of cold endpoints without a lease

Cause: an entry whose lease had ended still reported its slots. A new leader that took them over while another entry held them by then would have granted them twice, until the excess was withdrawn.

Change: an entry reports its slots only under its lease. The ledger forgets the acknowledgements of entries that are gone.

Result: both new tests failed before; tests/rate_limits and the tests of cold shares, the control link and rate limits of programs/entry pass.

--- a/chestnutvale/programs/entry/control_link.py
+++ b/chestnutvale/programs/entry/control_link.py
@@ -236,8 +236,11 @@
             relay_address=self._settings.relay_address,
             is_isolated=self.is_isolated(),
             obeys_cold_shares=True,
-            cold_shares=to_cold_messages(self._send_budget.held_slots()),
         )
+        if self._view.has_lease(now_s):
+            # After the lease, another entry may have got the slots.
+            held = self._send_budget.held_slots()
+            report.cold_shares.extend(to_cold_messages(held))
         self._demand.add_demand(report)
         self._view.record_report_sent(nonce, now_s)
         if self._running is not None:
--- a/chestnutvale/rate_limits/slot_ledger.py
+++ b/chestnutvale/rate_limits/slot_ledger.py
@@ -249,6 +249,12 @@
             for entry_id, heard_at_s in self._heard_at_s.items()
             if now_s <= heard_at_s + silent_s
         }
+        if self.is_complete(now_s):
+            self._acknowledged = {
+                entry_id: version
+                for entry_id, version in self._acknowledged.items()
+                if entry_id in self._heard_at_s
+            }
 
     def _forget_empty(self) -> None:
         for endpoint, holders in list(self._holdings.items()):
--- a/tests/programs/entry/test_cold_shares.py
+++ b/tests/programs/entry/test_cold_shares.py
@@ -89,9 +89,22 @@
     assert not link._send_budget.may_send(HEAD, 1e6)
 
 
+def test_an_entry_without_a_lease_reports_no_slots(entry):  # noqa: F811
+    # Guards against a new leader that takes over a slot which its predecessor gave to
+    # another entry after the lease had ended.
+    link = entry.link
+    link._receive_view(
+        Envelope(sender_id="c1", control_view=make_view(limits_version=5, slots=2))
+    )
+    link._send_report()
+    assert not entry.transport.reports[-1].cold_shares
+
+
 def test_reports_name_the_slots_of_the_entry(entry):  # noqa: F811
     link = entry.link
+    link._send_report()
     view = make_view(limits_version=5, slots=2)
+    view.nonce = entry.transport.reports[-1].nonce
     link._receive_view(Envelope(sender_id="c1", control_view=view))
     link._send_report()
     report = entry.transport.reports[-1]
--- a/tests/rate_limits/cold_fleet.py
+++ b/tests/rate_limits/cold_fleet.py
@@ -279,7 +279,8 @@
         self.after(REPORT_INTERVAL_S, self._report, entry)
         if entry.is_up and not entry.is_cut and self.now_s >= entry.paused_until_s:
             versions = entry.source, entry.limits_version
-            held = self._held(entry)
+            has_lease = self.now_s < entry.lease_until_s
+            held = self._held(entry) if has_lease else {}
             arguments = entry, versions, held, self.now_s
             self.after(self._delay_s(), self._merge, *arguments)
 
--- a/tests/rate_limits/test_cold_shares.py
+++ b/tests/rate_limits/test_cold_shares.py
@@ -135,6 +135,17 @@
         assert sum(count_slots(coordinator).values()) == count
 
 
+def test_the_record_of_entries_that_are_gone_is_forgotten():
+    # Guards against memory that grows with each entry that was ever there.
+    coordinator = make_coordinator()
+    for number in range(50):
+        now_s = 10.0 * number
+        version = coordinator.version
+        coordinator.record_slots(f"gone-{number}", version, {}, now_s)
+        refresh(coordinator, now_s, cold={})
+    assert len(coordinator.ledger._acknowledged) <= 1
+
+
 def test_a_late_report_brings_no_slot_back():
     coordinator = make_coordinator()
     coordinator.record_slots("e3", 0, {ENDPOINT: 1}, 0.1)
