--- a/chestnutvale/evacuations/state.py
+++ b/chestnutvale/evacuations/state.py
@@ -96,27 +96,19 @@
             return NEVER_UNIX_MS
         return evacuation.changed_at_unix_ms
 
-    def recently_finished(self, now_unix_ms: int, within_ms: int) -> frozenset[str]:
-        """Return the data centres whose evacuation ended recently.
-
-        Parameters
-        ----------
-        now_unix_ms : int
-            Wall-clock time in milliseconds.
-        within_ms : int
-            Time in milliseconds that counts as recent.
+    def ended_unix_ms(self) -> dict[str, int]:
+        """Return when the evacuations ended that are over.
 
         Returns
         -------
-        frozenset of str
-            The data centres.
+        dict of str to int
+            Wall-clock time of the leader in milliseconds, by data centre.
         """
-        return frozenset(
-            name
-            for name, evacuation in self._evacuations.items()
-            if not evacuation.evacuated
-            and now_unix_ms - evacuation.changed_at_unix_ms <= within_ms
-        )
+        return {
+            name: item.changed_at_unix_ms
+            for name, item in self._evacuations.items()
+            if not item.evacuated
+        }
 
     def apply(self, command: SetEvacuation, at_unix_ms: int) -> EvacuationResult:
         """Apply a committed order.
--- a/chestnutvale/membership/view_publisher.py
+++ b/chestnutvale/membership/view_publisher.py
@@ -1,5 +1,6 @@
 """Views of groups, loads and configuration that the leader sends to entries."""
 
+import math
 from collections import deque
 from typing import Protocol
 
@@ -8,6 +9,7 @@
 from chestnutvale.groups.members import group_head
 from chestnutvale.groups.serving import find_serving_fault, is_evacuated
 from chestnutvale.groups.state import GroupsState
+from chestnutvale.membership.cold_state import NO_COLD_RULE, ColdRule
 from chestnutvale.membership.const import MAX_REMOVED_GROUPS
 from chestnutvale.membership.table import MembershipTable
 from chestnutvale.schema.configuration_pb2 import Text
@@ -29,6 +31,15 @@
         """Text in force; None before the first one."""
 
 
+@attrs.frozen
+class _Marks:
+    """What a view says of a group besides whether it serves."""
+
+    is_evacuated: bool = False
+    is_cold: bool = False
+    needs_cold_share: bool = False
+
+
 @attrs.define
 class _PublishedGroup:
     """Published state of a group, with the versions of its last changes."""
@@ -42,7 +53,7 @@
     # Until then only a change of its inputs can stop it from serving.
     valid_until_s: float = float("-inf")
     head_id: str = ""
-    is_evacuated: bool = False
+    marks: _Marks = _Marks()
 
 
 @attrs.define
@@ -91,11 +102,7 @@
     _removed_groups: deque[tuple[int, str]] = attrs.field(factory=deque)
     _oldest_base: int = 0
     _entries: dict[str, _EntryState] = attrs.field(factory=dict)
-    _last_inputs: tuple[int, frozenset[str], frozenset[str]] = (
-        0,
-        frozenset(),
-        frozenset(),
-    )
+    _last_inputs: tuple[object, ...] = ()
     _group_views: list[GroupView] = attrs.field(factory=list)
     _group_views_count: int = -1
     _content_count: int = 0
@@ -123,6 +130,7 @@
         table: MembershipTable,
         now_s: float,
         evacuated: frozenset[str] = frozenset(),
+        cold_rule: ColdRule = NO_COLD_RULE,
     ) -> list[str]:
         """Re-evaluate changed groups; call it before building views.
 
@@ -136,17 +144,19 @@
             Monotonic time in seconds.
         evacuated : frozenset of str, optional
             Evacuated data centres, whose groups don't serve.
+        cold_rule : ColdRule, optional
+            Decides which groups are cold.
 
         Returns
         -------
         list of str
             Groups that were changed, added or removed; push views if there are any.
         """
-        self._invalidate_if_changed(state, table, evacuated)
+        self._invalidate_if_changed(state, table, evacuated, cold_rule)
         changed = [
             group_id
             for group_id in sorted(state.groups)
-            if self._refresh_group(state, group_id, table, now_s, evacuated)
+            if self._refresh_group(state, group_id, table, now_s, evacuated, cold_rule)
         ]
         removed_ids = sorted(self._published_groups.keys() - state.groups.keys())
         for group_id in removed_ids:
@@ -319,7 +329,7 @@
                 _to_view(
                     published_group.group,
                     published_group.reason,
-                    published_group.is_evacuated,
+                    published_group.marks,
                 )
                 for _, published_group in sorted(self._published_groups.items())
             ]
@@ -330,8 +340,10 @@
         state: GroupsState,
         table: MembershipTable,
         evacuated: frozenset[str],
+        cold_rule: ColdRule,
     ) -> None:
-        inputs = (table.revision, frozenset(state.draining_hosts), evacuated)
+        drained = frozenset(state.draining_hosts)
+        inputs = (table.revision, drained, evacuated, cold_rule)
         if inputs == self._last_inputs:
             return
         self._last_inputs = inputs
@@ -345,6 +357,7 @@
         table: MembershipTable,
         now_s: float,
         evacuated: frozenset[str],
+        cold_rule: ColdRule,
     ) -> bool:
         group = state.groups[group_id]
         published_group = self._published_groups.get(group_id)
@@ -358,19 +371,26 @@
         reason = find_serving_fault(
             group, table, now_s, state.draining_hosts, evacuated
         )
-        is_in_evacuation = is_evacuated(group, table, evacuated)
+        head = table.host(group_head(group).host_id)
+        cold_until_s = cold_rule.cold_until_s(group.service, head)
+        is_cold = not reason and now_s < cold_until_s
+        marks = _Marks(
+            is_evacuated(group, table, evacuated),
+            is_cold,
+            is_cold and group.service in cold_rule.bounded_services,
+        )
         is_changed = (
             published_group is None
             or published_group.group != group
             or published_group.reason != reason
-            or published_group.is_evacuated != is_in_evacuation
+            or published_group.marks != marks
         )
         if is_changed:
             self._content_count += 1
             load = published_group.load if published_group else None
             load_version = published_group.load_version if published_group else 0
-            version = self._next_version(published_group, reason, is_in_evacuation)
-            entry_view = _to_entry_view(group, reason, is_in_evacuation)
+            version = self._next_version(published_group, reason, marks.is_evacuated)
+            entry_view = _to_entry_view(group, reason, marks)
             published_group = _PublishedGroup(
                 group,
                 reason,
@@ -378,12 +398,17 @@
                 entry_view,
                 load,
                 load_version,
-                is_evacuated=is_in_evacuation,
+                marks=marks,
             )
             self._published_groups[group_id] = published_group
         published_group.group = group
         published_group.head_id = group_head(group).host_id
         published_group.valid_until_s = _valid_until_s(group, reason, table)
+        if is_cold:
+            # Without a deadline, the next announcement may tell that it is not cold.
+            is_known = math.isfinite(cold_until_s)
+            end_s = cold_until_s if is_known else -math.inf
+            published_group.valid_until_s = min(published_group.valid_until_s, end_s)
         self._refresh_load(published_group, table)
         return is_changed
 
@@ -399,7 +424,7 @@
         if reason and not is_evacuated:
             if before is None or before.version == 0:
                 return 0
-            if before.reason and not before.is_evacuated:
+            if before.reason and not before.marks.is_evacuated:
                 return before.version
         self._version += 1
         return self._version
@@ -455,18 +480,23 @@
         return view
 
 
-def _to_entry_view(group: Group, reason: str, is_evacuated: bool) -> GroupView:
+def _to_entry_view(group: Group, reason: str, marks: _Marks) -> GroupView:
     """Return a group's view; a pooled group lists its head only, which serves it."""
-    view = _to_view(group, reason, is_evacuated)
+    view = _to_view(group, reason, marks)
     if group.pooled:
         del view.group.members[:]
         view.group.members.append(group_head(group))
     return view
 
 
-def _to_view(group: Group, reason: str, is_evacuated: bool) -> GroupView:
+def _to_view(group: Group, reason: str, marks: _Marks) -> GroupView:
     return GroupView(
-        group=group, serving=not reason, reason=reason, evacuated=is_evacuated
+        group=group,
+        serving=not reason,
+        reason=reason,
+        evacuated=marks.is_evacuated,
+        is_cold=marks.is_cold,
+        needs_cold_share=marks.needs_cold_share,
     )
 
 
--- a/chestnutvale/observability/catalog.py
+++ b/chestnutvale/observability/catalog.py
@@ -105,6 +105,17 @@
     "{group}",
     "Groups to which the entry sends nothing new because of an evacuation.",
 )
+GROUPS_COLD: Final = Metric(
+    "chestnutvale.service.groups.cold",
+    "{group}",
+    "Groups that serve and whose head is cold.",
+    (LABEL_SERVICE,),
+)
+COLD_SLOTS: Final = Metric(
+    "chestnutvale.cold.slots",
+    "{slot}",
+    "Slots of cold hosts that entries hold.",
+)
 HOSTS_KNOWN: Final = Metric("chestnutvale.hosts", "{host}", "Hosts known.")
 CONFIGURATION_NUMBER: Final = Metric(
     "chestnutvale.configuration.number", UNIT_NONE, "Number of the text in force."
@@ -208,7 +219,7 @@
 ENDPOINT_NOTICES: Final = Metric(
     "chestnutvale.entry.endpoint.notices",
     "{endpoint}",
-    "Departures, pauses, and changes of rate limits that endpoints stated in answers.",
+    "Departures, pauses, cold states and limit changes that endpoints stated.",
     (LABEL_REASON,),
 )
 ISOLATION_CHANGES: Final = Metric(
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -65,6 +65,14 @@
     assert settings.lend_places == lends
 
 
+def test_bound_of_cold_workers(tmp_path):
+    found = make_control_settings(load(tmp_path, CONTROL))
+    assert (found.cold_rate_factor, found.cold_burst_requests) == (1.5, 5.0)
+    bounds = "bounds.coldOverage=1.2\nbounds.coldTolerance=3\n"
+    found = make_control_settings(load(tmp_path, CONTROL + bounds))
+    assert (found.cold_rate_factor, found.cold_burst_requests) == (1.2, 3.0)
+
+
 def test_control_settings(tmp_path):
     settings = make_control_settings(load(tmp_path, CONTROL))
     assert settings.control_id == "10.1.0.40"
