--- a/benchmarks/attempts_http.py
+++ b/benchmarks/attempts_http.py
@@ -171,6 +171,10 @@
         """Return that the endpoint takes requests."""
         return True
 
+    def is_evacuated(self, endpoint: Incarnation) -> bool:
+        """Return that no data centre is evacuated."""
+        return False
+
     def record_notice(self, endpoint: Incarnation, notice: EndpointNotice) -> None:
         """Discard the notice."""
 
