--- a/benchmarks/attempts_http.py
+++ b/benchmarks/attempts_http.py
@@ -139,6 +139,7 @@
         self.suspicions = SuspicionTracker()
         self.running = RunningAttempts()
         self.stall_detector = StallDetector()
+        self.is_isolated = False
         self.text = Text()
         self.text.services["llm"].kind = "model"
         self.text.workspaces["w"].weight = 1
