Answer operators that the leader is of a build without evacuations

Cause: a follower redirected an evacuation order to a leader of an older build, which answers 404; only the platform's interface said to try again.

Change: the operations decide about the redirect of this order for the operators' API too.

Result: the new test failed before and passes now, with tests/programs/client, programs/control and evacuations.

--- a/chestnutvale/programs/control/operator_api.py
+++ b/chestnutvale/programs/control/operator_api.py
@@ -85,6 +85,8 @@
 # Calls that any control answers from its own state: always, and on request.
 _LOCAL_CALLS = frozenset({("GET", PATH_DUMP)})
 _OPTIONALLY_LOCAL_CALLS = frozenset({("GET", PATH_STATUS)})
+# Calls whose backend redirects to the leader itself, as not every leader knows them.
+_REDIRECTED_BY_BACKEND = frozenset({("POST", PATH_EVACUATION)})
 
 
 class OperatorApi:
@@ -159,7 +161,8 @@
             raise make_refusal(
                 404, CODE_NOT_FOUND, "the operator API has no such method and path"
             )
-        if not _is_local(call, environ) and not self._backend.is_leader():
+        is_local = _is_local(call, environ) or call in _REDIRECTED_BY_BACKEND
+        if not is_local and not self._backend.is_leader():
             raise ProblemAnswer(self._redirect_problem())
         deadline_s = self._clock.now_s() + _parse_deadline_ms(environ) / 1000
         return self._calls[call](environ, deadline_s)
--- a/tests/programs/client/test_commands.py
+++ b/tests/programs/client/test_commands.py
@@ -201,6 +201,19 @@
     assert chestnut("evacuate", "dc-2")[0] == 0
 
 
+def test_follower_of_an_older_leader_says_to_try_again(
+    chestnut, cluster, controls, write_settings
+):
+    # Guards against a redirect to a leader that doesn't know the path.
+    cluster.leader = "c9"
+    cluster.addresses["c9"] = "127.0.0.1:1"
+    for control in controls:
+        control.backend.follower_error = "evacuation_not_ready"
+    settings = write_settings(timeout_ms=500)
+    code, _, err = chestnut("evacuate", "dc-2", settings=settings)
+    assert (code, "evacuation_not_ready" in err) == (4, True)
+
+
 def test_dump_of_every_control(chestnut, controls):
     code, out, _ = chestnut("dump")
     assert code == 0
--- a/tests/programs/operator_fakes.py
+++ b/tests/programs/operator_fakes.py
@@ -63,6 +63,7 @@
         self.cluster = cluster
         self.control_id = control_id
         self.errors = []
+        self.follower_error = "not_leader"
 
     def is_leader(self):
         return self.cluster.leader == self.control_id
@@ -100,6 +101,9 @@
         return OperatorResult(outcome="done")
 
     def set_evacuation(self, command, deadline_s):
+        if not self.is_leader():
+            raise FakeError(self.follower_error)
+
         def run():
             if command.data_centre == "nowhere":
                 raise UnknownDataCentreError("the data centre nowhere is unknown")
