--- a/benchmarks/attempts_http.py
+++ b/benchmarks/attempts_http.py
@@ -139,6 +139,7 @@
         self.suspicions = SuspicionTracker()
         self.running = RunningAttempts()
         self.stall_detector = StallDetector()
+        self.is_isolated = False
         self.text = Text()
         self.text.services["llm"].kind = "model"
         self.text.workspaces["w"].weight = 1
@@ -171,6 +172,10 @@
         """Return that the endpoint takes requests."""
         return True
 
+    def is_evacuated(self, endpoint: Incarnation) -> bool:
+        """Return that no data centre is evacuated."""
+        return False
+
     def record_notice(self, endpoint: Incarnation, notice: EndpointNotice) -> None:
         """Discard the notice."""
 
