--- a/tests/membership/test_incremental_refresh.py
+++ b/tests/membership/test_incremental_refresh.py
@@ -5,6 +5,7 @@
 import pytest
 
 from chestnutvale.groups.state import GroupsState
+from chestnutvale.membership.cold_state import ColdRule
 from chestnutvale.membership.table import MembershipTable
 from chestnutvale.membership.view_publisher import ViewPublisher
 from chestnutvale.schema.groups_pb2 import DrainHost, Group, GroupMember, PutGroup
@@ -19,6 +20,8 @@
 
     def __init__(self, seed):
         self.rng = random.Random(seed)
+        # Separate, so that the other events of a seed stay the same.
+        self.cold_rng = random.Random(seed)
         self.now_s = 100.0
         self.sequence = 0
         self.state = GroupsState()
@@ -61,10 +64,16 @@
             age_ms=self.rng.choice((0, 900)),
             content_digest=hash((content.boot_id, content.leaving, epoch)) % 2**64,
         )
+        heard.cold_remaining_ms = self.cold_rng.choice((0, 0, 0, 400, 3_000))
         if self.rng.random() < 0.97:
             heard.changed.CopyFrom(content)
         self.table.merge_entry_report("e", [heard], self.now_s)
 
+    def make_cold_rule(self):
+        """Return a rule by which an evacuation ends in the middle of the run."""
+        ends_s = {"": 150.0} if self.now_s > 150.0 else {}
+        return ColdRule(frozenset({"s"}), ends_s)
+
     @property
     def may_leave(self):
         """Whether hosts leave by now; a boot that has left does not come back."""
@@ -92,12 +101,17 @@
 def test_incremental_refresh_equals_a_full_one(seed):
     simulation = HostSimulation(seed)
     publisher = ViewPublisher("c")
-    serving_count = 0
+    serving_count = cold_count = 0
     for _ in range(1_500):
         simulation.step()
-        publisher.refresh(simulation.state, simulation.table, simulation.now_s)
+        rule = simulation.make_cold_rule()
+        inputs = simulation.state, simulation.table, simulation.now_s, rule
+        publisher.refresh(*inputs)
         full_publisher = ViewPublisher("c")
-        full_publisher.refresh(simulation.state, simulation.table, simulation.now_s)
+        full_publisher.refresh(*inputs)
         assert publisher.group_views() == full_publisher.group_views()
-        serving_count += sum(view.serving for view in full_publisher.group_views())
+        views = full_publisher.group_views()
+        serving_count += sum(view.serving for view in views)
+        cold_count += sum(view.needs_cold_share for view in views)
     assert serving_count > 100
+    assert 0 < cold_count < serving_count
