--- a/tests/membership/test_incremental_refresh.py
+++ b/tests/membership/test_incremental_refresh.py
@@ -72,8 +72,8 @@
 
     def make_cold_rule(self):
         """Return a rule by which an evacuation ends in the middle of the run."""
-        ends_s = {"": 150.0} if self.now_s > 150.0 else {}
-        return ColdRule(frozenset({"s"}), ends_s)
+        ends_s = {"d0": 150.0} if self.now_s > 150.0 else {}
+        return ColdRule(frozenset({"s"}), evacuations_ended_s=ends_s)
 
     @property
     def may_leave(self):
