Weigh targets and deadlines of calls when places are lent

Cause: a waiting call was drawn until its target had passed, without the time to its first event, and Retry-After was spread as if each entry owned at least one place: 142 entries told the callers of 30 places to come back five times too fast.

Change: where places are lent, calls carry their target and rank. A call waits only if later counts will probably bring it a place in time for its target, less the predicted time to the first event, and is refused at once if the first event would miss its deadline. Returns are spread by the entry's part of the fleet's rate of admissions.

Tests of admission, programs and platform pass.

--- a/benchmarks/models/fleet.py
+++ b/benchmarks/models/fleet.py
@@ -270,6 +270,8 @@
             100,
             self._now_s + TIMEOUT_S,
             self._now_s + max(MIN_QUEUE_TIMEOUT_S, target_s),
+            target_s=self._now_s + target_s,
+            rank=call.rank,
         )
         self._pending[request_id] = call
         self._apply(entry, self._controllers[entry].offer(request, self._now_s))
@@ -295,6 +297,7 @@
         over = self._in_groups - self.fleet.capacity
         self.counters.most_over = max(self.counters.most_over, over)
         call = self._pending[request_id]
+        call.admitted_s = self._now_s
         if over > 0:
             heapq.heappush(self._engine_queue, (next(self._order), call, entry))
             return
@@ -303,6 +306,8 @@
     def _take_place(self, call: FleetCall, entry: int) -> None:
         first_event_s = self._now_s + PREFILL_S - call.arrival_s
         is_in_time = first_event_s <= RANK_TARGETS_S[call.rank]
+        waited_s = self._now_s - call.admitted_s
+        self._controllers[entry].observe_first_event(SERVICE, waited_s + PREFILL_S)
         call.outcome = "in_time" if is_in_time else "late"
         if call.tries > 1:
             self.counters.retried[call.is_early, "served"] += 1
--- a/benchmarks/models/fleet_load.py
+++ b/benchmarks/models/fleet_load.py
@@ -40,8 +40,8 @@
         Whether the caller comes back before the time that it was told.
     tries : int
         Tries so far.
-    offered_s : float
-        Time of the last try.
+    offered_s, admitted_s : float
+        Times of the last try and of its admission.
     outcome : str
         ``in_time``, ``late``, ``refused`` or ``given_up``; empty while undecided.
     """
@@ -54,6 +54,7 @@
     is_early: bool = False
     tries: int = 0
     offered_s: float = 0.0
+    admitted_s: float = 0.0
     outcome: str = ""
 
     @property
--- a/chestnutvale/admission/const.py
+++ b/chestnutvale/admission/const.py
@@ -55,9 +55,16 @@
 LENDING_VALIDITY_S: Final = 1.2
 NEWS_OVERDUE_FACTOR: Final = 1.5
 # Chance from which a call that got no place waits for the next counts, if they arrive
-# by this margin before the call must start.
+# by this margin before the call must start; and the draws that are foreseen at most.
 MIN_WAIT_CHANCE: Final = 0.7
+MAX_DRAWS: Final = 100
 LENDING_MARGIN_S: Final = 0.005
+# Weight of a new sample in the predicted time to the first event; about the last ten
+# calls count, since the queues inside the engines change within a second.
+FIRST_EVENT_SMOOTHING: Final = 0.1
+# Rate by which returns are spread at least, so that no caller is sent away for a minute
+# because no place was free at one moment.
+MIN_PACING_PER_S: Final = 0.1
 # Window over which entries count the calls of a service, and the time for which the
 # leader counts them as current.
 FLOW_WINDOW_S: Final = 0.5
--- a/chestnutvale/admission/controller.py
+++ b/chestnutvale/admission/controller.py
@@ -137,6 +137,12 @@
         if admission is not None:
             admission.set_fleet_flow(flow, now_s)
 
+    def observe_first_event(self, service: str, first_event_s: float) -> None:
+        """Add the time in seconds from the send of a call to its first event."""
+        admission = self._services.get(service)
+        if admission is not None and admission.lent is not None:
+            admission.lent.first_event.observe(first_event_s)
+
     def flows(self, now_s: float) -> list[ServiceFlow]:
         """Return this entry's calls per second; empty if places are not lent."""
         return [
--- a/chestnutvale/admission/messages.py
+++ b/chestnutvale/admission/messages.py
@@ -32,6 +32,10 @@
     start_by_s : float
         Monotonic time in seconds by which the request must be admitted. After that a
         queued request is refused early, so that its caller still has time to retry.
+    target_s : float
+        Monotonic time in seconds at which the first event is wanted; infinite for none.
+    rank : int
+        Rank of the call in the text, 0 for the most urgent; for logs and metrics.
     """
 
     request_id: str
@@ -42,6 +46,8 @@
     max_tokens: int
     deadline_s: float
     start_by_s: float = math.inf
+    target_s: float = math.inf
+    rank: int = 0
 
     def is_in_queue_of(self, other: "AdmissionRequest") -> bool:
         """Tell whether both requests wait in the same queue."""
--- a/chestnutvale/admission/place_lending.py
+++ b/chestnutvale/admission/place_lending.py
@@ -78,20 +78,24 @@
         Number of the last counts; a waiting call is drawn once in each epoch.
     admission_rate : float
         Calls per second that all entries together may admit.
+    offered_per_s : float
+        Calls per second that ask all entries for a place.
+    interval_s : float
+        Time in seconds between two exchanges of counts.
     """
 
     rng: random.Random
     epoch: int = 0
     admission_rate: float = 0.0
+    offered_per_s: float = 0.0
+    interval_s: float = 0.0
     hold_time: FleetHoldTime = attrs.field(factory=FleetHoldTime)
     _fleet_rates: dict[str, RankRates] = attrs.field(factory=dict)
     _chances: dict[tuple[str, str], float] = attrs.field(factory=dict)
     _default_chance: float = 1.0
-    _interval_s: float = 0.0
     _counted_s: float = -math.inf
     _started_s: float = -math.inf
     _places: float = 0.0
-    _offered_per_s: float = 0.0
     _weights: Mapping[str, float] = attrs.field(factory=dict)
     _urgent_share: float = DEFAULT_URGENT_SHARE
     _left: float = 0.0
@@ -106,7 +110,7 @@
         The correction in the last counts has been made by then, and only the rate at
         which places become free remains.
         """
-        if now_s < self._started_s + NEWS_OVERDUE_FACTOR * self._interval_s:
+        if now_s < self._started_s + NEWS_OVERDUE_FACTOR * self.interval_s:
             return
         self.admission_rate = self._places / self.hold_time.hold_s()
         self._start_epoch(now_s)
@@ -147,14 +151,12 @@
         """
         self._counted_s = now_s
         self._places = places
-        self._offered_per_s = flow.offered_per_s
+        self.offered_per_s = flow.offered_per_s
         self._weights = weights
         self._urgent_share = urgent_share
-        self._interval_s = load_exchange_interval_s(entry_count)
+        self.interval_s = load_exchange_interval_s(entry_count)
         self.hold_time.observe(running, flow.admitted_per_s, now_s)
-        horizon_s = max(
-            LENDING_MIN_HORIZON_S, LENDING_HORIZON_FACTOR * self._interval_s
-        )
+        horizon_s = max(LENDING_MIN_HORIZON_S, LENDING_HORIZON_FACTOR * self.interval_s)
         rate = places / self.hold_time.hold_s() + (places - running) / horizon_s
         self.admission_rate = max(0.0, rate)
         self._start_epoch(now_s)
@@ -173,15 +175,15 @@
 
     def next_counts_s(self, now_s: float) -> float:
         """Return the monotonic time in seconds at which new counts are expected."""
-        return max(now_s, self._started_s + self._interval_s)
+        return max(now_s, self._started_s + self.interval_s)
 
     def _start_epoch(self, now_s: float) -> None:
         self.epoch += 1
         self._started_s = now_s
-        self._left = max(1.0, self.admission_rate * self._interval_s)
+        self._left = max(1.0, self.admission_rate * self.interval_s)
 
     def _divide(self) -> None:
-        offered_per_s, weights = self._offered_per_s, self._weights
+        offered_per_s, weights = self.offered_per_s, self._weights
         known = {name: r for name, r in self._fleet_rates.items() if name in weights}
         # The rates by workspace are a second old; the sum of all calls is recent.
         scale = _ratio(offered_per_s, sum(map(sum, known.values())), 0.0)
--- a/chestnutvale/admission/service.py
+++ b/chestnutvale/admission/service.py
@@ -262,6 +262,8 @@
         self, lent: LentPlaces, waiter: WaitingRequest, now_s: float
     ) -> list[Effect]:
         request = waiter.request
+        if not lent.can_finish(request, now_s):
+            return [self._refuse(request, CODE_DEADLINE, waiter.cost, now_s)]
         is_drawn = lent.draw(request)
         if not (is_drawn or lent.is_worth_waiting(request, now_s)):
             return [self._refuse(request, CODE_DEADLINE, waiter.cost, now_s)]
@@ -430,6 +432,12 @@
         self, request: AdmissionRequest, code: str, cost: int, now_s: float
     ) -> Refuse:
         self.refused.record_refusal(request.workspace, cost, now_s)
+        if self.lent is not None and self._lends(now_s):
+            rate = self.lent.pacing_rate(now_s, self.entry_count)
+            retry_s = self.pacer.retry_after_s(
+                now_s, 0.0, cost, rate, request.deadline_s
+            )
+            return Refuse(request.request_id, code, retry_s)
         backlog = self.queue.tokens_ahead(request) + cost - (self.limit - self.reserved)
         retry_s = self.pacer.retry_after_s(
             now_s, max(0.0, backlog), cost, self._drain_rate(), request.deadline_s
--- a/chestnutvale/programs/entry/admission_gate.py
+++ b/chestnutvale/programs/entry/admission_gate.py
@@ -175,6 +175,8 @@
             max_tokens=request.max_tokens,
             deadline_s=request.deadline_s,
             start_by_s=request.start_by_s,
+            target_s=request.target_s,
+            rank=request.rank,
         )
         ticket = GateTicket(self, admission_request, self._clock.now_s())
         if request.request_id in self._tickets:
--- a/chestnutvale/programs/entry/context.py
+++ b/chestnutvale/programs/entry/context.py
@@ -48,6 +48,10 @@
         Deadline of the call as monotonic time in seconds.
     start_by_s : float
         Monotonic time in seconds by which the call must be admitted or refused.
+    target_s : float
+        Monotonic time in seconds at which the first event is wanted; infinite for none.
+    rank : int
+        Rank of the call in the text, 0 for the most urgent.
     """
 
     request_id: str
@@ -59,6 +63,8 @@
     adapter: str
     deadline_s: float
     start_by_s: float = math.inf
+    target_s: float = math.inf
+    rank: int = 0
 
 
 @attrs.frozen
--- a/chestnutvale/programs/entry/entry_context.py
+++ b/chestnutvale/programs/entry/entry_context.py
@@ -554,6 +554,10 @@
         )
         self.attempt_results[report.result] += 1
         self._router.report(report)
+        if report.first_byte_ms is not None:
+            self._gate.controller.observe_first_event(
+                report.request.service, report.first_byte_ms / 1_000
+            )
         if report.result == RESULT_BROKEN:
             self._check_silence()
 
--- a/chestnutvale/programs/entry/routed/handler.py
+++ b/chestnutvale/programs/entry/routed/handler.py
@@ -76,7 +76,8 @@
 _LOGGER = logbook.Logger(__name__)
 
 StartResponse = Callable[..., Any]
-_PRIORITY_OF_RANK = (PRIORITY_URGENT, PRIORITY_NORMAL)
+# Priority by rank; the last one is that of all higher ranks, too.
+_PRIORITY_OF_RANK = (PRIORITY_URGENT, PRIORITY_NORMAL, PRIORITY_BATCH)
 BODYLESS_STATUSES = frozenset({204, 304})
 
 
@@ -187,16 +188,21 @@
         now_s = context.clock.now_s()
         max_bytes = context.text.caller_limits.max_body_bytes
         body = read_body(environ, max_bytes or DEFAULT_MAX_BODY_BYTES)
+        rank = self._find_rank(route, workspace)
         call = CallRequest(
             request_id=request.request_id,
             workspace=workspace,
             service=service,
-            priority=self._find_priority(route, workspace),
+            priority=_PRIORITY_OF_RANK[min(rank, len(_PRIORITY_OF_RANK) - 1)],
             prompt=b"",
             max_tokens=request.max_tokens,
             adapter="",
             deadline_s=received_s + _find_time_limit_s(request, route),
             start_by_s=now_s + _find_queue_timeout_s(route),
+            target_s=received_s + route.target_latency_ms / 1_000
+            if route.target_latency_ms
+            else math.inf,
+            rank=rank,
         )
         _LOGGER.info(
             "call_accepted",
@@ -256,14 +262,11 @@
             raise make_refusal("unauthorized", "the API key is missing or unknown")
         return ""
 
-    def _find_priority(self, route: Route, workspace: str) -> str:
-        rank = route.rank
+    def _find_rank(self, route: Route, workspace: str) -> int:
         known = self._context.text.workspaces
         if workspace in known and known[workspace].HasField("rank"):
-            rank = known[workspace].rank
-        if rank < len(_PRIORITY_OF_RANK):
-            return _PRIORITY_OF_RANK[rank]
-        return PRIORITY_BATCH
+            return known[workspace].rank
+        return route.rank
 
     # Streams.
 
