Count refusals by workspace, rank and data centre

Operators saw refusals by code only, and not who was refused. The records of decisions carry workspace, rank and data centre, and the metric chestnutvale.admission.refusals counts them. Counts of workspaces that left the text are removed. The sums of an entry's demand move out of service.py.

--- a/chestnutvale/admission/demand.py
+++ b/chestnutvale/admission/demand.py
@@ -1,12 +1,17 @@
 """Sums the demand reported by all entries in the control plane."""
 
 import itertools
-from collections.abc import Iterable
+from collections import Counter
+from collections.abc import Iterable, Mapping
 
 import attrs
 
-from chestnutvale.admission.const import DEMAND_EXPIRY_S, MAX_REPORTED_DEMANDS
-from chestnutvale.admission.messages import Demand
+from chestnutvale.admission.const import (
+    DEMAND_EXPIRY_S,
+    MAX_REPORTED_DEMANDS,
+    PRIORITY_URGENT,
+)
+from chestnutvale.admission.messages import AdmissionRequest, Demand
 
 
 def largest_demands(
@@ -23,6 +28,44 @@
     return ordered[:max_count]
 
 
+def sum_demands(
+    service: str,
+    held: Iterable[tuple[AdmissionRequest, int]],
+    refused: Counter[str],
+    rates: Mapping[str, tuple[float, ...]],
+) -> list[Demand]:
+    """Return the demand of each workspace at one entry.
+
+    Parameters
+    ----------
+    service : str
+        The service.
+    held : iterable of tuple of (AdmissionRequest, int)
+        Running and queued requests with their tokens.
+    refused : Counter of str to int
+        Tokens that refused requests would hold, by workspace.
+    rates : mapping of str to tuple of float
+        Calls per second by workspace and priority; empty if they are not measured.
+    """
+    tokens: Counter[str] = Counter()
+    urgent: Counter[str] = Counter()
+    for request, cost in held:
+        tokens[request.workspace] += cost
+        if request.priority == PRIORITY_URGENT:
+            urgent[request.workspace] += cost
+    return [
+        Demand(
+            service,
+            name,
+            tokens[name],
+            urgent[name],
+            refused[name],
+            rates.get(name, ()),
+        )
+        for name in {**tokens, **refused, **rates}
+    ]
+
+
 @attrs.frozen
 class DemandReport:
     """Latest demand reported by one entry.
--- a/chestnutvale/admission/service.py
+++ b/chestnutvale/admission/service.py
@@ -1,7 +1,7 @@
 """Admission control of one service at one entry."""
 
+import itertools
 import math
-from collections import Counter
 from collections.abc import Mapping
 
 import attrs
@@ -21,6 +21,7 @@
     SHARED_SLOTS_RATIO,
     URGENT_OVERDRAFT,
 )
+from chestnutvale.admission.demand import sum_demands
 from chestnutvale.admission.fair_queue import FairQueue, WaitingRequest
 from chestnutvale.admission.kv_overcommit import KvOvercommit
 from chestnutvale.admission.lent_places import LentPlaces
@@ -295,22 +296,11 @@
         `name` is the service name to put into the demands, and `now_s` the monotonic
         time in seconds.
         """
-        tokens: Counter[str] = Counter()
-        urgent: Counter[str] = Counter()
-        held = [(entry.request, entry.reserved) for entry in self.running.values()]
-        held += [(waiter.request, waiter.cost) for waiter in self.queue]
-        for request, cost in held:
-            tokens[request.workspace] += cost
-            if request.priority == PRIORITY_URGENT:
-                urgent[request.workspace] += cost
-        rates = self.lent.rates(now_s) if self.lent is not None else {}
+        running = ((entry.request, entry.reserved) for entry in self.running.values())
+        waiting = ((waiter.request, waiter.cost) for waiter in self.queue)
         refused = self.refused.mean_held_tokens(self.hold_times.hold_s)
-        return [
-            Demand(
-                name, key, tokens[key], urgent[key], refused[key], rates.get(key, ())
-            )
-            for key in {**tokens, **refused, **rates}
-        ]
+        rates = self.lent.rates(now_s) if self.lent is not None else {}
+        return sum_demands(name, itertools.chain(running, waiting), refused, rates)
 
     def _free_slots(self) -> float:
         """Return the slots not used by other entries; 0 if their load is unknown."""
--- a/chestnutvale/observability/catalog.py
+++ b/chestnutvale/observability/catalog.py
@@ -14,6 +14,9 @@
 LABEL_STATUS: Final = "status"
 LABEL_DIRECTION: Final = "direction"
 LABEL_ENTRY: Final = "entry"
+LABEL_WORKSPACE: Final = "workspace"
+LABEL_RANK: Final = "rank"
+LABEL_DATA_CENTRE: Final = "data_centre"
 
 DEFAULT_MAX_SERIES: Final = 200
 
@@ -178,6 +181,13 @@
     "Requests that were admitted, or refused with this code.",
     (LABEL_REASON,),
 )
+REFUSALS: Final = Metric(
+    "chestnutvale.admission.refusals",
+    "{request}",
+    "Requests that were refused with this code, by workspace, rank and data centre.",
+    (LABEL_WORKSPACE, LABEL_RANK, LABEL_REASON, LABEL_DATA_CENTRE),
+    max_series=1_000,
+)
 ATTEMPTS: Final = Metric(
     "chestnutvale.attempts",
     "{attempt}",
--- a/chestnutvale/programs/entry/admission_gate.py
+++ b/chestnutvale/programs/entry/admission_gate.py
@@ -1,7 +1,7 @@
 """Blocks the greenlets of calls until the admission controller admits them."""
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 import logbook
 from eventlet.event import Event
@@ -138,16 +138,24 @@
         Decides who may run.
     clock : Clock
         Source of time.
+    data_centre : str, optional
+        Data centre of this entry, for logs and metrics.
 
     Attributes
     ----------
     decisions : Counter
         Number of admitted requests, and of refused requests by code.
+    refusals : Counter
+        Number of refused requests by workspace, rank and code.
     """
 
-    def __init__(self, controller: AdmissionController, clock: Clock) -> None:
+    def __init__(
+        self, controller: AdmissionController, clock: Clock, data_centre: str = ""
+    ) -> None:
         self.controller = controller
+        self.data_centre = data_centre
         self.decisions: Counter[str] = Counter()
+        self.refusals: Counter[tuple[str, int, str]] = Counter()
         self._clock = clock
         self._tickets: dict[str, GateTicket] = {}
         self._predicted_tokens: dict[str, int] = {}
@@ -193,6 +201,17 @@
             self._waiting_event.send()
         return ticket
 
+    def keep_workspaces(self, names: Collection[str]) -> None:
+        """Forget the refusals of workspaces that the text no longer has.
+
+        Parameters
+        ----------
+        names : collection of str
+            The workspaces of the text in force; calls without one are always kept.
+        """
+        for key in [key for key in self.refusals if key[0] and key[0] not in names]:
+            del self.refusals[key]
+
     def remaining_s(self, request: AdmissionRequest) -> float:
         """Return how long a call may wait for its decision.
 
@@ -286,12 +305,18 @@
         if not isinstance(effect, Admit | Refuse):
             return
         self.decisions[getattr(effect, "code", "admitted")] += 1
+        request = ticket.request
+        if isinstance(effect, Refuse):
+            self.refusals[request.workspace, request.rank, effect.code] += 1
         waited_s = self._clock.now_s() - ticket.submitted_at_s
-        state = self.controller.describe(ticket.request.service)
+        state = self.controller.describe(request.service)
         _LOGGER.info(
             "admitted" if isinstance(effect, Admit) else "refused",
             extra={
                 "request": effect.request_id,
+                "workspace": request.workspace,
+                "rank": request.rank,
+                "data_centre": self.data_centre,
                 "waited_ms": round(1_000 * waited_s),
                 "code": getattr(effect, "code", ""),
                 "retry_after_s": getattr(effect, "retry_after_s", None),
--- a/chestnutvale/programs/entry/daemon.py
+++ b/chestnutvale/programs/entry/daemon.py
@@ -94,7 +94,7 @@
         self.collector = AnnouncementCollector()
         self._cache_events = CacheEventQueue()
         controller = AdmissionController(rng, lends_places=settings.lend_places)
-        self._gate = AdmissionGate(controller, clock)
+        self._gate = AdmissionGate(controller, clock, settings.data_centre)
         router = GroupRouter(
             self.view,
             Selector(rng, settings.data_centre),
--- a/chestnutvale/programs/entry/entry_context.py
+++ b/chestnutvale/programs/entry/entry_context.py
@@ -624,6 +624,7 @@
             for name, service in self.lookup.services.items()
         }
         self._gate.controller.configure(weights, limits)
+        self._gate.keep_workspaces(weights)
 
     def _install_capacities(self) -> None:
         now_s = self.clock.now_s()
--- a/chestnutvale/programs/entry/metrics.py
+++ b/chestnutvale/programs/entry/metrics.py
@@ -11,6 +11,7 @@
     make_labelled_reader,
     make_unlabelled_reader,
 )
+from chestnutvale.programs.entry.admission_gate import AdmissionGate
 from chestnutvale.programs.entry.const import (
     PATH_ANNOUNCEMENTS,
     PATH_CHAT,
@@ -50,11 +51,29 @@
         metrics.register_counter(
             metric, make_labelled_reader(LABEL_REASON, read_counts)
         )
+    metrics.register_counter(
+        catalog.REFUSALS, lambda: _list_refusals(context.admission)
+    )
     metrics.register_counter(
         catalog.STALLS, make_unlabelled_reader(lambda: link.stalls)
     )
 
 
+def _list_refusals(gate: AdmissionGate) -> list[tuple[dict[str, str], float]]:
+    return [
+        (
+            {
+                catalog.LABEL_WORKSPACE: workspace,
+                catalog.LABEL_RANK: str(rank),
+                LABEL_REASON: code,
+                catalog.LABEL_DATA_CENTRE: gate.data_centre,
+            },
+            count,
+        )
+        for (workspace, rank, code), count in gate.refusals.items()
+    ]
+
+
 def register_entry_metrics(
     metrics: Metrics, view: EntryView, is_ready: Callable[[], bool], clock: Clock
 ) -> None:
--- a/tests/programs/entry/test_admission_gate.py
+++ b/tests/programs/entry/test_admission_gate.py
@@ -2,6 +2,7 @@
 
 import random
 
+import attrs
 import eventlet
 import pytest
 
@@ -117,3 +118,15 @@
     full_gate.release("running", 0)
     with eventlet.Timeout(5):
         assert waiting.wait() is None
+
+
+def test_refusals_are_counted_by_workspace_rank_and_code(full_gate):
+    request = make_request("waiting", SystemClock().now_s() - 1.0)
+    refusal = full_gate.offer(attrs.evolve(request, rank=2)).wait()
+    assert refusal is not None
+    assert full_gate.refusals == {("w", 2, refusal.code): 1}
+    # The counts of workspaces that the text no longer has are removed.
+    full_gate.keep_workspaces({"w"})
+    assert full_gate.refusals
+    full_gate.keep_workspaces({"other"})
+    assert not full_gate.refusals
--- a/tests/programs/entry/test_metrics.py
+++ b/tests/programs/entry/test_metrics.py
@@ -10,7 +10,11 @@
 def test_decisions_are_counted_by_reason():
     decisions = Counter(admitted=7, deadline_unreachable=2)
     context = SimpleNamespace(
-        admission=SimpleNamespace(decisions=decisions),
+        admission=SimpleNamespace(
+            decisions=decisions,
+            refusals=Counter({("team-a", 2, "deadline_unreachable"): 2}),
+            data_centre="dc1",
+        ),
         attempt_results=Counter(whole=6, broken=1),
         kept_attempts=Counter(not_resumable=2),
     )
@@ -22,6 +26,14 @@
     prefix = "chestnutvale_admission_decisions_total"
     assert f'{prefix}{{reason="admitted"}} 8.0' in metric_lines
     assert f'{prefix}{{reason="deadline_unreachable"}} 2.0' in metric_lines
+    (refusals,) = [
+        line
+        for line in metric_lines
+        if line.startswith("chestnutvale_admission_refusals_total{")
+    ]
+    assert refusals.endswith(" 2.0")
+    for label in ('workspace="team-a"', 'rank="2"', 'data_centre="dc1"'):
+        assert label in refusals
     assert 'chestnutvale_attempts_total{reason="broken"} 1.0' in metric_lines
     kept = 'chestnutvale_attempts_kept_silent_total{reason="not_resumable"} 2.0'
     assert kept in metric_lines
