--- a/benchmarks/admission_fleet.py
+++ b/benchmarks/admission_fleet.py
@@ -37,11 +37,15 @@
     "lent": make_lending_controller,
 }
 CULPRIT = "w3"
+LARGEST = "w0"
 
 
-def run(case: tuple[str, str, float, int]) -> str:
-    """Run one case (fleet, policy, load, seed) and return its line of output."""
-    fleet_name, policy, load, seed = case
+def run(case: tuple[str, str, float, int, bool]) -> str:
+    """Run one case and return its line of output.
+
+    A case is a fleet, a policy, a load, a seed, and whether to list who pays.
+    """
+    fleet_name, policy, load, seed, with_payers = case
     fleet = FLEETS[fleet_name]
     offered = FleetLoad(load * fleet.capacity, burst_workspace=CULPRIT)
     calls = offered.make_calls(random.Random(seed))
@@ -56,6 +60,7 @@
         for early in (False, True)
     )
     culprit, others = _split_by_workspace(calls)
+    detail = _describe_payers(calls) if with_payers else ""
     return (
         f"{fleet_name:17} {policy:10} {load:4.2f} {seed:2}  {ranks}  busy {busy:.2f} "
         f"over {counters.most_over:3} refusals {sum(counters.refusals.values()):5} "
@@ -63,6 +68,7 @@
         f"free {counters.refused_while_free:5} at one {counters.refused_at_one:5} "
         f"free {counters.refused_at_one_while_free:5} returns {returns} "
         f"culprit {culprit:.3f} others {others:.3f}"
+        f"{detail}"
     )
 
 
@@ -73,14 +79,16 @@
     loads: str = "0.6,0.9",
     seeds: str = "1",
     processes: int = 3,
+    payers: bool = False,
 ) -> None:
     """Print a line for each run; options with several values are comma-separated.
 
     The three columns of each rank are the shares of its calls that were served and
-    served in time, and the value per call.
+    served in time, and the value per call. With `payers`, a line for each kind of
+    workspace and rank follows: its calls, and the same three columns.
     """
     cases = [
-        (fleet, policy, float(load), int(seed))
+        (fleet, policy, float(load), int(seed), payers)
         for fleet in fleets.split(",")
         for load in loads.split(",")
         for policy in policies.split(",")
@@ -110,6 +118,21 @@
     return _summarise(grouped[True])[2], _summarise(grouped[False])[2]
 
 
+def _describe_payers(calls: list[FleetCall]) -> str:
+    grouped = defaultdict(list)
+    for call in calls:
+        kinds = {CULPRIT: "burst", LARGEST: "largest"}
+        grouped[kinds.get(call.workspace, "others"), call.rank].append(call)
+    lines = []
+    for (kind, rank), group in sorted(grouped.items()):
+        served, in_time, value = _summarise(group)
+        lines.append(
+            f"\n    {kind:8} rank {rank}  {len(group):5} {served:.3f} {in_time:.3f} "
+            f"{value:.3f}"
+        )
+    return "".join(lines)
+
+
 def _ratio(part: int, rest: int) -> float:
     return part / (part + rest) if part + rest else 0.0
 
--- a/chestnutvale/admission/service.py
+++ b/chestnutvale/admission/service.py
@@ -255,7 +255,7 @@
 
     def _lends(self, now_s: float) -> bool:
         # Shares in rate limits belong to single entries and can't be lent.
-        if self.lent is None or self.capacity.limited.count:
+        if self.lent is None or self.capacity.limited.count or self.capacity.is_empty:
             return False
         return self._is_slot_limited() and self.lent.is_active(now_s)
 
