Move the units of capacity out of the admission of a service

The conversion to tokens or slots and the Retry-After without a group move to capacity_units.py and pacing.py. No behaviour changes.

--- a/chestnutvale/admission/pacing.py
+++ b/chestnutvale/admission/pacing.py
@@ -1,5 +1,6 @@
 """Estimates queueing times and computes Retry-After for refused callers."""
 
+import math
 import random
 
 import attrs
@@ -8,10 +9,13 @@
     DEFAULT_HOLD_S,
     DEFAULT_OUTPUT_TOKEN_S,
     HOLD_TIME_SMOOTHING,
+    NO_CAPACITY_RETRY_S,
+    NO_SHARE_RETRY_S,
     RETRY_AFTER_JITTER,
     RETRY_AFTER_MAX_S,
     RETRY_AFTER_MIN_S,
 )
+from chestnutvale.admission.messages import ServiceCapacity
 
 
 @attrs.define
@@ -131,6 +135,38 @@
         """
         return self._book(returns_at_s, now_s, cost, drain_rate, deadline_s)
 
+    def retry_without_capacity_s(
+        self,
+        now_s: float,
+        capacity: ServiceCapacity,
+        cost: int,
+        drain_rate: float,
+        deadline_s: float,
+    ) -> float:
+        """Return the seconds after which a caller refused for lack of groups retries.
+
+        Parameters
+        ----------
+        now_s : float
+            Monotonic time in seconds.
+        capacity : ServiceCapacity
+            Capacity of the service.
+        cost : int
+            Tokens that the caller will reserve.
+        drain_rate : float
+            Tokens released per second while groups take requests.
+        deadline_s : float
+            Monotonic time in seconds at which the caller gives up.
+        """
+        if capacity.limited.count:
+            # Other entries have the shares.
+            return self.spread(NO_SHARE_RETRY_S)
+        if not math.isfinite(capacity.returns_at_s):
+            return self.add_jitter(NO_CAPACITY_RETRY_S)
+        return self.retry_after_return_s(
+            now_s, capacity.returns_at_s, cost, drain_rate, deadline_s
+        )
+
     def _book(
         self,
         earliest_s: float,
--- a/chestnutvale/admission/service.py
+++ b/chestnutvale/admission/service.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from chestnutvale.admission.capacity_units import CapacityUnits
 from chestnutvale.admission.class_order import ClassOrder
 from chestnutvale.admission.const import (
     CODE_DEADLINE,
@@ -14,8 +15,6 @@
     CODE_QUEUE_FULL,
     CODE_TOO_LARGE,
     LENT_SLOTS_RATIO,
-    NO_CAPACITY_RETRY_S,
-    NO_SHARE_RETRY_S,
     PRIORITIES,
     PRIORITY_URGENT,
     SHARED_SLOTS_RATIO,
@@ -78,7 +77,7 @@
         factory=lambda: dict.fromkeys(PRIORITIES, 0)
     )
     _order: ClassOrder = attrs.field(factory=ClassOrder)
-    _known_tokens_per_group: int = 0
+    _units: CapacityUnits = attrs.field(factory=CapacityUnits)
     _waiting: dict[str, WaitingRequest] = attrs.field(factory=dict)
     hold_times: HoldTimeEstimator = attrs.field(factory=HoldTimeEstimator)
     refused: RefusedDemand = attrs.field(factory=RefusedDemand)
@@ -92,7 +91,7 @@
 
     def set_capacity(self, capacity: ServiceCapacity, now_s: float) -> None:
         """Update capacity and usage from a load report of the serving groups."""
-        self.capacity = self._with_known_memory(capacity)
+        self.capacity = self._units.complete(capacity)
         total = sum(demand.tokens for demand in self.total_demand.values())
         self.kv_overcommit.update(self.capacity, total, now_s)
         self._rounding.redraw(now_s)
@@ -111,7 +110,8 @@
         if self.lent is None or self._peer_running is None:
             return
         self.lent.lending.update(
-            LENT_SLOTS_RATIO * self._capacity_units(),
+            LENT_SLOTS_RATIO
+            * self._units.total(self.capacity, self.limits, self.kv_overcommit.factor),
             self._peer_running + len(self.running),
             flow,
             self.entry_count,
@@ -123,16 +123,18 @@
     def update_shares(self) -> None:
         """Recompute this entry's limit and the weights of its queue."""
         parts = divide_between_entries(
-            self._capacity_units(),
+            self._units.total(self.capacity, self.limits, self.kv_overcommit.factor),
             self.own_demand,
             self.total_demand,
             self.weights,
             self.entry_count,
             attrs.evolve(self.division, urgent_share=self.limits.urgent_share),
         )
-        limited_units = self._limited_units()
+        limited_units = self._units.limited(
+            self.capacity, self.limits, self.kv_overcommit.factor, self.hold_times
+        )
         self.limit = sum(parts.values()) + limited_units
-        if self._is_slot_limited():
+        if self._units.is_slot_limited(self.capacity):
             self.limit = max(
                 self._rounding.whole_slots(self.limit),
                 self._free_slots() + math.floor(limited_units),
@@ -177,7 +179,7 @@
         self._change_reserved(request.priority, -entry.reserved)
         self.hold_times.observe(entry.reserved, used_tokens, now_s - entry.admitted_s)
         self.predictor.observe(request.workspace, request.priority, used_tokens)
-        if not self._is_slot_limited():
+        if not self._units.is_slot_limited(self.capacity):
             used = request.prompt_tokens + used_tokens
             self.queue.charge(request.workspace, used - entry.reserved)
         return self.admit_waiting(now_s)
@@ -185,7 +187,7 @@
     def progress(self, request_id: str, output_tokens: int) -> None:
         """Raise the reservation of a request that exceeds its prediction."""
         entry = self.running.get(request_id)
-        if entry is None or self._is_slot_limited():
+        if entry is None or self._units.is_slot_limited(self.capacity):
             return
         entry.output_tokens = max(entry.output_tokens, output_tokens)
         held = entry.request.prompt_tokens + output_tokens
@@ -257,7 +259,7 @@
         # Shares in rate limits belong to single entries and can't be lent.
         if self.lent is None or self.capacity.limited.count or self.capacity.is_empty:
             return False
-        return self._is_slot_limited() and self.lent.is_active(now_s)
+        return self._units.is_slot_limited(self.capacity) and self.lent.is_active(now_s)
 
     def _offer_lent(
         self, lent: LentPlaces, waiter: WaitingRequest, now_s: float
@@ -307,51 +309,19 @@
         if self._peer_running is None:
             return 0.0
         return math.floor(
-            SHARED_SLOTS_RATIO * self._capacity_units() - self._peer_running
+            SHARED_SLOTS_RATIO
+            * self._units.total(self.capacity, self.limits, self.kv_overcommit.factor)
+            - self._peer_running
         )
 
-    def _capacity_units(self) -> float:
-        if self._is_slot_limited():
-            slots = self.capacity.groups * self.limits.slots_per_group
-            return self.limits.overcommit * slots
-        return self.kv_overcommit.factor * self.capacity.kv_capacity_tokens
-
-    def _limited_units(self) -> float:
-        """Return what this entry's shares in rate limits keep busy, by Little's law."""
-        limited = self.capacity.limited
-        busy = (
-            limited.share_per_s * self.hold_times.hold_s * self.hold_times.mean_cost()
-        )
-        if self._is_slot_limited():
-            places = self.limits.overcommit * self.limits.slots_per_group
-        else:
-            places = self.kv_overcommit.factor * self._known_tokens_per_group
-        return min(busy, limited.count * places)
-
-    def _is_slot_limited(self) -> bool:
-        if self.capacity.limited.count and self._known_tokens_per_group:
-            return False
-        return self.capacity.kv_capacity_tokens == 0
-
     def _cost(self, request: AdmissionRequest) -> int:
-        if self._is_slot_limited():
+        if self._units.is_slot_limited(self.capacity):
             return 1
         output = self.predictor.predict(
             request.workspace, request.priority, request.max_tokens
         )
         return request.prompt_tokens + output
 
-    def _with_known_memory(self, capacity: ServiceCapacity) -> ServiceCapacity:
-        # Groups whose load reports are delayed still have their KV cache. Treating the
-        # service as one without KV cache would compare slots with reserved tokens.
-        if capacity.kv_capacity_tokens:
-            self._known_tokens_per_group = capacity.kv_capacity_tokens // max(
-                1, capacity.groups
-            )
-            return capacity
-        known = self._known_tokens_per_group * capacity.groups
-        return attrs.evolve(capacity, kv_capacity_tokens=known)
-
     def _is_too_large(self, request: AdmissionRequest) -> bool:
         largest = self.capacity.largest_group_tokens
         return 0 < largest < request.prompt_tokens
@@ -363,7 +333,9 @@
         return self.reserved + waiter.cost <= self._limit_of(waiter.request.priority)
 
     def _limit_of(self, priority: str) -> float:
-        if priority == PRIORITY_URGENT and not self._is_slot_limited():
+        if priority == PRIORITY_URGENT and not self._units.is_slot_limited(
+            self.capacity
+        ):
             return self.limit * (1 + URGENT_OVERDRAFT)
         return self.limit
 
@@ -382,7 +354,7 @@
         return now_s + needed_s <= request.deadline_s
 
     def _estimated_answer_s(self, request: AdmissionRequest, cost: int) -> float:
-        if self._is_slot_limited():
+        if self._units.is_slot_limited(self.capacity):
             return 0.0
         output = cost - request.prompt_tokens
         return output * self.hold_times.output_token_s
@@ -447,18 +419,9 @@
     def _retry_without_capacity_s(
         self, request: AdmissionRequest, cost: int, now_s: float
     ) -> float:
-        if self.capacity.limited.count:
-            # Other entries have the shares.
-            return self.pacer.spread(NO_SHARE_RETRY_S)
-        if not math.isfinite(self.capacity.returns_at_s):
-            return self.pacer.add_jitter(NO_CAPACITY_RETRY_S)
         drain_rate = self.hold_times.drain_rate(self._usual_limit)
-        return self.pacer.retry_after_return_s(
-            now_s,
-            self.capacity.returns_at_s,
-            cost,
-            drain_rate,
-            request.deadline_s,
+        return self.pacer.retry_without_capacity_s(
+            now_s, self.capacity, cost, drain_rate, request.deadline_s
         )
 
     def _change_reserved(self, priority: str, tokens: int) -> None:
