Log the rates by which places are lent with each decision

An operator could not see from a refusal how much room the fleet had. The records of decisions carry the calls per second that all entries may admit, and that ask them.

--- a/chestnutvale/admission/controller.py
+++ b/chestnutvale/admission/controller.py
@@ -243,18 +243,25 @@
         -------
         dict of str to float
             Number of groups and entries, this entry's limit and reserved tokens, and
-            the number of queued requests. Empty if the service is unknown.
+            the number of queued requests; where places are lent, the calls per second
+            that all entries may admit and that ask them for a place. Empty if the
+            service is unknown.
         """
         admission = self._services.get(service)
         if admission is None:
             return {}
-        return {
+        state = {
             "groups": admission.capacity.groups,
             "limit": round(admission.limit, 2),
             "reserved": admission.reserved,
             "queued": admission.queue.count,
             "entries": admission.entry_count,
         }
+        if admission.lent is not None:
+            lending = admission.lent.lending
+            state["lent_per_s"] = round(lending.admission_rate, 2)
+            state["offered_per_s"] = round(lending.offered_per_s, 2)
+        return state
 
     def reserved_tokens(self, service: str) -> int:
         """Return the tokens reserved by running requests of a service."""
--- a/tests/admission/test_lent_places.py
+++ b/tests/admission/test_lent_places.py
@@ -58,6 +58,9 @@
 def test_free_places_admit_at_any_entry(controller):
     receive_counts(controller, 5, 40.0, 1.0, 10.0)
     assert isinstance(offer(controller, 1, 1.1), Admit)
+    state = controller.describe("s")
+    assert state["lent_per_s"] > 40.0
+    assert state["offered_per_s"] == 40.0
 
 
 def test_a_call_that_would_miss_its_target_in_the_queue_is_refused_at_once(controller):
