--- a/chestnutvale/programs/entry/entry_context.py
+++ b/chestnutvale/programs/entry/entry_context.py
@@ -604,6 +604,10 @@
         if group_view is not None and group_view.evacuated:
             # The admission of this call counts for the remaining groups from now on.
             self._install_capacities()
+        if report.first_byte_ms is not None:
+            self._gate.controller.observe_first_event(
+                report.request.service, report.first_byte_ms / 1_000
+            )
         if report.result == RESULT_BROKEN:
             self._check_silence()
 
@@ -670,6 +674,7 @@
             for name, service in self.lookup.services.items()
         }
         self._gate.controller.configure(weights, limits)
+        self._gate.keep_workspaces(weights)
 
     def _install_capacities(self) -> None:
         now_s = self.clock.now_s()
