Move the choice among groups into a load-balancing policy

The choice was part of the selector, so another way to balance the load could not be added beside it. The selector keeps the state and passes it to a policy behind a Protocol; the present choice is the default policy, least_loaded. A tracker measures the speed of each group from complete answers; no policy uses it yet.

--- a/chestnutvale/routing/const.py
+++ b/chestnutvale/routing/const.py
@@ -61,3 +61,19 @@
 ISOLATION_MEMORY_S: Final = 1.0
 # Time for which a failed connection counts.
 UNREACHABLE_RETENTION_S: Final = 3.0
+
+# Names of the load-balancing policies, as in the settings of an entry.
+POLICY_LEAST_LOADED: Final = "least_loaded"
+# Most candidates of one choice that are logged; those with the lowest costs come first.
+MAX_LOGGED_CANDIDATES: Final = 4
+
+# Number of recent answers over which the speed of a group is averaged.
+SPEED_SAMPLES_KEPT: Final = 10
+# Weight of the usual speed in the estimate for a group, in samples. The length of one
+# answer says little, so a single sample must not halve the traffic of a group.
+SPEED_PRIOR_SAMPLES: Final = 0.5
+# Bound of the ratio between the speed of a group and the usual one; slower groups are
+# left to the straggler detection.
+MAX_SLOWNESS: Final = 10.0
+# Running time of a request that is assumed before the first answer.
+DEFAULT_RUN_S: Final = 1.0
--- a/chestnutvale/routing/selector.py
+++ b/chestnutvale/routing/selector.py
@@ -1,22 +1,22 @@
 """Chooses the group that runs a request."""
 
 import random
-from collections.abc import Iterable, Mapping
+from collections import Counter
+from collections.abc import Iterable
 
 import attrs
 
-from chestnutvale.routing.const import (
-    CANDIDATE_COUNT,
-    DEFAULT_REPORT_AGE_S,
-    PREFIX_HIT_DISCOUNT,
-    QUEUED_REQUESTS,
-    REMOTE_MEMORY,
-    REMOTE_REQUESTS,
-    SHARES_EXPIRY_S,
-)
+from chestnutvale.routing.const import DEFAULT_REPORT_AGE_S, SHARES_EXPIRY_S
 from chestnutvale.routing.load import GroupLoad, SentRequest
 from chestnutvale.routing.messages import RoutableGroup, RoutingRequest
+from chestnutvale.routing.policies.least_loaded import LeastLoadedPolicy
+from chestnutvale.routing.policies.policy import (
+    LoadBalancingPolicy,
+    Placement,
+    PlacementQuery,
+)
 from chestnutvale.routing.prefixes import PrefixIndex
+from chestnutvale.routing.speed import SpeedTracker
 from chestnutvale.routing.stragglers import StragglerDetector
 from chestnutvale.schema.membership_pb2 import CacheEvents, Load
 
@@ -42,10 +42,7 @@
 
 @attrs.define
 class Selector:
-    """Chooses the least loaded of a few candidate groups.
-
-    Candidates are two random groups, two in this entry's data centre and two that have
-    cached the prompt's prefix ("power of two choices").
+    """Keeps what is known of the groups, and lets a policy choose among them.
 
     Parameters
     ----------
@@ -55,10 +52,23 @@
     data_centre : str, optional
         Data centre of this entry. Among equally loaded groups, those in the same data
         centre are preferred, as traffic between data centres is slower and more costly.
+    policy : LoadBalancingPolicy, optional
+        Chooses among the groups that may run a request.
+
+    Attributes
+    ----------
+    entry_count : int
+        Number of live entries, including this one.
+    choice_counts : Counter
+        Number of choices by policy and reason.
     """
 
     rng: random.Random
     data_centre: str = ""
+    policy: LoadBalancingPolicy = attrs.field(factory=LeastLoadedPolicy)
+    entry_count: int = 1
+    choice_counts: Counter[str] = attrs.field(factory=Counter)
+    speeds: SpeedTracker = attrs.field(factory=SpeedTracker)
     prefixes: PrefixIndex = attrs.field(factory=PrefixIndex)
     stragglers: StragglerDetector = attrs.field(factory=StragglerDetector)
     _groups: dict[str, RoutableGroup] = attrs.field(factory=dict)
@@ -119,21 +129,45 @@
 
     def choose(self, request: RoutingRequest, now_s: float) -> str | None:
         """Return the group that should run the request, or None if none is eligible."""
+        placement = self.place(request, now_s)
+        return placement.group_id if placement is not None else None
+
+    def place(self, request: RoutingRequest, now_s: float) -> Placement | None:
+        """Choose the group that should run the request.
+
+        Parameters
+        ----------
+        request : RoutingRequest
+            The request.
+        now_s : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        Placement or None
+            The group and why the policy chose it; None if no group is eligible.
+        """
         names = self._by_service.get(request.service, [])
         if request.excluded_groups:
             names = [name for name in names if name not in request.excluded_groups]
         if not names:
             return None
-        shares = self._service_shares(request.service, now_s)
-        candidates = self._draw_candidates(names, shares)
-        near = [name for name in names if self._is_near(name)]
-        if near and len(near) < len(names):
-            candidates += self._draw_candidates(near, shares)
-        _, holders = self.prefixes.longest(request.prefixes)
-        holding = [name for name in names if name in holders]
-        if holding:
-            candidates += self._draw_candidates(holding, shares)
-        return min(candidates, key=lambda name: self._cost(name, request, now_s))
+        query = PlacementQuery(
+            request=request,
+            names=names,
+            shares=self._service_shares(request.service, now_s),
+            groups=self._groups,
+            loads=self._loads,
+            prefixes=self.prefixes,
+            speeds=self.speeds,
+            mean_tokens=self._mean_tokens,
+            data_centre=self.data_centre,
+            entry_count=self.entry_count,
+            now_s=now_s,
+        )
+        placement = self.policy.choose(query, self.rng)
+        self.choice_counts[f"{placement.policy}:{placement.reason}"] += 1
+        return placement
 
     def record_sent(self, request: RoutingRequest, group_id: str, now_s: float) -> None:
         """Record a request that was sent to a group; unknown groups are ignored."""
@@ -157,22 +191,30 @@
         if latency_s is not None:
             self.stragglers.observe(group_id, latency_s, now_s)
 
+    def record_answer(
+        self, request_id: str, run_s: float, unit_s: float | None
+    ) -> None:
+        """Record a complete answer, as a sample of the speed of its group.
+
+        Parameters
+        ----------
+        request_id : str
+            The request, before `record_finished`.
+        run_s : float
+            Time from the send to the end of the answer in seconds.
+        unit_s : float or None
+            Time per event after the first one in seconds; None if not measured.
+        """
+        group_id = self._placed.get(request_id)
+        if group_id is not None:
+            self.speeds.observe(group_id, run_s, unit_s)
+
     def record_finished(self, request_id: str, now_s: float) -> None:
         """Remove a request that ended, successfully or not."""
         group_id = self._placed.pop(request_id, None)
         if group_id is not None:
             self._loads[group_id].record_finished(request_id)
 
-    def _draw_candidates(
-        self, names: list[str], shares: Mapping[str, float]
-    ) -> list[str]:
-        if len(names) <= CANDIDATE_COUNT:
-            drawn = list(names)
-        else:
-            drawn = self.rng.sample(names, CANDIDATE_COUNT)
-        kept = [name for name in drawn if self.rng.random() < shares[name]]
-        return kept or [self.rng.choice(names)]
-
     def _service_shares(self, service: str, now_s: float) -> dict[str, float]:
         known = self._shares.get(service)
         if known is None or known.expires_s <= now_s:
@@ -185,25 +227,10 @@
             self._shares[service] = known
         return known.shares
 
-    def _cost(self, name: str, request: RoutingRequest, now_s: float) -> float:
-        load = self._loads[name]
-        pressure = load.pressure(request.predicted_tokens, self._mean_tokens, now_s)
-        slots = self._groups[name].slots
-        if slots and not load.has_memory:
-            pressure += QUEUED_REQUESTS * max(0.0, pressure + 1.0 - slots)
-        if self.data_centre and not self._is_near(name):
-            pressure += REMOTE_MEMORY if load.has_memory else REMOTE_REQUESTS
-        if not request.prefixes:
-            return pressure
-        held = self.prefixes.held(name, request.prefixes)
-        return pressure - PREFIX_HIT_DISCOUNT * held / len(request.prefixes)
-
-    def _is_near(self, name: str) -> bool:
-        return self._groups[name].data_centre == self.data_centre
-
     def _forget(self, group_id: str) -> None:
         self.prefixes.forget(group_id)
         self.stragglers.forget(group_id)
+        self.speeds.forget(group_id)
         known = self._loads.pop(group_id, None)
         if known is not None:
             for request_id in known.in_flight:
