--- a/chestnutvale/routing/const.py
+++ b/chestnutvale/routing/const.py
@@ -77,3 +77,22 @@
 MAX_SLOWNESS: Final = 10.0
 # Running time of a request that is assumed before the first answer.
 DEFAULT_RUN_S: Final = 1.0
+
+POLICY_EVEN_LOAD: Final = "even_load"
+# Expected wait in another data centre is longer than here by at least this if a request
+# is sent there. Traffic between data centres is paid for by the byte.
+REMOTE_WAIT_S: Final = 0.04
+# Steps of the bisection of the share that is sent to other data centres: 1/256.
+SPILL_STEPS: Final = 8
+# Standard deviation of the number of requests at a group, besides what changed since
+# the counts.
+WAIT_DEVIATION: Final = 3.0
+# Exponent with which the places of a slow group count less. With 1 the other groups
+# fill up, with 0 a slow group runs as many requests as a fast one.
+SLOWNESS_EXPONENT: Final = 0.5
+# Time in which the load of a new group comes to count as it is.
+NEW_GROUP_S: Final = 2.0
+# Expected sends of other entries to each group since the counts, below which the counts
+# are fresh enough to compare groups by them. 24 entries with counts that are 0.1 s old
+# expect 1.3, 126 entries with counts that are 0.3 s old expect 3.5.
+FRESH_SENDS: Final = 2.0
--- a/chestnutvale/routing/load.py
+++ b/chestnutvale/routing/load.py
@@ -36,6 +36,8 @@
     measured_s: float = float("-inf")
     peer_running: int = 0
     peer_running_until_s: float = float("-inf")
+    peer_interval_s: float | None = None
+    since_s: float = float("-inf")
     in_flight: dict[str, SentRequest] = attrs.field(factory=dict)
     _unanswered: dict[str, SentRequest] = attrs.field(factory=dict)
     _sent_since_report: deque[SentRequest] = attrs.field(factory=deque)
@@ -51,17 +53,23 @@
 
     def update_peer_running(self, running: int, now_s: float) -> None:
         """Update the number of requests that other entries run at the group."""
+        if now_s < self.peer_running_until_s:
+            self.peer_interval_s = self.peer_age_s(now_s)
         self.peer_running = running
         self.peer_running_until_s = now_s + LOAD_EXPIRY_S
 
+    def peer_age_s(self, now_s: float) -> float:
+        """Return the time in seconds since the count of other entries was received."""
+        return now_s - (self.peer_running_until_s - LOAD_EXPIRY_S)
+
     def describe(self, now_s: float) -> dict[str, int | None]:
         """Return running requests and the age of the peers' count, for the log."""
         is_known = now_s < self.peer_running_until_s
-        heard_s = self.peer_running_until_s - LOAD_EXPIRY_S
+        age_s = self.peer_age_s(now_s)
         return {
             "running_here": len(self.in_flight),
             "running_elsewhere": self.peer_running if is_known else None,
-            "elsewhere_age_ms": round(1_000 * (now_s - heard_s)) if is_known else None,
+            "elsewhere_age_ms": round(1_000 * age_s) if is_known else None,
         }
 
     def record_sent(self, request_id: str, sent: SentRequest) -> None:
--- a/chestnutvale/routing/selector.py
+++ b/chestnutvale/routing/selector.py
@@ -78,8 +78,20 @@
     _shares: dict[str, TrafficShares] = attrs.field(factory=dict)
     _mean_tokens: float = DEFAULT_MEAN_TOKENS
 
-    def update_groups(self, groups: Iterable[RoutableGroup]) -> None:
-        """Replace the set of serving groups; all others get no new requests."""
+    def update_groups(
+        self, groups: Iterable[RoutableGroup], now_s: float = float("-inf")
+    ) -> None:
+        """Replace the set of serving groups; all others get no new requests.
+
+        Parameters
+        ----------
+        groups : iterable of RoutableGroup
+            All serving groups.
+        now_s : float, optional
+            Monotonic time in seconds. Groups that appear after the first ones are new
+            from then on; by default, none is.
+        """
+        since_s = now_s if self._groups else float("-inf")
         new = {group.group_id: group for group in groups}
         for group_id, group in self._groups.items():
             if group_id not in new or new[group_id].epoch != group.epoch:
@@ -89,7 +101,7 @@
         self._shares = {}
         for group in new.values():
             self._by_service.setdefault(group.service, []).append(group.group_id)
-            self._loads.setdefault(group.group_id, GroupLoad())
+            self._loads.setdefault(group.group_id, GroupLoad(since_s=since_s))
 
     def update_load(
         self,
