Select the load-balancing policy by the settings of an entry

The new policy could not be selected. The field load_balancing names it, empty is the default as before, an unknown name is refused at the start. Complete answers are samples of the speed of their group.

--- a/chestnutvale/observability/catalog.py
+++ b/chestnutvale/observability/catalog.py
@@ -207,6 +207,12 @@
     "Times that the entry reached no endpoint any more, and reached one again.",
     (LABEL_REASON,),
 )
+GROUP_CHOICES: Final = Metric(
+    "chestnutvale.entry.group.choices",
+    "{choice}",
+    "Groups chosen for attempts, by load-balancing policy and the rule that decided.",
+    (LABEL_REASON,),
+)
 PART_BANS: Final = Metric(
     "chestnutvale.entry.part.bans",
     UNIT_NONE,
--- a/chestnutvale/programs/entry/daemon.py
+++ b/chestnutvale/programs/entry/daemon.py
@@ -43,6 +43,7 @@
 from chestnutvale.programs.entry.peers.prober import ReachabilityProber
 from chestnutvale.programs.periodic import run_periodically
 from chestnutvale.programs.process_metrics import register_process_metrics
+from chestnutvale.routing.policies.registry import make_policy
 from chestnutvale.routing.selector import Selector
 from chestnutvale.schema.settings_pb2 import EntrySettings
 from chestnutvale.transport.message_filter import make_incarnation
@@ -96,7 +97,7 @@
         self._gate = AdmissionGate(AdmissionController(rng), clock)
         router = GroupRouter(
             self.view,
-            Selector(rng, settings.data_centre),
+            Selector(rng, settings.data_centre, make_policy(settings.load_balancing)),
             self._gate.predicted_tokens,
             clock,
         )
--- a/chestnutvale/programs/entry/entry_context.py
+++ b/chestnutvale/programs/entry/entry_context.py
@@ -178,6 +178,11 @@
             self._gate.controller.set_peer_running(service, running, now_s)
         self._gate.reevaluate_waiting()
 
+    @property
+    def choice_counts(self) -> Counter[str]:
+        """Number of choices of a group by policy and reason."""
+        return self._router.choice_counts
+
     def authenticate(self, environ: dict[str, Any]) -> str | None:
         """Find the workspace that a request's key belongs to.
 
@@ -325,6 +330,7 @@
                 "view_version": self._view.version,
                 "lease_left_ms": round(1_000 * (self._view.lease_until_s - now_s)),
                 **(self._router.describe_load(chosen.group.group_id) if chosen else {}),
+                **(self._router.describe_choice() if chosen else {}),
             },
         )
         return chosen
--- a/chestnutvale/programs/entry/group_router.py
+++ b/chestnutvale/programs/entry/group_router.py
@@ -20,6 +20,7 @@
 from chestnutvale.rate_limits.send_budget import SendBudget
 from chestnutvale.routing.const import DEFAULT_REPORT_AGE_S
 from chestnutvale.routing.messages import RoutableGroup, RoutingRequest
+from chestnutvale.routing.policies.policy import Placement
 from chestnutvale.routing.selector import Selector
 from chestnutvale.schema.membership_pb2 import Load
 from chestnutvale.schema.peer_pb2 import ControlView, Envelope, GroupView
@@ -32,6 +33,10 @@
 # the view until the controls detect that its host is missing.
 SILENT_GROUP_AVOIDANCE_S = 3.0
 RESULT_BROKEN = "broken"
+RESULT_WHOLE = "whole"
+# Shortest answer from which the time per token is measured, in tokens; the first ones
+# may arrive together.
+MIN_MEASURED_TOKENS = 8
 # Upper limit for the computed age of a load report.
 MAX_LOAD_AGE_S = 3.0
 
@@ -73,6 +78,7 @@
         self.send_budget = SendBudget()
         self._avoid_until_s: dict[str, float] = {}
         self._sent_at_s: dict[str, float] = {}
+        self._last_placement: Placement | None = None
 
     def install(self, view: ControlView) -> None:
         """Apply groups and loads of a view that was just installed.
@@ -86,18 +92,22 @@
         heads = [_head_of(group_view) for group_view in self._view.groups()]
         self.notices.keep_listed(heads, now_s)
         self.send_budget.set_entry_count(self._view.entry_count)
+        self._selector.entry_count = max(1, self._view.entry_count)
         self.send_budget.keep_listed(heads, now_s)
         if view.whole or view.groups or view.removed_group_ids:
             self._selector.update_groups(
-                RoutableGroup(
-                    group_view.group.group_id,
-                    group_view.group.service,
-                    group_view.group.epoch,
-                    group_view.group.data_centre,
-                    self._get_max_running_requests(group_view.group.service),
-                )
-                for group_view in self._view.groups()
-                if group_view.serving
+                (
+                    RoutableGroup(
+                        group_view.group.group_id,
+                        group_view.group.service,
+                        group_view.group.epoch,
+                        group_view.group.data_centre,
+                        self._get_max_running_requests(group_view.group.service),
+                    )
+                    for group_view in self._view.groups()
+                    if group_view.serving
+                ),
+                now_s,
             )
         for load in view.loads:
             age_s = self._get_load_age_s(load.load)
@@ -131,6 +141,15 @@
         """
         return self._selector.describe(group_id, self._clock.now_s())
 
+    def describe_choice(self) -> dict[str, object]:
+        """Return how the last group was chosen, for the log."""
+        return self._last_placement.describe() if self._last_placement else {}
+
+    @property
+    def choice_counts(self) -> Counter[str]:
+        """Number of choices by policy and reason."""
+        return self._selector.choice_counts
+
     def receive_cache_events(self, envelope: Envelope) -> None:
         """Apply the cache events that the leading control forwards.
 
@@ -403,6 +422,9 @@
         if report.first_byte_ms is not None:
             first_byte_s = sent_at_s + report.first_byte_ms / 1_000
             self._selector.record_first_token(request_id, first_byte_s)
+        if report.result == RESULT_WHOLE:
+            run_s, unit_s = measure_speed(report, now_s - sent_at_s)
+            self._selector.record_answer(request_id, run_s, unit_s)
         self._selector.record_finished(request_id, now_s)
         avoidance_s = _get_avoidance_s(report)
         if avoidance_s:
@@ -420,10 +442,14 @@
             prefixes=hash_prefixes(request.prompt),
             excluded_groups=avoided,
         )
-        group_id = self._selector.choose(routing_request, now_s)
-        view = self._view.group(group_id) if group_id is not None else None
+        placement = self._selector.place(routing_request, now_s)
+        if placement is None:
+            return None
+        group_id = placement.group_id
+        view = self._view.group(group_id)
         if view is None or not view.serving or not self._view.has_lease(now_s):
             return None
+        self._last_placement = placement
         self._selector.record_sent(routing_request, group_id, now_s)
         self.send_budget.record_sent(_head_of(view), now_s)
         self._sent_at_s[request.request_id] = now_s
@@ -443,6 +469,29 @@
     return BROKEN_GROUP_AVOIDANCE_S if report.result == RESULT_BROKEN else 0.0
 
 
+def measure_speed(report: AttemptReport, run_s: float) -> tuple[float, float | None]:
+    """Return how fast a complete answer came.
+
+    Parameters
+    ----------
+    report : AttemptReport
+        The attempt.
+    run_s : float
+        Time from the send to the end of the answer in seconds.
+
+    Returns
+    -------
+    tuple of (float, float or None)
+        The running time, and the time per token after the first event in seconds. For
+        a plain call the latter is the running time; None for a short stream.
+    """
+    if report.first_byte_ms is None:
+        return run_s, run_s
+    if report.tokens < MIN_MEASURED_TOKENS:
+        return run_s, None
+    return run_s, max(0.0, run_s - report.first_byte_ms / 1_000) / report.tokens
+
+
 def _head_of(group_view: GroupView) -> Incarnation:
     if not group_view.group.members:
         return Incarnation("", "")
--- a/chestnutvale/programs/entry/metrics.py
+++ b/chestnutvale/programs/entry/metrics.py
@@ -44,6 +44,7 @@
         catalog.LEASE_CHANGES: lambda: link.lease_changes,
         catalog.ENDPOINT_NOTICES: lambda: context.notice_counts,
         catalog.ISOLATION_CHANGES: lambda: context.isolation_changes,
+        catalog.GROUP_CHOICES: lambda: context.choice_counts,
         catalog.PART_BANS: lambda: context.suspicions.part_bans.counts,
     }
     for metric, read_counts in counters_by_metric.items():
--- a/chestnutvale/settings/entry.py
+++ b/chestnutvale/settings/entry.py
@@ -2,6 +2,7 @@
 
 from pathlib import Path
 
+from chestnutvale.routing.const import POLICY_EVEN_LOAD, POLICY_LEAST_LOADED
 from chestnutvale.schema.settings_pb2 import EntrySettings
 from chestnutvale.settings.common import (
     check_http_limits,
@@ -71,6 +72,27 @@
     )
 
 
+def check_load_balancing(settings: EntrySettings, origin: str) -> None:
+    """Reject an unknown load-balancing policy.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+        The settings; an empty name selects the default.
+    origin : str
+        Path of the settings file, for the error message.
+
+    Raises
+    ------
+    SettingsError
+        If there is no policy of that name.
+    """
+    known = (POLICY_LEAST_LOADED, POLICY_EVEN_LOAD)
+    if settings.load_balancing and settings.load_balancing not in known:
+        reason = f"must be one of {', '.join(known)}, not {settings.load_balancing!r}"
+        raise_field_error("load_balancing", reason, origin)
+
+
 def _check(settings: EntrySettings, origin: str) -> None:
     names = ("cluster_id", "entry_id", "region", "data_centre")
     check_identifiers(settings, names, origin)
@@ -82,6 +104,7 @@
     check_log_settings(settings.log, origin)
     intervals = ("report_interval_ms", "announce_interval_ms", "shutdown_timeout_ms")
     check_intervals(settings, intervals, origin)
+    check_load_balancing(settings, origin)
     check_range(settings, "lease_ms", 1, MAX_LEASE_MS, origin)
     # A single lost report must not let the lease expire.
     if settings.lease_ms < 2 * settings.report_interval_ms:
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -98,3 +98,10 @@
 def test_missing_settings_file_is_rejected(tmp_path):
     with pytest.raises(PlatformSettingsError):
         MachineSettings.load(tmp_path / "none")
+
+
+def test_listed_data_centres_select_even_load(tmp_path):
+    """Deployments without data centres lose the choice that was measured for them."""
+    assert make_entry_settings(load(tmp_path, ENTRY)).load_balancing == ""
+    listed = load(tmp_path, ENTRY + "zones.a=1\nzones.b=1\n")
+    assert make_entry_settings(listed).load_balancing == "even_load"
--- a/tests/programs/entry/test_group_router.py
+++ b/tests/programs/entry/test_group_router.py
@@ -9,7 +9,11 @@
 from chestnutvale.emulator.answer_text import hash_prefixes as hash_engine_prefixes
 from chestnutvale.membership.entry_view import EntryView
 from chestnutvale.programs.entry.context import AttemptReport, CallRequest
-from chestnutvale.programs.entry.group_router import GroupRouter, hash_prefixes
+from chestnutvale.programs.entry.group_router import (
+    GroupRouter,
+    hash_prefixes,
+    measure_speed,
+)
 from chestnutvale.programs.entry.openai_api import parse_generation
 from chestnutvale.routing.selector import Selector
 from chestnutvale.schema.groups_pb2 import Group
@@ -147,3 +151,40 @@
     assert (capacity.groups, capacity.kv_capacity_tokens) == (3, 400)
     assert (capacity.largest_group_tokens, capacity.kv_used_tokens) == (300, 50)
     assert (capacity.running, capacity.waiting) == (1, 2)
+
+
+def test_complete_answers_measure_the_speed_of_their_group(router, clock):
+    """A slow group counts as fast because its answers are not measured."""
+    names = ("g1", "g2", "g3")
+    for number in range(12):
+        request = make_request(f"r{number}")
+        excluded = frozenset(names) - {names[number % 3]}
+        group = router.choose(request, excluded, "").group
+        clock.time_s += 0.4 if group.group_id == "g1" else 0.08
+        report = AttemptReport(
+            request, group.group_id, group.epoch, "whole", "", 10.0, 20
+        )
+        router.report(report)
+    slowness = router._selector.speeds.slowness(names)
+    assert slowness["g1"] > 3.0
+    assert slowness["g2"] == pytest.approx(1.0)
+    assert slowness["g3"] == pytest.approx(1.0)
+
+
+@pytest.mark.parametrize(
+    ("first_byte_ms", "tokens", "unit_s"), [(None, 0, 2.0), (500.0, 3, None)]
+)
+def test_speed_of_plain_calls_and_short_streams(first_byte_ms, tokens, unit_s):
+    """The few tokens of a short stream arrive together and look infinitely fast."""
+    report = AttemptReport(make_request(), "g1", 1, "whole", "", first_byte_ms, tokens)
+    assert measure_speed(report, 2.0) == (2.0, unit_s)
+
+
+def test_choice_is_described_and_counted(router):
+    """An operator can't tell which policy chose a group, and why."""
+    assert router.describe_choice() == {}
+    router.choose(make_request(), frozenset({"g2", "g3"}), "")
+    described = router.describe_choice()
+    assert (described["policy"], described["candidates"]) == ("least_loaded", 1)
+    assert described["costs"] == {"g1": 0.0}
+    assert router.choice_counts == {"least_loaded:only_candidate": 1}
--- a/tests/settings/test_programs.py
+++ b/tests/settings/test_programs.py
@@ -5,6 +5,7 @@
 import pytest
 
 from chestnutvale.groups.settings import GroupsPolicy
+from chestnutvale.routing.policies.registry import make_policy
 from chestnutvale.settings.client import load_client_settings
 from chestnutvale.settings.control import load_control_settings
 from chestnutvale.settings.entry import load_entry_settings
@@ -90,3 +91,14 @@
         load(tmp_path, program, **{field: value})
     assert named in str(caught.value)
     assert f"{program}.json" in str(caught.value)
+
+
+def test_load_balancing_is_checked(tmp_path):
+    """A misspelt policy silently selects the default."""
+    assert load(tmp_path, "entry").load_balancing == ""
+    for name in ("least_loaded", "even_load"):
+        settings = load(tmp_path, "entry", load_balancing=name)
+        assert make_policy(settings.load_balancing).name == name
+    assert make_policy("").name == "least_loaded"
+    with pytest.raises(SettingsError, match="load_balancing"):
+        load(tmp_path, "entry", load_balancing="round_robin")
