--- a/benchmarks/models/even_load.py
+++ b/benchmarks/models/even_load.py
@@ -60,8 +60,6 @@
         Times at which one group is lost, and comes back empty, in seconds.
     length_s, warm_s : float
         Length of the run, and its beginning that is not measured, in seconds.
-    tells_load : bool
-        Whether answers tell how many requests their group runs.
     """
 
     entries: int = 24
@@ -77,7 +75,6 @@
     restart_s: tuple[float, float] = (math.inf, math.inf)
     length_s: float = 40.0
     warm_s: float = 6.0
-    tells_load: bool = False
 
 
 @attrs.define
@@ -352,12 +349,6 @@
         self.selectors[entry].record_first_token(request_id, now_s)
         if is_measured:
             self.first_events_s.append(now_s - sent_s)
-        self._tell_load(now_s, entry, group)
-
-    def _tell_load(self, now_s: float, entry: int, group: Group) -> None:
-        if self.scenario.tells_load:
-            others = group.load - self.running[entry][group.name]
-            self.selectors[entry].update_peer_running(group.name, others, now_s)
 
     def _end(self, now_s: float, job: tuple, first_s: float, events: float) -> None:
         entry, request_id, group, epoch, sent_s, _ = job
@@ -368,7 +359,6 @@
         selector = self.selectors[entry]
         selector.record_answer(request_id, now_s - sent_s, (now_s - first_s) / events)
         selector.record_finished(request_id, now_s)
-        self._tell_load(now_s, entry, group)
         if group.queue:
             self._start(now_s, group.queue.popleft())
 
--- a/benchmarks/routing_even_load.py
+++ b/benchmarks/routing_even_load.py
@@ -16,7 +16,6 @@
     PolicyMaker,
     Scenario,
 )
-from benchmarks.models.weighed_policies import WEIGHED, TokenSimulation
 from chestnutvale.routing.policies.even_load import EvenLoadPolicy
 from chestnutvale.routing.policies.least_loaded import LeastLoadedPolicy
 
@@ -42,7 +41,6 @@
 POLICIES: dict[str, PolicyMaker] = {
     "least_loaded": lambda n: LeastLoadedPolicy(),
     "even_load": lambda n: EvenLoadPolicy(),
-    **WEIGHED,
 }
 # Of these figures the largest of all seeds is shown, of others the mean.
 LARGEST = ("most_per_s", "most_after_return")
@@ -51,9 +49,8 @@
 def run(case: tuple[str, str, int]) -> Figures:
     """Run one case: scenario, policy, seed."""
     scenario_name, policy, seed = case
-    scenario = attrs.evolve(SCENARIOS[scenario_name], tells_load=policy == "told")
-    simulation = TokenSimulation if policy == "tokens" else EvenLoadSimulation
-    return simulation(scenario, POLICIES[policy], seed).run()
+    scenario = SCENARIOS[scenario_name]
+    return EvenLoadSimulation(scenario, POLICIES[policy], seed).run()
 
 
 def summarise(runs: list[Figures]) -> list[float]:
