--- a/chestnutvale/programs/entry/group_router.py
+++ b/chestnutvale/programs/entry/group_router.py
@@ -16,6 +16,7 @@
 from chestnutvale.groups.members import group_head
 from chestnutvale.membership.endpoint_notices import EndpointNotices, Incarnation
 from chestnutvale.membership.entry_view import EntryView
+from chestnutvale.programs.entry.answer_speed import measure_speed
 from chestnutvale.programs.entry.context import AttemptReport, CallRequest
 from chestnutvale.rate_limits.send_budget import SendBudget
 from chestnutvale.routing.const import DEFAULT_REPORT_AGE_S
@@ -34,9 +35,6 @@
 SILENT_GROUP_AVOIDANCE_S = 3.0
 RESULT_BROKEN = "broken"
 RESULT_WHOLE = "whole"
-# Shortest answer from which the time per token is measured, in tokens; the first ones
-# may arrive together.
-MIN_MEASURED_TOKENS = 8
 # Upper limit for the computed age of a load report.
 MAX_LOAD_AGE_S = 3.0
 
@@ -469,29 +467,6 @@
     return BROKEN_GROUP_AVOIDANCE_S if report.result == RESULT_BROKEN else 0.0
 
 
-def measure_speed(report: AttemptReport, run_s: float) -> tuple[float, float | None]:
-    """Return how fast a complete answer came.
-
-    Parameters
-    ----------
-    report : AttemptReport
-        The attempt.
-    run_s : float
-        Time from the send to the end of the answer in seconds.
-
-    Returns
-    -------
-    tuple of (float, float or None)
-        The running time, and the time per token after the first event in seconds. For
-        a plain call the latter is the running time; None for a short stream.
-    """
-    if report.first_byte_ms is None:
-        return run_s, run_s
-    if report.tokens < MIN_MEASURED_TOKENS:
-        return run_s, None
-    return run_s, max(0.0, run_s - report.first_byte_ms / 1_000) / report.tokens
-
-
 def _head_of(group_view: GroupView) -> Incarnation:
     if not group_view.group.members:
         return Incarnation("", "")
--- a/tests/programs/entry/test_group_router.py
+++ b/tests/programs/entry/test_group_router.py
@@ -8,12 +8,9 @@
 from chestnutvale.clock import SystemClock
 from chestnutvale.emulator.answer_text import hash_prefixes as hash_engine_prefixes
 from chestnutvale.membership.entry_view import EntryView
+from chestnutvale.programs.entry.answer_speed import measure_speed
 from chestnutvale.programs.entry.context import AttemptReport, CallRequest
-from chestnutvale.programs.entry.group_router import (
-    GroupRouter,
-    hash_prefixes,
-    measure_speed,
-)
+from chestnutvale.programs.entry.group_router import GroupRouter, hash_prefixes
 from chestnutvale.programs.entry.openai_api import parse_generation
 from chestnutvale.routing.selector import Selector
 from chestnutvale.schema.groups_pb2 import Group
