Merge even load on stale counts

Groups were overloaded in turn while others idled, since many entries chose by the same old counts. The platform's adapter selects the policy by the contract under which it was measured, not by zones, which all deployments have.

--- a/chestnutvale/programs/entry/group_router.py
+++ b/chestnutvale/programs/entry/group_router.py
@@ -18,10 +18,12 @@
 from chestnutvale.groups.members import group_head
 from chestnutvale.membership.endpoint_notices import EndpointNotices, Incarnation
 from chestnutvale.membership.entry_view import EntryView
+from chestnutvale.programs.entry.answer_speed import measure_speed
 from chestnutvale.programs.entry.context import AttemptReport, CallRequest
 from chestnutvale.rate_limits.send_budget import SendBudget
 from chestnutvale.routing.const import DEFAULT_REPORT_AGE_S
 from chestnutvale.routing.messages import RoutableGroup, RoutingRequest
+from chestnutvale.routing.policies.policy import Placement
 from chestnutvale.routing.selector import Selector
 from chestnutvale.schema.membership_pb2 import Load
 from chestnutvale.schema.peer_pb2 import ControlView, Envelope, GroupView
@@ -35,6 +37,7 @@
 # the view until the controls detect that its host is missing.
 SILENT_GROUP_AVOIDANCE_S = 3.0
 RESULT_BROKEN = "broken"
+RESULT_WHOLE = "whole"
 # Upper limit for the computed age of a load report.
 MAX_LOAD_AGE_S = 3.0
 
@@ -78,6 +81,7 @@
         self._avoid_until_s: dict[str, float] = {}
         self._sent_at_s: dict[str, float] = {}
         self._evacuated_heads: frozenset[Incarnation] = frozenset()
+        self._last_placement: Placement | None = None
 
     def install(self, view: ControlView) -> None:
         """Apply groups and loads of a view that was just installed.
@@ -96,6 +100,7 @@
         heads = [head for _, head in self._heads.values()]
         self.notices.keep_listed(heads, now_s)
         self.send_budget.set_entry_count(self._view.entry_count)
+        self._selector.entry_count = max(1, self._view.entry_count)
         self.send_budget.keep_listed(heads, now_s)
         if view.whole or view.groups or view.removed_group_ids:
             self._evacuated_heads = frozenset(
@@ -104,15 +109,18 @@
                 if group_view.evacuated
             )
             self._selector.update_groups(
-                RoutableGroup(
-                    group_view.group.group_id,
-                    group_view.group.service,
-                    group_view.group.epoch,
-                    group_view.group.data_centre,
-                    self._get_max_running_requests(group_view.group.service),
-                )
-                for group_view in self._view.groups()
-                if group_view.serving
+                (
+                    RoutableGroup(
+                        group_view.group.group_id,
+                        group_view.group.service,
+                        group_view.group.epoch,
+                        group_view.group.data_centre,
+                        self._get_max_running_requests(group_view.group.service),
+                    )
+                    for group_view in self._view.groups()
+                    if group_view.serving
+                ),
+                now_s,
             )
             self._selector.update_cold(
                 [
@@ -174,6 +182,15 @@
         """
         return self._selector.describe(group_id, self._clock.now_s())
 
+    def describe_choice(self) -> dict[str, object]:
+        """Return how the last group was chosen, for the log."""
+        return self._last_placement.describe() if self._last_placement else {}
+
+    @property
+    def choice_counts(self) -> Counter[str]:
+        """Number of choices by policy and reason."""
+        return self._selector.choice_counts
+
     def receive_cache_events(self, envelope: Envelope) -> None:
         """Apply the cache events that the leading control forwards.
 
@@ -498,6 +515,9 @@
         if report.first_byte_ms is not None:
             first_byte_s = sent_at_s + report.first_byte_ms / 1_000
             self._selector.record_first_token(request_id, first_byte_s)
+        if report.result == RESULT_WHOLE:
+            run_s, unit_s = measure_speed(report, now_s - sent_at_s)
+            self._selector.record_answer(request_id, run_s, unit_s)
         self._selector.record_finished(request_id, now_s)
         avoidance_s = _get_avoidance_s(report)
         if avoidance_s:
@@ -515,10 +535,14 @@
             prefixes=hash_prefixes(request.prompt),
             excluded_groups=avoided,
         )
-        group_id = self._selector.choose(routing_request, now_s)
-        view = self._view.group(group_id) if group_id is not None else None
+        placement = self._selector.place(routing_request, now_s)
+        if placement is None:
+            return None
+        group_id = placement.group_id
+        view = self._view.group(group_id)
         if view is None or not view.serving or not self._view.has_lease(now_s):
             return None
+        self._last_placement = placement
         self._selector.record_sent(routing_request, group_id, now_s)
         self.send_budget.record_sent(self._head_of(view), now_s)
         self._sent_at_s[request.request_id] = now_s
--- a/chestnutvale/routing/const.py
+++ b/chestnutvale/routing/const.py
@@ -67,3 +67,38 @@
 ISOLATION_MEMORY_S: Final = 1.0
 # Time for which a failed connection counts.
 UNREACHABLE_RETENTION_S: Final = 3.0
+
+# Names of the load-balancing policies, as in the settings of an entry.
+POLICY_LEAST_LOADED: Final = "least_loaded"
+# Most candidates of one choice that are logged; those with the lowest costs come first.
+MAX_LOGGED_CANDIDATES: Final = 4
+
+# Number of recent answers over which the speed of a group is averaged.
+SPEED_SAMPLES_KEPT: Final = 10
+# Weight of the usual speed in the estimate for a group, in samples. The length of one
+# answer says little, so a single sample must not halve the traffic of a group.
+SPEED_PRIOR_SAMPLES: Final = 0.5
+# Bound of the ratio between the speed of a group and the usual one; slower groups are
+# left to the straggler detection.
+MAX_SLOWNESS: Final = 10.0
+# Running time of a request that is assumed before the first answer.
+DEFAULT_RUN_S: Final = 1.0
+
+POLICY_EVEN_LOAD: Final = "even_load"
+# Expected wait in another data centre is longer than here by at least this if a request
+# is sent there. Traffic between data centres is paid for by the byte.
+REMOTE_WAIT_S: Final = 0.04
+# Steps of the bisection of the share that is sent to other data centres: 1/256.
+SPILL_STEPS: Final = 8
+# Standard deviation of the number of requests at a group, besides what changed since
+# the counts.
+WAIT_DEVIATION: Final = 3.0
+# Exponent with which the places of a slow group count less. With 1 the other groups
+# fill up, with 0 a slow group runs as many requests as a fast one.
+SLOWNESS_EXPONENT: Final = 0.5
+# Time in which the load of a new group comes to count as it is.
+NEW_GROUP_S: Final = 2.0
+# Expected sends of other entries to each group since the counts, below which the counts
+# are fresh enough to compare groups by them. 24 entries with counts that are 0.1 s old
+# expect 1.3, 126 entries with counts that are 0.3 s old expect 3.5.
+FRESH_SENDS: Final = 2.0
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -123,3 +123,12 @@
 def test_missing_settings_file_is_rejected(tmp_path):
     with pytest.raises(PlatformSettingsError):
         MachineSettings.load(tmp_path / "none")
+
+
+def test_the_pressure_contract_selects_even_load(tmp_path):
+    """Other deployments keep the choice that was measured for them."""
+    assert make_entry_settings(load(tmp_path, ENTRY)).load_balancing == ""
+    zoned = load(tmp_path, ENTRY + "zones.a=1\nzones.b=1\n")
+    assert make_entry_settings(zoned).load_balancing == ""
+    listed = load(tmp_path, ENTRY + "contracts=base, pressure\n")
+    assert make_entry_settings(listed).load_balancing == "even_load"
