Plan groups only once a new leader has applied its log

After the loss of all controls a new leader could plan within the milliseconds between its election and the application of its log. With an empty state it took the hosts of all groups for strays, 36 orders to release them were refused as conflicts, and it dropped the second in which silent hosts may still report, so that it dissolved groups whose members it had not heard yet. The new test failed before, as the leader decided; tests/programs/control and consensus pass.

--- a/chestnutvale/consensus/task.py
+++ b/chestnutvale/consensus/task.py
@@ -161,6 +161,12 @@
         """Index of the newest applied entry."""
         return self._loop.applied_index
 
+    @property
+    def has_applied_earlier_terms(self) -> bool:
+        """Whether this control leads and has applied all entries of earlier terms."""
+        leader = self._loop.raft.member.leader
+        return leader is not None and self._loop.applied_index >= leader.first_index
+
     @property
     def member_id(self) -> str:
         """Member identity of this control; a new disk has a new one."""
--- a/chestnutvale/programs/control/group_task.py
+++ b/chestnutvale/programs/control/group_task.py
@@ -94,7 +94,8 @@
         self._entry_handler.publish_changes()
         self._entry_handler.forward_cache_events()
         self._update_leadership(now_s)
-        if not self._log.is_leader:
+        if not (self._log.is_leader and self._log.has_applied_earlier_terms):
+            # A new leader has not applied the groups yet that are in its log.
             self._measures.pause()
             return
         self._measures.update(
--- a/tests/programs/control/test_group_task.py
+++ b/tests/programs/control/test_group_task.py
@@ -36,7 +36,11 @@
     def __init__(self):
         self.now_s = 100.0
         self.log = SimpleNamespace(
-            is_leader=True, term=1, applied_index=5, has_lease=lambda now_s: True
+            is_leader=True,
+            term=1,
+            applied_index=5,
+            has_applied_earlier_terms=True,
+            has_lease=lambda now_s: True,
         )
         self.state = ControlState()
         self.table = MembershipTable()
@@ -50,7 +54,7 @@
         )
         self.coordinator = Coordinator()
         clock = SimpleNamespace(now_s=lambda: self.now_s, unix_ms=lambda: 1)
-        measures = SimpleNamespace(update=lambda *arguments: None)
+        measures = SimpleNamespace(update=lambda *arguments: None, pause=lambda: None)
         self.task = GroupTask(
             self.log,
             self.state,
@@ -100,6 +104,15 @@
     assert task_fixture.run_rounds(1) == 1
 
 
+def test_a_leader_decides_nothing_before_it_has_applied_the_log():
+    """It would take hosts of unapplied groups for strays, and begin the first plan."""
+    fixture = GroupTaskFixture()
+    fixture.log.has_applied_earlier_terms = False
+    assert fixture.run_rounds(5) == 0
+    fixture.log.has_applied_earlier_terms = True
+    assert fixture.run_rounds(1) == 1
+
+
 @pytest.mark.parametrize("what", ["broken", "release"])
 def test_time_dependent_operations_cause_a_decision_each_round(task_fixture, what):
     if what == "broken":
