--- a/chestnutvale/admission/const.py
+++ b/chestnutvale/admission/const.py
@@ -53,7 +53,7 @@
 # Time for which lending continues by the last counts, and the multiple of the interval
 # of counts after which new ones are overdue.
 LENDING_VALIDITY_S: Final = 1.2
-NEWS_OVERDUE_FACTOR: Final = 1.5
+COUNTS_OVERDUE_FACTOR: Final = 1.5
 # Chance from which a call that got no place waits for the next counts, if they arrive
 # by this margin before the call must start; and the draws that are foreseen at most.
 MIN_WAIT_CHANCE: Final = 0.7
--- a/chestnutvale/admission/place_lending.py
+++ b/chestnutvale/admission/place_lending.py
@@ -8,6 +8,7 @@
 
 from chestnutvale.admission.arrival_rates import RankRates
 from chestnutvale.admission.const import (
+    COUNTS_OVERDUE_FACTOR,
     DEFAULT_HOLD_S,
     DEFAULT_URGENT_SHARE,
     FLEET_HOLD_SMOOTHING_S,
@@ -15,7 +16,6 @@
     LENDING_MIN_HORIZON_S,
     LENDING_VALIDITY_S,
     MIN_MEASURED_FLOW_PER_S,
-    NEWS_OVERDUE_FACTOR,
     PRIORITIES,
 )
 from chestnutvale.admission.service_flow import ServiceFlow
@@ -110,7 +110,7 @@
         The correction in the last counts has been made by then, and only the rate at
         which places become free remains.
         """
-        if now_s < self._started_s + NEWS_OVERDUE_FACTOR * self.interval_s:
+        if now_s < self._started_s + COUNTS_OVERDUE_FACTOR * self.interval_s:
             return
         self.admission_rate = self._places / self.hold_time.hold_s()
         self._start_epoch(now_s)
--- a/chestnutvale/membership/view_publisher.py
+++ b/chestnutvale/membership/view_publisher.py
@@ -32,7 +32,7 @@
 
 
 @attrs.frozen
-class _Marks:
+class _ViewFlags:
     """What a view says of a group besides whether it serves."""
 
     is_evacuated: bool = False
@@ -53,7 +53,7 @@
     # Until then only a change of its inputs can stop it from serving.
     valid_until_s: float = float("-inf")
     head_id: str = ""
-    marks: _Marks = _Marks()
+    flags: _ViewFlags = _ViewFlags()
 
 
 @attrs.define
@@ -329,7 +329,7 @@
                 _to_view(
                     published_group.group,
                     published_group.reason,
-                    published_group.marks,
+                    published_group.flags,
                 )
                 for _, published_group in sorted(self._published_groups.items())
             ]
@@ -374,7 +374,7 @@
         head = table.host(group_head(group).host_id)
         cold_until_s = cold_rule.cold_until_s(group.service, head)
         is_cold = not reason and now_s < cold_until_s
-        marks = _Marks(
+        flags = _ViewFlags(
             is_evacuated(group, table, evacuated),
             is_cold,
             is_cold and group.service in cold_rule.bounded_services,
@@ -383,14 +383,14 @@
             published_group is None
             or published_group.group != group
             or published_group.reason != reason
-            or published_group.marks != marks
+            or published_group.flags != flags
         )
         if is_changed:
             self._content_count += 1
             load = published_group.load if published_group else None
             load_version = published_group.load_version if published_group else 0
-            version = self._next_version(published_group, reason, marks.is_evacuated)
-            entry_view = _to_entry_view(group, reason, marks)
+            version = self._next_version(published_group, reason, flags.is_evacuated)
+            entry_view = _to_entry_view(group, reason, flags)
             published_group = _PublishedGroup(
                 group,
                 reason,
@@ -398,7 +398,7 @@
                 entry_view,
                 load,
                 load_version,
-                marks=marks,
+                flags=flags,
             )
             self._published_groups[group_id] = published_group
         published_group.group = group
@@ -424,7 +424,7 @@
         if reason and not is_evacuated:
             if before is None or before.version == 0:
                 return 0
-            if before.reason and not before.marks.is_evacuated:
+            if before.reason and not before.flags.is_evacuated:
                 return before.version
         self._version += 1
         return self._version
@@ -480,23 +480,23 @@
         return view
 
 
-def _to_entry_view(group: Group, reason: str, marks: _Marks) -> GroupView:
+def _to_entry_view(group: Group, reason: str, flags: _ViewFlags) -> GroupView:
     """Return a group's view; a pooled group lists its head only, which serves it."""
-    view = _to_view(group, reason, marks)
+    view = _to_view(group, reason, flags)
     if group.pooled:
         del view.group.members[:]
         view.group.members.append(group_head(group))
     return view
 
 
-def _to_view(group: Group, reason: str, marks: _Marks) -> GroupView:
+def _to_view(group: Group, reason: str, flags: _ViewFlags) -> GroupView:
     return GroupView(
         group=group,
         serving=not reason,
         reason=reason,
-        evacuated=marks.is_evacuated,
-        is_cold=marks.is_cold,
-        needs_cold_share=marks.needs_cold_share,
+        evacuated=flags.is_evacuated,
+        is_cold=flags.is_cold,
+        needs_cold_share=flags.needs_cold_share,
     )
 
 
