--- a/chestnutvale/admission/lent_places.py
+++ b/chestnutvale/admission/lent_places.py
@@ -1,4 +1,4 @@
-"""Places that one entry borrows for a service, and what it reports of its calls."""
+"""Lent places that one entry takes for a service, and its reports of calls."""
 
 import math
 import random
