Don't count stalled groups as capacity

A stalled group stays in the view for 1.3 s and more, and the controls' detection of the lost host ends that.

Change: the capacity of a service and the attempts of other entries leave out stalled groups, unless the service has no others.

--- a/chestnutvale/programs/entry/control_link.py
+++ b/chestnutvale/programs/entry/control_link.py
@@ -91,6 +91,8 @@
         Number of serving leases that were ``won`` and ``lost``.
     stalls : int
         Number of times that a group stalled.
+    on_stall_change : callable
+        Called when other groups count as stalled here than before.
     """
 
     def __init__(
@@ -133,6 +135,7 @@
         self.is_isolated: Callable[[], bool] = _is_never_isolated
         self.lease_changes: Counter[str] = Counter()
         self.stalls = 0
+        self.on_stall_change: Callable[[], None] = _ignore_change
         self._listeners: list[Callable[[ControlView, str], None]] = []
         self._report_trigger = Event()
         transport.register_handler("control_view", self._receive_view)
@@ -338,6 +341,7 @@
             self.stalls += len(stalled - self._reported_stalled)
             self._reported_stalled = stalled
             _LOGGER.info("stalled_groups", extra={"groups": sorted(stalled)})
+            self.on_stall_change()
             self.trigger_report()
 
     def _find_stalled_groups(self, now_s: float) -> frozenset[str]:
@@ -388,6 +392,10 @@
             listener(view, envelope.sender_id)
 
 
+def _ignore_change() -> None:
+    """Do nothing; the default until the context of the entry is set."""
+
+
 def _is_never_isolated() -> bool:
     """Return False; the default until the context of the entry is set."""
     return False
--- a/chestnutvale/programs/entry/daemon.py
+++ b/chestnutvale/programs/entry/daemon.py
@@ -141,6 +141,7 @@
         self.link.is_isolated = lambda: self.context.reaches_no_endpoint
         self.context.on_departure = self.link.trigger_report
         self.context.on_limit_change = self.link.trigger_report
+        self.link.on_stall_change = self.context.update_capacities
         self._load_exchange = LoadExchange(
             self.transport, self.view, self.context, self.link.find_leader, clock
         )
--- a/chestnutvale/programs/entry/entry_context.py
+++ b/chestnutvale/programs/entry/entry_context.py
@@ -168,7 +168,7 @@
         self._abort_lost_groups(view)
         for group_id in self._view.newly_stalled:
             self.running.report_stall(group_id)
-        self._install_capacities()
+        self.update_capacities()
 
     def flows(self, now_s: float) -> list[ServiceFlow]:
         """Return this entry's calls per second by service, if it lends places."""
@@ -193,7 +193,8 @@
         """
         now_s = self.clock.now_s()
         self._router.update_peer_running(by_group)
-        unlimited = self._router.unlimited_running(by_group)
+        stalled = self._find_stalled_groups(now_s)
+        unlimited = self._router.unlimited_running(by_group, stalled)
         for service in by_service:
             running = unlimited[service]
             self._gate.controller.set_peer_running(service, running, now_s)
@@ -447,12 +448,12 @@
                 "pause_s": notice.pause_s,
             },
         )
-        self._install_capacities()
+        self.update_capacities()
         if notice.is_leaving:
             self.on_departure()
         else:
             # The capacity returns with the end of the pause, not with the next view.
-            eventlet.spawn_after(notice.pause_s, self._install_capacities)
+            eventlet.spawn_after(notice.pause_s, self.update_capacities)
 
     @property
     def is_isolated(self) -> bool:
@@ -522,7 +523,7 @@
                 else None,
             },
         )
-        self._install_capacities()
+        self.update_capacities()
         self.on_limit_change()
 
     def _record_cold(self, endpoint: Incarnation, remaining_s: float) -> None:
@@ -539,7 +540,7 @@
                 "remaining_s": remaining_s,
             },
         )
-        self._install_capacities()
+        self.update_capacities()
 
     def next_send_s(self, service: str) -> float | None:
         """Return when a rate limit lets this entry send a request to a service.
@@ -609,7 +610,7 @@
         group_view = self._view.group(report.group_id)
         if group_view is not None and group_view.evacuated:
             # The admission of this call counts for the remaining groups from now on.
-            self._install_capacities()
+            self.update_capacities()
         if report.first_byte_ms is not None:
             self._gate.controller.observe_first_event(
                 report.request.service, report.first_byte_ms / 1_000
@@ -682,9 +683,12 @@
         self._gate.controller.configure(weights, limits)
         self._gate.keep_workspaces(weights)
 
-    def _install_capacities(self) -> None:
+    def update_capacities(self) -> None:
+        """Pass the capacity of all services to admission, after it changed."""
         now_s = self.clock.now_s()
-        capacities = self._router.capacities(self.running.counts_by_group())
+        capacities = self._router.capacities(
+            self.running.counts_by_group(), self._find_stalled_groups(now_s)
+        )
         for service in self.lookup.services:
             # Without a serving group, waiting calls are refused immediately.
             capacity = capacities.get(service, NO_CAPACITY)
--- a/chestnutvale/programs/entry/group_router.py
+++ b/chestnutvale/programs/entry/group_router.py
@@ -2,7 +2,7 @@
 
 import math
 from collections import Counter
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Collection, Iterator, Mapping
 from types import MappingProxyType
 from typing import Final
 
@@ -252,18 +252,24 @@
         return True
 
     def capacities(
-        self, running: Mapping[str, int] = NOTHING_RUNNING
+        self,
+        running: Mapping[str, int] = NOTHING_RUNNING,
+        stalled: Collection[str] = (),
     ) -> dict[str, ServiceCapacity]:
         """Return the total capacity of the serving groups of each service.
 
-        Groups whose head leaves or pauses are left out. Groups whose head names a limit
-        are counted apart, with the shares of this entry.
+        Groups whose head leaves or pauses are left out, and so are groups that
+        `choose` uses only as a last resort because they stalled: the other groups would
+        have to run the calls that are admitted for them. Groups whose head names a
+        limit are counted apart, with the shares of this entry.
 
         Parameters
         ----------
         running : mapping of str to int, optional
             Running attempts of this entry by group; only those at groups of evacuated
             data centres are read.
+        stalled : collection of str, optional
+            Stalled groups. They count if a service has no others.
 
         Returns
         -------
@@ -275,11 +281,12 @@
         limited: dict[str, LimitedGroups] = {}
         returns_at_s: dict[str, float] = {}
         evacuated_running: Counter[str] = Counter()
+        uncounted = self._find_uncounted(stalled, now_s)
         for group_view in self._view.groups():
             service = group_view.group.service
             if group_view.evacuated:
                 evacuated_running[service] += running.get(group_view.group.group_id, 0)
-            if not group_view.serving:
+            if not group_view.serving or group_view.group.group_id in uncounted:
                 continue
             usable_loads = loads.setdefault(service, [])
             head = self._head_of(group_view)
@@ -306,6 +313,24 @@
             for service, items in loads.items()
         }
 
+    def _find_uncounted(self, stalled: Collection[str], now_s: float) -> frozenset[str]:
+        """Return the stalled groups of the services that have others."""
+        if not stalled:
+            return frozenset()
+        others = {
+            group_view.group.service
+            for group_view in self._view.groups()
+            if group_view.serving
+            and group_view.group.group_id not in stalled
+            and self.notices.may_send(self._head_of(group_view), now_s)
+        }
+        return frozenset(
+            group_view.group.group_id
+            for group_view in self._view.groups()
+            if group_view.group.group_id in stalled
+            and group_view.group.service in others
+        )
+
     def _unavailable_groups(self, service: str, now_s: float) -> Iterator[str]:
         for group_view in self._view.serving_groups(service, now_s):
             head = self._head_of(group_view)
@@ -349,16 +374,21 @@
             default=None,
         )
 
-    def unlimited_running(self, running: Mapping[str, int]) -> Counter[str]:
+    def unlimited_running(
+        self, running: Mapping[str, int], stalled: Collection[str] = ()
+    ) -> Counter[str]:
         """Sum running attempts by service at the groups whose capacity is shared.
 
         Leaves out the groups that `capacities` leaves out or counts apart: attempts at
-        groups that pause, leave or have a rate limit take no place of the others.
+        groups that stalled, pause, leave or have a rate limit take no place of the
+        others.
 
         Parameters
         ----------
         running : mapping of str to int
             Attempts at each group.
+        stalled : collection of str, optional
+            Stalled groups. They count if a service has no others.
 
         Returns
         -------
@@ -367,9 +397,10 @@
         """
         now_s = self._clock.now_s()
         totals: Counter[str] = Counter()
+        uncounted = self._find_uncounted(stalled, now_s)
         for group_id, count in running.items():
             group_view = self._view.group(group_id)
-            if group_view is None:
+            if group_view is None or group_id in uncounted:
                 continue
             head = self._head_of(group_view)
             if self.send_budget.is_limited(head) or not self.notices.may_send(
--- a/tests/programs/entry/test_group_router.py
+++ b/tests/programs/entry/test_group_router.py
@@ -150,6 +150,17 @@
     assert (capacity.running, capacity.waiting) == (1, 2)
 
 
+def test_stalled_group_is_no_capacity_unless_it_is_the_only_one(router):
+    """Calls admitted for a stalled group queue inside the engines of the others."""
+    running = {"g1": 13, "g2": 9}
+    capacity = router.capacities(stalled=frozenset({"g1"}))["llm"]
+    assert capacity.groups == 2
+    assert router.unlimited_running(running, frozenset({"g1"})) == {"llm": 9}
+    every = frozenset({"g1", "g2", "g3"})
+    assert router.capacities(stalled=every)["llm"].groups == 3
+    assert router.unlimited_running(running, every) == {"llm": 22}
+
+
 def test_complete_answers_measure_the_speed_of_their_group(router, clock):
     """A slow group counts as fast because its answers are not measured."""
     names = ("g1", "g2", "g3")
