Let calls wait for groups that a new leader has yet to hear

Cause: after a restart of all machines the first views of the new leader list one or two of some forty groups, as it hears each host with its next announcement.

Change: while it discovers hosts, the leader counts for each service the serving groups of which it has not heard a member yet. Entries count them as expected capacity: as many calls as these groups can run wait, and the others are refused at once. Nothing runs before a group is known. When discovery ends without the groups, the waiting calls are refused. A queue without any group no longer admits its first request either.

--- a/chestnutvale/admission/capacity_units.py
+++ b/chestnutvale/admission/capacity_units.py
@@ -46,6 +46,16 @@
             return limits.overcommit * capacity.groups * limits.slots_per_group
         return kv_factor * capacity.kv_capacity_tokens
 
+    def awaited(
+        self, capacity: ServiceCapacity, limits: ServiceLimits, kv_factor: float
+    ) -> float:
+        """Return the capacity of the groups that a new leader has yet to hear."""
+        if not capacity.awaited_groups:
+            return 0.0
+        if self._known_tokens_per_group:
+            return kv_factor * self._known_tokens_per_group * capacity.awaited_groups
+        return limits.overcommit * capacity.awaited_groups * limits.slots_per_group
+
     def limited(
         self,
         capacity: ServiceCapacity,
--- a/chestnutvale/admission/messages.py
+++ b/chestnutvale/admission/messages.py
@@ -125,6 +125,9 @@
     evacuated_running : int
         Requests of this entry that still run at groups of evacuated data centres. They
         hold admissions but no places of the groups that are counted here.
+    awaited_groups : int
+        Groups that probably serve, but from which a new leader has not heard yet. They
+        are not part of the other sums.
     """
 
     groups: int
@@ -136,6 +139,7 @@
     returns_at_s: float = math.inf
     limited: LimitedGroups = NO_LIMITED_GROUPS
     evacuated_running: int = 0
+    awaited_groups: int = 0
 
     @property
     def is_empty(self) -> bool:
--- a/chestnutvale/admission/service.py
+++ b/chestnutvale/admission/service.py
@@ -69,6 +69,8 @@
     running: dict[str, RunningRequest] = attrs.field(factory=dict)
     reserved: int = 0
     limit: float = 0.0
+    # This entry's part of the groups that a new leader has yet to hear.
+    awaited: float = 0.0
     # The limit while some group took requests, for the time after a pause of all.
     _usual_limit: float = 1.0
     _peer_running: float | None = None
@@ -141,6 +143,10 @@
             )
             # Otherwise the places elsewhere would stay empty until these have ended.
             self.limit += self.capacity.evacuated_running
+        self.awaited = (
+            self._units.awaited(self.capacity, self.limits, self.kv_overcommit.factor)
+            / self.entry_count
+        )
         if not self.capacity.is_empty:
             self._usual_limit = max(1.0, self.limit)
         self.queue.weights = {name: max(part, 1e-6) for name, part in parts.items()}
@@ -148,7 +154,7 @@
     def offer(self, request: AdmissionRequest, now_s: float) -> list[Effect]:
         """Admit, queue or refuse a new request."""
         cost = self._cost(request)
-        if self.capacity.is_empty:
+        if self.capacity.is_empty and not self.awaited:
             retry_s = self._retry_without_capacity_s(request, cost, now_s)
             return [Refuse(request.request_id, CODE_NO_CAPACITY, retry_s)]
         if self._is_too_large(request):
@@ -221,17 +227,17 @@
         """Refuse waiting requests that can't meet their deadline; admit others."""
         self.refused.forget_old(now_s)
         effects = self.admit_waiting(now_s)
-        if self.capacity.is_empty:
+        if self.capacity.is_empty and not self.awaited:
             return effects + self._refuse_all(now_s)
         for waiter in list(self.queue):
             request = waiter.request
             if request.deadline_s <= now_s:
                 effects.append(self._refuse_waiting(waiter, CODE_EXPIRED, now_s))
             elif (
-                request.start_by_s <= now_s
-                or now_s + self._estimated_answer_s(request, waiter.cost)
-                > request.deadline_s
-            ):
+                request.start_by_s <= now_s and not self.awaited
+            ) or now_s + self._estimated_answer_s(
+                request, waiter.cost
+            ) > request.deadline_s:
                 effects.append(self._refuse_waiting(waiter, CODE_DEADLINE, now_s))
         return effects + self.admit_waiting(now_s)
 
@@ -240,11 +246,12 @@
         if self.lent is not None and self._lends(now_s):
             return self._draw_waiting(self.lent, now_s)
         effects: list[Effect] = []
-        while True:
+        while not self.capacity.is_empty:
             waiter = self._order.next_to_admit(self.queue, self._is_urgent_over())
             if waiter is None or not self._fits(waiter):
                 return effects
             effects.append(self._admit(waiter, now_s))
+        return effects
 
     def _admit(self, waiter: WaitingRequest, now_s: float) -> Admit:
         self.queue.pop(waiter)
@@ -261,6 +268,9 @@
         # Shares in rate limits belong to single entries and can't be lent.
         if self.lent is None or self.capacity.limited.count or self.capacity.is_empty:
             return False
+        if self.awaited:
+            # The rates of calls that are lent by count only the groups that are known.
+            return False
         return self._units.is_slot_limited(self.capacity) and self.lent.is_active(now_s)
 
     def _offer_lent(
@@ -347,8 +357,9 @@
 
     def _can_finish(self, request: AdmissionRequest, cost: int, now_s: float) -> bool:
         wait_s = self._estimated_wait_s(request, cost)
-        if wait_s == 0.0 and self.reserved < self.limit / 2:
+        if wait_s == 0.0 and (self.awaited or self.reserved < self.limit / 2):
             # While half of the limit is free, a stale estimate must not cause refusals.
+            # Of the groups that a new leader has yet to hear, nothing is known.
             return True
         if now_s + wait_s > request.start_by_s:
             return False
@@ -362,12 +373,12 @@
         return output * self.hold_times.output_token_s
 
     def _estimated_wait_s(self, request: AdmissionRequest, cost: int) -> float:
-        free = self._limit_of(request.priority) - self.reserved
+        free = self._limit_of(request.priority) + self.awaited - self.reserved
         missing = self.queue.tokens_ahead(request) + cost - free
         return max(0.0, missing) / self._drain_rate()
 
     def _drain_rate(self) -> float:
-        return self.hold_times.drain_rate(self.limit)
+        return self.hold_times.drain_rate(self.limit + self.awaited)
 
     def _evict_if_full(
         self, request: AdmissionRequest, cost: int, now_s: float
@@ -402,7 +413,8 @@
                 now_s, 0.0, cost, rate, request.deadline_s
             )
             return Refuse(request.request_id, code, retry_s)
-        backlog = self.queue.tokens_ahead(request) + cost - (self.limit - self.reserved)
+        free = self.limit + self.awaited - self.reserved
+        backlog = self.queue.tokens_ahead(request) + cost - free
         retry_s = self.pacer.retry_after_s(
             now_s, max(0.0, backlog), cost, self._drain_rate(), request.deadline_s
         )
--- a/chestnutvale/groups/serving.py
+++ b/chestnutvale/groups/serving.py
@@ -6,6 +6,7 @@
 from chestnutvale.groups.const import (
     FAULT_MISSING,
     FAULT_RESTARTED,
+    FAULT_UNKNOWN,
     PHASE_SERVING,
 )
 from chestnutvale.groups.members import group_head
@@ -47,7 +48,7 @@
     ):
         # A new leader has no announcements yet; it must not abort running requests.
         if table.is_awaiting_report(member.host_id, now_s):
-            return f"member {member.host_id} is not known yet"
+            return f"member {member.host_id} {FAULT_UNKNOWN}"
         return f"member {member.host_id} {FAULT_MISSING}"
     record = table.host(member.host_id)
     if record is None:
@@ -55,7 +56,7 @@
     if record.boot_id != member.boot_id:
         return f"member {member.host_id} {FAULT_RESTARTED}"
     if not record.is_content_current:
-        return f"member {member.host_id} is not known yet"
+        return f"member {member.host_id} {FAULT_UNKNOWN}"
     if record.announcement.leaving:
         return f"member {member.host_id} is leaving"
     if member.host_id in draining_hosts:
--- a/chestnutvale/membership/entry_view.py
+++ b/chestnutvale/membership/entry_view.py
@@ -45,6 +45,9 @@
         Stalled groups that were not listed in the previous view.
     is_discovering : bool
         Whether the leader may not have heard all hosts yet.
+    awaited_groups : dict of str to int
+        Groups by service that probably serve, although the leader has not heard all of
+        their members yet.
     """
 
     lease_s: float = DEFAULT_LEASE_S
@@ -61,6 +64,7 @@
     stalled: frozenset[str] = frozenset()
     newly_stalled: frozenset[str] = frozenset()
     is_discovering: bool = False
+    awaited_groups: dict[str, int] = attrs.field(factory=dict)
 
     def record_report_sent(self, nonce: int, now_s: float) -> None:
         """Record the sending time of a report; call it before sending.
@@ -226,6 +230,7 @@
         self.newly_stalled = stalled - self.stalled
         self.stalled = stalled
         self.is_discovering = view.discovering
+        self.awaited_groups = {item.service: item.count for item in view.awaited_groups}
         if view.source == self._source and view.view_version < self._version:
             return InstallVerdict.OLD_VERSION
         if not view.whole and not self._has_base_version(view):
--- a/chestnutvale/membership/view_publisher.py
+++ b/chestnutvale/membership/view_publisher.py
@@ -1,11 +1,12 @@
 """Views of groups, loads and configuration that the leader sends to entries."""
 
 import math
-from collections import deque
+from collections import Counter, deque
 from typing import Protocol
 
 import attrs
 
+from chestnutvale.groups.const import FAULT_UNKNOWN
 from chestnutvale.groups.members import group_head
 from chestnutvale.groups.serving import find_serving_fault, is_evacuated
 from chestnutvale.groups.state import GroupsState
@@ -321,6 +322,20 @@
             if entry_id in self._entries
         ]
 
+    def count_awaited(self) -> Counter[str]:
+        """Return the groups of each service that may serve once all hosts are heard.
+
+        Returns
+        -------
+        Counter of str
+            Number of groups by service.
+        """
+        return Counter(
+            item.group.service
+            for item in self._published_groups.values()
+            if item.reason.endswith(FAULT_UNKNOWN) and not item.flags.is_evacuated
+        )
+
     def group_views(self) -> list[GroupView]:
         """Return the views of all groups; callers must not modify them."""
         if self._group_views_count != self._content_count:
--- a/chestnutvale/programs/control/entry_report_handler.py
+++ b/chestnutvale/programs/control/entry_report_handler.py
@@ -40,6 +40,7 @@
     EntryReport,
     Envelope,
     GroupView,
+    ServiceGroups,
 )
 from chestnutvale.transport.node import TransportNode
 
@@ -452,6 +453,11 @@
         view.discovering = (
             self._table.may_discover_hosts(now_s) and not self._is_all_evacuated()
         )
+        if view.discovering:
+            view.awaited_groups.extend(
+                ServiceGroups(service=service, count=count)
+                for service, count in sorted(self._publisher.count_awaited().items())
+            )
         self.limits.add_limits(entry_id, view, now_s)
         if view.whole:
             view.suspicions.extend(self._suspicions.all_evidence(now_unix_ms))
--- a/chestnutvale/programs/entry/entry_context.py
+++ b/chestnutvale/programs/entry/entry_context.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
+import attrs
 import eventlet
 import logbook
 
@@ -691,7 +692,10 @@
         )
         for service in self.lookup.services:
             # Without a serving group, waiting calls are refused immediately.
-            capacity = capacities.get(service, NO_CAPACITY)
+            capacity = attrs.evolve(
+                capacities.get(service, NO_CAPACITY),
+                awaited_groups=self._view.awaited_groups.get(service, 0),
+            )
             self._gate.controller.set_capacity(service, capacity, now_s)
         self._gate.controller.set_entry_count(self._view.entry_count)
         self._gate.reevaluate_waiting()
--- a/tests/programs/control/test_entry_report_handler.py
+++ b/tests/programs/control/test_entry_report_handler.py
@@ -142,6 +142,31 @@
     assert found == [True, True, False]
 
 
+def test_views_count_the_groups_that_a_new_leader_has_yet_to_hear(handler_fixture):
+    """Entries take groups whose hosts are not heard yet for lost capacity."""
+    fixture = handler_fixture
+    fixture.table.extend_detection_timeout(110.0, 100.0)
+    for name in ("a", "b"):
+        group = Group(group_id=name, service="s", phase="forming", plain=True)
+        group.members.add(host_id=f"h-{name}", boot_id="b")
+        fixture.state.groups.put_group(PutGroup(group=group), 0)
+        formed = fixture.state.groups.groups[name]
+        serving = Group()
+        serving.CopyFrom(formed)
+        serving.phase = "serving"
+        change = PutGroup(group=serving, expected_epoch=formed.epoch)
+        fixture.state.groups.put_group(change, 0)
+    found = []
+    content = Announcement(host_id="h-a", boot_id="b")
+    heard = Heard(host_id="h-a", boot_id="b", sequence=1, changed=content)
+    for nonce, (now_s, hosts) in enumerate(((100, []), (101, [heard]), (120, [])), 1):
+        fixture.now_s = float(now_s)
+        fixture.report(now_s - 99.0, hosts, nonce=nonce)
+        view = fixture.transport.sent[-1][-1]
+        found.append([(item.service, item.count) for item in view.awaited_groups])
+    assert found == [[("s", 2)], [("s", 1)], []]
+
+
 def test_only_a_leader_with_its_lease_answers(handler_fixture):
     handler_fixture.has_lease = False
     handler_fixture.report(1.0, nonce=5)
