Let calls wait only while their answer can begin in time

Cause: a call waited at an entry for as long as its target, and then began after it, in the place of a call that could still be in time. An entry that had just started estimated its waits by a default hold time of 5 s, where answers take 1 s, and refused nearly all callers that found no free place.

Change: a call waits until its target less the predicted time to the first event. Whoever has missed the target already waits as before. The target counts from the time at which the call asks for admission, not from before a wait for the controls. Before any request has ended, as many calls as run may wait, as long as their routes allow.

--- a/benchmarks/admission_group_losses.py
+++ b/benchmarks/admission_group_losses.py
@@ -9,7 +9,8 @@
 from tabulate import tabulate
 
 from benchmarks.models.entry_fleet import EntryFleet, Outcome, Scenario
-from chestnutvale.admission.messages import ServiceCapacity
+from chestnutvale.admission.messages import AdmissionRequest, ServiceCapacity
+from chestnutvale.admission.service import ServiceAdmission
 from chestnutvale.programs.entry.group_router import NOTHING_RUNNING, GroupRouter
 
 
@@ -31,16 +32,24 @@
         return super().unlimited_running(running)
 
 
-POLICIES: dict[str, Callable[..., GroupRouter]] = {
-    "chosen": GroupRouter,
-    "stalled_counted": StalledCountedRouter,
+class TargetIgnoredAdmission(ServiceAdmission):
+    """Lets calls wait until they would miss their target even if they began at once."""
+
+    def _latest_start_s(self, request: AdmissionRequest, now_s: float) -> float:
+        return request.start_by_s
+
+
+POLICIES: dict[str, dict[str, Callable[..., object]]] = {
+    "chosen": {},
+    "stalled_counted": {"make_router": StalledCountedRouter},
+    "target_ignored": {"make_service": TargetIgnoredAdmission},
 }
 LOADS = (0.7, 1.0, 1.4, 2.0)
 
 
 def simulate(seed: int, policy: str, scenario: Scenario) -> Outcome:
     """Run one scenario with one policy and return what callers got."""
-    return EntryFleet(scenario, seed, POLICIES[policy]).run()
+    return EntryFleet(scenario, seed, **POLICIES[policy]).run()
 
 
 def draw_scenario(seed: int, utilisation: float) -> Scenario:
--- a/benchmarks/models/entry_fleet.py
+++ b/benchmarks/models/entry_fleet.py
@@ -13,6 +13,7 @@
 from chestnutvale.admission.controller import AdmissionController
 from chestnutvale.admission.demand import DemandTable
 from chestnutvale.admission.messages import AdmissionRequest, Admit, Effect, Refuse
+from chestnutvale.admission.service import ServiceAdmission
 from chestnutvale.clock import Clock
 from chestnutvale.membership.entry_view import EntryView
 from chestnutvale.programs.entry.context import AttemptReport, CallRequest
@@ -31,6 +32,8 @@
 DEMAND_INTERVAL_S = 0.4
 ADMISSION_TICK_S = 0.025
 MAX_ATTEMPTS = 2
+# Share of the time left up to which callers honour Retry-After.
+MAX_RETURN_SHARE = 1 / 3
 # Time to the first event of an unloaded group, and spread of the length of answers.
 FIRST_EVENT_S = 0.07
 SPREAD_OF_ANSWERS = 0.7
@@ -196,7 +199,8 @@
 class EntryFleet:
     """Entries, engines that run requests in order of arrival, and callers.
 
-    Callers come back once, after the Retry-After of their refusal.
+    Callers come back once. They honour Retry-After up to a third of the time that they
+    have left.
 
     Parameters
     ----------
@@ -206,6 +210,8 @@
         Seed of all random draws.
     make_router : callable, optional
         Factory of the group router of an entry.
+    make_service : callable, optional
+        Factory of the admission control of the service at an entry.
     """
 
     def __init__(
@@ -213,6 +219,7 @@
         scenario: Scenario,
         seed: int,
         make_router: Callable[..., GroupRouter] = GroupRouter,
+        make_service: Callable[..., ServiceAdmission] = ServiceAdmission,
     ) -> None:
         self._scenario = scenario
         # Separate sources, so that all policies get the same calls and losses.
@@ -228,6 +235,7 @@
         self._groups: dict[str, _Group] = {}
         self._calls: dict[str, _Call] = {}
         self._make_router = make_router
+        self._make_service = make_service
         self.outcome = Outcome()
         for _ in range(scenario.groups):
             self._add_group()
@@ -261,7 +269,7 @@
     def _make_entry(self, number: int) -> _Entry:
         rng = random.Random(self._rng.random())
         view = EntryView(lease_s=LEASE_S)
-        controller = AdmissionController(rng)
+        controller = AdmissionController(rng, make_service=self._make_service)
         gate = _Gate(controller, self._clock, self._apply)
         router = self._make_router(view, Selector(rng), lambda _: 1, self._clock)
         context = EntryContext(
@@ -429,10 +437,11 @@
     def _refuse(self, call: _Call, retry_after_s: float) -> None:
         self.outcome.refusals += 1
         del self._calls[call.request_id]
-        deadline_s = call.offered_s + self._scenario.deadline_s
-        if call.tries == 1 and self._clock.time_s + retry_after_s < deadline_s:
-            call.entry = self._return_rng.choice(self._entries)
-            self._schedule(retry_after_s, self._offer, call)
+        if call.tries > 1:
+            return
+        left_s = call.offered_s + self._scenario.deadline_s - self._clock.time_s
+        call.entry = self._return_rng.choice(self._entries)
+        self._schedule(min(retry_after_s, MAX_RETURN_SHARE * left_s), self._offer, call)
 
     def _send(self, call: _Call, excluded: frozenset[str]) -> None:
         scenario = self._scenario
--- a/chestnutvale/admission/controller.py
+++ b/chestnutvale/admission/controller.py
@@ -39,6 +39,8 @@
         Source of jitter; seeded, so that decisions can be reproduced.
     make_pacer : callable
         Factory that creates the retry pacer of a service from `rng`.
+    make_service : callable
+        Factory that creates the admission control of a service.
     lends_places : bool
         Whether the places of services without KV cache memory are lent to whichever
         entry has callers, rather than divided between the entries.
@@ -46,6 +48,9 @@
 
     rng: random.Random
     make_pacer: Callable[[random.Random], RetryPacer] = RetryPacer
+    make_service: Callable[[ServiceLimits, RetryPacer], ServiceAdmission] = (
+        ServiceAdmission
+    )
     lends_places: bool = False
     _weights: dict[str, float] = attrs.field(factory=dict)
     _services: dict[str, ServiceAdmission] = attrs.field(factory=dict)
@@ -72,10 +77,10 @@
         for name, service_limits in limits.items():
             service = self._services.get(name)
             if service is None:
-                service = ServiceAdmission(service_limits, self.make_pacer(self.rng))
+                service = self.make_service(service_limits, self.make_pacer(self.rng))
                 service.entry_count = self._entry_count
                 if self.lends_places:
-                    service.lent = LentPlaces(self.rng)
+                    service.lent = LentPlaces(self.rng, service.first_event)
                 self._services[name] = service
             service.limits = service_limits
             service.weights = self._weights
@@ -140,8 +145,8 @@
     def observe_first_event(self, service: str, first_event_s: float) -> None:
         """Add the time in seconds from the send of a call to its first event."""
         admission = self._services.get(service)
-        if admission is not None and admission.lent is not None:
-            admission.lent.first_event.observe(first_event_s)
+        if admission is not None:
+            admission.first_event.observe(first_event_s)
 
     def flows(self, now_s: float) -> list[ServiceFlow]:
         """Return this entry's calls per second; empty if places are not lent."""
@@ -243,9 +248,10 @@
         -------
         dict of str to float
             Number of groups and entries, this entry's limit and reserved tokens, and
-            the number of queued requests; where places are lent, the calls per second
-            that all entries may admit and that ask them for a place. Empty if the
-            service is unknown.
+            the number of queued requests; this entry's part of the groups that a new
+            leader has yet to hear; where places are lent, the calls per second that all
+            entries may admit and that ask them for a place. Empty if the service is
+            unknown.
         """
         admission = self._services.get(service)
         if admission is None:
@@ -257,6 +263,8 @@
             "queued": admission.queue.count,
             "entries": admission.entry_count,
         }
+        if admission.awaited:
+            state["awaited"] = round(admission.awaited, 2)
         if admission.lent is not None:
             lending = admission.lent.lending
             state["lent_per_s"] = round(lending.admission_rate, 2)
--- a/chestnutvale/admission/fair_queue.py
+++ b/chestnutvale/admission/fair_queue.py
@@ -1,5 +1,6 @@
 """Weighted fair queue of the waiting requests of one service."""
 
+import math
 from collections import deque
 from collections.abc import Iterator, Mapping
 
@@ -19,10 +20,13 @@
         The request.
     cost : int
         Tokens that it will reserve when it is admitted.
+    start_by_s : float
+        Monotonic time in seconds until which it may wait.
     """
 
     request: AdmissionRequest
     cost: int
+    start_by_s: float = math.inf
 
 
 @attrs.define
--- a/chestnutvale/admission/lent_places.py
+++ b/chestnutvale/admission/lent_places.py
@@ -28,20 +28,20 @@
     ----------
     rng : random.Random
         Source of the draws; different for each entry.
+    first_event : FirstEventPredictor, optional
+        Predicts the time from an admission to the first event.
 
     Attributes
     ----------
     lending : PlaceLending
         Chances of the calls.
-    first_event : FirstEventPredictor
-        Predicts the time from an admission to the first event.
     """
 
     rng: random.Random
+    first_event: FirstEventPredictor = attrs.field(factory=FirstEventPredictor)
     lending: PlaceLending = attrs.field(
         default=attrs.Factory(lambda self: PlaceLending(self.rng), takes_self=True)
     )
-    first_event: FirstEventPredictor = attrs.field(factory=FirstEventPredictor)
     _arrivals: ArrivalRates = attrs.field(factory=ArrivalRates)
     _offered: RateWindow = attrs.field(factory=RateWindow)
     _admitted: RateWindow = attrs.field(factory=RateWindow)
--- a/chestnutvale/admission/pacing.py
+++ b/chestnutvale/admission/pacing.py
@@ -58,6 +58,11 @@
         if self._output:
             self.output_token_s = self._seconds / self._output
 
+    @property
+    def is_measured(self) -> bool:
+        """Whether any request has ended yet."""
+        return self._count > 0.0
+
     def mean_cost(self) -> float:
         """Return the mean of the tokens reserved for a request; 1 if unknown."""
         return self._cost / self._count if self._count else 1.0
--- a/chestnutvale/admission/service.py
+++ b/chestnutvale/admission/service.py
@@ -22,6 +22,7 @@
 )
 from chestnutvale.admission.demand import sum_demands
 from chestnutvale.admission.fair_queue import FairQueue, WaitingRequest
+from chestnutvale.admission.first_event import FirstEventPredictor
 from chestnutvale.admission.kv_overcommit import KvOvercommit
 from chestnutvale.admission.lent_places import LentPlaces
 from chestnutvale.admission.messages import (
@@ -89,6 +90,7 @@
         )
     )
     kv_overcommit: KvOvercommit = attrs.field(factory=KvOvercommit)
+    first_event: FirstEventPredictor = attrs.field(factory=FirstEventPredictor)
     lent: LentPlaces | None = None
 
     def set_capacity(self, capacity: ServiceCapacity, now_s: float) -> None:
@@ -161,16 +163,16 @@
             return [Refuse(request.request_id, CODE_TOO_LARGE, 0.0)]
         if request.deadline_s <= now_s:
             return [self._refuse(request, CODE_EXPIRED, cost, now_s)]
+        waiter = WaitingRequest(request, cost, self._latest_start_s(request, now_s))
         if self.lent is not None:
             self.lent.record_offer(request, now_s)
             if self._lends(now_s):
-                return self._offer_lent(self.lent, WaitingRequest(request, cost), now_s)
+                return self._offer_lent(self.lent, waiter, now_s)
         if not self._can_finish(request, cost, now_s):
             return [self._refuse(request, CODE_DEADLINE, cost, now_s)]
         effects = self._evict_if_full(request, cost, now_s)
         if effects and effects[-1].request_id == request.request_id:
             return effects
-        waiter = WaitingRequest(request, cost)
         self._waiting[request.request_id] = waiter
         self.queue.push(waiter)
         effects += self.admit_waiting(now_s)
@@ -233,14 +235,16 @@
             request = waiter.request
             if request.deadline_s <= now_s:
                 effects.append(self._refuse_waiting(waiter, CODE_EXPIRED, now_s))
-            elif (
-                request.start_by_s <= now_s and not self.awaited
-            ) or now_s + self._estimated_answer_s(
-                request, waiter.cost
-            ) > request.deadline_s:
+            elif self._has_waited_long_enough(waiter, now_s):
                 effects.append(self._refuse_waiting(waiter, CODE_DEADLINE, now_s))
         return effects + self.admit_waiting(now_s)
 
+    def _has_waited_long_enough(self, waiter: WaitingRequest, now_s: float) -> bool:
+        if waiter.start_by_s <= now_s and not self.awaited:
+            return True
+        answer_s = self._estimated_answer_s(waiter.request, waiter.cost)
+        return now_s + answer_s > waiter.request.deadline_s
+
     def admit_waiting(self, now_s: float) -> list[Effect]:
         """Admit waiting requests while the limit allows it."""
         if self.lent is not None and self._lends(now_s):
@@ -361,11 +365,29 @@
             # While half of the limit is free, a stale estimate must not cause refusals.
             # Of the groups that a new leader has yet to hear, nothing is known.
             return True
-        if now_s + wait_s > request.start_by_s:
+        is_wait_unknown = wait_s > 0.0 and not self.hold_times.is_measured
+        if is_wait_unknown and math.isfinite(request.start_by_s):
+            # An entry that has just started can't tell how long the wait is. As many
+            # requests as run may wait for their places, as long as their routes allow.
+            ahead = self.queue.tokens_ahead(request) + cost
+            return now_s < request.start_by_s and ahead <= self.limit + self.awaited
+        if wait_s > 0.0 and now_s + wait_s > self._latest_start_s(request, now_s):
             return False
         needed_s = wait_s + self._estimated_answer_s(request, cost)
         return now_s + needed_s <= request.deadline_s
 
+    def _latest_start_s(self, request: AdmissionRequest, now_s: float) -> float:
+        """Return until when a request may wait, in seconds.
+
+        One that starts later misses its target, and takes the place of a request that
+        can still meet its own. Whoever has missed it already waits as long as its
+        route allows.
+        """
+        in_time_s = request.target_s - self.first_event.predict_s()
+        if in_time_s <= now_s:
+            return request.start_by_s
+        return min(request.start_by_s, in_time_s)
+
     def _estimated_answer_s(self, request: AdmissionRequest, cost: int) -> float:
         if self._units.is_slot_limited(self.capacity):
             return 0.0
--- a/chestnutvale/programs/entry/routed/handler.py
+++ b/chestnutvale/programs/entry/routed/handler.py
@@ -199,7 +199,7 @@
             adapter="",
             deadline_s=received_s + _find_time_limit_s(request, route),
             start_by_s=now_s + _find_queue_timeout_s(route),
-            target_s=received_s + route.target_latency_ms / 1_000
+            target_s=now_s + route.target_latency_ms / 1_000
             if route.target_latency_ms
             else math.inf,
             rank=rank,
--- a/tests/admission/test_controller.py
+++ b/tests/admission/test_controller.py
@@ -109,3 +109,38 @@
     controller.set_capacity("llm", capacity, 0.0)
     (refusal,) = controller.offer(make_request("one", prompt_tokens=5001), 0.0)
     assert (refusal.code, refusal.retry_after_s) == ("request_too_large", 0.0)
+
+
+def test_waits_end_while_the_answer_can_still_begin_in_time(
+    make_controller, make_request
+):
+    """A call that starts just before its target begins after it."""
+    controller = make_controller(capacity=200)
+    for number in range(40):
+        name = f"past-{number}"
+        controller.offer(make_request(name), 0.0)
+        controller.observe_first_event("llm", 0.07)
+        controller.release(name, 100, 0.4)
+    controller.offer(make_request("running"), 1.0)
+    start = {"start_by_s": 1.5, "target_s": 1.5}
+    assert controller.offer(make_request("a", **start), 1.0) == [Queue("a")]
+    assert controller.tick(1.4) == []
+    (refusal,) = controller.tick(1.45)
+    assert refusal.code == "deadline_unreachable"
+    late = {"start_by_s": 2.5, "target_s": 1.5}
+    assert controller.offer(make_request("b", **late), 2.0) == [Queue("b")]
+    assert controller.tick(2.45) == []
+
+
+def test_an_entry_that_has_just_started_refuses_by_no_estimate(
+    make_controller, make_request
+):
+    """The default of the time that places are held refuses all calls after a start."""
+    controller = make_controller(capacity=400)
+    patience = {"start_by_s": 0.2, "target_s": 0.2}
+    offered = [
+        controller.offer(make_request(str(number), **patience), 0.0)[-1]
+        for number in range(6)
+    ]
+    kinds = [type(effect) for effect in offered]
+    assert kinds == [Admit, Admit, Queue, Queue, Refuse, Refuse]
