Bound the wait for groups that a new leader has yet to hear

Cause: the leader counted a group as awaited until the discovery of hosts ended, two seconds after its election.

Change: the count ends a second after the election, the interval of announcements.

--- a/chestnutvale/membership/const.py
+++ b/chestnutvale/membership/const.py
@@ -15,6 +15,11 @@
 # control search for another one.
 CONTROL_SEARCH_GRACE_S: Final = 1.2
 
+# Time from the begin of a term in which entries expect the groups that the leader has
+# yet to hear: an interval of announcements. Groups that appear later probably lost a
+# member, and calls must not wait for them until their deadlines.
+GROUP_DISCOVERY_S: Final = 1.0
+
 # Fraction of the detection timeout after which a silent member of a stalled group
 # counts as missing: its silence and the stall of its group confirm each other.
 STALLED_TIMEOUT_FRACTION: Final = 0.65
--- a/chestnutvale/programs/control/entry_report_handler.py
+++ b/chestnutvale/programs/control/entry_report_handler.py
@@ -19,6 +19,7 @@
 from chestnutvale.groups.serving import is_evacuated
 from chestnutvale.membership.attempt_counts import AttemptCounts
 from chestnutvale.membership.cache_events import CacheEventQueue
+from chestnutvale.membership.const import GROUP_DISCOVERY_S
 from chestnutvale.membership.relay_peers import RelayPeer, choose_relay_peers
 from chestnutvale.membership.table import MembershipTable
 from chestnutvale.membership.view_publisher import ViewPublisher, ViewPush
@@ -144,6 +145,7 @@
         self._pushed_version = 0
         self._refreshed_inputs = (-1, -1)
         self._led_term = 0
+        self._awaits_groups_until_s = -math.inf
         self._valid_until_s = float("-inf")
         self._cache_events = CacheEventQueue()
         self._demands = DemandTable()
@@ -301,6 +303,7 @@
         """
         if self._log.is_leader and self._log.term != self._led_term:
             self._led_term = self._log.term
+            self._awaits_groups_until_s = now_s + GROUP_DISCOVERY_S
             self._table.extend_detection_timeout(
                 now_s + self._table.detection_timeout_s, now_s
             )
@@ -482,7 +485,7 @@
         view.discovering = (
             self._table.may_discover_hosts(now_s) and not self._is_all_evacuated()
         )
-        if view.discovering:
+        if view.discovering and now_s < self._awaits_groups_until_s:
             view.awaited_groups.extend(
                 ServiceGroups(service=service, count=count)
                 for service, count in sorted(self._publisher.count_awaited().items())
