Split the capacity of groups from the router of an entry

A stalled group is left out only if another group of the service can take requests of this entry, also by its share in a rate limit. Measured: tests, no change of behaviour otherwise.

--- a/benchmarks/admission_group_losses.py
+++ b/benchmarks/admission_group_losses.py
@@ -1,7 +1,7 @@
 """Compares what callers get while groups are lost and replaced."""
 
 import random
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Callable, Collection
 from concurrent.futures import ProcessPoolExecutor
 from functools import partial
 
@@ -9,27 +9,23 @@
 from tabulate import tabulate
 
 from benchmarks.models.entry_fleet import EntryFleet, Outcome, Scenario
-from chestnutvale.admission.messages import AdmissionRequest, ServiceCapacity
+from chestnutvale.admission.messages import AdmissionRequest
 from chestnutvale.admission.service import ServiceAdmission
-from chestnutvale.programs.entry.group_router import NOTHING_RUNNING, GroupRouter
+from chestnutvale.programs.entry.group_capacity import GroupCapacity
+from chestnutvale.programs.entry.group_router import GroupRouter
 
 
-class StalledCountedRouter(GroupRouter):
+class StalledCountedCapacity(GroupCapacity):
     """Counts stalled groups as capacity, although no new call is sent to them."""
 
-    def capacities(
-        self,
-        running: Mapping[str, int] = NOTHING_RUNNING,
-        stalled: Collection[str] = (),
-    ) -> dict[str, ServiceCapacity]:
-        """Return the capacity of all serving groups."""
-        return super().capacities(running)
-
-    def unlimited_running(
-        self, running: Mapping[str, int], stalled: Collection[str] = ()
-    ) -> Mapping[str, int]:
-        """Return the running attempts at all serving groups."""
-        return super().unlimited_running(running)
+    def _find_uncounted(self, stalled: Collection[str], now_s: float) -> frozenset[str]:
+        return frozenset()
+
+
+class StalledCountedRouter(GroupRouter):
+    """Reports the capacity of all serving groups."""
+
+    capacity_class = StalledCountedCapacity
 
 
 class TargetIgnoredAdmission(ServiceAdmission):
--- a/chestnutvale/programs/entry/entry_context.py
+++ b/chestnutvale/programs/entry/entry_context.py
@@ -195,7 +195,7 @@
         now_s = self.clock.now_s()
         self._router.update_peer_running(by_group)
         stalled = self._find_stalled_groups(now_s)
-        unlimited = self._router.unlimited_running(by_group, stalled)
+        unlimited = self._router.capacity.count_shared_running(by_group, stalled)
         for service in by_service:
             running = unlimited[service]
             self._gate.controller.set_peer_running(service, running, now_s)
@@ -573,7 +573,7 @@
             Time in seconds until the first one takes requests again; None if one takes
             requests now, or none of them pauses.
         """
-        capacity = self._router.capacities().get(service, NO_CAPACITY)
+        capacity = self._router.capacity.by_service().get(service, NO_CAPACITY)
         if not capacity.is_empty or not math.isfinite(capacity.returns_at_s):
             return None
         return capacity.returns_at_s - self.clock.now_s()
@@ -687,7 +687,7 @@
     def update_capacities(self) -> None:
         """Pass the capacity of all services to admission, after it changed."""
         now_s = self.clock.now_s()
-        capacities = self._router.capacities(
+        capacities = self._router.capacity.by_service(
             self.running.counts_by_group(), self._find_stalled_groups(now_s)
         )
         for service in self.lookup.services:
--- a/chestnutvale/programs/entry/group_router.py
+++ b/chestnutvale/programs/entry/group_router.py
@@ -1,18 +1,10 @@
 """Chooses groups for attempts, based on the view and the selector."""
 
-import math
 from collections import Counter
-from collections.abc import Callable, Collection, Iterator, Mapping
-from types import MappingProxyType
-from typing import Final
+from collections.abc import Callable, Iterator, Mapping
 
 import xxhash
 
-from chestnutvale.admission.messages import (
-    NO_LIMITED_GROUPS,
-    LimitedGroups,
-    ServiceCapacity,
-)
 from chestnutvale.attempts.const import REASON_SILENT, REFUSAL_UNREACHABLE
 from chestnutvale.clock import Clock
 from chestnutvale.groups.members import group_head
@@ -20,6 +12,7 @@
 from chestnutvale.membership.entry_view import EntryView
 from chestnutvale.programs.entry.answer_speed import measure_speed
 from chestnutvale.programs.entry.context import AttemptReport, CallRequest
+from chestnutvale.programs.entry.group_capacity import GroupCapacity
 from chestnutvale.rate_limits.send_budget import SendBudget
 from chestnutvale.routing.const import DEFAULT_REPORT_AGE_S
 from chestnutvale.routing.messages import RoutableGroup, RoutingRequest
@@ -28,7 +21,6 @@
 from chestnutvale.schema.membership_pb2 import Load
 from chestnutvale.schema.peer_pb2 import ControlView, Envelope, GroupView
 
-NOTHING_RUNNING: Final[Mapping[str, int]] = MappingProxyType({})
 PREFIX_BLOCK_BYTES = 64
 MAX_PREFIX_BLOCKS = 64
 # Time for which a group is chosen only as a last resort after a broken attempt.
@@ -62,8 +54,14 @@
         Endpoints that told this entry that they leave or pause.
     send_budget : SendBudget
         Shares of this entry in the limits that endpoints named.
+    capacity : GroupCapacity
+        Capacity of the groups, for admission.
+    capacity_class : type
+        Class of `capacity`.
     """
 
+    capacity_class: type[GroupCapacity] = GroupCapacity
+
     def __init__(
         self,
         view: EntryView,
@@ -82,6 +80,9 @@
         self._sent_at_s: dict[str, float] = {}
         self._evacuated_heads: frozenset[Incarnation] = frozenset()
         self._last_placement: Placement | None = None
+        self.capacity = self.capacity_class(
+            view, self.notices, self.send_budget, self._head_of, clock
+        )
 
     def install(self, view: ControlView) -> None:
         """Apply groups and loads of a view that was just installed.
@@ -251,86 +252,6 @@
         self.send_budget.record_cold(endpoint, until_s, self._clock.now_s())
         return True
 
-    def capacities(
-        self,
-        running: Mapping[str, int] = NOTHING_RUNNING,
-        stalled: Collection[str] = (),
-    ) -> dict[str, ServiceCapacity]:
-        """Return the total capacity of the serving groups of each service.
-
-        Groups whose head leaves or pauses are left out, and so are groups that
-        `choose` uses only as a last resort because they stalled: the other groups would
-        have to run the calls that are admitted for them. Groups whose head names a
-        limit are counted apart, with the shares of this entry.
-
-        Parameters
-        ----------
-        running : mapping of str to int, optional
-            Running attempts of this entry by group; only those at groups of evacuated
-            data centres are read.
-        stalled : collection of str, optional
-            Stalled groups. They count if a service has no others.
-
-        Returns
-        -------
-        dict of str to ServiceCapacity
-            By service; a service without a serving group is absent.
-        """
-        now_s = self._clock.now_s()
-        loads: dict[str, list[Load]] = {}
-        limited: dict[str, LimitedGroups] = {}
-        returns_at_s: dict[str, float] = {}
-        evacuated_running: Counter[str] = Counter()
-        uncounted = self._find_uncounted(stalled, now_s)
-        for group_view in self._view.groups():
-            service = group_view.group.service
-            if group_view.evacuated:
-                evacuated_running[service] += running.get(group_view.group.group_id, 0)
-            if not group_view.serving or group_view.group.group_id in uncounted:
-                continue
-            usable_loads = loads.setdefault(service, [])
-            head = self._head_of(group_view)
-            if self.notices.may_send(head, now_s):
-                if self.send_budget.is_limited(head):
-                    share_per_s = self.send_budget.share_per_s(head)
-                    sums = limited.get(service, NO_LIMITED_GROUPS)
-                    limited[service] = sums.with_group(share_per_s)
-                    continue
-                load = self._view.load(group_view.group.group_id)
-                usable_loads.append(load or Load())
-                continue
-            pause_end_s = self.notices.pause_end_s(head, now_s)
-            if pause_end_s is not None:
-                earliest_s = returns_at_s.get(service, math.inf)
-                returns_at_s[service] = min(earliest_s, pause_end_s)
-        return {
-            service: _sum_loads(
-                items,
-                returns_at_s.get(service, math.inf),
-                limited.get(service, NO_LIMITED_GROUPS),
-                evacuated_running[service],
-            )
-            for service, items in loads.items()
-        }
-
-    def _find_uncounted(self, stalled: Collection[str], now_s: float) -> frozenset[str]:
-        """Return the stalled groups of the services that have others."""
-        if not stalled:
-            return frozenset()
-        others = {
-            group_view.group.service
-            for group_view in self._view.groups()
-            if group_view.serving
-            and group_view.group.group_id not in stalled
-            and self.notices.may_send(self._head_of(group_view), now_s)
-        }
-        return frozenset(
-            group_view.group.group_id
-            for group_view in self._view.groups()
-            if group_view.group.group_id in stalled
-            and group_view.group.service in others
-        )
-
     def _unavailable_groups(self, service: str, now_s: float) -> Iterator[str]:
         for group_view in self._view.serving_groups(service, now_s):
             head = self._head_of(group_view)
@@ -374,42 +295,6 @@
             default=None,
         )
 
-    def unlimited_running(
-        self, running: Mapping[str, int], stalled: Collection[str] = ()
-    ) -> Counter[str]:
-        """Sum running attempts by service at the groups whose capacity is shared.
-
-        Leaves out the groups that `capacities` leaves out or counts apart: attempts at
-        groups that stalled, pause, leave or have a rate limit take no place of the
-        others.
-
-        Parameters
-        ----------
-        running : mapping of str to int
-            Attempts at each group.
-        stalled : collection of str, optional
-            Stalled groups. They count if a service has no others.
-
-        Returns
-        -------
-        Counter of str
-            Attempts by service.
-        """
-        now_s = self._clock.now_s()
-        totals: Counter[str] = Counter()
-        uncounted = self._find_uncounted(stalled, now_s)
-        for group_id, count in running.items():
-            group_view = self._view.group(group_id)
-            if group_view is None or group_id in uncounted:
-                continue
-            head = self._head_of(group_view)
-            if self.send_budget.is_limited(head) or not self.notices.may_send(
-                head, now_s
-            ):
-                continue
-            totals[group_view.group.service] += count
-        return totals
-
     def serving_groups(self, service: str, version: str) -> list[str]:
         """Return the ids of all groups that serve a service now.
 
@@ -606,27 +491,6 @@
     return Incarnation.of_member(group_head(group_view.group))
 
 
-def _sum_loads(
-    loads: list[Load],
-    returns_at_s: float,
-    limited: LimitedGroups,
-    evacuated_running: int,
-) -> ServiceCapacity:
-    return ServiceCapacity(
-        groups=len(loads),
-        kv_capacity_tokens=sum(load.kv_capacity_tokens for load in loads),
-        kv_used_tokens=sum(load.kv_used_tokens for load in loads),
-        running=sum(load.running for load in loads),
-        waiting=sum(load.waiting for load in loads),
-        largest_group_tokens=max(
-            (load.kv_capacity_tokens for load in loads), default=0
-        ),
-        returns_at_s=returns_at_s,
-        limited=limited,
-        evacuated_running=evacuated_running,
-    )
-
-
 def hash_prefixes(prompt: bytes) -> tuple[int, ...]:
     """Hash the block-wise growing prefixes of a prompt per the endpoint protocol.
 
--- a/tests/programs/entry/test_cold_shares.py
+++ b/tests/programs/entry/test_cold_shares.py
@@ -58,9 +58,9 @@
     install(router, clock)
     clock.time_s += 1.0
     assert choose(router) is None
-    assert router.capacities()["llm"].is_empty
+    assert router.capacity.by_service()["llm"].is_empty
     router.send_budget.install([], {}, clock.now_s(), {HEAD: SlotPlan(1, 2.0)})
-    assert router.capacities()["llm"].limited.share_per_s == 2.0
+    assert router.capacity.by_service()["llm"].limited.share_per_s == 2.0
     clock.time_s += 0.6
     assert choose(router) == "g1"
     assert choose(router) is None
--- a/tests/programs/entry/test_group_router.py
+++ b/tests/programs/entry/test_group_router.py
@@ -144,7 +144,7 @@
     view._loads["g1"] = Load(kv_capacity_tokens=100, running=1, waiting=2)
     view._loads["g2"] = Load(kv_capacity_tokens=300, kv_used_tokens=50)
     view._loads["g4"] = Load(kv_capacity_tokens=900)
-    capacity = router.capacities()["llm"]
+    capacity = router.capacity.by_service()["llm"]
     assert (capacity.groups, capacity.kv_capacity_tokens) == (3, 400)
     assert (capacity.largest_group_tokens, capacity.kv_used_tokens) == (300, 50)
     assert (capacity.running, capacity.waiting) == (1, 2)
@@ -153,12 +153,14 @@
 def test_stalled_group_is_no_capacity_unless_it_is_the_only_one(router):
     """Calls admitted for a stalled group queue inside the engines of the others."""
     running = {"g1": 13, "g2": 9}
-    capacity = router.capacities(stalled=frozenset({"g1"}))["llm"]
+    capacity = router.capacity.by_service(stalled=frozenset({"g1"}))["llm"]
     assert capacity.groups == 2
-    assert router.unlimited_running(running, frozenset({"g1"})) == {"llm": 9}
+    assert router.capacity.count_shared_running(running, frozenset({"g1"})) == {
+        "llm": 9
+    }
     every = frozenset({"g1", "g2", "g3"})
-    assert router.capacities(stalled=every)["llm"].groups == 3
-    assert router.unlimited_running(running, every) == {"llm": 22}
+    assert router.capacity.by_service(stalled=every)["llm"].groups == 3
+    assert router.capacity.count_shared_running(running, every) == {"llm": 22}
 
 
 def test_complete_answers_measure_the_speed_of_their_group(router, clock):
--- a/tests/programs/entry/test_rate_limit_exchange.py
+++ b/tests/programs/entry/test_rate_limit_exchange.py
@@ -57,10 +57,10 @@
 
 
 def test_limited_groups_are_counted_apart(limited_router):
-    capacity = limited_router.capacities()["llm"]
+    capacity = limited_router.capacity.by_service()["llm"]
     assert (capacity.groups, capacity.limited.count) == (1, 1)
     assert capacity.limited.share_per_s == 2.0
-    running = limited_router.unlimited_running({"g1": 5, "g2": 3})
+    running = limited_router.capacity.count_shared_running({"g1": 5, "g2": 3})
     assert running == {"llm": 3}
 
 
@@ -69,7 +69,7 @@
     limited_router.send_budget.install([statement], {HEAD: 0.0}, clock.now_s())
     clock.time_s += 2.0
     assert choose(limited_router, frozenset({"g2"})) is None
-    assert limited_router.capacities()["llm"].limited.share_per_s == 0.0
+    assert limited_router.capacity.by_service()["llm"].limited.share_per_s == 0.0
     assert limited_router.next_send_s("llm") == float("inf")
 
 
@@ -98,7 +98,7 @@
     # Guards against counts of groups that the capacity leaves out: 9 attempts at a
     # paused group made the other groups look full, and entries refused callers.
     limited_router.notices.record(OTHER, EndpointNotice(pause_s=5.0), clock.now_s())
-    assert limited_router.capacities()["llm"].groups == 0
-    assert limited_router.unlimited_running({"g2": 9}) == {}
+    assert limited_router.capacity.by_service()["llm"].groups == 0
+    assert limited_router.capacity.count_shared_running({"g2": 9}) == {}
     clock.time_s += 6.0
-    assert limited_router.unlimited_running({"g2": 9}) == {"llm": 9}
+    assert limited_router.capacity.count_shared_running({"g2": 9}) == {"llm": 9}
