--- a/chestnutvale/programs/client/commands.py
+++ b/chestnutvale/programs/client/commands.py
@@ -32,6 +32,7 @@
     make_workspace_key,
     write_initial_files,
 )
+from chestnutvale.programs.client.log_summary import summarize
 from chestnutvale.programs.client.tables import (
     format_apply,
     format_plan,
@@ -153,6 +154,26 @@
     return ExitCode.DONE
 
 
+def summarize_logs(*files: Path, interval_s: float = 2.0) -> ExitCode:
+    """Print what hosts did and what became of streaming calls, by time.
+
+    Example: chestnut summarize entry-1.log control-1.log
+
+    Parameters
+    ----------
+    files : Path
+        Log files; standard input is read if none is given.
+    interval_s : float
+        Length in seconds of the intervals of the tables.
+    """
+    summary = summarize(_read_logs(files), interval_s)
+    for text in summary.render():
+        print(text)
+    if summary.unparsed_count:
+        print(f"{summary.unparsed_count} lines could not be read", file=sys.stderr)
+    return ExitCode.DONE
+
+
 def _read_logs(files: tuple[Path, ...]) -> Iterator[str]:
     if not files:
         yield from sys.stdin
--- a/chestnutvale/programs/client/main.py
+++ b/chestnutvale/programs/client/main.py
@@ -24,11 +24,12 @@
     "evacuate": evacuate,
     "dump": commands.dump,
     "explain": commands.explain,
+    "summarize": commands.summarize_logs,
     "voter": {"add": commands.voter_add, "remove": commands.voter_remove},
 }
 OPTION_SETTINGS = "--settings"
 # These commands contact no control and therefore take no settings.
-OFFLINE_COMMANDS = ("init", "key", "explain")
+OFFLINE_COMMANDS = ("init", "key", "explain", "summarize")
 
 
 def _print_error(message: object) -> None:
