Keep connections to peers that spoke first

Cause: a leader hears an entry before it sends anything to it, and took the next report for the first message of a peer that had been down: it would have reopened each connection to an entry once after a start. Change: such a peer counts as heard from the first send on. Measured: tests/transport.

--- a/chestnutvale/transport/silent_peers.py
+++ b/chestnutvale/transport/silent_peers.py
@@ -19,7 +19,7 @@
     # Monotonic time of the first send since the last received message or reconnect.
     unanswered_since_s: float | None
     timeout_s: float
-    is_heard: bool = False
+    is_heard: bool
     # Whether the handshake with the peer probably began before it listened.
     must_reopen: bool = False
 
@@ -50,6 +50,8 @@
     silence_timeout_s: float = PEER_SILENCE_TIMEOUT_S
     connect_timeout_s: float = CONNECT_TIMEOUT_S
     _connections: dict[str, _PeerConnection] = attrs.field(factory=dict)
+    # Peers whose first message came before any was sent to them.
+    _heard_first: set[str] = attrs.field(factory=set)
 
     def record_send(self, peer_id: str, address: str, now_s: float) -> bool:
         """Record a message about to be sent and check for a silent peer.
@@ -70,11 +72,14 @@
         """
         connection = self._connections.get(peer_id)
         if connection is None or connection.address != address:
+            is_heard = peer_id in self._heard_first
+            connect_s = min(self.connect_timeout_s, self.silence_timeout_s)
             self._connections[peer_id] = _PeerConnection(
                 address,
                 first_sent_s=now_s,
                 unanswered_since_s=now_s,
-                timeout_s=min(self.connect_timeout_s, self.silence_timeout_s),
+                timeout_s=self.silence_timeout_s if is_heard else connect_s,
+                is_heard=is_heard,
             )
             return False
         if connection.must_reopen:
@@ -101,6 +106,7 @@
         """
         connection = self._connections.get(peer_id)
         if connection is None:
+            self._heard_first.add(peer_id)
             return
         if not connection.is_heard:
             elapsed_s = now_s - connection.first_sent_s
--- a/tests/transport/test_silent_peers.py
+++ b/tests/transport/test_silent_peers.py
@@ -68,3 +68,11 @@
     detector = SilentPeerDetector(silence_timeout_s=1.5)
     detector.record_send("c1", "10.0.0.1:1", 0.0)
     assert not detector.record_send("c1", "10.0.0.2:1", 5.0)
+
+
+def test_connection_to_a_peer_that_spoke_first_is_kept():
+    """A leader reopens its connections to all entries after their second report."""
+    detector = SilentPeerDetector(silence_timeout_s=1.5, connect_timeout_s=0.25)
+    for step in range(10):
+        detector.record_receive("e1", step / 2)
+        assert not detector.record_send("e1", "10.0.0.1:1", step / 2)
