--- a/benchmarks/models/entry_fleet.py
+++ b/benchmarks/models/entry_fleet.py
@@ -153,6 +153,7 @@
     call: _Call
     group: "_Group"
     sent_s: float
+    first_event_s: float | None = None
     is_over: bool = False
 
     def abort(self) -> None:
@@ -483,7 +484,10 @@
 
     def _begin(self, attempt: _Attempt) -> None:
         call = attempt.call
-        if attempt.is_over or attempt.group.is_lost or call.has_first_event:
+        if attempt.is_over or attempt.group.is_lost:
+            return
+        attempt.first_event_s = self._clock.time_s
+        if call.has_first_event:
             return
         call.has_first_event = True
         elapsed_s = self._clock.time_s - call.offered_s
@@ -511,7 +515,9 @@
         request = CallRequest(
             call.request_id, call.workspace, SERVICE, "normal", b"", 0, "", 0.0
         )
-        first_byte_ms = 1_000 * FIRST_EVENT_S if call.has_first_event else None
+        first_byte_ms = None
+        if attempt.first_event_s is not None:
+            first_byte_ms = 1_000 * (attempt.first_event_s - attempt.sent_s)
         report = AttemptReport(
             request,
             attempt.group.name,
--- a/chestnutvale/programs/client/log_summary.py
+++ b/chestnutvale/programs/client/log_summary.py
@@ -15,13 +15,12 @@
 )
 from chestnutvale.programs.client.explain import LogLine, parse_log_line
 
-# Groups of plain services have no domain, and their hosts no weights.
 _HOST_STATES = (PHASE_SERVING, PHASE_FORMING, PHASE_DRAINING, "staging", "free")
 _CALL_RESULTS = (
     "in time",
     "late at entry",
     "late in engine",
-    "late, several attempts",
+    "several attempts",
     "refused",
     "failed",
 )
@@ -49,8 +48,9 @@
         if self.target_ms is None:
             return "in time"
         if self.attempts > 1:
-            # The first event of the last attempt says little about the whole time.
-            return "late, several attempts"
+            # Only the first event of the last attempt is known, which says little
+            # about the whole time.
+            return "several attempts"
         if waited_ms + self.first_event_ms <= self.target_ms:
             return "in time"
         is_entry = waited_ms > self.first_event_ms
@@ -59,10 +59,9 @@
 
 @attrs.define
 class _Hosts:
-    """State of the hosts of model groups, as the controls log it."""
+    """State of hosts and groups, as the controls log it."""
 
     domains: dict[str, str] = attrs.field(factory=dict)
-    staged: dict[str, tuple[str, ...]] = attrs.field(factory=dict)
     staging: set[str] = attrs.field(factory=set)
     groups: dict[str, tuple[str, tuple[str, ...]]] = attrs.field(factory=dict)
 
@@ -72,8 +71,7 @@
         if line.event == "host" and fields.get("domain"):
             host = fields["host"]
             self.domains[host] = fields["domain"]
-            self.staged[host] = tuple(fields.get("staged", ()))
-            if self.staged[host]:
+            if fields.get("staged"):
                 self.staging.discard(host)
         elif line.event == "order" and fields.get("kind") == ORDER_STAGE:
             if fields.get("outcome") == "accepted":
@@ -132,7 +130,7 @@
             (at_s, counts["groups"], *(counts[state] for state in _HOST_STATES))
             for at_s, counts in self.hosts
         ]
-        yield "Hosts of models by state; free ones include silent and waiting ones"
+        yield "Hosts by state; free ones include silent and waiting ones"
         yield tabulate(rows, headers) if rows else "none"
         yield "Streaming calls by what became of them"
         headers = ("service", "s", *_CALL_RESULTS, "running p50", "first event p50 ms")
--- a/tests/programs/client/test_log_summary.py
+++ b/tests/programs/client/test_log_summary.py
@@ -52,7 +52,7 @@
         "in time",
         "late in engine",
         "late at entry",
-        "late, several attempts",
+        "several attempts",
         "refused",
         "failed",
     ]
