Replace lost voters across changes of the leader

Cause: each leader counted the silence of a voter from its own election, 2.5 s on the platform, and 3 s for a control that was back with another disk. Leaders that are lost one after the other postpone the replacement beyond the 4 s after which a machine counts as recovered; the next tolerated loss then leaves two of five voters, for good.

Change: appends report how long voters have been silent, and a new leader goes on from there once it has led for an election timeout. A voter whose control has a caught-up learner on another disk is removed after an election timeout. The next change of members follows at once. Join requests of members are forgotten once met, and of a control only the newest identity counts; otherwise a removed voter came back as a learner that nobody runs.

A replacement's first two tests in test_members.py are new.

--- a/chestnutvale/consensus/cluster_membership.py
+++ b/chestnutvale/consensus/cluster_membership.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 
 from chestnutvale.consensus.bootstrap import Bootstrap
-from chestnutvale.consensus.config import MS_PER_S
+from chestnutvale.consensus.config import MS_PER_S, make_raft_config
 from chestnutvale.consensus.const import DEFAULT_VOTER_LOST_S
 from chestnutvale.consensus.events import MembersChange
 from chestnutvale.consensus.members import control_of, peer_addresses
@@ -45,7 +45,9 @@
         )
         voter_lost_s = settings.voter_lost_ms / MS_PER_S or DEFAULT_VOTER_LOST_S
         self._replacement = ReplacementPolicy(
-            voter_lost_s=voter_lost_s, wanted_voters=settings.wanted_voters
+            voter_lost_s=voter_lost_s,
+            election_timeout_s=make_raft_config(settings).election_timeout_s,
+            wanted_voters=settings.wanted_voters,
         )
 
     def record_join_request(self, message: RaftMessage, now_s: float) -> bool:
@@ -197,9 +199,13 @@
         members = raft.log.members
         if raft.log.members_index > raft.commit_index:
             return None
+        member_ids = [*members.voters, *members.learners]
+        for member_id in member_ids:
+            # A request that has been met must not add the member again once removed.
+            self._candidates.pop(member_id, None)
         contacts = {
             member: MemberContact(raft.silent_since_s(member), raft.match_index(member))
-            for member in [*members.voters, *members.learners]
+            for member in member_ids
             if member != self._own_id
         }
         return self._replacement.decide(
@@ -208,5 +214,6 @@
             contacts,
             list(self._candidates.values()),
             raft.log.last_index,
+            raft.leader_since_s,
             now_s,
         )
--- a/chestnutvale/consensus/const.py
+++ b/chestnutvale/consensus/const.py
@@ -38,10 +38,6 @@
 
 # Seconds without contact after which a voter is considered lost.
 DEFAULT_VOTER_LOST_S: Final = 30.0
-# The same for a voter whose control has returned with a new identity.
-DEFAULT_REPLACED_VOTER_LOST_S: Final = 3.0
-# Seconds without contact up to which a learner is considered alive.
-LEARNER_ALIVE_TIMEOUT_S: Final = 5.0
 # Seconds without contact after which a learner is removed.
 LEARNER_REMOVAL_TIMEOUT_S: Final = 3_600.0
 JOIN_INTERVAL_S: Final = 0.5
--- a/chestnutvale/consensus/follower.py
+++ b/chestnutvale/consensus/follower.py
@@ -34,6 +34,7 @@
         """Append entries if the log matches at the preceding index."""
         self._member.record_leader_contact(message.from_id, now_s)
         self._member.leader_command_version = request.command_version
+        self._member.reported_silence.record(message.from_id, request.silences, now_s)
         reply = AppendReply(round=request.round, command_version=COMMAND_VERSION)
         previous = request.previous_index
         if previous < self._member.commit_index:
--- a/chestnutvale/consensus/loop.py
+++ b/chestnutvale/consensus/loop.py
@@ -318,6 +318,9 @@
             if entry.kind == ENTRY_KIND_COMMAND:
                 command = Command.FromString(entry.data)
                 result = self._state_machine.apply(entry.index, command)
+            elif entry.kind == ENTRY_KIND_MEMBERS:
+                # The next change of members may follow now.
+                self._replacement_due_s = 0.0
             self.applied_index = entry.index
             self._waiters.finish_entry(entry, result, self.leader_id)
 
--- a/chestnutvale/consensus/member_state.py
+++ b/chestnutvale/consensus/member_state.py
@@ -3,7 +3,7 @@
 import math
 import random
 
-from chestnutvale.consensus.config import RaftConfig
+from chestnutvale.consensus.config import MS_PER_S, RaftConfig
 from chestnutvale.consensus.const import (
     COMMAND_VERSION,
     FIRST_ELECTION_SPREAD,
@@ -16,8 +16,14 @@
 from chestnutvale.consensus.leader import Leader
 from chestnutvale.consensus.log import RaftLog
 from chestnutvale.consensus.outbox import Outbox
+from chestnutvale.consensus.silence import ReportedSilence
 from chestnutvale.consensus.write_watch import WriteWatch
-from chestnutvale.schema.raft_pb2 import HardState, LogEntry, RaftMessage
+from chestnutvale.schema.raft_pb2 import (
+    HardState,
+    LogEntry,
+    MemberSilence,
+    RaftMessage,
+)
 from chestnutvale.storage.state import StoredState
 
 
@@ -59,6 +65,7 @@
         # Newest version of the commands that the leader can read; 0 if unknown.
         self.leader_command_version = 0
         self.leader: Leader | None = None
+        self.reported_silence = ReportedSilence()
         self.log = RaftLog(stored)
         self.commit_index = stored.snapshot.index
         self.applied_index = self.commit_index
@@ -131,6 +138,8 @@
         self.leader_id = ""
         self.leader_command_version = 0
         if self.leader is not None:
+            silences = self.list_silences(now_s)
+            self.reported_silence.record(self.own_id, silences, now_s)
             for read in self.leader.reads:
                 self.outbox.add_effect(RequestRefused(read.request_id, ""))
             self.leader = None
@@ -189,10 +198,29 @@
         return self.leader.progress[member_id].acked_s
 
     def silent_since_s(self, member_id: str) -> float:
-        """Return the earliest time since which a member may have been silent."""
+        """Return the earliest time since which a member may have been silent.
+
+        Until this leader hears the member, the report of the leader before it counts.
+        """
         if self.leader is None:
             return math.inf
-        return max(self.last_heard_s(member_id), self.leader.started_s)
+        heard_s = self.last_heard_s(member_id)
+        if heard_s > -math.inf:
+            return heard_s
+        return min(self.leader.started_s, self.reported_silence.since_s(member_id))
+
+    def list_silences(self, now_s: float) -> list[MemberSilence]:
+        """Return the voters that have not replied for an election timeout."""
+        silent_s = {
+            voter: now_s - self.silent_since_s(voter)
+            for voter in self.log.members.voters
+            if voter != self.own_id
+        }
+        return [
+            MemberSilence(member_id=voter, silent_ms=round(seconds * MS_PER_S))
+            for voter, seconds in silent_s.items()
+            if seconds > self.config.election_timeout_s
+        ]
 
     def match_index(self, member_id: str) -> int:
         """Return the highest index known to be replicated to a member."""
--- a/chestnutvale/consensus/raft.py
+++ b/chestnutvale/consensus/raft.py
@@ -119,6 +119,12 @@
         """For how long the oldest pending write has waited, in seconds."""
         return self.member.write_watch.waited_s
 
+    @property
+    def leader_since_s(self) -> float:
+        """Monotonic time of this member's election; infinite if it does not lead."""
+        leader = self.member.leader
+        return leader.started_s if leader is not None else math.inf
+
     def has_lease(self, now_s: float) -> bool:
         """Return whether it is certain that no other leader has been elected."""
         return self.member.has_lease(now_s)
--- a/chestnutvale/consensus/replacement.py
+++ b/chestnutvale/consensus/replacement.py
@@ -5,10 +5,9 @@
 import attrs
 
 from chestnutvale.consensus.const import (
-    DEFAULT_REPLACED_VOTER_LOST_S,
+    DEFAULT_ELECTION_TIMEOUT_S,
     DEFAULT_VOTER_LOST_S,
     JOIN_REQUEST_MAX_AGE_S,
-    LEARNER_ALIVE_TIMEOUT_S,
     LEARNER_REMOVAL_TIMEOUT_S,
     MAX_PROMOTE_LAG_ENTRIES,
 )
@@ -24,7 +23,8 @@
     Parameters
     ----------
     silent_since_s : float
-        Earliest monotonic time since which the leader may not have heard it.
+        Earliest monotonic time since which it may have been silent, also to the leaders
+        before this one.
     match_index : int
         Index up to which the member is known to hold the log.
     """
@@ -52,6 +52,18 @@
     heard_s: float
 
 
+def _find_recent_candidates(
+    candidates: Sequence[JoinCandidate], now_s: float
+) -> list[JoinCandidate]:
+    """Return the newest identity of each control that has asked to join recently."""
+    newest = {
+        control_of(candidate.member_id): candidate
+        for candidate in sorted(candidates, key=lambda candidate: candidate.heard_s)
+        if candidate.heard_s + JOIN_REQUEST_MAX_AGE_S >= now_s
+    }
+    return list(newest.values())
+
+
 @attrs.define
 class ReplacementPolicy:
     """Decides on the leader which membership change to propose next.
@@ -60,18 +72,24 @@
     learner is promoted afterwards. Both steps need no larger quorum than an
     ordinary commit: the two survivors of three voters suffice.
 
+    It answers losses that follow each other as soon as earlier ones count as recovered,
+    and that may strike each leader in turn: a replacement must not start over with an
+    election.
+
     Parameters
     ----------
     voter_lost_s : float, optional
         Seconds without contact after which a voter is considered lost.
-    replaced_voter_lost_s : float, optional
-        The same for a voter whose control has returned with another disk.
+    election_timeout_s : float, optional
+        Seconds without contact after which a voter is considered lost if its control
+        has returned with another disk. For as long a new leader waits for the voters'
+        first replies.
     wanted_voters : int, optional
         Target number of voters, if larger than at bootstrap.
     """
 
     voter_lost_s: float = DEFAULT_VOTER_LOST_S
-    replaced_voter_lost_s: float = DEFAULT_REPLACED_VOTER_LOST_S
+    election_timeout_s: float = DEFAULT_ELECTION_TIMEOUT_S
     wanted_voters: int = 0
 
     def decide(
@@ -81,6 +99,7 @@
         contacts: Mapping[str, MemberContact],
         candidates: Sequence[JoinCandidate],
         last_index: int,
+        leader_since_s: float,
         now_s: float,
     ) -> MembersChange | None:
         """Return the next membership change to propose.
@@ -97,6 +116,8 @@
             Controls that have sent a join request.
         last_index : int
             Index of the leader's last entry.
+        leader_since_s : float
+            Monotonic time of the leader's election, in seconds.
         now_s : float
             Monotonic time in seconds.
 
@@ -105,11 +126,7 @@
         MembersChange or None
             None if no change is needed.
         """
-        recent_candidates = [
-            candidate
-            for candidate in candidates
-            if candidate.heard_s + JOIN_REQUEST_MAX_AGE_S >= now_s
-        ]
+        recent_candidates = _find_recent_candidates(candidates, now_s)
         promotable = self._find_promotable_learners(
             members, contacts, last_index, now_s
         )
@@ -117,10 +134,8 @@
         if len(members.voters) < wanted_voters:
             if promotable:
                 return MembersChange(ChangeKind.PROMOTE, promotable[0])
-        elif promotable:
-            lost = self._find_lost_voter(
-                own_id, members, contacts, recent_candidates, promotable, now_s
-            )
+        elif promotable and leader_since_s + self.election_timeout_s <= now_s:
+            lost = self._find_lost_voter(own_id, members, contacts, promotable, now_s)
             if lost:
                 return MembersChange(ChangeKind.REMOVE, lost)
         return self._find_candidate_change(
@@ -138,7 +153,7 @@
         promotable = [
             learner
             for learner in members.learners
-            if contacts[learner].silent_since_s + LEARNER_ALIVE_TIMEOUT_S > now_s
+            if contacts[learner].silent_since_s + self.election_timeout_s > now_s
             and contacts[learner].match_index > 0
             and contacts[learner].match_index + MAX_PROMOTE_LAG_ENTRIES >= last_index
         ]
@@ -152,32 +167,32 @@
         own_id: str,
         members: Members,
         contacts: Mapping[str, MemberContact],
-        recent_candidates: Sequence[JoinCandidate],
         promotable: Sequence[str],
         now_s: float,
     ) -> str:
-        """Return a voter whose contact timeout has expired; empty if none."""
-        returned_controls = {control_of(member_id) for member_id in members.learners}
-        returned_controls.update(
-            control_of(candidate.member_id) for candidate in recent_candidates
-        )
+        """Return a voter whose contact timeout has expired; empty if none.
+
+        A voter whose control has returned with another disk is lost for certain, so it
+        comes first.
+        """
+        silent_since_s = {
+            voter: contacts[voter].silent_since_s
+            for voter in members.voters
+            if voter != own_id
+        }
         promotable_controls = {control_of(learner) for learner in promotable}
-        for voter in members.voters:
-            if voter == own_id:
-                continue
-            has_new_identity = control_of(voter) in returned_controls
-            limit_s = (
-                self.replaced_voter_lost_s if has_new_identity else self.voter_lost_s
-            )
-            if contacts[voter].silent_since_s + limit_s > now_s:
-                continue
-            is_replacement_catching_up = (
-                has_new_identity and control_of(voter) not in promotable_controls
-            )
-            is_long_lost = contacts[voter].silent_since_s + self.voter_lost_s <= now_s
-            if not is_replacement_catching_up or is_long_lost:
-                return voter
-        return ""
+        superseded = [
+            voter
+            for voter, since_s in silent_since_s.items()
+            if control_of(voter) in promotable_controls
+            and since_s + self.election_timeout_s <= now_s
+        ]
+        lost = [
+            voter
+            for voter, since_s in silent_since_s.items()
+            if since_s + self.voter_lost_s <= now_s
+        ]
+        return min(superseded or lost, key=silent_since_s.__getitem__, default="")
 
     def _find_candidate_change(
         self, members: Members, recent_candidates: Sequence[JoinCandidate]
--- a/chestnutvale/consensus/replication.py
+++ b/chestnutvale/consensus/replication.py
@@ -66,6 +66,7 @@
         if progress.mode is not Mode.SNAPSHOT and not is_held:
             self._start_snapshot_transfer(member_id, progress, now_s)
         request = self._member.leader.next_append(progress, self._member.commit_index)
+        request.silences.extend(self._member.list_silences(now_s))
         self._member.send(member_id, append_request=request)
 
     def send_entries(self, now_s: float) -> None:
--- a/tests/consensus/driver.py
+++ b/tests/consensus/driver.py
@@ -124,12 +124,16 @@
         replaces_members=False,
         spares=0,
         is_bootstrapped=True,
+        voter_lost_ms=5_000,
+        maintenance_interval_s=1.0,
         **config,
     ):
         self.rng = random.Random(seed)
         self.now_s = 0.0
         self.raft_class = raft
         self.config = RaftConfig(**config)
+        self.voter_lost_ms = voter_lost_ms
+        self.maintenance_interval_s = maintenance_interval_s
         self.nodes = {}
         self.history = []
         self.sent = []
@@ -157,7 +161,7 @@
         for spare in self.controls[size:]:
             self.start_new(spare)
         if replaces_members:
-            self.schedule(1.0, self._run_maintenance)
+            self.schedule(maintenance_interval_s, self._run_maintenance)
 
     # Time.
 
@@ -195,7 +199,11 @@
         node.incarnation += 1
         node.is_frozen = False
         node.backlog = []
-        settings = ControlSettings(control_id=control, voter_lost_ms=5_000)
+        settings = ControlSettings(
+            control_id=control,
+            voter_lost_ms=self.voter_lost_ms,
+            election_timeout_ms=round(1_000 * self.config.election_timeout_s),
+        )
         settings.controls.extend(PeerAddress(id=c) for c in self.controls)
         node.cluster_membership = ClusterMembership(settings, node.member_id)
         stored = node.disk.read()
@@ -483,4 +491,4 @@
                 for _, message in node.cluster_membership.make_join_requests(node.raft):
                     self._send(message)
                 self._bootstrap_if_allowed(node)
-        self.schedule(1.0, self._run_maintenance)
+        self.schedule(self.maintenance_interval_s, self._run_maintenance)
--- a/tests/consensus/test_members.py
+++ b/tests/consensus/test_members.py
@@ -63,7 +63,7 @@
     assert decide_bootstrap(make_join("c1#1")) is None
 
 
-def decide(members, silent=None, candidates=(), behind=()):
+def decide(members, silent=None, candidates=(), behind=(), leader_age_s=60.0):
     silent = silent or {}
     others = {*members.voters, *members.learners} - {"c0#1"}
     contacts = {
@@ -74,7 +74,10 @@
         for other in others
     }
     asking = [JoinCandidate(candidate, "a:1", NOW_S) for candidate in candidates]
-    return ReplacementPolicy().decide("c0#1", members, contacts, asking, 1_000, NOW_S)
+    leader_since_s = NOW_S - leader_age_s
+    return ReplacementPolicy().decide(
+        "c0#1", members, contacts, asking, 1_000, leader_since_s, NOW_S
+    )
 
 
 def make_members(voters, learners=(), wanted=3):
@@ -96,12 +99,33 @@
     assert change == MembersChange(ChangeKind.PROMOTE, "c3#1")
 
 
+def test_voter_whose_control_has_another_disk_is_removed_within_an_election_timeout():
+    members = make_members(VOTERS, ["c1#2"])
+    assert decide(members, silent={"c1#1": 0.9}) is None
+    assert decide(members, silent={"c1#1": 1.1}, behind=["c1#2"]) is None
+    change = decide(members, silent={"c1#1": 1.1})
+    assert change == MembersChange(ChangeKind.REMOVE, "c1#1")
+    # It goes before a voter that may still return with its disk.
+    change = decide(members, silent={"c1#1": 1.1, "c2#1": 60.0})
+    assert change == MembersChange(ChangeKind.REMOVE, "c1#1")
+
+
+def test_new_leader_removes_no_voter_before_it_may_have_replied():
+    members = make_members(VOTERS, ["c3#1"])
+    silent = {"c1#1": 60.0}
+    assert decide(members, silent=silent, leader_age_s=0.9) is None
+    change = decide(members, silent=silent, leader_age_s=1.1)
+    assert change == MembersChange(ChangeKind.REMOVE, "c1#1")
+
+
 def test_candidates_become_learners_and_replace_old_identities():
     change = decide(make_members(VOTERS), candidates=["c3#1"])
     assert change == MembersChange(ChangeKind.ADD_LEARNER, "c3#1", "a:1")
     members = make_members(VOTERS, ["c3#0"])
     change = decide(members, candidates=["c3#1"])
     assert change == MembersChange(ChangeKind.REMOVE, "c3#0")
+    members = make_members(VOTERS, ["c3#1"])
+    assert decide(members, candidates=["c3#0", "c3#1"]) is None
     members.barred_controls.append("c3")
     assert decide(members, candidates=["c3#1"]) is None
 
--- /dev/null
+++ b/tests/consensus/test_voter_replacement.py
@@ -0,0 +1,36 @@
+"""A quorum of voters outlives tolerated losses of machines."""
+
+import pytest
+
+from tests.consensus.driver import Cluster
+from tests.consensus.loss_schedules import CONTROLS, LossSchedule
+
+FAULTS_S = 25.0
+RECOVERY_S = 5.0
+
+
+def make_cluster(seed):
+    """Return a cluster with the timeouts of a deployment with five controls."""
+    return Cluster(
+        CONTROLS,
+        seed,
+        replaces_members=True,
+        voter_lost_ms=2_500,
+        maintenance_interval_s=0.25,
+        election_timeout_s=0.5,
+        heartbeat_interval_s=0.125,
+    )
+
+
+@pytest.mark.parametrize("seed", range(60))
+def test_quorum_outlives_tolerated_losses_whoever_leads(seed):
+    cluster = make_cluster(seed)
+    cluster.commit(cluster.wait_for_leader(), "kept")
+    schedule = LossSchedule(cluster, seed)
+    schedule.run(FAULTS_S)
+    schedule.lose_tolerated_disks()
+    cluster.run(RECOVERY_S)
+    assert cluster.leaders(), schedule.actions
+    leader = cluster.wait_for_leader()
+    cluster.commit(leader, "recovered")
+    assert cluster.nodes[leader].state_machine.value == "recovered"
