Repeat writes that a full disk has refused

Cause: the first refused write ended the vote of the control until its process restarted, and nothing restarts a process that runs. The platform counts that machine as sound, so two lost disks beside it leave two of five voters.

Meanwhile the write is pending, which the log already handles as a disk that hangs. Other failures still end the vote.

--- a/chestnutvale/consensus/disk_writer.py
+++ b/chestnutvale/consensus/disk_writer.py
@@ -17,13 +17,15 @@
 from chestnutvale.consensus.exceptions import ConsensusFailedError
 from chestnutvale.exceptions import ChestnutError
 from chestnutvale.schema.raft_pb2 import HardState, LogEntry, SnapshotMetadata
-from chestnutvale.storage.exceptions import StorageError
+from chestnutvale.storage.exceptions import StorageError, StorageFullError
 from chestnutvale.storage.store import DataStore
 
 _LOGGER = logbook.Logger(__name__)
 
 # Seconds that a stopping writer may take to finish pending writes.
 STOP_TIMEOUT_S = 5.0
+# Seconds between two attempts to write to a full disk.
+FULL_DISK_RETRY_S = 0.25
 
 
 class SaveSnapshot:
@@ -48,6 +50,9 @@
 class DiskWriter:
     """Runs write requests in order in a thread, so that eventlet's hub never blocks.
 
+    A write to a full disk is repeated until there is space; until then it is pending,
+    like a write to a disk that hangs.
+
     Parameters
     ----------
     storage : DataStore
@@ -69,6 +74,7 @@
         self._report = report
         self._fail = fail
         self._requests: queue.LightQueue = queue.LightQueue()
+        self._is_stopping = False
         self._task: eventlet.greenthread.GreenThread | None = None
 
     def start(self) -> None:
@@ -79,6 +85,7 @@
         """Finish the submitted writes and stop the task."""
         if self._task is None:
             return
+        self._is_stopping = True
         self._requests.put(None)
         with eventlet.Timeout(STOP_TIMEOUT_S, False):
             self._task.wait()
@@ -148,16 +155,34 @@
         for request in requests:
             hard_state = request.hard_state or hard_state
             entries.extend(request.entries)
-        tpool.execute(self._storage.write, hard_state, entries)
+        self._execute(self._storage.write, hard_state, entries)
         self.syncs += 1
         self._report(WritePersisted(requests[-1].write_id))
 
     def _write_snapshot(self, request: InstallSnapshot | SaveSnapshot) -> None:
         if isinstance(request, InstallSnapshot):
-            tpool.execute(
+            self._execute(
                 self._storage.install_snapshot, request.metadata, request.data
             )
             self._report(WritePersisted(request.write_id))
             return
-        tpool.execute(self._storage.save_snapshot, request.metadata, request.data)
+        self._execute(self._storage.save_snapshot, request.metadata, request.data)
         self._report(SnapshotSaved(request.metadata, len(request.data)))
+
+    def _execute(self, write: Callable[..., None], *arguments: object) -> None:
+        """Run a write in a thread; repeat it while the disk is full."""
+        refusals = 0
+        while True:
+            try:
+                tpool.execute(write, *arguments)
+            except StorageFullError as error:
+                if self._is_stopping:
+                    raise
+                if not refusals:
+                    _LOGGER.error("Writes wait until the disk has space: {}", error)
+                refusals += 1
+                eventlet.sleep(FULL_DISK_RETRY_S)
+            else:
+                break
+        if refusals:
+            _LOGGER.info("The disk has space again after {} refusals", refusals)
--- a/chestnutvale/consensus/loop.py
+++ b/chestnutvale/consensus/loop.py
@@ -55,7 +55,7 @@
     RaftMessage,
 )
 from chestnutvale.schema.settings_pb2 import ControlSettings
-from chestnutvale.storage.exceptions import StorageError
+from chestnutvale.storage.exceptions import StorageError, StorageFullError
 from chestnutvale.storage.state import StoredState
 from chestnutvale.storage.store import DataStore
 from chestnutvale.transport.node import TransportNode
@@ -434,6 +434,9 @@
         hard_state = HardState(term=1)
         try:
             self._storage.write(hard_state, [entry])
+        except StorageFullError as error:
+            _LOGGER.error("Bootstrap waits until the disk has space: {}", error)
+            return
         except StorageError as error:
             self._fail(error)
             return
--- a/chestnutvale/storage/file_system.py
+++ b/chestnutvale/storage/file_system.py
@@ -58,6 +58,10 @@
             for part in parts:
                 self.write(descriptor, part)
             self.sync(descriptor)
+        except OSError:
+            # Another attempt would append to what this one has written.
+            self.remove(temporary)
+            raise
         finally:
             self.close(descriptor)
         self.rename(temporary, path)
--- a/chestnutvale/storage/segments.py
+++ b/chestnutvale/storage/segments.py
@@ -106,6 +106,8 @@
         self._sequence = 0
         self._descriptor = -1
         self._size_bytes = 0
+        # Whether a failed write may have left bytes behind the last synced frame.
+        self._is_tail_torn = False
 
     def load(self) -> None:
         """Read all segments and open the last one for appending.
@@ -194,12 +196,20 @@
         self._write(batch)
 
     def _write(self, batch: LogBatch) -> None:
+        if self._is_tail_torn:
+            self._file_system.truncate(self.segments[-1].path, self._size_bytes)
+        self._is_tail_torn = True
+        self._size_bytes += self._write_frame(self._descriptor, batch)
+        self._is_tail_torn = False
+
+    def _write_frame(self, descriptor: int, batch: LogBatch) -> int:
+        """Write and sync a frame; return its size in bytes."""
         data = encode_frame(self._sequence, batch.SerializeToString())
-        self._file_system.write(self._descriptor, data)
-        self._file_system.sync(self._descriptor)
+        self._file_system.write(descriptor, data)
+        self._file_system.sync(descriptor)
         self._sequence += 1
-        self._size_bytes += len(data)
         self._update_content(batch)
+        return len(data)
 
     def _update_content(self, batch: LogBatch) -> None:
         if batch.HasField("hard_state"):
@@ -211,20 +221,28 @@
             newest = batch.entries[-1]
             self.content.base = LogPosition(index=newest.index, term=newest.term)
             self.content.entries = []
-        segment = self.segments[-1]
-        segment.last_index = max(segment.last_index, self.content.last.index)
+        if self.segments:
+            segment = self.segments[-1]
+            segment.last_index = max(segment.last_index, self.content.last.index)
 
     def _begin_segment(self) -> None:
-        if self._descriptor >= 0:
-            self._file_system.close(self._descriptor)
-            self._descriptor = -1
+        """Start a segment; if that fails, the current one stays in use."""
         path = self._folder / f"log-{self._sequence:016x}.segment"
-        self._descriptor = self._file_system.open_append(path)
-        self._file_system.sync_folder(self._folder)
-        self.segments.append(Segment(path, self.content.last.index))
-        self._size_bytes = 0
         start = LogBatch(hard_state=self.content.hard_state, start=self.content.last)
-        self._write(start)
+        descriptor = self._file_system.open_append(path)
+        segment = Segment(path, self.content.last.index)
+        try:
+            self._file_system.sync_folder(self._folder)
+            size_bytes = self._write_frame(descriptor, start)
+        except OSError:
+            self._file_system.close(descriptor)
+            self._file_system.remove(path)
+            raise
+        self.close()
+        self._descriptor = descriptor
+        self._size_bytes = size_bytes
+        self._is_tail_torn = False
+        self.segments.append(segment)
 
     def remove_covered_segments(self, index: int) -> None:
         """Remove segments all of whose entries a snapshot covers."""
--- a/chestnutvale/storage/store.py
+++ b/chestnutvale/storage/store.py
@@ -30,6 +30,7 @@
 from chestnutvale.storage.exceptions import (
     StorageCorruptError,
     StorageError,
+    StorageFullError,
     StorageLockedError,
     make_storage_error,
 )
@@ -70,7 +71,8 @@
     state : StoredState
         Durable state read when the folder was opened.
     failure : StorageError or None
-        The first failed write.
+        The failure after which nothing more is written. A full disk is none: a write
+        that it refused may be repeated.
     """
 
     def __init__(
@@ -220,8 +222,10 @@
         try:
             yield
         except OSError as error:
-            self.failure = make_storage_error(error, STEP_WRITE, str(self._folder))
-            raise self.failure from error
+            failure = make_storage_error(error, STEP_WRITE, str(self._folder))
+            if not isinstance(failure, StorageFullError):
+                self.failure = failure
+            raise failure from error
 
     def write(self, hard_state: HardState | None, entries: Sequence[LogEntry]) -> None:
         """Write a batch to the log and sync it.
--- a/tests/consensus/test_task.py
+++ b/tests/consensus/test_task.py
@@ -12,6 +12,7 @@
 
 from chestnutvale.clock import SystemClock
 from chestnutvale.consensus.config import make_raft_config
+from chestnutvale.consensus.disk_writer import STOP_TIMEOUT_S
 from chestnutvale.consensus.exceptions import (
     MembersChangeError,
     NotLeaderError,
@@ -299,6 +300,49 @@
     assert control.state_machine.hosts == ["a"]
 
 
+class FullFileSystem(FileSystem):
+    """File system that refuses writes while `is_full`."""
+
+    def __init__(self):
+        self.is_full = False
+
+    def write(self, descriptor, data):
+        if self.is_full:
+            raise OSError(errno.ENOSPC, "full")
+        super().write(descriptor, data)
+
+
+@pytest.mark.parametrize("is_leader_full", [False, True])
+def test_control_whose_disk_was_full_votes_again(make_controls, is_leader_full):
+    controls = make_controls(3)
+    file_systems = [FullFileSystem() for _ in controls]
+    for control, file_system in zip(controls, file_systems, strict=True):
+        control.start(file_system)
+    leader = wait_for_leader(controls)
+    full = leader if is_leader_full else controls[leader.position - 1]
+    disk = file_systems[full.position]
+    disk.is_full = True
+    propose(wait_for_leader(controls), "a")
+    eventlet.sleep(WRITE_STALL_TIMEOUT_S / 2)
+    disk.is_full = False
+    wait_until(lambda: full.state_machine.hosts == ["a"])
+    next(control for control in controls if control is not full).stop()
+    propose(wait_for_leader(controls), "b")
+    assert full.task.failure is None
+
+
+def test_control_stops_while_its_disk_is_full(make_controls):
+    control = make_controls(1)[0]
+    file_system = FullFileSystem()
+    control.start(file_system)
+    leader = wait_for_leader([control])
+    file_system.is_full = True
+    with pytest.raises(OutcomeUnknownError):
+        propose(leader, "a")
+    with eventlet.Timeout(STOP_TIMEOUT_S / 2):
+        control.stop()
+
+
 class HangingSyncFileSystem(FileSystem):
     """File system whose syncs wait while `works` is cleared."""
 
