Let members without a vote ask to join again once their leader is gone

Callers would see: nothing is served after two further tolerated losses (RECOVER), since a machine that runs and counts as sound never becomes a voter.

Cause: only voters have an election timer. A learner whose leader was lost before it committed the admission kept that leader for good, and a control that has a leader does not ask to join.

Change: a member that does not vote forgets its leader after the election timeout. The driver of the simulation gives controls addresses and carries replies to join requests.

--- a/chestnutvale/consensus/raft.py
+++ b/chestnutvale/consensus/raft.py
@@ -149,7 +149,7 @@
             return min(
                 leader.heartbeat_due_s, leader.transfer_deadline_s, write_check_s
             )
-        if self.member.is_voter:
+        if self.member.is_voter or self.leader_id:
             return min(self.member.election_deadline_s, write_check_s)
         return write_check_s
 
@@ -234,8 +234,13 @@
     def _tick(self, now_s: float) -> None:
         if self.member.leader is not None:
             self._tick_leader(now_s)
-        elif now_s >= self.member.election_deadline_s and self.member.is_voter:
+        elif now_s < self.member.election_deadline_s:
+            return
+        elif self.member.is_voter:
             self._campaign(now_s)
+        else:
+            # A member that is no voter has to ask to join again.
+            self.member.become_follower(self.term, now_s)
 
     def _campaign(self, now_s: float) -> None:
         if not self.is_write_stalled:
--- a/tests/consensus/driver.py
+++ b/tests/consensus/driver.py
@@ -47,6 +47,10 @@
 OPERATION_TIMEOUT_S = 1.5
 
 
+def address_of(control):
+    return f"{control}:1"
+
+
 class Disk:
     """Durable state; `write` is called when the sync completes."""
 
@@ -155,13 +159,14 @@
         self._disks = itertools.count(1)
         self.controls = [f"c{i}" for i in range(size + spares)]
         voters = [f"{control}#0" for control in self.controls[:size]]
-        self.members = Members(voters=voters, wanted_voters=size)
+        addresses = {voter: address_of(control_of(voter)) for voter in voters}
+        self.members = Members(voters=voters, wanted_voters=size, addresses=addresses)
         for voter in voters:
             self.start_new(control_of(voter), voter if is_bootstrapped else None)
         for spare in self.controls[size:]:
             self.start_new(spare)
         if replaces_members:
-            self.schedule(maintenance_interval_s, self._run_maintenance)
+            self.start_maintenance()
 
     # Time.
 
@@ -201,10 +206,13 @@
         node.backlog = []
         settings = ControlSettings(
             control_id=control,
+            peer_address=address_of(control),
             voter_lost_ms=self.voter_lost_ms,
             election_timeout_ms=round(1_000 * self.config.election_timeout_s),
         )
-        settings.controls.extend(PeerAddress(id=c) for c in self.controls)
+        settings.controls.extend(
+            PeerAddress(id=c, address=address_of(c)) for c in self.controls
+        )
         node.cluster_membership = ClusterMembership(settings, node.member_id)
         stored = node.disk.read()
         rng = random.Random(self.rng.random())
@@ -246,6 +254,11 @@
         for other in self.nodes:
             self.blocked_links |= {(control, other), (other, control)}
 
+    def reconnect(self, control):
+        self.blocked_links = {
+            link for link in self.blocked_links if control not in link
+        }
+
     def clear_faults(self):
         self.blocked_links.clear()
         self.loss = self.duplication = self.reordering = 0.0
@@ -465,12 +478,26 @@
         node = self.nodes[target]
         message = RaftMessage.FromString(data)
         if message.HasField("join_request"):
-            node.cluster_membership.record_join_request(message, self.now_s)
+            self._receive_join_request(node, message)
+            return
+        if message.HasField("join_reply"):
+            node.cluster_membership.record_join_reply(message)
             return
         self._handle(node, MessageReceived(message))
 
     # Joining and replacement.
 
+    def start_maintenance(self):
+        self.schedule(self.maintenance_interval_s, self._run_maintenance)
+
+    def _receive_join_request(self, node, message):
+        node.cluster_membership.record_join_request(message, self.now_s)
+        if node.raft is None or node.is_frozen:
+            return
+        reply = node.cluster_membership.make_reply(message, node.raft.log.members)
+        if reply is not None:
+            self._send(reply)
+
     def _bootstrap_if_allowed(self, node):
         members = node.cluster_membership.decide_initial_members(self.now_s)
         if members and node.raft.is_empty:
