Ignore join requests of identities that a control no longer has

Cause: a request to join counts for 5 s. One that a control had sent before it lost its disk was taken for newer than the learner with the new disk, once that one's request had been met: the leader removed the living learner and admitted an identity that nobody runs.

Measured: test_late_request_of_an_earlier_identity_removes_no_learner fails before.

--- a/chestnutvale/consensus/cluster_membership.py
+++ b/chestnutvale/consensus/cluster_membership.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Iterator
 
+import attrs
+
 from chestnutvale.consensus.bootstrap import Bootstrap
 from chestnutvale.consensus.config import MS_PER_S, make_raft_config
 from chestnutvale.consensus.const import DEFAULT_VOTER_LOST_S
@@ -202,7 +204,9 @@
         member_ids = [*members.voters, *members.learners]
         for member_id in member_ids:
             # A request that has been met must not add the member again once removed.
-            self._candidates.pop(member_id, None)
+            if member_id in self._candidates:
+                candidate = self._candidates[member_id]
+                self._candidates[member_id] = attrs.evolve(candidate, is_met=True)
         contacts = {
             member: MemberContact(raft.silent_since_s(member), raft.match_index(member))
             for member in member_ids
--- a/chestnutvale/consensus/replacement.py
+++ b/chestnutvale/consensus/replacement.py
@@ -45,23 +45,29 @@
         Peer address.
     heard_s : float
         Monotonic time of the newest request, in seconds.
+    is_met : bool, optional
+        Whether it has become a member since.
     """
 
     member_id: str
     address: str
     heard_s: float
+    is_met: bool = False
 
 
 def _find_recent_candidates(
     candidates: Sequence[JoinCandidate], now_s: float
 ) -> list[JoinCandidate]:
-    """Return the newest identity of each control that has asked to join recently."""
+    """Return the newest identity of each control that waits to be admitted."""
     newest = {
         control_of(candidate.member_id): candidate
         for candidate in sorted(candidates, key=lambda candidate: candidate.heard_s)
-        if candidate.heard_s + JOIN_REQUEST_MAX_AGE_S >= now_s
     }
-    return list(newest.values())
+    return [
+        candidate
+        for candidate in newest.values()
+        if candidate.heard_s + JOIN_REQUEST_MAX_AGE_S >= now_s and not candidate.is_met
+    ]
 
 
 @attrs.define
@@ -139,7 +145,7 @@
             if lost:
                 return MembersChange(ChangeKind.REMOVE, lost)
         return self._find_candidate_change(
-            members, recent_candidates
+            members, contacts, recent_candidates, now_s
         ) or self._find_stale_learner(members, contacts, now_s)
 
     def _find_promotable_learners(
@@ -195,19 +201,28 @@
         return min(superseded or lost, key=silent_since_s.__getitem__, default="")
 
     def _find_candidate_change(
-        self, members: Members, recent_candidates: Sequence[JoinCandidate]
+        self,
+        members: Members,
+        contacts: Mapping[str, MemberContact],
+        recent_candidates: Sequence[JoinCandidate],
+        now_s: float,
     ) -> MembersChange | None:
         known = {*members.voters, *members.learners}
         for candidate in recent_candidates:
             control_id = control_of(candidate.member_id)
             if candidate.member_id in known or control_id in members.barred_controls:
                 continue
-            for learner in members.learners:
-                if control_of(learner) == control_id:
-                    return MembersChange(ChangeKind.REMOVE, learner)
-            return MembersChange(
-                ChangeKind.ADD_LEARNER, candidate.member_id, candidate.address
-            )
+            former = [
+                learner
+                for learner in members.learners
+                if control_of(learner) == control_id
+            ]
+            if not former:
+                return MembersChange(
+                    ChangeKind.ADD_LEARNER, candidate.member_id, candidate.address
+                )
+            if contacts[former[0]].silent_since_s + self.election_timeout_s <= now_s:
+                return MembersChange(ChangeKind.REMOVE, former[0])
         return None
 
     @staticmethod
