Treat a nested answer to an order as one without a code

Callers would see groups that are not repaired. Cause: an answer to an order whose body is nested too deeply raised RecursionError, so that the outcome of the order was never recorded. Change: the error counts as an unreadable code. Measured: the new case of test_answer_decides_the_outcome_of_an_order failed with RecursionError and passes.

--- a/chestnutvale/programs/control/order_sender.py
+++ b/chestnutvale/programs/control/order_sender.py
@@ -177,6 +177,6 @@
 def _read_code(data: bytes) -> str:
     try:
         body = json.loads(data)
-    except ValueError:
+    except (ValueError, RecursionError):
         return ""
     return str(body.get("code", "")) if isinstance(body, dict) else ""
--- a/tests/programs/control/test_order_sender.py
+++ b/tests/programs/control/test_order_sender.py
@@ -54,6 +54,10 @@
             OrderOutcome.STALE_FENCE,
         ),
         (b"HTTP/1.1 307 No\r\nContent-Length: 0\r\n\r\n", OrderOutcome.UNREACHABLE),
+        (
+            b"HTTP/1.1 409 No\r\nContent-Length: 20000\r\n\r\n" + b"[" * 20_000,
+            OrderOutcome.UNREACHABLE,
+        ),
     ],
 )
 def test_answer_decides_the_outcome_of_an_order(answer, outcome):
