Test that a begun stream gets no error of the next endpoint

Cause: other operators saw the text or head of an error inside a stream that had begun and broken off. Change: seven kinds of error as the answer of the next endpoint.

--- a/tests/programs/entry/routed/test_streams.py
+++ b/tests/programs/entry/routed/test_streams.py
@@ -390,3 +390,31 @@
         )
     assert (status, body, is_complete) == (200, COMPLETE_STREAM, True)
     assert "x-not-run" not in headers
+
+
+@pytest.mark.parametrize(
+    "step",
+    [
+        complete_answer(b"sorry", status="500 Bad"),
+        complete_answer(event(3) + event(4), status="500 Bad"),
+        complete_answer(b"full", status="503 Busy", extra="X-Not-Run: 1\r\n"),
+        complete_answer(b"lost", status="404 No"),
+        b"HTTP/1.1 500 Bad\r\nX-Call: c1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        + chunk(event(3))
+        + b"0\r\n\r\n",
+        answer_and_close(b"HTTP/1.1 500 Bad\r\nX-Call: c1\r\n\r\n" + event(3)),
+        b"HTTP/1.1 200 OK\r\nX-Call: c1\r\nContent-Length: 5\r\n\r\nsorry",
+    ],
+    ids=["error", "events", "refusal", "missing", "chunked", "unsized", "unsigned"],
+)
+def test_begun_stream_never_gets_an_error_of_the_next_endpoint(
+    endpoint, other_endpoint, step
+):
+    endpoint.default = answer_and_close(stream_head() + chunk(event(1) + event(2)))
+    other_endpoint.default = step
+    with routed_entry(endpoint, other_endpoint) as entry:
+        status, _, body, is_complete = call(
+            entry.address, "/gen/x", b"p", X_Model="m", X_Left="1500"
+        )
+    assert other_endpoint.requests
+    assert (status, body, is_complete) == (200, event(1) + event(2), False)
