Take a refusal for proof only if it belongs to the request

Callers would see: 'not run' for a call that a worker runs (REFUSED), or a call that may run once runs twice (TWICE). Other operators saw a faulty worker write an earlier refusal once more on a kept connection.

Cause: an answer without an ID was taken for the answer to the request, also on a connection with earlier requests; and a refusal that is repeated after the same call was sent again to that worker has the right ID.

Change: on a reused connection a refusal has to name the request, otherwise the outcome is unknown; and a call is not sent again on the connection on which it was refused.

Measured: test_refusal_without_id_on_a_kept_connection_is_no_proof and test_repeated_refusal_is_not_taken_for_the_answer_to_the_next_attempt failed before; a refusal without ID on a new connection still says 'not run'.

--- a/chestnutvale/programs/entry/routed/connections.py
+++ b/chestnutvale/programs/entry/routed/connections.py
@@ -36,6 +36,9 @@
         Monotonic time in seconds until which the connection may be reused.
     requests : int
         Number of requests sent on the connection.
+    refused_request_id : str
+        ID of the last request that the endpoint refused on the connection; empty if
+        there is none.
     """
 
     address: str
@@ -44,6 +47,7 @@
     unread: bytes = b""
     reusable_until_s: float = 0.0
     requests: int = 0
+    refused_request_id: str = ""
 
     def is_reusable(self) -> bool:
         """Return whether the connection is open and has no unread data.
--- a/chestnutvale/programs/entry/routed/exchange.py
+++ b/chestnutvale/programs/entry/routed/exchange.py
@@ -158,7 +158,7 @@
             If the connection could not be opened or the exchange was aborted; nothing
             was sent.
         """
-        self._connection = self._pool.acquire(self.address, timeout_s, self._boot_id)
+        self._connection = self._acquire_connection(timeout_s)
         # The call may have waited for the connection since the endpoint was chosen.
         if not self._may_send():
             raise EndpointUnavailableError(
@@ -290,6 +290,18 @@
         if self._connection is not None:
             self._connection.sock.shut_down()
 
+    def _acquire_connection(self, timeout_s: float) -> PooledConnection:
+        """Return a connection on which the endpoint has not refused this request.
+
+        A faulty endpoint may repeat a refusal, which has the ID of this request.
+        """
+        while True:
+            connection = self._pool.acquire(self.address, timeout_s, self._boot_id)
+            refused_id = connection.refused_request_id
+            if not refused_id or refused_id != self._request.request_id:
+                return connection
+            connection.close()
+
     def _encode_request(self, method: str, target: str, body: bytes) -> bytes:
         remaining_s = max(0.001, self._deadline_s - self._clock.now_s())
         remaining_ms = round(remaining_s * 1_000)
@@ -315,6 +327,7 @@
             answered = self._protocol.find_request_id(head.headers)
             if not answered or answered == self._request.request_id:
                 self._check_signature(head.status, head.headers)
+                self._check_refusal(head.status, head.headers, answered)
                 return answer
             if head.will_close:
                 break
@@ -341,7 +354,22 @@
                 "a success status without the signature of an endpoint", STEP_RECEIVE
             )
 
+    def _check_refusal(self, status: int, headers: Headers, answered: str) -> None:
+        """Raise an error for a refusal that may belong to an earlier request."""
+        is_only_request = self._connection.requests == 1
+        if (
+            answered
+            or is_only_request
+            or not self._protocol.is_refusal(status, headers)
+        ):
+            return
+        raise self._make_broken_error(
+            "a refusal without the ID of the request on a reused connection",
+            STEP_RECEIVE,
+        )
+
     def _raise_refusal(self) -> None:
+        self._connection.refused_request_id = self._request.request_id
         retry_after_s = self._find_retry_after_s()
         self._answer_deadline_s = min(
             self._answer_deadline_s, self._clock.now_s() + REFUSAL_BODY_TIMEOUT_S
--- a/tests/programs/entry/routed/test_non_streaming_calls.py
+++ b/tests/programs/entry/routed/test_non_streaming_calls.py
@@ -102,6 +102,35 @@
         assert call(entry.address, "/once/x")[2] == b"mine"
 
 
+def test_refusal_without_id_on_a_kept_connection_is_no_proof(endpoint, other_endpoint):
+    refusal = b"HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+    endpoint.steps = [complete_answer(b"ok"), refusal + complete_answer(b"ran")]
+    other_endpoint.default = complete_answer(b"second run")
+    with routed_entry(endpoint, other_endpoint) as entry:
+        assert call(entry.address, "/once/x", b"pay")[2] == b"ok"
+        assert call(entry.address, "/once/x", b"pay", X_Call="c2")[0] == 502
+    assert not other_endpoint.requests
+
+
+def test_refusal_without_id_on_a_new_connection_says_not_run(endpoint):
+    endpoint.default = b"HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+    with routed_entry(endpoint) as entry:
+        assert call(entry.address, "/once/x", b"pay")[0] == 503
+
+
+def test_repeated_refusal_is_not_taken_for_the_answer_to_the_next_attempt(endpoint):
+    def refuse_once_more(sock, request):
+        sock.sendall(NOT_RUN + complete_answer(b"ran"))
+
+    endpoint.steps = [NOT_RUN, refuse_once_more]
+    endpoint.default = complete_answer(b"ran")
+    with routed_entry(endpoint) as entry:
+        assert call(entry.address, "/once/x", b"pay")[0] == 503
+        # The caller sends the same attempt again.
+        call(entry.address, "/once/x", b"pay")
+    assert endpoint.connections == 2
+
+
 @pytest.mark.parametrize(
     "step",
     [
