Remove covered log segments one by one

Callers would see: RECOVER, if two other controls are lost later, as a control refuses to start for good (storage_corrupt, missing segment).

Cause: several covered segments were removed before one sync of the folder. After a loss of power each removal may be undone by itself, so that an old segment came back without the next one.

Change: the folder is synced after each removal, oldest first.

Measured: test_power_loss_may_undo_any_removal_that_was_not_synced failed before with storage_corrupt and passes.

--- a/chestnutvale/storage/segments.py
+++ b/chestnutvale/storage/segments.py
@@ -249,11 +249,9 @@
         if self._size_bytes >= MIN_SEGMENT_BYTES:
             # A new segment lets the current one be removed once it is covered.
             self._begin_segment()
-        removed = False
         while len(self.segments) > 1 and self.segments[0].last_index <= index:
             self._file_system.remove(self.segments.pop(0).path)
-            removed = True
-        if removed:
+            # A loss of power may undo single removals; a gap would be taken for damage.
             self._file_system.sync_folder(self._folder)
 
     def close(self) -> None:
--- a/tests/storage/test_store.py
+++ b/tests/storage/test_store.py
@@ -40,6 +40,7 @@
         self.paths = {}
         self.synced_bytes = {}
         self.new_names = {}
+        self.removed = {}
 
     def _count(self):
         self.operations += 1
@@ -78,6 +79,7 @@
 
     def remove(self, path):
         self._count()
+        self.removed[path] = path.read_bytes()
         super().remove(path)
         self.synced_bytes.pop(path, None)
 
@@ -85,6 +87,12 @@
         self._count()
         if self.syncs:
             self.new_names.clear()
+            self.removed.clear()
+
+    def restore_removed(self, number):
+        """Undo one removal that was not synced, as a loss of power may."""
+        path, data = list(self.removed.items())[number]
+        path.write_bytes(data)
 
     def lose_unsynced(self):
         for path, size_bytes in self.synced_bytes.items():
@@ -315,6 +323,34 @@
     return counting.operations
 
 
+def cover_segments(folder, file_system):
+    """Write several segments and save a snapshot that covers all but the last."""
+    with open_store(folder, file_system) as store:
+        for index in range(1, 31):
+            store.write(HardState(term=1), [make_entry(index)])
+        store.save_snapshot(make_metadata(30), b"thirty")
+
+
+def test_power_loss_may_undo_any_removal_that_was_not_synced(tmp_path):
+    counting = FailingFileSystem()
+    cover_segments(tmp_path / "whole", counting)
+    restored = 0
+    for operation in range(1, counting.operations + 1):
+        for number in itertools.count():
+            folder = tmp_path / f"{operation}-{number}"
+            file_system = FailingFileSystem(operation)
+            with pytest.raises(Crash):
+                cover_segments(folder, file_system)
+            if number >= len(file_system.removed):
+                break
+            file_system.restore_removed(number)
+            with open_store(folder) as store:
+                assert store.load_snapshot() == b"thirty"
+                assert not store.state.entries
+            restored += 1
+    assert restored > 1
+
+
 def test_crash_at_every_operation(tmp_path):
     assert crash_everywhere(tmp_path / "on") > 40
     with pytest.raises((AssertionError, KeyError, StorageError)):
