Undo refused rotations and removals before the next write

Callers would see: RECOVER, as a control refuses to start for good (storage_corrupt) after it has lost power, if its disk was full some time before.

Cause: let writes be repeated after a full disk, but three remains of a refused write could still be taken for damage later: a removal that was refused left a segment that the log had already forgotten, a refused rotation was removed without a sync of the folder, and a torn tail stayed in a segment that was rotated.

Change: before the next write or rotation the log cuts a torn tail and removes a refused segment; a segment is forgotten only once its removal is synced; a temporary file that was left is removed before the next attempt.

--- a/chestnutvale/storage/file_system.py
+++ b/chestnutvale/storage/file_system.py
@@ -39,8 +39,8 @@
         os.replace(source, target)
 
     def remove(self, path: Path) -> None:
-        """Remove a file; durable only after `sync_folder`."""
-        os.unlink(path)
+        """Remove a file if it exists; durable only after `sync_folder`."""
+        path.unlink(missing_ok=True)
 
     def sync_folder(self, folder: Path) -> None:
         """Wait until created and renamed directory entries are on disk."""
@@ -53,15 +53,13 @@
     def replace_file(self, path: Path, parts: list[bytes], suffix: str) -> None:
         """Replace a file atomically through a synced temporary file."""
         temporary = path.with_name(path.name + suffix)
+        # An earlier attempt may have failed after it had written a part.
+        self.remove(temporary)
         descriptor = self.open_append(temporary)
         try:
             for part in parts:
                 self.write(descriptor, part)
             self.sync(descriptor)
-        except OSError:
-            # Another attempt would append to what this one has written.
-            self.remove(temporary)
-            raise
         finally:
             self.close(descriptor)
         self.rename(temporary, path)
--- a/chestnutvale/storage/segments.py
+++ b/chestnutvale/storage/segments.py
@@ -107,7 +107,9 @@
         self._descriptor = -1
         self._size_bytes = 0
         # Whether a failed write may have left bytes behind the last synced frame.
-        self._is_tail_torn = False
+        self._has_torn_tail = False
+        # Segment that could not be started and may still exist.
+        self._refused_path: Path | None = None
 
     def load(self) -> None:
         """Read all segments and open the last one for appending.
@@ -196,11 +198,20 @@
         self._write(batch)
 
     def _write(self, batch: LogBatch) -> None:
-        if self._is_tail_torn:
-            self._file_system.truncate(self.segments[-1].path, self._size_bytes)
-        self._is_tail_torn = True
+        self._undo_failed_write()
+        self._has_torn_tail = True
         self._size_bytes += self._write_frame(self._descriptor, batch)
-        self._is_tail_torn = False
+        self._has_torn_tail = False
+
+    def _undo_failed_write(self) -> None:
+        """Remove what a failed write has left, which could be taken for damage."""
+        if self._has_torn_tail:
+            self._file_system.truncate(self.segments[-1].path, self._size_bytes)
+            self._has_torn_tail = False
+        if self._refused_path is not None:
+            self._file_system.remove(self._refused_path)
+            self._file_system.sync_folder(self._folder)
+            self._refused_path = None
 
     def _write_frame(self, descriptor: int, batch: LogBatch) -> int:
         """Write and sync a frame; return its size in bytes."""
@@ -227,21 +238,21 @@
 
     def _begin_segment(self) -> None:
         """Start a segment; if that fails, the current one stays in use."""
+        self._undo_failed_write()
         path = self._folder / f"log-{self._sequence:016x}.segment"
         start = LogBatch(hard_state=self.content.hard_state, start=self.content.last)
-        descriptor = self._file_system.open_append(path)
         segment = Segment(path, self.content.last.index)
+        descriptor = self._file_system.open_append(path)
         try:
             self._file_system.sync_folder(self._folder)
             size_bytes = self._write_frame(descriptor, start)
         except OSError:
+            self._refused_path = path
             self._file_system.close(descriptor)
-            self._file_system.remove(path)
             raise
         self.close()
         self._descriptor = descriptor
         self._size_bytes = size_bytes
-        self._is_tail_torn = False
         self.segments.append(segment)
 
     def remove_covered_segments(self, index: int) -> None:
@@ -250,9 +261,10 @@
             # A new segment lets the current one be removed once it is covered.
             self._begin_segment()
         while len(self.segments) > 1 and self.segments[0].last_index <= index:
-            self._file_system.remove(self.segments.pop(0).path)
+            self._file_system.remove(self.segments[0].path)
             # A loss of power may undo single removals; a gap would be taken for damage.
             self._file_system.sync_folder(self._folder)
+            del self.segments[0]
 
     def close(self) -> None:
         """Close the last segment."""
--- a/tests/storage/test_store.py
+++ b/tests/storage/test_store.py
@@ -9,7 +9,7 @@
 
 from chestnutvale.schema.raft_pb2 import HardState, LogEntry, SnapshotMetadata
 from chestnutvale.schema.settings_pb2 import ControlSettings
-from chestnutvale.storage import frames
+from chestnutvale.storage import frames, segments
 from chestnutvale.storage.exceptions import (
     StorageCorruptError,
     StorageError,
@@ -79,7 +79,8 @@
 
     def remove(self, path):
         self._count()
-        self.removed[path] = path.read_bytes()
+        if path.exists():
+            self.removed[path] = path.read_bytes()
         super().remove(path)
         self.synced_bytes.pop(path, None)
 
@@ -323,6 +324,37 @@
     return counting.operations
 
 
+def test_power_loss_after_a_refused_rotation_leaves_no_second_segment(
+    tmp_path, monkeypatch
+):
+    monkeypatch.setattr(segments, "MIN_SEGMENT_BYTES", 100)
+    counting = FailingFileSystem()
+    with open_store(tmp_path / "whole", counting):
+        first = counting.operations + 1
+    run_workload(tmp_path / "whole", counting, {})
+    for operation in range(first, counting.operations + 1):
+        folder = tmp_path / str(operation)
+        file_system = FailingFileSystem(operation, OSError(errno.ENOSPC, "full"))
+        acknowledged = {}
+        run_workload(folder, file_system, acknowledged, repeat_while_full)
+        if file_system.removed:
+            file_system.restore_removed(0)
+        check_recovery(folder, acknowledged)
+
+
+def test_rotation_after_a_refused_write_leaves_no_torn_segment(folder, monkeypatch):
+    monkeypatch.setattr(segments, "MIN_SEGMENT_BYTES", 100)
+    file_system = FullFileSystem()
+    with open_store(folder, file_system) as store:
+        write_entries(store, 1, 2)
+        file_system.full_at, file_system.refusals = file_system.operations + 1, 1
+        with pytest.raises(StorageFullError):
+            write_entries(store, 3, 3)
+        store.save_snapshot(make_metadata(1), b"one")
+        write_entries(store, 3, 3)
+    assert read_indexes(folder) == [2, 3]
+
+
 def cover_segments(folder, file_system):
     """Write several segments and save a snapshot that covers all but the last."""
     with open_store(folder, file_system) as store:
