Count the voters that do not reply

Cause: a voter that was lost or had stopped participating showed in the dump and in one line of the log only, so that the quorum could wear down unseen.

Measured: test_leader_counts_silent_voters.

--- a/chestnutvale/consensus/member_state.py
+++ b/chestnutvale/consensus/member_state.py
@@ -211,6 +211,8 @@
 
     def list_silences(self, now_s: float) -> list[MemberSilence]:
         """Return the voters that have not replied for an election timeout."""
+        if self.leader is None:
+            return []
         silent_s = {
             voter: now_s - self.silent_since_s(voter)
             for voter in self.log.members.voters
--- a/chestnutvale/consensus/raft.py
+++ b/chestnutvale/consensus/raft.py
@@ -30,6 +30,7 @@
 from chestnutvale.consensus.request_handler import RequestHandler
 from chestnutvale.schema.raft_pb2 import (
     AppendReply,
+    MemberSilence,
     RaftMessage,
     SnapshotMetadata,
     VoteReply,
@@ -133,6 +134,10 @@
         """Return the earliest time since which a member may have been silent."""
         return self.member.silent_since_s(member_id)
 
+    def list_silences(self, now_s: float) -> list[MemberSilence]:
+        """Return the voters that have not replied for an election timeout."""
+        return self.member.list_silences(now_s)
+
     def match_index(self, member_id: str) -> int:
         """Return the highest index known to be replicated to a member."""
         return self.member.match_index(member_id)
--- a/chestnutvale/consensus/task.py
+++ b/chestnutvale/consensus/task.py
@@ -200,6 +200,11 @@
             return 0
         return quorum_size(raft.log.members)
 
+    @property
+    def silent_voters(self) -> int:
+        """Number of voters that this leader has not heard for an election timeout."""
+        return len(self._loop.raft.list_silences(self._clock.now_s()))
+
     def command_versions(self) -> dict[str, int | None]:
         """Return the versions of the commands that the members can read.
 
--- a/chestnutvale/observability/catalog.py
+++ b/chestnutvale/observability/catalog.py
@@ -148,6 +148,11 @@
     UNIT_SECONDS,
     "Time for which the oldest unfinished write to the data folder has waited.",
 )
+SILENT_VOTERS: Final = Metric(
+    "chestnutvale.consensus.voters.silent",
+    "{voter}",
+    "Voters that have not replied to the leader for an election timeout.",
+)
 LEDGER_RECORDS: Final = Metric(
     "chestnutvale.ledger.records", "{record}", "Claims and outcomes kept."
 )
--- a/chestnutvale/programs/control/metrics.py
+++ b/chestnutvale/programs/control/metrics.py
@@ -76,6 +76,10 @@
     metrics.register_gauge(
         catalog.WRITE_WAIT, make_unlabelled_reader(lambda: log.write_waited_s)
     )
+    metrics.register_gauge(
+        catalog.SILENT_VOTERS,
+        _while_leading(log)(make_unlabelled_reader(lambda: log.silent_voters)),
+    )
     metrics.register_gauge(
         catalog.CONFIGURATION_NUMBER,
         make_unlabelled_reader(lambda: state.configuration.number),
--- a/tests/consensus/test_task.py
+++ b/tests/consensus/test_task.py
@@ -221,6 +221,18 @@
     wait_until(lambda: controls[3].state_machine.hosts == ["a", "b"])
 
 
+def test_leader_counts_silent_voters(make_controls):
+    controls = make_controls(3)
+    leader = start_all(controls)
+    assert leader.task.silent_voters == 0
+    follower = next(c for c in controls if c is not leader)
+    follower.stop()
+    wait_until(lambda: leader.task.silent_voters == 1)
+    follower.start()
+    wait_until(lambda: leader.task.silent_voters == 0)
+    assert follower.task.silent_voters == 0
+
+
 def test_a_control_whose_settings_name_no_leader_joins_by_a_follower(make_controls):
     controls = make_controls(3)
     leader = start_all(controls)
