Invite controls whose settings name no member

Callers would see: RECOVER after two further lost disks, as a machine that runs never votes.

Cause: a control that lost its disk knows only the controls of its settings. If these are gone, empty or cut off, it asks nobody else, and the leader's messages to its former identity were dropped.

A control takes it also if it is addressed to the identity of an earlier disk.

Measured: test_a_control_whose_settings_name_only_itself_is_invited timed out before and passes.

--- a/chestnutvale/consensus/cluster_membership.py
+++ b/chestnutvale/consensus/cluster_membership.py
@@ -103,6 +103,40 @@
             join_reply=JoinReply(addresses=addresses),
         )
 
+    def make_invitations(
+        self, raft: Raft, now_s: float
+    ) -> Iterator[tuple[str, RaftMessage]]:
+        """Yield an address and an unasked join reply for each silent voter.
+
+        Its control may have returned with another disk, and with settings that name no
+        control that it can reach.
+
+        Parameters
+        ----------
+        raft : Raft
+            This member, which leads.
+        now_s : float
+            Monotonic time in seconds.
+
+        Yields
+        ------
+        tuple of (str, RaftMessage)
+            Peer address and message.
+        """
+        members = raft.log.members
+        reply = JoinReply(addresses=peer_addresses(members))
+        for silence in raft.list_silences(now_s):
+            address = members.addresses.get(silence.member_id, "")
+            if address:
+                yield (
+                    address,
+                    RaftMessage(
+                        from_id=self._own_id,
+                        to_id=silence.member_id,
+                        join_reply=reply,
+                    ),
+                )
+
     def record_join_reply(self, message: RaftMessage) -> bool:
         """Record the peer addresses reported in a join reply.
 
--- a/chestnutvale/consensus/loop.py
+++ b/chestnutvale/consensus/loop.py
@@ -377,6 +377,9 @@
             if now_s >= self._replacement_due_s:
                 self._replacement_due_s = now_s + REPLACEMENT_INTERVAL_S
                 self._propose_next_change(now_s)
+            if now_s >= self._join_due_s:
+                self._join_due_s = now_s + JOIN_INTERVAL_S
+                self._invite_silent_voters(now_s)
             return
         if now_s < self._join_due_s:
             return
@@ -391,6 +394,13 @@
             control_id = control_of(message.to_id)
             self._transport.send(control_id, address, BODY_RAFT, message)
 
+    def _invite_silent_voters(self, now_s: float) -> None:
+        for address, message in self.cluster_membership.make_invitations(
+            self.raft, now_s
+        ):
+            control_id = control_of(message.to_id)
+            self._transport.send(control_id, address, BODY_RAFT, message)
+
     def _handle_join_request(self, message: RaftMessage) -> None:
         now_s = self._clock.now_s()
         is_new = self.cluster_membership.record_join_request(message, now_s)
@@ -403,10 +413,9 @@
             self._transport.send(control_id, address, BODY_RAFT, reply)
 
     def _handle_join_reply(self, message: RaftMessage) -> None:
-        if (
-            message.to_id != self._own_id
-            or not self.cluster_membership.record_join_reply(message)
-        ):
+        # The reply may be addressed to the identity of an earlier disk.
+        is_own = control_of(message.to_id) == control_of(self._own_id)
+        if not is_own or not self.cluster_membership.record_join_reply(message):
             return
         _LOGGER.info(
             "Join reply from {} adds unknown controls; it lists {}",
--- a/tests/consensus/test_task.py
+++ b/tests/consensus/test_task.py
@@ -251,6 +251,22 @@
     wait_until(lambda: lost.state_machine.hosts == ["a"])
 
 
+def test_a_control_whose_settings_name_only_itself_is_invited(make_controls):
+    controls = make_controls(3)
+    leader = start_all(controls)
+    propose(leader, "a")
+    lost = next(control for control in controls if control is not leader)
+    lost.stop()
+    shutil.rmtree(lost.settings.data_folder)
+    own = [p for p in lost.settings.controls if p.id == lost.settings.control_id]
+    del lost.settings.controls[:]
+    lost.settings.controls.extend(own)
+    lost.settings.spare = True
+    lost.start()
+    wait_until(lambda: lost.task.member_id in leader.task.members.voters)
+    wait_until(lambda: lost.state_machine.hosts == ["a"])
+
+
 def test_operator_removes_and_adds_a_voter(make_controls):
     controls = make_controls(3)
     leader = start_all(controls)
