Let only the connection of a refusal repeat it in its test

Cause: read-through. The test's endpoint repeated the refusal on every connection, so that the test counted connections instead of looking at the answer. Change: the refusal is repeated on the connection where it was given, and the caller has to get the second answer. Measured: it fails on the code before the change that it guards, and passes.

--- a/tests/programs/entry/routed/test_non_streaming_calls.py
+++ b/tests/programs/entry/routed/test_non_streaming_calls.py
@@ -119,16 +119,22 @@
 
 
 def test_repeated_refusal_is_not_taken_for_the_answer_to_the_next_attempt(endpoint):
-    def refuse_once_more(sock, request):
-        sock.sendall(NOT_RUN + complete_answer(b"ran"))
+    refusing = []
 
-    endpoint.steps = [NOT_RUN, refuse_once_more]
-    endpoint.default = complete_answer(b"ran")
+    def refuse(sock, request):
+        refusing.append(sock)
+        sock.sendall(NOT_RUN)
+
+    def answer(sock, request):
+        repeated = NOT_RUN if sock in refusing else b""
+        sock.sendall(repeated + complete_answer(b"ran"))
+
+    endpoint.steps = [refuse]
+    endpoint.default = answer
     with routed_entry(endpoint) as entry:
         assert call(entry.address, "/once/x", b"pay")[0] == 503
         # The caller sends the same attempt again.
-        call(entry.address, "/once/x", b"pay")
-    assert endpoint.connections == 2
+        assert call(entry.address, "/once/x", b"pay")[2] == b"ran"
 
 
 @pytest.mark.parametrize(
