Check in simulated losses that the acknowledged value is kept

Cause: read-through. The simulation committed a value before the losses and never read it again, so that it showed a leader but no durability.

No behaviour of the programs changes.

--- a/chestnutvale/consensus/cluster_membership.py
+++ b/chestnutvale/consensus/cluster_membership.py
@@ -237,10 +237,10 @@
             return None
         member_ids = [*members.voters, *members.learners]
         for member_id in member_ids:
-            # A request that has been met must not add the member again once removed.
+            # An answered request must not add the member again after its removal.
             if member_id in self._candidates:
                 candidate = self._candidates[member_id]
-                self._candidates[member_id] = attrs.evolve(candidate, is_met=True)
+                self._candidates[member_id] = attrs.evolve(candidate, is_admitted=True)
         contacts = {
             member: MemberContact(raft.silent_since_s(member), raft.match_index(member))
             for member in member_ids
--- a/chestnutvale/consensus/replacement.py
+++ b/chestnutvale/consensus/replacement.py
@@ -45,14 +45,14 @@
         Peer address.
     heard_s : float
         Monotonic time of the newest request, in seconds.
-    is_met : bool, optional
+    is_admitted : bool, optional
         Whether it has become a member since.
     """
 
     member_id: str
     address: str
     heard_s: float
-    is_met: bool = False
+    is_admitted: bool = False
 
 
 def _find_recent_candidates(
@@ -66,7 +66,8 @@
     return [
         candidate
         for candidate in newest.values()
-        if candidate.heard_s + JOIN_REQUEST_MAX_AGE_S >= now_s and not candidate.is_met
+        if candidate.heard_s + JOIN_REQUEST_MAX_AGE_S >= now_s
+        and not candidate.is_admitted
     ]
 
 
--- a/chestnutvale/consensus/silence.py
+++ b/chestnutvale/consensus/silence.py
@@ -33,8 +33,8 @@
         silences : iterable of MemberSilence
             Silent members and for how long they have been silent.
         now_s : float
-            Monotonic time of the receipt in seconds. The transit is not known, so that
-            a silence is rather taken for too short.
+            Monotonic time of the receipt in seconds. Silences are underestimated by the
+            time in transit, which is not known.
         """
         self._leader_id = leader_id
         self._leader_heard_s = now_s
--- a/tests/consensus/test_voter_replacement.py
+++ b/tests/consensus/test_voter_replacement.py
@@ -32,5 +32,7 @@
     cluster.run(RECOVERY_S)
     assert cluster.leaders(), schedule.actions
     leader = cluster.wait_for_leader()
+    read = cluster.start_operation(leader, "read")
+    cluster.run_until(lambda: read.returned_s <= cluster.now_s)
+    assert read.result == "kept"
     cluster.commit(leader, "recovered")
-    assert cluster.nodes[leader].state_machine.value == "recovered"
--- a/tests/storage/test_store.py
+++ b/tests/storage/test_store.py
@@ -389,6 +389,13 @@
         crash_everywhere(tmp_path / "off", syncs=False)
 
 
+def count_set_up(tmp_path):
+    """Return how many calls to a FullFileSystem set up an empty folder."""
+    file_system = FullFileSystem()
+    with open_store(tmp_path / "set-up", file_system):
+        return file_system.operations
+
+
 def repeat_while_full(write, *arguments):
     """Run a write until the disk has space."""
     for _ in range(MAX_ATTEMPTS):
@@ -404,8 +411,7 @@
     counting = FullFileSystem()
     run_workload(tmp_path / "whole", counting, {})
     expected = read_state(tmp_path / "whole")
-    with open_store(tmp_path / "set-up", FullFileSystem()) as store:
-        first = store._file_system.operations + 1
+    first = count_set_up(tmp_path) + 1
     for operation in range(first, counting.operations + 1):
         folder = tmp_path / str(operation)
         acknowledged = {}
@@ -418,7 +424,7 @@
 def test_crash_while_the_disk_is_full_keeps_what_was_synced(tmp_path):
     counting = FullFileSystem()
     run_workload(tmp_path / "whole", counting, {})
-    for operation in range(8, counting.operations + 1):
+    for operation in range(count_set_up(tmp_path) + 1, counting.operations + 1):
         folder = tmp_path / str(operation)
         acknowledged = {}
         with pytest.raises(StorageFullError):
