Reopen connections whose messages get no reply

Cause: two processes have a connection for each direction, and any message of the peer stopped the timeout of the connection to it. While the peer went on sending, the side whose connection was silent never reopened it, and the other side reopened one that was sound, again and again. The replies of the leader to an entry were lost for good; the reports of an entry were lost until the leader stopped sending, by which time the lease had ended.

Change: each message carries a probe, and the last probe that came from its recipient. A connection is reopened 1.5 s after the first message to which no reply came. Messages of earlier builds, which carry no probe, count as replies as before.

--- a/chestnutvale/transport/const.py
+++ b/chestnutvale/transport/const.py
@@ -22,8 +22,8 @@
 
 # Earlier incarnations remembered per process.
 MAX_SUPERSEDED_INCARNATIONS: Final = 8
-# How long a peer may send nothing while messages are sent to it before its connection
-# is reopened. A connection can stop delivering without any socket error.
+# How long a peer may leave a probe unanswered before its connection is reopened. A
+# connection can stop delivering without any socket error.
 PEER_SILENCE_TIMEOUT_S: Final = 1.5
 # The same for a peer that has not been heard yet; doubled with each attempt. The kernel
 # repeats a handshake with a host that was down only after a second.
@@ -31,3 +31,9 @@
 # Time without an answer after which the first message of a peer shows that it has only
 # just started; a handshake takes less.
 HANDSHAKE_TIMEOUT_S: Final = 0.1
+
+# Probes are 32-bit numbers; messages of earlier builds carry none.
+NO_PROBE: Final = 0
+MAX_PROBE: Final = 0xFFFFFFFF
+# Messages to a peer within this time carry the same probe.
+PROBE_INTERVAL_S: Final = 0.05
--- a/chestnutvale/transport/message_filter.py
+++ b/chestnutvale/transport/message_filter.py
@@ -117,3 +117,8 @@
         Start time and salt in hexadecimal, zero-padded to sort as text.
     """
     return f"{start_unix_ms:016x}-{salt & 0xFFFFFFFF:08x}"
+
+
+def read_salt(incarnation: str) -> int:
+    """Return the random part of an identifier of `make_incarnation`, 32 bits."""
+    return int(incarnation.rpartition("-")[2], base=16)
--- a/chestnutvale/transport/node.py
+++ b/chestnutvale/transport/node.py
@@ -18,7 +18,7 @@
     RECEIVE_BATCH_MESSAGES,
 )
 from chestnutvale.transport.exceptions import MessageDroppedError, TransportError
-from chestnutvale.transport.message_filter import MessageFilter
+from chestnutvale.transport.message_filter import MessageFilter, read_salt
 from chestnutvale.transport.silent_peers import SilentPeerDetector
 from chestnutvale.transport.sockets import make_inbox, make_outbox
 
@@ -73,7 +73,7 @@
         self._cluster_id = cluster_id
         self._clock = clock
         self._message_filter = MessageFilter(cluster_id, own_id, clocks_may_step)
-        self._silent_peers = SilentPeerDetector()
+        self._silent_peers = SilentPeerDetector(last_probe=read_salt(incarnation))
         self._handlers: dict[str, Handler] = {}
         self._inbox: pynng.Pull0 | None = None
         self._outboxes: dict[str, pynng.Push0] = {}
@@ -160,17 +160,20 @@
             False if the message was dropped because the send buffer is full or the
             socket failed.
         """
+        if self._silent_peers.record_send(recipient_id, address, self._clock.now_s()):
+            self._close_outbox(address)
+        probe, probe_reply = self._silent_peers.find_probes(recipient_id)
         envelope = Envelope(
             cluster_id=self._cluster_id,
             sender_id=self.own_id,
             sender_incarnation=self.incarnation,
             recipient_id=recipient_id,
             expires_at_unix_ms=self._clock.unix_ms() + expiry_ms,
+            probe=probe,
+            probe_reply=probe_reply,
         )
         getattr(envelope, body).CopyFrom(message)
         data = envelope.SerializeToString()
-        if self._silent_peers.record_send(recipient_id, address, self._clock.now_s()):
-            self._close_outbox(address)
         try:
             self._get_outbox(address).send(data, block=False)
         except pynng.TryAgain:
@@ -244,7 +247,12 @@
             self.drops[error.reason] += 1
             _LOGGER.debug("Dropped a received message: {}", error)
             return
-        self._silent_peers.record_receive(envelope.sender_id, self._clock.now_s())
+        self._silent_peers.record_receive(
+            envelope.sender_id,
+            self._clock.now_s(),
+            envelope.probe,
+            envelope.probe_reply,
+        )
         handler = self._handlers.get(envelope.WhichOneof("body"))
         if handler is None:
             self.drops["no_handler"] += 1
--- a/chestnutvale/transport/silent_peers.py
+++ b/chestnutvale/transport/silent_peers.py
@@ -1,11 +1,16 @@
 """Detect peer connections that stopped delivering without a socket error."""
 
+from collections import deque
+
 import attrs
 
 from chestnutvale.transport.const import (
     CONNECT_TIMEOUT_S,
     HANDSHAKE_TIMEOUT_S,
+    MAX_PROBE,
+    NO_PROBE,
     PEER_SILENCE_TIMEOUT_S,
+    PROBE_INTERVAL_S,
 )
 
 
@@ -16,12 +21,29 @@
     address: str
     # Monotonic time of the first send.
     first_sent_s: float
-    # Monotonic time of the first send since the last received message or reconnect.
-    unanswered_since_s: float | None
     timeout_s: float
     is_heard: bool
     # Whether the handshake with the peer probably began before it listened.
     must_reopen: bool = False
+    # The last probe sent, and those since the last reply with the monotonic times of
+    # the first message that carried each.
+    last_probe: int = NO_PROBE
+    unanswered_probes: deque[tuple[int, float]] = attrs.field(factory=deque)
+
+    def remove_answered(self, probe: int) -> bool:
+        """Remove a probe and all before it; return False if it is not unanswered."""
+        probes = [sent_probe for sent_probe, _ in self.unanswered_probes]
+        if probe not in probes:
+            return False
+        for _ in range(probes.index(probe) + 1):
+            self.unanswered_probes.popleft()
+        return True
+
+    def is_silent(self, now_s: float) -> bool:
+        if not self.unanswered_probes:
+            return False
+        _, sent_s = self.unanswered_probes[0]
+        return now_s - sent_s > self.timeout_s
 
 
 @attrs.define
@@ -29,9 +51,11 @@
     """Decides when the connection to a peer should be reopened.
 
     A TCP connection can stop carrying data without a reset, and messages sent over it
-    are then lost without an error. Peers reply to each other's messages, so a peer
-    that stays silent while messages are sent to it is reconnected. If the peer is
-    really down, this costs one handshake per timeout.
+    are then lost without an error. Two peers have a connection for each direction, so a
+    message of a peer does not show that the connection to it delivers. Each message
+    therefore carries a probe, and the last probe that came from the recipient as reply.
+    A peer that repeats neither a probe nor a later one in time is reconnected. If the
+    peer is really down, this costs one handshake per timeout.
 
     When all hosts of a deployment start together, the first ones open connections to
     hosts that are still down. So the timeout is shorter until a peer is heard, and its
@@ -40,18 +64,22 @@
     Parameters
     ----------
     silence_timeout_s : float, optional
-        Time in seconds without any message from the peer, counted from the first
-        unanswered send, after which the connection should be reopened.
+        Time in seconds without a reply to a probe, counted from the first message that
+        carried it, after which the connection should be reopened.
     connect_timeout_s : float, optional
         The same before the first message of the peer; doubled with each reopening, up
         to `silence_timeout_s`.
+    last_probe : int, optional
+        Probes are numbered from the next number on, 32 bits. It should differ between
+        runs of a process, as a peer may repeat a probe of an earlier run.
     """
 
     silence_timeout_s: float = PEER_SILENCE_TIMEOUT_S
     connect_timeout_s: float = CONNECT_TIMEOUT_S
+    last_probe: int = NO_PROBE
     _connections: dict[str, _PeerConnection] = attrs.field(factory=dict)
-    # Peers whose first message came before any was sent to them.
-    _heard_first: set[str] = attrs.field(factory=set)
+    # The last probe that came from each peer.
+    _received_probes: dict[str, int] = attrs.field(factory=dict)
 
     def record_send(self, peer_id: str, address: str, now_s: float) -> bool:
         """Record a message about to be sent and check for a silent peer.
@@ -72,30 +100,47 @@
         """
         connection = self._connections.get(peer_id)
         if connection is None or connection.address != address:
-            is_heard = peer_id in self._heard_first
+            is_heard = peer_id in self._received_probes
             connect_s = min(self.connect_timeout_s, self.silence_timeout_s)
-            self._connections[peer_id] = _PeerConnection(
+            connection = _PeerConnection(
                 address,
                 first_sent_s=now_s,
-                unanswered_since_s=now_s,
                 timeout_s=self.silence_timeout_s if is_heard else connect_s,
                 is_heard=is_heard,
             )
-            return False
-        if connection.must_reopen:
+            self._connections[peer_id] = connection
+        must_reopen = connection.must_reopen or connection.is_silent(now_s)
+        if must_reopen:
             connection.must_reopen = False
-            return True
-        if connection.unanswered_since_s is None:
-            connection.unanswered_since_s = now_s
-            return False
-        if now_s - connection.unanswered_since_s <= connection.timeout_s:
-            return False
-        connection.unanswered_since_s = now_s
-        connection.timeout_s = min(2 * connection.timeout_s, self.silence_timeout_s)
-        return True
+            connection.timeout_s = min(2 * connection.timeout_s, self.silence_timeout_s)
+            connection.unanswered_probes.clear()
+        self._add_probe(connection, now_s)
+        return must_reopen
+
+    def find_probes(self, peer_id: str) -> tuple[int, int]:
+        """Return what a message that was recorded with `record_send` has to carry.
 
-    def record_receive(self, peer_id: str, now_s: float) -> None:
-        """Record a message received from a peer; its pending timeout is cleared.
+        Parameters
+        ----------
+        peer_id : str
+            Identity of the recipient.
+
+        Returns
+        -------
+        tuple of (int, int)
+            The probe, and the last probe that came from the recipient.
+        """
+        connection = self._connections[peer_id]
+        return connection.last_probe, self._received_probes.get(peer_id, NO_PROBE)
+
+    def record_receive(
+        self,
+        peer_id: str,
+        now_s: float,
+        probe: int = NO_PROBE,
+        probe_reply: int = NO_PROBE,
+    ) -> None:
+        """Record a message received from a peer and the probe that it repeats.
 
         Parameters
         ----------
@@ -103,14 +148,29 @@
             Identity of the sender.
         now_s : float
             Monotonic time in seconds.
+        probe : int, optional
+            Probe of the sender. Earlier builds send none; each of their messages counts
+            as a reply.
+        probe_reply : int, optional
+            The last probe that the sender has received from this process.
         """
+        self._received_probes[peer_id] = probe
         connection = self._connections.get(peer_id)
         if connection is None:
-            self._heard_first.add(peer_id)
             return
+        has_replied = connection.remove_answered(probe_reply)
+        if probe == NO_PROBE:
+            connection.unanswered_probes.clear()
         if not connection.is_heard:
             elapsed_s = now_s - connection.first_sent_s
-            connection.must_reopen = elapsed_s > HANDSHAKE_TIMEOUT_S
+            connection.must_reopen = not has_replied and elapsed_s > HANDSHAKE_TIMEOUT_S
         connection.is_heard = True
-        connection.unanswered_since_s = None
         connection.timeout_s = self.silence_timeout_s
+
+    def _add_probe(self, connection: _PeerConnection, now_s: float) -> None:
+        unanswered = connection.unanswered_probes
+        if unanswered and now_s - unanswered[-1][1] < PROBE_INTERVAL_S:
+            return
+        self.last_probe = self.last_probe % MAX_PROBE + 1
+        connection.last_probe = self.last_probe
+        unanswered.append((self.last_probe, now_s))
--- a/tests/transport/silent_proxy.py
+++ b/tests/transport/silent_proxy.py
@@ -30,14 +30,14 @@
         self.connections = 0
         self._target = _parse_address(target)
         self._silent: set[int] = set()
-        self._pool = eventlet.GreenPool()
+        self._tasks: list[eventlet.greenthread.GreenThread] = []
         self._sockets: list[socket.socket] = []
 
     def __enter__(self) -> Self:
         """Start to accept connections."""
         listener = eventlet.listen(_parse_address(self.address))
         self._sockets.append(listener)
-        self._pool.spawn_n(self._accept, listener)
+        self._tasks.append(eventlet.spawn(self._accept, listener))
         return self
 
     def __exit__(
@@ -47,8 +47,9 @@
         trace: TracebackType | None,
     ) -> None:
         """Close all connections."""
+        for task in self._tasks:
+            task.kill()
         for sock in self._sockets:
-            eventlet.greenio.shutdown_safe(sock)
             sock.close()
 
     def silence_open_connections(self) -> None:
@@ -57,15 +58,13 @@
 
     def _accept(self, listener: socket.socket) -> None:
         while True:
-            try:
-                caller, _ = listener.accept()
-            except (OSError, EOFError):
-                return
+            caller, _ = listener.accept()
             self.connections += 1
             target = eventlet.connect(self._target)
             self._sockets += [caller, target]
             for source, sink in ((caller, target), (target, caller)):
-                self._pool.spawn_n(self._forward, self.connections, source, sink)
+                task = eventlet.spawn(self._forward, self.connections, source, sink)
+                self._tasks.append(task)
 
     def _forward(self, number: int, source: socket.socket, sink: socket.socket) -> None:
         try:
@@ -74,7 +73,8 @@
                     sink.sendall(data)
             if number not in self._silent:
                 eventlet.greenio.shutdown_safe(sink)
-        except (OSError, EOFError):
+        except OSError:
+            # The other side has closed the connection.
             return
 
 
