Answer 502 if a relayed answer breaks before its body

Callers of an isolated entry got 500 and a body of the server's own, framed as whole, when the entry that served them ended between the head of its answer and the first byte of its body.

Cause: the head was passed on before anything of the body was read, so the error came when only eventlet's server could answer it.

Change: the relay reads the first part of the body first; until then a broken answer is a failure like any other: 502, since the call may have run.

Evidence: test_a_relayed_answer_cut_anywhere_in_its_head_is_no_success failed at the end of the head and passes.

--- a/chestnutvale/programs/entry/peers/relay.py
+++ b/chestnutvale/programs/entry/peers/relay.py
@@ -65,6 +65,8 @@
     ----------
     exchange : PeerExchange
         The exchange whose answer it reads.
+    first_part : bytes
+        What was read of the body before; empty if the body is.
     deadline_s : float
         Monotonic time in seconds until which it reads.
     resources : ExitStack
@@ -74,10 +76,12 @@
     def __init__(
         self,
         exchange: PeerExchange,
+        first_part: bytes,
         deadline_s: float,
         resources: contextlib.ExitStack,
     ) -> None:
         self._exchange = exchange
+        self._first_part = first_part
         self._deadline_s = deadline_s
         self._resources = resources
 
@@ -85,8 +89,10 @@
         """Yield the parts of the body as they arrive."""
         with self._resources:
             try:
-                while data := self._exchange.read(self._deadline_s):
+                data, self._first_part = self._first_part, b""
+                while data:
                     yield data
+                    data = self._exchange.read(self._deadline_s)
             except (EndpointBrokenError, EndpointSilentError) as error:
                 raise AnswerBrokenError(error.message) from error
 
@@ -114,7 +120,7 @@
     def relay(
         self, call: RoutedCall, environ: dict[str, Any]
     ) -> RelayedAnswer | Failure:
-        """Pass a call on and wait for the head of the answer.
+        """Pass a call on and wait until the body of the answer begins.
 
         Parameters
         ----------
@@ -148,6 +154,8 @@
             deadline_s = call.call_request.deadline_s + PEER_ANSWER_MARGIN_S
             try:
                 head = self._send(call, exchange, deadline_s)
+                # Until the body begins, an error status can still tell that it broke.
+                first_part = exchange.read(deadline_s)
             except (EndpointBrokenError, EndpointSilentError) as error:
                 if watch.is_disconnected:
                     return _make_caller_gone_failure(OUTCOME_UNKNOWN)
@@ -156,7 +164,7 @@
                 return Failure(
                     code, OUTCOME_UNKNOWN, error.message, error.step, exchange.address
                 )
-            body = RelayedBody(exchange, deadline_s, resources.pop_all())
+            body = RelayedBody(exchange, first_part, deadline_s, resources.pop_all())
             return RelayedAnswer(head, body)
 
     def _connect(
--- a/tests/programs/control/test_order_sender.py
+++ b/tests/programs/control/test_order_sender.py
@@ -78,3 +78,10 @@
 def test_unreachable_host_is_reported():
     order = SendOrder("h1", "127.0.0.1:1", Order(order_id="o1"), 1e12)
     assert OrderSender(SystemClock()).send(order) == OrderOutcome.UNREACHABLE
+
+
+def test_answer_cut_anywhere_in_its_head_leaves_the_outcome_open():
+    endpoint = ScriptedEndpoint()
+    for size in range(len(SIZED_OK)):
+        endpoint.default = cut(SIZED_OK[:size])
+        assert send(endpoint) == OrderOutcome.UNREACHABLE, size
--- a/tests/programs/entry/routed/test_isolated_entry.py
+++ b/tests/programs/entry/routed/test_isolated_entry.py
@@ -5,6 +5,7 @@
 from eventlet.green import socket
 
 from chestnutvale.routing.const import ISOLATION_CONFIRMATION_S
+from tests.http_client.answer_faults import cut
 from tests.programs.entry.entry_fakes import wait_until
 from tests.programs.entry.routed.routed_fakes import (
     ScriptedEndpoint,
@@ -120,3 +121,15 @@
     assert status == 200
     assert int(endpoint.header("x-left")) <= 900
     assert endpoint.header("x-workspace") == "ws-1"
+
+
+def test_a_relayed_answer_cut_anywhere_in_its_head_is_no_success():
+    answer = complete_answer(b"done")
+    head_bytes = answer.index(b"done")
+    peer = ScriptedEndpoint()
+    with isolated_entry(ScriptedEndpoint()) as entry, peer.serve() as peer_address:
+        entry.context.peers = [peer_address]
+        for size in range(1, head_bytes + 1):
+            peer.default = cut(answer[:size])
+            status, _, body, _ = call(entry.address, "/once/x", b"a")
+            assert (status, body) == (502, b""), size
--- a/tests/programs/entry/test_endpoint_exchange.py
+++ b/tests/programs/entry/test_endpoint_exchange.py
@@ -39,6 +39,10 @@
     "trickled interim heads": trickle(b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
     "endless head": flood(OK_HEAD, b"X-More: x\r\n"),
     "endless interim heads": flood(b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    "cut in the status line": cut(OK_HEAD[:-6]),
+    "cut before a header": cut(OK_HEAD),
+    "cut in a header": cut(OK_HEAD + b"Content-Len"),
+    "cut in the blank line": cut(CHUNKED_HEAD[:-1]),
 }
 BODY_FAULTS = {
     "trickled body": trickle(OK_HEAD + b"\r\n", b"x"),
