Answer requests that a stop would cut without an answer

Callers whose request came late in the grace time of an entry that stops, among them calls that may run only once, saw their connection close without an answer.

Cause: at the deadline of a stop the server ended the tasks of all connections, whether or not an answer had begun.

Change: a quarter of a second before the deadline, requests without an answer get one: 503 if their body has not arrived, since nothing is passed on before, otherwise 502. Answers that have begun are cut as before.

Evidence: two tests in tests/http_server/test_server.py fail without the change (a request that waits, one whose body is half read) and pass with it; an answer that comes in time stays whole.

--- a/chestnutvale/http_server/body.py
+++ b/chestnutvale/http_server/body.py
@@ -7,12 +7,14 @@
 
 from chestnutvale.clock import Clock
 from chestnutvale.http_server.const import (
+    CODE_SERVER_STOPPING,
     MAX_CHUNK_LINE_BYTES,
     REFUSED_BODY_MALFORMED,
     REFUSED_BODY_TOO_LARGE,
     REFUSED_BODY_TOO_SLOW,
 )
 from chestnutvale.http_server.exceptions import HttpRequestError
+from chestnutvale.http_server.running_requests import ServerStoppingError
 
 _CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(;[^\r\n]*)?\r?\n")
 
@@ -129,7 +131,7 @@
         Raises
         ------
         HttpRequestError
-            If the body is too large, too slow or malformed.
+            If the body is too large, too slow or malformed, or the server stops.
         """
         return self._read_limited(self._source.read, size)
 
@@ -194,5 +196,10 @@
                 return reader(size)
         except TimeoutError as error:
             raise too_slow from error
+        except ServerStoppingError as error:
+            # A handler passes nothing on before it has read the whole body.
+            raise HttpRequestError(
+                503, CODE_SERVER_STOPPING, "the server stops before the body arrived"
+            ) from error
         except (OSError, ValueError) as error:
             raise HttpRequestError(400, REFUSED_BODY_MALFORMED, str(error)) from error
--- a/chestnutvale/http_server/const.py
+++ b/chestnutvale/http_server/const.py
@@ -24,6 +24,8 @@
 # few times the latency to clients of the region.
 FIRST_REQUEST_GRACE_S: Final = 0.1
 STOP_POLL_INTERVAL_S: Final = 0.01
+# Time before the deadline of a stop at which requests without an answer get one.
+STOP_ANSWER_MARGIN_S: Final = 0.25
 
 ENVIRON_CLOSE_CONNECTION: Final = "chestnutvale.close_connection"
 # Callable that reserves memory for a number of bytes of the request's body; returns
@@ -43,3 +45,4 @@
 REFUSED_BODY_TOO_LARGE: Final = "body_too_large"
 REFUSED_BODY_TOO_SLOW: Final = "body_too_slow"
 REFUSED_BODY_MALFORMED: Final = "body_malformed"
+CODE_SERVER_STOPPING: Final = "server_stopping"
--- a/chestnutvale/http_server/limits.py
+++ b/chestnutvale/http_server/limits.py
@@ -2,14 +2,17 @@
 
 from collections import Counter
 from collections.abc import Callable, Iterable
+from functools import partial
 from typing import Any
 
 from chestnutvale.clock import Clock
 from chestnutvale.http_server.body import LimitedInput
 from chestnutvale.http_server.const import (
+    CODE_SERVER_STOPPING,
     ENVIRON_CLOSE_CONNECTION,
     ENVIRON_RESERVE_MEMORY,
     OUTCOME_NOT_RUN,
+    OUTCOME_UNKNOWN,
     REFUSED_BODY_MALFORMED,
     REFUSED_BODY_TOO_LARGE,
     REFUSED_HEADERS_TOO_LARGE,
@@ -17,10 +20,22 @@
 from chestnutvale.http_server.exceptions import HttpRequestError
 from chestnutvale.http_server.memory import MemoryBound
 from chestnutvale.http_server.problem import Problem
+from chestnutvale.http_server.running_requests import (
+    RunningRequests,
+    ServerStoppingError,
+)
 from chestnutvale.schema.settings_pb2 import HttpLimits
 
 CHUNKED = "chunked"
 
+# The handler may have passed the request on.
+_STOPPING_PROBLEM = Problem(
+    status=502,
+    code=CODE_SERVER_STOPPING,
+    detail="the server stops before the request has ended",
+    outcome=OUTCOME_UNKNOWN,
+)
+
 WsgiApp = Callable[[dict[str, Any], Any], Iterable[bytes]]
 
 
@@ -82,8 +97,8 @@
     ----------
     draining : bool
         If True, each connection is closed after its next answer.
-    running_requests : int
-        Number of requests whose answer is not complete.
+    running : RunningRequests
+        The requests whose answer is not complete.
     refused : Counter
         Number of refused requests by reason.
     """
@@ -92,7 +107,7 @@
         self, app: WsgiApp, limits: HttpLimits, clock: Clock, memory: MemoryBound
     ) -> None:
         self.draining = False
-        self.running_requests = 0
+        self.running = RunningRequests()
         self.refused: Counter[str] = Counter()
         self._app = app
         self._limits = limits
@@ -103,14 +118,15 @@
         """Answer one request, with a problem document if it exceeds a limit."""
 
         def start_answer(*arguments: Any) -> Any:
+            request.has_answer = True
             if self.draining:
                 environ[ENVIRON_CLOSE_CONNECTION]()
             return start_response(*arguments)
 
-        self.running_requests += 1
+        request = self.running.add()
         body = _BodyMemory(self._memory)
         hooks = environ["eventlet.posthooks"]
-        hooks.append((self._count_finished_request, (), {}))
+        hooks.append((partial(self.running.remove, request), (), {}))
         hooks.append((body.release, (), {}))
         environ[ENVIRON_RESERVE_MEMORY] = body.reserve
         try:
@@ -119,9 +135,8 @@
             return self._app(environ, start_answer)
         except HttpRequestError as error:
             return self._refuse(error, environ, start_answer)
-
-    def _count_finished_request(self, environ: dict[str, Any]) -> None:
-        self.running_requests -= 1
+        except ServerStoppingError:
+            return _STOPPING_PROBLEM.respond(start_answer)
 
     def _check_head(self, environ: dict[str, Any]) -> None:
         _check_framing(environ)
--- a/chestnutvale/http_server/server.py
+++ b/chestnutvale/http_server/server.py
@@ -14,6 +14,7 @@
 from chestnutvale.http_server.const import (
     BACKLOG_CONNECTIONS,
     MINIMUM_CHUNK_BYTES,
+    STOP_ANSWER_MARGIN_S,
     STOP_POLL_INTERVAL_S,
 )
 from chestnutvale.http_server.exceptions import (
@@ -104,7 +105,7 @@
     @property
     def running_requests(self) -> int:
         """Number of requests whose answer is not complete."""
-        return self._app.running_requests
+        return len(self._app.running)
 
     @property
     def open_connections(self) -> int:
@@ -163,6 +164,9 @@
     def stop(self, deadline_s: float) -> int:
         """Stop accepting, wait for running requests and close all connections.
 
+        Shortly before the deadline, requests whose answers have not begun are answered
+        with an error; answers that have begun are cut at the deadline.
+
         Parameters
         ----------
         deadline_s : float
@@ -171,7 +175,7 @@
         Returns
         -------
         int
-            Number of aborted requests.
+            Number of requests that were ended so.
         """
         self.begin_drain()
         if self._task is not None:
@@ -184,17 +188,24 @@
         self._idle.close()
         # The requests that have arrived on idle connections are read now.
         eventlet.sleep(0)
-        while self._has_requests() and self._clock.now_s() < deadline_s:
-            eventlet.sleep(STOP_POLL_INTERVAL_S)
-        aborted_requests = self.running_requests
-        if aborted_requests:
+        self._wait_for_requests(deadline_s - STOP_ANSWER_MARGIN_S)
+        interrupted_requests = self._app.running.interrupt_unanswered()
+        self._wait_for_requests(deadline_s)
+        cut_requests = self.running_requests
+        if interrupted_requests or cut_requests:
             _LOGGER.warning(
-                "Shutdown deadline reached: aborted {} running requests on {}",
-                aborted_requests,
+                "Shutdown deadline reached on {}: {} requests had no answer, and {} "
+                "were cut",
                 self.address,
+                interrupted_requests,
+                cut_requests,
             )
         self._connections.kill_all()
-        return aborted_requests
+        return interrupted_requests + cut_requests
+
+    def _wait_for_requests(self, until_s: float) -> None:
+        while self._has_requests() and self._clock.now_s() < until_s:
+            eventlet.sleep(STOP_POLL_INTERVAL_S)
 
     def _has_requests(self) -> bool:
         return bool(self._receiving or self.running_requests)
--- a/tests/http_server/test_server.py
+++ b/tests/http_server/test_server.py
@@ -19,8 +19,8 @@
 class App:
     """Reports the size of each request body, with special paths for the tests.
 
-    ``/stream`` waits for the test between its two chunks, ``/unread`` leaves the
-    body unread and ``/fail`` raises an error.
+    ``/stream`` waits for the test between its two chunks, ``/wait`` before its answer,
+    ``/unread`` leaves the body unread and ``/fail`` raises an error.
     """
 
     def __init__(self):
@@ -40,6 +40,8 @@
         body = (
             b"" if environ["PATH_INFO"] == "/unread" else environ["wsgi.input"].read()
         )
+        if environ["PATH_INFO"] == "/wait":
+            self.resume_stream.wait()
         if environ["PATH_INFO"] == "/fail":
             raise ValueError("secret detail")
         start_response("200 OK", [])
@@ -306,6 +308,44 @@
     assert b"last" not in read_all(client)
 
 
+def test_request_without_an_answer_at_the_deadline_of_a_stop_gets_an_error(serve):
+    server = serve()
+    client = connect(server)
+    client.sendall(b"GET /wait HTTP/1.1\r\n\r\n")
+    reader = eventlet.spawn(read_all, client)
+    eventlet.sleep(0.05)
+    started_s = time.monotonic()
+    assert server.stop(started_s + 0.6) == 1
+    assert time.monotonic() - started_s < 0.6 + 0.1
+    answer = reader.wait()
+    assert answer.startswith(b"HTTP/1.1 502 ")
+    assert parse_problem(answer)["outcome"] == "unknown"
+    assert b"Connection: close" in answer
+
+
+def test_request_whose_body_is_late_at_the_deadline_of_a_stop_has_not_run(serve, app):
+    server = serve()
+    client = connect(server)
+    client.sendall(b"POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf")
+    reader = eventlet.spawn(read_all, client)
+    eventlet.sleep(0.05)
+    assert server.stop(time.monotonic() + 0.6) == 1
+    answer = reader.wait()
+    assert answer.startswith(b"HTTP/1.1 503 ")
+    assert parse_problem(answer)["outcome"] == "not_run"
+
+
+def test_answer_that_comes_before_the_deadline_of_a_stop_is_whole(serve, app):
+    server = serve()
+    client = connect(server)
+    client.sendall(b"GET /wait HTTP/1.1\r\n\r\n")
+    reader = eventlet.spawn(read_all, client)
+    eventlet.sleep(0.05)
+    eventlet.spawn_after(0.2, app.resume_stream.send)
+    assert server.stop(time.monotonic() + 0.8) == 0
+    assert reader.wait().startswith(b"HTTP/1.1 200 ")
+
+
 def test_client_disconnect_is_not_logged_as_an_error(serve, app):
     server = serve()
     client = start_stream(server)
