Refuse calls that outlast the stop of an entry before they are sent

Callers of an entry that stops had requests taken and passed on that could not end within its grace time, among them calls that may run only once; their outcome was then unknown.

Cause: an entry that drains took each call with its whole deadline, as at other times.

It answers the load of calls on kept connections, of a balancer that has not noticed, and of slow bodies; calls passed on by an isolated entry are checked in the same way at both entries.

--- /dev/null
+++ b/chestnutvale/admission/stop_window.py
@@ -0,0 +1,87 @@
+"""Decides which calls an entry that stops still takes."""
+
+import math
+
+import attrs
+
+from chestnutvale.admission.const import (
+    EXPECTED_DURATION_QUANTILE,
+    MS_PER_S,
+    PREDICTION_MIN_WEIGHT,
+)
+from chestnutvale.admission.prediction import DecayingHistogram
+
+
+@attrs.define
+class StopWindow:
+    """Takes a call only if its answer is likely to be complete before the stop.
+
+    This answers the load of calls that arrive while an entry drains: on connections
+    that callers keep open, from a balancer that has not noticed the stop, or with a
+    body that takes long. Another entry serves a call that is refused before anything
+    is sent; one that is sent and cut may have run.
+
+    Attributes
+    ----------
+    ends_at_s : float
+        Monotonic time in seconds by which all calls must have ended; infinite unless
+        the entry stops.
+    """
+
+    ends_at_s: float = math.inf
+    _durations: dict[str, DecayingHistogram] = attrs.field(factory=dict)
+
+    def record_answer(self, service: str, duration_s: float) -> None:
+        """Record a complete answer.
+
+        Parameters
+        ----------
+        service : str
+            Service that was called.
+        duration_s : float
+            Time in seconds from the arrival of the call to the end of its answer.
+        """
+        histogram = self._durations.setdefault(service, DecayingHistogram())
+        histogram.add(math.ceil(duration_s * MS_PER_S))
+
+    def may_take(self, service: str, deadline_s: float, now_s: float) -> bool:
+        """Tell whether a call can be expected to end before the stop.
+
+        Parameters
+        ----------
+        service : str
+            Service that is called.
+        deadline_s : float
+            Deadline of the call as monotonic time in seconds.
+        now_s : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        bool
+            True unless the entry stops first. Without enough answers of the service a
+            call is expected to last until its deadline.
+        """
+        expected_end_s = min(deadline_s, now_s + self._expected_s(service))
+        return expected_end_s <= self.ends_at_s
+
+    def limit_deadline(self, deadline_s: float) -> float:
+        """Return the deadline of a call that is taken, at most the end of the window.
+
+        Parameters
+        ----------
+        deadline_s : float
+            Deadline that the call would have otherwise, monotonic time in seconds.
+
+        Returns
+        -------
+        float
+            Monotonic time in seconds.
+        """
+        return min(deadline_s, self.ends_at_s)
+
+    def _expected_s(self, service: str) -> float:
+        histogram = self._durations.get(service)
+        if histogram is None or histogram.weight < PREDICTION_MIN_WEIGHT:
+            return math.inf
+        return histogram.quantile(EXPECTED_DURATION_QUANTILE) / MS_PER_S
--- a/chestnutvale/programs/entry/call_validation.py
+++ b/chestnutvale/programs/entry/call_validation.py
@@ -28,6 +28,9 @@
 CHUNKED_READ_BYTES = 64 * 1024
 # Retry-After of a call for whose body there is no memory; others end within that time.
 NO_MEMORY_RETRY_AFTER_S = 1.0
+CODE_ENTRY_STOPPING = "entry_stopping"
+# Retry-After of a call at an entry that stops; another entry can take it at once.
+STOPPING_RETRY_AFTER_S = 0.05
 
 
 class CallRefusedError(Exception):
@@ -293,6 +296,46 @@
     return OUTCOME_UNKNOWN if has_key else OUTCOME_NOT_RUN
 
 
+def limit_to_stop(
+    context: CallContext,
+    service: str,
+    deadline_s: float,
+    outcome: str = OUTCOME_NOT_RUN,
+) -> float:
+    """Check that a call is likely to end before the entry stops, if it does.
+
+    Parameters
+    ----------
+    context : CallContext
+        Services of the entry.
+    service : str
+        Service that is called.
+    deadline_s : float
+        Deadline of the call as monotonic time in seconds.
+    outcome : str, optional
+        Outcome to report if the call is refused.
+
+    Returns
+    -------
+    float
+        Deadline of the call, not after the stop; monotonic time in seconds.
+
+    Raises
+    ------
+    CallRefusedError
+        If the entry stops before.
+    """
+    window = context.stop_window
+    if not window.may_take(service, deadline_s, context.clock.now_s()):
+        raise make_refusal(
+            CODE_ENTRY_STOPPING,
+            "this entry stops before the answer is likely to be complete",
+            outcome=outcome,
+            retry_after_s=STOPPING_RETRY_AFTER_S,
+        )
+    return window.limit_deadline(deadline_s)
+
+
 def check_lease(context: CallContext, outcome: str = OUTCOME_NOT_RUN) -> None:
     """Check that the entry may take calls.
 
--- a/chestnutvale/programs/entry/const.py
+++ b/chestnutvale/programs/entry/const.py
@@ -2,6 +2,8 @@
 
 from typing import Final
 
+from chestnutvale.http_server.const import STOP_ANSWER_MARGIN_S
+
 # Time without an answer after which a commit request is sent again.
 COMMIT_RESEND_INTERVAL_MS: Final = 400
 # Minimum time between two reports that are triggered by changes.
@@ -19,6 +21,9 @@
 # Time by which the timeouts of callers' connections exceed those of the configuration.
 # A request that a caller sends at the last moment arrives and is read within it.
 CALLER_TIMEOUT_MARGIN_S: Final = 2.0
+# Time before the deadline of a shutdown by which calls taken during it must have ended.
+# It exceeds the time at which the server answers requests without an answer.
+STOP_ANSWER_TIME_S: Final = 2 * STOP_ANSWER_MARGIN_S
 # Interval of the checks for unfinished work during a shutdown.
 DRAIN_POLL_INTERVAL_S: Final = 0.05
 INCARNATION_SALT_BITS: Final = 32
--- a/chestnutvale/programs/entry/context.py
+++ b/chestnutvale/programs/entry/context.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from chestnutvale.admission.stop_window import StopWindow
 from chestnutvale.attempts.retry_budget import AttemptBudgets
 from chestnutvale.attempts.suspicion import SuspicionTracker
 from chestnutvale.clock import Clock
@@ -238,6 +239,8 @@
         Detects groups whose streams have stalled.
     has_crashed : CrashProbe
         Distinguishes a crashed group from a single broken stream.
+    stop_window : StopWindow
+        Decides which calls the entry still takes while it stops.
     """
 
     entry_id: str
@@ -250,6 +253,7 @@
     running: RunningAttempts
     stall_detector: StallDetector
     has_crashed: CrashProbe
+    stop_window: StopWindow
 
     @property
     def is_isolated(self) -> bool:
--- a/chestnutvale/programs/entry/daemon.py
+++ b/chestnutvale/programs/entry/daemon.py
@@ -25,6 +25,7 @@
     DRAIN_POLL_INTERVAL_S,
     HOUSEKEEPING_INTERVAL_S,
     INCARNATION_SALT_BITS,
+    STOP_ANSWER_TIME_S,
 )
 from chestnutvale.programs.entry.control_link import ControlLink
 from chestnutvale.programs.entry.demand_exchange import DemandExchange
@@ -230,6 +231,7 @@
             Number of calls that were aborted at the deadline.
         """
         deadline_s = self._clock.now_s() + self.settings.shutdown_timeout_ms / 1_000
+        self.context.stop_window.ends_at_s = deadline_s - STOP_ANSWER_TIME_S
         self.link.draining = True
         self.link.trigger_report()
         for server in self._call_servers:
--- a/chestnutvale/programs/entry/entry_context.py
+++ b/chestnutvale/programs/entry/entry_context.py
@@ -12,6 +12,7 @@
 
 from chestnutvale.admission.messages import ServiceCapacity, ServiceLimits
 from chestnutvale.admission.service_flow import ServiceFlow
+from chestnutvale.admission.stop_window import StopWindow
 from chestnutvale.attempts.retry_budget import AttemptBudgets
 from chestnutvale.attempts.suspicion import SuspicionTracker
 from chestnutvale.clock import Clock
@@ -109,6 +110,7 @@
         self.rng = rng
         self.admission = gate
         self.budgets = AttemptBudgets()
+        self.stop_window = StopWindow()
         self.suspicions = SuspicionTracker()
         self.running = RunningAttempts()
         self.stall_detector = StallDetector()
--- a/chestnutvale/programs/entry/model_calls.py
+++ b/chestnutvale/programs/entry/model_calls.py
@@ -42,6 +42,7 @@
     check_dependencies,
     check_lease,
     find_service,
+    limit_to_stop,
     make_bad_call_refusal,
     read_body,
     read_call_headers,
@@ -206,7 +207,9 @@
             prompt=generation.prompt_bytes(),
             max_tokens=generation.max_tokens,
             adapter=generation.adapter,
-            deadline_s=call_headers.deadline_s(service),
+            deadline_s=limit_to_stop(
+                self._context, generation.service, call_headers.deadline_s(service)
+            ),
         )
         return generation, request
 
--- a/chestnutvale/programs/entry/routed/handler.py
+++ b/chestnutvale/programs/entry/routed/handler.py
@@ -35,6 +35,7 @@
 from chestnutvale.programs.entry.call_validation import (
     DEFAULT_MAX_BODY_BYTES,
     CallRefusedError,
+    limit_to_stop,
     make_refusal,
     read_body,
 )
@@ -197,7 +198,9 @@
             prompt=b"",
             max_tokens=request.max_tokens,
             adapter="",
-            deadline_s=received_s + _find_time_limit_s(request, route),
+            deadline_s=limit_to_stop(
+                context, service, received_s + _find_time_limit_s(request, route)
+            ),
             start_by_s=now_s + _find_queue_timeout_s(route),
             target_s=now_s + route.target_latency_ms / 1_000
             if route.target_latency_ms
@@ -294,6 +297,7 @@
             environ,
             call.part_hashes,
         )
+        received_s = self._context.clock.now_s()
         pieces = run.iterate()
         first = next(pieces, None)
         if first is None and self._may_relay(run.failure):
@@ -307,10 +311,14 @@
             _make_status_line(head.status, head.reason),
             _drop_connection_headers(head.headers),
         )
-        return self._iterate_stream(run, first, pieces)
+        return self._iterate_stream(run, first, pieces, received_s)
 
     def _iterate_stream(
-        self, run: ModelCallRun, first: bytes | None, pieces: Iterator[bytes]
+        self,
+        run: ModelCallRun,
+        first: bytes | None,
+        pieces: Iterator[bytes],
+        received_s: float,
     ) -> Iterator[bytes]:
         with contextlib.closing(pieces):
             if first is not None:
@@ -327,6 +335,11 @@
                 },
             )
             raise AnswerBrokenError(run.failure.message)
+        self._record_answer(run.request.service, received_s)
+
+    def _record_answer(self, service: str, received_s: float) -> None:
+        duration_s = self._context.clock.now_s() - received_s
+        self._context.stop_window.record_answer(service, duration_s)
 
     def _answer_failed_stream(
         self,
@@ -378,8 +391,10 @@
             fingerprint=call.fingerprint,
             part_hashes=call.part_hashes,
         )
+        received_s = self._context.clock.now_s()
         answer = self._service_handler.admit_and_run(run, call.call_request, environ)
         if isinstance(answer, Reply):
+            self._record_answer(call.call_request.service, received_s)
             recorded = answer.answer
             headers = list(
                 zip(recorded.header_names, recorded.header_values, strict=True)
--- a/chestnutvale/programs/entry/service_calls.py
+++ b/chestnutvale/programs/entry/service_calls.py
@@ -22,6 +22,7 @@
     check_dependencies,
     check_lease,
     find_service,
+    limit_to_stop,
     outcome_without_ledger,
     read_body,
     read_call_headers,
@@ -122,7 +123,9 @@
             prompt=b"",
             max_tokens=0,
             adapter="",
-            deadline_s=call_headers.deadline_s(service),
+            deadline_s=limit_to_stop(
+                context, request.service, call_headers.deadline_s(service), outcome
+            ),
         )
         run = ServiceRun(
             context,
--- a/tests/programs/entry/entry_fakes.py
+++ b/tests/programs/entry/entry_fakes.py
@@ -9,6 +9,7 @@
 from eventlet import wsgi
 from eventlet.green import socket
 
+from chestnutvale.admission.stop_window import StopWindow
 from chestnutvale.attempts.retry_budget import AttemptBudgets
 from chestnutvale.attempts.suspicion import SuspicionTracker
 from chestnutvale.clock import SystemClock
@@ -61,6 +62,7 @@
         self.rng = random.Random(f"{entry_id}-{seed}")
         self.admission = AdmitAll()
         self.budgets = AttemptBudgets()
+        self.stop_window = StopWindow()
         self.suspicions = SuspicionTracker()
         self.running = RunningAttempts()
         self.has_crashed = has_crashed
