--- a/tests/consensus/loss_schedules.py
+++ b/tests/consensus/loss_schedules.py
@@ -19,6 +19,20 @@
 LOSS_PROBABILITY = 0.2
 
 
+def make_cluster(seed, **config):
+    """Return a cluster with the timeouts of a deployment with five controls."""
+    return Cluster(
+        CONTROLS,
+        seed,
+        replaces_members=True,
+        voter_lost_ms=2_500,
+        maintenance_interval_s=0.25,
+        election_timeout_s=0.5,
+        heartbeat_interval_s=0.125,
+        **config,
+    )
+
+
 @attrs.define
 class LossSchedule:
     """Loses and replaces machines of a cluster within the tolerated number.
--- a/tests/consensus/test_voter_replacement.py
+++ b/tests/consensus/test_voter_replacement.py
@@ -2,26 +2,12 @@
 
 import pytest
 
-from tests.consensus.driver import Cluster
-from tests.consensus.loss_schedules import CONTROLS, LossSchedule
+from tests.consensus.loss_schedules import LossSchedule, make_cluster
 
 FAULTS_S = 25.0
 RECOVERY_S = 5.0
 
 
-def make_cluster(seed):
-    """Return a cluster with the timeouts of a deployment with five controls."""
-    return Cluster(
-        CONTROLS,
-        seed,
-        replaces_members=True,
-        voter_lost_ms=2_500,
-        maintenance_interval_s=0.25,
-        election_timeout_s=0.5,
-        heartbeat_interval_s=0.125,
-    )
-
-
 @pytest.mark.parametrize("seed", range(60))
 def test_quorum_outlives_tolerated_losses_whoever_leads(seed):
     cluster = make_cluster(seed)
