Write what a start has read to disk before it counts as durable

A configuration that was acknowledged could come back older, or a control never start again, after a process was killed in the middle of a write, came back, and the machine lost power before the next write.

Cause: what a process writes survives its end without a sync, and the next process took all that it read as durable. Its member confirmed entries to the leader, and kept votes, that the disk did not have. The class is a frame that is counted as durable and isn't.

Change: a start syncs the folder and its parent, and writes the last segment anew. A sync of the old file would not do after a failed one, whose pages count as written.

--- a/chestnutvale/storage/segments.py
+++ b/chestnutvale/storage/segments.py
@@ -7,7 +7,12 @@
 from google.protobuf.message import DecodeError
 
 from chestnutvale.schema.raft_pb2 import HardState, LogBatch, LogEntry, LogPosition
-from chestnutvale.storage.const import MIN_SEGMENT_BYTES, SEGMENT_BYTES, SEGMENT_PATTERN
+from chestnutvale.storage.const import (
+    MIN_SEGMENT_BYTES,
+    SEGMENT_BYTES,
+    SEGMENT_PATTERN,
+    TEMPORARY_SUFFIX,
+)
 from chestnutvale.storage.exceptions import StorageCorruptError
 from chestnutvale.storage.file_system import FileSystem
 from chestnutvale.storage.frames import Frame, encode_frame, read_frames
@@ -138,11 +143,19 @@
             self._file_system.remove(path)
             self._file_system.sync_folder(self._folder)
             return
-        if end < len(data):
-            self._file_system.truncate(path, end)
+        if is_last:
+            self._make_durable(path, data[:end])
         self.segments.append(Segment(path, self.content.last.index))
         self._size_bytes = end
 
+    def _make_durable(self, path: Path, data: bytes) -> None:
+        """Write the last segment again, without a torn tail, and sync it.
+
+        An earlier process may have ended before a sync, or after a failed one, which
+        leaves data in memory that another sync does not write.
+        """
+        self._file_system.replace_file(path, [data], TEMPORARY_SUFFIX)
+
     def _add_frame(self, path: Path, frame: Frame, *, is_first: bool) -> None:
         offset = frame.offset_bytes
         try:
--- a/chestnutvale/storage/store.py
+++ b/chestnutvale/storage/store.py
@@ -138,6 +138,9 @@
     # Reading the folder.
 
     def _load(self) -> None:
+        # An earlier process may have ended before it synced the names of its files.
+        self._file_system.sync_folder(self._folder)
+        self._file_system.sync_folder(self._folder.parent)
         self._snapshots.load()
         self._log.load()
         path = self._folder / IDENTITY_FILE
@@ -185,7 +188,6 @@
         identity = Identity(cluster_id=self._settings.cluster_id, member_id=member_id)
         frame = encode_frame(0, identity.SerializeToString())
         self._file_system.replace_file(path, [frame], TEMPORARY_SUFFIX)
-        self._file_system.sync_folder(self._folder.parent)
         self.member_id = member_id
 
     def _make_state(self, content: LogContent) -> StoredState:
--- a/tests/storage/test_store.py
+++ b/tests/storage/test_store.py
@@ -77,6 +77,10 @@
         self.new_names[target] = source
         self.synced_bytes[target] = self.synced_bytes.pop(source)
 
+    def truncate(self, path, size_bytes):
+        super().truncate(path, size_bytes)
+        self.synced_bytes[path] = size_bytes
+
     def remove(self, path):
         self._count()
         if path.exists():
@@ -389,6 +393,22 @@
         crash_everywhere(tmp_path / "off", syncs=False)
 
 
+def test_what_a_restarted_process_counts_as_durable_outlives_a_power_loss(tmp_path):
+    counting = FailingFileSystem()
+    run_workload(tmp_path / "whole", counting, {})
+    for operation in range(1, counting.operations + 1):
+        folder = tmp_path / str(operation)
+        file_system = FailingFileSystem(operation)
+        with pytest.raises(Crash):
+            run_workload(folder, file_system, {})
+        with open_store(folder, file_system) as store:
+            member_id, restarted = store.member_id, store.state
+        file_system.lose_unsynced()
+        with open_store(folder) as store:
+            assert store.member_id == member_id, operation
+            assert store.state == restarted, operation
+
+
 def count_set_up(tmp_path):
     """Return how many calls to a FullFileSystem set up an empty folder."""
     file_system = FullFileSystem()
