End a control whose log has failed

A control whose write failed other than on a full disk, or whose consensus task had an error, ran on without a vote until somebody restarted it.

Cause: the process had no way to go on safely, and stayed.

Change: the process ends with exit code 1 once its log has failed, so that its supervisor restarts it.

Evidence: test_control_whose_disk_failed_ends_and_votes_again_after_its_restart, for a failed write and a failed sync: what was acknowledged is there and the next write is committed.

--- a/chestnutvale/consensus/loop.py
+++ b/chestnutvale/consensus/loop.py
@@ -129,6 +129,7 @@
         self.writer = DiskWriter(storage, self._events.put, self._fail)
         self._waiters = Waiters()
         self._callbacks: list[LeadershipCallback] = []
+        self._failure_callbacks: list[Callable[[], None]] = []
         self._last_bootstrap_obstacle = ""
         self._was_write_stalled = False
         self._join_due_s = 0.0
@@ -179,6 +180,10 @@
         """Register a callback for changes of role, term or leader."""
         self._callbacks.append(callback)
 
+    def on_failure(self, callback: Callable[[], None]) -> None:
+        """Register a callback for the end of the participation."""
+        self._failure_callbacks.append(callback)
+
     def submit_request(
         self, make_event: Callable[[int], Event], step: str, deadline_s: float
     ) -> Any:
@@ -218,6 +223,8 @@
         self._waiters.fail_all(str(error))
         for callback in self._callbacks:
             callback(False, "", self.raft.term)
+        for report_failure in self._failure_callbacks:
+            report_failure()
         if self._task is not None:
             self._task.kill()
 
--- a/chestnutvale/consensus/task.py
+++ b/chestnutvale/consensus/task.py
@@ -2,7 +2,7 @@
 
 import math
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from types import TracebackType
 from typing import Any, Self
 
@@ -248,6 +248,16 @@
         """
         self._loop.on_leadership_change(callback)
 
+    def on_failure(self, callback: Callable[[], None]) -> None:
+        """Register a callback for the moment at which `failure` is set.
+
+        Parameters
+        ----------
+        callback : callable
+            Takes nothing; must not block.
+        """
+        self._loop.on_failure(callback)
+
     def propose(self, command: Command, deadline_s: float) -> CommandResult:
         """Commit a command and return the result of applying it.
 
--- a/chestnutvale/programs/control/daemon.py
+++ b/chestnutvale/programs/control/daemon.py
@@ -42,6 +42,7 @@
 from chestnutvale.programs.control.state import ControlState
 from chestnutvale.programs.control.status import StatusBuilder
 from chestnutvale.programs.process_metrics import register_process_metrics
+from chestnutvale.programs.signals import SignalHandler
 from chestnutvale.rate_limits.cold_bound import ColdBound
 from chestnutvale.schema.settings_pb2 import ControlSettings
 from chestnutvale.settings.const import DEFAULT_LEASE_MS, MS_PER_S
@@ -144,6 +145,29 @@
             self._server.stop(self._clock.now_s() + timeout_s)
         self._exit_stack.close()
 
+    def wait_for_stop(self, signals: SignalHandler) -> None:
+        """Wait until a signal requests the stop of the control, or its log fails.
+
+        A control that takes no part in the log any more must not go on: to others it
+        looks like a voter. The next process reads the data folder anew.
+
+        Parameters
+        ----------
+        signals : SignalHandler
+            Handler of the signals of the process; set up by this.
+
+        Raises
+        ------
+        ChestnutError
+            If the log has failed, such as by a write to the data folder.
+        """
+        self._log.on_failure(signals.request_stop)
+        signals.setup()
+        if self._log.failure is None:
+            signals.wait()
+        if self._log.failure is not None:
+            raise self._log.failure
+
     def reload(self) -> None:
         """Log that changed settings take effect only after a restart."""
         _LOGGER.info("Settings file changed; the changes take effect after a restart")
--- a/chestnutvale/programs/control/main.py
+++ b/chestnutvale/programs/control/main.py
@@ -40,9 +40,7 @@
         with ControlDaemon(
             settings, interface, clock, make_rng(), process_started_s
         ) as daemon:
-            signal_handler = SignalHandler(lambda: log_state_dump(daemon.dump))
-            signal_handler.setup()
-            signal_handler.wait()
+            daemon.wait_for_stop(SignalHandler(lambda: log_state_dump(daemon.dump)))
 
     return run_program(settings_file, check_settings, load_control_settings, serve)
 
--- a/tests/programs/control/test_daemon.py
+++ b/tests/programs/control/test_daemon.py
@@ -1,17 +1,22 @@
 """A control as a whole, over loopback and a real data folder."""
 
+import errno
 import random
 import threading
 
 import eventlet
+import pytest
 from eventlet.green import socket
 
 from chestnutvale.clock import SystemClock
+from chestnutvale.consensus.exceptions import OutcomeUnknownError
 from chestnutvale.programs.control.daemon import ControlDaemon
 from chestnutvale.programs.control.interface import NativeInterface
+from chestnutvale.programs.signals import SignalHandler
 from chestnutvale.schema.command_pb2 import Command
 from chestnutvale.schema.settings_pb2 import ControlSettings, PeerAddress
 from chestnutvale.settings.common import default_http_limits
+from chestnutvale.storage.exceptions import StorageError
 from chestnutvale.storage.file_system import FileSystem
 
 CHANGE_TIMEOUT_S = 20
@@ -30,6 +35,36 @@
             eventlet.sleep(0.05)
 
 
+def make_settings(free_address, folder):
+    peer = PeerAddress(id="c0", address=free_address())
+    return ControlSettings(
+        cluster_id="t",
+        control_id=peer.id,
+        peer_address=peer.address,
+        http_address=free_address(),
+        http_limits=default_http_limits(),
+        data_folder=str(folder),
+        controls=[peer],
+    )
+
+
+def drain_host(daemon, host_id):
+    command = Command()
+    command.drain_host.host_id = host_id
+    command.drain_host.draining = True
+    return daemon._log.propose(command, SystemClock().now_s() + 5.0)
+
+
+class FakeSignals(SignalHandler):
+    """Handler that leaves the signals of the test process alone."""
+
+    def __init__(self):
+        super().__init__(lambda: None)
+
+    def setup(self):
+        pass
+
+
 def test_liveness_fails_while_a_write_does_not_finish(
     free_address, tmp_path, monkeypatch
 ):
@@ -42,16 +77,7 @@
         sync(file_system, descriptor)
 
     monkeypatch.setattr(FileSystem, "sync", sync_when_it_works)
-    peer = PeerAddress(id="c0", address=free_address())
-    settings = ControlSettings(
-        cluster_id="t",
-        control_id=peer.id,
-        peer_address=peer.address,
-        http_address=free_address(),
-        http_limits=default_http_limits(),
-        data_folder=str(tmp_path),
-        controls=[peer],
-    )
+    settings = make_settings(free_address, tmp_path)
     address = settings.http_address
     interface = NativeInterface(b"")
     with ControlDaemon(settings, interface, SystemClock(), random.Random(1)) as daemon:
@@ -66,3 +92,37 @@
         finally:
             works.set()
         wait_for_status(address, "/healthz", 200)
+
+
+@pytest.mark.parametrize("operation", ["write", "sync"])
+def test_control_whose_disk_failed_ends_and_votes_again_after_its_restart(
+    free_address, tmp_path, monkeypatch, operation
+):
+    settings = make_settings(free_address, tmp_path)
+    interface = NativeInterface(b"")
+
+    def fail(*arguments):
+        raise OSError(errno.EIO, "input or output error")
+
+    def run_until_failure():
+        with ControlDaemon(
+            settings, interface, SystemClock(), random.Random(1)
+        ) as daemon:
+            waiting = eventlet.spawn(daemon.wait_for_stop, FakeSignals())
+            wait_for_status(settings.http_address, "/readyz", 200)
+            drain_host(daemon, "h1")
+            with monkeypatch.context() as patch:
+                patch.setattr(FileSystem, operation, fail)
+                with pytest.raises(OutcomeUnknownError):
+                    drain_host(daemon, "h2")
+            waiting.wait()
+
+    with eventlet.Timeout(CHANGE_TIMEOUT_S):
+        with pytest.raises(StorageError, match="input or output error"):
+            run_until_failure()
+        with ControlDaemon(
+            settings, interface, SystemClock(), random.Random(2)
+        ) as daemon:
+            wait_for_status(settings.http_address, "/readyz", 200)
+            drain_host(daemon, "h3")
+            assert {"h1", "h3"} <= daemon.state.groups.draining_hosts
