Lengthen the reply timeout of peers that are heard

Cause: read-through of the probes. A large text on a slow link can delay replies for longer than 1.5 s, while the peer goes on sending reports. Each reopening would discard the text, and the next attempt would be cut in the same way.

Change: the timeout doubles with each reopening, up to 12 s, if messages without a reply came since the last one; a reply resets it. A peer that is not heard is tried every 1.5 s as before.

Evidence: test_message_that_takes_long_on_a_slow_link_is_not_cut_again_and_again (5 s) failed before: the connection was reopened every 1.6 s to the end. Tests of the transport and of consensus over loopback pass.

--- a/chestnutvale/transport/const.py
+++ b/chestnutvale/transport/const.py
@@ -25,6 +25,9 @@
 # How long a peer may leave a probe unanswered before its connection is reopened. A
 # connection can stop delivering without any socket error.
 PEER_SILENCE_TIMEOUT_S: Final = 1.5
+# The same for a peer that is heard but does not reply; doubled up to this with each
+# reopening. A message of the maximum size may take seconds on a slow link.
+MAX_REPLY_TIMEOUT_S: Final = 12.0
 # The same for a peer that has not been heard yet; doubled with each attempt. The kernel
 # repeats a handshake with a host that was down only after a second.
 CONNECT_TIMEOUT_S: Final = 0.25
--- a/chestnutvale/transport/silent_peers.py
+++ b/chestnutvale/transport/silent_peers.py
@@ -8,6 +8,7 @@
     CONNECT_TIMEOUT_S,
     HANDSHAKE_TIMEOUT_S,
     MAX_PROBE,
+    MAX_REPLY_TIMEOUT_S,
     NO_PROBE,
     PEER_SILENCE_TIMEOUT_S,
     PROBE_INTERVAL_S,
@@ -25,6 +26,8 @@
     is_heard: bool
     # Whether the handshake with the peer probably began before it listened.
     must_reopen: bool = False
+    # Whether a message without a reply came since the connection was opened.
+    is_heard_without_reply: bool = False
     # The last probe sent, and those since the last reply with the monotonic times of
     # the first message that carried each.
     last_probe: int = NO_PROBE
@@ -57,6 +60,9 @@
     A peer that repeats neither a probe nor a later one in time is reconnected. If the
     peer is really down, this costs one handshake per timeout.
 
+    A large message on a slow link delays replies, while the peer goes on sending. Then
+    the timeout grows with each reopening, which would otherwise cut every attempt.
+
     When all hosts of a deployment start together, the first ones open connections to
     hosts that are still down. So the timeout is shorter until a peer is heard, and its
     first message shows that a connection to it can be opened now.
@@ -69,6 +75,8 @@
     connect_timeout_s : float, optional
         The same before the first message of the peer; doubled with each reopening, up
         to `silence_timeout_s`.
+    max_reply_timeout_s : float, optional
+        Longest timeout for a peer that sends messages, but no reply.
     last_probe : int, optional
         Probes are numbered from the next number on, 32 bits. It should differ between
         runs of a process, as a peer may repeat a probe of an earlier run.
@@ -76,6 +84,7 @@
 
     silence_timeout_s: float = PEER_SILENCE_TIMEOUT_S
     connect_timeout_s: float = CONNECT_TIMEOUT_S
+    max_reply_timeout_s: float = MAX_REPLY_TIMEOUT_S
     last_probe: int = NO_PROBE
     _connections: dict[str, _PeerConnection] = attrs.field(factory=dict)
     # The last probe that came from each peer.
@@ -112,7 +121,8 @@
         must_reopen = connection.must_reopen or connection.is_silent(now_s)
         if must_reopen:
             connection.must_reopen = False
-            connection.timeout_s = min(2 * connection.timeout_s, self.silence_timeout_s)
+            connection.timeout_s = self._next_timeout_s(connection)
+            connection.is_heard_without_reply = False
             connection.unanswered_probes.clear()
         self._add_probe(connection, now_s)
         return must_reopen
@@ -161,11 +171,20 @@
         has_replied = connection.remove_answered(probe_reply)
         if probe == NO_PROBE:
             connection.unanswered_probes.clear()
+        if connection.unanswered_probes and not has_replied:
+            connection.is_heard_without_reply = True
+            connection.timeout_s = max(connection.timeout_s, self.silence_timeout_s)
+        else:
+            connection.timeout_s = self.silence_timeout_s
         if not connection.is_heard:
             elapsed_s = now_s - connection.first_sent_s
             connection.must_reopen = not has_replied and elapsed_s > HANDSHAKE_TIMEOUT_S
         connection.is_heard = True
-        connection.timeout_s = self.silence_timeout_s
+
+    def _next_timeout_s(self, connection: _PeerConnection) -> float:
+        is_heard = connection.is_heard_without_reply
+        limit_s = self.max_reply_timeout_s if is_heard else self.silence_timeout_s
+        return min(2 * connection.timeout_s, limit_s)
 
     def _add_probe(self, connection: _PeerConnection, now_s: float) -> None:
         unanswered = connection.unanswered_probes
--- a/tests/transport/test_silent_peers.py
+++ b/tests/transport/test_silent_peers.py
@@ -1,5 +1,6 @@
 """Detection of peer connections that stopped delivering without an error."""
 
+import itertools
 import random
 
 import pytest
@@ -122,6 +123,33 @@
     assert not detector.record_send("c1", "10.0.0.1:1", 0.21)
 
 
+def test_message_that_takes_long_on_a_slow_link_is_not_cut_again_and_again():
+    """A large message delays the reply; the peer goes on sending meanwhile."""
+    transfer_s = 5.0
+    detector = SilentPeerDetector(silence_timeout_s=1.5)
+    detector.record_receive("c1", 0.0, probe=1)
+    opened_s = 0.0
+    for step in range(300):
+        now_s = step / 10
+        if detector.record_send("c1", "10.0.0.1:1", now_s):
+            opened_s = now_s
+        reply, _ = detector.find_probes("c1")
+        is_through = now_s - opened_s >= transfer_s
+        detector.record_receive("c1", now_s, step + 2, reply if is_through else 0)
+    assert opened_s < 10.0
+
+
+def test_peer_that_is_down_is_tried_again_at_the_same_interval():
+    detector = SilentPeerDetector(silence_timeout_s=1.5)
+    detector.record_receive("c1", 0.0, probe=1)
+    reopened = [
+        step
+        for step in range(300)
+        if detector.record_send("c1", "10.0.0.1:1", step / 10)
+    ]
+    assert {b - a for a, b in itertools.pairwise(reopened)} == {16}
+
+
 class Peers:
     """Two peers with a connection for each direction, either of which may be silent."""
 
