Expect answers of all services where one has few

Callers of an entry that stopped soon after its start were refused although their calls would have ended in time. Cause: with fewer than five answers of a service, a call was expected to last until its deadline. Change: the durations of all services count then.

--- a/chestnutvale/admission/stop_window.py
+++ b/chestnutvale/admission/stop_window.py
@@ -30,6 +30,7 @@
 
     ends_at_s: float = math.inf
     _durations: dict[str, DecayingHistogram] = attrs.field(factory=dict)
+    _all_durations: DecayingHistogram = attrs.field(factory=DecayingHistogram)
 
     def record_answer(self, service: str, duration_s: float) -> None:
         """Record a complete answer.
@@ -43,6 +44,7 @@
         """
         histogram = self._durations.setdefault(service, DecayingHistogram())
         histogram.add(math.ceil(duration_s * MS_PER_S))
+        self._all_durations.add(math.ceil(duration_s * MS_PER_S))
 
     def may_take(self, service: str, deadline_s: float, now_s: float) -> bool:
         """Tell whether a call can be expected to end before the stop.
@@ -59,8 +61,8 @@
         Returns
         -------
         bool
-            True unless the entry stops first. Without enough answers of the service a
-            call is expected to last until its deadline.
+            True unless the entry stops first. A service with few answers is expected
+            to take as long as all, and without answers of these until the deadline.
         """
         expected_end_s = min(deadline_s, now_s + self._expected_s(service))
         return expected_end_s <= self.ends_at_s
@@ -83,5 +85,7 @@
     def _expected_s(self, service: str) -> float:
         histogram = self._durations.get(service)
         if histogram is None or histogram.weight < PREDICTION_MIN_WEIGHT:
+            histogram = self._all_durations
+        if histogram.weight < PREDICTION_MIN_WEIGHT:
             return math.inf
         return histogram.quantile(EXPECTED_DURATION_QUANTILE) / MS_PER_S
