Test that a stopping peer refuses calls that outlast its stop

Cause: calls that an isolated entry passes on meet the stop of another one. Change: a test over two entries; nothing is sent to the endpoint. Measured: it passes; no behaviour changes.

--- a/tests/programs/entry/routed/test_isolated_entry.py
+++ b/tests/programs/entry/routed/test_isolated_entry.py
@@ -33,6 +33,7 @@
         # The first failure lies back by the time that probes of others take.
         since_s = entry.context.clock.now_s() - ISOLATION_CONFIRMATION_S
         entry.context.reachability.record_failure("127.0.0.1:1", since_s)
+        entry.peer = peer
         yield entry
 
 
@@ -133,3 +134,15 @@
             peer.default = cut(answer[:size])
             status, _, body, _ = call(entry.address, "/once/x", b"a")
             assert (status, body) == (502, b""), size
+
+
+def test_a_call_that_outlasts_the_stop_of_the_peer_is_refused_before_it_is_sent():
+    endpoint = ScriptedEndpoint()
+    endpoint.default = complete_answer(b"done")
+    with isolated_entry(endpoint) as entry:
+        peer = entry.peer.context
+        peer.stop_window.ends_at_s = peer.clock.now_s() + 1.0
+        status, headers, _, _ = call(entry.address, "/once/x", X_Left="2000")
+        assert (status, headers["x-code"]) == (503, "entry_stopping")
+        assert not endpoint.requests
+        assert call(entry.address, "/once/x", X_Left="900")[2] == b"done"
