--- a/chestnutvale/admission/const.py
+++ b/chestnutvale/admission/const.py
@@ -28,7 +28,6 @@
 PREDICTION_MIN_WEIGHT: Final = 5.0
 # Quantile of the durations of answers for which a stopping entry takes a call.
 EXPECTED_DURATION_QUANTILE: Final = 0.95
-MS_PER_S: Final = 1_000
 
 # Fraction of a service's capacity that is divided evenly, regardless of demand.
 EVEN_SHARE: Final = 0.15
--- a/chestnutvale/admission/stop_window.py
+++ b/chestnutvale/admission/stop_window.py
@@ -6,7 +6,6 @@
 
 from chestnutvale.admission.const import (
     EXPECTED_DURATION_QUANTILE,
-    MS_PER_S,
     PREDICTION_MIN_WEIGHT,
 )
 from chestnutvale.admission.prediction import DecayingHistogram
@@ -29,6 +28,7 @@
     """
 
     ends_at_s: float = math.inf
+    # Durations in milliseconds by service, and of all.
     _durations: dict[str, DecayingHistogram] = attrs.field(factory=dict)
     _all_durations: DecayingHistogram = attrs.field(factory=DecayingHistogram)
 
@@ -40,11 +40,11 @@
         service : str
             Service that was called.
         duration_s : float
-            Time in seconds from the arrival of the call to the end of its answer.
+            Time in seconds from the acceptance of the call to the end of its answer.
         """
-        histogram = self._durations.setdefault(service, DecayingHistogram())
-        histogram.add(math.ceil(duration_s * MS_PER_S))
-        self._all_durations.add(math.ceil(duration_s * MS_PER_S))
+        duration_ms = math.ceil(duration_s * 1_000)
+        self._durations.setdefault(service, DecayingHistogram()).add(duration_ms)
+        self._all_durations.add(duration_ms)
 
     def may_take(self, service: str, deadline_s: float, now_s: float) -> bool:
         """Tell whether a call can be expected to end before the stop.
@@ -88,4 +88,4 @@
             histogram = self._all_durations
         if histogram.weight < PREDICTION_MIN_WEIGHT:
             return math.inf
-        return histogram.quantile(EXPECTED_DURATION_QUANTILE) / MS_PER_S
+        return histogram.quantile(EXPECTED_DURATION_QUANTILE) / 1_000
--- a/chestnutvale/programs/entry/routed/handler.py
+++ b/chestnutvale/programs/entry/routed/handler.py
@@ -297,7 +297,7 @@
             environ,
             call.part_hashes,
         )
-        received_s = self._context.clock.now_s()
+        accepted_s = self._context.clock.now_s()
         pieces = run.iterate()
         first = next(pieces, None)
         if first is None and self._may_relay(run.failure):
@@ -311,14 +311,14 @@
             _make_status_line(head.status, head.reason),
             _drop_connection_headers(head.headers),
         )
-        return self._iterate_stream(run, first, pieces, received_s)
+        return self._iterate_stream(run, first, pieces, accepted_s)
 
     def _iterate_stream(
         self,
         run: ModelCallRun,
         first: bytes | None,
         pieces: Iterator[bytes],
-        received_s: float,
+        accepted_s: float,
     ) -> Iterator[bytes]:
         with contextlib.closing(pieces):
             if first is not None:
@@ -335,10 +335,10 @@
                 },
             )
             raise AnswerBrokenError(run.failure.message)
-        self._record_answer(run.request.service, received_s)
+        self._record_answer(run.request.service, accepted_s)
 
-    def _record_answer(self, service: str, received_s: float) -> None:
-        duration_s = self._context.clock.now_s() - received_s
+    def _record_answer(self, service: str, accepted_s: float) -> None:
+        duration_s = self._context.clock.now_s() - accepted_s
         self._context.stop_window.record_answer(service, duration_s)
 
     def _answer_failed_stream(
@@ -391,10 +391,10 @@
             fingerprint=call.fingerprint,
             part_hashes=call.part_hashes,
         )
-        received_s = self._context.clock.now_s()
+        accepted_s = self._context.clock.now_s()
         answer = self._service_handler.admit_and_run(run, call.call_request, environ)
         if isinstance(answer, Reply):
-            self._record_answer(call.call_request.service, received_s)
+            self._record_answer(call.call_request.service, accepted_s)
             recorded = answer.answer
             headers = list(
                 zip(recorded.header_names, recorded.header_values, strict=True)
