Leave calls that are taken during a stop their deadline

A caller whose stream was taken during a planned stop had it broken off 0.5 s before the entry ended.

The endpoint ended the stream at that deadline, although answers that have begun are delivered until the stop.

Change: the deadline stays; the check before the call remains, and requests without an answer still get one from the server.

--- a/chestnutvale/admission/stop_window.py
+++ b/chestnutvale/admission/stop_window.py
@@ -23,8 +23,8 @@
     Attributes
     ----------
     ends_at_s : float
-        Monotonic time in seconds by which all calls must have ended; infinite unless
-        the entry stops.
+        Monotonic time in seconds by which calls should have ended; infinite unless the
+        entry stops.
     """
 
     ends_at_s: float = math.inf
@@ -67,21 +67,6 @@
         expected_end_s = min(deadline_s, now_s + self._expected_s(service))
         return expected_end_s <= self.ends_at_s
 
-    def limit_deadline(self, deadline_s: float) -> float:
-        """Return the deadline of a call that is taken, at most the end of the window.
-
-        Parameters
-        ----------
-        deadline_s : float
-            Deadline that the call would have otherwise, monotonic time in seconds.
-
-        Returns
-        -------
-        float
-            Monotonic time in seconds.
-        """
-        return min(deadline_s, self.ends_at_s)
-
     def _expected_s(self, service: str) -> float:
         histogram = self._durations.get(service)
         if histogram is None or histogram.weight < PREDICTION_MIN_WEIGHT:
--- a/chestnutvale/programs/entry/call_validation.py
+++ b/chestnutvale/programs/entry/call_validation.py
@@ -296,14 +296,17 @@
     return OUTCOME_UNKNOWN if has_key else OUTCOME_NOT_RUN
 
 
-def limit_to_stop(
+def check_stop(
     context: CallContext,
     service: str,
     deadline_s: float,
     outcome: str = OUTCOME_NOT_RUN,
-) -> float:
+) -> None:
     """Check that a call is likely to end before the entry stops, if it does.
 
+    The deadline of a call that is taken stays: an endpoint would break off an answer at
+    an earlier one, although it can be delivered until the stop.
+
     Parameters
     ----------
     context : CallContext
@@ -315,25 +318,19 @@
     outcome : str, optional
         Outcome to report if the call is refused.
 
-    Returns
-    -------
-    float
-        Deadline of the call, not after the stop; monotonic time in seconds.
-
     Raises
     ------
     CallRefusedError
         If the entry stops before.
     """
-    window = context.stop_window
-    if not window.may_take(service, deadline_s, context.clock.now_s()):
+    now_s = context.clock.now_s()
+    if not context.stop_window.may_take(service, deadline_s, now_s):
         raise make_refusal(
             CODE_ENTRY_STOPPING,
             "this entry stops before the answer is likely to be complete",
             outcome=outcome,
             retry_after_s=STOPPING_RETRY_AFTER_S,
         )
-    return window.limit_deadline(deadline_s)
 
 
 def check_lease(context: CallContext, outcome: str = OUTCOME_NOT_RUN) -> None:
--- a/chestnutvale/programs/entry/routed/handler.py
+++ b/chestnutvale/programs/entry/routed/handler.py
@@ -35,7 +35,7 @@
 from chestnutvale.programs.entry.call_validation import (
     DEFAULT_MAX_BODY_BYTES,
     CallRefusedError,
-    limit_to_stop,
+    check_stop,
     make_refusal,
     read_body,
 )
@@ -189,6 +189,8 @@
         now_s = context.clock.now_s()
         max_bytes = context.text.caller_limits.max_body_bytes
         body = read_body(environ, max_bytes or DEFAULT_MAX_BODY_BYTES)
+        deadline_s = received_s + _find_time_limit_s(request, route)
+        check_stop(context, service, deadline_s)
         rank = self._find_rank(route, workspace)
         call = CallRequest(
             request_id=request.request_id,
@@ -198,9 +200,7 @@
             prompt=b"",
             max_tokens=request.max_tokens,
             adapter="",
-            deadline_s=limit_to_stop(
-                context, service, received_s + _find_time_limit_s(request, route)
-            ),
+            deadline_s=deadline_s,
             start_by_s=now_s + _find_queue_timeout_s(route),
             target_s=now_s + route.target_latency_ms / 1_000
             if route.target_latency_ms
--- a/chestnutvale/programs/entry/service_calls.py
+++ b/chestnutvale/programs/entry/service_calls.py
@@ -21,8 +21,8 @@
     CallRefusedError,
     check_dependencies,
     check_lease,
+    check_stop,
     find_service,
-    limit_to_stop,
     outcome_without_ledger,
     read_body,
     read_call_headers,
@@ -115,6 +115,8 @@
         check_dependencies(context, request.service, outcome)
         limits = service.limits
         body = read_body(environ, limits.max_body_bytes or DEFAULT_MAX_BODY_BYTES)
+        deadline_s = call_headers.deadline_s(service)
+        check_stop(context, request.service, deadline_s, outcome)
         call_request = CallRequest(
             request_id=request_id,
             workspace=call_headers.workspace,
@@ -123,9 +125,7 @@
             prompt=b"",
             max_tokens=0,
             adapter="",
-            deadline_s=limit_to_stop(
-                context, request.service, call_headers.deadline_s(service), outcome
-            ),
+            deadline_s=deadline_s,
         )
         run = ServiceRun(
             context,
