Record departures of hosts in the log before acknowledging them

Cause: a control marked a departed host in its host table, told the other controls once and acknowledged. A control that starts later hears of a host from the host itself, and one that has departed says nothing any more. So any series of restarts that ends the last process which knew of the departure loses it, and an announcement that the host had sent before brings it back. An announcement that says `draining` had the same gap. Ruled out: a late announcement that wins over a known departure, and entries that keep an old view (neither shows without restarts).

Change: the leader records the departures of its table in the replicated log; a control acknowledges one once its replica contains it. The host table asks the log whenever it stores an announcement. The command has a version of its own: beside a member of an older build departures stay in memory as before. The wait for the required disks moves from the operations of a control to a module, as both use it.

The tests of evacuations compared with version 1 of the commands; they compare with the current version now.

--- a/chestnutvale/consensus/command_readers.py
+++ b/chestnutvale/consensus/command_readers.py
@@ -23,6 +23,11 @@
     _version: int = 0
     _member_ids: frozenset[str] = frozenset()
 
+    @property
+    def confirmed_version(self) -> int:
+        """Newest version that all members of the record can read; 0 if unknown."""
+        return self._version
+
     def find_unready(
         self, heard_versions: Mapping[str, int | None], version: int
     ) -> list[str]:
--- a/chestnutvale/membership/const.py
+++ b/chestnutvale/membership/const.py
@@ -47,6 +47,13 @@
 # longer than an entry takes to install the views of a new leader.
 DEPARTURE_RETENTION_S: Final = 30.0
 
+# Commands of this version and later ones include records of departures.
+DEPARTURE_COMMAND_VERSION: Final = 2
+# Age at which a recorded departure is dropped: by then nothing that was sent before it
+# is still under way. Also the largest number of records, which bounds the snapshot.
+RECORDED_DEPARTURE_RETENTION_S: Final = 3_600.0
+MAX_RECORDED_DEPARTURES: Final = 16_384
+
 # Addresses of other entries that an isolated entry gets.
 MAX_RELAY_PEERS: Final = 16
 
--- a/chestnutvale/membership/exceptions.py
+++ b/chestnutvale/membership/exceptions.py
@@ -37,3 +37,9 @@
     """The announcement comes from an earlier boot of the host."""
 
     code = "announcement_old_boot"
+
+
+class DepartureNotRecordedError(ChestnutError):
+    """The departure may be forgotten; the host should send it again."""
+
+    code = "departure_not_recorded"
--- a/chestnutvale/membership/table.py
+++ b/chestnutvale/membership/table.py
@@ -1,7 +1,7 @@
 """Host table that each control builds from reports of entries and controls."""
 
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -15,11 +15,20 @@
     HOST_RETENTION_S,
     STALLED_TIMEOUT_FRACTION,
 )
+from chestnutvale.membership.endpoint_notices import Incarnation
 from chestnutvale.membership.host_record import HostRecord
 from chestnutvale.membership.report_delay import ReportDelayEstimator
 from chestnutvale.schema.membership_pb2 import Announcement, Heard, Load
 
 
+def _is_never_recorded(host_id: str, boot_id: str) -> bool:
+    return False
+
+
+def _ignore_departure() -> None:
+    """Do nothing; the default until a component is registered."""
+
+
 @attrs.define
 class MembershipTable:
     """Merges the host reports of entries and controls.
@@ -28,9 +37,14 @@
     ----------
     detection_timeout_s : float
         Silence in seconds after which a host counts as missing.
+    is_recorded_departure : callable, optional
+        Takes a host and its boot; tells whether the replicated log contains that the
+        boot leaves. By default it contains none.
 
     Attributes
     ----------
+    on_departure : callable
+        Called when a departure was learned that is not recorded; must not block.
     revision : int
         Increases whenever the boot or content of a host, the detection timeout or
         the set of stalled groups changes.
@@ -39,6 +53,10 @@
     """
 
     detection_timeout_s: float = DEFAULT_DETECTION_TIMEOUT_S
+    is_recorded_departure: Callable[[str, str], bool] = _is_never_recorded
+    on_departure: Callable[[], None] = attrs.field(
+        default=_ignore_departure, init=False
+    )
     revision: int = attrs.field(default=0, init=False)
     last_new_host_at_s: float = attrs.field(default=-math.inf, init=False)
     _incomplete_host_ids: dict[str, None] = attrs.field(factory=dict, init=False)
@@ -49,6 +67,9 @@
     _host_id_by_address: dict[str, str] = attrs.field(factory=dict)
     _responsive_until_s: dict[str, float] = attrs.field(factory=dict, init=False)
     _stalled_group_ids: frozenset[str] = attrs.field(default=frozenset(), init=False)
+    _unrecorded_departures: dict[Incarnation, None] = attrs.field(
+        factory=dict, init=False
+    )
     _delays: ReportDelayEstimator = attrs.field(factory=ReportDelayEstimator)
 
     def merge_entry_report(
@@ -357,7 +378,7 @@
             return False
         if record.departed_boot_id == boot_id:
             return False
-        record.departed_boot_id = boot_id
+        self._record_departure(record, boot_id)
         if record.announcement is None:
             return True
         is_new = not record.announcement.leaving
@@ -365,6 +386,43 @@
         self.revision += is_new
         return is_new
 
+    def mark_recorded(self, host_id: str, boot_id: str) -> None:
+        """Mark a boot of a host as leaving that the replicated log says to leave.
+
+        Parameters
+        ----------
+        host_id : str
+            The host; it may be unknown here.
+        boot_id : str
+            The boot that leaves.
+        """
+        self.mark_departed(host_id, boot_id)
+        self._unrecorded_departures.pop(Incarnation(host_id, boot_id), None)
+
+    def unrecorded_departures(self) -> list[Incarnation]:
+        """Return the known departures that the replicated log does not contain."""
+        return list(self._unrecorded_departures)
+
+    def is_departed(self, host_id: str, boot_id: str) -> bool:
+        """Tell whether a boot of a host is known to leave, whatever it announces.
+
+        Parameters
+        ----------
+        host_id : str
+            The host.
+        boot_id : str
+            The boot.
+
+        Returns
+        -------
+        bool
+            Whether a departure was received or recorded.
+        """
+        record = self._hosts.get(host_id)
+        if record is not None and record.departed_boot_id == boot_id:
+            return True
+        return self.is_recorded_departure(host_id, boot_id)
+
     def mark_responsive(self, group_ids: Iterable[str], until_s: float) -> None:
         """Mark groups that produce events, even if their members are not heard.
 
@@ -469,6 +527,11 @@
             for host_id in self._incomplete_host_ids
             if host_id in self._hosts
         }
+        self._unrecorded_departures = {
+            departure: None
+            for departure in self._unrecorded_departures
+            if departure.host_id in self._hosts
+        }
         self._responsive_until_s = {
             group_id: until_s
             for group_id, until_s in self._responsive_until_s.items()
@@ -528,8 +591,9 @@
     def _store_announcement(self, record: HostRecord, heard: Heard) -> None:
         announcement = heard.changed
         if announcement.leaving:
+            self._record_departure(record, announcement.boot_id)
+        elif self.is_departed(record.host_id, announcement.boot_id):
             record.departed_boot_id = announcement.boot_id
-        elif announcement.boot_id == record.departed_boot_id:
             announcement = _with_departure(announcement)
         record.store_announcement(announcement)
         if announcement.HasField("load") or not record.is_load_from_entries:
@@ -537,6 +601,13 @@
         if announcement.born_unix_ms:
             self._supersede_others(record)
 
+    def _record_departure(self, record: HostRecord, boot_id: str) -> None:
+        record.departed_boot_id = boot_id
+        if self.is_recorded_departure(record.host_id, boot_id):
+            return
+        self._unrecorded_departures[Incarnation(record.host_id, boot_id)] = None
+        self.on_departure()
+
     def _supersede_others(self, record: HostRecord) -> None:
         """Mark earlier processes at the address of a host as superseded.
 
--- a/chestnutvale/observability/catalog.py
+++ b/chestnutvale/observability/catalog.py
@@ -103,6 +103,16 @@
     "{data_centre}",
     "Data centres that operators have evacuated, as far as this control has applied.",
 )
+DEPARTURES_RECORDED: Final = Metric(
+    "chestnutvale.departures.recorded",
+    "{host}",
+    "Boots of hosts that leave, as far as this control has applied the log.",
+)
+DEPARTURES_UNRECORDED: Final = Metric(
+    "chestnutvale.departures.unrecorded",
+    "{host}",
+    "Departures that this control knows and the log does not contain.",
+)
 EVACUATED_GROUPS: Final = Metric(
     "chestnutvale.entry.evacuated.groups",
     "{group}",
--- a/chestnutvale/programs/control/const.py
+++ b/chestnutvale/programs/control/const.py
@@ -42,3 +42,13 @@
 # Time between checks of which commands the members of the log can read. Membership
 # changes every few minutes at most, and a check costs a few comparisons.
 READERS_CHECK_INTERVAL_S: Final = 0.5
+# Interval between checks of how many disks hold the log.
+DURABILITY_POLL_INTERVAL_S: Final = 0.05
+# Interval at which the leader looks for departures that are not recorded, and the one
+# after an urgent round or a failed one.
+DEPARTURE_RECORD_INTERVAL_S: Final = 1.0
+DEPARTURE_RECORD_RETRY_INTERVAL_S: Final = 0.05
+# Departures in one command; a command of them takes some 80 KB.
+MAX_DEPARTURES_PER_COMMAND: Final = 1_024
+# Time within which a host sends a departure again that was not acknowledged.
+DEPARTURE_RESEND_S: Final = 60.0
--- a/chestnutvale/programs/control/daemon.py
+++ b/chestnutvale/programs/control/daemon.py
@@ -23,6 +23,7 @@
 from chestnutvale.observability.deferred_metrics import DeferredMetrics
 from chestnutvale.observability.dump import DumpRegistry
 from chestnutvale.programs.control.const import INCARNATION_RANDOM_BITS
+from chestnutvale.programs.control.departure_recorder import DepartureRecorder
 from chestnutvale.programs.control.entry_report_handler import EntryReportHandler
 from chestnutvale.programs.control.group_task import GroupTask
 from chestnutvale.programs.control.host_announcement_handler import (
@@ -91,7 +92,11 @@
             clock.unix_ms(), rng.getrandbits(INCARNATION_RANDOM_BITS)
         )
         self.state = ControlState()
-        self.table = MembershipTable(settings.detection_timeout_ms / 1_000)
+        self.table = MembershipTable(
+            settings.detection_timeout_ms / MS_PER_S,
+            # A snapshot replaces the state of the departures.
+            lambda host_id, boot_id: self.state.departures.contains(host_id, boot_id),
+        )
         self.publisher = ViewPublisher(self.incarnation)
         self.measures = MeasureTracker()
         self.metrics = DeferredMetrics(PROGRAM_NAME)
@@ -187,6 +192,8 @@
             "ledger_records": lambda: self.state.ledger.record_count,
             "ledger_bytes": lambda: self.state.ledger.size_bytes,
             "evacuated_data_centres": lambda: sorted(self.state.evacuations.evacuated),
+            "departures": lambda: len(self.state.departures),
+            "unrecorded_departures": lambda: len(self.table.unrecorded_departures()),
             "hosts": lambda: len(self.table.known_hosts()),
             "entries": lambda: sorted(self._entry_handler.entries),
             "limits": lambda: self._entry_handler.limits.describe(),
@@ -209,11 +216,19 @@
             self._clock,
             self._make_limit_divider(),
         )
+        recorder = DepartureRecorder(
+            self._log,
+            self.state,
+            self.table,
+            self._clock,
+            self.settings.durable_copies,
+        )
         self._announcement_handler = HostAnnouncementHandler(
             self.settings.control_id,
             self.transport,
             self._log,
             self.table,
+            recorder,
             self._clock,
         )
         groups = GroupTask(
@@ -245,6 +260,7 @@
             readers.run,
             ledger.run,
             self._announcement_handler.run,
+            recorder.run,
             exchange.run,
         ):
             stack.callback(eventlet.spawn(run).kill)
--- a/chestnutvale/programs/control/host_announcement_handler.py
+++ b/chestnutvale/programs/control/host_announcement_handler.py
@@ -8,12 +8,18 @@
 from chestnutvale.consensus.members import peer_addresses
 from chestnutvale.consensus.task import ConsensusTask
 from chestnutvale.membership.announcement_collector import AnnouncementCollector
-from chestnutvale.membership.exceptions import AnnouncementRefusedError
+from chestnutvale.membership.endpoint_notices import Incarnation
+from chestnutvale.membership.exceptions import (
+    AnnouncementRefusedError,
+    OldSequenceError,
+)
 from chestnutvale.membership.table import MembershipTable
 from chestnutvale.programs.control.const import (
+    DEPARTURE_RESEND_S,
     HOST_REPORT_INTERVAL_S,
     MIN_HOST_REPORT_INTERVAL_S,
 )
+from chestnutvale.programs.control.departure_recorder import DepartureRecorder
 from chestnutvale.programs.periodic import run_periodically
 from chestnutvale.schema.membership_pb2 import (
     Announcement,
@@ -42,6 +48,8 @@
         Provides the addresses of the other controls.
     table : MembershipTable
         The host table.
+    recorder : DepartureRecorder
+        Records departures in the replicated log.
     clock : Clock
         Source of time.
     """
@@ -52,80 +60,84 @@
         transport: TransportNode,
         log: ConsensusTask,
         table: MembershipTable,
+        recorder: DepartureRecorder,
         clock: Clock,
     ) -> None:
         self._control_id = control_id
         self._transport = transport
         self._log = log
         self._table = table
+        self._recorder = recorder
         self._clock = clock
         self._collector = AnnouncementCollector(table.detection_timeout_s)
         self._report_requested = Event()
         transport.register_handler("host_report", self._receive_report)
         transport.register_handler("host_want", self._receive_content_request)
 
-    def announce(self, announcement: Announcement) -> None:
+    def announce(self, announcement: Announcement, deadline_s: float) -> None:
         """Accept an announcement and schedule its report to the other controls.
 
+        Returns once the departure of a host that leaves is recorded; see
+        `DepartureRecorder`. Other announcements are kept in memory only, as the next
+        one replaces them.
+
         Parameters
         ----------
         announcement : Announcement
             The announcement; its ``leaving`` may be set here.
+        deadline_s : float
+            Monotonic time in seconds at which the call times out.
 
         Raises
         ------
         AnnouncementRefusedError
             If a field is invalid or the announcement is not newer than the last one.
+        DepartureNotRecordedError, OutcomeUnknownError
+            If the host leaves and should announce that again. Here it counts as leaving
+            already.
         """
-        now_s = self._clock.now_s()
-        self._preserve_leaving(announcement)
-        result = self._collector.announce(announcement, now_s)
-        heard = Heard(
-            host_id=announcement.host_id,
-            boot_id=announcement.boot_id,
-            sequence=announcement.sequence,
-            changed=announcement,
-            content_digest=self._collector.content_digest_of(announcement.host_id),
-        )
-        changed_host_ids = self._table.merge_control_report(
-            self._control_id, [heard], now_s
-        )
-        if result.urgent:
-            self._request_report()
-        if changed_host_ids:
-            _LOGGER.info(
-                "host",
-                extra={
-                    "host": announcement.host_id,
-                    "leaving": announcement.leaving,
-                    "holding": _format_holding(announcement),
-                    "staged": list(announcement.staged),
-                    "domain": announcement.fabric_domain,
-                },
-            )
-
-    def leave(self, host_id: str) -> bool:
+        departure = Incarnation(announcement.host_id, announcement.boot_id)
+        try:
+            self._store(announcement)
+        except OldSequenceError:
+            # The host sends a departure again that was not acknowledged.
+            if announcement.leaving:
+                self._recorder.confirm(departure, deadline_s)
+            raise
+        if announcement.leaving:
+            self._recorder.confirm(departure, deadline_s)
+
+    def leave(self, host_id: str, deadline_s: float) -> bool:
         """Mark a host as leaving, as if it had announced that itself.
 
         Parameters
         ----------
         host_id : str
             The host.
+        deadline_s : float
+            Monotonic time in seconds at which the call times out.
 
         Returns
         -------
         bool
-            False if this control has no announcement of the host.
+            False if this control has no announcement of the host, and no recent record
+            of its departure.
+
+        Raises
+        ------
+        DepartureNotRecordedError, OutcomeUnknownError
+            As for `announce`.
         """
         record = self._table.host(host_id)
         if record is None or record.announcement is None:
-            return False
+            return self._recorder.was_recorded_since(host_id, DEPARTURE_RESEND_S)
+        departure = Incarnation(host_id, record.boot_id)
         announcement = Announcement()
         announcement.CopyFrom(record.announcement)
         announcement.leaving = True
         announcement.sequence = record.boot_order.sequence + 1
         try:
-            self.announce(announcement)
+            self._store(announcement)
         except AnnouncementRefusedError as error:
             # A newer announcement arrived in between; it is marked as leaving below.
             _LOGGER.info(
@@ -133,21 +145,47 @@
                 host_id,
                 error,
             )
-            record.announcement.leaving = True
+            self._table.mark_departed(host_id, departure.boot_id)
         self._request_report()
+        self._recorder.confirm(departure, deadline_s)
         return True
 
     def run(self) -> None:
         """Send reports to the other controls until the task is killed."""
         run_periodically("host reports", self._run_round, MIN_HOST_REPORT_INTERVAL_S)
 
+    def _store(self, announcement: Announcement) -> None:
+        now_s = self._clock.now_s()
+        self._preserve_leaving(announcement)
+        result = self._collector.announce(announcement, now_s)
+        heard = Heard(
+            host_id=announcement.host_id,
+            boot_id=announcement.boot_id,
+            sequence=announcement.sequence,
+            changed=announcement,
+            content_digest=self._collector.content_digest_of(announcement.host_id),
+        )
+        changed_host_ids = self._table.merge_control_report(
+            self._control_id, [heard], now_s
+        )
+        if result.urgent:
+            self._request_report()
+        if changed_host_ids:
+            _LOGGER.info(
+                "host",
+                extra={
+                    "host": announcement.host_id,
+                    "leaving": announcement.leaving,
+                    "holding": _format_holding(announcement),
+                    "staged": list(announcement.staged),
+                    "domain": announcement.fabric_domain,
+                },
+            )
+
     def _preserve_leaving(self, announcement: Announcement) -> None:
         # A host does not revoke its leaving within one boot, but an announcement sent
         # before it may arrive late.
-        record = self._table.host(announcement.host_id)
-        if record is None or record.announcement is None:
-            return
-        if record.boot_id == announcement.boot_id and record.announcement.leaving:
+        if self._table.is_departed(announcement.host_id, announcement.boot_id):
             announcement.leaving = True
 
     def _request_report(self) -> None:
--- a/chestnutvale/programs/control/metrics.py
+++ b/chestnutvale/programs/control/metrics.py
@@ -88,6 +88,14 @@
         catalog.EVACUATED_DATA_CENTRES,
         make_unlabelled_reader(lambda: len(state.evacuations.evacuated)),
     )
+    metrics.register_gauge(
+        catalog.DEPARTURES_RECORDED,
+        make_unlabelled_reader(lambda: len(state.departures)),
+    )
+    metrics.register_gauge(
+        catalog.DEPARTURES_UNRECORDED,
+        make_unlabelled_reader(lambda: len(sources.table.unrecorded_departures())),
+    )
     metrics.register_gauge(
         catalog.LEDGER_RECORDS,
         make_unlabelled_reader(lambda: state.ledger.record_count),
--- a/chestnutvale/programs/control/operations.py
+++ b/chestnutvale/programs/control/operations.py
@@ -8,17 +8,14 @@
 import logbook
 
 from chestnutvale.clock import Clock
-from chestnutvale.consensus.exceptions import (
-    MembersChangeError,
-    NotLeaderError,
-    OutcomeUnknownError,
-)
+from chestnutvale.consensus.exceptions import MembersChangeError, NotLeaderError
 from chestnutvale.consensus.members import control_of
 from chestnutvale.consensus.task import ConsensusTask
 from chestnutvale.evacuations.const import STEP_EVACUATE
 from chestnutvale.evacuations.exceptions import EvacuationRefusedError
 from chestnutvale.exceptions import ChestnutError
 from chestnutvale.membership.table import MembershipTable
+from chestnutvale.programs.control.durability import wait_until_durable
 from chestnutvale.programs.control.evacuation_orders import EvacuationOrders
 from chestnutvale.programs.control.state import ControlState
 from chestnutvale.programs.control.status import StatusBuilder
@@ -49,8 +46,6 @@
 DOMAIN_DISCOVERY_S = 10.0
 # Interval between attempts to promote a learner.
 PROMOTE_RETRY_INTERVAL_S = 0.2
-# Interval between checks of how many disks hold the log.
-DURABILITY_POLL_INTERVAL_S = 0.05
 
 
 class ControlOperations:
@@ -153,22 +148,9 @@
         return result
 
     def _wait_until_durable(self, deadline_s: float) -> None:
-        """Wait until all committed entries are on the required number of disks.
-
-        At the first start, voters are added one by one. Entries that a small quorum
-        committed are on the disks of a larger one once the change to it is committed.
-        """
-        if not self._settings.durable_copies:
-            return
-        while self._log.committed_copies < self._settings.durable_copies:
-            if self._clock.now_s() >= deadline_s:
-                raise OutcomeUnknownError(
-                    f"only {self._log.committed_copies} of the required "
-                    f"{self._settings.durable_copies} disks are known to hold all "
-                    "committed entries",
-                    step=STEP_MEMBERS,
-                )
-            eventlet.sleep(DURABILITY_POLL_INTERVAL_S)
+        wait_until_durable(
+            self._log, self._settings.durable_copies, self._clock, deadline_s
+        )
 
     def set_evacuation(
         self, command: SetEvacuation, deadline_s: float
--- a/chestnutvale/programs/control/state.py
+++ b/chestnutvale/programs/control/state.py
@@ -1,10 +1,14 @@
 """The replicated state machine that every control builds from the log."""
 
+from collections.abc import Callable
+
 from chestnutvale.configuration.state import ConfigurationState
 from chestnutvale.consensus.command_readers import CommandReaders
 from chestnutvale.evacuations.state import EvacuationState
 from chestnutvale.groups.state import GroupsState
 from chestnutvale.ledger.state import LedgerState
+from chestnutvale.membership.departures import DepartureState
+from chestnutvale.membership.endpoint_notices import Incarnation
 from chestnutvale.schema.command_pb2 import Command, CommandResult, StateSnapshot
 
 
@@ -23,6 +27,10 @@
         Evacuated data centres.
     readers : CommandReaders
         Members of the log that can read the newest commands.
+    departures : DepartureState
+        Hosts that said that they leave.
+    on_departures : callable
+        Takes the departures that a command or snapshot has added; must not block.
     applied_index : int
         Index of the last command applied.
     """
@@ -33,6 +41,8 @@
         self.ledger = LedgerState()
         self.evacuations = EvacuationState()
         self.readers = CommandReaders()
+        self.departures = DepartureState()
+        self.on_departures: Callable[[list[Incarnation]], None] = _ignore_departures
         self.applied_index = 0
 
     def apply(self, index: int, command: Command) -> CommandResult:
@@ -83,6 +93,9 @@
                 result.evacuation.CopyFrom(outcome)
             case "confirm_readers":
                 self.readers.apply(command.confirm_readers)
+            case "record_departures":
+                added = self.departures.apply(command.record_departures, at_unix_ms)
+                self.on_departures(added)
         return result
 
     def snapshot(self) -> bytes:
@@ -99,6 +112,7 @@
             ledger=self.ledger.to_snapshot(),
             evacuations=self.evacuations.to_snapshot(),
             readers=self.readers.to_snapshot(),
+            departures=self.departures.to_snapshot(),
         ).SerializeToString(deterministic=True)
 
     def restore(self, data: bytes) -> None:
@@ -115,3 +129,9 @@
         self.ledger = LedgerState.from_snapshot(snapshot.ledger)
         self.evacuations = EvacuationState.from_snapshot(snapshot.evacuations)
         self.readers = CommandReaders.from_snapshot(snapshot.readers)
+        self.departures = DepartureState.from_snapshot(snapshot.departures)
+        self.on_departures(self.departures.recorded())
+
+
+def _ignore_departures(departures: list[Incarnation]) -> None:
+    """Do nothing; the default until a component is registered."""
--- a/tests/evacuations/test_orders.py
+++ b/tests/evacuations/test_orders.py
@@ -9,6 +9,7 @@
 
 from chestnutvale.clock import SystemClock
 from chestnutvale.consensus import follower
+from chestnutvale.consensus.const import COMMAND_VERSION
 from chestnutvale.consensus.exceptions import NotLeaderError, OutcomeUnknownError
 from chestnutvale.evacuations.exceptions import (
     EvacuationNotReadyError,
@@ -115,14 +116,14 @@
     # Guards against a control that skips the order and has another state from then on.
     operations = make_operations()
     log = operations._log
-    log.versions = {"c1#1": 1, "c2#1": 0}
+    log.versions = {"c1#1": COMMAND_VERSION, "c2#1": 0}
     with pytest.raises(EvacuationNotReadyError, match="c2#1"):
         set_evacuation(operations)
     log.versions["c2#1"] = None
     with pytest.raises(EvacuationNotReadyError):
         set_evacuation(operations)
     assert not log.index
-    log.versions["c2#1"] = 1
+    log.versions["c2#1"] = COMMAND_VERSION
     ReadersTask(log, operations._state, SystemClock()).run_round()
     # A lost control that could read the order before does not block it.
     log.versions["c2#1"] = None
@@ -177,7 +178,7 @@
 def is_confirmed(control):
     control.readers.run_round()
     unready = control.state_machine.readers.find_unready
-    return not unready(dict.fromkeys(control.task.members.voters), 1)
+    return not unready(dict.fromkeys(control.task.members.voters), COMMAND_VERSION)
 
 
 def test_order_survives_a_leader_change_before_its_acknowledgement(make_controls):
@@ -214,7 +215,9 @@
     with pytest.raises(EvacuationNotReadyError):
         set_evacuation(leader.operations)
     monkeypatch.undo()
-    wait_until(lambda: set(leader.task.command_versions().values()) == {1})
+    wait_until(
+        lambda: set(leader.task.command_versions().values()) == {COMMAND_VERSION}
+    )
     assert set_evacuation(leader.operations, ORDER, 5).changed
 
 
--- a/tests/membership/test_table.py
+++ b/tests/membership/test_table.py
@@ -5,6 +5,8 @@
 import pytest
 
 from chestnutvale.membership.announcement_collector import AnnouncementCollector
+from chestnutvale.membership.const import HOST_RETENTION_S
+from chestnutvale.membership.endpoint_notices import Incarnation
 from chestnutvale.membership.table import MembershipTable
 from chestnutvale.schema.membership_pb2 import Announcement, Heard
 
@@ -140,3 +142,36 @@
     restarted.boot_id = restarted.changed.boot_id = "b2"
     table.merge_control_report("c1", [restarted], 11.0)
     assert not table.host("h1").announcement.leaving
+
+
+def test_recorded_departure_holds_for_a_host_that_is_heard_first_afterwards():
+    # Guards against a restarted control that believes a late announcement.
+    table = MembershipTable(is_recorded_departure=lambda *boot: boot == ("h1", "b1"))
+    table.merge_control_report("c1", [departing("h1", 1, False)], 10.0)
+    assert table.host("h1").announcement.leaving
+    assert table.is_departed("h1", "b1")
+    assert not table.is_departed("h1", "b2")
+    assert not table.unrecorded_departures()
+
+
+def test_departure_is_listed_until_the_log_contains_it():
+    log = set()
+    calls = []
+    table = MembershipTable(is_recorded_departure=lambda *boot: boot in log)
+    table.on_departure = lambda: calls.append("departure")
+    table.merge_control_report("c1", [departing("h1", 1, False)], 10.0)
+    assert not calls
+    table.merge_control_report("c1", [departing("h1", 2, True)], 10.1)
+    assert calls == ["departure"]
+    assert table.unrecorded_departures() == [Incarnation("h1", "b1")]
+    log.add(("h1", "b1"))
+    table.mark_recorded("h1", "b1")
+    table.merge_control_report("c1", [departing("h1", 3, True)], 10.2)
+    assert not table.unrecorded_departures()
+
+
+def test_unrecorded_departures_are_forgotten_with_their_host():
+    table = MembershipTable()
+    table.merge_control_report("c1", [departing("h1", 1, True)], 10.0)
+    table.remove_expired(10.0 + HOST_RETENTION_S + 1)
+    assert not table.unrecorded_departures()
--- a/tests/platform/test_control_interface.py
+++ b/tests/platform/test_control_interface.py
@@ -13,7 +13,10 @@
     EvacuationNotReadyError,
     UnknownDataCentreError,
 )
-from chestnutvale.membership.exceptions import OldSequenceError
+from chestnutvale.membership.exceptions import (
+    DepartureNotRecordedError,
+    OldSequenceError,
+)
 from chestnutvale.schema.configuration_pb2 import ApplyTextResult
 from tests.platform.documents import CONFIGURATION, HEARTBEAT, replace_value
 
@@ -63,12 +66,14 @@
         self.error = None
         self.left = []
 
-    def announce(self, announcement):
+    def announce(self, announcement, deadline_s):
         if self.error is not None:
             raise self.error
         self.announced.append(announcement)
 
-    def leave(self, host_id):
+    def leave(self, host_id, deadline_s):
+        if self.error is not None:
+            raise self.error
         self.left.append(host_id)
         return host_id == "i-1"
 
@@ -214,6 +219,22 @@
     assert not control.hosts.announced
 
 
+@pytest.mark.parametrize(
+    "error", [DepartureNotRecordedError("no leader"), OutcomeUnknownError("late")]
+)
+def test_departure_that_is_not_recorded_gets_503(control, error):
+    # Guards against an acknowledgement that the controls can forget.
+    control.hosts.error = error
+    body = json.dumps(HEARTBEAT | {"state": "draining"}).encode()
+    for path, content in [
+        (HEARTBEAT_PATH, body),
+        ("/api/instances/i-1/deregister", b""),
+    ]:
+        status, headers, _ = control.call("POST", path, content)
+        assert status == 503
+        assert float(headers["Retry-After"]) < 1
+
+
 def test_deregister_of_known_and_unknown_worker(control):
     assert control.call("POST", "/api/instances/i-1/deregister")[0] == 200
     assert control.call("POST", "/api/instances/i-2/deregister")[0] == 503
--- a/tests/programs/control/test_host_announcement_handler.py
+++ b/tests/programs/control/test_host_announcement_handler.py
@@ -5,6 +5,10 @@
 import pytest
 
 from chestnutvale.consensus.members import peer_addresses
+from chestnutvale.membership.exceptions import (
+    DepartureNotRecordedError,
+    OldSequenceError,
+)
 from chestnutvale.membership.table import MembershipTable
 from chestnutvale.programs.control.host_announcement_handler import (
     HostAnnouncementHandler,
@@ -18,6 +22,25 @@
     addresses={"c1#a": "10.0.0.1:1", "c2#b": "10.0.0.2:1"},
 )
 
+DEADLINE_S = 200.0
+
+
+class FakeRecorder:
+    """Acknowledges each departure unless it has an error to raise."""
+
+    def __init__(self):
+        self.confirmed = []
+        self.error = None
+        self.recent_host_ids = set()
+
+    def confirm(self, departure, deadline_s):
+        if self.error is not None:
+            raise self.error
+        self.confirmed.append((departure.host_id, departure.boot_id))
+
+    def was_recorded_since(self, host_id, age_s):
+        return host_id in self.recent_host_ids
+
 
 class Network:
     """Delivers messages between the announcement handlers of several controls."""
@@ -41,7 +64,11 @@
         )
         table = MembershipTable(3.0)
         clock = SimpleNamespace(now_s=lambda: self.now_s)
-        return HostAnnouncementHandler(control_id, transport, log, table, clock), table
+        self.recorder = FakeRecorder()
+        handler = HostAnnouncementHandler(
+            control_id, transport, log, table, self.recorder, clock
+        )
+        return handler, table
 
 
 def make_announcement(sequence, **fields):
@@ -74,7 +101,7 @@
 
 def test_a_host_of_one_control_is_known_to_all(controls):
     (handler, _), (_, other_table) = controls
-    handler.announce(make_announcement(1))
+    handler.announce(make_announcement(1), DEADLINE_S)
     send_report(handler)
     assert other_table.is_fresh("h1", 100.0)
     assert other_table.host("h1").is_content_current
@@ -83,7 +110,7 @@
 def test_an_unchanged_host_stays_fresh_everywhere(controls, network):
     (handler, _), (_, other_table) = controls
     for sequence in range(1, 6):
-        handler.announce(make_announcement(sequence))
+        handler.announce(make_announcement(sequence), DEADLINE_S)
         send_report(handler)
         network.now_s += 1.2
     assert other_table.is_fresh("h1", network.now_s)
@@ -91,12 +118,12 @@
 
 def test_a_control_without_the_announcement_gets_it_in_full(controls, network):
     (handler, _), _ = controls
-    handler.announce(make_announcement(1))
+    handler.announce(make_announcement(1), DEADLINE_S)
     send_report(handler)
     # The other control restarts and gets a report without the full announcement.
     _, table = network.add_control("c2")
     network.now_s += 1.2
-    handler.announce(make_announcement(2))
+    handler.announce(make_announcement(2), DEADLINE_S)
     send_report(handler)
     assert not table.host("h1").is_content_current
     send_report(handler)
@@ -105,9 +132,9 @@
 
 def test_a_late_announcement_does_not_revoke_leaving(controls):
     (handler, table), (_, other_table) = controls
-    handler.announce(make_announcement(1))
-    assert handler.leave("h1")
-    handler.announce(make_announcement(7))
+    handler.announce(make_announcement(1), DEADLINE_S)
+    assert handler.leave("h1", DEADLINE_S)
+    handler.announce(make_announcement(7), DEADLINE_S)
     send_report(handler)
     assert table.host("h1").announcement.leaving
     assert other_table.host("h1").announcement.leaving
@@ -115,12 +142,50 @@
 
 def test_an_unknown_host_cannot_leave(controls):
     (handler, _), _ = controls
-    assert not handler.leave("h9")
+    assert not handler.leave("h9", DEADLINE_S)
 
 
 def test_a_control_that_lost_its_disk_reports_to_the_others(network):
     handler, _ = network.add_control("c1", members=Members())
     _, other_table = network.add_control("c2")
-    handler.announce(make_announcement(1))
+    handler.announce(make_announcement(1), DEADLINE_S)
     send_report(handler)
     assert other_table.is_fresh("h1", 100.0)
+
+
+def test_only_departures_wait_for_the_log(network):
+    handler, _ = network.add_control("c1")
+    handler.announce(make_announcement(1), DEADLINE_S)
+    assert not network.recorder.confirmed
+    handler.announce(make_announcement(2, leaving=True), DEADLINE_S)
+    assert handler.leave("h1", DEADLINE_S)
+    assert network.recorder.confirmed == [("h1", "b1")] * 2
+
+
+def test_departure_that_is_not_recorded_is_in_force_but_not_acknowledged(network):
+    handler, table = network.add_control("c1")
+    handler.announce(make_announcement(1), DEADLINE_S)
+    network.recorder.error = DepartureNotRecordedError("no leader")
+    with pytest.raises(DepartureNotRecordedError):
+        handler.leave("h1", DEADLINE_S)
+    assert table.host("h1").announcement.leaving
+
+
+def test_resent_departure_is_not_acknowledged_as_an_old_announcement(network):
+    # Guards against a copy of a heartbeat that is acknowledged unseen.
+    handler, _ = network.add_control("c1")
+    network.recorder.error = DepartureNotRecordedError("no leader")
+    for _ in range(2):
+        with pytest.raises(DepartureNotRecordedError):
+            handler.announce(make_announcement(2, leaving=True), DEADLINE_S)
+    network.recorder.error = None
+    with pytest.raises(OldSequenceError):
+        handler.announce(make_announcement(2, leaving=True), DEADLINE_S)
+    assert network.recorder.confirmed == [("h1", "b1")]
+
+
+def test_unknown_host_with_a_recent_record_may_leave_again(network):
+    handler, table = network.add_control("c1")
+    network.recorder.recent_host_ids.add("h1")
+    assert handler.leave("h1", DEADLINE_S)
+    assert table.host("h1") is None
