Name services by their parts, so that no two share a name

Cause: a text holds one service for each model of a platform service, under a name that joined the two with a hyphen. `ledger` with the model `app` got the name of the plain service `ledger-app` and replaced it. Heartbeats joined staged weights and holdings in the same way. With the services listed in the other order, the valid document was refused. A route that named the joined name was taken for valid.

Change: a service has an identity of platform service and model, and a canonical name that no other identity has. A service keeps the name that it has in the text in force, so stored texts and their groups stay as they are, and a name in use is given to no other service. Heartbeats are resolved by the text in force, and routes name platform services only.

Measured: on the document of the case gave one service of two, or a refusal in the other order; now two, in both orders.

--- a/chestnutvale/configuration/routes.py
+++ b/chestnutvale/configuration/routes.py
@@ -7,6 +7,7 @@
 import attrs
 
 from chestnutvale.configuration.const import MAX_ROUTES, ROUTE_KINDS
+from chestnutvale.configuration.service_names import find_listed_name
 from chestnutvale.schema.configuration_pb2 import Route, Text
 
 RoutePath = tuple[str | int, ...]
@@ -28,7 +29,7 @@
     if len(text.routes) > MAX_ROUTES:
         yield ("routes",), f"holds more than {MAX_ROUTES} routes"
         return
-    targets = set(text.services) | {item.pool for item in text.services.values()}
+    targets = {find_listed_name(name, item) for name, item in text.services.items()}
     seen: set[tuple[str, str]] = set()
     for position, route in enumerate(text.routes):
         path = ("routes", position)
@@ -87,7 +88,8 @@
             by_host.setdefault(route.host.lower(), {})[route.path_prefix] = route
         targets: dict[str, dict[str, str]] = {}
         for name, service in text.services.items():
-            targets.setdefault(service.pool or name, {})[service.model] = name
+            target = find_listed_name(name, service)
+            targets.setdefault(target, {})[service.model] = name
         return cls(targets, by_host)
 
     def find_route(self, host: str, path: str) -> Route | None:
--- a/chestnutvale/configuration/state.py
+++ b/chestnutvale/configuration/state.py
@@ -10,6 +10,7 @@
     OUTCOME_OVERTAKEN,
     OUTCOME_RESENT,
 )
+from chestnutvale.configuration.service_names import ServiceNames
 from chestnutvale.schema.configuration_pb2 import (
     AcceptedNumber,
     ApplyText,
@@ -32,6 +33,8 @@
     ----------
     text : Text
         The text in force; empty with number 0 before the first one.
+    service_names : ServiceNames
+        Names of its services.
     digest : str
         Digest of the text; empty before the first one.
     operator : str
@@ -45,6 +48,7 @@
 
     def __init__(self) -> None:
         self.text = Text()
+        self.service_names = ServiceNames()
         self.digest = ""
         self.operator = ""
         self.accepted_at_unix_ms = 0
@@ -97,6 +101,7 @@
             return self._make_result(rejection)
         self.text = Text()
         self.text.CopyFrom(command.text)
+        self.service_names = ServiceNames.from_text(self.text)
         self.digest = command.digest
         self.operator = command.operator
         self.accepted_at_unix_ms = at_unix_ms
@@ -142,6 +147,7 @@
         """
         state = cls()
         state.text.CopyFrom(snapshot.text)
+        state.service_names = ServiceNames.from_text(state.text)
         state.digest = snapshot.digest
         state.operator = snapshot.operator
         state.accepted_at_unix_ms = snapshot.accepted_at_unix_ms
--- a/chestnutvale/programs/control/documents.py
+++ b/chestnutvale/programs/control/documents.py
@@ -8,6 +8,7 @@
 from chestnutvale.configuration.const import STEP_PARSE_TEXT
 from chestnutvale.configuration.digest import compute_text_digest
 from chestnutvale.configuration.exceptions import TextError, TextProblem
+from chestnutvale.configuration.service_names import keep_service_names
 from chestnutvale.consensus.exceptions import NotLeaderError
 from chestnutvale.programs.control.operations import ControlOperations
 from chestnutvale.schema.configuration_pb2 import ApplyText, Text
@@ -66,6 +67,7 @@
         if not self._operations.is_leader():
             leader_id = self._operations.leader_id()
             raise NotLeaderError(leader_id, step=STEP_PARSE_TEXT)
+        keep_service_names(text, self._operations.text_in_force())
         command = ApplyText(
             text=text,
             digest=compute_text_digest(text),
--- a/chestnutvale/programs/control/operations.py
+++ b/chestnutvale/programs/control/operations.py
@@ -8,6 +8,7 @@
 import logbook
 
 from chestnutvale.clock import Clock
+from chestnutvale.configuration.service_names import ServiceNames
 from chestnutvale.consensus.exceptions import MembersChangeError, NotLeaderError
 from chestnutvale.consensus.members import control_of
 from chestnutvale.consensus.task import ConsensusTask
@@ -24,6 +25,7 @@
     ApplyText,
     ApplyTextResult,
     ConfigurationSnapshot,
+    Text,
 )
 from chestnutvale.schema.evacuations_pb2 import EvacuationResult, SetEvacuation
 from chestnutvale.schema.groups_pb2 import DrainHost
@@ -118,6 +120,14 @@
         self._log.confirm_read(deadline_s)
         return self._state.configuration.document
 
+    def text_in_force(self) -> Text:
+        """Return the text in force, as far as applied; callers must not modify it."""
+        return self._state.configuration.text
+
+    def service_names(self) -> ServiceNames:
+        """Return the names of the services in that text."""
+        return self._state.configuration.service_names
+
     def is_accepted(self, number: int, digest: str) -> bool:
         """Return whether the text with this digest was accepted under this number."""
         return self._state.configuration.is_accepted(number, digest)
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -22,8 +22,8 @@
 def test_configuration_is_translated():
     text = read(CONFIGURATION)
     assert text.number == 7
-    assert set(text.services) == {"llm-big", "llm-small", "app"}
-    big = text.services["llm-big"]
+    assert set(text.services) == {"llm/big", "llm/small", "app"}
+    big = text.services["llm/big"]
     assert (big.pool, big.model, big.hosts_per_group, big.work_share) == (
         "llm",
         "big",
@@ -54,7 +54,7 @@
     document = replace_value(document, ("services", 0, "coldStartS"), 3)
     document = replace_value(document, ("services", 1, "coldPerS"), 2.5)
     services = read(document).services
-    for name in ("llm-big", "llm-small"):
+    for name in ("llm/big", "llm/small"):
         found = services[name]
         assert (found.cold_requests_per_s, found.cold_start_ms) == (17.0, 3_000)
     found = services["app"]
--- a/tests/platform/test_control_interface.py
+++ b/tests/platform/test_control_interface.py
@@ -8,6 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from chestnutvale.configuration.service_names import ServiceNames
 from chestnutvale.consensus.exceptions import NotLeaderError, OutcomeUnknownError
 from chestnutvale.evacuations.exceptions import (
     EvacuationNotReadyError,
@@ -17,7 +18,7 @@
     DepartureNotRecordedError,
     OldSequenceError,
 )
-from chestnutvale.schema.configuration_pb2 import ApplyTextResult
+from chestnutvale.schema.configuration_pb2 import ApplyTextResult, Text
 from tests.platform.documents import CONFIGURATION, HEARTBEAT, replace_value
 
 from adapter.control_interface import PlatformControlInterface  # isort: skip
@@ -54,6 +55,12 @@
             raise self.error
         self.applied.append(command)
 
+    def text_in_force(self):
+        return Text()
+
+    def service_names(self):
+        return ServiceNames()
+
     def read_document(self, deadline_s):
         if self.error is not None:
             raise self.error
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -6,6 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from chestnutvale.configuration.service_names import ServiceNames
 from chestnutvale.membership.exceptions import AnnouncementRefusedError
 from chestnutvale.membership.validation import validate_announcement
 from tests.platform.documents import HEARTBEAT, list_paths, replace_value
@@ -15,7 +16,7 @@
 
 
 def read(document, host_id="i-1"):
-    return read_heartbeat(host_id, json.dumps(document).encode())
+    return read_heartbeat(host_id, json.dumps(document).encode(), ServiceNames())
 
 
 def test_heartbeat_of_engine_is_translated():
@@ -24,10 +25,10 @@
     assert (found.host_id, found.kind, found.pool) == ("i-1", "engine", "llm")
     assert found.fabric_domain == "llm.a-d0"
     assert (found.sequence, found.born_unix_ms) == (4, 1790991543082)
-    assert list(found.staged) == ["llm-big"]
+    assert list(found.staged) == ["llm/big"]
     holding = found.holding
     assert (holding.group_id, holding.epoch, holding.rank) == ("llm-big-3", 3, 0)
-    assert (holding.phase, holding.service) == ("open", "llm-big")
+    assert (holding.phase, holding.service) == ("open", "llm/big")
     assert found.opens
     assert found.fencing
     assert not found.leaving
