Accept hosts of services of any name

A service named `ledger@app` was configured and never served: callers got 503 for 10 of 10 calls.

Cause: documents accept any name, but announcements allowed a few characters only, so heartbeats of its workers were answered 400. Models, fabric domains, groups and data centres had the same check.

Change: in announcements, names that operators choose are limited by length. Identities of hosts and boots keep their form.

Measured: the new cases and the property over random names in tests/platform/test_service_names.py fail without the change and pass with it.

--- a/chestnutvale/membership/const.py
+++ b/chestnutvale/membership/const.py
@@ -64,7 +64,10 @@
 # Reports of an entry that may await an answer; beyond it, the oldest are dropped.
 MAX_OUTSTANDING_REPORTS: Final = 64
 
+# Length in characters of the identities of hosts and boots.
 MAX_NAME_LENGTH: Final = 128
+# Length in characters of names that operators choose, and of names made of them.
+MAX_LABEL_LENGTH: Final = 1_024
 MAX_ACCELERATORS: Final = 1_024
 MAX_ADAPTERS: Final = 256
 MAX_CACHE_EVENTS: Final = 65_536
--- a/chestnutvale/membership/validation.py
+++ b/chestnutvale/membership/validation.py
@@ -14,6 +14,7 @@
     MAX_CACHE_EVENTS,
     MAX_CACHED_ADDRESSES,
     MAX_COLD_REMAINING_MS,
+    MAX_LABEL_LENGTH,
     MAX_LOAD_COUNT,
     MAX_NAME_LENGTH,
     MAX_SEQUENCE,
@@ -21,6 +22,7 @@
 from chestnutvale.membership.exceptions import InvalidAnnouncementError
 from chestnutvale.schema.membership_pb2 import Announcement, Holding
 
+# Identities of hosts and boots, which are parts of ids.
 _NAME: Final = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:/-]*")
 _MAX_PORT: Final = 65_535
 
@@ -72,10 +74,18 @@
     return len(text) <= MAX_NAME_LENGTH and _NAME.fullmatch(text) is not None
 
 
+def _is_label(text: str) -> bool:
+    # Operators choose these names, so any character may occur in them.
+    return 0 < len(text) <= MAX_LABEL_LENGTH
+
+
 def _find_invalid_field(announcement: Announcement) -> str:
-    for field in ("host_id", "boot_id", "data_centre", "fabric_domain"):
+    for field in ("host_id", "boot_id"):
         if not _is_name(getattr(announcement, field)):
             return f"{field} is missing, too long or contains an invalid character"
+    for field in ("data_centre", "fabric_domain"):
+        if not _is_label(getattr(announcement, field)):
+            return f"{field} is missing or too long"
     if not 0 < announcement.sequence < MAX_SEQUENCE:
         return "sequence must be at least 1 and below 2**63"
     if len(announcement.address) > MAX_NAME_LENGTH:
@@ -88,8 +98,8 @@
         return f"cold_remaining_ms must not exceed {MAX_COLD_REMAINING_MS}"
     if announcement.kind not in (KIND_ENGINE, KIND_SERVICE):
         return "kind must be engine or service"
-    if announcement.kind == KIND_SERVICE and not _is_name(announcement.service):
-        return "service is missing, too long or contains an invalid character"
+    if announcement.kind == KIND_SERVICE and not _is_label(announcement.service):
+        return "service is missing or too long"
     if announcement.kind == KIND_ENGINE and announcement.service:
         return "service must be empty for an engine"
     if announcement.HasField("holding"):
@@ -100,8 +110,8 @@
 
 
 def _find_invalid_holding_field(holding: Holding) -> str:
-    if not _is_name(holding.group_id) or not _is_name(holding.service):
-        return "holding.group_id and holding.service must be valid names"
+    if not _is_label(holding.group_id) or not _is_label(holding.service):
+        return "holding.group_id or holding.service is missing or too long"
     if holding.phase not in HOLDING_PHASES:
         return "holding.phase is unknown"
     if len(holding.version) > MAX_NAME_LENGTH:
--- a/tests/platform/test_service_names.py
+++ b/tests/platform/test_service_names.py
@@ -10,6 +10,7 @@
 from chestnutvale.configuration.checks import find_document_faults
 from chestnutvale.configuration.routes import RouteTable
 from chestnutvale.configuration.service_names import ServiceNames
+from chestnutvale.membership.validation import validate_announcement
 from tests.platform.documents import HEARTBEAT
 
 from adapter.configuration import parse_configuration  # isort: skip
@@ -75,11 +76,13 @@
             assert owners.setdefault(chosen, (name, model)) == (name, model)
             if models:
                 worker = read_worker(text, service=name, staged=[model])
+                validate_announcement(worker)
                 assert (worker.pool, list(worker.staged)) == (name, [chosen])
                 assert text.services[chosen].pool == name
                 assert text.services[chosen].model == model
             else:
                 worker = read_worker(text, service=name, domain=None)
+                validate_announcement(worker)
                 assert worker.service == chosen
                 assert text.services[chosen].kind == "plain"
 
@@ -107,3 +110,12 @@
     document = make_document({"ledger": ["app"]})
     document["routes"][0]["service"] = target
     assert find_document_faults(parse_configuration(json.dumps(document).encode()))
+
+
+@pytest.mark.parametrize("name", ["ledger@app", "ledger app", "_ledger", "Buchung ä"])
+def test_workers_of_a_service_of_any_name_are_accepted(name):
+    # Guards against a service that is configured and never served, because the names
+    # in announcements were narrower than those in documents.
+    text = read_text({name: [], "llm": [name]})
+    validate_announcement(read_worker(text, service=name, domain=None))
+    validate_announcement(read_worker(text, service=name, domain=name, staged=[name]))
