Recognise warm-up groups by their host as well

Cause: a group counted as a warm-up by the prefix of its id, which groups of a service named `warm-up-...` have, too. A host that held a part of such a group, and that no group owned, counted as free, so it could join another group while the head of the first might still be open.

Change: the id has to end with the identity of the host that holds it.

Measured: the new test fails with the prefix alone and passes now.

--- a/chestnutvale/groups/fleet.py
+++ b/chestnutvale/groups/fleet.py
@@ -175,7 +175,11 @@
             return
         is_releasing = record.host_id in state.releases
         is_holding = announcement.HasField("holding")
-        if is_holding and not is_releasing and not is_warm_up(announcement.holding):
+        if (
+            is_holding
+            and not is_releasing
+            and not is_warm_up(announcement.holding, record.host_id)
+        ):
             self.orphaned.append(record)
             return
         if announcement.leaving or record.host_id in state.draining_hosts:
@@ -205,20 +209,26 @@
     return f"{WARM_UP_GROUP_PREFIX}{service}-{host_id}"
 
 
-def is_warm_up(holding: Holding) -> bool:
+def is_warm_up(holding: Holding, host_id: str) -> bool:
     """Tell whether a host holds a group only to warm up.
 
     Parameters
     ----------
     holding : Holding
         What the host announces.
+    host_id : str
+        The host. Its identity ends the id of its warm-up groups; other groups may
+        begin like one, as services may have any name.
 
     Returns
     -------
     bool
         If True, it serves nobody, and any group may take it.
     """
-    return holding.group_id.startswith(WARM_UP_GROUP_PREFIX)
+    group_id = holding.group_id
+    return group_id.startswith(WARM_UP_GROUP_PREFIX) and group_id.endswith(
+        f"-{host_id}"
+    )
 
 
 def make_member(record: HostRecord, rank: int) -> GroupMember:
--- a/tests/groups/test_warm_up.py
+++ b/tests/groups/test_warm_up.py
@@ -97,7 +97,13 @@
     order = make_warm_up_order(pool.table.host(HOST), BIG, "big", 7)
     assert (order.kind, order.epoch, order.fence) == (ORDER_ASSIGN, 7, 7)
     assert [member.host_id for member in order.members] == [HOST]
-    assert is_warm_up(Holding(group_id=order.group_id))
+    assert is_warm_up(Holding(group_id=order.group_id), HOST)
     members = [make_member(pool.table.host(HOST), 0)]
     group = Group(group_id="g", service=BIG, phase="forming", members=members)
     assert pool.state.put_group(PutGroup(group=group), 1).epoch > order.epoch
+
+
+def test_group_of_a_service_that_is_named_like_a_warm_up_is_no_warm_up():
+    # Guards against a host that joins a group while its last one may still serve.
+    assert not is_warm_up(Holding(group_id="warm-up-llm/big-12"), HOST)
+    assert is_warm_up(Holding(group_id=make_warm_up_group_id(HOST, "warm-up-a")), HOST)
