Keep the fabric domains of two pools apart

Cause: a fabric domain was named by its service and its own name with a dot between them, so the domain `b.c` of service `a` and the domain `c` of service `a.b` were one. Hosts were kept apart by their pool, but the hosts of a domain were counted together, as in the check of a text that a group fits into its largest domain.

Change: dots in the name of the service are escaped. Names of services without dots give the same domains as before. The properties of names draw pairs that one joined text can be split into, and name one pair of each kind.

--- a/chestnutvale/configuration/service_names.py
+++ b/chestnutvale/configuration/service_names.py
@@ -20,6 +20,28 @@
 )
 
 
+_DOMAIN_SEPARATOR: Final = "."
+_DOMAIN_ESCAPES: Final = str.maketrans({"%": "%25", _DOMAIN_SEPARATOR: "%2E"})
+
+
+def make_domain_name(pool: str, domain: str) -> str:
+    """Return the name of a fabric domain that only the hosts of one pool use.
+
+    Parameters
+    ----------
+    pool : str
+        The pool.
+    domain : str
+        What its hosts call the domain.
+
+    Returns
+    -------
+    str
+        A name that no other pair has.
+    """
+    return f"{pool.translate(_DOMAIN_ESCAPES)}{_DOMAIN_SEPARATOR}{domain}"
+
+
 @attrs.frozen
 class ServiceIdentity:
     """What a service of a text is, whatever its name there.
--- a/tests/configuration/test_service_names.py
+++ b/tests/configuration/test_service_names.py
@@ -1,6 +1,6 @@
 """Names of services: unique for any parts, and stable from text to text."""
 
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from chestnutvale.configuration.service_names import (
@@ -8,6 +8,7 @@
     ServiceNames,
     find_identity,
     keep_service_names,
+    make_domain_name,
 )
 from chestnutvale.schema.configuration_pb2 import Service, Text
 
@@ -16,6 +17,22 @@
 IDENTITIES = st.builds(ServiceIdentity, NAMES, st.none() | NAMES)
 
 
+@st.composite
+def split_in_two_ways(draw):
+    """Draw two pairs of names that give one text if joined by some character."""
+    text = draw(st.text(alphabet="a-./%", min_size=2, max_size=6))
+    cuts = st.integers(0, len(text) - 1)
+    return [(text[:cut], text[cut + 1 :]) for cut in (draw(cuts), draw(cuts))]
+
+
+@st.composite
+def joined_or_split(draw):
+    """Draw a name, and two parts that give it if joined by some character."""
+    text = draw(NAMES.filter(bool))
+    cut = draw(st.integers(0, len(text) - 1))
+    return text, (text[:cut], text[cut + 1 :])
+
+
 def make_text(names, number=1):
     """Build a text from services by name."""
     text = Text(number=number)
@@ -45,6 +62,28 @@
     assert (one.canonical_name == other.canonical_name) == (one == other)
 
 
+@given(split_in_two_ways(), joined_or_split())
+@example([("a-b", "c"), ("a", "b-c")], ("ledger-app", ("ledger", "app")))
+@example([("a/b", "c"), ("a", "b/c")], ("ledger/app", ("ledger", "app")))
+def test_names_that_are_joined_in_another_way_differ(pairs, joined):
+    # Guards against requests for one service that run at another one: review/3.
+    one, other = (ServiceIdentity(*pair) for pair in pairs)
+    assert (one.canonical_name == other.canonical_name) == (one == other)
+    name, parts = joined
+    assert (
+        ServiceIdentity(name).canonical_name != ServiceIdentity(*parts).canonical_name
+    )
+
+
+@given(split_in_two_ways())
+@example([("a.b", "c"), ("a", "b.c")])
+def test_two_pools_never_share_a_fabric_domain(pairs):
+    # Guards against domains of two services that are counted as one.
+    one, other = pairs
+    assert (make_domain_name(*one) == make_domain_name(*other)) == (one == other)
+    assert make_domain_name("llm", "a-d0") == "llm.a-d0"
+
+
 def test_common_names_stay_readable():
     assert ServiceIdentity("ledger-app").canonical_name == "ledger-app"
     assert ServiceIdentity("chestnut-llm", "m1").canonical_name == "chestnut-llm/m1"
