Keep the parts of a request apart in its fingerprint

Cause: the fingerprint by which crashes are counted joined key, method, target, model, number of tokens and prompt parts with spaces, which a model or a part may contain. Two different requests could share one, and one of them be refused for the crashes of the other.

Change: the parts are encoded as JSON.

Entries of two builds give different fingerprints, so during an upgrade a request may reach a few more groups before it is stopped.

--- a/chestnutvale/programs/entry/routed/handler.py
+++ b/chestnutvale/programs/entry/routed/handler.py
@@ -1,6 +1,7 @@
 """WSGI handler of routed calls: routing, authorisation, attempts and answers."""
 
 import contextlib
+import json
 import math
 from collections.abc import Callable, Iterable, Iterator
 from http import HTTPStatus
@@ -507,7 +508,8 @@
         str(request.max_tokens),
         *request.prompt_parts,
     )
-    digest = xxhash.xxh64(" ".join(work).encode() + b"\n")
+    # JSON keeps the parts apart, which may contain any separator.
+    digest = xxhash.xxh64(json.dumps(work).encode())
     digest.update(body)
     return digest.intdigest()
 
