Bound the work of parsing an answer, and take turns with it

Callers of sound services got no answer for seconds while a faulty endpoint sent answers in one-byte chunks or interim heads to an entry.

Cause: answers were limited in bytes only. A chunk of one byte costs as much work as a chunk of 64 KB, some 12 us, so one read of 64 KB kept the process for 0.13 s, and a hundred calls at a time for seconds. Complete heads and trailers of thousands of lines did the same.

Change: the parser handles 32 pieces at a time and other greenlets run in between. Each answer has an allowance of pieces that grows with its bytes and with time; what exceeds it is taken in turns from a budget of the process, 8,000 pieces a second. So an answer in tiny chunks is read more slowly, and a faulty one ends by its deadline. Interim heads, lines of a head and bytes of trailers are limited.

--- a/chestnutvale/http_client/answer_parser.py
+++ b/chestnutvale/http_client/answer_parser.py
@@ -1,12 +1,23 @@
 """Incremental parser of one HTTP/1.1 answer, without I/O."""
 
+import math
+import re
+
 import attrs
 import h11
 
-from chestnutvale.http_client.const import MAX_HEAD_BYTES
+from chestnutvale.http_client.const import (
+    MAX_HEAD_BYTES,
+    MAX_HEAD_LINES,
+    MAX_INTERIM_ANSWERS,
+    MAX_PIECELESS_BYTES,
+    MAX_PIECES_PER_STEP,
+    PARSED_BYTES,
+)
 from chestnutvale.http_client.exceptions import AnswerFormatError
 
 _BODYLESS_STATUSES = frozenset({204, 304})
+_BLANK_LINE = re.compile(rb"\n\r?\n")
 _HEAD_METHOD = "HEAD"
 # h11 parses answers to requests that it has sent; only HEAD changes how.
 _OTHER_METHOD = "GET"
@@ -44,8 +55,9 @@
 class AnswerParser:
     """Parses the bytes of one answer in pieces of any size.
 
-    Everything except the body is limited in size, so bytes without end raise an error.
-    Interim answers (1xx) are skipped.
+    Everything except the body is limited in size and in parts, so bytes without end
+    raise an error. Interim answers (1xx) are skipped. One call parses a limited number
+    of pieces (chunks, heads), so that it ends soon whatever was received.
 
     Parameters
     ----------
@@ -58,11 +70,14 @@
         Head of the answer once it is complete.
     is_complete : bool
         Whether the end of the answer was reached.
+    pieces : int
+        Number of pieces parsed so far.
     """
 
     def __init__(self, method: str) -> None:
         self.head: AnswerHead | None = None
         self.is_complete = False
+        self.pieces = 0
         self._has_body = method != _HEAD_METHOD
         self._connection = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
@@ -76,20 +91,37 @@
         self._connection.send(h11.EndOfMessage())
         # Bytes received before the head was complete, with interim answers.
         self._head_bytes = 0
+        self._head_lines = 0
+        self._interim_answers = 0
+        # Bytes given to h11 since the last piece after the head.
+        self._pieceless_bytes = 0
+        self._unparsed = memoryview(b"")
+        # Whether h11 may have another piece in the bytes that it was given.
+        self._may_have_piece = False
         self._error: AnswerFormatError | None = None
 
+    @property
+    def has_unparsed(self) -> bool:
+        """Whether `feed` can go on without further bytes."""
+        return (
+            not self.is_complete
+            and self._error is None
+            and (self._may_have_piece or bool(self._unparsed))
+        )
+
     def feed(self, data: bytes) -> bytes:
         """Parse received bytes.
 
         Parameters
         ----------
         data : bytes
-            Bytes as received.
+            Bytes as received; none to go on while `has_unparsed`.
 
         Returns
         -------
         bytes
-            The bytes of the body in them, without transfer coding.
+            Bytes of the body, without transfer coding; there may be more while
+            `has_unparsed`.
 
         Raises
         ------
@@ -101,18 +133,18 @@
             raise self._error
         had_head = self.head is not None
         if data:
-            self._connection.receive_data(data)
-        parts: list[bytes] = []
+            self._unparsed = memoryview(
+                bytes(self._unparsed) + data if self._unparsed else data
+            )
+        body = bytearray()
         try:
-            self._parse_events(parts)
-            if self.head is None:
-                self._check_head_size(len(data))
+            self._parse_step(body)
         except AnswerFormatError as error:
             self._error = error
             has_new_head = self.head is not None and not had_head
-            if not any(parts) and not has_new_head:
+            if not body and not has_new_head:
                 raise
-        return b"".join(parts)
+        return bytes(body)
 
     def end(self) -> None:
         """Handle the end of the connection.
@@ -128,7 +160,7 @@
             return
         # For h11, no bytes are the end of the connection.
         self._connection.receive_data(b"")
-        self._parse_events([])
+        self._parse_pieces(bytearray())
         if not self.is_complete:
             raise AnswerFormatError("the connection ended within the answer")
 
@@ -141,30 +173,69 @@
             The bytes; empty for none.
         """
         rest, _ = self._connection.trailing_data
-        return rest
+        return rest + bytes(self._unparsed)
+
+    def _parse_step(self, body: bytearray) -> None:
+        """Parse a limited number of pieces; append bytes of the body to `body`."""
+        max_pieces = self.pieces + MAX_PIECES_PER_STEP
+        self._parse_pieces(body, max_pieces)
+        while self._unparsed and not (self.is_complete or self._may_have_piece):
+            self._give_bytes()
+            self._parse_pieces(body, max_pieces)
+        if self.head is None and self._head_bytes > MAX_HEAD_BYTES:
+            raise AnswerFormatError("the head of the answer exceeds the size limit")
 
-    def _parse_events(self, parts: list[bytes]) -> None:
-        """Handle the events that are complete; append bytes of the body to `parts`."""
-        while not self.is_complete:
+    def _give_bytes(self) -> None:
+        """Give h11 its next bytes, within the limits on what completes no piece."""
+        is_sized = self.head is not None and self.head.body_bytes is not None
+        size = len(self._unparsed) if is_sized else PARSED_BYTES
+        data = bytes(self._unparsed[:size])
+        self._unparsed = self._unparsed[size:]
+        if self.head is None:
+            self._count_head(data)
+        elif not is_sized:
+            self._pieceless_bytes += len(data)
+            if self._pieceless_bytes > MAX_PIECELESS_BYTES:
+                raise AnswerFormatError("a part of the answer exceeds the size limit")
+        self._connection.receive_data(data)
+        self._may_have_piece = True
+
+    def _count_head(self, data: bytes) -> None:
+        self._head_bytes += len(data)
+        end = _BLANK_LINE.search(data)
+        self._head_lines += data.count(b"\n", 0, end.start() if end else len(data))
+        if self._head_lines > MAX_HEAD_LINES:
+            raise AnswerFormatError("the head of the answer has too many lines")
+        if end:
+            # What follows is the body, or the head after an interim answer.
+            self._head_lines = 0
+
+    def _parse_pieces(self, body: bytearray, max_pieces: float = math.inf) -> None:
+        while not self.is_complete and self.pieces < max_pieces:
             try:
                 event = self._connection.next_event()
             except h11.RemoteProtocolError as error:
                 raise AnswerFormatError(f"invalid answer: {error}") from error
             if event is h11.NEED_DATA:
+                self._may_have_piece = False
                 return
-            if isinstance(event, h11.Response):
-                self.head = self._make_head(event)
-            elif isinstance(event, h11.Data):
-                parts.append(bytes(event.data))
-            elif isinstance(event, h11.EndOfMessage):
-                self.is_complete = True
-            elif not isinstance(event, h11.InformationalResponse):
-                raise AnswerFormatError("the connection ended within the answer")
-
-    def _check_head_size(self, received_bytes: int) -> None:
-        self._head_bytes += received_bytes
-        if self._head_bytes > MAX_HEAD_BYTES:
-            raise AnswerFormatError("the head of the answer exceeds the size limit")
+            self.pieces += 1
+            self._pieceless_bytes = 0
+            self._handle_piece(event, body)
+
+    def _handle_piece(self, event: h11.Event, body: bytearray) -> None:
+        if isinstance(event, h11.Response):
+            self.head = self._make_head(event)
+        elif isinstance(event, h11.Data):
+            body += event.data
+        elif isinstance(event, h11.EndOfMessage):
+            self.is_complete = True
+        elif isinstance(event, h11.InformationalResponse):
+            self._interim_answers += 1
+            if self._interim_answers > MAX_INTERIM_ANSWERS:
+                raise AnswerFormatError("too many interim answers")
+        else:
+            raise AnswerFormatError("the connection ended within the answer")
 
     def _make_head(self, response: h11.Response) -> AnswerHead:
         if not response.http_version.startswith(b"1."):
--- a/chestnutvale/http_client/answer_reader.py
+++ b/chestnutvale/http_client/answer_reader.py
@@ -1,10 +1,17 @@
 """Reads one answer from a socket."""
 
+from typing import Final
+
+import eventlet
+
 from chestnutvale.clock import Clock
 from chestnutvale.http_client.answer_parser import AnswerHead, AnswerParser
 from chestnutvale.http_client.exceptions import BodyTooLargeError
+from chestnutvale.http_client.piece_budget import PieceMeter, SharedPieceBudget
 from chestnutvale.http_client.timed_socket import TimedSocket
 
+PROCESS_PIECE_BUDGET: Final = SharedPieceBudget()
+
 
 class AnswerReader:
     """Reads the head and the body of one answer, each call with a deadline.
@@ -21,15 +28,25 @@
         Source of time.
     received : bytes, optional
         Bytes that were received before.
+    budget : SharedPieceBudget, optional
+        Budget for answers in tiny pieces; by default that of the process.
     """
 
     def __init__(
-        self, sock: TimedSocket, method: str, clock: Clock, received: bytes = b""
+        self,
+        sock: TimedSocket,
+        method: str,
+        clock: Clock,
+        received: bytes = b"",
+        budget: SharedPieceBudget = PROCESS_PIECE_BUDGET,
     ) -> None:
         self._sock = sock
         self._clock = clock
         self._parser = AnswerParser(method)
         self._received = received
+        self._meter = PieceMeter(clock.now_s(), budget)
+        # Monotonic time in seconds at which the next pieces may be parsed.
+        self._next_parse_at_s = 0.0
         # Bytes of the body that arrived with the head.
         self._unread_body = b""
 
@@ -64,7 +81,7 @@
             If the connection broke; a `TimeoutError` if the deadline passed.
         """
         received, self._received = self._received, b""
-        self._unread_body = self._parser.feed(received)
+        self._unread_body = self._feed(received)
         while self.head is None:
             self._unread_body = self._receive(deadline_s)
             if self.head is None:
@@ -161,12 +178,34 @@
         return self._parser.take_rest()
 
     def _receive(self, deadline_s: float) -> bytes:
+        self._wait_for_turn(deadline_s)
+        if self._parser.has_unparsed:
+            return self._feed(b"")
         data = self._sock.receive(deadline_s)
         if data:
-            return self._parser.feed(data)
+            return self._feed(data)
         self._parser.end()
         return b""
 
+    def _feed(self, data: bytes) -> bytes:
+        pieces_before = self._parser.pieces
+        body = self._parser.feed(data)
+        self._next_parse_at_s = self._meter.record(
+            self._parser.pieces - pieces_before, len(body), self._clock.now_s()
+        )
+        return body
+
+    def _wait_for_turn(self, deadline_s: float) -> None:
+        """Let other greenlets run before the next of many tiny pieces are parsed."""
+        now_s = self._clock.now_s()
+        if self._next_parse_at_s <= now_s:
+            if self._parser.has_unparsed:
+                eventlet.sleep(0)
+            return
+        eventlet.sleep(max(0.0, min(self._next_parse_at_s, deadline_s) - now_s))
+        if deadline_s < self._next_parse_at_s:
+            raise TimeoutError("the answer came in too many pieces to be read in time")
+
     def _check_time(self, deadline_s: float) -> None:
         # Bytes may arrive in time and yet complete nothing.
         if self._clock.now_s() >= deadline_s:
