Count answers that are being received in the memory of the process

One faulty endpoint that sent bytes without end made an entry grow from 40 to 265 MB within a second, with 160 calls at a time, beyond the limit of 222 MB of its platform. The calls of all other clients end with it.

Cause: each answer was limited to 8 MB, and all of them together were not. The bound on the memory of a process counted request bodies and unread answers, but no answers that were being received. Those were kept as a list of parts, which takes forty times the size for tiny parts.

Change: bodies that are received as a whole are counted in the same bound. Beyond half of it the largest is given up, so that small answers of sound endpoints are kept; an eighth is theirs whatever else is taken.

--- a/chestnutvale/http_client/answer_parser.py
+++ b/chestnutvale/http_client/answer_parser.py
@@ -14,9 +14,11 @@
     MAX_PIECES_PER_STEP,
     PARSED_BYTES,
 )
-from chestnutvale.http_client.exceptions import AnswerFormatError
+from chestnutvale.http_client.exceptions import AnswerFormatError, AnswerLimitError
 
 _BODYLESS_STATUSES = frozenset({204, 304})
+# Status that h11 suggests if a head exceeds its limit.
+_HEAD_TOO_LARGE = 431
 _BLANK_LINE = re.compile(rb"\n\r?\n")
 _HEAD_METHOD = "HEAD"
 # h11 parses answers to requests that it has sent; only HEAD changes how.
@@ -183,7 +185,7 @@
             self._give_bytes()
             self._parse_pieces(body, max_pieces)
         if self.head is None and self._head_bytes > MAX_HEAD_BYTES:
-            raise AnswerFormatError("the head of the answer exceeds the size limit")
+            raise AnswerLimitError("the head of the answer exceeds the size limit")
 
     def _give_bytes(self) -> None:
         """Give h11 its next bytes, within the limits on what completes no piece."""
@@ -196,7 +198,7 @@
         elif not is_sized:
             self._pieceless_bytes += len(data)
             if self._pieceless_bytes > MAX_PIECELESS_BYTES:
-                raise AnswerFormatError("a part of the answer exceeds the size limit")
+                raise AnswerLimitError("a part of the answer exceeds the size limit")
         self._connection.receive_data(data)
         self._may_have_piece = True
 
@@ -205,7 +207,7 @@
         end = _BLANK_LINE.search(data)
         self._head_lines += data.count(b"\n", 0, end.start() if end else len(data))
         if self._head_lines > MAX_HEAD_LINES:
-            raise AnswerFormatError("the head of the answer has too many lines")
+            raise AnswerLimitError("the head of the answer has too many lines")
         if end:
             # What follows is the body, or the head after an interim answer.
             self._head_lines = 0
@@ -215,7 +217,9 @@
             try:
                 event = self._connection.next_event()
             except h11.RemoteProtocolError as error:
-                raise AnswerFormatError(f"invalid answer: {error}") from error
+                is_too_large = error.error_status_hint == _HEAD_TOO_LARGE
+                kind = AnswerLimitError if is_too_large else AnswerFormatError
+                raise kind(f"invalid answer: {error}") from error
             if event is h11.NEED_DATA:
                 self._may_have_piece = False
                 return
@@ -233,7 +237,7 @@
         elif isinstance(event, h11.InformationalResponse):
             self._interim_answers += 1
             if self._interim_answers > MAX_INTERIM_ANSWERS:
-                raise AnswerFormatError("too many interim answers")
+                raise AnswerLimitError("too many interim answers")
         else:
             raise AnswerFormatError("the connection ended within the answer")
 
--- a/chestnutvale/http_client/answer_reader.py
+++ b/chestnutvale/http_client/answer_reader.py
@@ -6,7 +6,8 @@
 
 from chestnutvale.clock import Clock
 from chestnutvale.http_client.answer_parser import AnswerHead, AnswerParser
-from chestnutvale.http_client.exceptions import BodyTooLargeError
+from chestnutvale.http_client.collected_body import CollectedBody, CollectionBound
+from chestnutvale.http_client.exceptions import AnswerFormatError, BodyTooLargeError
 from chestnutvale.http_client.piece_budget import PieceMeter, SharedPieceBudget
 from chestnutvale.http_client.timed_socket import TimedSocket
 
@@ -120,7 +121,9 @@
                 self._check_time(deadline_s)
         return b""
 
-    def read_all(self, max_bytes: int, deadline_s: float) -> bytes:
+    def read_all(
+        self, max_bytes: int, deadline_s: float, bound: CollectionBound | None = None
+    ) -> bytes:
         """Read the rest of the body.
 
         Parameters
@@ -129,6 +132,8 @@
             Maximum size of the body in bytes.
         deadline_s : float
             Deadline of the whole body as monotonic time in seconds.
+        bound : CollectionBound, optional
+            Bound on the memory of all bodies that the process receives.
 
         Returns
         -------
@@ -139,6 +144,8 @@
         ------
         BodyTooLargeError
             If the body is larger than `max_bytes`.
+        BodyCutError
+            If the body was given up because of the bound.
         AnswerFormatError
             If the body is invalid or incomplete.
         OSError
@@ -146,15 +153,16 @@
         """
         if (self.head.body_bytes or 0) > max_bytes:
             raise BodyTooLargeError("the answer exceeds the size limit")
-        parts: list[bytes] = []
-        total_bytes = 0
-        while data := self.read(deadline_s):
-            total_bytes += len(data)
-            if total_bytes > max_bytes:
-                raise BodyTooLargeError("the answer exceeds the size limit")
-            parts.append(data)
-            self._check_time(deadline_s)
-        return b"".join(parts)
+        with CollectedBody(max_bytes, self._sock, bound) as body:
+            try:
+                while data := self.read(deadline_s):
+                    body.add(data)
+                    self._check_time(deadline_s)
+            except (AnswerFormatError, OSError):
+                body.check_cut()
+                raise
+            body.check_cut()
+            return body.take()
 
     def take_unread_body(self) -> bytes:
         """Remove and return the bytes of the body that arrived with the head.
--- a/chestnutvale/http_client/exceptions.py
+++ b/chestnutvale/http_client/exceptions.py
@@ -13,3 +13,15 @@
     """The body of an answer is larger than its reader allows."""
 
     code = "answer_too_large"
+
+
+class AnswerLimitError(AnswerFormatError):
+    """A part of an answer exceeds a limit that sound answers keep."""
+
+    code = "answer_limit"
+
+
+class BodyCutError(AnswerFormatError):
+    """The body of an answer was given up, as the process lacks memory for it."""
+
+    code = "answer_cut"
--- a/chestnutvale/observability/catalog.py
+++ b/chestnutvale/observability/catalog.py
@@ -281,6 +281,11 @@
     "{answer}",
     "Answers that were broken off because their callers read too slowly.",
 )
+CUT_BODIES: Final = Metric(
+    "chestnutvale.entry.answers.given.up",
+    "{answer}",
+    "Answers of endpoints that were given up because they took too much memory.",
+)
 REFUSED_WITHOUT_MEMORY: Final = Metric(
     "chestnutvale.entry.calls.refused.memory",
     "{call}",
--- a/chestnutvale/programs/entry/context.py
+++ b/chestnutvale/programs/entry/context.py
@@ -11,6 +11,7 @@
 from chestnutvale.attempts.suspicion import SuspicionTracker
 from chestnutvale.clock import Clock
 from chestnutvale.configuration.lookup import TextLookup
+from chestnutvale.http_server.memory import MemoryBound
 from chestnutvale.membership.endpoint_notices import EndpointNotice, Incarnation
 from chestnutvale.programs.entry.running_attempts import RunningAttempts
 from chestnutvale.routing.stall_detection import StallDetector
@@ -241,6 +242,8 @@
         Distinguishes a crashed group from a single broken stream.
     stop_window : StopWindow
         Decides which calls the entry still takes while it stops.
+    memory : MemoryBound
+        Bound on the memory of requests and answers.
     """
 
     entry_id: str
@@ -254,6 +257,7 @@
     stall_detector: StallDetector
     has_crashed: CrashProbe
     stop_window: StopWindow
+    memory: MemoryBound
 
     @property
     def is_isolated(self) -> bool:
--- a/chestnutvale/programs/entry/daemon.py
+++ b/chestnutvale/programs/entry/daemon.py
@@ -169,6 +169,7 @@
             self.dump,
         )
         self._memory = MemoryBound(settings.max_buffered_bytes)
+        self.context.memory = self._memory
         listeners = self._interface.make_listeners(self._components)
         self._servers = [
             HttpServer(
@@ -303,6 +304,7 @@
             "refused_requests": lambda: dict(self.server.refused),
             "buffered_bytes": lambda: self._memory.used_bytes,
             "cut_answers": lambda: self._memory.cut_answers,
+            "cut_bodies": lambda: self._memory.cut_bodies,
             "refused_without_memory": lambda: self._memory.refused_requests,
             "transport": lambda: self.transport.read_counters(),
         }
--- a/chestnutvale/programs/entry/endpoint_exchange.py
+++ b/chestnutvale/programs/entry/endpoint_exchange.py
@@ -5,6 +5,7 @@
 
 from chestnutvale.clock import Clock, SystemClock
 from chestnutvale.http_client.answer_reader import AnswerReader
+from chestnutvale.http_client.collected_body import CollectionBound
 from chestnutvale.http_client.request import encode_request
 from chestnutvale.http_client.timed_socket import TimedSocket
 from chestnutvale.programs.entry.const import STEP_CONNECT, STEP_RECEIVE, STEP_SEND
@@ -36,6 +37,8 @@
         Whether the answer is an event stream with its own end marker.
     clock : Clock, optional
         Source of time.
+    bound : CollectionBound, optional
+        Bound on the memory of all bodies that are received as a whole.
 
     Attributes
     ----------
@@ -46,13 +49,19 @@
     """
 
     def __init__(
-        self, address: str, *, is_stream: bool = False, clock: Clock | None = None
+        self,
+        address: str,
+        *,
+        is_stream: bool = False,
+        clock: Clock | None = None,
+        bound: CollectionBound | None = None,
     ) -> None:
         self.address = address
         self.status = 0
         self.headers: list[tuple[str, str]] = []
         self._is_stream = is_stream
         self._clock = clock or SystemClock()
+        self._bound = bound
         self._sock: TimedSocket | None = None
         self._answer: AnswerReader | None = None
         self._stream_reader: StreamReader | None = None
@@ -217,7 +226,9 @@
             If the body did not end before the timeout of `send`.
         """
         with translate_client_errors(STEP_RECEIVE, self.address):
-            return self._answer.read_all(max_bytes, self._answer_deadline_s)
+            return self._answer.read_all(
+                max_bytes, self._answer_deadline_s, self._bound
+            )
 
     def abort(self) -> None:
         """Shut the connection down from another greenlet; the reader gets an error."""
--- a/chestnutvale/programs/entry/entry_context.py
+++ b/chestnutvale/programs/entry/entry_context.py
@@ -20,6 +20,7 @@
 from chestnutvale.configuration.lookup import TextLookup
 from chestnutvale.groups.const import FAULT_MISSING, FAULT_RESTARTED
 from chestnutvale.groups.members import group_head
+from chestnutvale.http_server.memory import MemoryBound
 from chestnutvale.membership.endpoint_notices import EndpointNotice, Incarnation
 from chestnutvale.membership.entry_view import EntryView
 from chestnutvale.programs.entry.admission_gate import AdmissionGate
@@ -80,6 +81,8 @@
         Number of endpoints that were ``leaving`` and ``paused`` by their own answers,
         of limits that they named (``limited``) and no longer named (``unlimited``), and
         of endpoints that said that they are ``cold``.
+    memory : MemoryBound
+        Bound on the memory of requests and answers.
     kept_attempts : Counter
         Number of attempts that were kept although silent, by the code of the reason.
     on_isolation_change : callable
@@ -119,6 +122,7 @@
         self.on_departure: Callable[[], None] = _ignore_change
         self.on_limit_change: Callable[[], None] = _ignore_change
         self.notice_counts: Counter[str] = Counter()
+        self.memory = MemoryBound()
         self.kept_attempts: Counter[str] = Counter()
         self.on_isolation_change: Callable[[], None] = _ignore_change
         self.on_silence: Callable[[], None] = _ignore_change
--- a/chestnutvale/programs/entry/metrics.py
+++ b/chestnutvale/programs/entry/metrics.py
@@ -77,6 +77,9 @@
     metrics.register_counter(
         catalog.CUT_ANSWERS, make_unlabelled_reader(lambda: memory.cut_answers)
     )
+    metrics.register_counter(
+        catalog.CUT_BODIES, make_unlabelled_reader(lambda: memory.cut_bodies)
+    )
     metrics.register_counter(
         catalog.REFUSED_WITHOUT_MEMORY,
         make_unlabelled_reader(lambda: memory.refused_requests),
--- a/chestnutvale/programs/entry/routed/exchange.py
+++ b/chestnutvale/programs/entry/routed/exchange.py
@@ -8,6 +8,7 @@
 
 from chestnutvale.clock import Clock
 from chestnutvale.http_client.answer_reader import AnswerReader
+from chestnutvale.http_client.collected_body import CollectionBound
 from chestnutvale.http_client.exceptions import AnswerFormatError, BodyTooLargeError
 from chestnutvale.http_client.request import encode_request
 from chestnutvale.membership.endpoint_notices import EndpointNotice
@@ -67,6 +68,8 @@
         Gets what an answer says about the endpoint.
     boot_id : str, optional
         Run of the endpoint's host, to which the connection must belong.
+    bound : CollectionBound, optional
+        Bound on the memory of all bodies that are received as a whole.
 
     Attributes
     ----------
@@ -92,6 +95,7 @@
         may_send: Callable[[], bool],
         on_notice: Callable[[EndpointNotice], None],
         boot_id: str = "",
+        bound: CollectionBound | None = None,
     ) -> None:
         self.address = address
         self.status = 0
@@ -107,6 +111,7 @@
         self._may_send = may_send
         self._on_notice = on_notice
         self._boot_id = boot_id
+        self._bound = bound
         self._connection: PooledConnection | None = None
         self._answer: AnswerReader | None = None
         # Monotonic time in seconds until which `read_all` may read.
@@ -276,7 +281,9 @@
         """
         with translate_client_errors(STEP_RECEIVE, self.address):
             try:
-                return self._answer.read_all(max_bytes, self._answer_deadline_s)
+                return self._answer.read_all(
+                    max_bytes, self._answer_deadline_s, self._bound
+                )
             except BodyTooLargeError as error:
                 if self._answer.head.body_bytes is not None:
                     raise
--- a/chestnutvale/programs/entry/routed/stream_attempts.py
+++ b/chestnutvale/programs/entry/routed/stream_attempts.py
@@ -174,4 +174,5 @@
         partial(context.may_send, endpoint),
         partial(context.record_notice, endpoint),
         endpoint.boot_id,
+        context.memory,
     )
--- a/chestnutvale/programs/entry/service_run.py
+++ b/chestnutvale/programs/entry/service_run.py
@@ -3,6 +3,7 @@
 import contextlib
 from collections import deque
 from collections.abc import Callable
+from functools import partial
 from types import TracebackType
 from typing import Protocol
 
@@ -40,6 +41,7 @@
     SubmitRelease,
 )
 from chestnutvale.groups.members import group_head
+from chestnutvale.http_client.collected_body import CollectionBound
 from chestnutvale.membership.endpoint_notices import Incarnation
 from chestnutvale.programs.entry.context import (
     AttemptReport,
@@ -113,20 +115,24 @@
 ExchangeFactory = Callable[[GroupView], Exchange]
 
 
-def make_endpoint_exchange(view: GroupView) -> Exchange:
+def make_endpoint_exchange(
+    view: GroupView, bound: CollectionBound | None = None
+) -> Exchange:
     """Make an exchange with the head of a group over the endpoint protocol.
 
     Parameters
     ----------
     view : GroupView
         The group.
+    bound : CollectionBound, optional
+        Bound on the memory of all bodies that are received as a whole.
 
     Returns
     -------
     Exchange
         The exchange, not connected yet.
     """
-    return EndpointExchange(head_address(view))
+    return EndpointExchange(head_address(view), bound=bound)
 
 
 class ServiceRun:
@@ -157,7 +163,8 @@
     policy : ServicePolicy, optional
         Limits of the attempts.
     make_exchange : callable, optional
-        Makes the exchange with the endpoint of a chosen group.
+        Makes the exchange with the endpoint of a chosen group; by default over the
+        endpoint protocol.
     fingerprint : int or None, optional
         64-bit fingerprint of the request, for the detection of crashing requests; by
         default that of `request` and `body`.
@@ -182,11 +189,13 @@
         repeatable: bool,
         claim: Claim | None,
         policy: ServicePolicy = DEFAULT_POLICY,
-        make_exchange: ExchangeFactory = make_endpoint_exchange,
+        make_exchange: ExchangeFactory | None = None,
         fingerprint: int | None = None,
         part_hashes: tuple[int, ...] = (),
     ) -> None:
-        self._make_exchange = make_exchange
+        self._make_exchange = make_exchange or partial(
+            make_endpoint_exchange, bound=context.memory
+        )
         self.answer_event: Event = Event()
         self._context = context
         self._writer = writer
--- a/tests/http_server/test_memory.py
+++ b/tests/http_server/test_memory.py
@@ -215,3 +215,61 @@
     bound.release_body(800)
     bound.set_unread(answer, 0)
     assert bound.used_bytes == 0
+
+
+class FakeBody:
+    """A body from an endpoint that grows until it is cut."""
+
+    def __init__(self, bound):
+        self.is_cut = False
+        self.size_bytes = 0
+        self._bound = bound
+
+    def grow(self, size_bytes):
+        self.size_bytes += size_bytes
+        self._bound.set_collected(self, self.size_bytes)
+
+    def cut(self):
+        self.is_cut = True
+
+
+def test_bodies_from_endpoints_are_bounded_and_the_largest_is_cut_first():
+    # Guards against answers without end that take all memory of a process.
+    bound = MemoryBound(1_000)
+    sound = [FakeBody(bound) for _ in range(4)]
+    endless = [FakeBody(bound) for _ in range(40)]
+    for body in sound:
+        body.grow(10)
+    for _ in range(100):
+        for body in endless:
+            if not body.is_cut:
+                body.grow(20)
+        assert bound.used_bytes <= 500
+    assert not any(body.is_cut for body in sound)
+    assert bound.cut_bodies == sum(body.is_cut for body in endless) > 30
+
+
+def test_small_bodies_are_received_although_the_rest_of_the_bound_is_taken():
+    # Guards against sound answers that are given up for want of memory elsewhere.
+    bound = MemoryBound(1_000)
+    assert bound.reserve_body(1_000)
+    body, larger = FakeBody(bound), FakeBody(bound)
+    body.grow(20)
+    assert not body.is_cut
+    larger.grow(200)
+    assert (body.is_cut, larger.is_cut) == (False, True)
+
+
+def test_complete_body_takes_no_memory_any_more():
+    bound = MemoryBound(1_000)
+    body = FakeBody(bound)
+    body.grow(400)
+    bound.set_collected(body, 0)
+    assert bound.used_bytes == 0
+
+
+def test_without_a_bound_no_body_is_cut():
+    bound = MemoryBound()
+    body = FakeBody(bound)
+    body.grow(10**9)
+    assert not body.is_cut
--- a/tests/programs/entry/entry_fakes.py
+++ b/tests/programs/entry/entry_fakes.py
@@ -14,6 +14,7 @@
 from chestnutvale.attempts.suspicion import SuspicionTracker
 from chestnutvale.clock import SystemClock
 from chestnutvale.configuration.lookup import TextLookup
+from chestnutvale.http_server.memory import MemoryBound
 from chestnutvale.ledger.state import LedgerState
 from chestnutvale.membership.endpoint_notices import EndpointNotices, Incarnation
 from chestnutvale.programs.entry.context import AdmitAll
@@ -63,6 +64,7 @@
         self.admission = AdmitAll()
         self.budgets = AttemptBudgets()
         self.stop_window = StopWindow()
+        self.memory = MemoryBound()
         self.suspicions = SuspicionTracker()
         self.running = RunningAttempts()
         self.has_crashed = has_crashed
