Pause endpoints that send one answer without end after another

Cause: after an answer without end an entry avoided the endpoint for a second, and only while another one could be chosen. A service whose only endpoint was faulty, or whose endpoints all were, got call after call, each with megabytes of bytes that are no answer, until its limit.

Change: an answer that exceeds a limit is an error of its own. After three of them in a row the endpoint gets nothing from this entry for 2 s, then for twice as long each time, at most 30 s, until an answer is whole. Calls that nothing else can take are refused at once with a Retry-After at the end of the pause. A single request with such an answer pauses nothing, as whole answers end the row. Streams don't count yet.

--- a/chestnutvale/http_client/answer_reader.py
+++ b/chestnutvale/http_client/answer_reader.py
@@ -7,7 +7,11 @@
 from chestnutvale.clock import Clock
 from chestnutvale.http_client.answer_parser import AnswerHead, AnswerParser
 from chestnutvale.http_client.collected_body import CollectedBody, CollectionBound
-from chestnutvale.http_client.exceptions import AnswerFormatError, BodyTooLargeError
+from chestnutvale.http_client.exceptions import (
+    AnswerFormatError,
+    AnswerLimitError,
+    BodyTooLargeError,
+)
 from chestnutvale.http_client.piece_budget import PieceMeter, SharedPieceBudget
 from chestnutvale.http_client.timed_socket import TimedSocket
 
@@ -146,6 +150,8 @@
             If the body is larger than `max_bytes`.
         BodyCutError
             If the body was given up because of the bound.
+        AnswerLimitError
+            If the body came in too many pieces to be read in time.
         AnswerFormatError
             If the body is invalid or incomplete.
         OSError
@@ -158,8 +164,12 @@
                 while data := self.read(deadline_s):
                     body.add(data)
                     self._check_time(deadline_s)
-            except (AnswerFormatError, OSError):
+            except (AnswerFormatError, OSError) as error:
                 body.check_cut()
+                if isinstance(error, TimeoutError) and self._meter.has_excess:
+                    raise AnswerLimitError(
+                        "the answer came in too many pieces to be read in time"
+                    ) from error
                 raise
             body.check_cut()
             return body.take()
@@ -212,7 +222,7 @@
             return
         eventlet.sleep(max(0.0, min(self._next_parse_at_s, deadline_s) - now_s))
         if deadline_s < self._next_parse_at_s:
-            raise TimeoutError("the answer came in too many pieces to be read in time")
+            raise TimeoutError("the answer got no turn before the deadline")
 
     def _check_time(self, deadline_s: float) -> None:
         # Bytes may arrive in time and yet complete nothing.
--- a/chestnutvale/http_client/piece_budget.py
+++ b/chestnutvale/http_client/piece_budget.py
@@ -68,6 +68,11 @@
     _bytes: int = 0
     _paid_pieces: float = 0.0
 
+    @property
+    def has_excess(self) -> bool:
+        """Whether the answer has taken pieces from the shared budget."""
+        return self._paid_pieces > 0.0
+
     def record(self, pieces: int, size_bytes: int, now_s: float) -> float:
         """Record pieces that were parsed and return when to parse the next ones.
 
--- a/chestnutvale/programs/entry/entry_context.py
+++ b/chestnutvale/programs/entry/entry_context.py
@@ -27,10 +27,16 @@
 from chestnutvale.programs.entry.commit_client import CommitClient
 from chestnutvale.programs.entry.context import AttemptReport, CallRequest, CrashProbe
 from chestnutvale.programs.entry.crash_probe import has_crashed
-from chestnutvale.programs.entry.group_router import RESULT_BROKEN, GroupRouter
+from chestnutvale.programs.entry.exceptions import EndlessAnswerError
+from chestnutvale.programs.entry.group_router import (
+    RESULT_BROKEN,
+    RESULT_WHOLE,
+    GroupRouter,
+)
 from chestnutvale.programs.entry.peers.const import SUSPICION_SILENCE_S
 from chestnutvale.programs.entry.running_attempts import RunningAttempts
 from chestnutvale.rate_limits.statements import RateStatement
+from chestnutvale.routing.endless_answers import EndlessAnswerTracker
 from chestnutvale.routing.reachability import EndpointReachability
 from chestnutvale.routing.stall_detection import StallDetector
 from chestnutvale.schema.command_pb2 import Command, CommandResult
@@ -79,6 +85,7 @@
         Called when an endpoint told this entry another limit than before.
     notice_counts : Counter
         Number of endpoints that were ``leaving`` and ``paused`` by their own answers,
+        of pauses because of answers without end (``endless``),
         of limits that they named (``limited``) and no longer named (``unlimited``), and
         of endpoints that said that they are ``cold``.
     memory : MemoryBound
@@ -130,6 +137,7 @@
         self.peers: list[str] = []
         self._lacks_peers = False
         self._reachability = EndpointReachability()
+        self._endless_answers = EndlessAnswerTracker()
         self._answered_at_s = clock.now_s()
         self.lookup = TextLookup.from_text(Text())
         self._started_at_s = clock.now_s()
@@ -462,6 +470,28 @@
             # The capacity returns with the end of the pause, not with the next view.
             eventlet.spawn_after(notice.pause_s, self.update_capacities)
 
+    def _record_endless_answer(
+        self, group_view: GroupView, report: AttemptReport
+    ) -> None:
+        """Pause the head of a group that sends one answer without end after another."""
+        head = Incarnation.of_member(group_head(group_view.group))
+        if report.result == RESULT_WHOLE:
+            self._endless_answers.record_whole(head)
+        if report.code != EndlessAnswerError.code:
+            return
+        now_s = self.clock.now_s()
+        pause_s = self._endless_answers.record_endless(head, now_s)
+        if not pause_s:
+            return
+        self._router.notices.record(head, EndpointNotice(pause_s=pause_s), now_s)
+        self.notice_counts["endless"] += 1
+        _LOGGER.warning(
+            "endless_answers",
+            extra={"host": head.host_id, "boot": head.boot_id, "pause_s": pause_s},
+        )
+        self.update_capacities()
+        eventlet.spawn_after(pause_s, self.update_capacities)
+
     @property
     def is_isolated(self) -> bool:
         """Whether this entry reaches no endpoint, while others may."""
@@ -615,6 +645,8 @@
         self.attempt_results[report.result] += 1
         self._router.report(report)
         group_view = self._view.group(report.group_id)
+        if group_view is not None and group_view.group.members:
+            self._record_endless_answer(group_view, report)
         if group_view is not None and group_view.evacuated:
             # The admission of this call counts for the remaining groups from now on.
             self.update_capacities()
--- a/chestnutvale/programs/entry/exceptions.py
+++ b/chestnutvale/programs/entry/exceptions.py
@@ -62,6 +62,12 @@
     code = "endpoint_broken"
 
 
+class EndlessAnswerError(EndpointBrokenError):
+    """An answer exceeds a limit that sound answers keep, and may have no end."""
+
+    code = "endless_answer"
+
+
 class EndpointSilentError(ChestnutError):
     """An endpoint sent nothing before the timeout."""
 
--- a/chestnutvale/programs/entry/exchange_failures.py
+++ b/chestnutvale/programs/entry/exchange_failures.py
@@ -16,9 +16,14 @@
 )
 from chestnutvale.attempts.exceptions import StreamFormatError
 from chestnutvale.exceptions import ChestnutError
-from chestnutvale.http_client.exceptions import AnswerFormatError, BodyTooLargeError
+from chestnutvale.http_client.exceptions import (
+    AnswerFormatError,
+    AnswerLimitError,
+    BodyTooLargeError,
+)
 from chestnutvale.programs.entry.exceptions import (
     AnswerTooLargeError,
+    EndlessAnswerError,
     EndpointBrokenError,
     EndpointRefusedError,
     EndpointSilentError,
@@ -86,6 +91,8 @@
     ------
     AnswerTooLargeError
         If the body is larger than allowed.
+    EndlessAnswerError
+        If a part of the answer exceeds a limit.
     EndpointBrokenError
         If the connection failed or the answer is invalid.
     EndpointSilentError
@@ -99,6 +106,8 @@
         ) from error
     except BodyTooLargeError as error:
         raise AnswerTooLargeError(error.message, step=step, peer=peer) from error
+    except AnswerLimitError as error:
+        raise EndlessAnswerError(error.message, step=step, peer=peer) from error
     except AnswerFormatError as error:
         raise EndpointBrokenError(error.message, step=step, peer=peer) from error
     except (OSError, ValueError) as error:
--- a/chestnutvale/programs/entry/routed/exchange.py
+++ b/chestnutvale/programs/entry/routed/exchange.py
@@ -9,7 +9,11 @@
 from chestnutvale.clock import Clock
 from chestnutvale.http_client.answer_reader import AnswerReader
 from chestnutvale.http_client.collected_body import CollectionBound
-from chestnutvale.http_client.exceptions import AnswerFormatError, BodyTooLargeError
+from chestnutvale.http_client.exceptions import (
+    AnswerLimitError,
+    BodyCutError,
+    BodyTooLargeError,
+)
 from chestnutvale.http_client.request import encode_request
 from chestnutvale.membership.endpoint_notices import EndpointNotice
 from chestnutvale.programs.entry.const import STEP_RECEIVE, STEP_SEND
@@ -273,9 +277,11 @@
         ------
         AnswerTooLargeError
             If the body is larger than `max_bytes` and its head says so.
+        EndlessAnswerError
+            If a body of unknown size exceeds `max_bytes` or the memory of the process,
+            or comes in too many pieces to be read in time.
         EndpointBrokenError
-            If the connection failed before the end of the body, or a body of unknown
-            size exceeds `max_bytes`.
+            If the connection failed before the end of the body.
         EndpointSilentError
             If the body did not end before the call's deadline or the timeout of `send`.
         """
@@ -284,12 +290,12 @@
                 return self._answer.read_all(
                     max_bytes, self._answer_deadline_s, self._bound
                 )
-            except BodyTooLargeError as error:
+            except (BodyTooLargeError, BodyCutError) as error:
                 if self._answer.head.body_bytes is not None:
                     raise
                 # The body may have no end, so this is a fault of the endpoint and no
                 # property of the answer.
-                raise AnswerFormatError(error.message) from error
+                raise AnswerLimitError(error.message) from error
 
     def abort(self) -> None:
         """Shut the connection down; a greenlet that waits for it gets an error."""
--- a/tests/programs/entry/test_entry_context.py
+++ b/tests/programs/entry/test_entry_context.py
@@ -12,10 +12,13 @@
 from chestnutvale.programs.entry.admission_gate import AdmissionGate
 from chestnutvale.programs.entry.context import AttemptReport, CallRequest
 from chestnutvale.programs.entry.entry_context import EntryContext
+from chestnutvale.programs.entry.exceptions import EndlessAnswerError
 from chestnutvale.programs.entry.group_router import GroupRouter
 from chestnutvale.routing.const import (
+    ENDLESS_ANSWERS_TO_PAUSE,
     ISOLATION_CONFIRMATION_S,
     ISOLATION_ENDPOINTS,
+    MIN_ENDLESS_ANSWER_PAUSE_S,
 )
 from chestnutvale.routing.selector import Selector
 from chestnutvale.schema.configuration_pb2 import Service, Text, Workspace
@@ -298,6 +301,34 @@
     assert gate.offer(make_plain_call(1)).wait() is None
 
 
+def report_plain_attempt(context, number, result, code=""):
+    report = AttemptReport(
+        make_plain_call(number), "app@h1", 1, result, code, first_byte_ms=None, tokens=0
+    )
+    context.report_attempt(report)
+
+
+def test_endpoint_that_sends_endless_answers_is_not_tried_for_a_while():
+    # Guards against a faulty endpoint that takes the memory and time of each call.
+    context, gate, clock = make_plain_context(1)
+    for number in range(ENDLESS_ANSWERS_TO_PAUSE):
+        assert context.may_send(Incarnation("h1", "b1"))
+        report_plain_attempt(context, number, "broken", EndlessAnswerError.code)
+    assert not context.may_send(Incarnation("h1", "b1"))
+    assert gate.offer(make_plain_call(9)).wait().code == "no_capacity"
+    clock.time_s += MIN_ENDLESS_ANSWER_PAUSE_S
+    assert context.may_send(Incarnation("h1", "b1"))
+
+
+def test_broken_and_whole_answers_pause_no_endpoint():
+    context, _, _ = make_plain_context(1)
+    for number in range(2 * ENDLESS_ANSWERS_TO_PAUSE):
+        report_plain_attempt(context, 2 * number, "broken", EndlessAnswerError.code)
+        report_plain_attempt(context, 2 * number + 1, "whole")
+        report_plain_attempt(context, 2 * number + 1, "broken", "endpoint_broken")
+    assert context.may_send(Incarnation("h1", "b1"))
+
+
 def test_the_dump_lists_notices():
     context, _, _ = make_plain_context(2)
     context.record_notice(Incarnation("h1", "b1"), EndpointNotice(pause_s=5.0))
