Refuse late departures no more quietly than others, and raise faults at once

Cause: a departure that arrived after a newer announcement of its boot was acknowledged without effect, unless it was known already. And an answer that was invalid after some valid bytes raised its error only with the next bytes, or at the deadline. Both were found in the read-through.

Change: such a departure holds for its boot and is recorded like others. The reader raises the error of the parser before it waits.

Measured: the two new tests fail without the changes, and pass now.

--- a/chestnutvale/http_client/answer_parser.py
+++ b/chestnutvale/http_client/answer_parser.py
@@ -55,11 +55,12 @@
 
 
 class AnswerParser:
-    """Parses the bytes of one answer in pieces of any size.
+    """Parses the bytes of one answer, however they are divided into reads.
 
-    Everything except the body is limited in size and in parts, so bytes without end
-    raise an error. Interim answers (1xx) are skipped. One call parses a limited number
-    of pieces (chunks, heads), so that it ends soon whatever was received.
+    Everything except the body is limited in size and number, so bytes without end raise
+    an error. Interim answers (1xx) are skipped. A piece is an event of h11, such as a
+    head or a chunk; one call parses a limited number of them, so that it ends soon
+    whatever was received.
 
     Parameters
     ----------
@@ -104,12 +105,10 @@
 
     @property
     def has_unparsed(self) -> bool:
-        """Whether `feed` can go on without further bytes."""
-        return (
-            not self.is_complete
-            and self._error is None
-            and (self._may_have_piece or bool(self._unparsed))
-        )
+        """Whether `feed` goes on, or raises its error, without further bytes."""
+        if self._error is not None:
+            return True
+        return not self.is_complete and (self._may_have_piece or bool(self._unparsed))
 
     def feed(self, data: bytes) -> bytes:
         """Parse received bytes.
--- a/chestnutvale/programs/control/host_announcement_handler.py
+++ b/chestnutvale/programs/control/host_announcement_handler.py
@@ -96,12 +96,14 @@
             If the host leaves and should announce that again. Here it counts as leaving
             already.
         """
-        departure = Incarnation(announcement.host_id, announcement.boot_id)
+        host_id = announcement.host_id
+        departure = Incarnation(host_id, announcement.boot_id)
         try:
             self._store(announcement)
         except OldSequenceError:
             # The host sends a departure again that was not acknowledged.
             if announcement.leaving:
+                self._table.mark_departed(host_id, announcement.boot_id)
                 self._recorder.confirm(departure, deadline_s)
             raise
         if announcement.leaving:
--- a/tests/http_client/test_answer_reader.py
+++ b/tests/http_client/test_answer_reader.py
@@ -103,3 +103,21 @@
     while received < 4 * 1024 * 1024:
         received += len(reader.read(deadline_s))
     assert not budget.taken_pieces
+
+
+def test_fault_after_some_bytes_is_raised_without_waiting_for_more():
+    # Guards against a call that waits for its deadline although its answer is invalid.
+    class OneRead:
+        def __init__(self):
+            self.reads = 0
+
+        def receive(self, deadline_s):
+            self.reads += 1
+            assert self.reads == 1
+            return CHUNKED + b"2\r\nab\r\nfault\r\n"
+
+    reader = AnswerReader(OneRead(), "POST", CLOCK)
+    reader.read_head(CLOCK.now_s() + 1.0)
+    assert reader.read(CLOCK.now_s() + 1.0) == b"ab"
+    with pytest.raises(AnswerFormatError):
+        reader.read(CLOCK.now_s() + 1.0)
--- a/tests/programs/control/test_host_announcement_handler.py
+++ b/tests/programs/control/test_host_announcement_handler.py
@@ -189,3 +189,13 @@
     network.recorder.recent_host_ids.add("h1")
     assert handler.leave("h1", DEADLINE_S)
     assert table.host("h1") is None
+
+
+def test_departure_that_arrives_late_holds_for_its_boot(network):
+    # Guards against an acknowledged departure that no control knows.
+    handler, table = network.add_control("c1")
+    handler.announce(make_announcement(5), DEADLINE_S)
+    with pytest.raises(OldSequenceError):
+        handler.announce(make_announcement(4, leaving=True), DEADLINE_S)
+    assert network.recorder.confirmed == [("h1", "b1")]
+    assert table.host("h1").announcement.leaving
