--- a/chestnutvale/routing/endless_answers.py
+++ b/chestnutvale/routing/endless_answers.py
@@ -1,4 +1,4 @@
-"""Decides when an endpoint is given a rest that sends answers without end."""
+"""Decides when an endpoint that sends answers without end is paused."""
 
 import math
 
