--- a/chestnutvale/configuration/service_names.py
+++ b/chestnutvale/configuration/service_names.py
@@ -12,14 +12,12 @@
 
 from chestnutvale.schema.configuration_pb2 import Service, Text
 
-# Separates the parts of a name. Names of groups are made with NAME_SUFFIX_SEPARATOR.
 PART_SEPARATOR: Final = "/"
+# Precedes what is added to a name, such as the host in the id of a plain group.
 NAME_SUFFIX_SEPARATOR: Final = "@"
 _ESCAPES: Final = str.maketrans(
     {"%": "%25", PART_SEPARATOR: "%2F", NAME_SUFFIX_SEPARATOR: "%40"}
 )
-
-
 _DOMAIN_SEPARATOR: Final = "."
 _DOMAIN_ESCAPES: Final = str.maketrans({"%": "%25", _DOMAIN_SEPARATOR: "%2E"})
 
--- a/chestnutvale/http_server/memory.py
+++ b/chestnutvale/http_server/memory.py
@@ -14,7 +14,7 @@
 MIN_COLLECTED_SHARE: Final = 0.125
 
 
-class CollectedBody(Protocol):
+class ReceivedBody(Protocol):
     """The body of an answer that is being received as a whole."""
 
     def cut(self) -> None:
@@ -56,7 +56,7 @@
     _unread_bytes: int = 0
     _by_answer: dict[UnreadAnswer, int] = attrs.field(factory=dict)
     _collected_bytes: int = 0
-    _by_body: dict[CollectedBody, int] = attrs.field(factory=dict)
+    _by_body: dict[ReceivedBody, int] = attrs.field(factory=dict)
 
     @property
     def used_bytes(self) -> int:
@@ -92,7 +92,7 @@
         """
         self._body_bytes -= size_bytes
 
-    def set_collected(self, body: CollectedBody, size_bytes: int) -> None:
+    def set_collected(self, body: ReceivedBody, size_bytes: int) -> None:
         """Record how much of a body was received, and cut bodies beyond their share.
 
         The largest ones are cut first, so that a body without end goes before those of
--- a/chestnutvale/membership/departures.py
+++ b/chestnutvale/membership/departures.py
@@ -17,8 +17,6 @@
     RecordedDeparture,
 )
 
-MS_PER_S = 1_000
-
 
 class DepartureDurability(enum.Enum):
     """What must hold before a departure is acknowledged."""
@@ -196,7 +194,7 @@
         )
 
     def _remove_expired(self, at_unix_ms: int) -> None:
-        retention_ms = round(RECORDED_DEPARTURE_RETENTION_S * MS_PER_S)
+        retention_ms = round(RECORDED_DEPARTURE_RETENTION_S * 1_000)
         while self._recorded_at_unix_ms:
             oldest, recorded_at_unix_ms = next(iter(self._recorded_at_unix_ms.items()))
             if recorded_at_unix_ms >= at_unix_ms - retention_ms:
--- a/chestnutvale/programs/control/const.py
+++ b/chestnutvale/programs/control/const.py
@@ -48,7 +48,7 @@
 # after an urgent round or a failed one.
 DEPARTURE_RECORD_INTERVAL_S: Final = 1.0
 DEPARTURE_RECORD_RETRY_INTERVAL_S: Final = 0.05
-# Departures in one command; a command of them takes some 80 KB.
+# Departures in one command, which bounds its size in the log.
 MAX_DEPARTURES_PER_COMMAND: Final = 1_024
 # Time within which a host sends a departure again that was not acknowledged.
 DEPARTURE_RESEND_S: Final = 60.0
--- a/chestnutvale/routing/const.py
+++ b/chestnutvale/routing/const.py
@@ -103,10 +103,10 @@
 # expect 1.3, 126 entries with counts that are 0.3 s old expect 3.5.
 FRESH_SENDS: Final = 2.0
 
-# Answers without end in a row after which an endpoint is paused.
+# Consecutive answers without end after which an endpoint is paused.
 ENDLESS_ANSWERS_TO_PAUSE: Final = 3
 # First and longest pause; each is twice as long as the one before.
 MIN_ENDLESS_ANSWER_PAUSE_S: Final = 2.0
 MAX_ENDLESS_ANSWER_PAUSE_S: Final = 30.0
-# Time without such an answer after which an endpoint's row is forgotten.
+# Time without such an answer after which the count of an endpoint is dropped.
 ENDLESS_ANSWER_MEMORY_S: Final = 120.0
--- a/chestnutvale/routing/endless_answers.py
+++ b/chestnutvale/routing/endless_answers.py
@@ -28,8 +28,8 @@
     """Counts answers that exceeded a limit, by endpoint.
 
     One such answer may be a property of its request, so an endpoint is paused only
-    after several in a row. Each pause is twice as long as the last one, until an answer
-    is whole. After a pause a single further one is enough.
+    after several consecutive ones. Each pause is twice as long as the last one, until
+    an answer is whole. After a pause a single further one is enough.
 
     Designed for a few faulty endpoints, each with some hundred calls at a time.
     """
@@ -69,7 +69,7 @@
         return pause_s
 
     def record_whole(self, endpoint: Incarnation) -> None:
-        """Record a whole answer, which ends the row.
+        """Record a whole answer, which resets the count.
 
         Parameters
         ----------
--- a/tests/membership/test_departures.py
+++ b/tests/membership/test_departures.py
@@ -11,6 +11,7 @@
     DepartureState,
     required_durability,
 )
+from chestnutvale.membership.endpoint_notices import Incarnation
 from chestnutvale.programs.control.state import ControlState
 from chestnutvale.schema.command_pb2 import Command, StateSnapshot
 from chestnutvale.schema.membership_pb2 import RecordDepartures, RecordedDeparture
@@ -38,7 +39,7 @@
     state.apply(record(("h1", "b1")), 10 + RETENTION_MS)
     assert not state.was_recorded_since("h1", 11)
     state.apply(record(("h2", "b1")), 11 + RETENTION_MS)
-    assert state.recorded() == [departures_module.Incarnation("h2", "b1")]
+    assert state.recorded() == [Incarnation("h2", "b1")]
 
 
 def test_recent_record_of_any_boot_is_found():
