Log why a leader resigns, why a read is refused and how late the process is

Cause: the log could not tell a lost quorum from a leader that is busy or whose link is full. It said that a leader became a follower, not why, and nothing about refused reads of the configuration, the size of documents or a process that did one thing for long.

Change: the reason of a resignation, the reason of a refused read, the size of each document, the state of the log at the start of a control, and delays of the consensus task above half an election timeout; a counter sums all delays.

Measured: tests/consensus, tests/platform, tests/programs and tests/observability pass.

--- a/chestnutvale/consensus/events.py
+++ b/chestnutvale/consensus/events.py
@@ -207,6 +207,8 @@
     role: Role
     term: int
     leader_id: str
+    # Why this member gave up its leadership; empty if it did not.
+    reason: str = ""
 
 
 Effect = (
--- a/chestnutvale/consensus/loop.py
+++ b/chestnutvale/consensus/loop.py
@@ -64,6 +64,8 @@
 
 # Events handled before the loop yields to other greenlets.
 MAX_EVENT_BATCH = 256
+# Fraction of the election timeout above which a delay of the loop is logged.
+DELAY_WARNING_FRACTION = 0.5
 # Request number of a proposal that has no waiting caller.
 NO_REQUEST_ID = 0
 
@@ -100,6 +102,8 @@
         This member.
     applied_index : int
         Index of the newest applied entry.
+    delayed_s : float
+        Time in seconds by which the loop ran late, summed.
     """
 
     def __init__(
@@ -125,6 +129,7 @@
         self._own_id = storage.member_id
         self.raft = self._make_raft(storage.state)
         self.applied_index = storage.state.snapshot.index
+        self.delayed_s = 0.0
         self._events: queue.LightQueue = queue.LightQueue()
         self.writer = DiskWriter(storage, self._events.put, self._fail)
         self._waiters = Waiters()
@@ -151,10 +156,24 @@
         """Restore the state machine and start the tasks."""
         if self._storage.state.snapshot.index:
             self._state_machine.restore(self._storage.load_snapshot())
+        self._log_stored_state()
         self._transport.register_handler(BODY_RAFT, self._handle_message)
         self.writer.start()
         self._task = eventlet.spawn(self._run)
 
+    def _log_stored_state(self) -> None:
+        log = self.raft.log
+        started_s = min(self._process_started_s, self._clock.now_s())
+        _LOGGER.info(
+            "Read the log {:.2f} s after the start of the process: snapshot {} of {} "
+            "bytes, last entry {}, term {}",
+            self._clock.now_s() - started_s,
+            log.snapshot.index,
+            log.snapshot_size_bytes,
+            log.last_index,
+            self.raft.term,
+        )
+
     def stop(self) -> None:
         """Finish submitted writes and stop the tasks."""
         if self._task is not None:
@@ -252,14 +271,30 @@
     def _wait_for_events(self) -> list[Event]:
         due_s = min(self.raft.next_deadline_s(), self._next_maintenance_s())
         wait_s = max(0.0, min(due_s - self._clock.now_s(), JOIN_INTERVAL_S))
+        latest_s = self._clock.now_s() + wait_s
         try:
             events = [self._events.get(timeout=wait_s)]
         except queue.Empty:
+            events = []
+        self._record_delay(self._clock.now_s() - latest_s)
+        if not events:
             return []
         while len(events) < MAX_EVENT_BATCH and not self._events.empty():
             events.append(self._events.get_nowait())
         return self._merge_proposals(events)
 
+    def _record_delay(self, delay_s: float) -> None:
+        """Record by how much the loop woke later than it had asked for."""
+        if delay_s <= 0:
+            return
+        self.delayed_s += delay_s
+        if delay_s > DELAY_WARNING_FRACTION * self._config.election_timeout_s:
+            _LOGGER.warning(
+                "The consensus task ran {:.2f} s late; the process did other work or "
+                "did not run",
+                delay_s,
+            )
+
     @staticmethod
     def _merge_proposals(events: Sequence[Event]) -> list[Event]:
         """Merge adjacent proposals, so that they share messages and a sync."""
@@ -332,6 +367,8 @@
             self._waiters.finish_entry(entry, result, self.leader_id)
 
     def _report_leadership_change(self, effect: LeadershipChanged) -> None:
+        if effect.reason:
+            _LOGGER.warning("Gave up leadership: {}", effect.reason)
         _LOGGER.info(
             "{} is {} in term {}; leader {!r}",
             self._own_id,
--- a/chestnutvale/consensus/member_state.py
+++ b/chestnutvale/consensus/member_state.py
@@ -65,6 +65,8 @@
         # Newest version of the commands that the leader can read; 0 if unknown.
         self.leader_command_version = 0
         self.leader: Leader | None = None
+        # Why this member gave up its leadership; empty once it is reported.
+        self.resignation_reason = ""
         self.reported_silence = ReportedSilence()
         self.log = RaftLog(stored)
         self.commit_index = stored.snapshot.index
--- a/chestnutvale/consensus/raft.py
+++ b/chestnutvale/consensus/raft.py
@@ -229,7 +229,8 @@
         current = (self.role, self.term, self.leader_id)
         if current != self._last_reported:
             self._last_reported = current
-            self.member.outbox.add_effect(LeadershipChanged(*current))
+            reason, self.member.resignation_reason = self.member.resignation_reason, ""
+            self.member.outbox.add_effect(LeadershipChanged(*current, reason))
 
     def _handle_write_persisted(self, write_id: int, now_s: float) -> None:
         self.member.outbox.mark_persisted(write_id)
--- a/chestnutvale/consensus/request_handler.py
+++ b/chestnutvale/consensus/request_handler.py
@@ -53,16 +53,23 @@
             MAX_SILENCE_STEP_HEARTBEATS * config.heartbeat_interval_s,
         )
         is_silent = silence_s > config.election_timeout_s
-        if is_silent or now_s >= leader.transfer_deadline_s:
-            self._member.become_follower(self._member.term, now_s)
+        if is_silent:
+            self._resign(f"no quorum has replied for {silence_s:.2f} s", now_s)
+            return False
+        if now_s >= leader.transfer_deadline_s:
+            self._resign("another voter did not take over in time", now_s)
             return False
         return True
 
+    def _resign(self, reason: str, now_s: float) -> None:
+        self._member.resignation_reason = reason
+        self._member.become_follower(self._member.term, now_s)
+
     def give_up_leadership(self, now_s: float) -> None:
         """Transfer leadership, or step down if no other voter can take over."""
         self.start_transfer(now_s)
         if not self._member.leader.transfer_target:
-            self._member.become_follower(self._member.term, now_s)
+            self._resign("its writes do not finish", now_s)
 
     def propose(self, proposals: Sequence[Proposal], now_s: float) -> None:
         """Append commands to the log and replicate them."""
--- a/chestnutvale/consensus/task.py
+++ b/chestnutvale/consensus/task.py
@@ -205,6 +205,11 @@
         """Number of voters that this leader has not heard for an election timeout."""
         return len(self._loop.raft.list_silences(self._clock.now_s()))
 
+    @property
+    def delayed_s(self) -> float:
+        """Time in seconds by which the task ran late, summed."""
+        return self._loop.delayed_s
+
     def command_versions(self) -> dict[str, int | None]:
         """Return the versions of the commands that the members can read.
 
--- a/chestnutvale/observability/catalog.py
+++ b/chestnutvale/observability/catalog.py
@@ -163,6 +163,11 @@
     "{voter}",
     "Voters that have not replied to the leader for an election timeout.",
 )
+CONSENSUS_DELAY: Final = Metric(
+    "chestnutvale.consensus.delay",
+    UNIT_SECONDS,
+    "Time by which the consensus task ran late, summed.",
+)
 LEDGER_RECORDS: Final = Metric(
     "chestnutvale.ledger.records", "{record}", "Claims and outcomes kept."
 )
--- a/chestnutvale/programs/control/documents.py
+++ b/chestnutvale/programs/control/documents.py
@@ -10,6 +10,7 @@
 from chestnutvale.configuration.exceptions import TextError, TextProblem
 from chestnutvale.configuration.service_names import keep_service_names
 from chestnutvale.consensus.exceptions import NotLeaderError
+from chestnutvale.exceptions import ChestnutError
 from chestnutvale.programs.control.operations import ControlOperations
 from chestnutvale.schema.configuration_pb2 import ApplyText, Text
 
@@ -76,8 +77,9 @@
         )
         result = self._operations.apply_text(command, deadline_s)
         _LOGGER.info(
-            "Document {} received: outcome {}, number {} in force",
+            "Document {} of {} bytes received: outcome {}, number {} in force",
             text.number,
+            len(document),
             result.outcome,
             result.number_in_force,
         )
@@ -103,4 +105,10 @@
         OutcomeUnknownError
             If no quorum confirmed the read before the deadline.
         """
-        return self._operations.read_document(deadline_s)
+        try:
+            document = self._operations.read_document(deadline_s)
+        except ChestnutError as error:
+            _LOGGER.info("Document not read: {}", error)
+            raise
+        _LOGGER.debug("Document of {} bytes read", len(document))
+        return document
--- a/chestnutvale/programs/control/metrics.py
+++ b/chestnutvale/programs/control/metrics.py
@@ -80,6 +80,9 @@
         catalog.SILENT_VOTERS,
         _while_leading(log)(make_unlabelled_reader(lambda: log.silent_voters)),
     )
+    metrics.register_counter(
+        catalog.CONSENSUS_DELAY, make_unlabelled_reader(lambda: log.delayed_s)
+    )
     metrics.register_gauge(
         catalog.CONFIGURATION_NUMBER,
         make_unlabelled_reader(lambda: state.configuration.number),
--- a/tests/consensus/test_task.py
+++ b/tests/consensus/test_task.py
@@ -4,10 +4,12 @@
 import random
 import shutil
 import threading
+import time
 from contextlib import ExitStack
 
 import attrs
 import eventlet
+import logbook
 import pytest
 
 from chestnutvale.clock import SystemClock
@@ -233,6 +235,28 @@
     assert follower.task.silent_voters == 0
 
 
+def test_leader_without_a_quorum_logs_why_it_gives_up(make_controls):
+    controls = make_controls(3)
+    leader = start_all(controls)
+    with logbook.TestHandler().applicationbound() as handler:
+        for control in controls:
+            if control is not leader:
+                control.stop()
+        wait_until(lambda: not leader.task.is_leader)
+        eventlet.sleep(0)
+    messages = [record.message for record in handler.records]
+    assert any("Gave up leadership: no quorum has" in text for text in messages)
+
+
+def test_delay_of_the_process_is_logged_and_counted(make_controls):
+    leader = start_all(make_controls(1))
+    with logbook.TestHandler().applicationbound() as handler:
+        # Blocks all green threads, as a long computation does.
+        time.sleep(1.0)
+        wait_until(lambda: leader.task.delayed_s > 0.5)
+    assert any("task ran" in record.message for record in handler.records)
+
+
 def test_a_control_whose_settings_name_no_leader_joins_by_a_follower(make_controls):
     controls = make_controls(3)
     leader = start_all(controls)
--- a/tests/platform/test_control_interface.py
+++ b/tests/platform/test_control_interface.py
@@ -4,6 +4,7 @@
 import json
 from types import SimpleNamespace
 
+import logbook
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -160,6 +161,13 @@
     assert control.call("GET", READ_PATH)[0] == 503
 
 
+def test_refused_read_is_logged_with_its_reason(control):
+    control.operations.error = OutcomeUnknownError("no quorum answered in time")
+    with logbook.TestHandler() as handler:
+        control.call("GET", READ_PATH)
+    assert any("no quorum answered" in item.message for item in handler.records)
+
+
 def test_document_is_read_back_unchanged(control):
     assert control.call("GET", READ_PATH)[0] == 503
     control.operations.document = b'{"version": 7 }'
