Send a text to few entries at a time, once and compressed

Seen by operators: with many entries, each large configuration cost the leader its leadership. Changes were in force late, and a control that was asked for the configuration had no leader to name.

Cause: congestion collapse. A leader sent the whole text to all entries at once, again in every answer until the entry had it, and once more to all of them after each change of leader. An entry without a lease reports ten times a second, so the answers grew as they were delayed. Heartbeats waited behind them on the leader's link.

Change: TextTransfers limits the bytes of texts that entries have not confirmed, repeats a text only after a timeout that doubles, and sends none to entries that reported it. Each text is compressed once for all entries that say that they read it.

--- a/chestnutvale/membership/const.py
+++ b/chestnutvale/membership/const.py
@@ -41,6 +41,14 @@
 # Window over which the minimum delay of reports is measured.
 DELAY_WINDOW_S: Final = 30.0
 
+# Bytes of texts that may be on their way to entries at a time. Heartbeats wait behind
+# them on the leader's link: a twentieth of a second at 170 Mbit/s.
+MAX_UNCONFIRMED_TEXT_BYTES: Final = 1024 * 1024
+# Time after which an unconfirmed text is sent to an entry again, and the limit up to
+# which it doubles.
+TEXT_RETRY_S: Final = 1.0
+MAX_TEXT_RETRY_S: Final = 8.0
+
 # Upper limit of the pause that an endpoint asks for in an answer.
 MAX_PAUSE_S: Final = 300.0
 # Time for which an endpoint's departure is remembered after no view lists it any more;
--- a/chestnutvale/membership/entry_view.py
+++ b/chestnutvale/membership/entry_view.py
@@ -9,6 +9,7 @@
 from chestnutvale.groups.members import group_head
 from chestnutvale.membership.const import DEFAULT_LEASE_S, MAX_OUTSTANDING_REPORTS
 from chestnutvale.membership.endpoint_notices import Incarnation
+from chestnutvale.membership.text_encoding import read_text
 from chestnutvale.schema.configuration_pb2 import Text
 from chestnutvale.schema.membership_pb2 import Load
 from chestnutvale.schema.peer_pb2 import ControlView, GroupView
@@ -221,8 +222,11 @@
         return self._lease_until_s
 
     def _install_text(self, view: ControlView) -> None:
-        if view.HasField("text") and view.text.number > self.number:
-            self._text = view.text
+        if view.configuration_number <= self.number:
+            return
+        text = read_text(view)
+        if text is not None and text.number > self.number:
+            self._text = text
 
     def _install_groups(self, view: ControlView) -> InstallVerdict:
         self._term = view.term
--- a/chestnutvale/membership/view_publisher.py
+++ b/chestnutvale/membership/view_publisher.py
@@ -13,6 +13,8 @@
 from chestnutvale.membership.cold_state import NO_COLD_RULE, ColdRule
 from chestnutvale.membership.const import MAX_REMOVED_GROUPS
 from chestnutvale.membership.table import MembershipTable
+from chestnutvale.membership.text_encoding import TextEncoder
+from chestnutvale.membership.text_transfers import TextTransfers
 from chestnutvale.schema.configuration_pb2 import Text
 from chestnutvale.schema.groups_pb2 import Group
 from chestnutvale.schema.membership_pb2 import Load
@@ -67,6 +69,14 @@
     load_version: int = 0
 
 
+@attrs.frozen
+class _HeldText:
+    """Text that an entry reported last."""
+
+    number: int
+    reads_compressed: bool
+
+
 @attrs.frozen
 class ViewPush:
     """A view sent to an entry without a report from it.
@@ -107,6 +117,9 @@
     _group_views: list[GroupView] = attrs.field(factory=list)
     _group_views_count: int = -1
     _content_count: int = 0
+    _held_texts: dict[str, _HeldText] = attrs.field(factory=dict)
+    _text_transfers: TextTransfers = attrs.field(factory=TextTransfers)
+    _text_encoder: TextEncoder = attrs.field(factory=TextEncoder)
 
     @property
     def version(self) -> int:
@@ -169,6 +182,25 @@
             self._oldest_base, _ = self._removed_groups.popleft()
         return changed + removed_ids
 
+    def record_report(self, entry_id: str, report: EntryReport) -> bool:
+        """Record which text an entry has, also while this control does not lead.
+
+        Parameters
+        ----------
+        entry_id : str
+            The entry that sent the report.
+        report : EntryReport
+            The report.
+
+        Returns
+        -------
+        bool
+            Whether it confirms a text, so that others may get theirs.
+        """
+        number = report.configuration_number
+        self._held_texts[entry_id] = _HeldText(number, report.reads_compressed_text)
+        return self._text_transfers.confirm(entry_id, number)
+
     def answer(
         self,
         entry_id: str,
@@ -213,7 +245,7 @@
         view.entry_count = len(table.live_entries(now_s))
         text = configuration.text
         if text is not None and report.configuration_number < text.number:
-            view.text.CopyFrom(text)
+            self._add_text(entry_id, view, text, now_s)
         return view
 
     def build_pushes(
@@ -245,6 +277,11 @@
         self._entries = {
             key: self._entries[key] for key in live_entry_ids if key in self._entries
         }
+        self._held_texts = {
+            key: self._held_texts[key]
+            for key in live_entry_ids
+            if key in self._held_texts
+        }
         pushes = []
         for entry_id, entry in self._entries.items():
             is_current = entry.view_version == self._version
@@ -262,7 +299,7 @@
         term: int,
         now_s: float,
     ) -> list[ViewPush]:
-        """Build views with the new text for all live entries.
+        """Build views with the text for the entries that lack it and may get it now.
 
         Parameters
         ----------
@@ -278,15 +315,41 @@
         Returns
         -------
         list of ViewPush
-            One for each live entry.
+            One for each entry that gets the text now. Others get it once these have
+            confirmed theirs.
         """
-        if configuration.text is None:
+        text = configuration.text
+        if text is None:
             return []
-        pushes = self.build_pushes_to_all(configuration, table, term, now_s)
-        for push in pushes:
-            push.view.text.CopyFrom(configuration.text)
+        live_entry_ids = table.live_entries(now_s)
+        self._text_transfers.retain(live_entry_ids)
+        numbers = {
+            entry_id: self._held_texts[entry_id].number
+            for entry_id in live_entry_ids
+            if entry_id in self._entries and entry_id in self._held_texts
+        }
+        pushes = []
+        for entry_id in self._text_transfers.order_waiting(numbers, text.number, now_s):
+            view = ControlView()
+            if not self._add_text(entry_id, view, text, now_s):
+                break
+            view.MergeFrom(self._build(entry_id, configuration, term))
+            reply_address = self._entries[entry_id].reply_address
+            pushes.append(ViewPush(entry_id, reply_address, view))
         return pushes
 
+    def _add_text(
+        self, entry_id: str, view: ControlView, text: Text, now_s: float
+    ) -> bool:
+        """Add the text to a view, if the entry may get it now."""
+        held = self._held_texts.get(entry_id)
+        compressed = held is not None and held.reads_compressed
+        size_bytes = self._text_encoder.measure_bytes(text, compressed=compressed)
+        if not self._text_transfers.begin(entry_id, text.number, size_bytes, now_s):
+            return False
+        self._text_encoder.add_text(view, text, compressed=compressed)
+        return True
+
     def build_pushes_to_all(
         self,
         configuration: TextSource,
--- a/chestnutvale/programs/control/entry_report_handler.py
+++ b/chestnutvale/programs/control/entry_report_handler.py
@@ -141,7 +141,6 @@
         self._publisher = publisher
         self._clock = clock
         self._suspicions = SuspicionAggregator()
-        self._pushed_number = 0
         self._pushed_version = 0
         self._refreshed_inputs = (-1, -1)
         self._led_term = 0
@@ -221,15 +220,8 @@
         self._refresh(now_s)
         if not (self._log.has_lease(now_s) and self._log.has_applied_earlier_terms):
             return
-        number = self._state.configuration.number
+        self._push_text(now_s)
         source = self._state.configuration
-        if number != self._pushed_number:
-            self._pushed_number = number
-            pushes = self._publisher.build_text_pushes(
-                source, self._table, self._log.term, now_s
-            )
-            self._send_pushes(pushes)
-            return
         # An answer may have included the change first; the other entries need it too.
         if self._publisher.version != self._pushed_version:
             self._pushed_version = self._publisher.version
@@ -238,6 +230,12 @@
             )
             self._send_pushes(pushes)
 
+    def _push_text(self, now_s: float) -> None:
+        pushes = self._publisher.build_text_pushes(
+            self._state.configuration, self._table, self._log.term, now_s
+        )
+        self._send_pushes(pushes)
+
     def forward_cache_events(self) -> None:
         """Send the cache events received since the last round to all live entries."""
         events = self._cache_events.drain()
@@ -277,6 +275,7 @@
             list(report.suspicions), self._clock.unix_ms()
         )
         self.attempt_counts.record_group_loads(entry_id, report.running, now_s)
+        has_confirmed_text = self._publisher.record_report(entry_id, report)
         is_leading = self._is_leading(now_s)
         self.limits.merge_report(entry_id, report, now_s, is_leading)
         if not is_leading:
@@ -287,6 +286,8 @@
         has_new_suspicions |= self._record_stalls(entry_id, report, now_s)
         has_new_limits = self._divide_limits(now_s)
         self._answer(entry_id, report, now_s)
+        if has_confirmed_text:
+            self._push_text(now_s)
         if has_new_suspicions or has_new_limits:
             self._push_to_all(now_s)
 
--- a/chestnutvale/programs/entry/control_link.py
+++ b/chestnutvale/programs/entry/control_link.py
@@ -238,6 +238,7 @@
             relay_address=self._settings.relay_address,
             is_isolated=self.is_isolated(),
             obeys_cold_shares=True,
+            reads_compressed_text=True,
         )
         if self._view.has_lease(now_s):
             # After the lease, another entry may have got the slots.
