Check large documents in a native thread, and only on the leader

Seen by operators: as with texts to many entries, a leader that accepts a large configuration may lose its leadership; a follower was late for heartbeats as well.

Cause: parsing, checking and hashing a document with 4,640 routes takes 0.33 s of processor time here, in the thread that sends heartbeats. On 0.645 of a core that is as long as the election timeout of the platform, 0.5 s. Followers did the same work before they named the leader.

Change: documents above 32 KiB are checked in a native thread. A follower redirects at once; the leader it names refuses invalid documents.

--- a/chestnutvale/programs/control/documents.py
+++ b/chestnutvale/programs/control/documents.py
@@ -1,8 +1,10 @@
 """Configurations that operators send as documents in another format."""
 
 from collections.abc import Callable
+from typing import Final
 
 import logbook
+from eventlet import tpool
 
 from chestnutvale.configuration.checks import find_document_faults
 from chestnutvale.configuration.const import STEP_PARSE_TEXT
@@ -16,6 +18,9 @@
 
 _LOGGER = logbook.Logger(__name__)
 
+# Larger documents are parsed in a native thread.
+SMALL_DOCUMENT_BYTES: Final = 32 * 1024
+
 
 class DocumentStore:
     """Commits numbered documents and returns the newest one.
@@ -61,17 +66,18 @@
         ChestnutError
             If the outcome is unknown: the document may still come into force.
         """
-        text = self._read_text(document)
-        faults = find_document_faults(text)
-        if faults:
-            raise TextError(TextProblem(1, path, reason) for path, reason in faults)
         if not self._operations.is_leader():
             leader_id = self._operations.leader_id()
             raise NotLeaderError(leader_id, step=STEP_PARSE_TEXT)
+        if len(document) <= SMALL_DOCUMENT_BYTES:
+            text, digest = self._check_document(document)
+        else:
+            # In this thread, heartbeats would wait for as long as it takes.
+            text, digest = tpool.execute(self._check_document, document)
         keep_service_names(text, self._operations.text_in_force())
         command = ApplyText(
             text=text,
-            digest=compute_text_digest(text),
+            digest=digest,
             highest_wins=True,
             document=document,
         )
@@ -85,6 +91,14 @@
         )
         return result.number_in_force
 
+    def _check_document(self, document: bytes) -> tuple[Text, str]:
+        """Return the text of a valid document and its digest, equal for a resend."""
+        text = self._read_text(document)
+        faults = find_document_faults(text)
+        if faults:
+            raise TextError(TextProblem(1, path, reason) for path, reason in faults)
+        return text, compute_text_digest(text)
+
     def read(self, deadline_s: float) -> bytes:
         """Return the document in force, confirmed by a quorum.
 
