--- a/tests/consensus/driver.py
+++ b/tests/consensus/driver.py
@@ -143,6 +143,8 @@
         self.sent = []
         self.blocked_links = set()
         self.hung_disks = set()
+        # Factor by which the syncs of a control take longer.
+        self.slow_disks = {}
         self.loss = self.duplication = self.reordering = 0.0
         self.sync_delay_s = 0.001
         self.edit_message = lambda message: None
@@ -432,7 +434,12 @@
     def _queue_write(self, node, disk_write):
         node.pending_writes.append(disk_write)
         if len(node.pending_writes) == 1:
-            self.schedule(self.sync_delay_s, self._sync, node, node.incarnation)
+            self._schedule_sync(node)
+
+    def _schedule_sync(self, node):
+        factor = self.slow_disks.get(control_of(node.member_id), 1.0)
+        delay_s = factor * self.sync_delay_s
+        self.schedule(delay_s, self._sync, node, node.incarnation)
 
     def _sync(self, node, incarnation):
         if node.incarnation != incarnation:
@@ -450,7 +457,7 @@
             self.crash(control_of(node.member_id))
             return
         if node.pending_writes:
-            self.schedule(self.sync_delay_s, self._sync, node, node.incarnation)
+            self._schedule_sync(node)
         if isinstance(disk_write, SnapshotWrite):
             self._handle(node, SnapshotSaved(disk_write.metadata, len(disk_write.data)))
         else:
--- a/tests/consensus/loss_schedules.py
+++ b/tests/consensus/loss_schedules.py
@@ -75,20 +75,21 @@
         sound = self.sound_controls(1)
         leaders = [control for control in self.cluster.leaders() if control in sound]
         control = self._rng.choice(leaders * 2 + sound)
-        action = self._rng.choice(
-            [
-                self._kill,
-                self._wipe,
-                self._replace,
-                self._replace_by_plan,
-                self._freeze,
-                self._isolate,
-                self._fill_disk,
-            ]
-        )
+        action = self._rng.choice(self._list_actions(control))
         self.actions.append(f"{self.cluster.now_s:.1f} {action.__name__} {control}")
         action(control)
 
+    def _list_actions(self, control):
+        return [
+            self._kill,
+            self._wipe,
+            self._replace,
+            self._replace_by_plan,
+            self._freeze,
+            self._isolate,
+            self._fill_disk,
+        ]
+
     def _kill(self, control):
         self._lose_for(control, RESTART_S)
         self.cluster.crash(control)
@@ -103,19 +104,22 @@
         """Remove a machine for good; another one with an empty disk follows."""
         self._lose_for(control, POWER_LOSS_S)
         self.cluster.crash(control)
-        successor = f"c{len(self.cluster.controls)}"
-        self.cluster.controls.append(successor)
+        successor = self._add_successor(control)
         self.cluster.schedule(POWER_LOSS_S, self.cluster.start_new, successor)
 
     def _replace_by_plan(self, control):
         """Start the successor of a machine before it is removed."""
         self.lost_until_s[control] = self.cluster.now_s + CATCH_UP_S
-        successor = f"c{len(self.cluster.controls)}"
-        self.cluster.controls.append(successor)
+        successor = self._add_successor(control)
         self.cluster.start_new(successor)
         self.lost_until_s[successor] = self.lost_until_s[control]
         self.cluster.schedule(POWER_LOSS_S, self.cluster.crash, control)
 
+    def _add_successor(self, control):
+        successor = f"c{len(self.cluster.controls)}"
+        self.cluster.controls.append(successor)
+        return successor
+
     def _isolate(self, control):
         duration_s = self._rng.uniform(POWER_LOSS_S, MAX_CUT_S)
         self._lose_for(control, duration_s)
