Replace the second of two lost disks without waiting for its silence

Cause: a voter whose control is back with another disk is removed at once, but only if the new identity is still a learner. When the first old identity was removed, the learner of the other control was promoted, so the second old identity had no learner and was waited for as if it could return.

Change: an identity is lost once any other member of its control is heard.

Measured: the new case of tests/consensus/test_members.py failed before; the schedules of losses pass.

--- a/chestnutvale/consensus/replacement.py
+++ b/chestnutvale/consensus/replacement.py
@@ -142,7 +142,7 @@
             if promotable:
                 return MembersChange(ChangeKind.PROMOTE, promotable[0])
         elif promotable and leader_since_s + self.election_timeout_s <= now_s:
-            lost = self._find_lost_voter(own_id, members, contacts, promotable, now_s)
+            lost = self._find_lost_voter(own_id, members, contacts, now_s)
             if lost:
                 return MembersChange(ChangeKind.REMOVE, lost)
         return self._find_candidate_change(
@@ -174,24 +174,27 @@
         own_id: str,
         members: Members,
         contacts: Mapping[str, MemberContact],
-        promotable: Sequence[str],
         now_s: float,
     ) -> str:
         """Return a voter whose contact timeout has expired; empty if none.
 
         A voter whose control has returned with another disk is lost for certain, so it
-        comes first.
+        comes first. The new identity may vote already, in the place of another voter.
         """
         silent_since_s = {
             voter: contacts[voter].silent_since_s
             for voter in members.voters
             if voter != own_id
         }
-        promotable_controls = {control_of(learner) for learner in promotable}
+        heard_controls = {control_of(own_id)} | {
+            control_of(member)
+            for member, contact in contacts.items()
+            if contact.silent_since_s + self.election_timeout_s > now_s
+        }
         superseded = [
             voter
             for voter, since_s in silent_since_s.items()
-            if control_of(voter) in promotable_controls
+            if control_of(voter) in heard_controls
             and since_s + self.election_timeout_s <= now_s
         ]
         lost = [
--- a/tests/consensus/test_members.py
+++ b/tests/consensus/test_members.py
@@ -110,6 +110,16 @@
     assert change == MembersChange(ChangeKind.REMOVE, "c1#1")
 
 
+def test_second_of_two_lost_disks_is_replaced_without_waiting_for_silence():
+    # The new identity of c1 already votes; the learner is that of another lost disk.
+    voters = ["c0#1", "c1#1", "c1#2", "c3#1"]
+    members = Members(voters=voters, learners=["c2#2"], wanted_voters=4)
+    remove = MembersChange(ChangeKind.REMOVE, "c1#1")
+    assert decide(members, {"c1#1": 1.5}) == remove
+    assert decide(members, {"c1#1": 0.5}) is None
+    assert decide(members, {"c1#1": 1.5, "c1#2": 1.5}) is None
+
+
 def test_new_leader_removes_no_voter_before_it_may_have_replied():
     members = make_members(VOTERS, ["c3#1"])
     silent = {"c1#1": 60.0}
