Read an uncompressed text whatever the number of its view

Leaders always set it, but a view is complete without it.

Change: only a compressed text is skipped by that number.

--- a/chestnutvale/membership/entry_view.py
+++ b/chestnutvale/membership/entry_view.py
@@ -222,7 +222,8 @@
         return self._lease_until_s
 
     def _install_text(self, view: ControlView) -> None:
-        if view.configuration_number <= self.number:
+        if view.compressed_text and view.configuration_number <= self.number:
+            # A late copy is not worth the time to decompress it.
             return
         text = read_text(view)
         if text is not None and text.number > self.number:
