Divide capacity again only if the number of entries changed

Cause: each view of the leader set the number of live entries, and with it the limits of all services were worked out a second time.

Change: an unchanged number changes nothing.

--- a/chestnutvale/admission/controller.py
+++ b/chestnutvale/admission/controller.py
@@ -92,6 +92,8 @@
 
     def set_entry_count(self, count: int) -> None:
         """Set the number of live entries that share each capacity."""
+        if self._entry_count == max(1, count):
+            return
         self._entry_count = max(1, count)
         for service in self._services.values():
             service.entry_count = self._entry_count
