Forget the texts of entries that are gone on followers as well

Cause: controls record which text each entry has, and only a leader that pushed views removed the records of entries that are gone.

Change: all controls keep the records of known entries only.

Measured: the new case of tests/membership/test_text_transfers.py; tests/membership and tests/programs/control pass.

--- a/chestnutvale/membership/view_publisher.py
+++ b/chestnutvale/membership/view_publisher.py
@@ -2,6 +2,7 @@
 
 import math
 from collections import Counter, deque
+from collections.abc import Iterable
 from typing import Protocol
 
 import attrs
@@ -211,6 +212,17 @@
         )
         return self._text_transfers.confirm(entry_id, number)
 
+    def retain_entries(self, entry_ids: Iterable[str]) -> None:
+        """Forget which text all other entries have.
+
+        Parameters
+        ----------
+        entry_ids : iterable of str
+            The known entries.
+        """
+        for entry_id in self._held_texts.keys() - set(entry_ids):
+            del self._held_texts[entry_id]
+
     def answer(
         self,
         entry_id: str,
@@ -287,11 +299,6 @@
         self._entries = {
             key: self._entries[key] for key in live_entry_ids if key in self._entries
         }
-        self._held_texts = {
-            key: self._held_texts[key]
-            for key in live_entry_ids
-            if key in self._held_texts
-        }
         pushes = []
         for entry_id, entry in self._entries.items():
             is_current = entry.view_version == self._version
--- a/chestnutvale/programs/control/entry_report_handler.py
+++ b/chestnutvale/programs/control/entry_report_handler.py
@@ -217,6 +217,7 @@
     def publish_changes(self) -> None:
         """Push views to the entries whose view is outdated."""
         now_s = self._clock.now_s()
+        self._publisher.retain_entries(self._table.known_entries())
         self._refresh(now_s)
         if not (self._log.has_lease(now_s) and self._log.has_applied_earlier_terms):
             return
--- a/tests/membership/test_text_transfers.py
+++ b/tests/membership/test_text_transfers.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from chestnutvale.membership.const import ENTRY_RETENTION_S
 from chestnutvale.membership.entry_view import EntryView
 from chestnutvale.membership.table import MembershipTable
 from chestnutvale.membership.view_publisher import ViewPublisher
@@ -50,6 +51,7 @@
         self.link_free_s = 0.0
         self.longest_wait_s = 0.0
         self.texts_sent = 0
+        self.has_lease = True
         self.dead = set()
         self.incarnations = {}
         self.entries = {f"e{n:03d}": EntryView(lease_s=LEASE_S) for n in range(entries)}
@@ -72,12 +74,13 @@
             has_applied_earlier_terms=True,
             leader_id="c1",
             members=Members(voters=["c1#1"], addresses={"c1#1": "10.0.0.1:1"}),
-            has_lease=lambda now_s: True,
+            has_lease=lambda now_s: self.has_lease,
         )
         clock = SimpleNamespace(now_s=lambda: self.now_s, unix_ms=lambda: 1)
-        source = f"life-{self.now_s}"
+        self.table = MembershipTable()
+        self.publisher = ViewPublisher(f"life-{self.now_s}")
         self.handler = EntryReportHandler(
-            self, log, self.state, MembershipTable(), ViewPublisher(source), clock
+            self, log, self.state, self.table, self.publisher, clock
         )
 
     def register_handler(self, body, handler):
@@ -103,6 +106,7 @@
         self.state.configuration.apply_text(ApplyText(text=text), 0)
 
     def publish(self):
+        self.table.remove_expired(self.now_s)
         self.handler.publish_changes()
         self.schedule(ROUND_INTERVAL_S, self.publish)
 
@@ -228,3 +232,13 @@
     fleet.restart("e000")
     fleet.run(3.7)
     fleet.assert_in_force(2)
+
+
+def test_followers_forget_entries_that_are_gone_for_long():
+    fleet = Fleet(entries=2)
+    fleet.has_lease = False
+    fleet.run(1.0)
+    assert set(fleet.publisher._held_texts) == {"e000", "e001"}
+    fleet.dead = {"e000"}
+    fleet.run(1.0 + ENTRY_RETENTION_S + 1.0)
+    assert set(fleet.publisher._held_texts) == {"e001"}
