Parse large documents one at a time

Cause: documents above 32 KiB are parsed in native threads, and up to eight changes may be in progress.

Change: one document is parsed at a time.

Measured: tests/programs/control/test_documents.py, the new test failed before.

--- a/chestnutvale/programs/control/documents.py
+++ b/chestnutvale/programs/control/documents.py
@@ -5,6 +5,7 @@
 
 import logbook
 from eventlet import tpool
+from eventlet.semaphore import Semaphore
 
 from chestnutvale.configuration.checks import find_document_faults
 from chestnutvale.configuration.const import STEP_PARSE_TEXT
@@ -41,6 +42,7 @@
     ) -> None:
         self._operations = operations
         self._read_text = read_text
+        self._checking = Semaphore()
 
     def replace(self, document: bytes, deadline_s: float) -> int:
         """Commit a document if its number is above the one in force.
@@ -72,8 +74,10 @@
         if len(document) <= SMALL_DOCUMENT_BYTES:
             text, digest = self._check_document(document)
         else:
-            # In this thread, heartbeats would wait for as long as it takes.
-            text, digest = tpool.execute(self._check_document, document)
+            # In this thread, heartbeats would wait for as long as it takes. One at a
+            # time, since a parsed document takes many times its size.
+            with self._checking:
+                text, digest = tpool.execute(self._check_document, document)
         keep_service_names(text, self._operations.text_in_force())
         command = ApplyText(
             text=text,
--- a/tests/programs/control/test_documents.py
+++ b/tests/programs/control/test_documents.py
@@ -49,6 +49,23 @@
     assert max(pauses_s) < PARSE_S / 2
 
 
+def test_large_documents_are_parsed_one_at_a_time():
+    # Guards against a control that runs out of memory.
+    running = []
+
+    def parse(document):
+        running.append(len(running))
+        assert running == [0]
+        time.sleep(0.05)
+        running.clear()
+        return Text(number=7)
+
+    store = DocumentStore(make_operations(), parse)
+    document = bytes(SMALL_DOCUMENT_BYTES + 1)
+    calls = [eventlet.spawn(store.replace, document, 0.0) for _ in range(5)]
+    assert [call.wait() for call in calls] == [7] * 5
+
+
 def test_follower_redirects_without_parsing_the_document():
     parsed = []
     operations = make_operations(is_leader=lambda: False)
