Check the limit of texts under way on random sequences

Bytes that were sent and may still be on their way stay within the limit, whatever is confirmed, forgotten or timed out, and afterwards every entry may get a text.

Measured: tests/membership/test_text_transfers.py, 13 tests pass; the property held without a change of code.

--- a/tests/membership/test_text_transfers.py
+++ b/tests/membership/test_text_transfers.py
@@ -6,10 +6,13 @@
 from types import SimpleNamespace
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from chestnutvale.membership.const import ENTRY_RETENTION_S
 from chestnutvale.membership.entry_view import EntryView
 from chestnutvale.membership.table import MembershipTable
+from chestnutvale.membership.text_transfers import TextTransfers
 from chestnutvale.membership.view_publisher import ViewPublisher
 from chestnutvale.programs.control.entry_report_handler import EntryReportHandler
 from chestnutvale.programs.control.state import ControlState
@@ -242,3 +245,44 @@
     fleet.dead = {"e000"}
     fleet.run(1.0 + ENTRY_RETENTION_S + 1.0)
     assert set(fleet.publisher._held_texts) == {"e001"}
+
+
+ENTRY_IDS = st.sampled_from(["e1", "e2", "e3", "e4"])
+STEPS = st.one_of(
+    st.tuples(st.just("begin"), ENTRY_IDS, st.integers(1, 3), st.integers(1, 120)),
+    st.tuples(st.just("confirm"), ENTRY_IDS, st.integers(1, 3)),
+    st.tuples(st.just("forget"), ENTRY_IDS),
+    st.tuples(st.just("retain"), st.sets(ENTRY_IDS)),
+    st.tuples(st.just("wait"), st.floats(0.0, 3.0)),
+)
+
+
+@given(st.lists(STEPS, max_size=40))
+def test_unconfirmed_bytes_stay_within_the_limit(steps):
+    limit_bytes = 200
+    transfers = TextTransfers(max_unconfirmed_bytes=limit_bytes, retry_s=1.0)
+    now_s = 0.0
+    # Size and time of the newest text of each entry that may still be on its way.
+    sent = {}
+    for name, *arguments in steps:
+        if name == "wait":
+            now_s += arguments[0]
+        elif name == "begin":
+            entry_id, number, size_bytes = arguments
+            if transfers.begin(entry_id, number, size_bytes, now_s):
+                sent[entry_id] = (number, size_bytes, now_s)
+        elif name == "confirm":
+            entry_id, number = arguments
+            if transfers.confirm(entry_id, number):
+                assert sent.pop(entry_id)[0] <= number
+        elif name == "forget":
+            transfers.forget(*arguments)
+            sent.pop(arguments[0], None)
+        else:
+            transfers.retain(list(arguments[0]))
+            sent = {key: value for key, value in sent.items() if key in arguments[0]}
+        fresh = [size for _, size, at_s in sent.values() if now_s < at_s + 1.0]
+        assert sum(fresh) <= limit_bytes
+    # Once all have timed out, every entry may get a text again.
+    now_s += 100.0
+    assert all(transfers.begin(f"e{n}", 9, 50, now_s) for n in range(1, 5))
