Let more texts be under way behind the slow links of entries

All changes were acknowledged and no leader gave up, but more than 2.5 s after an acknowledgement some entries had the version before.

Cause: with 1 MB unconfirmed, nine texts of some 110 KB were under way, each waiting for an entry's link of 7 Mbit/s, while the leader's link was idle. 126 entries took 3 s.

Change: 3 MB may be unconfirmed. Heartbeats wait up to 0.15 s behind them on a link of 170 Mbit/s; the election timeout is 0.5 s.

Measured: the simulated entries have links of 7 Mbit/s now.

--- a/chestnutvale/membership/const.py
+++ b/chestnutvale/membership/const.py
@@ -42,8 +42,9 @@
 DELAY_WINDOW_S: Final = 30.0
 
 # Bytes of texts that may be on their way to entries at a time. Heartbeats wait behind
-# them on the leader's link: a twentieth of a second at 170 Mbit/s.
-MAX_UNCONFIRMED_TEXT_BYTES: Final = 1024 * 1024
+# them on the leader's link, 0.15 s at 170 Mbit/s. Most of the bytes wait for the slower
+# links of entries, so a smaller limit would leave the link of the leader idle.
+MAX_UNCONFIRMED_TEXT_BYTES: Final = 3 * 1024 * 1024
 # Time after which an unconfirmed text is sent to an entry again, and the limit up to
 # which it doubles. The second repetition comes after a silent connection was reopened
 # (`PEER_SILENCE_TIMEOUT_S` of the transport).
--- a/tests/membership/test_text_transfers.py
+++ b/tests/membership/test_text_transfers.py
@@ -22,11 +22,14 @@
 
 ENTRIES = 126
 LINK_BYTES_PER_S = 170e6 / 8
+ENTRY_LINK_BYTES_PER_S = 7e6 / 8
 ELECTION_TIMEOUT_S = 0.5
 # A heartbeat that waits longer than this on the leader's link may cost the leadership.
 MAX_LINK_WAIT_S = ELECTION_TIMEOUT_S / 2
 # The bound of the target size within which a change is in force everywhere.
 IN_FORCE_S = 5.0
+# The bound of the platform for an entry that is in touch.
+PLATFORM_IN_FORCE_S = 2.5
 LEASE_S = 3.75
 REPORT_INTERVAL_S = 0.5
 NO_LEASE_REPORT_INTERVAL_S = 0.1
@@ -34,9 +37,9 @@
 LATENCY_S = 0.002
 
 
-def make_text(number, routes):
+def make_text(number, routes, name_bits=60):
     rng = random.Random(number)
-    names = (f"{rng.getrandbits(60):x}" for _ in itertools.count())
+    names = (f"{rng.getrandbits(name_bits):x}" for _ in itertools.count())
     return Text(
         number=number,
         routes=[
@@ -52,6 +55,7 @@
     def __init__(self, entries=ENTRIES, *, reads_compressed=True):
         self.now_s = 0.0
         self.link_free_s = 0.0
+        self.entry_free_s = {}
         self.longest_wait_s = 0.0
         self.texts_sent = 0
         self.has_lease = True
@@ -97,7 +101,10 @@
         self.link_free_s += view.ByteSize() / LINK_BYTES_PER_S
         self.longest_wait_s = max(self.longest_wait_s, self.link_free_s - self.now_s)
         self.texts_sent += view.HasField("text") or bool(view.compressed_text)
-        delay_s = self.link_free_s - self.now_s + LATENCY_S
+        arrival_s = max(self.link_free_s, self.entry_free_s.get(recipient_id, 0.0))
+        arrival_s += view.ByteSize() / ENTRY_LINK_BYTES_PER_S
+        self.entry_free_s[recipient_id] = arrival_s
+        delay_s = arrival_s - self.now_s + LATENCY_S
         self.schedule(delay_s, self.receive, recipient_id, view)
         return True
 
@@ -182,6 +189,17 @@
     assert fleet.longest_wait_s < MAX_LINK_WAIT_S
 
 
+def test_large_text_is_in_force_in_time_behind_the_slow_links_of_entries():
+    fleet = Fleet()
+    fleet.apply(make_text(1, 240))
+    fleet.run(2.0)
+    # The text of a document of 2 MB.
+    fleet.apply(make_text(2, 7_240, name_bits=32))
+    fleet.run(fleet.now_s + PLATFORM_IN_FORCE_S)
+    fleet.assert_in_force(2)
+    assert fleet.longest_wait_s < MAX_LINK_WAIT_S
+
+
 def test_storm_of_large_texts_does_not_delay_heartbeats():
     fleet = Fleet()
     fleet.apply(make_text(1, 1_640))
