Let calls decide whether to leave a group that a view calls lost

Callers saw streams end without a status beside planned work, at all entries at once.

Cause: an entry shut down the connections of all attempts of a group as soon as a view called a member missing or restarted, or the group was dissolved. A view rests on announcements, which are late whenever a host, a control or a connection is late. The calls were not asked whether they can go on elsewhere; one without an attempt, a budget or another group was cut, although its endpoint went on a moment later. A view of an older version had the same effect.

The cut streams that were traced have silence_tolerated with attempts_exhausted, then "the connection was shut down".

Change: such a view is a report (GroupLost) to the calls. It shortens the time after which an attempt counts as silent to 0.4 s until its next event, and ends nothing by itself: a silent attempt is left only if the call can continue elsewhere. Views that are older than the one in force report nothing. Each report is logged (lost_group) and counted.

--- a/chestnutvale/attempts/const.py
+++ b/chestnutvale/attempts/const.py
@@ -16,6 +16,8 @@
 
 # Time without an event after which a running stream is treated as broken.
 STREAM_IDLE_TIMEOUT_S: Final = 20.0
+# The same at a group that was reported as lost; longer than the steps of an engine.
+LOST_GROUP_SILENCE_S: Final = 0.4
 # Retry-After used when neither admission control nor the endpoint gives one.
 DEFAULT_RETRY_AFTER_S: Final = 2.0
 
@@ -37,6 +39,7 @@
 # Reasons for abandoning an attempt whose connection is still open.
 REASON_SILENT: Final = "the stream fell silent"
 REASON_STALLED: Final = "the group stalled"
+REASON_LOST: Final = "the group was reported as lost"
 # Reasons that are no sign of a crash.
 SILENCE_REASONS: Final = frozenset({REASON_SILENT, REASON_STALLED})
 
--- a/chestnutvale/attempts/events.py
+++ b/chestnutvale/attempts/events.py
@@ -125,6 +125,14 @@
     """The group of the running attempt sends events on none of its streams."""
 
 
+@attrs.frozen
+class GroupLost:
+    """The membership reports that the group of the running attempt can't finish it.
+
+    The report may be wrong: a member whose announcements are late counts as missing.
+    """
+
+
 @attrs.frozen
 class Tick:
     """The time in `next_tick_s` has been reached."""
@@ -140,6 +148,7 @@
     | AttemptBroken
     | CallerDisconnected
     | GroupStalled
+    | GroupLost
     | Tick
 )
 
--- a/chestnutvale/groups/serving.py
+++ b/chestnutvale/groups/serving.py
@@ -115,7 +115,7 @@
     -------
     str
         The reason; empty if the group serves. An evacuation is named last, so that
-        entries learn of a lost member, whose streams they abort.
+        entries learn of a lost member.
     """
     if group.phase != PHASE_SERVING:
         return f"the group is {group.phase}"
--- a/chestnutvale/membership/const.py
+++ b/chestnutvale/membership/const.py
@@ -92,6 +92,8 @@
 ANNOUNCEMENT_TRANSIT_S: Final = 0.5
 MAX_LOAD_COUNT: Final = 1_000_000
 MAX_SEQUENCE: Final = 2**63
+# Above the epochs of all groups.
+LAST_EPOCH: Final = 2**63
 
 KIND_ENGINE: Final = "engine"
 KIND_SERVICE: Final = "service"
--- a/chestnutvale/observability/catalog.py
+++ b/chestnutvale/observability/catalog.py
@@ -241,6 +241,12 @@
     "Silent attempts that were kept because the call could not go on elsewhere.",
     (LABEL_REASON,),
 )
+LOST_GROUP_REPORTS: Final = Metric(
+    "chestnutvale.attempts.group.lost",
+    "{attempt}",
+    "Attempts whose group the controls reported as lost; most of them may go on.",
+    (LABEL_REASON,),
+)
 STALLS: Final = Metric(
     "chestnutvale.groups.stalled",
     "{group}",
--- a/chestnutvale/programs/entry/context.py
+++ b/chestnutvale/programs/entry/context.py
@@ -234,8 +234,7 @@
     suspicions : SuspicionTracker
         Tracks requests that are suspected of crashing groups.
     running : RunningAttempts
-        Running attempts; those at a lost group are aborted, and those at a stalled
-        group are told.
+        Running attempts; their calls get the reports about their group.
     stall_detector : StallDetector
         Detects groups whose streams have stalled.
     has_crashed : CrashProbe
--- a/chestnutvale/programs/entry/entry_context.py
+++ b/chestnutvale/programs/entry/entry_context.py
@@ -18,11 +18,11 @@
 from chestnutvale.clock import Clock
 from chestnutvale.configuration.const import KIND_MODEL
 from chestnutvale.configuration.lookup import TextLookup
-from chestnutvale.groups.const import FAULT_MISSING, FAULT_RESTARTED
 from chestnutvale.groups.members import group_head
 from chestnutvale.http_server.memory import MemoryBound
 from chestnutvale.membership.endpoint_notices import EndpointNotice, Incarnation
 from chestnutvale.membership.entry_view import EntryView
+from chestnutvale.membership.lost_groups import find_lost_groups
 from chestnutvale.programs.entry.admission_gate import AdmissionGate
 from chestnutvale.programs.entry.commit_client import CommitClient
 from chestnutvale.programs.entry.context import AttemptReport, CallRequest, CrashProbe
@@ -90,6 +90,8 @@
         of endpoints that said that they are ``cold``.
     memory : MemoryBound
         Bound on the memory of requests and answers.
+    lost_group_reports : Counter
+        Number of attempts whose group was reported as lost, by cause.
     kept_attempts : Counter
         Number of attempts that were kept although silent, by the code of the reason.
     on_isolation_change : callable
@@ -130,6 +132,7 @@
         self.on_limit_change: Callable[[], None] = _ignore_change
         self.notice_counts: Counter[str] = Counter()
         self.memory = MemoryBound()
+        self.lost_group_reports: Counter[str] = Counter()
         self.kept_attempts: Counter[str] = Counter()
         self.on_isolation_change: Callable[[], None] = _ignore_change
         self.on_silence: Callable[[], None] = _ignore_change
@@ -180,7 +183,7 @@
                     "view_version": self._view.version,
                 },
             )
-        self._abort_lost_groups(view)
+        self._report_lost_groups(view, control_id)
         for group_id in self._view.newly_stalled:
             self.running.report_stall(group_id)
         self.update_capacities()
@@ -738,18 +741,26 @@
         self._gate.controller.set_entry_count(self._view.entry_count)
         self._gate.reevaluate_waiting()
 
-    def _abort_lost_groups(self, view: ControlView) -> None:
-        for group_view in view.groups:
-            if not group_view.serving and group_view.reason:
-                self._abort_group_if_member_lost(group_view)
-        for group_id in view.removed_group_ids:
-            self.running.abort_group(group_id, 2**63)
-
-    def _abort_group_if_member_lost(self, group_view: GroupView) -> None:
-        # A draining group finishes its running attempts. A group that lost a member
-        # cannot, and a silent host would keep its streams open until they time out.
-        if group_view.reason.endswith((FAULT_MISSING, FAULT_RESTARTED)):
-            self.running.abort_group(group_view.group.group_id, group_view.group.epoch)
+    def _report_lost_groups(self, view: ControlView, control_id: str) -> None:
+        silences_s = self.stall_detector.silences_s(self.clock.now_s())
+        for lost in find_lost_groups(view, self._view):
+            count = self.running.report_loss(lost.group_id, lost.epoch)
+            if not count:
+                continue
+            self.lost_group_reports[lost.cause] += count
+            _LOGGER.info(
+                "lost_group",
+                extra={
+                    "group": lost.group_id,
+                    "epoch": lost.epoch,
+                    "reason": lost.reason,
+                    "attempts": count,
+                    "silence_ms": round(1_000 * silences_s.get(lost.group_id, 0.0)),
+                    "control": control_id,
+                    "term": view.term,
+                    "view_version": view.view_version,
+                },
+            )
 
 
 def _ignore_change() -> None:
--- a/chestnutvale/programs/entry/metrics.py
+++ b/chestnutvale/programs/entry/metrics.py
@@ -43,6 +43,7 @@
         catalog.ADMISSIONS: lambda: context.admission.decisions,
         catalog.ATTEMPTS: lambda: context.attempt_results,
         catalog.KEPT_ATTEMPTS: lambda: context.kept_attempts,
+        catalog.LOST_GROUP_REPORTS: lambda: context.lost_group_reports,
         catalog.LEASE_CHANGES: lambda: link.lease_changes,
         catalog.ENDPOINT_NOTICES: lambda: context.notice_counts,
         catalog.ISOLATION_CHANGES: lambda: context.isolation_changes,
--- a/chestnutvale/programs/entry/model_calls.py
+++ b/chestnutvale/programs/entry/model_calls.py
@@ -68,6 +68,7 @@
     read_text,
 )
 from chestnutvale.programs.entry.problems import make_problem
+from chestnutvale.programs.entry.running_attempts import GroupReport
 from chestnutvale.programs.entry.tick_timer import TickTimer
 from chestnutvale.schema.peer_pb2 import GroupView
 
@@ -343,8 +344,14 @@
         if self._interrupt_effects:
             self.attempt.abort()
 
-    def _handle_stall(self) -> None:
-        self._interrupt(GroupStalled())
+    def _handle_group_report(self, report: GroupReport) -> None:
+        if isinstance(report, GroupStalled):
+            self._interrupt(report)
+            return
+        # Has no effects, so it is recorded also while the call does not wait.
+        self._call.handle(report, self._context.clock.now_s())
+        if self._is_waiting:
+            self._tick_timer.set_due(self._call.next_tick_s)
 
     def _tick(self) -> None:
         was_kept = bool(self._call.kept_because)
@@ -400,7 +407,7 @@
         self.attempt = attempt
         self._watch.set_disconnect_callback(attempt.abort)
         self._context.running.add(
-            effect.group_id, effect.epoch, attempt, self._handle_stall
+            effect.group_id, effect.epoch, attempt, self._handle_group_report
         )
         self._context.stall_detector.record_sent(
             effect.attempt_id, effect.group_id, self._sent_at_s
--- a/chestnutvale/programs/entry/running_attempts.py
+++ b/chestnutvale/programs/entry/running_attempts.py
@@ -2,19 +2,15 @@
 
 from collections import Counter
 from collections.abc import Callable
-from typing import Protocol
 
 import attrs
 
+from chestnutvale.attempts.events import GroupLost, GroupStalled
 
-class Abortable(Protocol):
-    """An attempt that waits for an endpoint and can be interrupted."""
+GroupReport = GroupLost | GroupStalled
 
-    def abort(self) -> None:
-        """Interrupt the greenlet that waits for the endpoint."""
 
-
-def _ignore_stall() -> None:
+def _ignore_report(report: GroupReport) -> None:
     """Do nothing; for an attempt that its call can't leave."""
 
 
@@ -26,16 +22,15 @@
 class _RunningAttempt:
     group_id: str
     epoch: int
-    on_stall: Callable[[], None]
+    on_report: Callable[[GroupReport], None]
 
 
 class RunningAttempts:
     """Running attempts by group and epoch.
 
-    A host that freezes or loses its network does not close its connections.
-    `abort_group` is called once the membership reports its group as lost, so that
-    the calls continue at other groups before their streams time out. A group that has
-    stalled may recover, so `report_stall` leaves the decision to the calls.
+    A host that freezes or loses its network does not close its connections. It may also
+    only be late, so a reported loss or stall of a group ends no attempt: each call
+    decides whether it continues at another group.
 
     Attributes
     ----------
@@ -45,7 +40,7 @@
 
     def __init__(self) -> None:
         self.on_first: Callable[[], None] = _ignore_first
-        self._running: dict[Abortable, _RunningAttempt] = {}
+        self._running: dict[object, _RunningAttempt] = {}
 
     def __len__(self) -> int:
         """Return the number of running attempts."""
@@ -55,8 +50,8 @@
         self,
         group_id: str,
         epoch: int,
-        attempt: Abortable,
-        on_stall: Callable[[], None] = _ignore_stall,
+        attempt: object,
+        on_report: Callable[[GroupReport], None] = _ignore_report,
     ) -> None:
         """Add an attempt that has started.
 
@@ -66,22 +61,22 @@
             Group that runs it.
         epoch : int
             Epoch of the group.
-        attempt : Abortable
+        attempt : object
             The attempt.
-        on_stall : callable, optional
-            Called when the group has stalled; must not block.
+        on_report : callable, optional
+            Gets the reports about the group; must not block.
         """
         is_first = not self._running
-        self._running[attempt] = _RunningAttempt(group_id, epoch, on_stall)
+        self._running[attempt] = _RunningAttempt(group_id, epoch, on_report)
         if is_first:
             self.on_first()
 
-    def remove(self, attempt: Abortable) -> None:
+    def remove(self, attempt: object) -> None:
         """Remove an attempt that has ended.
 
         Parameters
         ----------
-        attempt : Abortable
+        attempt : object
             The attempt; one that was not added is ignored.
         """
         self._running.pop(attempt, None)
@@ -94,29 +89,29 @@
         """Return the number of running attempts by the epoch of their group."""
         return dict(Counter(item.epoch for item in self._running.values()))
 
-    def abort_group(self, group_id: str, epoch: int) -> int:
-        """Interrupt the attempts of a lost group.
+    def report_loss(self, group_id: str, epoch: int) -> int:
+        """Report to the calls with attempts at a group that it seems to be lost.
 
         Parameters
         ----------
         group_id : str
             The group.
         epoch : int
-            Last epoch that is lost; attempts of later epochs continue.
+            Last epoch that is lost; attempts of later epochs are not concerned.
 
         Returns
         -------
         int
-            Number of attempts that were interrupted.
+            Number of attempts that were concerned.
         """
-        attempts = [
-            attempt
-            for attempt, item in self._running.items()
+        concerned = [
+            item
+            for item in self._running.values()
             if item.group_id == group_id and item.epoch <= epoch
         ]
-        for attempt in attempts:
-            attempt.abort()
-        return len(attempts)
+        for item in concerned:
+            item.on_report(GroupLost())
+        return len(concerned)
 
     def report_stall(self, group_id: str) -> None:
         """Report to the calls with attempts at a group that it has stalled.
@@ -128,4 +123,4 @@
         """
         for item in list(self._running.values()):
             if item.group_id == group_id:
-                item.on_stall()
+                item.on_report(GroupStalled())
--- a/tests/attempts/test_model_call.py
+++ b/tests/attempts/test_model_call.py
@@ -7,6 +7,7 @@
 from chestnutvale.attempts.answer_stream import AnswerStream
 from chestnutvale.attempts.call_limits import CallLimits
 from chestnutvale.attempts.const import (
+    LOST_GROUP_SILENCE_S,
     MAX_ATTEMPTS,
     MAX_UNREACHABLE_GROUPS,
     REFUSAL_OVERLOADED,
@@ -23,6 +24,7 @@
     EventsArrived,
     Finish,
     GroupChosen,
+    GroupLost,
     NoGroupAvailable,
     StartAttempt,
     Started,
@@ -313,6 +315,71 @@
     assert [type(effect) for effect in effects] == [CancelAttempt, ChooseGroup]
 
 
+@pytest.mark.parametrize(
+    ("budgets", "limits"),
+    [
+        (AttemptBudgets(), CallLimits(max_attempts=1)),
+        (AttemptBudgets(), CallLimits(is_resumable=False)),
+        (NO_RETRIES, CallLimits()),
+    ],
+    ids=["last-attempt", "not-resumable", "no-retry-budget"],
+)
+def test_late_announcements_do_not_cut_an_answer_that_cannot_move(budgets, limits):
+    call = ModelCall("r", DEADLINE_S, budgets, limits)
+    attempt_id = start(call)
+    call.handle(EventsArrived(attempt_id, [token(attempt_id, 0)]), 0.0)
+    assert call.handle(GroupLost(), 3.0) == []
+    while call.next_tick_s < 5.0:
+        assert call.handle(Tick(), call.next_tick_s) == []
+    events = [token(attempt_id, i) for i in range(1, TOKENS)]
+    events += [end(attempt_id), DONE]
+    assert call.handle(EventsArrived(attempt_id, events), 5.0)[-1] == Finish()
+
+
+def test_late_announcements_do_not_move_a_stream_that_goes_on(call):
+    attempt_id = start(call)
+    for number in range(TOKENS - 1):
+        now_s = number * 0.9 * LOST_GROUP_SILENCE_S
+        call.handle(EventsArrived(attempt_id, [token(attempt_id, number)]), now_s)
+        assert call.handle(GroupLost(), now_s) == []
+        assert call.next_tick_s > now_s + 0.9 * LOST_GROUP_SILENCE_S
+    # An event proves that the group works, so the usual timeout applies again.
+    call.handle(EventsArrived(attempt_id, [token(attempt_id, TOKENS - 1)]), 3.0)
+    assert call.next_tick_s == 3.0 + STREAM_IDLE_TIMEOUT_S
+
+
+def test_silent_stream_leaves_a_lost_group_before_its_own_timeout(call):
+    attempt_id = start(call)
+    call.handle(EventsArrived(attempt_id, [token(attempt_id, 0)]), 0.0)
+    assert call.handle(GroupLost(), 3.0) == []
+    assert call.next_tick_s == 3.0
+    effects = call.handle(Tick(), 3.0)
+    assert [type(effect) for effect in effects] == [CancelAttempt, ChooseGroup]
+    assert effects[0].fault == "the group was reported as lost"
+
+
+def test_silent_stream_at_a_lost_group_moves_as_soon_as_another_group_serves():
+    healthy_groups = {"g1"}
+    call = ModelCall("r", DEADLINE_S, AttemptBudgets())
+    call.has_alternative = lambda excluded, version: bool(healthy_groups - excluded)
+    start(call)
+    call.handle(GroupLost(), 3.0)
+    assert call.handle(Tick(), 3.0) == []
+    assert call.next_tick_s == 3.0 + LOST_GROUP_SILENCE_S
+    healthy_groups.add("g2")
+    effects = call.handle(Tick(), call.next_tick_s)
+    assert [type(effect) for effect in effects] == [CancelAttempt, ChooseGroup]
+
+
+def test_loss_that_was_reported_of_an_earlier_group_does_not_count(call):
+    start(call)
+    call.handle(GroupLost(), 3.0)
+    call.handle(Tick(), 3.0)
+    (effect,) = call.handle(GroupChosen("g2", 1, "v1"), 3.0)
+    assert isinstance(effect, StartAttempt)
+    assert call.next_tick_s == 3.0 + STREAM_IDLE_TIMEOUT_S
+
+
 def test_pause_within_an_event_does_not_cut_the_last_attempt():
     limits = CallLimits(max_attempts=1)
     call = ModelCall("r", DEADLINE_S, AttemptBudgets(), limits)
--- a/tests/programs/entry/routed/test_streams.py
+++ b/tests/programs/entry/routed/test_streams.py
@@ -163,6 +163,33 @@
     assert len(other_endpoint.requests) == is_left
 
 
+@pytest.mark.parametrize("event_number", [0, 1, 4])
+@pytest.mark.parametrize("path", ["/fixed/x", "/gen/x"])
+def test_lost_group_without_alternative_that_goes_on_answers_whole(
+    endpoint, path, event_number
+):
+    # Guards against streams that are cut because announcements of hosts are late.
+    endpoint.default = pause_before(event_number)
+    with routed_entry(endpoint) as entry:
+        eventlet.spawn_after(1.0, entry.context.running.report_loss, "gpu1", 1)
+        status, _, body, is_complete = call(entry.address, path, b"p", X_Model="m")
+    assert (status, body, is_complete) == (200, COMPLETE_STREAM, True)
+    assert len(endpoint.requests) == 1
+
+
+@pytest.mark.parametrize(("path", "is_left"), [("/gen/x", True), ("/fixed/x", False)])
+def test_only_silent_streams_that_can_move_leave_a_lost_group(
+    endpoint, other_endpoint, path, is_left
+):
+    endpoint.default = pause_before(4)
+    other_endpoint.default = stream()
+    with routed_entry(endpoint, other_endpoint) as entry:
+        eventlet.spawn_after(0.2, entry.context.running.report_loss, "gpu1", 1)
+        _, _, body, is_complete = call(entry.address, path, b"p", X_Model="m")
+    assert (body, is_complete) == (COMPLETE_STREAM, True)
+    assert len(other_endpoint.requests) == is_left
+
+
 @pytest.mark.parametrize("path", ["/gen/x", "/fixed/x"])
 def test_caller_does_not_get_the_head_of_a_refusal(endpoint, other_endpoint, path):
     endpoint.default = (
--- a/tests/programs/entry/test_metrics.py
+++ b/tests/programs/entry/test_metrics.py
@@ -21,6 +21,7 @@
         ),
         attempt_results=Counter(whole=6, broken=1),
         kept_attempts=Counter(not_resumable=2),
+        lost_group_reports=Counter(missing=3),
     )
     link = SimpleNamespace(lease_changes=Counter(won=1), stalls=3)
     with OtelMetrics("test") as metrics:
@@ -39,6 +40,8 @@
     for label in ('workspace="team-a"', 'rank="2"', 'data_centre="dc1"'):
         assert label in refusals
     assert 'chestnutvale_attempts_total{reason="broken"} 1.0' in metric_lines
+    lost = 'chestnutvale_attempts_group_lost_total{reason="missing"} 3.0'
+    assert lost in metric_lines
     kept = 'chestnutvale_attempts_kept_silent_total{reason="not_resumable"} 2.0'
     assert kept in metric_lines
     assert 'chestnutvale_entry_lease_changes_total{reason="won"} 1.0' in metric_lines
