Let a begun answer of a pooled group wait for a lease or a group

The chooser took a model version for the sign that a call may have run. The groups of a pool name none, so the wait of 8 s never applied to their streams: one whose endpoint broke off while the entry's lease had lapsed, as after a configuration that came late, or while a group was being mended, was cut at once with no_group_available. The sign is now that the call was sent and not refused. Calls to plain services wait as little as before.

test_only_resumed_answer_waits_for_group tells the cases apart by is_unsent, as calls do, and for groups with and without a version, in place of the version alone.

--- a/chestnutvale/programs/entry/group_chooser.py
+++ b/chestnutvale/programs/entry/group_chooser.py
@@ -23,8 +23,9 @@
 from chestnutvale.schema.peer_pb2 import GroupView
 
 ChoiceEvent = GroupChosen | NoGroupAvailable | CallBanned | Tick
-# Maximum time for which a broken answer waits for a group that can resume it. It covers
-# a leader election, the new leader's detection of missing hosts and a repair in turn.
+# Maximum time for which a call that may have run waits for a group that can take it. It
+# covers a leader election, the new leader's detection of missing hosts and a repair in
+# turn.
 RESUME_WAIT_S = 8.0
 RESUME_POLL_INTERVAL_S = 0.1
 
@@ -44,6 +45,9 @@
         Waits for a time in seconds; returns True if the call was abandoned meanwhile.
     part_hashes : tuple of int, optional
         Hashes of the parts of its prompt that other requests may share.
+    resume_wait_s : float, optional
+        Maximum time in seconds for which the call waits for a group once it may have
+        run.
 
     Attributes
     ----------
@@ -58,6 +62,7 @@
         fingerprint: int,
         wait: Callable[[float], bool],
         part_hashes: tuple[int, ...] = (),
+        resume_wait_s: float = RESUME_WAIT_S,
     ) -> None:
         self.view: GroupView | None = None
         self._epochs: dict[str, int] = {}
@@ -67,6 +72,7 @@
         self._part_hashes = part_hashes
         self._part_hashes_to_judge = part_hashes
         self._wait = wait
+        self._resume_wait_s = resume_wait_s
 
     def choose(self, effect: ChooseGroup) -> ChoiceEvent:
         """Choose a group; blocks while a suspected request must wait for its turn.
@@ -84,7 +90,7 @@
         context = self._context
         # An answer that has begun would be lost if the call ended, so the call waits
         # out leader elections and repairs of the other groups.
-        wait_limit_s = RESUME_WAIT_S if effect.version else 0.0
+        wait_limit_s = 0.0 if effect.is_unsent else self._resume_wait_s
         wait_until_s = min(
             context.clock.now_s() + wait_limit_s, self._request.deadline_s
         )
--- a/chestnutvale/programs/entry/service_run.py
+++ b/chestnutvale/programs/entry/service_run.py
@@ -218,8 +218,14 @@
         self._exchange: Exchange | None = None
         if fingerprint is None:
             fingerprint = compute_request_fingerprint(request, body)
+        # No part of the answer has been delivered, so a failure cuts none off.
         self._chooser = GroupChooser(
-            context, call_request, fingerprint, self._sleep, part_hashes
+            context,
+            call_request,
+            fingerprint,
+            self._sleep,
+            part_hashes,
+            resume_wait_s=0.0,
         )
 
     def wait_for_answer(self) -> Reply | Failure:
--- a/tests/programs/entry/routed/test_streams.py
+++ b/tests/programs/entry/routed/test_streams.py
@@ -89,6 +89,23 @@
     assert other_endpoint.header("x-last") == "3"
 
 
+def test_begun_stream_is_not_cut_by_a_short_loss_of_the_lease(endpoint, other_endpoint):
+    with routed_entry(endpoint, other_endpoint) as entry:
+        for group in entry.context.groups.values():
+            # The groups of a pool name no version.
+            group.version = ""
+
+        def break_off_without_a_lease(sock, request):
+            entry.context.lease = False
+            eventlet.spawn_after(0.5, setattr, entry.context, "lease", True)
+            stream(until=2, tail=None)(sock, request)
+
+        endpoint.default = break_off_without_a_lease
+        other_endpoint.default = stream()
+        _, _, body, is_complete = call(entry.address, "/gen/x", b"p", X_Model="m")
+    assert (body, is_complete) == (COMPLETE_STREAM, True)
+
+
 def test_stalled_stream_resumes_at_another_group(endpoint, other_endpoint):
     def send_one_event_and_stall(sock, request):
         sock.sendall(stream_head() + chunk(event(1)))
--- a/tests/programs/entry/test_group_chooser.py
+++ b/tests/programs/entry/test_group_chooser.py
@@ -1,4 +1,4 @@
-"""Tests that a started answer waits for a group and a new call does not."""
+"""Tests that a call that may have run waits for a group and a new one does not."""
 
 from types import SimpleNamespace
 
@@ -15,7 +15,7 @@
 class ChooserHarness:
     """A chooser whose entry gets its lease back at a given time, over one group."""
 
-    def __init__(self, serves_again_at_s, deadline_s=100.0):
+    def __init__(self, serves_again_at_s, deadline_s=100.0, **options):
         self.now_s = 0.0
         self.excluded = []
         self.epoch = 1
@@ -34,7 +34,7 @@
         )
         self.group = group
         request = CallRequest("r", "w", "llm", "normal", b"", 10, "", deadline_s)
-        self.chooser = GroupChooser(context, request, 1, self.wait)
+        self.chooser = GroupChooser(context, request, 1, self.wait, **options)
 
     def choose_group(self, request, excluded, version):
         self.excluded.append(excluded)
@@ -47,23 +47,32 @@
         return False
 
 
+@pytest.mark.parametrize("version", ["1", ""])
 @pytest.mark.parametrize(
-    ("version", "serves_again_at_s", "deadline_s", "found"),
+    ("is_unsent", "serves_again_at_s", "deadline_s", "found"),
     [
-        ("1", 2.5, 100.0, True),
-        ("", 2.5, 100.0, False),
-        ("1", RESUME_WAIT_S + 1.0, 100.0, False),
-        ("1", 2.5, 1.0, False),
+        (False, 2.5, 100.0, True),
+        (True, 2.5, 100.0, False),
+        (False, RESUME_WAIT_S + 1.0, 100.0, False),
+        (False, 2.5, 1.0, False),
     ],
 )
 def test_only_resumed_answer_waits_for_group(
-    version, serves_again_at_s, deadline_s, found
+    is_unsent, serves_again_at_s, deadline_s, found, version
 ):
     harness = ChooserHarness(serves_again_at_s, deadline_s)
-    event = harness.chooser.choose(ChooseGroup(frozenset(), version))
+    effect = ChooseGroup(frozenset(), version, is_unsent=is_unsent)
+    event = harness.chooser.choose(effect)
     assert isinstance(event, GroupChosen if found else NoGroupAvailable)
     assert harness.now_s <= min(deadline_s, RESUME_WAIT_S) + 0.1
-    assert harness.now_s == 0.0 or version
+    assert harness.now_s == 0.0 or not is_unsent
+
+
+def test_call_to_a_plain_service_waits_for_no_group():
+    harness = ChooserHarness(2.5, resume_wait_s=0.0)
+    event = harness.chooser.choose(ChooseGroup(frozenset(), ""))
+    assert isinstance(event, NoGroupAvailable)
+    assert harness.now_s == 0.0
 
 
 def test_excluded_group_is_chosen_again_under_new_epoch():
