Drain a group for as long as the configuration lets calls run

A group that rebalancing, a dropped service or a leaving member drains was removed 8 s later, whatever ran there: its members are then ordered to leave, which cuts the streams of routes with a longer time limit. The drain now lasts for the drain timeout of the settings, or for the serving lease and the longest time limit of a route, if that is longer; 60 s bound every routed call. Limits of an earlier configuration count until the calls under it have ended, and a new leader assumes the longest. A group without running requests is removed as soon as before.

--- a/chestnutvale/configuration/const.py
+++ b/chestnutvale/configuration/const.py
@@ -16,6 +16,8 @@
 ROUTE_ONCE: Final = "once"
 ROUTE_KINDS: Final = (ROUTE_STREAMING, ROUTE_REPEATABLE, ROUTE_ONCE)
 MAX_ROUTES: Final = 20_000
+# Longest time limit of a routed call, whatever its caller and its route allow.
+MAX_ROUTED_CALL_S: Final = 60.0
 
 MAX_TEXT_BYTES: Final = 1024 * 1024
 # Commands of this version and later ones include compressed texts.
--- a/chestnutvale/groups/idle_tracker.py
+++ b/chestnutvale/groups/idle_tracker.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from chestnutvale.groups.call_time_limits import CallTimeLimits
 from chestnutvale.groups.const import VIEW_PROPAGATION_S
 from chestnutvale.groups.members import group_head
 from chestnutvale.groups.serving import find_serving_fault
@@ -9,6 +10,7 @@
 from chestnutvale.groups.state import GroupsState
 from chestnutvale.membership.host_record import HostRecord
 from chestnutvale.membership.table import MembershipTable
+from chestnutvale.schema.configuration_pb2 import Text
 from chestnutvale.schema.groups_pb2 import Group
 
 
@@ -17,8 +19,8 @@
     """Tracks since when each group has had no serving right.
 
     A group is idle once every entry's lease on its serving right has expired and its
-    head has reported since then that no request runs or waits, or once the drain
-    timeout has passed.
+    head has reported since then that no request runs or waits, or once all requests
+    must have reached their time limits.
 
     Parameters
     ----------
@@ -27,16 +29,25 @@
     """
 
     policy: GroupsPolicy
+    _call_limits: CallTimeLimits = attrs.field(
+        default=attrs.Factory(
+            lambda self: CallTimeLimits(self.policy.serving_lease_s), takes_self=True
+        ),
+        init=False,
+    )
     _stopped_since_s: dict[str, float] = attrs.field(factory=dict)
     _last_states: dict[str, tuple[int, str]] = attrs.field(factory=dict)
 
     def reset(self) -> None:
         """Discard observations from an earlier term as leader."""
+        self._call_limits.reset()
         self._stopped_since_s.clear()
         self._last_states.clear()
 
-    def observe(self, state: GroupsState, table: MembershipTable, now_s: float) -> None:
-        """Record which groups serve now.
+    def observe(
+        self, state: GroupsState, table: MembershipTable, text: Text, now_s: float
+    ) -> None:
+        """Record which groups serve now, and how long their calls may run.
 
         Parameters
         ----------
@@ -44,9 +55,12 @@
             Replicated state of the groups.
         table : MembershipTable
             Liveness and announcements of hosts.
+        text : Text
+            Configuration in force.
         now_s : float
             Monotonic time in seconds.
         """
+        self._call_limits.observe(text, now_s)
         stopped = {}
         states = {}
         for group in state.groups.values():
@@ -118,7 +132,7 @@
         no_new_requests_from_s = stopped_at_s + lease_s
         if now_s <= no_new_requests_from_s:
             return False
-        if now_s > stopped_at_s + self.policy.drain_timeout_s:
+        if now_s > stopped_at_s + self._drain_limit_s(now_s):
             return True
         head = table.host(group_head(group).host_id)
         if head is None or not table.is_fresh(head.host_id, now_s):
@@ -129,6 +143,15 @@
             return False
         return head.load.running == 0 and head.load.waiting == 0
 
+    def _drain_limit_s(self, now_s: float) -> float:
+        """Return the time after which no request can run at a draining group.
+
+        A release cancels the requests that run, so it waits for the last call that an
+        entry may have sent under its lease.
+        """
+        longest_s = self._call_limits.longest_s(now_s)
+        return max(self.policy.drain_timeout_s, self.policy.serving_lease_s + longest_s)
+
 
 def _holds_group(record: HostRecord, group: Group) -> bool:
     """Tell whether a host holds a group, also under an earlier epoch."""
--- a/chestnutvale/groups/planner.py
+++ b/chestnutvale/groups/planner.py
@@ -164,7 +164,7 @@
         """
         state, table = inputs.state, inputs.table
         fleet = Fleet.collect(state, table, now_s, inputs.evacuated)
-        self.idle_tracker.observe(state, table, now_s)
+        self.idle_tracker.observe(state, table, inputs.text, now_s)
         broken = [
             item
             for item in self.failure_detector.find_broken_groups(state, table, now_s)
--- a/chestnutvale/groups/settings.py
+++ b/chestnutvale/groups/settings.py
@@ -32,7 +32,8 @@
     leader_lease_s : float
         Longest leader lease in seconds.
     drain_timeout_s : float
-        Longest time in seconds that a draining group may finish running requests.
+        Time in seconds that a draining group may finish running requests, at least as
+        long as the routes of the configuration allow.
     max_loading_hosts : int
         Number of hosts that may load weights at once.
     shard_load_s : float
--- a/chestnutvale/programs/entry/routed/const.py
+++ b/chestnutvale/programs/entry/routed/const.py
@@ -52,8 +52,6 @@
 # partition neither an acknowledgement nor a reset arrives.
 TCP_USER_TIMEOUT_MS: Final = 3_000
 
-# Time limit of a call whose caller sets no deadline.
-DEFAULT_DEADLINE_S: Final = 60.0
 # An attempt ends if its first event does not arrive within this multiple of the route's
 # target latency, but not before the minimum; callers begin to disconnect after that.
 MIN_FIRST_EVENT_TIMEOUT_S: Final = 1.2
--- a/chestnutvale/programs/entry/routed/handler.py
+++ b/chestnutvale/programs/entry/routed/handler.py
@@ -30,7 +30,11 @@
     hash_shared_parts,
 )
 from chestnutvale.attempts.service_events import Reply
-from chestnutvale.configuration.const import ROUTE_REPEATABLE, ROUTE_STREAMING
+from chestnutvale.configuration.const import (
+    MAX_ROUTED_CALL_S,
+    ROUTE_REPEATABLE,
+    ROUTE_STREAMING,
+)
 from chestnutvale.configuration.routes import RouteTable
 from chestnutvale.http_server.exceptions import AnswerBrokenError
 from chestnutvale.programs.entry.call_validation import (
@@ -55,7 +59,6 @@
 from chestnutvale.programs.entry.routed.connections import ConnectionPool
 from chestnutvale.programs.entry.routed.const import (
     CONNECTION_HEADERS,
-    DEFAULT_DEADLINE_S,
     FIRST_EVENT_TIMEOUT_FACTOR,
     GAP_TIMEOUT_FACTOR,
     LEASE_WAIT_SHARE,
@@ -463,14 +466,14 @@
 
     The rest of its time is kept for the answer, or for a retry at another entry.
     """
-    time_s = DEFAULT_DEADLINE_S
+    time_s = MAX_ROUTED_CALL_S
     if request.deadline_ms is not None:
         time_s = request.deadline_ms / 1_000
     return LEASE_WAIT_SHARE * time_s
 
 
 def _find_time_limit_s(request: RoutedRequest, route: Route) -> float:
-    times_s = [DEFAULT_DEADLINE_S]
+    times_s = [MAX_ROUTED_CALL_S]
     if request.deadline_ms is not None:
         times_s.append(request.deadline_ms / 1_000)
     if route.timeout_ms:
--- /dev/null
+++ b/tests/groups/test_idle_tracker.py
@@ -0,0 +1,80 @@
+"""Tests when a draining group counts as idle."""
+
+import pytest
+
+from chestnutvale.configuration.const import MAX_ROUTED_CALL_S
+from chestnutvale.groups.settings import GroupsPolicy
+from chestnutvale.schema.configuration_pb2 import Route
+from tests.groups.test_pools import Pool, all_hosts, make_serving_pool
+
+POLICY = GroupsPolicy(engine_stall_s=5.0, serving_lease_s=2.0, drain_timeout_s=8.0)
+STOPPED_AT_S = 2.5
+
+
+class DrainingPool:
+    """A pool with a group that drains since `STOPPED_AT_S` while requests run there."""
+
+    def __init__(self, timeout_ms):
+        self.pool: Pool = make_serving_pool()
+        self.pool.idle_tracker.policy = POLICY
+        self.set_timeout(timeout_ms)
+        self.group = next(iter(self.pool.state.groups.values()))
+        self.running = 1
+        self.observe(2.0)
+        self.group.phase = "draining"
+        self.observe(STOPPED_AT_S)
+
+    def set_timeout(self, timeout_ms):
+        del self.pool.text.routes[:]
+        self.pool.text.number += 1
+        self.pool.text.routes.append(Route(timeout_ms=timeout_ms))
+
+    def observe(self, now_s):
+        pool = self.pool
+        for host_id in all_hosts():
+            pool.announce(host_id, now_s)
+        for group in pool.state.groups.values():
+            pool.table.record_running_attempts(group.members[0].host_id, self.running)
+        pool.idle_tracker.observe(pool.state, pool.table, pool.text, now_s)
+
+    def is_idle(self, now_s):
+        self.observe(now_s)
+        return self.pool.idle_tracker.is_idle(self.group, self.pool.table, now_s)
+
+
+@pytest.mark.parametrize(
+    ("timeout_ms", "limit_s"),
+    [
+        (1_000, 8.0),
+        (20_000, 2.0 + 20.0),
+        (3_600_000, 2.0 + MAX_ROUTED_CALL_S),
+    ],
+)
+def test_drain_ends_no_request_before_its_time_limit(timeout_ms, limit_s):
+    drain = DrainingPool(timeout_ms)
+    assert not drain.is_idle(STOPPED_AT_S + limit_s - 0.1)
+    assert drain.is_idle(STOPPED_AT_S + limit_s + 0.1)
+
+
+def test_drain_ends_as_soon_as_no_request_runs():
+    drain = DrainingPool(20_000)
+    drain.running = 0
+    assert drain.is_idle(STOPPED_AT_S + 1.0)
+
+
+def test_shorter_time_limit_does_not_cut_requests_of_the_previous_text():
+    drain = DrainingPool(30_000)
+    for timeout_ms in (20_000, 1_000):
+        drain.set_timeout(timeout_ms)
+        drain.observe(3.0)
+    # Entries may accept calls under a previous text until their leases end.
+    assert not drain.is_idle(STOPPED_AT_S + 2.0 + 30.0 - 0.1)
+    assert drain.is_idle(STOPPED_AT_S + 2.0 + 30.0 + 0.1)
+
+
+def test_new_leader_does_not_cut_requests_of_texts_that_it_has_not_seen():
+    drain = DrainingPool(1_000)
+    drain.pool.idle_tracker.reset()
+    drain.observe(10.0)
+    assert not drain.is_idle(10.0 + 2.0 + MAX_ROUTED_CALL_S - 0.1)
+    assert drain.is_idle(10.0 + 2.0 + MAX_ROUTED_CALL_S + 0.1)
--- a/tests/groups/test_pools.py
+++ b/tests/groups/test_pools.py
@@ -77,7 +77,7 @@
 
     def plan(self, now_s, may_load=True):
         fleet = Fleet.collect(self.state, self.table, now_s, self.evacuated)
-        self.idle_tracker.observe(self.state, self.table, now_s)
+        self.idle_tracker.observe(self.state, self.table, self.text, now_s)
         commands = list(
             self.planner.plan(
                 self.state, self.table, self.text, fleet, now_s, may_load=may_load
