Keep a draining group whose streams go on though its head is silent

A pooled group counts as alive while entries get events from it, even if its members are not heard. The check for idle groups did not know that: a draining group whose head was silent for the detection timeout was removed, and its streams were cut by the release.

Measured: test_silent_head_whose_streams_go_on_is_not_idle failed before; tests/groups pass.

--- a/chestnutvale/groups/idle_tracker.py
+++ b/chestnutvale/groups/idle_tracker.py
@@ -5,7 +5,7 @@
 from chestnutvale.groups.call_time_limits import CallTimeLimits
 from chestnutvale.groups.const import VIEW_PROPAGATION_S
 from chestnutvale.groups.members import group_head
-from chestnutvale.groups.serving import find_serving_fault
+from chestnutvale.groups.serving import find_serving_fault, has_recent_events
 from chestnutvale.groups.settings import GroupsPolicy
 from chestnutvale.groups.state import GroupsState
 from chestnutvale.membership.host_record import HostRecord
@@ -135,8 +135,10 @@
         if now_s > stopped_at_s + self._drain_limit_s(now_s):
             return True
         head = table.host(group_head(group).host_id)
-        if head is None or not table.is_fresh(head.host_id, now_s):
+        if head is None:
             return True
+        if not table.is_fresh(head.host_id, now_s):
+            return not has_recent_events(group, table, now_s)
         if not group.plain and not _holds_group(head, group):
             return True
         if head.load is None or head.heard_at_s <= no_new_requests_from_s:
--- a/tests/groups/test_idle_tracker.py
+++ b/tests/groups/test_idle_tracker.py
@@ -78,3 +78,12 @@
     drain.observe(10.0)
     assert not drain.is_idle(10.0 + 2.0 + MAX_ROUTED_CALL_S - 0.1)
     assert drain.is_idle(10.0 + 2.0 + MAX_ROUTED_CALL_S + 0.1)
+
+
+def test_silent_head_whose_streams_go_on_is_not_idle():
+    drain = DrainingPool(20_000)
+    pool = drain.pool
+    pool.table.mark_responsive([drain.group.group_id], 9.0)
+    pool.idle_tracker.observe(pool.state, pool.table, pool.text, 8.0)
+    assert not pool.idle_tracker.is_idle(drain.group, pool.table, 8.0)
+    assert pool.idle_tracker.is_idle(drain.group, pool.table, 9.1)
