Release a draining group only once all entries have said that nothing runs

Where hosts report no load, the control takes the sum of what entries report. The counts of an entry that was silent for 3 s dropped out of it, and a count from before the entry knew that the group drains passed for a newer one if the head had been heard since. So an entry that was late had its streams cut: the group counted as idle 0.7 s after the begin of its drain, and its members were ordered to leave. The load of a draining group now says whether it is complete: every entry has reported under a view that shows the drain, and none that fell silent less than 15 s ago ran something there.

Measured: the new tests fail without either condition; tests/groups, tests/membership, tests/programs/control and tests/routing pass.

--- a/chestnutvale/groups/idle_tracker.py
+++ b/chestnutvale/groups/idle_tracker.py
@@ -143,6 +143,8 @@
             return True
         if head.load is None or head.heard_at_s <= no_new_requests_from_s:
             return False
+        if head.is_load_from_entries and not head.is_load_complete:
+            return False
         return head.load.running == 0 and head.load.waiting == 0
 
     def _drain_limit_s(self, now_s: float) -> float:
--- a/chestnutvale/membership/attempt_counts.py
+++ b/chestnutvale/membership/attempt_counts.py
@@ -9,6 +9,7 @@
     ENTRY_TIMEOUT_S,
     LOAD_MESSAGES_PER_S,
     MIN_LOAD_EXCHANGE_INTERVAL_S,
+    SILENT_ATTEMPTS_RETENTION_S,
 )
 from chestnutvale.schema.peer_pb2 import GroupLoad
 
@@ -33,7 +34,7 @@
 @attrs.frozen
 class _Report:
     counts: dict[str, int]
-    expires_s: float
+    reported_at_s: float
 
 
 @attrs.define
@@ -44,9 +45,12 @@
     ----------
     expiry_s : float, optional
         Seconds after which the counts of an entry expire.
+    retention_s : float, optional
+        Seconds for which the counts of a silent entry are remembered.
     """
 
     expiry_s: float = ENTRY_TIMEOUT_S
+    retention_s: float = SILENT_ATTEMPTS_RETENTION_S
     _reports: dict[str, _Report] = attrs.field(factory=dict)
 
     def record_group_loads(
@@ -80,7 +84,7 @@
         now_s : float
             Monotonic time in seconds.
         """
-        self._reports[entry_id] = _Report(dict(counts), now_s + self.expiry_s)
+        self._reports[entry_id] = _Report(dict(counts), now_s)
 
     def counts_excluding(
         self, entry_id: str, totals: Mapping[str, int]
@@ -105,7 +109,7 @@
         return {name: count for name, count in counts.items() if count > 0}
 
     def totals(self, now_s: float) -> Counter[str]:
-        """Return the running attempts at each group and drop expired reports.
+        """Return the running attempts at each group.
 
         Parameters
         ----------
@@ -117,12 +121,42 @@
         Counter
             Count by group; groups without running attempts are absent.
         """
+        return self._sum_reports(now_s - self.expiry_s)
+
+    def remembered_totals(self, now_s: float) -> Counter[str]:
+        """Return the attempts at each group, also those of silent entries.
+
+        An entry that is late may still run what it reported last.
+
+        Parameters
+        ----------
+        now_s : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        Counter
+            Count by group; groups without attempts are absent.
+        """
+        return self._sum_reports(now_s - self.retention_s)
+
+    def remove_expired(self, now_s: float) -> None:
+        """Forget the entries that have been silent for the retention time.
+
+        Parameters
+        ----------
+        now_s : float
+            Monotonic time in seconds.
+        """
         self._reports = {
             entry_id: report
             for entry_id, report in self._reports.items()
-            if report.expires_s > now_s
+            if report.reported_at_s > now_s - self.retention_s
         }
+
+    def _sum_reports(self, since_s: float) -> Counter[str]:
         totals: Counter[str] = Counter()
         for report in self._reports.values():
-            totals.update(report.counts)
+            if report.reported_at_s > since_s:
+                totals.update(report.counts)
         return totals
--- a/chestnutvale/membership/const.py
+++ b/chestnutvale/membership/const.py
@@ -7,6 +7,8 @@
 
 # Time without a report after which an entry is no longer considered live.
 ENTRY_TIMEOUT_S: Final = 3.0
+# Time for which the running attempts of a silent entry delay the drain of a group.
+SILENT_ATTEMPTS_RETENTION_S: Final = 15.0
 # Time after which the record of a silent entry or host is removed.
 ENTRY_RETENTION_S: Final = 600.0
 HOST_RETENTION_S: Final = 3_600.0
--- a/chestnutvale/membership/table.py
+++ b/chestnutvale/membership/table.py
@@ -333,7 +333,9 @@
         """Return all entries with a record, live or silent, sorted by entry id."""
         return sorted(self._entries)
 
-    def record_running_attempts(self, host_id: str, running: int) -> bool:
+    def record_running_attempts(
+        self, host_id: str, running: int, is_complete: bool = True
+    ) -> bool:
         """Use the entries' attempt count as the load of a host that reports none.
 
         Parameters
@@ -342,6 +344,8 @@
             The host.
         running : int
             Running attempts of all entries.
+        is_complete : bool, optional
+            Whether no entry may run further attempts there.
 
         Returns
         -------
@@ -354,6 +358,7 @@
         if record.announcement.HasField("load"):
             return False
         record.is_load_from_entries = True
+        record.is_load_complete = is_complete
         if record.load is None or record.load.running != running:
             record.load = Load(running=running)
         return True
--- a/chestnutvale/membership/view_publisher.py
+++ b/chestnutvale/membership/view_publisher.py
@@ -416,6 +416,22 @@
             if item.reason.endswith(FAULT_UNKNOWN) and not item.flags.is_evacuated
         )
 
+    def group_version(self, group_id: str) -> int:
+        """Return the version of the views that brought the last change of a group.
+
+        Parameters
+        ----------
+        group_id : str
+            The group.
+
+        Returns
+        -------
+        int
+            The version; 0 for a group that no view has listed.
+        """
+        published_group = self._published_groups.get(group_id)
+        return published_group.version if published_group is not None else 0
+
     def group_views(self) -> list[GroupView]:
         """Return the views of all groups; callers must not modify them."""
         if self._group_views_count != self._content_count:
--- a/chestnutvale/programs/control/entry_report_handler.py
+++ b/chestnutvale/programs/control/entry_report_handler.py
@@ -15,11 +15,15 @@
 from chestnutvale.consensus.exceptions import NotLeaderError, OutcomeUnknownError
 from chestnutvale.consensus.members import peer_addresses
 from chestnutvale.consensus.task import ConsensusTask
+from chestnutvale.groups.const import PHASE_DRAINING
 from chestnutvale.groups.members import group_head
 from chestnutvale.groups.serving import is_evacuated
 from chestnutvale.membership.attempt_counts import AttemptCounts
 from chestnutvale.membership.cache_events import CacheEventQueue
-from chestnutvale.membership.const import GROUP_DISCOVERY_S
+from chestnutvale.membership.const import (
+    GROUP_DISCOVERY_S,
+    SILENT_ATTEMPTS_RETENTION_S,
+)
 from chestnutvale.membership.relay_peers import RelayPeer, choose_relay_peers
 from chestnutvale.membership.table import MembershipTable
 from chestnutvale.membership.view_publisher import ViewPublisher, ViewPush
@@ -64,6 +68,10 @@
         Number of the text in force there.
     seen_at_s : float
         Monotonic time of the report.
+    view_source : str
+        Incarnation of the control whose view the entry has.
+    view_version : int
+        Version of that view.
     draining : bool
         Whether the entry finishes its work before a shutdown.
     data_centre : str
@@ -84,6 +92,8 @@
     incarnation: str
     number: int
     seen_at_s: float
+    view_source: str = ""
+    view_version: int = 0
     draining: bool = False
     data_centre: str = ""
     address: str = ""
@@ -264,6 +274,8 @@
             incarnation=envelope.sender_incarnation,
             number=report.configuration_number,
             seen_at_s=now_s,
+            view_source=report.view_source,
+            view_version=report.view_version,
             draining=report.draining,
             data_centre=report.data_centre,
             address=report.reply_address,
@@ -371,13 +383,37 @@
 
     def _update_group_loads(self, now_s: float) -> None:
         """Set the load of each group head to the attempts that entries run there."""
+        self.attempt_counts.remove_expired(now_s)
         totals = self.attempt_counts.totals(now_s)
+        remembered_totals = self.attempt_counts.remembered_totals(now_s)
+        known_version = self._find_known_version(now_s)
         for group in self._state.groups.groups.values():
-            head = group_head(group)
+            group_id = group.group_id
+            is_complete = group.phase != PHASE_DRAINING or (
+                self._publisher.group_version(group_id) <= known_version
+                and remembered_totals[group_id] == totals[group_id]
+            )
             self._table.record_running_attempts(
-                head.host_id, totals.get(group.group_id, 0)
+                group_head(group).host_id, totals[group_id], is_complete
             )
 
+    def _find_known_version(self, now_s: float) -> int:
+        """Return the lowest version of the views that entries have.
+
+        Entries that have been silent for long count no more; -1 if an entry has no view
+        of this control.
+        """
+        return min(
+            (
+                entry.view_version
+                if entry.view_source == self._publisher.source
+                else -1
+                for entry in self.entries.values()
+                if now_s - entry.seen_at_s < SILENT_ATTEMPTS_RETENTION_S
+            ),
+            default=-1,
+        )
+
     def _divide_limits(self, now_s: float) -> bool:
         """Divide the rate limits of endpoints again if something changed."""
         entries = {
--- a/tests/groups/test_idle_tracker.py
+++ b/tests/groups/test_idle_tracker.py
@@ -20,6 +20,7 @@
         self.set_timeout(timeout_ms)
         self.group = next(iter(self.pool.state.groups.values()))
         self.running = 1
+        self.is_complete = True
         self.observe(2.0)
         self.group.phase = "draining"
         self.observe(STOPPED_AT_S)
@@ -34,7 +35,8 @@
         for host_id in all_hosts():
             pool.announce(host_id, now_s)
         for group in pool.state.groups.values():
-            pool.table.record_running_attempts(group.members[0].host_id, self.running)
+            head_id = group.members[0].host_id
+            pool.table.record_running_attempts(head_id, self.running, self.is_complete)
         pool.idle_tracker.observe(pool.state, pool.table, pool.text, now_s)
 
     def is_idle(self, now_s):
@@ -62,6 +64,15 @@
     assert drain.is_idle(STOPPED_AT_S + 1.0)
 
 
+def test_drain_waits_for_the_counts_of_late_entries():
+    drain = DrainingPool(20_000)
+    drain.running = 0
+    drain.is_complete = False
+    assert not drain.is_idle(STOPPED_AT_S + 21.9)
+    drain.is_complete = True
+    assert drain.is_idle(STOPPED_AT_S + 21.9)
+
+
 def test_shorter_time_limit_does_not_cut_requests_of_the_previous_text():
     drain = DrainingPool(30_000)
     for timeout_ms in (20_000, 1_000):
--- a/tests/membership/test_attempt_counts.py
+++ b/tests/membership/test_attempt_counts.py
@@ -28,6 +28,15 @@
     assert attempt_counts.totals(3.5) == {}
 
 
+def test_counts_of_a_silent_entry_are_remembered_for_a_while():
+    attempt_counts = AttemptCounts(expiry_s=3.0, retention_s=15.0)
+    attempt_counts.record_group_loads("e1", loads(g1=2), 0.0)
+    attempt_counts.record_group_loads("e2", loads(g1=1), 14.0)
+    assert attempt_counts.totals(14.9) == {"g1": 1}
+    assert attempt_counts.remembered_totals(14.9) == {"g1": 3}
+    assert attempt_counts.remembered_totals(15.1) == {"g1": 1}
+
+
 def test_counts_excluding_an_entry_sum_all_others():
     attempt_counts = AttemptCounts()
     attempt_counts.record_counts("e1", {"g1": 2}, 0.0)
--- a/tests/programs/control/test_entry_report_handler.py
+++ b/tests/programs/control/test_entry_report_handler.py
@@ -11,7 +11,7 @@
 from chestnutvale.programs.control.state import ControlState
 from chestnutvale.schema.evacuations_pb2 import SetEvacuation
 from chestnutvale.schema.groups_pb2 import Group, PutGroup
-from chestnutvale.schema.membership_pb2 import Announcement, Heard
+from chestnutvale.schema.membership_pb2 import Announcement, Heard, Holding, Load
 from chestnutvale.schema.peer_pb2 import (
     CrashSuspicion,
     Departure,
@@ -129,6 +129,69 @@
     assert handler_fixture.table.host("a").announcement.leaving
 
 
+class DrainFixture(HandlerFixture):
+    """A group that drains after two entries have got its first view."""
+
+    def __init__(self):
+        super().__init__()
+        group = Group(group_id="g", service="s", phase="forming", pooled=True)
+        group.members.add(host_id="a", boot_id="b", address="10.0.0.2:1")
+        self.put_group(group)
+        group.phase = "serving"
+        self.put_group(group)
+        holding = Holding(group_id="g", epoch=1, phase="open")
+        content = Announcement(host_id="a", boot_id="b", opens=True, holding=holding)
+        self.heard = [Heard(host_id="a", boot_id="b", sequence=1, changed=content)]
+        self.report_of("e1", heard=self.heard)
+        self.report_of("e2")
+        group.phase = "draining"
+        self.put_group(group)
+        self.handler.publish_changes()
+        self.drain_version = self.handler.view_version
+
+    def put_group(self, group):
+        before = self.state.groups.groups.get("g")
+        epoch = before.epoch if before is not None else 0
+        command = PutGroup(group=group, expected_epoch=epoch)
+        assert self.state.groups.put_group(command, 0).outcome == "done"
+        self.log.applied_index += 1
+
+    def report_of(self, entry_id, view_version=0, running=0, **fields):
+        load = GroupLoad(group_id="g", load=Load(running=running))
+        self.report(
+            self.now_s,
+            entry_id=entry_id,
+            view_source="life" if view_version else "",
+            view_version=view_version,
+            running=[load] if running else [],
+            **fields,
+        )
+
+    def is_complete(self):
+        return self.table.host("a").is_load_complete
+
+
+def test_load_is_complete_once_all_entries_know_that_a_group_drains():
+    # Guards against a release that cuts the streams of an entry whose view is late.
+    fixture = DrainFixture()
+    assert fixture.drain_version > 0
+    fixture.report_of("e1", fixture.drain_version)
+    fixture.report_of("e2", fixture.drain_version - 1)
+    assert not fixture.is_complete()
+    fixture.report_of("e2", fixture.drain_version)
+    assert fixture.is_complete()
+
+
+def test_attempts_of_a_silent_entry_delay_a_drain_for_a_limited_time():
+    fixture = DrainFixture()
+    fixture.report_of("e2", fixture.drain_version, running=2)
+    for now_s, is_complete in ((104.0, False), (114.9, False), (115.1, True)):
+        fixture.now_s = now_s
+        fixture.report_of("e1", fixture.drain_version, heard=fixture.heard)
+        assert fixture.table.host("a").load.running == 0
+        assert fixture.is_complete() == is_complete
+
+
 def test_callers_wait_for_discovered_groups_unless_all_are_evacuated(handler_fixture):
     # Guards against calls that wait for hosts of a new leader although none may serve.
     fixture = handler_fixture
