Model when a pooled group is dissolved whose members pause

Cause: nothing showed what the planner decides when the members of a group, or the control itself, stand still for a while and then go on.

Change: a model of one group and one control, with announcements every 1.2 s at any phase and streams that stall with any member.

--- /dev/null
+++ b/benchmarks/groups_pauses.py
@@ -0,0 +1,271 @@
+"""Decisions about a pooled group whose members pause, or are lost for good.
+
+Run ``python -m benchmarks.groups_pauses``.
+"""
+
+import math
+import random
+import statistics
+from collections.abc import Iterator
+
+import attrs
+
+from chestnutvale.groups.fleet import Fleet
+from chestnutvale.groups.idle_tracker import IdleTracker
+from chestnutvale.groups.pools import PoolPlanner
+from chestnutvale.groups.settings import GroupsPolicy
+from chestnutvale.groups.state import GroupsState
+from chestnutvale.membership.announcement_content import content_digest
+from chestnutvale.membership.table import MembershipTable
+from chestnutvale.routing.const import STALL_GAP_S
+from chestnutvale.routing.stall_detection import StallAggregator
+from chestnutvale.schema.configuration_pb2 import Service, Text
+from chestnutvale.schema.groups_pb2 import Group, GroupMember, PutGroup, RemoveGroup
+from chestnutvale.schema.membership_pb2 import Announcement, Heard, Holding
+
+SIZE = 4
+GROUP_ID = "g"
+DETECTION_TIMEOUT_S = 3.0
+ENGINE_STALL_S = 5.0
+ANNOUNCEMENT_INTERVAL_S = 1.2
+REPORT_INTERVAL_S = 0.25
+ROUND_INTERVAL_S = 0.05
+# Time of the rule that an active group is alive, as at the controls.
+RESPONSIVE_TTL_S = 1.2
+BEGIN_S = 4.0
+END_S = 14.0
+TRIALS = 100
+
+
+@attrs.frozen
+class Fault:
+    """A fault that begins at `BEGIN_S`.
+
+    Attributes
+    ----------
+    ranks : tuple of int
+        Members that stand still; none if only the control does.
+    length_s : float
+        Time in seconds until they go on; infinite if they are lost.
+    control_length_s : float
+        Time in seconds for which the control stands still.
+    """
+
+    ranks: tuple[int, ...] = ()
+    length_s: float = 0.0
+    control_length_s: float = 0.0
+
+
+@attrs.define
+class GroupUnderFault:
+    """One serving group and the control that decides about it.
+
+    Parameters
+    ----------
+    fault : Fault
+        What stands still.
+    phases_s : list of float
+        Time of the first announcement of each member, in seconds.
+    has_streams : bool
+        Whether entries run streams at the group, which stall with any member.
+    calls_left : int
+        Number of these that stay there however long the group is silent.
+    """
+
+    fault: Fault
+    phases_s: list[float]
+    has_streams: bool = True
+    calls_left: int = 0
+    table: MembershipTable = attrs.field(
+        factory=lambda: MembershipTable(DETECTION_TIMEOUT_S)
+    )
+    _state: GroupsState = attrs.field(factory=GroupsState)
+    _stalls: StallAggregator = attrs.field(factory=StallAggregator)
+    _sequence: int = 0
+
+    def find_dissolved_s(self) -> float:
+        """Return when the group is dissolved.
+
+        Returns
+        -------
+        float
+            Time in seconds since the fault began; infinite if it never is.
+        """
+        policy = GroupsPolicy(engine_stall_s=ENGINE_STALL_S)
+        idle_tracker = IdleTracker(policy)
+        planner = PoolPlanner(idle_tracker)
+        self._form_group()
+        messages = sorted(self._announcements())
+        next_report_s = self.phases_s[0] % REPORT_INTERVAL_S
+        now_s = 0.0
+        while now_s < END_S:
+            now_s += ROUND_INTERVAL_S
+            if 0.0 <= now_s - BEGIN_S < self.fault.control_length_s:
+                continue
+            # The round precedes the messages that arrived while the control stood.
+            fleet = Fleet.collect(self._state, self.table, now_s)
+            idle_tracker.observe(self._state, self.table, now_s)
+            commands = planner.plan(self._state, self.table, _TEXT, fleet, now_s)
+            if any(isinstance(command, RemoveGroup) for command in commands):
+                return now_s - BEGIN_S
+            while messages and messages[0][0] <= now_s:
+                self._announce(messages.pop(0)[1], now_s)
+            if now_s >= next_report_s:
+                next_report_s = now_s + REPORT_INTERVAL_S
+                self._report_streams(now_s)
+        return math.inf
+
+    def _form_group(self) -> None:
+        members = [
+            GroupMember(host_id=f"h{rank}", boot_id="b", rank=rank)
+            for rank in range(SIZE)
+        ]
+        group = Group(
+            group_id=GROUP_ID,
+            service="s",
+            members=members,
+            phase="forming",
+            pooled=True,
+            fabric_domain="d",
+        )
+        self._state.put_group(PutGroup(group=group), 1)
+        epoch = self._state.groups[GROUP_ID].epoch
+        group.phase = "serving"
+        self._state.put_group(PutGroup(group=group, expected_epoch=epoch), 1)
+        for rank in range(SIZE):
+            self._announce(rank, 0.0)
+
+    def _announcements(self) -> Iterator[tuple[float, int]]:
+        """Yield times and members; what is due in a pause is sent at its end."""
+        resume_s = BEGIN_S + self.fault.length_s
+        for rank in range(SIZE):
+            at_s = self.phases_s[rank]
+            while at_s < END_S:
+                if rank in self.fault.ranks and BEGIN_S <= at_s < resume_s:
+                    at_s = resume_s
+                    continue
+                yield at_s, rank
+                at_s += ANNOUNCEMENT_INTERVAL_S
+
+    def _announce(self, rank: int, now_s: float) -> None:
+        self._sequence += 1
+        group = self._state.groups[GROUP_ID]
+        announcement = Announcement(
+            host_id=f"h{rank}",
+            boot_id="b",
+            sequence=self._sequence,
+            address=f"10.0.0.1:{1_000 + rank}",
+            data_centre="a",
+            fabric_domain="d",
+            kind="engine",
+            pool="p",
+            fencing=True,
+            opens=True,
+            holding=Holding(
+                group_id=GROUP_ID,
+                epoch=group.epoch,
+                rank=rank,
+                service="s",
+                phase="ready" if rank else "open",
+            ),
+        )
+        heard = Heard(
+            host_id=announcement.host_id,
+            boot_id="b",
+            sequence=self._sequence,
+            changed=announcement,
+            content_digest=content_digest(announcement),
+        )
+        self.table.merge_control_report("control", [heard], now_s)
+
+    def _report_streams(self, now_s: float) -> None:
+        resume_s = BEGIN_S + self.fault.length_s
+        is_silent = bool(self.fault.ranks) and BEGIN_S <= now_s < resume_s
+        silence_s = now_s - BEGIN_S if is_silent else 0.0
+        self.table.record_running_attempts("h0", self.calls_left if is_silent else 1)
+        if not self.has_streams:
+            return
+        stalled = frozenset({GROUP_ID} if silence_s > STALL_GAP_S else ())
+        self._stalls.record_report("entry", {GROUP_ID: silence_s}, stalled, now_s)
+        self.table.mark_responsive(
+            self._stalls.active_groups(now_s), now_s + RESPONSIVE_TTL_S
+        )
+        self.table.set_stalled_groups(self._stalls.confirmed_stalls(now_s))
+
+
+_TEXT = Text(number=1)
+_TEXT.services["s"].CopyFrom(
+    Service(kind="model", hosts_per_group=SIZE, pool="p", work_share=1.0, pace=1.0)
+)
+
+
+def find_dissolved_times_s(
+    fault: Fault, has_streams: bool = True, calls_left: int = 0, trials: int = TRIALS
+) -> list[float]:
+    """Return when a group is dissolved, with announcements at random phases.
+
+    Parameters
+    ----------
+    fault : Fault
+        What stands still.
+    has_streams : bool, optional
+        Whether entries run streams at the group.
+    calls_left : int, optional
+        Number of these that stay there however long the group is silent.
+    trials : int, optional
+        Number of random phases.
+
+    Returns
+    -------
+    list of float
+        Seconds from the begin of the fault; infinite where the group is kept.
+    """
+    rng = random.Random(1)
+    return [
+        GroupUnderFault(
+            fault,
+            [rng.uniform(0.0, ANNOUNCEMENT_INTERVAL_S) for _ in range(SIZE)],
+            has_streams,
+            calls_left,
+        ).find_dissolved_s()
+        for _ in range(trials)
+    ]
+
+
+def describe(times_s: list[float]) -> str:
+    """Return the share of dissolved groups, and when they were dissolved."""
+    dissolved_s = [at_s for at_s in times_s if at_s < math.inf]
+    share = f"{len(dissolved_s) / len(times_s):4.0%}"
+    if not dissolved_s:
+        return share
+    return f"{share} after {statistics.mean(dissolved_s):.2f} s"
+
+
+def main() -> None:
+    """Print the decisions for each fault."""
+    everyone = tuple(range(SIZE))
+    print("| pause s | who | idle | streams | streams that stay |")
+    for length_s in (1.2, 2.6, 3.6, math.inf):
+        for name, ranks in (
+            ("all members", everyone),
+            ("the head", (0,)),
+            ("another member", (1,)),
+            ("all but one", everyone[1:]),
+        ):
+            fault = Fault(ranks, length_s)
+            columns = [
+                describe(find_dissolved_times_s(fault, has_streams, calls_left))
+                for has_streams, calls_left in ((False, 0), (True, 0), (True, 1))
+            ]
+            print(f"| {length_s} | {name} | {' | '.join(columns)} |")
+    for length_s in (2.2, 2.8):
+        fault = Fault(control_length_s=length_s)
+        columns = [
+            describe(find_dissolved_times_s(fault, has_streams))
+            for has_streams in (False, True)
+        ]
+        print(f"| {length_s} | the control | {' | '.join(columns)} | |")
+
+
+if __name__ == "__main__":
+    main()
