Keep a pooled group while none of its members is heard

Cause: a pooled group was dissolved once one member had been silent for 3 s, or for 1.95 s if its streams had stalled for 2 s, also when all were silent at the same time: its hosts paused together, or the control itself stood still and decided before it read what had arrived. No order reaches a host that is silent, so this freed none, but the members that went on were then ordered to release a sound group, which ends the streams of its head.

Change: such a group is kept until a member is heard, and for 1.5 s more in which the others can announce themselves; after 60 s without a sign of any it is dissolved. It doesn't count as capacity meanwhile, as if it had been dissolved. Another boot, a broken head and a superseded host act at once as before.

--- a/benchmarks/groups_pauses.py
+++ b/benchmarks/groups_pauses.py
@@ -47,12 +47,15 @@
         Members that stand still; none if only the control does.
     length_s : float
         Time in seconds until they go on; infinite if they are lost.
+    lost_ranks : tuple of int
+        Those of them that never go on.
     control_length_s : float
         Time in seconds for which the control stands still.
     """
 
     ranks: tuple[int, ...] = ()
     length_s: float = 0.0
+    lost_ranks: tuple[int, ...] = ()
     control_length_s: float = 0.0
 
 
@@ -141,6 +144,8 @@
         for rank in range(SIZE):
             at_s = self.phases_s[rank]
             while at_s < END_S:
+                if at_s >= BEGIN_S and rank in self.fault.lost_ranks:
+                    break
                 if rank in self.fault.ranks and BEGIN_S <= at_s < resume_s:
                     at_s = resume_s
                     continue
@@ -180,6 +185,8 @@
 
     def _report_streams(self, now_s: float) -> None:
         resume_s = BEGIN_S + self.fault.length_s
+        if self.fault.lost_ranks:
+            resume_s = math.inf
         is_silent = bool(self.fault.ranks) and BEGIN_S <= now_s < resume_s
         silence_s = now_s - BEGIN_S if is_silent else 0.0
         self.table.record_running_attempts("h0", self.calls_left if is_silent else 1)
--- a/chestnutvale/groups/const.py
+++ b/chestnutvale/groups/const.py
@@ -72,6 +72,14 @@
 # A pool counts as complete when no new host has appeared for this long, which exceeds
 # the interval between two announcements of an engine.
 POOL_SETTLE_S: Final = 1.5
+# Fraction of the detection timeout after which the next announcement of a host is
+# overdue; longer than the interval between two.
+OVERDUE_FRACTION: Final = 0.5
+# Time from the first announcement of a group none of whose members was heard, within
+# which the others announce themselves if they went on as well.
+RETURN_GRACE_S: Final = 1.5
+# A pooled group none of whose members was heard for this long is dissolved.
+UNHEARD_GROUP_EXPIRY_S: Final = 60.0
 # Time constant of the exponential smoothing of demand: longer than a burst of
 # rejected requests, shorter than a load of weights.
 DEMAND_TIME_CONSTANT_S: Final = 3.0
--- a/chestnutvale/groups/fleet.py
+++ b/chestnutvale/groups/fleet.py
@@ -37,6 +37,9 @@
         Free engines allocated to pooled groups in this round.
     evacuated_group_ids : frozenset of str
         Groups in evacuated data centres, which are kept and don't count as capacity.
+    unheard_group_ids : frozenset of str
+        Groups that are kept although none of their members is heard, and don't count as
+        capacity either.
     """
 
     live_hosts: dict[str, HostRecord]
@@ -47,6 +50,7 @@
     releasing_by_domain: dict[str, list[HostRecord]]
     pool_allocated: set[str] = attrs.field(factory=set)
     evacuated_group_ids: frozenset[str] = frozenset()
+    unheard_group_ids: frozenset[str] = frozenset()
 
     @classmethod
     def collect(
@@ -107,11 +111,10 @@
         Returns
         -------
         list of Group
-            Those outside evacuated data centres.
+            Those outside evacuated data centres of which a member is heard.
         """
-        return [
-            group for group in groups if group.group_id not in self.evacuated_group_ids
-        ]
+        uncounted = self.evacuated_group_ids | self.unheard_group_ids
+        return [group for group in groups if group.group_id not in uncounted]
 
     def allocate(self, domain: str, count: int) -> list[HostRecord]:
         """Allocate free hosts of a domain.
--- a/chestnutvale/groups/pools.py
+++ b/chestnutvale/groups/pools.py
@@ -27,6 +27,7 @@
     count_prospects,
 )
 from chestnutvale.groups.idle_tracker import IdleTracker
+from chestnutvale.groups.member_silence import MemberSilence
 from chestnutvale.groups.members import group_head
 from chestnutvale.groups.placement import PoolPlacement
 from chestnutvale.groups.pool_demand import PoolDemand
@@ -67,7 +68,8 @@
     """Forms and dissolves the groups of models that share a pool.
 
     A group that loses a member is dissolved, and its hosts form new groups with the
-    other free hosts of their fabric domain. A member never moves to another group
+    other free hosts of their fabric domain. One none of whose members is heard is kept,
+    but doesn't count as capacity. A member never moves to another group
     while its head may accept calls; the order scheduler ensures that.
 
     The model with the highest pressure gets the next group. Once there is demand,
@@ -87,6 +89,7 @@
     _rebalance_due_s: float = -math.inf
     _donor_since_s: dict[str, float] = attrs.field(factory=dict)
     _unready_since_s: dict[tuple[str, int], float] = attrs.field(factory=dict)
+    _silence: MemberSilence = attrs.field(factory=MemberSilence)
 
     def plan(
         self,
@@ -123,6 +126,7 @@
         services = select_pooled_services(text)
         groups = [group for group in state.groups.values() if is_pooled(group)]
         self._discard_finished(groups)
+        self._silence.begin_round()
         kept: list[Group] = []
         for group in groups:
             command = self._plan_group_end(group, services, table, now_s)
@@ -130,6 +134,9 @@
                 yield command
             if group.phase != PHASE_DRAINING and not isinstance(command, RemoveGroup):
                 kept.append(group)
+        fleet.unheard_group_ids = frozenset(
+            group.group_id for group in kept if self._silence.is_unheard(group)
+        )
         counted = fleet.select_counted(kept)
         if services and may_load:
             # Other hosts wait for weights already; those of a group that is given up
@@ -250,8 +257,14 @@
             # After a restart of all controls, no host has announced itself yet.
             return not table.may_discover_hosts(now_s)
         if not table.is_fresh(member.host_id, now_s):
-            return not has_recent_events(group, table, now_s)
-        if table.is_silent_in_stalled_group(member.host_id, group.group_id, now_s):
+            if has_recent_events(group, table, now_s):
+                return False
+            return record.is_superseded or self._silence.is_conclusive(
+                group, table, now_s
+            )
+        if table.is_silent_in_stalled_group(
+            member.host_id, group.group_id, now_s
+        ) and self._silence.is_conclusive(group, table, now_s):
             return True
         if record.boot_id != member.boot_id:
             return True
--- /dev/null
+++ b/tests/groups/test_group_pauses.py
@@ -0,0 +1,70 @@
+"""Groups whose members only pause are kept; those that lost a member are dissolved."""
+
+import math
+
+import pytest
+
+from benchmarks.groups_pauses import SIZE, Fault, find_dissolved_times_s
+from chestnutvale.groups.const import UNHEARD_GROUP_EXPIRY_S
+from chestnutvale.schema.groups_pb2 import RemoveGroup
+from tests.groups.test_pools import BIG, all_hosts, make_serving_pool
+
+ALL_RANKS = tuple(range(SIZE))
+TRIALS = 12
+
+
+def count_dissolved(fault, **options):
+    times_s = find_dissolved_times_s(fault, trials=TRIALS, **options)
+    return sum(at_s < math.inf for at_s in times_s)
+
+
+@pytest.mark.parametrize("has_streams", [False, True])
+@pytest.mark.parametrize("pause_s", [1.2, 2.6, 3.6])
+def test_a_group_that_pauses_as_a_whole_is_not_dissolved(pause_s, has_streams):
+    fault = Fault(ALL_RANKS, pause_s)
+    assert count_dissolved(fault, has_streams=has_streams) == 0
+
+
+@pytest.mark.parametrize("has_streams", [False, True])
+@pytest.mark.parametrize("pause_s", [2.2, 2.8])
+def test_a_control_that_ran_late_dissolves_no_group(pause_s, has_streams):
+    fault = Fault(control_length_s=pause_s)
+    assert count_dissolved(fault, has_streams=has_streams) == 0
+
+
+@pytest.mark.parametrize("ranks", [(0,), (1,), (1, 2, 3)])
+def test_a_group_that_lost_some_members_is_dissolved_as_soon_as_before(ranks):
+    times_s = find_dissolved_times_s(Fault(ranks, math.inf), trials=TRIALS)
+    assert max(times_s) < 2.5
+
+
+@pytest.mark.parametrize("has_streams", [False, True])
+def test_a_member_that_stays_silent_when_the_others_return_is_lost(has_streams):
+    # The last member falls silent with the others and never returns.
+    times_s = find_dissolved_times_s(
+        Fault(ALL_RANKS, 3.6, lost_ranks=(3,)), has_streams=has_streams, trials=TRIALS
+    )
+    assert min(times_s) > 3.6 + 1.2
+    assert max(times_s) < 3.6 + 2.0
+
+
+def announce_others(pool, group, now_s):
+    members = {member.host_id for member in group.members}
+    for host_id in all_hosts():
+        if host_id not in members:
+            pool.announce(host_id, now_s)
+
+
+def test_an_unheard_group_does_not_count_as_capacity_and_expires():
+    pool = make_serving_pool()
+    group = next(g for g in pool.state.groups.values() if g.service == BIG)
+    for host_id in all_hosts():
+        pool.announce(host_id, 2.0)
+    for silence_s in range(1, int(UNHEARD_GROUP_EXPIRY_S) + 1):
+        announce_others(pool, group, 2.0 + silence_s)
+        assert not any(isinstance(c, RemoveGroup) for c in pool.plan(2.0 + silence_s))
+        counted = pool.fleet.select_counted(pool.state.groups.values())
+        assert (group in counted) == (silence_s <= 3.0)
+    now_s = 2.5 + UNHEARD_GROUP_EXPIRY_S
+    (command,) = [c for c in pool.plan(now_s) if isinstance(c, RemoveGroup)]
+    assert command.group_id == group.group_id
