Keep a group with a silent member for a second while calls stay there

Cause: with streams, a pooled group was dissolved 2.1 s after a member fell silent alone, since a stall of 2 s reduces the timeout of its members to 1.95 s. A member that pauses for longer goes on, but the order to release the group has ended the calls that could not go on elsewhere.

Change: while entries still run attempts at such a group, it is kept for 1 s more. A group that all calls have left is dissolved as before.

A group that lost a member is dissolved 1 s later if calls stay there.

--- a/chestnutvale/groups/const.py
+++ b/chestnutvale/groups/const.py
@@ -78,6 +78,9 @@
 # Time from the first announcement of a group none of whose members was heard, within
 # which the others announce themselves if they went on as well.
 RETURN_GRACE_S: Final = 1.5
+# Time for which a group with a silent member is kept while calls stay there, since they
+# can't go on elsewhere and the member may only pause.
+RUNNING_CALLS_GRACE_S: Final = 1.0
 # A pooled group none of whose members was heard for this long is dissolved.
 UNHEARD_GROUP_EXPIRY_S: Final = 60.0
 # Time constant of the exponential smoothing of demand: longer than a burst of
--- a/chestnutvale/groups/member_silence.py
+++ b/chestnutvale/groups/member_silence.py
@@ -7,12 +7,30 @@
 from chestnutvale.groups.const import (
     OVERDUE_FRACTION,
     RETURN_GRACE_S,
+    RUNNING_CALLS_GRACE_S,
     UNHEARD_GROUP_EXPIRY_S,
 )
 from chestnutvale.membership.table import MembershipTable
 from chestnutvale.schema.groups_pb2 import Group
 
 
+@attrs.define
+class _Suspicion:
+    """What is awaited before a group with a silent member counts as lost.
+
+    Attributes
+    ----------
+    others_due_s : float
+        Monotonic time in seconds by which its members announce themselves; infinite
+        while none of them is heard.
+    calls_due_s : float
+        Monotonic time in seconds at which calls that stayed there are given up.
+    """
+
+    others_due_s: float
+    calls_due_s: float = math.inf
+
+
 @attrs.define
 class MemberSilence:
     """Decides whether a silent member is lost to its group.
@@ -22,16 +40,21 @@
     order reaches any of them, so dissolving their group frees no host, while it ends
     the calls of a head that goes on. Such a group is kept until a member is heard
     again, and for the time that the others need to announce themselves.
+
+    A member that is silent alone may pause, too. Its group is dissolved at once if all
+    calls have left it, and otherwise after a grace time.
     """
 
-    _others_due_s: dict[int, float] = attrs.field(factory=dict)
-    _previous_due_s: dict[int, float] = attrs.field(factory=dict)
+    _suspicions: dict[int, _Suspicion] = attrs.field(factory=dict)
+    _previous: dict[int, _Suspicion] = attrs.field(factory=dict)
 
     def begin_round(self) -> None:
         """Begin a round; forget the groups that the last one did not ask for."""
-        self._previous_due_s, self._others_due_s = self._others_due_s, {}
+        self._previous, self._suspicions = self._suspicions, {}
 
-    def is_conclusive(self, group: Group, table: MembershipTable, now_s: float) -> bool:
+    def is_conclusive(
+        self, group: Group, table: MembershipTable, running: int, now_s: float
+    ) -> bool:
         """Tell whether a member that is silent beyond its timeout is lost.
 
         Parameters
@@ -40,25 +63,32 @@
             The group.
         table : MembershipTable
             Liveness and announcements of hosts.
+        running : int
+            Number of calls that are still at the group.
         now_s : float
             Monotonic time in seconds.
 
         Returns
         -------
         bool
-            False while no member of the group is heard, and shortly after that.
+            False while no member of the group is heard, and shortly after that, and
+            while calls may still be answered there.
         """
         silence_s = _find_shortest_silence_s(group, table, now_s)
         if silence_s > UNHEARD_GROUP_EXPIRY_S:
             return True
-        due_s = self._previous_due_s.get(group.epoch, -math.inf)
         is_overdue = silence_s > OVERDUE_FRACTION * table.detection_timeout_s
-        if is_overdue and due_s == -math.inf:
-            due_s = math.inf
-        elif not is_overdue and due_s == math.inf:
-            due_s = now_s + RETURN_GRACE_S
-        self._others_due_s[group.epoch] = due_s
-        return now_s >= due_s
+        suspicion = self._previous.get(group.epoch)
+        if suspicion is None:
+            suspicion = _Suspicion(math.inf if is_overdue else now_s)
+        elif not is_overdue and suspicion.others_due_s == math.inf:
+            suspicion.others_due_s = now_s + RETURN_GRACE_S
+        self._suspicions[group.epoch] = suspicion
+        if now_s < suspicion.others_due_s:
+            return False
+        if suspicion.calls_due_s == math.inf:
+            suspicion.calls_due_s = now_s + RUNNING_CALLS_GRACE_S
+        return not running or now_s >= suspicion.calls_due_s
 
     def is_unheard(self, group: Group) -> bool:
         """Tell whether a group is kept in this round although no member is heard.
@@ -73,7 +103,8 @@
         bool
             If True, it doesn't count as capacity.
         """
-        return self._others_due_s.get(group.epoch) == math.inf
+        suspicion = self._suspicions.get(group.epoch)
+        return suspicion is not None and suspicion.others_due_s == math.inf
 
 
 def _find_shortest_silence_s(
--- a/chestnutvale/groups/pools.py
+++ b/chestnutvale/groups/pools.py
@@ -259,12 +259,12 @@
         if not table.is_fresh(member.host_id, now_s):
             if has_recent_events(group, table, now_s):
                 return False
-            return record.is_superseded or self._silence.is_conclusive(
+            return record.is_superseded or self._is_silence_conclusive(
                 group, table, now_s
             )
         if table.is_silent_in_stalled_group(
             member.host_id, group.group_id, now_s
-        ) and self._silence.is_conclusive(group, table, now_s):
+        ) and self._is_silence_conclusive(group, table, now_s):
             return True
         if record.boot_id != member.boot_id:
             return True
@@ -280,6 +280,12 @@
         limit_s = POOL_READY_TIMEOUT_S if is_holding else POOL_ORDER_TIMEOUT_S
         return now_s - since_s > limit_s
 
+    def _is_silence_conclusive(
+        self, group: Group, table: MembershipTable, now_s: float
+    ) -> bool:
+        running = _running_requests(group, table)
+        return self._silence.is_conclusive(group, table, running, now_s)
+
     def _discard_finished(self, groups: Iterable[Group]) -> None:
         forming = {group.epoch for group in groups if group.phase == PHASE_FORMING}
         self._unready_since_s = {
--- a/tests/groups/test_group_pauses.py
+++ b/tests/groups/test_group_pauses.py
@@ -68,3 +68,18 @@
     now_s = 2.5 + UNHEARD_GROUP_EXPIRY_S
     (command,) = [c for c in pool.plan(now_s) if isinstance(c, RemoveGroup)]
     assert command.group_id == group.group_id
+
+
+@pytest.mark.parametrize("ranks", [(0,), (1,), (1, 2, 3)])
+def test_a_pause_of_some_members_ends_no_call_that_stayed_at_their_group(ranks):
+    fault = Fault(ranks, 2.6)
+    assert count_dissolved(fault, calls_left=1) == 0
+    assert count_dissolved(fault, calls_left=0) == TRIALS
+
+
+def test_calls_that_stay_at_a_lost_group_delay_its_repair_by_a_second_at_most():
+    fault = Fault((0,), math.inf)
+    without = find_dissolved_times_s(fault, trials=TRIALS)
+    delayed = find_dissolved_times_s(fault, calls_left=1, trials=TRIALS)
+    for before_s, after_s in zip(without, delayed, strict=True):
+        assert after_s - before_s <= 1.1
