--- a/chestnutvale/membership/host_record.py
+++ b/chestnutvale/membership/host_record.py
@@ -40,6 +40,8 @@
     is_load_complete : bool
         Whether the load covers all attempts that entries may run there; False while an
         entry may still send requests to a group that drains, or has fallen silent.
+    running_attempts : int
+        Attempts that entries run at the group that it heads, also if it reports a load.
     announces_to_control : bool
         Whether it announces itself to a control instead of the entries.
     departed_boot_id : str
@@ -68,6 +70,7 @@
     is_superseded: bool = False
     is_load_from_entries: bool = False
     is_load_complete: bool = True
+    running_attempts: int = 0
     announces_to_control: bool = False
     departed_boot_id: str = ""
     released_group_id: str = ""
--- a/tests/groups/test_idle_tracker.py
+++ b/tests/groups/test_idle_tracker.py
@@ -3,6 +3,7 @@
 import pytest
 
 from chestnutvale.configuration.const import MAX_ROUTED_CALL_S
+from chestnutvale.groups.members import group_head
 from chestnutvale.groups.settings import GroupsPolicy
 from chestnutvale.schema.configuration_pb2 import Route
 from tests.groups.test_pools import Pool, all_hosts, make_serving_pool
@@ -97,4 +98,7 @@
     pool.table.mark_responsive([drain.group.group_id], 9.0)
     pool.idle_tracker.observe(pool.state, pool.table, pool.text, 8.0)
     assert not pool.idle_tracker.is_idle(drain.group, pool.table, 8.0)
+    # Entries still report attempts there, which a head that only pauses goes on with.
+    assert not pool.idle_tracker.is_idle(drain.group, pool.table, 9.1)
+    pool.table.record_running_attempts(group_head(drain.group).host_id, 0)
     assert pool.idle_tracker.is_idle(drain.group, pool.table, 9.1)
