Lengthen the pause in the tests of silent endpoints

Cause: test_silent_endpoint_without_alternative_answers_whole failed once beside a load of 48. It expects that a pause of 1.5 s is noticed after 1.2 s. If the test's process, which holds the entry and the endpoint, stands still for more than the 0.3 s between them, the endpoint's data is read before the timer, and nothing is noticed.

Change: the pause is 2.2 s, longer than before and within the time limit of the route.

--- a/tests/programs/entry/routed/test_streams.py
+++ b/tests/programs/entry/routed/test_streams.py
@@ -119,7 +119,7 @@
     assert (body, is_complete) == (COMPLETE_STREAM, True)
 
 
-SILENCE_S = 1.5
+SILENCE_S = 2.2
 
 
 def pause_before(event_number):
