Log why a process ran late

A control wrote "The consensus task ran 12.78 s late", and nothing told whether it computed, waited in a call or got no processor. Entries wrote nothing.

Both daemons now check once a second whether they woke late, and log process_delayed with the processor time of the process and of the main thread, the time that the main thread was queued for a processor, context switches and page faults, and the cause that follows from them. A metric sums the delays by cause.

--- a/chestnutvale/observability/catalog.py
+++ b/chestnutvale/observability/catalog.py
@@ -168,6 +168,12 @@
     UNIT_SECONDS,
     "Time by which the consensus task ran late, summed.",
 )
+PROCESS_DELAY: Final = Metric(
+    "chestnutvale.process.delay",
+    UNIT_SECONDS,
+    "Time by which the process ran late, summed, by what it did meanwhile.",
+    (LABEL_REASON,),
+)
 LEDGER_RECORDS: Final = Metric(
     "chestnutvale.ledger.records", "{record}", "Claims and outcomes kept."
 )
--- a/chestnutvale/programs/control/daemon.py
+++ b/chestnutvale/programs/control/daemon.py
@@ -42,6 +42,7 @@
 from chestnutvale.programs.control.readers_task import ReadersTask
 from chestnutvale.programs.control.state import ControlState
 from chestnutvale.programs.control.status import StatusBuilder
+from chestnutvale.programs.delay_watch import DelayWatch
 from chestnutvale.programs.process_metrics import register_process_metrics
 from chestnutvale.programs.signals import SignalHandler
 from chestnutvale.rate_limits.cold_bound import ColdBound
@@ -100,6 +101,7 @@
         self.publisher = ViewPublisher(self.incarnation)
         self.measures = MeasureTracker()
         self.metrics = DeferredMetrics(PROGRAM_NAME)
+        self._delay_watch = DelayWatch(self.metrics)
         self.transport = TransportNode(
             settings.cluster_id,
             settings.control_id,
@@ -256,6 +258,7 @@
         )
         readers = ReadersTask(self._log, self.state, self._clock)
         for run in (
+            self._delay_watch.run,
             groups.run,
             readers.run,
             ledger.run,
--- a/chestnutvale/programs/entry/daemon.py
+++ b/chestnutvale/programs/entry/daemon.py
@@ -18,6 +18,7 @@
 from chestnutvale.membership.cache_events import CacheEventQueue
 from chestnutvale.membership.entry_view import EntryView
 from chestnutvale.observability.dump import DumpRegistry
+from chestnutvale.programs.delay_watch import DelayWatch
 from chestnutvale.programs.entry.admission_gate import AdmissionGate
 from chestnutvale.programs.entry.commit_client import CommitClient
 from chestnutvale.programs.entry.const import (
@@ -189,6 +190,7 @@
             if listener.serves_calls
         ]
         register_process_metrics(self.metrics, self.server, self.transport)
+        self._delay_watch = DelayWatch(self.metrics)
         register_entry_metrics(self.metrics, self.view, self.is_ready, clock)
         register_memory_metrics(self.metrics, self._memory)
         register_decision_metrics(self.metrics, self.context, self.link)
@@ -199,6 +201,7 @@
             exit_stack.enter_context(self.metrics)
             exit_stack.enter_context(self.transport)
             tasks = (
+                self._delay_watch.run,
                 self.link.run,
                 self.link.watch_stalls,
                 self._load_exchange.run,
