--- a/chestnutvale/programs/control/operator_api.py
+++ b/chestnutvale/programs/control/operator_api.py
@@ -10,6 +10,7 @@
 
 import logbook
 from eventlet import tpool
+from eventlet.semaphore import Semaphore
 from google.protobuf import json_format
 from google.protobuf.message import Message
 
@@ -64,6 +65,7 @@
     make_refusal,
     make_text_problem,
 )
+from chestnutvale.programs.native_threads import MAX_PARSING_THREADS
 from chestnutvale.schema.configuration_pb2 import ApplyText, Text
 from chestnutvale.schema.evacuations_pb2 import SetEvacuation
 from chestnutvale.schema.operator_pb2 import (
@@ -108,6 +110,7 @@
         self._token_digest = token_digest
         self._backend = backend
         self._clock = clock
+        self._parsing = Semaphore(MAX_PARSING_THREADS)
         self._calls: dict[tuple[str, str], Callable[[Environ, float], Answer]] = {
             ("POST", PATH_TEXT): self._apply_text,
             ("GET", PATH_TEXT): self._get_text,
@@ -169,11 +172,11 @@
 
     def _apply_text(self, environ: Environ, deadline_s: float) -> Answer:
         raw = _read_text(environ)
-        text = _parse(raw)
+        text = self._parse(raw)
         digest = compute_text_digest(text)
         # A resend must get its first answer, even if hosts have disappeared since.
         if not self._backend.is_accepted(text.number, digest):
-            _parse(raw, self._backend.fabric_domain_hosts())
+            self._parse(raw, self._backend.fabric_domain_hosts())
         operator = _parse_operator_name(environ)
         command = ApplyText(text=text, digest=digest, operator=operator)
         result = self._backend.apply_text(command, deadline_s)
@@ -213,8 +216,16 @@
     def _get_text(self, environ: Environ, deadline_s: float) -> Answer:
         return message_to_data(self._backend.read_configuration(deadline_s).text)
 
+    def _parse(self, raw: str, domain_hosts: Mapping[str, int] | None = None) -> Text:
+        if len(raw) <= SMALL_TEXT_CHARACTERS:
+            return parse_text(raw, domain_hosts)
+        # Parsing a large text in a thread keeps the leader's heartbeats running; the
+        # threads that write need some left.
+        with self._parsing:
+            return tpool.execute(parse_text, raw, domain_hosts)
+
     def _plan(self, environ: Environ, deadline_s: float) -> Answer:
-        text = _parse(_read_text(environ), self._backend.fabric_domain_hosts())
+        text = self._parse(_read_text(environ), self._backend.fabric_domain_hosts())
         in_force = self._backend.read_configuration(deadline_s)
         accepted = self._backend.is_accepted(text.number, compute_text_digest(text))
         plan = plan_change(in_force.text, text, accepted)
@@ -355,13 +366,6 @@
         raise make_refusal(400, CODE_BAD_REQUEST, "the text is not UTF-8") from error
 
 
-def _parse(raw: str, domain_hosts: Mapping[str, int] | None = None) -> Text:
-    if len(raw) <= SMALL_TEXT_CHARACTERS:
-        return parse_text(raw, domain_hosts)
-    # Parsing a large text in a thread keeps the leader's heartbeats running.
-    return tpool.execute(parse_text, raw, domain_hosts)
-
-
 def _read_message(environ: Environ, message: MessageT) -> MessageT:
     body = _read_body(environ, MAX_REQUEST_BYTES)
     try:
--- a/tests/programs/control/test_daemon.py
+++ b/tests/programs/control/test_daemon.py
@@ -6,6 +6,7 @@
 
 import eventlet
 import pytest
+from eventlet import tpool
 from eventlet.green import socket
 
 from chestnutvale.clock import SystemClock
@@ -126,3 +127,25 @@
             wait_for_status(settings.http_address, "/readyz", 200)
             drain_host(daemon, "h3")
             assert {"h1", "h3"} <= daemon.state.groups.draining_hosts
+
+
+def test_running_control_waits_for_no_start_of_a_native_thread(
+    free_address, tmp_path, monkeypatch
+):
+    # Other tests may have started the threads in this process.
+    tpool.killall()
+    started = []
+    start = tpool.threading.Thread.start
+
+    def record_start(thread):
+        started.append(thread.name)
+        start(thread)
+
+    monkeypatch.setattr(tpool.threading.Thread, "start", record_start)
+    settings = make_settings(free_address, tmp_path)
+    interface = NativeInterface(b"")
+    with ControlDaemon(settings, interface, SystemClock(), random.Random(1)) as daemon:
+        started.clear()
+        wait_for_status(settings.http_address, "/readyz", 200)
+        drain_host(daemon, "h1")
+        assert started == []
--- a/tests/programs/control/test_operator_api.py
+++ b/tests/programs/control/test_operator_api.py
@@ -3,12 +3,18 @@
 import io
 import json
 
+import eventlet
 import pytest
+from eventlet import patcher
 from hypothesis import given
 from hypothesis import strategies as st
 
 from chestnutvale.clock import SystemClock
+from chestnutvale.configuration.exceptions import TextError, TextProblem
+from chestnutvale.programs.control import operator_api
 from chestnutvale.programs.control.operator_api import OperatorApi
+from chestnutvale.programs.control.operator_const import SMALL_TEXT_CHARACTERS
+from chestnutvale.programs.native_threads import MAX_PARSING_THREADS
 from chestnutvale.settings.token import hash_token
 from tests.programs.operator_fakes import TOKEN, FakeBackend, FakeCluster
 
@@ -185,3 +191,23 @@
     api(environ, lambda status, headers: statuses.append(int(status.split()[0])))
     assert statuses[0] in (200, 400)
     assert (statuses[0] == 200) or not cluster.evacuations.data_centres
+
+
+def test_many_large_texts_leave_native_threads_for_writes(send_request, monkeypatch):
+    running, most_running = [], []
+
+    def parse(raw, domain_hosts):
+        running.append(raw)
+        most_running.append(len(running))
+        patcher.original("time").sleep(0.02)
+        running.pop()
+        raise TextError([TextProblem(1, "path", "not valid")])
+
+    monkeypatch.setattr(operator_api, "parse_text", parse)
+    body = b" " * (SMALL_TEXT_CHARACTERS + 1)
+    calls = [
+        eventlet.spawn(send_request, "POST", "/operator/v1/plan", body)
+        for _ in range(3 * MAX_PARSING_THREADS)
+    ]
+    assert [call.wait()[0] for call in calls] == [400] * len(calls)
+    assert max(most_running) <= MAX_PARSING_THREADS
