Log why a control asks for votes and why a leader changes

In a record, the leader changes from term 2 to 3 and nothing in the log says why: a follower's silent leader, a hand-over and a higher term look the same.

A control now logs what led to the change: for how long it had heard no leader and which one, a hand-over, or whose message of a higher term ended its own, with the time by which its own process ran late. One line for each change.

--- a/chestnutvale/consensus/events.py
+++ b/chestnutvale/consensus/events.py
@@ -209,6 +209,9 @@
     leader_id: str
     # Why this member gave up its leadership; empty if it did not.
     reason: str = ""
+    # What a member that is not the leader saw that caused the change; empty if it
+    # heard from the leader that is named here.
+    cause: str = ""
 
 
 Effect = (
--- a/chestnutvale/consensus/loop.py
+++ b/chestnutvale/consensus/loop.py
@@ -130,6 +130,8 @@
         self.raft = self._make_raft(storage.state)
         self.applied_index = storage.state.snapshot.index
         self.delayed_s = 0.0
+        # By how much the loop was late for the events that it handles now.
+        self._last_delay_s = 0.0
         self._events: queue.LightQueue = queue.LightQueue()
         self.writer = DiskWriter(storage, self._events.put, self._fail)
         self._waiters = Waiters()
@@ -285,6 +287,7 @@
 
     def _record_delay(self, delay_s: float) -> None:
         """Record by how much the loop woke later than it had asked for."""
+        self._last_delay_s = max(0.0, delay_s)
         if delay_s <= 0:
             return
         self.delayed_s += delay_s
@@ -369,6 +372,10 @@
     def _report_leadership_change(self, effect: LeadershipChanged) -> None:
         if effect.reason:
             _LOGGER.warning("Gave up leadership: {}", effect.reason)
+        if effect.cause:
+            _LOGGER.info(
+                "{}; this process ran {:.2f} s late", effect.cause, self._last_delay_s
+            )
         _LOGGER.info(
             "{} is {} in term {}; leader {!r}",
             self._own_id,
--- a/chestnutvale/consensus/member_state.py
+++ b/chestnutvale/consensus/member_state.py
@@ -67,6 +67,8 @@
         self.leader: Leader | None = None
         # Why this member gave up its leadership; empty once it is reported.
         self.resignation_reason = ""
+        # What else caused the last change of role, term or leader; empty once reported.
+        self.change_cause = ""
         self.reported_silence = ReportedSilence()
         self.log = RaftLog(stored)
         self.commit_index = stored.snapshot.index
@@ -154,6 +156,13 @@
         self.leader_contact_s = now_s
         self.reset_election_timer(now_s)
 
+    def describe_silence(self, now_s: float) -> str:
+        """Return for how long this member has heard no leader, for the log."""
+        if self.leader_contact_s == -math.inf:
+            return "no leader was heard yet"
+        silence_s = now_s - self.leader_contact_s
+        return f"no leader was heard for {silence_s:.2f} s, {self.leader_id!r} last"
+
     def append_entry(self, kind: int, data: bytes) -> LogEntry:
         """Append an entry as leader and queue it for writing."""
         entry = LogEntry(
--- a/chestnutvale/consensus/raft.py
+++ b/chestnutvale/consensus/raft.py
@@ -227,10 +227,11 @@
 
     def _report_leadership_change(self) -> None:
         current = (self.role, self.term, self.leader_id)
+        cause, self.member.change_cause = self.member.change_cause, ""
         if current != self._last_reported:
             self._last_reported = current
             reason, self.member.resignation_reason = self.member.resignation_reason, ""
-            self.member.outbox.add_effect(LeadershipChanged(*current, reason))
+            self.member.outbox.add_effect(LeadershipChanged(*current, reason, cause))
 
     def _handle_write_persisted(self, write_id: int, now_s: float) -> None:
         self.member.outbox.mark_persisted(write_id)
@@ -250,6 +251,7 @@
 
     def _campaign(self, now_s: float) -> None:
         if not self.is_write_stalled:
+            self.member.change_cause = self.member.describe_silence(now_s)
             self.elections.start_pre_vote(now_s)
             return
         self.member.become_follower(self.term, now_s)
@@ -277,6 +279,7 @@
         ):
             return
         if message.term > self.term and not self._is_future_pre_vote(message, kind):
+            self.member.change_cause = self._describe_higher_term(message, kind)
             self.member.become_follower(message.term, now_s)
         if message.term < self.term:
             self._reject_stale_message(message, kind)
@@ -304,6 +307,9 @@
                 )
             case "timeout_now":
                 if self.member.is_voter and not self.is_write_stalled:
+                    self.member.change_cause = (
+                        f"{message.from_id} hands its leadership over"
+                    )
                     self.elections.start_election(now_s, is_transfer=True)
 
     def _is_from_removed_member(self, message: RaftMessage, kind: str | None) -> bool:
@@ -312,6 +318,13 @@
             return False
         return message.from_id not in self.member.leader.progress
 
+    def _describe_higher_term(self, message: RaftMessage, kind: str | None) -> str:
+        cause = f"{message.from_id} sent a {kind} of term {message.term}"
+        leader = self.member.leader
+        if leader is not None and leader.transfer_target == message.from_id:
+            cause += ", after the leadership was handed over to it"
+        return cause
+
     @staticmethod
     def _is_future_pre_vote(message: RaftMessage, kind: str | None) -> bool:
         if kind == "vote_request":
