Log whose reports a lost member was missing from

When the leader takes a host for lost, the log names the group and the member. Nothing tells whether the host fell silent or the control or entry that passed its announcements on.

The leader now writes member_lost once for each host and loss: the cause, for how long it had been away, who reported it last, and whether that one is heard.

Evidence: the tests of the group task and of the failure detector pass.

--- a/chestnutvale/consensus/task.py
+++ b/chestnutvale/consensus/task.py
@@ -205,6 +205,11 @@
         """Number of voters that this leader has not heard for an election timeout."""
         return len(self._loop.raft.list_silences(self._clock.now_s()))
 
+    def silent_controls(self) -> frozenset[str]:
+        """Return the controls that this leader has not heard for a timeout."""
+        silences = self._loop.raft.list_silences(self._clock.now_s())
+        return frozenset(control_of(silence.member_id) for silence in silences)
+
     @property
     def delayed_s(self) -> float:
         """Time in seconds by which the task ran late, summed."""
--- a/chestnutvale/groups/coordinator.py
+++ b/chestnutvale/groups/coordinator.py
@@ -6,6 +6,7 @@
 import attrs
 
 from chestnutvale.groups.const import PLAN_INTERVAL_S, SILENCE_MARGIN_S
+from chestnutvale.groups.failure_detector import LostMember
 from chestnutvale.groups.order_messages import STAGE_SUFFIX
 from chestnutvale.groups.orders import OrderOutcome, OrderScheduler, SendOrder
 from chestnutvale.groups.planner import GroupCommand, GroupPlanner, PlanInputs
@@ -165,6 +166,10 @@
         ]
         return [*sends, *proposals, *spare_orders]
 
+    def pop_new_losses(self) -> list[LostMember]:
+        """Return the members that were lost since the last call, each once."""
+        return self.planner.failure_detector.pop_new_losses()
+
     def order_answered(
         self, host_id: str, order_id: str, outcome: OrderOutcome, now_s: float
     ) -> None:
--- a/chestnutvale/groups/failure_detector.py
+++ b/chestnutvale/groups/failure_detector.py
@@ -97,6 +97,7 @@
     _not_ready_since_s: dict[tuple[str, int], float] = attrs.field(factory=dict)
     _loss_times_s: dict[str, deque[float]] = attrs.field(factory=dict)
     _lost_hosts: set[str] = attrs.field(factory=set)
+    _new_losses: list[LostMember] = attrs.field(factory=list)
 
     def reset(self, now_s: float) -> None:
         """Discard observations from an earlier term as leader.
@@ -110,6 +111,18 @@
         self._not_ready_since_s.clear()
         self._loss_times_s.clear()
         self._lost_hosts.clear()
+        self._new_losses.clear()
+
+    def pop_new_losses(self) -> list[LostMember]:
+        """Return the members that were lost since the last call, each once.
+
+        Returns
+        -------
+        list of LostMember
+            In the order in which they were found.
+        """
+        losses, self._new_losses = self._new_losses, []
+        return losses
 
     def record_order(self, host_id: str, epoch: int, now_s: float) -> None:
         """Record that an order was sent to a member, which starts its stuck timeout.
@@ -231,14 +244,18 @@
         self, lost_by_group: dict[str, tuple[LostMember, ...]], now_s: float
     ) -> None:
         lost = {
-            item.member.host_id for items in lost_by_group.values() for item in items
+            item.member.host_id: item
+            for items in lost_by_group.values()
+            for item in items
         }
-        for host_id in lost - self._lost_hosts:
+        new_host_ids = lost.keys() - self._lost_hosts
+        self._new_losses += [lost[host_id] for host_id in sorted(new_host_ids)]
+        for host_id in new_host_ids:
             losses = self._loss_times_s.setdefault(
                 host_id, deque(maxlen=FLAPPING_MIN_LOSSES)
             )
             losses.append(now_s)
-        self._lost_hosts = lost
+        self._lost_hosts = set(lost)
 
     def _discard_finished(self, state: GroupsState) -> None:
         epochs = {group.epoch for group in state.groups.values()}
--- a/chestnutvale/programs/control/group_task.py
+++ b/chestnutvale/programs/control/group_task.py
@@ -1,6 +1,6 @@
 """Task that executes the decisions of the group coordinator."""
 
-from collections.abc import Sequence
+from collections.abc import Sequence, Set
 from typing import Any, Protocol
 
 import eventlet
@@ -8,9 +8,11 @@
 
 from chestnutvale.clock import Clock
 from chestnutvale.consensus.exceptions import NotLeaderError, OutcomeUnknownError
+from chestnutvale.consensus.members import control_of
 from chestnutvale.consensus.task import ConsensusTask
 from chestnutvale.groups.const import PHASE_SERVING
 from chestnutvale.groups.coordinator import Effect, GroupCoordinator, ProposeCommand
+from chestnutvale.groups.failure_detector import LostMember
 from chestnutvale.groups.orders import OrderOutcome, SendOrder
 from chestnutvale.membership.table import MembershipTable
 from chestnutvale.programs.control.const import (
@@ -118,10 +120,24 @@
             self._entry_handler.demand(now_s),
             self._state.evacuations.evacuated,
         )
+        self._log_new_losses(now_s)
         self._idle_inputs = () if effects or not self._is_idle() else inputs
         self._next_decision_at_s = now_s + IDLE_DECISION_INTERVAL_S
         self._execute_effects(effects)
 
+    def _log_new_losses(self, now_s: float) -> None:
+        losses = self._coordinator.pop_new_losses()
+        if not losses:
+            return
+        live = {*self._table.live_entries(now_s), *self._live_controls()}
+        for loss in losses:
+            fields = describe_loss(loss, self._table, live)
+            _LOGGER.info("member_lost", extra=fields)
+
+    def _live_controls(self) -> set[str]:
+        controls = {control_of(voter) for voter in self._log.members.voters}
+        return controls - self._log.silent_controls()
+
     def _inputs(self) -> tuple[int, ...]:
         """Return versions that cover all inputs of a decision except time."""
         return (
@@ -195,6 +211,40 @@
         )
 
 
+def describe_loss(
+    loss: LostMember, table: MembershipTable, live_reporters: Set[str]
+) -> dict[str, Any]:
+    """Return the log fields that describe the loss of a member of a group.
+
+    Parameters
+    ----------
+    loss : LostMember
+        The loss.
+    table : MembershipTable
+        The host table.
+    live_reporters : set of str
+        Entries and controls that this leader hears.
+
+    Returns
+    -------
+    dict
+        The host, the cause, for how many seconds it has been lost, and the entry or
+        control to which it announced itself last; if that one is silent as well, the
+        host may be sound.
+    """
+    fields: dict[str, Any] = {
+        "host": loss.member.host_id,
+        "cause": loss.cause.value,
+        "away_s": round(loss.away_s, 3),
+    }
+    record = table.host(loss.member.host_id)
+    if record is None:
+        return fields
+    reporter_id = record.sender_id
+    is_live = reporter_id in live_reporters
+    return fields | {"reported_by": reporter_id, "is_reporter_live": is_live}
+
+
 def command_log_fields(command: Command) -> dict[str, Any]:
     """Return the log fields that describe a group command.
 
--- a/tests/groups/test_planner.py
+++ b/tests/groups/test_planner.py
@@ -238,3 +238,7 @@
     found = failure_detector.find_broken_groups(state, table, 100.0)
     assert found
     assert {item.is_domain_outage for item in found} == {has_failed}
+    losses = [item.member.host_id for item in failure_detector.pop_new_losses()]
+    assert losses == [lost.member.host_id for item in found for lost in item.lost]
+    failure_detector.find_broken_groups(state, table, 100.1)
+    assert failure_detector.pop_new_losses() == []
--- a/tests/programs/control/test_group_task.py
+++ b/tests/programs/control/test_group_task.py
@@ -2,15 +2,18 @@
 
 from types import SimpleNamespace
 
+import logbook
 import pytest
 
+from chestnutvale.groups.failure_detector import LossCause, LostMember
 from chestnutvale.membership.table import MembershipTable
 from chestnutvale.programs.control.const import IDLE_DECISION_INTERVAL_S
 from chestnutvale.programs.control.group_task import GroupTask
 from chestnutvale.programs.control.state import ControlState
-from chestnutvale.schema.groups_pb2 import HostRelease
+from chestnutvale.schema.groups_pb2 import GroupMember, HostRelease
 from chestnutvale.schema.membership_pb2 import Heard
 from chestnutvale.schema.peer_pb2 import GroupView
+from chestnutvale.schema.raft_pb2 import Members
 
 ROUND_S = 0.1
 
@@ -20,10 +23,16 @@
 
     def __init__(self):
         self.ticks = 0
+        self.new_losses = []
 
     def became_leader(self, now_s):
         """Do nothing."""
 
+    def pop_new_losses(self):
+        """Return each loss once."""
+        losses, self.new_losses = self.new_losses, []
+        return losses
+
     def tick(self, *arguments):
         """Decide nothing."""
         self.ticks += 1
@@ -41,6 +50,8 @@
             applied_index=5,
             has_applied_earlier_terms=True,
             has_lease=lambda now_s: True,
+            members=Members(voters=["c1#0", "c2#0"]),
+            silent_controls=lambda: frozenset(["c2"]),
         )
         self.state = ControlState()
         self.table = MembershipTable()
@@ -124,3 +135,34 @@
         task_fixture.state.groups.releases["h"] = HostRelease(host_id="h")
     task_fixture.log.applied_index += 1
     assert task_fixture.run_rounds(8) == 8
+
+
+@pytest.mark.parametrize(
+    ("reporter", "is_live"),
+    [("e", True), ("silent-e", False), ("c1", True), ("c2", False)],
+)
+def test_loss_of_a_member_names_who_reported_it_last_and_whether_it_lives(
+    task_fixture, reporter, is_live
+):
+    table, now_s = task_fixture.table, task_fixture.now_s
+    heard = [Heard(host_id="h", boot_id="b", sequence=1)]
+    if reporter.startswith("c"):
+        table.merge_control_report(reporter, heard, now_s)
+    else:
+        reported_at_s = now_s if is_live else now_s - 60.0
+        table.merge_entry_report(reporter, heard, reported_at_s)
+    member = GroupMember(host_id="h", boot_id="b")
+    task_fixture.coordinator.new_losses = [LostMember(member, LossCause.MISSING, 2.1)]
+    with logbook.TestHandler() as handler:
+        task_fixture.run_rounds(20)
+
+    lines = [line.extra for line in handler.records if line.msg == "member_lost"]
+    assert lines == [
+        {
+            "host": "h",
+            "cause": "missing",
+            "away_s": 2.1,
+            "reported_by": reporter,
+            "is_reporter_live": is_live,
+        }
+    ]
