Decide about groups only while the leader has its lease

A leader whose process had stood still gave the place of a sound member to a spare in its first round: it had read the announcements of some hosts, and those of the member were still waiting in its sockets.

Cause: the hub runs its timers before it reads, and only orders and views waited for the lease; the decisions did not.

A leader without a lease now decides nothing. The lease needs replies of a quorum that were sent after the process went on, so what had arrived before is read by then.

Evidence: the test of a late leader fails on the code before.

--- a/chestnutvale/programs/control/group_task.py
+++ b/chestnutvale/programs/control/group_task.py
@@ -107,6 +107,11 @@
             self._state.groups,
             self._table,
         )
+        has_lease = self._log.has_lease(now_s)
+        if not has_lease:
+            # This process may have stood still or been cut off, and the reports of the
+            # hosts may not have been read yet. The replies of a quorum come after them.
+            return
         inputs = self._inputs()
         if inputs == self._idle_inputs and now_s < self._next_decision_at_s:
             return
@@ -115,7 +120,7 @@
             self._state.groups,
             self._table,
             self._state.configuration.text,
-            self._log.has_lease(now_s),
+            has_lease,
             self._clock.unix_ms(),
             self._entry_handler.demand(now_s),
             self._state.evacuations.evacuated,
--- a/tests/programs/control/test_group_task.py
+++ b/tests/programs/control/test_group_task.py
@@ -5,13 +5,18 @@
 import logbook
 import pytest
 
+from chestnutvale.groups.coordinator import GroupCoordinator
 from chestnutvale.groups.failure_detector import LossCause, LostMember
+from chestnutvale.groups.orders import OrderScheduler
+from chestnutvale.groups.planner import GroupPlanner
+from chestnutvale.membership.announcement_content import content_digest
 from chestnutvale.membership.table import MembershipTable
 from chestnutvale.programs.control.const import IDLE_DECISION_INTERVAL_S
 from chestnutvale.programs.control.group_task import GroupTask
 from chestnutvale.programs.control.state import ControlState
+from chestnutvale.schema.configuration_pb2 import Service, Text
 from chestnutvale.schema.groups_pb2 import GroupMember, HostRelease
-from chestnutvale.schema.membership_pb2 import Heard
+from chestnutvale.schema.membership_pb2 import Announcement, Heard
 from chestnutvale.schema.peer_pb2 import GroupView
 from chestnutvale.schema.raft_pb2 import Members
 
@@ -166,3 +171,68 @@
             "is_reporter_live": is_live,
         }
     ]
+
+
+class PlanningFixture(GroupTaskFixture):
+    """A group task that plans for one group and applies what it proposes."""
+
+    def __init__(self):
+        super().__init__()
+        self.proposed = []
+        self.sequence = 0
+        service = Service(kind="model", groups=1, hosts_per_group=2)
+        self.state.configuration.text = Text(number=1, services={"s": service})
+        self.task._coordinator = GroupCoordinator(GroupPlanner(), OrderScheduler())
+        self.task._propose = self.apply
+        self.task._send_order = lambda effect: None
+
+    def apply(self, effect):
+        body = effect.command.WhichOneof("body")
+        self.proposed.append(body)
+        getattr(self.state.groups, body)(getattr(effect.command, body), 1)
+        self.log.applied_index += 1
+
+    def find_spares(self):
+        return sorted(set("abcd") - set(self.state.groups.owners))
+
+    def announce(self, hosts="abcd"):
+        """Announce live hosts; the members of the group are ready."""
+        self.sequence += 1
+        for host in hosts:
+            announcement = Announcement(
+                host_id=host, boot_id="b", fabric_domain="f", kind="engine"
+            )
+            owner = self.state.groups.owners.get(host)
+            if owner is not None:
+                holding = announcement.holding
+                holding.group_id, holding.phase = owner, "ready"
+                holding.epoch = self.state.groups.groups[owner].epoch
+            heard = Heard(
+                host_id=host,
+                boot_id="b",
+                sequence=self.sequence,
+                changed=announcement,
+                content_digest=content_digest(announcement),
+            )
+            self.table.merge_entry_report("e", [heard], self.now_s)
+
+
+def test_late_leader_dissolves_no_group_before_it_has_read_what_arrived():
+    fixture = PlanningFixture()
+    for _ in range(100):
+        fixture.announce()
+        fixture.run_rounds(1)
+    (group,) = fixture.state.groups.groups.values()
+    assert group.phase == "serving"
+    fixture.proposed.clear()
+    # The process stands still; no quorum has confirmed the leadership since.
+    fixture.now_s += 2 * fixture.table.detection_timeout_s
+    # Of what arrived, it has read the announcements of the spare hosts.
+    fixture.announce(fixture.find_spares())
+    fixture.log.has_lease = lambda now_s: False
+    fixture.run_rounds(1)
+    assert fixture.proposed == []
+    fixture.announce()
+    fixture.log.has_lease = lambda now_s: True
+    fixture.run_rounds(5)
+    assert fixture.proposed == []
