--- a/chestnutvale/groups/idle_tracker.py
+++ b/chestnutvale/groups/idle_tracker.py
@@ -18,7 +18,7 @@
 
     A group is idle once every entry's lease on its serving right has expired and its
     head has reported since then that no request runs or waits, or once the drain
-    timeout has passed. If the head is silent, the entries' attempts there count.
+    timeout has passed.
 
     Parameters
     ----------
@@ -121,11 +121,8 @@
         if now_s > stopped_at_s + self.policy.drain_timeout_s:
             return True
         head = table.host(group_head(group).host_id)
-        if head is None:
+        if head is None or not table.is_fresh(head.host_id, now_s):
             return True
-        if not table.is_fresh(head.host_id, now_s):
-            # A head that only pauses goes on with the requests that it has.
-            return head.running_attempts == 0
         if not group.plain and not _holds_group(head, group):
             return True
         if head.load is None or head.heard_at_s <= no_new_requests_from_s:
--- a/chestnutvale/groups/pools.py
+++ b/chestnutvale/groups/pools.py
@@ -283,8 +283,7 @@
     def _is_silence_conclusive(
         self, group: Group, table: MembershipTable, now_s: float
     ) -> bool:
-        head = table.host(group_head(group).host_id)
-        running = head.running_attempts if head is not None else 0
+        running = _running_requests(group, table)
         return self._silence.is_conclusive(group, table, running, now_s)
 
     def _discard_finished(self, groups: Iterable[Group]) -> None:
--- a/chestnutvale/membership/host_record.py
+++ b/chestnutvale/membership/host_record.py
@@ -37,8 +37,6 @@
         Whether a newer process with another identity owns its address.
     is_load_from_entries : bool
         Whether the load is the entries' attempt count, as the host reports none.
-    running_attempts : int
-        Attempts that entries run at the group that it heads, also if it reports a load.
     announces_to_control : bool
         Whether it announces itself to a control instead of the entries.
     departed_boot_id : str
@@ -66,7 +64,6 @@
     load: Load | None = None
     is_superseded: bool = False
     is_load_from_entries: bool = False
-    running_attempts: int = 0
     announces_to_control: bool = False
     departed_boot_id: str = ""
     released_group_id: str = ""
--- a/chestnutvale/membership/table.py
+++ b/chestnutvale/membership/table.py
@@ -334,7 +334,7 @@
         return sorted(self._entries)
 
     def record_running_attempts(self, host_id: str, running: int) -> bool:
-        """Record the entries' attempt count; use it as the load if there is no other.
+        """Use the entries' attempt count as the load of a host that reports none.
 
         Parameters
         ----------
@@ -351,7 +351,6 @@
         record = self._hosts.get(host_id)
         if record is None or record.announcement is None:
             return False
-        record.running_attempts = running
         if record.announcement.HasField("load"):
             return False
         record.is_load_from_entries = True
--- a/tests/groups/test_group_pauses.py
+++ b/tests/groups/test_group_pauses.py
@@ -6,7 +6,7 @@
 
 from benchmarks.groups_pauses import SIZE, Fault, find_dissolved_times_s
 from chestnutvale.groups.const import UNHEARD_GROUP_EXPIRY_S
-from chestnutvale.schema.groups_pb2 import PutGroup, RemoveGroup
+from chestnutvale.schema.groups_pb2 import RemoveGroup
 from tests.groups.test_pools import BIG, all_hosts, make_serving_pool
 
 ALL_RANKS = tuple(range(SIZE))
@@ -83,22 +83,3 @@
     delayed = find_dissolved_times_s(fault, calls_left=1, trials=TRIALS)
     for before_s, after_s in zip(without, delayed, strict=True):
         assert after_s - before_s <= 1.1
-
-
-@pytest.mark.parametrize("attempts", [0, 1])
-def test_a_draining_group_keeps_its_calls_while_its_head_pauses(attempts):
-    pool = make_serving_pool()
-    group = next(g for g in pool.state.groups.values() if g.service == BIG)
-    draining = PutGroup(group=group, expected_epoch=group.epoch)
-    draining.group.phase = "draining"
-    pool.state.put_group(draining, 1)
-    head = group.members[0].host_id
-    pool.announce(head, 2.0)
-    for now_s in (2.5, 4.0, 5.5):
-        for host_id in all_hosts():
-            if host_id != head:
-                pool.announce(host_id, now_s)
-        pool.table.record_running_attempts(head, attempts)
-        commands = pool.plan(now_s)
-    assert not pool.table.is_fresh(head, 5.5)
-    assert any(isinstance(c, RemoveGroup) for c in commands) == (attempts == 0)
