--- a/benchmarks/groups_pauses.py
+++ b/benchmarks/groups_pauses.py
@@ -107,7 +107,7 @@
                 continue
             # The round precedes the messages that arrived while the control stood.
             fleet = Fleet.collect(self._state, self.table, now_s)
-            idle_tracker.observe(self._state, self.table, now_s)
+            idle_tracker.observe(self._state, self.table, _TEXT, now_s)
             commands = planner.plan(self._state, self.table, _TEXT, fleet, now_s)
             if any(isinstance(command, RemoveGroup) for command in commands):
                 return now_s - BEGIN_S
--- a/tests/programs/entry/routed/test_streams.py
+++ b/tests/programs/entry/routed/test_streams.py
@@ -89,6 +89,23 @@
     assert other_endpoint.header("x-last") == "3"
 
 
+def test_begun_stream_is_not_cut_by_a_short_loss_of_the_lease(endpoint, other_endpoint):
+    with routed_entry(endpoint, other_endpoint) as entry:
+        for group in entry.context.groups.values():
+            # The groups of a pool name no version.
+            group.version = ""
+
+        def break_off_without_a_lease(sock, request):
+            entry.context.lease = False
+            eventlet.spawn_after(0.5, setattr, entry.context, "lease", True)
+            stream(until=2, tail=None)(sock, request)
+
+        endpoint.default = break_off_without_a_lease
+        other_endpoint.default = stream()
+        _, _, body, is_complete = call(entry.address, "/gen/x", b"p", X_Model="m")
+    assert (body, is_complete) == (COMPLETE_STREAM, True)
+
+
 def test_stalled_stream_resumes_at_another_group(endpoint, other_endpoint):
     def send_one_event_and_stall(sock, request):
         sock.sendall(stream_head() + chunk(event(1)))
@@ -163,6 +180,33 @@
     assert len(other_endpoint.requests) == is_left
 
 
+@pytest.mark.parametrize("event_number", [0, 1, 4])
+@pytest.mark.parametrize("path", ["/fixed/x", "/gen/x"])
+def test_lost_group_without_alternative_that_goes_on_answers_whole(
+    endpoint, path, event_number
+):
+    # Guards against streams that are cut because announcements of hosts are late.
+    endpoint.default = pause_before(event_number)
+    with routed_entry(endpoint) as entry:
+        eventlet.spawn_after(1.0, entry.context.running.report_loss, "gpu1", 1)
+        status, _, body, is_complete = call(entry.address, path, b"p", X_Model="m")
+    assert (status, body, is_complete) == (200, COMPLETE_STREAM, True)
+    assert len(endpoint.requests) == 1
+
+
+@pytest.mark.parametrize(("path", "is_left"), [("/gen/x", True), ("/fixed/x", False)])
+def test_only_silent_streams_that_can_move_leave_a_lost_group(
+    endpoint, other_endpoint, path, is_left
+):
+    endpoint.default = pause_before(4)
+    other_endpoint.default = stream()
+    with routed_entry(endpoint, other_endpoint) as entry:
+        eventlet.spawn_after(0.2, entry.context.running.report_loss, "gpu1", 1)
+        _, _, body, is_complete = call(entry.address, path, b"p", X_Model="m")
+    assert (body, is_complete) == (COMPLETE_STREAM, True)
+    assert len(other_endpoint.requests) == is_left
+
+
 @pytest.mark.parametrize("path", ["/gen/x", "/fixed/x"])
 def test_caller_does_not_get_the_head_of_a_refusal(endpoint, other_endpoint, path):
     endpoint.default = (
