Model pauses of members of a group without a pool

Cause: only pooled groups were modelled, and other groups are repaired by another decision, on the same sign.

Change: the model drives the whole planner for a group without a pool, with a spare in its domain.

--- a/benchmarks/groups_pauses.py
+++ b/benchmarks/groups_pauses.py
@@ -1,4 +1,4 @@
-"""Decisions about a pooled group whose members pause, or are lost for good.
+"""Decisions about a group whose members pause, or are lost for good.
 
 Run ``python -m benchmarks.groups_pauses``.
 """
@@ -6,12 +6,15 @@
 import math
 import random
 import statistics
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
+from typing import TypeAlias
 
 import attrs
 
+from chestnutvale.groups.const import PHASE_SERVING
 from chestnutvale.groups.fleet import Fleet
 from chestnutvale.groups.idle_tracker import IdleTracker
+from chestnutvale.groups.planner import GroupCommand, GroupPlanner, PlanInputs
 from chestnutvale.groups.pools import PoolPlanner
 from chestnutvale.groups.settings import GroupsPolicy
 from chestnutvale.groups.state import GroupsState
@@ -20,10 +23,11 @@
 from chestnutvale.routing.const import STALL_GAP_S
 from chestnutvale.routing.stall_detection import StallAggregator
 from chestnutvale.schema.configuration_pb2 import Service, Text
-from chestnutvale.schema.groups_pb2 import Group, GroupMember, PutGroup, RemoveGroup
+from chestnutvale.schema.groups_pb2 import Group, GroupMember, PutGroup
 from chestnutvale.schema.membership_pb2 import Announcement, Heard, Holding
 
 SIZE = 4
+SPARE_RANK = SIZE
 GROUP_ID = "g"
 DETECTION_TIMEOUT_S = 3.0
 ENGINE_STALL_S = 5.0
@@ -36,6 +40,8 @@
 END_S = 14.0
 TRIALS = 100
 
+Plan: TypeAlias = Callable[[float], list[GroupCommand]]
+
 
 @attrs.frozen
 class Fault:
@@ -73,12 +79,15 @@
         Whether entries run streams at the group, which stall with any member.
     calls_left : int
         Number of these that stay there however long the group is silent.
+    is_pooled : bool
+        Whether it shares a pool; a group without a pool has a spare in its domain.
     """
 
     fault: Fault
     phases_s: list[float]
     has_streams: bool = True
     calls_left: int = 0
+    is_pooled: bool = True
     table: MembershipTable = attrs.field(
         factory=lambda: MembershipTable(DETECTION_TIMEOUT_S)
     )
@@ -87,16 +96,14 @@
     _sequence: int = 0
 
     def find_dissolved_s(self) -> float:
-        """Return when the group is dissolved.
+        """Return when the group is dissolved, or gets another member.
 
         Returns
         -------
         float
             Time in seconds since the fault began; infinite if it never is.
         """
-        policy = GroupsPolicy(engine_stall_s=ENGINE_STALL_S)
-        idle_tracker = IdleTracker(policy)
-        planner = PoolPlanner(idle_tracker)
+        plan = self._plan_pool() if self.is_pooled else self._plan_service()
         self._form_group()
         messages = sorted(self._announcements())
         next_report_s = self.phases_s[0] % REPORT_INTERVAL_S
@@ -106,10 +113,7 @@
             if 0.0 <= now_s - BEGIN_S < self.fault.control_length_s:
                 continue
             # The round precedes the messages that arrived while the control stood.
-            fleet = Fleet.collect(self._state, self.table, now_s)
-            idle_tracker.observe(self._state, self.table, _TEXT, now_s)
-            commands = planner.plan(self._state, self.table, _TEXT, fleet, now_s)
-            if any(isinstance(command, RemoveGroup) for command in commands):
+            if any(is_change(command) for command in plan(now_s)):
                 return now_s - BEGIN_S
             while messages and messages[0][0] <= now_s:
                 self._announce(messages.pop(0)[1], now_s)
@@ -118,6 +122,32 @@
                 self._report_streams(now_s)
         return math.inf
 
+    def _plan_pool(self) -> Plan:
+        policy = GroupsPolicy(engine_stall_s=ENGINE_STALL_S)
+        idle_tracker = IdleTracker(policy)
+        planner = PoolPlanner(idle_tracker)
+
+        def plan(now_s: float) -> list[GroupCommand]:
+            fleet = Fleet.collect(self._state, self.table, now_s)
+            idle_tracker.observe(self._state, self.table, _TEXT, now_s)
+            return list(planner.plan(self._state, self.table, _TEXT, fleet, now_s))
+
+        return plan
+
+    def _plan_service(self) -> Plan:
+        planner = GroupPlanner()
+        planner.became_leader(0.0)
+        text = Text(number=1)
+        text.services["s"].CopyFrom(
+            Service(kind="model", hosts_per_group=SIZE, groups=1)
+        )
+
+        def plan(now_s: float) -> list[GroupCommand]:
+            inputs = PlanInputs(self._state, self.table, text, round(1_000 * now_s))
+            return planner.plan(inputs, now_s)
+
+        return plan
+
     def _form_group(self) -> None:
         members = [
             GroupMember(host_id=f"h{rank}", boot_id="b", rank=rank)
@@ -128,7 +158,7 @@
             service="s",
             members=members,
             phase="forming",
-            pooled=True,
+            pooled=self.is_pooled,
             fabric_domain="d",
         )
         self._state.put_group(PutGroup(group=group), 1)
@@ -151,6 +181,9 @@
                     continue
                 yield at_s, rank
                 at_s += ANNOUNCEMENT_INTERVAL_S
+        if not self.is_pooled:
+            for number in range(int(END_S)):
+                yield float(number), SPARE_RANK
 
     def _announce(self, rank: int, now_s: float) -> None:
         self._sequence += 1
@@ -163,17 +196,19 @@
             data_centre="a",
             fabric_domain="d",
             kind="engine",
-            pool="p",
+            pool="p" if self.is_pooled else "",
             fencing=True,
             opens=True,
-            holding=Holding(
+        )
+        if rank != SPARE_RANK:
+            holding = Holding(
                 group_id=GROUP_ID,
                 epoch=group.epoch,
                 rank=rank,
                 service="s",
                 phase="ready" if rank else "open",
-            ),
-        )
+            )
+            announcement.holding.CopyFrom(holding)
         heard = Heard(
             host_id=announcement.host_id,
             boot_id="b",
@@ -189,6 +224,7 @@
             resume_s = math.inf
         is_silent = bool(self.fault.ranks) and BEGIN_S <= now_s < resume_s
         silence_s = now_s - BEGIN_S if is_silent else 0.0
+        self.table.merge_entry_report("entry", [], now_s)
         self.table.record_running_attempts("h0", self.calls_left if is_silent else 1)
         if not self.has_streams:
             return
@@ -206,10 +242,22 @@
 )
 
 
+def is_change(command: GroupCommand) -> bool:
+    """Tell whether a command dissolves a group or changes its members."""
+    if isinstance(command, PutGroup):
+        return command.group.phase != PHASE_SERVING
+    return True
+
+
 def find_dissolved_times_s(
-    fault: Fault, has_streams: bool = True, calls_left: int = 0, trials: int = TRIALS
+    fault: Fault,
+    has_streams: bool = True,
+    calls_left: int = 0,
+    trials: int = TRIALS,
+    *,
+    is_pooled: bool = True,
 ) -> list[float]:
-    """Return when a group is dissolved, with announcements at random phases.
+    """Return when a group is dissolved or changed, with random announcements.
 
     Parameters
     ----------
@@ -221,6 +269,8 @@
         Number of these that stay there however long the group is silent.
     trials : int, optional
         Number of random phases.
+    is_pooled : bool, optional
+        Whether the group shares a pool.
 
     Returns
     -------
@@ -234,6 +284,7 @@
             [rng.uniform(0.0, ANNOUNCEMENT_INTERVAL_S) for _ in range(SIZE)],
             has_streams,
             calls_left,
+            is_pooled,
         ).find_dissolved_s()
         for _ in range(trials)
     ]
@@ -272,6 +323,11 @@
             for has_streams in (False, True)
         ]
         print(f"| {length_s} | the control | {' | '.join(columns)} | |")
+    print("| pause s | who | group without a pool |")
+    for length_s in (2.6, 3.6, 4.6, 6.0, math.inf):
+        for name, ranks in (("all members", everyone), ("the head", (0,))):
+            times_s = find_dissolved_times_s(Fault(ranks, length_s), is_pooled=False)
+            print(f"| {length_s} | {name} | {describe(times_s)} |")
 
 
 if __name__ == "__main__":
--- a/tests/groups/test_group_pauses.py
+++ b/tests/groups/test_group_pauses.py
@@ -48,6 +48,20 @@
     assert max(times_s) < 3.6 + 2.0
 
 
+@pytest.mark.parametrize("ranks", [(0,), (1,), ALL_RANKS])
+@pytest.mark.parametrize("pause_s", [2.6, 3.6])
+def test_a_group_without_a_pool_keeps_members_that_pause(pause_s, ranks):
+    assert count_dissolved(Fault(ranks, pause_s), is_pooled=False) == 0
+
+
+def test_a_group_without_a_pool_gets_a_spare_for_a_member_that_is_lost():
+    times_s = find_dissolved_times_s(
+        Fault((1,), math.inf), trials=TRIALS, is_pooled=False
+    )
+    assert min(times_s) > 3.5
+    assert max(times_s) < 5.5
+
+
 def announce_others(pool, group, now_s):
     members = {member.host_id for member in group.members}
     for host_id in all_hosts():
