Show a last attempt that stays at a lost group though the first one went on

Cause: A call with no attempt left keeps an attempt at a group that was reported as lost until its deadline, though the group that it left before serves again. Before the abort of the attempt let it return there.

Change: a test; the product is unchanged.

--- a/tests/attempts/test_model_call.py
+++ b/tests/attempts/test_model_call.py
@@ -450,3 +450,25 @@
     effects = call.handle(AttemptBroken(attempt_id, "x"), 0.0)
     assert [type(e) for e in effects] == [CancelAttempt, Finish]
     assert effects[1].failure.code == "stream_broken"
+
+
+def leave_silent_group(call, group_id="g1"):
+    attempt_id = start(call, group_id)
+    call.handle(EventsArrived(attempt_id, [token(attempt_id, 0)]), 0.0)
+    call.handle(GroupLost(), 3.0)
+    return call.handle(Tick(), 3.0)
+
+
+def test_last_attempt_at_a_lost_group_returns_to_a_group_that_went_on():
+    # A host without power closes no connection, so nothing else ends the attempt.
+    limits = CallLimits(max_attempts=2)
+    call = ModelCall("r", DEADLINE_S, AttemptBudgets(), limits)
+    leave_silent_group(call)
+    choose(call, "g2")
+    call.has_alternative = lambda excluded, version: "g1" not in excluded
+    call.handle(GroupLost(), 6.0)
+    effects = []
+    while not effects and call.next_tick_s < DEADLINE_S:
+        effects = call.handle(Tick(), call.next_tick_s)
+    assert [type(effect) for effect in effects] == [CancelAttempt, ChooseGroup]
+    assert effects[1].allowed == {"g1"}
