Show a call that never returns to a silent group after an unreachable one

Cause: A refusal that was not sent chooses again without the groups that the call left while they were silent. It then waits for 8 s for any other group and ends the answer.

Change: a test; the product is unchanged.

Measured: the test fails here.

--- a/tests/attempts/test_model_call.py
+++ b/tests/attempts/test_model_call.py
@@ -11,6 +11,7 @@
     MAX_ATTEMPTS,
     MAX_UNREACHABLE_GROUPS,
     REFUSAL_OVERLOADED,
+    REFUSAL_UNREACHABLE,
     STREAM_IDLE_TIMEOUT_S,
 )
 from chestnutvale.attempts.events import (
@@ -472,3 +473,13 @@
         effects = call.handle(Tick(), call.next_tick_s)
     assert [type(effect) for effect in effects] == [CancelAttempt, ChooseGroup]
     assert effects[1].allowed == {"g1"}
+
+
+def test_call_returns_to_a_silent_group_if_the_next_one_is_unreachable(call):
+    # The group that was left may go on, and the call was sent to no other endpoint.
+    leave_silent_group(call)
+    attempt_id = choose(call, "g2")
+    refusal = AttemptRefused(attempt_id, REFUSAL_UNREACHABLE, "refused")
+    (effect,) = call.handle(refusal, 3.1)
+    assert isinstance(effect, ChooseGroup)
+    assert "g1" not in effect.excluded
