Show a call that ends its answer though it could return to a silent group

Cause: The other group disappears between the decision to leave and the choice, which a probe may separate. The call is not allowed to return.

Change: a test; the product is unchanged.

--- a/tests/attempts/test_model_call.py
+++ b/tests/attempts/test_model_call.py
@@ -483,3 +483,10 @@
     (effect,) = call.handle(refusal, 3.1)
     assert isinstance(effect, ChooseGroup)
     assert "g1" not in effect.excluded
+
+
+def test_call_returns_to_a_silent_group_if_the_other_one_is_gone(call):
+    # The other group can disappear while the call probes the one that it leaves.
+    leave_silent_group(call)
+    (effect,) = call.handle(NoGroupAvailable(1.0), 3.5)
+    assert isinstance(effect, ChooseGroup)
