Show a late control that dissolves a group before it has read all announcements

Cause: After a standstill, some announcements of a group are read before a round, and others after it.

Change: a test; the product is unchanged.

--- a/tests/groups/test_group_pauses.py
+++ b/tests/groups/test_group_pauses.py
@@ -102,3 +102,19 @@
         commands = pool.plan(now_s)
     assert not pool.table.is_fresh(head, 5.5)
     assert any(isinstance(c, RemoveGroup) for c in commands) == (attempts == 0)
+
+
+def test_control_that_ran_late_and_has_read_some_announcements_dissolves_no_group():
+    pool = make_serving_pool()
+    group = next(g for g in pool.state.groups.values() if g.service == BIG)
+    late_id = group.members[-1].host_id
+    for host_id in all_hosts():
+        pool.announce(host_id, 2.0)
+    assert not any(isinstance(c, RemoveGroup) for c in pool.plan(2.0))
+    # The control stands still for 3.2 s, and the last announcement is read at 5.25.
+    for host_id in all_hosts():
+        if host_id != late_id:
+            pool.announce(host_id, 5.2)
+    assert not any(isinstance(c, RemoveGroup) for c in pool.plan(5.2))
+    pool.announce(late_id, 5.25)
+    assert not any(isinstance(c, RemoveGroup) for c in pool.plan(5.25))
