Show a drain with a silent head that ends while an entry is late

Cause: Whether the counts are complete is asked only if the head is heard.

Change: a test; the product is unchanged.

Measured: the test fails here.

--- a/tests/groups/test_idle_tracker.py
+++ b/tests/groups/test_idle_tracker.py
@@ -102,3 +102,13 @@
     assert not pool.idle_tracker.is_idle(drain.group, pool.table, 9.1)
     pool.table.record_running_attempts(group_head(drain.group).host_id, 0)
     assert pool.idle_tracker.is_idle(drain.group, pool.table, 9.1)
+
+
+def test_silent_head_is_not_idle_while_counts_of_late_entries_are_missing():
+    drain = DrainingPool(20_000)
+    pool = drain.pool
+    pool.idle_tracker.observe(pool.state, pool.table, pool.text, 8.0)
+    head_id = group_head(drain.group).host_id
+    pool.table.record_running_attempts(head_id, 0, is_complete=False)
+    assert not pool.table.is_fresh(head_id, 8.0)
+    assert not pool.idle_tracker.is_idle(drain.group, pool.table, 8.0)
