--- a/tests/programs/control/test_entry_report_handler.py
+++ b/tests/programs/control/test_entry_report_handler.py
@@ -328,3 +328,12 @@
     assert list(views_to(handler_fixture, "e1")[-1].peers) == ["10.0.0.1:2"]
     handler_fixture.report(1.5, entry_id="e0", relay_address="10.0.0.1:2")
     assert not views_to(handler_fixture, "e0")[-1].peers
+
+
+def test_attempts_of_a_silent_entry_still_count_at_a_silent_member():
+    # Guards against a dissolved group whose calls an entry that is late still runs.
+    fixture = DrainFixture()
+    fixture.report_of("e2", fixture.drain_version, running=2)
+    fixture.now_s = 104.0
+    fixture.report_of("e1", fixture.drain_version, heard=fixture.heard)
+    assert fixture.table.host("a").running_attempts == 2
