Show a drain that cuts calls of the own interface

Cause: The limit of a drain covers routes only. Calls of the own interface may last longer.

Change: a test; the product is unchanged.

--- a/tests/groups/test_idle_tracker.py
+++ b/tests/groups/test_idle_tracker.py
@@ -112,3 +112,13 @@
     pool.table.record_running_attempts(head_id, 0, is_complete=False)
     assert not pool.table.is_fresh(head_id, 8.0)
     assert not pool.idle_tracker.is_idle(drain.group, pool.table, 8.0)
+
+
+def test_drain_ends_no_call_of_the_own_interface_before_its_time_limit():
+    drain = DrainingPool(1_000)
+    del drain.pool.text.routes[:]
+    for service in drain.pool.text.services.values():
+        service.limits.default_deadline_ms = 30_000
+    drain.pool.text.number += 1
+    drain.observe(STOPPED_AT_S)
+    assert not drain.is_idle(STOPPED_AT_S + 8.1)
