Show a call that waits for a group that can not come back

Cause: The only allowed group was rebuilt under another epoch, and the call waits for 8 s.

Change: a test; the product is unchanged.

--- a/tests/programs/entry/test_group_chooser.py
+++ b/tests/programs/entry/test_group_chooser.py
@@ -101,3 +101,13 @@
     harness.epoch = 2
     effect = ChooseGroup(frozenset(), "1", frozenset({"other"}))
     assert isinstance(harness.chooser.choose(effect), NoGroupAvailable)
+
+
+def test_call_does_not_wait_for_an_endpoint_that_is_gone_for_good():
+    harness = ChooserHarness(0.0)
+    harness.chooser.choose(ChooseGroup(frozenset(), ""))
+    harness.epoch = 2
+    # No other group is allowed, and this one never gets its earlier epoch back.
+    effect = ChooseGroup(frozenset(), "", frozenset({"g"}))
+    assert isinstance(harness.chooser.choose(effect), NoGroupAvailable)
+    assert harness.now_s == 0.0
