Show loads of an unheard group that hold up others

Cause: A forming group none of whose members is heard is kept for 60 s, and counts as loading.

Change: a test; the product is unchanged.

--- a/tests/groups/test_group_pauses.py
+++ b/tests/groups/test_group_pauses.py
@@ -5,6 +5,7 @@
 import pytest
 
 from benchmarks.groups_pauses import SIZE, Fault, find_dissolved_times_s
+from chestnutvale.groups.budget import LoadBudget
 from chestnutvale.groups.const import UNHEARD_GROUP_EXPIRY_S
 from chestnutvale.schema.groups_pb2 import PutGroup, RemoveGroup
 from tests.groups.test_pools import BIG, all_hosts, make_serving_pool
@@ -118,3 +119,21 @@
     assert not any(isinstance(c, RemoveGroup) for c in pool.plan(5.2))
     pool.announce(late_id, 5.25)
     assert not any(isinstance(c, RemoveGroup) for c in pool.plan(5.25))
+
+
+def test_loads_of_an_unheard_group_do_not_hold_up_others():
+    pool = make_serving_pool()
+    group = next(g for g in pool.state.groups.values() if g.service == BIG)
+    group.phase = "forming"
+    for member in group.members:
+        pool.holdings[member.host_id].phase = "loading"
+    for host_id in all_hosts():
+        pool.announce(host_id, 2.0)
+    pool.plan(2.0)
+    for now_s in (4.0, 6.0, 8.0):
+        announce_others(pool, group, now_s)
+        pool.plan(now_s)
+    if group.group_id not in pool.state.groups:
+        return
+    budget = LoadBudget(pool.policy, pool.state, pool.table)
+    assert budget.remaining_loads == pool.policy.max_loading_hosts
