--- a/tests/attempts/test_model_call.py
+++ b/tests/attempts/test_model_call.py
@@ -11,6 +11,7 @@
     MAX_ATTEMPTS,
     MAX_UNREACHABLE_GROUPS,
     REFUSAL_OVERLOADED,
+    REFUSAL_UNREACHABLE,
     STREAM_IDLE_TIMEOUT_S,
 )
 from chestnutvale.attempts.events import (
@@ -450,3 +451,42 @@
     effects = call.handle(AttemptBroken(attempt_id, "x"), 0.0)
     assert [type(e) for e in effects] == [CancelAttempt, Finish]
     assert effects[1].failure.code == "stream_broken"
+
+
+def leave_silent_group(call, group_id="g1"):
+    attempt_id = start(call, group_id)
+    call.handle(EventsArrived(attempt_id, [token(attempt_id, 0)]), 0.0)
+    call.handle(GroupLost(), 3.0)
+    return call.handle(Tick(), 3.0)
+
+
+def test_last_attempt_at_a_lost_group_returns_to_a_group_that_went_on():
+    # A host without power closes no connection, so nothing else ends the attempt.
+    limits = CallLimits(max_attempts=2)
+    call = ModelCall("r", DEADLINE_S, AttemptBudgets(), limits)
+    leave_silent_group(call)
+    choose(call, "g2")
+    call.has_alternative = lambda excluded, version: "g1" not in excluded
+    call.handle(GroupLost(), 6.0)
+    effects = []
+    while not effects and call.next_tick_s < DEADLINE_S:
+        effects = call.handle(Tick(), call.next_tick_s)
+    assert [type(effect) for effect in effects] == [CancelAttempt, ChooseGroup]
+    assert effects[1].allowed == {"g1"}
+
+
+def test_call_returns_to_a_silent_group_if_the_next_one_is_unreachable(call):
+    # The group that was left may go on, and the call was sent to no other endpoint.
+    leave_silent_group(call)
+    attempt_id = choose(call, "g2")
+    refusal = AttemptRefused(attempt_id, REFUSAL_UNREACHABLE, "refused")
+    (effect,) = call.handle(refusal, 3.1)
+    assert isinstance(effect, ChooseGroup)
+    assert "g1" not in effect.excluded
+
+
+def test_call_returns_to_a_silent_group_if_the_other_one_is_gone(call):
+    # The other group can disappear while the call probes the one that it leaves.
+    leave_silent_group(call)
+    (effect,) = call.handle(NoGroupAvailable(1.0), 3.5)
+    assert isinstance(effect, ChooseGroup)
