Show a late engine that counts as crashed once its group is reported as lost

Cause: REASON_LOST is not among the reasons of silence, so a call that leaves such a group probes its members, and a member that does not answer within 0.3 s counts as crashed. The request is suspected from then on and stays at the next silent group though a third one serves.

Change: a test; the product is unchanged.

--- a/tests/programs/entry/test_model_calls.py
+++ b/tests/programs/entry/test_model_calls.py
@@ -268,3 +268,32 @@
     engines[0].pause_s = 0.2
     assert post(entry, "/", {**CHAT, "stream": True})[0] == 200
     assert asked == [False]
+
+
+def make_late(engine, delay_s):
+    """Delay the answers of an engine, as if it stood still."""
+    answer_membership, stream = engine._membership, engine._stream
+
+    def answer_late(start_response):
+        eventlet.sleep(delay_s)
+        return answer_membership(start_response)
+
+    def stream_late(body):
+        eventlet.sleep(delay_s)
+        yield from stream(body)
+
+    engine._membership, engine._stream = answer_late, stream_late
+
+
+def test_call_moves_again_after_a_group_that_was_only_late(context, engines, entry):
+    # Guards against a probe that takes a late engine for a crashed one.
+    for engine in engines:
+        make_late(engine, 4.0)
+    third = FakeEngine("g3")
+    with serve(third) as address:
+        context.add_group("g3", "llm", address)
+        eventlet.spawn_after(0.2, context.running.report_loss, "g1", 1)
+        eventlet.spawn_after(1.5, context.running.report_loss, "g2", 1)
+        status, _, body = post(entry, "/", {**CHAT, "stream": True})
+    assert (status, read_answer(body)) == (200, ANSWER)
+    assert len(third.requests) == 1
