--- a/tests/programs/entry/test_entry_context.py
+++ b/tests/programs/entry/test_entry_context.py
@@ -407,3 +407,18 @@
     receive_view(context, view, message, clock)
     assert context.is_isolated
     assert context.peers == ["10.0.0.9:2"]
+
+
+def test_dissolution_that_several_views_report_counts_once():
+    # A view repeats what the entry has not yet confirmed.
+    clock = ManualClock()
+    context, view, _ = make_context(clock)
+    receive_view(context, view, make_view(1, serving=True), clock)
+    context.running.add("g1", 1, FakeAttempt(), lambda report: None)
+    for version in (2, 3):
+        message = ControlView(
+            nonce=version, source="s", term=1, view_version=version, base_version=1
+        )
+        message.removed_group_ids.append("g1")
+        receive_view(context, view, message, clock)
+    assert sum(context.lost_group_reports.values()) == 1
