Show a dissolved group that a whole view leaves out unreported

Cause: only the removed groups of a partial view are reported. After a gap or from a new leader a view is whole, and the calls at a silent group that it leaves out wait for their own timeout.

Change: a test; the product is unchanged.

Measured: the test fails here.

--- a/tests/programs/entry/test_entry_context.py
+++ b/tests/programs/entry/test_entry_context.py
@@ -422,3 +422,16 @@
         message.removed_group_ids.append("g1")
         receive_view(context, view, message, clock)
     assert sum(context.lost_group_reports.values()) == 1
+
+
+def test_group_that_a_whole_view_leaves_out_is_reported_as_dissolved():
+    clock = ManualClock()
+    context, view, _ = make_context(clock)
+    receive_view(context, view, make_view(1, serving=True), clock)
+    reports = []
+    context.running.add("g1", 1, FakeAttempt(), reports.append)
+    whole = make_view(2, serving=True)
+    del whole.groups[:], whole.loads[:]
+    receive_view(context, view, whole, clock)
+    assert view.group("g1") is None
+    assert len(reports) == 1
