Let a call return to a silent group that it left and that goes on

A call whose route allows two endpoints leaves a group that is silent for a second one. If that one was lost without closing its connections, the call stayed there until its deadline, though the first group had gone on: the report of a loss ends no attempt any more. If the second was unreachable, or had disappeared meanwhile, the call waited 8 s for a group that it had not used and ended.

Change: a silent attempt without further attempts is left for a group that the call left before, if that serves under the same epoch and works. Such groups are also the last choice whenever no other group can take the call. No further endpoint gets it. A call that may only return to groups that were rebuilt under another epoch ends at once instead of waiting for 8 s.

A missing member or a dissolved group is no hint of a crash: late members counted as crashed in a probe of the own interface, and the call was then suspected. A restarted one still is.

A dissolved group is found by comparing the views before and after, so that a repeated view does not count again, and one that leaves the group out counts.

--- a/chestnutvale/attempts/attempt_silence.py
+++ b/chestnutvale/attempts/attempt_silence.py
@@ -5,7 +5,7 @@
 import attrs
 
 from chestnutvale.attempts.call_limits import CallLimits
-from chestnutvale.attempts.const import LOST_GROUP_SILENCE_S
+from chestnutvale.attempts.const import LOST_GROUP_SILENCE_S, REASON_SILENT
 
 
 @attrs.define
@@ -22,15 +22,17 @@
         Limits on the attempts of the call.
     due_s : float
         Monotonic time in seconds at which the call reconsiders the attempt.
+    reason : str
+        Why it does: the silence, or the loss that was reported since the last event.
     """
 
     limits: CallLimits
     due_s: float = math.inf
+    reason: str = REASON_SILENT
     _received_s: float = -math.inf
     _timeout_s: float = math.inf
     # Time by which an event must be complete whose first bytes have arrived.
     _event_due_s: float = math.inf
-    _is_group_lost: bool = False
 
     def begin(self, now_s: float) -> None:
         """Record that an attempt was sent.
@@ -43,7 +45,7 @@
         self._received_s = now_s
         self._timeout_s = self.limits.first_event_timeout_s
         self._event_due_s = math.inf
-        self._is_group_lost = False
+        self.reason = REASON_SILENT
         self.due_s = now_s + self._timeout_s
 
     def end(self) -> None:
@@ -70,7 +72,7 @@
         if has_events:
             self._timeout_s = self.limits.gap_timeout_s
             self._event_due_s = math.inf
-            self._is_group_lost = False
+            self.reason = REASON_SILENT
             self.due_s = now_s + self._timeout_s
             return False
         # A pause within an event does not count towards the time for its bytes.
@@ -78,15 +80,17 @@
             self._event_due_s = now_s + self._timeout_s
         return now_s >= self._event_due_s
 
-    def record_group_loss(self, now_s: float) -> None:
+    def record_group_loss(self, reason: str, now_s: float) -> None:
         """Record that the group of the attempt was reported as lost.
 
         Parameters
         ----------
+        reason : str
+            What was reported.
         now_s : float
             Monotonic time in seconds.
         """
-        self._is_group_lost = True
+        self.reason = reason
         silent_at_s = self._received_s + LOST_GROUP_SILENCE_S
         self.due_s = min(self.due_s, max(now_s, silent_at_s))
 
@@ -100,11 +104,6 @@
         """
         self.due_s = now_s + self._recheck_interval_s
 
-    @property
-    def is_group_lost(self) -> bool:
-        """Whether the group was reported as lost since the last event."""
-        return self._is_group_lost
-
     def elapsed_s(self, now_s: float) -> float:
         """Return the time since the attempt began or its last bytes arrived.
 
@@ -122,6 +121,6 @@
 
     @property
     def _recheck_interval_s(self) -> float:
-        if self._is_group_lost:
-            return min(self._timeout_s, LOST_GROUP_SILENCE_S)
-        return self._timeout_s
+        if self.reason == REASON_SILENT:
+            return self._timeout_s
+        return min(self._timeout_s, LOST_GROUP_SILENCE_S)
--- a/chestnutvale/attempts/const.py
+++ b/chestnutvale/attempts/const.py
@@ -40,8 +40,9 @@
 REASON_SILENT: Final = "the stream fell silent"
 REASON_STALLED: Final = "the group stalled"
 REASON_LOST: Final = "the group was reported as lost"
+REASON_RESTARTED: Final = "a member of the group was restarted"
 # Reasons that are no sign of a crash.
-SILENCE_REASONS: Final = frozenset({REASON_SILENT, REASON_STALLED})
+SILENCE_REASONS: Final = frozenset({REASON_SILENT, REASON_STALLED, REASON_LOST})
 
 # Refusal codes by which an engine states that it did not run the request.
 REFUSAL_WRONG_EPOCH: Final = "wrong_epoch"
--- a/chestnutvale/attempts/events.py
+++ b/chestnutvale/attempts/events.py
@@ -130,8 +130,15 @@
     """The membership reports that the group of the running attempt can't finish it.
 
     The report may be wrong: a member whose announcements are late counts as missing.
+
+    Attributes
+    ----------
+    is_restarted : bool
+        Whether a member announced itself as restarted.
     """
 
+    is_restarted: bool = False
+
 
 @attrs.frozen
 class Tick:
@@ -168,12 +175,16 @@
     is_unsent : bool
         Whether the request was not sent, or endpoints proved that they did not run it,
         so that another entry can take it.
+    fallback : frozenset of str
+        Groups to choose from if no other one is available: the call left them while
+        they were silent, and they may have gone on.
     """
 
     excluded: frozenset[str]
     version: str
     allowed: frozenset[str] = frozenset()
     is_unsent: bool = False
+    fallback: frozenset[str] = frozenset()
 
 
 @attrs.frozen
--- a/chestnutvale/attempts/model_call.py
+++ b/chestnutvale/attempts/model_call.py
@@ -23,6 +23,7 @@
     OUTCOME_NOT_RUN,
     OUTCOME_UNKNOWN,
     REASON_LOST,
+    REASON_RESTARTED,
     REASON_SILENT,
     REASON_STALLED,
     REFUSAL_OVERLOADED,
@@ -59,12 +60,18 @@
 
 # Gets the excluded groups and the version; tells whether a healthy group is left.
 AlternativeFinder = Callable[[frozenset[str], str], bool]
+# Gets groups and the version; tells whether one of the groups is healthy.
+ReturnFinder = Callable[[frozenset[str], str], bool]
 
 
 def _assume_alternative(excluded: frozenset[str], version: str) -> bool:
     return True
 
 
+def _assume_no_return(groups: frozenset[str], version: str) -> bool:
+    return False
+
+
 class ModelCall:
     """State machine of one call; ends in a complete answer or exactly one failure.
 
@@ -96,6 +103,9 @@
     has_alternative : callable
         Tells whether a group outside a set, with a version, can take the call now; by
         default there always is one.
+    can_return : callable
+        Tells whether one of a set of groups, which the call left while they were
+        silent, can take the call again; by default none can.
     is_finished : bool
         Whether `Finish` was returned.
     kept_because : str
@@ -115,6 +125,7 @@
         self.attempts = 0
         self.deadline_s = deadline_s
         self.has_alternative: AlternativeFinder = _assume_alternative
+        self.can_return: ReturnFinder = _assume_no_return
         self.is_finished = False
         self.kept_because = ""
         self._request_id = request_id
@@ -196,7 +207,12 @@
             return self._fail_deadline()
         is_unsent = self._outcome == OUTCOME_NOT_RUN
         return [
-            ChooseGroup(frozenset(self._excluded), self._version, is_unsent=is_unsent)
+            ChooseGroup(
+                frozenset(self._excluded),
+                self._version,
+                is_unsent=is_unsent,
+                fallback=frozenset(self._silent_groups),
+            )
         ]
 
     def _on_group_chosen(self, event: GroupChosen, now_s: float) -> list[CallEffect]:
@@ -315,7 +331,6 @@
         now_s: float,
         retry_after_s: float,
     ) -> list[CallEffect]:
-        self._excluded -= self._silent_groups
         if not (self._has_attempts_left or self._silent_groups):
             return self._fail(CODE_ATTEMPTS, reason, retry_after_s=retry_after_s)
         if not budget.try_retry():
@@ -328,7 +343,9 @@
         """Choose a group that was left; the call is sent to no further endpoint."""
         if now_s >= self.deadline_s:
             return self._fail_deadline()
-        groups, self._silent_groups = frozenset(self._silent_groups), set()
+        others = self._silent_groups - {self._group_id}
+        groups = frozenset(others or self._silent_groups)
+        self._silent_groups -= groups
         return [ChooseGroup(frozenset(), self._version, groups)]
 
     def _on_caller_disconnected(
@@ -349,7 +366,8 @@
     def _on_group_lost(self, event: GroupLost, now_s: float) -> list[CallEffect]:
         # The next `Tick` decides: data that has arrived before is read first.
         if self._attempt_id:
-            self._silence.record_group_loss(now_s)
+            reason = REASON_RESTARTED if event.is_restarted else REASON_LOST
+            self._silence.record_group_loss(reason, now_s)
         return []
 
     def _on_tick(self, event: Tick, now_s: float) -> list[CallEffect]:
@@ -363,30 +381,32 @@
         """Continue at another group if the call can, else keep the attempt."""
         obstacle = self._find_obstacle()
         if not obstacle:
-            is_lost = self._silence.is_group_lost
-            return self._leave_group(REASON_LOST if is_lost else REASON_SILENT, now_s)
+            return self._leave_group(self._silence.reason, now_s)
         self.kept_because = self.kept_because or obstacle
         self._silence.postpone(now_s)
         return []
 
     def _leave_group(self, reason: str, now_s: float) -> list[CallEffect]:
-        group_id = self._group_id
-        effects = self._break_attempt(reason, now_s)
-        self._silent_groups.add(group_id)
-        return effects
+        self._silent_groups.add(self._group_id)
+        return self._break_attempt(reason, now_s)
 
     def _find_obstacle(self) -> str:
         """Return the code of why the call can't continue at another group now."""
         if not (self._limits.is_resumable and self.answer.can_resume):
             return CODE_NOT_RESUMABLE
-        if not self._has_attempts_left:
+        can_return = self._can_return_to_silent_group()
+        if not (self._has_attempts_left or can_return):
             return CODE_ATTEMPTS
         if not self._budgets.reroutes.has_retry:
             return CODE_RETRY_BUDGET
         excluded = frozenset(self._excluded | {self._group_id})
-        if not self.has_alternative(excluded, self._version):
-            return CODE_NONE_AVAILABLE
-        return ""
+        if can_return or self.has_alternative(excluded, self._version):
+            return ""
+        return CODE_NONE_AVAILABLE
+
+    def _can_return_to_silent_group(self) -> bool:
+        groups = frozenset(self._silent_groups - {self._group_id})
+        return bool(groups) and self.can_return(groups, self._version)
 
     @property
     def _has_attempts_left(self) -> bool:
--- a/chestnutvale/membership/entry_view.py
+++ b/chestnutvale/membership/entry_view.py
@@ -44,6 +44,9 @@
         Groups that produce no events although streams run there.
     newly_stalled : frozenset of str
         Stalled groups that were not listed in the previous view.
+    newly_dissolved : frozenset of str
+        Groups that the last installed view no longer has. A leader that still discovers
+        hosts may leave out groups that exist, so they do not count.
     is_discovering : bool
         Whether the leader may not have heard all hosts yet.
     awaited_groups : dict of str to int
@@ -64,6 +67,7 @@
     _entry_count: int = 1
     stalled: frozenset[str] = frozenset()
     newly_stalled: frozenset[str] = frozenset()
+    newly_dissolved: frozenset[str] = frozenset()
     is_discovering: bool = False
     awaited_groups: dict[str, int] = attrs.field(factory=dict)
 
@@ -236,10 +240,12 @@
         self.stalled = stalled
         self.is_discovering = view.discovering
         self.awaited_groups = {item.service: item.count for item in view.awaited_groups}
+        self.newly_dissolved = frozenset()
         if view.source == self._source and view.view_version < self._version:
             return InstallVerdict.OLD_VERSION
         if not view.whole and not self._has_base_version(view):
             return InstallVerdict.GAP
+        before = frozenset(self._groups)
         if view.whole:
             self._groups.clear()
             self._loads.clear()
@@ -248,6 +254,8 @@
         for group_id in view.removed_group_ids:
             self._groups.pop(group_id, None)
             self._loads.pop(group_id, None)
+        if not (view.whole and view.discovering):
+            self.newly_dissolved = before - self._groups.keys()
         for load in view.loads:
             self._loads[load.group_id] = load.load
         self._source = view.source
--- a/chestnutvale/membership/lost_groups.py
+++ b/chestnutvale/membership/lost_groups.py
@@ -61,11 +61,10 @@
         cause = _find_cause(group_view)
         if cause and view.group(group.group_id) is group_view:
             yield LostGroup(group.group_id, group.epoch, cause, group_view.reason)
-    for group_id in update.removed_group_ids:
-        if view.group(group_id) is None:
-            yield LostGroup(
-                group_id, LAST_EPOCH, CAUSE_DISSOLVED, "the group was dissolved"
-            )
+    for group_id in sorted(view.newly_dissolved):
+        yield LostGroup(
+            group_id, LAST_EPOCH, CAUSE_DISSOLVED, "the group was dissolved"
+        )
 
 
 def _find_cause(group_view: GroupView) -> str:
--- a/chestnutvale/programs/entry/entry_context.py
+++ b/chestnutvale/programs/entry/entry_context.py
@@ -22,7 +22,7 @@
 from chestnutvale.http_server.memory import MemoryBound
 from chestnutvale.membership.endpoint_notices import EndpointNotice, Incarnation
 from chestnutvale.membership.entry_view import EntryView
-from chestnutvale.membership.lost_groups import find_lost_groups
+from chestnutvale.membership.lost_groups import CAUSE_RESTARTED, find_lost_groups
 from chestnutvale.programs.entry.admission_gate import AdmissionGate
 from chestnutvale.programs.entry.commit_client import CommitClient
 from chestnutvale.programs.entry.context import AttemptReport, CallRequest, CrashProbe
@@ -744,7 +744,9 @@
     def _report_lost_groups(self, view: ControlView, control_id: str) -> None:
         silences_s = self.stall_detector.silences_s(self.clock.now_s())
         for lost in find_lost_groups(view, self._view):
-            count = self.running.report_loss(lost.group_id, lost.epoch)
+            count = self.running.report_loss(
+                lost.group_id, lost.epoch, lost.cause == CAUSE_RESTARTED
+            )
             if not count:
                 continue
             self.lost_group_reports[lost.cause] += count
--- a/chestnutvale/programs/entry/group_chooser.py
+++ b/chestnutvale/programs/entry/group_chooser.py
@@ -99,7 +99,7 @@
             if not isinstance(event, NoGroupAvailable):
                 return event
             wait_s = self._find_wait_s(wait_until_s)
-            if wait_s <= 0.0 or self._is_movable(effect):
+            if wait_s <= 0.0 or self._is_movable(effect) or self._is_hopeless(effect):
                 return event
             if self._wait(wait_s):
                 return Tick()
@@ -108,6 +108,10 @@
         """Tell whether the call need not wait here, as another entry can take it."""
         return self._context.is_isolated and effect.is_unsent
 
+    def _is_hopeless(self, effect: ChooseGroup) -> bool:
+        """Tell whether all allowed groups were rebuilt, and so never come back."""
+        return bool(effect.allowed) and all(map(self._has_new_epoch, effect.allowed))
+
     def _find_wait_s(self, resume_until_s: float) -> float:
         """Return how long to wait before the next choice; 0 to give up."""
         now_s = self._context.clock.now_s()
@@ -165,6 +169,31 @@
             return False
         return context.has_alternative(self._request, excluded, version)
 
+    def can_return(self, groups: frozenset[str], version: str) -> bool:
+        """Tell whether `choose` would find one of the groups that the call has left.
+
+        Parameters
+        ----------
+        groups : frozenset of str
+            Groups that the call left while they were silent.
+        version : str
+            Version that the group must serve; empty allows any.
+
+        Returns
+        -------
+        bool
+            Whether one of them serves under the same epoch and works.
+        """
+        serving = self._context.serving_groups(self._request.service, version)
+        return self.has_alternative(self._exclude_others(groups, serving), version)
+
+    def _exclude_others(
+        self, allowed: frozenset[str], groups: list[str]
+    ) -> frozenset[str]:
+        # A rebuilt group may have another head, which is a further endpoint.
+        unchanged = {name for name in allowed if not self._has_new_epoch(name)}
+        return frozenset(groups) - unchanged
+
     def attempt_started(self, attempt_id: str) -> None:
         """Record that the chosen group runs an attempt.
 
@@ -232,10 +261,13 @@
             if only:
                 excluded |= set(groups) - only
             if effect.allowed:
-                # A rebuilt group may have another head, which is a further endpoint.
-                unchanged = {n for n in effect.allowed if not self._has_new_epoch(n)}
-                excluded |= set(groups) - unchanged
+                excluded |= self._exclude_others(effect.allowed, groups)
             view = self._context.choose_group(self._request, excluded, effect.version)
+            if view is None and effect.fallback and not only:
+                excluded = self._exclude_others(effect.fallback, groups)
+                view = self._context.choose_group(
+                    self._request, excluded, effect.version
+                )
         if view is None or not head_address(view):
             return NoGroupAvailable(self._find_retry_after_s())
         self.view = view
--- a/chestnutvale/programs/entry/model_calls.py
+++ b/chestnutvale/programs/entry/model_calls.py
@@ -269,6 +269,7 @@
             context, request, fingerprint, self._watch.wait, part_hashes
         )
         call.has_alternative = self._chooser.has_alternative
+        call.can_return = self._chooser.can_return
         self._tick_timer = TickTimer(context.clock, self._tick)
         self._is_waiting = False
         self._interrupt_effects: list[CallEffect] = []
--- a/chestnutvale/programs/entry/running_attempts.py
+++ b/chestnutvale/programs/entry/running_attempts.py
@@ -89,7 +89,7 @@
         """Return the number of running attempts by the epoch of their group."""
         return dict(Counter(item.epoch for item in self._running.values()))
 
-    def report_loss(self, group_id: str, epoch: int) -> int:
+    def report_loss(self, group_id: str, epoch: int, is_restarted: bool = False) -> int:
         """Report to the calls with attempts at a group that it seems to be lost.
 
         Parameters
@@ -98,6 +98,8 @@
             The group.
         epoch : int
             Last epoch that is lost; attempts of later epochs are not concerned.
+        is_restarted : bool, optional
+            Whether a member announced itself as restarted.
 
         Returns
         -------
@@ -110,7 +112,7 @@
             if item.group_id == group_id and item.epoch <= epoch
         ]
         for item in concerned:
-            item.on_report(GroupLost())
+            item.on_report(GroupLost(is_restarted))
         return len(concerned)
 
     def report_stall(self, group_id: str) -> None:
--- a/tests/attempts/test_model_call.py
+++ b/tests/attempts/test_model_call.py
@@ -466,7 +466,7 @@
     call = ModelCall("r", DEADLINE_S, AttemptBudgets(), limits)
     leave_silent_group(call)
     choose(call, "g2")
-    call.has_alternative = lambda excluded, version: "g1" not in excluded
+    call.can_return = lambda groups, version: "g1" in groups
     call.handle(GroupLost(), 6.0)
     effects = []
     while not effects and call.next_tick_s < DEADLINE_S:
@@ -482,11 +482,10 @@
     refusal = AttemptRefused(attempt_id, REFUSAL_UNREACHABLE, "refused")
     (effect,) = call.handle(refusal, 3.1)
     assert isinstance(effect, ChooseGroup)
-    assert "g1" not in effect.excluded
+    assert effect.fallback == {"g1"}
 
 
 def test_call_returns_to_a_silent_group_if_the_other_one_is_gone(call):
     # The other group can disappear while the call probes the one that it leaves.
-    leave_silent_group(call)
-    (effect,) = call.handle(NoGroupAvailable(1.0), 3.5)
-    assert isinstance(effect, ChooseGroup)
+    (_, choice) = leave_silent_group(call)
+    assert choice.fallback == {"g1"}
