Close retired peer connections in a native thread

A process that reopened the connection to a silent peer stood still: beside 26 busy processes, a control ran 2.94 s late with 0.01 s of processor time, and its main thread was inside the close of a peer socket 0.8 s into that delay.

Cause: nng closes a socket in threads of its own, and the caller waits until they have run. Connections are reopened just when processes are late or restart.

Retired sockets are now closed one at a time in a native thread, which entries get as well, before they open their sockets.

--- a/chestnutvale/programs/control/daemon.py
+++ b/chestnutvale/programs/control/daemon.py
@@ -43,7 +43,7 @@
 from chestnutvale.programs.control.state import ControlState
 from chestnutvale.programs.control.status import StatusBuilder
 from chestnutvale.programs.delay_watch import DelayWatch
-from chestnutvale.programs.native_threads import start_native_threads
+from chestnutvale.programs.native_threads import CONTROL_THREADS, start_native_threads
 from chestnutvale.programs.process_metrics import register_process_metrics
 from chestnutvale.programs.signals import SignalHandler
 from chestnutvale.rate_limits.cold_bound import ColdBound
@@ -117,7 +117,7 @@
 
     def __enter__(self) -> Self:
         """Open storage and sockets and start the tasks."""
-        start_native_threads()
+        start_native_threads(CONTROL_THREADS)
         with contextlib.ExitStack() as stack:
             storage = stack.enter_context(DataStore(self.settings))
             stack.enter_context(self.transport)
--- a/chestnutvale/programs/entry/daemon.py
+++ b/chestnutvale/programs/entry/daemon.py
@@ -44,6 +44,7 @@
     register_memory_metrics,
 )
 from chestnutvale.programs.entry.peers.prober import ReachabilityProber
+from chestnutvale.programs.native_threads import ENTRY_THREADS, start_native_threads
 from chestnutvale.programs.periodic import run_periodically
 from chestnutvale.programs.process_metrics import register_process_metrics
 from chestnutvale.routing.policies.registry import make_policy
@@ -197,6 +198,7 @@
 
     def __enter__(self) -> Self:
         """Open the sockets and start the tasks."""
+        start_native_threads(ENTRY_THREADS)
         with contextlib.ExitStack() as exit_stack:
             exit_stack.enter_context(self.metrics)
             exit_stack.enter_context(self.transport)
--- a/chestnutvale/transport/node.py
+++ b/chestnutvale/transport/node.py
@@ -8,7 +8,7 @@
 import eventlet
 import logbook
 import pynng
-from eventlet import hubs
+from eventlet import hubs, queue, tpool
 from google.protobuf.message import Message
 
 from chestnutvale.clock import Clock
@@ -78,6 +78,9 @@
         self._inbox: pynng.Pull0 | None = None
         self._outboxes: dict[str, pynng.Push0] = {}
         self._task: eventlet.greenthread.GreenThread | None = None
+        # Sockets that are no longer used and not closed yet.
+        self._retired: queue.LightQueue = queue.LightQueue()
+        self._closing_task: eventlet.greenthread.GreenThread | None = None
 
     def __enter__(self) -> Self:
         """Open the inbox and start the receiving task.
@@ -97,6 +100,7 @@
             ) from error
         self._inbox = inbox
         self._task = eventlet.spawn(self._receive_messages)
+        self._closing_task = eventlet.spawn(self._close_retired)
         return self
 
     def __exit__(
@@ -108,8 +112,12 @@
         """Stop the receiving task and close all sockets."""
         if self._task is not None:
             self._task.kill()
+        if self._closing_task is not None:
+            self._closing_task.kill()
         if self._inbox is not None:
             self._inbox.close()
+        while not self._retired.empty():
+            self._retired.get_nowait().close()
         for outbox in self._outboxes.values():
             outbox.close()
         self._outboxes.clear()
@@ -208,7 +216,19 @@
             return
         _LOGGER.info("Reconnecting to peer {}: it left messages unanswered", address)
         self.drops["silent_peer"] += 1
-        outbox.close()
+        self._retired.put(outbox)
+
+    def _close_retired(self) -> None:
+        """Close sockets in a native thread, one at a time.
+
+        Closing waits for threads of nng, which may wait for a processor themselves.
+        """
+        while True:
+            outbox = self._retired.get()
+            try:
+                tpool.execute(outbox.close)
+            except pynng.NNGException as error:
+                _LOGGER.warning("Failed to close a connection: {}", error)
 
     def _get_outbox(self, address: str) -> pynng.Push0:
         outbox = self._outboxes.get(address)
