Read heartbeats that have arrived before a late follower campaigns

After its process had stood still for longer than the election timeout, a follower asked for votes although heartbeats of its leader were waiting in its sockets. Where all controls of an overloaded host stand still together, they vote for each other, and the leader changes for nothing.

Cause: the hub runs its timers before it reads.

--- a/chestnutvale/consensus/events.py
+++ b/chestnutvale/consensus/events.py
@@ -65,6 +65,11 @@
     """The deadline of `Raft.next_deadline_s` has passed."""
 
 
+@attrs.frozen
+class Delayed:
+    """This process ran late; messages may have arrived that are not read yet."""
+
+
 @attrs.frozen
 class Proposal:
     """A command to commit; effects refer to it by its request id."""
@@ -118,6 +123,7 @@
 Event = (
     MessageReceived
     | Tick
+    | Delayed
     | ProposeCommands
     | ProposeMembers
     | ReadRequest
--- a/chestnutvale/consensus/loop.py
+++ b/chestnutvale/consensus/loop.py
@@ -19,6 +19,7 @@
 from chestnutvale.consensus.disk_writer import DiskWriter, SaveSnapshot
 from chestnutvale.consensus.events import (
     ApplyEntries,
+    Delayed,
     Effect,
     Event,
     InstallSnapshot,
@@ -263,6 +264,8 @@
     def _run_once(self) -> None:
         events = self._wait_for_events()
         now_s = self._clock.now_s()
+        if self._last_delay_s > self._config.heartbeat_interval_s:
+            self._execute_effects(self.raft.handle(Delayed(), now_s))
         for event in events:
             self._execute_effects(self.raft.handle(event, now_s))
         if now_s >= self.raft.next_deadline_s():
--- a/chestnutvale/consensus/member_state.py
+++ b/chestnutvale/consensus/member_state.py
@@ -86,6 +86,8 @@
         ended_s = min(now_s, previous_run_ended_s)
         self.leader_contact_s = -math.inf if self.is_empty else ended_s
         self.election_deadline_s = now_s
+        # Contact with the leader after which a delay of this process was granted.
+        self._delay_granted_after_s = math.nan
         if not self._may_campaign_immediately():
             self._set_first_election_deadline(ended_s, now_s)
 
@@ -130,6 +132,19 @@
         )
         self.election_deadline_s = now_s + fraction * self.config.election_timeout_s
 
+    def grant_delay(self, now_s: float) -> None:
+        """Postpone a campaign until the leader's messages may have been read.
+
+        It is postponed once for each silence, so that a process that is always late
+        campaigns as well.
+        """
+        is_granted = self._delay_granted_after_s == self.leader_contact_s
+        if is_granted or not self.leader_id:
+            return
+        self._delay_granted_after_s = self.leader_contact_s
+        grace_s = MAX_SILENCE_STEP_HEARTBEATS * self.config.heartbeat_interval_s
+        self.election_deadline_s = max(self.election_deadline_s, now_s + grace_s)
+
     def become_follower(self, term: int, now_s: float) -> None:
         """Become a follower; a new term is persisted before any reply."""
         if term > self.term:
--- a/chestnutvale/consensus/raft.py
+++ b/chestnutvale/consensus/raft.py
@@ -8,6 +8,7 @@
 from chestnutvale.consensus.elections import Elections
 from chestnutvale.consensus.events import (
     ApplyEntries,
+    Delayed,
     Effect,
     Event,
     LeadershipChanged,
@@ -186,6 +187,8 @@
                 self.request_handler.read(request_id, now_s)
             case Tick():
                 self._tick(now_s)
+            case Delayed():
+                self.member.grant_delay(now_s)
             case ProposeMembers():
                 self.request_handler.propose_members(event, now_s)
             case SnapshotSaved(metadata, size_bytes):
