--- a/tests/http_server/test_timeouts.py
+++ b/tests/http_server/test_timeouts.py
@@ -86,6 +86,16 @@
     assert client.recv(1) == b""
 
 
+def test_lowered_timeouts_do_not_cut_a_head_that_has_begun(server):
+    server.timeouts = ConnectionTimeouts(idle_s=5.0, head_s=5.0)
+    client = server.connect()
+    client.sendall(REQUEST[:10])
+    eventlet.sleep(0.1)
+    server.timeouts = ConnectionTimeouts(idle_s=0.1, head_s=0.1)
+    eventlet.sleep(0.3)
+    assert b"200 OK" in exchange(client, REQUEST[10:])
+
+
 def test_head_that_begins_at_the_end_of_the_idle_time_is_answered(server):
     client = server.connect()
     exchange(client)
