Wait for the announcements and counts that a late process has not delivered

Cause: three decisions about pooled groups and drains still acted on what a late process had not delivered. A control that stood still and had read some announcements of a group dissolved it for those that it had not read. The attempts of an entry that is late did not count at a group with a silent member, nor whether the counts are complete at a draining group with a silent head. A drain only knew the time limits of routes, so that it ended calls of the own interface.

Change: after a gap of 1.5 s between two rounds, a silent member counts as lost only 1.5 s later. Remembered attempts count for silent members and heads, and incomplete counts keep a draining group whether its head is heard or not. Default time limits of services count for a drain. A forming group whose hosts are silent is dissolved as before, since no call is there and its loads hold up others.

Three tests of the planner left gaps of 1.6 to 3 s between rounds, which the daemon does not; they now run the rounds in between and assert that these decide nothing.

--- a/chestnutvale/groups/call_time_limits.py
+++ b/chestnutvale/groups/call_time_limits.py
@@ -10,7 +10,10 @@
 
 @attrs.define
 class CallTimeLimits:
-    """Tracks the longest time limit of routed calls that may still run.
+    """Tracks the longest time limit of calls that may still run.
+
+    Callers of the project's own interface may ask for more than the default of the
+    service; what lies beyond `MAX_ROUTED_CALL_S` is not considered.
 
     Entries accept calls under a previous text until their leases end, so its limit
     applies for that time and then for as long as such a call may run.
@@ -53,8 +56,7 @@
         elif self._has_unseen_texts and text.routes:
             self._keep_limit(MAX_ROUTED_CALL_S, now_s)
         self._number = text.number
-        longest_ms = max((route.timeout_ms for route in text.routes), default=0)
-        self._limit_s = min(longest_ms / 1_000, MAX_ROUTED_CALL_S)
+        self._limit_s = min(_find_longest_ms(text) / 1_000, MAX_ROUTED_CALL_S)
 
     def longest_s(self, now_s: float) -> float:
         """Return the longest time limit of calls that may still run.
@@ -79,3 +81,9 @@
         self._earlier_limit_s = max(self._earlier_limit_s, limit_s)
         until_s = now_s + self.serving_lease_s + limit_s
         self._earlier_until_s = max(self._earlier_until_s, until_s)
+
+
+def _find_longest_ms(text: Text) -> int:
+    routed = (route.timeout_ms for route in text.routes)
+    own = (service.limits.default_deadline_ms for service in text.services.values())
+    return max([*routed, *own], default=0)
--- a/chestnutvale/groups/const.py
+++ b/chestnutvale/groups/const.py
@@ -78,6 +78,8 @@
 # Time from the first announcement of a group none of whose members was heard, within
 # which the others announce themselves if they went on as well.
 RETURN_GRACE_S: Final = 1.5
+# Time between two rounds of decisions above which this control may have stood still.
+MAX_ROUND_GAP_S: Final = 1.5
 # Time for which a group with a silent member is kept while calls stay there, since they
 # can't go on elsewhere and the member may only pause.
 RUNNING_CALLS_GRACE_S: Final = 1.0
--- a/chestnutvale/groups/idle_tracker.py
+++ b/chestnutvale/groups/idle_tracker.py
@@ -138,6 +138,8 @@
         head = table.host(group_head(group).host_id)
         if head is None:
             return True
+        if head.is_load_from_entries and not head.is_load_complete:
+            return False
         if not table.is_fresh(head.host_id, now_s):
             # A head that only pauses goes on with the requests that it has.
             return not (head.running_attempts or has_recent_events(group, table, now_s))
@@ -145,8 +147,6 @@
             return True
         if head.load is None or head.heard_at_s <= no_new_requests_from_s:
             return False
-        if head.is_load_from_entries and not head.is_load_complete:
-            return False
         return head.load.running == 0 and head.load.waiting == 0
 
     def _drain_limit_s(self, now_s: float) -> float:
--- a/chestnutvale/groups/member_silence.py
+++ b/chestnutvale/groups/member_silence.py
@@ -5,6 +5,7 @@
 import attrs
 
 from chestnutvale.groups.const import (
+    MAX_ROUND_GAP_S,
     OVERDUE_FRACTION,
     RETURN_GRACE_S,
     RUNNING_CALLS_GRACE_S,
@@ -47,9 +48,21 @@
 
     _suspicions: dict[int, _Suspicion] = attrs.field(factory=dict)
     _previous: dict[int, _Suspicion] = attrs.field(factory=dict)
+    _round_s: float = math.inf
+    _late_until_s: float = -math.inf
 
-    def begin_round(self) -> None:
-        """Begin a round; forget the groups that the last one did not ask for."""
+    def begin_round(self, now_s: float) -> None:
+        """Begin a round; forget the groups that the last one did not ask for.
+
+        Parameters
+        ----------
+        now_s : float
+            Monotonic time in seconds. If the last round was long ago, this control may
+            have stood still, and announcements may have arrived that are not read yet.
+        """
+        if now_s - self._round_s > MAX_ROUND_GAP_S:
+            self._late_until_s = now_s + RETURN_GRACE_S
+        self._round_s = now_s
         self._previous, self._suspicions = self._suspicions, {}
 
     def is_conclusive(
@@ -80,7 +93,8 @@
         is_overdue = silence_s > OVERDUE_FRACTION * table.detection_timeout_s
         suspicion = self._previous.get(group.epoch)
         if suspicion is None:
-            suspicion = _Suspicion(math.inf if is_overdue else now_s)
+            others_due_s = max(now_s, self._late_until_s)
+            suspicion = _Suspicion(math.inf if is_overdue else others_due_s)
         elif not is_overdue and suspicion.others_due_s == math.inf:
             suspicion.others_due_s = now_s + RETURN_GRACE_S
         self._suspicions[group.epoch] = suspicion
--- a/chestnutvale/groups/pools.py
+++ b/chestnutvale/groups/pools.py
@@ -126,7 +126,7 @@
         services = select_pooled_services(text)
         groups = [group for group in state.groups.values() if is_pooled(group)]
         self._discard_finished(groups)
-        self._silence.begin_round()
+        self._silence.begin_round(now_s)
         kept: list[Group] = []
         for group in groups:
             command = self._plan_group_end(group, services, table, now_s)
@@ -283,6 +283,9 @@
     def _is_silence_conclusive(
         self, group: Group, table: MembershipTable, now_s: float
     ) -> bool:
+        if group.phase == PHASE_FORMING:
+            # No call is there, and its loads would hold up those of other groups.
+            return True
         head = table.host(group_head(group).host_id)
         running = head.running_attempts if head is not None else 0
         return self._silence.is_conclusive(group, table, running, now_s)
--- a/chestnutvale/membership/host_record.py
+++ b/chestnutvale/membership/host_record.py
@@ -41,7 +41,8 @@
         Whether the load covers all attempts that entries may run there; False while an
         entry may still send requests to a group that drains, or has fallen silent.
     running_attempts : int
-        Attempts that entries run at the group that it heads, also if it reports a load.
+        Attempts that entries run at the group that it heads, also if it reports a load;
+        those of entries that have fallen silent count for some time.
     announces_to_control : bool
         Whether it announces itself to a control instead of the entries.
     departed_boot_id : str
--- a/chestnutvale/membership/table.py
+++ b/chestnutvale/membership/table.py
@@ -334,7 +334,11 @@
         return sorted(self._entries)
 
     def record_running_attempts(
-        self, host_id: str, running: int, is_complete: bool = True
+        self,
+        host_id: str,
+        running: int,
+        is_complete: bool = True,
+        remembered: int = 0,
     ) -> bool:
         """Record the entries' attempt count; use it as the load if there is no other.
 
@@ -346,6 +350,8 @@
             Running attempts of all entries.
         is_complete : bool, optional
             Whether no entry may run further attempts there.
+        remembered : int, optional
+            The same count with the last ones of entries that have fallen silent.
 
         Returns
         -------
@@ -355,7 +361,7 @@
         record = self._hosts.get(host_id)
         if record is None or record.announcement is None:
             return False
-        record.running_attempts = running
+        record.running_attempts = max(running, remembered)
         if record.announcement.HasField("load"):
             return False
         record.is_load_from_entries = True
--- a/chestnutvale/programs/control/entry_report_handler.py
+++ b/chestnutvale/programs/control/entry_report_handler.py
@@ -394,7 +394,10 @@
                 and remembered_totals[group_id] == totals[group_id]
             )
             self._table.record_running_attempts(
-                group_head(group).host_id, totals[group_id], is_complete
+                group_head(group).host_id,
+                totals[group_id],
+                is_complete,
+                remembered_totals[group_id],
             )
 
     def _find_known_version(self, now_s: float) -> int:
--- a/tests/groups/test_pools.py
+++ b/tests/groups/test_pools.py
@@ -77,6 +77,11 @@
         )
         self.table.merge_control_report("control-1", [heard], now_s)
 
+    def plan_idle_rounds(self, *times_s):
+        """Run the rounds in between; after a longer gap, the control counts as late."""
+        for now_s in times_s:
+            assert self.plan(now_s) == []
+
     def plan(self, now_s, may_load=True):
         self.fleet = Fleet.collect(self.state, self.table, now_s, self.evacuated)
         self.idle_tracker.observe(self.state, self.table, self.text, now_s)
@@ -200,6 +205,9 @@
     )
     broken = next(g for g in pool.state.groups.values() if g.service == BIG)
     spare = [name for name in all_hosts() if name not in pool.state.owners]
+    for host_id in all_hosts():
+        pool.announce(host_id, 1.9)
+    pool.plan_idle_rounds(2.8, 3.8)
     for host_id in all_hosts():
         if host_id != broken.members[1].host_id:
             pool.announce(host_id, 4.0, staged=[BIG] if host_id in spare else [])
@@ -225,6 +233,7 @@
     for host_id in all_hosts():
         if host_id != lost:
             pool.announce(host_id, 2.7)
+    pool.plan_idle_rounds(3.0)
     assert pool.plan(3.6) == []
     pool.table.set_stalled_groups(frozenset({group.group_id}))
     assert pool.plan(3.4) == []
@@ -273,6 +282,9 @@
         if group.service == BIG and group.fabric_domain == domain
     ][:2]
     lost = {group.members[1].host_id for group in broken}
+    for host_id in all_hosts():
+        pool.announce(host_id, 1.9)
+    pool.plan_idle_rounds(2.8, 3.8)
     for host_id in all_hosts():
         if host_id not in lost:
             pool.announce(host_id, 4.0, staged=[BIG])
