Let an emulated engine pause for a time and go on

Cause: an injected pause had to be ended by a second call, and the head of a paused group took its paused members for missing and broke its streams, so that no tool could show an endpoint that falls silent and goes on as if nothing had been.

Change: the fault 'pause' takes 'for_ms'; a paused head draws no conclusion from its pings. The history names the prompt of each attempt, and the plain service counts reads by path, so that checks find the runs of a call.

Seen to fail: test_timed_pause_of_a_group_breaks_no_stream without the condition in MemberMonitor. tests/emulator and tests/soak pass.

--- a/chestnutvale/emulator/generation.py
+++ b/chestnutvale/emulator/generation.py
@@ -36,6 +36,7 @@
 DISCONNECT_CHECK_INTERVAL_S = 0.2
 # Interval at which a paused engine checks whether it may continue.
 PAUSE_CHECK_INTERVAL_S = 0.02
+RECORDED_PROMPT_LENGTH = 64
 
 
 @attrs.define
@@ -94,6 +95,39 @@
         )
 
 
+@attrs.frozen
+class AttemptOutcome:
+    """How an accepted attempt ended, for checks of the history.
+
+    Attributes
+    ----------
+    attempt_id : str
+        Identifier of the attempt.
+    prompt_start : str
+        First `RECORDED_PROMPT_LENGTH` characters of the prompt.
+    outcome : str
+        ``"finished"``, ``"hung up"``, ``"cancelled"`` or why the host broke it off.
+    written_token : int
+        Offset after the last token that was written.
+    """
+
+    attempt_id: str
+    prompt_start: str
+    outcome: str
+    written_token: int
+
+    @classmethod
+    def of(cls, stream: AnswerStream, outcome: str) -> Self:
+        """Return the outcome of the attempt of a stream."""
+        prompt = render_prompt(stream.request.prompt)
+        return cls(
+            stream.request.attempt_id,
+            prompt[:RECORDED_PROMPT_LENGTH],
+            outcome,
+            stream.written_token,
+        )
+
+
 class GenerationService:
     """Runs generations on one engine; a context manager that owns the engine's task.
 
@@ -108,21 +142,21 @@
     ----------
     engine : BatchEngine
         Scheduler of the requests.
-    is_paused : bool
-        Whether the engine makes no progress.
+    is_paused : callable
+        Returns whether the engine makes no progress.
     slow_factor : callable
         Returns the factor by which steps take longer than the model states.
-    outcomes : deque of (str, str)
-        Attempt identifier and outcome of the most recent attempts.
+    outcomes : deque of AttemptOutcome
+        The most recent attempts that have ended.
     tokens_count : int
         Number of generated tokens.
     """
 
     def __init__(self, model: EngineModel, on_crash: Callable[[], None]) -> None:
         self.engine = BatchEngine(model)
-        self.is_paused = False
+        self.is_paused: Callable[[], bool] = lambda: False
         self.slow_factor: Callable[[], float] = lambda: 1.0
-        self.outcomes: deque[tuple[str, str]] = deque(maxlen=10_000)
+        self.outcomes: deque[AttemptOutcome] = deque(maxlen=10_000)
         self.tokens_count = 0
         self._on_crash = on_crash
         self._streams: dict[str, AnswerStream] = {}
@@ -255,7 +289,7 @@
                 self._work_available.wait()
                 self._work_available = Event()
                 continue
-            while self.is_paused:
+            while self.is_paused():
                 eventlet.sleep(PAUSE_CHECK_INTERVAL_S)
             self._run_step()
 
@@ -268,7 +302,7 @@
                 self._on_crash()
         due_s = started_at_s + step.duration_s * self.slow_factor()
         eventlet.sleep(max(0.0, due_s - time.monotonic()))
-        while self.is_paused:
+        while self.is_paused():
             eventlet.sleep(PAUSE_CHECK_INTERVAL_S)
         self.tokens_count += len(step.decoded)
         for generation in step.decoded:
@@ -303,7 +337,7 @@
         finally:
             self.engine.cancel(stream.request.attempt_id)
             self._streams.pop(stream.request.attempt_id, None)
-            self.outcomes.append((stream.request.attempt_id, outcome))
+            self.outcomes.append(AttemptOutcome.of(stream, outcome))
 
     def _run_disconnect_checks(self) -> None:
         while True:
--- a/chestnutvale/emulator/host.py
+++ b/chestnutvale/emulator/host.py
@@ -176,6 +176,7 @@
             stack.enter_context(self._announcer)
             self._stack = stack.pop_all()
         self.generation.slow_factor = self._compute_slow_factor
+        self.generation.is_paused = self.faults.check_paused
         return self
 
     def __exit__(
@@ -334,6 +335,7 @@
             holding,
             other_members,
             lambda: self.generation.is_busy,
+            self.faults.check_paused,
             self._handle_missing_member,
         )
         self._member_monitor = monitor.__enter__()
@@ -404,7 +406,7 @@
         return json_response(
             {
                 "orders": self.orders,
-                "attempts": list(self.generation.outcomes),
+                "attempts": [attrs.asdict(a) for a in self.generation.outcomes],
                 "tokens_count": self.generation.tokens_count,
                 "preempted_count": engine.preempted_count,
                 "running": engine.running_count,
@@ -418,7 +420,6 @@
             self.leave()
         else:
             self.faults.set_fault(data)
-        self.generation.is_paused = self.faults.is_paused
         self._announcer.drops_announcements = self.faults.is_cut
         self._cache_events.drops_events = self.faults.drops_cache_events
         return json_response(attrs.asdict(self.faults, filter=_is_public))
--- a/chestnutvale/emulator/member_monitor.py
+++ b/chestnutvale/emulator/member_monitor.py
@@ -31,6 +31,9 @@
         The members other than the head.
     is_busy : callable
         Returns whether requests are running, during which pings are more frequent.
+    is_paused : callable
+        Returns whether the head is paused, during which it draws no conclusion from
+        a ping.
     on_missing : callable
         Called each time a ping finds a member missing.
 
@@ -47,6 +50,7 @@
         holding: Holding,
         members: list[GroupMember],
         is_busy: Callable[[], bool],
+        is_paused: Callable[[], bool],
         on_missing: Callable[[], None],
     ) -> None:
         self.missing = {m.host_id: "not pinged yet" for m in members}
@@ -54,6 +58,7 @@
         self._holding = holding
         self._members = members
         self._is_busy = is_busy
+        self._is_paused = is_paused
         self._on_missing = on_missing
         self._tasks: list[eventlet.greenthread.GreenThread] = []
         self._http = urllib3.PoolManager(
@@ -99,6 +104,8 @@
             eventlet.sleep(interval_ms / 1e3)
 
     def _record_ping_result(self, member: GroupMember, problem: str) -> None:
+        if self._is_paused():
+            return
         if not problem:
             self.missing.pop(member.host_id, None)
             return
--- a/chestnutvale/emulator/plain_service.py
+++ b/chestnutvale/emulator/plain_service.py
@@ -40,8 +40,8 @@
     ----------
     runs : Counter of str
         Number of runs of each idempotency key.
-    reads_count : int
-        Number of executed reads.
+    reads : Counter of str
+        Number of executed reads of each path.
     is_leaving : bool
         Whether the service announces that it is leaving.
     """
@@ -50,7 +50,7 @@
         self.service = service
         self.is_leaving = False
         self.runs: Counter[str] = Counter()
-        self.reads_count = 0
+        self.reads: Counter[str] = Counter()
         self._processing_s = processing_s
 
     def handle(self, request: Request) -> Response:
@@ -62,9 +62,7 @@
             With ``not_found``, if the path or method is unknown.
         """
         if request.path == RUNS_PATH and request.method == "GET":
-            return json_response(
-                {"runs": dict(self.runs), "reads_count": self.reads_count}
-            )
+            return json_response({"runs": dict(self.runs), "reads": dict(self.reads)})
         if request.path == "/leave" and request.method == "POST":
             self.is_leaving = True
             return json_response({"leaving": True})
@@ -78,7 +76,7 @@
         )
 
     def _read_postings(self, request: Request) -> Response:
-        self.reads_count += 1
+        self.reads[request.path] += 1
         return json_response(
             {"service": self.service, "path": request.path, "runs": self.runs.total()}
         )
--- a/tests/emulator/test_engine_process.py
+++ b/tests/emulator/test_engine_process.py
@@ -1,6 +1,7 @@
 """Tests of emulated engine hosts as real processes."""
 
 import json
+import time
 
 import pytest
 import urllib3
@@ -8,6 +9,8 @@
 from chestnutvale.emulator.answer_text import expected_text
 from chestnutvale.emulator.processes import wait_until
 
+PAUSE_MS = 1_200
+
 
 def read_events(response, stop_after=None, callback=None):
     """Return the text, the offset after each event and whether [DONE] was received.
@@ -165,3 +168,32 @@
         20,
         "the announcement of p1",
     )
+
+
+# Guards against a head that takes its paused members, or itself, for lost.
+def test_timed_pause_of_a_group_breaks_no_stream(cluster):
+    for name in ("h1", "h2"):
+        cluster.start_host(name)
+    cluster.assign_group(["h1", "h2"])
+    paused_at_s = []
+
+    def pause_group():
+        paused_at_s.append(time.monotonic())
+        for name in ("h1", "h2"):
+            fault = {"kind": "pause", "for_ms": PAUSE_MS}
+            assert cluster.post(cluster.address(name), "/fault", fault).status == 200
+
+    response = cluster.generate("h1", "hello", 100)
+    text, _, is_done = read_events(response, 3, pause_group)
+    assert time.monotonic() - paused_at_s[0] >= PAUSE_MS / 1e3
+    assert is_done
+    assert text == expected_text("hello", 100)
+    (attempt,) = fetch_history(cluster, "h1")["attempts"]
+    assert (attempt["prompt_start"], attempt["outcome"]) == ("hello", "finished")
+
+
+@pytest.mark.parametrize("for_ms", [0, -1, "long", 1.5])
+def test_pause_of_no_valid_length_is_refused(shared_cluster, for_ms):
+    fault = {"kind": "pause", "for_ms": for_ms}
+    answer = shared_cluster.post(shared_cluster.address("h1"), "/fault", fault)
+    assert (answer.status, answer.json()["code"]) == (400, "bad_request")
