Add a soak of the real programs under planned work and pauses

Cause: no test let endpoints pause and go on while the programs ran as processes beside changes, restarts and late processes, so the class of the incident was never seen: a stream ended on a sign that was withdrawn later.

The checks are pure; tests/soak shows each of them a fabricated fault.

--- a/chestnutvale/emulator/host.py
+++ b/chestnutvale/emulator/host.py
@@ -345,8 +345,8 @@
             self._member_monitor.__exit__(None, None, None)
             self._member_monitor = None
 
-    def _handle_missing_member(self) -> None:
-        self.generation.break_all_streams("a member is missing")
+    def _handle_missing_member(self, problem: str) -> None:
+        self.generation.break_all_streams(f"a member is missing: {problem}")
 
     def _handle_generate(self, request: Request) -> Response:
         requested = GenerateRequest.parse(request.json())
--- a/chestnutvale/emulator/member_monitor.py
+++ b/chestnutvale/emulator/member_monitor.py
@@ -35,7 +35,7 @@
         Returns whether the head is paused, during which it draws no conclusion from
         a ping.
     on_missing : callable
-        Called each time a ping finds a member missing.
+        Called with the reason each time a ping finds a member missing.
 
     Attributes
     ----------
@@ -51,7 +51,7 @@
         members: list[GroupMember],
         is_busy: Callable[[], bool],
         is_paused: Callable[[], bool],
-        on_missing: Callable[[], None],
+        on_missing: Callable[[str], None],
     ) -> None:
         self.missing = {m.host_id: "not pinged yet" for m in members}
         self._slow_factors: dict[str, float] = {}
@@ -118,7 +118,7 @@
                 problem,
             )
         self.missing[member.host_id] = problem
-        self._on_missing()
+        self._on_missing(problem)
 
     def _ping_member(self, member: GroupMember) -> str:
         """Return why a member counts as missing; empty if it does not."""
--- /dev/null
+++ b/chestnutvale/soak/report.py
@@ -0,0 +1,51 @@
+"""Report of a run, for people."""
+
+from collections import Counter
+
+from chestnutvale.soak.runner import SoakResult
+
+SHOWN_VIOLATIONS = 40
+
+
+def format_report(result: SoakResult) -> str:
+    """Return the report of a run; its last line is the verdict.
+
+    Parameters
+    ----------
+    result : SoakResult
+        What the run showed.
+
+    Returns
+    -------
+    str
+        Lines of text.
+    """
+    records = result.records
+    ends = Counter(run.outcome for run in records.runs)
+    lines = [
+        f"requests: {_format_counts(records.count_outcomes())}",
+        f"runs at endpoints: {_format_counts(ends)}",
+        f"steps: {_format_counts(result.steps)}; texts accepted {len(records.texts)}; "
+        f"readings {len(records.readings)}",
+    ]
+    lines += [f"step failed: {failure}" for failure in result.failures]
+    lines += [
+        f"the runner itself stood still for {length_s} s until {at_s} s"
+        for at_s, length_s in result.standstills
+    ]
+    lines += [f"BROKEN {v.check}: {v.detail}" for v in result.violations][
+        :SHOWN_VIOLATIONS
+    ]
+    return "\n".join([*lines, format_verdict(result)])
+
+
+def format_verdict(result: SoakResult) -> str:
+    """Return one line that says whether all promises held."""
+    if not result.violations:
+        return f"seed {result.seed}: all promises held"
+    counts = Counter(violation.check for violation in result.violations)
+    return f"seed {result.seed}: BROKEN: {_format_counts(counts)}"
+
+
+def _format_counts(counts: dict[str, int]) -> str:
+    return ", ".join(f"{name} {count}" for name, count in sorted(counts.items()))
--- /dev/null
+++ b/chestnutvale/soak/runner.py
@@ -0,0 +1,258 @@
+"""Runs one seed: deployment, callers, planned work, collection of all records."""
+
+import random
+import sys
+import threading
+import time
+from collections.abc import Callable
+from contextlib import ExitStack
+from pathlib import Path
+from typing import Any
+
+import attrs
+import logbook
+
+from chestnutvale.emulator.deployment import Deployment, DeploymentOptions
+from chestnutvale.emulator.exceptions import EmulatorError
+from chestnutvale.emulator.processes import ManagedProcess
+from chestnutvale.soak.callers import SoakCaller
+from chestnutvale.soak.checks import Violation, find_all_violations
+from chestnutvale.soak.const import (
+    HOSTS_PER_PAIR_GROUP,
+    OUTCOME_FINISHED,
+    POSTING_MS,
+    SPARE_HOSTS,
+    STEP_MS,
+)
+from chestnutvale.soak.observers import KeyObserver, StandstillObserver
+from chestnutvale.soak.plan import draw_plan
+from chestnutvale.soak.records import RunRecord, SoakRecords
+from chestnutvale.soak.text import Sizes, TextChange
+from chestnutvale.soak.work import PlannedWork
+
+_LOGGER = logbook.Logger(__name__)
+
+MIN_ENGINES = SPARE_HOSTS + 2 * HOSTS_PER_PAIR_GROUP
+DETECTION_TIMEOUT_MS = 2_000
+CALLER_END_TIMEOUT_S = 60.0
+PROGRESS_INTERVAL_S = 10.0
+JSON_LOG = {"format": "json"}
+BUSY_COMMAND = ["-c", "while True: pass"]
+
+
+@attrs.frozen
+class SoakOptions:
+    """Size and length of a run.
+
+    Attributes
+    ----------
+    seed : int
+        Seed of all choices.
+    length_s : float
+        Time in seconds during which callers begin calls.
+    folder : Path
+        Folder for settings, data and logs.
+    entries, controls, engines, callers : int
+        Numbers of processes and of callers.
+    busy : int
+        Number of processes that each keep a processor busy.
+    """
+
+    seed: int
+    length_s: float
+    folder: Path
+    entries: int = 3
+    controls: int = 3
+    engines: int = 10
+    callers: int = 24
+    busy: int = 0
+
+    @property
+    def sizes(self) -> Sizes:
+        """Numbers of groups that the hosts allow, some hosts being spare.
+
+        Raises
+        ------
+        EmulatorError
+            If there are too few hosts.
+        """
+        if self.engines < MIN_ENGINES:
+            raise EmulatorError(
+                f"at least {MIN_ENGINES} engines are needed", step="arguments"
+            )
+        held = self.engines - SPARE_HOSTS
+        pair_groups = held // (2 * HOSTS_PER_PAIR_GROUP)
+        return Sizes(held - pair_groups * HOSTS_PER_PAIR_GROUP, pair_groups)
+
+
+@attrs.frozen
+class SoakResult:
+    """What a run showed.
+
+    Attributes
+    ----------
+    seed : int
+        Seed of the run.
+    records : SoakRecords
+        All records.
+    violations : list of Violation
+        Broken promises.
+    steps : dict of str to int
+        Number of executed steps by kind.
+    failures : list of str
+        Steps that could not be executed.
+    standstills : list of (float, float)
+        When the runner itself stood still, and for how long, in seconds.
+    """
+
+    seed: int
+    records: SoakRecords
+    violations: list[Violation]
+    steps: dict[str, int]
+    failures: list[str]
+    standstills: list[tuple[float, float]]
+
+
+class SoakRunner:
+    """Runs one seed on a deployment of its own.
+
+    Parameters
+    ----------
+    options : SoakOptions
+        Size and length of the run.
+    """
+
+    def __init__(self, options: SoakOptions) -> None:
+        self._options = options
+        self._records = SoakRecords()
+        self._stop = threading.Event()
+        self._threads: list[threading.Thread] = []
+
+    def run(self) -> SoakResult:
+        """Run the seed and check what was seen.
+
+        Returns
+        -------
+        SoakResult
+            Records and broken promises.
+
+        Raises
+        ------
+        EmulatorError
+            If the deployment does not start, or a step or caller does not end.
+        """
+        options = self._options
+        sizes = options.sizes
+        with ExitStack() as stack:
+            deployment = stack.enter_context(Deployment(self._make_deployment()))
+            work = PlannedWork(deployment, sizes, self._records)
+            work.apply_text(TextChange())
+            deployment.wait_until_groups_serve(sizes.solo_groups + sizes.pair_groups)
+            self._start_busy_processes(stack)
+            stack.callback(self._stop.set)
+            standstills = StandstillObserver()
+            self._start_thread(standstills.run, self._stop)
+            for entry in deployment.entries:
+                observer = KeyObserver(deployment, entry, work.submitted, self._records)
+                self._start_thread(observer.run, self._stop)
+            self._start_thread(self._print_progress)
+            self._start_callers(deployment)
+            started_s = time.monotonic()
+            work.execute(draw_plan(options.seed, options.length_s), self._stop)
+            time.sleep(max(0.0, started_s + options.length_s - time.monotonic()))
+            self._stop.set()
+            self._join_threads()
+            self._records.runs.extend(collect_runs(deployment))
+        return SoakResult(
+            options.seed,
+            self._records,
+            find_all_violations(self._records),
+            dict(work.counts),
+            work.failures,
+            standstills.standstills,
+        )
+
+    def _make_deployment(self) -> DeploymentOptions:
+        options = self._options
+        half = options.engines // 2
+        return DeploymentOptions(
+            options.folder,
+            controls=options.controls,
+            entries=options.entries,
+            fabric_domains={"fabric-a": half, "fabric-b": options.engines - half},
+            services=2,
+            engine_arguments=["--weights-bytes", "200000", "--step-ms", str(STEP_MS)],
+            service_arguments=["--work-ms", str(POSTING_MS)],
+            entry_settings={"log": JSON_LOG},
+            control_settings={
+                "log": JSON_LOG,
+                "detection_timeout_ms": DETECTION_TIMEOUT_MS,
+                "repair": {"member_wait_ms": 500},
+            },
+        )
+
+    def _start_busy_processes(self, stack: ExitStack) -> None:
+        for number in range(self._options.busy):
+            command = [sys.executable, *BUSY_COMMAND]
+            stack.enter_context(
+                ManagedProcess(f"busy-{number}", command, self._options.folder)
+            )
+
+    def _start_callers(self, deployment: Deployment) -> None:
+        entries = {name: deployment.addresses[name] for name in deployment.entries}
+        for number in range(self._options.callers):
+            rng = random.Random(f"{self._options.seed} caller {number}")
+            name = f"c{number}"
+            caller = SoakCaller(name, entries, self._records, rng, self._stop)
+            self._start_thread(caller.run)
+
+    def _start_thread(self, action: Callable[..., None], *arguments: Any) -> None:
+        thread = threading.Thread(target=action, args=arguments, daemon=True)
+        thread.start()
+        self._threads.append(thread)
+
+    def _join_threads(self) -> None:
+        deadline_s = time.monotonic() + CALLER_END_TIMEOUT_S
+        for thread in self._threads:
+            thread.join(max(0.0, deadline_s - time.monotonic()))
+            if thread.is_alive():
+                raise EmulatorError("a caller did not end", step="soak")
+
+    def _print_progress(self) -> None:
+        started_s = time.monotonic()
+        while not self._stop.wait(PROGRESS_INTERVAL_S):
+            print(
+                f"seed {self._options.seed}, {time.monotonic() - started_s:.0f} s: "
+                f"{len(self._records.requests)} requests, "
+                f"{len(self._records.texts)} texts, {len(self._records.stops)} stops",
+                flush=True,
+            )
+
+
+def collect_runs(deployment: Deployment) -> list[RunRecord]:
+    """Return all attempts that the endpoints accepted.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        A deployment whose endpoints all run.
+
+    Returns
+    -------
+    list of RunRecord
+        The attempts.
+    """
+    runs: list[RunRecord] = []
+    for host in deployment.engines:
+        for attempt in deployment.fetch_json(host, "/v1/history")["attempts"]:
+            call_id = attempt["prompt_start"].partition("\n")[0]
+            runs.append(RunRecord(call_id, host, attempt["outcome"]))
+    for host in deployment.services:
+        counts = deployment.fetch_json(host, "/runs")
+        reads = {
+            path.removeprefix("/postings/"): count
+            for path, count in counts["reads"].items()
+        }
+        for call_id, count in (counts["runs"] | reads).items():
+            runs += [RunRecord(call_id, host, OUTCOME_FINISHED)] * count
+    return runs
--- /dev/null
+++ b/chestnutvale/soak/work.py
@@ -0,0 +1,215 @@
+"""Executes the steps of a plan on a deployment."""
+
+import threading
+import time
+from collections import Counter
+from collections.abc import Callable
+from pathlib import Path
+
+import logbook
+import urllib3
+
+from chestnutvale.emulator.deployment import Deployment
+from chestnutvale.emulator.exceptions import EmulatorError
+from chestnutvale.emulator.processes import ManagedProcess
+from chestnutvale.soak.plan import (
+    Action,
+    ApplyTexts,
+    PauseGroups,
+    PlannedStep,
+    RestartControl,
+    RestartEntry,
+    SuspendDaemon,
+)
+from chestnutvale.soak.records import PlannedStop, SoakRecords, TextRecord
+from chestnutvale.soak.text import Sizes, TextChange, make_text
+
+_LOGGER = logbook.Logger(__name__)
+
+EXIT_ACCEPTED = 0
+MAX_APPLY_ATTEMPTS = 5
+# A stopping entry waits for its requests, and these for paused endpoints.
+STOP_TIMEOUT_S = 90.0
+FAULT_TIMEOUT_S = 2.0
+FINISH_TIMEOUT_S = 120.0
+
+
+class PlannedWork:
+    """Executes planned work, each step in a thread of its own.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        The deployment.
+    sizes : Sizes
+        Numbers of groups, for the texts.
+    records : SoakRecords
+        Receives texts and stops.
+
+    Attributes
+    ----------
+    submitted : list of int
+        Numbers of all texts that were sent.
+    counts : Counter of str
+        Number of executed steps by kind.
+    failures : list of str
+        Steps that could not be executed.
+    """
+
+    def __init__(
+        self, deployment: Deployment, sizes: Sizes, records: SoakRecords
+    ) -> None:
+        self.submitted: list[int] = []
+        self.counts: Counter[str] = Counter()
+        self.failures: list[str] = []
+        self._deployment = deployment
+        self._sizes = sizes
+        self._records = records
+        self._text_lock = threading.Lock()
+        self._control_lock = threading.Lock()
+        daemons = deployment.controls | deployment.entries
+        self._locks = {name: threading.Lock() for name in daemons}
+        self._threads: list[threading.Thread] = []
+        self._run_by_type: dict[type, Callable[..., None]] = {
+            ApplyTexts: self._apply_texts,
+            RestartEntry: self._restart_entry,
+            RestartControl: self._restart_control,
+            PauseGroups: self._pause_groups,
+            SuspendDaemon: self._suspend_daemon,
+        }
+
+    def execute(self, steps: list[PlannedStep], stop: threading.Event) -> None:
+        """Start each step at its time and wait until all have ended.
+
+        Parameters
+        ----------
+        steps : list of PlannedStep
+            The steps in order of time.
+        stop : threading.Event
+            Prevents further steps from starting.
+
+        Raises
+        ------
+        EmulatorError
+            If a step does not end.
+        """
+        started_s = time.monotonic()
+        for step in steps:
+            if stop.wait(max(0.0, started_s + step.at_s - time.monotonic())):
+                break
+            thread = threading.Thread(
+                target=self._run_step, args=(step.action,), daemon=True
+            )
+            thread.start()
+            self._threads.append(thread)
+        deadline_s = time.monotonic() + FINISH_TIMEOUT_S
+        for thread in self._threads:
+            thread.join(max(0.0, deadline_s - time.monotonic()))
+            if thread.is_alive():
+                raise EmulatorError("a planned step did not end", step="soak")
+
+    def _run_step(self, action: Action) -> None:
+        kind = type(action).__name__
+        self.counts[kind] += 1
+        try:
+            self._run_by_type[type(action)](action)
+        except (EmulatorError, urllib3.exceptions.HTTPError, OSError) as error:
+            _LOGGER.warning("Step {} failed: {}", kind, error)
+            self.failures.append(f"{kind}: {error}")
+
+    def apply_text(self, change: TextChange) -> None:
+        """Apply the next text.
+
+        Raises
+        ------
+        EmulatorError
+            If it is not accepted in several attempts.
+        """
+        with self._text_lock:
+            number = len(self.submitted) + 1
+            path = self._deployment.folder / f"text-{number}.json"
+            path.write_text(make_text(number, self._sizes, change))
+            self.submitted.append(number)
+            self._apply_file(path, number)
+
+    def _apply_file(self, path: Path, number: int) -> None:
+        for _ in range(MAX_APPLY_ATTEMPTS):
+            run = self._deployment.run_client("apply", str(path))
+            if run.returncode == EXIT_ACCEPTED:
+                self._records.texts.append(TextRecord(number, time.monotonic()))
+                return
+        raise EmulatorError(
+            f"text {number} was not accepted: {run.stdout}{run.stderr}", step="apply"
+        )
+
+    def _apply_texts(self, action: ApplyTexts) -> None:
+        for index, change in enumerate(action.changes):
+            if index:
+                time.sleep(action.gap_s)
+            self.apply_text(change)
+
+    def _restart_entry(self, action: RestartEntry) -> None:
+        names = sorted(self._deployment.entries)
+        self._restart(names[action.index % len(names)])
+
+    def _restart_control(self, action: RestartControl) -> None:
+        # One control at a time, so that a quorum of them always runs.
+        with self._control_lock:
+            names = sorted(self._deployment.controls)
+            name = names[action.index % len(names)]
+            if action.leader:
+                name = self._deployment.wait_for_leader()
+            self._restart(name)
+
+    def _restart(self, name: str) -> None:
+        process = self._find_daemon(name)
+        with self._locks[name]:
+            _LOGGER.info("Stopping {}", name)
+            requested_s = time.monotonic()
+            process.request_stop()
+            exit_code = process.wait_for_exit(STOP_TIMEOUT_S)
+            self._records.stops.append(
+                PlannedStop(name, requested_s, time.monotonic(), exit_code)
+            )
+            self._deployment.restart_daemon(name)
+
+    def _suspend_daemon(self, action: SuspendDaemon) -> None:
+        deployment = self._deployment
+        names = sorted(deployment.controls if action.control else deployment.entries)
+        name = names[action.index % len(names)]
+        with self._locks[name]:
+            _suspend(self._find_daemon(name), action.duration_s)
+
+    def _find_daemon(self, name: str) -> ManagedProcess:
+        return (self._deployment.controls | self._deployment.entries)[name]
+
+    def _pause_groups(self, action: PauseGroups) -> None:
+        groups = sorted(self._deployment.fetch_groups().items())
+        if action.indices and groups:
+            groups = [groups[i % len(groups)] for i in sorted(set(action.indices))]
+        for group_id, hosts in groups:
+            _LOGGER.info(
+                "Pausing group {} ({}) for {} s", group_id, hosts, action.duration_s
+            )
+            if action.by_signal and len(hosts) == 1:
+                process = self._deployment.engines[hosts[0]]
+                thread = threading.Thread(
+                    target=_suspend, args=(process, action.duration_s), daemon=True
+                )
+                thread.start()
+                self._threads.append(thread)
+                continue
+            for host in hosts:
+                self._inject_pause(host, action.duration_s)
+
+    def _inject_pause(self, host: str, duration_s: float) -> None:
+        fault = {"kind": "pause", "for_ms": round(1e3 * duration_s)}
+        self._deployment.post_json(host, "/fault", fault)
+
+
+def _suspend(process: ManagedProcess, duration_s: float) -> None:
+    process.suspend()
+    try:
+        time.sleep(duration_s)
+    finally:
+        process.resume()
--- /dev/null
+++ b/tests/soak/test_checks.py
@@ -0,0 +1,182 @@
+"""Each check of the soak test finds its fabricated fault and passes what is allowed."""
+
+import pytest
+
+from chestnutvale.soak.checks import (
+    ALL_CHECKS,
+    AnswersAreOwn,
+    PostingsRunOnce,
+    RefusalsAreTrue,
+    RunCallsAreAnswered,
+    StopsCutNothing,
+    TextsAreInForce,
+    find_all_violations,
+)
+from chestnutvale.soak.records import (
+    KeyReading,
+    PlannedStop,
+    RequestRecord,
+    RunRecord,
+    SoakRecords,
+    TextRecord,
+)
+
+RUN = RunRecord("c1", "host-1", "finished")
+HUNG_UP_RUN = RunRecord("c1", "host-1", "hung up")
+
+
+def make_request(kind="stream", **changes):
+    """Return a request that was answered whole in two seconds, with changes."""
+    fields = {
+        "status": 200,
+        "text_state": "whole",
+        "is_complete": True,
+        "ended_s": 12.0,
+        **changes,
+    }
+    return RequestRecord("c1", kind, "entry-1", 10.0, deadline_s=40.0, **fields)
+
+
+def make_cut(kind="stream", **changes):
+    """Return a request whose connection ended without a whole answer."""
+    fields = {"status": 0, "text_state": "", "is_complete": False, **changes}
+    return make_request(kind, **fields)
+
+
+def make_refusal(kind="stream", **changes):
+    return make_cut(kind, status=503, outcome="not_run", **changes)
+
+
+def count(check, **records):
+    return len(list(check.find_violations(SoakRecords(**records))))
+
+
+def test_records_of_a_sound_run_break_no_promise():
+    records = SoakRecords(
+        [make_request()],
+        [RUN],
+        [TextRecord(1, 5.0)],
+        [KeyReading("entry-1", 7, 11.0, 1)],
+        [PlannedStop("entry-1", 9.0, 13.0, 0)],
+    )
+    assert find_all_violations(records) == []
+
+
+def test_each_check_has_its_own_name():
+    assert len({check.name for check in ALL_CHECKS}) == len(ALL_CHECKS)
+
+
+# The incident: an entry closed the connection of a stream that an endpoint ran.
+@pytest.mark.parametrize(
+    "cut",
+    [
+        make_cut(status=200, text_state="part"),
+        make_cut(status=200, text_state="part", outcome="failed"),
+        make_cut(),
+        make_cut(ended_s=10.1),
+        make_refusal(),
+        make_cut("read", status=502, outcome="failed"),
+        make_cut("posting", status=504, outcome="unknown"),
+    ],
+)
+@pytest.mark.parametrize(
+    "run", [RUN, HUNG_UP_RUN, RunRecord("c1", "host-1", "the group was released")]
+)
+def test_call_that_ran_without_a_whole_answer_is_found(cut, run):
+    assert count(RunCallsAreAnswered(), requests=[cut], runs=[run]) == 1
+
+
+def test_cut_of_a_posting_is_found_although_a_later_request_got_the_answer():
+    cut = make_cut("posting")
+    replayed = make_request("posting", is_replayed=True)
+    runs = [RUN]
+    check = RunCallsAreAnswered()
+    assert count(check, requests=[cut, replayed], runs=runs) == 1
+    at_once = make_cut("posting", ended_s=10.1)
+    assert count(check, requests=[at_once, replayed], runs=runs) == 1
+    # Without a recorded answer the first request crossed the close unread.
+    later = make_request("posting")
+    assert count(check, requests=[at_once, later], runs=runs) == 0
+
+
+@pytest.mark.parametrize(
+    ("request_record", "run"),
+    [
+        (make_cut(hung_up=True), HUNG_UP_RUN),
+        (make_cut(ended_s=39.9), HUNG_UP_RUN),
+        (make_cut(), RunRecord("c1", "host-1", "a member is missing: rebooted")),
+        (make_cut(), RunRecord("c2", "host-1", "finished")),
+    ],
+)
+def test_call_that_others_ended_is_no_violation(request_record, run):
+    assert count(RunCallsAreAnswered(), requests=[request_record], runs=[run]) == 0
+
+
+def test_foreign_and_falsely_complete_answers_are_found():
+    check = AnswersAreOwn()
+    assert count(check, requests=[make_request(text_state="wrong")]) == 1
+    assert count(check, requests=[make_cut(text_state="wrong")]) == 1
+    assert count(check, requests=[make_request(text_state="part")]) == 1
+    assert count(check, requests=[make_cut(status=200, text_state="part")]) == 0
+
+
+def test_posting_that_ran_twice_is_found():
+    check = PostingsRunOnce()
+    posting, read = make_request("posting"), make_request("read")
+    assert count(check, requests=[posting], runs=[RUN, RUN]) == 1
+    assert count(check, requests=[posting], runs=[RUN]) == 0
+    assert count(check, requests=[read], runs=[RUN, RUN]) == 0
+
+
+def test_false_refusal_is_found():
+    check = RefusalsAreTrue()
+    refusals = [make_refusal("posting"), make_refusal("posting")]
+    assert count(check, requests=refusals, runs=[RUN]) == 1
+    assert count(check, requests=refusals, runs=[]) == 0
+    answered = [make_refusal("posting"), make_request("posting")]
+    assert count(check, requests=answered, runs=[RUN]) == 0
+
+
+def test_text_that_comes_late_or_reverts_is_found():
+    check = TextsAreInForce(in_force_s=5.0)
+    texts = [TextRecord(1, 0.0), TextRecord(2, 10.0)]
+
+    def count_readings(*readings):
+        made = [KeyReading("entry-1", *reading) for reading in readings]
+        return count(check, texts=texts, readings=made)
+
+    assert count_readings((7, 14.0, 1), (7, 15.1, 2)) == 0
+    assert count_readings((7, 15.1, 1)) == 1
+    assert count_readings((7, 15.1, 0)) == 1
+    assert count_readings((7, 11.0, 2), (7, 12.0, 1)) == 1
+    # Another incarnation may know an older text for a while.
+    assert count_readings((7, 11.0, 2), (8, 12.0, 1)) == 0
+
+
+@pytest.mark.parametrize("stop_s", [(9.0, 13.0), (10.1, 20.0), (5.0, 10.0)])
+def test_request_cut_by_a_stop_is_found(stop_s):
+    check = StopsCutNothing()
+    stops = [PlannedStop("entry-1", *stop_s, 0)]
+    cut = make_cut()
+    assert count(check, requests=[cut], runs=[RUN], stops=stops) == 1
+    # It was held for two seconds, so it had been read.
+    assert count(check, requests=[cut], stops=stops) == 1
+    crossing = make_cut(ended_s=10.1)
+    assert count(check, requests=[crossing], stops=stops) == 0
+    assert count(check, requests=[crossing], runs=[RUN], stops=stops) == 1
+    never_sent = make_cut(was_sent=False)
+    assert count(check, requests=[never_sent], stops=stops) == 0
+
+
+def test_stop_elsewhere_or_at_another_time_is_not_blamed():
+    check = StopsCutNothing()
+    for stop in (
+        PlannedStop("entry-2", 9.0, 13.0, 0),
+        PlannedStop("entry-1", 12.1, 13.0, 0),
+        PlannedStop("entry-1", 8.0, 9.9, 0),
+    ):
+        assert count(check, requests=[make_cut()], runs=[RUN], stops=[stop]) == 0
+
+
+def test_stop_that_fails_is_found():
+    assert count(StopsCutNothing(), stops=[PlannedStop("entry-1", 1.0, 2.0, 1)]) == 1
