--- a/chestnutvale/soak/callers.py
+++ b/chestnutvale/soak/callers.py
@@ -1,6 +1,5 @@
 """Callers that keep their connections and record each request."""
 
-import json
 import random
 import threading
 import time
@@ -9,7 +8,7 @@
 import urllib3
 
 from chestnutvale.emulator.answer_text import expected_text
-from chestnutvale.emulator.caller import Answer, Caller
+from chestnutvale.emulator.caller import Answer, Caller, parse_json_object
 from chestnutvale.emulator.deployment import PLAIN_SERVICE, WORKSPACE_KEYS
 from chestnutvale.soak.const import (
     CALL_DEADLINE_MS,
@@ -33,6 +32,7 @@
 MAX_PAUSE_BETWEEN_CALLS_S = 0.2
 RETRY_DELAY_S = 0.3
 MAX_POSTINGS = 5
+SUCCESS_STATUSES = (200, 201)
 # Class of the error of a connection that was not made.
 NEVER_SENT = urllib3.exceptions.NewConnectionError.__name__
 
@@ -47,18 +47,7 @@
 class SoakCaller:
     """One caller in a thread of its own, with one connection to an entry at a time.
 
-    Parameters
-    ----------
-    name : str
-        Name, unique in the run; the beginning of its calls' identifiers.
-    entries : dict of str to str
-        Address of each entry by name.
-    records : SoakRecords
-        Receives a record of each request.
-    rng : random.Random
-        Source of all choices.
-    stop : threading.Event
-        Ends the caller after its current call.
+    Its name, unique in the run, begins the identifiers of its calls.
     """
 
     def __init__(
@@ -122,7 +111,7 @@
             headers={"X-Deadline-Ms": str(STREAM_DEADLINE_MS)},
             on_token=lambda answer: len(answer.text.split()) < limit,
         )
-        self._record(make_stream_record(call_id, self._entry, prompt, limit, answer))
+        self._record(_make_stream_record(call_id, self._entry, prompt, limit, answer))
 
     def _post(self, call_id: str) -> None:
         """Send a call with the same key until it is answered, or given up."""
@@ -139,7 +128,6 @@
         if kind == KIND_POSTING:
             headers["Idempotency-Key"] = call_id
         sent_s = time.monotonic()
-        status, body, detail, is_replayed = 0, b"", "", False
         try:
             response = self._http.request(
                 method,
@@ -147,36 +135,26 @@
                 body=b"{}" if method == "POST" else None,
                 headers=headers,
             )
-            status, body = response.status, response.data
-            is_replayed = "Idempotent-Replayed" in response.headers
+            result = _read_plain_answer(call_id, response)
         except (urllib3.exceptions.HTTPError, OSError) as error:
-            detail = type(error).__name__
-        request = make_plain_record(
-            call_id, kind, self._entry, sent_s, status, body, detail, is_replayed
+            name = type(error).__name__
+            result = {"detail": name, "was_sent": name != NEVER_SENT}
+        request = RequestRecord(
+            call_id,
+            kind,
+            self._entry,
+            sent_s,
+            time.monotonic(),
+            sent_s + CALL_DEADLINE_MS / 1e3,
+            **result,
         )
         self._record(request)
         return request
 
 
-def make_stream_record(
+def _make_stream_record(
     call_id: str, entry: str, prompt: str, limit: int, answer: Answer
 ) -> RequestRecord:
-    """Return the record of a stream.
-
-    Parameters
-    ----------
-    call_id, entry, prompt : str
-        The call, its entry and its prompt.
-    limit : int
-        Number of tokens after which its caller left.
-    answer : Answer
-        What was received.
-
-    Returns
-    -------
-    RequestRecord
-        The record.
-    """
     return RequestRecord(
         call_id,
         KIND_STREAM,
@@ -203,62 +181,18 @@
     return f"{reason} {' '.join(sorted(ids))}".strip()
 
 
-def make_plain_record(
-    call_id: str,
-    kind: str,
-    entry: str,
-    sent_s: float,
-    status: int,
-    body: bytes,
-    detail: str,
-    is_replayed: bool,
-) -> RequestRecord:
-    """Return the record of a call to the plain service that has just ended.
-
-    Parameters
-    ----------
-    call_id, kind, entry : str
-        The call, its kind and its entry.
-    sent_s : float
-        Monotonic time in seconds at which it was sent.
-    status : int
-        HTTP status; 0 if the connection ended first.
-    body : bytes
-        Body of the answer.
-    detail : str
-        Class name of the connection error; empty if there was none.
-    is_replayed : bool
-        Whether the answer is a recorded one.
-
-    Returns
-    -------
-    RequestRecord
-        The record.
-    """
-    data = _parse(body)
-    is_success = status in (200, 201)
+def _read_plain_answer(
+    call_id: str, response: urllib3.BaseHTTPResponse
+) -> dict[str, Any]:
+    """Return the fields of a request's record that its answer decides."""
+    data = parse_json_object(response.data)
+    fields: dict[str, Any] = {"status": response.status}
+    if response.status not in SUCCESS_STATUSES:
+        fields["outcome"] = str(data.get("outcome", ""))
+        fields["detail"] = str(data.get("code", ""))
+        return fields
     is_own = call_id in (data.get("key"), str(data.get("path")).rpartition("/")[2])
-    text_state = (TEXT_WHOLE if is_own else TEXT_WRONG) if is_success else ""
-    return RequestRecord(
-        call_id,
-        kind,
-        entry,
-        sent_s,
-        time.monotonic(),
-        sent_s + CALL_DEADLINE_MS / 1e3,
-        status,
-        text_state,
-        is_success,
-        "" if is_success else str(data.get("outcome", "")),
-        "" if is_success else str(data.get("code", "")) or detail,
-        was_sent=detail != NEVER_SENT,
-        is_replayed=is_replayed,
-    )
-
-
-def _parse(body: bytes) -> dict[str, Any]:
-    try:
-        data = json.loads(body)
-    except ValueError:
-        return {}
-    return data if isinstance(data, dict) else {}
+    fields["text_state"] = TEXT_WHOLE if is_own else TEXT_WRONG
+    fields["is_complete"] = True
+    fields["is_replayed"] = "Idempotent-Replayed" in response.headers
+    return fields
--- a/chestnutvale/soak/checks.py
+++ b/chestnutvale/soak/checks.py
@@ -1,15 +1,15 @@
 """Promises of the system, each checked on what callers and endpoints saw."""
 
 from collections import defaultdict
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from typing import Protocol
 
 import attrs
 
 from chestnutvale.soak.const import (
+    DENIAL_STATUSES,
     IN_FORCE_S,
     KIND_POSTING,
-    OUTCOME_FINISHED,
     REQUEST_READ_S,
     TEXT_WRONG,
 )
@@ -51,17 +51,14 @@
 
     def find_violations(self, records: SoakRecords) -> Iterator[Violation]:
         """Yield a violation for each call that ran without a whole answer."""
-        runs_by_call = records.group_runs()
-        for call_id, requests in records.group_requests().items():
-            runs = runs_by_call.get(call_id, [])
+        for requests, runs in records.pair_calls():
             if not runs or any(run.was_ended_by_endpoint for run in runs):
                 continue
             cut = list_cut_requests(requests, runs)
             if not cut and not any(_is_settled(r) for r in requests):
                 cut = requests[-1:]
             for request in cut:
-                detail = f"{_describe(request)}; runs {_list_runs(runs)}"
-                yield Violation(self.name, detail)
+                yield Violation(self.name, _describe(request, runs))
 
 
 class AnswersAreOwn:
@@ -84,11 +81,9 @@
 
     def find_violations(self, records: SoakRecords) -> Iterator[Violation]:
         """Yield a violation for each such call that ran more often."""
-        runs = records.group_runs()
-        for call_id, requests in records.group_requests().items():
-            count = len(runs.get(call_id, []))
-            if requests[0].kind == KIND_POSTING and count > 1:
-                yield Violation(self.name, f"{call_id} ran {count} times")
+        for requests, runs in records.pair_calls():
+            if requests[0].kind == KIND_POSTING and len(runs) > 1:
+                yield Violation(self.name, _describe(requests[-1], runs))
 
 
 class RefusalsAreTrue:
@@ -98,29 +93,27 @@
 
     def find_violations(self, records: SoakRecords) -> Iterator[Violation]:
         """Yield a violation for each refused call that an endpoint ran."""
-        runs = records.group_runs()
-        for call_id, requests in records.group_requests().items():
-            all_refused = all(r.is_refused_as_not_run for r in requests)
-            if call_id in runs and all_refused:
-                yield Violation(
-                    self.name,
-                    f"{_describe(requests[-1])}; runs {_list_runs(runs[call_id])}",
-                )
+        for requests, runs in records.pair_calls():
+            if runs and all(r.is_refused_as_not_run for r in requests):
+                yield Violation(self.name, _describe(requests[-1], runs))
 
 
-class TextsAreInForce:
-    """An accepted text is in force at all entries in time, and never reverts.
+class ValidCallsAreAllowed:
+    """A call that every text allows is not denied, not even by a restarted entry."""
 
-    Parameters
-    ----------
-    in_force_s : float, optional
-        Time in seconds after the acknowledgement from which it is in force.
-    """
+    name = "a valid call is not denied"
 
-    name = "an accepted text is in force"
+    def find_violations(self, records: SoakRecords) -> Iterator[Violation]:
+        """Yield a violation for each call of a known key that was denied."""
+        for request in records.requests:
+            if request.status in DENIAL_STATUSES:
+                yield Violation(self.name, _describe(request))
 
-    def __init__(self, in_force_s: float = IN_FORCE_S) -> None:
-        self._in_force_s = in_force_s
+
+class TextsAreInForce:
+    """An accepted text is in force at all entries in time, and never reverts."""
+
+    name = "an accepted text is in force"
 
     def find_violations(self, records: SoakRecords) -> Iterator[Violation]:
         """Yield a violation for each reading that shows an older text."""
@@ -129,7 +122,7 @@
             due = [
                 text.number
                 for text in records.texts
-                if text.accepted_s + self._in_force_s < reading.sent_s
+                if text.accepted_s + IN_FORCE_S < reading.sent_s
             ]
             if reading.number < max(due, default=0):
                 yield self._make(reading, f"text {max(due)} is due")
@@ -139,10 +132,8 @@
             newest[incarnation] = max(newest[incarnation], reading.number)
 
     def _make(self, reading: KeyReading, detail: str) -> Violation:
-        seen = f"text {reading.number}" if reading.number else "no known text"
-        return Violation(
-            self.name, f"{reading.entry} at {reading.sent_s:.2f}: {seen}, {detail}"
-        )
+        seen = f"{reading.entry} at {reading.sent_s:.2f}: text {reading.number}"
+        return Violation(self.name, f"{seen}, {detail}")
 
 
 class StopsCutNothing:
@@ -158,12 +149,9 @@
         """Yield a violation for each request cut by a stop, or a failed stop."""
         for stop in records.stops:
             if stop.exit_code != 0:
-                yield Violation(
-                    self.name, f"{stop.entry} exited with code {stop.exit_code}"
-                )
-        runs_by_call = records.group_runs()
-        for call_id, requests in records.group_requests().items():
-            runs = runs_by_call.get(call_id, [])
+                detail = f"{stop.entry} exited with code {stop.exit_code}"
+                yield Violation(self.name, detail)
+        for requests, runs in records.pair_calls():
             for request in list_cut_requests(requests, runs):
                 if any(_is_during(request, stop) for stop in records.stops):
                     yield Violation(self.name, _describe(request))
@@ -174,6 +162,7 @@
     AnswersAreOwn(),
     PostingsRunOnce(),
     RefusalsAreTrue(),
+    ValidCallsAreAllowed(),
     TextsAreInForce(),
     StopsCutNothing(),
 )
@@ -195,18 +184,7 @@
     That it was read shows by its begun answer, by the time that it was held, by the
     only request of a call having run, or by a later answer that was recorded for it.
 
-    Parameters
-    ----------
-    requests : list of RequestRecord
-        All requests of the call, in order.
-    runs : list of RunRecord
-        All runs of the call.
-
-    Returns
-    -------
-    list of RequestRecord
-        The requests that were cut, but for those that their caller, their deadline or
-        an endpoint ended.
+    What their caller, their deadline or an endpoint ended is left out.
     """
     if any(run.was_ended_by_endpoint for run in runs):
         return []
@@ -237,14 +215,11 @@
     )
 
 
-def _list_runs(runs: list[RunRecord]) -> list[str]:
-    return [f"{run.host} {run.outcome or OUTCOME_FINISHED}" for run in runs]
-
-
-def _describe(request: RequestRecord) -> str:
+def _describe(request: RequestRecord, runs: Sequence[RunRecord] = ()) -> str:
     return (
         f"{request.kind} {request.call_id} at {request.entry}, "
         f"sent {request.sent_s:.2f}, ended {request.ended_s:.2f}: "
         f"{describe_end(request)}, status {request.status}, "
-        f"text {request.text_state or 'none'}, {request.detail or 'no detail'}"
+        f"text {request.text_state or 'none'}, {request.detail or 'no detail'}, "
+        f"runs {[f'{run.host} {run.outcome}' for run in runs]}"
     )
--- a/chestnutvale/soak/const.py
+++ b/chestnutvale/soak/const.py
@@ -19,6 +19,8 @@
 
 OUTCOME_NOT_RUN: Final = "not_run"
 STATUS_UNAUTHORIZED: Final = 401
+# Statuses of calls that the configuration does not allow.
+DENIAL_STATUSES: Final = frozenset({401, 403, 404})
 
 OUTCOME_FINISHED: Final = "finished"
 # Outcomes that follow from what the system did: it closed the connection, cancelled the
--- a/chestnutvale/soak/observers.py
+++ b/chestnutvale/soak/observers.py
@@ -1,6 +1,5 @@
 """Observers beside the callers: keys in force, and standstills of the runner."""
 
-import random
 import threading
 import time
 
@@ -21,19 +20,7 @@
 
 
 class KeyObserver:
-    """Asks an entry for the keys of the newest texts, of which each has its own.
-
-    Parameters
-    ----------
-    deployment : Deployment
-        The deployment.
-    entry : str
-        Name of the entry.
-    submitted : list of int
-        Numbers of all texts that were sent, in order; grows during the run.
-    records : SoakRecords
-        Receives the readings.
-    """
+    """Asks an entry for the keys of the newest texts, of which each has its own."""
 
     def __init__(
         self,
@@ -101,8 +88,3 @@
                 at_s = now_s - self._started_s
                 self.standstills.append((round(at_s, 2), round(now_s - last_s, 2)))
             last_s = now_s
-
-
-def make_rng(seed: int, name: str) -> random.Random:
-    """Return a random number generator for one part of a run."""
-    return random.Random(f"{seed} {name}")
--- a/chestnutvale/soak/plan.py
+++ b/chestnutvale/soak/plan.py
@@ -5,8 +5,13 @@
 import attrs
 
 from chestnutvale.soak.const import PAUSE_DURATIONS_S
-from chestnutvale.soak.text import TextChange, draw_change
+from chestnutvale.soak.text import TextChange
 
+ROLE_ENTRY = "entry"
+ROLE_CONTROL = "control"
+ROLE_LEADER = "leader"
+# Indices are drawn below this number and taken modulo the number of what they choose.
+MAX_INDEX = 1_000
 STORM_TEXTS = 6
 STORM_GAP_S = 0.4
 FIRST_STEP_S = 2.0
@@ -23,41 +28,18 @@
 
 
 @attrs.frozen
-class RestartEntry:
-    """Stop an entry with SIGTERM and start it again; ``index`` chooses it."""
+class RestartDaemon:
+    """Stop an entry, a control or the leader with SIGTERM and start it again."""
 
     index: int
-
-
-@attrs.frozen
-class RestartControl:
-    """Stop a control with SIGTERM and start it again.
-
-    Attributes
-    ----------
-    index : int
-        Chooses the control.
-    leader : bool
-        Whether the leader is taken instead.
-    """
-
-    index: int
-    leader: bool
+    role: str
 
 
 @attrs.frozen
 class PauseGroups:
-    """Pause all hosts of some groups; they go on as if nothing had been.
-
-    Attributes
-    ----------
-    indices : tuple of int
-        Choose the groups; empty for all.
-    duration_s : float
-        Length of the pause in seconds.
-    by_signal : bool
-        Whether processes of groups of one host are suspended with SIGSTOP, rather
-        than paused by a fault of the engine.
+    """Pause all hosts of some groups, or of all if none is chosen by an index.
+
+    Groups of one host may be suspended by a signal, others have a fault injected.
     """
 
     indices: tuple[int, ...]
@@ -67,14 +49,14 @@
 
 @attrs.frozen
 class SuspendDaemon:
-    """Suspend an entry or a control for ``duration_s`` seconds, as a late process."""
+    """Suspend an entry or a control for a while, as a late process."""
 
     index: int
+    role: str
     duration_s: float
-    control: bool
 
 
-Action = ApplyTexts | RestartEntry | RestartControl | PauseGroups | SuspendDaemon
+Action = ApplyTexts | RestartDaemon | PauseGroups | SuspendDaemon
 
 
 @attrs.frozen
@@ -91,17 +73,6 @@
     Changes, restarts, pauses and late processes are drawn independently of each
     other, so that they come in series and overlap.
 
-    Parameters
-    ----------
-    seed : int
-        Seed of all choices.
-    length_s : float
-        Length of the run in seconds.
-
-    Returns
-    -------
-    list of PlannedStep
-        The steps in order of time.
     """
     tracks = [
         ("texts", _draw_texts, 1.0, 4.0),
@@ -123,22 +94,21 @@
     kind = rng.choice(["small", "small", "large", "storm"])
     count = STORM_TEXTS if kind == "storm" else 1
     return ApplyTexts(
-        tuple(draw_change(rng, large=kind == "large") for _ in range(count))
+        tuple(
+            TextChange(rng.randrange(MAX_INDEX), kind == "large") for _ in range(count)
+        )
     )
 
 
 def _draw_restart(rng: random.Random) -> Action:
-    index = rng.randrange(1_000)
-    kind = rng.choice(["entry", "entry", "control", "leader"])
-    if kind == "entry":
-        return RestartEntry(index)
-    return RestartControl(index, leader=kind == "leader")
+    role = rng.choice([ROLE_ENTRY, ROLE_ENTRY, ROLE_CONTROL, ROLE_LEADER])
+    return RestartDaemon(rng.randrange(MAX_INDEX), role)
 
 
 def _draw_pause(rng: random.Random) -> Action:
     count = rng.choice([0, 0, 1, 1, 2, 3])
     return PauseGroups(
-        tuple(rng.randrange(1_000) for _ in range(count)),
+        tuple(rng.randrange(MAX_INDEX) for _ in range(count)),
         rng.choice(PAUSE_DURATIONS_S),
         by_signal=rng.random() < 0.5,
     )
@@ -146,5 +116,7 @@
 
 def _draw_suspension(rng: random.Random) -> Action:
     return SuspendDaemon(
-        rng.randrange(1_000), round(rng.uniform(0.2, 1.0), 2), rng.random() < 0.5
+        rng.randrange(MAX_INDEX),
+        rng.choice([ROLE_ENTRY, ROLE_CONTROL, ROLE_LEADER]),
+        rng.uniform(0.2, 1.0),
     )
--- a/chestnutvale/soak/records.py
+++ b/chestnutvale/soak/records.py
@@ -1,6 +1,8 @@
 """What callers, endpoints and operators saw; the input of the checks."""
 
 from collections import defaultdict
+from collections.abc import Iterator
+from typing import Any
 
 import attrs
 
@@ -16,30 +18,18 @@
 
 @attrs.frozen
 class RequestRecord:
-    """One request as its caller saw it. Times are monotonic, in seconds.
+    """One request as its caller saw it; times are monotonic, in seconds.
 
     Attributes
     ----------
     call_id : str
         Identifier of the call; requests that repeat a call share it.
-    kind : str
-        ``"stream"``, ``"read"`` or ``"posting"``.
-    entry : str
-        Name of the entry.
-    sent_s, ended_s, deadline_s : float
-        When the request was sent, its answer ended and its deadline passes.
     status : int
         HTTP status; 0 if no head was received.
     text_state : str
-        ``"whole"``, ``"part"`` or ``"wrong"``, compared with the expected answer.
-    is_complete : bool
-        Whether the answer looked complete.
-    outcome : str
-        Outcome that a refusal states; empty if there was none.
-    detail : str
-        Problem code or class name of the connection error, for reports.
-    hung_up : bool
-        Whether the caller closed the connection.
+        Comparison with the expected answer; empty if there was no answer to compare.
+    outcome, detail : str
+        Outcome and problem code of a refusal, or class of the connection error.
     was_sent : bool
         Whether there was a connection on which the request was sent.
     is_replayed : bool
@@ -79,17 +69,7 @@
 
 @attrs.frozen
 class RunRecord:
-    """An attempt that an endpoint accepted.
-
-    Attributes
-    ----------
-    call_id : str
-        Identifier of the call.
-    host : str
-        Name of the endpoint.
-    outcome : str
-        How the endpoint says that the attempt ended.
-    """
+    """An attempt that an endpoint accepted, and how the endpoint says that it ended."""
 
     call_id: str
     host: str
@@ -111,19 +91,7 @@
 
 @attrs.frozen
 class KeyReading:
-    """Which texts' keys an entry accepted at one moment.
-
-    Attributes
-    ----------
-    entry : str
-        Name of the entry.
-    process_id : int
-        Process id of the entry, which a restart changes.
-    sent_s : float
-        Monotonic time in seconds at which the first question was sent.
-    number : int
-        Number of the text whose key was accepted; 0 if none of those asked was.
-    """
+    """The newest text whose key an entry accepted; 0 if it accepted none of them."""
 
     entry: str
     process_id: int
@@ -143,13 +111,7 @@
 
 @attrs.define
 class SoakRecords:
-    """Everything that was seen in one run.
-
-    Attributes
-    ----------
-    requests, runs, texts, readings, stops : list
-        The records, in order of their end.
-    """
+    """Everything that was seen in one run, in order of its end."""
 
     requests: list[RequestRecord] = attrs.field(factory=list)
     runs: list[RunRecord] = attrs.field(factory=list)
@@ -157,26 +119,18 @@
     readings: list[KeyReading] = attrs.field(factory=list)
     stops: list[PlannedStop] = attrs.field(factory=list)
 
-    def group_requests(self) -> dict[str, list[RequestRecord]]:
-        """Return the requests of each call by its identifier."""
-        grouped: dict[str, list[RequestRecord]] = defaultdict(list)
-        for request in self.requests:
-            grouped[request.call_id].append(request)
-        return dict(grouped)
-
-    def group_runs(self) -> dict[str, list[RunRecord]]:
-        """Return the runs of each call by its identifier."""
-        grouped: dict[str, list[RunRecord]] = defaultdict(list)
-        for run in self.runs:
-            grouped[run.call_id].append(run)
-        return dict(grouped)
-
-    def count_outcomes(self) -> dict[str, int]:
-        """Return how many requests of each kind ended in which way."""
-        counts: dict[str, int] = defaultdict(int)
-        for request in self.requests:
-            counts[f"{request.kind} {describe_end(request)}"] += 1
-        return dict(sorted(counts.items()))
+    def pair_calls(self) -> Iterator[tuple[list[RequestRecord], list[RunRecord]]]:
+        """Yield the requests and the runs of each call."""
+        runs = _group_by_call(self.runs)
+        for call_id, requests in _group_by_call(self.requests).items():
+            yield requests, runs.get(call_id, [])
+
+
+def _group_by_call(records: list[Any]) -> dict[str, list[Any]]:
+    grouped: dict[str, list[Any]] = defaultdict(list)
+    for record in records:
+        grouped[record.call_id].append(record)
+    return grouped
 
 
 def describe_end(request: RequestRecord) -> str:
--- a/chestnutvale/soak/report.py
+++ b/chestnutvale/soak/report.py
@@ -2,28 +2,19 @@
 
 from collections import Counter
 
+from chestnutvale.soak.records import describe_end
 from chestnutvale.soak.runner import SoakResult
 
 SHOWN_VIOLATIONS = 40
 
 
 def format_report(result: SoakResult) -> str:
-    """Return the report of a run; its last line is the verdict.
-
-    Parameters
-    ----------
-    result : SoakResult
-        What the run showed.
-
-    Returns
-    -------
-    str
-        Lines of text.
-    """
+    """Return the report of a run as lines of text; the last one is the verdict."""
     records = result.records
+    requests = Counter(f"{r.kind} {describe_end(r)}" for r in records.requests)
     ends = Counter(run.outcome for run in records.runs)
     lines = [
-        f"requests: {_format_counts(records.count_outcomes())}",
+        f"requests: {_format_counts(requests)}",
         f"runs at endpoints: {_format_counts(ends)}",
         f"steps: {_format_counts(result.steps)}; texts accepted {len(records.texts)}; "
         f"readings {len(records.readings)}",
--- a/chestnutvale/soak/runner.py
+++ b/chestnutvale/soak/runner.py
@@ -42,21 +42,7 @@
 
 @attrs.frozen
 class SoakOptions:
-    """Size and length of a run.
-
-    Attributes
-    ----------
-    seed : int
-        Seed of all choices.
-    length_s : float
-        Time in seconds during which callers begin calls.
-    folder : Path
-        Folder for settings, data and logs.
-    entries, controls, engines, callers : int
-        Numbers of processes and of callers.
-    busy : int
-        Number of processes that each keep a processor busy.
-    """
+    """Size and length of a run; ``busy`` processes keep a processor busy each."""
 
     seed: int
     length_s: float
@@ -69,17 +55,7 @@
 
     @property
     def sizes(self) -> Sizes:
-        """Numbers of groups that the hosts allow, some hosts being spare.
-
-        Raises
-        ------
-        EmulatorError
-            If there are too few hosts.
-        """
-        if self.engines < MIN_ENGINES:
-            raise EmulatorError(
-                f"at least {MIN_ENGINES} engines are needed", step="arguments"
-            )
+        """Numbers of groups that the hosts allow, some hosts being spare."""
         held = self.engines - SPARE_HOSTS
         pair_groups = held // (2 * HOSTS_PER_PAIR_GROUP)
         return Sizes(held - pair_groups * HOSTS_PER_PAIR_GROUP, pair_groups)
@@ -91,12 +67,6 @@
 
     Attributes
     ----------
-    seed : int
-        Seed of the run.
-    records : SoakRecords
-        All records.
-    violations : list of Violation
-        Broken promises.
     steps : dict of str to int
         Number of executed steps by kind.
     failures : list of str
@@ -114,13 +84,7 @@
 
 
 class SoakRunner:
-    """Runs one seed on a deployment of its own.
-
-    Parameters
-    ----------
-    options : SoakOptions
-        Size and length of the run.
-    """
+    """Runs one seed on a deployment of its own."""
 
     def __init__(self, options: SoakOptions) -> None:
         self._options = options
@@ -131,22 +95,20 @@
     def run(self) -> SoakResult:
         """Run the seed and check what was seen.
 
-        Returns
-        -------
-        SoakResult
-            Records and broken promises.
-
         Raises
         ------
         EmulatorError
             If the deployment does not start, or a step or caller does not end.
         """
         options = self._options
+        if options.engines < MIN_ENGINES:
+            message = f"at least {MIN_ENGINES} engines are needed"
+            raise EmulatorError(message, step="arguments")
         sizes = options.sizes
         with ExitStack() as stack:
             deployment = stack.enter_context(Deployment(self._make_deployment()))
             work = PlannedWork(deployment, sizes, self._records)
-            work.apply_text(TextChange())
+            work.apply_text(TextChange(options.seed))
             deployment.wait_until_groups_serve(sizes.solo_groups + sizes.pair_groups)
             self._start_busy_processes(stack)
             stack.callback(self._stop.set)
@@ -193,17 +155,14 @@
 
     def _start_busy_processes(self, stack: ExitStack) -> None:
         for number in range(self._options.busy):
-            command = [sys.executable, *BUSY_COMMAND]
-            stack.enter_context(
-                ManagedProcess(f"busy-{number}", command, self._options.folder)
-            )
+            name, command = f"busy-{number}", [sys.executable, *BUSY_COMMAND]
+            stack.enter_context(ManagedProcess(name, command, self._options.folder))
 
     def _start_callers(self, deployment: Deployment) -> None:
         entries = {name: deployment.addresses[name] for name in deployment.entries}
         for number in range(self._options.callers):
             rng = random.Random(f"{self._options.seed} caller {number}")
-            name = f"c{number}"
-            caller = SoakCaller(name, entries, self._records, rng, self._stop)
+            caller = SoakCaller(f"c{number}", entries, self._records, rng, self._stop)
             self._start_thread(caller.run)
 
     def _start_thread(self, action: Callable[..., None], *arguments: Any) -> None:
@@ -230,18 +189,7 @@
 
 
 def collect_runs(deployment: Deployment) -> list[RunRecord]:
-    """Return all attempts that the endpoints accepted.
-
-    Parameters
-    ----------
-    deployment : Deployment
-        A deployment whose endpoints all run.
-
-    Returns
-    -------
-    list of RunRecord
-        The attempts.
-    """
+    """Return all attempts that the endpoints, which must all run, accepted."""
     runs: list[RunRecord] = []
     for host in deployment.engines:
         for attempt in deployment.fetch_json(host, "/v1/history")["attempts"]:
--- a/chestnutvale/soak/text.py
+++ b/chestnutvale/soak/text.py
@@ -16,8 +16,11 @@
 )
 
 MAX_WORKSPACE_WEIGHT = 10
-MAX_LIMIT_STEP = 200
 LARGE_CHANGE_WORKSPACES = 1_000
+CALLS = [
+    {"method": "GET", "path_prefix": "/", "repeatable": True},
+    {"method": "POST", "path_prefix": "/postings", "repeatable": False},
+]
 
 
 @attrs.frozen
@@ -30,45 +33,10 @@
 
 @attrs.frozen
 class TextChange:
-    """What a text changes against the first one.
-
-    Attributes
-    ----------
-    workspace_weights : dict of str to int
-        Weight of each workspace of callers.
-    queue_bonus : int
-        Number of requests added to the limits of all services.
-    extra_workspaces : int
-        Number of workspaces that no caller uses; many of them make the text large.
-    """
-
-    workspace_weights: dict[str, int] = attrs.field(
-        factory=lambda: dict.fromkeys(WORKSPACE_KEYS, 1)
-    )
-    queue_bonus: int = 0
-    extra_workspaces: int = 0
+    """What a text changes; a large one is nearly as large as texts may be."""
 
-
-def draw_change(rng: random.Random, *, large: bool) -> TextChange:
-    """Draw a change of weights and limits of the services in use.
-
-    Parameters
-    ----------
-    rng : random.Random
-        Source of randomness.
-    large : bool
-        Whether the text grows to nearly its largest size.
-
-    Returns
-    -------
-    TextChange
-        The change.
-    """
-    return TextChange(
-        {name: rng.randint(1, MAX_WORKSPACE_WEIGHT) for name in WORKSPACE_KEYS},
-        rng.randint(0, MAX_LIMIT_STEP),
-        LARGE_CHANGE_WORKSPACES if large else rng.randint(0, 5),
-    )
+    seed: int
+    is_large: bool = False
 
 
 def make_probe_key(number: int) -> str:
@@ -77,32 +45,22 @@
 
 
 def make_text(number: int, sizes: Sizes, change: TextChange) -> str:
-    """Return a configuration text.
-
-    Parameters
-    ----------
-    number : int
-        Number of the text.
-    sizes : Sizes
-        Number of groups of each model service.
-    change : TextChange
-        What differs from the first text.
-
-    Returns
-    -------
-    str
-        The text as JSON.
+    """Return the configuration text of a number as JSON.
+
+    Weights and limits of what callers use are drawn from the seed of the change.
     """
+    rng = random.Random(change.seed)
     workspaces: dict[str, Any] = {
-        name: _make_workspace(key, change.workspace_weights[name])
+        name: _make_workspace(key, rng.randint(1, MAX_WORKSPACE_WEIGHT))
         for name, key in WORKSPACE_KEYS.items()
     }
     workspaces[PROBE_WORKSPACE] = _make_workspace(make_probe_key(number), 1)
-    for index in range(change.extra_workspaces):
+    extra_count = LARGE_CHANGE_WORKSPACES if change.is_large else rng.randint(0, 5)
+    for index in range(extra_count):
         workspaces[f"extra-{index}"] = _make_workspace(f"extra {number} {index}", 1)
     limits = {
-        "max_queued_requests": 1_000 + change.queue_bonus,
-        "default_deadline_ms": 60_000 + change.queue_bonus,
+        "max_queued_requests": rng.randint(800, 1_200),
+        "default_deadline_ms": rng.randint(50_000, 70_000),
     }
     return json.dumps(
         {
@@ -112,19 +70,7 @@
                 PAIR_SERVICE: _make_model(
                     HOSTS_PER_PAIR_GROUP, sizes.pair_groups, limits
                 ),
-                PLAIN_SERVICE: {
-                    "kind": "plain",
-                    "groups": 1,
-                    "limits": limits,
-                    "calls": [
-                        {"method": "GET", "path_prefix": "/", "repeatable": True},
-                        {
-                            "method": "POST",
-                            "path_prefix": "/postings",
-                            "repeatable": False,
-                        },
-                    ],
-                },
+                PLAIN_SERVICE: {"kind": "plain", "limits": limits, "calls": CALLS},
             },
             "workspaces": workspaces,
         },
--- a/chestnutvale/soak/work.py
+++ b/chestnutvale/soak/work.py
@@ -4,7 +4,6 @@
 import time
 from collections import Counter
 from collections.abc import Callable
-from pathlib import Path
 
 import logbook
 import urllib3
@@ -13,12 +12,13 @@
 from chestnutvale.emulator.exceptions import EmulatorError
 from chestnutvale.emulator.processes import ManagedProcess
 from chestnutvale.soak.plan import (
+    ROLE_ENTRY,
+    ROLE_LEADER,
     Action,
     ApplyTexts,
     PauseGroups,
     PlannedStep,
-    RestartControl,
-    RestartEntry,
+    RestartDaemon,
     SuspendDaemon,
 )
 from chestnutvale.soak.records import PlannedStop, SoakRecords, TextRecord
@@ -30,22 +30,12 @@
 MAX_APPLY_ATTEMPTS = 5
 # A stopping entry waits for its requests, and these for paused endpoints.
 STOP_TIMEOUT_S = 90.0
-FAULT_TIMEOUT_S = 2.0
 FINISH_TIMEOUT_S = 120.0
 
 
 class PlannedWork:
     """Executes planned work, each step in a thread of its own.
 
-    Parameters
-    ----------
-    deployment : Deployment
-        The deployment.
-    sizes : Sizes
-        Numbers of groups, for the texts.
-    records : SoakRecords
-        Receives texts and stops.
-
     Attributes
     ----------
     submitted : list of int
@@ -72,21 +62,13 @@
         self._threads: list[threading.Thread] = []
         self._run_by_type: dict[type, Callable[..., None]] = {
             ApplyTexts: self._apply_texts,
-            RestartEntry: self._restart_entry,
-            RestartControl: self._restart_control,
+            RestartDaemon: self._restart_daemon,
             PauseGroups: self._pause_groups,
             SuspendDaemon: self._suspend_daemon,
         }
 
     def execute(self, steps: list[PlannedStep], stop: threading.Event) -> None:
-        """Start each step at its time and wait until all have ended.
-
-        Parameters
-        ----------
-        steps : list of PlannedStep
-            The steps in order of time.
-        stop : threading.Event
-            Prevents further steps from starting.
+        """Start each step at its time, until stopped, and wait for their end.
 
         Raises
         ------
@@ -130,14 +112,11 @@
             path = self._deployment.folder / f"text-{number}.json"
             path.write_text(make_text(number, self._sizes, change))
             self.submitted.append(number)
-            self._apply_file(path, number)
-
-    def _apply_file(self, path: Path, number: int) -> None:
-        for _ in range(MAX_APPLY_ATTEMPTS):
-            run = self._deployment.run_client("apply", str(path))
-            if run.returncode == EXIT_ACCEPTED:
-                self._records.texts.append(TextRecord(number, time.monotonic()))
-                return
+            for _ in range(MAX_APPLY_ATTEMPTS):
+                run = self._deployment.run_client("apply", str(path))
+                if run.returncode == EXIT_ACCEPTED:
+                    self._records.texts.append(TextRecord(number, time.monotonic()))
+                    return
         raise EmulatorError(
             f"text {number} was not accepted: {run.stdout}{run.stderr}", step="apply"
         )
@@ -148,18 +127,13 @@
                 time.sleep(action.gap_s)
             self.apply_text(change)
 
-    def _restart_entry(self, action: RestartEntry) -> None:
-        names = sorted(self._deployment.entries)
-        self._restart(names[action.index % len(names)])
-
-    def _restart_control(self, action: RestartControl) -> None:
+    def _restart_daemon(self, action: RestartDaemon) -> None:
+        if action.role == ROLE_ENTRY:
+            self._restart(self._choose_daemon(action.index, action.role))
+            return
         # One control at a time, so that a quorum of them always runs.
         with self._control_lock:
-            names = sorted(self._deployment.controls)
-            name = names[action.index % len(names)]
-            if action.leader:
-                name = self._deployment.wait_for_leader()
-            self._restart(name)
+            self._restart(self._choose_daemon(action.index, action.role))
 
     def _restart(self, name: str) -> None:
         process = self._find_daemon(name)
@@ -174,11 +148,19 @@
             self._deployment.restart_daemon(name)
 
     def _suspend_daemon(self, action: SuspendDaemon) -> None:
-        deployment = self._deployment
-        names = sorted(deployment.controls if action.control else deployment.entries)
-        name = names[action.index % len(names)]
+        name = self._choose_daemon(action.index, action.role)
         with self._locks[name]:
-            _suspend(self._find_daemon(name), action.duration_s)
+            process = self._find_daemon(name)
+            process.suspend()
+            time.sleep(action.duration_s)
+            process.resume()
+
+    def _choose_daemon(self, index: int, role: str) -> str:
+        if role == ROLE_LEADER:
+            return self._deployment.wait_for_leader()
+        is_entry = role == ROLE_ENTRY
+        daemons = self._deployment.entries if is_entry else self._deployment.controls
+        return sorted(daemons)[index % len(daemons)]
 
     def _find_daemon(self, name: str) -> ManagedProcess:
         return (self._deployment.controls | self._deployment.entries)[name]
@@ -193,23 +175,9 @@
             )
             if action.by_signal and len(hosts) == 1:
                 process = self._deployment.engines[hosts[0]]
-                thread = threading.Thread(
-                    target=_suspend, args=(process, action.duration_s), daemon=True
-                )
-                thread.start()
-                self._threads.append(thread)
+                process.suspend()
+                threading.Timer(action.duration_s, process.resume).start()
                 continue
+            fault = {"kind": "pause", "for_ms": round(1e3 * action.duration_s)}
             for host in hosts:
-                self._inject_pause(host, action.duration_s)
-
-    def _inject_pause(self, host: str, duration_s: float) -> None:
-        fault = {"kind": "pause", "for_ms": round(1e3 * duration_s)}
-        self._deployment.post_json(host, "/fault", fault)
-
-
-def _suspend(process: ManagedProcess, duration_s: float) -> None:
-    process.suspend()
-    try:
-        time.sleep(duration_s)
-    finally:
-        process.resume()
+                self._deployment.post_json(host, "/fault", fault)
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -10,6 +10,7 @@
     RunCallsAreAnswered,
     StopsCutNothing,
     TextsAreInForce,
+    ValidCallsAreAllowed,
     find_all_violations,
 )
 from chestnutvale.soak.records import (
@@ -44,7 +45,7 @@
 
 
 def make_refusal(kind="stream", **changes):
-    return make_cut(kind, status=503, outcome="not_run", **changes)
+    return make_cut(kind, **{"status": 503, "outcome": "not_run", **changes})
 
 
 def count(check, **records):
@@ -137,8 +138,15 @@
     assert count(check, requests=answered, runs=[RUN]) == 0
 
 
+@pytest.mark.parametrize("status", [401, 403, 404])
+def test_denied_call_is_found(status):
+    check = ValidCallsAreAllowed()
+    assert count(check, requests=[make_refusal(status=status)]) == 1
+    assert count(check, requests=[make_refusal(), make_request(), make_cut()]) == 0
+
+
 def test_text_that_comes_late_or_reverts_is_found():
-    check = TextsAreInForce(in_force_s=5.0)
+    check = TextsAreInForce()
     texts = [TextRecord(1, 0.0), TextRecord(2, 10.0)]
 
     def count_readings(*readings):
--- a/tests/soak/test_plan.py
+++ b/tests/soak/test_plan.py
@@ -1,7 +1,5 @@
 """A seed gives the same plan again, with all kinds of steps and valid texts."""
 
-import random
-
 import pytest
 
 from chestnutvale.configuration.parser import parse_text
@@ -9,12 +7,11 @@
     QUIET_END_S,
     ApplyTexts,
     PauseGroups,
-    RestartControl,
-    RestartEntry,
+    RestartDaemon,
     SuspendDaemon,
     draw_plan,
 )
-from chestnutvale.soak.text import Sizes, draw_change, make_text
+from chestnutvale.soak.text import Sizes, TextChange, make_text
 
 LENGTH_S = 300.0
 
@@ -30,8 +27,7 @@
     assert kinds == {
         ApplyTexts,
         PauseGroups,
-        RestartControl,
-        RestartEntry,
+        RestartDaemon,
         SuspendDaemon,
     }
     times_s = [step.at_s for step in steps]
@@ -43,8 +39,8 @@
     assert any(not pause.indices for pause in pauses)
 
 
-@pytest.mark.parametrize("large", [False, True])
-def test_drawn_texts_are_valid(large):
-    change = draw_change(random.Random(1), large=large)
-    text = parse_text(make_text(5, Sizes(4, 2), change))
-    assert text.number == 5
+@pytest.mark.parametrize("is_large", [False, True])
+@pytest.mark.parametrize("seed", range(5))
+def test_drawn_texts_are_valid(seed, is_large):
+    text = make_text(5, Sizes(4, 2), TextChange(seed, is_large))
+    assert parse_text(text).number == 5
