--- a/chestnutvale/emulator/deployment.py
+++ b/chestnutvale/emulator/deployment.py
@@ -25,6 +25,7 @@
     SettingsFiles,
 )
 from chestnutvale.emulator.exceptions import EmulatorError
+from chestnutvale.emulator.process_guard import ProcessGuard
 from chestnutvale.emulator.processes import (
     ManagedProcess,
     find_free_addresses,
@@ -117,6 +118,7 @@
         )
         self._free_addresses = find_free_addresses(os.getpid())
         self._stack = ExitStack()
+        self._guard = ProcessGuard()
         self._weight_store_address = ""
 
     def __enter__(self) -> Self:
@@ -125,6 +127,7 @@
         self.folder.mkdir(parents=True)
         self._settings_files.write_operator_token()
         with self._stack:
+            self._stack.enter_context(self._guard)
             self._reserve_addresses()
             self._start_endpoints()
             self._start_daemons()
@@ -157,7 +160,7 @@
         self, name: str, program: str, arguments: list[str]
     ) -> ManagedProcess:
         command = [program_path(program), *arguments]
-        process = ManagedProcess(name, command, self.folder)
+        process = ManagedProcess(name, command, self.folder, self._guard)
         return self._stack.enter_context(process)
 
     def _start_endpoints(self) -> None:
--- a/chestnutvale/emulator/processes.py
+++ b/chestnutvale/emulator/processes.py
@@ -13,6 +13,7 @@
 from typing import Any, Self
 
 from chestnutvale.emulator.exceptions import EmulatorError
+from chestnutvale.emulator.process_guard import ProcessGuard
 
 # Ports below the range that the kernel assigns to outgoing connections.
 FIRST_PORT = 20_000
@@ -107,6 +108,8 @@
         The command line.
     folder : Path
         Folder of the files for standard output and standard error.
+    guard : ProcessGuard, optional
+        Kills the process if this program is killed.
 
     Attributes
     ----------
@@ -116,12 +119,19 @@
         File of the standard error of the process, appended to at each start.
     """
 
-    def __init__(self, name: str, command: list[str], folder: Path) -> None:
+    def __init__(
+        self,
+        name: str,
+        command: list[str],
+        folder: Path,
+        guard: ProcessGuard | None = None,
+    ) -> None:
         self.name = name
         self.command = command
         self.description: dict[str, Any] = {}
         self.log_path = folder / f"{name}.log"
         self._out_path = folder / f"{name}.out"
+        self._guard = guard
         self._process: subprocess.Popen[bytes] | None = None
 
     @property
@@ -169,6 +179,8 @@
             self._process = subprocess.Popen(
                 self.command, stdin=subprocess.DEVNULL, stdout=out, stderr=log
             )
+        if self._guard is not None:
+            self._guard.add(self._process.pid)
 
     def wait_ready(self, timeout_s: float = START_TIMEOUT_S) -> dict[str, Any]:
         """Wait for the line of JSON that an emulator program prints when it is ready.
