--- a/chestnutvale/soak/main.py
+++ b/chestnutvale/soak/main.py
@@ -71,6 +71,8 @@
         print(format_report(result), flush=True)
         if result.violations:
             exit_code = EXIT_BROKEN
+        elif result.gaps:
+            exit_code = exit_code or EXIT_NOT_RUN
         else:
             shutil.rmtree(folder, ignore_errors=True)
     return exit_code
--- a/chestnutvale/soak/report.py
+++ b/chestnutvale/soak/report.py
@@ -19,7 +19,7 @@
         f"steps: {_format_counts(result.steps)}; texts accepted {len(records.texts)}; "
         f"readings {len(records.readings)}",
     ]
-    lines += [f"step failed: {failure}" for failure in result.failures]
+    lines += result.gaps
     lines += [
         f"the runner itself stood still for {length_s} s until {at_s} s"
         for at_s, length_s in result.standstills
@@ -32,6 +32,8 @@
 
 def format_verdict(result: SoakResult) -> str:
     """Return one line that says whether all promises held."""
+    if not result.violations and result.gaps:
+        return f"seed {result.seed}: NOT JUDGED: the run was not a full one"
     if not result.violations:
         return f"seed {result.seed}: all promises held"
     counts = Counter(violation.check for violation in result.violations)
--- a/chestnutvale/soak/runner.py
+++ b/chestnutvale/soak/runner.py
@@ -82,6 +82,19 @@
     failures: list[str]
     standstills: list[tuple[float, float]]
 
+    @property
+    def gaps(self) -> list[str]:
+        """Why the run shows less than it should; empty if it was a full one."""
+        records = self.records
+        seen = {
+            "whole answers": any(request.is_whole for request in records.requests),
+            "runs at endpoints": records.runs,
+            "texts": records.texts,
+            "readings of keys": records.readings,
+        }
+        missing = [f"no {name} recorded" for name, value in seen.items() if not value]
+        return [f"step failed: {failure}" for failure in self.failures] + missing
+
 
 class SoakRunner:
     """Runs one seed on a deployment of its own."""
