--- a/chestnutvale/soak/checks.py
+++ b/chestnutvale/soak/checks.py
@@ -1,8 +1,7 @@
 """Promises of the system, each checked on what callers and endpoints saw."""
 
 from collections import defaultdict
-from collections.abc import Iterator, Sequence
-from typing import Protocol
+from collections.abc import Callable, Iterator, Sequence
 
 import attrs
 
@@ -14,7 +13,6 @@
     TEXT_WRONG,
 )
 from chestnutvale.soak.records import (
-    KeyReading,
     PlannedStop,
     RequestRecord,
     RunRecord,
@@ -31,148 +29,95 @@
     detail: str
 
 
-class Check(Protocol):
-    """Finds the violations of one promise."""
-
-    name: str
-
-    def find_violations(self, records: SoakRecords) -> Iterator[Violation]:
-        """Yield a violation for each time the promise was broken."""
-
-
-class RunCallsAreAnswered:
-    """A call that an endpoint ran gets its whole answer, on the connection it came on.
+def find_unanswered_runs(records: SoakRecords) -> Iterator[str]:
+    """Yield each call that an endpoint ran and that got no whole answer.
 
     Excused are calls that their caller left, whose deadline passed, or that an endpoint
-    broke off by itself. A pause of an endpoint is no excuse.
+    broke off by itself. A pause of an endpoint is no excuse, nor is a later request
+    that got the answer of one that was cut.
     """
-
-    name = "a call that ran is answered"
-
-    def find_violations(self, records: SoakRecords) -> Iterator[Violation]:
-        """Yield a violation for each call that ran without a whole answer."""
-        for requests, runs in records.pair_calls():
-            if not runs or any(run.was_ended_by_endpoint for run in runs):
-                continue
-            cut = list_cut_requests(requests, runs)
-            if not cut and not any(_is_settled(r) for r in requests):
-                cut = requests[-1:]
-            for request in cut:
-                yield Violation(self.name, _describe(request, runs))
-
-
-class AnswersAreOwn:
-    """Nothing but the caller's own answer arrives, and what looks complete is whole."""
-
-    name = "answers are the caller's own and whole"
-
-    def find_violations(self, records: SoakRecords) -> Iterator[Violation]:
-        """Yield a violation for each answer that is foreign or only looks complete."""
-        for request in records.requests:
-            looks_whole = request.is_complete and not request.is_whole
-            if request.text_state == TEXT_WRONG or looks_whole:
-                yield Violation(self.name, _describe(request))
-
-
-class PostingsRunOnce:
-    """A call that may not be repeated runs at most once."""
-
-    name = "a call that may not be repeated runs once"
-
-    def find_violations(self, records: SoakRecords) -> Iterator[Violation]:
-        """Yield a violation for each such call that ran more often."""
-        for requests, runs in records.pair_calls():
-            if requests[0].kind == KIND_POSTING and len(runs) > 1:
-                yield Violation(self.name, _describe(requests[-1], runs))
-
-
-class RefusalsAreTrue:
-    """A call whose refusals all state that it has not run has not run."""
-
-    name = "a refusal as not run is true"
-
-    def find_violations(self, records: SoakRecords) -> Iterator[Violation]:
-        """Yield a violation for each refused call that an endpoint ran."""
-        for requests, runs in records.pair_calls():
-            if runs and all(r.is_refused_as_not_run for r in requests):
-                yield Violation(self.name, _describe(requests[-1], runs))
-
-
-class ValidCallsAreAllowed:
-    """A call that every text allows is not denied, not even by a restarted entry."""
-
-    name = "a valid call is not denied"
-
-    def find_violations(self, records: SoakRecords) -> Iterator[Violation]:
-        """Yield a violation for each call of a known key that was denied."""
-        for request in records.requests:
-            if request.status in DENIAL_STATUSES:
-                yield Violation(self.name, _describe(request))
-
-
-class TextsAreInForce:
-    """An accepted text is in force at all entries in time, and never reverts."""
-
-    name = "an accepted text is in force"
-
-    def find_violations(self, records: SoakRecords) -> Iterator[Violation]:
-        """Yield a violation for each reading that shows an older text."""
-        newest: dict[tuple[str, int], int] = defaultdict(int)
-        for reading in sorted(records.readings, key=lambda r: r.sent_s):
-            due = [
-                text.number
-                for text in records.texts
-                if text.accepted_s + IN_FORCE_S < reading.sent_s
-            ]
-            if reading.number < max(due, default=0):
-                yield self._make(reading, f"text {max(due)} is due")
-            incarnation = (reading.entry, reading.process_id)
-            if 0 < reading.number < newest[incarnation]:
-                yield self._make(reading, f"text {newest[incarnation]} was in force")
-            newest[incarnation] = max(newest[incarnation], reading.number)
-
-    def _make(self, reading: KeyReading, detail: str) -> Violation:
+    for requests, runs in records.pair_calls():
+        if not runs or any(run.was_ended_by_endpoint for run in runs):
+            continue
+        cut = list_cut_requests(requests, runs)
+        if not cut and not any(_is_settled(r) for r in requests):
+            cut = requests[-1:]
+        yield from (_describe(request, runs) for request in cut)
+
+
+def find_wrong_answers(records: SoakRecords) -> Iterator[str]:
+    """Yield each answer that is not the caller's own, or only looks complete."""
+    for request in records.requests:
+        looks_whole = request.is_complete and not request.is_whole
+        if request.text_state == TEXT_WRONG or looks_whole:
+            yield _describe(request)
+
+
+def find_repeated_postings(records: SoakRecords) -> Iterator[str]:
+    """Yield each call that may not be repeated and ran more than once."""
+    for requests, runs in records.pair_calls():
+        if requests[0].kind == KIND_POSTING and len(runs) > 1:
+            yield _describe(requests[-1], runs)
+
+
+def find_false_refusals(records: SoakRecords) -> Iterator[str]:
+    """Yield each call that was only ever refused as not run, and has run."""
+    for requests, runs in records.pair_calls():
+        if runs and all(request.is_refused_as_not_run for request in requests):
+            yield _describe(requests[-1], runs)
+
+
+def find_denied_calls(records: SoakRecords) -> Iterator[str]:
+    """Yield each denied call; every text allows all calls."""
+    for request in records.requests:
+        if request.status in DENIAL_STATUSES:
+            yield _describe(request)
+
+
+def find_old_texts(records: SoakRecords) -> Iterator[str]:
+    """Yield each reading of an entry that is late with a text, or went back."""
+    newest: dict[tuple[str, int], int] = defaultdict(int)
+    for reading in sorted(records.readings, key=lambda r: r.sent_s):
+        latest_s = reading.sent_s - IN_FORCE_S
+        due = max(
+            (t.number for t in records.texts if t.accepted_s < latest_s), default=0
+        )
         seen = f"{reading.entry} at {reading.sent_s:.2f}: text {reading.number}"
-        return Violation(self.name, f"{seen}, {detail}")
-
-
-class StopsCutNothing:
-    """A graceful stop of an entry ends no request that the entry had read.
-
-    A request that was sent while its connection closed, and that no endpoint ran, may
-    be sent again and is not counted.
-    """
-
-    name = "a planned stop cuts nothing"
-
-    def find_violations(self, records: SoakRecords) -> Iterator[Violation]:
-        """Yield a violation for each request cut by a stop, or a failed stop."""
-        for stop in records.stops:
-            if stop.exit_code != 0:
-                detail = f"{stop.entry} exited with code {stop.exit_code}"
-                yield Violation(self.name, detail)
-        for requests, runs in records.pair_calls():
-            for request in list_cut_requests(requests, runs):
-                if any(_is_during(request, stop) for stop in records.stops):
-                    yield Violation(self.name, _describe(request))
-
-
-ALL_CHECKS: tuple[Check, ...] = (
-    RunCallsAreAnswered(),
-    AnswersAreOwn(),
-    PostingsRunOnce(),
-    RefusalsAreTrue(),
-    ValidCallsAreAllowed(),
-    TextsAreInForce(),
-    StopsCutNothing(),
-)
-
-
-def find_all_violations(
-    records: SoakRecords, checks: tuple[Check, ...] = ALL_CHECKS
-) -> list[Violation]:
+        if reading.number < due:
+            yield f"{seen}, text {due} is due"
+        incarnation = (reading.entry, reading.process_id)
+        if 0 < reading.number < newest[incarnation]:
+            yield f"{seen}, text {newest[incarnation]} was in force"
+        newest[incarnation] = max(newest[incarnation], reading.number)
+
+
+def find_cuts_by_stops(records: SoakRecords) -> Iterator[str]:
+    """Yield each request that a stopping entry had read and cut, and failed stops."""
+    for stop in records.stops:
+        if stop.exit_code != 0:
+            yield f"{stop.process} exited with code {stop.exit_code}"
+    for requests, runs in records.pair_calls():
+        for request in list_cut_requests(requests, runs):
+            if any(_is_during(request, stop) for stop in records.stops):
+                yield _describe(request, runs)
+
+
+CHECKS: dict[str, Callable[[SoakRecords], Iterator[str]]] = {
+    "a call that ran is answered": find_unanswered_runs,
+    "answers are the caller's own and whole": find_wrong_answers,
+    "a call that may not be repeated runs once": find_repeated_postings,
+    "a refusal as not run is true": find_false_refusals,
+    "a valid call is not denied": find_denied_calls,
+    "an accepted text is in force": find_old_texts,
+    "a planned stop cuts nothing": find_cuts_by_stops,
+}
+
+
+def find_all_violations(records: SoakRecords) -> list[Violation]:
     """Return the violations that the checks find in the records of a run."""
-    return [v for check in checks for v in check.find_violations(records)]
+    return [
+        Violation(n, detail) for n, find in CHECKS.items() for detail in find(records)
+    ]
 
 
 def list_cut_requests(
@@ -183,7 +128,6 @@
     A request that crosses the close of its connection is unread, and may be sent again.
     That it was read shows by its begun answer, by the time that it was held, by the
     only request of a call having run, or by a later answer that was recorded for it.
-
     What their caller, their deadline or an endpoint ended is left out.
     """
     if any(run.was_ended_by_endpoint for run in runs):
@@ -209,7 +153,7 @@
 
 def _is_during(request: RequestRecord, stop: PlannedStop) -> bool:
     return (
-        request.entry == stop.entry
+        request.entry == stop.process
         and request.sent_s <= stop.exited_s
         and request.ended_s >= stop.requested_s
     )
--- a/chestnutvale/soak/main.py
+++ b/chestnutvale/soak/main.py
@@ -86,7 +86,7 @@
     int
         Exit code of the process.
     """
-    # The end of this program must also end the processes that it started.
+    # The end of this program must also end its processes.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_NOT_RUN))
     handler = logbook.StreamHandler(sys.stdout, level="INFO")
     handler.format_string = LOG_FORMAT
--- a/chestnutvale/soak/observers.py
+++ b/chestnutvale/soak/observers.py
@@ -66,14 +66,7 @@
 
 
 class StandstillObserver:
-    """Measures when this process, and with it all callers, stood still.
-
-    Attributes
-    ----------
-    standstills : list of (float, float)
-        Time of the end of each standstill, in seconds after the start, and its length
-        in seconds.
-    """
+    """Lists when this process stood still: end, after its start, and length in s."""
 
     def __init__(self) -> None:
         self.standstills: list[tuple[float, float]] = []
--- a/chestnutvale/soak/records.py
+++ b/chestnutvale/soak/records.py
@@ -101,9 +101,9 @@
 
 @attrs.frozen
 class PlannedStop:
-    """A graceful stop of an entry; times are monotonic, in seconds."""
+    """A graceful stop of a process; times are monotonic, in seconds."""
 
-    entry: str
+    process: str
     requested_s: float
     exited_s: float
     exit_code: int
--- a/chestnutvale/soak/runner.py
+++ b/chestnutvale/soak/runner.py
@@ -10,7 +10,6 @@
 from typing import Any
 
 import attrs
-import logbook
 
 from chestnutvale.emulator.deployment import Deployment, DeploymentOptions
 from chestnutvale.emulator.exceptions import EmulatorError
@@ -30,8 +29,6 @@
 from chestnutvale.soak.text import Sizes, TextChange
 from chestnutvale.soak.work import PlannedWork
 
-_LOGGER = logbook.Logger(__name__)
-
 MIN_ENGINES = SPARE_HOSTS + 2 * HOSTS_PER_PAIR_GROUP
 DETECTION_TIMEOUT_MS = 2_000
 CALLER_END_TIMEOUT_S = 60.0
@@ -63,17 +60,7 @@
 
 @attrs.frozen
 class SoakResult:
-    """What a run showed.
-
-    Attributes
-    ----------
-    steps : dict of str to int
-        Number of executed steps by kind.
-    failures : list of str
-        Steps that could not be executed.
-    standstills : list of (float, float)
-        When the runner itself stood still, and for how long, in seconds.
-    """
+    """What a run showed; a standstill is of the runner itself: its end and length."""
 
     seed: int
     records: SoakRecords
--- a/chestnutvale/soak/text.py
+++ b/chestnutvale/soak/text.py
@@ -73,8 +73,7 @@
                 PLAIN_SERVICE: {"kind": "plain", "limits": limits, "calls": CALLS},
             },
             "workspaces": workspaces,
-        },
-        indent=1,
+        }
     )
 
 
--- a/chestnutvale/soak/work.py
+++ b/chestnutvale/soak/work.py
@@ -34,17 +34,7 @@
 
 
 class PlannedWork:
-    """Executes planned work, each step in a thread of its own.
-
-    Attributes
-    ----------
-    submitted : list of int
-        Numbers of all texts that were sent.
-    counts : Counter of str
-        Number of executed steps by kind.
-    failures : list of str
-        Steps that could not be executed.
-    """
+    """Executes planned work, each step in a thread of its own."""
 
     def __init__(
         self, deployment: Deployment, sizes: Sizes, records: SoakRecords
@@ -59,7 +49,6 @@
         self._control_lock = threading.Lock()
         daemons = deployment.controls | deployment.entries
         self._locks = {name: threading.Lock() for name in daemons}
-        self._threads: list[threading.Thread] = []
         self._run_by_type: dict[type, Callable[..., None]] = {
             ApplyTexts: self._apply_texts,
             RestartDaemon: self._restart_daemon,
@@ -76,6 +65,7 @@
             If a step does not end.
         """
         started_s = time.monotonic()
+        threads: list[threading.Thread] = []
         for step in steps:
             if stop.wait(max(0.0, started_s + step.at_s - time.monotonic())):
                 break
@@ -83,9 +73,9 @@
                 target=self._run_step, args=(step.action,), daemon=True
             )
             thread.start()
-            self._threads.append(thread)
+            threads.append(thread)
         deadline_s = time.monotonic() + FINISH_TIMEOUT_S
-        for thread in self._threads:
+        for thread in threads:
             thread.join(max(0.0, deadline_s - time.monotonic()))
             if thread.is_alive():
                 raise EmulatorError("a planned step did not end", step="soak")
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -3,15 +3,14 @@
 import pytest
 
 from chestnutvale.soak.checks import (
-    ALL_CHECKS,
-    AnswersAreOwn,
-    PostingsRunOnce,
-    RefusalsAreTrue,
-    RunCallsAreAnswered,
-    StopsCutNothing,
-    TextsAreInForce,
-    ValidCallsAreAllowed,
     find_all_violations,
+    find_cuts_by_stops,
+    find_denied_calls,
+    find_false_refusals,
+    find_old_texts,
+    find_repeated_postings,
+    find_unanswered_runs,
+    find_wrong_answers,
 )
 from chestnutvale.soak.records import (
     KeyReading,
@@ -49,7 +48,7 @@
 
 
 def count(check, **records):
-    return len(list(check.find_violations(SoakRecords(**records))))
+    return len(list(check(SoakRecords(**records))))
 
 
 def test_records_of_a_sound_run_break_no_promise():
@@ -63,10 +62,6 @@
     assert find_all_violations(records) == []
 
 
-def test_each_check_has_its_own_name():
-    assert len({check.name for check in ALL_CHECKS}) == len(ALL_CHECKS)
-
-
 # The incident: an entry closed the connection of a stream that an endpoint ran.
 @pytest.mark.parametrize(
     "cut",
@@ -84,14 +79,14 @@
     "run", [RUN, HUNG_UP_RUN, RunRecord("c1", "host-1", "the group was released")]
 )
 def test_call_that_ran_without_a_whole_answer_is_found(cut, run):
-    assert count(RunCallsAreAnswered(), requests=[cut], runs=[run]) == 1
+    assert count(find_unanswered_runs, requests=[cut], runs=[run]) == 1
 
 
 def test_cut_of_a_posting_is_found_although_a_later_request_got_the_answer():
     cut = make_cut("posting")
     replayed = make_request("posting", is_replayed=True)
     runs = [RUN]
-    check = RunCallsAreAnswered()
+    check = find_unanswered_runs
     assert count(check, requests=[cut, replayed], runs=runs) == 1
     at_once = make_cut("posting", ended_s=10.1)
     assert count(check, requests=[at_once, replayed], runs=runs) == 1
@@ -110,11 +105,11 @@
     ],
 )
 def test_call_that_others_ended_is_no_violation(request_record, run):
-    assert count(RunCallsAreAnswered(), requests=[request_record], runs=[run]) == 0
+    assert count(find_unanswered_runs, requests=[request_record], runs=[run]) == 0
 
 
 def test_foreign_and_falsely_complete_answers_are_found():
-    check = AnswersAreOwn()
+    check = find_wrong_answers
     assert count(check, requests=[make_request(text_state="wrong")]) == 1
     assert count(check, requests=[make_cut(text_state="wrong")]) == 1
     assert count(check, requests=[make_request(text_state="part")]) == 1
@@ -122,7 +117,7 @@
 
 
 def test_posting_that_ran_twice_is_found():
-    check = PostingsRunOnce()
+    check = find_repeated_postings
     posting, read = make_request("posting"), make_request("read")
     assert count(check, requests=[posting], runs=[RUN, RUN]) == 1
     assert count(check, requests=[posting], runs=[RUN]) == 0
@@ -130,7 +125,7 @@
 
 
 def test_false_refusal_is_found():
-    check = RefusalsAreTrue()
+    check = find_false_refusals
     refusals = [make_refusal("posting"), make_refusal("posting")]
     assert count(check, requests=refusals, runs=[RUN]) == 1
     assert count(check, requests=refusals, runs=[]) == 0
@@ -140,13 +135,13 @@
 
 @pytest.mark.parametrize("status", [401, 403, 404])
 def test_denied_call_is_found(status):
-    check = ValidCallsAreAllowed()
+    check = find_denied_calls
     assert count(check, requests=[make_refusal(status=status)]) == 1
     assert count(check, requests=[make_refusal(), make_request(), make_cut()]) == 0
 
 
 def test_text_that_comes_late_or_reverts_is_found():
-    check = TextsAreInForce()
+    check = find_old_texts
     texts = [TextRecord(1, 0.0), TextRecord(2, 10.0)]
 
     def count_readings(*readings):
@@ -163,7 +158,7 @@
 
 @pytest.mark.parametrize("stop_s", [(9.0, 13.0), (10.1, 20.0), (5.0, 10.0)])
 def test_request_cut_by_a_stop_is_found(stop_s):
-    check = StopsCutNothing()
+    check = find_cuts_by_stops
     stops = [PlannedStop("entry-1", *stop_s, 0)]
     cut = make_cut()
     assert count(check, requests=[cut], runs=[RUN], stops=stops) == 1
@@ -177,7 +172,7 @@
 
 
 def test_stop_elsewhere_or_at_another_time_is_not_blamed():
-    check = StopsCutNothing()
+    check = find_cuts_by_stops
     for stop in (
         PlannedStop("entry-2", 9.0, 13.0, 0),
         PlannedStop("entry-1", 12.1, 13.0, 0),
@@ -187,4 +182,4 @@
 
 
 def test_stop_that_fails_is_found():
-    assert count(StopsCutNothing(), stops=[PlannedStop("entry-1", 1.0, 2.0, 1)]) == 1
+    assert count(find_cuts_by_stops, stops=[PlannedStop("entry-1", 1.0, 2.0, 1)]) == 1
