--- a/chestnutvale/groups/idle_tracker.py
+++ b/chestnutvale/groups/idle_tracker.py
@@ -20,7 +20,8 @@
 
     A group is idle once every entry's lease on its serving right has expired and its
     head has reported since then that no request runs or waits, or once all requests
-    must have reached their time limits.
+    must have reached their time limits. If the head is silent, the entries' attempts
+    there count.
 
     Parameters
     ----------
@@ -138,7 +139,8 @@
         if head is None:
             return True
         if not table.is_fresh(head.host_id, now_s):
-            return not has_recent_events(group, table, now_s)
+            # A head that only pauses goes on with the requests that it has.
+            return not (head.running_attempts or has_recent_events(group, table, now_s))
         if not group.plain and not _holds_group(head, group):
             return True
         if head.load is None or head.heard_at_s <= no_new_requests_from_s:
--- a/tests/groups/test_idle_tracker.py
+++ b/tests/groups/test_idle_tracker.py
@@ -3,6 +3,7 @@
 import pytest
 
 from chestnutvale.configuration.const import MAX_ROUTED_CALL_S
+from chestnutvale.groups.members import group_head
 from chestnutvale.groups.settings import GroupsPolicy
 from chestnutvale.schema.configuration_pb2 import Route
 from tests.groups.test_pools import Pool, all_hosts, make_serving_pool
@@ -97,4 +98,27 @@
     pool.table.mark_responsive([drain.group.group_id], 9.0)
     pool.idle_tracker.observe(pool.state, pool.table, pool.text, 8.0)
     assert not pool.idle_tracker.is_idle(drain.group, pool.table, 8.0)
+    # Entries still report attempts there, which a head that only pauses goes on with.
+    assert not pool.idle_tracker.is_idle(drain.group, pool.table, 9.1)
+    pool.table.record_running_attempts(group_head(drain.group).host_id, 0)
     assert pool.idle_tracker.is_idle(drain.group, pool.table, 9.1)
+
+
+def test_silent_head_is_not_idle_while_counts_of_late_entries_are_missing():
+    drain = DrainingPool(20_000)
+    pool = drain.pool
+    pool.idle_tracker.observe(pool.state, pool.table, pool.text, 8.0)
+    head_id = group_head(drain.group).host_id
+    pool.table.record_running_attempts(head_id, 0, is_complete=False)
+    assert not pool.table.is_fresh(head_id, 8.0)
+    assert not pool.idle_tracker.is_idle(drain.group, pool.table, 8.0)
+
+
+def test_drain_ends_no_call_of_the_own_interface_before_its_time_limit():
+    drain = DrainingPool(1_000)
+    del drain.pool.text.routes[:]
+    for service in drain.pool.text.services.values():
+        service.limits.default_deadline_ms = 30_000
+    drain.pool.text.number += 1
+    drain.observe(STOPPED_AT_S)
+    assert not drain.is_idle(STOPPED_AT_S + 8.1)
--- a/tests/programs/control/test_group_task.py
+++ b/tests/programs/control/test_group_task.py
@@ -2,15 +2,23 @@
 
 from types import SimpleNamespace
 
+import logbook
 import pytest
 
+from chestnutvale.groups.coordinator import GroupCoordinator
+from chestnutvale.groups.failure_detector import LossCause, LostMember
+from chestnutvale.groups.orders import OrderScheduler
+from chestnutvale.groups.planner import GroupPlanner
+from chestnutvale.membership.announcement_content import content_digest
 from chestnutvale.membership.table import MembershipTable
 from chestnutvale.programs.control.const import IDLE_DECISION_INTERVAL_S
 from chestnutvale.programs.control.group_task import GroupTask
 from chestnutvale.programs.control.state import ControlState
-from chestnutvale.schema.groups_pb2 import HostRelease
-from chestnutvale.schema.membership_pb2 import Heard
+from chestnutvale.schema.configuration_pb2 import Service, Text
+from chestnutvale.schema.groups_pb2 import GroupMember, HostRelease
+from chestnutvale.schema.membership_pb2 import Announcement, Heard
 from chestnutvale.schema.peer_pb2 import GroupView
+from chestnutvale.schema.raft_pb2 import Members
 
 ROUND_S = 0.1
 
@@ -20,10 +28,16 @@
 
     def __init__(self):
         self.ticks = 0
+        self.new_losses = []
 
     def became_leader(self, now_s):
         """Do nothing."""
 
+    def pop_new_losses(self):
+        """Return each loss once."""
+        losses, self.new_losses = self.new_losses, []
+        return losses
+
     def tick(self, *arguments):
         """Decide nothing."""
         self.ticks += 1
@@ -41,6 +55,8 @@
             applied_index=5,
             has_applied_earlier_terms=True,
             has_lease=lambda now_s: True,
+            members=Members(voters=["c1#0", "c2#0"]),
+            silent_controls=lambda: frozenset(["c2"]),
         )
         self.state = ControlState()
         self.table = MembershipTable()
@@ -124,3 +140,99 @@
         task_fixture.state.groups.releases["h"] = HostRelease(host_id="h")
     task_fixture.log.applied_index += 1
     assert task_fixture.run_rounds(8) == 8
+
+
+@pytest.mark.parametrize(
+    ("reporter", "is_live"),
+    [("e", True), ("silent-e", False), ("c1", True), ("c2", False)],
+)
+def test_loss_of_a_member_names_who_reported_it_last_and_whether_it_lives(
+    task_fixture, reporter, is_live
+):
+    table, now_s = task_fixture.table, task_fixture.now_s
+    heard = [Heard(host_id="h", boot_id="b", sequence=1)]
+    if reporter.startswith("c"):
+        table.merge_control_report(reporter, heard, now_s)
+    else:
+        reported_at_s = now_s if is_live else now_s - 60.0
+        table.merge_entry_report(reporter, heard, reported_at_s)
+    member = GroupMember(host_id="h", boot_id="b")
+    task_fixture.coordinator.new_losses = [LostMember(member, LossCause.MISSING, 2.1)]
+    with logbook.TestHandler() as handler:
+        task_fixture.run_rounds(20)
+
+    lines = [line.extra for line in handler.records if line.msg == "member_lost"]
+    assert lines == [
+        {
+            "host": "h",
+            "cause": "missing",
+            "away_s": 2.1,
+            "reported_by": reporter,
+            "is_reporter_live": is_live,
+        }
+    ]
+
+
+class PlanningFixture(GroupTaskFixture):
+    """A group task that plans for one group and applies what it proposes."""
+
+    def __init__(self):
+        super().__init__()
+        self.proposed = []
+        self.sequence = 0
+        service = Service(kind="model", groups=1, hosts_per_group=2)
+        self.state.configuration.text = Text(number=1, services={"s": service})
+        self.task._coordinator = GroupCoordinator(GroupPlanner(), OrderScheduler())
+        self.task._propose = self.apply
+        self.task._send_order = lambda effect: None
+
+    def apply(self, effect):
+        body = effect.command.WhichOneof("body")
+        self.proposed.append(body)
+        getattr(self.state.groups, body)(getattr(effect.command, body), 1)
+        self.log.applied_index += 1
+
+    def find_spares(self):
+        return sorted(set("abcd") - set(self.state.groups.owners))
+
+    def announce(self, hosts="abcd"):
+        """Announce live hosts; the members of the group are ready."""
+        self.sequence += 1
+        for host in hosts:
+            announcement = Announcement(
+                host_id=host, boot_id="b", fabric_domain="f", kind="engine"
+            )
+            owner = self.state.groups.owners.get(host)
+            if owner is not None:
+                holding = announcement.holding
+                holding.group_id, holding.phase = owner, "ready"
+                holding.epoch = self.state.groups.groups[owner].epoch
+            heard = Heard(
+                host_id=host,
+                boot_id="b",
+                sequence=self.sequence,
+                changed=announcement,
+                content_digest=content_digest(announcement),
+            )
+            self.table.merge_entry_report("e", [heard], self.now_s)
+
+
+def test_late_leader_dissolves_no_group_before_it_has_read_what_arrived():
+    fixture = PlanningFixture()
+    for _ in range(100):
+        fixture.announce()
+        fixture.run_rounds(1)
+    (group,) = fixture.state.groups.groups.values()
+    assert group.phase == "serving"
+    fixture.proposed.clear()
+    # The process stands still; no quorum has confirmed the leadership since.
+    fixture.now_s += 2 * fixture.table.detection_timeout_s
+    # Of what arrived, it has read the announcements of the spare hosts.
+    fixture.announce(fixture.find_spares())
+    fixture.log.has_lease = lambda now_s: False
+    fixture.run_rounds(1)
+    assert fixture.proposed == []
+    fixture.announce()
+    fixture.log.has_lease = lambda now_s: True
+    fixture.run_rounds(5)
+    assert fixture.proposed == []
