--- a/chestnutvale/soak/main.py
+++ b/chestnutvale/soak/main.py
@@ -59,7 +59,7 @@
     """
     exit_code = EXIT_HELD
     for number in range(seed, seed + count):
-        folder = logs / f"seed-{number}"
+        folder = logs.resolve() / f"seed-{number}"
         options = SoakOptions(
             number, seconds, folder, entries, controls, engines, callers, busy
         )
