--- /dev/null
+++ b/chestnutvale/soak/work.py
@@ -0,0 +1,173 @@
+"""Executes the steps of a plan on a deployment."""
+
+import threading
+import time
+from collections import Counter
+from collections.abc import Callable
+
+import logbook
+import urllib3
+
+from chestnutvale.emulator.deployment import Deployment
+from chestnutvale.emulator.exceptions import EmulatorError
+from chestnutvale.emulator.processes import ManagedProcess
+from chestnutvale.soak.plan import (
+    ROLE_ENTRY,
+    ROLE_LEADER,
+    Action,
+    ApplyTexts,
+    PauseGroups,
+    PlannedStep,
+    RestartDaemon,
+    SuspendDaemon,
+)
+from chestnutvale.soak.records import PlannedStop, SoakRecords, TextRecord
+from chestnutvale.soak.text import Sizes, TextChange, make_text
+
+_LOGGER = logbook.Logger(__name__)
+
+EXIT_ACCEPTED = 0
+MAX_APPLY_ATTEMPTS = 5
+# A stopping entry waits for its requests, and these for paused endpoints.
+STOP_TIMEOUT_S = 90.0
+FINISH_TIMEOUT_S = 120.0
+
+
+class PlannedWork:
+    """Executes planned work, each step in a thread of its own."""
+
+    def __init__(
+        self, deployment: Deployment, sizes: Sizes, records: SoakRecords
+    ) -> None:
+        self.submitted: list[int] = []
+        self.counts: Counter[str] = Counter()
+        self.failures: list[str] = []
+        self._deployment = deployment
+        self._sizes = sizes
+        self._records = records
+        self._text_lock = threading.Lock()
+        self._control_lock = threading.Lock()
+        daemons = deployment.controls | deployment.entries
+        self._locks = {name: threading.Lock() for name in daemons}
+        self._run_by_type: dict[type, Callable[..., None]] = {
+            ApplyTexts: self._apply_texts,
+            RestartDaemon: self._restart_daemon,
+            PauseGroups: self._pause_groups,
+            SuspendDaemon: self._suspend_daemon,
+        }
+
+    def execute(self, steps: list[PlannedStep], stop: threading.Event) -> None:
+        """Start each step at its time, until stopped, and wait for their end.
+
+        Raises
+        ------
+        EmulatorError
+            If a step does not end.
+        """
+        started_s = time.monotonic()
+        threads: list[threading.Thread] = []
+        for step in steps:
+            if stop.wait(max(0.0, started_s + step.at_s - time.monotonic())):
+                break
+            thread = threading.Thread(
+                target=self._run_step, args=(step.action,), daemon=True
+            )
+            thread.start()
+            threads.append(thread)
+        deadline_s = time.monotonic() + FINISH_TIMEOUT_S
+        for thread in threads:
+            thread.join(max(0.0, deadline_s - time.monotonic()))
+            if thread.is_alive():
+                raise EmulatorError("a planned step did not end", step="soak")
+
+    def _run_step(self, action: Action) -> None:
+        kind = type(action).__name__
+        self.counts[kind] += 1
+        try:
+            self._run_by_type[type(action)](action)
+        except (EmulatorError, urllib3.exceptions.HTTPError, OSError) as error:
+            _LOGGER.warning("Step {} failed: {}", kind, error)
+            self.failures.append(f"{kind}: {error}")
+
+    def apply_text(self, change: TextChange) -> None:
+        """Apply the next text.
+
+        Raises
+        ------
+        EmulatorError
+            If it is not accepted in several attempts.
+        """
+        with self._text_lock:
+            number = len(self.submitted) + 1
+            path = self._deployment.folder / f"text-{number}.json"
+            path.write_text(make_text(number, self._sizes, change))
+            self.submitted.append(number)
+            for _ in range(MAX_APPLY_ATTEMPTS):
+                run = self._deployment.run_client("apply", str(path))
+                if run.returncode == EXIT_ACCEPTED:
+                    self._records.texts.append(TextRecord(number, time.monotonic()))
+                    return
+        raise EmulatorError(
+            f"text {number} was not accepted: {run.stdout}{run.stderr}", step="apply"
+        )
+
+    def _apply_texts(self, action: ApplyTexts) -> None:
+        for index, change in enumerate(action.changes):
+            if index:
+                time.sleep(action.gap_s)
+            self.apply_text(change)
+
+    def _restart_daemon(self, action: RestartDaemon) -> None:
+        if action.role == ROLE_ENTRY:
+            self._restart(self._choose_daemon(action.index, action.role))
+            return
+        # One control at a time, so that a quorum of them always runs.
+        with self._control_lock:
+            self._restart(self._choose_daemon(action.index, action.role))
+
+    def _restart(self, name: str) -> None:
+        process = self._find_daemon(name)
+        with self._locks[name]:
+            _LOGGER.info("Stopping {}", name)
+            requested_s = time.monotonic()
+            process.request_stop()
+            exit_code = process.wait_for_exit(STOP_TIMEOUT_S)
+            self._records.stops.append(
+                PlannedStop(name, requested_s, time.monotonic(), exit_code)
+            )
+            self._deployment.restart_daemon(name)
+
+    def _suspend_daemon(self, action: SuspendDaemon) -> None:
+        name = self._choose_daemon(action.index, action.role)
+        with self._locks[name]:
+            process = self._find_daemon(name)
+            process.suspend()
+            time.sleep(action.duration_s)
+            process.resume()
+
+    def _choose_daemon(self, index: int, role: str) -> str:
+        if role == ROLE_LEADER:
+            return self._deployment.wait_for_leader()
+        is_entry = role == ROLE_ENTRY
+        daemons = self._deployment.entries if is_entry else self._deployment.controls
+        return sorted(daemons)[index % len(daemons)]
+
+    def _find_daemon(self, name: str) -> ManagedProcess:
+        return (self._deployment.controls | self._deployment.entries)[name]
+
+    def _pause_groups(self, action: PauseGroups) -> None:
+        groups = sorted(self._deployment.fetch_groups().items())
+        if action.indices and groups:
+            groups = [groups[i % len(groups)] for i in sorted(set(action.indices))]
+        for group_id, hosts in groups:
+            _LOGGER.info(
+                "Pausing group {} ({}) for {} s", group_id, hosts, action.duration_s
+            )
+            if action.by_signal and len(hosts) == 1:
+                process = self._deployment.engines[hosts[0]]
+                process.suspend()
+                threading.Timer(action.duration_s, process.resume).start()
+                continue
+            fault = {"kind": "pause", "for_ms": round(1e3 * action.duration_s)}
+            for host in hosts:
+                self._deployment.post_json(host, "/fault", fault)
