Give hosts of a silent control time to find another one

While a follower stood still, the leader took sound hosts that announce themselves there for missing.

Cause: the follower may have acknowledged an announcement that it had not passed on. The next one is sent to it as well, is given up after a second and goes to another control, whose report takes up to 0.4 s. With announcements every 1.2 s, the leader hears nothing for up to 3.8 s, and the timeout is 3 s. The longer timeout for hosts that search for another control applied only at the begin of a term.

It now applies also to hosts whose last report came from a control that the leader does not hear.

Evidence: the test of a control that stands still fails on the code before. A host that is lost together with its control is detected up to 1.2 s later; no play has measured either.

--- a/chestnutvale/groups/failure_detector.py
+++ b/chestnutvale/groups/failure_detector.py
@@ -222,7 +222,7 @@
         announcement = record.announcement
         if is_drained or (announcement is not None and announcement.leaving):
             return LostMember(member, LossCause.LEAVING, away_s)
-        if away_s > table.detection_timeout_s:
+        if table.is_silent(record, now_s):
             return LostMember(member, LossCause.MISSING, away_s)
         if group.phase != PHASE_FORMING or record.boot_id != member.boot_id:
             return None
--- a/chestnutvale/membership/table.py
+++ b/chestnutvale/membership/table.py
@@ -64,6 +64,7 @@
     _entries: dict[str, float] = attrs.field(factory=dict)
     _extended_timeout_until_s: float = attrs.field(default=-math.inf, init=False)
     _receiving_since_s: float = attrs.field(default=-math.inf, init=False)
+    _silent_control_ids: frozenset[str] = attrs.field(default=frozenset(), init=False)
     _host_id_by_address: dict[str, str] = attrs.field(factory=dict)
     _responsive_until_s: dict[str, float] = attrs.field(factory=dict, init=False)
     _stalled_group_ids: frozenset[str] = attrs.field(default=frozenset(), init=False)
@@ -177,7 +178,7 @@
         record = self._hosts.get(host_id)
         if record is None or record.is_superseded:
             return False
-        return now_s - record.heard_at_s <= self._timeout_s(record, now_s)
+        return not self.is_silent(record, now_s)
 
     def extend_detection_timeout(
         self, until_s: float, from_s: float = -math.inf
@@ -199,6 +200,22 @@
         self._receiving_since_s = from_s
         self.revision += 1
 
+    def set_silent_controls(self, control_ids: frozenset[str]) -> None:
+        """Set the controls that this leader does not hear at present.
+
+        The timeout of hosts whose last announcement such a control passed on is
+        extended: it may have acknowledged a later one, and the hosts only search for
+        another control once it does not answer.
+
+        Parameters
+        ----------
+        control_ids : frozenset of str
+            The controls; they replace the previous set.
+        """
+        if control_ids != self._silent_control_ids:
+            self._silent_control_ids = control_ids
+            self.revision += 1
+
     def may_discover_hosts(self, now_s: float) -> bool:
         """Tell whether unknown hosts may still announce themselves.
 
@@ -236,8 +253,29 @@
             return False
         return now_s < self._extended_timeout_until_s
 
+    def is_silent(self, record: HostRecord, now_s: float) -> bool:
+        """Tell whether a host has been silent for longer than its timeout.
+
+        Parameters
+        ----------
+        record : HostRecord
+            Its record.
+        now_s : float
+            Monotonic time in seconds.
+
+        Returns
+        -------
+        bool
+            Whether its silence means that it is missing.
+        """
+        return now_s - record.heard_at_s > self._timeout_s(record, now_s)
+
     def _timeout_s(self, record: HostRecord, now_s: float) -> float:
-        if record.announces_to_control and now_s < self._extended_timeout_until_s:
+        is_searching = (
+            now_s < self._extended_timeout_until_s
+            or record.sender_id in self._silent_control_ids
+        )
+        if record.announces_to_control and is_searching:
             return self.detection_timeout_s + CONTROL_SEARCH_GRACE_S
         return self.detection_timeout_s
 
--- a/chestnutvale/programs/control/group_task.py
+++ b/chestnutvale/programs/control/group_task.py
@@ -93,6 +93,7 @@
         """Publish changes and, if an input changed or the interval passed, decide."""
         now_s = self._clock.now_s()
         self._table.remove_expired(now_s)
+        self._table.set_silent_controls(self._log.silent_controls())
         self._entry_handler.publish_changes()
         self._entry_handler.forward_cache_events()
         self._update_leadership(now_s)
--- a/tests/programs/control/test_group_task.py
+++ b/tests/programs/control/test_group_task.py
@@ -236,3 +236,34 @@
     fixture.log.has_lease = lambda now_s: True
     fixture.run_rounds(5)
     assert fixture.proposed == []
+
+
+@pytest.mark.parametrize(
+    ("reporter", "away_s", "is_fresh"),
+    [("c2", 4.1, True), ("c2", 4.3, False), ("c1", 3.1, False), ("e", 3.1, False)],
+)
+def test_hosts_of_a_control_that_stands_still_may_search_for_another_one(
+    reporter, away_s, is_fresh
+):
+    # The control acknowledged an announcement that it has not passed on.
+    fixture = GroupTaskFixture()
+    fixture.run_rounds(100)
+    heard = [Heard(host_id="h", boot_id="b", sequence=1)]
+    if reporter == "e":
+        fixture.table.merge_entry_report("e", heard, fixture.now_s)
+    else:
+        fixture.table.merge_control_report(reporter, heard, fixture.now_s)
+    heard_at_s = fixture.now_s
+    fixture.run_rounds(10)
+    assert fixture.table.is_fresh("h", heard_at_s + away_s) is is_fresh
+
+
+def test_hosts_of_a_control_that_is_heard_again_are_missing_as_usual(task_fixture):
+    table = task_fixture.table
+    task_fixture.run_rounds(100)
+    heard = [Heard(host_id="h", boot_id="b", sequence=1)]
+    table.merge_control_report("c2", heard, task_fixture.now_s)
+    heard_at_s = task_fixture.now_s
+    task_fixture.log.silent_controls = frozenset
+    task_fixture.run_rounds(1)
+    assert not table.is_fresh("h", heard_at_s + 3.1)
