Judge members of groups only while the leader has its lease

A leader that had stood still logged sound members as missing in its first round and counted the time as downtime; it sent these views to no entry, as it had no lease, but whoever reads its log sees groups lost there that served.

Cause: only the sending of views waited for the lease.

Evidence: the test of a leader that stood still fails on the code before.

--- a/chestnutvale/programs/control/entry_report_handler.py
+++ b/chestnutvale/programs/control/entry_report_handler.py
@@ -218,8 +218,12 @@
         """Push views to the entries whose view is outdated."""
         now_s = self._clock.now_s()
         self._publisher.retain_entries(self._table.known_entries())
+        has_lease = self._log.has_lease(now_s)
+        if self._log.is_leader and not has_lease:
+            # This process may have stood still, and reports may not have been read.
+            return
         self._refresh(now_s)
-        if not (self._log.has_lease(now_s) and self._log.has_applied_earlier_terms):
+        if not (has_lease and self._log.has_applied_earlier_terms):
             return
         self._push_text(now_s)
         source = self._state.configuration
--- a/tests/programs/control/test_entry_report_handler.py
+++ b/tests/programs/control/test_entry_report_handler.py
@@ -4,13 +4,14 @@
 
 import pytest
 
+from chestnutvale.membership.announcement_content import content_digest
 from chestnutvale.membership.table import MembershipTable
 from chestnutvale.membership.view_publisher import ViewPublisher
 from chestnutvale.programs.control.const import DEMAND_VIEWS_PER_S
 from chestnutvale.programs.control.entry_report_handler import EntryReportHandler
 from chestnutvale.programs.control.state import ControlState
 from chestnutvale.schema.evacuations_pb2 import SetEvacuation
-from chestnutvale.schema.groups_pb2 import Group, PutGroup
+from chestnutvale.schema.groups_pb2 import Group, GroupMember, PutGroup
 from chestnutvale.schema.membership_pb2 import Announcement, Heard
 from chestnutvale.schema.peer_pb2 import (
     CrashSuspicion,
@@ -265,3 +266,41 @@
     assert list(views_to(handler_fixture, "e1")[-1].peers) == ["10.0.0.1:2"]
     handler_fixture.report(1.5, entry_id="e0", relay_address="10.0.0.1:2")
     assert not views_to(handler_fixture, "e0")[-1].peers
+
+
+def test_leader_that_stood_still_calls_no_member_missing_without_its_lease(
+    handler_fixture,
+):
+    fixture = handler_fixture
+    group = Group(
+        group_id="g",
+        service="s",
+        phase="serving",
+        plain=True,
+        members=[GroupMember(host_id="a", boot_id="b")],
+    )
+    fixture.state.groups.groups["g"] = group
+
+    def announce():
+        sequence = round(10 * fixture.now_s)
+        content = Announcement(host_id="a", boot_id="b", sequence=sequence)
+        heard = Heard(
+            host_id="a",
+            boot_id="b",
+            sequence=sequence,
+            changed=content,
+            content_digest=content_digest(content),
+        )
+        fixture.report(fixture.now_s, [heard])
+        fixture.handler.publish_changes()
+
+    announce()
+    (view,) = fixture.handler.group_views()
+    assert view.serving
+    version = fixture.handler.view_version
+    fixture.now_s += 6.0
+    fixture.has_lease = False
+    fixture.handler.publish_changes()
+    fixture.has_lease = True
+    announce()
+    assert fixture.handler.view_version == version
