Merge the last change of controls

Conflict in the imports and the end of one test file; both sides are kept.

Measured: tests/programs/control pass.

--- a/tests/programs/control/test_entry_report_handler.py
+++ b/tests/programs/control/test_entry_report_handler.py
@@ -4,13 +4,14 @@
 
 import pytest
 
+from chestnutvale.membership.announcement_content import content_digest
 from chestnutvale.membership.table import MembershipTable
 from chestnutvale.membership.view_publisher import ViewPublisher
 from chestnutvale.programs.control.const import DEMAND_VIEWS_PER_S
 from chestnutvale.programs.control.entry_report_handler import EntryReportHandler
 from chestnutvale.programs.control.state import ControlState
 from chestnutvale.schema.evacuations_pb2 import SetEvacuation
-from chestnutvale.schema.groups_pb2 import Group, PutGroup
+from chestnutvale.schema.groups_pb2 import Group, GroupMember, PutGroup
 from chestnutvale.schema.membership_pb2 import Announcement, Heard, Holding, Load
 from chestnutvale.schema.peer_pb2 import (
     CrashSuspicion,
@@ -337,3 +338,41 @@
     fixture.now_s = 104.0
     fixture.report_of("e1", fixture.drain_version, heard=fixture.heard)
     assert fixture.table.host("a").running_attempts == 2
+
+
+def test_leader_that_stood_still_calls_no_member_missing_without_its_lease(
+    handler_fixture,
+):
+    fixture = handler_fixture
+    group = Group(
+        group_id="g",
+        service="s",
+        phase="serving",
+        plain=True,
+        members=[GroupMember(host_id="a", boot_id="b")],
+    )
+    fixture.state.groups.groups["g"] = group
+
+    def announce():
+        sequence = round(10 * fixture.now_s)
+        content = Announcement(host_id="a", boot_id="b", sequence=sequence)
+        heard = Heard(
+            host_id="a",
+            boot_id="b",
+            sequence=sequence,
+            changed=content,
+            content_digest=content_digest(content),
+        )
+        fixture.report(fixture.now_s, [heard])
+        fixture.handler.publish_changes()
+
+    announce()
+    (view,) = fixture.handler.group_views()
+    assert view.serving
+    version = fixture.handler.view_version
+    fixture.now_s += 6.0
+    fixture.has_lease = False
+    fixture.handler.publish_changes()
+    fixture.has_lease = True
+    announce()
+    assert fixture.handler.view_version == version
