Kill a process that starts after its deployment has ended

Cause: when a run of the soak is stopped, a thread may restart a daemon after the deployment has killed all processes; the daemon would stay.

Change: the guard kills at once what is added after its end.

Seen to fail: test_process_that_starts_after_the_guard_ended_is_killed before the change. tests/emulator and tests/soak pass.

--- a/chestnutvale/emulator/process_guard.py
+++ b/chestnutvale/emulator/process_guard.py
@@ -78,7 +78,13 @@
         self._process.communicate()
 
     def add(self, process_id: int) -> None:
-        """Kill a process of this tool once the tool has ended."""
+        """Kill a process of this tool once the tool has ended.
+
+        A process that is added after the guard has ended is killed at once.
+        """
+        if self._process is None or self._process.stdin.closed:
+            os.kill(process_id, signal.SIGKILL)
+            return
         # One write of a short line is not mixed with those of other threads.
         os.write(self._process.stdin.fileno(), f"{process_id}\n".encode())
 
--- a/tests/emulator/test_process_guard.py
+++ b/tests/emulator/test_process_guard.py
@@ -32,6 +32,15 @@
     wait_until(lambda: not read_start_time(process_id), 20, "the process to end")
 
 
+# Guards against a restart in a thread that outlives the deployment.
+def test_process_that_starts_after_the_guard_ended_is_killed(tmp_path):
+    guard = ProcessGuard()
+    with guard:
+        pass
+    with ManagedProcess("child", SLEEP, tmp_path, guard) as process:
+        wait_until(lambda: not process.is_running, 5, "the process to end")
+
+
 def test_guard_of_an_orderly_end_leaves_nothing_to_do(tmp_path):
     with ProcessGuard() as guard:
         process = ManagedProcess("child", SLEEP, tmp_path, guard)
