Keep entries and controls running when their settings change

Callers of the own interface saw streams cut when SIGHUP told an entry of changed settings.

Cause: the programs of the own interface installed no handler, so that the signal ended them at once; those of the users' platform log it. Found while the soak was written, by reading.

Change: both programs handle the signal as on the platform: they log that the settings take effect at the next start.

Measured: test_reloads_of_settings_cut_no_stream, with real processes, failed before with a broken answer and passes.

--- a/chestnutvale/emulator/processes.py
+++ b/chestnutvale/emulator/processes.py
@@ -229,6 +229,10 @@
         """Resume a suspended process with SIGCONT."""
         os.kill(self.pid, signal.SIGCONT)
 
+    def request_reload(self) -> None:
+        """Tell the process with SIGHUP that its settings have changed."""
+        os.kill(self.pid, signal.SIGHUP)
+
     def kill(self) -> None:
         """Kill the process with SIGKILL and wait until it has exited."""
         if self.is_running:
--- a/chestnutvale/programs/control/main.py
+++ b/chestnutvale/programs/control/main.py
@@ -40,7 +40,9 @@
         with ControlDaemon(
             settings, interface, clock, make_rng(), process_started_s
         ) as daemon:
-            daemon.wait_for_stop(SignalHandler(lambda: log_state_dump(daemon.dump)))
+            daemon.wait_for_stop(
+                SignalHandler(lambda: log_state_dump(daemon.dump), daemon.reload)
+            )
 
     return run_program(settings_file, check_settings, load_control_settings, serve)
 
--- a/chestnutvale/programs/entry/main.py
+++ b/chestnutvale/programs/entry/main.py
@@ -32,7 +32,9 @@
     def serve(settings: EntrySettings) -> None:
         load_operator_token(Path(settings.operator_token_file))
         with EntryDaemon(settings, SystemClock(), make_rng()) as daemon:
-            signal_handler = SignalHandler(lambda: log_state_dump(daemon.dump))
+            signal_handler = SignalHandler(
+                lambda: log_state_dump(daemon.dump), daemon.reload
+            )
             signal_handler.setup()
             signal_handler.wait()
             daemon.shut_down()
--- a/tests/processes/test_losses.py
+++ b/tests/processes/test_losses.py
@@ -114,6 +114,20 @@
     assert entry.wait_for_exit() == 0
 
 
+def test_reloads_of_settings_cut_no_stream(deployment):
+    processes = [*deployment.entries.values(), *deployment.controls.values()]
+
+    def reload_all():
+        for process in processes:
+            process.request_reload()
+
+    answer = stream_answer(
+        deployment, "entry-3", "reload", ActionAfterTokens(reload_all)
+    )
+    assert_complete(answer, "reload")
+    assert all(process.is_running for process in processes)
+
+
 def test_answers_and_changes_survive_a_killed_leader(deployment, tmp_path):
     leader = deployment.wait_for_leader()
     trigger = ActionAfterTokens(deployment.controls[leader].kill)
