Forget a silent group as a fallback once the call has used it again

Cause: a call that had returned to a group it left while silent, as the last choice, could return there again after that group had broken the attempt.

Change: a chosen group is no fallback any more.

Measured: test_silent_group_that_broke_after_a_return_is_no_fallback_any_more failed before; tests/attempts and tests/programs/entry pass.

--- a/chestnutvale/attempts/model_call.py
+++ b/chestnutvale/attempts/model_call.py
@@ -223,6 +223,7 @@
         self.attempts += 1
         self._attempt_id = f"{self._request_id}.{self.attempts}"
         self._group_id = event.group_id
+        self._silent_groups.discard(event.group_id)
         if not self.answer.has_delivered:
             self._version = event.version
         self.kept_because = ""
--- a/tests/attempts/test_model_call.py
+++ b/tests/attempts/test_model_call.py
@@ -485,6 +485,13 @@
     assert effect.fallback == {"g1"}
 
 
+def test_silent_group_that_broke_after_a_return_is_no_fallback_any_more(call):
+    leave_silent_group(call)
+    attempt_id = choose(call, "g1")
+    (_, choice) = call.handle(AttemptBroken(attempt_id, "reset"), 4.0)
+    assert choice.fallback == frozenset()
+
+
 def test_call_returns_to_a_silent_group_if_the_other_one_is_gone(call):
     # The other group can disappear while the call probes the one that it leaves.
     (_, choice) = leave_silent_group(call)
