--- a/chestnutvale/groups/call_time_limits.py
+++ b/chestnutvale/groups/call_time_limits.py
@@ -1,4 +1,4 @@
-"""Longest time for which calls may run, by the configurations of late."""
+"""Longest time for which calls may run, by the recent configurations."""
 
 import math
 
