--- a/chestnutvale/groups/call_time_limits.py
+++ b/chestnutvale/groups/call_time_limits.py
@@ -69,7 +69,7 @@
         Returns
         -------
         float
-            Time in seconds; 0 if no text had routes.
+            Time in seconds; 0 if no text had a route or the default of a service.
         """
         if now_s > self._earlier_until_s:
             return self._limit_s
