Handle signals from the first import on, and log them

Seen: SIGHUP or SIGUSR1 ended an entry or a control that was starting, by the signal's default action. Nothing told that a signal had arrived.

Cause: the handlers were installed after the daemon had been built and had opened its sockets.

Change: the two signals are ignored before the imports; the handlers are installed before the daemon is built and run what the daemon attaches; each signal is logged.

--- a/chestnutvale/programs/control/daemon.py
+++ b/chestnutvale/programs/control/daemon.py
@@ -163,7 +163,7 @@
         Parameters
         ----------
         signals : SignalHandler
-            Handler of the signals of the process; set up by this.
+            Handler of the signals of the process, set up already.
 
         Raises
         ------
@@ -171,7 +171,6 @@
             If the log has failed, such as by a write to the data folder.
         """
         self._log.on_failure(signals.request_stop)
-        signals.setup()
         if self._log.failure is None:
             signals.wait()
         if self._log.failure is not None:
--- a/chestnutvale/programs/control/main.py
+++ b/chestnutvale/programs/control/main.py
@@ -33,16 +33,15 @@
     from chestnutvale.settings.control import load_control_settings
     from chestnutvale.settings.token import hash_token, load_operator_token
 
-    def serve(settings: ControlSettings) -> None:
+    def serve(settings: ControlSettings, signals: SignalHandler) -> None:
         token = load_operator_token(Path(settings.operator_token_file))
         digest = hash_token(token)
         interface = NativeInterface(digest)
         with ControlDaemon(
             settings, interface, clock, make_rng(), process_started_s
         ) as daemon:
-            daemon.wait_for_stop(
-                SignalHandler(lambda: log_state_dump(daemon.dump), daemon.reload)
-            )
+            signals.attach(lambda: log_state_dump(daemon.dump), daemon.reload)
+            daemon.wait_for_stop(signals)
 
     return run_program(settings_file, check_settings, load_control_settings, serve)
 
--- a/chestnutvale/programs/entry/main.py
+++ b/chestnutvale/programs/entry/main.py
@@ -29,14 +29,11 @@
     from chestnutvale.settings.entry import load_entry_settings
     from chestnutvale.settings.token import load_operator_token
 
-    def serve(settings: EntrySettings) -> None:
+    def serve(settings: EntrySettings, signals: SignalHandler) -> None:
         load_operator_token(Path(settings.operator_token_file))
         with EntryDaemon(settings, SystemClock(), make_rng()) as daemon:
-            signal_handler = SignalHandler(
-                lambda: log_state_dump(daemon.dump), daemon.reload
-            )
-            signal_handler.setup()
-            signal_handler.wait()
+            signals.attach(lambda: log_state_dump(daemon.dump), daemon.reload)
+            signals.wait()
             daemon.shut_down()
 
     return run_program(settings_file, check_settings, load_entry_settings, serve)
--- a/chestnutvale/programs/green_start.py
+++ b/chestnutvale/programs/green_start.py
@@ -1,7 +1,7 @@
 """Prepares a process for eventlet before its other imports.
 
-It imports neither eventlet nor any other module of the project at import time, so that
-a program can call it first.
+It imports no library and only `early_signals` of the project at import time, so that a
+program can call it first.
 """
 
 import gc
@@ -11,6 +11,8 @@
 from types import ModuleType
 from typing import Any, Final
 
+from chestnutvale.programs.early_signals import ignore_early_signals
+
 # Modules that a library imports but uses only in cases that do not occur here: asyncio
 # for eventlet's asyncio hub, and the pure-Python messages of protobuf where its C
 # library is missing.
@@ -38,13 +40,14 @@
 
 
 def start_green() -> None:
-    """Patch the standard library for eventlet at the lowest cost.
+    """Patch the standard library for eventlet at the lowest cost; ignore some signals.
 
     Must run before the other imports, so that the libraries use eventlet's sockets.
     Garbage collection is off until `tune_garbage_collection` is called, because nothing
     that imports create becomes garbage.
     """
     gc.disable()
+    ignore_early_signals()
     # All addresses are IP addresses, and eventlet's DNS resolver would take a quarter
     # of the start-up time.
     os.environ.setdefault("EVENTLET_NO_GREENDNS", "yes")
--- a/chestnutvale/programs/runner.py
+++ b/chestnutvale/programs/runner.py
@@ -14,6 +14,7 @@
 from chestnutvale.exceptions import ChestnutError
 from chestnutvale.observability.logs import make_log_handler
 from chestnutvale.observability.redaction import redact_secrets
+from chestnutvale.programs.signals import SignalHandler
 
 _LOGGER = logbook.Logger(__name__)
 
@@ -32,7 +33,7 @@
     settings_file: Path,
     check_settings: bool,
     load_settings: Callable[[Path], SettingsT],
-    serve: Callable[[SettingsT], None],
+    serve: Callable[[SettingsT, SignalHandler], None],
 ) -> int:
     """Load the settings, then serve until a stop signal arrives.
 
@@ -45,7 +46,8 @@
     load_settings : callable
         Loads and validates the settings.
     serve : callable
-        Runs the daemon; returns after a graceful shutdown.
+        Gets the settings and the handler of signals, and runs the daemon; returns
+        after a graceful shutdown.
 
     Returns
     -------
@@ -63,15 +65,18 @@
     return serve_until_stopped(settings, serve)
 
 
-def serve_until_stopped(settings: SettingsT, serve: Callable[[SettingsT], None]) -> int:
-    """Set up logging and serve until a stop signal arrives.
+def serve_until_stopped(
+    settings: SettingsT, serve: Callable[[SettingsT, SignalHandler], None]
+) -> int:
+    """Set up logging and signals, and serve until a stop signal arrives.
 
     Parameters
     ----------
     settings : Message
         Validated settings of the program.
     serve : callable
-        Runs the daemon; returns after a graceful shutdown.
+        Gets the settings and the handler of signals, and runs the daemon; returns
+        after a graceful shutdown.
 
     Returns
     -------
@@ -80,8 +85,10 @@
     """
     tune_garbage_collection()
     with make_log_handler(settings.log).applicationbound():
+        signals = SignalHandler()
+        signals.setup()
         try:
-            serve(settings)
+            serve(settings, signals)
         except ChestnutError as error:
             _LOGGER.error("Stopped: {}", error)
             return EXIT_FAILED
--- a/chestnutvale/programs/signals.py
+++ b/chestnutvale/programs/signals.py
@@ -11,32 +11,43 @@
 _LOGGER = logbook.Logger(__name__)
 
 
+def _ignore() -> None:
+    """Do nothing; for a process whose daemon does not exist yet."""
+
+
 class SignalHandler:
     """Stops on SIGTERM or SIGINT; runs callbacks on SIGUSR1 and SIGHUP.
 
-    Parameters
-    ----------
-    on_dump : callable
-        Runs in a task of its own on each SIGUSR1.
-    on_reload : callable, optional
-        Runs in a task of its own on each SIGHUP; without it, the signal terminates
-        the process, which is its default action.
+    It is set up before the daemon opens its sockets: a signal without a handler would
+    end the process, and with it requests that have arrived already.
     """
 
-    def __init__(
-        self, on_dump: Callable[[], None], on_reload: Callable[[], None] | None = None
-    ) -> None:
-        self._on_dump = on_dump
-        self._on_reload = on_reload
+    def __init__(self) -> None:
+        self._on_dump: Callable[[], None] = _ignore
+        self._on_reload: Callable[[], None] = _ignore
         self._stop = Event()
 
     def setup(self) -> None:
         """Install the handlers; must run in the main thread."""
-        signal.signal(signal.SIGTERM, self._request_stop)
-        signal.signal(signal.SIGINT, self._request_stop)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, self._request_stop)
         signal.signal(signal.SIGUSR1, self._request_dump)
-        if self._on_reload is not None:
-            signal.signal(signal.SIGHUP, self._request_reload)
+        signal.signal(signal.SIGHUP, self._request_reload)
+
+    def attach(
+        self, on_dump: Callable[[], None], on_reload: Callable[[], None]
+    ) -> None:
+        """Set the callbacks of the daemon, which run in tasks of their own.
+
+        Parameters
+        ----------
+        on_dump : callable
+            Runs on each SIGUSR1.
+        on_reload : callable
+            Runs on each SIGHUP.
+        """
+        self._on_dump = on_dump
+        self._on_reload = on_reload
 
     def wait(self) -> None:
         """Block the calling task until a stop is requested."""
@@ -47,13 +58,18 @@
         if not self._stop.ready():
             self._stop.send()
 
+    # A signal handler can interrupt any task between two instructions, so each one only
+    # spawns a task on the eventlet hub.
+
     def _request_stop(self, number: int, frame: FrameType | None) -> None:
-        # A signal handler can interrupt any task between two instructions, so the event
-        # is sent from a new task on the eventlet hub.
-        eventlet.spawn_n(self.request_stop)
+        eventlet.spawn_n(self._handle, number, self.request_stop)
 
     def _request_reload(self, number: int, frame: FrameType | None) -> None:
-        eventlet.spawn_n(self._on_reload)
+        eventlet.spawn_n(self._handle, number, lambda: self._on_reload())
 
     def _request_dump(self, number: int, frame: FrameType | None) -> None:
-        eventlet.spawn_n(self._on_dump)
+        eventlet.spawn_n(self._handle, number, lambda: self._on_dump())
+
+    def _handle(self, number: int, action: Callable[[], None]) -> None:
+        _LOGGER.info("signal_received", extra={"signal": signal.Signals(number).name})
+        action()
--- a/tests/programs/control/test_daemon.py
+++ b/tests/programs/control/test_daemon.py
@@ -56,16 +56,6 @@
     return daemon._log.propose(command, SystemClock().now_s() + 5.0)
 
 
-class FakeSignals(SignalHandler):
-    """Handler that leaves the signals of the test process alone."""
-
-    def __init__(self):
-        super().__init__(lambda: None)
-
-    def setup(self):
-        pass
-
-
 def test_liveness_fails_while_a_write_does_not_finish(
     free_address, tmp_path, monkeypatch
 ):
@@ -109,7 +99,7 @@
         with ControlDaemon(
             settings, interface, SystemClock(), random.Random(1)
         ) as daemon:
-            waiting = eventlet.spawn(daemon.wait_for_stop, FakeSignals())
+            waiting = eventlet.spawn(daemon.wait_for_stop, SignalHandler())
             wait_for_status(settings.http_address, "/readyz", 200)
             drain_host(daemon, "h1")
             with monkeypatch.context() as patch:
