Keep accepting connections after a failure to accept one

Seen: a server that once has no descriptor for a connection accepts nothing for the rest of its life, resets the connections that wait, and writes no line to its log; its readiness check goes on saying ready. Found while looking for ways in which a request ends without an answer; not seen in a deployment.

Cause: eventlet's accept loop ends at any error of accept but those of one connection, and ends normally at these.

Change: a listening socket that logs such errors once, keeps the waiting connections and tries again.

--- a/chestnutvale/http_server/const.py
+++ b/chestnutvale/http_server/const.py
@@ -3,6 +3,8 @@
 from typing import Final
 
 BACKLOG_CONNECTIONS: Final = 1_024
+# Time after which a server without descriptors or memory accepts again.
+ACCEPT_RETRY_INTERVAL_S: Final = 0.1
 # Each part of a streamed answer is sent at once instead of filling a chunk first.
 MINIMUM_CHUNK_BYTES: Final = 1
 MAX_CHUNK_LINE_BYTES: Final = 8_192
--- a/chestnutvale/http_server/server.py
+++ b/chestnutvale/http_server/server.py
@@ -24,6 +24,7 @@
 )
 from chestnutvale.http_server.idle_connections import IdleConnections
 from chestnutvale.http_server.limits import RequestLimitsMiddleware, WsgiApp
+from chestnutvale.http_server.listener import ListeningSocket
 from chestnutvale.http_server.memory import MemoryBound
 from chestnutvale.http_server.protocol import LimitedProtocol
 from chestnutvale.http_server.timeouts import ConnectionTimeouts, ReadTimeouts
@@ -99,7 +100,7 @@
         self._memory = memory or MemoryBound()
         self._app = RequestLimitsMiddleware(app, limits, self._clock, self._memory)
         self._connections = ConnectionPool(limits.max_connections)
-        self._socket: Any = None
+        self._socket: ListeningSocket | None = None
         self._task: eventlet.greenthread.GreenThread | None = None
 
     @property
@@ -135,7 +136,7 @@
         try:
             # With SO_REUSEPORT a second process with the same settings would start as
             # well and go unnoticed.
-            self._socket = eventlet.listen(
+            listener = eventlet.listen(
                 (host, int(port)),
                 family=family,
                 backlog=BACKLOG_CONNECTIONS,
@@ -145,6 +146,7 @@
             raise HttpListenError(
                 f"cannot listen: {error}", step="listen", peer=self.address
             ) from error
+        self._socket = ListeningSocket(listener, self.address)
         self._task = eventlet.spawn(self._serve_connections)
         return self
 
--- a/tests/http_server/test_timeouts.py
+++ b/tests/http_server/test_timeouts.py
@@ -1,5 +1,7 @@
 """Timeouts of idle connections and of request heads, and connections at a stop."""
 
+import os
+import resource
 import time
 
 import eventlet
@@ -235,3 +237,19 @@
     server.http.stop(started_s + 2.0)
     assert client.recv(1) == b""
     assert time.monotonic() < started_s + 1.0
+
+
+def test_server_accepts_again_after_it_had_no_descriptors(server):
+    client = socket.socket()
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    free = os.dup(0)
+    os.close(free)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (free, hard))
+    try:
+        host, _, port = server.http.address.rpartition(":")
+        client.connect((host, int(port)))
+        eventlet.sleep(0.05)
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+    assert b"200 OK" in exchange(client)
+    assert b"200 OK" in exchange(server.connect())
