Answer requests that follow a stream which ends during a stop

Cause: a stream whose head was sent before the stop cannot tell its client that the connection closes. After its end the server closed the connection without looking whether the next request had arrived: eventlet's loop ends once the listener is closed, and our wait for a request knew only the kernel's buffer, not the bytes that were read together with the request before.

Change: the connection stays open for 0.1 s after such an answer, as it does for a client that has just connected; what arrives is answered with "Connection: close". Bytes in the read buffer count as arrived.

--- a/chestnutvale/http_server/protocol.py
+++ b/chestnutvale/http_server/protocol.py
@@ -15,7 +15,6 @@
 from chestnutvale.http_server.body import BoundedLineReader
 from chestnutvale.http_server.const import (
     ENVIRON_CLOSE_CONNECTION,
-    FIRST_REQUEST_GRACE_S,
     HEAD_RECHECK_INTERVAL_S,
     LINGER_READ_BYTES,
     LINGER_TIMEOUT_S,
@@ -24,6 +23,7 @@
     OUTCOME_NOT_RUN,
     REFUSED_HEAD_TOO_SLOW,
     STEP_RECEIVE,
+    STOP_REQUEST_GRACE_S,
 )
 from chestnutvale.http_server.idle_connections import IdleConnections
 from chestnutvale.http_server.memory import MemoryBound
@@ -167,11 +167,19 @@
         self.connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.wfile = AnswerWriter(self.connection, self._memory)
 
+    def handle(self) -> None:
+        """Serve requests until the connection closes.
+
+        Unlike eventlet's, this goes on when the server stops: a client whose answer
+        began before has not been told that the connection closes, and may have sent its
+        next request.
+        """
+        self.close_connection = False
+        while not self.close_connection:
+            self.handle_one_request()
+
     def handle_one_request(self) -> None:
         """Wait for a request, read its head within its timeout and answer it."""
-        if self.conn_state[2] == wsgi.STATE_IDLE:
-            # eventlet shuts down the connections that are marked as idle when it stops.
-            self.conn_state[2] = wsgi.STATE_REQUEST
         self._disable_socket_timeout()
         if not self._wait_for_request():
             self.close_connection = True
@@ -205,14 +213,15 @@
     def _wait_for_request(self) -> bool:
         """Return whether bytes of a request have arrived before the idle timeout."""
         idle_since_s = self._clock.now_s()
+        is_awaited = self._idle.is_closing or not self._has_served_request
         has_skipped_line = False
         while not self.rfile.closed:
             idle_until_s = idle_since_s + self._read_timeouts().idle_s
             remaining_s = idle_until_s - self._clock.now_s()
             if self._idle.is_closing:
-                return self._has_unread_bytes() or self._wait_for_first_request()
+                return self._wait_last(STOP_REQUEST_GRACE_S if is_awaited else 0.0)
             if remaining_s <= 0:
-                return self._has_unread_bytes()
+                return self._wait_last(0.0)
             # The timeout may have been raised meanwhile, so it is read again.
             with self._idle.waiting(), eventlet.Timeout(remaining_s, False):
                 if not self._wait_for_bytes():
@@ -222,13 +231,11 @@
                 has_skipped_line = True
         return False
 
-    def _wait_for_first_request(self) -> bool:
-        """Return whether a client that has just connected sends a request at a stop."""
-        if self._has_served_request:
-            return False
+    def _wait_last(self, timeout_s: float) -> bool:
+        """Return whether bytes of a request have arrived, or arrive within a time."""
         self._receiving.add(self)
         try:
-            with eventlet.Timeout(FIRST_REQUEST_GRACE_S, False):
+            with eventlet.Timeout(timeout_s, False):
                 return self._wait_for_bytes()
         finally:
             self._receiving.discard(self)
--- a/tests/http_server/test_timeouts.py
+++ b/tests/http_server/test_timeouts.py
@@ -14,6 +14,7 @@
 
 TEST_TIMEOUT_S = 10.0
 REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+STREAM_REQUEST = REQUEST.replace(b"/ ", b"/stream ", 1)
 LIMITS = HttpLimits(
     max_body_bytes=1_000,
     max_header_bytes=2_000,
@@ -38,8 +39,15 @@
         if environ["PATH_INFO"] == "/wait":
             self.resume.wait()
         start_response("200 OK", [])
+        if environ["PATH_INFO"] == "/stream":
+            return self.stream()
         return [b"ok"]
 
+    def stream(self):
+        yield b"begin"
+        self.resume.wait()
+        yield b"end"
+
     def connect(self):
         host, _, port = self.http.address.rpartition(":")
         return socket.create_connection((host, int(port)))
@@ -229,6 +237,41 @@
     assert stopping.wait() == 0
 
 
+def test_request_after_a_stream_that_ended_during_the_stop_is_answered(server):
+    client = server.connect()
+    assert b"begin" in exchange(client, STREAM_REQUEST)
+    stopping = eventlet.spawn(server.http.stop, time.monotonic() + 2.0)
+    eventlet.sleep(0.05)
+    server.resume.send()
+    assert b"end" in client.recv(4_096)
+    eventlet.sleep(0.02)
+    client.sendall(REQUEST)
+    answer = read_all(client)
+    assert b"200 OK" in answer
+    assert b"connection: close" in answer.lower()
+    assert stopping.wait() == 0
+
+
+def test_request_that_waits_behind_a_stream_at_the_stop_is_answered(server):
+    client = server.connect()
+    assert b"begin" in exchange(client, STREAM_REQUEST + REQUEST)
+    stopping = eventlet.spawn(server.http.stop, time.monotonic() + 2.0)
+    eventlet.sleep(0.05)
+    server.resume.send()
+    assert read_all(client).endswith(b"ok")
+    assert server.calls == 2
+    assert stopping.wait() == 0
+
+
+def test_stop_waits_only_briefly_for_a_client_whose_stream_has_ended(server):
+    client = server.connect()
+    exchange(client, STREAM_REQUEST)
+    server.resume.send()
+    started_s = time.monotonic()
+    assert server.http.stop(started_s + 2.0) == 0
+    assert time.monotonic() - started_s < 0.5
+
+
 def test_stop_does_not_wait_for_idle_connections(server):
     server.timeouts = ConnectionTimeouts(idle_s=5.0, head_s=0.3)
     client = server.connect()
