Log the begin and the end of a server's stop, and what it cuts

Cause: a request that ended without an answer left no line, and a stop only one at its end, so that the hypotheses about stops could not be told apart.

Change: `server_stopping` and `server_stopped` count the connections by state, `request_cut` names each request with its client, and `call_accepted` names the client too.

Result: one new test of the three lines; the tests of the server and of routed calls pass.

--- a/chestnutvale/http_server/idle_connections.py
+++ b/chestnutvale/http_server/idle_connections.py
@@ -27,6 +27,10 @@
         self.is_closing = False
         self._waiting: set[greenlet.greenlet] = set()
 
+    def __len__(self) -> int:
+        """Return the number of connections that wait for a request."""
+        return len(self._waiting)
+
     @contextlib.contextmanager
     def waiting(self) -> Iterator[None]:
         """Wait for a request within the context; `close` ends the context early."""
--- a/chestnutvale/http_server/limits.py
+++ b/chestnutvale/http_server/limits.py
@@ -123,7 +123,7 @@
                 environ[ENVIRON_CLOSE_CONNECTION]()
             return start_response(*arguments)
 
-        request = self.running.add()
+        request = self.running.add(environ)
         body = _BodyMemory(self._memory)
         hooks = environ["eventlet.posthooks"]
         hooks.append((partial(self.running.remove, request), (), {}))
--- a/chestnutvale/http_server/running_requests.py
+++ b/chestnutvale/http_server/running_requests.py
@@ -3,8 +3,27 @@
 from typing import Any
 
 import greenlet
+import logbook
 from eventlet import hubs
 
+_LOGGER = logbook.Logger(__name__)
+
+
+def find_client(environ: dict[str, Any]) -> str:
+    """Return the address and port of the client of a request.
+
+    Parameters
+    ----------
+    environ : dict
+        The WSGI environment.
+
+    Returns
+    -------
+    str
+        Address and port, by which the lines about one connection can be found.
+    """
+    return f"{environ.get('REMOTE_ADDR', '')}:{environ.get('REMOTE_PORT', '')}"
+
 
 class ServerStoppingError(BaseException):
     """Interrupts a request that has no answer when its server stops.
@@ -22,10 +41,20 @@
         Whether the answer has begun, so that no other one can be given.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, environ: dict[str, Any]) -> None:
         self.has_answer = False
+        self._environ = environ
         self._task = greenlet.getcurrent()
 
+    def log_fields(self) -> dict[str, Any]:
+        """Return what identifies the request in the log."""
+        return {
+            "client": find_client(self._environ),
+            "method": self._environ.get("REQUEST_METHOD", ""),
+            "path": self._environ.get("PATH_INFO", ""),
+            "has_answer": self.has_answer,
+        }
+
     def interrupt(self) -> None:
         """Raise `ServerStoppingError` in the task; only the hub may call this."""
         if not self._task.dead:
@@ -42,15 +71,20 @@
         """Return the number of requests."""
         return len(self._requests)
 
-    def add(self) -> RunningRequest:
+    def add(self, environ: dict[str, Any]) -> RunningRequest:
         """Add the request that the current task answers.
 
+        Parameters
+        ----------
+        environ : dict
+            The WSGI environment.
+
         Returns
         -------
         RunningRequest
             The request, to be removed with `remove`.
         """
-        request = RunningRequest()
+        request = RunningRequest(environ)
         self._requests.add(request)
         return request
 
@@ -66,6 +100,11 @@
         """
         self._requests.discard(request)
 
+    def log_all(self) -> None:
+        """Log each request that is about to be cut."""
+        for request in self._requests:
+            _LOGGER.warning("request_cut", extra=request.log_fields())
+
     def interrupt_unanswered(self) -> int:
         """Interrupt the requests whose answers have not begun.
 
--- a/chestnutvale/http_server/server.py
+++ b/chestnutvale/http_server/server.py
@@ -180,6 +180,7 @@
             Number of requests that were ended so.
         """
         self.begin_drain()
+        _LOGGER.info("server_stopping", extra=self._log_fields())
         if self._task is not None:
             # Accepts the connections that wait for it; closing the listener would
             # reset them. The hub reads its sockets between two timers.
@@ -202,9 +203,20 @@
                 interrupted_requests,
                 cut_requests,
             )
+        self._app.running.log_all()
+        _LOGGER.info("server_stopped", extra=self._log_fields())
         self._connections.kill_all()
         return interrupted_requests + cut_requests
 
+    def _log_fields(self) -> dict[str, Any]:
+        return {
+            "address": self.address,
+            "connections": self.open_connections,
+            "idle": len(self._idle),
+            "receiving": len(self._receiving),
+            "running": self.running_requests,
+        }
+
     def _wait_for_requests(self, until_s: float) -> None:
         while self._has_requests() and self._clock.now_s() < until_s:
             eventlet.sleep(STOP_POLL_INTERVAL_S)
--- a/chestnutvale/programs/entry/routed/handler.py
+++ b/chestnutvale/programs/entry/routed/handler.py
@@ -37,6 +37,7 @@
 )
 from chestnutvale.configuration.routes import RouteTable
 from chestnutvale.http_server.exceptions import AnswerBrokenError
+from chestnutvale.http_server.running_requests import find_client
 from chestnutvale.programs.entry.call_validation import (
     DEFAULT_MAX_BODY_BYTES,
     CallRefusedError,
@@ -215,6 +216,7 @@
             "call_accepted",
             extra={
                 "request": request.request_id,
+                "client": find_client(environ),
                 "route": route.name,
                 "kind": route.kind,
                 "service": service,
--- a/tests/http_server/test_server.py
+++ b/tests/http_server/test_server.py
@@ -308,6 +308,20 @@
     assert b"last" not in read_all(client)
 
 
+def test_stop_logs_its_begin_its_end_and_each_request_that_it_cuts(serve):
+    server = serve()
+    client = start_stream(server)
+    client_address = "{}:{}".format(*client.getsockname())
+    log = logbook.TestHandler()
+    with log.applicationbound():
+        server.stop(time.monotonic() + 0.05)
+    lines = {record.message: record.extra for record in log.records}
+    assert lines["server_stopping"]["running"] == 1
+    assert lines["server_stopped"]["connections"] == 1
+    assert lines["request_cut"]["client"] == client_address
+    assert lines["request_cut"]["has_answer"] is True
+
+
 def test_request_without_an_answer_at_the_deadline_of_a_stop_gets_an_error(serve):
     server = serve()
     client = connect(server)
