Close a connection at once after a stream that ends during a stop

A close that comes with the end of the answer is seen by such clients before their next request; a later one crosses it.

Change: the connection closes with the end of the answer, unless the next request has arrived.

--- a/chestnutvale/http_server/const.py
+++ b/chestnutvale/http_server/const.py
@@ -22,8 +22,8 @@
 
 # Interval between checks for unread bytes of a head whose time has passed.
 HEAD_RECHECK_INTERVAL_S: Final = 0.01
-# Time for which a client that has just connected, or just received an answer, may still
-# send a request to a server that stops: a few times the latency to clients.
+# Time for which a client that has just connected may still send a request to a server
+# that stops: a few times the latency to clients of the region.
 STOP_REQUEST_GRACE_S: Final = 0.1
 STOP_POLL_INTERVAL_S: Final = 0.01
 # Time before the deadline of a stop at which requests without an answer get one.
--- a/chestnutvale/http_server/protocol.py
+++ b/chestnutvale/http_server/protocol.py
@@ -213,13 +213,14 @@
     def _wait_for_request(self) -> bool:
         """Return whether bytes of a request have arrived before the idle timeout."""
         idle_since_s = self._clock.now_s()
-        is_awaited = self._idle.is_closing or not self._has_served_request
         has_skipped_line = False
         while not self.rfile.closed:
             idle_until_s = idle_since_s + self._read_timeouts().idle_s
             remaining_s = idle_until_s - self._clock.now_s()
             if self._idle.is_closing:
-                return self._wait_last(STOP_REQUEST_GRACE_S if is_awaited else 0.0)
+                # Clients that already have an answer notice the close at once.
+                is_new = not self._has_served_request
+                return self._wait_last(STOP_REQUEST_GRACE_S if is_new else 0.0)
             if remaining_s <= 0:
                 return self._wait_last(0.0)
             # The timeout may have been raised meanwhile, so it is read again.
