Keep a group with a silent member until its engine has ended the calls

Cause: the leader dissolved a pooled group 1 s after the silence of a member seemed conclusive, though calls stayed there that could not go on elsewhere; the members then got orders to release it, which ends its streams.

Change: while calls stay, the engine has the last word. Engines without a stall time keep the second of grace.

--- a/benchmarks/groups_pauses.py
+++ b/benchmarks/groups_pauses.py
@@ -81,6 +81,8 @@
         Number of these that stay there however long the group is silent.
     is_pooled : bool
         Whether it shares a pool; a group without a pool has a spare in its domain.
+    engine_stall_s : float
+        Time in seconds after which its engine ends stalled calls; 0 if unknown.
     """
 
     fault: Fault
@@ -88,6 +90,7 @@
     has_streams: bool = True
     calls_left: int = 0
     is_pooled: bool = True
+    engine_stall_s: float = ENGINE_STALL_S
     table: MembershipTable = attrs.field(
         factory=lambda: MembershipTable(DETECTION_TIMEOUT_S)
     )
@@ -123,7 +126,7 @@
         return math.inf
 
     def _plan_pool(self) -> Plan:
-        policy = GroupsPolicy(engine_stall_s=ENGINE_STALL_S)
+        policy = GroupsPolicy(engine_stall_s=self.engine_stall_s)
         idle_tracker = IdleTracker(policy)
         planner = PoolPlanner(idle_tracker)
 
@@ -256,6 +259,7 @@
     trials: int = TRIALS,
     *,
     is_pooled: bool = True,
+    engine_stall_s: float = ENGINE_STALL_S,
 ) -> list[float]:
     """Return when a group is dissolved or changed, with random announcements.
 
@@ -271,6 +275,8 @@
         Number of random phases.
     is_pooled : bool, optional
         Whether the group shares a pool.
+    engine_stall_s : float, optional
+        Time in seconds after which its engine ends stalled calls; 0 if unknown.
 
     Returns
     -------
@@ -285,6 +291,7 @@
             has_streams,
             calls_left,
             is_pooled,
+            engine_stall_s,
         ).find_dissolved_s()
         for _ in range(trials)
     ]
--- a/chestnutvale/groups/const.py
+++ b/chestnutvale/groups/const.py
@@ -81,7 +81,8 @@
 # Time between two rounds of decisions above which this control may have stood still.
 MAX_ROUND_GAP_S: Final = 1.5
 # Time for which a group with a silent member is kept while calls stay there, since they
-# can't go on elsewhere and the member may only pause.
+# can't go on elsewhere and the member may only pause; for engines whose stall time is
+# unknown.
 RUNNING_CALLS_GRACE_S: Final = 1.0
 # A pooled group none of whose members was heard for this long is dissolved.
 UNHEARD_GROUP_EXPIRY_S: Final = 60.0
--- a/chestnutvale/groups/member_silence.py
+++ b/chestnutvale/groups/member_silence.py
@@ -5,6 +5,7 @@
 import attrs
 
 from chestnutvale.groups.const import (
+    HEAD_STALL_MARGIN_S,
     MAX_ROUND_GAP_S,
     OVERDUE_FRACTION,
     RETURN_GRACE_S,
@@ -43,9 +44,17 @@
     again, and for the time that the others need to announce themselves.
 
     A member that is silent alone may pause, too. Its group is dissolved at once if all
-    calls have left it, and otherwise after a grace time.
+    calls have left it. Otherwise its engine has the last word: it ends the calls itself
+    once it has stalled for too long, and the group is kept until that must be so.
+
+    Attributes
+    ----------
+    engine_stall_s : float
+        Time in seconds after which an engine ends calls that a missing member stalls; 0
+        if unknown, which gives the calls a short grace time.
     """
 
+    engine_stall_s: float = 0.0
     _suspicions: dict[int, _Suspicion] = attrs.field(factory=dict)
     _previous: dict[int, _Suspicion] = attrs.field(factory=dict)
     _round_s: float = math.inf
@@ -66,7 +75,12 @@
         self._previous, self._suspicions = self._suspicions, {}
 
     def is_conclusive(
-        self, group: Group, table: MembershipTable, running: int, now_s: float
+        self,
+        group: Group,
+        table: MembershipTable,
+        heard_at_s: float,
+        running: int,
+        now_s: float,
     ) -> bool:
         """Tell whether a member that is silent beyond its timeout is lost.
 
@@ -76,6 +90,8 @@
             The group.
         table : MembershipTable
             Liveness and announcements of hosts.
+        heard_at_s : float
+            Monotonic time in seconds of the last announcement of the silent member.
         running : int
             Number of calls that are still at the group.
         now_s : float
@@ -101,9 +117,18 @@
         if now_s < suspicion.others_due_s:
             return False
         if suspicion.calls_due_s == math.inf:
-            suspicion.calls_due_s = now_s + RUNNING_CALLS_GRACE_S
+            suspicion.calls_due_s = self._find_calls_due_s(table, heard_at_s, now_s)
         return not running or now_s >= suspicion.calls_due_s
 
+    def _find_calls_due_s(
+        self, table: MembershipTable, heard_at_s: float, now_s: float
+    ) -> float:
+        if not self.engine_stall_s:
+            return now_s + RUNNING_CALLS_GRACE_S
+        # The member may have gone silent just before its next announcement.
+        silent_at_s = heard_at_s + OVERDUE_FRACTION * table.detection_timeout_s
+        return silent_at_s + self.engine_stall_s + HEAD_STALL_MARGIN_S
+
     def is_unheard(self, group: Group) -> bool:
         """Tell whether a group is kept in this round although no member is heard.
 
--- a/chestnutvale/groups/pools.py
+++ b/chestnutvale/groups/pools.py
@@ -89,7 +89,11 @@
     _rebalance_due_s: float = -math.inf
     _donor_since_s: dict[str, float] = attrs.field(factory=dict)
     _unready_since_s: dict[tuple[str, int], float] = attrs.field(factory=dict)
-    _silence: MemberSilence = attrs.field(factory=MemberSilence)
+    _silence: MemberSilence = attrs.field(init=False)
+
+    @_silence.default
+    def _make_silence(self) -> MemberSilence:
+        return MemberSilence(self.idle_tracker.policy.engine_stall_s)
 
     def plan(
         self,
@@ -260,11 +264,11 @@
             if has_recent_events(group, table, now_s):
                 return False
             return record.is_superseded or self._is_silence_conclusive(
-                group, table, now_s
+                group, table, record.heard_at_s, now_s
             )
         if table.is_silent_in_stalled_group(
             member.host_id, group.group_id, now_s
-        ) and self._is_silence_conclusive(group, table, now_s):
+        ) and self._is_silence_conclusive(group, table, record.heard_at_s, now_s):
             return True
         if record.boot_id != member.boot_id:
             return True
@@ -281,14 +285,14 @@
         return now_s - since_s > limit_s
 
     def _is_silence_conclusive(
-        self, group: Group, table: MembershipTable, now_s: float
+        self, group: Group, table: MembershipTable, heard_at_s: float, now_s: float
     ) -> bool:
         if group.phase == PHASE_FORMING:
             # No call is there, and its loads would hold up those of other groups.
             return True
         head = table.host(group_head(group).host_id)
         running = head.running_attempts if head is not None else 0
-        return self._silence.is_conclusive(group, table, running, now_s)
+        return self._silence.is_conclusive(group, table, heard_at_s, running, now_s)
 
     def _discard_finished(self, groups: Iterable[Group]) -> None:
         forming = {group.epoch for group in groups if group.phase == PHASE_FORMING}
