Soak: quotas, links with a delay, SIGHUP, releases, kills and idle connections

Cause: the machines of the users differ from those of every rig of ours by quotas, delays of links, descriptors and size; the soak sent no SIGHUP, stopped one entry at a time and had no faults.

Change: two programs stand for quota and links; new tracks of the plan, which leave the steps of the others as they were; callers that send a body in two parts; idle connections. Faults, on request, excuse what they affect for 3 s.

--- a/chestnutvale/soak/callers.py
+++ b/chestnutvale/soak/callers.py
@@ -3,6 +3,7 @@
 import random
 import threading
 import time
+from collections.abc import Iterator
 from typing import Any
 
 import urllib3
@@ -32,6 +33,8 @@
 MAX_PAUSE_BETWEEN_CALLS_S = 0.2
 RETRY_DELAY_S = 0.3
 MAX_POSTINGS = 5
+SLOW_BODY_SHARE = 0.2
+MAX_BODY_PAUSE_S = 0.4
 SUCCESS_STATUSES = (200, 201)
 # Class of the error of a connection that was not made.
 NEVER_SENT = urllib3.exceptions.NewConnectionError.__name__
@@ -64,6 +67,8 @@
         self._rng = rng
         self._stop = stop
         self._count = 0
+        # Time of the last byte of the last body that was sent in parts.
+        self._body_sent_s = 0.0
         self._entry = ""
         self._key = rng.choice(sorted(WORKSPACE_KEYS.values()))
         self._http = urllib3.PoolManager(
@@ -86,6 +91,17 @@
             self._stop.wait(self._rng.uniform(0.0, MAX_PAUSE_BETWEEN_CALLS_S))
         self._http.clear()
 
+    def _make_body(self) -> bytes | Iterator[bytes]:
+        if self._rng.random() < SLOW_BODY_SHARE:
+            return self._send_slowly(self._rng.uniform(0.0, MAX_BODY_PAUSE_S))
+        return b"{}"
+
+    def _send_slowly(self, pause_s: float) -> Iterator[bytes]:
+        yield b"{"
+        time.sleep(pause_s)
+        self._body_sent_s = time.monotonic()
+        yield b"}"
+
     def _choose_caller(self) -> Caller:
         self._entry = self._entry or self._rng.choice(sorted(self._entries))
         return Caller(self._entries[self._entry], self._key, self._http)
@@ -132,7 +148,7 @@
             response = self._http.request(
                 method,
                 f"http://{caller.address}{path}",
-                body=b"{}" if method == "POST" else None,
+                body=self._make_body() if method == "POST" else None,
                 headers=headers,
             )
             result = _read_plain_answer(call_id, response)
@@ -143,7 +159,7 @@
             call_id,
             kind,
             self._entry,
-            sent_s,
+            max(sent_s, self._body_sent_s),
             time.monotonic(),
             sent_s + CALL_DEADLINE_MS / 1e3,
             **result,
--- a/chestnutvale/soak/checks.py
+++ b/chestnutvale/soak/checks.py
@@ -40,9 +40,12 @@
         if not runs or any(run.was_ended_by_endpoint for run in runs):
             continue
         cut = list_cut_requests(requests, runs)
-        if not cut and not any(_is_settled(r) for r in requests):
+        # The key of a call whose entry was killed stays claimed for some time.
+        if not cut and not any(
+            _is_settled(r) or _is_excused(r, records) for r in requests
+        ):
             cut = requests[-1:]
-        yield from (_describe(request, runs) for request in cut)
+        yield from (_describe(r, runs) for r in cut if not _is_excused(r, records))
 
 
 def find_wrong_answers(records: SoakRecords) -> Iterator[str]:
@@ -83,7 +86,10 @@
             (t.number for t in records.texts if t.accepted_s < latest_s), default=0
         )
         seen = f"{reading.entry} at {reading.sent_s:.2f}: text {reading.number}"
-        if reading.number < due:
+        is_excused = records.is_disrupted(
+            reading.entry, reading.sent_s - IN_FORCE_S, reading.sent_s
+        )
+        if reading.number < due and not is_excused:
             yield f"{seen}, text {due} is due"
         incarnation = (reading.entry, reading.process_id)
         if 0 < reading.number < newest[incarnation]:
@@ -98,6 +104,8 @@
             yield f"{stop.process} exited with code {stop.exit_code}"
     for requests, runs in records.pair_calls():
         for request in list_cut_requests(requests, runs):
+            if _is_excused(request, records):
+                continue
             if any(_is_during(request, stop) for stop in records.stops):
                 yield _describe(request, runs)
 
@@ -137,6 +145,10 @@
     return [r for r in requests if _has_no_end(r) and (has_run or _was_read(r))]
 
 
+def _is_excused(request: RequestRecord, records: SoakRecords) -> bool:
+    return records.is_disrupted(request.entry, request.sent_s, request.ended_s)
+
+
 def _has_no_end(request: RequestRecord) -> bool:
     if request.hung_up or request.reached_deadline or not request.was_sent:
         return False
--- a/chestnutvale/soak/const.py
+++ b/chestnutvale/soak/const.py
@@ -45,6 +45,8 @@
 REQUEST_READ_S: Final = 0.5
 # Time after its acceptance from which a text is in force at all entries.
 IN_FORCE_S: Final = 5.0
+# Time after a disruption from which the promises hold again.
+CONTACT_S: Final = 3.0
 # Gap between two samples from which the runner itself is said to have stood still.
 STANDSTILL_S: Final = 0.4
 
--- a/chestnutvale/soak/idle_clients.py
+++ b/chestnutvale/soak/idle_clients.py
@@ -7,6 +7,7 @@
 
 CHECK_INTERVAL_S: Final = 0.5
 CONNECT_TIMEOUT_S: Final = 1.0
+MAX_OPENED_PER_CHECK: Final = 10
 
 
 class IdleClients:
@@ -51,7 +52,8 @@
 
     def _open_missing(self, entry: str) -> None:
         host, _, port = self._addresses[entry].rpartition(":")
-        while len(self._connections[entry]) < self._count:
+        missing = self._count - len(self._connections[entry])
+        for _ in range(min(missing, MAX_OPENED_PER_CHECK)):
             connection = socket.create_connection((host, int(port)), CONNECT_TIMEOUT_S)
             connection.setblocking(False)
             self._connections[entry].append(connection)
--- a/chestnutvale/soak/links.py
+++ b/chestnutvale/soak/links.py
@@ -22,6 +22,8 @@
 RESET_SHARE: Final = 0.3
 READ_BYTES: Final = 64 * 1024
 CONNECT_TIMEOUT_S: Final = 2.0
+ACCEPT_TIMEOUT_S: Final = 0.1
+PROBE_INTERVAL_S: Final = 0.1
 # A close with this setting resets the connection.
 _LINGER_RESET: Final = struct.pack("ii", 1, 0)
 
@@ -68,6 +70,9 @@
 class Links:
     """Listens for each entry and carries its connections.
 
+    While an entry refuses connections, so does its link. A caller would take a link
+    that accepts them for an entry that has read its request.
+
     Parameters
     ----------
     delay_s : float
@@ -80,12 +85,14 @@
         self._delay_s = delay_s
         self._rng = rng
         self._connections: dict[int, tuple[Any, Any]] = {}
+        self._refusing: set[str] = set()
 
     def listen(self, target: str) -> str:
         """Carry connections to an entry; return the address to connect to."""
         listener = eventlet.listen(("127.0.0.1", 0), backlog=1_024)
-        eventlet.spawn(self._accept, listener, target)
-        return "{}:{}".format(*listener.getsockname())
+        address = listener.getsockname()
+        eventlet.spawn(self._serve, listener, address, target)
+        return "{}:{}".format(*address)
 
     def reset_some(self) -> None:
         """Reset a share of the connections, drawn at random."""
@@ -94,16 +101,29 @@
                 for sock in self._connections[number]:
                     _reset(sock)
 
-    def _accept(self, listener: Any, target: str) -> None:
+    def _serve(self, listener: Any, address: tuple[str, int], target: str) -> None:
         while True:
-            client, _ = listener.accept()
-            eventlet.spawn_n(self._carry, client, target)
+            self._accept(listener, target)
+            listener.close()
+            while not _is_reachable(target):
+                eventlet.sleep(PROBE_INTERVAL_S)
+            self._refusing.discard(target)
+            listener = eventlet.listen(address, backlog=1_024, reuse_port=False)
+
+    def _accept(self, listener: Any, target: str) -> None:
+        """Accept connections until the entry refuses one."""
+        listener.settimeout(ACCEPT_TIMEOUT_S)
+        while target not in self._refusing:
+            with contextlib.suppress(TimeoutError):
+                client, _ = listener.accept()
+                client.settimeout(None)
+                eventlet.spawn_n(self._carry, client, target)
 
     def _carry(self, client: Any, target: str) -> None:
-        host, _, port = target.rpartition(":")
         try:
-            server = socket.create_connection((host, int(port)), CONNECT_TIMEOUT_S)
+            server = _connect(target)
         except OSError:
+            self._refusing.add(target)
             _reset(client)
             return
         server.settimeout(None)
@@ -121,6 +141,19 @@
         server.close()
 
 
+def _connect(target: str) -> Any:
+    host, _, port = target.rpartition(":")
+    return socket.create_connection((host, int(port)), CONNECT_TIMEOUT_S)
+
+
+def _is_reachable(target: str) -> bool:
+    try:
+        _connect(target).close()
+    except OSError:
+        return False
+    return True
+
+
 def _reset(sock: Any) -> None:
     with contextlib.suppress(OSError):
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET)
--- a/chestnutvale/soak/main.py
+++ b/chestnutvale/soak/main.py
@@ -11,6 +11,7 @@
 from chestnutvale.emulator.deployment import ROOT
 from chestnutvale.emulator.exceptions import EmulatorError
 from chestnutvale.soak.const import EXIT_BROKEN, EXIT_HELD, EXIT_NOT_RUN
+from chestnutvale.soak.machines import MachineLimits
 from chestnutvale.soak.report import format_report
 from chestnutvale.soak.runner import SoakOptions, SoakRunner
 
@@ -27,6 +28,10 @@
     engines: int = 10,
     callers: int = 24,
     busy: int = 0,
+    share: float = 1.0,
+    delay_ms: float = 0.0,
+    faults: bool = False,
+    idle: int = 0,
     logs: Path = ROOT / "build" / "soak",
 ) -> int:
     """Run planned work and pauses of endpoints under callers, and check all answers.
@@ -49,6 +54,14 @@
         Number of callers.
     busy : int
         Number of processes that each keep a processor busy.
+    share : float
+        Part of the time in which each daemon may run, as by a quota of its processor.
+    delay_ms : float
+        Delay in milliseconds of each direction between callers and entries.
+    faults : bool
+        Kill daemons and, if there is a delay, reset connections of callers.
+    idle : int
+        Number of idle connections to each entry.
     logs : Path
         Folder in which each seed gets a folder of its own; kept if the seed failed.
 
@@ -61,7 +74,17 @@
     for number in range(seed, seed + count):
         folder = logs.resolve() / f"seed-{number}"
         options = SoakOptions(
-            number, seconds, folder, entries, controls, engines, callers, busy
+            number,
+            seconds,
+            folder,
+            entries,
+            controls,
+            engines,
+            callers,
+            busy,
+            MachineLimits(share, delay_ms),
+            faults,
+            idle,
         )
         try:
             result = SoakRunner(options).run()
--- a/chestnutvale/soak/plan.py
+++ b/chestnutvale/soak/plan.py
@@ -56,7 +56,44 @@
     duration_s: float
 
 
-Action = ApplyTexts | RestartDaemon | PauseGroups | SuspendDaemon
+@attrs.frozen
+class ReloadDaemons:
+    """Tell some daemons with SIGHUP that their settings have changed."""
+
+    indices: tuple[int, ...]
+
+
+@attrs.frozen
+class ReleaseEntries:
+    """Stop a share of the entries at the same time and start them again."""
+
+    index: int
+    share: float
+
+
+@attrs.frozen
+class KillDaemon:
+    """Kill an entry or a control and start it again."""
+
+    index: int
+    role: str
+
+
+@attrs.frozen
+class ResetLinks:
+    """Reset some of the connections of callers."""
+
+
+Action = (
+    ApplyTexts
+    | RestartDaemon
+    | PauseGroups
+    | SuspendDaemon
+    | ReloadDaemons
+    | ReleaseEntries
+    | KillDaemon
+    | ResetLinks
+)
 
 
 @attrs.frozen
@@ -67,19 +104,38 @@
     action: Action
 
 
-def draw_plan(seed: int, length_s: float) -> list[PlannedStep]:
+def draw_plan(
+    seed: int, length_s: float, has_faults: bool = False
+) -> list[PlannedStep]:
     """Draw the steps of a run.
 
-    Changes, restarts, pauses and late processes are drawn independently of each
-    other, so that they come in series and overlap.
-
+    Changes, signals, restarts, pauses, late processes and faults are drawn
+    independently of each other, so that they come in series and overlap.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the run.
+    length_s : float
+        Length of the run in seconds.
+    has_faults : bool, optional
+        Whether daemons are killed and connections reset, too.
+
+    Returns
+    -------
+    list of PlannedStep
+        The steps in order of their times.
     """
     tracks = [
         ("texts", _draw_texts, 1.0, 4.0),
         ("restarts", _draw_restart, 2.0, 6.0),
         ("pauses", _draw_pause, 5.0, 9.0),
         ("late", _draw_suspension, 3.0, 8.0),
+        ("reloads", _draw_reload, 2.0, 8.0),
+        ("releases", _draw_release, 6.0, 15.0),
     ]
+    if has_faults:
+        tracks.append(("faults", _draw_fault, 4.0, 10.0))
     steps: list[PlannedStep] = []
     for name, draw_action, min_gap_s, max_gap_s in tracks:
         rng = random.Random(f"{seed} {name}")
@@ -120,3 +176,16 @@
         rng.choice([ROLE_ENTRY, ROLE_CONTROL, ROLE_LEADER]),
         rng.uniform(0.2, 1.0),
     )
+
+
+def _draw_reload(rng: random.Random) -> Action:
+    return ReloadDaemons(tuple(rng.randrange(MAX_INDEX) for _ in range(4)))
+
+
+def _draw_release(rng: random.Random) -> Action:
+    return ReleaseEntries(rng.randrange(MAX_INDEX), rng.choice([0.2, 0.45]))
+
+
+def _draw_fault(rng: random.Random) -> Action:
+    kind = rng.choice([ROLE_ENTRY, ROLE_CONTROL, ROLE_LEADER, ""])
+    return KillDaemon(rng.randrange(MAX_INDEX), kind) if kind else ResetLinks()
--- a/chestnutvale/soak/records.py
+++ b/chestnutvale/soak/records.py
@@ -7,6 +7,7 @@
 import attrs
 
 from chestnutvale.soak.const import (
+    CONTACT_S,
     DEADLINE_MARGIN_S,
     KIND_STREAM,
     OUTCOME_FINISHED,
@@ -109,6 +110,20 @@
     exit_code: int
 
 
+@attrs.frozen
+class Disruption:
+    """An unplanned end of a process or of connections; monotonic time in seconds.
+
+    Attributes
+    ----------
+    entry : str
+        The entry that it affects; empty if it affects all.
+    """
+
+    at_s: float
+    entry: str = ""
+
+
 @attrs.define
 class SoakRecords:
     """Everything that was seen in one run, in order of its end."""
@@ -118,6 +133,14 @@
     texts: list[TextRecord] = attrs.field(factory=list)
     readings: list[KeyReading] = attrs.field(factory=list)
     stops: list[PlannedStop] = attrs.field(factory=list)
+    disruptions: list[Disruption] = attrs.field(factory=list)
+
+    def is_disrupted(self, entry: str, begin_s: float, end_s: float) -> bool:
+        """Return whether an entry was affected in a time, or shortly before it."""
+        return any(
+            item.entry in ("", entry) and begin_s - CONTACT_S <= item.at_s <= end_s
+            for item in self.disruptions
+        )
 
     def pair_calls(self) -> Iterator[tuple[list[RequestRecord], list[RunRecord]]]:
         """Yield the requests and the runs of each call."""
--- a/chestnutvale/soak/runner.py
+++ b/chestnutvale/soak/runner.py
@@ -23,6 +23,8 @@
     SPARE_HOSTS,
     STEP_MS,
 )
+from chestnutvale.soak.idle_clients import IdleClients
+from chestnutvale.soak.machines import MachineLimits, Machines
 from chestnutvale.soak.observers import KeyObserver, StandstillObserver
 from chestnutvale.soak.plan import draw_plan
 from chestnutvale.soak.records import RunRecord, SoakRecords
@@ -39,7 +41,19 @@
 
 @attrs.frozen
 class SoakOptions:
-    """Size and length of a run; ``busy`` processes keep a processor busy each."""
+    """Size and length of a run.
+
+    Attributes
+    ----------
+    busy : int
+        Number of processes that keep a processor busy each.
+    limits : MachineLimits
+        What the machines of the daemons are like.
+    has_faults : bool
+        Whether daemons are killed and connections reset, too.
+    idle_connections : int
+        Number of idle connections to each entry.
+    """
 
     seed: int
     length_s: float
@@ -49,6 +63,9 @@
     engines: int = 10
     callers: int = 24
     busy: int = 0
+    limits: MachineLimits = MachineLimits()
+    has_faults: bool = False
+    idle_connections: int = 0
 
     @property
     def sizes(self) -> Sizes:
@@ -107,9 +124,11 @@
         sizes = options.sizes
         with ExitStack() as stack:
             deployment = stack.enter_context(Deployment(self._make_deployment()))
-            work = PlannedWork(deployment, sizes, self._records)
+            machines = Machines(deployment, options.limits, options.seed)
+            work = PlannedWork(deployment, sizes, self._records, machines)
             work.apply_text(TextChange(options.seed))
             deployment.wait_until_groups_serve(sizes.solo_groups + sizes.pair_groups)
+            stack.enter_context(machines)
             self._start_busy_processes(stack)
             stack.callback(self._stop.set)
             standstills = StandstillObserver()
@@ -118,9 +137,12 @@
                 observer = KeyObserver(deployment, entry, work.submitted, self._records)
                 self._start_thread(observer.run, self._stop)
             self._start_thread(self._print_progress)
-            self._start_callers(deployment)
+            self._start_callers(machines.caller_addresses)
+            idle = IdleClients(machines.caller_addresses, options.idle_connections)
+            self._start_thread(idle.run, self._stop)
             started_s = time.monotonic()
-            work.execute(draw_plan(options.seed, options.length_s), self._stop)
+            plan = draw_plan(options.seed, options.length_s, options.has_faults)
+            work.execute(plan, self._stop)
             time.sleep(max(0.0, started_s + options.length_s - time.monotonic()))
             self._stop.set()
             self._join_threads()
@@ -158,8 +180,7 @@
             name, command = f"busy-{number}", [sys.executable, *BUSY_COMMAND]
             stack.enter_context(ManagedProcess(name, command, self._options.folder))
 
-    def _start_callers(self, deployment: Deployment) -> None:
-        entries = {name: deployment.addresses[name] for name in deployment.entries}
+    def _start_callers(self, entries: dict[str, str]) -> None:
         for number in range(self._options.callers):
             rng = random.Random(f"{self._options.seed} caller {number}")
             caller = SoakCaller(f"c{number}", entries, self._records, rng, self._stop)
--- a/chestnutvale/soak/work.py
+++ b/chestnutvale/soak/work.py
@@ -1,5 +1,6 @@
 """Executes the steps of a plan on a deployment."""
 
+import contextlib
 import threading
 import time
 from collections import Counter
@@ -11,17 +12,27 @@
 from chestnutvale.emulator.deployment import Deployment
 from chestnutvale.emulator.exceptions import EmulatorError
 from chestnutvale.emulator.processes import ManagedProcess
+from chestnutvale.soak.machines import Machines
 from chestnutvale.soak.plan import (
     ROLE_ENTRY,
     ROLE_LEADER,
     Action,
     ApplyTexts,
+    KillDaemon,
     PauseGroups,
     PlannedStep,
+    ReleaseEntries,
+    ReloadDaemons,
+    ResetLinks,
     RestartDaemon,
     SuspendDaemon,
 )
-from chestnutvale.soak.records import PlannedStop, SoakRecords, TextRecord
+from chestnutvale.soak.records import (
+    Disruption,
+    PlannedStop,
+    SoakRecords,
+    TextRecord,
+)
 from chestnutvale.soak.text import Sizes, TextChange, make_text
 
 _LOGGER = logbook.Logger(__name__)
@@ -31,13 +42,18 @@
 # A stopping entry waits for its requests, and these for paused endpoints.
 STOP_TIMEOUT_S = 90.0
 FINISH_TIMEOUT_S = 120.0
+LINK_RESET_S = 0.5
 
 
 class PlannedWork:
     """Executes planned work, each step in a thread of its own."""
 
     def __init__(
-        self, deployment: Deployment, sizes: Sizes, records: SoakRecords
+        self,
+        deployment: Deployment,
+        sizes: Sizes,
+        records: SoakRecords,
+        machines: Machines,
     ) -> None:
         self.submitted: list[int] = []
         self.counts: Counter[str] = Counter()
@@ -45,6 +61,7 @@
         self._deployment = deployment
         self._sizes = sizes
         self._records = records
+        self._machines = machines
         self._text_lock = threading.Lock()
         self._control_lock = threading.Lock()
         daemons = deployment.controls | deployment.entries
@@ -54,6 +71,10 @@
             RestartDaemon: self._restart_daemon,
             PauseGroups: self._pause_groups,
             SuspendDaemon: self._suspend_daemon,
+            ReloadDaemons: self._reload_daemons,
+            ReleaseEntries: self._release_entries,
+            KillDaemon: self._kill_daemon,
+            ResetLinks: self._reset_links,
         }
 
     def execute(self, steps: list[PlannedStep], stop: threading.Event) -> None:
@@ -135,11 +156,55 @@
             self._records.stops.append(
                 PlannedStop(name, requested_s, time.monotonic(), exit_code)
             )
-            self._deployment.restart_daemon(name)
+            self._start(name)
+
+    def _start(self, name: str) -> None:
+        self._deployment.restart_daemon(name)
+        self._machines.update_quota()
+
+    def _reload_daemons(self, action: ReloadDaemons) -> None:
+        daemons = self._deployment.controls | self._deployment.entries
+        names = sorted(daemons)
+        for index in action.indices:
+            process = daemons[names[index % len(names)]]
+            if process.is_running:
+                process.request_reload()
+
+    def _release_entries(self, action: ReleaseEntries) -> None:
+        names = sorted(self._deployment.entries)
+        count = max(1, int(action.share * len(names)))
+        first = action.index % len(names)
+        threads = [
+            threading.Thread(target=self._restart, args=(name,), daemon=True)
+            for name in (names + names)[first : first + count]
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+
+    def _kill_daemon(self, action: KillDaemon) -> None:
+        name = self._choose_daemon(action.index, action.role)
+        # One control at a time, so that a quorum of them always runs.
+        is_entry = action.role == ROLE_ENTRY
+        control_lock = contextlib.nullcontext() if is_entry else self._control_lock
+        with control_lock, self._locks[name]:
+            entry = name if is_entry else ""
+            _LOGGER.info("Killing {}", name)
+            self._records.disruptions.append(Disruption(time.monotonic(), entry))
+            self._find_daemon(name).kill()
+            self._start(name)
+            self._records.disruptions.append(Disruption(time.monotonic(), entry))
+
+    def _reset_links(self, action: ResetLinks) -> None:
+        self._records.disruptions.append(Disruption(time.monotonic()))
+        self._machines.reset_links()
+        # The reset reaches the callers with the delay of the links.
+        self._records.disruptions.append(Disruption(time.monotonic() + LINK_RESET_S))
 
     def _suspend_daemon(self, action: SuspendDaemon) -> None:
         name = self._choose_daemon(action.index, action.role)
-        with self._locks[name]:
+        with self._locks[name], self._machines.without_quota(name):
             process = self._find_daemon(name)
             process.suspend()
             time.sleep(action.duration_s)
--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from chestnutvale.soak.machines import MachineLimits
 from chestnutvale.soak.runner import SoakOptions, SoakRunner
 
 # With both seeds all groups pause twice, for 2.6 and 3.6 s, while entries, a control
@@ -17,3 +18,18 @@
     result = SoakRunner(SoakOptions(seed, LENGTH_S, tmp_path / "run")).run()
     assert result.violations == []
     assert result.gaps == []
+
+
+# Guards against signals that end a starting process, and against requests that a stop
+# leaves unread, on machines with a quota and links with a delay.
+def test_planned_work_on_small_machines_breaks_no_promise(tmp_path):
+    options = SoakOptions(
+        5004,
+        LENGTH_S,
+        tmp_path / "run",
+        limits=MachineLimits(share=0.73, delay_ms=1.0),
+        idle_connections=10,
+    )
+    result = SoakRunner(options).run()
+    assert result.violations == []
+    assert result.gaps == []
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -1,5 +1,6 @@
 """Each check of the soak test finds its fabricated fault and passes what is allowed."""
 
+import attrs
 import pytest
 
 from chestnutvale.soak.checks import (
@@ -13,6 +14,7 @@
     find_wrong_answers,
 )
 from chestnutvale.soak.records import (
+    Disruption,
     KeyReading,
     PlannedStop,
     RequestRecord,
@@ -183,3 +185,52 @@
 
 def test_stop_that_fails_is_found():
     assert count(find_cuts_by_stops, stops=[PlannedStop("entry-1", 1.0, 2.0, 1)]) == 1
+
+
+@pytest.mark.parametrize(
+    ("disruption", "expected"),
+    [
+        (Disruption(9.0, "entry-1"), 0),
+        (Disruption(11.0), 0),
+        (Disruption(9.0, "entry-2"), 1),
+        # Longer before the request than disruptions excuse.
+        (Disruption(6.5), 1),
+        (Disruption(12.5), 1),
+    ],
+)
+def test_only_a_disruption_nearby_excuses_a_cut(disruption, expected):
+    records = {
+        "requests": [make_cut(status=200, text_state="part")],
+        "runs": [HUNG_UP_RUN],
+        "stops": [PlannedStop("entry-1", 11.0, 13.0, 0)],
+        "disruptions": [disruption],
+    }
+    assert count(find_unanswered_runs, **records) == expected
+    assert count(find_cuts_by_stops, **records) == expected
+
+
+def test_posting_whose_entry_was_killed_may_stay_unknown_at_another():
+    first = make_cut("posting")
+    second = attrs.evolve(
+        make_cut("posting", status=409, outcome="unknown", detail="call_running"),
+        entry="entry-2",
+        sent_s=14.0,
+        ended_s=14.1,
+    )
+    records = {"requests": [first, second], "runs": [RUN]}
+    killed = Disruption(11.0, "entry-1")
+    assert count(find_unanswered_runs, **records) == 1
+    assert count(find_unanswered_runs, disruptions=[killed], **records) == 0
+
+
+def test_disruption_excuses_a_late_text_but_no_older_one():
+    records = {
+        "texts": [TextRecord(2, 1.0)],
+        "readings": [
+            KeyReading("entry-1", 7, 10.0, 1),
+            KeyReading("entry-1", 7, 11.0, 2),
+            KeyReading("entry-1", 7, 12.0, 1),
+        ],
+    }
+    assert count(find_old_texts, **records) == 3
+    assert count(find_old_texts, disruptions=[Disruption(9.0)], **records) == 1
--- a/tests/soak/test_plan.py
+++ b/tests/soak/test_plan.py
@@ -6,7 +6,11 @@
 from chestnutvale.soak.plan import (
     QUIET_END_S,
     ApplyTexts,
+    KillDaemon,
     PauseGroups,
+    ReleaseEntries,
+    ReloadDaemons,
+    ResetLinks,
     RestartDaemon,
     SuspendDaemon,
     draw_plan,
@@ -29,6 +33,8 @@
         PauseGroups,
         RestartDaemon,
         SuspendDaemon,
+        ReloadDaemons,
+        ReleaseEntries,
     }
     times_s = [step.at_s for step in steps]
     assert times_s == sorted(times_s)
@@ -39,6 +45,14 @@
     assert any(not pause.indices for pause in pauses)
 
 
+def test_faults_are_drawn_only_on_request_and_change_no_other_step():
+    planned = draw_plan(1, LENGTH_S)
+    with_faults = draw_plan(1, LENGTH_S, has_faults=True)
+    added = [step.action for step in with_faults if step not in planned]
+    assert {type(action) for action in added} == {KillDaemon, ResetLinks}
+    assert [step for step in with_faults if step in planned] == planned
+
+
 @pytest.mark.parametrize("is_large", [False, True])
 @pytest.mark.parametrize("seed", range(5))
 def test_drawn_texts_are_valid(seed, is_large):
