Let a second stop of a server do nothing, and shorten the new modules

Change: a repeated stop returns at once. The tests of servers, signals, controls and the soak's parts pass.

--- a/chestnutvale/http_server/listener.py
+++ b/chestnutvale/http_server/listener.py
@@ -39,15 +39,9 @@
         The listening socket.
     address : str
         IP address and port, for the log.
-
-    Attributes
-    ----------
-    failures : int
-        Number of failures to accept a connection.
     """
 
     def __init__(self, sock: Any, address: str) -> None:
-        self.failures = 0
         self._sock = sock
         self._address = address
         self._is_failing = False
@@ -71,14 +65,14 @@
             except OSError as error:
                 if error.errno not in _TRANSIENT_ERRORS:
                     raise
-                self._record_failure(error)
+                self._log_failure(error)
                 eventlet.sleep(ACCEPT_RETRY_INTERVAL_S)
                 continue
             self._is_failing = False
             return accepted
 
-    def _record_failure(self, error: OSError) -> None:
-        self.failures += 1
+    def _log_failure(self, error: OSError) -> None:
+        # Only the first of a series, as further tries follow at once.
         if not self._is_failing:
             _LOGGER.error(
                 "accept_failed",
--- a/chestnutvale/http_server/server.py
+++ b/chestnutvale/http_server/server.py
@@ -166,6 +166,8 @@
     def stop(self, deadline_s: float) -> int:
         """Stop accepting, wait for running requests and close all connections.
 
+        A repeated call has no effect.
+
         Shortly before the deadline, requests whose answers have not begun are answered
         with an error; answers that have begun are cut at the deadline.
 
@@ -179,15 +181,16 @@
         int
             Number of requests that were ended so.
         """
+        if self._task is None:
+            return 0
         self.begin_drain()
         _LOGGER.info("server_stopping", extra=self._log_fields())
-        if self._task is not None:
-            # Accepts the connections that wait for it; closing the listener would
-            # reset them. The hub reads its sockets between two timers.
-            eventlet.sleep(0)
-            eventlet.sleep(0)
-            self._task.kill()
-            self._task = None
+        # Accepts the connections that wait for it; closing the listener would reset
+        # them. The hub reads its sockets between two timers.
+        eventlet.sleep(0)
+        eventlet.sleep(0)
+        self._task.kill()
+        self._task = None
         self._idle.close()
         # The requests that have arrived on idle connections are read now.
         eventlet.sleep(0)
--- a/chestnutvale/programs/signals.py
+++ b/chestnutvale/programs/signals.py
@@ -62,14 +62,14 @@
     # spawns a task on the eventlet hub.
 
     def _request_stop(self, number: int, frame: FrameType | None) -> None:
-        eventlet.spawn_n(self._handle, number, self.request_stop)
+        eventlet.spawn_n(self._run_action, number, self.request_stop)
 
     def _request_reload(self, number: int, frame: FrameType | None) -> None:
-        eventlet.spawn_n(self._handle, number, lambda: self._on_reload())
+        eventlet.spawn_n(self._run_action, number, self._on_reload)
 
     def _request_dump(self, number: int, frame: FrameType | None) -> None:
-        eventlet.spawn_n(self._handle, number, lambda: self._on_dump())
+        eventlet.spawn_n(self._run_action, number, self._on_dump)
 
-    def _handle(self, number: int, action: Callable[[], None]) -> None:
+    def _run_action(self, number: int, action: Callable[[], None]) -> None:
         _LOGGER.info("signal_received", extra={"signal": signal.Signals(number).name})
         action()
