Ignore signals while the interpreter ends

Callers lose nothing, as all sockets are closed by then, but a planned stop looks like a crash.

Cause: the interpreter restores the default action of signals that have a handler before the process ends. The class is that of signals during the start: a phase in which what arrives meets a default.

Change: the handler is a context manager; its end ignores further signals, which the interpreter leaves so.

--- a/chestnutvale/programs/runner.py
+++ b/chestnutvale/programs/runner.py
@@ -84,9 +84,8 @@
         Exit code: 0 on success, 1 if the daemon failed.
     """
     tune_garbage_collection()
-    with make_log_handler(settings.log).applicationbound():
-        signals = SignalHandler()
-        signals.setup()
+    log_handler = make_log_handler(settings.log)
+    with log_handler.applicationbound(), SignalHandler() as signals:
         try:
             serve(settings, signals)
         except ChestnutError as error:
--- a/chestnutvale/programs/signals.py
+++ b/chestnutvale/programs/signals.py
@@ -2,7 +2,8 @@
 
 import signal
 from collections.abc import Callable
-from types import FrameType
+from types import FrameType, TracebackType
+from typing import Final, Self
 
 import eventlet
 import logbook
@@ -10,6 +11,13 @@
 
 _LOGGER = logbook.Logger(__name__)
 
+_HANDLED_SIGNALS: Final = (
+    signal.SIGTERM,
+    signal.SIGINT,
+    signal.SIGUSR1,
+    signal.SIGHUP,
+)
+
 
 def _ignore() -> None:
     """Do nothing; for a process whose daemon does not exist yet."""
@@ -18,8 +26,9 @@
 class SignalHandler:
     """Stops on SIGTERM or SIGINT; runs callbacks on SIGUSR1 and SIGHUP.
 
-    It is set up before the daemon opens its sockets: a signal without a handler would
-    end the process, and with it requests that have arrived already.
+    A context manager for the main thread, entered before the daemon opens its sockets:
+    a signal without a handler would end the process, and with it requests that have
+    arrived already.
     """
 
     def __init__(self) -> None:
@@ -27,12 +36,27 @@
         self._on_reload: Callable[[], None] = _ignore
         self._stop = Event()
 
-    def setup(self) -> None:
-        """Install the handlers; must run in the main thread."""
+    def __enter__(self) -> Self:
+        """Install the handlers."""
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, self._request_stop)
         signal.signal(signal.SIGUSR1, self._request_dump)
         signal.signal(signal.SIGHUP, self._request_reload)
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Ignore further signals.
+
+        The interpreter restores the default action of handlers, but not of ignored
+        signals, some time before the process ends.
+        """
+        for number in _HANDLED_SIGNALS:
+            signal.signal(number, signal.SIG_IGN)
 
     def attach(
         self, on_dump: Callable[[], None], on_reload: Callable[[], None]
--- a/tests/programs/test_signals.py
+++ b/tests/programs/test_signals.py
@@ -1,5 +1,6 @@
 """Signals at the edges of a daemon's life, each in a process of its own."""
 
+import contextlib
 import signal
 import subprocess
 import sys
@@ -23,7 +24,7 @@
     if signal.{name} != signal.SIGTERM:
         os.kill(os.getpid(), signal.SIGTERM)
     signals.wait()
-    print("stops")
+    print("stops", flush=True)
 
 log = LogSettings(format="json", level="info", file="-")
 sys.exit(serve_until_stopped(EntrySettings(log=log), serve))
@@ -57,3 +58,16 @@
     assert process.returncode == 0
     assert "stops\n" in output
     assert f'"signal": "{name}"' in output
+
+
+@pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGUSR1, signal.SIGTERM])
+def test_a_signal_while_the_interpreter_ends_does_not_change_the_exit_code(number):
+    with start(START + SERVE.format(name="SIGTERM")) as process:
+        process.stdin.write("x")
+        process.stdin.close()
+        while "stops" not in process.stdout.readline():
+            pass
+        while process.poll() is None:
+            with contextlib.suppress(ProcessLookupError):
+                process.send_signal(number)
+    assert process.returncode == 0
