Give each silent member of a group the whole stall time

Found by reading: the time until which calls may stay at a group was kept from the first member that fell silent. If that one came back while another fell silent, the group was dissolved up to the gap between the two too early, with the calls that stayed there.

Change: the time follows from the last announcement of the member in question. The new test failed before; the tests of groups pass.

--- a/chestnutvale/groups/member_silence.py
+++ b/chestnutvale/groups/member_silence.py
@@ -44,8 +44,8 @@
     again, and for the time that the others need to announce themselves.
 
     A member that is silent alone may pause, too. Its group is dissolved at once if all
-    calls have left it. Otherwise its engine has the last word: it ends the calls itself
-    once it has stalled for too long, and the group is kept until that must be so.
+    calls have left it. Otherwise it is kept until its engine must have ended the calls
+    itself, which it does once it has stalled for its stall time.
 
     Attributes
     ----------
@@ -117,17 +117,13 @@
         if now_s < suspicion.others_due_s:
             return False
         if suspicion.calls_due_s == math.inf:
-            suspicion.calls_due_s = self._find_calls_due_s(table, heard_at_s, now_s)
-        return not running or now_s >= suspicion.calls_due_s
-
-    def _find_calls_due_s(
-        self, table: MembershipTable, heard_at_s: float, now_s: float
-    ) -> float:
-        if not self.engine_stall_s:
-            return now_s + RUNNING_CALLS_GRACE_S
-        # The member may have gone silent just before its next announcement.
-        silent_at_s = heard_at_s + OVERDUE_FRACTION * table.detection_timeout_s
-        return silent_at_s + self.engine_stall_s + HEAD_STALL_MARGIN_S
+            suspicion.calls_due_s = now_s + RUNNING_CALLS_GRACE_S
+        calls_due_s = suspicion.calls_due_s
+        if self.engine_stall_s:
+            # The member may have gone silent just before its next announcement.
+            silent_at_s = heard_at_s + OVERDUE_FRACTION * table.detection_timeout_s
+            calls_due_s = silent_at_s + self.engine_stall_s + HEAD_STALL_MARGIN_S
+        return not running or now_s >= calls_due_s
 
     def is_unheard(self, group: Group) -> bool:
         """Tell whether a group is kept in this round although no member is heard.
--- a/tests/groups/test_group_pauses.py
+++ b/tests/groups/test_group_pauses.py
@@ -12,6 +12,7 @@
 )
 from chestnutvale.groups.budget import LoadBudget
 from chestnutvale.groups.const import UNHEARD_GROUP_EXPIRY_S
+from chestnutvale.groups.member_silence import MemberSilence
 from chestnutvale.schema.groups_pb2 import PutGroup, RemoveGroup
 from tests.groups.test_pools import BIG, all_hosts, make_serving_pool
 
@@ -108,6 +109,26 @@
     assert max(delayed) <= ENGINE_STALL_S + 2.0
 
 
+def test_members_that_pause_one_after_another_are_each_given_the_stall_time():
+    pool = make_serving_pool()
+    group = next(g for g in pool.state.groups.values() if g.service == BIG)
+    first, second, *others = [member.host_id for member in group.members]
+    silence = MemberSilence(ENGINE_STALL_S)
+
+    def is_conclusive(heard_at_s, now_s):
+        silence.begin_round(now_s)
+        return silence.is_conclusive(group, pool.table, heard_at_s, 1, now_s)
+
+    for host_id in (second, *others):
+        pool.announce(host_id, 5.4)
+    assert not is_conclusive(2.0, 5.5)
+    for now_s in (6.4, 7.4, 8.4):
+        for host_id in (first, *others):
+            pool.announce(host_id, now_s)
+        assert not is_conclusive(5.4, now_s + 0.5)
+    assert not is_conclusive(5.4, 9.0)
+
+
 def test_without_a_stall_time_calls_delay_the_repair_by_a_second_at_most():
     fault = Fault((0,), math.inf)
     without = find_dissolved_times_s(fault, trials=TRIALS)
