Show that a late heartbeat of an earlier life takes back a drain

A script starts one control, one entry and three workers on loopback. A worker that started again under its id drains and gets its acknowledgement; then the first life's heartbeat arrives and it gets postings again, which breaks DRAIN.

--- a/review/rig2.py
+++ b/review/rig2.py
@@ -375,6 +375,18 @@
             "born": self.born,
         }
 
+    async def announce(self) -> float:
+        """Send a heartbeat now; return the time of its acknowledgement, or 0."""
+        answer = await call(
+            self.paths[0],
+            "POST",
+            f"/api/instances/{self.id}/heartbeat",
+            {"Content-Type": "application/json"},
+            json.dumps(self.heartbeat()).encode(),
+            timeout=1.0,
+        )
+        return now() if answer.status // 100 == 2 else 0.0
+
     async def beat(self) -> None:
         """Send heartbeats."""
         position = 0
@@ -604,7 +616,7 @@
         self.host_store = host
         self.domain = domain
         self.load_factor = load_factor
-        self.group = None
+        self.group: dict[str, Any] | None = None
         self.epoch_seen = 0
         self.fence_seen = 0
         self.last_model = None
@@ -614,6 +626,8 @@
         self.two = []
         self.break_timer = None
         self.is_live = True
+        # Whether it is cut off from the controls; requests still reach it.
+        self.is_cut = False
         self.open_delay_s = 0.3
         self.stall_s = 5.0
         Engine.engines[worker_id] = self
@@ -698,15 +712,15 @@
             self.changed.set()
 
     def head_state(self, group: dict[str, Any]) -> str:
-        """Return open or closing if the head of a group is so; else nothing."""
+        """Return open, closing or standing still if the head is so; else nothing."""
         head = Engine.engines.get(group["members"][0])
         if head is None or head.group is None:
             return ""
         if (head.group["name"], head.group["epoch"]) != (group["name"], group["epoch"]):
             return ""
-        if head.group["state"] in ("open", "closing"):
-            return head.group["state"]
-        return ""
+        if head.group["state"] not in ("open", "closing"):
+            return ""
+        return "standing still" if head.group.get("lost_at") else head.group["state"]
 
     async def run_request(
         self,
@@ -715,6 +729,10 @@
         writer: asyncio.StreamWriter,
     ) -> bool:
         """Handle an order, a report or a request."""
+        if self.is_cut and request["target"].startswith("/api/"):
+            # Nothing of this arrives; the sender hears nothing.
+            await asyncio.sleep(30.0)
+            return False
         if request["target"] == "/api/order":
             status = self.take_order(request)
             self.write(writer, request, status)
