Show that a disk lost at the first start ends the service

The first of the seeds loses its disk 0.4 s after the first start of five controls and is back after 1 s. No cluster is formed, no configuration is acknowledged for 42 s, and every request is refused: Fault.

--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")" || exit 2
+PYTHONDONTWRITEBYTECODE=1 exec python3 case.py
