Promise "not run" only if the request certainly has not run

Cause: the handler of routed calls had five places that sent an answer, and none compared its status with what the entry knows. An answer of an endpoint was forwarded as it came, also one that proves nothing about the run.

Change: all answers to callers pass one place of the handler, which checks the invariant "not-run promise" (routed/call_answer.py). A status that makes the promise is sent only if the request is known not to have run; else the caller gets 502, without signature and Retry-After, and a log line and a counter name the status and the endpoint. Calls that may run more than once are exempt, as their callers may repeat them after any failure. The same check holds for answers that come through another entry. A failure of a call that may have run is always 502 or 504, whatever its code.

Why this works: the check rests on what is known of the run, not on where the answer was made, so a further path can't bypass it.

--- a/chestnutvale/attempts/const.py
+++ b/chestnutvale/attempts/const.py
@@ -33,6 +33,8 @@
 CODE_REFUSED: Final = "endpoint_refused"
 CODE_BAD_REQUEST: Final = "bad_request"
 CODE_CALLER_GONE: Final = "caller_gone"
+# An answer whose status says that the request has not run, without a proof of it.
+CODE_UNPROVEN_REFUSAL: Final = "unproven_refusal"
 # Why a silent attempt is kept, besides the codes above.
 CODE_NOT_RESUMABLE: Final = "not_resumable"
 
--- a/chestnutvale/observability/catalog.py
+++ b/chestnutvale/observability/catalog.py
@@ -264,6 +264,12 @@
     "Departures, pauses, cold states and limit changes that endpoints stated.",
     (LABEL_REASON,),
 )
+REPLACED_REFUSALS: Final = Metric(
+    "chestnutvale.entry.refusals.replaced",
+    "{answer}",
+    "Answers that said without a proof that the request has not run, by status.",
+    (LABEL_REASON,),
+)
 ISOLATION_CHANGES: Final = Metric(
     "chestnutvale.entry.isolation.changes",
     UNIT_NONE,
--- a/chestnutvale/programs/entry/entry_context.py
+++ b/chestnutvale/programs/entry/entry_context.py
@@ -88,6 +88,9 @@
         of pauses because of answers without end (``endless``),
         of limits that they named (``limited``) and no longer named (``unlimited``), and
         of endpoints that said that they are ``cold``.
+    replaced_refusals : Counter
+        Number of answers that were replaced because they promised without a proof that
+        the request has not run, by status.
     memory : MemoryBound
         Bound on the memory of requests and answers.
     lost_group_reports : Counter
@@ -131,6 +134,7 @@
         self.on_departure: Callable[[], None] = _ignore_change
         self.on_limit_change: Callable[[], None] = _ignore_change
         self.notice_counts: Counter[str] = Counter()
+        self.replaced_refusals: Counter[str] = Counter()
         self.memory = MemoryBound()
         self.lost_group_reports: Counter[str] = Counter()
         self.kept_attempts: Counter[str] = Counter()
--- a/chestnutvale/programs/entry/metrics.py
+++ b/chestnutvale/programs/entry/metrics.py
@@ -46,6 +46,7 @@
         catalog.LOST_GROUP_REPORTS: lambda: context.lost_group_reports,
         catalog.LEASE_CHANGES: lambda: link.lease_changes,
         catalog.ENDPOINT_NOTICES: lambda: context.notice_counts,
+        catalog.REPLACED_REFUSALS: lambda: context.replaced_refusals,
         catalog.ISOLATION_CHANGES: lambda: context.isolation_changes,
         catalog.GROUP_CHOICES: lambda: context.choice_counts,
         catalog.PART_BANS: lambda: context.suspicions.part_bans.counts,
--- a/chestnutvale/programs/entry/peers/relay.py
+++ b/chestnutvale/programs/entry/peers/relay.py
@@ -52,10 +52,13 @@
         Status and headers.
     body : RelayedBody
         The body.
+    peer : str
+        Address of the other entry.
     """
 
     head: AnswerHead
     body: "RelayedBody"
+    peer: str
 
 
 class RelayedBody:
@@ -165,7 +168,7 @@
                     code, OUTCOME_UNKNOWN, error.message, error.step, exchange.address
                 )
             body = RelayedBody(exchange, first_part, deadline_s, resources.pop_all())
-            return RelayedAnswer(head, body)
+            return RelayedAnswer(head, body, exchange.address)
 
     def _connect(
         self, call: RoutedCall, resources: contextlib.ExitStack
--- a/chestnutvale/programs/entry/routed/caller_protocol.py
+++ b/chestnutvale/programs/entry/routed/caller_protocol.py
@@ -95,6 +95,12 @@
     def is_refusal(self, status: int, headers: Headers) -> bool:
         """Return whether an answer proves that the endpoint did not run the request."""
 
+    def promises_not_run(self, status: int) -> bool:
+        """Return whether a status tells a caller that its request has not run.
+
+        It also says that the request never will, so that the caller may send it again.
+        """
+
     def find_request_id(self, headers: Headers) -> str:
         """Return the request ID in an endpoint's answer; empty if there is none."""
 
--- a/chestnutvale/programs/entry/routed/handler.py
+++ b/chestnutvale/programs/entry/routed/handler.py
@@ -4,7 +4,6 @@
 import json
 import math
 from collections.abc import Callable, Iterable, Iterator
-from http import HTTPStatus
 from typing import Any
 
 import logbook
@@ -52,6 +51,11 @@
 from chestnutvale.programs.entry.model_calls import ModelCallRun
 from chestnutvale.programs.entry.peers.relay import PeerRelay
 from chestnutvale.programs.entry.problems import add_retry_jitter
+from chestnutvale.programs.entry.routed.call_answer import (
+    CallAnswer,
+    find_unproven_refusal,
+    make_forwarded_answer,
+)
 from chestnutvale.programs.entry.routed.caller_protocol import (
     CallerProtocol,
     Headers,
@@ -84,7 +88,6 @@
 StartResponse = Callable[..., Any]
 # Priority by rank; the last one is that of all higher ranks, too.
 _PRIORITY_OF_RANK = (PRIORITY_URGENT, PRIORITY_NORMAL, PRIORITY_BATCH)
-BODYLESS_STATUSES = frozenset({204, 304})
 
 
 class RoutedHandler:
@@ -145,20 +148,43 @@
             The body of the answer.
         """
         request_id = ""
+        is_repeatable = False
         try:
             request = self._protocol.read_request(environ)
             request_id = request.request_id
             call = self._accept_call(request, environ)
+            is_repeatable = _is_repeatable(call.route)
+            answer = self._answer_call(call, environ)
         except BadCallError as error:
             failure = Failure(error.problem_code, OUTCOME_NOT_RUN, error.message)
-            return self._answer_failure(failure, request_id, start_response)
+            answer = self._make_failure_answer(failure, request_id)
         except CallRefusedError as error:
-            return self._answer_failure(error.failure, request_id, start_response)
+            answer = self._make_failure_answer(error.failure, request_id)
+        answer = self._replace_unproven_refusal(answer, request_id, is_repeatable)
+        start_response(answer.status_line, answer.headers)
+        return answer.body
+
+    def _answer_call(self, call: RoutedCall, environ: dict[str, Any]) -> CallAnswer:
         if self._relay is not None and self._context.is_isolated:
-            return self._answer_through_peer(call, environ, start_response)
+            return self._answer_through_peer(call, environ)
         if call.route.kind == ROUTE_STREAMING:
-            return self._answer_stream(call, environ, start_response)
-        return self._answer_non_streaming(call, environ, start_response)
+            return self._answer_stream(call, environ)
+        return self._answer_non_streaming(call, environ)
+
+    def _replace_unproven_refusal(
+        self, answer: CallAnswer, request_id: str, is_repeatable: bool
+    ) -> CallAnswer:
+        """Return the answer to send, which keeps the not-run promise."""
+        failure = find_unproven_refusal(
+            answer,
+            promises_not_run=self._protocol.promises_not_run(answer.status),
+            is_repeatable=is_repeatable,
+        )
+        if failure is None:
+            return answer
+        answer.close()
+        self._context.replaced_refusals[str(answer.status)] += 1
+        return self._make_failure_answer(failure, request_id)
 
     # Validation and authorisation.
 
@@ -279,9 +305,7 @@
 
     # Streams.
 
-    def _answer_stream(
-        self, call: RoutedCall, environ: dict[str, Any], start_response: StartResponse
-    ) -> Iterable[bytes]:
+    def _answer_stream(self, call: RoutedCall, environ: dict[str, Any]) -> CallAnswer:
         attempts = StreamAttempts(self._context, self._protocol, self._pool, call)
         answer = AnswerStream(
             first_offset=call.request.last_event,
@@ -307,17 +331,19 @@
         pieces = run.iterate()
         first = next(pieces, None)
         if first is None and self._may_relay(run.failure):
-            return self._answer_through_peer(call, environ, start_response)
+            return self._answer_through_peer(call, environ)
         if first is None and run.failure is not None:
-            return self._answer_failed_stream(run, attempts, start_response)
+            return self._answer_failed_stream(run, attempts)
         # The caller gets the head of the first endpoint, even if the stream is resumed
         # at another one.
         head = attempts.first_started_exchange
-        start_response(
-            _make_status_line(head.status, head.reason),
+        return CallAnswer(
+            head.status,
+            head.reason,
             _drop_connection_headers(head.headers),
+            self._iterate_stream(run, first, pieces, accepted_s),
+            peer=head.address,
         )
-        return self._iterate_stream(run, first, pieces, accepted_s)
 
     def _iterate_stream(
         self,
@@ -348,28 +374,25 @@
         self._context.stop_window.record_answer(service, duration_s)
 
     def _answer_failed_stream(
-        self,
-        run: ModelCallRun,
-        attempts: StreamAttempts,
-        start_response: StartResponse,
-    ) -> Iterable[bytes]:
+        self, run: ModelCallRun, attempts: StreamAttempts
+    ) -> CallAnswer:
         failed = attempts.find_last_failed_attempt()
         if failed is not None and run.failure.outcome != OUTCOME_NOT_RUN:
             exchange = failed.exchange
-            return _forward_answer(
+            return make_forwarded_answer(
                 exchange.status,
                 exchange.reason,
-                exchange.headers,
+                _drop_connection_headers(exchange.headers),
                 failed.error_body,
-                start_response,
+                exchange.address,
             )
-        return self._answer_failure(run.failure, run.request.request_id, start_response)
+        return self._make_failure_answer(run.failure, run.request.request_id)
 
     # Answers that are not streamed.
 
     def _answer_non_streaming(
-        self, call: RoutedCall, environ: dict[str, Any], start_response: StartResponse
-    ) -> Iterable[bytes]:
+        self, call: RoutedCall, environ: dict[str, Any]
+    ) -> CallAnswer:
         request = call.request
         run = ServiceRun(
             self._context,
@@ -405,12 +428,16 @@
             headers = list(
                 zip(recorded.header_names, recorded.header_values, strict=True)
             )
-            return _forward_answer(
-                recorded.status, "", headers, recorded.body, start_response
+            return make_forwarded_answer(
+                recorded.status,
+                "",
+                _drop_connection_headers(headers),
+                recorded.body,
+                run.endpoint_address,
             )
         if self._may_relay(answer):
-            return self._answer_through_peer(call, environ, start_response)
-        return self._answer_failure(answer, request.request_id, start_response)
+            return self._answer_through_peer(call, environ)
+        return self._make_failure_answer(answer, request.request_id)
 
     # Calls that go on through another entry.
 
@@ -425,22 +452,29 @@
         )
 
     def _answer_through_peer(
-        self, call: RoutedCall, environ: dict[str, Any], start_response: StartResponse
-    ) -> Iterable[bytes]:
+        self, call: RoutedCall, environ: dict[str, Any]
+    ) -> CallAnswer:
         answer = self._relay.relay(call, environ)
         if isinstance(answer, Failure):
-            return self._answer_failure(answer, call.request.request_id, start_response)
-        headers = _drop_connection_headers(answer.head.headers)
-        if answer.head.body_bytes is not None:
-            headers.append(("Content-Length", str(answer.head.body_bytes)))
-        start_response(
-            _make_status_line(answer.head.status, answer.head.reason), headers
+            return self._make_failure_answer(answer, call.request.request_id)
+        head = answer.head
+        headers = _drop_connection_headers(head.headers)
+        if head.body_bytes is not None:
+            headers.append(("Content-Length", str(head.body_bytes)))
+        # The peer keeps the not-run promise in its own answers, but one of an earlier
+        # build forwards the promises of endpoints.
+        is_from_endpoint = self._protocol.has_endpoint_signature(head.headers)
+        return CallAnswer(
+            head.status,
+            head.reason,
+            headers,
+            answer.body,
+            is_known_not_run=not is_from_endpoint
+            and self._protocol.promises_not_run(head.status),
+            peer=answer.peer,
         )
-        return answer.body
 
-    def _answer_failure(
-        self, failure: Failure, request_id: str, start_response: StartResponse
-    ) -> Iterable[bytes]:
+    def _make_failure_answer(self, failure: Failure, request_id: str) -> CallAnswer:
         retry_after_s = failure.retry_after_s
         if retry_after_s is not None:
             retry_after_s = add_retry_jitter(retry_after_s, self._context.rng)
@@ -456,11 +490,24 @@
                 "retry_after_s": retry_after_s,
             },
         )
-        status, headers, body = self._protocol.make_failure_answer(
+        status_line, headers, body = self._protocol.make_failure_answer(
             failure, request_id, retry_after_s
         )
-        start_response(status, [*headers, ("Content-Length", str(len(body)))])
-        return [body]
+        status, _, reason = status_line.partition(" ")
+        return CallAnswer(
+            int(status),
+            reason,
+            [*headers, ("Content-Length", str(len(body)))],
+            [body],
+            is_known_not_run=failure.outcome == OUTCOME_NOT_RUN,
+        )
+
+
+def _is_repeatable(route: Route) -> bool:
+    """Return whether the calls of a route may run more than once."""
+    return route.kind == ROUTE_REPEATABLE or (
+        route.kind == ROUTE_STREAMING and route.is_resumable
+    )
 
 
 def _find_wait_s(request: RoutedRequest) -> float:
@@ -521,26 +568,3 @@
 
 def _drop_connection_headers(headers: Headers) -> Headers:
     return [(n, v) for n, v in headers if n.lower() not in CONNECTION_HEADERS]
-
-
-def _make_status_line(status: int, reason: str) -> str:
-    if not reason:
-        try:
-            reason = HTTPStatus(status).phrase
-        except ValueError:
-            reason = "Unknown"
-    return f"{status} {reason}"
-
-
-def _forward_answer(
-    status: int,
-    reason: str,
-    headers: Headers,
-    body: bytes,
-    start_response: StartResponse,
-) -> Iterable[bytes]:
-    kept = _drop_connection_headers(headers)
-    if status not in BODYLESS_STATUSES:
-        kept.append(("Content-Length", str(len(body))))
-    start_response(_make_status_line(status, reason), kept)
-    return [body]
--- a/chestnutvale/programs/entry/service_run.py
+++ b/chestnutvale/programs/entry/service_run.py
@@ -228,6 +228,12 @@
             resume_wait_s=0.0,
         )
 
+    @property
+    def endpoint_address(self) -> str:
+        """Address of the endpoint that was chosen last; empty for none."""
+        view = self._chooser.view
+        return head_address(view) if view is not None else ""
+
     def wait_for_answer(self) -> Reply | Failure:
         """Wait until the call is answered or its deadline has passed.
 
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -115,6 +115,20 @@
     assert PlatformCallerProtocol().is_refusal(status, headers) == expected
 
 
+def test_statuses_that_promise_that_a_request_has_not_run():
+    protocol = PlatformCallerProtocol()
+    promises = [s for s in range(100, 600) if protocol.promises_not_run(s)]
+    assert promises == [408, 421, 429, 503]
+
+
+@given(st.sampled_from(["unknown", "failed"]), st.text(max_size=20))
+def test_failure_of_a_call_that_may_have_run_promises_nothing(outcome, code):
+    protocol = PlatformCallerProtocol()
+    line, headers, _ = protocol.make_failure_answer(Failure(code, outcome, ""), "", 1.0)
+    assert not protocol.promises_not_run(int(line[:3]))
+    assert "Retry-After" not in dict(headers)
+
+
 @pytest.mark.parametrize(
     "status, headers, notice",
     [
@@ -166,6 +180,11 @@
         ("too_large", "not_run", "413"),
         ("bad_request", "not_run", "400"),
         ("overloaded", "unknown", "502"),
+        ("unproven_refusal", "unknown", "502"),
+        ("crashing_request", "not_run", "502"),
+        ("bad_request", "unknown", "502"),
+        ("not_found", "failed", "502"),
+        ("too_large", "unknown", "502"),
     ],
 )
 def test_status_matches_outcome(code, outcome, status):
--- a/tests/programs/entry/entry_fakes.py
+++ b/tests/programs/entry/entry_fakes.py
@@ -64,6 +64,7 @@
         self.admission = AdmitAll()
         self.budgets = AttemptBudgets()
         self.stop_window = StopWindow()
+        self.replaced_refusals = collections.Counter()
         self.memory = MemoryBound()
         self.suspicions = SuspicionTracker()
         self.running = RunningAttempts()
--- a/tests/programs/entry/routed/routed_fakes.py
+++ b/tests/programs/entry/routed/routed_fakes.py
@@ -77,6 +77,9 @@
     def is_refusal(self, status, headers):
         return any(name.lower() == "x-not-run" for name, _ in headers)
 
+    def promises_not_run(self, status):
+        return status in (408, 421, 429, 503)
+
     def find_request_id(self, headers):
         return next((v for name, v in headers if name.lower() == "x-call"), "")
 
