Tell a call with the ID of a running one that its outcome is unknown

What callers saw: a second call with the ID of one that runs at this entry got 503, which says that the request with this ID has not run and never will.

Cause: admission refused it as a duplicate, and a refusal of admission always counted as not run, although the first call may be at an endpoint.

Evidence: tests/programs/entry/routed/test_waiting_calls.py got (503, duplicate_request) for a posting and for a stream on.

--- a/chestnutvale/programs/entry/admission_gate.py
+++ b/chestnutvale/programs/entry/admission_gate.py
@@ -14,6 +14,7 @@
     Effect,
     Refuse,
 )
+from chestnutvale.attempts.const import OUTCOME_UNKNOWN
 from chestnutvale.clock import Clock
 from chestnutvale.programs.entry.context import AdmissionRefusal, CallRequest
 from chestnutvale.programs.periodic import run_periodically
@@ -123,10 +124,14 @@
             return
         if isinstance(effect, Refuse):
             self._is_finished = True
-            message = f"service {self.request.service} can't admit this call"
-            self.decision_event.send(
-                AdmissionRefusal(effect.code, message, effect.retry_after_s)
-            )
+            self.decision_event.send(self._make_refusal(effect))
+
+    def _make_refusal(self, effect: Refuse) -> AdmissionRefusal:
+        if effect.code == CODE_DUPLICATE:
+            message = "another call with this ID is running"
+            return AdmissionRefusal(effect.code, message, 0.0, OUTCOME_UNKNOWN)
+        message = f"service {self.request.service} can't admit this call"
+        return AdmissionRefusal(effect.code, message, effect.retry_after_s)
 
 
 class AdmissionGate:
--- a/chestnutvale/programs/entry/context.py
+++ b/chestnutvale/programs/entry/context.py
@@ -7,6 +7,7 @@
 import attrs
 
 from chestnutvale.admission.stop_window import StopWindow
+from chestnutvale.attempts.const import OUTCOME_NOT_RUN
 from chestnutvale.attempts.retry_budget import AttemptBudgets
 from chestnutvale.attempts.suspicion import SuspicionTracker
 from chestnutvale.clock import Clock
@@ -81,11 +82,14 @@
         Reason for the caller.
     retry_after_s : float
         Time in seconds after which a retry makes sense.
+    outcome : str
+        ``not_run``, or ``unknown`` if another call with the ID may run.
     """
 
     code: str
     message: str
     retry_after_s: float
+    outcome: str = OUTCOME_NOT_RUN
 
 
 class AdmissionTicket(Protocol):
--- a/chestnutvale/programs/entry/model_calls.py
+++ b/chestnutvale/programs/entry/model_calls.py
@@ -12,7 +12,6 @@
 from chestnutvale.attempts.const import (
     HARMLESS_WRITING_MS,
     OUTCOME_FAILED,
-    OUTCOME_NOT_RUN,
     SILENCE_REASONS,
 )
 from chestnutvale.attempts.events import (
@@ -295,7 +294,7 @@
                 if refusal is not None:
                     self.failure = Failure(
                         refusal.code,
-                        OUTCOME_NOT_RUN,
+                        refusal.outcome,
                         refusal.message,
                         "admission",
                         "",
--- a/chestnutvale/programs/entry/service_calls.py
+++ b/chestnutvale/programs/entry/service_calls.py
@@ -185,6 +185,8 @@
                 stack.pop_all()
         if refusal is not None:
             retry_after_s = refusal.retry_after_s or DEFAULT_RETRY_AFTER_S
+            if refusal.outcome != OUTCOME_NOT_RUN:
+                outcome = refusal.outcome
             return Failure(
                 refusal.code,
                 outcome,
