Say "not run" to calls that wait for admission when a stop ends

What callers saw: a call that waited in the admission queue, for a lease or for the first view of the groups when the stop of its entry ended got 502, after which a posting may not be sent again, although it was sent nowhere.

Cause: the HTTP server interrupts requests without an answer and can't know what the handler has sent. Nothing told it that these waits come before any send.

Change: the interruption is caught where the handler waits before a send, and becomes the refusal of an entry that stops: 503, entry_stopping. A call that was handed on is still answered with 502.

--- a/chestnutvale/programs/entry/admission_gate.py
+++ b/chestnutvale/programs/entry/admission_gate.py
@@ -16,6 +16,11 @@
 )
 from chestnutvale.attempts.const import OUTCOME_UNKNOWN
 from chestnutvale.clock import Clock
+from chestnutvale.http_server.running_requests import ServerStoppingError
+from chestnutvale.programs.entry.call_validation import (
+    CODE_ENTRY_STOPPING,
+    STOPPING_RETRY_AFTER_S,
+)
 from chestnutvale.programs.entry.context import AdmissionRefusal, CallRequest
 from chestnutvale.programs.periodic import run_periodically
 
@@ -62,7 +67,16 @@
         AdmissionRefusal or None
             None if the call may run.
         """
-        self.decision_event.wait(timeout=self._gate.remaining_s(self.request))
+        try:
+            self.decision_event.wait(timeout=self._gate.remaining_s(self.request))
+        except ServerStoppingError:
+            # Nothing is sent before `wait` returns, so the call has not run.
+            self.release(0)
+            return AdmissionRefusal(
+                CODE_ENTRY_STOPPING,
+                "this entry stops before the call is admitted",
+                STOPPING_RETRY_AFTER_S,
+            )
         if not self.decision_event.ready():
             _LOGGER.warning(
                 "Admission made no decision on {} before its deadline",
--- a/chestnutvale/programs/entry/call_validation.py
+++ b/chestnutvale/programs/entry/call_validation.py
@@ -118,6 +118,27 @@
     return CallRefusedError(failure)
 
 
+def make_stop_refusal(outcome: str = OUTCOME_NOT_RUN) -> CallRefusedError:
+    """Make the error of a call that is refused because the entry stops.
+
+    Parameters
+    ----------
+    outcome : str, optional
+        Outcome of the call.
+
+    Returns
+    -------
+    CallRefusedError
+        The error, to be raised.
+    """
+    return make_refusal(
+        CODE_ENTRY_STOPPING,
+        "this entry stops before the answer is likely to be complete",
+        outcome=outcome,
+        retry_after_s=STOPPING_RETRY_AFTER_S,
+    )
+
+
 def make_bad_call_refusal(error: BadCallError) -> CallRefusedError:
     """Make the error of an invalid call.
 
@@ -325,12 +346,7 @@
     """
     now_s = context.clock.now_s()
     if not context.stop_window.may_take(service, deadline_s, now_s):
-        raise make_refusal(
-            CODE_ENTRY_STOPPING,
-            "this entry stops before the answer is likely to be complete",
-            outcome=outcome,
-            retry_after_s=STOPPING_RETRY_AFTER_S,
-        )
+        raise make_stop_refusal(outcome)
 
 
 def check_lease(context: CallContext, outcome: str = OUTCOME_NOT_RUN) -> None:
--- a/chestnutvale/programs/entry/routed/handler.py
+++ b/chestnutvale/programs/entry/routed/handler.py
@@ -36,12 +36,13 @@
 )
 from chestnutvale.configuration.routes import RouteTable
 from chestnutvale.http_server.exceptions import AnswerBrokenError
-from chestnutvale.http_server.running_requests import find_client
+from chestnutvale.http_server.running_requests import ServerStoppingError, find_client
 from chestnutvale.programs.entry.call_validation import (
     DEFAULT_MAX_BODY_BYTES,
     CallRefusedError,
     check_stop,
     make_refusal,
+    make_stop_refusal,
     read_body,
 )
 from chestnutvale.programs.entry.context import CallRequest
@@ -190,6 +191,15 @@
 
     def _accept_call(
         self, request: RoutedRequest, environ: dict[str, Any]
+    ) -> RoutedCall:
+        """Validate a call; it is sent nowhere before this returns."""
+        try:
+            return self._check_call(request, environ)
+        except ServerStoppingError as error:
+            raise make_stop_refusal() from error
+
+    def _check_call(
+        self, request: RoutedRequest, environ: dict[str, Any]
     ) -> RoutedCall:
         context = self._context
         received_s = context.clock.now_s()
