Give the statuses 429 and 503 only to calls that have not run

What callers saw: on the product's own interface, a call whose outcome is unknown or failed got status 503 wherever its code has no status of its own, with Retry-After: a call that broke at one endpoint and then found no other, an internal error, or a banned prompt part. A caller that goes by the status sends it again.

Cause: the status of a problem followed from its code alone, with 503 as the default, and not from the outcome.

Evidence: tests/programs/entry/test_problems.py got 503 for each of its codes with the outcome unknown on.

Three tests expected (503, unknown) for calls with an idempotency key before the ledger was asked. They contradict the rule: the key may have run, and 503 says that it has not. They expect (502, unknown) now, and still Retry-After.

Result: the tests of the entry's handlers pass.

--- a/chestnutvale/programs/entry/problems.py
+++ b/chestnutvale/programs/entry/problems.py
@@ -3,6 +3,7 @@
 import math
 import random
 
+from chestnutvale.attempts.const import OUTCOME_NOT_RUN
 from chestnutvale.attempts.events import Failure
 from chestnutvale.http_server.problem import STATUS_CALLER_GONE, Problem
 
@@ -37,6 +38,9 @@
     "caller_gone": STATUS_CALLER_GONE,
 }
 _DEFAULT_STATUS = 503
+# Statuses that say that the call has not run.
+_NOT_RUN_STATUSES = frozenset({429, 503})
+_STATUS_MAY_HAVE_RUN = 502
 
 
 def add_retry_jitter(retry_after_s: float, rng: random.Random) -> float:
@@ -90,13 +94,14 @@
     Returns
     -------
     Problem
-        The problem document; its status is 503 for a code without one of its own.
+        The problem document. For a code without a status of its own, its status is 503
+        if the call has certainly not run, else 502.
     """
     retry_after_s = failure.retry_after_s
     if retry_after_s is not None:
         retry_after_s = make_retry_after_s(retry_after_s, rng)
     return Problem(
-        status=_STATUS_BY_CODE.get(failure.code, _DEFAULT_STATUS),
+        status=_find_status(failure),
         code=failure.code,
         detail=failure.message,
         outcome=failure.outcome,
@@ -105,3 +110,10 @@
         retry_after_s=retry_after_s,
         request_id=request_id,
     )
+
+
+def _find_status(failure: Failure) -> int:
+    status = _STATUS_BY_CODE.get(failure.code, _DEFAULT_STATUS)
+    if status in _NOT_RUN_STATUSES and failure.outcome != OUTCOME_NOT_RUN:
+        return _STATUS_MAY_HAVE_RUN
+    return status
--- a/tests/programs/entry/test_dependencies.py
+++ b/tests/programs/entry/test_dependencies.py
@@ -34,12 +34,15 @@
 
 
 @pytest.mark.parametrize(
-    ("key", "outcome"), [({}, b'"not_run"'), ({"Idempotency_Key": "k"}, b'"unknown"')]
+    ("key", "outcome", "expected"),
+    [({}, b'"not_run"', 503), ({"Idempotency_Key": "k"}, b'"unknown"', 502)],
 )
-def test_refused_plain_call_with_key_has_unknown_outcome(context, key, outcome):
+def test_refused_plain_call_with_key_has_unknown_outcome(
+    context, key, outcome, expected
+):
     with serve(ServiceCallHandler(context, None)) as address:
         status, _, body = post(address, "/services/ledger-app/postings", {}, **key)
-    assert status == 503
+    assert status == expected
     assert b"dependency_down" in body and outcome in body
     assert context.reports == []
 
--- a/tests/programs/entry/test_service_calls.py
+++ b/tests/programs/entry/test_service_calls.py
@@ -223,7 +223,7 @@
     entries[1].context.lease = lost != "lease"
     entries[1].context.log.faults.append(refuse_command)
     status, headers, answer = post(entries[1].address, POSTINGS, b"10", **KEY)
-    assert (status, json.loads(answer)["outcome"]) == (503, OUTCOME_UNKNOWN)
+    assert (status, json.loads(answer)["outcome"]) == (502, OUTCOME_UNKNOWN)
     assert "retry-after" in headers
 
 
@@ -232,8 +232,8 @@
     entries[0].context.lease = False
     entries[0].context.text.Clear()
     status, headers, answer = post(entries[0].address, POSTINGS, b"10", **key)
-    outcome = OUTCOME_UNKNOWN if key else OUTCOME_NOT_RUN
-    assert (status, json.loads(answer)["outcome"]) == (503, outcome)
+    expected = (502, OUTCOME_UNKNOWN) if key else (503, OUTCOME_NOT_RUN)
+    assert (status, json.loads(answer)["outcome"]) == expected
     assert "retry-after" in headers
 
 
