Pause an endpoint only if it refuses a request

What callers saw: an endpoint that ran a request and answered 503 with Retry-After got no request of anybody for that time; one caller whose requests fail so, sent to each endpoint in turn, had all callers of the service refused.

Cause: the entry read Retry-After of any 503 as the wish of a full endpoint. An answer that does not say that the request has not run may come from the application behind it, and speaks to the caller.

Evidence: four new cases of tests/programs/entry/routed/ test_endpoint_notices.py sent the endpoint one of two requests on.

Change: the wish counts only in an answer that refuses the request. Departures, limits and cold states still count in every answer, and a refusal is still no failure of the endpoint.

--- a/chestnutvale/programs/entry/routed/exchange.py
+++ b/chestnutvale/programs/entry/routed/exchange.py
@@ -6,6 +6,8 @@
 from types import TracebackType
 from typing import Self
 
+import attrs
+
 from chestnutvale.clock import Clock
 from chestnutvale.http_client.answer_reader import AnswerReader
 from chestnutvale.http_client.collected_body import CollectionBound
@@ -355,8 +357,13 @@
 
     def _report_notice(self, status: int, headers: Headers) -> None:
         notice = self._protocol.read_notice(status, headers)
-        if not notice.is_misdirected:
-            self._on_notice(notice)
+        if notice.is_misdirected:
+            return
+        if not self._protocol.is_refusal(status, headers):
+            # The endpoint may have run the request. Its answer then tells the caller
+            # when to come back, and not the entry that the endpoint is full.
+            notice = attrs.evolve(notice, pause_s=None)
+        self._on_notice(notice)
 
     def _check_signature(self, status: int, headers: Headers) -> None:
         is_success = HTTPStatus.OK <= status < HTTPStatus.MULTIPLE_CHOICES
--- a/tests/programs/entry/routed/test_endpoint_notices.py
+++ b/tests/programs/entry/routed/test_endpoint_notices.py
@@ -49,6 +49,27 @@
     assert len(endpoint.requests) == 1
 
 
+@pytest.mark.parametrize("path", ["/once/x", "/safe/x", "/fixed/x", "/gen/x"])
+def test_failure_of_an_endpoint_that_ran_the_request_is_no_wish_for_a_pause(
+    endpoint, path
+):
+    # Guards against one caller's failures taking an endpoint from all callers.
+    endpoint.default = complete_answer(
+        b"failed", status="503 Bad", extra="X-Pause: 30\r\n"
+    )
+    with routed_entry(endpoint) as entry:
+        for _ in range(2):
+            call(entry.address, path, b"a", X_Model="m")
+    assert len(endpoint.requests) == 2
+
+
+def test_refusal_of_an_endpoint_is_no_failure_of_it(endpoint, other_endpoint):
+    endpoint.default = PAUSING
+    with routed_entry(endpoint, other_endpoint) as entry:
+        assert call(entry.address, "/once/x", b"a")[2] == b"other"
+        assert entry.context.reports[0] == ("app1", "refused")
+
+
 def test_many_callers_at_once_send_a_paused_endpoint_nothing(endpoint, other_endpoint):
     endpoint.default = PAUSING
     with routed_entry(endpoint, other_endpoint) as entry:
