Reject statuses beyond 599 in answers

What callers saw: an endpoint in trouble that answered with status 600 or 999 had this passed on to its caller as an answer, on each kind of route, with and without its signature. Status 000 and other malformed ones were rejected already: the caller got 502.

Cause: the parser of answers takes any three digits from 200 on; RFC 9110, section 15, ends at 599. Nothing after it looked at the range.

Change: the parser raises a format error, so the rule holds on every path that reads an answer with it: calls, streams, answers of other entries, orders, and requests of the own endpoint protocol.

--- a/chestnutvale/http_client/answer_parser.py
+++ b/chestnutvale/http_client/answer_parser.py
@@ -12,6 +12,7 @@
     MAX_INTERIM_ANSWERS,
     MAX_PIECELESS_BYTES,
     MAX_PIECES_PER_STEP,
+    MAX_STATUS,
     PARSED_BYTES,
 )
 from chestnutvale.http_client.exceptions import AnswerFormatError, AnswerLimitError
@@ -243,6 +244,9 @@
     def _make_head(self, response: h11.Response) -> AnswerHead:
         if not response.http_version.startswith(b"1."):
             raise AnswerFormatError("the answer has another version of HTTP")
+        if response.status_code > MAX_STATUS:
+            # h11 accepts three digits; RFC 9110, section 15, ends at 599.
+            raise AnswerFormatError(f"invalid status {response.status_code}")
         headers = [
             (name.decode("latin-1"), value.decode("latin-1"))
             for name, value in response.headers.raw_items()
--- a/chestnutvale/http_client/const.py
+++ b/chestnutvale/http_client/const.py
@@ -11,6 +11,8 @@
 # may always have more data ready.
 MAX_UNYIELDED_BYTES: Final = 256 * 1024
 
+# Largest status code of an answer.
+MAX_STATUS: Final = 599
 # Interim answers (1xx) before an answer; servers send one or two.
 MAX_INTERIM_ANSWERS: Final = 16
 # Lines of a head; parsing one takes a few microseconds.
--- a/tests/http_client/test_answer_parser.py
+++ b/tests/http_client/test_answer_parser.py
@@ -69,6 +69,34 @@
     assert parser.head.will_close
 
 
+STATUSES = [f"{number:03}" for number in range(1000)]
+ODD_STATUSES = [
+    "",
+    "0",
+    "20",
+    "0200",
+    "2000",
+    "-01",
+    "+20",
+    "2x0",
+    " 200",
+    "200.",
+    "²00",
+]
+
+
+@pytest.mark.parametrize("method", ["GET", "HEAD", "POST"])
+def test_only_statuses_of_http_are_accepted(method):
+    # Guards against an invalid status, such as 000 or 999, that reaches a caller.
+    for status in STATUSES + ODD_STATUSES:
+        parser = AnswerParser(method)
+        head = f"HTTP/1.1 {status} X\r\nContent-Length: 0\r\n\r\n"
+        with contextlib.suppress(AnswerFormatError):
+            parser.feed(head.encode())
+        is_accepted = parser.head is not None
+        assert is_accepted == (status in STATUSES[200:600]), status
+
+
 @pytest.mark.parametrize(
     ("head", "will_close"),
     [
