Keep routes closed once the last key is taken away

Cause: a document without tenants, which needs no keys, and one with an empty list, in which no key is valid, became the same text; the entry read a text without workspaces as "no keys needed".

Change: an empty list becomes a workspace without keys, which closes the routes also at entries and controls of the build before. One module decides who may use a route, with a table of tests.

--- a/chestnutvale/configuration/const.py
+++ b/chestnutvale/configuration/const.py
@@ -16,6 +16,9 @@
 ROUTE_ONCE: Final = "once"
 ROUTE_KINDS: Final = (ROUTE_STREAMING, ROUTE_REPEATABLE, ROUTE_ONCE)
 MAX_ROUTES: Final = 20_000
+# Workspace of a text whose list of workspaces is present and empty. It has no key, so
+# the routes stay closed, also at entries of builds that know no such list.
+KEYLESS_WORKSPACE: Final = "keyless"
 # Longest time limit of a routed call, whatever its caller and its route allow.
 MAX_ROUTED_CALL_S: Final = 60.0
 
--- a/chestnutvale/programs/entry/routed/handler.py
+++ b/chestnutvale/programs/entry/routed/handler.py
@@ -34,6 +34,7 @@
     ROUTE_REPEATABLE,
     ROUTE_STREAMING,
 )
+from chestnutvale.configuration.route_access import find_caller_workspace
 from chestnutvale.configuration.routes import RouteTable
 from chestnutvale.http_server.exceptions import AnswerBrokenError
 from chestnutvale.http_server.running_requests import ServerStoppingError, find_client
@@ -297,15 +298,12 @@
             self._route_table_number = text.number
 
     def _find_workspace(self, request: RoutedRequest, route: Route) -> str:
-        lookup = self._context.lookup
-        if not lookup.workspaces:
-            return ""
-        found = lookup.find_workspace_by_key(request.key) if request.key else None
-        if found is not None:
-            return found.name
-        if not route.is_public:
+        workspace = find_caller_workspace(
+            self._context.lookup, request.key, is_public=route.is_public
+        )
+        if workspace is None:
             raise make_refusal("unauthorized", "the API key is missing or unknown")
-        return ""
+        return workspace
 
     def _find_rank(self, route: Route, workspace: str) -> int:
         known = self._context.text.workspaces
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -8,7 +8,16 @@
 
 from chestnutvale.configuration.checks import find_document_faults
 from chestnutvale.configuration.lookup import TextLookup, hash_key
+from chestnutvale.configuration.route_access import find_caller_workspace
 from chestnutvale.configuration.routes import RouteTable
+from chestnutvale.configuration.state import ConfigurationState
+from chestnutvale.configuration.text_command import make_text_command, read_text_command
+from chestnutvale.schema.command_pb2 import Command
+from chestnutvale.schema.configuration_pb2 import (
+    ApplyText,
+    ConfigurationSnapshot,
+    Text,
+)
 from tests.platform.documents import CONFIGURATION, list_paths, replace_value
 
 from adapter.configuration import parse_configuration  # isort: skip
@@ -70,6 +79,45 @@
     assert TextLookup.from_text(text).find_workspace_by_key("key-2").name == "t1"
 
 
+def carry(text):
+    """Return a text after its way through the log, a snapshot and a message."""
+    apply_text = ApplyText(text=text, digest="d", document=b"x" * 100_000)
+    command = make_text_command(apply_text, may_compress=True)
+    state = ConfigurationState()
+    state.apply_text(read_text_command(Command.FromString(bytes_of(command))), 1)
+    snapshot = ConfigurationSnapshot.FromString(bytes_of(state.to_snapshot()))
+    return Text.FromString(bytes_of(ConfigurationState.from_snapshot(snapshot).text))
+
+
+def bytes_of(message):
+    return message.SerializeToString()
+
+
+@pytest.mark.parametrize(
+    ("tenants", "is_open"),
+    [(None, True), ([], False), ([{"name": "t1", "apiKeys": []}], False)],
+    ids=["no list", "empty list", "no keys"],
+)
+def test_only_a_configuration_without_a_list_of_tenants_opens_its_routes(
+    tenants, is_open
+):
+    # Guards against routes that open to everybody once the last key is taken away.
+    document = {key: CONFIGURATION[key] for key in CONFIGURATION if key != "tenants"}
+    if tenants is not None:
+        document["tenants"] = tenants
+    lookup = TextLookup.from_text(carry(read(document)))
+    for key in ("", "key-1", "never"):
+        found = find_caller_workspace(lookup, key, is_public=False)
+        assert found == ("" if is_open else None)
+        assert find_caller_workspace(lookup, key, is_public=True) == ""
+    assert not find_document_faults(read(document))
+
+
+def test_a_list_of_tenants_that_is_null_is_rejected():
+    with pytest.raises(WireError):
+        read(replace_value(CONFIGURATION, ("tenants",), None))
+
+
 @pytest.mark.parametrize(
     "path, value",
     [
