Read the heads of requests with one strict parser

A path with two leading slashes went to the route of another service, and the question mark of an empty query was lost.

Cause: the mail parser of the standard library repairs heads that it can't read. Our checks saw what it had left, so they missed what it had dropped.

Change: http_server/request_head.py reads the whole head with h11 and refuses whatever RFC 9112 does not allow, with 400 and a closed connection. The check of framing by what another parser had left is gone. The target is forwarded as it was sent. Chunks end exactly where their size says.

--- a/chestnutvale/http_server/body.py
+++ b/chestnutvale/http_server/body.py
@@ -16,7 +16,7 @@
 from chestnutvale.http_server.exceptions import HttpRequestError
 from chestnutvale.http_server.running_requests import ServerStoppingError
 
-_CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(;[^\r\n]*)?\r?\n")
+_CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,16})(;[^\r\n]*)?\r\n")
 
 
 class BoundedLineReader:
@@ -35,6 +35,7 @@
     def __init__(self, reader: Any) -> None:
         self._reader = reader
         self._has_last_chunk = False
+        self._is_within_chunk = False
 
     def read(self, size: int = -1) -> bytes:
         """Read from the underlying reader, unchecked.
@@ -80,8 +81,15 @@
         return line
 
     def _check_size(self, line: bytes) -> None:
-        # An empty line ends each chunk; the lines after the last chunk are trailers.
-        if self._has_last_chunk or not line.strip():
+        # The lines after the last chunk are trailers.
+        if self._has_last_chunk:
+            return
+        if self._is_within_chunk:
+            self._is_within_chunk = False
+            if line != b"\r\n":
+                raise HttpRequestError(
+                    400, REFUSED_BODY_MALFORMED, "a chunk is longer than its size"
+                )
             return
         size = _CHUNK_SIZE.fullmatch(line)
         if size is None:
@@ -89,6 +97,7 @@
                 400, REFUSED_BODY_MALFORMED, "a chunk size is malformed"
             )
         self._has_last_chunk = int(size.group(1), 16) == 0
+        self._is_within_chunk = not self._has_last_chunk
 
 
 class LimitedInput:
--- a/chestnutvale/http_server/const.py
+++ b/chestnutvale/http_server/const.py
@@ -8,6 +8,9 @@
 # Each part of a streamed answer is sent at once instead of filling a chunk first.
 MINIMUM_CHUNK_BYTES: Final = 1
 MAX_CHUNK_LINE_BYTES: Final = 8_192
+# Lines of a head, and bytes of one of them.
+MAX_HEAD_LINES: Final = 102
+MAX_HEAD_LINE_BYTES: Final = 64 * 1024
 
 # A handler may leave a body unread; up to this size it is read and discarded so that
 # the connection can be reused.
@@ -29,6 +32,8 @@
 # Time before the deadline of a stop at which requests without an answer get one.
 STOP_ANSWER_MARGIN_S: Final = 0.25
 
+# Target of the request as it was sent: path and query.
+ENVIRON_REQUEST_TARGET: Final = "chestnutvale.request_target"
 ENVIRON_CLOSE_CONNECTION: Final = "chestnutvale.close_connection"
 # Callable that reserves memory for a number of bytes of the request's body; returns
 # False if there is no room.
@@ -43,6 +48,7 @@
 
 REFUSED_TOO_MANY_CONNECTIONS: Final = "too_many_connections"
 REFUSED_HEAD_TOO_SLOW: Final = "head_too_slow"
+REFUSED_HEAD_MALFORMED: Final = "head_malformed"
 REFUSED_HEADERS_TOO_LARGE: Final = "headers_too_large"
 REFUSED_BODY_TOO_LARGE: Final = "body_too_large"
 REFUSED_BODY_TOO_SLOW: Final = "body_too_slow"
--- a/chestnutvale/http_server/limits.py
+++ b/chestnutvale/http_server/limits.py
@@ -13,7 +13,6 @@
     ENVIRON_RESERVE_MEMORY,
     OUTCOME_NOT_RUN,
     OUTCOME_UNKNOWN,
-    REFUSED_BODY_MALFORMED,
     REFUSED_BODY_TOO_LARGE,
     REFUSED_HEADERS_TOO_LARGE,
 )
@@ -26,8 +25,6 @@
 )
 from chestnutvale.schema.settings_pb2 import HttpLimits
 
-CHUNKED = "chunked"
-
 # The handler may have passed the request on.
 _STOPPING_PROBLEM = Problem(
     status=502,
@@ -39,26 +36,6 @@
 WsgiApp = Callable[[dict[str, Any], Any], Iterable[bytes]]
 
 
-def _check_framing(environ: dict[str, Any]) -> None:
-    """Refuse ambiguous body framing, which a proxy may parse differently.
-
-    Disagreement about where a body ends would allow request smuggling.
-    """
-    names = [name.lower() for name, _ in environ["headers_raw"]]
-    length = environ.get("CONTENT_LENGTH", "0")
-    encoding = environ.get("HTTP_TRANSFER_ENCODING", CHUNKED)
-    is_unambiguous = (
-        names.count("content-length") <= 1
-        and length.isascii()
-        and length.isdigit()
-        and encoding.lower() == CHUNKED
-    )
-    if not is_unambiguous:
-        raise HttpRequestError(
-            400, REFUSED_BODY_MALFORMED, "the length of the body is ambiguous"
-        )
-
-
 class _BodyMemory:
     """The memory that is reserved for the body of one request."""
 
@@ -139,7 +116,6 @@
             return _STOPPING_PROBLEM.respond(start_answer)
 
     def _check_head(self, environ: dict[str, Any]) -> None:
-        _check_framing(environ)
         headers = environ["headers_raw"]
         size = sum(len(name) + len(value) for name, value in headers)
         if size > self._limits.max_header_bytes:
--- a/chestnutvale/http_server/protocol.py
+++ b/chestnutvale/http_server/protocol.py
@@ -15,19 +15,25 @@
 from chestnutvale.http_server.body import BoundedLineReader
 from chestnutvale.http_server.const import (
     ENVIRON_CLOSE_CONNECTION,
+    ENVIRON_REQUEST_TARGET,
     HEAD_RECHECK_INTERVAL_S,
     LINGER_READ_BYTES,
     LINGER_TIMEOUT_S,
     MAX_DISCARDED_BYTES,
+    MAX_HEAD_LINE_BYTES,
+    MAX_HEAD_LINES,
     MAX_LINGER_BYTES,
     OUTCOME_NOT_RUN,
     REFUSED_HEAD_TOO_SLOW,
+    REFUSED_HEADERS_TOO_LARGE,
     STEP_RECEIVE,
     STOP_REQUEST_GRACE_S,
 )
+from chestnutvale.http_server.exceptions import HttpRequestError
 from chestnutvale.http_server.idle_connections import IdleConnections
 from chestnutvale.http_server.memory import MemoryBound
 from chestnutvale.http_server.problem import Problem
+from chestnutvale.http_server.request_head import parse_request_head
 from chestnutvale.http_server.timeouts import ReadTimeouts
 
 _LOGGER = logbook.Logger(__name__)
@@ -73,42 +79,6 @@
     """Interrupts the read of a head; not an `Exception`, which the parser may catch."""
 
 
-class HeadReader:
-    """Reads the lines of a request head and notes whether its last line has arrived.
-
-    Parameters
-    ----------
-    reader : binary file
-        The underlying reader of the connection.
-
-    Attributes
-    ----------
-    has_ended : bool
-        Whether the empty line that ends the head was the last line read.
-    """
-
-    def __init__(self, reader: Any) -> None:
-        self.has_ended = False
-        self._reader = reader
-
-    def readline(self, size: int = -1) -> bytes:
-        """Read a line.
-
-        Parameters
-        ----------
-        size : int, optional
-            Largest number of bytes.
-
-        Returns
-        -------
-        bytes
-            The line; empty at the end of the connection.
-        """
-        line = self._reader.readline(size)
-        self.has_ended = line in (b"\r\n", b"\n")
-        return line
-
-
 class LimitedProtocol(wsgi.HttpProtocol):
     """Reads the requests of one connection.
 
@@ -274,22 +244,64 @@
     def parse_request(self) -> bool:
         """Parse the head of a request; only the head timer limits its time.
 
+        The head is read by one parser, which refuses whatever is malformed. A second
+        reading, by other rules, could find another request in the same bytes.
+
         Returns
         -------
         bool
             Whether the head is whole and valid.
         """
         self._disable_socket_timeout()
-        reader = HeadReader(self.rfile)
-        self.rfile = reader
-        if not super().parse_request():
-            return False
-        if not reader.has_ended:
-            # The parser takes the end of the connection for the end of the head.
-            _LOGGER.debug("{} closed within a request head", self.client_address)
-            self.close_connection = True
+        try:
+            lines = self._read_head_lines()
+            if not lines:
+                # The end of the connection is no end of the head.
+                _LOGGER.debug("{} closed within a request head", self.client_address)
+                self.close_connection = True
+                return False
+            head = parse_request_head(lines)
+        except HttpRequestError as error:
+            self._refuse_head(error)
             return False
-        return True
+        self.command = head.method
+        self.path = head.target
+        self.request_version = head.version
+        self.requestline = f"{head.method} {head.target} {head.version}"
+        self.headers = self.MessageClass()
+        for name, value in head.headers:
+            self.headers[name] = value
+        self.close_connection = head.will_close
+        return not head.expects_continue or self.handle_expect_100()
+
+    def _read_head_lines(self) -> list[bytes]:
+        """Read the lines up to the empty one; empty if the connection ends before."""
+        lines = [self.raw_requestline]
+        while lines[-1] not in (b"\r\n", b"\n"):
+            if len(lines) >= MAX_HEAD_LINES or len(lines[-1]) >= MAX_HEAD_LINE_BYTES:
+                raise HttpRequestError(
+                    431, REFUSED_HEADERS_TOO_LARGE, "the head is too large"
+                )
+            if not lines[-1].endswith(b"\n"):
+                return []
+            lines.append(self.rfile.readline(MAX_HEAD_LINE_BYTES))
+        return lines
+
+    def _refuse_head(self, error: HttpRequestError) -> None:
+        self._refused[error.reason] += 1
+        _LOGGER.info(
+            "head_refused",
+            extra={"client": self.client_address[0], "reason": error.message},
+        )
+        problem = Problem(
+            status=error.status,
+            code=error.reason,
+            detail=error.message,
+            outcome=OUTCOME_NOT_RUN,
+            step=error.step,
+        )
+        self._close_after_answer()
+        self.wfile.write(problem.encode_response())
 
     def get_environ(self) -> dict[str, Any]:
         """Stop the head timer and build the WSGI environment of the request.
@@ -308,6 +320,7 @@
         source.rfile = BoundedLineReader(source.rfile)
         source.discard = lambda: self._discard(source)
         environ[ENVIRON_CLOSE_CONNECTION] = self._close_after_answer
+        environ[ENVIRON_REQUEST_TARGET] = self.path
         return environ
 
     def handle_one_response(self) -> None:
--- a/tests/http_server/test_server.py
+++ b/tests/http_server/test_server.py
@@ -153,6 +153,12 @@
         b"0x5\r\nabcde\r\n0\r\n\r\n",
         b"+5\r\nabcde\r\n0\r\n\r\n",
         b"1_0\r\n" + b"a" * 16 + b"\r\n0\r\n\r\n",
+        b" 5\r\nabcde\r\n0\r\n\r\n",
+        b"5 \r\nabcde\r\n0\r\n\r\n",
+        b"5 ;a=b\r\nabcde\r\n0\r\n\r\n",
+        b"5\nabcde\r\n0\r\n\r\n",
+        b"5\r\nabcde\n0\r\n\r\n",
+        b"5\r\nabcde4\r\n0\r\n\r\n",
     ],
 )
 def test_malformed_chunks(serve, line):
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies as st
 
 from chestnutvale.attempts.events import Failure
+from chestnutvale.http_server.const import ENVIRON_REQUEST_TARGET
 from chestnutvale.membership.endpoint_notices import MISDIRECTED, EndpointNotice
 from chestnutvale.programs.entry.exceptions import BadCallError
 from chestnutvale.programs.entry.routed.caller_protocol import ForwardingInfo
@@ -36,6 +37,7 @@
     found = {"HTTP_" + k.upper().replace("-", "_"): v for k, v in headers.items()}
     found |= {
         "RAW_PATH_INFO": "/gen/%2F",
+        ENVIRON_REQUEST_TARGET: "/gen/%2F?a=1",
         "QUERY_STRING": "a=1",
         "REQUEST_METHOD": "POST",
         "headers_raw": tuple(headers.items()),
