Order the lives of a host by the time of their start

Cause: a boot that was never seen counted as the newest, although the platform's heartbeats tell when a life began.

Change: a boot id that tells when it began is compared with the newest one known, at hosts' own control, in reports between controls and at a new leader, which asks the replicated groups. Boot ids without a time keep their rules.

--- a/chestnutvale/groups/state.py
+++ b/chestnutvale/groups/state.py
@@ -269,6 +269,23 @@
             state._add_group(group)
         return state
 
+    def find_boot(self, host_id: str) -> str:
+        """Return the boot under which a host is a member of a group.
+
+        Parameters
+        ----------
+        host_id : str
+            The host.
+
+        Returns
+        -------
+        str
+            The boot id; empty if the host is in no group.
+        """
+        group = self.groups.get(self.owners.get(host_id, ""))
+        members = group.members if group is not None else ()
+        return next((m.boot_id for m in members if m.host_id == host_id), "")
+
     def reserved_hosts(self) -> dict[str, str]:
         """Return the group that each reserved host is kept for, by host_id."""
         return {
--- a/chestnutvale/membership/boot_order.py
+++ b/chestnutvale/membership/boot_order.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from chestnutvale.membership.boot_ids import is_earlier_boot
 from chestnutvale.membership.const import MAX_SUPERSEDED_BOOTS
 
 
@@ -20,11 +21,12 @@
 class BootOrder:
     """Orders the announcements of a host without comparing clocks.
 
-    Boot ids carry no order, since the clock of a restarted host may be wrong. A
-    boot id that was never seen is the newest; one that was superseded is old. A
-    superseded boot is reinstated only if its successor has been silent for the
-    detection timeout and its sequence continues beyond the last one seen, so that a
-    single late message can't exclude a live host for longer than that.
+    A boot that is known to have begun before the newest one is old, however late its
+    message arrives. Most boot ids carry no order, since the clock of a restarted host
+    may be wrong. Then a boot id that was never seen is the newest; one that was
+    superseded is old. A superseded boot is reinstated only if its successor has been
+    silent for the detection timeout and its sequence continues beyond the last one
+    seen, so that a single late message can't exclude a live host for longer than that.
 
     Parameters
     ----------
@@ -64,6 +66,8 @@
         """
         if boot_id == self.boot_id:
             return self._observe_same_boot(sequence, heard_at_s)
+        if is_earlier_boot(boot_id, self.boot_id):
+            return BootVerdict.OLD_BOOT
         if boot_id in self._superseded:
             successor_silent = heard_at_s - self.heard_at_s > timeout_s
             continues = sequence > self._superseded[boot_id]
--- a/chestnutvale/membership/table.py
+++ b/chestnutvale/membership/table.py
@@ -6,6 +6,7 @@
 import attrs
 
 from chestnutvale.membership.announcement_content import content_digest
+from chestnutvale.membership.boot_ids import is_earlier_boot
 from chestnutvale.membership.boot_order import BootOrder, BootVerdict
 from chestnutvale.membership.const import (
     CONTROL_SEARCH_GRACE_S,
@@ -25,6 +26,10 @@
     return False
 
 
+def _find_no_boot(host_id: str) -> str:
+    return ""
+
+
 def _ignore_departure() -> None:
     """Do nothing; the default until a component is registered."""
 
@@ -40,6 +45,9 @@
     is_recorded_departure : callable, optional
         Takes a host and its boot; tells whether the replicated log contains that the
         boot leaves. By default it contains none.
+    find_recorded_boot : callable, optional
+        Takes a host; returns the boot under which it is a member of a group in the
+        replicated log, or an empty string. By default always the latter.
 
     Attributes
     ----------
@@ -54,6 +62,7 @@
 
     detection_timeout_s: float = DEFAULT_DETECTION_TIMEOUT_S
     is_recorded_departure: Callable[[str, str], bool] = _is_never_recorded
+    find_recorded_boot: Callable[[str], str] = _find_no_boot
     on_departure: Callable[[], None] = attrs.field(
         default=_ignore_departure, init=False
     )
@@ -592,6 +601,10 @@
         heard_at_s = now_s - heard.age_ms / 1_000
         record = self._hosts.get(heard.host_id)
         if record is None:
+            recorded_boot_id = self.find_recorded_boot(heard.host_id)
+            if is_earlier_boot(heard.boot_id, recorded_boot_id):
+                # A new leader may hear a late announcement before any other.
+                return False
             boot_order = BootOrder(heard.boot_id, heard.sequence, heard_at_s)
             record = HostRecord(heard.host_id, boot_order, sender_id)
             self._hosts[heard.host_id] = record
--- a/chestnutvale/programs/control/daemon.py
+++ b/chestnutvale/programs/control/daemon.py
@@ -96,8 +96,9 @@
         self.state = ControlState()
         self.table = MembershipTable(
             settings.detection_timeout_ms / MS_PER_S,
-            # A snapshot replaces the state of the departures.
+            # A snapshot replaces the states of departures and groups.
             lambda host_id, boot_id: self.state.departures.contains(host_id, boot_id),
+            lambda host_id: self.state.groups.find_boot(host_id),
         )
         self.publisher = ViewPublisher(self.incarnation)
         self.measures = MeasureTracker()
