Use no host that only a malformed heartbeat names

Cause: fields that are not used were not checked, and missing ones had defaults; and the group of a plain host was kept whatever its host announced later.

Change: a heartbeat must have all fields, of their type and in range, else it gets 400, is counted, and changes nothing. A plain host of another service than that of its group makes the group stop serving at once and leave once it is idle. A test used a heartbeat without three of the fields; it has them now.

--- a/chestnutvale/groups/plain_services.py
+++ b/chestnutvale/groups/plain_services.py
@@ -92,6 +92,8 @@
     is_ending = not _is_wanted(text, group.service)
     if record.announcement is not None:
         is_ending = is_ending or record.announcement.leaving
+        # The host may have been restarted as another service, or announced wrongly.
+        is_ending = is_ending or record.announcement.service != group.service
     return is_ending and idle_tracker.is_idle(group, table, now_s)
 
 
--- a/chestnutvale/groups/serving.py
+++ b/chestnutvale/groups/serving.py
@@ -61,6 +61,8 @@
         return f"member {member.host_id} is leaving"
     if member.host_id in draining_hosts:
         return f"member {member.host_id} is drained"
+    if group.plain and record.announcement.service != group.service:
+        return f"member {member.host_id} is of another service"
     if not group.plain and not holds_epoch(record, group, HOLDING_READY):
         return f"member {member.host_id} is not ready"
     return ""
--- a/chestnutvale/observability/catalog.py
+++ b/chestnutvale/observability/catalog.py
@@ -204,6 +204,11 @@
 CONNECTIONS: Final = Metric(
     "chestnutvale.http.connections", "{connection}", "Open HTTP connections."
 )
+ANNOUNCEMENTS_MALFORMED: Final = Metric(
+    "chestnutvale.control.announcements.malformed",
+    "{announcement}",
+    "Announcements of hosts that were rejected because a field is missing or invalid.",
+)
 REQUESTS_REFUSED: Final = Metric(
     "chestnutvale.http.requests.refused",
     "{request}",
--- a/tests/groups/test_planner.py
+++ b/tests/groups/test_planner.py
@@ -14,6 +14,7 @@
 from chestnutvale.groups.outage import MEMBER_OUTAGE
 from chestnutvale.groups.planner import GroupPlanner, PlanInputs
 from chestnutvale.groups.repair_cost import CostChooser, RepairOption
+from chestnutvale.groups.serving import find_serving_fault
 from chestnutvale.groups.settings import GroupsPolicy
 from chestnutvale.groups.state import GroupsState
 from chestnutvale.membership.announcement_collector import AnnouncementCollector
@@ -68,7 +69,7 @@
     assert len({group.fabric_domain for group in groups if group.service == "big"}) == 2
 
 
-def make_plain_announcement(sequence=1, boot_id="b", **fields):
+def make_plain_announcement(sequence=1, boot_id="b", service="ledger-app", **fields):
     return Announcement(
         host_id="p1",
         boot_id=boot_id,
@@ -77,11 +78,41 @@
         data_centre="d",
         fabric_domain="f",
         kind="service",
-        service="ledger-app",
+        service=service,
         **fields,
     )
 
 
+def test_a_plain_host_of_another_service_leaves_its_group():
+    # Guards against calls that run at a host of a foreign service.
+    services = {name: Service(kind="plain") for name in ("ledger-app", "report-app")}
+    text = Text(number=1, services=services)
+    state, planner = GroupsState(), GroupPlanner()
+    collector, table = AnnouncementCollector(), MembershipTable()
+
+    def step(now_s, announcement=None):
+        if announcement is not None:
+            collector.announce(announcement, now_s)
+        table.merge_entry_report("e", collector.drain_report(now_s), now_s)
+        for command in planner.plan(PlanInputs(state, table, text, 0), now_s):
+            apply = {"PutGroup": state.put_group, "RemoveGroup": state.remove_group}
+            apply[type(command).__name__](command, 0)
+        return [
+            (group.service, find_serving_fault(group, table, now_s) == "")
+            for group in state.groups.values()
+        ]
+
+    step(0.0, make_plain_announcement())
+    assert step(0.1) == [("ledger-app", True)]
+    # The same boot now tells that it is of another service.
+    wrong = make_plain_announcement(sequence=2, service="report-app")
+    assert step(1.0, wrong) == [("ledger-app", False)]
+    for number in range(3, 30):
+        announcement = make_plain_announcement(sequence=number, service="report-app")
+        groups = step(float(number), announcement)
+    assert groups == [("report-app", True)]
+
+
 def test_a_plain_host_is_a_group_by_its_announcement():
     text = Text(number=1, services={"ledger-app": Service(kind="plain")})
     state, planner = GroupsState(), GroupPlanner()
--- a/tests/platform/test_control_interface.py
+++ b/tests/platform/test_control_interface.py
@@ -19,6 +19,7 @@
     DepartureNotRecordedError,
     OldSequenceError,
 )
+from chestnutvale.observability import catalog
 from chestnutvale.schema.configuration_pb2 import ApplyTextResult, Text
 from tests.platform.documents import CONFIGURATION, HEARTBEAT, replace_value
 
@@ -90,11 +91,14 @@
     def __init__(self):
         self.operations = FakeOperations()
         self.hosts = FakeHosts()
+        self.readers = {}
         components = SimpleNamespace(
             operations=self.operations,
             announcement_handler=self.hosts,
             clock=SimpleNamespace(now_s=lambda: 1.0),
-            metrics=SimpleNamespace(render=lambda: b"metrics"),
+            metrics=SimpleNamespace(
+                render=lambda: b"metrics", register_counter=self.readers.setdefault
+            ),
         )
         self.app = PlatformControlInterface("10.1.0.43:8229").make_app(components)
 
@@ -234,6 +238,22 @@
     assert not control.hosts.announced
 
 
+@pytest.mark.parametrize("missing", ["slots", "version", "group", "domain"])
+def test_heartbeat_of_another_writer_changes_nothing_of_an_engine(control, missing):
+    """It would look like a host that has left its group, and end its streams."""
+    document = {
+        key: HEARTBEAT[key] for key in HEARTBEAT if key not in ("born", missing)
+    }
+    status, _, body = control.call(
+        "POST", HEARTBEAT_PATH, json.dumps(document).encode()
+    )
+    assert status == 400
+    assert "missing" in json.loads(body)["error"]
+    ((_, malformed),) = control.readers[catalog.ANNOUNCEMENTS_MALFORMED]()
+    assert malformed == 1
+    assert not control.hosts.announced
+
+
 @pytest.mark.parametrize(
     "error", [DepartureNotRecordedError("no leader"), OutcomeUnknownError("late")]
 )
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -15,6 +15,9 @@
 from adapter.wire import WireError  # isort: skip
 
 
+PLAIN_FIELDS = ("service", "address", "zone", "state", "sequence", "born")
+
+
 def read(document, host_id="i-1"):
     return read_heartbeat(host_id, json.dumps(document).encode(), ServiceNames())
 
@@ -37,7 +40,7 @@
 def test_heartbeat_of_plain_service_is_translated():
     plain = {
         key: HEARTBEAT[key]
-        for key in ("service", "address", "zone", "state", "sequence", "born")
+        for key in (*PLAIN_FIELDS, "version", "slots", "coldRemainingMs")
     }
     found = read(plain)
     validate_announcement(found)
@@ -100,6 +103,25 @@
         read(replace_value(HEARTBEAT, path, value))
 
 
+@pytest.mark.parametrize("name", [*PLAIN_FIELDS, "version", "slots", "coldRemainingMs"])
+@pytest.mark.parametrize("value", ["absent", None, [], {}, True, 1.5, -1, 2**70])
+def test_heartbeat_of_another_writer_is_rejected(name, value):
+    # Guards against a worker that is used for a foreign service.
+    document = dict(HEARTBEAT)
+    if value == "absent":
+        del document[name]
+    else:
+        document[name] = value
+    with pytest.raises(WireError):
+        read(document)
+
+
+@pytest.mark.parametrize("name", ["slots", "born"])
+def test_heartbeat_with_a_count_of_zero_is_rejected(name):
+    with pytest.raises(WireError):
+        read(HEARTBEAT | {name: 0})
+
+
 @settings(max_examples=300, deadline=None)
 @given(
     st.sampled_from(sorted(list_paths(HEARTBEAT), key=str)),
