Let a host of a test announce its service

Change: the host announces the service of its group. What the test asserts is unchanged. Result: the test passes.

--- a/tests/programs/control/test_entry_report_handler.py
+++ b/tests/programs/control/test_entry_report_handler.py
@@ -355,7 +355,9 @@
 
     def announce():
         sequence = round(10 * fixture.now_s)
-        content = Announcement(host_id="a", boot_id="b", sequence=sequence)
+        content = Announcement(
+            host_id="a", boot_id="b", sequence=sequence, kind="service", service="s"
+        )
         heard = Heard(
             host_id="a",
             boot_id="b",
