Form a cluster, and keep acknowledgements, if disks are lost at the first start

Cause: only the first control may begin a cluster, and it comes back from the loss as a spare, which begins none; a vote of the others counted as data. And copies were counted, though two of four voters are no quorum.

Change: the next control takes the place of a first one that is a spare now, if the others are at their first start and have never stored an entry, and if each quorum of the new voters overlaps each of the old ones. Entries of a growing set count only as often as disks may be lost, plus one, so acknowledgements wait for the fifth voter of five; the members remember how far the set has grown.

--- a/chestnutvale/consensus/cluster_membership.py
+++ b/chestnutvale/consensus/cluster_membership.py
@@ -210,7 +210,7 @@
         request = JoinRequest(
             address=self._settings.peer_address,
             spare=self._settings.spare,
-            empty=raft.is_empty,
+            empty=raft.holds_no_entries,
             initial_controls=self._initial_controls,
         )
         addresses = self.known_addresses(raft.log.members)
--- a/chestnutvale/consensus/const.py
+++ b/chestnutvale/consensus/const.py
@@ -43,6 +43,8 @@
 JOIN_INTERVAL_S: Final = 0.5
 # Age in seconds up to which a join request is considered current.
 JOIN_REQUEST_MAX_AGE_S: Final = 5.0
+# Time after which no message of a process that was lost is still under way.
+BOOTSTRAP_TAKEOVER_DELAY_S: Final = 1.0
 REPLACEMENT_INTERVAL_S: Final = 0.25
 
 BODY_RAFT: Final = "raft"
--- a/chestnutvale/consensus/loop.py
+++ b/chestnutvale/consensus/loop.py
@@ -440,7 +440,7 @@
         self._join_due_s = now_s + JOIN_INTERVAL_S
         if not self.raft.leader_id:
             self._send_join_requests()
-        if self.raft.is_empty:
+        if self.raft.holds_no_entries:
             self._bootstrap_if_allowed(now_s)
 
     def _send_join_requests(self) -> None:
@@ -491,10 +491,15 @@
             )
             return
         _LOGGER.info("Bootstrapping a new cluster with voters {}", list(members.voters))
+        # This member may have voted in the terms before.
+        term = self.raft.term + 1
         entry = LogEntry(
-            index=1, term=1, kind=ENTRY_KIND_MEMBERS, data=members.SerializeToString()
+            index=1,
+            term=term,
+            kind=ENTRY_KIND_MEMBERS,
+            data=members.SerializeToString(),
         )
-        hard_state = HardState(term=1)
+        hard_state = HardState(term=term)
         try:
             self._storage.write(hard_state, [entry])
         except StorageFullError as error:
--- a/chestnutvale/consensus/members.py
+++ b/chestnutvale/consensus/members.py
@@ -83,6 +83,32 @@
     return changed
 
 
+def recoverable_copies(members: Members, target_voters: int) -> int:
+    """Return on how many disks each committed entry is, so that it can be read again.
+
+    Copies are of no use once no quorum can form: two of four voters are no quorum,
+    though three of them hold each entry. So while the voters of a first start are still
+    being added, the entry counts only as often as disks may be lost, plus one. A set
+    that has been complete lacks a voter only because its disk is lost already.
+
+    Parameters
+    ----------
+    members : Members
+        The committed members.
+    target_voters : int
+        Number of voters that the cluster grows to; 0 for no further growth.
+
+    Returns
+    -------
+    int
+        Number of copies.
+    """
+    reached = max(len(members.voters), members.wanted_voters)
+    if reached >= target_voters:
+        return quorum_size(members)
+    return (len(members.voters) + 1) // 2
+
+
 def _make_refusal(reason: str, member_id: str) -> MembersChangeError:
     return MembersChangeError(reason, step=STEP_MEMBERS, peer=member_id)
 
@@ -105,9 +131,8 @@
         raise _make_refusal("is not a learner", change.member_id)
     members.learners.remove(change.member_id)
     members.voters.append(change.member_id)
-    members.wanted_voters = max(members.wanted_voters, 1)
-    if change.by_operator:
-        members.wanted_voters = max(members.wanted_voters, len(members.voters))
+    # Kept while a lost voter is replaced, so that it tells how far the set has grown.
+    members.wanted_voters = max(members.wanted_voters, len(members.voters))
 
 
 def _remove(members: Members, change: MembersChange) -> None:
--- a/chestnutvale/consensus/raft.py
+++ b/chestnutvale/consensus/raft.py
@@ -111,6 +111,11 @@
         """Whether this member holds neither a term nor log entries."""
         return self.member.is_empty
 
+    @property
+    def holds_no_entries(self) -> bool:
+        """Whether this member has never stored a log entry; it may have voted."""
+        return self.member.log.last_index == 0
+
     @property
     def is_write_stalled(self) -> bool:
         """Whether the disk has not completed a write within the timeout."""
--- a/chestnutvale/consensus/task.py
+++ b/chestnutvale/consensus/task.py
@@ -29,7 +29,7 @@
     MembersChangeError,
 )
 from chestnutvale.consensus.loop import LeadershipCallback, RaftLoop
-from chestnutvale.consensus.members import control_of, quorum_size
+from chestnutvale.consensus.members import control_of, recoverable_copies
 from chestnutvale.consensus.state_machine import StateMachine
 from chestnutvale.exceptions import ChestnutError
 from chestnutvale.schema.command_pb2 import Command, CommandResult
@@ -76,6 +76,7 @@
         config: RaftConfig | None = None,
         process_started_s: float = math.inf,
     ) -> None:
+        self._target_voters = settings.wanted_voters
         self._clock = clock
         self._config = config or make_raft_config(settings)
         self._own_id = storage.member_id
@@ -190,15 +191,14 @@
 
     @property
     def committed_copies(self) -> int:
-        """Minimum number of disks that hold each committed entry.
+        """Number of disks that hold each committed entry; see `recoverable_copies`.
 
-        The quorum size of the current members, or 0 while the entry that set
-        them is not committed.
+        0 while the entry that set the current members is not committed.
         """
         raft = self._loop.raft
         if raft.log.members_index > raft.commit_index:
             return 0
-        return quorum_size(raft.log.members)
+        return recoverable_copies(raft.log.members, self._target_voters)
 
     @property
     def silent_voters(self) -> int:
@@ -347,7 +347,7 @@
             },
             "waiting_for": (
                 self._loop.cluster_membership.find_bootstrap_obstacle(now_s)
-                if raft.is_empty
+                if raft.holds_no_entries
                 else ""
             ),
             "syncs": self._loop.writer.syncs,
--- a/tests/consensus/driver.py
+++ b/tests/consensus/driver.py
@@ -54,10 +54,10 @@
 class Disk:
     """Durable state; `write` is called when the sync completes."""
 
-    def __init__(self, members):
+    def __init__(self, members, term=1):
         data = members.SerializeToString()
-        self.log = [LogEntry(index=1, term=1, kind=ENTRY_KIND_MEMBERS, data=data)]
-        self.hard_state = HardState(term=1)
+        self.log = [LogEntry(index=1, term=term, kind=ENTRY_KIND_MEMBERS, data=data)]
+        self.hard_state = HardState(term=term)
         self.snapshot = StoredState().snapshot
         self.data = b""
 
@@ -115,6 +115,7 @@
         self.raft = None
         self.is_frozen = False
         self.backlog = []
+        self.is_spare = False
 
 
 class Cluster:
@@ -128,6 +129,8 @@
         replaces_members=False,
         spares=0,
         is_bootstrapped=True,
+        seeds=None,
+        wanted_voters=0,
         voter_lost_ms=5_000,
         maintenance_interval_s=1.0,
         **config,
@@ -137,6 +140,9 @@
         self.raft_class = raft
         self.config = RaftConfig(**config)
         self.voter_lost_ms = voter_lost_ms
+        # Number of controls in the settings; None for all.
+        self.seeds = seeds
+        self.wanted_voters = wanted_voters
         self.maintenance_interval_s = maintenance_interval_s
         self.nodes = {}
         self.history = []
@@ -191,7 +197,7 @@
 
     # Faults.
 
-    def start_new(self, control, member_id=None):
+    def start_new(self, control, member_id=None, is_spare=False):
         """Start a control with an empty disk under a new identity."""
         is_first = member_id is not None
         member_id = member_id or f"{control}#{next(self._disks)}"
@@ -199,6 +205,7 @@
         if not is_first:
             disk.log, disk.hard_state = [], HardState()
         self.nodes[control] = Node(member_id, disk)
+        self.nodes[control].is_spare = is_spare
         self.start(control)
 
     def start(self, control):
@@ -211,9 +218,12 @@
             peer_address=address_of(control),
             voter_lost_ms=self.voter_lost_ms,
             election_timeout_ms=round(1_000 * self.config.election_timeout_s),
+            wanted_voters=self.wanted_voters,
+            spare=node.is_spare,
         )
         settings.controls.extend(
-            PeerAddress(id=c, address=address_of(c)) for c in self.controls
+            PeerAddress(id=c, address=address_of(c))
+            for c in self.controls[: self.seeds]
         )
         node.cluster_membership = ClusterMembership(settings, node.member_id)
         stored = node.disk.read()
@@ -507,8 +517,8 @@
 
     def _bootstrap_if_allowed(self, node):
         members = node.cluster_membership.decide_initial_members(self.now_s)
-        if members and node.raft.is_empty:
-            node.disk = Disk(members)
+        if members and node.raft.holds_no_entries:
+            node.disk = Disk(members, node.raft.term + 1)
             self.start(control_of(node.member_id))
 
     def _run_maintenance(self):
--- a/tests/consensus/test_members.py
+++ b/tests/consensus/test_members.py
@@ -63,6 +63,53 @@
     assert decide_bootstrap(make_join("c1#1")) is None
 
 
+def make_takeover(*joins, late=(), now_s=NOW_S + 3.0):
+    """Return c1, which heard c0 as a spare and then the given join requests."""
+    bootstrap = Bootstrap("c1#1", "a:1", CONTROLS, False)
+    spare = make_join("c0#2", "c1#1", spare=True, controls=["x"])
+    bootstrap.record_join_request(spare, NOW_S)
+    for join in joins:
+        bootstrap.record_join_request(join, NOW_S + 0.5 if join in late else now_s)
+    return bootstrap
+
+
+def test_next_control_takes_the_place_of_a_first_one_that_lost_its_disk():
+    other = make_join("c2#1", "c1#1")
+    members = make_takeover(other).decide(NOW_S + 3.5)
+    assert list(members.voters) == ["c1#1", "c2#1"]
+
+
+@pytest.mark.parametrize(
+    ("other", "options", "reason"),
+    [
+        (make_join("c2#1", "c1#1", empty=False), {}, "holds data"),
+        (make_join("c2#2", "c1#1", spare=True), {}, "an operator must start"),
+        (make_join("c2#1", "c1#1", controls=["c1"]), {}, "names other controls"),
+        (make_join("c2#1", "c1#1"), {"is_late": True}, "follow the loss"),
+        (make_join("c2#1", "c1#0"), {}, "has not answered"),
+    ],
+)
+def test_no_takeover_if_an_entry_may_have_been_committed(other, options, reason):
+    late = (other,) if options.get("is_late") else ()
+    bootstrap = make_takeover(other, late=late)
+    assert bootstrap.decide(NOW_S + 3.5) is None
+    assert reason in bootstrap.find_bootstrap_obstacle(NOW_S + 3.5)
+
+
+@pytest.mark.parametrize(("lost", "may_begin"), [(1, True), (2, False), (3, False)])
+def test_takeover_needs_quorums_that_overlap_those_of_the_lost_disks(lost, may_begin):
+    controls = [f"c{n}" for n in range(5)]
+    bootstrap = Bootstrap(f"c{lost}#1", "a:1", controls, False)
+    for control in controls[:lost]:
+        join = make_join(f"{control}#2", f"c{lost}#1", controls, spare=True)
+        bootstrap.record_join_request(join, NOW_S)
+    for control in controls[lost + 1 :]:
+        join = make_join(f"{control}#1", f"c{lost}#1", controls)
+        bootstrap.record_join_request(join, NOW_S + 3.0)
+    members = bootstrap.decide(NOW_S + 3.5)
+    assert (members is not None) == may_begin
+
+
 def decide(members, silent=None, candidates=(), behind=(), leader_age_s=60.0):
     silent = silent or {}
     others = {*members.voters, *members.learners} - {"c0#1"}
