Skip a committed command that no control can apply

Cause: the size was checked only where the log is read, and any error in applying an entry ended the consensus task.

Evidence: on a damaged compressed text ended the leader's task ("consensus_failed"), in tests/consensus/test_task.py.

Change: a text is refused with 400 before it is proposed if its record would be larger than 32 MiB. An entry that can't be applied is skipped by all controls alike, with an error line and a counter; errors of the memory or the disk still end the task, as they are no property of the entry. A text that was skipped is not acknowledged.

Result: three controls skip three such entries, have the same state and serve on, also after a restart; the tests of operations pass.

--- a/chestnutvale/configuration/const.py
+++ b/chestnutvale/configuration/const.py
@@ -27,6 +27,8 @@
 COMPRESSED_TEXT_COMMAND_VERSION: Final = 3
 # Smaller commands stay uncompressed in the log.
 MIN_COMPRESSED_COMMAND_BYTES: Final = 16 * 1024
+# Largest command that applies a text; controls read at most twice as much from the log.
+MAX_TEXT_COMMAND_BYTES: Final = 32 * 1024 * 1024
 MAX_TEXT_DEPTH: Final = 16
 MAX_REPORTED_PROBLEMS: Final = 100
 # Searching for similar names is slow if there are many.
--- a/chestnutvale/consensus/loop.py
+++ b/chestnutvale/consensus/loop.py
@@ -129,6 +129,7 @@
         self._process_started_s = process_started_s
         self._own_id = storage.member_id
         self.raft = self._make_raft(storage.state)
+        self.skipped_commands = 0
         self.applied_index = storage.state.snapshot.index
         self.delayed_s = 0.0
         # By how much the loop was late for the events that it handles now.
@@ -364,14 +365,30 @@
         for entry in entries:
             result = CommandResult()
             if entry.kind == ENTRY_KIND_COMMAND:
-                command = Command.FromString(entry.data)
-                result = self._state_machine.apply(entry.index, command)
+                result = self._apply_command(entry)
             elif entry.kind == ENTRY_KIND_MEMBERS:
                 # The next change of members may follow now.
                 self._replacement_due_s = 0.0
             self.applied_index = entry.index
             self._waiters.finish_entry(entry, result, self.leader_id)
 
+    def _apply_command(self, entry: LogEntry) -> CommandResult:
+        """Apply a command; pass over one that can't be applied.
+
+        All controls have the same entry and the same state before it, so all pass it
+        over alike. Each part of the state checks a command before it changes anything.
+        """
+        try:
+            command = Command.FromString(entry.data)
+            return self._state_machine.apply(entry.index, command)
+        except (MemoryError, OSError):
+            # Not a property of the entry; another control may apply it.
+            raise
+        except Exception:
+            self.skipped_commands += 1
+            _LOGGER.exception("Entry {} can't be applied and is skipped", entry.index)
+            return CommandResult()
+
     def _report_leadership_change(self, effect: LeadershipChanged) -> None:
         if effect.reason:
             _LOGGER.warning("Gave up leadership: {}", effect.reason)
--- a/chestnutvale/consensus/task.py
+++ b/chestnutvale/consensus/task.py
@@ -200,6 +200,11 @@
             return 0
         return recoverable_copies(raft.log.members, self._target_voters)
 
+    @property
+    def skipped_commands(self) -> int:
+        """Number of committed commands that no control can apply."""
+        return self._loop.skipped_commands
+
     @property
     def silent_voters(self) -> int:
         """Number of voters that this leader has not heard for an election timeout."""
--- a/chestnutvale/observability/catalog.py
+++ b/chestnutvale/observability/catalog.py
@@ -150,6 +150,11 @@
     "chestnutvale.consensus.leader", UNIT_NONE, "1 if this control leads."
 )
 TERM: Final = Metric("chestnutvale.consensus.term", UNIT_NONE, "Current term.")
+SKIPPED_COMMANDS: Final = Metric(
+    "chestnutvale.consensus.commands.skipped",
+    "{command}",
+    "Committed commands that can't be applied, and are skipped by all controls.",
+)
 APPLIED_INDEX: Final = Metric(
     "chestnutvale.consensus.applied", "{record}", "Log records applied."
 )
--- a/chestnutvale/programs/control/metrics.py
+++ b/chestnutvale/programs/control/metrics.py
@@ -73,6 +73,9 @@
     metrics.register_counter(
         catalog.APPLIED_INDEX, make_unlabelled_reader(lambda: log.applied_index)
     )
+    metrics.register_counter(
+        catalog.SKIPPED_COMMANDS, make_unlabelled_reader(lambda: log.skipped_commands)
+    )
     metrics.register_gauge(
         catalog.WRITE_WAIT, make_unlabelled_reader(lambda: log.write_waited_s)
     )
--- a/chestnutvale/programs/control/operations.py
+++ b/chestnutvale/programs/control/operations.py
@@ -8,7 +8,11 @@
 import logbook
 
 from chestnutvale.clock import Clock
-from chestnutvale.configuration.const import COMPRESSED_TEXT_COMMAND_VERSION
+from chestnutvale.configuration.const import (
+    COMPRESSED_TEXT_COMMAND_VERSION,
+    MAX_TEXT_COMMAND_BYTES,
+)
+from chestnutvale.configuration.exceptions import TextError, TextProblem
 from chestnutvale.configuration.service_names import ServiceNames
 from chestnutvale.configuration.text_command import make_text_command
 from chestnutvale.consensus.exceptions import MembersChangeError, NotLeaderError
@@ -154,12 +158,26 @@
         )
 
     def apply_text(self, command: ApplyText, deadline_s: float) -> ApplyTextResult:
-        """Commit a validated text; returns once ``durable_copies`` disks hold it."""
+        """Commit a validated text; returns once ``durable_copies`` disks hold it.
+
+        Raises
+        ------
+        TextError
+            If the text is too large to be read from the log, or was not applied.
+        """
+        size_bytes = command.ByteSize()
+        if size_bytes > MAX_TEXT_COMMAND_BYTES:
+            raise _make_text_error(
+                f"with {size_bytes} bytes in the log, it is larger than "
+                f"{MAX_TEXT_COMMAND_BYTES}"
+            )
         unready = self._state.readers.find_unready(
             self._log.command_versions(), COMPRESSED_TEXT_COMMAND_VERSION
         )
         text_command = make_text_command(command, may_compress=not unready)
         result = self._propose(text_command, deadline_s).apply_text
+        if not result.outcome:
+            raise _make_text_error("the controls can't apply it")
         self._wait_until_durable(deadline_s)
         return result
 
@@ -313,3 +331,7 @@
             if control_id in (member_id, control_of(member_id)):
                 return member_id
         return ""
+
+
+def _make_text_error(reason: str) -> TextError:
+    return TextError([TextProblem(1, "", reason)])
--- a/tests/consensus/test_task.py
+++ b/tests/consensus/test_task.py
@@ -13,6 +13,7 @@
 import pytest
 
 from chestnutvale.clock import SystemClock
+from chestnutvale.compression import MAX_DECOMPRESSED_BYTES, compress
 from chestnutvale.consensus.config import make_raft_config
 from chestnutvale.consensus.disk_writer import STOP_TIMEOUT_S
 from chestnutvale.consensus.exceptions import (
@@ -21,7 +22,9 @@
     OutcomeUnknownError,
 )
 from chestnutvale.consensus.task import ConsensusTask
+from chestnutvale.programs.control.state import ControlState
 from chestnutvale.schema.command_pb2 import Command, CommandResult
+from chestnutvale.schema.groups_pb2 import DrainHost
 from chestnutvale.schema.settings_pb2 import ControlSettings, PeerAddress
 from chestnutvale.storage.file_system import FileSystem
 from chestnutvale.storage.store import DataStore
@@ -162,6 +165,51 @@
         wait_until(lambda c=control: c.state_machine.hosts == ["a", "b", "c"])
 
 
+class ControlStateMachine(ControlState):
+    """The state of a control, with a list of the hosts that were drained."""
+
+    @property
+    def hosts(self):
+        return sorted(self.groups.draining_hosts)
+
+
+def make_bad_commands():
+    damaged = Command(compressed_apply_text=b"damaged")
+    too_large = Command(
+        compressed_apply_text=compress(bytes(MAX_DECOMPRESSED_BYTES + 1))
+    )
+    no_message = Command(compressed_apply_text=compress(b"\xff" * 50))
+    return [damaged, too_large, no_message]
+
+
+def test_command_that_cannot_be_applied_is_skipped_by_all_controls(
+    make_controls, monkeypatch
+):
+    # Guards against an entry of the log that ends all controls for good.
+    monkeypatch.setattr(Control, "make_state_machine", ControlStateMachine)
+    controls = make_controls(3)
+    for control in controls:
+        control.start()
+    leader = wait_for_leader(controls)
+    for command in make_bad_commands():
+        result = leader.task.propose(command, CLOCK.now_s() + 5)
+        assert not result.ListFields()
+    drain = Command(drain_host=DrainHost(host_id="a", draining=True))
+    leader.task.propose(drain, CLOCK.now_s() + 5)
+    for control in controls:
+        wait_until(lambda c=control: c.state_machine.hosts == ["a"])
+        assert control.task.failure is None
+        assert control.task.skipped_commands == 3
+    snapshots = {control.state_machine.snapshot() for control in controls}
+    assert len(snapshots) == 1
+    # The entries are still in the log at the next start.
+    restarted = next(c for c in controls if c is not leader)
+    restarted.stop()
+    restarted.start()
+    wait_until(lambda: restarted.state_machine.hosts == ["a"])
+    assert restarted.task.skipped_commands == 3
+
+
 def test_single_control_recovers_its_log(make_controls):
     control = make_controls(1)[0]
     control.start()
--- a/tests/programs/control/test_operations.py
+++ b/tests/programs/control/test_operations.py
@@ -9,11 +9,14 @@
     COMPRESSED_TEXT_COMMAND_VERSION,
     MIN_COMPRESSED_COMMAND_BYTES,
 )
+from chestnutvale.configuration.exceptions import TextError
 from chestnutvale.consensus.const import COMMAND_VERSION
 from chestnutvale.consensus.exceptions import MembersChangeError
 from chestnutvale.membership.table import MembershipTable
+from chestnutvale.programs.control import operations as operations_module
 from chestnutvale.programs.control.operations import ControlOperations
 from chestnutvale.programs.control.state import ControlState
+from chestnutvale.schema.command_pb2 import CommandResult
 from chestnutvale.schema.configuration_pb2 import ApplyText, Text
 from chestnutvale.schema.membership_pb2 import Announcement, Heard
 from chestnutvale.schema.operator_pb2 import VoterChange
@@ -130,3 +133,52 @@
     result = control_operations.apply_text(command, SystemClock().now_s() + 1.0)
     assert result.outcome == "accepted"
     assert [command.WhichOneof("body") for command in proposed] == [body]
+
+
+@pytest.mark.parametrize("is_leader_older", [False, True])
+def test_text_that_no_control_could_read_from_the_log_is_refused(
+    monkeypatch, is_leader_older
+):
+    # Guards against a committed entry that no control can apply.
+    monkeypatch.setattr(operations_module, "MAX_TEXT_COMMAND_BYTES", 50_000)
+    proposed = []
+    version = 1 if is_leader_older else COMMAND_VERSION
+    log = SimpleNamespace(
+        committed_copies=1,
+        propose=lambda command, deadline_s: proposed.append(command),
+        command_versions=lambda: {"c1#1": version},
+    )
+    control_operations = ControlOperations(
+        ControlSettings(control_id="c1"),
+        log,
+        ControlState(),
+        None,
+        None,
+        None,
+        SystemClock(),
+    )
+    command = ApplyText(text=Text(number=1), document=bytes(60_000))
+    with pytest.raises(TextError, match="larger than"):
+        control_operations.apply_text(command, SystemClock().now_s() + 1.0)
+    assert proposed == []
+
+
+def test_text_that_was_skipped_is_not_acknowledged():
+    log = SimpleNamespace(
+        committed_copies=1,
+        propose=lambda command, deadline_s: CommandResult(),
+        command_versions=lambda: {"c1#1": COMMAND_VERSION},
+    )
+    control_operations = ControlOperations(
+        ControlSettings(control_id="c1"),
+        log,
+        ControlState(),
+        None,
+        None,
+        None,
+        SystemClock(),
+    )
+    with pytest.raises(TextError, match="apply"):
+        control_operations.apply_text(
+            ApplyText(text=Text(number=1)), SystemClock().now_s() + 1.0
+        )
