Send no command that can't be answered in time, and name who may have run it

Cause: the last attempt had 1.2 ms left and went to a follower, whose answer could not arrive; its failure replaced that of the attempt before, though both left the outcome unknown.

Change: with less than 50 ms left nothing is sent, and the failure names all controls that may have executed the command.

--- a/chestnutvale/programs/client/const.py
+++ b/chestnutvale/programs/client/const.py
@@ -25,6 +25,8 @@
 
 # A control that has not responded after this time is skipped in favour of the next.
 ATTEMPT_TIMEOUT_S: Final = 4.0
+# Shortest time in which a control can answer; with less left, nothing is sent.
+MIN_ATTEMPT_S: Final = 0.05
 CONNECT_TIMEOUT_S: Final = 1.0
 # The control's deadline is this much shorter than the client's read timeout, so that
 # its response still arrives in time.
--- a/chestnutvale/programs/client/control_client.py
+++ b/chestnutvale/programs/client/control_client.py
@@ -15,6 +15,7 @@
     CONNECT_TIMEOUT_S,
     MAX_REDIRECTS,
     MAX_RESPONSE_BYTES,
+    MIN_ATTEMPT_S,
     RESPONSE_MARGIN_S,
     RETRY_INTERVAL_S,
     STEP_ANSWER,
@@ -65,7 +66,8 @@
         Why the last attempt failed; once an attempt may have been executed, why the
         last such attempt failed.
     last_peer : str
-        Address of the control that ``last_failure`` is about.
+        Address of the control that ``last_failure`` is about; once an attempt may have
+        been executed, those of all controls that may have executed one.
     """
 
     is_mutation: bool
@@ -73,6 +75,7 @@
     maybe_run: bool = False
     last_failure: str = "no control was contacted"
     last_peer: str = ""
+    _unresolved_peers: dict[str, None] = attrs.field(factory=dict, init=False)
 
     def record_failure(self, reason: str, peer: str, maybe_run: bool) -> None:
         is_unresolved = maybe_run and self.is_mutation
@@ -82,6 +85,9 @@
         self.last_failure = reason
         self.last_peer = peer
         self.maybe_run = is_unresolved
+        if is_unresolved:
+            self._unresolved_peers[peer] = None
+            self.last_peer = ", ".join(self._unresolved_peers)
 
 
 class ControlClient:
@@ -230,7 +236,8 @@
     ) -> _Response | None:
         """Send one request; return None if another control should be tried."""
         remaining_s = command.deadline_s - self._clock.now_s()
-        if remaining_s <= 0:
+        if remaining_s < MIN_ATTEMPT_S:
+            # Its answer could not arrive in time, and its outcome would be unknown.
             return None
         timeout_s = min(remaining_s, ATTEMPT_TIMEOUT_S)
         try:
