Keep errors of the answer apart from refusals of the call

Cause: the read-through found that an error of validation, if it were raised while a call is answered, would count as not run; none is raised there today. Two tests repeated a fixture each. Change: only errors of accepting a call become refusals; the tests share their fixtures, and a comment says what skipped commands rest on.

--- a/chestnutvale/consensus/loop.py
+++ b/chestnutvale/consensus/loop.py
@@ -376,7 +376,7 @@
         """Apply a command; pass over one that can't be applied.
 
         All controls have the same entry and the same state before it, so all pass it
-        over alike. Each part of the state checks a command before it changes anything.
+        over alike; if it had begun to change the state, the changes are alike, too.
         """
         try:
             command = Command.FromString(entry.data)
--- a/chestnutvale/programs/entry/routed/handler.py
+++ b/chestnutvale/programs/entry/routed/handler.py
@@ -155,13 +155,14 @@
             request = self._protocol.read_request(environ)
             request_id = request.request_id
             call = self._accept_call(request, environ)
-            is_repeatable = _is_repeatable(call.route)
-            answer = self._answer_call(call, environ)
         except BadCallError as error:
             failure = Failure(error.problem_code, OUTCOME_NOT_RUN, error.message)
             answer = self._make_failure_answer(failure, request_id)
         except CallRefusedError as error:
             answer = self._make_failure_answer(error.failure, request_id)
+        else:
+            is_repeatable = _is_repeatable(call.route)
+            answer = self._answer_call(call, environ)
         answer = self._replace_unproven_refusal(answer, request_id, is_repeatable)
         start_response(answer.status_line, answer.headers)
         return answer.body
--- a/tests/groups/test_planner.py
+++ b/tests/groups/test_planner.py
@@ -83,23 +83,40 @@
     )
 
 
+class PlainRounds:
+    """Rounds of the planner, with the announcements of plain hosts."""
+
+    def __init__(self, text):
+        self.state = GroupsState()
+        self.table = MembershipTable()
+        self._text = text
+        self._planner = GroupPlanner()
+        self._collector = AnnouncementCollector()
+
+    def step(self, now_s, announcement=None):
+        if announcement is not None:
+            self._collector.announce(announcement, now_s)
+        heard = self._collector.drain_report(now_s)
+        self.table.merge_entry_report("e", heard, now_s)
+        inputs = PlanInputs(self.state, self.table, self._text, 0)
+        for command in self._planner.plan(inputs, now_s):
+            apply = {
+                "PutGroup": self.state.put_group,
+                "RemoveGroup": self.state.remove_group,
+            }
+            assert apply[type(command).__name__](command, 0).outcome == "done"
+
+
 def test_a_plain_host_of_another_service_leaves_its_group():
     # Guards against calls that run at a host of a foreign service.
     services = {name: Service(kind="plain") for name in ("ledger-app", "report-app")}
-    text = Text(number=1, services=services)
-    state, planner = GroupsState(), GroupPlanner()
-    collector, table = AnnouncementCollector(), MembershipTable()
+    rounds = PlainRounds(Text(number=1, services=services))
 
     def step(now_s, announcement=None):
-        if announcement is not None:
-            collector.announce(announcement, now_s)
-        table.merge_entry_report("e", collector.drain_report(now_s), now_s)
-        for command in planner.plan(PlanInputs(state, table, text, 0), now_s):
-            apply = {"PutGroup": state.put_group, "RemoveGroup": state.remove_group}
-            apply[type(command).__name__](command, 0)
+        rounds.step(now_s, announcement)
         return [
-            (group.service, find_serving_fault(group, table, now_s) == "")
-            for group in state.groups.values()
+            (group.service, find_serving_fault(group, rounds.table, now_s) == "")
+            for group in rounds.state.groups.values()
         ]
 
     step(0.0, make_plain_announcement())
@@ -115,16 +132,11 @@
 
 def test_a_plain_host_is_a_group_by_its_announcement():
     text = Text(number=1, services={"ledger-app": Service(kind="plain")})
-    state, planner = GroupsState(), GroupPlanner()
-    collector, table = AnnouncementCollector(), MembershipTable()
+    rounds = PlainRounds(text)
+    state = rounds.state
 
     def step(now_s, announcement=None):
-        if announcement is not None:
-            collector.announce(announcement, now_s)
-        table.merge_entry_report("e", collector.drain_report(now_s), now_s)
-        for command in planner.plan(PlanInputs(state, table, text, 0), now_s):
-            apply = {"PutGroup": state.put_group, "RemoveGroup": state.remove_group}
-            assert apply[type(command).__name__](command, 0).outcome == "done"
+        rounds.step(now_s, announcement)
         return [group.phase for group in state.groups.values()]
 
     assert step(0.0, make_plain_announcement()) == ["forming"]
--- a/tests/programs/control/test_operations.py
+++ b/tests/programs/control/test_operations.py
@@ -103,6 +103,12 @@
     assert control_operations.fabric_domain_hosts() == {"f": 3}
 
 
+def make_operations(log, state):
+    """Return the operations of a control whose log is a fake."""
+    settings = ControlSettings(control_id="c1")
+    return ControlOperations(settings, log, state, None, None, None, SystemClock())
+
+
 @pytest.mark.parametrize(
     ("other_version", "body"),
     [
@@ -125,9 +131,7 @@
         propose=propose,
         command_versions=lambda: {"c1#1": COMMAND_VERSION, "c2#1": other_version},
     )
-    control_operations = ControlOperations(
-        ControlSettings(control_id="c1"), log, state, None, None, None, SystemClock()
-    )
+    control_operations = make_operations(log, state)
     document = bytes(MIN_COMPRESSED_COMMAND_BYTES)
     command = ApplyText(text=Text(number=1), document=document)
     result = control_operations.apply_text(command, SystemClock().now_s() + 1.0)
@@ -148,15 +152,7 @@
         propose=lambda command, deadline_s: proposed.append(command),
         command_versions=lambda: {"c1#1": version},
     )
-    control_operations = ControlOperations(
-        ControlSettings(control_id="c1"),
-        log,
-        ControlState(),
-        None,
-        None,
-        None,
-        SystemClock(),
-    )
+    control_operations = make_operations(log, ControlState())
     command = ApplyText(text=Text(number=1), document=bytes(60_000))
     with pytest.raises(TextError, match="larger than"):
         control_operations.apply_text(command, SystemClock().now_s() + 1.0)
@@ -169,15 +165,7 @@
         propose=lambda command, deadline_s: CommandResult(),
         command_versions=lambda: {"c1#1": COMMAND_VERSION},
     )
-    control_operations = ControlOperations(
-        ControlSettings(control_id="c1"),
-        log,
-        ControlState(),
-        None,
-        None,
-        None,
-        SystemClock(),
-    )
+    control_operations = make_operations(log, ControlState())
     with pytest.raises(TextError, match="apply"):
         control_operations.apply_text(
             ApplyText(text=Text(number=1)), SystemClock().now_s() + 1.0
