Keep a draining group until a new leader knows its calls

What callers saw: streams at a group that drains, because one of its endpoints is replaced, end in the middle, 1.7 s after a control that has just started becomes the leader. They go on elsewhere if their route has an attempt left.

Cause: a new leader that has not heard the head of a draining group yet took the group for idle, as soon as no entry could send it new requests. The counts of the entries were kept in the record of the head, so without a record they were dropped. A head whose announcements were late or lost was enough. For the moment between the first announcement of a head and the next report of an entry, an empty load stood for no requests, too.

Change: the table keeps the entries' counts by head, known or not, and forgets them when a term begins. `GroupAttempts.may_run` is the condition that a release and a dissolve wait for: a count that may lack an entry releases nothing. The limit of the drain still ends it.

The fixtures of the planner report counts now, as entries do; without a report nothing is known to be idle.

Measured: test_draining_group_whose_head_a_new_leader_does_not_know_is_not_released failed before (released at 1.7 s of the term).

--- a/chestnutvale/groups/idle_tracker.py
+++ b/chestnutvale/groups/idle_tracker.py
@@ -20,8 +20,8 @@
 
     A group is idle once every entry's lease on its serving right has expired and its
     head has reported since then that no request runs or waits, or once all requests
-    must have reached their time limits. If the head is silent, the entries' attempts
-    there count.
+    must have reached their time limits. If the head is silent or unknown, the entries'
+    attempts there count; a count that may lack an entry releases no group.
 
     Parameters
     ----------
@@ -135,14 +135,15 @@
             return False
         if now_s > stopped_at_s + self._drain_limit_s(now_s):
             return True
-        head = table.host(group_head(group).host_id)
-        if head is None:
-            return True
-        if head.is_load_from_entries and not head.is_load_complete:
+        head_id = group_head(group).host_id
+        head = table.host(head_id)
+        attempts = table.attempts_at(head_id)
+        if head is None or not table.is_fresh(head_id, now_s):
+            # A head that only pauses, or that a new leader has yet to hear, goes on
+            # with the requests that it has.
+            return not (attempts.may_run or has_recent_events(group, table, now_s))
+        if not _announces_load(head) and not attempts.is_complete:
             return False
-        if not table.is_fresh(head.host_id, now_s):
-            # A head that only pauses goes on with the requests that it has.
-            return not (head.running_attempts or has_recent_events(group, table, now_s))
         if not group.plain and not _holds_group(head, group):
             return True
         if head.load is None or head.heard_at_s <= no_new_requests_from_s:
@@ -159,6 +160,11 @@
         return max(self.policy.drain_timeout_s, self.policy.serving_lease_s + longest_s)
 
 
+def _announces_load(record: HostRecord) -> bool:
+    announcement = record.announcement
+    return announcement is not None and announcement.HasField("load")
+
+
 def _holds_group(record: HostRecord, group: Group) -> bool:
     """Tell whether a host holds a group, also under an earlier epoch."""
     announcement = record.announcement
--- a/chestnutvale/groups/member_silence.py
+++ b/chestnutvale/groups/member_silence.py
@@ -79,7 +79,7 @@
         group: Group,
         table: MembershipTable,
         heard_at_s: float,
-        running: int,
+        may_run_calls: bool,
         now_s: float,
     ) -> bool:
         """Tell whether a member that is silent beyond its timeout is lost.
@@ -92,8 +92,8 @@
             Liveness and announcements of hosts.
         heard_at_s : float
             Monotonic time in seconds of the last announcement of the silent member.
-        running : int
-            Number of calls that are still at the group.
+        may_run_calls : bool
+            Whether calls may still be at the group.
         now_s : float
             Monotonic time in seconds.
 
@@ -123,7 +123,7 @@
             # The member may have gone silent just before its next announcement.
             silent_at_s = heard_at_s + OVERDUE_FRACTION * table.detection_timeout_s
             calls_due_s = silent_at_s + self.engine_stall_s + HEAD_STALL_MARGIN_S
-        return not running or now_s >= calls_due_s
+        return not may_run_calls or now_s >= calls_due_s
 
     def is_unheard(self, group: Group) -> bool:
         """Tell whether a group is kept in this round although no member is heard.
--- a/chestnutvale/groups/pools.py
+++ b/chestnutvale/groups/pools.py
@@ -290,9 +290,10 @@
         if group.phase == PHASE_FORMING:
             # No call is there, and its loads would hold up those of other groups.
             return True
-        head = table.host(group_head(group).host_id)
-        running = head.running_attempts if head is not None else 0
-        return self._silence.is_conclusive(group, table, heard_at_s, running, now_s)
+        attempts = table.attempts_at(group_head(group).host_id)
+        return self._silence.is_conclusive(
+            group, table, heard_at_s, attempts.may_run, now_s
+        )
 
     def _discard_finished(self, groups: Iterable[Group]) -> None:
         forming = {group.epoch for group in groups if group.phase == PHASE_FORMING}
--- a/chestnutvale/membership/host_record.py
+++ b/chestnutvale/membership/host_record.py
@@ -37,12 +37,6 @@
         Whether a newer process with another identity owns its address.
     is_load_from_entries : bool
         Whether the load is the entries' attempt count, as the host reports none.
-    is_load_complete : bool
-        Whether the load covers all attempts that entries may run there; False while an
-        entry may still send requests to a group that drains, or has fallen silent.
-    running_attempts : int
-        Attempts that entries run at the group that it heads, also if it reports a load;
-        those of entries that have fallen silent count for some time.
     announces_to_control : bool
         Whether it announces itself to a control instead of the entries.
     departed_boot_id : str
@@ -70,8 +64,6 @@
     load: Load | None = None
     is_superseded: bool = False
     is_load_from_entries: bool = False
-    is_load_complete: bool = True
-    running_attempts: int = 0
     announces_to_control: bool = False
     departed_boot_id: str = ""
     released_group_id: str = ""
--- a/chestnutvale/membership/table.py
+++ b/chestnutvale/membership/table.py
@@ -1,7 +1,7 @@
 """Host table that each control builds from reports of entries and controls."""
 
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 import attrs
 
@@ -17,6 +17,7 @@
     STALLED_TIMEOUT_FRACTION,
 )
 from chestnutvale.membership.endpoint_notices import Incarnation
+from chestnutvale.membership.group_attempts import UNKNOWN_ATTEMPTS, GroupAttempts
 from chestnutvale.membership.host_record import HostRecord
 from chestnutvale.membership.report_delay import ReportDelayEstimator
 from chestnutvale.schema.membership_pb2 import Announcement, Heard, Load
@@ -76,6 +77,7 @@
     _silent_control_ids: frozenset[str] = attrs.field(default=frozenset(), init=False)
     _host_id_by_address: dict[str, str] = attrs.field(factory=dict)
     _responsive_until_s: dict[str, float] = attrs.field(factory=dict, init=False)
+    _attempts_by_head: dict[str, GroupAttempts] = attrs.field(factory=dict, init=False)
     _stalled_group_ids: frozenset[str] = attrs.field(default=frozenset(), init=False)
     _unrecorded_departures: dict[Incarnation, None] = attrs.field(
         factory=dict, init=False
@@ -392,7 +394,7 @@
         Parameters
         ----------
         host_id : str
-            The host.
+            The head of a group; it may be unknown here.
         running : int
             Running attempts of all entries.
         is_complete : bool, optional
@@ -405,18 +407,47 @@
         bool
             Whether the count was used as the load of the host.
         """
+        count = max(running, remembered)
+        self._attempts_by_head[host_id] = GroupAttempts(count, is_complete)
         record = self._hosts.get(host_id)
         if record is None or record.announcement is None:
             return False
-        record.running_attempts = max(running, remembered)
         if record.announcement.HasField("load"):
             return False
         record.is_load_from_entries = True
-        record.is_load_complete = is_complete
         if record.load is None or record.load.running != running:
             record.load = Load(running=running)
         return True
 
+    def attempts_at(self, host_id: str) -> GroupAttempts:
+        """Return the attempts that entries run at the group of a head.
+
+        Parameters
+        ----------
+        host_id : str
+            The head; it may be unknown here.
+
+        Returns
+        -------
+        GroupAttempts
+            The last count; incomplete if there was none.
+        """
+        return self._attempts_by_head.get(host_id, UNKNOWN_ATTEMPTS)
+
+    def retain_attempts(self, host_ids: Collection[str] = ()) -> None:
+        """Forget the attempt counts of all but some heads.
+
+        Parameters
+        ----------
+        host_ids : collection of str, optional
+            Heads whose counts are kept; none for a leader that begins a term.
+        """
+        self._attempts_by_head = {
+            host_id: attempts
+            for host_id, attempts in self._attempts_by_head.items()
+            if host_id in host_ids
+        }
+
     def mark_departed(self, host_id: str, boot_id: str) -> bool:
         """Mark a boot of a host as leaving, as if it had announced that.
 
--- a/chestnutvale/programs/control/entry_report_handler.py
+++ b/chestnutvale/programs/control/entry_report_handler.py
@@ -324,6 +324,7 @@
         if self._log.is_leader and self._log.term != self._led_term:
             self._led_term = self._log.term
             self._awaits_groups_until_s = now_s + GROUP_DISCOVERY_S
+            self._table.retain_attempts()
             self._table.extend_detection_timeout(
                 now_s + self._table.detection_timeout_s, now_s
             )
@@ -391,7 +392,9 @@
         totals = self.attempt_counts.totals(now_s)
         remembered_totals = self.attempt_counts.remembered_totals(now_s)
         known_version = self._find_known_version(now_s)
-        for group in self._state.groups.groups.values():
+        groups = self._state.groups.groups.values()
+        self._table.retain_attempts({group_head(group).host_id for group in groups})
+        for group in groups:
             group_id = group.group_id
             is_complete = group.phase != PHASE_DRAINING or (
                 self._publisher.group_version(group_id) <= known_version
--- /dev/null
+++ b/tests/groups/test_new_leader.py
@@ -0,0 +1,57 @@
+"""A new leader takes no irrevocable step on knowledge that it lacks."""
+
+from chestnutvale.groups.pools import PoolPlanner
+from chestnutvale.membership.table import MembershipTable
+from chestnutvale.schema.groups_pb2 import PutGroup, RemoveGroup
+from tests.groups.test_pools import all_hosts, make_serving_pool
+
+TERM_S = 10.0
+
+
+def take_over(pool, table=None):
+    """Let another control lead from `TERM_S` on, with what it has heard until then."""
+    pool.table = table or MembershipTable(3.0)
+    pool.table.extend_detection_timeout(TERM_S + 3.0, TERM_S)
+    pool.idle_tracker.reset()
+    pool.planner = PoolPlanner(pool.idle_tracker)
+
+
+def drain(pool, group):
+    command = PutGroup(group=group, expected_epoch=group.epoch)
+    command.group.phase = "draining"
+    pool.state.put_group(command, 1)
+    return pool.state.groups[group.group_id]
+
+
+def announce_others(pool, silent, now_s):
+    for host_id in all_hosts():
+        if host_id not in silent:
+            pool.announce(host_id, now_s)
+
+
+def is_removed(commands, group):
+    return any(
+        isinstance(command, RemoveGroup) and command.group_id == group.group_id
+        for command in commands
+    )
+
+
+def find_removal_s(pool, group, until_s, silent=(), tick=lambda now_s: None):
+    """Return when a group is dissolved, with a round each 0.1 s; None if never."""
+    step = 0
+    while (now_s := TERM_S + 1.0 + 0.1 * step) < until_s:
+        announce_others(pool, silent, now_s)
+        tick(now_s)
+        if is_removed(pool.plan(now_s), group):
+            return now_s
+        step += 1
+    return None
+
+
+def test_draining_group_whose_head_a_new_leader_does_not_know_is_not_released():
+    pool = make_serving_pool()
+    group = drain(pool, next(iter(pool.state.groups.values())))
+    take_over(pool)
+    head_id = group.members[0].host_id
+    removed_s = find_removal_s(pool, group, TERM_S + 4.0, silent=[head_id])
+    assert removed_s is None
--- a/tests/groups/test_planner.py
+++ b/tests/groups/test_planner.py
@@ -11,6 +11,7 @@
     LossCause,
     LostMember,
 )
+from chestnutvale.groups.members import group_head
 from chestnutvale.groups.outage import MEMBER_OUTAGE
 from chestnutvale.groups.planner import GroupPlanner, PlanInputs
 from chestnutvale.groups.repair_cost import CostChooser, RepairOption
@@ -98,6 +99,8 @@
             self._collector.announce(announcement, now_s)
         heard = self._collector.drain_report(now_s)
         self.table.merge_entry_report("e", heard, now_s)
+        for group in self.state.groups.values():
+            self.table.record_running_attempts(group_head(group).host_id, 0)
         inputs = PlanInputs(self.state, self.table, self._text, 0)
         for command in self._planner.plan(inputs, now_s):
             apply = {
--- a/tests/groups/test_pools.py
+++ b/tests/groups/test_pools.py
@@ -5,6 +5,7 @@
 from chestnutvale.groups.fleet import Fleet
 from chestnutvale.groups.free_hosts import count_prospects
 from chestnutvale.groups.idle_tracker import IdleTracker
+from chestnutvale.groups.members import group_head
 from chestnutvale.groups.placement import PoolPlacement
 from chestnutvale.groups.pool_demand import PoolDemand
 from chestnutvale.groups.pools import PoolPlanner
@@ -121,6 +122,12 @@
             changed.group.phase = "serving"
             self.state.put_group(changed, 1)
 
+    def report_attempts(self, running=0):
+        """Let all entries report the same number of running attempts at each group."""
+        for group in self.state.groups.values():
+            head_id = group_head(group).host_id
+            self.table.record_running_attempts(head_id, running)
+
 
 def all_hosts(domains=6):
     return [f"d{d}-{d * 10 + i}" for d in range(domains) for i in range(10)]
@@ -133,6 +140,7 @@
     pool.plan(2.0)
     pool.apply_assignments()
     pool.promote_groups()
+    pool.report_attempts()
     return pool
 
 
--- a/tests/programs/control/test_entry_report_handler.py
+++ b/tests/programs/control/test_entry_report_handler.py
@@ -169,7 +169,7 @@
         )
 
     def is_complete(self):
-        return self.table.host("a").is_load_complete
+        return self.table.attempts_at("a").is_complete
 
 
 def test_load_is_complete_once_all_entries_know_that_a_group_drains():
@@ -337,7 +337,18 @@
     fixture.report_of("e2", fixture.drain_version, running=2)
     fixture.now_s = 104.0
     fixture.report_of("e1", fixture.drain_version, heard=fixture.heard)
-    assert fixture.table.host("a").running_attempts == 2
+    assert fixture.table.attempts_at("a").running == 2
+
+
+def test_counts_of_an_earlier_term_are_no_knowledge_of_a_new_leader():
+    # Guards against a release that cuts the streams of which this term has no report.
+    fixture = DrainFixture()
+    for entry_id in ("e1", "e2"):
+        fixture.report_of(entry_id, fixture.drain_version)
+    assert fixture.is_complete()
+    fixture.log.term = 2
+    fixture.handler.begin_term(fixture.now_s)
+    assert not fixture.is_complete()
 
 
 def test_leader_that_stood_still_calls_no_member_missing_without_its_lease(
