Dissolve a group only by counts that entries took after it had stopped serving

What callers saw: a stream ends in the middle, 0.3 s after it was sent to a group whose member had just been silent for 3 s. It goes on elsewhere if its route has an attempt left.

Cause: the leader dissolves such a group at once if no calls are there. It took the last counts of the entries, which may be older than the view by which they learn that the group does not serve. A request that an entry sent in between was counted only after the dissolve. Drains waited for the view already, lost groups did not.

Change: a count is complete only if all entries have reported with the view of the last change of the group, whatever its phase; it is judged again whenever that view changes. Until then the group is kept as with calls, up to the stall time of its engine.

Measured: test_counts_from_before_a_member_was_missing_are_incomplete failed before.

--- a/chestnutvale/programs/control/entry_report_handler.py
+++ b/chestnutvale/programs/control/entry_report_handler.py
@@ -15,7 +15,6 @@
 from chestnutvale.consensus.exceptions import NotLeaderError, OutcomeUnknownError
 from chestnutvale.consensus.members import peer_addresses
 from chestnutvale.consensus.task import ConsensusTask
-from chestnutvale.groups.const import PHASE_DRAINING
 from chestnutvale.groups.members import group_head
 from chestnutvale.groups.serving import is_evacuated
 from chestnutvale.membership.attempt_counts import AttemptCounts
@@ -396,7 +395,9 @@
         self._table.retain_attempts({group_head(group).host_id for group in groups})
         for group in groups:
             group_id = group.group_id
-            is_complete = group.phase != PHASE_DRAINING or (
+            # An entry counts a request that it sent before it learned that the group
+            # does not serve any more only in a later report.
+            is_complete = (
                 self._publisher.group_version(group_id) <= known_version
                 and remembered_totals[group_id] == totals[group_id]
             )
@@ -501,6 +502,7 @@
         )
         if changed and self._log.is_leader:
             self._log_changes(changed)
+            self._update_group_loads(now_s)
         self._valid_until_s = self._publisher.valid_until_s
 
     def _log_changes(self, changed: list[str]) -> None:
--- a/tests/programs/control/test_entry_report_handler.py
+++ b/tests/programs/control/test_entry_report_handler.py
@@ -5,6 +5,7 @@
 import pytest
 
 from chestnutvale.membership.announcement_content import content_digest
+from chestnutvale.membership.group_attempts import GroupAttempts
 from chestnutvale.membership.table import MembershipTable
 from chestnutvale.membership.view_publisher import ViewPublisher
 from chestnutvale.programs.control.const import DEMAND_VIEWS_PER_S
@@ -130,8 +131,8 @@
     assert handler_fixture.table.host("a").announcement.leaving
 
 
-class DrainFixture(HandlerFixture):
-    """A group that drains after two entries have got its first view."""
+class ServingFixture(HandlerFixture):
+    """A group that serves, and two entries that have got its first view."""
 
     def __init__(self):
         super().__init__()
@@ -145,10 +146,7 @@
         self.heard = [Heard(host_id="a", boot_id="b", sequence=1, changed=content)]
         self.report_of("e1", heard=self.heard)
         self.report_of("e2")
-        group.phase = "draining"
-        self.put_group(group)
-        self.handler.publish_changes()
-        self.drain_version = self.handler.view_version
+        self.group = group
 
     def put_group(self, group):
         before = self.state.groups.groups.get("g")
@@ -172,6 +170,17 @@
         return self.table.attempts_at("a").is_complete
 
 
+class DrainFixture(ServingFixture):
+    """A group that drains after two entries have got its first view."""
+
+    def __init__(self):
+        super().__init__()
+        self.group.phase = "draining"
+        self.put_group(self.group)
+        self.handler.publish_changes()
+        self.drain_version = self.handler.view_version
+
+
 def test_load_is_complete_once_all_entries_know_that_a_group_drains():
     # Guards against a release that cuts the streams of an entry whose view is late.
     fixture = DrainFixture()
@@ -340,6 +349,25 @@
     assert fixture.table.attempts_at("a").running == 2
 
 
+def test_counts_from_before_a_member_was_missing_are_incomplete():
+    # Guards against a group dissolved under a call sent just before the new view came.
+    fixture = ServingFixture()
+    serving_version = fixture.handler.view_version
+    fixture.now_s = 102.9
+    for entry_id in ("e1", "e2"):
+        fixture.report_of(entry_id, serving_version)
+    assert fixture.is_complete()
+    fixture.now_s = 103.1
+    fixture.handler.publish_changes()
+    missing_version = fixture.handler.view_version
+    assert missing_version > serving_version
+    assert not fixture.is_complete()
+    fixture.report_of("e1", missing_version)
+    assert not fixture.is_complete()
+    fixture.report_of("e2", missing_version, running=1)
+    assert fixture.table.attempts_at("a") == GroupAttempts(1, is_complete=True)
+
+
 def test_counts_of_an_earlier_term_are_no_knowledge_of_a_new_leader():
     # Guards against a release that cuts the streams of which this term has no report.
     fixture = DrainFixture()
