--- a/chestnutvale/programs/control/entry_report_handler.py
+++ b/chestnutvale/programs/control/entry_report_handler.py
@@ -15,7 +15,6 @@
 from chestnutvale.consensus.exceptions import NotLeaderError, OutcomeUnknownError
 from chestnutvale.consensus.members import peer_addresses
 from chestnutvale.consensus.task import ConsensusTask
-from chestnutvale.groups.const import PHASE_DRAINING
 from chestnutvale.groups.members import group_head
 from chestnutvale.groups.serving import is_evacuated
 from chestnutvale.membership.attempt_counts import AttemptCounts
@@ -324,6 +323,7 @@
         if self._log.is_leader and self._log.term != self._led_term:
             self._led_term = self._log.term
             self._awaits_groups_until_s = now_s + GROUP_DISCOVERY_S
+            self._table.retain_attempts()
             self._table.extend_detection_timeout(
                 now_s + self._table.detection_timeout_s, now_s
             )
@@ -391,9 +391,13 @@
         totals = self.attempt_counts.totals(now_s)
         remembered_totals = self.attempt_counts.remembered_totals(now_s)
         known_version = self._find_known_version(now_s)
-        for group in self._state.groups.groups.values():
+        groups = self._state.groups.groups.values()
+        self._table.retain_attempts({group_head(group).host_id for group in groups})
+        for group in groups:
             group_id = group.group_id
-            is_complete = group.phase != PHASE_DRAINING or (
+            # An entry counts a request that it sent before it learned that the group
+            # does not serve any more only in a later report.
+            is_complete = (
                 self._publisher.group_version(group_id) <= known_version
                 and remembered_totals[group_id] == totals[group_id]
             )
@@ -498,6 +502,7 @@
         )
         if changed and self._log.is_leader:
             self._log_changes(changed)
+            self._update_group_loads(now_s)
         self._valid_until_s = self._publisher.valid_until_s
 
     def _log_changes(self, changed: list[str]) -> None:
