Log each answer and connection that ends early, with who ended it

Cause: a client that left, an answer that was cut, one that was not read, a connection that failed and one that closed within a head were logged at debug level only. An answer whose stream the server closed, since a write failed, left no line at all; nor did idle connections that the server closed, bodies and request lines that it refused, or refused connections. The line of an answer that was cut for memory had no id.

Change: each request has a record of how its answer ends. Handlers and the server record who ends it and why, and the connection writes one line `answer_ended_early` at info level, with the id, the client, the status, the sent bytes and the time. The id comes from a header that the listener names, so that it is known from the end of the head on, or from the handler. Whole answers leave no further line. Connections without a request leave `connection_closed`, `connection_refused`, `connection_failed`, `slow_head` or `head_refused`, with address and port; refused bodies leave `request_refused` with the id. The metric chestnutvale_entry_answers_ended_early_total counts by `ended_by`.

--- a/chestnutvale/http_server/answer_writer.py
+++ b/chestnutvale/http_server/answer_writer.py
@@ -10,7 +10,11 @@
 from eventlet.event import Event
 from eventlet.green import socket
 
-from chestnutvale.http_server.exceptions import ClientGoneError
+from chestnutvale.http_server.exceptions import (
+    AnswerCutError,
+    AnswerNotReadError,
+    ClientGoneError,
+)
 from chestnutvale.http_server.memory import MemoryBound
 
 _LOGGER = logbook.Logger(__name__)
@@ -39,18 +43,23 @@
     ----------
     is_cut : bool
         Whether the answer was cut; the connection must end with a reset.
+    sent_bytes : int
+        Bytes that the socket has accepted.
+    error : OSError or None
+        Why the rest of the answer can't be written.
     """
 
     def __init__(self, connection: Any, bound: MemoryBound) -> None:
         self.closed = False
         self.is_cut = False
+        self.sent_bytes = 0
+        self.error: OSError | None = None
         self._connection = connection
         self._sock = connection.fd
         self._bound = bound
         self._unread = bytearray()
         self._listener: Any = None
         self._progress_s = 0.0
-        self._error: OSError | None = None
         self._emptied: Event | None = None
 
     def write(self, data: bytes) -> int:
@@ -83,7 +92,7 @@
             If the connection broke or the answer was cut; a `TimeoutError` if the
             client has read nothing for the socket's timeout.
         """
-        while self._unread and self._error is None:
+        while self._unread and self.error is None:
             self._check_progress()
             self._emptied = Event()
             self._emptied.wait(timeout=self._remaining_s())
@@ -101,7 +110,7 @@
             extra={"reason": "memory", "unread_bytes": len(self._unread)},
         )
         self.is_cut = True
-        self._fail(ConnectionAbortedError("the answer was read too slowly"))
+        self._fail(AnswerCutError("the answer was read too slowly"))
         with contextlib.suppress(OSError):
             self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET)
             # The watch of the caller notices it and cancels the call.
@@ -132,13 +141,15 @@
         except OSError as error:
             self._fail(error)
             self._raise_error()
+        finally:
+            self.sent_bytes += sent
         return sent
 
     def _raise_error(self) -> None:
-        if isinstance(self._error, BrokenPipeError | ConnectionResetError):
-            raise ClientGoneError(self._error.errno, self._error.strerror)
-        if self._error is not None:
-            raise self._error
+        if isinstance(self.error, BrokenPipeError | ConnectionResetError):
+            raise ClientGoneError(self.error.errno, self.error.strerror)
+        if self.error is not None:
+            raise self.error
 
     def _remaining_s(self) -> float | None:
         timeout_s = self._connection.gettimeout()
@@ -148,7 +159,7 @@
 
     def _check_progress(self) -> None:
         if self._remaining_s() == 0.0:
-            self._fail(TimeoutError("the client does not read"))
+            self._fail(AnswerNotReadError("the client does not read"))
             self._raise_error()
 
     def _start_listening(self) -> None:
@@ -172,6 +183,7 @@
             self._fail(error)
             return
         self._progress_s = time.monotonic()
+        self.sent_bytes += sent
         del self._unread[:sent]
         self._bound.set_unread(self, len(self._unread))
         if not self._unread:
@@ -185,7 +197,7 @@
         self._fail(BrokenPipeError("the connection was closed"))
 
     def _fail(self, error: OSError) -> None:
-        self._error = self._error or error
+        self.error = self.error or error
         self._drop_unread()
 
     def _drop_unread(self) -> None:
--- a/chestnutvale/http_server/connections.py
+++ b/chestnutvale/http_server/connections.py
@@ -10,6 +10,7 @@
 from eventlet.greenthread import GreenThread
 
 from chestnutvale.http_server.const import (
+    ENDED_BY_SERVER,
     MAX_LINGERING_CONNECTIONS,
     OUTCOME_NOT_RUN,
     OVERLOAD_RETRY_AFTER_S,
@@ -18,6 +19,7 @@
 )
 from chestnutvale.http_server.problem import Problem
 from chestnutvale.http_server.protocol import linger_on_close
+from chestnutvale.http_server.running_requests import format_address
 
 _LOGGER = logbook.Logger(__name__)
 
@@ -75,6 +77,13 @@
         """
         if len(self._tasks) >= self._max_connections:
             self.refused[REFUSED_TOO_MANY_CONNECTIONS] += 1
+            _LOGGER.info(
+                "connection_refused",
+                extra={
+                    "client": format_address(connection[0]),
+                    "reason": REFUSED_TOO_MANY_CONNECTIONS,
+                },
+            )
             return eventlet.spawn(self._refuse, connection[1])
         # eventlet shuts down the connections that are marked as idle when it stops.
         connection[2] = wsgi.STATE_REQUEST
@@ -96,7 +105,14 @@
             serve(connection)
         except Exception as error:
             # A failed connection must not affect the server or other connections.
-            _LOGGER.debug("Connection from {} failed: {!r}", connection[0], error)
+            _LOGGER.warning(
+                "connection_failed",
+                extra={
+                    "client": format_address(connection[0]),
+                    "ended_by": ENDED_BY_SERVER,
+                    "reason": repr(error),
+                },
+            )
 
     def _refuse(self, client: Any) -> None:
         if self._lingering_count >= MAX_LINGERING_CONNECTIONS:
--- a/chestnutvale/http_server/const.py
+++ b/chestnutvale/http_server/const.py
@@ -39,6 +39,26 @@
 # False if there is no room.
 ENVIRON_RESERVE_MEMORY: Final = "chestnutvale.reserve_memory"
 
+# Record of how the answer ends, see `answer_end.py`.
+ENVIRON_ANSWER_END: Final = "chestnutvale.answer_end"
+
+# Who ended an answer or a connection.
+ENDED_BY_CALLER: Final = "caller"
+ENDED_BY_ENDPOINT: Final = "endpoint"
+# Another entry, through which the call went on.
+ENDED_BY_PEER: Final = "peer"
+# The process that serves the connection.
+ENDED_BY_SERVER: Final = "server"
+
+REASON_CALLER_GONE: Final = "caller_gone"
+REASON_INCOMPLETE_HEAD: Final = "incomplete_head"
+REASON_IDLE_TIMEOUT: Final = "idle_timeout"
+REASON_INTERNAL_ERROR: Final = "internal_error"
+REASON_MEMORY: Final = "memory"
+# The client read nothing for the idle timeout.
+REASON_NOT_READ: Final = "not_read"
+REASON_STOP: Final = "stop"
+
 CONTENT_TYPE_PROBLEM: Final = "application/problem+json"
 OUTCOME_NOT_RUN: Final = "not_run"
 OUTCOME_UNKNOWN: Final = "unknown"
--- a/chestnutvale/http_server/exceptions.py
+++ b/chestnutvale/http_server/exceptions.py
@@ -1,7 +1,11 @@
 """Exceptions raised by the HTTP server."""
 
 from chestnutvale.exceptions import ChestnutError
-from chestnutvale.http_server.const import STEP_RECEIVE
+from chestnutvale.http_server.const import (
+    ENDED_BY_SERVER,
+    REASON_INTERNAL_ERROR,
+    STEP_RECEIVE,
+)
 
 
 class HttpListenError(ChestnutError):
@@ -18,6 +22,14 @@
     """
 
 
+class AnswerCutError(ConnectionAbortedError):
+    """The server cut an answer whose unread part took too much memory."""
+
+
+class AnswerNotReadError(TimeoutError):
+    """The client read nothing of its answer for the timeout of the connection."""
+
+
 class HttpRequestError(ChestnutError):
     """A request exceeded a server limit or was malformed; it was not executed.
 
@@ -44,4 +56,24 @@
 
 
 class AnswerBrokenError(Exception):
-    """Aborts a partially sent answer, so that the client sees it as incomplete."""
+    """Aborts a partially sent answer, so that the client sees it as incomplete.
+
+    Parameters
+    ----------
+    message : str
+        What happened.
+    ended_by : str, optional
+        One of the ``ENDED_BY_*`` constants.
+    reason : str, optional
+        Why the answer ended, as a code.
+    """
+
+    def __init__(
+        self,
+        message: str,
+        ended_by: str = ENDED_BY_SERVER,
+        reason: str = REASON_INTERNAL_ERROR,
+    ) -> None:
+        super().__init__(message)
+        self.ended_by = ended_by
+        self.reason = reason
--- a/chestnutvale/http_server/limits.py
+++ b/chestnutvale/http_server/limits.py
@@ -3,17 +3,23 @@
 from collections import Counter
 from collections.abc import Callable, Iterable
 from functools import partial
+from http import HTTPStatus
 from typing import Any
 
+import logbook
+
 from chestnutvale.clock import Clock
+from chestnutvale.http_server.answer_end import find_answer_end, observe_answer
 from chestnutvale.http_server.body import LimitedInput
 from chestnutvale.http_server.bodyless import discard_body, has_body, select_headers
 from chestnutvale.http_server.const import (
     CODE_SERVER_STOPPING,
+    ENDED_BY_SERVER,
     ENVIRON_CLOSE_CONNECTION,
     ENVIRON_RESERVE_MEMORY,
     OUTCOME_NOT_RUN,
     OUTCOME_UNKNOWN,
+    REASON_STOP,
     REFUSED_BODY_TOO_LARGE,
     REFUSED_HEADERS_TOO_LARGE,
 )
@@ -26,6 +32,8 @@
 )
 from chestnutvale.schema.settings_pb2 import HttpLimits
 
+_LOGGER = logbook.Logger(__name__)
+
 # The handler may have passed the request on.
 _STOPPING_PROBLEM = Problem(
     status=502,
@@ -107,11 +115,13 @@
             if self.draining:
                 environ[ENVIRON_CLOSE_CONNECTION]()
             status = int(status_line.partition(" ")[0])
+            end.status = status
             may_have_body = has_body(method, status)
             if not may_have_body:
                 headers = select_headers(status, headers)
             return start_response(status_line, headers, *arguments)
 
+        end = find_answer_end(environ)
         request = self.running.add(environ)
         body = _BodyMemory(self._memory)
         hooks = environ["eventlet.posthooks"]
@@ -125,7 +135,13 @@
         except HttpRequestError as error:
             answer = self._refuse(error, environ, start_answer)
         except ServerStoppingError:
+            end.record(ENDED_BY_SERVER, REASON_STOP, _STOPPING_PROBLEM.detail)
             answer = _STOPPING_PROBLEM.respond(start_answer)
+        except Exception as error:
+            end.record_error(error)
+            end.status = HTTPStatus.INTERNAL_SERVER_ERROR.value
+            raise
+        answer = observe_answer(answer, end)
         return answer if may_have_body else discard_body(answer)
 
     def _check_head(self, environ: dict[str, Any]) -> None:
@@ -157,6 +173,17 @@
         self, error: HttpRequestError, environ: dict[str, Any], start_response: Any
     ) -> list[bytes]:
         self.refused[error.reason] += 1
+        end = find_answer_end(environ)
+        _LOGGER.info(
+            "request_refused",
+            extra={
+                "request": end.request_id,
+                "client": end.client,
+                "status": error.status,
+                "code": error.reason,
+                "reason": error.message,
+            },
+        )
         # Unread body bytes would be parsed as the next request on this connection.
         environ[ENVIRON_CLOSE_CONNECTION]()
         problem = Problem(
--- a/chestnutvale/http_server/protocol.py
+++ b/chestnutvale/http_server/protocol.py
@@ -11,9 +11,13 @@
 from eventlet.green import socket
 
 from chestnutvale.clock import Clock
+from chestnutvale.http_server.answer_end import AnswerEnd, find_answer_end
 from chestnutvale.http_server.answer_writer import AnswerWriter
 from chestnutvale.http_server.body import BoundedLineReader
 from chestnutvale.http_server.const import (
+    ENDED_BY_CALLER,
+    ENDED_BY_SERVER,
+    ENVIRON_ANSWER_END,
     ENVIRON_CLOSE_CONNECTION,
     ENVIRON_REQUEST_TARGET,
     HEAD_RECHECK_INTERVAL_S,
@@ -24,6 +28,9 @@
     MAX_HEAD_LINES,
     MAX_LINGER_BYTES,
     OUTCOME_NOT_RUN,
+    REASON_IDLE_TIMEOUT,
+    REASON_INCOMPLETE_HEAD,
+    REASON_STOP,
     REFUSED_HEAD_TOO_SLOW,
     REFUSED_HEADERS_TOO_LARGE,
     STEP_RECEIVE,
@@ -34,6 +41,7 @@
 from chestnutvale.http_server.memory import MemoryBound
 from chestnutvale.http_server.problem import Problem
 from chestnutvale.http_server.request_head import parse_request_head
+from chestnutvale.http_server.running_requests import format_address
 from chestnutvale.http_server.timeouts import ReadTimeouts
 
 _LOGGER = logbook.Logger(__name__)
@@ -104,6 +112,10 @@
         not accepted the whole answer yet.
     memory : MemoryBound
         Counts the unread parts of answers.
+    answer_ends : Counter
+        Counts the answers that ended early by who ended them.
+    request_id_header : str
+        Header by which callers name their requests; empty if applications name them.
     """
 
     def __init__(
@@ -116,6 +128,8 @@
         idle: IdleConnections,
         receiving: "set[LimitedProtocol]",
         memory: MemoryBound,
+        answer_ends: Counter[str],
+        request_id_header: str,
     ) -> None:
         self._read_timeouts = read_timeouts
         self._clock = clock
@@ -123,6 +137,9 @@
         self._idle = idle
         self._receiving = receiving
         self._memory = memory
+        self._answer_ends = answer_ends
+        self._request_id_header = request_id_header
+        self._has_logged_end = False
         self._head_timer: Any = None
         self._linger_before_close = False
         self._has_served_request = False
@@ -145,8 +162,12 @@
         next request.
         """
         self.close_connection = False
-        while not self.close_connection:
-            self.handle_one_request()
+        try:
+            while not self.close_connection:
+                self.handle_one_request()
+        except greenlet.GreenletExit:
+            self._log_close(ENDED_BY_SERVER, REASON_STOP)
+            raise
 
     def handle_one_request(self) -> None:
         """Wait for a request, read its head within its timeout and answer it."""
@@ -159,8 +180,13 @@
         self._receiving.add(self)
         try:
             super().handle_one_request()
+            self._log_long_request_line()
         except _HeadTimeoutError:
             self._refuse_slow_head()
+        except OSError as error:
+            # The answer handles its own errors.
+            self._log_close(ENDED_BY_CALLER, REASON_INCOMPLETE_HEAD, str(error))
+            self.close_connection = True
         finally:
             self._end_receiving()
 
@@ -191,9 +217,10 @@
             if self._idle.is_closing:
                 # Clients that already have an answer notice the close at once.
                 is_new = not self._has_served_request
-                return self._has_request_within(STOP_REQUEST_GRACE_S if is_new else 0.0)
+                grace_s = STOP_REQUEST_GRACE_S if is_new else 0.0
+                return self._has_request_within(grace_s, REASON_STOP)
             if remaining_s <= 0:
-                return self._has_request_within(0.0)
+                return self._has_request_within(0.0, REASON_IDLE_TIMEOUT)
             # The timeout may have been raised meanwhile, so it is read again.
             with self._idle.waiting(), eventlet.Timeout(remaining_s, False):
                 if not self._wait_for_bytes():
@@ -203,16 +230,35 @@
                 has_skipped_line = True
         return False
 
-    def _has_request_within(self, timeout_s: float) -> bool:
-        """Return whether bytes of a request have arrived, or arrive within a time."""
+    def _has_request_within(self, timeout_s: float, reason: str) -> bool:
+        """Return whether bytes of a request have arrived, or arrive within a time.
+
+        Otherwise the connection ends for the reason.
+        """
         self._receiving.add(self)
         try:
             with eventlet.Timeout(timeout_s, False):
                 return self._wait_for_bytes()
         finally:
             self._receiving.discard(self)
+        self._log_close(ENDED_BY_SERVER, reason)
         return False
 
+    def _log_close(self, ended_by: str, reason: str, detail: str = "") -> None:
+        """Log the end of a connection with no request whose head was read."""
+        if self._has_logged_end:
+            return
+        self._has_logged_end = True
+        _LOGGER.info(
+            "connection_closed",
+            extra={
+                "client": format_address(self.client_address),
+                "ended_by": ended_by,
+                "reason": reason,
+                "detail": detail,
+            },
+        )
+
     def _wait_for_bytes(self) -> bool:
         with contextlib.suppress(OSError):
             return bool(self.rfile.peek(1))
@@ -234,7 +280,8 @@
 
     def _refuse_slow_head(self) -> None:
         self._refused[REFUSED_HEAD_TOO_SLOW] += 1
-        _LOGGER.info("slow_head", extra={"client": self.client_address[0]})
+        client = format_address(self.client_address)
+        _LOGGER.info("slow_head", extra={"client": client})
         self._close_after_answer()
         self._write_problem(_SLOW_HEAD_PROBLEM)
 
@@ -263,13 +310,17 @@
             lines = self._read_head_lines()
             if not lines:
                 # The end of the connection is no end of the head.
-                _LOGGER.debug("{} closed within a request head", self.client_address)
+                self._log_close(ENDED_BY_CALLER, REASON_INCOMPLETE_HEAD)
                 self.close_connection = True
                 return False
             head = parse_request_head(lines)
         except HttpRequestError as error:
             self._refuse_head(error)
             return False
+        except (wsgi.HeaderLineTooLong, wsgi.HeadersTooLarge):
+            # eventlet answers these itself.
+            self._log_refused_head("the head is too large")
+            raise
         self.command = head.method
         self.path = head.target
         self.request_version = head.version
@@ -295,10 +346,7 @@
 
     def _refuse_head(self, error: HttpRequestError) -> None:
         self._refused[error.reason] += 1
-        _LOGGER.info(
-            "head_refused",
-            extra={"client": self.client_address[0], "reason": error.message},
-        )
+        self._log_refused_head(error.message)
         problem = Problem(
             status=error.status,
             code=error.reason,
@@ -309,6 +357,15 @@
         self._close_after_answer()
         self._write_problem(problem)
 
+    def _log_long_request_line(self) -> None:
+        # eventlet answers it itself.
+        if len(self.raw_requestline) >= self.server.url_length_limit:
+            self._log_refused_head("the request line is too long")
+
+    def _log_refused_head(self, reason: str) -> None:
+        client = format_address(self.client_address)
+        _LOGGER.info("head_refused", extra={"client": client, "reason": reason})
+
     def get_environ(self) -> dict[str, Any]:
         """Stop the head timer and build the WSGI environment of the request.
 
@@ -316,7 +373,8 @@
         -------
         dict
             The environment, with ``ENVIRON_CLOSE_CONNECTION`` set to a callable that
-            closes the connection after the answer.
+            closes the connection after the answer, and ``ENVIRON_ANSWER_END`` to the
+            record of how the answer ends.
         """
         self._end_receiving()
         self._has_served_request = True
@@ -327,20 +385,51 @@
         source.discard = lambda: self._discard(source)
         environ[ENVIRON_CLOSE_CONNECTION] = self._close_after_answer
         environ[ENVIRON_REQUEST_TARGET] = self.path
+        environ[ENVIRON_ANSWER_END] = AnswerEnd(
+            request_id=self.headers.get(self._request_id_header, ""),
+            client=format_address(self.client_address),
+            started_s=self._clock.now_s(),
+        )
         return environ
 
     def handle_one_response(self) -> None:
         """Answer the request and wait until the client has accepted the answer."""
-        super().handle_one_response()
+        end = find_answer_end(self.environ)
+        sent_before_bytes = self.wfile.sent_bytes
+        try:
+            super().handle_one_response()
+            self._drain_answer()
+        except Exception as error:
+            end.record_error(error)
+            self.close_connection = True
+            _LOGGER.exception("Request failed after its answer")
+        except greenlet.GreenletExit:
+            end.record(ENDED_BY_SERVER, REASON_STOP, "cut at the end of the stop")
+            raise
+        finally:
+            if self.wfile.error is not None:
+                end.record_write_error(self.wfile.error)
+            if end.ended_by:
+                self._log_early_end(end, self.wfile.sent_bytes - sent_before_bytes)
+
+    def _drain_answer(self) -> None:
         self._receiving.add(self)
         try:
             self.wfile.drain()
-        except OSError as error:
-            _LOGGER.debug("{} left its answer unread: {}", self.client_address, error)
+        except OSError:
+            # The writer keeps the error.
             self.close_connection = True
         finally:
             self._receiving.discard(self)
 
+    def _log_early_end(self, end: AnswerEnd, sent_bytes: int) -> None:
+        self._has_logged_end = True
+        self._answer_ends[end.ended_by] += 1
+        _LOGGER.info(
+            "answer_ended_early",
+            extra=end.log_fields(sent_bytes, self._clock.now_s()),
+        )
+
     def finish(self) -> None:
         """Close the connection, after a lingering read if one was requested."""
         self.wfile.close()
--- a/chestnutvale/http_server/running_requests.py
+++ b/chestnutvale/http_server/running_requests.py
@@ -6,6 +6,8 @@
 import logbook
 from eventlet import hubs
 
+from chestnutvale.http_server.answer_end import find_answer_end
+
 _LOGGER = logbook.Logger(__name__)
 
 
@@ -25,6 +27,22 @@
     return f"{environ.get('REMOTE_ADDR', '')}:{environ.get('REMOTE_PORT', '')}"
 
 
+def format_address(address: tuple[Any, ...]) -> str:
+    """Return the address of a client in the form of `find_client`.
+
+    Parameters
+    ----------
+    address : tuple
+        Address and port, as the socket gives them.
+
+    Returns
+    -------
+    str
+        Address and port.
+    """
+    return f"{address[0]}:{address[1]}"
+
+
 class ServerStoppingError(BaseException):
     """Interrupts a request that has no answer when its server stops.
 
@@ -49,6 +67,7 @@
     def log_fields(self) -> dict[str, Any]:
         """Return what identifies the request in the log."""
         return {
+            "request": find_answer_end(self._environ).request_id,
             "client": find_client(self._environ),
             "method": self._environ.get("REQUEST_METHOD", ""),
             "path": self._environ.get("PATH_INFO", ""),
--- a/chestnutvale/http_server/server.py
+++ b/chestnutvale/http_server/server.py
@@ -1,6 +1,7 @@
 """HTTP server of the daemons, built on eventlet's WSGI server."""
 
 import functools
+import sys
 from collections import Counter
 from types import TracebackType
 from typing import Any, Self
@@ -19,6 +20,8 @@
 )
 from chestnutvale.http_server.exceptions import (
     AnswerBrokenError,
+    AnswerCutError,
+    AnswerNotReadError,
     ClientGoneError,
     HttpListenError,
 )
@@ -32,6 +35,14 @@
 
 _LOGGER = logbook.Logger(__name__)
 
+# Errors that end an answer and are no fault of the application.
+_EXPECTED_ENDS = (
+    AnswerBrokenError,
+    AnswerCutError,
+    AnswerNotReadError,
+    ClientGoneError,
+)
+
 
 class _WsgiLogAdapter:
     """Forwards eventlet's log lines; drops access lines, which are empty."""
@@ -39,12 +50,10 @@
     def info(self, message: str, *arguments: Any) -> None:
         if not message.startswith("Traceback"):
             return
-        last_line = message.rstrip().rpartition("\n")[2]
-        if ClientGoneError.__name__ in last_line:
-            _LOGGER.debug("A client closed its connection before its answer ended")
-            return
-        if AnswerBrokenError.__name__ in last_line:
-            _LOGGER.debug("An answer was aborted: {}", last_line)
+        # eventlet logs an error while it handles it; `answer_ended_early` names these.
+        error = sys.exc_info()[1]
+        if isinstance(error, _EXPECTED_ENDS):
+            _LOGGER.debug("A client closed its connection, or an answer was cut")
             return
         _LOGGER.error("Request failed: {}", message)
 
@@ -78,6 +87,14 @@
     memory : MemoryBound, optional
         Bound on the memory of requests and answers, shared by the servers of a process;
         none by default.
+    request_id_header : str, optional
+        Header by which callers name their requests, for the log; by default the
+        application names them in the record of `find_answer_end`.
+
+    Attributes
+    ----------
+    answer_ends : Counter
+        Number of answers that ended early, by who ended them.
     """
 
     def __init__(
@@ -88,8 +105,11 @@
         clock: Clock | None = None,
         read_timeouts: ReadTimeouts | None = None,
         memory: MemoryBound | None = None,
+        request_id_header: str = "",
     ) -> None:
         self.address = address
+        self.answer_ends: Counter[str] = Counter()
+        self._request_id_header = request_id_header
         self._limits = limits
         self._clock = clock or SystemClock()
         settings_timeouts = ConnectionTimeouts.from_limits(limits)
@@ -241,6 +261,8 @@
                 idle=self._idle,
                 receiving=self._receiving,
                 memory=self._memory,
+                answer_ends=self.answer_ends,
+                request_id_header=self._request_id_header,
             ),
             custom_pool=self._connections,
             minimum_chunk_size=MINIMUM_CHUNK_BYTES,
--- a/chestnutvale/observability/catalog.py
+++ b/chestnutvale/observability/catalog.py
@@ -10,6 +10,7 @@
 
 LABEL_SERVICE: Final = "service"
 LABEL_REASON: Final = "reason"
+LABEL_ENDED_BY: Final = "ended_by"
 LABEL_ROUTE: Final = "route"
 LABEL_STATUS: Final = "status"
 LABEL_DIRECTION: Final = "direction"
@@ -314,6 +315,12 @@
     "{answer}",
     "Answers that were broken off because their callers read too slowly.",
 )
+ANSWERS_ENDED_EARLY: Final = Metric(
+    "chestnutvale.entry.answers.ended.early",
+    "{answer}",
+    "Answers that did not end whole, by who ended them.",
+    (LABEL_ENDED_BY,),
+)
 CUT_BODIES: Final = Metric(
     "chestnutvale.entry.answers.given.up",
     "{answer}",
--- a/chestnutvale/programs/entry/daemon.py
+++ b/chestnutvale/programs/entry/daemon.py
@@ -39,6 +39,7 @@
 from chestnutvale.programs.entry.ledger_writer import LedgerWriter
 from chestnutvale.programs.entry.load_exchange import LoadExchange
 from chestnutvale.programs.entry.metrics import (
+    register_answer_metrics,
     register_decision_metrics,
     register_entry_metrics,
     register_memory_metrics,
@@ -181,6 +182,7 @@
                 clock,
                 listener.read_timeouts,
                 self._memory,
+                listener.request_id_header,
             )
             for listener in listeners
         ]
@@ -194,6 +196,7 @@
         self._delay_watch = DelayWatch(self.metrics)
         register_entry_metrics(self.metrics, self.view, self.is_ready, clock)
         register_memory_metrics(self.metrics, self._memory)
+        register_answer_metrics(self.metrics, self._servers)
         register_decision_metrics(self.metrics, self.context, self.link)
 
     def __enter__(self) -> Self:
--- a/chestnutvale/programs/entry/entry_interface.py
+++ b/chestnutvale/programs/entry/entry_interface.py
@@ -78,6 +78,8 @@
         Returns the timeouts of its connections in force; None for those of `limits`.
     serves_calls : bool
         Whether its requests are calls, for which a shutdown waits.
+    request_id_header : str
+        Header by which callers name their requests; empty if `app` names them.
     """
 
     address: str
@@ -85,6 +87,7 @@
     limits: HttpLimits
     read_timeouts: ReadTimeouts | None = None
     serves_calls: bool = False
+    request_id_header: str = ""
 
 
 class EntryInterface(Protocol):
--- a/chestnutvale/programs/entry/metrics.py
+++ b/chestnutvale/programs/entry/metrics.py
@@ -1,12 +1,14 @@
 """Registers the metrics of an entry."""
 
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Sequence
 
 from chestnutvale.clock import Clock
 from chestnutvale.http_server.memory import MemoryBound
+from chestnutvale.http_server.server import HttpServer
 from chestnutvale.membership.entry_view import EntryView
 from chestnutvale.observability import catalog
-from chestnutvale.observability.catalog import LABEL_REASON
+from chestnutvale.observability.catalog import LABEL_ENDED_BY, LABEL_REASON
 from chestnutvale.observability.metrics import (
     Metrics,
     make_labelled_reader,
@@ -88,6 +90,25 @@
     )
 
 
+def register_answer_metrics(metrics: Metrics, servers: Sequence[HttpServer]) -> None:
+    """Register the counter of the answers that ended early.
+
+    Parameters
+    ----------
+    metrics : Metrics
+        Metrics of the process.
+    servers : sequence of HttpServer
+        The servers whose answers are counted.
+    """
+
+    def read_counts() -> Counter[str]:
+        return sum((server.answer_ends for server in servers), Counter())
+
+    metrics.register_counter(
+        catalog.ANSWERS_ENDED_EARLY, make_labelled_reader(LABEL_ENDED_BY, read_counts)
+    )
+
+
 def _list_refusals(gate: AdmissionGate) -> list[tuple[dict[str, str], float]]:
     return [
         (
--- a/chestnutvale/programs/entry/model_calls.py
+++ b/chestnutvale/programs/entry/model_calls.py
@@ -33,8 +33,13 @@
 )
 from chestnutvale.attempts.model_call import ModelCall
 from chestnutvale.groups.members import group_head
+from chestnutvale.http_server.answer_end import find_answer_end
 from chestnutvale.membership.endpoint_notices import Incarnation
 from chestnutvale.observability.log_context import bind_log_context
+from chestnutvale.programs.entry.answer_failures import (
+    record_caller_gone,
+    record_failure,
+)
 from chestnutvale.programs.entry.call_validation import (
     DEFAULT_MAX_BODY_BYTES,
     CallRefusedError,
@@ -165,6 +170,7 @@
             an ``error`` event.
         """
         request_id = make_request_id(self._context)
+        find_answer_end(environ).request_id = request_id
         try:
             generation, request = self._parse_call(environ, request_id)
         except CallRefusedError as error:
@@ -182,8 +188,12 @@
             environ,
         )
         if generation.stream:
-            return _respond_with_stream(self._context, run, start_response)
-        return _respond_with_body(self._context, run, generation.form, start_response)
+            answer = _respond_with_stream(self._context, run, start_response)
+        else:
+            form = generation.form
+            answer = _respond_with_body(self._context, run, form, start_response)
+        record_caller_gone(environ, run.failure)
+        return answer
 
     def _parse_call(
         self, environ: dict[str, Any], request_id: str
@@ -261,6 +271,7 @@
         self.request = request
         self._context = context
         self._watch = CallerWatch(environ)
+        self._answer_end = find_answer_end(environ)
         self._call = call
         self._make_attempt = make_attempt
         self.attempt: Attempt | None = None
@@ -307,6 +318,10 @@
             self._close_attempt(RESULT_CANCELLED)
             ticket.release(self._call.answer.next_offset)
 
+    def record_failure(self) -> None:
+        """Record for the log that the answer ends early, for `failure`."""
+        record_failure(self._answer_end, self.failure)
+
     def _run_effects(self, ticket: AdmissionTicket) -> Iterator[bytes]:
         effects: deque[CallEffect] = deque(self._handle(Started()))
         while effects:
@@ -546,6 +561,7 @@
         yield first
         yield from chunks
     if run.failure is not None:
+        run.record_failure()
         problem = make_problem(run.failure, run.request.request_id, context.rng)
         yield b"event: error\ndata: " + problem.body() + b"\n\n"
 
--- a/chestnutvale/programs/entry/peers/relay.py
+++ b/chestnutvale/programs/entry/peers/relay.py
@@ -18,6 +18,11 @@
 )
 from chestnutvale.attempts.events import Failure
 from chestnutvale.http_client.answer_parser import AnswerHead
+from chestnutvale.http_server.const import (
+    ENDED_BY_CALLER,
+    ENDED_BY_PEER,
+    ENDED_BY_SERVER,
+)
 from chestnutvale.http_server.exceptions import AnswerBrokenError
 from chestnutvale.programs.entry.caller_watch import CallerWatch
 from chestnutvale.programs.entry.const import STEP_CONNECT
@@ -41,6 +46,8 @@
 
 _LOGGER = logbook.Logger(__name__)
 
+_CALLER_GONE_MESSAGE = "the caller closed the connection"
+
 
 @attrs.frozen
 class RelayedAnswer:
@@ -74,6 +81,8 @@
         Monotonic time in seconds until which it reads.
     resources : ExitStack
         What to release at the end.
+    watch : CallerWatch
+        Tells whether the caller has left.
     """
 
     def __init__(
@@ -82,7 +91,9 @@
         first_part: bytes,
         deadline_s: float,
         resources: contextlib.ExitStack,
+        watch: CallerWatch,
     ) -> None:
+        self._watch = watch
         self._exchange = exchange
         self._first_part = first_part
         self._deadline_s = deadline_s
@@ -97,12 +108,23 @@
                     yield data
                     data = self._exchange.read(self._deadline_s)
             except (EndpointBrokenError, EndpointSilentError) as error:
-                raise AnswerBrokenError(error.message) from error
+                raise self._make_broken_error(error) from error
 
     def close(self) -> None:
         """Release the exchange; the peer cancels a call that still runs."""
         self._resources.close()
 
+    def _make_broken_error(
+        self, error: EndpointBrokenError | EndpointSilentError
+    ) -> AnswerBrokenError:
+        if self._watch.is_disconnected:
+            return AnswerBrokenError(
+                _CALLER_GONE_MESSAGE, ENDED_BY_CALLER, CODE_CALLER_GONE
+            )
+        if isinstance(error, EndpointSilentError):
+            return AnswerBrokenError(error.message, ENDED_BY_SERVER, CODE_DEADLINE)
+        return AnswerBrokenError(error.message, ENDED_BY_PEER, error.code)
+
 
 class PeerRelay:
     """Passes calls on to other entries.
@@ -167,7 +189,9 @@
                 return Failure(
                     code, OUTCOME_UNKNOWN, error.message, error.step, exchange.address
                 )
-            body = RelayedBody(exchange, first_part, deadline_s, resources.pop_all())
+            body = RelayedBody(
+                exchange, first_part, deadline_s, resources.pop_all(), watch
+            )
             return RelayedAnswer(head, body, exchange.address)
 
     def _connect(
@@ -225,4 +249,4 @@
 
 
 def _make_caller_gone_failure(outcome: str) -> Failure:
-    return Failure(CODE_CALLER_GONE, outcome, "the caller closed the connection")
+    return Failure(CODE_CALLER_GONE, outcome, _CALLER_GONE_MESSAGE)
--- a/chestnutvale/programs/entry/routed/call_answer.py
+++ b/chestnutvale/programs/entry/routed/call_answer.py
@@ -32,6 +32,8 @@
         Whether the request certainly has not run and never will.
     peer : str
         Address of the endpoint or entry that gave the answer; empty for this entry.
+    failure : Failure or None
+        The failure that this entry answers with.
     """
 
     status: int
@@ -40,6 +42,7 @@
     body: Iterable[bytes]
     is_known_not_run: bool = False
     peer: str = ""
+    failure: Failure | None = None
 
     @property
     def status_line(self) -> str:
--- a/chestnutvale/programs/entry/routed/handler.py
+++ b/chestnutvale/programs/entry/routed/handler.py
@@ -36,8 +36,13 @@
 )
 from chestnutvale.configuration.route_access import find_caller_workspace
 from chestnutvale.configuration.routes import RouteTable
+from chestnutvale.http_server.answer_end import find_answer_end
 from chestnutvale.http_server.exceptions import AnswerBrokenError
 from chestnutvale.http_server.running_requests import ServerStoppingError, find_client
+from chestnutvale.programs.entry.answer_failures import (
+    find_ended_by,
+    record_caller_gone,
+)
 from chestnutvale.programs.entry.call_validation import (
     DEFAULT_MAX_BODY_BYTES,
     CallRefusedError,
@@ -149,21 +154,22 @@
         iterable of bytes
             The body of the answer.
         """
-        request_id = ""
+        end = find_answer_end(environ)
         is_repeatable = False
         try:
             request = self._protocol.read_request(environ)
-            request_id = request.request_id
+            end.request_id = request.request_id
             call = self._accept_call(request, environ)
         except BadCallError as error:
             failure = Failure(error.problem_code, OUTCOME_NOT_RUN, error.message)
-            answer = self._make_failure_answer(failure, request_id)
+            answer = self._make_failure_answer(failure, end.request_id)
         except CallRefusedError as error:
-            answer = self._make_failure_answer(error.failure, request_id)
+            answer = self._make_failure_answer(error.failure, end.request_id)
         else:
             is_repeatable = _is_repeatable(call.route)
             answer = self._answer_call(call, environ)
-        answer = self._replace_unproven_refusal(answer, request_id, is_repeatable)
+        answer = self._replace_unproven_refusal(answer, end.request_id, is_repeatable)
+        record_caller_gone(environ, answer.failure)
         start_response(answer.status_line, answer.headers)
         return answer.body
 
@@ -375,7 +381,9 @@
                     "peer": run.failure.peer,
                 },
             )
-            raise AnswerBrokenError(run.failure.message)
+            raise AnswerBrokenError(
+                run.failure.message, find_ended_by(run.failure), run.failure.code
+            )
         self._record_answer(run.request.service, accepted_s)
 
     def _record_answer(self, service: str, accepted_s: float) -> None:
@@ -509,6 +517,7 @@
             [*headers, ("Content-Length", str(len(body)))],
             [body],
             is_known_not_run=failure.outcome == OUTCOME_NOT_RUN,
+            failure=failure,
         )
 
 
--- a/chestnutvale/programs/entry/service_calls.py
+++ b/chestnutvale/programs/entry/service_calls.py
@@ -14,7 +14,9 @@
 )
 from chestnutvale.attempts.events import Failure
 from chestnutvale.attempts.service_events import Reply
+from chestnutvale.http_server.answer_end import find_answer_end
 from chestnutvale.observability.log_context import bind_log_context
+from chestnutvale.programs.entry.answer_failures import record_caller_gone
 from chestnutvale.programs.entry.call_validation import (
     DEFAULT_MAX_BODY_BYTES,
     CallHeaders,
@@ -89,12 +91,14 @@
             The body of the answer.
         """
         request_id = make_request_id(self._context)
+        find_answer_end(environ).request_id = request_id
         try:
             answer = self._handle_call(environ, request_id)
         except CallRefusedError as error:
             answer = error.failure
         if isinstance(answer, Reply):
             return _send_reply(answer, request_id, start_response)
+        record_caller_gone(environ, answer)
         problem = make_problem(answer, request_id, self._context.rng)
         return problem.respond(start_response)
 
--- a/tests/programs/entry/test_model_calls.py
+++ b/tests/programs/entry/test_model_calls.py
@@ -4,10 +4,13 @@
 import json
 
 import eventlet
+import logbook
 import pytest
 
+from chestnutvale.http_server.server import HttpServer
 from chestnutvale.programs.entry.endpoint_exchange import EndpointExchange
 from chestnutvale.programs.entry.model_calls import ModelCallHandler
+from chestnutvale.settings.common import default_http_limits
 from tests.programs.entry.entry_fakes import (
     ANSWER,
     WORDS,
@@ -71,6 +74,22 @@
     assert answer["usage"] == {"completion_tokens": len(WORDS)}
 
 
+def test_stream_that_ends_with_an_error_event_is_named_in_the_log(
+    context, engines, free_address
+):
+    for engine in engines:
+        engine.break_after = 3
+    address = free_address()
+    log = logbook.TestHandler(level="INFO")
+    handler = ModelCallHandler(context, "chat")
+    server = HttpServer(handler, address, default_http_limits())
+    with server, log.applicationbound():
+        _, headers, _ = post(address, "/", {**CHAT, "stream": True})
+    (line,) = (x.extra for x in log.records if x.message == "answer_ended_early")
+    assert line["request"] == headers["x-request-id"]
+    assert (line["ended_by"], line["reason"]) == ("server", "no_group_available")
+
+
 def test_unresumable_stream_ends_with_error_event(engines, entry):
     for engine in engines:
         engine.break_after = 3
