Never drop the log lines about how an answer ended, nor the last lines of a process

What callers saw: answers that ended early while the log of the entry named none of them. Whether lines were lost is not known; this closes the ways in which they could be.

Cause: above 200 lines of an event a second, or 256 KiB that the reader of the pipe had not taken, lines were dropped whatever they said. What was in the buffer at the end of the process was lost, and an error of the main loop was printed to standard error only. A report of dropped lines that found no room counted as a dropped line, and the counts of the rate limit in it were lost.

--- a/chestnutvale/programs/runner.py
+++ b/chestnutvale/programs/runner.py
@@ -1,5 +1,6 @@
 """Start-up shared by both daemons: options, settings, logs, garbage collection."""
 
+import contextlib
 import gc
 import json
 import random
@@ -85,12 +86,19 @@
     """
     tune_garbage_collection()
     log_handler = make_log_handler(settings.log)
-    with log_handler.applicationbound(), SignalHandler() as signals:
+    with (
+        contextlib.closing(log_handler),
+        log_handler.applicationbound(),
+        SignalHandler() as signals,
+    ):
         try:
             serve(settings, signals)
         except ChestnutError as error:
             _LOGGER.error("Stopped: {}", error)
             return EXIT_FAILED
+        except Exception:
+            _LOGGER.exception("Stopped by an error of the program")
+            return EXIT_FAILED
     return EXIT_OK
 
 
--- a/tests/observability/test_nonblocking_handler.py
+++ b/tests/observability/test_nonblocking_handler.py
@@ -13,6 +13,9 @@
 from chestnutvale.observability.logs import format_json
 from chestnutvale.observability.nonblocking_handler import (
     MAX_BUFFER_BYTES,
+    MAX_LINES_PER_WINDOW,
+    PRIORITY_EVENTS,
+    PRIORITY_RESERVE_BYTES,
     LogRateLimiter,
     NonBlockingHandler,
 )
@@ -110,6 +113,55 @@
     assert handler.rate_limiter.dropped_lines == {"noisy": 7}
 
 
+@pytest.mark.parametrize("event", sorted(PRIORITY_EVENTS))
+def test_rate_limit_drops_no_line_about_the_end_of_an_answer(event):
+    limiter = LogRateLimiter()
+    lines = 10 * MAX_LINES_PER_WINDOW
+    assert all(limiter.allow_line(event, 0.0)[0] for _ in range(lines))
+    assert not all(limiter.allow_line("attempt_ended", 0.0)[0] for _ in range(lines))
+    assert limiter.allow_line(event, 0.0)[0]
+    assert event not in limiter.dropped_lines
+
+
+def test_stalled_reader_loses_no_line_about_the_end_of_an_answer(pipe):
+    reader, writer = pipe
+    handler = make_handler(writer, rate_limiter=LogRateLimiter(max_lines=10**9))
+    with handler.applicationbound():
+        while not handler.dropped_by_slow_reader:
+            LOGGER.info("attempt_ended", extra={"text": "x" * 1_000})
+        for number in range(100):
+            LOGGER.info("answer_ended_early", extra={"number": number})
+    data = read_available(reader)
+    while handler._buffer:
+        handler.flush()
+        data += read_available(reader)
+    lines = [json.loads(line) for line in data.splitlines()]
+    numbers = [x["number"] for x in lines if x["message"] == "answer_ended_early"]
+    assert numbers == list(range(100))
+    assert handler.dropped_priority_lines == 0
+
+
+def test_lines_beyond_the_reserve_are_counted(pipe):
+    reader, writer = pipe
+    handler = make_handler(writer)
+    with handler.applicationbound():
+        for _ in range(1_000):
+            LOGGER.info("answer_ended_early", extra={"text": "x" * 1_000})
+        buffered_bytes = len(handler._buffer)
+        dropped = handler.dropped_priority_lines
+        while handler._buffer:
+            read_available(reader)
+            handler.flush()
+        read_available(reader)
+        LOGGER.info("after")
+    report, after = read_lines(reader)
+    assert buffered_bytes <= MAX_BUFFER_BYTES + PRIORITY_RESERVE_BYTES
+    assert dropped > 0
+    assert handler.dropped_by_slow_reader == dropped
+    assert (report["message"], after["message"]) == ("lines_left_out", "after")
+    assert report["slow_reader_priority"] == dropped
+
+
 def test_closed_pipe_does_not_raise():
     reader, writer = os.pipe()
     os.close(reader)
