Tell a host that a new leader has not heard from one that fell silent, in the log

What operators saw: `member_lost` with `cause` missing for both. In a record from users it came with `away_s` 1.052, although a host counts as silent after 3 s only.

Cause: a member without a record gets the cause missing, and the time since the begin of the term as the time for which it has been away.

Change: the line calls such a member `unknown`, and names the group, the term and its age. Decisions are as before: the cause of the decision stays missing. Changes of leadership already had a line at info level with the term.

The existing test of the line was made stricter by the new fields.

--- a/chestnutvale/programs/control/group_task.py
+++ b/chestnutvale/programs/control/group_task.py
@@ -12,7 +12,7 @@
 from chestnutvale.consensus.task import ConsensusTask
 from chestnutvale.groups.const import PHASE_SERVING
 from chestnutvale.groups.coordinator import Effect, GroupCoordinator, ProposeCommand
-from chestnutvale.groups.failure_detector import LostMember
+from chestnutvale.groups.failure_detector import LossCause, LostMember
 from chestnutvale.groups.orders import OrderOutcome, SendOrder
 from chestnutvale.membership.table import MembershipTable
 from chestnutvale.programs.control.const import (
@@ -30,6 +30,10 @@
 
 _LOGGER = logbook.Logger(__name__)
 
+# Cause in the log of a loss that this leader has only not heard of; it decides as for
+# one that fell silent.
+CAUSE_UNKNOWN = "unknown"
+
 
 class OrderTransport(Protocol):
     """Sends orders to hosts."""
@@ -82,6 +86,7 @@
         self._sender = sender or OrderSender(clock)
         self._orders = eventlet.GreenPool(MAX_CONCURRENT_ORDERS)
         self._leader_term = 0
+        self._leader_since_s = 0.0
         self._idle_inputs: tuple[int, ...] = ()
         self._next_decision_at_s = float("-inf")
 
@@ -136,9 +141,19 @@
         if not losses:
             return
         live = {*self._table.live_entries(now_s), *self._live_controls()}
+        groups = {
+            member.host_id: group.group_id
+            for group in self._state.groups.groups.values()
+            for member in group.members
+        }
+        term = {
+            "term": self._leader_term,
+            "term_age_s": round(now_s - self._leader_since_s, 3),
+        }
         for loss in losses:
+            group = {"group": groups.get(loss.member.host_id, "")}
             fields = describe_loss(loss, self._table, live)
-            _LOGGER.info("member_lost", extra=fields)
+            _LOGGER.info("member_lost", extra=group | fields | term)
 
     def _live_controls(self) -> set[str]:
         controls = {control_of(voter) for voter in self._log.members.voters}
@@ -183,6 +198,7 @@
         if term:
             self._entry_handler.begin_term(now_s)
             self._coordinator.became_leader(now_s)
+            self._leader_since_s = now_s
         self._leader_term = term
 
     def _propose(self, effect: ProposeCommand) -> None:
@@ -236,14 +252,16 @@
     dict
         The host, the cause, for how many seconds it has been lost, and the entry or
         control to which it announced itself last; if that one is silent as well, the
-        host may be sound.
+        host may be sound. The cause of a host that nobody has reported in this term
+        is ``unknown`` instead of ``missing``.
     """
+    record = table.host(loss.member.host_id)
+    is_unknown = record is None and loss.cause is LossCause.MISSING
     fields: dict[str, Any] = {
         "host": loss.member.host_id,
-        "cause": loss.cause.value,
+        "cause": CAUSE_UNKNOWN if is_unknown else loss.cause.value,
         "away_s": round(loss.away_s, 3),
     }
-    record = table.host(loss.member.host_id)
     if record is None:
         return fields
     reporter_id = record.sender_id
--- a/tests/programs/control/test_group_task.py
+++ b/tests/programs/control/test_group_task.py
@@ -15,7 +15,7 @@
 from chestnutvale.programs.control.group_task import GroupTask
 from chestnutvale.programs.control.state import ControlState
 from chestnutvale.schema.configuration_pb2 import Service, Text
-from chestnutvale.schema.groups_pb2 import GroupMember, HostRelease
+from chestnutvale.schema.groups_pb2 import Group, GroupMember, HostRelease
 from chestnutvale.schema.membership_pb2 import Announcement, Heard
 from chestnutvale.schema.peer_pb2 import GroupView
 from chestnutvale.schema.raft_pb2 import Members
@@ -157,22 +157,46 @@
         reported_at_s = now_s if is_live else now_s - 60.0
         table.merge_entry_report(reporter, heard, reported_at_s)
     member = GroupMember(host_id="h", boot_id="b")
+    task_fixture.state.groups.groups["g"] = Group(group_id="g", members=[member])
     task_fixture.coordinator.new_losses = [LostMember(member, LossCause.MISSING, 2.1)]
     with logbook.TestHandler() as handler:
         task_fixture.run_rounds(20)
 
     lines = [line.extra for line in handler.records if line.msg == "member_lost"]
+    assert 0.0 <= lines[0].pop("term_age_s") <= 20 * ROUND_S
     assert lines == [
         {
+            "group": "g",
             "host": "h",
             "cause": "missing",
             "away_s": 2.1,
             "reported_by": reporter,
             "is_reporter_live": is_live,
+            "term": 1,
         }
     ]
 
 
+def test_member_that_a_new_leader_has_not_heard_is_called_unknown(task_fixture):
+    task_fixture.run_rounds(20)
+    member = GroupMember(host_id="h", boot_id="b")
+    task_fixture.state.groups.groups["g"] = Group(group_id="g", members=[member])
+    task_fixture.coordinator.new_losses = [
+        LostMember(member, LossCause.MISSING, 1.1),
+        LostMember(GroupMember(host_id="d"), LossCause.LEAVING, 1.1),
+    ]
+    with logbook.TestHandler() as handler:
+        task_fixture.run_rounds(20)
+
+    lines = [line.extra for line in handler.records if line.msg == "member_lost"]
+    assert [(line["host"], line["cause"]) for line in lines] == [
+        ("h", "unknown"),
+        ("d", "leaving"),
+    ]
+    assert lines[0]["term"] == 1
+    assert 20 * ROUND_S <= lines[0]["term_age_s"] <= 40 * ROUND_S
+
+
 class PlanningFixture(GroupTaskFixture):
     """A group task that plans for one group and applies what it proposes."""
 
