Count answers that ended early in chestnut summarize, and show lost members in explain

Change: a third table counts the lines by time, who ended the answer and why. `explain` adds the lines of lost members of the groups that a request was sent to, which name their group now.

A third test counts the lines of the same example, which has one more.

--- a/chestnutvale/programs/client/explain.py
+++ b/chestnutvale/programs/client/explain.py
@@ -7,7 +7,13 @@
 import attrs
 
 # Group events that can affect a request; included if they name one of its groups.
-GROUP_EVENTS = ("group_command", "group_view", "order", "stalled_groups")
+GROUP_EVENTS = (
+    "group_command",
+    "group_view",
+    "member_lost",
+    "order",
+    "stalled_groups",
+)
 # Fields that are not listed after the event: either shown before it or omitted.
 _OMITTED_FIELDS = ("time", "level", "logger", "message", "request")
 
--- a/chestnutvale/programs/client/log_summary.py
+++ b/chestnutvale/programs/client/log_summary.py
@@ -108,6 +108,8 @@
         Time in seconds, and the number of hosts by state.
     calls : dict
         Calls by service and interval.
+    ends : Counter
+        Number of answers that ended early, by interval, who ended them and why.
     unparsed_count : int
         Number of lines that could not be parsed.
     """
@@ -115,6 +117,7 @@
     interval_s: float
     hosts: list[tuple[float, Counter[str]]] = attrs.field(factory=list)
     calls: dict[tuple[str, int], list[_Call]] = attrs.field(factory=dict)
+    ends: Counter[tuple[int, str, str]] = attrs.field(factory=Counter)
     unparsed_count: int = 0
 
     def render(self) -> Iterator[str]:
@@ -136,6 +139,13 @@
         headers = ("service", "s", *_CALL_RESULTS, "running p50", "first event p50 ms")
         rows = [self._make_call_row(key) for key in sorted(self.calls)]
         yield tabulate(rows, headers, floatfmt=".0f") if rows else "none"
+        yield "Answers that ended early, also at entries that passed a call on"
+        headers = ("s", "ended by", "reason", "answers")
+        rows = [
+            (number * self.interval_s, ended_by, reason, count)
+            for (number, ended_by, reason), count in sorted(self.ends.items())
+        ]
+        yield tabulate(rows, headers, floatfmt=".0f") if rows else "none"
 
     def _make_call_row(self, key: tuple[str, int]) -> tuple[object, ...]:
         service, number = key
@@ -194,6 +204,10 @@
             due_s += interval_s
         hosts.apply(line)
         _apply_call_line(calls, line, at_s - start_s)
+        if line.event == "answer_ended_early":
+            number = int((at_s - start_s) / interval_s)
+            fields = line.fields
+            summary.ends[number, fields["ended_by"], fields["reason"]] += 1
     grouped: dict[tuple[str, int], list[_Call]] = defaultdict(list)
     for call in calls.values():
         grouped[call.service, int(call.accepted_s / interval_s)].append(call)
--- a/tests/programs/client/test_explain.py
+++ b/tests/programs/client/test_explain.py
@@ -26,6 +26,7 @@
     make_log_line("10:00", "group_view", "control-1", group="g1", serving=True),
     make_log_line("09:00", "group_view", "control-1", group="g1", serving=False),
     make_log_line("10:03", "group_view", "control-1", group="g9", serving=False),
+    make_log_line("10:03", "member_lost", "control-1", group="g1", cause="unknown"),
     make_log_line("10:04", "stalled_groups", "control-1", groups=["g1", "g2"]),
     make_log_line("10:06", "call_failed", "entry-2", request="r1", outcome="unknown"),
     make_log_line("10:02", "call_accepted", "entry-1", request="r2"),
@@ -42,6 +43,7 @@
         ("10:01", "call_accepted"),
         ("10:02", "group_chosen"),
         ("10:03", "group_view"),
+        ("10:03", "member_lost"),
         ("10:04", "stalled_groups"),
         ("10:05", "attempt_ended"),
         ("10:06", "call_failed"),
@@ -59,7 +61,7 @@
     unparsable = ["Traceback (most recent call last):", "{", LOGS[1][:40], "[1]", "\n"]
     trace = trace_request([*unparsable, *LOGS], "r1")
     assert trace.unparsed_count == 4
-    assert len(trace.lines) == 7
+    assert len(trace.lines) == 8
 
 
 def test_explain_command_reads_files(tmp_path, capsys):
--- a/tests/programs/client/test_log_summary.py
+++ b/tests/programs/client/test_log_summary.py
@@ -60,6 +60,21 @@
     assert {call.running_at_send for call in calls if call.attempts} == {5}
 
 
+def test_answers_that_ended_early_are_counted_by_who_ended_them():
+    lines = [
+        *make_call("a", 1.0),
+        make_line(1.5, "answer_ended_early", ended_by="caller", reason="caller_gone"),
+        make_line(3.5, "answer_ended_early", ended_by="server", reason="stop"),
+        make_line(3.6, "answer_ended_early", ended_by="server", reason="stop"),
+    ]
+    summary = summarize(lines, 2.0)
+    assert summary.ends == {
+        (0, "caller", "caller_gone"): 1,
+        (1, "server", "stop"): 2,
+    }
+    assert any("caller_gone" in text for text in summary.render())
+
+
 def test_hosts_are_counted_by_state():
     hosts = [
         make_line(1.0, "host", host=f"h{number}", domain="d", staged=["llm"])
