End a request whose unread body is malformed

What callers saw: nothing at once. After such a request, a stopping entry waits for it until its deadline, and the memory of its body stays reserved.

Cause: after an answer, the rest of an unread body is read and discarded. A malformed chunk raised the error of our reader there, which eventlet doesn't expect, so that its hooks at the end of a request did not run. One request without a key and with a malformed body suffices.

Change: the error ends the discarding, and the connection after the answer, as a body that is too long does.

Measured: the test fails on (one running request left after the connection closed) and passes now; tests/http_server passes.

--- a/chestnutvale/http_server/protocol.py
+++ b/chestnutvale/http_server/protocol.py
@@ -449,7 +449,12 @@
     def _discard(self, source: wsgi.Input) -> None:
         remaining = MAX_DISCARDED_BYTES
         while remaining > 0:
-            data = source.read(min(remaining, LINGER_READ_BYTES))
+            try:
+                data = source.read(min(remaining, LINGER_READ_BYTES))
+            except HttpRequestError as error:
+                # The answer was sent; the rest can't be told from a next request.
+                _LOGGER.debug("Unread body of {}: {}", self.client_address, error)
+                break
             if not data:
                 return
             remaining -= len(data)
--- a/tests/http_server/test_server.py
+++ b/tests/http_server/test_server.py
@@ -223,6 +223,17 @@
     assert app.calls == []
 
 
+def test_a_malformed_unread_body_leaves_no_running_request(serve, app):
+    server = serve()
+    head = "POST /unread HTTP/1.1\nTransfer-Encoding: chunked"
+    answer = send_request(server, head, b"zz\r\n")
+    assert answer.startswith(b"HTTP/1.1 200 ")
+    assert server.running_requests == 0
+    started_s = time.monotonic()
+    assert server.stop(started_s + 5.0) == 0
+    assert time.monotonic() - started_s < 1.0
+
+
 def test_overlong_request_target_is_refused(serve):
     assert b"414" in send_request(serve(), f"GET /{'a' * 9_000} HTTP/1.1")
 
