--- /dev/null
+++ b/tests/programs/entry/routed/changes/__init__.py
@@ -0,0 +1,1 @@
+"""Changes of the configuration under running calls: phases times changes."""
