Treat members that a new leader does not know as silent since its term began

What callers saw: a group that streams soundly is dissolved 4.2 s after a control that has just started becomes the leader, and its streams end. Until then its view says "missing", 0.3 s after the term began, so that entries count its calls among those of lost groups.

Cause: every sign of silence waits for the calls and for the events of a group, but a member without a record counted as lost by itself once the time to discover hosts had passed. If none of the members was known, the time since any was heard was infinite. A working group with an unknown member was reported as missing at once, though the leader was still waiting for the first reports.

Change: an unknown member counts as silent since the leader began to receive reports, and what holds for silent members holds for it: it is not lost while its group works or calls may stay there, and a group of which nobody is heard is kept for a minute. While its group works, its state is "not known yet".

Measured: four cases of tests/groups/test_new_leader.py failed before. An unknown member of a group without calls is lost after 4.2 s of the term, as before; with calls, after 6.8 s.

--- a/chestnutvale/groups/member_silence.py
+++ b/chestnutvale/groups/member_silence.py
@@ -145,9 +145,12 @@
 def _find_shortest_silence_s(
     group: Group, table: MembershipTable, now_s: float
 ) -> float:
-    """Return the time in seconds since any member of a group announced itself."""
+    """Return the time in seconds since any member of a group announced itself.
+
+    An unknown member may have done so until this leader began to receive reports.
+    """
     records = [table.host(member.host_id) for member in group.members]
     return now_s - max(
-        (record.heard_at_s for record in records if record is not None),
-        default=-math.inf,
+        record.heard_at_s if record is not None else table.receiving_since_s
+        for record in records
     )
--- a/chestnutvale/groups/pools.py
+++ b/chestnutvale/groups/pools.py
@@ -257,9 +257,15 @@
         now_s: float,
     ) -> bool:
         record = table.host(member.host_id)
-        if record is None or record.announcement is None:
-            # After a restart of all controls, no host has announced itself yet.
-            return not table.may_discover_hosts(now_s)
+        if record is None:
+            # A control that has just started knows no host that is silent since then.
+            if table.may_discover_hosts(now_s) or has_recent_events(
+                group, table, now_s
+            ):
+                return False
+            return self._is_silence_conclusive(
+                group, table, table.receiving_since_s, now_s
+            )
         if not table.is_fresh(member.host_id, now_s):
             if has_recent_events(group, table, now_s):
                 return False
--- a/chestnutvale/groups/serving.py
+++ b/chestnutvale/groups/serving.py
@@ -43,16 +43,16 @@
     str
         The reason; empty if the member is ready.
     """
-    if not table.is_fresh(member.host_id, now_s) and not has_recent_events(
-        group, table, now_s
-    ):
+    record = table.host(member.host_id)
+    is_working = has_recent_events(group, table, now_s)
+    if record is None and is_working:
+        # Without its boot, the leader can't tell whether it was restarted.
+        return f"member {member.host_id} {FAULT_UNKNOWN}"
+    if not table.is_fresh(member.host_id, now_s) and not is_working:
         # A new leader has no announcements yet; it must not abort running requests.
         if table.is_awaiting_report(member.host_id, now_s):
             return f"member {member.host_id} {FAULT_UNKNOWN}"
         return f"member {member.host_id} {FAULT_MISSING}"
-    record = table.host(member.host_id)
-    if record is None:
-        return f"member {member.host_id} {FAULT_MISSING}"
     if record.boot_id != member.boot_id:
         return f"member {member.host_id} {FAULT_RESTARTED}"
     if not record.is_content_current:
--- a/chestnutvale/membership/table.py
+++ b/chestnutvale/membership/table.py
@@ -211,6 +211,11 @@
         self._receiving_since_s = from_s
         self.revision += 1
 
+    @property
+    def receiving_since_s(self) -> float:
+        """Monotonic time in seconds from which entries and controls report here."""
+        return self._receiving_since_s
+
     def set_silent_controls(self, control_ids: frozenset[str]) -> None:
         """Set the controls that this leader does not hear at present.
 
--- a/tests/groups/test_new_leader.py
+++ b/tests/groups/test_new_leader.py
@@ -1,6 +1,10 @@
 """A new leader takes no irrevocable step on knowledge that it lacks."""
 
+import pytest
+
+from chestnutvale.groups.const import UNHEARD_GROUP_EXPIRY_S
 from chestnutvale.groups.pools import PoolPlanner
+from chestnutvale.groups.serving import find_serving_fault
 from chestnutvale.membership.table import MembershipTable
 from chestnutvale.schema.groups_pb2 import PutGroup, RemoveGroup
 from tests.groups.test_pools import all_hosts, make_serving_pool
@@ -55,3 +59,61 @@
     head_id = group.members[0].host_id
     removed_s = find_removal_s(pool, group, TERM_S + 4.0, silent=[head_id])
     assert removed_s is None
+
+
+def test_working_group_with_a_member_unknown_to_a_new_leader_is_kept():
+    pool = make_serving_pool()
+    group = next(iter(pool.state.groups.values()))
+    take_over(pool)
+    unknown_id = group.members[1].host_id
+
+    def report_events(now_s):
+        pool.report_attempts(1)
+        pool.table.mark_responsive([group.group_id], now_s + 1.2)
+
+    removed_s = find_removal_s(
+        pool, group, TERM_S + 8.0, silent=[unknown_id], tick=report_events
+    )
+    assert removed_s is None
+
+
+@pytest.mark.parametrize(("running", "limit_s"), [(0, 4.2), (1, 1.5 + 5.0 + 0.3)])
+def test_unknown_member_is_lost_once_calls_at_its_group_must_have_ended(
+    running, limit_s
+):
+    pool = make_serving_pool()
+    group = next(iter(pool.state.groups.values()))
+    take_over(pool)
+    removed_s = find_removal_s(
+        pool,
+        group,
+        TERM_S + 10.0,
+        silent=[group.members[1].host_id],
+        tick=lambda now_s: pool.report_attempts(running),
+    )
+    assert removed_s == pytest.approx(TERM_S + limit_s, abs=0.15)
+
+
+def test_group_none_of_whose_members_a_new_leader_knows_is_kept_until_it_expires():
+    pool = make_serving_pool()
+    group = next(iter(pool.state.groups.values()))
+    take_over(pool)
+    members = [member.host_id for member in group.members]
+    removed_s = find_removal_s(
+        pool,
+        group,
+        TERM_S + 70.0,
+        silent=members,
+        tick=lambda now_s: pool.report_attempts(0),
+    )
+    assert removed_s == pytest.approx(TERM_S + UNHEARD_GROUP_EXPIRY_S, abs=0.2)
+
+
+def test_member_unknown_to_a_new_leader_is_not_reported_as_missing_at_once():
+    pool = make_serving_pool()
+    group = next(iter(pool.state.groups.values()))
+    take_over(pool)
+    announce_others(pool, [group.members[1].host_id], TERM_S + 0.5)
+    pool.table.mark_responsive([group.group_id], TERM_S + 2.0)
+    fault = find_serving_fault(group, pool.table, TERM_S + 1.0)
+    assert fault == f"member {group.members[1].host_id} is not known yet"
