Prove no loss by an announcement from before a leader's term

What callers saw: nothing yet; only shown by tests. A group that serves would be dissolved 1.0 s after a change of the leader, and its streams end.

Cause: each control keeps the announcements that reached it. A record of a new leader may be older than what the host has announced to another control since, as if the former leader had committed a group and ended before it passed on by what. The planner took "holds no part of the group", "has another boot" and "the head holds no part of a draining group" from such a record for the host's own word. Hosts announce themselves each 1.2 s, the first plan comes 1.0 s after the begin of the term.

Change: these signs count only if the host was heard in the term (`MembershipTable.is_heard_in_term`). The view calls a member whose boot differs in an older record "not known yet" instead of "was restarted".

Measured: test_announcement_from_before_the_term_proves_no_loss (2), test_boot_heard_before_the_term_proves_no_restart_of_a_member and test_new_leader_releases_nothing_by_what_a_head_said_before_its_term failed before. A loss that only an earlier announcement shows is acted on with the next announcement of the host, 1.2 s after the begin of the term at the latest instead of 1.0 s.

--- a/chestnutvale/groups/idle_tracker.py
+++ b/chestnutvale/groups/idle_tracker.py
@@ -138,7 +138,8 @@
         head_id = group_head(group).host_id
         head = table.host(head_id)
         attempts = table.attempts_at(head_id)
-        if head is None or not table.is_fresh(head_id, now_s):
+        is_heard = head is not None and table.is_heard_in_term(head)
+        if not is_heard or not table.is_fresh(head_id, now_s):
             # A head that only pauses, or that a new leader has yet to hear, goes on
             # with the requests that it has.
             return not (attempts.may_run or has_recent_events(group, table, now_s))
--- a/chestnutvale/groups/pools.py
+++ b/chestnutvale/groups/pools.py
@@ -276,6 +276,9 @@
             member.host_id, group.group_id, now_s
         ) and self._is_silence_conclusive(group, table, record.heard_at_s, now_s):
             return True
+        if not table.is_heard_in_term(record):
+            # Another control may have received a newer announcement.
+            return False
         if record.boot_id != member.boot_id:
             return True
         key = (member.host_id, group.epoch)
--- a/chestnutvale/groups/serving.py
+++ b/chestnutvale/groups/serving.py
@@ -53,9 +53,10 @@
         if table.is_awaiting_report(member.host_id, now_s):
             return f"member {member.host_id} {FAULT_UNKNOWN}"
         return f"member {member.host_id} {FAULT_MISSING}"
-    if record.boot_id != member.boot_id:
+    is_restarted = record.boot_id != member.boot_id
+    if is_restarted and table.is_heard_in_term(record):
         return f"member {member.host_id} {FAULT_RESTARTED}"
-    if not record.is_content_current:
+    if is_restarted or not record.is_content_current:
         return f"member {member.host_id} {FAULT_UNKNOWN}"
     if record.announcement.leaving:
         return f"member {member.host_id} is leaving"
--- a/chestnutvale/membership/table.py
+++ b/chestnutvale/membership/table.py
@@ -265,10 +265,25 @@
             report here, and the extended timeout has not ended.
         """
         record = self._hosts.get(host_id)
-        if record is not None and record.heard_at_s >= self._receiving_since_s:
+        if record is not None and self.is_heard_in_term(record):
             return False
         return now_s < self._extended_timeout_until_s
 
+    def is_heard_in_term(self, record: HostRecord) -> bool:
+        """Tell whether a host was heard since entries and controls report here.
+
+        Parameters
+        ----------
+        record : HostRecord
+            Its record.
+
+        Returns
+        -------
+        bool
+            If False, this leader may have missed later announcements of the host.
+        """
+        return record.heard_at_s >= self._receiving_since_s
+
     def is_silent(self, record: HostRecord, now_s: float) -> bool:
         """Tell whether a host has been silent for longer than its timeout.
 
--- a/tests/groups/test_idle_tracker.py
+++ b/tests/groups/test_idle_tracker.py
@@ -92,6 +92,20 @@
     assert drain.is_idle(10.0 + 2.0 + MAX_ROUTED_CALL_S + 0.1)
 
 
+def test_new_leader_releases_nothing_by_what_a_head_said_before_its_term():
+    # Guards against a release by an announcement from before the head joined.
+    drain = DrainingPool(20_000)
+    pool = drain.pool
+    head_id = group_head(drain.group).host_id
+    del pool.holdings[head_id]
+    pool.announce(head_id, 9.5)
+    pool.table.extend_detection_timeout(13.0, 10.0)
+    pool.idle_tracker.reset()
+    for now_s in (11.0, 12.0):
+        pool.idle_tracker.observe(pool.state, pool.table, pool.text, now_s)
+    assert not pool.idle_tracker.is_idle(drain.group, pool.table, 12.0)
+
+
 def test_silent_head_whose_streams_go_on_is_not_idle():
     drain = DrainingPool(20_000)
     pool = drain.pool
--- a/tests/groups/test_new_leader.py
+++ b/tests/groups/test_new_leader.py
@@ -117,3 +117,39 @@
     pool.table.mark_responsive([group.group_id], TERM_S + 2.0)
     fault = find_serving_fault(group, pool.table, TERM_S + 1.0)
     assert fault == f"member {group.members[1].host_id} is not known yet"
+
+
+@pytest.mark.parametrize("phase", ["serving", "draining"])
+def test_announcement_from_before_the_term_proves_no_loss(phase):
+    pool = make_serving_pool()
+    group = next(iter(pool.state.groups.values()))
+    if phase == "draining":
+        group = drain(pool, group)
+    member_id = group.members[1].host_id
+    holding = pool.holdings.pop(member_id)
+    # This control has missed the announcement that the member holds the group.
+    pool.announce(member_id, TERM_S - 0.2)
+    take_over(pool, pool.table)
+    pool.holdings[member_id] = holding
+    pool.report_attempts(1)
+    announce_others(pool, [member_id], TERM_S + 0.9)
+    assert not is_removed(pool.plan(TERM_S + 1.0), group)
+    # The same content, announced under this leader, proves it.
+    del pool.holdings[member_id]
+    pool.announce(member_id, TERM_S + 1.1)
+    assert is_removed(pool.plan(TERM_S + 1.2), group)
+
+
+def test_boot_heard_before_the_term_proves_no_restart_of_a_member():
+    pool = make_serving_pool()
+    group = next(iter(pool.state.groups.values()))
+    member = group.members[1]
+    # This control has missed that the host announced a new boot, which joined.
+    pool.announce(member.host_id, TERM_S - 0.2)
+    member.boot_id = "c"
+    take_over(pool, pool.table)
+    pool.report_attempts(1)
+    announce_others(pool, [member.host_id], TERM_S + 0.9)
+    assert not is_removed(pool.plan(TERM_S + 1.0), group)
+    fault = find_serving_fault(group, pool.table, TERM_S + 1.0)
+    assert fault == f"member {member.host_id} is not known yet"
