Count no attempts as all before each entry has reported to a new leader

What callers saw: a stream ends in the middle 4.5 s after the leader changed, at a group that the new leader does not hear, if its entry was late for some seconds around the change. It goes on elsewhere if its route has an attempt left.

Cause: entries report to the leader only, and a new leader took those that had reported to it for all. The attempts of an entry that had not found it yet counted as none, and those that an entry had reported in an earlier term of the same control as current. Drains and dissolves rest on these counts.

Change: the leader tells the other controls which entries it hears (`EntryRoster`): new ones at once, all each 5 s, with the reports of hosts. A new leader counts attempts as complete once each of them has reported in its term, or has been silent for 15 s, as any silent entry. If no leader has told it within the last 10 s, it waits 15 s. The limits of drains and of the engine's stall time hold as before.

Measured: test_counts_are_incomplete_until_each_entry_has_reported_in_the_term failed before; the cases of tests/membership/test_entry_roster.py test new code.

--- a/chestnutvale/membership/const.py
+++ b/chestnutvale/membership/const.py
@@ -9,6 +9,9 @@
 ENTRY_TIMEOUT_S: Final = 3.0
 # Time for which the running attempts of a silent entry delay the drain of a group.
 SILENT_ATTEMPTS_RETENTION_S: Final = 15.0
+# Interval at which the leader tells the other controls all entries that it hears; it
+# tells them of new ones at once.
+ENTRY_ROSTER_INTERVAL_S: Final = 5.0
 # Time after which the record of a silent entry or host is removed.
 ENTRY_RETENTION_S: Final = 600.0
 HOST_RETENTION_S: Final = 3_600.0
--- a/chestnutvale/programs/control/daemon.py
+++ b/chestnutvale/programs/control/daemon.py
@@ -18,6 +18,7 @@
 from chestnutvale.groups.settings import GroupsPolicy
 from chestnutvale.http_server.server import HttpServer
 from chestnutvale.http_server.views import WsgiApp
+from chestnutvale.membership.entry_roster import EntryRoster
 from chestnutvale.membership.table import MembershipTable
 from chestnutvale.membership.view_publisher import ViewPublisher
 from chestnutvale.observability.deferred_metrics import DeferredMetrics
@@ -101,6 +102,7 @@
             lambda host_id: self.state.groups.find_boot(host_id),
         )
         self.publisher = ViewPublisher(self.incarnation)
+        self._roster = EntryRoster()
         self.measures = MeasureTracker()
         self.metrics = DeferredMetrics(PROGRAM_NAME)
         self._delay_watch = DelayWatch(self.metrics)
@@ -219,6 +221,7 @@
             self.publisher,
             self._clock,
             self._make_limit_divider(),
+            self._roster,
         )
         recorder = DepartureRecorder(
             self._log,
@@ -234,6 +237,7 @@
             self.table,
             recorder,
             self._clock,
+            self._roster,
         )
         groups = GroupTask(
             self._log,
--- a/chestnutvale/programs/control/entry_report_handler.py
+++ b/chestnutvale/programs/control/entry_report_handler.py
@@ -23,6 +23,7 @@
     GROUP_DISCOVERY_S,
     SILENT_ATTEMPTS_RETENTION_S,
 )
+from chestnutvale.membership.entry_roster import EntryRoster
 from chestnutvale.membership.relay_peers import RelayPeer, choose_relay_peers
 from chestnutvale.membership.table import MembershipTable
 from chestnutvale.membership.view_publisher import ViewPublisher, ViewPush
@@ -121,6 +122,8 @@
         Source of time.
     limits : LimitDivider, optional
         Divides what limited and cold endpoints take.
+    roster : EntryRoster, optional
+        Entries that may run attempts.
 
     Attributes
     ----------
@@ -141,6 +144,7 @@
         publisher: ViewPublisher,
         clock: Clock,
         limits: LimitDivider | None = None,
+        roster: EntryRoster | None = None,
     ) -> None:
         self.entries: dict[str, EntryState] = {}
         self._transport = transport
@@ -160,6 +164,7 @@
         self._demand_due_s: dict[str, float] = {}
         self.attempt_counts = AttemptCounts()
         self._stalls = StallAggregator()
+        self._roster = roster or EntryRoster()
         self.limits = limits or LimitDivider(log, state, table, publisher, clock)
         self._commits = eventlet.GreenPool(MAX_CONCURRENT_COMMIT_REQUESTS)
         transport.register_handler("entry_report", self._receive_report)
@@ -270,6 +275,7 @@
             report.sent_at_ms,
             envelope.sender_incarnation,
         )
+        self._roster.record_report(entry_id, now_s)
         self._merge_departures(entry_id, report)
         self._cache_events.extend(report.cache_events)
         self._demands.record_report(entry_id, from_messages(report.demands), now_s)
@@ -324,6 +330,7 @@
             self._led_term = self._log.term
             self._awaits_groups_until_s = now_s + GROUP_DISCOVERY_S
             self._table.retain_attempts()
+            self._roster.begin_term(self._led_term, now_s)
             self._table.extend_detection_timeout(
                 now_s + self._table.detection_timeout_s, now_s
             )
@@ -412,8 +419,10 @@
         """Return the lowest version of the views that entries have.
 
         Entries that have been silent for long count no more; -1 if an entry has no view
-        of this control.
+        of this control, or has yet to report in this term.
         """
+        if self._roster.has_unheard(now_s):
+            return -1
         return min(
             (
                 entry.view_version
--- a/chestnutvale/programs/control/host_announcement_handler.py
+++ b/chestnutvale/programs/control/host_announcement_handler.py
@@ -9,6 +9,7 @@
 from chestnutvale.consensus.task import ConsensusTask
 from chestnutvale.membership.announcement_collector import AnnouncementCollector
 from chestnutvale.membership.endpoint_notices import Incarnation
+from chestnutvale.membership.entry_roster import EntryRoster
 from chestnutvale.membership.exceptions import (
     AnnouncementRefusedError,
     OldSequenceError,
@@ -52,6 +53,8 @@
         Records departures in the replicated log.
     clock : Clock
         Source of time.
+    roster : EntryRoster, optional
+        Entries that may run attempts; the leader tells the other controls.
     """
 
     def __init__(
@@ -62,6 +65,7 @@
         table: MembershipTable,
         recorder: DepartureRecorder,
         clock: Clock,
+        roster: EntryRoster | None = None,
     ) -> None:
         self._control_id = control_id
         self._transport = transport
@@ -69,6 +73,7 @@
         self._table = table
         self._recorder = recorder
         self._clock = clock
+        self._roster = roster or EntryRoster()
         self._collector = AnnouncementCollector(table.detection_timeout_s)
         self._report_requested = Event()
         transport.register_handler("host_report", self._receive_report)
@@ -199,10 +204,17 @@
             self._report_requested.wait()
         self._report_requested = Event()
         now_s = self._clock.now_s()
-        heard = self._collector.drain_report(now_s)
-        if not heard:
+        report = HostReport(
+            heard=self._collector.drain_report(now_s),
+            sent_at_ms=round(now_s * 1_000),
+        )
+        if self._log.is_leader:
+            entries, report.lists_all_entries = self._roster.drain_list(
+                self._log.term, now_s
+            )
+            report.entries.extend(entries)
+        if not (report.heard or report.entries or report.lists_all_entries):
             return
-        report = HostReport(heard=heard, sent_at_ms=round(now_s * 1_000))
         for control_id, address in self._other_controls().items():
             self._transport.send(control_id, address, "host_report", report)
 
@@ -217,7 +229,9 @@
     def _receive_report(self, envelope: Envelope) -> None:
         sender = envelope.sender_id
         now_s = self._clock.now_s()
-        self._table.merge_control_report(sender, envelope.host_report.heard, now_s)
+        report = envelope.host_report
+        self._table.merge_control_report(sender, report.heard, now_s)
+        self._roster.merge(report.entries, report.lists_all_entries, now_s)
         missing_host_ids = self._table.hosts_lacking_content(sender)
         address = self._other_controls().get(sender)
         if missing_host_ids and address:
--- /dev/null
+++ b/tests/membership/test_entry_roster.py
@@ -0,0 +1,77 @@
+"""Which entries a new leader must hear before it counts their attempts."""
+
+from chestnutvale.membership.entry_roster import EntryRoster
+
+
+def make_informed_roster(leader, now_s):
+    follower = EntryRoster()
+    follower.merge(*leader.drain_list(1, now_s), now_s)
+    return follower
+
+
+def make_leader(*entry_ids):
+    leader = EntryRoster()
+    leader.begin_term(1, 0.0)
+    for entry_id in entry_ids:
+        leader.record_report(entry_id, 20.0)
+    return leader
+
+
+def test_new_leader_misses_an_entry_that_reported_to_the_former_one():
+    # Guards against a release that cuts the streams of an entry that is late.
+    leader = make_leader("e1", "e2")
+    follower = make_informed_roster(leader, 20.2)
+    follower.begin_term(2, 21.0)
+    follower.record_report("e1", 21.1)
+    assert follower.has_unheard(21.2)
+    follower.record_report("e2", 22.5)
+    assert not follower.has_unheard(22.6)
+
+
+def test_entry_that_stays_silent_is_missed_for_the_retention_time():
+    leader = make_leader("e1", "e2")
+    follower = make_informed_roster(leader, 20.0)
+    follower.begin_term(2, 21.0)
+    follower.record_report("e1", 34.0)
+    assert follower.has_unheard(34.9)
+    assert not follower.has_unheard(35.1)
+
+
+def test_control_that_no_leader_has_told_misses_any_entry_for_the_retention_time():
+    follower = EntryRoster()
+    follower.begin_term(2, 21.0)
+    follower.record_report("e1", 21.1)
+    assert follower.has_unheard(35.9)
+    assert not follower.has_unheard(36.1)
+    assert follower.drain_list(2, 30.0)[1] is False
+
+
+def test_outdated_list_says_nothing_about_entries_that_started_since():
+    follower = make_informed_roster(make_leader("e1"), 20.0)
+    follower.begin_term(2, 31.0)
+    follower.record_report("e1", 31.1)
+    assert follower.has_unheard(31.2)
+
+
+def test_new_entries_are_told_at_once_and_all_of_them_from_time_to_time():
+    leader = make_leader("e1")
+    told = []
+    for now_s in (20.0, 20.4, 20.8, 25.1):
+        if now_s == 20.8:
+            leader.record_report("e2", now_s)
+        entries, is_complete = leader.drain_list(1, now_s)
+        told.append(([entry.entry_id for entry in entries], is_complete))
+    assert told == [
+        (["e1"], True),
+        ([], False),
+        (["e2"], False),
+        (["e1", "e2"], True),
+    ]
+
+
+def test_leader_tells_nothing_before_its_term_has_begun():
+    # Guards against a leader that takes itself for informed by its own list.
+    leader = make_leader("e1")
+    assert leader.drain_list(3, 60.0) == ([], False)
+    leader.begin_term(3, 60.0)
+    assert leader.has_unheard(60.1)
--- a/tests/programs/control/test_entry_report_handler.py
+++ b/tests/programs/control/test_entry_report_handler.py
@@ -379,6 +379,22 @@
     assert not fixture.is_complete()
 
 
+def test_counts_are_incomplete_until_each_entry_has_reported_in_the_term():
+    # Guards against a release that cuts the streams of an entry that is late.
+    fixture = DrainFixture()
+    for entry_id in ("e1", "e2"):
+        fixture.report_of(entry_id, fixture.drain_version)
+    fixture.log.term = 2
+    fixture.now_s = 101.0
+    fixture.handler.begin_term(fixture.now_s)
+    fixture.report_of("e1", fixture.drain_version)
+    assert not fixture.is_complete()
+    for now_s, is_complete in ((114.9, False), (116.1, True)):
+        fixture.now_s = now_s
+        fixture.report_of("e1", fixture.drain_version, heard=fixture.heard)
+        assert fixture.is_complete() == is_complete
+
+
 def test_leader_that_stood_still_calls_no_member_missing_without_its_lease(
     handler_fixture,
 ):
--- a/tests/programs/control/test_host_announcement_handler.py
+++ b/tests/programs/control/test_host_announcement_handler.py
@@ -5,6 +5,7 @@
 import pytest
 
 from chestnutvale.consensus.members import peer_addresses
+from chestnutvale.membership.entry_roster import EntryRoster
 from chestnutvale.membership.exceptions import (
     DepartureNotRecordedError,
     OldSequenceError,
@@ -49,7 +50,7 @@
         self.handlers = {}
         self.now_s = 100.0
 
-    def add_control(self, control_id, members=MEMBERS):
+    def add_control(self, control_id, members=MEMBERS, roster=None, is_leader=False):
         handlers = {}
         self.handlers[control_id] = handlers
 
@@ -60,13 +61,16 @@
 
         transport = SimpleNamespace(register_handler=handlers.__setitem__, send=send)
         log = SimpleNamespace(
-            members=members, known_addresses=lambda: peer_addresses(MEMBERS)
+            members=members,
+            known_addresses=lambda: peer_addresses(MEMBERS),
+            is_leader=is_leader,
+            term=1,
         )
         table = MembershipTable(3.0)
         clock = SimpleNamespace(now_s=lambda: self.now_s)
         self.recorder = FakeRecorder()
         handler = HostAnnouncementHandler(
-            control_id, transport, log, table, self.recorder, clock
+            control_id, transport, log, table, self.recorder, clock, roster
         )
         return handler, table
 
@@ -199,3 +203,19 @@
         handler.announce(make_announcement(4, leaving=True), DEADLINE_S)
     assert network.recorder.confirmed == [("h1", "b1")]
     assert table.host("h1").announcement.leaving
+
+
+def test_leader_tells_the_other_controls_which_entries_it_hears():
+    # Guards against a new leader that counts the attempts of some entries as all.
+    network = Network()
+    rosters = [EntryRoster(), EntryRoster()]
+    leader, _ = network.add_control("c1", roster=rosters[0], is_leader=True)
+    network.add_control("c2", roster=rosters[1])
+    rosters[0].begin_term(1, 0.0)
+    rosters[0].record_report("e1", network.now_s)
+    leader._run_round()
+    rosters[1].begin_term(2, network.now_s + 1.0)
+    rosters[1].record_report("e2", network.now_s + 1.1)
+    assert rosters[1].has_unheard(network.now_s + 1.2)
+    rosters[1].record_report("e1", network.now_s + 1.3)
+    assert not rosters[1].has_unheard(network.now_s + 1.4)
