Free members of a dissolved group only once its head is known to be still

What callers saw: nothing yet; only shown by a test.

Cause: a new leader looked for the head of a dissolved group among the hosts that it knows. A head that it had not heard, or only before it joined the group, was not found, and the members that had released the group were free at once instead of after the engine's stall time.

Change: unless a head was heard in the term, each former member whose release is pending and that was not heard in the term may be the head.

Measured: test_a_new_leader_that_has_not_heard_the_head_waits failed before, in both cases.

--- a/chestnutvale/groups/head_quiescence.py
+++ b/chestnutvale/groups/head_quiescence.py
@@ -1,5 +1,7 @@
 """Tells whether the head of a dissolved group may still accept calls."""
 
+from collections.abc import Collection
+
 import attrs
 
 from chestnutvale.groups.const import HEAD_STALL_MARGIN_S
@@ -28,7 +30,11 @@
     table: MembershipTable
 
     def is_quiesced(
-        self, group_id: str, member_released_at_s: float, now_s: float
+        self,
+        group_id: str,
+        member_released_at_s: float,
+        now_s: float,
+        releasing_host_ids: Collection[str] = (),
     ) -> bool:
         """Tell whether a dissolved group accepts no more calls.
 
@@ -41,6 +47,9 @@
             the group.
         now_s : float
             Monotonic time in seconds.
+        releasing_host_ids : collection of str, optional
+            Former members whose release is not complete yet. One of them that this
+            leader has not heard may be the head.
 
         Returns
         -------
@@ -67,4 +76,10 @@
                 return False
             if holding.phase in (HOLDING_OPEN, HOLDING_RELEASING):
                 return False
-        return True
+            if self.table.is_heard_in_term(record):
+                return True
+        return all(self._is_heard(host_id) for host_id in releasing_host_ids)
+
+    def _is_heard(self, host_id: str) -> bool:
+        record = self.table.host(host_id)
+        return record is not None and self.table.is_heard_in_term(record)
--- a/chestnutvale/groups/orders.py
+++ b/chestnutvale/groups/orders.py
@@ -1,6 +1,7 @@
 """Schedules orders to hosts and their retries."""
 
 import enum
+from collections import defaultdict
 from collections.abc import Iterator
 
 import attrs
@@ -289,6 +290,9 @@
         seen_before_s = now_s - lease_s
         head_check = HeadQuiescenceCheck(self.policy, table)
         stalled_since_s = self._find_stall_starts(state, table, now_s)
+        releasing: defaultdict[str, list[str]] = defaultdict(list)
+        for release in state.releases.values():
+            releasing[release.group_id].append(release.host_id)
         return [
             FreeHost(host_id=release.host_id, fence=release.fence)
             for release in state.releases.values()
@@ -299,6 +303,7 @@
                     release.group_id,
                     stalled_since_s.get(release.group_id, now_s),
                     now_s,
+                    releasing[release.group_id],
                 )
             )
             or self._is_release_expired(release, table, now_s, now_unix_ms)
--- a/tests/groups/test_stall_starts.py
+++ b/tests/groups/test_stall_starts.py
@@ -114,6 +114,24 @@
     assert group.free_hosts(end_s + 0.05) == ["m1", "m2"]
 
 
+@pytest.mark.parametrize("heard_before_joining", [False, True])
+def test_a_new_leader_that_has_not_heard_the_head_waits(group, heard_before_joining):
+    # Guards against a member that joins another group while its head accepts calls.
+    group.table = MembershipTable(3.0)
+    if heard_before_joining:
+        group.announce("head", 14.5, holds=False)
+    group.table.extend_detection_timeout(18.0, 15.0)
+    group.scheduler = OrderScheduler(GroupsPolicy(engine_stall_s=STALL_S))
+    group.scheduler.became_leader(15.0)
+    keep_fresh(group, 15.1)
+    group.accept_releases(15.2)
+    keep_fresh(group, 15.3)
+    assert group.free_hosts(15.4) == []
+    end_s = 15.4 + STALL_S + HEAD_STALL_MARGIN_S
+    keep_fresh(group, end_s - 0.1)
+    assert group.free_hosts(end_s + 0.05) == ["m1", "m2"]
+
+
 def test_a_member_that_holds_the_group_again_starts_the_wait_anew(group):
     group.announce("m1", 12.0, holds=True)
     group.announce("m2", 12.0, holds=True)
