Report hosts and entries again to a control that has started

What callers saw: after a change of the leader to a control that has just started, groups with hosts that had not announced themselves since were "not known yet" or "missing" and took no calls, though they served.

Cause: controls pass on each announcement once. A control that starts hears a host only when it announces itself next, which takes 1.2 s if all goes well, and any time if an announcement is late or lost; the other controls knew it all along.

Change: the first report of an incarnation, which may be empty, lets the others report the hosts heard in the last minute, with their age, and the leader the entries. An announcement of another boot that was received before the known one is older, so that a repeated report can't exclude a host that has restarted.

Measured: test_a_control_that_starts_learns_the_hosts_of_the_others and test_a_repeated_report_of_an_earlier_boot_changes_nothing (without its part of the change) failed before.

--- a/chestnutvale/membership/announcement_collector.py
+++ b/chestnutvale/membership/announcement_collector.py
@@ -12,6 +12,7 @@
 from chestnutvale.membership.const import (
     DEFAULT_DETECTION_TIMEOUT_S,
     HOST_RETENTION_S,
+    REPEATED_REPORT_MAX_AGE_S,
 )
 from chestnutvale.membership.exceptions import OldBootError, OldSequenceError
 from chestnutvale.membership.validation import validate_announcement
@@ -121,6 +122,22 @@
         """
         self.mark_for_full_report(list(self._hosts))
 
+    def mark_recent_for_report(self, now_s: float) -> None:
+        """Include all hosts heard recently in the next report, with their age.
+
+        Parameters
+        ----------
+        now_s : float
+            Monotonic time in seconds.
+        """
+        self._pending.update(
+            {
+                host_id: None
+                for host_id, host in self._hosts.items()
+                if now_s - host.boot_order.heard_at_s <= REPEATED_REPORT_MAX_AGE_S
+            }
+        )
+
     def drain_report(self, now_s: float) -> list[Heard]:
         """Return the announcements to report and clear the pending ones.
 
--- a/chestnutvale/membership/boot_order.py
+++ b/chestnutvale/membership/boot_order.py
@@ -66,7 +66,9 @@
         """
         if boot_id == self.boot_id:
             return self._observe_same_boot(sequence, heard_at_s)
-        if is_earlier_boot(boot_id, self.boot_id):
+        is_earlier = is_earlier_boot(boot_id, self.boot_id)
+        if is_earlier or heard_at_s < self.heard_at_s:
+            # A report that was repeated may name a boot that has ended since.
             return BootVerdict.OLD_BOOT
         if boot_id in self._superseded:
             successor_silent = heard_at_s - self.heard_at_s > timeout_s
--- a/chestnutvale/membership/const.py
+++ b/chestnutvale/membership/const.py
@@ -12,6 +12,9 @@
 # Interval at which the leader tells the other controls all entries that it hears; it
 # tells them of new ones at once.
 ENTRY_ROSTER_INTERVAL_S: Final = 5.0
+# Age of announcements that are reported again to a control that has started: a group
+# none of whose members is heard is kept for as long.
+REPEATED_REPORT_MAX_AGE_S: Final = 60.0
 # Time after which the record of a silent entry or host is removed.
 ENTRY_RETENTION_S: Final = 600.0
 HOST_RETENTION_S: Final = 3_600.0
--- a/chestnutvale/programs/control/host_announcement_handler.py
+++ b/chestnutvale/programs/control/host_announcement_handler.py
@@ -76,6 +76,8 @@
         self._roster = roster or EntryRoster()
         self._collector = AnnouncementCollector(table.detection_timeout_s)
         self._report_requested = Event()
+        self._has_reported = False
+        self._incarnations: dict[str, str] = {}
         transport.register_handler("host_report", self._receive_report)
         transport.register_handler("host_want", self._receive_content_request)
 
@@ -213,9 +215,13 @@
                 self._log.term, now_s
             )
             report.entries.extend(entries)
-        if not (report.heard or report.entries or report.lists_all_entries):
+        others = self._other_controls()
+        # The first report tells the others that this control has started.
+        is_due = not self._has_reported or report.lists_all_entries
+        if not (is_due or report.heard or report.entries):
             return
-        for control_id, address in self._other_controls().items():
+        self._has_reported = self._has_reported or bool(others)
+        for control_id, address in others.items():
             self._transport.send(control_id, address, "host_report", report)
 
     def _other_controls(self) -> dict[str, str]:
@@ -229,6 +235,7 @@
     def _receive_report(self, envelope: Envelope) -> None:
         sender = envelope.sender_id
         now_s = self._clock.now_s()
+        self._update_started_control(sender, envelope.sender_incarnation, now_s)
         report = envelope.host_report
         self._table.merge_control_report(sender, report.heard, now_s)
         self._roster.merge(report.entries, report.lists_all_entries, now_s)
@@ -238,6 +245,20 @@
             request = HostWant(host_ids=missing_host_ids)
             self._transport.send(sender, address, "host_want", request)
 
+    def _update_started_control(
+        self, control_id: str, incarnation: str, now_s: float
+    ) -> None:
+        """Report again what a control that has started lacks.
+
+        It may lead soon, and must know the hosts and entries then.
+        """
+        if self._incarnations.get(control_id) == incarnation:
+            return
+        self._incarnations[control_id] = incarnation
+        self._collector.mark_recent_for_report(now_s)
+        self._roster.request_complete()
+        self._request_report()
+
     def _receive_content_request(self, envelope: Envelope) -> None:
         self._collector.mark_for_full_report(envelope.host_want.host_ids)
         self._request_report()
--- a/tests/membership/test_table.py
+++ b/tests/membership/test_table.py
@@ -52,6 +52,19 @@
     assert table.host("a").boot_id == "two"
 
 
+def test_a_repeated_report_of_an_earlier_boot_changes_nothing(
+    collector_and_table, announcement
+):
+    # Guards against a live host that counts as restarted at a control that starts.
+    collector, table = collector_and_table
+    other = AnnouncementCollector()
+    other.announce(announcement(boot_id="one", sequence=7), 0.0)
+    collector.announce(announcement(boot_id="two", sequence=1), 0.5)
+    table.merge_entry_report("e1", collector.drain_report(0.6), 0.6)
+    table.merge_entry_report("e2", other.drain_report(0.7), 0.7)
+    assert table.host("a").boot_id == "two"
+
+
 def test_a_lost_change_is_requested_and_completed(collector_and_table, announcement):
     collector, table = collector_and_table
     collector.announce(announcement(sequence=1), 0.0)
--- a/tests/programs/control/test_host_announcement_handler.py
+++ b/tests/programs/control/test_host_announcement_handler.py
@@ -48,14 +48,17 @@
 
     def __init__(self):
         self.handlers = {}
+        self.starts = 0
         self.now_s = 100.0
 
     def add_control(self, control_id, members=MEMBERS, roster=None, is_leader=False):
         handlers = {}
         self.handlers[control_id] = handlers
+        self.starts += 1
+        incarnation = f"{control_id}-{self.starts}"
 
         def send(recipient_id, address, body, message):
-            envelope = Envelope(sender_id=control_id)
+            envelope = Envelope(sender_id=control_id, sender_incarnation=incarnation)
             getattr(envelope, body).CopyFrom(message)
             self.handlers[recipient_id][body](envelope)
 
@@ -134,6 +137,25 @@
     assert table.host("h1").is_content_current
 
 
+def test_a_control_that_starts_learns_the_hosts_of_the_others(controls, network):
+    # Guards against a new leader that knows only the hosts that it heard itself.
+    (handler, _), _ = controls
+    handler.announce(make_announcement(1), DEADLINE_S)
+    send_report(handler)
+    network.now_s += 1.0
+    started, table = network.add_control("c2")
+    started._run_round()
+    handler._run_round()
+    handler._run_round()
+    record = table.host("h1")
+    assert record.is_content_current
+    assert record.heard_at_s == pytest.approx(100.0, abs=0.01)
+    # The host has not announced itself again, so nothing more is reported.
+    started._run_round()
+    handler._run_round()
+    assert record.boot_order.sequence == 1
+
+
 def test_a_late_announcement_does_not_revoke_leaving(controls):
     (handler, table), (_, other_table) = controls
     handler.announce(make_announcement(1), DEADLINE_S)
