--- a/chestnutvale/programs/control/host_announcement_handler.py
+++ b/chestnutvale/programs/control/host_announcement_handler.py
@@ -9,6 +9,7 @@
 from chestnutvale.consensus.task import ConsensusTask
 from chestnutvale.membership.announcement_collector import AnnouncementCollector
 from chestnutvale.membership.endpoint_notices import Incarnation
+from chestnutvale.membership.entry_roster import EntryRoster
 from chestnutvale.membership.exceptions import (
     AnnouncementRefusedError,
     OldSequenceError,
@@ -52,6 +53,8 @@
         Records departures in the replicated log.
     clock : Clock
         Source of time.
+    roster : EntryRoster, optional
+        Entries that may run attempts; the leader tells the other controls.
     """
 
     def __init__(
@@ -62,6 +65,7 @@
         table: MembershipTable,
         recorder: DepartureRecorder,
         clock: Clock,
+        roster: EntryRoster | None = None,
     ) -> None:
         self._control_id = control_id
         self._transport = transport
@@ -69,8 +73,11 @@
         self._table = table
         self._recorder = recorder
         self._clock = clock
+        self._roster = roster or EntryRoster()
         self._collector = AnnouncementCollector(table.detection_timeout_s)
         self._report_requested = Event()
+        self._has_reported = False
+        self._incarnations: dict[str, str] = {}
         transport.register_handler("host_report", self._receive_report)
         transport.register_handler("host_want", self._receive_content_request)
 
@@ -199,11 +206,22 @@
             self._report_requested.wait()
         self._report_requested = Event()
         now_s = self._clock.now_s()
-        heard = self._collector.drain_report(now_s)
-        if not heard:
+        report = HostReport(
+            heard=self._collector.drain_report(now_s),
+            sent_at_ms=round(now_s * 1_000),
+        )
+        if self._log.is_leader:
+            entries, report.lists_all_entries = self._roster.drain_list(
+                self._log.term, now_s
+            )
+            report.entries.extend(entries)
+        others = self._other_controls()
+        # The first report tells the others that this control has started.
+        is_due = not self._has_reported or report.lists_all_entries
+        if not (is_due or report.heard or report.entries):
             return
-        report = HostReport(heard=heard, sent_at_ms=round(now_s * 1_000))
-        for control_id, address in self._other_controls().items():
+        self._has_reported = self._has_reported or bool(others)
+        for control_id, address in others.items():
             self._transport.send(control_id, address, "host_report", report)
 
     def _other_controls(self) -> dict[str, str]:
@@ -217,13 +235,30 @@
     def _receive_report(self, envelope: Envelope) -> None:
         sender = envelope.sender_id
         now_s = self._clock.now_s()
-        self._table.merge_control_report(sender, envelope.host_report.heard, now_s)
+        self._update_started_control(sender, envelope.sender_incarnation, now_s)
+        report = envelope.host_report
+        self._table.merge_control_report(sender, report.heard, now_s)
+        self._roster.merge(report.entries, report.lists_all_entries, now_s)
         missing_host_ids = self._table.hosts_lacking_content(sender)
         address = self._other_controls().get(sender)
         if missing_host_ids and address:
             request = HostWant(host_ids=missing_host_ids)
             self._transport.send(sender, address, "host_want", request)
 
+    def _update_started_control(
+        self, control_id: str, incarnation: str, now_s: float
+    ) -> None:
+        """Report again what a control that has started lacks.
+
+        It may lead soon, and must know the hosts and entries then.
+        """
+        if self._incarnations.get(control_id) == incarnation:
+            return
+        self._incarnations[control_id] = incarnation
+        self._collector.mark_recent_for_report(now_s)
+        self._roster.request_complete()
+        self._request_report()
+
     def _receive_content_request(self, envelope: Envelope) -> None:
         self._collector.mark_for_full_report(envelope.host_want.host_ids)
         self._request_report()
--- a/tests/programs/control/test_host_announcement_handler.py
+++ b/tests/programs/control/test_host_announcement_handler.py
@@ -5,6 +5,7 @@
 import pytest
 
 from chestnutvale.consensus.members import peer_addresses
+from chestnutvale.membership.entry_roster import EntryRoster
 from chestnutvale.membership.exceptions import (
     DepartureNotRecordedError,
     OldSequenceError,
@@ -47,26 +48,32 @@
 
     def __init__(self):
         self.handlers = {}
+        self.starts = 0
         self.now_s = 100.0
 
-    def add_control(self, control_id, members=MEMBERS):
+    def add_control(self, control_id, members=MEMBERS, roster=None, is_leader=False):
         handlers = {}
         self.handlers[control_id] = handlers
+        self.starts += 1
+        incarnation = f"{control_id}-{self.starts}"
 
         def send(recipient_id, address, body, message):
-            envelope = Envelope(sender_id=control_id)
+            envelope = Envelope(sender_id=control_id, sender_incarnation=incarnation)
             getattr(envelope, body).CopyFrom(message)
             self.handlers[recipient_id][body](envelope)
 
         transport = SimpleNamespace(register_handler=handlers.__setitem__, send=send)
         log = SimpleNamespace(
-            members=members, known_addresses=lambda: peer_addresses(MEMBERS)
+            members=members,
+            known_addresses=lambda: peer_addresses(MEMBERS),
+            is_leader=is_leader,
+            term=1,
         )
         table = MembershipTable(3.0)
         clock = SimpleNamespace(now_s=lambda: self.now_s)
         self.recorder = FakeRecorder()
         handler = HostAnnouncementHandler(
-            control_id, transport, log, table, self.recorder, clock
+            control_id, transport, log, table, self.recorder, clock, roster
         )
         return handler, table
 
@@ -130,6 +137,25 @@
     assert table.host("h1").is_content_current
 
 
+def test_a_control_that_starts_learns_the_hosts_of_the_others(controls, network):
+    # Guards against a new leader that knows only the hosts that it heard itself.
+    (handler, _), _ = controls
+    handler.announce(make_announcement(1), DEADLINE_S)
+    send_report(handler)
+    network.now_s += 1.0
+    started, table = network.add_control("c2")
+    started._run_round()
+    handler._run_round()
+    handler._run_round()
+    record = table.host("h1")
+    assert record.is_content_current
+    assert record.heard_at_s == pytest.approx(100.0, abs=0.01)
+    # The host has not announced itself again, so nothing more is reported.
+    started._run_round()
+    handler._run_round()
+    assert record.boot_order.sequence == 1
+
+
 def test_a_late_announcement_does_not_revoke_leaving(controls):
     (handler, table), (_, other_table) = controls
     handler.announce(make_announcement(1), DEADLINE_S)
@@ -199,3 +225,19 @@
         handler.announce(make_announcement(4, leaving=True), DEADLINE_S)
     assert network.recorder.confirmed == [("h1", "b1")]
     assert table.host("h1").announcement.leaving
+
+
+def test_leader_tells_the_other_controls_which_entries_it_hears():
+    # Guards against a new leader that counts the attempts of some entries as all.
+    network = Network()
+    rosters = [EntryRoster(), EntryRoster()]
+    leader, _ = network.add_control("c1", roster=rosters[0], is_leader=True)
+    network.add_control("c2", roster=rosters[1])
+    rosters[0].begin_term(1, 0.0)
+    rosters[0].record_report("e1", network.now_s)
+    leader._run_round()
+    rosters[1].begin_term(2, network.now_s + 1.0)
+    rosters[1].record_report("e2", network.now_s + 1.1)
+    assert rosters[1].has_unheard(network.now_s + 1.2)
+    rosters[1].record_report("e1", network.now_s + 1.3)
+    assert not rosters[1].has_unheard(network.now_s + 1.4)
