Let a later life of a host count whenever it was received

Cause: since repeated reports, an announcement of another boot that was received before the newest known one counts as old. A late heartbeat of an earlier life then hides the announcement of the later life that came before it, until the host announces itself again. Change: boots that tell when they began are ordered by that alone. Result: the new test of tests/membership/test_lives.py failed before.

--- a/chestnutvale/membership/boot_order.py
+++ b/chestnutvale/membership/boot_order.py
@@ -66,9 +66,10 @@
         """
         if boot_id == self.boot_id:
             return self._observe_same_boot(sequence, heard_at_s)
-        is_earlier = is_earlier_boot(boot_id, self.boot_id)
-        if is_earlier or heard_at_s < self.heard_at_s:
-            # A report that was repeated may name a boot that has ended since.
+        is_later = is_earlier_boot(self.boot_id, boot_id)
+        # A report that was repeated may name a boot that has ended since.
+        is_overtaken = heard_at_s < self.heard_at_s and not is_later
+        if is_overtaken or is_earlier_boot(boot_id, self.boot_id):
             return BootVerdict.OLD_BOOT
         if boot_id in self._superseded:
             successor_silent = heard_at_s - self.heard_at_s > timeout_s
--- a/tests/membership/test_lives.py
+++ b/tests/membership/test_lives.py
@@ -70,6 +70,15 @@
     assert not table.host("h1").announcement.leaving
 
 
+def test_later_life_counts_although_a_late_heartbeat_of_the_earlier_came_after_it():
+    table = MembershipTable(TIMEOUT_S)
+    merge(table, announce(200, sequence=9), 10.0)
+    report = heard(announce(300))
+    report.age_ms = 500
+    table.merge_control_report("c2", [report], 10.1)
+    assert table.host("h1").boot_id == "born-300"
+
+
 def test_control_that_hears_a_host_itself_ignores_an_earlier_life():
     collector = AnnouncementCollector(TIMEOUT_S)
     collector.announce(announce(300), 0.0)
