Hold a silent attempt open until the next one delivers

What callers see in the tests: streams of one entry end together although no endpoint has failed. Their group was reported as stalled, or they were silent for the gap timeout, and the endpoints that they went to were full.

A call that left a silent attempt closed its connection at once, which ends the run at the endpoint. If the next attempt was refused, found no group or broke, the answer depended on a retry budget that the other streams of the entry had used at the same moment, or on a second attempt at the endpoint that it had left.

An attempt that has answered is now held open, unread, until the next one delivers something. If that one ends before, the call reads on from the held attempt, which costs no retry. A held attempt that has sent bytes goes before any further group; one refusal while an attempt is held doesn't count as an attempt, as the held one may be dead.

--- a/chestnutvale/attempts/attempt_silence.py
+++ b/chestnutvale/attempts/attempt_silence.py
@@ -48,6 +48,18 @@
         self.reason = REASON_SILENT
         self.due_s = now_s + self._timeout_s
 
+    def resume(self, now_s: float) -> None:
+        """Record that an attempt which has sent bytes before is read again.
+
+        Parameters
+        ----------
+        now_s : float
+            Monotonic time in seconds.
+        """
+        self.begin(now_s)
+        self._timeout_s = self.limits.gap_timeout_s
+        self.due_s = now_s + self._timeout_s
+
     def end(self) -> None:
         """Record that no attempt runs any more."""
         self.due_s = math.inf
--- a/chestnutvale/attempts/const.py
+++ b/chestnutvale/attempts/const.py
@@ -11,6 +11,9 @@
 # Unreachable or unavailable groups that one call may skip. Nothing was sent to them, so
 # they count neither as attempts nor as retries.
 MAX_UNREACHABLE_GROUPS: Final = 4
+# Refusals that don't count as attempts while an earlier attempt is held. The endpoint
+# didn't run the request, and the held attempt may be dead.
+MAX_REPLACED_REFUSALS: Final = 1
 # Delivered bytes kept for a resume; a longer answer can't be resumed.
 MAX_RESUME_BYTES: Final = 4 * 1024 * 1024
 
--- a/chestnutvale/attempts/events.py
+++ b/chestnutvale/attempts/events.py
@@ -178,6 +178,9 @@
     fallback : frozenset of str
         Groups to choose from if no other one is available: the call left them while
         they were silent, and they may have gone on.
+    may_wait : bool
+        Whether to wait for a group if none is available; False if the call can go on
+        with an attempt that it holds.
     """
 
     excluded: frozenset[str]
@@ -185,6 +188,7 @@
     allowed: frozenset[str] = frozenset()
     is_unsent: bool = False
     fallback: frozenset[str] = frozenset()
+    may_wait: bool = True
 
 
 @attrs.frozen
@@ -228,6 +232,41 @@
     fault: str = ""
 
 
+@attrs.frozen
+class HoldAttempt:
+    """Stop reading an attempt that was left while it was silent, but keep it open.
+
+    Attributes
+    ----------
+    attempt_id : str
+        Identity of the attempt.
+    group_id : str
+        The group.
+    reason : str
+        Why the call left it.
+    """
+
+    attempt_id: str
+    group_id: str
+    reason: str
+
+
+@attrs.frozen
+class ResumeAttempt:
+    """Read on from the attempt that is held.
+
+    Attributes
+    ----------
+    attempt_id : str
+        Identity of the attempt.
+    group_id : str
+        The group.
+    """
+
+    attempt_id: str
+    group_id: str
+
+
 @attrs.frozen
 class Deliver:
     """Send bytes to the caller.
@@ -282,4 +321,12 @@
     failure: Failure | None = None
 
 
-CallEffect = ChooseGroup | StartAttempt | CancelAttempt | Deliver | Finish
+CallEffect = (
+    ChooseGroup
+    | StartAttempt
+    | CancelAttempt
+    | HoldAttempt
+    | ResumeAttempt
+    | Deliver
+    | Finish
+)
--- a/chestnutvale/http_client/timed_socket.py
+++ b/chestnutvale/http_client/timed_socket.py
@@ -150,6 +150,18 @@
             return False
         return False
 
+    def has_bytes(self) -> bool:
+        """Return whether bytes have arrived that were not received yet.
+
+        Returns
+        -------
+        bool
+            False also if the connection has ended.
+        """
+        with contextlib.suppress(OSError):
+            return bool(self.green_socket.fd.recv(1, socket.MSG_PEEK))
+        return False
+
     def shut_down(self) -> None:
         """Shut the connection down; a greenlet that waits for it gets an error."""
         self._is_shut_down = True
--- a/chestnutvale/programs/entry/endpoint_exchange.py
+++ b/chestnutvale/programs/entry/endpoint_exchange.py
@@ -203,6 +203,12 @@
         with translate_client_errors(STEP_RECEIVE, self.address):
             return self._answer.read(self._clock.now_s() + timeout_s)
 
+    def has_unread_bytes(self) -> bool:
+        """Return whether bytes of a stream have arrived that were not read yet."""
+        if self._stream_reader is not None:
+            return self._stream_reader.has_bytes
+        return self._sock is not None and self._sock.has_bytes()
+
     def read_all(self, max_bytes: int) -> bytes:
         """Read the rest of the body.
 
--- a/chestnutvale/programs/entry/group_chooser.py
+++ b/chestnutvale/programs/entry/group_chooser.py
@@ -96,7 +96,7 @@
         )
         while True:
             event = self._choose_once(effect)
-            if not isinstance(event, NoGroupAvailable):
+            if not (isinstance(event, NoGroupAvailable) and effect.may_wait):
                 return event
             wait_s = self._find_wait_s(wait_until_s)
             if wait_s <= 0.0 or self._is_movable(effect) or self._is_hopeless(effect):
--- a/chestnutvale/programs/entry/model_calls.py
+++ b/chestnutvale/programs/entry/model_calls.py
@@ -6,7 +6,10 @@
 from functools import partial
 from typing import Any, Protocol
 
+import attrs
+import greenlet
 import logbook
+from eventlet import hubs
 
 from chestnutvale.attempts.answer_stream import AnswerStream
 from chestnutvale.attempts.const import (
@@ -27,6 +30,8 @@
     Failure,
     Finish,
     GroupStalled,
+    HoldAttempt,
+    ResumeAttempt,
     StartAttempt,
     Started,
     Tick,
@@ -97,6 +102,9 @@
     def read(self, timeout_s: float) -> CallEvent:
         """Wait for the next events of the stream."""
 
+    def has_unread_bytes(self) -> bool:
+        """Return whether bytes of the stream have arrived that were not read yet."""
+
     def abort(self) -> None:
         """Interrupt the greenlet that waits for the endpoint."""
 
@@ -104,6 +112,39 @@
         """Close the connection; the engine then cancels an unfinished request."""
 
 
+class _ReadInterrupted(greenlet.GreenletExit):
+    """Ends a read of an attempt that is held; nothing is lost."""
+
+
+@attrs.define
+class _HeldAttempt:
+    """An attempt that was left while it was silent, and is still open.
+
+    Attributes
+    ----------
+    attempt : Attempt
+        The attempt.
+    sent_at_s : float
+        Monotonic time in seconds at which it was sent.
+    first_byte_s : float or None
+        Monotonic time in seconds of its first byte.
+    is_harmless : bool
+        Whether it has written its answer for `HARMLESS_WRITING_MS`.
+    event : CallEvent or None
+        What it reported while the call left it.
+    """
+
+    attempt: Attempt
+    sent_at_s: float
+    first_byte_s: float | None
+    is_harmless: bool
+    event: CallEvent | None = None
+
+    def has_bytes(self) -> bool:
+        """Return whether it has sent bytes that were not read."""
+        return isinstance(self.event, EventsArrived) or self.attempt.has_unread_bytes()
+
+
 AttemptFactory = Callable[[StartAttempt, GroupView, AnswerStream], Attempt]
 
 
@@ -269,9 +310,15 @@
         )
         call.has_alternative = self._chooser.has_alternative
         call.can_return = self._chooser.can_return
+        call.has_held_bytes = self._has_held_bytes
         self._tick_timer = TickTimer(context.clock, self._tick)
-        self._is_waiting = False
+        self._held: _HeldAttempt | None = None
+        # The greenlet that waits for the endpoint, and the timer that interrupts it.
+        self._waiter: greenlet.greenlet | None = None
+        self._interrupt_timer: Any = None
         self._interrupt_effects: list[CallEffect] = []
+        # What an attempt reported while it was interrupted.
+        self._unhandled_event: CallEvent | None = None
         self._sent_at_s = 0.0
         self._first_byte_s: float | None = None
         # Whether the attempt has written its answer for `HARMLESS_WRITING_MS`.
@@ -305,6 +352,7 @@
         finally:
             self._tick_timer.cancel()
             self._close_attempt(RESULT_CANCELLED)
+            self._close_held()
             ticket.release(self._call.answer.next_offset)
 
     def _run_effects(self, ticket: AdmissionTicket) -> Iterator[bytes]:
@@ -316,6 +364,12 @@
                 yield effect.data
             elif isinstance(effect, Finish):
                 self._finish_call(effect)
+            elif isinstance(effect, HoldAttempt):
+                self._hold_attempt(effect)
+            elif isinstance(effect, ResumeAttempt):
+                self._resume_attempt()
+            elif isinstance(effect, CancelAttempt) and self._is_held(effect.attempt_id):
+                self._close_held()
             elif isinstance(effect, CancelAttempt):
                 result = RESULT_BROKEN if effect.fault else RESULT_CANCELLED
                 is_fault = effect.fault and effect.fault not in SILENCE_REASONS
@@ -326,23 +380,94 @@
                 effects.extend(self._handle(self._chooser.choose(effect)))
             elif isinstance(effect, StartAttempt):
                 event = self._start_attempt(effect)
-                effects.extend(self._take_interrupt_effects() or self._handle(event))
+                effects.extend(
+                    self._take_interrupt_effects(event) or self._handle(event)
+                )
             while not effects and not self._call.is_finished:
-                event = self._read_events()
-                effects.extend(self._take_interrupt_effects() or self._handle(event))
+                event = self._take_unhandled_event() or self._read_events()
+                effects.extend(
+                    self._take_interrupt_effects(event) or self._handle(event)
+                )
+
+    def _take_interrupt_effects(self, event: CallEvent) -> list[CallEffect]:
+        """Return the effects of an interruption, if there was one.
 
-    def _take_interrupt_effects(self) -> list[CallEffect]:
+        Parameters
+        ----------
+        event : CallEvent
+            What the attempt reported, which is handled if the attempt is resumed.
+        """
         effects, self._interrupt_effects = self._interrupt_effects, []
+        if effects and not isinstance(event, Tick):
+            self._unhandled_event = event
         return effects
 
+    def _take_unhandled_event(self) -> CallEvent | None:
+        event, self._unhandled_event = self._unhandled_event, None
+        return event
+
     def _interrupt(self, event: CallEvent) -> None:
         """Handle an event from another greenlet; ends the wait if it has effects."""
-        if not self._is_waiting or self._interrupt_effects:
+        if self._waiter is None or self._interrupt_effects:
             return
         now_s = self._context.clock.now_s()
         self._interrupt_effects = self._call.handle(event, now_s)
-        if self._interrupt_effects:
+        if not self._interrupt_effects:
+            return
+        if not isinstance(self._interrupt_effects[0], HoldAttempt):
             self.attempt.abort()
+            return
+        # Only the hub may switch to a greenlet that waits for it.
+        self._interrupt_timer = hubs.get_hub().schedule_call_global(
+            0, self._waiter.throw, _ReadInterrupted
+        )
+
+    def _is_held(self, attempt_id: str) -> bool:
+        return self._held is not None and self._held.attempt.attempt_id == attempt_id
+
+    def _has_held_bytes(self) -> bool:
+        return self._held is not None and self._held.has_bytes()
+
+    def _hold_attempt(self, effect: HoldAttempt) -> None:
+        attempt, self.attempt = self.attempt, None
+        self._held = _HeldAttempt(
+            attempt,
+            self._sent_at_s,
+            self._first_byte_s,
+            self._is_harmless,
+            self._take_unhandled_event(),
+        )
+        self._watch.set_disconnect_callback(None)
+        # It still runs, but reports about its group are none about the next one.
+        group = attempt.view.group
+        self._context.running.add(group.group_id, group.epoch, attempt)
+        self._stop_counting(attempt, RESULT_BROKEN, effect.reason)
+
+    def _resume_attempt(self) -> None:
+        held, self._held = self._held, None
+        self.attempt = held.attempt
+        self._chooser.view = held.attempt.view
+        self._sent_at_s = held.sent_at_s
+        self._first_byte_s = held.first_byte_s
+        self._is_harmless = held.is_harmless
+        self._first_offset = self._call.answer.next_offset
+        self._unhandled_event = held.event
+        _LOGGER.info(
+            "attempt_resumed",
+            extra={
+                "request": self.request.request_id,
+                "group": held.attempt.view.group.group_id,
+                "tokens": self._first_offset,
+            },
+        )
+        self._watch.set_disconnect_callback(held.attempt.abort)
+        self._count_attempt(held.attempt, self._context.clock.now_s())
+
+    def _close_held(self) -> None:
+        held, self._held = self._held, None
+        if held is not None:
+            self._context.running.remove(held.attempt)
+            held.attempt.close()
 
     def _handle_group_report(self, report: GroupReport) -> None:
         if isinstance(report, GroupStalled):
@@ -350,13 +475,13 @@
             return
         # Has no effects, so it is recorded also while the call does not wait.
         self._call.handle(report, self._context.clock.now_s())
-        if self._is_waiting:
+        if self._waiter is not None:
             self._tick_timer.set_due(self._call.next_tick_s)
 
     def _tick(self) -> None:
         was_kept = bool(self._call.kept_because)
         self._interrupt(Tick())
-        if not self._is_waiting or self._interrupt_effects:
+        if self._waiter is None or self._interrupt_effects:
             return
         now_s = self._context.clock.now_s()
         self._tick_timer.set_due(self._call.next_tick_s)
@@ -373,11 +498,16 @@
     ) -> CallEvent | None:
         now_s = self._context.clock.now_s()
         self._tick_timer.set_due(self._call.next_tick_s)
-        self._is_waiting = True
+        self._waiter = greenlet.getcurrent()
         try:
             return wait(self._call.deadline_s - now_s + READ_TIMEOUT_MARGIN_S)
+        except _ReadInterrupted:
+            return Tick()
         finally:
-            self._is_waiting = False
+            self._waiter = None
+            if self._interrupt_timer is not None:
+                self._interrupt_timer.cancel()
+                self._interrupt_timer = None
 
     def _handle(self, event: CallEvent) -> list[CallEffect]:
         if self._watch.is_disconnected:
@@ -397,6 +527,7 @@
             self._close_attempt(RESULT_WHOLE)
 
     def _start_attempt(self, effect: StartAttempt) -> CallEvent:
+        self._unhandled_event = None
         view = self._chooser.view
         self._sent_at_s = self._context.clock.now_s()
         try:
@@ -406,19 +537,23 @@
             return AttemptRefused(effect.attempt_id, error.code, error.message)
         self.attempt = attempt
         self._watch.set_disconnect_callback(attempt.abort)
-        self._context.running.add(
-            effect.group_id, effect.epoch, attempt, self._handle_group_report
-        )
-        self._context.stall_detector.record_sent(
-            effect.attempt_id, effect.group_id, self._sent_at_s
-        )
-        self._chooser.attempt_started(effect.attempt_id)
+        self._count_attempt(attempt, self._sent_at_s)
         self._first_byte_s = None
         self._is_harmless = False
         self._first_offset = effect.resume_offset
         event = self._wait_for_endpoint(attempt.start)
         return event or EventsArrived(effect.attempt_id, [])
 
+    def _count_attempt(self, attempt: Attempt, now_s: float) -> None:
+        group = attempt.view.group
+        self._context.running.add(
+            group.group_id, group.epoch, attempt, self._handle_group_report
+        )
+        self._context.stall_detector.record_sent(
+            attempt.attempt_id, group.group_id, now_s
+        )
+        self._chooser.attempt_started(attempt.attempt_id)
+
     def _read_events(self) -> CallEvent:
         event = self._wait_for_endpoint(self.attempt.read)
         if isinstance(event, EventsArrived) and event.events:
@@ -456,9 +591,12 @@
             return
         self._watch.set_disconnect_callback(None)
         self._context.running.remove(attempt)
+        attempt.close()
+        self._stop_counting(attempt, result, code)
+
+    def _stop_counting(self, attempt: Attempt, result: str, code: str) -> None:
         self._context.stall_detector.forget_attempt(attempt.attempt_id)
         self._context.suspicions.attempt_ended(attempt.attempt_id)
-        attempt.close()
         first_byte_ms = None
         if self._first_byte_s is not None:
             first_byte_ms = (self._first_byte_s - self._sent_at_s) * 1_000
--- a/chestnutvale/programs/entry/routed/attempt.py
+++ b/chestnutvale/programs/entry/routed/attempt.py
@@ -126,6 +126,10 @@
             return AttemptBroken(self.attempt_id, reason)
         return EventsArrived(self.attempt_id, [end])
 
+    def has_unread_bytes(self) -> bool:
+        """Return whether bytes of the stream have arrived that were not read yet."""
+        return self.exchange.has_unread_bytes()
+
     def abort(self) -> None:
         """Shut the connection down; a greenlet that waits for it gets an error."""
         self.exchange.abort()
--- a/chestnutvale/programs/entry/routed/exchange.py
+++ b/chestnutvale/programs/entry/routed/exchange.py
@@ -262,6 +262,10 @@
         with translate_client_errors(STEP_RECEIVE, self.address):
             return self._answer.read(self._clock.now_s() + timeout_s)
 
+    def has_unread_bytes(self) -> bool:
+        """Return whether bytes have arrived that were not read yet."""
+        return self._connection is not None and self._connection.sock.has_bytes()
+
     def read_all(self, max_bytes: int) -> bytes:
         """Read the rest of the body.
 
--- a/chestnutvale/programs/entry/stream_reader.py
+++ b/chestnutvale/programs/entry/stream_reader.py
@@ -61,6 +61,11 @@
             self._timer.cancel()
             self._timer = None
 
+    @property
+    def has_bytes(self) -> bool:
+        """Whether bytes have arrived that were not read yet."""
+        return bool(self._parts)
+
     def read(self, timeout_s: float) -> bytes:
         """Return the buffered bytes; wait for the next ones if there are none.
 
