Hold a silent attempt before its endpoint has answered, too

What callers see: 502 for a request that a sound endpoint had taken and would have answered. The attempt was left within moments of its send, because its group was reported as stalled, and the next endpoint was full. The attempt had no answer yet, so it was not held.

A wait for an answer of which nothing has arrived loses nothing when it is interrupted, so such an attempt is held now as well, and `start` goes on with that wait when the call returns. A report of a stall is handled by the hub, which reads first what has arrived, and interrupts the wait in the same step: between the two nothing can arrive.

--- a/chestnutvale/attempts/model_call.py
+++ b/chestnutvale/attempts/model_call.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from typing import Any
 
+import attrs
+
 from chestnutvale.attempts.answer_stream import AnswerStream
 from chestnutvale.attempts.attempt_silence import AttemptSilence
 from chestnutvale.attempts.call_limits import DEFAULT_LIMITS, CallLimits
@@ -75,6 +77,18 @@
     return False
 
 
+def _assume_holdable() -> bool:
+    return True
+
+
+@attrs.frozen
+class _HeldAttempt:
+    attempt_id: str
+    group_id: str
+    version: str
+    has_answered: bool
+
+
 def _assume_no_return(groups: frozenset[str], version: str) -> bool:
     return False
 
@@ -117,6 +131,8 @@
     can_return : callable
         Tells whether one of a set of groups, which the call left while they were
         silent, can take the call again; by default none can.
+    can_hold : callable
+        Tells whether the running attempt can be held; by default it can.
     has_held_bytes : callable
         Tells whether the held attempt has sent bytes since it was left; by default it
         has not.
@@ -140,6 +156,7 @@
         self.deadline_s = deadline_s
         self.has_alternative: AlternativeFinder = _assume_alternative
         self.can_return: ReturnFinder = _assume_no_return
+        self.can_hold: Callable[[], bool] = _assume_holdable
         self.has_held_bytes: Callable[[], bool] = _assume_silence
         self.is_finished = False
         self.kept_because = ""
@@ -152,7 +169,7 @@
         self._group_id = ""
         # Whether the running attempt has sent the head of an answer.
         self._has_answered = False
-        self._held: HoldAttempt | None = None
+        self._held: _HeldAttempt | None = None
         self._version = ""
         self._excluded: set[str] = set()
         # Groups that were left while they were silent, and may have gone on since.
@@ -429,11 +446,11 @@
     def _leave_group(self, reason: str, now_s: float) -> list[CallEffect]:
         """Leave the running attempt; requires that `_find_obstacle` found none."""
         self._silent_groups.add(self._group_id)
-        if self._held is None and self._has_answered:
+        self._record_possible_run()
+        if self._held is None and self.can_hold():
             effects = self._hold(reason)
         else:
             effects = self._cancel(reason)
-            self._record_possible_run()
             if self._has_held_bytes:
                 return effects + self._resume_held(now_s)
         self._budgets.reroutes.try_retry()
@@ -445,9 +462,11 @@
         return effects + self._return_to_silent_group(now_s)
 
     def _hold(self, reason: str) -> list[CallEffect]:
-        self._held = HoldAttempt(self._attempt_id, self._group_id, reason)
+        self._held = _HeldAttempt(
+            self._attempt_id, self._group_id, self._version, self._has_answered
+        )
         self._end_attempt()
-        return [self._held]
+        return [HoldAttempt(self._held.attempt_id, self._held.group_id, reason)]
 
     def _release_held(self) -> list[CallEffect]:
         held, self._held = self._held, None
@@ -458,10 +477,14 @@
             return self._fail_deadline()
         held, self._held = self._held, None
         self._attempt_id, self._group_id = held.attempt_id, held.group_id
+        self._version = held.version
         self._silent_groups.discard(held.group_id)
-        self._has_answered = True
+        self._has_answered = held.has_answered
         self.kept_because = ""
-        self._silence.resume(now_s)
+        if held.has_answered:
+            self._silence.resume(now_s)
+        else:
+            self._silence.begin(now_s)
         self.answer.begin_attempt(held.attempt_id)
         return [ResumeAttempt(held.attempt_id, held.group_id)]
 
--- a/chestnutvale/http_client/timed_socket.py
+++ b/chestnutvale/http_client/timed_socket.py
@@ -134,6 +134,22 @@
             timeout_exc=TimeoutError("no bytes arrived before the deadline"),
         )
 
+    def wait_for_bytes(self, deadline_s: float) -> None:
+        """Wait until bytes have arrived or the connection has ended.
+
+        Parameters
+        ----------
+        deadline_s : float
+            Deadline as monotonic time in seconds.
+
+        Raises
+        ------
+        TimeoutError
+            If the deadline passed.
+        """
+        while self.is_quiet():
+            self._wait_for_data(deadline_s)
+
     def is_quiet(self) -> bool:
         """Return whether the connection is open and no bytes have arrived.
 
--- a/chestnutvale/programs/entry/model_attempt.py
+++ b/chestnutvale/programs/entry/model_attempt.py
@@ -103,6 +103,10 @@
         self.is_open = False
         self._exchange.__exit__(None, None, None)
 
+    def can_hold(self) -> bool:
+        """Return whether a wait can be interrupted now without a loss."""
+        return self.is_open
+
     def has_unread_bytes(self) -> bool:
         """Return whether bytes of the stream have arrived that were not read yet."""
         return self._exchange.has_unread_bytes()
--- a/chestnutvale/programs/entry/routed/attempt.py
+++ b/chestnutvale/programs/entry/routed/attempt.py
@@ -66,7 +66,7 @@
         self._has_events = last_event > 0
 
     def start(self, timeout_s: float) -> CallEvent | None:
-        """Send the request.
+        """Send the request, or go on to wait for its answer if it was sent.
 
         Parameters
         ----------
@@ -82,10 +82,13 @@
         """
         request = self._request
         try:
-            self.exchange.connect(timeout_s)
-            self.exchange.send(
-                request.method, request.target, {}, self._body, timeout_s
-            )
+            if self.exchange.is_awaiting_head:
+                self.exchange.receive_head(request.method, timeout_s)
+            else:
+                self.exchange.connect(timeout_s)
+                self.exchange.send(
+                    request.method, request.target, {}, self._body, timeout_s
+                )
             if self.exchange.status == STATUS_OK:
                 self.has_started = True
                 return None
@@ -126,6 +129,10 @@
             return AttemptBroken(self.attempt_id, reason)
         return EventsArrived(self.attempt_id, [end])
 
+    def can_hold(self) -> bool:
+        """Return whether a wait can be interrupted now without a loss."""
+        return self.has_started or self.exchange.is_awaiting_head
+
     def has_unread_bytes(self) -> bool:
         """Return whether bytes of the stream have arrived that were not read yet."""
         return self.exchange.has_unread_bytes()
--- a/chestnutvale/programs/entry/routed/exchange.py
+++ b/chestnutvale/programs/entry/routed/exchange.py
@@ -87,6 +87,9 @@
         Reason phrase of the answer's status line.
     is_delimited : bool
         Whether the answer itself marks its end.
+    is_awaiting_head : bool
+        Whether the whole request was sent and no part of its answer was read, so that
+        an interrupted wait can go on in `receive_head`.
     """
 
     def __init__(
@@ -108,6 +111,7 @@
         self.headers: Headers = []
         self.reason = ""
         self.is_delimited = True
+        self.is_awaiting_head = False
         self._pool = pool
         self._protocol = protocol
         self._request = request
@@ -222,10 +226,39 @@
         connection.requests += 1
         self._is_sent = True
         deadline_s = min(self._deadline_s, self._clock.now_s() + timeout_s)
-        self._answer_deadline_s = deadline_s
         with translate_client_errors(STEP_SEND, self.address):
             request = self._encode_request(method, target, body)
             connection.sock.send_all(request, deadline_s)
+        self.receive_head(method, timeout_s)
+
+    def receive_head(self, method: str, timeout_s: float) -> None:
+        """Wait for the head of the answer to the request that was sent.
+
+        Parameters
+        ----------
+        method : str
+            HTTP method of the request.
+        timeout_s : float
+            Time in seconds for the whole head. The call's deadline applies too.
+
+        Raises
+        ------
+        EndpointBrokenError
+            If the connection failed or the answer is invalid; the endpoint may have run
+            the request.
+        EndpointRefusedError
+            If the answer says that the endpoint did not run the request.
+        EndpointSilentError
+            If there was no complete head in time; the endpoint may have run the
+            request.
+        """
+        deadline_s = min(self._deadline_s, self._clock.now_s() + timeout_s)
+        self._answer_deadline_s = deadline_s
+        with translate_client_errors(STEP_SEND, self.address):
+            if not self._connection.unread:
+                self.is_awaiting_head = True
+                self._connection.sock.wait_for_bytes(deadline_s)
+            self.is_awaiting_head = False
             self._answer = self._read_head(method, deadline_s)
         head = self._answer.head
         self.status = head.status
