--- a/chestnutvale/http_client/timed_socket.py
+++ b/chestnutvale/http_client/timed_socket.py
@@ -134,6 +134,22 @@
             timeout_exc=TimeoutError("no bytes arrived before the deadline"),
         )
 
+    def wait_for_bytes(self, deadline_s: float) -> None:
+        """Wait until bytes have arrived or the connection has ended.
+
+        Parameters
+        ----------
+        deadline_s : float
+            Deadline as monotonic time in seconds.
+
+        Raises
+        ------
+        TimeoutError
+            If the deadline passed.
+        """
+        while self.is_quiet():
+            self._wait_for_data(deadline_s)
+
     def is_quiet(self) -> bool:
         """Return whether the connection is open and no bytes have arrived.
 
@@ -150,6 +166,18 @@
             return False
         return False
 
+    def has_bytes(self) -> bool:
+        """Return whether bytes have arrived that were not received yet.
+
+        Returns
+        -------
+        bool
+            False also if the connection has ended.
+        """
+        with contextlib.suppress(OSError):
+            return bool(self.green_socket.fd.recv(1, socket.MSG_PEEK))
+        return False
+
     def shut_down(self) -> None:
         """Shut the connection down; a greenlet that waits for it gets an error."""
         self._is_shut_down = True
