Divide places also while a text has no workspaces

Once a text without workspaces came into force, an entry counted no place of any service as its own. The first call made it divide the places of its service again, so that a call to another service was refused as `deadline_unreachable`, with a Retry-After of up to 75 s in the test, although all places were free; and calls that waited were admitted one at a time. It lasted until the next view.

While there are no workspaces, all calls share what there is. Texts with workspaces, also with a list that is empty on the wire, are divided as before.

The test got a refusal for the second service before the change, with places counted in slots and in tokens; the table beside it (each request is decided once, and nothing stays reserved, over twelve changes, both units, with and without lent places) passed before as well.

--- a/chestnutvale/admission/const.py
+++ b/chestnutvale/admission/const.py
@@ -1,5 +1,7 @@
 """Constants of admission control."""
 
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import Final
 
 PRIORITY_URGENT: Final = "urgent"
@@ -16,6 +18,10 @@
 CODE_DUPLICATE: Final = "duplicate_request"
 
 DEFAULT_WEIGHT: Final = 1.0
+# Weights while a text has no workspaces: all calls share what there is.
+WEIGHTS_WITHOUT_WORKSPACES: Final[Mapping[str, float]] = MappingProxyType(
+    {"": DEFAULT_WEIGHT}
+)
 DEFAULT_URGENT_SHARE: Final = 0.9
 DEFAULT_QUEUE_REQUESTS: Final = 2048
 DEFAULT_WORKSPACE_QUEUE_REQUESTS: Final = 1024
--- a/chestnutvale/admission/service.py
+++ b/chestnutvale/admission/service.py
@@ -19,6 +19,7 @@
     PRIORITY_URGENT,
     SHARED_SLOTS_RATIO,
     URGENT_OVERDRAFT,
+    WEIGHTS_WITHOUT_WORKSPACES,
 )
 from chestnutvale.admission.demand import sum_demands
 from chestnutvale.admission.fair_queue import FairQueue, WaitingRequest
@@ -130,7 +131,7 @@
             self._units.total(self.capacity, self.limits, self.kv_overcommit.factor),
             self.own_demand,
             self.total_demand,
-            self.weights,
+            self.weights or WEIGHTS_WITHOUT_WORKSPACES,
             self.entry_count,
             attrs.evolve(self.division, urgent_share=self.limits.urgent_share),
         )
