Drain the groups of a pooled model that gets another size

A configuration that changed the number of hosts of a model kept all groups of its old size serving for good: the planner of pools compared only the names of models. Calls ran in groups that the configuration calls incomplete.

Such a group drains now, like one whose model left: it gets no new calls, running ones end, and then its hosts form groups of the new size. All drain at once, since no call may begin in an incomplete group; until groups of the new size are ready, calls to the model are refused as not run. One at a time was weighed and left aside, as calls would begin in old groups for as long as the loads take.

--- a/chestnutvale/groups/pools.py
+++ b/chestnutvale/groups/pools.py
@@ -76,6 +76,8 @@
     groups are formed only of hosts with staged weights: other hosts remain spares until
     theirs are staged, and a host that loads weights for a group serves no requests.
 
+    Groups whose model left the configuration, or has another size there, drain.
+
     Parameters
     ----------
     idle_tracker : IdleTracker
@@ -238,7 +240,7 @@
         remove = RemoveGroup(group_id=group.group_id, expected_epoch=group.epoch)
         if any(self._is_lost(group, item, table, now_s) for item in group.members):
             return remove
-        is_ending = group.service not in services or any(
+        is_ending = not _is_wanted(group, services) or any(
             _is_leaving(member.host_id, table) for member in group.members
         )
         if group.phase == PHASE_DRAINING:
@@ -430,6 +432,12 @@
     return record is not None and now_s < find_cold_until_s(record)
 
 
+def _is_wanted(group: Group, services: Mapping[str, Service]) -> bool:
+    """Tell whether the configuration has the group's model, in the group's size."""
+    service = services.get(group.service)
+    return service is not None and service.hosts_per_group == len(group.members)
+
+
 def _is_leaving(host_id: str, table: MembershipTable) -> bool:
     record = table.host(host_id)
     if record is None or record.announcement is None:
