Put a text in force as a whole with a view that lacks its base

A view that builds on one which the entry does not have brings its text, but its groups are dropped, and so was the news of the text: until the next view, calls found their routes and limits in the new text, and their keys, services and weights in the text before. A key of the new text was answered 401 meanwhile.

The link tells of each text now, whatever becomes of the groups. Such views are rare: the entry asks for a whole one at once.

The test found the text of number 2 beside the lookup of number 0 before the change. `tests/programs/entry`, `tests/membership`: all passed.

--- a/chestnutvale/programs/entry/control_link.py
+++ b/chestnutvale/programs/entry/control_link.py
@@ -93,6 +93,8 @@
         Number of times that a group stalled.
     on_stall_change : callable
         Called when other groups count as stalled here than before.
+    on_text_change : callable
+        Called when a text was installed, also with a view whose groups were not.
     """
 
     def __init__(
@@ -136,6 +138,7 @@
         self.lease_changes: Counter[str] = Counter()
         self.stalls = 0
         self.on_stall_change: Callable[[], None] = _ignore_change
+        self.on_text_change: Callable[[], None] = _ignore_change
         self._listeners: list[Callable[[ControlView, str], None]] = []
         self._report_trigger = Event()
         transport.register_handler("control_view", self._receive_view)
@@ -374,6 +377,7 @@
         self._log_lease_change(envelope.sender_id)
         if self._view.number != number_before:
             _LOGGER.info("Text {} is in force", self._view.number)
+            self.on_text_change()
             # The operators' status shows the configuration number of the last report.
             self.trigger_report()
         if self._view.source != source_before:
--- a/chestnutvale/programs/entry/daemon.py
+++ b/chestnutvale/programs/entry/daemon.py
@@ -145,6 +145,7 @@
         self.context.on_departure = self.link.trigger_report
         self.context.on_limit_change = self.link.trigger_report
         self.link.on_stall_change = self.context.update_capacities
+        self.link.on_text_change = self.context.install_text
         self._load_exchange = LoadExchange(
             self.transport, self.view, self.context, self.link.find_leader, clock
         )
--- a/chestnutvale/programs/entry/entry_context.py
+++ b/chestnutvale/programs/entry/entry_context.py
@@ -192,6 +192,15 @@
             self.running.report_stall(group_id)
         self.update_capacities()
 
+    def install_text(self) -> None:
+        """Apply a text that was installed, although the groups of its view were not.
+
+        Otherwise calls would find their routes in this text and their keys and services
+        in the text before.
+        """
+        self._install_text()
+        self.update_capacities()
+
     def flows(self, now_s: float) -> list[ServiceFlow]:
         """Return this entry's calls per second by service, if it lends places."""
         return self._gate.controller.flows(now_s)
--- a/tests/programs/entry/test_control_link.py
+++ b/tests/programs/entry/test_control_link.py
@@ -11,6 +11,7 @@
 
 from chestnutvale.admission.controller import AdmissionController
 from chestnutvale.attempts.suspicion import SuspicionTracker
+from chestnutvale.configuration.lookup import hash_key
 from chestnutvale.membership.announcement_collector import AnnouncementCollector
 from chestnutvale.membership.cache_events import CacheEventQueue
 from chestnutvale.membership.entry_view import EntryView
@@ -20,9 +21,11 @@
 from chestnutvale.programs.entry.demand_exchange import DemandExchange
 from chestnutvale.programs.entry.running_attempts import RunningAttempts
 from chestnutvale.routing.stall_detection import StallDetector
+from chestnutvale.schema.configuration_pb2 import Text
 from chestnutvale.schema.membership_pb2 import Announcement
 from chestnutvale.schema.peer_pb2 import ControlView, CrashSuspicion, Envelope
 from chestnutvale.schema.settings_pb2 import EntrySettings
+from tests.programs.entry.test_entry_context import make_context
 from tests.programs.entry.test_group_router import ManualClock
 
 CONTROL = "control-1"
@@ -243,3 +246,31 @@
 def test_idle_entry_checks_for_stalls_less_often_than_four_times_a_second(entry):
     """An idle entry must stay cheap, as there are more than a hundred of them."""
     assert entry.link.find_stall_pause_s() > 0.25
+
+
+def test_text_is_in_force_as_a_whole_although_a_view_lacks_its_base():
+    # Guards against calls that find their route in one text and their key in another.
+    clock = ManualClock()
+    context, entry_view, gate = make_context(clock)
+    link = ControlLink(
+        EntrySettings(entry_id="entry-1"),
+        FakeTransport(),
+        entry_view,
+        AnnouncementCollector(),
+        context.suspicions,
+        CacheEventQueue(),
+        DemandExchange(gate.controller),
+        clock,
+        random.Random(1),
+    )
+    link.add_view_listener(context.install)
+    link.on_text_change = context.install_text
+    text = Text(number=2)
+    text.workspaces["w"].key_sha256.append(hash_key("new"))
+    view = ControlView(
+        term=1, source=CONTROL, view_version=9, base_version=8, text=text
+    )
+    view.configuration_number = text.number
+    link._receive_view(Envelope(sender_id=CONTROL, control_view=view))
+    assert context.text.number == context.lookup.number == 2
+    assert context.authenticate({"HTTP_AUTHORIZATION": "Bearer new"}) == "w"
