Choose groups by the places of the text in force

An entry passed the places of its groups to the selector only with a view that lists groups. A text that changed them, or that came after the first view, counted from the next change of a group on: until then groups were chosen by the former number, or as if it were unknown.

The test found 0 places instead of 7 before the change. What it is worth in an even load was not measured. `tests/programs/entry/test_group_router.py`: all passed.

--- a/chestnutvale/programs/entry/group_router.py
+++ b/chestnutvale/programs/entry/group_router.py
@@ -80,6 +80,7 @@
         self._sent_at_s: dict[str, float] = {}
         self._evacuated_heads: frozenset[Incarnation] = frozenset()
         self._last_placement: Placement | None = None
+        self._text_number = 0
         self.capacity = self.capacity_class(
             view, self.notices, self.send_budget, self._head_of, clock
         )
@@ -103,7 +104,10 @@
         self.send_budget.set_entry_count(self._view.entry_count)
         self._selector.entry_count = max(1, self._view.entry_count)
         self.send_budget.keep_listed(heads, now_s)
-        if view.whole or view.groups or view.removed_group_ids:
+        # The text has the number of requests that a group runs.
+        is_text_new = self._view.number != self._text_number
+        self._text_number = self._view.number
+        if is_text_new or view.whole or view.groups or view.removed_group_ids:
             self._evacuated_heads = frozenset(
                 self._head_of(group_view)
                 for group_view in self._view.groups()
--- a/tests/programs/entry/test_group_router.py
+++ b/tests/programs/entry/test_group_router.py
@@ -13,6 +13,7 @@
 from chestnutvale.programs.entry.group_router import GroupRouter, hash_prefixes
 from chestnutvale.programs.entry.openai_api import parse_generation
 from chestnutvale.routing.selector import Selector
+from chestnutvale.schema.configuration_pb2 import Text
 from chestnutvale.schema.groups_pb2 import Group
 from chestnutvale.schema.membership_pb2 import CacheEvents, Load
 from chestnutvale.schema.peer_pb2 import (
@@ -198,3 +199,14 @@
     assert (described["policy"], described["candidates"]) == ("least_loaded", 1)
     assert described["costs"] == {"g1": 0.0}
     assert router.choice_counts == {"least_loaded:only_candidate": 1}
+
+
+def test_new_number_of_places_counts_from_the_text_on(router, clock):
+    # Guards against choices by the places of a former text, for as long as no group
+    # changes.
+    text = Text(number=1)
+    text.services["llm"].limits.max_running_requests = 7
+    view = ControlView(source="s", view_version=1, base_version=1, term=1, text=text)
+    router._view.install_view(view, clock.now_s())
+    router.install(view)
+    assert {group.slots for group in router._selector._groups.values()} == {7}
