Let a new leader wait for calls whose routes have left the configuration

A leader that had not seen the texts before its first one assumed the longest time limit for calls of those only if its first text has routes. If the routes left just before the leader changed, a draining group of a pool was released after the drain timeout of 8 s, although calls that had been accepted under those routes were running.

It waits for the calls of pools now, whatever the first text says. Groups without a pool serve the project's own interface and are released as before.

--- a/chestnutvale/groups/call_time_limits.py
+++ b/chestnutvale/groups/call_time_limits.py
@@ -39,7 +39,7 @@
         self._number = None
         self._has_unseen_texts = True
 
-    def observe(self, text: Text, now_s: float) -> None:
+    def observe(self, text: Text, now_s: float, *, has_pools: bool = False) -> None:
         """Record the text in force.
 
         Parameters
@@ -48,12 +48,15 @@
             Configuration in force.
         now_s : float
             Monotonic time in seconds.
+        has_pools : bool, optional
+            Whether there are groups of pools. These serve routed calls, also if the
+            text has no routes any more.
         """
         if text.number == self._number:
             return
         if self._number is not None:
             self._keep_limit(self._limit_s, now_s)
-        elif self._has_unseen_texts and text.routes:
+        elif self._has_unseen_texts and (text.routes or has_pools):
             self._keep_limit(MAX_ROUTED_CALL_S, now_s)
         self._number = text.number
         self._limit_s = min(_find_longest_ms(text) / 1_000, MAX_ROUTED_CALL_S)
--- a/chestnutvale/groups/idle_tracker.py
+++ b/chestnutvale/groups/idle_tracker.py
@@ -61,7 +61,8 @@
         now_s : float
             Monotonic time in seconds.
         """
-        self._call_limits.observe(text, now_s)
+        has_pools = any(group.pooled for group in state.groups.values())
+        self._call_limits.observe(text, now_s, has_pools=has_pools)
         stopped = {}
         states = {}
         for group in state.groups.values():
--- a/tests/groups/test_idle_tracker.py
+++ b/tests/groups/test_idle_tracker.py
@@ -122,3 +122,14 @@
     drain.pool.text.number += 1
     drain.observe(STOPPED_AT_S)
     assert not drain.is_idle(STOPPED_AT_S + 8.1)
+
+
+def test_new_leader_does_not_cut_requests_of_routes_that_have_left_before():
+    # Guards against calls that end with their route, if the leader changes meanwhile.
+    drain = DrainingPool(1_000)
+    del drain.pool.text.routes[:]
+    drain.pool.text.number += 1
+    drain.pool.idle_tracker.reset()
+    drain.observe(10.0)
+    assert not drain.is_idle(10.0 + 2.0 + MAX_ROUTED_CALL_S - 0.1)
+    assert drain.is_idle(10.0 + 2.0 + MAX_ROUTED_CALL_S + 0.1)
