Hand the time for which entries may be unknown on to the next leader

What callers saw: refusals, with hosts bound in groups that drain, while leaders follow each other every few seconds.

Cause: a leader that none had told of the entries was uncertain for 15 s, and while it was, it told nobody, so that the next one was, too.

Change: such a leader is uncertain for 6 s, and its lists name the time that is left of it.

--- a/chestnutvale/membership/const.py
+++ b/chestnutvale/membership/const.py
@@ -12,6 +12,8 @@
 # Interval at which the leader tells the other controls all entries that it hears; it
 # tells them of new ones at once.
 ENTRY_ROSTER_INTERVAL_S: Final = 5.0
+# Time within which all entries report to a leader that none has told of them.
+ENTRY_DISCOVERY_S: Final = 6.0
 # Age of announcements that are reported again to a control that has started: a group
 # none of whose members is heard is kept for as long.
 REPEATED_REPORT_MAX_AGE_S: Final = 60.0
--- a/chestnutvale/membership/entry_roster.py
+++ b/chestnutvale/membership/entry_roster.py
@@ -1,15 +1,15 @@
 """Entries that may run attempts, as the leaders of the last seconds have heard them."""
 
 import math
-from collections.abc import Iterable
 
 import attrs
 
 from chestnutvale.membership.const import (
+    ENTRY_DISCOVERY_S,
     ENTRY_ROSTER_INTERVAL_S,
     SILENT_ATTEMPTS_RETENTION_S,
 )
-from chestnutvale.schema.membership_pb2 import EntrySeen
+from chestnutvale.schema.membership_pb2 import EntrySeen, HostReport
 
 
 @attrs.define
@@ -18,22 +18,26 @@
 
     Entries report to the leader only, so the leader tells the other controls which
     entries it hears. Without such word, as after a restart of all controls, any entry
-    may be missing until the retention time of silent entries has passed.
+    may be missing for some time, which further changes of the leader don't extend.
 
     Parameters
     ----------
     retention_s : float, optional
         Seconds for which an entry that has fallen silent may run attempts.
+    discovery_s : float, optional
+        Seconds for which entries may be missing if no leader has told of them.
     interval_s : float, optional
         Seconds between two complete lists for the other controls.
     """
 
     retention_s: float = SILENT_ATTEMPTS_RETENTION_S
+    discovery_s: float = ENTRY_DISCOVERY_S
     interval_s: float = ENTRY_ROSTER_INTERVAL_S
     _seen_at_s: dict[str, float] = attrs.field(factory=dict)
     _told_ids: set[str] = attrs.field(factory=set)
     _complete_due_s: float = -math.inf
-    # Time at which all entries were known here, or told by a leader.
+    # Time at which a list was complete but for entries that appear until
+    # ``_uncertain_until_s``.
     _complete_at_s: float = -math.inf
     _led_term: int = 0
     _began_at_s: float = -math.inf
@@ -49,10 +53,10 @@
         now_s : float
             Monotonic time in seconds.
         """
-        is_informed = now_s - self._complete_at_s <= 2 * self.interval_s
+        if now_s - self._complete_at_s > 2 * self.interval_s:
+            self._uncertain_until_s = now_s + self.discovery_s
         self._led_term = term
         self._began_at_s = now_s
-        self._uncertain_until_s = -math.inf if is_informed else now_s + self.retention_s
         self.request_complete()
 
     def record_report(self, entry_id: str, now_s: float) -> None:
@@ -67,66 +71,57 @@
         """
         self._seen_at_s[entry_id] = now_s
 
-    def merge(
-        self, entries: Iterable[EntrySeen], is_complete: bool, now_s: float
-    ) -> None:
+    def merge(self, report: HostReport, now_s: float) -> None:
         """Merge what the leader has heard.
 
         Parameters
         ----------
-        entries : iterable of EntrySeen
-            Entries that report to it.
-        is_complete : bool
-            Whether these are all entries that may run attempts.
+        report : HostReport
+            Report of a control; only that of the leader names entries.
         now_s : float
             Monotonic time in seconds.
         """
-        for entry in entries:
+        for entry in report.entries:
             seen_at_s = now_s - entry.age_ms / 1_000
             known_s = self._seen_at_s.get(entry.entry_id, -math.inf)
             self._seen_at_s[entry.entry_id] = max(seen_at_s, known_s)
-        if is_complete:
+        if report.lists_all_entries:
             self._complete_at_s = now_s
+            self._uncertain_until_s = now_s + report.unlisted_entries_ms / 1_000
             self._forget_silent(now_s)
 
     def request_complete(self) -> None:
         """Include all entries in the next list, such as for a control that starts."""
         self._complete_due_s = -math.inf
 
-    def drain_list(self, term: int, now_s: float) -> tuple[list[EntrySeen], bool]:
-        """Return what this leader has to tell the other controls.
+    def fill_report(self, report: HostReport, term: int, now_s: float) -> None:
+        """Add what this leader has to tell the other controls.
 
         Parameters
         ----------
+        report : HostReport
+            Gets all entries if that is due, otherwise those that are new.
         term : int
             The term that it leads; nothing is told before it has begun here.
         now_s : float
             Monotonic time in seconds.
-
-        Returns
-        -------
-        list of EntrySeen
-            All entries if that is due, otherwise those that are new.
-        bool
-            Whether these are all entries.
         """
         if term != self._led_term:
-            return [], False
+            return
         self._forget_silent(now_s)
-        is_certain = now_s >= self._uncertain_until_s
-        if is_certain:
-            self._complete_at_s = now_s
-        is_complete = is_certain and now_s >= self._complete_due_s
-        if is_complete:
+        self._complete_at_s = now_s
+        if now_s >= self._complete_due_s:
             self._complete_due_s = now_s + self.interval_s
             self._told_ids.clear()
-        entries = [
+            report.lists_all_entries = True
+            unlisted_s = max(0.0, self._uncertain_until_s - now_s)
+            report.unlisted_entries_ms = round(1_000 * unlisted_s)
+        report.entries.extend(
             EntrySeen(entry_id=entry_id, age_ms=round(1_000 * (now_s - seen_at_s)))
             for entry_id, seen_at_s in sorted(self._seen_at_s.items())
             if entry_id not in self._told_ids
-        ]
-        self._told_ids.update(entry.entry_id for entry in entries)
-        return entries, is_complete
+        )
+        self._told_ids.update(self._seen_at_s)
 
     def has_unheard(self, now_s: float) -> bool:
         """Tell whether an entry that may run attempts has not reported in this term.
--- a/chestnutvale/programs/control/host_announcement_handler.py
+++ b/chestnutvale/programs/control/host_announcement_handler.py
@@ -211,10 +211,7 @@
             sent_at_ms=round(now_s * 1_000),
         )
         if self._log.is_leader:
-            entries, report.lists_all_entries = self._roster.drain_list(
-                self._log.term, now_s
-            )
-            report.entries.extend(entries)
+            self._roster.fill_report(report, self._log.term, now_s)
         others = self._other_controls()
         # The first report tells the others that this control has started.
         is_due = not self._has_reported or report.lists_all_entries
@@ -238,7 +235,7 @@
         self._update_started_control(sender, envelope.sender_incarnation, now_s)
         report = envelope.host_report
         self._table.merge_control_report(sender, report.heard, now_s)
-        self._roster.merge(report.entries, report.lists_all_entries, now_s)
+        self._roster.merge(report, now_s)
         missing_host_ids = self._table.hosts_lacking_content(sender)
         address = self._other_controls().get(sender)
         if missing_host_ids and address:
