Release a draining group by the counts of entries if its head reports no load

What callers saw: only shown by a model. Streams at a draining group end when a new leader hears its head for the first time.

Cause: an announcement without a load was kept as an empty load until the next report of an entry, and a draining group with such a load counted as idle, whatever the entries had counted.

Change: for a head that reports no load, the counts of the entries decide. The benchmark of pauses shows what a new leader does about members whose announcements are lost while they go on.

Measured: test_first_announcement_of_a_head_does_not_hide_the_counts_of_entries failed before.

--- a/benchmarks/groups_pauses.py
+++ b/benchmarks/groups_pauses.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from chestnutvale.groups.const import PHASE_SERVING
+from chestnutvale.groups.const import PHASE_DRAINING, PHASE_SERVING
 from chestnutvale.groups.fleet import Fleet
 from chestnutvale.groups.idle_tracker import IdleTracker
 from chestnutvale.groups.planner import GroupCommand, GroupPlanner, PlanInputs
@@ -38,6 +38,8 @@
 RESPONSIVE_TTL_S = 1.2
 BEGIN_S = 4.0
 END_S = 14.0
+# Time from the begin of a term to the first plan, as set by the platform.
+FIRST_PLAN_S = 1.0
 TRIALS = 100
 
 Plan: TypeAlias = Callable[[float], list[GroupCommand]]
@@ -57,12 +59,21 @@
         Those of them that never go on.
     control_length_s : float
         Time in seconds for which the control stands still.
+    is_mute : bool
+        Whether the members go on, and only their announcements are lost.
+    has_new_leader : bool
+        Whether a control that has just started leads from then on.
+    is_draining : bool
+        Whether the group drains under that leader.
     """
 
     ranks: tuple[int, ...] = ()
     length_s: float = 0.0
     lost_ranks: tuple[int, ...] = ()
     control_length_s: float = 0.0
+    is_mute: bool = False
+    has_new_leader: bool = False
+    is_draining: bool = False
 
 
 @attrs.define
@@ -111,12 +122,19 @@
         messages = sorted(self._announcements())
         next_report_s = self.phases_s[0] % REPORT_INTERVAL_S
         now_s = 0.0
+        leads_from_s = BEGIN_S if self.fault.has_new_leader else math.inf
         while now_s < END_S:
             now_s += ROUND_INTERVAL_S
+            if now_s >= leads_from_s:
+                leads_from_s = math.inf
+                plan = self._change_leader(now_s)
             if 0.0 <= now_s - BEGIN_S < self.fault.control_length_s:
                 continue
             # The round precedes the messages that arrived while the control stood.
-            if any(is_change(command) for command in plan(now_s)):
+            is_waiting = (
+                self.fault.has_new_leader and 0.0 <= now_s - BEGIN_S < FIRST_PLAN_S
+            )
+            if not is_waiting and any(is_change(command) for command in plan(now_s)):
                 return now_s - BEGIN_S
             while messages and messages[0][0] <= now_s:
                 self._announce(messages.pop(0)[1], now_s)
@@ -137,6 +155,17 @@
 
         return plan
 
+    def _change_leader(self, now_s: float) -> Plan:
+        self.table = MembershipTable(DETECTION_TIMEOUT_S)
+        self.table.extend_detection_timeout(now_s + DETECTION_TIMEOUT_S, now_s)
+        self._stalls = StallAggregator()
+        if self.fault.is_draining:
+            group = self._state.groups[GROUP_ID]
+            draining = PutGroup(group=group, expected_epoch=group.epoch)
+            draining.group.phase = PHASE_DRAINING
+            self._state.put_group(draining, 1)
+        return self._plan_pool()
+
     def _plan_service(self) -> Plan:
         planner = GroupPlanner()
         planner.became_leader(0.0)
@@ -225,7 +254,8 @@
         resume_s = BEGIN_S + self.fault.length_s
         if self.fault.lost_ranks:
             resume_s = math.inf
-        is_silent = bool(self.fault.ranks) and BEGIN_S <= now_s < resume_s
+        stalls = bool(self.fault.ranks) and not self.fault.is_mute
+        is_silent = stalls and BEGIN_S <= now_s < resume_s
         silence_s = now_s - BEGIN_S if is_silent else 0.0
         self.table.merge_entry_report("entry", [], now_s)
         self.table.record_running_attempts("h0", self.calls_left if is_silent else 1)
@@ -306,6 +336,37 @@
     return f"{share} after {statistics.mean(dissolved_s):.2f} s"
 
 
+def print_new_leader() -> None:
+    """Print the decisions of a new leader that lacks announcements."""
+    print("| lost for s | whose announcements | serving | draining |")
+    for length_s in (1.2, 2.6, 3.6, 6.0, math.inf):
+        for name, ranks in (
+            ("all members", tuple(range(SIZE))),
+            ("the head", (0,)),
+            ("another member", (1,)),
+        ):
+            faults = [
+                Fault(
+                    ranks,
+                    length_s,
+                    is_mute=True,
+                    has_new_leader=True,
+                    is_draining=is_draining,
+                )
+                for is_draining in (False, True)
+            ]
+            columns = [describe(find_dissolved_times_s(fault)) for fault in faults]
+            print(f"| {length_s} | {name} | {' | '.join(columns)} |")
+    print("| new leader, lost for good | streams, all left | calls stay |")
+    for name, ranks in (("the head", (0,)), ("another member", (1,))):
+        fault = Fault(ranks, math.inf, has_new_leader=True)
+        columns = [
+            describe(find_dissolved_times_s(fault, calls_left=calls_left))
+            for calls_left in (0, 1)
+        ]
+        print(f"| {name} | {' | '.join(columns)} |")
+
+
 def main() -> None:
     """Print the decisions for each fault."""
     everyone = tuple(range(SIZE))
@@ -330,6 +391,7 @@
             for has_streams in (False, True)
         ]
         print(f"| {length_s} | the control | {' | '.join(columns)} | |")
+    print_new_leader()
     print("| pause s | who | group without a pool |")
     for length_s in (2.6, 3.6, 4.6, 6.0, math.inf):
         for name, ranks in (("all members", everyone), ("the head", (0,))):
--- a/chestnutvale/groups/idle_tracker.py
+++ b/chestnutvale/groups/idle_tracker.py
@@ -143,12 +143,15 @@
             # A head that only pauses, or that a new leader has yet to hear, goes on
             # with the requests that it has.
             return not (attempts.may_run or has_recent_events(group, table, now_s))
-        if not _announces_load(head) and not attempts.is_complete:
+        has_own_load = _announces_load(head)
+        if not has_own_load and not attempts.is_complete:
             return False
         if not group.plain and not _holds_group(head, group):
             return True
-        if head.load is None or head.heard_at_s <= no_new_requests_from_s:
+        if head.heard_at_s <= no_new_requests_from_s:
             return False
+        if not has_own_load:
+            return attempts.running == 0
         return head.load.running == 0 and head.load.waiting == 0
 
     def _drain_limit_s(self, now_s: float) -> float:
--- a/tests/groups/test_group_pauses.py
+++ b/tests/groups/test_group_pauses.py
@@ -190,3 +190,24 @@
         return
     budget = LoadBudget(pool.policy, pool.state, pool.table)
     assert budget.remaining_loads == pool.policy.max_loading_hosts
+
+
+@pytest.mark.parametrize("is_draining", [False, True])
+@pytest.mark.parametrize("ranks", [(0,), (1,), ALL_RANKS])
+@pytest.mark.parametrize("lost_s", [2.6, 6.0, math.inf])
+def test_new_leader_keeps_a_working_group_that_it_does_not_hear(
+    lost_s, ranks, is_draining
+):
+    fault = Fault(
+        ranks, lost_s, is_mute=True, has_new_leader=True, is_draining=is_draining
+    )
+    assert count_dissolved(fault) == 0
+
+
+@pytest.mark.parametrize(("calls_left", "limit_s"), [(0, 4.4), (1, 7.0)])
+def test_new_leader_dissolves_a_group_with_a_lost_member_it_never_heard(
+    calls_left, limit_s
+):
+    fault = Fault((1,), math.inf, has_new_leader=True)
+    times_s = find_dissolved_times_s(fault, calls_left=calls_left, trials=TRIALS)
+    assert max(times_s) < limit_s
--- a/tests/groups/test_idle_tracker.py
+++ b/tests/groups/test_idle_tracker.py
@@ -5,6 +5,7 @@
 from chestnutvale.configuration.const import MAX_ROUTED_CALL_S
 from chestnutvale.groups.members import group_head
 from chestnutvale.groups.settings import GroupsPolicy
+from chestnutvale.membership.table import MembershipTable
 from chestnutvale.schema.configuration_pb2 import Route
 from tests.groups.test_pools import Pool, all_hosts, make_serving_pool
 
@@ -106,6 +107,23 @@
     assert not pool.idle_tracker.is_idle(drain.group, pool.table, 12.0)
 
 
+def test_first_announcement_of_a_head_does_not_hide_the_counts_of_entries():
+    # Guards against a release between that announcement and the next report.
+    drain = DrainingPool(20_000)
+    pool = drain.pool
+    head_id = group_head(drain.group).host_id
+    pool.table = MembershipTable(3.0)
+    pool.table.extend_detection_timeout(13.0, 10.0)
+    pool.idle_tracker.reset()
+    pool.report_attempts(1)
+    pool.idle_tracker.observe(pool.state, pool.table, pool.text, 11.0)
+    pool.announce(head_id, 12.0)
+    assert pool.table.host(head_id).load.running == 0
+    assert not pool.idle_tracker.is_idle(drain.group, pool.table, 12.0)
+    pool.report_attempts(0)
+    assert pool.idle_tracker.is_idle(drain.group, pool.table, 12.0)
+
+
 def test_silent_head_whose_streams_go_on_is_not_idle():
     drain = DrainingPool(20_000)
     pool = drain.pool
