Say what a leader knew when it lost a member or removed a group

Cause: `member_lost` of a host without a record looked like the silence of a host that had been heard; the age in it was that of the term. `remove_group` did not say what was known of the calls at the group.

Change: `member_lost` says whether the host is known, `remove_group` names the phase, the running attempts and whether all entries were counted.

Measured: both new tests of tests/programs/control/test_group_task.py failed before; the existing one demands the new field, too.

--- a/chestnutvale/programs/control/group_task.py
+++ b/chestnutvale/programs/control/group_task.py
@@ -13,6 +13,7 @@
 from chestnutvale.groups.const import PHASE_SERVING
 from chestnutvale.groups.coordinator import Effect, GroupCoordinator, ProposeCommand
 from chestnutvale.groups.failure_detector import LostMember
+from chestnutvale.groups.members import group_head
 from chestnutvale.groups.orders import OrderOutcome, SendOrder
 from chestnutvale.membership.table import MembershipTable
 from chestnutvale.programs.control.const import (
@@ -187,6 +188,8 @@
 
     def _propose(self, effect: ProposeCommand) -> None:
         fields = command_log_fields(effect.command)
+        if effect.command.WhichOneof("body") == "remove_group":
+            fields |= self._describe_removed_group(effect.command.remove_group.group_id)
         try:
             result = self._log.propose(
                 effect.command, self._clock.now_s() + PROPOSAL_TIMEOUT_S
@@ -198,6 +201,18 @@
         except (NotLeaderError, OutcomeUnknownError) as error:
             _LOGGER.info("group_command", extra=fields | {"outcome": str(error)})
 
+    def _describe_removed_group(self, group_id: str) -> dict[str, Any]:
+        """Return log fields with what is known of the calls at a group."""
+        group = self._state.groups.groups.get(group_id)
+        if group is None or not group.members:
+            return {}
+        attempts = self._table.attempts_at(group_head(group).host_id)
+        return {
+            "phase": group.phase,
+            "running": attempts.running,
+            "is_count_complete": attempts.is_complete,
+        }
+
     def _send_order(self, effect: SendOrder) -> None:
         outcome = self._sender.send(effect)
         order = effect.order
@@ -236,7 +251,8 @@
     dict
         The host, the cause, for how many seconds it has been lost, and the entry or
         control to which it announced itself last; if that one is silent as well, the
-        host may be sound.
+        host may be sound. A host that this leader does not know may be sound, too; its
+        time counts from the begin of the term.
     """
     fields: dict[str, Any] = {
         "host": loss.member.host_id,
@@ -244,6 +260,7 @@
         "away_s": round(loss.away_s, 3),
     }
     record = table.host(loss.member.host_id)
+    fields["is_known"] = record is not None
     if record is None:
         return fields
     reporter_id = record.sender_id
--- a/tests/programs/control/test_group_task.py
+++ b/tests/programs/control/test_group_task.py
@@ -5,17 +5,23 @@
 import logbook
 import pytest
 
-from chestnutvale.groups.coordinator import GroupCoordinator
+from chestnutvale.groups.coordinator import GroupCoordinator, ProposeCommand
 from chestnutvale.groups.failure_detector import LossCause, LostMember
 from chestnutvale.groups.orders import OrderScheduler
 from chestnutvale.groups.planner import GroupPlanner
 from chestnutvale.membership.announcement_content import content_digest
 from chestnutvale.membership.table import MembershipTable
 from chestnutvale.programs.control.const import IDLE_DECISION_INTERVAL_S
-from chestnutvale.programs.control.group_task import GroupTask
+from chestnutvale.programs.control.group_task import GroupTask, describe_loss
 from chestnutvale.programs.control.state import ControlState
+from chestnutvale.schema.command_pb2 import Command, CommandResult
 from chestnutvale.schema.configuration_pb2 import Service, Text
-from chestnutvale.schema.groups_pb2 import GroupMember, HostRelease
+from chestnutvale.schema.groups_pb2 import (
+    Group,
+    GroupMember,
+    HostRelease,
+    RemoveGroup,
+)
 from chestnutvale.schema.membership_pb2 import Announcement, Heard
 from chestnutvale.schema.peer_pb2 import GroupView
 from chestnutvale.schema.raft_pb2 import Members
@@ -167,12 +173,37 @@
             "host": "h",
             "cause": "missing",
             "away_s": 2.1,
+            "is_known": True,
             "reported_by": reporter,
             "is_reporter_live": is_live,
         }
     ]
 
 
+def test_loss_of_a_member_without_a_record_says_that_the_host_is_not_known():
+    loss = LostMember(GroupMember(host_id="h"), LossCause.MISSING, 1.052)
+    fields = describe_loss(loss, MembershipTable(), set())
+    assert fields == {
+        "host": "h",
+        "cause": "missing",
+        "away_s": 1.052,
+        "is_known": False,
+    }
+
+
+def test_removal_of_a_group_names_what_was_known_of_its_calls(task_fixture):
+    group = Group(group_id="g", phase="draining", members=[GroupMember(host_id="h")])
+    task_fixture.state.groups.groups["g"] = group
+    task_fixture.table.record_running_attempts("h", 2, is_complete=False)
+    task_fixture.log.propose = lambda command, deadline_s: CommandResult()
+    command = Command(remove_group=RemoveGroup(group_id="g"))
+    with logbook.TestHandler() as handler:
+        task_fixture.task._propose(ProposeCommand(command))
+    (line,) = [item.extra for item in handler.records if item.msg == "group_command"]
+    found = [line[name] for name in ("phase", "running", "is_count_complete")]
+    assert found == ["draining", 2, False]
+
+
 class PlanningFixture(GroupTaskFixture):
     """A group task that plans for one group and applies what it proposes."""
 
