Don't leave a group for a report of a stall that is out of date

What callers see: nothing by itself; a stream whose events arrive moves to another endpoint, which costs a retry and reads its prompt again.

A report of a stall is as old as its way through an entry and a control. A call left at once, also if events had arrived meanwhile, unlike after a report of a lost group. It now waits until its own stream has been silent for 0.4 s. An attempt that has not answered leaves at once, as before.

The new test of the call failed before: the stream left 0.1 s after an event.

--- a/chestnutvale/attempts/model_call.py
+++ b/chestnutvale/attempts/model_call.py
@@ -20,6 +20,7 @@
     CODE_REFUSED,
     CODE_RETRY_BUDGET,
     DEFAULT_RETRY_AFTER_S,
+    LOST_GROUP_SILENCE_S,
     MAX_REPLACED_REFUSALS,
     MAX_UNREACHABLE_GROUPS,
     OUTCOME_FAILED,
@@ -416,7 +417,14 @@
         )
 
     def _on_group_stalled(self, event: GroupStalled, now_s: float) -> list[CallEffect]:
-        if not self._attempt_id or self._find_obstacle():
+        if not self._attempt_id:
+            return []
+        # The report is as old as its way through a control.
+        is_withdrawn = self._silence.elapsed_s(now_s) < LOST_GROUP_SILENCE_S
+        if self._has_answered and is_withdrawn:
+            self._silence.record_group_loss(REASON_STALLED, now_s)
+            return []
+        if self._find_obstacle():
             return []
         return self._leave_group(REASON_STALLED, now_s)
 
--- a/chestnutvale/programs/entry/model_calls.py
+++ b/chestnutvale/programs/entry/model_calls.py
@@ -443,8 +443,10 @@
         return True
 
     def _report_stall(self, report: GroupStalled, attempt: Attempt) -> None:
-        if self.attempt is attempt:
-            self._interrupt(report)
+        if self.attempt is not attempt or self._interrupt(report):
+            return
+        if self._waiter is not None and not self._interrupt_effects:
+            self._tick_timer.set_due(self._call.next_tick_s)
 
     def _is_held(self, attempt_id: str) -> bool:
         return self._held is not None and self._held.attempt.attempt_id == attempt_id
--- a/tests/attempts/test_model_call.py
+++ b/tests/attempts/test_model_call.py
@@ -649,3 +649,15 @@
     assert [type(effect) for effect in effects] == [CancelAttempt, ChooseGroup]
     (effect,) = call.handle(NoGroupAvailable(1.0), 1.0)
     assert effect.failure.outcome == "unknown"
+
+
+def test_stream_whose_events_came_after_a_report_of_a_stall_does_not_leave(call):
+    attempt_id = start(call)
+    for number in range(3):
+        now_s = 1.0 + 0.3 * number
+        events = [token(attempt_id, number)]
+        call.handle(EventsArrived(attempt_id, events), now_s)
+        assert call.handle(GroupStalled(), now_s + 0.1) == []
+        assert call.next_tick_s == pytest.approx(now_s + LOST_GROUP_SILENCE_S)
+    hold, _ = call.handle(Tick(), call.next_tick_s)
+    assert hold.reason == "the group stalled"
