Draw every kind of change of a text, and hosts that come and go, in the soak

Cause: the texts of the soak changed weights, limits and further workspaces only. No route, key, service, version, group size or deadline changed under its callers, and no engine host crashed, left or arrived, so that it could not show what these do to a running answer.

The checks judge denials and removed keys by the texts that may be in force, and replies to faulty and old texts.

--- a/chestnutvale/soak/callers.py
+++ b/chestnutvale/soak/callers.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator
 from typing import Any
 
+import attrs
 import urllib3
 
 from chestnutvale.emulator.answer_text import expected_text
@@ -13,6 +14,8 @@
 from chestnutvale.emulator.deployment import PLAIN_SERVICE, WORKSPACE_KEYS
 from chestnutvale.soak.const import (
     CALL_DEADLINE_MS,
+    GUEST_KEY,
+    GUEST_WORKSPACE,
     KIND_POSTING,
     KIND_READ,
     KIND_STREAM,
@@ -20,6 +23,7 @@
     SOLO_SERVICE,
     STREAM_DEADLINE_MS,
     STREAM_TOKENS,
+    SUCCESS_STATUSES,
     TEXT_PART,
     TEXT_WHOLE,
     TEXT_WRONG,
@@ -35,7 +39,6 @@
 MAX_POSTINGS = 5
 SLOW_BODY_SHARE = 0.2
 MAX_BODY_PAUSE_S = 0.4
-SUCCESS_STATUSES = (200, 201)
 # Class of the error of a connection that was not made.
 NEVER_SENT = urllib3.exceptions.NewConnectionError.__name__
 
@@ -70,7 +73,9 @@
         # Time of the last byte of the last body that was sent in parts.
         self._body_sent_s = 0.0
         self._entry = ""
-        self._key = rng.choice(sorted(WORKSPACE_KEYS.values()))
+        keys = WORKSPACE_KEYS | {GUEST_WORKSPACE: GUEST_KEY}
+        self._workspace = rng.choice(sorted(keys))
+        self._key = keys[self._workspace]
         self._http = urllib3.PoolManager(
             maxsize=1, retries=False, timeout=SOCKET_TIMEOUT_S
         )
@@ -127,7 +132,8 @@
             headers={"X-Deadline-Ms": str(STREAM_DEADLINE_MS)},
             on_token=lambda answer: len(answer.text.split()) < limit,
         )
-        self._record(_make_stream_record(call_id, self._entry, prompt, limit, answer))
+        request = _make_stream_record(call_id, self._entry, prompt, limit, answer)
+        self._record(attrs.evolve(request, service=service, workspace=self._workspace))
 
     def _post(self, call_id: str) -> None:
         """Send a call with the same key until it is answered, or given up."""
@@ -162,6 +168,8 @@
             max(sent_s, self._body_sent_s),
             time.monotonic(),
             sent_s + CALL_DEADLINE_MS / 1e3,
+            service=PLAIN_SERVICE,
+            workspace=self._workspace,
             **result,
         )
         self._record(request)
--- a/chestnutvale/soak/checks.py
+++ b/chestnutvale/soak/checks.py
@@ -10,6 +10,7 @@
     IN_FORCE_S,
     KIND_POSTING,
     REQUEST_READ_S,
+    SUCCESS_STATUSES,
     TEXT_WRONG,
 )
 from chestnutvale.soak.records import (
@@ -71,12 +72,34 @@
 
 
 def find_denied_calls(records: SoakRecords) -> Iterator[str]:
-    """Yield each denied call; every text allows all calls."""
+    """Yield each denied call that all texts that may have been in force allow."""
     for request in records.requests:
-        if request.status in DENIAL_STATUSES:
+        if request.status not in DENIAL_STATUSES:
+            continue
+        texts = records.list_texts_in_force(request.sent_s, request.ended_s)
+        if all(text.allows(request) for text in texts):
+            yield _describe(request)
+
+
+def find_calls_with_removed_keys(records: SoakRecords) -> Iterator[str]:
+    """Yield each call that ran although its key or service had been taken away."""
+    for request in records.requests:
+        texts = records.list_texts_in_force(request.sent_s, request.ended_s)
+        is_answered = request.status in SUCCESS_STATUSES
+        if not texts or any(text.allows(request) for text in texts) or not is_answered:
+            continue
+        begin_s = request.sent_s - IN_FORCE_S
+        if not records.is_disrupted(request.entry, begin_s, request.ended_s):
             yield _describe(request)
 
 
+def find_wrong_text_replies(records: SoakRecords) -> Iterator[str]:
+    """Yield each faulty text that was accepted, and each old one that was refused."""
+    for reply in records.text_replies:
+        if reply.is_accepted != reply.is_due:
+            yield f"{reply.name} was {'accepted' if reply.is_accepted else 'refused'}"
+
+
 def find_old_texts(records: SoakRecords) -> Iterator[str]:
     """Yield each reading of an entry that is late with a text, or went back."""
     newest: dict[tuple[str, int], int] = defaultdict(int)
@@ -116,6 +139,8 @@
     "a call that may not be repeated runs once": find_repeated_postings,
     "a refusal as not run is true": find_false_refusals,
     "a valid call is not denied": find_denied_calls,
+    "a key or service that was taken away serves nothing": find_calls_with_removed_keys,
+    "a faulty text is refused, an accepted one stays": find_wrong_text_replies,
     "an accepted text is in force": find_old_texts,
     "a planned stop cuts nothing": find_cuts_by_stops,
 }
--- a/chestnutvale/soak/const.py
+++ b/chestnutvale/soak/const.py
@@ -8,6 +8,9 @@
 # Hosts that stay without a group, so that a group can be moved.
 SPARE_HOSTS: Final = 2
 PROBE_WORKSPACE: Final = "probe"
+# Workspace whose only key some texts take away.
+GUEST_WORKSPACE: Final = "guest"
+GUEST_KEY: Final = "soak-guest"
 
 KIND_STREAM: Final = "stream"
 KIND_READ: Final = "read"
@@ -19,6 +22,7 @@
 
 OUTCOME_NOT_RUN: Final = "not_run"
 STATUS_UNAUTHORIZED: Final = 401
+SUCCESS_STATUSES: Final = frozenset({200, 201})
 # Statuses of calls that the configuration does not allow.
 DENIAL_STATUSES: Final = frozenset({401, 403, 404})
 
--- a/chestnutvale/soak/main.py
+++ b/chestnutvale/soak/main.py
@@ -59,7 +59,8 @@
     delay_ms : float
         Delay in milliseconds of each direction between callers and entries.
     faults : bool
-        Kill daemons and, if there is a delay, reset connections of callers.
+        Kill daemons and engine hosts and, if there is a delay, reset connections of
+        callers.
     idle : int
         Number of idle connections to each entry.
     logs : Path
@@ -91,7 +92,7 @@
         except EmulatorError as error:
             print(f"seed {number}: could not run: {error}", flush=True)
             return EXIT_NOT_RUN
-        print(format_report(result), flush=True)
+        print(format_report(result, folder), flush=True)
         if result.violations:
             exit_code = EXIT_BROKEN
         elif result.gaps:
--- a/chestnutvale/soak/plan.py
+++ b/chestnutvale/soak/plan.py
@@ -5,11 +5,21 @@
 import attrs
 
 from chestnutvale.soak.const import PAUSE_DURATIONS_S
-from chestnutvale.soak.text import TextChange
+from chestnutvale.soak.text import (
+    CHANGES,
+    EXCLUSIVE_CHANGES,
+    FAULT_NAMES,
+    TextChange,
+)
 
 ROLE_ENTRY = "entry"
 ROLE_CONTROL = "control"
 ROLE_LEADER = "leader"
+TEXT_LARGE = "large"
+TEXT_STORM = "storm"
+TEXT_RACE = "race"
+TEXT_FAULTY = "faulty"
+TEXT_OLD = "old"
 # Indices are drawn below this number and taken modulo the number of what they choose.
 MAX_INDEX = 1_000
 STORM_TEXTS = 6
@@ -21,10 +31,26 @@
 
 @attrs.frozen
 class ApplyTexts:
-    """Apply texts one after another, ``gap_s`` seconds apart."""
+    """Apply texts one after another, ``gap_s`` seconds apart, or all at once."""
 
     changes: tuple[TextChange, ...]
     gap_s: float = STORM_GAP_S
+    is_race: bool = False
+
+
+@attrs.frozen
+class ApplyFaultyText:
+    """Send the leader a text that must be refused."""
+
+    change: TextChange
+    fault: str
+
+
+@attrs.frozen
+class ResendText:
+    """Apply a text again that was accepted before."""
+
+    index: int
 
 
 @attrs.frozen
@@ -84,8 +110,43 @@
     """Reset some of the connections of callers."""
 
 
+@attrs.frozen
+class LoseAnnouncements:
+    """Lose what some engine hosts, or all, announce while they serve on."""
+
+    indices: tuple[int, ...]
+    duration_s: float
+
+
+@attrs.frozen
+class ReleaseHost:
+    """Let an engine host announce that it leaves, stop it once idle, and start it."""
+
+    index: int
+    duration_s: float
+
+
+@attrs.frozen
+class AddHost:
+    """Start another engine host."""
+
+
+@attrs.frozen
+class CrashHost:
+    """Kill an engine host and start it again at the same address."""
+
+    index: int
+    duration_s: float
+
+
 Action = (
     ApplyTexts
+    | ApplyFaultyText
+    | ResendText
+    | LoseAnnouncements
+    | ReleaseHost
+    | AddHost
+    | CrashHost
     | RestartDaemon
     | PauseGroups
     | SuspendDaemon
@@ -109,8 +170,9 @@
 ) -> list[PlannedStep]:
     """Draw the steps of a run.
 
-    Changes, signals, restarts, pauses, late processes and faults are drawn
-    independently of each other, so that they come in series and overlap.
+    Changes, signals, restarts, pauses, late processes, hosts that come and go and
+    faults are drawn independently of each other, so that they come in series and
+    overlap.
 
     Parameters
     ----------
@@ -119,7 +181,7 @@
     length_s : float
         Length of the run in seconds.
     has_faults : bool, optional
-        Whether daemons are killed and connections reset, too.
+        Whether daemons and hosts are killed and connections reset, too.
 
     Returns
     -------
@@ -133,9 +195,12 @@
         ("late", _draw_suspension, 3.0, 8.0),
         ("reloads", _draw_reload, 2.0, 8.0),
         ("releases", _draw_release, 6.0, 15.0),
+        ("announcements", _draw_announcement_loss, 5.0, 9.0),
+        ("hosts", _draw_host_change, 4.0, 9.0),
     ]
     if has_faults:
         tracks.append(("faults", _draw_fault, 4.0, 10.0))
+        tracks.append(("crashes", _draw_crash, 6.0, 12.0))
     steps: list[PlannedStep] = []
     for name, draw_action, min_gap_s, max_gap_s in tracks:
         rng = random.Random(f"{seed} {name}")
@@ -147,13 +212,26 @@
 
 
 def _draw_texts(rng: random.Random) -> Action:
-    kind = rng.choice(["small", "small", "large", "storm"])
-    count = STORM_TEXTS if kind == "storm" else 1
-    return ApplyTexts(
-        tuple(
-            TextChange(rng.randrange(MAX_INDEX), kind == "large") for _ in range(count)
-        )
+    kind = rng.choice(
+        ["", "", "", TEXT_LARGE, TEXT_STORM, TEXT_RACE, TEXT_FAULTY, TEXT_OLD]
     )
+    if kind == TEXT_OLD:
+        return ResendText(rng.randrange(MAX_INDEX))
+    if kind == TEXT_FAULTY:
+        return ApplyFaultyText(_draw_change(rng), rng.choice(FAULT_NAMES))
+    if kind == TEXT_LARGE:
+        change = TextChange(rng.randrange(MAX_INDEX), ("workspaces", "routes"))
+        return ApplyTexts((change,))
+    count = {TEXT_STORM: STORM_TEXTS, TEXT_RACE: 2}.get(kind, 1)
+    changes = tuple(_draw_change(rng) for _ in range(count))
+    return ApplyTexts(changes, is_race=kind == TEXT_RACE)
+
+
+def _draw_change(rng: random.Random) -> TextChange:
+    kinds = rng.sample(sorted(CHANGES), rng.randint(1, 3))
+    exclusive = [kind for kind in kinds if kind in EXCLUSIVE_CHANGES]
+    kinds = [kind for kind in kinds if kind not in exclusive[1:]]
+    return TextChange(rng.randrange(MAX_INDEX), tuple(kinds))
 
 
 def _draw_restart(rng: random.Random) -> Action:
@@ -189,3 +267,19 @@
 def _draw_fault(rng: random.Random) -> Action:
     kind = rng.choice([ROLE_ENTRY, ROLE_CONTROL, ROLE_LEADER, ""])
     return KillDaemon(rng.randrange(MAX_INDEX), kind) if kind else ResetLinks()
+
+
+def _draw_announcement_loss(rng: random.Random) -> Action:
+    count = rng.choice([0, 1, 1, 2])
+    indices = tuple(rng.randrange(MAX_INDEX) for _ in range(count))
+    return LoseAnnouncements(indices, rng.choice(PAUSE_DURATIONS_S))
+
+
+def _draw_host_change(rng: random.Random) -> Action:
+    if rng.random() < 0.2:
+        return AddHost()
+    return ReleaseHost(rng.randrange(MAX_INDEX), rng.uniform(0.0, 4.0))
+
+
+def _draw_crash(rng: random.Random) -> Action:
+    return CrashHost(rng.randrange(MAX_INDEX), rng.uniform(0.0, 4.0))
--- a/chestnutvale/soak/records.py
+++ b/chestnutvale/soak/records.py
@@ -1,5 +1,6 @@
 """What callers, endpoints and operators saw; the input of the checks."""
 
+import math
 from collections import defaultdict
 from collections.abc import Iterator
 from typing import Any
@@ -9,6 +10,7 @@
 from chestnutvale.soak.const import (
     CONTACT_S,
     DEADLINE_MARGIN_S,
+    IN_FORCE_S,
     KIND_STREAM,
     OUTCOME_FINISHED,
     OUTCOME_NOT_RUN,
@@ -35,6 +37,8 @@
         Whether there was a connection on which the request was sent.
     is_replayed : bool
         Whether the answer is the recorded one of an earlier request.
+    service, workspace : str
+        Service that was called, and workspace whose key was sent.
     """
 
     call_id: str
@@ -51,6 +55,8 @@
     hung_up: bool = False
     was_sent: bool = True
     is_replayed: bool = False
+    service: str = ""
+    workspace: str = ""
 
     @property
     def is_whole(self) -> bool:
@@ -84,10 +90,52 @@
 
 @attrs.frozen
 class TextRecord:
-    """An accepted configuration text and the time of its acknowledgement."""
+    """An accepted configuration text; times are monotonic, in seconds.
+
+    Attributes
+    ----------
+    accepted_s : float
+        Time of its acknowledgement; infinite if there was none.
+    submitted_s : float
+        Time from which it may have been in force.
+    services, workspaces : frozenset of str
+        Its services, and the workspaces whose callers it admits.
+    """
 
     number: int
     accepted_s: float
+    submitted_s: float = -math.inf
+    services: frozenset[str] = frozenset()
+    workspaces: frozenset[str] = frozenset()
+
+    @property
+    def is_accepted(self) -> bool:
+        """Whether it was acknowledged."""
+        return math.isfinite(self.accepted_s)
+
+    def allows(self, request: RequestRecord) -> bool:
+        """Return whether the text knows the key and the service of a request."""
+        knows_service = not request.service or request.service in self.services
+        return knows_service and (
+            not request.workspace or request.workspace in self.workspaces
+        )
+
+
+@attrs.frozen
+class TextReply:
+    """Reply to a text that must be refused, or that was accepted before.
+
+    Attributes
+    ----------
+    is_accepted : bool
+        Whether it was acknowledged.
+    is_due : bool
+        Whether it had to be.
+    """
+
+    name: str
+    is_accepted: bool
+    is_due: bool
 
 
 @attrs.frozen
@@ -134,6 +182,15 @@
     readings: list[KeyReading] = attrs.field(factory=list)
     stops: list[PlannedStop] = attrs.field(factory=list)
     disruptions: list[Disruption] = attrs.field(factory=list)
+    text_replies: list[TextReply] = attrs.field(factory=list)
+
+    def list_texts_in_force(self, begin_s: float, end_s: float) -> list[TextRecord]:
+        """Return the texts that may have been in force at some moment of a time."""
+        newest = max(
+            (t.number for t in self.texts if t.accepted_s < begin_s - IN_FORCE_S),
+            default=0,
+        )
+        return [t for t in self.texts if t.number >= newest and t.submitted_s <= end_s]
 
     def is_disrupted(self, entry: str, begin_s: float, end_s: float) -> bool:
         """Return whether an entry was affected in a time, or shortly before it."""
--- a/chestnutvale/soak/runner.py
+++ b/chestnutvale/soak/runner.py
@@ -18,16 +18,16 @@
 from chestnutvale.soak.checks import Violation, find_all_violations
 from chestnutvale.soak.const import (
     HOSTS_PER_PAIR_GROUP,
-    OUTCOME_FINISHED,
     POSTING_MS,
     SPARE_HOSTS,
     STEP_MS,
 )
+from chestnutvale.soak.host_work import collect_runs
 from chestnutvale.soak.idle_clients import IdleClients
 from chestnutvale.soak.machines import MachineLimits, Machines
 from chestnutvale.soak.observers import KeyObserver, StandstillObserver
 from chestnutvale.soak.plan import draw_plan
-from chestnutvale.soak.records import RunRecord, SoakRecords
+from chestnutvale.soak.records import SoakRecords
 from chestnutvale.soak.text import Sizes, TextChange
 from chestnutvale.soak.work import PlannedWork
 
@@ -126,7 +126,7 @@
             deployment = stack.enter_context(Deployment(self._make_deployment()))
             machines = Machines(deployment, options.limits, options.seed)
             work = PlannedWork(deployment, sizes, self._records, machines)
-            work.apply_text(TextChange(options.seed))
+            work.texts.apply_text(TextChange(options.seed))
             deployment.wait_until_groups_serve(sizes.solo_groups + sizes.pair_groups)
             stack.enter_context(machines)
             self._start_busy_processes(stack)
@@ -134,7 +134,9 @@
             standstills = StandstillObserver()
             self._start_thread(standstills.run, self._stop)
             for entry in deployment.entries:
-                observer = KeyObserver(deployment, entry, work.submitted, self._records)
+                observer = KeyObserver(
+                    deployment, entry, work.texts.submitted, self._records
+                )
                 self._start_thread(observer.run, self._stop)
             self._start_thread(self._print_progress)
             self._start_callers(machines.caller_addresses)
@@ -207,21 +209,3 @@
                 f"{len(self._records.texts)} texts, {len(self._records.stops)} stops",
                 flush=True,
             )
-
-
-def collect_runs(deployment: Deployment) -> list[RunRecord]:
-    """Return all attempts that the endpoints, which must all run, accepted."""
-    runs: list[RunRecord] = []
-    for host in deployment.engines:
-        for attempt in deployment.fetch_json(host, "/v1/history")["attempts"]:
-            call_id = attempt["prompt_start"].partition("\n")[0]
-            runs.append(RunRecord(call_id, host, attempt["outcome"]))
-    for host in deployment.services:
-        counts = deployment.fetch_json(host, "/runs")
-        reads = {
-            path.removeprefix("/postings/"): count
-            for path, count in counts["reads"].items()
-        }
-        for call_id, count in (counts["runs"] | reads).items():
-            runs += [RunRecord(call_id, host, OUTCOME_FINISHED)] * count
-    return runs
--- a/chestnutvale/soak/work.py
+++ b/chestnutvale/soak/work.py
@@ -12,17 +12,24 @@
 from chestnutvale.emulator.deployment import Deployment
 from chestnutvale.emulator.exceptions import EmulatorError
 from chestnutvale.emulator.processes import ManagedProcess
+from chestnutvale.soak.host_work import HostWork
 from chestnutvale.soak.machines import Machines
 from chestnutvale.soak.plan import (
     ROLE_ENTRY,
     ROLE_LEADER,
     Action,
+    AddHost,
+    ApplyFaultyText,
     ApplyTexts,
+    CrashHost,
     KillDaemon,
+    LoseAnnouncements,
     PauseGroups,
     PlannedStep,
     ReleaseEntries,
+    ReleaseHost,
     ReloadDaemons,
+    ResendText,
     ResetLinks,
     RestartDaemon,
     SuspendDaemon,
@@ -31,14 +38,12 @@
     Disruption,
     PlannedStop,
     SoakRecords,
-    TextRecord,
 )
-from chestnutvale.soak.text import Sizes, TextChange, make_text
+from chestnutvale.soak.text import Sizes
+from chestnutvale.soak.text_work import TextWork
 
 _LOGGER = logbook.Logger(__name__)
 
-EXIT_ACCEPTED = 0
-MAX_APPLY_ATTEMPTS = 5
 # A stopping entry waits for its requests, and these for paused endpoints.
 STOP_TIMEOUT_S = 90.0
 FINISH_TIMEOUT_S = 120.0
@@ -55,19 +60,24 @@
         records: SoakRecords,
         machines: Machines,
     ) -> None:
-        self.submitted: list[int] = []
+        self.texts = TextWork(deployment, sizes, records)
         self.counts: Counter[str] = Counter()
         self.failures: list[str] = []
         self._deployment = deployment
-        self._sizes = sizes
         self._records = records
         self._machines = machines
-        self._text_lock = threading.Lock()
         self._control_lock = threading.Lock()
         daemons = deployment.controls | deployment.entries
         self._locks = {name: threading.Lock() for name in daemons}
+        hosts = HostWork(deployment, records)
         self._run_by_type: dict[type, Callable[..., None]] = {
-            ApplyTexts: self._apply_texts,
+            ApplyTexts: self.texts.apply_texts,
+            ApplyFaultyText: self.texts.apply_faulty_text,
+            ResendText: self.texts.resend,
+            LoseAnnouncements: hosts.lose_announcements,
+            ReleaseHost: hosts.release,
+            AddHost: hosts.add,
+            CrashHost: hosts.crash,
             RestartDaemon: self._restart_daemon,
             PauseGroups: self._pause_groups,
             SuspendDaemon: self._suspend_daemon,
@@ -110,34 +120,6 @@
             _LOGGER.warning("Step {} failed: {}", kind, error)
             self.failures.append(f"{kind}: {error}")
 
-    def apply_text(self, change: TextChange) -> None:
-        """Apply the next text.
-
-        Raises
-        ------
-        EmulatorError
-            If it is not accepted in several attempts.
-        """
-        with self._text_lock:
-            number = len(self.submitted) + 1
-            path = self._deployment.folder / f"text-{number}.json"
-            path.write_text(make_text(number, self._sizes, change))
-            self.submitted.append(number)
-            for _ in range(MAX_APPLY_ATTEMPTS):
-                run = self._deployment.run_client("apply", str(path))
-                if run.returncode == EXIT_ACCEPTED:
-                    self._records.texts.append(TextRecord(number, time.monotonic()))
-                    return
-        raise EmulatorError(
-            f"text {number} was not accepted: {run.stdout}{run.stderr}", step="apply"
-        )
-
-    def _apply_texts(self, action: ApplyTexts) -> None:
-        for index, change in enumerate(action.changes):
-            if index:
-                time.sleep(action.gap_s)
-            self.apply_text(change)
-
     def _restart_daemon(self, action: RestartDaemon) -> None:
         if action.role == ROLE_ENTRY:
             self._restart(self._choose_daemon(action.index, action.role))
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -1,10 +1,13 @@
 """Each check of the soak test finds its fabricated fault and passes what is allowed."""
 
+import math
+
 import attrs
 import pytest
 
 from chestnutvale.soak.checks import (
     find_all_violations,
+    find_calls_with_removed_keys,
     find_cuts_by_stops,
     find_denied_calls,
     find_false_refusals,
@@ -12,6 +15,7 @@
     find_repeated_postings,
     find_unanswered_runs,
     find_wrong_answers,
+    find_wrong_text_replies,
 )
 from chestnutvale.soak.records import (
     Disruption,
@@ -21,6 +25,7 @@
     RunRecord,
     SoakRecords,
     TextRecord,
+    TextReply,
 )
 
 RUN = RunRecord("c1", "host-1", "finished")
@@ -234,3 +239,75 @@
     }
     assert count(find_old_texts, **records) == 3
     assert count(find_old_texts, disruptions=[Disruption(9.0)], **records) == 1
+
+
+GUEST = {"service": "chat", "workspace": "guest"}
+KNOWN = (frozenset({"chat"}), frozenset({"guest"}))
+NO_KEY = (frozenset({"chat"}), frozenset())
+NO_SERVICE = (frozenset(), frozenset({"guest"}))
+
+
+def make_text_record(number, at_s, names):
+    return TextRecord(number, at_s + 0.1, at_s, *names)
+
+
+# The request is sent at 10 s and ends at 12 s; a text is in force 5 s after its
+# acknowledgement at the latest.
+@pytest.mark.parametrize("names", [NO_KEY, NO_SERVICE])
+@pytest.mark.parametrize(
+    ("removed_s", "returned_s", "may_be_denied", "must_be_denied"),
+    [
+        (1.0, 20.0, True, True),
+        (1.0, 11.0, True, False),
+        (1.0, 3.0, False, False),
+        (1.0, 7.0, True, False),
+        (7.0, 20.0, True, False),
+        (11.0, 20.0, True, False),
+        (13.0, 20.0, False, False),
+    ],
+)
+def test_keys_and_services_are_judged_by_the_texts_that_may_be_in_force(
+    names, removed_s, returned_s, may_be_denied, must_be_denied
+):
+    texts = [
+        make_text_record(1, 0.0, KNOWN),
+        make_text_record(2, removed_s, names),
+        make_text_record(3, returned_s, KNOWN),
+    ]
+    denied = make_cut(status=401, **GUEST)
+    served = make_request(**GUEST)
+    is_undue = count(find_denied_calls, requests=[denied], texts=texts)
+    is_late = count(find_calls_with_removed_keys, requests=[served], texts=texts)
+    assert (is_undue == 0, is_late == 1) == (may_be_denied, must_be_denied)
+
+
+def test_text_without_an_acknowledgement_may_be_in_force_at_any_later_time():
+    texts = [make_text_record(1, 0.0, KNOWN), TextRecord(2, math.inf, 1.0, *NO_KEY)]
+    denied, served = make_cut(status=401, **GUEST), make_request(**GUEST)
+    assert not count(find_denied_calls, requests=[denied], texts=texts)
+    assert not count(find_calls_with_removed_keys, requests=[served], texts=texts)
+
+
+def test_removed_key_that_a_disrupted_entry_still_knows_is_excused():
+    records = {
+        "requests": [make_request(**GUEST)],
+        "texts": [make_text_record(1, 0.0, NO_KEY)],
+    }
+    assert count(find_calls_with_removed_keys, **records) == 1
+    disruption = Disruption(8.0, "entry-1")
+    assert not count(find_calls_with_removed_keys, **records, disruptions=[disruption])
+
+
+# A key that is taken away ends no answer that has begun.
+def test_stream_that_was_cut_when_its_key_was_taken_away_is_found():
+    texts = [make_text_record(1, 0.0, KNOWN), make_text_record(2, 11.0, NO_KEY)]
+    cut = make_cut(status=200, text_state="part", **GUEST)
+    run = HUNG_UP_RUN
+    assert count(find_unanswered_runs, requests=[cut], runs=[run], texts=texts) == 1
+
+
+@pytest.mark.parametrize("is_due", [False, True])
+def test_only_replies_that_differ_from_what_is_due_are_found(is_due):
+    replies = [TextReply("text 3", is_accepted, is_due) for is_accepted in (0, 1)]
+    assert count(find_wrong_text_replies, text_replies=replies[:1]) == is_due
+    assert count(find_wrong_text_replies, text_replies=replies[1:]) != is_due
