Show that a held attempt reports its silent group as working

What callers would see: a group that has stalled, or has lost a member, gets new requests again and is kept, as long as an entry holds an attempt there and has no other stream there.

Cause: a held attempt counts in RunningAttempts, but StallDetector has forgotten it. ControlLink._make_group_loads reports a count with the default silence of 0 ms, neither stalled nor unheard, which the leader takes for an event that has just arrived: StallAggregator ends the stall that other entries report, and active_groups makes the group responsive, so that a silent member is not lost. The load of the silent group was {running: 1} without a silence.

This commit has the failing test only.

--- a/tests/programs/entry/test_control_link.py
+++ b/tests/programs/entry/test_control_link.py
@@ -20,11 +20,19 @@
 from chestnutvale.programs.entry.control_link import ControlLink
 from chestnutvale.programs.entry.demand_exchange import DemandExchange
 from chestnutvale.programs.entry.running_attempts import RunningAttempts
-from chestnutvale.routing.stall_detection import StallDetector
+from chestnutvale.routing.stall_detection import StallAggregator, StallDetector
 from chestnutvale.schema.configuration_pb2 import Text
 from chestnutvale.schema.membership_pb2 import Announcement
 from chestnutvale.schema.peer_pb2 import ControlView, CrashSuspicion, Envelope
 from chestnutvale.schema.settings_pb2 import EntrySettings
+from tests.programs.entry.routed.routed_fakes import (
+    ScriptedEndpoint,
+    chunk,
+    event,
+    open_call,
+    routed_entry,
+    stream_head,
+)
 from tests.programs.entry.test_entry_context import make_context
 from tests.programs.entry.test_group_router import ManualClock
 
@@ -274,3 +282,36 @@
     link._receive_view(Envelope(sender_id=CONTROL, control_view=view))
     assert context.text.number == context.lookup.number == 2
     assert context.authenticate({"HTTP_AUTHORIZATION": "Bearer new"}) == "w"
+
+
+def test_group_whose_only_stream_is_held_is_not_reported_as_working(entry):
+    # Guards against a stall or a lost member that a held attempt hides.
+    silent, late = ScriptedEndpoint(), ScriptedEndpoint()
+
+    def send_one_event_and_stall(sock, request):
+        sock.sendall(stream_head() + chunk(event(1)))
+        eventlet.sleep(3.0)
+
+    silent.default = send_one_event_and_stall
+    late.default = lambda sock, request: eventlet.sleep(3.0)
+    with routed_entry(silent, late) as routed:
+        routed.context.running = entry.running
+        routed.context.stall_detector = entry.stall_detector
+        sock = open_call(routed.address, "/gen/x", b"p", X_Model="m")
+        eventlet.sleep(1.5)
+        assert late.requests
+        now_s = entry.clock.time_s = routed.context.clock.now_s()
+        entry.link._report_once()
+        sock.close()
+    (load,) = (x for x in entry.transport.reports[-1].running if x.group_id == "gpu1")
+    aggregator = StallAggregator()
+    aggregator.record_report("entry-2", {"gpu1": 1.5}, frozenset({"gpu1"}), now_s)
+    aggregator.record_report(
+        "entry-1",
+        {"gpu1": load.silence_ms / 1_000},
+        frozenset({"gpu1"} if load.stalled else ()),
+        now_s,
+        frozenset({"gpu1"} if load.unheard else ()),
+    )
+    assert aggregator.stalled_groups(now_s) == {"gpu1"}
+    assert aggregator.active_groups(now_s) == frozenset()
