Show that a held attempt outlives its caller while the next one connects

What callers would see: nothing. An engine works on for up to 2 s (EndpointExchange.CONNECT_TIMEOUT_S) after its caller has left, rule GONE, where the next endpoint takes no connection, which is likely when a host is lost. Routed calls are bounded by their connect timeout of 0.2 s.

Cause: ModelCallRun._hold_attempt clears the disconnect callback, and that of the next attempt can not interrupt a connect. The held attempt is closed only once the greenlet of the call handles the next event. Before attempts were held, the first one was closed as it was left.

This commit has the failing test only.

--- a/tests/programs/entry/test_model_calls.py
+++ b/tests/programs/entry/test_model_calls.py
@@ -326,3 +326,26 @@
         status, _, body = post(entry, "/", {**CHAT, "stream": True})
     assert (status, read_answer(body)) == (200, ANSWER)
     assert len(third.requests) == 1
+
+
+def test_held_attempt_ends_with_its_caller_while_the_next_one_connects(
+    context, engines, entry, monkeypatch
+):
+    # Guards against an engine that works on for as long as a connect may take.
+    connect = EndpointExchange.connect
+
+    def connect_late(exchange, timeout_s):
+        if exchange.address == context.groups["g2"].members[0].address:
+            eventlet.sleep(2.0)
+        connect(exchange, timeout_s)
+
+    monkeypatch.setattr(EndpointExchange, "connect", connect_late)
+    engines[0].pause_s = 3.0
+    sock = open_post(entry, "/", {**CHAT, "stream": True})
+    wait_until(lambda: engines[0].requests)
+    eventlet.sleep(0.1)
+    context.running.report_loss("g1", 1)
+    eventlet.sleep(0.45)
+    assert context.reports == [("g1", "broken")]
+    sock.close()
+    wait_until(lambda: not len(context.running), timeout_s=0.5)
