Show that a leader which stood still takes its own list for complete

What callers would see: streams that are cut by a release, if two changes of the leader come with a standstill of the former one.

Cause: EntryRoster.fill_report forgets the entries that were silent for the retention time, and then records its list as complete, although the control itself stood still and heard nobody. After a standstill a control still takes itself for the leader for a moment (silence counts in limited steps). If it leads again within ten seconds, it waits for no entry; and its empty list ends the time for which another leader, which has just started, takes entries for unknown. HostReport has no term by which that one could leave it out.

This commit has the failing tests only.

--- a/tests/membership/test_entry_roster.py
+++ b/tests/membership/test_entry_roster.py
@@ -94,3 +94,23 @@
     assert make_report(leader, 3, 60.0) == HostReport()
     leader.begin_term(3, 60.0)
     assert leader.has_unheard(60.1)
+
+
+def test_leader_that_stood_still_does_not_take_its_own_list_for_complete():
+    # Guards against a release that cuts the streams of entries which it has forgotten.
+    leader = make_leader("e1", "e2")
+    make_report(leader, 1, 20.1)
+    # It stands still, and others lead, until after the retention time.
+    make_report(leader, 1, 36.0)
+    leader.begin_term(3, 37.0)
+    assert leader.has_unheard(37.1)
+
+
+def test_list_of_a_leader_that_stood_still_does_not_end_the_wait_of_another_one():
+    former = make_leader("e1", "e2")
+    make_report(former, 1, 20.1)
+    started = EntryRoster()
+    started.begin_term(2, 35.0)
+    assert started.has_unheard(35.9)
+    started.merge(make_report(former, 1, 36.0), 36.0)
+    assert started.has_unheard(36.1)
