Show that a held attempt loses its events ahead of a gap

What callers would see: a sound attempt is broken off with "events are missing", and the call costs another attempt or ends.

Cause: ModelCall._resume_held calls AnswerStream.begin_attempt, which drops the events that are buffered ahead of a gap. They have been read already, and are not sent again. Only streams whose events come out of order are concerned, which the tests of the call inject, and no engine was seen to send.

This commit has the failing test only.

--- a/tests/attempts/test_model_call.py
+++ b/tests/attempts/test_model_call.py
@@ -661,3 +661,17 @@
         assert call.next_tick_s == pytest.approx(now_s + LOST_GROUP_SILENCE_S)
     hold, _ = call.handle(Tick(), call.next_tick_s)
     assert hold.reason == "the group stalled"
+
+
+def test_event_ahead_of_a_gap_is_kept_while_its_attempt_is_held(call):
+    # Guards against a sound attempt that is broken off as its events are missing.
+    attempt_id = start(call)
+    events = [token(attempt_id, 0), token(attempt_id, 2)]
+    call.handle(EventsArrived(attempt_id, events), 0.0)
+    call.handle(GroupLost(), 3.0)
+    call.handle(Tick(), 3.0)
+    assert call.handle(NoGroupAvailable(1.0), 3.0) == [ResumeAttempt(attempt_id, "g1")]
+    following = [token(attempt_id, i) for i in (1, *range(3, TOKENS))]
+    events = EventsArrived(attempt_id, [*following, end(attempt_id), DONE])
+    effects = call.handle(events, 3.1)
+    assert [type(effect) for effect in effects] == [Deliver, Finish]
