Show that a request which crashes members under a held stream is not found out

Groups are lost one after another.

Cause: a call that leaves an attempt because a member was restarted (REASON_RESTARTED) used to cancel it with this fault, and ModelCallRun probed the group before it closed it and recorded the crash.

This commit has the failing test only.

--- a/tests/programs/entry/test_model_calls.py
+++ b/tests/programs/entry/test_model_calls.py
@@ -349,3 +349,17 @@
     assert context.reports == [("g1", "broken")]
     sock.close()
     wait_until(lambda: not len(context.running), timeout_s=0.5)
+
+
+def test_member_that_restarted_under_a_silent_stream_is_crash_evidence(
+    context, engines, entry
+):
+    # Guards against a request that crashes members, and is never found out.
+    engines[0].pause_s = 3.0
+    call_task = eventlet.spawn(post, entry, "/", CHAT)
+    wait_until(lambda: len(context.running) == 1 and engines[0].requests)
+    eventlet.sleep(0.05)
+    engines[0].boot_id = "another"
+    context.running.report_loss("g1", 1, is_restarted=True)
+    assert call_task.wait()[0] == 200
+    assert len(context.suspicions.evidence.crashes()) == 1
