Show that a resumed stream that breaks late blames the parts of its prompt

What callers would see: refusals as crashing_prompt_part of requests that share parts with a stream whose group crashed long after its answer had begun.

Cause: an answer that has been written for HARMLESS_WRITING_MS clears the parts of its prompt. _hold_attempt ends the attempt for the suspicions, and _resume_attempt starts it again with all parts; ModelCallRun remembers that it has reported the progress (_is_harmless) and does not report it again. The time for which the request ran before the crash also counts from the resume, so that a slow crash counts as a quick one.

This commit has the failing test only.

--- a/tests/programs/entry/routed/test_streams.py
+++ b/tests/programs/entry/routed/test_streams.py
@@ -3,8 +3,10 @@
 import contextlib
 
 import eventlet
+import logbook
 import pytest
 
+from chestnutvale.attempts.prompt_parts import format_parts
 from chestnutvale.attempts.retry_budget import AttemptBudgets, RetryBudget
 from chestnutvale.attempts.suspicion import Banned, Clear
 from tests.http_client.answer_faults import cut as answer_and_close
@@ -523,3 +525,27 @@
         )
     assert other_endpoint.requests
     assert (status, body, is_complete) == (200, event(1) + event(2), False)
+
+
+def test_resumed_stream_that_breaks_late_does_not_blame_the_parts_of_its_prompt(
+    endpoint, other_endpoint
+):
+    # Guards against a ban of prompt parts whose answer was being written.
+    def write_pause_and_break(sock, request):
+        sock.sendall(stream_head() + chunk(event(1)))
+        eventlet.sleep(0.3)
+        sock.sendall(chunk(event(2)))
+        eventlet.sleep(SILENCE_S)
+        sock.sendall(chunk(event(3)))
+        eventlet.sleep(0.1)
+        sock.close()
+
+    endpoint.steps = [write_pause_and_break]
+    endpoint.default = BUSY
+    other_endpoint.default = BUSY
+    log = logbook.TestHandler(level="INFO")
+    with routed_entry(endpoint, other_endpoint) as entry, log.applicationbound():
+        entry.context.has_crashed = lambda group, is_engine: True
+        call(entry.address, "/gen/x", b"p", X_Model="m", X_Parts="first,own")
+    (line,) = (x.extra for x in log.records if x.message == "crash_suspected")
+    assert line["parts"] == format_parts(())
