Let a control that hears no entry tell of none

Cause: a leader that had stood still forgot the entries that were silent meanwhile, and then told the others, and took itself, that its empty list was complete. A release could cut the streams of entries that it had forgotten. Change: a control that has heard no entry for the interval of complete lists tells nothing and is not taken for informed.

--- a/chestnutvale/membership/entry_roster.py
+++ b/chestnutvale/membership/entry_roster.py
@@ -106,7 +106,9 @@
         now_s : float
             Monotonic time in seconds.
         """
-        if term != self._led_term:
+        heard_at_s = max(self._seen_at_s.values(), default=-math.inf)
+        if term != self._led_term or now_s - heard_at_s > self.interval_s:
+            # A control that hears no entry may have stood still, while others led.
             return
         self._forget_silent(now_s)
         self._complete_at_s = now_s
