Keep events ahead of a gap, and signs of a crash, when an attempt is left

Cause: a held attempt lost the events that had come ahead of a gap, which are not sent again. An attempt whose group had a restarted member was held as well, without the probe that finds a request which crashes members. Change: the events are kept with the held attempt. Only silent attempts are held; one at a group with a restarted member is ended and looked into, as before.

--- a/chestnutvale/attempts/answer_stream.py
+++ b/chestnutvale/attempts/answer_stream.py
@@ -1,5 +1,7 @@
 """Assembles an answer from the event streams of several attempts."""
 
+from collections.abc import Iterable
+
 from chestnutvale.attempts.const import MAX_HELD_EVENTS, MAX_RESUME_BYTES
 from chestnutvale.attempts.sse import StreamEvent
 
@@ -58,20 +60,29 @@
         """Whether all delivered bytes were kept."""
         return self._kept_bytes <= self._max_resume_bytes
 
+    @property
+    def buffered_events(self) -> tuple[StreamEvent, ...]:
+        """Events of the attempt that arrived ahead of a gap."""
+        return tuple(self._held.values())
+
     def delivered(self) -> bytes:
         """Return all delivered events, if they were kept."""
         return b"".join(self._delivered_parts)
 
-    def begin_attempt(self, attempt_id: str) -> None:
+    def begin_attempt(
+        self, attempt_id: str, buffered_events: Iterable[StreamEvent] = ()
+    ) -> None:
         """Accept only events of this attempt from now on.
 
         Parameters
         ----------
         attempt_id : str
             Identity of the attempt.
+        buffered_events : iterable of StreamEvent, optional
+            Its `buffered_events`, if the answer goes on with an earlier attempt.
         """
         self._attempt_id = attempt_id.encode()
-        self._held.clear()
+        self._held = {event.first: event for event in buffered_events}
 
     def take(self, events: list[StreamEvent]) -> tuple[bytes, str]:
         """Process events that arrived together.
--- a/chestnutvale/attempts/model_call.py
+++ b/chestnutvale/attempts/model_call.py
@@ -33,6 +33,7 @@
     REFUSAL_OVERLOADED,
     REFUSAL_UNREACHABLE,
     RETRIED_REFUSALS,
+    SILENCE_REASONS,
     UNSENT_REFUSALS,
 )
 from chestnutvale.attempts.events import (
@@ -60,6 +61,7 @@
 )
 from chestnutvale.attempts.prompt_parts import describe_part_ban
 from chestnutvale.attempts.retry_budget import AttemptBudgets, RetryBudget
+from chestnutvale.attempts.sse import StreamEvent
 
 STEP_CHOOSE = "choose"
 STEP_GENERATE = "generate"
@@ -88,6 +90,7 @@
     group_id: str
     version: str
     has_answered: bool
+    buffered_events: tuple[StreamEvent, ...]
 
 
 def _assume_no_return(groups: frozenset[str], version: str) -> bool:
@@ -455,7 +458,9 @@
         """Leave the running attempt; requires that `_find_obstacle` found none."""
         self._silent_groups.add(self._group_id)
         self._record_possible_run()
-        if self._held is None and self.can_hold():
+        # A restarted member may have crashed under the request.
+        may_hold = reason in SILENCE_REASONS and self.can_hold()
+        if may_hold and self._held is None:
             effects = self._hold(reason)
         else:
             effects = self._cancel(reason)
@@ -471,7 +476,11 @@
 
     def _hold(self, reason: str) -> list[CallEffect]:
         self._held = _HeldAttempt(
-            self._attempt_id, self._group_id, self._version, self._has_answered
+            self._attempt_id,
+            self._group_id,
+            self._version,
+            self._has_answered,
+            self.answer.buffered_events,
         )
         self._end_attempt()
         return [HoldAttempt(self._held.attempt_id, self._held.group_id, reason)]
@@ -493,7 +502,7 @@
             self._silence.resume(now_s)
         else:
             self._silence.begin(now_s)
-        self.answer.begin_attempt(held.attempt_id)
+        self.answer.begin_attempt(held.attempt_id, held.buffered_events)
         return [ResumeAttempt(held.attempt_id, held.group_id)]
 
     def _resume_or_fail(
