Let a held attempt count as silent, and end with its caller

A resumed attempt was taken for a new one, which blamed the parts of its prompt for a late break. A held attempt worked on while the next one connected for a caller that had left. Change: silence and evidence of a held attempt count on until it is closed. A caller that leaves ends the wait for both attempts.

--- a/chestnutvale/programs/entry/model_calls.py
+++ b/chestnutvale/programs/entry/model_calls.py
@@ -482,11 +482,12 @@
             self._has_started,
             self._take_unhandled_event(),
         )
-        self._watch.set_disconnect_callback(None)
-        # It still runs, but reports about its group are none about the next one.
+        self._watch.set_disconnect_callback(self._abort_attempts)
+        # It still runs, but reports about its group are none about the next one. The
+        # silence of its group counts on, as nothing else tells of it.
         group = attempt.view.group
         self._context.running.add(group.group_id, group.epoch, attempt)
-        self._stop_counting(attempt, RESULT_BROKEN, effect.reason)
+        self._report_attempt(attempt, RESULT_BROKEN, effect.reason)
 
     def _resume_attempt(self) -> None:
         held, self._held = self._held, None
@@ -506,14 +507,12 @@
                 "tokens": self._first_offset,
             },
         )
-        self._watch.set_disconnect_callback(held.attempt.abort)
-        self._count_attempt(held.attempt, self._context.clock.now_s())
+        self._add_running(held.attempt)
 
     def _close_held(self) -> None:
         held, self._held = self._held, None
         if held is not None:
-            self._context.running.remove(held.attempt)
-            held.attempt.close()
+            self._forget_attempt(held.attempt)
 
     def _handle_group_report(self, report: GroupReport) -> None:
         if isinstance(report, GroupStalled):
@@ -581,8 +580,12 @@
             # Another group needs the delivered text to resume the answer.
             return AttemptRefused(effect.attempt_id, error.code, error.message)
         self.attempt = attempt
-        self._watch.set_disconnect_callback(attempt.abort)
-        self._count_attempt(attempt, self._sent_at_s)
+        self._watch.set_disconnect_callback(self._abort_attempts)
+        self._add_running(attempt)
+        self._context.stall_detector.record_sent(
+            attempt.attempt_id, attempt.view.group.group_id, self._sent_at_s
+        )
+        self._chooser.attempt_started(attempt.attempt_id)
         self._first_byte_s = None
         self._is_harmless = False
         self._first_offset = effect.resume_offset
@@ -596,15 +599,25 @@
         self._has_started = True
         return EventsArrived(self.attempt.attempt_id, [])
 
-    def _count_attempt(self, attempt: Attempt, now_s: float) -> None:
+    def _add_running(self, attempt: Attempt) -> None:
         group = attempt.view.group
         self._context.running.add(
             group.group_id, group.epoch, attempt, self._handle_group_report
         )
-        self._context.stall_detector.record_sent(
-            attempt.attempt_id, group.group_id, now_s
-        )
-        self._chooser.attempt_started(attempt.attempt_id)
+
+    def _abort_attempts(self) -> None:
+        """End the work of all endpoints for a caller that has left."""
+        if self._held is not None:
+            self._held.attempt.abort()
+        if self.attempt is not None:
+            self.attempt.abort()
+        # A connect does not notice an abort. Only the hub may switch to a greenlet
+        # that waits for it.
+        hubs.get_hub().schedule_call_global(0, self._end_wait)
+
+    def _end_wait(self) -> None:
+        if self._waiter is not None:
+            self._waiter.throw(_ReadInterrupted)
 
     def _read_events(self) -> CallEvent:
         if not self._has_started:
@@ -643,14 +656,18 @@
         attempt, self.attempt = self.attempt, None
         if attempt is None:
             return
-        self._watch.set_disconnect_callback(None)
-        self._context.running.remove(attempt)
-        attempt.close()
-        self._stop_counting(attempt, result, code)
+        if self._held is None:
+            self._watch.set_disconnect_callback(None)
+        self._forget_attempt(attempt)
+        self._report_attempt(attempt, result, code)
 
-    def _stop_counting(self, attempt: Attempt, result: str, code: str) -> None:
+    def _forget_attempt(self, attempt: Attempt) -> None:
+        self._context.running.remove(attempt)
         self._context.stall_detector.forget_attempt(attempt.attempt_id)
         self._context.suspicions.attempt_ended(attempt.attempt_id)
+        attempt.close()
+
+    def _report_attempt(self, attempt: Attempt, result: str, code: str) -> None:
         first_byte_ms = None
         if self._first_byte_s is not None:
             first_byte_ms = (self._first_byte_s - self._sent_at_s) * 1_000
