--- a/tests/programs/entry/routed/changes/phases.py
+++ b/tests/programs/entry/routed/changes/phases.py
@@ -28,7 +28,7 @@
     complete_answer,
 )
 
-SETTLE_S = 0.005
+SETTLE_S = 0.002
 
 
 @attrs.frozen
@@ -298,18 +298,19 @@
         go.wait()
         answer_whole(sock, request)
 
-    controller = scene.entry.gate.controller
+    def count_queued():
+        return scene.entry.gate.controller.describe(service)["queued"]
+
     others = []
     scene.fleet.steps += [answer_later] * 8
     for number in range(8):
         others.append(Connection(scene.entry.server.address))
         others[-1].send(make_head(path, f"o{number}") + BODY)
-        wait_until(lambda: scene.entry.server.running_requests == len(others))
-        eventlet.sleep(SETTLE_S)
-        if controller.describe(service)["queued"]:
+        wait_until(lambda: len(scene.fleet.requests) + count_queued() == len(others))
+        if count_queued():
             break
     scene.send(path)
-    wait_until(lambda: controller.describe(service)["queued"] == 2)
+    wait_until(lambda: count_queued() == 2)
     scene.fleet.steps.clear()
     scene.change()
     go.send()
