Report at once on groups that stop serving, and decide as soon as counts are complete

What callers saw: nothing; the hosts of a lost group were idle for a second longer since its dissolve waits for counts that entries took with the view in which it does not serve.

Cause: entries reported at their usual interval, and a count that becomes complete was no reason for a round of decisions before the next usual one.

Change: an entry reports when a view withdraws a group; a count that becomes complete is a change of the host table.

Measured: test_group_that_stops_serving_is_reported_on_at_once[False] and the last check of test_counts_from_before_a_member_was_missing_are_incomplete failed before.

--- a/chestnutvale/membership/table.py
+++ b/chestnutvale/membership/table.py
@@ -56,7 +56,7 @@
         Called when a departure was learned that is not recorded; must not block.
     revision : int
         Increases whenever the boot or content of a host, the detection timeout or
-        the set of stalled groups changes.
+        the set of stalled groups changes, or a count of attempts becomes complete.
     last_new_host_at_s : float
         Monotonic time in seconds at which an unknown host was last added.
     """
@@ -428,6 +428,9 @@
             Whether the count was used as the load of the host.
         """
         count = max(running, remembered)
+        if is_complete and not self.attempts_at(host_id).is_complete:
+            # Decisions may wait for it.
+            self.revision += 1
         self._attempts_by_head[host_id] = GroupAttempts(count, is_complete)
         record = self._hosts.get(host_id)
         if record is None or record.announcement is None:
--- a/chestnutvale/programs/entry/control_link.py
+++ b/chestnutvale/programs/entry/control_link.py
@@ -386,6 +386,9 @@
         if verdict is InstallVerdict.GAP:
             self.trigger_report()
             return
+        if any(not item.serving for item in view.groups):
+            # The leader waits for counts that were taken with this view.
+            self.trigger_report()
         self._suspicions.merge(list(view.suspicions), self._clock.unix_ms())
         self._demand.apply_totals(view)
         self._install_limits(view)
--- a/tests/programs/control/test_entry_report_handler.py
+++ b/tests/programs/control/test_entry_report_handler.py
@@ -364,8 +364,11 @@
     assert not fixture.is_complete()
     fixture.report_of("e1", missing_version)
     assert not fixture.is_complete()
-    fixture.report_of("e2", missing_version, running=1)
-    assert fixture.table.attempts_at("a") == GroupAttempts(1, is_complete=True)
+    revision = fixture.table.revision
+    fixture.report_of("e2", missing_version)
+    assert fixture.table.attempts_at("a") == GroupAttempts(0, is_complete=True)
+    # The next round of decisions must not wait for its usual interval.
+    assert fixture.table.revision > revision
 
 
 def test_counts_of_an_earlier_term_are_no_knowledge_of_a_new_leader():
--- a/tests/programs/entry/test_control_link.py
+++ b/tests/programs/entry/test_control_link.py
@@ -20,6 +20,7 @@
 from chestnutvale.programs.entry.demand_exchange import DemandExchange
 from chestnutvale.programs.entry.running_attempts import RunningAttempts
 from chestnutvale.routing.stall_detection import StallDetector
+from chestnutvale.schema.groups_pb2 import Group
 from chestnutvale.schema.membership_pb2 import Announcement
 from chestnutvale.schema.peer_pb2 import ControlView, CrashSuspicion, Envelope
 from chestnutvale.schema.settings_pb2 import EntrySettings
@@ -149,6 +150,20 @@
     )
 
 
+@pytest.mark.parametrize("serving", [True, False])
+def test_group_that_stops_serving_is_reported_on_at_once(entry, serving):
+    # Guards against a lost group whose hosts are idle until the next usual report.
+    entry.link._report_once()
+    answer_last_report(entry, CONTROL, term=1)
+    entry.link._report_once()
+    view = ControlView(term=1, source=CONTROL, base_version=1, view_version=2)
+    view.groups.add(group=Group(group_id="g"), serving=serving)
+    entry.transport.handlers["control_view"](
+        Envelope(sender_id=CONTROL, control_view=view)
+    )
+    assert entry.link._report_trigger.ready() == (not serving)
+
+
 def test_evidence_from_a_follower_is_merged(entry):
     entry.link._report_once()
     view = ControlView(suspicions=[make_suspicion(entry)])
