Let a group whose removal is proposed serve no more

What callers saw: streams end in the middle, 0.3 s after they were sent to a group whose member had just been heard again after 3 s. They go on elsewhere if their route has an attempt left.

Cause: between the decision to remove a group without calls and the commit, a member that returned made the group serve again in the views. Requests that entries sent within this time met the release. A commit takes some milliseconds, and up to seconds while the leader changes or disks are slow.

Change: the leader withholds the serving right of such a group from the decision on, until the group is gone, or for 6 s.

Measured: test_group_whose_removal_is_proposed_does_not_serve_again and test_group_is_withheld_before_its_removal_is_proposed failed without the change.

--- a/chestnutvale/groups/const.py
+++ b/chestnutvale/groups/const.py
@@ -128,6 +128,8 @@
 
 # Suffix of the fault reasons that mean that a new leader has not heard a member yet.
 FAULT_UNKNOWN: Final = "is not known yet"
+# Fault reason of a group whose removal is proposed.
+FAULT_DISSOLVING: Final = "the group is being dissolved"
 # Suffixes of the fault reasons that suggest that a group's running requests are lost.
 FAULT_MISSING: Final = "is missing"
 FAULT_RESTARTED: Final = "was restarted"
--- a/chestnutvale/membership/view_publisher.py
+++ b/chestnutvale/membership/view_publisher.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from chestnutvale.groups.const import FAULT_UNKNOWN
+from chestnutvale.groups.const import FAULT_DISSOLVING, FAULT_UNKNOWN
 from chestnutvale.groups.members import group_head
 from chestnutvale.groups.serving import find_serving_fault, is_evacuated
 from chestnutvale.groups.state import GroupsState
@@ -147,6 +147,7 @@
         now_s: float,
         evacuated: frozenset[str] = frozenset(),
         cold_rule: ColdRule = NO_COLD_RULE,
+        dissolving: frozenset[str] = frozenset(),
     ) -> list[str]:
         """Re-evaluate changed groups; call it before building views.
 
@@ -162,17 +163,27 @@
             Evacuated data centres, whose groups don't serve.
         cold_rule : ColdRule, optional
             Decides which groups are cold.
+        dissolving : frozenset of str, optional
+            Groups whose removal is proposed, which don't serve again.
 
         Returns
         -------
         list of str
             Groups that were changed, added or removed; push views if there are any.
         """
-        self._invalidate_if_changed(state, table, evacuated, cold_rule)
+        self._invalidate_if_changed(state, table, evacuated, cold_rule, dissolving)
         changed = [
             group_id
             for group_id in sorted(state.groups)
-            if self._refresh_group(state, group_id, table, now_s, evacuated, cold_rule)
+            if self._refresh_group(
+                state,
+                group_id,
+                table,
+                now_s,
+                evacuated,
+                cold_rule,
+                is_dissolving=group_id in dissolving,
+            )
         ]
         removed_ids = sorted(self._published_groups.keys() - state.groups.keys())
         for group_id in removed_ids:
@@ -452,9 +463,10 @@
         table: MembershipTable,
         evacuated: frozenset[str],
         cold_rule: ColdRule,
+        dissolving: frozenset[str],
     ) -> None:
         drained = frozenset(state.draining_hosts)
-        inputs = (table.revision, drained, evacuated, cold_rule)
+        inputs = (table.revision, drained, evacuated, cold_rule, dissolving)
         if inputs == self._last_inputs:
             return
         self._last_inputs = inputs
@@ -469,6 +481,8 @@
         now_s: float,
         evacuated: frozenset[str],
         cold_rule: ColdRule,
+        *,
+        is_dissolving: bool,
     ) -> bool:
         group = state.groups[group_id]
         published_group = self._published_groups.get(group_id)
@@ -482,6 +496,8 @@
         reason = find_serving_fault(
             group, table, now_s, state.draining_hosts, evacuated
         )
+        if not reason and is_dissolving:
+            reason = FAULT_DISSOLVING
         head = table.host(group_head(group).host_id)
         cold_until_s = cold_rule.cold_until_s(group.service, head)
         is_cold = not reason and now_s < cold_until_s
--- a/chestnutvale/programs/control/const.py
+++ b/chestnutvale/programs/control/const.py
@@ -10,6 +10,9 @@
 LEDGER_MAINTENANCE_INTERVAL_S: Final = 1.0
 # Timeout of a command that the control itself proposes.
 PROPOSAL_TIMEOUT_S: Final = 3.0
+# Time for which a group whose removal was proposed doesn't serve again: within it, the
+# removal is committed or refused.
+DISSOLVING_TTL_S: Final = 2 * PROPOSAL_TIMEOUT_S
 # Timeout of a commit request of an entry.
 COMMIT_REQUEST_TIMEOUT_S: Final = 2.0
 # Commit requests handled concurrently; excess ones are dropped and the entry retries.
--- a/chestnutvale/programs/control/entry_report_handler.py
+++ b/chestnutvale/programs/control/entry_report_handler.py
@@ -30,6 +30,7 @@
 from chestnutvale.programs.control.const import (
     COMMIT_REQUEST_TIMEOUT_S,
     DEMAND_VIEWS_PER_S,
+    DISSOLVING_TTL_S,
     MAX_CONCURRENT_COMMIT_REQUESTS,
     RESPONSIVE_TTL_S,
 )
@@ -165,6 +166,7 @@
         self.attempt_counts = AttemptCounts()
         self._stalls = StallAggregator()
         self._roster = roster or EntryRoster()
+        self._dissolving_until_s: dict[str, float] = {}
         self.limits = limits or LimitDivider(log, state, table, publisher, clock)
         self._commits = eventlet.GreenPool(MAX_CONCURRENT_COMMIT_REQUESTS)
         transport.register_handler("entry_report", self._receive_report)
@@ -500,7 +502,25 @@
         self._demand_due_s[entry_id] = now_s + interval_s
         return True
 
+    def withhold(self, group_id: str) -> None:
+        """Let a group serve no more from now on, since its removal is proposed.
+
+        Until the outcome is known, a member that returns must not make it serve again.
+
+        Parameters
+        ----------
+        group_id : str
+            The group.
+        """
+        until_s = self._clock.now_s() + DISSOLVING_TTL_S
+        self._dissolving_until_s[group_id] = until_s
+
     def _refresh(self, now_s: float) -> None:
+        self._dissolving_until_s = {
+            group_id: until_s
+            for group_id, until_s in self._dissolving_until_s.items()
+            if now_s < until_s and group_id in self._state.groups.groups
+        }
         self._refreshed_inputs = (self._log.applied_index, self._table.revision)
         changed = self._publisher.refresh(
             self._state.groups,
@@ -508,6 +528,7 @@
             now_s,
             self._state.evacuations.evacuated,
             self.limits.make_cold_rule(now_s),
+            frozenset(self._dissolving_until_s),
         )
         if changed and self._log.is_leader:
             self._log_changes(changed)
--- a/chestnutvale/programs/control/group_task.py
+++ b/chestnutvale/programs/control/group_task.py
@@ -170,6 +170,8 @@
             if isinstance(effect, SendOrder):
                 self._orders.spawn_n(self._send_order, effect)
             else:
+                if effect.command.WhichOneof("body") == "remove_group":
+                    self._entry_handler.withhold(effect.command.remove_group.group_id)
                 proposals.append(eventlet.spawn(self._propose, effect))
         for proposal in proposals:
             # The next decision must see the state after this round's commands.
--- a/tests/programs/control/test_entry_report_handler.py
+++ b/tests/programs/control/test_entry_report_handler.py
@@ -371,6 +371,32 @@
     assert fixture.table.revision > revision
 
 
+def test_group_whose_removal_is_proposed_does_not_serve_again():
+    # Guards against requests sent to a group that a member's return saves too late.
+    fixture = ServingFixture()
+    fixture.now_s = 103.1
+    fixture.handler.publish_changes()
+    fixture.handler.withhold("g")
+    fixture.heard[0].sequence = 2
+    fixture.report_of("e1", heard=fixture.heard)
+    fixture.handler.publish_changes()
+    (view,) = fixture.handler.group_views()
+    assert (view.serving, view.reason) == (False, "the group is being dissolved")
+    fixture.now_s += 2.0
+    fixture.heard[0].sequence = 3
+    fixture.report_of("e1", heard=fixture.heard)
+    (view,) = fixture.handler.group_views()
+    assert not view.serving
+    # The removal was refused.
+    for _ in range(3):
+        fixture.now_s += 2.0
+        fixture.heard[0].sequence += 1
+        fixture.report_of("e1", heard=fixture.heard)
+        fixture.handler.publish_changes()
+    (view,) = fixture.handler.group_views()
+    assert view.serving
+
+
 def test_counts_of_an_earlier_term_are_no_knowledge_of_a_new_leader():
     # Guards against a release that cuts the streams of which this term has no report.
     fixture = DrainFixture()
--- a/tests/programs/control/test_group_task.py
+++ b/tests/programs/control/test_group_task.py
@@ -72,6 +72,7 @@
             forward_cache_events=lambda: None,
             group_views=lambda: self.views,
             view_version=1,
+            withhold=lambda group_id: None,
             demand=lambda now_s: {},
             begin_term=lambda now_s: self.table.extend_detection_timeout(
                 now_s + self.table.detection_timeout_s, now_s
@@ -204,6 +205,21 @@
     assert found == ["draining", 2, False]
 
 
+def test_group_is_withheld_before_its_removal_is_proposed(task_fixture):
+    # Guards against a view between the decision and the commit that lets it serve.
+    steps = []
+    task_fixture.entry_handler.withhold = lambda group_id: steps.append(group_id)
+
+    def propose(command, deadline_s):
+        steps.append("proposed")
+        return CommandResult()
+
+    task_fixture.log.propose = propose
+    command = Command(remove_group=RemoveGroup(group_id="g"))
+    task_fixture.task._execute_effects([ProposeCommand(command)])
+    assert steps == ["g", "proposed"]
+
+
 class PlanningFixture(GroupTaskFixture):
     """A group task that plans for one group and applies what it proposes."""
 
