Judge no silence from before a term until entries can tell of events

What callers saw: a stream ends in the middle 1.1 s after the leader changed, at a group whose head streams while its announcements are lost. It goes on elsewhere if its route has an attempt left.

Cause: a head that is silent for longer than the engine's stall time must have ended its calls, unless its group still sends events. A new leader hears of events only once the entries have found it, and judged earlier.

Change: a member that was silent before the term is lost only once the leader has waited for reports for the detection timeout, as its view says already ("not known yet").

--- a/chestnutvale/groups/pools.py
+++ b/chestnutvale/groups/pools.py
@@ -267,7 +267,10 @@
                 group, table, table.receiving_since_s, now_s
             )
         if not table.is_fresh(member.host_id, now_s):
-            if has_recent_events(group, table, now_s):
+            # A new leader has yet to hear of events, too.
+            if has_recent_events(group, table, now_s) or table.is_awaiting_report(
+                member.host_id, now_s
+            ):
                 return False
             return record.is_superseded or self._is_silence_conclusive(
                 group, table, record.heard_at_s, now_s
--- a/tests/groups/test_new_leader.py
+++ b/tests/groups/test_new_leader.py
@@ -153,3 +153,21 @@
     assert not is_removed(pool.plan(TERM_S + 1.0), group)
     fault = find_serving_fault(group, pool.table, TERM_S + 1.0)
     assert fault == f"member {member.host_id} is not known yet"
+
+
+def test_long_silence_before_the_term_is_judged_once_entries_can_tell_of_events():
+    # Guards against a release of a working group whose events this leader lacks yet.
+    pool = make_serving_pool()
+    group = next(iter(pool.state.groups.values()))
+    head_id = group.members[0].host_id
+    pool.announce(head_id, TERM_S - 6.0)
+    announce_others(pool, [head_id], TERM_S - 0.5)
+    take_over(pool, pool.table)
+    removed_s = find_removal_s(
+        pool,
+        group,
+        TERM_S + 5.0,
+        silent=[head_id],
+        tick=lambda now_s: pool.report_attempts(1),
+    )
+    assert removed_s == pytest.approx(TERM_S + 3.0, abs=0.15)
