Count attempts for a report without copying all counts

Cause: since a release waits for the counts of entries, each report of an entry made two sets and a new object for each group. Change: one pass over the groups; a count that has not changed is kept.

--- a/chestnutvale/membership/table.py
+++ b/chestnutvale/membership/table.py
@@ -1,7 +1,7 @@
 """Host table that each control builds from reports of entries and controls."""
 
 import math
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Iterable, Set
 
 import attrs
 
@@ -428,10 +428,12 @@
             Whether the count was used as the load of the host.
         """
         count = max(running, remembered)
-        if is_complete and not self.attempts_at(host_id).is_complete:
+        known = self.attempts_at(host_id)
+        if is_complete and not known.is_complete:
             # Decisions may wait for it.
             self.revision += 1
-        self._attempts_by_head[host_id] = GroupAttempts(count, is_complete)
+        if known.running != count or known.is_complete != is_complete:
+            self._attempts_by_head[host_id] = GroupAttempts(count, is_complete)
         record = self._hosts.get(host_id)
         if record is None or record.announcement is None:
             return False
@@ -457,19 +459,16 @@
         """
         return self._attempts_by_head.get(host_id, UNKNOWN_ATTEMPTS)
 
-    def retain_attempts(self, host_ids: Collection[str] = ()) -> None:
+    def retain_attempts(self, host_ids: Set[str] = frozenset()) -> None:
         """Forget the attempt counts of all but some heads.
 
         Parameters
         ----------
-        host_ids : collection of str, optional
+        host_ids : set of str, optional
             Heads whose counts are kept; none for a leader that begins a term.
         """
-        self._attempts_by_head = {
-            host_id: attempts
-            for host_id, attempts in self._attempts_by_head.items()
-            if host_id in host_ids
-        }
+        for host_id in self._attempts_by_head.keys() - host_ids:
+            del self._attempts_by_head[host_id]
 
     def mark_departed(self, host_id: str, boot_id: str) -> bool:
         """Mark a boot of a host as leaving, as if it had announced that.
--- a/chestnutvale/programs/control/entry_report_handler.py
+++ b/chestnutvale/programs/control/entry_report_handler.py
@@ -400,10 +400,11 @@
         totals = self.attempt_counts.totals(now_s)
         remembered_totals = self.attempt_counts.remembered_totals(now_s)
         known_version = self._find_known_version(now_s)
-        groups = self._state.groups.groups.values()
-        self._table.retain_attempts({group_head(group).host_id for group in groups})
-        for group in groups:
+        head_ids = set()
+        for group in self._state.groups.groups.values():
             group_id = group.group_id
+            head_id = group_head(group).host_id
+            head_ids.add(head_id)
             # An entry counts a request that it sent before it learned that the group
             # does not serve any more only in a later report.
             is_complete = (
@@ -411,11 +412,12 @@
                 and remembered_totals[group_id] == totals[group_id]
             )
             self._table.record_running_attempts(
-                group_head(group).host_id,
+                head_id,
                 totals[group_id],
                 is_complete,
                 remembered_totals[group_id],
             )
+        self._table.retain_attempts(head_ids)
 
     def _find_known_version(self, now_s: float) -> int:
         """Return the lowest version of the views that entries have.
