--- a/tests/programs/entry/test_model_calls.py
+++ b/tests/programs/entry/test_model_calls.py
@@ -328,18 +328,23 @@
     assert len(third.requests) == 1
 
 
-def test_held_attempt_ends_with_its_caller_while_the_next_one_connects(
-    context, engines, entry, monkeypatch
-):
-    # Guards against an engine that works on for as long as a connect may take.
+def connect_late(context, monkeypatch, delay_s):
+    """Delay each connection to the second group."""
     connect = EndpointExchange.connect
 
-    def connect_late(exchange, timeout_s):
+    def connect_after_a_delay(exchange, timeout_s):
         if exchange.address == context.groups["g2"].members[0].address:
-            eventlet.sleep(2.0)
+            eventlet.sleep(delay_s)
         connect(exchange, timeout_s)
 
-    monkeypatch.setattr(EndpointExchange, "connect", connect_late)
+    monkeypatch.setattr(EndpointExchange, "connect", connect_after_a_delay)
+
+
+def test_held_attempt_ends_with_its_caller_while_the_next_one_connects(
+    context, engines, entry, monkeypatch
+):
+    # Guards against an engine that works on for as long as a connect may take.
+    connect_late(context, monkeypatch, 2.0)
     engines[0].pause_s = 3.0
     sock = open_post(entry, "/", {**CHAT, "stream": True})
     wait_until(lambda: engines[0].requests)
@@ -363,3 +368,35 @@
     context.running.report_loss("g1", 1, is_restarted=True)
     assert call_task.wait()[0] == 200
     assert len(context.suspicions.evidence.crashes()) == 1
+
+
+def test_held_attempt_counts_as_running_until_the_next_one_delivers(
+    context, engines, entry, monkeypatch
+):
+    # Guards against a release that ends a held attempt.
+    connect_late(context, monkeypatch, 0.5)
+    engines[0].pause_s = 3.0
+    call_task = eventlet.spawn(post, entry, "/", {**CHAT, "stream": True})
+    wait_until(lambda: engines[0].requests)
+    eventlet.sleep(0.1)
+    context.running.report_loss("g1", 1)
+    wait_until(lambda: len(context.running) == 2)
+    assert context.running.counts_by_group() == {"g1": 1, "g2": 1}
+    assert call_task.wait()[0] == 200
+    assert len(context.running) == 0
+
+
+def test_resumed_attempt_gets_the_reports_about_its_group(context, engines, entry):
+    engines[0].pause_s = 3.0
+    engines[1].refusal = (429, "overloaded")
+    sock = open_post(entry, "/", {**CHAT, "stream": True})
+    wait_until(lambda: engines[0].requests)
+    eventlet.sleep(0.1)
+    context.running.report_loss("g1", 1)
+    wait_until(lambda: engines[1].requests)
+    eventlet.sleep(0.1)
+    assert context.running.counts_by_group() == {"g1": 1}
+    assert context.running.report_loss("g1", 1) == 1
+    wait_until(lambda: context.kept_attempts, timeout_s=1.0)
+    assert context.kept_attempts[0][0] == "g1"
+    sock.close()
