--- a/script/run_tests.py
+++ b/script/run_tests.py
@@ -8,6 +8,8 @@
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_FAILURES_FILE = ROOT / "KNOWN-RED.txt"
 EXIT_TESTS_FAILED = 1
+# The id of a test may have spaces; a reason may follow.
+FAILED_LINE = re.compile(r"^(?:FAILED|ERROR) (.+?)(?: - .*)?$", re.MULTILINE)
 # Tests that start complete deployments run sequentially, so that their results do not
 # depend on the load of other tests.
 DEPLOYMENT_TESTS = ["tests/processes", "tests/programs/test_doors.py"]
@@ -45,7 +47,7 @@
     command = [sys.executable, "-m", "pytest", "-rfE", *arguments]
     completed = subprocess.run(command, cwd=ROOT, stdout=subprocess.PIPE, text=True)
     print(completed.stdout, end="", flush=True)
-    failed_ids = re.findall(r"^(?:FAILED|ERROR) (\S+)", completed.stdout, re.MULTILINE)
+    failed_ids = FAILED_LINE.findall(completed.stdout)
     return completed.returncode, set(failed_ids)
 
 
