--- a/review/rig3.py
+++ b/review/rig3.py
@@ -168,10 +168,12 @@
     headers: dict[str, str],
     body: bytes = b"",
     timeout_s: float = 10.0,
+    gap_s: float = 10.0,
 ) -> Message | None:
     """Send one request on a connection of its own; return the answer or None.
 
-    An answer that ends early has ``whole`` False.
+    An answer that ends early has ``whole`` False. The client leaves after ``gap_s``
+    without a byte, also before the first one.
     """
     host, _, port = address.rpartition(":")
     writer = None
@@ -185,14 +187,20 @@
             lines += [f"{name}: {value}" for name, value in headers.items()]
             lines.append(f"Content-Length: {len(body)}")
             writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
-            head = await read_head(reader)
+            async with asyncio.timeout(gap_s):
+                head = await read_head(reader)
             if head is None:
                 return None
             answer = Message(*head, b"", whole=False)
             if answer.status in (204, 304):
                 answer.whole = True
                 return answer
-            async for piece in read_pieces(reader, answer.headers):
+            pieces = read_pieces(reader, answer.headers)
+            while True:
+                async with asyncio.timeout(gap_s):
+                    piece = await anext(pieces, None)
+                if piece is None:
+                    break
                 answer.body += piece
             answer.whole = True
     except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
