Keep the failure of a connection that any call has seen

Cause: the kernel reports the error of a socket once, to whichever call comes first, and the end of the connection afterwards. A call that holds a silent attempt looks whether bytes have come; this look got the reset of the endpoint and dropped it. The resumed attempt then read the end of the connection, which is the regular end of an answer without a length. Change: TimedSocket keeps the first failure that a look, a send or a receive has seen. Bytes that arrived before it are delivered, then every receive and send raises it. So no order of calls can turn a failure into an end, whoever uses the socket.

--- a/chestnutvale/http_client/timed_socket.py
+++ b/chestnutvale/http_client/timed_socket.py
@@ -13,6 +13,11 @@
 class TimedSocket:
     """Owns a green socket; a timeout of the socket itself would apply to each packet.
 
+    A connection that has failed stays failed. The kernel reports an error of a socket
+    only once, to whichever call comes first, and the end of the connection afterwards.
+    Without a record, a reset that was seen by a look for bytes would be taken for the
+    regular end of an answer without a length.
+
     Parameters
     ----------
     sock : GreenSocket
@@ -31,6 +36,8 @@
         self._clock = clock
         self._unyielded_bytes = 0
         self._is_shut_down = False
+        # The first error of the connection that any call has seen.
+        self._failure: OSError | None = None
 
     @classmethod
     def open(cls, address: str, timeout_s: float, clock: Clock) -> "TimedSocket":
@@ -83,7 +90,17 @@
             if remaining_s <= 0.0:
                 raise TimeoutError("the request was not sent in time")
             self.green_socket.settimeout(remaining_s)
-            view = view[self.green_socket.send(view) :]
+            view = view[self._send(view) :]
+
+    def _send(self, view: memoryview) -> int:
+        self._raise_failure()
+        try:
+            return self.green_socket.send(view)
+        except TimeoutError:
+            raise
+        except OSError as error:
+            self._failure = error
+            raise
 
     def receive(self, deadline_s: float) -> bytes:
         """Return the available bytes, or wait for some.
@@ -105,15 +122,15 @@
         Raises
         ------
         OSError
-            If the connection was reset or `shut_down` was called; a `TimeoutError` if
-            the deadline passed.
+            If the connection has failed or `shut_down` was called; a `TimeoutError` if
+            the deadline passed. Bytes that arrived before a failure are returned first.
         """
         if self._unyielded_bytes >= MAX_UNYIELDED_BYTES:
             self._unyielded_bytes = 0
             eventlet.sleep(0)
         while True:
             try:
-                data = self.green_socket.fd.recv(READ_BYTES)
+                data = self._read(READ_BYTES)
             except (BlockingIOError, InterruptedError):
                 self._wait_for_data(deadline_s)
                 continue
@@ -122,6 +139,27 @@
             self._unyielded_bytes += len(data)
             return data
 
+    def _read(self, size: int, flags: int = 0) -> bytes:
+        """Receive without waiting; raise the failure of the connection at its end."""
+        try:
+            data = self.green_socket.fd.recv(size, flags)
+        except (BlockingIOError, InterruptedError):
+            self._raise_failure()
+            raise
+        except TimeoutError:
+            raise
+        except OSError as error:
+            self._failure = self._failure or error
+            raise
+        if not data:
+            self._raise_failure()
+        return data
+
+    def _raise_failure(self) -> None:
+        if self._failure is not None:
+            # A new object, since each raise extends the traceback.
+            raise type(self._failure)(*self._failure.args)
+
     def _wait_for_data(self, deadline_s: float) -> None:
         remaining_s = deadline_s - self._clock.now_s()
         if remaining_s <= 0.0:
@@ -156,10 +194,10 @@
         Returns
         -------
         bool
-            False if bytes are waiting or the connection has ended.
+            False if bytes are waiting or the connection has ended or failed.
         """
         try:
-            self.green_socket.fd.recv(1, socket.MSG_PEEK)
+            self._read(1, socket.MSG_PEEK)
         except (BlockingIOError, InterruptedError):
             return True
         except OSError:
@@ -172,10 +210,10 @@
         Returns
         -------
         bool
-            False also if the connection has ended.
+            False also if the connection has ended or failed.
         """
         with contextlib.suppress(OSError):
-            return bool(self.green_socket.fd.recv(1, socket.MSG_PEEK))
+            return bool(self._read(1, socket.MSG_PEEK))
         return False
 
     def shut_down(self) -> None:
--- a/tests/http_client/answer_faults.py
+++ b/tests/http_client/answer_faults.py
@@ -35,8 +35,14 @@
         sock.sendall(data)
         if reset:
             eventlet.sleep(0.05)
-            option = struct.pack("ii", 1, 0)
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
+            reset_connection(sock)
         sock.close()
 
     return step
+
+
+def reset_connection(sock):
+    """Close a connection with a reset."""
+    # A zero timeout discards what was not sent and resets at once.
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
--- a/tests/http_client/test_timed_socket.py
+++ b/tests/http_client/test_timed_socket.py
@@ -1,20 +1,24 @@
-"""Sends and receives end by their deadline and leave time to other greenlets."""
+"""Sends and receives end by their deadline, and a failed connection stays failed."""
 
 import contextlib
-import struct
 import time
 
 import eventlet
 import pytest
 from eventlet import patcher
-from eventlet.green import socket
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from chestnutvale.clock import SystemClock
 from chestnutvale.http_client.timed_socket import TimedSocket
+from tests.http_client.answer_faults import reset_connection
 
 threading = patcher.original("threading")
 CLOCK = SystemClock()
 FLOOD_BYTES = 16 * 1024 * 1024
+# Time in seconds for bytes and resets to pass through the loopback interface.
+ARRIVAL_S = 0.01
+BEFORE_RESET = b"some bytes"
 
 
 @contextlib.contextmanager
@@ -31,6 +35,36 @@
         yield sock, peer
 
 
+def reset(peer):
+    reset_connection(peer)
+    eventlet.sleep(ARRIVAL_S)
+
+
+def send(sock):
+    with contextlib.suppress(OSError):
+        sock.send_all(b"x", CLOCK.now_s() + 1.0)
+
+
+# Calls that may be the first to see that the connection has failed.
+CALLS = {
+    "has_bytes": TimedSocket.has_bytes,
+    "is_quiet": TimedSocket.is_quiet,
+    "wait_for_bytes": lambda sock: sock.wait_for_bytes(CLOCK.now_s() + 1.0),
+    "send_all": send,
+}
+
+
+def receive_until_failure(sock):
+    """Return the bytes that arrive before the connection is reported as failed."""
+    data = b""
+    with pytest.raises(ConnectionError):
+        while True:
+            part = sock.receive(CLOCK.now_s() + 1.0)
+            assert part, "a reset was reported as the end of the connection"
+            data += part
+    return data
+
+
 def test_send_to_a_slow_peer_ends_by_the_deadline():
     with open_pair() as (sock, peer):
 
@@ -60,16 +94,58 @@
         peer.close()
         assert sock.receive(CLOCK.now_s() + 1.0) == b""
     with open_pair() as (sock, peer):
-        peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-        peer.close()
+        reset_connection(peer)
         with pytest.raises(ConnectionResetError):
             sock.receive(CLOCK.now_s() + 1.0)
+        receive_until_failure(sock)
     with open_pair() as (sock, peer):
         eventlet.spawn_after(0.05, sock.shut_down)
         with pytest.raises(ConnectionAbortedError):
             sock.receive(CLOCK.now_s() + 1.0)
 
 
+@pytest.mark.parametrize("name", CALLS)
+def test_reset_that_another_call_has_seen_is_no_end_of_the_connection(name):
+    # Guards against an answer without a length that looks complete after a reset: the
+    # kernel reports the error once, and the end of the connection afterwards.
+    with open_pair() as (sock, peer):
+        reset(peer)
+        CALLS[name](sock)
+        assert not sock.has_bytes()
+        assert not sock.is_quiet()
+        for _ in range(2):
+            with pytest.raises(ConnectionError):
+                sock.receive(CLOCK.now_s() + 1.0)
+        with pytest.raises(ConnectionError):
+            sock.send_all(b"x", CLOCK.now_s() + 1.0)
+
+
+@settings(max_examples=60, deadline=None)
+@given(
+    data=st.sampled_from([b"", BEFORE_RESET]),
+    calls_before=st.lists(st.sampled_from(sorted(CALLS)), max_size=2),
+    calls_after=st.lists(st.sampled_from([*sorted(CALLS), "receive"]), max_size=5),
+)
+def test_no_order_of_calls_turns_a_reset_into_an_end(data, calls_before, calls_after):
+    # Guards against an answer without a length that looks complete after a reset.
+    with open_pair() as (sock, peer):
+        if data:
+            peer.sendall(data)
+            eventlet.sleep(ARRIVAL_S)
+        for name in calls_before:
+            if data or name != "wait_for_bytes":
+                CALLS[name](sock)
+        reset(peer)
+        received = b""
+        for name in calls_after:
+            if name != "receive":
+                CALLS[name](sock)
+            elif not received and data:
+                received = sock.receive(CLOCK.now_s() + 1.0)
+        received += receive_until_failure(sock)
+        assert received == data
+
+
 def test_only_an_open_connection_without_data_is_quiet():
     with open_pair() as (sock, peer):
         assert sock.is_quiet()
