Send the request of an attempt once

Cause: RoutedAttempt.start, which a call repeats while the stream has not begun, took "does not wait for the head" for "was not sent". After a send that ended in a timeout it opened another connection and sent the whole request again. This is no second attempt to the call, so neither resumable nor the number of attempts nor the retry budget was asked. Change: the exchanges record whether a part of the request may have been sent, and an attempt that has sent and can't wait is broken. The same in ModelAttempt.

--- a/chestnutvale/programs/entry/const.py
+++ b/chestnutvale/programs/entry/const.py
@@ -38,3 +38,6 @@
 STEP_CONNECT: Final = "connect"
 STEP_SEND: Final = "send"
 STEP_RECEIVE: Final = "receive"
+
+# Why an attempt ends that was interrupted before the head of its answer was whole.
+REASON_SENT_BEFORE: Final = "the request was sent before and can't be sent again"
--- a/chestnutvale/programs/entry/endpoint_exchange.py
+++ b/chestnutvale/programs/entry/endpoint_exchange.py
@@ -46,6 +46,8 @@
         HTTP status of the answer.
     headers : list of tuple of str
         Headers of the answer.
+    is_sent : bool
+        Whether a part of the request may have been sent.
     """
 
     def __init__(
@@ -59,6 +61,7 @@
         self.address = address
         self.status = 0
         self.headers: list[tuple[str, str]] = []
+        self.is_sent = False
         self._is_stream = is_stream
         self._clock = clock or SystemClock()
         self._bound = bound
@@ -143,6 +146,7 @@
         EndpointSilentError
             If there was no complete head in time.
         """
+        self.is_sent = True
         deadline_s = self._clock.now_s() + timeout_s
         self._answer_deadline_s = deadline_s
         with translate_client_errors(STEP_SEND, self.address):
--- a/chestnutvale/programs/entry/model_attempt.py
+++ b/chestnutvale/programs/entry/model_attempt.py
@@ -19,6 +19,7 @@
     EventsArrived,
 )
 from chestnutvale.attempts.sse import EventSplitter
+from chestnutvale.programs.entry.const import REASON_SENT_BEFORE
 from chestnutvale.programs.entry.endpoint_exchange import EndpointExchange
 from chestnutvale.programs.entry.exceptions import EndpointSilentError
 from chestnutvale.programs.entry.exchange_failures import (
@@ -118,6 +119,8 @@
     def start(self, timeout_s: float) -> CallEvent | None:
         """Send the request and wait for the head of the answer.
 
+        A request is sent once: the engine may run it again, whatever it answers.
+
         Parameters
         ----------
         timeout_s : float
@@ -128,6 +131,8 @@
         CallEvent or None
             Why there is no stream; None if the stream has begun.
         """
+        if self._exchange.is_sent:
+            return AttemptBroken(self.attempt_id, REASON_SENT_BEFORE)
         data = json.dumps(self._body).encode()
         headers = {"Content-Type": "application/json", "Host": self._exchange.address}
         try:
--- a/chestnutvale/programs/entry/routed/attempt.py
+++ b/chestnutvale/programs/entry/routed/attempt.py
@@ -6,6 +6,7 @@
     EventsArrived,
 )
 from chestnutvale.attempts.sse import NumberedEventSplitter
+from chestnutvale.programs.entry.const import REASON_SENT_BEFORE
 from chestnutvale.programs.entry.exchange_failures import (
     EXCHANGE_ERRORS,
     make_failure_event,
@@ -68,6 +69,8 @@
     def start(self, timeout_s: float) -> CallEvent | None:
         """Send the request, or go on to wait for its answer if it was sent.
 
+        A request is sent once: the endpoint may run it again, whatever it answers.
+
         Parameters
         ----------
         timeout_s : float
@@ -84,6 +87,8 @@
         try:
             if self.exchange.is_awaiting_head:
                 self.exchange.receive_head(request.method, timeout_s)
+            elif self.exchange.is_sent:
+                return AttemptBroken(self.attempt_id, REASON_SENT_BEFORE)
             else:
                 self.exchange.connect(timeout_s)
                 self.exchange.send(
--- a/chestnutvale/programs/entry/routed/exchange.py
+++ b/chestnutvale/programs/entry/routed/exchange.py
@@ -90,6 +90,8 @@
     is_awaiting_head : bool
         Whether the whole request was sent and no part of its answer was read, so that
         an interrupted wait can go on in `receive_head`.
+    is_sent : bool
+        Whether a part of the request may have been sent.
     """
 
     def __init__(
@@ -112,6 +114,7 @@
         self.reason = ""
         self.is_delimited = True
         self.is_awaiting_head = False
+        self.is_sent = False
         self._pool = pool
         self._protocol = protocol
         self._request = request
@@ -127,7 +130,6 @@
         # Monotonic time in seconds until which `read_all` may read.
         self._answer_deadline_s = deadline_s
         self._is_aborted = False
-        self._is_sent = False
 
     def __enter__(self) -> Self:
         """Return the exchange; `connect` acquires its connection."""
@@ -149,7 +151,7 @@
         connection.close()
 
     def _can_reuse(self, connection: PooledConnection) -> bool:
-        if not (self._is_sent or self._is_aborted):
+        if not (self.is_sent or self._is_aborted):
             return connection.is_reusable()
         answer = self._answer
         if self._is_aborted or answer is None or not answer.is_complete:
@@ -224,7 +226,7 @@
         """
         connection = self._connection
         connection.requests += 1
-        self._is_sent = True
+        self.is_sent = True
         deadline_s = min(self._deadline_s, self._clock.now_s() + timeout_s)
         with translate_client_errors(STEP_SEND, self.address):
             request = self._encode_request(method, target, body)
@@ -448,7 +450,7 @@
         return None if pause_s is None else min(pause_s, MAX_RETRY_AFTER_S)
 
     def _find_reusable_until_s(self, connection: PooledConnection) -> float:
-        if connection.requests and not self._is_sent:
+        if connection.requests and not self.is_sent:
             # The idle time runs since the last answer, and not since this exchange.
             return connection.reusable_until_s
         idle_s = DEFAULT_IDLE_TIMEOUT_S
--- a/tests/programs/entry/routed/test_failed_connections.py
+++ b/tests/programs/entry/routed/test_failed_connections.py
@@ -1,14 +1,20 @@
 """An answer whose connection has failed is never passed on as a whole one."""
 
+import contextlib
+
 import eventlet
 import pytest
+from eventlet.green import socket
 
+from chestnutvale.programs.entry.routed import connections
 from tests.http_client.answer_faults import reset_connection
 from tests.programs.entry.routed.routed_fakes import (
     ScriptedEndpoint,
     call,
+    chunk,
     event,
     routed_entry,
+    stream_head,
 )
 
 # The answer has no length and ends with its connection.
@@ -49,3 +55,57 @@
     assert len(other_endpoint.requests) == 1
     assert (status, body) == (200, event(1) + event(2))
     assert not is_complete
+
+
+class LateReader:
+    """Endpoint that answers after the head of a request and never reads its body."""
+
+    def __init__(self, answer):
+        self._answer = answer
+        self.heads = []
+
+    @contextlib.contextmanager
+    def serve(self):
+        with contextlib.closing(socket.socket()) as listener:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8_192)
+            listener.bind(("127.0.0.1", 0))
+            listener.listen()
+            task = eventlet.spawn(self._accept, listener)
+            yield f"127.0.0.1:{listener.getsockname()[1]}"
+            task.kill()
+
+    def _accept(self, listener):
+        while True:
+            sock, _ = listener.accept()
+            eventlet.spawn(self._answer_early, sock)
+
+    def _answer_early(self, sock):
+        with contextlib.closing(sock):
+            head = b""
+            while b"\r\n\r\n" not in head:
+                head += sock.recv(1)
+            self.heads.append(head)
+            sock.sendall(self._answer)
+            eventlet.sleep(10.0)
+
+
+@pytest.fixture
+def short_user_timeout(monkeypatch):
+    """Have the kernel give connections up soon whose peer reads nothing."""
+    monkeypatch.setattr(connections, "TCP_USER_TIMEOUT_MS", 300)
+
+
+# More than the buffers of both sockets hold.
+LONG_BODY = bytes(4_000_000)
+
+
+def test_request_whose_connection_the_kernel_gives_up_is_not_sent_again(
+    short_user_timeout,
+):
+    # Guards against a stream that may run once and runs twice: its endpoint answers
+    # early and reads so late that the kernel gives the connection up.
+    endpoint = LateReader(stream_head() + chunk(event(1)))
+    with routed_entry(endpoint) as entry:
+        status, _, _, _ = call(entry.address, "/fixed/x", LONG_BODY, X_Model="m")
+    assert len(endpoint.heads) == 1
+    assert status == 502
--- a/tests/programs/entry/test_endpoint_exchange.py
+++ b/tests/programs/entry/test_endpoint_exchange.py
@@ -5,7 +5,7 @@
 import eventlet
 import pytest
 
-from chestnutvale.attempts.events import AttemptBroken
+from chestnutvale.attempts.events import AttemptBroken, Tick
 from chestnutvale.programs.entry.crash_probe import PROBE_TIMEOUT_S, has_crashed
 from chestnutvale.programs.entry.endpoint_exchange import EndpointExchange
 from chestnutvale.programs.entry.exceptions import (
@@ -116,6 +116,18 @@
         assert isinstance(attempt.start(TIMEOUT_S), AttemptBroken)
 
 
+def test_attempt_whose_answer_did_not_come_is_not_sent_again(endpoint):
+    # Guards against an engine that runs one attempt twice.
+    endpoint.default = b""
+    with (
+        endpoint.serve() as address,
+        ModelAttempt("a1", GroupView(), address, {}) as attempt,
+    ):
+        assert attempt.start(TIMEOUT_S) == Tick()
+        assert isinstance(attempt.start(TIMEOUT_S), AttemptBroken)
+    assert len(endpoint.requests) == 1
+
+
 def test_request_is_sent_with_the_headers_of_the_protocol(endpoint):
     endpoint.default = complete_answer(b"ok")
     with (
