Tell a connection that the kernel gave up from one that is silent

Cause: the kernel ends a connection whose peer takes nothing for TCP_USER_TIMEOUT, and Python raises for it the TimeoutError that a deadline has too. The attempt counted as silent and was read again; the error is reported once, so the next receive found the end of the connection, which is the regular end of an answer without a length. Change: TimedSocket raises ConnectionTimedOutError, a ConnectionError, for the kernel's timeout, and keeps it like any failure. A TimeoutError of the HTTP client is a deadline that passed. Sends wait like receives, since eventlet's raise the same type.

--- a/chestnutvale/http_client/exceptions.py
+++ b/chestnutvale/http_client/exceptions.py
@@ -25,3 +25,11 @@
     """The body of an answer was given up, as the process lacks memory for it."""
 
     code = "answer_cut"
+
+
+class ConnectionTimedOutError(ConnectionError):
+    """The kernel gave a connection up, as its peer acknowledged nothing for too long.
+
+    Python raises a `TimeoutError` for this, as for a deadline that passed. But the
+    connection has failed, whereas after a deadline it can still be used.
+    """
--- a/chestnutvale/http_client/timed_socket.py
+++ b/chestnutvale/http_client/timed_socket.py
@@ -1,6 +1,7 @@
 """A client's socket whose operations end by a deadline."""
 
 import contextlib
+from typing import NoReturn
 
 import eventlet
 from eventlet import hubs
@@ -8,6 +9,9 @@
 
 from chestnutvale.clock import Clock
 from chestnutvale.http_client.const import MAX_UNYIELDED_BYTES, READ_BYTES
+from chestnutvale.http_client.exceptions import ConnectionTimedOutError
+
+_MESSAGE_NOT_SENT = "the request was not sent in time"
 
 
 class TimedSocket:
@@ -82,25 +86,27 @@
         Raises
         ------
         OSError
-            If the connection broke; a `TimeoutError` if the deadline passed.
+            If the connection failed, also by a timeout of the kernel; a
+            `TimeoutError` if the deadline passed.
         """
         view = memoryview(data)
         while view:
-            remaining_s = deadline_s - self._clock.now_s()
-            if remaining_s <= 0.0:
-                raise TimeoutError("the request was not sent in time")
-            self.green_socket.settimeout(remaining_s)
-            view = view[self._send(view) :]
+            if self._clock.now_s() >= deadline_s:
+                raise TimeoutError(_MESSAGE_NOT_SENT)
+            try:
+                view = view[self._write(view) :]
+            except (BlockingIOError, InterruptedError):
+                self._wait(deadline_s, _MESSAGE_NOT_SENT, to_send=True)
 
-    def _send(self, view: memoryview) -> int:
+    def _write(self, view: memoryview) -> int:
+        """Send without waiting; return the number of bytes that were sent."""
         self._raise_failure()
         try:
-            return self.green_socket.send(view)
-        except TimeoutError:
+            return self.green_socket.fd.send(view)
+        except (BlockingIOError, InterruptedError):
             raise
         except OSError as error:
-            self._failure = error
-            raise
+            self._fail(error)
 
     def receive(self, deadline_s: float) -> bytes:
         """Return the available bytes, or wait for some.
@@ -122,8 +128,9 @@
         Raises
         ------
         OSError
-            If the connection has failed or `shut_down` was called; a `TimeoutError` if
-            the deadline passed. Bytes that arrived before a failure are returned first.
+            If the connection has failed, also by a timeout of the kernel, or
+            `shut_down` was called; a `TimeoutError` if the deadline passed. Bytes that
+            arrived before a failure are returned first.
         """
         if self._unyielded_bytes >= MAX_UNYIELDED_BYTES:
             self._unyielded_bytes = 0
@@ -146,30 +153,37 @@
         except (BlockingIOError, InterruptedError):
             self._raise_failure()
             raise
-        except TimeoutError:
-            raise
         except OSError as error:
-            self._failure = self._failure or error
-            raise
+            self._fail(error)
         if not data:
             self._raise_failure()
         return data
 
+    def _fail(self, error: OSError) -> NoReturn:
+        if isinstance(error, TimeoutError):
+            # Python has one type for the timeouts of the kernel and of a caller.
+            error = ConnectionTimedOutError(*error.args)
+        self._failure = self._failure or _copy_error(error)
+        raise error
+
     def _raise_failure(self) -> None:
         if self._failure is not None:
-            # A new object, since each raise extends the traceback.
-            raise type(self._failure)(*self._failure.args)
+            raise _copy_error(self._failure)
 
     def _wait_for_data(self, deadline_s: float) -> None:
+        self._wait(deadline_s, "no bytes arrived before the deadline")
+
+    def _wait(self, deadline_s: float, message: str, *, to_send: bool = False) -> None:
         remaining_s = deadline_s - self._clock.now_s()
         if remaining_s <= 0.0:
-            raise TimeoutError("no bytes arrived before the deadline")
+            raise TimeoutError(message)
         self._unyielded_bytes = 0
         hubs.trampoline(
             self.green_socket.fd,
-            read=True,
+            read=not to_send,
+            write=to_send,
             timeout=remaining_s,
-            timeout_exc=TimeoutError("no bytes arrived before the deadline"),
+            timeout_exc=TimeoutError(message),
         )
 
     def wait_for_bytes(self, deadline_s: float) -> None:
@@ -226,3 +240,8 @@
         """Close the connection."""
         with contextlib.suppress(OSError):
             self.green_socket.close()
+
+
+def _copy_error(error: OSError) -> OSError:
+    """Return an equal error without a traceback, which would keep its frames alive."""
+    return type(error)(*error.args)
--- a/tests/http_client/test_timed_socket.py
+++ b/tests/http_client/test_timed_socket.py
@@ -6,10 +6,12 @@
 import eventlet
 import pytest
 from eventlet import patcher
+from eventlet.green import socket
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from chestnutvale.clock import SystemClock
+from chestnutvale.http_client.exceptions import ConnectionTimedOutError
 from chestnutvale.http_client.timed_socket import TimedSocket
 from tests.http_client.answer_faults import reset_connection
 
@@ -18,7 +20,8 @@
 FLOOD_BYTES = 16 * 1024 * 1024
 # Time in seconds for bytes and resets to pass through the loopback interface.
 ARRIVAL_S = 0.01
-BEFORE_RESET = b"some bytes"
+BEFORE_FAILURE = b"some bytes"
+USER_TIMEOUT_MS = 200
 
 
 @contextlib.contextmanager
@@ -120,9 +123,47 @@
             sock.send_all(b"x", CLOCK.now_s() + 1.0)
 
 
+@contextlib.contextmanager
+def open_given_up():
+    """Open a connection that the kernel gives up, as its peer reads nothing."""
+    with open_pair() as (sock, peer):
+        # The peer's window closes, so that a part of what is sent stays unread.
+        peer.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8_192)
+        sock.green_socket.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
+        )
+        peer.sendall(BEFORE_FAILURE)
+        with contextlib.suppress(BlockingIOError):
+            while True:
+                sock.green_socket.fd.send(bytes(65_536))
+        yield sock
+
+
+def test_timeout_of_the_kernel_is_no_deadline_while_receiving():
+    # Guards against an answer without a length that ends as complete: a connection
+    # that the kernel gave up was taken for a silent one and read again.
+    with open_given_up() as sock:
+        assert sock.receive(CLOCK.now_s() + 1.0) == BEFORE_FAILURE
+        for _ in range(2):
+            with pytest.raises(ConnectionTimedOutError):
+                sock.receive(CLOCK.now_s() + 10.0)
+
+
+def test_timeout_of_the_kernel_is_no_deadline_while_sending():
+    # Guards against a request that is sent again: a connection that the kernel gave up
+    # was taken for a slow one.
+    with open_given_up() as sock:
+        for _ in range(2):
+            with pytest.raises(ConnectionTimedOutError):
+                sock.send_all(b"x" * FLOOD_BYTES, CLOCK.now_s() + 10.0)
+        assert sock.receive(CLOCK.now_s() + 1.0) == BEFORE_FAILURE
+        with pytest.raises(ConnectionTimedOutError):
+            sock.receive(CLOCK.now_s() + 1.0)
+
+
 @settings(max_examples=60, deadline=None)
 @given(
-    data=st.sampled_from([b"", BEFORE_RESET]),
+    data=st.sampled_from([b"", BEFORE_FAILURE]),
     calls_before=st.lists(st.sampled_from(sorted(CALLS)), max_size=2),
     calls_after=st.lists(st.sampled_from([*sorted(CALLS), "receive"]), max_size=5),
 )
--- a/tests/programs/entry/routed/test_failed_connections.py
+++ b/tests/programs/entry/routed/test_failed_connections.py
@@ -97,6 +97,8 @@
 
 # More than the buffers of both sockets hold.
 LONG_BODY = bytes(4_000_000)
+# As much as the buffer of the sending socket holds.
+BUFFERED_BODY = bytes(1_000_000)
 
 
 def test_request_whose_connection_the_kernel_gives_up_is_not_sent_again(
@@ -109,3 +111,18 @@
         status, _, _, _ = call(entry.address, "/fixed/x", LONG_BODY, X_Model="m")
     assert len(endpoint.heads) == 1
     assert status == 502
+
+
+def test_stream_whose_connection_the_kernel_gives_up_does_not_end_as_whole(
+    short_user_timeout,
+):
+    # Guards against a stream without a length that ends as complete: its endpoint
+    # reads the request so late that the kernel gives the connection up.
+    endpoint = LateReader(UNDELIMITED_HEAD + event(1) + event(2))
+    with routed_entry(endpoint) as entry:
+        status, _, body, is_complete = call(
+            entry.address, "/fixed/x", BUFFERED_BODY, X_Model="m"
+        )
+    assert len(endpoint.heads) == 1
+    assert (status, body) == (200, event(1) + event(2))
+    assert not is_complete
