End broken answers to HTTP/1.0 with a reset

Callers of HTTP/1.0 saw a broken stream end like a whole one.

Cause: an answer to HTTP/1.0 without a length ends with its connection, and the server closed the connection of a broken answer in the usual way. Only an answer that was cut for want of memory ended with a reset. Change: AnswerEnd records that a body has begun and will not be whole, whether by an error of the application, by one of the writer or by the end of a stop; the connection then ends with a reset, as after a cut for memory.

--- a/chestnutvale/http_server/answer_end.py
+++ b/chestnutvale/http_server/answer_end.py
@@ -47,6 +47,8 @@
         Why it ended, as a code.
     detail : str
         What happened, for a reader.
+    is_broken_off : bool
+        Whether the body had begun and will not be whole.
     """
 
     request_id: str = ""
@@ -56,6 +58,7 @@
     ended_by: str = ""
     reason: str = ""
     detail: str = ""
+    is_broken_off: bool = False
 
     def record(self, ended_by: str, reason: str, detail: str = "") -> None:
         """Record that the answer ends early; what was recorded first is kept.
@@ -96,6 +99,7 @@
         error : OSError
             The error of the writer.
         """
+        self.is_broken_off = True
         if isinstance(error, AnswerCutError | AnswerNotReadError):
             is_cut = isinstance(error, AnswerCutError)
             self.ended_by = ""
@@ -158,6 +162,7 @@
                 yield part
         except (Exception, Timeout) as error:
             self._end.record_error(error)
+            self._end.is_broken_off = has_begun
             if not has_begun:
                 self._end.status = _STATUS_INTERNAL_ERROR
             raise
--- a/chestnutvale/http_server/answer_writer.py
+++ b/chestnutvale/http_server/answer_writer.py
@@ -42,7 +42,9 @@
     Attributes
     ----------
     is_cut : bool
-        Whether the answer was cut; the connection must end with a reset.
+        Whether the answer was cut for want of memory.
+    must_reset : bool
+        Whether the connection must end with a reset, as its answer is not whole.
     sent_bytes : int
         Bytes that the socket has accepted.
     error : OSError or None
@@ -52,6 +54,7 @@
     def __init__(self, connection: Any, bound: MemoryBound) -> None:
         self.closed = False
         self.is_cut = False
+        self.must_reset = False
         self.sent_bytes = 0
         self.error: OSError | None = None
         self._connection = connection
@@ -111,11 +114,17 @@
         )
         self.is_cut = True
         self._fail(AnswerCutError("the answer was read too slowly"))
+        self.reset_at_close()
         with contextlib.suppress(OSError):
-            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET)
             # The watch of the caller notices it and cancels the call.
             self._sock.shutdown(socket.SHUT_RD)
 
+    def reset_at_close(self) -> None:
+        """Make the close of the connection a reset."""
+        self.must_reset = True
+        with contextlib.suppress(OSError):
+            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET)
+
     def _send(self, data: bytes) -> None:
         self._raise_error()
         if self._unread:
--- a/chestnutvale/http_server/protocol.py
+++ b/chestnutvale/http_server/protocol.py
@@ -405,10 +405,14 @@
             _LOGGER.exception("Request failed after its answer")
         except greenlet.GreenletExit:
             end.record(ENDED_BY_SERVER, REASON_STOP, "cut at the end of the stop")
+            end.is_broken_off = True
             raise
         finally:
             if self.wfile.error is not None:
                 end.record_write_error(self.wfile.error)
+            if end.is_broken_off and self.request_version == "HTTP/1.0":
+                # An orderly end of the connection would be that of the whole answer.
+                self.wfile.reset_at_close()
             if end.ended_by:
                 self._log_early_end(end, self.wfile.sent_bytes - sent_before_bytes)
 
@@ -433,7 +437,7 @@
     def finish(self) -> None:
         """Close the connection, after a lingering read if one was requested."""
         self.wfile.close()
-        if self.wfile.is_cut:
+        if self.wfile.must_reset:
             # The shutdown that follows would let the client take a part of an answer
             # without a length for the whole; a closed socket resets instead.
             self.rfile.close()
