Test resets at callers and at peers

Cause: the review of the paths on which a lost connection may read as an orderly end found none on these, and no test that would show one. Change: a request whose connection ends within its body, at each byte, by a close, a half close or a reset, with a length and in chunks, reaches no endpoint; a stream that breaks off by a reset at another entry is broken for the caller.

--- a/tests/programs/entry/routed/test_failed_connections.py
+++ b/tests/programs/entry/routed/test_failed_connections.py
@@ -9,13 +9,16 @@
 from chestnutvale.programs.entry.routed import connections
 from tests.http_client.answer_faults import reset_connection
 from tests.programs.entry.routed.routed_fakes import (
+    API_KEY,
     ScriptedEndpoint,
     call,
     chunk,
+    complete_answer,
     event,
     routed_entry,
     stream_head,
 )
+from tests.programs.entry.routed.test_isolated_entry import isolated_entry
 
 # The answer has no length and ends with its connection.
 UNDELIMITED_HEAD = b"HTTP/1.1 200 OK\r\nX-Call: c1\r\nX-Made-By: e1\r\n\r\n"
@@ -126,3 +129,59 @@
     assert len(endpoint.heads) == 1
     assert (status, body) == (200, event(1) + event(2))
     assert not is_complete
+
+
+BODY = b"a body of the caller"
+FRAMED_BODIES = {
+    "length": (f"Content-Length: {len(BODY)}", BODY),
+    "chunks": (
+        "Transfer-Encoding: chunked",
+        chunk(BODY[:9]) + chunk(BODY[9:]) + b"0\r\n\r\n",
+    ),
+}
+
+
+@pytest.mark.parametrize("ends_with", ["close", "half close", "reset"])
+@pytest.mark.parametrize("framing", FRAMED_BODIES)
+def test_request_whose_connection_ends_within_its_body_is_not_passed_on(
+    endpoint, framing, ends_with
+):
+    # Guards against a part of a request that an endpoint gets as a whole one.
+    header, body = FRAMED_BODIES[framing]
+    head = f"POST /once/x HTTP/1.1\r\nHost: shop.example\r\nX-Call: c1\r\n{header}\r\n"
+    head += f"X-Key: {API_KEY}\r\n\r\n"
+    endpoint.default = complete_answer(b"done")
+    with routed_entry(endpoint) as entry:
+        host, _, port = entry.address.rpartition(":")
+        for size in range(len(body)):
+            sock = socket.create_connection((host, int(port)))
+            sock.sendall(head.encode() + body[:size])
+            eventlet.sleep(0.005)
+            if ends_with == "half close":
+                sock.shutdown(socket.SHUT_WR)
+                assert not sock.recv(65_536).startswith(b"HTTP/1.1 2")
+                sock.close()
+            elif ends_with == "reset":
+                reset_connection(sock)
+            else:
+                sock.close()
+        eventlet.sleep(0.1)
+        assert endpoint.requests == []
+        sock = socket.create_connection((host, int(port)))
+        sock.sendall(head.encode() + body)
+        assert sock.recv(65_536).startswith(b"HTTP/1.1 200")
+        sock.close()
+
+
+def test_reset_at_a_peer_breaks_the_answer_that_it_passes_on(endpoint):
+    # Guards against a broken stream that two entries in a row turn into a whole one.
+    def send_two_events_and_reset(sock, request):
+        sock.sendall(UNDELIMITED_HEAD + event(1) + event(2))
+        eventlet.sleep(0.1)
+        reset_connection(sock)
+
+    endpoint.default = send_two_events_and_reset
+    with isolated_entry(endpoint) as entry:
+        status, _, body, is_complete = call(entry.address, "/fixed/x", X_Model="m")
+    assert (status, body) == (200, event(1) + event(2))
+    assert not is_complete
