Break a resumed stream that ends before its first event

Callers could see a stream end as complete after its first attempt had broken off, if the host that was to go on with it crashed before its first event.

Cause: an answer without a length is complete once its connection ends. For a resumed attempt this held without any event, since none might be left; but a host that crashes may close its connection in an orderly way too, and the two can't be told apart. Change: an attempt by which the entry itself resumes an answer breaks off if no event arrived and the answer doesn't mark its end. Where the caller resumes, nothing changes. The price is a stream that looks broken though only its end was missing.

--- a/chestnutvale/programs/entry/routed/attempt.py
+++ b/chestnutvale/programs/entry/routed/attempt.py
@@ -63,8 +63,8 @@
         self._request = request
         self._body = body
         self._splitter = NumberedEventSplitter(attempt_id, last_event)
-        # A resumed answer may have no further events.
-        self._has_events = last_event > 0
+        # A caller that resumes an answer may have all of its events.
+        self._has_events = 0 < last_event <= request.last_event
 
     def start(self, timeout_s: float) -> CallEvent | None:
         """Send the request, or go on to wait for its answer if it was sent.
--- a/tests/programs/entry/routed/test_failed_connections.py
+++ b/tests/programs/entry/routed/test_failed_connections.py
@@ -7,7 +7,7 @@
 from eventlet.green import socket
 
 from chestnutvale.programs.entry.routed import connections
-from tests.http_client.answer_faults import reset_connection
+from tests.http_client.answer_faults import cut, reset_connection
 from tests.programs.entry.routed.routed_fakes import (
     API_KEY,
     ScriptedEndpoint,
@@ -60,6 +60,25 @@
     assert not is_complete
 
 
+def test_resumed_stream_that_ends_before_its_first_event_does_not_end_as_whole(
+    endpoint, other_endpoint
+):
+    # Guards against a stream without a length that ends as complete: a host that
+    # crashes may close its connection like one that has no further events.
+    def send_two_events_and_reset(sock, request):
+        sock.sendall(UNDELIMITED_HEAD + event(1) + event(2))
+        eventlet.sleep(0.1)
+        reset_connection(sock)
+
+    endpoint.default = send_two_events_and_reset
+    other_endpoint.default = cut(UNDELIMITED_HEAD)
+    with routed_entry(endpoint, other_endpoint) as entry:
+        status, _, body, is_complete = call(entry.address, "/gen/x", b"p", X_Model="m")
+    assert len(other_endpoint.requests) == 1
+    assert (status, body) == (200, event(1) + event(2))
+    assert not is_complete
+
+
 class LateReader:
     """Endpoint that answers after the head of a request and never reads its body."""
 
