Read what has arrived before a call ends at its deadline

Callers saw a stream cut though its end had come with its last event, if the entry read it at or after the deadline, as after a pause of the process.

Cause: a read gives events, and only the next one the end. Between the two the call looked at the clock alone. Change: at its deadline a call reads on while a part of the running attempt's stream, or its end, has arrived (ModelCall.is_readable), at most 16 times, since a fast endpoint may always have more. It waits for nothing. Attempts tell from their reader and the socket. Result: two cases of test_model_call.py and two of test_streams.py failed before (False for a whole answer). tests/attempts and tests/programs/entry pass.

--- a/chestnutvale/attempts/const.py
+++ b/chestnutvale/attempts/const.py
@@ -57,6 +57,10 @@
 # Nothing was sent, because the endpoint said in an earlier answer that it leaves, or
 # wants no request for a time.
 REFUSAL_UNAVAILABLE: Final = "unavailable"
+# Reads after the deadline of a call, by which it takes what had arrived before. They
+# are counted since a fast endpoint may always have more ready.
+MAX_LATE_READS: Final = 16
+
 # Refusals before anything was sent.
 UNSENT_REFUSALS: Final = frozenset({REFUSAL_UNREACHABLE, REFUSAL_UNAVAILABLE})
 RETRIED_REFUSALS: Final = frozenset(
--- a/chestnutvale/attempts/model_call.py
+++ b/chestnutvale/attempts/model_call.py
@@ -21,6 +21,7 @@
     CODE_RETRY_BUDGET,
     DEFAULT_RETRY_AFTER_S,
     LOST_GROUP_SILENCE_S,
+    MAX_LATE_READS,
     MAX_REPLACED_REFUSALS,
     MAX_UNREACHABLE_GROUPS,
     OUTCOME_FAILED,
@@ -140,6 +141,9 @@
     has_held_bytes : callable
         Tells whether the held attempt has sent bytes since it was left; by default it
         has not.
+    is_readable : callable
+        Tells whether a part of the running attempt's stream, or its end, has arrived
+        and was not read; by default none has.
     is_finished : bool
         Whether `Finish` was returned.
     kept_because : str
@@ -162,6 +166,7 @@
         self.can_return: ReturnFinder = _assume_no_return
         self.can_hold: Callable[[], bool] = _assume_holdable
         self.has_held_bytes: Callable[[], bool] = _assume_silence
+        self.is_readable: Callable[[], bool] = _assume_silence
         self.is_finished = False
         self.kept_because = ""
         self._request_id = request_id
@@ -173,6 +178,7 @@
         self._group_id = ""
         # Whether the running attempt has sent the head of an answer.
         self._has_answered = False
+        self._late_reads = 0
         self._held: _HeldAttempt | None = None
         self._version = ""
         self._excluded: set[str] = set()
@@ -324,14 +330,19 @@
         if self.answer.is_whole:
             self.is_finished = True
             effects.append(Finish())
-        elif now_s >= self.deadline_s:
-            effects += self._fail_deadline()
-        elif fault:
-            effects += self._break_attempt(fault, now_s)
-        elif is_overdue:
-            effects += self._break_attempt(REASON_SILENT, now_s)
+        else:
+            effects += self._read_on(fault, is_overdue, now_s)
         return effects
 
+    def _read_on(self, fault: str, is_overdue: bool, now_s: float) -> list[CallEffect]:
+        """Return no effects if the attempt can go on."""
+        if now_s >= self.deadline_s:
+            may_read = not fault and self._may_read_late()
+            return [] if may_read else self._fail_deadline()
+        if fault or is_overdue:
+            return self._break_attempt(fault or REASON_SILENT, now_s)
+        return []
+
     def _on_refused(self, event: AttemptRefused, now_s: float) -> list[CallEffect]:
         if event.attempt_id != self._attempt_id:
             return []
@@ -440,7 +451,7 @@
 
     def _on_tick(self, event: Tick, now_s: float) -> list[CallEffect]:
         if now_s >= self.deadline_s:
-            return self._fail_deadline()
+            return [] if self._may_read_late() else self._fail_deadline()
         if self._attempt_id and now_s >= self._silence.due_s:
             return self._leave_silent_attempt(now_s)
         return []
@@ -550,6 +561,16 @@
     def _has_held_bytes(self) -> bool:
         return self._held is not None and self.has_held_bytes()
 
+    def _may_read_late(self) -> bool:
+        """Return whether to read on after the deadline.
+
+        What has arrived may be the rest of the answer, whose caller still waits.
+        """
+        if not self._attempt_id or self._late_reads >= MAX_LATE_READS:
+            return False
+        self._late_reads += 1
+        return self.is_readable()
+
     def _fail_deadline(self) -> list[CallEffect]:
         is_running = bool(self._attempt_id)
         effects = self._cancel() + self._release_held()
--- a/chestnutvale/http_client/answer_reader.py
+++ b/chestnutvale/http_client/answer_reader.py
@@ -65,6 +65,16 @@
         """Whether the end of the answer was received."""
         return self._parser.is_complete
 
+    @property
+    def is_readable(self) -> bool:
+        """Whether anything has arrived that `read` has not returned yet.
+
+        Bytes, the end of the answer or the failure of its connection.
+        """
+        if self._unread_body or self.is_complete or self._parser.has_unparsed:
+            return True
+        return not self._sock.is_quiet()
+
     def read_head(self, deadline_s: float) -> AnswerHead:
         """Read the head.
 
--- a/chestnutvale/programs/entry/endpoint_exchange.py
+++ b/chestnutvale/programs/entry/endpoint_exchange.py
@@ -207,6 +207,12 @@
         with translate_client_errors(STEP_RECEIVE, self.address):
             return self._answer.read(self._clock.now_s() + timeout_s)
 
+    def is_readable(self) -> bool:
+        """Return whether bytes or the end have arrived and were not read."""
+        if self._stream_reader is not None:
+            return self._stream_reader.is_readable
+        return self._answer is not None and self._answer.is_readable
+
     def has_unread_bytes(self) -> bool:
         """Return whether bytes of a stream have arrived that were not read yet."""
         if self._stream_reader is not None:
--- a/chestnutvale/programs/entry/model_attempt.py
+++ b/chestnutvale/programs/entry/model_attempt.py
@@ -108,6 +108,10 @@
         """Return whether a wait can be interrupted now without a loss."""
         return self.is_open
 
+    def is_readable(self) -> bool:
+        """Return whether events or the end have arrived and were not read."""
+        return self.is_open and self._exchange.is_readable()
+
     def has_unread_bytes(self) -> bool:
         """Return whether bytes of the stream have arrived that were not read yet."""
         return self._exchange.has_unread_bytes()
--- a/chestnutvale/programs/entry/model_calls.py
+++ b/chestnutvale/programs/entry/model_calls.py
@@ -113,6 +113,9 @@
     def read(self, timeout_s: float) -> CallEvent:
         """Wait for the next events of the stream."""
 
+    def is_readable(self) -> bool:
+        """Return whether events or the end have arrived and were not read."""
+
     def has_unread_bytes(self) -> bool:
         """Return whether bytes of the stream have arrived that were not read yet."""
 
@@ -332,6 +335,7 @@
         call.can_return = self._chooser.can_return
         call.can_hold = self._can_hold
         call.has_held_bytes = self._has_held_bytes
+        call.is_readable = self._is_readable
         self._tick_timer = TickTimer(context.clock, self._tick)
         self._held: _HeldAttempt | None = None
         # The greenlet that waits for the endpoint.
@@ -469,6 +473,9 @@
     def _can_hold(self) -> bool:
         return self.attempt is not None and self.attempt.can_hold()
 
+    def _is_readable(self) -> bool:
+        return self.attempt is not None and self.attempt.is_readable()
+
     def _has_held_bytes(self) -> bool:
         return self._held is not None and self._held.has_bytes()
 
--- a/chestnutvale/programs/entry/routed/attempt.py
+++ b/chestnutvale/programs/entry/routed/attempt.py
@@ -138,6 +138,10 @@
         """Return whether a wait can be interrupted now without a loss."""
         return self.has_started or self.exchange.is_awaiting_head
 
+    def is_readable(self) -> bool:
+        """Return whether events or the end have arrived and were not read."""
+        return self.has_started and self.exchange.is_readable()
+
     def has_unread_bytes(self) -> bool:
         """Return whether bytes of the stream have arrived that were not read yet."""
         return self.exchange.has_unread_bytes()
--- a/chestnutvale/programs/entry/routed/exchange.py
+++ b/chestnutvale/programs/entry/routed/exchange.py
@@ -297,6 +297,10 @@
         with translate_client_errors(STEP_RECEIVE, self.address):
             return self._answer.read(self._clock.now_s() + timeout_s)
 
+    def is_readable(self) -> bool:
+        """Return whether bytes or the end have arrived and were not read."""
+        return self._answer is not None and self._answer.is_readable
+
     def has_unread_bytes(self) -> bool:
         """Return whether bytes have arrived that were not read yet."""
         return self._connection is not None and self._connection.sock.has_bytes()
--- a/chestnutvale/programs/entry/stream_reader.py
+++ b/chestnutvale/programs/entry/stream_reader.py
@@ -66,6 +66,11 @@
         """Whether bytes have arrived that were not read yet."""
         return bool(self._parts)
 
+    @property
+    def is_readable(self) -> bool:
+        """Whether `read` returns at once, with bytes, the end or an error."""
+        return bool(self._parts) or self._has_ended
+
     def read(self, timeout_s: float) -> bytes:
         """Return the buffered bytes; wait for the next ones if there are none.
 
--- a/tests/attempts/test_model_call.py
+++ b/tests/attempts/test_model_call.py
@@ -7,8 +7,10 @@
 from chestnutvale.attempts.answer_stream import AnswerStream
 from chestnutvale.attempts.call_limits import CallLimits
 from chestnutvale.attempts.const import (
+    CODE_DEADLINE,
     LOST_GROUP_SILENCE_S,
     MAX_ATTEMPTS,
+    MAX_LATE_READS,
     MAX_UNREACHABLE_GROUPS,
     REFUSAL_OVERLOADED,
     REFUSAL_UNREACHABLE,
@@ -439,6 +441,33 @@
     assert effects[-1].failure.outcome == "failed"
 
 
+def test_answer_that_had_arrived_by_the_deadline_is_delivered_whole(call):
+    # Guards against a call that is cut at its deadline although the rest of its answer
+    # waits to be read.
+    attempt_id = start(call)
+    arrived = [[token(attempt_id, 0, TOKENS)], [end(attempt_id)], [DONE]]
+    call.is_readable = lambda: bool(arrived)
+    assert call.handle(Tick(), DEADLINE_S) == []
+    effects = []
+    while arrived:
+        effects += call.handle(EventsArrived(attempt_id, arrived.pop(0)), DEADLINE_S)
+    assert [type(effect) for effect in effects] == [Deliver, Deliver, Deliver, Finish]
+    assert effects[-1].failure is None
+
+
+def test_endpoint_that_always_has_more_does_not_outlive_the_deadline(call):
+    attempt_id = start(call)
+    call.is_readable = lambda: True
+    for number in range(MAX_LATE_READS):
+        effects = call.handle(
+            EventsArrived(attempt_id, [token(attempt_id, number)]), DEADLINE_S
+        )
+        assert [type(effect) for effect in effects] == [Deliver]
+    effects = call.handle(Tick(), DEADLINE_S)
+    assert [type(effect) for effect in effects] == [CancelAttempt, Finish]
+    assert effects[-1].failure.code == CODE_DEADLINE
+
+
 def test_nothing_follows_once_the_call_is_finished(call):
     attempt_id = start(call)
     assert isinstance(call.handle(CallerDisconnected(), 0.0)[0], CancelAttempt)
--- a/tests/programs/entry/routed/test_streams.py
+++ b/tests/programs/entry/routed/test_streams.py
@@ -1,10 +1,12 @@
 """Routed streams: each event arrives once and in order, or the answer is cut off."""
 
 import contextlib
+import time
 
 import eventlet
 import logbook
 import pytest
+from eventlet.green import socket
 
 from chestnutvale.attempts.prompt_parts import format_parts
 from chestnutvale.attempts.retry_budget import AttemptBudgets, RetryBudget
@@ -439,6 +441,29 @@
 UNSIZED_HEAD = b"HTTP/1.1 200 OK\r\nX-Call: c1\r\nX-Made-By: e1\r\n\r\n"
 
 
+@pytest.mark.parametrize("has_length_marks", [True, False])
+def test_end_that_has_arrived_by_the_deadline_is_passed_on(endpoint, has_length_marks):
+    # Guards against a stream that is cut at its deadline although its end had come with
+    # the last event; the process stands still across the deadline.
+    def send_and_stand_still(sock, request):
+        frame = chunk if has_length_marks else bytes
+        sock.sendall(stream_head() if has_length_marks else UNSIZED_HEAD)
+        sock.sendall(frame(event(1)))
+        eventlet.sleep(0.1)
+        sock.sendall(frame(event(2)))
+        if has_length_marks:
+            sock.sendall(b"0\r\n\r\n")
+        sock.shutdown(socket.SHUT_RDWR)
+        time.sleep(0.4)
+
+    endpoint.default = send_and_stand_still
+    with routed_entry(endpoint) as entry:
+        status, _, body, is_complete = call(
+            entry.address, "/fixed/x", b"p", X_Model="m", X_Left="300"
+        )
+    assert (status, body, is_complete) == (200, event(1) + event(2), True)
+
+
 @pytest.mark.parametrize("cut", [0, 1, 3, 9])
 def test_stream_without_length_is_complete_only_between_events(endpoint, cut):
     endpoint.default = answer_and_close(UNSIZED_HEAD + event(1) + event(2)[:cut])
