--- a/tests/programs/entry/routed/routed_fakes.py
+++ b/tests/programs/entry/routed/routed_fakes.py
@@ -135,6 +135,9 @@
         while True:
             sock, _ = listener.accept()
             self.connections += 1
+            # Nagle's algorithm would hold the end of an answer back until the events
+            # before it are acknowledged.
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             eventlet.spawn(self._converse, sock)
 
     def _converse(self, sock):
