Hold reloads back from a process until it can take them

Cause: the default action of SIGHUP and SIGUSR1 ends a process, and no line of a program comes early enough to change it. Change: ManagedProcess starts its processes with both signals blocked, which they inherit, and start_green unblocks them once it ignores them.

--- a/chestnutvale/emulator/processes.py
+++ b/chestnutvale/emulator/processes.py
@@ -14,6 +14,7 @@
 
 from chestnutvale.emulator.exceptions import EmulatorError
 from chestnutvale.emulator.process_guard import ProcessGuard
+from chestnutvale.programs.early_signals import hold_back_early_signals
 
 # Ports below the range that the kernel assigns to outgoing connections.
 FIRST_PORT = 20_000
@@ -175,7 +176,11 @@
 
     def start(self) -> None:
         """Start the process, also again after it has exited."""
-        with self.log_path.open("ab") as log, self._out_path.open("wb") as out:
+        with (
+            self.log_path.open("ab") as log,
+            self._out_path.open("wb") as out,
+            hold_back_early_signals(),
+        ):
             self._process = subprocess.Popen(
                 self.command, stdin=subprocess.DEVNULL, stdout=out, stderr=log
             )
--- a/chestnutvale/programs/early_signals.py
+++ b/chestnutvale/programs/early_signals.py
@@ -3,7 +3,13 @@
 It imports no other module of the project, so that a program can call it first.
 """
 
+import contextlib
 import signal
+from collections.abc import Iterator
+from typing import Final
+
+# The signals that ask for a reload and for a state dump.
+EARLY_SIGNALS: Final = (signal.SIGHUP, signal.SIGUSR1)
 
 
 def ignore_early_signals() -> None:
@@ -11,6 +17,22 @@
 
     Their default action ends the process. Nothing is lost, as the settings are read
     after the imports. SIGTERM keeps its default action, as nothing is served yet.
+    Signals that were held back since the start are ignored as well.
+    """
+    for number in EARLY_SIGNALS:
+        signal.signal(number, signal.SIG_IGN)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, EARLY_SIGNALS)
+
+
+@contextlib.contextmanager
+def hold_back_early_signals() -> Iterator[None]:
+    """Have the processes that are started here get these signals only when ready.
+
+    A process inherits the signal mask. Without it, a signal ends a new process before
+    its interpreter runs the first line.
     """
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    signal.signal(signal.SIGUSR1, signal.SIG_IGN)
+    mask = signal.pthread_sigmask(signal.SIG_BLOCK, EARLY_SIGNALS)
+    try:
+        yield
+    finally:
+        signal.pthread_sigmask(signal.SIG_SETMASK, mask)
--- a/tests/programs/test_signals.py
+++ b/tests/programs/test_signals.py
@@ -1,6 +1,7 @@
 """Signals at the edges of a daemon's life, each in a process of its own."""
 
 import contextlib
+import os
 import signal
 import subprocess
 import sys
@@ -9,8 +10,11 @@
 
 import pytest
 
+from chestnutvale.emulator.processes import ManagedProcess
+
 ROOT = Path(__file__).resolve().parents[2]
 SIGNAL_INTERVAL_S = 0.0005
+FIRST_SIGNALS = 10
 START = (
     "from chestnutvale.programs.green_start import start_green; start_green();"
     "print('importing', flush=True); import sys; sys.stdin.read(1);"
@@ -53,6 +57,19 @@
     assert process.returncode == 0
 
 
+@pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGUSR1])
+def test_a_signal_before_the_first_line_does_not_end_the_process(number, tmp_path):
+    # Guards against a daemon that a reload ends while it is started again.
+    code = "from chestnutvale.programs.green_start import start_green; start_green()"
+    command = [sys.executable, "-W", "ignore", "-c", code]
+    process = ManagedProcess("daemon", command, tmp_path)
+    for attempt in range(FIRST_SIGNALS):
+        with process:
+            time.sleep(attempt * SIGNAL_INTERVAL_S)
+            os.kill(process.pid, number)
+            assert process.wait_for_exit() == 0, process.read_log_tail()
+
+
 @pytest.mark.parametrize("name", ["SIGTERM", "SIGHUP", "SIGUSR1"])
 def test_a_signal_before_the_daemon_waits_leads_to_a_graceful_stop(name):
     with start(START + SERVE.format(name=name)) as process:
