--- a/chestnutvale/attempts/const.py
+++ b/chestnutvale/attempts/const.py
@@ -57,10 +57,6 @@
 # Nothing was sent, because the endpoint said in an earlier answer that it leaves, or
 # wants no request for a time.
 REFUSAL_UNAVAILABLE: Final = "unavailable"
-# Reads after the deadline of a call, by which it takes what had arrived before. They
-# are counted since a fast endpoint may always have more ready.
-MAX_LATE_READS: Final = 16
-
 # Refusals before anything was sent.
 UNSENT_REFUSALS: Final = frozenset({REFUSAL_UNREACHABLE, REFUSAL_UNAVAILABLE})
 RETRIED_REFUSALS: Final = frozenset(
@@ -73,6 +69,10 @@
     }
 )
 
+# Reads after the deadline of a call, by which it takes what had arrived before. They
+# are counted since a fast endpoint may always have more ready.
+MAX_LATE_READS: Final = 16
+
 # Time for which a crash counts as evidence.
 EVIDENCE_RETENTION_MS: Final = 10 * 60 * 1_000
 # Time to wait after a crash for the evidence of other entries to arrive.
--- a/chestnutvale/attempts/model_call.py
+++ b/chestnutvale/attempts/model_call.py
@@ -335,7 +335,7 @@
         return effects
 
     def _read_on(self, fault: str, is_overdue: bool, now_s: float) -> list[CallEffect]:
-        """Return no effects if the attempt can go on."""
+        """Return what ends the attempt after its events; nothing if it goes on."""
         if now_s >= self.deadline_s:
             may_read = not fault and self._may_read_late()
             return [] if may_read else self._fail_deadline()
--- a/chestnutvale/http_client/exceptions.py
+++ b/chestnutvale/http_client/exceptions.py
@@ -31,5 +31,6 @@
     """The kernel gave a connection up, as its peer acknowledged nothing for too long.
 
     Python raises a `TimeoutError` for this, as for a deadline that passed. But the
-    connection has failed, whereas after a deadline it can still be used.
+    connection has failed, whereas after a deadline it can still be used. It is an
+    `OSError` like all failures of a connection, and no `ChestnutError`.
     """
--- a/chestnutvale/http_client/timed_socket.py
+++ b/chestnutvale/http_client/timed_socket.py
@@ -19,8 +19,8 @@
 
     A connection that has failed stays failed. The kernel reports an error of a socket
     only once, to whichever call comes first, and the end of the connection afterwards.
-    Without a record, a reset that was seen by a look for bytes would be taken for the
-    regular end of an answer without a length.
+    Without a record, a reset that a peek has seen would be taken for the regular end of
+    an answer without a length.
 
     Parameters
     ----------
