--- a/chestnutvale/programs/early_signals.py
+++ b/chestnutvale/programs/early_signals.py
@@ -21,6 +21,14 @@
     """
     for number in EARLY_SIGNALS:
         signal.signal(number, signal.SIG_IGN)
+    release_early_signals()
+
+
+def release_early_signals() -> None:
+    """Take the signals that were held back since the start of the process.
+
+    Programs call it once they handle or ignore them.
+    """
     signal.pthread_sigmask(signal.SIG_UNBLOCK, EARLY_SIGNALS)
 
 
--- a/chestnutvale/soak/links.py
+++ b/chestnutvale/soak/links.py
@@ -19,6 +19,8 @@
 from eventlet.event import Event
 from eventlet.green import socket
 
+from chestnutvale.programs.early_signals import release_early_signals
+
 RESET_SHARE: Final = 0.3
 READ_BYTES: Final = 64 * 1024
 CONNECT_TIMEOUT_S: Final = 2.0
@@ -175,6 +177,7 @@
     links = Links(delay_ms / 1e3, random.Random(seed))
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))
     signal.signal(signal.SIGUSR1, lambda *_: eventlet.spawn_n(links.reset_some))
+    release_early_signals()
     pairs = [target.split("=", 1) for target in targets]
     print(json.dumps({n: links.listen(address) for n, address in pairs}), flush=True)
     while True:
