--- a/tests/programs/entry/routed/routed_fakes.py
+++ b/tests/programs/entry/routed/routed_fakes.py
@@ -11,6 +11,7 @@
 from chestnutvale.programs.entry.routed.caller_protocol import RoutedRequest
 from chestnutvale.programs.entry.routed.connections import ConnectionPool
 from chestnutvale.programs.entry.routed.handler import RoutedHandler
+from chestnutvale.routing.const import ISOLATION_CONFIRMATION_S
 from chestnutvale.schema.configuration_pb2 import Route, RouteShare, Service
 from tests.programs.entry.entry_fakes import FakeContext, serve
 
@@ -260,6 +261,21 @@
         yield entry
 
 
+@contextlib.contextmanager
+def isolated_entry(endpoint):
+    """Yield an entry without a path to its endpoints, beside one with a path."""
+    with (
+        routed_entry(endpoint) as peer,
+        routed_entry(*(UnreachableEndpoint() for _ in range(4))) as entry,
+    ):
+        entry.context.peers = [peer.relay_address]
+        # The first failure lies back by the time that probes of others take.
+        since_s = entry.context.clock.now_s() - ISOLATION_CONFIRMATION_S
+        entry.context.reachability.record_failure("127.0.0.1:1", since_s)
+        entry.peer = peer
+        yield entry
+
+
 def call(address, path, body=b"", method="POST", **headers):
     """Send one call; return status, headers, body, and whether the body is complete."""
     sock = open_call(address, path, body, method, **headers)
--- a/tests/programs/entry/routed/test_invalid_statuses.py
+++ b/tests/programs/entry/routed/test_invalid_statuses.py
@@ -10,9 +10,9 @@
     ScriptedEndpoint,
     call,
     complete_answer,
+    isolated_entry,
     routed_entry,
 )
-from tests.programs.entry.routed.test_isolated_entry import isolated_entry
 
 PATHS = ["/once/x", "/safe/x", "/fixed/x", "/gen/x"]
 STATUSES = ["000 Nothing", "000", "099 Low", "600 High", "999 Odd", "0200 OK", "2x0 OK"]
--- a/tests/programs/entry/routed/test_not_run_promise.py
+++ b/tests/programs/entry/routed/test_not_run_promise.py
@@ -11,10 +11,10 @@
     chunk,
     complete_answer,
     event,
+    isolated_entry,
     routed_entry,
     stream_head,
 )
-from tests.programs.entry.routed.test_isolated_entry import isolated_entry
 
 PROMISES = ("408 Slow", "421 Other", "429 Many", "503 Busy")
 ONCE_PATHS = ("/once/x", "/fixed/x")
