--- a/chestnutvale/programs/early_signals.py
+++ b/chestnutvale/programs/early_signals.py
@@ -36,8 +36,8 @@
 def hold_back_early_signals() -> Iterator[None]:
     """Have the processes that are started here get these signals only when ready.
 
-    A process inherits the signal mask. Without it, a signal ends a new process before
-    its interpreter runs the first line.
+    A process inherits the signal mask. Otherwise such a signal would end a new process
+    whose interpreter has not run its first line.
     """
     mask = signal.pthread_sigmask(signal.SIG_BLOCK, EARLY_SIGNALS)
     try:
